--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measures of the code that serves, and the demo."""
--- /dev/null
+++ b/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for engines, plain services and the platform. Not shipped."""
--- /dev/null
+++ b/fakes/__main__.py
@@ -0,0 +1,66 @@
+"""Run a stand-in as a process: ``python -m fakes engine|plain|platform``."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import defopt
+
+from pondhatch.kernel import install_reactor
+
+
+def engine(
+    *, name: str, port: int = 0, slots: int = 8, step: float = 0.005, cache_tokens: int = 50_000
+) -> None:
+    """Run a model engine.
+
+    :param name: its name
+    :param port: TCP port on loopback; 0 takes a free one
+    :param slots: requests that run at once
+    :param step: seconds between two tokens of one request
+    :param cache_tokens: size of the prefix cache
+    """
+    install_reactor()
+    from fakes._engine import Engine, EngineSettings
+
+    settings = EngineSettings(name, slots=slots, step=step, cache_tokens=cache_tokens)
+    _listen(Engine(settings).app, port)
+
+
+def plain(*, name: str, port: int = 0) -> None:
+    """Run an instance of a plain service.
+
+    :param name: its name
+    :param port: TCP port on loopback; 0 takes a free one
+    """
+    install_reactor()
+    from fakes._plain import PlainService
+
+    _listen(PlainService(name).app, port)
+
+
+def platform(*, port: int = 0) -> None:
+    """Run the platform.
+
+    :param port: TCP port on loopback; 0 takes a free one
+    """
+    install_reactor()
+    from fakes._platform import PlatformFake
+
+    _listen(PlatformFake().app, port)
+
+
+def _listen(app: Any, port: int) -> None:
+    from twisted.internet import reactor as installed
+    from twisted.web.server import Site
+
+    reactor: Any = installed
+    site = Site(app.resource())
+    site.log = lambda request: None  # type: ignore[method-assign]
+    bound = reactor.listenTCP(port, site, interface="127.0.0.1")
+    print(f"listening {bound.getHost().port}", flush=True)
+    reactor.run()
+
+
+if __name__ == "__main__":
+    defopt.run([engine, plain, platform])
--- /dev/null
+++ b/fakes/_engine.py
@@ -0,0 +1,246 @@
+"""A model engine: batches, caches prefixes, streams, reports load late.
+
+Faults: ``stall`` (hold the answer for a time), ``cut`` (break the connection in
+the middle), ``cross`` (answer under another request's id), ``delay`` (head comes
+late), ``duplicate`` (send the last part twice), ``refuse`` (503, not run).
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from collections import deque
+from dataclasses import dataclass, field
+from typing import Any
+
+from klein import Klein
+from twisted.internet.defer import Deferred
+
+from fakes._faults import Faults
+from fakes._prefix_cache import PrefixCache, tokens_of
+from pondhatch.kernel import as_deferred
+
+#: Tokens of a prompt that are read in one second.
+PREFILL_TOKENS_PER_SECOND = 20_000
+#: Lengths of what an engine may be asked to write, in tokens.
+DEFAULT_TOKENS = 16
+
+
+@dataclass
+class EngineSettings:
+    """How an engine behaves."""
+
+    name: str
+    #: Requests that run at once.
+    slots: int = 8
+    #: Seconds between two tokens of one request.
+    step: float = 0.005
+    cache_tokens: int = 50_000
+    #: Seconds by which the load report is behind.
+    report_lag: float = 0.5
+    #: Every how many cache events one is lost.
+    event_gap: int = 10
+
+
+@dataclass
+class Run:
+    """One request as the engine ran it."""
+
+    request_id: str
+    cached: int
+    prompt: int
+    outcome: str = "running"
+
+
+@dataclass(order=True)
+class Waiting:
+    """A request in the queue; lower priority numbers go first."""
+
+    priority: int
+    arrived: int
+    ready: asyncio.Event = field(compare=False)
+
+
+class Engine:
+    """One engine's state and its HTTP interface."""
+
+    def __init__(self, settings: EngineSettings) -> None:
+        self.settings = settings
+        self.faults = Faults()
+        self.runs: deque[Run] = deque(maxlen=10_000)
+        self.running = 0
+        self.app = Klein()
+        self._queue: list[Waiting] = []
+        self._arrivals = 0
+        self._cache = PrefixCache(settings.cache_tokens)
+        self._loads: deque[tuple[float, int, int]] = deque(maxlen=1000)
+        self._events: list[dict[str, Any]] = []
+        self._route()
+
+    def _route(self) -> None:
+        @self.app.route("/v1/chat/completions", methods=["POST"])
+        def chat(request: Any) -> Deferred[None]:
+            return as_deferred(self._chat(request))
+
+        @self.app.route("/load")
+        def load(request: Any) -> bytes:
+            return json.dumps(self._late_load()).encode()
+
+        @self.app.route("/events")
+        def events(request: Any) -> bytes:
+            since = int(request.args.get(b"since", [b"0"])[0])
+            late = time.monotonic() - self.settings.report_lag
+            shown = [e for e in self._events if e["number"] > since and e["at"] <= late]
+            return json.dumps(shown).encode()
+
+        @self.app.route("/runs")
+        def runs(request: Any) -> bytes:
+            return json.dumps([vars(run) for run in self.runs]).encode()
+
+        self.faults.route(self.app)
+
+    async def _chat(self, request: Any) -> None:
+        body = json.loads(request.content.read())
+        request_id = request.getHeader("x-request-id") or "none"
+        if self.faults.strike("refuse"):
+            request.setResponseCode(503)
+            request.setHeader("X-Not-Run", "1")
+            request.setHeader("X-Request-Id", request_id)
+            return
+        texts = [f"{m['role']}:{json.dumps(m.get('content'))}" for m in body["messages"]]
+        run = Run(request_id, 0, sum(tokens_of(text) for text in texts))
+        self.runs.append(run)
+        gone = asyncio.Event()
+        request.notifyFinish().addErrback(lambda _: gone.set())
+        await self._enter(int(request.getHeader("x-priority") or 5))
+        try:
+            await self._answer(request, body, texts, run, gone)
+        finally:
+            self._leave()
+        if gone.is_set():
+            run.outcome = "cancelled"
+
+    async def _answer(
+        self, request: Any, body: dict[str, Any], texts: list[str], run: Run, gone: asyncio.Event
+    ) -> None:
+        run.cached = self._cache.cached_tokens(texts)
+        await asyncio.sleep((run.prompt - run.cached) / PREFILL_TOKENS_PER_SECOND)
+        if fault := self.faults.strike("delay"):
+            await asyncio.sleep(fault.seconds)
+        crossed = self.faults.strike("cross")
+        request.setHeader("X-Request-Id", "another" if crossed else run.request_id)
+        words = _words(texts, body.get("max_tokens") or body.get("max_completion_tokens"))
+        if body.get("stream"):
+            await self._stream(request, body, words, run, gone)
+        else:
+            await asyncio.sleep(self.settings.step * len(words))
+            request.setHeader("Content-Type", "application/json")
+            if not gone.is_set():
+                request.write(json.dumps(_whole(body["model"], words, run)).encode())
+        if not gone.is_set():
+            run.outcome = "whole"
+        self._cache.insert([*texts, "assistant:" + json.dumps("".join(words))])
+        self._note_event(run)
+
+    async def _stream(
+        self, request: Any, body: dict[str, Any], words: list[str], run: Run, gone: asyncio.Event
+    ) -> None:
+        request.setHeader("Content-Type", "text/event-stream")
+        part = b""
+        for at, word in enumerate(words):
+            if gone.is_set():
+                return
+            if at == len(words) // 2:
+                await self._strike_in_the_middle(request)
+            if gone.is_set():
+                return
+            part = _event(body["model"], {"content": word}, None, run)
+            request.write(part)
+            await asyncio.sleep(self.settings.step)
+        if gone.is_set():
+            return
+        if self.faults.strike("duplicate"):
+            request.write(part)
+        request.write(_event(body["model"], {}, "stop", run))
+        request.write(b"data: [DONE]\n\n")
+
+    async def _strike_in_the_middle(self, request: Any) -> None:
+        if fault := self.faults.strike("stall"):
+            await asyncio.sleep(fault.seconds)
+        if self.faults.strike("cut") and request.channel is not None:
+            request.channel.forceAbortClient()
+            await asyncio.sleep(0.05)
+
+    async def _enter(self, priority: int) -> None:
+        if self.running >= self.settings.slots:
+            self._arrivals += 1
+            waiting = Waiting(priority, self._arrivals, asyncio.Event())
+            self._queue.append(waiting)
+            self._queue.sort()
+            self._note_load()
+            await waiting.ready.wait()
+        self.running += 1
+        self._note_load()
+
+    def _leave(self) -> None:
+        self.running -= 1
+        if self._queue:
+            self._queue.pop(0).ready.set()
+        self._note_load()
+
+    def _note_load(self) -> None:
+        self._loads.append((time.monotonic(), self.running, len(self._queue)))
+
+    def _late_load(self) -> dict[str, int]:
+        late = time.monotonic() - self.settings.report_lag
+        known = [load for load in self._loads if load[0] <= late]
+        _, running, waiting = known[-1] if known else (0.0, 0, 0)
+        return {"running": running, "waiting": waiting, "cache_tokens": self._cache.used}
+
+    def _note_event(self, run: Run) -> None:
+        number = len(self._events) + 1
+        if number % self.settings.event_gap == 0:
+            return
+        self._events.append({"number": number, "at": time.monotonic(), "stored": run.request_id})
+
+
+def _words(texts: list[str], wanted: int | None) -> list[str]:
+    """Return the answer: the same for the same messages, so that it can be checked."""
+    last = texts[-1]
+    return [f"{len(texts)}.{at}.{len(last)} " for at in range(wanted or DEFAULT_TOKENS)]
+
+
+def _usage(words: list[str], run: Run) -> dict[str, Any]:
+    return {
+        "prompt_tokens": run.prompt,
+        "completion_tokens": len(words),
+        "total_tokens": run.prompt + len(words),
+        "prompt_tokens_details": {"cached_tokens": run.cached},
+    }
+
+
+def _whole(model: str, words: list[str], run: Run) -> dict[str, Any]:
+    message = {"role": "assistant", "content": "".join(words)}
+    return {
+        "id": f"chatcmpl-{run.request_id}",
+        "object": "chat.completion",
+        "created": int(time.time()),
+        "model": model,
+        "choices": [{"index": 0, "message": message, "finish_reason": "stop"}],
+        "usage": _usage(words, run),
+    }
+
+
+def _event(model: str, delta: dict[str, str], finish: str | None, run: Run) -> bytes:
+    choice = {"index": 0, "delta": delta, "finish_reason": finish}
+    chunk: dict[str, Any] = {
+        "id": f"chatcmpl-{run.request_id}",
+        "object": "chat.completion.chunk",
+        "created": int(time.time()),
+        "model": model,
+        "choices": [choice],
+    }
+    if finish is not None:
+        chunk["usage"] = _usage([], run)
+    return b"data: " + json.dumps(chunk).encode() + b"\n\n"
--- /dev/null
+++ b/fakes/_local_fleet.py
@@ -0,0 +1,243 @@
+"""A whole fleet as processes on loopback, for the demo, the tests and the bench."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import urllib.error
+import urllib.request
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+from types import TracebackType
+from typing import Any
+
+import yaml
+
+ROOT = Path(__file__).resolve().parent.parent
+HOST = "127.0.0.1"
+#: Seconds for a process to start or a fleet to agree.
+PATIENCE = 60.0
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that were free a moment ago, for TCP and UDP alike."""
+    sockets = []
+    for _ in range(count):
+        bound = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        bound.bind((HOST, 0))
+        sockets.append(bound)
+    ports = [bound.getsockname()[1] for bound in sockets]
+    for bound in sockets:
+        bound.close()
+    return ports
+
+
+def fetch(url: str, body: Any | None = None, method: str | None = None) -> Any:
+    """Return the JSON that a URL answers, or text where it is no JSON."""
+    data = json.dumps(body).encode() if body is not None else None
+    request = urllib.request.Request(url, data=data, method=method)
+    with urllib.request.urlopen(request, timeout=10) as answer:
+        content = answer.read().decode()
+    try:
+        return json.loads(content)
+    except ValueError:
+        return content
+
+
+@dataclass
+class Router:
+    """A router process and its addresses."""
+
+    name: str
+    hall: str
+    callers: str
+    admin: str
+    process: subprocess.Popen[bytes]
+
+    def state(self) -> dict[str, Any]:
+        """Return the router's state dump."""
+        found: dict[str, Any] = fetch(f"http://{self.admin}/state.json")
+        return found
+
+
+@dataclass
+class Backend:
+    """A stand-in's process and its address."""
+
+    name: str
+    service: str
+    url: str
+    hall: str
+    process: subprocess.Popen[bytes]
+
+    def arm(self, fault: str, count: int = 1, seconds: float = 0.0) -> None:
+        """Tell the stand-in to fail."""
+        fetch(f"{self.url}/faults", {"name": fault, "count": count, "seconds": seconds})
+
+
+@dataclass
+class LocalFleet:
+    """Starts processes and ends those it started."""
+
+    log_level: str = "WARNING"
+    routers: list[Router] = field(default_factory=list)
+    backends: list[Backend] = field(default_factory=list)
+    platform_url: str = ""
+    platform: Backend | None = None
+    _folder: Any = None
+    _started: list[subprocess.Popen[bytes]] = field(default_factory=list)
+
+    def __enter__(self) -> LocalFleet:
+        self._folder = tempfile.TemporaryDirectory(prefix="pondhatch-")
+        (self.folder / "fleet.key").write_text("a key for trials on loopback\n")
+        url, process = self._stand_in("platform")
+        self.platform_url = url
+        self.platform = Backend("platform", "", url, "", process)
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        for process in self._started:
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self._started:
+            process.wait()
+        self._folder.cleanup()
+
+    @property
+    def folder(self) -> Path:
+        """The folder of settings and keys."""
+        return Path(self._folder.name)
+
+    def add_backend(self, kind: str, name: str, service: str, hall: str, **options: Any) -> Backend:
+        """Start an engine or a plain service and list it at the platform."""
+        flags = [f"--{key.replace('_', '-')}={value}" for key, value in options.items()]
+        url, process = self._stand_in(kind, f"--name={name}", *flags)
+        backend = Backend(name, service, url, hall, process)
+        self.backends.append(backend)
+        self.list_upstream(backend, "live")
+        return backend
+
+    def list_upstream(self, backend: Backend, state: str) -> None:
+        """Write an upstream's state into the platform's list."""
+        value = {
+            "name": backend.name,
+            "service": backend.service,
+            "url": backend.url,
+            "hall": backend.hall,
+            "state": state,
+        }
+        fetch(f"{self.platform_url}/v1/objects/upstream/{backend.name}", value, "PUT")
+
+    def add_routers(self, halls: Sequence[str], **settings: Any) -> None:
+        """Start one router for each hall named, and list its VM at the platform."""
+        ports = free_ports(3 * len(halls))
+        seeds = [f"{HOST}:{ports[1]}"]
+        for at, hall in enumerate(halls):
+            callers, peers, admin = ports[3 * at : 3 * at + 3]
+            name = f"router-{len(self.routers)}"
+            vm = {"address": f"{HOST}:{peers}", "state": "live"}
+            fetch(f"{self.platform_url}/v1/objects/vm/{name}", vm, "PUT")
+            self._start_router(name, hall, (callers, peers, admin), seeds, settings)
+
+    def await_agreement(self, configuration: int, upstreams: int | None = None) -> None:
+        """Wait until all routers know each other, the configuration and the upstreams."""
+        wanted = len(self.backends) if upstreams is None else upstreams
+        deadline = time.monotonic() + PATIENCE
+        while not all(self._agrees(router, configuration, wanted) for router in self.routers):
+            if time.monotonic() > deadline:
+                raise TimeoutError("the fleet did not agree in time")
+            time.sleep(0.1)
+
+    def pondhatch(self, *arguments: str) -> subprocess.CompletedProcess[str]:
+        """Run the command line and return what it printed."""
+        return subprocess.run(
+            [sys.executable, "-m", "pondhatch", *arguments],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            timeout=PATIENCE,
+            check=False,
+        )
+
+    def apply(self, *files: str | Path) -> subprocess.CompletedProcess[str]:
+        """Apply configuration files."""
+        names = [str(file) for file in files]
+        return self.pondhatch("apply", *names, "--platform", self.platform_url, "--author", "demo")
+
+    def stop(self, process: subprocess.Popen[bytes], number: int = signal.SIGTERM) -> int:
+        """Signal a process that this fleet started and return its exit code."""
+        process.send_signal(number)
+        return process.wait(timeout=PATIENCE)
+
+    def _agrees(self, router: Router, configuration: int, upstreams: int) -> bool:
+        try:
+            state = router.state()
+        except (OSError, urllib.error.URLError):
+            return False
+        return (
+            len(state["members"]) == len([r for r in self.routers if r.process.poll() is None])
+            and state["configuration"] >= configuration
+            and len(state["upstreams"]) >= upstreams
+        )
+
+    def _start_router(
+        self,
+        name: str,
+        hall: str,
+        ports: tuple[int, int, int],
+        seeds: list[str],
+        settings: dict[str, Any],
+    ) -> None:
+        callers, peers, admin = ports
+        written = {
+            "name": name,
+            "hall": hall,
+            "callers": {"host": HOST, "port": callers},
+            "peers": {"host": HOST, "port": peers},
+            "admin": {"host": HOST, "port": admin},
+            "platform": self.platform_url,
+            "fleet_key_file": str(self.folder / "fleet.key"),
+            "seeds": seeds,
+            "log": {"level": self.log_level},
+            **settings,
+        }
+        path = self.folder / f"{name}.yaml"
+        path.write_text(yaml.safe_dump(written))
+        process = self._start("pondhatch", "run", str(path))
+        scheme = "https" if "certificate" in written["callers"] else "http"
+        router = Router(name, hall, f"{scheme}://{HOST}:{callers}", f"{HOST}:{admin}", process)
+        self.routers.append(router)
+
+    def _stand_in(self, kind: str, *arguments: str) -> tuple[str, subprocess.Popen[bytes]]:
+        process = self._start("fakes", kind, *arguments, stdout=subprocess.PIPE)
+        if process.stdout is None:
+            raise TypeError("a stand-in tells its port on standard output")
+        line = process.stdout.readline().decode()
+        if not line.startswith("listening "):
+            raise RuntimeError(f"{kind} did not start: {line!r}")
+        return f"http://{HOST}:{line.split()[1]}", process
+
+    def _start(
+        self, module: str, *arguments: str, stdout: int | None = None
+    ) -> subprocess.Popen[bytes]:
+        process = subprocess.Popen(
+            [sys.executable, "-m", module, *arguments],
+            cwd=ROOT,
+            stdout=stdout,
+            env={**os.environ, "PYTHONDONTWRITEBYTECODE": "1"},
+        )
+        self._started.append(process)
+        return process
--- /dev/null
+++ b/fakes/_plain.py
@@ -0,0 +1,93 @@
+"""A plain service that records each call it ran.
+
+``/.../echo`` answers the body; ``/.../large/BYTES`` answers that many bytes.
+Faults: ``stall``, ``cut`` (run the call, then break the connection), ``refuse``.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import json
+from collections import Counter
+from typing import Any
+
+from klein import Klein
+from twisted.internet.defer import Deferred
+
+from fakes._faults import Faults
+from pondhatch.kernel import as_deferred
+
+#: Bytes of one part of a large answer.
+PART = 32 * 1024
+
+
+class Producer:
+    """Writes a large answer at the caller's pace, counting what was written."""
+
+    def __init__(self, request: Any, size: int) -> None:
+        self.written = 0
+        self.ended: Deferred[None] = Deferred()
+        self._request = request
+        self._left = size
+        request.registerProducer(self, False)
+
+    def resumeProducing(self) -> None:
+        part = b"x" * min(PART, self._left)
+        self._left -= len(part)
+        self.written += len(part)
+        self._request.write(part)
+        if self._left == 0:
+            self._request.unregisterProducer()
+            self.ended.callback(None)
+
+    def stopProducing(self) -> None:
+        if not self.ended.called:
+            self.ended.callback(None)
+
+
+class PlainService:
+    """One instance of a plain service."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.faults = Faults()
+        #: How often each call ran, by the caller's X-Call-Id or the path.
+        self.calls: Counter[str] = Counter()
+        #: Bytes written of the answer last asked for by ``/large``.
+        self.producer: Producer | None = None
+        self.app = Klein()
+        self._route()
+
+    def _route(self) -> None:
+        @self.app.route("/calls")
+        def calls(request: Any) -> bytes:
+            written = self.producer.written if self.producer is not None else 0
+            return json.dumps({"calls": self.calls, "written": written}).encode()
+
+        self.faults.route(self.app)
+
+        @self.app.route("/", branch=True)
+        def call(request: Any) -> Deferred[bytes | None]:
+            return as_deferred(self._call(request))
+
+    async def _call(self, request: Any) -> bytes:
+        request.setHeader("X-Request-Id", request.getHeader("x-request-id") or "none")
+        if self.faults.strike("refuse"):
+            request.setResponseCode(503)
+            request.setHeader("X-Not-Run", "1")
+            return b""
+        self.calls[request.getHeader("x-call-id") or request.path.decode()] += 1
+        if fault := self.faults.strike("stall"):
+            await asyncio.sleep(fault.seconds)
+        if self.faults.strike("cut"):
+            request.channel.forceAbortClient()
+            return b""
+        if b"/large/" in request.path:
+            self.producer = Producer(request, int(request.path.rsplit(b"/", 1)[1]))
+            await self.producer.ended.asFuture(asyncio.get_running_loop())
+            return b""
+        content: bytes = request.content.read()
+        request.setHeader("X-Upstream", self.name)
+        request.setHeader("X-Body-Digest", hashlib.sha256(content).hexdigest())
+        return content or f"{self.name} {request.method.decode()} {request.uri.decode()}".encode()
--- /dev/null
+++ b/fakes/_platform.py
@@ -0,0 +1,186 @@
+"""The platform's object API: versions, conditional updates, watches, a call count.
+
+Faults: ``outage`` (503 for a time), ``slow`` (each call waits), ``lost-answer``
+(the write takes effect, its answer is lost), ``compact`` (forget old changes).
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import Any
+
+from klein import Klein
+from twisted.internet.defer import Deferred
+
+from fakes._faults import Faults
+from pondhatch.kernel import as_deferred
+
+#: Seconds between bookmarks on a quiet watch.
+BOOKMARK_SECONDS = 2.0
+#: Largest value held, in bytes.
+LARGEST_VALUE = 1024 * 1024
+
+
+@dataclass
+class Stored:
+    """One object."""
+
+    kind: str
+    name: str
+    version: int
+    value: Any
+
+
+@dataclass
+class Store:
+    """Objects and the log of their changes."""
+
+    version: int = 0
+    object_by_key: dict[tuple[str, str], Stored] = field(default_factory=dict)
+    events: list[tuple[str, dict[str, Any]]] = field(default_factory=list)
+    #: Changes up to this version are forgotten.
+    compacted: int = 0
+
+    def put(
+        self, kind: str, name: str, value: Any, expected: int | None, new: bool
+    ) -> Stored | None:
+        """Write if the condition holds; None where it does not."""
+        current = self.object_by_key.get((kind, name))
+        if new and current is not None:
+            return None
+        if expected is not None and (current is None or current.version != expected):
+            return None
+        self.version += 1
+        stored = Stored(kind, name, self.version, value)
+        self.object_by_key[kind, name] = stored
+        event = {"type": "set", "version": self.version, "name": name, "value": value}
+        self.events.append((kind, event))
+        return stored
+
+    def remove(self, kind: str, name: str) -> bool:
+        """Remove an object; return whether there was one."""
+        if self.object_by_key.pop((kind, name), None) is None:
+            return False
+        self.version += 1
+        self.events.append((kind, {"type": "removed", "version": self.version, "name": name}))
+        return True
+
+    def compact(self) -> None:
+        """Forget all changes so far."""
+        self.compacted = self.version
+        self.events.clear()
+
+
+class PlatformFake:
+    """The platform's HTTP interface."""
+
+    def __init__(self) -> None:
+        self.store = Store()
+        self.faults = Faults()
+        self.calls: Counter[str] = Counter()
+        self.app = Klein()
+        self._outage_until = 0.0
+        self._route()
+
+    def _route(self) -> None:
+        @self.app.route("/v1/objects/<kind>", methods=["GET"])
+        def collection(request: Any, kind: str) -> Deferred[bytes | None]:
+            watching = b"watch" in request.args
+            work = self._watch(request, kind) if watching else self._list(request, kind)
+            return as_deferred(work)
+
+        @self.app.route("/v1/objects/<kind>/<name>", methods=["GET", "PUT", "DELETE"])
+        def one(request: Any, kind: str, name: str) -> Deferred[bytes | None]:
+            return as_deferred(self._one(request, kind, name))
+
+        @self.app.route("/calls")
+        def calls(request: Any) -> bytes:
+            return json.dumps(self.calls).encode()
+
+        self.faults.route(self.app)
+
+    async def _ready(self, request: Any, call: str) -> bool:
+        """Count a call and let the armed faults strike; False where it is refused."""
+        self.calls[call] += 1
+        if fault := self.faults.strike("outage"):
+            self._outage_until = time.monotonic() + fault.seconds
+        if fault := self.faults.strike("slow"):
+            await asyncio.sleep(fault.seconds)
+        if self.faults.strike("compact"):
+            self.store.compact()
+        if time.monotonic() < self._outage_until:
+            request.setResponseCode(503)
+            return False
+        return True
+
+    async def _list(self, request: Any, kind: str) -> bytes:
+        if not await self._ready(request, "read"):
+            return b""
+        objects = [vars(each) for (of, _), each in self.store.object_by_key.items() if of == kind]
+        return json.dumps({"version": self.store.version, "objects": objects}).encode()
+
+    async def _one(self, request: Any, kind: str, name: str) -> bytes:
+        method = request.method.decode()
+        if not await self._ready(request, "read" if method == "GET" else "write"):
+            return b""
+        if method == "GET":
+            found = self.store.object_by_key.get((kind, name))
+            if found is None:
+                request.setResponseCode(404)
+                return b""
+            return json.dumps(vars(found)).encode()
+        if method == "DELETE":
+            request.setResponseCode(200 if self.store.remove(kind, name) else 404)
+            return b""
+        return await self._put(request, kind, name)
+
+    async def _put(self, request: Any, kind: str, name: str) -> bytes:
+        content = request.content.read()
+        if len(content) > LARGEST_VALUE:
+            request.setResponseCode(413)
+            return b""
+        expected = request.getHeader("if-match")
+        new = request.getHeader("if-none-match") == "*"
+        wanted = int(expected) if expected is not None else None
+        stored = self.store.put(kind, name, json.loads(content), wanted, new)
+        if self.faults.strike("lost-answer"):
+            request.channel.forceAbortClient()
+            return b""
+        if stored is None:
+            request.setResponseCode(409)
+            return b""
+        return json.dumps(vars(stored)).encode()
+
+    async def _watch(self, request: Any, kind: str) -> bytes:
+        if not await self._ready(request, "watch"):
+            return b""
+        asked = request.args.get(b"since")
+        since = int(asked[0]) if asked else self.store.version
+        if since < self.store.compacted:
+            request.setResponseCode(410)
+            return b""
+        gone = asyncio.Event()
+        request.notifyFinish().addErrback(lambda _: gone.set())
+        _line(request, {"type": "bookmark", "version": since})
+        quiet_since = time.monotonic()
+        while not gone.is_set() and time.monotonic() >= self._outage_until:
+            fresh = [e for of, e in self.store.events if of == kind and e["version"] > since]
+            for event in fresh:
+                _line(request, event)
+                since = event["version"]
+            if fresh:
+                quiet_since = time.monotonic()
+            if time.monotonic() - quiet_since > BOOKMARK_SECONDS:
+                since = max(since, self.store.version)
+                _line(request, {"type": "bookmark", "version": since})
+                quiet_since = time.monotonic()
+            await asyncio.sleep(0.01)
+        return b""
+
+
+def _line(request: Any, event: dict[str, Any]) -> None:
+    request.write(json.dumps(event).encode() + b"\n")
--- /dev/null
+++ b/fakes/_prefix_cache.py
@@ -0,0 +1,54 @@
+"""An engine's prefix cache in limited memory."""
+
+from __future__ import annotations
+
+import hashlib
+from collections import OrderedDict
+from collections.abc import Sequence
+
+#: Characters that count as one token.
+CHARACTERS_PER_TOKEN = 4
+
+
+def tokens_of(text: str) -> int:
+    """Return how many tokens a text counts as."""
+    return max(1, len(text) // CHARACTERS_PER_TOKEN)
+
+
+class PrefixCache:
+    """Least recently used prefixes of message lists, bounded in tokens."""
+
+    def __init__(self, capacity_tokens: int) -> None:
+        self.capacity = capacity_tokens
+        self.used = 0
+        self._tokens_by_prefix: OrderedDict[str, int] = OrderedDict()
+
+    def cached_tokens(self, messages: Sequence[str]) -> int:
+        """Return the tokens of the longest cached prefix, and mark it used."""
+        cached = total = 0
+        for prefix, tokens in _prefixes(messages):
+            total += tokens
+            if prefix in self._tokens_by_prefix:
+                self._tokens_by_prefix.move_to_end(prefix)
+                cached = total
+        return cached
+
+    def insert(self, messages: Sequence[str]) -> None:
+        """Keep a message list's prefixes, dropping the least recently used."""
+        for prefix, tokens in _prefixes(messages):
+            if prefix not in self._tokens_by_prefix:
+                self._tokens_by_prefix[prefix] = tokens
+                self.used += tokens
+            self._tokens_by_prefix.move_to_end(prefix)
+        while self.used > self.capacity and self._tokens_by_prefix:
+            _, tokens = self._tokens_by_prefix.popitem(last=False)
+            self.used -= tokens
+
+
+def _prefixes(messages: Sequence[str]) -> list[tuple[str, int]]:
+    running = hashlib.blake2b(digest_size=8)
+    found = []
+    for message in messages:
+        running.update(message.encode() + b"\0")
+        found.append((running.hexdigest(), tokens_of(message)))
+    return found
--- /dev/null
+++ b/pondhatch/cli/_main.py
@@ -0,0 +1,41 @@
+"""The command line: ``pondhatch COMMAND``.
+
+Exit codes: 0 done; 1 the input or configuration is wrong, nothing was done;
+2 wrong usage; 3 another change came first, nothing was done; 4 the platform or
+router cannot be reached, nothing was done; 5 the outcome is unknown.
+"""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Sequence
+
+import defopt
+
+from pondhatch import __version__
+from pondhatch.cli._commands import COMMANDS
+from pondhatch.configuration import ConfigurationError
+
+EXIT_INPUT = 1
+EXIT_USAGE = 2
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Run one command and return its exit code."""
+    arguments = list(sys.argv[1:] if argv is None else argv)
+    try:
+        code = defopt.run(
+            COMMANDS,
+            argv=arguments,
+            version=__version__,
+            short={},
+            no_negated_flags=True,
+            argparse_kwargs={"prog": "pondhatch", "description": __doc__},
+        )
+    except ConfigurationError as error:
+        for problem in error.problems:
+            print(problem, file=sys.stderr)
+        return EXIT_INPUT
+    except KeyboardInterrupt:
+        return EXIT_INPUT
+    return int(code)
--- /dev/null
+++ b/pondhatch/cli/_router_process.py
@@ -0,0 +1,227 @@
+"""One router process: its parts put together, started, drained and stopped."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+import time
+from typing import Any
+
+from grpclib.server import Server
+from twisted.internet import ssl
+from twisted.web.server import Site
+
+from pondhatch.configuration import Settings, load_fleet_key
+from pondhatch.kernel import Tasks
+from pondhatch.membership import (
+    Address,
+    Gossip,
+    GossipLimits,
+    Member,
+    Phase,
+    Profile,
+    Seal,
+    short_id,
+)
+from pondhatch.observing import Metrics, NoMetrics, StatsdMetrics, log_for
+from pondhatch.requests import LocalOwner, Owner
+from pondhatch.router import RouterState, Sync
+from pondhatch.transport import (
+    Admin,
+    Callers,
+    CallerSite,
+    GossipPort,
+    HttpPlatform,
+    HttpUpstreams,
+    PeerService,
+    PullReply,
+    PullRequest,
+    RemoteOwner,
+    fleet_token,
+    poll_loads,
+)
+
+log = log_for("process")
+
+#: Peers that are told at once of something new.
+NEWS_FANOUT = 4
+#: Seconds between looks at what still runs while draining.
+DRAIN_STEP = 0.05
+#: Seconds for which a draining router goes on being reachable, so that all hear of it.
+DRAIN_NOTICE = 1.0
+
+
+class RouterProcess:
+    """Owns every part of a router; the reactor must be installed before."""
+
+    def __init__(self, settings: Settings, reactor: Any) -> None:
+        self._settings = settings
+        self._reactor = reactor
+        self._tasks = Tasks()
+        fleet_key = load_fleet_key(settings)
+        self._token = fleet_token(fleet_key)
+        self._remote_by_name: dict[str, RemoteOwner] = {}
+        self._rng = random.Random()
+        self.state = self._new_state()
+        self._owner = LocalOwner(
+            settings.name,
+            self.state,
+            self.state.gate,
+            self.state.memory,
+            HttpUpstreams(reactor),
+            time.monotonic,
+        )
+        self.state.local = self._owner
+        self._gossip_port = GossipPort(Seal(fleet_key), self._receive)
+        self._platform = HttpPlatform(settings.platform)
+        self._sync = Sync(self.state, self._platform, self._pull, self._spread, self._rng)
+        self._callers = Callers(self.state, settings.limits, self._metrics())
+        self._peer_service = PeerService(self._owner, self._answer_pull, self._token)
+        self._peer_server: Server = self._peer_service.server()
+        self._started = time.monotonic()
+
+    async def run(self) -> None:
+        """Serve until a signal asks to stop, then drain."""
+        stop = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, stop.set)
+        await self._listen()
+        self.state.refresh()
+        self._tasks.start(self._rounds())
+        self._tasks.start(self._sync.run())
+        self._tasks.start(poll_loads(self.state))
+        log.info("Router {} serves hall {}.", self._settings.name, self._settings.hall)
+        await stop.wait()
+        await self._drain()
+
+    def _new_state(self) -> RouterState:
+        settings = self._settings
+        profile = Profile(
+            router=short_id(settings.name),
+            incarnation=time.time_ns() // 1_000_000,
+            name=settings.name,
+            host=settings.peers.host,
+            port=settings.peers.port,
+            hall=settings.hall,
+        )
+        seeds = [_address(seed) for seed in settings.seeds]
+        gossip = Gossip(profile, GossipLimits(), self._rng, seeds)
+        return RouterState(settings.name, settings.hall, gossip, time.monotonic, self._connect)
+
+    def _metrics(self) -> Metrics:
+        statsd = self._settings.statsd
+        if statsd is None:
+            return NoMetrics()
+        prefix = f"{statsd.prefix}.{self._settings.name}"
+        return StatsdMetrics(statsd.host, statsd.port, prefix)
+
+    async def _listen(self) -> None:
+        settings = self._settings
+        peers, admin = settings.peers, settings.admin
+        await self._peer_server.start(peers.host, peers.port)
+        self._reactor.listenUDP(peers.port, self._gossip_port, interface=peers.host)
+        admin_app = Admin(self.state, self._counters)
+        self._reactor.listenTCP(admin.port, Site(admin_app.app.resource()), interface=admin.host)
+        self._listen_to_callers()
+
+    def _listen_to_callers(self) -> None:
+        callers = self._settings.callers
+        resource: Any = self._callers.app.resource()
+        site = CallerSite(resource, self._settings.limits)
+        if callers.certificate is None or callers.private_key is None:
+            self._reactor.listenTCP(callers.port, site, interface=callers.host)
+            return
+        context = ssl.DefaultOpenSSLContextFactory(callers.private_key, callers.certificate)
+        self._reactor.listenSSL(callers.port, site, context, interface=callers.host)
+
+    # -- peers ----------------------------------------------------------------
+
+    def _connect(self, member: Member) -> Owner:
+        return self._remote(member)
+
+    def _remote(self, member: Member) -> RemoteOwner:
+        known = self._remote_by_name.get(member.name)
+        if known is not None and known.address == member.address:
+            return known
+        if known is not None:
+            known.close()
+        remote = RemoteOwner(member.name, member.address, self._token, self._tasks)
+        self._remote_by_name[member.name] = remote
+        return remote
+
+    async def _pull(self, member: Member, configuration: int, upstreams: int) -> PullReply | None:
+        reply = await self._remote(member).pull(configuration, upstreams)
+        if reply is None:
+            self.state.unreachable(member.name)
+        return reply
+
+    def _answer_pull(self, asked: PullRequest) -> PullReply:
+        return PullReply(
+            self.state.update_since(asked.configuration),
+            self.state.upstreams.since(asked.upstreams),
+        )
+
+    def _receive(self, payload: bytes, source: Address) -> list[Any]:
+        answers = self.state.gossip.receive(payload, source, self.state.clock())
+        self.state.refresh()
+        self._tasks.start(self._sync.heard_news())
+        return answers
+
+    def _spread(self) -> None:
+        self._gossip_port.send(self.state.gossip.news(self.state.clock(), NEWS_FANOUT))
+
+    async def _rounds(self) -> None:
+        while True:
+            self.state.tick()
+            self._gossip_port.send(self.state.gossip.tick(self.state.clock()))
+            await asyncio.sleep(self.state.gossip.limits.interval)
+
+    # -- stopping ---------------------------------------------------------------
+
+    async def _drain(self) -> None:
+        log.info("Draining, {} requests in flight.", self._callers.in_flight)
+        self.state.phase = Phase.DRAINING
+        self._announce()
+        await asyncio.sleep(DRAIN_NOTICE)
+        deadline = time.monotonic() + self._settings.drain_seconds
+        while self._busy() and time.monotonic() < deadline:
+            await asyncio.sleep(DRAIN_STEP)
+        log.info("Stopping, {} requests in flight.", self._callers.in_flight)
+        self.state.phase = Phase.LEFT
+        self._announce()
+        self._tasks.cancel_all()
+        for remote in self._remote_by_name.values():
+            remote.close()
+        self._peer_server.close()
+
+    def _announce(self) -> None:
+        self.state.refresh()
+        self.state.publish()
+        self._spread()
+
+    def _busy(self) -> bool:
+        held = sum(count.granted for count in self.state.gate.by_engine.values())
+        return held > 0 or self._callers.in_flight > 0
+
+    def _counters(self) -> dict[str, Any]:
+        return {
+            "uptime_seconds": round(time.monotonic() - self._started, 3),
+            "requests_in_flight": self._callers.in_flight,
+            "gossip_bytes_sent": self._gossip_port.bytes_sent,
+            "gossip_bytes_received": self._gossip_port.bytes_received,
+            "gossip_unsealed": self._gossip_port.unsealed,
+            "platform_calls": self._platform.calls,
+        }
+
+
+def _address(text: str) -> Address:
+    host, _, port = text.rpartition(":")
+    return Address(host, int(port))
+
+
+async def serve(settings: Settings, reactor: Any) -> None:
+    """Run a router until it is asked to stop."""
+    process = RouterProcess(settings, reactor)
+    await process.run()
--- /dev/null
+++ b/pondhatch/configuration/_publishing.py
@@ -0,0 +1,204 @@
+"""Getting a change accepted by the platform, and reading what was accepted."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, replace
+from typing import Any
+
+import msgspec
+
+from pondhatch.configuration._changes import Change, Edit, Snapshot, change_name
+from pondhatch.configuration._fleet import Fleet, Gap, Rejected
+from pondhatch.platform import (
+    Accepted,
+    Found,
+    Missing,
+    OutcomeUnknown,
+    Platform,
+    Unavailable,
+)
+
+#: Kind of the platform's objects that hold changes.
+CHANGE_KIND = "pondhatch-change"
+#: Kind of the objects that hold parts of snapshots, and the pointer to the latest.
+SNAPSHOT_KIND = "pondhatch-snapshot"
+LATEST = "latest"
+#: A snapshot is written after this many changes, so that no reader folds more.
+CHANGES_PER_SNAPSHOT = 64
+#: Bytes of entries in one part of a snapshot; the platform holds up to a megabyte.
+SNAPSHOT_PART_BYTES = 512 * 1024
+#: Tries to learn what became of a write whose answer was lost.
+READ_BACK_TRIES = 5
+READ_BACK_PAUSE = 0.3
+
+
+class SnapshotPointer(msgspec.Struct, frozen=True):
+    """Names the latest whole snapshot."""
+
+    version: int
+    parts: int
+
+
+@dataclass(frozen=True)
+class Published:
+    """The change is accepted at this version; the snapshot due after it is written or not."""
+
+    version: int
+
+
+@dataclass(frozen=True)
+class Beaten:
+    """Another change took the version first; nothing of ours is in force."""
+
+    theirs: Change
+
+
+@dataclass(frozen=True)
+class Unresolved:
+    """The platform could not tell; the change may be accepted under this id."""
+
+    change_id: str
+    version: int
+    reason: str
+
+
+@dataclass(frozen=True)
+class NotWritten:
+    """The platform could not be reached; nothing was written."""
+
+    reason: str
+
+
+@dataclass(frozen=True)
+class Broken:
+    """What the platform holds does not fit together."""
+
+    reason: str
+
+
+PublishOutcome = Published | Beaten | Unresolved | NotWritten | Broken
+
+Sleep = Callable[[float], Awaitable[None]]
+
+
+async def read_fleet(
+    platform: Platform, fleet: Fleet, until: int | None = None
+) -> Fleet | Unavailable | Broken:
+    """Return the configuration at the platform, starting from one already known.
+
+    ``until`` asks for an older version, as far back as the latest snapshot.
+    """
+    if fleet.version == 0:
+        start = await _read_snapshot(platform)
+        if not isinstance(start, Fleet):
+            return start
+        fleet = start
+    while until is None or fleet.version < until:
+        found = await platform.get(CHANGE_KIND, change_name(fleet.version + 1))
+        if isinstance(found, Missing):
+            return fleet
+        if isinstance(found, Unavailable):
+            return found
+        change = msgspec.convert(found.object.value, Change)
+        following = fleet.with_change(change)
+        if isinstance(following, Gap):
+            return Broken(f"change {fleet.version + 1} calls itself {change.version}")
+        fleet = fleet.voided(change) if isinstance(following, Rejected) else following
+    return fleet
+
+
+async def publish(
+    platform: Platform, change: Change, sleep: Sleep = asyncio.sleep
+) -> PublishOutcome:
+    """Create a change; where the answer is lost, read back and recognise the own one."""
+    name = change_name(change.version)
+    outcome = await platform.create(CHANGE_KIND, name, msgspec.to_builtins(change))
+    if isinstance(outcome, Accepted):
+        return Published(change.version)
+    if isinstance(outcome, Unavailable):
+        return NotWritten(outcome.reason)
+    unsure = isinstance(outcome, OutcomeUnknown)
+    reason = outcome.reason if isinstance(outcome, OutcomeUnknown) else "conflict"
+    for _ in range(READ_BACK_TRIES):
+        found = await platform.get(CHANGE_KIND, name)
+        if isinstance(found, Found):
+            theirs = msgspec.convert(found.object.value, Change)
+            own = theirs.change_id == change.change_id
+            return Published(change.version) if own else Beaten(theirs)
+        if isinstance(found, Missing) and unsure:
+            outcome = await platform.create(CHANGE_KIND, name, msgspec.to_builtins(change))
+            if isinstance(outcome, Accepted):
+                return Published(change.version)
+        await sleep(READ_BACK_PAUSE)
+    return Unresolved(change.change_id, change.version, reason)
+
+
+async def write_snapshot(platform: Platform, snapshot: Snapshot) -> bool:
+    """Write a snapshot's parts, then point to it; return whether the pointer is at least there."""
+    parts = _parts(snapshot.edits)
+    for number, part in enumerate(parts):
+        value = [msgspec.to_builtins(edit) for edit in part]
+        outcome = await platform.create(SNAPSHOT_KIND, _part_name(snapshot.version, number), value)
+        if isinstance(outcome, Unavailable | OutcomeUnknown):
+            return False
+    pointer = SnapshotPointer(snapshot.version, len(parts))
+    return await _move_pointer(platform, pointer)
+
+
+def rebased(change: Change, fleet: Fleet, edits: tuple[Edit, ...]) -> Change:
+    """Return a change that follows the given configuration."""
+    return msgspec.structs.replace(change, version=fleet.version + 1, edits=edits)
+
+
+async def _move_pointer(platform: Platform, pointer: SnapshotPointer) -> bool:
+    value: Any = msgspec.to_builtins(pointer)
+    found = await platform.get(SNAPSHOT_KIND, LATEST)
+    if isinstance(found, Unavailable):
+        return False
+    if isinstance(found, Missing):
+        return isinstance(await platform.create(SNAPSHOT_KIND, LATEST, value), Accepted)
+    if msgspec.convert(found.object.value, SnapshotPointer).version >= pointer.version:
+        return True
+    outcome = await platform.update(SNAPSHOT_KIND, LATEST, value, found.object.version)
+    return isinstance(outcome, Accepted)
+
+
+async def _read_snapshot(platform: Platform) -> Fleet | Unavailable | Broken:
+    found = await platform.get(SNAPSHOT_KIND, LATEST)
+    if isinstance(found, Unavailable):
+        return found
+    if isinstance(found, Missing):
+        return Fleet()
+    pointer = msgspec.convert(found.object.value, SnapshotPointer)
+    edits: list[Edit] = []
+    for number in range(pointer.parts):
+        part = await platform.get(SNAPSHOT_KIND, _part_name(pointer.version, number))
+        if isinstance(part, Unavailable):
+            return part
+        if isinstance(part, Missing):
+            return Broken(f"part {number} of snapshot {pointer.version} is missing")
+        edits.extend(msgspec.convert(part.object.value, list[Edit]))
+    fleet = Fleet.from_snapshot(Snapshot(pointer.version, tuple(edits)))
+    if isinstance(fleet, Rejected):
+        return Broken(f"snapshot {pointer.version}: {fleet}")
+    return replace(fleet, recent=())
+
+
+def _part_name(version: int, number: int) -> str:
+    return f"{change_name(version)}-{number:03d}"
+
+
+def _parts(edits: tuple[Edit, ...]) -> list[list[Edit]]:
+    """Split entries into parts, each within the platform's size of a value."""
+    parts: list[list[Edit]] = [[]]
+    size = 0
+    for edit in edits:
+        weight = len(msgspec.json.encode(edit))
+        if parts[-1] and size + weight > SNAPSHOT_PART_BYTES:
+            parts.append([])
+            size = 0
+        parts[-1].append(edit)
+        size += weight
+    return parts
--- /dev/null
+++ b/pondhatch/configuration/_schema.py
@@ -0,0 +1,149 @@
+"""The schemas of templates, services and accounts, and how data is held to them.
+
+Sizes and rates are checked here so that no other part need do so again.
+"""
+
+from __future__ import annotations
+
+import functools
+import json
+from collections.abc import Hashable
+from dataclasses import dataclass, field
+from typing import Annotated, Any, Literal, TypeVar, cast
+
+from pydantic import ConfigDict, Field, TypeAdapter, ValidationError, with_config
+
+from pondhatch.configuration._yaml import FieldPath
+
+Shape = TypeVar("Shape")
+
+NAME_PATTERN = r"^[a-z0-9][a-z0-9-]{0,62}$"
+Name = Annotated[str, Field(pattern=NAME_PATTERN)]
+KeyHash = Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
+Scalar = bool | int | float | str
+
+_closed = with_config(ConfigDict(extra="forbid"))
+
+
+@_closed
+@dataclass(frozen=True)
+class ServiceSpec:
+    """A service: a group of like upstreams that requests are routed to."""
+
+    kind: Literal["model", "plain"]
+    #: Model names that callers use; for kind "model".
+    models: tuple[str, ...] = ()
+    #: First part of the callers' path; for kind "plain".
+    prefix: Annotated[str, Field(pattern=r"^/[a-z0-9-]+/$")] | None = None
+    #: No engine carries more than this multiple of the service's mean load.
+    load_bound: Annotated[float, Field(gt=1.0, le=10.0)] = 1.25
+    #: Methods whose requests may run twice; for kind "plain".
+    repeatable_methods: tuple[str, ...] = ("GET", "HEAD", "OPTIONS")
+    #: Seconds that a request may take in all.
+    deadline: Annotated[float, Field(ge=1.0, le=3600.0)] = 120.0
+    #: Name of the placement policy.
+    placement: str = "bounded"
+
+
+@_closed
+@dataclass(frozen=True)
+class ParameterSpec:
+    """A parameter that a template asks each account for."""
+
+    type: Literal["integer", "number", "string", "boolean"]
+    description: str = ""
+    default: Scalar | None = None
+    minimum: float | None = None
+    maximum: float | None = None
+    choices: tuple[Scalar, ...] = ()
+
+
+@_closed
+@dataclass(frozen=True)
+class TemplateSpec:
+    """A template: the body of an account with parameters in it."""
+
+    #: The account's fields; a value "$name" stands for a parameter.
+    account: dict[str, Any]
+    parameters: dict[Name, ParameterSpec] = field(default_factory=dict)
+
+
+@_closed
+@dataclass(frozen=True)
+class AccountSpec:
+    """A client account: a template filled in."""
+
+    template: Name
+    #: SHA-256 of the API keys, in hex; two while a key is being replaced.
+    key_hashes: Annotated[tuple[KeyHash, ...], Field(min_length=1, max_length=4)]
+    parameters: dict[Name, Scalar] = field(default_factory=dict)
+
+
+@_closed
+@dataclass(frozen=True, slots=True)
+class AccountPolicy:
+    """What holds for an account once its template is filled in."""
+
+    #: Services that the account may use.
+    services: Annotated[tuple[Name, ...], Field(min_length=1)]
+    requests_per_second: Annotated[float, Field(gt=0, le=100_000)]
+    burst: Annotated[int, Field(ge=1, le=1_000_000)]
+    #: Requests in flight at once, fleet-wide.
+    concurrency: Annotated[int, Field(ge=1, le=1_000_000)]
+    #: 0 is served first, 9 last.
+    priority: Annotated[int, Field(ge=0, le=9)] = 5
+    #: Share against other accounts when a service is full.
+    weight: Annotated[float, Field(gt=0, le=100)] = 1.0
+
+
+@_closed
+@dataclass(frozen=True)
+class FleetFile:
+    """One file of services, templates and accounts."""
+
+    services: dict[Name, ServiceSpec] = field(default_factory=dict)
+    templates: dict[Name, TemplateSpec] = field(default_factory=dict)
+    accounts: dict[Name, AccountSpec] = field(default_factory=dict)
+
+
+@dataclass(frozen=True)
+class Misfit:
+    """One place where data does not fit its shape."""
+
+    path: FieldPath
+    expected: str
+
+
+@functools.cache
+def _adapter(shape: Any) -> TypeAdapter[Any]:
+    return TypeAdapter(shape)
+
+
+#: Parts that pydantic puts into a location for a union's members or a mapping's key.
+_NOT_A_FIELD = frozenset({"bool", "int", "float", "str", "[key]"})
+
+
+def fit(shape: type[Shape], data: Any) -> Shape | tuple[Misfit, ...]:
+    """Return the data in its shape, or every misfit. Strict: no text passes as a number."""
+    text = json.dumps(data, default=str)
+    try:
+        fitted: Shape = _adapter(cast(Hashable, shape)).validate_json(text, strict=True)
+    except ValidationError as error:
+        misfits = {_misfit(each["loc"], each["type"], each["msg"]) for each in error.errors()}
+        return tuple(sorted(misfits, key=lambda misfit: tuple(map(str, misfit.path))))
+    return fitted
+
+
+def _misfit(location: tuple[str | int, ...], kind: str, message: str) -> Misfit:
+    path = tuple(
+        part
+        for part in location
+        if part not in _NOT_A_FIELD and not str(part).startswith("constrained-")
+    )
+    if kind in ("unexpected_keyword_argument", "extra_forbidden"):
+        return Misfit(path, "unknown key; expected one that docs/OPERATING.md lists")
+    if kind in ("missing", "missing_argument"):
+        return Misfit(path, "missing; expected a value")
+    if kind == "string_pattern_mismatch" and "[key]" in location:
+        return Misfit(path, f"expected a name that matches {NAME_PATTERN}")
+    return Misfit(path, message[0].lower() + message[1:])
--- /dev/null
+++ b/pondhatch/configuration/_settings.py
@@ -0,0 +1,141 @@
+"""The settings of one router process, read from YAML."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Annotated
+
+from pydantic import ConfigDict, Field, with_config
+
+from pondhatch.configuration._problems import ConfigurationError
+from pondhatch.configuration._schema import Name, fit
+from pondhatch.configuration._yaml import Document, load
+
+Host = Annotated[str, Field(pattern=r"^[0-9a-fA-F.:]+$", description="an IP number")]
+Port = Annotated[int, Field(ge=0, le=65535)]
+Url = Annotated[str, Field(pattern=r"^https?://")]
+
+_closed = with_config(ConfigDict(extra="forbid"))
+
+
+@_closed
+@dataclass(frozen=True)
+class Endpoint:
+    """Where a process listens; port 0 takes any free one."""
+
+    host: Host
+    port: Port = 0
+
+
+@_closed
+@dataclass(frozen=True)
+class CallerEndpoint:
+    """Where callers connect, with TLS where both files are named."""
+
+    host: Host
+    port: Port = 0
+    #: PEM file with the certificate chain.
+    certificate: str | None = None
+    #: PEM file with the private key.
+    private_key: str | None = None
+
+
+@_closed
+@dataclass(frozen=True)
+class CallerLimits:
+    """What one caller may send; beyond it the caller gets a 4xx or is cut."""
+
+    #: Bytes of a chat request's body.
+    chat_body_bytes: Annotated[int, Field(ge=1024, le=64 * 1024 * 1024)] = 4 * 1024 * 1024
+    #: Bytes of all headers together.
+    header_bytes: Annotated[int, Field(ge=1024, le=1024 * 1024)] = 16 * 1024
+    #: Seconds for a request's head to come in full.
+    header_seconds: Annotated[float, Field(gt=0, le=600)] = 10.0
+    #: Seconds for which a body may stand still.
+    idle_seconds: Annotated[float, Field(gt=0, le=3600)] = 60.0
+
+
+@_closed
+@dataclass(frozen=True)
+class StatsdEndpoint:
+    """Where metrics are sent, over UDP."""
+
+    host: Host
+    port: Port
+    prefix: str = "pondhatch"
+
+
+@_closed
+@dataclass(frozen=True)
+class LogSettings:
+    """How a process logs."""
+
+    #: "text" for people, "json" for machines.
+    form: Annotated[str, Field(pattern=r"^(text|json)$")] = "text"
+    level: Annotated[str, Field(pattern=r"^(DEBUG|INFO|WARNING|ERROR)$")] = "INFO"
+
+
+@_closed
+@dataclass(frozen=True)
+class Settings:
+    """One router process."""
+
+    name: Name
+    hall: Name
+    callers: CallerEndpoint
+    #: TCP for routers' calls, and UDP on the same number for gossip.
+    peers: Endpoint
+    #: State dump and health; keep it off the callers' network.
+    admin: Endpoint
+    #: The platform's object API.
+    platform: Url
+    #: File whose content is the fleet's shared key; at least 16 bytes.
+    fleet_key_file: str
+    #: Peers to try first, as "IP:port"; the platform's list of VMs adds to them.
+    seeds: tuple[Annotated[str, Field(pattern=r"^[0-9a-fA-F.:]+:\d+$")], ...] = ()
+    limits: CallerLimits = field(default_factory=CallerLimits)
+    statsd: StatsdEndpoint | None = None
+    #: Seconds for which a stopping router lets its streams finish.
+    drain_seconds: Annotated[float, Field(ge=0, le=3600)] = 120.0
+    log: LogSettings = field(default_factory=LogSettings)
+
+
+#: Shortest fleet key that is taken, in bytes.
+MINIMUM_FLEET_KEY = 16
+
+
+def load_settings(path: Path) -> Settings:
+    """Read a settings file. Raises ConfigurationError with every problem."""
+    document = load(path)
+    fitted = fit(Settings, document.data)
+    if not isinstance(fitted, Settings):
+        raise ConfigurationError(
+            tuple(document.problem(each.path, each.expected) for each in fitted)
+        )
+    _check_tls(document, fitted)
+    return fitted
+
+
+def load_fleet_key(settings: Settings) -> bytes:
+    """Read the fleet key. Raises ConfigurationError where it is missing or short."""
+    path = Path(settings.fleet_key_file)
+    try:
+        key = path.read_bytes().strip()
+    except OSError as error:
+        raise _key_problem(settings, f"expected a readable file, {error.strerror}") from error
+    if len(key) < MINIMUM_FLEET_KEY:
+        raise _key_problem(settings, f"expected at least {MINIMUM_FLEET_KEY} bytes in {path}")
+    return key
+
+
+def _check_tls(document: Document, settings: Settings) -> None:
+    callers = settings.callers
+    if (callers.certificate is None) != (callers.private_key is None):
+        problem = document.problem(("callers",), "expected both certificate and private_key")
+        raise ConfigurationError((problem,))
+
+
+def _key_problem(settings: Settings, expected: str) -> ConfigurationError:
+    document = Document(settings.name, {}, {(): 0})
+    return ConfigurationError((document.problem(("fleet_key_file",), expected),))
--- /dev/null
+++ b/pondhatch/kernel/__init__.py
@@ -0,0 +1,15 @@
+"""The kernel: the registry of plug-ins and the one loop."""
+
+from pondhatch.kernel._loop import Tasks, as_deferred, as_future, install_reactor
+from pondhatch.kernel._registry import REGISTRY, Plugin, Registry, RegistryError
+
+__all__ = [
+    "REGISTRY",
+    "Plugin",
+    "Registry",
+    "RegistryError",
+    "Tasks",
+    "as_deferred",
+    "as_future",
+    "install_reactor",
+]
--- /dev/null
+++ b/pondhatch/kernel/_loop.py
@@ -0,0 +1,62 @@
+"""The one loop: twisted's reactor on top of asyncio, so that grpclib shares it."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from collections.abc import Coroutine
+from typing import Any, TypeVar
+
+from twisted.internet import asyncioreactor
+from twisted.internet.defer import Deferred
+
+Result = TypeVar("Result")
+
+
+def install_reactor() -> asyncio.AbstractEventLoop:
+    """Install the asyncio reactor; to be called before any import of the reactor."""
+    if "twisted.internet.reactor" in sys.modules:
+        return asyncio.get_event_loop()
+    loop = asyncio.new_event_loop()
+    asyncio.set_event_loop(loop)
+    asyncioreactor.install(loop)
+    return loop
+
+
+def as_future(deferred: Deferred[Result]) -> asyncio.Future[Result]:
+    """Return a future that an asyncio coroutine can await."""
+    return deferred.asFuture(asyncio.get_running_loop())
+
+
+def as_deferred(coroutine: Coroutine[Any, Any, Result]) -> Deferred[Result | None]:
+    """Run an asyncio coroutine and return a deferred for its result.
+
+    A cancelled one, such as that of a caller who went away, results in None.
+    """
+
+    async def quiet() -> Result | None:
+        try:
+            return await coroutine
+        except asyncio.CancelledError:
+            return None
+
+    return Deferred.fromFuture(asyncio.ensure_future(quiet()))
+
+
+class Tasks:
+    """Background coroutines of a process; holds them so that none is collected."""
+
+    def __init__(self) -> None:
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def start(self, coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        """Start a coroutine and keep it until it ends."""
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    def cancel_all(self) -> None:
+        """Cancel everything that still runs."""
+        for task in tuple(self._tasks):
+            task.cancel()
--- /dev/null
+++ b/pondhatch/kernel/_registry.py
@@ -0,0 +1,77 @@
+"""The registry of plug-ins.
+
+A plug-in is a class that registers itself under a kind and a name, and says in
+the class attribute ``DEPENDENCIES`` which views it reads. The kernel builds it
+once every dependency is at hand, so no plug-in reaches for another.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from typing import Any, ClassVar, TypeVar
+
+PluginType = TypeVar("PluginType", bound="type[Plugin]")
+View = TypeVar("View")
+
+
+class RegistryError(Exception):
+    """A plug-in is unknown, registered twice, or lacks a dependency."""
+
+
+class Plugin:
+    """Base of all plug-ins: declares what it reads and receives just that."""
+
+    #: Types of the views that the plug-in reads.
+    DEPENDENCIES: ClassVar[tuple[type[Any], ...]] = ()
+
+    def __init__(self, views: Mapping[type[Any], Any]) -> None:
+        self._views = views
+
+    def view(self, view_type: type[View]) -> View:
+        """Return a declared dependency; anything undeclared is an error."""
+        if view_type not in self.DEPENDENCIES:
+            raise RegistryError(f"{type(self).__name__} does not declare {view_type.__name__}")
+        found: View = self._views[view_type]
+        return found
+
+
+@dataclass
+class Registry:
+    """Plug-in classes by kind and name, and the views they may depend on."""
+
+    #: Classes by (kind, name).
+    by_kind_and_name: dict[tuple[str, str], type[Plugin]] = field(default_factory=dict)
+
+    def register(self, kind: str, name: str) -> Callable[[PluginType], PluginType]:
+        """Return a class decorator that records the class under kind and name."""
+
+        def record(plugin: PluginType) -> PluginType:
+            if (kind, name) in self.by_kind_and_name:
+                raise RegistryError(f"{kind} {name!r} is registered twice")
+            self.by_kind_and_name[kind, name] = plugin
+            return plugin
+
+        return record
+
+    def names(self, kind: str) -> tuple[str, ...]:
+        """Return the names registered under a kind, sorted."""
+        return tuple(sorted(name for each, name in self.by_kind_and_name if each == kind))
+
+    def build(self, kind: str, name: str, views: Mapping[type[Any], Any]) -> Plugin:
+        """Build a plug-in with just the views it declares.
+
+        Raises RegistryError for an unknown name or a missing view.
+        """
+        plugin = self.by_kind_and_name.get((kind, name))
+        if plugin is None:
+            known = ", ".join(self.names(kind)) or "none"
+            raise RegistryError(f"no {kind} named {name!r}; known: {known}")
+        missing = [need.__name__ for need in plugin.DEPENDENCIES if need not in views]
+        if missing:
+            raise RegistryError(f"{kind} {name!r} needs {', '.join(missing)}")
+        return plugin({need: views[need] for need in plugin.DEPENDENCIES})
+
+
+#: The registry that the shipped plug-ins register with.
+REGISTRY = Registry()
--- /dev/null
+++ b/pondhatch/limits/_bucket.py
@@ -0,0 +1,94 @@
+"""Rates and concurrency of client accounts, without I/O.
+
+Each router holds an account to its share of the account's limits: the limit
+over the live routers it knows. A router that hears nobody takes the last share
+it knew, so that a cut never multiplies an account's limit.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+
+@dataclass(frozen=True)
+class AccountLimits:
+    """An account's limits over the whole fleet."""
+
+    #: Requests a second in the long run.
+    requests_per_second: float
+    #: Requests that may come at once above the rate.
+    burst: int
+    #: Requests in flight at once.
+    concurrency: int
+
+
+@dataclass(frozen=True)
+class Allowed:
+    """The request may go on; end it with ``AccountGate.end``."""
+
+
+@dataclass(frozen=True)
+class Limited:
+    """The request is over a limit and was not run."""
+
+    #: Which limit: "rate" or "concurrency".
+    limit: str
+    #: Seconds after which it is worth coming back.
+    retry_after: float
+
+
+LimitVerdict = Allowed | Limited
+
+#: Seconds after which to come back when a concurrency limit is reached.
+CONCURRENCY_RETRY_AFTER = 1.0
+
+
+@dataclass
+class AccountUse:
+    """What one account has used at this router."""
+
+    tokens: float
+    refilled_at: float
+    running: int = 0
+
+
+@dataclass
+class AccountGate:
+    """Token buckets and running counts by account."""
+
+    use_by_account: dict[str, AccountUse] = field(default_factory=dict)
+
+    def begin(self, account: str, limits: AccountLimits, share: float, now: float) -> LimitVerdict:
+        """Take one request in, or say which limit it is over.
+
+        ``share`` is this router's part of the fleet, over 0 and up to 1.
+        """
+        rate = limits.requests_per_second * share
+        depth = max(1.0, limits.burst * share)
+        use = self.use_by_account.setdefault(account, AccountUse(depth, now))
+        use.tokens = min(depth, use.tokens + rate * max(0.0, now - use.refilled_at))
+        use.refilled_at = now
+        if use.running >= max(1.0, limits.concurrency * share):
+            return Limited("concurrency", CONCURRENCY_RETRY_AFTER)
+        if use.tokens < 1.0:
+            return Limited("rate", (1.0 - use.tokens) / rate)
+        use.tokens -= 1.0
+        use.running += 1
+        return Allowed()
+
+    def end(self, account: str) -> None:
+        """Note that a request that was allowed has ended."""
+        use = self.use_by_account[account]
+        if use.running < 1:
+            raise ValueError(f"{account} has no request to end")
+        use.running -= 1
+
+    def forget_idle(self, now: float, idle: float) -> None:
+        """Drop accounts without requests for ``idle`` seconds, to bound the table."""
+        stale = [
+            account
+            for account, use in self.use_by_account.items()
+            if use.running == 0 and now - use.refilled_at > idle
+        ]
+        for account in stale:
+            del self.use_by_account[account]
--- /dev/null
+++ b/pondhatch/placement/__init__.py
@@ -0,0 +1,24 @@
+"""Placement: which engine takes a request, and how much an engine may carry."""
+
+from pondhatch.placement._ceiling import admission_ceiling
+from pondhatch.placement._gate import EngineCount, Full, Gate, Granted, Verdict
+from pondhatch.placement._memory import SpillMemory
+from pondhatch.placement._plan import Ask, Exhausted, Plan, Step
+from pondhatch.placement._rendezvous import ranked, score, winner
+
+__all__ = [
+    "Ask",
+    "EngineCount",
+    "Exhausted",
+    "Full",
+    "Gate",
+    "Granted",
+    "Plan",
+    "SpillMemory",
+    "Step",
+    "Verdict",
+    "admission_ceiling",
+    "ranked",
+    "score",
+    "winner",
+]
--- /dev/null
+++ b/pondhatch/placement/_memory.py
@@ -0,0 +1,37 @@
+"""Where chats went that could not stay at their home engine.
+
+A spill order is no memory: a chat that spilled and later found room at home
+would find a cold engine there. So the owner of a chat's home engine remembers
+the engine that served the chat last, for the chats that spilled only.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+#: Chats remembered at most by one router.
+DEFAULT_CHATS = 100_000
+
+
+@dataclass
+class SpillMemory:
+    """Least recently used table from chat to the engine that holds its context."""
+
+    limit: int = DEFAULT_CHATS
+    engine_by_chat: OrderedDict[int, str] = field(default_factory=OrderedDict)
+
+    def remember(self, chat: int, engine: str) -> None:
+        """Note that a chat was served away from home."""
+        self.engine_by_chat[chat] = engine
+        self.engine_by_chat.move_to_end(chat)
+        if len(self.engine_by_chat) > self.limit:
+            self.engine_by_chat.popitem(last=False)
+
+    def forget(self, chat: int) -> None:
+        """Note that a chat was served at home again."""
+        self.engine_by_chat.pop(chat, None)
+
+    def engine_of(self, chat: int) -> str | None:
+        """Return the engine a chat spilled to, or None where it is at home."""
+        return self.engine_by_chat.get(chat)
--- /dev/null
+++ b/pondhatch/placement/_plan.py
@@ -0,0 +1,100 @@
+"""The order in which a request's engines are asked, as a machine without I/O.
+
+The home engine is asked first. Its owner either grants, or is full, or knows
+that the chat's context lies elsewhere. The plan then goes to that engine, back
+home, and on along the spill order that every router agrees on.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from pondhatch.placement._rendezvous import ranked
+
+#: Engines asked at most for one request before it is refused.
+DEFAULT_ASKS = 12
+
+
+@dataclass(frozen=True)
+class Ask:
+    """Ask the owner of this engine for a grant."""
+
+    engine: str
+    #: True where the home engine is asked again although the context is elsewhere.
+    insist: bool = False
+
+
+@dataclass(frozen=True)
+class Exhausted:
+    """No engine granted the request; it was not run anywhere."""
+
+    asked: tuple[str, ...]
+
+
+Step = Ask | Exhausted
+
+
+class Plan:
+    """One request's walk over the engines of its service."""
+
+    def __init__(self, chat: str, engines: Iterable[str], asks: int = DEFAULT_ASKS) -> None:
+        self.order = ranked(chat, engines)
+        #: Engines asked so far, in order, with what each answered.
+        self.passed_over: list[tuple[str, str]] = []
+        #: Requests in flight that each full engine's owner spoke of.
+        self.in_flight_by_engine: dict[str, int] = {}
+        self._asks = asks
+        self._last_asked = False
+        self._waiting: list[Ask] = [Ask(engine) for engine in self.order]
+        self._current: Ask | None = None
+
+    @property
+    def home(self) -> str | None:
+        """The chat's home engine, or None where the service has no engine."""
+        return self.order[0] if self.order else None
+
+    def next(self) -> Step:
+        """Return whom to ask now."""
+        if not self._waiting or len(self.passed_over) >= self._asks:
+            return self._last_resort()
+        self._current = self._waiting.pop(0)
+        return self._current
+
+    def seen_elsewhere(self, engine: str) -> int:
+        """Return the work seen on this walk at other engines: newer than any digest."""
+        return sum(held for other, held in self.in_flight_by_engine.items() if other != engine)
+
+    def full(self, in_flight: int, ceiling: int) -> None:
+        """Note that the engine last asked is at its ceiling."""
+        if self._current is not None:
+            self.in_flight_by_engine[self._current.engine] = in_flight
+        self.refused(f"at ceiling, {in_flight} of {ceiling}")
+
+    def _last_resort(self) -> Step:
+        """Ask the least loaded engine once more: what the walk saw may raise its ceiling."""
+        asked = tuple(engine for engine, _ in self.passed_over)
+        if self._last_asked or not self.in_flight_by_engine:
+            return Exhausted(asked)
+        self._last_asked = True
+        least = min(self.in_flight_by_engine, key=lambda name: self.in_flight_by_engine[name])
+        self._current = Ask(least, insist=True)
+        return self._current
+
+    def refused(self, why: str) -> None:
+        """Note that the engine last asked did not take the request."""
+        if self._current is None:
+            raise ValueError("no engine was asked yet")
+        self.passed_over.append((self._current.engine, why))
+
+    def context_elsewhere(self, engine: str) -> None:
+        """Note the home owner's word that the chat's context lies at an engine."""
+        home = self._current
+        if home is None or home.engine != self.home:
+            raise ValueError("only the home engine's owner knows of other places")
+        if engine not in self.order:
+            self._waiting.insert(0, Ask(home.engine, insist=True))
+            return
+        rest = [ask for ask in self._waiting if ask.engine != engine]
+        self._waiting = [Ask(engine), Ask(home.engine, insist=True), *rest]
+        self.passed_over.append((home.engine, f"context is at {engine}"))
--- /dev/null
+++ b/pondhatch/platform/_objects.py
@@ -0,0 +1,109 @@
+"""The platform's object API as the rest of pondhatch sees it."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+import msgspec
+
+
+class StoredObject(msgspec.Struct, frozen=True):
+    """One object with the version of its last change."""
+
+    kind: str
+    name: str
+    #: Grows with every change of any object at the platform.
+    version: int
+    value: Any
+
+
+class WatchEvent(msgspec.Struct, frozen=True):
+    """One line of a watch."""
+
+    #: "set", "removed" or "bookmark".
+    type: str
+    version: int
+    name: str = ""
+    value: Any | None = None
+
+
+@dataclass(frozen=True)
+class Found:
+    """The object as read."""
+
+    object: StoredObject
+
+
+@dataclass(frozen=True)
+class Missing:
+    """There is no such object."""
+
+
+@dataclass(frozen=True)
+class Listed:
+    """All objects of a kind, as of a version."""
+
+    version: int
+    objects: tuple[StoredObject, ...]
+
+
+@dataclass(frozen=True)
+class Accepted:
+    """The write took effect at this version."""
+
+    version: int
+
+
+@dataclass(frozen=True)
+class Conflict:
+    """The write did not take effect: the object is not as the writer thought."""
+
+
+@dataclass(frozen=True)
+class OutcomeUnknown:
+    """The answer to a write was lost; it may have taken effect."""
+
+    reason: str
+
+
+@dataclass(frozen=True)
+class Unavailable:
+    """The platform could not be asked, or did not answer in time."""
+
+    reason: str
+
+
+class TooOld(Exception):
+    """A watch asked for changes that the platform no longer keeps; list anew."""
+
+
+class PlatformLost(Exception):
+    """A watch or call broke off."""
+
+
+class Platform(Protocol):
+    """The platform's object API."""
+
+    async def get(self, kind: str, name: str) -> Found | Missing | Unavailable:
+        """Read one object."""
+
+    async def list(self, kind: str) -> Listed | Unavailable:
+        """Read all objects of a kind, with the version they are as of."""
+
+    async def create(
+        self, kind: str, name: str, value: Any
+    ) -> Accepted | Conflict | OutcomeUnknown | Unavailable:
+        """Create an object that must not exist yet."""
+
+    async def update(
+        self, kind: str, name: str, value: Any, version: int
+    ) -> Accepted | Conflict | OutcomeUnknown | Unavailable:
+        """Replace an object that must still have the given version."""
+
+    def watch(self, kind: str, since: int | None) -> AsyncIterator[WatchEvent]:
+        """Yield a bookmark, then changes after a version, or from now on where it is None.
+
+        Raises TooOld or PlatformLost.
+        """
--- /dev/null
+++ b/pondhatch/platform/_upstreams.py
@@ -0,0 +1,146 @@
+"""The list of upstreams: as the platform lists them, relayed between routers.
+
+The list carries the platform's version, and each entry the version of its own
+change. A router takes an entry only if its version is higher than the one it
+holds, so that a stale watcher or peer never brings back an older state.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+
+#: States of an upstream in the platform's list.
+LIVE = "live"
+LEAVING = "leaving"
+REMOVED = "removed"
+
+#: Removed entries kept so that peers that are behind learn of the removal.
+KEPT_REMOVED = 2048
+
+
+class Upstream(msgspec.Struct, frozen=True):
+    """A back end: a model engine or an instance of a plain service."""
+
+    name: str
+    service: str
+    #: "http://IP:port".
+    url: str
+    hall: str
+    state: str = LIVE
+    #: Whether it can resume a broken stream from a position.
+    resumes: bool = False
+    #: Whether it refuses an order with an old fencing number.
+    checks_fencing: bool = False
+
+
+class UpstreamEntry(msgspec.Struct, frozen=True):
+    """An upstream and the platform's version of its last change."""
+
+    upstream: Upstream
+    version: int
+
+
+class UpstreamUpdate(msgspec.Struct, frozen=True):
+    """Entries for a router that is behind."""
+
+    #: Version of the list once the entries are taken in.
+    version: int
+    entries: tuple[UpstreamEntry, ...]
+    #: Whether the entries are all there are.
+    whole: bool
+
+
+@dataclass
+class UpstreamList:
+    """All upstreams known to a router."""
+
+    version: int = 0
+    entry_by_name: dict[str, UpstreamEntry] = field(default_factory=dict)
+    #: Version below which removed entries may be missing.
+    complete_since: int = 0
+
+    def upstream(self, name: str) -> Upstream | None:
+        """Return an upstream that was not removed, or None."""
+        entry = self.entry_by_name.get(name)
+        if entry is None or entry.upstream.state == REMOVED:
+            return None
+        return entry.upstream
+
+    def of_service(self, service: str) -> tuple[Upstream, ...]:
+        """Return the service's upstreams that take new work, by name."""
+        found = [
+            entry.upstream
+            for entry in self.entry_by_name.values()
+            if entry.upstream.service == service and entry.upstream.state == LIVE
+        ]
+        return tuple(sorted(found, key=lambda upstream: upstream.name))
+
+    def set(self, upstream: Upstream, version: int) -> bool:
+        """Take in one entry; return whether it was news."""
+        known = self.entry_by_name.get(upstream.name)
+        if known is not None and known.version >= version:
+            return False
+        self.entry_by_name[upstream.name] = UpstreamEntry(upstream, version)
+        self.version = max(self.version, version)
+        self._drop_oldest_removed()
+        return True
+
+    def remove(self, name: str, version: int) -> bool:
+        """Note that the platform no longer lists an upstream."""
+        known = self.entry_by_name.get(name)
+        if known is None:
+            self.version = max(self.version, version)
+            return False
+        return self.set(msgspec.structs.replace(known.upstream, state=REMOVED), version)
+
+    def seen(self, version: int) -> None:
+        """Note that nothing changed up to a version."""
+        self.version = max(self.version, version)
+
+    def since(self, version: int) -> UpstreamUpdate:
+        """Return what a router at a version lacks."""
+        whole = version < self.complete_since
+        entries = tuple(
+            entry for entry in self.entry_by_name.values() if whole or entry.version > version
+        )
+        return UpstreamUpdate(self.version, entries, whole)
+
+    def take(self, update: UpstreamUpdate) -> bool:
+        """Take in a peer's or a listing's entries; return whether any was news."""
+        news = False
+        for entry in update.entries:
+            news = self.set(entry.upstream, entry.version) or news
+        if update.whole and update.version > self.version:
+            news = self._remove_unlisted(update) or news
+        self.seen(update.version)
+        return news
+
+    def _remove_unlisted(self, update: UpstreamUpdate) -> bool:
+        listed = {entry.upstream.name for entry in update.entries}
+        gone = [
+            name
+            for name, entry in self.entry_by_name.items()
+            if name not in listed and entry.version <= update.version
+        ]
+        for name in gone:
+            self.remove(name, update.version)
+        return bool(gone)
+
+    def _drop_oldest_removed(self) -> None:
+        removed = sorted(
+            (entry.version, name)
+            for name, entry in self.entry_by_name.items()
+            if entry.upstream.state == REMOVED
+        )
+        for version, name in removed[: max(0, len(removed) - KEPT_REMOVED)]:
+            self.complete_since = max(self.complete_since, version)
+            del self.entry_by_name[name]
+
+
+def listing(version: int, values: list[tuple[int, Any]]) -> UpstreamUpdate:
+    """Return a platform listing as an update. Raises msgspec.ValidationError."""
+    entries = tuple(UpstreamEntry(msgspec.convert(value, Upstream), each) for each, value in values)
+    return UpstreamUpdate(version, entries, whole=True)
--- /dev/null
+++ b/pondhatch/requests/_chat.py
@@ -0,0 +1,63 @@
+"""Which chat a request belongs to, read from the body of a chat completion."""
+
+from __future__ import annotations
+
+import hashlib
+
+import msgspec
+
+#: Bytes of a chat's key.
+CHAT_KEY_BYTES = 8
+
+
+class _Message(msgspec.Struct):
+    role: str
+    content: msgspec.Raw = msgspec.Raw(b'""')
+
+
+class _ChatBody(msgspec.Struct):
+    model: str
+    messages: list[_Message]
+    stream: bool = False
+    prompt_cache_key: str | None = None
+
+
+class ChatRequest(msgspec.Struct, frozen=True):
+    """What routing needs of a chat completion's body."""
+
+    model: str
+    #: 64-bit key of the chat, never 0.
+    chat: int
+    stream: bool
+
+
+class MalformedChat(Exception):
+    """The body is no chat completion; the text says what was expected."""
+
+
+def read_chat(account: str, body: bytes) -> ChatRequest:
+    """Read a body. Raises MalformedChat.
+
+    A caller may name its chat in ``prompt_cache_key``; otherwise the messages up
+    to the first of the user's stand for it, since every later turn repeats them.
+    """
+    try:
+        parsed = msgspec.json.decode(body, type=_ChatBody)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise MalformedChat(str(error)) from error
+    if not parsed.messages:
+        raise MalformedChat("Expected at least one message - at `$.messages`")
+    key = hashlib.blake2b(account.encode(), digest_size=CHAT_KEY_BYTES)
+    key.update(b"\0" + parsed.model.encode())
+    if parsed.prompt_cache_key is not None:
+        key.update(b"\0key\0" + parsed.prompt_cache_key.encode())
+    else:
+        _add_opening(key, parsed.messages)
+    return ChatRequest(parsed.model, int.from_bytes(key.digest(), "big") or 1, parsed.stream)
+
+
+def _add_opening(key: hashlib.blake2b, messages: list[_Message]) -> None:
+    for message in messages:
+        key.update(b"\0" + message.role.encode() + b"\0" + bytes(message.content))
+        if message.role == "user":
+            return
--- /dev/null
+++ b/pondhatch/requests/_entry.py
@@ -0,0 +1,163 @@
+"""The entry router's side: walk the plan until an engine answers, or refuse."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from typing import Protocol
+
+from pondhatch.limits import RetryBudget
+from pondhatch.placement import Ask, Exhausted, Plan
+from pondhatch.requests._messages import (
+    BodySource,
+    Busy,
+    Elsewhere,
+    NotOwner,
+    Opened,
+    Owner,
+    OwnerReply,
+    ReplayableBody,
+    RequestHead,
+)
+from pondhatch.requests._outcomes import NotRun, Refusal, Unknown
+
+#: Seconds after which to come back when every engine asked was at its ceiling.
+FULL_RETRY_AFTER = 1.0
+
+
+class EntryView(Protocol):
+    """What the entry side reads of the router's state."""
+
+    def owner_name(self, engine: str) -> str | None:
+        """Return the router that owns an engine, or None without live routers."""
+
+    def owner(self, name: str) -> Owner | None:
+        """Return the way to a router, or None where it is not known."""
+
+    def unreachable(self, name: str) -> None:
+        """Note that a router could not be reached."""
+
+    def live_upstreams(self, service: str) -> tuple[str, ...]:
+        """Return the service's upstreams that take work."""
+
+
+@dataclass(frozen=True)
+class Placed:
+    """An engine answers the request."""
+
+    reply: Opened
+    engine: str
+
+
+@dataclass(frozen=True)
+class Refused:
+    """The request got its final refusal."""
+
+    refusal: Refusal
+
+
+class Walk:
+    """One request's walk; kept apart so that the plan can be read afterwards."""
+
+    def __init__(
+        self,
+        view: EntryView,
+        budget: RetryBudget,
+        head: RequestHead,
+        body: BodySource,
+        remaining: Callable[[], float],
+    ) -> None:
+        chat = str(head.chat) if head.chat else head.request_id
+        self.plan = Plan(chat, view.live_upstreams(head.service))
+        self._view = view
+        self._budget = budget
+        self._head = head
+        self._body = body
+        self._remaining = remaining
+        self._asks = 0
+
+    async def run(self) -> Placed | Refused:
+        """Return the opened answer or the refusal that the caller is to be told."""
+        self._budget.first_try()
+        while self._remaining() > 0:
+            step = self.plan.next()
+            if isinstance(step, Exhausted):
+                return Refused(self._exhausted(step))
+            outcome = await self._ask(step)
+            if outcome is not None:
+                return outcome
+        return Refused(NotRun("deadline", "the deadline passed before an engine was free"))
+
+    async def _ask(self, ask: Ask) -> Placed | Refused | None:
+        """Ask one engine's owner; None means that the walk goes on."""
+        self._asks += 1
+        head = replace(
+            self._head,
+            engine=ask.engine,
+            home=ask.engine == self.plan.home,
+            insist=ask.insist,
+            deadline=self._remaining(),
+            request_id=f"{self._head.request_id}.{self._asks}",
+            seen_elsewhere=self.plan.seen_elsewhere(ask.engine),
+        )
+        reply = await self._open(head)
+        if isinstance(reply, Opened):
+            await self._tell_home(ask.engine)
+            return Placed(reply, ask.engine)
+        if isinstance(reply, Elsewhere):
+            self.plan.context_elsewhere(reply.engine)
+            return None
+        if isinstance(reply, Busy):
+            self.plan.full(reply.in_flight, reply.ceiling)
+            return None
+        if isinstance(reply, NotOwner):
+            self.plan.refused("its owner is in doubt")
+            return None
+        self.plan.refused(f"{reply.code}: {reply.reason}")
+        return self._after_failure(reply)
+
+    async def _open(self, head: RequestHead) -> OwnerReply:
+        name = self._view.owner_name(head.engine)
+        reply = await self._open_at(name, head)
+        if isinstance(reply, NotOwner) and reply.owner not in (None, name):
+            return await self._open_at(reply.owner, head)
+        return reply
+
+    async def _open_at(self, name: str | None, head: RequestHead) -> OwnerReply:
+        owner = self._view.owner(name) if name is not None else None
+        if name is None or owner is None:
+            return NotOwner()
+        reply = await owner.open(head, self._fresh_body())
+        if isinstance(reply, NotRun) and reply.code == "router-unreachable":
+            self._view.unreachable(name)
+        return reply
+
+    def _fresh_body(self) -> BodySource:
+        if isinstance(self._body, ReplayableBody):
+            return self._body.again()
+        return self._body
+
+    def _after_failure(self, reply: Refusal) -> Refused | None:
+        body_is_whole = isinstance(self._body, ReplayableBody)
+        if isinstance(reply, Unknown) and not (self._head.repeatable and body_is_whole):
+            return Refused(reply)
+        if reply.code == "upstream-leaving":
+            return None
+        if not body_is_whole or not self._budget.may_retry():
+            return Refused(reply)
+        return None
+
+    async def _tell_home(self, engine: str) -> None:
+        home = self.plan.home
+        if home is None or engine == home or not self._head.chat:
+            return
+        name = self._view.owner_name(home)
+        owner = self._view.owner(name) if name is not None else None
+        if owner is not None:
+            await owner.remember(self._head.chat, engine)
+
+    def _exhausted(self, step: Exhausted) -> NotRun:
+        if not step.asked:
+            return NotRun("no-upstream", f"service {self._head.service} has no upstream")
+        asked = ", ".join(f"{engine} ({why})" for engine, why in self.plan.passed_over)
+        return NotRun("engines-full", f"asked {asked}", FULL_RETRY_AFTER)
--- /dev/null
+++ b/pondhatch/requests/_owner.py
@@ -0,0 +1,153 @@
+"""The owner's side: grants against the ceiling, then one try at the upstream."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from pondhatch.placement import Full, Gate, SpillMemory, Verdict
+from pondhatch.requests._messages import (
+    AnswerStream,
+    BodySource,
+    Busy,
+    Elsewhere,
+    Headers,
+    NotOwner,
+    Opened,
+    OwnerReply,
+    RequestHead,
+)
+from pondhatch.requests._outcomes import NotRun, Unknown
+
+
+@dataclass(frozen=True)
+class Target:
+    """An upstream as the owner needs it."""
+
+    name: str
+    url: str
+    #: False once it is known to be leaving.
+    takes_work: bool
+    #: The service's set multiple of the mean; None where no ceiling holds.
+    bound: float | None
+    #: How many upstreams of the service take work.
+    peers: int
+
+
+class Upstreams(Protocol):
+    """Connections to upstreams."""
+
+    async def send(
+        self, target: Target, head: RequestHead, body: BodySource
+    ) -> Opened | NotRun | Unknown:
+        """Send a request once; never repeat it."""
+
+
+class OwnerView(Protocol):
+    """What the owner's side reads of the router's state."""
+
+    def target(self, engine: str) -> Target | None:
+        """Return an upstream, or None where it is not known."""
+
+    def owner_name(self, engine: str) -> str | None:
+        """Return the router that owns an engine in this router's view."""
+
+    def elsewhere_in_flight(self, engine: str) -> int:
+        """Return the in-flight total of the service's other engines."""
+
+    def stopping(self) -> bool:
+        """Return whether this router is draining."""
+
+
+class GrantedAnswer:
+    """An answer that gives its grant back when it ends, once, in whatever way."""
+
+    def __init__(self, answer: AnswerStream, release: Callable[[], None]) -> None:
+        self._answer = answer
+        self._release: Callable[[], None] | None = release
+        self.status: int = answer.status
+        self.headers: Headers = answer.headers
+
+    async def read(self) -> bytes:
+        """Return the next part, or b"" at the end; see AnswerStream."""
+        try:
+            part = await self._answer.read()
+        except BaseException:
+            self._end()
+            raise
+        if not part:
+            self._end()
+        return part
+
+    def cancel(self) -> None:
+        """Give the answer up and the grant back."""
+        self._answer.cancel()
+        self._end()
+
+    def _end(self) -> None:
+        release, self._release = self._release, None
+        if release is not None:
+            release()
+
+
+class LocalOwner:
+    """The engines that this router owns."""
+
+    def __init__(
+        self,
+        name: str,
+        view: OwnerView,
+        gate: Gate,
+        memory: SpillMemory,
+        upstreams: Upstreams,
+        clock: Callable[[], float],
+    ) -> None:
+        self._name = name
+        self._view = view
+        self._gate = gate
+        self._memory = memory
+        self._upstreams = upstreams
+        self._clock = clock
+
+    async def open(self, head: RequestHead, body: BodySource) -> OwnerReply:
+        """Grant the request against the ceiling and run it; see Owner."""
+        if self._view.stopping():
+            return NotOwner()
+        target = self._view.target(head.engine)
+        if target is None or not target.takes_work:
+            return NotRun("upstream-leaving", f"{head.engine} takes no new work")
+        owner = self._view.owner_name(head.engine)
+        if owner != self._name:
+            return NotOwner(owner)
+        remembered = self._memory.engine_of(head.chat) if head.home and head.chat else None
+        if remembered is not None and remembered != head.engine and not head.insist:
+            return Elsewhere(remembered)
+        verdict = self._ask_gate(target, head)
+        if isinstance(verdict, Full):
+            return Busy(verdict.in_flight, verdict.ceiling)
+        if head.home:
+            self._memory.forget(head.chat)
+        return await self._run(target, head, body)
+
+    async def remember(self, chat: int, engine: str) -> None:
+        """Note where a chat was served away from its home engine."""
+        self._memory.remember(chat, engine)
+
+    def _ask_gate(self, target: Target, head: RequestHead) -> Verdict:
+        now = self._clock()
+        if target.bound is None:
+            return self._gate.grant(target.name, now)
+        others = max(self._view.elsewhere_in_flight(target.name), head.seen_elsewhere)
+        return self._gate.ask(target.name, now, target.bound, others, target.peers)
+
+    async def _run(self, target: Target, head: RequestHead, body: BodySource) -> OwnerReply:
+        try:
+            reply = await self._upstreams.send(target, head, body)
+        except BaseException:
+            self._gate.release(target.name)
+            raise
+        if not isinstance(reply, Opened):
+            self._gate.release(target.name)
+            return reply
+        return Opened(GrantedAnswer(reply.answer, lambda: self._gate.release(target.name)))
--- /dev/null
+++ b/pondhatch/requests/_try.py
@@ -0,0 +1,87 @@
+"""One try of a request at one upstream, as a state machine without I/O.
+
+The shell tells the machine what happened on the connection; the machine alone
+says what may be concluded when the connection is lost.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from automat import TypeMachineBuilder
+
+from pondhatch.requests._outcomes import Broken, NotRun, Outcome, Unknown, Whole
+
+
+class Try(Protocol):
+    """The inputs of a try."""
+
+    def sent(self) -> None:
+        """The first byte of the request may have left this process."""
+
+    def refused(self) -> None:
+        """The upstream said that it did not run the request."""
+
+    def head(self) -> None:
+        """The head of the answer came."""
+
+    def ended(self) -> None:
+        """The last byte of the answer came."""
+
+    def lost(self, reason: str) -> Outcome:
+        """The connection is gone, or the try was given up; say what that means."""
+
+
+@dataclass
+class TryFacts:
+    """What a try remembers besides its state."""
+
+    upstream: str
+
+
+_builder = TypeMachineBuilder(Try, TryFacts)
+_waiting = _builder.state("waiting")
+_sent = _builder.state("sent")
+_refused = _builder.state("refused")
+_answering = _builder.state("answering")
+_finished = _builder.state("finished")
+
+
+_waiting.upon(Try.sent).to(_sent).returns(None)
+_sent.upon(Try.refused).to(_refused).returns(None)
+_sent.upon(Try.head).to(_answering).returns(None)
+_answering.upon(Try.ended).to(_finished).returns(None)
+
+
+@_waiting.upon(Try.lost).loop()
+def _lost_waiting(_: Try, facts: TryFacts, reason: str) -> Outcome:
+    return NotRun("upstream-unreachable", f"{facts.upstream}: {reason}")
+
+
+@_refused.upon(Try.lost).loop()
+def _lost_refused(_: Try, facts: TryFacts, reason: str) -> Outcome:
+    return NotRun("upstream-refused", f"{facts.upstream}: {reason}")
+
+
+@_sent.upon(Try.lost).loop()
+def _lost_sent(_: Try, facts: TryFacts, reason: str) -> Outcome:
+    return Unknown("upstream-lost", f"{facts.upstream}: {reason}")
+
+
+@_answering.upon(Try.lost).loop()
+def _lost_answering(_: Try, facts: TryFacts, reason: str) -> Outcome:
+    return Broken("answer-broken", f"{facts.upstream}: {reason}")
+
+
+@_finished.upon(Try.lost).loop()
+def _lost_finished(_: Try, facts: TryFacts, reason: str) -> Outcome:
+    return Whole()
+
+
+_new_try = _builder.build()
+
+
+def new_try(upstream: str) -> Try:
+    """Return a try that was not sent yet."""
+    return _new_try(TryFacts(upstream))
--- /dev/null
+++ b/pondhatch/router/_admission.py
@@ -0,0 +1,71 @@
+"""Who a caller is, what it may use, and the refusals it gets otherwise."""
+
+from __future__ import annotations
+
+import hashlib
+from dataclasses import dataclass
+
+from pondhatch.limits import Limited
+from pondhatch.requests import NotRun
+from pondhatch.router._state import RouterState
+
+#: Prefix of the Authorization header's value.
+BEARER = "Bearer "
+UNAUTHORIZED = 401
+FORBIDDEN = 403
+NOT_FOUND = 404
+TOO_MANY = 429
+
+
+@dataclass(frozen=True)
+class Account:
+    """A caller whose key is known."""
+
+    name: str
+
+
+@dataclass(frozen=True)
+class Admitted:
+    """The request counts against its account until ``RouterState.accounts.end``."""
+
+    service: str
+    priority: int
+    #: Seconds that the request may take in all.
+    deadline: float
+
+
+def identify(state: RouterState, authorization: str | None) -> Account | NotRun:
+    """Return the account whose API key the caller shows."""
+    if authorization is None or not authorization.startswith(BEARER):
+        return NotRun("no-key", "expected 'Authorization: Bearer KEY'", 0.0, UNAUTHORIZED)
+    key = authorization[len(BEARER) :].strip()
+    account = state.fleet.account_of(hashlib.sha256(key.encode()).hexdigest())
+    if account is None:
+        return NotRun("unknown-key", "the API key belongs to no account", 0.0, UNAUTHORIZED)
+    return Account(account)
+
+
+def admit(state: RouterState, account: Account, service: str | None) -> Admitted | NotRun:
+    """Count a request in, or say why it may not run."""
+    if state.stopping():
+        return NotRun("stopping", "this router is stopping; ask again", 0.0)
+    spec = state.fleet.service_by_name.get(service) if service is not None else None
+    if service is None or spec is None:
+        return NotRun("no-service", "no service answers to this model or path", 0.0, NOT_FOUND)
+    policy = state.fleet.policy_by_account[account.name]
+    if service not in policy.services:
+        wrong = f"the account may not use service {service}"
+        return NotRun("not-allowed", wrong, 0.0, FORBIDDEN)
+    verdict = state.begin(account.name)
+    if isinstance(verdict, Limited):
+        wrong = f"the account is over its {verdict.limit} limit"
+        return NotRun(f"{verdict.limit}-limited", wrong, verdict.retry_after, TOO_MANY)
+    return Admitted(service, policy.priority, spec.deadline)
+
+
+def service_of_path(state: RouterState, path: str) -> str | None:
+    """Return the plain service whose prefix a path starts with, or None."""
+    for name, spec in state.fleet.service_by_name.items():
+        if spec.prefix is not None and path.startswith(spec.prefix):
+            return name
+    return None
--- /dev/null
+++ b/pondhatch/router/_state.py
@@ -0,0 +1,238 @@
+"""What one router knows, and the answers that its decisions read from it.
+
+No I/O here: the shell hands in packets, listings, changes and time.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from pondhatch.configuration import Change, Fleet, Gap, Rejected, ServiceSpec, Update
+from pondhatch.limits import AccountGate, AccountLimits, LimitVerdict, RetryBudget
+from pondhatch.membership import Gossip, Member, Phase, ServiceLoad, owner_of, short_id, watchers
+from pondhatch.placement import Gate, SpillMemory
+from pondhatch.platform import Upstream, UpstreamList, UpstreamUpdate
+from pondhatch.requests import DecisionNote, Owner, Target
+
+#: Decisions kept for the state dump.
+KEPT_DECISIONS = 64
+#: Seconds without a request after which an account's counts are dropped.
+ACCOUNT_IDLE = 600.0
+
+
+@dataclass
+class RouterState:
+    """One router's state; see OwnerView and EntryView for what reads it."""
+
+    name: str
+    hall: str
+    gossip: Gossip
+    clock: Callable[[], float]
+    #: Returns the way to another router.
+    connect: Callable[[Member], Owner]
+    fleet: Fleet = field(default_factory=Fleet)
+    upstreams: UpstreamList = field(default_factory=UpstreamList)
+    gate: Gate = field(default_factory=Gate)
+    memory: SpillMemory = field(default_factory=SpillMemory)
+    accounts: AccountGate = field(default_factory=AccountGate)
+    retries: RetryBudget = field(default_factory=RetryBudget)
+    phase: Phase = Phase.LIVE
+    decisions: deque[DecisionNote] = field(default_factory=lambda: deque(maxlen=KEPT_DECISIONS))
+    #: This router's own side as an owner; set once, when the parts are put together.
+    local: Owner | None = None
+    _members: tuple[Member, ...] = ()
+    _owner_by_engine: dict[str, Member | None] = field(default_factory=dict)
+    _live_by_service: dict[str, tuple[str, ...]] = field(default_factory=dict)
+
+    # -- membership ---------------------------------------------------------
+
+    def members(self) -> tuple[Member, ...]:
+        """Return the routers that are believed to be there, this one included."""
+        return self._members
+
+    def refresh(self) -> None:
+        """Take in who is there now; called each round and after each packet's news."""
+        members = self.gossip.members(self.clock())
+        if _identity(members) != _identity(self._members):
+            self._owner_by_engine.clear()
+        self._members = members
+
+    def owner_name(self, engine: str) -> str | None:
+        """Return the router that owns an engine in this router's view."""
+        member = self._owner(engine)
+        return member.name if member is not None else None
+
+    def owner(self, name: str) -> Owner | None:
+        """Return the way to a router, or None where it is not known."""
+        if name == self.name:
+            return self.local
+        for member in self._members:
+            if member.name == name:
+                return self.connect(member)
+        return None
+
+    def unreachable(self, name: str) -> None:
+        """Note that a router could not be reached."""
+        self.gossip.unreachable(name)
+        self.refresh()
+
+    def is_watcher(self) -> bool:
+        """Return whether this router watches the platform for its hall."""
+        return self.name in watchers(self.hall, self._members)
+
+    def live_routers(self) -> int:
+        """Return how many routers share the work."""
+        return max(1, sum(member.phase == Phase.LIVE for member in self._members))
+
+    # -- upstreams ----------------------------------------------------------
+
+    def live_upstreams(self, service: str) -> tuple[str, ...]:
+        """Return the service's upstreams that take work, by name."""
+        if service not in self._live_by_service:
+            found = self.upstreams.of_service(service)
+            self._live_by_service[service] = tuple(upstream.name for upstream in found)
+        return self._live_by_service[service]
+
+    def owned(self) -> tuple[Upstream, ...]:
+        """Return the upstreams that this router owns."""
+        return tuple(
+            entry.upstream
+            for name, entry in self.upstreams.entry_by_name.items()
+            if entry.upstream.state == "live" and self.owner_name(name) == self.name
+        )
+
+    def take_upstreams(self, update: UpstreamUpdate) -> bool:
+        """Take in a listing's or a peer's entries; return whether any was news."""
+        news = self.upstreams.take(update)
+        self.upstreams_changed()
+        return news
+
+    def upstreams_changed(self) -> None:
+        """Drop what was derived from the list of upstreams."""
+        self._live_by_service.clear()
+        self._owner_by_engine.clear()
+
+    def target(self, engine: str) -> Target | None:
+        """Return an upstream as the owner's side needs it, or None."""
+        upstream = self.upstreams.upstream(engine)
+        if upstream is None:
+            return None
+        service = self.fleet.service_by_name.get(upstream.service)
+        return Target(
+            name=engine,
+            url=upstream.url,
+            takes_work=upstream.state == "live",
+            bound=_bound(service),
+            peers=len(self.live_upstreams(upstream.service)),
+        )
+
+    def elsewhere_in_flight(self, engine: str) -> int:
+        """Return the in-flight total of the other engines of an engine's service."""
+        upstream = self.upstreams.upstream(engine)
+        if upstream is None:
+            return 0
+        now = self.clock()
+        _, heard = self.gossip.loads(now).get(short_id(upstream.service), (0, 0))
+        own = [
+            name
+            for name in self.live_upstreams(upstream.service)
+            if name != engine and self.owner_name(name) == self.name
+        ]
+        return heard + self.gate.total(tuple(own), now)
+
+    # -- configuration ------------------------------------------------------
+
+    def take_change(self, change: Change) -> Rejected | Gap | None:
+        """Put the next change in force; None where it is in force now or was before.
+
+        A rejected change is voided: its version passes, nothing of it is in force.
+        """
+        if change.version <= self.fleet.version:
+            return None
+        following = self.fleet.with_change(change)
+        if isinstance(following, Gap):
+            return following
+        if isinstance(following, Rejected):
+            self.fleet = self.fleet.voided(change)
+            return following
+        self.fleet = following
+        return None
+
+    def take_fleet(self, fleet: Fleet) -> bool:
+        """Put a configuration in force if it is newer; return whether it was."""
+        if fleet.version <= self.fleet.version:
+            return False
+        self.fleet = fleet
+        return True
+
+    def take_update(self, update: Update) -> Rejected | Gap | None:
+        """Take in what a peer says that this router lacks."""
+        if update.snapshot is not None and update.snapshot.version > self.fleet.version:
+            fleet = Fleet.from_snapshot(update.snapshot)
+            if isinstance(fleet, Rejected):
+                return fleet
+            self.take_fleet(fleet)
+        wrongs = [self.take_change(change) for change in update.changes]
+        return next((wrong for wrong in wrongs if wrong is not None), None)
+
+    def update_since(self, version: int) -> Update:
+        """Return what a router at a version lacks."""
+        changes = self.fleet.changes_since(version)
+        if changes is None:
+            return Update(snapshot=self.fleet.snapshot())
+        return Update(changes=changes)
+
+    # -- limits -------------------------------------------------------------
+
+    def begin(self, account: str) -> LimitVerdict:
+        """Hold a request against the account's limits."""
+        policy = self.fleet.policy_by_account[account]
+        limits = AccountLimits(policy.requests_per_second, policy.burst, policy.concurrency)
+        return self.accounts.begin(account, limits, 1.0 / self.live_routers(), self.clock())
+
+    # -- rounds -------------------------------------------------------------
+
+    def stopping(self) -> bool:
+        """Return whether this router is draining."""
+        return self.phase != Phase.LIVE
+
+    def publish(self) -> None:
+        """Set what this router's heartbeats say."""
+        self.gossip.publish(self.phase, self.fleet.version, self.upstreams.version, self._loads())
+
+    def tick(self) -> None:
+        """Do what is due each round."""
+        self.refresh()
+        self.accounts.forget_idle(self.clock(), ACCOUNT_IDLE)
+        self.publish()
+
+    def _loads(self) -> tuple[ServiceLoad, ...]:
+        now = self.clock()
+        totals: dict[str, tuple[int, int]] = {}
+        for upstream in self.owned():
+            engines, in_flight = totals.get(upstream.service, (0, 0))
+            held = self.gate.in_flight(upstream.name, now)
+            totals[upstream.service] = (engines + 1, in_flight + held)
+        return tuple(
+            ServiceLoad(short_id(service), engines, in_flight)
+            for service, (engines, in_flight) in sorted(totals.items())
+        )
+
+    def _owner(self, engine: str) -> Member | None:
+        if engine not in self._owner_by_engine:
+            upstream = self.upstreams.upstream(engine)
+            hall = upstream.hall if upstream is not None else ""
+            self._owner_by_engine[engine] = owner_of(engine, hall, self._members)
+        return self._owner_by_engine[engine]
+
+
+def _identity(members: tuple[Member, ...]) -> tuple[tuple[str, Phase], ...]:
+    return tuple((member.name, member.phase) for member in members)
+
+
+def _bound(service: ServiceSpec | None) -> float | None:
+    if service is None or service.kind == "plain":
+        return None
+    return service.load_bound
--- /dev/null
+++ b/pondhatch/transport/__init__.py
@@ -0,0 +1,27 @@
+"""Transport: twisted, klein, treq, grpclib and UDP. Bytes only, no decisions."""
+
+from pondhatch.transport._admin import Admin, readable
+from pondhatch.transport._caller_channel import CallerSite
+from pondhatch.transport._callers import Callers
+from pondhatch.transport._gossip import GossipPort
+from pondhatch.transport._loads import poll_loads
+from pondhatch.transport._peers import PeerService, RemoteOwner, fleet_token
+from pondhatch.transport._platform import HttpPlatform
+from pondhatch.transport._upstreams import HttpUpstreams
+from pondhatch.transport._wire import PullReply, PullRequest
+
+__all__ = [
+    "Admin",
+    "CallerSite",
+    "Callers",
+    "GossipPort",
+    "HttpPlatform",
+    "HttpUpstreams",
+    "PeerService",
+    "PullReply",
+    "PullRequest",
+    "RemoteOwner",
+    "fleet_token",
+    "poll_loads",
+    "readable",
+]
--- /dev/null
+++ b/pondhatch/transport/_gossip.py
@@ -0,0 +1,48 @@
+"""Gossip packets over UDP."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from twisted.internet.protocol import DatagramProtocol
+
+from pondhatch.membership import Address, Datagram, Seal
+
+#: Bytes of IP and UDP headers, counted into the control traffic.
+HEADER_BYTES = 28
+
+
+class GossipPort(DatagramProtocol):
+    """Sends and receives sealed packets, and counts their bytes."""
+
+    transport: Any
+
+    def __init__(self, seal: Seal, receive: Callable[[bytes, Address], list[Datagram]]) -> None:
+        self.bytes_sent = 0
+        self.bytes_received = 0
+        #: Packets dropped because their seal did not fit.
+        self.unsealed = 0
+        self._seal = seal
+        self._receive = receive
+
+    def datagramReceived(self, datagram: bytes, addr: tuple[str, int]) -> None:
+        """Take in a packet; answers go back to where it came from."""
+        self.bytes_received += len(datagram) + HEADER_BYTES
+        payload = self._seal.open(datagram)
+        if payload is None:
+            self.unsealed += 1
+            return
+        self.send(self._receive(payload, Address(addr[0], addr[1])))
+
+    def send(self, datagrams: Iterable[Datagram]) -> None:
+        """Send packets; one that cannot be sent is as good as lost."""
+        for datagram in datagrams:
+            sealed = self._seal.close(datagram.payload)
+            self.bytes_sent += len(sealed) + HEADER_BYTES
+            if self.transport is None:
+                continue
+            try:
+                self.transport.write(sealed, (datagram.to.host, datagram.to.port))
+            except OSError:
+                continue
--- /dev/null
+++ b/pondhatch/transport/_loads.py
@@ -0,0 +1,43 @@
+"""Asking owned engines for their load."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+import treq
+
+from pondhatch.kernel import as_future
+from pondhatch.router import RouterState
+
+#: Seconds between two questions to one engine.
+POLL_SECONDS = 1.0
+
+
+class _Load(msgspec.Struct):
+    running: int
+    waiting: int
+
+
+async def poll_loads(state: RouterState) -> None:
+    """Ask the owned model engines for their load, every second, until cancelled."""
+    while True:
+        engines = [upstream for upstream in state.owned() if _reports(state, upstream.service)]
+        await asyncio.gather(*(_poll(state, engine.name, engine.url) for engine in engines))
+        await asyncio.sleep(POLL_SECONDS)
+
+
+def _reports(state: RouterState, service: str) -> bool:
+    spec = state.fleet.service_by_name.get(service)
+    return spec is not None and spec.kind == "model"
+
+
+async def _poll(state: RouterState, engine: str, url: str) -> None:
+    try:
+        async with asyncio.timeout(POLL_SECONDS):
+            response = await as_future(treq.get(f"{url}/load"))
+            content = await as_future(response.content())
+            load = msgspec.json.decode(content, type=_Load)
+    except Exception:
+        return
+    state.gate.report(engine, state.clock(), load.running + load.waiting)
--- /dev/null
+++ b/pondhatch/transport/_peers.py
@@ -0,0 +1,314 @@
+"""Routers' calls to each other over gRPC."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import hashlib
+import hmac
+import ssl
+from collections.abc import Callable
+from typing import Any
+
+from grpclib.client import Channel, Stream, StreamStreamMethod, UnaryUnaryMethod
+from grpclib.const import Cardinality, Handler, Status
+from grpclib.events import RecvRequest, listen
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+from grpclib.server import Server
+from grpclib.server import Stream as ServerStream
+
+from pondhatch.kernel import Tasks
+from pondhatch.membership import Address
+from pondhatch.requests import (
+    AnswerStream,
+    BodySource,
+    Broken,
+    Busy,
+    CallerGone,
+    Elsewhere,
+    Headers,
+    Lost,
+    NotOwner,
+    NotRun,
+    Opened,
+    Owner,
+    OwnerReply,
+    ReplayableBody,
+    Unknown,
+)
+from pondhatch.requests import RequestHead as Head
+from pondhatch.transport import _wire as wire
+
+#: Bodies up to this many bytes travel with the question itself.
+INLINE_BODY = 16 * 1024
+#: Bytes of a body's part on the wire.
+BODY_PART = 64 * 1024
+#: Seconds to wait for a peer's first word; its upstream may take the whole deadline.
+CALL_SECONDS = 2.0
+#: What a lost connection to a peer looks like.
+PEER_LOST = (GRPCError, StreamTerminatedError, ProtocolError, OSError)
+
+_DECLINED: dict[str, type[Any]] = {
+    kind.__name__: kind for kind in (Busy, Elsewhere, NotOwner, NotRun, Unknown)
+}
+
+
+def fleet_token(fleet_key: bytes) -> str:
+    """Return the token that peers show each other; the key itself never travels."""
+    return hashlib.blake2b(b"peer calls", key=hashlib.sha256(fleet_key).digest()).hexdigest()
+
+
+class _PeerBody:
+    """A request's body read from the peer that forwards it; asks for it when first read."""
+
+    def __init__(self, stream: ServerStream[Any, Any], length: int | None) -> None:
+        self.length = length
+        self._stream = stream
+        self._asked = False
+
+    async def read(self) -> bytes:
+        if not self._asked:
+            self._asked = True
+            await self._stream.send_message(wire.SendBody())
+        message = await self._stream.recv_message()
+        if not isinstance(message, wire.BodyPart):
+            raise CallerGone("the peer ended the body early")
+        return message.content
+
+
+class PeerService:
+    """The calls that this router answers to its peers."""
+
+    def __init__(
+        self, owner: Owner, pull: Callable[[wire.PullRequest], wire.PullReply], token: str
+    ) -> None:
+        self._owner = owner
+        self._pull = pull
+        self._token = token
+
+    def __mapping__(self) -> dict[str, Handler]:
+        """Return the handlers by method, as grpclib asks for them."""
+        unary, both = Cardinality.UNARY_UNARY, Cardinality.STREAM_STREAM
+        return {
+            wire.RUN_METHOD: Handler(self._run, both, wire.ToOwner, wire.FromOwner),
+            wire.REMEMBER_METHOD: Handler(self._remember, unary, wire.Remember, wire.Empty),
+            wire.PULL_METHOD: Handler(self._answer_pull, unary, wire.PullRequest, wire.PullReply),
+        }
+
+    def server(self) -> Server:
+        """Return a server that hears only peers who hold the fleet key."""
+        server = Server([self], codec=wire.MessagePackCodec())
+        listen(server, RecvRequest, self._check_token)
+        return server
+
+    async def _check_token(self, event: RecvRequest) -> None:
+        shown = event.metadata.get(wire.TOKEN_METADATA, "")
+        if not isinstance(shown, str) or not hmac.compare_digest(shown, self._token):
+            raise GRPCError(Status.UNAUTHENTICATED, "the fleet key does not fit")
+
+    async def _run(self, stream: ServerStream[Any, Any]) -> None:
+        opened = await stream.recv_message()
+        if not isinstance(opened, wire.Open):
+            raise GRPCError(Status.INVALID_ARGUMENT, "expected the request first")
+        await stream.send_message(wire.Heard())
+        body: BodySource = _PeerBody(stream, opened.body_length)
+        if opened.body is not None:
+            body = ReplayableBody(opened.body)
+        reply = await self._owner.open(opened.head, body)
+        if not isinstance(reply, Opened):
+            fields = dataclasses.asdict(reply)
+            await stream.send_message(wire.Declined(type(reply).__name__, fields))
+            return
+        await self._relay(stream, reply.answer)
+
+    async def _relay(self, stream: ServerStream[Any, Any], answer: AnswerStream) -> None:
+        try:
+            await stream.send_message(wire.AnswerHead(answer.status, answer.headers))
+            while part := await answer.read():
+                await stream.send_message(wire.AnswerPart(part))
+            await stream.send_message(wire.AnswerEnd())
+        except Lost as lost:
+            outcome = lost.outcome
+            await stream.send_message(wire.AnswerLost(outcome.code, outcome.reason))
+        finally:
+            answer.cancel()
+
+    async def _remember(self, stream: ServerStream[Any, Any]) -> None:
+        note = await stream.recv_message()
+        if note is not None:
+            await self._owner.remember(note.chat, note.engine)
+        await stream.send_message(wire.Empty())
+
+    async def _answer_pull(self, stream: ServerStream[Any, Any]) -> None:
+        asked = await stream.recv_message()
+        if asked is not None:
+            await stream.send_message(self._pull(asked))
+
+
+class _RemoteAnswer:
+    """An answer relayed by a peer; see AnswerStream."""
+
+    def __init__(
+        self,
+        stream: Stream[Any, Any],
+        head: wire.AnswerHead,
+        pump: asyncio.Task[None] | None,
+        tasks: Tasks,
+    ) -> None:
+        self.status: int = head.status
+        self.headers: Headers = head.headers
+        self._stream = stream
+        self._pump = pump
+        self._tasks = tasks
+        self._done = False
+
+    async def read(self) -> bytes:
+        try:
+            message = await self._stream.recv_message()
+        except PEER_LOST as error:
+            self.cancel()
+            raise Lost(Broken("router-lost", f"the owning router was lost: {error}")) from error
+        if isinstance(message, wire.AnswerPart):
+            return message.content
+        self.cancel()
+        if isinstance(message, wire.AnswerEnd):
+            return b""
+        if isinstance(message, wire.AnswerLost):
+            raise Lost(Broken(message.code, message.reason))
+        raise Lost(Broken("router-lost", "the owning router ended its answer early"))
+
+    def cancel(self) -> None:
+        if self._done:
+            return
+        self._done = True
+        if self._pump is not None:
+            self._pump.cancel()
+        self._tasks.start(_close(self._stream))
+
+
+async def _close(stream: Stream[Any, Any]) -> None:
+    """End a stream, resetting it where the peer has not ended it."""
+    try:
+        await stream.__aexit__(ConnectionResetError, ConnectionResetError(), None)
+    except PEER_LOST:
+        return
+
+
+class RemoteOwner:
+    """Another router's engines, reached over one connection; see Owner."""
+
+    def __init__(
+        self,
+        name: str,
+        address: Address,
+        token: str,
+        tasks: Tasks,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        self.name = name
+        self.address = address
+        self._metadata = {wire.TOKEN_METADATA: token}
+        self._tasks = tasks
+        self._channel = Channel(address.host, address.port, codec=wire.MessagePackCodec(), ssl=tls)
+        to_owner: Any = wire.ToOwner
+        from_owner: Any = wire.FromOwner
+        self._run: StreamStreamMethod[Any, Any] = StreamStreamMethod(
+            self._channel, wire.RUN_METHOD, to_owner, from_owner
+        )
+        self._remember = UnaryUnaryMethod(
+            self._channel, wire.REMEMBER_METHOD, wire.Remember, wire.Empty
+        )
+        self._pull = UnaryUnaryMethod(
+            self._channel, wire.PULL_METHOD, wire.PullRequest, wire.PullReply
+        )
+
+    async def open(self, head: Head, body: BodySource) -> OwnerReply:
+        """Ask the peer for a grant and run the request there; see Owner."""
+        stream = self._run.open(metadata=self._metadata)
+        inline = await _inline(body)
+        sent = False
+        try:
+            async with asyncio.timeout(CALL_SECONDS):
+                await stream.__aenter__()
+                await stream.send_request()
+            sent = True
+            async with asyncio.timeout(CALL_SECONDS):
+                await stream.send_message(wire.Open(head, body.length, inline))
+                await stream.recv_message()
+            async with asyncio.timeout(head.deadline):
+                return await self._first_reply(stream, body)
+        except (*PEER_LOST, TimeoutError) as error:
+            await _close(stream)
+            reason = f"router {self.name}: {type(error).__name__} {error}"
+            if _certainly_not_run(error, sent):
+                return NotRun("router-unreachable", reason)
+            return Unknown("router-lost", reason)
+        except BaseException:
+            await _close(stream)
+            raise
+
+    async def remember(self, chat: int, engine: str) -> None:
+        """Tell the peer where a chat was served, without waiting for it."""
+        self._tasks.start(self._note(wire.Remember(chat, engine)))
+
+    async def pull(self, configuration: int, upstreams: int) -> wire.PullReply | None:
+        """Return what the peer has beyond these versions, or None where it is lost."""
+        asked = wire.PullRequest(configuration, upstreams)
+        try:
+            reply: wire.PullReply = await self._pull(
+                asked, timeout=CALL_SECONDS, metadata=self._metadata
+            )
+        except (*PEER_LOST, TimeoutError):
+            return None
+        return reply
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._channel.close()
+
+    async def _note(self, note: wire.Remember) -> None:
+        try:
+            await self._remember(note, timeout=CALL_SECONDS, metadata=self._metadata)
+        except (*PEER_LOST, TimeoutError):
+            return
+
+    async def _first_reply(self, stream: Stream[Any, Any], body: BodySource) -> OwnerReply:
+        pump: asyncio.Task[None] | None = None
+        while True:
+            message = await stream.recv_message()
+            if isinstance(message, wire.SendBody):
+                pump = asyncio.ensure_future(_pump(stream, body))
+                continue
+            if isinstance(message, wire.AnswerHead):
+                return Opened(_RemoteAnswer(stream, message, pump, self._tasks))
+            if pump is not None:
+                pump.cancel()
+            await _close(stream)
+            if isinstance(message, wire.Declined):
+                declined: OwnerReply = _DECLINED[message.kind](**message.fields)
+                return declined
+            return Unknown("router-lost", f"router {self.name} ended without an answer")
+
+
+async def _inline(body: BodySource) -> bytes | None:
+    if isinstance(body, ReplayableBody) and len(body.content) <= INLINE_BODY:
+        return await body.read()
+    return b"" if body.length == 0 else None
+
+
+async def _pump(stream: Stream[Any, Any], body: BodySource) -> None:
+    try:
+        while part := await body.read():
+            for start in range(0, len(part), BODY_PART):
+                await stream.send_message(wire.BodyPart(part[start : start + BODY_PART]))
+        await stream.send_message(wire.BodyPart(b""))
+    except CallerGone:
+        await stream.cancel()
+    except PEER_LOST:
+        return
+
+
+def _certainly_not_run(error: BaseException, sent: bool) -> bool:
+    """A peer that never got the question, or refused to hear it, ran nothing."""
+    refused_unheard = isinstance(error, GRPCError) and error.status == Status.UNAUTHENTICATED
+    return refused_unheard or not sent
--- /dev/null
+++ b/pondhatch/transport/_platform.py
@@ -0,0 +1,176 @@
+"""The platform's object API over HTTP and JSON.
+
+Objects lie at ``/v1/objects/KIND/NAME``; a write names the version it expects
+in ``If-Match`` (or ``If-None-Match: *`` for a new object), and gets 409 where
+the object is another. ``?watch=true&since=V`` answers a line for each change.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from typing import Any
+
+import msgspec
+import treq
+from treq.response import _Response as TreqResponse
+from twisted.web.client import ResponseFailed
+from twisted.web.http_headers import Headers as WireHeaders
+
+from pondhatch.kernel import as_future
+from pondhatch.platform import (
+    Accepted,
+    Conflict,
+    Found,
+    Listed,
+    Missing,
+    OutcomeUnknown,
+    PlatformLost,
+    StoredObject,
+    TooOld,
+    Unavailable,
+    WatchEvent,
+)
+from pondhatch.transport._parts import PartPipe
+from pondhatch.transport._upstreams import NOT_SENT, _AnswerProtocol
+
+#: Seconds for one call; the platform answers in milliseconds when it is well.
+CALL_SECONDS = 2.0
+#: Seconds without a line, bookmarks included, after which a watch is given up.
+WATCH_SILENCE = 15.0
+NOT_FOUND = 404
+CONFLICT = 409
+GONE = 410
+
+
+class _CallFailed(Exception):
+    """A call got no usable answer."""
+
+    def __init__(self, reason: str, sent: bool) -> None:
+        super().__init__(reason)
+        self.sent = sent
+
+
+class HttpPlatform:
+    """The platform reached by HTTP; see Platform."""
+
+    def __init__(self, url: str) -> None:
+        #: Calls made, for the budget that the platform counts.
+        self.calls = 0
+        self._url = f"{url.rstrip('/')}/v1/objects"
+
+    async def get(self, kind: str, name: str) -> Found | Missing | Unavailable:
+        """Read one object."""
+        try:
+            status, content = await self._call("GET", f"{kind}/{name}")
+        except _CallFailed as error:
+            return Unavailable(str(error))
+        if status == NOT_FOUND:
+            return Missing()
+        if status != 200:
+            return Unavailable(f"answered {status}")
+        return Found(msgspec.json.decode(content, type=StoredObject))
+
+    async def list(self, kind: str) -> Listed | Unavailable:
+        """Read all objects of a kind."""
+        try:
+            status, content = await self._call("GET", kind)
+        except _CallFailed as error:
+            return Unavailable(str(error))
+        if status != 200:
+            return Unavailable(f"answered {status}")
+        return msgspec.json.decode(content, type=Listed)
+
+    async def create(
+        self, kind: str, name: str, value: Any
+    ) -> Accepted | Conflict | OutcomeUnknown | Unavailable:
+        """Create an object that must not exist yet."""
+        return await self._write(kind, name, value, {"If-None-Match": "*"})
+
+    async def update(
+        self, kind: str, name: str, value: Any, version: int
+    ) -> Accepted | Conflict | OutcomeUnknown | Unavailable:
+        """Replace an object that must still have the given version."""
+        return await self._write(kind, name, value, {"If-Match": str(version)})
+
+    async def watch(self, kind: str, since: int | None) -> AsyncIterator[WatchEvent]:
+        """Yield changes after a version, or from now on; see Platform."""
+        self.calls += 1
+        start = "" if since is None else f"&since={since}"
+        protocol = _AnswerProtocol()
+        try:
+            async with asyncio.timeout(CALL_SECONDS):
+                response = await self._request("GET", f"{kind}?watch=true{start}")
+        except Exception as error:
+            raise PlatformLost(str(error)) from error
+        if response.code == GONE:
+            raise TooOld(kind)
+        if response.code != 200:
+            raise PlatformLost(f"answered {response.code}")
+        response.deliverBody(protocol)
+        try:
+            async for line in _lines(protocol.pipe):
+                yield msgspec.json.decode(line, type=WatchEvent)
+        finally:
+            protocol.stop()
+
+    async def _write(
+        self, kind: str, name: str, value: Any, condition: dict[str, str]
+    ) -> Accepted | Conflict | OutcomeUnknown | Unavailable:
+        body = msgspec.json.encode(value)
+        try:
+            status, content = await self._call("PUT", f"{kind}/{name}", body, condition)
+        except _CallFailed as error:
+            return OutcomeUnknown(str(error)) if error.sent else Unavailable(str(error))
+        if status in (200, 201):
+            return Accepted(msgspec.json.decode(content, type=StoredObject).version)
+        if status == CONFLICT:
+            return Conflict()
+        if status == 503:
+            return Unavailable("the platform refused the call")
+        return OutcomeUnknown(f"answered {status}")
+
+    async def _call(
+        self, method: str, path: str, body: bytes = b"", headers: dict[str, str] | None = None
+    ) -> tuple[int, bytes]:
+        self.calls += 1
+        try:
+            async with asyncio.timeout(CALL_SECONDS):
+                response = await self._request(method, path, body, headers)
+                content = await as_future(response.content())
+        except NOT_SENT as error:
+            raise _CallFailed(f"cannot reach the platform: {error}", sent=False) from error
+        except TimeoutError as error:
+            raise _CallFailed(f"no answer in {CALL_SECONDS} s", sent=True) from error
+        except (ResponseFailed, ConnectionError, Exception) as error:
+            raise _CallFailed(f"{type(error).__name__}: {error}", sent=True) from error
+        return response.code, content
+
+    async def _request(
+        self, method: str, path: str, body: bytes = b"", headers: dict[str, str] | None = None
+    ) -> TreqResponse:
+        asked = treq.request(
+            method,
+            f"{self._url}/{path}",
+            data=body or None,
+            headers=WireHeaders({name: [value] for name, value in (headers or {}).items()}),
+            persistent=False,
+            unbuffered=True,
+        )
+        return await as_future(asked)
+
+
+async def _lines(pipe: PartPipe) -> AsyncIterator[bytes]:
+    rest = b""
+    while True:
+        try:
+            async with asyncio.timeout(WATCH_SILENCE):
+                part = await pipe.read()
+        except (TimeoutError, ConnectionError) as error:
+            raise PlatformLost(str(error) or "the watch went silent") from error
+        if not part:
+            raise PlatformLost("the watch ended")
+        *lines, rest = (rest + part).split(b"\n")
+        for line in lines:
+            if line:
+                yield line
