Add the demo: both users' fleets on loopback with a report

Cause: a newcomer needs one command that shows the whole system at work.

Change: `make demo` starts each user's fleet (8 routers, 10 engines, the plain service, the platform) as processes, sends 60 chats of 5 turns with the stock client through random routers, plain requests, and two planned stops, and prints what came back.

--- /dev/null
+++ b/bench/_chats.py
@@ -0,0 +1,133 @@
+"""Returning chats sent to a fleet by the stock client, and what came of them."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from typing import Any
+
+import openai
+
+#: Tokens that an answer of the stand-in engine has unless asked otherwise.
+ANSWER_TOKENS = 16
+#: Share of a returning turn's known context that must be cached to count as found.
+FOUND_SHARE = 0.9
+
+
+@dataclass
+class Tally:
+    """What was sent and what came back."""
+
+    sent: int = 0
+    whole: int = 0
+    #: Refusals that said that nothing ran, by code.
+    refused: dict[str, int] = field(default_factory=dict)
+    #: Answers that were wrong, broken or refused without saying why.
+    bad: list[str] = field(default_factory=list)
+    returning: int = 0
+    found: int = 0
+
+    @property
+    def reuse(self) -> float:
+        """Share of returning turns that found their context."""
+        return self.found / self.returning if self.returning else 0.0
+
+
+@dataclass(frozen=True)
+class Load:
+    """How chats are sent."""
+
+    model: str
+    #: Keys of the accounts that chat.
+    keys: tuple[str, ...]
+    chats: int
+    turns: int
+    #: Chats that run at once.
+    at_once: int
+    #: Seconds of pause between two turns of one chat, at most.
+    pause: float = 0.2
+    seed: int = 1
+
+
+async def send_chats(bases: Sequence[str], load: Load) -> Tally:
+    """Send all chats, each turn through a random router, and return the tally."""
+    rng = random.Random(load.seed)
+    tally = Tally()
+    gate = asyncio.Semaphore(load.at_once)
+    clients = [
+        openai.AsyncOpenAI(base_url=f"{base}/v1", api_key=key, max_retries=2, timeout=60)
+        for base in bases
+        for key in load.keys
+    ]
+    by_key = {key: [c for c in clients if c.api_key == key] for key in load.keys}
+
+    async def one(number: int) -> None:
+        async with gate:
+            choices = by_key[load.keys[number % len(load.keys)]]
+            await _chat(choices, load, number, random.Random(rng.random()), tally)
+
+    await asyncio.gather(*(one(number) for number in range(load.chats)))
+    await asyncio.gather(*(client.close() for client in clients))
+    return tally
+
+
+async def _chat(
+    clients: Sequence[openai.AsyncOpenAI], load: Load, number: int, rng: random.Random, tally: Tally
+) -> None:
+    opening = f"chat {number}: " + " ".join(rng.choices(("stone", "glass", "dusk", "brick"), k=200))
+    messages: list[Any] = [{"role": "user", "content": opening}]
+    known = 0
+    for turn in range(load.turns):
+        answer = await _turn(rng.choice(clients), load.model, messages, tally)
+        if answer is None:
+            return
+        text, cached, prompt = answer
+        if turn:
+            tally.returning += 1
+            tally.found += cached >= FOUND_SHARE * known
+        known = prompt
+        messages.append({"role": "assistant", "content": text})
+        messages.append({"role": "user", "content": f"and now variant {turn}"})
+        await asyncio.sleep(rng.uniform(0, load.pause))
+
+
+async def _turn(
+    client: openai.AsyncOpenAI, model: str, messages: list[Any], tally: Tally
+) -> tuple[str, int, int] | None:
+    tally.sent += 1
+    text, cached, prompt = "", 0, 0
+    try:
+        stream = await client.chat.completions.create(model=model, messages=messages, stream=True)
+        async for part in stream:
+            text += part.choices[0].delta.content or ""
+            if part.usage is not None:
+                details = part.usage.prompt_tokens_details
+                cached, prompt = (
+                    (details.cached_tokens or 0) if details else 0,
+                    part.usage.prompt_tokens,
+                )
+    except openai.APIStatusError as error:
+        code = str(error.body.get("code")) if isinstance(error.body, dict) else "none"
+        if error.response.headers.get("X-Pondhatch-Outcome") != "not-run":
+            tally.bad.append(f"{error.status_code} {code}")
+        tally.refused[code] = tally.refused.get(code, 0) + 1
+        return None
+    except openai.APIError as error:
+        tally.bad.append(f"{type(error).__name__}: {error}")
+        return None
+    if not is_whole(text, messages):
+        tally.bad.append(f"not the answer to its request: {text[:40]!r}")
+        return None
+    tally.whole += 1
+    return text, cached, prompt
+
+
+def is_whole(text: str, messages: list[Any], tokens: int = ANSWER_TOKENS) -> bool:
+    """Return whether a text is the stand-in engine's whole answer to these messages."""
+    words = text.split()
+    wanted = [f"{len(messages)}.{at}." for at in range(tokens)]
+    return len(words) == tokens and all(
+        word.startswith(start) for word, start in zip(words, wanted, strict=True)
+    )
--- /dev/null
+++ b/bench/demo.py
@@ -0,0 +1,171 @@
+"""Both users' fleets on loopback, with returning chats and a readable report.
+
+Run by ``make demo``. Exits 0 where every answer was whole or honestly refused.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+import time
+import urllib.request
+from dataclasses import dataclass
+from typing import Any
+
+from bench._chats import Load, Tally, send_chats
+from fakes._local_fleet import ROOT, LocalFleet, fetch
+
+ROUTERS = 8
+ENGINES = 10
+
+
+@dataclass(frozen=True)
+class User:
+    """One of the users, as the brief describes it."""
+
+    name: str
+    example: str
+    halls: tuple[str, ...]
+    service: str
+    model: str
+    plain: str
+    plain_upstreams: int
+    path: str
+    accounts: tuple[str, ...]
+
+
+RENDER_DESK = User(
+    name="render desk",
+    example="render-desk",
+    halls=("recife-1", "recife-2", "recife-3", "recife-4"),
+    service="scene-language",
+    model="scene-writer",
+    plain="proof-portal",
+    plain_upstreams=4,
+    path="/proofs/launch-deck",
+    accounts=("visualisers-boa-viagem", "visualisers-pina", "client-portal"),
+)
+INSPECTION_TRUST = User(
+    name="inspection trust",
+    example="inspection-trust",
+    halls=("suva-1", "suva-2", "lautoka-1"),
+    service="photo-description",
+    model="defect-describer",
+    plain="archive",
+    plain_upstreams=3,
+    path="/archive/batch",
+    accounts=("line-supervisors-suva", "line-supervisors-lautoka", "inspectors-suva"),
+)
+
+
+@dataclass(frozen=True)
+class Report:
+    """What one user's run showed."""
+
+    tally: Tally
+    #: Largest number of requests at one engine over the mean.
+    skew: float
+    #: Control bytes a second of one router, sent and received: mean and largest.
+    control: tuple[float, float]
+    plain_whole: int
+    plain_sent: int
+    seconds: float
+
+
+def start(fleet: LocalFleet, user: User) -> None:
+    """Start a user's processes and apply its configuration."""
+    halls = user.halls
+    for at in range(ENGINES):
+        hall = halls[at % len(halls)]
+        fleet.add_backend("engine", f"engine-{at}", user.service, hall)
+    for at in range(user.plain_upstreams):
+        fleet.add_backend("plain", f"plain-{at}", user.plain, halls[at % len(halls)])
+    fleet.add_routers([halls[at % len(halls)] for at in range(ROUTERS)])
+    applied = fleet.apply(ROOT / "examples" / user.example)
+    if applied.returncode != 0:
+        raise RuntimeError(applied.stderr)
+    fleet.await_agreement(1)
+
+
+def measure(fleet: LocalFleet, user: User) -> Report:
+    """Send a user's chats and plain requests, and read off what happened."""
+    keys = tuple(f"example-{account}" for account in user.accounts)
+    load = Load(user.model, keys, chats=60, turns=5, at_once=20)
+    before = [_counters(router) for router in fleet.routers]
+    started = time.monotonic()
+    tally = asyncio.run(send_chats([router.callers for router in fleet.routers], load))
+    plain_sent = 40
+    plain_whole = sum(_plain(fleet, user, keys[0], at) for at in range(plain_sent))
+    seconds = time.monotonic() - started
+    rates = [
+        (sum(_counters(router)) - sum(old)) / seconds
+        for router, old in zip(fleet.routers, before, strict=True)
+    ]
+    return Report(
+        tally=tally,
+        skew=_skew(fleet, user),
+        control=(sum(rates) / len(rates), max(rates)),
+        plain_whole=plain_whole,
+        plain_sent=plain_sent,
+        seconds=seconds,
+    )
+
+
+def show(user: User, report: Report) -> None:
+    """Print a report for people."""
+    tally = report.tally
+    print(f"\n{user.name}: {ROUTERS} routers, {ENGINES} engines, {report.seconds:.1f} s")
+    print(f"  chat answers whole      {tally.whole} of {tally.sent}")
+    print(f"  refused, not run        {tally.refused or 'none'}")
+    print(f"  broken or wrong         {tally.bad or 'none'}")
+    print(f"  plain answers whole     {report.plain_whole} of {report.plain_sent}")
+    print(f"  returning chats         {tally.found} of {tally.returning} found their context")
+    print(f"  reuse                   {tally.reuse:.3f}")
+    print(f"  skew over the run       {report.skew:.2f} (most requests at one engine over mean)")
+    mean, most = report.control
+    print(f"  control per router      {mean:.0f} B/s, most {most:.0f} B/s (sent and received)")
+
+
+def main() -> int:
+    """Run both users' fleets, one after the other."""
+    good = True
+    for user in (RENDER_DESK, INSPECTION_TRUST):
+        print(f"starting the {user.name}'s fleet ...", flush=True)
+        with LocalFleet() as fleet:
+            start(fleet, user)
+            report = measure(fleet, user)
+            show(user, report)
+            codes = [fleet.stop(router.process) for router in fleet.routers[:2]]
+            print(f"  planned stop            2 routers, exit codes {codes}")
+        plain_good = report.plain_whole == report.plain_sent
+        good = good and not report.tally.bad and plain_good and codes == [0, 0]
+    print("\nall answers whole or honestly refused" if good else "\nsomething broke, see above")
+    return 0 if good else 1
+
+
+def _counters(router: Any) -> tuple[int, int]:
+    state = router.state()
+    return state["gossip_bytes_sent"], state["gossip_bytes_received"]
+
+
+def _plain(fleet: LocalFleet, user: User, key: str, at: int) -> bool:
+    router = fleet.routers[at % len(fleet.routers)]
+    body = f"asset {at}".encode()
+    request = urllib.request.Request(
+        f"{router.callers}{user.path}/{at}",
+        data=body,
+        headers={"Authorization": f"Bearer {key}"},
+    )
+    with urllib.request.urlopen(request, timeout=20) as answer:
+        whole: bool = answer.read() == body
+    return whole
+
+
+def _skew(fleet: LocalFleet, user: User) -> float:
+    engines = [backend for backend in fleet.backends if backend.service == user.service]
+    counts = [len(fetch(f"{engine.url}/runs")) for engine in engines]
+    return max(counts) / (sum(counts) / len(counts))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
