Let requests wait briefly at their engine, fair between accounts

Found from the dumps: every turn that missed its context had been passed over with "at ceiling".

Change: before a full engine stands a bounded line, ordered by priority and within a priority by start-time fair queueing over accounts. A returning chat waits there for up to the service's context_wait (0.2 s), and a request with nowhere left to ask for up to queue_wait (2 s). A grant that comes in the moment in which its request gives up goes back to the gate. An engine also has a limit of its own (engine_slots). IP numbers are resolved in place, so a router runs on one thread.

Ruled out: raising the bound, which would buy reuse with skew.

--- a/pondhatch/cli/_commands.py
+++ b/pondhatch/cli/_commands.py
@@ -54,7 +54,9 @@
     from twisted.internet import reactor
 
     from pondhatch.cli._router_process import serve
+    from pondhatch.transport import install_numeric_resolver
 
+    install_numeric_resolver(reactor)
     _with_reactor(loop, serve(loaded, reactor))
     return EXIT_DONE
 
--- a/pondhatch/cli/_router_process.py
+++ b/pondhatch/cli/_router_process.py
@@ -175,6 +175,7 @@
     async def _rounds(self) -> None:
         while True:
             self.state.tick()
+            self._owner.serve_lines()
             self._gossip_port.send(self.state.gossip.tick(self.state.clock()))
             await asyncio.sleep(self.state.gossip.limits.interval)
 
--- a/pondhatch/configuration/_schema.py
+++ b/pondhatch/configuration/_schema.py
@@ -37,6 +37,12 @@
     prefix: Annotated[str, Field(pattern=r"^/[a-z0-9-]+/$")] | None = None
     #: No engine carries more than this multiple of the service's mean load.
     load_bound: Annotated[float, Field(gt=1.0, le=10.0)] = 1.25
+    #: Requests that one engine can take at once, whatever the mean.
+    engine_slots: Annotated[int, Field(ge=1, le=100_000)] = 128
+    #: Seconds that a returning chat waits for its engine before it goes to another.
+    context_wait: Annotated[float, Field(ge=0.0, le=10.0)] = 0.2
+    #: Seconds that a request waits where every engine is full, before it is refused.
+    queue_wait: Annotated[float, Field(ge=0.0, le=60.0)] = 2.0
     #: Methods whose requests may run twice; for kind "plain".
     repeatable_methods: tuple[str, ...] = ("GET", "HEAD", "OPTIONS")
     #: Seconds that a request may take in all.
--- a/pondhatch/configuration/_settings.py
+++ b/pondhatch/configuration/_settings.py
@@ -28,6 +28,15 @@
     port: Port = 0
 
 
+@_closed
+@dataclass(frozen=True)
+class PeerEndpoint:
+    """Where other routers reach this one; they are told the port, so it is a fixed one."""
+
+    host: Host
+    port: Annotated[int, Field(ge=1, le=65535)]
+
+
 @_closed
 @dataclass(frozen=True)
 class CallerEndpoint:
@@ -85,7 +94,7 @@
     hall: Name
     callers: CallerEndpoint
     #: TCP for routers' calls, and UDP on the same number for gossip.
-    peers: Endpoint
+    peers: PeerEndpoint
     #: State dump and health; keep it off the callers' network.
     admin: Endpoint
     #: The platform's object API.
--- a/pondhatch/placement/__init__.py
+++ b/pondhatch/placement/__init__.py
@@ -2,6 +2,7 @@
 
 from pondhatch.placement._ceiling import admission_ceiling
 from pondhatch.placement._gate import EngineCount, Full, Gate, Granted, Verdict
+from pondhatch.placement._line import Line, Ticket
 from pondhatch.placement._memory import SpillMemory
 from pondhatch.placement._plan import Ask, Exhausted, Plan, Step
 from pondhatch.placement._rendezvous import ranked, score, winner
@@ -13,9 +14,11 @@
     "Full",
     "Gate",
     "Granted",
+    "Line",
     "Plan",
     "SpillMemory",
     "Step",
+    "Ticket",
     "Verdict",
     "admission_ceiling",
     "ranked",
--- a/pondhatch/placement/_gate.py
+++ b/pondhatch/placement/_gate.py
@@ -13,6 +13,8 @@
 
 #: Seconds after which a load report says nothing about the present.
 REPORT_LIFETIME = 5.0
+#: Stands for an engine whose service sets no limit of its own.
+UNLIMITED_SLOTS = 1_000_000
 
 
 @dataclass(frozen=True)
@@ -73,25 +75,28 @@
         """Return the requests in flight at an engine as known here."""
         return self.by_engine.get(engine, EngineCount()).in_flight(now)
 
-    def ask(self, engine: str, now: float, bound: float, others: int, engines: int) -> Verdict:
+    def ask(
+        self,
+        engine: str,
+        now: float,
+        bound: float,
+        others: int,
+        engines: int,
+        slots: int = UNLIMITED_SLOTS,
+    ) -> Verdict:
         """Grant or refuse one request.
 
         ``others`` is the in-flight total of the service's other engines, as
-        heard; ``engines`` counts the service's engines, this one included.
+        heard; ``engines`` counts the service's engines, this one included;
+        ``slots`` is what one engine can take whatever the mean.
         """
         count = self.by_engine.get(engine, EngineCount())
         held = count.in_flight(now)
-        ceiling = admission_ceiling(bound, others + held, engines)
+        ceiling = min(slots, admission_ceiling(bound, others + held, engines))
         if held + 1 > ceiling:
             return Full(held, ceiling)
         return self._grant(engine, count, held, ceiling)
 
-    def grant(self, engine: str, now: float) -> Granted:
-        """Count one request at an upstream whose service sets no bound."""
-        count = self.by_engine.get(engine, EngineCount())
-        held = count.in_flight(now)
-        return self._grant(engine, count, held, held + 1)
-
     def _grant(self, engine: str, count: EngineCount, held: int, ceiling: int) -> Granted:
         granted = count.granted + 1
         self.by_engine[engine] = replace(count, granted=granted, peak=max(count.peak, granted))
--- a/pondhatch/placement/_plan.py
+++ b/pondhatch/placement/_plan.py
@@ -23,6 +23,10 @@
     engine: str
     #: True where the home engine is asked again although the context is elsewhere.
     insist: bool = False
+    #: True where the chat's context is believed to lie here.
+    context: bool = False
+    #: True where nowhere else is left to ask.
+    last: bool = False
 
 
 @dataclass(frozen=True)
@@ -46,7 +50,9 @@
         self.in_flight_by_engine: dict[str, int] = {}
         self._asks = asks
         self._last_asked = False
-        self._waiting: list[Ask] = [Ask(engine) for engine in self.order]
+        self._waiting: list[Ask] = [
+            Ask(engine, context=rank == 0) for rank, engine in enumerate(self.order)
+        ]
         self._current: Ask | None = None
 
     @property
@@ -78,7 +84,7 @@
             return Exhausted(asked)
         self._last_asked = True
         least = min(self.in_flight_by_engine, key=lambda name: self.in_flight_by_engine[name])
-        self._current = Ask(least, insist=True)
+        self._current = Ask(least, insist=True, last=True)
         return self._current
 
     def refused(self, why: str) -> None:
@@ -96,5 +102,5 @@
             self._waiting.insert(0, Ask(home.engine, insist=True))
             return
         rest = [ask for ask in self._waiting if ask.engine != engine]
-        self._waiting = [Ask(engine), Ask(home.engine, insist=True), *rest]
+        self._waiting = [Ask(engine, context=True), Ask(home.engine, insist=True), *rest]
         self.passed_over.append((home.engine, f"context is at {engine}"))
--- a/pondhatch/requests/__init__.py
+++ b/pondhatch/requests/__init__.py
@@ -1,7 +1,7 @@
 """Requests: one try and its states, an owner's grants, an entry router's walk."""
 
 from pondhatch.requests._chat import ChatRequest, MalformedChat, read_chat
-from pondhatch.requests._entry import EntryView, Placed, Refused, Walk
+from pondhatch.requests._entry import EntryView, Patience, Placed, Refused, Walk
 from pondhatch.requests._messages import (
     AnswerStream,
     BodySource,
@@ -44,6 +44,7 @@
     "Owner",
     "OwnerReply",
     "OwnerView",
+    "Patience",
     "Placed",
     "Refusal",
     "Refused",
--- a/pondhatch/requests/_chat.py
+++ b/pondhatch/requests/_chat.py
@@ -29,6 +29,8 @@
     #: 64-bit key of the chat, never 0.
     chat: int
     stream: bool
+    #: Whether an earlier turn was answered, so that its context lies somewhere.
+    returning: bool
 
 
 class MalformedChat(Exception):
@@ -53,7 +55,9 @@
         key.update(b"\0key\0" + parsed.prompt_cache_key.encode())
     else:
         _add_opening(key, parsed.messages)
-    return ChatRequest(parsed.model, int.from_bytes(key.digest(), "big") or 1, parsed.stream)
+    returning = any(message.role == "assistant" for message in parsed.messages)
+    chat = int.from_bytes(key.digest(), "big") or 1
+    return ChatRequest(parsed.model, chat, parsed.stream, returning)
 
 
 def _add_opening(key: hashlib.blake2b, messages: list[_Message]) -> None:
--- a/pondhatch/requests/_entry.py
+++ b/pondhatch/requests/_entry.py
@@ -56,6 +56,19 @@
     refusal: Refusal
 
 
+@dataclass(frozen=True)
+class Patience:
+    """How long a request may wait in an engine's line, in seconds."""
+
+    #: Before the engine that is believed to hold its chat's context.
+    context: float
+    #: Before the last engine that is left to ask.
+    last: float
+
+
+NO_PATIENCE = Patience(0.0, 0.0)
+
+
 class Walk:
     """One request's walk; kept apart so that the plan can be read afterwards."""
 
@@ -66,6 +79,7 @@
         head: RequestHead,
         body: BodySource,
         remaining: Callable[[], float],
+        patience: Patience = NO_PATIENCE,
     ) -> None:
         chat = str(head.chat) if head.chat else head.request_id
         self.plan = Plan(chat, view.live_upstreams(head.service))
@@ -74,6 +88,7 @@
         self._head = head
         self._body = body
         self._remaining = remaining
+        self._most_patience = patience
         self._asks = 0
 
     async def run(self) -> Placed | Refused:
@@ -98,6 +113,7 @@
             insist=ask.insist,
             deadline=self._remaining(),
             request_id=f"{self._head.request_id}.{self._asks}",
+            patience=self._patience(ask),
             seen_elsewhere=self.plan.seen_elsewhere(ask.engine),
         )
         reply = await self._open(head)
@@ -116,6 +132,11 @@
         self.plan.refused(f"{reply.code}: {reply.reason}")
         return self._after_failure(reply)
 
+    def _patience(self, ask: Ask) -> float:
+        if ask.last:
+            return self._most_patience.last
+        return self._most_patience.context if ask.context else 0.0
+
     async def _open(self, head: RequestHead) -> OwnerReply:
         name = self._view.owner_name(head.engine)
         reply = await self._open_at(name, head)
--- /dev/null
+++ b/pondhatch/requests/_lines.py
@@ -0,0 +1,102 @@
+"""Requests that wait at their owner until a full engine can take them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from pondhatch.placement import Full, Granted, Line, Ticket, Verdict
+from pondhatch.requests._messages import RequestHead
+
+#: Requests that may wait before one engine.
+LINE_LIMIT = 64
+
+
+@dataclass(frozen=True)
+class Waiter:
+    """One request that waits."""
+
+    ticket: Ticket
+    #: Asks the gate again on its behalf.
+    ask: Callable[[], Verdict]
+    #: Set when its turn came, or when it was pushed out.
+    turn: asyncio.Future[Verdict]
+
+
+class Lines:
+    """The lines before the engines that this router owns."""
+
+    def __init__(self, give_back: Callable[[str], None]) -> None:
+        self._line_by_engine: dict[str, Line] = {}
+        self._waiter_by_ticket: dict[tuple[str, int], Waiter] = {}
+        #: Releases a grant that came too late for its request.
+        self._give_back = give_back
+
+    def waiting(self, engine: str) -> int:
+        """Return how many requests wait for an engine."""
+        line = self._line_by_engine.get(engine)
+        return len(line) if line is not None else 0
+
+    async def wait(
+        self, engine: str, head: RequestHead, full: Full, ask: Callable[[], Verdict]
+    ) -> Verdict:
+        """Wait until granted; ``full`` is the answer when patience ends or the line is full."""
+        line = self._line_by_engine.setdefault(engine, Line(LINE_LIMIT))
+        ticket = line.join(head.account, head.priority, head.weight)
+        if ticket is None:
+            return full
+        turn: asyncio.Future[Verdict] = asyncio.get_running_loop().create_future()
+        self._waiter_by_ticket[engine, ticket.number] = Waiter(ticket, ask, turn)
+        self._push_out(engine, line, full)
+        verdict: Verdict | None = None
+        try:
+            async with asyncio.timeout(min(head.patience, head.deadline)):
+                verdict = await turn
+        except TimeoutError:
+            verdict = full
+        finally:
+            self._leave(engine, line, ticket)
+            if verdict is None or verdict is full:
+                self._return_late_grant(engine, turn)
+        return verdict
+
+    def serve(self, engine: str) -> None:
+        """Grant those who wait for an engine, in order, as far as the gate allows."""
+        line = self._line_by_engine.get(engine)
+        while line is not None and (ticket := line.first()) is not None:
+            waiter = self._waiter_by_ticket[engine, ticket.number]
+            if waiter.turn.done():
+                line.leave(ticket)
+                continue
+            verdict = waiter.ask()
+            if isinstance(verdict, Full):
+                return
+            line.served(ticket)
+            waiter.turn.set_result(verdict)
+
+    def serve_all(self) -> None:
+        """Serve every line; called when a ceiling may have risen."""
+        for engine in tuple(self._line_by_engine):
+            self.serve(engine)
+
+    def _push_out(self, engine: str, line: Line, full: Full) -> None:
+        last = line.overflow()
+        if last is None:
+            return
+        line.leave(last)
+        waiter = self._waiter_by_ticket[engine, last.number]
+        if not waiter.turn.done():
+            waiter.turn.set_result(full)
+
+    def _leave(self, engine: str, line: Line, ticket: Ticket) -> None:
+        line.leave(ticket)
+        del self._waiter_by_ticket[engine, ticket.number]
+        if not line.by_number and self._line_by_engine.get(engine) is line:
+            del self._line_by_engine[engine]
+
+    def _return_late_grant(self, engine: str, turn: asyncio.Future[Verdict]) -> None:
+        """Give back a grant made in the moment in which its request stopped waiting."""
+        granted = turn.done() and not turn.cancelled() and isinstance(turn.result(), Granted)
+        if granted:
+            self._give_back(engine)
--- a/pondhatch/requests/_messages.py
+++ b/pondhatch/requests/_messages.py
@@ -35,6 +35,10 @@
     home: bool = False
     #: Whether the home engine is asked although the context is elsewhere.
     insist: bool = False
+    #: Seconds that the request may wait in the engine's line if it is full.
+    patience: float = 0.0
+    #: The account's share against others that wait.
+    weight: float = 1.0
     #: Work that the walk has seen at other engines of the service.
     seen_elsewhere: int = 0
 
--- a/pondhatch/requests/_owner.py
+++ b/pondhatch/requests/_owner.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import functools
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
 from pondhatch.placement import Full, Gate, SpillMemory, Verdict
+from pondhatch.requests._lines import Lines
 from pondhatch.requests._messages import (
     AnswerStream,
     BodySource,
@@ -29,10 +31,12 @@
     url: str
     #: False once it is known to be leaving.
     takes_work: bool
-    #: The service's set multiple of the mean; None where no ceiling holds.
-    bound: float | None
+    #: The service's set multiple of the mean.
+    bound: float
     #: How many upstreams of the service take work.
     peers: int
+    #: Requests that it can take at once, whatever the mean.
+    slots: int
 
 
 class Upstreams(Protocol):
@@ -109,6 +113,7 @@
         self._memory = memory
         self._upstreams = upstreams
         self._clock = clock
+        self._lines = Lines(self._released)
 
     async def open(self, head: RequestHead, body: BodySource) -> OwnerReply:
         """Grant the request against the ceiling and run it; see Owner."""
@@ -123,7 +128,11 @@
         remembered = self._memory.engine_of(head.chat) if head.home and head.chat else None
         if remembered is not None and remembered != head.engine and not head.insist:
             return Elsewhere(remembered)
+        self._lines.serve(target.name)
         verdict = self._ask_gate(target, head)
+        if isinstance(verdict, Full) and head.patience > 0:
+            ask = functools.partial(self._ask_gate, target, head)
+            verdict = await self._lines.wait(target.name, head, verdict, ask)
         if isinstance(verdict, Full):
             return Busy(verdict.in_flight, verdict.ceiling)
         if head.home:
@@ -134,20 +143,27 @@
         """Note where a chat was served away from its home engine."""
         self._memory.remember(chat, engine)
 
+    def serve_lines(self) -> None:
+        """Serve those who wait; called each round, since a ceiling may have risen."""
+        self._lines.serve_all()
+
     def _ask_gate(self, target: Target, head: RequestHead) -> Verdict:
         now = self._clock()
-        if target.bound is None:
-            return self._gate.grant(target.name, now)
         others = max(self._view.elsewhere_in_flight(target.name), head.seen_elsewhere)
-        return self._gate.ask(target.name, now, target.bound, others, target.peers)
+        return self._gate.ask(target.name, now, target.bound, others, target.peers, target.slots)
+
+    def _released(self, engine: str) -> None:
+        """Give a grant back, and let whoever is next in line have it."""
+        self._gate.release(engine)
+        self._lines.serve(engine)
 
     async def _run(self, target: Target, head: RequestHead, body: BodySource) -> OwnerReply:
         try:
             reply = await self._upstreams.send(target, head, body)
         except BaseException:
-            self._gate.release(target.name)
+            self._released(target.name)
             raise
         if not isinstance(reply, Opened):
-            self._gate.release(target.name)
+            self._released(target.name)
             return reply
-        return Opened(GrantedAnswer(reply.answer, lambda: self._gate.release(target.name)))
+        return Opened(GrantedAnswer(reply.answer, lambda: self._released(target.name)))
--- a/pondhatch/router/_admission.py
+++ b/pondhatch/router/_admission.py
@@ -30,8 +30,12 @@
 
     service: str
     priority: int
+    weight: float
     #: Seconds that the request may take in all.
     deadline: float
+    #: Seconds that it may wait for its chat's engine, and where all are full.
+    context_wait: float
+    queue_wait: float
 
 
 def identify(state: RouterState, authorization: str | None) -> Account | NotRun:
@@ -60,7 +64,14 @@
     if isinstance(verdict, Limited):
         wrong = f"the account is over its {verdict.limit} limit"
         return NotRun(f"{verdict.limit}-limited", wrong, verdict.retry_after, TOO_MANY)
-    return Admitted(service, policy.priority, spec.deadline)
+    return Admitted(
+        service=service,
+        priority=policy.priority,
+        weight=policy.weight,
+        deadline=spec.deadline,
+        context_wait=spec.context_wait,
+        queue_wait=spec.queue_wait,
+    )
 
 
 def service_of_path(state: RouterState, path: str) -> str | None:
--- a/pondhatch/router/_state.py
+++ b/pondhatch/router/_state.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from pondhatch.configuration import Change, Fleet, Gap, Rejected, ServiceSpec, Update
+from pondhatch.configuration import Change, Fleet, Gap, Rejected, Update
 from pondhatch.limits import AccountGate, AccountLimits, LimitVerdict, RetryBudget
 from pondhatch.membership import Gossip, Member, Phase, ServiceLoad, owner_of, short_id, watchers
 from pondhatch.placement import Gate, SpillMemory
@@ -117,15 +117,16 @@
     def target(self, engine: str) -> Target | None:
         """Return an upstream as the owner's side needs it, or None."""
         upstream = self.upstreams.upstream(engine)
-        if upstream is None:
+        service = self.fleet.service_by_name.get(upstream.service) if upstream else None
+        if upstream is None or service is None:
             return None
-        service = self.fleet.service_by_name.get(upstream.service)
         return Target(
             name=engine,
             url=upstream.url,
             takes_work=upstream.state == "live",
-            bound=_bound(service),
+            bound=service.load_bound,
             peers=len(self.live_upstreams(upstream.service)),
+            slots=service.engine_slots,
         )
 
     def elsewhere_in_flight(self, engine: str) -> int:
@@ -230,9 +231,3 @@
 
 def _identity(members: tuple[Member, ...]) -> tuple[tuple[str, Phase], ...]:
     return tuple((member.name, member.phase) for member in members)
-
-
-def _bound(service: ServiceSpec | None) -> float | None:
-    if service is None or service.kind == "plain":
-        return None
-    return service.load_bound
--- a/pondhatch/transport/__init__.py
+++ b/pondhatch/transport/__init__.py
@@ -7,6 +7,7 @@
 from pondhatch.transport._loads import poll_loads
 from pondhatch.transport._peers import PeerService, RemoteOwner, fleet_token
 from pondhatch.transport._platform import HttpPlatform
+from pondhatch.transport._resolver import install_numeric_resolver
 from pondhatch.transport._upstreams import HttpUpstreams
 from pondhatch.transport._wire import PullReply, PullRequest
 
@@ -22,6 +23,7 @@
     "PullRequest",
     "RemoteOwner",
     "fleet_token",
+    "install_numeric_resolver",
     "poll_loads",
     "readable",
 ]
--- a/pondhatch/transport/_callers.py
+++ b/pondhatch/transport/_callers.py
@@ -26,6 +26,7 @@
     Lost,
     MalformedChat,
     NotRun,
+    Patience,
     Placed,
     Refusal,
     ReplayableBody,
@@ -56,6 +57,7 @@
     admitted: Admitted
     head: RequestHead
     body: BodySource
+    patience: Patience
 
 
 Prepare = Callable[[CallerRequest, Account], Awaitable[Work | NotRun]]
@@ -121,7 +123,9 @@
             return admitted
         head = _head(request, account, admitted, CHAT_PATH)
         head = replace(head, chat=chat.chat, repeatable=True)
-        return Work(account, admitted, head, ReplayableBody(body))
+        context_wait = admitted.context_wait if chat.returning else 0.0
+        patience = Patience(context_wait, admitted.queue_wait)
+        return Work(account, admitted, head, ReplayableBody(body), patience)
 
     async def _prepare_plain(self, request: CallerRequest, account: Account) -> Work | NotRun:
         path = request.uri.decode("ascii", "replace")
@@ -133,7 +137,8 @@
         head = _head(request, account, admitted, path)
         head = replace(head, repeatable=head.method in spec.repeatable_methods)
         body = request.body()
-        return Work(account, admitted, head, ReplayableBody(b"") if body.length == 0 else body)
+        replayable = ReplayableBody(b"") if body.length == 0 else body
+        return Work(account, admitted, head, replayable, Patience(0.0, admitted.queue_wait))
 
     async def _run(self, request: CallerRequest, work: Work, started: float) -> None:
         deadline = started + work.admitted.deadline
@@ -143,6 +148,7 @@
             work.head,
             work.body,
             lambda: deadline - time.monotonic(),
+            work.patience,
         )
         outcome, engine = "caller-gone", None
         try:
@@ -265,6 +271,7 @@
         repeatable=False,
         deadline=admitted.deadline,
         priority=admitted.priority,
+        weight=admitted.weight,
     )
 
 
--- /dev/null
+++ b/pondhatch/transport/_resolver.py
@@ -0,0 +1,65 @@
+"""Resolves IP numbers in place; only a real name is looked up, in a thread.
+
+Twisted hands every host to a thread of its pool, IP numbers too. Routers talk
+by IP numbers, so with this resolver a router stays on its one thread.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Any
+
+from twisted.internet.abstract import isIPAddress, isIPv6Address
+from twisted.internet.address import IPv4Address, IPv6Address
+from twisted.internet.interfaces import IHostnameResolver, IHostResolution
+from zope.interface import implementer
+
+
+@implementer(IHostResolution)
+class _Resolution:
+    def __init__(self, name: str) -> None:
+        self.name = name
+
+    def cancel(self) -> None:
+        """Do nothing: the resolution is over before it can be cancelled."""
+
+
+@implementer(IHostnameResolver)
+class NumericResolver:
+    """An IHostnameResolver that passes real names on to another."""
+
+    def __init__(self, names: Any) -> None:
+        self._names = names
+
+    def resolveHostName(
+        self,
+        resolutionReceiver: Any,
+        hostName: str,
+        portNumber: int = 0,
+        addressTypes: Sequence[type[Any]] | None = None,
+        transportSemantics: str = "TCP",
+    ) -> Any:
+        """Resolve a host; see IHostnameResolver."""
+        address = _numeric(hostName, portNumber, transportSemantics)
+        if address is None:
+            return self._names.resolveHostName(
+                resolutionReceiver, hostName, portNumber, addressTypes, transportSemantics
+            )
+        resolution = _Resolution(hostName)
+        resolutionReceiver.resolutionBegan(resolution)
+        resolutionReceiver.addressResolved(address)
+        resolutionReceiver.resolutionComplete()
+        return resolution
+
+
+def install_numeric_resolver(reactor: Any) -> None:
+    """Let a reactor resolve IP numbers without a thread."""
+    reactor.installNameResolver(NumericResolver(reactor.nameResolver))
+
+
+def _numeric(host: str, port: int, semantics: Any) -> IPv4Address | IPv6Address | None:
+    if isIPAddress(host):
+        return IPv4Address(semantics, host, port)
+    if isIPv6Address(host):
+        return IPv6Address(semantics, host, port)
+    return None
