Rank engines with XXH3 instead of blake2b

Cause: ranking the 110 engines of one model took 291 us of a decision that may take 100 us; nearly all of it was two lines of hashing an engine.

Change: XXH3 with the chat's hash as seed, and only as many engines kept as a walk asks.

Ruled out: heapq.nlargest for 12 of 110: 79 us, the key function's calls outweigh the shorter sort. Python's own hash of numbers, which is faster still, is not promised to stay the same between versions, and routers of two versions must agree.

Measured, 110 engines, 500 rankings: 291 us -> 47 us.

--- a/pondhatch/placement/__init__.py
+++ b/pondhatch/placement/__init__.py
@@ -5,7 +5,7 @@
 from pondhatch.placement._line import Line, Ticket
 from pondhatch.placement._memory import SpillMemory
 from pondhatch.placement._plan import Ask, Exhausted, Plan, Step
-from pondhatch.placement._rendezvous import ranked, score, winner
+from pondhatch.placement._rendezvous import ranked, scorer, winner
 
 __all__ = [
     "Ask",
@@ -22,6 +22,6 @@
     "Verdict",
     "admission_ceiling",
     "ranked",
-    "score",
+    "scorer",
     "winner",
 ]
--- a/pondhatch/placement/_plan.py
+++ b/pondhatch/placement/_plan.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Collection
 from dataclasses import dataclass
 
 from pondhatch.placement._rendezvous import ranked
@@ -42,8 +42,9 @@
 class Plan:
     """One request's walk over the engines of its service."""
 
-    def __init__(self, chat: str, engines: Iterable[str], asks: int = DEFAULT_ASKS) -> None:
-        self.order = ranked(chat, engines)
+    def __init__(self, chat: str, engines: Collection[str], asks: int = DEFAULT_ASKS) -> None:
+        self._engines = engines
+        self.order = ranked(chat, engines, asks)
         #: Engines asked so far, in order, with what each answered.
         self.passed_over: list[tuple[str, str]] = []
         #: Requests in flight that each full engine's owner spoke of.
@@ -98,7 +99,7 @@
         home = self._current
         if home is None or home.engine != self.home:
             raise ValueError("only the home engine's owner knows of other places")
-        if engine not in self.order:
+        if engine not in self._engines:
             self._waiting.insert(0, Ask(home.engine, insist=True))
             return
         rest = [ask for ask in self._waiting if ask.engine != engine]
--- a/pondhatch/placement/_rendezvous.py
+++ b/pondhatch/placement/_rendezvous.py
@@ -1,25 +1,31 @@
-"""Rendezvous hashing: every router ranks the same names the same way."""
+"""Rendezvous hashing: every router ranks the same names the same way.
+
+XXH3 with the key as its seed costs a tenth of a keyed blake2b; nobody gains by
+choosing where a hash falls, so a cryptographic one is not needed.
+"""
 
 from __future__ import annotations
 
-import hashlib
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
+
+import xxhash
 
-#: Bytes of a hash score; 64 bits make ties negligible.
-SCORE_BYTES = 8
 
+def scorer(key: str) -> Callable[[str], int]:
+    """Return a function from name to its 64-bit score for a key; the highest wins."""
+    seed = xxhash.xxh3_64_intdigest(key.encode())
+    digest = xxhash.xxh3_64_intdigest
+    return lambda name: digest(name.encode(), seed)
 
-def score(key: str, name: str) -> int:
-    """Return the 64-bit score of a name for a key; the highest score wins."""
-    digest = hashlib.blake2b(f"{key}\0{name}".encode(), digest_size=SCORE_BYTES)
-    return int.from_bytes(digest.digest(), "big")
 
+def ranked(key: str, names: Iterable[str], most: int | None = None) -> tuple[str, ...]:
+    """Return the names, best first, in the order that every router agrees on.
 
-def ranked(key: str, names: Iterable[str]) -> tuple[str, ...]:
-    """Return the names, best first, in the order that every router agrees on."""
-    return tuple(sorted(names, key=lambda name: (score(key, name), name), reverse=True))
+    ``most`` asks for only so many of them.
+    """
+    return tuple(sorted(names, key=scorer(key), reverse=True)[:most])
 
 
 def winner(key: str, names: Iterable[str]) -> str | None:
     """Return the best name for a key, or None where there are no names."""
-    return max(names, key=lambda name: (score(key, name), name), default=None)
+    return max(names, key=scorer(key), default=None)
