Test what operators are told of wrong files and racing changes

Cause: nothing held the messages for wrong input, nor what becomes of a change whose answer was lost.

A template that is wrong itself is now told once: its accounts were blamed for it as well, which the table found.

--- a/pondhatch/configuration/_fleet.py
+++ b/pondhatch/configuration/_fleet.py
@@ -160,6 +160,8 @@
         self._account_by_key_hash = dict(base.account_by_key_hash)
         self._base = base
         self._misfits: list[tuple[EntryKey, Misfit]] = []
+        #: Templates that are wrong themselves; their accounts are not blamed for it.
+        self._wrong_templates: set[str] = set()
 
     def run(self) -> Fleet | Rejected:
         for edit in self._edits:
@@ -213,8 +215,11 @@
         template = self._set_spec(edit, TemplateSpec, self._templates)
         if template is None:
             return
-        for misfit in check_template(template):
+        misfits = check_template(template)
+        for misfit in misfits:
             self._note("template", edit.name, misfit)
+        if misfits:
+            self._wrong_templates.add(edit.name)
 
     def _accounts_touched(self) -> tuple[str, ...]:
         """Return edited accounts, and all accounts where a shared entry was edited."""
@@ -250,6 +255,8 @@
             for misfit in spec:
                 self._note("account", account, misfit)
             return
+        if spec.template in self._wrong_templates:
+            return
         template = self._templates.get(spec.template)
         if template is None:
             known = ", ".join(sorted(self._templates)) or "none"
--- /dev/null
+++ b/pondhatch/configuration/tests/test_files.py
@@ -0,0 +1,174 @@
+"""What operators are told of wrong files: file, line, field, what was expected."""
+
+from __future__ import annotations
+
+import tempfile
+import unittest
+from pathlib import Path
+
+from pondhatch.configuration import (
+    ConfigurationError,
+    Edit,
+    Fleet,
+    checked,
+    differences,
+    load_fleet_key,
+    load_settings,
+    read_files,
+)
+
+GOOD = """\
+services:
+  lang:
+    kind: model
+    models: [writer]
+templates:
+  studio:
+    parameters:
+      rate: {type: number, minimum: 1, maximum: 10}
+      level: {type: string, choices: [low, high], default: low}
+    account:
+      services: [lang]
+      requests_per_second: $rate
+      burst: 5
+      concurrency: 5
+accounts:
+  atelier:
+    template: studio
+    key_hashes: ["%s"]
+    parameters: {rate: 5}
+""" % ("a" * 64)
+
+SETTINGS = """\
+name: r1
+hall: h1
+callers: {host: 127.0.0.1, port: 8000}
+peers: {host: 127.0.0.1, port: 8001}
+admin: {host: 127.0.0.1, port: 8002}
+platform: http://127.0.0.1:8003
+fleet_key_file: fleet.key
+"""
+
+#: (replaced, by what, line, field, part of what is said)
+WRONG_FILES = [
+    ("models: [writer]", "models: [writer]\n    colour: red", 5, "services.lang.colour", "unknown"),
+    ("models: [writer]", "models: writer", 4, "services.lang.models", "valid"),
+    ("kind: model", "kind: modal", 3, "services.lang.kind", "'model' or 'plain'"),
+    ("rate: 5", "rate: 50", 19, "accounts.atelier.parameters.rate", "at most 10, found 50"),
+    ("rate: 5", 'rate: "5"', 19, "accounts.atelier.parameters.rate", "a number"),
+    ("rate: 5", "rate: true", 19, "accounts.atelier.parameters.rate", "a number"),
+    ("{rate: 5}", "{}", 19, "accounts.atelier.parameters", "missing parameter 'rate'"),
+    ("rate: 5", "rate: 5, x: 1", 19, "accounts.atelier.parameters.x", "unknown parameter"),
+    ("rate: 5", "rate: 5, level: mid", 19, "accounts.atelier.parameters.level", "low, high"),
+    ("template: studio", "template: stadio", 17, "accounts.atelier.template", "of: studio"),
+    ("services: [lang]", "services: [long]", 17, "accounts.atelier.template", "of: lang"),
+    ("$rate", "$rote", 12, "templates.studio.account.requests_per_second", "undefined parameter"),
+    ("burst: 5", "burst: 0", 17, "accounts.atelier.template", "account.burst"),
+    ("  atelier:", "  Atelier:", 16, "accounts.Atelier", "a name that matches"),
+    ("    kind: model\n", "", 2, "services.lang.kind", "missing"),
+    ("kind: model", "kind: model\n    kind: plain", 4, "services.lang.kind", "each key once"),
+    ("services:\n  lang", "services:\n  - lang", 1, "services", "object"),
+    ("kind: model", "kind: [model", 4, "", "expected YAML"),
+    ("default: low", "default: mid", 9, "templates.studio.parameters.level.default", "low, high"),
+]
+
+
+class FilesTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
+
+    def check(self, text: str) -> Fleet:
+        path = self.folder / "fleet.yaml"
+        path.write_text(text)
+        sources = read_files([path])
+        return checked(Fleet(), sources, sources.edits)
+
+    def test_a_good_file(self) -> None:
+        fleet = self.check(GOOD)
+        self.assertEqual(fleet.account_of("a" * 64), "atelier")
+        self.assertEqual(fleet.policy_by_account["atelier"].requests_per_second, 5)
+        self.assertIsNone(fleet.account_of("b" * 64))
+
+    def test_each_wrong_thing_is_one_line_that_names_its_place(self) -> None:
+        for old, new, line, field, told in WRONG_FILES:
+            with self.subTest(new=new):
+                self.assertIn(old, GOOD)
+                with self.assertRaises(ConfigurationError) as raised:
+                    self.check(GOOD.replace(old, new, 1))
+                problems = raised.exception.problems
+                self.assertEqual(len(problems), 1, problems)
+                self.assertEqual(Path(problems[0].file).name, "fleet.yaml")
+                self.assertEqual((problems[0].line, problems[0].field), (line, field))
+                self.assertIn(told, problems[0].expected)
+                self.assertEqual(len(str(problems[0]).splitlines()), 1)
+
+    def test_every_problem_is_told_at_once(self) -> None:
+        wrong = GOOD.replace("kind: model", "kind: x").replace("burst: 5", "burst: 5\n      y: 1")
+        with self.assertRaises(ConfigurationError) as raised:
+            self.check(wrong.replace("key_hashes", "keys"))
+        self.assertEqual(len(raised.exception.problems), 3)
+
+    def test_an_entry_defined_in_two_files(self) -> None:
+        for name in ("one.yaml", "two.yaml"):
+            (self.folder / name).write_text(GOOD)
+        with self.assertRaisesRegex(ConfigurationError, "already defined in"):
+            read_files([self.folder])
+
+    def test_two_accounts_with_one_key(self) -> None:
+        second = GOOD[GOOD.index("  atelier") :].replace("atelier", "another")
+        with self.assertRaisesRegex(ConfigurationError, "a key of its own, found that of"):
+            self.check(GOOD + second)
+
+    def test_a_missing_file(self) -> None:
+        with self.assertRaisesRegex(ConfigurationError, "expected a readable"):
+            read_files([self.folder / "none.yaml"])
+
+    def test_only_differences_become_edits(self) -> None:
+        fleet = self.check(GOOD)
+        sources = read_files([self.folder / "fleet.yaml"])
+        self.assertEqual(differences(fleet, sources, prune=True), ())
+        (self.folder / "fleet.yaml").write_text(GOOD[: GOOD.index("accounts:")])
+        pruned = differences(fleet, read_files([self.folder / "fleet.yaml"]), prune=True)
+        self.assertEqual(pruned, (Edit("account", "atelier"),))
+
+
+class SettingsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
+
+    def load(self, text: str) -> object:
+        path = self.folder / "router.yaml"
+        path.write_text(text)
+        return load_settings(path)
+
+    def test_wrong_settings(self) -> None:
+        cases = [
+            ("hall: h1", "", "hall", "missing"),
+            ("port: 8000", "port: 99999", "callers.port", "less than or equal to 65535"),
+            ("8001", "0", "peers.port", "greater than or equal to 1"),
+            ("host: 127.0.0.1, port: 8000", "host: here, port: 1", "callers.host", "match"),
+            ("port: 8000", "port: 8000, certificate: a.pem", "callers", "both certificate"),
+            ("name: r1", "name: r1\nsurname: x", "surname", "unknown key"),
+        ]
+        for old, new, field, told in cases:
+            with self.subTest(new=new), self.assertRaises(ConfigurationError) as raised:
+                self.load(SETTINGS.replace(old, new, 1))
+            problems = raised.exception.problems
+            self.assertEqual([problem.field for problem in problems], [field])
+            self.assertIn(told, problems[0].expected)
+
+    def test_a_short_or_missing_fleet_key(self) -> None:
+        key = self.folder / "fleet.key"
+        settings = load_settings(self.write_with_key(key))
+        with self.assertRaisesRegex(ConfigurationError, "fleet_key_file: expected a readable"):
+            load_fleet_key(settings)
+        key.write_text("short")
+        with self.assertRaisesRegex(ConfigurationError, "at least 16 bytes"):
+            load_fleet_key(settings)
+        key.write_text("long enough to be one\n")
+        self.assertEqual(load_fleet_key(settings), b"long enough to be one")
+
+    def write_with_key(self, key: Path) -> Path:
+        path = self.folder / "router.yaml"
+        path.write_text(SETTINGS.replace("fleet.key", str(key)))
+        return path
--- /dev/null
+++ b/pondhatch/configuration/tests/test_publishing.py
@@ -0,0 +1,162 @@
+"""Operators who race, answers that are lost, outages at any step."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from fakes._platform_in_memory import PlatformInMemory
+from pondhatch.configuration import (
+    Beaten,
+    Change,
+    Fleet,
+    NotWritten,
+    Published,
+    Unresolved,
+    publish,
+    read_fleet,
+    write_snapshot,
+)
+from pondhatch.configuration.tests.test_fleet import SERVICE, TEMPLATE, account
+from pondhatch.platform import Unavailable
+
+
+async def no_pause(seconds: float) -> None:
+    await asyncio.sleep(0)
+
+
+def change(version: int, author: str) -> Change:
+    return Change(version, f"{author}-{version}", author, 0.0, "", (account(author),))
+
+
+FIRST = Change(1, "first", "root", 0.0, "", (SERVICE, TEMPLATE))
+
+
+class PublishingTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.platform = PlatformInMemory()
+        await publish(self.platform, FIRST, no_pause)
+
+    async def fleet(self) -> Fleet:
+        found = await read_fleet(self.platform, Fleet())
+        assert isinstance(found, Fleet), found
+        return found
+
+    async def test_of_two_who_race_one_is_told_of_the_other(self) -> None:
+        outcomes = await asyncio.gather(
+            publish(self.platform, change(2, "ana"), no_pause),
+            publish(self.platform, change(2, "bento"), no_pause),
+        )
+        self.assertEqual(outcomes, [Published(2), Beaten(change(2, "ana"))])
+        self.assertEqual(set((await self.fleet()).policy_by_account), {"ana"})
+
+    async def test_a_lost_answer_is_resolved_by_recognising_the_own_change(self) -> None:
+        self.platform.faults.arm("lost-answer")
+        self.assertEqual(await publish(self.platform, change(2, "ana"), no_pause), Published(2))
+        self.assertEqual((await self.fleet()).version, 2)
+
+    async def test_a_lost_write_is_made_again(self) -> None:
+        self.platform.faults.arm("lost-write")
+        self.assertEqual(await publish(self.platform, change(2, "ana"), no_pause), Published(2))
+
+    async def test_a_lost_answer_under_which_another_won(self) -> None:
+        await publish(self.platform, change(2, "bento"), no_pause)
+        self.platform.faults.arm("lost-answer")
+        outcome = await publish(self.platform, change(2, "ana"), no_pause)
+        self.assertEqual(outcome, Beaten(change(2, "bento")))
+
+    async def test_an_outage_before_the_write_says_that_nothing_was_written(self) -> None:
+        self.platform.faults.arm("outage")
+        outcome = await publish(self.platform, change(2, "ana"), no_pause)
+        self.assertIsInstance(outcome, NotWritten)
+        self.assertEqual((await self.fleet()).version, 1)
+
+    async def test_an_outage_after_a_lost_answer_is_said_to_be_unknown(self) -> None:
+        platform = self.platform
+        platform.faults.arm("lost-answer")
+
+        class ThenOutage(PlatformInMemory):
+            def _out(self) -> bool:
+                return platform.faults.strike("outage") is not None
+
+        broken = ThenOutage()
+        broken.store, broken.faults = platform.store, platform.faults
+        task = asyncio.ensure_future(publish(broken, change(2, "ana"), no_pause))
+        platform.faults.arm("outage", count=0)
+        real_get = broken.get
+
+        async def out(kind: str, name: str) -> object:
+            platform.faults.arm("outage")
+            return await real_get(kind, name)
+
+        broken.get = out  # type: ignore[method-assign, assignment]
+        outcome = await task
+        self.assertIsInstance(outcome, Unresolved)
+        self.assertEqual((await self.fleet()).version, 2)
+
+    async def test_readers_start_from_the_snapshot(self) -> None:
+        for version in range(2, 12):
+            await publish(self.platform, change(version, f"op-{version}"), no_pause)
+        whole = await self.fleet()
+        self.assertTrue(await write_snapshot(self.platform, whole.snapshot()))
+        before = self.platform.calls
+        restored = await self.fleet()
+        self.assertLess(self.platform.calls - before, 5)
+        self.assertEqual(restored.policy_by_account, whole.policy_by_account)
+        self.assertEqual(restored.version, whole.version)
+
+    async def test_an_older_snapshot_never_replaces_a_newer_one(self) -> None:
+        old = (await self.fleet()).snapshot()
+        await publish(self.platform, change(2, "ana"), no_pause)
+        new = (await self.fleet()).snapshot()
+        self.assertTrue(await write_snapshot(self.platform, new))
+        self.assertTrue(await write_snapshot(self.platform, old))
+        self.assertEqual((await self.fleet()).version, 2)
+
+    async def test_an_outage_while_reading_is_told(self) -> None:
+        self.platform.faults.arm("outage")
+        self.assertIsInstance(await read_fleet(self.platform, Fleet()), Unavailable)
+
+
+class RacingOperatorsTest(unittest.TestCase):
+    """Histories: no accepted change is lost, none that was refused is in force."""
+
+    @settings(max_examples=150, deadline=None)
+    @given(
+        st.lists(st.sampled_from(["ana", "bento", "clara"]), min_size=1, max_size=8),
+        st.lists(st.sampled_from(["none", "lost-answer", "lost-write", "outage"]), max_size=8),
+    )
+    def test_history(self, authors: list[str], faults: list[str]) -> None:
+        asyncio.run(self.history(authors, faults))
+
+    async def history(self, authors: list[str], faults: list[str]) -> None:
+        platform = PlatformInMemory()
+        await publish(platform, FIRST, no_pause)
+        accepted: list[tuple[str, int]] = []
+        refused: list[str] = []
+
+        async def operate(at: int, author: str) -> None:
+            known = await read_fleet(platform, Fleet())
+            if not isinstance(known, Fleet):
+                return
+            own = Change(known.version + 1, f"{author}-{at}", author, 0.0, "", (account(author),))
+            if at < len(faults) and faults[at] != "none":
+                platform.faults.arm(faults[at])
+            outcome = await publish(platform, own, no_pause)
+            if isinstance(outcome, Published):
+                accepted.append((own.change_id, outcome.version))
+            elif isinstance(outcome, Beaten | NotWritten):
+                refused.append(own.change_id)
+
+        await asyncio.gather(*(operate(at, author) for at, author in enumerate(authors)))
+        platform.faults.by_name.clear()
+        final = await read_fleet(platform, Fleet())
+        assert isinstance(final, Fleet)
+        in_force = {each.change_id: each.version for each in final.recent}
+        for change_id, version in accepted:
+            self.assertEqual(in_force.get(change_id), version)
+        self.assertFalse(set(refused) & set(in_force))
+        self.assertEqual(sorted(in_force.values()), list(range(1, final.version + 1)))
