Test what callers may send; mend a caller lost before its head

Cause: limits on heads, bodies and time, TLS, back-pressure and the peer port had no test. The first run showed an error for each caller that was lost before its head was whole: the request's body pipe was made with the head, and the loss of the connection asked for it.

Change: the pipe is made with the request; a unit test that failed first.

--- a/fakes/_local_fleet.py
+++ b/fakes/_local_fleet.py
@@ -146,16 +146,20 @@
         }
         fetch(f"{self.platform_url}/v1/objects/upstream/{backend.name}", value, "PUT")
 
-    def add_routers(self, halls: Sequence[str], **settings: Any) -> None:
+    def add_routers(
+        self, halls: Sequence[str], callers: dict[str, Any] | None = None, **settings: Any
+    ) -> None:
         """Start one router for each hall named, and list its VM at the platform."""
         ports = free_ports(3 * len(halls))
         seeds = [f"{HOST}:{ports[1]}"]
         for at, hall in enumerate(halls):
-            callers, peers, admin = ports[3 * at : 3 * at + 3]
+            caller_port, peers, admin = ports[3 * at : 3 * at + 3]
             name = f"router-{len(self.routers)}"
             vm = {"address": f"{HOST}:{peers}", "state": "live"}
             fetch(f"{self.platform_url}/v1/objects/vm/{name}", vm, "PUT")
-            self._start_router(name, hall, (callers, peers, admin), seeds, settings)
+            endpoint = {"host": HOST, "port": caller_port, **(callers or {})}
+            own = {"callers": endpoint, **settings}
+            self._start_router(name, hall, (caller_port, peers, admin), seeds, own)
 
     def await_agreement(self, configuration: int, upstreams: int | None = None) -> None:
         """Wait until all routers know each other, the configuration and the upstreams."""
--- a/pondhatch/transport/_admin.py
+++ b/pondhatch/transport/_admin.py
@@ -5,6 +5,7 @@
 import resource
 import time
 from collections.abc import Callable
+from pathlib import Path
 from typing import Any
 
 import msgspec
@@ -17,6 +18,8 @@
 
 #: Accounts shown in a dump, the busiest first.
 SHOWN_ACCOUNTS = 20
+#: Where Linux tells a process its memory, in pages.
+STATM = Path("/proc/self/statm")
 
 
 def dump_state(state: RouterState, extra: Dump) -> Dump:
@@ -33,6 +36,7 @@
         "in_force_at": round(state.in_force_at, 4),
         "upstreams_version": state.upstreams.version,
         "cpu_seconds": round(usage.ru_utime + usage.ru_stime, 3),
+        "memory_kb": resident_kb(),
         "peak_memory_kb": usage.ru_maxrss,
         **extra,
         "members": [_member(member, versions) for member in state.members()],
@@ -44,6 +48,15 @@
     }
 
 
+def resident_kb() -> int:
+    """Return the process's resident memory in kilobytes, 0 where the system does not tell."""
+    try:
+        pages = int(STATM.read_text().split()[1])
+    except OSError:
+        return 0
+    return pages * resource.getpagesize() // 1024
+
+
 def _member(member: Member, versions: dict[str, Versions]) -> Dump:
     held = versions.get(member.name, Versions())
     return {
--- a/pondhatch/transport/_caller_channel.py
+++ b/pondhatch/transport/_caller_channel.py
@@ -42,12 +42,15 @@
     """A request that is handled as soon as its head has come."""
 
     channel: Any
-    pipe: PartPipe
+
+    def __init__(self, *arguments: Any, **named: Any) -> None:
+        super().__init__(*arguments, **named)
+        self.pipe = PartPipe(self._pause_body, self._resume_body)
+        self._length: int | None = None
 
     def gotLength(self, length: int | None) -> None:
         """Begin to handle the request; its body follows through the pipe."""
         self.content = io.BytesIO()
-        self.pipe = PartPipe(self._pause_body, self._resume_body)
         begin = (self.channel._command, self.channel._path, self.channel._version)
         self.channel.callLater(0, self._begin, length, *begin)
 
