Check drawn histories of requests; mend three promises they broke

Cause: single faults over sockets were tested, faults together were not. Histories of up to 8 requests over three routers and three engines, with faults of upstreams and hops, callers who give up, routers that disagree on owners and an engine that leaves, run through the serving code on a loop whose time is stepped, and are checked against the promises.

A request that may be repeated was lost after it had run, its second try was not run, and the caller was told that nothing ran. A walk now keeps the last try that may have run; no later refusal undoes it. 2. A request that waited for a full engine was granted after the engine had begun to leave. The owner looks again once the wait is over. 3. Found by reading on from 2: a broken stream could not be resumed at an engine that had begun to leave. Going on is not new work.

Ruled out for 1: refusing to retry after a lost try, which would give up answers that a second try brings.

--- a/pondhatch/requests/_entry.py
+++ b/pondhatch/requests/_entry.py
@@ -103,11 +103,19 @@
         self._remaining = remaining
         self._most_patience = patience
         self._asks = 0
+        #: The last try after which the request may have run; no later refusal undoes it.
+        self._may_have_run: Unknown | None = None
         #: Id under which the engine that answers knows the request.
         self._granted_id = ""
 
     async def run(self) -> Placed | Refused:
         """Return the opened answer or the refusal that the caller is to be told."""
+        ended = await self._walk()
+        if isinstance(ended, Refused) and self._may_have_run is not None:
+            return Refused(self._may_have_run)
+        return ended
+
+    async def _walk(self) -> Placed | Refused:
         self._budget.first_try()
         while self._remaining() > 0:
             step = self.plan.next()
@@ -138,6 +146,7 @@
             self._head,
             engine=engine,
             insist=True,
+            resuming=True,
             deadline=self._remaining(),
             request_id=f"{self._head.request_id}.{self._asks}",
             headers=(*self._head.headers, *resuming),
@@ -210,6 +219,8 @@
 
     def _after_failure(self, reply: Refusal) -> Refused | None:
         body_is_whole = isinstance(self._body, ReplayableBody)
+        if isinstance(reply, Unknown):
+            self._may_have_run = reply
         if isinstance(reply, Unknown) and not (self._head.repeatable and body_is_whole):
             return Refused(reply)
         if reply.code == "upstream-leaving":
--- a/pondhatch/requests/_messages.py
+++ b/pondhatch/requests/_messages.py
@@ -39,6 +39,8 @@
     patience: float = 0.0
     #: The account's share against others that wait.
     weight: float = 1.0
+    #: Whether a broken stream is to go on: no new work, welcome at a leaving engine too.
+    resuming: bool = False
     #: Work that the walk has seen at other engines of the service.
     seen_elsewhere: int = 0
 
--- a/pondhatch/requests/_owner.py
+++ b/pondhatch/requests/_owner.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from pondhatch.placement import Full, Gate, SpillMemory, Verdict
+from pondhatch.placement import Full, Gate, Granted, SpillMemory, Verdict
 from pondhatch.requests._keys import Claim, KeyRecord, KeyTable
 from pondhatch.requests._lines import Lines
 from pondhatch.requests._messages import (
@@ -123,8 +123,8 @@
         if self._view.stopping():
             return NotOwner()
         target = self._view.target(head.engine)
-        if target is None or not target.takes_work:
-            return NotRun("upstream-leaving", f"{head.engine} takes no new work")
+        if target is None or not (target.takes_work or head.resuming):
+            return _leaving(head.engine)
         owner = self._view.owner_name(head.engine)
         if owner != self._name:
             return NotOwner(owner)
@@ -136,6 +136,9 @@
         if isinstance(verdict, Full) and head.patience > 0:
             ask = functools.partial(self._ask_gate, target, head)
             verdict = await self._lines.wait(target.name, head, verdict, ask)
+            if isinstance(verdict, Granted) and not self._still_takes(head):
+                self._released(target.name)
+                return _leaving(head.engine)
         if isinstance(verdict, Full):
             return Busy(verdict.in_flight, verdict.ceiling)
         if head.home:
@@ -158,6 +161,11 @@
         """Forget a claim; see KeyHolder."""
         self._keys.release(key, request_id)
 
+    def _still_takes(self, head: RequestHead) -> bool:
+        """Return whether an engine did not begin to leave while a request waited for it."""
+        target = self._view.target(head.engine)
+        return target is not None and (target.takes_work or head.resuming)
+
     def serve_lines(self) -> None:
         """Serve those who wait; called each round, since a ceiling may have risen."""
         self._lines.serve_all()
@@ -182,3 +190,7 @@
             self._released(target.name)
             return reply
         return Opened(GrantedAnswer(reply.answer, lambda: self._released(target.name)))
+
+
+def _leaving(engine: str) -> NotRun:
+    return NotRun("upstream-leaving", f"{engine} takes no new work")
--- /dev/null
+++ b/pondhatch/requests/tests/test_histories.py
@@ -0,0 +1,124 @@
+"""Drawn histories through the code that serves, checked against the promises."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import unittest
+
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from fakes._virtual_loop import run_virtually
+from pondhatch.requests.tests._history import (
+    HOP_FAULTS,
+    UPSTREAM_FAULTS,
+    Fleet,
+    violations,
+)
+
+SOAK = os.environ.get("PONDHATCH_SOAK") == "1"
+settings.register_profile(
+    "ci",
+    max_examples=400,
+    derandomize=True,
+    deadline=None,
+    suppress_health_check=[HealthCheck.too_slow],
+)
+settings.register_profile(
+    "soak", max_examples=20_000, deadline=None, suppress_health_check=[HealthCheck.too_slow]
+)
+PROFILE = settings.get_profile("soak" if SOAK else "ci")
+
+REQUEST = st.tuples(
+    st.booleans(),  # may be repeated
+    st.sampled_from((False, False, False, True)),  # its caller gives up
+    st.floats(0, 0.3),  # starts after, in seconds
+)
+
+
+class HistoryTest(unittest.TestCase):
+    @settings(PROFILE)
+    @given(
+        st.lists(REQUEST, min_size=1, max_size=8),
+        st.lists(st.sampled_from(UPSTREAM_FAULTS), max_size=12),
+        st.lists(st.sampled_from(HOP_FAULTS), max_size=12),
+        st.booleans(),
+        st.sets(st.sampled_from(["r0", "r1", "r2"]), max_size=2),
+        st.one_of(st.none(), st.floats(0, 0.3)),
+    )
+    def test_promises_hold(
+        self,
+        requests: list[tuple[bool, bool, float]],
+        upstream_faults: list[str],
+        hop_faults: list[str],
+        resumes: bool,
+        disagreeing: set[str],
+        leaves_at: float | None,
+    ) -> None:
+        async def history() -> list[str]:
+            fleet = Fleet(upstream_faults, hop_faults, resumes)
+            for name in disagreeing:
+                fleet.views[name].disagrees = True
+
+            async def one(number: int, repeatable: bool, gives_up: bool, after: float) -> None:
+                await asyncio.sleep(after)
+                await fleet.request(number, repeatable, gives_up)
+
+            async def leave() -> None:
+                if leaves_at is not None:
+                    await asyncio.sleep(leaves_at)
+                    fleet.known_leaving.add("e0")
+
+            await asyncio.gather(
+                leave(), *(one(number, *request) for number, request in enumerate(requests))
+            )
+            await asyncio.sleep(30)
+            return violations(fleet, {f"q{at}": each[0] for at, each in enumerate(requests)})
+
+        self.assertEqual(run_virtually(history()), [])
+
+
+class DirectedTest(unittest.TestCase):
+    """Single faults, whose outcome is known."""
+
+    def outcome(
+        self, upstream: list[str], repeatable: bool, resumes: bool = False
+    ) -> tuple[str, int, bytes]:
+        async def history() -> tuple[str, int, bytes]:
+            fleet = Fleet(upstream, [], resumes)
+            await fleet.request(0, repeatable, gives_up=False)
+            ended = fleet.history.outcome_by_request["q0"]
+            text = fleet.history.text_by_request.get("q0", b"")
+            return type(ended).__name__, fleet.history.runs["q0"], text
+
+        return run_virtually(history())
+
+    def test_outcomes(self) -> None:
+        cases = [
+            # faults, may be repeated, outcome, runs
+            (["refused"], True, "Whole", 1),
+            (["refused"], False, "Whole", 1),
+            (["lost-after-it-ran"], True, "Whole", 2),
+            (["lost-after-it-ran"], False, "Unknown", 1),
+            (["lost-before-it-came"], False, "Unknown", 0),
+            (["cut"], True, "Broken", 1),
+        ]
+        for faults, repeatable, outcome, runs in cases:
+            with self.subTest(faults=faults, repeatable=repeatable):
+                self.assertEqual(self.outcome(faults, repeatable)[:2], (outcome, runs))
+
+    def test_a_stream_is_resumed_at_an_engine_that_began_to_leave(self) -> None:
+        async def history() -> str:
+            fleet = Fleet(["cut"], [], resumes=True)
+            sent = asyncio.ensure_future(fleet.request(0, True, gives_up=False))
+            await asyncio.sleep(0.04)
+            fleet.known_leaving.update(fleet.engines)
+            await sent
+            return type(fleet.history.outcome_by_request["q0"]).__name__
+
+        self.assertEqual(run_virtually(history()), "Whole")
+
+    def test_a_stream_is_resumed_three_times_at_most(self) -> None:
+        self.assertEqual(self.outcome(["cut"] * 3, True, resumes=True)[0], "Whole")
+        self.assertEqual(self.outcome(["cut"] * 4, True, resumes=True)[0], "Broken")
