--- a/pondhatch/cli/_router_process.py
+++ b/pondhatch/cli/_router_process.py
@@ -44,6 +44,9 @@
 
 log = log_for("process")
 
+#: Seconds from one telling of something new to the next: each reaches four random peers,
+#: and with one alone about two in a hundred routers would have to wait for a ping.
+RETELL_PAUSES = (0.1, 0.2)
 #: Seconds between rounds of what is due.
 ROUND_SECONDS = 0.1
 #: Seconds between looks at what still runs while draining.
@@ -81,6 +84,7 @@
         self._peer_service = PeerService(self._owner, self._answer_pull, self._token)
         self._peer_server: Server = self._peer_service.server()
         self._started = time.monotonic()
+        self._retelling: asyncio.Task[None] | None = None
 
     async def run(self) -> None:
         """Serve until a signal asks to stop, then drain."""
@@ -173,8 +177,17 @@
         return answers
 
     def _spread(self) -> None:
+        """Tell some peers at once of something new, and others a little later."""
         self.state.publish()
         self._gossip_port.send(self.state.gossip.news())
+        if self._retelling is not None:
+            self._retelling.cancel()
+        self._retelling = self._tasks.start(self._retell())
+
+    async def _retell(self) -> None:
+        for pause in RETELL_PAUSES:
+            await asyncio.sleep(pause)
+            self._gossip_port.send(self.state.gossip.news())
 
     async def _rounds(self) -> None:
         while True:
--- a/pondhatch/requests/_once.py
+++ b/pondhatch/requests/_once.py
@@ -54,9 +54,12 @@
     async def begin(self) -> Fresh | Known | NotRun:
         """Claim the key at its holders; anything but Fresh means that it must not run."""
         for _ in range(HOLDERS + 2):
-            missing = [name for name in self._wanted() if name not in self._held_at]
-            if not missing:
+            wanted = self._wanted()
+            missing = [name for name in wanted if name not in self._held_at]
+            if wanted and not missing:
                 return Fresh()
+            if not wanted:
+                break
             claim = await self._claim_at(missing[0])
             if isinstance(claim, Known):
                 await self.not_run()
--- /dev/null
+++ b/pondhatch/requests/tests/test_keys.py
@@ -0,0 +1,158 @@
+"""Idempotency keys over changing views of who holds them."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from fakes._virtual_loop import run_virtually
+from pondhatch.requests import (
+    Claim,
+    Fresh,
+    KeptAnswer,
+    KeyedRun,
+    KeyHolder,
+    KeyRecord,
+    KeyTable,
+    Known,
+    NotRun,
+    kept,
+    refusal_of,
+)
+
+ANSWER = KeptAnswer(200, (), b"logged")
+
+
+def record(request_id: str, router: str = "r0") -> KeyRecord:
+    return KeyRecord("POST /log 1", router, request_id)
+
+
+class KeyTableTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.table = KeyTable()
+
+    def test_a_key_is_fresh_once(self) -> None:
+        self.assertEqual(self.table.claim("k", record("q1"), 0.0), Fresh())
+        self.assertEqual(self.table.claim("k", record("q1"), 0.0), Fresh())
+        self.assertEqual(self.table.claim("k", record("q2"), 0.0), Known(record("q1")))
+
+    def test_a_released_key_is_fresh_again_but_only_for_its_own_request(self) -> None:
+        self.table.claim("k", record("q1"), 0.0)
+        self.table.release("k", "q2")
+        self.assertIsInstance(self.table.claim("k", record("q2"), 0.0), Known)
+        self.table.release("k", "q1")
+        self.assertEqual(self.table.claim("k", record("q2"), 0.0), Fresh())
+
+    def test_a_lost_entry_router_makes_its_running_keys_unknown(self) -> None:
+        self.table.claim("k", record("q1", "r7"), 0.0)
+        self.table.lost_router("r7")
+        known = self.table.claim("k", record("q2"), 0.0)
+        self.assertEqual(known.record.state if isinstance(known, Known) else "", "unknown")
+
+    def test_what_is_done_stays_done(self) -> None:
+        self.table.claim("k", record("q1"), 0.0)
+        done = KeyRecord("POST /log 1", "r0", "q1", "done", ANSWER)
+        self.table.settle("k", done, 1.0)
+        self.table.settle("k", KeyRecord("POST /log 1", "r0", "q1", "unknown"), 2.0)
+        self.assertEqual(self.table.claim("k", record("q2"), 3.0), Known(done))
+
+    def test_keys_are_forgotten_after_ten_minutes(self) -> None:
+        self.table.claim("k", record("q1"), 0.0)
+        self.assertEqual(self.table.claim("k", record("q2"), 601.0), Fresh())
+
+    def test_large_answers_are_not_kept(self) -> None:
+        self.assertIsNotNone(kept(200, (), b"x" * 65536))
+        self.assertIsNone(kept(200, (), b"x" * 65537))
+
+    def test_refusals(self) -> None:
+        cases = [
+            (record("q1"), "key-running"),
+            (KeyRecord("POST /log 1", "r0", "q1", "done"), "key-done"),
+            (KeyRecord("POST /log 1", "r0", "q1", "unknown"), "key-unknown"),
+            (KeyRecord("POST /other 1", "r0", "q1", "done"), "key-reused"),
+        ]
+        for known, code in cases:
+            self.assertEqual(refusal_of(Known(known), record("q2")).code, code)
+
+
+class Holder:
+    """A router's table behind calls that take time."""
+
+    def __init__(self, pause: float) -> None:
+        self.table = KeyTable()
+        self._pause = pause
+
+    async def claim(self, key: str, record: KeyRecord) -> Claim | None:
+        await asyncio.sleep(self._pause)
+        return self.table.claim(key, record, asyncio.get_running_loop().time())
+
+    async def settle(self, key: str, record: KeyRecord) -> None:
+        await asyncio.sleep(self._pause)
+        self.table.settle(key, record, asyncio.get_running_loop().time())
+
+    async def release(self, key: str, request_id: str) -> None:
+        await asyncio.sleep(self._pause)
+        self.table.release(key, request_id)
+
+
+class View:
+    """An entry router's view of who holds a key."""
+
+    def __init__(self, holders: dict[str, Holder], ranked: list[str]) -> None:
+        self._holders = holders
+        self.ranked = ranked
+
+    def key_holders(self, key: str) -> tuple[str, ...]:
+        return tuple(self.ranked)
+
+    def key_holder(self, name: str) -> KeyHolder | None:
+        return self._holders.get(name)
+
+    def unreachable(self, name: str) -> None:
+        self.ranked = [other for other in self.ranked if other != name]
+
+
+#: Views of the holders that differ by one router lost or joined.
+VIEWS = st.sampled_from([["h0", "h1", "h2"], ["h1", "h2"], ["h0", "h2"], ["h0", "h1"]])
+
+
+class KeyHistoryTest(unittest.TestCase):
+    @settings(max_examples=300, derandomize=True, deadline=None)
+    @given(
+        st.lists(st.tuples(VIEWS, st.floats(0, 0.2), st.booleans()), min_size=2, max_size=6),
+        st.lists(st.floats(0.001, 0.05), min_size=3, max_size=3),
+    )
+    def test_a_key_runs_at_most_once(
+        self, tries: list[tuple[list[str], float, bool]], pauses: list[float]
+    ) -> None:
+        async def history() -> int:
+            holders = {f"h{at}": Holder(pause) for at, pause in enumerate(pauses)}
+            runs = 0
+
+            async def one(number: int, ranked: list[str], after: float, finishes: bool) -> None:
+                nonlocal runs
+                await asyncio.sleep(after)
+                keyed = KeyedRun(View(holders, list(ranked)), "k", record(f"q{number}"))
+                begun = await keyed.begin()
+                if not isinstance(begun, Fresh):
+                    return
+                runs += 1
+                await asyncio.sleep(0.05)
+                if finishes:
+                    await keyed.ran(ANSWER)
+                else:
+                    await keyed.outcome_unknown()
+
+            await asyncio.gather(*(one(number, *each) for number, each in enumerate(tries)))
+            return runs
+
+        self.assertLessEqual(run_virtually(history()), 1)
+
+    def test_holders_that_cannot_be_reached_refuse_the_call(self) -> None:
+        async def begin() -> object:
+            return await KeyedRun(View({}, ["h0", "h1", "h2", "h3"]), "k", record("q")).begin()
+
+        self.assertIsInstance(run_virtually(begin()), NotRun)
--- /dev/null
+++ b/pondhatch/router/tests/test_sync.py
@@ -0,0 +1,176 @@
+"""Keeping up through outages, races of watchers and stale peers."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import unittest
+
+from fakes._platform_in_memory import PlatformInMemory
+from pondhatch.configuration import Change, Edit, Fleet, Gap, Rejected, Update, publish
+from pondhatch.configuration.tests.test_fleet import SERVICE, TEMPLATE, account, change
+from pondhatch.membership import Alive, Gossip, Member, MembershipLimits, Phase, short_id
+from pondhatch.platform import Upstream, UpstreamUpdate
+from pondhatch.requests import BodySource, Claim, KeyRecord, NotOwner, OwnerReply, RequestHead
+from pondhatch.router import RouterState, Sync
+
+FIRST = Change(1, "first", "root", 0.0, "", (SERVICE, TEMPLATE))
+
+
+class Nobody:
+    """A peer that is never asked."""
+
+    async def open(self, head: RequestHead, body: BodySource) -> OwnerReply:
+        return NotOwner()
+
+    async def remember(self, chat: int, engine: str) -> None:
+        """Do nothing."""
+
+    async def claim(self, key: str, record: KeyRecord) -> Claim | None:
+        return None
+
+    async def settle(self, key: str, record: KeyRecord) -> None:
+        """Do nothing."""
+
+    async def release(self, key: str, request_id: str) -> None:
+        """Do nothing."""
+
+
+def router(name: str, hall: str = "h1") -> RouterState:
+    own = Alive(short_id(name), 1, Phase.LIVE, name, "127.0.0.1", 7000, hall)
+    gossip = Gossip(own, MembershipLimits(), random.Random(1))
+    return RouterState(name, hall, gossip, lambda: 0.0, lambda member: Nobody())
+
+
+class Lacking:
+    """What a peer holds beyond a version."""
+
+    def __init__(self, peer: RouterState, configuration: int, upstreams: int) -> None:
+        self.configuration: Update = peer.update_since(configuration)
+        self.upstreams: UpstreamUpdate = peer.upstreams.since(upstreams)
+
+
+def syncing(state: RouterState, platform: PlatformInMemory, peer: RouterState | None) -> Sync:
+    async def pull(member: Member, configuration: int, upstreams: int) -> Lacking | None:
+        return Lacking(peer, configuration, upstreams) if peer is not None else None
+
+    return Sync(state, platform, pull, lambda: None, random.Random(1))
+
+
+def meet(state: RouterState, peer: RouterState) -> None:
+    """Let a router hear of a peer and of what it holds."""
+    peer.publish()
+    table = state.gossip.membership.table
+    table.take_alive(peer.gossip.membership.own, 0.0)
+    versions = peer.gossip.versions()[peer.name]
+    table.heard_from(short_id(peer.name), versions)
+    state.publish()
+    state.refresh()
+
+
+class SyncTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.platform = PlatformInMemory()
+        await publish(self.platform, FIRST)
+
+    async def run_for(self, sync: Sync, seconds: float = 0.05) -> None:
+        task = asyncio.ensure_future(sync.run())
+        await asyncio.sleep(seconds)
+        task.cancel()
+        await asyncio.wait([task])
+
+    async def test_a_router_alone_reads_the_platform(self) -> None:
+        state = router("r0")
+        state.refresh()
+        await self.run_for(syncing(state, self.platform, None))
+        self.assertEqual(state.fleet.version, 1)
+
+    async def test_a_router_that_starts_during_an_outage_learns_from_a_peer(self) -> None:
+        peer, state = router("r1"), router("r0")
+        peer.take_change(FIRST)
+        peer.take_change(change(2, account("a")))
+        peer.upstreams.set(Upstream("e0", "lang", "http://x", "h1"), 5)
+        meet(state, peer)
+        self.platform.faults.arm("outage", count=1000)
+        await self.run_for(syncing(state, self.platform, peer))
+        self.assertEqual((state.fleet.version, state.upstreams.version), (2, 5))
+        self.assertIn("a", state.fleet.policy_by_account)
+
+    async def test_one_far_behind_gets_a_snapshot(self) -> None:
+        peer, state = router("r1"), router("r0")
+        restored = Fleet.from_snapshot(self.fleet_with(9).snapshot())
+        assert isinstance(restored, Fleet)
+        peer.take_fleet(restored)
+        update = peer.update_since(0)
+        self.assertIsNotNone(update.snapshot)
+        self.assertIsNone(state.take_update(update))
+        self.assertEqual(state.fleet.version, 9)
+
+    def fleet_with(self, version: int) -> Fleet:
+        fleet = Fleet().with_change(FIRST)
+        assert isinstance(fleet, Fleet)
+        for at in range(2, version + 1):
+            following = fleet.with_change(change(at, account(f"a{at}")))
+            assert isinstance(following, Fleet)
+            fleet = following
+        return fleet
+
+
+class NeverRevertsTest(unittest.TestCase):
+    def test_stale_news_changes_nothing(self) -> None:
+        state = router("r0")
+        for each in (FIRST, change(2, account("a")), change(3, account("a", 7.0))):
+            state.take_change(each)
+        before = state.fleet
+        stale = Fleet().with_change(FIRST)
+        assert isinstance(stale, Fleet)
+        self.assertFalse(state.take_fleet(stale))
+        self.assertIsNone(state.take_change(change(2, account("a", 1.0))))
+        self.assertIsNone(state.take_update(Update(snapshot=stale.snapshot())))
+        self.assertIs(state.fleet, before)
+
+    def test_a_gap_is_seen_and_nothing_is_skipped(self) -> None:
+        state = router("r0")
+        state.take_change(FIRST)
+        self.assertEqual(state.take_change(change(3, account("a"))), Gap(1, 3))
+        self.assertEqual(state.fleet.version, 1)
+
+    def test_a_change_that_fails_its_check_is_void_and_the_log_goes_on(self) -> None:
+        state = router("r0")
+        state.take_change(FIRST)
+        bad = change(2, Edit("account", "x", {"template": "none"}))
+        self.assertIsInstance(state.take_change(bad), Rejected)
+        self.assertIsNone(state.take_change(change(3, account("a"))))
+        self.assertEqual(set(state.fleet.policy_by_account), {"a"})
+
+    def test_an_older_word_on_an_upstream_never_replaces_a_newer_one(self) -> None:
+        state = router("r0")
+        leaving = Upstream("e0", "lang", "http://x", "h1", state="leaving")
+        state.upstreams.set(leaving, 9)
+        state.upstreams.set(Upstream("e0", "lang", "http://x", "h1"), 7)
+        self.assertEqual(state.upstreams.of_service("lang"), ())
+        stale = UpstreamUpdate(8, (), whole=True)
+        state.take_upstreams(stale)
+        self.assertIsNotNone(state.upstreams.upstream("e0"))
+        state.take_upstreams(UpstreamUpdate(10, (), whole=True))
+        self.assertIsNone(state.upstreams.upstream("e0"))
+
+
+class RolesTest(unittest.TestCase):
+    def test_one_router_of_a_hall_watches(self) -> None:
+        states = [router(f"r{at}") for at in range(4)]
+        for state in states:
+            for peer in states:
+                if peer is not state:
+                    meet(state, peer)
+        self.assertEqual(sum(state.is_watcher() for state in states), 1)
+
+    def test_owners_agree_and_keys_have_two_holders(self) -> None:
+        states = [router(f"r{at}") for at in range(4)]
+        for state in states:
+            for peer in states:
+                if peer is not state:
+                    meet(state, peer)
+            state.upstreams.set(Upstream("e0", "lang", "http://x", "h1"), 1)
+        self.assertEqual(len({state.owner_name("e0") for state in states}), 1)
+        self.assertEqual(len({state.key_holders("k")[:2] for state in states}), 1)
