--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -8,6 +8,7 @@
 import sys
 from collections.abc import Callable, Iterable
 
+from bench._connections import measure_connections
 from bench._decisions import measure_decisions
 from bench._fleet_size import measure_fleet_sizes
 from bench._gossip import measure_gossip
@@ -19,6 +20,7 @@
 MEASURES: dict[str, Callable[[], Iterable[Measure]]] = {
     "decisions": measure_decisions,
     "memory": measure_memory,
+    "connections": measure_connections,
     "placement": measure_placement,
     "gossip": measure_gossip,
     "relay": measure_relay,
--- a/bench/_relay.py
+++ b/bench/_relay.py
@@ -23,7 +23,7 @@
 STEP = 0.02
 
 
-async def _stream(base: str, number: int, tokens: int) -> tuple[int, float]:
+async def stream_events(base: str, number: int, tokens: int) -> tuple[int, float]:
     """Run one stream; return its events and the seconds to the first one."""
     url = urlsplit(base)
     reader, writer = await asyncio.open_connection(url.hostname, url.port)
@@ -46,7 +46,7 @@
 
 
 async def _streams(base: str, tokens: int) -> tuple[int, list[float]]:
-    done = await asyncio.gather(*(_stream(base, at, tokens) for at in range(STREAMS)))
+    done = await asyncio.gather(*(stream_events(base, at, tokens) for at in range(STREAMS)))
     return sum(events for events, _ in done), sorted(first for _, first in done)
 
 
--- a/fakes/_engine.py
+++ b/fakes/_engine.py
@@ -140,7 +140,8 @@
             await asyncio.sleep(fault.seconds)
         crossed = self.faults.strike("cross")
         request.setHeader("X-Request-Id", "another" if crossed else run.request_id)
-        words = _words(texts, body.get("max_tokens") or body.get("max_completion_tokens"))
+        texts_answered = [*texts, "another's"] if crossed else texts
+        words = _words(texts_answered, body.get("max_tokens") or body.get("max_completion_tokens"))
         if body.get("stream"):
             await self._stream(request, body, words, run, gone)
         else:
--- a/fakes/_faults.py
+++ b/fakes/_faults.py
@@ -1,7 +1,8 @@
 """One small way to tell any stand-in to fail.
 
 ``POST /faults`` with ``{"name": "stall", "count": 1, "seconds": 2.0}`` arms a
-fault; ``count`` says how often it strikes, and 0 disarms it.
+fault; ``count`` says how often it strikes, and 0 disarms it; ``after`` how many
+chances it lets pass first.
 """
 
 from __future__ import annotations
@@ -22,6 +23,8 @@
     count: int
     #: Length of what it does, where it has a length.
     seconds: float = 0.0
+    #: Chances to strike that it lets pass first.
+    after: int = 0
 
 
 @dataclass
@@ -30,15 +33,18 @@
 
     by_name: dict[str, Fault] = field(default_factory=dict)
 
-    def arm(self, name: str, count: int = 1, seconds: float = 0.0) -> None:
+    def arm(self, name: str, count: int = 1, seconds: float = 0.0, after: int = 0) -> None:
         """Arm a fault, or disarm it with count 0."""
-        self.by_name[name] = Fault(name, count, seconds)
+        self.by_name[name] = Fault(name, count, seconds, after)
 
     def strike(self, name: str) -> Fault | None:
         """Return the fault if it is armed, and use it up once."""
         fault = self.by_name.get(name)
         if fault is None or fault.count <= 0:
             return None
+        if fault.after > 0:
+            fault.after -= 1
+            return None
         fault.count -= 1
         return fault
 
@@ -48,5 +54,6 @@
         @app.route("/faults", methods=["POST"])
         def arm(request: Any) -> bytes:
             told = json.loads(request.content.read())
-            self.arm(told["name"], told.get("count", 1), told.get("seconds", 0.0))
+            count, seconds = told.get("count", 1), told.get("seconds", 0.0)
+            self.arm(told["name"], count, seconds, told.get("after", 0))
             return b"ok\n"
--- a/fakes/_local_fleet.py
+++ b/fakes/_local_fleet.py
@@ -116,6 +116,8 @@
                 process.kill()
         for process in self._started:
             process.wait()
+            if process.stdout is not None:
+                process.stdout.close()
         self._folder.cleanup()
 
     @property
--- /dev/null
+++ b/fakes/tests/test_command_line.py
@@ -0,0 +1,108 @@
+"""The command line as a process: what it prints and its exit codes."""
+
+from __future__ import annotations
+
+import tempfile
+import threading
+import time
+import unittest
+from pathlib import Path
+
+from fakes._local_fleet import ROOT, LocalFleet, fetch
+
+EXAMPLE = str(ROOT / "examples/render-desk")
+
+
+class CommandLineTest(unittest.TestCase):
+    fleet: LocalFleet
+
+    def setUp(self) -> None:
+        self.fleet = self.enterContext(LocalFleet())
+        self.folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
+
+    def run_command(self, *arguments: str) -> tuple[int, str, str]:
+        done = self.fleet.pondhatch(*arguments)
+        return done.returncode, done.stdout, done.stderr
+
+    def apply(self, *arguments: str) -> tuple[int, str, str]:
+        return self.run_command(
+            "apply", *arguments, "--platform", self.fleet.platform_url, "--author", "ana"
+        )
+
+    def arm(self, **fault: object) -> None:
+        fetch(f"{self.fleet.platform_url}/faults", fault)
+
+    def test_apply_change_history_and_undo(self) -> None:
+        platform = ["--platform", self.fleet.platform_url]
+        self.assertEqual(self.apply(EXAMPLE)[0], 0)
+        self.assertEqual(self.apply(EXAMPLE)[1], "nothing to change\n")
+        text = (ROOT / "examples/render-desk/fleet.yaml").read_text()
+        changed = self.folder / "fleet.yaml"
+        changed.write_text(text.replace("burst: 20", "burst: 25"))
+        code, told, _ = self.apply(str(changed), "--dry-run")
+        self.assertEqual(code, 0)
+        self.assertIn("~ template studio", told)
+        self.assertEqual(told.count("changes account"), 4)
+        self.assertIn("version 1\n", self.run_command("show", *platform)[1])
+        self.assertIn("accepted as version 2", self.apply(str(changed), "--note", "more")[1])
+        self.assertIn("ana  more: template studio", self.run_command("history", *platform)[1])
+        undone = self.run_command("undo", "2", *platform, "--author", "bento")
+        self.assertIn("accepted as version 3", undone[1], undone)
+        shown = self.run_command("show", *platform, "--name", "launch-decks")[1]
+        self.assertIn("burst=20", shown)
+        self.assertNotIn("key", shown)
+
+    def test_exit_codes(self) -> None:
+        wrong = self.folder / "wrong.yaml"
+        wrong.write_text("services: {x: {kind: model, models: [m], colour: red}}\n")
+        code, _, told = self.run_command("check", str(wrong))
+        self.assertEqual(code, 1)
+        self.assertIn(f"{wrong}:1: services.x.colour: unknown key", told)
+        self.assertEqual(self.run_command("check", "--no-such-flag")[0], 2)
+        self.assertEqual(self.run_command("dump", "--admin", "127.0.0.1:9")[0], 4)
+        self.arm(name="outage", seconds=3)
+        self.assertEqual(self.apply(EXAMPLE)[0], 4)
+
+    def test_an_answer_that_was_lost_and_found_is_accepted(self) -> None:
+        self.arm(name="lost-answer")
+        code, told, _ = self.apply(EXAMPLE)
+        self.assertEqual((code, "accepted as version 1" in told), (0, True))
+
+    def test_an_answer_that_stays_lost_is_unknown(self) -> None:
+        self.arm(name="lost-answer")
+        self.arm(name="outage", seconds=6, after=3)
+        code, _, told = self.apply(EXAMPLE)
+        self.assertEqual(code, 5, told)
+        self.assertIn("unknown: change", told)
+
+    def test_a_conflict_shows_the_other_change(self) -> None:
+        self.assertEqual(self.apply(EXAMPLE)[0], 0)
+        theirs = {
+            "version": 2,
+            "change_id": "theirs",
+            "author": "bento",
+            "made_at": 0.0,
+            "note": "",
+            "edits": [{"kind": "account", "name": "night-batch", "value": None}],
+        }
+        self.arm(name="slow", seconds=1.5, after=3)
+        text = (ROOT / "examples/render-desk/fleet.yaml").read_text()
+        changed = self.folder / "fleet.yaml"
+        changed.write_text(text.replace("burst: 20", "burst: 25"))
+
+        def race() -> None:
+            platform = self.fleet.platform_url
+            while fetch(f"{platform}/calls")["write"] < 2:
+                time.sleep(0.02)
+            fetch(f"{platform}/v1/objects/pondhatch-change/000000000002", theirs, "PUT")
+
+        racer = threading.Thread(target=race)
+        racer.start()
+        code, _, told = self.apply(str(changed))
+        racer.join()
+        self.assertEqual(code, 3, told)
+        self.assertIn("bento made change 2 first", told)
+
+
+if __name__ == "__main__":
+    unittest.main()
