Pass over upstreams that are down; break off what hangs on a frozen owner

Cause 2: a stream through an owner that froze hung until its deadline of 120 s, since a frozen process closes nothing.

Change: an upstream that failed three times in a row gets nothing for a pause that doubles from 1 s to 15 s, then one request to try it; going past it sends nothing and costs no retry. A router closes its connections to one that membership found dead, and the streams on them are resumed.

Ruled out: a larger retry budget, which feeds an overload.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -16,12 +16,14 @@
 from bench._memory import measure_memory
 from bench._placement import measure_placement
 from bench._relay import measure_relay
+from bench._retries import measure_retries
 
 MEASURES: dict[str, Callable[[], Iterable[Measure]]] = {
     "decisions": measure_decisions,
     "memory": measure_memory,
     "connections": measure_connections,
     "placement": measure_placement,
+    "retries": measure_retries,
     "gossip": measure_gossip,
     "relay": measure_relay,
     "fleet": measure_fleet_sizes,
--- a/bench/_decisions.py
+++ b/bench/_decisions.py
@@ -29,6 +29,7 @@
     RequestHead,
     Target,
     Unknown,
+    Upstreams,
     Walk,
 )
 from pondhatch.router import RouterState
@@ -38,7 +39,7 @@
 DECISIONS = 3000
 
 
-class _Answer:
+class InstantAnswer:
     """An answer that is over at once."""
 
     status = 200
@@ -57,7 +58,7 @@
     async def send(
         self, target: Target, head: RequestHead, body: BodySource
     ) -> Opened | NotRun | Unknown:
-        return Opened(_Answer())
+        return Opened(InstantAnswer())
 
 
 class Granting:
@@ -75,7 +76,7 @@
         if isinstance(verdict, Full):
             return Busy(verdict.in_flight, verdict.ceiling)
         self._state.gate.release(target.name)
-        return Opened(_Answer())
+        return Opened(InstantAnswer())
 
     async def remember(self, chat: int, engine: str) -> None:
         """Do nothing."""
@@ -90,7 +91,8 @@
         """Do nothing."""
 
 
-def _state(routers: int) -> RouterState:
+def new_state(routers: int, upstreams: Upstreams) -> RouterState:
+    """Return the state of one of so many routers, with 110 engines in its hall."""
     own = Alive(short_id("self"), 1, Phase.LIVE, "self", "10.0.0.1", 7000, "hall-0")
     gossip = Gossip(own, MembershipLimits(), random.Random(1))
     for at in range(routers - 1):
@@ -103,7 +105,7 @@
 
     state = RouterState("self", "hall-0", gossip, time.monotonic, granting)
     owner = LocalOwner(
-        "self", state, state.gate, state.memory, _Instant(), time.monotonic, KeyTable()
+        "self", state, state.gate, state.memory, upstreams, time.monotonic, KeyTable()
     )
     state.local = owner
     state.take_fleet(fleet_of(10))
@@ -146,7 +148,7 @@
 
 def measure_decisions() -> Iterator[Measure]:
     """Time a placement, a change of configuration and a round."""
-    small, large = _state(8), _state(ROUTERS)
+    small, large = new_state(8, _Instant()), new_state(ROUTERS, _Instant())
     few = asyncio.run(_decide(small))
     many = asyncio.run(_decide(large))
     yield Measure("decision.placement", many * 1e6, "us", few * 1e6, "8 routers instead of 470")
--- /dev/null
+++ b/bench/_retries.py
@@ -0,0 +1,66 @@
+"""How many more requests upstreams get when half of them refuse or lose what comes."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Iterator
+
+from bench._decisions import InstantAnswer, new_state
+from bench._measures import Measure
+from pondhatch.limits import RetryBudget
+from pondhatch.requests import (
+    BodySource,
+    NotRun,
+    Opened,
+    Placed,
+    ReplayableBody,
+    RequestHead,
+    Target,
+    Unknown,
+    Walk,
+)
+
+REQUESTS = 5000
+
+
+class _HalfFailed:
+    """Upstreams of which every second one loses or refuses all that it is sent."""
+
+    def __init__(self) -> None:
+        self.sent = 0
+
+    async def send(
+        self, target: Target, head: RequestHead, body: BodySource
+    ) -> Opened | NotRun | Unknown:
+        self.sent += 1
+        if int(target.name.rsplit("-", 1)[1]) % 2:
+            return Opened(InstantAnswer())
+        if self.sent % 2:
+            return NotRun("upstream-unreachable", "down")
+        return Unknown("upstream-lost", "down")
+
+
+async def _send_all() -> tuple[int, int]:
+    upstreams = _HalfFailed()
+    state = new_state(1, upstreams)
+    budget = RetryBudget()
+    rng = random.Random(3)
+    whole = 0
+    for at in range(REQUESTS):
+        head = RequestHead(
+            str(at), "a", "lang", "", rng.getrandbits(64), "POST", "/", (), True, 10.0, 5
+        )
+        walk = Walk(state, budget, head, ReplayableBody(b""), lambda: 10.0)
+        ended = await walk.run()
+        if isinstance(ended, Placed):
+            await ended.reply.answer.read()
+            whole += 1
+    return upstreams.sent, whole
+
+
+def measure_retries() -> Iterator[Measure]:
+    """Measure the requests sent to upstreams for each request that came."""
+    sent, whole = asyncio.run(_send_all())
+    yield Measure("retries.sent_half_failed", sent, "requests", REQUESTS, "requests that came")
+    yield Measure("retries.answered_half_failed", whole, "requests", REQUESTS, "requests that came")
--- a/fakes/tests/test_faults.py
+++ b/fakes/tests/test_faults.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 import threading
 import time
 import unittest
@@ -70,7 +71,7 @@
         return sum(u["in_flight_here"] for state in states for u in state["upstreams"])
 
 
-class ResumeTest(FleetCase):
+class OwnerCase(FleetCase):
     """Engines that can resume a stream."""
 
     RESUMES = True
@@ -78,6 +79,14 @@
     def tearDown(self) -> None:
         self.disarm()
 
+    def runs_at(self, content: str, engine: str, entry: int) -> bool:
+        self.stream(content, entry, tokens=1)
+        return bool(self.fleet.routers[entry].state()["decisions"][0]["engine"] == engine)
+
+
+class ResumeTest(OwnerCase):
+    """Streams that break."""
+
     def test_a_cut_stream_goes_on_with_no_token_lost_or_doubled(self) -> None:
         for router in (0, 1):
             self.arm_all("cut", count=1)
@@ -101,9 +110,27 @@
         self.assertEqual(len(texts), 1)
         self.assertTrue(self.whole(texts[0], 400), texts[0][-80:])
 
-    def runs_at(self, content: str, engine: str, entry: int) -> bool:
-        self.stream(content, entry, tokens=1)
-        return bool(self.fleet.routers[entry].state()["decisions"][0]["engine"] == engine)
+
+class FrozenRouterTest(OwnerCase):
+    """An owner that stops answering without closing anything."""
+
+    ENGINES = 4
+
+    def test_a_stream_survives_an_owning_router_that_freezes(self) -> None:
+        entry, frozen = self.fleet.routers[0], self.fleet.routers[1]
+        engine = next(e.name for e in self.engines if self.owner_of(e.name) is frozen)
+        content = next(f"cold {at}" for at in range(200) if self.runs_at(f"cold {at}", engine, 0))
+        texts: list[str] = []
+        caller = threading.Thread(target=lambda: texts.append(self.stream(content, 0, 300)))
+        caller.start()
+        time.sleep(0.5)
+        frozen.process.send_signal(signal.SIGSTOP)
+        caller.join(30)
+        self.assertEqual(len(texts), 1)
+        self.assertTrue(self.whole(texts[0], 300), texts[0][-80:])
+        self.assertTrue(self.whole(self.stream("while it is frozen", 0)))
+        frozen.process.send_signal(signal.SIGCONT)
+        self.eventually(lambda: len(entry.state()["members"]) == 2, 15)
 
 
 class PlainFaultTest(FleetCase):
--- a/pondhatch/cli/_router_process.py
+++ b/pondhatch/cli/_router_process.py
@@ -79,6 +79,7 @@
             time.monotonic,
             self.state.keys,
         )
+        self._owner.health = self.state.health
         self.state.local = self._owner
         self._gossip_port = GossipPort(Seal(fleet_key), self._receive)
         self._platform = HttpPlatform(settings.platform)
@@ -160,6 +161,13 @@
         self._remote_by_name[member.name] = remote
         return remote
 
+    def _close_connections_to_the_gone(self) -> None:
+        """Break off what hangs on a frozen router, so that its streams are resumed elsewhere."""
+        gone = [name for name in self._remote_by_name if self.state.gossip.is_gone(name)]
+        for name in gone:
+            log.warning("Closing the connection to router {}, which is gone.", name)
+            self._remote_by_name.pop(name).close()
+
     async def _pull(self, member: Member, configuration: int, upstreams: int) -> PullReply | None:
         reply = await self._remote(member).pull(configuration, upstreams)
         if reply is None:
@@ -196,6 +204,7 @@
         while True:
             self.state.tick()
             self._owner.serve_lines()
+            self._close_connections_to_the_gone()
             now = self.state.clock()
             self._gossip_port.send(self.state.gossip.tick(now))
             self._gossip_port.send(self.state.limits.tick(now))
--- a/pondhatch/membership/_gossip.py
+++ b/pondhatch/membership/_gossip.py
@@ -63,6 +63,10 @@
             *self._loads.tick(now, members, self._own_loads),
         ]
 
+    def is_gone(self, name: str) -> bool:
+        """Return whether a router has left or was found dead."""
+        return self.membership.is_gone(name)
+
     def versions(self) -> dict[str, Versions]:
         """Return what each router was last heard to hold, this one included."""
         return self.membership.versions()
--- a/pondhatch/membership/_swim.py
+++ b/pondhatch/membership/_swim.py
@@ -158,6 +158,11 @@
             self._members_revision = self.table.revision
         return self._members
 
+    def is_gone(self, name: str) -> bool:
+        """Return whether a router has left or was found dead."""
+        entry = self.table.get(short_id(name))
+        return entry is not None and not entry.there
+
     def versions(self) -> dict[str, Versions]:
         """Return what each router was last heard to hold, this one included."""
         heard = {entry.alive.name: entry.versions for entry in self.table if entry.there}
--- a/pondhatch/placement/__init__.py
+++ b/pondhatch/placement/__init__.py
@@ -2,6 +2,7 @@
 
 from pondhatch.placement._ceiling import admission_ceiling
 from pondhatch.placement._gate import EngineCount, Full, Gate, Granted, Verdict
+from pondhatch.placement._health import Health
 from pondhatch.placement._line import Line, Ticket
 from pondhatch.placement._memory import SpillMemory
 from pondhatch.placement._plan import Ask, Exhausted, Plan, Step
@@ -14,6 +15,7 @@
     "Full",
     "Gate",
     "Granted",
+    "Health",
     "Line",
     "Plan",
     "SpillMemory",
--- a/pondhatch/requests/_entry.py
+++ b/pondhatch/requests/_entry.py
@@ -28,6 +28,8 @@
 #: Header that says after how many events it is to go on.
 RESUME_FROM_HEADER = "X-Resume-From"
 OK = 200
+#: Refusals for which nothing was sent anywhere: going on is no retry.
+PASSED_OVER = frozenset({"upstream-leaving", "upstream-down"})
 
 
 class EntryView(Protocol):
@@ -223,7 +225,7 @@
             self._may_have_run = reply
         if isinstance(reply, Unknown) and not (self._head.repeatable and body_is_whole):
             return Refused(reply)
-        if reply.code == "upstream-leaving":
+        if reply.code in PASSED_OVER:
             return None
         if not body_is_whole or not self._budget.may_retry():
             return Refused(reply)
--- a/pondhatch/requests/_owner.py
+++ b/pondhatch/requests/_owner.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from pondhatch.placement import Full, Gate, Granted, SpillMemory, Verdict
+from pondhatch.placement import Full, Gate, Granted, Health, SpillMemory, Verdict
 from pondhatch.requests._keys import Claim, KeyRecord, KeyTable
 from pondhatch.requests._lines import Lines
 from pondhatch.requests._messages import (
@@ -116,6 +116,7 @@
         self._upstreams = upstreams
         self._clock = clock
         self._lines = Lines(self._released)
+        self.health = Health()
         self._keys = keys
 
     async def open(self, head: RequestHead, body: BodySource) -> OwnerReply:
@@ -128,6 +129,8 @@
         owner = self._view.owner_name(head.engine)
         if owner != self._name:
             return NotOwner(owner)
+        if self.health.is_down(target.name, self._clock()):
+            return NotRun("upstream-down", f"{target.name} failed several times in a row")
         remembered = self._memory.engine_of(head.chat) if head.home and head.chat else None
         if remembered is not None and remembered != head.engine and not head.insist:
             return Elsewhere(remembered)
@@ -180,12 +183,19 @@
         self._gate.release(engine)
         self._lines.serve(engine)
 
+    def _note_health(self, engine: str, reply: Opened | NotRun | Unknown) -> None:
+        if isinstance(reply, Opened):
+            self.health.answered(engine)
+        elif reply.code != "upstream-refused":
+            self.health.failed(engine, self._clock())
+
     async def _run(self, target: Target, head: RequestHead, body: BodySource) -> OwnerReply:
         try:
             reply = await self._upstreams.send(target, head, body)
         except BaseException:
             self._released(target.name)
             raise
+        self._note_health(target.name, reply)
         if not isinstance(reply, Opened):
             self._released(target.name)
             return reply
--- a/pondhatch/router/_state.py
+++ b/pondhatch/router/_state.py
@@ -14,7 +14,7 @@
 from pondhatch.configuration import Change, Fleet, Gap, Rejected, ServiceSpec, Update
 from pondhatch.limits import LimitVerdict, RetryBudget
 from pondhatch.membership import Gossip, Member, Phase, ServiceLoad, owner_of, short_id, watchers
-from pondhatch.placement import Gate, SpillMemory, ranked
+from pondhatch.placement import Gate, Health, SpillMemory, ranked
 from pondhatch.platform import LIVE, Upstream, UpstreamList, UpstreamUpdate
 from pondhatch.requests import DecisionNote, KeyHolder, KeyTable, Owner, Target
 from pondhatch.router._limits import FleetLimits
@@ -42,6 +42,7 @@
     gate: Gate = field(default_factory=Gate)
     memory: SpillMemory = field(default_factory=SpillMemory)
     keys: KeyTable = field(default_factory=KeyTable)
+    health: Health = field(default_factory=Health)
     limits: FleetLimits = field(init=False)
     retries: RetryBudget = field(default_factory=RetryBudget)
     #: Owned upstreams that said themselves that they are leaving.
--- a/pondhatch/transport/_admin.py
+++ b/pondhatch/transport/_admin.py
@@ -42,6 +42,7 @@
         "members": [_member(member, versions) for member in state.members()],
         "upstreams": _upstreams(state, now),
         "accounts": _accounts(state),
+        "upstreams_down": _down(state),
         "spilled_chats": len(state.memory.engine_by_chat),
         "retries_saved": round(state.retries.saved, 2),
         "decisions": [msgspec.to_builtins(note) for note in reversed(state.decisions)],
@@ -83,6 +84,11 @@
     ]
 
 
+def _down(state: RouterState) -> list[Dump]:
+    known = state.health.health_by_upstream
+    return [{"name": name, "failures": each.failures} for name, each in sorted(known.items())]
+
+
 def _accounts(state: RouterState) -> list[Dump]:
     busiest = sorted(state.limits.gate.use_by_account.items(), key=lambda item: -item[1].running)
     return [
