--- a/fakes/_engine.py
+++ b/fakes/_engine.py
@@ -3,7 +3,8 @@
 Faults: ``stall`` (hold the answer for a time), ``cut`` (break the connection in
 the middle), ``cross`` (answer under another request's id), ``delay`` (head comes
 late), ``late`` (a stray answer of another request follows on the same connection
-after a time), ``duplicate`` (a second answer to the same request follows so),
+after a time), ``end-early`` (end the stream in the middle as if it were whole),
+``duplicate`` (a second answer to the same request follows so),
 ``refuse`` (503, not run), ``leaving`` (say so in a load report).
 """
 
@@ -165,6 +166,8 @@
         for at, event in enumerate(events[skipped:], skipped):
             if at == len(words) // 2:
                 await self._strike_in_the_middle(request)
+                if self.faults.strike("end-early"):
+                    return
             if gone.is_set():
                 return
             request.write(event)
--- a/fakes/_local_fleet.py
+++ b/fakes/_local_fleet.py
@@ -59,6 +59,7 @@
     hall: str
     callers: str
     admin: str
+    peer_port: int
     process: subprocess.Popen[bytes]
 
     def state(self) -> dict[str, Any]:
@@ -163,6 +164,12 @@
             own = {"callers": endpoint, **settings}
             self._start_router(name, hall, (caller_port, peers, admin), seeds, own)
 
+    def start_router_during_outage(self, name: str, hall: str, seed: str) -> None:
+        """Start one more router, which the platform cannot be told of."""
+        caller_port, peers, admin = free_ports(3)
+        own = {"callers": {"host": HOST, "port": caller_port}}
+        self._start_router(name, hall, (caller_port, peers, admin), [seed], own)
+
     def await_agreement(self, configuration: int, upstreams: int | None = None) -> None:
         """Wait until all routers know each other, the configuration and the upstreams."""
         wanted = len(self.backends) if upstreams is None else upstreams
@@ -233,7 +240,9 @@
         path.write_text(yaml.safe_dump(written))
         process = self._start("pondhatch", "run", str(path))
         scheme = "https" if "certificate" in written["callers"] else "http"
-        router = Router(name, hall, f"{scheme}://{HOST}:{callers}", f"{HOST}:{admin}", process)
+        router = Router(
+            name, hall, f"{scheme}://{HOST}:{callers}", f"{HOST}:{admin}", peers, process
+        )
         self.routers.append(router)
 
     def _stand_in(self, kind: str, *arguments: str) -> tuple[str, subprocess.Popen[bytes]]:
--- a/fakes/tests/_fleet_case.py
+++ b/fakes/tests/_fleet_case.py
@@ -15,7 +15,7 @@
 from fakes._local_fleet import ROOT, Backend, LocalFleet, Router, fetch
 
 KEY = "example-visualisers-pina"
-FAULTS = ("cut", "stall", "cross", "delay", "late", "duplicate", "refuse", "leaving")
+FAULTS = ("cut", "stall", "cross", "delay", "late", "duplicate", "end-early", "refuse", "leaving")
 
 
 @dataclass(frozen=True)
--- a/fakes/tests/test_faults.py
+++ b/fakes/tests/test_faults.py
@@ -25,9 +25,14 @@
         with self.assertRaisesRegex(openai.APIError, "engine-"):
             self.stream("cut")
 
-    def test_a_cut_answer_that_is_not_streamed_is_no_answer(self) -> None:
+    def test_a_stream_that_ends_without_its_last_event_is_an_explicit_error(self) -> None:
+        self.arm_all("end-early")
+        with self.assertRaisesRegex(openai.APIError, "without its last event"):
+            self.stream("end early")
+
+    def test_a_delayed_answer_is_still_whole(self) -> None:
         self.arm_all("delay", seconds=0.2)
-        messages = [{"role": "user", "content": "whole or nothing"}]
+        messages = [{"role": "user", "content": "late but whole"}]
         answer = self.chat().create(model="scene-writer", messages=messages)
         self.assertTrue(self.whole(answer.choices[0].message.content or ""))
 
