Keep returning chats with their engine when another joins

Cause: an engine that joins becomes home to a share of all chats and knows none of them; each such chat missed its context once.

What the first list of upstreams names is not young.

Ruled out: weighting a joining engine down in the rendezvous order, on which all routers would have to agree at each moment.

--- a/bench/_placement.py
+++ b/bench/_placement.py
@@ -15,6 +15,7 @@
 
 from bench._measures import Measure
 from pondhatch.placement import (
+    YOUNG_SECONDS,
     Ask,
     EngineCount,
     Exhausted,
@@ -24,6 +25,7 @@
     Plan,
     SpillMemory,
     admission_ceiling,
+    context_engine,
     winner,
 )
 
@@ -70,6 +72,10 @@
     bound: float
     rng: random.Random
     now: float = 0.0
+    #: Chats that were served before.
+    seen: set[int] = field(default_factory=set)
+    #: When an engine joined.
+    joined_at: dict[str, float] = field(default_factory=dict)
     #: (when, total in flight), for views that are behind.
     totals: deque[tuple[float, int]] = field(default_factory=lambda: deque(maxlen=4000))
 
@@ -77,6 +83,10 @@
         """Return the true total in flight."""
         return sum(engine.in_flight for engine in self.engines.values())
 
+    def is_young(self, name: str) -> bool:
+        """Return whether an engine joined a short while ago."""
+        return self.now - self.joined_at.get(name, -YOUNG_SECONDS) < YOUNG_SECONDS
+
     def late_total(self) -> int:
         """Return the total as it was VIEW_LAG ago."""
         late = [total for when, total in self.totals if when <= self.now - VIEW_LAG]
@@ -105,11 +115,12 @@
         """Walk the plan as an entry router does."""
         plan = Plan(str(chat), tuple(world.engines))
         while not isinstance(step := plan.next(), Exhausted):
-            remembered = self._memory.engine_of(chat)
-            at_home = step.engine == plan.home and not step.insist
-            if at_home and remembered not in (None, step.engine):
-                plan.context_elsewhere(str(remembered))
-                continue
+            if step.engine == plan.home and not step.insist and chat in world.seen:
+                young = world.is_young(step.engine)
+                believed = context_engine(self._memory, chat, step.engine, plan.runner_up, young)
+                if believed != step.engine:
+                    plan.context_elsewhere(believed)
+                    continue
             chosen = self._ask(world, plan, step)
             if chosen is not None:
                 self._note(plan, chat, step.engine)
@@ -184,7 +195,7 @@
     names = [f"engine-{at}" for at in range(ENGINES)]
     world = World({name: Engine(name) for name in names}, bound, rng)
     idle = list(range(ENGINES * CHATS))
-    seen: set[int] = set()
+    seen = world.seen
     ends: list[tuple[float, int, str]] = []
     replacing = [
         WARM_UP + (SECONDS - WARM_UP) * (at + 1) / (REPLACED * ENGINES + 1)
@@ -243,6 +254,7 @@
     del world.engines[old]
     fresh = f"{old}-new"
     world.engines[fresh] = Engine(fresh)
+    world.joined_at[fresh] = world.now
 
 
 def measure_placement() -> Iterator[Measure]:
--- a/pondhatch/placement/__init__.py
+++ b/pondhatch/placement/__init__.py
@@ -1,6 +1,7 @@
 """Placement: which engine takes a request, and how much an engine may carry."""
 
 from pondhatch.placement._ceiling import admission_ceiling
+from pondhatch.placement._context import YOUNG_SECONDS, context_engine
 from pondhatch.placement._gate import EngineCount, Full, Gate, Granted, Verdict
 from pondhatch.placement._health import Health
 from pondhatch.placement._line import Line, Ticket
@@ -22,7 +23,9 @@
     "Step",
     "Ticket",
     "Verdict",
+    "YOUNG_SECONDS",
     "admission_ceiling",
+    "context_engine",
     "ranked",
     "scorer",
     "winner",
--- a/pondhatch/placement/_plan.py
+++ b/pondhatch/placement/_plan.py
@@ -61,6 +61,11 @@
         """The chat's home engine, or None where the service has no engine."""
         return self.order[0] if self.order else None
 
+    @property
+    def runner_up(self) -> str | None:
+        """The engine ranked second, which was home before the first one joined."""
+        return self.order[1] if len(self.order) > 1 else None
+
     def next(self) -> Step:
         """Return whom to ask now."""
         if len(self.passed_over) >= self._asks:
--- a/pondhatch/requests/_entry.py
+++ b/pondhatch/requests/_entry.py
@@ -170,6 +170,7 @@
             self._head,
             engine=ask.engine,
             home=ask.engine == self.plan.home,
+            runner_up=self.plan.runner_up if ask.engine == self.plan.home else None,
             insist=ask.insist,
             deadline=self._remaining(),
             request_id=f"{self._head.request_id}.{self._asks}",
--- a/pondhatch/requests/_messages.py
+++ b/pondhatch/requests/_messages.py
@@ -31,8 +31,12 @@
     #: Seconds left until the caller's deadline.
     deadline: float
     priority: int
+    #: Whether an earlier turn of the chat was answered, so that its context lies somewhere.
+    returning: bool = False
     #: Whether ``engine`` is the chat's home engine.
     home: bool = False
+    #: The engine ranked second for the chat; told with a question to its home.
+    runner_up: str | None = None
     #: Whether the home engine is asked although the context is elsewhere.
     insist: bool = False
     #: Seconds that the request may wait in the engine's line if it is full.
--- a/pondhatch/requests/_owner.py
+++ b/pondhatch/requests/_owner.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from pondhatch.placement import Full, Gate, Granted, Health, SpillMemory, Verdict
+from pondhatch.placement import Full, Gate, Granted, Health, SpillMemory, Verdict, context_engine
 from pondhatch.requests._keys import Claim, KeyRecord, KeyTable
 from pondhatch.requests._lines import Lines
 from pondhatch.requests._messages import (
@@ -61,6 +61,9 @@
     def elsewhere_in_flight(self, engine: str) -> int:
         """Return the in-flight total of the service's other engines."""
 
+    def is_young(self, engine: str) -> bool:
+        """Return whether an upstream joined a short while ago."""
+
     def stopping(self) -> bool:
         """Return whether this router is draining."""
 
@@ -131,9 +134,9 @@
             return NotOwner(owner)
         if self.health.is_down(target.name, self._clock()):
             return NotRun("upstream-down", f"{target.name} failed several times in a row")
-        remembered = self._memory.engine_of(head.chat) if head.home and head.chat else None
-        if remembered is not None and remembered != head.engine and not head.insist:
-            return Elsewhere(remembered)
+        believed = self._context_engine(head)
+        if believed != head.engine:
+            return Elsewhere(believed)
         self._lines.serve(target.name)
         verdict = self._ask_gate(target, head)
         if isinstance(verdict, Full) and head.patience > 0:
@@ -148,6 +151,13 @@
             self._memory.forget(head.chat)
         return await self._run(target, head, body)
 
+    def _context_engine(self, head: RequestHead) -> str:
+        """Return where to send the chat: here, unless this is its home and it lies elsewhere."""
+        if not (head.home and head.returning) or head.insist:
+            return head.engine
+        young = self._view.is_young(head.engine)
+        return context_engine(self._memory, head.chat, head.engine, head.runner_up, young)
+
     async def remember(self, chat: int, engine: str) -> None:
         """Note where a chat was served away from its home engine."""
         self._memory.remember(chat, engine)
--- a/pondhatch/requests/tests/_history.py
+++ b/pondhatch/requests/tests/_history.py
@@ -196,6 +196,9 @@
     def elsewhere_in_flight(self, engine: str) -> int:
         return 0
 
+    def is_young(self, engine: str) -> bool:
+        return False
+
     def stopping(self) -> bool:
         return False
 
--- a/pondhatch/router/_state.py
+++ b/pondhatch/router/_state.py
@@ -11,11 +11,13 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
+import msgspec
+
 from pondhatch.configuration import Change, Fleet, Gap, Rejected, ServiceSpec, Update
 from pondhatch.limits import LimitVerdict, RetryBudget
 from pondhatch.membership import Gossip, Member, Phase, ServiceLoad, owner_of, short_id, watchers
-from pondhatch.placement import Gate, Health, SpillMemory, ranked
-from pondhatch.platform import LIVE, Upstream, UpstreamList, UpstreamUpdate
+from pondhatch.placement import YOUNG_SECONDS, Gate, Health, SpillMemory, ranked
+from pondhatch.platform import LIVE, Upstream, UpstreamList, UpstreamUpdate, WatchEvent
 from pondhatch.requests import DecisionNote, KeyHolder, KeyTable, Owner, Target
 from pondhatch.router._limits import FleetLimits
 
@@ -54,6 +56,8 @@
     #: This router's own side as an owner; set once, when the parts are put together.
     local: Peer | None = None
     _members: tuple[Member, ...] = ()
+    #: When an upstream joined, in the clock's seconds; not for those of the first list.
+    _joined_at: dict[str, float] = field(default_factory=dict)
     _member_by_name: dict[str, Member] = field(default_factory=dict)
     _owner_by_engine: dict[str, Member | None] = field(default_factory=dict)
     _live_by_service: dict[str, tuple[str, ...]] = field(default_factory=dict)
@@ -126,6 +130,18 @@
             self._live_by_service[service] = tuple(n for n in found if n not in leaving)
         return self._live_by_service[service]
 
+    def is_young(self, engine: str) -> bool:
+        """Return whether an upstream joined after this router knew the list, and lately."""
+        joined = self._joined_at.get(engine)
+        return joined is not None and self.clock() - joined < YOUNG_SECONDS
+
+    def _note_joins(self, before: frozenset[str]) -> None:
+        """Note the upstreams that are new, but for those of the first list."""
+        if not before:
+            return
+        for name in self.upstreams.entry_by_name.keys() - before:
+            self._joined_at[name] = self.clock()
+
     def resumes(self, engine: str) -> bool:
         """Return whether an engine can resume a broken stream."""
         upstream = self.upstreams.upstream(engine)
@@ -152,10 +168,25 @@
 
     def take_upstreams(self, update: UpstreamUpdate) -> bool:
         """Take in a listing's or a peer's entries; return whether any was news."""
+        known = frozenset(self.upstreams.entry_by_name)
         news = self.upstreams.take(update)
+        self._note_joins(known)
         self.upstreams_changed()
         return news
 
+    def take_upstream_event(self, event: WatchEvent) -> bool:
+        """Take in one event of a watch on upstreams; return whether it was news."""
+        known = frozenset(self.upstreams.entry_by_name)
+        news = False
+        if event.type == "set":
+            news = self.upstreams.set(msgspec.convert(event.value, Upstream), event.version)
+        if event.type == "removed":
+            news = self.upstreams.remove(event.name, event.version)
+        if news:
+            self._note_joins(known)
+            self.upstreams_changed()
+        return news
+
     def upstreams_changed(self) -> None:
         """Drop what was derived from the list of upstreams."""
         self._live_by_service.clear()
--- a/pondhatch/router/_sync.py
+++ b/pondhatch/router/_sync.py
@@ -32,7 +32,6 @@
     PlatformLost,
     TooOld,
     Unavailable,
-    Upstream,
     UpstreamUpdate,
     WatchEvent,
     listing,
@@ -162,20 +161,9 @@
         if self._state.take_upstreams(listing(listed.version, values)):
             self._told()
         async for event in self._platform.watch(UPSTREAM_KIND, listed.version):
-            if self._take_upstream_event(event):
+            if self._state.take_upstream_event(event):
                 self._told()
 
-    def _take_upstream_event(self, event: WatchEvent) -> bool:
-        upstreams = self._state.upstreams
-        news = False
-        if event.type == "set":
-            news = upstreams.set(msgspec.convert(event.value, Upstream), event.version)
-        if event.type == "removed":
-            news = upstreams.remove(event.name, event.version)
-        if news:
-            self._state.upstreams_changed()
-        return news
-
     # -- from peers ---------------------------------------------------------
 
     async def _pull_if_behind(self) -> None:
--- a/pondhatch/router/tests/test_sync.py
+++ b/pondhatch/router/tests/test_sync.py
@@ -6,11 +6,13 @@
 import random
 import unittest
 
+import msgspec
+
 from fakes._platform_in_memory import PlatformInMemory
 from pondhatch.configuration import Change, Edit, Fleet, Gap, Rejected, Update, publish
 from pondhatch.configuration.tests.test_fleet import SERVICE, TEMPLATE, account, change
 from pondhatch.membership import Alive, Gossip, Member, MembershipLimits, Phase, short_id
-from pondhatch.platform import Upstream, UpstreamUpdate
+from pondhatch.platform import Upstream, UpstreamEntry, UpstreamUpdate, WatchEvent
 from pondhatch.requests import BodySource, Claim, KeyRecord, NotOwner, OwnerReply, RequestHead
 from pondhatch.router import RouterState, Sync
 
@@ -156,6 +158,16 @@
         self.assertIsNone(state.upstreams.upstream("e0"))
 
 
+class JoiningEngineTest(unittest.TestCase):
+    def test_only_engines_that_join_later_are_young(self) -> None:
+        state = router("r0")
+        first = UpstreamEntry(Upstream("e0", "lang", "http://x", "h1"), 1)
+        state.take_upstreams(UpstreamUpdate(1, (first,), whole=True))
+        joined = WatchEvent("set", 2, "e1", msgspec.to_builtins(Upstream("e1", "lang", "", "h1")))
+        self.assertTrue(state.take_upstream_event(joined))
+        self.assertEqual([state.is_young(name) for name in ("e0", "e1")], [False, True])
+
+
 class RolesTest(unittest.TestCase):
     def test_one_router_of_a_hall_watches(self) -> None:
         states = [router(f"r{at}") for at in range(4)]
--- a/pondhatch/transport/_callers.py
+++ b/pondhatch/transport/_callers.py
@@ -104,7 +104,7 @@
         if isinstance(admitted, NotRun):
             return admitted
         head = _head(request, account, admitted, CHAT_PATH)
-        head = replace(head, chat=chat.chat, repeatable=True)
+        head = replace(head, chat=chat.chat, repeatable=True, returning=chat.returning)
         context_wait = admitted.context_wait if chat.returning else 0.0
         patience = Patience(context_wait, admitted.queue_wait)
         return Work(account, admitted, head, ReplayableBody(body), patience)
