Split membership's view and rumors from its pinging

Change: who may be given work is in _members.py, what is still to be told in _rumors.py, the pinging stays. Behaviour is as it was.

--- a/pondhatch/membership/__init__.py
+++ b/pondhatch/membership/__init__.py
@@ -2,6 +2,7 @@
 
 from pondhatch.membership._gossip import Gossip
 from pondhatch.membership._loads import FleetLoadView, speaking_order
+from pondhatch.membership._members import Member
 from pondhatch.membership._ownership import owner_of, watchers
 from pondhatch.membership._records import (
     Alive,
@@ -17,7 +18,7 @@
     short_id,
 )
 from pondhatch.membership._seal import Seal
-from pondhatch.membership._swim import Datagram, Member, Membership, MembershipLimits
+from pondhatch.membership._swim import Datagram, Membership, MembershipLimits
 from pondhatch.membership._table import Address, Table
 
 __all__ = [
--- a/pondhatch/membership/_gossip.py
+++ b/pondhatch/membership/_gossip.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from pondhatch.membership._loads import FleetLoadView
+from pondhatch.membership._members import Member
 from pondhatch.membership._records import (
     Alive,
     FleetLoads,
@@ -22,7 +23,7 @@
     Versions,
     short_id,
 )
-from pondhatch.membership._swim import Datagram, Member, Membership, MembershipLimits
+from pondhatch.membership._swim import Datagram, Membership, MembershipLimits
 from pondhatch.membership._table import Address
 
 
--- a/pondhatch/membership/_loads.py
+++ b/pondhatch/membership/_loads.py
@@ -14,6 +14,7 @@
 
 import msgspec
 
+from pondhatch.membership._members import Member
 from pondhatch.membership._records import (
     FleetLoads,
     HallLoads,
@@ -23,7 +24,7 @@
     ServiceLoad,
     short_id,
 )
-from pondhatch.membership._swim import Datagram, Member
+from pondhatch.membership._swim import Datagram
 from pondhatch.membership._table import Address
 from pondhatch.placement import ranked
 
--- a/pondhatch/membership/_ownership.py
+++ b/pondhatch/membership/_ownership.py
@@ -9,8 +9,8 @@
 
 from collections.abc import Iterable
 
+from pondhatch.membership._members import Member
 from pondhatch.membership._records import Phase
-from pondhatch.membership._swim import Member
 from pondhatch.placement import ranked, winner
 
 #: Routers of a hall that watch the platform for the others.
--- a/pondhatch/membership/_swim.py
+++ b/pondhatch/membership/_swim.py
@@ -7,13 +7,13 @@
 
 from __future__ import annotations
 
-import math
 import random
 from collections.abc import Iterable
 from dataclasses import dataclass
 
 import msgspec
 
+from pondhatch.membership._members import Member, MemberView
 from pondhatch.membership._records import (
     Ack,
     Alive,
@@ -30,6 +30,7 @@
     Versions,
     short_id,
 )
+from pondhatch.membership._rumors import Rumors
 from pondhatch.membership._table import Address, Entry, Table
 
 
@@ -71,17 +72,6 @@
     news_fanout: int = 4
 
 
-@dataclass(frozen=True)
-class Member:
-    """A router that may be given work or asked."""
-
-    name: str
-    address: Address
-    hall: str
-    phase: Phase
-    status: Status = Status.ALIVE
-
-
 @dataclass
 class Probe:
     """The ping that waits for its answer."""
@@ -124,12 +114,8 @@
         self._next_reconnect = float("-inf")
         self._probe: Probe | None = None
         self._relayed: dict[int, Relayed] = {}
-        #: Until when a router gets no work because a call to it failed, by router id.
-        self._unreachable: dict[int, float] = {}
-        self._members: tuple[Member, ...] = ()
-        self._members_revision = -1
-        #: Times that a rumor on a router is still to be told, by router id.
-        self._tellings_left: dict[int, int] = {}
+        self._view = MemberView(self.table)
+        self._rumors = Rumors(self.table, limits.rumors, limits.retellings)
         self._encoder = msgspec.msgpack.Encoder()
 
     # -- what this router says of itself ------------------------------------
@@ -149,14 +135,7 @@
 
     def members(self, now: float) -> tuple[Member, ...]:
         """Return this router and all others that are there and can be reached, by name."""
-        self._forgive(now)
-        if self._members_revision != self.table.revision:
-            there = [entry.alive for entry in self.table if entry.there]
-            reachable = [alive for alive in there if alive.router not in self._unreachable]
-            members = [_member(alive, self.table) for alive in (self.own, *reachable)]
-            self._members = tuple(sorted(members, key=lambda member: member.name))
-            self._members_revision = self.table.revision
-        return self._members
+        return self._view.members(self.own, now)
 
     def is_gone(self, name: str) -> bool:
         """Return whether a router has left or was found dead."""
@@ -181,20 +160,9 @@
     def unreachable(self, name: str, now: float) -> None:
         """Note a failed call: the router is passed over for a while and pinged next."""
         router = short_id(name)
-        self._unreachable[router] = now + self.limits.unreachable
-        self.table.revision += 1
+        self._view.unreachable(router, now + self.limits.unreachable)
         self._round.append(router)
 
-    def _reached(self, router: int) -> None:
-        """Note a direct word from a router."""
-        if self._unreachable.pop(router, None) is not None:
-            self.table.revision += 1
-
-    def _forgive(self, now: float) -> None:
-        over = [router for router, until in self._unreachable.items() if until <= now]
-        for router in over:
-            self._reached(router)
-
     # -- time and packets ----------------------------------------------------
 
     def tick(self, now: float) -> list[Datagram]:
@@ -209,7 +177,7 @@
 
     def news(self) -> list[Datagram]:
         """Return packets that tell some peers at once what this router holds now."""
-        message = News(self.own.router, self._versions, self._rumors())
+        message = News(self.own.router, self._versions, self._rumors.take(self.own))
         return [self._to(address, message) for address in self._some(self.limits.news_fanout)]
 
     def receive(self, message: MembershipMessage, source: Address, now: float) -> list[Datagram]:
@@ -299,12 +267,12 @@
         for entry in overdue:
             fault = Fault(entry.alive.router, entry.alive.incarnation, Status.DEAD)
             if self.table.take_fault(fault, now):
-                self._tell(entry.alive.router)
+                self._rumors.tell(entry.alive.router)
 
     def _spread_fault(self, fault: Fault, now: float) -> list[Datagram]:
         if not self.table.take_fault(fault, now):
             return []
-        self._tell(fault.router)
+        self._rumors.tell(fault.router)
         return self.news()
 
     def _answer_ping(self, ping: Ping, source: Address, now: float) -> list[Datagram]:
@@ -314,7 +282,7 @@
             ping.number,
             self._versions,
             self.table.view(self.own),
-            self._rumors_for(ping.sender),
+            self._rumors.take_for(ping.sender, self.own),
         )
         answers = [self._to(source, ack)]
         if self.table.get(ping.sender) is None:
@@ -330,7 +298,7 @@
         direct = probe is not None and probe.number == ack.number and not probe.helped
         self.table.heard_from(ack.sender, ack.versions)
         if direct:
-            self._reached(ack.sender)
+            self._view.reached(ack.sender)
         if probe is None or probe.number != ack.number:
             return []
         self._probe = None
@@ -350,12 +318,12 @@
 
     def _ping(self, address: Address, number: int) -> Datagram:
         view = self.table.view(self.own)
-        ping = Ping(self.own.router, number, self._versions, view, self._rumors())
+        ping = Ping(self.own.router, number, self._versions, view, self._rumors.take(self.own))
         return self._to(address, ping)
 
     def _heard(self, message: Ping | News) -> None:
         self.table.heard_from(message.sender, message.versions)
-        self._reached(message.sender)
+        self._view.reached(message.sender)
 
     # -- rumors ---------------------------------------------------------------
 
@@ -372,7 +340,7 @@
                 else self.table.take_fault(rumor, now)
             )
             if taken:
-                self._tell(rumor.router)
+                self._rumors.tell(rumor.router)
             news = news or taken
         return news
 
@@ -388,33 +356,7 @@
     def _raise_own(self, incarnation: int, phase: Phase) -> None:
         self.own = msgspec.structs.replace(self.own, incarnation=incarnation, phase=phase)
         self.table.revision += 1
-        self._tell(self.own.router)
-
-    def _tell(self, router: int) -> None:
-        size = len(self.table.entry_by_id) + 2
-        self._tellings_left[router] = math.ceil(self.limits.retellings * math.log2(size))
-
-    def _rumors(self) -> tuple[Rumor, ...]:
-        """Return the rumors told least so far, and count them as told."""
-        chosen = sorted(self._tellings_left, key=lambda router: -self._tellings_left[router])
-        rumors = [self._rumor_on(router) for router in chosen[: self.limits.rumors]]
-        for router in chosen[: self.limits.rumors]:
-            self._tellings_left[router] -= 1
-            if self._tellings_left[router] <= 0:
-                del self._tellings_left[router]
-        return tuple(rumor for rumor in rumors if rumor is not None)
-
-    def _rumors_for(self, router: int) -> tuple[Rumor, ...]:
-        """Return rumors, with what is said of the receiver if it has to answer that."""
-        entry = self.table.get(router)
-        about = (entry.rumor(),) if entry is not None and entry.status != Status.ALIVE else ()
-        return (*about, *self._rumors())
-
-    def _rumor_on(self, router: int) -> Rumor | None:
-        if router == self.own.router:
-            return self.own
-        entry = self.table.get(router)
-        return entry.rumor() if entry is not None else None
+        self._rumors.tell(self.own.router)
 
     # -- whole views ----------------------------------------------------------
 
@@ -437,25 +379,8 @@
     # -- helpers ----------------------------------------------------------------
 
     def _some(self, count: int, but: int | None = None) -> list[Address]:
-        pool = [
-            entry.address
-            for entry in self.table
-            if entry.there
-            and entry.alive.router != but
-            and entry.alive.router not in self._unreachable
-        ]
+        pool = self._view.addresses(but)
         return self._rng.sample(pool, min(count, len(pool)))
 
     def _to(self, address: Address, message: Packet) -> Datagram:
         return Datagram(address, self._encoder.encode(message))
-
-
-def _member(alive: Alive, table: Table) -> Member:
-    entry = table.get(alive.router)
-    return Member(
-        name=alive.name,
-        address=Address(alive.host, alive.port),
-        hall=alive.hall,
-        phase=Phase(alive.phase),
-        status=entry.status if entry is not None else Status.ALIVE,
-    )
