Make the dump's sections plug-ins; split calls between routers by side

Change: each section of the dump is a plug-in that declares what it reads; the transport only serves them. The side that answers is _peer_service.py, the side that asks _remote_owner.py. The dump's keys are as they were, but that failing upstreams are listed as upstreams_failing.

--- a/pondhatch/router/__init__.py
+++ b/pondhatch/router/__init__.py
@@ -1,16 +1,19 @@
 """The router: one process's state, who may use it, and how it keeps up."""
 
 from pondhatch.router._admission import Account, Admitted, admit, identify, service_of_path
+from pondhatch.router._dump import Dump, dump_state
 from pondhatch.router._state import Peer, RouterState
 from pondhatch.router._sync import Sync
 
 __all__ = [
     "Account",
     "Admitted",
+    "Dump",
     "Peer",
     "RouterState",
     "Sync",
     "admit",
+    "dump_state",
     "identify",
     "service_of_path",
 ]
--- /dev/null
+++ b/pondhatch/router/_dump.py
@@ -0,0 +1,187 @@
+"""The state dump: sections that register themselves, each reading what it declares.
+
+A new section is a class here, or anywhere that is imported: the dump shows it
+without being told of it.
+"""
+
+from __future__ import annotations
+
+import resource
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, Protocol
+
+import msgspec
+
+from pondhatch.kernel import REGISTRY, Plugin
+from pondhatch.membership import Versions
+from pondhatch.router._state import RouterState
+
+Dump = dict[str, Any]
+
+#: Kind under which sections register.
+SECTION_KIND = "dump section"
+#: Accounts shown in a dump, the busiest first.
+SHOWN_ACCOUNTS = 20
+#: Where Linux tells a process its memory, in pages.
+STATM = Path("/proc/self/statm")
+
+
+class Section(Protocol):
+    """A part of the dump."""
+
+    def content(self) -> Dump:
+        """Return the section's keys; never an API key nor the hash of one."""
+
+
+@dataclass(frozen=True)
+class Counters:
+    """Counts that the transport keeps, by name."""
+
+    by_name: Mapping[str, Any]
+
+
+@REGISTRY.register(SECTION_KIND, "0-router")
+class RouterSection(Plugin):
+    """Who this router is and what it holds."""
+
+    DEPENDENCIES = (RouterState,)
+
+    def content(self) -> Dump:
+        """Return the section's keys."""
+        state = self.view(RouterState)
+        return {
+            "router": state.name,
+            "hall": state.hall,
+            "phase": state.phase.name.lower(),
+            "watches_platform": state.is_watcher(),
+            "configuration": state.fleet.version,
+            "in_force_at": round(state.in_force_at, 4),
+            "upstreams_version": state.upstreams.version,
+        }
+
+
+@REGISTRY.register(SECTION_KIND, "1-process")
+class ProcessSection(Plugin):
+    """What the process uses, and the transport's counts."""
+
+    DEPENDENCIES = (Counters,)
+
+    def content(self) -> Dump:
+        """Return the section's keys."""
+        usage = resource.getrusage(resource.RUSAGE_SELF)
+        return {
+            "cpu_seconds": round(usage.ru_utime + usage.ru_stime, 3),
+            "memory_kb": resident_kb(),
+            "peak_memory_kb": usage.ru_maxrss,
+            **self.view(Counters).by_name,
+        }
+
+
+@REGISTRY.register(SECTION_KIND, "2-members")
+class MembersSection(Plugin):
+    """The routers that are believed to be there."""
+
+    DEPENDENCIES = (RouterState,)
+
+    def content(self) -> Dump:
+        """Return the section's keys."""
+        state = self.view(RouterState)
+        versions = state.gossip.versions()
+        return {
+            "members": [
+                {
+                    "name": member.name,
+                    "hall": member.hall,
+                    "phase": member.phase.name.lower(),
+                    "status": member.status.name.lower(),
+                    "configuration": versions.get(member.name, Versions()).configuration,
+                    "upstreams_version": versions.get(member.name, Versions()).upstreams,
+                }
+                for member in state.members()
+            ]
+        }
+
+
+@REGISTRY.register(SECTION_KIND, "3-upstreams")
+class UpstreamsSection(Plugin):
+    """The upstreams, their owners, and which of the own ones are down."""
+
+    DEPENDENCIES = (RouterState,)
+
+    def content(self) -> Dump:
+        """Return the section's keys."""
+        state = self.view(RouterState)
+        now = state.clock()
+        down = sorted(state.health.health_by_upstream.items())
+        return {
+            "upstreams": [
+                {
+                    "name": name,
+                    "service": entry.upstream.service,
+                    "hall": entry.upstream.hall,
+                    "state": entry.upstream.state,
+                    "owner": state.owner_name(name),
+                    "in_flight_here": state.gate.in_flight(name, now),
+                }
+                for name, entry in sorted(state.upstreams.entry_by_name.items())
+            ],
+            "upstreams_failing": [
+                {"name": name, "failures": health.failures} for name, health in down
+            ],
+        }
+
+
+@REGISTRY.register(SECTION_KIND, "4-accounts")
+class AccountsSection(Plugin):
+    """The busiest accounts at this router, and the retries that are left."""
+
+    DEPENDENCIES = (RouterState,)
+
+    def content(self) -> Dump:
+        """Return the section's keys."""
+        state = self.view(RouterState)
+        uses = state.limits.gate.use_by_account.items()
+        busiest = sorted(uses, key=lambda item: -item[1].running)
+        return {
+            "accounts": [
+                {"name": name, "running": use.running, "tokens": round(use.tokens, 2)}
+                for name, use in busiest[:SHOWN_ACCOUNTS]
+            ],
+            "retries_saved": round(state.retries.saved, 2),
+        }
+
+
+@REGISTRY.register(SECTION_KIND, "5-decisions")
+class DecisionsSection(Plugin):
+    """The last requests: which engine took each, and why others were passed over."""
+
+    DEPENDENCIES = (RouterState,)
+
+    def content(self) -> Dump:
+        """Return the section's keys."""
+        state = self.view(RouterState)
+        return {
+            "spilled_chats": len(state.memory.engine_by_chat),
+            "decisions": [msgspec.to_builtins(note) for note in reversed(state.decisions)],
+        }
+
+
+def dump_state(state: RouterState, counters: Mapping[str, Any]) -> Dump:
+    """Return a router's state as plain data, section by section in the order of names."""
+    views = {RouterState: state, Counters: Counters(counters)}
+    dump: Dump = {}
+    for name in REGISTRY.names(SECTION_KIND):
+        section: Any = REGISTRY.build(SECTION_KIND, name, views)
+        dump.update(section.content())
+    return dump
+
+
+def resident_kb() -> int:
+    """Return the process's resident memory in kilobytes, 0 where the system does not tell."""
+    try:
+        pages = int(STATM.read_text().split()[1])
+    except OSError:
+        return 0
+    return pages * resource.getpagesize() // 1024
--- a/pondhatch/transport/__init__.py
+++ b/pondhatch/transport/__init__.py
@@ -5,8 +5,9 @@
 from pondhatch.transport._callers import Callers
 from pondhatch.transport._gossip import GossipPort
 from pondhatch.transport._loads import poll_loads
-from pondhatch.transport._peers import PeerService, RemoteOwner, fleet_token
+from pondhatch.transport._peer_service import PeerService, fleet_token
 from pondhatch.transport._platform import HttpPlatform
+from pondhatch.transport._remote_owner import RemoteOwner
 from pondhatch.transport._resolver import install_numeric_resolver
 from pondhatch.transport._upstreams import HttpUpstreams
 from pondhatch.transport._wire import PullReply, PullRequest
