End an upstream's body with its length; measure the cost of an engine

Cause: the demo logged "Error writing request" now and then. The sender of a body over two routers is stopped when the answer has come; the owner went on waiting for an end mark after the whole length had been sent, and dropped a connection that could have been used again.

Change: a body of known length ends with it. `make bench` also measures what one more engine costs.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -10,7 +10,7 @@
 
 from bench._connections import measure_connections
 from bench._decisions import measure_decisions
-from bench._fleet_size import measure_fleet_sizes
+from bench._fleet_size import measure_engine_counts, measure_fleet_sizes
 from bench._gossip import measure_gossip
 from bench._measures import Measure
 from bench._memory import measure_memory
@@ -26,6 +26,7 @@
     "retries": measure_retries,
     "gossip": measure_gossip,
     "relay": measure_relay,
+    "engines": measure_engine_counts,
     "fleet": measure_fleet_sizes,
 }
 
--- a/bench/_fleet_size.py
+++ b/bench/_fleet_size.py
@@ -13,6 +13,9 @@
 SIZES = (8, 16, 32, 64)
 HALLS = 4
 ENGINES = 4
+#: Numbers of engines that are compared, before so many routers.
+ENGINE_COUNTS = (4, 28)
+ROUTERS_BEFORE_ENGINES = 8
 #: Seconds of quiet over which traffic is counted.
 QUIET = 12.0
 #: Changes applied one after the other.
@@ -62,10 +65,10 @@
     return sorted(spans)
 
 
-def measure_size(routers: int) -> FleetFigures:
+def measure_size(routers: int, engines: int = ENGINES) -> FleetFigures:
     """Start a fleet of processes and measure it."""
     with LocalFleet(log_level="ERROR") as fleet:
-        for at in range(ENGINES):
+        for at in range(engines):
             hall = f"recife-{at % HALLS + 1}"
             fleet.add_backend("engine", f"engine-{at}", "scene-language", hall)
         fleet.add_routers([f"recife-{at % HALLS + 1}" for at in range(routers)])
@@ -117,3 +120,13 @@
         ("in_force", [(each.routers, each.in_force * 1000) for each in found]),
     ):
         yield Measure(f"slope.{name}", slope([(float(x), y) for x, y in points])[0], "per router")
+
+
+def measure_engine_counts() -> Iterator[Measure]:
+    """Measure what one more engine costs the fleet in control and idle processor."""
+    few, many = (measure_size(ROUTERS_BEFORE_ENGINES, count) for count in ENGINE_COUNTS)
+    each = (ENGINE_COUNTS[1] - ENGINE_COUNTS[0]) / ROUTERS_BEFORE_ENGINES
+    yield Measure("engine.control", (many.control - few.control) / each, "B/s an owned engine")
+    processor = (many.processor - few.processor) / each
+    yield Measure("engine.idle_processor", processor * 100, "% of a core an owned engine")
+    yield Measure("engine.memory", (many.memory_kb - few.memory_kb) / each, "KB an owned engine")
--- a/pondhatch/cli/_router_process.py
+++ b/pondhatch/cli/_router_process.py
@@ -165,7 +165,7 @@
         """Break off what hangs on a frozen router, so that its streams are resumed elsewhere."""
         gone = [name for name in self._remote_by_name if self.state.gossip.is_gone(name)]
         for name in gone:
-            log.warning("Closing the connection to router {}, which is gone.", name)
+            log.info("Closing the connection to router {}, which is gone.", name)
             self._remote_by_name.pop(name).close()
 
     async def _pull(self, member: Member, configuration: int, upstreams: int) -> PullReply | None:
--- a/pondhatch/transport/_upstreams.py
+++ b/pondhatch/transport/_upstreams.py
@@ -97,8 +97,10 @@
             self._task.cancel()
 
     async def _pump(self, consumer: Any) -> None:
-        while part := await self._body.read():
+        left = self._body.length
+        while left != 0 and (part := await self._body.read()):
             consumer.write(part)
+            left = left - len(part) if left is not None else None
             await self._flowing.wait()
 
 
