Refuse at once what cannot be served before its patience ends

Cause: a request behind a line that takes longer than it may wait stood there to the end and was then refused all the same.

Change: an owner keeps the mean gap between two releases of an engine that is wanted, and refuses a request whose elders alone will take longer than its patience. Gaps of an idle engine do not count: a first version took them in, and a burst after a pause would have been refused.

Measured: tests on stepped time, for the refusal and against the idle gap.

--- a/pondhatch/placement/_line.py
+++ b/pondhatch/placement/_line.py
@@ -56,6 +56,10 @@
         self.by_number[ticket.number] = ticket
         return ticket
 
+    def before(self, priority: int) -> int:
+        """Return how many wait who are as urgent or more."""
+        return sum(ticket.priority <= priority for ticket in self.by_number.values())
+
     def overflow(self) -> Ticket | None:
         """Return who must leave because the line is longer than its limit."""
         return self._last() if len(self) > self.limit else None
--- a/pondhatch/requests/_lines.py
+++ b/pondhatch/requests/_lines.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from pondhatch.placement import Full, Granted, Line, Ticket, Verdict
 from pondhatch.requests._messages import RequestHead
@@ -24,10 +24,31 @@
     turn: asyncio.Future[Verdict]
 
 
+#: Weight of the newest gap between two releases in the mean of an engine.
+GAP_WEIGHT = 0.2
+
+
+@dataclass(frozen=True)
+class Pace:
+    """How fast an engine gives grants back."""
+
+    #: When it last gave one back, in the clock's seconds.
+    last: float
+    #: Mean seconds between two, None before the second.
+    gap: float | None = None
+
+    def after(self, now: float) -> Pace:
+        """Return the pace with one more grant given back."""
+        gap = now - self.last
+        mean = gap if self.gap is None else self.gap + GAP_WEIGHT * (gap - self.gap)
+        return Pace(now, mean)
+
+
 class Lines:
     """The lines before the engines that this router owns."""
 
     def __init__(self, give_back: Callable[[str], None]) -> None:
+        self._pace_by_engine: dict[str, Pace] = {}
         self._line_by_engine: dict[str, Line] = {}
         self._waiter_by_ticket: dict[tuple[str, int], Waiter] = {}
         #: Releases a grant that came too late for its request.
@@ -42,6 +63,8 @@
         self, engine: str, head: RequestHead, full: Full, ask: Callable[[], Verdict]
     ) -> Verdict:
         """Wait until granted; ``full`` is the answer when patience ends or the line is full."""
+        if self._hopeless(engine, head):
+            return full
         line = self._line_by_engine.setdefault(engine, Line(LINE_LIMIT))
         ticket = line.join(head.account, head.priority, head.weight)
         if ticket is None:
@@ -61,6 +84,25 @@
                 self._return_late_grant(engine, turn)
         return verdict
 
+    def gave_back(self, engine: str, now: float) -> None:
+        """Note that a grant was given back, and serve the line."""
+        known = self._pace_by_engine.get(engine, Pace(now))
+        busy = self.waiting(engine) > 0
+        # Only the gaps of an engine that is wanted tell how fast it frees slots.
+        self._pace_by_engine[engine] = known.after(now) if busy else replace(known, last=now)
+        self.serve(engine)
+
+    def _hopeless(self, engine: str, head: RequestHead) -> bool:
+        """Return whether those before a request alone will take longer than it may wait.
+
+        Such a request is refused at once: waiting would end in the same refusal.
+        """
+        pace = self._pace_by_engine.get(engine)
+        line = self._line_by_engine.get(engine)
+        if pace is None or pace.gap is None or line is None:
+            return False
+        return line.before(head.priority) * pace.gap > min(head.patience, head.deadline)
+
     def serve(self, engine: str) -> None:
         """Grant those who wait for an engine, in order, as far as the gate allows."""
         line = self._line_by_engine.get(engine)
--- a/pondhatch/requests/_owner.py
+++ b/pondhatch/requests/_owner.py
@@ -191,7 +191,7 @@
     def _released(self, engine: str) -> None:
         """Give a grant back, and let whoever is next in line have it."""
         self._gate.release(engine)
-        self._lines.serve(engine)
+        self._lines.gave_back(engine, self._clock())
 
     def _note_health(self, engine: str, reply: Opened | NotRun | Unknown) -> None:
         if isinstance(reply, Opened):
--- /dev/null
+++ b/pondhatch/requests/tests/test_lines.py
@@ -0,0 +1,126 @@
+"""Waiting at a full engine: granted, out of patience, pushed out, refused at once."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from dataclasses import replace
+
+from fakes._virtual_loop import run_virtually
+from pondhatch.placement import Full, Granted, Verdict
+from pondhatch.requests import RequestHead
+from pondhatch.requests._lines import LINE_LIMIT, Lines
+
+FULL = Full(2, 2)
+HEAD = RequestHead(
+    "q", "a", "s", "e", 0, "POST", "/", (), True, deadline=10.0, priority=5, patience=1.0
+)
+
+
+class Engine:
+    """A full engine whose slots the test frees."""
+
+    def __init__(self) -> None:
+        self.free = 0
+        self.returned = 0
+        self.lines = Lines(self.give_back)
+
+    def give_back(self, engine: str) -> None:
+        self.returned += 1
+
+    def ask(self) -> Verdict:
+        if self.free == 0:
+            return FULL
+        self.free -= 1
+        return Granted(2, 2)
+
+    def wait(self, head: RequestHead = HEAD) -> asyncio.Task[Verdict]:
+        return asyncio.ensure_future(self.lines.wait("e", head, FULL, self.ask))
+
+    def release(self) -> None:
+        self.free += 1
+        self.lines.gave_back("e", asyncio.get_running_loop().time())
+
+
+class LinesTest(unittest.TestCase):
+    def test_a_freed_slot_goes_to_who_waits(self) -> None:
+        async def main() -> tuple[Verdict, int]:
+            engine = Engine()
+            waiting = engine.wait()
+            await asyncio.sleep(0.1)
+            engine.release()
+            return await waiting, engine.lines.waiting("e")
+
+        self.assertEqual(run_virtually(main()), (Granted(2, 2), 0))
+
+    def test_patience_ends(self) -> None:
+        async def main() -> tuple[Verdict, float]:
+            verdict = await Engine().wait()
+            return verdict, asyncio.get_running_loop().time()
+
+        verdict, at = run_virtually(main())
+        self.assertEqual(verdict, FULL)
+        self.assertAlmostEqual(at, 1.0, places=2)
+
+    def test_a_grant_to_one_who_went_away_is_given_back(self) -> None:
+        async def main() -> int:
+            engine = Engine()
+            waiting = engine.wait()
+            await asyncio.sleep(0.1)
+            engine.release()
+            waiting.cancel()
+            await asyncio.wait([waiting])
+            return engine.returned + engine.free
+
+        self.assertEqual(run_virtually(main()), 1)
+
+    def test_a_full_line_refuses_its_own_kind_and_makes_room_for_the_urgent(self) -> None:
+        async def main() -> tuple[list[Verdict], Verdict]:
+            engine = Engine()
+            waiting = [engine.wait() for _ in range(LINE_LIMIT)]
+            await asyncio.sleep(0.01)
+            refused = await engine.wait()
+            urgent = engine.wait(replace(HEAD, priority=0))
+            await asyncio.sleep(0.01)
+            pushed_out = [task.result() for task in waiting if task.done()]
+            engine.release()
+            return [refused, *pushed_out], await urgent
+
+        refused, urgent = run_virtually(main())
+        self.assertEqual((refused, urgent), ([FULL, FULL], Granted(2, 2)))
+
+    def test_who_cannot_be_served_in_time_is_refused_at_once(self) -> None:
+        async def main() -> tuple[Verdict, float]:
+            engine = Engine()
+            patient = replace(HEAD, patience=9.0)
+            waiting = [engine.wait(patient) for _ in range(6)]
+            for _ in range(4):
+                engine.release()
+                await asyncio.sleep(0.5)
+            waiting.append(engine.wait(patient))
+            await asyncio.sleep(0.01)
+            before = asyncio.get_running_loop().time()
+            verdict = await engine.wait()
+            spent = asyncio.get_running_loop().time() - before
+            await asyncio.gather(*waiting)
+            return verdict, spent
+
+        self.assertEqual(run_virtually(main()), (FULL, 0.0))
+
+    def test_a_long_idle_time_says_nothing_of_an_engines_pace(self) -> None:
+        async def main() -> Verdict:
+            engine = Engine()
+            for pause in (60.0, 60.0, 0.0):
+                engine.release()
+                await asyncio.sleep(pause)
+            engine.free = 0
+            waiting = [engine.wait() for _ in range(3)]
+            await asyncio.sleep(0.01)
+            last = engine.wait()
+            for _ in range(4):
+                await asyncio.sleep(0.1)
+                engine.release()
+            await asyncio.gather(*waiting)
+            return await last
+
+        self.assertEqual(run_virtually(main()), Granted(2, 2))
