Let routers call each other over TLS, both sides with a certificate

Cause: between halls the fleet's token and callers' bodies went in the clear; who read along could have called a router.

Change: with a certificate, its key and the fleet's authority named under `peers`, calls go over TLS and both sides must show a certificate for their IP number. The token is asked for as before; packets stay sealed.

Measured: a fleet of two with TLS towards callers and between routers serves the stock client through both; a call without TLS and one without a certificate fail. The cost of TLS was not measured.

--- a/fakes/_local_fleet.py
+++ b/fakes/_local_fleet.py
@@ -150,7 +150,11 @@
         fetch(f"{self.platform_url}/v1/objects/upstream/{backend.name}", value, "PUT")
 
     def add_routers(
-        self, halls: Sequence[str], callers: dict[str, Any] | None = None, **settings: Any
+        self,
+        halls: Sequence[str],
+        callers: dict[str, Any] | None = None,
+        peer_files: dict[str, Any] | None = None,
+        **settings: Any,
     ) -> None:
         """Start one router for each hall named, and list its VM at the platform."""
         ports = free_ports(3 * len(halls))
@@ -161,7 +165,8 @@
             vm = {"address": f"{HOST}:{peers}", "state": "live"}
             fetch(f"{self.platform_url}/v1/objects/vm/{name}", vm, "PUT")
             endpoint = {"host": HOST, "port": caller_port, **(callers or {})}
-            own = {"callers": endpoint, **settings}
+            peer = {"host": HOST, "port": peers, **(peer_files or {})}
+            own = {"callers": endpoint, "peers": peer, **settings}
             self._start_router(name, hall, (caller_port, peers, admin), seeds, own)
 
     def start_router_during_outage(self, name: str, hall: str, seed: str) -> None:
--- a/fakes/tests/_fleet_case.py
+++ b/fakes/tests/_fleet_case.py
@@ -46,7 +46,7 @@
                 "engine", f"engine-{at}", "scene-language", hall, cls.RESUMES, step=cls.STEP
             )
         cls.fleet.add_backend("plain", "portal-0", "proof-portal", cls.HALLS[0])
-        cls.fleet.add_routers(cls.HALLS, cls.caller_settings(), **cls.SETTINGS)
+        cls.fleet.add_routers(cls.HALLS, cls.caller_settings(), cls.peer_settings(), **cls.SETTINGS)
         applied = cls.fleet.apply(ROOT / "examples/render-desk")
         if applied.returncode != 0:
             raise AssertionError(applied.stderr)
@@ -57,6 +57,11 @@
         """Return more settings of the callers' endpoint."""
         return {}
 
+    @classmethod
+    def peer_settings(cls) -> dict[str, Any]:
+        """Return more settings of the peers' endpoint."""
+        return {}
+
     @property
     def engines(self) -> list[Backend]:
         return [each for each in self.fleet.backends if each.service == "scene-language"]
--- a/fakes/tests/test_callers.py
+++ b/fakes/tests/test_callers.py
@@ -19,7 +19,7 @@
 from cryptography.hazmat.primitives.asymmetric import ec
 from cryptography.x509.oid import NameOID
 from grpclib.client import Channel, UnaryUnaryMethod
-from grpclib.exceptions import GRPCError
+from grpclib.exceptions import GRPCError, StreamTerminatedError
 
 from fakes._local_fleet import HOST, fetch
 from fakes.tests._fleet_case import KEY, FleetCase
@@ -223,10 +223,10 @@
 
 
 class TlsTest(FleetCase):
-    """Callers over TLS, with the stock client."""
+    """Callers over TLS, with the stock client; routers over TLS among themselves."""
 
-    HALLS = ("recife-1",)
-    ENGINES = 1
+    HALLS = ("recife-1", "recife-1")
+    ENGINES = 2
     folder: ClassVar[Path]
 
     @classmethod
@@ -242,18 +242,45 @@
             "private_key": str(cls.folder / "callers.key"),
         }
 
+    @classmethod
+    def peer_settings(cls) -> dict[str, Any]:
+        own = cls.caller_settings()
+        return {**own, "authority": own["certificate"]}
+
+    def test_a_call_between_routers_without_a_certificate_is_refused(self) -> None:
+        from pondhatch.transport import _wire as wire
+
+        async def call(tls: ssl.SSLContext | None) -> None:
+            port = self.fleet.routers[0].peer_port
+            channel = Channel(HOST, port, codec=wire.MessagePackCodec(), ssl=tls)
+            pull = UnaryUnaryMethod(channel, wire.PULL_METHOD, wire.PullRequest, wire.PullReply)
+            try:
+                async with asyncio.timeout(5):
+                    await pull(wire.PullRequest(0, 0))
+            finally:
+                channel.close()
+
+        without = ssl.create_default_context(cafile=str(self.folder / "callers.pem"))
+        for tls in (None, without):
+            with self.assertRaises((OSError, StreamTerminatedError, TimeoutError)):
+                asyncio.run(call(tls))
+
     def test_the_stock_client_over_tls(self) -> None:
         trusted = ssl.create_default_context(cafile=str(self.folder / "callers.pem"))
         http = openai.DefaultHttpxClient(verify=trusted)
         self.addCleanup(http.close)
-        base = f"{self.fleet.routers[0].callers}/v1"
-        self.assertTrue(base.startswith("https://"))
-        client = openai.OpenAI(base_url=base, api_key=KEY, max_retries=0, http_client=http)
-        stream = client.chat.completions.create(
-            model="scene-writer", messages=[{"role": "user", "content": "tls"}], stream=True
-        )
-        text = "".join(part.choices[0].delta.content or "" for part in stream)
-        self.assertTrue(self.whole(text), text)
+        for router in self.fleet.routers:
+            # Whichever router owns an engine, the other one reaches it over both kinds of TLS.
+            base = f"{router.callers}/v1"
+            self.assertTrue(base.startswith("https://"))
+            client = openai.OpenAI(base_url=base, api_key=KEY, max_retries=0, http_client=http)
+            for at in range(4):
+                messages: Any = [{"role": "user", "content": f"tls {at}"}]
+                stream: Any = client.chat.completions.create(
+                    model="scene-writer", messages=messages, stream=True
+                )
+                text = "".join(part.choices[0].delta.content or "" for part in stream)
+                self.assertTrue(self.whole(text), text)
 
 
 if __name__ == "__main__":
--- a/pondhatch/cli/_router_process.py
+++ b/pondhatch/cli/_router_process.py
@@ -40,6 +40,7 @@
     PullRequest,
     RemoteOwner,
     fleet_token,
+    peer_tls,
     poll_loads,
 )
 
@@ -67,6 +68,7 @@
         self._tasks = Tasks()
         fleet_key = load_fleet_key(settings)
         self._token = fleet_token(fleet_key)
+        self._peer_tls = peer_tls(settings.name, settings.peers)
         self._remote_by_name: dict[str, RemoteOwner] = {}
         self._rng = random.Random()
         self.state = self._new_state()
@@ -130,7 +132,8 @@
     async def _listen(self) -> None:
         settings = self._settings
         peers, admin = settings.peers, settings.admin
-        await self._peer_server.start(sock=_listening(peers.host, peers.port))
+        tls = self._peer_tls.server if self._peer_tls is not None else None
+        await self._peer_server.start(sock=_listening(peers.host, peers.port), ssl=tls)
         self._reactor.listenUDP(peers.port, self._gossip_port, interface=peers.host)
         admin_app = Admin(self.state, self._counters)
         self._reactor.listenTCP(admin.port, Site(admin_app.app.resource()), interface=admin.host)
@@ -157,7 +160,8 @@
             return known
         if known is not None:
             known.close()
-        remote = RemoteOwner(member.name, member.address, self._token, self._tasks)
+        tls = self._peer_tls.client if self._peer_tls is not None else None
+        remote = RemoteOwner(member.name, member.address, self._token, self._tasks, tls)
         self._remote_by_name[member.name] = remote
         return remote
 
--- a/pondhatch/configuration/_settings.py
+++ b/pondhatch/configuration/_settings.py
@@ -31,10 +31,19 @@
 @_closed
 @dataclass(frozen=True)
 class PeerEndpoint:
-    """Where other routers reach this one; they are told the port, so it is a fixed one."""
+    """Where other routers reach this one; they are told the port, so it is a fixed one.
+
+    With all three files named, routers' calls go over TLS and both sides show a
+    certificate. Packets over UDP are sealed with the fleet key either way.
+    """
 
     host: Host
     port: Annotated[int, Field(ge=1, le=65535)]
+    #: PEM file with this router's certificate, for its IP number.
+    certificate: str | None = None
+    private_key: str | None = None
+    #: PEM file with the authority that signed all routers' certificates.
+    authority: str | None = None
 
 
 @_closed
@@ -143,6 +152,11 @@
     if (callers.certificate is None) != (callers.private_key is None):
         problem = document.problem(("callers",), "expected both certificate and private_key")
         raise ConfigurationError((problem,))
+    peers = settings.peers
+    files = (peers.certificate, peers.private_key, peers.authority)
+    if any(files) and not all(files):
+        expected = "expected all of certificate, private_key and authority, or none"
+        raise ConfigurationError((document.problem(("peers",), expected),))
 
 
 def _key_problem(settings: Settings, expected: str) -> ConfigurationError:
--- a/pondhatch/configuration/tests/test_files.py
+++ b/pondhatch/configuration/tests/test_files.py
@@ -149,6 +149,7 @@
             ("host: 127.0.0.1, port: 8000", "host: here, port: 1", "callers.host", "match"),
             ("port: 8000", "port: 8000, certificate: a.pem", "callers", "both certificate"),
             ("host: 127.0.0.1, port: 8002", "host: 10.0.0.1", "admin.host", "match"),
+            ("port: 8001", "port: 8001, authority: a.pem", "peers", "all of certificate"),
             ("name: r1", "name: r1\nsurname: x", "surname", "unknown key"),
         ]
         for old, new, field, told in cases:
--- a/pondhatch/transport/__init__.py
+++ b/pondhatch/transport/__init__.py
@@ -6,6 +6,7 @@
 from pondhatch.transport._gossip import GossipPort
 from pondhatch.transport._loads import poll_loads
 from pondhatch.transport._peer_service import PeerService, fleet_token
+from pondhatch.transport._peer_tls import PeerTls, peer_tls
 from pondhatch.transport._platform import HttpPlatform
 from pondhatch.transport._remote_owner import RemoteOwner
 from pondhatch.transport._resolver import install_numeric_resolver
@@ -20,11 +21,13 @@
     "HttpPlatform",
     "HttpUpstreams",
     "PeerService",
+    "PeerTls",
     "PullReply",
     "PullRequest",
     "RemoteOwner",
     "fleet_token",
     "install_numeric_resolver",
+    "peer_tls",
     "poll_loads",
     "readable",
 ]
--- /dev/null
+++ b/pondhatch/transport/_peer_tls.py
@@ -0,0 +1,36 @@
+"""TLS between routers: both sides show a certificate of the fleet's own authority."""
+
+from __future__ import annotations
+
+import ssl
+from dataclasses import dataclass
+
+from pondhatch.configuration import ConfigurationError, PeerEndpoint, Problem
+
+#: What HTTP/2 asks both sides to agree on.
+PROTOCOLS = ["h2"]
+
+
+@dataclass(frozen=True)
+class PeerTls:
+    """Contexts for the side that answers and the side that asks."""
+
+    server: ssl.SSLContext
+    client: ssl.SSLContext
+
+
+def peer_tls(router: str, peers: PeerEndpoint) -> PeerTls | None:
+    """Return the contexts, or None where no files are named. Raises ConfigurationError."""
+    if peers.certificate is None or peers.private_key is None or peers.authority is None:
+        return None
+    try:
+        server = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH, cafile=peers.authority)
+        client = ssl.create_default_context(ssl.Purpose.SERVER_AUTH, cafile=peers.authority)
+        for context in (server, client):
+            context.load_cert_chain(peers.certificate, peers.private_key)
+            context.set_alpn_protocols(PROTOCOLS)
+    except OSError as error:
+        problem = Problem(router, 0, "peers", f"expected readable PEM files, {error}")
+        raise ConfigurationError((problem,)) from error
+    server.verify_mode = ssl.CERT_REQUIRED
+    return PeerTls(server, client)
