--- a/pondhatch/requests/_entry.py
+++ b/pondhatch/requests/_entry.py
@@ -29,7 +29,7 @@
 RESUME_FROM_HEADER = "X-Resume-From"
 OK = 200
 #: Refusals for which nothing was sent anywhere: going on is no retry.
-PASSED_OVER = frozenset({"upstream-leaving", "upstream-down"})
+PASSED_OVER = frozenset({"upstream-leaving", "upstream-down", "router-unreachable"})
 
 
 class EntryView(Protocol):
