--- a/bench/_memory.py
+++ b/bench/_memory.py
@@ -10,26 +10,12 @@
 from typing import Any
 
 from bench._measures import Measure
+from fakes._entries import SERVICE, TEMPLATE
 from pondhatch.configuration import Change, Edit, Fleet
 from pondhatch.membership import Alive, Gossip, MembershipLimits, Phase, short_id
 from pondhatch.placement import SpillMemory
 from pondhatch.platform import Upstream, UpstreamList
 
-SERVICE = Edit("service", "lang", {"kind": "model", "models": ["writer"]})
-TEMPLATE = Edit(
-    "template",
-    "studio",
-    {
-        "parameters": {"rate": {"type": "number"}},
-        "account": {
-            "services": ["lang"],
-            "requests_per_second": "$rate",
-            "burst": 10,
-            "concurrency": 10,
-        },
-    },
-)
-
 
 def account_edits(count: int) -> tuple[Edit, ...]:
     """Return so many accounts, each with a key and a rate of its own."""
--- a/pondhatch/cli/_main.py
+++ b/pondhatch/cli/_main.py
@@ -17,7 +17,6 @@
 from pondhatch.configuration import ConfigurationError
 
 EXIT_INPUT = 1
-EXIT_USAGE = 2
 
 
 def main(argv: Sequence[str] | None = None) -> int:
--- a/pondhatch/cli/_router_process.py
+++ b/pondhatch/cli/_router_process.py
@@ -49,6 +49,8 @@
 #: Seconds from one telling of something new to the next: each reaches four random peers,
 #: and with one alone about two in a hundred routers would have to wait for a ping.
 RETELL_PAUSES = (0.1, 0.2)
+#: Seconds between two tellings of levels to statsd.
+LEVEL_SECONDS = 5.0
 #: Connections of peers that may wait to be accepted.
 PEER_BACKLOG = 128
 #: Seconds between rounds of what is due.
@@ -86,7 +88,8 @@
         self._gossip_port = GossipPort(Seal(fleet_key), self._receive)
         self._platform = HttpPlatform(settings.platform)
         self._sync = Sync(self.state, self._platform, self._pull, self._spread, self._rng)
-        self._callers = Callers(self.state, settings.limits, self._metrics(), self._tasks)
+        self._metrics = self._new_metrics()
+        self._callers = Callers(self.state, settings.limits, self._metrics, self._tasks)
         self._peer_service = PeerService(self._owner, self._answer_pull, self._token)
         self._peer_server: Server = self._peer_service.server()
         self._started = time.monotonic()
@@ -103,6 +106,7 @@
         self._tasks.start(self._rounds())
         self._tasks.start(self._sync.run())
         self._tasks.start(poll_loads(self.state))
+        self._tasks.start(self._tell_levels())
         log.info("Router {} serves hall {}.", self._settings.name, self._settings.hall)
         await stop.wait()
         await self._drain()
@@ -122,7 +126,7 @@
         gossip = Gossip(own, MembershipLimits(), self._rng, seeds)
         return RouterState(settings.name, settings.hall, gossip, time.monotonic, self._connect)
 
-    def _metrics(self) -> Metrics:
+    def _new_metrics(self) -> Metrics:
         statsd = self._settings.statsd
         if statsd is None:
             return NoMetrics()
@@ -214,6 +218,21 @@
             self._gossip_port.send(self.state.limits.tick(now))
             await asyncio.sleep(ROUND_SECONDS)
 
+    async def _tell_levels(self) -> None:
+        while True:
+            await asyncio.sleep(LEVEL_SECONDS)
+            levels = {
+                "routers.known": len(self.state.members()),
+                "requests.in_flight": self._callers.in_flight,
+                "configuration.version": self.state.fleet.version,
+                "upstreams.owned": len(self.state.owned()),
+                "chats.spilled": len(self.state.memory.engine_by_chat),
+                "control.bytes_sent": self._gossip_port.bytes_sent,
+                "control.bytes_received": self._gossip_port.bytes_received,
+            }
+            for name, level in levels.items():
+                self._metrics.gauge(name, level)
+
     # -- stopping ---------------------------------------------------------------
 
     async def _drain(self) -> None:
--- a/pondhatch/configuration/__init__.py
+++ b/pondhatch/configuration/__init__.py
@@ -22,7 +22,6 @@
     Unresolved,
     publish,
     read_fleet,
-    rebased,
     write_snapshot,
 )
 from pondhatch.configuration._schema import (
@@ -90,6 +89,5 @@
     "publish",
     "read_files",
     "read_fleet",
-    "rebased",
     "write_snapshot",
 ]
--- a/pondhatch/configuration/_publishing.py
+++ b/pondhatch/configuration/_publishing.py
@@ -147,11 +147,6 @@
     return await _move_pointer(platform, pointer)
 
 
-def rebased(change: Change, fleet: Fleet, edits: tuple[Edit, ...]) -> Change:
-    """Return a change that follows the given configuration."""
-    return msgspec.structs.replace(change, version=fleet.version + 1, edits=edits)
-
-
 async def _move_pointer(platform: Platform, pointer: SnapshotPointer) -> bool:
     value: Any = msgspec.to_builtins(pointer)
     found = await platform.get(SNAPSHOT_KIND, LATEST)
--- a/pondhatch/configuration/tests/test_fleet.py
+++ b/pondhatch/configuration/tests/test_fleet.py
@@ -5,23 +5,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from fakes._entries import SERVICE, TEMPLATE
 from pondhatch.configuration import Change, Edit, Fleet, Gap, Rejected
 
-SERVICE = Edit("service", "lang", {"kind": "model", "models": ["writer"]})
-TEMPLATE = Edit(
-    "template",
-    "studio",
-    {
-        "parameters": {"rate": {"type": "number"}},
-        "account": {
-            "services": ["lang"],
-            "requests_per_second": "$rate",
-            "burst": 1,
-            "concurrency": 1,
-        },
-    },
-)
-
 
 def account(name: str, rate: float = 1.0, key: str = "") -> Edit:
     hashed = (key or name).encode().hex().ljust(64, "0")[:64]
--- a/pondhatch/configuration/tests/test_publishing.py
+++ b/pondhatch/configuration/tests/test_publishing.py
@@ -8,6 +8,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from fakes._entries import SERVICE, TEMPLATE
 from fakes._platform_in_memory import PlatformInMemory
 from pondhatch.configuration import (
     Beaten,
@@ -20,7 +21,7 @@
     read_fleet,
     write_snapshot,
 )
-from pondhatch.configuration.tests.test_fleet import SERVICE, TEMPLATE, account
+from pondhatch.configuration.tests.test_fleet import account
 from pondhatch.platform import Unavailable
 
 
--- a/pondhatch/router/_dump.py
+++ b/pondhatch/router/_dump.py
@@ -10,7 +10,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any, Protocol
+from typing import Any, Protocol, cast
 
 import msgspec
 
@@ -173,7 +173,7 @@
     views = {RouterState: state, Counters: Counters(counters)}
     dump: Dump = {}
     for name in REGISTRY.names(SECTION_KIND):
-        section: Any = REGISTRY.build(SECTION_KIND, name, views)
+        section = cast(Section, REGISTRY.build(SECTION_KIND, name, views))
         dump.update(section.content())
     return dump
 
--- a/pondhatch/router/tests/test_sync.py
+++ b/pondhatch/router/tests/test_sync.py
@@ -8,9 +8,10 @@
 
 import msgspec
 
+from fakes._entries import SERVICE, TEMPLATE
 from fakes._platform_in_memory import PlatformInMemory
 from pondhatch.configuration import Change, Edit, Fleet, Gap, Rejected, Update, publish
-from pondhatch.configuration.tests.test_fleet import SERVICE, TEMPLATE, account, change
+from pondhatch.configuration.tests.test_fleet import account, change
 from pondhatch.membership import Alive, Gossip, Member, MembershipLimits, Phase, short_id
 from pondhatch.platform import Upstream, UpstreamEntry, UpstreamUpdate, WatchEvent
 from pondhatch.requests import BodySource, Claim, KeyRecord, NotOwner, OwnerReply, RequestHead
