Make a request's head a wire message, which it is

Cause: copying the head with a few fields changed took some 20 us of a placement; dataclasses.replace goes through all 22 fields in Python.

Change: RequestHead is a msgspec struct, like all that travels between routers; its copies are made in C.

Ruled out: ranking only the first two engines instead of sorting all; it would save some 20 us of 154 and complicate the plan, while 23 placements a second cost 0.4% of a core.

--- a/pondhatch/requests/_entry.py
+++ b/pondhatch/requests/_entry.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from typing import Protocol
 
+import msgspec
+
 from pondhatch.limits import RetryBudget
 from pondhatch.placement import Ask, Exhausted, Plan
 from pondhatch.requests._messages import (
@@ -144,7 +146,7 @@
             (RESUME_FROM_HEADER, str(events)),
         )
         self._asks += 1
-        head = replace(
+        head = msgspec.structs.replace(
             self._head,
             engine=engine,
             insist=True,
@@ -166,7 +168,7 @@
     async def _ask(self, ask: Ask) -> Placed | Refused | None:
         """Ask one engine's owner; None means that the walk goes on."""
         self._asks += 1
-        head = replace(
+        head = msgspec.structs.replace(
             self._head,
             engine=ask.engine,
             home=ask.engine == self.plan.home,
--- a/pondhatch/requests/_messages.py
+++ b/pondhatch/requests/_messages.py
@@ -5,14 +5,15 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
+import msgspec
+
 from pondhatch.requests._outcomes import Broken, NotRun, Unknown
 
 Headers = tuple[tuple[str, str], ...]
 
 
-@dataclass(frozen=True)
-class RequestHead:
-    """What an owner must know of a request before its body."""
+class RequestHead(msgspec.Struct, frozen=True):
+    """What an owner must know of a request before its body; travels between routers."""
 
     #: Unique to one caller's request; an answer must carry it to be taken.
     request_id: str
--- a/pondhatch/requests/tests/test_lines.py
+++ b/pondhatch/requests/tests/test_lines.py
@@ -4,7 +4,8 @@
 
 import asyncio
 import unittest
-from dataclasses import replace
+
+import msgspec
 
 from fakes._virtual_loop import run_virtually
 from pondhatch.placement import Full, Granted, Verdict
@@ -80,7 +81,7 @@
             waiting = [engine.wait() for _ in range(LINE_LIMIT)]
             await asyncio.sleep(0.01)
             refused = await engine.wait()
-            urgent = engine.wait(replace(HEAD, priority=0))
+            urgent = engine.wait(msgspec.structs.replace(HEAD, priority=0))
             await asyncio.sleep(0.01)
             pushed_out = [task.result() for task in waiting if task.done()]
             engine.release()
@@ -92,7 +93,7 @@
     def test_who_cannot_be_served_in_time_is_refused_at_once(self) -> None:
         async def main() -> tuple[Verdict, float]:
             engine = Engine()
-            patient = replace(HEAD, patience=9.0)
+            patient = msgspec.structs.replace(HEAD, patience=9.0)
             waiting = [engine.wait(patient) for _ in range(6)]
             for _ in range(4):
                 engine.release()
--- a/pondhatch/transport/_callers.py
+++ b/pondhatch/transport/_callers.py
@@ -5,7 +5,6 @@
 import time
 import uuid
 from collections.abc import Awaitable, Callable
-from dataclasses import replace
 from typing import Any
 
 import msgspec
@@ -104,7 +103,9 @@
         if isinstance(admitted, NotRun):
             return admitted
         head = _head(request, account, admitted, CHAT_PATH)
-        head = replace(head, chat=chat.chat, repeatable=True, returning=chat.returning)
+        head = msgspec.structs.replace(
+            head, chat=chat.chat, repeatable=True, returning=chat.returning
+        )
         context_wait = admitted.context_wait if chat.returning else 0.0
         patience = Patience(context_wait, admitted.queue_wait)
         return Work(account, admitted, head, ReplayableBody(body), patience)
@@ -117,7 +118,7 @@
             return admitted
         spec = self._state.fleet.service_by_name[admitted.service]
         head = _head(request, account, admitted, path)
-        head = replace(head, repeatable=head.method in spec.repeatable_methods)
+        head = msgspec.structs.replace(head, repeatable=head.method in spec.repeatable_methods)
         body = request.body()
         replayable = ReplayableBody(b"") if body.length == 0 else body
         patience = Patience(0.0, admitted.queue_wait)
