Test an operator's word on leaving, and two stops at once

Cause: both stood in docs/PROOFS.md as not proved.

The test of one stop is replaced by that of two, which is stricter.

--- a/fakes/tests/test_faults.py
+++ b/fakes/tests/test_faults.py
@@ -10,7 +10,7 @@
 
 import openai
 
-from fakes._local_fleet import fetch
+from fakes._local_fleet import ROOT, fetch
 from fakes.tests._fleet_case import FleetCase
 
 
@@ -221,6 +221,19 @@
         self.engines[1].arm("leaving", count=0)
         self.eventually(lambda: self.takes_work_again(1), 15)
 
+    def test_by_an_operators_word(self) -> None:
+        text = (ROOT / "examples/render-desk/fleet.yaml").read_text()
+        changed = self.fleet.folder / "fleet.yaml"
+        for leaving in ("[engine-2]", "[]"):
+            changed.write_text(
+                text.replace("deadline: 120", f"deadline: 120\n    leaving: {leaving}")
+            )
+            applied = self.fleet.apply(changed)
+            self.assertEqual(applied.returncode, 0, applied.stderr)
+            if leaving != "[]":
+                self.assert_gets_no_work(2)
+        self.eventually(lambda: self.takes_work_again(2))
+
     def takes_work_again(self, engine: int) -> bool:
         before = len(self.runs(self.engines[engine]))
         for at in range(20):
@@ -233,7 +246,7 @@
 
     HALLS = ("recife-1", "recife-1", "recife-2")
 
-    def test_a_stopping_router_finishes_its_streams_and_exits_0(self) -> None:
+    def test_two_routers_that_stop_at_once_finish_their_streams_and_exit_0(self) -> None:
         texts: list[str] = []
         callers = [
             threading.Thread(
@@ -244,8 +257,10 @@
         for caller in callers:
             caller.start()
         time.sleep(0.7)
-        router = self.fleet.routers[0]
-        self.assertEqual(self.fleet.stop(router.process), 0)
+        for router in self.fleet.routers[:2]:
+            router.process.send_signal(signal.SIGTERM)
+        codes = [self.fleet.stop(router.process) for router in self.fleet.routers[:2]]
+        self.assertEqual(codes, [0, 0])
         for caller in callers:
             caller.join(30)
         self.assertEqual(len(texts), 12)
