Tell twisted nothing after a stopped body; take ports nobody else takes

A body producer that was stopped told its connection of its own cancellation, which twisted forbids. Cause 2: a run on a busy machine failed with "Address already in use": a fleet's ports were free ones of the range from which every outgoing connection takes its own, and one was taken before the router listened.

Change: the producer's deferred fires only for its own end or failure. Fleets listen on ports below that range, free for TCP and UDP, starting at a place of each process's own.

Ruled out for 2: port 0, since peers must be told the port in their settings before anybody listens.

--- a/fakes/_local_fleet.py
+++ b/fakes/_local_fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import json
 import os
 import signal
@@ -12,7 +13,7 @@
 import time
 import urllib.error
 import urllib.request
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 from types import TracebackType
@@ -22,21 +23,46 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 HOST = "127.0.0.1"
+#: Ports that a fleet listens on, below those of outgoing connections.
+LISTENING_PORTS = range(10_000, 32_000)
+#: Distance of two processes' first ports, so that fleets side by side stay apart.
+PORTS_APART = 211
 #: Seconds for a process to start or a fleet to agree.
 PATIENCE = 60.0
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports that were free a moment ago, for TCP and UDP alike."""
-    sockets = []
-    for _ in range(count):
-        bound = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        bound.bind((HOST, 0))
-        sockets.append(bound)
-    ports = [bound.getsockname()[1] for bound in sockets]
-    for bound in sockets:
-        bound.close()
-    return ports
+    """Return ports that are free for TCP and UDP alike.
+
+    They lie below the range that outgoing connections take theirs from, so that none
+    of these takes one between here and the process that is to listen.
+    """
+    found: list[int] = []
+    while len(found) < count:
+        port = next(_candidates)
+        if _is_free(port):
+            found.append(port)
+    return found
+
+
+def _is_free(port: int) -> bool:
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(socket.AF_INET, kind) as trial:
+            try:
+                trial.bind((HOST, port))
+            except OSError:
+                return False
+    return True
+
+
+def _all_candidates() -> Iterator[int]:
+    """Yield ports for ever, starting at a place of this process's own."""
+    span = LISTENING_PORTS.stop - LISTENING_PORTS.start
+    for step in itertools.count(os.getpid() * PORTS_APART):
+        yield LISTENING_PORTS.start + step % span
+
+
+_candidates = _all_candidates()
 
 
 def fetch(url: str, body: Any | None = None, method: str | None = None) -> Any:
--- a/pondhatch/transport/_upstreams.py
+++ b/pondhatch/transport/_upstreams.py
@@ -81,10 +81,11 @@
         self._flowing = asyncio.Event()
         self._flowing.set()
         self._task: asyncio.Task[None] | None = None
+        self._ended: Deferred[None] = Deferred()
 
     def startProducing(self, consumer: Any) -> Deferred[None]:
-        self._task = asyncio.ensure_future(self._pump(consumer))
-        return Deferred.fromFuture(self._task)
+        self._task = asyncio.ensure_future(self._run(consumer))
+        return self._ended
 
     def pauseProducing(self) -> None:
         self._flowing.clear()
@@ -96,6 +97,15 @@
         if self._task is not None:
             self._task.cancel()
 
+    async def _run(self, consumer: Any) -> None:
+        """Pump and tell the connection; once stopped, it must not be told."""
+        try:
+            await self._pump(consumer)
+        except Exception:
+            self._ended.errback(Failure())
+        else:
+            self._ended.callback(None)
+
     async def _pump(self, consumer: Any) -> None:
         left = self._body.length
         while left != 0 and (part := await self._body.read()):
--- a/pondhatch/transport/tests/test_upstreams.py
+++ b/pondhatch/transport/tests/test_upstreams.py
@@ -1,7 +1,11 @@
 from __future__ import annotations
 
+import asyncio
 import unittest
 
+from twisted.python.failure import Failure
+
+from pondhatch.requests import CallerGone
 from pondhatch.transport._upstreams import _BodyProducer
 
 
@@ -33,3 +37,38 @@
         consumer = Consumer()
         await _BodyProducer(Body())._pump(consumer)
         self.assertEqual(consumer.written, b"abcabc")
+
+    async def test_after_a_stop_its_deferred_never_fires(self) -> None:
+        producer = _BodyProducer(Stalled())
+        fired: list[object] = []
+        producer.startProducing(Consumer()).addBoth(fired.append)
+        await asyncio.sleep(0)
+        producer.stopProducing()
+        await asyncio.sleep(0.01)
+        self.assertEqual(fired, [])
+
+    async def test_a_lost_sender_fails_it(self) -> None:
+        producer = _BodyProducer(Lost())
+        fired: list[object] = []
+        producer.startProducing(Consumer()).addBoth(fired.append)
+        await asyncio.sleep(0.01)
+        self.assertIsInstance(fired[0], Failure)
+
+
+class Stalled:
+    """A body whose sender stands still."""
+
+    length: int | None = 6
+
+    async def read(self) -> bytes:
+        await asyncio.sleep(60)
+        return b""
+
+
+class Lost:
+    """A body whose sender is lost."""
+
+    length: int | None = 6
+
+    async def read(self) -> bytes:
+        raise CallerGone("gone")
