Keep exit code 0 when a stop signal comes again

The test sent SIGTERM a second time, and it fell into the moment after the loop had given the signal back to the system, whose answer is to kill.

Change: once drained, a router ignores the signals that asked it to stop. A test sends one every 2 ms until the router is gone; the drain test sends each signal once.

--- a/fakes/tests/test_faults.py
+++ b/fakes/tests/test_faults.py
@@ -259,7 +259,7 @@
         time.sleep(0.7)
         for router in self.fleet.routers[:2]:
             router.process.send_signal(signal.SIGTERM)
-        codes = [self.fleet.stop(router.process) for router in self.fleet.routers[:2]]
+        codes = [router.process.wait(60) for router in self.fleet.routers[:2]]
         self.assertEqual(codes, [0, 0])
         for caller in callers:
             caller.join(30)
@@ -267,5 +267,19 @@
         self.assertTrue(all(self.whole(text, 300) for text in texts))
 
 
+class StopSignalTest(FleetCase):
+    """One router, asked to stop more than once."""
+
+    HALLS = ("recife-1",)
+    ENGINES = 1
+
+    def test_signals_that_come_again_do_not_spoil_the_exit_code(self) -> None:
+        process = self.fleet.routers[0].process
+        while process.poll() is None:
+            process.send_signal(signal.SIGTERM)
+            time.sleep(0.002)
+        self.assertEqual(process.returncode, 0)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/pondhatch/cli/_router_process.py
+++ b/pondhatch/cli/_router_process.py
@@ -51,6 +51,8 @@
 RETELL_PAUSES = (0.1, 0.2)
 #: Seconds between two tellings of levels to statsd.
 LEVEL_SECONDS = 5.0
+#: Signals that ask a router to stop.
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 #: Connections of peers that may wait to be accepted.
 PEER_BACKLOG = 128
 #: Seconds between rounds of what is due.
@@ -99,7 +101,7 @@
         """Serve until a signal asks to stop, then drain."""
         stop = asyncio.Event()
         loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
+        for number in STOP_SIGNALS:
             loop.add_signal_handler(number, stop.set)
         await self._listen()
         self.state.refresh()
@@ -110,6 +112,10 @@
         log.info("Router {} serves hall {}.", self._settings.name, self._settings.hall)
         await stop.wait()
         await self._drain()
+        for number in STOP_SIGNALS:
+            # From here on the loop no longer listens: a signal that comes again would kill.
+            loop.remove_signal_handler(number)
+            signal.signal(number, signal.SIG_IGN)
 
     def _new_state(self) -> RouterState:
         settings = self._settings
