Take uvloop out again: it calls io_uring

A new test that looks at a router's open files failed.

Change: asyncio's own loop under twisted's reactor, as before uvloop.

Ruled out: UV_USE_IO_URING=0, set before the loop is made or before the process starts: strace still showed the call.

The figures of idle processor and memory in docs/CAPACITY.md are those under uvloop.

--- a/fakes/tests/test_whole_path.py
+++ b/fakes/tests/test_whole_path.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import unittest
 import urllib.error
 import urllib.request
@@ -112,6 +113,11 @@
             children = tasks / str(router.process.pid) / "children"
             self.assertEqual(children.read_text(), "")
 
+    def test_a_router_uses_no_io_uring(self) -> None:
+        for router in self.fleet.routers:
+            opened = Path(f"/proc/{router.process.pid}/fd").iterdir()
+            self.assertFalse([fd for fd in opened if "io_uring" in os.readlink(fd)])
+
     def test_the_dump_explains_decisions_and_names_no_key(self) -> None:
         self.fetch("/proofs/explained")
         admin = self.fleet.routers[0].admin
--- a/pondhatch/kernel/_loop.py
+++ b/pondhatch/kernel/_loop.py
@@ -7,7 +7,6 @@
 from collections.abc import Coroutine
 from typing import Any, TypeVar
 
-import uvloop
 from twisted.internet import asyncioreactor
 from twisted.internet.defer import Deferred
 
@@ -18,7 +17,7 @@
     """Install the asyncio reactor; to be called before any import of the reactor."""
     if "twisted.internet.reactor" in sys.modules:
         return asyncio.get_event_loop()
-    loop = uvloop.new_event_loop()
+    loop = asyncio.new_event_loop()
     asyncio.set_event_loop(loop)
     asyncioreactor.install(loop)
     return loop
