Give orders to engines under a lease with fencing numbers

Change: a service's configuration may say what its engines are to hold (model, version, adapters, role); orders are absolute, so that repeating one is safe. One router, which rendezvous hashing names, holds the service's lease, an object at the platform that it rewrites by conditional update; each new holder raises the fencing number in the write that makes it the holder. Nobody compares clocks: a holder counts from before the call that renewed the lease, a candidate from after the read that showed the renewal. An order is begun only if it ends within the lease. A lost answer is resolved by reading back the own nonce. Engines that ignore numbers are left alone for 4 s after an emergency. A planned change of holder is told from an emergency, after Vitess's reparenting. An engine's higher number is taken up, so that a lease that was deleted heals. The dump tells who orders what.

Ruled out: a lease a router (470 renewals every 3 s); a lease for all services (one slow engine list would hold up all); asking engines by their owners, who are not the holder.

Conclusion: an engine that ignores numbers can obey a holder that slept over its lease between its look and its sending, if it slept over 5 s; a test shows it. No one can promise more there.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -8,10 +8,12 @@
 import sys
 from collections.abc import Callable, Iterable
 
+from bench._authority import measure_authority
 from bench._connections import measure_connections
 from bench._decisions import measure_decisions
 from bench._fleet_size import measure_engine_counts, measure_fleet_sizes
 from bench._gossip import measure_gossip
+from bench._grants import measure_grants
 from bench._measures import Measure
 from bench._memory import measure_memory
 from bench._placement import measure_placement
@@ -24,8 +26,10 @@
     "connections": measure_connections,
     "placement": measure_placement,
     "retries": measure_retries,
+    "authority": measure_authority,
     "gossip": measure_gossip,
     "relay": measure_relay,
+    "grants": measure_grants,
     "engines": measure_engine_counts,
     "fleet": measure_fleet_sizes,
 }
--- a/bench/_relay.py
+++ b/bench/_relay.py
@@ -67,7 +67,7 @@
     return chunk, at_none / STREAMS, sorted(firsts)[len(firsts) // 2]
 
 
-def _far_router(fleet: LocalFleet) -> Router:
+def far_router(fleet: LocalFleet) -> Router:
     """Return the router that does not own the engine."""
     state = fleet.routers[0].state()
     owner = next(each["owner"] for each in state["upstreams"] if each["name"] == "engine-0")
@@ -91,7 +91,7 @@
             fleet.add_routers(["recife-1", "recife-1"])
             fleet.apply(ROOT / "bench/fleet.yaml")
             fleet.await_agreement(1)
-            far = _far_router(fleet)
+            far = far_router(fleet)
             near = next(router for router in fleet.routers if router is not far)
             direct = _cost(engine.url, [os.getpid()])
             baseline = _cost(f"http://127.0.0.1:{line.split()[1]}", [bare.pid])
--- a/fakes/__main__.py
+++ b/fakes/__main__.py
@@ -10,7 +10,13 @@
 
 
 def engine(
-    *, name: str, port: int = 0, slots: int = 8, step: float = 0.005, cache_tokens: int = 50_000
+    *,
+    name: str,
+    port: int = 0,
+    slots: int = 8,
+    step: float = 0.005,
+    cache_tokens: int = 50_000,
+    checks_fencing: bool = False,
 ) -> None:
     """Run a model engine.
 
@@ -19,11 +25,18 @@
     :param slots: requests that run at once
     :param step: seconds between two tokens of one request
     :param cache_tokens: size of the prefix cache
+    :param checks_fencing: refuse orders with an old fencing number
     """
     install_reactor()
     from fakes._engine import Engine, EngineSettings
 
-    settings = EngineSettings(name, slots=slots, step=step, cache_tokens=cache_tokens)
+    settings = EngineSettings(
+        name,
+        slots=slots,
+        step=step,
+        cache_tokens=cache_tokens,
+        checks_fencing=checks_fencing,
+    )
     _listen(Engine(settings).app, port)
 
 
--- a/fakes/_engine.py
+++ b/fakes/_engine.py
@@ -22,6 +22,7 @@
 from twisted.internet.defer import Deferred
 
 from fakes._faults import Faults
+from fakes._orders import OrderBook, serve_orders
 from fakes._prefix_cache import PrefixCache, tokens_of
 from pondhatch.kernel import as_deferred
 
@@ -49,6 +50,7 @@
     report_lag: float = 0.5
     #: Every how many cache events one is lost.
     event_gap: int = 10
+    checks_fencing: bool = False
 
 
 @dataclass
@@ -83,6 +85,7 @@
         self._queue: list[Waiting] = []
         self._arrivals = 0
         self._cache = PrefixCache(settings.cache_tokens)
+        self.book = OrderBook(settings.checks_fencing)
         self._loads: deque[tuple[float, int, int]] = deque(maxlen=1000)
         self._events: list[dict[str, Any]] = []
         self._route()
@@ -107,6 +110,7 @@
         def runs(request: Any) -> bytes:
             return json.dumps([vars(run) for run in self.runs]).encode()
 
+        serve_orders(self.app, self.book, self.faults)
         self.faults.route(self.app)
 
     async def _chat(self, request: Any) -> None:
--- a/fakes/_local_fleet.py
+++ b/fakes/_local_fleet.py
@@ -104,12 +104,19 @@
     hall: str
     process: subprocess.Popen[bytes]
     resumes: bool = False
+    checks_fencing: bool = False
 
     def arm(self, fault: str, count: int = 1, seconds: float = 0.0) -> None:
         """Tell the stand-in to fail."""
         fetch(f"{self.url}/faults", {"name": fault, "count": count, "seconds": seconds})
 
 
+def _flag(key: str, value: Any) -> str:
+    """Return an option of the command line."""
+    name = f"--{key.replace('_', '-')}"
+    return name if value is True else f"{name}={value}"
+
+
 @dataclass
 class LocalFleet:
     """Starts processes and ends those it started."""
@@ -156,9 +163,10 @@
         self, kind: str, name: str, service: str, hall: str, resumes: bool = False, **options: Any
     ) -> Backend:
         """Start an engine or a plain service and list it at the platform."""
-        flags = [f"--{key.replace('_', '-')}={value}" for key, value in options.items()]
+        flags = [_flag(key, value) for key, value in options.items()]
         url, process = self._stand_in(kind, f"--name={name}", *flags)
-        backend = Backend(name, service, url, hall, process, resumes)
+        checks_fencing = bool(options.get("checks_fencing", False))
+        backend = Backend(name, service, url, hall, process, resumes, checks_fencing)
         self.backends.append(backend)
         self.list_upstream(backend, "live")
         return backend
@@ -172,6 +180,7 @@
             "hall": backend.hall,
             "state": state,
             "resumes": backend.resumes,
+            "checks_fencing": backend.checks_fencing,
         }
         fetch(f"{self.platform_url}/v1/objects/upstream/{backend.name}", value, "PUT")
 
--- /dev/null
+++ b/fakes/_orders.py
@@ -0,0 +1,88 @@
+"""Orders to a stand-in engine: what it holds, and who ordered what under which number.
+
+Faults: ``order-lost`` (the order is carried out, its answer is lost), ``order-refused``
+(503, nothing done).
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+from klein import Klein
+from twisted.internet.defer import Deferred
+
+from fakes._faults import Faults
+from pondhatch.authority import EngineState, NotTaken, OldNumber, Taken, Wanted
+from pondhatch.kernel import as_deferred
+
+
+class Order(msgspec.Struct, frozen=True):
+    """One order as it took effect."""
+
+    fencing: int
+    wanted: Wanted
+    at: float
+
+
+@dataclass
+class OrderBook:
+    """An engine's side of orders, without I/O."""
+
+    #: Whether it refuses an old fencing number, or ignores it.
+    checks_fencing: bool
+    #: Seconds that an order takes.
+    load_seconds: float = 0.1
+    state: EngineState = field(default_factory=lambda: EngineState(None))
+    orders: list[Order] = field(default_factory=list)
+    _busy_until: float = 0.0
+
+    def told(self, now: float) -> EngineState:
+        """Return what the engine says of itself."""
+        return msgspec.structs.replace(self.state, busy=now < self._busy_until)
+
+    def take(self, wanted: Wanted, fencing: int, now: float) -> Taken | OldNumber | NotTaken:
+        """Carry an order out, or refuse it."""
+        if self.checks_fencing and fencing < self.state.fencing:
+            return OldNumber(self.state.fencing)
+        seen = max(fencing, self.state.fencing) if self.checks_fencing else 0
+        self.state = EngineState(wanted, fencing=seen)
+        self._busy_until = now + self.load_seconds
+        self.orders.append(Order(fencing, wanted, now))
+        return Taken()
+
+
+def serve_orders(app: Klein, book: OrderBook, faults: Faults) -> None:
+    """Serve ``/orders``, and ``/orders/log`` for tests."""
+
+    @app.route("/orders", methods=["GET"])
+    def state(request: Any) -> bytes:
+        return msgspec.json.encode(book.told(time.monotonic()))
+
+    @app.route("/orders/log")
+    def log(request: Any) -> bytes:
+        return msgspec.json.encode(book.orders)
+
+    @app.route("/orders", methods=["PUT"])
+    def order(request: Any) -> Deferred[bytes | None]:
+        return as_deferred(_order(request, book, faults))
+
+
+async def _order(request: Any, book: OrderBook, faults: Faults) -> bytes:
+    told = msgspec.json.decode(request.content.read())
+    if faults.strike("order-refused"):
+        request.setResponseCode(503)
+        return b""
+    wanted = msgspec.convert(told["wanted"], Wanted)
+    outcome = book.take(wanted, told["fencing"], time.monotonic())
+    if faults.strike("order-lost"):
+        request.channel.forceAbortClient()
+        await asyncio.sleep(0)
+        return b""
+    if isinstance(outcome, OldNumber):
+        request.setResponseCode(409)
+        return msgspec.json.encode({"highest": outcome.highest})
+    return b"{}"
--- /dev/null
+++ b/pondhatch/authority/_orderer.py
@@ -0,0 +1,214 @@
+"""Keeps the engines of one service at what the configuration wants, under the lease."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+import msgspec
+
+from pondhatch.authority._engine import (
+    EngineOrders,
+    EngineState,
+    OldNumber,
+    OrderOutcome,
+    Reported,
+    Taken,
+    Wanted,
+)
+from pondhatch.authority._lease import LEASE_KIND, LeaseKeeper, Read
+from pondhatch.authority._orders import Due, due_orders, wanted_by_engine
+from pondhatch.configuration import OrdersSpec
+from pondhatch.observing import log_for
+from pondhatch.platform import Platform, Upstream
+
+log = log_for("authority")
+
+#: Seconds between two questions to engines, while some differ from what is wanted and
+#: while none does.
+BUSY_CHECK_SECONDS = 1.0
+CALM_CHECK_SECONDS = 60.0
+#: Orders kept for the state dump.
+KEPT_ORDERS = 20
+#: Seconds between two rounds.
+ROUND_SECONDS = 0.25
+
+Sleep = Callable[[float], Awaitable[None]]
+
+
+class OrdererView(Protocol):
+    """What an orderer reads of the router's state."""
+
+    def wants_to_order(self, service: str) -> bool:
+        """Return whether this router is the one that should hold the service's lease."""
+
+    def orders_of(self, service: str) -> OrdersSpec | None:
+        """Return what the service's engines are to hold, or None where nobody said."""
+
+    def engines_of(self, service: str) -> tuple[Upstream, ...]:
+        """Return the service's engines, those that leave left out."""
+
+
+@dataclass(frozen=True)
+class OrdererStatus:
+    """What a state dump tells of an orderer."""
+
+    service: str
+    holder: str | None
+    fencing: int
+    #: Engines that differ from what is wanted, as last reported here.
+    differing: tuple[str, ...]
+    #: The last orders given here: engine, fencing number and outcome.
+    last_orders: tuple[tuple[str, int, str], ...]
+
+
+@dataclass
+class Orderer:
+    """One service's orders at one router."""
+
+    router: str
+    service: str
+    view: OrdererView
+    platform: Platform
+    engines: EngineOrders
+    keeper: LeaseKeeper
+    clock: Callable[[], float]
+    sleep: Sleep = asyncio.sleep
+    _state_by_engine: dict[str, EngineState] = field(default_factory=dict)
+    _spec: OrdersSpec | None = None
+    _names: tuple[str, ...] = ()
+    _check_at: float = float("-inf")
+    _orders_under_way: int = 0
+    _last_orders: list[tuple[str, int, str]] = field(default_factory=list)
+
+    async def run(self) -> None:
+        """Keep the lease and the engines, until cancelled."""
+        await asyncio.gather(self._keep_lease(), self._keep_engines())
+
+    def holds_anything(self) -> bool:
+        """Return whether the lease must still be given up before this router stops."""
+        return self.keeper.is_holder()
+
+    def status(self) -> OrdererStatus:
+        """Return what a state dump tells."""
+        record = self.keeper.record
+        wanted = self._wanted()
+        differing = tuple(
+            name
+            for name, state in sorted(self._state_by_engine.items())
+            if name in wanted and state.holds != wanted[name]
+        )
+        return OrdererStatus(
+            service=self.service,
+            holder=record.holder if record is not None and not record.released else None,
+            fencing=record.fencing if record is not None else 0,
+            differing=differing,
+            last_orders=tuple(self._last_orders),
+        )
+
+    # -- the lease ------------------------------------------------------------
+
+    async def _keep_lease(self) -> None:
+        while True:
+            await self._lease_step()
+            await self.sleep(ROUND_SECONDS)
+
+    async def _lease_step(self) -> None:
+        wanted = self.view.wants_to_order(self.service) and self._has_orders()
+        held = self.keeper.is_holder()
+        call = self.keeper.due(self.clock(), wanted, self._orders_under_way > 0)
+        if call is None:
+            return
+        if isinstance(call, Read):
+            found = await self.platform.get(LEASE_KIND, self.service)
+            self.keeper.told_read(self.clock(), found)
+        else:
+            value = msgspec.to_builtins(call.record)
+            if call.version is None:
+                written = await self.platform.create(LEASE_KIND, self.service, value)
+            else:
+                written = await self.platform.update(LEASE_KIND, self.service, value, call.version)
+            self.keeper.told_write(self.clock(), written)
+        if held != self.keeper.is_holder():
+            self._changed()
+
+    def _has_orders(self) -> bool:
+        return self.view.orders_of(self.service) is not None
+
+    def _changed(self) -> None:
+        self._state_by_engine.clear()
+        self._check_at = float("-inf")
+        if self.keeper.is_holder() and self.keeper.record is not None:
+            number = self.keeper.record.fencing
+            log.info("Orders of service {} are given here, number {}.", self.service, number)
+        else:
+            log.info("Orders of service {} are no longer given here.", self.service)
+
+    # -- the engines ----------------------------------------------------------
+
+    async def _keep_engines(self) -> None:
+        while True:
+            if self.keeper.is_holder():
+                await self._engine_step()
+            await self.sleep(ROUND_SECONDS)
+
+    async def _engine_step(self) -> None:
+        spec = self.view.orders_of(self.service)
+        names = tuple(engine.name for engine in self.view.engines_of(self.service))
+        if (spec, names) != (self._spec, self._names):
+            self._spec, self._names = spec, names
+            self._check_at = float("-inf")
+        if spec is None or self.clock() < self._check_at:
+            return
+        await self._ask_engines()
+        due = due_orders(self._wanted(), self._state_by_engine, spec.at_once)
+        await asyncio.gather(*(self._give(order) for order in due))
+        self._check_at = self.clock() + self._pause()
+
+    def _pause(self) -> float:
+        calm = all(
+            name in self._state_by_engine
+            and self._state_by_engine[name].holds == wish
+            and not self._state_by_engine[name].busy
+            for name, wish in self._wanted().items()
+        )
+        return CALM_CHECK_SECONDS if calm else BUSY_CHECK_SECONDS
+
+    async def _ask_engines(self) -> None:
+        engines = self.view.engines_of(self.service)
+        replies = await asyncio.gather(*(self.engines.state(each.url) for each in engines))
+        self._state_by_engine = {
+            engine.name: reply.state
+            for engine, reply in zip(engines, replies, strict=True)
+            if isinstance(reply, Reported)
+        }
+
+    async def _give(self, due: Due) -> None:
+        engine = next((e for e in self.view.engines_of(self.service) if e.name == due.engine), None)
+        if engine is None or self.view.orders_of(self.service) != self._spec:
+            return
+        number = self.keeper.fencing(self.clock(), engine.checks_fencing)
+        if number is None:
+            return
+        self._orders_under_way += 1
+        try:
+            seconds = self.keeper.order_seconds
+            outcome = await self.engines.order(engine.url, due.wanted, number, seconds)
+        finally:
+            self._orders_under_way -= 1
+        self._note(due, number, outcome)
+
+    def _note(self, due: Due, number: int, outcome: OrderOutcome) -> None:
+        told = type(outcome).__name__
+        self._last_orders = [*self._last_orders, (due.engine, number, told)][-KEPT_ORDERS:]
+        if isinstance(outcome, OldNumber):
+            self.keeper.told_number(outcome.highest)
+        if isinstance(outcome, Taken):
+            log.info("Engine {} took order {}.", due.engine, number)
+        else:
+            log.warning("Engine {}, order {}: {}.", due.engine, number, outcome)
+
+    def _wanted(self) -> dict[str, Wanted]:
+        return wanted_by_engine(self._spec, self._names) if self._spec is not None else {}
--- /dev/null
+++ b/pondhatch/authority/_orders.py
@@ -0,0 +1,46 @@
+"""Which orders are due: what engines are to hold against what they report."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+from pondhatch.authority._engine import EngineState, Wanted
+from pondhatch.configuration import OrdersSpec
+
+
+@dataclass(frozen=True)
+class Due:
+    """An order that an engine should be given now."""
+
+    engine: str
+    wanted: Wanted
+
+
+def wanted_by_engine(spec: OrdersSpec, engines: Iterable[str]) -> dict[str, Wanted]:
+    """Return what each engine of a service is to hold."""
+    return {
+        engine: Wanted(
+            model=spec.model,
+            version=spec.version,
+            adapters=spec.adapters,
+            role=spec.role_by_engine.get(engine, spec.role),
+        )
+        for engine in sorted(engines)
+    }
+
+
+def due_orders(
+    wanted: Mapping[str, Wanted], reported: Mapping[str, EngineState], at_once: int
+) -> tuple[Due, ...]:
+    """Return the orders to give now, so that at most so many engines are busy with one.
+
+    An engine that did not report gets none: it may be busy, or gone.
+    """
+    busy = sum(state.busy for state in reported.values())
+    waiting = [
+        Due(engine, wish)
+        for engine, wish in wanted.items()
+        if engine in reported and not reported[engine].busy and reported[engine].holds != wish
+    ]
+    return tuple(waiting[: max(0, at_once - busy)])
--- /dev/null
+++ b/pondhatch/authority/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of authority."""
--- a/pondhatch/cli/_router_process.py
+++ b/pondhatch/cli/_router_process.py
@@ -27,12 +27,13 @@
 )
 from pondhatch.observing import Metrics, NoMetrics, StatsdMetrics, log_for
 from pondhatch.requests import HOLDERS, Ways
-from pondhatch.router import GRANT_MARK, Granting, RouterState, Sync
+from pondhatch.router import GRANT_MARK, Authority, Granting, RouterState, Sync
 from pondhatch.transport import (
     Admin,
     Callers,
     CallerSite,
     GossipPort,
+    HttpEngineOrders,
     HttpPlatform,
     HttpUpstreams,
     PeerService,
@@ -59,6 +60,9 @@
 ROUND_SECONDS = 0.1
 #: Seconds between looks at what still runs while draining.
 DRAIN_STEP = 0.05
+#: Seconds that a stopping router tries to give its leases up; a platform that is out
+#: makes the next router wait for them to lapse.
+STEP_DOWN_SECONDS = 3.0
 #: Seconds for which a draining router goes on being reachable, so that all hear of it.
 DRAIN_NOTICE = 1.0
 
@@ -80,6 +84,7 @@
         self._granting = Granting(self.state, self._gossip_port.send, self._tasks, time.time_ns())
         self._platform = HttpPlatform(settings.platform)
         self._sync = Sync(self.state, self._platform, self._pull, self._spread, self._rng)
+        self._authority = Authority(self.state, self._platform, HttpEngineOrders(), self._rng)
         self._metrics = self._new_metrics()
         self._callers = Callers(
             self.state,
@@ -104,6 +109,7 @@
         self._tasks.start(self._rounds())
         self._tasks.start(self._sync.run())
         self._tasks.start(poll_loads(self.state))
+        self._tasks.start(self._authority.run())
         self._tasks.start(self._tell_levels())
         log.info("Router {} serves hall {}.", self._settings.name, self._settings.hall)
         await stop.wait()
@@ -141,7 +147,7 @@
         tls = self._peer_tls.server if self._peer_tls is not None else None
         await self._peer_server.start(sock=_listening(peers.host, peers.port), ssl=tls)
         self._reactor.listenUDP(peers.port, self._gossip_port, interface=peers.host)
-        admin_app = Admin(self.state, self._counters)
+        admin_app = Admin(self.state, self._authority, self._counters)
         self._reactor.listenTCP(admin.port, Site(admin_app.app.resource()), interface=admin.host)
         self._listen_to_callers()
 
@@ -248,6 +254,7 @@
         deadline = time.monotonic() + self._settings.drain_seconds
         while self._busy() and time.monotonic() < deadline:
             await asyncio.sleep(DRAIN_STEP)
+        await self._step_down()
         log.info("Stopping, {} requests in flight.", self._callers.in_flight)
         await self._hand_over_keys()
         self.state.phase = Phase.LEFT
@@ -257,6 +264,12 @@
             remote.close()
         self._peer_server.close()
 
+    async def _step_down(self) -> None:
+        """Give the leases of services up, so that the next router need not wait for them."""
+        deadline = time.monotonic() + STEP_DOWN_SECONDS
+        while self._authority.holds_anything() and time.monotonic() < deadline:
+            await asyncio.sleep(DRAIN_STEP)
+
     async def _hand_over_keys(self) -> None:
         """Give the keys held here to those who hold them from now on."""
         for key, record in tuple(self.state.keys.record_by_key.items()):
--- a/pondhatch/configuration/_schema.py
+++ b/pondhatch/configuration/_schema.py
@@ -25,6 +25,25 @@
 _closed = with_config(ConfigDict(extra="forbid"))
 
 
+Role = Literal["combined", "prefill", "decode"]
+
+
+@_closed
+@dataclass(frozen=True)
+class OrdersSpec:
+    """What the engines of a service are to hold; whatever they held before."""
+
+    model: str
+    #: Version of the model's weights.
+    version: Annotated[int, Field(ge=1)]
+    adapters: tuple[str, ...] = ()
+    role: Role = "combined"
+    #: Roles of single engines, by their name.
+    role_by_engine: dict[Name, Role] = field(default_factory=dict)
+    #: Engines that may be busy with an order at the same time.
+    at_once: Annotated[int, Field(ge=1, le=1000)] = 1
+
+
 @_closed
 @dataclass(frozen=True)
 class ServiceSpec:
@@ -49,6 +68,8 @@
     deadline: Annotated[float, Field(ge=1.0, le=3600.0)] = 120.0
     #: Upstreams that an operator wants emptied; they get no new work.
     leaving: tuple[str, ...] = ()
+    #: What its engines are ordered to hold; for kind "model".
+    orders: OrdersSpec | None = None
 
 
 @_closed
--- a/pondhatch/router/__init__.py
+++ b/pondhatch/router/__init__.py
@@ -1,6 +1,7 @@
 """The router: one process's state, who may use it, and how it keeps up."""
 
 from pondhatch.router._admission import Account, Admitted, admit, identify, service_of_path
+from pondhatch.router._authority import Authority
 from pondhatch.router._dump import Dump, dump_state
 from pondhatch.router._granting import GRANT_MARK, Granting
 from pondhatch.router._state import RouterState
@@ -9,6 +10,7 @@
 __all__ = [
     "Account",
     "Admitted",
+    "Authority",
     "Dump",
     "GRANT_MARK",
     "Granting",
--- /dev/null
+++ b/pondhatch/router/_authority.py
@@ -0,0 +1,98 @@
+"""The services whose engines this router gives orders to, as the members change."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from pondhatch.authority import (
+    EngineOrders,
+    LeaseKeeper,
+    Orderer,
+    OrdererStatus,
+    Terms,
+)
+from pondhatch.kernel import Tasks
+from pondhatch.platform import Platform
+from pondhatch.router._state import RouterState
+
+#: Seconds between checks of which services are to be ordered here.
+CHECK_SECONDS = 0.5
+#: Bits of the random number that tells a write to a lease from every other.
+NONCE_BITS = 64
+
+
+@dataclass
+class _Running:
+    """An orderer and its task."""
+
+    orderer: Orderer
+    task: asyncio.Task[None]
+
+
+class Authority:
+    """Runs an orderer for each service that this router should order, or still holds."""
+
+    def __init__(
+        self,
+        state: RouterState,
+        platform: Platform,
+        engines: EngineOrders,
+        rng: random.Random,
+        terms: Terms = Terms(),  # noqa: B008
+    ) -> None:
+        self._state = state
+        self._platform = platform
+        self._engines = engines
+        self._rng = rng
+        self._terms = terms
+        self._tasks = Tasks()
+        self._running_by_service: dict[str, _Running] = {}
+
+    async def run(self) -> None:
+        """Start and end orderers until cancelled."""
+        try:
+            while True:
+                self._start_wanted()
+                self._end_unwanted()
+                await asyncio.sleep(CHECK_SECONDS)
+        finally:
+            self._tasks.cancel_all()
+
+    def holds_anything(self) -> bool:
+        """Return whether a lease must still be given up before this router stops."""
+        return any(each.orderer.holds_anything() for each in self._running_by_service.values())
+
+    def statuses(self) -> Iterable[OrdererStatus]:
+        """Return what a state dump tells."""
+        return [each.orderer.status() for each in self._running_by_service.values()]
+
+    def _start_wanted(self) -> None:
+        for service in self._state.ordered_services():
+            if service not in self._running_by_service and self._state.wants_to_order(service):
+                orderer = self._new_orderer(service)
+                task = self._tasks.start(orderer.run())
+                self._running_by_service[service] = _Running(orderer, task)
+
+    def _end_unwanted(self) -> None:
+        for service, running in tuple(self._running_by_service.items()):
+            if self._state.wants_to_order(service) or running.orderer.holds_anything():
+                continue
+            running.task.cancel()
+            del self._running_by_service[service]
+
+    def _new_orderer(self, service: str) -> Orderer:
+        keeper = LeaseKeeper(
+            self._state.name, self._terms, lambda: f"{self._rng.getrandbits(NONCE_BITS):016x}"
+        )
+        return Orderer(
+            self._state.name,
+            service,
+            self._state,
+            self._platform,
+            self._engines,
+            keeper,
+            self._state.clock,
+        )
--- a/pondhatch/router/_dump.py
+++ b/pondhatch/router/_dump.py
@@ -16,6 +16,7 @@
 
 from pondhatch.kernel import REGISTRY, Plugin
 from pondhatch.membership import Versions
+from pondhatch.router._authority import Authority
 from pondhatch.router._state import RouterState
 
 Dump = dict[str, Any]
@@ -153,6 +154,18 @@
         }
 
 
+@REGISTRY.register(SECTION_KIND, "6-orders")
+class OrdersSection(Plugin):
+    """The services whose engines are given orders here: under which number, which differ."""
+
+    DEPENDENCIES = (Authority,)
+
+    def content(self) -> Dump:
+        """Return the section's keys."""
+        statuses = self.view(Authority).statuses()
+        return {"orders": [msgspec.to_builtins(status) for status in statuses]}
+
+
 @REGISTRY.register(SECTION_KIND, "5-decisions")
 class DecisionsSection(Plugin):
     """The last requests: which engine took each, and why others were passed over."""
@@ -168,9 +181,9 @@
         }
 
 
-def dump_state(state: RouterState, counters: Mapping[str, Any]) -> Dump:
+def dump_state(state: RouterState, authority: Authority, counters: Mapping[str, Any]) -> Dump:
     """Return a router's state as plain data, section by section in the order of names."""
-    views = {RouterState: state, Counters: Counters(counters)}
+    views = {RouterState: state, Authority: authority, Counters: Counters(counters)}
     dump: Dump = {}
     for name in REGISTRY.names(SECTION_KIND):
         section = cast(Section, REGISTRY.build(SECTION_KIND, name, views))
--- a/pondhatch/router/_state.py
+++ b/pondhatch/router/_state.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from pondhatch.configuration import Change, Fleet, Gap, Rejected, ServiceSpec, Update
+from pondhatch.configuration import Change, Fleet, Gap, OrdersSpec, Rejected, ServiceSpec, Update
 from pondhatch.limits import LimitVerdict, RetryBudget
 from pondhatch.membership import (
     Gossip,
@@ -23,7 +23,7 @@
     short_id,
     watchers,
 )
-from pondhatch.placement import YOUNG_SECONDS, Gate, Health, SpillMemory, ranked
+from pondhatch.placement import YOUNG_SECONDS, Gate, Health, SpillMemory, ranked, winner
 from pondhatch.platform import LIVE, Upstream, UpstreamList, UpstreamUpdate, WatchEvent
 from pondhatch.requests import DecisionNote, KeyHolder, KeyTable, LocalKeyHolder, Target
 from pondhatch.router._limits import FleetLimits
@@ -226,6 +226,32 @@
         own = self.owned_by_service().get(upstream.service, ())
         return heard + self.gate.total(tuple(name for name in own if name != engine), now)
 
+    # -- orders -------------------------------------------------------------
+
+    def ordered_services(self) -> tuple[str, ...]:
+        """Return the services whose engines are to be given orders."""
+        return tuple(
+            name for name, spec in self.fleet.service_by_name.items() if spec.orders is not None
+        )
+
+    def wants_to_order(self, service: str) -> bool:
+        """Return whether this router is the one that should give a service's orders."""
+        spec = self.fleet.service_by_name.get(service)
+        if spec is None or spec.orders is None or self.stopping():
+            return False
+        live = [member.name for member in self._members if member.phase == Phase.LIVE]
+        return winner(f"orders:{service}", live) == self.name
+
+    def orders_of(self, service: str) -> OrdersSpec | None:
+        """Return what a service's engines are to hold, or None where nobody said."""
+        spec = self.fleet.service_by_name.get(service)
+        return spec.orders if spec is not None else None
+
+    def engines_of(self, service: str) -> tuple[Upstream, ...]:
+        """Return the service's engines, those that leave left out."""
+        names = self.live_upstreams(service)
+        return tuple(self.upstreams.entry_by_name[name].upstream for name in names)
+
     # -- configuration ------------------------------------------------------
 
     def take_change(self, change: Change) -> Rejected | Gap | None:
--- a/pondhatch/router/tests/test_dump.py
+++ b/pondhatch/router/tests/test_dump.py
@@ -1,15 +1,19 @@
 from __future__ import annotations
 
+import random
 import unittest
+from typing import Any
 
 import msgspec
 
+from fakes._platform_in_memory import PlatformInMemory
 from pondhatch.configuration.tests.test_fleet import account, change
 from pondhatch.kernel import REGISTRY, Plugin
 from pondhatch.requests import DecisionNote
-from pondhatch.router import RouterState, dump_state
+from pondhatch.router import Authority, RouterState, dump_state
 from pondhatch.router._dump import SECTION_KIND
 from pondhatch.router.tests.test_sync import FIRST, router
+from pondhatch.transport import HttpEngineOrders
 
 
 class DumpTest(unittest.TestCase):
@@ -19,20 +23,25 @@
         self.state.take_change(change(2, account("atelier")))
         self.state.refresh()
 
+    def dump(self, counters: dict[str, int]) -> dict[str, Any]:
+        rng = random.Random(1)
+        authority = Authority(self.state, PlatformInMemory(), HttpEngineOrders(), rng)
+        return dump_state(self.state, authority, counters)
+
     def test_it_shows_what_is_in_force_and_the_last_decision_first(self) -> None:
         for number in (1, 2):
             note = DecisionNote(
                 f"q{number}", "atelier", "lang", "e0", (("e1", "full"),), "whole", 1.0
             )
             self.state.decisions.append(note)
-        dump = dump_state(self.state, {"platform_calls": 7})
+        dump = self.dump({"platform_calls": 7})
         self.assertEqual((dump["configuration"], dump["platform_calls"]), (2, 7))
         self.assertEqual([each["request_id"] for each in dump["decisions"]], ["q2", "q1"])
         self.assertEqual([member["name"] for member in dump["members"]], ["r0"])
 
     def test_no_hash_of_a_key_is_in_it(self) -> None:
         hashed = self.state.fleet.account_spec("atelier").key_hashes[0]
-        self.assertNotIn(hashed.encode(), msgspec.json.encode(dump_state(self.state, {})))
+        self.assertNotIn(hashed.encode(), msgspec.json.encode(self.dump({})))
 
     def test_a_section_that_registers_itself_is_shown(self) -> None:
         @REGISTRY.register(SECTION_KIND, "9-trial")
@@ -43,4 +52,4 @@
                 return {"trial": self.view(RouterState).name}
 
         self.addCleanup(REGISTRY.by_kind_and_name.pop, (SECTION_KIND, "9-trial"))
-        self.assertEqual(dump_state(self.state, {})["trial"], "r0")
+        self.assertEqual(self.dump({})["trial"], "r0")
--- a/pondhatch/transport/__init__.py
+++ b/pondhatch/transport/__init__.py
@@ -5,6 +5,7 @@
 from pondhatch.transport._callers import Callers
 from pondhatch.transport._gossip import GossipPort
 from pondhatch.transport._loads import poll_loads
+from pondhatch.transport._orders import HttpEngineOrders
 from pondhatch.transport._peer_service import PeerService, fleet_token
 from pondhatch.transport._peer_tls import PeerTls, peer_tls
 from pondhatch.transport._platform import HttpPlatform
@@ -18,6 +19,7 @@
     "CallerSite",
     "Callers",
     "GossipPort",
+    "HttpEngineOrders",
     "HttpPlatform",
     "HttpUpstreams",
     "PeerService",
--- a/pondhatch/transport/_admin.py
+++ b/pondhatch/transport/_admin.py
@@ -9,7 +9,7 @@
 import msgspec
 from klein import Klein
 
-from pondhatch.router import Dump, RouterState, dump_state
+from pondhatch.router import Authority, Dump, RouterState, dump_state
 
 
 def readable(dump: Dump) -> str:
@@ -38,9 +38,10 @@
 class Admin:
     """Serves the dump; to be bound where only operators reach it."""
 
-    def __init__(self, state: RouterState, extra: Callable[[], Dump]) -> None:
+    def __init__(self, state: RouterState, authority: Authority, extra: Callable[[], Dump]) -> None:
         self.app = Klein()
         self._state = state
+        self._authority = authority
         self._extra = extra
         self._route()
 
@@ -56,4 +57,4 @@
             return readable(self._dump()).encode()
 
     def _dump(self) -> Dump:
-        return dump_state(self._state, self._extra())
+        return dump_state(self._state, self._authority, self._extra())
