Show what would change, and which version each router has in force

Cause: operators had to know that a dry run of apply is the diff, and to read the whole dump to find the slowest router.

--- a/fakes/tests/test_command_line.py
+++ b/fakes/tests/test_command_line.py
@@ -43,6 +43,7 @@
         self.assertEqual(code, 0)
         self.assertIn("~ template studio", told)
         self.assertEqual(told.count("changes account"), 4)
+        self.assertEqual(self.run_command("diff", str(changed), *platform)[1], told)
         self.assertIn("version 1\n", self.run_command("show", *platform)[1])
         self.assertIn("accepted as version 2", self.apply(str(changed), "--note", "more")[1])
         self.assertIn("ana  more: template studio", self.run_command("history", *platform)[1])
--- a/fakes/tests/test_whole_path.py
+++ b/fakes/tests/test_whole_path.py
@@ -124,6 +124,9 @@
         text = self.fleet.pondhatch("dump", "--admin", admin).stdout
         self.assertIn("visualisers-pina -> proof-portal: portal-0, whole", text)
         as_json = self.fleet.pondhatch("dump", "--admin", admin, "--json").stdout
+        where = self.fleet.pondhatch("where", "--admin", admin).stdout.splitlines()
+        self.assertEqual(len(where), len(self.fleet.routers))
+        self.assertTrue(all(line.startswith("1  router-") for line in where), where)
         for shown in (text, as_json):
             self.assertNotIn(KEY, shown)
             self.assertNotIn("key_hash", shown)
--- a/pondhatch/cli/_commands.py
+++ b/pondhatch/cli/_commands.py
@@ -12,16 +12,22 @@
 from pathlib import Path
 from typing import Any, TypeVar
 
+import msgspec
+
+from pondhatch.cli._reports import (
+    EXIT_DONE,
+    EXIT_INPUT,
+    EXIT_UNREACHABLE,
+    print_edits,
+    report,
+    unreadable,
+)
 from pondhatch.configuration import (
     CHANGES_PER_SNAPSHOT,
-    Beaten,
-    Broken,
     Change,
     Edit,
     Fleet,
-    NotWritten,
     Published,
-    PublishOutcome,
     checked,
     differences,
     load_settings,
@@ -32,15 +38,12 @@
 )
 from pondhatch.kernel import as_future, install_reactor
 from pondhatch.observing import setup_logs
-from pondhatch.platform import Platform, Unavailable
+from pondhatch.platform import Platform
 
 Result = TypeVar("Result")
 
-EXIT_DONE = 0
-EXIT_INPUT = 1
-EXIT_CONFLICT = 3
-EXIT_UNREACHABLE = 4
-EXIT_UNKNOWN = 5
+#: Seconds to wait for a router's admin port.
+ADMIN_SECONDS = 5
 
 
 def run(settings: Path) -> int:
@@ -73,6 +76,16 @@
     return EXIT_DONE
 
 
+def diff(*files: Path, platform: str, prune: bool = False) -> int:
+    """Show what applying files would change, and every account it touches.
+
+    :param files: YAML files, or folders of them
+    :param platform: the platform's URL
+    :param prune: also show entries that are in force but not in the files
+    """
+    return apply(*files, platform=platform, author="", dry_run=True, prune=prune)
+
+
 def apply(
     *files: Path,
     platform: str,
@@ -95,17 +108,17 @@
     async def work(store: Platform) -> int:
         fleet = await read_fleet(store, Fleet())
         if not isinstance(fleet, Fleet):
-            return _unreadable(fleet)
+            return unreadable(fleet)
         edits = differences(fleet, sources, prune)
         edited = checked(fleet, sources, edits)
-        _print_edits(edits, fleet, edited)
+        print_edits(edits, fleet, edited)
         if dry_run or not edits:
             return EXIT_DONE
         change = _change(fleet, edits, author, note)
         outcome = await publish(store, change)
         if isinstance(outcome, Published):
             await _snapshot_if_due(store, edited, outcome.version)
-        return _report(outcome)
+        return report(outcome)
 
     return _with_platform(platform, work)
 
@@ -121,7 +134,7 @@
     async def work(store: Platform) -> int:
         fleet = await read_fleet(store, Fleet())
         if not isinstance(fleet, Fleet):
-            return _unreadable(fleet)
+            return unreadable(fleet)
         undone = next((each for each in fleet.recent if each.version == version), None)
         if undone is None:
             print(
@@ -130,15 +143,17 @@
             return EXIT_INPUT
         before = await read_fleet(store, Fleet(), until=version - 1)
         if not isinstance(before, Fleet):
-            return _unreadable(before)
+            return unreadable(before)
         edits = _inverse(before, undone)
         edited = fleet.with_edits(edits)
         if not isinstance(edited, Fleet):
             print(f"cannot take back change {version}: {edited}", file=sys.stderr)
             return EXIT_INPUT
-        _print_edits(edits, fleet, edited)
+        print_edits(edits, fleet, edited)
         outcome = await publish(store, _change(fleet, edits, author, f"takes back {version}"))
-        return _report(outcome)
+        if isinstance(outcome, Published):
+            await _snapshot_if_due(store, edited, outcome.version)
+        return report(outcome)
 
     return _with_platform(platform, work)
 
@@ -153,7 +168,7 @@
     async def work(store: Platform) -> int:
         fleet = await read_fleet(store, Fleet())
         if not isinstance(fleet, Fleet):
-            return _unreadable(fleet)
+            return unreadable(fleet)
         print(f"version {fleet.version}")
         for account, policy in sorted(fleet.policy_by_account.items()):
             if name in ("", account):
@@ -175,7 +190,7 @@
     async def work(store: Platform) -> int:
         fleet = await read_fleet(store, Fleet())
         if not isinstance(fleet, Fleet):
-            return _unreadable(fleet)
+            return unreadable(fleet)
         for change in fleet.recent:
             at = time.strftime("%Y-%m-%d %H:%M:%S", time.gmtime(change.made_at))
             what = ", ".join(f"{edit.kind} {edit.name}" for edit in change.edits)
@@ -191,20 +206,25 @@
     :param admin: the router's admin address, as "IP:port"
     :param json: as JSON
     """
+    content = _ask_router(admin, "state.json" if json else "state")
+    if content is None:
+        return EXIT_UNREACHABLE
+    print(content.decode(), end="")
+    return EXIT_DONE
 
-    async def work() -> int:
-        import treq
 
-        path = "state.json" if json else "state"
-        try:
-            response = await as_future(treq.get(f"http://{admin}/{path}", timeout=5))
-            print((await as_future(response.content())).decode(), end="")
-        except Exception as error:
-            print(f"cannot reach {admin}: {error}", file=sys.stderr)
-            return EXIT_UNREACHABLE
-        return EXIT_DONE
+def where(*, admin: str) -> int:
+    """Show which version of the configuration each router has in force, the slowest first.
 
-    return _with_reactor(install_reactor(), work())
+    :param admin: any router's admin address, as "IP:port"
+    """
+    content = _ask_router(admin, "state.json")
+    if content is None:
+        return EXIT_UNREACHABLE
+    state = msgspec.json.decode(content)
+    for member in sorted(state["members"], key=lambda each: (each["configuration"], each["name"])):
+        print(f"{member['configuration']}  {member['name']}  {member['hall']}  {member['status']}")
+    return EXIT_DONE
 
 
 def new_key() -> int:
@@ -215,7 +235,24 @@
     return EXIT_DONE
 
 
-COMMANDS = [run, check, apply, undo, show, history, dump, new_key]
+COMMANDS = [run, check, diff, apply, undo, show, where, history, dump, new_key]
+
+
+def _ask_router(admin: str, path: str) -> bytes | None:
+    """Return a page of a router's admin port, or None where it cannot be reached."""
+
+    async def work() -> bytes | None:
+        import treq
+
+        try:
+            response = await as_future(treq.get(f"http://{admin}/{path}", timeout=ADMIN_SECONDS))
+            content: bytes = await as_future(response.content())
+        except Exception as error:
+            print(f"cannot reach {admin}: {error}", file=sys.stderr)
+            return None
+        return content
+
+    return _with_reactor(install_reactor(), work())
 
 
 def _with_platform(url: str, work: Any) -> int:
@@ -266,49 +303,3 @@
     fleet = await read_fleet(store, Fleet())
     if isinstance(fleet, Fleet) and fleet.version >= version:
         await write_snapshot(store, fleet.snapshot())
-
-
-def _print_edits(edits: tuple[Edit, ...], before: Fleet, after: Fleet) -> None:
-    for edit in edits:
-        known = (edit.kind, edit.name) in before.raw_by_entry
-        sign = "-" if edit.value is None else "~" if known else "+"
-        print(f"{sign} {edit.kind} {edit.name}")
-    touched = [
-        account
-        for account, policy in after.policy_by_account.items()
-        if before.policy_by_account.get(account, policy) != policy
-    ]
-    for account in sorted(touched):
-        print(f"  changes account {account}: {after.policy_by_account[account]}")
-    if not edits:
-        print("nothing to change")
-
-
-def _report(outcome: PublishOutcome) -> int:
-    if isinstance(outcome, Published):
-        print(f"accepted as version {outcome.version}")
-        return EXIT_DONE
-    if isinstance(outcome, Beaten):
-        theirs = outcome.theirs
-        print(f"conflict: {theirs.author} made change {theirs.version} first:", file=sys.stderr)
-        for edit in theirs.edits:
-            print(f"  {edit.kind} {edit.name}: {edit.value}", file=sys.stderr)
-        print("nothing of yours was applied; look at it and apply again", file=sys.stderr)
-        return EXIT_CONFLICT
-    if isinstance(outcome, NotWritten):
-        print(f"nothing was applied: {outcome.reason}", file=sys.stderr)
-        return EXIT_UNREACHABLE
-    if isinstance(outcome, Broken):
-        print(f"nothing was applied: {outcome.reason}", file=sys.stderr)
-        return EXIT_INPUT
-    print(
-        f"unknown: change {outcome.change_id} may be in force as version {outcome.version}"
-        f" ({outcome.reason}); see 'pondhatch history'",
-        file=sys.stderr,
-    )
-    return EXIT_UNKNOWN
-
-
-def _unreadable(found: Unavailable | Broken) -> int:
-    print(f"cannot read the configuration: {found.reason}", file=sys.stderr)
-    return EXIT_UNREACHABLE if isinstance(found, Unavailable) else EXIT_INPUT
--- a/pondhatch/cli/_main.py
+++ b/pondhatch/cli/_main.py
@@ -14,10 +14,9 @@
 
 from pondhatch import __version__
 from pondhatch.cli._commands import COMMANDS
+from pondhatch.cli._reports import EXIT_INPUT
 from pondhatch.configuration import ConfigurationError
 
-EXIT_INPUT = 1
-
 
 def main(argv: Sequence[str] | None = None) -> int:
     """Run one command and return its exit code."""
--- /dev/null
+++ b/pondhatch/cli/_reports.py
@@ -0,0 +1,71 @@
+"""What the commands print, and their exit codes."""
+
+from __future__ import annotations
+
+import sys
+
+from pondhatch.configuration import (
+    Beaten,
+    Broken,
+    Edit,
+    Fleet,
+    NotWritten,
+    Published,
+    PublishOutcome,
+)
+from pondhatch.platform import Unavailable
+
+EXIT_DONE = 0
+EXIT_INPUT = 1
+EXIT_CONFLICT = 3
+EXIT_UNREACHABLE = 4
+EXIT_UNKNOWN = 5
+
+
+def print_edits(edits: tuple[Edit, ...], before: Fleet, after: Fleet) -> None:
+    """Print what edits change, and every account that they touch."""
+    for edit in edits:
+        known = (edit.kind, edit.name) in before.raw_by_entry
+        sign = "-" if edit.value is None else "~" if known else "+"
+        print(f"{sign} {edit.kind} {edit.name}")
+    touched = [
+        account
+        for account, policy in after.policy_by_account.items()
+        if before.policy_by_account.get(account, policy) != policy
+    ]
+    for account in sorted(touched):
+        print(f"  changes account {account}: {after.policy_by_account[account]}")
+    if not edits:
+        print("nothing to change")
+
+
+def report(outcome: PublishOutcome) -> int:
+    """Print what became of a change; return the exit code."""
+    if isinstance(outcome, Published):
+        print(f"accepted as version {outcome.version}")
+        return EXIT_DONE
+    if isinstance(outcome, Beaten):
+        theirs = outcome.theirs
+        print(f"conflict: {theirs.author} made change {theirs.version} first:", file=sys.stderr)
+        for edit in theirs.edits:
+            print(f"  {edit.kind} {edit.name}: {edit.value}", file=sys.stderr)
+        print("nothing of yours was applied; look at it and apply again", file=sys.stderr)
+        return EXIT_CONFLICT
+    if isinstance(outcome, NotWritten):
+        print(f"nothing was applied: {outcome.reason}", file=sys.stderr)
+        return EXIT_UNREACHABLE
+    if isinstance(outcome, Broken):
+        print(f"nothing was applied: {outcome.reason}", file=sys.stderr)
+        return EXIT_INPUT
+    print(
+        f"unknown: change {outcome.change_id} may be in force as version {outcome.version}"
+        f" ({outcome.reason}); see 'pondhatch history'",
+        file=sys.stderr,
+    )
+    return EXIT_UNKNOWN
+
+
+def unreadable(found: Unavailable | Broken) -> int:
+    """Print why the configuration cannot be read; return the exit code."""
+    print(f"cannot read the configuration: {found.reason}", file=sys.stderr)
+    return EXIT_UNREACHABLE if isinstance(found, Unavailable) else EXIT_INPUT
