Count only those before a request when its wait is judged

A request was refused at once as hopeless by the number of all who waited with its priority, the surging account's whole line among them, though its own turn would have come soon; and a full line was closed to it.

Change: those whose turn comes before its own are counted; a full line gives way to a turn that comes earlier. The lease's state machine has a module of its own.

Ruled out: a longer line, which only moves the moment at which it is full.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -20,6 +20,7 @@
 from bench._placement import measure_placement
 from bench._relay import measure_relay
 from bench._retries import measure_retries
+from bench._surge import measure_surge
 
 MEASURES: dict[str, Callable[[], Iterable[Measure]]] = {
     "decisions": measure_decisions,
@@ -27,6 +28,7 @@
     "connections": measure_connections,
     "placement": measure_placement,
     "retries": measure_retries,
+    "surge": measure_surge,
     "authority": measure_authority,
     "gossip": measure_gossip,
     "relay": measure_relay,
--- /dev/null
+++ b/bench/_surge.py
@@ -0,0 +1,169 @@
+"""What a surge of one account costs the others before full engines, by the lines alone.
+
+One router's entry and owner sides, engines that take a drawn time, stepped clock.
+No account has a rate limit here: limits would end the surge at once.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import Counter
+from collections.abc import Iterator
+
+from bench._measures import Measure
+from fakes._virtual_loop import run_virtually
+from pondhatch.limits import RetryBudget
+from pondhatch.membership import short_id
+from pondhatch.placement import Gate, Health, SpillMemory
+from pondhatch.requests import (
+    BodySource,
+    Delivery,
+    EntryGrants,
+    LocalOwner,
+    NotRun,
+    Opened,
+    PartSink,
+    Patience,
+    Placed,
+    ReplayableBody,
+    RequestHead,
+    Target,
+    Unknown,
+    Walk,
+    Ways,
+)
+
+ENGINES = ("e0", "e1", "e2", "e3")
+SLOTS = 8
+BOUND = 1.25
+#: Mean seconds of a request; drawn exponentially.
+MEAN_SECONDS = 1.0
+ACCOUNTS = 10
+#: Requests a second of each account: together 75% of what the engines can do.
+RATE = 0.75 * len(ENGINES) * SLOTS / MEAN_SECONDS / ACCOUNTS
+SURGE = 10
+SECONDS = 120.0
+PATIENCE = Patience(0.2, 2.0)
+DEADLINE = 30.0
+
+
+class _Timed:
+    """An answer that takes its time."""
+
+    status = 200
+    headers: tuple[tuple[str, str], ...] = ()
+
+    def __init__(self, seconds: float) -> None:
+        self._seconds = seconds
+
+    async def pour(self, sink: PartSink) -> None:
+        await asyncio.sleep(self._seconds)
+
+    def cancel(self) -> None:
+        """Do nothing."""
+
+
+class _Engines:
+    """See Upstreams."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+
+    async def send(
+        self, target: Target, head: RequestHead, body: BodySource
+    ) -> Opened | NotRun | Unknown:
+        return Opened(_Timed(self._rng.expovariate(1 / MEAN_SECONDS)))
+
+
+class _NoSink:
+    """A caller who takes everything."""
+
+    def write(self, part: bytes) -> bool:
+        return True
+
+    async def ready(self) -> None:
+        """Return at once."""
+
+
+class _View:
+    """One router that owns all engines; see EntryView and OwnerView."""
+
+    def __init__(self, gate: Gate) -> None:
+        self._gate = gate
+
+    def target(self, engine: str) -> Target | None:
+        return Target(engine, "", True, BOUND, len(ENGINES), SLOTS)
+
+    def owner_name(self, engine: str) -> str | None:
+        return "r0"
+
+    def elsewhere_in_flight(self, engine: str) -> int:
+        others = tuple(name for name in ENGINES if name != engine)
+        return self._gate.total(others, asyncio.get_running_loop().time())
+
+    def is_young(self, engine: str) -> bool:
+        return False
+
+    def stopping(self) -> bool:
+        return False
+
+    def unreachable(self, name: str) -> None:
+        """Do nothing."""
+
+    def live_upstreams(self, service: str) -> tuple[str, ...]:
+        return ENGINES
+
+    def resumes(self, engine: str) -> bool:
+        return False
+
+
+async def _answered(surge: int, seed: int) -> Counter[str]:
+    """Return the requests answered by account, the first of which surges."""
+    rng = random.Random(seed)
+    clock = asyncio.get_running_loop().time
+    gate = Gate()
+    view = _View(gate)
+    owner = LocalOwner("r0", view, gate, SpillMemory(), clock, Health())
+    ways = Ways(EntryGrants("r0", short_id("r0"), owner, lambda *_: None, 0), _Engines(rng))
+    budget = RetryBudget()
+    answered: Counter[str] = Counter()
+
+    async def request(account: str, number: int) -> None:
+        until = clock() + DEADLINE
+        head = RequestHead(
+            f"{account}-{number}", account, "s", 0, "POST", "/", (), True, DEADLINE, 5
+        )
+        body = ReplayableBody(b"")
+        walk = Walk(view, ways, budget, head, body, lambda: until - clock(), PATIENCE)
+        placed = await walk.run()
+        if isinstance(placed, Placed):
+            await Delivery(walk, placed, _NoSink()).run()
+            answered[account] += 1
+
+    async def send(account: str, rate: float) -> None:
+        # Of its own, so that an account sends the same whatever another does.
+        arrivals = random.Random(f"{seed} {account}")
+        running = []
+        number = 0
+        while clock() < SECONDS:
+            await asyncio.sleep(arrivals.expovariate(rate))
+            number += 1
+            running.append(asyncio.ensure_future(request(account, number)))
+        await asyncio.gather(*running)
+
+    rates = {f"a{at}": RATE * (surge if at == 0 else 1) for at in range(ACCOUNTS)}
+    await asyncio.gather(*(send(account, rate) for account, rate in rates.items()))
+    return answered
+
+
+def measure_surge() -> Iterator[Measure]:
+    """Measure the others' throughput with and without one account's surge."""
+    for seed in (1, 2, 3):
+        calm = run_virtually(_answered(1, seed))
+        surge = run_virtually(_answered(SURGE, seed))
+        others = [sum(n for a, n in each.items() if a != "a0") for each in (calm, surge)]
+        against = "the same without the surge"
+        yield Measure(f"surge.others_{seed}", others[1], "requests answered", others[0], against)
+        worst = min(surge[a] / calm[a] for a in calm if a != "a0")
+        yield Measure(f"surge.worst_other_{seed}", worst, "of its throughput without the surge")
--- a/pondhatch/authority/_lease.py
+++ b/pondhatch/authority/_lease.py
@@ -17,11 +17,10 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Protocol
 
 import msgspec
-from automat import TypeMachineBuilder
 
+from pondhatch.authority._holding import new_holding
 from pondhatch.platform import (
     Accepted,
     Conflict,
@@ -108,59 +107,12 @@
     settled_at: float = float("-inf")
 
 
-class _Holding(Protocol):
-    """Whether this router holds the lease."""
-
-    def won(self) -> None:
-        """A write that makes this router the holder took effect."""
-
-    def lost(self) -> None:
-        """Another router holds the lease, or nobody."""
-
-    def step_down(self) -> None:
-        """Begin to give the lease up: no new orders."""
-
-    def may_order(self) -> bool:
-        """Return whether orders may be given, if the lease is valid."""
-
-    def is_holder(self) -> bool:
-        """Return whether the lease is this router's to renew or release."""
-
-
-@dataclass
-class _Nothing:
-    """The machine itself remembers nothing more."""
-
-
-_builder = TypeMachineBuilder(_Holding, _Nothing)
-_following = _builder.state("following")
-_holding = _builder.state("holding")
-_stepping_down = _builder.state("stepping down")
-
-_following.upon(_Holding.won).to(_holding).returns(None)
-_following.upon(_Holding.lost).loop().returns(None)
-_following.upon(_Holding.step_down).loop().returns(None)
-_following.upon(_Holding.may_order).loop().returns(False)
-_following.upon(_Holding.is_holder).loop().returns(False)
-_holding.upon(_Holding.won).loop().returns(None)
-_holding.upon(_Holding.lost).to(_following).returns(None)
-_holding.upon(_Holding.step_down).to(_stepping_down).returns(None)
-_holding.upon(_Holding.may_order).loop().returns(True)
-_holding.upon(_Holding.is_holder).loop().returns(True)
-_stepping_down.upon(_Holding.won).loop().returns(None)
-_stepping_down.upon(_Holding.lost).to(_following).returns(None)
-_stepping_down.upon(_Holding.step_down).loop().returns(None)
-_stepping_down.upon(_Holding.may_order).loop().returns(False)
-_stepping_down.upon(_Holding.is_holder).loop().returns(True)
-_new_holding = _builder.build()
-
-
 class LeaseKeeper:
     """See the module; call ``due``, make the call it asks for, and tell what came of it."""
 
     def __init__(self, router: str, terms: Terms, new_nonce: Callable[[], str]) -> None:
         self._facts = _Facts(router, terms, new_nonce)
-        self._machine = _new_holding(_Nothing())
+        self._machine = new_holding()
 
     @property
     def record(self) -> LeaseRecord | None:
@@ -196,7 +148,7 @@
             self._machine.step_down()
             facts.due_at = now
         if self._machine.is_holder():
-            return self._due_as_holder(now, wanted, orders_under_way)
+            return self._due_as_holder(now, orders_under_way)
         if not wanted or now < facts.due_at:
             return None
         if facts.seen_at == float("inf") or not self._may_claim(now):
@@ -253,7 +205,7 @@
         """
         self._facts.highest = max(self._facts.highest, highest)
 
-    def _due_as_holder(self, now: float, wanted: bool, orders_under_way: bool) -> Call | None:
+    def _due_as_holder(self, now: float, orders_under_way: bool) -> Call | None:
         facts = self._facts
         if facts.seen_at == float("inf"):
             return self._begin(Read(), now, facts.terms.read_every) if now >= facts.due_at else None
--- a/pondhatch/placement/_line.py
+++ b/pondhatch/placement/_line.py
@@ -43,22 +43,24 @@
         return len(self.by_number)
 
     def join(self, account: str, priority: int, weight: float) -> Ticket | None:
-        """Return a place in the line, or None where it is full for this priority.
+        """Return a place in the line, or None where it is full and this place the last.
 
-        A full line gives way to a more urgent request: the caller then gets a
-        place, and ``overflow`` names the one that must leave.
+        A full line gives way to a request whose turn comes earlier, being more
+        urgent or of an account seldom seen: the caller then gets a place, and
+        ``overflow`` names the one that must leave.
         """
-        if len(self) >= self.limit and priority >= self._last().priority:
+        start = self._start(account)
+        if len(self) >= self.limit and (priority, start) >= self._last().order[:2]:
             return None
-        start = max(self._virtual_time, self._finish_by_account.get(account, 0.0))
         self._finish_by_account[account] = start + 1.0 / weight
         ticket = Ticket(priority, start, self._numbers(), account)
         self.by_number[ticket.number] = ticket
         return ticket
 
-    def before(self, priority: int) -> int:
-        """Return how many wait who are as urgent or more."""
-        return sum(ticket.priority <= priority for ticket in self.by_number.values())
+    def before(self, account: str, priority: int) -> int:
+        """Return how many wait whose turn comes before that of a new request."""
+        place = (priority, self._start(account))
+        return sum(ticket.order[:2] <= place for ticket in self.by_number.values())
 
     def overflow(self) -> Ticket | None:
         """Return who must leave because the line is longer than its limit."""
@@ -80,5 +82,9 @@
             self._finish_by_account.clear()
             self._virtual_time = 0.0
 
+    def _start(self, account: str) -> float:
+        """Return the virtual time at which an account's next turn starts."""
+        return max(self._virtual_time, self._finish_by_account.get(account, 0.0))
+
     def _last(self) -> Ticket:
         return max(self.by_number.values(), key=lambda ticket: ticket.order)
--- a/pondhatch/placement/tests/test_line.py
+++ b/pondhatch/placement/tests/test_line.py
@@ -44,6 +44,17 @@
         leaving = line.overflow()
         self.assertEqual(leaving.account if leaving else None, "b")
 
+    def test_a_full_line_gives_way_to_an_account_seldom_seen(self) -> None:
+        line = Line(4)
+        for _ in range(4):
+            line.join("surge", 5, 1.0)
+        self.assertIsNone(line.join("surge", 5, 1.0))
+        self.assertEqual(line.before("surge", 5), 4)
+        self.assertEqual(line.before("seldom", 5), 1)
+        self.assertIsNotNone(line.join("seldom", 5, 1.0))
+        leaving = line.overflow()
+        self.assertEqual(leaving.account if leaving else None, "surge")
+
     def test_leaving_twice_is_harmless(self) -> None:
         line = Line(2)
         ticket = line.join("a", 5, 1.0)
--- a/pondhatch/requests/_entry_grants.py
+++ b/pondhatch/requests/_entry_grants.py
@@ -26,7 +26,7 @@
 #: The same for an owner that said that the question waits: it is asked now and then,
 #: in case its word was lost or it was.
 WAITING_PAUSES = (0.5, 0.3, 0.3)
-#: Seconds between two tellings of what is held; three fit into a lease, so one may be lost.
+#: Seconds between two tellings of what is held; two fit into a lease, so one may be lost.
 RENEW_SECONDS = 12.0
 
 #: Numbers start over after so many questions.
--- a/pondhatch/requests/_lines.py
+++ b/pondhatch/requests/_lines.py
@@ -100,7 +100,7 @@
         line = self._line_by_engine.get(question.engine)
         if pace is None or pace.gap is None or line is None:
             return False
-        wait = line.before(question.priority) * pace.gap
+        wait = line.before(question.account, question.priority) * pace.gap
         return wait > question.patience / MILLISECONDS
 
     def serve(self, engine: str) -> None:
--- a/pondhatch/requests/tests/test_lines.py
+++ b/pondhatch/requests/tests/test_lines.py
@@ -106,6 +106,30 @@
 
         self.assertEqual(run_virtually(main()), (FULL, 0.0))
 
+    def test_a_quiet_account_is_not_refused_for_the_line_of_a_loud_one(self) -> None:
+        async def main() -> tuple[Verdict, float]:
+            engine = Engine()
+            loud = msgspec.structs.replace(ASKED, patience=60_000)
+            waiting = [engine.wait(loud) for _ in range(LINE_LIMIT)]
+            for _ in range(4):
+                engine.release()
+                await asyncio.sleep(0.5)
+            waiting += [engine.wait(loud) for _ in range(4)]
+            await asyncio.sleep(0.01)
+            began = asyncio.get_running_loop().time()
+            quiet = engine.wait(msgspec.structs.replace(ASKED, account="quiet"))
+            await asyncio.sleep(0.5)
+            engine.release()
+            verdict = await quiet
+            spent = asyncio.get_running_loop().time() - began
+            for task in waiting:
+                task.cancel()
+            return verdict, spent
+
+        verdict, spent = run_virtually(main())
+        self.assertEqual(verdict, Granted(2, 2))
+        self.assertAlmostEqual(spent, 0.5, places=2)
+
     def test_a_long_idle_time_says_nothing_of_an_engines_pace(self) -> None:
         async def main() -> Verdict:
             engine = Engine()
