--- a/bench/_relay.py
+++ b/bench/_relay.py
@@ -75,7 +75,7 @@
 
 
 def measure_relay() -> Iterator[Measure]:
-    """Measure one relay, two relays and the bare relay in one run."""
+    """Measure, in one run, a router that owns the engine, one that asks its owner, a bare relay."""
     with LocalFleet(log_level="ERROR") as fleet:
         engine = fleet.add_backend(
             "engine", "engine-0", "scene-language", "recife-1", slots=64, step=STEP
@@ -95,13 +95,13 @@
             near = next(router for router in fleet.routers if router is not far)
             direct = _cost(engine.url, [os.getpid()])
             baseline = _cost(f"http://127.0.0.1:{line.split()[1]}", [bare.pid])
-            one = _cost(near.callers, [near.process.pid])
-            two = _cost(far.callers, [near.process.pid, far.process.pid])
+            own = _cost(near.callers, [near.process.pid])
+            granted = _cost(far.callers, [near.process.pid, far.process.pid])
         finally:
             bare.kill()
             bare.wait()
     against = "bare relay, same libraries, same run"
-    for name, cost in (("one_relay", one), ("two_relays", two)):
+    for name, cost in (("owner_itself", own), ("owner_elsewhere", granted)):
         yield Measure(f"{name}.chunk_processor", cost[0] * 1e6, "us", baseline[0] * 1e6, against)
         yield Measure(f"{name}.request_processor", cost[1] * 1e3, "ms", baseline[1] * 1e3, against)
         added, bare_added = (each[2] - direct[2] for each in (cost, baseline))
