Forget a waiting question that is taken back in the moment it came

Cause: read over once more, a question and its release that arrive in one turn of the loop cancelled the waiting task before its first step, so that what it had to clean up was never reached: the holder stayed on the list of those who wait, and the same question, asked again, would have been told to wait for ever.

Change: the list is cleaned when the task is done, in whatever way.

Measured: the new test did not end before (stopped after 60 s), and passes after, with the other 11 of grants.

--- a/pondhatch/requests/_owner_grants.py
+++ b/pondhatch/requests/_owner_grants.py
@@ -41,6 +41,8 @@
         answer(Waiting(question.number))
         task = self.tasks.start(self._wait(question, reply, answer))
         self._waiting_by_holder[question.holder] = task
+        # Not within the task, which may be cancelled before its first step.
+        task.add_done_callback(lambda _: self._waiting_by_holder.pop(question.holder))
 
     def told(self, telling: Telling) -> None:
         """Take in what an entry router says of its requests."""
@@ -58,8 +60,5 @@
         self.local.release(holder, ended)
 
     async def _wait(self, question: Question, must: MustWait, answer: Answer) -> None:
-        try:
-            reply = await self.local.wait(question, must)
-        finally:
-            del self._waiting_by_holder[question.holder]
+        reply = await self.local.wait(question, must)
         answer(word_of(question.number, reply))
--- a/pondhatch/requests/tests/test_grants.py
+++ b/pondhatch/requests/tests/test_grants.py
@@ -10,7 +10,7 @@
 from fakes._virtual_loop import run_virtually
 from pondhatch.membership import short_id
 from pondhatch.placement import Granted, winner
-from pondhatch.requests import Busy, Ended, NotOwner, NotRun, OwnerReply, Question
+from pondhatch.requests import Busy, Ended, NotOwner, NotRun, OwnerReply, Question, Release
 from pondhatch.requests._entry_grants import PAUSES
 from pondhatch.requests._leases import LEASE_SECONDS
 from pondhatch.requests.tests._history import Fleet
@@ -139,6 +139,24 @@
         self.assertIsInstance(reply, Granted)
         self.assertEqual(counted, 1)
 
+    def test_a_question_taken_back_in_the_moment_it_came_leaves_nothing(self) -> None:
+        async def main() -> tuple[int, OwnerReply]:
+            fleet = Fleet([], [], False)
+            await self.ask(fleet)
+            side = fleet.routers[self.owner]
+            asked = question(fleet, self.entry, patience=50_000)
+            side.take(asked, lambda _: None)
+            side.take(Release(asked.router, asked.number, Ended.NOTHING), lambda _: None)
+            await asyncio.sleep(0.2)
+            entry = fleet.routers[self.entry].entry
+            entry.release(next(iter(entry.held_by_number)), Ended.ANSWERED)
+            await asyncio.sleep(0.2)
+            return self.granted(fleet), await asyncio.wait_for(entry.ask(self.owner, asked), 10)
+
+        counted, reply = run_virtually(main())
+        self.assertEqual(counted, 0)
+        self.assertIsInstance(reply, Granted)
+
     def test_patience_ends_with_busy(self) -> None:
         async def main() -> OwnerReply:
             fleet = Fleet([], [], False)
