Let one piece dispatch the packets of grants, and one say who takes work

Cause: read over once more: where a grant's packet goes, and what is due each round, stood in the router and again in the histories' fleet; whether an upstream takes a request stood in three places, its refusal in two; the live routers' names in two; orders_of was asked twice.

Change: GrantSides, which the router and the histories share; takes and leaving beside Target; _live_routers; an unused field and a variable that never changed are gone. Behaviour is as it was.

Measured: formatter, linter, types and the 173 tests of the package pass.

--- a/pondhatch/authority/_orderer.py
+++ b/pondhatch/authority/_orderer.py
@@ -68,7 +68,6 @@
 class Orderer:
     """One service's orders at one router."""
 
-    router: str
     service: str
     view: OrdererView
     platform: Platform
@@ -116,7 +115,7 @@
             await self.sleep(ROUND_SECONDS)
 
     async def _lease_step(self) -> None:
-        wanted = self.view.wants_to_order(self.service) and self._has_orders()
+        wanted = self.view.wants_to_order(self.service)
         held = self.keeper.is_holder()
         call = self.keeper.due(self.clock(), wanted, self._orders_under_way > 0)
         if call is None:
@@ -134,9 +133,6 @@
         if held != self.keeper.is_holder():
             self._changed()
 
-    def _has_orders(self) -> bool:
-        return self.view.orders_of(self.service) is not None
-
     def _changed(self) -> None:
         self._state_by_engine.clear()
         self._check_at = float("-inf")
--- a/pondhatch/authority/tests/_world.py
+++ b/pondhatch/authority/tests/_world.py
@@ -207,7 +207,6 @@
         rng = random.Random(f"{name} {seed}")
         self.pauses = Pauses(pauses)
         self.orderer = Orderer(
-            name,
             SERVICE,
             self,
             PausedPlatform(world, self.pauses),
--- a/pondhatch/requests/__init__.py
+++ b/pondhatch/requests/__init__.py
@@ -15,6 +15,7 @@
     decode_grant_packet,
     encode_grant_packet,
 )
+from pondhatch.requests._grant_sides import GrantSides
 from pondhatch.requests._keys import (
     KEPT_BODY,
     Claim,
@@ -77,6 +78,7 @@
     "EventCutter",
     "Fresh",
     "GrantPacket",
+    "GrantSides",
     "GrantedAnswer",
     "Grants",
     "Headers",
--- a/pondhatch/requests/_entry.py
+++ b/pondhatch/requests/_entry.py
@@ -23,7 +23,7 @@
     OwnerReply,
     Question,
 )
-from pondhatch.requests._sending import GrantedAnswer, Target, Upstreams
+from pondhatch.requests._sending import GrantedAnswer, Target, Upstreams, leaving, takes
 
 #: Seconds after which to come back when every engine asked was at its ceiling.
 FULL_RETRY_AFTER = 1.0
@@ -238,14 +238,13 @@
         if not isinstance(reply, Granted):
             return reply
         target = self._view.target(question.engine)
-        if target is None or not (target.takes_work or question.resuming):
+        if not takes(target, question.resuming):
             self._ways.grants.release(question.number, Ended.NOTHING)
-            return NotRun("upstream-leaving", f"{question.engine} takes no new work")
+            return leaving(question.engine)
         return await self._send(question, target, head)
 
     async def _send(self, question: Question, target: Target, head: RequestHead) -> Tried:
         """Send a granted request; its grant is given back when it ends in whatever way."""
-        ended = Ended.NOTHING
         grants, number = self._ways.grants, question.number
         head = msgspec.structs.replace(head, deadline=self._remaining())
         try:
@@ -253,11 +252,11 @@
             if isinstance(reply, Opened):
                 answer = GrantedAnswer(reply.answer, lambda: grants.release(number, Ended.ANSWERED))
                 return Opened(answer)
-            ended = Ended.NOTHING if reply.code == "upstream-refused" else Ended.FAILED
         except BaseException:
-            grants.release(number, ended)
+            grants.release(number, Ended.NOTHING)
             raise
-        grants.release(number, ended)
+        refused = reply.code == "upstream-refused"
+        grants.release(number, Ended.NOTHING if refused else Ended.FAILED)
         return reply
 
     async def _grant(self, question: Question) -> OwnerReply:
--- /dev/null
+++ b/pondhatch/requests/_grant_sides.py
@@ -0,0 +1,34 @@
+"""Both sides of one router's grants: where packets go, and what is due each round."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from pondhatch.requests._entry_grants import EntryGrants
+from pondhatch.requests._grant_packets import GrantPacket, Hold, Release, Spilled
+from pondhatch.requests._owner_grants import Answer, OwnerGrants
+from pondhatch.requests._questions import Question
+
+
+@dataclass(frozen=True)
+class GrantSides:
+    """The entry's side and the owner's side of one router."""
+
+    entry: EntryGrants
+    owner: OwnerGrants
+
+    def receive(self, packet: GrantPacket, answer: Answer) -> None:
+        """Take in a packet; ``answer`` sends one back to where it came from."""
+        if isinstance(packet, Question):
+            self.owner.asked(packet, answer)
+        elif isinstance(packet, Release | Hold | Spilled):
+            self.owner.told(packet)
+        else:
+            self.entry.receive(packet, answer)
+
+    def tick(self, now: float, owner_name: Callable[[str], str | None]) -> None:
+        """Do what is due each round; ``owner_name`` says who owns an engine now."""
+        self.entry.follow_owners(owner_name)
+        self.entry.tick(now)
+        self.owner.local.tick()
--- a/pondhatch/requests/_owner.py
+++ b/pondhatch/requests/_owner.py
@@ -20,7 +20,7 @@
     OwnerReply,
     Question,
 )
-from pondhatch.requests._sending import Target
+from pondhatch.requests._sending import Target, leaving, takes
 
 
 class OwnerView(Protocol):
@@ -78,10 +78,14 @@
 
     def decide(self, question: Question) -> OwnerReply | MustWait:
         """Answer a question at once, or say that its request must wait."""
+        if self._view.stopping():
+            return NotOwner()
         target = self._view.target(question.engine)
-        declined = self._declined(question, target)
-        if declined is not None or target is None:
-            return declined or _leaving(question.engine)
+        if not takes(target, question.resuming):
+            return leaving(question.engine)
+        declined = self._declined(question)
+        if declined is not None:
+            return declined
         if question.holder in self.leases.by_holder:
             # Asked again, since the first word was lost.
             return Granted(self._gate.in_flight(target.name, self._clock()), target.slots)
@@ -99,9 +103,10 @@
         verdict = await self._lines.wait(question, must.full, ask)
         if isinstance(verdict, Full):
             return Busy(verdict.in_flight, verdict.ceiling)
-        if not self._still_takes(question):
+        if not takes(self._view.target(question.engine), question.resuming):
+            # It began to leave while the request waited.
             self._give_back(question.engine)
-            return _leaving(question.engine)
+            return leaving(question.engine)
         return self._granted(question, verdict)
 
     def release(self, holder: Holder, ended: Ended) -> None:
@@ -140,17 +145,13 @@
         self._end(self.leases.ended(self._clock()))
         self._lines.serve_all()
 
-    def _declined(self, question: Question, target: Target | None) -> OwnerReply | None:
-        """Return why a request may not run at an engine, whatever its load."""
-        if self._view.stopping():
-            return NotOwner()
-        if target is None or not (target.takes_work or question.resuming):
-            return _leaving(question.engine)
+    def _declined(self, question: Question) -> OwnerReply | None:
+        """Return why a request may not run at an engine that takes work, whatever its load."""
         owner = self._view.owner_name(question.engine)
         if owner != self._name:
             return NotOwner(owner)
-        if self._health.is_down(target.name, self._clock()):
-            return NotRun("upstream-down", f"{target.name} failed several times in a row")
+        if self._health.is_down(question.engine, self._clock()):
+            return NotRun("upstream-down", f"{question.engine} failed several times in a row")
         believed = self._context_engine(question)
         return Elsewhere(believed) if believed != question.engine else None
 
@@ -163,11 +164,6 @@
             self._memory, question.chat, question.engine, question.runner_up, young
         )
 
-    def _still_takes(self, question: Question) -> bool:
-        """Return whether an engine did not begin to leave while a request waited for it."""
-        target = self._view.target(question.engine)
-        return target is not None and (target.takes_work or question.resuming)
-
     def _ask_gate(self, target: Target, question: Question) -> Verdict:
         now = self._clock()
         others = max(self._view.elsewhere_in_flight(target.name), question.seen_elsewhere)
@@ -187,7 +183,3 @@
         """Give a place at an engine back, and let whoever is next in line have it."""
         self._gate.release(engine)
         self._lines.gave_back(engine, self._clock())
-
-
-def _leaving(engine: str) -> NotRun:
-    return NotRun("upstream-leaving", f"{engine} takes no new work")
--- a/pondhatch/requests/_sending.py
+++ b/pondhatch/requests/_sending.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Protocol
+from typing import Protocol, TypeGuard
 
 from pondhatch.requests._messages import (
     AnswerStream,
@@ -33,6 +33,16 @@
     slots: int
 
 
+def takes(target: Target | None, resuming: bool) -> TypeGuard[Target]:
+    """Return whether an upstream is known and takes a request, or the rest of one."""
+    return target is not None and (target.takes_work or resuming)
+
+
+def leaving(upstream: str) -> NotRun:
+    """Return the refusal where an upstream takes no new work."""
+    return NotRun("upstream-leaving", f"{upstream} takes no new work")
+
+
 class Upstreams(Protocol):
     """Connections to upstreams."""
 
--- a/pondhatch/requests/tests/_history.py
+++ b/pondhatch/requests/tests/_history.py
@@ -21,8 +21,8 @@
     Delivery,
     EntryGrants,
     GrantPacket,
+    GrantSides,
     Headers,
-    Hold,
     LocalOwner,
     Lost,
     NotRun,
@@ -31,11 +31,8 @@
     PartSink,
     Patience,
     Placed,
-    Question,
-    Release,
     ReplayableBody,
     RequestHead,
-    Spilled,
     Target,
     Unknown,
     Walk,
@@ -305,7 +302,6 @@
         self.gate = NotedGate(fleet.loads.granted)
         self.owner = LocalOwner(name, self.view, self.gate, SpillMemory(), clock, Health())
         self._tasks = Tasks()
-        self._answering = OwnerGrants(self.owner, self._tasks)
         self.entry = EntryGrants(
             name,
             short_id(name),
@@ -313,21 +309,12 @@
             lambda to, packet: fleet.network.send(name, to, packet),
             NUMBERS - 3,
         )
+        self.sides = GrantSides(self.entry, OwnerGrants(self.owner, self._tasks))
         self._rounds = self._tasks.start(self._tick())
 
-    def take(self, packet: GrantPacket, answer: Callable[[GrantPacket], None]) -> None:
-        if isinstance(packet, Question):
-            self._answering.asked(packet, answer)
-        elif isinstance(packet, Release | Hold | Spilled):
-            self._answering.told(packet)
-        else:
-            self.entry.receive(packet, answer)
-
     async def _tick(self) -> None:
         while True:
-            self.entry.follow_owners(self.view.owner_name)
-            self.entry.tick(asyncio.get_running_loop().time())
-            self.owner.tick()
+            self.sides.tick(asyncio.get_running_loop().time(), self.view.owner_name)
             await asyncio.sleep(0.1)
 
     def stop(self) -> None:
@@ -350,7 +337,9 @@
         script = Script(upstream_faults)
         self.upstreams = FakeUpstreams(self.history, script, self.known_leaving, self.loads)
         self.routers = {name: Router(name, self) for name in self.names}
-        self.network.take_by_name = {name: each.take for name, each in self.routers.items()}
+        self.network.take_by_name = {
+            name: each.sides.receive for name, each in self.routers.items()
+        }
 
     @property
     def live(self) -> tuple[str, ...]:
--- a/pondhatch/requests/tests/test_grants.py
+++ b/pondhatch/requests/tests/test_grants.py
@@ -145,8 +145,8 @@
             await self.ask(fleet)
             side = fleet.routers[self.owner]
             asked = question(fleet, self.entry, patience=50_000)
-            side.take(asked, lambda _: None)
-            side.take(Release(asked.router, asked.number, Ended.NOTHING), lambda _: None)
+            side.sides.receive(asked, lambda _: None)
+            side.sides.receive(Release(asked.router, asked.number, Ended.NOTHING), lambda _: None)
             await asyncio.sleep(0.2)
             entry = fleet.routers[self.entry].entry
             entry.release(next(iter(entry.held_by_number)), Ended.ANSWERED)
--- a/pondhatch/router/_authority.py
+++ b/pondhatch/router/_authority.py
@@ -88,7 +88,6 @@
             self._state.name, self._terms, lambda: f"{self._rng.getrandbits(NONCE_BITS):016x}"
         )
         return Orderer(
-            self._state.name,
             service,
             self._state,
             self._platform,
--- a/pondhatch/router/_granting.py
+++ b/pondhatch/router/_granting.py
@@ -10,12 +10,9 @@
     NUMBERS,
     EntryGrants,
     GrantPacket,
-    Hold,
+    GrantSides,
     LocalOwner,
     OwnerGrants,
-    Question,
-    Release,
-    Spilled,
     decode_grant_packet,
     encode_grant_packet,
 )
@@ -40,7 +37,7 @@
         first = started_ns // NANOSECONDS_A_NUMBER % NUMBERS
         router = short_id(state.name)
         self.entry = EntryGrants(state.name, router, self.owner, self._send_to, first)
-        self._answering = OwnerGrants(self.owner, tasks)
+        self._sides = GrantSides(self.entry, OwnerGrants(self.owner, tasks))
         self._state = state
         self._send = send
         #: Packets sent and received, for the dump.
@@ -54,24 +51,15 @@
         def answer(reply: GrantPacket) -> None:
             self._send_packet(source, reply)
 
-        if packet is None:
-            return
-        if isinstance(packet, Question):
-            self._answering.asked(packet, answer)
-        elif isinstance(packet, Release | Hold | Spilled):
-            self._answering.told(packet)
-        else:
-            self.entry.receive(packet, answer)
+        if packet is not None:
+            self._sides.receive(packet, answer)
 
     def tick(self) -> None:
         """Do what is due each round."""
-        now = self._state.clock()
         for router in self.owner.holding_routers():
             if self._state.gossip.is_gone_by_id(router):
                 self.owner.lost_router(router)
-        self.entry.follow_owners(self._state.owner_name)
-        self.entry.tick(now)
-        self.owner.tick()
+        self._sides.tick(self._state.clock(), self._state.owner_name)
 
     def _send_to(self, router: str, packet: GrantPacket) -> None:
         address = self._state.gossip.address(router)
--- a/pondhatch/router/_state.py
+++ b/pondhatch/router/_state.py
@@ -104,8 +104,10 @@
 
     def key_holders(self, key: str) -> tuple[str, ...]:
         """Return the live routers, ranked for a key."""
-        live = [member.name for member in self._members if member.phase == Phase.LIVE]
-        return ranked(f"key:{key}", live)
+        return ranked(f"key:{key}", self._live_routers())
+
+    def _live_routers(self) -> list[str]:
+        return [member.name for member in self._members if member.phase == Phase.LIVE]
 
     def unreachable(self, name: str) -> None:
         """Note that a router could not be reached."""
@@ -236,11 +238,9 @@
 
     def wants_to_order(self, service: str) -> bool:
         """Return whether this router is the one that should give a service's orders."""
-        spec = self.fleet.service_by_name.get(service)
-        if spec is None or spec.orders is None or self.stopping():
+        if self.orders_of(service) is None or self.stopping():
             return False
-        live = [member.name for member in self._members if member.phase == Phase.LIVE]
-        return winner(f"orders:{service}", live) == self.name
+        return winner(f"orders:{service}", self._live_routers()) == self.name
 
     def orders_of(self, service: str) -> OrdersSpec | None:
         """Return what a service's engines are to hold, or None where nobody said."""
