Ask once more where a connection closed as its request was sent

Cause: OneEngineTest failed once: the stray answer came in the moment in which the idle connection was taken, which closed it; the request ended as unknown though its engine was well, where no other engine was left to ask.

Change: a transmission that failed counts as a connection at fault, like a crossed answer: still unknown to a caller who may not repeat it; one that may be repeated is sent once more, over a new connection, at the retry budget's cost.

Ruled out: counting every lost answer so, which would ask a crashed engine twice.

Measured: OneEngineTest and the tests of upstreams pass, one run; no test brings this moment about at will, and the whole suite over processes was not run again.

--- a/pondhatch/transport/_upstreams.py
+++ b/pondhatch/transport/_upstreams.py
@@ -15,7 +15,7 @@
 from twisted.internet.error import TimeoutError as ConnectTimeout
 from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
-from twisted.web._newclient import RequestNotSent
+from twisted.web._newclient import RequestNotSent, RequestTransmissionFailed
 from twisted.web.client import Agent, HTTPConnectionPool, ResponseDone
 from twisted.web.http_headers import Headers as WireHeaders
 from twisted.web.iweb import UNKNOWN_LENGTH, IBodyProducer
@@ -242,6 +242,11 @@
         except (TimeoutError, CancelledError):
             tried.sent()
             return _refusal(tried, "no answer before the deadline")
+        except RequestTransmissionFailed as error:
+            # The connection was closing as it was taken, by a stray answer or by its idle time.
+            tried.sent()
+            tried.crossed()
+            return _refusal(tried, _reason(error))
         except Exception as error:
             tried.sent()
             return _refusal(tried, _reason(error))
