--- a/bench/_decisions.py
+++ b/bench/_decisions.py
@@ -13,7 +13,6 @@
 from pondhatch.limits import RetryBudget
 from pondhatch.membership import Alive, Gossip, MembershipLimits, Phase, short_id
 from pondhatch.placement import Full
-from pondhatch.platform import Upstream
 from pondhatch.requests import (
     BodySource,
     Busy,
@@ -36,6 +35,7 @@
     Ways,
 )
 from pondhatch.router import RouterState
+from pondhatch.store import Upstream
 
 ENGINES = 110
 ROUTERS = 470
--- a/bench/_memory.py
+++ b/bench/_memory.py
@@ -14,7 +14,7 @@
 from pondhatch.configuration import Change, Edit, Fleet
 from pondhatch.membership import Alive, Gossip, MembershipLimits, Phase, short_id
 from pondhatch.placement import SpillMemory
-from pondhatch.platform import Upstream, UpstreamList
+from pondhatch.store import Upstream, UpstreamList
 
 
 def account_edits(count: int) -> tuple[Edit, ...]:
--- a/fakes/_platform_in_memory.py
+++ b/fakes/_platform_in_memory.py
@@ -7,7 +7,7 @@
 
 from fakes._faults import Faults
 from fakes._platform import Store, Stored
-from pondhatch.platform import (
+from pondhatch.store import (
     Accepted,
     Conflict,
     Found,
--- a/pondhatch/authority/_lease.py
+++ b/pondhatch/authority/_lease.py
@@ -21,7 +21,7 @@
 import msgspec
 
 from pondhatch.authority._holding import new_holding
-from pondhatch.platform import (
+from pondhatch.store import (
     Accepted,
     Conflict,
     Found,
--- a/pondhatch/authority/_orderer.py
+++ b/pondhatch/authority/_orderer.py
@@ -22,7 +22,7 @@
 from pondhatch.authority._orders import Due, due_orders, wanted_by_engine
 from pondhatch.configuration import OrdersSpec
 from pondhatch.observing import log_for
-from pondhatch.platform import Platform, Upstream
+from pondhatch.store import Platform, Upstream
 
 log = log_for("authority")
 
--- a/pondhatch/authority/tests/_world.py
+++ b/pondhatch/authority/tests/_world.py
@@ -25,7 +25,7 @@
     Wanted,
 )
 from pondhatch.configuration import OrdersSpec
-from pondhatch.platform import (
+from pondhatch.store import (
     Accepted,
     Conflict,
     Found,
--- a/pondhatch/cli/_commands.py
+++ b/pondhatch/cli/_commands.py
@@ -38,7 +38,7 @@
 )
 from pondhatch.kernel import as_future, install_reactor
 from pondhatch.observing import setup_logs
-from pondhatch.platform import Platform
+from pondhatch.store import Platform
 
 Result = TypeVar("Result")
 
--- a/pondhatch/cli/_reports.py
+++ b/pondhatch/cli/_reports.py
@@ -13,7 +13,7 @@
     Published,
     PublishOutcome,
 )
-from pondhatch.platform import Unavailable
+from pondhatch.store import Unavailable
 
 EXIT_DONE = 0
 EXIT_INPUT = 1
--- a/pondhatch/cli/_router_process.py
+++ b/pondhatch/cli/_router_process.py
@@ -3,18 +3,21 @@
 from __future__ import annotations
 
 import asyncio
+import importlib
 import random
+import secrets
 import signal
 import socket
 import time
-from typing import Any
+from dataclasses import dataclass
+from typing import Any, cast
 
 from grpclib.server import Server
 from twisted.internet import ssl
 from twisted.web.server import Site
 
-from pondhatch.configuration import Settings, load_fleet_key
-from pondhatch.kernel import Tasks
+from pondhatch.configuration import ServiceDefaults, Settings, load_fleet_key
+from pondhatch.kernel import REGISTRY, Tasks
 from pondhatch.membership import (
     Address,
     Alive,
@@ -27,19 +30,25 @@
 )
 from pondhatch.observing import Metrics, NoMetrics, StatsdMetrics, log_for
 from pondhatch.requests import HOLDERS, Ways
-from pondhatch.router import GRANT_MARK, Authority, Granting, RouterState, Sync
+from pondhatch.router import GRANT_MARK, Authority, Granting, RouterState, Sync, agreed_key
+from pondhatch.store import Platform
 from pondhatch.transport import (
+    INTERFACE,
     Admin,
     Callers,
     CallerSite,
     GossipPort,
+    HttpClient,
     HttpEngineOrders,
-    HttpPlatform,
     HttpUpstreams,
+    Interface,
     PeerService,
     PullReply,
     PullRequest,
+    Readiness,
     RemotePeer,
+    RoutedCallers,
+    bounded,
     fleet_token,
     peer_tls,
     poll_loads,
@@ -47,6 +56,8 @@
 
 log = log_for("process")
 
+#: Modules whose plug-ins register themselves when they are imported.
+ADAPTERS = ("pondhatch.platform",)
 #: Seconds from one telling of something new to the next: each reaches four random peers,
 #: and with one alone about two in a hundred routers would have to wait for a ping.
 RETELL_PAUSES = (0.1, 0.2)
@@ -67,14 +78,25 @@
 DRAIN_NOTICE = 1.0
 
 
+@dataclass(frozen=True)
+class Surroundings:
+    """What a router is given from outside."""
+
+    interface: Interface
+    platform: Platform
+    client: HttpClient
+    fleet_key: bytes
+
+
 class RouterProcess:
     """Owns every part of a router; the reactor must be installed before."""
 
-    def __init__(self, settings: Settings, reactor: Any) -> None:
+    def __init__(self, settings: Settings, reactor: Any, parts: Surroundings) -> None:
         self._settings = settings
         self._reactor = reactor
         self._tasks = Tasks()
-        fleet_key = load_fleet_key(settings)
+        self._interface = parts.interface
+        fleet_key = parts.fleet_key
         self._token = fleet_token(fleet_key)
         self._peer_tls = peer_tls(settings.name, settings.peers)
         self._remote_by_name: dict[str, RemotePeer] = {}
@@ -82,17 +104,19 @@
         self.state = self._new_state()
         self._gossip_port = GossipPort(Seal(fleet_key), self._receive)
         self._granting = Granting(self.state, self._gossip_port.send, self._tasks, time.time_ns())
-        self._platform = HttpPlatform(settings.platform)
-        self._sync = Sync(self.state, self._platform, self._pull, self._spread, self._rng)
-        self._authority = Authority(self.state, self._platform, HttpEngineOrders(), self._rng)
-        self._metrics = self._new_metrics()
-        self._callers = Callers(
+        self._platform = parts.platform
+        self._sync = Sync(
             self.state,
-            Ways(self._granting.entry, HttpUpstreams(reactor)),
-            settings.limits,
-            self._metrics,
-            self._tasks,
+            self._platform,
+            self._interface.configuration(self._platform),
+            self._pull,
+            self._spread,
+            self._rng,
+            None if self._interface.lists_vms else f"{settings.peers.host}:{settings.peers.port}",
         )
+        self._authority = Authority(self.state, self._platform, HttpEngineOrders(), self._rng)
+        self._metrics = self._new_metrics()
+        self._callers = self._new_callers(parts.client)
         self._peer_service = PeerService(self.state.local, self._answer_pull, self._token)
         self._peer_server: Server = self._peer_service.server()
         self._started = time.monotonic()
@@ -108,7 +132,8 @@
         self.state.refresh()
         self._tasks.start(self._rounds())
         self._tasks.start(self._sync.run())
-        self._tasks.start(poll_loads(self.state))
+        if self._interface.reports_loads:
+            self._tasks.start(poll_loads(self.state))
         self._tasks.start(self._authority.run())
         self._tasks.start(self._tell_levels())
         log.info("Router {} serves hall {}.", self._settings.name, self._settings.hall)
@@ -134,6 +159,15 @@
         gossip = Gossip(own, MembershipLimits(), self._rng, seeds)
         return RouterState(settings.name, settings.hall, gossip, time.monotonic, self._connect)
 
+    def _new_callers(self, client: HttpClient) -> Callers | RoutedCallers:
+        ways = Ways(self._granting.entry, HttpUpstreams(client, self._interface.upstreams))
+        limits, dialect = self._settings.limits, self._interface.callers
+        if dialect is None:
+            return Callers(self.state, ways, limits, self._metrics, self._tasks)
+        return RoutedCallers(
+            self.state, ways, dialect, limits, self._metrics, self._tasks, self._rng
+        )
+
     def _new_metrics(self) -> Metrics:
         statsd = self._settings.statsd
         if statsd is None:
@@ -150,17 +184,25 @@
         admin_app = Admin(self.state, self._authority, self._counters)
         self._reactor.listenTCP(admin.port, Site(admin_app.app.resource()), interface=admin.host)
         self._listen_to_callers()
+        if settings.ready is not None:
+            ready = Readiness(settings.ready.path, self._is_ready)
+            self._reactor.listenTCP(settings.ready.port, Site(ready), interface=settings.ready.host)
 
     def _listen_to_callers(self) -> None:
         callers = self._settings.callers
-        resource: Any = self._callers.app.resource()
-        site = CallerSite(resource, self._settings.limits)
+        own = self._settings.limits
+        resource: Any = self._callers.resource()
+        site = CallerSite(resource, lambda: bounded(self.state, own))
         if callers.certificate is None or callers.private_key is None:
             self._reactor.listenTCP(callers.port, site, interface=callers.host)
             return
         context = ssl.DefaultOpenSSLContextFactory(callers.private_key, callers.certificate)
         self._reactor.listenSSL(callers.port, site, context, interface=callers.host)
 
+    def _is_ready(self) -> bool:
+        """Return whether the balancer should send callers here."""
+        return self.state.fleet.version > 0 and not self.state.stopping()
+
     # -- peers ----------------------------------------------------------------
 
     def _connect(self, member: Member) -> RemotePeer:
@@ -250,8 +292,13 @@
         log.info("Draining, {} requests in flight.", self._callers.in_flight)
         self.state.phase = Phase.DRAINING
         self._announce()
-        await asyncio.sleep(DRAIN_NOTICE)
-        deadline = time.monotonic() + self._settings.drain_seconds
+        begun = time.monotonic()
+        drain = self._settings.drain
+        await asyncio.sleep(max(DRAIN_NOTICE, drain.accept_seconds))
+        self._callers.takes_work = False
+        whole = drain.whole_seconds
+        seconds = self._settings.drain_seconds if whole is None else whole
+        deadline = begun + seconds
         while self._busy() and time.monotonic() < deadline:
             await asyncio.sleep(DRAIN_STEP)
         await self._step_down()
@@ -295,7 +342,7 @@
             "grants_held": len(self._granting.entry.held_by_number),
             "grants_given": len(self._granting.owner.leases.by_holder),
             "gossip_unsealed": self._gossip_port.unsealed,
-            "platform_calls": self._platform.calls,
+            "platform_calls": getattr(self._platform, "calls", 0),
         }
 
 
@@ -312,5 +359,19 @@
 
 async def serve(settings: Settings, reactor: Any) -> None:
     """Run a router until it is asked to stop."""
-    process = RouterProcess(settings, reactor)
+    process = RouterProcess(settings, reactor, await _surroundings(settings, reactor))
     await process.run()
+
+
+async def _surroundings(settings: Settings, reactor: Any) -> Surroundings:
+    """Return what a router is given; waits until it has the fleet's key."""
+    for module in ADAPTERS:
+        importlib.import_module(module)
+    client = HttpClient(reactor)
+    views = {HttpClient: client, ServiceDefaults: settings.service_defaults}
+    interface = cast(Interface, REGISTRY.build(INTERFACE, settings.interface, views))
+    platform = interface.store(settings.platform)
+    fleet_key = load_fleet_key(settings)
+    if fleet_key is None:
+        fleet_key = await agreed_key(platform, secrets.token_hex(16), random.Random())
+    return Surroundings(interface, platform, client, fleet_key)
--- a/pondhatch/configuration/__init__.py
+++ b/pondhatch/configuration/__init__.py
@@ -9,7 +9,15 @@
     change_name,
 )
 from pondhatch.configuration._files import Sources, checked, differences, read_files
-from pondhatch.configuration._fleet import Fleet, Gap, Rejected
+from pondhatch.configuration._fleet import CALLER_BOUNDS, Fleet, Gap, Rejected
+from pondhatch.configuration._following import (
+    ChangeLog,
+    ConfigurationSource,
+    News,
+)
+from pondhatch.configuration._following import (
+    Document as ConfigurationDocument,
+)
 from pondhatch.configuration._problems import ConfigurationError, Problem
 from pondhatch.configuration._publishing import (
     CHANGE_KIND,
@@ -24,12 +32,17 @@
     read_fleet,
     write_snapshot,
 )
+from pondhatch.configuration._routes import Route, RouteTable
 from pondhatch.configuration._schema import (
     AccountPolicy,
     AccountSpec,
+    CallerBounds,
     FleetFile,
     Misfit,
     OrdersSpec,
+    Repeats,
+    RouteSpec,
+    RouteTarget,
     ServiceSpec,
     TemplateSpec,
     fit,
@@ -37,8 +50,11 @@
 from pondhatch.configuration._settings import (
     CallerEndpoint,
     CallerLimits,
+    DrainSettings,
     LogSettings,
     PeerEndpoint,
+    ReadyEndpoint,
+    ServiceDefaults,
     Settings,
     StatsdEndpoint,
     load_fleet_key,
@@ -47,6 +63,20 @@
 from pondhatch.configuration._yaml import Document, load, parse
 
 __all__ = [
+    "DrainSettings",
+    "ReadyEndpoint",
+    "ServiceDefaults",
+    "ChangeLog",
+    "ConfigurationDocument",
+    "ConfigurationSource",
+    "News",
+    "CALLER_BOUNDS",
+    "CallerBounds",
+    "Repeats",
+    "Route",
+    "RouteSpec",
+    "RouteTable",
+    "RouteTarget",
     "CHANGES_PER_SNAPSHOT",
     "CHANGE_KIND",
     "KINDS",
--- a/pondhatch/configuration/_changes.py
+++ b/pondhatch/configuration/_changes.py
@@ -12,7 +12,7 @@
 import msgspec
 
 #: Kinds of entries, in the order in which they are checked.
-KINDS = ("service", "template", "account")
+KINDS = ("service", "route", "bounds", "template", "account")
 
 
 class Edit(msgspec.Struct, frozen=True):
--- a/pondhatch/configuration/_files.py
+++ b/pondhatch/configuration/_files.py
@@ -15,7 +15,12 @@
 from pondhatch.configuration._yaml import Document, FieldPath, load
 
 #: Section of a file by kind of entry.
-SECTION_BY_KIND = {"service": "services", "template": "templates", "account": "accounts"}
+SECTION_BY_KIND = {
+    "service": "services",
+    "route": "routes",
+    "template": "templates",
+    "account": "accounts",
+}
 
 
 @dataclass(frozen=True)
--- a/pondhatch/configuration/_fleet.py
+++ b/pondhatch/configuration/_fleet.py
@@ -9,18 +9,24 @@
 
 import msgspec
 
-from pondhatch.configuration._changes import Change, Edit, Snapshot
+from pondhatch.configuration._changes import KINDS, Change, Edit, Snapshot
+from pondhatch.configuration._routes import RouteTable
 from pondhatch.configuration._schema import (
     AccountPolicy,
     AccountSpec,
+    CallerBounds,
     Misfit,
+    RouteSpec,
     ServiceSpec,
     TemplateSpec,
     fit,
 )
 from pondhatch.configuration._templates import check_template, fill_in
 
-Spec = TypeVar("Spec", ServiceSpec, TemplateSpec, AccountSpec)
+Spec = TypeVar("Spec", ServiceSpec, RouteSpec, CallerBounds, TemplateSpec, AccountSpec)
+
+#: Name of the one entry that bounds what callers may send.
+CALLER_BOUNDS = "callers"
 
 #: Changes kept in memory for peers that are a little behind.
 KEPT_CHANGES = 512
@@ -56,6 +62,9 @@
 
     version: int = 0
     service_by_name: dict[str, ServiceSpec] = field(default_factory=dict)
+    routes: RouteTable = field(default_factory=RouteTable)
+    #: What callers may send; None where the settings of each router say so.
+    caller_bounds: CallerBounds | None = None
     template_by_name: dict[str, TemplateSpec] = field(default_factory=dict)
     policy_by_account: dict[str, AccountPolicy] = field(default_factory=dict)
     account_by_key_hash: dict[str, str] = field(default_factory=dict)
@@ -132,6 +141,18 @@
         """Return the configuration with edits taken in, at the same version."""
         return _Editor(self, tuple(edits)).run()
 
+    def replaced_by(self, whole: Snapshot) -> Fleet | Rejected:
+        """Return the configuration that a snapshot holds; only what differs is checked anew."""
+        encoded = {
+            (edit.kind, edit.name): (edit, msgspec.json.encode(edit.value)) for edit in whole.edits
+        }
+        edits = [edit for key, (edit, raw) in encoded.items() if self.raw_by_entry.get(key) != raw]
+        edits += [Edit(kind, name) for kind, name in self.raw_by_entry.keys() - encoded.keys()]
+        edited = self.with_edits(edits)
+        if isinstance(edited, Rejected):
+            return edited
+        return replace(edited, version=whole.version, recent=())
+
     @classmethod
     def from_snapshot(cls, snapshot: Snapshot) -> Fleet | Rejected:
         """Return the configuration that a snapshot holds."""
@@ -148,6 +169,10 @@
     return fitted
 
 
+def _bounds_of(fleet: Fleet) -> dict[str, CallerBounds]:
+    return {CALLER_BOUNDS: fleet.caller_bounds} if fleet.caller_bounds is not None else {}
+
+
 class _Editor:
     """Checks edits on top of a configuration; only entries they touch are checked anew."""
 
@@ -155,6 +180,8 @@
         self._edits = edits
         self._raw = dict(base.raw_by_entry)
         self._services = dict(base.service_by_name)
+        self._routes = dict(base.routes.by_name)
+        self._bounds = dict(_bounds_of(base))
         self._templates = dict(base.template_by_name)
         self._policies = dict(base.policy_by_account)
         self._account_by_key_hash = dict(base.account_by_key_hash)
@@ -169,6 +196,10 @@
         for edit in self._edits:
             if edit.kind == "service":
                 self._set_spec(edit, ServiceSpec, self._services)
+            if edit.kind == "route":
+                self._set_spec(edit, RouteSpec, self._routes)
+            if edit.kind == "bounds":
+                self._set_spec(edit, CallerBounds, self._bounds)
         for edit in self._edits:
             if edit.kind == "template":
                 self._set_template(edit)
@@ -180,9 +211,12 @@
         self._check_claims()
         if self._misfits:
             return Rejected(tuple(self._misfits))
+        routes = self._base.routes
         return replace(
             self._base,
             service_by_name=self._services,
+            routes=routes if self._routes == routes.by_name else RouteTable.of(self._routes),
+            caller_bounds=self._bounds.get(CALLER_BOUNDS),
             template_by_name=self._templates,
             policy_by_account=self._policies,
             account_by_key_hash=self._account_by_key_hash,
@@ -190,7 +224,7 @@
         )
 
     def _write(self, edit: Edit) -> None:
-        if edit.kind not in ("service", "template", "account"):
+        if edit.kind not in KINDS:
             self._note(edit.kind, edit.name, Misfit((), "unknown kind of entry"))
             return
         key = (edit.kind, edit.name)
@@ -279,17 +313,34 @@
             self._note("account", account, Misfit(("key_hashes", at), wrong))
 
     def _check_claims(self) -> None:
-        """Check that no two services claim the same model or path."""
+        """Check that no two services or routes claim the same, and that each is reached."""
+        routed = self._check_routes()
         claimed: dict[str, str] = {}
         for name, spec in sorted(self._services.items()):
             claims = [*spec.models, *([spec.prefix] if spec.prefix else [])]
-            if not claims:
-                self._note("service", name, Misfit((), "expected models or a prefix"))
+            if not claims and name not in routed and not self._routes:
+                self._note("service", name, Misfit((), "expected models, a prefix or a route"))
             for claim in claims:
                 other = claimed.setdefault(claim, name)
                 if other != name:
                     wrong = f"{claim!r} is already served by service {other!r}"
                     self._note("service", name, Misfit((), wrong))
 
+    def _check_routes(self) -> set[str]:
+        """Check that routes differ and lead to services; return the services they lead to."""
+        routed: set[str] = set()
+        claimed: dict[tuple[str, str], str] = {}
+        for name, route in self._routes.items():
+            other = claimed.setdefault((route.host.lower(), route.path_prefix), name)
+            if other != name:
+                wrong = f"expected a host and prefix of its own, found those of route {other!r}"
+                self._note("route", name, Misfit(("path_prefix",), wrong))
+            for at, target in enumerate(route.targets):
+                if target.service not in self._services:
+                    wrong = f"undefined service {target.service!r}"
+                    self._note("route", name, Misfit(("targets", at, "service"), wrong))
+            routed |= {target.service for target in route.targets}
+        return routed
+
     def _note(self, kind: str, name: str, misfit: Misfit) -> None:
         self._misfits.append(((kind, name), misfit))
--- a/pondhatch/configuration/_publishing.py
+++ b/pondhatch/configuration/_publishing.py
@@ -11,7 +11,7 @@
 
 from pondhatch.configuration._changes import Change, Edit, Snapshot, change_name
 from pondhatch.configuration._fleet import Fleet, Gap, Rejected
-from pondhatch.platform import (
+from pondhatch.store import (
     Accepted,
     Found,
     Missing,
--- /dev/null
+++ b/pondhatch/configuration/_routes.py
@@ -0,0 +1,63 @@
+"""Routes: which one a request takes, by its host and the longest prefix of its path."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from pondhatch.configuration._schema import RouteSpec
+
+
+@dataclass(frozen=True)
+class Route:
+    """A route under its name."""
+
+    name: str
+    spec: RouteSpec
+
+    def service(self, drawn: float) -> str:
+        """Return the service of one request; ``drawn`` is uniform in 0 to 1."""
+        targets = self.spec.targets
+        left = drawn * sum(target.weight for target in targets)
+        for target in targets:
+            left -= target.weight
+            if left < 0:
+                return target.service
+        return targets[-1].service
+
+
+@dataclass(frozen=True)
+class RouteTable:
+    """All routes of a configuration. Never changed in place."""
+
+    by_name: Mapping[str, RouteSpec] = field(default_factory=dict)
+    #: Routes by host in lower case, then by path prefix.
+    _by_host: Mapping[str, Mapping[str, Route]] = field(default_factory=dict)
+
+    @classmethod
+    def of(cls, by_name: Mapping[str, RouteSpec]) -> RouteTable:
+        """Return the table of routes by name."""
+        by_host: dict[str, dict[str, Route]] = {}
+        for name, spec in by_name.items():
+            by_host.setdefault(spec.host.lower(), {})[spec.path_prefix] = Route(name, spec)
+        return cls(by_name, by_host)
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of a path, or None.
+
+        ``host`` may carry a port and ``path`` a query; both are left out.
+        """
+        by_prefix = self._by_host.get(host.lower()) or self._by_host.get(_without_port(host))
+        if not by_prefix:
+            return None
+        end = len(path.split("?", 1)[0])
+        while (end := path.rfind("/", 0, end)) >= 0:
+            found = by_prefix.get(path[: end + 1])
+            if found is not None:
+                return found
+        return None
+
+
+def _without_port(host: str) -> str:
+    name, _, port = host.lower().rpartition(":")
+    return name if name and port.isdigit() else host.lower()
--- a/pondhatch/configuration/_schema.py
+++ b/pondhatch/configuration/_schema.py
@@ -56,6 +56,9 @@
     prefix: Annotated[str, Field(pattern=r"^/[a-z0-9-]+/$")] | None = None
     #: No engine carries more than this multiple of the service's mean load.
     load_bound: Annotated[float, Field(gt=1.0, le=10.0)] = 1.25
+    #: Requests above that multiple that any engine may carry: near an empty service the
+    #: multiple of a small mean would send chats away from their context for nothing.
+    load_slack: Annotated[int, Field(ge=0, le=1000)] = 0
     #: Requests that one engine can take at once, whatever the mean.
     engine_slots: Annotated[int, Field(ge=1, le=100_000)] = 128
     #: Seconds that a returning chat waits for its engine before it goes to another.
@@ -72,6 +75,64 @@
     orders: OrdersSpec | None = None
 
 
+@_closed
+@dataclass(frozen=True)
+class RouteTarget:
+    """One of the services that share a route's requests."""
+
+    service: Name
+    #: Its share against the other targets of the route.
+    weight: Annotated[float, Field(gt=0)] = 1.0
+
+
+#: How often a route's requests may run.
+Repeats = Literal["any", "resumed", "never"]
+
+
+@_closed
+@dataclass(frozen=True)
+class RouteSpec:
+    """Requests under one host and path prefix, and what holds for them."""
+
+    host: Annotated[str, Field(min_length=1)]
+    #: Begins and ends with a slash; of those that fit a path, the longest decides.
+    path_prefix: Annotated[str, Field(pattern=r"^/(.*/)?$")]
+    targets: Annotated[tuple[RouteTarget, ...], Field(min_length=1)]
+    #: "any": may run more than once; "resumed": a broken stream may go on at another
+    #: engine; "never": runs at most once.
+    repeats: Repeats = "never"
+    #: Whether answers are streams of events.
+    streams: bool = False
+    #: Seconds that a request may be held in all.
+    timeout: Annotated[float, Field(gt=0)] = 120.0
+    #: Seconds within which an answer, or a stream's first event, is in time.
+    objective: Annotated[float, Field(gt=0)] = 1.0
+    #: Seconds between two events of a stream that is still in time; 0 where nobody says.
+    longest_pause: Annotated[float, Field(ge=0)] = 0.0
+    #: Engines that one request may be sent to at most.
+    most_tries: Annotated[int, Field(ge=1)] = 1
+    #: 0 is served first, 9 last; an account's own priority goes before it.
+    priority: Annotated[int, Field(ge=0, le=9)] = 5
+    #: Whether it serves callers without a key.
+    public: bool = False
+    #: Whether its requests return to the engine that holds their context.
+    keeps_context: bool = False
+
+
+@_closed
+@dataclass(frozen=True)
+class CallerBounds:
+    """What callers may send, as the configuration in force says it."""
+
+    #: Bytes of all headers of a request together.
+    header_bytes: Annotated[int, Field(ge=1024)]
+    body_bytes: Annotated[int, Field(ge=0)]
+    #: Seconds for a request's head to come in full.
+    header_seconds: Annotated[float, Field(gt=0)]
+    #: Seconds for which a connection may stand idle.
+    idle_seconds: Annotated[float, Field(gt=0)]
+
+
 @_closed
 @dataclass(frozen=True)
 class ParameterSpec:
@@ -102,7 +163,7 @@
 
     template: Name
     #: SHA-256 of the API keys, in hex; two while a key is being replaced.
-    key_hashes: Annotated[tuple[KeyHash, ...], Field(min_length=1, max_length=4)]
+    key_hashes: Annotated[tuple[KeyHash, ...], Field(min_length=1, max_length=16)]
     parameters: dict[Name, Scalar] = field(default_factory=dict)
 
 
@@ -117,8 +178,8 @@
     burst: Annotated[int, Field(ge=1, le=1_000_000)]
     #: Requests in flight at once, fleet-wide.
     concurrency: Annotated[int, Field(ge=1, le=1_000_000)]
-    #: 0 is served first, 9 last.
-    priority: Annotated[int, Field(ge=0, le=9)] = 5
+    #: 0 is served first, 9 last; None leaves it to the route.
+    priority: Annotated[int, Field(ge=0, le=9)] | None = 5
     #: Share against other accounts when a service is full.
     weight: Annotated[float, Field(gt=0, le=100)] = 1.0
 
@@ -129,6 +190,7 @@
     """One file of services, templates and accounts."""
 
     services: dict[Name, ServiceSpec] = field(default_factory=dict)
+    routes: dict[Name, RouteSpec] = field(default_factory=dict)
     templates: dict[Name, TemplateSpec] = field(default_factory=dict)
     accounts: dict[Name, AccountSpec] = field(default_factory=dict)
 
--- a/pondhatch/configuration/_settings.py
+++ b/pondhatch/configuration/_settings.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Any
 
 from pydantic import ConfigDict, Field, with_config
 
@@ -84,6 +84,38 @@
     prefix: str = "pondhatch"
 
 
+@_closed
+@dataclass(frozen=True)
+class ReadyEndpoint:
+    """Where the balancer asks whether this router takes work."""
+
+    host: Host
+    port: Port
+    path: Annotated[str, Field(pattern=r"^/")] = "/healthz"
+
+
+@_closed
+@dataclass(frozen=True)
+class ServiceDefaults:
+    """What holds for services where the platform's configuration does not say."""
+
+    #: See ServiceSpec.
+    load_bound: Annotated[float, Field(gt=1.0, le=10.0)] = 1.25
+    load_slack: Annotated[int, Field(ge=0, le=1000)] = 0
+
+
+@_closed
+@dataclass(frozen=True)
+class DrainSettings:
+    """How a stopping router ends."""
+
+    #: Seconds after the stop signal for which it still takes requests: until the balancer
+    #: has noticed, callers have nowhere else to go.
+    accept_seconds: Annotated[float, Field(ge=0, le=600)] = 0.0
+    #: Seconds after the stop signal by which it has ended, whatever still runs.
+    whole_seconds: Annotated[float, Field(gt=0, le=3600)] | None = None
+
+
 @_closed
 @dataclass(frozen=True)
 class LogSettings:
@@ -108,14 +140,21 @@
     admin: AdminEndpoint
     #: The platform's object API.
     platform: Url
-    #: File whose content is the fleet's shared key; at least 16 bytes.
-    fleet_key_file: str
+    #: File whose content is the fleet's shared key, at least 16 bytes; without it, the
+    #: routers agree on one through an object at the platform.
+    fleet_key_file: str | None = None
+    #: What callers, upstreams and the platform speak; a plug-in of kind "interface".
+    interface: str = "openai"
+    #: Asked on the callers' port where it is not set.
+    ready: ReadyEndpoint | None = None
+    service_defaults: ServiceDefaults = field(default_factory=ServiceDefaults)
     #: Peers to try first, as "IP:port"; the platform's list of VMs adds to them.
     seeds: tuple[Annotated[str, Field(pattern=r"^[0-9a-fA-F.:]+:\d+$")], ...] = ()
     limits: CallerLimits = field(default_factory=CallerLimits)
     statsd: StatsdEndpoint | None = None
     #: Seconds for which a stopping router lets its streams finish.
     drain_seconds: Annotated[float, Field(ge=0, le=3600)] = 120.0
+    drain: DrainSettings = field(default_factory=DrainSettings)
     log: LogSettings = field(default_factory=LogSettings)
 
 
@@ -126,7 +165,7 @@
 def load_settings(path: Path) -> Settings:
     """Read a settings file. Raises ConfigurationError with every problem."""
     document = load(path)
-    fitted = fit(Settings, document.data)
+    fitted = fit(Settings, _with_split_addresses(document.data))
     if not isinstance(fitted, Settings):
         raise ConfigurationError(
             tuple(document.problem(each.path, each.expected) for each in fitted)
@@ -135,8 +174,29 @@
     return fitted
 
 
-def load_fleet_key(settings: Settings) -> bytes:
-    """Read the fleet key. Raises ConfigurationError where it is missing or short."""
+def _with_split_addresses(data: Any) -> Any:
+    """Return settings in which each ``address: IP:port`` stands as host and port."""
+    if not isinstance(data, dict):
+        return data
+    return {name: _with_split_address(value) for name, value in data.items()}
+
+
+def _with_split_address(section: Any) -> Any:
+    address = section.get("address") if isinstance(section, dict) else None
+    host, _, port = str(address).rpartition(":")
+    if not host or not port.isdigit():
+        return section
+    others = {name: value for name, value in section.items() if name != "address"}
+    return {"host": host.strip("[]"), "port": int(port), **others}
+
+
+def load_fleet_key(settings: Settings) -> bytes | None:
+    """Read the fleet key, None where the settings name no file for it.
+
+    Raises ConfigurationError where the file cannot be read or the key is short.
+    """
+    if settings.fleet_key_file is None:
+        return None
     path = Path(settings.fleet_key_file)
     try:
         key = path.read_bytes().strip()
--- a/pondhatch/configuration/tests/test_publishing.py
+++ b/pondhatch/configuration/tests/test_publishing.py
@@ -22,7 +22,7 @@
     write_snapshot,
 )
 from pondhatch.configuration.tests.test_fleet import account
-from pondhatch.platform import Unavailable
+from pondhatch.store import Unavailable
 
 
 async def no_pause(seconds: float) -> None:
--- a/pondhatch/placement/_gate.py
+++ b/pondhatch/placement/_gate.py
@@ -83,16 +83,18 @@
         others: int,
         engines: int,
         slots: int = UNLIMITED_SLOTS,
+        slack: int = 0,
     ) -> Verdict:
         """Grant or refuse one request.
 
         ``others`` is the in-flight total of the service's other engines, as
         heard; ``engines`` counts the service's engines, this one included;
-        ``slots`` is what one engine can take whatever the mean.
+        ``slots`` is what one engine can take whatever the mean, ``slack`` what it
+        may hold above the multiple of the mean.
         """
         count = self.by_engine.get(engine, EngineCount())
         held = count.in_flight(now)
-        ceiling = min(slots, admission_ceiling(bound, others + held, engines))
+        ceiling = min(slots, admission_ceiling(bound, others + held, engines) + slack)
         if held + 1 > ceiling:
             return Full(held, ceiling)
         return self._grant(engine, count, held, ceiling)
--- /dev/null
+++ b/pondhatch/platform/_callers.py
@@ -0,0 +1,49 @@
+"""Clients' requests and the answers that the router gives itself."""
+
+from __future__ import annotations
+
+import xxhash
+
+from pondhatch.platform import _names as names
+from pondhatch.requests import Headers, NotRun, Refusal
+from pondhatch.transport import CallerFacts
+
+BEARER = "bearer "
+#: Statuses that ask the client to come back later.
+COME_BACK = (429, 503)
+
+
+class ClientDialect:
+    """See CallerDialect."""
+
+    def read(self, headers: Headers) -> CallerFacts:
+        """Return what a client says about its request."""
+        value_by_name = {name.lower(): value for name, value in headers}
+        wait = value_by_name.get(names.DEADLINE_MS.lower(), "")
+        return CallerFacts(
+            caller_id=value_by_name.get(names.ATTEMPT_ID.lower(), ""),
+            key=_key(value_by_name.get(names.AUTHORIZATION.lower(), "")),
+            wait=float(wait) / 1000 if wait.isdigit() else None,
+            context=_context(value_by_name.get(names.PROMPT_PARTS.lower(), "")),
+        )
+
+    def refusal_headers(self, refusal: Refusal) -> Headers:
+        """Return the headers of a refusal: when to come back, where that helps."""
+        if not isinstance(refusal, NotRun) or refusal.status not in COME_BACK:
+            return ()
+        return ((names.RETRY_AFTER, f"{refusal.retry_after:.3f}"),)
+
+
+def _key(authorization: str) -> str | None:
+    if authorization[: len(BEARER)].lower() != BEARER:
+        return None
+    return authorization[len(BEARER) :].strip()
+
+
+def _context(parts: str) -> int:
+    """Return a key of the last part that other requests share, or 0 where there is none."""
+    ids = [part.partition(":")[0].strip() for part in parts.split(",") if part.strip()]
+    if not ids:
+        return 0
+    shared = ids[-2] if len(ids) > 1 else ids[0]
+    return xxhash.xxh64_intdigest(shared.encode()) or 1
--- /dev/null
+++ b/pondhatch/platform/_store.py
@@ -0,0 +1,202 @@
+"""The platform's store of objects, as the product's object API."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator, Callable, Mapping
+from typing import Any
+
+import msgspec
+
+from pondhatch.store import (
+    Accepted,
+    Conflict,
+    Found,
+    Listed,
+    Missing,
+    OutcomeUnknown,
+    PlatformLost,
+    StoredObject,
+    TooOld,
+    Unavailable,
+    WatchEvent,
+)
+from pondhatch.transport import CallFailed, StoreCalls
+
+#: Milliseconds that a watch waits at the store. A store that went silent is noticed by a
+#: watch that does not end: so this, and not the 30 s that the store allows, bounds how
+#: long a router stays behind once the store is back.
+WATCH_MS = 2000
+#: Seconds beyond that for its answer.
+WATCH_MARGIN = 0.5
+OK = 200
+CREATED = 201
+NOT_FOUND = 404
+CONFLICT = 409
+GONE = 410
+#: The store says that it did nothing.
+REFUSED = (429, 503)
+
+
+class _Metadata(msgspec.Struct, rename="pascal", frozen=True):
+    """What the store keeps of an object."""
+
+    name: str
+    #: Counts all changes of the store, so a higher one is newer whatever the object.
+    revision: int = 0
+
+
+class _Object(msgspec.Struct, rename="pascal", frozen=True):
+    """An object; what its writer says stands in ``spec``, or for some kinds in ``status``."""
+
+    metadata: _Metadata
+    spec: Any = None
+    status: Any = None
+
+
+class _Page(msgspec.Struct, rename="pascal", frozen=True):
+    """A part of a listing."""
+
+    entries: tuple[_Object, ...]
+    #: The store's revision as of which the page was read, not a time.
+    timestamp: int
+    has_more: bool = False
+
+
+class _Happened(msgspec.Struct, rename="pascal", frozen=True):
+    """One change that a watch tells of."""
+
+    object: _Object
+    deleted: bool = False
+
+
+class _Watched(msgspec.Struct, frozen=True):
+    """What a watch answers."""
+
+    events: tuple[_Happened, ...]
+    timestamp: int = msgspec.field(name="Timestamp")
+
+
+#: Turns what the store holds into the product's value. Raises msgspec.ValidationError.
+Decode = Callable[[str, Any], Any]
+
+
+class PlatformStore:
+    """See Platform."""
+
+    def __init__(self, calls: StoreCalls, decode_by_kind: Mapping[str, tuple[str, Decode]]) -> None:
+        self._calls = calls
+        #: The store's name of a kind and its decoder, by the product's name of the kind.
+        self._decode_by_kind = decode_by_kind
+
+    @property
+    def calls(self) -> int:
+        """Calls made, for the rate that the store allows."""
+        return self._calls.made
+
+    async def get(self, kind: str, name: str) -> Found | Missing | Unavailable:
+        """Read one object."""
+        try:
+            status, content = await self._calls.call("GET", self._path(kind, name))
+        except CallFailed as error:
+            return Unavailable(str(error))
+        if status == NOT_FOUND:
+            return Missing()
+        if status != OK:
+            return Unavailable(f"answered {status}")
+        return Found(self._stored(kind, msgspec.json.decode(content, type=_Object)))
+
+    async def list(self, kind: str) -> Listed | Unavailable:
+        """Read all objects of a kind, page by page."""
+        found: list[StoredObject] = []
+        after = ""
+        while True:
+            try:
+                status, content = await self._calls.call("GET", self._path(kind) + after)
+            except CallFailed as error:
+                return Unavailable(str(error))
+            if status != OK:
+                return Unavailable(f"answered {status}")
+            page = msgspec.json.decode(content, type=_Page)
+            found += [self._stored(kind, each) for each in page.entries]
+            if not page.has_more or not page.entries:
+                return Listed(page.timestamp, tuple(found))
+            after = f"?SinceRev={page.entries[-1].metadata.name}"
+
+    async def create(
+        self, kind: str, name: str, value: Any
+    ) -> Accepted | Conflict | OutcomeUnknown | Unavailable:
+        """Create an object that must not exist yet."""
+        body = {"Metadata": {"Name": name}, "Spec": value}
+        return await self._write("POST", self._path(kind), body)
+
+    async def update(
+        self, kind: str, name: str, value: Any, version: int
+    ) -> Accepted | Conflict | OutcomeUnknown | Unavailable:
+        """Replace an object that must still have the given version."""
+        body = {"Metadata": {"Name": name, "Revision": version}, "Spec": value}
+        return await self._write("PUT", self._path(kind, name), body)
+
+    async def watch(self, kind: str, since: int | None) -> AsyncIterator[WatchEvent]:
+        """Yield a bookmark, then changes after a version; see Platform."""
+        if since is None:
+            listed = await self.list(kind)
+            if isinstance(listed, Unavailable):
+                raise PlatformLost(listed.reason)
+            since = listed.version
+        yield WatchEvent("bookmark", since)
+        while True:
+            watched = await self._watch_once(kind, since)
+            for each in watched.events:
+                yield self._event(kind, each, watched.timestamp)
+            since = max(since, watched.timestamp)
+
+    async def _watch_once(self, kind: str, since: int) -> _Watched:
+        path = f"{self._path(kind)}?Watch={since}&WaitMs={WATCH_MS}"
+        try:
+            status, content = await self._calls.call(
+                "GET", path, seconds=WATCH_MS / 1000 + WATCH_MARGIN
+            )
+        except CallFailed as error:
+            raise PlatformLost(str(error)) from error
+        if status == GONE:
+            raise TooOld(kind)
+        if status != OK:
+            raise PlatformLost(f"answered {status}")
+        return msgspec.json.decode(content, type=_Watched)
+
+    async def _write(
+        self, method: str, path: str, body: Any
+    ) -> Accepted | Conflict | OutcomeUnknown | Unavailable:
+        try:
+            status, content = await self._calls.call(method, path, msgspec.json.encode(body))
+        except CallFailed as error:
+            return OutcomeUnknown(str(error)) if error.sent else Unavailable(str(error))
+        if status in (OK, CREATED):
+            return Accepted(msgspec.json.decode(content, type=_Object).metadata.revision)
+        if status in (CONFLICT, NOT_FOUND):
+            return Conflict()
+        if status in REFUSED:
+            return Unavailable(f"answered {status}")
+        return OutcomeUnknown(f"answered {status}")
+
+    def _path(self, kind: str, name: str = "") -> str:
+        own_name, _ = self._decode_by_kind.get(kind, (kind, _as_it_is))
+        return f"/objects/{own_name}/{name}" if name else f"/objects/{own_name}"
+
+    def _stored(self, kind: str, found: _Object) -> StoredObject:
+        _, decode = self._decode_by_kind.get(kind, (kind, _as_it_is))
+        value = found.spec if found.spec is not None else found.status
+        metadata = found.metadata
+        return StoredObject(kind, metadata.name, metadata.revision, decode(metadata.name, value))
+
+    def _event(self, kind: str, happened: _Happened, timestamp: int) -> WatchEvent:
+        metadata = happened.object.metadata
+        if happened.deleted:
+            # The object is told as it last was; its end is newer than that.
+            return WatchEvent("removed", max(metadata.revision + 1, timestamp), metadata.name)
+        stored = self._stored(kind, happened.object)
+        return WatchEvent("set", stored.version, stored.name, stored.value)
+
+
+def _as_it_is(name: str, value: Any) -> Any:
+    return value
--- a/pondhatch/requests/__init__.py
+++ b/pondhatch/requests/__init__.py
@@ -54,8 +54,11 @@
 )
 from pondhatch.requests._sending import GrantedAnswer, Target, Upstreams
 from pondhatch.requests._try import Try, new_try
+from pondhatch.requests._upstream_dialect import Judged, UpstreamDialect
 
 __all__ = [
+    "Judged",
+    "UpstreamDialect",
     "CROSSED",
     "NUMBERS",
     "HOLDERS",
--- a/pondhatch/requests/_delivery.py
+++ b/pondhatch/requests/_delivery.py
@@ -5,7 +5,7 @@
 import asyncio
 from dataclasses import dataclass
 
-from pondhatch.requests._entry import Placed, Walk
+from pondhatch.requests._entry import Placed, Position, Walk
 from pondhatch.requests._events import EventCutter
 from pondhatch.requests._messages import AnswerStream, Headers, Lost, PartSink
 from pondhatch.requests._outcomes import Broken, Whole
@@ -94,9 +94,11 @@
         loop = asyncio.get_running_loop()
         until = loop.time() + RESUME_SECONDS
         while self._resumes < MOST_RESUMES and loop.time() < until:
-            reply = await self._walk.resume(self._engine, cutter.events)
+            position = Position(cutter.events, cutter.last_id)
+            reply = await self._walk.resume(self._engine, position)
             if isinstance(reply, Placed):
                 self._resumes += 1
+                self._engine = reply.engine
                 self._answer = reply.reply.answer
                 return True
             if reply is None:
--- a/pondhatch/requests/_entry.py
+++ b/pondhatch/requests/_entry.py
@@ -78,6 +78,16 @@
     """Neither the engine nor its owner could be asked just now."""
 
 
+@dataclass(frozen=True)
+class Position:
+    """How much of a stream its caller has."""
+
+    #: Whole events.
+    events: int
+    #: Id of the last of them; empty where it told none.
+    last_id: str = ""
+
+
 @dataclass(frozen=True)
 class Patience:
     """How long a request may wait in an engine's line, in seconds."""
@@ -116,8 +126,8 @@
         remaining: Callable[[], float],
         patience: Patience = NO_PATIENCE,
     ) -> None:
-        chat = str(head.chat) if head.chat else head.request_id
-        self.plan = Plan(chat, view.live_upstreams(head.service))
+        self._chat = str(head.chat) if head.chat else head.request_id
+        self.plan = Plan(self._chat, view.live_upstreams(head.service))
         self._view = view
         self._ways = ways
         self._budget = budget
@@ -130,16 +140,18 @@
         self._may_have_run: Unknown | None = None
         #: Id under which the engine that answers knows the request.
         self._granted_id = ""
+        #: Engines that were sent the request.
+        self._sent_to: set[str] = set()
 
     async def run(self) -> Placed | Refused:
         """Return the opened answer or the refusal that the caller is to be told."""
+        self._budget.first_try()
         ended = await self._walk()
         if isinstance(ended, Refused) and self._may_have_run is not None:
             return Refused(self._may_have_run)
         return ended
 
     async def _walk(self) -> Placed | Refused:
-        self._budget.first_try()
         while self._remaining() > 0:
             step = self.plan.next()
             if isinstance(step, Exhausted):
@@ -151,18 +163,41 @@
 
     def can_resume(self, engine: str) -> bool:
         """Return whether an engine's broken stream may be taken up again."""
-        return self._view.resumes(engine) and isinstance(self._body, ReplayableBody)
+        can = self._head.resumes_anywhere or self._view.resumes(engine)
+        return can and isinstance(self._body, ReplayableBody)
 
-    async def resume(self, engine: str, events: int) -> Placed | Unready | None:
-        """Ask the engine that ran the request to go on after so many events.
+    async def resume(self, engine: str, position: Position) -> Placed | Unready | None:
+        """Have a stream that broke go on where its caller's copy ends.
 
         None means that it cannot, Unready that a later try may work.
         """
         if self._remaining() <= 0:
             return None
+        if self._head.resumes_anywhere:
+            return await self._resume_elsewhere(engine, position)
+        return await self._resume_there(engine, position)
+
+    async def _resume_elsewhere(self, engine: str, position: Position) -> Placed | None:
+        """Run the rest at another engine; the one that broke off is the last resort."""
+        if self._tries_are_spent() or not self._budget.may_retry():
+            return None
+        engines = self._view.live_upstreams(self._head.service)
+        others = tuple(name for name in engines if name != engine)
+        self.plan = Plan(self._chat, others or engines)
+        self._head = msgspec.structs.replace(self._head, after_event=position.last_id)
+        ended = await self._walk()
+        if not isinstance(ended, Placed):
+            return None
+        if ended.reply.answer.status == OK:
+            return ended
+        ended.reply.answer.cancel()
+        return None
+
+    async def _resume_there(self, engine: str, position: Position) -> Placed | Unready | None:
+        """Ask the engine that ran the request to go on."""
         resuming = (
             (RESUME_HEADER, self._granted_id),
-            (RESUME_FROM_HEADER, str(events)),
+            (RESUME_FROM_HEADER, str(position.events)),
         )
         question = self._question(engine, insist=True, resuming=True, last=True)
         head = self._next_head(headers=(*self._head.headers, *resuming))
@@ -247,6 +282,7 @@
         """Send a granted request; its grant is given back when it ends in whatever way."""
         grants, number = self._ways.grants, question.number
         head = msgspec.structs.replace(head, deadline=self._remaining())
+        self._sent_to.add(question.engine)
         try:
             reply = await self._ways.upstreams.send(target, head, self._fresh_body())
             if isinstance(reply, Opened):
@@ -255,6 +291,8 @@
         except BaseException:
             grants.release(number, Ended.NOTHING)
             raise
+        if reply.code == "upstream-unreachable":
+            self._sent_to.discard(question.engine)
         refused = reply.code == "upstream-refused"
         grants.release(number, Ended.NOTHING if refused else Ended.FAILED)
         return reply
@@ -288,6 +326,8 @@
             return Refused(reply)
         if reply.code in PASSED_OVER:
             return None
+        if self._tries_are_spent():
+            return Refused(reply)
         if not body_is_whole or not self._budget.may_retry():
             return Refused(reply)
         if reply.code == CROSSED and not ask.fresh:
@@ -295,6 +335,10 @@
             self.plan.again()
         return None
 
+    def _tries_are_spent(self) -> bool:
+        """Return whether the request was sent to as many engines as it may."""
+        return 0 < self._head.most_tries <= len(self._sent_to)
+
     def _tell_home(self, engine: str) -> None:
         home = self.plan.home
         if home is None or engine == home or not self._head.chat:
--- a/pondhatch/requests/_events.py
+++ b/pondhatch/requests/_events.py
@@ -10,6 +10,8 @@
 SEPARATOR = b"\n\n"
 #: Last event of a streamed chat answer; without it the answer is not whole.
 LAST_EVENT = b"data: [DONE]"
+#: Begins the line of an event that tells its id.
+ID_FIELD = b"id:"
 
 
 class EventCutter:
@@ -21,6 +23,16 @@
         #: Whether the last event was passed on.
         self.ended = False
         self._rest = b""
+        #: What was passed on last; holds the newest event's id.
+        self._newest = b""
+
+    @property
+    def last_id(self) -> str:
+        """Return the id of the last event passed on, or an empty text where none told one."""
+        for line in reversed(self._newest.splitlines()):
+            if line.startswith(ID_FIELD):
+                return line[len(ID_FIELD) :].strip().decode("latin-1")
+        return ""
 
     def feed(self, part: bytes) -> bytes:
         """Take in bytes; return those that make whole events."""
@@ -36,6 +48,7 @@
 
     def _count(self, whole: bytes) -> bytes:
         self.events += whole.count(SEPARATOR)
+        self._newest = whole
         self.ended = self.ended or whole.rstrip().endswith(LAST_EVENT)
         return whole
 
--- a/pondhatch/requests/_messages.py
+++ b/pondhatch/requests/_messages.py
@@ -15,7 +15,7 @@
 class RequestHead(msgspec.Struct, frozen=True):
     """All of a request but its body."""
 
-    #: Unique to one caller's request; an answer must carry it to be taken.
+    #: Unique to one try of one caller's request.
     request_id: str
     account: str
     service: str
@@ -36,6 +36,14 @@
     returning: bool = False
     #: Whether a connection must be used that no earlier request came on.
     fresh: bool = False
+    #: Id that the caller gave its request; empty where it gave none.
+    caller_id: str = ""
+    #: Engines that it may be sent to at most; 0 sets no limit.
+    most_tries: int = 0
+    #: Whether a broken stream may go on at another engine than the one it began on.
+    resumes_anywhere: bool = False
+    #: Id of the last event that was received, where a stream is to go on after it.
+    after_event: str = ""
 
 
 class Lost(Exception):
--- a/pondhatch/requests/_owner.py
+++ b/pondhatch/requests/_owner.py
@@ -167,7 +167,9 @@
     def _ask_gate(self, target: Target, question: Question) -> Verdict:
         now = self._clock()
         others = max(self._view.elsewhere_in_flight(target.name), question.seen_elsewhere)
-        return self._gate.ask(target.name, now, target.bound, others, target.peers, target.slots)
+        return self._gate.ask(
+            target.name, now, target.bound, others, target.peers, target.slots, target.slack
+        )
 
     def _granted(self, question: Question, verdict: Granted) -> Granted:
         if question.home:
--- a/pondhatch/requests/_sending.py
+++ b/pondhatch/requests/_sending.py
@@ -31,6 +31,8 @@
     peers: int
     #: Requests that it can take at once, whatever the mean.
     slots: int
+    #: Requests above the multiple of the mean that it may hold.
+    slack: int = 0
 
 
 def takes(target: Target | None, resuming: bool) -> TypeGuard[Target]:
--- a/pondhatch/router/__init__.py
+++ b/pondhatch/router/__init__.py
@@ -1,13 +1,28 @@
 """The router: one process's state, who may use it, and how it keeps up."""
 
-from pondhatch.router._admission import Account, Admitted, admit, identify, service_of_path
+from pondhatch.router._admission import (
+    ANYBODY,
+    Account,
+    Admitted,
+    admit,
+    admit_routed,
+    identify,
+    identify_key,
+    service_of_path,
+)
 from pondhatch.router._authority import Authority
 from pondhatch.router._dump import Dump, dump_state
+from pondhatch.router._fleet_key import agreed_key
 from pondhatch.router._granting import GRANT_MARK, Granting
 from pondhatch.router._state import RouterState
-from pondhatch.router._sync import Sync
+from pondhatch.router._sync import UPSTREAM_KIND, Sync
 
 __all__ = [
+    "ANYBODY",
+    "UPSTREAM_KIND",
+    "admit_routed",
+    "agreed_key",
+    "identify_key",
     "Account",
     "Admitted",
     "Authority",
--- a/pondhatch/router/_admission.py
+++ b/pondhatch/router/_admission.py
@@ -5,6 +5,7 @@
 import hashlib
 from dataclasses import dataclass
 
+from pondhatch.configuration import RouteSpec
 from pondhatch.limits import Limited
 from pondhatch.requests import NotRun
 from pondhatch.router._state import RouterState
@@ -15,6 +16,12 @@
 FORBIDDEN = 403
 NOT_FOUND = 404
 TOO_MANY = 429
+#: Priority where neither the account nor a route names one.
+DEFAULT_PRIORITY = 5
+#: Share of a route's objective that a request waits before its context's engine, and where
+#: every engine is full. A caller refused within a quarter of it has time to come back.
+CONTEXT_SHARE = 0.1
+QUEUE_SHARE = 0.2
 
 
 @dataclass(frozen=True)
@@ -24,6 +31,10 @@
     name: str
 
 
+#: Who uses a public route without showing a key; held to no account's limits.
+ANYBODY = Account("")
+
+
 @dataclass(frozen=True)
 class Admitted:
     """The request counts against its account until ``RouterState.accounts.end``."""
@@ -42,13 +53,47 @@
     """Return the account whose API key the caller shows."""
     if authorization is None or not authorization.startswith(BEARER):
         return NotRun("no-key", "expected 'Authorization: Bearer KEY'", 0.0, UNAUTHORIZED)
-    key = authorization[len(BEARER) :].strip()
+    return identify_key(state, authorization[len(BEARER) :].strip())
+
+
+def identify_key(state: RouterState, key: str | None) -> Account | NotRun:
+    """Return the account that an API key belongs to."""
+    if key is None:
+        return NotRun("no-key", "expected an API key", 0.0, UNAUTHORIZED)
     account = state.fleet.account_of(hashlib.sha256(key.encode()).hexdigest())
     if account is None:
         return NotRun("unknown-key", "the API key belongs to no account", 0.0, UNAUTHORIZED)
     return Account(account)
 
 
+def admit_routed(
+    state: RouterState, account: Account, route: RouteSpec, service: str, wait: float | None
+) -> Admitted | NotRun:
+    """Count a routed request in, or say why it may not run.
+
+    ``wait`` is for how many seconds its caller waits, None where it does not say.
+    """
+    priority, weight = None, 1.0
+    if account is not ANYBODY:
+        policy = state.fleet.policy_by_account[account.name]
+        if service not in policy.services:
+            wrong = f"the account may not use service {service}"
+            return NotRun("not-allowed", wrong, 0.0, FORBIDDEN)
+        verdict = state.begin(account.name)
+        if isinstance(verdict, Limited):
+            wrong = f"the account is over its {verdict.limit} limit"
+            return NotRun(f"{verdict.limit}-limited", wrong, verdict.retry_after, TOO_MANY)
+        priority, weight = policy.priority, policy.weight
+    return Admitted(
+        service=service,
+        priority=route.priority if priority is None else priority,
+        weight=weight,
+        deadline=route.timeout if wait is None else min(wait, route.timeout),
+        context_wait=route.objective * CONTEXT_SHARE,
+        queue_wait=route.objective * QUEUE_SHARE,
+    )
+
+
 def admit(state: RouterState, account: Account, service: str | None) -> Admitted | NotRun:
     """Count a request in, or say why it may not run."""
     if state.stopping():
@@ -66,7 +111,7 @@
         return NotRun(f"{verdict.limit}-limited", wrong, verdict.retry_after, TOO_MANY)
     return Admitted(
         service=service,
-        priority=policy.priority,
+        priority=DEFAULT_PRIORITY if policy.priority is None else policy.priority,
         weight=policy.weight,
         deadline=spec.deadline,
         context_wait=spec.context_wait,
--- a/pondhatch/router/_authority.py
+++ b/pondhatch/router/_authority.py
@@ -15,8 +15,8 @@
     Terms,
 )
 from pondhatch.kernel import Tasks
-from pondhatch.platform import Platform
 from pondhatch.router._state import RouterState
+from pondhatch.store import Platform
 
 #: Seconds between checks of which services are to be ordered here.
 CHECK_SECONDS = 0.5
--- a/pondhatch/router/_state.py
+++ b/pondhatch/router/_state.py
@@ -24,9 +24,9 @@
     watchers,
 )
 from pondhatch.placement import YOUNG_SECONDS, Gate, Health, SpillMemory, ranked, winner
-from pondhatch.platform import LIVE, Upstream, UpstreamList, UpstreamUpdate, WatchEvent
 from pondhatch.requests import DecisionNote, KeyHolder, KeyTable, LocalKeyHolder, Target
 from pondhatch.router._limits import FleetLimits
+from pondhatch.store import LIVE, Upstream, UpstreamList, UpstreamUpdate, WatchEvent
 
 #: Decisions kept for the state dump.
 KEPT_DECISIONS = 64
@@ -203,7 +203,8 @@
             takes_work=self._takes_work(upstream, service),
             bound=service.load_bound,
             peers=len(self.live_upstreams(upstream.service)),
-            slots=service.engine_slots,
+            slots=upstream.slots or service.engine_slots,
+            slack=service.load_slack,
         )
 
     def _takes_work(self, upstream: Upstream, service: ServiceSpec) -> bool:
@@ -285,7 +286,7 @@
     def take_update(self, update: Update) -> Rejected | Gap | None:
         """Take in what a peer says that this router lacks."""
         if update.snapshot is not None and update.snapshot.version > self.fleet.version:
-            fleet = Fleet.from_snapshot(update.snapshot)
+            fleet = self.fleet.replaced_by(update.snapshot)
             if isinstance(fleet, Rejected):
                 return fleet
             self.take_fleet(fleet)
--- a/pondhatch/router/_sync.py
+++ b/pondhatch/router/_sync.py
@@ -11,32 +11,30 @@
 from collections.abc import Awaitable, Callable, Iterable
 from typing import Protocol
 
-import msgspec
-
 from pondhatch.configuration import (
-    CHANGE_KIND,
     Broken,
     Change,
-    Fleet,
+    ConfigurationSource,
     Gap,
     Rejected,
     Update,
-    read_fleet,
 )
 from pondhatch.kernel import Tasks
 from pondhatch.membership import Address, Member
 from pondhatch.observing import log_for
-from pondhatch.platform import (
+from pondhatch.router._state import RouterState
+from pondhatch.store import (
+    Accepted,
+    Found,
     Listed,
+    Missing,
     Platform,
     PlatformLost,
     TooOld,
     Unavailable,
     UpstreamUpdate,
-    WatchEvent,
     listing,
 )
-from pondhatch.router._state import RouterState
 
 log = log_for("sync")
 
@@ -46,8 +44,10 @@
 VM_KIND = "vm"
 #: Seconds between checks of who watches and who lags.
 CHECK_SECONDS = 0.5
-#: Seconds before a lost watch is taken up again: at least, and with jitter at most.
-REWATCH_SECONDS = (0.2, 1.0)
+#: Seconds before a lost watch or call is tried again: the first time and at most, with
+#: jitter; doubled each time, so that a platform that comes back is not rushed.
+FIRST_PAUSE = 0.2
+LONGEST_PAUSE = 2.0
 
 
 class Lacking(Protocol):
@@ -72,21 +72,28 @@
         self,
         state: RouterState,
         platform: Platform,
+        source: ConfigurationSource,
         pull: Pull,
         spread: Callable[[], None],
         rng: random.Random,
+        own_address: str | None = None,
     ) -> None:
         self._state = state
         self._platform = platform
+        self._source = source
         self._pull = pull
         #: Tells some peers at once that this router has something new.
         self._spread = spread
         self._rng = rng
+        #: Where this router is reached, where it must list itself at the platform.
+        self._own_address = own_address
         self._tasks = Tasks()
         self._watching: tuple[asyncio.Task[None], ...] = ()
 
     async def run(self) -> None:
         """Keep up until cancelled."""
+        if self._own_address is not None:
+            await self._list_self(self._own_address)
         await self._find_peers()
         try:
             while True:
@@ -100,6 +107,26 @@
         """React at once to a peer's word that it holds something newer."""
         await self._pull_if_behind()
 
+    async def _list_self(self, address: str) -> None:
+        """Write where this router is reached, for those that start later to find it."""
+        vm = {"address": address, "state": "live"}
+        pause = FIRST_PAUSE
+        while True:
+            found = await self._platform.get(VM_KIND, self._state.name)
+            if isinstance(found, Found) and found.object.value == vm:
+                return
+            if isinstance(found, Found):
+                name, version = self._state.name, found.object.version
+                await self._platform.update(VM_KIND, name, vm, version)
+            elif isinstance(found, Missing):
+                written = await self._platform.create(VM_KIND, self._state.name, vm)
+                if isinstance(written, Accepted):
+                    return
+            else:
+                log.warning("The platform does not take this router's address: {}.", found.reason)
+            await asyncio.sleep(pause * self._rng.uniform(0.5, 1.0))
+            pause = min(LONGEST_PAUSE, pause * 2)
+
     async def _find_peers(self) -> None:
         listed = await self._platform.list(VM_KIND)
         if isinstance(listed, Unavailable):
@@ -124,34 +151,29 @@
             self._watching = ()
 
     async def _keep(self, watch: Callable[[], Awaitable[None]]) -> None:
+        pause = FIRST_PAUSE
         while True:
+            begun = self._state.clock()
             try:
                 await watch()
             except PlatformLost as error:
                 log.warning("Watch lost: {}.", error)
             except TooOld:
                 log.info("Watch too old, listing anew.")
-            await asyncio.sleep(self._rng.uniform(*REWATCH_SECONDS))
+            lasted = self._state.clock() - begun
+            pause = FIRST_PAUSE if lasted > LONGEST_PAUSE else min(LONGEST_PAUSE, pause * 2)
+            await asyncio.sleep(pause * self._rng.uniform(0.5, 1.0))
 
     async def _watch_changes(self) -> None:
-        async for event in self._platform.watch(CHANGE_KIND, None):
-            if event.type == "set":
-                change = msgspec.convert(event.value, Change)
-                self._took_change(self._state.take_change(change))
-            if event.type == "bookmark" or self._behind(event):
-                await self._read_changes()
-
-    def _behind(self, event: WatchEvent) -> bool:
-        return event.type == "set" and int(event.name) > self._state.fleet.version
-
-    async def _read_changes(self) -> None:
-        fleet = await read_fleet(self._platform, self._state.fleet)
-        if isinstance(fleet, Broken):
-            log.error("Configuration cannot be read: {}.", fleet.reason)
-        if isinstance(fleet, Unavailable):
-            raise PlatformLost(fleet.reason)
-        if isinstance(fleet, Fleet) and self._state.take_fleet(fleet):
-            self._told()
+        async for news in self._source.follow(lambda: self._state.fleet):
+            if isinstance(news, Change):
+                self._took_change(self._state.take_change(news))
+            elif isinstance(news, Rejected):
+                log.error("Configuration does not pass its check: {}.", news)
+            elif isinstance(news, Broken):
+                log.error("Configuration cannot be read: {}.", news.reason)
+            elif self._state.take_fleet(news):
+                self._told()
 
     async def _watch_upstreams(self) -> None:
         listed = await self._platform.list(UPSTREAM_KIND)
--- a/pondhatch/router/tests/test_sync.py
+++ b/pondhatch/router/tests/test_sync.py
@@ -10,12 +10,12 @@
 
 from fakes._entries import SERVICE, TEMPLATE
 from fakes._platform_in_memory import PlatformInMemory
-from pondhatch.configuration import Change, Edit, Fleet, Gap, Rejected, Update, publish
+from pondhatch.configuration import Change, ChangeLog, Edit, Fleet, Gap, Rejected, Update, publish
 from pondhatch.configuration.tests.test_fleet import account, change
 from pondhatch.membership import Alive, Gossip, Member, MembershipLimits, Phase, short_id
-from pondhatch.platform import Upstream, UpstreamEntry, UpstreamUpdate, WatchEvent
 from pondhatch.requests import Claim, KeyRecord
 from pondhatch.router import RouterState, Sync
+from pondhatch.store import Upstream, UpstreamEntry, UpstreamUpdate, WatchEvent
 
 FIRST = Change(1, "first", "root", 0.0, "", (SERVICE, TEMPLATE))
 
@@ -51,7 +51,7 @@
     async def pull(member: Member, configuration: int, upstreams: int) -> Lacking | None:
         return Lacking(peer, configuration, upstreams) if peer is not None else None
 
-    return Sync(state, platform, pull, lambda: None, random.Random(1))
+    return Sync(state, platform, ChangeLog(platform), pull, lambda: None, random.Random(1))
 
 
 def meet(state: RouterState, peer: RouterState) -> None:
--- /dev/null
+++ b/pondhatch/store/__init__.py
@@ -0,0 +1,49 @@
+"""The platform: its object API behind a Protocol, and its list of upstreams."""
+
+from pondhatch.store._objects import (
+    Accepted,
+    Conflict,
+    Found,
+    Listed,
+    Missing,
+    OutcomeUnknown,
+    Platform,
+    PlatformLost,
+    StoredObject,
+    TooOld,
+    Unavailable,
+    WatchEvent,
+)
+from pondhatch.store._upstreams import (
+    LEAVING,
+    LIVE,
+    REMOVED,
+    Upstream,
+    UpstreamEntry,
+    UpstreamList,
+    UpstreamUpdate,
+    listing,
+)
+
+__all__ = [
+    "LEAVING",
+    "LIVE",
+    "REMOVED",
+    "Accepted",
+    "Conflict",
+    "Found",
+    "Listed",
+    "Missing",
+    "OutcomeUnknown",
+    "Platform",
+    "PlatformLost",
+    "StoredObject",
+    "TooOld",
+    "Unavailable",
+    "Upstream",
+    "UpstreamEntry",
+    "UpstreamList",
+    "UpstreamUpdate",
+    "WatchEvent",
+    "listing",
+]
--- a/pondhatch/platform/_upstreams.py
+++ b/pondhatch/store/_upstreams.py
@@ -34,6 +34,8 @@
     resumes: bool = False
     #: Whether it refuses an order with an old fencing number.
     checks_fencing: bool = False
+    #: Requests that it can take at once; 0 where its service says so.
+    slots: int = 0
 
 
 class UpstreamEntry(msgspec.Struct, frozen=True):
--- a/pondhatch/platform/tests/test_upstreams.py
+++ b/pondhatch/store/tests/test_upstreams.py
@@ -5,8 +5,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from pondhatch.platform import REMOVED, Upstream, UpstreamList
-from pondhatch.platform._upstreams import KEPT_REMOVED
+from pondhatch.store import REMOVED, Upstream, UpstreamList
+from pondhatch.store._upstreams import KEPT_REMOVED
 
 
 def upstream(name: str, state: str = "live") -> Upstream:
--- a/pondhatch/transport/_caller_channel.py
+++ b/pondhatch/transport/_caller_channel.py
@@ -9,7 +9,7 @@
 
 import asyncio
 import io
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from twisted.internet.tcp import Connection
@@ -40,6 +40,20 @@
         return await self._pipe.read()
 
 
+async def read_whole(body: CallerBody, limit: int) -> bytes | None:
+    """Return a body, or None where it is larger than the limit."""
+    if body.length is not None and body.length > limit:
+        return None
+    parts: list[bytes] = []
+    size = 0
+    while part := await body.read():
+        parts.append(part)
+        size += len(part)
+        if size > limit:
+            return None
+    return b"".join(parts)
+
+
 class CallerRequest(Request):
     """A request that is handled as soon as its head has come."""
 
@@ -102,14 +116,15 @@
 class CallerChannel(HTTPChannel):
     """One caller's connection."""
 
-    limits: CallerLimits
+    #: Says what callers may send, as of now.
+    limits: Callable[[], CallerLimits]
     transport: Any
     _head_timer: Any = None
     _is_cut = False
 
     def connectionMade(self) -> None:
         """Start the clock for the first request's head."""
-        self.totalHeadersSize = self.limits.header_bytes
+        self.totalHeadersSize = self.limits().header_bytes
         super().connectionMade()
 
     def dataReceived(self, data: bytes) -> None:
@@ -117,7 +132,7 @@
         if self._is_cut:
             return
         if self._head_timer is None and not self.requests:
-            self._head_timer = self.callLater(self.limits.header_seconds, self._head_too_slow)
+            self._head_timer = self.callLater(self.limits().header_seconds, self._head_too_slow)
         super().dataReceived(data)
 
     def allHeadersReceived(self) -> None:
@@ -187,8 +202,8 @@
 class CallerSite(Site):
     """Makes callers' connections."""
 
-    def __init__(self, resource: IResource, limits: CallerLimits) -> None:
-        super().__init__(resource, requestFactory=CallerRequest, timeout=limits.idle_seconds)
+    def __init__(self, resource: IResource, limits: Callable[[], CallerLimits]) -> None:
+        super().__init__(resource, requestFactory=CallerRequest, timeout=limits().idle_seconds)
         self._limits = limits
         self.protocol = self._channel  # type: ignore[assignment]
 
@@ -198,6 +213,7 @@
     def _channel(self) -> CallerChannel:
         channel = CallerChannel()
         channel.limits = self._limits
+        channel.timeOut = round(self._limits().idle_seconds)
         return channel
 
 
--- a/pondhatch/transport/_callers.py
+++ b/pondhatch/transport/_callers.py
@@ -11,6 +11,7 @@
 from klein import Klein
 from twisted.internet.defer import Deferred
 from twisted.web.iweb import IRequest
+from twisted.web.resource import Resource
 
 from pondhatch.configuration import CallerLimits
 from pondhatch.kernel import Tasks, as_deferred
@@ -26,8 +27,8 @@
     read_chat,
 )
 from pondhatch.router import Account, Admitted, RouterState, admit, identify, service_of_path
-from pondhatch.transport._answers import fail, refuse
-from pondhatch.transport._caller_channel import CallerBody, CallerRequest
+from pondhatch.transport._answers import OpenAiAnswers, fail
+from pondhatch.transport._caller_channel import CallerRequest, read_whole
 from pondhatch.transport._serving import Serving, Work
 
 log = log_for("callers")
@@ -58,12 +59,20 @@
         self._state = state
         self._limits = limits
         self._metrics = metrics
-        self._serving = Serving(state, ways, metrics, tasks)
+        self._answers = OpenAiAnswers(metrics)
+        self._serving = Serving(state, ways, self._answers, metrics, tasks)
         #: Requests that have not ended; a stopping router waits for them.
         self.in_flight = 0
+        #: Kept for a stopping router; it refuses requests by its state at once.
+        self.takes_work = True
         self.app = Klein()
         self._route()
 
+    def resource(self) -> Resource:
+        """Return what a site serves."""
+        found: Resource = self.app.resource()
+        return found
+
     def _route(self) -> None:
         @self.app.route(CHAT_PATH, methods=["POST"])
         def chat(request: IRequest) -> Deferred[None]:
@@ -89,7 +98,7 @@
             account = identify(self._state, _header(request, "Authorization"))
             found = account if isinstance(account, NotRun) else await prepare(request, account)
             if isinstance(found, NotRun):
-                refuse(request, self._metrics, found)
+                self._answers.refuse(request, found)
                 return
             await self._serving.run(request, found, started)
         except CallerGone:
@@ -97,12 +106,12 @@
         except Exception:
             log.exception("A request ended in an error of this router.")
             self._metrics.count("requests.router-failed")
-            fail(request, self._metrics)
+            fail(request, self._answers)
         finally:
             self.in_flight -= 1
 
     async def _prepare_chat(self, request: CallerRequest, account: Account) -> Work | NotRun:
-        body = await _read_whole(request.body(), self._limits.chat_body_bytes)
+        body = await read_whole(request.body(), self._limits.chat_body_bytes)
         if body is None:
             limit = self._limits.chat_body_bytes
             return NotRun("body-too-large", f"expected at most {limit} bytes", 0.0, TOO_LARGE)
@@ -139,7 +148,7 @@
     def _models(self, request: Any) -> bytes:
         account = identify(self._state, _header(request, "Authorization"))
         if isinstance(account, NotRun):
-            refuse(request, self._metrics, account)
+            self._answers.refuse(request, account)
             return b""
         request.setHeader(b"Content-Type", b"application/json")
         services = self._state.fleet.policy_by_account[account.name].services
@@ -151,20 +160,6 @@
         return msgspec.json.encode({"object": "list", "data": models})
 
 
-async def _read_whole(body: CallerBody, limit: int) -> bytes | None:
-    """Return a body, or None where it is larger than the limit."""
-    if body.length is not None and body.length > limit:
-        return None
-    parts: list[bytes] = []
-    size = 0
-    while part := await body.read():
-        parts.append(part)
-        size += len(part)
-        if size > limit:
-            return None
-    return b"".join(parts)
-
-
 def _head(request: CallerRequest, account: Account, admitted: Admitted, path: str) -> RequestHead:
     headers = tuple(
         (name.decode("latin-1"), value.decode("latin-1"))
--- /dev/null
+++ b/pondhatch/transport/_http_client.py
@@ -0,0 +1,163 @@
+"""Connections to upstreams and the platform, kept between exchanges.
+
+Kept apart from twisted's Agent because what a lost connection means decides whether a
+request may run again, and its pool tells neither whether an idle connection was used
+nor for how long the other side keeps one.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Collection
+from dataclasses import dataclass
+from typing import Any
+
+from twisted.internet.protocol import ClientFactory
+from twisted.python.failure import Failure
+
+from pondhatch.requests import BodySource
+from pondhatch.transport._http_connection import Connection, Exchange, Request, ResponseHead
+
+#: Seconds to wait for a connection.
+CONNECT_SECONDS = 1.0
+#: Idle connections kept for each address.
+IDLE_CONNECTIONS = 64
+
+
+class NotSent(Exception):
+    """Certainly no byte of the request left this process."""
+
+
+@dataclass(frozen=True)
+class Address:
+    """Where to connect: an IP number and a port."""
+
+    host: str
+    port: int
+
+    @classmethod
+    def of_url(cls, url: str) -> Address:
+        """Return the address of "http://IP:port"."""
+        host, _, port = url.removeprefix("http://").rstrip("/").rpartition(":")
+        return cls(host.strip("[]"), int(port))
+
+
+class _Connecting(ClientFactory):
+    """Makes one connection, or says why not."""
+
+    noisy = False
+
+    def __init__(self, closed: Callable[[Connection], None]) -> None:
+        self.made: asyncio.Future[Connection] = asyncio.get_running_loop().create_future()
+        self._closed = closed
+
+    def buildProtocol(self, addr: Any) -> Connection:
+        connection = _Announcing(self._closed)
+        connection.announce = self._announce
+        return connection
+
+    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
+        if not self.made.done():
+            self.made.set_exception(NotSent(reason.getErrorMessage()))
+            self.made.exception()  # Whoever waits gets it; nobody may be waiting any more.
+
+    def _announce(self, connection: Connection) -> None:
+        if self.made.done():
+            connection.abort()
+            return
+        self.made.set_result(connection)
+
+
+class _Announcing(Connection):
+    """A connection that says when it is there."""
+
+    announce: Callable[[Connection], None]
+
+    def connectionMade(self) -> None:
+        super().connectionMade()
+        self.announce(self)
+
+
+def _any(_: ResponseHead) -> bool:
+    return True
+
+
+class HttpClient:
+    """Connections by address, kept between exchanges."""
+
+    def __init__(self, reactor: Any, connect_seconds: float = CONNECT_SECONDS) -> None:
+        #: Connections made, for the metrics.
+        self.connections_made = 0
+        self._reactor = reactor
+        self._connect_seconds = connect_seconds
+        self._idle_by_address: dict[Address, list[Connection]] = {}
+
+    async def send(
+        self,
+        address: Address,
+        request: Request,
+        body: BodySource,
+        repeatable: bool,
+        fresh: bool = False,
+        trusts: Callable[[ResponseHead], bool] = _any,
+    ) -> Exchange:
+        """Send a request once; return the exchange, whose head is still to come.
+
+        What is not repeatable gets a new connection unless the other side stated for how
+        long it keeps an idle one. Raises NotSent; the exchange's head raises what reading
+        the body raises.
+        """
+        connection = None if fresh else self._take(address, repeatable)
+        if connection is None:
+            connection = await self._connect(address)
+        exchange = Exchange(connection, lambda kept: self._keep(address, kept), trusts)
+        exchange.send(request, body)
+        return exchange
+
+    def forget(self, kept: Collection[Address]) -> None:
+        """Close the idle connections to all other addresses."""
+        for address in self._idle_by_address.keys() - set(kept):
+            for connection in self._idle_by_address.pop(address):
+                connection.abort()
+
+    def _take(self, address: Address, repeatable: bool) -> Connection | None:
+        """Return an idle connection that is sure enough to be open, the newest first."""
+        idle = self._idle_by_address.get(address)
+        now = asyncio.get_running_loop().time()
+        while idle:
+            connection = idle.pop()
+            if not connection.is_open or connection.usable_until <= now:
+                connection.abort()
+                continue
+            if repeatable or connection.states_idle_time:
+                return connection
+            idle.append(connection)
+            return None
+        return None
+
+    async def _connect(self, address: Address) -> Connection:
+        connecting = _Connecting(self._lost)
+        connector = self._reactor.connectTCP(
+            address.host, address.port, connecting, timeout=self._connect_seconds
+        )
+        try:
+            connection = await connecting.made
+        except asyncio.CancelledError:
+            connector.disconnect()
+            raise
+        self.connections_made += 1
+        return connection
+
+    def _keep(self, address: Address, connection: Connection) -> None:
+        idle = self._idle_by_address.setdefault(address, [])
+        idle.append(connection)
+        if len(idle) > IDLE_CONNECTIONS:
+            idle.pop(0).abort()
+
+    def _lost(self, connection: Connection) -> None:
+        for address, idle in tuple(self._idle_by_address.items()):
+            if connection in idle:
+                idle.remove(connection)
+                if not idle:
+                    del self._idle_by_address[address]
+                return
--- /dev/null
+++ b/pondhatch/transport/_http_connection.py
@@ -0,0 +1,329 @@
+"""One HTTP/1.1 connection to an upstream or the platform: one exchange after another.
+
+h11 reads and writes the protocol; what may be concluded from a lost connection is told
+apart here: whether an answer is whole, and whether bytes came that belong to none.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import h11
+from twisted.internet.error import ConnectionDone
+from twisted.internet.protocol import Protocol
+from twisted.python.failure import Failure
+
+from pondhatch.requests import BodySource, Headers, ReplayableBody
+from pondhatch.transport._parts import PartPipe
+
+#: Seconds for which an idle connection is kept where the other side does not say.
+IDLE_SECONDS = 30.0
+#: Share of the time that the other side states for which an idle connection is used:
+#: beyond it, a request could cross the other side's close.
+STATED_SHARE = 0.5
+#: Bytes of an answer's head that are taken in at most.
+HEAD_BYTES = 64 * 1024
+#: Milliseconds after which a connection whose bytes nobody acknowledges is given up: a VM
+#: that lost power answers nothing, and without this a request to it hangs to its deadline.
+UNACKNOWLEDGED_MS = 1500
+#: Seconds between probes of a silent connection, and how many may fail.
+PROBE_SECONDS = 1
+PROBES = 2
+
+
+class ConnectionBroken(ConnectionError):
+    """The connection was lost, or what came on it was no answer."""
+
+
+#: Methods whose requests say nothing of a body that they do not have.
+BODILESS = frozenset({"GET", "HEAD", "DELETE", "OPTIONS"})
+
+
+@dataclass(frozen=True)
+class Request:
+    """A request's head as it goes over the wire."""
+
+    method: str
+    #: Path and query.
+    target: str
+    #: All headers but those that say how the body is framed.
+    headers: Headers
+
+
+@dataclass(frozen=True)
+class ResponseHead:
+    """An answer's head."""
+
+    status: int
+    #: As they came, those that concern the connection included.
+    headers: Headers
+    #: The last value of each, by name in lower case.
+    value_by_name: dict[str, str]
+
+
+class Connection(Protocol):
+    """One connection; carries one exchange at a time."""
+
+    transport: Any
+
+    def __init__(self, closed: Callable[[Connection], None]) -> None:
+        #: Until when it may be taken again, in the loop's seconds.
+        self.usable_until = float("-inf")
+        #: Whether the other side stated how long it keeps an idle connection.
+        self.states_idle_time = False
+        #: Exchanges that were begun.
+        self.exchanges = 0
+        self.is_open = False
+        #: Cleared while the other side takes no more of a request's body.
+        self._flowing = asyncio.Event()
+        self._flowing.set()
+        self._closed = closed
+        self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEAD_BYTES)
+        self._exchange: Exchange | None = None
+
+    def connectionMade(self) -> None:
+        """Make lost peers known in seconds."""
+        self.is_open = True
+        handle = self.transport.getHandle()
+        for level, option, value in (
+            (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+            (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
+            (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+            (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_SECONDS),
+            (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_SECONDS),
+            (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES),
+        ):
+            handle.setsockopt(level, option, value)
+
+    def begin(self, exchange: Exchange, request: Request, length: int | None) -> None:
+        """Write a request's head; its body follows by ``write_body``."""
+        self.exchanges += 1
+        self._exchange = exchange
+        framing = _framing(request.method, length)
+        headers = request.headers if framing is None else (*request.headers, framing)
+        head = h11.Request(method=request.method, target=request.target, headers=list(headers))
+        self._write(head)
+
+    async def send_body(self, body: BodySource) -> None:
+        """Write a body as it comes, no faster than the other side takes it."""
+        left = body.length
+        self.transport.registerProducer(self, True)
+        try:
+            while left != 0 and (part := await body.read()):
+                self._write(h11.Data(data=part))
+                left = left - len(part) if left is not None else None
+                await self._flowing.wait()
+        finally:
+            self.transport.unregisterProducer()
+        self._end_body()
+
+    def send_whole_body(self, content: bytes) -> None:
+        """Write a body that is held in memory."""
+        if content:
+            self._write(h11.Data(data=content))
+        self._end_body()
+
+    def _end_body(self) -> None:
+        if self._http.our_state is h11.SEND_BODY:
+            self._write(h11.EndOfMessage())
+
+    def pauseProducing(self) -> None:
+        """Called by the connection when its buffer is full."""
+        self._flowing.clear()
+
+    def resumeProducing(self) -> None:
+        """Called by the connection when its buffer has drained."""
+        self._flowing.set()
+
+    def stopProducing(self) -> None:
+        """Called by the connection when it is lost; whoever sends is cancelled elsewhere."""
+
+    def abort(self) -> None:
+        """Close at once; the other side sees that its caller is gone."""
+        self.is_open = False
+        if self.transport is not None:
+            self.transport.abortConnection()
+
+    def dataReceived(self, data: bytes) -> None:
+        """Take in bytes of an answer; bytes that nobody asked for end the connection."""
+        if self._exchange is None:
+            self.abort()
+            return
+        try:
+            self._http.receive_data(data)
+            self._read_events()
+        except h11.RemoteProtocolError as error:
+            self._fail(ConnectionBroken(f"no answer in the protocol: {error}"))
+
+    def connectionLost(self, reason: Failure = Failure(ConnectionDone())) -> None:  # noqa: B008
+        """End the exchange: whole only where an orderly close is its end."""
+        self.is_open = False
+        self._flowing.set()
+        self._closed(self)
+        if self._exchange is None:
+            return
+        if reason.check(ConnectionDone) is not None:
+            try:
+                self._http.receive_data(b"")
+                self._read_events()
+            except h11.RemoteProtocolError:
+                pass  # The answer is not whole; told below with the connection's own reason.
+        self._fail(ConnectionBroken(reason.getErrorMessage()))
+
+    def pause(self) -> None:
+        """Read no more until ``resume``."""
+        if self.is_open:
+            self.transport.pauseProducing()
+
+    def resume(self) -> None:
+        """Read again."""
+        if self.is_open:
+            self.transport.resumeProducing()
+
+    def _write(self, event: Any) -> None:
+        if not self.is_open:
+            return
+        sent = self._http.send(event)
+        if sent:
+            self.transport.write(sent)
+
+    def _read_events(self) -> None:
+        parts: list[bytes] = []
+        while (exchange := self._exchange) is not None:
+            event = self._http.next_event()
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                break
+            if isinstance(event, h11.Response):
+                exchange.opened(_response_head(event))
+            elif isinstance(event, h11.Data):
+                parts.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
+                self._end(exchange, parts)
+                return
+        if parts and exchange is not None:
+            exchange.pipe.put(b"".join(parts))
+
+    def _end(self, exchange: Exchange, parts: list[bytes]) -> None:
+        """End an exchange whose answer is whole; keep the connection if it is clean."""
+        self._exchange = None
+        if parts:
+            exchange.pipe.put(b"".join(parts))
+        clean = self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
+        surplus = bool(self._http.trailing_data[0])
+        if clean and not surplus and self.is_open:
+            self._http.start_next_cycle()
+            idle = exchange.stated_idle()
+            self.states_idle_time = idle is not None
+            kept = IDLE_SECONDS if idle is None else idle * STATED_SHARE
+            self.usable_until = asyncio.get_running_loop().time() + kept
+            exchange.ended(self)
+        else:
+            exchange.ended(None)
+            self.abort()
+
+    def _fail(self, error: ConnectionError) -> None:
+        exchange, self._exchange = self._exchange, None
+        if exchange is not None:
+            exchange.failed(error)
+        self.abort()
+
+
+def _framing(method: str, length: int | None) -> tuple[str, str] | None:
+    """Return the header that frames a request's body, or None where it has none."""
+    if length is None:
+        return ("Transfer-Encoding", "chunked")
+    if length == 0 and method in BODILESS:
+        return None
+    return ("Content-Length", str(length))
+
+
+class Exchange:
+    """One request and its answer."""
+
+    def __init__(
+        self,
+        connection: Connection,
+        keep: Callable[[Connection], None],
+        trusts: Callable[[ResponseHead], bool],
+    ) -> None:
+        self.head: asyncio.Future[ResponseHead] = asyncio.get_running_loop().create_future()
+        self.pipe = PartPipe(connection.pause, connection.resume)
+        self.connection = connection
+        self._keep = keep
+        #: Whether an answer with this head leaves its connection fit for another exchange.
+        self._trusts = trusts
+        self._is_over = False
+        self._sending: asyncio.Task[None] | None = None
+
+    def send(self, request: Request, body: BodySource) -> None:
+        """Write the request; a body that is still to come is sent as it comes."""
+        self.connection.begin(self, request, body.length)
+        if isinstance(body, ReplayableBody):
+            self.connection.send_whole_body(body.content)
+            return
+        self._sending = asyncio.ensure_future(self._send(body))
+
+    async def _send(self, body: BodySource) -> None:
+        try:
+            await self.connection.send_body(body)
+        except Exception as error:
+            # Whoever waits for the answer learns why there will be none.
+            if not self.head.done():
+                self.head.set_exception(error)
+                self.head.exception()
+            self.cancel()
+
+    def opened(self, head: ResponseHead) -> None:
+        """Take in the answer's head."""
+        if not self.head.done():
+            self.head.set_result(head)
+
+    def ended(self, reusable: Connection | None) -> None:
+        """Note that the answer is whole; the connection may carry another exchange."""
+        self._over()
+        self.pipe.end()
+        if reusable is not None and self._trusts(self.head.result()):
+            self._keep(reusable)
+        elif reusable is not None:
+            reusable.abort()
+
+    def failed(self, error: ConnectionError) -> None:
+        """Note that no more will come."""
+        self._over()
+        if not self.head.done():
+            self.head.set_exception(error)
+            self.head.exception()  # Whoever waits gets it; nobody may be waiting any more.
+        self.pipe.fail(error)
+
+    def stated_idle(self) -> float | None:
+        """Return for how many seconds the other side keeps the connection, if it says so."""
+        stated = self.head.result().value_by_name.get("keep-alive", "")
+        for field in stated.split(","):
+            name, _, value = field.strip().partition("=")
+            if name.lower() == "timeout" and value.isdigit():
+                return float(value)
+        return None
+
+    def cancel(self) -> None:
+        """Give the answer up, unless it is whole; safe to call twice."""
+        if not self._is_over:
+            self._over()
+            self.connection.abort()
+
+    def _over(self) -> None:
+        self._is_over = True
+        if self._sending is not None and self._sending is not asyncio.current_task():
+            self._sending.cancel()
+
+
+def _response_head(event: h11.Response) -> ResponseHead:
+    headers = tuple(
+        (name.decode("latin-1"), value.decode("latin-1"))
+        for name, value in event.headers.raw_items()
+    )
+    by_name = {name.lower(): value for name, value in headers}
+    return ResponseHead(event.status_code, headers, by_name)
--- /dev/null
+++ b/pondhatch/transport/_openai_upstreams.py
@@ -0,0 +1,60 @@
+"""The dialect of upstreams that serve the OpenAI API and of plain services beside them."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from pondhatch.requests import LAST_EVENT, Headers, Judged, RequestHead, Target
+
+#: Header that binds an answer to its request.
+REQUEST_ID_HEADER = "X-Request-Id"
+PRIORITY_HEADER = "X-Priority"
+#: Header by which an upstream says that it did not run a request.
+NOT_RUN_HEADER = "x-not-run"
+#: Headers that belong to one connection and are never passed on.
+HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+#: Headers of a caller's request that each connection to an upstream sets itself.
+REPLACED_HEADERS = HOP_HEADERS | {"host", "content-length", "expect"}
+
+
+class OpenAiUpstreams:
+    """See UpstreamDialect."""
+
+    def request_headers(self, head: RequestHead, target: Target) -> Headers:
+        """Return a request's headers, under the id of this try."""
+        passed_on = [pair for pair in head.headers if pair[0].lower() not in REPLACED_HEADERS]
+        return (
+            ("Host", target.url.removeprefix("http://")),
+            *passed_on,
+            (REQUEST_ID_HEADER, head.request_id),
+            (PRIORITY_HEADER, str(head.priority)),
+        )
+
+    def judge(self, head: RequestHead, status: int, value_by_name: Mapping[str, str]) -> Judged:
+        """Say what an answer's head means; plain services need not echo the id."""
+        if NOT_RUN_HEADER in value_by_name:
+            return Judged.NOT_RUN
+        answered = value_by_name.get(REQUEST_ID_HEADER.lower())
+        if answered != head.request_id and (answered is not None or head.chat):
+            return Judged.CROSSED
+        return Judged.ANSWERED
+
+    def answer_headers(self, headers: Headers) -> Headers:
+        """Return the headers of an answer that are the caller's business."""
+        return tuple(pair for pair in headers if pair[0].lower() not in HOP_HEADERS)
+
+    def last_event(self, head: RequestHead) -> bytes | None:
+        """Return the event that ends every streamed chat."""
+        return LAST_EVENT if head.chat else None
--- a/pondhatch/transport/_platform.py
+++ b/pondhatch/transport/_platform.py
@@ -14,10 +14,16 @@
 import msgspec
 import treq
 from treq.response import _Response as TreqResponse
+from twisted.internet.error import ConnectError
+from twisted.internet.error import TimeoutError as ConnectTimeout
+from twisted.internet.protocol import Protocol
+from twisted.python.failure import Failure
+from twisted.web._newclient import RequestNotSent
+from twisted.web.client import ResponseDone
 from twisted.web.http_headers import Headers as WireHeaders
 
 from pondhatch.kernel import as_future
-from pondhatch.platform import (
+from pondhatch.store import (
     Accepted,
     Conflict,
     Found,
@@ -31,8 +37,9 @@
     WatchEvent,
 )
 from pondhatch.transport._parts import PartPipe
-from pondhatch.transport._upstreams import NOT_SENT, _AnswerProtocol
 
+#: Errors of treq after which certainly nothing was sent.
+NOT_SENT = (ConnectError, ConnectTimeout, RequestNotSent)
 #: Seconds for one call; the platform answers in milliseconds when it is well.
 CALL_SECONDS = 2.0
 #: Seconds without a line, bookmarks included, after which a watch is given up.
@@ -50,6 +57,40 @@
         self.sent = sent
 
 
+class _WatchProtocol(Protocol):
+    """Receives the lines of a watch into a pipe."""
+
+    transport: Any
+
+    def __init__(self) -> None:
+        self.pipe = PartPipe(self._pause, self._resume)
+        self._stopped = False
+
+    def dataReceived(self, data: bytes) -> None:
+        self.pipe.put(data)
+
+    def connectionLost(self, reason: Failure = Failure(ConnectError())) -> None:  # noqa: B008
+        if reason.check(ResponseDone):
+            self.pipe.end()
+            return
+        self.pipe.fail(ConnectionError(reason.getErrorMessage() or "cut"))
+
+    def stop(self) -> None:
+        """Close the connection; the platform sees that nobody watches any more."""
+        if self._stopped or self.pipe.ended or self.transport is None:
+            return
+        self._stopped = True
+        self.transport.loseConnection()
+
+    def _pause(self) -> None:
+        if self.transport is not None:
+            self.transport.pauseProducing()
+
+    def _resume(self) -> None:
+        if self.transport is not None:
+            self.transport.resumeProducing()
+
+
 class HttpPlatform:
     """The platform reached by HTTP; see Platform."""
 
@@ -96,7 +137,7 @@
         """Yield changes after a version, or from now on; see Platform."""
         self.calls += 1
         start = "" if since is None else f"&since={since}"
-        protocol = _AnswerProtocol()
+        protocol = _WatchProtocol()
         try:
             async with asyncio.timeout(CALL_SECONDS):
                 response = await self._request("GET", f"{kind}?watch=true{start}")
--- /dev/null
+++ b/pondhatch/transport/_routed_callers.py
@@ -0,0 +1,243 @@
+"""Callers of routes: requests under a host and path prefix, passed on as they are."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+import uuid
+from typing import Any
+
+from twisted.web.resource import Resource
+from twisted.web.server import NOT_DONE_YET
+
+from pondhatch.configuration import CallerLimits, Route, RouteSpec
+from pondhatch.kernel import Tasks
+from pondhatch.observing import Metrics, log_for
+from pondhatch.requests import (
+    Broken,
+    CallerGone,
+    Headers,
+    NotRun,
+    Patience,
+    Refusal,
+    ReplayableBody,
+    RequestHead,
+    Ways,
+)
+from pondhatch.router import (
+    ANYBODY,
+    Account,
+    Admitted,
+    RouterState,
+    admit_routed,
+    identify_key,
+)
+from pondhatch.transport._answers import cut, fail, write_head
+from pondhatch.transport._caller_channel import CallerRequest, read_whole
+from pondhatch.transport._interface import CallerDialect, CallerFacts
+from pondhatch.transport._serving import Serving, Work
+
+log = log_for("callers")
+
+NOT_FOUND = 404
+TOO_LARGE = 413
+#: Seconds after which to come back to a router that knows no configuration yet: it is
+#: read within a second of its start.
+NOT_READY_RETRY_AFTER = 0.5
+
+
+class RoutedAnswers:
+    """Answers passed on unchanged, refusals by status alone; see Answers."""
+
+    def __init__(self, dialect: CallerDialect, metrics: Metrics, stopping: Any) -> None:
+        self._dialect = dialect
+        self._metrics = metrics
+        #: Whether this router is stopping, so that connections end with their answer.
+        self._stopping = stopping
+
+    def refuse(self, request: Any, refusal: Refusal) -> None:
+        """Write a refusal."""
+        self._metrics.count(f"refusals.{refusal.code}")
+        write_head(request, refusal.status, self._dialect.refusal_headers(refusal))
+        self._close_if_stopping(request)
+        request.setHeader(b"Content-Length", b"0")
+        request.write(b"")
+
+    def begin(self, request: Any, status: int, headers: Headers, request_id: str) -> None:
+        """Write the head of an upstream's answer."""
+        write_head(request, status, headers)
+        self._close_if_stopping(request)
+
+    def end_broken(self, request: Any, broken: Broken, stream: bool) -> None:
+        """Cut the connection: nothing else tells that an answer is not whole."""
+        cut(request)
+
+    def _close_if_stopping(self, request: Any) -> None:
+        if self._stopping():
+            request.setHeader(b"Connection", b"close")
+            request.channel.persistent = False
+
+
+class RoutedCallers(Resource):
+    """Handles requests by the routes in force."""
+
+    isLeaf = True
+
+    def __init__(
+        self,
+        state: RouterState,
+        ways: Ways,
+        dialect: CallerDialect,
+        limits: CallerLimits,
+        metrics: Metrics,
+        tasks: Tasks,
+        rng: random.Random,
+    ) -> None:
+        super().__init__()  # type: ignore[no-untyped-call]
+        #: Requests that have not ended; a stopping router waits for them.
+        self.in_flight = 0
+        #: Whether a stopping router still takes requests.
+        self.takes_work = True
+        self._state = state
+        self._dialect = dialect
+        self._limits = limits
+        self._metrics = metrics
+        self._rng = rng
+        self._answers = RoutedAnswers(dialect, metrics, state.stopping)
+        self._serving = Serving(state, ways, self._answers, metrics, tasks)
+        self._tasks = tasks
+
+    def resource(self) -> Resource:
+        """Return what a site serves."""
+        return self
+
+    def render(self, request: Any) -> int:
+        """Begin to serve a request; one whose caller leaves is given up at once."""
+        task = self._tasks.start(self._serve(request))
+        request.notifyFinish().addErrback(lambda _: _cancel(task))
+        return NOT_DONE_YET
+
+    async def _serve(self, request: CallerRequest) -> None:
+        started = time.monotonic()
+        self.in_flight += 1
+        try:
+            work = await self._prepare(request)
+            if isinstance(work, NotRun):
+                self._answers.refuse(request, work)
+            else:
+                await self._serving.run(request, work, started)
+        except CallerGone:
+            self._metrics.count("callers.gone")
+        except asyncio.CancelledError:
+            self._metrics.count("callers.gone")
+            raise
+        except Exception:
+            log.exception("A request ended in an error of this router.")
+            self._metrics.count("requests.router-failed")
+            fail(request, self._answers)
+        finally:
+            self.in_flight -= 1
+            if request.channel is not None and not request._disconnected and not request.finished:
+                request.finish()
+
+    async def _prepare(self, request: CallerRequest) -> Work | NotRun:
+        found = self._route(request)
+        if isinstance(found, NotRun):
+            return found
+        headers = _headers(request)
+        facts = self._dialect.read(headers)
+        account = ANYBODY if found.spec.public else identify_key(self._state, facts.key)
+        if isinstance(account, NotRun):
+            return account
+        most = self._most_body_bytes()
+        body = await read_whole(request.body(), most)
+        if body is None:
+            return NotRun("body-too-large", f"expected at most {most} bytes", 0.0, TOO_LARGE)
+        return self._admitted(request, found, account, facts, headers, ReplayableBody(body))
+
+    def _route(self, request: CallerRequest) -> Route | NotRun:
+        if self._state.fleet.version == 0:
+            reason = "this router knows no configuration yet"
+            return NotRun("not-ready", reason, NOT_READY_RETRY_AFTER)
+        if not self.takes_work:
+            return NotRun("stopping", "this router is stopping; ask another", 0.0)
+        host = request.getHeader("host") or ""
+        route = self._state.fleet.routes.find(host, request.uri.decode("latin-1"))
+        if route is None:
+            return NotRun("no-route", "no route has this host and path", 0.0, NOT_FOUND)
+        return route
+
+    def _admitted(
+        self,
+        request: CallerRequest,
+        route: Route,
+        account: Account,
+        facts: CallerFacts,
+        headers: Headers,
+        body: ReplayableBody,
+    ) -> Work | NotRun:
+        service = route.service(self._rng.random())
+        admitted = admit_routed(self._state, account, route.spec, service, facts.wait)
+        if isinstance(admitted, NotRun):
+            return admitted
+        head = _head(request, route.spec, account, admitted, facts, headers)
+        context_wait = admitted.context_wait if head.returning else 0.0
+        return Work(account, admitted, head, body, Patience(context_wait, admitted.queue_wait))
+
+    def _most_body_bytes(self) -> int:
+        bounds = self._state.fleet.caller_bounds
+        return self._limits.chat_body_bytes if bounds is None else bounds.body_bytes
+
+
+def _cancel(task: asyncio.Task[None]) -> None:
+    task.cancel()
+
+
+def _headers(request: CallerRequest) -> Headers:
+    return tuple(
+        (name.decode("latin-1"), value.decode("latin-1"))
+        for name, values in request.requestHeaders.getAllRawHeaders()
+        for value in values
+    )
+
+
+def _head(
+    request: CallerRequest,
+    route: RouteSpec,
+    account: Account,
+    admitted: Admitted,
+    facts: CallerFacts,
+    headers: Headers,
+) -> RequestHead:
+    context = facts.context if route.keeps_context else 0
+    return RequestHead(
+        request_id=uuid.uuid4().hex,
+        account=account.name,
+        service=admitted.service,
+        chat=context,
+        method=request.method.decode("latin-1"),
+        path=request.uri.decode("latin-1"),
+        headers=headers,
+        repeatable=route.repeats != "never",
+        deadline=admitted.deadline,
+        priority=admitted.priority,
+        weight=admitted.weight,
+        returning=context != 0,
+        caller_id=facts.caller_id,
+        most_tries=route.most_tries,
+        resumes_anywhere=route.repeats == "resumed",
+    )
+
+
+def bounded(state: RouterState, own: CallerLimits) -> CallerLimits:
+    """Return what callers may send: what the configuration in force says, else the settings."""
+    bounds = state.fleet.caller_bounds
+    if bounds is None:
+        return own
+    return CallerLimits(
+        chat_body_bytes=own.chat_body_bytes,
+        header_bytes=bounds.header_bytes,
+        header_seconds=bounds.header_seconds,
+        idle_seconds=bounds.idle_seconds,
+    )
--- a/pondhatch/transport/_serving.py
+++ b/pondhatch/transport/_serving.py
@@ -31,8 +31,8 @@
     kept,
     refusal_of,
 )
-from pondhatch.router import Account, Admitted, RouterState
-from pondhatch.transport._answers import begin_answer, end_broken, refuse, replay
+from pondhatch.router import ANYBODY, Account, Admitted, RouterState
+from pondhatch.transport._answers import Answers, replay
 from pondhatch.transport._caller_channel import CallerRequest, CallerWriter
 
 log = log_for("callers")
@@ -89,8 +89,11 @@
 class Serving:
     """Runs requests and tells callers what came of them."""
 
-    def __init__(self, state: RouterState, ways: Ways, metrics: Metrics, tasks: Tasks) -> None:
+    def __init__(
+        self, state: RouterState, ways: Ways, answers: Answers, metrics: Metrics, tasks: Tasks
+    ) -> None:
         self._state = state
+        self._answers = answers
         self._ways = ways
         self._metrics = metrics
         self._tasks = tasks
@@ -103,7 +106,8 @@
             else:
                 await self._run(request, work, started, AnswerCopy())
         finally:
-            self._state.limits.end(work.account.name)
+            if work.account is not ANYBODY:
+                self._state.limits.end(work.account.name)
 
     async def _run_keyed(
         self, request: CallerRequest, work: Work, key: str, started: float
@@ -115,11 +119,11 @@
         keyed = KeyedRun(self._state, key, record)
         begun = await keyed.begin()
         if isinstance(begun, Known) and begun.record.digest == digest and begun.record.answer:
-            replay(request, begun.record.answer, head.request_id)
+            replay(request, self._answers, begun.record.answer, head.request_id)
             return
         if not isinstance(begun, Fresh):
             refusal = begun if isinstance(begun, NotRun) else refusal_of(begun, record)
-            refuse(request, self._metrics, refusal)
+            self._answers.refuse(request, refusal)
             return
         copy = AnswerCopy()
         ended: Ended = Unknown("caller-gone", "the caller went away")
@@ -151,7 +155,7 @@
                 ended = await self._relay(request, work, walk, reply, copy)
             else:
                 ended = reply.refusal
-                refuse(request, self._metrics, reply.refusal)
+                self._answers.refuse(request, reply.refusal)
         finally:
             self._note(work, walk, engine, ended, time.monotonic() - started)
         return ended
@@ -161,7 +165,7 @@
     ) -> Ended:
         """Pass the answer on."""
         answer = placed.reply.answer
-        begin_answer(request, answer.status, answer.headers, work.head.request_id)
+        self._answers.begin(request, answer.status, answer.headers, work.head.request_id)
         copy.status, copy.headers = answer.status, answer.headers
         writer = CallerWriter(request)
         sink = _CopyingSink(copy, writer) if work.key else writer
@@ -173,7 +177,7 @@
             self._metrics.count("answers.resumed", delivered.resumes)
         if isinstance(delivered.outcome, Broken):
             log.warning("Answer broke off: {}.", delivered.outcome.reason)
-            end_broken(request, delivered.outcome, is_event_stream(answer.headers))
+            self._answers.end_broken(request, delivered.outcome, is_event_stream(answer.headers))
         return delivered.outcome
 
     def _note(
--- a/pondhatch/transport/_wire.py
+++ b/pondhatch/transport/_wire.py
@@ -9,8 +9,8 @@
 from grpclib.encoding.base import CodecBase
 
 from pondhatch.configuration import Update
-from pondhatch.platform import UpstreamUpdate
 from pondhatch.requests import KeyRecord
+from pondhatch.store import UpstreamUpdate
 
 CLAIM_METHOD = "/pondhatch.Peers/Claim"
 SETTLE_METHOD = "/pondhatch.Peers/Settle"
--- /dev/null
+++ b/pondhatch/transport/tests/test_http_client.py
@@ -0,0 +1,296 @@
+from __future__ import annotations
+
+import asyncio
+import unittest
+from typing import Any
+
+from twisted.internet.error import ConnectionDone, ConnectionLost
+from twisted.internet.testing import StringTransport
+from twisted.python.failure import Failure
+
+from pondhatch.requests import CallerGone, ReplayableBody
+from pondhatch.transport._http_connection import (
+    IDLE_SECONDS,
+    STATED_SHARE,
+    Connection,
+    ConnectionBroken,
+    Exchange,
+    Request,
+    ResponseHead,
+)
+
+GET = Request("GET", "/things", (("Host", "upstream"),))
+POST = Request("POST", "/things", (("Host", "upstream"),))
+WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"
+
+
+class Handle:
+    def setsockopt(self, *_: int) -> None:
+        return None
+
+
+class Transport(StringTransport):
+    """Keeps what is written, and whether the connection was cut."""
+
+    aborted = False
+
+    def getHandle(self) -> Handle:
+        return Handle()
+
+    def abortConnection(self) -> None:
+        self.aborted = True
+
+
+class Wire:
+    """One connection and what became of it."""
+
+    def __init__(self, trusts: bool = True) -> None:
+        self.transport = Transport()
+        self.connection = Connection(lambda _: None)
+        self.connection.makeConnection(self.transport)
+        self.kept: list[Connection] = []
+        self._trusts = trusts
+
+    def begin(self, request: Request = GET, body: Any = None) -> Exchange:
+        exchange = Exchange(self.connection, self.kept.append, self._judge)
+        exchange.send(request, body or ReplayableBody(b""))
+        return exchange
+
+    def lose(self, reason: Exception) -> None:
+        self.connection.connectionLost(Failure(reason))
+
+    def _judge(self, _: ResponseHead) -> bool:
+        return self._trusts
+
+
+async def content(exchange: Exchange) -> bytes:
+    parts = []
+    while part := await exchange.pipe.read():
+        parts.append(part)
+    return b"".join(parts)
+
+
+class WholeAnswerTest(unittest.IsolatedAsyncioTestCase):
+    async def test_whole_answers_come_out_whole_and_leave_the_connection(self) -> None:
+        chunked = (
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n"
+        )
+        for raw in (WHOLE, chunked):
+            for size in (1, 7, 1000):
+                with self.subTest(raw=raw, size=size):
+                    wire = Wire()
+                    exchange = wire.begin()
+                    for at in range(0, len(raw), size):
+                        wire.connection.dataReceived(raw[at : at + size])
+                    self.assertEqual((await exchange.head).status, 200)
+                    self.assertEqual(await content(exchange), b"hello")
+                    self.assertEqual(wire.kept, [wire.connection])
+
+    async def test_two_exchanges_follow_each_other(self) -> None:
+        wire = Wire()
+        for _ in range(2):
+            exchange = wire.begin()
+            wire.connection.dataReceived(WHOLE)
+            self.assertEqual(await content(exchange), b"hello")
+        self.assertEqual(wire.connection.exchanges, 2)
+
+    async def test_an_answer_without_length_ends_with_an_orderly_close_alone(self) -> None:
+        raw = b"HTTP/1.1 200 OK\r\n\r\nhello"
+        wire = Wire()
+        exchange = wire.begin()
+        wire.connection.dataReceived(raw)
+        wire.lose(ConnectionDone())
+        self.assertEqual(await content(exchange), b"hello")
+        self.assertEqual(wire.kept, [])
+        wire = Wire()
+        exchange = wire.begin()
+        wire.connection.dataReceived(raw)
+        wire.lose(ConnectionLost())
+        with self.assertRaises(ConnectionBroken):
+            await content(exchange)
+
+    async def test_how_long_an_idle_connection_is_used_follows_what_is_stated(self) -> None:
+        stated = b"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=4, max=9\r\nContent-Length: 0\r\n\r\n"
+        silent = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+        for raw, seconds, states in (
+            (stated, 4 * STATED_SHARE, True),
+            (silent, IDLE_SECONDS, False),
+        ):
+            with self.subTest(raw=raw):
+                wire = Wire()
+                wire.begin()
+                wire.connection.dataReceived(raw)
+                left = wire.connection.usable_until - asyncio.get_running_loop().time()
+                self.assertAlmostEqual(left, seconds, delta=0.5)
+                self.assertEqual(wire.connection.states_idle_time, states)
+
+
+class SpoiltConnectionTest(unittest.IsolatedAsyncioTestCase):
+    async def test_what_ends_early_is_never_whole(self) -> None:
+        starts = (
+            b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhello",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nhel\r\n",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nhel\r\n9\r\nlo",
+        )
+        for raw in starts:
+            for reason in (ConnectionDone(), ConnectionLost()):
+                with self.subTest(raw=raw, reason=reason):
+                    wire = Wire()
+                    exchange = wire.begin()
+                    wire.connection.dataReceived(raw)
+                    wire.lose(reason)
+                    with self.assertRaises(ConnectionBroken):
+                        await content(exchange)
+
+    async def test_bytes_that_form_no_answer_end_it(self) -> None:
+        wire = Wire()
+        exchange = wire.begin()
+        wire.connection.dataReceived(b"\x00\x01 no answer\r\n\r\n")
+        with self.assertRaises(ConnectionBroken):
+            await exchange.head
+        self.assertTrue(wire.transport.aborted)
+
+    async def test_surplus_bytes_belong_to_no_request(self) -> None:
+        wire = Wire()
+        exchange = wire.begin()
+        wire.connection.dataReceived(WHOLE + WHOLE)
+        self.assertEqual(await content(exchange), b"hello")
+        self.assertEqual(wire.kept, [])
+        self.assertTrue(wire.transport.aborted)
+
+    async def test_bytes_on_an_idle_connection_end_it(self) -> None:
+        wire = Wire()
+        wire.begin()
+        wire.connection.dataReceived(WHOLE)
+        wire.connection.dataReceived(b"HTTP")
+        self.assertTrue(wire.transport.aborted)
+        self.assertFalse(wire.connection.is_open)
+
+    async def test_a_connection_that_says_close_is_not_kept(self) -> None:
+        wire = Wire()
+        wire.begin()
+        wire.connection.dataReceived(
+            b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+        )
+        self.assertEqual(wire.kept, [])
+
+    async def test_an_answer_that_is_not_trusted_ends_its_connection(self) -> None:
+        wire = Wire(trusts=False)
+        wire.begin()
+        wire.connection.dataReceived(WHOLE)
+        self.assertEqual(wire.kept, [])
+        self.assertTrue(wire.transport.aborted)
+
+    async def test_a_whole_answer_is_not_cut_by_a_late_cancel(self) -> None:
+        wire = Wire()
+        exchange = wire.begin()
+        wire.connection.dataReceived(WHOLE)
+        exchange.cancel()
+        self.assertFalse(wire.transport.aborted)
+
+
+class BodyTest(unittest.IsolatedAsyncioTestCase):
+    async def test_it_ends_with_the_bodys_length_and_waits_for_no_end_mark(self) -> None:
+        wire = Wire()
+        wire.begin(POST, Body())
+        await asyncio.sleep(0)
+        self.assertTrue(wire.transport.value().endswith(b"Content-Length: 6\r\n\r\nabcabc"))
+
+    async def test_a_lost_sender_fails_the_exchange_and_cuts_the_connection(self) -> None:
+        wire = Wire()
+        exchange = wire.begin(POST, Lost())
+        with self.assertRaises(CallerGone):
+            await exchange.head
+        self.assertTrue(wire.transport.aborted)
+
+    async def test_after_a_cancel_nobody_reads_on(self) -> None:
+        wire = Wire()
+        body = Stalled()
+        exchange = wire.begin(POST, body)
+        await asyncio.sleep(0)
+        exchange.cancel()
+        await asyncio.sleep(0)
+        self.assertTrue(body.cancelled)
+
+    async def test_an_answer_before_the_body_has_come_spoils_the_connection(self) -> None:
+        wire = Wire()
+        body = Stalled()
+        exchange = wire.begin(POST, body)
+        await asyncio.sleep(0)
+        wire.connection.dataReceived(WHOLE)
+        self.assertEqual(await content(exchange), b"hello")
+        await asyncio.sleep(0)
+        self.assertTrue(body.cancelled)
+        self.assertEqual(wire.kept, [])
+        self.assertTrue(wire.transport.aborted)
+
+    async def test_a_slow_upstream_stops_the_reading_of_the_body(self) -> None:
+        wire = Wire()
+        body = Endless()
+        wire.begin(POST, body)
+        wire.connection.pauseProducing()
+        for _ in range(5):
+            await asyncio.sleep(0)
+        before = body.reads
+        for _ in range(5):
+            await asyncio.sleep(0)
+        self.assertEqual(body.reads, before)
+        wire.connection.resumeProducing()
+        for _ in range(5):
+            await asyncio.sleep(0)
+        self.assertGreater(body.reads, before)
+
+
+class Body:
+    """A body whose sender says nothing more once its length has come."""
+
+    length: int | None = 6
+
+    def __init__(self) -> None:
+        self.reads = 0
+
+    async def read(self) -> bytes:
+        self.reads += 1
+        if self.reads > 2:
+            raise AssertionError("read on after the whole body had come")
+        return b"abc"
+
+
+class Endless:
+    """A body that never ends."""
+
+    length: int | None = None
+
+    def __init__(self) -> None:
+        self.reads = 0
+
+    async def read(self) -> bytes:
+        self.reads += 1
+        await asyncio.sleep(0)
+        return b"x"
+
+
+class Stalled:
+    """A body whose sender stands still."""
+
+    length: int | None = 6
+
+    def __init__(self) -> None:
+        self.cancelled = False
+
+    async def read(self) -> bytes:
+        try:
+            await asyncio.sleep(60)
+        except asyncio.CancelledError:
+            self.cancelled = True
+            raise
+        return b""
+
+
+class Lost:
+    """A body whose sender is lost."""
+
+    length: int | None = 6
+
+    async def read(self) -> bytes:
+        raise CallerGone("gone")
