--- a/.ci/run_tests.py
+++ b/.ci/run_tests.py
@@ -1,21 +1,43 @@
-"""Run every test and end with the line ``N passed, N failed``.
+"""Run every test, side by side, and end with the line ``N passed, N failed``.
 
-Tests named in KNOWN-RED.txt may fail: they are printed, and do not count as
-failed. A known red test that passes fails the run, so that the list stays true.
-``--soak`` runs the histories with many more examples under a fresh seed.
+Each test class runs in a process of its own, half as many at a time as there are
+processors; the longest known ones begin first. Tests named in KNOWN-RED.txt may fail:
+they are printed, and do not count as failed. A known red test that passes fails the
+run, so that the list stays true. ``--soak`` runs the histories with many more examples
+under a fresh seed.
 """
 
 from __future__ import annotations
 
+import json
 import os
+import subprocess
 import sys
+import tempfile
 import unittest
 from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
 FOLDERS = ("pondhatch", "fakes", "bench")
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
+#: Begins the run of one class in a process of its own; a class and a file follow.
+ONE_CLASS = "--one-class"
+#: Parts of names of the classes that take longest, whole fleets and histories.
+SLOW = ("fakes.", "histor", "authority")
+
+
+@dataclass(frozen=True)
+class ClassResult:
+    """What became of one class's tests."""
+
+    ran: int
+    skipped: int
+    #: Ids of those that failed.
+    bad: tuple[str, ...]
+    output: str
 
 
 def _cases(suite: unittest.TestSuite) -> Iterator[unittest.TestCase]:
@@ -33,34 +55,77 @@
     return {line.split(":", 1)[0].strip() for line in lines if line.strip()}
 
 
-def _suite() -> unittest.TestSuite:
+def _class_names() -> list[str]:
+    """Return the names of all test classes, the slow ones first."""
     loader = unittest.TestLoader()
     found = [loader.discover(str(ROOT / folder), top_level_dir=str(ROOT)) for folder in FOLDERS]
-    return unittest.TestSuite(found)
+    names = {_class_of(case) for case in _cases(unittest.TestSuite(found))}
+    return sorted(names, key=lambda name: (not any(part in name for part in SLOW), name))
+
+
+def _class_of(case: unittest.TestCase) -> str:
+    if type(case).__module__ == "unittest.loader":
+        return case.id()  # A module that cannot be imported; its run says why.
+    return f"{type(case).__module__}.{type(case).__qualname__}"
+
+
+def _run_class(name: str, report: Path) -> None:
+    """Run one class here, and write what became of it."""
+    suite = unittest.TestLoader().loadTestsFromName(name)
+    ran = len(list(_cases(suite)))
+    result = unittest.TextTestRunner(verbosity=1).run(suite)
+    bad = {case.id().split(" ")[0] for case, _ in [*result.failures, *result.errors]}
+    bad |= {case.id() for case in result.unexpectedSuccesses}
+    found = {"ran": ran, "skipped": len(result.skipped), "bad": sorted(bad)}
+    report.write_text(json.dumps(found))
+
+
+def _start_class(name: str) -> ClassResult:
+    """Run one class in a process of its own."""
+    with tempfile.TemporaryDirectory(prefix="pondhatch-test-") as folder:
+        report = Path(folder) / "report.json"
+        command = [sys.executable, __file__, ONE_CLASS, name, str(report)]
+        ended = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, check=False)
+        output = ended.stdout + ended.stderr
+        if not report.exists():
+            return ClassResult(1, 0, (name,), output + f"\n{name}: its process ended early\n")
+        found = json.loads(report.read_text())
+        return ClassResult(found["ran"], found["skipped"], tuple(found["bad"]), output)
 
 
 def main() -> int:
     """Return 0 where nothing failed but what is known to."""
+    sys.path.insert(0, str(ROOT))
     if "--soak" in sys.argv:
         os.environ["PONDHATCH_SOAK"] = "1"
-    sys.path.insert(0, str(ROOT))
     from pondhatch.kernel import install_reactor
 
     install_reactor()
-    suite = _suite()
-    names = {case.id() for case in _cases(suite)}
-    result = unittest.TextTestRunner(verbosity=1).run(suite)
-    bad = {case.id().split(" ")[0] for case, _ in [*result.failures, *result.errors]}
-    bad |= {case.id() for case in result.unexpectedSuccesses}
+    if ONE_CLASS in sys.argv:
+        name, report = sys.argv[sys.argv.index(ONE_CLASS) + 1 :][:2]
+        _run_class(name, Path(report))
+        return 0
+    return _run_all()
+
+
+def _run_all() -> int:
+    names = _class_names()
+    with ThreadPoolExecutor(max(1, (os.cpu_count() or 2) // 2)) as pool:
+        results = dict(zip(names, pool.map(_start_class, names), strict=True))
+    bad = {each for result in results.values() for each in result.bad}
+    for name, result in results.items():
+        if result.bad:
+            print(f"--- {name}\n{result.output}")
     red = _known_red()
-    for name in sorted(red & bad):
-        print(f"known red: {name}")
+    for each in sorted(red & bad):
+        print(f"known red: {each}")
     healed = sorted(red - bad)
-    for name in healed:
-        print(f"listed as known red, but it passes or is gone: {name}")
+    for each in healed:
+        print(f"listed as known red, but it passes or is gone: {each}")
+    ran = sum(result.ran - result.skipped for result in results.values())
     failed = len(bad - red) + len(healed)
-    print(f"{len(names) - len(bad) - len(result.skipped)} passed, {failed} failed")
-    return 0 if failed == 0 and names else 1
+    print(f"{ran - len(bad)} passed, {failed} failed")
+    return 0 if failed == 0 and ran else 1
 
 
 if __name__ == "__main__":
--- a/pondhatch/transport/tests/test_http_client.py
+++ b/pondhatch/transport/tests/test_http_client.py
@@ -45,9 +45,9 @@
     """One connection and what became of it."""
 
     def __init__(self, trusts: bool = True) -> None:
-        self.transport = Transport()
+        self.transport = Transport()  # type: ignore[no-untyped-call]
         self.connection = Connection(lambda _: None)
-        self.connection.makeConnection(self.transport)
+        self.connection.makeConnection(self.transport)  # type: ignore[no-untyped-call]
         self.kept: list[Connection] = []
         self._trusts = trusts
 
@@ -194,7 +194,8 @@
         wire = Wire()
         wire.begin(POST, Body())
         await asyncio.sleep(0)
-        self.assertTrue(wire.transport.value().endswith(b"Content-Length: 6\r\n\r\nabcabc"))
+        written: bytes = wire.transport.value()  # type: ignore[no-untyped-call]
+        self.assertTrue(written.endswith(b"Content-Length: 6\r\n\r\nabcabc"))
 
     async def test_a_lost_sender_fails_the_exchange_and_cuts_the_connection(self) -> None:
         wire = Wire()
