Tell loads more often where the fleet is small

A fall of the fleet's load is known to an owner after up to three reports of a second each; until then it grants up to a ceiling that belongs to a mean of the past. Change: the interval is in proportion to the routers, 0.25 s at 8, 1 s from 32 on, so that control bytes at full size stay as they were.

--- a/pondhatch/membership/_loads.py
+++ b/pondhatch/membership/_loads.py
@@ -30,8 +30,13 @@
 
 #: Routers to which one passes the fleet's sum on.
 TREE_FANOUT = 4
-#: Seconds between two reports.
+#: Seconds between two reports of a router in a large fleet, and at least. A sum that is
+#: old lets an engine be granted more than its share while the fleet's load falls; the
+#: bytes of reports leave room for more of them where few routers send any.
 REPORT_INTERVAL = 1.0
+SHORTEST_INTERVAL = 0.2
+#: Routers from which on the longest interval holds; below, it is in proportion.
+MANY_ROUTERS = 32
 #: Seconds after which a report that was not renewed is dropped.
 REPORT_LIFETIME = 4.0
 
@@ -63,6 +68,11 @@
     return tuple(by_name[name] for name in ranked(f"speak:{hall}", by_name))
 
 
+def report_interval(routers: int) -> float:
+    """Return the seconds between two reports in a fleet of so many routers."""
+    return max(SHORTEST_INTERVAL, REPORT_INTERVAL * min(1.0, routers / MANY_ROUTERS))
+
+
 class FleetLoadView:
     """One router's part in the summing up, and what it knows of the fleet's load."""
 
@@ -89,7 +99,7 @@
         self._own = own
         if now < self._next_report:
             return []
-        self._next_report = now + REPORT_INTERVAL
+        self._next_report = now + report_interval(len(members))
         self._drop_old(now)
         self._number += 1
         self._arrange(members)
