--- a/pondhatch/cli/_commands.py
+++ b/pondhatch/cli/_commands.py
@@ -60,7 +60,7 @@
     from pondhatch.transport import install_numeric_resolver
 
     install_numeric_resolver(reactor)
-    _with_reactor(loop, serve(loaded, reactor))
+    _with_reactor(loop, serve(loaded, reactor, settings))
     return EXIT_DONE
 
 
--- a/pondhatch/cli/_router_process.py
+++ b/pondhatch/cli/_router_process.py
@@ -10,12 +10,14 @@
 import socket
 import time
 from dataclasses import dataclass
+from pathlib import Path
 from typing import Any, cast
 
 from grpclib.server import Server
 from twisted.internet import ssl
 from twisted.web.server import Site
 
+from pondhatch.cli._settings_file import SettingsFile
 from pondhatch.configuration import ServiceDefaults, Settings, load_fleet_key
 from pondhatch.kernel import REGISTRY, Tasks
 from pondhatch.membership import (
@@ -28,7 +30,16 @@
     Seal,
     short_id,
 )
-from pondhatch.observing import Metrics, NoMetrics, StatsdMetrics, log_for
+from pondhatch.observing import (
+    STANDARD_OUTPUT,
+    LineRecords,
+    Metrics,
+    NoMetrics,
+    NoRecords,
+    Records,
+    StatsdMetrics,
+    log_for,
+)
 from pondhatch.requests import HOLDERS, Ways
 from pondhatch.router import GRANT_MARK, Authority, Granting, RouterState, Sync, agreed_key
 from pondhatch.store import Platform
@@ -63,6 +74,8 @@
 RETELL_PAUSES = (0.1, 0.2)
 #: Seconds between two tellings of levels to statsd.
 LEVEL_SECONDS = 5.0
+#: Seconds between looks at the settings file.
+SETTINGS_SECONDS = 5.0
 #: Signals that ask a router to stop.
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 #: Connections of peers that may wait to be accepted.
@@ -91,8 +104,9 @@
 class RouterProcess:
     """Owns every part of a router; the reactor must be installed before."""
 
-    def __init__(self, settings: Settings, reactor: Any, parts: Surroundings) -> None:
+    def __init__(self, settings: Settings, reactor: Any, parts: Surroundings, path: Path) -> None:
         self._settings = settings
+        self._settings_file = SettingsFile(path)
         self._reactor = reactor
         self._tasks = Tasks()
         self._interface = parts.interface
@@ -116,6 +130,8 @@
         )
         self._authority = Authority(self.state, self._platform, HttpEngineOrders(), self._rng)
         self._metrics = self._new_metrics()
+        lines = settings.log.form == "lines"
+        self._records: Records = LineRecords(settings.name) if lines else NoRecords()
         self._callers = self._new_callers(parts.client)
         self._peer_service = PeerService(self.state.local, self._answer_pull, self._token)
         self._peer_server: Server = self._peer_service.server()
@@ -136,6 +152,8 @@
             self._tasks.start(poll_loads(self.state))
         self._tasks.start(self._authority.run())
         self._tasks.start(self._tell_levels())
+        self._tasks.start(self._watch_settings())
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
         log.info("Router {} serves hall {}.", self._settings.name, self._settings.hall)
         await stop.wait()
         await self._drain()
@@ -163,9 +181,16 @@
         ways = Ways(self._granting.entry, HttpUpstreams(client, self._interface.upstreams))
         limits, dialect = self._settings.limits, self._interface.callers
         if dialect is None:
-            return Callers(self.state, ways, limits, self._metrics, self._tasks)
+            return Callers(self.state, ways, limits, self._metrics, self._records, self._tasks)
         return RoutedCallers(
-            self.state, ways, dialect, limits, self._metrics, self._tasks, self._rng
+            self.state,
+            ways,
+            dialect,
+            limits,
+            self._metrics,
+            self._records,
+            self._tasks,
+            self._rng,
         )
 
     def _new_metrics(self) -> Metrics:
@@ -190,9 +215,8 @@
 
     def _listen_to_callers(self) -> None:
         callers = self._settings.callers
-        own = self._settings.limits
         resource: Any = self._callers.resource()
-        site = CallerSite(resource, lambda: bounded(self.state, own))
+        site = CallerSite(resource, lambda: bounded(self.state, self._settings.limits))
         if callers.certificate is None or callers.private_key is None:
             self._reactor.listenTCP(callers.port, site, interface=callers.host)
             return
@@ -269,6 +293,7 @@
             now = self.state.clock()
             self._gossip_port.send(self.state.gossip.tick(now))
             self._gossip_port.send(self.state.limits.tick(now))
+            STANDARD_OUTPUT.flush()
             await asyncio.sleep(ROUND_SECONDS)
 
     async def _tell_levels(self) -> None:
@@ -286,6 +311,21 @@
             for name, level in levels.items():
                 self._metrics.gauge(name, level)
 
+    # -- settings -------------------------------------------------------------
+
+    async def _watch_settings(self) -> None:
+        """Look at the settings file now and then: it may change without a signal."""
+        while True:
+            await asyncio.sleep(SETTINGS_SECONDS)
+            if self._settings_file.changed():
+                self._reload()
+
+    def _reload(self) -> None:
+        """Put changed settings in force as far as a running router can."""
+        reloaded = self._settings_file.reloaded(self._settings)
+        if reloaded is not None:
+            self._settings = reloaded
+
     # -- stopping ---------------------------------------------------------------
 
     async def _drain(self) -> None:
@@ -357,10 +397,11 @@
     return Address(host, int(port))
 
 
-async def serve(settings: Settings, reactor: Any) -> None:
-    """Run a router until it is asked to stop."""
-    process = RouterProcess(settings, reactor, await _surroundings(settings, reactor))
+async def serve(settings: Settings, reactor: Any, path: Path) -> None:
+    """Run a router until it is asked to stop; ``path`` is where its settings are kept."""
+    process = RouterProcess(settings, reactor, await _surroundings(settings, reactor), path)
     await process.run()
+    STANDARD_OUTPUT.flush()
 
 
 async def _surroundings(settings: Settings, reactor: Any) -> Surroundings:
--- /dev/null
+++ b/pondhatch/cli/_settings_file.py
@@ -0,0 +1,48 @@
+"""The settings file of a running router: noticed when it changes, read anew."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from pathlib import Path
+
+from pondhatch.configuration import ConfigurationError, Settings, load_settings
+from pondhatch.observing import log_for
+
+log = log_for("settings")
+
+#: Settings that a running router can take in; the others hold from its next start.
+RELOADED = ("limits", "drain", "drain_seconds")
+
+
+class SettingsFile:
+    """One router's settings file."""
+
+    def __init__(self, path: Path) -> None:
+        self._path = path
+        self._seen = self._content()
+
+    def changed(self) -> bool:
+        """Return whether the file holds something else than when it was last read."""
+        return self._content() != self._seen
+
+    def reloaded(self, in_force: Settings) -> Settings | None:
+        """Return the settings in force with what changed; None where the file is wrong."""
+        self._seen = self._content()
+        try:
+            read = load_settings(self._path)
+        except ConfigurationError as error:
+            for problem in error.problems:
+                log.error("Settings not reloaded: {}.", problem)
+            return None
+        taken = {name: getattr(read, name) for name in RELOADED}
+        reloaded = replace(in_force, **taken)
+        waiting = [] if reloaded == read else ["others hold from the next start"]
+        log.info("Settings reloaded{}.", "".join(f"; {each}" for each in waiting))
+        return reloaded
+
+    def _content(self) -> bytes:
+        try:
+            return self._path.read_bytes()
+        except OSError as error:
+            log.warning("Settings file cannot be read: {}.", error.strerror)
+            return b""
--- a/pondhatch/configuration/_settings.py
+++ b/pondhatch/configuration/_settings.py
@@ -121,8 +121,9 @@
 class LogSettings:
     """How a process logs."""
 
-    #: "text" for people, "json" for machines.
-    form: Annotated[str, Field(pattern=r"^(text|json)$")] = "text"
+    #: "text" to standard error for people; "lines": JSON lines of sentences and decisions
+    #: to standard output for machines; "json": loguru's own records, to standard error.
+    form: Annotated[str, Field(pattern=r"^(text|lines|json)$")] = "text"
     level: Annotated[str, Field(pattern=r"^(DEBUG|INFO|WARNING|ERROR)$")] = "INFO"
 
 
--- a/pondhatch/observing/__init__.py
+++ b/pondhatch/observing/__init__.py
@@ -1,6 +1,29 @@
 """Observing: logs and metrics."""
 
+from pondhatch.observing._lines import STANDARD_OUTPUT, LineWriter
 from pondhatch.observing._logs import log_for, setup_logs
 from pondhatch.observing._metrics import Metrics, NoMetrics, StatsdMetrics
+from pondhatch.observing._records import (
+    Believed,
+    LineRecords,
+    NoRecords,
+    Record,
+    Records,
+    RequestEnded,
+)
 
-__all__ = ["Metrics", "NoMetrics", "StatsdMetrics", "log_for", "setup_logs"]
+__all__ = [
+    "Believed",
+    "LineRecords",
+    "LineWriter",
+    "NoRecords",
+    "Record",
+    "Records",
+    "RequestEnded",
+    "STANDARD_OUTPUT",
+    "Metrics",
+    "NoMetrics",
+    "StatsdMetrics",
+    "log_for",
+    "setup_logs",
+]
--- /dev/null
+++ b/pondhatch/observing/_records.py
@@ -0,0 +1,80 @@
+"""Decisions as one line of JSON each: what was decided, from what, and the outcome."""
+
+from __future__ import annotations
+
+import time
+from typing import Protocol
+
+import msgspec
+
+from pondhatch.observing._lines import STANDARD_OUTPUT, LineWriter
+
+
+class RequestEnded(
+    msgspec.Struct, frozen=True, tag_field="event", tag="request", omit_defaults=True
+):
+    """A request got its answer or its refusal."""
+
+    #: As the caller named it, else this router's name for it.
+    id: str
+    account: str
+    service: str
+    #: How it ended: "whole", or the code of a refusal or a break.
+    outcome: str
+    #: Milliseconds from its head to the end.
+    ms: int
+    #: Version of the configuration that decided.
+    configuration: int
+    #: The upstream that answered.
+    upstream: str = ""
+    #: Requests in flight there when it was granted, this one included.
+    in_flight: int = 0
+    #: The most that its owner would have granted then.
+    ceiling: int = 0
+    #: Upstreams that did not take it, each with why.
+    passed_over: tuple[tuple[str, str], ...] = ()
+    #: Times that its stream went on at another upstream.
+    resumes: int = 0
+
+
+class Believed(msgspec.Struct, frozen=True, tag_field="event", tag="belief", omit_defaults=True):
+    """What this router takes to be so has changed."""
+
+    #: "configuration", "upstream", "router", "platform", "settings" or "process".
+    about: str
+    name: str
+    now: str
+    #: The version or age of what it follows from.
+    version: int = 0
+    why: str = ""
+
+
+Record = RequestEnded | Believed
+
+
+class Records(Protocol):
+    """Takes decisions."""
+
+    def note(self, record: Record) -> None:
+        """Take in one decision."""
+
+
+class NoRecords:
+    """Keeps none."""
+
+    def note(self, record: Record) -> None:
+        """Do nothing."""
+
+
+class LineRecords:
+    """Writes each decision as a line; see Records."""
+
+    def __init__(self, process: str, lines: LineWriter = STANDARD_OUTPUT) -> None:
+        self._prefix = b'{"at":%.3f,"router":' + msgspec.json.encode(process) + b","
+        self._lines = lines
+        self._encoder = msgspec.json.Encoder()
+
+    def note(self, record: Record) -> None:
+        """Write one decision."""
+        body = self._encoder.encode(record)
+        self._lines.add(self._prefix % time.time() + body[1:])
--- a/pondhatch/requests/_entry.py
+++ b/pondhatch/requests/_entry.py
@@ -140,6 +140,10 @@
         self._may_have_run: Unknown | None = None
         #: Id under which the engine that answers knows the request.
         self._granted_id = ""
+        #: Times that a broken stream went on.
+        self.resumes = 0
+        #: What was granted last: the load and the ceiling at its engine.
+        self.granted = Granted(0, 0)
         #: Engines that were sent the request.
         self._sent_to: set[str] = set()
 
@@ -174,8 +178,12 @@
         if self._remaining() <= 0:
             return None
         if self._head.resumes_anywhere:
-            return await self._resume_elsewhere(engine, position)
-        return await self._resume_there(engine, position)
+            resumed: Placed | Unready | None = await self._resume_elsewhere(engine, position)
+        else:
+            resumed = await self._resume_there(engine, position)
+        if isinstance(resumed, Placed):
+            self.resumes += 1
+        return resumed
 
     async def _resume_elsewhere(self, engine: str, position: Position) -> Placed | None:
         """Run the rest at another engine; the one that broke off is the last resort."""
@@ -272,6 +280,7 @@
         reply = await self._grant(question)
         if not isinstance(reply, Granted):
             return reply
+        self.granted = reply
         target = self._view.target(question.engine)
         if not takes(target, question.resuming):
             self._ways.grants.release(question.number, Ended.NOTHING)
--- a/pondhatch/transport/_callers.py
+++ b/pondhatch/transport/_callers.py
@@ -15,7 +15,7 @@
 
 from pondhatch.configuration import CallerLimits
 from pondhatch.kernel import Tasks, as_deferred
-from pondhatch.observing import Metrics, log_for
+from pondhatch.observing import Metrics, Records, log_for
 from pondhatch.requests import (
     CallerGone,
     MalformedChat,
@@ -54,13 +54,14 @@
         ways: Ways,
         limits: CallerLimits,
         metrics: Metrics,
+        records: Records,
         tasks: Tasks,
     ) -> None:
         self._state = state
         self._limits = limits
         self._metrics = metrics
         self._answers = OpenAiAnswers(metrics)
-        self._serving = Serving(state, ways, self._answers, metrics, tasks)
+        self._serving = Serving(state, ways, self._answers, metrics, tasks, records)
         #: Requests that have not ended; a stopping router waits for them.
         self.in_flight = 0
         #: Kept for a stopping router; it refuses requests by its state at once.
--- a/pondhatch/transport/_routed_callers.py
+++ b/pondhatch/transport/_routed_callers.py
@@ -13,7 +13,7 @@
 
 from pondhatch.configuration import CallerLimits, Route, RouteSpec
 from pondhatch.kernel import Tasks
-from pondhatch.observing import Metrics, log_for
+from pondhatch.observing import Metrics, Records, log_for
 from pondhatch.requests import (
     Broken,
     CallerGone,
@@ -91,6 +91,7 @@
         dialect: CallerDialect,
         limits: CallerLimits,
         metrics: Metrics,
+        records: Records,
         tasks: Tasks,
         rng: random.Random,
     ) -> None:
@@ -105,7 +106,7 @@
         self._metrics = metrics
         self._rng = rng
         self._answers = RoutedAnswers(dialect, metrics, state.stopping)
-        self._serving = Serving(state, ways, self._answers, metrics, tasks)
+        self._serving = Serving(state, ways, self._answers, metrics, tasks, records)
         self._tasks = tasks
 
     def resource(self) -> Resource:
--- a/pondhatch/transport/_serving.py
+++ b/pondhatch/transport/_serving.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 
 from pondhatch.kernel import Tasks
-from pondhatch.observing import Metrics, log_for
+from pondhatch.observing import Metrics, Records, RequestEnded, log_for
 from pondhatch.requests import (
     KEPT_BODY,
     BodySource,
@@ -90,13 +90,20 @@
     """Runs requests and tells callers what came of them."""
 
     def __init__(
-        self, state: RouterState, ways: Ways, answers: Answers, metrics: Metrics, tasks: Tasks
+        self,
+        state: RouterState,
+        ways: Ways,
+        answers: Answers,
+        metrics: Metrics,
+        tasks: Tasks,
+        records: Records,
     ) -> None:
         self._state = state
         self._answers = answers
         self._ways = ways
         self._metrics = metrics
         self._tasks = tasks
+        self._records = records
 
     async def run(self, request: CallerRequest, work: Work, started: float) -> None:
         """Serve one request to its end; its account's count ends with it."""
@@ -198,6 +205,21 @@
                 at=time.time(),
             )
         )
+        self._records.note(
+            RequestEnded(
+                id=work.head.caller_id or work.head.request_id,
+                account=work.account.name,
+                service=work.head.service,
+                outcome=outcome,
+                ms=round(seconds * 1000),
+                configuration=self._state.fleet.version,
+                upstream=engine or "",
+                in_flight=walk.granted.in_flight,
+                ceiling=walk.granted.ceiling,
+                passed_over=tuple(walk.plan.passed_over),
+                resumes=walk.resumes,
+            )
+        )
 
 
 async def _end_keyed(keyed: KeyedRun, ended: Ended, copy: AnswerCopy) -> None:
