Give a removal the store's own revision; test the adapter

The adapter gave a removal at revision 45 the number 46, to be sure that it is newer than the entry. A router that pulled it from a peer then held 46, and the change at 46, an engine that leaves, was not news to it: suva-hall-1 and -3 sent to that engine 2.05 and 2.24 s after its word. A run that prints deletions showed that their revision is their own, so nothing need be added. Ruled out: lost packets, a slow watcher (all three watchers had the word after 60 ms). test_a_removal_hides_nothing_that_follows fails on the old code.

--- a/pondhatch/platform/_store.py
+++ b/pondhatch/platform/_store.py
@@ -147,7 +147,7 @@
         while True:
             watched = await self._watch_once(kind, since)
             for each in watched.events:
-                yield self._event(kind, each, watched.timestamp)
+                yield self._event(kind, each)
             since = max(since, watched.timestamp)
 
     async def _watch_once(self, kind: str, since: int) -> _Watched:
@@ -189,11 +189,12 @@
         metadata = found.metadata
         return StoredObject(kind, metadata.name, metadata.revision, decode(metadata.name, value))
 
-    def _event(self, kind: str, happened: _Happened, timestamp: int) -> WatchEvent:
+    def _event(self, kind: str, happened: _Happened) -> WatchEvent:
         metadata = happened.object.metadata
         if happened.deleted:
-            # The object is told as it last was; its end is newer than that.
-            return WatchEvent("removed", max(metadata.revision + 1, timestamp), metadata.name)
+            # The revision is that of the removal itself; a higher one would hide what
+            # changed next from the routers that ask for what is newer than it.
+            return WatchEvent("removed", metadata.revision, metadata.name)
         stored = self._stored(kind, happened.object)
         return WatchEvent("set", stored.version, stored.name, stored.value)
 
--- /dev/null
+++ b/pondhatch/platform/tests/test_configuration.py
@@ -0,0 +1,116 @@
+from __future__ import annotations
+
+import copy
+import hashlib
+import unittest
+from typing import Any
+
+import msgspec
+
+from pondhatch.configuration import Fleet, Rejected, ServiceDefaults
+from pondhatch.platform._configuration import decode_configuration
+from pondhatch.platform.tests._wire import CONFIGURATION
+
+DEFAULTS = ServiceDefaults(load_bound=1.7, load_slack=3)
+
+
+def fleet_of(value: Any, base: Fleet | None = None) -> Fleet:
+    replaced = (base or Fleet()).replaced_by(decode_configuration(value, DEFAULTS))
+    if isinstance(replaced, Rejected):
+        raise AssertionError(str(replaced))
+    return replaced
+
+
+def key_hash(key: str) -> str:
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+class WholeConfigurationTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.fleet = fleet_of(CONFIGURATION)
+
+    def test_routes_keep_what_the_operator_said(self) -> None:
+        rows = (
+            ("/notes/1", "r-notes", "resumed", True, 2, 0),
+            ("/briefs/1?x=/notes/", "r-briefs", "never", True, 1, 1),
+            ("/proofs/a/b", "r-proofs", "never", False, 1, 2),
+            ("/elsewhere", "r-assets", "any", False, 2, 2),
+        )
+        for path, name, repeats, streams, tries, priority in rows:
+            with self.subTest(path=path):
+                route = self.fleet.routes.find("desk.example", path)
+                assert route is not None
+                spec = route.spec
+                self.assertEqual(route.name, name)
+                self.assertEqual(
+                    (spec.repeats, spec.streams, spec.most_tries, spec.priority),
+                    (repeats, streams, tries, priority),
+                )
+        self.assertIsNone(self.fleet.routes.find("other.example", "/notes/1"))
+
+    def test_times_are_seconds(self) -> None:
+        spec = self.fleet.routes.by_name["r-notes"]
+        self.assertEqual((spec.timeout, spec.objective, spec.longest_pause), (8.0, 0.4, 0.3))
+
+    def test_weights_share_a_routes_requests(self) -> None:
+        route = self.fleet.routes.find("desk.example", "/briefs/")
+        assert route is not None
+        drawn = [route.service(at / 100) for at in range(100)]
+        self.assertEqual(drawn.count("lang"), 90)
+
+    def test_keys_are_known_by_their_hashes_alone(self) -> None:
+        keys = ("key-1", "key-2", "key-3", "key-4")
+        found = [self.fleet.account_of(key_hash(key)) for key in keys]
+        self.assertEqual(found, ["pina", "pina", "rosa", None])
+        held = b"".join(self.fleet.raw_by_entry.values())
+        self.assertNotIn(b"key-1", held)
+
+    def test_an_accounts_priority_goes_before_the_routes_where_it_has_one(self) -> None:
+        policies = self.fleet.policy_by_account
+        self.assertEqual((policies["pina"].priority, policies["rosa"].priority), (1, None))
+        self.assertNotIn("gone", policies)
+
+    def test_services_get_the_settings_bounds(self) -> None:
+        lang, portal = (self.fleet.service_by_name[name] for name in ("lang", "portal"))
+        self.assertEqual((lang.kind, lang.load_bound, lang.load_slack), ("model", 1.7, 3))
+        self.assertEqual(portal.kind, "plain")
+
+    def test_bounds_on_callers(self) -> None:
+        bounds = self.fleet.caller_bounds
+        assert bounds is not None
+        self.assertEqual((bounds.header_bytes, bounds.header_seconds), (16384, 3.0))
+
+
+class ChangedConfigurationTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.changed = copy.deepcopy(CONFIGURATION)
+        self.changed["Version"] = 12
+
+    def test_what_is_gone_is_gone(self) -> None:
+        self.changed["Tenants"][0]["ApiKeys"] = ["key-2"]
+        del self.changed["Routes"][2]
+        fleet = fleet_of(self.changed, fleet_of(CONFIGURATION))
+        self.assertEqual(fleet.version, 12)
+        self.assertIsNone(fleet.account_of(key_hash("key-1")))
+        self.assertEqual(fleet.account_of(key_hash("key-2")), "pina")
+        route = fleet.routes.find("desk.example", "/proofs/a")
+        assert route is not None
+        self.assertEqual(route.name, "r-assets")
+
+    def test_a_change_in_place_equals_the_same_read_anew(self) -> None:
+        self.changed["Routes"][0]["Service"] = "portal"
+        self.changed["Tenants"].pop(0)
+        over = fleet_of(self.changed, fleet_of(CONFIGURATION))
+        anew = fleet_of(self.changed)
+        for field in ("routes", "service_by_name", "policy_by_account", "account_by_key_hash"):
+            self.assertEqual(getattr(over, field), getattr(anew, field), field)
+
+    def test_a_route_to_no_service_is_rejected_whole(self) -> None:
+        self.changed["Routes"][0]["Service"] = "nowhere"
+        found = Fleet().replaced_by(decode_configuration(self.changed, DEFAULTS))
+        self.assertIsInstance(found, Rejected)
+
+    def test_what_is_no_configuration_is_an_error(self) -> None:
+        for value in ({}, {"Version": "7"}, {"Version": 7, "Routes": [{"Name": "x"}]}, None):
+            with self.subTest(value=value), self.assertRaises(msgspec.ValidationError):
+                decode_configuration(value, DEFAULTS)
--- /dev/null
+++ b/pondhatch/platform/tests/test_dialects.py
@@ -0,0 +1,140 @@
+from __future__ import annotations
+
+import unittest
+from typing import Any
+
+import msgspec
+
+from pondhatch.platform._callers import ClientDialect
+from pondhatch.platform._engines import EngineDialect, decode_engine
+from pondhatch.platform.tests._wire import ENGINE
+from pondhatch.requests import Headers, Judged, NotRun, Refusal, RequestHead, Target, Unknown
+
+TARGET = Target("i-1", "http://10.0.0.9:8080", True, 1.5, 3, 64)
+HEADERS: Headers = (
+    ("Host", "desk.example"),
+    ("Attempt-Id", "9c41"),
+    ("Authorization", "Bearer key-1"),
+    ("Tenant", "forged"),
+    ("Expect-Instance", "forged"),
+    ("Deadline-Ms", "9000"),
+    ("Connection", "keep-alive"),
+    ("Transfer-Encoding", "chunked"),
+    ("Prefix-Hash", "a:1,b:2"),
+    ("X-Own", "kept"),
+)
+
+
+def head(**changes: Any) -> RequestHead:
+    plain = RequestHead(
+        request_id="own",
+        account="pina",
+        service="lang",
+        chat=0,
+        method="POST",
+        path="/notes/1",
+        headers=HEADERS,
+        repeatable=False,
+        deadline=2.5,
+        priority=3,
+        caller_id="9c41",
+    )
+    return msgspec.structs.replace(plain, **changes)
+
+
+class EngineDialectTest(unittest.TestCase):
+    dialect = EngineDialect()
+
+    def test_what_reaches_an_engine(self) -> None:
+        sent = self.dialect.request_headers(head(), TARGET)
+        expected = {
+            "Host": "desk.example",
+            "Attempt-Id": "9c41",
+            "Prefix-Hash": "a:1,b:2",
+            "X-Own": "kept",
+            "Deadline-Ms": "2500",
+            "Expect-Instance": "i-1",
+            "Request-Priority": "3",
+            "Tenant": "pina",
+        }
+        self.assertEqual(dict(sent), expected)
+        self.assertEqual(len(sent), len(expected))
+
+    def test_without_an_account_no_account_is_named(self) -> None:
+        sent = dict(self.dialect.request_headers(head(account=""), TARGET))
+        self.assertNotIn("Tenant", sent)
+
+    def test_a_stream_that_goes_on_says_after_which_event(self) -> None:
+        asked = head(headers=(*HEADERS, ("Last-Event-Id", "2")), after_event="7")
+        sent = self.dialect.request_headers(asked, TARGET)
+        self.assertEqual([value for name, value in sent if name == "Last-Event-Id"], ["7"])
+        kept = self.dialect.request_headers(head(headers=(("Last-Event-Id", "2"),)), TARGET)
+        self.assertIn(("Last-Event-Id", "2"), kept)
+
+    def test_what_an_answers_head_says(self) -> None:
+        rows: tuple[tuple[int, dict[str, str], Judged], ...] = (
+            (200, {"attempt-id": "9c41"}, Judged.ANSWERED),
+            (500, {"attempt-id": "9c41"}, Judged.ANSWERED),
+            (200, {"attempt-id": "other"}, Judged.CROSSED),
+            (200, {}, Judged.CROSSED),
+            (503, {"not-executed": "1"}, Judged.NOT_RUN),
+            (503, {"not-executed": "1", "attempt-id": "9c41"}, Judged.NOT_RUN),
+            (503, {"attempt-id": "9c41"}, Judged.ANSWERED),
+            (421, {"instance-id": "i-2"}, Judged.NOT_THE_ONE),
+        )
+        for status, headers, judged in rows:
+            with self.subTest(status=status, headers=headers):
+                self.assertIs(self.dialect.judge(head(), status, headers), judged)
+
+    def test_an_answers_headers_reach_the_caller_but_for_the_connections(self) -> None:
+        answered = (("Instance-Signature", "3e"), ("Keep-Alive", "timeout=4"), ("X-Own", "1"))
+        passed_on = (("Instance-Signature", "3e"), ("X-Own", "1"))
+        self.assertEqual(self.dialect.answer_headers(answered), passed_on)
+
+
+class EngineEntryTest(unittest.TestCase):
+    def test_entries_become_upstreams(self) -> None:
+        for state, expected in (("ready", "live"), ("draining", "leaving")):
+            with self.subTest(state=state):
+                found = decode_engine("i-1", {**ENGINE, "State": state})
+                self.assertEqual(found["state"], expected)
+                self.assertEqual((found["url"], found["hall"]), ("http://10.0.0.9:8080", "hall-1"))
+                self.assertEqual(found["slots"], 64)
+
+
+class ClientDialectTest(unittest.TestCase):
+    dialect = ClientDialect()
+
+    def test_what_a_client_says(self) -> None:
+        facts = self.dialect.read(HEADERS)
+        self.assertEqual((facts.caller_id, facts.key, facts.wait), ("9c41", "key-1", 9.0))
+
+    def test_keys_in_any_case_of_the_scheme_and_none(self) -> None:
+        rows: tuple[tuple[Headers, str | None], ...] = (
+            ((("authorization", "bearer k"),), "k"),
+            ((("Authorization", "Basic k"),), None),
+            ((), None),
+        )
+        for headers, key in rows:
+            with self.subTest(headers=headers):
+                self.assertEqual(self.dialect.read(headers).key, key)
+
+    def test_the_context_is_the_last_part_that_others_share(self) -> None:
+        def context(parts: str) -> int:
+            return self.dialect.read((("Prefix-Hash", parts),)).context
+
+        self.assertEqual(context("a:1,b:2,c:3"), context("x:9,b:2,d:4"))
+        self.assertNotEqual(context("a:1,b:2,c:3"), context("a:1,e:2,c:3"))
+        self.assertNotEqual(context("a:1"), 0)
+        self.assertEqual(context(""), 0)
+
+    def test_when_to_come_back_is_told_where_it_helps(self) -> None:
+        rows: tuple[tuple[Refusal, Headers], ...] = (
+            (NotRun("engines-full", "", 0.25), (("Retry-After", "0.250"),)),
+            (NotRun("rate-limited", "", 1.0, 429), (("Retry-After", "1.000"),)),
+            (NotRun("no-route", "", 0.0, 404), ()),
+            (Unknown("upstream-lost", ""), ()),
+        )
+        for refusal, headers in rows:
+            with self.subTest(refusal=refusal):
+                self.assertEqual(self.dialect.refusal_headers(refusal), headers)
--- /dev/null
+++ b/pondhatch/platform/tests/test_store.py
@@ -0,0 +1,157 @@
+from __future__ import annotations
+
+import unittest
+from collections.abc import Sequence
+from typing import Any
+
+import msgspec
+
+from pondhatch.platform._store import PlatformStore
+from pondhatch.store import (
+    Accepted,
+    Conflict,
+    Found,
+    Listed,
+    Missing,
+    OutcomeUnknown,
+    PlatformLost,
+    TooOld,
+    Unavailable,
+    WatchEvent,
+)
+from pondhatch.transport import CallFailed
+
+Answer = tuple[int, Any] | CallFailed
+SILENCE = CallFailed("silence", sent=True)
+
+
+class Calls:
+    """Answers as told, in order; keeps what was asked."""
+
+    made = 0
+
+    def __init__(self, answers: Sequence[Answer]) -> None:
+        self._answers = list(answers)
+        self.asked: list[tuple[str, str, Any]] = []
+
+    async def call(
+        self, method: str, path: str, body: bytes = b"", seconds: float = 2.0
+    ) -> tuple[int, bytes]:
+        self.asked.append((method, path, msgspec.json.decode(body) if body else None))
+        answer = self._answers.pop(0)
+        if isinstance(answer, CallFailed):
+            raise answer
+        return answer[0], msgspec.json.encode(answer[1])
+
+
+def entry(name: str, revision: int, spec: Any = None, status: Any = None) -> dict[str, Any]:
+    metadata = {"Name": name, "Revision": revision, "Created": 1, "Finalizers": []}
+    return {"Metadata": metadata, "Spec": spec, "Status": status}
+
+
+def page(*entries: Any, at: int, more: bool = False) -> dict[str, Any]:
+    return {"Entries": list(entries), "HasMore": more, "Timestamp": at}
+
+
+def double(name: str, value: Any) -> Any:
+    return {"name": name, "twice": value * 2}
+
+
+def store(*answers: Answer) -> tuple[PlatformStore, Calls]:
+    calls: Any = Calls(answers)
+    return PlatformStore(calls, {"upstream": ("servers", double)}), calls
+
+
+class ReadingTest(unittest.IsolatedAsyncioTestCase):
+    async def test_one_object(self) -> None:
+        rows: tuple[tuple[Answer, type], ...] = (
+            ((200, entry("a", 4, 21)), Found),
+            ((404, None), Missing),
+            ((503, None), Unavailable),
+            ((429, None), Unavailable),
+            (SILENCE, Unavailable),
+        )
+        for answer, kind in rows:
+            with self.subTest(answer=answer):
+                found = await store(answer)[0].get("upstream", "a")
+                self.assertIsInstance(found, kind)
+                if isinstance(found, Found):
+                    self.assertEqual(found.object.value, {"name": "a", "twice": 42})
+
+    async def test_a_listing_is_read_page_by_page(self) -> None:
+        first = page(entry("a", 1, 1), entry("b", 2, 2), at=5, more=True)
+        found, calls = store((200, first), (200, page(entry("c", 3, 3), at=6)))
+        listed = await found.list("upstream")
+        assert isinstance(listed, Listed)
+        self.assertEqual([each.name for each in listed.objects], ["a", "b", "c"])
+        self.assertEqual([path for _, path, _ in calls.asked][1], "/objects/servers?SinceRev=b")
+
+    async def test_what_stands_in_the_status_counts_where_there_is_no_spec(self) -> None:
+        found = await store((200, entry("a", 1, None, 4)))[0].get("upstream", "a")
+        assert isinstance(found, Found)
+        self.assertEqual(found.object.value["twice"], 8)
+
+
+class WritingTest(unittest.IsolatedAsyncioTestCase):
+    async def test_what_a_writes_answer_means(self) -> None:
+        rows: tuple[tuple[Answer, type], ...] = (
+            ((200, entry("a", 9)), Accepted),
+            ((201, entry("a", 9)), Accepted),
+            ((409, entry("a", 8)), Conflict),
+            ((503, None), Unavailable),
+            ((429, None), Unavailable),
+            ((500, None), OutcomeUnknown),
+            (CallFailed("refused", sent=False), Unavailable),
+            (SILENCE, OutcomeUnknown),
+        )
+        for answer, kind in rows:
+            with self.subTest(answer=answer):
+                self.assertIsInstance(await store(answer)[0].update("own", "a", 1, 8), kind)
+
+    async def test_conditions_travel_with_the_object(self) -> None:
+        found, calls = store((200, entry("a", 9)), (201, entry("b", 10)))
+        await found.update("own", "a", {"x": 1}, 8)
+        await found.create("own", "b", 2)
+        replaced = {"Metadata": {"Name": "a", "Revision": 8}, "Spec": {"x": 1}}
+        created = {"Metadata": {"Name": "b"}, "Spec": 2}
+        expected = [("PUT", "/objects/own/a", replaced), ("POST", "/objects/own", created)]
+        self.assertEqual(calls.asked, expected)
+
+
+class WatchingTest(unittest.IsolatedAsyncioTestCase):
+    async def watched(self, *answers: Answer) -> tuple[list[WatchEvent], Exception, Calls]:
+        found, calls = store(*answers)
+        events: list[WatchEvent] = []
+        try:
+            async for event in found.watch("upstream", 3):
+                events.append(event)
+        except Exception as error:
+            return events, error, calls
+        raise AssertionError("a watch does not end by itself")
+
+    async def test_it_goes_on_from_where_it_was(self) -> None:
+        happened = {"Deleted": False, "Object": entry("a", 5, 1)}
+        events, error, calls = await self.watched(
+            (200, {"events": [happened], "Timestamp": 6}),
+            (200, {"events": [], "Timestamp": 6}),
+            (410, None),
+        )
+        self.assertIsInstance(error, TooOld)
+        self.assertEqual([event.type for event in events], ["bookmark", "set"])
+        asked = [path.split("?")[1].split("&")[0] for _, path, _ in calls.asked]
+        self.assertEqual(asked, ["Watch=3", "Watch=6", "Watch=6"])
+
+    async def test_a_removal_hides_nothing_that_follows(self) -> None:
+        gone = {"Deleted": True, "Object": entry("a", 5)}
+        follows = {"Deleted": False, "Object": entry("b", 6, 1)}
+        told = (200, {"events": [gone, follows], "Timestamp": 6})
+        events, _, _ = await self.watched(told, (503, None))
+        versions = [(event.type, event.name, event.version) for event in events[1:]]
+        self.assertEqual(versions, [("removed", "a", 5), ("set", "b", 6)])
+
+    async def test_what_ends_it(self) -> None:
+        rows: tuple[Answer, ...] = ((503, None), (429, None), SILENCE)
+        for answer in rows:
+            with self.subTest(answer=answer):
+                _, error, _ = await self.watched(answer)
+                self.assertIsInstance(error, PlatformLost)
--- /dev/null
+++ b/pondhatch/platform/tests/test_walls.py
@@ -0,0 +1,48 @@
+"""The platform's names stay in its adapter."""
+
+from __future__ import annotations
+
+import re
+import unittest
+from pathlib import Path
+
+from pondhatch.platform import _names
+
+PACKAGE = Path(__file__).resolve().parents[2]
+#: Headers that HTTP itself knows; everybody may name them.
+COMMON = frozenset({"Authorization", "Retry-After"})
+#: Fields of the platform's objects and settings.
+FIELDS = (
+    "PathPrefix",
+    "TargetLatencyMs",
+    "TimeoutMs",
+    "ApiKeys",
+    "MaxAttempts",
+    "ColdRemainingMs",
+    "SinceRev",
+    "StaleOk",
+    "KvUsedTokens",
+    "ItlTargetMs",
+    "PortRange",
+    "Frontend",
+)
+
+
+def names() -> set[str]:
+    """Return the headers that the adapter names."""
+    constants = vars(_names).items()
+    texts = {value for name, value in constants if name.isupper() and isinstance(value, str)}
+    return {text for text in texts if "-" in text} - COMMON
+
+
+class WallsTest(unittest.TestCase):
+    def test_no_name_of_the_platform_stands_outside_its_adapter(self) -> None:
+        self.assertGreater(len(names()), 5)
+        pattern = re.compile("|".join(map(re.escape, (*sorted(names()), *FIELDS))))
+        found = [
+            f"{path.relative_to(PACKAGE)}: {match.group()}"
+            for path in sorted(PACKAGE.rglob("*.py"))
+            if "tests" not in path.parts and "platform" not in path.parts
+            for match in pattern.finditer(path.read_text())
+        ]
+        self.assertEqual(found, [])
--- /dev/null
+++ b/pondhatch/router/tests/test_fleet_key.py
@@ -0,0 +1,61 @@
+from __future__ import annotations
+
+import random
+import unittest
+from typing import Any
+
+from fakes._platform_in_memory import PlatformInMemory
+from pondhatch.router import agreed_key
+from pondhatch.store import Accepted, Conflict, Found, Missing, OutcomeUnknown, Unavailable
+
+
+class Flaky(PlatformInMemory):
+    """Loses answers and is out for some calls."""
+
+    def __init__(self, outages: int = 0, lost: int = 0) -> None:
+        super().__init__()
+        self.outages = outages
+        self.lost = lost
+
+    async def get(self, kind: str, name: str) -> Found | Missing | Unavailable:
+        if self.outages > 0:
+            self.outages -= 1
+            return Unavailable("out")
+        return await super().get(kind, name)
+
+    async def create(
+        self, kind: str, name: str, value: Any
+    ) -> Accepted | Conflict | OutcomeUnknown | Unavailable:
+        written = await super().create(kind, name, value)
+        if self.lost > 0:
+            self.lost -= 1
+            return OutcomeUnknown("lost")
+        return written
+
+
+class FleetKeyTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.pauses: list[float] = []
+
+    async def sleep(self, seconds: float) -> None:
+        self.pauses.append(seconds)
+
+    async def agreed(self, platform: PlatformInMemory, key: str) -> bytes:
+        return await agreed_key(platform, key, random.Random(1), self.sleep)
+
+    async def test_all_get_the_first_ones_key(self) -> None:
+        platform = PlatformInMemory()
+        self.assertEqual(await self.agreed(platform, "first"), b"first")
+        self.assertEqual(await self.agreed(platform, "second"), b"first")
+
+    async def test_a_lost_answer_is_read_back(self) -> None:
+        platform = Flaky(lost=1)
+        self.assertEqual(await self.agreed(platform, "first"), b"first")
+        self.assertEqual(await self.agreed(platform, "second"), b"first")
+
+    async def test_an_outage_is_waited_out_with_growing_pauses(self) -> None:
+        platform = Flaky(outages=8)
+        self.assertEqual(await self.agreed(platform, "first"), b"first")
+        self.assertEqual(len(self.pauses), 8)
+        self.assertLessEqual(max(self.pauses), 2.0)
+        self.assertGreater(self.pauses[4], self.pauses[0])
