Take engines that appear while a fleet starts for old ones

Engines list themselves one after the other when a fleet starts, so all but the first counted as joined lately, and their contexts went to the engine ranked second, with two questions for each request. Change: those that appear within 20 s of the first list count as there before.

--- a/pondhatch/router/_state.py
+++ b/pondhatch/router/_state.py
@@ -30,6 +30,10 @@
 
 #: Decisions kept for the state dump.
 KEPT_DECISIONS = 64
+#: Seconds after the first list in which upstreams that appear are taken to have been there
+#: before: those of a fleet that starts list themselves one after the other, and no chat
+#: has its context at the engine ranked second.
+STARTING_SECONDS = 20.0
 
 
 @dataclass
@@ -59,8 +63,10 @@
     #: This router's own side as a holder of keys.
     local: KeyHolder = field(init=False)
     _members: tuple[Member, ...] = ()
-    #: When an upstream joined, in the clock's seconds; not for those of the first list.
+    #: When an upstream joined, in the clock's seconds; not for those of a fleet that starts.
     _joined_at: dict[str, float] = field(default_factory=dict)
+    #: When this router first knew of upstreams, in the clock's seconds.
+    _listed_at: float = float("inf")
     _member_by_name: dict[str, Member] = field(default_factory=dict)
     _owner_by_engine: dict[str, Member | None] = field(default_factory=dict)
     _live_by_service: dict[str, tuple[str, ...]] = field(default_factory=dict)
@@ -135,11 +141,14 @@
         return joined is not None and self.clock() - joined < YOUNG_SECONDS
 
     def _note_joins(self, before: frozenset[str]) -> None:
-        """Note the upstreams that are new, but for those of the first list."""
+        """Note the upstreams that are new, but for those of a fleet that starts."""
+        now = self.clock()
         if not before:
+            self._listed_at = now
+        if now - self._listed_at < STARTING_SECONDS:
             return
         for name in self.upstreams.entry_by_name.keys() - before:
-            self._joined_at[name] = self.clock()
+            self._joined_at[name] = now
 
     def resumes(self, engine: str) -> bool:
         """Return whether an engine can resume a broken stream."""
--- a/pondhatch/router/_sync.py
+++ b/pondhatch/router/_sync.py
@@ -33,6 +33,7 @@
     TooOld,
     Unavailable,
     UpstreamUpdate,
+    WatchEvent,
     listing,
 )
 
@@ -184,8 +185,14 @@
             self._told()
         async for event in self._platform.watch(UPSTREAM_KIND, listed.version):
             if self._state.take_upstream_event(event):
+                self._note_upstream(event)
                 self._told()
 
+    def _note_upstream(self, event: WatchEvent) -> None:
+        known = self._state.upstreams.entry_by_name.get(event.name)
+        state = known.upstream.state if known is not None else "unknown"
+        log.info("Upstream {} is {} as of {}.", event.name, state, event.version)
+
     # -- from peers ---------------------------------------------------------
 
     async def _pull_if_behind(self) -> None:
