Tell a caller nothing of an answer before its first part; read what is refused

A key was revoked; its requests got 401 before their bodies had been read, the connection was to be closed after a second, but the answer did not say so, since its head had been written before the channel knew. The client sent its next request on it, which nobody read. The closed request left no decision line, which showed that it had never been handled. Ruled out: idle time (15 s, clients rest 12 at most), a cut upstream (no line of one), an error of this router (none logged). Change: a refused request's body is read and dropped up to 256 KB, so that the connection serves on; beyond that the refusal says that it closes. What is checked before the body has come is checked again after it: the configuration may have changed. An answer that breaks before its first part is asked for again where it may be, and refused as unknown elsewhere, instead of a closed connection without a word. Tests: seventeen over a channel in memory; those on refusals and on answers cut before their first part fail on the old code.

--- a/pondhatch/requests/_delivery.py
+++ b/pondhatch/requests/_delivery.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from pondhatch.requests._entry import Placed, Position, Walk
 from pondhatch.requests._events import EventCutter
 from pondhatch.requests._messages import AnswerStream, Headers, Lost, PartSink
-from pondhatch.requests._outcomes import Broken, Whole
+from pondhatch.requests._outcomes import Broken, Unknown, Whole
 
 #: Times that one answer is taken up again at most.
 MOST_RESUMES = 3
@@ -23,7 +24,8 @@
 class Delivered:
     """How the delivery ended, and how often the answer was taken up again."""
 
-    outcome: Whole | Broken
+    #: Unknown where it broke off before any of it had reached the caller.
+    outcome: Whole | Broken | Unknown
     resumes: int = 0
 
 
@@ -54,17 +56,60 @@
             self._sink.write(rest)
 
 
-class Delivery:
-    """One answer on its way to its caller."""
+class _Opening:
+    """Begins the caller's answer with its first part; see PartSink."""
+
+    def __init__(self, sink: PartSink, begin: Callable[[], None]) -> None:
+        self.has_begun = False
+        self._sink = sink
+        self._begin = begin
+        self.ready = sink.ready
+
+    def write(self, part: bytes) -> bool:
+        self.begin()
+        return self._sink.write(part)
+
+    def begin(self) -> None:
+        """Begin the answer unless it has begun."""
+        if not self.has_begun:
+            self.has_begun = True
+            self._begin()
+
+
+def _nothing(_: AnswerStream) -> None:
+    return None
+
 
-    def __init__(self, walk: Walk, placed: Placed, sink: PartSink) -> None:
+class Delivery:
+    """One answer on its way to its caller.
+
+    Until its first part has come, the caller is told nothing: an answer that breaks
+    before that is asked for again where it may be, or refused like one that never came.
+    """
+
+    def __init__(
+        self,
+        walk: Walk,
+        placed: Placed,
+        sink: PartSink,
+        begin: Callable[[AnswerStream], None] = _nothing,
+    ) -> None:
         self._walk = walk
         self._engine = placed.engine
         self._answer: AnswerStream = placed.reply.answer
-        streamed = is_event_stream(self._answer.headers)
-        self._events = _WholeEvents(sink) if streamed else None
-        self._sink: PartSink = self._events or sink
+        self._opening = _Opening(sink, lambda: begin(self._answer))
         self._resumes = 0
+        self._events: _WholeEvents | None = None
+        self._sink: PartSink = self._opening
+        self._take(placed)
+
+    def _take(self, placed: Placed) -> None:
+        """Go on with an answer of which nothing was passed on."""
+        self._engine = placed.engine
+        self._answer = placed.reply.answer
+        streamed = is_event_stream(self._answer.headers)
+        self._events = _WholeEvents(self._opening) if streamed else None
+        self._sink = self._events or self._opening
 
     async def run(self) -> Delivered:
         """Pass everything on; raises what the caller's sink raises."""
@@ -73,15 +118,30 @@
                 try:
                     await self._answer.pour(self._sink)
                 except Lost as lost:
-                    if not await self._resumed():
-                        return Delivered(lost.outcome, self._resumes)
+                    if not await self._goes_on():
+                        return Delivered(self._lost(lost.outcome), self._resumes)
                 else:
                     if self._events is not None:
                         self._events.end()
+                    self._opening.begin()
                     return Delivered(Whole(), self._resumes)
         finally:
             self._answer.cancel()
 
+    def _lost(self, outcome: Broken) -> Broken | Unknown:
+        return outcome if self._opening.has_begun else Unknown(outcome.code, outcome.reason)
+
+    async def _goes_on(self) -> bool:
+        """Return whether a broken answer is taken up, from where it was or from its start."""
+        if self._opening.has_begun or not self._walk.may_run_again():
+            return await self._resumed()
+        self._answer.cancel()
+        placed = await self._walk.run_again(self._engine)
+        if placed is None:
+            return False
+        self._take(placed)
+        return True
+
     async def _resumed(self) -> bool:
         """Take the answer up where the caller's copy ends; return whether that worked."""
         if self._events is None or not self._walk.can_resume(self._engine):
--- a/pondhatch/requests/_entry.py
+++ b/pondhatch/requests/_entry.py
@@ -186,20 +186,28 @@
         return resumed
 
     async def _resume_elsewhere(self, engine: str, position: Position) -> Placed | None:
-        """Run the rest at another engine; the one that broke off is the last resort."""
+        """Run the rest at another engine."""
+        if position.last_id:
+            self._head = msgspec.structs.replace(self._head, after_event=position.last_id)
+        placed = await self.run_again(engine)
+        if placed is None or placed.reply.answer.status == OK:
+            return placed
+        placed.reply.answer.cancel()
+        return None
+
+    def may_run_again(self) -> bool:
+        """Return whether an answer of which nothing was passed on may be asked for again."""
+        return self._head.repeatable and isinstance(self._body, ReplayableBody)
+
+    async def run_again(self, engine: str) -> Placed | None:
+        """Run the request once more; the engine that broke off is the last resort."""
         if self._tries_are_spent() or not self._budget.may_retry():
             return None
         engines = self._view.live_upstreams(self._head.service)
         others = tuple(name for name in engines if name != engine)
         self.plan = Plan(self._chat, others or engines)
-        self._head = msgspec.structs.replace(self._head, after_event=position.last_id)
         ended = await self._walk()
-        if not isinstance(ended, Placed):
-            return None
-        if ended.reply.answer.status == OK:
-            return ended
-        ended.reply.answer.cancel()
-        return None
+        return ended if isinstance(ended, Placed) else None
 
     async def _resume_there(self, engine: str, position: Position) -> Placed | Unready | None:
         """Ask the engine that ran the request to go on."""
--- a/pondhatch/transport/_caller_channel.py
+++ b/pondhatch/transport/_caller_channel.py
@@ -54,6 +54,13 @@
     return b"".join(parts)
 
 
+async def drain(body: CallerBody, limit: int) -> None:
+    """Read and drop a body, up to a limit."""
+    size = 0
+    while size <= limit and (part := await body.read()):
+        size += len(part)
+
+
 class CallerRequest(Request):
     """A request that is handled as soon as its head has come."""
 
--- a/pondhatch/transport/_routed_callers.py
+++ b/pondhatch/transport/_routed_callers.py
@@ -34,7 +34,7 @@
     identify_key,
 )
 from pondhatch.transport._answers import cut, fail, write_head
-from pondhatch.transport._caller_channel import CallerRequest, read_whole
+from pondhatch.transport._caller_channel import CallerRequest, drain, read_whole
 from pondhatch.transport._interface import CallerDialect, CallerFacts
 from pondhatch.transport._serving import Serving, Work
 
@@ -45,6 +45,9 @@
 #: Seconds after which to come back to a router that knows no configuration yet: it is
 #: read within a second of its start.
 NOT_READY_RETRY_AFTER = 0.5
+#: Bytes of a refused request's body that are read and dropped, so that its connection can
+#: be used again; beyond them it is closed.
+UNWANTED_BYTES = 256 * 1024
 
 
 class RoutedAnswers:
@@ -61,8 +64,9 @@
         self._metrics.count(f"refusals.{refusal.code}")
         write_head(request, refusal.status, self._dialect.refusal_headers(refusal))
         self._close_if_stopping(request)
+        # Written when the request is finished: what is unread of its body decides then
+        # whether the connection can be used again, and the head must say so.
         request.setHeader(b"Content-Length", b"0")
-        request.write(b"")
 
     def begin(self, request: Any, status: int, headers: Headers, request_id: str) -> None:
         """Write the head of an upstream's answer."""
@@ -125,6 +129,7 @@
         try:
             work = await self._prepare(request)
             if isinstance(work, NotRun):
+                await drain(request.body(), UNWANTED_BYTES)
                 self._answers.refuse(request, work)
             else:
                 await self._serving.run(request, work, started)
@@ -143,19 +148,29 @@
                 request.finish()
 
     async def _prepare(self, request: CallerRequest) -> Work | NotRun:
-        found = self._route(request)
-        if isinstance(found, NotRun):
-            return found
         headers = _headers(request)
         facts = self._dialect.read(headers)
-        account = ANYBODY if found.spec.public else identify_key(self._state, facts.key)
-        if isinstance(account, NotRun):
-            return account
+        wanted = self._wanted(request, facts)
+        if isinstance(wanted, NotRun):
+            return wanted
         most = self._most_body_bytes()
         body = await read_whole(request.body(), most)
         if body is None:
             return NotRun("body-too-large", f"expected at most {most} bytes", 0.0, TOO_LARGE)
-        return self._admitted(request, found, account, facts, headers, ReplayableBody(body))
+        # The configuration may have changed while the body came.
+        wanted = self._wanted(request, facts)
+        if isinstance(wanted, NotRun):
+            return wanted
+        route, account = wanted
+        return self._admitted(request, route, account, facts, headers, ReplayableBody(body))
+
+    def _wanted(self, request: CallerRequest, facts: CallerFacts) -> tuple[Route, Account] | NotRun:
+        """Return a request's route and account by the configuration in force."""
+        route = self._route(request)
+        if isinstance(route, NotRun):
+            return route
+        account = ANYBODY if route.spec.public else identify_key(self._state, facts.key)
+        return account if isinstance(account, NotRun) else (route, account)
 
     def _route(self, request: CallerRequest) -> Route | NotRun:
         if self._state.fleet.version == 0:
--- a/pondhatch/transport/_serving.py
+++ b/pondhatch/transport/_serving.py
@@ -9,6 +9,7 @@
 from pondhatch.observing import Metrics, Records, RequestEnded, log_for
 from pondhatch.requests import (
     KEPT_BODY,
+    AnswerStream,
     BodySource,
     Broken,
     DecisionNote,
@@ -171,20 +172,24 @@
         self, request: CallerRequest, work: Work, walk: Walk, placed: Placed, copy: AnswerCopy
     ) -> Ended:
         """Pass the answer on."""
-        answer = placed.reply.answer
-        self._answers.begin(request, answer.status, answer.headers, work.head.request_id)
-        copy.status, copy.headers = answer.status, answer.headers
+
+        def begin(answer: AnswerStream) -> None:
+            self._answers.begin(request, answer.status, answer.headers, work.head.request_id)
+            copy.status, copy.headers = answer.status, answer.headers
+
         writer = CallerWriter(request)
         sink = _CopyingSink(copy, writer) if work.key else writer
         try:
-            delivered = await Delivery(walk, placed, sink).run()
+            delivered = await Delivery(walk, placed, sink, begin).run()
         finally:
             writer.close()
         if delivered.resumes:
             self._metrics.count("answers.resumed", delivered.resumes)
+        if isinstance(delivered.outcome, Unknown):
+            self._answers.refuse(request, delivered.outcome)
         if isinstance(delivered.outcome, Broken):
             log.warning("Answer broke off: {}.", delivered.outcome.reason)
-            self._answers.end_broken(request, delivered.outcome, is_event_stream(answer.headers))
+            self._answers.end_broken(request, delivered.outcome, is_event_stream(copy.headers))
         return delivered.outcome
 
     def _note(
--- /dev/null
+++ b/pondhatch/transport/tests/test_routed_callers.py
@@ -0,0 +1,342 @@
+from __future__ import annotations
+
+import asyncio
+import random
+import unittest
+from typing import Any
+
+import msgspec
+from twisted.internet.address import IPv4Address
+from twisted.internet.error import ConnectionLost
+from twisted.internet.task import Clock
+from twisted.internet.testing import StringTransport
+from twisted.python.failure import Failure
+
+from pondhatch.configuration import CallerLimits, Fleet, Rejected, ServiceDefaults
+from pondhatch.kernel import Tasks
+from pondhatch.membership import Alive, Gossip, MembershipLimits, Phase, short_id
+from pondhatch.observing import NoMetrics, Record
+from pondhatch.placement import Granted
+from pondhatch.platform._callers import ClientDialect
+from pondhatch.platform._configuration import decode_configuration
+from pondhatch.platform.tests._wire import CONFIGURATION
+from pondhatch.requests import (
+    BodySource,
+    Broken,
+    Ended,
+    Headers,
+    Lost,
+    NotRun,
+    Opened,
+    OwnerReply,
+    PartSink,
+    Question,
+    RequestHead,
+    Target,
+    Unknown,
+    Ways,
+)
+from pondhatch.router import RouterState
+from pondhatch.store import Upstream
+from pondhatch.transport._caller_channel import CallerSite
+from pondhatch.transport._routed_callers import RoutedCallers
+
+ANSWERED: Headers = (("Instance-Signature", "3e"), ("Content-Length", "4"))
+KEY = "Authorization: Bearer key-1"
+
+
+class Answer:
+    """An answer of an upstream: its parts, then its end or its loss."""
+
+    def __init__(self, parts: tuple[bytes, ...], whole: bool = True, status: int = 200) -> None:
+        self.status = status
+        self.headers = ANSWERED
+        self._parts = parts
+        self._whole = whole
+
+    async def pour(self, sink: PartSink) -> None:
+        for part in self._parts:
+            sink.write(part)
+        if not self._whole:
+            raise Lost(Broken("answer-broken", "cut"))
+
+    def cancel(self) -> None:
+        return None
+
+
+class Upstreams:
+    """Answers as told, in order; keeps what was sent where."""
+
+    def __init__(self) -> None:
+        self.replies: list[Opened | NotRun | Unknown] = []
+        self.sent: list[tuple[str, RequestHead, bytes]] = []
+        self.hold: asyncio.Event | None = None
+
+    async def send(
+        self, target: Target, head: RequestHead, body: BodySource
+    ) -> Opened | NotRun | Unknown:
+        self.sent.append((target.name, head, await body.read()))
+        if self.hold is not None:
+            await self.hold.wait()
+        return self.replies.pop(0)
+
+
+class Grants:
+    """Grants everything; keeps how each grant was given back."""
+
+    router = 1
+
+    def __init__(self) -> None:
+        self.released: list[Ended] = []
+        self._number = 0
+
+    async def ask(self, owner: str, question: Question) -> OwnerReply:
+        return Granted(1, 9)
+
+    def release(self, number: int, ended: Ended) -> None:
+        self.released.append(ended)
+
+    def next_number(self) -> int:
+        self._number += 1
+        return self._number
+
+    def remember(self, owner: str, chat: int, engine: str) -> None:
+        return None
+
+
+class Noted:
+    def __init__(self) -> None:
+        self.records: list[Record] = []
+
+    def note(self, record: Record) -> None:
+        self.records.append(record)
+
+
+class Transport(StringTransport):
+    """Keeps what is written, and how the connection ended."""
+
+    aborted = False
+
+    def abortConnection(self) -> None:
+        self.aborted = True
+
+
+def state_of(configuration: Any) -> RouterState:
+    own = Alive(short_id("r0"), 1, Phase.LIVE, "r0", "127.0.0.1", 7000, "hall-1")
+    gossip = Gossip(own, MembershipLimits(), random.Random(1))
+    nobody: Any = None
+    state = RouterState("r0", "hall-1", gossip, lambda: 0.0, lambda member: nobody)
+    state.refresh()
+    for at, service in enumerate(("lang", "lang", "portal", "portal")):
+        state.upstreams.set(
+            Upstream(f"i-{at}", service, f"http://10.0.0.{at}:80", "hall-1"), at + 1
+        )
+    state.upstreams_changed()
+    put_in_force(state, configuration)
+    return state
+
+
+def put_in_force(state: RouterState, configuration: Any) -> None:
+    fleet = Fleet().replaced_by(decode_configuration(configuration, ServiceDefaults()))
+    if isinstance(fleet, Rejected):
+        raise AssertionError(str(fleet))
+    state.take_fleet(fleet)
+
+
+class RoutedCallersTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.state = state_of(CONFIGURATION)
+        self.upstreams = Upstreams()
+        self.grants = Grants()
+        self.noted = Noted()
+
+    async def asyncSetUp(self) -> None:
+        self.callers = RoutedCallers(
+            self.state,
+            Ways(self.grants, self.upstreams),
+            ClientDialect(),
+            CallerLimits(),
+            NoMetrics(),
+            self.noted,
+            Tasks(),
+            random.Random(1),
+        )
+        self.clock = Clock()
+        site: Any = CallerSite(self.callers.resource(), CallerLimits)  # type: ignore[arg-type]
+        self.channel: Any = site.buildProtocol(IPv4Address("TCP", "10.9.9.9", 4000))
+        self.channel.callLater = self.clock.callLater
+        self.wire = Transport()  # type: ignore[no-untyped-call]
+        self.channel.makeConnection(self.wire)
+
+    async def send(self, raw: bytes) -> None:
+        self.channel.dataReceived(raw)
+        await self.settle()
+
+    async def settle(self) -> None:
+        for _ in range(12):
+            self.clock.advance(0)
+            await asyncio.sleep(0)
+
+    def written(self) -> bytes:
+        value: bytes = self.wire.value()  # type: ignore[no-untyped-call]
+        self.wire.clear()  # type: ignore[no-untyped-call]
+        return value
+
+    async def ask(self, line: str, *headers: str, body: bytes = b"") -> bytes:
+        framed = (*headers, f"Content-Length: {len(body)}") if body else headers
+        raw = "\r\n".join((line, "Host: desk.example", "Attempt-Id: 9c41", *framed, "", ""))
+        await self.send(raw.encode() + body)
+        return self.written()
+
+
+class PassingOnTest(RoutedCallersTest):
+    async def test_an_answer_comes_back_unchanged(self) -> None:
+        self.upstreams.replies = [Opened(Answer((b"ye", b"s!")))]
+        told = await self.ask("POST /proofs/a?b=1 HTTP/1.1", KEY, body=b"abc")
+        head, _, body = told.partition(b"\r\n\r\n")
+        self.assertTrue(head.startswith(b"HTTP/1.1 200 OK"), head)
+        self.assertIn(b"Instance-Signature: 3e", head)
+        self.assertEqual(body, b"yes!")
+        (_, sent, content) = self.upstreams.sent[0]
+        self.assertEqual((sent.method, sent.path, content), ("POST", "/proofs/a?b=1", b"abc"))
+        self.assertEqual((sent.account, sent.repeatable, sent.caller_id), ("pina", False, "9c41"))
+
+    async def test_a_deadline_is_the_shorter_of_the_callers_and_the_routes(self) -> None:
+        for wait, expected in (("700", 0.7), ("9000", 1.5)):
+            self.upstreams.replies = [Opened(Answer((b"yes!",)))]
+            await self.ask("GET /x HTTP/1.1", f"Deadline-Ms: {wait}")
+            self.assertAlmostEqual(self.upstreams.sent[-1][1].deadline, expected, delta=0.3)
+
+    async def test_what_no_route_or_account_allows(self) -> None:
+        rows = (
+            ("GET /x HTTP/1.1", ("Host: other.example",), b"404"),
+            ("POST /proofs/a HTTP/1.1", (), b"401"),
+            ("POST /proofs/a HTTP/1.1", ("Authorization: Bearer key-9",), b"401"),
+        )
+        for line, headers, status in rows:
+            with self.subTest(line=line, headers=headers):
+                host = () if headers and headers[0].startswith("Host") else ("Host: desk.example",)
+                raw = "\r\n".join((line, *host, *headers, "", ""))
+                await self.send(raw.encode())
+                self.assertTrue(self.written().startswith(b"HTTP/1.1 " + status))
+        self.assertEqual(self.upstreams.sent, [])
+
+    async def test_before_any_configuration_callers_are_told_to_come_back(self) -> None:
+        self.state.fleet = Fleet()
+        told = await self.ask("GET /x HTTP/1.1")
+        self.assertTrue(told.startswith(b"HTTP/1.1 503"))
+        self.assertIn(b"Retry-After: 0.500", told)
+
+    async def test_each_request_leaves_a_decision(self) -> None:
+        self.upstreams.replies = [Opened(Answer((b"yes!",)))]
+        await self.ask("GET /x HTTP/1.1")
+        record = self.noted.records[0]
+        self.assertEqual(msgspec.to_builtins(record)["id"], "9c41")
+        self.assertEqual(msgspec.to_builtins(record)["outcome"], "whole")
+
+
+class KeptConnectionTest(RoutedCallersTest):
+    async def test_a_refusal_leaves_the_connection_for_the_next_request(self) -> None:
+        self.upstreams.replies = [Opened(Answer((b"yes!",)))]
+        refused = await self.ask("POST /proofs/a HTTP/1.1", body=b"x" * 5000)
+        self.assertTrue(refused.startswith(b"HTTP/1.1 401"))
+        self.assertNotIn(b"close", refused.lower())
+        served = await self.ask("GET /x HTTP/1.1")
+        self.assertTrue(served.startswith(b"HTTP/1.1 200"), served)
+
+    async def test_a_refusal_before_the_body_has_come_waits_for_the_rest_of_it(self) -> None:
+        head = b"POST /proofs/a HTTP/1.1\r\nHost: desk.example\r\nContent-Length: 6\r\n\r\n"
+        await self.send(head + b"abc")
+        self.assertEqual(self.written(), b"")
+        await self.send(b"def")
+        self.assertTrue(self.written().startswith(b"HTTP/1.1 401"))
+        self.upstreams.replies = [Opened(Answer((b"yes!",)))]
+        served = await self.ask("GET /x HTTP/1.1")
+        self.assertTrue(served.startswith(b"HTTP/1.1 200"), served)
+
+    async def test_a_refusal_of_a_body_that_never_ends_says_that_it_closes(self) -> None:
+        size = 1024 * 1024
+        head = f"POST /proofs/a HTTP/1.1\r\nHost: desk.example\r\nContent-Length: {size}\r\n\r\n"
+        await self.send(head.encode())
+        for _ in range(5):
+            await self.send(b"x" * 64 * 1024)
+        told = self.written()
+        self.assertTrue(told.startswith(b"HTTP/1.1 401"), told)
+        self.assertIn(b"connection: close", told.lower())
+
+    async def test_a_key_taken_away_while_the_body_comes_is_refused(self) -> None:
+        head = (
+            f"POST /proofs/a HTTP/1.1\r\nHost: desk.example\r\n{KEY}\r\nContent-Length: 6\r\n\r\n"
+        )
+        await self.send(head.encode() + b"abc")
+        without = {**CONFIGURATION, "Version": 9, "Tenants": CONFIGURATION["Tenants"][1:]}
+        put_in_force(self.state, without)
+        await self.send(b"def")
+        self.assertTrue(self.written().startswith(b"HTTP/1.1 401"))
+        self.assertEqual(self.upstreams.sent, [])
+
+    async def test_a_stopping_routers_answers_say_that_it_closes(self) -> None:
+        self.state.phase = Phase.DRAINING
+        self.upstreams.replies = [Opened(Answer((b"yes!",)))]
+        told = await self.ask("GET /x HTTP/1.1")
+        self.assertTrue(told.startswith(b"HTTP/1.1 200"))
+        self.assertIn(b"connection: close", told.lower())
+
+
+class BrokenAnswerTest(RoutedCallersTest):
+    async def test_an_answer_cut_before_its_first_part_is_asked_for_again(self) -> None:
+        self.upstreams.replies = [
+            Opened(Answer((), whole=False)),
+            Opened(Answer((b"yes!",))),
+        ]
+        told = await self.ask("GET /x HTTP/1.1")
+        self.assertTrue(told.startswith(b"HTTP/1.1 200"), told)
+        self.assertTrue(told.endswith(b"yes!"))
+        engines = [name for name, _, _ in self.upstreams.sent]
+        self.assertEqual(len(set(engines)), 2)
+
+    async def test_one_that_may_not_be_repeated_is_refused_as_unknown(self) -> None:
+        self.upstreams.replies = [Opened(Answer((), whole=False))]
+        told = await self.ask("POST /proofs/a HTTP/1.1", KEY, body=b"abc")
+        self.assertTrue(told.startswith(b"HTTP/1.1 502"), told)
+        self.assertFalse(self.wire.aborted)
+        self.assertEqual(len(self.upstreams.sent), 1)
+
+    async def test_after_as_many_engines_as_allowed_it_is_refused(self) -> None:
+        self.upstreams.replies = [Opened(Answer((), whole=False))] * 2
+        told = await self.ask("GET /x HTTP/1.1")
+        self.assertTrue(told.startswith(b"HTTP/1.1 502"), told)
+        self.assertEqual(len(self.upstreams.sent), 2)
+
+    async def test_one_cut_in_the_middle_cuts_the_callers_connection(self) -> None:
+        self.upstreams.replies = [Opened(Answer((b"ye",), whole=False))]
+        await self.ask("GET /x HTTP/1.1")
+        self.assertTrue(self.wire.aborted)
+
+    async def test_a_failure_of_an_upstream_is_passed_on_as_it_is(self) -> None:
+        self.upstreams.replies = [Opened(Answer((b"oops",), status=500))]
+        told = await self.ask("GET /x HTTP/1.1")
+        self.assertTrue(told.startswith(b"HTTP/1.1 500"), told)
+        self.assertIn(b"Instance-Signature: 3e", told)
+
+    async def test_a_request_that_was_not_run_goes_to_another_engine_as_far_as_allowed(
+        self,
+    ) -> None:
+        refused = NotRun("upstream-refused", "full")
+        self.upstreams.replies = [refused, Opened(Answer((b"yes!",)))]
+        told = await self.ask("GET /x HTTP/1.1")
+        self.assertTrue(told.startswith(b"HTTP/1.1 200"), told)
+        self.upstreams.replies = [refused]
+        told = await self.ask("POST /proofs/a HTTP/1.1", KEY, body=b"abc")
+        self.assertTrue(told.startswith(b"HTTP/1.1 503"), told)
+
+
+class CallerLeavesTest(RoutedCallersTest):
+    async def test_a_callers_leaving_gives_its_grant_back_at_once(self) -> None:
+        self.upstreams.hold = asyncio.Event()
+        await self.ask("GET /x HTTP/1.1")
+        self.assertEqual(len(self.upstreams.sent), 1)
+        self.channel.connectionLost(Failure(ConnectionLost()))
+        await self.settle()
+        self.assertEqual(self.grants.released, [Ended.NOTHING])
+        self.assertEqual(self.callers.in_flight, 0)
