Remove what a listing lacks, also where its newest entry made its version

Cause, found by a test on lapsed entries: taking in a listing raised the list's version by its entries first, so a listing whose last change was one of them was no longer newer, and what it lacked stayed. Such engines were sent work until a watch told of them. Change: whether the listing is newer is looked at before its entries are taken in. The new test fails on the old code.

--- a/pondhatch/store/_upstreams.py
+++ b/pondhatch/store/_upstreams.py
@@ -113,9 +113,10 @@
     def take(self, update: UpstreamUpdate) -> bool:
         """Take in a peer's or a listing's entries; return whether any was news."""
         news = False
+        newer = update.version > self.version
         for entry in update.entries:
             news = self.set(entry.upstream, entry.version) or news
-        if update.whole and update.version > self.version:
+        if update.whole and newer:
             news = self._remove_unlisted(update) or news
         self.seen(update.version)
         return news
--- a/pondhatch/store/tests/test_upstreams.py
+++ b/pondhatch/store/tests/test_upstreams.py
@@ -32,6 +32,14 @@
         self.assertIsNone(peer.upstream("e1"))
         self.assertEqual(peer.entry_by_name["e1"].upstream.state, REMOVED)
 
+    def test_a_listing_removes_what_it_lacks_though_its_newest_entry_made_its_version(self) -> None:
+        held = UpstreamList()
+        for at in (1, 2):
+            held.set(Upstream(f"e{at}", "lang", "http://x", "h1"), at)
+        newest = UpstreamEntry(Upstream("e3", "lang", "http://x", "h1"), 5)
+        held.take(UpstreamUpdate(5, (newest,), whole=True))
+        self.assertEqual([each.name for each in held.of_service("lang")], ["e3"])
+
     def test_one_that_was_removed_may_come_back(self) -> None:
         self.known.remove("e1", 9)
         self.assertFalse(self.known.set(upstream("e1"), 8))
