Send work on to upstreams whose entries lapsed with the platform's store

Cause: entries lapse while the store is away, and come back within two seconds of its return; until then every engine of a service was taken for gone. Change: where half or more of a service's upstreams vanish together without having said that they leave, they are still sent work for two seconds. One that goes alone gets nothing at once. Each router judges this by itself, from what it hears; weighed: holding removals back at the watchers, whose later word would be older than what peers hold. An owner that gives no word is found out after 0.4 s instead of 1 s: a first token is due in half a second.

--- a/pondhatch/requests/_entry_grants.py
+++ b/pondhatch/requests/_entry_grants.py
@@ -21,8 +21,9 @@
 from pondhatch.requests._questions import Ended, Holder, OwnerReply, Question
 
 #: Seconds to wait for an owner's word before asking again, try by try. An owner that
-#: gives none in their sum is out of reach.
-PAUSES = (0.1, 0.2, 0.3, 0.4)
+#: gives none in their sum is out of reach: a first token is due within half a second, and
+#: the first pause is longer than the way to another region and back.
+PAUSES = (0.1, 0.1, 0.2)
 #: The same for an owner that said that the question waits: it is asked now and then,
 #: in case its word was lost or it was.
 WAITING_PAUSES = (0.5, 0.3, 0.3)
--- a/pondhatch/router/_state.py
+++ b/pondhatch/router/_state.py
@@ -26,7 +26,15 @@
 from pondhatch.placement import YOUNG_SECONDS, Gate, Health, SpillMemory, ranked, winner
 from pondhatch.requests import DecisionNote, KeyHolder, KeyTable, LocalKeyHolder, Target
 from pondhatch.router._limits import FleetLimits
-from pondhatch.store import LIVE, Upstream, UpstreamList, UpstreamUpdate, WatchEvent
+from pondhatch.store import (
+    LIVE,
+    REMOVED,
+    Upstream,
+    UpstreamList,
+    UpstreamUpdate,
+    Vanished,
+    WatchEvent,
+)
 
 #: Decisions kept for the state dump.
 KEPT_DECISIONS = 64
@@ -48,6 +56,8 @@
     connect: Callable[[Member], KeyHolder]
     fleet: Fleet = field(default_factory=Fleet)
     upstreams: UpstreamList = field(default_factory=UpstreamList)
+    #: Those whose entries went a short while ago.
+    vanished: Vanished = field(default_factory=Vanished)
     gate: Gate = field(default_factory=Gate)
     memory: SpillMemory = field(default_factory=SpillMemory)
     keys: KeyTable = field(default_factory=KeyTable)
@@ -132,6 +142,7 @@
             spec = self.fleet.service_by_name.get(service)
             leaving = spec.leaving if spec is not None else ()
             found = [upstream.name for upstream in self.upstreams.of_service(service)]
+            found += [each.name for each in self.vanished.in_doubt(service, len(found))]
             self._live_by_service[service] = tuple(n for n in found if n not in leaving)
         return self._live_by_service[service]
 
@@ -177,14 +188,17 @@
     def take_upstreams(self, update: UpstreamUpdate) -> bool:
         """Take in a listing's or a peer's entries; return whether any was news."""
         known = frozenset(self.upstreams.entry_by_name)
+        before = self._live_by_name()
         news = self.upstreams.take(update)
         self._note_joins(known)
+        self._note_vanished(before)
         self.upstreams_changed()
         return news
 
     def take_upstream_event(self, event: WatchEvent) -> bool:
         """Take in one event of a watch on upstreams; return whether it was news."""
         known = frozenset(self.upstreams.entry_by_name)
+        before = self._live_by_name()
         news = False
         if event.type == "set":
             news = self.upstreams.set(msgspec.convert(event.value, Upstream), event.version)
@@ -192,9 +206,27 @@
             news = self.upstreams.remove(event.name, event.version)
         if news:
             self._note_joins(known)
+            self._note_vanished(before)
             self.upstreams_changed()
         return news
 
+    def _live_by_name(self) -> dict[str, Upstream]:
+        entries = self.upstreams.entry_by_name.items()
+        return {name: each.upstream for name, each in entries if each.upstream.state == LIVE}
+
+    def _note_vanished(self, live_before: dict[str, Upstream]) -> None:
+        """Note whose entries went without a word, and whose are back."""
+        now = self.clock()
+        for name, entry in self.upstreams.entry_by_name.items():
+            if entry.upstream.state != REMOVED:
+                self.vanished.returned(name)
+            elif name in live_before:
+                self.vanished.note(live_before[name], now)
+
+    def _upstream(self, name: str) -> Upstream | None:
+        """Return an upstream that is listed, or that may only have lapsed."""
+        return self.upstreams.upstream(name) or self.vanished.upstream(name)
+
     def upstreams_changed(self) -> None:
         """Drop what was derived from the list of upstreams."""
         self._live_by_service.clear()
@@ -202,7 +234,7 @@
 
     def target(self, engine: str) -> Target | None:
         """Return an upstream as the owner's side needs it, or None."""
-        upstream = self.upstreams.upstream(engine)
+        upstream = self._upstream(engine)
         service = self.fleet.service_by_name.get(upstream.service) if upstream else None
         if upstream is None or service is None:
             return None
@@ -219,6 +251,8 @@
     def _takes_work(self, upstream: Upstream, service: ServiceSpec) -> bool:
         if upstream.state != LIVE or upstream.name in self.said_leaving:
             return False
+        if upstream.name not in self.live_upstreams(upstream.service):
+            return False
         return upstream.name not in service.leaving
 
     def note_leaving(self, engine: str, leaving: bool) -> None:
@@ -230,7 +264,7 @@
 
     def elsewhere_in_flight(self, engine: str) -> int:
         """Return the in-flight total of the other engines of an engine's service."""
-        upstream = self.upstreams.upstream(engine)
+        upstream = self._upstream(engine)
         if upstream is None:
             return 0
         now = self.clock()
@@ -327,6 +361,8 @@
 
     def tick(self) -> None:
         """Do what is due each round."""
+        if self.vanished and self.vanished.forget_old(self.clock()):
+            self.upstreams_changed()
         self.refresh()
         self.publish()
 
@@ -339,7 +375,7 @@
 
     def _owner(self, engine: str) -> Member | None:
         if engine not in self._owner_by_engine:
-            upstream = self.upstreams.upstream(engine)
+            upstream = self._upstream(engine)
             hall = upstream.hall if upstream is not None else ""
             self._owner_by_engine[engine] = owner_of(engine, hall, self._members)
         return self._owner_by_engine[engine]
--- a/pondhatch/router/tests/test_sync.py
+++ b/pondhatch/router/tests/test_sync.py
@@ -16,7 +16,7 @@
 from pondhatch.requests import Claim, KeyRecord
 from pondhatch.router import RouterState, Sync
 from pondhatch.router._state import STARTING_SECONDS
-from pondhatch.store import Upstream, UpstreamEntry, UpstreamUpdate, WatchEvent
+from pondhatch.store import LEAVING, Upstream, UpstreamEntry, UpstreamUpdate, WatchEvent
 
 FIRST = Change(1, "first", "root", 0.0, "", (SERVICE, TEMPLATE))
 
@@ -172,6 +172,50 @@
         )
 
 
+class LapsedEntriesTest(unittest.TestCase):
+    """Entries of upstreams lapse while the platform's store is away."""
+
+    def setUp(self) -> None:
+        self.now = 0.0
+        self.state = router("r0")
+        self.state.clock = lambda: self.now
+        self.state.take_change(FIRST)
+        self.state.refresh()
+        self.listed(1, "e0", "e1", "e2")
+
+    def listed(self, version: int, *names: str) -> None:
+        entries = tuple(
+            UpstreamEntry(Upstream(name, "lang", "http://x", "h1"), version) for name in names
+        )
+        self.state.take_upstreams(UpstreamUpdate(version, entries, whole=True))
+
+    def takes_work(self) -> list[str]:
+        targets = [self.state.target(name) for name in ("e0", "e1", "e2")]
+        return [target.name for target in targets if target is not None and target.takes_work]
+
+    def test_all_that_lapse_together_serve_until_they_are_back(self) -> None:
+        self.listed(2)
+        self.assertEqual(self.takes_work(), ["e0", "e1", "e2"])
+        self.assertEqual(len(self.state.live_upstreams("lang")), 3)
+        self.now = 1.0
+        self.listed(3, "e1", "e2")
+        self.now = 5.0
+        self.state.tick()
+        self.assertEqual(self.takes_work(), ["e1", "e2"])
+        self.assertEqual(self.state.live_upstreams("lang"), ("e1", "e2"))
+
+    def test_one_that_goes_alone_gets_nothing_more(self) -> None:
+        self.listed(2, "e1", "e2")
+        self.assertEqual(self.takes_work(), ["e1", "e2"])
+
+    def test_one_that_said_that_it_leaves_is_in_no_doubt(self) -> None:
+        for at, name in enumerate(("e0", "e1")):
+            leaving = msgspec.to_builtins(Upstream(name, "lang", "http://x", "h1", LEAVING))
+            self.state.take_upstream_event(WatchEvent("set", 2 + at, name, leaving))
+        self.listed(5)
+        self.assertEqual(self.takes_work(), [])
+
+
 class RolesTest(unittest.TestCase):
     def test_one_router_of_a_hall_watches(self) -> None:
         states = [router(f"r{at}") for at in range(4)]
--- a/pondhatch/store/__init__.py
+++ b/pondhatch/store/__init__.py
@@ -24,8 +24,11 @@
     UpstreamUpdate,
     listing,
 )
+from pondhatch.store._vanished import RETURN_SECONDS, Vanished
 
 __all__ = [
+    "RETURN_SECONDS",
+    "Vanished",
     "LEAVING",
     "LIVE",
     "REMOVED",
--- /dev/null
+++ b/pondhatch/store/_vanished.py
@@ -0,0 +1,59 @@
+"""Upstreams whose entries went without a word: gone, or lapsed with the platform's store.
+
+Entries lapse while the store is away, since nobody can renew them, and are back within
+two seconds of its return. A store that was away drops many at once; an upstream that
+really goes does so alone, or says before that it is leaving. So where most of a service
+vanishes together, it is still sent work for those seconds.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from pondhatch.store._upstreams import Upstream
+
+#: Seconds after which an entry that has not come back is taken for gone; the platform's
+#: pages say about two.
+RETURN_SECONDS = 2.0
+#: Share of a service's upstreams that must vanish together to be in doubt, and the least
+#: number of them.
+TOGETHER_SHARE = 0.5
+TOGETHER_LEAST = 2
+
+
+@dataclass
+class Vanished:
+    """Upstreams that vanished a short while ago, by name."""
+
+    _at_by_name: dict[str, tuple[Upstream, float]] = field(default_factory=dict)
+
+    def __bool__(self) -> bool:
+        return bool(self._at_by_name)
+
+    def note(self, upstream: Upstream, now: float) -> None:
+        """Note that an upstream's entry went though it had not said that it leaves."""
+        self._at_by_name[upstream.name] = (upstream, now)
+
+    def returned(self, name: str) -> None:
+        """Note that an entry is back, or said to be leaving."""
+        self._at_by_name.pop(name, None)
+
+    def forget_old(self, now: float) -> bool:
+        """Forget those that have not come back in time; return whether there were any."""
+        old = [name for name, (_, at) in self._at_by_name.items() if now - at >= RETURN_SECONDS]
+        for name in old:
+            del self._at_by_name[name]
+        return bool(old)
+
+    def in_doubt(self, service: str, listed: int) -> tuple[Upstream, ...]:
+        """Return a service's upstreams that may be there still; ``listed`` counts the others."""
+        gone = [
+            upstream for upstream, _ in self._at_by_name.values() if upstream.service == service
+        ]
+        together = max(TOGETHER_LEAST, TOGETHER_SHARE * (listed + len(gone)))
+        return tuple(gone) if len(gone) >= together else ()
+
+    def upstream(self, name: str) -> Upstream | None:
+        """Return an upstream that vanished a short while ago, or None."""
+        found = self._at_by_name.get(name)
+        return found[0] if found is not None else None
--- a/pondhatch/store/tests/test_upstreams.py
+++ b/pondhatch/store/tests/test_upstreams.py
@@ -5,7 +5,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from pondhatch.store import REMOVED, Upstream, UpstreamList
+from pondhatch.store import REMOVED, Upstream, UpstreamEntry, UpstreamList, UpstreamUpdate
 from pondhatch.store._upstreams import KEPT_REMOVED
 
 
--- /dev/null
+++ b/pondhatch/store/tests/test_vanished.py
@@ -0,0 +1,40 @@
+from __future__ import annotations
+
+import unittest
+
+from pondhatch.store import RETURN_SECONDS, Upstream, Vanished
+
+
+def upstream(name: str, service: str = "lang") -> Upstream:
+    return Upstream(name, service, f"http://{name}", "h1")
+
+
+class VanishedTest(unittest.TestCase):
+    def test_only_what_vanishes_together_is_in_doubt(self) -> None:
+        rows = (
+            (1, 8, 0),
+            (2, 7, 0),
+            (4, 5, 0),
+            (5, 4, 5),
+            (9, 0, 9),
+            (1, 0, 0),
+            (2, 0, 2),
+        )
+        for gone, listed, doubted in rows:
+            with self.subTest(gone=gone, listed=listed):
+                vanished = Vanished()
+                for at in range(gone):
+                    vanished.note(upstream(f"e{at}"), 10.0)
+                vanished.note(upstream("p0", "portal"), 10.0)
+                self.assertEqual(len(vanished.in_doubt("lang", listed)), doubted)
+
+    def test_what_is_not_back_in_time_is_gone(self) -> None:
+        vanished = Vanished()
+        for at in range(3):
+            vanished.note(upstream(f"e{at}"), 10.0)
+        vanished.returned("e0")
+        self.assertFalse(vanished.forget_old(10.0 + RETURN_SECONDS - 0.1))
+        self.assertEqual(len(vanished.in_doubt("lang", 1)), 2)
+        self.assertTrue(vanished.forget_old(10.0 + RETURN_SECONDS))
+        self.assertEqual(vanished.in_doubt("lang", 1), ())
+        self.assertIsNone(vanished.upstream("e1"))
