Put the product's own interface in a room; start with less; end cut answers as cut

Interfaces: the OpenAI-compatible API, its upstreams, the product's object API, orders and load questions moved to pondhatch/standard/, beside the adapter in pondhatch/platform/; a router imports the one its settings name. Admin serves its two pages without klein. The prepared machines install requirements-core.txt, without TLS libraries, klein and treq.

Cause: a cut connection is lost only a turn of the loop later; in between the request was finished, and since parts are sent at once, its last chunk went out before the reset. Change: a channel that was aborted sends nothing more. The new test fails on the old code, with the last chunk behind the cut.

--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 
 .PHONY: demo test bench binary soak format clean
 
-$(READY): requirements.txt requirements-dev.txt
+$(READY): requirements.txt requirements-core.txt requirements-dev.txt
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/python -m pip install --quiet --disable-pip-version-check -r requirements.txt -r requirements-dev.txt
 	touch $(READY)
--- a/pondhatch/cli/_commands.py
+++ b/pondhatch/cli/_commands.py
@@ -259,7 +259,7 @@
     loop = install_reactor()
 
     async def connected() -> int:
-        from pondhatch.transport import HttpPlatform
+        from pondhatch.standard import HttpPlatform
 
         code: int = await work(HttpPlatform(url))
         return code
--- a/pondhatch/cli/_router_process.py
+++ b/pondhatch/cli/_router_process.py
@@ -14,7 +14,6 @@
 from typing import Any, cast
 
 from grpclib.server import Server
-from twisted.internet import ssl
 from twisted.web.server import Site
 
 from pondhatch.cli._settings_file import SettingsFile
@@ -46,11 +45,11 @@
 from pondhatch.transport import (
     INTERFACE,
     Admin,
+    CallerParts,
     Callers,
     CallerSite,
     GossipPort,
     HttpClient,
-    HttpEngineOrders,
     HttpUpstreams,
     Interface,
     PeerService,
@@ -58,17 +57,19 @@
     PullRequest,
     Readiness,
     RemotePeer,
-    RoutedCallers,
     bounded,
     fleet_token,
     peer_tls,
-    poll_loads,
 )
 
 log = log_for("process")
 
-#: Modules whose plug-ins register themselves when they are imported.
-ADAPTERS = ("pondhatch.platform",)
+#: Rooms whose plug-ins register themselves when they are imported, by interface. Only the
+#: one in use is: what it takes in memory and time to start is its own.
+ROOM_BY_INTERFACE = {
+    "openai": "pondhatch.standard",
+    "prepared-machines": "pondhatch.platform",
+}
 #: Seconds from one telling of something new to the next: each reaches four random peers,
 #: and with one alone about two in a hundred routers would have to wait for a ping.
 RETELL_PAUSES = (0.1, 0.2)
@@ -128,7 +129,7 @@
             self._rng,
             None if self._interface.lists_vms else f"{settings.peers.host}:{settings.peers.port}",
         )
-        self._authority = Authority(self.state, self._platform, HttpEngineOrders(), self._rng)
+        self._authority = Authority(self.state, self._platform, self._interface.orders, self._rng)
         self._metrics = self._new_metrics()
         lines = settings.log.form == "lines"
         self._records: Records = LineRecords(settings.name) if lines else NoRecords()
@@ -148,8 +149,9 @@
         self.state.refresh()
         self._tasks.start(self._rounds())
         self._tasks.start(self._sync.run())
-        if self._interface.reports_loads:
-            self._tasks.start(poll_loads(self.state))
+        polling = self._interface.poll_loads(self.state)
+        if polling is not None:
+            self._tasks.start(polling)
         self._tasks.start(self._authority.run())
         self._tasks.start(self._tell_levels())
         self._tasks.start(self._watch_settings())
@@ -177,20 +179,17 @@
         gossip = Gossip(own, MembershipLimits(), self._rng, seeds)
         return RouterState(settings.name, settings.hall, gossip, time.monotonic, self._connect)
 
-    def _new_callers(self, client: HttpClient) -> Callers | RoutedCallers:
-        ways = Ways(self._granting.entry, HttpUpstreams(client, self._interface.upstreams))
-        limits, dialect = self._settings.limits, self._interface.callers
-        if dialect is None:
-            return Callers(self.state, ways, limits, self._metrics, self._records, self._tasks)
-        return RoutedCallers(
-            self.state,
-            ways,
-            dialect,
-            limits,
-            self._metrics,
-            self._records,
-            self._tasks,
-            self._rng,
+    def _new_callers(self, client: HttpClient) -> Callers:
+        return self._interface.callers(
+            CallerParts(
+                state=self.state,
+                ways=Ways(self._granting.entry, HttpUpstreams(client, self._interface.upstreams)),
+                limits=self._settings.limits,
+                metrics=self._metrics,
+                records=self._records,
+                tasks=self._tasks,
+                rng=self._rng,
+            )
         )
 
     def _new_metrics(self) -> Metrics:
@@ -207,7 +206,7 @@
         await self._peer_server.start(sock=_listening(peers.host, peers.port), ssl=tls)
         self._reactor.listenUDP(peers.port, self._gossip_port, interface=peers.host)
         admin_app = Admin(self.state, self._authority, self._counters)
-        self._reactor.listenTCP(admin.port, Site(admin_app.app.resource()), interface=admin.host)
+        self._reactor.listenTCP(admin.port, Site(admin_app), interface=admin.host)
         self._listen_to_callers()
         if settings.ready is not None:
             ready = Readiness(settings.ready.path, self._is_ready)
@@ -220,6 +219,9 @@
         if callers.certificate is None or callers.private_key is None:
             self._reactor.listenTCP(callers.port, site, interface=callers.host)
             return
+        # The libraries behind it take a tenth of a second and 10 MB, which most need not.
+        from twisted.internet import ssl
+
         context = ssl.DefaultOpenSSLContextFactory(callers.private_key, callers.certificate)
         self._reactor.listenSSL(callers.port, site, context, interface=callers.host)
 
@@ -406,8 +408,9 @@
 
 async def _surroundings(settings: Settings, reactor: Any) -> Surroundings:
     """Return what a router is given; waits until it has the fleet's key."""
-    for module in ADAPTERS:
-        importlib.import_module(module)
+    room = ROOM_BY_INTERFACE.get(settings.interface)
+    if room is not None:
+        importlib.import_module(room)
     client = HttpClient(reactor)
     views = {HttpClient: client, ServiceDefaults: settings.service_defaults}
     interface = cast(Interface, REGISTRY.build(INTERFACE, settings.interface, views))
--- a/pondhatch/observing/_metrics.py
+++ b/pondhatch/observing/_metrics.py
@@ -4,8 +4,6 @@
 
 from typing import Protocol
 
-from statsd import StatsClient
-
 
 class Metrics(Protocol):
     """Counters, timings and gauges."""
@@ -37,6 +35,8 @@
     """Sends each measure as one datagram; a lost one is lost."""
 
     def __init__(self, host: str, port: int, prefix: str) -> None:
+        from statsd import StatsClient  # Needed by those alone who have a statsd.
+
         self._client = StatsClient(host=host, port=port, prefix=prefix)
 
     def count(self, name: str, by: int = 1) -> None:
--- a/pondhatch/platform/__init__.py
+++ b/pondhatch/platform/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import functools
+from collections.abc import Coroutine
 from typing import Any, ClassVar
 
 from pondhatch.configuration import ConfigurationDocument, ConfigurationSource, ServiceDefaults
@@ -10,11 +11,18 @@
 from pondhatch.platform import _names as names
 from pondhatch.platform._callers import ClientDialect
 from pondhatch.platform._configuration import decode_configuration
-from pondhatch.platform._engines import EngineDialect, decode_engine
+from pondhatch.platform._engines import EngineDialect, NoOrders, decode_engine
 from pondhatch.platform._store import PlatformStore
-from pondhatch.router import UPSTREAM_KIND
+from pondhatch.router import UPSTREAM_KIND, RouterState
 from pondhatch.store import Platform
-from pondhatch.transport import INTERFACE, HttpClient, StoreCalls
+from pondhatch.transport import (
+    INTERFACE,
+    CallerParts,
+    Callers,
+    HttpClient,
+    RoutedCallers,
+    StoreCalls,
+)
 
 __all__ = ["PreparedMachines"]
 
@@ -27,9 +35,8 @@
 
     #: The platform lists no VMs; routers find each other by objects of their own.
     lists_vms = False
-    reports_loads = False
-    callers = ClientDialect()
     upstreams = EngineDialect()
+    orders = NoOrders()
 
     def store(self, url: str) -> Platform:
         """Return the platform's store."""
@@ -42,3 +49,11 @@
         return ConfigurationDocument(
             store, names.CONFIGURATION_KIND, names.CONFIGURATION_NAME, decode
         )
+
+    def callers(self, parts: CallerParts) -> Callers:
+        """Return what serves clients by the operator's routes."""
+        return RoutedCallers(parts, ClientDialect())
+
+    def poll_loads(self, state: RouterState) -> Coroutine[Any, Any, None] | None:
+        """Return None: each question would be priced as a health check."""
+        return None
--- a/pondhatch/platform/_engines.py
+++ b/pondhatch/platform/_engines.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from pondhatch.authority import NotTaken, Silent, Wanted
 from pondhatch.platform import _names as names
 from pondhatch.requests import Headers, Judged, RequestHead, Target
 from pondhatch.store import LEAVING, LIVE
@@ -89,3 +90,15 @@
     def last_event(self, head: RequestHead) -> bytes | None:
         """Streams end as answers do; no event marks the end."""
         return None
+
+
+class NoOrders:
+    """Engines here are told what to hold by others; see EngineOrders."""
+
+    async def state(self, url: str) -> Silent:
+        """Say that nothing can be asked."""
+        return Silent("this platform's engines take no orders from routers")
+
+    async def order(self, url: str, wanted: Wanted, fencing: int, seconds: float) -> NotTaken:
+        """Say that nothing was done."""
+        return NotTaken("this platform's engines take no orders from routers")
--- a/pondhatch/router/tests/test_dump.py
+++ b/pondhatch/router/tests/test_dump.py
@@ -13,7 +13,7 @@
 from pondhatch.router import Authority, RouterState, dump_state
 from pondhatch.router._dump import SECTION_KIND
 from pondhatch.router.tests.test_sync import FIRST, router
-from pondhatch.transport import HttpEngineOrders
+from pondhatch.standard import HttpEngineOrders
 
 
 class DumpTest(unittest.TestCase):
--- /dev/null
+++ b/pondhatch/standard/__init__.py
@@ -0,0 +1,46 @@
+"""The product's own interface: the OpenAI-compatible API, plain services, its object API."""
+
+from __future__ import annotations
+
+from collections.abc import Coroutine
+from typing import Any, ClassVar
+
+from pondhatch.configuration import ChangeLog, ConfigurationSource
+from pondhatch.kernel import REGISTRY, Plugin
+from pondhatch.router import RouterState
+from pondhatch.standard._callers import OpenAiCallers
+from pondhatch.standard._loads import poll_loads
+from pondhatch.standard._orders import HttpEngineOrders
+from pondhatch.standard._platform import HttpPlatform
+from pondhatch.standard._upstreams import OpenAiUpstreams
+from pondhatch.store import Platform
+from pondhatch.transport import INTERFACE, CallerParts, Callers
+
+__all__ = ["HttpEngineOrders", "HttpPlatform", "OpenAiInterface"]
+
+
+@REGISTRY.register(INTERFACE, "openai")
+class OpenAiInterface(Plugin):
+    """See Interface."""
+
+    DEPENDENCIES: ClassVar[tuple[type[Any], ...]] = ()
+
+    lists_vms = True
+    upstreams = OpenAiUpstreams()
+    orders = HttpEngineOrders()
+
+    def store(self, url: str) -> Platform:
+        """Return the platform's object API over HTTP and JSON."""
+        return HttpPlatform(url)
+
+    def configuration(self, store: Platform) -> ConfigurationSource:
+        """Return the log of changes."""
+        return ChangeLog(store)
+
+    def callers(self, parts: CallerParts) -> Callers:
+        """Return what serves the OpenAI-compatible API."""
+        return OpenAiCallers(parts)
+
+    def poll_loads(self, state: RouterState) -> Coroutine[Any, Any, None] | None:
+        """Return what asks owned engines for their load."""
+        return poll_loads(state)
--- a/pondhatch/transport/_callers.py
+++ b/pondhatch/standard/_callers.py
@@ -13,9 +13,8 @@
 from twisted.web.iweb import IRequest
 from twisted.web.resource import Resource
 
-from pondhatch.configuration import CallerLimits
-from pondhatch.kernel import Tasks, as_deferred
-from pondhatch.observing import Metrics, Records, log_for
+from pondhatch.kernel import as_deferred
+from pondhatch.observing import log_for
 from pondhatch.requests import (
     CallerGone,
     MalformedChat,
@@ -23,13 +22,18 @@
     Patience,
     ReplayableBody,
     RequestHead,
-    Ways,
     read_chat,
 )
-from pondhatch.router import Account, Admitted, RouterState, admit, identify, service_of_path
-from pondhatch.transport._answers import OpenAiAnswers, fail
-from pondhatch.transport._caller_channel import CallerRequest, read_whole
-from pondhatch.transport._serving import Serving, Work
+from pondhatch.router import Account, Admitted, admit, identify, service_of_path
+from pondhatch.transport import (
+    CallerParts,
+    CallerRequest,
+    OpenAiAnswers,
+    Serving,
+    Work,
+    fail,
+    read_whole,
+)
 
 log = log_for("callers")
 
@@ -45,23 +49,15 @@
 Prepare = Callable[[CallerRequest, Account], Awaitable[Work | NotRun]]
 
 
-class Callers:
+class OpenAiCallers:
     """Handles callers' requests."""
 
-    def __init__(
-        self,
-        state: RouterState,
-        ways: Ways,
-        limits: CallerLimits,
-        metrics: Metrics,
-        records: Records,
-        tasks: Tasks,
-    ) -> None:
-        self._state = state
-        self._limits = limits
-        self._metrics = metrics
-        self._answers = OpenAiAnswers(metrics)
-        self._serving = Serving(state, ways, self._answers, metrics, tasks, records)
+    def __init__(self, parts: CallerParts) -> None:
+        self._state = parts.state
+        self._limits = parts.limits
+        self._metrics = parts.metrics
+        self._answers = OpenAiAnswers(parts.metrics)
+        self._serving = Serving(parts, self._answers)
         #: Requests that have not ended; a stopping router waits for them.
         self.in_flight = 0
         #: Kept for a stopping router; it refuses requests by its state at once.
--- a/pondhatch/transport/_orders.py
+++ b/pondhatch/standard/_orders.py
@@ -25,7 +25,7 @@
     Wanted,
 )
 from pondhatch.kernel import as_future
-from pondhatch.transport._platform import NOT_SENT
+from pondhatch.standard._platform import NOT_SENT
 
 #: Seconds for a question to an engine.
 STATE_SECONDS = 1.0
--- a/pondhatch/transport/_platform.py
+++ b/pondhatch/standard/_platform.py
@@ -36,7 +36,7 @@
     Unavailable,
     WatchEvent,
 )
-from pondhatch.transport._parts import PartPipe
+from pondhatch.transport import PartPipe
 
 #: Errors of treq after which certainly nothing was sent.
 NOT_SENT = (ConnectError, ConnectTimeout, RequestNotSent)
--- a/pondhatch/transport/_openai_upstreams.py
+++ b/pondhatch/standard/_upstreams.py
@@ -5,26 +5,13 @@
 from collections.abc import Mapping
 
 from pondhatch.requests import LAST_EVENT, Headers, Judged, RequestHead, Target
+from pondhatch.transport import HOP_HEADERS
 
 #: Header that binds an answer to its request.
 REQUEST_ID_HEADER = "X-Request-Id"
 PRIORITY_HEADER = "X-Priority"
 #: Header by which an upstream says that it did not run a request.
 NOT_RUN_HEADER = "x-not-run"
-#: Headers that belong to one connection and are never passed on.
-HOP_HEADERS = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
 #: Headers of a caller's request that each connection to an upstream sets itself.
 REPLACED_HEADERS = HOP_HEADERS | {"host", "content-length", "expect"}
 
--- a/pondhatch/transport/__init__.py
+++ b/pondhatch/transport/__init__.py
@@ -1,26 +1,34 @@
 """Transport: twisted, klein, treq, grpclib and UDP. Bytes only, no decisions."""
 
 from pondhatch.transport._admin import Admin, readable
-from pondhatch.transport._caller_channel import CallerSite
-from pondhatch.transport._callers import Callers
+from pondhatch.transport._answers import OpenAiAnswers, fail
+from pondhatch.transport._caller_channel import CallerRequest, CallerSite, read_whole
 from pondhatch.transport._gossip import GossipPort
+from pondhatch.transport._headers import HOP_HEADERS
 from pondhatch.transport._http_client import HttpClient
-from pondhatch.transport._interface import INTERFACE, CallerDialect, CallerFacts, Interface
-from pondhatch.transport._loads import poll_loads
-from pondhatch.transport._openai_upstreams import HOP_HEADERS, OpenAiUpstreams
-from pondhatch.transport._orders import HttpEngineOrders
+from pondhatch.transport._interface import INTERFACE, CallerParts, Callers, Interface
+from pondhatch.transport._parts import PartPipe
 from pondhatch.transport._peer_service import PeerService, fleet_token
 from pondhatch.transport._peer_tls import PeerTls, peer_tls
-from pondhatch.transport._platform import HttpPlatform
 from pondhatch.transport._readiness import Readiness
 from pondhatch.transport._remote_peer import RemotePeer
 from pondhatch.transport._resolver import install_numeric_resolver
-from pondhatch.transport._routed_callers import RoutedCallers, bounded
+from pondhatch.transport._routed_callers import CallerDialect, CallerFacts, RoutedCallers, bounded
+from pondhatch.transport._serving import Serving, Work
 from pondhatch.transport._store_calls import CallFailed, StoreCalls
 from pondhatch.transport._upstreams import HttpUpstreams
 from pondhatch.transport._wire import PullReply, PullRequest
 
 __all__ = [
+    "CallerParts",
+    "CallerRequest",
+    "Callers",
+    "OpenAiAnswers",
+    "PartPipe",
+    "Serving",
+    "Work",
+    "fail",
+    "read_whole",
     "CallFailed",
     "CallerDialect",
     "CallerFacts",
@@ -34,12 +42,8 @@
     "bounded",
     "Admin",
     "CallerSite",
-    "Callers",
     "GossipPort",
-    "HttpEngineOrders",
-    "HttpPlatform",
     "HttpUpstreams",
-    "OpenAiUpstreams",
     "PeerService",
     "PeerTls",
     "PullReply",
@@ -48,6 +52,5 @@
     "fleet_token",
     "install_numeric_resolver",
     "peer_tls",
-    "poll_loads",
     "readable",
 ]
--- a/pondhatch/transport/_admin.py
+++ b/pondhatch/transport/_admin.py
@@ -7,10 +7,12 @@
 from typing import Any
 
 import msgspec
-from klein import Klein
+from twisted.web.resource import Resource
 
 from pondhatch.router import Authority, Dump, RouterState, dump_state
 
+NOT_FOUND = 404
+
 
 def readable(dump: Dump) -> str:
     """Return a dump as text for people."""
@@ -35,26 +37,27 @@
     return f"{told}; passed over {passed}" if passed else told
 
 
-class Admin:
+class Admin(Resource):
     """Serves the dump; to be bound where only operators reach it."""
 
+    isLeaf = True
+
     def __init__(self, state: RouterState, authority: Authority, extra: Callable[[], Dump]) -> None:
-        self.app = Klein()
+        super().__init__()  # type: ignore[no-untyped-call]
         self._state = state
         self._authority = authority
         self._extra = extra
-        self._route()
 
-    def _route(self) -> None:
-        @self.app.route("/state.json")
-        def as_json(request: Any) -> bytes:
+    def render(self, request: Any) -> bytes:
+        """Answer one question."""
+        if request.path == b"/state.json":
             request.setHeader(b"Content-Type", b"application/json")
             return msgspec.json.encode(self._dump())
-
-        @self.app.route("/state")
-        def as_text(request: Any) -> bytes:
+        if request.path == b"/state":
             request.setHeader(b"Content-Type", b"text/plain; charset=utf-8")
             return readable(self._dump()).encode()
+        request.setResponseCode(NOT_FOUND)
+        return b""
 
     def _dump(self) -> Dump:
         return dump_state(self._state, self._authority, self._extra())
--- a/pondhatch/transport/_caller_channel.py
+++ b/pondhatch/transport/_caller_channel.py
@@ -128,6 +128,8 @@
     transport: Any
     _head_timer: Any = None
     _is_cut = False
+    #: Set once the connection was given up; it is lost only a turn of the loop later.
+    _is_aborted = False
 
     def connectionMade(self) -> None:
         """Start the clock for the first request's head."""
@@ -158,6 +160,8 @@
         That way tells the system twice of each write, which for a stream's small
         parts costs more than the sending.
         """
+        if self._is_aborted:
+            return
         data = b"".join(iovec)
         sent = self.transport.writeSomeData(data) if self._nothing_waits() else 0
         # A failure is told as an exception returned, and met again on the usual way.
@@ -165,6 +169,16 @@
         if sent < len(data):
             self.transport.write(data[sent:])
 
+    def write(self, data: bytes) -> None:
+        """Send bytes; after an abort none: the last chunk would make a cut answer whole."""
+        if not self._is_aborted:
+            super().write(data)
+
+    def forceAbortClient(self) -> None:
+        """Cut the connection: what was sent is not whole."""
+        self._is_aborted = True
+        super().forceAbortClient()
+
     def _nothing_waits(self) -> bool:
         """Return whether this is a plain connection whose buffer is empty."""
         transport = self.transport
--- a/pondhatch/transport/_interface.py
+++ b/pondhatch/transport/_interface.py
@@ -1,47 +1,53 @@
 """What a router speaks with callers, upstreams and the platform.
 
-The OpenAI-compatible interface is one implementation, an adapter to a platform another;
-the settings name the one that a router uses.
+The product's own interface is one implementation, an adapter to a platform another; the
+settings name the one that a router uses.
 """
 
 from __future__ import annotations
 
+import random
+from collections.abc import Coroutine
 from dataclasses import dataclass
-from typing import Any, ClassVar, Protocol
+from typing import Any, Protocol
 
-from pondhatch.configuration import ChangeLog, ConfigurationSource
-from pondhatch.kernel import REGISTRY, Plugin
-from pondhatch.requests import Headers, Refusal, UpstreamDialect
+from twisted.web.resource import Resource
+
+from pondhatch.authority import EngineOrders
+from pondhatch.configuration import CallerLimits, ConfigurationSource
+from pondhatch.kernel import Tasks
+from pondhatch.observing import Metrics, Records
+from pondhatch.requests import UpstreamDialect, Ways
+from pondhatch.router import RouterState
 from pondhatch.store import Platform
-from pondhatch.transport._openai_upstreams import OpenAiUpstreams
-from pondhatch.transport._platform import HttpPlatform
 
 #: Kind of the plug-ins that implement Interface.
 INTERFACE = "interface"
 
 
 @dataclass(frozen=True)
-class CallerFacts:
-    """What a caller says about a routed request in its headers."""
+class CallerParts:
+    """What serving callers takes."""
 
-    #: Its id for this attempt; empty where it gave none.
-    caller_id: str
-    #: Its API key, or None where it shows none.
-    key: str | None
-    #: Seconds that it waits for the answer, or None where it does not say.
-    wait: float | None
-    #: 64-bit key of the context that the request shares with others; 0 for none.
-    context: int
+    state: RouterState
+    ways: Ways
+    limits: CallerLimits
+    metrics: Metrics
+    records: Records
+    tasks: Tasks
+    rng: random.Random
 
 
-class CallerDialect(Protocol):
-    """Names and formats of routed requests; decides nothing."""
+class Callers(Protocol):
+    """Serves callers' requests."""
 
-    def read(self, headers: Headers) -> CallerFacts:
-        """Return what a caller says about its request."""
+    #: Requests that have not ended; a stopping router waits for them.
+    in_flight: int
+    #: Whether a stopping router still takes requests.
+    takes_work: bool
 
-    def refusal_headers(self, refusal: Refusal) -> Headers:
-        """Return the headers that explain a refusal."""
+    def resource(self) -> Resource:
+        """Return what a site serves."""
 
 
 class Interface(Protocol):
@@ -49,11 +55,8 @@
 
     #: Whether the platform lists the VMs of routers; else they list themselves.
     lists_vms: bool
-    #: Whether engines answer questions on their load in the product's own form.
-    reports_loads: bool
-    #: How routed requests are read, or None for the OpenAI-compatible API.
-    callers: CallerDialect | None
     upstreams: UpstreamDialect
+    orders: EngineOrders
 
     def store(self, url: str) -> Platform:
         """Return the platform's object API."""
@@ -61,22 +64,8 @@
     def configuration(self, store: Platform) -> ConfigurationSource:
         """Return where the fleet's configuration is kept."""
 
+    def callers(self, parts: CallerParts) -> Callers:
+        """Return what serves callers."""
 
-@REGISTRY.register(INTERFACE, "openai")
-class OpenAiInterface(Plugin):
-    """The OpenAI-compatible API, plain services beside it, and the product's object API."""
-
-    DEPENDENCIES: ClassVar[tuple[type[Any], ...]] = ()
-
-    lists_vms = True
-    reports_loads = True
-    callers: CallerDialect | None = None
-    upstreams = OpenAiUpstreams()
-
-    def store(self, url: str) -> Platform:
-        """Return the platform's object API over HTTP and JSON."""
-        return HttpPlatform(url)
-
-    def configuration(self, store: Platform) -> ConfigurationSource:
-        """Return the log of changes."""
-        return ChangeLog(store)
+    def poll_loads(self, state: RouterState) -> Coroutine[Any, Any, None] | None:
+        """Return what asks owned engines for their load, or None where nothing does."""
--- a/pondhatch/transport/_routed_callers.py
+++ b/pondhatch/transport/_routed_callers.py
@@ -3,17 +3,16 @@
 from __future__ import annotations
 
 import asyncio
-import random
 import time
 import uuid
-from typing import Any
+from dataclasses import dataclass
+from typing import Any, Protocol
 
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET
 
 from pondhatch.configuration import CallerLimits, Route, RouteSpec
-from pondhatch.kernel import Tasks
-from pondhatch.observing import Metrics, Records, log_for
+from pondhatch.observing import Metrics, log_for
 from pondhatch.requests import (
     Broken,
     CallerGone,
@@ -23,7 +22,6 @@
     Refusal,
     ReplayableBody,
     RequestHead,
-    Ways,
 )
 from pondhatch.router import (
     ANYBODY,
@@ -35,7 +33,7 @@
 )
 from pondhatch.transport._answers import cut, fail, write_head
 from pondhatch.transport._caller_channel import CallerRequest, drain, read_whole
-from pondhatch.transport._interface import CallerDialect, CallerFacts
+from pondhatch.transport._interface import CallerParts
 from pondhatch.transport._serving import Serving, Work
 
 log = log_for("callers")
@@ -50,6 +48,30 @@
 UNWANTED_BYTES = 256 * 1024
 
 
+@dataclass(frozen=True)
+class CallerFacts:
+    """What a caller says about a routed request in its headers."""
+
+    #: Its id for this attempt; empty where it gave none.
+    caller_id: str
+    #: Its API key, or None where it shows none.
+    key: str | None
+    #: Seconds that it waits for the answer, or None where it does not say.
+    wait: float | None
+    #: 64-bit key of the context that the request shares with others; 0 for none.
+    context: int
+
+
+class CallerDialect(Protocol):
+    """Names and formats of routed requests; decides nothing."""
+
+    def read(self, headers: Headers) -> CallerFacts:
+        """Return what a caller says about its request."""
+
+    def refusal_headers(self, refusal: Refusal) -> Headers:
+        """Return the headers that explain a refusal."""
+
+
 class RoutedAnswers:
     """Answers passed on unchanged, refusals by status alone; see Answers."""
 
@@ -88,30 +110,20 @@
 
     isLeaf = True
 
-    def __init__(
-        self,
-        state: RouterState,
-        ways: Ways,
-        dialect: CallerDialect,
-        limits: CallerLimits,
-        metrics: Metrics,
-        records: Records,
-        tasks: Tasks,
-        rng: random.Random,
-    ) -> None:
+    def __init__(self, parts: CallerParts, dialect: CallerDialect) -> None:
         super().__init__()  # type: ignore[no-untyped-call]
         #: Requests that have not ended; a stopping router waits for them.
         self.in_flight = 0
         #: Whether a stopping router still takes requests.
         self.takes_work = True
-        self._state = state
+        self._state = parts.state
         self._dialect = dialect
-        self._limits = limits
-        self._metrics = metrics
-        self._rng = rng
-        self._answers = RoutedAnswers(dialect, metrics, state.stopping)
-        self._serving = Serving(state, ways, self._answers, metrics, tasks, records)
-        self._tasks = tasks
+        self._limits = parts.limits
+        self._metrics = parts.metrics
+        self._rng = parts.rng
+        self._tasks = parts.tasks
+        self._answers = RoutedAnswers(dialect, parts.metrics, parts.state.stopping)
+        self._serving = Serving(parts, self._answers)
 
     def resource(self) -> Resource:
         """Return what a site serves."""
--- a/pondhatch/transport/_serving.py
+++ b/pondhatch/transport/_serving.py
@@ -5,8 +5,7 @@
 import time
 from dataclasses import dataclass, field
 
-from pondhatch.kernel import Tasks
-from pondhatch.observing import Metrics, Records, RequestEnded, log_for
+from pondhatch.observing import RequestEnded, log_for
 from pondhatch.requests import (
     KEPT_BODY,
     AnswerStream,
@@ -26,15 +25,15 @@
     RequestHead,
     Unknown,
     Walk,
-    Ways,
     Whole,
     is_event_stream,
     kept,
     refusal_of,
 )
-from pondhatch.router import ANYBODY, Account, Admitted, RouterState
+from pondhatch.router import ANYBODY, Account, Admitted
 from pondhatch.transport._answers import Answers, replay
 from pondhatch.transport._caller_channel import CallerRequest, CallerWriter
+from pondhatch.transport._interface import CallerParts
 
 log = log_for("callers")
 
@@ -90,21 +89,13 @@
 class Serving:
     """Runs requests and tells callers what came of them."""
 
-    def __init__(
-        self,
-        state: RouterState,
-        ways: Ways,
-        answers: Answers,
-        metrics: Metrics,
-        tasks: Tasks,
-        records: Records,
-    ) -> None:
-        self._state = state
+    def __init__(self, parts: CallerParts, answers: Answers) -> None:
+        self._state = parts.state
+        self._ways = parts.ways
+        self._metrics = parts.metrics
+        self._tasks = parts.tasks
+        self._records = parts.records
         self._answers = answers
-        self._ways = ways
-        self._metrics = metrics
-        self._tasks = tasks
-        self._records = records
 
     async def run(self, request: CallerRequest, work: Work, started: float) -> None:
         """Serve one request to its end; its account's count ends with it."""
--- a/pondhatch/transport/tests/test_routed_callers.py
+++ b/pondhatch/transport/tests/test_routed_callers.py
@@ -39,6 +39,7 @@
 from pondhatch.router import RouterState
 from pondhatch.store import Upstream
 from pondhatch.transport._caller_channel import CallerSite
+from pondhatch.transport._interface import CallerParts
 from pondhatch.transport._routed_callers import RoutedCallers
 
 ANSWERED: Headers = (("Instance-Signature", "3e"), ("Content-Length", "4"))
@@ -48,9 +49,15 @@
 class Answer:
     """An answer of an upstream: its parts, then its end or its loss."""
 
-    def __init__(self, parts: tuple[bytes, ...], whole: bool = True, status: int = 200) -> None:
+    def __init__(
+        self,
+        parts: tuple[bytes, ...],
+        whole: bool = True,
+        status: int = 200,
+        headers: Headers = ANSWERED,
+    ) -> None:
         self.status = status
-        self.headers = ANSWERED
+        self.headers = headers
         self._parts = parts
         self._whole = whole
 
@@ -151,16 +158,16 @@
         self.noted = Noted()
 
     async def asyncSetUp(self) -> None:
-        self.callers = RoutedCallers(
+        parts = CallerParts(
             self.state,
             Ways(self.grants, self.upstreams),
-            ClientDialect(),
             CallerLimits(),
             NoMetrics(),
             self.noted,
             Tasks(),
             random.Random(1),
         )
+        self.callers = RoutedCallers(parts, ClientDialect())
         self.clock = Clock()
         site: Any = CallerSite(self.callers.resource(), CallerLimits)  # type: ignore[arg-type]
         self.channel: Any = site.buildProtocol(IPv4Address("TCP", "10.9.9.9", 4000))
@@ -313,6 +320,13 @@
         await self.ask("GET /x HTTP/1.1")
         self.assertTrue(self.wire.aborted)
 
+    async def test_a_cut_answer_without_length_gets_no_end_that_looks_whole(self) -> None:
+        unframed: Headers = (("Instance-Signature", "3e"),)
+        self.upstreams.replies = [Opened(Answer((b"ye",), whole=False, headers=unframed))]
+        told = await self.ask("GET /x HTTP/1.1")
+        self.assertTrue(self.wire.aborted)
+        self.assertTrue(told.endswith(b"2\r\nye\r\n"), told)
+
     async def test_a_failure_of_an_upstream_is_passed_on_as_it_is(self) -> None:
         self.upstreams.replies = [Opened(Answer((b"oops",), status=500))]
         told = await self.ask("GET /x HTTP/1.1")
