--- a/pondhatch/observing/_records.py
+++ b/pondhatch/observing/_records.py
@@ -23,8 +23,10 @@
     outcome: str
     #: Milliseconds from its head to the end.
     ms: int
+    #: Key of the context that it shares with others, in hex; empty where it has none.
+    context: str = ""
     #: Version of the configuration that decided.
-    configuration: int
+    configuration: int = 0
     #: The upstream that answered.
     upstream: str = ""
     #: Requests in flight there when it was granted, this one included.
--- a/pondhatch/transport/_serving.py
+++ b/pondhatch/transport/_serving.py
@@ -208,6 +208,7 @@
                 service=work.head.service,
                 outcome=outcome,
                 ms=round(seconds * 1000),
+                context=f"{work.head.chat:x}" if work.head.chat else "",
                 configuration=self._state.fleet.version,
                 upstream=engine or "",
                 in_flight=walk.granted.in_flight,
