Have an engine take a context over from the one that holds it

A request whose context is at a full, leaving or other engine was sent elsewhere, where its 10,000 shared tokens were read anew, 70 ms and more of the first token's time. Change: the entry router names the engine that holds the context: where the home's owner says that it lies, else the engine that ranks first with those that leave still counted; nothing where they are the same. Only where the service's engines do so. Weighed: never (as before); always from the runner-up (does not hold it as a rule). Goes with four tests over a channel in memory.

--- a/bench/_surge.py
+++ b/bench/_surge.py
@@ -95,6 +95,9 @@
     def target(self, engine: str) -> Target | None:
         return Target(engine, "", True, BOUND, len(ENGINES), SLOTS)
 
+    def former_home(self, service: str, chat: str) -> str | None:
+        return None
+
     def owner_name(self, engine: str) -> str | None:
         return "r0"
 
--- a/pondhatch/configuration/_schema.py
+++ b/pondhatch/configuration/_schema.py
@@ -69,6 +69,8 @@
     repeatable_methods: tuple[str, ...] = ("GET", "HEAD", "OPTIONS")
     #: Seconds that a request may take in all.
     deadline: Annotated[float, Field(ge=1.0, le=3600.0)] = 120.0
+    #: Whether its engines take contexts over from each other when they are told to.
+    shares_context: bool = False
     #: Upstreams that an operator wants emptied; they get no new work.
     leaving: tuple[str, ...] = ()
     #: What its engines are ordered to hold; for kind "model".
--- a/pondhatch/platform/_configuration.py
+++ b/pondhatch/platform/_configuration.py
@@ -55,10 +55,15 @@
     itl_target_ms: float = 0.0
 
 
+class _EngineKind(_Wire, frozen=True):
+    #: Whether engines copy what they hold of a prompt to each other.
+    moves: bool = False
+
+
 class _Service(_Wire, frozen=True):
     name: str
     #: What the engines of a service for models are like; not an id, whatever its name says.
-    engine_id: Any = None
+    engine_id: _EngineKind | None = None
 
 
 class _Limits(_Wire, frozen=True):
@@ -102,6 +107,7 @@
         "kind": "plain" if service.engine_id is None else "model",
         "load_bound": defaults.load_bound,
         "load_slack": defaults.load_slack,
+        "shares_context": service.engine_id is not None and service.engine_id.moves,
     }
 
 
--- a/pondhatch/platform/_engines.py
+++ b/pondhatch/platform/_engines.py
@@ -24,6 +24,7 @@
     names.DEADLINE_MS.lower(),
     names.EXPECTED_ENGINE.lower(),
     names.PRIORITY.lower(),
+    names.CONTEXT_FROM.lower(),
 }
 
 
@@ -66,6 +67,8 @@
         ]
         if head.account:
             own.append((names.ACCOUNT, head.account))
+        if head.context_from:
+            own.append((names.CONTEXT_FROM, head.context_from))
         replaced = REPLACED_HEADERS
         if head.after_event:
             own.append((names.LAST_EVENT_ID, head.after_event))
--- a/pondhatch/platform/_names.py
+++ b/pondhatch/platform/_names.py
@@ -8,6 +8,8 @@
 DEADLINE_MS = "Deadline-Ms"
 #: Parts of a prompt in order, ID:TOKENS by commas; the last is the request's own.
 PROMPT_PARTS = "Prefix-Hash"
+#: "IP:port" of an engine from which the one asked takes over what it lacks of the prompt.
+CONTEXT_FROM = "Kv-Fetch"
 #: Id of the last event that was received of a stream that is to go on.
 LAST_EVENT_ID = "Last-Event-Id"
 #: Proves that an engine made the answer; passed on unchanged.
--- a/pondhatch/platform/tests/_wire.py
+++ b/pondhatch/platform/tests/_wire.py
@@ -46,7 +46,7 @@
         _route("r-assets", "/", "idempotent", MaxAttempts=2, Public=True),
     ],
     "Services": [
-        {"Name": "lang", "HealthPath": "/healthz", "EngineId": {"Slots": 64}},
+        {"Name": "lang", "HealthPath": "/healthz", "EngineId": {"Slots": 64, "Moves": True}},
         {"Name": "portal", "HealthPath": "/healthz"},
     ],
     "Limits": {
--- a/pondhatch/platform/tests/test_dialects.py
+++ b/pondhatch/platform/tests/test_dialects.py
@@ -71,6 +71,13 @@
         kept = self.dialect.request_headers(head(headers=(("Last-Event-Id", "2"),)), TARGET)
         self.assertIn(("Last-Event-Id", "2"), kept)
 
+    def test_a_context_is_taken_over_from_where_the_router_says_alone(self) -> None:
+        forged = head(headers=(*HEADERS, ("Kv-Fetch", "10.9.9.9:1")))
+        self.assertNotIn("Kv-Fetch", dict(self.dialect.request_headers(forged, TARGET)))
+        moved = head(context_from="10.0.0.7:80")
+        sent = dict(self.dialect.request_headers(moved, TARGET))
+        self.assertEqual(sent["Kv-Fetch"], "10.0.0.7:80")
+
     def test_what_an_answers_head_says(self) -> None:
         rows: tuple[tuple[int, dict[str, str], Judged], ...] = (
             (200, {"attempt-id": "9c41"}, Judged.ANSWERED),
--- a/pondhatch/requests/_entry.py
+++ b/pondhatch/requests/_entry.py
@@ -57,6 +57,9 @@
     def target(self, engine: str) -> Target | None:
         """Return an upstream, or None where it is not known."""
 
+    def former_home(self, service: str, chat: str) -> str | None:
+        """Return a chat's home engine were those that leave still counted."""
+
 
 @dataclass(frozen=True)
 class Placed:
@@ -142,6 +145,8 @@
         self._granted_id = ""
         #: Times that a broken stream went on.
         self.resumes = 0
+        #: Engine at which the context lies, as its home engine's owner said.
+        self._context_at: str | None = None
         #: What was granted last: the load and the ceiling at its engine.
         self.granted = Granted(0, 0)
         #: Engines that were sent the request.
@@ -236,6 +241,7 @@
             self._tell_home(ask.engine)
             return Placed(reply, ask.engine)
         if isinstance(reply, Elsewhere):
+            self._context_at = reply.engine
             self.plan.context_elsewhere(reply.engine)
             return None
         if isinstance(reply, Busy):
@@ -298,7 +304,8 @@
     async def _send(self, question: Question, target: Target, head: RequestHead) -> Tried:
         """Send a granted request; its grant is given back when it ends in whatever way."""
         grants, number = self._ways.grants, question.number
-        head = msgspec.structs.replace(head, deadline=self._remaining())
+        source = self._context_source(target)
+        head = msgspec.structs.replace(head, deadline=self._remaining(), context_from=source)
         self._sent_to.add(question.engine)
         try:
             reply = await self._ways.upstreams.send(target, head, self._fresh_body())
@@ -314,6 +321,16 @@
         grants.release(number, Ended.NOTHING if refused else Ended.FAILED)
         return reply
 
+    def _context_source(self, target: Target) -> str:
+        """Return the address of the engine from which another is to take a context over."""
+        if not (target.shares_context and self._head.chat and self._head.returning):
+            return ""
+        holder = self._context_at or self._view.former_home(self._head.service, self._chat)
+        if holder is None or holder == target.name:
+            return ""
+        known = self._view.target(holder)
+        return known.url.removeprefix("http://") if known is not None else ""
+
     async def _grant(self, question: Question) -> OwnerReply:
         """Ask the owner, and whom it names instead of itself."""
         name = self._view.owner_name(question.engine)
--- a/pondhatch/requests/_messages.py
+++ b/pondhatch/requests/_messages.py
@@ -42,6 +42,8 @@
     most_tries: int = 0
     #: Whether a broken stream may go on at another engine than the one it began on.
     resumes_anywhere: bool = False
+    #: "IP:port" of the engine that is believed to hold its context, where another runs it.
+    context_from: str = ""
     #: Id of the last event that was received, where a stream is to go on after it.
     after_event: str = ""
 
--- a/pondhatch/requests/_sending.py
+++ b/pondhatch/requests/_sending.py
@@ -33,6 +33,8 @@
     slots: int
     #: Requests above the multiple of the mean that it may hold.
     slack: int = 0
+    #: Whether it takes contexts over from other engines of its service.
+    shares_context: bool = False
 
 
 def takes(target: Target | None, resuming: bool) -> TypeGuard[Target]:
--- a/pondhatch/requests/tests/_history.py
+++ b/pondhatch/requests/tests/_history.py
@@ -269,6 +269,9 @@
         takes_work = engine not in self._fleet.known_leaving
         return Target(engine, "", takes_work, BOUND, len(self._fleet.engines), 8)
 
+    def former_home(self, service: str, chat: str) -> str | None:
+        return None
+
     def owner_name(self, engine: str) -> str | None:
         if self.disagrees:
             return self._name
--- a/pondhatch/router/_state.py
+++ b/pondhatch/router/_state.py
@@ -146,6 +146,16 @@
             self._live_by_service[service] = tuple(n for n in found if n not in leaving)
         return self._live_by_service[service]
 
+    def former_home(self, service: str, chat: str) -> str | None:
+        """Return a chat's home engine were those that leave still counted."""
+        entries = self.upstreams.entry_by_name.values()
+        there = [
+            each.upstream.name
+            for each in entries
+            if each.upstream.service == service and each.upstream.state != REMOVED
+        ]
+        return winner(chat, there)
+
     def is_young(self, engine: str) -> bool:
         """Return whether an upstream joined after this router knew the list, and lately."""
         joined = self._joined_at.get(engine)
@@ -246,6 +256,7 @@
             peers=len(self.live_upstreams(upstream.service)),
             slots=upstream.slots or service.engine_slots,
             slack=service.load_slack,
+            shares_context=service.shares_context,
         )
 
     def _takes_work(self, upstream: Upstream, service: ServiceSpec) -> bool:
--- a/pondhatch/transport/tests/test_routed_callers.py
+++ b/pondhatch/transport/tests/test_routed_callers.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import asyncio
+import copy
 import random
 import unittest
 from typing import Any
@@ -23,6 +24,8 @@
 from pondhatch.requests import (
     BodySource,
     Broken,
+    Busy,
+    Elsewhere,
     Ended,
     Headers,
     Lost,
@@ -37,7 +40,7 @@
     Ways,
 )
 from pondhatch.router import RouterState
-from pondhatch.store import Upstream
+from pondhatch.store import LEAVING, Upstream
 from pondhatch.transport._caller_channel import CallerSite
 from pondhatch.transport._interface import CallerParts
 from pondhatch.transport._routed_callers import RoutedCallers
@@ -95,10 +98,17 @@
 
     def __init__(self) -> None:
         self.released: list[Ended] = []
+        #: Engines that are at their ceiling.
+        self.full: set[str] = set()
+        #: Where the context of every chat lies, if not at home.
+        self.context_at: str | None = None
         self._number = 0
 
     async def ask(self, owner: str, question: Question) -> OwnerReply:
-        return Granted(1, 9)
+        elsewhere = self.context_at not in (None, question.engine)
+        if self.context_at is not None and elsewhere and question.home and not question.insist:
+            return Elsewhere(self.context_at)
+        return Busy(9, 9) if question.engine in self.full else Granted(1, 9)
 
     def release(self, number: int, ended: Ended) -> None:
         self.released.append(ended)
@@ -345,6 +355,56 @@
         self.assertTrue(told.startswith(b"HTTP/1.1 503"), told)
 
 
+class ContextTest(RoutedCallersTest):
+    """Where an engine is told to take a context over from."""
+
+    async def placed(self) -> tuple[str, str]:
+        self.upstreams.replies = [Opened(Answer((b"yes!",)))]
+        await self.ask("POST /notes/a HTTP/1.1", KEY, "Prefix-Hash: a:500,b:3", body=b"abc")
+        name, head, _ = self.upstreams.sent[-1]
+        return name, head.context_from
+
+    async def home(self) -> str:
+        name, source = await self.placed()
+        self.assertEqual(source, "")
+        return name
+
+    @staticmethod
+    def other(engine: str) -> str:
+        return {"i-0": "i-1", "i-1": "i-0"}[engine]
+
+    @staticmethod
+    def address(engine: str) -> str:
+        return f"10.0.0.{engine[-1]}:80"
+
+    async def test_beside_a_full_home_from_there(self) -> None:
+        home = await self.home()
+        self.grants.full = {home}
+        self.assertEqual(await self.placed(), (self.other(home), self.address(home)))
+
+    async def test_from_where_the_homes_owner_says_that_it_lies(self) -> None:
+        home = await self.home()
+        self.grants.context_at = self.other(home)
+        self.assertEqual(await self.placed(), (self.other(home), ""))
+        self.grants.full = {self.other(home)}
+        self.assertEqual(await self.placed(), (home, self.address(self.other(home))))
+
+    async def test_from_a_home_that_is_leaving(self) -> None:
+        home = await self.home()
+        leaving = Upstream(home, "lang", f"http://{self.address(home)}", "hall-1", LEAVING)
+        self.state.upstreams.set(leaving, 9)
+        self.state.upstreams_changed()
+        self.assertEqual(await self.placed(), (self.other(home), self.address(home)))
+
+    async def test_from_nowhere_where_engines_take_nothing_over(self) -> None:
+        home = await self.home()
+        alone = copy.deepcopy(CONFIGURATION)
+        alone["Version"], alone["Services"][0]["EngineId"]["Moves"] = 9, False
+        put_in_force(self.state, alone)
+        self.grants.full = {home}
+        self.assertEqual(await self.placed(), (self.other(home), ""))
+
+
 class CallerLeavesTest(RoutedCallersTest):
     async def test_a_callers_leaving_gives_its_grant_back_at_once(self) -> None:
         self.upstreams.hold = asyncio.Event()
