--- a/pondhatch/platform/_engines.py
+++ b/pondhatch/platform/_engines.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from pondhatch.authority import NotTaken, Silent, Wanted
 from pondhatch.platform import _names as names
 from pondhatch.requests import Headers, Judged, RequestHead, Target
 from pondhatch.store import LEAVING, LIVE
@@ -23,6 +24,7 @@
     names.DEADLINE_MS.lower(),
     names.EXPECTED_ENGINE.lower(),
     names.PRIORITY.lower(),
+    names.CONTEXT_FROM.lower(),
 }
 
 
@@ -65,6 +67,8 @@
         ]
         if head.account:
             own.append((names.ACCOUNT, head.account))
+        if head.context_from:
+            own.append((names.CONTEXT_FROM, head.context_from))
         replaced = REPLACED_HEADERS
         if head.after_event:
             own.append((names.LAST_EVENT_ID, head.after_event))
@@ -89,3 +93,15 @@
     def last_event(self, head: RequestHead) -> bytes | None:
         """Streams end as answers do; no event marks the end."""
         return None
+
+
+class NoOrders:
+    """Engines here are told what to hold by others; see EngineOrders."""
+
+    async def state(self, url: str) -> Silent:
+        """Say that nothing can be asked."""
+        return Silent("this platform's engines take no orders from routers")
+
+    async def order(self, url: str, wanted: Wanted, fencing: int, seconds: float) -> NotTaken:
+        """Say that nothing was done."""
+        return NotTaken("this platform's engines take no orders from routers")
--- a/pondhatch/transport/_routed_callers.py
+++ b/pondhatch/transport/_routed_callers.py
@@ -3,17 +3,16 @@
 from __future__ import annotations
 
 import asyncio
-import random
 import time
 import uuid
-from typing import Any
+from dataclasses import dataclass
+from typing import Any, Protocol
 
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET
 
 from pondhatch.configuration import CallerLimits, Route, RouteSpec
-from pondhatch.kernel import Tasks
-from pondhatch.observing import Metrics, Records, log_for
+from pondhatch.observing import Metrics, log_for
 from pondhatch.requests import (
     Broken,
     CallerGone,
@@ -23,7 +22,6 @@
     Refusal,
     ReplayableBody,
     RequestHead,
-    Ways,
 )
 from pondhatch.router import (
     ANYBODY,
@@ -34,8 +32,8 @@
     identify_key,
 )
 from pondhatch.transport._answers import cut, fail, write_head
-from pondhatch.transport._caller_channel import CallerRequest, read_whole
-from pondhatch.transport._interface import CallerDialect, CallerFacts
+from pondhatch.transport._caller_channel import CallerRequest, drain, read_whole
+from pondhatch.transport._interface import CallerParts
 from pondhatch.transport._serving import Serving, Work
 
 log = log_for("callers")
@@ -45,6 +43,33 @@
 #: Seconds after which to come back to a router that knows no configuration yet: it is
 #: read within a second of its start.
 NOT_READY_RETRY_AFTER = 0.5
+#: Bytes of a refused request's body that are read and dropped, so that its connection can
+#: be used again; beyond them it is closed.
+UNWANTED_BYTES = 256 * 1024
+
+
+@dataclass(frozen=True)
+class CallerFacts:
+    """What a caller says about a routed request in its headers."""
+
+    #: Its id for this attempt; empty where it gave none.
+    caller_id: str
+    #: Its API key, or None where it shows none.
+    key: str | None
+    #: Seconds that it waits for the answer, or None where it does not say.
+    wait: float | None
+    #: 64-bit key of the context that the request shares with others; 0 for none.
+    context: int
+
+
+class CallerDialect(Protocol):
+    """Names and formats of routed requests; decides nothing."""
+
+    def read(self, headers: Headers) -> CallerFacts:
+        """Return what a caller says about its request."""
+
+    def refusal_headers(self, refusal: Refusal) -> Headers:
+        """Return the headers that explain a refusal."""
 
 
 class RoutedAnswers:
@@ -61,8 +86,9 @@
         self._metrics.count(f"refusals.{refusal.code}")
         write_head(request, refusal.status, self._dialect.refusal_headers(refusal))
         self._close_if_stopping(request)
+        # Written when the request is finished: what is unread of its body decides then
+        # whether the connection can be used again, and the head must say so.
         request.setHeader(b"Content-Length", b"0")
-        request.write(b"")
 
     def begin(self, request: Any, status: int, headers: Headers, request_id: str) -> None:
         """Write the head of an upstream's answer."""
@@ -84,30 +110,20 @@
 
     isLeaf = True
 
-    def __init__(
-        self,
-        state: RouterState,
-        ways: Ways,
-        dialect: CallerDialect,
-        limits: CallerLimits,
-        metrics: Metrics,
-        records: Records,
-        tasks: Tasks,
-        rng: random.Random,
-    ) -> None:
+    def __init__(self, parts: CallerParts, dialect: CallerDialect) -> None:
         super().__init__()  # type: ignore[no-untyped-call]
         #: Requests that have not ended; a stopping router waits for them.
         self.in_flight = 0
         #: Whether a stopping router still takes requests.
         self.takes_work = True
-        self._state = state
+        self._state = parts.state
         self._dialect = dialect
-        self._limits = limits
-        self._metrics = metrics
-        self._rng = rng
-        self._answers = RoutedAnswers(dialect, metrics, state.stopping)
-        self._serving = Serving(state, ways, self._answers, metrics, tasks, records)
-        self._tasks = tasks
+        self._limits = parts.limits
+        self._metrics = parts.metrics
+        self._rng = parts.rng
+        self._tasks = parts.tasks
+        self._answers = RoutedAnswers(dialect, parts.metrics, parts.state.stopping)
+        self._serving = Serving(parts, self._answers)
 
     def resource(self) -> Resource:
         """Return what a site serves."""
@@ -125,6 +141,7 @@
         try:
             work = await self._prepare(request)
             if isinstance(work, NotRun):
+                await drain(request.body(), UNWANTED_BYTES)
                 self._answers.refuse(request, work)
             else:
                 await self._serving.run(request, work, started)
@@ -143,19 +160,29 @@
                 request.finish()
 
     async def _prepare(self, request: CallerRequest) -> Work | NotRun:
-        found = self._route(request)
-        if isinstance(found, NotRun):
-            return found
         headers = _headers(request)
         facts = self._dialect.read(headers)
-        account = ANYBODY if found.spec.public else identify_key(self._state, facts.key)
-        if isinstance(account, NotRun):
-            return account
+        wanted = self._wanted(request, facts)
+        if isinstance(wanted, NotRun):
+            return wanted
         most = self._most_body_bytes()
         body = await read_whole(request.body(), most)
         if body is None:
             return NotRun("body-too-large", f"expected at most {most} bytes", 0.0, TOO_LARGE)
-        return self._admitted(request, found, account, facts, headers, ReplayableBody(body))
+        # The configuration may have changed while the body came.
+        wanted = self._wanted(request, facts)
+        if isinstance(wanted, NotRun):
+            return wanted
+        route, account = wanted
+        return self._admitted(request, route, account, facts, headers, ReplayableBody(body))
+
+    def _wanted(self, request: CallerRequest, facts: CallerFacts) -> tuple[Route, Account] | NotRun:
+        """Return a request's route and account by the configuration in force."""
+        route = self._route(request)
+        if isinstance(route, NotRun):
+            return route
+        account = ANYBODY if route.spec.public else identify_key(self._state, facts.key)
+        return account if isinstance(account, NotRun) else (route, account)
 
     def _route(self, request: CallerRequest) -> Route | NotRun:
         if self._state.fleet.version == 0:
--- a/pondhatch/transport/_serving.py
+++ b/pondhatch/transport/_serving.py
@@ -5,10 +5,10 @@
 import time
 from dataclasses import dataclass, field
 
-from pondhatch.kernel import Tasks
-from pondhatch.observing import Metrics, Records, RequestEnded, log_for
+from pondhatch.observing import RequestEnded, log_for
 from pondhatch.requests import (
     KEPT_BODY,
+    AnswerStream,
     BodySource,
     Broken,
     DecisionNote,
@@ -25,15 +25,15 @@
     RequestHead,
     Unknown,
     Walk,
-    Ways,
     Whole,
     is_event_stream,
     kept,
     refusal_of,
 )
-from pondhatch.router import ANYBODY, Account, Admitted, RouterState
+from pondhatch.router import ANYBODY, Account, Admitted
 from pondhatch.transport._answers import Answers, replay
 from pondhatch.transport._caller_channel import CallerRequest, CallerWriter
+from pondhatch.transport._interface import CallerParts
 
 log = log_for("callers")
 
@@ -89,21 +89,13 @@
 class Serving:
     """Runs requests and tells callers what came of them."""
 
-    def __init__(
-        self,
-        state: RouterState,
-        ways: Ways,
-        answers: Answers,
-        metrics: Metrics,
-        tasks: Tasks,
-        records: Records,
-    ) -> None:
-        self._state = state
+    def __init__(self, parts: CallerParts, answers: Answers) -> None:
+        self._state = parts.state
+        self._ways = parts.ways
+        self._metrics = parts.metrics
+        self._tasks = parts.tasks
+        self._records = parts.records
         self._answers = answers
-        self._ways = ways
-        self._metrics = metrics
-        self._tasks = tasks
-        self._records = records
 
     async def run(self, request: CallerRequest, work: Work, started: float) -> None:
         """Serve one request to its end; its account's count ends with it."""
@@ -171,20 +163,24 @@
         self, request: CallerRequest, work: Work, walk: Walk, placed: Placed, copy: AnswerCopy
     ) -> Ended:
         """Pass the answer on."""
-        answer = placed.reply.answer
-        self._answers.begin(request, answer.status, answer.headers, work.head.request_id)
-        copy.status, copy.headers = answer.status, answer.headers
+
+        def begin(answer: AnswerStream) -> None:
+            self._answers.begin(request, answer.status, answer.headers, work.head.request_id)
+            copy.status, copy.headers = answer.status, answer.headers
+
         writer = CallerWriter(request)
         sink = _CopyingSink(copy, writer) if work.key else writer
         try:
-            delivered = await Delivery(walk, placed, sink).run()
+            delivered = await Delivery(walk, placed, sink, begin).run()
         finally:
             writer.close()
         if delivered.resumes:
             self._metrics.count("answers.resumed", delivered.resumes)
+        if isinstance(delivered.outcome, Unknown):
+            self._answers.refuse(request, delivered.outcome)
         if isinstance(delivered.outcome, Broken):
             log.warning("Answer broke off: {}.", delivered.outcome.reason)
-            self._answers.end_broken(request, delivered.outcome, is_event_stream(answer.headers))
+            self._answers.end_broken(request, delivered.outcome, is_event_stream(copy.headers))
         return delivered.outcome
 
     def _note(
@@ -212,6 +208,7 @@
                 service=work.head.service,
                 outcome=outcome,
                 ms=round(seconds * 1000),
+                context=f"{work.head.chat:x}" if work.head.chat else "",
                 configuration=self._state.fleet.version,
                 upstream=engine or "",
                 in_flight=walk.granted.in_flight,
