--- a/bench/_decisions.py
+++ b/bench/_decisions.py
@@ -103,6 +103,9 @@
         self._engine_by_number[question.number] = question.engine
         return verdict
 
+    def ask_nobody(self, question: Question) -> OwnerReply:
+        return NotOwner()
+
     def release(self, number: int, ended: Ended) -> None:
         self._state.gate.release(self._engine_by_number.pop(number))
 
--- a/fakes/__main__.py
+++ b/fakes/__main__.py
@@ -1,4 +1,4 @@
-"""Run a stand-in as a process: ``python -m fakes engine|plain|platform``."""
+"""Run a stand-in as a process: ``python -m fakes engine|plain|platform|...``."""
 
 from __future__ import annotations
 
@@ -63,6 +63,29 @@
     _listen(PlatformFake().app, port)
 
 
+def machines_store(*, port: int = 0) -> None:
+    """Run the prepared machines' store.
+
+    :param port: TCP port on loopback; 0 takes a free one
+    """
+    install_reactor()
+    from fakes._machines_store import MachinesStoreFake
+
+    _listen(MachinesStoreFake().app, port)
+
+
+def machines_engine(*, name: str, port: int = 0) -> None:
+    """Run an engine of the prepared machines.
+
+    :param name: its id
+    :param port: TCP port on loopback; 0 takes a free one
+    """
+    install_reactor()
+    from fakes._machines_engine import MachinesEngine
+
+    _listen(MachinesEngine(name).app, port)
+
+
 def _listen(app: Any, port: int) -> None:
     from twisted.internet import reactor as installed
     from twisted.web.server import Site
@@ -76,4 +99,4 @@
 
 
 if __name__ == "__main__":
-    defopt.run([engine, plain, platform])
+    defopt.run([engine, plain, platform, machines_store, machines_engine])
--- /dev/null
+++ b/fakes/_machines_engine.py
@@ -0,0 +1,92 @@
+"""An engine of the prepared machines: runs what is meant for it, and says what it did.
+
+A path under ``/notes/`` is answered as a stream of events, any other as a whole. Faults:
+``refuse`` (full, not run), ``cut`` (a stream that began here breaks in the middle),
+``stall`` (an answer waits), ``cross`` (the answer of another request), ``fail`` (500 of its
+own).
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import Any
+
+from klein import Klein
+from twisted.internet.defer import Deferred
+
+from fakes._faults import Faults
+from pondhatch.kernel import as_deferred
+
+#: Events of a stream.
+EVENTS = 6
+#: Seconds between two events.
+STEP = 0.02
+
+
+class MachinesEngine:
+    """One engine's HTTP interface."""
+
+    def __init__(self, name: str) -> None:
+        self.faults = Faults()
+        self.app = Klein()
+        #: What ran here: the id, the account, the headers, and how it ended.
+        self.runs: list[dict[str, Any]] = []
+        self._name = name
+        self._route()
+
+    def _route(self) -> None:
+        @self.app.route("/runs")
+        def runs(request: Any) -> bytes:
+            return json.dumps(self.runs).encode()
+
+        self.faults.route(self.app)
+
+        @self.app.route("/", branch=True)
+        def run(request: Any) -> Deferred[bytes | None]:
+            return as_deferred(self._answer(request))
+
+    async def _answer(self, request: Any) -> bytes:
+        request.setHeader("Keep-Alive", "timeout=5")
+        if request.getHeader("Expect-Instance") != self._name:
+            request.setResponseCode(421)
+            return b""
+        if self.faults.strike("refuse"):
+            request.setResponseCode(503)
+            request.setHeader("Not-Executed", "1")
+            return b""
+        attempt = request.getHeader("Attempt-Id") or ""
+        headers = {
+            name.decode().lower(): values[0].decode()
+            for name, values in request.requestHeaders.getAllRawHeaders()
+        }
+        run = {"id": attempt, "headers": headers, "outcome": "running"}
+        self.runs.append(run)
+        gone = asyncio.Event()
+        request.notifyFinish().addErrback(lambda _: gone.set())
+        if fault := self.faults.strike("stall"):
+            await asyncio.sleep(fault.seconds)
+        request.setHeader("Attempt-Id", "another" if self.faults.strike("cross") else attempt)
+        request.setHeader("Instance-Signature", f"{self._name}.{attempt}")
+        if self.faults.strike("fail"):
+            request.setResponseCode(500)
+            return b"failed"
+        if not request.path.startswith(b"/notes/"):
+            run["outcome"] = "gone" if gone.is_set() else "whole"
+            return b"%s by %s" % (request.content.read() or b"nothing", self._name.encode())
+        run["outcome"] = await self._stream(request, gone)
+        return b""
+
+    async def _stream(self, request: Any, gone: asyncio.Event) -> str:
+        request.setHeader("Content-Type", "text/event-stream")
+        after = int(request.getHeader("Last-Event-Id") or 0)
+        for at in range(after + 1, EVENTS + 1):
+            if gone.is_set():
+                return "gone"
+            if at == EVENTS // 2 and not after and self.faults.strike("cut"):
+                request.write(b"id: %d\ndata: ha" % at)
+                request.channel.forceAbortClient()
+                return "cut"
+            request.write(b"id: %d\ndata: %d\n\n" % (at, at))
+            await asyncio.sleep(STEP)
+        return "whole"
--- /dev/null
+++ b/fakes/_machines_fleet.py
@@ -0,0 +1,138 @@
+"""Routers as the prepared machines run them, as processes on loopback."""
+
+from __future__ import annotations
+
+import copy
+import json
+import re
+import time
+import urllib.error
+import urllib.request
+from collections.abc import Callable
+from dataclasses import dataclass
+from subprocess import Popen
+from typing import Any
+
+import yaml
+
+from fakes._local_fleet import HOST, ROOT, Backend, LocalFleet, fetch, free_ports
+
+TEMPLATE = ROOT / "deploy" / "router.yaml"
+HALLS = ("hall-1", "hall-2")
+#: Ports of one router: clients, readiness, peers, admin.
+PORTS = 4
+
+
+def fill(template: str, fields: dict[str, Any]) -> str:
+    """Fill a template's gaps as the platform does, as far as ours uses them."""
+
+    def value(match: re.Match[str]) -> str:
+        found: Any = fields
+        for part in match["name"].split("."):
+            found = found[int(part)] if isinstance(found, list) else found[part]
+        return json.dumps(found) if match["form"] else str(found)
+
+    return re.sub(r"\{\{(?P<name>[\w.]+)(?P<form>\|json)?\}\}", value, template)
+
+
+@dataclass
+class MachinesRouter:
+    """One router process and where it is reached."""
+
+    name: str
+    clients: str
+    ready: str
+    process: Popen[bytes]
+
+    def is_ready(self) -> bool:
+        """Return what the balancer would be told."""
+        try:
+            with urllib.request.urlopen(f"{self.ready}/readyz", timeout=5) as answer:
+                return bool(answer.status == 200)
+        except OSError:
+            return False
+
+
+class MachinesFleet(LocalFleet):
+    """Starts a store, engines and routers, and ends them."""
+
+    def __enter__(self) -> MachinesFleet:
+        super().__enter__()
+        url, process = self._stand_in("machines-store")
+        self.objects = Backend("store", "", url, "", process)
+        self.machines: list[MachinesRouter] = []
+        return self
+
+    def put(self, kind: str, name: str, spec: Any) -> None:
+        """Write an object as the operator or an engine would."""
+        told = {"Metadata": {"Name": name}, "Spec": spec}
+        try:
+            fetch(f"{self.objects.url}/objects/{kind}/{name}", told, "PUT")
+        except urllib.error.HTTPError as error:
+            error.close()
+            fetch(f"{self.objects.url}/objects/{kind}", told, "POST")
+
+    def remove(self, kind: str, name: str) -> None:
+        """Remove an object."""
+        fetch(f"{self.objects.url}/objects/{kind}/{name}", method="DELETE")
+
+    def add_engine(self, name: str, service: str, hall: str) -> Backend:
+        """Start an engine, which lists itself."""
+        url, process = self._stand_in("machines-engine", f"--name={name}")
+        engine = Backend(name, service, url, hall, process)
+        self.backends.append(engine)
+        self.say(engine, "ready")
+        return engine
+
+    def say(self, engine: Backend, state: str) -> None:
+        """Write an engine's entry."""
+        entry = {
+            "Service": engine.service,
+            "Address": engine.url.removeprefix("http://"),
+            "Zone": engine.hall,
+            "Slots": 8,
+            "State": state,
+        }
+        self.put("servers", engine.name, entry)
+
+    def add_router(self, hall: str) -> MachinesRouter:
+        """Start a router with the settings that the deploy folder makes."""
+        clients, ready, peers, admin = free_ports(PORTS)
+        name = f"edge-{len(self.machines)}"
+        fields = {
+            "NodeName": name,
+            "Zone": hall,
+            "Ip": HOST,
+            "Listen": {"Frontend": f"{HOST}:{clients}", "Ready": f"{HOST}:{ready}"},
+            "PortRange": [peers, admin],
+            "Platform": {"Address": self.objects.url.removeprefix("http://")},
+            "Bounds": {"CapacityFactor": 2, "GraceS": 8},
+        }
+        settings = yaml.safe_load(fill(TEMPLATE.read_text(), fields))
+        settings["log"] = {"level": self.log_level}
+        path = self.folder / f"{name}.yaml"
+        path.write_text(yaml.safe_dump(settings))
+        router = MachinesRouter(
+            name,
+            f"http://{HOST}:{clients}",
+            f"http://{HOST}:{ready}",
+            self._start("pondhatch", "run", str(path)),
+        )
+        self.machines.append(router)
+        return router
+
+
+def eventually(holds: Callable[[], bool], seconds: float = 30.0) -> None:
+    """Wait until something holds. Raises AssertionError where it does not in time."""
+    deadline = time.monotonic() + seconds
+    while not holds():
+        if time.monotonic() > deadline:
+            raise AssertionError(f"did not come to hold within {seconds} s")
+        time.sleep(0.05)
+
+
+def changed(configuration: dict[str, Any], version: int) -> dict[str, Any]:
+    """Return a copy of a configuration under another version."""
+    copied = copy.deepcopy(configuration)
+    copied["Version"] = version
+    return copied
--- /dev/null
+++ b/fakes/_machines_store.py
@@ -0,0 +1,157 @@
+"""The prepared machines' store: objects by kind and name, conditional writes, waiting watches.
+
+Faults: ``outage`` (503 for a time), ``lost-answer`` (the write is done, its answer is lost),
+``compact`` (forget the changes so far).
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from dataclasses import dataclass, field
+from typing import Any
+
+from klein import Klein
+from twisted.internet.defer import Deferred
+
+from fakes._faults import Faults
+from pondhatch.kernel import as_deferred
+
+#: Seconds between looks of a waiting watch.
+WATCH_STEP = 0.01
+
+Object = dict[str, Any]
+
+
+@dataclass
+class MachinesStore:
+    """Objects, and the log of their changes."""
+
+    revision: int = 0
+    object_by_key: dict[tuple[str, str], Object] = field(default_factory=dict)
+    #: (kind, revision, whether it was a removal, the object).
+    events: list[tuple[str, int, bool, Object]] = field(default_factory=list)
+    #: Changes up to this revision are forgotten.
+    compacted: int = 0
+
+    def write(self, kind: str, name: str, spec: Any, made: int | None = None) -> Object:
+        """Set an object."""
+        self.revision += 1
+        metadata = {"Name": name, "Revision": self.revision, "Created": made or self.revision}
+        found: Object = {"Metadata": metadata, "Spec": spec, "Status": None}
+        self.object_by_key[kind, name] = found
+        self.events.append((kind, self.revision, False, found))
+        return found
+
+    def remove(self, kind: str, name: str) -> Object | None:
+        """Remove an object; its last telling bears the revision of its removal."""
+        found = self.object_by_key.pop((kind, name), None)
+        if found is None:
+            return None
+        self.revision += 1
+        metadata = {**found["Metadata"], "Revision": self.revision}
+        gone = {**found, "Metadata": metadata}
+        self.events.append((kind, self.revision, True, gone))
+        return gone
+
+
+class MachinesStoreFake:
+    """The store's HTTP interface."""
+
+    def __init__(self) -> None:
+        self.store = MachinesStore()
+        self.faults = Faults()
+        self.app = Klein()
+        self.calls = 0
+        self._outage_until = 0.0
+        self._route()
+
+    def _route(self) -> None:
+        @self.app.route("/objects/<kind>", methods=["GET", "POST"])
+        def collection(request: Any, kind: str) -> Deferred[bytes | None]:
+            return as_deferred(self._collection(request, kind))
+
+        @self.app.route("/objects/<kind>/<name>", methods=["GET", "PUT", "DELETE"])
+        def one(request: Any, kind: str, name: str) -> Deferred[bytes | None]:
+            return as_deferred(self._one(request, kind, name))
+
+        @self.app.route("/calls")
+        def calls(request: Any) -> bytes:
+            return json.dumps(self.calls).encode()
+
+        self.faults.route(self.app)
+
+    def _out(self, request: Any) -> bool:
+        self.calls += 1
+        if fault := self.faults.strike("outage"):
+            self._outage_until = time.monotonic() + fault.seconds
+        if self.faults.strike("compact"):
+            self.store.compacted = self.store.revision
+            self.store.events.clear()
+        if time.monotonic() < self._outage_until:
+            request.setResponseCode(503)
+            return True
+        return False
+
+    async def _collection(self, request: Any, kind: str) -> bytes:
+        if self._out(request):
+            return b""
+        if request.method == b"POST":
+            return self._create(request, kind)
+        if b"Watch" in request.args:
+            return await self._watch(request, kind)
+        found = [each for (of, _), each in self.store.object_by_key.items() if of == kind]
+        page = {"Entries": found, "HasMore": False, "Timestamp": self.store.revision}
+        return json.dumps(page).encode()
+
+    async def _watch(self, request: Any, kind: str) -> bytes:
+        since = int(request.args[b"Watch"][0])
+        until = time.monotonic() + int(request.args[b"WaitMs"][0]) / 1000
+        if since < self.store.compacted:
+            request.setResponseCode(410)
+            return b""
+        while time.monotonic() < min(until, max(self._outage_until, until)):
+            events = [
+                {"Deleted": removal, "Object": found}
+                for of, revision, removal, found in self.store.events
+                if of == kind and revision > since
+            ]
+            if events:
+                return json.dumps({"events": events, "Timestamp": self.store.revision}).encode()
+            await asyncio.sleep(WATCH_STEP)
+        return json.dumps({"events": [], "Timestamp": max(since, self.store.revision)}).encode()
+
+    def _create(self, request: Any, kind: str) -> bytes:
+        told = json.loads(request.content.read())
+        name = told["Metadata"]["Name"]
+        known = self.store.object_by_key.get((kind, name))
+        if known is not None:
+            request.setResponseCode(409)
+            return json.dumps(known).encode()
+        return self._answered(request, self.store.write(kind, name, told.get("Spec")))
+
+    async def _one(self, request: Any, kind: str, name: str) -> bytes:
+        if self._out(request):
+            return b""
+        known = self.store.object_by_key.get((kind, name))
+        if known is None:
+            request.setResponseCode(404)
+            return b""
+        if request.method == b"GET":
+            return json.dumps(known).encode()
+        if request.method == b"DELETE":
+            return self._answered(request, self.store.remove(kind, name) or known)
+        told = json.loads(request.content.read())
+        expected = told["Metadata"].get("Revision")
+        if expected is not None and expected != known["Metadata"]["Revision"]:
+            request.setResponseCode(409)
+            return json.dumps(known).encode()
+        made = known["Metadata"]["Created"]
+        return self._answered(request, self.store.write(kind, name, told.get("Spec"), made))
+
+    def _answered(self, request: Any, found: Object) -> bytes:
+        if self.faults.strike("lost-answer"):
+            request.channel.forceAbortClient()
+            return b""
+        return json.dumps(found).encode()
--- /dev/null
+++ b/fakes/tests/test_prepared_machines.py
@@ -0,0 +1,213 @@
+"""The routers of the prepared machines as processes, over sockets, settings included."""
+
+from __future__ import annotations
+
+import signal
+import threading
+import unittest
+import urllib.error
+import urllib.request
+import uuid
+from dataclasses import dataclass
+from typing import Any, ClassVar
+
+from fakes._local_fleet import Backend, fetch
+from fakes._machines_engine import EVENTS
+from fakes._machines_fleet import HALLS, MachinesFleet, MachinesRouter, changed, eventually
+from pondhatch.platform.tests._wire import CONFIGURATION
+
+KEY = "key-1"
+WHOLE_STREAM = b"".join(b"id: %d\ndata: %d\n\n" % (at, at) for at in range(1, EVENTS + 1))
+
+
+@dataclass(frozen=True)
+class Answer:
+    status: int
+    headers: Any
+    body: bytes
+
+
+class MachinesCase(unittest.TestCase):
+    """Two routers in two halls, two engines of each service."""
+
+    fleet: ClassVar[MachinesFleet]
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        fleet = MachinesFleet(log_level="ERROR")
+        cls.fleet = cls.enterClassContext(fleet)
+        cls.fleet.put("config", "main", CONFIGURATION)
+        for at in range(2):
+            for service in ("lang", "portal"):
+                cls.fleet.add_engine(f"i-{service}-{at}", service, HALLS[at])
+        for hall in HALLS:
+            cls.fleet.add_router(hall)
+        eventually(lambda: all(router.is_ready() for router in cls.fleet.machines))
+        eventually(lambda: all(cls.served(router) for router in cls.fleet.machines))
+
+    @classmethod
+    def served(cls, router: MachinesRouter) -> bool:
+        return cls.ask(router, "/x").status == 200
+
+    @classmethod
+    def ask(
+        cls,
+        router: MachinesRouter,
+        path: str,
+        body: bytes | None = None,
+        **headers: str,
+    ) -> Answer:
+        sent = {
+            "Host": "desk.example",
+            "Attempt-Id": uuid.uuid4().hex[:16],
+            "Authorization": f"Bearer {KEY}",
+            "Deadline-Ms": "5000",
+            **{name.replace("_", "-"): value for name, value in headers.items()},
+        }
+        request = urllib.request.Request(router.clients + path, data=body, headers=sent)
+        try:
+            with urllib.request.urlopen(request, timeout=30) as answer:
+                return Answer(answer.status, answer.headers, answer.read())
+        except urllib.error.HTTPError as error:
+            with error:
+                return Answer(error.code, error.headers, error.read())
+
+    def engines(self, service: str) -> list[Backend]:
+        return [each for each in self.fleet.backends if each.service == service]
+
+    def runs(self, service: str, attempt: str) -> list[dict[str, Any]]:
+        found = [run for each in self.engines(service) for run in fetch(f"{each.url}/runs")]
+        return [run for run in found if run["id"] == attempt]
+
+
+class ServingTest(MachinesCase):
+    def test_a_request_reaches_an_engine_as_it_is_and_its_answer_comes_back(self) -> None:
+        for router in self.fleet.machines:
+            attempt = uuid.uuid4().hex[:16]
+            answer = self.ask(router, "/proofs/a?b=1", b"hello", Attempt_Id=attempt)
+            self.assertEqual(answer.status, 200)
+            self.assertTrue(answer.body.startswith(b"hello by i-portal-"), answer.body)
+            self.assertTrue(answer.headers["Instance-Signature"].endswith(attempt))
+            (run,) = self.runs("portal", attempt)
+            self.assertEqual(run["headers"]["tenant"], "pina")
+            self.assertNotIn("authorization", run["headers"])
+            self.assertLessEqual(int(run["headers"]["deadline-ms"]), 1500)
+
+    def test_who_may_not_is_told_so(self) -> None:
+        router = self.fleet.machines[0]
+        self.assertEqual(self.ask(router, "/proofs/a", b"x", Authorization="").status, 401)
+        self.assertEqual(self.ask(router, "/proofs/a", b"x", Host="other.example").status, 404)
+
+    def test_a_broken_stream_goes_on_elsewhere_in_the_same_answer(self) -> None:
+        for engine in self.engines("lang"):
+            engine.arm("cut", 1)
+        attempt = uuid.uuid4().hex[:16]
+        answer = self.ask(self.fleet.machines[0], "/notes/a", b"x", Attempt_Id=attempt)
+        for engine in self.engines("lang"):
+            engine.arm("cut", 0)
+        runs = self.runs("lang", attempt)
+        self.assertEqual((answer.status, answer.body), (200, WHOLE_STREAM))
+        self.assertEqual([run["outcome"] for run in runs].count("cut"), 1)
+        self.assertIn("2", [run["headers"].get("last-event-id") for run in runs])
+
+    def test_what_may_not_be_repeated_runs_once_though_its_answer_is_another_ones(self) -> None:
+        for engine in self.engines("portal"):
+            engine.arm("cross", 1)
+        attempt = uuid.uuid4().hex[:16]
+        answer = self.ask(self.fleet.machines[0], "/proofs/a", b"x", Attempt_Id=attempt)
+        for engine in self.engines("portal"):
+            engine.arm("cross", 0)
+        self.assertEqual(answer.status, 502)
+        self.assertEqual(len(self.runs("portal", attempt)), 1)
+
+    def test_a_refusal_that_says_not_run_is_true(self) -> None:
+        for engine in self.engines("portal"):
+            engine.arm("refuse", 1)
+        attempt = uuid.uuid4().hex[:16]
+        answer = self.ask(self.fleet.machines[0], "/proofs/a", b"x", Attempt_Id=attempt)
+        for engine in self.engines("portal"):
+            engine.arm("refuse", 0)
+        self.assertEqual(answer.status, 503)
+        self.assertIsNotNone(answer.headers["Retry-After"])
+        self.assertEqual(self.runs("portal", attempt), [])
+
+    def test_an_engines_own_failure_keeps_its_signature(self) -> None:
+        for engine in self.engines("portal"):
+            engine.arm("fail", 1)
+        answer = self.ask(self.fleet.machines[0], "/proofs/a", b"x")
+        for engine in self.engines("portal"):
+            engine.arm("fail", 0)
+        self.assertEqual((answer.status, answer.body), (500, b"failed"))
+        self.assertIsNotNone(answer.headers["Instance-Signature"])
+
+
+class ChangingTest(MachinesCase):
+    def test_a_new_configuration_is_in_force_at_every_router_and_a_key_goes(self) -> None:
+        newer = changed(CONFIGURATION, 20)
+        newer["Tenants"][0]["ApiKeys"] = ["key-9"]
+        self.fleet.put("config", "main", newer)
+        for router in self.fleet.machines:
+            eventually(lambda at=router: self.ask(at, "/proofs/a", b"x").status == 401, 5)  # type: ignore[misc]
+            told = self.ask(router, "/proofs/a", b"x", Authorization="Bearer key-9")
+            self.assertEqual(told.status, 200)
+        back = changed(CONFIGURATION, 21)
+        self.fleet.put("config", "main", back)
+        for router in self.fleet.machines:
+            eventually(lambda at=router: self.ask(at, "/proofs/a", b"x").status == 200, 5)  # type: ignore[misc]
+
+    def test_an_engine_that_drains_gets_nothing_new(self) -> None:
+        leaving = self.engines("portal")[0]
+        self.fleet.say(leaving, "draining")
+        others = {each.name for each in self.engines("portal")} - {leaving.name}
+
+        def only_others(router: MachinesRouter) -> bool:
+            answers = [self.ask(router, "/proofs/a", b"x").body.decode() for _ in range(8)]
+            return {answer.split()[-1] for answer in answers} <= others
+
+        for router in self.fleet.machines:
+            eventually(lambda at=router: only_others(at), 5)  # type: ignore[misc]
+        self.fleet.say(leaving, "ready")
+
+    def test_traffic_outlasts_an_outage_of_the_store_and_its_forgetting(self) -> None:
+        self.fleet.objects.arm("outage", 1, 2.5)
+        for _ in range(10):
+            for router in self.fleet.machines:
+                self.assertEqual(self.ask(router, "/x").status, 200)
+        self.fleet.objects.arm("compact", 1)
+        newer = changed(CONFIGURATION, 30)
+        newer["Routes"] = [each for each in newer["Routes"] if each["Name"] != "r-proofs"]
+        eventually(lambda: self._written(newer), 10)
+        for router in self.fleet.machines:
+            eventually(lambda at=router: self.ask(at, "/proofs/a").status == 200, 10)  # type: ignore[misc]
+
+    def _written(self, configuration: dict[str, Any]) -> bool:
+        try:
+            self.fleet.put("config", "main", configuration)
+        except urllib.error.HTTPError as error:
+            error.close()
+            return False
+        return True
+
+
+class StoppingTest(MachinesCase):
+    def test_a_stop_cuts_nothing_and_tells_the_balancer_at_once(self) -> None:
+        router = self.fleet.machines[0]
+        for engine in self.engines("portal"):
+            engine.arm("stall", 1, 1.0)
+        answers: list[Answer] = []
+        asking = threading.Thread(
+            target=lambda: answers.append(self.ask(router, "/proofs/a", b"x"))
+        )
+        asking.start()
+        eventually(lambda: self._in_flight() > 0, 5)
+        router.process.send_signal(signal.SIGTERM)
+        eventually(lambda: not router.is_ready(), 2)
+        late = self.ask(router, "/x")
+        asking.join()
+        self.assertEqual((answers[0].status, late.status), (200, 200))
+        self.assertEqual(late.headers["Connection"], "close")
+        self.assertEqual(router.process.wait(timeout=10), 0)
+
+    def _in_flight(self) -> int:
+        runs = [run for each in self.engines("portal") for run in fetch(f"{each.url}/runs")]
+        return [run["outcome"] for run in runs].count("running")
--- a/pondhatch/configuration/_schema.py
+++ b/pondhatch/configuration/_schema.py
@@ -232,7 +232,7 @@
         if part not in _NOT_A_FIELD and not str(part).startswith("constrained-")
     )
     if kind in ("unexpected_keyword_argument", "extra_forbidden"):
-        return Misfit(path, "unknown key; expected one that docs/OPERATING.md lists")
+        return Misfit(path, "unknown key; expected one that docs/OPERATIONS.md lists")
     if kind in ("missing", "missing_argument"):
         return Misfit(path, "missing; expected a value")
     if kind == "string_pattern_mismatch" and "[key]" in location:
--- /dev/null
+++ b/pondhatch/configuration/tests/test_routes.py
@@ -0,0 +1,93 @@
+from __future__ import annotations
+
+import unittest
+
+from pondhatch.configuration import (
+    Edit,
+    Fleet,
+    Rejected,
+    RouteSpec,
+    RouteTable,
+    RouteTarget,
+    Snapshot,
+)
+
+
+def route(host: str, prefix: str, *targets: tuple[str, float]) -> RouteSpec:
+    shares = tuple(RouteTarget(*each) for each in targets or (("s", 1.0),))
+    return RouteSpec(host, prefix, shares)
+
+
+class RouteTableTest(unittest.TestCase):
+    table = RouteTable.of(
+        {
+            "root": route("a.example", "/"),
+            "notes": route("a.example", "/notes/"),
+            "deep": route("a.example", "/notes/deep/er/"),
+            "other": route("b.example", "/notes/"),
+        }
+    )
+
+    def test_the_longest_prefix_decides(self) -> None:
+        rows = (
+            ("a.example", "/notes/1", "notes"),
+            ("a.example", "/notes/", "notes"),
+            ("a.example", "/notes", "root"),
+            ("a.example", "/notesome/x", "root"),
+            ("a.example", "/notes/deep/er/x/y", "deep"),
+            ("a.example", "/notes/deep/x", "notes"),
+            ("a.example", "/?q=/notes/deep/er/", "root"),
+            ("A.Example", "/notes/1?x", "notes"),
+            ("a.example:8080", "/notes/1", "notes"),
+            ("b.example", "/notes/1", "other"),
+            ("b.example", "/", None),
+            ("c.example", "/notes/1", None),
+            ("", "/notes/1", None),
+        )
+        for host, path, name in rows:
+            with self.subTest(host=host, path=path):
+                found = self.table.find(host, path)
+                self.assertEqual(found.name if found is not None else None, name)
+
+    def test_every_draw_hits_a_target_and_shares_follow_the_weights(self) -> None:
+        found = RouteTable.of({"r": route("a", "/", ("x", 1), ("y", 3))}).find("a", "/")
+        assert found is not None
+        drawn = [found.service(at / 1000) for at in range(1000)]
+        self.assertEqual((drawn.count("x"), drawn.count("y")), (250, 750))
+        self.assertEqual(found.service(1.0), "y")
+
+
+SERVICE = Edit("service", "lang", {"kind": "model", "models": ["m"]})
+
+
+def route_edit(name: str, **changes: object) -> Edit:
+    plain = {"host": "a.example", "path_prefix": "/n/", "targets": [{"service": "lang"}]}
+    return Edit("route", name, {**plain, **changes})
+
+
+class RoutesInAConfigurationTest(unittest.TestCase):
+    def test_what_is_wrong_is_told_by_its_entry_and_field(self) -> None:
+        rows = (
+            ((route_edit("r", targets=[{"service": "x"}]),), ("route", "r"), "service"),
+            ((route_edit("r", path_prefix="n"),), ("route", "r"), "path_prefix"),
+            ((route_edit("r", targets=[]),), ("route", "r"), "targets"),
+            ((route_edit("r"), route_edit("s", host="A.example")), ("route", "s"), "path_prefix"),
+            ((route_edit("r", most_tries=0),), ("route", "r"), "most_tries"),
+        )
+        for edits, entry, field in rows:
+            with self.subTest(entry=entry, field=field):
+                found = Fleet().with_edits((SERVICE, *edits))
+                assert isinstance(found, Rejected)
+                self.assertEqual(found.misfits[0][0], entry)
+                self.assertIn(field, str(found))
+
+    def test_a_whole_that_replaces_another_keeps_nothing_of_it(self) -> None:
+        first = Fleet().replaced_by(
+            Snapshot(3, (SERVICE, route_edit("r"), route_edit("s", host="b")))
+        )
+        assert isinstance(first, Fleet)
+        second = first.replaced_by(Snapshot(8, (SERVICE, route_edit("s", host="b"))))
+        assert isinstance(second, Fleet)
+        self.assertEqual((second.version, set(second.routes.by_name)), (8, {"s"}))
+        self.assertIsNone(second.routes.find("a.example", "/n/"))
+        self.assertIs(first.replaced_by(Snapshot(9, second.snapshot().edits)).__class__, Fleet)
--- a/pondhatch/limits/_shares.py
+++ b/pondhatch/limits/_shares.py
@@ -149,8 +149,9 @@
 
 
 def _is_much(demand: Demand, whole: AccountLimits, routers: int) -> bool:
-    base_rate = whole.requests_per_second * BASE_PART / routers
-    base_running = max(1.0, whole.concurrency * BASE_PART / routers)
+    live = max(1, routers)  # The last router that stops has no live one beside it.
+    base_rate = whole.requests_per_second * BASE_PART / live
+    base_running = max(1.0, whole.concurrency * BASE_PART / live)
     return demand.rate > base_rate * ASK_PART or demand.running > base_running * ASK_PART
 
 
--- a/pondhatch/limits/tests/test_shares.py
+++ b/pondhatch/limits/tests/test_shares.py
@@ -108,3 +108,11 @@
         routers.home.forget_old(routers.now)
         self.assertEqual(routers.users[0].use_by_account, {})
         self.assertEqual(routers.home.demand_by_account, {})
+
+
+class LastRouterTest(unittest.TestCase):
+    def test_a_router_that_stops_as_the_last_one_still_works_out_its_demands(self) -> None:
+        user = ShareUser()
+        for _ in range(50):
+            user.came("a", 3, 1.0)
+        self.assertIsInstance(user.demands(2.0, 0, {"a": WHOLE}), tuple)
--- a/pondhatch/membership/tests/test_gossip.py
+++ b/pondhatch/membership/tests/test_gossip.py
@@ -19,6 +19,7 @@
     speaking_order,
     watchers,
 )
+from pondhatch.membership._loads import report_interval
 from pondhatch.membership._records import Fault
 
 Edge = tuple[int, int]
@@ -207,6 +208,18 @@
         self.assertEqual(self.heard(3), sum(cut_off) - 3)
         self.assertEqual(self.heard(1), 66 - sum(cut_off) - 1)
 
+    def test_small_fleets_report_more_often_and_large_ones_no_less_than_each_second(self) -> None:
+        rows = ((1, 0.2), (8, 0.25), (16, 0.5), (32, 1.0), (470, 1.0))
+        for routers, seconds in rows:
+            with self.subTest(routers=routers):
+                self.assertAlmostEqual(report_interval(routers), seconds)
+
+    def test_a_fall_of_the_load_is_known_within_a_second_in_a_small_fleet(self) -> None:
+        self.net.cores[5].publish(Phase.LIVE, 0, 0, (ServiceLoad(short_id("s"), 2, 0),))
+        self.net.run(1.3)
+        for at in set(range(12)) - {5}:
+            self.assertEqual(self.heard(at), 66 - at - 5)
+
     def test_a_new_load_is_known_within_two_seconds(self) -> None:
         self.net.cores[5].publish(Phase.LIVE, 0, 0, (ServiceLoad(short_id("s"), 2, 500),))
         self.net.run(2.2)
--- a/pondhatch/observing/_metrics.py
+++ b/pondhatch/observing/_metrics.py
@@ -1,4 +1,4 @@
-"""Metrics to statsd, over UDP. docs/OPERATING.md lists every name."""
+"""Metrics to statsd, over UDP. docs/OPERATIONS.md lists every name."""
 
 from __future__ import annotations
 
--- a/pondhatch/requests/_entry.py
+++ b/pondhatch/requests/_entry.py
@@ -336,7 +336,11 @@
         name = self._view.owner_name(question.engine)
         reply = await self._ask_owner(name, question)
         if isinstance(reply, NotOwner) and reply.owner not in (None, name):
-            return await self._ask_owner(reply.owner, question)
+            reply = await self._ask_owner(reply.owner, question)
+        unreachable = isinstance(reply, NotRun) and reply.code == "router-unreachable"
+        if unreachable or isinstance(reply, NotOwner):
+            # The engine is not at fault, and may hold the context.
+            return self._ways.grants.ask_nobody(question)
         return reply
 
     async def _ask_owner(self, name: str | None, question: Question) -> OwnerReply:
--- a/pondhatch/requests/_entry_grants.py
+++ b/pondhatch/requests/_entry_grants.py
@@ -85,6 +85,13 @@
             self.held_by_number[question.number] = Held(question.engine, owner)
         return reply
 
+    def ask_nobody(self, question: Question) -> OwnerReply:
+        """Decide by what is known here; see Grants."""
+        reply = self.local.decide_alone(question)
+        if isinstance(reply, Granted):
+            self.held_by_number[question.number] = Held(question.engine, self.name)
+        return reply
+
     def release(self, number: int, ended: Ended) -> None:
         """Give a grant back; see Grants."""
         held = self.held_by_number.pop(number, None)
--- a/pondhatch/requests/_outcomes.py
+++ b/pondhatch/requests/_outcomes.py
@@ -17,7 +17,7 @@
 class NotRun:
     """It is certain that no upstream ran the request; repeating it is safe."""
 
-    #: Short stable code, such as "rate-limited"; listed in docs/OPERATING.md.
+    #: Short stable code, such as "rate-limited"; listed in docs/OPERATIONS.md.
     code: str
     reason: str
     #: Seconds after which it is worth coming back.
--- a/pondhatch/requests/_owner.py
+++ b/pondhatch/requests/_owner.py
@@ -97,6 +97,22 @@
             return MustWait(target, verdict)
         return Busy(verdict.in_flight, verdict.ceiling)
 
+    def decide_alone(self, question: Question) -> OwnerReply:
+        """Answer a question of this router's own whose owner cannot be asked.
+
+        What is known here of the engine's load is held against its ceiling; the grant is
+        told to the owner as soon as there is one again.
+        """
+        target = self._view.target(question.engine)
+        if not takes(target, question.resuming):
+            return leaving(question.engine)
+        if self._health.is_down(question.engine, self._clock()):
+            return NotRun("upstream-down", f"{question.engine} failed several times in a row")
+        verdict = self._ask_gate(target, question)
+        if isinstance(verdict, Granted):
+            return self._granted(question, verdict)
+        return Busy(verdict.in_flight, verdict.ceiling)
+
     async def wait(self, question: Question, must: MustWait) -> OwnerReply:
         """Wait in the engine's line until granted, or until patience ends."""
         ask = functools.partial(self._ask_gate, must.target, question)
--- a/pondhatch/requests/_questions.py
+++ b/pondhatch/requests/_questions.py
@@ -106,6 +106,9 @@
     async def ask(self, owner: str, question: Question) -> OwnerReply:
         """Ask an owner; a grant is held until it is released."""
 
+    def ask_nobody(self, question: Question) -> OwnerReply:
+        """Decide by what this router knows, where an engine's owner cannot be asked."""
+
     def release(self, number: int, ended: Ended) -> None:
         """Give the grant of a question back; safe to call twice."""
 
--- a/pondhatch/requests/tests/test_grants.py
+++ b/pondhatch/requests/tests/test_grants.py
@@ -10,6 +10,7 @@
 from fakes._virtual_loop import run_virtually
 from pondhatch.membership import short_id
 from pondhatch.placement import Granted, winner
+from pondhatch.placement._health import FAILURES
 from pondhatch.requests import Busy, Ended, NotOwner, NotRun, OwnerReply, Question, Release
 from pondhatch.requests._entry_grants import PAUSES
 from pondhatch.requests._leases import LEASE_SECONDS
@@ -42,6 +43,59 @@
         return fleet.routers[self.entry].entry.ask(self.owner, asked)
 
 
+class AloneTest(GrantCase):
+    """A router decides by what it knows where an engine's owner cannot be asked."""
+
+    def alone(self, fleet: Fleet, **changes: Any) -> OwnerReply:
+        asked = question(fleet, self.entry, **changes)
+        return fleet.routers[self.entry].entry.ask_nobody(asked)
+
+    def test_it_grants_up_to_the_ceiling_that_it_knows(self) -> None:
+        async def main() -> list[OwnerReply]:
+            fleet = Fleet([], [], False)
+            return [self.alone(fleet) for _ in range(CEILING + 1)]
+
+        replies = run_virtually(main())
+        self.assertTrue(all(isinstance(each, Granted) for each in replies[:CEILING]), replies)
+        self.assertIsInstance(replies[-1], Busy)
+
+    def test_it_sends_nothing_to_an_engine_that_is_leaving_or_down(self) -> None:
+        async def main() -> tuple[OwnerReply, OwnerReply]:
+            fleet = Fleet([], [], False)
+            fleet.known_leaving.add(ENGINE)
+            leaving = self.alone(fleet)
+            fleet.known_leaving.clear()
+            for _ in range(FAILURES):
+                fleet.routers[self.entry].entry.local._health.failed(ENGINE, 0.0)
+            return leaving, self.alone(fleet)
+
+        codes = [reply.code for reply in run_virtually(main()) if isinstance(reply, NotRun)]
+        self.assertEqual(codes, ["upstream-leaving", "upstream-down"])
+
+    def test_the_owner_counts_it_once_it_is_heard_of(self) -> None:
+        async def main() -> tuple[int, int]:
+            fleet = Fleet([], [], False)
+            self.alone(fleet)
+            before = self.granted(fleet)
+            fleet.routers[self.entry].entry.follow_owners(lambda _: self.owner)
+            await asyncio.sleep(1)
+            return before, self.granted(fleet)
+
+        self.assertEqual(run_virtually(main()), (0, 1))
+        self.assertEqual(self.granted_at_entry(), 0)
+
+    def granted_at_entry(self) -> int:
+        """Return what the entry router still counts as its own after the owner took over."""
+
+        async def main() -> int:
+            fleet = Fleet([], [], False)
+            self.alone(fleet)
+            fleet.routers[self.entry].entry.follow_owners(lambda _: self.owner)
+            return self.granted(fleet, self.entry)
+
+        return run_virtually(main())
+
+
 class PacketTest(GrantCase):
     def test_whatever_befalls_one_packet_the_grant_is_counted_once(self) -> None:
         for faults in (["lost"], ["none", "lost"], ["twice", "twice"], ["late"], ["none", "late"]):
--- a/pondhatch/transport/tests/test_routed_callers.py
+++ b/pondhatch/transport/tests/test_routed_callers.py
@@ -110,6 +110,9 @@
             return Elsewhere(self.context_at)
         return Busy(9, 9) if question.engine in self.full else Granted(1, 9)
 
+    def ask_nobody(self, question: Question) -> OwnerReply:
+        return Busy(9, 9)
+
     def release(self, number: int, ended: Ended) -> None:
         self.released.append(ended)
 
