Leave a decision line on requests refused before any engine was chosen

Cause: a request refused as unknown key or route left no line, so that its id led nowhere. Change: one line with its code and the version of the configuration that refused it; the test fails on the old code.

--- a/pondhatch/transport/_routed_callers.py
+++ b/pondhatch/transport/_routed_callers.py
@@ -12,7 +12,7 @@
 from twisted.web.server import NOT_DONE_YET
 
 from pondhatch.configuration import CallerLimits, Route, RouteSpec
-from pondhatch.observing import Metrics, log_for
+from pondhatch.observing import Metrics, RequestEnded, log_for
 from pondhatch.requests import (
     Broken,
     CallerGone,
@@ -120,6 +120,7 @@
         self._dialect = dialect
         self._limits = parts.limits
         self._metrics = parts.metrics
+        self._records = parts.records
         self._rng = parts.rng
         self._tasks = parts.tasks
         self._answers = RoutedAnswers(dialect, parts.metrics, parts.state.stopping)
@@ -143,6 +144,7 @@
             if isinstance(work, NotRun):
                 await drain(request.body(), UNWANTED_BYTES)
                 self._answers.refuse(request, work)
+                self._note_refusal(request, work, started)
             else:
                 await self._serving.run(request, work, started)
         except CallerGone:
@@ -159,6 +161,20 @@
             if request.channel is not None and not request._disconnected and not request.finished:
                 request.finish()
 
+    def _note_refusal(self, request: CallerRequest, refusal: NotRun, started: float) -> None:
+        """Leave a decision on a request that was refused before any engine was chosen."""
+        facts = self._dialect.read(_headers(request))
+        self._records.note(
+            RequestEnded(
+                id=facts.caller_id,
+                account="",
+                service="",
+                outcome=refusal.code,
+                ms=round((time.monotonic() - started) * 1000),
+                configuration=self._state.fleet.version,
+            )
+        )
+
     async def _prepare(self, request: CallerRequest) -> Work | NotRun:
         headers = _headers(request)
         facts = self._dialect.read(headers)
--- a/pondhatch/transport/tests/test_routed_callers.py
+++ b/pondhatch/transport/tests/test_routed_callers.py
@@ -254,6 +254,13 @@
         self.assertEqual(msgspec.to_builtins(record)["id"], "9c41")
         self.assertEqual(msgspec.to_builtins(record)["outcome"], "whole")
 
+    async def test_a_refusal_leaves_one_too_with_the_version_that_refused(self) -> None:
+        await self.ask("POST /proofs/a HTTP/1.1", body=b"abc")
+        found = msgspec.to_builtins(self.noted.records[0])
+        self.assertEqual(
+            (found["id"], found["outcome"], found["configuration"]), ("9c41", "no-key", 7)
+        )
+
 
 class KeptConnectionTest(RoutedCallersTest):
     async def test_a_refusal_leaves_the_connection_for_the_next_request(self) -> None:
