Doubt only upstreams that vanish at about the same time

Change: only those that vanish within 0.3 s of each other count together, as a store drops lapsed entries in one go; and they are held for 1.6 s, so that with the way of the word one that really went gets nothing new after two. Both new tests; the first fails on the old code. The old test's moment is a millisecond later, since 10 + 1.6 - 10 is less than 1.6.

--- a/pondhatch/store/_vanished.py
+++ b/pondhatch/store/_vanished.py
@@ -12,13 +12,17 @@
 
 from pondhatch.store._upstreams import Upstream
 
-#: Seconds after which an entry that has not come back is taken for gone; the platform's
-#: pages say about two.
-RETURN_SECONDS = 2.0
+#: Seconds after which an entry that has not come back is taken for gone. The platform's
+#: pages say about two; an upstream that really went must get nothing new after two, the
+#: way of the word here included.
+RETURN_SECONDS = 1.6
 #: Share of a service's upstreams that must vanish together to be in doubt, and the least
 #: number of them.
 TOGETHER_SHARE = 0.5
 TOGETHER_LEAST = 2
+#: Seconds between two that vanish together at most: a store that is back drops lapsed
+#: entries in one go, while planned work takes upstreams away some seconds apart.
+TOGETHER_SECONDS = 0.3
 
 
 @dataclass
@@ -47,13 +51,16 @@
 
     def in_doubt(self, service: str, listed: int) -> tuple[Upstream, ...]:
         """Return a service's upstreams that may be there still; ``listed`` counts the others."""
-        gone = [
-            upstream for upstream, _ in self._at_by_name.values() if upstream.service == service
-        ]
-        together = max(TOGETHER_LEAST, TOGETHER_SHARE * (listed + len(gone)))
-        return tuple(gone) if len(gone) >= together else ()
+        gone = [each for each in self._at_by_name.values() if each[0].service == service]
+        enough = max(TOGETHER_LEAST, TOGETHER_SHARE * (listed + len(gone)))
+        return tuple(upstream for upstream, at in gone if _beside(at, gone) >= enough)
 
     def upstream(self, name: str) -> Upstream | None:
         """Return an upstream that vanished a short while ago, or None."""
         found = self._at_by_name.get(name)
         return found[0] if found is not None else None
+
+
+def _beside(at: float, gone: list[tuple[Upstream, float]]) -> int:
+    """Return how many vanished at about the same time, the one itself included."""
+    return sum(abs(other - at) <= TOGETHER_SECONDS for _, other in gone)
--- a/pondhatch/store/tests/test_vanished.py
+++ b/pondhatch/store/tests/test_vanished.py
@@ -28,6 +28,20 @@
                 vanished.note(upstream("p0", "portal"), 10.0)
                 self.assertEqual(len(vanished.in_doubt("lang", listed)), doubted)
 
+    def test_what_goes_one_after_the_other_does_not_come_back_into_doubt(self) -> None:
+        vanished = Vanished()
+        vanished.note(upstream("e0"), 10.0)
+        self.assertEqual(vanished.in_doubt("lang", 3), ())
+        vanished.note(upstream("e1"), 11.5)
+        self.assertEqual(vanished.in_doubt("lang", 2), ())
+
+    def test_a_later_one_leaves_those_that_lapsed_together_in_doubt(self) -> None:
+        vanished = Vanished()
+        for at in range(3):
+            vanished.note(upstream(f"e{at}"), 10.0 + at / 20)
+        vanished.note(upstream("e3"), 11.0)
+        self.assertEqual({each.name for each in vanished.in_doubt("lang", 1)}, {"e0", "e1", "e2"})
+
     def test_what_is_not_back_in_time_is_gone(self) -> None:
         vanished = Vanished()
         for at in range(3):
@@ -35,6 +49,6 @@
         vanished.returned("e0")
         self.assertFalse(vanished.forget_old(10.0 + RETURN_SECONDS - 0.1))
         self.assertEqual(len(vanished.in_doubt("lang", 1)), 2)
-        self.assertTrue(vanished.forget_old(10.0 + RETURN_SECONDS))
+        self.assertTrue(vanished.forget_old(10.0 + RETURN_SECONDS + 0.001))
         self.assertEqual(vanished.in_doubt("lang", 1), ())
         self.assertIsNone(vanished.upstream("e1"))
