Count anew what runs where a router restarted before it was missed

Two routers were killed at 22.3 s and back half a second later, before anybody missed them. They own their engines as before, by the same name, but count from nothing, and others tell what they hold only when an owner changes or each 12 s. What a killed entry router held stayed counted at its owners for up to 30 s. Change: a router whose incarnation made a step larger than contradicted suspicions do has restarted: it is told at once what is held at its engines, and what its earlier process held is given back.

--- a/pondhatch/membership/_members.py
+++ b/pondhatch/membership/_members.py
@@ -17,6 +17,9 @@
     hall: str
     phase: Phase
     status: Status = Status.ALIVE
+    #: Milliseconds since 1970 at its process's start, and one more for each suspicion that it
+    #: contradicted.
+    incarnation: int = 0
 
 
 class MemberView:
@@ -71,4 +74,5 @@
             hall=alive.hall,
             phase=Phase(alive.phase),
             status=entry.status if entry is not None else Status.ALIVE,
+            incarnation=alive.incarnation,
         )
--- a/pondhatch/requests/_entry_grants.py
+++ b/pondhatch/requests/_entry_grants.py
@@ -126,6 +126,15 @@
             self.held_by_number[number] = replace(held, owner=owner)
             self._hold_at(owner, held.engine, (number,))
 
+    def hold_again(self, owner: str) -> None:
+        """Tell an owner that restarted, and counts from nothing, what is held there."""
+        numbers_by_engine: dict[str, list[int]] = {}
+        for number, held in self.held_by_number.items():
+            if held.owner == owner:
+                numbers_by_engine.setdefault(held.engine, []).append(number)
+        for engine, numbers in numbers_by_engine.items():
+            self._hold_at(owner, engine, tuple(numbers))
+
     def tick(self, now: float) -> None:
         """Renew the leases of what is held, when it is time."""
         if now - self._renewed_at < RENEW_SECONDS:
--- a/pondhatch/requests/_leases.py
+++ b/pondhatch/requests/_leases.py
@@ -38,6 +38,11 @@
         """Return the holders whose lease has ended."""
         return tuple(holder for holder, lease in self.by_holder.items() if lease.until <= now)
 
-    def of_router(self, router: int) -> tuple[Holder, ...]:
-        """Return the holders that are requests of an entry router."""
-        return tuple(holder for holder in self.by_holder if holder.router == router)
+    def of_router(self, router: int, before: float = float("inf")) -> tuple[Holder, ...]:
+        """Return the holders that are requests of an entry router, renewed before a time."""
+        until = before + LEASE_SECONDS
+        return tuple(
+            holder
+            for holder, lease in self.by_holder.items()
+            if holder.router == router and lease.until < until
+        )
--- a/pondhatch/requests/_owner.py
+++ b/pondhatch/requests/_owner.py
@@ -22,6 +22,10 @@
 )
 from pondhatch.requests._sending import Target, leaving, takes
 
+#: Seconds that a process takes at least from its start to its first request: what a router
+#: that restarted was granted longer ago belongs to its earlier process.
+START_SECONDS = 0.5
+
 
 class OwnerView(Protocol):
     """What the owner's side reads of the router's state."""
@@ -148,6 +152,13 @@
         """Take back the grants of an entry router that is gone: its connections are, too."""
         self._end(self.leases.of_router(router))
 
+    def restarted_router(self, router: int) -> None:
+        """Take back what an entry router held before it started anew.
+
+        Its new process may have asked already; a start takes longer than that word.
+        """
+        self._end(self.leases.of_router(router, self._clock() - START_SECONDS))
+
     def holding_routers(self) -> frozenset[int]:
         """Return the short ids of the routers whose requests hold grants here."""
         return frozenset(holder.router for holder in self.leases.by_holder)
--- a/pondhatch/requests/tests/test_grants.py
+++ b/pondhatch/requests/tests/test_grants.py
@@ -14,6 +14,7 @@
 from pondhatch.requests import Busy, Ended, NotOwner, NotRun, OwnerReply, Question, Release
 from pondhatch.requests._entry_grants import PAUSES
 from pondhatch.requests._leases import LEASE_SECONDS
+from pondhatch.requests._owner import START_SECONDS
 from pondhatch.requests.tests._history import Fleet
 
 ENGINE = "e0"
@@ -96,6 +97,38 @@
         return run_virtually(main())
 
 
+class RestartTest(GrantCase):
+    """Routers that are killed and back before anybody misses them."""
+
+    def test_an_owner_that_restarted_counts_what_runs_at_its_engines(self) -> None:
+        async def main() -> tuple[int, int]:
+            fleet = Fleet([], [], False)
+            await self.ask(fleet)
+            owner = fleet.routers[self.owner]
+            owner.gate.by_engine.clear()
+            owner.entry.local.leases.by_holder.clear()
+            before = self.granted(fleet)
+            fleet.routers[self.entry].entry.hold_again(self.owner)
+            await asyncio.sleep(1)
+            return before, self.granted(fleet)
+
+        self.assertEqual(run_virtually(main()), (0, 1))
+
+    def test_what_an_entry_router_held_before_it_restarted_is_given_back(self) -> None:
+        async def main() -> tuple[int, int]:
+            fleet = Fleet([], [], False)
+            await self.ask(fleet)
+            owner = fleet.routers[self.owner].entry.local
+            owner.restarted_router(short_id(self.entry))
+            at_once = self.granted(fleet)
+            await asyncio.sleep(START_SECONDS + 0.1)
+            owner.restarted_router(short_id(self.entry))
+            return at_once, self.granted(fleet)
+
+        # What was granted just now is the new process's own.
+        self.assertEqual(run_virtually(main()), (1, 0))
+
+
 class PacketTest(GrantCase):
     def test_whatever_befalls_one_packet_the_grant_is_counted_once(self) -> None:
         for faults in (["lost"], ["none", "lost"], ["twice", "twice"], ["late"], ["none", "late"]):
--- a/pondhatch/router/_granting.py
+++ b/pondhatch/router/_granting.py
@@ -24,6 +24,10 @@
 #: while it asks fewer than a million questions a second and restarts within an hour.
 NANOSECONDS_A_NUMBER = 1000
 
+#: An incarnation starts as milliseconds since 1970, and grows by one with each suspicion that
+#: a router contradicts; a larger step is a new process.
+RESTART_STEP = 500
+
 SendAll = Callable[[Iterable[Datagram]], None]
 
 
@@ -40,6 +44,8 @@
         self._sides = GrantSides(self.entry, OwnerGrants(self.owner, tasks))
         self._state = state
         self._send = send
+        #: Newest incarnation of each router that was ever a member.
+        self._incarnation_by_name: dict[str, int] = {}
         #: Packets sent and received, for the dump.
         self.packets = 0
 
@@ -56,11 +62,21 @@
 
     def tick(self) -> None:
         """Do what is due each round."""
+        for name in self._restarted():
+            self.owner.restarted_router(short_id(name))
+            self.entry.hold_again(name)
         for router in self.owner.holding_routers():
             if self._state.gossip.is_gone_by_id(router):
                 self.owner.lost_router(router)
         self._sides.tick(self._state.clock(), self._state.owner_name)
 
+    def _restarted(self) -> list[str]:
+        """Return the routers that came back as a new process since the last round."""
+        now = {member.name: member.incarnation for member in self._state.members()}
+        known = self._incarnation_by_name
+        self._incarnation_by_name = {**known, **now}
+        return [name for name in now if now[name] - known.get(name, now[name]) >= RESTART_STEP]
+
     def _send_to(self, router: str, packet: GrantPacket) -> None:
         address = self._state.gossip.address(router)
         if address is not None:
