Give what follows from changed upstreams a module of its own

The router's state held, between its own answers, how joined and vanished upstreams are told from a list before and after a change, and did so twice, once for listings and once for events of a watch. Both now stand in router/_upstream_changes.py; the state hands changes and the time in. Behaviour stays.

--- a/pondhatch/router/_state.py
+++ b/pondhatch/router/_state.py
@@ -10,8 +10,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-import msgspec
-
 from pondhatch.configuration import Change, Fleet, Gap, OrdersSpec, Rejected, ServiceSpec, Update
 from pondhatch.limits import LimitVerdict, RetryBudget
 from pondhatch.membership import (
@@ -23,9 +21,10 @@
     short_id,
     watchers,
 )
-from pondhatch.placement import YOUNG_SECONDS, Gate, Health, SpillMemory, ranked, winner
+from pondhatch.placement import Gate, Health, SpillMemory, ranked, winner
 from pondhatch.requests import DecisionNote, KeyHolder, KeyTable, LocalKeyHolder, Target
 from pondhatch.router._limits import FleetLimits
+from pondhatch.router._upstream_changes import UpstreamChanges
 from pondhatch.store import (
     LIVE,
     REMOVED,
@@ -38,10 +37,6 @@
 
 #: Decisions kept for the state dump.
 KEPT_DECISIONS = 64
-#: Seconds after the first list in which upstreams that appear are taken to have been there
-#: before: those of a fleet that starts list themselves one after the other, and no chat
-#: has its context at the engine ranked second.
-STARTING_SECONDS = 20.0
 
 
 @dataclass
@@ -73,19 +68,17 @@
     #: This router's own side as a holder of keys.
     local: KeyHolder = field(init=False)
     _members: tuple[Member, ...] = ()
-    #: When an upstream joined, in the clock's seconds; not for those of a fleet that starts.
-    _joined_at: dict[str, float] = field(default_factory=dict)
-    #: When this router first knew of upstreams, in the clock's seconds.
-    _listed_at: float = float("inf")
     _member_by_name: dict[str, Member] = field(default_factory=dict)
     _owner_by_engine: dict[str, Member | None] = field(default_factory=dict)
     _live_by_service: dict[str, tuple[str, ...]] = field(default_factory=dict)
     #: Names of this router's own upstreams by service; None where to be worked out anew.
     _owned_by_service: dict[str, tuple[str, ...]] | None = None
+    _upstream_changes: UpstreamChanges = field(init=False)
 
     def __post_init__(self) -> None:
         self.limits = FleetLimits(self.name, self.gossip, lambda: self.fleet)
         self.local = LocalKeyHolder(self.keys, self.clock)
+        self._upstream_changes = UpstreamChanges(self.upstreams, self.vanished)
 
     # -- membership ---------------------------------------------------------
 
@@ -158,18 +151,7 @@
 
     def is_young(self, engine: str) -> bool:
         """Return whether an upstream joined after this router knew the list, and lately."""
-        joined = self._joined_at.get(engine)
-        return joined is not None and self.clock() - joined < YOUNG_SECONDS
-
-    def _note_joins(self, before: frozenset[str]) -> None:
-        """Note the upstreams that are new, but for those of a fleet that starts."""
-        now = self.clock()
-        if not before:
-            self._listed_at = now
-        if now - self._listed_at < STARTING_SECONDS:
-            return
-        for name in self.upstreams.entry_by_name.keys() - before:
-            self._joined_at[name] = now
+        return self._upstream_changes.joins.is_young(engine, self.clock())
 
     def resumes(self, engine: str) -> bool:
         """Return whether an engine can resume a broken stream."""
@@ -197,42 +179,17 @@
 
     def take_upstreams(self, update: UpstreamUpdate) -> bool:
         """Take in a listing's or a peer's entries; return whether any was news."""
-        known = frozenset(self.upstreams.entry_by_name)
-        before = self._live_by_name()
-        news = self.upstreams.take(update)
-        self._note_joins(known)
-        self._note_vanished(before)
+        news = self._upstream_changes.take(update, self.clock())
         self.upstreams_changed()
         return news
 
     def take_upstream_event(self, event: WatchEvent) -> bool:
         """Take in one event of a watch on upstreams; return whether it was news."""
-        known = frozenset(self.upstreams.entry_by_name)
-        before = self._live_by_name()
-        news = False
-        if event.type == "set":
-            news = self.upstreams.set(msgspec.convert(event.value, Upstream), event.version)
-        if event.type == "removed":
-            news = self.upstreams.remove(event.name, event.version)
+        news = self._upstream_changes.take_event(event, self.clock())
         if news:
-            self._note_joins(known)
-            self._note_vanished(before)
             self.upstreams_changed()
         return news
 
-    def _live_by_name(self) -> dict[str, Upstream]:
-        entries = self.upstreams.entry_by_name.items()
-        return {name: each.upstream for name, each in entries if each.upstream.state == LIVE}
-
-    def _note_vanished(self, live_before: dict[str, Upstream]) -> None:
-        """Note whose entries went without a word, and whose are back."""
-        now = self.clock()
-        for name, entry in self.upstreams.entry_by_name.items():
-            if entry.upstream.state != REMOVED:
-                self.vanished.returned(name)
-            elif name in live_before:
-                self.vanished.note(live_before[name], now)
-
     def _upstream(self, name: str) -> Upstream | None:
         """Return an upstream that is listed, or that may only have lapsed."""
         return self.upstreams.upstream(name) or self.vanished.upstream(name)
--- /dev/null
+++ b/pondhatch/router/_upstream_changes.py
@@ -0,0 +1,103 @@
+"""Changes of the list of upstreams, and what can be told only by comparing before and after.
+
+Two things follow from a change beside the list itself: which upstreams joined lately, and
+which vanished without having said that they leave.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+import msgspec
+
+from pondhatch.placement import YOUNG_SECONDS
+from pondhatch.store import (
+    LIVE,
+    REMOVED,
+    Upstream,
+    UpstreamList,
+    UpstreamUpdate,
+    Vanished,
+    WatchEvent,
+)
+
+#: Seconds after the first list in which upstreams that appear are taken to have been there
+#: before: those of a fleet that starts list themselves one after the other, and no chat
+#: has its context at the engine ranked second.
+STARTING_SECONDS = 20.0
+
+
+@dataclass
+class Joins:
+    """When upstreams joined, but for those of a fleet that starts."""
+
+    #: In the clock's seconds, by the upstream's name.
+    _joined_at: dict[str, float] = field(default_factory=dict)
+    #: When this router first knew of upstreams, in the clock's seconds.
+    _listed_at: float = float("inf")
+
+    def is_young(self, name: str, now: float) -> bool:
+        """Return whether an upstream joined after this router knew the list, and lately."""
+        joined = self._joined_at.get(name)
+        return joined is not None and now - joined < YOUNG_SECONDS
+
+    def note(self, before: frozenset[str], after: frozenset[str], now: float) -> None:
+        """Note the upstreams that are new; ``before`` and ``after`` are the names listed."""
+        if not before:
+            self._listed_at = now
+        if now - self._listed_at < STARTING_SECONDS:
+            return
+        for name in after - before:
+            self._joined_at[name] = now
+
+
+@dataclass(frozen=True)
+class UpstreamChanges:
+    """Takes changes into a list of upstreams and notes who joined and who vanished."""
+
+    upstreams: UpstreamList
+    vanished: Vanished
+    joins: Joins = field(default_factory=Joins)
+
+    def take(self, update: UpstreamUpdate, now: float) -> bool:
+        """Take in a listing's or a peer's entries; return whether any was news."""
+        names, live = self._names(), self._live_by_name()
+        news = self.upstreams.take(update)
+        self._note(names, live, now)
+        return news
+
+    def take_event(self, event: WatchEvent, now: float) -> bool:
+        """Take in one event of a watch on upstreams; return whether it was news."""
+        names, live = self._names(), self._live_by_name()
+        news = self._apply(event)
+        if news:
+            self._note(names, live, now)
+        return news
+
+    def _apply(self, event: WatchEvent) -> bool:
+        if event.type == "set":
+            return self.upstreams.set(msgspec.convert(event.value, Upstream), event.version)
+        if event.type == "removed":
+            return self.upstreams.remove(event.name, event.version)
+        return False
+
+    def _note(
+        self, names_before: frozenset[str], live_before: dict[str, Upstream], now: float
+    ) -> None:
+        self.joins.note(names_before, self._names(), now)
+        self._note_vanished(live_before, now)
+
+    def _note_vanished(self, live_before: dict[str, Upstream], now: float) -> None:
+        """Note whose entries went without a word, and whose are back."""
+        for name, entry in self.upstreams.entry_by_name.items():
+            if entry.upstream.state != REMOVED:
+                self.vanished.returned(name)
+            elif name in live_before:
+                self.vanished.note(live_before[name], now)
+
+    def _names(self) -> frozenset[str]:
+        return frozenset(self.upstreams.entry_by_name)
+
+    def _live_by_name(self) -> dict[str, Upstream]:
+        entries = self.upstreams.entry_by_name.items()
+        return {name: each.upstream for name, each in entries if each.upstream.state == LIVE}
--- a/pondhatch/router/tests/test_sync.py
+++ b/pondhatch/router/tests/test_sync.py
@@ -15,7 +15,7 @@
 from pondhatch.membership import Alive, Gossip, Member, MembershipLimits, Phase, short_id
 from pondhatch.requests import Claim, KeyRecord
 from pondhatch.router import RouterState, Sync
-from pondhatch.router._state import STARTING_SECONDS
+from pondhatch.router._upstream_changes import STARTING_SECONDS
 from pondhatch.store import LEAVING, Upstream, UpstreamEntry, UpstreamUpdate, WatchEvent
 
 FIRST = Change(1, "first", "root", 0.0, "", (SERVICE, TEMPLATE))
