Take what orderers read out of the router's state

Four answers in the router's state had one reader, the orderers, and a name (ordered_services) that did not say so. They stand in router/_order_duties.py as OrderDuties, which the authority hands to its orderers as their view; live_routers is no longer private to the state for it. Behaviour stays.

--- a/pondhatch/router/_authority.py
+++ b/pondhatch/router/_authority.py
@@ -15,6 +15,7 @@
     Terms,
 )
 from pondhatch.kernel import Tasks
+from pondhatch.router._order_duties import OrderDuties
 from pondhatch.router._state import RouterState
 from pondhatch.store import Platform
 
@@ -44,6 +45,7 @@
         terms: Terms = Terms(),  # noqa: B008
     ) -> None:
         self._state = state
+        self._duties = OrderDuties(state)
         self._platform = platform
         self._engines = engines
         self._rng = rng
@@ -70,15 +72,15 @@
         return [each.orderer.status() for each in self._running_by_service.values()]
 
     def _start_wanted(self) -> None:
-        for service in self._state.ordered_services():
-            if service not in self._running_by_service and self._state.wants_to_order(service):
+        for service in self._duties.services():
+            if service not in self._running_by_service and self._duties.wants_to_order(service):
                 orderer = self._new_orderer(service)
                 task = self._tasks.start(orderer.run())
                 self._running_by_service[service] = _Running(orderer, task)
 
     def _end_unwanted(self) -> None:
         for service, running in tuple(self._running_by_service.items()):
-            if self._state.wants_to_order(service) or running.orderer.holds_anything():
+            if self._duties.wants_to_order(service) or running.orderer.holds_anything():
                 continue
             running.task.cancel()
             del self._running_by_service[service]
@@ -89,7 +91,7 @@
         )
         return Orderer(
             service,
-            self._state,
+            self._duties,
             self._platform,
             self._engines,
             keeper,
--- /dev/null
+++ b/pondhatch/router/_order_duties.py
@@ -0,0 +1,39 @@
+"""What an orderer reads of a router's state; see OrdererView."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from pondhatch.configuration import OrdersSpec
+from pondhatch.placement import winner
+from pondhatch.router._state import RouterState
+from pondhatch.store import Upstream
+
+
+@dataclass(frozen=True)
+class OrderDuties:
+    """Which services' engines are to be given orders, which orders, and whether from here."""
+
+    state: RouterState
+
+    def services(self) -> tuple[str, ...]:
+        """Return the services whose engines are to be given orders."""
+        specs = self.state.fleet.service_by_name.items()
+        return tuple(name for name, spec in specs if spec.orders is not None)
+
+    def wants_to_order(self, service: str) -> bool:
+        """Return whether this router is the one that should give a service's orders."""
+        if self.orders_of(service) is None or self.state.stopping():
+            return False
+        return winner(f"orders:{service}", self.state.live_routers()) == self.state.name
+
+    def orders_of(self, service: str) -> OrdersSpec | None:
+        """Return what a service's engines are to hold, or None where nobody said."""
+        spec = self.state.fleet.service_by_name.get(service)
+        return spec.orders if spec is not None else None
+
+    def engines_of(self, service: str) -> tuple[Upstream, ...]:
+        """Return the service's engines, those that leave left out."""
+        names = self.state.live_upstreams(service)
+        entries = self.state.upstreams.entry_by_name
+        return tuple(entries[name].upstream for name in names)
--- a/pondhatch/router/_state.py
+++ b/pondhatch/router/_state.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from pondhatch.configuration import Change, Fleet, Gap, OrdersSpec, Rejected, ServiceSpec, Update
+from pondhatch.configuration import Change, Fleet, Gap, Rejected, ServiceSpec, Update
 from pondhatch.limits import LimitVerdict, RetryBudget
 from pondhatch.membership import (
     Gossip,
@@ -113,9 +113,10 @@
 
     def key_holders(self, key: str) -> tuple[str, ...]:
         """Return the live routers, ranked for a key."""
-        return ranked(f"key:{key}", self._live_routers())
+        return ranked(f"key:{key}", self.live_routers())
 
-    def _live_routers(self) -> list[str]:
+    def live_routers(self) -> list[str]:
+        """Return the names of the routers that are neither draining nor gone."""
         return [member.name for member in self._members if member.phase == Phase.LIVE]
 
     def unreachable(self, name: str) -> None:
@@ -240,30 +241,6 @@
         own = self.owned_by_service().get(upstream.service, ())
         return heard + self.gate.total(tuple(name for name in own if name != engine), now)
 
-    # -- orders -------------------------------------------------------------
-
-    def ordered_services(self) -> tuple[str, ...]:
-        """Return the services whose engines are to be given orders."""
-        return tuple(
-            name for name, spec in self.fleet.service_by_name.items() if spec.orders is not None
-        )
-
-    def wants_to_order(self, service: str) -> bool:
-        """Return whether this router is the one that should give a service's orders."""
-        if self.orders_of(service) is None or self.stopping():
-            return False
-        return winner(f"orders:{service}", self._live_routers()) == self.name
-
-    def orders_of(self, service: str) -> OrdersSpec | None:
-        """Return what a service's engines are to hold, or None where nobody said."""
-        spec = self.fleet.service_by_name.get(service)
-        return spec.orders if spec is not None else None
-
-    def engines_of(self, service: str) -> tuple[Upstream, ...]:
-        """Return the service's engines, those that leave left out."""
-        names = self.live_upstreams(service)
-        return tuple(self.upstreams.entry_by_name[name].upstream for name in names)
-
     # -- configuration ------------------------------------------------------
 
     def take_change(self, change: Change) -> Rejected | Gap | None:
