Split a router's surroundings and its connections to peers off the process

cli/_router_process.py put a router's parts together, found them, and kept its connections to other routers. What a router is given from outside (interface, store, fleet's key) stands in _surroundings.py, the connections in _peer_connections.py. Two methods that returned a connection to a router were one; ROOM_BY_INTERFACE, which names packages, is PACKAGE_BY_INTERFACE. Behaviour stays.

--- a/pondhatch/cli/_router_process.py
+++ b/pondhatch/cli/_router_process.py
@@ -3,22 +3,21 @@
 from __future__ import annotations
 
 import asyncio
-import importlib
 import random
-import secrets
 import signal
 import socket
 import time
-from dataclasses import dataclass
 from pathlib import Path
-from typing import Any, cast
+from typing import Any
 
 from grpclib.server import Server
 from twisted.web.server import Site
 
+from pondhatch.cli._peer_connections import PeerConnections
 from pondhatch.cli._settings_file import SettingsFile
-from pondhatch.configuration import ServiceDefaults, Settings, load_fleet_key
-from pondhatch.kernel import REGISTRY, Tasks
+from pondhatch.cli._surroundings import Surroundings, surroundings_of
+from pondhatch.configuration import Settings
+from pondhatch.kernel import Tasks
 from pondhatch.membership import (
     Address,
     Alive,
@@ -40,10 +39,8 @@
     log_for,
 )
 from pondhatch.requests import HOLDERS, Ways
-from pondhatch.router import GRANT_MARK, Authority, Granting, RouterState, Sync, agreed_key
-from pondhatch.store import Platform
+from pondhatch.router import GRANT_MARK, Authority, Granting, RouterState, Sync
 from pondhatch.transport import (
-    INTERFACE,
     Admin,
     CallerParts,
     Callers,
@@ -51,12 +48,10 @@
     GossipPort,
     HttpClient,
     HttpUpstreams,
-    Interface,
     PeerService,
     PullReply,
     PullRequest,
     Readiness,
-    RemotePeer,
     bounded,
     fleet_token,
     peer_tls,
@@ -64,12 +59,6 @@
 
 log = log_for("process")
 
-#: Rooms whose plug-ins register themselves when they are imported, by interface. Only the
-#: one in use is: what it takes in memory and time to start is its own.
-ROOM_BY_INTERFACE = {
-    "openai": "pondhatch.standard",
-    "prepared-machines": "pondhatch.platform",
-}
 #: Seconds from one telling of something new to the next: each reaches four random peers,
 #: and with one alone about two in a hundred routers would have to wait for a ping.
 RETELL_PAUSES = (0.1, 0.2)
@@ -92,16 +81,6 @@
 DRAIN_NOTICE = 1.0
 
 
-@dataclass(frozen=True)
-class Surroundings:
-    """What a router is given from outside."""
-
-    interface: Interface
-    platform: Platform
-    client: HttpClient
-    fleet_key: bytes
-
-
 class RouterProcess:
     """Owns every part of a router; the reactor must be installed before."""
 
@@ -114,7 +93,7 @@
         fleet_key = parts.fleet_key
         self._token = fleet_token(fleet_key)
         self._peer_tls = peer_tls(settings.name, settings.peers)
-        self._remote_by_name: dict[str, RemotePeer] = {}
+        self._connections = PeerConnections(self._token, self._peer_tls)
         self._rng = random.Random()
         self.state = self._new_state()
         self._gossip_port = GossipPort(Seal(fleet_key), self._receive)
@@ -177,7 +156,9 @@
         )
         seeds = [_address(seed) for seed in settings.seeds]
         gossip = Gossip(own, MembershipLimits(), self._rng, seeds)
-        return RouterState(settings.name, settings.hall, gossip, time.monotonic, self._connect)
+        return RouterState(
+            settings.name, settings.hall, gossip, time.monotonic, self._connections.to
+        )
 
     def _new_callers(self, client: HttpClient) -> Callers:
         return self._interface.callers(
@@ -231,29 +212,8 @@
 
     # -- peers ----------------------------------------------------------------
 
-    def _connect(self, member: Member) -> RemotePeer:
-        return self._remote(member)
-
-    def _remote(self, member: Member) -> RemotePeer:
-        known = self._remote_by_name.get(member.name)
-        if known is not None and known.address == member.address:
-            return known
-        if known is not None:
-            known.close()
-        tls = self._peer_tls.client if self._peer_tls is not None else None
-        remote = RemotePeer(member.name, member.address, self._token, tls)
-        self._remote_by_name[member.name] = remote
-        return remote
-
-    def _close_connections_to_the_gone(self) -> None:
-        """Break off what hangs on a frozen router."""
-        gone = [name for name in self._remote_by_name if self.state.gossip.is_gone(name)]
-        for name in gone:
-            log.info("Closing the connection to router {}, which is gone.", name)
-            self._remote_by_name.pop(name).close()
-
     async def _pull(self, member: Member, configuration: int, upstreams: int) -> PullReply | None:
-        reply = await self._remote(member).pull(configuration, upstreams)
+        reply = await self._connections.to(member).pull(configuration, upstreams)
         if reply is None:
             self.state.unreachable(member.name)
         return reply
@@ -291,7 +251,7 @@
         while True:
             self.state.tick()
             self._granting.tick()
-            self._close_connections_to_the_gone()
+            self._connections.close_gone(self.state.gossip.is_gone)
             now = self.state.clock()
             self._gossip_port.send(self.state.gossip.tick(now))
             self._gossip_port.send(self.state.limits.tick(now))
@@ -349,8 +309,7 @@
         self.state.phase = Phase.LEFT
         self._announce()
         self._tasks.cancel_all()
-        for remote in self._remote_by_name.values():
-            remote.close()
+        self._connections.close_all()
         self._peer_server.close()
 
     async def _step_down(self) -> None:
@@ -401,21 +360,6 @@
 
 async def serve(settings: Settings, reactor: Any, path: Path) -> None:
     """Run a router until it is asked to stop; ``path`` is where its settings are kept."""
-    process = RouterProcess(settings, reactor, await _surroundings(settings, reactor), path)
+    process = RouterProcess(settings, reactor, await surroundings_of(settings, reactor), path)
     await process.run()
     STANDARD_OUTPUT.flush()
-
-
-async def _surroundings(settings: Settings, reactor: Any) -> Surroundings:
-    """Return what a router is given; waits until it has the fleet's key."""
-    room = ROOM_BY_INTERFACE.get(settings.interface)
-    if room is not None:
-        importlib.import_module(room)
-    client = HttpClient(reactor)
-    views = {HttpClient: client, ServiceDefaults: settings.service_defaults}
-    interface = cast(Interface, REGISTRY.build(INTERFACE, settings.interface, views))
-    platform = interface.store(settings.platform)
-    fleet_key = load_fleet_key(settings)
-    if fleet_key is None:
-        fleet_key = await agreed_key(platform, secrets.token_hex(16), random.Random())
-    return Surroundings(interface, platform, client, fleet_key)
--- /dev/null
+++ b/pondhatch/cli/_surroundings.py
@@ -0,0 +1,56 @@
+"""What a router is given from outside: its interface, its store, the fleet's key."""
+
+from __future__ import annotations
+
+import importlib
+import random
+import secrets
+from dataclasses import dataclass
+from typing import Any, cast
+
+from pondhatch.configuration import ServiceDefaults, Settings, load_fleet_key
+from pondhatch.kernel import REGISTRY
+from pondhatch.router import agreed_key
+from pondhatch.store import Platform
+from pondhatch.transport import INTERFACE, HttpClient, Interface
+
+#: Packages whose plug-ins register themselves when they are imported, by interface. Only the
+#: one in use is: what it takes in memory and time to start is its own.
+PACKAGE_BY_INTERFACE = {
+    "openai": "pondhatch.standard",
+    "prepared-machines": "pondhatch.platform",
+}
+
+
+@dataclass(frozen=True)
+class Surroundings:
+    """What a router is given from outside."""
+
+    interface: Interface
+    platform: Platform
+    client: HttpClient
+    fleet_key: bytes
+
+
+async def surroundings_of(settings: Settings, reactor: Any) -> Surroundings:
+    """Return what a router is given; waits until it has the fleet's key."""
+    client = HttpClient(reactor)
+    interface = _interface(settings, client)
+    platform = interface.store(settings.platform)
+    return Surroundings(interface, platform, client, await _fleet_key(settings, platform))
+
+
+def _interface(settings: Settings, client: HttpClient) -> Interface:
+    package = PACKAGE_BY_INTERFACE.get(settings.interface)
+    if package is not None:
+        importlib.import_module(package)
+    views = {HttpClient: client, ServiceDefaults: settings.service_defaults}
+    return cast(Interface, REGISTRY.build(INTERFACE, settings.interface, views))
+
+
+async def _fleet_key(settings: Settings, platform: Platform) -> bytes:
+    """Return the key from the settings, or else the one that the fleet agrees on."""
+    given = load_fleet_key(settings)
+    if given is not None:
+        return given
+    return await agreed_key(platform, secrets.token_hex(16), random.Random())
