Move how a router's ports are opened out of its process

The peers' listening socket and the callers' port with or without TLS need nothing of the process but its settings. They stand in cli/_ports.py with the backlog that belongs to them. Behaviour stays.

--- /dev/null
+++ b/pondhatch/cli/_ports.py
@@ -0,0 +1,31 @@
+"""Ports on which a router listens."""
+
+from __future__ import annotations
+
+import socket
+from typing import Any
+
+from twisted.web.server import Site
+
+from pondhatch.configuration import CallerEndpoint
+
+#: Connections of peers that may wait to be accepted.
+PEER_BACKLOG = 128
+
+
+def listening(host: str, port: int) -> socket.socket:
+    """Return a listening socket; the loop would look the IP number up in a thread."""
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    return socket.create_server((host, port), family=family, backlog=PEER_BACKLOG)
+
+
+def listen_to_callers(reactor: Any, callers: CallerEndpoint, site: Site) -> None:
+    """Serve callers, over TLS where the settings name a certificate."""
+    if callers.certificate is None or callers.private_key is None:
+        reactor.listenTCP(callers.port, site, interface=callers.host)
+        return
+    # The libraries behind it take a tenth of a second and 10 MB, which most need not.
+    from twisted.internet import ssl
+
+    context = ssl.DefaultOpenSSLContextFactory(callers.private_key, callers.certificate)
+    reactor.listenSSL(callers.port, site, context, interface=callers.host)
--- a/pondhatch/cli/_router_process.py
+++ b/pondhatch/cli/_router_process.py
@@ -5,7 +5,6 @@
 import asyncio
 import random
 import signal
-import socket
 import time
 from pathlib import Path
 from typing import Any
@@ -14,6 +13,7 @@
 from twisted.web.server import Site
 
 from pondhatch.cli._peer_connections import PeerConnections
+from pondhatch.cli._ports import listen_to_callers, listening
 from pondhatch.cli._settings_file import SettingsFile
 from pondhatch.cli._surroundings import Surroundings, surroundings_of
 from pondhatch.configuration import Settings
@@ -68,8 +68,6 @@
 SETTINGS_SECONDS = 5.0
 #: Signals that ask a router to stop.
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
-#: Connections of peers that may wait to be accepted.
-PEER_BACKLOG = 128
 #: Seconds between rounds of what is due.
 ROUND_SECONDS = 0.1
 #: Seconds between looks at what still runs while draining.
@@ -184,7 +182,7 @@
         settings = self._settings
         peers, admin = settings.peers, settings.admin
         tls = self._peer_tls.server if self._peer_tls is not None else None
-        await self._peer_server.start(sock=_listening(peers.host, peers.port), ssl=tls)
+        await self._peer_server.start(sock=listening(peers.host, peers.port), ssl=tls)
         self._reactor.listenUDP(peers.port, self._gossip_port, interface=peers.host)
         admin_app = Admin(self.state, self._authority, self._counters)
         self._reactor.listenTCP(admin.port, Site(admin_app), interface=admin.host)
@@ -194,17 +192,9 @@
             self._reactor.listenTCP(settings.ready.port, Site(ready), interface=settings.ready.host)
 
     def _listen_to_callers(self) -> None:
-        callers = self._settings.callers
         resource: Any = self._callers.resource()
         site = CallerSite(resource, lambda: bounded(self.state, self._settings.limits))
-        if callers.certificate is None or callers.private_key is None:
-            self._reactor.listenTCP(callers.port, site, interface=callers.host)
-            return
-        # The libraries behind it take a tenth of a second and 10 MB, which most need not.
-        from twisted.internet import ssl
-
-        context = ssl.DefaultOpenSSLContextFactory(callers.private_key, callers.certificate)
-        self._reactor.listenSSL(callers.port, site, context, interface=callers.host)
+        listen_to_callers(self._reactor, self._settings.callers, site)
 
     def _is_ready(self) -> bool:
         """Return whether the balancer should send callers here."""
@@ -347,12 +337,6 @@
         }
 
 
-def _listening(host: str, port: int) -> socket.socket:
-    """Return a listening socket; the loop would look the IP number up in a thread."""
-    family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    return socket.create_server((host, port), family=family, backlog=PEER_BACKLOG)
-
-
 def _address(text: str) -> Address:
     host, _, port = text.rpartition(":")
     return Address(host, int(port))
