Split one request's tries off its walk

requests/_entry.py held the walk over engines, what it reads of its router, and each try of it: asking an engine's owner and sending what was granted. The tries stand in _tries.py with what the next one needs to know of them, the view and the ways in _entry_view.py. PASSED_OVER, a name that the plan uses for something else, is NOTHING_SENT, as its comment says. Behaviour stays.

--- a/pondhatch/requests/__init__.py
+++ b/pondhatch/requests/__init__.py
@@ -2,8 +2,9 @@
 
 from pondhatch.requests._chat import ChatRequest, MalformedChat, read_chat
 from pondhatch.requests._delivery import Delivered, Delivery, is_event_stream
-from pondhatch.requests._entry import EntryView, Patience, Placed, Refused, Walk, Ways
+from pondhatch.requests._entry import Patience, Placed, Refused, Walk
 from pondhatch.requests._entry_grants import NUMBERS, EntryGrants
+from pondhatch.requests._entry_view import EntryView, Ways
 from pondhatch.requests._events import LAST_EVENT, EventCutter
 from pondhatch.requests._grant_packets import (
     GrantPacket,
--- a/pondhatch/requests/_entry.py
+++ b/pondhatch/requests/_entry.py
@@ -4,12 +4,13 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any, Protocol
+from typing import Any
 
 import msgspec
 
 from pondhatch.limits import RetryBudget
 from pondhatch.placement import Ask, Exhausted, Granted, Plan
+from pondhatch.requests._entry_view import EntryView, Ways
 from pondhatch.requests._messages import BodySource, Opened, ReplayableBody, RequestHead
 from pondhatch.requests._outcomes import CROSSED, NotRun, Refusal, Unknown
 from pondhatch.requests._questions import (
@@ -17,13 +18,10 @@
     THOUSANDTHS,
     Busy,
     Elsewhere,
-    Ended,
-    Grants,
     NotOwner,
-    OwnerReply,
     Question,
 )
-from pondhatch.requests._sending import GrantedAnswer, Target, Upstreams, leaving, takes
+from pondhatch.requests._tries import Tries
 
 #: Seconds after which to come back when every engine asked was at its ceiling.
 FULL_RETRY_AFTER = 1.0
@@ -33,32 +31,7 @@
 RESUME_FROM_HEADER = "X-Resume-From"
 OK = 200
 #: Refusals for which nothing was sent anywhere: going on is no retry.
-PASSED_OVER = frozenset({"upstream-leaving", "upstream-down", "router-unreachable"})
-
-
-class EntryView(Protocol):
-    """What the entry side reads of the router's state."""
-
-    def owner_name(self, engine: str) -> str | None:
-        """Return the router that owns an engine, or None without live routers."""
-
-    def unreachable(self, name: str) -> None:
-        """Note that a router could not be reached."""
-
-    def live_upstreams(self, service: str) -> tuple[str, ...]:
-        """Return the service's upstreams that take work."""
-
-    def resumes(self, engine: str) -> bool:
-        """Return whether an engine can resume a broken stream."""
-
-    def is_young(self, engine: str) -> bool:
-        """Return whether an upstream joined a short while ago."""
-
-    def target(self, engine: str) -> Target | None:
-        """Return an upstream, or None where it is not known."""
-
-    def former_home(self, service: str, chat: str) -> str | None:
-        """Return a chat's home engine were those that leave still counted."""
+NOTHING_SENT = frozenset({"upstream-leaving", "upstream-down", "router-unreachable"})
 
 
 @dataclass(frozen=True)
@@ -104,18 +77,6 @@
 NO_PATIENCE = Patience(0.0, 0.0)
 
 
-@dataclass(frozen=True)
-class Ways:
-    """What a walk goes through to others."""
-
-    grants: Grants
-    upstreams: Upstreams
-
-
-#: What became of one question and, where it was granted, of the try that followed.
-Tried = Opened | Busy | Elsewhere | NotOwner | NotRun | Unknown
-
-
 class Walk:
     """One request's walk; kept apart so that the plan can be read afterwards."""
 
@@ -138,6 +99,7 @@
         self._body = body
         self._remaining = remaining
         self._most_patience = patience
+        self._tries = Tries(view, ways, body, self._chat, remaining)
         self._asks = 0
         #: The last try after which the request may have run; no later refusal undoes it.
         self._may_have_run: Unknown | None = None
@@ -145,12 +107,11 @@
         self._granted_id = ""
         #: Times that a broken stream went on.
         self.resumes = 0
-        #: Engine at which the context lies, as its home engine's owner said.
-        self._context_at: str | None = None
-        #: What was granted last: the load and the ceiling at its engine.
-        self.granted = Granted(0, 0)
-        #: Engines that were sent the request.
-        self._sent_to: set[str] = set()
+
+    @property
+    def granted(self) -> Granted:
+        """What was granted last: the load and the ceiling at its engine."""
+        return self._tries.granted
 
     async def run(self) -> Placed | Refused:
         """Return the opened answer or the refusal that the caller is to be told."""
@@ -222,7 +183,7 @@
         )
         question = self._question(engine, insist=True, resuming=True, last=True)
         head = self._next_head(headers=(*self._head.headers, *resuming))
-        reply = await self._try(question, head)
+        reply = await self._tries.run(question, head)
         if isinstance(reply, Opened):
             if reply.answer.status == OK:
                 return Placed(reply, engine)
@@ -235,13 +196,13 @@
         """Ask one engine's owner and, if granted, try it; None means that the walk goes on."""
         question = self._question(ask.engine, insist=ask.insist, context=ask.context, last=ask.last)
         head = self._next_head(fresh=ask.fresh)
-        reply = await self._try(question, head)
+        reply = await self._tries.run(question, head)
         if isinstance(reply, Opened):
             self._granted_id = head.request_id
             self._tell_home(ask.engine)
             return Placed(reply, ask.engine)
         if isinstance(reply, Elsewhere):
-            self._context_at = reply.engine
+            self._tries.context_at = reply.engine
             self.plan.context_elsewhere(reply.engine)
             return None
         if isinstance(reply, Busy):
@@ -289,80 +250,13 @@
             self._head, request_id=f"{self._head.request_id}.{self._asks}", **changes
         )
 
-    async def _try(self, question: Question, head: RequestHead) -> Tried:
-        """Ask the engine's owner; where it grants, send the request to the engine."""
-        reply = await self._grant(question)
-        if not isinstance(reply, Granted):
-            return reply
-        self.granted = reply
-        target = self._view.target(question.engine)
-        if not takes(target, question.resuming):
-            self._ways.grants.release(question.number, Ended.NOTHING)
-            return leaving(question.engine)
-        return await self._send(question, target, head)
-
-    async def _send(self, question: Question, target: Target, head: RequestHead) -> Tried:
-        """Send a granted request; its grant is given back when it ends in whatever way."""
-        grants, number = self._ways.grants, question.number
-        source = self._context_source(target)
-        head = msgspec.structs.replace(head, deadline=self._remaining(), context_from=source)
-        self._sent_to.add(question.engine)
-        try:
-            reply = await self._ways.upstreams.send(target, head, self._fresh_body())
-            if isinstance(reply, Opened):
-                answer = GrantedAnswer(reply.answer, lambda: grants.release(number, Ended.ANSWERED))
-                return Opened(answer)
-        except BaseException:
-            grants.release(number, Ended.NOTHING)
-            raise
-        if reply.code == "upstream-unreachable":
-            self._sent_to.discard(question.engine)
-        refused = reply.code == "upstream-refused"
-        grants.release(number, Ended.NOTHING if refused else Ended.FAILED)
-        return reply
-
-    def _context_source(self, target: Target) -> str:
-        """Return the address of the engine from which another is to take a context over."""
-        if not (target.shares_context and self._head.chat and self._head.returning):
-            return ""
-        holder = self._context_at or self._view.former_home(self._head.service, self._chat)
-        if holder is None or holder == target.name:
-            return ""
-        known = self._view.target(holder)
-        return known.url.removeprefix("http://") if known is not None else ""
-
-    async def _grant(self, question: Question) -> OwnerReply:
-        """Ask the owner, and whom it names instead of itself."""
-        name = self._view.owner_name(question.engine)
-        reply = await self._ask_owner(name, question)
-        if isinstance(reply, NotOwner) and reply.owner not in (None, name):
-            reply = await self._ask_owner(reply.owner, question)
-        unreachable = isinstance(reply, NotRun) and reply.code == "router-unreachable"
-        if unreachable or isinstance(reply, NotOwner):
-            # The engine is not at fault, and may hold the context.
-            return self._ways.grants.ask_nobody(question)
-        return reply
-
-    async def _ask_owner(self, name: str | None, question: Question) -> OwnerReply:
-        if name is None:
-            return NotOwner()
-        reply = await self._ways.grants.ask(name, question)
-        if isinstance(reply, NotRun) and reply.code == "router-unreachable":
-            self._view.unreachable(name)
-        return reply
-
-    def _fresh_body(self) -> BodySource:
-        if isinstance(self._body, ReplayableBody):
-            return self._body.again()
-        return self._body
-
     def _after_failure(self, ask: Ask, reply: Refusal) -> Refused | None:
         body_is_whole = isinstance(self._body, ReplayableBody)
         if isinstance(reply, Unknown):
             self._may_have_run = reply
         if isinstance(reply, Unknown) and not (self._head.repeatable and body_is_whole):
             return Refused(reply)
-        if reply.code in PASSED_OVER:
+        if reply.code in NOTHING_SENT:
             return None
         if self._tries_are_spent():
             return Refused(reply)
@@ -375,7 +269,7 @@
 
     def _tries_are_spent(self) -> bool:
         """Return whether the request was sent to as many engines as it may."""
-        return 0 < self._head.most_tries <= len(self._sent_to)
+        return 0 < self._head.most_tries <= len(self._tries.sent_to)
 
     def _tell_home(self, engine: str) -> None:
         home = self.plan.home
--- /dev/null
+++ b/pondhatch/requests/_entry_view.py
@@ -0,0 +1,42 @@
+"""What the entry side reads of its router's state, and what it goes through to others."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from pondhatch.requests._questions import Grants
+from pondhatch.requests._sending import Target, Upstreams
+
+
+class EntryView(Protocol):
+    """What the entry side reads of the router's state."""
+
+    def owner_name(self, engine: str) -> str | None:
+        """Return the router that owns an engine, or None without live routers."""
+
+    def unreachable(self, name: str) -> None:
+        """Note that a router could not be reached."""
+
+    def live_upstreams(self, service: str) -> tuple[str, ...]:
+        """Return the service's upstreams that take work."""
+
+    def resumes(self, engine: str) -> bool:
+        """Return whether an engine can resume a broken stream."""
+
+    def is_young(self, engine: str) -> bool:
+        """Return whether an upstream joined a short while ago."""
+
+    def target(self, engine: str) -> Target | None:
+        """Return an upstream, or None where it is not known."""
+
+    def former_home(self, service: str, chat: str) -> str | None:
+        """Return a chat's home engine were those that leave still counted."""
+
+
+@dataclass(frozen=True)
+class Ways:
+    """What a walk goes through to others."""
+
+    grants: Grants
+    upstreams: Upstreams
--- /dev/null
+++ b/pondhatch/requests/_tries.py
@@ -0,0 +1,109 @@
+"""One request's tries: ask an engine's owner and, where it grants, send the request."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import msgspec
+
+from pondhatch.placement import Granted
+from pondhatch.requests._entry_view import EntryView, Ways
+from pondhatch.requests._messages import BodySource, Opened, ReplayableBody, RequestHead
+from pondhatch.requests._outcomes import NotRun, Unknown
+from pondhatch.requests._questions import Busy, Elsewhere, Ended, NotOwner, OwnerReply, Question
+from pondhatch.requests._sending import GrantedAnswer, Target, leaving, takes
+
+#: What became of one question and, where it was granted, of the try that followed.
+Tried = Opened | Busy | Elsewhere | NotOwner | NotRun | Unknown
+
+
+class Tries:
+    """Runs one request's tries, and keeps what the next one needs to know of them."""
+
+    def __init__(
+        self,
+        view: EntryView,
+        ways: Ways,
+        body: BodySource,
+        chat: str,
+        remaining: Callable[[], float],
+    ) -> None:
+        self._view = view
+        self._ways = ways
+        self._body = body
+        #: By which engines are ranked for the request.
+        self._chat = chat
+        self._remaining = remaining
+        #: Engine at which the context lies, as its home engine's owner said.
+        self.context_at: str | None = None
+        #: What was granted last: the load and the ceiling at its engine.
+        self.granted = Granted(0, 0)
+        #: Engines that were sent the request.
+        self.sent_to: set[str] = set()
+
+    async def run(self, question: Question, head: RequestHead) -> Tried:
+        """Ask the engine's owner; where it grants, send the request to the engine."""
+        reply = await self._grant(question)
+        if not isinstance(reply, Granted):
+            return reply
+        self.granted = reply
+        target = self._view.target(question.engine)
+        if not takes(target, question.resuming):
+            self._ways.grants.release(question.number, Ended.NOTHING)
+            return leaving(question.engine)
+        return await self._send(question, target, head)
+
+    async def _send(self, question: Question, target: Target, head: RequestHead) -> Tried:
+        """Send a granted request; its grant is given back when it ends in whatever way."""
+        grants, number = self._ways.grants, question.number
+        source = self._context_source(target, head)
+        head = msgspec.structs.replace(head, deadline=self._remaining(), context_from=source)
+        self.sent_to.add(question.engine)
+        try:
+            reply = await self._ways.upstreams.send(target, head, self._fresh_body())
+            if isinstance(reply, Opened):
+                answer = GrantedAnswer(reply.answer, lambda: grants.release(number, Ended.ANSWERED))
+                return Opened(answer)
+        except BaseException:
+            grants.release(number, Ended.NOTHING)
+            raise
+        if reply.code == "upstream-unreachable":
+            self.sent_to.discard(question.engine)
+        refused = reply.code == "upstream-refused"
+        grants.release(number, Ended.NOTHING if refused else Ended.FAILED)
+        return reply
+
+    def _context_source(self, target: Target, head: RequestHead) -> str:
+        """Return the address of the engine from which another is to take a context over."""
+        if not (target.shares_context and head.chat and head.returning):
+            return ""
+        holder = self.context_at or self._view.former_home(head.service, self._chat)
+        if holder is None or holder == target.name:
+            return ""
+        known = self._view.target(holder)
+        return known.url.removeprefix("http://") if known is not None else ""
+
+    async def _grant(self, question: Question) -> OwnerReply:
+        """Ask the owner, and whom it names instead of itself."""
+        name = self._view.owner_name(question.engine)
+        reply = await self._ask_owner(name, question)
+        if isinstance(reply, NotOwner) and reply.owner not in (None, name):
+            reply = await self._ask_owner(reply.owner, question)
+        unreachable = isinstance(reply, NotRun) and reply.code == "router-unreachable"
+        if unreachable or isinstance(reply, NotOwner):
+            # The engine is not at fault, and may hold the context.
+            return self._ways.grants.ask_nobody(question)
+        return reply
+
+    async def _ask_owner(self, name: str | None, question: Question) -> OwnerReply:
+        if name is None:
+            return NotOwner()
+        reply = await self._ways.grants.ask(name, question)
+        if isinstance(reply, NotRun) and reply.code == "router-unreachable":
+            self._view.unreachable(name)
+        return reply
+
+    def _fresh_body(self) -> BodySource:
+        if isinstance(self._body, ReplayableBody):
+            return self._body.again()
+        return self._body
