Keep the OpenAI form of answers with the standard interface

transport/_answers.py held the one form of answers beside what every form needs, and _routed_callers.py held its dialect, its answers and its handling of requests. OpenAiAnswers moves to pondhatch/standard; the routes' answers stand in _routed_answers.py and what callers of routes say in _caller_dialect.py. Behaviour stays.

--- /dev/null
+++ b/pondhatch/standard/_answers.py
@@ -0,0 +1,54 @@
+"""Answers and refusals in the form of the OpenAI-compatible API."""
+
+from __future__ import annotations
+
+import math
+from typing import Any
+
+import msgspec
+
+from pondhatch.observing import Metrics
+from pondhatch.requests import Broken, Headers, NotRun, Refusal
+from pondhatch.transport import cut, write_head
+
+#: Tells a caller whether its request ran: "not-run" or "unknown".
+OUTCOME_HEADER = b"X-Pondhatch-Outcome"
+REQUEST_ID_HEADER = b"X-Request-Id"
+#: Statuses after which coming back later helps.
+COME_BACK = (409, 429, 503)
+
+
+class OpenAiAnswers:
+    """See Answers."""
+
+    def __init__(self, metrics: Metrics) -> None:
+        self._metrics = metrics
+
+    def refuse(self, request: Any, refusal: Refusal) -> None:
+        """Write a refusal as an error object."""
+        self._metrics.count(f"refusals.{refusal.code}")
+        outcome = "not-run" if isinstance(refusal, NotRun) else "unknown"
+        request.setResponseCode(refusal.status)
+        request.setHeader(b"Content-Type", b"application/json")
+        request.setHeader(OUTCOME_HEADER, outcome.encode())
+        if isinstance(refusal, NotRun) and refusal.status in COME_BACK and refusal.retry_after > 0:
+            seconds = max(1, math.ceil(refusal.retry_after))
+            request.setHeader(b"Retry-After", str(seconds).encode())
+        elif not isinstance(refusal, NotRun) or refusal.status not in COME_BACK:
+            request.setHeader(b"X-Should-Retry", b"false")
+        error = {"message": refusal.reason, "type": outcome, "code": refusal.code}
+        request.write(msgspec.json.encode({"error": error}))
+
+    def begin(self, request: Any, status: int, headers: Headers, request_id: str) -> None:
+        """Write an answer's head under the request's id."""
+        passed_on = tuple(pair for pair in headers if pair[0].lower() != "x-request-id")
+        write_head(request, status, passed_on)
+        request.setHeader(REQUEST_ID_HEADER, request_id.encode())
+
+    def end_broken(self, request: Any, broken: Broken, stream: bool) -> None:
+        """End a stream by an error event, anything else by a cut connection."""
+        if stream:
+            error = {"message": broken.reason, "type": "unknown", "code": broken.code}
+            request.write(b"data: " + msgspec.json.encode({"error": error}) + b"\n\n")
+            return
+        cut(request)
--- a/pondhatch/standard/_callers.py
+++ b/pondhatch/standard/_callers.py
@@ -25,10 +25,10 @@
     read_chat,
 )
 from pondhatch.router import Account, Admitted, admit, identify, service_of_path
+from pondhatch.standard._answers import OpenAiAnswers
 from pondhatch.transport import (
     CallerParts,
     CallerRequest,
-    OpenAiAnswers,
     Serving,
     Work,
     fail,
--- a/pondhatch/transport/__init__.py
+++ b/pondhatch/transport/__init__.py
@@ -1,8 +1,9 @@
 """Transport: twisted, klein, treq, grpclib and UDP. Bytes only, no decisions."""
 
 from pondhatch.transport._admin import Admin, readable
-from pondhatch.transport._answers import OpenAiAnswers, fail
+from pondhatch.transport._answers import cut, fail, write_head
 from pondhatch.transport._caller_channel import CallerRequest, CallerSite, read_whole
+from pondhatch.transport._caller_dialect import CallerDialect, CallerFacts
 from pondhatch.transport._gossip import GossipPort
 from pondhatch.transport._headers import HOP_HEADERS
 from pondhatch.transport._http_client import HttpClient
@@ -13,17 +14,18 @@
 from pondhatch.transport._readiness import Readiness
 from pondhatch.transport._remote_peer import RemotePeer
 from pondhatch.transport._resolver import install_numeric_resolver
-from pondhatch.transport._routed_callers import CallerDialect, CallerFacts, RoutedCallers, bounded
+from pondhatch.transport._routed_callers import RoutedCallers, bounded
 from pondhatch.transport._serving import Serving, Work
 from pondhatch.transport._store_calls import CallFailed, StoreCalls
 from pondhatch.transport._upstreams import HttpUpstreams
 from pondhatch.transport._wire import PullReply, PullRequest
 
 __all__ = [
+    "cut",
+    "write_head",
     "CallerParts",
     "CallerRequest",
     "Callers",
-    "OpenAiAnswers",
     "PartPipe",
     "Serving",
     "Work",
--- /dev/null
+++ b/pondhatch/transport/_caller_dialect.py
@@ -0,0 +1,32 @@
+"""How callers of routes speak: what they say in headers, and how refusals are explained."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from pondhatch.requests import Headers, Refusal
+
+
+@dataclass(frozen=True)
+class CallerFacts:
+    """What a caller says about a routed request in its headers."""
+
+    #: Its id for this attempt; empty where it gave none.
+    caller_id: str
+    #: Its API key, or None where it shows none.
+    key: str | None
+    #: Seconds that it waits for the answer, or None where it does not say.
+    wait: float | None
+    #: 64-bit key of the context that the request shares with others; 0 for none.
+    context: int
+
+
+class CallerDialect(Protocol):
+    """Names and formats of routed requests; decides nothing."""
+
+    def read(self, headers: Headers) -> CallerFacts:
+        """Return what a caller says about its request."""
+
+    def refusal_headers(self, refusal: Refusal) -> Headers:
+        """Return the headers that explain a refusal."""
--- a/pondhatch/transport/_routed_callers.py
+++ b/pondhatch/transport/_routed_callers.py
@@ -5,21 +5,18 @@
 import asyncio
 import time
 import uuid
-from dataclasses import dataclass
-from typing import Any, Protocol
+from typing import Any
 
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET
 
 from pondhatch.configuration import CallerLimits, Route, RouteSpec
-from pondhatch.observing import Metrics, RequestEnded, log_for
+from pondhatch.observing import RequestEnded, log_for
 from pondhatch.requests import (
-    Broken,
     CallerGone,
     Headers,
     NotRun,
     Patience,
-    Refusal,
     ReplayableBody,
     RequestHead,
 )
@@ -31,9 +28,11 @@
     admit_routed,
     identify_key,
 )
-from pondhatch.transport._answers import cut, fail, write_head
+from pondhatch.transport._answers import fail
 from pondhatch.transport._caller_channel import CallerRequest, drain, read_whole
+from pondhatch.transport._caller_dialect import CallerDialect, CallerFacts
 from pondhatch.transport._interface import CallerParts
+from pondhatch.transport._routed_answers import RoutedAnswers
 from pondhatch.transport._serving import Serving, Work
 
 log = log_for("callers")
@@ -48,63 +47,6 @@
 UNWANTED_BYTES = 256 * 1024
 
 
-@dataclass(frozen=True)
-class CallerFacts:
-    """What a caller says about a routed request in its headers."""
-
-    #: Its id for this attempt; empty where it gave none.
-    caller_id: str
-    #: Its API key, or None where it shows none.
-    key: str | None
-    #: Seconds that it waits for the answer, or None where it does not say.
-    wait: float | None
-    #: 64-bit key of the context that the request shares with others; 0 for none.
-    context: int
-
-
-class CallerDialect(Protocol):
-    """Names and formats of routed requests; decides nothing."""
-
-    def read(self, headers: Headers) -> CallerFacts:
-        """Return what a caller says about its request."""
-
-    def refusal_headers(self, refusal: Refusal) -> Headers:
-        """Return the headers that explain a refusal."""
-
-
-class RoutedAnswers:
-    """Answers passed on unchanged, refusals by status alone; see Answers."""
-
-    def __init__(self, dialect: CallerDialect, metrics: Metrics, stopping: Any) -> None:
-        self._dialect = dialect
-        self._metrics = metrics
-        #: Whether this router is stopping, so that connections end with their answer.
-        self._stopping = stopping
-
-    def refuse(self, request: Any, refusal: Refusal) -> None:
-        """Write a refusal."""
-        self._metrics.count(f"refusals.{refusal.code}")
-        write_head(request, refusal.status, self._dialect.refusal_headers(refusal))
-        self._close_if_stopping(request)
-        # Written when the request is finished: what is unread of its body decides then
-        # whether the connection can be used again, and the head must say so.
-        request.setHeader(b"Content-Length", b"0")
-
-    def begin(self, request: Any, status: int, headers: Headers, request_id: str) -> None:
-        """Write the head of an upstream's answer."""
-        write_head(request, status, headers)
-        self._close_if_stopping(request)
-
-    def end_broken(self, request: Any, broken: Broken, stream: bool) -> None:
-        """Cut the connection: nothing else tells that an answer is not whole."""
-        cut(request)
-
-    def _close_if_stopping(self, request: Any) -> None:
-        if self._stopping():
-            request.setHeader(b"Connection", b"close")
-            request.channel.persistent = False
-
-
 class RoutedCallers(Resource):
     """Handles requests by the routes in force."""
 
