Say once what an account may use and how it is counted

Routed requests and those by model or path were held against an account's services and limits by the same lines, written twice. Admitted pointed to a field of the router's state that is called limits now. Behaviour stays.

--- a/pondhatch/router/_admission.py
+++ b/pondhatch/router/_admission.py
@@ -5,7 +5,7 @@
 import hashlib
 from dataclasses import dataclass
 
-from pondhatch.configuration import RouteSpec
+from pondhatch.configuration import AccountPolicy, RouteSpec
 from pondhatch.limits import Limited
 from pondhatch.requests import NotRun
 from pondhatch.router._state import RouterState
@@ -37,7 +37,7 @@
 
 @dataclass(frozen=True)
 class Admitted:
-    """The request counts against its account until ``RouterState.accounts.end``."""
+    """The request counts against its account until ``RouterState.limits.end``."""
 
     service: str
     priority: int
@@ -75,14 +75,9 @@
     """
     priority, weight = None, 1.0
     if account is not ANYBODY:
-        policy = state.fleet.policy_by_account[account.name]
-        if service not in policy.services:
-            wrong = f"the account may not use service {service}"
-            return NotRun("not-allowed", wrong, 0.0, FORBIDDEN)
-        verdict = state.begin(account.name)
-        if isinstance(verdict, Limited):
-            wrong = f"the account is over its {verdict.limit} limit"
-            return NotRun(f"{verdict.limit}-limited", wrong, verdict.retry_after, TOO_MANY)
+        policy = _counted_in(state, account, service)
+        if isinstance(policy, NotRun):
+            return policy
         priority, weight = policy.priority, policy.weight
     return Admitted(
         service=service,
@@ -101,14 +96,9 @@
     spec = state.fleet.service_by_name.get(service) if service is not None else None
     if service is None or spec is None:
         return NotRun("no-service", "no service answers to this model or path", 0.0, NOT_FOUND)
-    policy = state.fleet.policy_by_account[account.name]
-    if service not in policy.services:
-        wrong = f"the account may not use service {service}"
-        return NotRun("not-allowed", wrong, 0.0, FORBIDDEN)
-    verdict = state.begin(account.name)
-    if isinstance(verdict, Limited):
-        wrong = f"the account is over its {verdict.limit} limit"
-        return NotRun(f"{verdict.limit}-limited", wrong, verdict.retry_after, TOO_MANY)
+    policy = _counted_in(state, account, service)
+    if isinstance(policy, NotRun):
+        return policy
     return Admitted(
         service=service,
         priority=DEFAULT_PRIORITY if policy.priority is None else policy.priority,
@@ -119,6 +109,19 @@
     )
 
 
+def _counted_in(state: RouterState, account: Account, service: str) -> AccountPolicy | NotRun:
+    """Count a request against its account's limits, or say why it may not run."""
+    policy = state.fleet.policy_by_account[account.name]
+    if service not in policy.services:
+        wrong = f"the account may not use service {service}"
+        return NotRun("not-allowed", wrong, 0.0, FORBIDDEN)
+    verdict = state.begin(account.name)
+    if isinstance(verdict, Limited):
+        wrong = f"the account is over its {verdict.limit} limit"
+        return NotRun(f"{verdict.limit}-limited", wrong, verdict.retry_after, TOO_MANY)
+    return policy
+
+
 def service_of_path(state: RouterState, path: str) -> str | None:
     """Return the plain service whose prefix a path starts with, or None."""
     for name, spec in state.fleet.service_by_name.items():
