Give the heads of HTTP messages a module of their own

transport/_http_connection.py mixed what a head is and says with what a connection does. Request, ResponseHead and how both are made stand in _http_heads.py; the time for which the other side keeps a connection is a question to the head that states it. Behaviour stays.

--- a/pondhatch/transport/_http_client.py
+++ b/pondhatch/transport/_http_client.py
@@ -16,7 +16,8 @@
 from twisted.python.failure import Failure
 
 from pondhatch.requests import BodySource
-from pondhatch.transport._http_connection import Connection, Exchange, Request, ResponseHead
+from pondhatch.transport._http_connection import Connection, Exchange
+from pondhatch.transport._http_heads import Request, ResponseHead
 
 #: Seconds to wait for a connection.
 CONNECT_SECONDS = 1.0
--- a/pondhatch/transport/_http_connection.py
+++ b/pondhatch/transport/_http_connection.py
@@ -9,7 +9,6 @@
 import asyncio
 import socket
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Any
 
 import h11
@@ -17,7 +16,8 @@
 from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
 
-from pondhatch.requests import BodySource, Headers, ReplayableBody
+from pondhatch.requests import BodySource, ReplayableBody
+from pondhatch.transport._http_heads import Request, ResponseHead, framing, response_head
 from pondhatch.transport._parts import PartPipe
 
 #: Seconds for which an idle connection is kept where the other side does not say.
@@ -39,32 +39,6 @@
     """The connection was lost, or what came on it was no answer."""
 
 
-#: Methods whose requests say nothing of a body that they do not have.
-BODILESS = frozenset({"GET", "HEAD", "DELETE", "OPTIONS"})
-
-
-@dataclass(frozen=True)
-class Request:
-    """A request's head as it goes over the wire."""
-
-    method: str
-    #: Path and query.
-    target: str
-    #: All headers but those that say how the body is framed.
-    headers: Headers
-
-
-@dataclass(frozen=True)
-class ResponseHead:
-    """An answer's head."""
-
-    status: int
-    #: As they came, those that concern the connection included.
-    headers: Headers
-    #: The last value of each, by name in lower case.
-    value_by_name: dict[str, str]
-
-
 class Connection(Protocol):
     """One connection; carries one exchange at a time."""
 
@@ -103,8 +77,8 @@
         """Write a request's head; its body follows by ``write_body``."""
         self.exchanges += 1
         self._exchange = exchange
-        framing = _framing(request.method, length)
-        headers = request.headers if framing is None else (*request.headers, framing)
+        framed = framing(request.method, length)
+        headers = request.headers if framed is None else (*request.headers, framed)
         head = h11.Request(method=request.method, target=request.target, headers=list(headers))
         self._write(head)
 
@@ -198,7 +172,7 @@
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 break
             if isinstance(event, h11.Response):
-                exchange.opened(_response_head(event))
+                exchange.opened(response_head(event))
             elif isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
@@ -216,7 +190,7 @@
         surplus = bool(self._http.trailing_data[0])
         if clean and not surplus and self.is_open:
             self._http.start_next_cycle()
-            idle = exchange.stated_idle()
+            idle = exchange.head.result().stated_idle()
             self.states_idle_time = idle is not None
             kept = IDLE_SECONDS if idle is None else idle * STATED_SHARE
             self.usable_until = asyncio.get_running_loop().time() + kept
@@ -232,15 +206,6 @@
         self.abort()
 
 
-def _framing(method: str, length: int | None) -> tuple[str, str] | None:
-    """Return the header that frames a request's body, or None where it has none."""
-    if length is None:
-        return ("Transfer-Encoding", "chunked")
-    if length == 0 and method in BODILESS:
-        return None
-    return ("Content-Length", str(length))
-
-
 class Exchange:
     """One request and its answer."""
 
@@ -299,15 +264,6 @@
             self.head.exception()  # Whoever waits gets it; nobody may be waiting any more.
         self.pipe.fail(error)
 
-    def stated_idle(self) -> float | None:
-        """Return for how many seconds the other side keeps the connection, if it says so."""
-        stated = self.head.result().value_by_name.get("keep-alive", "")
-        for field in stated.split(","):
-            name, _, value = field.strip().partition("=")
-            if name.lower() == "timeout" and value.isdigit():
-                return float(value)
-        return None
-
     def cancel(self) -> None:
         """Give the answer up, unless it is whole; safe to call twice."""
         if not self._is_over:
@@ -318,12 +274,3 @@
         self._is_over = True
         if self._sending is not None and self._sending is not asyncio.current_task():
             self._sending.cancel()
-
-
-def _response_head(event: h11.Response) -> ResponseHead:
-    headers = tuple(
-        (name.decode("latin-1"), value.decode("latin-1"))
-        for name, value in event.headers.raw_items()
-    )
-    by_name = {name.lower(): value for name, value in headers}
-    return ResponseHead(event.status_code, headers, by_name)
--- /dev/null
+++ b/pondhatch/transport/_http_heads.py
@@ -0,0 +1,62 @@
+"""Heads of HTTP/1.1 requests to upstreams and the platform, and of their answers."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import h11
+
+from pondhatch.requests import Headers
+
+#: Methods whose requests say nothing of a body that they do not have.
+BODILESS = frozenset({"GET", "HEAD", "DELETE", "OPTIONS"})
+
+
+@dataclass(frozen=True)
+class Request:
+    """A request's head as it goes over the wire."""
+
+    method: str
+    #: Path and query.
+    target: str
+    #: All headers but those that say how the body is framed.
+    headers: Headers
+
+
+@dataclass(frozen=True)
+class ResponseHead:
+    """An answer's head."""
+
+    status: int
+    #: As they came, those that concern the connection included.
+    headers: Headers
+    #: The last value of each, by name in lower case.
+    value_by_name: dict[str, str]
+
+    def stated_idle(self) -> float | None:
+        """Return for how many seconds the other side keeps the connection, if it says so."""
+        stated = self.value_by_name.get("keep-alive", "")
+        for field in stated.split(","):
+            name, _, value = field.strip().partition("=")
+            if name.lower() == "timeout" and value.isdigit():
+                return float(value)
+        return None
+
+
+def framing(method: str, length: int | None) -> tuple[str, str] | None:
+    """Return the header that frames a request's body, or None where it has none."""
+    if length is None:
+        return ("Transfer-Encoding", "chunked")
+    if length == 0 and method in BODILESS:
+        return None
+    return ("Content-Length", str(length))
+
+
+def response_head(event: h11.Response) -> ResponseHead:
+    """Return an answer's head as h11 read it."""
+    headers = tuple(
+        (name.decode("latin-1"), value.decode("latin-1"))
+        for name, value in event.headers.raw_items()
+    )
+    by_name = {name.lower(): value for name, value in headers}
+    return ResponseHead(event.status_code, headers, by_name)
--- a/pondhatch/transport/_store_calls.py
+++ b/pondhatch/transport/_store_calls.py
@@ -6,7 +6,8 @@
 
 from pondhatch.requests import Headers, ReplayableBody
 from pondhatch.transport._http_client import Address, HttpClient, NotSent
-from pondhatch.transport._http_connection import Exchange, Request
+from pondhatch.transport._http_connection import Exchange
+from pondhatch.transport._http_heads import Request
 
 #: Seconds for one call; the store answers in milliseconds when it is well.
 CALL_SECONDS = 2.0
--- a/pondhatch/transport/_upstreams.py
+++ b/pondhatch/transport/_upstreams.py
@@ -22,7 +22,8 @@
     new_try,
 )
 from pondhatch.transport._http_client import Address, HttpClient, NotSent
-from pondhatch.transport._http_connection import Exchange, Request, ResponseHead
+from pondhatch.transport._http_connection import Exchange
+from pondhatch.transport._http_heads import Request, ResponseHead
 
 OK = 200
 #: Bytes of an answer's end that are searched for the last event.
--- a/pondhatch/transport/tests/test_http_client.py
+++ b/pondhatch/transport/tests/test_http_client.py
@@ -15,9 +15,8 @@
     Connection,
     ConnectionBroken,
     Exchange,
-    Request,
-    ResponseHead,
 )
+from pondhatch.transport._http_heads import Request, ResponseHead
 
 GET = Request("GET", "/things", (("Host", "upstream"),))
 POST = Request("POST", "/things", (("Host", "upstream"),))
