--- a/pondhatch/transport/_http_client.py
+++ b/pondhatch/transport/_http_client.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Collection
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -87,8 +87,6 @@
     """Connections by address, kept between exchanges."""
 
     def __init__(self, reactor: Any, connect_seconds: float = CONNECT_SECONDS) -> None:
-        #: Connections made, for the metrics.
-        self.connections_made = 0
         self._reactor = reactor
         self._connect_seconds = connect_seconds
         self._idle_by_address: dict[Address, list[Connection]] = {}
@@ -115,12 +113,6 @@
         exchange.send(request, body)
         return exchange
 
-    def forget(self, kept: Collection[Address]) -> None:
-        """Close the idle connections to all other addresses."""
-        for address in self._idle_by_address.keys() - set(kept):
-            for connection in self._idle_by_address.pop(address):
-                connection.abort()
-
     def _take(self, address: Address, repeatable: bool) -> Connection | None:
         """Return an idle connection that is sure enough to be open, the newest first."""
         idle = self._idle_by_address.get(address)
@@ -146,7 +138,6 @@
         except asyncio.CancelledError:
             connector.disconnect()
             raise
-        self.connections_made += 1
         return connection
 
     def _keep(self, address: Address, connection: Connection) -> None:
