Say why names that are only passed on stand among the platform's names

The engines' signature header is read by no code of the adapter and looked like a leftover; the test that keeps the platform's names in their folder takes its list from there. Behaviour stays.

--- a/pondhatch/platform/_names.py
+++ b/pondhatch/platform/_names.py
@@ -1,4 +1,7 @@
-"""Names on the wire of the users' prepared machines. Nothing outside this folder knows them."""
+"""Names on the wire of the users' prepared machines. Nothing outside this folder knows them.
+
+The test of that takes the names from here, so those that are only passed on stand here too.
+"""
 
 from __future__ import annotations
 
