Collect the numbers that a router tells of itself

Levels for statsd and counters for the state dump stood in two methods of the process, far apart, and read the same parts. They stand side by side in cli/_figures.py. Behaviour stays.

--- /dev/null
+++ b/pondhatch/cli/_figures.py
@@ -0,0 +1,50 @@
+"""What a router tells of itself in numbers: levels for statsd, counters for its state dump."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass, field
+from typing import Any
+
+from pondhatch.router import Granting, RouterState
+from pondhatch.store import Platform
+from pondhatch.transport import Callers, GossipPort
+
+
+@dataclass(frozen=True)
+class Figures:
+    """Reads the numbers from a router's parts."""
+
+    state: RouterState
+    callers: Callers
+    gossip_port: GossipPort
+    granting: Granting
+    platform: Platform
+    #: When the router started, in seconds of the monotonic clock.
+    started: float = field(default_factory=time.monotonic)
+
+    def levels(self) -> dict[str, int]:
+        """Return what statsd is told now and then, by metric."""
+        return {
+            "routers.known": len(self.state.members()),
+            "requests.in_flight": self.callers.in_flight,
+            "configuration.version": self.state.fleet.version,
+            "upstreams.owned": len(self.state.owned()),
+            "chats.spilled": len(self.state.memory.engine_by_chat),
+            "control.bytes_sent": self.gossip_port.bytes_sent,
+            "control.bytes_received": self.gossip_port.bytes_received,
+        }
+
+    def counters(self) -> dict[str, Any]:
+        """Return the counters that stand in the state dump."""
+        return {
+            "uptime_seconds": round(time.monotonic() - self.started, 3),
+            "requests_in_flight": self.callers.in_flight,
+            "gossip_bytes_sent": self.gossip_port.bytes_sent,
+            "gossip_bytes_received": self.gossip_port.bytes_received,
+            "grant_packets": self.granting.packets,
+            "grants_held": len(self.granting.entry.held_by_number),
+            "grants_given": len(self.granting.owner.leases.by_holder),
+            "gossip_unsealed": self.gossip_port.unsealed,
+            "platform_calls": getattr(self.platform, "calls", 0),
+        }
--- a/pondhatch/cli/_router_process.py
+++ b/pondhatch/cli/_router_process.py
@@ -12,6 +12,7 @@
 from grpclib.server import Server
 from twisted.web.server import Site
 
+from pondhatch.cli._figures import Figures
 from pondhatch.cli._peer_connections import PeerConnections
 from pondhatch.cli._ports import listen_to_callers, listening
 from pondhatch.cli._settings_file import SettingsFile
@@ -113,7 +114,9 @@
         self._callers = self._new_callers(parts.client)
         self._peer_service = PeerService(self.state.local, self._answer_pull, self._token)
         self._peer_server: Server = self._peer_service.server()
-        self._started = time.monotonic()
+        self._figures = Figures(
+            self.state, self._callers, self._gossip_port, self._granting, self._platform
+        )
         self._retelling: asyncio.Task[None] | None = None
 
     async def run(self) -> None:
@@ -184,7 +187,7 @@
         tls = self._peer_tls.server if self._peer_tls is not None else None
         await self._peer_server.start(sock=listening(peers.host, peers.port), ssl=tls)
         self._reactor.listenUDP(peers.port, self._gossip_port, interface=peers.host)
-        admin_app = Admin(self.state, self._authority, self._counters)
+        admin_app = Admin(self.state, self._authority, self._figures.counters)
         self._reactor.listenTCP(admin.port, Site(admin_app), interface=admin.host)
         self._listen_to_callers()
         if settings.ready is not None:
@@ -251,16 +254,7 @@
     async def _tell_levels(self) -> None:
         while True:
             await asyncio.sleep(LEVEL_SECONDS)
-            levels = {
-                "routers.known": len(self.state.members()),
-                "requests.in_flight": self._callers.in_flight,
-                "configuration.version": self.state.fleet.version,
-                "upstreams.owned": len(self.state.owned()),
-                "chats.spilled": len(self.state.memory.engine_by_chat),
-                "control.bytes_sent": self._gossip_port.bytes_sent,
-                "control.bytes_received": self._gossip_port.bytes_received,
-            }
-            for name, level in levels.items():
+            for name, level in self._figures.levels().items():
                 self._metrics.gauge(name, level)
 
     # -- settings -------------------------------------------------------------
@@ -323,19 +317,6 @@
     def _busy(self) -> bool:
         return self._callers.in_flight > 0
 
-    def _counters(self) -> dict[str, Any]:
-        return {
-            "uptime_seconds": round(time.monotonic() - self._started, 3),
-            "requests_in_flight": self._callers.in_flight,
-            "gossip_bytes_sent": self._gossip_port.bytes_sent,
-            "gossip_bytes_received": self._gossip_port.bytes_received,
-            "grant_packets": self._granting.packets,
-            "grants_held": len(self._granting.entry.held_by_number),
-            "grants_given": len(self._granting.owner.leases.by_holder),
-            "gossip_unsealed": self._gossip_port.unsealed,
-            "platform_calls": getattr(self._platform, "calls", 0),
-        }
-
 
 def _address(text: str) -> Address:
     host, _, port = text.rpartition(":")
