--- a/pondhatch/cli/_router_process.py
+++ b/pondhatch/cli/_router_process.py
@@ -3,22 +3,22 @@
 from __future__ import annotations
 
 import asyncio
-import importlib
 import random
-import secrets
 import signal
-import socket
 import time
-from dataclasses import dataclass
 from pathlib import Path
-from typing import Any, cast
+from typing import Any
 
 from grpclib.server import Server
 from twisted.web.server import Site
 
+from pondhatch.cli._figures import Figures
+from pondhatch.cli._peer_connections import PeerConnections
+from pondhatch.cli._ports import listen_to_callers, listening
 from pondhatch.cli._settings_file import SettingsFile
-from pondhatch.configuration import ServiceDefaults, Settings, load_fleet_key
-from pondhatch.kernel import REGISTRY, Tasks
+from pondhatch.cli._surroundings import Surroundings, surroundings_of
+from pondhatch.configuration import Settings
+from pondhatch.kernel import Tasks
 from pondhatch.membership import (
     Address,
     Alive,
@@ -40,10 +40,8 @@
     log_for,
 )
 from pondhatch.requests import HOLDERS, Ways
-from pondhatch.router import GRANT_MARK, Authority, Granting, RouterState, Sync, agreed_key
-from pondhatch.store import Platform
+from pondhatch.router import GRANT_MARK, Authority, Granting, RouterState, Sync
 from pondhatch.transport import (
-    INTERFACE,
     Admin,
     CallerParts,
     Callers,
@@ -51,12 +49,10 @@
     GossipPort,
     HttpClient,
     HttpUpstreams,
-    Interface,
     PeerService,
     PullReply,
     PullRequest,
     Readiness,
-    RemotePeer,
     bounded,
     fleet_token,
     peer_tls,
@@ -64,12 +60,6 @@
 
 log = log_for("process")
 
-#: Rooms whose plug-ins register themselves when they are imported, by interface. Only the
-#: one in use is: what it takes in memory and time to start is its own.
-ROOM_BY_INTERFACE = {
-    "openai": "pondhatch.standard",
-    "prepared-machines": "pondhatch.platform",
-}
 #: Seconds from one telling of something new to the next: each reaches four random peers,
 #: and with one alone about two in a hundred routers would have to wait for a ping.
 RETELL_PAUSES = (0.1, 0.2)
@@ -79,8 +69,6 @@
 SETTINGS_SECONDS = 5.0
 #: Signals that ask a router to stop.
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
-#: Connections of peers that may wait to be accepted.
-PEER_BACKLOG = 128
 #: Seconds between rounds of what is due.
 ROUND_SECONDS = 0.1
 #: Seconds between looks at what still runs while draining.
@@ -92,16 +80,6 @@
 DRAIN_NOTICE = 1.0
 
 
-@dataclass(frozen=True)
-class Surroundings:
-    """What a router is given from outside."""
-
-    interface: Interface
-    platform: Platform
-    client: HttpClient
-    fleet_key: bytes
-
-
 class RouterProcess:
     """Owns every part of a router; the reactor must be installed before."""
 
@@ -114,7 +92,7 @@
         fleet_key = parts.fleet_key
         self._token = fleet_token(fleet_key)
         self._peer_tls = peer_tls(settings.name, settings.peers)
-        self._remote_by_name: dict[str, RemotePeer] = {}
+        self._connections = PeerConnections(self._token, self._peer_tls)
         self._rng = random.Random()
         self.state = self._new_state()
         self._gossip_port = GossipPort(Seal(fleet_key), self._receive)
@@ -136,7 +114,9 @@
         self._callers = self._new_callers(parts.client)
         self._peer_service = PeerService(self.state.local, self._answer_pull, self._token)
         self._peer_server: Server = self._peer_service.server()
-        self._started = time.monotonic()
+        self._figures = Figures(
+            self.state, self._callers, self._gossip_port, self._granting, self._platform
+        )
         self._retelling: asyncio.Task[None] | None = None
 
     async def run(self) -> None:
@@ -177,7 +157,9 @@
         )
         seeds = [_address(seed) for seed in settings.seeds]
         gossip = Gossip(own, MembershipLimits(), self._rng, seeds)
-        return RouterState(settings.name, settings.hall, gossip, time.monotonic, self._connect)
+        return RouterState(
+            settings.name, settings.hall, gossip, time.monotonic, self._connections.to
+        )
 
     def _new_callers(self, client: HttpClient) -> Callers:
         return self._interface.callers(
@@ -203,9 +185,9 @@
         settings = self._settings
         peers, admin = settings.peers, settings.admin
         tls = self._peer_tls.server if self._peer_tls is not None else None
-        await self._peer_server.start(sock=_listening(peers.host, peers.port), ssl=tls)
+        await self._peer_server.start(sock=listening(peers.host, peers.port), ssl=tls)
         self._reactor.listenUDP(peers.port, self._gossip_port, interface=peers.host)
-        admin_app = Admin(self.state, self._authority, self._counters)
+        admin_app = Admin(self.state, self._authority, self._figures.counters)
         self._reactor.listenTCP(admin.port, Site(admin_app), interface=admin.host)
         self._listen_to_callers()
         if settings.ready is not None:
@@ -213,17 +195,9 @@
             self._reactor.listenTCP(settings.ready.port, Site(ready), interface=settings.ready.host)
 
     def _listen_to_callers(self) -> None:
-        callers = self._settings.callers
         resource: Any = self._callers.resource()
         site = CallerSite(resource, lambda: bounded(self.state, self._settings.limits))
-        if callers.certificate is None or callers.private_key is None:
-            self._reactor.listenTCP(callers.port, site, interface=callers.host)
-            return
-        # The libraries behind it take a tenth of a second and 10 MB, which most need not.
-        from twisted.internet import ssl
-
-        context = ssl.DefaultOpenSSLContextFactory(callers.private_key, callers.certificate)
-        self._reactor.listenSSL(callers.port, site, context, interface=callers.host)
+        listen_to_callers(self._reactor, self._settings.callers, site)
 
     def _is_ready(self) -> bool:
         """Return whether the balancer should send callers here."""
@@ -231,29 +205,8 @@
 
     # -- peers ----------------------------------------------------------------
 
-    def _connect(self, member: Member) -> RemotePeer:
-        return self._remote(member)
-
-    def _remote(self, member: Member) -> RemotePeer:
-        known = self._remote_by_name.get(member.name)
-        if known is not None and known.address == member.address:
-            return known
-        if known is not None:
-            known.close()
-        tls = self._peer_tls.client if self._peer_tls is not None else None
-        remote = RemotePeer(member.name, member.address, self._token, tls)
-        self._remote_by_name[member.name] = remote
-        return remote
-
-    def _close_connections_to_the_gone(self) -> None:
-        """Break off what hangs on a frozen router."""
-        gone = [name for name in self._remote_by_name if self.state.gossip.is_gone(name)]
-        for name in gone:
-            log.info("Closing the connection to router {}, which is gone.", name)
-            self._remote_by_name.pop(name).close()
-
     async def _pull(self, member: Member, configuration: int, upstreams: int) -> PullReply | None:
-        reply = await self._remote(member).pull(configuration, upstreams)
+        reply = await self._connections.to(member).pull(configuration, upstreams)
         if reply is None:
             self.state.unreachable(member.name)
         return reply
@@ -291,7 +244,7 @@
         while True:
             self.state.tick()
             self._granting.tick()
-            self._close_connections_to_the_gone()
+            self._connections.close_gone(self.state.gossip.is_gone)
             now = self.state.clock()
             self._gossip_port.send(self.state.gossip.tick(now))
             self._gossip_port.send(self.state.limits.tick(now))
@@ -301,16 +254,7 @@
     async def _tell_levels(self) -> None:
         while True:
             await asyncio.sleep(LEVEL_SECONDS)
-            levels = {
-                "routers.known": len(self.state.members()),
-                "requests.in_flight": self._callers.in_flight,
-                "configuration.version": self.state.fleet.version,
-                "upstreams.owned": len(self.state.owned()),
-                "chats.spilled": len(self.state.memory.engine_by_chat),
-                "control.bytes_sent": self._gossip_port.bytes_sent,
-                "control.bytes_received": self._gossip_port.bytes_received,
-            }
-            for name, level in levels.items():
+            for name, level in self._figures.levels().items():
                 self._metrics.gauge(name, level)
 
     # -- settings -------------------------------------------------------------
@@ -349,8 +293,7 @@
         self.state.phase = Phase.LEFT
         self._announce()
         self._tasks.cancel_all()
-        for remote in self._remote_by_name.values():
-            remote.close()
+        self._connections.close_all()
         self._peer_server.close()
 
     async def _step_down(self) -> None:
@@ -374,25 +317,6 @@
     def _busy(self) -> bool:
         return self._callers.in_flight > 0
 
-    def _counters(self) -> dict[str, Any]:
-        return {
-            "uptime_seconds": round(time.monotonic() - self._started, 3),
-            "requests_in_flight": self._callers.in_flight,
-            "gossip_bytes_sent": self._gossip_port.bytes_sent,
-            "gossip_bytes_received": self._gossip_port.bytes_received,
-            "grant_packets": self._granting.packets,
-            "grants_held": len(self._granting.entry.held_by_number),
-            "grants_given": len(self._granting.owner.leases.by_holder),
-            "gossip_unsealed": self._gossip_port.unsealed,
-            "platform_calls": getattr(self._platform, "calls", 0),
-        }
-
-
-def _listening(host: str, port: int) -> socket.socket:
-    """Return a listening socket; the loop would look the IP number up in a thread."""
-    family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    return socket.create_server((host, port), family=family, backlog=PEER_BACKLOG)
-
 
 def _address(text: str) -> Address:
     host, _, port = text.rpartition(":")
@@ -401,21 +325,6 @@
 
 async def serve(settings: Settings, reactor: Any, path: Path) -> None:
     """Run a router until it is asked to stop; ``path`` is where its settings are kept."""
-    process = RouterProcess(settings, reactor, await _surroundings(settings, reactor), path)
+    process = RouterProcess(settings, reactor, await surroundings_of(settings, reactor), path)
     await process.run()
     STANDARD_OUTPUT.flush()
-
-
-async def _surroundings(settings: Settings, reactor: Any) -> Surroundings:
-    """Return what a router is given; waits until it has the fleet's key."""
-    room = ROOM_BY_INTERFACE.get(settings.interface)
-    if room is not None:
-        importlib.import_module(room)
-    client = HttpClient(reactor)
-    views = {HttpClient: client, ServiceDefaults: settings.service_defaults}
-    interface = cast(Interface, REGISTRY.build(INTERFACE, settings.interface, views))
-    platform = interface.store(settings.platform)
-    fleet_key = load_fleet_key(settings)
-    if fleet_key is None:
-        fleet_key = await agreed_key(platform, secrets.token_hex(16), random.Random())
-    return Surroundings(interface, platform, client, fleet_key)
