Shorten a delivery: one pass over an answer is a step of its own

Delivery.run nested two try blocks in a loop, and __init__ set what taking an answer sets once more. A pass over the answer says how it broke off; the loop goes on or ends. Behaviour stays.

--- a/pondhatch/requests/_delivery.py
+++ b/pondhatch/requests/_delivery.py
@@ -95,39 +95,39 @@
         begin: Callable[[AnswerStream], None] = _nothing,
     ) -> None:
         self._walk = walk
-        self._engine = placed.engine
-        self._answer: AnswerStream = placed.reply.answer
         self._opening = _Opening(sink, lambda: begin(self._answer))
         self._resumes = 0
-        self._events: _WholeEvents | None = None
-        self._sink: PartSink = self._opening
         self._take(placed)
 
     def _take(self, placed: Placed) -> None:
         """Go on with an answer of which nothing was passed on."""
         self._engine = placed.engine
-        self._answer = placed.reply.answer
+        self._answer: AnswerStream = placed.reply.answer
         streamed = is_event_stream(self._answer.headers)
         self._events = _WholeEvents(self._opening) if streamed else None
-        self._sink = self._events or self._opening
+        self._sink: PartSink = self._events or self._opening
 
     async def run(self) -> Delivered:
         """Pass everything on; raises what the caller's sink raises."""
         try:
-            while True:
-                try:
-                    await self._answer.pour(self._sink)
-                except Lost as lost:
-                    if not await self._goes_on():
-                        return Delivered(self._lost(lost.outcome), self._resumes)
-                else:
-                    if self._events is not None:
-                        self._events.end()
-                    self._opening.begin()
-                    return Delivered(Whole(), self._resumes)
+            while (lost := await self._pour()) is not None:
+                if not await self._goes_on():
+                    return Delivered(self._lost(lost), self._resumes)
+            return Delivered(Whole(), self._resumes)
         finally:
             self._answer.cancel()
 
+    async def _pour(self) -> Broken | None:
+        """Pass on what comes; return how the answer broke off, or None where it is whole."""
+        try:
+            await self._answer.pour(self._sink)
+        except Lost as lost:
+            return lost.outcome
+        if self._events is not None:
+            self._events.end()
+        self._opening.begin()
+        return None
+
     def _lost(self, outcome: Broken) -> Broken | Unknown:
         return outcome if self._opening.has_begun else Unknown(outcome.code, outcome.reason)
 
