--- a/pondhatch/transport/_serving.py
+++ b/pondhatch/transport/_serving.py
@@ -189,6 +189,13 @@
         outcome = "whole" if isinstance(ended, Whole) else ended.code
         self._metrics.count(f"requests.{outcome}")
         self._metrics.timing("requests.whole", seconds)
+        self._note_decision(work, walk, engine, outcome, seconds)
+        self._note_record(work, walk, engine, outcome, seconds)
+
+    def _note_decision(
+        self, work: Work, walk: Walk, engine: str | None, outcome: str, seconds: float
+    ) -> None:
+        """Keep the decision for the state dump."""
         self._state.decisions.append(
             DecisionNote(
                 request_id=work.head.request_id,
@@ -201,6 +208,11 @@
                 at=time.time(),
             )
         )
+
+    def _note_record(
+        self, work: Work, walk: Walk, engine: str | None, outcome: str, seconds: float
+    ) -> None:
+        """Leave the decision's line."""
         self._records.note(
             RequestEnded(
                 id=work.head.caller_id or work.head.request_id,
