Keep a watch alive whatever it meets; leave out what makes no sense

One entry of an engine without an address, or a route of an unknown type, ended the watch's task without a line; nobody watched from then on. A deadline or idle time written with a digit that is no number ended in an error. Change: any error of a watch is logged with its trace, and the watch begins again with the usual pauses. An object that cannot be read is left out with a line, the others count; a configuration with an unknown type is rejected whole, and said so. Digits are ASCII ones. The new tests fail on the old code.

--- a/pondhatch/platform/_callers.py
+++ b/pondhatch/platform/_callers.py
@@ -23,7 +23,7 @@
         return CallerFacts(
             caller_id=value_by_name.get(names.ATTEMPT_ID.lower(), ""),
             key=_key(value_by_name.get(names.AUTHORIZATION.lower(), "")),
-            wait=float(wait) / 1000 if wait.isdigit() else None,
+            wait=float(wait) / 1000 if wait.isascii() and wait.isdigit() else None,
             context=_context(value_by_name.get(names.PROMPT_PARTS.lower(), "")),
         )
 
--- a/pondhatch/platform/_configuration.py
+++ b/pondhatch/platform/_configuration.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import hashlib
-from typing import Any
+from typing import Any, Literal
 
 import msgspec
 
@@ -19,6 +19,7 @@
 #: How often a route's requests may run, by the platform's word for its type.
 REPEATS_BY_TYPE = {"idempotent": "any", "non_idempotent": "never", "streaming": "never"}
 STREAMING = "streaming"
+RouteType = Literal["idempotent", "non_idempotent", "streaming"]
 
 
 class _Wire(msgspec.Struct, rename="pascal", frozen=True):
@@ -34,7 +35,7 @@
     name: str
     host: str
     path_prefix: str
-    type: str
+    type: RouteType
     #: The longest that a request may be held.
     timeout_ms: float
     #: The first event of a stream, or the whole answer, is due within this.
--- a/pondhatch/platform/_store.py
+++ b/pondhatch/platform/_store.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator, Callable, Mapping
+from collections.abc import AsyncIterator, Callable, Iterable, Mapping, Sequence
 from typing import Any
 
 import msgspec
 
+from pondhatch.observing import log_for
 from pondhatch.store import (
     Accepted,
     Conflict,
@@ -22,6 +23,8 @@
 )
 from pondhatch.transport import CallFailed, StoreCalls
 
+log = log_for("store")
+
 #: Milliseconds that a watch waits at the store. A store that went silent is noticed by a
 #: watch that does not end: so this, and not the 30 s that the store allows, bounds how
 #: long a router stays behind once the store is back.
@@ -117,7 +120,7 @@
             if status != OK:
                 return Unavailable(f"answered {status}")
             page = msgspec.json.decode(content, type=_Page)
-            found += [self._stored(kind, each) for each in page.entries]
+            found += self._readable(kind, page.entries)
             if not page.has_more or not page.entries:
                 return Listed(page.timestamp, tuple(found))
             after = f"?SinceRev={page.entries[-1].metadata.name}"
@@ -147,7 +150,9 @@
         while True:
             watched = await self._watch_once(kind, since)
             for each in watched.events:
-                yield self._event(kind, each)
+                event = self._event(kind, each)
+                if event is not None:
+                    yield event
             since = max(since, watched.timestamp)
 
     async def _watch_once(self, kind: str, since: int) -> _Watched:
@@ -189,14 +194,25 @@
         metadata = found.metadata
         return StoredObject(kind, metadata.name, metadata.revision, decode(metadata.name, value))
 
-    def _event(self, kind: str, happened: _Happened) -> WatchEvent:
+    def _readable(self, kind: str, entries: Iterable[_Object]) -> Sequence[StoredObject]:
+        """Return the objects that make sense; one that does not must not hide the others."""
+        found = []
+        for each in entries:
+            try:
+                found.append(self._stored(kind, each))
+            except msgspec.ValidationError as error:
+                log.error("Object {} {} is left out: {}.", kind, each.metadata.name, error)
+        return found
+
+    def _event(self, kind: str, happened: _Happened) -> WatchEvent | None:
         metadata = happened.object.metadata
         if happened.deleted:
             # The revision is that of the removal itself; a higher one would hide what
             # changed next from the routers that ask for what is newer than it.
             return WatchEvent("removed", metadata.revision, metadata.name)
-        stored = self._stored(kind, happened.object)
-        return WatchEvent("set", stored.version, stored.name, stored.value)
+        for stored in self._readable(kind, (happened.object,)):
+            return WatchEvent("set", stored.version, stored.name, stored.value)
+        return None
 
 
 def _as_it_is(name: str, value: Any) -> Any:
--- a/pondhatch/platform/tests/test_configuration.py
+++ b/pondhatch/platform/tests/test_configuration.py
@@ -111,6 +111,8 @@
         self.assertIsInstance(found, Rejected)
 
     def test_what_is_no_configuration_is_an_error(self) -> None:
-        for value in ({}, {"Version": "7"}, {"Version": 7, "Routes": [{"Name": "x"}]}, None):
+        self.changed["Routes"][0]["Type"] = "sometimes"
+        incomplete = {"Version": 7, "Routes": [{"Name": "x"}]}
+        for value in ({}, {"Version": "7"}, incomplete, self.changed, None):
             with self.subTest(value=value), self.assertRaises(msgspec.ValidationError):
                 decode_configuration(value, DEFAULTS)
--- a/pondhatch/platform/tests/test_dialects.py
+++ b/pondhatch/platform/tests/test_dialects.py
@@ -116,6 +116,11 @@
         facts = self.dialect.read(HEADERS)
         self.assertEqual((facts.caller_id, facts.key, facts.wait), ("9c41", "key-1", 9.0))
 
+    def test_a_deadline_that_is_no_number_is_none(self) -> None:
+        for told in ("", "soon", "-1", "\u00b2", "1.5"):
+            with self.subTest(told=told):
+                self.assertIsNone(self.dialect.read((("Deadline-Ms", told),)).wait)
+
     def test_keys_in_any_case_of_the_scheme_and_none(self) -> None:
         rows: tuple[tuple[Headers, str | None], ...] = (
             ((("authorization", "bearer k"),), "k"),
--- a/pondhatch/platform/tests/test_store.py
+++ b/pondhatch/platform/tests/test_store.py
@@ -54,6 +54,8 @@
 
 
 def double(name: str, value: Any) -> Any:
+    if not isinstance(value, int):
+        raise msgspec.ValidationError("expected a number")
     return {"name": name, "twice": value * 2}
 
 
@@ -91,6 +93,12 @@
         assert isinstance(found, Found)
         self.assertEqual(found.object.value["twice"], 8)
 
+    async def test_an_object_that_makes_no_sense_hides_no_other(self) -> None:
+        found, _ = store((200, page(entry("a", 1, 1), entry("b", 2, "?"), entry("c", 3, 3), at=5)))
+        listed = await found.list("upstream")
+        assert isinstance(listed, Listed)
+        self.assertEqual([each.name for each in listed.objects], ["a", "c"])
+
 
 class WritingTest(unittest.IsolatedAsyncioTestCase):
     async def test_what_a_writes_answer_means(self) -> None:
@@ -149,6 +157,14 @@
         versions = [(event.type, event.name, event.version) for event in events[1:]]
         self.assertEqual(versions, [("removed", "a", 5), ("set", "b", 6)])
 
+    async def test_an_object_that_makes_no_sense_does_not_end_it(self) -> None:
+        told = [
+            {"Deleted": False, "Object": entry(name, 5, spec)}
+            for name, spec in (("a", "?"), ("b", 2))
+        ]
+        events, _, _ = await self.watched((200, {"events": told, "Timestamp": 6}), (503, None))
+        self.assertEqual([event.name for event in events[1:]], ["b"])
+
     async def test_what_ends_it(self) -> None:
         rows: tuple[Answer, ...] = ((503, None), (429, None), SILENCE)
         for answer in rows:
--- a/pondhatch/router/_sync.py
+++ b/pondhatch/router/_sync.py
@@ -161,6 +161,9 @@
                 log.warning("Watch lost: {}.", error)
             except TooOld:
                 log.info("Watch too old, listing anew.")
+            except Exception:
+                # What cannot be read now may be mended at the platform; nobody else watches.
+                log.exception("A watch ended in an error of this router; it begins again.")
             lasted = self._state.clock() - begun
             pause = FIRST_PAUSE if lasted > LONGEST_PAUSE else min(LONGEST_PAUSE, pause * 2)
             await asyncio.sleep(pause * self._rng.uniform(0.5, 1.0))
--- a/pondhatch/router/tests/test_sync.py
+++ b/pondhatch/router/tests/test_sync.py
@@ -10,13 +10,22 @@
 
 from fakes._entries import SERVICE, TEMPLATE
 from fakes._platform_in_memory import PlatformInMemory
+from fakes._virtual_loop import run_virtually
 from pondhatch.configuration import Change, ChangeLog, Edit, Fleet, Gap, Rejected, Update, publish
 from pondhatch.configuration.tests.test_fleet import account, change
 from pondhatch.membership import Alive, Gossip, Member, MembershipLimits, Phase, short_id
 from pondhatch.requests import Claim, KeyRecord
 from pondhatch.router import RouterState, Sync
 from pondhatch.router._upstream_changes import STARTING_SECONDS
-from pondhatch.store import LEAVING, Upstream, UpstreamEntry, UpstreamUpdate, WatchEvent
+from pondhatch.store import (
+    LEAVING,
+    Listed,
+    Unavailable,
+    Upstream,
+    UpstreamEntry,
+    UpstreamUpdate,
+    WatchEvent,
+)
 
 FIRST = Change(1, "first", "root", 0.0, "", (SERVICE, TEMPLATE))
 
@@ -172,6 +181,33 @@
         )
 
 
+class Faulty(PlatformInMemory):
+    """A platform of which something cannot be read at first."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.lists = 0
+
+    async def list(self, kind: str) -> Listed | Unavailable:
+        self.lists += 1
+        if self.lists == 1:
+            raise ValueError("an error of this router")
+        return await super().list(kind)
+
+
+class KeptWatchTest(unittest.TestCase):
+    def test_a_watch_that_ends_in_an_error_begins_again(self) -> None:
+        async def main() -> int:
+            platform = Faulty()
+            sync = syncing(router("r0"), platform, None)
+            task = asyncio.ensure_future(sync._keep(sync._watch_upstreams))
+            await asyncio.sleep(5)
+            task.cancel()
+            return platform.lists
+
+        self.assertGreater(run_virtually(main()), 1)
+
+
 class LapsedEntriesTest(unittest.TestCase):
     """Entries of upstreams lapse while the platform's store is away."""
 
--- a/pondhatch/transport/_http_heads.py
+++ b/pondhatch/transport/_http_heads.py
@@ -38,7 +38,7 @@
         stated = self.value_by_name.get("keep-alive", "")
         for field in stated.split(","):
             name, _, value = field.strip().partition("=")
-            if name.lower() == "timeout" and value.isdigit():
+            if name.lower() == "timeout" and value.isascii() and value.isdigit():
                 return float(value)
         return None
 
