Stop routers in DrainTest once all its streams run, not after a while

Its output shows eight callers refused with 503 'this router is stopping': they had not sent their request 0.7 s after the threads began, when the stop came. Such a refusal is right and true; the test measured how fast its own threads start. Change: the stop comes once all twelve run at the engines, and the streams are three times as long, so that all are under way. The assertions are the same.

--- a/fakes/tests/test_faults.py
+++ b/fakes/tests/test_faults.py
@@ -285,21 +285,22 @@
         texts: list[str] = []
         callers = [
             threading.Thread(
-                target=lambda at=at: texts.append(self.stream(f"drain {at}", at % 3, 300))
+                target=lambda at=at: texts.append(self.stream(f"drain {at}", at % 3, 900))
             )
             for at in range(12)
         ]
         for caller in callers:
             caller.start()
-        time.sleep(0.7)
+        # Each is long enough to be running still when the last has begun.
+        self.eventually(lambda: len(self.all_runs()) == 12, 60)
         for router in self.fleet.routers[:2]:
             router.process.send_signal(signal.SIGTERM)
         codes = [router.process.wait(60) for router in self.fleet.routers[:2]]
         self.assertEqual(codes, [0, 0])
         for caller in callers:
-            caller.join(30)
+            caller.join(60)
         self.assertEqual(len(texts), 12)
-        self.assertTrue(all(self.whole(text, 300) for text in texts))
+        self.assertTrue(all(self.whole(text, 900) for text in texts))
 
 
 class StopSignalTest(FleetCase):
