Name the methods that a request's head is followed by

The docstring named one that no longer exists. Only the docstring changes; formatter, linter, types of transport and the sixteen tests of the client ran after it.

--- a/pondhatch/transport/_http_connection.py
+++ b/pondhatch/transport/_http_connection.py
@@ -74,7 +74,7 @@
             handle.setsockopt(level, option, value)
 
     def begin(self, exchange: Exchange, request: Request, length: int | None) -> None:
-        """Write a request's head; its body follows by ``write_body``."""
+        """Write a request's head; its body follows by ``send_body`` or ``send_whole_body``."""
         self.exchanges += 1
         self._exchange = exchange
         framed = framing(request.method, length)
