List a router at the platform beside its watch, not before it

Cause: Sync.run wrote where the router is reached and tried again until the platform took it; only then did it begin to watch. A platform that serves reads and turns writes away kept a router that starts from its configuration. Change: Introduction (router/_introduction.py) lists the router and finds its peers beside the watch, which waits for it 0.3 s at most; a router that knows peers asks them first. Peers are read after the own entry is written, again until both worked: before, a list that could not be read once was never read again. The growing pauses that stood three times are one type, kernel/_backoff.py. Ruled out: watching at once, without waiting: each router that starts would watch for a moment, some four calls each. Tests: router/tests/test_introduction.py; on the code before, the first of them stays at version 0 for ever (read, not run: the class is new).

--- a/pondhatch/cli/_router_process.py
+++ b/pondhatch/cli/_router_process.py
@@ -40,7 +40,14 @@
     log_for,
 )
 from pondhatch.requests import HOLDERS, Ways
-from pondhatch.router import GRANT_MARK, Authority, Granting, RouterState, Sync
+from pondhatch.router import (
+    GRANT_MARK,
+    Authority,
+    Granting,
+    Introduction,
+    RouterState,
+    Sync,
+)
 from pondhatch.transport import (
     Admin,
     CallerParts,
@@ -105,7 +112,7 @@
             self._pull,
             self._spread,
             self._rng,
-            None if self._interface.lists_vms else f"{settings.peers.host}:{settings.peers.port}",
+            self._introduction(),
         )
         self._authority = Authority(self.state, self._platform, self._interface.orders, self._rng)
         self._metrics = self._new_metrics()
@@ -161,6 +168,12 @@
             settings.name, settings.hall, gossip, time.monotonic, self._connections.to
         )
 
+    def _introduction(self) -> Introduction:
+        own = self._settings.peers
+        address = None if self._interface.lists_vms else f"{own.host}:{own.port}"
+        state = self.state
+        return Introduction(state.name, state.gossip, self._platform, self._rng, address)
+
     def _new_callers(self, client: HttpClient) -> Callers:
         return self._interface.callers(
             CallerParts(
--- a/pondhatch/kernel/__init__.py
+++ b/pondhatch/kernel/__init__.py
@@ -1,9 +1,11 @@
 """The kernel: the registry of plug-ins and the one loop."""
 
+from pondhatch.kernel._backoff import Backoff
 from pondhatch.kernel._loop import Tasks, as_deferred, as_future, install_reactor
 from pondhatch.kernel._registry import REGISTRY, Plugin, Registry, RegistryError
 
 __all__ = [
+    "Backoff",
     "REGISTRY",
     "Plugin",
     "Registry",
--- a/pondhatch/router/__init__.py
+++ b/pondhatch/router/__init__.py
@@ -14,6 +14,7 @@
 from pondhatch.router._dump import Dump, dump_state
 from pondhatch.router._fleet_key import agreed_key
 from pondhatch.router._granting import GRANT_MARK, Granting
+from pondhatch.router._introduction import Introduction
 from pondhatch.router._state import RouterState
 from pondhatch.router._sync import UPSTREAM_KIND, Sync
 
@@ -29,6 +30,7 @@
     "Dump",
     "GRANT_MARK",
     "Granting",
+    "Introduction",
     "RouterState",
     "Sync",
     "admit",
--- a/pondhatch/router/_fleet_key.py
+++ b/pondhatch/router/_fleet_key.py
@@ -10,6 +10,7 @@
 import random
 from collections.abc import Awaitable, Callable
 
+from pondhatch.kernel import Backoff
 from pondhatch.observing import log_for
 from pondhatch.store import Accepted, Found, Missing, Platform
 
@@ -18,7 +19,7 @@
 #: Kind and name of the object that holds the key.
 KEY_KIND = "pondhatch-fleet-key"
 KEY_NAME = "current"
-#: Seconds between tries, with jitter; doubled up to the most while the platform is out.
+#: Seconds between tries, first and at most, while the platform is out.
 FIRST_PAUSE = 0.1
 LONGEST_PAUSE = 2.0
 
@@ -29,7 +30,7 @@
     platform: Platform, new_key: str, rng: random.Random, sleep: Sleep = asyncio.sleep
 ) -> bytes:
     """Return the fleet's key, ``new_key`` if there was none; waits for the platform."""
-    pause = FIRST_PAUSE
+    backoff = Backoff(FIRST_PAUSE, LONGEST_PAUSE, rng)
     while True:
         found = await platform.get(KEY_KIND, KEY_NAME)
         if isinstance(found, Found):
@@ -41,5 +42,4 @@
             log.info("Another router writes the fleet's key, or the answer was lost: {}.", written)
         else:
             log.warning("The platform does not tell the fleet's key: {}.", found.reason)
-        await sleep(pause * rng.uniform(0.5, 1.0))
-        pause = min(LONGEST_PAUSE, pause * 2)
+        await sleep(backoff.next())
--- a/pondhatch/router/_sync.py
+++ b/pondhatch/router/_sync.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable
 from typing import Protocol
 
 from pondhatch.configuration import (
@@ -19,15 +19,12 @@
     Rejected,
     Update,
 )
-from pondhatch.kernel import Tasks
-from pondhatch.membership import Address, Member
+from pondhatch.kernel import Backoff, Tasks
+from pondhatch.membership import Member
 from pondhatch.observing import log_for
+from pondhatch.router._introduction import Introduction
 from pondhatch.router._state import RouterState
 from pondhatch.store import (
-    Accepted,
-    Found,
-    Listed,
-    Missing,
     Platform,
     PlatformLost,
     TooOld,
@@ -41,12 +38,13 @@
 
 #: Kind of the platform's objects that list upstreams.
 UPSTREAM_KIND = "upstream"
-#: Kind of the platform's objects that list the fleet's own VMs.
-VM_KIND = "vm"
 #: Seconds between checks of who watches and who lags.
 CHECK_SECONDS = 0.5
-#: Seconds before a lost watch or call is tried again: the first time and at most, with
-#: jitter; doubled each time, so that a platform that comes back is not rushed.
+#: Seconds that a router waits at its start to be listed and to hear who else is there; a
+#: platform that is well answers these three calls in some 20 ms.
+INTRODUCTION_SECONDS = 0.3
+#: Seconds before a lost watch is tried again, first and at most: a platform that comes
+#: back is not rushed.
 FIRST_PAUSE = 0.2
 LONGEST_PAUSE = 2.0
 
@@ -77,7 +75,7 @@
         pull: Pull,
         spread: Callable[[], None],
         rng: random.Random,
-        own_address: str | None = None,
+        introduction: Introduction,
     ) -> None:
         self._state = state
         self._platform = platform
@@ -86,17 +84,19 @@
         #: Tells some peers at once that this router has something new.
         self._spread = spread
         self._rng = rng
-        #: Where this router is reached, where it must list itself at the platform.
-        self._own_address = own_address
+        #: Lists this router at the platform, and finds its peers there.
+        self._introduction = introduction
         self._tasks = Tasks()
         self._watching: tuple[asyncio.Task[None], ...] = ()
 
     async def run(self) -> None:
         """Keep up until cancelled."""
-        if self._own_address is not None:
-            await self._list_self(self._own_address)
-        await self._find_peers()
+        introduced = self._tasks.start(self._introduction.run())
         try:
+            await self._pull_if_behind()
+            # Who knows its peers need not watch; but a platform that takes no writes must
+            # not keep a router that starts from what it can read.
+            await asyncio.wait([introduced], timeout=INTRODUCTION_SECONDS)
             while True:
                 self._watch_if_due()
                 await self._pull_if_behind()
@@ -108,33 +108,6 @@
         """React at once to a peer's word that it holds something newer."""
         await self._pull_if_behind()
 
-    async def _list_self(self, address: str) -> None:
-        """Write where this router is reached, for those that start later to find it."""
-        vm = {"address": address, "state": "live"}
-        pause = FIRST_PAUSE
-        while True:
-            found = await self._platform.get(VM_KIND, self._state.name)
-            if isinstance(found, Found) and found.object.value == vm:
-                return
-            if isinstance(found, Found):
-                name, version = self._state.name, found.object.version
-                await self._platform.update(VM_KIND, name, vm, version)
-            elif isinstance(found, Missing):
-                written = await self._platform.create(VM_KIND, self._state.name, vm)
-                if isinstance(written, Accepted):
-                    return
-            else:
-                log.warning("The platform does not take this router's address: {}.", found.reason)
-            await asyncio.sleep(pause * self._rng.uniform(0.5, 1.0))
-            pause = min(LONGEST_PAUSE, pause * 2)
-
-    async def _find_peers(self) -> None:
-        listed = await self._platform.list(VM_KIND)
-        if isinstance(listed, Unavailable):
-            log.warning("Platform lists no VMs: {}.", listed.reason)
-            return
-        self._state.gossip.add_seeds(_vm_addresses(listed))
-
     # -- from the platform --------------------------------------------------
 
     def _watch_if_due(self) -> None:
@@ -152,7 +125,7 @@
             self._watching = ()
 
     async def _keep(self, watch: Callable[[], Awaitable[None]]) -> None:
-        pause = FIRST_PAUSE
+        backoff = Backoff(FIRST_PAUSE, LONGEST_PAUSE, self._rng)
         while True:
             begun = self._state.clock()
             try:
@@ -164,9 +137,9 @@
             except Exception:
                 # What cannot be read now may be mended at the platform; nobody else watches.
                 log.exception("A watch ended in an error of this router; it begins again.")
-            lasted = self._state.clock() - begun
-            pause = FIRST_PAUSE if lasted > LONGEST_PAUSE else min(LONGEST_PAUSE, pause * 2)
-            await asyncio.sleep(pause * self._rng.uniform(0.5, 1.0))
+            if self._state.clock() - begun > LONGEST_PAUSE:
+                backoff.reset()
+            await asyncio.sleep(backoff.next())
 
     async def _watch_changes(self) -> None:
         async for news in self._source.follow(lambda: self._state.fleet):
@@ -232,10 +205,3 @@
             self._state.upstreams.version,
         )
         self._spread()
-
-
-def _vm_addresses(listed: Listed) -> Iterable[Address]:
-    for each in listed.objects:
-        host, _, port = str(each.value.get("address", "")).rpartition(":")
-        if host and port.isdigit():
-            yield Address(host, int(port))
--- /dev/null
+++ b/pondhatch/router/tests/test_introduction.py
@@ -0,0 +1,88 @@
+"""Routers that start come to know each other, whatever the platform takes from them."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import unittest
+from typing import Any
+
+from fakes._platform_in_memory import PlatformInMemory
+from fakes._virtual_loop import run_virtually
+from pondhatch.configuration import publish
+from pondhatch.router import Introduction, RouterState
+from pondhatch.router._introduction import VM_KIND
+from pondhatch.router.tests.test_sync import FIRST, router, syncing
+from pondhatch.store import Accepted, Conflict, OutcomeUnknown, Unavailable
+
+
+class TakesNoWrites(PlatformInMemory):
+    """A platform that serves reads and turns writes away, for as long as it is told."""
+
+    turns_away = True
+
+    async def create(
+        self, kind: str, name: str, value: Any
+    ) -> Accepted | Conflict | OutcomeUnknown | Unavailable:
+        if self.turns_away:
+            return Unavailable("busy")
+        return await super().create(kind, name, value)
+
+
+def introduction(state: RouterState, platform: PlatformInMemory, port: int) -> Introduction:
+    address = f"127.0.0.1:{port}"
+    return Introduction(state.name, state.gossip, platform, random.Random(port), address)
+
+
+def seeds(state: RouterState) -> set[int]:
+    return {address.port for address in state.gossip.membership._seeds}
+
+
+class IntroductionTest(unittest.TestCase):
+    def test_a_platform_that_takes_no_writes_keeps_nobody_from_its_configuration(self) -> None:
+        async def main() -> int:
+            platform = TakesNoWrites()
+            platform.turns_away = False
+            await publish(platform, FIRST)
+            platform.turns_away = True
+            state = router("r0")
+            state.refresh()
+            task = asyncio.ensure_future(syncing(state, platform, None, "127.0.0.1:1").run())
+            await asyncio.sleep(1.0)
+            task.cancel()
+            return state.fleet.version
+
+        self.assertEqual(run_virtually(main()), 1)
+
+    def test_it_is_listed_once_the_platform_takes_writes_again(self) -> None:
+        async def main() -> bool:
+            platform = TakesNoWrites()
+            task = asyncio.ensure_future(introduction(router("r0"), platform, 1).run())
+            await asyncio.sleep(5.0)
+            self.assertNotIn((VM_KIND, "r0"), platform.store.object_by_key)
+            platform.turns_away = False
+            await asyncio.wait_for(task, 5.0)
+            return (VM_KIND, "r0") in platform.store.object_by_key
+
+        self.assertTrue(run_virtually(main()))
+
+    def test_of_two_that_start_together_one_sees_the_other(self) -> None:
+        async def main() -> tuple[set[int], set[int]]:
+            platform = PlatformInMemory()
+            first, second = router("r0"), router("r1")
+            await asyncio.gather(
+                introduction(first, platform, 1).run(), introduction(second, platform, 2).run()
+            )
+            return seeds(first), seeds(second)
+
+        first, second = run_virtually(main())
+        self.assertTrue(2 in first or 1 in second)
+
+    def test_a_router_that_moved_replaces_where_it_was_reached(self) -> None:
+        async def main() -> Any:
+            platform = PlatformInMemory()
+            await introduction(router("r0"), platform, 1).run()
+            await introduction(router("r0"), platform, 2).run()
+            return platform.store.object_by_key[(VM_KIND, "r0")].value["address"]
+
+        self.assertEqual(run_virtually(main()), "127.0.0.1:2")
--- a/pondhatch/router/tests/test_sync.py
+++ b/pondhatch/router/tests/test_sync.py
@@ -15,11 +15,12 @@
 from pondhatch.configuration.tests.test_fleet import account, change
 from pondhatch.membership import Alive, Gossip, Member, MembershipLimits, Phase, short_id
 from pondhatch.requests import Claim, KeyRecord
-from pondhatch.router import RouterState, Sync
+from pondhatch.router import Introduction, RouterState, Sync
 from pondhatch.router._upstream_changes import STARTING_SECONDS
 from pondhatch.store import (
     LEAVING,
     Listed,
+    Platform,
     Unavailable,
     Upstream,
     UpstreamEntry,
@@ -57,11 +58,18 @@
         self.upstreams: UpstreamUpdate = peer.upstreams.since(upstreams)
 
 
-def syncing(state: RouterState, platform: PlatformInMemory, peer: RouterState | None) -> Sync:
+def syncing(
+    state: RouterState,
+    platform: Platform,
+    peer: RouterState | None,
+    own_address: str | None = None,
+) -> Sync:
     async def pull(member: Member, configuration: int, upstreams: int) -> Lacking | None:
         return Lacking(peer, configuration, upstreams) if peer is not None else None
 
-    return Sync(state, platform, ChangeLog(platform), pull, lambda: None, random.Random(1))
+    rng = random.Random(1)
+    introduction = Introduction(state.name, state.gossip, platform, rng, own_address)
+    return Sync(state, platform, ChangeLog(platform), pull, lambda: None, rng, introduction)
 
 
 def meet(state: RouterState, peer: RouterState) -> None:
