Pass over engines that answer many requests with failures of their own

Besides, an answer lost midway was told to the owner as answered: a crash that cut ten streams taught it nothing. Change: the end of a grant says which it was (Ended.ERRED, FAILED for lost answers, NOTHING where the caller left); Health keeps a smoothed share of failures and rests an engine from 0.35 on for 2 to 8 s; a request passes over two such engines at most, and comes back to the first where nobody else takes it, so no service is ever emptied. Tests: AilingTest in placement and grants, test_sending, test_plan; the share and the end's kind do not exist before.

--- a/pondhatch/placement/_health.py
+++ b/pondhatch/placement/_health.py
@@ -1,7 +1,9 @@
-"""Which owned upstreams are down, by the requests that failed there.
+"""Which owned upstreams are down or ailing, by what became of the requests sent there.
 
 An upstream that failed several times in a row gets nothing for a while, then one
-request to try it. Going past it sends nothing, so it costs no retry.
+request to try it. One that answers too many requests with failures of its own, though
+it takes them all, is passed over for a while and then judged anew: its health check may
+go on saying that it is well. Going past either sends nothing, so it costs no retry.
 """
 
 from __future__ import annotations
@@ -13,21 +15,38 @@
 #: Seconds for which it gets nothing, first and at most; doubled with each failed try.
 FIRST_PAUSE = 1.0
 LONGEST_PAUSE = 15.0
+#: Weight of one answer in the share of an upstream's answers that were failures of its
+#: own: some ten answers, a second's worth at today's sites, decide.
+ERROR_WEIGHT = 0.1
+#: Share from which an upstream is ailing. Some failures follow the request wherever it
+#: runs (one in seven of one kind at the users' render desk), so it stands well above that.
+AILING_SHARE = 0.35
+#: Share below which an upstream's failures are forgotten.
+WELL_SHARE = 0.01
+#: Seconds for which an ailing one is passed over, first and at most; doubled each time.
+FIRST_REST = 2.0
+LONGEST_REST = 8.0
 
 
 @dataclass(frozen=True)
 class UpstreamHealth:
     """What is known of one upstream."""
 
+    #: Requests in a row that were lost there or could not reach it.
     failures: int = 0
     #: Until when it gets nothing, in the clock's seconds.
     down_until: float = float("-inf")
     pause: float = FIRST_PAUSE
+    #: Share of its latest answers that were failures of its own, later ones weighing more.
+    errors: float = 0.0
+    #: Until when it is passed over where another can take the request.
+    ailing_until: float = float("-inf")
+    rest: float = FIRST_REST
 
 
 @dataclass
 class Health:
-    """Failures in a row by upstream; one that is well is not listed."""
+    """Health by upstream; one that is well is not listed."""
 
     health_by_upstream: dict[str, UpstreamHealth] = field(default_factory=dict)
 
@@ -41,14 +60,51 @@
         self.health_by_upstream[upstream] = replace(known, down_until=now + known.pause)
         return False
 
+    def is_ailing(self, upstream: str, now: float) -> bool:
+        """Return whether an upstream should get only what no other can take."""
+        known = self.health_by_upstream.get(upstream)
+        return known is not None and now < known.ailing_until
+
     def failed(self, upstream: str, now: float) -> None:
         """Note that a request was lost there or could not reach it."""
-        known = self.health_by_upstream.get(upstream, UpstreamHealth())
+        known = self._known(upstream)
         failures = known.failures + 1
         pause = min(LONGEST_PAUSE, known.pause * 2) if failures > FAILURES else known.pause
         down_until = now + pause if failures >= FAILURES else known.down_until
-        self.health_by_upstream[upstream] = UpstreamHealth(failures, down_until, pause)
+        self.health_by_upstream[upstream] = replace(
+            known, failures=failures, down_until=down_until, pause=pause
+        )
 
     def answered(self, upstream: str) -> None:
         """Note that a request was answered there."""
-        self.health_by_upstream.pop(upstream, None)
+        known = self.health_by_upstream.get(upstream)
+        if known is None:
+            return
+        errors = known.errors * (1 - ERROR_WEIGHT)
+        if errors < WELL_SHARE:
+            del self.health_by_upstream[upstream]
+            return
+        self.health_by_upstream[upstream] = replace(_reached(known), errors=errors)
+
+    def erred(self, upstream: str, now: float) -> None:
+        """Note that an upstream answered a request with a failure of its own."""
+        known = _reached(self._known(upstream))
+        errors = known.errors + (1 - known.errors) * ERROR_WEIGHT
+        if errors < AILING_SHARE or now < known.ailing_until:
+            self.health_by_upstream[upstream] = replace(known, errors=errors)
+            return
+        self.health_by_upstream[upstream] = replace(
+            known,
+            # Judged anew after its rest: neither well by default nor ailing at once.
+            errors=AILING_SHARE / 2,
+            ailing_until=now + known.rest,
+            rest=min(LONGEST_REST, known.rest * 2),
+        )
+
+    def _known(self, upstream: str) -> UpstreamHealth:
+        return self.health_by_upstream.get(upstream, UpstreamHealth())
+
+
+def _reached(known: UpstreamHealth) -> UpstreamHealth:
+    """Return what is known of an upstream that answered: it is not down."""
+    return replace(known, failures=0, down_until=float("-inf"), pause=FIRST_PAUSE)
--- a/pondhatch/placement/_plan.py
+++ b/pondhatch/placement/_plan.py
@@ -14,6 +14,9 @@
 
 #: Engines asked at most for one request before it is refused.
 DEFAULT_ASKS = 12
+#: Ailing engines that one request passes over at most: where there are more, the fault lies
+#: with the service, and crowding the engines that seem well would only add to it.
+MOST_AILING = 2
 
 
 @dataclass(frozen=True)
@@ -21,7 +24,7 @@
     """Ask the owner of this engine for a grant."""
 
     engine: str
-    #: True where the home engine is asked again although the context is elsewhere.
+    #: True where an engine is asked although the context is elsewhere, or it is ailing.
     insist: bool = False
     #: True where the chat's context is believed to lie here.
     context: bool = False
@@ -51,6 +54,8 @@
         self.passed_over: list[tuple[str, str]] = []
         #: Requests in flight that each full engine's owner spoke of.
         self.in_flight_by_engine: dict[str, int] = {}
+        #: Engines that were passed over because they answer with failures.
+        self._ailing: list[str] = []
         self._asks = asks
         self._last_asked = False
         #: Asks that come before the rest of the order.
@@ -75,7 +80,8 @@
         if self._first:
             self._current = self._first.pop(0)
         elif self._rest:
-            self._current = Ask(self._rest.pop())
+            insist = len(self._ailing) >= MOST_AILING
+            self._current = Ask(self._rest.pop(), insist=insist)
         else:
             return self._last_resort()
         return self._current
@@ -90,16 +96,25 @@
             self.in_flight_by_engine[self._current.engine] = in_flight
         self.refused(f"at ceiling, {in_flight} of {ceiling}")
 
+    def ailing(self) -> None:
+        """Note that the engine last asked should get only what no other can take."""
+        if self._current is not None:
+            self._ailing.append(self._current.engine)
+
     def _last_resort(self) -> Step:
-        """Ask the least loaded engine once more: what the walk saw may raise its ceiling."""
-        asked = tuple(engine for engine, _ in self.passed_over)
-        if self._last_asked or not self.in_flight_by_engine:
-            return Exhausted(asked)
+        """Ask once more an engine that may take what no other did."""
+        engine = self._ailing[0] if self._ailing else self._least_loaded()
+        if self._last_asked or engine is None:
+            return Exhausted(tuple(name for name, _ in self.passed_over))
         self._last_asked = True
-        least = min(self.in_flight_by_engine, key=lambda name: self.in_flight_by_engine[name])
-        self._current = Ask(least, insist=True, last=True)
+        self._current = Ask(engine, insist=True, last=True)
         return self._current
 
+    def _least_loaded(self) -> str | None:
+        """Return the full engine with the least work: what was seen may raise its ceiling."""
+        seen = self.in_flight_by_engine
+        return min(seen, key=lambda name: seen[name], default=None)
+
     def refused(self, why: str) -> None:
         """Note that the engine last asked did not take the request."""
         if self._current is None:
--- a/pondhatch/placement/tests/test_health.py
+++ b/pondhatch/placement/tests/test_health.py
@@ -3,6 +3,7 @@
 import unittest
 
 from pondhatch.placement import Health
+from pondhatch.placement._health import FAILURES
 
 
 class HealthTest(unittest.TestCase):
@@ -44,3 +45,52 @@
         self.health.answered("e")
         self.assertFalse(self.health.is_down("e", 0.0))
         self.assertEqual(self.health.health_by_upstream, {})
+
+
+class AilingTest(unittest.TestCase):
+    """An upstream that takes all requests and answers many with failures."""
+
+    def setUp(self) -> None:
+        self.health = Health()
+
+    def answer(self, pattern: str, now: float = 0.0) -> None:
+        """Have answers come: "." for one that is well, "x" for a failure of its own."""
+        for each in pattern:
+            if each == "x":
+                self.health.erred("e", now)
+            else:
+                self.health.answered("e")
+
+    def test_half_of_its_answers_being_failures_makes_it_ailing(self) -> None:
+        self.answer(".x" * 10)
+        self.assertTrue(self.health.is_ailing("e", 0.0))
+
+    def test_failures_that_follow_the_request_do_not(self) -> None:
+        self.answer("......x" * 40)
+        self.assertFalse(self.health.is_ailing("e", 0.0))
+
+    def test_it_is_never_taken_for_down(self) -> None:
+        self.answer("x" * 50)
+        self.assertFalse(self.health.is_down("e", 0.0))
+
+    def test_it_is_judged_anew_after_rests_that_grow(self) -> None:
+        rests, now = [], 0.0
+        for _ in range(4):
+            self.answer("x" * 10, now)
+            rest = 0.0
+            while self.health.is_ailing("e", now + rest):
+                rest += 0.5
+            rests.append(rest)
+            now += rest
+        self.assertEqual(rests, [2.0, 4.0, 8.0, 8.0])
+
+    def test_once_well_it_is_forgotten(self) -> None:
+        self.answer("x" * 10)
+        self.answer("." * 60, 3.0)
+        self.assertEqual(self.health.health_by_upstream, {})
+
+    def test_a_failure_of_its_own_shows_that_it_is_not_down(self) -> None:
+        for _ in range(FAILURES):
+            self.health.failed("e", 0.0)
+        self.health.erred("e", 0.5)
+        self.assertFalse(self.health.is_down("e", 0.5))
--- a/pondhatch/placement/tests/test_plan.py
+++ b/pondhatch/placement/tests/test_plan.py
@@ -3,6 +3,7 @@
 import unittest
 
 from pondhatch.placement import Ask, Exhausted, Plan, SpillMemory, ranked, winner
+from pondhatch.placement._plan import MOST_AILING
 
 ENGINES = tuple(f"engine-{at}" for at in range(10))
 
@@ -47,6 +48,25 @@
         plan.full(2, 2)
         self.assertIsInstance(plan.next(), Exhausted)
 
+    def test_an_ailing_engine_is_asked_where_no_other_takes_the_request(self) -> None:
+        plan = Plan("chat", ENGINES[:2])
+        plan.next()
+        plan.ailing()
+        plan.refused("ailing")
+        self.assertEqual(plan.next(), Ask(plan.order[1]))
+        plan.full(4, 4)
+        self.assertEqual(plan.next(), Ask(plan.order[0], insist=True, last=True))
+        plan.refused("failed")
+        self.assertIsInstance(plan.next(), Exhausted)
+
+    def test_where_many_are_ailing_the_next_is_asked_all_the_same(self) -> None:
+        plan = Plan("chat", ENGINES)
+        for _ in range(MOST_AILING):
+            plan.next()
+            plan.ailing()
+            plan.refused("ailing")
+        self.assertEqual(plan.next(), Ask(plan.order[MOST_AILING], insist=True))
+
     def test_an_engine_is_asked_again_over_a_new_connection(self) -> None:
         plan = Plan("chat", ENGINES)
         first = plan.next()
--- a/pondhatch/requests/_entry.py
+++ b/pondhatch/requests/_entry.py
@@ -12,7 +12,7 @@
 from pondhatch.placement import Ask, Exhausted, Granted, Plan
 from pondhatch.requests._entry_view import EntryView, Ways
 from pondhatch.requests._messages import BodySource, Opened, ReplayableBody, RequestHead
-from pondhatch.requests._outcomes import CROSSED, NotRun, Refusal, Unknown
+from pondhatch.requests._outcomes import AILING, CROSSED, NotRun, Refusal, Unknown
 from pondhatch.requests._questions import (
     MILLISECONDS,
     THOUSANDTHS,
@@ -31,7 +31,7 @@
 RESUME_FROM_HEADER = "X-Resume-From"
 OK = 200
 #: Refusals for which nothing was sent anywhere: going on is no retry.
-NOTHING_SENT = frozenset({"upstream-leaving", "upstream-down", "router-unreachable"})
+NOTHING_SENT = frozenset({"upstream-leaving", "upstream-down", AILING, "router-unreachable"})
 
 
 @dataclass(frozen=True)
@@ -211,6 +211,8 @@
         if isinstance(reply, NotOwner):
             self.plan.refused("its owner is in doubt")
             return None
+        if reply.code == AILING:
+            self.plan.ailing()
         self.plan.refused(f"{reply.code}: {reply.reason}")
         return self._after_failure(ask, reply)
 
--- a/pondhatch/requests/_outcomes.py
+++ b/pondhatch/requests/_outcomes.py
@@ -6,6 +6,8 @@
 
 #: Code of an outcome that is unknown because another request's answer came.
 CROSSED = "answer-crossed"
+#: Code where an upstream was passed over because it answers many requests with failures.
+AILING = "upstream-ailing"
 
 
 @dataclass(frozen=True)
--- a/pondhatch/requests/_owner.py
+++ b/pondhatch/requests/_owner.py
@@ -10,7 +10,7 @@
 from pondhatch.placement import Full, Gate, Granted, Health, SpillMemory, Verdict, context_engine
 from pondhatch.requests._leases import Leases
 from pondhatch.requests._lines import Lines
-from pondhatch.requests._outcomes import NotRun
+from pondhatch.requests._outcomes import AILING, NotRun
 from pondhatch.requests._questions import (
     Busy,
     Elsewhere,
@@ -110,8 +110,9 @@
         target = self._view.target(question.engine)
         if not takes(target, question.resuming):
             return leaving(question.engine)
-        if self._health.is_down(question.engine, self._clock()):
-            return NotRun("upstream-down", f"{question.engine} failed several times in a row")
+        unwell = self._unwell(question)
+        if unwell is not None:
+            return unwell
         verdict = self._ask_gate(target, question)
         if isinstance(verdict, Granted):
             return self._granted(question, verdict)
@@ -138,6 +139,8 @@
             self._health.answered(lease.engine)
         if ended == Ended.FAILED:
             self._health.failed(lease.engine, self._clock())
+        if ended == Ended.ERRED:
+            self._health.erred(lease.engine, self._clock())
         self._give_back(lease.engine)
 
     def hold(self, router: int, engine: str, numbers: Collection[int]) -> None:
@@ -177,11 +180,21 @@
         owner = self._view.owner_name(question.engine)
         if owner != self._name:
             return NotOwner(owner)
-        if self._health.is_down(question.engine, self._clock()):
-            return NotRun("upstream-down", f"{question.engine} failed several times in a row")
+        unwell = self._unwell(question)
+        if unwell is not None:
+            return unwell
         believed = self._context_engine(question)
         return Elsewhere(believed) if believed != question.engine else None
 
+    def _unwell(self, question: Question) -> NotRun | None:
+        """Return why a request should not run at an engine, by what became of others there."""
+        engine, now = question.engine, self._clock()
+        if self._health.is_down(engine, now):
+            return NotRun("upstream-down", f"{engine} failed several times in a row")
+        if self._health.is_ailing(engine, now) and not question.insist:
+            return NotRun(AILING, f"{engine} answers many requests with failures")
+        return None
+
     def _context_engine(self, question: Question) -> str:
         """Return where to send the chat: here, unless this is its home and it lies elsewhere."""
         if not (question.home and question.returning) or question.insist:
--- a/pondhatch/requests/_questions.py
+++ b/pondhatch/requests/_questions.py
@@ -40,7 +40,7 @@
     home: bool = False
     #: The engine ranked second for the chat; told to a home engine that joined lately.
     runner_up: str | None = None
-    #: Whether the home engine is asked although the context is elsewhere.
+    #: Whether the engine is asked although the context is elsewhere, or it is ailing.
     insist: bool = False
     #: Whether a broken stream is to go on: no new work, welcome at a leaving engine too.
     resuming: bool = False
@@ -93,8 +93,10 @@
     ANSWERED = 0
     #: Nothing is to be learned: refused, given up, never sent.
     NOTHING = 1
-    #: The engine could not be reached, or lost the request.
+    #: The engine could not be reached, or lost the request or its answer.
     FAILED = 2
+    #: The engine answered with a failure of its own.
+    ERRED = 3
 
 
 class Grants(Protocol):
--- a/pondhatch/requests/_sending.py
+++ b/pondhatch/requests/_sending.py
@@ -10,11 +10,13 @@
     AnswerStream,
     BodySource,
     Headers,
+    Lost,
     Opened,
     PartSink,
     RequestHead,
 )
 from pondhatch.requests._outcomes import NotRun, Unknown
+from pondhatch.requests._questions import Ended
 
 
 @dataclass(frozen=True)
@@ -56,28 +58,45 @@
         """Send a request once; never repeat it."""
 
 
+#: Statuses from here on are failures of an upstream's own,
+FAILURE_STATUS = 500
+#: but for this one, which says that the request's time was over.
+OUT_OF_TIME_STATUS = 504
+
+
+def _ended_with(status: int) -> Ended:
+    """Return what a whole answer tells of its engine."""
+    own_failure = status >= FAILURE_STATUS and status != OUT_OF_TIME_STATUS
+    return Ended.ERRED if own_failure else Ended.ANSWERED
+
+
 class GrantedAnswer:
     """An answer that gives its grant back when it ends, once, in whatever way."""
 
-    def __init__(self, answer: AnswerStream, release: Callable[[], None]) -> None:
+    def __init__(self, answer: AnswerStream, release: Callable[[Ended], None]) -> None:
         self._answer = answer
-        self._release: Callable[[], None] | None = release
+        self._release: Callable[[Ended], None] | None = release
         self.status: int = answer.status
         self.headers: Headers = answer.headers
 
     async def pour(self, sink: PartSink) -> None:
         """Hand every part to a sink; see AnswerStream."""
+        ended = Ended.NOTHING
         try:
             await self._answer.pour(sink)
+            ended = _ended_with(self.status)
+        except Lost:
+            ended = Ended.FAILED
+            raise
         finally:
-            self._end()
+            self._end(ended)
 
     def cancel(self) -> None:
         """Give the answer up and the grant back."""
         self._answer.cancel()
-        self._end()
+        self._end(Ended.NOTHING)
 
-    def _end(self) -> None:
+    def _end(self, ended: Ended) -> None:
         release, self._release = self._release, None
         if release is not None:
-            release()
+            release(ended)
--- a/pondhatch/requests/_tries.py
+++ b/pondhatch/requests/_tries.py
@@ -62,7 +62,7 @@
         try:
             reply = await self._ways.upstreams.send(target, head, self._fresh_body())
             if isinstance(reply, Opened):
-                answer = GrantedAnswer(reply.answer, lambda: grants.release(number, Ended.ANSWERED))
+                answer = GrantedAnswer(reply.answer, lambda ended: grants.release(number, ended))
                 return Opened(answer)
         except BaseException:
             grants.release(number, Ended.NOTHING)
--- a/pondhatch/requests/tests/test_grants.py
+++ b/pondhatch/requests/tests/test_grants.py
@@ -10,10 +10,11 @@
 from fakes._virtual_loop import run_virtually
 from pondhatch.membership import short_id
 from pondhatch.placement import Granted, winner
-from pondhatch.placement._health import FAILURES
+from pondhatch.placement._health import FAILURES, FIRST_REST
 from pondhatch.requests import Busy, Ended, NotOwner, NotRun, OwnerReply, Question, Release
 from pondhatch.requests._entry_grants import PAUSES
 from pondhatch.requests._leases import LEASE_SECONDS
+from pondhatch.requests._outcomes import AILING
 from pondhatch.requests._owner import START_SECONDS
 from pondhatch.requests.tests._history import Fleet
 
@@ -254,6 +255,36 @@
         self.assertEqual(run_virtually(main()), Busy(CEILING, CEILING))
 
 
+class AilingTest(GrantCase):
+    """An engine that takes all requests and answers many with failures of its own."""
+
+    async def fail_much(self, fleet: Fleet) -> None:
+        entry = fleet.routers[self.entry].entry
+        while isinstance(await self.ask(fleet), Granted):
+            entry.release(next(iter(entry.held_by_number)), Ended.ERRED)
+            await asyncio.sleep(0.1)
+
+    def test_it_gets_only_what_insists(self) -> None:
+        async def main() -> tuple[OwnerReply, OwnerReply]:
+            fleet = Fleet([], [], False)
+            await self.fail_much(fleet)
+            return await self.ask(fleet), await self.ask(fleet, insist=True)
+
+        passed_over, insisting = run_virtually(main())
+        self.assertIsInstance(passed_over, NotRun)
+        self.assertEqual(getattr(passed_over, "code", ""), AILING)
+        self.assertIsInstance(insisting, Granted)
+
+    def test_it_is_tried_again_after_its_rest(self) -> None:
+        async def main() -> OwnerReply:
+            fleet = Fleet([], [], False)
+            await self.fail_much(fleet)
+            await asyncio.sleep(FIRST_REST)
+            return await self.ask(fleet)
+
+        self.assertIsInstance(run_virtually(main()), Granted)
+
+
 class OwnerChangeTest(GrantCase):
     def test_a_new_owner_counts_what_the_old_one_granted(self) -> None:
         async def main() -> tuple[int, OwnerReply]:
--- /dev/null
+++ b/pondhatch/requests/tests/test_sending.py
@@ -0,0 +1,66 @@
+"""What a granted request's end tells of its engine."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from pondhatch.requests import Broken, Ended, Headers, Lost, PartSink
+from pondhatch.requests._sending import GrantedAnswer
+
+
+class Answer:
+    """An answer that ends, or is lost, or never ends."""
+
+    headers: Headers = ()
+
+    def __init__(self, status: int = 200, lost: bool = False, ends: bool = True) -> None:
+        self.status = status
+        self._lost = lost
+        self._ends = ends
+
+    async def pour(self, sink: PartSink) -> None:
+        if not self._ends:
+            await asyncio.Event().wait()
+        if self._lost:
+            raise Lost(Broken("answer-broken", "cut"))
+
+    def cancel(self) -> None:
+        """Do nothing."""
+
+
+class Sink:
+    async def ready(self) -> None:
+        """Be ready at once."""
+
+    def write(self, part: bytes) -> bool:
+        return True
+
+
+class GrantedAnswerTest(unittest.IsolatedAsyncioTestCase):
+    async def ended(self, answer: Answer) -> list[Ended]:
+        released: list[Ended] = []
+        granted = GrantedAnswer(answer, released.append)
+        task = asyncio.ensure_future(granted.pour(Sink()))
+        await asyncio.sleep(0)
+        if not task.done():
+            task.cancel()
+        await asyncio.wait([task])
+        task.cancelled() or task.exception()
+        granted.cancel()
+        return released
+
+    async def test_each_end_is_told_once_and_as_what_it_was(self) -> None:
+        cases = (
+            (Answer(200), Ended.ANSWERED),
+            (Answer(404), Ended.ANSWERED),
+            (Answer(500), Ended.ERRED),
+            (Answer(502), Ended.ERRED),
+            (Answer(504), Ended.ANSWERED),
+            (Answer(200, lost=True), Ended.FAILED),
+            (Answer(500, lost=True), Ended.FAILED),
+            (Answer(200, ends=False), Ended.NOTHING),
+        )
+        for answer, expected in cases:
+            with self.subTest(status=answer.status, expected=expected):
+                self.assertEqual(await self.ended(answer), [expected])
