Have requests wait a moment for a router that has just started

Cause: a router listens before it has read the configuration, 50 ms later. Change: router/_starting.py holds a request up to 0.1 s, in the first 0.5 s of a router, until it knows a configuration and a list of upstreams; later, and where the platform tells nothing, callers are refused at once as before. Both interfaces use it, and both say not-ready where there is no configuration. Ruled out: listening only once the configuration is there (a platform that is out would make refusals into failed connections, which cost callers a second each). Tests: StartingTest in router and transport.

--- a/pondhatch/cli/_router_process.py
+++ b/pondhatch/cli/_router_process.py
@@ -46,6 +46,7 @@
     Granting,
     Introduction,
     RouterState,
+    Starting,
     Sync,
 )
 from pondhatch.transport import (
@@ -184,6 +185,7 @@
                 records=self._records,
                 tasks=self._tasks,
                 rng=self._rng,
+                starting=Starting(self.state),
             )
         )
 
--- a/pondhatch/router/__init__.py
+++ b/pondhatch/router/__init__.py
@@ -15,6 +15,7 @@
 from pondhatch.router._fleet_key import agreed_key
 from pondhatch.router._granting import GRANT_MARK, Granting
 from pondhatch.router._introduction import Introduction
+from pondhatch.router._starting import Starting, not_ready
 from pondhatch.router._state import RouterState
 from pondhatch.router._sync import UPSTREAM_KIND, Sync
 
@@ -32,9 +33,11 @@
     "Granting",
     "Introduction",
     "RouterState",
+    "Starting",
     "Sync",
     "admit",
     "dump_state",
     "identify",
+    "not_ready",
     "service_of_path",
 ]
--- /dev/null
+++ b/pondhatch/router/_starting.py
@@ -0,0 +1,57 @@
+"""Requests that reach a router in the moment of its start.
+
+Callers whose router was down are back within milliseconds of its start, before it has
+read the configuration. That takes some 50 ms from a platform that is well, so they wait
+for it instead of being sent away.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+from pondhatch.requests import NotRun
+from pondhatch.router._state import RouterState
+
+#: Seconds after a router's start in which requests wait for what it serves by. A platform
+#: that is well told it within 0.1 s of the start on the users' bench; one that is not may
+#: take minutes, and callers are then refused at once.
+STARTING_SECONDS = 0.5
+#: Seconds that one request waits at most: half of the shortest objective of today's
+#: sites (0.2 s), so that it can still be answered in time.
+LONGEST_WAIT = 0.1
+#: Seconds between looks at what is known.
+LOOK_SECONDS = 0.01
+#: Seconds after which to come back to a router that knows no configuration yet: it is
+#: read within a second of its start.
+NOT_READY_RETRY_AFTER = 0.5
+
+
+def not_ready(state: RouterState) -> NotRun | None:
+    """Return the refusal of a router that knows no configuration yet."""
+    if state.fleet.version > 0:
+        return None
+    reason = "this router knows no configuration yet"
+    return NotRun("not-ready", reason, NOT_READY_RETRY_AFTER)
+
+
+class Starting:
+    """Holds requests for a moment while a router starts."""
+
+    def __init__(self, state: RouterState) -> None:
+        self._state = state
+        self._until = state.clock() + STARTING_SECONDS
+        #: One look-out for all requests that wait.
+        self._informed: asyncio.Task[None] | None = None
+
+    async def wait(self) -> None:
+        """Wait until the router knows what it serves by, for a moment at most."""
+        if self._state.is_informed() or self._state.clock() >= self._until:
+            return
+        if self._informed is None:
+            self._informed = asyncio.ensure_future(self._look_out())
+        left = self._until - self._state.clock()
+        await asyncio.wait([self._informed], timeout=min(LONGEST_WAIT, left))
+
+    async def _look_out(self) -> None:
+        while not self._state.is_informed() and self._state.clock() < self._until:
+            await asyncio.sleep(LOOK_SECONDS)
--- a/pondhatch/router/_state.py
+++ b/pondhatch/router/_state.py
@@ -296,6 +296,10 @@
 
     # -- rounds -------------------------------------------------------------
 
+    def is_informed(self) -> bool:
+        """Return whether this router knows a configuration and has seen a list of upstreams."""
+        return self.fleet.version > 0 and self.upstreams.version > 0
+
     def stopping(self) -> bool:
         """Return whether this router is draining."""
         return self.phase != Phase.LIVE
--- /dev/null
+++ b/pondhatch/router/tests/test_starting.py
@@ -0,0 +1,71 @@
+"""How long a router that starts holds requests."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from fakes._virtual_loop import run_virtually
+from pondhatch.router import RouterState, Starting
+from pondhatch.router._starting import LONGEST_WAIT, STARTING_SECONDS
+from pondhatch.router.tests.test_sync import FIRST, router
+from pondhatch.store import Upstream
+
+
+def now() -> float:
+    return asyncio.get_running_loop().time()
+
+
+def starting() -> tuple[RouterState, Starting]:
+    state = router("r0")
+    state.clock = now
+    return state, Starting(state)
+
+
+async def waited(start: Starting) -> float:
+    begun = now()
+    await start.wait()
+    return now() - begun
+
+
+class StartingTest(unittest.TestCase):
+    def test_it_goes_on_as_soon_as_both_are_known(self) -> None:
+        async def main() -> float:
+            state, start = starting()
+            loop = asyncio.get_running_loop()
+            loop.call_later(0.02, state.take_change, FIRST)
+            upstream = Upstream("e0", "lang", "http://x", "h1")
+            loop.call_later(0.05, state.upstreams.set, upstream, 5)
+            return await waited(start)
+
+        self.assertAlmostEqual(run_virtually(main()), 0.05, delta=0.015)
+
+    def test_one_request_waits_a_moment_at_most(self) -> None:
+        async def main() -> float:
+            return await waited(starting()[1])
+
+        self.assertAlmostEqual(run_virtually(main()), LONGEST_WAIT)
+
+    def test_later_ones_wait_for_what_is_left_of_the_start_and_then_not_at_all(self) -> None:
+        async def main() -> list[float]:
+            _, start = starting()
+            await asyncio.sleep(STARTING_SECONDS - LONGEST_WAIT / 2)
+            found = [await waited(start)]
+            await asyncio.sleep(60)
+            return [*found, await waited(start)]
+
+        last, after = run_virtually(main())
+        self.assertAlmostEqual(last, LONGEST_WAIT / 2, delta=0.011)
+        self.assertEqual(after, 0.0)
+
+    def test_one_that_gives_up_ends_nobody_elses_wait(self) -> None:
+        async def main() -> float:
+            _, start = starting()
+            leaving = asyncio.ensure_future(start.wait())
+            await asyncio.sleep(0.01)
+            staying = asyncio.ensure_future(waited(start))
+            await asyncio.sleep(0.01)
+            leaving.cancel()
+            return await staying
+
+        self.assertAlmostEqual(run_virtually(main()), LONGEST_WAIT)
--- a/pondhatch/standard/_callers.py
+++ b/pondhatch/standard/_callers.py
@@ -24,7 +24,14 @@
     RequestHead,
     read_chat,
 )
-from pondhatch.router import Account, Admitted, admit, identify, service_of_path
+from pondhatch.router import (
+    Account,
+    Admitted,
+    admit,
+    identify,
+    not_ready,
+    service_of_path,
+)
 from pondhatch.standard._answers import OpenAiAnswers
 from pondhatch.transport import (
     CallerParts,
@@ -54,6 +61,7 @@
 
     def __init__(self, parts: CallerParts) -> None:
         self._state = parts.state
+        self._starting = parts.starting
         self._limits = parts.limits
         self._metrics = parts.metrics
         self._answers = OpenAiAnswers(parts.metrics)
@@ -92,8 +100,7 @@
         started = time.monotonic()
         self.in_flight += 1
         try:
-            account = identify(self._state, _header(request, "Authorization"))
-            found = account if isinstance(account, NotRun) else await prepare(request, account)
+            found = await self._admitted(request, prepare)
             if isinstance(found, NotRun):
                 self._answers.refuse(request, found)
                 return
@@ -107,6 +114,14 @@
         finally:
             self.in_flight -= 1
 
+    async def _admitted(self, request: Any, prepare: Prepare) -> Work | NotRun:
+        await self._starting.wait()
+        unready = not_ready(self._state)
+        if unready is not None:
+            return unready
+        account = identify(self._state, _header(request, "Authorization"))
+        return account if isinstance(account, NotRun) else await prepare(request, account)
+
     async def _prepare_chat(self, request: CallerRequest, account: Account) -> Work | NotRun:
         body = await read_whole(request.body(), self._limits.chat_body_bytes)
         if body is None:
--- a/pondhatch/transport/_interface.py
+++ b/pondhatch/transport/_interface.py
@@ -18,7 +18,7 @@
 from pondhatch.kernel import Tasks
 from pondhatch.observing import Metrics, Records
 from pondhatch.requests import UpstreamDialect, Ways
-from pondhatch.router import RouterState
+from pondhatch.router import RouterState, Starting
 from pondhatch.store import Platform
 
 #: Kind of the plug-ins that implement Interface.
@@ -36,6 +36,8 @@
     records: Records
     tasks: Tasks
     rng: random.Random
+    #: Holds requests for a moment while the router starts.
+    starting: Starting
 
 
 class Callers(Protocol):
--- a/pondhatch/transport/_routed_callers.py
+++ b/pondhatch/transport/_routed_callers.py
@@ -27,6 +27,7 @@
     RouterState,
     admit_routed,
     identify_key,
+    not_ready,
 )
 from pondhatch.transport._answers import fail
 from pondhatch.transport._caller_channel import CallerRequest, drain, read_whole
@@ -39,9 +40,6 @@
 
 NOT_FOUND = 404
 TOO_LARGE = 413
-#: Seconds after which to come back to a router that knows no configuration yet: it is
-#: read within a second of its start.
-NOT_READY_RETRY_AFTER = 0.5
 #: Bytes of a refused request's body that are read and dropped, so that its connection can
 #: be used again; beyond them it is closed.
 UNWANTED_BYTES = 256 * 1024
@@ -65,6 +63,7 @@
         self._records = parts.records
         self._rng = parts.rng
         self._tasks = parts.tasks
+        self._starting = parts.starting
         self._answers = RoutedAnswers(dialect, parts.metrics, parts.state.stopping)
         self._serving = Serving(parts, self._answers)
 
@@ -118,6 +117,7 @@
         )
 
     async def _prepare(self, request: CallerRequest) -> Work | NotRun:
+        await self._starting.wait()
         headers = _headers(request)
         facts = self._dialect.read(headers)
         wanted = self._wanted(request, facts)
@@ -143,9 +143,9 @@
         return account if isinstance(account, NotRun) else (route, account)
 
     def _route(self, request: CallerRequest) -> Route | NotRun:
-        if self._state.fleet.version == 0:
-            reason = "this router knows no configuration yet"
-            return NotRun("not-ready", reason, NOT_READY_RETRY_AFTER)
+        unready = not_ready(self._state)
+        if unready is not None:
+            return unready
         if not self.takes_work:
             return NotRun("stopping", "this router is stopping; ask another", 0.0)
         host = request.getHeader("host") or ""
--- a/pondhatch/transport/tests/test_routed_callers.py
+++ b/pondhatch/transport/tests/test_routed_callers.py
@@ -39,7 +39,8 @@
     Unknown,
     Ways,
 )
-from pondhatch.router import RouterState
+from pondhatch.router import RouterState, Starting
+from pondhatch.router._starting import STARTING_SECONDS
 from pondhatch.store import LEAVING, Upstream
 from pondhatch.transport._caller_channel import CallerSite
 from pondhatch.transport._interface import CallerParts
@@ -171,6 +172,9 @@
         self.noted = Noted()
 
     async def asyncSetUp(self) -> None:
+        starting = Starting(self.state)
+        # These tests' router started some time ago, but for those of its start.
+        self.state.clock = lambda: STARTING_SECONDS
         parts = CallerParts(
             self.state,
             Ways(self.grants, self.upstreams),
@@ -179,6 +183,7 @@
             self.noted,
             Tasks(),
             random.Random(1),
+            starting,
         )
         self.callers = RoutedCallers(parts, ClientDialect())
         self.clock = Clock()
@@ -424,3 +429,46 @@
         await self.settle()
         self.assertEqual(self.grants.released, [Ended.NOTHING])
         self.assertEqual(self.callers.in_flight, 0)
+
+
+class Held(Starting):
+    """Holds requests until it is told."""
+
+    def __init__(self, state: RouterState) -> None:
+        super().__init__(state)
+        self.over = asyncio.Event()
+
+    async def wait(self) -> None:
+        await self.over.wait()
+
+
+class StartingTest(RoutedCallersTest):
+    """Requests that come before a router that starts knows what it serves by."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.fleet, self.state.fleet = self.state.fleet, Fleet()
+        self.held = Held(self.state)
+        self.callers._starting = self.held
+
+    async def test_they_are_served_by_what_it_then_knows(self) -> None:
+        self.upstreams.replies = [Opened(Answer((b"yes!",)))]
+        self.assertEqual(await self.ask("GET /x HTTP/1.1"), b"")
+        self.state.fleet = self.fleet
+        self.held.over.set()
+        await self.settle()
+        self.assertTrue(self.written().startswith(b"HTTP/1.1 200"))
+
+    async def test_they_are_told_to_come_back_where_it_learned_nothing(self) -> None:
+        self.assertEqual(await self.ask("GET /x HTTP/1.1"), b"")
+        self.held.over.set()
+        await self.settle()
+        told = self.written()
+        self.assertTrue(told.startswith(b"HTTP/1.1 503"))
+        self.assertIn(b"Retry-After: 0.500", told)
+
+    async def test_a_caller_that_leaves_meanwhile_leaves_nothing_behind(self) -> None:
+        await self.ask("GET /x HTTP/1.1")
+        self.channel.connectionLost(Failure(ConnectionLost()))
+        await self.settle()
+        self.assertEqual(self.callers.in_flight, 0)
