--- a/fakes/_machines_fleet.py
+++ b/fakes/_machines_fleet.py
@@ -29,7 +29,7 @@
     def value(match: re.Match[str]) -> str:
         found: Any = fields
         for part in match["name"].split("."):
-            found = found[int(part)] if isinstance(found, list) else found[part]
+            found = found[int(part)] if isinstance(found, list) else found.get(part, "")
         return json.dumps(found) if match["form"] else str(found)
 
     return re.sub(r"\{\{(?P<name>[\w.]+)(?P<form>\|json)?\}\}", value, template)
@@ -106,7 +106,12 @@
             "Listen": {"Frontend": f"{HOST}:{clients}", "Ready": f"{HOST}:{ready}"},
             "PortRange": [peers, admin],
             "Platform": {"Address": self.objects.url.removeprefix("http://")},
-            "Bounds": {"CapacityFactor": 2, "GraceS": 8},
+            "Bounds": {
+                "CapacityFactor": 2,
+                "GraceS": 8,
+                "RetryBudgetRatio": 0.2,
+                "BudgetSlack": 56,
+            },
         }
         settings = yaml.safe_load(fill(TEMPLATE.read_text(), fields))
         settings["log"] = {"level": self.log_level}
--- a/pondhatch/cli/_router_process.py
+++ b/pondhatch/cli/_router_process.py
@@ -17,8 +17,9 @@
 from pondhatch.cli._ports import listen_to_callers, listening
 from pondhatch.cli._settings_file import SettingsFile
 from pondhatch.cli._surroundings import Surroundings, surroundings_of
-from pondhatch.configuration import Settings
+from pondhatch.configuration import RetrySettings, Settings
 from pondhatch.kernel import Tasks
+from pondhatch.limits import RetryAllowance, RetryBudgets
 from pondhatch.membership import (
     Address,
     Alive,
@@ -166,7 +167,12 @@
         seeds = [_address(seed) for seed in settings.seeds]
         gossip = Gossip(own, MembershipLimits(), self._rng, seeds)
         return RouterState(
-            settings.name, settings.hall, gossip, time.monotonic, self._connections.to
+            settings.name,
+            settings.hall,
+            gossip,
+            time.monotonic,
+            self._connections.to,
+            retries=RetryBudgets(_allowance(settings.retries)),
         )
 
     def _introduction(self) -> Introduction:
@@ -333,6 +339,11 @@
         return self._callers.in_flight > 0
 
 
+def _allowance(settings: RetrySettings) -> RetryAllowance:
+    named = {"share": settings.share, "slack": settings.slack}
+    return RetryAllowance(**{name: value for name, value in named.items() if value is not None})
+
+
 def _address(text: str) -> Address:
     host, _, port = text.rpartition(":")
     return Address(host, int(port))
--- a/pondhatch/configuration/__init__.py
+++ b/pondhatch/configuration/__init__.py
@@ -54,6 +54,7 @@
     LogSettings,
     PeerEndpoint,
     ReadyEndpoint,
+    RetrySettings,
     ServiceDefaults,
     Settings,
     StatsdEndpoint,
@@ -65,6 +66,7 @@
 __all__ = [
     "DrainSettings",
     "ReadyEndpoint",
+    "RetrySettings",
     "ServiceDefaults",
     "ChangeLog",
     "ConfigurationDocument",
--- a/pondhatch/configuration/_settings.py
+++ b/pondhatch/configuration/_settings.py
@@ -104,6 +104,20 @@
     load_slack: Annotated[int, Field(ge=0, le=1000)] = 0
 
 
+@_closed
+@dataclass(frozen=True)
+class RetrySettings:
+    """What the whole fleet may send to a service beyond the first try of each request.
+
+    Left out, or left empty by a platform that sets no such bound, each has its default.
+    """
+
+    #: Share of the requests for the service.
+    share: Annotated[float, Field(ge=0, le=1)] | None = None
+    #: Retries beyond the share in any ten seconds or so.
+    slack: Annotated[float, Field(ge=0, le=100_000)] | None = None
+
+
 @_closed
 @dataclass(frozen=True)
 class DrainSettings:
@@ -149,6 +163,7 @@
     #: Asked on the callers' port where it is not set.
     ready: ReadyEndpoint | None = None
     service_defaults: ServiceDefaults = field(default_factory=ServiceDefaults)
+    retries: RetrySettings = field(default_factory=RetrySettings)
     #: Peers to try first, as "IP:port"; the platform's list of VMs adds to them.
     seeds: tuple[Annotated[str, Field(pattern=r"^[0-9a-fA-F.:]+:\d+$")], ...] = ()
     limits: CallerLimits = field(default_factory=CallerLimits)
--- a/pondhatch/configuration/tests/test_files.py
+++ b/pondhatch/configuration/tests/test_files.py
@@ -10,6 +10,8 @@
     ConfigurationError,
     Edit,
     Fleet,
+    RetrySettings,
+    Settings,
     checked,
     differences,
     load_fleet_key,
@@ -159,6 +161,11 @@
             self.assertEqual([problem.field for problem in problems], [field])
             self.assertIn(told, problems[0].expected)
 
+    def test_bounds_that_a_platform_leaves_empty_have_their_defaults(self) -> None:
+        settings = self.load(SETTINGS + "\nretries:\n  share:\n  slack: 56\n")
+        assert isinstance(settings, Settings)
+        self.assertEqual(settings.retries, RetrySettings(None, 56.0))
+
     def test_a_short_or_missing_fleet_key(self) -> None:
         key = self.folder / "fleet.key"
         settings = load_settings(self.write_with_key(key))
--- a/pondhatch/limits/__init__.py
+++ b/pondhatch/limits/__init__.py
@@ -8,7 +8,7 @@
     Limited,
     LimitVerdict,
 )
-from pondhatch.limits._retries import RetryBudget
+from pondhatch.limits._retries import RetryAllowance, RetryBudget, RetryBudgets
 from pondhatch.limits._shares import Demand, Share, ShareHome, ShareUser
 
 __all__ = [
@@ -19,7 +19,9 @@
     "Demand",
     "LimitVerdict",
     "Limited",
+    "RetryAllowance",
     "RetryBudget",
+    "RetryBudgets",
     "Share",
     "ShareHome",
     "ShareUser",
--- a/pondhatch/limits/_retries.py
+++ b/pondhatch/limits/_retries.py
@@ -1,13 +1,28 @@
-"""The retry budget: retries can never feed an overload."""
+"""The retry budget: retries can never feed an overload.
+
+The fleet may send a service so many requests beyond the first try of each: a share of the
+requests for it, and a few more in any stretch of time. Each router spends its own part of
+that without asking: it earns by its own requests, and saves up its part of the few.
+"""
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from collections import deque
+from dataclasses import dataclass, field
 
 #: Retries allowed for each first try.
 DEFAULT_RATIO = 0.1
 #: Retries that may be saved up, so that a quiet router can still retry.
 DEFAULT_SAVED = 5.0
+#: Part of the fleet's allowance that routers give out among themselves. The other part
+#: covers two sides of a cut that each count their own routers alone, and routers that
+#: restart with what they had spent forgotten.
+SPENT_PART = 0.5
+#: Least that one router may save up: less could never be spent.
+LEAST_SAVED = 1.0
+#: Seconds for which a router that is no longer heard of still counts: it may only be cut
+#: off, and spend its part.
+MISSED_SECONDS = 60.0
 
 
 @dataclass
@@ -28,3 +43,52 @@
             return False
         self.saved -= 1.0
         return True
+
+
+@dataclass(frozen=True)
+class RetryAllowance:
+    """What the whole fleet may send to one service beyond the first try of each request."""
+
+    #: Share of the requests for the service.
+    share: float = DEFAULT_RATIO / SPENT_PART
+    #: Retries beyond the share in any stretch of ten seconds or so.
+    slack: float = 80.0
+
+
+@dataclass
+class RetryBudgets:
+    """One router's part of the fleet's allowance, for each service."""
+
+    allowance: RetryAllowance = field(default_factory=RetryAllowance)
+    budget_by_service: dict[str, RetryBudget] = field(default_factory=dict)
+    #: Numbers of live routers, each with when it was last seen, the newest last.
+    _seen: deque[tuple[int, float]] = field(default_factory=lambda: deque([(1, float("-inf"))]))
+
+    def of(self, service: str) -> RetryBudget:
+        """Return the budget for a service."""
+        if service not in self.budget_by_service:
+            # One retry to begin with: a part that was spent before a restart is forgotten.
+            ratio = self.allowance.share * SPENT_PART
+            self.budget_by_service[service] = RetryBudget(ratio, self._most_saved(), LEAST_SAVED)
+        return self.budget_by_service[service]
+
+    def set_routers(self, live: int, now: float) -> None:
+        """Set how many routers are live, this one included."""
+        before = self._most_saved()
+        while self._seen and now - self._seen[0][1] > MISSED_SECONDS:
+            self._seen.popleft()
+        while self._seen and self._seen[-1][0] <= live:
+            self._seen.pop()
+        self._seen.append((live, now))
+        if self._most_saved() != before:
+            self._share_out()
+
+    def _share_out(self) -> None:
+        most = self._most_saved()
+        for budget in self.budget_by_service.values():
+            budget.most_saved = most
+            budget.saved = min(budget.saved, most)
+
+    def _most_saved(self) -> float:
+        """Return this router's part of the slack, by the most routers seen in a while."""
+        return max(LEAST_SAVED, self.allowance.slack * SPENT_PART / self._seen[0][0])
--- a/pondhatch/limits/tests/test_limits.py
+++ b/pondhatch/limits/tests/test_limits.py
@@ -2,7 +2,16 @@
 
 import unittest
 
-from pondhatch.limits import AccountGate, AccountLimits, Allowed, Limited, RetryBudget
+from pondhatch.limits import (
+    AccountGate,
+    AccountLimits,
+    Allowed,
+    Limited,
+    RetryAllowance,
+    RetryBudget,
+    RetryBudgets,
+)
+from pondhatch.limits._retries import MISSED_SECONDS
 
 LIMITS = AccountLimits(requests_per_second=10.0, burst=5, concurrency=4)
 
@@ -67,3 +76,72 @@
             retried += budget.may_retry()
         self.assertLessEqual(retried, 1000 * 0.1 + 5)
         self.assertGreaterEqual(retried, 99)
+
+
+#: What the users' pages allow: a fifth of the requests and 56 in ten seconds.
+ALLOWANCE = RetryAllowance(0.2, 56.0)
+
+
+class RetryBudgetsTest(unittest.TestCase):
+    """The fleet's allowance, shared out among routers that do not ask each other."""
+
+    def spent(self, budgets: RetryBudgets, service: str, requests: int) -> int:
+        budget = budgets.of(service)
+        spent = 0
+        for _ in range(requests):
+            budget.first_try()
+            while budget.may_retry():
+                spent += 1
+        return spent
+
+    def saved_up(self, routers: int, now: float = 0.0) -> RetryBudgets:
+        """Return what a router has after a while without retries."""
+        budgets = RetryBudgets(ALLOWANCE)
+        budgets.set_routers(routers, now)
+        for service in ("lang", "portal"):
+            for _ in range(1000):
+                budgets.of(service).first_try()
+        return budgets
+
+    def test_fleets_of_any_size_keep_to_the_allowance(self) -> None:
+        for routers in (1, 2, 8, 28):
+            with self.subTest(routers=routers):
+                requests = 2000 // routers
+                spent = sum(
+                    self.spent(self.saved_up(routers), "lang", requests) for _ in range(routers)
+                )
+                self.assertLessEqual(spent, 0.2 * requests * routers + 56)
+
+    def test_two_sides_of_a_cut_keep_to_it_together(self) -> None:
+        cut = [self.saved_up(8) for _ in range(8)]
+        for budgets in cut:
+            budgets.set_routers(4, MISSED_SECONDS + 1)
+            for _ in range(1000):
+                budgets.of("lang").first_try()
+        spent = sum(self.spent(budgets, "lang", 100) for budgets in cut)
+        self.assertLessEqual(spent, 0.2 * 800 + 56)
+
+    def test_one_that_is_cut_off_for_a_moment_keeps_its_own_part_only(self) -> None:
+        budgets = self.saved_up(8)
+        budgets.set_routers(1, 5.0)
+        self.assertEqual(budgets.of("lang").most_saved, 3.5)
+        budgets.set_routers(1, MISSED_SECONDS + 1)
+        self.assertEqual(budgets.of("lang").most_saved, 28.0)
+
+    def test_what_one_service_earns_another_cannot_spend(self) -> None:
+        budgets = self.saved_up(8)
+        self.spent(budgets, "portal", 10)
+        self.assertFalse(budgets.of("portal").may_retry())
+        self.assertTrue(budgets.of("lang").may_retry())
+
+    def test_a_router_that_restarts_begins_with_one(self) -> None:
+        budgets = RetryBudgets(ALLOWANCE)
+        budgets.set_routers(8, 0.0)
+        tries = [budgets.of("lang").may_retry() for _ in range(3)]
+        self.assertEqual(tries, [True, False, False])
+
+    def test_a_larger_fleet_takes_back_what_was_saved(self) -> None:
+        budgets = self.saved_up(2)
+        self.assertEqual(budgets.of("lang").saved, 14.0)
+        budgets.set_routers(8, 1.0)
+        self.assertEqual(budgets.of("lang").saved, 3.5)
--- a/pondhatch/requests/_entry.py
+++ b/pondhatch/requests/_entry.py
@@ -31,7 +31,9 @@
 RESUME_FROM_HEADER = "X-Resume-From"
 OK = 200
 #: Refusals for which nothing was sent anywhere: going on is no retry.
-NOTHING_SENT = frozenset({"upstream-leaving", "upstream-down", AILING, "router-unreachable"})
+NOTHING_SENT = frozenset(
+    {"upstream-leaving", "upstream-down", AILING, "upstream-unreachable", "router-unreachable"}
+)
 
 
 @dataclass(frozen=True)
--- a/pondhatch/router/_dump.py
+++ b/pondhatch/router/_dump.py
@@ -150,7 +150,10 @@
                 {"name": name, "running": use.running, "tokens": round(use.tokens, 2)}
                 for name, use in busiest[:SHOWN_ACCOUNTS]
             ],
-            "retries_saved": round(state.retries.saved, 2),
+            "retries_saved": {
+                service: round(budget.saved, 2)
+                for service, budget in sorted(state.retries.budget_by_service.items())
+            },
         }
 
 
--- a/pondhatch/router/_state.py
+++ b/pondhatch/router/_state.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field
 
 from pondhatch.configuration import Change, Fleet, Gap, Rejected, ServiceSpec, Update
-from pondhatch.limits import LimitVerdict, RetryBudget
+from pondhatch.limits import LimitVerdict, RetryBudgets
 from pondhatch.membership import (
     Gossip,
     Member,
@@ -58,7 +58,7 @@
     keys: KeyTable = field(default_factory=KeyTable)
     health: Health = field(default_factory=Health)
     limits: FleetLimits = field(init=False)
-    retries: RetryBudget = field(default_factory=RetryBudget)
+    retries: RetryBudgets = field(default_factory=RetryBudgets)
     #: Owned upstreams that said themselves that they are leaving.
     said_leaving: set[str] = field(default_factory=set)
     phase: Phase = Phase.LIVE
@@ -313,6 +313,7 @@
         if self.vanished and self.vanished.forget_old(self.clock()):
             self.upstreams_changed()
         self.refresh()
+        self.retries.set_routers(len(self.live_routers()), self.clock())
         self.publish()
 
     def _loads(self) -> tuple[ServiceLoad, ...]:
--- a/pondhatch/transport/_serving.py
+++ b/pondhatch/transport/_serving.py
@@ -138,7 +138,7 @@
         walk = Walk(
             self._state,
             self._ways,
-            self._state.retries,
+            self._state.retries.of(work.head.service),
             work.head,
             work.body,
             lambda: deadline - time.monotonic(),
--- a/pondhatch/transport/tests/test_routed_callers.py
+++ b/pondhatch/transport/tests/test_routed_callers.py
@@ -327,6 +327,24 @@
         engines = [name for name, _, _ in self.upstreams.sent]
         self.assertEqual(len(set(engines)), 2)
 
+    async def test_an_engine_that_cannot_be_reached_costs_no_retry(self) -> None:
+        budget = self.state.retries.of("portal")
+        budget.ratio = budget.saved = 0.0
+        self.upstreams.replies = [
+            NotRun("upstream-unreachable", "refused"),
+            Opened(Answer((b"yes!",))),
+        ]
+        told = await self.ask("GET /x HTTP/1.1")
+        self.assertTrue(told.startswith(b"HTTP/1.1 200"), told)
+
+    async def test_one_service_spends_nothing_of_anothers_retries(self) -> None:
+        budget = self.state.retries.of("portal")
+        budget.ratio = budget.saved = 0.0
+        self.state.retries.of("lang").saved = 5.0
+        self.upstreams.replies = [Opened(Answer((), whole=False)), Opened(Answer((b"yes!",)))]
+        told = await self.ask("GET /x HTTP/1.1")
+        self.assertTrue(told.startswith(b"HTTP/1.1 502"), told)
+
     async def test_one_that_may_not_be_repeated_is_refused_as_unknown(self) -> None:
         self.upstreams.replies = [Opened(Answer((), whole=False))]
         told = await self.ask("POST /proofs/a HTTP/1.1", KEY, body=b"abc")
