Read the platform at once at a start, and watch it once peers are known

Change: new seeds are greeted at once, four of them where nobody is known; the configuration and the upstreams are read beside the introduction; the watch begins after 0.4 s, by those who then are their hall's. Calls of one router are bounded (10 a second, 20 at once). Ruled out: stale reads, a tenth of the price: the list of VMs must show who was written just before, and a configuration seconds old would be served by until the watch begins.

--- a/pondhatch/limits/__init__.py
+++ b/pondhatch/limits/__init__.py
@@ -8,6 +8,7 @@
     Limited,
     LimitVerdict,
 )
+from pondhatch.limits._pace import Pace
 from pondhatch.limits._retries import RetryAllowance, RetryBudget, RetryBudgets
 from pondhatch.limits._shares import Demand, Share, ShareHome, ShareUser
 
@@ -19,6 +20,7 @@
     "Demand",
     "LimitVerdict",
     "Limited",
+    "Pace",
     "RetryAllowance",
     "RetryBudget",
     "RetryBudgets",
--- a/pondhatch/membership/_swim.py
+++ b/pondhatch/membership/_swim.py
@@ -121,9 +121,12 @@
     # -- what this router says of itself ------------------------------------
 
     def add_seeds(self, seeds: Iterable[Address]) -> None:
-        """Take in more addresses to try while no peer is known."""
-        known = set(self._seeds)
-        self._seeds += tuple(seed for seed in seeds if seed not in known)
+        """Take in more addresses to try while no peer is known; some are greeted at once."""
+        known = {*self._seeds, Address(self.own.host, self.own.port)}
+        new = tuple(seed for seed in seeds if seed not in known)
+        self._seeds += new
+        if new:
+            self._next_ping = self._next_reconnect = float("-inf")
 
     def publish(self, phase: Phase, configuration: int, upstreams: int) -> None:
         """Set what this router says of itself; a new phase is a new word on itself."""
@@ -227,9 +230,15 @@
         absent = sorted({*self._seeds, *dead} - here, key=lambda each: (each.host, each.port))
         if not absent:
             return []
-        address = self._rng.choice(absent)
-        about = (dead[address].rumor(),) if address in dead else ()
-        return [self._to(address, Sync(self.own.router, True, (self.own, *about)))]
+        # One that knows nobody asks several: of a fleet that starts, some are not there yet.
+        greeted = self._rng.sample(
+            absent, min(len(absent), self.limits.news_fanout if alone else 1)
+        )
+        return [self._greeting(address, dead.get(address)) for address in greeted]
+
+    def _greeting(self, address: Address, known: Entry | None) -> Datagram:
+        about = (known.rumor(),) if known is not None else ()
+        return self._to(address, Sync(self.own.router, True, (self.own, *about)))
 
     def _next_target(self) -> Entry | None:
         """Return the next router of the round that is there."""
--- a/pondhatch/membership/tests/test_gossip.py
+++ b/pondhatch/membership/tests/test_gossip.py
@@ -21,6 +21,7 @@
 )
 from pondhatch.membership._loads import report_interval
 from pondhatch.membership._records import Fault
+from pondhatch.router._sync import MEETING_SECONDS
 
 Edge = tuple[int, int]
 ROUND = 0.1
@@ -29,10 +30,17 @@
 class Net:
     """Several cores, with packets handed over in memory and a clock that is stepped."""
 
-    def __init__(self, routers: int, halls: int = 2, seed: int = 1) -> None:
+    def __init__(
+        self,
+        routers: int,
+        halls: int = 2,
+        seed: int = 1,
+        seeds: tuple[Address, ...] = (Address("127.0.0.1", 7000),),
+    ) -> None:
         self.rng = random.Random(seed)
         self.now = 0.0
         self.halls = halls
+        self.seeds = seeds
         self.down: set[int] = set()
         self.passes: Callable[[Edge], bool] = lambda edge: True
         self.largest = 0
@@ -43,7 +51,7 @@
         hall = f"h{at % self.halls}"
         own = Alive(short_id(name), incarnation, Phase.LIVE, name, "127.0.0.1", 7000 + at, hall)
         rng = random.Random(self.rng.random())
-        return Gossip(own, MembershipLimits(), rng, [Address("127.0.0.1", 7000)])
+        return Gossip(own, MembershipLimits(), rng, self.seeds)
 
     def run(self, seconds: float) -> None:
         for _ in range(round(seconds / ROUND)):
@@ -65,6 +73,22 @@
         return {member.name for member in self.cores[at].members(self.now)}
 
 
+class StartingTogetherTest(unittest.TestCase):
+    """Routers that start at once, and read from the platform who was listed before them."""
+
+    def test_they_know_each_other_before_any_of_them_has_to_watch(self) -> None:
+        for routers in (8, 62):
+            with self.subTest(routers=routers):
+                net = Net(routers, seeds=())
+                net.run(ROUND)
+                addresses = [Address("127.0.0.1", 7000 + at) for at in range(routers)]
+                for at, core in enumerate(net.cores):
+                    core.add_seeds(addresses[: at + 1])
+                net.run(MEETING_SECONDS - ROUND)
+                known = [len(net.seen(at)) for at in range(routers)]
+                self.assertGreaterEqual(min(known), 0.8 * routers)
+
+
 class GossipTest(unittest.TestCase):
     def test_all_find_each_other_through_one_seed(self) -> None:
         net = Net(30)
--- a/pondhatch/router/_sync.py
+++ b/pondhatch/router/_sync.py
@@ -40,9 +40,11 @@
 UPSTREAM_KIND = "upstream"
 #: Seconds between checks of who watches and who lags.
 CHECK_SECONDS = 0.5
-#: Seconds that a router waits at its start to be listed and to hear who else is there; a
-#: platform that is well answers these three calls in some 20 ms.
-INTRODUCTION_SECONDS = 0.3
+#: Seconds from a router's start in which it comes to know its peers: three calls to the
+#: platform and two exchanges of packets, 0.1 s on the users' bench. Until then it reads
+#: what the platform holds, and does not watch: one of each hall will, and all of a fleet
+#: that starts would be told of each upstream that lists itself.
+MEETING_SECONDS = 0.4
 #: Seconds before a lost watch is tried again, first and at most: a platform that comes
 #: back is not rushed.
 FIRST_PAUSE = 0.2
@@ -86,17 +88,19 @@
         self._rng = rng
         #: Lists this router at the platform, and finds its peers there.
         self._introduction = introduction
+        #: Set once this router had time to hear who else is there.
+        self._met = asyncio.Event()
         self._tasks = Tasks()
         self._watching: tuple[asyncio.Task[None], ...] = ()
 
     async def run(self) -> None:
         """Keep up until cancelled."""
-        introduced = self._tasks.start(self._introduction.run())
         try:
+            self._tasks.start(self._introduction.run())
+            self._begin_watching()
             await self._pull_if_behind()
-            # Who knows its peers need not watch; but a platform that takes no writes must
-            # not keep a router that starts from what it can read.
-            await asyncio.wait([introduced], timeout=INTRODUCTION_SECONDS)
+            await asyncio.sleep(MEETING_SECONDS)
+            self._met.set()
             while True:
                 self._watch_if_due()
                 await self._pull_if_behind()
@@ -114,16 +118,20 @@
         due = self._state.is_watcher()
         if due and not self._watching:
             log.info("Watching the platform for hall {}.", self._state.hall)
-            self._watching = (
-                self._tasks.start(self._keep(self._watch_changes)),
-                self._tasks.start(self._keep(self._watch_upstreams)),
-            )
+            self._begin_watching()
         if not due and self._watching:
             log.info("Leaving the watch to another router of the hall.")
             for task in self._watching:
                 task.cancel()
             self._watching = ()
 
+    def _begin_watching(self) -> None:
+        """Read what the platform holds; what follows, only once it is known who watches."""
+        self._watching = (
+            self._tasks.start(self._keep(self._watch_changes)),
+            self._tasks.start(self._keep(self._watch_upstreams)),
+        )
+
     async def _keep(self, watch: Callable[[], Awaitable[None]]) -> None:
         backoff = Backoff(FIRST_PAUSE, LONGEST_PAUSE, self._rng)
         while True:
@@ -151,6 +159,7 @@
                 log.error("Configuration cannot be read: {}.", news.reason)
             elif self._state.take_fleet(news):
                 self._told()
+            await self._met.wait()
 
     async def _watch_upstreams(self) -> None:
         listed = await self._platform.list(UPSTREAM_KIND)
@@ -159,6 +168,7 @@
         values = [(each.version, each.value) for each in listed.objects]
         if self._state.take_upstreams(listing(listed.version, values)):
             self._told()
+        await self._met.wait()
         async for event in self._platform.watch(UPSTREAM_KIND, listed.version):
             if self._state.take_upstream_event(event):
                 self._note_upstream(event)
--- a/pondhatch/router/tests/test_sync.py
+++ b/pondhatch/router/tests/test_sync.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import unittest
+from collections.abc import AsyncIterator
 
 import msgspec
 
@@ -16,6 +17,7 @@
 from pondhatch.membership import Alive, Gossip, Member, MembershipLimits, Phase, short_id
 from pondhatch.requests import Claim, KeyRecord
 from pondhatch.router import Introduction, RouterState, Sync
+from pondhatch.router._sync import MEETING_SECONDS
 from pondhatch.router._upstream_changes import STARTING_SECONDS
 from pondhatch.store import (
     LEAVING,
@@ -216,6 +218,56 @@
         self.assertGreater(run_virtually(main()), 1)
 
 
+class Watched(PlatformInMemory):
+    """Counts the watches that were begun."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.watches = 0
+
+    async def watch(self, kind: str, since: int | None) -> AsyncIterator[WatchEvent]:
+        self.watches += 1
+        yield WatchEvent("bookmark", self.store.version)
+        await asyncio.Event().wait()
+
+
+class MeetingTest(unittest.TestCase):
+    """A router that starts reads at once, and watches only where nobody else does."""
+
+    def run_beside_a_peer(self, watches: bool) -> tuple[int, int, int]:
+        """Return the version in force soon after the start, and the watches soon and later."""
+        states = [router(f"r{at}") for at in range(2)]
+        for state, peer in (states, states[::-1]):
+            meet(state, peer)
+        own = next(state for state in states if state.is_watcher() == watches)
+
+        async def main() -> tuple[int, int, int]:
+            platform = Watched()
+            await publish(platform, FIRST)
+            own.clock = lambda: asyncio.get_running_loop().time()
+            task = asyncio.ensure_future(syncing(own, platform, None).run())
+            await asyncio.sleep(MEETING_SECONDS / 2)
+            version, soon = own.fleet.version, platform.watches
+            await asyncio.sleep(1.0)
+            task.cancel()
+            return version, soon, platform.watches
+
+        return run_virtually(main())
+
+    def test_it_knows_the_configuration_before_it_knows_its_peers(self) -> None:
+        for watches in (False, True):
+            self.assertEqual(self.run_beside_a_peer(watches)[0], 1)
+
+    def test_where_a_peer_watches_it_does_not(self) -> None:
+        _, soon, later = self.run_beside_a_peer(watches=False)
+        # Of a log of changes, where to begin is learned by a watch that is not waited for.
+        self.assertEqual((soon, later), (1, 1))
+
+    def test_the_one_of_its_hall_watches_both_kinds(self) -> None:
+        _, soon, later = self.run_beside_a_peer(watches=True)
+        self.assertEqual((soon, later), (1, 2))
+
+
 class LapsedEntriesTest(unittest.TestCase):
     """Entries of upstreams lapse while the platform's store is away."""
 
--- a/pondhatch/transport/_store_calls.py
+++ b/pondhatch/transport/_store_calls.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+from pondhatch.limits import Pace
 from pondhatch.requests import Headers, ReplayableBody
 from pondhatch.transport._http_client import Address, HttpClient, NotSent
 from pondhatch.transport._http_connection import Exchange
@@ -11,6 +12,12 @@
 
 #: Seconds for one call; the store answers in milliseconds when it is well.
 CALL_SECONDS = 2.0
+#: Calls a second that one router makes at most, and how many at once. A watcher makes one a
+#: second while nothing changes, and one for each change that comes alone; the store of the
+#: users' sites takes 2,000 a second from the whole fleet, in which one or two of each hall
+#: watch. What comes beyond waits for its turn.
+CALLS_PER_SECOND = 10.0
+CALLS_AT_ONCE = 20
 
 
 class CallFailed(Exception):
@@ -30,11 +37,15 @@
         self.made = 0
         self._client = client
         self._address = Address.of_url(url)
+        self._pace = Pace(CALLS_PER_SECOND, CALLS_AT_ONCE)
 
     async def call(
         self, method: str, path: str, body: bytes = b"", seconds: float = CALL_SECONDS
     ) -> tuple[int, bytes]:
         """Return an answer's status and body. Raises CallFailed."""
+        wait = self._pace.take(asyncio.get_running_loop().time())
+        if wait > 0:
+            await asyncio.sleep(wait)
         self.made += 1
         exchange: Exchange | None = None
         headers: Headers = (("Host", f"{self._address.host}:{self._address.port}"),)
--- /dev/null
+++ b/pondhatch/transport/tests/test_store_calls.py
@@ -0,0 +1,48 @@
+"""Calls to the platform's store are bounded, whatever makes them."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from typing import Any
+
+from fakes._virtual_loop import run_virtually
+from pondhatch.transport import CallFailed, StoreCalls
+from pondhatch.transport._http_client import NotSent
+from pondhatch.transport._store_calls import CALLS_AT_ONCE, CALLS_PER_SECOND
+
+
+class OutOfReach:
+    """A client that reaches nothing, at once."""
+
+    def __init__(self) -> None:
+        self.sent = 0
+
+    async def send(self, *arguments: Any, **named: Any) -> Any:
+        self.sent += 1
+        raise NotSent("refused")
+
+
+class BoundedTest(unittest.TestCase):
+    def test_a_loop_without_pauses_is_held_to_the_rate(self) -> None:
+        async def main() -> int:
+            client: Any = OutOfReach()
+            calls = StoreCalls(client, "http://127.0.0.1:1")
+
+            async def press() -> None:
+                while True:
+                    try:
+                        await calls.call("GET", "/objects/a")
+                    except CallFailed:
+                        await asyncio.sleep(0)
+
+            pressing = [asyncio.ensure_future(press()) for _ in range(3)]
+            await asyncio.sleep(10)
+            for each in pressing:
+                each.cancel()
+            self.assertEqual(calls.made, client.sent)
+            return calls.made
+
+        most = CALLS_AT_ONCE + 10 * CALLS_PER_SECOND
+        self.assertLessEqual(run_virtually(main()), most)
+        self.assertGreater(run_virtually(main()), most - 5)
