Record every change of what a router takes to be so

Cause: a record for beliefs existed and nothing wrote it; some changes were sentences, others (routers that come and go, upstreams down or ailing) left nothing. Change: router/_beliefs.py compares once a round the configuration, the list of upstreams, their health, the routers and the platform with what was last recorded, a hundred records a round at most; people who read text get the same as sentences. The process's start, stop and reload are records too. The sentences that said the same twice are gone. Ruled out: telling at each place that learns something: eleven places, and a change back within a round would be told as well.

--- a/pondhatch/cli/_router_process.py
+++ b/pondhatch/cli/_router_process.py
@@ -33,9 +33,9 @@
 from pondhatch.observing import (
     STANDARD_OUTPUT,
     LineRecords,
+    LoggedRecords,
     Metrics,
     NoMetrics,
-    NoRecords,
     Records,
     StatsdMetrics,
     log_for,
@@ -44,6 +44,7 @@
 from pondhatch.router import (
     GRANT_MARK,
     Authority,
+    Beliefs,
     Granting,
     Introduction,
     RouterState,
@@ -119,7 +120,8 @@
         self._authority = Authority(self.state, self._platform, self._interface.orders, self._rng)
         self._metrics = self._new_metrics()
         lines = settings.log.form == "lines"
-        self._records: Records = LineRecords(settings.name) if lines else NoRecords()
+        self._records: Records = LineRecords(settings.name) if lines else LoggedRecords()
+        self._beliefs = Beliefs(self.state, self._records)
         self._callers = self._new_callers(parts.client)
         self._peer_service = PeerService(self.state.local, self._answer_pull, self._token)
         self._peer_server: Server = self._peer_service.server()
@@ -145,7 +147,7 @@
         self._tasks.start(self._tell_levels())
         self._tasks.start(self._watch_settings())
         loop.add_signal_handler(signal.SIGHUP, self._reload)
-        log.info("Router {} serves hall {}.", self._settings.name, self._settings.hall)
+        self._beliefs.note_process("serving", f"hall {self._settings.hall}")
         await stop.wait()
         await self._drain()
         for number in STOP_SIGNALS:
@@ -264,6 +266,7 @@
     async def _rounds(self) -> None:
         while True:
             self.state.tick()
+            self._beliefs.look()
             self._granting.tick()
             self._connections.close_gone(self.state.gossip.is_gone)
             now = self.state.clock()
@@ -292,11 +295,12 @@
         reloaded = self._settings_file.reloaded(self._settings)
         if reloaded is not None:
             self._settings = reloaded
+            self._beliefs.note_process("serving", "settings were read anew")
 
     # -- stopping ---------------------------------------------------------------
 
     async def _drain(self) -> None:
-        log.info("Draining, {} requests in flight.", self._callers.in_flight)
+        self._note_stopping("draining")
         self.state.phase = Phase.DRAINING
         self._announce()
         begun = time.monotonic()
@@ -309,7 +313,7 @@
         while self._busy() and time.monotonic() < deadline:
             await asyncio.sleep(DRAIN_STEP)
         await self._step_down()
-        log.info("Stopping, {} requests in flight.", self._callers.in_flight)
+        self._note_stopping("stopping")
         await self._hand_over_keys()
         self.state.phase = Phase.LEFT
         self._announce()
@@ -317,6 +321,9 @@
         self._connections.close_all()
         self._peer_server.close()
 
+    def _note_stopping(self, now: str) -> None:
+        self._beliefs.note_process(now, f"{self._callers.in_flight} requests in flight")
+
     async def _step_down(self) -> None:
         """Give the leases of services up, so that the next router need not wait for them."""
         deadline = time.monotonic() + STEP_DOWN_SECONDS
--- a/pondhatch/observing/__init__.py
+++ b/pondhatch/observing/__init__.py
@@ -6,6 +6,7 @@
 from pondhatch.observing._records import (
     Believed,
     LineRecords,
+    LoggedRecords,
     NoRecords,
     Record,
     Records,
@@ -16,6 +17,7 @@
     "Believed",
     "LineRecords",
     "LineWriter",
+    "LoggedRecords",
     "NoRecords",
     "Record",
     "Records",
--- a/pondhatch/observing/_records.py
+++ b/pondhatch/observing/_records.py
@@ -8,6 +8,9 @@
 import msgspec
 
 from pondhatch.observing._lines import STANDARD_OUTPUT, LineWriter
+from pondhatch.observing._logs import log_for
+
+_log = log_for("beliefs")
 
 
 class RequestEnded(
@@ -42,12 +45,16 @@
 class Believed(msgspec.Struct, frozen=True, tag_field="event", tag="belief", omit_defaults=True):
     """What this router takes to be so has changed."""
 
-    #: "configuration", "upstream", "router", "platform", "settings" or "process".
+    #: "configuration", "upstream", "health" (of an upstream), "router", "platform", "process"
+    #: or "records" (of these, some were left out).
     about: str
+    #: Which of them; empty where there is one only.
     name: str
+    #: What it is now.
     now: str
-    #: The version or age of what it follows from.
+    #: The version of what it follows from.
     version: int = 0
+    #: What it was before, or what showed it.
     why: str = ""
 
 
@@ -68,6 +75,22 @@
         """Do nothing."""
 
 
+class LoggedRecords:
+    """Writes changes of belief as sentences for people; requests are too many for them."""
+
+    def note(self, record: Record) -> None:
+        """Write one change."""
+        if isinstance(record, Believed):
+            _log.info("{}", _sentence(record))
+
+
+def _sentence(belief: Believed) -> str:
+    subject = f"{belief.about} {belief.name}".strip().capitalize()
+    version = f" as of {belief.version}" if belief.version else ""
+    why = f" ({belief.why})" if belief.why else ""
+    return f"{subject} is {belief.now}{version}{why}."
+
+
 class LineRecords:
     """Writes each decision as a line; see Records."""
 
--- a/pondhatch/placement/_health.py
+++ b/pondhatch/placement/_health.py
@@ -65,6 +65,14 @@
         known = self.health_by_upstream.get(upstream)
         return known is not None and now < known.ailing_until
 
+    def states(self, now: float) -> dict[str, str]:
+        """Return "down" or "ailing" for each upstream that is so."""
+        return {
+            name: "down" if known.failures >= FAILURES else "ailing"
+            for name, known in self.health_by_upstream.items()
+            if known.failures >= FAILURES or now < known.ailing_until
+        }
+
     def failed(self, upstream: str, now: float) -> None:
         """Note that a request was lost there or could not reach it."""
         known = self._known(upstream)
--- a/pondhatch/router/__init__.py
+++ b/pondhatch/router/__init__.py
@@ -11,6 +11,7 @@
     service_of_path,
 )
 from pondhatch.router._authority import Authority
+from pondhatch.router._beliefs import Beliefs
 from pondhatch.router._dump import Dump, dump_state
 from pondhatch.router._fleet_key import agreed_key
 from pondhatch.router._granting import GRANT_MARK, Granting
@@ -28,6 +29,7 @@
     "Account",
     "Admitted",
     "Authority",
+    "Beliefs",
     "Dump",
     "GRANT_MARK",
     "Granting",
--- /dev/null
+++ b/pondhatch/router/_beliefs.py
@@ -0,0 +1,122 @@
+"""What a router takes to be so, and a record whenever that changes.
+
+Compared once a round with what was last recorded, so that no part that learns something
+has to tell of it, and what changes and changes back within a round leaves no record.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from pondhatch.membership import Member
+from pondhatch.observing import Believed, Records
+from pondhatch.router._state import RouterState
+
+#: Records of one round at most: a platform that drops all of 2,100 entries must not flood
+#: the log. What is left out is counted in a record of its own.
+MOST_A_ROUND = 100
+
+
+@dataclass
+class Beliefs:
+    """Notes what changed since the last look."""
+
+    state: RouterState
+    records: Records
+    _configuration: int = 0
+    _upstreams: int = 0
+    _upstream_states: dict[str, str] = field(default_factory=dict)
+    _members: tuple[Member, ...] = ()
+    _health: Mapping[str, str] = field(default_factory=dict)
+    _platform_lost: str = ""
+
+    def look(self) -> None:
+        """Note every change since the last look, up to the bound."""
+        changes = [
+            *self._platform(),
+            *self._configuration_in_force(),
+            *self._upstream_list(),
+            *self._routers(),
+            *self._upstreams_health(),
+        ]
+        for change in changes[:MOST_A_ROUND]:
+            self.records.note(change)
+        left_out = len(changes) - MOST_A_ROUND
+        if left_out > 0:
+            self.records.note(Believed("records", "", f"{left_out} left out"))
+
+    def note_process(self, now: str, why: str = "") -> None:
+        """Note a change of the process itself: its start, its stop, its settings."""
+        self.records.note(Believed("process", self.state.name, now, why=why))
+
+    def _platform(self) -> list[Believed]:
+        lost = self.state.platform_lost
+        if lost == self._platform_lost:
+            return []
+        self._platform_lost = lost
+        return [Believed("platform", "store", "lost" if lost else "answering", why=lost)]
+
+    def _configuration_in_force(self) -> list[Believed]:
+        version = self.state.fleet.version
+        if version == self._configuration:
+            return []
+        before, self._configuration = self._configuration, version
+        why = f"follows {before}" if before else "the first"
+        return [Believed("configuration", "", "in force", version, why)]
+
+    def _upstream_list(self) -> list[Believed]:
+        upstreams = self.state.upstreams
+        if upstreams.version == self._upstreams:
+            return []
+        self._upstreams = upstreams.version
+        entries = upstreams.entry_by_name.items()
+        states = {name: entry.upstream.state for name, entry in entries}
+        changed = _differences(self._upstream_states, states, "removed")
+        self._upstream_states = states
+        return [
+            Believed("upstream", name, now, self._version_of(name), why)
+            for name, now, why in changed
+        ]
+
+    def _version_of(self, upstream: str) -> int:
+        entry = self.state.upstreams.entry_by_name.get(upstream)
+        return entry.version if entry is not None else self.state.upstreams.version
+
+    def _routers(self) -> list[Believed]:
+        members = self.state.members()
+        if members is self._members:
+            return []
+        before, now = _phases(self._members), _phases(members)
+        self._members = members
+        return [
+            Believed("router", name, self._absence(name) if phase == "" else phase, why=why)
+            for name, phase, why in _differences(before, now, "")
+        ]
+
+    def _absence(self, router: str) -> str:
+        return "gone" if self.state.gossip.is_gone(router) else "out of reach"
+
+    def _upstreams_health(self) -> list[Believed]:
+        health = self.state.health.states(self.state.clock())
+        if health == self._health:
+            return []
+        changed = _differences(self._health, health, "well")
+        self._health = health
+        return [Believed("health", name, now, why=why) for name, now, why in changed]
+
+
+def _phases(members: tuple[Member, ...]) -> dict[str, str]:
+    return {member.name: member.phase.name.lower() for member in members}
+
+
+def _differences(
+    before: Mapping[str, str], now: Mapping[str, str], absent: str
+) -> list[tuple[str, str, str]]:
+    """Return what changed by name: what it is now, and what it was."""
+    names = sorted({*before, *now})
+    changed = [name for name in names if before.get(name) != now.get(name)]
+    return [
+        (name, now.get(name, absent), f"was {before[name]}" if name in before else "new")
+        for name in changed
+    ]
--- a/pondhatch/router/_state.py
+++ b/pondhatch/router/_state.py
@@ -62,6 +62,8 @@
     #: Owned upstreams that said themselves that they are leaving.
     said_leaving: set[str] = field(default_factory=set)
     phase: Phase = Phase.LIVE
+    #: Why the platform was last found out of reach; empty while it answers.
+    platform_lost: str = ""
     #: When the configuration in force came into force, in seconds since 1970.
     in_force_at: float = 0.0
     decisions: deque[DecisionNote] = field(default_factory=lambda: deque(maxlen=KEPT_DECISIONS))
--- a/pondhatch/router/_sync.py
+++ b/pondhatch/router/_sync.py
@@ -30,7 +30,6 @@
     TooOld,
     Unavailable,
     UpstreamUpdate,
-    WatchEvent,
     listing,
 )
 
@@ -139,6 +138,7 @@
             try:
                 await watch()
             except PlatformLost as error:
+                self._state.platform_lost = str(error)
                 log.warning("Watch lost: {}.", error)
             except TooOld:
                 log.info("Watch too old, listing anew.")
@@ -159,26 +159,22 @@
                 log.error("Configuration cannot be read: {}.", news.reason)
             elif self._state.take_fleet(news):
                 self._told()
+            self._state.platform_lost = ""
             await self._met.wait()
 
     async def _watch_upstreams(self) -> None:
         listed = await self._platform.list(UPSTREAM_KIND)
         if isinstance(listed, Unavailable):
             raise PlatformLost(listed.reason)
+        self._state.platform_lost = ""
         values = [(each.version, each.value) for each in listed.objects]
         if self._state.take_upstreams(listing(listed.version, values)):
             self._told()
         await self._met.wait()
         async for event in self._platform.watch(UPSTREAM_KIND, listed.version):
             if self._state.take_upstream_event(event):
-                self._note_upstream(event)
                 self._told()
 
-    def _note_upstream(self, event: WatchEvent) -> None:
-        known = self._state.upstreams.entry_by_name.get(event.name)
-        state = known.upstream.state if known is not None else "unknown"
-        log.info("Upstream {} is {} as of {}.", event.name, state, event.version)
-
     # -- from peers ---------------------------------------------------------
 
     async def _pull_if_behind(self) -> None:
@@ -209,9 +205,4 @@
             self._told()
 
     def _told(self) -> None:
-        log.info(
-            "Configuration {} in force, upstreams as of {}.",
-            self._state.fleet.version,
-            self._state.upstreams.version,
-        )
         self._spread()
