--- a/pondhatch/cli/_router_process.py
+++ b/pondhatch/cli/_router_process.py
@@ -188,7 +188,7 @@
             CallerParts(
                 state=self.state,
                 ways=Ways(self._granting.entry, HttpUpstreams(client, self._interface.upstreams)),
-                limits=self._settings.limits,
+                limits=lambda: self._settings.limits,
                 metrics=self._metrics,
                 records=self._records,
                 tasks=self._tasks,
--- a/pondhatch/platform/_callers.py
+++ b/pondhatch/platform/_callers.py
@@ -6,9 +6,9 @@
 
 from pondhatch.platform import _names as names
 from pondhatch.requests import Headers, NotRun, Refusal
+from pondhatch.router import bearer_key
 from pondhatch.transport import CallerFacts
 
-BEARER = "bearer "
 #: Statuses that ask the client to come back later.
 COME_BACK = (429, 503)
 
@@ -22,7 +22,7 @@
         wait = value_by_name.get(names.DEADLINE_MS.lower(), "")
         return CallerFacts(
             caller_id=value_by_name.get(names.ATTEMPT_ID.lower(), ""),
-            key=_key(value_by_name.get(names.AUTHORIZATION.lower(), "")),
+            key=bearer_key(value_by_name.get(names.AUTHORIZATION.lower(), "")),
             wait=float(wait) / 1000 if wait.isascii() and wait.isdigit() else None,
             context=_context(value_by_name.get(names.PROMPT_PARTS.lower(), "")),
         )
@@ -34,12 +34,6 @@
         return ((names.RETRY_AFTER, f"{refusal.retry_after:.3f}"),)
 
 
-def _key(authorization: str) -> str | None:
-    if authorization[: len(BEARER)].lower() != BEARER:
-        return None
-    return authorization[len(BEARER) :].strip()
-
-
 def _context(parts: str) -> int:
     """Return a key of the last part that other requests share, or 0 where there is none."""
     ids = [part.partition(":")[0].strip() for part in parts.split(",") if part.strip()]
--- a/pondhatch/requests/_entry.py
+++ b/pondhatch/requests/_entry.py
@@ -107,6 +107,8 @@
         self._may_have_run: Unknown | None = None
         #: Id under which the engine that answers knows the request.
         self._granted_id = ""
+        #: The engine that answered last.
+        self.engine: str | None = None
         #: Times that a broken stream went on.
         self.resumes = 0
 
@@ -188,6 +190,7 @@
         reply = await self._tries.run(question, head)
         if isinstance(reply, Opened):
             if reply.answer.status == OK:
+                self.engine = engine
                 return Placed(reply, engine)
             reply.answer.cancel()
             return None
@@ -201,6 +204,7 @@
         reply = await self._tries.run(question, head)
         if isinstance(reply, Opened):
             self._granted_id = head.request_id
+            self.engine = ask.engine
             self._tell_home(ask.engine)
             return Placed(reply, ask.engine)
         if isinstance(reply, Elsewhere):
--- a/pondhatch/router/_admission.py
+++ b/pondhatch/router/_admission.py
@@ -10,8 +10,8 @@
 from pondhatch.requests import NotRun
 from pondhatch.router._state import RouterState
 
-#: Prefix of the Authorization header's value.
-BEARER = "Bearer "
+#: Scheme of the Authorization header's value, which is written in any case.
+BEARER = "bearer "
 UNAUTHORIZED = 401
 FORBIDDEN = 403
 NOT_FOUND = 404
@@ -51,15 +51,20 @@
 
 def identify(state: RouterState, authorization: str | None) -> Account | NotRun:
     """Return the account whose API key the caller shows."""
-    if authorization is None or not authorization.startswith(BEARER):
-        return NotRun("no-key", "expected 'Authorization: Bearer KEY'", 0.0, UNAUTHORIZED)
-    return identify_key(state, authorization[len(BEARER) :].strip())
+    return identify_key(state, bearer_key(authorization or ""))
+
+
+def bearer_key(authorization: str) -> str | None:
+    """Return the key in an Authorization header's value, or None where there is none."""
+    if authorization[: len(BEARER)].lower() != BEARER:
+        return None
+    return authorization[len(BEARER) :].strip()
 
 
 def identify_key(state: RouterState, key: str | None) -> Account | NotRun:
     """Return the account that an API key belongs to."""
     if key is None:
-        return NotRun("no-key", "expected an API key", 0.0, UNAUTHORIZED)
+        return NotRun("no-key", "expected 'Authorization: Bearer KEY'", 0.0, UNAUTHORIZED)
     account = state.fleet.account_of(hashlib.sha256(key.encode()).hexdigest())
     if account is None:
         return NotRun("unknown-key", "the API key belongs to no account", 0.0, UNAUTHORIZED)
--- a/pondhatch/router/_order_duties.py
+++ b/pondhatch/router/_order_duties.py
@@ -33,7 +33,7 @@
         return spec.orders if spec is not None else None
 
     def engines_of(self, service: str) -> tuple[Upstream, ...]:
-        """Return the service's engines, those that leave left out."""
+        """Return the service's engines; those that leave, or may have gone, are left out."""
         names = self.state.live_upstreams(service)
-        entries = self.state.upstreams.entry_by_name
-        return tuple(entries[name].upstream for name in names)
+        listed = [self.state.upstreams.upstream(name) for name in names]
+        return tuple(upstream for upstream in listed if upstream is not None)
--- a/pondhatch/router/_upstream_changes.py
+++ b/pondhatch/router/_upstream_changes.py
@@ -47,6 +47,9 @@
             self._listed_at = now
         if now - self._listed_at < STARTING_SECONDS:
             return
+        old = [name for name, at in self._joined_at.items() if now - at >= YOUNG_SECONDS]
+        for name in old:
+            del self._joined_at[name]
         for name in after - before:
             self._joined_at[name] = now
 
--- a/pondhatch/router/tests/test_sync.py
+++ b/pondhatch/router/tests/test_sync.py
@@ -15,10 +15,12 @@
 from pondhatch.configuration import Change, ChangeLog, Edit, Fleet, Gap, Rejected, Update, publish
 from pondhatch.configuration.tests.test_fleet import account, change
 from pondhatch.membership import Alive, Gossip, Member, MembershipLimits, Phase, short_id
+from pondhatch.placement import YOUNG_SECONDS
 from pondhatch.requests import Claim, KeyRecord
 from pondhatch.router import Introduction, RouterState, Sync
+from pondhatch.router._order_duties import OrderDuties
 from pondhatch.router._sync import MEETING_SECONDS
-from pondhatch.router._upstream_changes import STARTING_SECONDS
+from pondhatch.router._upstream_changes import STARTING_SECONDS, Joins
 from pondhatch.store import (
     LEAVING,
     Listed,
@@ -190,6 +192,28 @@
             [state.is_young(name) for name in ("e0", "e1", "e2")], [False, False, True]
         )
 
+    def test_what_joined_long_ago_is_not_remembered(self) -> None:
+        joins = Joins()
+        joins.note(frozenset(), frozenset({"e0"}), 0.0)
+        joined = frozenset({"e0", "e1"})
+        joins.note(frozenset({"e0"}), joined, STARTING_SECONDS)
+        self.assertTrue(joins.is_young("e1", STARTING_SECONDS))
+        joins.note(joined, joined, STARTING_SECONDS + YOUNG_SECONDS)
+        self.assertEqual(joins._joined_at, {})
+
+    def test_one_that_may_have_gone_is_given_no_orders(self) -> None:
+        state = router("r0")
+        state.take_change(FIRST)
+        entries = tuple(
+            UpstreamEntry(Upstream(name, "lang", "http://x", "h1"), 1) for name in ("e0", "e1")
+        )
+        state.take_upstreams(UpstreamUpdate(1, entries, whole=True))
+        duties = OrderDuties(state)
+        self.assertEqual([each.name for each in duties.engines_of("lang")], ["e0", "e1"])
+        state.take_upstreams(UpstreamUpdate(2, (), whole=True))
+        self.assertEqual(len(state.live_upstreams("lang")), 2)
+        self.assertEqual(duties.engines_of("lang"), ())
+
 
 class Faulty(PlatformInMemory):
     """A platform of which something cannot be read at first."""
--- a/pondhatch/standard/_callers.py
+++ b/pondhatch/standard/_callers.py
@@ -123,9 +123,9 @@
         return account if isinstance(account, NotRun) else await prepare(request, account)
 
     async def _prepare_chat(self, request: CallerRequest, account: Account) -> Work | NotRun:
-        body = await read_whole(request.body(), self._limits.chat_body_bytes)
+        limit = self._limits().chat_body_bytes
+        body = await read_whole(request.body(), limit)
         if body is None:
-            limit = self._limits.chat_body_bytes
             return NotRun("body-too-large", f"expected at most {limit} bytes", 0.0, TOO_LARGE)
         try:
             chat = read_chat(account.name, body)
--- a/pondhatch/transport/_http_client.py
+++ b/pondhatch/transport/_http_client.py
@@ -23,6 +23,8 @@
 CONNECT_SECONDS = 1.0
 #: Idle connections kept for each address.
 IDLE_CONNECTIONS = 64
+#: Seconds between two looks for connections that stayed idle too long.
+SWEEP_SECONDS = 5.0
 
 
 class NotSent(Exception):
@@ -90,6 +92,7 @@
         self._reactor = reactor
         self._connect_seconds = connect_seconds
         self._idle_by_address: dict[Address, list[Connection]] = {}
+        self._sweeping: asyncio.TimerHandle | None = None
 
     async def send(
         self,
@@ -145,6 +148,20 @@
         idle.append(connection)
         if len(idle) > IDLE_CONNECTIONS:
             idle.pop(0).abort()
+        if self._sweeping is None:
+            loop = asyncio.get_running_loop()
+            self._sweeping = loop.call_later(SWEEP_SECONDS, self._sweep)
+
+    def _sweep(self) -> None:
+        """Close what stayed idle too long: an upstream that went away closes nothing itself."""
+        loop = asyncio.get_running_loop()
+        now = loop.time()
+        every = [each for idle in self._idle_by_address.values() for each in idle]
+        for connection in every:
+            if connection.usable_until <= now:
+                connection.abort()
+        left = any(connection.usable_until > now for connection in every)
+        self._sweeping = loop.call_later(SWEEP_SECONDS, self._sweep) if left else None
 
     def _lost(self, connection: Connection) -> None:
         for address, idle in tuple(self._idle_by_address.items()):
--- a/pondhatch/transport/_http_connection.py
+++ b/pondhatch/transport/_http_connection.py
@@ -49,8 +49,6 @@
         self.usable_until = float("-inf")
         #: Whether the other side stated how long it keeps an idle connection.
         self.states_idle_time = False
-        #: Exchanges that were begun.
-        self.exchanges = 0
         self.is_open = False
         #: Cleared while the other side takes no more of a request's body.
         self._flowing = asyncio.Event()
@@ -75,7 +73,6 @@
 
     def begin(self, exchange: Exchange, request: Request, length: int | None) -> None:
         """Write a request's head; its body follows by ``send_body`` or ``send_whole_body``."""
-        self.exchanges += 1
         self._exchange = exchange
         framed = framing(request.method, length)
         headers = request.headers if framed is None else (*request.headers, framed)
--- a/pondhatch/transport/_interface.py
+++ b/pondhatch/transport/_interface.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 from typing import Any, Protocol
 
@@ -31,7 +31,8 @@
 
     state: RouterState
     ways: Ways
-    limits: CallerLimits
+    #: What callers may send, by the settings in force.
+    limits: Callable[[], CallerLimits]
     metrics: Metrics
     records: Records
     tasks: Tasks
--- a/pondhatch/transport/_routed_callers.py
+++ b/pondhatch/transport/_routed_callers.py
@@ -173,7 +173,7 @@
 
     def _most_body_bytes(self) -> int:
         bounds = self._state.fleet.caller_bounds
-        return self._limits.chat_body_bytes if bounds is None else bounds.body_bytes
+        return self._limits().chat_body_bytes if bounds is None else bounds.body_bytes
 
 
 def _cancel(task: asyncio.Task[None]) -> None:
--- a/pondhatch/transport/_serving.py
+++ b/pondhatch/transport/_serving.py
@@ -145,18 +145,16 @@
             work.patience,
         )
         ended: Ended = Unknown("caller-gone", "the caller went away")
-        engine: str | None = None
         try:
             reply = await walk.run()
             if isinstance(reply, Placed):
-                engine = reply.engine
                 self._metrics.timing("requests.placed", time.monotonic() - started)
                 ended = await self._relay(request, work, walk, reply, copy)
             else:
                 ended = reply.refusal
                 self._answers.refuse(request, reply.refusal)
         finally:
-            self._note(work, walk, engine, ended, time.monotonic() - started)
+            self._note(work, walk, ended, time.monotonic() - started)
         return ended
 
     async def _relay(
@@ -183,25 +181,21 @@
             self._answers.end_broken(request, delivered.outcome, is_event_stream(copy.headers))
         return delivered.outcome
 
-    def _note(
-        self, work: Work, walk: Walk, engine: str | None, ended: Ended, seconds: float
-    ) -> None:
+    def _note(self, work: Work, walk: Walk, ended: Ended, seconds: float) -> None:
         outcome = "whole" if isinstance(ended, Whole) else ended.code
         self._metrics.count(f"requests.{outcome}")
         self._metrics.timing("requests.whole", seconds)
-        self._note_decision(work, walk, engine, outcome, seconds)
-        self._note_record(work, walk, engine, outcome, seconds)
+        self._note_decision(work, walk, outcome, seconds)
+        self._note_record(work, walk, outcome, seconds)
 
-    def _note_decision(
-        self, work: Work, walk: Walk, engine: str | None, outcome: str, seconds: float
-    ) -> None:
+    def _note_decision(self, work: Work, walk: Walk, outcome: str, seconds: float) -> None:
         """Keep the decision for the state dump."""
         self._state.decisions.append(
             DecisionNote(
                 request_id=work.head.request_id,
                 account=work.account.name,
                 service=work.head.service,
-                engine=engine,
+                engine=walk.engine,
                 passed_over=tuple(walk.plan.passed_over),
                 outcome=outcome,
                 seconds=round(seconds, 4),
@@ -209,9 +203,7 @@
             )
         )
 
-    def _note_record(
-        self, work: Work, walk: Walk, engine: str | None, outcome: str, seconds: float
-    ) -> None:
+    def _note_record(self, work: Work, walk: Walk, outcome: str, seconds: float) -> None:
         """Leave the decision's line."""
         self._records.note(
             RequestEnded(
@@ -222,7 +214,7 @@
                 ms=round(seconds * 1000),
                 context=f"{work.head.chat:x}" if work.head.chat else "",
                 configuration=self._state.fleet.version,
-                upstream=engine or "",
+                upstream=walk.engine or "",
                 in_flight=walk.granted.in_flight,
                 ceiling=walk.granted.ceiling,
                 passed_over=tuple(walk.plan.passed_over),
--- a/pondhatch/transport/tests/test_http_client.py
+++ b/pondhatch/transport/tests/test_http_client.py
@@ -91,7 +91,7 @@
             exchange = wire.begin()
             wire.connection.dataReceived(WHOLE)
             self.assertEqual(await content(exchange), b"hello")
-        self.assertEqual(wire.connection.exchanges, 2)
+        self.assertEqual(wire.kept, [wire.connection] * 2)
 
     async def test_an_answer_without_length_ends_with_an_orderly_close_alone(self) -> None:
         raw = b"HTTP/1.1 200 OK\r\n\r\nhello"
--- a/pondhatch/transport/tests/test_routed_callers.py
+++ b/pondhatch/transport/tests/test_routed_callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import copy
+import dataclasses
 import random
 import unittest
 from typing import Any
@@ -170,6 +171,7 @@
         self.upstreams = Upstreams()
         self.grants = Grants()
         self.noted = Noted()
+        self.limits = CallerLimits()
 
     async def asyncSetUp(self) -> None:
         starting = Starting(self.state)
@@ -178,7 +180,7 @@
         parts = CallerParts(
             self.state,
             Ways(self.grants, self.upstreams),
-            CallerLimits(),
+            lambda: self.limits,
             NoMetrics(),
             self.noted,
             Tasks(),
@@ -266,6 +268,19 @@
             (found["id"], found["outcome"], found["configuration"]), ("9c41", "no-key", 7)
         )
 
+    async def test_after_a_break_it_names_the_upstream_that_answered_last(self) -> None:
+        self.upstreams.replies = [Opened(Answer((), whole=False)), Opened(Answer((b"yes!",)))]
+        await self.ask("GET /x HTTP/1.1")
+        found = msgspec.to_builtins(self.noted.records[0])
+        self.assertEqual(found["upstream"], self.upstreams.sent[-1][0])
+        self.assertNotEqual(found["upstream"], self.upstreams.sent[0][0])
+
+    async def test_a_body_is_held_to_the_limits_in_force(self) -> None:
+        self.state.fleet = dataclasses.replace(self.state.fleet, caller_bounds=None)
+        self.limits = CallerLimits(chat_body_bytes=1024)
+        told = await self.ask("POST /proofs/a HTTP/1.1", KEY, body=b"x" * 1025)
+        self.assertTrue(told.startswith(b"HTTP/1.1 413"), told)
+
 
 class KeptConnectionTest(RoutedCallersTest):
     async def test_a_refusal_leaves_the_connection_for_the_next_request(self) -> None:
