Start lighter: data is held to shapes by msgspec, garbage is held back

By import time: pydantic and its kin 95 ms of 705, with what building its checks takes; searches for garbage among what was just imported some 60. Garbage is searched for only once a router is put together, and what is there then is passed over for good. Ruled out: serving before the rest is imported (the peers' calls take 40 ms of it; their port must be open by the time others hear of the router). Tests: test_fit; the settings' and files' tests are unchanged and pass.

--- a/pondhatch/__main__.py
+++ b/pondhatch/__main__.py
@@ -1,7 +1,12 @@
 """Run the command line by ``python -m pondhatch``."""
 
+import gc
 import sys
 
-from pondhatch.cli import main
+# Importing makes a hundred thousand objects that stay; looking through them for garbage
+# again and again takes a tenth of a router's start. The commands switch it on again.
+gc.disable()
+
+from pondhatch.cli import main  # noqa: E402
 
 sys.exit(main())
--- a/pondhatch/cli/_main.py
+++ b/pondhatch/cli/_main.py
@@ -15,6 +15,7 @@
 from pondhatch.cli._commands import COMMANDS, run
 from pondhatch.cli._reports import EXIT_INPUT
 from pondhatch.configuration import ConfigurationError
+from pondhatch.kernel import collect_garbage
 
 
 def main(argv: Sequence[str] | None = None) -> int:
@@ -38,6 +39,7 @@
         return run(Path(arguments[1]))
     import defopt
 
+    collect_garbage()
     code: int = defopt.run(
         COMMANDS,
         argv=arguments,
--- a/pondhatch/cli/_router_process.py
+++ b/pondhatch/cli/_router_process.py
@@ -18,7 +18,7 @@
 from pondhatch.cli._settings_file import SettingsFile
 from pondhatch.cli._surroundings import Surroundings, surroundings_of
 from pondhatch.configuration import RetrySettings, Settings
-from pondhatch.kernel import Tasks
+from pondhatch.kernel import Tasks, collect_garbage
 from pondhatch.limits import RetryAllowance, RetryBudgets
 from pondhatch.membership import (
     Address,
@@ -359,5 +359,6 @@
 async def serve(settings: Settings, reactor: Any, path: Path) -> None:
     """Run a router until it is asked to stop; ``path`` is where its settings are kept."""
     process = RouterProcess(settings, reactor, await surroundings_of(settings, reactor), path)
+    collect_garbage()
     await process.run()
     STANDARD_OUTPUT.flush()
--- a/pondhatch/configuration/__init__.py
+++ b/pondhatch/configuration/__init__.py
@@ -9,6 +9,7 @@
     change_name,
 )
 from pondhatch.configuration._files import Sources, checked, differences, read_files
+from pondhatch.configuration._fit import Misfit, fit
 from pondhatch.configuration._fleet import CALLER_BOUNDS, Fleet, Gap, Rejected
 from pondhatch.configuration._following import (
     ChangeLog,
@@ -38,14 +39,12 @@
     AccountSpec,
     CallerBounds,
     FleetFile,
-    Misfit,
     OrdersSpec,
     Repeats,
     RouteSpec,
     RouteTarget,
     ServiceSpec,
     TemplateSpec,
-    fit,
 )
 from pondhatch.configuration._settings import (
     CallerEndpoint,
--- /dev/null
+++ b/pondhatch/configuration/_fit.py
@@ -0,0 +1,159 @@
+"""Holding data to a shape, and saying everything that does not fit.
+
+A shape is a frozen data class whose fields carry msgspec's constraints. Data classes,
+mappings and sequences are walked here, so that each misfit is found and has its place;
+msgspec checks the single values. Strict: no text passes as a number, no unknown key.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import functools
+import operator
+import types
+from collections.abc import Mapping
+from typing import Annotated, Any, Literal, TypeVar, Union, get_args, get_origin, get_type_hints
+
+import msgspec
+
+from pondhatch.configuration._yaml import FieldPath
+
+Shape = TypeVar("Shape")
+
+UNKNOWN_KEY = "unknown key; expected one that docs/OPERATIONS.md lists"
+MISSING = "missing; expected a value"
+NAME_PATTERN = r"^[a-z0-9][a-z0-9-]{0,62}$"
+
+
+@dataclasses.dataclass(frozen=True)
+class Misfit:
+    """One place where data does not fit its shape."""
+
+    path: FieldPath
+    expected: str
+
+
+@dataclasses.dataclass(frozen=True)
+class _Field:
+    """A field of a data class."""
+
+    name: str
+    type: Any
+    is_required: bool
+
+
+def fit(shape: type[Shape], data: Any) -> Shape | tuple[Misfit, ...]:
+    """Return the data in its shape, or every misfit."""
+    misfits: set[Misfit] = set()
+    fitted: Shape = _fit(shape, data, (), misfits)
+    if misfits:
+        return tuple(sorted(misfits, key=lambda misfit: tuple(map(str, misfit.path))))
+    return fitted
+
+
+def _fit(shape: Any, data: Any, path: FieldPath, misfits: set[Misfit]) -> Any:
+    """Return the data in its shape; where it does not fit, misfits are added instead."""
+    bare, constraints = _parts(shape)
+    if dataclasses.is_dataclass(bare):
+        return _fit_fields(bare, data, path, misfits)
+    origin, inner = get_origin(bare), get_args(bare)
+    if origin in (Union, types.UnionType) and type(None) in inner:
+        return None if data is None else _fit(_without_none(bare), data, path, misfits)
+    if origin is dict and isinstance(data, Mapping):
+        return _fit_mapping(inner, data, path, misfits)
+    if origin is tuple and isinstance(data, list | tuple):
+        items = [_fit(inner[0], each, (*path, at), misfits) for at, each in enumerate(data)]
+        _fit_value(constraints, items, path, misfits)
+        return tuple(items)
+    return _fit_value(shape, data, path, misfits)
+
+
+def _fit_fields(shape: Any, data: Any, path: FieldPath, misfits: set[Misfit]) -> Any:
+    if not isinstance(data, Mapping):
+        misfits.add(Misfit(path, f"expected an object, found {_said(data)}"))
+        return None
+    before = len(misfits)
+    fields = _fields(shape)
+    known = {each.name for each in fields}
+    misfits |= {Misfit((*path, key), UNKNOWN_KEY) for key in data if key not in known}
+    values = {}
+    for each in fields:
+        if each.name in data:
+            values[each.name] = _fit(each.type, data[each.name], (*path, each.name), misfits)
+        elif each.is_required:
+            misfits.add(Misfit((*path, each.name), MISSING))
+    return shape(**values) if len(misfits) == before else None
+
+
+def _fit_mapping(
+    inner: tuple[Any, ...], data: Mapping[Any, Any], path: FieldPath, misfits: set[Misfit]
+) -> dict[Any, Any]:
+    key_shape, value_shape = inner
+    for key in data:
+        _fit_value(key_shape, key, (*path, key), misfits)
+    return {key: _fit(value_shape, each, (*path, key), misfits) for key, each in data.items()}
+
+
+def _fit_value(shape: Any, data: Any, path: FieldPath, misfits: set[Misfit]) -> Any:
+    """Have msgspec check a single value."""
+    try:
+        return msgspec.convert(data, shape)
+    except msgspec.ValidationError as error:
+        misfits.add(Misfit(path, f"{_told(shape, str(error))}, found {_said(data)}"))
+        return None
+
+
+#: What msgspec writes, and what people read, the longer ones first.
+_WORDS = (
+    (">=", "greater than or equal to"),
+    ("<=", "less than or equal to"),
+    (">", "greater than"),
+    ("<", "less than"),
+    ("array", "a valid list"),
+    ("matching regex", "that must match"),
+)
+
+
+def _told(shape: Any, message: str) -> str:
+    """Return what was expected, as msgspec's message or the shape tells it."""
+    bare, _ = _parts(shape)
+    if get_origin(bare) is Literal:
+        return "expected " + " or ".join(repr(each) for each in get_args(bare))
+    if NAME_PATTERN in message:
+        return f"expected a name that matches {NAME_PATTERN}"
+    told = message.replace("`", "").partition(" - at ")[0].partition(", got ")[0]
+    for written, read in _WORDS:
+        told = told.replace(written, read)
+    return told[0].lower() + told[1:]
+
+
+def _said(data: Any) -> str:
+    return "nothing" if data is None else repr(data)
+
+
+@functools.cache
+def _fields(shape: Any) -> tuple[_Field, ...]:
+    hints = get_type_hints(shape, include_extras=True)
+    return tuple(
+        _Field(
+            each.name,
+            hints[each.name],
+            each.default is dataclasses.MISSING and each.default_factory is dataclasses.MISSING,
+        )
+        for each in dataclasses.fields(shape)
+    )
+
+
+@functools.cache
+def _parts(shape: Any) -> tuple[Any, Any]:
+    """Return a shape without its constraints, and the constraints as a shape of any list."""
+    if get_origin(shape) is not Annotated:
+        return shape, list
+    bare, *constraints = get_args(shape)
+    return bare, Annotated[(list, *constraints)]
+
+
+@functools.cache
+def _without_none(shape: Any) -> Any:
+    others = [each for each in get_args(shape) if each is not type(None)]
+    return functools.reduce(operator.or_, others)
--- a/pondhatch/configuration/_fleet.py
+++ b/pondhatch/configuration/_fleet.py
@@ -10,16 +10,15 @@
 import msgspec
 
 from pondhatch.configuration._changes import KINDS, Change, Edit, Snapshot
+from pondhatch.configuration._fit import Misfit, fit
 from pondhatch.configuration._routes import RouteTable
 from pondhatch.configuration._schema import (
     AccountPolicy,
     AccountSpec,
     CallerBounds,
-    Misfit,
     RouteSpec,
     ServiceSpec,
     TemplateSpec,
-    fit,
 )
 from pondhatch.configuration._templates import check_template, fill_in
 
--- a/pondhatch/configuration/_following.py
+++ b/pondhatch/configuration/_following.py
@@ -12,9 +12,9 @@
 import msgspec
 
 from pondhatch.configuration._changes import Change, Snapshot
+from pondhatch.configuration._fit import Misfit
 from pondhatch.configuration._fleet import Fleet, Rejected
 from pondhatch.configuration._publishing import CHANGE_KIND, Broken, read_fleet
-from pondhatch.configuration._schema import Misfit
 from pondhatch.store import Platform, PlatformLost, Unavailable
 
 News = Change | Fleet | Rejected | Broken
--- a/pondhatch/configuration/_schema.py
+++ b/pondhatch/configuration/_schema.py
@@ -1,50 +1,39 @@
-"""The schemas of templates, services and accounts, and how data is held to them.
+"""The schemas of templates, services and accounts.
 
 Sizes and rates are checked here so that no other part need do so again.
 """
 
 from __future__ import annotations
 
-import functools
-import json
-from collections.abc import Hashable
 from dataclasses import dataclass, field
-from typing import Annotated, Any, Literal, TypeVar, cast
+from typing import Annotated, Any, Literal
 
-from pydantic import ConfigDict, Field, TypeAdapter, ValidationError, with_config
+from msgspec import Meta
 
-from pondhatch.configuration._yaml import FieldPath
+from pondhatch.configuration._fit import NAME_PATTERN
 
-Shape = TypeVar("Shape")
-
-NAME_PATTERN = r"^[a-z0-9][a-z0-9-]{0,62}$"
-Name = Annotated[str, Field(pattern=NAME_PATTERN)]
-KeyHash = Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
+Name = Annotated[str, Meta(pattern=NAME_PATTERN)]
+KeyHash = Annotated[str, Meta(pattern=r"^[0-9a-f]{64}$")]
 Scalar = bool | int | float | str
 
-_closed = with_config(ConfigDict(extra="forbid"))
-
-
 Role = Literal["combined", "prefill", "decode"]
 
 
-@_closed
 @dataclass(frozen=True)
 class OrdersSpec:
     """What the engines of a service are to hold; whatever they held before."""
 
     model: str
     #: Version of the model's weights.
-    version: Annotated[int, Field(ge=1)]
+    version: Annotated[int, Meta(ge=1)]
     adapters: tuple[str, ...] = ()
     role: Role = "combined"
     #: Roles of single engines, by their name.
     role_by_engine: dict[Name, Role] = field(default_factory=dict)
     #: Engines that may be busy with an order at the same time.
-    at_once: Annotated[int, Field(ge=1, le=1000)] = 1
+    at_once: Annotated[int, Meta(ge=1, le=1000)] = 1
 
 
-@_closed
 @dataclass(frozen=True)
 class ServiceSpec:
     """A service: a group of like upstreams that requests are routed to."""
@@ -53,22 +42,22 @@
     #: Model names that callers use; for kind "model".
     models: tuple[str, ...] = ()
     #: First part of the callers' path; for kind "plain".
-    prefix: Annotated[str, Field(pattern=r"^/[a-z0-9-]+/$")] | None = None
+    prefix: Annotated[str, Meta(pattern=r"^/[a-z0-9-]+/$")] | None = None
     #: No engine carries more than this multiple of the service's mean load.
-    load_bound: Annotated[float, Field(gt=1.0, le=10.0)] = 1.25
+    load_bound: Annotated[float, Meta(gt=1.0, le=10.0)] = 1.25
     #: Requests above that multiple that any engine may carry: near an empty service the
     #: multiple of a small mean would send chats away from their context for nothing.
-    load_slack: Annotated[int, Field(ge=0, le=1000)] = 0
+    load_slack: Annotated[int, Meta(ge=0, le=1000)] = 0
     #: Requests that one engine can take at once, whatever the mean.
-    engine_slots: Annotated[int, Field(ge=1, le=100_000)] = 128
+    engine_slots: Annotated[int, Meta(ge=1, le=100_000)] = 128
     #: Seconds that a returning chat waits for its engine before it goes to another.
-    context_wait: Annotated[float, Field(ge=0.0, le=10.0)] = 0.2
+    context_wait: Annotated[float, Meta(ge=0.0, le=10.0)] = 0.2
     #: Seconds that a request waits where every engine is full, before it is refused.
-    queue_wait: Annotated[float, Field(ge=0.0, le=60.0)] = 2.0
+    queue_wait: Annotated[float, Meta(ge=0.0, le=60.0)] = 2.0
     #: Methods whose requests may run twice; for kind "plain".
     repeatable_methods: tuple[str, ...] = ("GET", "HEAD", "OPTIONS")
     #: Seconds that a request may take in all.
-    deadline: Annotated[float, Field(ge=1.0, le=3600.0)] = 120.0
+    deadline: Annotated[float, Meta(ge=1.0, le=3600.0)] = 120.0
     #: Whether its engines take contexts over from each other when they are told to.
     shares_context: bool = False
     #: Upstreams that an operator wants emptied; they get no new work.
@@ -77,65 +66,61 @@
     orders: OrdersSpec | None = None
 
 
-@_closed
 @dataclass(frozen=True)
 class RouteTarget:
     """One of the services that share a route's requests."""
 
     service: Name
     #: Its share against the other targets of the route.
-    weight: Annotated[float, Field(gt=0)] = 1.0
+    weight: Annotated[float, Meta(gt=0)] = 1.0
 
 
 #: How often a route's requests may run.
 Repeats = Literal["any", "resumed", "never"]
 
 
-@_closed
 @dataclass(frozen=True)
 class RouteSpec:
     """Requests under one host and path prefix, and what holds for them."""
 
-    host: Annotated[str, Field(min_length=1)]
+    host: Annotated[str, Meta(min_length=1)]
     #: Begins and ends with a slash; of those that fit a path, the longest decides.
-    path_prefix: Annotated[str, Field(pattern=r"^/(.*/)?$")]
-    targets: Annotated[tuple[RouteTarget, ...], Field(min_length=1)]
+    path_prefix: Annotated[str, Meta(pattern=r"^/(.*/)?$")]
+    targets: Annotated[tuple[RouteTarget, ...], Meta(min_length=1)]
     #: "any": may run more than once; "resumed": a broken stream may go on at another
     #: engine; "never": runs at most once.
     repeats: Repeats = "never"
     #: Whether answers are streams of events.
     streams: bool = False
     #: Seconds that a request may be held in all.
-    timeout: Annotated[float, Field(gt=0)] = 120.0
+    timeout: Annotated[float, Meta(gt=0)] = 120.0
     #: Seconds within which an answer, or a stream's first event, is in time.
-    objective: Annotated[float, Field(gt=0)] = 1.0
+    objective: Annotated[float, Meta(gt=0)] = 1.0
     #: Seconds between two events of a stream that is still in time; 0 where nobody says.
-    longest_pause: Annotated[float, Field(ge=0)] = 0.0
+    longest_pause: Annotated[float, Meta(ge=0)] = 0.0
     #: Engines that one request may be sent to at most.
-    most_tries: Annotated[int, Field(ge=1)] = 1
+    most_tries: Annotated[int, Meta(ge=1)] = 1
     #: 0 is served first, 9 last; an account's own priority goes before it.
-    priority: Annotated[int, Field(ge=0, le=9)] = 5
+    priority: Annotated[int, Meta(ge=0, le=9)] = 5
     #: Whether it serves callers without a key.
     public: bool = False
     #: Whether its requests return to the engine that holds their context.
     keeps_context: bool = False
 
 
-@_closed
 @dataclass(frozen=True)
 class CallerBounds:
     """What callers may send, as the configuration in force says it."""
 
     #: Bytes of all headers of a request together.
-    header_bytes: Annotated[int, Field(ge=1024)]
-    body_bytes: Annotated[int, Field(ge=0)]
+    header_bytes: Annotated[int, Meta(ge=1024)]
+    body_bytes: Annotated[int, Meta(ge=0)]
     #: Seconds for a request's head to come in full.
-    header_seconds: Annotated[float, Field(gt=0)]
+    header_seconds: Annotated[float, Meta(gt=0)]
     #: Seconds for which a connection may stand idle.
-    idle_seconds: Annotated[float, Field(gt=0)]
+    idle_seconds: Annotated[float, Meta(gt=0)]
 
 
-@_closed
 @dataclass(frozen=True)
 class ParameterSpec:
     """A parameter that a template asks each account for."""
@@ -148,7 +133,6 @@
     choices: tuple[Scalar, ...] = ()
 
 
-@_closed
 @dataclass(frozen=True)
 class TemplateSpec:
     """A template: the body of an account with parameters in it."""
@@ -158,35 +142,32 @@
     parameters: dict[Name, ParameterSpec] = field(default_factory=dict)
 
 
-@_closed
 @dataclass(frozen=True)
 class AccountSpec:
     """A client account: a template filled in."""
 
     template: Name
     #: SHA-256 of the API keys, in hex; two while a key is being replaced.
-    key_hashes: Annotated[tuple[KeyHash, ...], Field(min_length=1, max_length=16)]
+    key_hashes: Annotated[tuple[KeyHash, ...], Meta(min_length=1, max_length=16)]
     parameters: dict[Name, Scalar] = field(default_factory=dict)
 
 
-@_closed
 @dataclass(frozen=True, slots=True)
 class AccountPolicy:
     """What holds for an account once its template is filled in."""
 
     #: Services that the account may use.
-    services: Annotated[tuple[Name, ...], Field(min_length=1)]
-    requests_per_second: Annotated[float, Field(gt=0, le=100_000)]
-    burst: Annotated[int, Field(ge=1, le=1_000_000)]
+    services: Annotated[tuple[Name, ...], Meta(min_length=1)]
+    requests_per_second: Annotated[float, Meta(gt=0, le=100_000)]
+    burst: Annotated[int, Meta(ge=1, le=1_000_000)]
     #: Requests in flight at once, fleet-wide.
-    concurrency: Annotated[int, Field(ge=1, le=1_000_000)]
+    concurrency: Annotated[int, Meta(ge=1, le=1_000_000)]
     #: 0 is served first, 9 last; None leaves it to the route.
-    priority: Annotated[int, Field(ge=0, le=9)] | None = 5
+    priority: Annotated[int, Meta(ge=0, le=9)] | None = 5
     #: Share against other accounts when a service is full.
-    weight: Annotated[float, Field(gt=0, le=100)] = 1.0
+    weight: Annotated[float, Meta(gt=0, le=100)] = 1.0
 
 
-@_closed
 @dataclass(frozen=True)
 class FleetFile:
     """One file of services, templates and accounts."""
@@ -195,46 +176,3 @@
     routes: dict[Name, RouteSpec] = field(default_factory=dict)
     templates: dict[Name, TemplateSpec] = field(default_factory=dict)
     accounts: dict[Name, AccountSpec] = field(default_factory=dict)
-
-
-@dataclass(frozen=True)
-class Misfit:
-    """One place where data does not fit its shape."""
-
-    path: FieldPath
-    expected: str
-
-
-@functools.cache
-def _adapter(shape: Any) -> TypeAdapter[Any]:
-    return TypeAdapter(shape)
-
-
-#: Parts that pydantic puts into a location for a union's members or a mapping's key.
-_NOT_A_FIELD = frozenset({"bool", "int", "float", "str", "[key]"})
-
-
-def fit(shape: type[Shape], data: Any) -> Shape | tuple[Misfit, ...]:
-    """Return the data in its shape, or every misfit. Strict: no text passes as a number."""
-    text = json.dumps(data, default=str)
-    try:
-        fitted: Shape = _adapter(cast(Hashable, shape)).validate_json(text, strict=True)
-    except ValidationError as error:
-        misfits = {_misfit(each["loc"], each["type"], each["msg"]) for each in error.errors()}
-        return tuple(sorted(misfits, key=lambda misfit: tuple(map(str, misfit.path))))
-    return fitted
-
-
-def _misfit(location: tuple[str | int, ...], kind: str, message: str) -> Misfit:
-    path = tuple(
-        part
-        for part in location
-        if part not in _NOT_A_FIELD and not str(part).startswith("constrained-")
-    )
-    if kind in ("unexpected_keyword_argument", "extra_forbidden"):
-        return Misfit(path, "unknown key; expected one that docs/OPERATIONS.md lists")
-    if kind in ("missing", "missing_argument"):
-        return Misfit(path, "missing; expected a value")
-    if kind == "string_pattern_mismatch" and "[key]" in location:
-        return Misfit(path, f"expected a name that matches {NAME_PATTERN}")
-    return Misfit(path, message[0].lower() + message[1:])
--- a/pondhatch/configuration/_settings.py
+++ b/pondhatch/configuration/_settings.py
@@ -6,29 +6,26 @@
 from pathlib import Path
 from typing import Annotated, Any
 
-from pydantic import ConfigDict, Field, with_config
+from msgspec import Meta
 
+from pondhatch.configuration._fit import fit
 from pondhatch.configuration._problems import ConfigurationError
-from pondhatch.configuration._schema import Name, fit
+from pondhatch.configuration._schema import Name
 from pondhatch.configuration._yaml import Document, load
 
-Host = Annotated[str, Field(pattern=r"^[0-9a-fA-F.:]+$", description="an IP number")]
-Port = Annotated[int, Field(ge=0, le=65535)]
-Url = Annotated[str, Field(pattern=r"^https?://")]
+Host = Annotated[str, Meta(pattern=r"^[0-9a-fA-F.:]+$")]
+Port = Annotated[int, Meta(ge=0, le=65535)]
+Url = Annotated[str, Meta(pattern=r"^https?://")]
 
-_closed = with_config(ConfigDict(extra="forbid"))
 
-
-@_closed
 @dataclass(frozen=True)
 class AdminEndpoint:
     """Where the state is dumped: on loopback only, since nobody is asked who they are."""
 
-    host: Annotated[str, Field(pattern=r"^(127\.[0-9.]+|::1)$")]
+    host: Annotated[str, Meta(pattern=r"^(127\.[0-9.]+|::1)$")]
     port: Port = 0
 
 
-@_closed
 @dataclass(frozen=True)
 class PeerEndpoint:
     """Where other routers reach this one; they are told the port, so it is a fixed one.
@@ -38,7 +35,7 @@
     """
 
     host: Host
-    port: Annotated[int, Field(ge=1, le=65535)]
+    port: Annotated[int, Meta(ge=1, le=65535)]
     #: PEM file with this router's certificate, for its IP number.
     certificate: str | None = None
     private_key: str | None = None
@@ -46,7 +43,6 @@
     authority: str | None = None
 
 
-@_closed
 @dataclass(frozen=True)
 class CallerEndpoint:
     """Where callers connect, with TLS where both files are named."""
@@ -59,22 +55,20 @@
     private_key: str | None = None
 
 
-@_closed
 @dataclass(frozen=True)
 class CallerLimits:
     """What one caller may send; beyond it the caller gets a 4xx or is cut."""
 
     #: Bytes of a chat request's body.
-    chat_body_bytes: Annotated[int, Field(ge=1024, le=64 * 1024 * 1024)] = 4 * 1024 * 1024
+    chat_body_bytes: Annotated[int, Meta(ge=1024, le=64 * 1024 * 1024)] = 4 * 1024 * 1024
     #: Bytes of all headers together.
-    header_bytes: Annotated[int, Field(ge=1024, le=1024 * 1024)] = 16 * 1024
+    header_bytes: Annotated[int, Meta(ge=1024, le=1024 * 1024)] = 16 * 1024
     #: Seconds for a request's head to come in full.
-    header_seconds: Annotated[float, Field(gt=0, le=600)] = 10.0
+    header_seconds: Annotated[float, Meta(gt=0, le=600)] = 10.0
     #: Seconds for which a body may stand still.
-    idle_seconds: Annotated[float, Field(gt=0, le=3600)] = 60.0
+    idle_seconds: Annotated[float, Meta(gt=0, le=3600)] = 60.0
 
 
-@_closed
 @dataclass(frozen=True)
 class StatsdEndpoint:
     """Where metrics are sent, over UDP."""
@@ -84,27 +78,24 @@
     prefix: str = "pondhatch"
 
 
-@_closed
 @dataclass(frozen=True)
 class ReadyEndpoint:
     """Where the balancer asks whether this router takes work."""
 
     host: Host
     port: Port
-    path: Annotated[str, Field(pattern=r"^/")] = "/healthz"
+    path: Annotated[str, Meta(pattern=r"^/")] = "/healthz"
 
 
-@_closed
 @dataclass(frozen=True)
 class ServiceDefaults:
     """What holds for services where the platform's configuration does not say."""
 
     #: See ServiceSpec.
-    load_bound: Annotated[float, Field(gt=1.0, le=10.0)] = 1.25
-    load_slack: Annotated[int, Field(ge=0, le=1000)] = 0
+    load_bound: Annotated[float, Meta(gt=1.0, le=10.0)] = 1.25
+    load_slack: Annotated[int, Meta(ge=0, le=1000)] = 0
 
 
-@_closed
 @dataclass(frozen=True)
 class RetrySettings:
     """What the whole fleet may send to a service beyond the first try of each request.
@@ -113,35 +104,32 @@
     """
 
     #: Share of the requests for the service.
-    share: Annotated[float, Field(ge=0, le=1)] | None = None
+    share: Annotated[float, Meta(ge=0, le=1)] | None = None
     #: Retries beyond the share in any ten seconds or so.
-    slack: Annotated[float, Field(ge=0, le=100_000)] | None = None
+    slack: Annotated[float, Meta(ge=0, le=100_000)] | None = None
 
 
-@_closed
 @dataclass(frozen=True)
 class DrainSettings:
     """How a stopping router ends."""
 
     #: Seconds after the stop signal for which it still takes requests: until the balancer
     #: has noticed, callers have nowhere else to go.
-    accept_seconds: Annotated[float, Field(ge=0, le=600)] = 0.0
+    accept_seconds: Annotated[float, Meta(ge=0, le=600)] = 0.0
     #: Seconds after the stop signal by which it has ended, whatever still runs.
-    whole_seconds: Annotated[float, Field(gt=0, le=3600)] | None = None
+    whole_seconds: Annotated[float, Meta(gt=0, le=3600)] | None = None
 
 
-@_closed
 @dataclass(frozen=True)
 class LogSettings:
     """How a process logs."""
 
     #: "text" to standard error for people; "lines": JSON lines of sentences and decisions
     #: to standard output for machines; "json": loguru's own records, to standard error.
-    form: Annotated[str, Field(pattern=r"^(text|lines|json)$")] = "text"
-    level: Annotated[str, Field(pattern=r"^(DEBUG|INFO|WARNING|ERROR)$")] = "INFO"
+    form: Annotated[str, Meta(pattern=r"^(text|lines|json)$")] = "text"
+    level: Annotated[str, Meta(pattern=r"^(DEBUG|INFO|WARNING|ERROR)$")] = "INFO"
 
 
-@_closed
 @dataclass(frozen=True)
 class Settings:
     """One router process."""
@@ -165,11 +153,11 @@
     service_defaults: ServiceDefaults = field(default_factory=ServiceDefaults)
     retries: RetrySettings = field(default_factory=RetrySettings)
     #: Peers to try first, as "IP:port"; the platform's list of VMs adds to them.
-    seeds: tuple[Annotated[str, Field(pattern=r"^[0-9a-fA-F.:]+:\d+$")], ...] = ()
+    seeds: tuple[Annotated[str, Meta(pattern=r"^[0-9a-fA-F.:]+:\d+$")], ...] = ()
     limits: CallerLimits = field(default_factory=CallerLimits)
     statsd: StatsdEndpoint | None = None
     #: Seconds for which a stopping router lets its streams finish.
-    drain_seconds: Annotated[float, Field(ge=0, le=3600)] = 120.0
+    drain_seconds: Annotated[float, Meta(ge=0, le=3600)] = 120.0
     drain: DrainSettings = field(default_factory=DrainSettings)
     log: LogSettings = field(default_factory=LogSettings)
 
--- a/pondhatch/configuration/_templates.py
+++ b/pondhatch/configuration/_templates.py
@@ -5,15 +5,14 @@
 from collections.abc import Mapping
 from typing import Any
 
+from pondhatch.configuration._fit import Misfit, fit
 from pondhatch.configuration._schema import (
     AccountPolicy,
     AccountSpec,
-    Misfit,
     ParameterSpec,
     Scalar,
     ServiceSpec,
     TemplateSpec,
-    fit,
 )
 
 #: Mark of a parameter in a template's body.
--- /dev/null
+++ b/pondhatch/configuration/tests/test_fit.py
@@ -0,0 +1,95 @@
+"""Data held to shapes: what fits comes out as it is, everything else is told with its place."""
+
+from __future__ import annotations
+
+import unittest
+from dataclasses import dataclass, field
+from typing import Annotated, Any, Literal
+
+from msgspec import Meta
+
+from pondhatch.configuration._fit import MISSING, UNKNOWN_KEY, Misfit, fit
+
+Short = Annotated[str, Meta(pattern=r"^[a-z]{1,3}$")]
+
+
+@dataclass(frozen=True)
+class Inner:
+    number: Annotated[int, Meta(ge=1, le=9)]
+    note: Short | None = None
+
+
+@dataclass(frozen=True)
+class Outer:
+    name: Short
+    share: Annotated[float, Meta(gt=0)] = 1.0
+    kind: Literal["a", "b"] = "a"
+    inner: Inner | None = None
+    several: Annotated[tuple[Inner, ...], Meta(min_length=1)] = (Inner(1),)
+    by_name: dict[Short, Inner] = field(default_factory=dict)
+    values: dict[str, bool | int | float | str] = field(default_factory=dict)
+
+
+class FitTest(unittest.TestCase):
+    def test_what_fits(self) -> None:
+        data: dict[str, Any] = {
+            "name": "abc",
+            "share": 2,
+            "inner": {"number": 3, "note": "x"},
+            "several": [{"number": 1}, {"number": 9}],
+            "by_name": {"k": {"number": 4}},
+            "values": {"a": True, "b": 1, "c": 1.5, "d": "text"},
+        }
+        inner = Inner(3, "x")
+        several = (Inner(1), Inner(9))
+        values: dict[str, bool | int | float | str] = {"a": True, "b": 1, "c": 1.5, "d": "text"}
+        expected = Outer("abc", 2.0, "a", inner, several, {"k": Inner(4)}, values)
+        fitted = fit(Outer, data)
+        self.assertEqual(fitted, expected)
+        self.assertIsInstance(getattr(fitted, "share", None), float)
+        self.assertIs(getattr(fitted, "values", {})["a"], True)
+
+    def test_each_misfit_is_told_with_its_place(self) -> None:
+        rows: tuple[tuple[dict[str, Any], tuple[str | int, ...], str], ...] = (
+            ({"name": "long"}, ("name",), "must match"),
+            ({"name": 1}, ("name",), "expected str, found 1"),
+            ({"name": None}, ("name",), "found nothing"),
+            ({"share": "1"}, ("share",), "found '1'"),
+            ({"share": True}, ("share",), "found True"),
+            ({"share": 0}, ("share",), "greater than 0"),
+            ({"kind": "c"}, ("kind",), "expected 'a' or 'b', found 'c'"),
+            ({"inner": 3}, ("inner",), "expected an object, found 3"),
+            ({"inner": {}}, ("inner", "number"), MISSING),
+            ({"inner": {"number": 1, "x": 2}}, ("inner", "x"), UNKNOWN_KEY),
+            ({"inner": {"number": 1.5}}, ("inner", "number"), "expected int, found 1.5"),
+            ({"inner": {"number": True}}, ("inner", "number"), "expected int, found True"),
+            ({"several": []}, ("several",), "length greater than or equal to 1"),
+            ({"several": "ab"}, ("several",), "a valid list"),
+            ({"several": [{"number": 0}]}, ("several", 0, "number"), "greater than or equal to 1"),
+            ({"by_name": {"LONG": {"number": 1}}}, ("by_name", "LONG"), "must match"),
+            ({"by_name": {"k": {"number": 10}}}, ("by_name", "k", "number"), "or equal to 9"),
+            ({"values": {"a": [1]}}, ("values", "a"), "found [1]"),
+            ({"surname": 1}, ("surname",), UNKNOWN_KEY),
+        )
+        for changes, path, told in rows:
+            with self.subTest(changes=changes):
+                found = fit(Outer, {"name": "abc", **changes})
+                assert isinstance(found, tuple)
+                self.assertEqual([misfit.path for misfit in found], [path])
+                self.assertIn(told, found[0].expected)
+
+    def test_all_are_told_at_once_in_order(self) -> None:
+        found = fit(Outer, {"share": -1, "inner": {"number": 0, "note": "LONG"}, "x": 1})
+        assert isinstance(found, tuple)
+        paths = [misfit.path for misfit in found]
+        expected = [("inner", "note"), ("inner", "number"), ("name",), ("share",), ("x",)]
+        self.assertEqual(paths, expected)
+
+    def test_no_object_at_all(self) -> None:
+        several: tuple[Any, ...] = (None, [], "text", 3)
+        for data in several:
+            with self.subTest(data=data):
+                found = fit(Outer, data)
+                assert isinstance(found, tuple)
+                self.assertEqual([each.path for each in found], [()])
+        self.assertEqual(fit(Outer, None), (Misfit((), "expected an object, found nothing"),))
--- a/pondhatch/kernel/__init__.py
+++ b/pondhatch/kernel/__init__.py
@@ -1,6 +1,7 @@
 """The kernel: the registry of plug-ins and the one loop."""
 
 from pondhatch.kernel._backoff import Backoff
+from pondhatch.kernel._garbage import collect_garbage
 from pondhatch.kernel._loop import Tasks, as_deferred, as_future, install_reactor
 from pondhatch.kernel._registry import REGISTRY, Plugin, Registry, RegistryError
 
@@ -12,6 +13,7 @@
     "RegistryError",
     "Tasks",
     "as_deferred",
+    "collect_garbage",
     "as_future",
     "install_reactor",
 ]
