Pull from peers once at a time

Cause: each packet of a peer that holds something newer began a pull, beside those under way. Change: one pull at a time; news that comes meanwhile is asked for after it. Test: OnePullTest; 50 packets made 50 pulls side by side before, now one.

--- a/pondhatch/router/_sync.py
+++ b/pondhatch/router/_sync.py
@@ -89,6 +89,7 @@
         self._introduction = introduction
         #: Set once this router had time to hear who else is there.
         self._met = asyncio.Event()
+        self._pulling = False
         self._tasks = Tasks()
         self._watching: tuple[asyncio.Task[None], ...] = ()
 
@@ -178,18 +179,34 @@
     # -- from peers ---------------------------------------------------------
 
     async def _pull_if_behind(self) -> None:
-        ahead = self._ahead()
-        if not ahead:
+        """Pull what peers hold beyond this router, one pull at a time.
+
+        Each packet of a peer that is ahead leads here. Pulls side by side would ask several
+        peers for the same, and keep whole configurations waiting in memory.
+        """
+        if self._pulling:
             return
+        self._pulling = True
+        try:
+            while ahead := self._ahead():
+                if not await self._pull_from(ahead):
+                    return
+        finally:
+            self._pulling = False
+
+    async def _pull_from(self, ahead: list[Member]) -> bool:
+        """Pull once; return whether that brought anything new."""
         peer = self._rng.choice(ahead)
         lacking = await self._pull(peer, self._state.fleet.version, self._state.upstreams.version)
         if lacking is None:
-            return
+            return False
         before = (self._state.fleet.version, self._state.upstreams.version)
         self._took_change(self._state.take_update(lacking.configuration), told=False)
         self._state.take_upstreams(lacking.upstreams)
-        if (self._state.fleet.version, self._state.upstreams.version) != before:
-            self._told()
+        if (self._state.fleet.version, self._state.upstreams.version) == before:
+            return False
+        self._told()
+        return True
 
     def _ahead(self) -> list[Member]:
         """Return peers with something newer, those of this hall alone where there are any."""
--- a/pondhatch/router/tests/test_sync.py
+++ b/pondhatch/router/tests/test_sync.py
@@ -292,6 +292,46 @@
         self.assertEqual((soon, later), (1, 2))
 
 
+class OnePullTest(unittest.TestCase):
+    """Every packet of a peer that is ahead leads to a pull, and packets come in dozens."""
+
+    def pulls(self, news: int, lost: bool = False) -> tuple[int, int, int]:
+        """Return the pulls side by side at most, all of them, and the version in force."""
+        peer, state = router("r1"), router("r0")
+        peer.take_change(FIRST)
+        peer.take_change(change(2, account("a")))
+        meet(state, peer)
+        running: list[int] = []
+        most = made = 0
+
+        async def pull(member: Member, configuration: int, upstreams: int) -> Lacking | None:
+            nonlocal most, made
+            made += 1
+            running.append(made)
+            most = max(most, len(running))
+            await asyncio.sleep(0.5)
+            running.pop()
+            return None if lost else Lacking(peer, configuration, upstreams)
+
+        async def main() -> None:
+            platform = PlatformInMemory()
+            rng = random.Random(1)
+            introduction = Introduction(state.name, state.gossip, platform, rng)
+            source = ChangeLog(platform)
+            sync = Sync(state, platform, source, pull, state.publish, rng, introduction)
+            heard = [asyncio.ensure_future(sync.heard_news()) for _ in range(news)]
+            await asyncio.wait(heard)
+
+        run_virtually(main())
+        return most, made, state.fleet.version
+
+    def test_there_is_one_at_a_time_and_it_brings_all(self) -> None:
+        self.assertEqual(self.pulls(50), (1, 1, 2))
+
+    def test_one_that_fails_is_not_repeated_at_once(self) -> None:
+        self.assertEqual(self.pulls(50, lost=True), (1, 1, 0))
+
+
 class LapsedEntriesTest(unittest.TestCase):
     """Entries of upstreams lapse while the platform's store is away."""
 
