Cut what still runs when a router ends; tell new owners at once

An answer that had not begun was even finished as an empty 200. Change: a cancelled request is cut, and nothing is written to it after. Tests: RouterEndsTest, both fail before (a last chunk, an empty 200). What the logs show is owners that change every two seconds, each told in the next round, up to 0.1 s later, what runs at its engines; some 12 requests a change fall into that. Change: entry routers follow owners as soon as the packet is there.

--- a/pondhatch/cli/_router_process.py
+++ b/pondhatch/cli/_router_process.py
@@ -246,6 +246,7 @@
             return []
         answers = self.state.gossip.receive(payload, source, self.state.clock())
         self.state.refresh()
+        self._granting.follow_members()
         if self.state.gossip.ahead():
             self._tasks.start(self._sync.heard_news())
         return answers
@@ -340,6 +341,7 @@
 
     def _announce(self) -> None:
         self.state.refresh()
+        self._granting.follow_members()
         self._spread()
 
     def _busy(self) -> bool:
--- a/pondhatch/router/_granting.py
+++ b/pondhatch/router/_granting.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterable
 
 from pondhatch.kernel import Tasks
-from pondhatch.membership import Address, Datagram, short_id
+from pondhatch.membership import Address, Datagram, Member, short_id
 from pondhatch.requests import (
     NUMBERS,
     EntryGrants,
@@ -46,6 +46,8 @@
         self._send = send
         #: Newest incarnation of each router that was ever a member.
         self._incarnation_by_name: dict[str, int] = {}
+        #: The routers by whose ownership grants are held.
+        self._followed: tuple[Member, ...] = ()
         #: Packets sent and received, for the dump.
         self.packets = 0
 
@@ -60,6 +62,17 @@
         if packet is not None:
             self._sides.receive(packet, answer)
 
+    def follow_members(self) -> None:
+        """Hold at new owners what requests hold, as soon as the live routers changed.
+
+        Until a new owner is told, it takes its engines to be empty, and grants up to their
+        ceiling beside what runs there.
+        """
+        members = self._state.members()
+        if members is not self._followed:
+            self._followed = members
+            self.entry.follow_owners(self._state.owner_name)
+
     def tick(self) -> None:
         """Do what is due each round."""
         for name in self._restarted():
--- a/pondhatch/transport/_caller_channel.py
+++ b/pondhatch/transport/_caller_channel.py
@@ -102,6 +102,16 @@
             self.channel.cut()
         super().finish()
 
+    def is_open(self) -> bool:
+        """Return whether its answer may still be written or ended."""
+        there = self.channel is not None and not self._disconnected
+        return there and not self.finished and not self.channel.is_aborted
+
+    def cut(self) -> None:
+        """Cut the connection: the answer will not be whole."""
+        if self.is_open():
+            self.channel.forceAbortClient()
+
     def _begin(self, length: int | None, command: bytes, path: bytes, version: bytes) -> None:
         if self.channel is None or self._disconnected:
             return
@@ -129,7 +139,7 @@
     _head_timer: Any = None
     _is_cut = False
     #: Set once the connection was given up; it is lost only a turn of the loop later.
-    _is_aborted = False
+    is_aborted = False
 
     def connectionMade(self) -> None:
         """Start the clock for the first request's head."""
@@ -160,7 +170,7 @@
         That way tells the system twice of each write, which for a stream's small
         parts costs more than the sending.
         """
-        if self._is_aborted:
+        if self.is_aborted:
             return
         data = b"".join(iovec)
         sent = self.transport.writeSomeData(data) if self._nothing_waits() else 0
@@ -171,12 +181,12 @@
 
     def write(self, data: bytes) -> None:
         """Send bytes; after an abort none: the last chunk would make a cut answer whole."""
-        if not self._is_aborted:
+        if not self.is_aborted:
             super().write(data)
 
     def forceAbortClient(self) -> None:
         """Cut the connection: what was sent is not whole."""
-        self._is_aborted = True
+        self.is_aborted = True
         super().forceAbortClient()
 
     def _nothing_waits(self) -> bool:
--- a/pondhatch/transport/_routed_callers.py
+++ b/pondhatch/transport/_routed_callers.py
@@ -91,7 +91,10 @@
         except CallerGone:
             self._metrics.count("callers.gone")
         except asyncio.CancelledError:
+            # The caller left, or this router ends before the answer did: what was sent of
+            # it must not look whole.
             self._metrics.count("callers.gone")
+            request.cut()
             raise
         except Exception:
             log.exception("A request ended in an error of this router.")
@@ -99,7 +102,7 @@
             fail(request, self._answers)
         finally:
             self.in_flight -= 1
-            if request.channel is not None and not request._disconnected and not request.finished:
+            if request.is_open():
                 request.finish()
 
     def _note_refusal(self, request: CallerRequest, refusal: NotRun, started: float) -> None:
--- a/pondhatch/transport/tests/test_routed_callers.py
+++ b/pondhatch/transport/tests/test_routed_callers.py
@@ -464,6 +464,36 @@
         self.assertEqual(self.callers.in_flight, 0)
 
 
+class Endless(Answer):
+    """An answer whose rest does not come."""
+
+    async def pour(self, sink: PartSink) -> None:
+        await super().pour(sink)
+        await asyncio.Event().wait()
+
+
+class RouterEndsTest(RoutedCallersTest):
+    """A router whose time to stop is over ends what still runs."""
+
+    async def end(self) -> bytes:
+        self.callers._tasks.cancel_all()
+        await self.settle()
+        return self.written()
+
+    async def test_an_answer_under_way_is_cut_and_gets_no_end_that_looks_whole(self) -> None:
+        unframed: Headers = (("Instance-Signature", "3e"),)
+        self.upstreams.replies = [Opened(Endless((b"ye",), headers=unframed))]
+        self.assertTrue((await self.ask("GET /x HTTP/1.1")).endswith(b"2\r\nye\r\n"))
+        self.assertEqual(await self.end(), b"")
+        self.assertTrue(self.wire.aborted)
+
+    async def test_one_that_has_not_begun_is_cut_without_a_word(self) -> None:
+        self.upstreams.hold = asyncio.Event()
+        await self.ask("GET /x HTTP/1.1")
+        self.assertEqual(await self.end(), b"")
+        self.assertTrue(self.wire.aborted)
+
+
 class Held(Starting):
     """Holds requests until it is told."""
 
