--- a/fakes/tests/test_faults.py
+++ b/fakes/tests/test_faults.py
@@ -6,6 +6,7 @@
 import threading
 import time
 import unittest
+import urllib.error
 from typing import Any
 
 import openai
@@ -255,6 +256,16 @@
         self.assert_gets_no_work(1)
         self.engines[1].arm("leaving", count=0)
         self.eventually(lambda: self.takes_work_again(1), 15)
+        # The next test writes there.
+        self.eventually(self.platform_answers, 15)
+
+    def platform_answers(self) -> bool:
+        try:
+            fetch(f"{self.fleet.platform_url}/v1/objects/upstream")
+        except urllib.error.HTTPError as error:
+            error.close()
+            return False
+        return True
 
     def test_by_an_operators_word(self) -> None:
         text = (ROOT / "examples/render-desk/fleet.yaml").read_text()
