Tell a router's metrics as text at the metrics address of its settings

A port that is taken costs the metrics alone. Ruled out: the library's own counters (its import costs a start some milliseconds and megabytes whether anybody asks or not).

--- a/fakes/_machines_fleet.py
+++ b/fakes/_machines_fleet.py
@@ -19,8 +19,8 @@
 
 TEMPLATE = ROOT / "deploy" / "router.yaml"
 HALLS = ("hall-1", "hall-2")
-#: Ports of one router: clients, readiness, peers, admin.
-PORTS = 4
+#: Ports of one router: clients, readiness, peers, admin, metrics.
+PORTS = 5
 
 
 def fill(template: str, fields: dict[str, Any]) -> str:
@@ -42,6 +42,7 @@
     name: str
     clients: str
     ready: str
+    metrics: str
     process: Popen[bytes]
 
     def is_ready(self) -> bool:
@@ -97,7 +98,7 @@
 
     def add_router(self, hall: str) -> MachinesRouter:
         """Start a router with the settings that the deploy folder makes."""
-        clients, ready, peers, admin = free_ports(PORTS)
+        clients, ready, peers, admin, metrics = free_ports(PORTS)
         name = f"edge-{len(self.machines)}"
         fields = {
             "NodeName": name,
@@ -115,12 +116,15 @@
         }
         settings = yaml.safe_load(fill(TEMPLATE.read_text(), fields))
         settings["log"] = {"level": self.log_level}
+        # Each router has a machine of its own there; here they share one.
+        settings["metrics"]["port"] = metrics
         path = self.folder / f"{name}.yaml"
         path.write_text(yaml.safe_dump(settings))
         router = MachinesRouter(
             name,
             f"http://{HOST}:{clients}",
             f"http://{HOST}:{ready}",
+            f"http://{HOST}:{metrics}/metrics",
             self._start("pondhatch", "run", str(path)),
         )
         self.machines.append(router)
--- a/fakes/tests/test_prepared_machines.py
+++ b/fakes/tests/test_prepared_machines.py
@@ -98,6 +98,15 @@
         self.assertEqual(self.ask(router, "/proofs/a", b"x", Authorization="").status, 401)
         self.assertEqual(self.ask(router, "/proofs/a", b"x", Host="other.example").status, 404)
 
+    def test_a_router_tells_its_metrics_as_text(self) -> None:
+        router = self.fleet.machines[0]
+        self.ask(router, "/proofs/a", b"x")
+        told = fetch(router.metrics)
+        outcome = 'pondhatch_requests_total{outcome="whole",router="edge-0"}'
+        self.assertIn(outcome, told)
+        self.assertIn("pondhatch_requests_placed_seconds_bucket", told)
+        self.assertIn("pondhatch_routers_known", told)
+
     def test_a_broken_stream_goes_on_elsewhere_in_the_same_answer(self) -> None:
         for engine in self.engines("lang"):
             engine.arm("cut", 1)
--- a/pondhatch/cli/_router_process.py
+++ b/pondhatch/cli/_router_process.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from grpclib.server import Server
+from twisted.internet.error import CannotListenError
 from twisted.web.server import Site
 
 from pondhatch.cli._figures import Figures
@@ -17,7 +18,7 @@
 from pondhatch.cli._ports import listen_to_callers, listening
 from pondhatch.cli._settings_file import SettingsFile
 from pondhatch.cli._surroundings import Surroundings, surroundings_of
-from pondhatch.configuration import RetrySettings, Settings
+from pondhatch.configuration import MetricsEndpoint, RetrySettings, Settings
 from pondhatch.kernel import Tasks, collect_garbage
 from pondhatch.limits import RetryAllowance, RetryBudgets
 from pondhatch.membership import (
@@ -32,11 +33,12 @@
 )
 from pondhatch.observing import (
     STANDARD_OUTPUT,
+    AllMetrics,
     LineRecords,
     LoggedRecords,
     Metrics,
-    NoMetrics,
     Records,
+    ServedMetrics,
     StatsdMetrics,
     log_for,
 )
@@ -59,6 +61,7 @@
     GossipPort,
     HttpClient,
     HttpUpstreams,
+    MetricsPage,
     PeerService,
     PullReply,
     PullRequest,
@@ -118,6 +121,7 @@
             self._introduction(),
         )
         self._authority = Authority(self.state, self._platform, self._interface.orders, self._rng)
+        self._served = ServedMetrics(settings.name)
         self._metrics = self._new_metrics()
         lines = settings.log.form == "lines"
         self._records: Records = LineRecords(settings.name) if lines else LoggedRecords()
@@ -198,11 +202,14 @@
         )
 
     def _new_metrics(self) -> Metrics:
+        several: list[Metrics] = []
         statsd = self._settings.statsd
-        if statsd is None:
-            return NoMetrics()
-        prefix = f"{statsd.prefix}.{self._settings.name}"
-        return StatsdMetrics(statsd.host, statsd.port, prefix)
+        if statsd is not None:
+            prefix = f"{statsd.prefix}.{self._settings.name}"
+            several.append(StatsdMetrics(statsd.host, statsd.port, prefix))
+        if self._settings.metrics is not None:
+            several.append(self._served)
+        return AllMetrics(*several)
 
     async def _listen(self) -> None:
         settings = self._settings
@@ -217,6 +224,21 @@
             ready = Readiness(settings.ready.path, self._is_ready)
             self._reactor.listenTCP(settings.ready.port, Site(ready), interface=settings.ready.host)
 
+        if settings.metrics is not None:
+            self._listen_for_metrics(settings.metrics)
+
+    def _listen_for_metrics(self, endpoint: MetricsEndpoint) -> None:
+        """Tell metrics as text; a port that is taken costs the metrics, not the router."""
+        page = MetricsPage(endpoint.path, self._metrics_text)
+        try:
+            self._reactor.listenTCP(endpoint.port, Site(page), interface=endpoint.host)
+        except CannotListenError as error:
+            log.error("No metrics are told at {}:{}: {}.", endpoint.host, endpoint.port, error)
+
+    def _metrics_text(self) -> bytes:
+        self._note_levels()
+        return self._served.text()
+
     def _listen_to_callers(self) -> None:
         resource: Any = self._callers.resource()
         site = CallerSite(resource, lambda: bounded(self.state, self._settings.limits))
@@ -279,8 +301,11 @@
     async def _tell_levels(self) -> None:
         while True:
             await asyncio.sleep(LEVEL_SECONDS)
-            for name, level in self._figures.levels().items():
-                self._metrics.gauge(name, level)
+            self._note_levels()
+
+    def _note_levels(self) -> None:
+        for name, level in self._figures.levels().items():
+            self._metrics.gauge(name, level)
 
     # -- settings -------------------------------------------------------------
 
--- a/pondhatch/configuration/__init__.py
+++ b/pondhatch/configuration/__init__.py
@@ -51,6 +51,7 @@
     CallerLimits,
     DrainSettings,
     LogSettings,
+    MetricsEndpoint,
     PeerEndpoint,
     ReadyEndpoint,
     RetrySettings,
@@ -65,6 +66,7 @@
 __all__ = [
     "DrainSettings",
     "ReadyEndpoint",
+    "MetricsEndpoint",
     "RetrySettings",
     "ServiceDefaults",
     "ChangeLog",
--- a/pondhatch/configuration/_settings.py
+++ b/pondhatch/configuration/_settings.py
@@ -87,6 +87,15 @@
     path: Annotated[str, Meta(pattern=r"^/")] = "/healthz"
 
 
+@dataclass(frozen=True)
+class MetricsEndpoint:
+    """Where metrics are told as text."""
+
+    host: Host
+    port: Port
+    path: Annotated[str, Meta(pattern=r"^/")] = "/metrics"
+
+
 @dataclass(frozen=True)
 class ServiceDefaults:
     """What holds for services where the platform's configuration does not say."""
@@ -156,6 +165,7 @@
     seeds: tuple[Annotated[str, Meta(pattern=r"^[0-9a-fA-F.:]+:\d+$")], ...] = ()
     limits: CallerLimits = field(default_factory=CallerLimits)
     statsd: StatsdEndpoint | None = None
+    metrics: MetricsEndpoint | None = None
     #: Seconds for which a stopping router lets its streams finish.
     drain_seconds: Annotated[float, Meta(ge=0, le=3600)] = 120.0
     drain: DrainSettings = field(default_factory=DrainSettings)
--- a/pondhatch/observing/__init__.py
+++ b/pondhatch/observing/__init__.py
@@ -2,7 +2,7 @@
 
 from pondhatch.observing._lines import STANDARD_OUTPUT, LineWriter
 from pondhatch.observing._logs import log_for, setup_logs
-from pondhatch.observing._metrics import Metrics, NoMetrics, StatsdMetrics
+from pondhatch.observing._metrics import AllMetrics, Metrics, NoMetrics, StatsdMetrics
 from pondhatch.observing._records import (
     Believed,
     LineRecords,
@@ -12,8 +12,11 @@
     Records,
     RequestEnded,
 )
+from pondhatch.observing._served import ServedMetrics
 
 __all__ = [
+    "AllMetrics",
+    "ServedMetrics",
     "Believed",
     "LineRecords",
     "LineWriter",
--- a/pondhatch/observing/_metrics.py
+++ b/pondhatch/observing/_metrics.py
@@ -1,4 +1,4 @@
-"""Metrics to statsd, over UDP. docs/OPERATIONS.md lists every name."""
+"""Metrics, and those that are sent to statsd over UDP. docs/OPERATIONS.md lists every name."""
 
 from __future__ import annotations
 
@@ -31,6 +31,28 @@
         """Do nothing."""
 
 
+class AllMetrics:
+    """Hands each measure to several."""
+
+    def __init__(self, *several: Metrics) -> None:
+        self._several = several
+
+    def count(self, name: str, by: int = 1) -> None:
+        """Add to a counter."""
+        for each in self._several:
+            each.count(name, by)
+
+    def timing(self, name: str, seconds: float) -> None:
+        """Record a duration."""
+        for each in self._several:
+            each.timing(name, seconds)
+
+    def gauge(self, name: str, value: float) -> None:
+        """Set a level."""
+        for each in self._several:
+            each.gauge(name, value)
+
+
 class StatsdMetrics:
     """Sends each measure as one datagram; a lost one is lost."""
 
--- /dev/null
+++ b/pondhatch/observing/_served.py
@@ -0,0 +1,116 @@
+"""Metrics that a router keeps and tells as text to whoever asks, in Prometheus' format.
+
+Names are made of those that the rest of pondhatch counts by: a counter ``requests.CODE`` is
+told as ``pondhatch_requests_total{outcome="CODE"}``, so that codes never make new names.
+"""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from typing import Any
+
+#: Upper bounds of the buckets of durations, in seconds: around the users' objectives of 0.2 to
+#: 0.6 s and their deadlines of 1 to 10 s.
+BUCKETS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 1.0, 2.5, 5.0, 10.0)
+PREFIX = "pondhatch_"
+#: Label that takes the last part of a counter's name, by the rest of it.
+LABEL_BY_FAMILY = {"requests": "outcome", "refusals": "code"}
+
+
+@dataclass
+class Histogram:
+    """Durations by bucket."""
+
+    #: One more than there are bounds: the last takes what is longer than all.
+    counts: list[int] = field(default_factory=lambda: [0] * (len(BUCKETS) + 1))
+    total: float = 0.0
+
+    def add(self, seconds: float) -> None:
+        """Take in a duration."""
+        self.counts[bisect_left(BUCKETS, seconds)] += 1
+        self.total += seconds
+
+    def cumulative(self) -> list[tuple[str, float]]:
+        """Return how many were at most as long as each bound."""
+        bounds = [*(str(bound) for bound in BUCKETS), "+Inf"]
+        running = 0
+        found: list[tuple[str, float]] = []
+        for bound, count in zip(bounds, self.counts, strict=True):
+            running += count
+            found.append((bound, float(running)))
+        return found
+
+
+@dataclass
+class ServedMetrics:
+    """See Metrics; keeps everything until it is asked for."""
+
+    router: str
+    count_by_name: dict[str, int] = field(default_factory=dict)
+    histogram_by_name: dict[str, Histogram] = field(default_factory=dict)
+    level_by_name: dict[str, float] = field(default_factory=dict)
+
+    def count(self, name: str, by: int = 1) -> None:
+        """Add to a counter."""
+        self.count_by_name[name] = self.count_by_name.get(name, 0) + by
+
+    def timing(self, name: str, seconds: float) -> None:
+        """Record a duration."""
+        self.histogram_by_name.setdefault(name, Histogram()).add(seconds)
+
+    def gauge(self, name: str, value: float) -> None:
+        """Set a level."""
+        self.level_by_name[name] = value
+
+    def text(self) -> bytes:
+        """Return all metrics as text."""
+        from prometheus_client import generate_latest  # Not before somebody asks.
+
+        registry: Any = self
+        return generate_latest(registry)
+
+    def collect(self) -> Iterator[Any]:
+        """Yield the families, as the library's registries do."""
+        yield from self._counters()
+        yield from self._histograms()
+        yield from self._levels()
+
+    def _counters(self) -> Iterator[Any]:
+        from prometheus_client.core import CounterMetricFamily
+
+        families: dict[str, Any] = {}
+        for name, count in sorted(self.count_by_name.items()):
+            family, _, last = name.partition(".")
+            label = LABEL_BY_FAMILY.get(family)
+            told = family if label else name.replace(".", "_")
+            if told not in families:
+                labels = ["router", label] if label else ["router"]
+                families[told] = CounterMetricFamily(PREFIX + told, _help(name), labels=labels)
+            values = [self.router, last] if label else [self.router]
+            families[told].add_metric(values, count)
+        yield from families.values()
+
+    def _histograms(self) -> Iterator[Any]:
+        from prometheus_client.core import HistogramMetricFamily
+
+        for name, histogram in sorted(self.histogram_by_name.items()):
+            told = f"{PREFIX}{name.replace('.', '_')}_seconds"
+            family = HistogramMetricFamily(told, _help(name), labels=["router"])
+            family.add_metric([self.router], histogram.cumulative(), histogram.total)
+            yield family
+
+    def _levels(self) -> Iterator[Any]:
+        from prometheus_client.core import GaugeMetricFamily
+
+        for name, level in sorted(self.level_by_name.items()):
+            family = GaugeMetricFamily(
+                PREFIX + name.replace(".", "_"), _help(name), labels=["router"]
+            )
+            family.add_metric([self.router], level)
+            yield family
+
+
+def _help(name: str) -> str:
+    return f"See docs/OPERATIONS.md, {name.partition('.')[0]}."
--- a/pondhatch/transport/__init__.py
+++ b/pondhatch/transport/__init__.py
@@ -8,6 +8,7 @@
 from pondhatch.transport._headers import HOP_HEADERS
 from pondhatch.transport._http_client import HttpClient
 from pondhatch.transport._interface import INTERFACE, CallerParts, Callers, Interface
+from pondhatch.transport._metrics_page import MetricsPage
 from pondhatch.transport._parts import PartPipe
 from pondhatch.transport._peer_service import PeerService, fleet_token
 from pondhatch.transport._peer_tls import PeerTls, peer_tls
@@ -21,6 +22,7 @@
 from pondhatch.transport._wire import PullReply, PullRequest
 
 __all__ = [
+    "MetricsPage",
     "cut",
     "write_head",
     "CallerParts",
