Count what is lost with an upstream at once as one failure

Change: only the request that was let through to try it lengthens the pause. Test: test_what_is_lost_with_it_at_once_makes_no_pause_longer fails before.

--- a/pondhatch/placement/_health.py
+++ b/pondhatch/placement/_health.py
@@ -37,6 +37,8 @@
     #: Until when it gets nothing, in the clock's seconds.
     down_until: float = float("-inf")
     pause: float = FIRST_PAUSE
+    #: Whether one request was let through to try it after a pause.
+    tried: bool = False
     #: Share of its latest answers that were failures of its own, later ones weighing more.
     errors: float = 0.0
     #: Until when it is passed over where another can take the request.
@@ -57,7 +59,7 @@
             return False
         if now < known.down_until:
             return True
-        self.health_by_upstream[upstream] = replace(known, down_until=now + known.pause)
+        self.health_by_upstream[upstream] = replace(known, down_until=now + known.pause, tried=True)
         return False
 
     def is_ailing(self, upstream: str, now: float) -> bool:
@@ -76,12 +78,15 @@
     def failed(self, upstream: str, now: float) -> None:
         """Note that a request was lost there or could not reach it."""
         known = self._known(upstream)
-        failures = known.failures + 1
-        pause = min(LONGEST_PAUSE, known.pause * 2) if failures > FAILURES else known.pause
-        down_until = now + pause if failures >= FAILURES else known.down_until
-        self.health_by_upstream[upstream] = replace(
-            known, failures=failures, down_until=down_until, pause=pause
-        )
+        failed = replace(known, failures=known.failures + 1)
+        if known.tried:
+            pause = min(LONGEST_PAUSE, known.pause * 2)
+            failed = replace(failed, down_until=now + pause, pause=pause, tried=False)
+        elif failed.failures == FAILURES:
+            failed = replace(failed, down_until=now + known.pause)
+        # Else it is not down yet, or the request was under way when it went down: what is
+        # lost with an upstream at once says no more than the first.
+        self.health_by_upstream[upstream] = failed
 
     def answered(self, upstream: str) -> None:
         """Note that a request was answered there."""
@@ -115,4 +120,4 @@
 
 def _reached(known: UpstreamHealth) -> UpstreamHealth:
     """Return what is known of an upstream that answered: it is not down."""
-    return replace(known, failures=0, down_until=float("-inf"), pause=FIRST_PAUSE)
+    return replace(known, failures=0, down_until=float("-inf"), pause=FIRST_PAUSE, tried=False)
--- a/pondhatch/placement/tests/test_health.py
+++ b/pondhatch/placement/tests/test_health.py
@@ -40,6 +40,15 @@
             self.health.failed("e", now)
         self.assertEqual(pauses, [1.0, 2.0, 4.0, 8.0, 15.0, 15.0])
 
+    def test_what_is_lost_with_it_at_once_makes_no_pause_longer(self) -> None:
+        self.fail_times(20)
+        self.assertTrue(self.health.is_down("e", 0.9))
+        self.assertFalse(self.health.is_down("e", 1.1))
+        self.health.failed("e", 1.2)
+        self.fail_times(20, 1.3)
+        self.assertTrue(self.health.is_down("e", 3.1))
+        self.assertFalse(self.health.is_down("e", 3.3))
+
     def test_an_answer_makes_it_well(self) -> None:
         self.fail_times(9)
         self.health.answered("e")
