Split a router's endpoints and levels off its process

cli/_router_process.py put the parts of a router together and also opened every port, built the metrics and told levels. Moved, without change: what it listens on to cli/_endpoints.py (one method for each port, in the order as before), its metrics and levels to cli/_levels.py.

--- a/pondhatch/cli/_router_process.py
+++ b/pondhatch/cli/_router_process.py
@@ -10,15 +10,14 @@
 from typing import Any
 
 from grpclib.server import Server
-from twisted.internet.error import CannotListenError
-from twisted.web.server import Site
 
+from pondhatch.cli._endpoints import Endpoints
 from pondhatch.cli._figures import Figures
+from pondhatch.cli._levels import Levels, metrics_of
 from pondhatch.cli._peer_connections import PeerConnections
-from pondhatch.cli._ports import listen_to_callers, listening
 from pondhatch.cli._settings_file import SettingsFile
 from pondhatch.cli._surroundings import Surroundings, surroundings_of
-from pondhatch.configuration import MetricsEndpoint, RetrySettings, Settings
+from pondhatch.configuration import RetrySettings, Settings
 from pondhatch.kernel import Tasks, collect_garbage
 from pondhatch.limits import RetryAllowance, RetryBudgets
 from pondhatch.membership import (
@@ -33,14 +32,10 @@
 )
 from pondhatch.observing import (
     STANDARD_OUTPUT,
-    AllMetrics,
     LineRecords,
     LoggedRecords,
-    Metrics,
     Records,
     ServedMetrics,
-    StatsdMetrics,
-    log_for,
 )
 from pondhatch.requests import HOLDERS, Ways
 from pondhatch.router import (
@@ -54,30 +49,21 @@
     Sync,
 )
 from pondhatch.transport import (
-    Admin,
     CallerParts,
     Callers,
-    CallerSite,
     GossipPort,
     HttpClient,
     HttpUpstreams,
-    MetricsPage,
     PeerService,
     PullReply,
     PullRequest,
-    Readiness,
-    bounded,
     fleet_token,
     peer_tls,
 )
 
-log = log_for("process")
-
 #: Seconds from one telling of something new to the next: each reaches four random peers,
 #: and with one alone about two in a hundred routers would have to wait for a ping.
 RETELL_PAUSES = (0.1, 0.2)
-#: Seconds between two tellings of levels to statsd.
-LEVEL_SECONDS = 5.0
 #: Seconds between looks at the settings file.
 SETTINGS_SECONDS = 5.0
 #: Signals that ask a router to stop.
@@ -121,8 +107,8 @@
             self._introduction(),
         )
         self._authority = Authority(self.state, self._platform, self._interface.orders, self._rng)
-        self._served = ServedMetrics(settings.name)
-        self._metrics = self._new_metrics()
+        served = ServedMetrics(settings.name)
+        self._metrics = metrics_of(settings, served)
         lines = settings.log.form == "lines"
         self._records: Records = LineRecords(settings.name) if lines else LoggedRecords()
         self._beliefs = Beliefs(self.state, self._records)
@@ -132,6 +118,7 @@
         self._figures = Figures(
             self.state, self._callers, self._gossip_port, self._granting, self._platform
         )
+        self._levels = Levels(self._figures, self._metrics, served)
         self._retelling: asyncio.Task[None] | None = None
 
     async def run(self) -> None:
@@ -140,7 +127,7 @@
         loop = asyncio.get_running_loop()
         for number in STOP_SIGNALS:
             loop.add_signal_handler(number, stop.set)
-        await self._listen()
+        await self._endpoints().open()
         self.state.refresh()
         self._tasks.start(self._rounds())
         self._tasks.start(self._sync.run())
@@ -148,7 +135,7 @@
         if polling is not None:
             self._tasks.start(polling)
         self._tasks.start(self._authority.run())
-        self._tasks.start(self._tell_levels())
+        self._tasks.start(self._levels.run())
         self._tasks.start(self._watch_settings())
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         self._beliefs.note_process("serving", f"hall {self._settings.hall}")
@@ -201,52 +188,20 @@
             )
         )
 
-    def _new_metrics(self) -> Metrics:
-        several: list[Metrics] = []
-        statsd = self._settings.statsd
-        if statsd is not None:
-            prefix = f"{statsd.prefix}.{self._settings.name}"
-            several.append(StatsdMetrics(statsd.host, statsd.port, prefix))
-        if self._settings.metrics is not None:
-            several.append(self._served)
-        return AllMetrics(*several)
-
-    async def _listen(self) -> None:
-        settings = self._settings
-        peers, admin = settings.peers, settings.admin
-        tls = self._peer_tls.server if self._peer_tls is not None else None
-        await self._peer_server.start(sock=listening(peers.host, peers.port), ssl=tls)
-        self._reactor.listenUDP(peers.port, self._gossip_port, interface=peers.host)
-        admin_app = Admin(self.state, self._authority, self._figures.counters)
-        self._reactor.listenTCP(admin.port, Site(admin_app), interface=admin.host)
-        self._listen_to_callers()
-        if settings.ready is not None:
-            ready = Readiness(settings.ready.path, self._is_ready)
-            self._reactor.listenTCP(settings.ready.port, Site(ready), interface=settings.ready.host)
-
-        if settings.metrics is not None:
-            self._listen_for_metrics(settings.metrics)
-
-    def _listen_for_metrics(self, endpoint: MetricsEndpoint) -> None:
-        """Tell metrics as text; a port that is taken costs the metrics, not the router."""
-        page = MetricsPage(endpoint.path, self._metrics_text)
-        try:
-            self._reactor.listenTCP(endpoint.port, Site(page), interface=endpoint.host)
-        except CannotListenError as error:
-            log.error("No metrics are told at {}:{}: {}.", endpoint.host, endpoint.port, error)
-
-    def _metrics_text(self) -> bytes:
-        self._note_levels()
-        return self._served.text()
-
-    def _listen_to_callers(self) -> None:
-        resource: Any = self._callers.resource()
-        site = CallerSite(resource, lambda: bounded(self.state, self._settings.limits))
-        listen_to_callers(self._reactor, self._settings.callers, site)
-
-    def _is_ready(self) -> bool:
-        """Return whether the balancer should send callers here."""
-        return self.state.fleet.version > 0 and not self.state.stopping()
+    def _endpoints(self) -> Endpoints:
+        return Endpoints(
+            settings=self._settings,
+            reactor=self._reactor,
+            state=self.state,
+            peer_server=self._peer_server,
+            peer_tls=self._peer_tls,
+            gossip_port=self._gossip_port,
+            authority=self._authority,
+            figures=self._figures,
+            callers=self._callers,
+            limits=lambda: self._settings.limits,
+            metrics_text=self._levels.text,
+        )
 
     # -- peers ----------------------------------------------------------------
 
@@ -298,15 +253,6 @@
             STANDARD_OUTPUT.flush()
             await asyncio.sleep(ROUND_SECONDS)
 
-    async def _tell_levels(self) -> None:
-        while True:
-            await asyncio.sleep(LEVEL_SECONDS)
-            self._note_levels()
-
-    def _note_levels(self) -> None:
-        for name, level in self._figures.levels().items():
-            self._metrics.gauge(name, level)
-
     # -- settings -------------------------------------------------------------
 
     async def _watch_settings(self) -> None:
