Split a router's stop and its telling of news off its process

Moved without change from cli/_router_process.py: draining, stepping down and handing keys over to cli/_stopping.py, in the order as before; telling peers at once and a little later to cli/_spreading.py. What ends with the process (tasks, connections, the server for peers) stays there.

--- a/pondhatch/cli/_router_process.py
+++ b/pondhatch/cli/_router_process.py
@@ -16,6 +16,8 @@
 from pondhatch.cli._levels import Levels, metrics_of
 from pondhatch.cli._peer_connections import PeerConnections
 from pondhatch.cli._settings_file import SettingsFile
+from pondhatch.cli._spreading import Spreading
+from pondhatch.cli._stopping import Stopping
 from pondhatch.cli._surroundings import Surroundings, surroundings_of
 from pondhatch.configuration import RetrySettings, Settings
 from pondhatch.kernel import Tasks, collect_garbage
@@ -37,7 +39,7 @@
     Records,
     ServedMetrics,
 )
-from pondhatch.requests import HOLDERS, Ways
+from pondhatch.requests import Ways
 from pondhatch.router import (
     GRANT_MARK,
     Authority,
@@ -61,22 +63,12 @@
     peer_tls,
 )
 
-#: Seconds from one telling of something new to the next: each reaches four random peers,
-#: and with one alone about two in a hundred routers would have to wait for a ping.
-RETELL_PAUSES = (0.1, 0.2)
 #: Seconds between looks at the settings file.
 SETTINGS_SECONDS = 5.0
 #: Signals that ask a router to stop.
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 #: Seconds between rounds of what is due.
 ROUND_SECONDS = 0.1
-#: Seconds between looks at what still runs while draining.
-DRAIN_STEP = 0.05
-#: Seconds that a stopping router tries to give its leases up; a platform that is out
-#: makes the next router wait for them to lapse.
-STEP_DOWN_SECONDS = 3.0
-#: Seconds for which a draining router goes on being reachable, so that all hear of it.
-DRAIN_NOTICE = 1.0
 
 
 class RouterProcess:
@@ -96,13 +88,14 @@
         self.state = self._new_state()
         self._gossip_port = GossipPort(Seal(fleet_key), self._receive)
         self._granting = Granting(self.state, self._gossip_port.send, self._tasks, time.time_ns())
+        self._spreading = Spreading(self.state, self._gossip_port, self._tasks)
         self._platform = parts.platform
         self._sync = Sync(
             self.state,
             self._platform,
             self._interface.configuration(self._platform),
             self._pull,
-            self._spread,
+            self._spreading.spread,
             self._rng,
             self._introduction(),
         )
@@ -119,7 +112,6 @@
             self.state, self._callers, self._gossip_port, self._granting, self._platform
         )
         self._levels = Levels(self._figures, self._metrics, served)
-        self._retelling: asyncio.Task[None] | None = None
 
     async def run(self) -> None:
         """Serve until a signal asks to stop, then drain."""
@@ -140,7 +132,10 @@
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         self._beliefs.note_process("serving", f"hall {self._settings.hall}")
         await stop.wait()
-        await self._drain()
+        await self._stopping().run()
+        self._tasks.cancel_all()
+        self._connections.close_all()
+        self._peer_server.close()
         for number in STOP_SIGNALS:
             # From here on the loop no longer listens: a signal that comes again would kill.
             loop.remove_signal_handler(number)
@@ -203,6 +198,17 @@
             metrics_text=self._levels.text,
         )
 
+    def _stopping(self) -> Stopping:
+        return Stopping(
+            state=self.state,
+            callers=self._callers,
+            authority=self._authority,
+            granting=self._granting,
+            spreading=self._spreading,
+            beliefs=self._beliefs,
+            settings=lambda: self._settings,
+        )
+
     # -- peers ----------------------------------------------------------------
 
     async def _pull(self, member: Member, configuration: int, upstreams: int) -> PullReply | None:
@@ -228,19 +234,6 @@
             self._tasks.start(self._sync.heard_news())
         return answers
 
-    def _spread(self) -> None:
-        """Tell some peers at once of something new, and others a little later."""
-        self.state.publish()
-        self._gossip_port.send(self.state.gossip.news())
-        if self._retelling is not None:
-            self._retelling.cancel()
-        self._retelling = self._tasks.start(self._retell())
-
-    async def _retell(self) -> None:
-        for pause in RETELL_PAUSES:
-            await asyncio.sleep(pause)
-            self._gossip_port.send(self.state.gossip.news())
-
     async def _rounds(self) -> None:
         while True:
             self.state.tick()
@@ -269,55 +262,6 @@
             self._settings = reloaded
             self._beliefs.note_process("serving", "settings were read anew")
 
-    # -- stopping ---------------------------------------------------------------
-
-    async def _drain(self) -> None:
-        self._note_stopping("draining")
-        self.state.phase = Phase.DRAINING
-        self._announce()
-        begun = time.monotonic()
-        drain = self._settings.drain
-        await asyncio.sleep(max(DRAIN_NOTICE, drain.accept_seconds))
-        self._callers.takes_work = False
-        whole = drain.whole_seconds
-        seconds = self._settings.drain_seconds if whole is None else whole
-        deadline = begun + seconds
-        while self._busy() and time.monotonic() < deadline:
-            await asyncio.sleep(DRAIN_STEP)
-        await self._step_down()
-        self._note_stopping("stopping")
-        await self._hand_over_keys()
-        self.state.phase = Phase.LEFT
-        self._announce()
-        self._tasks.cancel_all()
-        self._connections.close_all()
-        self._peer_server.close()
-
-    def _note_stopping(self, now: str) -> None:
-        self._beliefs.note_process(now, f"{self._callers.in_flight} requests in flight")
-
-    async def _step_down(self) -> None:
-        """Give the leases of services up, so that the next router need not wait for them."""
-        deadline = time.monotonic() + STEP_DOWN_SECONDS
-        while self._authority.holds_anything() and time.monotonic() < deadline:
-            await asyncio.sleep(DRAIN_STEP)
-
-    async def _hand_over_keys(self) -> None:
-        """Give the keys held here to those who hold them from now on."""
-        for key, record in tuple(self.state.keys.record_by_key.items()):
-            for name in self.state.key_holders(key)[:HOLDERS]:
-                holder = self.state.key_holder(name)
-                if holder is not None:
-                    await holder.settle(key, record)
-
-    def _announce(self) -> None:
-        self.state.refresh()
-        self._granting.follow_members()
-        self._spread()
-
-    def _busy(self) -> bool:
-        return self._callers.in_flight > 0
-
 
 def _allowance(settings: RetrySettings) -> RetryAllowance:
     named = {"share": settings.share, "slack": settings.slack}
