Split the state of a starting router off its process; shorten its run

Moved without change from cli/_router_process.py to cli/_own_state.py: the router's word on itself, its seeds, its part of the retries. RouterProcess.run now names its steps: the tasks are started in _start_tasks, and what the process holds open is closed in _end, in the order as before.

--- /dev/null
+++ b/pondhatch/cli/_own_state.py
@@ -0,0 +1,50 @@
+"""The state with which a router starts: itself, its seeds and its part of the retries."""
+
+from __future__ import annotations
+
+import random
+import time
+
+from pondhatch.cli._peer_connections import PeerConnections
+from pondhatch.configuration import RetrySettings, Settings
+from pondhatch.limits import RetryAllowance, RetryBudgets
+from pondhatch.membership import Address, Alive, Gossip, MembershipLimits, Phase, short_id
+from pondhatch.router import RouterState
+
+
+def own_state(settings: Settings, rng: random.Random, connections: PeerConnections) -> RouterState:
+    """Return the state of a router that knows nobody but its seeds."""
+    seeds = [_address(seed) for seed in settings.seeds]
+    gossip = Gossip(_alive(settings), MembershipLimits(), rng, seeds)
+    return RouterState(
+        settings.name,
+        settings.hall,
+        gossip,
+        time.monotonic,
+        connections.to,
+        retries=RetryBudgets(_allowance(settings.retries)),
+    )
+
+
+def _alive(settings: Settings) -> Alive:
+    """Return a router's first word on itself; the time makes it newer than an earlier life's."""
+    return Alive(
+        router=short_id(settings.name),
+        incarnation=time.time_ns() // 1_000_000,
+        phase=Phase.LIVE,
+        name=settings.name,
+        host=settings.peers.host,
+        port=settings.peers.port,
+        hall=settings.hall,
+    )
+
+
+def _allowance(settings: RetrySettings) -> RetryAllowance:
+    """Return what the settings allow; what they leave out keeps its default."""
+    named = {"share": settings.share, "slack": settings.slack}
+    return RetryAllowance(**{name: value for name, value in named.items() if value is not None})
+
+
+def _address(text: str) -> Address:
+    host, _, port = text.rpartition(":")
+    return Address(host, int(port))
--- a/pondhatch/cli/_router_process.py
+++ b/pondhatch/cli/_router_process.py
@@ -1,4 +1,4 @@
-"""One router process: its parts put together, started, drained and stopped."""
+"""One router process: its parts put together, run in rounds and ended."""
 
 from __future__ import annotations
 
@@ -14,24 +14,15 @@
 from pondhatch.cli._endpoints import Endpoints
 from pondhatch.cli._figures import Figures
 from pondhatch.cli._levels import Levels, metrics_of
+from pondhatch.cli._own_state import own_state
 from pondhatch.cli._peer_connections import PeerConnections
 from pondhatch.cli._settings_file import SettingsFile
 from pondhatch.cli._spreading import Spreading
 from pondhatch.cli._stopping import Stopping
 from pondhatch.cli._surroundings import Surroundings, surroundings_of
-from pondhatch.configuration import RetrySettings, Settings
+from pondhatch.configuration import Settings
 from pondhatch.kernel import Tasks, collect_garbage
-from pondhatch.limits import RetryAllowance, RetryBudgets
-from pondhatch.membership import (
-    Address,
-    Alive,
-    Gossip,
-    Member,
-    MembershipLimits,
-    Phase,
-    Seal,
-    short_id,
-)
+from pondhatch.membership import Address, Member, Seal
 from pondhatch.observing import (
     STANDARD_OUTPUT,
     LineRecords,
@@ -46,7 +37,6 @@
     Beliefs,
     Granting,
     Introduction,
-    RouterState,
     Starting,
     Sync,
 )
@@ -85,7 +75,7 @@
         self._peer_tls = peer_tls(settings.name, settings.peers)
         self._connections = PeerConnections(self._token, self._peer_tls)
         self._rng = random.Random()
-        self.state = self._new_state()
+        self.state = own_state(settings, self._rng, self._connections)
         self._gossip_port = GossipPort(Seal(fleet_key), self._receive)
         self._granting = Granting(self.state, self._gossip_port.send, self._tasks, time.time_ns())
         self._spreading = Spreading(self.state, self._gossip_port, self._tasks)
@@ -121,6 +111,18 @@
             loop.add_signal_handler(number, stop.set)
         await self._endpoints().open()
         self.state.refresh()
+        self._start_tasks()
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        self._beliefs.note_process("serving", f"hall {self._settings.hall}")
+        await stop.wait()
+        await self._stopping().run()
+        self._end()
+        for number in STOP_SIGNALS:
+            # From here on the loop no longer listens: a signal that comes again would kill.
+            loop.remove_signal_handler(number)
+            signal.signal(number, signal.SIG_IGN)
+
+    def _start_tasks(self) -> None:
         self._tasks.start(self._rounds())
         self._tasks.start(self._sync.run())
         polling = self._interface.poll_loads(self.state)
@@ -129,39 +131,12 @@
         self._tasks.start(self._authority.run())
         self._tasks.start(self._levels.run())
         self._tasks.start(self._watch_settings())
-        loop.add_signal_handler(signal.SIGHUP, self._reload)
-        self._beliefs.note_process("serving", f"hall {self._settings.hall}")
-        await stop.wait()
-        await self._stopping().run()
+
+    def _end(self) -> None:
+        """End what the router runs and holds open to its peers."""
         self._tasks.cancel_all()
         self._connections.close_all()
         self._peer_server.close()
-        for number in STOP_SIGNALS:
-            # From here on the loop no longer listens: a signal that comes again would kill.
-            loop.remove_signal_handler(number)
-            signal.signal(number, signal.SIG_IGN)
-
-    def _new_state(self) -> RouterState:
-        settings = self._settings
-        own = Alive(
-            router=short_id(settings.name),
-            incarnation=time.time_ns() // 1_000_000,
-            phase=Phase.LIVE,
-            name=settings.name,
-            host=settings.peers.host,
-            port=settings.peers.port,
-            hall=settings.hall,
-        )
-        seeds = [_address(seed) for seed in settings.seeds]
-        gossip = Gossip(own, MembershipLimits(), self._rng, seeds)
-        return RouterState(
-            settings.name,
-            settings.hall,
-            gossip,
-            time.monotonic,
-            self._connections.to,
-            retries=RetryBudgets(_allowance(settings.retries)),
-        )
 
     def _introduction(self) -> Introduction:
         own = self._settings.peers
@@ -263,16 +238,6 @@
             self._beliefs.note_process("serving", "settings were read anew")
 
 
-def _allowance(settings: RetrySettings) -> RetryAllowance:
-    named = {"share": settings.share, "slack": settings.slack}
-    return RetryAllowance(**{name: value for name, value in named.items() if value is not None})
-
-
-def _address(text: str) -> Address:
-    host, _, port = text.rpartition(":")
-    return Address(host, int(port))
-
-
 async def serve(settings: Settings, reactor: Any, path: Path) -> None:
     """Run a router until it is asked to stop; ``path`` is where its settings are kept."""
     process = RouterProcess(settings, reactor, await surroundings_of(settings, reactor), path)
