Split the round of pings and the pings for others off membership

Moved without change from membership/_swim.py to membership/_pinging.py: the shuffled round (Round), the pings made for other routers (Relays) and the ping that waits (Probe). The second for which such a ping is waited for has a name now. In _swim.py, the number of those greeted at once stands on a line of its own, and _greeting says what it is for.

--- a/pondhatch/membership/_swim.py
+++ b/pondhatch/membership/_swim.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from pondhatch.membership._members import Member, MemberView
+from pondhatch.membership._pinging import Probe, Relays, Round
 from pondhatch.membership._records import (
     Ack,
     Alive,
@@ -72,25 +73,6 @@
     news_fanout: int = 4
 
 
-@dataclass
-class Probe:
-    """The ping that waits for its answer."""
-
-    target: int
-    number: int
-    sent_at: float
-    helped: bool = False
-
-
-@dataclass(frozen=True)
-class Relayed:
-    """A ping made for another router."""
-
-    asker: Address
-    number: int
-    until: float
-
-
 class Membership:
     """One router's view of the others."""
 
@@ -107,13 +89,13 @@
         self._versions = Versions()
         self._rng = rng
         self._seeds = tuple(seeds)
-        self._round: list[int] = []
+        self._round = Round(self.table, rng)
         self._number = 0
         self._next_ping = float("-inf")
         self._next_sync = float("-inf")
         self._next_reconnect = float("-inf")
         self._probe: Probe | None = None
-        self._relayed: dict[int, Relayed] = {}
+        self._relays = Relays()
         self._view = MemberView(self.table)
         self._rumors = Rumors(self.table, limits.rumors, limits.retellings)
         self._encoder = msgspec.msgpack.Encoder()
@@ -168,7 +150,7 @@
         """Note a failed call: the router is passed over for a while and pinged next."""
         router = short_id(name)
         self._view.unreachable(router, now + self.limits.unreachable)
-        self._round.append(router)
+        self._round.put_first(router)
 
     # -- time and packets ----------------------------------------------------
 
@@ -211,7 +193,7 @@
 
     def _ping_next(self, now: float) -> list[Datagram]:
         sent = self._reconnect(now)
-        target = self._next_target()
+        target = self._round.next()
         if target is None:
             return sent
         self._number += 1
@@ -231,26 +213,15 @@
         if not absent:
             return []
         # One that knows nobody asks several: of a fleet that starts, some are not there yet.
-        greeted = self._rng.sample(
-            absent, min(len(absent), self.limits.news_fanout if alone else 1)
-        )
+        most = self.limits.news_fanout if alone else 1
+        greeted = self._rng.sample(absent, min(len(absent), most))
         return [self._greeting(address, dead.get(address)) for address in greeted]
 
     def _greeting(self, address: Address, known: Entry | None) -> Datagram:
+        """Ask for a whole view; a router taken for dead is told so, and can contradict."""
         about = (known.rumor(),) if known is not None else ()
         return self._to(address, Sync(self.own.router, True, (self.own, *about)))
 
-    def _next_target(self) -> Entry | None:
-        """Return the next router of the round that is there."""
-        for _ in range(2):
-            while self._round:
-                entry = self.table.get(self._round.pop())
-                if entry is not None and entry.there:
-                    return entry
-            self._round = [entry.alive.router for entry in self.table if entry.there]
-            self._rng.shuffle(self._round)
-        return None
-
     def _chase_probe(self, now: float) -> list[Datagram]:
         """Ask others to ping where no answer came, then suspect."""
         probe = self._probe
@@ -303,8 +274,8 @@
         return [*answers, *self._sync_if_due(ping.view, source, now)]
 
     def _take_ack(self, ack: Ack, now: float) -> list[Datagram]:
-        relayed = self._relayed.pop(ack.number, None)
-        if relayed is not None and relayed.until > now:
+        relayed = self._relays.answered(ack.number, now)
+        if relayed is not None:
             passed_on = msgspec.structs.replace(ack, number=relayed.number)
             return [self._to(relayed.asker, passed_on)]
         probe = self._probe
@@ -323,10 +294,7 @@
         if entry is None:
             return []
         self._number += 1
-        self._relayed = {
-            number: relayed for number, relayed in self._relayed.items() if relayed.until > now
-        }
-        self._relayed[self._number] = Relayed(source, asked.number, now + 1.0)
+        self._relays.note(self._number, source, asked.number, now)
         return [self._ping(entry.address, self._number)]
 
     def _ping(self, address: Address, number: int) -> Datagram:
