Shorten Sync: take news in a method of its own, drop a flag and a wrapper

_told only called _spread; _took_change had a flag for not calling it. What a change that is void leaves in the log is _log_void, and the pair of versions that stood three times is _versions. _met is named _has_met_peers. No order of calls is changed.

--- a/pondhatch/router/_sync.py
+++ b/pondhatch/router/_sync.py
@@ -1,4 +1,4 @@
-"""Keeping up: a few routers of each hall watch the platform, the others ask peers.
+"""Keeping a router up to date: a few of each hall watch the platform, the others ask peers.
 
 Versions only grow, so whatever comes late, twice or from a stale peer is
 recognised and dropped by the state itself.
@@ -16,6 +16,7 @@
     Change,
     ConfigurationSource,
     Gap,
+    News,
     Rejected,
     Update,
 )
@@ -88,9 +89,11 @@
         #: Lists this router at the platform, and finds its peers there.
         self._introduction = introduction
         #: Set once this router had time to hear who else is there.
-        self._met = asyncio.Event()
+        self._has_met_peers = asyncio.Event()
+        #: Whether a pull is under way.
         self._pulling = False
         self._tasks = Tasks()
+        #: The watches of the configuration and of the list of upstreams, where it watches.
         self._watching: tuple[asyncio.Task[None], ...] = ()
 
     async def run(self) -> None:
@@ -100,7 +103,7 @@
             self._begin_watching()
             await self._pull_if_behind()
             await asyncio.sleep(MEETING_SECONDS)
-            self._met.set()
+            self._has_met_peers.set()
             while True:
                 self._watch_if_due()
                 await self._pull_if_behind()
@@ -115,6 +118,7 @@
     # -- from the platform --------------------------------------------------
 
     def _watch_if_due(self) -> None:
+        """Begin or end watching, as this router is or is not one of its hall's watchers."""
         due = self._state.is_watcher()
         if due and not self._watching:
             log.info("Watching the platform for hall {}.", self._state.hall)
@@ -133,6 +137,7 @@
         )
 
     async def _keep(self, watch: Callable[[], Awaitable[None]]) -> None:
+        """Begin a watch again whenever it ends, until cancelled."""
         backoff = Backoff(FIRST_PAUSE, LONGEST_PAUSE, self._rng)
         while True:
             begun = self._state.clock()
@@ -152,16 +157,25 @@
 
     async def _watch_changes(self) -> None:
         async for news in self._source.follow(lambda: self._state.fleet):
-            if isinstance(news, Change):
-                self._took_change(self._state.take_change(news))
-            elif isinstance(news, Rejected):
-                log.error("Configuration does not pass its check: {}.", news)
-            elif isinstance(news, Broken):
-                log.error("Configuration cannot be read: {}.", news.reason)
-            elif self._state.take_fleet(news):
-                self._told()
+            self._take_news(news)
             self._state.platform_lost = ""
-            await self._met.wait()
+            await self._has_met_peers.wait()
+
+    def _take_news(self, news: News) -> None:
+        if isinstance(news, Change):
+            self._take_change(news)
+        elif isinstance(news, Rejected):
+            log.error("Configuration does not pass its check: {}.", news)
+        elif isinstance(news, Broken):
+            log.error("Configuration cannot be read: {}.", news.reason)
+        elif self._state.take_fleet(news):
+            self._spread()
+
+    def _take_change(self, change: Change) -> None:
+        wrong = self._state.take_change(change)
+        self._log_void(wrong)
+        if wrong is None:
+            self._spread()
 
     async def _watch_upstreams(self) -> None:
         listed = await self._platform.list(UPSTREAM_KIND)
@@ -170,11 +184,11 @@
         self._state.platform_lost = ""
         values = [(each.version, each.value) for each in listed.objects]
         if self._state.take_upstreams(listing(listed.version, values)):
-            self._told()
-        await self._met.wait()
+            self._spread()
+        await self._has_met_peers.wait()
         async for event in self._platform.watch(UPSTREAM_KIND, listed.version):
             if self._state.take_upstream_event(event):
-                self._told()
+                self._spread()
 
     # -- from peers ---------------------------------------------------------
 
@@ -197,17 +211,22 @@
     async def _pull_from(self, ahead: list[Member]) -> bool:
         """Pull once; return whether that brought anything new."""
         peer = self._rng.choice(ahead)
-        lacking = await self._pull(peer, self._state.fleet.version, self._state.upstreams.version)
+        lacking = await self._pull(peer, *self._versions())
         if lacking is None:
             return False
-        before = (self._state.fleet.version, self._state.upstreams.version)
-        self._took_change(self._state.take_update(lacking.configuration), told=False)
+        # Read after the pull: a watch may have brought something meanwhile.
+        before = self._versions()
+        self._log_void(self._state.take_update(lacking.configuration))
         self._state.take_upstreams(lacking.upstreams)
-        if (self._state.fleet.version, self._state.upstreams.version) == before:
+        if self._versions() == before:
             return False
-        self._told()
+        self._spread()
         return True
 
+    def _versions(self) -> tuple[int, int]:
+        """Return the versions held of the configuration and of the list of upstreams."""
+        return self._state.fleet.version, self._state.upstreams.version
+
     def _ahead(self) -> list[Member]:
         """Return peers with something newer, those of this hall alone where there are any."""
         names = set(self._state.gossip.ahead())
@@ -215,11 +234,6 @@
         near = [member for member in ahead if member.hall == self._state.hall]
         return near or ahead
 
-    def _took_change(self, wrong: Rejected | Gap | None, told: bool = True) -> None:
+    def _log_void(self, wrong: Rejected | Gap | None) -> None:
         if isinstance(wrong, Rejected):
             log.error("Change {} is void: {}.", self._state.fleet.version, wrong)
-        if wrong is None and told:
-            self._told()
-
-    def _told(self) -> None:
-        self._spread()
