--- a/pondhatch/router/_introduction.py
+++ b/pondhatch/router/_introduction.py
@@ -8,7 +8,8 @@
 
 import asyncio
 import random
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
+from typing import Any
 
 from pondhatch.kernel import Backoff
 from pondhatch.membership import Address, Gossip
@@ -47,7 +48,7 @@
         backoff = Backoff(FIRST_PAUSE, LONGEST_PAUSE, self._rng)
         listed = False
         while True:
-            listed = listed or await self._is_listed()
+            listed = listed or await self._list_itself()
             # Read after the writing: of two that start together, one sees the other.
             found = await self._find_peers()
             if found and listed:
@@ -63,28 +64,34 @@
         self._gossip.add_seeds(_addresses(listed))
         return True
 
-    async def _is_listed(self) -> bool:
-        """Return whether the platform holds this router's address, written now if need be."""
+    async def _list_itself(self) -> bool:
+        """Have the platform hold this router's address; return whether it does."""
         if self._own_address is None:
             return True
         vm = {"address": self._own_address, "state": "live"}
         found = await self._platform.get(VM_KIND, self._name)
+        if isinstance(found, Unavailable):
+            log.warning("The platform does not say where this router is listed: {}.", found.reason)
+            return False
         if isinstance(found, Found) and found.object.value == vm:
             return True
-        if isinstance(found, Found):
-            version = found.object.version
+        return await self._write(vm, found)
+
+    async def _write(self, vm: Mapping[str, Any], before: Found | Missing) -> bool:
+        """Write this router's entry over what was found; return whether it was taken."""
+        if isinstance(before, Found):
+            version = before.object.version
             written = await self._platform.update(VM_KIND, self._name, vm, version)
-        elif isinstance(found, Missing):
-            written = await self._platform.create(VM_KIND, self._name, vm)
         else:
-            log.warning("The platform does not say where this router is listed: {}.", found.reason)
-            return False
-        if not isinstance(written, Accepted):
-            log.warning("The platform did not take this router's address: {}.", written)
-        return isinstance(written, Accepted)
+            written = await self._platform.create(VM_KIND, self._name, vm)
+        if isinstance(written, Accepted):
+            return True
+        log.warning("The platform did not take this router's address: {}.", written)
+        return False
 
 
 def _addresses(listed: Listed) -> Iterable[Address]:
+    """Yield where each listed router is reached, those without a whole address left out."""
     for each in listed.objects:
         host, _, port = str(each.value.get("address", "")).rpartition(":")
         if host and port.isdigit():
