Say in names and comments what beliefs and the wait at a start keep

The fields of Beliefs are versions and states by upstream, and are named so. In Starting, the task that waits is _until_informed.

--- a/pondhatch/router/_beliefs.py
+++ b/pondhatch/router/_beliefs.py
@@ -24,11 +24,16 @@
 
     state: RouterState
     records: Records
-    _configuration: int = 0
-    _upstreams: int = 0
-    _upstream_states: dict[str, str] = field(default_factory=dict)
+    # What was last recorded:
+    #: The version of the configuration in force.
+    _configuration_version: int = 0
+    #: The version of the list of upstreams.
+    _upstreams_version: int = 0
+    _state_by_upstream: dict[str, str] = field(default_factory=dict)
     _members: tuple[Member, ...] = ()
+    #: "down" or "ailing" by upstream; one that is well is not listed.
     _health: Mapping[str, str] = field(default_factory=dict)
+    #: Why the platform was out of reach; empty while it answered.
     _platform_lost: str = ""
 
     def look(self) -> None:
@@ -59,21 +64,21 @@
 
     def _configuration_in_force(self) -> list[Believed]:
         version = self.state.fleet.version
-        if version == self._configuration:
+        if version == self._configuration_version:
             return []
-        before, self._configuration = self._configuration, version
+        before, self._configuration_version = self._configuration_version, version
         why = f"follows {before}" if before else "the first"
         return [Believed("configuration", "", "in force", version, why)]
 
     def _upstream_list(self) -> list[Believed]:
         upstreams = self.state.upstreams
-        if upstreams.version == self._upstreams:
+        if upstreams.version == self._upstreams_version:
             return []
-        self._upstreams = upstreams.version
+        self._upstreams_version = upstreams.version
         entries = upstreams.entry_by_name.items()
         states = {name: entry.upstream.state for name, entry in entries}
-        changed = _differences(self._upstream_states, states, "removed")
-        self._upstream_states = states
+        changed = _differences(self._state_by_upstream, states, "removed")
+        self._state_by_upstream = states
         return [
             Believed("upstream", name, now, self._version_of(name), why)
             for name, now, why in changed
@@ -113,7 +118,7 @@
 def _differences(
     before: Mapping[str, str], now: Mapping[str, str], absent: str
 ) -> list[tuple[str, str, str]]:
-    """Return what changed by name: what it is now, and what it was."""
+    """Return the names that changed, each with what it is now and why: what it was before."""
     names = sorted({*before, *now})
     changed = [name for name in names if before.get(name) != now.get(name)]
     return [
--- a/pondhatch/router/_starting.py
+++ b/pondhatch/router/_starting.py
@@ -40,7 +40,7 @@
     def __init__(self, state: RouterState) -> None:
         self._state = state
         self._until = state.clock() + STARTING_SECONDS
-        #: One look-out for all requests that wait.
+        #: Ends once the router is informed or its start is over; one for all that wait.
         self._informed: asyncio.Task[None] | None = None
 
     async def wait(self) -> None:
@@ -48,10 +48,10 @@
         if self._state.is_informed() or self._state.clock() >= self._until:
             return
         if self._informed is None:
-            self._informed = asyncio.ensure_future(self._look_out())
+            self._informed = asyncio.ensure_future(self._until_informed())
         left = self._until - self._state.clock()
         await asyncio.wait([self._informed], timeout=min(LONGEST_WAIT, left))
 
-    async def _look_out(self) -> None:
+    async def _until_informed(self) -> None:
         while not self._state.is_informed() and self._state.clock() < self._until:
             await asyncio.sleep(LOOK_SECONDS)
