Ask an upstream's health in one place whether it is down or ailing

The two comparisons stood three times each in placement/_health.py; they are a property and a method of UpstreamHealth now. Its two lengths of time say what they are.

--- a/pondhatch/placement/_health.py
+++ b/pondhatch/placement/_health.py
@@ -36,6 +36,7 @@
     failures: int = 0
     #: Until when it gets nothing, in the clock's seconds.
     down_until: float = float("-inf")
+    #: Seconds for which it gets nothing when it goes down or its try fails.
     pause: float = FIRST_PAUSE
     #: Whether one request was let through to try it after a pause.
     tried: bool = False
@@ -43,8 +44,18 @@
     errors: float = 0.0
     #: Until when it is passed over where another can take the request.
     ailing_until: float = float("-inf")
+    #: Seconds for which it is passed over when it is next found ailing.
     rest: float = FIRST_REST
 
+    @property
+    def is_taken_for_down(self) -> bool:
+        """Whether it failed that often in a row; it stays so while one request tries it."""
+        return self.failures >= FAILURES
+
+    def is_ailing(self, now: float) -> bool:
+        """Return whether it should get only what no other can take."""
+        return now < self.ailing_until
+
 
 @dataclass
 class Health:
@@ -55,7 +66,7 @@
     def is_down(self, upstream: str, now: float) -> bool:
         """Return whether to pass an upstream over; the first to come after a pause tries it."""
         known = self.health_by_upstream.get(upstream)
-        if known is None or known.failures < FAILURES:
+        if known is None or not known.is_taken_for_down:
             return False
         if now < known.down_until:
             return True
@@ -65,14 +76,14 @@
     def is_ailing(self, upstream: str, now: float) -> bool:
         """Return whether an upstream should get only what no other can take."""
         known = self.health_by_upstream.get(upstream)
-        return known is not None and now < known.ailing_until
+        return known is not None and known.is_ailing(now)
 
     def states(self, now: float) -> dict[str, str]:
         """Return "down" or "ailing" for each upstream that is so."""
         return {
-            name: "down" if known.failures >= FAILURES else "ailing"
+            name: "down" if known.is_taken_for_down else "ailing"
             for name, known in self.health_by_upstream.items()
-            if known.failures >= FAILURES or now < known.ailing_until
+            if known.is_taken_for_down or known.is_ailing(now)
         }
 
     def failed(self, upstream: str, now: float) -> None:
@@ -103,7 +114,7 @@
         """Note that an upstream answered a request with a failure of its own."""
         known = _reached(self._known(upstream))
         errors = known.errors + (1 - known.errors) * ERROR_WEIGHT
-        if errors < AILING_SHARE or now < known.ailing_until:
+        if errors < AILING_SHARE or known.is_ailing(now):
             self.health_by_upstream[upstream] = replace(known, errors=errors)
             return
         self.health_by_upstream[upstream] = replace(
