--- a/pondhatch/placement/_plan.py
+++ b/pondhatch/placement/_plan.py
@@ -57,10 +57,13 @@
         #: Engines that were passed over because they answer with failures.
         self._ailing: list[str] = []
         self._asks = asks
-        self._last_asked = False
+        #: Whether the engine that is the last resort was asked.
+        self._has_asked_last = False
         #: Asks that come before the rest of the order.
         self._first: list[Ask] = [Ask(self.order[0], context=True)] if self.order else []
+        #: Engines of the order still to come, the next one last.
         self._rest = list(self.order[:0:-1])
+        #: The latest ask, whose answer is noted next.
         self._current: Ask | None = None
 
     @property
@@ -92,8 +95,7 @@
 
     def full(self, in_flight: int, ceiling: int) -> None:
         """Note that the engine last asked is at its ceiling."""
-        if self._current is not None:
-            self.in_flight_by_engine[self._current.engine] = in_flight
+        self.in_flight_by_engine[self._last_ask().engine] = in_flight
         self.refused(f"at ceiling, {in_flight} of {ceiling}")
 
     def ailing(self) -> None:
@@ -101,31 +103,13 @@
         if self._current is not None:
             self._ailing.append(self._current.engine)
 
-    def _last_resort(self) -> Step:
-        """Ask once more an engine that may take what no other did."""
-        engine = self._ailing[0] if self._ailing else self._least_loaded()
-        if self._last_asked or engine is None:
-            return Exhausted(tuple(name for name, _ in self.passed_over))
-        self._last_asked = True
-        self._current = Ask(engine, insist=True, last=True)
-        return self._current
-
-    def _least_loaded(self) -> str | None:
-        """Return the full engine with the least work: what was seen may raise its ceiling."""
-        seen = self.in_flight_by_engine
-        return min(seen, key=lambda name: seen[name], default=None)
-
     def refused(self, why: str) -> None:
         """Note that the engine last asked did not take the request."""
-        if self._current is None:
-            raise ValueError("no engine was asked yet")
-        self.passed_over.append((self._current.engine, why))
+        self.passed_over.append((self._last_ask().engine, why))
 
     def again(self) -> None:
         """Ask the engine last asked once more, next and over a new connection."""
-        if self._current is None:
-            raise ValueError("no engine was asked yet")
-        self._first.insert(0, replace(self._current, insist=True, fresh=True))
+        self._first.insert(0, replace(self._last_ask(), insist=True, fresh=True))
 
     def context_elsewhere(self, engine: str) -> None:
         """Note the home owner's word that the chat's context lies at an engine."""
@@ -138,3 +122,23 @@
         self._first = [Ask(engine, context=True), Ask(home.engine, insist=True)]
         self._rest = [other for other in self._rest if other != engine]
         self.passed_over.append((home.engine, f"context is at {engine}"))
+
+    def _last_ask(self) -> Ask:
+        """Return the latest ask. Raises ValueError where there is none."""
+        if self._current is None:
+            raise ValueError("no engine was asked yet")
+        return self._current
+
+    def _last_resort(self) -> Step:
+        """Ask once more an engine that may take what no other did."""
+        engine = self._ailing[0] if self._ailing else self._least_loaded()
+        if self._has_asked_last or engine is None:
+            return Exhausted(tuple(name for name, _ in self.passed_over))
+        self._has_asked_last = True
+        self._current = Ask(engine, insist=True, last=True)
+        return self._current
+
+    def _least_loaded(self) -> str | None:
+        """Return the full engine with the least work: what was seen may raise its ceiling."""
+        seen = self.in_flight_by_engine
+        return min(seen, key=lambda name: seen[name], default=None)
