Name what a misfit's text is made of, and list its words with the constants

_told and _said are _expected and _found, as the sentence that they make; the table of words stands with the other constants. Tests run: ruff, mypy, unittest discover of pondhatch/configuration.

--- a/pondhatch/configuration/_fit.py
+++ b/pondhatch/configuration/_fit.py
@@ -20,9 +20,20 @@
 
 Shape = TypeVar("Shape")
 
+#: What was expected where a key is one too many, and where one is missing.
 UNKNOWN_KEY = "unknown key; expected one that docs/OPERATIONS.md lists"
 MISSING = "missing; expected a value"
+#: Names of what the configuration holds.
 NAME_PATTERN = r"^[a-z0-9][a-z0-9-]{0,62}$"
+#: What msgspec writes, and what people read, the longer ones first.
+WORDS = (
+    (">=", "greater than or equal to"),
+    ("<=", "less than or equal to"),
+    (">", "greater than"),
+    ("<", "less than"),
+    ("array", "a valid list"),
+    ("matching regex", "that must match"),
+)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -70,7 +81,7 @@
 
 def _fit_fields(shape: Any, data: Any, path: FieldPath, misfits: set[Misfit]) -> Any:
     if not isinstance(data, Mapping):
-        misfits.add(Misfit(path, f"expected an object, found {_said(data)}"))
+        misfits.add(Misfit(path, f"expected an object, found {_found(data)}"))
         return None
     before = len(misfits)
     fields = _fields(shape)
@@ -95,44 +106,35 @@
 
 
 def _fit_value(shape: Any, data: Any, path: FieldPath, misfits: set[Misfit]) -> Any:
-    """Have msgspec check a single value."""
+    """Have msgspec check a single value, or the constraints on a list as a whole."""
     try:
         return msgspec.convert(data, shape)
     except msgspec.ValidationError as error:
-        misfits.add(Misfit(path, f"{_told(shape, str(error))}, found {_said(data)}"))
+        misfits.add(Misfit(path, f"{_expected(shape, str(error))}, found {_found(data)}"))
         return None
 
 
-#: What msgspec writes, and what people read, the longer ones first.
-_WORDS = (
-    (">=", "greater than or equal to"),
-    ("<=", "less than or equal to"),
-    (">", "greater than"),
-    ("<", "less than"),
-    ("array", "a valid list"),
-    ("matching regex", "that must match"),
-)
-
-
-def _told(shape: Any, message: str) -> str:
-    """Return what was expected, as msgspec's message or the shape tells it."""
+def _expected(shape: Any, message: str) -> str:
+    """Return what was expected, as the shape or else msgspec's message says it."""
     bare, _ = _parts(shape)
     if get_origin(bare) is Literal:
         return "expected " + " or ".join(repr(each) for each in get_args(bare))
     if NAME_PATTERN in message:
         return f"expected a name that matches {NAME_PATTERN}"
-    told = message.replace("`", "").partition(" - at ")[0].partition(", got ")[0]
-    for written, read in _WORDS:
-        told = told.replace(written, read)
-    return told[0].lower() + told[1:]
+    expected = message.replace("`", "").partition(" - at ")[0].partition(", got ")[0]
+    for written, read in WORDS:
+        expected = expected.replace(written, read)
+    return expected[0].lower() + expected[1:]
 
 
-def _said(data: Any) -> str:
+def _found(data: Any) -> str:
+    """Return how to write what was found."""
     return "nothing" if data is None else repr(data)
 
 
 @functools.cache
 def _fields(shape: Any) -> tuple[_Field, ...]:
+    """Return the fields of a data class, their types with the constraints on them."""
     hints = get_type_hints(shape, include_extras=True)
     return tuple(
         _Field(
@@ -155,5 +157,6 @@
 
 @functools.cache
 def _without_none(shape: Any) -> Any:
+    """Return what a shape that may be None is otherwise."""
     others = [each for each in get_args(shape) if each is not type(None)]
     return functools.reduce(operator.or_, others)
