--- a/pondhatch/limits/_retries.py
+++ b/pondhatch/limits/_retries.py
@@ -29,8 +29,10 @@
 class RetryBudget:
     """Each first try earns a fraction of a retry; each retry spends one."""
 
+    #: Retries that a first try earns.
     ratio: float = DEFAULT_RATIO
     most_saved: float = DEFAULT_SAVED
+    #: Retries that may be made now.
     saved: float = DEFAULT_SAVED
 
     def first_try(self) -> None:
@@ -61,7 +63,8 @@
 
     allowance: RetryAllowance = field(default_factory=RetryAllowance)
     budget_by_service: dict[str, RetryBudget] = field(default_factory=dict)
-    #: Numbers of live routers, each with when it was last seen, the newest last.
+    #: Numbers of live routers, each with when it was last seen, the newest last. Each is
+    #: greater than those after it: a smaller one that is older can never be the most.
     _seen: deque[tuple[int, float]] = field(default_factory=lambda: deque([(1, float("-inf"))]))
 
     def of(self, service: str) -> RetryBudget:
@@ -84,6 +87,7 @@
             self._share_out()
 
     def _share_out(self) -> None:
+        """Bound what each service's budget may save by this router's part of now."""
         most = self._most_saved()
         for budget in self.budget_by_service.values():
             budget.most_saved = most
