Make the names of served metrics in one place

Three methods put the prefix on and the dots out; _told does now. The running sums of a histogram are the standard library's.

--- a/pondhatch/observing/_served.py
+++ b/pondhatch/observing/_served.py
@@ -9,11 +9,13 @@
 from bisect import bisect_left
 from collections.abc import Iterator
 from dataclasses import dataclass, field
+from itertools import accumulate
 from typing import Any
 
 #: Upper bounds of the buckets of durations, in seconds: around the users' objectives of 0.2 to
 #: 0.6 s and their deadlines of 1 to 10 s.
 BUCKETS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 1.0, 2.5, 5.0, 10.0)
+#: Begins every name that is told.
 PREFIX = "pondhatch_"
 #: Label that takes the last part of a counter's name, by the rest of it.
 LABEL_BY_FAMILY = {"requests": "outcome", "refusals": "code"}
@@ -25,6 +27,7 @@
 
     #: One more than there are bounds: the last takes what is longer than all.
     counts: list[int] = field(default_factory=lambda: [0] * (len(BUCKETS) + 1))
+    #: Seconds of all together.
     total: float = 0.0
 
     def add(self, seconds: float) -> None:
@@ -35,12 +38,8 @@
     def cumulative(self) -> list[tuple[str, float]]:
         """Return how many were at most as long as each bound."""
         bounds = [*(str(bound) for bound in BUCKETS), "+Inf"]
-        running = 0
-        found: list[tuple[str, float]] = []
-        for bound, count in zip(bounds, self.counts, strict=True):
-            running += count
-            found.append((bound, float(running)))
-        return found
+        sums = (float(count) for count in accumulate(self.counts))
+        return list(zip(bounds, sums, strict=True))
 
 
 @dataclass
@@ -84,10 +83,10 @@
         for name, count in sorted(self.count_by_name.items()):
             family, _, last = name.partition(".")
             label = LABEL_BY_FAMILY.get(family)
-            told = family if label else name.replace(".", "_")
+            told = _told(family if label else name)
             if told not in families:
                 labels = ["router", label] if label else ["router"]
-                families[told] = CounterMetricFamily(PREFIX + told, _help(name), labels=labels)
+                families[told] = CounterMetricFamily(told, _help(name), labels=labels)
             values = [self.router, last] if label else [self.router]
             families[told].add_metric(values, count)
         yield from families.values()
@@ -96,7 +95,7 @@
         from prometheus_client.core import HistogramMetricFamily
 
         for name, histogram in sorted(self.histogram_by_name.items()):
-            told = f"{PREFIX}{name.replace('.', '_')}_seconds"
+            told = f"{_told(name)}_seconds"
             family = HistogramMetricFamily(told, _help(name), labels=["router"])
             family.add_metric([self.router], histogram.cumulative(), histogram.total)
             yield family
@@ -105,12 +104,15 @@
         from prometheus_client.core import GaugeMetricFamily
 
         for name, level in sorted(self.level_by_name.items()):
-            family = GaugeMetricFamily(
-                PREFIX + name.replace(".", "_"), _help(name), labels=["router"]
-            )
+            family = GaugeMetricFamily(_told(name), _help(name), labels=["router"])
             family.add_metric([self.router], level)
             yield family
 
 
+def _told(name: str) -> str:
+    """Return the name under which a metric is told."""
+    return PREFIX + name.replace(".", "_")
+
+
 def _help(name: str) -> str:
     return f"See docs/OPERATIONS.md, {name.partition('.')[0]}."
