Put the statuses that say how an answer ended with the constants, and names in order

In requests/_sending.py a comment ran over two constants in the middle of the file. In the kernel's list of names two stood out of order; an import fits on one line; the header of the metrics page says whose question it is. Tests run: ruff, mypy, test_sending, test_backoff.

--- a/pondhatch/kernel/__init__.py
+++ b/pondhatch/kernel/__init__.py
@@ -6,14 +6,14 @@
 from pondhatch.kernel._registry import REGISTRY, Plugin, Registry, RegistryError
 
 __all__ = [
-    "Backoff",
     "REGISTRY",
+    "Backoff",
     "Plugin",
     "Registry",
     "RegistryError",
     "Tasks",
     "as_deferred",
-    "collect_garbage",
     "as_future",
+    "collect_garbage",
     "install_reactor",
 ]
--- a/pondhatch/requests/_sending.py
+++ b/pondhatch/requests/_sending.py
@@ -18,6 +18,11 @@
 from pondhatch.requests._outcomes import NotRun, Unknown
 from pondhatch.requests._questions import Ended
 
+#: The least status that says that an upstream failed by itself.
+FAILURE_STATUS = 500
+#: Above it, but no failure of an upstream's own: the request's time was over.
+OUT_OF_TIME_STATUS = 504
+
 
 @dataclass(frozen=True)
 class Target:
@@ -58,12 +63,6 @@
         """Send a request once; never repeat it."""
 
 
-#: Statuses from here on are failures of an upstream's own,
-FAILURE_STATUS = 500
-#: but for this one, which says that the request's time was over.
-OUT_OF_TIME_STATUS = 504
-
-
 def _ended_with(status: int) -> Ended:
     """Return what a whole answer tells of its engine."""
     own_failure = status >= FAILURE_STATUS and status != OUT_OF_TIME_STATUS
--- a/pondhatch/standard/_callers.py
+++ b/pondhatch/standard/_callers.py
@@ -24,14 +24,7 @@
     RequestHead,
     read_chat,
 )
-from pondhatch.router import (
-    Account,
-    Admitted,
-    admit,
-    identify,
-    not_ready,
-    service_of_path,
-)
+from pondhatch.router import Account, Admitted, admit, identify, not_ready, service_of_path
 from pondhatch.standard._answers import OpenAiAnswers
 from pondhatch.transport import (
     CallerParts,
--- a/pondhatch/transport/_metrics_page.py
+++ b/pondhatch/transport/_metrics_page.py
@@ -1,4 +1,4 @@
-"""What collects metrics asks here."""
+"""Where those who collect metrics ask for them."""
 
 from __future__ import annotations
 
