Split what the platform would fill in off the start of a router in the tests' fleet

add_router in fakes/_machines_fleet.py did both, on some forty lines. Its ports have names, so that their number need not be kept beside them, and fill says what it does with a name that nobody knows.

--- a/fakes/_machines_fleet.py
+++ b/fakes/_machines_fleet.py
@@ -9,7 +9,7 @@
 import urllib.error
 import urllib.request
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, fields
 from subprocess import Popen
 from typing import Any
 
@@ -19,15 +19,18 @@
 
 TEMPLATE = ROOT / "deploy" / "router.yaml"
 HALLS = ("hall-1", "hall-2")
-#: Ports of one router: clients, readiness, peers, admin, metrics.
-PORTS = 5
+#: What the platform says of its bounds to whom it starts.
+BOUNDS = {"CapacityFactor": 2, "GraceS": 8, "RetryBudgetRatio": 0.2, "BudgetSlack": 56}
 
 
-def fill(template: str, fields: dict[str, Any]) -> str:
-    """Fill a template's gaps as the platform does, as far as ours uses them."""
+def fill(template: str, values: dict[str, Any]) -> str:
+    """Fill a template's gaps as the platform does, as far as ours uses them.
+
+    A name that the platform does not know leaves nothing in its gap.
+    """
 
     def value(match: re.Match[str]) -> str:
-        found: Any = fields
+        found: Any = values
         for part in match["name"].split("."):
             found = found[int(part)] if isinstance(found, list) else found.get(part, "")
         return json.dumps(found) if match["form"] else str(found)
@@ -35,6 +38,17 @@
     return re.sub(r"\{\{(?P<name>[\w.]+)(?P<form>\|json)?\}\}", value, template)
 
 
+@dataclass(frozen=True)
+class RouterPorts:
+    """The ports of one router."""
+
+    clients: int
+    ready: int
+    peers: int
+    admin: int
+    metrics: int
+
+
 @dataclass
 class MachinesRouter:
     """One router process and where it is reached."""
@@ -98,38 +112,40 @@
 
     def add_router(self, hall: str) -> MachinesRouter:
         """Start a router with the settings that the deploy folder makes."""
-        clients, ready, peers, admin, metrics = free_ports(PORTS)
+        ports = RouterPorts(*free_ports(len(fields(RouterPorts))))
         name = f"edge-{len(self.machines)}"
-        fields = {
-            "NodeName": name,
-            "Zone": hall,
-            "Ip": HOST,
-            "Listen": {"Frontend": f"{HOST}:{clients}", "Ready": f"{HOST}:{ready}"},
-            "PortRange": [peers, admin],
-            "Platform": {"Address": self.objects.url.removeprefix("http://")},
-            "Bounds": {
-                "CapacityFactor": 2,
-                "GraceS": 8,
-                "RetryBudgetRatio": 0.2,
-                "BudgetSlack": 56,
-            },
-        }
-        settings = yaml.safe_load(fill(TEMPLATE.read_text(), fields))
-        settings["log"] = {"level": self.log_level}
-        # Each router has a machine of its own there; here they share one.
-        settings["metrics"]["port"] = metrics
         path = self.folder / f"{name}.yaml"
-        path.write_text(yaml.safe_dump(settings))
+        path.write_text(yaml.safe_dump(self._settings(name, hall, ports)))
         router = MachinesRouter(
             name,
-            f"http://{HOST}:{clients}",
-            f"http://{HOST}:{ready}",
-            f"http://{HOST}:{metrics}/metrics",
+            f"http://{HOST}:{ports.clients}",
+            f"http://{HOST}:{ports.ready}",
+            f"http://{HOST}:{ports.metrics}/metrics",
             self._start("pondhatch", "run", str(path)),
         )
         self.machines.append(router)
         return router
 
+    def _settings(self, name: str, hall: str, ports: RouterPorts) -> dict[str, Any]:
+        """Return a router's settings: the template as the platform would fill it."""
+        gaps = {
+            "NodeName": name,
+            "Zone": hall,
+            "Ip": HOST,
+            "Listen": {
+                "Frontend": f"{HOST}:{ports.clients}",
+                "Ready": f"{HOST}:{ports.ready}",
+            },
+            "PortRange": [ports.peers, ports.admin],
+            "Platform": {"Address": self.objects.url.removeprefix("http://")},
+            "Bounds": BOUNDS,
+        }
+        settings: dict[str, Any] = yaml.safe_load(fill(TEMPLATE.read_text(), gaps))
+        settings["log"] = {"level": self.log_level}
+        # Each router has a machine of its own there; here they share one.
+        settings["metrics"]["port"] = ports.metrics
+        return settings
+
 
 def eventually(holds: Callable[[], bool], seconds: float = 30.0) -> None:
     """Wait until something holds. Raises AssertionError where it does not in time."""
