Make each part of a router process in a method that is named so

What made the endpoints, the stop and the introduction was named like a question; sync and the records were made in the middle of the constructor. Tests run: ruff, mypy, fakes.tests.test_prepared_machines.

--- a/pondhatch/cli/_router_process.py
+++ b/pondhatch/cli/_router_process.py
@@ -80,20 +80,11 @@
         self._granting = Granting(self.state, self._gossip_port.send, self._tasks, time.time_ns())
         self._spreading = Spreading(self.state, self._gossip_port, self._tasks)
         self._platform = parts.platform
-        self._sync = Sync(
-            self.state,
-            self._platform,
-            self._interface.configuration(self._platform),
-            self._pull,
-            self._spreading.spread,
-            self._rng,
-            self._introduction(),
-        )
+        self._sync = self._new_sync()
         self._authority = Authority(self.state, self._platform, self._interface.orders, self._rng)
         served = ServedMetrics(settings.name)
         self._metrics = metrics_of(settings, served)
-        lines = settings.log.form == "lines"
-        self._records: Records = LineRecords(settings.name) if lines else LoggedRecords()
+        self._records = _records_of(settings)
         self._beliefs = Beliefs(self.state, self._records)
         self._callers = self._new_callers(parts.client)
         self._peer_service = PeerService(self.state.local, self._answer_pull, self._token)
@@ -109,13 +100,13 @@
         loop = asyncio.get_running_loop()
         for number in STOP_SIGNALS:
             loop.add_signal_handler(number, stop.set)
-        await self._endpoints().open()
+        await self._new_endpoints().open()
         self.state.refresh()
         self._start_tasks()
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         self._beliefs.note_process("serving", f"hall {self._settings.hall}")
         await stop.wait()
-        await self._stopping().run()
+        await self._new_stopping().run()
         self._end()
         for number in STOP_SIGNALS:
             # From here on the loop no longer listens: a signal that comes again would kill.
@@ -138,7 +129,18 @@
         self._connections.close_all()
         self._peer_server.close()
 
-    def _introduction(self) -> Introduction:
+    def _new_sync(self) -> Sync:
+        return Sync(
+            self.state,
+            self._platform,
+            self._interface.configuration(self._platform),
+            self._pull,
+            self._spreading.spread,
+            self._rng,
+            self._new_introduction(),
+        )
+
+    def _new_introduction(self) -> Introduction:
         own = self._settings.peers
         address = None if self._interface.lists_vms else f"{own.host}:{own.port}"
         state = self.state
@@ -158,7 +160,7 @@
             )
         )
 
-    def _endpoints(self) -> Endpoints:
+    def _new_endpoints(self) -> Endpoints:
         return Endpoints(
             settings=self._settings,
             reactor=self._reactor,
@@ -173,7 +175,7 @@
             metrics_text=self._levels.text,
         )
 
-    def _stopping(self) -> Stopping:
+    def _new_stopping(self) -> Stopping:
         return Stopping(
             state=self.state,
             callers=self._callers,
@@ -210,6 +212,7 @@
         return answers
 
     async def _rounds(self) -> None:
+        """Do what is due, round after round."""
         while True:
             self.state.tick()
             self._beliefs.look()
@@ -238,6 +241,13 @@
             self._beliefs.note_process("serving", "settings were read anew")
 
 
+def _records_of(settings: Settings) -> Records:
+    """Return where decisions are recorded: as lines for machines, else in the log."""
+    if settings.log.form == "lines":
+        return LineRecords(settings.name)
+    return LoggedRecords()
+
+
 async def serve(settings: Settings, reactor: Any, path: Path) -> None:
     """Run a router until it is asked to stop; ``path`` is where its settings are kept."""
     process = RouterProcess(settings, reactor, await surroundings_of(settings, reactor), path)
