--- a/pondhatch/requests/tests/test_sending.py
+++ b/pondhatch/requests/tests/test_sending.py
@@ -46,7 +46,9 @@
         if not task.done():
             task.cancel()
         await asyncio.wait([task])
-        task.cancelled() or task.exception()
+        if not task.cancelled():
+            # Read, since the loop complains of an exception that nobody saw.
+            task.exception()
         granted.cancel()
         return released
 
