Answer a repeated question as the first time; forget a loss that nobody watches

The repeated question is answered first; where the engine leaves meanwhile, the grant is given back. - where the context lies elsewhere, the try of a home engine that was down is no longer used up. - a router that gave its watch up during an outage took the platform for lost for ever. Tests: AskedAgainTest, test_one_that_gives_its_watch_up_does_not_go_on_saying_so.

--- a/pondhatch/requests/_owner.py
+++ b/pondhatch/requests/_owner.py
@@ -86,13 +86,16 @@
             return NotOwner()
         target = self._view.target(question.engine)
         if not takes(target, question.resuming):
+            # Where it was granted before, and that word was lost, nobody would give it back.
+            self.release(question.holder, Ended.NOTHING)
             return leaving(question.engine)
+        if question.holder in self.leases.by_holder:
+            # Asked again, since the first word was lost; what speaks against the engine by
+            # now may be this very request, sent to try it.
+            return Granted(self._gate.in_flight(target.name, self._clock()), target.slots)
         declined = self._declined(question)
         if declined is not None:
             return declined
-        if question.holder in self.leases.by_holder:
-            # Asked again, since the first word was lost.
-            return Granted(self._gate.in_flight(target.name, self._clock()), target.slots)
         self._lines.serve(target.name)
         verdict = self._ask_gate(target, question)
         if isinstance(verdict, Granted):
@@ -180,11 +183,10 @@
         owner = self._view.owner_name(question.engine)
         if owner != self._name:
             return NotOwner(owner)
-        unwell = self._unwell(question)
-        if unwell is not None:
-            return unwell
         believed = self._context_engine(question)
-        return Elsewhere(believed) if believed != question.engine else None
+        if believed != question.engine:
+            return Elsewhere(believed)
+        return self._unwell(question)
 
     def _unwell(self, question: Question) -> NotRun | None:
         """Return why a request should not run at an engine, by what became of others there."""
--- a/pondhatch/requests/tests/test_grants.py
+++ b/pondhatch/requests/tests/test_grants.py
@@ -4,15 +4,16 @@
 
 import asyncio
 import unittest
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 from fakes._virtual_loop import run_virtually
 from pondhatch.membership import short_id
 from pondhatch.placement import Granted, winner
-from pondhatch.placement._health import FAILURES, FIRST_REST
+from pondhatch.placement._health import FAILURES, FIRST_PAUSE, FIRST_REST
 from pondhatch.requests import Busy, Ended, NotOwner, NotRun, OwnerReply, Question, Release
 from pondhatch.requests._entry_grants import PAUSES
+from pondhatch.requests._grant_packets import DeclinedWord, GrantedWord, GrantPacket
 from pondhatch.requests._leases import LEASE_SECONDS
 from pondhatch.requests._outcomes import AILING
 from pondhatch.requests._owner import START_SECONDS
@@ -195,6 +196,36 @@
         self.assertEqual(run_virtually(main()), 1)
 
 
+class AskedAgainTest(GrantCase):
+    """A question whose word was lost is asked again, with the same number."""
+
+    def replies(self, between: Callable[[Fleet], None]) -> tuple[list[type], int]:
+        """Return the owner's words to the same question twice, and what is granted then."""
+
+        async def main() -> tuple[list[type], int]:
+            fleet = Fleet([], [], False)
+            for _ in range(FAILURES):
+                fleet.routers[self.owner].entry.local._health.failed(ENGINE, 0.0)
+            await asyncio.sleep(FIRST_PAUSE + 0.1)
+            asked = question(fleet, self.entry)
+            words: list[GrantPacket] = []
+            side = fleet.routers[self.owner].sides
+            side.receive(asked, words.append)
+            between(fleet)
+            side.receive(asked, words.append)
+            return [type(word) for word in words], self.granted(fleet)
+
+        return run_virtually(main())
+
+    def test_one_that_was_let_through_to_try_the_engine_keeps_its_grant(self) -> None:
+        expected = ([GrantedWord, GrantedWord], 1)
+        self.assertEqual(self.replies(lambda fleet: None), expected)
+
+    def test_one_whose_engine_leaves_meanwhile_holds_nothing(self) -> None:
+        expected = ([GrantedWord, DeclinedWord], 0)
+        self.assertEqual(self.replies(lambda fleet: fleet.known_leaving.add(ENGINE)), expected)
+
+
 class WaitingTest(GrantCase):
     def test_a_question_waits_in_line_and_is_granted_though_the_first_word_is_lost(self) -> None:
         async def main() -> tuple[OwnerReply, OwnerReply, int]:
--- a/pondhatch/router/_sync.py
+++ b/pondhatch/router/_sync.py
@@ -128,6 +128,8 @@
             for task in self._watching:
                 task.cancel()
             self._watching = ()
+            # Who does not watch cannot tell whether the platform answers.
+            self._state.platform_lost = ""
 
     def _begin_watching(self) -> None:
         """Read what the platform holds; what follows, only once it is known who watches."""
--- a/pondhatch/router/tests/test_beliefs.py
+++ b/pondhatch/router/tests/test_beliefs.py
@@ -126,6 +126,22 @@
 
         self.assertEqual(run_virtually(main()), ("outage", ""))
 
+    def test_one_that_gives_its_watch_up_does_not_go_on_saying_so(self) -> None:
+        states = [router(f"r{at}") for at in range(2)]
+        for state, peer in (states, states[::-1]):
+            meet(state, peer)
+        state = next(each for each in states if not each.is_watcher())
+
+        async def main() -> str:
+            platform = PlatformInMemory()
+            platform.faults.arm("outage", count=12)
+            task = asyncio.ensure_future(syncing(state, platform, None).run())
+            await asyncio.sleep(30)
+            task.cancel()
+            return state.platform_lost
+
+        self.assertEqual(run_virtually(main()), "")
+
 
 class SentenceTest(unittest.TestCase):
     def test_beliefs_read_as_sentences_for_people(self) -> None:
