Tell once which accepted configuration a router could not take, and count it

Cause: each watcher wrote the same sentence twice a second with up to nineteen hashes of keys in it, 15 lines in the last 6 s of the record, and no version; nothing in the metrics told that a newer configuration had been read and turned away. Change: a record of what was refused, with its version, entries and fields; the gauge configuration.refused; long values are told by their size.

--- a/pondhatch/cli/_figures.py
+++ b/pondhatch/cli/_figures.py
@@ -29,6 +29,7 @@
             "routers.known": len(self.state.members()),
             "requests.in_flight": self.callers.in_flight,
             "configuration.version": self.state.fleet.version,
+            "configuration.refused": self.state.refused.version if self.state.refused else 0,
             "upstreams.owned": len(self.state.owned()),
             "chats.spilled": len(self.state.memory.engine_by_chat),
             "control.bytes_sent": self.gossip_port.bytes_sent,
--- a/pondhatch/configuration/_fit.py
+++ b/pondhatch/configuration/_fit.py
@@ -23,6 +23,8 @@
 #: What was expected where a key is one too many, and where one is missing.
 UNKNOWN_KEY = "unknown key; expected one that docs/OPERATIONS.md lists"
 MISSING = "missing; expected a value"
+#: Characters of a value that a misfit quotes: a URL or two names, and a log line stays short.
+LONGEST_FOUND = 80
 #: Names of what the configuration holds.
 NAME_PATTERN = r"^[a-z0-9][a-z0-9-]{0,62}$"
 #: What msgspec writes, and what people read, the longer ones first.
@@ -128,8 +130,15 @@
 
 
 def _found(data: Any) -> str:
-    """Return how to write what was found."""
-    return "nothing" if data is None else repr(data)
+    """Return how to write what was found, short enough for a line of a log."""
+    if data is None:
+        return "nothing"
+    written = repr(data)
+    if len(written) <= LONGEST_FOUND:
+        return written
+    if isinstance(data, list | tuple):
+        return f"a list of {len(data)}"
+    return f"{written[:LONGEST_FOUND]}..."
 
 
 @functools.cache
--- a/pondhatch/configuration/_fleet.py
+++ b/pondhatch/configuration/_fleet.py
@@ -39,6 +39,8 @@
 
     #: Misfits by (kind, name) of the entry.
     misfits: tuple[tuple[EntryKey, Misfit], ...]
+    #: The version that was offered; 0 where it is not known.
+    version: int = 0
 
     def __str__(self) -> str:
         return "; ".join(
--- a/pondhatch/configuration/_following.py
+++ b/pondhatch/configuration/_following.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator, Callable
+from dataclasses import replace
 from typing import Any, Protocol
 
 import msgspec
@@ -80,4 +81,7 @@
             return Rejected(((("document", self._name), Misfit((), str(error))),))
         if whole.version <= fleet.version:
             return fleet
-        return fleet.replaced_by(whole)
+        replaced = fleet.replaced_by(whole)
+        if isinstance(replaced, Rejected):
+            return replace(replaced, version=whole.version)
+        return replaced
--- a/pondhatch/configuration/tests/test_fit.py
+++ b/pondhatch/configuration/tests/test_fit.py
@@ -69,6 +69,8 @@
             ({"by_name": {"LONG": {"number": 1}}}, ("by_name", "LONG"), "must match"),
             ({"by_name": {"k": {"number": 10}}}, ("by_name", "k", "number"), "or equal to 9"),
             ({"values": {"a": [1]}}, ("values", "a"), "found [1]"),
+            ({"values": {"a": list(range(90))}}, ("values", "a"), "found a list of 90"),
+            ({"share": "x" * 90}, ("share",), f"found '{'x' * 79}..."),
             ({"surname": 1}, ("surname",), UNKNOWN_KEY),
         )
         for changes, path, told in rows:
--- a/pondhatch/router/_beliefs.py
+++ b/pondhatch/router/_beliefs.py
@@ -9,6 +9,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from pondhatch.configuration import Rejected
 from pondhatch.membership import Member
 from pondhatch.observing import Believed, Records
 from pondhatch.router._state import RouterState
@@ -27,6 +28,8 @@
     # What was last recorded:
     #: The version of the configuration in force.
     _configuration_version: int = 0
+    #: The configuration that could not be taken.
+    _refused: Rejected | None = None
     #: The version of the list of upstreams.
     _upstreams_version: int = 0
     _state_by_upstream: dict[str, str] = field(default_factory=dict)
@@ -41,6 +44,7 @@
         changes = [
             *self._platform(),
             *self._configuration_in_force(),
+            *self._configuration_refused(),
             *self._upstream_list(),
             *self._routers(),
             *self._upstreams_health(),
@@ -70,6 +74,15 @@
         why = f"follows {before}" if before else "the first"
         return [Believed("configuration", "", "in force", version, why)]
 
+    def _configuration_refused(self) -> list[Believed]:
+        refused = self.state.refused
+        if refused == self._refused:
+            return []
+        self._refused = refused
+        if refused is None:
+            return [Believed("configuration", "", "taken again", self.state.fleet.version)]
+        return [Believed("configuration", "", "refused", refused.version, str(refused))]
+
     def _upstream_list(self) -> list[Believed]:
         upstreams = self.state.upstreams
         if upstreams.version == self._upstreams_version:
--- a/pondhatch/router/_state.py
+++ b/pondhatch/router/_state.py
@@ -64,6 +64,9 @@
     phase: Phase = Phase.LIVE
     #: Why the platform was last found out of reach; empty while it answers.
     platform_lost: str = ""
+    #: The newest configuration that was read here and not taken; None where the newest is
+    #: in force.
+    refused: Rejected | None = None
     #: When the configuration in force came into force, in seconds since 1970.
     in_force_at: float = 0.0
     decisions: deque[DecisionNote] = field(default_factory=lambda: deque(maxlen=KEPT_DECISIONS))
@@ -270,6 +273,8 @@
 
     def _put_in_force(self, fleet: Fleet) -> None:
         self.fleet = fleet
+        if self.refused is not None and self.refused.version <= fleet.version:
+            self.refused = None
         self.in_force_at = time.time()
         self._live_by_service.clear()
 
--- a/pondhatch/router/_sync.py
+++ b/pondhatch/router/_sync.py
@@ -167,7 +167,7 @@
         if isinstance(news, Change):
             self._take_change(news)
         elif isinstance(news, Rejected):
-            log.error("Configuration does not pass its check: {}.", news)
+            self._state.refused = news
         elif isinstance(news, Broken):
             log.error("Configuration cannot be read: {}.", news.reason)
         elif self._state.take_fleet(news):
--- a/pondhatch/router/tests/test_beliefs.py
+++ b/pondhatch/router/tests/test_beliefs.py
@@ -9,7 +9,7 @@
 
 from fakes._platform_in_memory import PlatformInMemory
 from fakes._virtual_loop import run_virtually
-from pondhatch.configuration import publish
+from pondhatch.configuration import Fleet, Misfit, Rejected, publish
 from pondhatch.configuration.tests.test_fleet import account, change
 from pondhatch.observing import Believed, Record
 from pondhatch.observing._records import _sentence
@@ -61,6 +61,19 @@
         self.assertEqual(self.looked(), [("configuration", "", "in force", 2)])
         self.assertEqual(self.looked(), [])
 
+    def test_a_configuration_that_cannot_be_taken(self) -> None:
+        misfit = Misfit(("key_hashes",), "expected one, found nothing")
+        self.state.refused = Rejected(((("account", "a"), misfit),), version=4)
+        self.assertEqual(self.looked(), [("configuration", "", "refused", 4)])
+        self.state.refused = Rejected(((("account", "a"), misfit),), version=4)
+        self.assertEqual(self.looked(), [])
+        following = Fleet(version=5)
+        self.state.take_fleet(following)
+        self.assertEqual(
+            self.looked(),
+            [("configuration", "", "in force", 5), ("configuration", "", "taken again", 5)],
+        )
+
     def test_an_upstream_from_its_coming_to_its_going(self) -> None:
         self.upstream("e0", 5)
         self.assertEqual(self.looked(), [("upstream", "e0", "live", 5)])
