--- /dev/null
+++ b/pondhatch/platform/tests/test_accepted.py
@@ -0,0 +1,106 @@
+"""What the platform has accepted is in force, whatever one entry of it is like.
+
+What was seen: from a certain version on, all routers refused requests by the configuration
+before it, with 404 on added routes and 401 on added keys; when all of them lost power
+half a minute later, none served again, though the platform answered throughout.
+
+How it came about: an operator gave one account a 17th API key. The platform accepted that
+version. Each router read it within 0.1 s, found that its own schema allows an account 16
+keys, and turned the whole configuration away; so with every later one. The routers that
+ran kept the old one, those that started had none.
+
+Cause: routers checked anew what the platform had already accepted, against bounds that only
+they knew, and one entry that did not pass took all others with it.
+
+What proved it: the routers' own lines named the account, the field and the bound, from the
+first version with 17 keys on and at no earlier one, and the version in force stood still
+from there. An account with 17 keys does the same below.
+"""
+
+from __future__ import annotations
+
+import copy
+import unittest
+from typing import Any
+
+from pondhatch.configuration import Fleet
+from pondhatch.platform.tests._wire import CONFIGURATION
+from pondhatch.platform.tests.test_configuration import fleet_of, key_hash
+
+ADDED_KEY = "key-added"
+ADDED_ROUTE = {**CONFIGURATION["Routes"][2], "Name": "r-added", "PathPrefix": "/added/"}
+
+
+def following(changes: dict[str, Any]) -> dict[str, Any]:
+    """Return the next configuration: one more route and key, and some parts replaced."""
+    value = copy.deepcopy(CONFIGURATION)
+    value["Version"] = 12
+    value["Routes"].append(ADDED_ROUTE)
+    value["Tenants"].append({"Name": "added", "ApiKeys": [ADDED_KEY]})
+    for part, entries in changes.items():
+        value[part] = [*value[part], *entries] if isinstance(entries, list) else entries
+    return value
+
+
+class AcceptedTest(unittest.TestCase):
+    def assert_in_force(self, fleet: Fleet) -> None:
+        """Check that the configuration's other entries are in force."""
+        self.assertEqual(fleet.version, 12)
+        for path, name in (("/added/1", "r-added"), ("/notes/1", "r-notes")):
+            route = fleet.routes.find("desk.example", path)
+            self.assertEqual(route.name if route is not None else None, name)
+        accounts = [fleet.account_of(key_hash(key)) for key in (ADDED_KEY, "key-1", "key-2")]
+        self.assertEqual(accounts, ["added", "pina", "pina"])
+        self.assertIn("lang", fleet.service_by_name)
+
+    def test_no_bound_of_ours_holds_an_entry_back(self) -> None:
+        keys = [f"many-{at}" for at in range(200)]
+        route = {**ADDED_ROUTE, "Name": "r-other", "PathPrefix": "/other/"}
+        shares = [{"Service": "lang", "Weight": 0}, {"Service": "portal", "Weight": 1}]
+        rows: tuple[dict[str, Any], ...] = (
+            {"Tenants": [{"Name": "other", "ApiKeys": keys}]},
+            {"Tenants": [{"Name": "other", "ApiKeys": keys, "Priority": 12}]},
+            {"Tenants": [{"Name": "Other Studio, Ltd.", "ApiKeys": keys}]},
+            {"Routes": [{**route, "Priority": 12}]},
+            {"Routes": [{**route, "MaxAttempts": 0}]},
+            {"Routes": [{**route, "Service": None, "Backends": shares}]},
+            {
+                "Services": [{"Name": "Archive_App.v2" * 6}],
+                "Routes": [{**route, "Service": "Archive_App.v2" * 6}],
+            },
+            {"Limits": {**CONFIGURATION["Limits"], "MaxHeaderBytes": 512}},
+        )
+        for changes in rows:
+            with self.subTest(changes=changes):
+                before = fleet_of(CONFIGURATION)
+                for base in (before, Fleet()):
+                    fleet = fleet_of(following(changes), base)
+                    self.assert_in_force(fleet)
+                    if "Tenants" in changes:
+                        name = changes["Tenants"][0]["Name"]
+                        self.assertEqual(fleet.account_of(key_hash(keys[-1])), name)
+                    if "Routes" in changes:
+                        found = fleet.routes.find("desk.example", "/other/1")
+                        self.assertEqual(found.name if found is not None else None, "r-other")
+
+    def test_an_entry_that_cannot_be_used_holds_no_other_back(self) -> None:
+        route = {**ADDED_ROUTE, "Name": "r-other", "PathPrefix": "/other/"}
+        rows: tuple[dict[str, Any], ...] = (
+            {"Routes": [{**route, "Type": "sometimes"}]},
+            {"Routes": [{"Name": "r-other"}]},
+            {"Routes": [{**route, "Service": "nowhere"}]},
+            {"Routes": [{**route, "TimeoutMs": -1}]},
+            {"Routes": [{**route, "PathPrefix": ADDED_ROUTE["PathPrefix"]}]},
+            {"Routes": ["no route"]},
+            {"Tenants": [{"Name": "other", "ApiKeys": "no list"}]},
+            {"Tenants": [{"Name": "other", "ApiKeys": ["a"], "Priority": "high"}]},
+            {"Tenants": [{"Name": "zeca", "ApiKeys": ["key-1", "key-zeca"]}]},
+            {"Tenants": [None]},
+            {"Services": [{"Name": "other", "EngineId": "no object"}]},
+            {"Services": [{"HealthPath": "/healthz"}]},
+            {"Limits": {"MaxHeaderBytes": "many"}},
+        )
+        for changes in rows:
+            with self.subTest(changes=changes):
+                for base in (fleet_of(CONFIGURATION), Fleet()):
+                    self.assert_in_force(fleet_of(following(changes), base))
