Take what the platform has accepted; leave out only the entry that cannot be used

Cause: routers checked an accepted configuration again, against bounds that only they knew (16 keys an account), and turned it away whole for one entry. Routers that ran stayed at the version before, routers that started had none. Change: bounds that protect nothing are gone; an entry that cannot be used is left out and told, all others are in force; a route left out keeps its place; 401 and 404 are said only where every entry of the kind is in force, else 503; a change of the log that cannot be read passes as an empty one. The tests that asked for the whole to be turned away asked for the fault; they now ask that the one entry is told, serves nobody, and that its requests reach no other route. Ruled out: the platform out of reach and a stale peer, by the record.

--- a/pondhatch/configuration/__init__.py
+++ b/pondhatch/configuration/__init__.py
@@ -2,15 +2,18 @@
 
 from pondhatch.configuration._changes import (
     KINDS,
+    UNREADABLE,
     Change,
     Edit,
+    EntryKey,
     Snapshot,
     Update,
     change_name,
 )
+from pondhatch.configuration._editing import CALLER_BOUNDS
 from pondhatch.configuration._files import Sources, checked, differences, read_files
-from pondhatch.configuration._fit import Misfit, fit
-from pondhatch.configuration._fleet import CALLER_BOUNDS, Fleet, Gap, Rejected
+from pondhatch.configuration._fit import Misfit, fit, told
+from pondhatch.configuration._fleet import Fleet, Gap, Rejected
 from pondhatch.configuration._following import (
     ChangeLog,
     ConfigurationSource,
@@ -33,7 +36,7 @@
     read_fleet,
     write_snapshot,
 )
-from pondhatch.configuration._routes import Route, RouteTable
+from pondhatch.configuration._routes import Route, RouteTable, Withheld
 from pondhatch.configuration._schema import (
     AccountPolicy,
     AccountSpec,
@@ -93,6 +96,7 @@
     "ConfigurationError",
     "Document",
     "Edit",
+    "EntryKey",
     "PeerEndpoint",
     "Fleet",
     "FleetFile",
@@ -111,6 +115,8 @@
     "Sources",
     "StatsdEndpoint",
     "TemplateSpec",
+    "UNREADABLE",
+    "Withheld",
     "Unresolved",
     "Update",
     "change_name",
@@ -121,6 +127,7 @@
     "load_fleet_key",
     "load_settings",
     "parse",
+    "told",
     "publish",
     "read_files",
     "read_fleet",
--- a/pondhatch/configuration/_changes.py
+++ b/pondhatch/configuration/_changes.py
@@ -15,6 +15,13 @@
 KINDS = ("service", "route", "bounds", "template", "account")
 
 
+#: Field of an entry that could not be read where it came from: why. Its other fields are what
+#: could be read of it.
+UNREADABLE = "unreadable"
+#: (kind, name) of an entry.
+EntryKey = tuple[str, str]
+
+
 class Edit(msgspec.Struct, frozen=True):
     """One entry set, or removed where ``value`` is None."""
 
--- a/pondhatch/configuration/_files.py
+++ b/pondhatch/configuration/_files.py
@@ -8,9 +8,9 @@
 
 import msgspec
 
-from pondhatch.configuration._changes import Edit
+from pondhatch.configuration._changes import Edit, EntryKey
 from pondhatch.configuration._fit import fit
-from pondhatch.configuration._fleet import EntryKey, Fleet, Rejected
+from pondhatch.configuration._fleet import Fleet, Rejected
 from pondhatch.configuration._problems import ConfigurationError, Problem
 from pondhatch.configuration._schema import FleetFile
 from pondhatch.configuration._yaml import Document, FieldPath, load
--- a/pondhatch/configuration/_fit.py
+++ b/pondhatch/configuration/_fit.py
@@ -11,7 +11,7 @@
 import functools
 import operator
 import types
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import Annotated, Any, Literal, TypeVar, Union, get_args, get_origin, get_type_hints
 
 import msgspec
@@ -46,6 +46,14 @@
     expected: str
 
 
+def told(misfits: Iterable[Misfit]) -> str:
+    """Return misfits of one entry as one line of text."""
+    return "; ".join(
+        f"{'.'.join(map(str, misfit.path))}: {misfit.expected}" if misfit.path else misfit.expected
+        for misfit in misfits
+    )
+
+
 @dataclasses.dataclass(frozen=True)
 class _Field:
     """A field of a data class."""
--- a/pondhatch/configuration/_following.py
+++ b/pondhatch/configuration/_following.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator, Callable
-from dataclasses import replace
 from typing import Any, Protocol
 
 import msgspec
@@ -15,7 +14,7 @@
 from pondhatch.configuration._changes import Change, Snapshot
 from pondhatch.configuration._fit import Misfit
 from pondhatch.configuration._fleet import Fleet, Rejected
-from pondhatch.configuration._publishing import CHANGE_KIND, Broken, read_fleet
+from pondhatch.configuration._publishing import CHANGE_KIND, Broken, read_change, read_fleet
 from pondhatch.store import Platform, PlatformLost, Unavailable
 
 News = Change | Fleet | Rejected | Broken
@@ -41,7 +40,7 @@
         """Yield each change, or the whole where some were missed."""
         async for event in self._platform.watch(CHANGE_KIND, None):
             if event.type == "set":
-                yield msgspec.convert(event.value, Change)
+                yield read_change(int(event.name), event.value)
             missed = event.type == "set" and int(event.name) > in_force().version
             if event.type == "bookmark" or missed:
                 fleet = await read_fleet(self._platform, in_force())
@@ -81,7 +80,4 @@
             return Rejected(((("document", self._name), Misfit((), str(error))),))
         if whole.version <= fleet.version:
             return fleet
-        replaced = fleet.replaced_by(whole)
-        if isinstance(replaced, Rejected):
-            return replace(replaced, version=whole.version)
-        return replaced
+        return fleet.replaced_by(whole)
--- a/pondhatch/configuration/_publishing.py
+++ b/pondhatch/configuration/_publishing.py
@@ -4,13 +4,14 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from typing import Any
 
 import msgspec
 
 from pondhatch.configuration._changes import Change, Edit, Snapshot, change_name
-from pondhatch.configuration._fleet import Fleet, Gap, Rejected
+from pondhatch.configuration._fleet import Fleet
+from pondhatch.observing import log_for
 from pondhatch.store import (
     Accepted,
     Found,
@@ -20,6 +21,8 @@
     Unavailable,
 )
 
+log = log_for("configuration")
+
 #: Kind of the platform's objects that hold changes.
 CHANGE_KIND = "pondhatch-change"
 #: Kind of the objects that hold parts of snapshots, and the pointer to the latest.
@@ -101,14 +104,32 @@
             return fleet
         if isinstance(found, Unavailable):
             return found
-        change = msgspec.convert(found.object.value, Change)
+        change = read_change(fleet.version + 1, found.object.value)
         following = fleet.with_change(change)
-        if isinstance(following, Gap):
-            return Broken(f"change {fleet.version + 1} calls itself {change.version}")
-        fleet = fleet.voided(change) if isinstance(following, Rejected) else following
+        fleet = following if isinstance(following, Fleet) else fleet.voided(change)
     return fleet
 
 
+def read_change(version: int, value: Any) -> Change:
+    """Return what the log holds under a version; an empty change where that is none.
+
+    It was accepted under its version, and every router passes over it alike: else it would
+    hold up all changes after it, and routers that start would know no configuration.
+    """
+    try:
+        change = msgspec.convert(value, Change)
+    except msgspec.ValidationError as error:
+        return _unreadable(version, str(error))
+    if change.version != version:
+        return _unreadable(version, f"calls itself {change.version}")
+    return change
+
+
+def _unreadable(version: int, reason: str) -> Change:
+    log.error("Change {} is void: {}.", version, reason)
+    return Change(version, "", "", 0.0, f"unreadable: {reason}", ())
+
+
 async def publish(
     platform: Platform, change: Change, sleep: Sleep = asyncio.sleep
 ) -> PublishOutcome:
@@ -175,10 +196,7 @@
         if isinstance(part, Missing):
             return Broken(f"part {number} of snapshot {pointer.version} is missing")
         edits.extend(msgspec.convert(part.object.value, list[Edit]))
-    fleet = Fleet.from_snapshot(Snapshot(pointer.version, tuple(edits)))
-    if isinstance(fleet, Rejected):
-        return Broken(f"snapshot {pointer.version}: {fleet}")
-    return replace(fleet, recent=())
+    return Fleet.from_snapshot(Snapshot(pointer.version, tuple(edits)))
 
 
 def _part_name(version: int, number: int) -> str:
--- a/pondhatch/configuration/_routes.py
+++ b/pondhatch/configuration/_routes.py
@@ -23,7 +23,20 @@
             left -= target.weight
             if left < 0:
                 return target.service
-        return targets[-1].service
+        # Rounding, a draw of 1, or no target with a share.
+        return max(reversed(targets), key=lambda target: target.weight > 0).service
+
+
+#: A host and the prefix of its paths.
+Place = tuple[str, str]
+
+
+@dataclass(frozen=True)
+class Withheld:
+    """The place of a route that cannot be used."""
+
+    host: str
+    path_prefix: str
 
 
 @dataclass(frozen=True)
@@ -31,18 +44,24 @@
     """All routes of a configuration. Never changed in place."""
 
     by_name: Mapping[str, RouteSpec] = field(default_factory=dict)
+    #: Places of the routes that cannot be used.
+    withheld: frozenset[Place] = frozenset()
     #: Routes by host in lower case, then by path prefix.
-    _by_host: Mapping[str, Mapping[str, Route]] = field(default_factory=dict)
+    _by_host: Mapping[str, Mapping[str, Route | Withheld]] = field(default_factory=dict)
 
     @classmethod
-    def of(cls, by_name: Mapping[str, RouteSpec]) -> RouteTable:
-        """Return the table of routes by name."""
-        by_host: dict[str, dict[str, Route]] = {}
+    def of(
+        cls, by_name: Mapping[str, RouteSpec], withheld: frozenset[Place] = frozenset()
+    ) -> RouteTable:
+        """Return the table of routes by name, and of places where there is none to be used."""
+        by_host: dict[str, dict[str, Route | Withheld]] = {}
+        for host, prefix in withheld:
+            by_host.setdefault(host.lower(), {})[prefix] = Withheld(host, prefix)
         for name, spec in by_name.items():
             by_host.setdefault(spec.host.lower(), {})[spec.path_prefix] = Route(name, spec)
-        return cls(by_name, by_host)
+        return cls(by_name, withheld, by_host)
 
-    def find(self, host: str, path: str) -> Route | None:
+    def find(self, host: str, path: str) -> Route | Withheld | None:
         """Return the route with the longest prefix of a path, or None.
 
         ``host`` may carry a port and ``path`` a query; both are left out.
--- a/pondhatch/configuration/_schema.py
+++ b/pondhatch/configuration/_schema.py
@@ -1,6 +1,7 @@
 """The schemas of templates, services and accounts.
 
-Sizes and rates are checked here so that no other part need do so again.
+Sizes and rates are checked here so that no other part need do so again. A bound stands here
+only where what lies beyond it cannot be served; what is merely unusual is taken as it is.
 """
 
 from __future__ import annotations
@@ -70,9 +71,9 @@
 class RouteTarget:
     """One of the services that share a route's requests."""
 
-    service: Name
-    #: Its share against the other targets of the route.
-    weight: Annotated[float, Meta(gt=0)] = 1.0
+    service: str
+    #: Its share against the other targets of the route; 0 gives it nothing.
+    weight: Annotated[float, Meta(ge=0)] = 1.0
 
 
 #: How often a route's requests may run.
@@ -113,7 +114,7 @@
     """What callers may send, as the configuration in force says it."""
 
     #: Bytes of all headers of a request together.
-    header_bytes: Annotated[int, Meta(ge=1024)]
+    header_bytes: Annotated[int, Meta(ge=1)]
     body_bytes: Annotated[int, Meta(ge=0)]
     #: Seconds for a request's head to come in full.
     header_seconds: Annotated[float, Meta(gt=0)]
@@ -146,9 +147,10 @@
 class AccountSpec:
     """A client account: a template filled in."""
 
-    template: Name
-    #: SHA-256 of the API keys, in hex; two while a key is being replaced.
-    key_hashes: Annotated[tuple[KeyHash, ...], Meta(min_length=1, max_length=16)]
+    template: str
+    #: SHA-256 of the API keys, in hex. As many as the operator gives: a look-up costs the same
+    #: for any number, and a bound here would hold an accepted account back.
+    key_hashes: Annotated[tuple[KeyHash, ...], Meta(min_length=1)]
     parameters: dict[Name, Scalar] = field(default_factory=dict)
 
 
@@ -157,7 +159,7 @@
     """What holds for an account once its template is filled in."""
 
     #: Services that the account may use.
-    services: Annotated[tuple[Name, ...], Meta(min_length=1)]
+    services: Annotated[tuple[str, ...], Meta(min_length=1)]
     requests_per_second: Annotated[float, Meta(gt=0, le=100_000)]
     burst: Annotated[int, Meta(ge=1, le=1_000_000)]
     #: Requests in flight at once, fleet-wide.
--- a/pondhatch/configuration/_templates.py
+++ b/pondhatch/configuration/_templates.py
@@ -26,9 +26,7 @@
 }
 
 
-def fill_in(
-    account: AccountSpec, template: TemplateSpec, services: Mapping[str, ServiceSpec]
-) -> AccountPolicy | tuple[Misfit, ...]:
+def fill_in(account: AccountSpec, template: TemplateSpec) -> AccountPolicy | tuple[Misfit, ...]:
     """Return the account's policy, or every misfit with paths inside the account."""
     misfits = _check_parameters(account, template)
     if misfits:
@@ -40,13 +38,20 @@
     policy = fit(AccountPolicy, _substituted(template.account, values))
     if not isinstance(policy, AccountPolicy):
         return tuple(_blame(misfit, account, template) for misfit in policy)
-    unknown = [name for name in policy.services if name not in services]
-    if unknown:
-        known = ", ".join(sorted(services)) or "none"
-        return (Misfit(("template",), f"undefined service {unknown[0]!r}; expected of: {known}"),)
     return policy
 
 
+def undefined_services(
+    policy: AccountPolicy, services: Mapping[str, ServiceSpec]
+) -> tuple[Misfit, ...]:
+    """Return what is wrong where an account may use services that are not there."""
+    undefined = [name for name in policy.services if name not in services]
+    if not undefined:
+        return ()
+    known = ", ".join(sorted(services)) or "none"
+    return (Misfit(("template",), f"undefined service {undefined[0]!r}; expected of: {known}"),)
+
+
 def check_template(template: TemplateSpec) -> tuple[Misfit, ...]:
     """Return what is wrong in a template whoever fills it in."""
     misfits = []
--- a/pondhatch/configuration/tests/test_publishing.py
+++ b/pondhatch/configuration/tests/test_publishing.py
@@ -4,19 +4,25 @@
 
 import asyncio
 import unittest
+from typing import Any
 
+import msgspec
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from fakes._entries import SERVICE, TEMPLATE
 from fakes._platform_in_memory import PlatformInMemory
 from pondhatch.configuration import (
+    CHANGE_KIND,
     Beaten,
     Change,
+    Edit,
     Fleet,
     NotWritten,
     Published,
+    Snapshot,
     Unresolved,
+    change_name,
     publish,
     read_fleet,
     write_snapshot,
@@ -54,6 +60,25 @@
         self.assertEqual(outcomes, [Published(2), Beaten(change(2, "ana"))])
         self.assertEqual(set((await self.fleet()).policy_by_account), {"ana"})
 
+    async def test_a_change_that_cannot_be_read_holds_no_other_up(self) -> None:
+        rows: tuple[Any, ...] = ({"version": "two"}, None, msgspec.to_builtins(change(7, "x")))
+        for at, value in enumerate(rows):
+            version = 2 + 2 * at
+            await self.platform.create(CHANGE_KIND, change_name(version), value)
+            later = change(version + 1, f"ana{at}")
+            self.assertEqual(await publish(self.platform, later, no_pause), Published(version + 1))
+        fleet = await self.fleet()
+        self.assertEqual(fleet.version, 7)
+        self.assertEqual(set(fleet.policy_by_account), {"ana0", "ana1", "ana2"})
+
+    async def test_a_snapshot_with_an_entry_that_cannot_be_used_is_read(self) -> None:
+        wrong = Edit("account", "x", {"template": "none", "key_hashes": ["0" * 64]})
+        edits = (SERVICE, TEMPLATE, account("a"), wrong)
+        self.assertTrue(await write_snapshot(self.platform, Snapshot(1, edits)))
+        fleet = await self.fleet()
+        self.assertEqual(set(fleet.policy_by_account), {"a"})
+        self.assertEqual(set(fleet.misfits_by_entry), {("account", "x")})
+
     async def test_a_lost_answer_is_resolved_by_recognising_the_own_change(self) -> None:
         self.platform.faults.arm("lost-answer")
         self.assertEqual(await publish(self.platform, change(2, "ana"), no_pause), Published(2))
--- a/pondhatch/platform/_configuration.py
+++ b/pondhatch/platform/_configuration.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import hashlib
-from typing import Any, Literal
+from collections.abc import Iterable, Iterator, Mapping
+from typing import Any, Generic, Literal, TypeVar
 
 import msgspec
 
-from pondhatch.configuration import CALLER_BOUNDS, Edit, ServiceDefaults, Snapshot
+from pondhatch.configuration import CALLER_BOUNDS, UNREADABLE, Edit, ServiceDefaults, Snapshot
 
 #: Templates of the accounts, which say all but their priority by themselves.
 OWN_PRIORITY = "own-priority"
@@ -16,6 +17,10 @@
 NO_RATE = 100_000.0
 NO_COUNT = 1_000_000
 
+#: Ends of the product's scale of priorities.
+MOST_URGENT = 0
+LEAST_URGENT = 9
+
 #: How often a route's requests may run, by the platform's word for its type.
 REPEATS_BY_TYPE = {"idempotent": "any", "non_idempotent": "never", "streaming": "never"}
 STREAMING = "streaming"
@@ -81,28 +86,68 @@
 
 
 class _Configuration(_Wire, frozen=True):
+    """The whole; its entries are read one by one, so that none holds up another."""
+
     version: int
-    routes: tuple[_Route, ...] = ()
-    services: tuple[_Service, ...] = ()
-    limits: _Limits | None = None
-    tenants: tuple[_Tenant, ...] | None = None
+    routes: tuple[Any, ...] = ()
+    services: tuple[Any, ...] = ()
+    limits: Any = None
+    tenants: tuple[Any, ...] | None = None
+
+
+Entry = TypeVar("Entry", _Service, _Route, _Tenant)
+
+
+class _Entries(Generic[Entry]):
+    """The entries of one kind that can be read, by name, and those that cannot."""
+
+    def __init__(self, kind: str, shape: type[Entry], values: Iterable[Any]) -> None:
+        self.by_name: dict[str, Entry] = {}
+        self.unreadable: list[Edit] = []
+        for at, value in enumerate(values):
+            try:
+                entry = msgspec.convert(value, shape)
+            except msgspec.ValidationError as error:
+                self.unreadable.append(_unreadable(kind, at, value, str(error)))
+                continue
+            if self.by_name.setdefault(entry.name, entry) is not entry:
+                reason = "another one has its name"
+                self.unreadable.append(_unreadable(kind, at, value, reason))
+
+    def __iter__(self) -> Iterator[tuple[str, Entry]]:
+        return iter(self.by_name.items())
 
 
 def decode_configuration(value: Any, defaults: ServiceDefaults) -> Snapshot:
-    """Return the operator's configuration as entries. Raises msgspec.ValidationError."""
+    """Return the operator's configuration as entries, unreadable ones as such.
+
+    Raises msgspec.ValidationError where the whole is no configuration.
+    """
     wire = msgspec.convert(value, _Configuration)
-    names = tuple(service.name for service in wire.services)
-    edits = [Edit("service", each.name, _service(each, defaults)) for each in wire.services]
-    edits += [Edit("route", each.name, _route(each, wire.tenants)) for each in wire.routes]
-    if wire.limits is not None:
-        edits.append(Edit("bounds", CALLER_BOUNDS, _bounds(wire.limits)))
-    tenants = [each for each in wire.tenants or () if each.api_keys]
-    if tenants:
-        edits += [_template(OWN_PRIORITY, names), _template(ROUTE_PRIORITY, names)]
-    edits += [Edit("account", each.name, _account(each)) for each in tenants]
+    services = _Entries("service", _Service, wire.services)
+    routes = _Entries("route", _Route, wire.routes)
+    tenants = _Entries("account", _Tenant, wire.tenants or ())
+    edits = [Edit("service", name, _service(each, defaults)) for name, each in services]
+    edits += [Edit("route", name, _route(each, wire.tenants is None)) for name, each in routes]
+    edits += _bounds(wire.limits)
+    # A tenant without keys is nobody's account.
+    accounts = [Edit("account", name, _account(each)) for name, each in tenants if each.api_keys]
+    edits += [*_templates(tuple(services.by_name)), *accounts] if accounts else []
+    edits += [*services.unreadable, *routes.unreadable, *tenants.unreadable]
     return Snapshot(wire.version, tuple(edits))
 
 
+def _unreadable(kind: str, at: int, value: Any, reason: str) -> Edit:
+    """Return an entry that cannot be read, with what can be, for it holds its place."""
+    fields = value if isinstance(value, Mapping) else {}
+    known = {"host": fields.get("Host"), "path_prefix": fields.get("PathPrefix")}
+    entry: dict[str, Any] = {name: each for name, each in known.items() if isinstance(each, str)}
+    name = fields.get("Name")
+    # Numbered, for its name may be another's, or none.
+    unique = f"{name if isinstance(name, str) else ''}#{at}"
+    return Edit(kind, unique, {**entry, UNREADABLE: reason})
+
+
 def _service(service: _Service, defaults: ServiceDefaults) -> dict[str, Any]:
     return {
         "kind": "plain" if service.engine_id is None else "model",
@@ -112,7 +157,7 @@
     }
 
 
-def _route(route: _Route, tenants: tuple[_Tenant, ...] | None) -> dict[str, Any]:
+def _route(route: _Route, nobody_has_keys: bool) -> dict[str, Any]:
     backends = route.backends or (_Backend(route.service or ""),)
     streams = route.type == STREAMING
     repeats = "resumed" if streams and route.resumable else REPEATS_BY_TYPE[route.type]
@@ -125,24 +170,37 @@
         "timeout": route.timeout_ms / 1000,
         "objective": route.target_latency_ms / 1000,
         "longest_pause": route.itl_target_ms / 1000,
-        "most_tries": route.max_attempts,
-        "priority": route.priority,
-        # Without accounts, nobody has a key.
-        "public": route.public or tenants is None,
+        # Whoever is sent anywhere is sent to one engine at least.
+        "most_tries": max(1, route.max_attempts),
+        "priority": _rank(route.priority),
+        "public": route.public or nobody_has_keys,
         "keeps_context": route.sticky,
     }
 
 
-def _bounds(limits: _Limits) -> dict[str, Any]:
-    return {
+def _rank(priority: int) -> int:
+    """Return a priority on the product's scale; the platform's goes on beyond its end."""
+    return min(max(priority, MOST_URGENT), LEAST_URGENT)
+
+
+def _bounds(value: Any) -> list[Edit]:
+    """Return what callers may send, where the operator says so."""
+    if value is None:
+        return []
+    try:
+        limits = msgspec.convert(value, _Limits)
+    except msgspec.ValidationError as error:
+        return [Edit("bounds", CALLER_BOUNDS, {UNREADABLE: str(error)})]
+    bounds = {
         "header_bytes": limits.max_header_bytes,
         "body_bytes": limits.max_body_bytes,
         "header_seconds": limits.header_timeout_ms / 1000,
         "idle_seconds": limits.idle_timeout_ms / 1000,
     }
+    return [Edit("bounds", CALLER_BOUNDS, bounds)]
 
 
-def _template(name: str, services: tuple[str, ...]) -> Edit:
+def _templates(services: tuple[str, ...]) -> list[Edit]:
     account: dict[str, Any] = {
         "services": list(services),
         "requests_per_second": NO_RATE,
@@ -150,12 +208,14 @@
         "concurrency": NO_COUNT,
         "priority": None,
     }
-    if name == ROUTE_PRIORITY:
-        return Edit("template", name, {"account": account})
-    account["priority"] = "$priority"
-    return Edit(
-        "template", name, {"account": account, "parameters": {"priority": {"type": "integer"}}}
-    )
+    own: dict[str, Any] = {
+        "account": {**account, "priority": "$priority"},
+        "parameters": {"priority": {"type": "integer"}},
+    }
+    return [
+        Edit("template", OWN_PRIORITY, own),
+        Edit("template", ROUTE_PRIORITY, {"account": account}),
+    ]
 
 
 def _account(tenant: _Tenant) -> dict[str, Any]:
@@ -163,5 +223,5 @@
     hashes = [hashlib.sha256(key.encode()).hexdigest() for key in tenant.api_keys]
     if tenant.priority is None:
         return {"template": ROUTE_PRIORITY, "key_hashes": hashes}
-    parameters = {"priority": tenant.priority}
+    parameters = {"priority": _rank(tenant.priority)}
     return {"template": OWN_PRIORITY, "key_hashes": hashes, "parameters": parameters}
--- a/pondhatch/router/__init__.py
+++ b/pondhatch/router/__init__.py
@@ -2,6 +2,7 @@
 
 from pondhatch.router._admission import (
     ANYBODY,
+    NO_ROUTE,
     Account,
     Admitted,
     admit,
@@ -9,7 +10,9 @@
     bearer_key,
     identify,
     identify_key,
+    misfit,
     service_of_path,
+    unknown,
 )
 from pondhatch.router._authority import Authority
 from pondhatch.router._beliefs import Beliefs
@@ -23,6 +26,9 @@
 
 __all__ = [
     "ANYBODY",
+    "NO_ROUTE",
+    "misfit",
+    "unknown",
     "UPSTREAM_KIND",
     "admit_routed",
     "agreed_key",
--- a/pondhatch/router/_admission.py
+++ b/pondhatch/router/_admission.py
@@ -22,6 +22,12 @@
 #: every engine is full. A caller refused within a quarter of it has time to come back.
 CONTEXT_SHARE = 0.1
 QUEUE_SHARE = 0.2
+#: Seconds after which to come back to a router that lacks an entry of the configuration: the
+#: users' bound on a change to be in force, so that a mended one is found.
+MISFIT_RETRY_AFTER = 2.0
+UNKNOWN_KEY = NotRun("unknown-key", "the API key belongs to no account", 0.0, UNAUTHORIZED)
+NO_SERVICE = NotRun("no-service", "no service answers to this model or path", 0.0, NOT_FOUND)
+NO_ROUTE = NotRun("no-route", "no route has this host and path", 0.0, NOT_FOUND)
 
 
 @dataclass(frozen=True)
@@ -67,10 +73,25 @@
         return NotRun("no-key", "expected 'Authorization: Bearer KEY'", 0.0, UNAUTHORIZED)
     account = state.fleet.account_of(hashlib.sha256(key.encode()).hexdigest())
     if account is None:
-        return NotRun("unknown-key", "the API key belongs to no account", 0.0, UNAUTHORIZED)
+        return unknown(state, "account", UNKNOWN_KEY)
     return Account(account)
 
 
+def unknown(state: RouterState, kind: str, definite: NotRun) -> NotRun:
+    """Return the refusal of what a caller names and this router does not find.
+
+    A definite one, on which callers give up, only where the configuration in force has every
+    entry of the kind: else the operator may well have written it.
+    """
+    return definite if state.knows_all(kind) else misfit(kind)
+
+
+def misfit(kind: str) -> NotRun:
+    """Return the refusal of what may need an entry that is not in force here."""
+    reason = f"not every {kind} of the configuration is in force here"
+    return NotRun("configuration-misfit", reason, MISFIT_RETRY_AFTER)
+
+
 def admit_routed(
     state: RouterState, account: Account, route: RouteSpec, service: str, wait: float | None
 ) -> Admitted | NotRun:
@@ -100,7 +121,7 @@
         return NotRun("stopping", "this router is stopping; ask again", 0.0)
     spec = state.fleet.service_by_name.get(service) if service is not None else None
     if service is None or spec is None:
-        return NotRun("no-service", "no service answers to this model or path", 0.0, NOT_FOUND)
+        return unknown(state, "service", NO_SERVICE)
     policy = _counted_in(state, account, service)
     if isinstance(policy, NotRun):
         return policy
--- a/pondhatch/router/_beliefs.py
+++ b/pondhatch/router/_beliefs.py
@@ -9,7 +9,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from pondhatch.configuration import Rejected
+from pondhatch.configuration import EntryKey, Misfit, told
 from pondhatch.membership import Member
 from pondhatch.observing import Believed, Records
 from pondhatch.router._state import RouterState
@@ -28,8 +28,10 @@
     # What was last recorded:
     #: The version of the configuration in force.
     _configuration_version: int = 0
-    #: The configuration that could not be taken.
-    _refused: Rejected | None = None
+    #: Why the newest configuration was none; empty where it was in force.
+    _refused: str = ""
+    #: What was wrong with entries of the configuration in force.
+    _misfits_by_entry: Mapping[EntryKey, tuple[Misfit, ...]] = field(default_factory=dict)
     #: The version of the list of upstreams.
     _upstreams_version: int = 0
     _state_by_upstream: dict[str, str] = field(default_factory=dict)
@@ -45,6 +47,7 @@
             *self._platform(),
             *self._configuration_in_force(),
             *self._configuration_refused(),
+            *self._entries(),
             *self._upstream_list(),
             *self._routers(),
             *self._upstreams_health(),
@@ -75,13 +78,25 @@
         return [Believed("configuration", "", "in force", version, why)]
 
     def _configuration_refused(self) -> list[Believed]:
-        refused = self.state.refused
+        refused = str(self.state.refused or "")
         if refused == self._refused:
             return []
         self._refused = refused
-        if refused is None:
-            return [Believed("configuration", "", "taken again", self.state.fleet.version)]
-        return [Believed("configuration", "", "refused", refused.version, str(refused))]
+        return [Believed("configuration", "", "refused" if refused else "taken again", why=refused)]
+
+    def _entries(self) -> list[Believed]:
+        misfits_by_entry = self.state.fleet.misfits_by_entry
+        if misfits_by_entry == self._misfits_by_entry:
+            return []
+        before, self._misfits_by_entry = self._misfits_by_entry, misfits_by_entry
+        version = self.state.fleet.version
+        wrong = {key: told(found) for key, found in misfits_by_entry.items()}
+        changed = [key for key in wrong if before.get(key) != misfits_by_entry[key]]
+        mended = sorted(before.keys() - wrong.keys())
+        return [
+            *(Believed("entry", " ".join(key), "misfit", version, wrong[key]) for key in changed),
+            *(Believed("entry", " ".join(key), "mended or gone", version) for key in mended),
+        ]
 
     def _upstream_list(self) -> list[Believed]:
         upstreams = self.state.upstreams
--- a/pondhatch/router/_state.py
+++ b/pondhatch/router/_state.py
@@ -64,8 +64,7 @@
     phase: Phase = Phase.LIVE
     #: Why the platform was last found out of reach; empty while it answers.
     platform_lost: str = ""
-    #: The newest configuration that was read here and not taken; None where the newest is
-    #: in force.
+    #: Why the newest configuration that was read here is none at all; None where it is in force.
     refused: Rejected | None = None
     #: When the configuration in force came into force, in seconds since 1970.
     in_force_at: float = 0.0
@@ -273,18 +272,22 @@
 
     def _put_in_force(self, fleet: Fleet) -> None:
         self.fleet = fleet
-        if self.refused is not None and self.refused.version <= fleet.version:
-            self.refused = None
+        self.refused = None
         self.in_force_at = time.time()
         self._live_by_service.clear()
 
+    def knows_all(self, kind: str) -> bool:
+        """Return whether every entry of a kind is in force here as the operator wrote it.
+
+        Where it is not, what a caller names may be in the part that is not, and "there is no
+        such thing" would be false.
+        """
+        return self.refused is None and self.fleet.is_whole(kind)
+
     def take_update(self, update: Update) -> Rejected | Gap | None:
         """Take in what a peer says that this router lacks."""
         if update.snapshot is not None and update.snapshot.version > self.fleet.version:
-            fleet = self.fleet.replaced_by(update.snapshot)
-            if isinstance(fleet, Rejected):
-                return fleet
-            self.take_fleet(fleet)
+            self.take_fleet(self.fleet.replaced_by(update.snapshot))
         wrongs = [self.take_change(change) for change in update.changes]
         return next((wrong for wrong in wrongs if wrong is not None), None)
 
--- a/pondhatch/transport/_routed_callers.py
+++ b/pondhatch/transport/_routed_callers.py
@@ -10,7 +10,7 @@
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET
 
-from pondhatch.configuration import CallerLimits, Route, RouteSpec
+from pondhatch.configuration import CallerLimits, Route, RouteSpec, Withheld
 from pondhatch.observing import RequestEnded, log_for
 from pondhatch.requests import (
     CallerGone,
@@ -22,12 +22,15 @@
 )
 from pondhatch.router import (
     ANYBODY,
+    NO_ROUTE,
     Account,
     Admitted,
     RouterState,
     admit_routed,
     identify_key,
+    misfit,
     not_ready,
+    unknown,
 )
 from pondhatch.transport._answers import fail
 from pondhatch.transport._caller_channel import CallerRequest, drain, read_whole
@@ -38,7 +41,6 @@
 
 log = log_for("callers")
 
-NOT_FOUND = 404
 TOO_LARGE = 413
 #: Bytes of a refused request's body that are read and dropped, so that its connection can
 #: be used again; beyond them it is closed.
@@ -153,8 +155,10 @@
             return NotRun("stopping", "this router is stopping; ask another", 0.0)
         host = request.getHeader("host") or ""
         route = self._state.fleet.routes.find(host, request.uri.decode("latin-1"))
+        if isinstance(route, Withheld):
+            return misfit("route")
         if route is None:
-            return NotRun("no-route", "no route has this host and path", 0.0, NOT_FOUND)
+            return unknown(self._state, "route", NO_ROUTE)
         return route
 
     def _admitted(
