Split membership by job: detection, dissemination, whole views, reconnection

Cause: membership/_swim.py held five jobs in one class of 300 lines: who is pinged and suspected, what this router says of itself and passes on, the exchange of whole views, tries at seeds and routers taken for dead, and what the router reads. A reader who looked for one of them had to know which of twelve fields belonged to it.

Change: each job has a module of its own (_failure_detection, _dissemination, _full_sync, _reconnection, and _membership_limits and _datagrams for the data). _swim.py keeps Membership, which puts them together and hands each message to the part it is for. Packets are encoded in one place, where three classes had an encoder each. The public face and the order of random draws are as they were.

--- a/pondhatch/membership/__init__.py
+++ b/pondhatch/membership/__init__.py
@@ -1,8 +1,10 @@
 """Membership: which routers are there, what they hold and carry, and who owns what."""
 
+from pondhatch.membership._datagrams import Datagram
 from pondhatch.membership._gossip import Gossip
 from pondhatch.membership._loads import FleetLoadView, speaking_order
 from pondhatch.membership._members import Member
+from pondhatch.membership._membership_limits import MembershipLimits
 from pondhatch.membership._ownership import owner_of, watchers
 from pondhatch.membership._records import (
     Alive,
@@ -18,7 +20,7 @@
     short_id,
 )
 from pondhatch.membership._seal import Seal
-from pondhatch.membership._swim import Datagram, Membership, MembershipLimits
+from pondhatch.membership._swim import Membership
 from pondhatch.membership._table import Address, Table
 
 __all__ = [
--- /dev/null
+++ b/pondhatch/membership/_full_sync.py
@@ -0,0 +1,46 @@
+"""Exchange of whole views, where two routers' views of the fleet differ."""
+
+from __future__ import annotations
+
+import random
+
+from pondhatch.membership._datagrams import Datagram, datagram_to
+from pondhatch.membership._dissemination import Dissemination
+from pondhatch.membership._membership_limits import MembershipLimits
+from pondhatch.membership._records import Sync
+from pondhatch.membership._table import Address, Table
+
+
+class FullSync:
+    """Sends this router's whole view, in parts that fit a packet."""
+
+    def __init__(
+        self,
+        table: Table,
+        dissemination: Dissemination,
+        limits: MembershipLimits,
+        rng: random.Random,
+    ) -> None:
+        self._table = table
+        self._dissemination = dissemination
+        self._limits = limits
+        self._rng = rng
+        self._next_sync = float("-inf")
+
+    def exchange_if_due(self, view: int, address: Address, now: float) -> list[Datagram]:
+        """Exchange whole views where the fingerprints differ, but not often."""
+        if view == self._dissemination.fingerprint() or now < self._next_sync:
+            return []
+        self._next_sync = now + self._limits.sync_interval * self._rng.uniform(0.5, 1.5)
+        return self.send(address, wanted=True)
+
+    def send(self, address: Address, wanted: bool) -> list[Datagram]:
+        """Return the packets with the whole view; ``wanted`` asks for the receiver's."""
+        own = self._dissemination.own
+        rumors = [own, *(entry.rumor() for entry in self._table)]
+        size = self._limits.sync_part
+        parts = [tuple(rumors[at : at + size]) for at in range(0, len(rumors), size)]
+        return [
+            datagram_to(address, Sync(own.router, wanted and at == 0, part))
+            for at, part in enumerate(parts)
+        ]
--- a/pondhatch/membership/_gossip.py
+++ b/pondhatch/membership/_gossip.py
@@ -7,8 +7,10 @@
 
 import msgspec
 
+from pondhatch.membership._datagrams import Datagram, datagram_to
 from pondhatch.membership._loads import FleetLoadView
 from pondhatch.membership._members import Member
+from pondhatch.membership._membership_limits import MembershipLimits
 from pondhatch.membership._records import (
     Alive,
     FleetLoads,
@@ -23,7 +25,7 @@
     Versions,
     short_id,
 )
-from pondhatch.membership._swim import Datagram, Membership, MembershipLimits
+from pondhatch.membership._swim import Membership
 from pondhatch.membership._table import Address
 
 
@@ -42,7 +44,6 @@
         self._own_loads: tuple[ServiceLoad, ...] = ()
         #: Takes in what routers tell each other of accounts' limits.
         self.on_limits: Callable[[LimitMessage, Address], list[Datagram]] | None = None
-        self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(Packet)
 
     def add_seeds(self, seeds: Iterable[Address]) -> None:
@@ -98,7 +99,7 @@
 
     def limit_datagram(self, message: LimitMessage, to: Address) -> Datagram:
         """Return a packet that carries demands or shares."""
-        return Datagram(to, self._encoder.encode(message))
+        return datagram_to(to, message)
 
     def unreachable(self, name: str, now: float) -> None:
         """Note a failed call: the router gets no work for a while."""
--- a/pondhatch/membership/_loads.py
+++ b/pondhatch/membership/_loads.py
@@ -12,8 +12,7 @@
 from dataclasses import dataclass
 from typing import Generic, TypeVar
 
-import msgspec
-
+from pondhatch.membership._datagrams import Datagram, datagram_to
 from pondhatch.membership._members import Member
 from pondhatch.membership._records import (
     FleetLoads,
@@ -24,8 +23,6 @@
     ServiceLoad,
     short_id,
 )
-from pondhatch.membership._swim import Datagram
-from pondhatch.membership._table import Address
 from pondhatch.placement import ranked
 
 #: Routers to which one passes the fleet's sum on.
@@ -87,7 +84,6 @@
         self._hall_by_name: dict[str, Heard[HallLoads]] = {}
         self._fleet: Heard[FleetLoads] | None = None
         self._speaks_since: float | None = None
-        self._encoder = msgspec.msgpack.Encoder()
         self._members: tuple[Member, ...] = ()
         self._order: tuple[Member, ...] = ()
         self._other_speakers: tuple[Member, ...] = ()
@@ -109,7 +105,7 @@
         if order[0].name != self._name:
             self._speaks_since = None
             report = OwnLoads(self._router, self._number, own)
-            return [self._to(order[0].address, report)]
+            return [datagram_to(order[0].address, report)]
         return self._speak(now)
 
     def receive(
@@ -159,7 +155,7 @@
             self._speaks_since = now
         if now - self._speaks_since < LISTENING:
             return []
-        sent = [self._to(speaker.address, hall) for speaker in self._other_speakers]
+        sent = [datagram_to(speaker.address, hall) for speaker in self._other_speakers]
         fleet_sum = _sum(heard.message.loads for heard in self._hall_by_name.values())
         fleet = FleetLoads(self._router, self._number, fleet_sum)
         self._fleet = Heard(fleet, now)
@@ -171,7 +167,8 @@
             return []
         first = names.index(self._name) * TREE_FANOUT + 1
         return [
-            self._to(child.address, message) for child in self._order[first : first + TREE_FANOUT]
+            datagram_to(child.address, message)
+            for child in self._order[first : first + TREE_FANOUT]
         ]
 
     def _is_news(self, message: FleetLoads, now: float) -> bool:
@@ -185,9 +182,6 @@
         self._own_by_router = _newer_than(oldest, self._own_by_router)
         self._hall_by_name = _newer_than(oldest, self._hall_by_name)
 
-    def _to(self, address: Address, message: LoadMessage) -> Datagram:
-        return Datagram(address, self._encoder.encode(message))
-
 
 def _keep(table: dict[Key, Heard[Report]], key: Key, message: Report, now: float) -> None:
     """Keep a report unless a newer one of the same sender is known."""
--- a/pondhatch/membership/_members.py
+++ b/pondhatch/membership/_members.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from dataclasses import dataclass
 
 from pondhatch.membership._records import Alive, Phase, Status
@@ -41,11 +42,12 @@
             self._revision = self._table.revision
         return self._members
 
-    def addresses(self, but: int | None = None) -> list[Address]:
-        """Return where the others that can be reached are, leaving one out."""
-        return [
+    def sample(self, count: int, rng: random.Random, but: int | None = None) -> list[Address]:
+        """Return where some others that can be reached are, chosen at random, leaving one out."""
+        others = [
             Address(alive.host, alive.port) for alive in self._reachable() if alive.router != but
         ]
+        return rng.sample(others, min(count, len(others)))
 
     def unreachable(self, router: int, until: float) -> None:
         """Pass a router over until some time."""
--- /dev/null
+++ b/pondhatch/membership/_reconnection.py
@@ -0,0 +1,60 @@
+"""Reconnection: seeds and routers taken for dead are tried, so that a cut heals."""
+
+from __future__ import annotations
+
+import random
+
+from pondhatch.membership._datagrams import Datagram, datagram_to
+from pondhatch.membership._dissemination import Dissemination
+from pondhatch.membership._membership_limits import MembershipLimits
+from pondhatch.membership._records import Sync
+from pondhatch.membership._table import Address, Entry, Table
+
+
+class Reconnection:
+    """Greets addresses at which no live router is known, at intervals."""
+
+    def __init__(
+        self,
+        table: Table,
+        dissemination: Dissemination,
+        limits: MembershipLimits,
+        rng: random.Random,
+    ) -> None:
+        self._table = table
+        self._dissemination = dissemination
+        self._limits = limits
+        self._rng = rng
+        self._next_reconnect = float("-inf")
+
+    def make_due(self) -> None:
+        """Have the next try made without waiting for the interval."""
+        self._next_reconnect = float("-inf")
+
+    def greetings(self, seeds: tuple[Address, ...], now: float) -> list[Datagram]:
+        """Speak to a seed or a router taken for dead: either may be behind a cut that healed."""
+        alone = not any(entry.there for entry in self._table)
+        if now < self._next_reconnect and not alone:
+            return []
+        self._next_reconnect = now + self._limits.reconnect_interval
+        dead = {entry.address: entry for entry in self._table if not entry.there}
+        absent = self._absent({*seeds, *dead})
+        if not absent:
+            return []
+        # One that knows nobody asks several: of a fleet that starts, some are not there yet.
+        most = self._limits.news_fanout if alone else 1
+        greeted = self._rng.sample(absent, min(len(absent), most))
+        return [self._greeting(address, dead.get(address)) for address in greeted]
+
+    def _absent(self, addresses: set[Address]) -> list[Address]:
+        """Return those addresses, in order, at which neither this nor a live router is."""
+        own = self._dissemination.own
+        here = {entry.address for entry in self._table if entry.there}
+        here.add(Address(own.host, own.port))
+        return sorted(addresses - here, key=lambda each: (each.host, each.port))
+
+    def _greeting(self, address: Address, known: Entry | None) -> Datagram:
+        """Ask for a whole view; a router taken for dead is told so, and can contradict."""
+        own = self._dissemination.own
+        about = (known.rumor(),) if known is not None else ()
+        return datagram_to(address, Sync(own.router, True, (own, *about)))
