Split the command line's commands by job

To find what applying files does, a reader passed the start of a router, the making of keys and the loop.

Change: a module for each job: run, commands that change the configuration, that show it, that ask a router, that make keys. _commands.py lists them.

--- /dev/null
+++ b/pondhatch/cli/_change_commands.py
@@ -0,0 +1,135 @@
+"""The commands that change the configuration, or tell what a change would do."""
+
+from __future__ import annotations
+
+import sys
+import time
+import uuid
+from pathlib import Path
+
+from pondhatch.cli._platform_work import run_on_fleet
+from pondhatch.cli._reports import EXIT_DONE, EXIT_INPUT, print_edits, report, unreadable
+from pondhatch.configuration import (
+    CHANGES_PER_SNAPSHOT,
+    Change,
+    Edit,
+    Fleet,
+    Published,
+    checked,
+    differences,
+    publish,
+    read_files,
+    read_fleet,
+    write_snapshot,
+)
+from pondhatch.store import Platform
+
+
+def check(*files: Path) -> int:
+    """Check files of services, templates and accounts without applying them.
+
+    :param files: YAML files, or folders of them
+    """
+    sources = read_files(files)
+    fleet = checked(Fleet(), sources, sources.edits)
+    services, accounts = len(fleet.service_by_name), len(fleet.policy_by_account)
+    print(f"ok: {services} services, {len(fleet.template_by_name)} templates, {accounts} accounts")
+    return EXIT_DONE
+
+
+def diff(*files: Path, platform: str, prune: bool = False) -> int:
+    """Show what applying files would change, and every account it touches.
+
+    :param files: YAML files, or folders of them
+    :param platform: the platform's URL
+    :param prune: also show entries that are in force but not in the files
+    """
+    return apply(*files, platform=platform, author="", dry_run=True, prune=prune)
+
+
+def apply(
+    *files: Path,
+    platform: str,
+    author: str,
+    note: str = "",
+    dry_run: bool = False,
+    prune: bool = False,
+) -> int:
+    """Apply files of services, templates and accounts: all of it, or nothing.
+
+    :param files: YAML files, or folders of them
+    :param platform: the platform's URL
+    :param author: who makes the change; kept in its history
+    :param note: why; kept in its history
+    :param dry_run: only show what would change
+    :param prune: also remove entries that are in force but not in the files
+    """
+    sources = read_files(files)
+
+    async def work(store: Platform, fleet: Fleet) -> int:
+        edits = differences(fleet, sources, prune)
+        edited = checked(fleet, sources, edits)
+        print_edits(edits, fleet, edited)
+        if dry_run or not edits:
+            return EXIT_DONE
+        return await _publish(store, _change(fleet, edits, author, note), edited)
+
+    return run_on_fleet(platform, work)
+
+
+def undo(version: int, *, platform: str, author: str) -> int:
+    """Take a change back, as a new change that restores what it replaced.
+
+    :param version: the version of the change to take back
+    :param platform: the platform's URL
+    :param author: who takes it back
+    """
+
+    async def work(store: Platform, fleet: Fleet) -> int:
+        undone = next((each for each in fleet.recent if each.version == version), None)
+        if undone is None:
+            print(
+                f"change {version} is not among those kept since the last snapshot", file=sys.stderr
+            )
+            return EXIT_INPUT
+        before = await read_fleet(store, Fleet(), until=version - 1)
+        if not isinstance(before, Fleet):
+            return unreadable(before)
+        edits = _inverse(before, undone)
+        edited = fleet.with_edits(edits)
+        if not isinstance(edited, Fleet):
+            print(f"cannot take back change {version}: {edited}", file=sys.stderr)
+            return EXIT_INPUT
+        print_edits(edits, fleet, edited)
+        change = _change(fleet, edits, author, f"takes back {version}")
+        return await _publish(store, change, edited)
+
+    return run_on_fleet(platform, work)
+
+
+def _change(fleet: Fleet, edits: tuple[Edit, ...], author: str, note: str) -> Change:
+    return Change(fleet.version + 1, uuid.uuid4().hex, author, time.time(), note, edits)
+
+
+def _inverse(before: Fleet, undone: Change) -> tuple[Edit, ...]:
+    """Return edits that restore what stood before a change."""
+    return tuple(
+        Edit(edit.kind, edit.name, before.value_or_none(edit.kind, edit.name))
+        for edit in undone.edits
+    )
+
+
+async def _publish(store: Platform, change: Change, edited: Fleet) -> int:
+    """Publish a change, print what became of it, and return the exit code."""
+    outcome = await publish(store, change)
+    if isinstance(outcome, Published):
+        await _snapshot_if_due(store, edited, outcome.version)
+    return report(outcome)
+
+
+async def _snapshot_if_due(store: Platform, edited: Fleet, version: int) -> None:
+    if version % CHANGES_PER_SNAPSHOT != 0:
+        return
+    fleet = await read_fleet(store, Fleet())
+    if isinstance(fleet, Fleet) and fleet.version >= version:
+        await write_snapshot(store, fleet.snapshot())
--- /dev/null
+++ b/pondhatch/cli/_key_commands.py
@@ -0,0 +1,16 @@
+"""The command that makes API keys."""
+
+from __future__ import annotations
+
+import hashlib
+import secrets
+
+from pondhatch.cli._reports import EXIT_DONE
+
+
+def new_key() -> int:
+    """Make an API key: print the key for the caller and the hash for the account."""
+    key = f"pk-{secrets.token_urlsafe(32)}"
+    print(f"key: {key}")
+    print(f"hash: {hashlib.sha256(key.encode()).hexdigest()}")
+    return EXIT_DONE
--- a/pondhatch/cli/_main.py
+++ b/pondhatch/cli/_main.py
@@ -12,8 +12,9 @@
 from pathlib import Path
 
 from pondhatch import __version__
-from pondhatch.cli._commands import COMMANDS, run
+from pondhatch.cli._commands import COMMANDS
 from pondhatch.cli._reports import EXIT_INPUT
+from pondhatch.cli._run_command import run
 from pondhatch.configuration import ConfigurationError
 from pondhatch.kernel import collect_garbage
 
--- /dev/null
+++ b/pondhatch/cli/_view_commands.py
@@ -0,0 +1,47 @@
+"""The commands that show the configuration and its history."""
+
+from __future__ import annotations
+
+import sys
+import time
+
+from pondhatch.cli._platform_work import run_on_fleet
+from pondhatch.cli._reports import EXIT_DONE, EXIT_INPUT
+from pondhatch.configuration import Fleet
+from pondhatch.store import Platform
+
+
+def show(*, platform: str, name: str = "") -> int:
+    """Show the configuration that the platform holds, without keys.
+
+    :param platform: the platform's URL
+    :param name: show only this account
+    """
+
+    async def work(_: Platform, fleet: Fleet) -> int:
+        print(f"version {fleet.version}")
+        for account, policy in sorted(fleet.policy_by_account.items()):
+            if name in ("", account):
+                print(f"{account}: {policy}")
+        if name and name not in fleet.policy_by_account:
+            print(f"no account {name!r}", file=sys.stderr)
+            return EXIT_INPUT
+        return EXIT_DONE
+
+    return run_on_fleet(platform, work)
+
+
+def history(*, platform: str) -> int:
+    """Show the changes since the last snapshot: who, when, why, what.
+
+    :param platform: the platform's URL
+    """
+
+    async def work(_: Platform, fleet: Fleet) -> int:
+        for change in fleet.recent:
+            at = time.strftime("%Y-%m-%d %H:%M:%S", time.gmtime(change.made_at))
+            what = ", ".join(f"{edit.kind} {edit.name}" for edit in change.edits)
+            print(f"{change.version}  {at} UTC  {change.author}  {change.note or '-'}: {what}")
+        return EXIT_DONE
+
+    return run_on_fleet(platform, work)
