Split callers' connections: body, request, writer, connection

Cause: transport/_caller_channel.py held five classes with different jobs. How a body is read, how a request begins before its body is there, how fast an answer is written and when a connection is cut or timed out lay one after the other, and the module's comment told only of the first two.

Change: the body, the request and the writer have modules of their own; the connection and the site that makes connections stay.

What ran: format, lint and types pass; all classes of transport/tests and the tests of the whole path pass (72 tests).

--- a/pondhatch/transport/__init__.py
+++ b/pondhatch/transport/__init__.py
@@ -2,8 +2,10 @@
 
 from pondhatch.transport._admin import Admin, readable
 from pondhatch.transport._answers import cut, fail, write_head
-from pondhatch.transport._caller_channel import CallerRequest, CallerSite, read_whole
+from pondhatch.transport._caller_body import read_whole
+from pondhatch.transport._caller_channel import CallerSite
 from pondhatch.transport._caller_dialect import CallerDialect, CallerFacts
+from pondhatch.transport._caller_request import CallerRequest
 from pondhatch.transport._gossip import GossipPort
 from pondhatch.transport._headers import HOP_HEADERS
 from pondhatch.transport._http_client import HttpClient
--- /dev/null
+++ b/pondhatch/transport/_caller_body.py
@@ -0,0 +1,38 @@
+"""Callers' bodies, read part by part as they come."""
+
+from __future__ import annotations
+
+from pondhatch.transport._parts import PartPipe
+
+
+class CallerBody:
+    """A caller's body read from its connection; see BodySource."""
+
+    def __init__(self, length: int | None, pipe: PartPipe) -> None:
+        self.length = length
+        self._pipe = pipe
+
+    async def read(self) -> bytes:
+        """Return the next part, or b"" at the end. Raises CallerGone."""
+        return await self._pipe.read()
+
+
+async def read_whole(body: CallerBody, limit: int) -> bytes | None:
+    """Return a body, or None where it is larger than the limit."""
+    if body.length is not None and body.length > limit:
+        return None
+    parts: list[bytes] = []
+    size = 0
+    while part := await body.read():
+        parts.append(part)
+        size += len(part)
+        if size > limit:
+            return None
+    return b"".join(parts)
+
+
+async def drain(body: CallerBody, limit: int) -> None:
+    """Read and drop a body, up to a limit."""
+    size = 0
+    while size <= limit and (part := await body.read()):
+        size += len(part)
--- /dev/null
+++ b/pondhatch/transport/_caller_request.py
@@ -0,0 +1,87 @@
+"""Callers' requests, handled once their head is there.
+
+twisted.web reads a whole body, into a file where it is large, before it looks
+for a resource. Here the body is a pipe: a slow upstream slows the caller down,
+and nothing is written to disk.
+"""
+
+from __future__ import annotations
+
+import io
+from typing import Any
+
+from twisted.python.failure import Failure
+from twisted.web.server import Request
+
+from pondhatch.requests import CallerGone
+from pondhatch.transport._caller_body import CallerBody
+from pondhatch.transport._parts import PartPipe
+
+
+class CallerRequest(Request):
+    """A request that is handled as soon as its head has come."""
+
+    channel: Any
+
+    def __init__(self, *arguments: Any, **named: Any) -> None:
+        super().__init__(*arguments, **named)
+        self.pipe = PartPipe(self._pause_body, self._resume_body)
+        self._length: int | None = None
+
+    def gotLength(self, length: int | None) -> None:
+        """Begin to handle the request; its body follows through the pipe."""
+        self.content = io.BytesIO()
+        begin = (self.channel._command, self.channel._path, self.channel._version)
+        self.channel.callLater(0, self._begin, length, *begin)
+
+    def body(self) -> CallerBody:
+        """Return the body to be read."""
+        return CallerBody(self._length, self.pipe)
+
+    def handleContentChunk(self, data: bytes) -> None:
+        """Take in a part of the body."""
+        self.pipe.put(data)
+
+    def requestReceived(self, command: bytes, path: bytes, version: bytes) -> None:
+        """Note the end of the body; the request has long begun."""
+        self.pipe.end()
+
+    def connectionLost(self, reason: Failure) -> None:
+        """Tell whoever reads the body that the caller is gone."""
+        self.pipe.fail(CallerGone("the caller closed its connection"))
+        super().connectionLost(reason)
+
+    def finish(self) -> None:
+        """Finish the answer; a connection with unread body left is not used again."""
+        if not self.pipe.ended and self.channel is not None:
+            if not self.startedWriting:
+                self.responseHeaders.setRawHeaders(b"Connection", [b"close"])
+            self.channel.cut()
+        super().finish()
+
+    def is_open(self) -> bool:
+        """Return whether its answer may still be written or ended."""
+        there = self.channel is not None and not self._disconnected
+        return there and not self.finished and not self.channel.is_aborted
+
+    def cut(self) -> None:
+        """Cut the connection: the answer will not be whole."""
+        if self.is_open():
+            self.channel.forceAbortClient()
+
+    def _begin(self, length: int | None, command: bytes, path: bytes, version: bytes) -> None:
+        if self.channel is None or self._disconnected:
+            return
+        self._length = length
+        self.args = {}
+        self.method, self.uri, self.clientproto = command, path, version
+        self.path = path.split(b"?", 1)[0]
+        self.process()
+
+    def _pause_body(self) -> None:
+        if self.channel is not None:
+            self.channel.pause_caller()
+
+    def _resume_body(self) -> None:
+        if self.channel is not None:
+            self.channel.resume_caller()
--- /dev/null
+++ b/pondhatch/transport/_caller_writer.py
@@ -0,0 +1,51 @@
+"""Answers written at the pace at which the caller takes them."""
+
+from __future__ import annotations
+
+import asyncio
+
+from pondhatch.requests import CallerGone
+from pondhatch.transport._caller_request import CallerRequest
+
+
+class CallerWriter:
+    """Writes an answer no faster than the caller takes it; see PartSink.
+
+    At most one part waits here, beyond the transport's own buffer of 64 KB.
+    """
+
+    def __init__(self, request: CallerRequest) -> None:
+        self._request = request
+        self._flowing = asyncio.Event()
+        self._flowing.set()
+        self._gone = False
+        request.registerProducer(self, True)
+
+    def write(self, part: bytes) -> bool:
+        """Write a part; False where the caller is to be waited for. Raises CallerGone."""
+        if self._gone or self._request._disconnected:
+            raise CallerGone("the caller closed its connection")
+        self._request.write(part)
+        return self._flowing.is_set()
+
+    async def ready(self) -> None:
+        """Wait until the caller has taken what came before."""
+        await self._flowing.wait()
+
+    def close(self) -> None:
+        """Stop being told of the caller's pace."""
+        if not self._request._disconnected and not self._request.finished:
+            self._request.unregisterProducer()
+
+    def pauseProducing(self) -> None:
+        """Called by the connection when its buffer is full."""
+        self._flowing.clear()
+
+    def resumeProducing(self) -> None:
+        """Called by the connection when its buffer has drained."""
+        self._flowing.set()
+
+    def stopProducing(self) -> None:
+        """Called by the connection when the caller is gone."""
+        self._gone = True
+        self._flowing.set()
--- a/pondhatch/transport/_serving.py
+++ b/pondhatch/transport/_serving.py
@@ -32,7 +32,8 @@
 )
 from pondhatch.router import ANYBODY, Account, Admitted
 from pondhatch.transport._answers import Answers, replay
-from pondhatch.transport._caller_channel import CallerRequest, CallerWriter
+from pondhatch.transport._caller_request import CallerRequest
+from pondhatch.transport._caller_writer import CallerWriter
 from pondhatch.transport._interface import CallerParts
 
 log = log_for("callers")
