--- a/pondhatch/authority/__init__.py
+++ b/pondhatch/authority/__init__.py
@@ -12,14 +12,8 @@
     Taken,
     Wanted,
 )
-from pondhatch.authority._lease import (
-    LEASE_KIND,
-    LeaseKeeper,
-    LeaseRecord,
-    Read,
-    Terms,
-    Write,
-)
+from pondhatch.authority._lease import LeaseKeeper
+from pondhatch.authority._lease_record import LEASE_KIND, LeaseRecord, Read, Terms, Write
 from pondhatch.authority._orderer import Orderer, OrdererStatus
 from pondhatch.authority._orders import Due, due_orders, wanted_by_engine
 
--- /dev/null
+++ b/pondhatch/authority/_lease_record.py
@@ -0,0 +1,57 @@
+"""A lease as data: its record, its times, and the calls to the platform with their outcomes."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import msgspec
+
+from pondhatch.store import Accepted, Conflict, Found, Missing, OutcomeUnknown, Unavailable
+
+#: Kind of the platform's objects that are leases.
+LEASE_KIND = "pondhatch-lease"
+
+
+class LeaseRecord(msgspec.Struct, frozen=True):
+    """A lease as it lies at the platform."""
+
+    holder: str
+    fencing: int
+    #: Tells a write from every other write, so that a writer recognises its own.
+    nonce: str
+    #: Whether the holder stepped down.
+    released: bool = False
+
+
+@dataclass(frozen=True)
+class Terms:
+    """The times of a lease, in seconds. A holder keeps ``margin`` back for clocks that drift."""
+
+    duration: float = 10.0
+    renew_every: float = 3.0
+    #: Between two reads of a candidate.
+    read_every: float = 2.0
+    margin: float = 1.0
+    #: An order is given up after so long; none is begun that could outlast the lease.
+    order_seconds: float = 2.0
+    #: How long a new holder lets engines alone that ignore fencing numbers, after an
+    #: emergency: orders of the last holder that were under way have ended by then.
+    settle: float = 4.0
+
+
+@dataclass(frozen=True)
+class Read:
+    """Read the lease."""
+
+
+@dataclass(frozen=True)
+class Write:
+    """Write the lease, if it still has the version; None means if there is none."""
+
+    record: LeaseRecord
+    version: int | None
+
+
+Call = Read | Write
+WriteOutcome = Accepted | Conflict | OutcomeUnknown | Unavailable
+ReadOutcome = Found | Missing | Unavailable
--- a/pondhatch/authority/_orderer.py
+++ b/pondhatch/authority/_orderer.py
@@ -18,7 +18,8 @@
     Taken,
     Wanted,
 )
-from pondhatch.authority._lease import LEASE_KIND, LeaseKeeper, Read
+from pondhatch.authority._lease import LeaseKeeper
+from pondhatch.authority._lease_record import LEASE_KIND, Read
 from pondhatch.authority._orders import Due, due_orders, wanted_by_engine
 from pondhatch.configuration import OrdersSpec
 from pondhatch.observing import log_for
