End no answer as a cleanup; let an account use the services that are there

Cause: every way out of a request finished whatever answer was open, so that each new way out had to know to cut it first; a caller taken for gone while its connection was open got the end of a whole answer. Of an account that names a service that is not there, nothing said which part is in force. Change: an answer is finished where it was seen to be whole or refused, cut on every other way out; an account's policy holds the services that are there. Before: the new test fails for one of three errors.

--- a/pondhatch/configuration/_editing.py
+++ b/pondhatch/configuration/_editing.py
@@ -203,7 +203,8 @@
             self._note_all("account", account, policy)
             return
         self._note_all("account", account, undefined_services(policy, self._services))
-        self._policies[account] = policy
+        defined = tuple(each for each in policy.services if each in self._services)
+        self._policies[account] = replace(policy, services=defined)
         for at, key_hash in enumerate(spec.key_hashes):
             self._claim_key(account, at, key_hash)
 
--- a/pondhatch/configuration/tests/test_misfits.py
+++ b/pondhatch/configuration/tests/test_misfits.py
@@ -101,6 +101,14 @@
         later = fleet.replaced_by(Snapshot(3, both[:3]))
         self.assertEqual((later.account_of(shared), later.misfits_by_entry), ("b", {}))
 
+    def test_an_account_may_use_the_services_that_are_there(self) -> None:
+        edits = (PLAIN, TEMPLATE, account("a"))
+        first = Fleet.from_snapshot(Snapshot(1, edits))
+        self.assertEqual(first.policy_by_account["a"].services, ())
+        later = first.replaced_by(Snapshot(2, (*edits, SERVICE)))
+        self.assertEqual(later.policy_by_account["a"].services, ("lang",))
+        self.assertEqual(later.misfits_by_entry, {})
+
     def test_a_route_whose_service_comes_later_is_then_whole(self) -> None:
         targets = [{"service": "lang"}, {"service": "portal"}]
         edits = (SERVICE, route_edit("r", targets=targets))
--- a/pondhatch/transport/_routed_callers.py
+++ b/pondhatch/transport/_routed_callers.py
@@ -92,6 +92,7 @@
                 await self._serving.run(request, work, started)
         except CallerGone:
             self._metrics.count("callers.gone")
+            request.cut()
         except asyncio.CancelledError:
             # The caller left, or this router ends before the answer did: what was sent of
             # it must not look whole.
@@ -102,10 +103,11 @@
             log.exception("A request ended in an error of this router.")
             self._metrics.count("requests.router-failed")
             fail(request, self._answers)
+            _finish(request)
+        else:
+            _finish(request)
         finally:
             self.in_flight -= 1
-            if request.is_open():
-                request.finish()
 
     def _note_refusal(self, request: CallerRequest, refusal: NotRun, started: float) -> None:
         """Leave a decision on a request that was refused before any engine was chosen."""
@@ -183,6 +185,16 @@
         return self._limits().chat_body_bytes if bounds is None else bounds.body_bytes
 
 
+def _finish(request: CallerRequest) -> None:
+    """End an answer that is whole, or a refusal.
+
+    Only where that was seen to be so, and never as a cleanup: the end of a chunked body says
+    to the caller that it has all of it.
+    """
+    if request.is_open():
+        request.finish()
+
+
 def _cancel(task: asyncio.Task[None]) -> None:
     task.cancel()
 
--- a/pondhatch/transport/tests/test_routed_callers.py
+++ b/pondhatch/transport/tests/test_routed_callers.py
@@ -26,6 +26,7 @@
     BodySource,
     Broken,
     Busy,
+    CallerGone,
     Elsewhere,
     Ended,
     Headers,
@@ -539,6 +540,37 @@
         self.assertTrue(self.wire.aborted)
 
 
+class Raising(Answer):
+    """An answer whose passing on ends in an error."""
+
+    def __init__(self, error: Exception) -> None:
+        super().__init__((b"ye",), headers=(("Instance-Signature", "3e"),))
+        self._error = error
+
+    async def pour(self, sink: PartSink) -> None:
+        await super().pour(sink)
+        raise self._error
+
+
+class NoCleanupLooksWholeTest(RoutedCallersTest):
+    """Streams that were cut when routers stopped had got the end of a whole answer.
+
+    The requests that still ran at the end of a router's time to stop were cancelled, and the
+    cleanup that every way out ran through finished whatever answer was open. What showed it:
+    both streams ended in the millisecond in which the router did. A router that ends cuts now
+    (see RouterEndsTest); here every other error takes the same way out.
+    """
+
+    async def test_an_error_midway_cuts_the_answer(self) -> None:
+        for error in (CallerGone("gone"), RuntimeError("a fault"), ConnectionError("lost")):
+            with self.subTest(error=error):
+                await self.asyncSetUp()
+                self.upstreams.replies = [Opened(Raising(error))]
+                told = await self.ask("GET /x HTTP/1.1")
+                self.assertTrue(told.endswith(b"2\r\nye\r\n"), told)
+                self.assertTrue(self.wire.aborted)
+
+
 class Held(Starting):
     """Holds requests until it is told."""
 
