--- a/pondhatch/configuration/_changes.py
+++ b/pondhatch/configuration/_changes.py
@@ -15,8 +15,8 @@
 KINDS = ("service", "route", "bounds", "template", "account")
 
 
-#: Field of an entry that could not be read where it came from: why. Its other fields are what
-#: could be read of it.
+#: Field of an entry that could not be read in full where it came from: why. Its other fields
+#: are what could be read of it; where they are enough for an entry, that is in force.
 UNREADABLE = "unreadable"
 #: (kind, name) of an entry.
 EntryKey = tuple[str, str]
--- a/pondhatch/configuration/_editing.py
+++ b/pondhatch/configuration/_editing.py
@@ -147,13 +147,26 @@
         table.pop(edit.name, None)
         if edit.value is None:
             return None
-        spec = _read(shape, edit.value)
-        if isinstance(spec, tuple):
-            self._note_all(edit.kind, edit.name, spec)
-            return None
-        table[edit.name] = spec
+        spec = self._read(edit.kind, edit.name, shape, edit.value)
+        if spec is not None:
+            table[edit.name] = spec
         return spec
 
+    def _read(self, kind: str, name: str, shape: type[Shape], value: Any) -> Shape | None:
+        """Return an entry in its shape, or None where it cannot be used; note what is wrong."""
+        reason = value.get(UNREADABLE) if isinstance(value, dict) else None
+        if reason is None:
+            fitted = fit(shape, value)
+        else:
+            self._note(kind, name, Misfit((), str(reason)))
+            rest = {key: each for key, each in value.items() if key != UNREADABLE}
+            fitted = fit(shape, rest)
+        if isinstance(fitted, shape):
+            return fitted
+        if reason is None and isinstance(fitted, tuple):
+            self._note_all(kind, name, fitted)
+        return None
+
     def _set_template(self, edit: Edit) -> None:
         template = self._set_spec(edit, TemplateSpec, self._templates)
         if template is None:
@@ -184,19 +197,16 @@
 
     def _forget_keys(self, account: str) -> None:
         self._policies.pop(account, None)
-        before = _account_spec(self._base.raw_by_entry.get(("account", account)))
-        if not isinstance(before, AccountSpec):
-            return
-        for key_hash in before.key_hashes:
+        for key_hash in _key_hashes(self._base.raw_by_entry.get(("account", account))):
             if self._account_by_key_hash.get(key_hash) == account:
                 del self._account_by_key_hash[key_hash]
 
     def _set_account(self, account: str) -> None:
-        spec = _account_spec(self._raw.get(("account", account)))
-        if spec is None:
+        raw = self._raw.get(("account", account))
+        if raw is None:
             return
-        if not isinstance(spec, AccountSpec):
-            self._note_all("account", account, spec)
+        spec = self._read("account", account, AccountSpec, msgspec.json.decode(raw))
+        if spec is None:
             return
         policy = self._policy(account, spec)
         if not isinstance(policy, AccountPolicy):
@@ -273,7 +283,9 @@
         for name, spec in sorted(self._services.items()):
             claims = [*spec.models, *([spec.prefix] if spec.prefix else [])]
             if not claims and name not in routed and not self._routes:
-                self._note("service", name, Misfit((), "expected models, a prefix or a route"))
+                # Harmless where it was accepted; whoever writes it is told.
+                unreached = Misfit((), "expected models, a prefix or a route")
+                self._blamed.append((("service", name), unreached))
             for claim in claims:
                 other = claimed.setdefault(claim, name)
                 if other != name:
@@ -290,16 +302,11 @@
         self._blamed.append((key, misfit))
 
 
-def _read(shape: type[Shape], value: Any) -> Shape | tuple[Misfit, ...]:
-    """Return an entry in its shape, or why it cannot be used."""
-    if isinstance(value, dict) and UNREADABLE in value:
-        return (Misfit((), str(value[UNREADABLE])),)
-    return fit(shape, value)
-
-
-def _account_spec(raw: bytes | None) -> AccountSpec | tuple[Misfit, ...] | None:
-    """Return an account as written, or why it is none; None where there is none."""
-    return _read(AccountSpec, msgspec.json.decode(raw)) if raw is not None else None
+def _key_hashes(raw: bytes | None) -> list[str]:
+    """Return the hashes of an account's keys as written, whatever else it says."""
+    value = msgspec.json.decode(raw) if raw is not None else None
+    hashes = value.get("key_hashes") if isinstance(value, dict) else None
+    return [each for each in hashes if isinstance(each, str)] if isinstance(hashes, list) else []
 
 
 def _place(value: Any) -> Place | None:
@@ -307,7 +314,11 @@
     if not isinstance(value, dict) or not isinstance(host := value.get("host"), str):
         return None
     prefix = value.get("path_prefix")
-    return host, prefix if isinstance(prefix, str) else WHOLE_HOST
+    if not isinstance(prefix, str):
+        return host, WHOLE_HOST
+    # Prefixes are looked up from slash to slash.
+    inner = prefix.strip("/")
+    return host, f"/{inner}/" if inner else WHOLE_HOST
 
 
 def _another_key(other: str) -> str:
--- a/pondhatch/configuration/_fleet.py
+++ b/pondhatch/configuration/_fleet.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import hmac
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field, replace
 from typing import Any
@@ -11,11 +10,10 @@
 
 from pondhatch.configuration._changes import Change, Edit, EntryKey, Snapshot
 from pondhatch.configuration._editing import with_edits
-from pondhatch.configuration._fit import Misfit, fit, told
+from pondhatch.configuration._fit import Misfit, told
 from pondhatch.configuration._routes import RouteTable
 from pondhatch.configuration._schema import (
     AccountPolicy,
-    AccountSpec,
     CallerBounds,
     ServiceSpec,
     TemplateSpec,
@@ -70,20 +68,7 @@
 
     def account_of(self, key_hash: str) -> str | None:
         """Return the account an API key's hash belongs to, or None."""
-        account = self.account_by_key_hash.get(key_hash)
-        if account is None:
-            return None
-        spec = self.account_spec(account)
-        if not any(hmac.compare_digest(key_hash, known) for known in spec.key_hashes):
-            return None
-        return account
-
-    def account_spec(self, account: str) -> AccountSpec:
-        """Return an account as written. Raises KeyError for an unknown one."""
-        fitted = fit(AccountSpec, self.entry("account", account))
-        if not isinstance(fitted, AccountSpec):
-            raise ValueError(f"account {account} is not in force: {fitted}")
-        return fitted
+        return self.account_by_key_hash.get(key_hash)
 
     def entry(self, kind: str, name: str) -> Any:
         """Return an entry as written, as plain data. Raises KeyError."""
@@ -143,15 +128,16 @@
         """
         edits = tuple(edits)
         edited = with_edits(self, edits)
-        touched = {(edit.kind, edit.name) for edit in edits}
+        if not edited.blamed:
+            return edited.fleet
         # What was wrong before is not these edits' fault, and must not hold them back.
-        known = {
+        touched = {(edit.kind, edit.name) for edit in edits}
+        before = {(key, misfit.path) for key, misfit in with_edits(self, ()).blamed}
+        misfits = tuple(
             (key, misfit)
-            for key, misfits in self.misfits_by_entry.items()
-            for misfit in misfits
-            if key not in touched
-        }
-        misfits = tuple(each for each in edited.blamed if each not in known)
+            for key, misfit in edited.blamed
+            if key in touched or (key, misfit.path) not in before
+        )
         return Rejected(misfits) if misfits else edited.fleet
 
     def replaced_by(self, whole: Snapshot) -> Fleet:
--- a/pondhatch/configuration/_publishing.py
+++ b/pondhatch/configuration/_publishing.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import dataclass
 from typing import Any
 
@@ -145,7 +145,7 @@
     for _ in range(READ_BACK_TRIES):
         found = await platform.get(CHANGE_KIND, name)
         if isinstance(found, Found):
-            theirs = msgspec.convert(found.object.value, Change)
+            theirs = read_change(change.version, found.object.value)
             own = theirs.change_id == change.change_id
             return Published(change.version) if own else Beaten(theirs)
         if isinstance(found, Missing) and unsure:
@@ -195,10 +195,19 @@
             return part
         if isinstance(part, Missing):
             return Broken(f"part {number} of snapshot {pointer.version} is missing")
-        edits.extend(msgspec.convert(part.object.value, list[Edit]))
+        edits.extend(_readable_edits(pointer.version, part.object.value))
     return Fleet.from_snapshot(Snapshot(pointer.version, tuple(edits)))
 
 
+def _readable_edits(version: int, part: Any) -> Iterator[Edit]:
+    """Yield the entries in a part of a snapshot; one that is none holds no other back."""
+    for value in part:
+        try:
+            yield msgspec.convert(value, Edit)
+        except msgspec.ValidationError as error:
+            log.error("An entry of snapshot {} is left out: {}.", version, error)
+
+
 def _part_name(version: int, number: int) -> str:
     return f"{change_name(version)}-{number:03d}"
 
--- a/pondhatch/configuration/_schema.py
+++ b/pondhatch/configuration/_schema.py
@@ -113,13 +113,14 @@
 class CallerBounds:
     """What callers may send, as the configuration in force says it."""
 
-    #: Bytes of all headers of a request together.
-    header_bytes: Annotated[int, Meta(ge=1)]
-    body_bytes: Annotated[int, Meta(ge=0)]
+    #: Bytes of all headers of a request together. As for the others, None leaves it to the
+    #: settings of each router.
+    header_bytes: Annotated[int, Meta(ge=1)] | None = None
+    body_bytes: Annotated[int, Meta(ge=0)] | None = None
     #: Seconds for a request's head to come in full.
-    header_seconds: Annotated[float, Meta(gt=0)]
+    header_seconds: Annotated[float, Meta(gt=0)] | None = None
     #: Seconds for which a connection may stand idle.
-    idle_seconds: Annotated[float, Meta(gt=0)]
+    idle_seconds: Annotated[float, Meta(gt=0)] | None = None
 
 
 @dataclass(frozen=True)
@@ -148,8 +149,8 @@
     """A client account: a template filled in."""
 
     template: str
-    #: SHA-256 of the API keys, in hex. As many as the operator gives: a look-up costs the same
-    #: for any number, and a bound here would hold an accepted account back.
+    #: SHA-256 of the API keys, in hex, as many as the operator gives: a look-up takes below
+    #: 1 us with 16 and with 5,000, and a bound here would hold an accepted account back.
     key_hashes: Annotated[tuple[KeyHash, ...], Meta(min_length=1)]
     parameters: dict[Name, Scalar] = field(default_factory=dict)
 
--- a/pondhatch/configuration/tests/test_misfits.py
+++ b/pondhatch/configuration/tests/test_misfits.py
@@ -133,6 +133,12 @@
         self.assertIn("a", later.policy_by_account)
         self.assertEqual(later.misfits_by_entry, start.misfits_by_entry)
 
+    def test_nor_where_its_text_changes_with_what_there_is(self) -> None:
+        lost = Edit("account", "x", {"template": "none", "key_hashes": ["0" * 64]})
+        start = Fleet.from_snapshot(Snapshot(1, (SERVICE, TEMPLATE, lost)))
+        other = Edit("template", "other", TEMPLATE.value)
+        self.assertIsInstance(start.with_change(change(2, other)), Fleet)
+
     def test_a_change_that_is_wrong_itself_is_still_none_at_all(self) -> None:
         wrong = Edit("account", "x", {UNREADABLE: "a word that is not known"})
         start = Fleet.from_snapshot(Snapshot(1, (SERVICE, TEMPLATE, wrong)))
--- a/pondhatch/platform/_configuration.py
+++ b/pondhatch/platform/_configuration.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import hashlib
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
 from typing import Any, Generic, Literal, TypeVar
 
 import msgspec
@@ -28,7 +29,7 @@
 
 
 class _Wire(msgspec.Struct, rename="pascal", frozen=True):
-    """Base of all parts."""
+    """Base of all parts. A field with a default may be missing, empty or unreadable."""
 
 
 class _Backend(_Wire, frozen=True):
@@ -41,10 +42,10 @@
     host: str
     path_prefix: str
     type: RouteType
-    #: The longest that a request may be held.
-    timeout_ms: float
-    #: The first event of a stream, or the whole answer, is due within this.
-    target_latency_ms: float
+    #: The longest that a request may be held; 0 where it is not said.
+    timeout_ms: float = 0.0
+    #: The first event of a stream, or the whole answer, is due within this; 0 as above.
+    target_latency_ms: float = 0.0
     priority: int = 5
     #: The one service, or None where ``backends`` share the requests.
     service: str | None = None
@@ -61,22 +62,22 @@
     itl_target_ms: float = 0.0
 
 
-class _EngineKind(_Wire, frozen=True):
-    #: Whether engines copy what they hold of a prompt to each other.
-    moves: bool = False
-
-
 class _Service(_Wire, frozen=True):
     name: str
     #: What the engines of a service for models are like; not an id, whatever its name says.
-    engine_id: _EngineKind | None = None
+    engine_id: Any = None
+
+
+class _EngineKind(_Wire, frozen=True):
+    #: Whether engines copy what they hold of a prompt to each other.
+    moves: bool = False
 
 
 class _Limits(_Wire, frozen=True):
-    max_header_bytes: int
-    max_body_bytes: int
-    header_timeout_ms: float
-    idle_timeout_ms: float
+    max_header_bytes: int | None = None
+    max_body_bytes: int | None = None
+    header_timeout_ms: float | None = None
+    idle_timeout_ms: float | None = None
 
 
 class _Tenant(_Wire, frozen=True):
@@ -89,33 +90,93 @@
     """The whole; its entries are read one by one, so that none holds up another."""
 
     version: int
-    routes: tuple[Any, ...] = ()
-    services: tuple[Any, ...] = ()
+    routes: tuple[Any, ...] | None = None
+    services: tuple[Any, ...] | None = None
     limits: Any = None
     tenants: tuple[Any, ...] | None = None
 
 
+Shape = TypeVar("Shape", bound=_Wire)
 Entry = TypeVar("Entry", _Service, _Route, _Tenant)
 
 
+@dataclass(frozen=True)
+class _Read(Generic[Shape]):
+    """What could be read of an entry."""
+
+    entry: Shape
+    #: Why some of its fields could not be read; empty where all could.
+    wrong: str = ""
+
+
+def _read(shape: type[Shape], value: Any) -> _Read[Shape]:
+    """Read an entry field by field: one that it can do without takes no other with it.
+
+    Raises msgspec.ValidationError where the entry cannot do without it.
+    """
+    if not isinstance(value, Mapping):
+        raise msgspec.ValidationError(f"expected an object, found {type(value).__name__}")
+    found: dict[str, Any] = {}
+    wrong: list[str] = []
+    for each in msgspec.structs.fields(shape):
+        raw = value.get(each.encode_name)
+        if raw is None and not each.required:
+            continue
+        try:
+            found[each.name] = msgspec.convert(_plain(raw), each.type)
+        except msgspec.ValidationError as error:
+            told = f"{each.encode_name}: {error}"
+            if each.required:
+                raise msgspec.ValidationError(told) from error
+            wrong.append(told)
+    return _Read(shape(**found), "; ".join(wrong))
+
+
+def _plain(value: Any) -> Any:
+    """Return a number as JSON means it: 2.0 is 2."""
+    return int(value) if isinstance(value, float) and value.is_integer() else value
+
+
 class _Entries(Generic[Entry]):
     """The entries of one kind that can be read, by name, and those that cannot."""
 
-    def __init__(self, kind: str, shape: type[Entry], values: Iterable[Any]) -> None:
-        self.by_name: dict[str, Entry] = {}
+    def __init__(self, kind: str, shape: type[Entry], values: Iterable[Any] | None) -> None:
+        self.by_name: dict[str, _Read[Entry]] = {}
         self.unreadable: list[Edit] = []
-        for at, value in enumerate(values):
-            try:
-                entry = msgspec.convert(value, shape)
-            except msgspec.ValidationError as error:
-                self.unreadable.append(_unreadable(kind, at, value, str(error)))
-                continue
-            if self.by_name.setdefault(entry.name, entry) is not entry:
-                reason = "another one has its name"
-                self.unreadable.append(_unreadable(kind, at, value, reason))
-
-    def __iter__(self) -> Iterator[tuple[str, Entry]]:
-        return iter(self.by_name.items())
+        self._kind = kind
+        for value in values or ():
+            self._add(shape, value)
+
+    def _add(self, shape: type[Entry], value: Any) -> None:
+        try:
+            read = _read(shape, value)
+        except msgspec.ValidationError as error:
+            self._leave_out(value, str(error))
+            return
+        if self.by_name.setdefault(read.entry.name, read) is not read:
+            self._leave_out(value, "another one has its name")
+
+    def _leave_out(self, value: Any, reason: str) -> None:
+        """Keep what could be read of an entry that cannot be used: a route holds its place."""
+        fields = value if isinstance(value, Mapping) else {}
+        known = {"host": fields.get("Host"), "path_prefix": fields.get("PathPrefix")}
+        entry = {name: each for name, each in known.items() if isinstance(each, str)}
+        name = fields.get("Name")
+        # Numbered, for its name may be another's, or none.
+        unique = f"{name if isinstance(name, str) else ''}#{len(self.unreadable) + 1}"
+        self.unreadable.append(Edit(self._kind, unique, {**entry, UNREADABLE: reason}))
+
+    def edits(self, entry_of: Callable[[Entry], dict[str, Any]]) -> list[Edit]:
+        """Return the entries, in the product's form."""
+        readable: list[Edit] = [
+            Edit(self._kind, name, _marked(entry_of(read.entry), read.wrong))
+            for name, read in self.by_name.items()
+        ]
+        return [*readable, *self.unreadable]
+
+
+def _marked(entry: dict[str, Any], wrong: str) -> dict[str, Any]:
+    return {**entry, UNREADABLE: wrong} if wrong else entry
 
 
 def decode_configuration(value: Any, defaults: ServiceDefaults) -> Snapshot:
@@ -126,34 +187,28 @@
     wire = msgspec.convert(value, _Configuration)
     services = _Entries("service", _Service, wire.services)
     routes = _Entries("route", _Route, wire.routes)
-    tenants = _Entries("account", _Tenant, wire.tenants or ())
-    edits = [Edit("service", name, _service(each, defaults)) for name, each in services]
-    edits += [Edit("route", name, _route(each, wire.tenants is None)) for name, each in routes]
-    edits += _bounds(wire.limits)
     # A tenant without keys is nobody's account.
-    accounts = [Edit("account", name, _account(each)) for name, each in tenants if each.api_keys]
-    edits += [*_templates(tuple(services.by_name)), *accounts] if accounts else []
-    edits += [*services.unreadable, *routes.unreadable, *tenants.unreadable]
+    tenants = _Entries("account", _Tenant, [each for each in wire.tenants or () if _has_keys(each)])
+    edits = services.edits(lambda service: _service(service, defaults))
+    edits += routes.edits(lambda route: _route(route, wire.tenants is None))
+    edits += _bounds(wire.limits)
+    edits += _templates(tuple(services.by_name)) if tenants.by_name else []
+    edits += tenants.edits(_account)
     return Snapshot(wire.version, tuple(edits))
 
 
-def _unreadable(kind: str, at: int, value: Any, reason: str) -> Edit:
-    """Return an entry that cannot be read, with what can be, for it holds its place."""
-    fields = value if isinstance(value, Mapping) else {}
-    known = {"host": fields.get("Host"), "path_prefix": fields.get("PathPrefix")}
-    entry: dict[str, Any] = {name: each for name, each in known.items() if isinstance(each, str)}
-    name = fields.get("Name")
-    # Numbered, for its name may be another's, or none.
-    unique = f"{name if isinstance(name, str) else ''}#{at}"
-    return Edit(kind, unique, {**entry, UNREADABLE: reason})
+def _has_keys(tenant: Any) -> bool:
+    return not isinstance(tenant, Mapping) or tenant.get("ApiKeys") not in (None, [], ())
 
 
 def _service(service: _Service, defaults: ServiceDefaults) -> dict[str, Any]:
+    kind = service.engine_id
+    engines = _read(_EngineKind, kind).entry if isinstance(kind, Mapping) else _EngineKind()
     return {
-        "kind": "plain" if service.engine_id is None else "model",
+        "kind": "plain" if kind is None else "model",
         "load_bound": defaults.load_bound,
         "load_slack": defaults.load_slack,
-        "shares_context": service.engine_id is not None and service.engine_id.moves,
+        "shares_context": engines.moves,
     }
 
 
@@ -161,15 +216,15 @@
     backends = route.backends or (_Backend(route.service or ""),)
     streams = route.type == STREAMING
     repeats = "resumed" if streams and route.resumable else REPEATS_BY_TYPE[route.type]
+    times = {"timeout": route.timeout_ms, "objective": route.target_latency_ms}
     return {
         "host": route.host,
         "path_prefix": route.path_prefix,
         "targets": [{"service": each.service, "weight": each.weight} for each in backends],
         "repeats": repeats,
         "streams": streams,
-        "timeout": route.timeout_ms / 1000,
-        "objective": route.target_latency_ms / 1000,
-        "longest_pause": route.itl_target_ms / 1000,
+        **{name: ms / 1000 for name, ms in times.items() if ms > 0},
+        "longest_pause": max(0.0, route.itl_target_ms / 1000),
         # Whoever is sent anywhere is sent to one engine at least.
         "most_tries": max(1, route.max_attempts),
         "priority": _rank(route.priority),
@@ -184,20 +239,21 @@
 
 
 def _bounds(value: Any) -> list[Edit]:
-    """Return what callers may send, where the operator says so."""
+    """Return what callers may send, as far as the operator says so."""
     if value is None:
         return []
     try:
-        limits = msgspec.convert(value, _Limits)
+        read = _read(_Limits, value)
     except msgspec.ValidationError as error:
         return [Edit("bounds", CALLER_BOUNDS, {UNREADABLE: str(error)})]
-    bounds = {
+    limits = read.entry
+    times = {"header_seconds": limits.header_timeout_ms, "idle_seconds": limits.idle_timeout_ms}
+    bounds: dict[str, Any] = {
         "header_bytes": limits.max_header_bytes,
         "body_bytes": limits.max_body_bytes,
-        "header_seconds": limits.header_timeout_ms / 1000,
-        "idle_seconds": limits.idle_timeout_ms / 1000,
+        **{name: ms / 1000 if ms else None for name, ms in times.items()},
     }
-    return [Edit("bounds", CALLER_BOUNDS, bounds)]
+    return [Edit("bounds", CALLER_BOUNDS, _marked(bounds, read.wrong))]
 
 
 def _templates(services: tuple[str, ...]) -> list[Edit]:
--- a/pondhatch/router/_sync.py
+++ b/pondhatch/router/_sync.py
@@ -128,8 +128,9 @@
             for task in self._watching:
                 task.cancel()
             self._watching = ()
-            # Who does not watch cannot tell whether the platform answers.
+            # Who does not watch cannot tell whether the platform answers, nor what it holds.
             self._state.platform_lost = ""
+            self._state.refused = None
 
     def _begin_watching(self) -> None:
         """Read what the platform holds; what follows, only once it is known who watches."""
@@ -170,8 +171,11 @@
             self._state.refused = news
         elif isinstance(news, Broken):
             log.error("Configuration cannot be read: {}.", news.reason)
-        elif self._state.take_fleet(news):
-            self._spread()
+        else:
+            # Also where it is not newer: what was refused is gone then.
+            self._state.refused = None
+            if self._state.take_fleet(news):
+                self._spread()
 
     def _take_change(self, change: Change) -> None:
         wrong = self._state.take_change(change)
--- a/pondhatch/router/tests/test_sync.py
+++ b/pondhatch/router/tests/test_sync.py
@@ -5,14 +5,24 @@
 import asyncio
 import random
 import unittest
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 import msgspec
 
 from fakes._entries import SERVICE, TEMPLATE
 from fakes._platform_in_memory import PlatformInMemory
 from fakes._virtual_loop import run_virtually
-from pondhatch.configuration import Change, ChangeLog, Edit, Fleet, Gap, Rejected, Update, publish
+from pondhatch.configuration import (
+    Change,
+    ChangeLog,
+    Edit,
+    Fleet,
+    Gap,
+    Misfit,
+    Rejected,
+    Update,
+    publish,
+)
 from pondhatch.configuration.tests.test_fleet import account, change
 from pondhatch.membership import Alive, Gossip, Member, MembershipLimits, Phase, short_id
 from pondhatch.placement import YOUNG_SECONDS
@@ -135,6 +145,46 @@
         return fleet
 
 
+class Told:
+    """A configuration that is told as listed, one news after the other."""
+
+    def __init__(self, *news: Fleet | Rejected) -> None:
+        self._news = news
+
+    async def follow(self, in_force: Callable[[], Fleet]) -> AsyncIterator[Fleet | Rejected]:
+        for each in self._news:
+            yield each
+        await asyncio.Event().wait()
+
+
+class RefusedTest(unittest.IsolatedAsyncioTestCase):
+    """A document that is no configuration, and one that is put back as it was."""
+
+    REFUSED = Rejected(((("document", "main"), Misfit((), "none at all")),))
+
+    async def after(self, *news: Fleet | Rejected) -> RouterState:
+        state = router("r0")
+        state.refresh()
+        sync = syncing(state, PlatformInMemory(), None)
+        sync._source = Told(*news)
+        task = asyncio.ensure_future(sync.run())
+        # The second is told once the router has met its peers.
+        await asyncio.sleep(MEETING_SECONDS + 0.1)
+        task.cancel()
+        await asyncio.wait([task])
+        return state
+
+    async def test_the_older_one_stays_in_force_and_nothing_is_refused_for_good(self) -> None:
+        state = await self.after(Fleet(version=3), self.REFUSED)
+        self.assertEqual((state.fleet.version, state.refused), (3, self.REFUSED))
+        self.assertFalse(state.knows_all("route"))
+
+    async def test_the_same_version_put_back_ends_it(self) -> None:
+        state = await self.after(Fleet(version=3), self.REFUSED, Fleet(version=3))
+        self.assertIsNone(state.refused)
+        self.assertTrue(state.knows_all("route"))
+
+
 class NeverRevertsTest(unittest.TestCase):
     def test_stale_news_changes_nothing(self) -> None:
         state = router("r0")
--- a/pondhatch/transport/_routed_callers.py
+++ b/pondhatch/transport/_routed_callers.py
@@ -5,7 +5,7 @@
 import asyncio
 import time
 import uuid
-from typing import Any
+from typing import Any, TypeVar
 
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET
@@ -41,6 +41,8 @@
 
 log = log_for("callers")
 
+Number = TypeVar("Number", int, float)
+
 TOO_LARGE = 413
 #: Bytes of a refused request's body that are read and dropped, so that its connection can
 #: be used again; beyond them it is closed.
@@ -133,7 +135,8 @@
         most = self._most_body_bytes()
         body = await read_whole(request.body(), most)
         if body is None:
-            return NotRun("body-too-large", f"expected at most {most} bytes", 0.0, TOO_LARGE)
+            wrong = NotRun("body-too-large", f"expected at most {most} bytes", 0.0, TOO_LARGE)
+            return unknown(self._state, "bounds", wrong)
         # The configuration may have changed while the body came.
         wanted = self._wanted(request, facts)
         if isinstance(wanted, NotRun):
@@ -181,8 +184,9 @@
         return Work(account, admitted, head, body, Patience(context_wait, admitted.queue_wait))
 
     def _most_body_bytes(self) -> int:
+        own = self._limits().chat_body_bytes
         bounds = self._state.fleet.caller_bounds
-        return self._limits().chat_body_bytes if bounds is None else bounds.body_bytes
+        return own if bounds is None else _or(bounds.body_bytes, own)
 
 
 def _finish(request: CallerRequest) -> None:
@@ -242,7 +246,11 @@
         return own
     return CallerLimits(
         chat_body_bytes=own.chat_body_bytes,
-        header_bytes=bounds.header_bytes,
-        header_seconds=bounds.header_seconds,
-        idle_seconds=bounds.idle_seconds,
+        header_bytes=_or(bounds.header_bytes, own.header_bytes),
+        header_seconds=_or(bounds.header_seconds, own.header_seconds),
+        idle_seconds=_or(bounds.idle_seconds, own.idle_seconds),
     )
+
+
+def _or(value: Number | None, otherwise: Number) -> Number:
+    return otherwise if value is None else value
