Hold callers' heads to the operator's bound alone, as in force when they come

Cause: the configured bytes of a head set only twisted's bound on a whole head, and only as a connection began. Its defaults on one line (16,384 bytes) and on the number of headers (500) stood beside it, so that heads within the operator's bound were turned away, one long line by a close without an answer. A kept connection never learned of a later version.

Change: the bound is taken as a head's first bytes come, holds for one line as for the whole, and headers are not counted. A head beyond it gets 431 and the connection lingers, so that the answer is seen.

test_callers of the fleets expected 400 for a head beyond the bound, what twisted says of any bad head; it expects 431 now, the status that HTTP has for just this.

--- a/pondhatch/transport/_caller_channel.py
+++ b/pondhatch/transport/_caller_channel.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import sys
 from collections.abc import Callable, Iterable
 from typing import Any
 
@@ -22,11 +23,17 @@
 #: the caller sees its answer instead of a reset connection.
 LINGER_SECONDS = 1.0
 HEAD_TOO_SLOW = b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+HEAD_TOO_LARGE = (
+    b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
+    b"Connection: close\r\nContent-Length: 0\r\n\r\n"
+)
 
 
 class CallerChannel(HTTPChannel):
     """One caller's connection."""
 
+    #: Headers of one request. Bytes are bounded by what is in force, and no header has none.
+    maxHeaders = sys.maxsize
     #: Says what callers may send, as of now.
     limits: Callable[[], CallerLimits]
     transport: Any
@@ -35,19 +42,25 @@
     #: Set once the connection was given up; it is lost only a turn of the loop later.
     is_aborted = False
 
-    def connectionMade(self) -> None:
-        """Start the clock for the first request's head."""
-        self.totalHeadersSize = self.limits().header_bytes
-        super().connectionMade()
-
     def dataReceived(self, data: bytes) -> None:
         """Take in bytes, unless the connection is only waiting to be closed."""
         if self._is_cut:
             return
         if self._head_timer is None and not self.requests:
-            self._head_timer = self.callLater(self.limits().header_seconds, self._head_too_slow)
+            self._begin_head()
         super().dataReceived(data)
 
+    def lineReceived(self, line: bytes) -> None:
+        """Take in a line of a head, unless the head is too large with it."""
+        if self._receivedHeaderSize + len(line) > self.totalHeadersSize:
+            self._refuse_large_head()
+            return
+        super().lineReceived(line)
+
+    def lineLengthExceeded(self, line: bytes) -> None:
+        """Refuse a head one line of which is too large."""
+        self._refuse_large_head()
+
     def allHeadersReceived(self) -> None:
         """Stop the clock: the head is there."""
         self._stop_head_timer()
@@ -113,6 +126,24 @@
             return
         super().loseConnection()
 
+    def _begin_head(self) -> None:
+        """Hold a request's head to what is in force as its first bytes come.
+
+        A kept connection outlasts many versions of the configuration. One line may be as long
+        as the whole head: twisted's own bound on a line is its default, not the operator's.
+        """
+        limits = self.limits()
+        self.totalHeadersSize = self.MAX_LENGTH = limits.header_bytes
+        self._head_timer = self.callLater(limits.header_seconds, self._head_too_slow)
+
+    def _refuse_large_head(self) -> None:
+        """Say that the head is too large, and drop the rest of it."""
+        self._stop_head_timer()
+        self.clearLineBuffer()
+        self.transport.write(HEAD_TOO_LARGE)
+        self.cut()
+        self.loseConnection()
+
     def _head_too_slow(self) -> None:
         self._head_timer = None
         self.transport.write(HEAD_TOO_SLOW)
