Pass headers on byte for byte, and name accounts in UTF-8

Cause: callers' header bytes were read as latin-1 text and given to h11 as text, of which it takes ASCII alone: a request with any other byte in a header, or of an account whose name is not ASCII, ended in 500. An engine's header with a byte over 127 was encoded once more on its way to the caller. A Host header that is no UTF-8 ended in 500, too.

Change: between two connections a header is text with one character for each byte, and both ways out turn it back into just these bytes. Names of accounts and engines go out in UTF-8. A host that is no text has no route.

--- a/pondhatch/platform/_engines.py
+++ b/pondhatch/platform/_engines.py
@@ -11,7 +11,7 @@
 from pondhatch.platform import _names as names
 from pondhatch.requests import Headers, Judged, RequestHead, Target
 from pondhatch.store import LEAVING, LIVE
-from pondhatch.transport import HOP_HEADERS
+from pondhatch.transport import HOP_HEADERS, utf8_value
 
 #: What an engine that takes no new work says of itself.
 DRAINING = "draining"
@@ -62,11 +62,11 @@
         """Return the client's headers with those that the router owns put in."""
         own: list[tuple[str, str]] = [
             (names.DEADLINE_MS, str(max(1, int(head.deadline * 1000)))),
-            (names.EXPECTED_ENGINE, target.name),
+            (names.EXPECTED_ENGINE, utf8_value(target.name)),
             (names.PRIORITY, str(head.priority)),
         ]
         if head.account:
-            own.append((names.ACCOUNT, head.account))
+            own.append((names.ACCOUNT, utf8_value(head.account)))
         if head.context_from:
             own.append((names.CONTEXT_FROM, head.context_from))
         replaced = REPLACED_HEADERS
--- a/pondhatch/standard/_callers.py
+++ b/pondhatch/standard/_callers.py
@@ -31,6 +31,7 @@
     CallerRequest,
     Serving,
     Work,
+    as_text,
     fail,
     read_whole,
 )
@@ -167,10 +168,10 @@
 
 def _head(request: CallerRequest, account: Account, admitted: Admitted, path: str) -> RequestHead:
     headers = tuple(
-        (name.decode("latin-1"), value.decode("latin-1"))
+        (as_text(name), as_text(value))
         for name, values in request.requestHeaders.getAllRawHeaders()
         for value in values
-        if name.decode("latin-1").lower() not in PRIVATE_HEADERS
+        if as_text(name).lower() not in PRIVATE_HEADERS
     )
     return RequestHead(
         request_id=uuid.uuid4().hex,
--- a/pondhatch/transport/__init__.py
+++ b/pondhatch/transport/__init__.py
@@ -7,7 +7,7 @@
 from pondhatch.transport._caller_dialect import CallerDialect, CallerFacts
 from pondhatch.transport._caller_request import CallerRequest
 from pondhatch.transport._gossip import GossipPort
-from pondhatch.transport._headers import HOP_HEADERS
+from pondhatch.transport._headers import HOP_HEADERS, as_text, utf8_value
 from pondhatch.transport._http_client import HttpClient
 from pondhatch.transport._interface import INTERFACE, CallerParts, Callers, Interface
 from pondhatch.transport._metrics_page import MetricsPage
@@ -39,6 +39,8 @@
     "CallerDialect",
     "CallerFacts",
     "HOP_HEADERS",
+    "as_text",
+    "utf8_value",
     "HttpClient",
     "INTERFACE",
     "Interface",
--- a/pondhatch/transport/_answers.py
+++ b/pondhatch/transport/_answers.py
@@ -5,6 +5,7 @@
 from typing import Any, Protocol
 
 from pondhatch.requests import Broken, Headers, KeptAnswer, Refusal, Unknown
+from pondhatch.transport._headers import as_bytes
 
 #: Marks an answer that is the kept one of an earlier request with the same key.
 REPLAYED_HEADER = b"X-Pondhatch-Replayed"
@@ -31,8 +32,9 @@
     request.defaultContentType = None
     for name, _ in headers:
         request.responseHeaders.removeHeader(name)
-    for name, value in headers:
-        request.responseHeaders.addRawHeader(name, value)
+    # As bytes: text would be encoded as UTF-8, which makes two bytes of each over 127.
+    for raw_name, raw_value in as_bytes(headers):
+        request.responseHeaders.addRawHeader(raw_name, raw_value)
 
 
 def cut(request: Any) -> None:
--- a/pondhatch/transport/_http_connection.py
+++ b/pondhatch/transport/_http_connection.py
@@ -17,6 +17,7 @@
 from twisted.python.failure import Failure
 
 from pondhatch.requests import BodySource, ReplayableBody
+from pondhatch.transport._headers import as_bytes
 from pondhatch.transport._http_heads import Request, ResponseHead, framing, response_head
 from pondhatch.transport._parts import PartPipe
 
@@ -76,7 +77,8 @@
         self._exchange = exchange
         framed = framing(request.method, length)
         headers = request.headers if framed is None else (*request.headers, framed)
-        head = h11.Request(method=request.method, target=request.target, headers=list(headers))
+        # As bytes: from text h11 takes ASCII alone, while values may hold any other byte.
+        head = h11.Request(method=request.method, target=request.target, headers=as_bytes(headers))
         self._write(head)
 
     async def send_body(self, body: BodySource) -> None:
--- a/pondhatch/transport/_http_heads.py
+++ b/pondhatch/transport/_http_heads.py
@@ -7,6 +7,7 @@
 import h11
 
 from pondhatch.requests import Headers
+from pondhatch.transport._headers import as_text
 
 #: Methods whose requests say nothing of a body that they do not have.
 BODILESS = frozenset({"GET", "HEAD", "DELETE", "OPTIONS"})
@@ -54,9 +55,6 @@
 
 def response_head(event: h11.Response) -> ResponseHead:
     """Return an answer's head as h11 read it."""
-    headers = tuple(
-        (name.decode("latin-1"), value.decode("latin-1"))
-        for name, value in event.headers.raw_items()
-    )
+    headers = tuple((as_text(name), as_text(value)) for name, value in event.headers.raw_items())
     by_name = {name.lower(): value for name, value in headers}
     return ResponseHead(event.status_code, headers, by_name)
--- a/pondhatch/transport/_routed_callers.py
+++ b/pondhatch/transport/_routed_callers.py
@@ -35,6 +35,7 @@
 from pondhatch.transport._answers import fail
 from pondhatch.transport._caller_channel import CallerRequest, drain, read_whole
 from pondhatch.transport._caller_dialect import CallerDialect, CallerFacts
+from pondhatch.transport._headers import as_text
 from pondhatch.transport._interface import CallerParts
 from pondhatch.transport._routed_answers import RoutedAnswers
 from pondhatch.transport._serving import Serving, Work
@@ -155,7 +156,7 @@
             return unready
         if not self.takes_work:
             return NotRun("stopping", "this router is stopping; ask another", 0.0)
-        host = request.getHeader("host") or ""
+        host = _host(request)
         route = self._state.fleet.routes.find(host, request.uri.decode("latin-1"))
         if isinstance(route, Withheld):
             return misfit("route")
@@ -199,9 +200,15 @@
     task.cancel()
 
 
+def _host(request: CallerRequest) -> str:
+    """Return the host asked for; bytes that are no text name no route's host."""
+    raw: bytes = request.getHeader(b"host") or b""
+    return raw.decode(errors="replace")
+
+
 def _headers(request: CallerRequest) -> Headers:
     return tuple(
-        (name.decode("latin-1"), value.decode("latin-1"))
+        (as_text(name), as_text(value))
         for name, values in request.requestHeaders.getAllRawHeaders()
         for value in values
     )
--- /dev/null
+++ b/pondhatch/transport/tests/test_header_bytes.py
@@ -0,0 +1,97 @@
+"""Headers go on byte for byte, from callers to engines and back."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from twisted.internet.address import IPv4Address
+
+from pondhatch.platform._engines import EngineDialect
+from pondhatch.platform.tests._wire import CONFIGURATION
+from pondhatch.transport._http_client import HttpClient
+from pondhatch.transport._upstreams import HttpUpstreams
+from pondhatch.transport.tests import test_http_client as upstream
+from pondhatch.transport.tests.test_routed_callers import RoutedCallersTest, put_in_force
+
+#: Values that are legal in HTTP: UTF-8, bytes that are none, and a control character that is
+#: met in practice.
+VALUES = ("São, 東京".encode(), b"\xe9\xff\x80\xa0", b"a\x01b", b"")
+
+
+class Reactor:
+    """Connects at once; keeps what each connection was sent, and how it ended."""
+
+    def __init__(self) -> None:
+        self.connections: list[Any] = []
+        self.wires: list[upstream.Transport] = []
+
+    def connectTCP(self, host: str, port: int, factory: Any, timeout: float) -> None:
+        connection = factory.buildProtocol(IPv4Address("TCP", host, port))
+        wire = upstream.Transport()  # type: ignore[no-untyped-call]
+        self.connections.append(connection)
+        self.wires.append(wire)
+        connection.makeConnection(wire)
+
+    def sent(self) -> bytes:
+        return b"".join(wire.value() for wire in self.wires)  # type: ignore[no-untyped-call]
+
+    def left_open(self) -> int:
+        return sum(not wire.aborted for wire in self.wires)
+
+
+class HttpRoutedTest(RoutedCallersTest):
+    """Callers' requests written to engines by this router's own client."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.reactor = Reactor()
+        http = HttpUpstreams(HttpClient(self.reactor), EngineDialect())
+        self.upstreams.send = http.send  # type: ignore[method-assign]
+
+    async def begin(self, line: bytes, *headers: bytes) -> bytes:
+        lines = (line, b"Host: desk.example", b"Attempt-Id: 9c41", *headers, b"", b"")
+        await self.send(b"\r\n".join(lines))
+        return self.written()
+
+
+class HeaderBytesTest(HttpRoutedTest):
+    async def test_a_callers_reach_the_engine_as_they_came(self) -> None:
+        for value in VALUES:
+            with self.subTest(value=value):
+                await self.asyncSetUp()
+                told = await self.begin(b"GET /x HTTP/1.1", b"X-Own: " + value)
+                self.assertEqual(told, b"")
+                self.assertIn(b"\r\nX-Own: " + value + b"\r\n", self.reactor.sent())
+
+    async def test_an_engines_reach_the_caller_as_they_came(self) -> None:
+        for value in VALUES:
+            with self.subTest(value=value):
+                await self.asyncSetUp()
+                await self.begin(b"GET /x HTTP/1.1")
+                self.reactor.connections[0].dataReceived(
+                    b"HTTP/1.1 200 OK\r\nAttempt-Id: 9c41\r\nContent-Length: 2\r\n"
+                    b"X-Own: " + value + b"\r\n\r\nok"
+                )
+                await self.settle()
+                told = self.written()
+                self.assertTrue(told.startswith(b"HTTP/1.1 200"), told)
+                self.assertIn(b"\r\nX-Own: " + value + b"\r\n", told)
+
+    async def test_an_accounts_name_reaches_the_engine_in_utf8(self) -> None:
+        for version, name in enumerate(("São", "東京", "pina")):
+            with self.subTest(name=name):
+                await self.asyncSetUp()
+                accounts = [{"Name": name, "ApiKeys": ["k"]}]
+                put_in_force(
+                    self.state, {**CONFIGURATION, "Version": 20 + version, "Tenants": accounts}
+                )
+                await self.begin(b"POST /proofs/a HTTP/1.1", b"Authorization: Bearer k")
+                expected = b"\r\nTenant: " + name.encode() + b"\r\n"
+                self.assertIn(expected, self.reactor.sent())
+
+    async def test_a_host_that_is_no_text_has_no_route(self) -> None:
+        await self.send(b"GET /x HTTP/1.1\r\nHost: \xff\r\n\r\n")
+        await asyncio.sleep(0)
+        told = self.written()
+        self.assertTrue(told.startswith(b"HTTP/1.1 404"), told)
