Close every connection whose request could not be handed over

Cause: an error while a request was written (a header that no message can hold, no Host) left the connection open with nobody to own it: a descriptor here, and one of the connections that an engine takes. Beside it: a connection lost in the turn in which it was made carried an exchange whose head never came, one that failed while it was set up was waited for to the deadline, an error at an answer's head left the exchange open, and an answer that came in the turn in which its request was given up raised the waiter's cancellation within the reactor's call.

Change: whoever holds a connection closes it on every error before handing it over; what is lost before a byte was written is told as not sent; an answer's head is kept apart from the future that waits for it.

--- a/pondhatch/transport/_http_client.py
+++ b/pondhatch/transport/_http_client.py
@@ -60,6 +60,13 @@
         return connection
 
     def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
+        self._not_made(reason)
+
+    def clientConnectionLost(self, connector: Any, reason: Failure) -> None:
+        """Called also for a connection that was lost before it could be announced."""
+        self._not_made(reason)
+
+    def _not_made(self, reason: Failure) -> None:
         if not self.made.done():
             self.made.set_exception(NotSent(reason.getErrorMessage()))
             self.made.exception()  # Whoever waits gets it; nobody may be waiting any more.
@@ -113,7 +120,13 @@
         if connection is None:
             connection = await self._connect(address)
         exchange = Exchange(connection, lambda kept: self._keep(address, kept), trusts)
-        exchange.send(request, body)
+        try:
+            exchange.send(request, body)
+        except BaseException:
+            # Nobody else knows of the connection: left open, it would hold a place at the
+            # upstream for as long as that lets it stand idle.
+            exchange.cancel()
+            raise
         return exchange
 
     def _take(self, address: Address, repeatable: bool) -> Connection | None:
@@ -141,6 +154,9 @@
         except asyncio.CancelledError:
             connector.disconnect()
             raise
+        if not connection.is_open:
+            # An exchange on it would wait in vain: its loss was told before there was one.
+            raise NotSent("the connection was lost as soon as it was made")
         return connection
 
     def _keep(self, address: Address, connection: Connection) -> None:
--- a/pondhatch/transport/_http_connection.py
+++ b/pondhatch/transport/_http_connection.py
@@ -189,7 +189,7 @@
         surplus = bool(self._http.trailing_data[0])
         if clean and not surplus and self.is_open:
             self._http.start_next_cycle()
-            idle = exchange.head.result().stated_idle()
+            idle = exchange.answered.stated_idle() if exchange.answered is not None else None
             self.states_idle_time = idle is not None
             kept = IDLE_SECONDS if idle is None else idle * STATED_SHARE
             self.usable_until = asyncio.get_running_loop().time() + kept
@@ -214,7 +214,10 @@
         keep: Callable[[Connection], None],
         trusts: Callable[[ResponseHead], bool],
     ) -> None:
+        #: For whoever waits, and who may cancel it in the same turn of the loop in which the
+        #: answer comes; what came is asked of ``answered``.
         self.head: asyncio.Future[ResponseHead] = asyncio.get_running_loop().create_future()
+        self.answered: ResponseHead | None = None
         self.pipe = PartPipe(connection.pause, connection.resume)
         self.connection = connection
         self._keep = keep
@@ -243,6 +246,7 @@
 
     def opened(self, head: ResponseHead) -> None:
         """Take in the answer's head."""
+        self.answered = head
         if not self.head.done():
             self.head.set_result(head)
 
@@ -250,9 +254,11 @@
         """Note that the answer is whole; the connection may carry another exchange."""
         self._over()
         self.pipe.end()
-        if reusable is not None and self._trusts(self.head.result()):
+        if reusable is None:
+            return
+        if self.answered is not None and self._trusts(self.answered):
             self._keep(reusable)
-        elif reusable is not None:
+        else:
             reusable.abort()
 
     def failed(self, error: ConnectionError) -> None:
--- a/pondhatch/transport/_upstreams.py
+++ b/pondhatch/transport/_upstreams.py
@@ -131,7 +131,12 @@
             if exchange is not None:
                 exchange.cancel()
             raise
-        return self._opened(exchange, answered, head, tried, deadline)
+        try:
+            return self._opened(exchange, answered, head, tried, deadline)
+        except BaseException:
+            # Nobody but this call knows of the exchange yet.
+            exchange.cancel()
+            raise
 
     def _judge(self, head: RequestHead, answered: ResponseHead) -> Judged:
         return self._dialect.judge(head, answered.status, answered.value_by_name)
--- /dev/null
+++ b/pondhatch/transport/tests/test_lost_exchanges.py
@@ -0,0 +1,144 @@
+"""No connection or exchange is lost between its opening and its handing over."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import unittest
+from collections.abc import Mapping
+from typing import Any
+
+import h11
+import msgspec
+from twisted.internet.address import IPv4Address
+from twisted.internet.error import ConnectionLost
+from twisted.python.failure import Failure
+
+from pondhatch.platform._engines import EngineDialect
+from pondhatch.platform.tests._wire import CONFIGURATION
+from pondhatch.requests import Headers, Judged, ReplayableBody, RequestHead, Target
+from pondhatch.transport._http_client import Address, HttpClient, NotSent
+from pondhatch.transport._http_connection import Connection
+from pondhatch.transport._http_heads import Request
+from pondhatch.transport._upstreams import HttpUpstreams
+from pondhatch.transport.tests.test_header_bytes import HttpRoutedTest, Reactor
+from pondhatch.transport.tests.test_http_client import GET, WHOLE, Wire
+from pondhatch.transport.tests.test_routed_callers import put_in_force
+
+ADDRESS = Address("10.0.0.1", 80)
+NOTHING = ReplayableBody(b"")
+#: Headers that no HTTP message can carry.
+UNWRITABLE: tuple[Headers, ...] = (
+    (("Host", "upstream"), ("X-Own", "a\nb")),
+    (("Host", "upstream"), ("X Own", "1")),
+    (("Host", "upstream"), ("X-Own", "東京")),
+    (),
+)
+#: Seconds within which what is to end at once must have ended.
+SOON = 0.5
+
+
+class UnwritableTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_request_that_cannot_be_written_leaves_no_connection(self) -> None:
+        for headers in UNWRITABLE:
+            with self.subTest(headers=headers):
+                reactor = Reactor()
+                client = HttpClient(reactor)
+                with self.assertRaises((h11.LocalProtocolError, UnicodeEncodeError)):
+                    await client.send(ADDRESS, Request("GET", "/", headers), NOTHING, False)
+                self.assertEqual((len(reactor.wires), reactor.left_open()), (1, 0))
+
+    async def test_nor_one_that_was_kept(self) -> None:
+        reactor = Reactor()
+        client = HttpClient(reactor)
+        await client.send(ADDRESS, GET, NOTHING, True)
+        reactor.connections[0].dataReceived(WHOLE)
+        with self.assertRaises(h11.LocalProtocolError):
+            await client.send(ADDRESS, Request("GET", "/", ()), NOTHING, True)
+        self.assertEqual((len(reactor.wires), reactor.left_open()), (1, 0))
+
+
+class AccountsNameTest(HttpRoutedTest):
+    async def test_an_accounts_name_that_no_header_can_hold_leaves_no_connection(self) -> None:
+        accounts = [{"Name": "a\nb", "ApiKeys": ["k"]}]
+        put_in_force(self.state, {**CONFIGURATION, "Version": 9, "Tenants": accounts})
+        told = await self.begin(b"POST /proofs/a HTTP/1.1", b"Authorization: Bearer k")
+        self.assertTrue(told.startswith(b"HTTP/1.1 5"), told)
+        self.assertEqual((self.reactor.sent(), self.reactor.left_open()), (b"", 0))
+
+
+class LostAtOnce(Reactor):
+    """Its connections are reset in the turn of the loop in which they are made."""
+
+    def connectTCP(self, host: str, port: int, factory: Any, timeout: float) -> None:
+        super().connectTCP(host, port, factory, timeout)
+        self.connections[-1].connectionLost(Failure(ConnectionLost()))
+
+
+class NeverMade(Reactor):
+    """Its connections fail while they are set up, as twisted tells it."""
+
+    def connectTCP(self, host: str, port: int, factory: Any, timeout: float) -> None:
+        connection = factory.buildProtocol(IPv4Address("TCP", host, port))
+        with contextlib.suppress(AttributeError):
+            connection.makeConnection(None)
+        factory.clientConnectionLost(None, Failure(ConnectionLost()))
+
+
+class LostBeforeSentTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_connection_that_is_lost_as_it_is_made_was_not_sent_on(self) -> None:
+        for reactor in (LostAtOnce(), NeverMade()):
+            with self.subTest(reactor=type(reactor).__name__):
+                sending = HttpClient(reactor).send(ADDRESS, GET, NOTHING, False)
+                with self.assertRaises(NotSent):
+                    await asyncio.wait_for(sending, SOON)
+
+
+class GivenUpTest(unittest.IsolatedAsyncioTestCase):
+    async def test_an_answer_that_comes_as_its_request_is_given_up(self) -> None:
+        wire = Wire()
+        exchange = wire.begin()
+        exchange.head.cancel()
+        wire.connection.dataReceived(WHOLE)
+        exchange.cancel()
+        kept: list[Connection] = [wire.connection]
+        self.assertEqual(wire.kept, kept)
+        self.assertFalse(wire.transport.aborted)
+
+
+class Failing(EngineDialect):
+    """Fails at the answer's headers."""
+
+    def judge(self, head: RequestHead, status: int, value_by_name: Mapping[str, str]) -> Judged:
+        return Judged.ANSWERED
+
+    def answer_headers(self, headers: Headers) -> Headers:
+        raise RuntimeError("a fault")
+
+
+class HandingOverTest(unittest.IsolatedAsyncioTestCase):
+    async def test_an_error_at_an_answers_head_closes_its_connection(self) -> None:
+        reactor = Reactor()
+        upstreams = HttpUpstreams(HttpClient(reactor), Failing())
+        head = msgspec.structs.replace(_HEAD, headers=(("Host", "upstream"),))
+        target = Target("i-1", "http://10.0.0.1:80", True, 1.5, 3, 64)
+        sending = asyncio.ensure_future(upstreams.send(target, head, NOTHING))
+        await asyncio.sleep(0)
+        reactor.connections[0].dataReceived(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n")
+        with self.assertRaises(RuntimeError):
+            await sending
+        self.assertEqual(reactor.left_open(), 0)
+
+
+_HEAD = RequestHead(
+    request_id="own",
+    account="",
+    service="portal",
+    chat=0,
+    method="GET",
+    path="/",
+    headers=(),
+    repeatable=True,
+    deadline=2.5,
+    priority=3,
+)
