Hash a caller's key as the bytes that were sent

Cause: the key was read from its header as latin-1 text and hashed as that text's UTF-8, while the configuration hashes the operator's key in UTF-8: a key outside ASCII never matched and got 401 for good. Around it blanks were taken off that are none in HTTP but bytes of such a key. The OpenAI-compatible interface read the header as UTF-8, and a key that is none ended in 500.

Change: both interfaces take the header as one character for each byte, and the hash is made of these bytes; only a space and a tab count as blanks.

--- a/pondhatch/router/_admission.py
+++ b/pondhatch/router/_admission.py
@@ -64,14 +64,18 @@
     """Return the key in an Authorization header's value, or None where there is none."""
     if authorization[: len(BEARER)].lower() != BEARER:
         return None
-    return authorization[len(BEARER) :].strip()
+    # Only what HTTP counts as blank: other bytes may be part of a key outside ASCII.
+    return authorization[len(BEARER) :].strip(" \t")
 
 
 def identify_key(state: RouterState, key: str | None) -> Account | NotRun:
-    """Return the account that an API key belongs to."""
+    """Return the account that an API key belongs to.
+
+    The key is text as headers are kept, one character for each byte that was sent.
+    """
     if key is None:
         return NotRun("no-key", "expected 'Authorization: Bearer KEY'", 0.0, UNAUTHORIZED)
-    account = state.fleet.account_of(hashlib.sha256(key.encode()).hexdigest())
+    account = state.fleet.account_of(hashlib.sha256(key.encode("latin-1")).hexdigest())
     if account is None:
         return unknown(state, "account", UNKNOWN_KEY)
     return Account(account)
--- a/pondhatch/standard/_callers.py
+++ b/pondhatch/standard/_callers.py
@@ -189,8 +189,9 @@
 
 
 def _header(request: Any, name: str) -> str | None:
-    value: str | None = request.getHeader(name)
-    return value
+    """Return a header's value, one character for each of its bytes."""
+    value: bytes | None = request.getHeader(name.encode())
+    return None if value is None else as_text(value)
 
 
 def _key(request: CallerRequest, head: RequestHead) -> str | None:
--- a/pondhatch/transport/tests/test_header_bytes.py
+++ b/pondhatch/transport/tests/test_header_bytes.py
@@ -95,3 +95,26 @@
         await asyncio.sleep(0)
         told = self.written()
         self.assertTrue(told.startswith(b"HTTP/1.1 404"), told)
+
+
+class KeysTest(HttpRoutedTest):
+    async def served(self, key: str) -> bytes:
+        """Return what a caller with an operator's key gets; nothing once an engine has it."""
+        await self.asyncSetUp()
+        accounts = [{"Name": "pina", "ApiKeys": [key]}]
+        version = self.state.fleet.version + 1
+        put_in_force(self.state, {**CONFIGURATION, "Version": version, "Tenants": accounts})
+        return await self.begin(
+            b"POST /proofs/a HTTP/1.1", b"Authorization: Bearer " + key.encode()
+        )
+
+    async def test_a_key_of_any_characters_finds_its_account(self) -> None:
+        # The last two end in bytes that are blanks in other encodings.
+        for key in ("key-1", "kéy", "鍵", "voilà", "k\u0085"):
+            with self.subTest(key=key):
+                self.assertEqual(await self.served(key), b"")
+                self.assertIn(b"\r\nTenant: pina\r\n", self.reactor.sent())
+
+    async def test_a_key_that_is_no_text_is_unknown(self) -> None:
+        told = await self.begin(b"POST /proofs/a HTTP/1.1", b"Authorization: Bearer \xff\xfe")
+        self.assertTrue(told.startswith(b"HTTP/1.1 401"), told)
