Cut an answer of the OpenAI-compatible interface that is not whole

Cause: a request that was cancelled with its caller still there, or whose caller was lost to the one who writes, ended without a word on its answer, and klein finishes whatever is open: the end of a chunked body told callers that they had all of it, and one whose answer had not begun got an empty 200.

Change: both ways out cut the connection first, as those of routed callers do. After a cut no head is written either.

--- a/pondhatch/standard/_callers.py
+++ b/pondhatch/standard/_callers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 import uuid
 from collections.abc import Awaitable, Callable
@@ -101,6 +102,13 @@
             await self._serving.run(request, found, started)
         except CallerGone:
             self._metrics.count("callers.gone")
+            request.cut()
+        except asyncio.CancelledError:
+            # Whatever answer is open is finished by klein once this returns. Where the caller
+            # is still there, as when this router ends, what was sent must not look whole.
+            self._metrics.count("callers.gone")
+            request.cut()
+            raise
         except Exception:
             log.exception("A request ended in an error of this router.")
             self._metrics.count("requests.router-failed")
--- a/pondhatch/transport/_caller_channel.py
+++ b/pondhatch/transport/_caller_channel.py
@@ -86,6 +86,11 @@
         if sent < len(data):
             self.transport.write(data[sent:])
 
+    def writeHeaders(self, *head: Any) -> None:
+        """Send an answer's head; after an abort none, as with any other bytes."""
+        if not self.is_aborted:
+            super().writeHeaders(*head)
+
     def write(self, data: bytes) -> None:
         """Send bytes; after an abort none: the last chunk would make a cut answer whole."""
         if not self.is_aborted:
--- a/pondhatch/transport/tests/test_openai_callers.py
+++ b/pondhatch/transport/tests/test_openai_callers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import hashlib
 import random
 from typing import Any
@@ -11,18 +12,23 @@
 from pondhatch.configuration import CallerLimits, Edit, Fleet, Snapshot
 from pondhatch.kernel import Tasks
 from pondhatch.observing import NoMetrics
-from pondhatch.requests import Opened, Ways
+from pondhatch.requests import CallerGone, Headers, Opened, Ways
 from pondhatch.router import Starting
 from pondhatch.standard._callers import OpenAiCallers
 from pondhatch.transport._caller_channel import CallerSite
 from pondhatch.transport._interface import CallerParts
 from pondhatch.transport.tests.test_routed_callers import (
     Answer,
+    Endless,
+    Raising,
     RoutedCallersTest,
     Transport,
 )
 
 KEYS = ("key-1", "kéy")
+#: Without a length, so that an answer's end is told by its last chunk alone.
+UNFRAMED: Headers = (("X-Own", "1"),)
+LAST_CHUNK = b"0\r\n\r\n"
 LIMITS = {
     "services": ["portal"],
     "requests_per_second": 9,
@@ -65,6 +71,13 @@
     async def get(self, key: str = KEYS[0]) -> bytes:
         return await self.ask("GET /portal/x HTTP/1.1", f"Authorization: Bearer {key}")
 
+    async def cancel_all(self) -> bytes:
+        """Do what the end of the loop does to what still runs; return what callers then get."""
+        for task in asyncio.all_tasks() - {asyncio.current_task()}:
+            task.cancel()
+        await self.settle()
+        return self.written()
+
 
 class KeysTest(OpenAiCallersTest):
     async def test_a_key_of_any_characters_finds_its_account(self) -> None:
@@ -80,3 +93,37 @@
         )
         told = self.written()
         self.assertTrue(told.startswith(b"HTTP/1.1 401"), told)
+
+
+class EndingTest(OpenAiCallersTest):
+    """klein finishes whatever answer is open once its request's coroutine has returned."""
+
+    def assert_cut(self, told: bytes) -> None:
+        self.assertNotIn(LAST_CHUNK, told)
+        self.assertTrue(self.wire.aborted)
+
+    async def test_an_answer_under_way_is_cut_as_the_router_ends(self) -> None:
+        self.upstreams.replies = [Opened(Endless((b"ye",), headers=UNFRAMED))]
+        told = await self.get()
+        self.assertTrue(told.endswith(b"2\r\nye\r\n"), told)
+        self.assert_cut(await self.cancel_all())
+
+    async def test_one_that_has_not_begun_is_cut_without_a_word(self) -> None:
+        self.upstreams.hold = asyncio.Event()
+        await self.get()
+        told = await self.cancel_all()
+        self.assertEqual(told, b"")
+        self.assert_cut(told)
+
+    async def test_an_error_midway_cuts_the_answer(self) -> None:
+        for error in (CallerGone("gone"), RuntimeError("a fault"), ConnectionError("lost")):
+            with self.subTest(error=error):
+                await self.asyncSetUp()
+                self.upstreams.replies = [Opened(Raising(error))]
+                self.assert_cut(await self.get())
+
+    async def test_a_whole_answer_gets_its_end(self) -> None:
+        self.upstreams.replies = [Opened(Answer((b"yes!",), headers=UNFRAMED))]
+        told = await self.get()
+        self.assertTrue(told.endswith(LAST_CHUNK), told)
+        self.assertFalse(self.wire.aborted)
