Count a caller's idle time again after its body was paused

Cause: to pause a long body switched the idle time off by overwriting the only place where it stood, so that resuming set it to nothing: a body that stood still after one pause, and a connection kept after it, were never closed.

Change: resuming and the end of a request take the idle time from what is in force. While a request that has come in full is served, resuming its body starts no clock.

--- a/pondhatch/transport/_caller_channel.py
+++ b/pondhatch/transport/_caller_channel.py
@@ -108,14 +108,27 @@
             return False
         return not (transport._tempDataBuffer or len(transport.dataBuffer) > transport.offset)
 
+    def requestDone(self, request: Any) -> None:
+        """Wait for the next request, for as long as is in force now."""
+        self._savedTimeOut = self.limits().idle_seconds
+        super().requestDone(request)
+
+    def _count_idle_time(self) -> None:
+        self.setTimeout(self.limits().idle_seconds)
+
     def pause_caller(self) -> None:
         """Read no more from the caller; it is not the one who idles."""
         self.setTimeout(None)
         self.transport.pauseProducing()
 
     def resume_caller(self) -> None:
-        """Read from the caller again."""
-        self.setTimeout(self.timeOut)
+        """Read from the caller again.
+
+        The pause left no idle time to go back to, so it is taken from what is in force. While a
+        request that has come in full is served, the caller is not the one who idles.
+        """
+        if not self._handlingRequest:
+            self._count_idle_time()
         self.transport.resumeProducing()
 
     def cut(self) -> None:
