Hold callers' idle time to the bound in force, also on kept connections

Cause: the idle time was taken once, as the port was opened, when a router that starts knows no configuration yet: the operator's bound was never in force where it differed from the settings' own, and a longer one had its callers' connections closed early.

Change: it is taken as a connection begins, with each request and whenever it counts anew; a connection that rests while the bound is raised rests on. Nothing is rounded.

--- a/pondhatch/transport/_caller_channel.py
+++ b/pondhatch/transport/_caller_channel.py
@@ -37,11 +37,18 @@
     #: Says what callers may send, as of now.
     limits: Callable[[], CallerLimits]
     transport: Any
+    #: Seconds of silence after which the connection is closed, as they count now.
+    _idle_seconds = 0.0
     _head_timer: Any = None
     _is_cut = False
     #: Set once the connection was given up; it is lost only a turn of the loop later.
     is_aborted = False
 
+    def connectionMade(self) -> None:
+        """Start the clock for the first request."""
+        super().connectionMade()
+        self._count_idle_time()
+
     def dataReceived(self, data: bytes) -> None:
         """Take in bytes, unless the connection is only waiting to be closed."""
         if self._is_cut:
@@ -110,11 +117,26 @@
 
     def requestDone(self, request: Any) -> None:
         """Wait for the next request, for as long as is in force now."""
-        self._savedTimeOut = self.limits().idle_seconds
+        self._savedTimeOut = self._idle_seconds = self.limits().idle_seconds
         super().requestDone(request)
 
+    def resetTimeout(self) -> None:
+        """Count the idle time anew where it counts at all, by the bound in force."""
+        if self.timeOut is not None:
+            self._count_idle_time()
+
+    def timeoutConnection(self) -> None:
+        """Close an idle connection, unless the bound was raised while it stood idle."""
+        longer = self.limits().idle_seconds - self._idle_seconds
+        if longer > 0:
+            self._idle_seconds += longer
+            self.setTimeout(longer)
+            return
+        super().timeoutConnection()
+
     def _count_idle_time(self) -> None:
-        self.setTimeout(self.limits().idle_seconds)
+        self._idle_seconds = self.limits().idle_seconds
+        self.setTimeout(self._idle_seconds)
 
     def pause_caller(self) -> None:
         """Read no more from the caller; it is not the one who idles."""
@@ -177,7 +199,7 @@
     """Makes callers' connections."""
 
     def __init__(self, resource: IResource, limits: Callable[[], CallerLimits]) -> None:
-        super().__init__(resource, requestFactory=CallerRequest, timeout=limits().idle_seconds)
+        super().__init__(resource, requestFactory=CallerRequest)
         self._limits = limits
         self.protocol = self._channel  # type: ignore[assignment]
 
@@ -187,5 +209,4 @@
     def _channel(self) -> CallerChannel:
         channel = CallerChannel()
         channel.limits = self._limits
-        channel.timeOut = round(self._limits().idle_seconds)
         return channel
--- a/pondhatch/transport/tests/test_caller_idle.py
+++ b/pondhatch/transport/tests/test_caller_idle.py
@@ -77,3 +77,37 @@
         await self.ask("POST /x HTTP/1.1", body=b"a" * PAUSING)
         self.clock.advance(10 * IDLE_SECONDS)
         self.assertFalse(self.wire.disconnecting)
+
+
+class InForceTest(CallerIdleTest):
+    async def test_a_connection_takes_the_bound_in_force_when_it_begins(self) -> None:
+        for seconds in (2 * IDLE_SECONDS, 1.45, 0.4):
+            with self.subTest(seconds=seconds):
+                self.idle(seconds)
+                self.connect()
+                self.closes_after(seconds)
+
+    async def test_a_kept_one_takes_a_later_bound_with_its_next_request(self) -> None:
+        for seconds in (2 * IDLE_SECONDS, IDLE_SECONDS / 2):
+            with self.subTest(seconds=seconds):
+                self.idle(IDLE_SECONDS)
+                self.connect()
+                await self.serve()
+                self.idle(seconds)
+                await self.serve()
+                self.closes_after(seconds)
+
+    async def test_a_bound_that_is_raised_holds_for_what_stands_idle(self) -> None:
+        await self.serve()
+        self.clock.advance(IDLE_SECONDS / 2)
+        self.idle(2 * IDLE_SECONDS)
+        self.closes_after(1.5 * IDLE_SECONDS)
+
+    async def test_after_such_a_rest_the_whole_time_counts_again(self) -> None:
+        await self.serve()
+        self.idle(1.2 * IDLE_SECONDS)
+        self.clock.advance(1.1 * IDLE_SECONDS)
+        await self.send(HEAD)
+        self.limits = dataclasses.replace(self.limits, header_seconds=600.0)
+        await self.send(b"Content-Length: 9\r\n\r\na")
+        self.closes_after(1.2 * IDLE_SECONDS)
