Refuse heads that no engine could be sent where they come in

Cause: twisted takes a few bytes in headers and targets that h11 refuses to write: a malformed request was placed, granted and connected before it failed, with a 500 and a line in the log as for a fault of the router.

Change: vertical tab and form feed in a header and a target beyond visible ASCII get 400 as other malformed heads do. Several Host headers, which h11 refuses too, still end in 500: tests of routed callers send two, and expect the last one to count.

Before: the test of MalformedHeadTest failed in all 8 rows (500). After: it passes; test_caller_idle, test_caller_channel, test_caller_heads, test_routed_callers, test_header_bytes and test_openai_callers pass.

--- a/pondhatch/transport/_caller_channel.py
+++ b/pondhatch/transport/_caller_channel.py
@@ -29,6 +29,13 @@
 )
 
 
+#: Bytes that HTTP allows in no header, beside those that twisted turns away itself: vertical
+#: tab and form feed, at which some programs end a line.
+NEVER_IN_HEADERS = b"\x0b\x0c"
+#: The last byte that a request's target may hold; twisted lets some beyond it through.
+LAST_IN_TARGETS = 0x7E
+
+
 class CallerChannel(HTTPChannel):
     """One caller's connection."""
 
@@ -68,9 +75,20 @@
         """Refuse a head one line of which is too large."""
         self._refuse_large_head()
 
+    def headerReceived(self, line: bytes) -> bool:
+        """Take in a header, unless no engine could be sent it."""
+        if line.translate(None, NEVER_IN_HEADERS) != line:
+            self._respondToBadRequestAndDisconnect()
+            return False
+        return bool(super().headerReceived(line))
+
     def allHeadersReceived(self) -> None:
-        """Stop the clock: the head is there."""
+        """Stop the clock: the head is there. One that no engine could be sent is refused."""
         self._stop_head_timer()
+        target: Any = self._path
+        if max(target) > LAST_IN_TARGETS:
+            self._respondToBadRequestAndDisconnect()
+            return
         super().allHeadersReceived()
 
     def connectionLost(self, reason: Failure) -> None:  # type: ignore[override]
--- a/pondhatch/transport/tests/test_lost_exchanges.py
+++ b/pondhatch/transport/tests/test_lost_exchanges.py
@@ -142,3 +142,24 @@
     deadline=2.5,
     priority=3,
 )
+
+
+class MalformedHeadTest(HttpRoutedTest):
+    """Heads that twisted takes and no upstream can be sent are refused before any is chosen."""
+
+    async def test_they_are_told_so(self) -> None:
+        rows = (
+            (b"GET /x HTTP/1.1", b"X-Own: a\x0bb"),
+            (b"GET /x HTTP/1.1", b"X-Own: a\x0cb"),
+            (b"GET /x\x7f HTTP/1.1", b"X-Own: 1"),
+            (b"GET /x\xa9 HTTP/1.1", b"X-Own: 1"),
+        )
+        for line, header in rows:
+            for more in ((), (b"X-Last: 1",)):
+                with self.subTest(line=line, header=header, more=more):
+                    await self.asyncSetUp()
+                    told = await self.begin(line, header, *more)
+                    self.assertTrue(told.startswith(b"HTTP/1.1 400"), told)
+                    self.assertEqual(told.count(b"HTTP/1.1"), 1, told)
+                    self.assertTrue(self.wire.disconnecting)
+                    self.assertEqual(self.reactor.connections, [])
