Take an engine without an address for one that cannot be reached

Cause: an address in an engine's entry that is none raised where the request was to be sent, and the request got 500 though other engines could have run it.

Change: it is told as not sent, so that another engine is tried.

Before: both tests of NoAddressTest failed (500). After: 2 of 2 pass; test_http_client, test_idle_connections, test_store_calls and test_header_bytes pass.

--- a/pondhatch/transport/_http_client.py
+++ b/pondhatch/transport/_http_client.py
@@ -21,6 +21,8 @@
 
 #: Seconds to wait for a connection.
 CONNECT_SECONDS = 1.0
+#: Ports that TCP has.
+PORTS = range(1, 2**16)
 #: Idle connections kept for each address.
 IDLE_CONNECTIONS = 64
 #: Seconds between two looks for connections that stayed idle too long.
@@ -40,9 +42,12 @@
 
     @classmethod
     def of_url(cls, url: str) -> Address:
-        """Return the address of "http://IP:port"."""
+        """Return the address of "http://IP:port". Raises ValueError where it is none."""
         host, _, port = url.removeprefix("http://").rstrip("/").rpartition(":")
-        return cls(host.strip("[]"), int(port))
+        number = int(port)
+        if not host or number not in PORTS:
+            raise ValueError(f"no address: {url}")
+        return cls(host.strip("[]"), number)
 
 
 class _Connecting(ClientFactory):
--- a/pondhatch/transport/_upstreams.py
+++ b/pondhatch/transport/_upstreams.py
@@ -109,7 +109,7 @@
         exchange: Exchange | None = None
         try:
             async with asyncio.timeout_at(deadline):
-                address = Address.of_url(target.url)
+                address = _address(target.url)
                 reusable = head.repeatable and not head.fresh
                 exchange = await self.client.send(
                     address,
@@ -172,6 +172,14 @@
         )
 
 
+def _address(url: str) -> Address:
+    """Return an upstream's address; one whose entry has none cannot be reached, as if down."""
+    try:
+        return Address.of_url(url)
+    except ValueError as error:
+        raise NotSent(str(error)) from error
+
+
 def _refusal(tried: Try, reason: str) -> NotRun | Unknown:
     outcome = tried.lost(reason)
     if not isinstance(outcome, NotRun | Unknown):
--- a/pondhatch/transport/tests/test_lost_exchanges.py
+++ b/pondhatch/transport/tests/test_lost_exchanges.py
@@ -17,6 +17,7 @@
 from pondhatch.platform._engines import EngineDialect
 from pondhatch.platform.tests._wire import CONFIGURATION
 from pondhatch.requests import Headers, Judged, ReplayableBody, RequestHead, Target
+from pondhatch.store import Upstream
 from pondhatch.transport._http_client import Address, HttpClient, NotSent
 from pondhatch.transport._http_connection import Connection
 from pondhatch.transport._http_heads import Request
@@ -163,3 +164,31 @@
                     self.assertEqual(told.count(b"HTTP/1.1"), 1, told)
                     self.assertTrue(self.wire.disconnecting)
                     self.assertEqual(self.reactor.connections, [])
+
+
+class NoAddressTest(HttpRoutedTest):
+    """An engine whose entry has no address costs no request that another can run."""
+
+    async def test_its_requests_go_to_another(self) -> None:
+        for at, url in enumerate(("http://nowhere", "http://10.0.0.9:0", "http://10.0.0.9:70000")):
+            for engine in ("i-2", "i-3"):
+                with self.subTest(url=url, engine=engine):
+                    await self.asyncSetUp()
+                    revision = 100 + 10 * at + int(engine[-1])
+                    entry = Upstream(engine, "portal", url, "hall-1")
+                    self.state.upstreams.set(entry, revision)
+                    self.state.upstreams_changed()
+                    told = await self.begin(b"GET /x HTTP/1.1")
+                    self.assertEqual(told, b"")
+                    self.assertIn(b"GET /x HTTP/1.1", self.reactor.sent())
+                    whole = Upstream(engine, "portal", "http://10.0.0.9:80", "hall-1")
+                    self.state.upstreams.set(whole, revision + 5)
+                    self.state.upstreams_changed()
+
+    async def test_where_none_has_one_it_is_refused_as_not_run(self) -> None:
+        for engine in ("i-2", "i-3"):
+            entry = Upstream(engine, "portal", "http://nowhere", "hall-1")
+            self.state.upstreams.set(entry, 100 + int(engine[-1]))
+        self.state.upstreams_changed()
+        told = await self.begin(b"GET /x HTTP/1.1")
+        self.assertTrue(told.startswith(b"HTTP/1.1 503"), told)
