--- a/pondhatch/standard/_callers.py
+++ b/pondhatch/standard/_callers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 import uuid
 from collections.abc import Awaitable, Callable
@@ -31,6 +32,7 @@
     CallerRequest,
     Serving,
     Work,
+    as_text,
     fail,
     read_whole,
 )
@@ -100,6 +102,13 @@
             await self._serving.run(request, found, started)
         except CallerGone:
             self._metrics.count("callers.gone")
+            request.cut()
+        except asyncio.CancelledError:
+            # Whatever answer is open is finished by klein once this returns. Where the caller
+            # is still there, as when this router ends, what was sent must not look whole.
+            self._metrics.count("callers.gone")
+            request.cut()
+            raise
         except Exception:
             log.exception("A request ended in an error of this router.")
             self._metrics.count("requests.router-failed")
@@ -167,10 +176,10 @@
 
 def _head(request: CallerRequest, account: Account, admitted: Admitted, path: str) -> RequestHead:
     headers = tuple(
-        (name.decode("latin-1"), value.decode("latin-1"))
+        (as_text(name), as_text(value))
         for name, values in request.requestHeaders.getAllRawHeaders()
         for value in values
-        if name.decode("latin-1").lower() not in PRIVATE_HEADERS
+        if as_text(name).lower() not in PRIVATE_HEADERS
     )
     return RequestHead(
         request_id=uuid.uuid4().hex,
@@ -188,8 +197,9 @@
 
 
 def _header(request: Any, name: str) -> str | None:
-    value: str | None = request.getHeader(name)
-    return value
+    """Return a header's value, one character for each of its bytes."""
+    value: bytes | None = request.getHeader(name.encode())
+    return None if value is None else as_text(value)
 
 
 def _key(request: CallerRequest, head: RequestHead) -> str | None:
--- a/pondhatch/transport/_caller_channel.py
+++ b/pondhatch/transport/_caller_channel.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import sys
 from collections.abc import Callable, Iterable
 from typing import Any
 
@@ -22,35 +23,72 @@
 #: the caller sees its answer instead of a reset connection.
 LINGER_SECONDS = 1.0
 HEAD_TOO_SLOW = b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+HEAD_TOO_LARGE = (
+    b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
+    b"Connection: close\r\nContent-Length: 0\r\n\r\n"
+)
+
+
+#: Bytes that HTTP allows in no header, beside those that twisted turns away itself: vertical
+#: tab and form feed, at which some programs end a line.
+NEVER_IN_HEADERS = b"\x0b\x0c"
+#: The last byte that a request's target may hold; twisted lets some beyond it through.
+LAST_IN_TARGETS = 0x7E
 
 
 class CallerChannel(HTTPChannel):
     """One caller's connection."""
 
+    #: Headers of one request. Bytes are bounded by what is in force, and no header has none.
+    maxHeaders = sys.maxsize
     #: Says what callers may send, as of now.
     limits: Callable[[], CallerLimits]
     transport: Any
+    #: Seconds of silence after which the connection is closed, as they count now.
+    _idle_seconds = 0.0
     _head_timer: Any = None
     _is_cut = False
     #: Set once the connection was given up; it is lost only a turn of the loop later.
     is_aborted = False
 
     def connectionMade(self) -> None:
-        """Start the clock for the first request's head."""
-        self.totalHeadersSize = self.limits().header_bytes
+        """Start the clock for the first request."""
         super().connectionMade()
+        self._count_idle_time()
 
     def dataReceived(self, data: bytes) -> None:
         """Take in bytes, unless the connection is only waiting to be closed."""
         if self._is_cut:
             return
         if self._head_timer is None and not self.requests:
-            self._head_timer = self.callLater(self.limits().header_seconds, self._head_too_slow)
+            self._begin_head()
         super().dataReceived(data)
 
+    def lineReceived(self, line: bytes) -> None:
+        """Take in a line of a head, unless the head is too large with it."""
+        if self._receivedHeaderSize + len(line) > self.totalHeadersSize:
+            self._refuse_large_head()
+            return
+        super().lineReceived(line)
+
+    def lineLengthExceeded(self, line: bytes) -> None:
+        """Refuse a head one line of which is too large."""
+        self._refuse_large_head()
+
+    def headerReceived(self, line: bytes) -> bool:
+        """Take in a header, unless no engine could be sent it."""
+        if line.translate(None, NEVER_IN_HEADERS) != line:
+            self._respondToBadRequestAndDisconnect()
+            return False
+        return bool(super().headerReceived(line))
+
     def allHeadersReceived(self) -> None:
-        """Stop the clock: the head is there."""
+        """Stop the clock: the head is there. One that no engine could be sent is refused."""
         self._stop_head_timer()
+        target: Any = self._path
+        if max(target) > LAST_IN_TARGETS:
+            self._respondToBadRequestAndDisconnect()
+            return
         super().allHeadersReceived()
 
     def connectionLost(self, reason: Failure) -> None:  # type: ignore[override]
@@ -73,6 +111,11 @@
         if sent < len(data):
             self.transport.write(data[sent:])
 
+    def writeHeaders(self, *head: Any) -> None:
+        """Send an answer's head; after an abort none, as with any other bytes."""
+        if not self.is_aborted:
+            super().writeHeaders(*head)
+
     def write(self, data: bytes) -> None:
         """Send bytes; after an abort none: the last chunk would make a cut answer whole."""
         if not self.is_aborted:
@@ -90,14 +133,42 @@
             return False
         return not (transport._tempDataBuffer or len(transport.dataBuffer) > transport.offset)
 
+    def requestDone(self, request: Any) -> None:
+        """Wait for the next request, for as long as is in force now."""
+        self._savedTimeOut = self._idle_seconds = self.limits().idle_seconds
+        super().requestDone(request)
+
+    def resetTimeout(self) -> None:
+        """Count the idle time anew where it counts at all, by the bound in force."""
+        if self.timeOut is not None:
+            self._count_idle_time()
+
+    def timeoutConnection(self) -> None:
+        """Close an idle connection, unless the bound was raised while it stood idle."""
+        longer = self.limits().idle_seconds - self._idle_seconds
+        if longer > 0:
+            self._idle_seconds += longer
+            self.setTimeout(longer)
+            return
+        super().timeoutConnection()
+
+    def _count_idle_time(self) -> None:
+        self._idle_seconds = self.limits().idle_seconds
+        self.setTimeout(self._idle_seconds)
+
     def pause_caller(self) -> None:
         """Read no more from the caller; it is not the one who idles."""
         self.setTimeout(None)
         self.transport.pauseProducing()
 
     def resume_caller(self) -> None:
-        """Read from the caller again."""
-        self.setTimeout(self.timeOut)
+        """Read from the caller again.
+
+        The pause left no idle time to go back to, so it is taken from what is in force. While a
+        request that has come in full is served, the caller is not the one who idles.
+        """
+        if not self._handlingRequest:
+            self._count_idle_time()
         self.transport.resumeProducing()
 
     def cut(self) -> None:
@@ -113,6 +184,24 @@
             return
         super().loseConnection()
 
+    def _begin_head(self) -> None:
+        """Hold a request's head to what is in force as its first bytes come.
+
+        A kept connection outlasts many versions of the configuration. One line may be as long
+        as the whole head: twisted's own bound on a line is its default, not the operator's.
+        """
+        limits = self.limits()
+        self.totalHeadersSize = self.MAX_LENGTH = limits.header_bytes
+        self._head_timer = self.callLater(limits.header_seconds, self._head_too_slow)
+
+    def _refuse_large_head(self) -> None:
+        """Say that the head is too large, and drop the rest of it."""
+        self._stop_head_timer()
+        self.clearLineBuffer()
+        self.transport.write(HEAD_TOO_LARGE)
+        self.cut()
+        self.loseConnection()
+
     def _head_too_slow(self) -> None:
         self._head_timer = None
         self.transport.write(HEAD_TOO_SLOW)
@@ -128,7 +217,7 @@
     """Makes callers' connections."""
 
     def __init__(self, resource: IResource, limits: Callable[[], CallerLimits]) -> None:
-        super().__init__(resource, requestFactory=CallerRequest, timeout=limits().idle_seconds)
+        super().__init__(resource, requestFactory=CallerRequest)
         self._limits = limits
         self.protocol = self._channel  # type: ignore[assignment]
 
@@ -138,5 +227,4 @@
     def _channel(self) -> CallerChannel:
         channel = CallerChannel()
         channel.limits = self._limits
-        channel.timeOut = round(self._limits().idle_seconds)
         return channel
--- a/pondhatch/transport/_http_client.py
+++ b/pondhatch/transport/_http_client.py
@@ -21,6 +21,8 @@
 
 #: Seconds to wait for a connection.
 CONNECT_SECONDS = 1.0
+#: Ports that TCP has.
+PORTS = range(1, 2**16)
 #: Idle connections kept for each address.
 IDLE_CONNECTIONS = 64
 #: Seconds between two looks for connections that stayed idle too long.
@@ -40,9 +42,12 @@
 
     @classmethod
     def of_url(cls, url: str) -> Address:
-        """Return the address of "http://IP:port"."""
+        """Return the address of "http://IP:port". Raises ValueError where it is none."""
         host, _, port = url.removeprefix("http://").rstrip("/").rpartition(":")
-        return cls(host.strip("[]"), int(port))
+        number = int(port)
+        if not host or number not in PORTS:
+            raise ValueError(f"no address: {url}")
+        return cls(host.strip("[]"), number)
 
 
 class _Connecting(ClientFactory):
@@ -60,6 +65,13 @@
         return connection
 
     def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
+        self._not_made(reason)
+
+    def clientConnectionLost(self, connector: Any, reason: Failure) -> None:
+        """Called also for a connection that was lost before it could be announced."""
+        self._not_made(reason)
+
+    def _not_made(self, reason: Failure) -> None:
         if not self.made.done():
             self.made.set_exception(NotSent(reason.getErrorMessage()))
             self.made.exception()  # Whoever waits gets it; nobody may be waiting any more.
@@ -113,7 +125,13 @@
         if connection is None:
             connection = await self._connect(address)
         exchange = Exchange(connection, lambda kept: self._keep(address, kept), trusts)
-        exchange.send(request, body)
+        try:
+            exchange.send(request, body)
+        except BaseException:
+            # Nobody else knows of the connection: left open, it would hold a place at the
+            # upstream for as long as that lets it stand idle.
+            exchange.cancel()
+            raise
         return exchange
 
     def _take(self, address: Address, repeatable: bool) -> Connection | None:
@@ -141,6 +159,9 @@
         except asyncio.CancelledError:
             connector.disconnect()
             raise
+        if not connection.is_open:
+            # An exchange on it would wait in vain: its loss was told before there was one.
+            raise NotSent("the connection was lost as soon as it was made")
         return connection
 
     def _keep(self, address: Address, connection: Connection) -> None:
--- /dev/null
+++ b/pondhatch/transport/tests/test_openai_callers.py
@@ -0,0 +1,129 @@
+"""Callers of the OpenAI-compatible interface, over their connections."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import random
+from typing import Any
+
+from twisted.internet.address import IPv4Address
+
+from pondhatch.configuration import CallerLimits, Edit, Fleet, Snapshot
+from pondhatch.kernel import Tasks
+from pondhatch.observing import NoMetrics
+from pondhatch.requests import CallerGone, Headers, Opened, Ways
+from pondhatch.router import Starting
+from pondhatch.standard._callers import OpenAiCallers
+from pondhatch.transport._caller_channel import CallerSite
+from pondhatch.transport._interface import CallerParts
+from pondhatch.transport.tests.test_routed_callers import (
+    Answer,
+    Endless,
+    Raising,
+    RoutedCallersTest,
+    Transport,
+)
+
+KEYS = ("key-1", "kéy")
+#: Without a length, so that an answer's end is told by its last chunk alone.
+UNFRAMED: Headers = (("X-Own", "1"),)
+LAST_CHUNK = b"0\r\n\r\n"
+LIMITS = {
+    "services": ["portal"],
+    "requests_per_second": 9,
+    "burst": 9,
+    "concurrency": 9,
+}
+
+
+def _fleet() -> Fleet:
+    hashes = [hashlib.sha256(key.encode()).hexdigest() for key in KEYS]
+    edits = (
+        Edit("service", "portal", {"kind": "plain", "prefix": "/portal/"}),
+        Edit("template", "small", {"account": LIMITS}),
+        Edit("account", "pina", {"template": "small", "key_hashes": hashes}),
+    )
+    return Fleet.from_snapshot(Snapshot(50, edits))
+
+
+class OpenAiCallersTest(RoutedCallersTest):
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.state.take_fleet(_fleet())
+        parts = CallerParts(
+            self.state,
+            Ways(self.grants, self.upstreams),
+            lambda: self.limits,
+            NoMetrics(),
+            self.noted,
+            Tasks(),
+            random.Random(1),
+            Starting(self.state),
+        )
+        resource: Any = OpenAiCallers(parts).resource()
+        site: Any = CallerSite(resource, CallerLimits)
+        self.channel = site.buildProtocol(IPv4Address("TCP", "10.9.9.9", 4000))
+        self.channel.callLater = self.clock.callLater
+        self.wire = Transport()  # type: ignore[no-untyped-call]
+        self.channel.makeConnection(self.wire)
+
+    async def get(self, key: str = KEYS[0]) -> bytes:
+        return await self.ask("GET /portal/x HTTP/1.1", f"Authorization: Bearer {key}")
+
+    async def cancel_all(self) -> bytes:
+        """Do what the end of the loop does to what still runs; return what callers then get."""
+        for task in asyncio.all_tasks() - {asyncio.current_task()}:
+            task.cancel()
+        await self.settle()
+        return self.written()
+
+
+class KeysTest(OpenAiCallersTest):
+    async def test_a_key_of_any_characters_finds_its_account(self) -> None:
+        for key in KEYS:
+            with self.subTest(key=key):
+                self.upstreams.replies = [Opened(Answer((b"yes!",)))]
+                told = await self.get(key)
+                self.assertTrue(told.startswith(b"HTTP/1.1 200"), told)
+
+    async def test_a_key_that_is_no_text_is_unknown(self) -> None:
+        await self.send(
+            b"GET /portal/x HTTP/1.1\r\nHost: desk.example\r\nAuthorization: Bearer \xff\r\n\r\n"
+        )
+        told = self.written()
+        self.assertTrue(told.startswith(b"HTTP/1.1 401"), told)
+
+
+class EndingTest(OpenAiCallersTest):
+    """klein finishes whatever answer is open once its request's coroutine has returned."""
+
+    def assert_cut(self, told: bytes) -> None:
+        self.assertNotIn(LAST_CHUNK, told)
+        self.assertTrue(self.wire.aborted)
+
+    async def test_an_answer_under_way_is_cut_as_the_router_ends(self) -> None:
+        self.upstreams.replies = [Opened(Endless((b"ye",), headers=UNFRAMED))]
+        told = await self.get()
+        self.assertTrue(told.endswith(b"2\r\nye\r\n"), told)
+        self.assert_cut(await self.cancel_all())
+
+    async def test_one_that_has_not_begun_is_cut_without_a_word(self) -> None:
+        self.upstreams.hold = asyncio.Event()
+        await self.get()
+        told = await self.cancel_all()
+        self.assertEqual(told, b"")
+        self.assert_cut(told)
+
+    async def test_an_error_midway_cuts_the_answer(self) -> None:
+        for error in (CallerGone("gone"), RuntimeError("a fault"), ConnectionError("lost")):
+            with self.subTest(error=error):
+                await self.asyncSetUp()
+                self.upstreams.replies = [Opened(Raising(error))]
+                self.assert_cut(await self.get())
+
+    async def test_a_whole_answer_gets_its_end(self) -> None:
+        self.upstreams.replies = [Opened(Answer((b"yes!",), headers=UNFRAMED))]
+        told = await self.get()
+        self.assertTrue(told.endswith(LAST_CHUNK), told)
+        self.assertFalse(self.wire.aborted)
