Leave out the one upstream entry that makes no sense, and take the others

Cause: the list of upstreams of the product's own platform was read all or nothing, in the store's answer and in its objects' values. One entry that makes no sense raised in the watch, which began again without end; a router that started saw no upstream. Change: each object, change and entry is read by itself (UpstreamReader, HttpPlatform). One that makes no sense is left out and told once for each of its versions; what was last readable of it stands, and a listing that names it does not take it for gone. An entry that says that it leaves counts as leaving whatever else it says. The line of the prepared machines' store is told once for each version too. listing() is now UpstreamReader.listing, since telling once needs a memory.

--- a/pondhatch/observing/__init__.py
+++ b/pondhatch/observing/__init__.py
@@ -3,6 +3,7 @@
 from pondhatch.observing._lines import STANDARD_OUTPUT, LineWriter
 from pondhatch.observing._logs import log_for, setup_logs
 from pondhatch.observing._metrics import AllMetrics, Metrics, NoMetrics, StatsdMetrics
+from pondhatch.observing._once import Once
 from pondhatch.observing._records import (
     Believed,
     LineRecords,
@@ -22,6 +23,7 @@
     "LineWriter",
     "LoggedRecords",
     "NoRecords",
+    "Once",
     "Record",
     "Records",
     "RequestEnded",
--- a/pondhatch/platform/_store.py
+++ b/pondhatch/platform/_store.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from pondhatch.observing import log_for
+from pondhatch.observing import Once, log_for
 from pondhatch.store import (
     Accepted,
     Conflict,
@@ -90,6 +90,7 @@
         self._calls = calls
         #: The store's name of a kind and its decoder, by the product's name of the kind.
         self._decode_by_kind = decode_by_kind
+        self._told = Once()
 
     @property
     def calls(self) -> int:
@@ -201,7 +202,10 @@
             try:
                 found.append(self._stored(kind, each))
             except msgspec.ValidationError as error:
-                log.error("Object {} {} is left out: {}.", kind, each.metadata.name, error)
+                name, revision = each.metadata.name, each.metadata.revision
+                # A listing comes again and again, and its line would with it.
+                if self._told.is_first((kind, name, revision)):
+                    log.error("Object {} {} is left out: {}.", kind, name, error)
         return found
 
     def _event(self, kind: str, happened: _Happened) -> WatchEvent | None:
--- a/pondhatch/router/_state.py
+++ b/pondhatch/router/_state.py
@@ -28,6 +28,7 @@
 from pondhatch.store import (
     LIVE,
     REMOVED,
+    Listed,
     Upstream,
     UpstreamList,
     UpstreamUpdate,
@@ -182,8 +183,14 @@
         self._owner_by_engine.clear()
         self._owned_by_service = None
 
+    def take_listed_upstreams(self, listed: Listed) -> bool:
+        """Take in what the platform lists; return whether any was news."""
+        news = self._upstream_changes.take_listing(listed, self.clock())
+        self.upstreams_changed()
+        return news
+
     def take_upstreams(self, update: UpstreamUpdate) -> bool:
-        """Take in a listing's or a peer's entries; return whether any was news."""
+        """Take in a peer's entries; return whether any was news."""
         news = self._upstream_changes.take(update, self.clock())
         self.upstreams_changed()
         return news
--- a/pondhatch/router/_sync.py
+++ b/pondhatch/router/_sync.py
@@ -31,7 +31,6 @@
     TooOld,
     Unavailable,
     UpstreamUpdate,
-    listing,
 )
 
 log = log_for("sync")
@@ -188,8 +187,7 @@
         if isinstance(listed, Unavailable):
             raise PlatformLost(listed.reason)
         self._state.platform_lost = ""
-        values = [(each.version, each.value) for each in listed.objects]
-        if self._state.take_upstreams(listing(listed.version, values)):
+        if self._state.take_listed_upstreams(listed):
             self._spread()
         await self._has_met_peers.wait()
         async for event in self._platform.watch(UPSTREAM_KIND, listed.version):
--- a/pondhatch/router/_upstream_changes.py
+++ b/pondhatch/router/_upstream_changes.py
@@ -8,14 +8,14 @@
 
 from dataclasses import dataclass, field
 
-import msgspec
-
 from pondhatch.placement import YOUNG_SECONDS
 from pondhatch.store import (
     LIVE,
     REMOVED,
+    Listed,
     Upstream,
     UpstreamList,
+    UpstreamReader,
     UpstreamUpdate,
     Vanished,
     WatchEvent,
@@ -61,6 +61,11 @@
     upstreams: UpstreamList
     vanished: Vanished
     joins: Joins = field(default_factory=Joins)
+    reader: UpstreamReader = field(default_factory=UpstreamReader)
+
+    def take_listing(self, listed: Listed, now: float) -> bool:
+        """Take in what the platform lists; return whether any was news."""
+        return self.take(self.reader.listing(listed), now)
 
     def take(self, update: UpstreamUpdate, now: float) -> bool:
         """Take in a listing's or a peer's entries; return whether any was news."""
@@ -79,7 +84,8 @@
 
     def _apply(self, event: WatchEvent) -> bool:
         if event.type == "set":
-            return self.upstreams.set(msgspec.convert(event.value, Upstream), event.version)
+            upstream = self.reader.upstream(event.name, event.version, event.value)
+            return upstream is not None and self.upstreams.set(upstream, event.version)
         if event.type == "removed":
             return self.upstreams.remove(event.name, event.version)
         return False
--- a/pondhatch/router/tests/test_sync.py
+++ b/pondhatch/router/tests/test_sync.py
@@ -6,8 +6,10 @@
 import random
 import unittest
 from collections.abc import AsyncIterator, Callable
+from typing import Any
 
 import msgspec
+from loguru import logger
 
 from fakes._entries import SERVICE, TEMPLATE
 from fakes._platform_in_memory import PlatformInMemory
@@ -35,6 +37,7 @@
     LEAVING,
     Listed,
     Platform,
+    StoredObject,
     Unavailable,
     Upstream,
     UpstreamEntry,
@@ -292,6 +295,74 @@
         self.assertGreater(run_virtually(main()), 1)
 
 
+ENTRY = {"name": "e0", "service": "lang", "url": "http://10.0.0.1:80", "hall": "h1"}
+
+
+class EntryThatMakesNoSenseTest(unittest.TestCase):
+    """One entry of the platform's list of upstreams that cannot be read."""
+
+    def setUp(self) -> None:
+        self.lines: list[str] = []
+        number = logger.add(self.lines.append, level="ERROR", format="{message}")
+        self.addCleanup(logger.remove, number)
+
+    def starting(self, *entries: Any) -> RouterState:
+        """Return a router after some listings, each of which has the entries e0, e1 and so on."""
+
+        async def main() -> RouterState:
+            platform = PlatformInMemory()
+            for at, entry in enumerate(entries):
+                await platform.create("upstream", f"e{at}", entry)
+            state = router("r0")
+            sync = syncing(state, platform, None)
+            sync._has_met_peers.set()
+            task = asyncio.ensure_future(sync._keep(sync._watch_upstreams))
+            await asyncio.sleep(5)
+            task.cancel()
+            return state
+
+        return run_virtually(main())
+
+    def test_a_router_that_starts_takes_the_others_and_tells_it_once(self) -> None:
+        wrong: tuple[Any, ...] = (
+            {**ENTRY, "name": "e1", "slots": None},
+            "no table",
+            {"name": "e1"},
+        )
+        for each in wrong:
+            with self.subTest(entry=each):
+                self.lines.clear()
+                state = self.starting(ENTRY, each, {**ENTRY, "name": "e2"})
+                self.assertEqual(list(state.upstreams.entry_by_name), ["e0", "e2"])
+                self.assertEqual(len(self.lines), 1, self.lines)
+                self.assertIn("e1", self.lines[0])
+
+    def test_a_change_that_makes_no_sense_neither_raises_nor_changes_anything(self) -> None:
+        state = self.starting(ENTRY)
+        self.assertFalse(state.take_upstream_event(WatchEvent("set", 9, "e0", {"name": "e0"})))
+        self.assertEqual([each.name for each in state.upstreams.of_service("lang")], ["e0"])
+
+    def test_what_is_listed_and_makes_no_sense_is_not_taken_for_gone(self) -> None:
+        state = self.starting(ENTRY)
+        for version in (9, 10):
+            listed = Listed(version, (StoredObject("upstream", "e0", 9, {**ENTRY, "slots": None}),))
+            state.take_listed_upstreams(listed)
+        self.assertEqual([each.name for each in state.upstreams.of_service("lang")], ["e0"])
+        self.assertEqual(len(self.lines), 1, self.lines)
+
+    def test_each_version_of_it_is_told(self) -> None:
+        state = self.starting(ENTRY)
+        for version in (9, 10, 10):
+            state.take_upstream_event(WatchEvent("set", version, "e0", None))
+        self.assertEqual(len(self.lines), 2, self.lines)
+
+    def test_one_that_leaves_gets_no_new_work_whatever_else_it_says(self) -> None:
+        state = self.starting(ENTRY)
+        leaving = {**ENTRY, "state": LEAVING, "slots": None}
+        state.take_upstream_event(WatchEvent("set", 9, "e0", leaving))
+        self.assertEqual(state.upstreams.of_service("lang"), ())
+
+
 class Watched(PlatformInMemory):
     """Counts the watches that were begun."""
 
--- a/pondhatch/standard/_platform.py
+++ b/pondhatch/standard/_platform.py
@@ -9,7 +9,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
-from typing import Any
+from typing import Any, TypeVar
 
 import msgspec
 import treq
@@ -23,6 +23,7 @@
 from twisted.web.http_headers import Headers as WireHeaders
 
 from pondhatch.kernel import as_future
+from pondhatch.observing import Once, log_for
 from pondhatch.store import (
     Accepted,
     Conflict,
@@ -38,6 +39,8 @@
 )
 from pondhatch.transport import PartPipe
 
+log = log_for("store")
+
 #: Errors of treq after which certainly nothing was sent.
 NOT_SENT = (ConnectError, ConnectTimeout, RequestNotSent)
 #: Seconds for one call; the platform answers in milliseconds when it is well.
@@ -48,6 +51,15 @@
 CONFLICT = 409
 GONE = 410
 
+_Shape = TypeVar("_Shape")
+
+
+class _Listing(msgspec.Struct, frozen=True):
+    """A listing whose objects are still to be read, each by itself."""
+
+    version: int
+    objects: tuple[Any, ...]
+
 
 class _CallFailed(Exception):
     """A call got no usable answer."""
@@ -98,6 +110,7 @@
         #: Calls made, for the budget that the platform counts.
         self.calls = 0
         self._url = f"{url.rstrip('/')}/v1/objects"
+        self._told = Once()
 
     async def get(self, kind: str, name: str) -> Found | Missing | Unavailable:
         """Read one object."""
@@ -119,7 +132,14 @@
             return Unavailable(str(error))
         if status != 200:
             return Unavailable(f"answered {status}")
-        return msgspec.json.decode(content, type=Listed)
+        try:
+            listing = msgspec.json.decode(content, type=_Listing)
+        except msgspec.DecodeError as error:
+            return Unavailable(f"answered what is no listing: {error}")
+        found = [self._readable(each, StoredObject) for each in listing.objects]
+        objects = tuple(each for each in found if each is not None)
+        names = {_name_of(each) for each in listing.objects} - {each.name for each in objects}
+        return Listed(listing.version, objects, frozenset(names))
 
     async def create(
         self, kind: str, name: str, value: Any
@@ -150,10 +170,27 @@
         response.deliverBody(protocol)
         try:
             async for line in _lines(protocol.pipe):
-                yield msgspec.json.decode(line, type=WatchEvent)
+                event = self._event(line)
+                if event is not None:
+                    yield event
         finally:
             protocol.stop()
 
+    def _event(self, line: bytes) -> WatchEvent | None:
+        try:
+            return self._readable(msgspec.json.decode(line), WatchEvent)
+        except msgspec.DecodeError as error:
+            raise PlatformLost(f"the watch sent what is no JSON: {error}") from error
+
+    def _readable(self, value: Any, shape: type[_Shape]) -> _Shape | None:
+        """Return an object or event; None where it makes no sense, which is told once."""
+        try:
+            return msgspec.convert(value, shape)
+        except msgspec.ValidationError as error:
+            if self._told.is_first(hash(repr(value))):
+                log.error("Object {} is left out: {}.", _name_of(value) or "without name", error)
+            return None
+
     async def _write(
         self, kind: str, name: str, value: Any, condition: dict[str, str]
     ) -> Accepted | Conflict | OutcomeUnknown | Unavailable:
@@ -200,6 +237,12 @@
         return await as_future(asked)
 
 
+def _name_of(value: Any) -> str:
+    """Return the name of an object that may make no sense otherwise, empty where it has none."""
+    name = value.get("name") if isinstance(value, dict) else None
+    return name if isinstance(name, str) else ""
+
+
 async def _lines(pipe: PartPipe) -> AsyncIterator[bytes]:
     rest = b""
     while True:
--- /dev/null
+++ b/pondhatch/standard/tests/test_platform.py
@@ -0,0 +1,76 @@
+"""What the platform answers over HTTP, where a part of it makes no sense."""
+
+from __future__ import annotations
+
+import unittest
+from collections.abc import AsyncIterator
+from typing import Any
+from unittest import mock
+
+import msgspec
+from loguru import logger
+
+from pondhatch.standard import _platform
+from pondhatch.standard._platform import HttpPlatform
+from pondhatch.store import Listed, Unavailable, WatchEvent
+
+GOOD = {"kind": "upstream", "name": "e0", "version": 1, "value": {"name": "e0"}}
+WRONG = ({**GOOD, "name": "e1", "version": None}, {"value": 1}, "no object", None)
+
+
+class Answering(HttpPlatform):
+    """A platform whose answers are given."""
+
+    def __init__(self, content: bytes) -> None:
+        super().__init__("http://127.0.0.1:1")
+        self._content = content
+
+    async def _call(self, *_: Any, **__: Any) -> tuple[int, bytes]:
+        return 200, self._content
+
+
+class ListingTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.lines: list[str] = []
+        number = logger.add(self.lines.append, level="ERROR", format="{message}")
+        self.addCleanup(logger.remove, number)
+
+    async def test_an_object_that_makes_no_sense_hides_no_other_and_is_told_once(self) -> None:
+        for wrong in WRONG:
+            with self.subTest(wrong=wrong):
+                self.lines.clear()
+                content = msgspec.json.encode({"version": 4, "objects": [wrong, GOOD]})
+                platform = Answering(content)
+                for _ in range(3):
+                    listed = await platform.list("upstream")
+                    assert isinstance(listed, Listed)
+                    self.assertEqual([each.name for each in listed.objects], ["e0"])
+                self.assertEqual(len(self.lines), 1, self.lines)
+
+    async def test_its_name_is_known_to_be_there(self) -> None:
+        content = msgspec.json.encode({"version": 4, "objects": [WRONG[0], GOOD]})
+        listed = await Answering(content).list("upstream")
+        assert isinstance(listed, Listed)
+        self.assertIn("e1", listed.left_out)
+
+    async def test_an_answer_that_is_no_listing(self) -> None:
+        for content in (b"", b"[]", b'{"objects": []}'):
+            with self.subTest(content=content):
+                self.assertIsInstance(await Answering(content).list("upstream"), Unavailable)
+
+
+class WatchTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_change_that_makes_no_sense_does_not_end_it(self) -> None:
+        good = WatchEvent("set", 6, "e0", 1)
+
+        async def lines(pipe: Any) -> AsyncIterator[bytes]:
+            for each in ({"type": "set", "version": None, "name": "e1"}, 5, good):
+                yield msgspec.json.encode(each)
+
+        platform = Answering(b"")
+        response = mock.Mock(code=200)
+        with (
+            mock.patch.object(platform, "_request", mock.AsyncMock(return_value=response)),
+            mock.patch.object(_platform, "_lines", lines),
+        ):
+            self.assertEqual([each async for each in platform.watch("upstream", 1)], [good])
--- a/pondhatch/store/__init__.py
+++ b/pondhatch/store/__init__.py
@@ -21,8 +21,8 @@
     Upstream,
     UpstreamEntry,
     UpstreamList,
+    UpstreamReader,
     UpstreamUpdate,
-    listing,
 )
 from pondhatch.store._vanished import RETURN_SECONDS, Vanished
 
@@ -46,7 +46,7 @@
     "Upstream",
     "UpstreamEntry",
     "UpstreamList",
+    "UpstreamReader",
     "UpstreamUpdate",
     "WatchEvent",
-    "listing",
 ]
--- a/pondhatch/store/_objects.py
+++ b/pondhatch/store/_objects.py
@@ -47,6 +47,10 @@
 
     version: int
     objects: tuple[StoredObject, ...]
+    #: Names of objects that are there but make no sense to this router.
+    left_out: frozenset[str] = frozenset()
+    #: Whether no other object is there.
+    is_whole: bool = True
 
 
 @dataclass(frozen=True)
--- a/pondhatch/store/_upstreams.py
+++ b/pondhatch/store/_upstreams.py
@@ -7,11 +7,17 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Any
 
 import msgspec
 
+from pondhatch.observing import Once, log_for
+from pondhatch.store._objects import Listed
+
+log = log_for("store")
+
 #: States of an upstream in the platform's list.
 LIVE = "live"
 LEAVING = "leaving"
@@ -53,6 +59,8 @@
     entries: tuple[UpstreamEntry, ...]
     #: Whether the entries are all there are.
     whole: bool
+    #: Names that are listed with entries that make no sense: not gone, but not news either.
+    left_out: frozenset[str] = frozenset()
 
 
 @dataclass
@@ -122,7 +130,7 @@
         return news
 
     def _remove_unlisted(self, update: UpstreamUpdate) -> bool:
-        listed = {entry.upstream.name for entry in update.entries}
+        listed = {entry.upstream.name for entry in update.entries} | update.left_out
         gone = [
             name
             for name, entry in self.entry_by_name.items()
@@ -143,7 +151,43 @@
             del self.entry_by_name[name]
 
 
-def listing(version: int, values: list[tuple[int, Any]]) -> UpstreamUpdate:
-    """Return a platform listing as an update. Raises msgspec.ValidationError."""
-    entries = tuple(UpstreamEntry(msgspec.convert(value, Upstream), each) for each, value in values)
-    return UpstreamUpdate(version, entries, whole=True)
+class UpstreamReader:
+    """Reads the platform's entries of upstreams; one that makes no sense hides no other."""
+
+    def __init__(self) -> None:
+        self._told = Once()
+
+    def listing(self, listed: Listed) -> UpstreamUpdate:
+        """Return a platform listing as an update, without the entries that make no sense."""
+        found = [
+            (each, self.upstream(each.name, each.version, each.value)) for each in listed.objects
+        ]
+        entries = [UpstreamEntry(read, each.version) for each, read in found if read is not None]
+        left_out = {each.name for each, read in found if read is None}
+        return UpstreamUpdate(
+            listed.version, tuple(entries), listed.is_whole, listed.left_out | left_out
+        )
+
+    def upstream(self, name: str, version: int, value: Any) -> Upstream | None:
+        """Return an entry's upstream; None where it makes no sense, which is told once."""
+        try:
+            return _upstream(name, value)
+        except msgspec.ValidationError as error:
+            if self._told.is_first((name, version)):
+                log.error("Upstream {} is left out: {}.", name, error)
+            return None
+
+
+def _upstream(name: str, value: Any) -> Upstream:
+    """Return an entry's upstream. Raises msgspec.ValidationError."""
+    try:
+        return msgspec.convert(value, Upstream)
+    except msgspec.ValidationError:
+        if not _says_that_it_leaves(value):
+            raise
+        # It must get no new work, whatever else of its entry cannot be read.
+        return Upstream(name, "", "", "", LEAVING)
+
+
+def _says_that_it_leaves(value: Any) -> bool:
+    return isinstance(value, Mapping) and value.get("state") == LEAVING
