Keep a router's rounds going where a part of one fails, and tell of tasks that end in an error

Cause: a router's rounds were one task without a guard, and nobody looked at what became of a task. One exception in a round ended the ticks, gossip, limits and beliefs of that router for good, without a line. Change: each part of a round runs by itself (cli/_rounds.py); one that fails is logged, at most every ten seconds while it lasts, and the others and the next round come. Tasks logs a task that ends in an error.

--- /dev/null
+++ b/pondhatch/cli/_rounds.py
@@ -0,0 +1,50 @@
+"""What a router does round after round, each part kept apart from the others."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+
+from pondhatch.observing import log_for
+
+log = log_for("process")
+
+#: Seconds between rounds of what is due.
+ROUND_SECONDS = 0.1
+#: Seconds after which a part that still fails is told again: six lines a minute show that it
+#: lasts, where a line for each round would be 600.
+TELL_AGAIN_SECONDS = 10.0
+
+
+@dataclass
+class Rounds:
+    """Runs every part once a round; one that fails neither ends the rounds nor stops the others."""
+
+    part_by_name: Mapping[str, Callable[[], None]]
+    clock: Callable[[], float]
+    #: When each part that fails was last told of, in the clock's seconds.
+    _told_at_by_name: dict[str, float] = field(default_factory=dict)
+
+    async def run(self) -> None:
+        """Do what is due until cancelled."""
+        while True:
+            self.run_once()
+            await asyncio.sleep(ROUND_SECONDS)
+
+    def run_once(self) -> None:
+        """Do one round."""
+        for name, part in self.part_by_name.items():
+            try:
+                part()
+            except Exception as error:
+                self._tell(name, error)
+            else:
+                self._told_at_by_name.pop(name, None)
+
+    def _tell(self, name: str, error: Exception) -> None:
+        now = self.clock()
+        if now - self._told_at_by_name.get(name, float("-inf")) < TELL_AGAIN_SECONDS:
+            return
+        self._told_at_by_name[name] = now
+        log.opt(exception=error).error("Part {} of a round failed: {!r}.", name, error)
--- a/pondhatch/cli/_router_process.py
+++ b/pondhatch/cli/_router_process.py
@@ -16,6 +16,7 @@
 from pondhatch.cli._levels import Levels, metrics_of
 from pondhatch.cli._own_state import own_state
 from pondhatch.cli._peer_connections import PeerConnections
+from pondhatch.cli._rounds import Rounds
 from pondhatch.cli._settings_file import SettingsFile
 from pondhatch.cli._spreading import Spreading
 from pondhatch.cli._stopping import Stopping
@@ -57,8 +58,6 @@
 SETTINGS_SECONDS = 5.0
 #: Signals that ask a router to stop.
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
-#: Seconds between rounds of what is due.
-ROUND_SECONDS = 0.1
 
 
 class RouterProcess:
@@ -114,7 +113,7 @@
             signal.signal(number, signal.SIG_IGN)
 
     def _start_tasks(self) -> None:
-        self._tasks.start(self._rounds())
+        self._tasks.start(self._new_rounds().run())
         self._tasks.start(self._sync.run())
         polling = self._interface.poll_loads(self.state)
         if polling is not None:
@@ -211,18 +210,20 @@
             self._tasks.start(self._sync.heard_news())
         return answers
 
-    async def _rounds(self) -> None:
-        """Do what is due, round after round."""
-        while True:
-            self.state.tick()
-            self._beliefs.look()
-            self._granting.tick()
-            self._connections.close_gone(self.state.gossip.is_gone)
-            now = self.state.clock()
-            self._gossip_port.send(self.state.gossip.tick(now))
-            self._gossip_port.send(self.state.limits.tick(now))
-            STANDARD_OUTPUT.flush()
-            await asyncio.sleep(ROUND_SECONDS)
+    def _new_rounds(self) -> Rounds:
+        state, send = self.state, self._gossip_port.send
+        return Rounds(
+            {
+                "state": state.tick,
+                "beliefs": self._beliefs.look,
+                "grants": self._granting.tick,
+                "connections": lambda: self._connections.close_gone(state.gossip.is_gone),
+                "gossip": lambda: send(state.gossip.tick(state.clock())),
+                "limits": lambda: send(state.limits.tick(state.clock())),
+                "output": STANDARD_OUTPUT.flush,
+            },
+            state.clock,
+        )
 
     # -- settings -------------------------------------------------------------
 
--- a/pondhatch/kernel/_loop.py
+++ b/pondhatch/kernel/_loop.py
@@ -10,6 +10,10 @@
 from twisted.internet import asyncioreactor
 from twisted.internet.defer import Deferred
 
+from pondhatch.observing import log_for
+
+log = log_for("process")
+
 Result = TypeVar("Result")
 
 
@@ -53,9 +57,17 @@
         """Start a coroutine and keep it until it ends."""
         task = asyncio.ensure_future(coroutine)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._ended)
         return task
 
+    def _ended(self, task: asyncio.Task[Any]) -> None:
+        """Let go of a task; one that ended in an error says so, since nobody may await it."""
+        self._tasks.discard(task)
+        error = None if task.cancelled() else task.exception()
+        if error is not None:
+            name = getattr(task.get_coro(), "__qualname__", task.get_name())
+            log.opt(exception=error).error("Task {} ended in an error: {!r}.", name, error)
+
     def cancel_all(self) -> None:
         """Cancel everything that still runs."""
         for task in tuple(self._tasks):
