Leave out routers listed without a usable address, and let one packet that cannot be sent stop no other

Cause: the list of the fleet's routers was taken as it stood; an entry that is no table ended the search for peers, and a host name, an IP number of the other family or a port that is none became a seed. Sending to it raised what GossipPort did not catch, in the router's rounds. Change: entries without an IP number of the router's own family and a port are left out, told once for each version. A packet or address that can never be sent to is logged once for each address, the others are sent; so is a packet that is too long.

--- a/pondhatch/kernel/__init__.py
+++ b/pondhatch/kernel/__init__.py
@@ -1,5 +1,6 @@
 """The kernel: the registry of plug-ins and the one loop."""
 
+from pondhatch.kernel._addresses import host_and_port
 from pondhatch.kernel._backoff import Backoff
 from pondhatch.kernel._garbage import collect_garbage
 from pondhatch.kernel._loop import Tasks, as_deferred, as_future, install_reactor
@@ -15,5 +16,6 @@
     "as_deferred",
     "as_future",
     "collect_garbage",
+    "host_and_port",
     "install_reactor",
 ]
--- a/pondhatch/router/_introduction.py
+++ b/pondhatch/router/_introduction.py
@@ -7,14 +7,15 @@
 from __future__ import annotations
 
 import asyncio
+import ipaddress
 import random
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterator, Mapping
 from typing import Any
 
-from pondhatch.kernel import Backoff
+from pondhatch.kernel import Backoff, host_and_port
 from pondhatch.membership import Address, Gossip
-from pondhatch.observing import log_for
-from pondhatch.store import Accepted, Found, Listed, Missing, Platform, Unavailable
+from pondhatch.observing import Once, log_for
+from pondhatch.store import Accepted, Found, Listed, Missing, Platform, StoredObject, Unavailable
 
 log = log_for("sync")
 
@@ -42,6 +43,7 @@
         self._rng = rng
         #: Where this router is reached, where it must list itself at the platform.
         self._own_address = own_address
+        self._told = Once()
 
     async def run(self) -> None:
         """Be listed and find peers, trying again until the platform did both."""
@@ -61,9 +63,19 @@
         if isinstance(listed, Unavailable):
             log.warning("The platform lists no VMs: {}.", listed.reason)
             return False
-        self._gossip.add_seeds(_addresses(listed))
+        self._gossip.add_seeds(self._addresses(listed))
         return True
 
+    def _addresses(self, listed: Listed) -> Iterator[Address]:
+        """Yield where listed routers are reached; one of whom that cannot be read is left out."""
+        own_host = self._gossip.membership.own.host
+        for each in listed.objects:
+            address = _address(each, own_host)
+            if address is not None:
+                yield address
+            elif self._told.is_first((each.name, each.version)):
+                log.error("Router {} is left out, it is listed as {}.", each.name, each.value)
+
     async def _list_itself(self) -> bool:
         """Have the platform hold this router's address; return whether it does."""
         if self._own_address is None:
@@ -90,9 +102,19 @@
         return False
 
 
-def _addresses(listed: Listed) -> Iterable[Address]:
-    """Yield where each listed router is reached, those without a whole address left out."""
-    for each in listed.objects:
-        host, _, port = str(each.value.get("address", "")).rpartition(":")
-        if host and port.isdigit():
-            yield Address(host, int(port))
+def _address(listed: StoredObject, own_host: str) -> Address | None:
+    """Return where a listed router is reached; None where packets cannot be sent there."""
+    told = listed.value.get("address") if isinstance(listed.value, Mapping) else None
+    found = host_and_port(told) if isinstance(told, str) else None
+    if found is None or _ip_version(found[0]) is None:
+        return None
+    # A socket of one family sends nothing to an address of the other.
+    return Address(*found) if _ip_version(found[0]) == _ip_version(own_host) else None
+
+
+def _ip_version(host: str) -> int | None:
+    """Return 4 or 6, or None for what is no IP number, such as a name."""
+    try:
+        return ipaddress.ip_address(host).version
+    except ValueError:
+        return None
--- a/pondhatch/router/tests/test_introduction.py
+++ b/pondhatch/router/tests/test_introduction.py
@@ -7,6 +7,8 @@
 import unittest
 from typing import Any
 
+from loguru import logger
+
 from fakes._platform_in_memory import PlatformInMemory
 from fakes._virtual_loop import run_virtually
 from pondhatch.configuration import publish
@@ -78,6 +80,37 @@
         first, second = run_virtually(main())
         self.assertTrue(2 in first or 1 in second)
 
+    def test_entries_without_a_usable_address_hide_no_other_and_are_told_once(self) -> None:
+        wrong: tuple[Any, ...] = (
+            "10.0.0.3:7000",
+            None,
+            {"address": None},
+            {"address": "there.example:7000"},
+            {"address": "[::1]:7000"},
+            {"address": "10.0.0.3:99999"},
+            {"address": "10.0.0.3:\u00b2"},
+            {"address": "10.0.0.3"},
+        )
+
+        async def main(entry: Any) -> set[int]:
+            platform = PlatformInMemory()
+            await platform.create(VM_KIND, "wrong", entry)
+            await platform.create(VM_KIND, "good", {"address": "127.0.0.1:5"})
+            state = router("r0")
+            own = introduction(state, platform, 1)
+            for _ in range(3):
+                await own._find_peers()
+            return seeds(state)
+
+        for entry in wrong:
+            lines: list[str] = []
+            number = logger.add(lines.append, level="ERROR", format="{message}")
+            with self.subTest(entry=entry):
+                self.assertEqual(run_virtually(main(entry)), {5})
+                self.assertEqual(len(lines), 1, lines)
+                self.assertIn("wrong", lines[0])
+            logger.remove(number)
+
     def test_a_router_that_moved_replaces_where_it_was_reached(self) -> None:
         async def main() -> Any:
             platform = PlatformInMemory()
--- a/pondhatch/transport/_gossip.py
+++ b/pondhatch/transport/_gossip.py
@@ -5,12 +5,20 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
+from twisted.internet.error import MessageLengthError
 from twisted.internet.protocol import DatagramProtocol
 
 from pondhatch.membership import Address, Datagram, Seal
+from pondhatch.observing import Once, log_for
+
+log = log_for("gossip")
 
 #: Bytes of IP and UDP headers, counted into the control traffic.
 HEADER_BYTES = 28
+#: What sending raises where a packet or its address can never be sent, whoever named it: a
+#: host name or an IP number of the other family (ValueError), a port that is none, a packet
+#: that is too long.
+UNSENDABLE = (ValueError, OverflowError, MessageLengthError)
 
 
 class GossipPort(DatagramProtocol):
@@ -25,6 +33,7 @@
         self.unsealed = 0
         self._seal = seal
         self._receive = receive
+        self._told = Once()
 
     def datagramReceived(self, datagram: bytes, addr: tuple[str, int]) -> None:
         """Take in a packet; answers go back to where it came from."""
@@ -45,4 +54,12 @@
             try:
                 self.transport.write(sealed, (datagram.to.host, datagram.to.port))
             except OSError:
+                # The network's own failures pass, and are as frequent as packets.
                 continue
+            except UNSENDABLE as error:
+                self._tell(datagram.to, error)
+
+    def _tell(self, to: Address, error: Exception) -> None:
+        """Tell once of each address to which nothing can be sent."""
+        if self._told.is_first((to, type(error))):
+            log.error("Nothing is sent to {} port {}: {}.", to.host, to.port, error)
