Read an engine's entry field by field, and send no work where its address is none

Cause: an engine's entry was read all or nothing. One that said "draining" beside a field that cannot be read was left out, its old entry stayed live, and it got work after it had said that it leaves. An address without a port was taken as it stood; reading it raised while a request was sent, and the caller got 500. Change: each field is read by itself; an optional one that cannot be read has its default, 64.0 and "64" are 64. An entry with no host and port counts as leaving, with no address, and is told once for each version; sending to one that is known so from elsewhere is a request not sent, and another is tried.

--- a/pondhatch/platform/_engines.py
+++ b/pondhatch/platform/_engines.py
@@ -28,33 +28,43 @@
 }
 
 
-class _Entry(msgspec.Struct, rename="pascal", frozen=True):
-    """An engine's entry, as it keeps it itself."""
-
-    service: str
-    #: "IP:port".
-    address: str
-    #: The data hall.
-    zone: str = ""
-    #: Requests that it runs at once; it queues a few more.
-    slots: int = 0
-    #: "ready" or "draining".
-    state: str = ""
-
-
 def decode_engine(name: str, value: Any) -> dict[str, Any]:
-    """Return an engine's entry as the product's list of upstreams holds it."""
-    entry = msgspec.convert(value, _Entry)
+    """Return an engine's entry as the product's list of upstreams holds it.
+
+    Each field is read by itself, so that one that cannot be read hides no other, least of
+    all the word that the engine leaves. Raises msgspec.ValidationError where the entry is
+    no table, or names no service that would send requests there.
+    """
+    entry = msgspec.convert(value, dict[str, Any])
+    leaves = entry.get("State") == DRAINING
+    if not leaves and not isinstance(entry.get("Service"), str):
+        raise msgspec.ValidationError("Expected the name of a service - at `$.Service`")
     return {
         "name": name,
-        "service": entry.service,
-        "url": f"http://{entry.address}",
-        "hall": entry.zone,
-        "state": LEAVING if entry.state == DRAINING else LIVE,
-        "slots": entry.slots,
+        "service": _text(entry, "Service"),
+        # "IP:port"; where it is none, the list of upstreams sends no requests there.
+        "url": f"http://{_text(entry, 'Address')}",
+        "hall": _text(entry, "Zone"),
+        "state": LEAVING if leaves else LIVE,
+        "slots": _slots(entry),
     }
 
 
+def _text(entry: Mapping[str, Any], field: str) -> str:
+    """Return a field that is a text, empty where it is none."""
+    found = entry.get(field)
+    return found if isinstance(found, str) else ""
+
+
+def _slots(entry: Mapping[str, Any]) -> int:
+    """Return the requests that the engine runs at once; 0 leaves that to its service."""
+    try:
+        # 64.0 and "64" are as good as 64.
+        return max(0, msgspec.convert(entry.get("Slots"), int, strict=False))
+    except msgspec.ValidationError:
+        return 0
+
+
 class EngineDialect:
     """See UpstreamDialect."""
 
--- a/pondhatch/platform/tests/test_dialects.py
+++ b/pondhatch/platform/tests/test_dialects.py
@@ -108,6 +108,36 @@
                 self.assertEqual((found["url"], found["hall"]), ("http://10.0.0.9:8080", "hall-1"))
                 self.assertEqual(found["slots"], 64)
 
+    def test_one_that_leaves_says_so_whatever_else_cannot_be_read(self) -> None:
+        values: tuple[Any, ...] = (None, 64.0, "64", [], {})
+        for field in ("Service", "Address", "Zone", "Slots", "Version", "Sequence"):
+            for value in values:
+                with self.subTest(field=field, value=value):
+                    entry = {**ENGINE, "State": "draining", field: value}
+                    self.assertEqual(decode_engine("i-1", entry)["state"], "leaving")
+
+    def test_an_optional_field_that_cannot_be_read_has_its_default(self) -> None:
+        rows: tuple[tuple[str, Any, str, Any], ...] = (
+            ("Slots", None, "slots", 0),
+            ("Slots", "many", "slots", 0),
+            ("Slots", -1, "slots", 0),
+            ("Slots", 64.0, "slots", 64),
+            ("Slots", "64", "slots", 64),
+            ("Zone", None, "hall", ""),
+            ("State", None, "state", "live"),
+        )
+        for field, value, read_as, expected in rows:
+            with self.subTest(field=field, value=value):
+                found = decode_engine("i-1", {**ENGINE, field: value})
+                self.assertEqual(found[read_as], expected)
+                self.assertEqual(found["url"], "http://10.0.0.9:8080")
+
+    def test_what_takes_no_requests_makes_no_sense(self) -> None:
+        wrong: tuple[Any, ...] = (None, "i-1", [], {**ENGINE, "Service": None})
+        for entry in wrong:
+            with self.subTest(entry=entry), self.assertRaises(msgspec.ValidationError):
+                decode_engine("i-1", entry)
+
 
 class ClientDialectTest(unittest.TestCase):
     dialect = ClientDialect()
--- a/pondhatch/router/tests/test_beliefs.py
+++ b/pondhatch/router/tests/test_beliefs.py
@@ -47,7 +47,7 @@
         return [(each.about, each.name, each.now, each.version) for each in found]
 
     def upstream(self, name: str, version: int, state: str = "live") -> None:
-        upstream = Upstream(name, "lang", "http://x", "h1", state)
+        upstream = Upstream(name, "lang", "http://10.0.0.1:80", "h1", state)
         self.state.take_upstream_event(
             WatchEvent("set", version, name, msgspec.to_builtins(upstream))
         )
--- a/pondhatch/router/tests/test_sync.py
+++ b/pondhatch/router/tests/test_sync.py
@@ -363,6 +363,31 @@
         self.assertEqual(state.upstreams.of_service("lang"), ())
 
 
+class EntryWithoutAddressTest(unittest.TestCase):
+    WRONG = ("", "http://", "http://nowhere", "http://10.0.0.1", "http://10.0.0.1:99999")
+
+    def test_it_takes_no_work_and_no_other_entry_along(self) -> None:
+        for url in self.WRONG:
+            with self.subTest(url=url):
+                state = router("r0")
+                entries = ({**ENTRY, "name": "e0", "url": url}, {**ENTRY, "name": "e1"})
+                objects = [
+                    StoredObject("upstream", f"e{at}", 1, each) for at, each in enumerate(entries)
+                ]
+                state.take_listed_upstreams(Listed(1, tuple(objects)))
+                self.assertEqual([e.name for e in state.upstreams.of_service("lang")], ["e1"])
+
+    def test_one_that_was_there_takes_no_more_and_may_come_back(self) -> None:
+        state = router("r0")
+        for version, url, expected in (
+            (1, "http://10.0.0.1:80", ["e0"]),
+            (2, "http://nowhere", []),
+            (3, "http://10.0.0.1:81", ["e0"]),
+        ):
+            state.take_upstream_event(WatchEvent("set", version, "e0", {**ENTRY, "url": url}))
+            self.assertEqual([e.name for e in state.upstreams.of_service("lang")], expected)
+
+
 class Watched(PlatformInMemory):
     """Counts the watches that were begun."""
 
--- a/pondhatch/store/_upstreams.py
+++ b/pondhatch/store/_upstreams.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from pondhatch.kernel import host_and_port
 from pondhatch.observing import Once, log_for
 from pondhatch.store._objects import Listed
 
@@ -171,11 +172,17 @@
     def upstream(self, name: str, version: int, value: Any) -> Upstream | None:
         """Return an entry's upstream; None where it makes no sense, which is told once."""
         try:
-            return _upstream(name, value)
+            found = _upstream(name, value)
         except msgspec.ValidationError as error:
             if self._told.is_first((name, version)):
                 log.error("Upstream {} is left out: {}.", name, error)
             return None
+        if found.state == LIVE and not _has_address(found.url):
+            if self._told.is_first((name, version)):
+                log.error("Upstream {} takes no work, its address is none: {!r}.", name, found.url)
+            # Not left out: one that was there with an address must get no new work either.
+            return msgspec.structs.replace(found, url="", state=LEAVING)
+        return found
 
 
 def _upstream(name: str, value: Any) -> Upstream:
@@ -191,3 +198,7 @@
 
 def _says_that_it_leaves(value: Any) -> bool:
     return isinstance(value, Mapping) and value.get("state") == LEAVING
+
+
+def _has_address(url: str) -> bool:
+    return host_and_port(url.removeprefix("http://").rstrip("/")) is not None
--- a/pondhatch/transport/_upstreams.py
+++ b/pondhatch/transport/_upstreams.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+from pondhatch.kernel import host_and_port
 from pondhatch.requests import (
     BodySource,
     Broken,
@@ -109,7 +110,7 @@
         exchange: Exchange | None = None
         try:
             async with asyncio.timeout_at(deadline):
-                address = Address.of_url(target.url)
+                address = _address_of(target.url)
                 reusable = head.repeatable and not head.fresh
                 exchange = await self.client.send(
                     address,
@@ -167,6 +168,15 @@
         )
 
 
+def _address_of(url: str) -> Address:
+    """Return where an upstream is reached. Raises NotSent where its URL does not say."""
+    found = host_and_port(url.removeprefix("http://").rstrip("/"))
+    if found is None:
+        # The request goes elsewhere: whoever listed the upstream is at fault, not the caller.
+        raise NotSent(f"{url!r} names no host and port")
+    return Address(*found)
+
+
 def _refusal(tried: Try, reason: str) -> NotRun | Unknown:
     outcome = tried.lost(reason)
     if not isinstance(outcome, NotRun | Unknown):
