Read the prepared machines' store object by object, and end a listing that does not go on

Cause: a page, a watch's answer or an object was read all or nothing, so that one object without a name failed a whole page. A name went into a path or query as it stood. A page that said it goes on and brought nothing new was asked for again without end; an empty one counted as the end of a whole listing. Change: each object and change is read by itself, one that makes no sense is told once and its name known to be there. Names are escaped, at the product's own platform too. A page without news ends the listing, which then does not count as whole: what it lacks is not taken for gone. Answers that cannot be read as a whole are no answer; of a write, its outcome is unknown.

--- a/pondhatch/platform/_store.py
+++ b/pondhatch/platform/_store.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator, Callable, Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
 from typing import Any
+from urllib.parse import quote
 
 import msgspec
 
@@ -59,7 +61,8 @@
 class _Page(msgspec.Struct, rename="pascal", frozen=True):
     """A part of a listing."""
 
-    entries: tuple[_Object, ...]
+    #: Objects, each still to be read by itself.
+    entries: tuple[Any, ...]
     #: The store's revision as of which the page was read, not a time.
     timestamp: int
     has_more: bool = False
@@ -75,10 +78,32 @@
 class _Watched(msgspec.Struct, frozen=True):
     """What a watch answers."""
 
-    events: tuple[_Happened, ...]
+    #: Changes, each still to be read by itself.
+    events: tuple[Any, ...]
     timestamp: int = msgspec.field(name="Timestamp")
 
 
+@dataclass
+class _Listing:
+    """The pages of a listing that were read so far."""
+
+    found: list[StoredObject] = field(default_factory=list)
+    #: Names of all objects, of those too that make no sense otherwise.
+    names: set[str] = field(default_factory=set)
+
+    def take(self, names: Iterable[str], found: Iterable[StoredObject]) -> bool:
+        """Take in a page's objects; return whether it named any that no page had named."""
+        new = set(names) - self.names
+        self.names |= new
+        self.found += found
+        return bool(new)
+
+    def listed(self, version: int, is_whole: bool) -> Listed:
+        """Return what all pages together say."""
+        left_out = self.names - {each.name for each in self.found}
+        return Listed(version, tuple(self.found), frozenset(left_out), is_whole)
+
+
 #: Turns what the store holds into the product's value. Raises msgspec.ValidationError.
 Decode = Callable[[str, Any], Any]
 
@@ -107,24 +132,40 @@
             return Missing()
         if status != OK:
             return Unavailable(f"answered {status}")
-        return Found(self._stored(kind, msgspec.json.decode(content, type=_Object)))
+        try:
+            return Found(self._stored(kind, msgspec.json.decode(content)))
+        except msgspec.DecodeError as error:
+            return Unavailable(f"answered what cannot be read: {error}")
 
     async def list(self, kind: str) -> Listed | Unavailable:
         """Read all objects of a kind, page by page."""
-        found: list[StoredObject] = []
+        listing = _Listing()
         after = ""
         while True:
-            try:
-                status, content = await self._calls.call("GET", self._path(kind) + after)
-            except CallFailed as error:
-                return Unavailable(str(error))
-            if status != OK:
-                return Unavailable(f"answered {status}")
-            page = msgspec.json.decode(content, type=_Page)
-            found += self._readable(kind, page.entries)
-            if not page.has_more or not page.entries:
-                return Listed(page.timestamp, tuple(found))
-            after = f"?SinceRev={page.entries[-1].metadata.name}"
+            page = await self._page(kind, after)
+            if isinstance(page, Unavailable):
+                return page
+            names = [name for name in map(_name_of, page.entries) if name]
+            is_news = listing.take(names, self._readable(kind, page.entries))
+            if page.has_more and is_news:
+                after = f"?SinceRev={quote(names[-1], safe='')}"
+                continue
+            if page.has_more and self._told.is_first((kind, "goes on")):
+                # Asked again it would say the same; what it has named is there all the same.
+                log.error("The listing of {} says that it goes on, and does not.", kind)
+            return listing.listed(page.timestamp, is_whole=not page.has_more)
+
+    async def _page(self, kind: str, after: str) -> _Page | Unavailable:
+        try:
+            status, content = await self._calls.call("GET", self._path(kind) + after)
+        except CallFailed as error:
+            return Unavailable(str(error))
+        if status != OK:
+            return Unavailable(f"answered {status}")
+        try:
+            return msgspec.json.decode(content, type=_Page)
+        except msgspec.DecodeError as error:
+            return Unavailable(f"answered what is no page of a listing: {error}")
 
     async def create(
         self, kind: str, name: str, value: Any
@@ -168,7 +209,10 @@
             raise TooOld(kind)
         if status != OK:
             raise PlatformLost(f"answered {status}")
-        return msgspec.json.decode(content, type=_Watched)
+        try:
+            return msgspec.json.decode(content, type=_Watched)
+        except msgspec.DecodeError as error:
+            raise PlatformLost(f"answered what is no watch: {error}") from error
 
     async def _write(
         self, method: str, path: str, body: Any
@@ -178,7 +222,7 @@
         except CallFailed as error:
             return OutcomeUnknown(str(error)) if error.sent else Unavailable(str(error))
         if status in (OK, CREATED):
-            return Accepted(msgspec.json.decode(content, type=_Object).metadata.revision)
+            return _accepted(content)
         if status in (CONFLICT, NOT_FOUND):
             return Conflict()
         if status in REFUSED:
@@ -187,36 +231,63 @@
 
     def _path(self, kind: str, name: str = "") -> str:
         own_name, _ = self._decode_by_kind.get(kind, (kind, _as_it_is))
-        return f"/objects/{own_name}/{name}" if name else f"/objects/{own_name}"
+        return f"/objects/{own_name}/{quote(name, safe='')}" if name else f"/objects/{own_name}"
 
-    def _stored(self, kind: str, found: _Object) -> StoredObject:
+    def _stored(self, kind: str, entry: Any) -> StoredObject:
+        """Return an object as the product knows it. Raises msgspec.ValidationError."""
+        found = msgspec.convert(entry, _Object)
         _, decode = self._decode_by_kind.get(kind, (kind, _as_it_is))
         value = found.spec if found.spec is not None else found.status
         metadata = found.metadata
         return StoredObject(kind, metadata.name, metadata.revision, decode(metadata.name, value))
 
-    def _readable(self, kind: str, entries: Iterable[_Object]) -> Sequence[StoredObject]:
+    def _readable(self, kind: str, entries: Iterable[Any]) -> Sequence[StoredObject]:
         """Return the objects that make sense; one that does not must not hide the others."""
         found = []
         for each in entries:
             try:
                 found.append(self._stored(kind, each))
             except msgspec.ValidationError as error:
-                name, revision = each.metadata.name, each.metadata.revision
-                # A listing comes again and again, and its line would with it.
-                if self._told.is_first((kind, name, revision)):
-                    log.error("Object {} {} is left out: {}.", kind, name, error)
+                self._tell(kind, each, error)
         return found
 
-    def _event(self, kind: str, happened: _Happened) -> WatchEvent | None:
-        metadata = happened.object.metadata
-        if happened.deleted:
-            # The revision is that of the removal itself; a higher one would hide what
-            # changed next from the routers that ask for what is newer than it.
-            return WatchEvent("removed", metadata.revision, metadata.name)
-        for stored in self._readable(kind, (happened.object,)):
-            return WatchEvent("set", stored.version, stored.name, stored.value)
-        return None
+    def _event(self, kind: str, told: Any) -> WatchEvent | None:
+        """Return what a change says, None where it makes no sense."""
+        try:
+            happened = msgspec.convert(told, _Happened)
+            if happened.deleted:
+                # The revision is that of the removal itself; a higher one would hide what
+                # changed next from the routers that ask for what is newer than it.
+                removed = happened.object.metadata
+                return WatchEvent("removed", removed.revision, removed.name)
+            stored = self._stored(kind, told["Object"])
+        except msgspec.ValidationError as error:
+            self._tell(kind, told.get("Object") if isinstance(told, dict) else told, error)
+            return None
+        return WatchEvent("set", stored.version, stored.name, stored.value)
+
+    def _tell(self, kind: str, entry: Any, error: msgspec.ValidationError) -> None:
+        """Tell of an object that makes no sense, once for each form in which it is read.
+
+        It comes again with each listing, and its line would too.
+        """
+        if self._told.is_first((kind, hash(repr(entry)))):
+            log.error("Object {} {} is left out: {}.", kind, _name_of(entry) or "?", error)
+
+
+def _name_of(entry: Any) -> str:
+    """Return the name of an object that may make no sense otherwise, empty where it has none."""
+    metadata = entry.get("Metadata") if isinstance(entry, dict) else None
+    name = metadata.get("Name") if isinstance(metadata, dict) else None
+    return name if isinstance(name, str) else ""
+
+
+def _accepted(content: bytes) -> Accepted | OutcomeUnknown:
+    """Return what the answer to a write that was done says; the writer must know its revision."""
+    try:
+        return Accepted(msgspec.json.decode(content, type=_Object).metadata.revision)
+    except msgspec.DecodeError as error:
+        return OutcomeUnknown(f"answered what cannot be read: {error}")
 
 
 def _as_it_is(name: str, value: Any) -> Any:
--- a/pondhatch/platform/tests/test_store.py
+++ b/pondhatch/platform/tests/test_store.py
@@ -3,8 +3,10 @@
 import unittest
 from collections.abc import Sequence
 from typing import Any
+from urllib.parse import parse_qs, urlsplit
 
 import msgspec
+from loguru import logger
 
 from pondhatch.platform._store import PlatformStore
 from pondhatch.store import (
@@ -99,6 +101,74 @@
         assert isinstance(listed, Listed)
         self.assertEqual([each.name for each in listed.objects], ["a", "c"])
 
+    async def test_a_name_is_escaped_where_the_next_page_is_asked_for(self) -> None:
+        for name in ("a b", "a&Watch=1", "a/b#c", "são", "100%"):
+            with self.subTest(name=name):
+                first = page(entry(name, 1, 1), at=5, more=True)
+                found, calls = store((200, first), (200, page(at=6)))
+                await found.list("upstream")
+                asked = calls.asked[1][1]
+                self.assertTrue(asked.isascii() and asked.count("/") == 2, asked)
+                self.assertEqual(parse_qs(urlsplit(asked).query), {"SinceRev": [name]})
+
+    async def test_a_name_is_escaped_in_a_path(self) -> None:
+        found, calls = store((404, None))
+        await found.get("own", "Boa Viagem/1?")
+        self.assertEqual(calls.asked[0][1], "/objects/own/Boa%20Viagem%2F1%3F")
+
+    async def test_pages_that_bring_nothing_new_end_a_listing_that_is_not_whole(self) -> None:
+        again = page(entry("a", 1, 1), at=5, more=True)
+        for last in (
+            again,
+            page(at=5, more=True),
+            page(entry("", 1), "no object", at=5, more=True),
+        ):
+            with self.subTest(last=last):
+                found, _ = store((200, again), (200, last))
+                listed = await found.list("upstream")
+                assert isinstance(listed, Listed)
+                self.assertEqual({each.name for each in listed.objects}, {"a"})
+                self.assertFalse(listed.is_whole)
+
+    async def test_an_object_without_a_name_or_revision_hides_no_other_and_is_told_once(
+        self,
+    ) -> None:
+        wrong: tuple[Any, ...] = (
+            {"Metadata": {}, "Spec": 1},
+            {"Metadata": {"Name": None}, "Spec": 1},
+            {"Metadata": {"Name": "b", "Revision": None}, "Spec": 1},
+            {"Spec": 1},
+            "no object",
+            None,
+        )
+        for each in wrong:
+            lines: list[str] = []
+            number = logger.add(lines.append, level="ERROR", format="{message}")
+            with self.subTest(entry=each):
+                answer = (200, page(entry("a", 1, 1), each, entry("c", 3, 3), at=5))
+                found, _ = store(answer, answer)
+                for _ in range(2):
+                    listed = await found.list("upstream")
+                    assert isinstance(listed, Listed)
+                    self.assertEqual([each.name for each in listed.objects], ["a", "c"])
+                self.assertEqual(len(lines), 1, lines)
+            logger.remove(number)
+
+    async def test_what_makes_no_sense_is_known_to_be_there(self) -> None:
+        found, _ = store((200, page(entry("a", 1, 1), entry("b", 2, "?"), at=5)))
+        listed = await found.list("upstream")
+        assert isinstance(listed, Listed)
+        self.assertEqual((listed.left_out, listed.is_whole), ({"b"}, True))
+
+    async def test_answers_that_cannot_be_read(self) -> None:
+        answers: tuple[Any, ...] = (None, [], {"Entries": 1}, {"Metadata": {"Revision": 1}})
+        for answer in answers:
+            with self.subTest(answer=answer):
+                found, _ = store((200, answer), (200, answer), (200, answer))
+                self.assertIsInstance(await found.list("upstream"), Unavailable)
+                self.assertIsInstance(await found.get("upstream", "a"), Unavailable)
+                self.assertIsInstance(await found.update("own", "a", 1, 8), OutcomeUnknown)
+
 
 class WritingTest(unittest.IsolatedAsyncioTestCase):
     async def test_what_a_writes_answer_means(self) -> None:
@@ -165,6 +235,14 @@
         events, _, _ = await self.watched((200, {"events": told, "Timestamp": 6}), (503, None))
         self.assertEqual([event.name for event in events[1:]], ["b"])
 
+    async def test_a_change_that_cannot_be_read_does_not_end_it(self) -> None:
+        wrong: tuple[Any, ...] = (None, {}, {"Deleted": True, "Object": {}}, {"Object": None})
+        good = {"Deleted": False, "Object": entry("b", 6, 1)}
+        told = (200, {"events": [*wrong, good], "Timestamp": 6})
+        events, error, _ = await self.watched(told, (200, None))
+        self.assertEqual([event.name for event in events[1:]], ["b"])
+        self.assertIsInstance(error, PlatformLost)
+
     async def test_what_ends_it(self) -> None:
         rows: tuple[Answer, ...] = ((503, None), (429, None), SILENCE)
         for answer in rows:
--- a/pondhatch/standard/_platform.py
+++ b/pondhatch/standard/_platform.py
@@ -10,6 +10,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 from typing import Any, TypeVar
+from urllib.parse import quote
 
 import msgspec
 import treq
@@ -115,7 +116,7 @@
     async def get(self, kind: str, name: str) -> Found | Missing | Unavailable:
         """Read one object."""
         try:
-            status, content = await self._call("GET", f"{kind}/{name}")
+            status, content = await self._call("GET", _path(kind, name))
         except _CallFailed as error:
             return Unavailable(str(error))
         if status == NOT_FOUND:
@@ -196,7 +197,7 @@
     ) -> Accepted | Conflict | OutcomeUnknown | Unavailable:
         body = msgspec.json.encode(value)
         try:
-            status, content = await self._call("PUT", f"{kind}/{name}", body, condition)
+            status, content = await self._call("PUT", _path(kind, name), body, condition)
         except _CallFailed as error:
             return OutcomeUnknown(str(error)) if error.sent else Unavailable(str(error))
         if status in (200, 201):
@@ -237,6 +238,10 @@
         return await as_future(asked)
 
 
+def _path(kind: str, name: str) -> str:
+    return f"{kind}/{quote(name, safe='')}"
+
+
 def _name_of(value: Any) -> str:
     """Return the name of an object that may make no sense otherwise, empty where it has none."""
     name = value.get("name") if isinstance(value, dict) else None
