Take a router's name, its hall and its part of the retries as the platform gives them

Cause: the settings held names to the form of the configuration's own entries and the share of retries to at most 1, the slack to at most 100,000. All of them are filled in by the platform; Edge_1, edge.1, "Boa Viagem", a name of 64 characters or a share of 1.5 kept a router from starting. Change: a name is any text of 1 to 255 characters, which is what a packet with 20 routers carries; share and slack are any number that is not negative, with an exponent as JSON writes it too (YAML 1.1 takes 1e-05 for a text). Wrong settings are told by file, line and field as before.

--- a/pondhatch/cli/_levels.py
+++ b/pondhatch/cli/_levels.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 from dataclasses import dataclass
 
 from pondhatch.cli._figures import Figures
@@ -11,6 +12,8 @@
 
 #: Seconds between two tellings of levels.
 LEVEL_SECONDS = 5.0
+#: What has a meaning of its own in statsd's packets, or makes one name of two.
+UNTOLD_CHARACTERS = re.compile(r"[^A-Za-z0-9_-]")
 
 
 def metrics_of(settings: Settings, served: ServedMetrics) -> Metrics:
@@ -18,7 +21,7 @@
     several: list[Metrics] = []
     statsd = settings.statsd
     if statsd is not None:
-        prefix = f"{statsd.prefix}.{settings.name}"
+        prefix = f"{statsd.prefix}.{UNTOLD_CHARACTERS.sub('_', settings.name)}"
         several.append(StatsdMetrics(statsd.host, statsd.port, prefix))
     if settings.metrics is not None:
         several.append(served)
--- a/pondhatch/configuration/_settings.py
+++ b/pondhatch/configuration/_settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Annotated, Any
@@ -10,9 +11,16 @@
 
 from pondhatch.configuration._fit import fit
 from pondhatch.configuration._problems import ConfigurationError
-from pondhatch.configuration._schema import Name
 from pondhatch.configuration._yaml import Document, load
 
+#: Characters of a router's and a hall's name. Routers tell each other of 20 routers in one
+#: packet of at most 65,507 bytes, and a character may take 4 of them: 20 * 2 * 255 * 4 are 40,800.
+LONGEST_NAME = 255
+#: A name that the platform gives. It takes any form: routers compare and hash names, and those
+#: that write one into a path or a metric's name escape it.
+GivenName = Annotated[str, Meta(min_length=1, max_length=LONGEST_NAME)]
+#: A number as JSON writes it and YAML 1.1 does not read it, such as 1e-05.
+EXPONENT_PATTERN = re.compile(r"-?[0-9]+(\.[0-9]+)?[eE][+-]?[0-9]+")
 Host = Annotated[str, Meta(pattern=r"^[0-9a-fA-F.:]+$")]
 Port = Annotated[int, Meta(ge=0, le=65535)]
 Url = Annotated[str, Meta(pattern=r"^https?://")]
@@ -113,9 +121,9 @@
     """
 
     #: Share of the requests for the service.
-    share: Annotated[float, Meta(ge=0, le=1)] | None = None
+    share: Annotated[float, Meta(ge=0)] | None = None
     #: Retries beyond the share in any ten seconds or so.
-    slack: Annotated[float, Meta(ge=0, le=100_000)] | None = None
+    slack: Annotated[float, Meta(ge=0)] | None = None
 
 
 @dataclass(frozen=True)
@@ -143,8 +151,8 @@
 class Settings:
     """One router process."""
 
-    name: Name
-    hall: Name
+    name: GivenName
+    hall: GivenName
     callers: CallerEndpoint
     #: TCP for routers' calls, and UDP on the same number for gossip.
     peers: PeerEndpoint
@@ -179,7 +187,7 @@
 def load_settings(path: Path) -> Settings:
     """Read a settings file. Raises ConfigurationError with every problem."""
     document = load(path)
-    fitted = fit(Settings, _with_split_addresses(document.data))
+    fitted = fit(Settings, _with_numbers(_with_split_addresses(document.data)))
     if not isinstance(fitted, Settings):
         raise ConfigurationError(
             tuple(document.problem(each.path, each.expected) for each in fitted)
@@ -204,6 +212,19 @@
     return {"host": host.strip("[]"), "port": int(port), **others}
 
 
+def _with_numbers(data: Any) -> Any:
+    """Return settings in which retries' numbers with an exponent, as JSON has them, are read."""
+    retries = data.get("retries") if isinstance(data, dict) else None
+    if not isinstance(retries, dict):
+        return data
+    return {**data, "retries": {name: _number(value) for name, value in retries.items()}}
+
+
+def _number(value: Any) -> Any:
+    is_number = isinstance(value, str) and EXPONENT_PATTERN.fullmatch(value)
+    return float(value) if is_number else value
+
+
 def load_fleet_key(settings: Settings) -> bytes | None:
     """Read the fleet key, None where the settings name no file for it.
 
--- a/pondhatch/configuration/tests/test_files.py
+++ b/pondhatch/configuration/tests/test_files.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import tempfile
 import unittest
 from pathlib import Path
@@ -18,6 +19,13 @@
     load_settings,
     read_files,
 )
+from pondhatch.configuration._settings import LONGEST_NAME
+from pondhatch.membership import Address, Alive, MembershipLimits, Phase, Seal
+from pondhatch.membership._datagrams import datagram_to
+from pondhatch.membership._records import Sync
+
+#: Bytes that a UDP packet holds over IPv4.
+UDP_BYTES = 65_507
 
 GOOD = """\
 services:
@@ -153,6 +161,11 @@
             ("host: 127.0.0.1, port: 8002", "host: 10.0.0.1", "admin.host", "match"),
             ("port: 8001", "port: 8001, authority: a.pem", "peers", "all of certificate"),
             ("name: r1", "name: r1\nsurname: x", "surname", "unknown key"),
+            ("name: r1", 'name: ""', "name", "length greater than or equal to 1"),
+            ("name: r1", "name: 1", "name", "str"),
+            ("hall: h1", f"hall: {'h' * 256}", "hall", "length less than or equal to 255"),
+            ("name: r1", "name: r1\nretries: {share: -0.1}", "retries.share", "greater than"),
+            ("name: r1", "name: r1\nretries: {slack: 1x1}", "retries.slack", "float"),
         ]
         for old, new, field, told in cases:
             with self.subTest(new=new), self.assertRaises(ConfigurationError) as raised:
@@ -166,6 +179,33 @@
         assert isinstance(settings, Settings)
         self.assertEqual(settings.retries, RetrySettings(None, 56.0))
 
+    def test_names_that_a_platform_gives_are_taken_as_they_are(self) -> None:
+        for name in ("Edge_1", "edge.1", "Boa Viagem", "s\u00e3o", "e" * 64, "\u6771" * 255, "-"):
+            with self.subTest(name=name):
+                written = json.dumps(name)
+                text = SETTINGS.replace("r1", written, 1).replace("h1", written, 1)
+                settings = self.load(text)
+                assert isinstance(settings, Settings)
+                self.assertEqual((settings.name, settings.hall), (name, name))
+
+    def test_bounds_that_a_platform_gives_are_taken_as_they_are(self) -> None:
+        for number in (0, 0.2, 1.5, 1e-05, 1e9, 1e22):
+            with self.subTest(number=number):
+                written = json.dumps(number)
+                text = f"{SETTINGS}\nretries:\n  share: {written}\n  slack: {written}\n"
+                settings = self.load(text)
+                assert isinstance(settings, Settings)
+                self.assertEqual(settings.retries, RetrySettings(number, number))
+
+    def test_the_longest_names_fit_the_packets_between_routers(self) -> None:
+        longest = "\U0001d11e" * LONGEST_NAME
+        limits = MembershipLimits()
+        big = 1 << 62
+        alive = Alive((1 << 32) - 1, big, Phase.LIVE, longest, "ff" * 20, 65535, longest)
+        part = Sync(alive.router, True, (alive,) * limits.sync_part)
+        sealed = Seal(b"k" * 16).close(datagram_to(Address("", 0), part).payload)
+        self.assertLessEqual(len(sealed), UDP_BYTES)
+
     def test_a_short_or_missing_fleet_key(self) -> None:
         key = self.folder / "fleet.key"
         settings = load_settings(self.write_with_key(key))
