Give no orders by a lease that makes no sense, and keep the orderer running

Cause: a lease object that cannot be read raised in the keeper, and nothing guarded the two loops of an orderer: its task ended, orders of that service were given nowhere from that router, and a holder counted as holding for good. Change: by a lease that makes no sense nobody gives orders and nobody claims it, since who holds it, and under which number, is not known; it is read on, and its time counts from when it is whole again. That is told once when it comes and once when it goes. A call that raises counts as unanswered, of a write as unknown; a round that fails is logged, and the next one comes after 5 s.

--- a/pondhatch/authority/_lease.py
+++ b/pondhatch/authority/_lease.py
@@ -29,7 +29,7 @@
     Terms,
     WriteOutcome,
 )
-from pondhatch.store import Accepted, Conflict, Missing, OutcomeUnknown, Unavailable
+from pondhatch.store import Accepted, Conflict, Found, Missing, OutcomeUnknown, Unavailable
 
 
 class LeaseKeeper:
@@ -38,6 +38,8 @@
     def __init__(self, router: str, terms: Terms, new_nonce: Callable[[], str]) -> None:
         self._facts = LeaseFacts(router, terms, new_nonce)
         self._machine = new_holding()
+        #: Why the lease as last read makes no sense; empty where it does.
+        self.malformed = ""
 
     @property
     def record(self) -> LeaseRecord | None:
@@ -86,11 +88,17 @@
         if isinstance(outcome, Unavailable):
             return
         if isinstance(outcome, Missing):
+            self.malformed = ""
             facts.see(None, None, now)
             self._machine.lost()
             facts.due_at = now
             return
-        record = msgspec.convert(outcome.object.value, LeaseRecord)
+        record = self._record_in(outcome)
+        if record is None:
+            # Who holds it, and under which number, is not known: nobody gives orders by it.
+            facts.see_malformed()
+            self._machine.lost()
+            return
         facts.see(record, outcome.object.version, now)
         began_at = facts.began_by_nonce.get(record.nonce)
         if record.holder != facts.router or began_at is None or record.released:
@@ -129,6 +137,15 @@
         """
         self._facts.highest = max(self._facts.highest, highest)
 
+    def _record_in(self, found: Found) -> LeaseRecord | None:
+        """Return the lease as read, None where it makes no sense."""
+        self.malformed = ""
+        try:
+            return msgspec.convert(found.object.value, LeaseRecord)
+        except msgspec.ValidationError as error:
+            self.malformed = str(error)
+            return None
+
     def _due_as_holder(self, now: float, orders_under_way: bool) -> Call | None:
         facts = self._facts
         if facts.is_unread():
--- a/pondhatch/authority/_lease_facts.py
+++ b/pondhatch/authority/_lease_facts.py
@@ -55,6 +55,16 @@
         if record is not None:
             self.highest = max(self.highest, record.fencing)
 
+    def see_malformed(self) -> None:
+        """Take in that the lease as read makes no sense: nothing is known of it, but its numbers.
+
+        It counts as unread, so that nobody claims it; once it is whole again its time is
+        counted from there.
+        """
+        self.record, self.version = None, None
+        self.seen_at = float("inf")
+        self.began_by_nonce.clear()
+
     def hold(self, record: LeaseRecord, version: int, began_at: float) -> None:
         """Take in that a write of ours, begun at a moment, is the lease's last."""
         self.record, self.version, self.seen_at = record, version, began_at
--- a/pondhatch/authority/_orderer.py
+++ b/pondhatch/authority/_orderer.py
@@ -19,11 +19,11 @@
     Wanted,
 )
 from pondhatch.authority._lease import LeaseKeeper
-from pondhatch.authority._lease_record import LEASE_KIND, Read
+from pondhatch.authority._lease_record import LEASE_KIND, Read, ReadOutcome, Write, WriteOutcome
 from pondhatch.authority._orders import Due, due_orders, wanted_by_engine
 from pondhatch.configuration import OrdersSpec
 from pondhatch.observing import log_for
-from pondhatch.store import Platform, Upstream
+from pondhatch.store import OutcomeUnknown, Platform, Unavailable, Upstream
 
 log = log_for("authority")
 
@@ -35,6 +35,8 @@
 KEPT_ORDERS = 20
 #: Seconds between two rounds.
 ROUND_SECONDS = 0.25
+#: Seconds until the next round after one that ended in an error, and so between its lines.
+FAILED_SECONDS = 5.0
 
 Sleep = Callable[[float], Awaitable[None]]
 
@@ -81,11 +83,13 @@
     _names: tuple[str, ...] = ()
     _check_at: float = float("-inf")
     _orders_under_way: int = 0
+    #: Why the lease made no sense when that was last told.
+    _told_malformed: str = ""
     _last_orders: list[tuple[str, int, str]] = field(default_factory=list)
 
     async def run(self) -> None:
         """Keep the lease and the engines, until cancelled."""
-        await asyncio.gather(self._keep_lease(), self._keep_engines())
+        await asyncio.gather(self._keep(self._lease_step), self._keep(self._engine_step))
 
     def holds_anything(self) -> bool:
         """Return whether the lease must still be given up before this router stops."""
@@ -110,10 +114,16 @@
 
     # -- the lease ------------------------------------------------------------
 
-    async def _keep_lease(self) -> None:
+    async def _keep(self, step: Callable[[], Awaitable[None]]) -> None:
+        """Do a step round after round; one that fails must not end the others."""
         while True:
-            await self._lease_step()
-            await self.sleep(ROUND_SECONDS)
+            pause = ROUND_SECONDS
+            try:
+                await step()
+            except Exception:
+                log.exception("A round for the engines of {} failed; more follow.", self.service)
+                pause = FAILED_SECONDS
+            await self.sleep(pause)
 
     async def _lease_step(self) -> None:
         wanted = self.view.wants_to_order(self.service)
@@ -122,18 +132,46 @@
         if call is None:
             return
         if isinstance(call, Read):
-            found = await self.platform.get(LEASE_KIND, self.service)
+            found = await self._read()
             self.keeper.told_read(self.clock(), found)
+            self._tell_malformed()
         else:
-            value = msgspec.to_builtins(call.record)
-            if call.version is None:
-                written = await self.platform.create(LEASE_KIND, self.service, value)
-            else:
-                written = await self.platform.update(LEASE_KIND, self.service, value, call.version)
+            written = await self._write(call)
             self.keeper.told_write(self.clock(), written)
         if held != self.keeper.is_holder():
             self._changed()
 
+    async def _read(self) -> ReadOutcome:
+        try:
+            return await self.platform.get(LEASE_KIND, self.service)
+        except Exception as error:
+            log.exception("The lease of {} was not read.", self.service)
+            return Unavailable(str(error))
+
+    async def _write(self, call: Write) -> WriteOutcome:
+        value = msgspec.to_builtins(call.record)
+        try:
+            if call.version is None:
+                return await self.platform.create(LEASE_KIND, self.service, value)
+            return await self.platform.update(LEASE_KIND, self.service, value, call.version)
+        except Exception as error:
+            # The keeper waits for what came of each write; an error does not say.
+            log.exception("What became of a write to the lease of {} is not known.", self.service)
+            return OutcomeUnknown(str(error))
+
+    def _tell_malformed(self) -> None:
+        """Tell once that the lease makes no sense, and once that it does again."""
+        malformed = self.keeper.malformed
+        if malformed == self._told_malformed:
+            return
+        self._told_malformed = malformed
+        if malformed:
+            log.error(
+                "No orders of {} by its lease until it is whole: {}.", self.service, malformed
+            )
+        else:
+            log.info("The lease of service {} is whole again.", self.service)
+
     def _changed(self) -> None:
         self._state_by_engine.clear()
         self._check_at = float("-inf")
@@ -145,13 +183,9 @@
 
     # -- the engines ----------------------------------------------------------
 
-    async def _keep_engines(self) -> None:
-        while True:
-            if self.keeper.is_holder():
-                await self._engine_step()
-            await self.sleep(ROUND_SECONDS)
-
     async def _engine_step(self) -> None:
+        if not self.keeper.is_holder():
+            return
         spec = self.view.orders_of(self.service)
         names = tuple(engine.name for engine in self.view.engines_of(self.service))
         if (spec, names) != (self._spec, self._names):
--- a/pondhatch/authority/tests/test_authority.py
+++ b/pondhatch/authority/tests/test_authority.py
@@ -6,17 +6,20 @@
 import os
 import unittest
 from dataclasses import replace
+from typing import Any
+from unittest import mock
 
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 from loguru import logger
 
 from fakes._virtual_loop import run_virtually
-from pondhatch.authority import EngineState, Wanted, due_orders, wanted_by_engine
+from pondhatch.authority import LEASE_KIND, EngineState, Wanted, due_orders, wanted_by_engine
 from pondhatch.authority._orderer import BUSY_CHECK_SECONDS, CALM_CHECK_SECONDS, ROUND_SECONDS
 from pondhatch.authority.tests._world import (
     ORDER_FAULTS,
     PLATFORM_FAULTS,
+    SERVICE,
     TERMS,
     RouterSide,
     World,
@@ -214,6 +217,102 @@
         self.assertEqual(promised, [True, False])
 
 
+class MalformedLeaseTest(unittest.TestCase):
+    """A lease that cannot be read, and calls to the platform that raise."""
+
+    WRONG: tuple[object, ...] = (None, "r0", {}, {"holder": "r0", "fencing": "1", "nonce": "a"})
+    KEY = (LEASE_KIND, SERVICE)
+
+    def setUp(self) -> None:
+        self.lines: list[str] = []
+        logger.enable("pondhatch.authority")
+        self.addCleanup(logger.disable, "pondhatch.authority")
+        number = logger.add(self.lines.append, level="ERROR", format="{message}")
+        self.addCleanup(logger.remove, number)
+
+    def damage(self, world: World, value: object) -> None:
+        """Overwrite the lease, as an operator could."""
+        world.platform.store.put(*self.KEY, value, None, new=False)
+
+    def test_nobody_orders_by_it_until_it_is_whole(self) -> None:
+        async def main(value: object) -> list[int]:
+            world = World()
+            self.damage(world, value)
+            routers = [RouterSide(name, world, [], 0) for name in NAMES[:2]]
+            routers[0].wanted = True
+            await asyncio.sleep(2 * (TERMS.duration + TERMS.settle))
+            self.assertEqual(world.effects, [])
+            self.assertEqual(len(self.lines), 1, self.lines)
+            self.damage(world, {"holder": "gone", "fencing": 7, "nonce": "a"})
+            mended = now()
+            await asyncio.sleep(2 * (TERMS.duration + TERMS.settle))
+            self.assertGreaterEqual(world.effects[0].at, mended + TERMS.duration)
+            return [effect.fencing for effect in world.effects]
+
+        for value in self.WRONG:
+            with self.subTest(value=value):
+                self.lines.clear()
+                self.assertEqual(run_virtually(main(value)), [8, 8])
+
+    def test_a_holder_gives_no_more_orders_by_it(self) -> None:
+        async def main() -> tuple[bool, int]:
+            world = World()
+            holder = RouterSide("r0", world, [], 0)
+            holder.wanted = True
+            await asyncio.sleep(STARTED)
+            self.damage(world, None)
+            await asyncio.sleep(TERMS.renew_every + 1.0)
+            given = len(world.effects)
+            world.spec = replace(world.spec, version=2)
+            await asyncio.sleep(30)
+            self.assertEqual(len(world.effects), given)
+            return holder.orderer.holds_anything(), len(self.lines)
+
+        self.assertEqual(run_virtually(main()), (False, 1))
+
+    def test_a_call_that_raises_does_not_end_the_orders(self) -> None:
+        async def main(method: str) -> Wanted | None:
+            world = World()
+            holder = RouterSide("r0", world, [], 0)
+            answering = getattr(world.platform, method)
+            answers = [ValueError("an answer that cannot be read")]
+
+            async def failing(*given: Any) -> Any:
+                if answers:
+                    raise answers.pop()
+                return await answering(*given)
+
+            setattr(world.platform, method, failing)
+            holder.wanted = True
+            await asyncio.sleep(2 * (TERMS.duration + TERMS.settle))
+            world.spec = replace(world.spec, version=2)
+            await asyncio.sleep(2 * CALM_CHECK_SECONDS)
+            return world.holds("checking")
+
+        for method in ("get", "create", "update"):
+            with self.subTest(method=method):
+                self.lines.clear()
+                self.assertEqual(run_virtually(main(method)), V2)
+                self.assertEqual(len(self.lines), 1, self.lines)
+
+    def test_an_engine_that_cannot_be_read_does_not_end_the_orders(self) -> None:
+        async def main() -> Wanted | None:
+            world = World()
+            holder = RouterSide("r0", world, [], 0)
+            asked = holder.orderer.engines.state
+            holder.orderer.engines.state = mock.AsyncMock(  # type: ignore[method-assign]
+                side_effect=[ValueError("no state"), ValueError("no state")]
+            )
+            holder.wanted = True
+            await asyncio.sleep(STARTED)
+            holder.orderer.engines.state = asked  # type: ignore[method-assign]
+            await asyncio.sleep(STARTED)
+            return world.holds("checking")
+
+        self.assertEqual(run_virtually(main()), V1)
+        self.assertTrue(self.lines)
+
+
 PAUSE = st.one_of(st.just(0.0), st.just(0.0), st.floats(0.0, LONGEST_PAUSE))
 EVENT = st.tuples(
     st.floats(0.0, 8.0),  # seconds after the event before
