Replace what is no fleet key; watch on from a listing's first page

Cause: a malformed object in the place of the fleet's key ended the start of every router; a listing of several pages took the version of its last, so that a change to an object of an earlier page in between was never told. Change: what is no key is replaced, under the condition that nobody else did; a listing has its first page's version. Before: both new tests fail on the old code by reading (not run there).

--- a/pondhatch/platform/_store.py
+++ b/pondhatch/platform/_store.py
@@ -140,11 +140,15 @@
     async def list(self, kind: str) -> Listed | Unavailable:
         """Read all objects of a kind, page by page."""
         listing = _Listing()
+        #: The store's revision as of the first page: what changes while the others are read is
+        #: told by a watch from there, and known twice at worst.
+        version: int | None = None
         after = ""
         while True:
             page = await self._page(kind, after)
             if isinstance(page, Unavailable):
                 return page
+            version = page.timestamp if version is None else version
             names = [name for name in map(_name_of, page.entries) if name]
             is_news = listing.take(names, self._readable(kind, page.entries))
             if page.has_more and is_news:
@@ -153,7 +157,7 @@
             if page.has_more and self._told.is_first((kind, "goes on")):
                 # Asked again it would say the same; what it has named is there all the same.
                 log.error("The listing of {} says that it goes on, and does not.", kind)
-            return listing.listed(page.timestamp, is_whole=not page.has_more)
+            return listing.listed(version, is_whole=not page.has_more)
 
     async def _page(self, kind: str, after: str) -> _Page | Unavailable:
         try:
--- a/pondhatch/platform/tests/test_store.py
+++ b/pondhatch/platform/tests/test_store.py
@@ -89,6 +89,8 @@
         assert isinstance(listed, Listed)
         self.assertEqual([each.name for each in listed.objects], ["a", "b", "c"])
         self.assertEqual([path for _, path, _ in calls.asked][1], "/objects/servers?SinceRev=b")
+        # A change to "a" while "c" was read is told by a watch from there.
+        self.assertEqual(listed.version, 5)
 
     async def test_what_stands_in_the_status_counts_where_there_is_no_spec(self) -> None:
         found = await store((200, entry("a", 1, None, 4)))[0].get("upstream", "a")
--- a/pondhatch/router/_fleet_key.py
+++ b/pondhatch/router/_fleet_key.py
@@ -8,11 +8,20 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 
 from pondhatch.kernel import Backoff
 from pondhatch.observing import log_for
-from pondhatch.store import Accepted, Found, Missing, Platform
+from pondhatch.store import (
+    Accepted,
+    Conflict,
+    Found,
+    Missing,
+    OutcomeUnknown,
+    Platform,
+    StoredObject,
+    Unavailable,
+)
 
 log = log_for("process")
 
@@ -33,13 +42,32 @@
     backoff = Backoff(FIRST_PAUSE, LONGEST_PAUSE, rng)
     while True:
         found = await platform.get(KEY_KIND, KEY_NAME)
-        if isinstance(found, Found):
-            return str(found.object.value["key"]).encode()
-        if isinstance(found, Missing):
-            written = await platform.create(KEY_KIND, KEY_NAME, {"key": new_key})
-            if isinstance(written, Accepted):
-                return new_key.encode()
-            log.info("Another router writes the fleet's key, or the answer was lost: {}.", written)
-        else:
+        if isinstance(found, Unavailable):
             log.warning("The platform does not tell the fleet's key: {}.", found.reason)
+            await sleep(backoff.next())
+            continue
+        key = _key_in(found.object) if isinstance(found, Found) else None
+        if key is not None:
+            return key.encode()
+        written = await _write(platform, found, {"key": new_key})
+        if isinstance(written, Accepted):
+            return new_key.encode()
+        log.info("Another router writes the fleet's key, or the answer was lost: {}.", written)
         await sleep(backoff.next())
+
+
+def _key_in(stored: StoredObject) -> str | None:
+    """Return the key that an object holds, or None where it holds none."""
+    key = stored.value.get("key") if isinstance(stored.value, Mapping) else None
+    return key if isinstance(key, str) and key else None
+
+
+async def _write(
+    platform: Platform, found: Found | Missing, value: dict[str, str]
+) -> Accepted | Conflict | OutcomeUnknown | Unavailable:
+    """Write the key where there is none, in the place of whatever holds none."""
+    if isinstance(found, Missing):
+        return await platform.create(KEY_KIND, KEY_NAME, value)
+    # Kept, it would keep every router that starts from its fleet.
+    log.error("What the platform holds as the fleet's key is none; it is replaced.")
+    return await platform.update(KEY_KIND, KEY_NAME, value, found.object.version)
--- a/pondhatch/router/tests/test_fleet_key.py
+++ b/pondhatch/router/tests/test_fleet_key.py
@@ -6,6 +6,7 @@
 
 from fakes._platform_in_memory import PlatformInMemory
 from pondhatch.router import agreed_key
+from pondhatch.router._fleet_key import KEY_KIND, KEY_NAME
 from pondhatch.store import Accepted, Conflict, Found, Missing, OutcomeUnknown, Unavailable
 
 
@@ -53,6 +54,14 @@
         self.assertEqual(await self.agreed(platform, "first"), b"first")
         self.assertEqual(await self.agreed(platform, "second"), b"first")
 
+    async def test_what_is_no_key_is_replaced_once_for_all(self) -> None:
+        for value in (None, "text", {}, {"key": 7}, {"key": ""}):
+            with self.subTest(value=value):
+                platform = PlatformInMemory()
+                await platform.create(KEY_KIND, KEY_NAME, value)
+                self.assertEqual(await self.agreed(platform, "first"), b"first")
+                self.assertEqual(await self.agreed(platform, "second"), b"first")
+
     async def test_an_outage_is_waited_out_with_growing_pauses(self) -> None:
         platform = Flaky(outages=8)
         self.assertEqual(await self.agreed(platform, "first"), b"first")
