Drop headers that their sender has no right to, by one table of owners

Cause: a caller's headers went on unless a list of exceptions held them. Those that ask an engine to keep, reserve, back up or take over memory were in no list: engines ran what the caller had no right to ask, and refused requests that named a copy which does not exist. So did X-Resume, X-Resume-From and X-Pondhatch-Outcome at the plain services. An engine that repeated what routers tell it told callers, and an upstream could say X-Pondhatch-Outcome in a router's place. Names that `Connection` lists went on too.

Change: each interface has one frozen table of headers by who may set them. Callers' copies of what only routers or upstreams may say are dropped on the way in, answers are held to the same table on the way out, and `Connection` takes away what it lists, but nothing that the table knows.

--- a/fakes/_machines_engine.py
+++ b/fakes/_machines_engine.py
@@ -3,7 +3,8 @@
 A path under ``/notes/`` is answered as a stream of events, any other as a whole. Faults:
 ``refuse`` (full, not run), ``cut`` (a stream that began here breaks in the middle),
 ``stall`` (an answer waits), ``cross`` (the answer of another request), ``fail`` (500 of its
-own).
+own), ``echo`` (an answer repeats what the router said). A request that names a copy or a
+reservation which is not here is refused and not run.
 """
 
 from __future__ import annotations
@@ -20,6 +21,10 @@
 
 #: Events of a stream.
 EVENTS = 6
+#: Headers that name what an engine must have to run the request.
+MUST_BE_HERE = ("Kv-From", "Hold")
+#: What a router says to an engine, and an echo repeats.
+ECHOED = ("Expect-Instance", "Request-Priority")
 #: Seconds between two events.
 STEP = 0.02
 
@@ -32,6 +37,8 @@
         self.app = Klein()
         #: What ran here: the id, the account, the headers, and how it ended.
         self.runs: list[dict[str, Any]] = []
+        #: Headers of every request that came, refused ones too: pairs, names in lower case.
+        self.asked: list[list[tuple[str, str]]] = []
         self._name = name
         self._route()
 
@@ -40,6 +47,10 @@
         def runs(request: Any) -> bytes:
             return json.dumps(self.runs).encode()
 
+        @self.app.route("/asked")
+        def asked(request: Any) -> bytes:
+            return json.dumps(self.asked).encode()
+
         self.faults.route(self.app)
 
         @self.app.route("/", branch=True)
@@ -48,10 +59,12 @@
 
     async def _answer(self, request: Any) -> bytes:
         request.setHeader("Keep-Alive", "timeout=5")
+        self.asked.append(_pairs(request))
         if request.getHeader("Expect-Instance") != self._name:
             request.setResponseCode(421)
             return b""
-        if self.faults.strike("refuse"):
+        unknown_here = any(request.getHeader(name) is not None for name in MUST_BE_HERE)
+        if unknown_here or self.faults.strike("refuse"):
             request.setResponseCode(503)
             request.setHeader("Not-Executed", "1")
             return b""
@@ -68,6 +81,10 @@
             await asyncio.sleep(fault.seconds)
         request.setHeader("Attempt-Id", "another" if self.faults.strike("cross") else attempt)
         request.setHeader("Instance-Signature", f"{self._name}.{attempt}")
+        if self.faults.strike("echo"):
+            request.setHeader("X-Echoed", "1")
+            for name in ECHOED:
+                request.setHeader(name, request.getHeader(name) or "")
         if self.faults.strike("fail"):
             request.setResponseCode(500)
             return b"failed"
@@ -90,3 +107,12 @@
             request.write(b"id: %d\ndata: %d\n\n" % (at, at))
             await asyncio.sleep(STEP)
         return "whole"
+
+
+def _pairs(request: Any) -> list[tuple[str, str]]:
+    every = request.requestHeaders.getAllRawHeaders()
+    return [
+        (name.decode("latin-1").lower(), value.decode("latin-1"))
+        for name, values in every
+        for value in values
+    ]
--- a/fakes/_plain.py
+++ b/fakes/_plain.py
@@ -1,6 +1,7 @@
 """A plain service that records each call it ran.
 
-``/.../echo`` answers the body; ``/.../large/BYTES`` answers that many bytes.
+``/.../echo`` answers the body; ``/.../large/BYTES`` answers that many bytes;
+``/.../headers`` tells in ``X-Told`` which headers came, and speaks in the router's name.
 Faults: ``stall``, ``cut`` (run the call, then break the connection), ``refuse``.
 """
 
@@ -87,7 +88,16 @@
             self.producer = Producer(request, int(request.path.rsplit(b"/", 1)[1]))
             await self.producer.ended.asFuture(asyncio.get_running_loop())
             return b""
+        if request.path.endswith(b"/headers"):
+            request.setHeader("X-Told", _names_told(request))
+            request.setHeader("X-Pondhatch-Outcome", "not-run")
         content: bytes = request.content.read()
         request.setHeader("X-Upstream", self.name)
         request.setHeader("X-Body-Digest", hashlib.sha256(content).hexdigest())
         return content or f"{self.name} {request.method.decode()} {request.uri.decode()}".encode()
+
+
+def _names_told(request: Any) -> str:
+    """Return the names of the headers that came, one for each value."""
+    every = request.requestHeaders.getAllRawHeaders()
+    return ",".join(name.decode().lower() for name, values in every for _ in values)
--- a/pondhatch/cli/_router_process.py
+++ b/pondhatch/cli/_router_process.py
@@ -147,10 +147,11 @@
         return Introduction(state.name, state.gossip, self._platform, self._rng, address)
 
     def _new_callers(self, client: HttpClient) -> Callers:
+        upstreams = HttpUpstreams(client, self._interface.upstreams, self._metrics)
         return self._interface.callers(
             CallerParts(
                 state=self.state,
-                ways=Ways(self._granting.entry, HttpUpstreams(client, self._interface.upstreams)),
+                ways=Ways(self._granting.entry, upstreams),
                 limits=lambda: self._settings.limits,
                 metrics=self._metrics,
                 records=self._records,
--- a/pondhatch/observing/_served.py
+++ b/pondhatch/observing/_served.py
@@ -18,7 +18,7 @@
 #: Begins every name that is told.
 PREFIX = "pondhatch_"
 #: Label that takes the last part of a counter's name, by the rest of it.
-LABEL_BY_FAMILY = {"requests": "outcome", "refusals": "code"}
+LABEL_BY_FAMILY = {"requests": "outcome", "refusals": "code", "headers_dropped": "kind"}
 
 
 @dataclass
--- a/pondhatch/platform/_callers.py
+++ b/pondhatch/platform/_callers.py
@@ -5,9 +5,10 @@
 import xxhash
 
 from pondhatch.platform import _names as names
+from pondhatch.platform._header_owners import OWNERS
 from pondhatch.requests import Headers, NotRun, Refusal
 from pondhatch.router import bearer_key
-from pondhatch.transport import CallerFacts
+from pondhatch.transport import CallerFacts, NoteDropped
 
 #: Statuses that ask the client to come back later.
 COME_BACK = (429, 503)
@@ -27,6 +28,10 @@
             context=_context(value_by_name.get(names.PROMPT_PARTS.lower(), "")),
         )
 
+    def passed_on(self, headers: Headers, note: NoteDropped) -> Headers:
+        """Return those of a client's headers that it may say to an engine."""
+        return OWNERS.from_caller(headers, note)
+
     def refusal_headers(self, refusal: Refusal) -> Headers:
         """Return the headers of a refusal: when to come back, where that helps."""
         if not isinstance(refusal, NotRun) or refusal.status not in COME_BACK:
--- a/pondhatch/platform/_engines.py
+++ b/pondhatch/platform/_engines.py
@@ -9,23 +9,13 @@
 
 from pondhatch.authority import NotTaken, Silent, Wanted
 from pondhatch.platform import _names as names
+from pondhatch.platform._header_owners import OWNERS
 from pondhatch.requests import Headers, Judged, RequestHead, Target
 from pondhatch.store import LEAVING, LIVE
-from pondhatch.transport import HOP_HEADERS, utf8_value
+from pondhatch.transport import NoteDropped, utf8_value
 
 #: What an engine that takes no new work says of itself.
 DRAINING = "draining"
-#: Headers of a client's request that the router replaces or keeps to itself.
-REPLACED_HEADERS = HOP_HEADERS | {
-    "content-length",
-    "expect",
-    names.AUTHORIZATION.lower(),
-    names.ACCOUNT.lower(),
-    names.DEADLINE_MS.lower(),
-    names.EXPECTED_ENGINE.lower(),
-    names.PRIORITY.lower(),
-    names.CONTEXT_FROM.lower(),
-}
 
 
 class _Entry(msgspec.Struct, rename="pascal", frozen=True):
@@ -59,7 +49,10 @@
     """See UpstreamDialect."""
 
     def request_headers(self, head: RequestHead, target: Target) -> Headers:
-        """Return the client's headers with those that the router owns put in."""
+        """Return what the client may say, and what only routers may.
+
+        What the client may not say was dropped as it came; see ClientDialect.
+        """
         own: list[tuple[str, str]] = [
             (names.DEADLINE_MS, str(max(1, int(head.deadline * 1000)))),
             (names.EXPECTED_ENGINE, utf8_value(target.name)),
@@ -69,11 +62,10 @@
             own.append((names.ACCOUNT, utf8_value(head.account)))
         if head.context_from:
             own.append((names.CONTEXT_FROM, head.context_from))
-        replaced = REPLACED_HEADERS
+        passed_on = head.headers
         if head.after_event:
             own.append((names.LAST_EVENT_ID, head.after_event))
-            replaced = REPLACED_HEADERS | {names.LAST_EVENT_ID.lower()}
-        passed_on = [pair for pair in head.headers if pair[0].lower() not in replaced]
+            passed_on = _without_last_event(passed_on)
         return (*passed_on, *own)
 
     def judge(self, head: RequestHead, status: int, value_by_name: Mapping[str, str]) -> Judged:
@@ -86,15 +78,21 @@
             return Judged.CROSSED
         return Judged.ANSWERED
 
-    def answer_headers(self, headers: Headers) -> Headers:
-        """Return the headers of an answer that are the client's business."""
-        return tuple(pair for pair in headers if pair[0].lower() not in HOP_HEADERS)
+    def answer_headers(self, headers: Headers, note: NoteDropped) -> Headers:
+        """Return the headers of an answer that an engine may say to a client."""
+        return OWNERS.from_upstream(headers, note)
 
     def last_event(self, head: RequestHead) -> bytes | None:
         """Streams end as answers do; no event marks the end."""
         return None
 
 
+def _without_last_event(headers: Headers) -> Headers:
+    """Return headers without the client's place in a stream: the router has got beyond it."""
+    name = names.LAST_EVENT_ID.lower()
+    return tuple(pair for pair in headers if pair[0].lower() != name)
+
+
 class NoOrders:
     """Engines here are told what to hold by others; see EngineOrders."""
 
--- a/pondhatch/platform/_names.py
+++ b/pondhatch/platform/_names.py
@@ -25,6 +25,30 @@
 NOT_RUN = "Not-Executed"
 #: 0 is let in first, 9 last.
 PRIORITY = "Request-Priority"
+#: The weights that an engine must have to run the request.
+EXPECTED_WEIGHTS = "Expect-Version"
+#: Which part of the work an engine is to do, or does.
+ROLE = "Phase"
+#: Milliseconds for which an engine is to keep what it has read.
+KEEP_MS = "Pin-Ms"
+#: A slot and memory that were set aside at the engine.
+RESERVED = "Hold"
+#: "IP:port" of an engine that is to get copies of what this one makes.
+BACKUP_TO = "Kv-Backup"
+#: "IP:port/handle" of a copy with which a run goes on.
+CONTINUE_FROM = "Kv-From"
+#: The model of a request.
+MODEL = "Model"
+#: Tokens of the prompt, and most of the answer.
+TOKENS = "Token-Usage"
+#: The client's guess of the answer's length.
+LENGTH_HINT = "Length-Hint"
+#: An engine's start, by its id.
+ENGINE = "Instance-Id"
+#: Requests that an engine runs, those that wait, and its slots.
+LOAD = "Instance-Load"
+#: Versions of the weights that made an answer.
+WEIGHTS = "Weight-Versions"
 AUTHORIZATION = "Authorization"
 RETRY_AFTER = "Retry-After"
 #: Status by which an engine says that another one was meant; it ran nothing.
--- a/pondhatch/platform/tests/_wire.py
+++ b/pondhatch/platform/tests/_wire.py
@@ -37,6 +37,39 @@
     "Resumable": False,
 }
 
+#: Every header that the platform's pages name, by who may set it.
+CALLERS_HEADERS = (
+    "Attempt-Id",
+    "Model",
+    "Token-Usage",
+    "Prefix-Hash",
+    "Length-Hint",
+    "Last-Event-Id",
+)
+#: Said to the router, which says its own to an engine where it has one.
+ROUTERS_TO_READ = ("Authorization", "Deadline-Ms")
+ROUTERS_HEADERS = (
+    "Tenant",
+    "Expect-Instance",
+    "Expect-Version",
+    "Request-Priority",
+    "Phase",
+    "Pin-Ms",
+    "Hold",
+    "Kv-Fetch",
+    "Kv-From",
+    "Kv-Backup",
+)
+ENGINES_HEADERS = (
+    "Instance-Signature",
+    "Instance-Id",
+    "Instance-Load",
+    "Not-Executed",
+    "Retry-After",
+    "Weight-Versions",
+)
+CONNECTIONS_HEADERS = ("Connection", "Keep-Alive")
+
 CONFIGURATION: dict[str, Any] = {
     "Version": 7,
     "Routes": [
--- a/pondhatch/platform/tests/test_dialects.py
+++ b/pondhatch/platform/tests/test_dialects.py
@@ -25,7 +25,12 @@
 )
 
 
-def head(**changes: Any) -> RequestHead:
+def ignore(kind: str) -> None:
+    """Note nothing."""
+
+
+def head(headers: Headers = HEADERS, **changes: Any) -> RequestHead:
+    """Return a request's head as the router makes it of what a client sends."""
     plain = RequestHead(
         request_id="own",
         account="pina",
@@ -33,7 +38,7 @@
         chat=0,
         method="POST",
         path="/notes/1",
-        headers=HEADERS,
+        headers=ClientDialect().passed_on(headers, ignore),
         repeatable=False,
         deadline=2.5,
         priority=3,
@@ -96,7 +101,7 @@
     def test_an_answers_headers_reach_the_caller_but_for_the_connections(self) -> None:
         answered = (("Instance-Signature", "3e"), ("Keep-Alive", "timeout=4"), ("X-Own", "1"))
         passed_on = (("Instance-Signature", "3e"), ("X-Own", "1"))
-        self.assertEqual(self.dialect.answer_headers(answered), passed_on)
+        self.assertEqual(self.dialect.answer_headers(answered, ignore), passed_on)
 
 
 class EngineEntryTest(unittest.TestCase):
--- a/pondhatch/requests/_upstream_dialect.py
+++ b/pondhatch/requests/_upstream_dialect.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Protocol
 
 from pondhatch.requests._messages import Headers, RequestHead
@@ -32,8 +32,11 @@
     def judge(self, head: RequestHead, status: int, value_by_name: Mapping[str, str]) -> Judged:
         """Say what an answer's head means; names are in lower case."""
 
-    def answer_headers(self, headers: Headers) -> Headers:
-        """Return the headers of an answer that are the caller's business."""
+    def answer_headers(self, headers: Headers, note: Callable[[str], None]) -> Headers:
+        """Return the headers of an answer that an upstream may say to a caller.
+
+        ``note`` is told the kind of each other that the upstream had no right to say.
+        """
 
     def last_event(self, head: RequestHead) -> bytes | None:
         """Return the event without which a stream is not whole, or None where there is none."""
--- a/pondhatch/standard/_callers.py
+++ b/pondhatch/standard/_callers.py
@@ -18,6 +18,7 @@
 from pondhatch.observing import log_for
 from pondhatch.requests import (
     CallerGone,
+    Headers,
     MalformedChat,
     NotRun,
     Patience,
@@ -27,12 +28,14 @@
 )
 from pondhatch.router import Account, Admitted, admit, identify, not_ready, service_of_path
 from pondhatch.standard._answers import OpenAiAnswers
+from pondhatch.standard._header_owners import OWNERS
 from pondhatch.transport import (
     CallerParts,
     CallerRequest,
     Serving,
     Work,
     as_text,
+    counting,
     fail,
     read_whole,
 )
@@ -44,8 +47,6 @@
 KEY_HEADER = "Idempotency-Key"
 BAD_REQUEST = 400
 TOO_LARGE = 413
-#: Caller's headers that are not an upstream's business.
-PRIVATE_HEADERS = frozenset({"authorization", "cookie", "x-request-id", "x-priority"})
 
 
 Prepare = Callable[[CallerRequest, Account], Awaitable[Work | NotRun]]
@@ -59,6 +60,7 @@
         self._starting = parts.starting
         self._limits = parts.limits
         self._metrics = parts.metrics
+        self._note_dropped = counting(parts.metrics)
         self._answers = OpenAiAnswers(parts.metrics)
         self._serving = Serving(parts, self._answers)
         #: Requests that have not ended; a stopping router waits for them.
@@ -137,7 +139,7 @@
         admitted = admit(self._state, account, service)
         if isinstance(admitted, NotRun):
             return admitted
-        head = _head(request, account, admitted, CHAT_PATH)
+        head = self._head(request, account, admitted, CHAT_PATH)
         head = msgspec.structs.replace(
             head, chat=chat.chat, repeatable=True, returning=chat.returning
         )
@@ -152,13 +154,32 @@
         if isinstance(admitted, NotRun):
             return admitted
         spec = self._state.fleet.service_by_name[admitted.service]
-        head = _head(request, account, admitted, path)
+        head = self._head(request, account, admitted, path)
         head = msgspec.structs.replace(head, repeatable=head.method in spec.repeatable_methods)
         body = request.body()
         replayable = ReplayableBody(b"") if body.length == 0 else body
         patience = Patience(0.0, admitted.queue_wait)
         return Work(account, admitted, head, replayable, patience, _key(request, head))
 
+    def _head(
+        self, request: CallerRequest, account: Account, admitted: Admitted, path: str
+    ) -> RequestHead:
+        # On the way in, so that nothing behind this can pass on what the caller may not say.
+        passed_on = OWNERS.from_caller(_headers(request), self._note_dropped)
+        return RequestHead(
+            request_id=uuid.uuid4().hex,
+            account=account.name,
+            service=admitted.service,
+            chat=0,
+            method=request.method.decode("ascii", "replace"),
+            path=path,
+            headers=passed_on,
+            repeatable=False,
+            deadline=admitted.deadline,
+            priority=admitted.priority,
+            weight=admitted.weight,
+        )
+
     def _models(self, request: Any) -> bytes:
         account = identify(self._state, _header(request, "Authorization"))
         if isinstance(account, NotRun):
@@ -174,25 +195,11 @@
         return msgspec.json.encode({"object": "list", "data": models})
 
 
-def _head(request: CallerRequest, account: Account, admitted: Admitted, path: str) -> RequestHead:
-    headers = tuple(
+def _headers(request: CallerRequest) -> Headers:
+    return tuple(
         (as_text(name), as_text(value))
         for name, values in request.requestHeaders.getAllRawHeaders()
         for value in values
-        if as_text(name).lower() not in PRIVATE_HEADERS
-    )
-    return RequestHead(
-        request_id=uuid.uuid4().hex,
-        account=account.name,
-        service=admitted.service,
-        chat=0,
-        method=request.method.decode("ascii", "replace"),
-        path=path,
-        headers=headers,
-        repeatable=False,
-        deadline=admitted.deadline,
-        priority=admitted.priority,
-        weight=admitted.weight,
     )
 
 
--- a/pondhatch/standard/_upstreams.py
+++ b/pondhatch/standard/_upstreams.py
@@ -5,26 +5,27 @@
 from collections.abc import Mapping
 
 from pondhatch.requests import LAST_EVENT, Headers, Judged, RequestHead, Target
-from pondhatch.transport import HOP_HEADERS
+from pondhatch.standard._header_owners import OWNERS
+from pondhatch.transport import NoteDropped
 
 #: Header that binds an answer to its request.
 REQUEST_ID_HEADER = "X-Request-Id"
 PRIORITY_HEADER = "X-Priority"
 #: Header by which an upstream says that it did not run a request.
 NOT_RUN_HEADER = "x-not-run"
-#: Headers of a caller's request that each connection to an upstream sets itself.
-REPLACED_HEADERS = HOP_HEADERS | {"host", "content-length", "expect"}
 
 
 class OpenAiUpstreams:
     """See UpstreamDialect."""
 
     def request_headers(self, head: RequestHead, target: Target) -> Headers:
-        """Return a request's headers, under the id of this try."""
-        passed_on = [pair for pair in head.headers if pair[0].lower() not in REPLACED_HEADERS]
+        """Return a request's headers, under the id of this try.
+
+        What the caller may not say was dropped as it came; see OpenAiCallers.
+        """
         return (
             ("Host", target.url.removeprefix("http://")),
-            *passed_on,
+            *head.headers,
             (REQUEST_ID_HEADER, head.request_id),
             (PRIORITY_HEADER, str(head.priority)),
         )
@@ -38,9 +39,9 @@
             return Judged.CROSSED
         return Judged.ANSWERED
 
-    def answer_headers(self, headers: Headers) -> Headers:
-        """Return the headers of an answer that are the caller's business."""
-        return tuple(pair for pair in headers if pair[0].lower() not in HOP_HEADERS)
+    def answer_headers(self, headers: Headers, note: NoteDropped) -> Headers:
+        """Return the headers of an answer that an upstream may say to a caller."""
+        return OWNERS.from_upstream(headers, note)
 
     def last_event(self, head: RequestHead) -> bytes | None:
         """Return the event that ends every streamed chat."""
--- a/pondhatch/transport/__init__.py
+++ b/pondhatch/transport/__init__.py
@@ -7,7 +7,8 @@
 from pondhatch.transport._caller_dialect import CallerDialect, CallerFacts
 from pondhatch.transport._caller_request import CallerRequest
 from pondhatch.transport._gossip import GossipPort
-from pondhatch.transport._headers import HOP_HEADERS, as_text, utf8_value
+from pondhatch.transport._header_owners import HeaderOwners, NoteDropped, Owner, counting
+from pondhatch.transport._headers import as_text, utf8_value
 from pondhatch.transport._http_client import HttpClient
 from pondhatch.transport._interface import INTERFACE, CallerParts, Callers, Interface
 from pondhatch.transport._metrics_page import MetricsPage
@@ -38,7 +39,9 @@
     "CallFailed",
     "CallerDialect",
     "CallerFacts",
-    "HOP_HEADERS",
+    "HeaderOwners",
+    "NoteDropped",
+    "Owner",
     "as_text",
     "utf8_value",
     "HttpClient",
@@ -48,6 +51,7 @@
     "RoutedCallers",
     "StoreCalls",
     "bounded",
+    "counting",
     "Admin",
     "CallerSite",
     "GossipPort",
--- a/pondhatch/transport/_caller_dialect.py
+++ b/pondhatch/transport/_caller_dialect.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 from pondhatch.requests import Headers, Refusal
+from pondhatch.transport._header_owners import NoteDropped
 
 
 @dataclass(frozen=True)
@@ -28,5 +29,8 @@
     def read(self, headers: Headers) -> CallerFacts:
         """Return what a caller says about its request."""
 
+    def passed_on(self, headers: Headers, note: NoteDropped) -> Headers:
+        """Return those of a caller's headers that it may say to an upstream."""
+
     def refusal_headers(self, refusal: Refusal) -> Headers:
         """Return the headers that explain a refusal."""
--- a/pondhatch/transport/_routed_callers.py
+++ b/pondhatch/transport/_routed_callers.py
@@ -35,6 +35,7 @@
 from pondhatch.transport._answers import fail
 from pondhatch.transport._caller_channel import CallerRequest, drain, read_whole
 from pondhatch.transport._caller_dialect import CallerDialect, CallerFacts
+from pondhatch.transport._header_owners import counting
 from pondhatch.transport._headers import as_text
 from pondhatch.transport._interface import CallerParts
 from pondhatch.transport._routed_answers import RoutedAnswers
@@ -65,6 +66,7 @@
         self._dialect = dialect
         self._limits = parts.limits
         self._metrics = parts.metrics
+        self._note_dropped = counting(parts.metrics)
         self._records = parts.records
         self._rng = parts.rng
         self._tasks = parts.tasks
@@ -180,7 +182,9 @@
         admitted = admit_routed(self._state, account, route.spec, service, facts.wait)
         if isinstance(admitted, NotRun):
             return admitted
-        head = _head(request, route.spec, account, admitted, facts, headers)
+        # On the way in, so that nothing behind this can pass on what the caller may not say.
+        passed_on = self._dialect.passed_on(headers, self._note_dropped)
+        head = _head(request, route.spec, account, admitted, facts, passed_on)
         context_wait = admitted.context_wait if head.returning else 0.0
         return Work(account, admitted, head, body, Patience(context_wait, admitted.queue_wait))
 
--- a/pondhatch/transport/_upstreams.py
+++ b/pondhatch/transport/_upstreams.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+from pondhatch.observing import Metrics, NoMetrics
 from pondhatch.requests import (
     BodySource,
     Broken,
@@ -21,6 +22,7 @@
     is_event_stream,
     new_try,
 )
+from pondhatch.transport._header_owners import counting
 from pondhatch.transport._http_client import Address, HttpClient, NotSent
 from pondhatch.transport._http_connection import Exchange
 from pondhatch.transport._http_heads import Request, ResponseHead
@@ -95,9 +97,12 @@
 class HttpUpstreams:
     """Connections to upstreams; see Upstreams."""
 
-    def __init__(self, client: HttpClient, dialect: UpstreamDialect) -> None:
+    def __init__(
+        self, client: HttpClient, dialect: UpstreamDialect, metrics: Metrics | None = None
+    ) -> None:
         self.client = client
         self._dialect = dialect
+        self._note_dropped = counting(metrics or NoMetrics())
 
     async def send(
         self, target: Target, head: RequestHead, body: BodySource
@@ -164,7 +169,7 @@
             exchange.cancel()
             return _refusal(tried, f"answered {answered.status}, {judged.name.lower()}")
         tried.head()
-        headers = self._dialect.answer_headers(answered.headers)
+        headers = self._dialect.answer_headers(answered.headers, self._note_dropped)
         streams = answered.status == OK and is_event_stream(headers)
         last_event = self._dialect.last_event(head) if streams else None
         return Opened(
--- a/pondhatch/transport/tests/test_lost_exchanges.py
+++ b/pondhatch/transport/tests/test_lost_exchanges.py
@@ -5,7 +5,7 @@
 import asyncio
 import contextlib
 import unittest
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any
 
 import h11
@@ -113,7 +113,7 @@
     def judge(self, head: RequestHead, status: int, value_by_name: Mapping[str, str]) -> Judged:
         return Judged.ANSWERED
 
-    def answer_headers(self, headers: Headers) -> Headers:
+    def answer_headers(self, headers: Headers, note: Callable[[str], None]) -> Headers:
         raise RuntimeError("a fault")
 
 
