Keep callers from calls that only routers make to engines

Cause: a route for all paths of a host passes every path on, those of an engine's own calls too: a caller, on a public route one without a key, could have an engine free another's memory, set some aside or copy it elsewhere. An engine's answer to such a call carries no attempt's id, so that no caller had any use of it.

Change: a path that an engine could take for such a call, also written with escapes or dots, gets 404 unless the route's own prefix names the call. All other paths and every query go on as they came.

--- a/fakes/tests/test_owned_headers.py
+++ b/fakes/tests/test_owned_headers.py
@@ -70,6 +70,17 @@
                 self.assertNotIn("x-hop", {name for name, _ in asked})
                 self.assertEqual(status, 200)
 
+    def test_no_caller_makes_a_call_that_only_routers_make(self) -> None:
+        for method, path in (
+            ("POST", "/hold-take"),
+            ("DELETE", "/kv-pin/5c1e"),
+            ("GET", "/report"),
+        ):
+            with self.subTest(path=path):
+                status, attempt = self.send(method, path)
+                self.assertEqual(self.asked("portal", attempt), [])
+                self.assertEqual(status, 404)
+
     def test_what_callers_may_say_reaches_engines(self) -> None:
         said = [(name, f"{name}, 1") for name in CALLERS_HEADERS if name != "Attempt-Id"]
         said = [(n, "2" if n == "Last-Event-Id" else v) for n, v in said]
--- a/pondhatch/platform/_callers.py
+++ b/pondhatch/platform/_callers.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import posixpath
+from urllib.parse import unquote
+
 import xxhash
 
 from pondhatch.platform import _names as names
@@ -32,6 +35,16 @@
         """Return those of a client's headers that it may say to an engine."""
         return OWNERS.from_caller(headers, note)
 
+    def asks_for_routers_call(self, path: str, prefix: str) -> bool:
+        """Return whether an engine could take a path for a call that only routers make.
+
+        A route whose own prefix names such a call is the operator's leave to make it.
+        """
+        parts = _parts(path)
+        if not parts or names.ENGINE_CALLS.get(parts[0]) != len(parts):
+            return False
+        return _parts(prefix)[:1] != parts[:1]
+
     def refusal_headers(self, refusal: Refusal) -> Headers:
         """Return the headers of a refusal: when to come back, where that helps."""
         if not isinstance(refusal, NotRun) or refusal.status not in COME_BACK:
@@ -39,6 +52,14 @@
         return ((names.RETRY_AFTER, f"{refusal.retry_after:.3f}"),)
 
 
+def _parts(path: str) -> list[str]:
+    """Return a path's parts as an engine may read them: dots resolved, escapes decoded."""
+    plain = path.partition("?")[0]
+    if "%" in plain or "/." in plain:
+        plain = posixpath.normpath(unquote(plain))
+    return [part for part in plain.split("/") if part]
+
+
 def _context(parts: str) -> int:
     """Return a key of the last part that other requests share, or 0 where there is none."""
     ids = [part.partition(":")[0].strip() for part in parts.split(",") if part.strip()]
--- a/pondhatch/platform/_names.py
+++ b/pondhatch/platform/_names.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+from types import MappingProxyType
+
 #: Names one attempt of a client; answers repeat it.
 ATTEMPT_ID = "Attempt-Id"
 #: Milliseconds for which the client, or whoever sends, waits for the answer.
@@ -54,6 +56,21 @@
 #: Status by which an engine says that another one was meant; it ran nothing.
 OTHER_ENGINE_STATUS = 421
 
+#: Calls that an engine answers to routers alone: the first part of their path, and how many
+#: parts the path has.
+ENGINE_CALLS = MappingProxyType(
+    {
+        "report": 1,
+        "kv-events": 1,
+        "kv-list": 1,
+        "kv-move": 1,
+        "hold-take": 1,
+        "hold-drop": 2,
+        "kv-handle": 2,
+        "kv-pin": 2,
+    }
+)
+
 #: Kinds of objects in the store.
 ENGINES_KIND = "servers"
 CONFIGURATION_KIND = "config"
--- a/pondhatch/platform/tests/test_dialects.py
+++ b/pondhatch/platform/tests/test_dialects.py
@@ -145,6 +145,28 @@
         self.assertNotEqual(context("a:1"), 0)
         self.assertEqual(context(""), 0)
 
+    def test_which_paths_an_engine_could_take_for_a_routers_call(self) -> None:
+        own = (
+            "/report",
+            "/kv-events?since=1",
+            "/kv-move",
+            "//hold-take/",
+            "/kv-pin/5c1e",
+            "/hold-drop/h1?x=1",
+            "/%6bv-list",
+            "/notes/../kv-handle/h1",
+        )
+        for path in own:
+            with self.subTest(path=path):
+                self.assertTrue(self.dialect.asks_for_routers_call(path, "/"))
+        for path in ("/", "/x", "/report/2f", "/kv-pin", "/notes/report", "/a?b=/report", "/a%2e"):
+            with self.subTest(path=path):
+                self.assertFalse(self.dialect.asks_for_routers_call(path, "/"))
+
+    def test_an_operator_may_route_a_path_that_is_a_routers_call(self) -> None:
+        self.assertFalse(self.dialect.asks_for_routers_call("/kv-pin/5c1e", "/kv-pin/"))
+        self.assertTrue(self.dialect.asks_for_routers_call("/notes/../kv-move", "/notes/"))
+
     def test_when_to_come_back_is_told_where_it_helps(self) -> None:
         rows: tuple[tuple[Refusal, Headers], ...] = (
             (NotRun("engines-full", "", 0.25), (("Retry-After", "0.250"),)),
--- a/pondhatch/transport/_caller_dialect.py
+++ b/pondhatch/transport/_caller_dialect.py
@@ -32,5 +32,11 @@
     def passed_on(self, headers: Headers, note: NoteDropped) -> Headers:
         """Return those of a caller's headers that it may say to an upstream."""
 
+    def asks_for_routers_call(self, path: str, prefix: str) -> bool:
+        """Return whether an upstream could take a path for a call that only routers make.
+
+        ``prefix`` is the one of the route that the path takes.
+        """
+
     def refusal_headers(self, refusal: Refusal) -> Headers:
         """Return the headers that explain a refusal."""
--- a/pondhatch/transport/_routed_callers.py
+++ b/pondhatch/transport/_routed_callers.py
@@ -162,11 +162,15 @@
         if not self.takes_work:
             return NotRun("stopping", "this router is stopping; ask another", 0.0)
         host = _host(request)
-        route = self._state.fleet.routes.find(host, request.uri.decode("latin-1"))
+        path = request.uri.decode("latin-1")
+        route = self._state.fleet.routes.find(host, path)
         if isinstance(route, Withheld):
             return misfit("route")
         if route is None:
             return unknown(self._state, "route", NO_ROUTE)
+        # A route for all paths of a host is no leave to have engines move or free memory.
+        if self._dialect.asks_for_routers_call(path, route.spec.path_prefix):
+            return unknown(self._state, "route", NO_ROUTE)
         return route
 
     def _admitted(
