Merge the owners of headers; leave plain services the paths that are engines' calls

Plain services may have a path of the name of a call that routers make to engines; only routes to model services withhold it.

--- a/pondhatch/platform/_names.py
+++ b/pondhatch/platform/_names.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+from types import MappingProxyType
+
 #: Names one attempt of a client; answers repeat it.
 ATTEMPT_ID = "Attempt-Id"
 #: Milliseconds for which the client, or whoever sends, waits for the answer.
@@ -25,11 +27,50 @@
 NOT_RUN = "Not-Executed"
 #: 0 is let in first, 9 last.
 PRIORITY = "Request-Priority"
+#: The weights that an engine must have to run the request.
+EXPECTED_WEIGHTS = "Expect-Version"
+#: Which part of the work an engine is to do, or does.
+ROLE = "Phase"
+#: Milliseconds for which an engine is to keep what it has read.
+KEEP_MS = "Pin-Ms"
+#: A slot and memory that were set aside at the engine.
+RESERVED = "Hold"
+#: "IP:port" of an engine that is to get copies of what this one makes.
+BACKUP_TO = "Kv-Backup"
+#: "IP:port/handle" of a copy with which a run goes on.
+CONTINUE_FROM = "Kv-From"
+#: The model of a request.
+MODEL = "Model"
+#: Tokens of the prompt, and most of the answer.
+TOKENS = "Token-Usage"
+#: The client's guess of the answer's length.
+LENGTH_HINT = "Length-Hint"
+#: An engine's start, by its id.
+ENGINE = "Instance-Id"
+#: Requests that an engine runs, those that wait, and its slots.
+LOAD = "Instance-Load"
+#: Versions of the weights that made an answer.
+WEIGHTS = "Weight-Versions"
 AUTHORIZATION = "Authorization"
 RETRY_AFTER = "Retry-After"
 #: Status by which an engine says that another one was meant; it ran nothing.
 OTHER_ENGINE_STATUS = 421
 
+#: Calls that an engine answers to routers alone: the first part of their path, and how many
+#: parts the path has.
+ENGINE_CALLS = MappingProxyType(
+    {
+        "report": 1,
+        "kv-events": 1,
+        "kv-list": 1,
+        "kv-move": 1,
+        "hold-take": 1,
+        "hold-drop": 2,
+        "kv-handle": 2,
+        "kv-pin": 2,
+    }
+)
+
 #: Kinds of objects in the store.
 ENGINES_KIND = "servers"
 CONFIGURATION_KIND = "config"
--- a/pondhatch/transport/_routed_callers.py
+++ b/pondhatch/transport/_routed_callers.py
@@ -35,6 +35,7 @@
 from pondhatch.transport._answers import fail
 from pondhatch.transport._caller_channel import CallerRequest, drain, read_whole
 from pondhatch.transport._caller_dialect import CallerDialect, CallerFacts
+from pondhatch.transport._header_owners import counting
 from pondhatch.transport._headers import as_text
 from pondhatch.transport._interface import CallerParts
 from pondhatch.transport._routed_answers import RoutedAnswers
@@ -65,6 +66,7 @@
         self._dialect = dialect
         self._limits = parts.limits
         self._metrics = parts.metrics
+        self._note_dropped = counting(parts.metrics)
         self._records = parts.records
         self._rng = parts.rng
         self._tasks = parts.tasks
@@ -160,13 +162,23 @@
         if not self.takes_work:
             return NotRun("stopping", "this router is stopping; ask another", 0.0)
         host = _host(request)
-        route = self._state.fleet.routes.find(host, request.uri.decode("latin-1"))
+        path = request.uri.decode("latin-1")
+        route = self._state.fleet.routes.find(host, path)
         if isinstance(route, Withheld):
             return misfit("route")
         if route is None:
             return unknown(self._state, "route", NO_ROUTE)
+        # A route for all paths of a host is no leave to have engines move or free memory.
+        forbidden = self._dialect.asks_for_routers_call(path, route.spec.path_prefix)
+        if forbidden and self._leads_to_engines(route):
+            return NO_ROUTE
         return route
 
+    def _leads_to_engines(self, route: Route) -> bool:
+        """Return whether a route leads to a model service; plain ones have paths of their own."""
+        services = self._state.fleet.service_by_name
+        return any(services[target.service].kind == "model" for target in route.spec.targets)
+
     def _admitted(
         self,
         request: CallerRequest,
@@ -180,7 +192,9 @@
         admitted = admit_routed(self._state, account, route.spec, service, facts.wait)
         if isinstance(admitted, NotRun):
             return admitted
-        head = _head(request, route.spec, account, admitted, facts, headers)
+        # On the way in, so that nothing behind this can pass on what the caller may not say.
+        passed_on = self._dialect.passed_on(headers, self._note_dropped)
+        head = _head(request, route.spec, account, admitted, facts, passed_on)
         context_wait = admitted.context_wait if head.returning else 0.0
         return Work(account, admitted, head, body, Patience(context_wait, admitted.queue_wait))
 
