Notice callers that close while their connection is not read

Cause: a close is told to those who read. A caller is not read while more than 64 KB of its body wait for a grant, or for an engine that takes no more of them, and while it has sent much of its next request ahead. Such a caller's close was seen only after the grant or the engine's next read, and where requests were sent ahead only after the answer: its request reached an engine, or held its place there, for as long as that took.

Change: while a connection is not read, it is asked ten times a second whether the other side has closed, and cut if so.

--- a/pondhatch/transport/_caller_channel.py
+++ b/pondhatch/transport/_caller_channel.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import select
 import sys
 from collections.abc import Callable, Iterable
 from typing import Any
@@ -22,6 +23,9 @@
 #: Seconds for which the rest of an unwanted body is read and dropped, so that
 #: the caller sees its answer instead of a reset connection.
 LINGER_SECONDS = 1.0
+#: Seconds between two looks whether a caller that is not read from has left. Half a second
+#: after a close nothing of its request may be at work; this leaves most of it to the engine.
+UNREAD_LOOK_SECONDS = 0.1
 HEAD_TOO_SLOW = b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 HEAD_TOO_LARGE = (
     b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
@@ -47,6 +51,8 @@
     #: Seconds of silence after which the connection is closed, as they count now.
     _idle_seconds = 0.0
     _head_timer: Any = None
+    #: Runs while the caller is not read from.
+    _unread_timer: Any = None
     _is_cut = False
     #: Set once the connection was given up; it is lost only a turn of the loop later.
     is_aborted = False
@@ -63,6 +69,9 @@
         if self._head_timer is None and not self.requests:
             self._begin_head()
         super().dataReceived(data)
+        if self._dataBuffer:
+            # Requests sent ahead: where they are large, twisted reads no more for now.
+            self._look_for_close()
 
     def lineReceived(self, line: bytes) -> None:
         """Take in a line of a head, unless the head is too large with it."""
@@ -94,6 +103,7 @@
     def connectionLost(self, reason: Failure) -> None:  # type: ignore[override]
         """Stop the clock with the connection."""
         self._stop_head_timer()
+        self._stop_looking()
         super().connectionLost(reason)
 
     def writeSequence(self, iovec: Iterable[bytes]) -> None:
@@ -135,6 +145,7 @@
 
     def requestDone(self, request: Any) -> None:
         """Wait for the next request, for as long as is in force now."""
+        self._stop_looking()
         self._savedTimeOut = self._idle_seconds = self.limits().idle_seconds
         super().requestDone(request)
 
@@ -160,6 +171,7 @@
         """Read no more from the caller; it is not the one who idles."""
         self.setTimeout(None)
         self.transport.pauseProducing()
+        self._look_for_close()
 
     def resume_caller(self) -> None:
         """Read from the caller again.
@@ -167,6 +179,7 @@
         The pause left no idle time to go back to, so it is taken from what is in force. While a
         request that has come in full is served, the caller is not the one who idles.
         """
+        self._stop_looking()
         if not self._handlingRequest:
             self._count_idle_time()
         self.transport.resumeProducing()
@@ -175,6 +188,7 @@
         """Take no more requests; close soon after the answer."""
         self.persistent = False
         self._is_cut = True
+        self._stop_looking()
         self.transport.resumeProducing()
 
     def loseConnection(self) -> None:
@@ -184,6 +198,23 @@
             return
         super().loseConnection()
 
+    def _look_for_close(self) -> None:
+        """Give a caller up that closes its connection while it is not read from.
+
+        A close is told to those who read. Without this, a request whose large body waits for
+        a grant, or for an engine that takes no more of it, would go on without its caller.
+        """
+        self._stop_looking()
+        if _is_closed(self.transport):
+            self.forceAbortClient()
+            return
+        self._unread_timer = self.callLater(UNREAD_LOOK_SECONDS, self._look_for_close)
+
+    def _stop_looking(self) -> None:
+        timer, self._unread_timer = self._unread_timer, None
+        if timer is not None and timer.active():
+            timer.cancel()
+
     def _begin_head(self) -> None:
         """Hold a request's head to what is in force as its first bytes come.
 
@@ -213,6 +244,16 @@
             timer.cancel()
 
 
+def _is_closed(transport: Any) -> bool:
+    """Return whether the other side has closed, also where bytes before that are unread."""
+    plain = getattr(transport, "transport", transport)  # TLS lies on a connection of its own.
+    if not isinstance(plain, Connection) or not plain.connected:
+        return False
+    poll = select.poll()
+    poll.register(plain.fileno(), select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 class CallerSite(Site):
     """Makes callers' connections."""
 
--- /dev/null
+++ b/pondhatch/transport/tests/test_unread_callers.py
@@ -0,0 +1,165 @@
+"""Callers that leave while their connection is not read, over sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import Any
+
+import msgspec
+from twisted.internet.address import IPv4Address
+from twisted.internet.task import Clock
+from twisted.internet.tcp import Connection
+from twisted.python.failure import Failure
+
+from pondhatch.configuration import CallerLimits
+from pondhatch.requests import Ended, Opened, OwnerReply, Question
+from pondhatch.transport._caller_channel import CallerSite
+from pondhatch.transport._parts import HIGH_WATER
+from pondhatch.transport.tests.test_openai_callers import KEYS, OpenAiCallersTest
+from pondhatch.transport.tests.test_routed_callers import Answer, Grants
+
+#: Seconds after a close within which nothing of its request may be at work any more.
+GONE_SECONDS = 0.5
+#: Seconds by which the clock is stepped meanwhile.
+STEP = 0.05
+
+
+class HeldGrants(Grants):
+    """Grants everything once it is told to."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.told = asyncio.Event()
+
+    async def ask(self, owner: str, question: Question) -> OwnerReply:
+        await self.told.wait()
+        return await super().ask(owner, question)
+
+
+class Wire(Connection):
+    """A connection of a caller's; twisted's own is made by a port that listens."""
+
+    def getPeer(self) -> IPv4Address:
+        return IPv4Address("TCP", "10.9.9.9", 4000)
+
+    getHost = getPeer
+
+
+class Readers:
+    """Keeps which connections are to be read; the test itself says when they are."""
+
+    def __init__(self, clock: Clock) -> None:
+        self.reading: set[Any] = set()
+        self.callLater = clock.callLater
+
+    def addReader(self, reader: Any) -> None:
+        self.reading.add(reader)
+
+    def removeReader(self, reader: Any) -> None:
+        self.reading.discard(reader)
+
+    def addWriter(self, writer: Any) -> None:
+        """Do nothing: an answer is of no interest here."""
+
+    def removeWriter(self, writer: Any) -> None:
+        """Do nothing."""
+
+
+class UnreadTest(OpenAiCallersTest):
+    """The parts of a router that serve a caller, over a connection of its own."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        site: Any = CallerSite(self.channel.site.resource, CallerLimits)
+        self.channel = site.buildProtocol(IPv4Address("TCP", "10.9.9.9", 4000))
+        self.channel.callLater = self.clock.callLater
+        with socket.create_server(("127.0.0.1", 0)) as listening:
+            self.theirs = socket.create_connection(listening.getsockname())
+            ours, _ = listening.accept()
+        self.addCleanup(self.theirs.close)
+        self.theirs.setblocking(False)
+        self.readers = Readers(self.clock)
+        new_wire: Any = Wire
+        self.connection = new_wire(ours, self.channel, self.readers)
+        self.addCleanup(ours.close)
+        self.connection.connected = True
+        self.channel.makeConnection(self.connection)
+        self.connection.startReading()
+
+    async def take_in(self) -> None:
+        """Read what has come, as long as the channel reads."""
+        for _ in range(20):
+            if self.connection not in self.readers.reading:
+                return
+            failed = self.connection.doRead()
+            if failed is not None:
+                self.connection.connectionLost(Failure(failed))
+            await self.settle()
+
+    async def settle(self) -> None:
+        for _ in range(20):
+            self.clock.advance(0)
+            await asyncio.sleep(0)
+
+    async def post(self, sent: bytes, length: int) -> None:
+        head = f"POST /portal/x HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {KEYS[0]}\r\n"
+        self.theirs.sendall(f"{head}Content-Length: {length}\r\n\r\n".encode())
+        for at in range(0, len(sent), HIGH_WATER // 4):
+            self.theirs.sendall(sent[at : at + HIGH_WATER // 4])
+            await self.take_in()
+
+    async def leave(self) -> None:
+        self.theirs.close()
+        await self.take_in()
+        for _ in range(round(GONE_SECONDS / STEP)):
+            self.clock.advance(STEP)
+            await self.settle()
+
+    def assert_given_up(self, sent: int) -> None:
+        self.assertTrue(self.connection.disconnected)
+        self.assertEqual(len(self.upstreams.sent), sent)
+        found = [msgspec.to_builtins(record) for record in self.noted.records]
+        self.assertEqual([each["outcome"] for each in found], ["caller-gone"])
+
+    async def test_a_large_body_that_waits_for_a_grant(self) -> None:
+        held = HeldGrants()
+        self.grants.ask = held.ask  # type: ignore[method-assign]
+        await self.post(b"x" * 2 * HIGH_WATER, 9 * HIGH_WATER)
+        self.assertNotIn(self.connection, self.readers.reading)
+        await self.leave()
+        held.told.set()
+        await self.settle()
+        self.assert_given_up(sent=0)
+
+    async def test_a_large_body_that_its_upstream_does_not_take(self) -> None:
+        self.upstreams.hold = asyncio.Event()
+        await self.post(b"x" * 3 * HIGH_WATER, 9 * HIGH_WATER)
+        self.assertNotIn(self.connection, self.readers.reading)
+        await self.leave()
+        self.assert_given_up(sent=1)
+        self.assertEqual(self.grants.released, [Ended.NOTHING])
+
+    async def test_one_that_sent_its_next_request_already(self) -> None:
+        self.upstreams.hold = asyncio.Event()
+        await self.post(b"x", 1)
+        await self.post(b"x" * HIGH_WATER, HIGH_WATER)
+        self.assertNotIn(self.connection, self.readers.reading)
+        await self.leave()
+        self.assert_given_up(sent=1)
+        self.assertEqual(self.grants.released, [Ended.NOTHING])
+
+    async def test_one_that_stays_is_served_however_long_it_is_not_read(self) -> None:
+        held = HeldGrants()
+        self.grants.ask = held.ask  # type: ignore[method-assign]
+        body = b"x" * (HIGH_WATER + HIGH_WATER // 4)
+        await self.post(body, len(body))
+        self.assertNotIn(self.connection, self.readers.reading)
+        for _ in range(100):
+            self.clock.advance(STEP)
+        self.upstreams.replies = [Opened(Answer((b"yes!",)))]
+        held.told.set()
+        await self.settle()
+        await self.take_in()
+        self.assertFalse(self.connection.disconnected)
+        self.assertEqual([len(part) for _, _, part in self.upstreams.sent], [len(body)])
