Leave a record of requests whose callers left before they were read

Cause: a request's record was written where it was served or refused. A caller that left while its body came, also the rest of a refused one's, left none, so that its request looked like one that this router had lost.

Change: such a request is noted as caller-gone, as those are whose callers leave later. With it come tests of a caller's leaving at each stage: while its body comes, waiting for a grant, sent, before the first part, in the middle, between two tries, resumed.

--- a/pondhatch/transport/_routed_callers.py
+++ b/pondhatch/transport/_routed_callers.py
@@ -38,7 +38,7 @@
 from pondhatch.transport._headers import as_text
 from pondhatch.transport._interface import CallerParts
 from pondhatch.transport._routed_answers import RoutedAnswers
-from pondhatch.transport._serving import Serving, Work
+from pondhatch.transport._serving import CALLER_GONE, Serving, Work
 
 log = log_for("callers")
 
@@ -86,11 +86,10 @@
         started = time.monotonic()
         self.in_flight += 1
         try:
-            work = await self._prepare(request)
+            work = await self._read(request, started)
             if isinstance(work, NotRun):
-                await drain(request.body(), UNWANTED_BYTES)
                 self._answers.refuse(request, work)
-                self._note_refusal(request, work, started)
+                self._note_unserved(request, work.code, started)
             else:
                 await self._serving.run(request, work, started)
         except CallerGone:
@@ -112,15 +111,27 @@
         finally:
             self.in_flight -= 1
 
-    def _note_refusal(self, request: CallerRequest, refusal: NotRun, started: float) -> None:
-        """Leave a decision on a request that was refused before any engine was chosen."""
+    async def _read(self, request: CallerRequest, started: float) -> Work | NotRun:
+        """Return what is to be done with a request, or its refusal, once its body is read."""
+        try:
+            work = await self._prepare(request)
+            if isinstance(work, NotRun):
+                await drain(request.body(), UNWANTED_BYTES)
+        except (CallerGone, asyncio.CancelledError):
+            # Without a record, what its caller gave up looks like a request that was lost.
+            self._note_unserved(request, CALLER_GONE.code, started)
+            raise
+        return work
+
+    def _note_unserved(self, request: CallerRequest, outcome: str, started: float) -> None:
+        """Leave a decision on a request for which no engine was chosen."""
         facts = self._dialect.read(_headers(request))
         self._records.note(
             RequestEnded(
                 id=facts.caller_id,
                 account="",
                 service="",
-                outcome=refusal.code,
+                outcome=outcome,
                 ms=round((time.monotonic() - started) * 1000),
                 configuration=self._state.fleet.version,
             )
--- a/pondhatch/transport/_serving.py
+++ b/pondhatch/transport/_serving.py
@@ -40,6 +40,9 @@
 
 Ended = Whole | Broken | Refusal
 
+#: What becomes of a request whose caller leaves, unless something else became of it before.
+CALLER_GONE = Unknown("caller-gone", "the caller went away")
+
 
 @dataclass(frozen=True)
 class Work:
@@ -126,7 +129,7 @@
             self._answers.refuse(request, refusal)
             return
         copy = AnswerCopy()
-        ended: Ended = Unknown("caller-gone", "the caller went away")
+        ended: Ended = CALLER_GONE
         try:
             ended = await self._run(request, work, started, copy)
         finally:
@@ -145,7 +148,7 @@
             lambda: deadline - time.monotonic(),
             work.patience,
         )
-        ended: Ended = Unknown("caller-gone", "the caller went away")
+        ended: Ended = CALLER_GONE
         try:
             reply = await walk.run()
             if isinstance(reply, Placed):
--- /dev/null
+++ b/pondhatch/transport/tests/test_gone_callers.py
@@ -0,0 +1,129 @@
+"""Callers that leave, stage by stage: what engines still get, and what is noted."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+from twisted.internet.error import ConnectionLost
+from twisted.python.failure import Failure
+
+from pondhatch.requests import Ended, Headers, Opened, OwnerReply, Question
+from pondhatch.transport.tests.test_routed_callers import (
+    KEY,
+    Answer,
+    Endless,
+    Grants,
+    RoutedCallersTest,
+)
+
+STREAM: Headers = (("Content-Type", "text/event-stream"),)
+#: The id and the outcome that a record tells of a request whose caller left.
+GONE = ("9c41", "caller-gone")
+EVENT = b"id: 1\ndata: x\n\n"
+
+
+class HeldGrants(Grants):
+    """Grants everything, but from some question on only when told."""
+
+    def __init__(self, holds_from: int) -> None:
+        super().__init__()
+        self.asked = 0
+        self.told = asyncio.Event()
+        self._holds_from = holds_from
+
+    async def ask(self, owner: str, question: Question) -> OwnerReply:
+        self.asked += 1
+        if self.asked >= self._holds_from:
+            await self.told.wait()
+        return await super().ask(owner, question)
+
+
+class Watched(Endless):
+    """An answer whose rest does not come, and that tells whether it was given up."""
+
+    cancelled = False
+
+    def cancel(self) -> None:
+        self.cancelled = True
+
+
+class StagesTest(RoutedCallersTest):
+    """A caller closes its connection while its request is at each stage in turn."""
+
+    async def asyncSetUp(self) -> None:
+        await self.hold_grants(99)
+
+    async def hold_grants(self, since: int) -> None:
+        """Begin anew, with grants held from the question of this number on."""
+        self.setUp()
+        self.grants = self.held = HeldGrants(since)
+        await super().asyncSetUp()
+
+    async def leave(self) -> None:
+        self.channel.connectionLost(Failure(ConnectionLost()))
+        await self.settle()
+        self.held.told.set()
+        await self.settle()
+
+    def assert_given_up(self, *released: Ended) -> None:
+        """Nothing more was sent, every grant is back, and the record says what happened."""
+        self.assertEqual(self.grants.released, list(released))
+        self.assertEqual(len(self.upstreams.sent), len(released))
+        self.assertEqual(self.callers.in_flight, 0)
+        found = [msgspec.to_builtins(record) for record in self.noted.records]
+        self.assertEqual([(each["id"], each["outcome"]) for each in found], [GONE])
+
+    async def test_while_its_body_comes(self) -> None:
+        for key in (KEY, "X-Without: a key, so that it is refused once it has come"):
+            with self.subTest(key=key):
+                await self.asyncSetUp()
+                lines = ("POST /proofs/a HTTP/1.1", "Host: desk.example", "Attempt-Id: 9c41", key)
+                head = "\r\n".join((*lines, "Content-Length: 6", "", ""))
+                await self.send(head.encode() + b"abc")
+                await self.leave()
+                self.assert_given_up()
+
+    async def test_waiting_for_a_grant(self) -> None:
+        await self.hold_grants(1)
+        await self.ask("GET /x HTTP/1.1")
+        self.assertEqual(self.held.asked, 1)
+        await self.leave()
+        self.assert_given_up()
+
+    async def test_sent_whether_it_may_be_repeated_or_not(self) -> None:
+        for line in ("GET /x HTTP/1.1", "POST /proofs/a HTTP/1.1"):
+            with self.subTest(line=line):
+                await self.asyncSetUp()
+                self.upstreams.hold = asyncio.Event()
+                await self.ask(line, KEY)
+                await self.leave()
+                self.assert_given_up(Ended.NOTHING)
+
+    async def test_before_the_first_part_and_in_the_middle(self) -> None:
+        for parts in ((), (b"ye",)):
+            with self.subTest(parts=parts):
+                await self.asyncSetUp()
+                answer = Watched(parts)
+                self.upstreams.replies = [Opened(answer)]
+                await self.ask("GET /x HTTP/1.1")
+                await self.leave()
+                self.assertTrue(answer.cancelled)
+                self.assert_given_up(Ended.NOTHING)
+
+    async def test_between_two_tries(self) -> None:
+        await self.hold_grants(2)
+        self.upstreams.replies = [Opened(Answer((), whole=False))]
+        await self.ask("GET /x HTTP/1.1")
+        self.assertEqual(self.held.asked, 2)
+        await self.leave()
+        self.assert_given_up(Ended.FAILED)
+
+    async def test_resumed(self) -> None:
+        cut = Answer((EVENT,), whole=False, headers=STREAM)
+        resumed = Watched((EVENT,), headers=STREAM)
+        self.upstreams.replies = [Opened(cut), Opened(resumed)]
+        await self.ask("POST /notes/a HTTP/1.1", KEY, body=b"abc")
+        await self.leave()
+        self.assertTrue(resumed.cancelled)
+        self.assert_given_up(Ended.FAILED, Ended.NOTHING)
