Let keyed requests go on when their callers leave

Cause: a caller's leaving cancelled its request also where it had an idempotency key. The engine's work was cut off, the key became "unknown", and the caller that came back with it was told so for 10 minutes; one that left while the key was claimed left it "running".

Change: a keyed request whose body has come whole runs to its end in a task of its own, counts as in flight meanwhile, and its answer is there for the key's next request. One whose body is not whole ends with its caller, as before. That in_flight is read only in the interface of callers follows: it is a sum now.

Tests: Endless, an answer whose rest does not come, can have it come; OpenAiCallersTest can make a second connection. No check of theirs changed.

--- a/pondhatch/standard/_callers.py
+++ b/pondhatch/standard/_callers.py
@@ -61,13 +61,18 @@
         self._metrics = parts.metrics
         self._answers = OpenAiAnswers(parts.metrics)
         self._serving = Serving(parts, self._answers)
-        #: Requests that have not ended; a stopping router waits for them.
-        self.in_flight = 0
+        #: Requests whose callers are there.
+        self._attended = 0
         #: Kept for a stopping router; it refuses requests by its state at once.
         self.takes_work = True
         self.app = Klein()
         self._route()
 
+    @property
+    def in_flight(self) -> int:
+        """Requests that have not ended; a stopping router waits for them."""
+        return self._attended + len(self._serving.without_caller)
+
     def resource(self) -> Resource:
         """Return what a site serves."""
         found: Resource = self.app.resource()
@@ -93,7 +98,7 @@
 
     async def _serve(self, request: Any, prepare: Prepare) -> None:
         started = time.monotonic()
-        self.in_flight += 1
+        self._attended += 1
         try:
             found = await self._admitted(request, prepare)
             if isinstance(found, NotRun):
@@ -114,7 +119,7 @@
             self._metrics.count("requests.router-failed")
             fail(request, self._answers)
         finally:
-            self.in_flight -= 1
+            self._attended -= 1
 
     async def _admitted(self, request: Any, prepare: Prepare) -> Work | NotRun:
         await self._starting.wait()
--- a/pondhatch/transport/_caller_writer.py
+++ b/pondhatch/transport/_caller_writer.py
@@ -19,11 +19,17 @@
         self._flowing = asyncio.Event()
         self._flowing.set()
         self._gone = False
-        request.registerProducer(self, True)
+        if not self.is_gone:
+            request.registerProducer(self, True)
+
+    @property
+    def is_gone(self) -> bool:
+        """Whether the caller closed its connection."""
+        return self._gone or self._request._disconnected
 
     def write(self, part: bytes) -> bool:
         """Write a part; False where the caller is to be waited for. Raises CallerGone."""
-        if self._gone or self._request._disconnected:
+        if self.is_gone:
             raise CallerGone("the caller closed its connection")
         self._request.write(part)
         return self._flowing.is_set()
--- a/pondhatch/transport/_interface.py
+++ b/pondhatch/transport/_interface.py
@@ -44,11 +44,13 @@
 class Callers(Protocol):
     """Serves callers' requests."""
 
-    #: Requests that have not ended; a stopping router waits for them.
-    in_flight: int
     #: Whether a stopping router still takes requests.
     takes_work: bool
 
+    @property
+    def in_flight(self) -> int:
+        """Requests that have not ended; a stopping router waits for them."""
+
     def resource(self) -> Resource:
         """Return what a site serves."""
 
--- a/pondhatch/transport/_serving.py
+++ b/pondhatch/transport/_serving.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 from dataclasses import dataclass, field
 
@@ -78,7 +79,7 @@
 
 
 class _CopyingSink:
-    """Passes an answer on and copies it; see PartSink."""
+    """Copies an answer, and passes it on while its caller is there; see PartSink."""
 
     def __init__(self, copy: AnswerCopy, writer: CallerWriter) -> None:
         self._copy = copy
@@ -87,7 +88,7 @@
 
     def write(self, part: bytes) -> bool:
         self._copy.add(part)
-        return self._writer.write(part)
+        return self._writer.is_gone or self._writer.write(part)
 
 
 class Serving:
@@ -100,8 +101,32 @@
         self._tasks = parts.tasks
         self._records = parts.records
         self._answers = answers
+        #: Keyed requests that go on though their callers left.
+        self.without_caller: set[asyncio.Task[None]] = set()
 
     async def run(self, request: CallerRequest, work: Work, started: float) -> None:
+        """Serve one request; a caller that leaves cancels it, unless it has a key."""
+        if work.key is None:
+            await self._serve(request, work, started)
+            return
+        serving = self._tasks.start(self._serve(request, work, started))
+        try:
+            await asyncio.shield(serving)
+        except asyncio.CancelledError:
+            self._go_on(serving, request)
+            raise
+
+    def _go_on(self, serving: asyncio.Task[None], request: CallerRequest) -> None:
+        """Let a keyed request run to its end, for the caller to ask for the answer again.
+
+        Cut off, its outcome would be unknown, and its key of no more use to its caller.
+        """
+        if not request.pipe.ended:
+            serving.cancel()  # The rest of its body will not come.
+        self.without_caller.add(serving)
+        serving.add_done_callback(self.without_caller.discard)
+
+    async def _serve(self, request: CallerRequest, work: Work, started: float) -> None:
         """Serve one request to its end; its account's count ends with it."""
         try:
             if work.key is not None:
--- a/pondhatch/transport/tests/test_openai_callers.py
+++ b/pondhatch/transport/tests/test_openai_callers.py
@@ -8,11 +8,13 @@
 from typing import Any
 
 from twisted.internet.address import IPv4Address
+from twisted.internet.error import ConnectionLost
+from twisted.python.failure import Failure
 
 from pondhatch.configuration import CallerLimits, Edit, Fleet, Snapshot
 from pondhatch.kernel import Tasks
 from pondhatch.observing import NoMetrics
-from pondhatch.requests import CallerGone, Headers, Opened, Ways
+from pondhatch.requests import CallerGone, Ended, Headers, Opened, Ways
 from pondhatch.router import Starting
 from pondhatch.standard._callers import OpenAiCallers
 from pondhatch.transport._caller_channel import CallerSite
@@ -61,9 +63,14 @@
             random.Random(1),
             Starting(self.state),
         )
-        resource: Any = OpenAiCallers(parts).resource()
-        site: Any = CallerSite(resource, CallerLimits)
-        self.channel = site.buildProtocol(IPv4Address("TCP", "10.9.9.9", 4000))
+        self.openai = OpenAiCallers(parts)
+        resource: Any = self.openai.resource()
+        self.site: Any = CallerSite(resource, CallerLimits)
+        self.connect()
+
+    def connect(self) -> None:
+        """Begin with a new connection."""
+        self.channel = self.site.buildProtocol(IPv4Address("TCP", "10.9.9.9", 4000))
         self.channel.callLater = self.clock.callLater
         self.wire = Transport()  # type: ignore[no-untyped-call]
         self.channel.makeConnection(self.wire)
@@ -127,3 +134,71 @@
         told = await self.get()
         self.assertTrue(told.endswith(LAST_CHUNK), told)
         self.assertFalse(self.wire.aborted)
+
+
+class KeyedTest(OpenAiCallersTest):
+    """Requests with an idempotency key, whose callers leave."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.upstreams.hold = asyncio.Event()
+
+    async def post(self, length: int = 3) -> bytes:
+        key = f"Authorization: Bearer {KEYS[0]}"
+        lines = ("POST /portal/x HTTP/1.1", "Host: x", key, "Idempotency-Key: k-1")
+        head = "\r\n".join((*lines, f"Content-Length: {length}", "", ""))
+        await self.send(head.encode() + b"abc")
+        return self.written()
+
+    async def leave(self) -> None:
+        self.channel.connectionLost(Failure(ConnectionLost()))
+        await self.settle()
+
+    async def asked_again(self) -> bytes:
+        """Return what a caller gets that comes back with the same key."""
+        self.connect()
+        return await self.post()
+
+    def key_states(self) -> list[str]:
+        return [record.state for record in self.state.keys.record_by_key.values()]
+
+    async def test_it_goes_on_and_its_answer_is_there_when_it_is_asked_for_again(self) -> None:
+        self.upstreams.replies = [Opened(Answer((b"ye", b"s!"), headers=UNFRAMED))]
+        await self.post()
+        await self.leave()
+        self.assertEqual((self.grants.released, self.openai.in_flight), ([], 1))
+        self.assertEqual(self.key_states(), ["running"])
+        assert self.upstreams.hold is not None
+        self.upstreams.hold.set()
+        await self.settle()
+        self.assertEqual((self.grants.released, self.openai.in_flight), ([Ended.ANSWERED], 0))
+        self.assertEqual(self.key_states(), ["done"])
+        told = await self.asked_again()
+        self.assertIn(b"yes!", told)
+        self.assertIn(b"X-Pondhatch-Replayed: true", told)
+        self.assertEqual(len(self.upstreams.sent), 1)
+
+    async def test_in_the_middle_of_its_answer_too(self) -> None:
+        answer = Endless((b"ye",), headers=UNFRAMED)
+        self.upstreams.replies = [Opened(answer)]
+        self.upstreams.hold = None
+        self.assertTrue((await self.post()).endswith(b"2\r\nye\r\n"))
+        await self.leave()
+        self.assertEqual((self.grants.released, self.openai.in_flight), ([], 1))
+        answer.rest.set_result(b"s!")
+        await self.settle()
+        self.assertEqual(self.key_states(), ["done"])
+        self.assertIn(b"yes!", await self.asked_again())
+
+    async def test_one_whose_body_is_not_whole_ends_with_its_caller_and_is_unknown(self) -> None:
+        await self.post(length=9)
+        self.assertEqual(len(self.upstreams.sent), 1)
+        await self.leave()
+        self.assertEqual((self.grants.released, self.openai.in_flight), ([Ended.NOTHING], 0))
+        self.assertEqual(self.key_states(), ["unknown"])
+
+    async def test_as_the_router_ends_it_ends_and_is_unknown(self) -> None:
+        await self.post()
+        await self.leave()
+        await self.cancel_all()
+        self.assertEqual((self.grants.released, self.openai.in_flight), ([Ended.NOTHING], 0))
--- a/pondhatch/transport/tests/test_routed_callers.py
+++ b/pondhatch/transport/tests/test_routed_callers.py
@@ -463,11 +463,12 @@
 
 
 class Endless(Answer):
-    """An answer whose rest does not come."""
+    """An answer whose rest does not come, unless the test has it come."""
 
     async def pour(self, sink: PartSink) -> None:
         await super().pour(sink)
-        await asyncio.Event().wait()
+        self.rest: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
+        sink.write(await self.rest)
 
 
 class MisfitTest(RoutedCallersTest):
