Take a left caller's question out of the line that it came to late

Cause: a question that is late may come after its own release. The owner knows nothing of the release by then and puts the question in the engine's line; its entry router gave late grants back, but took no notice of late words that a question waits. It kept its place before others until its turn or the end of its patience, 5 s in the test.

Change: the entry router answers a word that nobody waits for with a release, whether the word grants or says that the question waits.

Tests: histories in which callers leave at every moment while packets are lost, late or come twice, and engines fail: nothing reaches or stays at an engine half a second later, and no owner counts it. The histories' stream no longer cancels itself where its reader is cancelled; a real one does not either.

--- a/pondhatch/requests/_entry_grants.py
+++ b/pondhatch/requests/_entry_grants.py
@@ -13,6 +13,7 @@
     Hold,
     Release,
     Spilled,
+    Waiting,
     Word,
     reply_of,
 )
@@ -147,8 +148,11 @@
             self._hold_at(held.owner, held.engine, tuple(numbers))
 
     def _came_late(self, word: Word, source: Callable[[GrantPacket], None]) -> None:
-        """Give a grant back whose request went elsewhere."""
-        if isinstance(word, GrantedWord) and word.number not in self.held_by_number:
+        """Give back a grant, or a place in line, whose request ended or went elsewhere.
+
+        A question may come after its own release, which the owner then knew nothing of.
+        """
+        if isinstance(word, GrantedWord | Waiting) and word.number not in self.held_by_number:
             source(Release(self.router, word.number, Ended.NOTHING))
 
     async def _ask_peer(self, owner: str, question: Question) -> OwnerReply:
--- a/pondhatch/requests/tests/_history.py
+++ b/pondhatch/requests/tests/_history.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-import functools
+import math
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -79,6 +79,11 @@
     sends_to_leaving: int = 0
     outcome_by_request: dict[str, object] = field(default_factory=dict)
     text_by_request: dict[str, bytes] = field(default_factory=dict)
+    #: When each caller that gave up left, in the loop's seconds.
+    left_at: dict[str, float] = field(default_factory=dict)
+    #: When each last reached an upstream, and was last at work there.
+    reached_at: dict[str, float] = field(default_factory=dict)
+    worked_until: dict[str, float] = field(default_factory=dict)
 
 
 class Loads:
@@ -140,16 +145,16 @@
         self._at = 0
 
     async def pour(self, sink: PartSink) -> None:
-        try:
-            while part := await self._part():
-                if not sink.write(part):
-                    await sink.ready()
-        finally:
-            self.cancel()
+        # Nobody but its reader cancels it, as with a connection to a real one.
+        while part := await self._part():
+            if not sink.write(part):
+                await sink.ready()
+        self.cancel()
 
     async def _part(self) -> bytes:
         await asyncio.sleep(0.5 if self._slow else 0.01)
         if self._cut_at is not None and self._at >= self._cut_at:
+            self.cancel()
             raise Lost(Broken("answer-broken", "cut"))
         end = min(self._at + 9, len(self._content), self._cut_at or len(self._content))
         part, self._at = self._content[self._at : end], end
@@ -184,6 +189,8 @@
         if fault == "lost-before-it-came":
             return Unknown("upstream-lost", "lost")
         request = head.request_id.split(".")[0]
+        clock = asyncio.get_running_loop().time
+        self._history.reached_at[request] = clock()
         resumed_from = int(dict(head.headers).get("X-Resume-From", -1))
         if resumed_from < 0:
             self._history.runs[request] += 1
@@ -196,7 +203,12 @@
         content = b"\n\n".join(events[max(0, resumed_from) :])
         cut = {"cut": len(content) // 2, "cut-inside-an-event": 4}.get(fault)
         self._loads.start(target.name)
-        ended = functools.partial(self._loads.end, target.name)
+        self._history.worked_until[request] = math.inf
+
+        def ended() -> None:
+            self._history.worked_until[request] = clock()
+            self._loads.end(target.name)
+
         return Opened(Stream(content, cut, fault == "slow", ended))
 
 
@@ -353,13 +365,16 @@
         gates = [router.gate for router in self.routers.values()]
         return sum(count.granted for gate in gates for count in gate.by_engine.values())
 
-    async def request(self, number: int, repeatable: bool, gives_up: bool) -> None:
+    async def request(
+        self, number: int, repeatable: bool, gives_up: bool, after: float = 0.05
+    ) -> None:
         """Send one request through a router and record what came of it."""
         name = f"q{number}"
         entry = self.names[number % len(self.names)]
         task = asyncio.ensure_future(self._serve(name, entry, repeatable))
         if gives_up:
-            await asyncio.sleep(0.05)
+            await asyncio.sleep(after)
+            self.history.left_at[name] = asyncio.get_running_loop().time()
             task.cancel()
         await asyncio.wait([task])
 
