--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -12,6 +12,7 @@
 from bench._connections import measure_connections
 from bench._decisions import measure_decisions
 from bench._fleet_size import measure_engine_counts, measure_fleet_sizes
+from bench._gone import measure_gone
 from bench._gossip import measure_gossip
 from bench._grants import measure_grants
 from bench._load_questions import measure_load_questions
@@ -29,6 +30,7 @@
     "placement": measure_placement,
     "retries": measure_retries,
     "surge": measure_surge,
+    "gone": measure_gone,
     "authority": measure_authority,
     "gossip": measure_gossip,
     "relay": measure_relay,
--- a/fakes/_engine.py
+++ b/fakes/_engine.py
@@ -62,6 +62,8 @@
     prompt: int
     outcome: str = "running"
     at: float = field(default_factory=time.monotonic)
+    #: When the engine was done with it.
+    until: float | None = None
 
 
 @dataclass(order=True)
@@ -137,6 +139,7 @@
             await self._answer(request, body, texts, run, gone)
         finally:
             self._leave()
+            run.until = time.monotonic()
             if run.outcome == "running":
                 run.outcome = "cancelled"
 
