Keep requests off kept connections to engines that fell silent

Cause: all kept connections may fall silent at once, without a reset. A request that may not be repeated went on one that had stood idle for up to half of the engine's stated time, and was lost there; one that may be repeated waited 1.5 s, the whole time-out of short routes, and its second try met the next silent connection.

A connection that had worked and is lost without a word has every idle connection closed on which nothing came since. A request that may not be repeated goes on a kept connection only within 0.5 s of its last bytes. Slow engines are not cut: their systems answer the probes.

A waiting request and a stream midway go on elsewhere, a stream that cannot be resumed does not look whole, and a slow stream stays whole: these passed before too, by probes, and are now proved.

--- a/fakes/_machines_engine.py
+++ b/fakes/_machines_engine.py
@@ -2,8 +2,8 @@
 
 A path under ``/notes/`` is answered as a stream of events, any other as a whole. Faults:
 ``refuse`` (full, not run), ``cut`` (a stream that began here breaks in the middle),
-``stall`` (an answer waits), ``cross`` (the answer of another request), ``fail`` (500 of its
-own).
+``pause`` (it waits there), ``stall`` (an answer waits), ``cross`` (the answer of another
+request), ``fail`` (500 of its own).
 """
 
 from __future__ import annotations
@@ -74,10 +74,10 @@
         if not request.path.startswith(b"/notes/"):
             run["outcome"] = "gone" if gone.is_set() else "whole"
             return b"%s by %s" % (request.content.read() or b"nothing", self._name.encode())
-        run["outcome"] = await self._stream(request, gone)
+        run["outcome"] = await self._stream(request, run, gone)
         return b""
 
-    async def _stream(self, request: Any, gone: asyncio.Event) -> str:
+    async def _stream(self, request: Any, run: dict[str, Any], gone: asyncio.Event) -> str:
         request.setHeader("Content-Type", "text/event-stream")
         after = int(request.getHeader("Last-Event-Id") or 0)
         for at in range(after + 1, EVENTS + 1):
@@ -87,6 +87,9 @@
                 request.write(b"id: %d\ndata: ha" % at)
                 request.channel.forceAbortClient()
                 return "cut"
+            if at == EVENTS // 2 and not after and (fault := self.faults.strike("pause")):
+                run["outcome"] = "paused"
+                await asyncio.sleep(fault.seconds)
             request.write(b"id: %d\ndata: %d\n\n" % (at, at))
             await asyncio.sleep(STEP)
         return "whole"
--- a/pondhatch/transport/_http_client.py
+++ b/pondhatch/transport/_http_client.py
@@ -25,6 +25,10 @@
 PORTS = range(1, 2**16)
 #: Idle connections kept for each address.
 IDLE_CONNECTIONS = 64
+#: Seconds since its last bytes within which a kept connection carries a request that may not
+#: be repeated: lost on a silent connection it would be lost for good, while a new connection
+#: costs a round trip. Busy addresses use theirs far more often, so they keep theirs.
+HEARD_SECONDS = 0.5
 #: Seconds between two looks for connections that stayed idle too long.
 SWEEP_SECONDS = 5.0
 
@@ -97,6 +101,11 @@
     return True
 
 
+def _is_sure(connection: Connection, now: float) -> bool:
+    """Return whether a request that may not be repeated may go on a kept connection."""
+    return connection.states_idle_time and now - connection.heard_at <= HEARD_SECONDS
+
+
 class HttpClient:
     """Connections by address, kept between exchanges."""
 
@@ -118,8 +127,8 @@
         """Send a request once; return the exchange, whose head is still to come.
 
         What is not repeatable gets a new connection unless the other side stated for how
-        long it keeps an idle one. Raises NotSent; the exchange's head raises what reading
-        the body raises.
+        long it keeps an idle one, and spoke on it just now. Raises NotSent; the exchange's head
+        raises what reading the body raises.
         """
         connection = None if fresh else self._take(address, repeatable)
         if connection is None:
@@ -143,7 +152,7 @@
             if not connection.is_open or connection.usable_until <= now:
                 connection.abort()
                 continue
-            if repeatable or connection.states_idle_time:
+            if repeatable or _is_sure(connection, now):
                 return connection
             idle.append(connection)
             return None
@@ -164,6 +173,15 @@
             raise NotSent("the connection was lost as soon as it was made")
         return connection
 
+    def distrust(self, address: Address, since: float) -> None:
+        """Close the idle connections to an address on which nothing came since a moment.
+
+        They may be as silent as the one that told of it: each would cost a request its time.
+        """
+        for connection in tuple(self._idle_by_address.get(address, ())):
+            if connection.heard_at < since:
+                connection.abort()
+
     def _keep(self, address: Address, connection: Connection) -> None:
         idle = self._idle_by_address.setdefault(address, [])
         idle.append(connection)
@@ -191,3 +209,14 @@
                 if not idle:
                     del self._idle_by_address[address]
                 return
+        if connection.fell_silent:
+            self._distrust_all(connection.quiet_since())
+
+    def _distrust_all(self, since: float) -> None:
+        """Close every idle connection on which nothing came since a moment.
+
+        What silenced one connection that had worked may have silenced all, to every address:
+        the second try must not wait on another of them. Busy ones were heard since and stay.
+        """
+        for address in tuple(self._idle_by_address):
+            self.distrust(address, since)
--- a/pondhatch/transport/_http_connection.py
+++ b/pondhatch/transport/_http_connection.py
@@ -20,6 +20,7 @@
 from pondhatch.transport._headers import as_bytes
 from pondhatch.transport._http_heads import Request, ResponseHead, framing, response_head
 from pondhatch.transport._parts import PartPipe
+from pondhatch.transport._silence import UNACKNOWLEDGED_MS, show_silence
 
 #: Seconds for which an idle connection is kept where the other side does not say.
 IDLE_SECONDS = 30.0
@@ -28,12 +29,6 @@
 STATED_SHARE = 0.5
 #: Bytes of an answer's head that are taken in at most.
 HEAD_BYTES = 64 * 1024
-#: Milliseconds after which a connection whose bytes nobody acknowledges is given up: a VM
-#: that lost power answers nothing, and without this a request to it hangs to its deadline.
-UNACKNOWLEDGED_MS = 1500
-#: Seconds between probes of a silent connection, and how many may fail.
-PROBE_SECONDS = 1
-PROBES = 2
 
 
 class ConnectionBroken(ConnectionError):
@@ -51,6 +46,12 @@
         #: Whether the other side stated how long it keeps an idle connection.
         self.states_idle_time = False
         self.is_open = False
+        #: When bytes last came on it, and when its last request was written, in the loop's
+        #: seconds.
+        self.heard_at = float("-inf")
+        self.asked_at = float("-inf")
+        #: Set where it had worked, and was lost after a while without a word.
+        self.fell_silent = False
         #: Cleared while the other side takes no more of a request's body.
         self._flowing = asyncio.Event()
         self._flowing.set()
@@ -62,19 +63,13 @@
         """Make lost peers known in seconds."""
         self.is_open = True
         handle = self.transport.getHandle()
-        for level, option, value in (
-            (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-            (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
-            (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-            (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_SECONDS),
-            (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_SECONDS),
-            (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES),
-        ):
-            handle.setsockopt(level, option, value)
+        handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        show_silence(handle)
 
     def begin(self, exchange: Exchange, request: Request, length: int | None) -> None:
         """Write a request's head; its body follows by ``send_body`` or ``send_whole_body``."""
         self._exchange = exchange
+        self.asked_at = asyncio.get_running_loop().time()
         framed = framing(request.method, length)
         headers = request.headers if framed is None else (*request.headers, framed)
         # As bytes: from text h11 takes ASCII alone, while values may hold any other byte.
@@ -126,6 +121,7 @@
         if self._exchange is None:
             self.abort()
             return
+        self.heard_at = asyncio.get_running_loop().time()
         try:
             self._http.receive_data(data)
             self._read_events()
@@ -134,8 +130,11 @@
 
     def connectionLost(self, reason: Failure = Failure(ConnectionDone())) -> None:  # noqa: B008
         """End the exchange: whole only where an orderly close is its end."""
+        given_up = not self.is_open
+        closed = reason.check(ConnectionDone) is not None
         self.is_open = False
         self._flowing.set()
+        self.fell_silent = not given_up and not closed and self._is_silent()
         self._closed(self)
         if self._exchange is None:
             return
@@ -147,6 +146,22 @@
                 pass  # The answer is not whole; told below with the connection's own reason.
         self._fail(ConnectionBroken(reason.getErrorMessage()))
 
+    def quiet_since(self) -> float:
+        """Return when it was last used, by either side, in the loop's seconds."""
+        return max(self.heard_at, self.asked_at)
+
+    def _is_silent(self) -> bool:
+        """Return whether its exchange stood for as long as bytes may go unacknowledged.
+
+        What the system says of a lost connection does not come through twisted, so a reset
+        after such a while counts too; that costs a few new connections. One that never
+        spoke tells nothing of those that are kept.
+        """
+        if self._exchange is None or self.heard_at == float("-inf"):
+            return False
+        waited = asyncio.get_running_loop().time() - self.quiet_since()
+        return waited >= UNACKNOWLEDGED_MS / 1000
+
     def pause(self) -> None:
         """Read no more until ``resume``."""
         if self.is_open:
