Leave idle connections to the store after one unanswered call

Cause: a middle box that hangs acknowledges and passes nothing on, so no probe shows it. Each call that took another idle connection of the same time waited its 2 s.

Change: a call without an answer closes the idle connections to the store on which nothing came since it began; the next one goes on a new connection.

Three connections idle, one call unanswered: before the next call failed too, after 2 s; now it is answered over a new connection.

--- a/pondhatch/transport/_store_calls.py
+++ b/pondhatch/transport/_store_calls.py
@@ -47,6 +47,7 @@
         if wait > 0:
             await asyncio.sleep(wait)
         self.made += 1
+        begun = asyncio.get_running_loop().time()
         exchange: Exchange | None = None
         headers: Headers = (("Host", f"{self._address.host}:{self._address.port}"),)
         if body:
@@ -62,8 +63,12 @@
         except NotSent as error:
             raise CallFailed(f"cannot reach the platform: {error}", sent=False) from error
         except TimeoutError as error:
+            # Its connection may be one of many that fell silent together: without this, each
+            # of them would cost another call its whole time.
+            self._client.distrust(self._address, begun)
             raise CallFailed(f"no answer in {seconds} s", sent=exchange is not None) from error
         except ConnectionError as error:
+            self._client.distrust(self._address, begun)
             raise CallFailed(str(error), sent=True) from error
         finally:
             if exchange is not None:
--- a/pondhatch/transport/tests/test_store_calls.py
+++ b/pondhatch/transport/tests/test_store_calls.py
@@ -8,8 +8,10 @@
 
 from fakes._virtual_loop import run_virtually
 from pondhatch.transport import CallFailed, StoreCalls
-from pondhatch.transport._http_client import NotSent
+from pondhatch.transport._http_client import HttpClient, NotSent
 from pondhatch.transport._store_calls import CALLS_AT_ONCE, CALLS_PER_SECOND
+from pondhatch.transport.tests.test_header_bytes import Reactor
+from pondhatch.transport.tests.test_http_client import WHOLE
 
 
 class OutOfReach:
@@ -46,3 +48,25 @@
         most = CALLS_AT_ONCE + 10 * CALLS_PER_SECOND
         self.assertLessEqual(run_virtually(main()), most)
         self.assertGreater(run_virtually(main()), most - 5)
+
+
+class SwallowedTest(unittest.TestCase):
+    def test_one_unanswered_call_is_enough_to_leave_all_that_stood_idle(self) -> None:
+        async def main() -> int:
+            reactor = Reactor()
+            calls = StoreCalls(HttpClient(reactor), "http://127.0.0.1:1")
+            together = [asyncio.ensure_future(calls.call("GET", "/objects/a")) for _ in range(3)]
+            await asyncio.sleep(0.1)
+            for connection in reactor.connections:
+                connection.dataReceived(WHOLE)
+            await asyncio.gather(*together)
+            await asyncio.sleep(0.1)
+            with self.assertRaises(CallFailed):
+                await calls.call("GET", "/objects/a")
+            after = asyncio.ensure_future(calls.call("GET", "/objects/a"))
+            await asyncio.sleep(0.1)
+            reactor.connections[-1].dataReceived(WHOLE)
+            await after
+            return len(reactor.connections)
+
+        self.assertEqual(run_virtually(main()), 4)
