Make connections to peers anew when they fall silent

Cause: calls between routers had a time-out of 2 s, but their connection had none: a silent one was kept, and every call on it failed, until the system gave it up after a quarter of an hour. Pings go over UDP, so the peer was not taken for gone.

Change: the system's time-outs and probes are set on both sides, so an idle silent connection is lost within 2 s and an unacknowledged call within 1 s; a call that got no reply in 2 s has the next one use a new connection, which covers a middle box that acknowledges and passes nothing on.

Through the relay, both kinds of silence, a pull and a claim in flight: before each later call failed as well, also after 4 s without calls; now the next call is answered over one new connection.

--- a/pondhatch/cli/_ports.py
+++ b/pondhatch/cli/_ports.py
@@ -8,6 +8,7 @@
 from twisted.web.server import Site
 
 from pondhatch.configuration import CallerEndpoint
+from pondhatch.transport import show_silence
 
 #: Connections of peers that may wait to be accepted.
 PEER_BACKLOG = 128
@@ -16,7 +17,9 @@
 def listening(host: str, port: int) -> socket.socket:
     """Return a listening socket; the loop would look the IP number up in a thread."""
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    return socket.create_server((host, port), family=family, backlog=PEER_BACKLOG)
+    listener = socket.create_server((host, port), family=family, backlog=PEER_BACKLOG)
+    show_silence(listener)  # On the connections that it accepts: silent ones hold descriptors.
+    return listener
 
 
 def listen_to_callers(reactor: Any, callers: CallerEndpoint, site: Site) -> None:
--- a/pondhatch/transport/__init__.py
+++ b/pondhatch/transport/__init__.py
@@ -19,6 +19,7 @@
 from pondhatch.transport._resolver import install_numeric_resolver
 from pondhatch.transport._routed_callers import RoutedCallers, bounded
 from pondhatch.transport._serving import Serving, Work
+from pondhatch.transport._silence import show_silence
 from pondhatch.transport._store_calls import CallFailed, StoreCalls
 from pondhatch.transport._upstreams import HttpUpstreams
 from pondhatch.transport._wire import PullReply, PullRequest
@@ -58,6 +59,7 @@
     "PullRequest",
     "RemotePeer",
     "fleet_token",
+    "show_silence",
     "install_numeric_resolver",
     "peer_tls",
     "readable",
--- a/pondhatch/transport/_remote_peer.py
+++ b/pondhatch/transport/_remote_peer.py
@@ -5,19 +5,54 @@
 import ssl
 from typing import Any
 
-from grpclib.client import Channel, UnaryUnaryMethod
+from grpclib.client import Channel, Handler, UnaryUnaryMethod
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+from grpclib.protocol import H2Protocol
 
 from pondhatch.membership import Address
 from pondhatch.requests import Claim, Fresh, KeyRecord, Known
 from pondhatch.transport import _wire as wire
+from pondhatch.transport._silence import show_silence
 
-#: Seconds to wait for a peer's reply.
+#: Seconds to wait for a peer's reply. A peer that gives none has its connection made anew:
+#: one that a middle box swallows is acknowledged, and so shows by nothing else.
 CALL_SECONDS = 2.0
 #: What a lost connection to a peer looks like.
 PEER_LOST = (GRPCError, StreamTerminatedError, ProtocolError, OSError)
 
 
+class _Protocol(H2Protocol):
+    """A connection to a peer whose silence shows in seconds, between calls too."""
+
+    def connection_made(self, transport: Any) -> None:
+        super().connection_made(transport)
+        show_silence(transport.get_extra_info("socket"))
+
+
+class _Channel(Channel):
+    """Calls to one peer, over a connection that is made anew when it is lost."""
+
+    def _protocol_factory(self) -> H2Protocol:
+        return _Protocol(Handler(), self._config, self._h2_config)
+
+
+class _Calls:
+    """A channel to one peer and the calls made over it."""
+
+    def __init__(self, address: Address, tls: ssl.SSLContext | None) -> None:
+        self.channel = _Channel(address.host, address.port, codec=wire.MessagePackCodec(), ssl=tls)
+        self.pull = UnaryUnaryMethod(
+            self.channel, wire.PULL_METHOD, wire.PullRequest, wire.PullReply
+        )
+        self.claim = UnaryUnaryMethod(
+            self.channel, wire.CLAIM_METHOD, wire.KeyNote, wire.ClaimReply
+        )
+        self.settle = UnaryUnaryMethod(self.channel, wire.SETTLE_METHOD, wire.KeyNote, wire.Empty)
+        self.release = UnaryUnaryMethod(
+            self.channel, wire.RELEASE_METHOD, wire.KeyRelease, wire.Empty
+        )
+
+
 class RemotePeer:
     """Another router as a holder of keys and of versions, reached over one connection."""
 
@@ -31,47 +66,50 @@
         self.name = name
         self.address = address
         self._metadata = {wire.TOKEN_METADATA: token}
-        self._channel = Channel(address.host, address.port, codec=wire.MessagePackCodec(), ssl=tls)
-        self._pull = UnaryUnaryMethod(
-            self._channel, wire.PULL_METHOD, wire.PullRequest, wire.PullReply
-        )
-        self._claim = UnaryUnaryMethod(
-            self._channel, wire.CLAIM_METHOD, wire.KeyNote, wire.ClaimReply
-        )
-        self._settle = UnaryUnaryMethod(self._channel, wire.SETTLE_METHOD, wire.KeyNote, wire.Empty)
-        self._release = UnaryUnaryMethod(
-            self._channel, wire.RELEASE_METHOD, wire.KeyRelease, wire.Empty
-        )
+        self._tls = tls
+        self._calls = _Calls(address, tls)
 
     async def pull(self, configuration: int, upstreams: int) -> wire.PullReply | None:
         """Return what the peer has beyond these versions, or None where it is lost."""
         reply: wire.PullReply | None = await self._call(
-            self._pull, wire.PullRequest(configuration, upstreams)
+            "pull", wire.PullRequest(configuration, upstreams)
         )
         return reply
 
     async def claim(self, key: str, record: KeyRecord) -> Claim | None:
         """Claim a key at the peer; see KeyHolder."""
-        reply = await self._call(self._claim, wire.KeyNote(key, record))
+        reply = await self._call("claim", wire.KeyNote(key, record))
         if reply is None:
             return None
         return Fresh() if reply.known is None else Known(reply.known)
 
     async def settle(self, key: str, record: KeyRecord) -> None:
         """Record at the peer what became of a request; see KeyHolder."""
-        await self._call(self._settle, wire.KeyNote(key, record))
+        await self._call("settle", wire.KeyNote(key, record))
 
     async def release(self, key: str, request_id: str) -> None:
         """Forget a claim at the peer; see KeyHolder."""
-        await self._call(self._release, wire.KeyRelease(key, request_id))
+        await self._call("release", wire.KeyRelease(key, request_id))
 
-    async def _call(self, method: Any, message: Any) -> Any:
+    async def _call(self, name: str, message: Any) -> Any:
         """Return a small call's reply, or None where the peer is lost."""
+        calls = self._calls
         try:
+            method = getattr(calls, name)
             return await method(message, timeout=CALL_SECONDS, metadata=self._metadata)
-        except (*PEER_LOST, TimeoutError):
+        except TimeoutError:
+            self._renew(calls)
             return None
+        except PEER_LOST:
+            return None
+
+    def _renew(self, silent: _Calls) -> None:
+        """Have the next call use a new connection, unless another call has seen to that."""
+        if self._calls is not silent:
+            return
+        self._calls = _Calls(self.address, self._tls)
+        silent.channel.close()
 
     def close(self) -> None:
         """Close the connection."""
-        self._channel.close()
+        self._calls.channel.close()
--- /dev/null
+++ b/pondhatch/transport/tests/test_silent_peers.py
@@ -0,0 +1,73 @@
+"""Connections to peers that fall silent for good, while new ones work."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+import unittest
+from typing import Any
+
+from fakes._silent_relay import HOST, SilentRelay
+from pondhatch.cli._ports import listening
+from pondhatch.configuration import Update
+from pondhatch.membership import Address
+from pondhatch.requests import Fresh, KeyRecord
+from pondhatch.store import UpstreamUpdate
+from pondhatch.transport import PeerService, PullReply, RemotePeer
+from pondhatch.transport._silence import OPTIONS
+
+#: Seconds within which silence must show: far over the router's own bounds of 1 to 2 s, and
+#: far under the quarter of an hour after which the system gives a connection up by itself.
+NOTICED_WITHIN = 8.0
+NOTHING_NEW = PullReply(Update(), UpstreamUpdate(1, (), whole=False))
+#: For keys that the test's peer does not look at.
+RECORD = KeyRecord("digest", "edge-0", "request-1")
+
+
+class NoKeys:
+    """Holds no key and learns none."""
+
+    async def claim(self, key: str, record: Any) -> Fresh:
+        return Fresh()
+
+
+class AcceptedTest(unittest.TestCase):
+    def test_silence_shows_on_the_side_that_accepted_too(self) -> None:
+        listener = self.enterContext(listening(HOST, 0))
+        self.enterContext(socket.create_connection(listener.getsockname()))
+        near = self.enterContext(listener.accept()[0])
+        found = [near.getsockopt(level, option) for level, option, _ in OPTIONS]
+        self.assertEqual(found, [value for _, _, value in OPTIONS])
+
+
+class PeersTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        keys: Any = NoKeys()
+        server = PeerService(keys, lambda _: NOTHING_NEW, "token").server()
+        listener = listening(HOST, 0)
+        await server.start(sock=listener)
+        self.addCleanup(server.close)
+        port: int = listener.getsockname()[1]
+        self.relay = self.enterContext(SilentRelay(HOST, port))
+        self.peer = RemotePeer("peer", Address(HOST, self.relay.port), "token")
+        self.addCleanup(lambda: self.peer.close())
+
+    async def test_calls_go_on_over_a_new_connection(self) -> None:
+        for acknowledging in (False, True):
+            with self.subTest(acknowledging=acknowledging):
+                self.assertIsNotNone(await self.peer.pull(0, 0))
+                opened = self.relay.opened
+                self.relay.fall_silent(acknowledging)
+                begun = time.monotonic()
+                in_flight = await asyncio.gather(self.peer.pull(0, 0), self.peer.claim("k", RECORD))
+                self.assertEqual(in_flight, [None, None])
+                self.assertLess(time.monotonic() - begun, NOTICED_WITHIN)
+                self.assertIsNotNone(await self.peer.pull(0, 0))
+                self.assertEqual(self.relay.opened, opened + 1)
+
+    async def test_an_idle_one_is_found_before_a_call_needs_it(self) -> None:
+        self.assertIsNotNone(await self.peer.pull(0, 0))
+        self.relay.fall_silent()
+        await asyncio.sleep(NOTICED_WITHIN / 2)
+        self.assertIsNotNone(await self.peer.pull(0, 0))
