Let 4,096 callers wait to be accepted, not twisted's 50

Cause: the callers' port was opened with twisted's default queue of 50. When all callers come back at once, while a starting router is busy for a moment, the opening packets beyond it are dropped and sent again a second or more later, though the router says that it is ready.

Change: a queue of 4,096, which is what Linux lets any port hold by default. The port is returned, so that others can ask it whether it listens.

A port that nobody accepts from: before 51 callers connected and the next one timed out after 3 s; now 500 of 500 connect.

--- a/pondhatch/cli/_ports.py
+++ b/pondhatch/cli/_ports.py
@@ -12,6 +12,11 @@
 
 #: Connections of peers that may wait to be accepted.
 PEER_BACKLOG = 128
+#: Connections of callers that may wait to be accepted: as many as Linux lets any port hold by
+#: default, and as a router of the users' sites can open at all. All callers of a power cut
+#: come back within a second, while a starting router is busy; beyond the queue their opening
+#: packets are dropped, and sent again seconds later.
+CALLER_BACKLOG = 4096
 
 
 def listening(host: str, port: int) -> socket.socket:
@@ -22,13 +27,12 @@
     return listener
 
 
-def listen_to_callers(reactor: Any, callers: CallerEndpoint, site: Site) -> None:
+def listen_to_callers(reactor: Any, callers: CallerEndpoint, site: Site) -> Any:
     """Serve callers, over TLS where the settings name a certificate."""
     if callers.certificate is None or callers.private_key is None:
-        reactor.listenTCP(callers.port, site, interface=callers.host)
-        return
+        return reactor.listenTCP(callers.port, site, CALLER_BACKLOG, callers.host)
     # The libraries behind it take a tenth of a second and 10 MB, which most need not.
     from twisted.internet import ssl
 
     context = ssl.DefaultOpenSSLContextFactory(callers.private_key, callers.certificate)
-    reactor.listenSSL(callers.port, site, context, interface=callers.host)
+    return reactor.listenSSL(callers.port, site, context, CALLER_BACKLOG, callers.host)
--- /dev/null
+++ b/pondhatch/cli/tests/test_ports.py
@@ -0,0 +1,30 @@
+"""The callers' port while nobody accepts for a moment, as after a power cut."""
+
+from __future__ import annotations
+
+import socket
+import unittest
+
+from twisted.internet.selectreactor import SelectReactor
+from twisted.web.resource import Resource
+from twisted.web.server import Site
+
+from pondhatch.cli._ports import listen_to_callers
+from pondhatch.configuration import CallerEndpoint
+
+HOST = "127.0.0.1"
+#: Callers who come back at once: far over twisted's own queue of 50.
+HERD = 500
+#: Seconds for one to connect. One that finds the queue full has its opening packet dropped,
+#: and is still waiting then.
+CONNECTED_WITHIN = 3.0
+
+
+class BacklogTest(unittest.TestCase):
+    def test_a_herd_of_callers_is_taken_while_the_loop_is_busy(self) -> None:
+        reactor = SelectReactor()  # Never run, so it accepts nothing.
+        port = listen_to_callers(reactor, CallerEndpoint(HOST), Site(Resource()))
+        self.addCleanup(port.stopListening)
+        address = (HOST, port.getHost().port)
+        for _ in range(HERD):
+            self.enterContext(socket.create_connection(address, CONNECTED_WITHIN))
