Say ready only while new connections can be taken

Cause: readiness followed from the configuration and the stop signal alone. At the limit of descriptors twisted accepts new connections only to close them, while the router still answered 200 on a connection that the balancer keeps.

Change: each question is answered from the system's own state: the callers' port listens, and 32 descriptors can be opened now. It is ready again by itself.

A router with 150 descriptors and as many callers' connections: before 200 while new callers were turned away, now 503, and 200 once they are closed. That a starting router takes callers as soon as it is ready, and that one which reads its settings anew stays ready and takes them, is tested too; both held before.

--- a/pondhatch/cli/_endpoints.py
+++ b/pondhatch/cli/_endpoints.py
@@ -11,7 +11,7 @@
 from twisted.web.server import Site
 
 from pondhatch.cli._figures import Figures
-from pondhatch.cli._ports import listen_to_callers, listening
+from pondhatch.cli._ports import listen_to_callers, listening, takes_connections
 from pondhatch.configuration import CallerLimits, MetricsEndpoint, ReadyEndpoint, Settings
 from pondhatch.observing import log_for
 from pondhatch.router import Authority, RouterState
@@ -52,9 +52,9 @@
         """Open every port that the settings name, peers first and callers after them."""
         await self._open_to_peers()
         self._open_to_admins()
-        self._open_to_callers()
+        callers_port = self._open_to_callers()
         if self.settings.ready is not None:
-            self._open_to_balancer(self.settings.ready)
+            self._open_to_balancer(self.settings.ready, callers_port)
         if self.settings.metrics is not None:
             self._open_for_metrics(self.settings.metrics)
 
@@ -69,18 +69,19 @@
         resource = Admin(self.state, self.authority, self.figures.counters)
         self.reactor.listenTCP(admin.port, Site(resource), interface=admin.host)
 
-    def _open_to_callers(self) -> None:
+    def _open_to_callers(self) -> Any:
         resource: Any = self.callers.resource()
         site = CallerSite(resource, lambda: bounded(self.state, self.limits()))
-        listen_to_callers(self.reactor, self.settings.callers, site)
+        return listen_to_callers(self.reactor, self.settings.callers, site)
 
-    def _open_to_balancer(self, endpoint: ReadyEndpoint) -> None:
-        resource = Readiness(endpoint.path, self._is_ready)
+    def _open_to_balancer(self, endpoint: ReadyEndpoint, callers_port: Any) -> None:
+        resource = Readiness(endpoint.path, lambda: self._is_ready(callers_port))
         self.reactor.listenTCP(endpoint.port, Site(resource), interface=endpoint.host)
 
-    def _is_ready(self) -> bool:
+    def _is_ready(self, callers_port: Any) -> bool:
         """Return whether the balancer should send callers here."""
-        return self.state.fleet.version > 0 and not self.state.stopping()
+        serves = self.state.fleet.version > 0 and not self.state.stopping()
+        return serves and takes_connections(callers_port)
 
     def _open_for_metrics(self, endpoint: MetricsEndpoint) -> None:
         """Tell metrics as text; a port that is taken costs the metrics, not the router."""
--- a/pondhatch/cli/_ports.py
+++ b/pondhatch/cli/_ports.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 from typing import Any
 
@@ -17,6 +18,9 @@
 #: come back within a second, while a starting router is busy; beyond the queue their opening
 #: packets are dropped, and sent again seconds later.
 CALLER_BACKLOG = 4096
+#: Descriptors that a router which says it is ready can still open: a caller's connection and
+#: one to an engine, for some callers who come before the balancer asks again.
+SPARE_DESCRIPTORS = 32
 
 
 def listening(host: str, port: int) -> socket.socket:
@@ -28,7 +32,7 @@
 
 
 def listen_to_callers(reactor: Any, callers: CallerEndpoint, site: Site) -> Any:
-    """Serve callers, over TLS where the settings name a certificate."""
+    """Serve callers, over TLS where the settings name a certificate; return the port."""
     if callers.certificate is None or callers.private_key is None:
         return reactor.listenTCP(callers.port, site, CALLER_BACKLOG, callers.host)
     # The libraries behind it take a tenth of a second and 10 MB, which most need not.
@@ -36,3 +40,21 @@
 
     context = ssl.DefaultOpenSSLContextFactory(callers.private_key, callers.certificate)
     return reactor.listenSSL(callers.port, site, context, CALLER_BACKLOG, callers.host)
+
+
+def takes_connections(port: Any) -> bool:
+    """Return whether a port listens, and the process can open what a new connection needs.
+
+    Asked of the system each time: no count of our own knows of every descriptor.
+    """
+    return bool(port.connected) and _can_open(SPARE_DESCRIPTORS)
+
+
+def _can_open(count: int) -> bool:
+    with contextlib.ExitStack() as opened:
+        try:
+            for _ in range(count):
+                opened.enter_context(socket.socket())
+        except OSError:
+            return False
+    return True
