--- a/pondhatch/cli/_ports.py
+++ b/pondhatch/cli/_ports.py
@@ -2,30 +2,59 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 from typing import Any
 
 from twisted.web.server import Site
 
 from pondhatch.configuration import CallerEndpoint
+from pondhatch.transport import show_silence
 
 #: Connections of peers that may wait to be accepted.
 PEER_BACKLOG = 128
+#: Connections of callers that may wait to be accepted: as many as Linux lets any port hold by
+#: default, and as a router of the users' sites can open at all. All callers of a power cut
+#: come back within a second, while a starting router is busy; beyond the queue their opening
+#: packets are dropped, and sent again seconds later.
+CALLER_BACKLOG = 4096
+#: Descriptors that a router which says it is ready can still open: a caller's connection and
+#: one to an engine, for some callers who come before the balancer asks again.
+SPARE_DESCRIPTORS = 32
 
 
 def listening(host: str, port: int) -> socket.socket:
     """Return a listening socket; the loop would look the IP number up in a thread."""
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    return socket.create_server((host, port), family=family, backlog=PEER_BACKLOG)
+    listener = socket.create_server((host, port), family=family, backlog=PEER_BACKLOG)
+    show_silence(listener)  # On the connections that it accepts: silent ones hold descriptors.
+    return listener
 
 
-def listen_to_callers(reactor: Any, callers: CallerEndpoint, site: Site) -> None:
-    """Serve callers, over TLS where the settings name a certificate."""
+def listen_to_callers(reactor: Any, callers: CallerEndpoint, site: Site) -> Any:
+    """Serve callers, over TLS where the settings name a certificate; return the port."""
     if callers.certificate is None or callers.private_key is None:
-        reactor.listenTCP(callers.port, site, interface=callers.host)
-        return
+        return reactor.listenTCP(callers.port, site, CALLER_BACKLOG, callers.host)
     # The libraries behind it take a tenth of a second and 10 MB, which most need not.
     from twisted.internet import ssl
 
     context = ssl.DefaultOpenSSLContextFactory(callers.private_key, callers.certificate)
-    reactor.listenSSL(callers.port, site, context, interface=callers.host)
+    return reactor.listenSSL(callers.port, site, context, CALLER_BACKLOG, callers.host)
+
+
+def takes_connections(port: Any) -> bool:
+    """Return whether a port listens, and the process can open what a new connection needs.
+
+    Asked of the system each time: no count of our own knows of every descriptor.
+    """
+    return bool(port.connected) and _can_open(SPARE_DESCRIPTORS)
+
+
+def _can_open(count: int) -> bool:
+    with contextlib.ExitStack() as opened:
+        try:
+            for _ in range(count):
+                opened.enter_context(socket.socket())
+        except OSError:
+            return False
+    return True
