Split the taking in of edits and the reading of entries by job

An account whose name holds a line break got 500 for each request. Change: notes of misfits, accounts, claims and the reading of entries in modules of their own; such an account is a misfit.

--- a/pondhatch/configuration/_editing.py
+++ b/pondhatch/configuration/_editing.py
@@ -8,18 +8,20 @@
 
 import msgspec
 
+from pondhatch.configuration._account_editing import AccountEditing
 from pondhatch.configuration._changes import KINDS, UNREADABLE, Edit, EntryKey
+from pondhatch.configuration._claims import check_services, usable_routes, withheld_place
 from pondhatch.configuration._fit import Misfit, fit
-from pondhatch.configuration._routes import Place, RouteTable
+from pondhatch.configuration._misfit_notes import MisfitNotes
+from pondhatch.configuration._routes import RouteTable
 from pondhatch.configuration._schema import (
-    AccountPolicy,
     AccountSpec,
     CallerBounds,
     RouteSpec,
     ServiceSpec,
     TemplateSpec,
 )
-from pondhatch.configuration._templates import check_template, fill_in, undefined_services
+from pondhatch.configuration._templates import check_template
 
 if TYPE_CHECKING:
     from pondhatch.configuration._fleet import Fleet
@@ -28,8 +30,6 @@
 
 Shape = TypeVar("Shape")
 
-#: Prefix of all paths of a host.
-WHOLE_HOST = "/"
 #: Name of the one entry that bounds what callers may send.
 CALLER_BOUNDS = "callers"
 
@@ -68,10 +68,10 @@
         bounds = base.caller_bounds
         self._bounds = {CALLER_BOUNDS: bounds} if bounds is not None else {}
         self._templates = dict(base.template_by_name)
-        self._policies = dict(base.policy_by_account)
-        self._account_by_key_hash = dict(base.account_by_key_hash)
-        self._misfits: dict[EntryKey, list[Misfit]] = {}
-        self._blamed: list[tuple[EntryKey, Misfit]] = []
+        self._notes = MisfitNotes()
+        self._accounts = AccountEditing(
+            base.policy_by_account, base.account_by_key_hash, self._notes
+        )
         #: Templates that are wrong themselves; their accounts are not blamed for it.
         self._wrong_templates: set[str] = set()
 
@@ -84,11 +84,12 @@
         self._set_all("template", self._set_template)
         accounts = self._accounts_touched()
         for account in accounts:
-            self._forget_keys(account)
+            self._accounts.forget(account, self._base.raw_by_entry.get(("account", account)))
         for account in accounts:
             self._set_account(account)
-        self._check_claims(self._check_routes())
-        return Edited(self._fleet(), tuple(self._blamed))
+        self._routes = usable_routes(self._routes, self._services, self._notes)
+        check_services(self._services, self._routes, self._notes)
+        return Edited(self._fleet(), tuple(self._notes.blamed))
 
     def _fleet(self) -> Fleet:
         return replace(
@@ -98,10 +99,10 @@
             routes=self._route_table(),
             caller_bounds=self._bounds.get(CALLER_BOUNDS),
             template_by_name=self._templates,
-            policy_by_account=self._policies,
-            account_by_key_hash=self._account_by_key_hash,
+            policy_by_account=self._accounts.policies,
+            account_by_key_hash=self._accounts.account_by_key_hash,
             raw_by_entry=self._raw,
-            misfits_by_entry={key: tuple(found) for key, found in self._misfits.items()},
+            misfits_by_entry={key: tuple(found) for key, found in self._notes.by_entry.items()},
         )
 
     def _route_table(self) -> RouteTable:
@@ -111,8 +112,8 @@
         operator never meant for them.
         """
         places = [
-            _place(msgspec.json.decode(self._raw[kind, name]))
-            for kind, name in self._misfits
+            withheld_place(msgspec.json.decode(self._raw[kind, name]))
+            for kind, name in self._notes.by_entry
             if kind == "route" and name not in self._routes
         ]
         withheld = frozenset(place for place in places if place is not None)
@@ -136,7 +137,7 @@
         # Kept even if it cannot be used: routers that come later may know better.
         self._raw[key] = msgspec.json.encode(edit.value)
         if edit.kind not in KINDS:
-            self._note(edit.kind, edit.name, Misfit((), "unknown kind of entry"))
+            self._notes.note(edit.kind, edit.name, Misfit((), "unknown kind of entry"))
 
     def _set_all(self, kind: str, set_one: Callable[[Edit], object]) -> None:
         for edit in self._edits:
@@ -158,13 +159,13 @@
         if reason is None:
             fitted = fit(shape, value)
         else:
-            self._note(kind, name, Misfit((), str(reason)))
+            self._notes.note(kind, name, Misfit((), str(reason)))
             rest = {key: each for key, each in value.items() if key != UNREADABLE}
             fitted = fit(shape, rest)
         if isinstance(fitted, shape):
             return fitted
         if reason is None and isinstance(fitted, tuple):
-            self._note_all(kind, name, fitted)
+            self._notes.note_all(kind, name, fitted)
         return None
 
     def _set_template(self, edit: Edit) -> None:
@@ -172,7 +173,7 @@
         if template is None:
             return
         misfits = check_template(template)
-        self._note_all("template", edit.name, misfits)
+        self._notes.note_all("template", edit.name, misfits)
         if misfits:
             self._wrong_templates.add(edit.name)
 
@@ -185,7 +186,9 @@
         templates = {edit.name for edit in self._edits if edit.kind == "template"}
         if templates or removed_service:
             edited |= {
-                name for name in self._policies if self._shares(name, templates, removed_service)
+                name
+                for name in self._accounts.policies
+                if self._shares(name, templates, removed_service)
             }
         return tuple(sorted(edited))
 
@@ -195,131 +198,24 @@
         raw = self._raw.get(("account", account))
         return raw is not None and msgspec.json.decode(raw).get("template") in templates
 
-    def _forget_keys(self, account: str) -> None:
-        self._policies.pop(account, None)
-        for key_hash in _key_hashes(self._base.raw_by_entry.get(("account", account))):
-            if self._account_by_key_hash.get(key_hash) == account:
-                del self._account_by_key_hash[key_hash]
-
     def _set_account(self, account: str) -> None:
         raw = self._raw.get(("account", account))
         if raw is None:
             return
         spec = self._read("account", account, AccountSpec, msgspec.json.decode(raw))
-        if spec is None:
-            return
-        policy = self._policy(account, spec)
-        if not isinstance(policy, AccountPolicy):
-            self._note_all("account", account, policy)
-            return
-        self._note_all("account", account, undefined_services(policy, self._services))
-        defined = tuple(each for each in policy.services if each in self._services)
-        self._policies[account] = replace(policy, services=defined)
-        for at, key_hash in enumerate(spec.key_hashes):
-            self._claim_key(account, at, key_hash)
+        template = self._template(account, spec) if spec is not None else None
+        if spec is not None and template is not None:
+            self._accounts.set(account, spec, template, self._services)
 
-    def _policy(self, account: str, spec: AccountSpec) -> AccountPolicy | tuple[Misfit, ...]:
+    def _template(self, account: str, spec: AccountSpec) -> TemplateSpec | None:
+        """Return an account's template, or None, noted, where it cannot be used."""
         if spec.template in self._wrong_templates:
-            wrong = Misfit(("template",), f"template {spec.template!r} cannot be used")
-            self._misfits.setdefault(("account", account), []).append(wrong)
-            return ()
+            wrong = f"template {spec.template!r} cannot be used"
+            self._notes.keep("account", account, Misfit(("template",), wrong))
+            return None
         template = self._templates.get(spec.template)
         if template is None:
             known = ", ".join(sorted(self._templates)) or "none"
-            wrong_name = f"undefined template {spec.template!r}; expected one of: {known}"
-            return (Misfit(("template",), wrong_name),)
-        return fill_in(spec, template)
-
-    def _claim_key(self, account: str, at: int, key_hash: str) -> None:
-        other = self._account_by_key_hash.get(key_hash, account)
-        winner, loser = sorted((account, other))
-        self._account_by_key_hash[key_hash] = winner
-        if winner == loser:
-            return
-        wrong = Misfit(("key_hashes", at), _another_key(other))
-        if loser == account:
-            self._note("account", account, wrong)
-            return
-        self._misfits.setdefault(("account", loser), []).append(
-            Misfit(("key_hashes",), _another_key(winner))
-        )
-        self._blamed.append((("account", account), wrong))
-
-    # -- what stands once for several ---------------------------------------
-
-    def _check_routes(self) -> set[str]:
-        """Leave out routes that cannot be used; return the services that the others lead to.
-
-        Of two at one place, the one whose name sorts first stays. A target whose service is
-        not there is left out, and a route with no other as well.
-        """
-        routed: set[str] = set()
-        claimed: dict[tuple[str, str], str] = {}
-        for name, route in sorted(self._routes.items()):
-            other = claimed.setdefault((route.host.lower(), route.path_prefix), name)
-            if other != name:
-                wrong = f"expected a host and prefix of its own, found those of route {other!r}"
-                self._note("route", name, Misfit(("path_prefix",), wrong))
-                del self._routes[name]
-                continue
-            self._keep_defined_targets(name, route)
-            routed |= {target.service for target in route.targets}
-        return routed
-
-    def _keep_defined_targets(self, name: str, route: RouteSpec) -> None:
-        for at, target in enumerate(route.targets):
-            if target.service not in self._services:
-                wrong = f"undefined service {target.service!r}"
-                self._note("route", name, Misfit(("targets", at, "service"), wrong))
-        defined = tuple(each for each in route.targets if each.service in self._services)
-        if not defined:
-            del self._routes[name]
-        elif defined != route.targets:
-            self._routes[name] = replace(route, targets=defined)
-
-    def _check_claims(self, routed: set[str]) -> None:
-        """Check that no two services claim the same, and that each is reached."""
-        claimed: dict[str, str] = {}
-        for name, spec in sorted(self._services.items()):
-            claims = [*spec.models, *([spec.prefix] if spec.prefix else [])]
-            if not claims and name not in routed and not self._routes:
-                # Harmless where it was accepted; whoever writes it is told.
-                unreached = Misfit((), "expected models, a prefix or a route")
-                self._blamed.append((("service", name), unreached))
-            for claim in claims:
-                other = claimed.setdefault(claim, name)
-                if other != name:
-                    wrong = f"{claim!r} is already served by service {other!r}"
-                    self._note("service", name, Misfit((), wrong))
-
-    def _note_all(self, kind: str, name: str, misfits: Iterable[Misfit]) -> None:
-        for misfit in misfits:
-            self._note(kind, name, misfit)
-
-    def _note(self, kind: str, name: str, misfit: Misfit) -> None:
-        key = (kind, name)
-        self._misfits.setdefault(key, []).append(misfit)
-        self._blamed.append((key, misfit))
-
-
-def _key_hashes(raw: bytes | None) -> list[str]:
-    """Return the hashes of an account's keys as written, whatever else it says."""
-    value = msgspec.json.decode(raw) if raw is not None else None
-    hashes = value.get("key_hashes") if isinstance(value, dict) else None
-    return [each for each in hashes if isinstance(each, str)] if isinstance(hashes, list) else []
-
-
-def _place(value: Any) -> Place | None:
-    """Return the place that a route would have, as far as it can be read."""
-    if not isinstance(value, dict) or not isinstance(host := value.get("host"), str):
-        return None
-    prefix = value.get("path_prefix")
-    if not isinstance(prefix, str):
-        return host, WHOLE_HOST
-    # Prefixes are looked up from slash to slash.
-    inner = prefix.strip("/")
-    return host, f"/{inner}/" if inner else WHOLE_HOST
-
-
-def _another_key(other: str) -> str:
-    return f"expected a key of its own, found that of account {other!r}"
+            wrong = f"undefined template {spec.template!r}; expected one of: {known}"
+            self._notes.note("account", account, Misfit(("template",), wrong))
+        return template
--- a/pondhatch/platform/_configuration.py
+++ b/pondhatch/platform/_configuration.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import hashlib
-from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass
-from typing import Any, Generic, Literal, TypeVar
+from collections.abc import Mapping
+from typing import Any, Literal
 
 import msgspec
 
 from pondhatch.configuration import CALLER_BOUNDS, UNREADABLE, Edit, ServiceDefaults, Snapshot
+from pondhatch.platform._entries import Entries, Named, Wire, marked, read_entry
 
 #: Templates of the accounts, which say all but their priority by themselves.
 OWN_PRIORITY = "own-priority"
@@ -28,17 +28,12 @@
 RouteType = Literal["idempotent", "non_idempotent", "streaming"]
 
 
-class _Wire(msgspec.Struct, rename="pascal", frozen=True):
-    """Base of all parts. A field with a default may be missing, empty or unreadable."""
-
-
-class _Backend(_Wire, frozen=True):
+class _Backend(Wire, frozen=True):
     service: str
     weight: float = 1.0
 
 
-class _Route(_Wire, frozen=True):
-    name: str
+class _Route(Named, frozen=True):
     host: str
     path_prefix: str
     type: RouteType
@@ -62,31 +57,29 @@
     itl_target_ms: float = 0.0
 
 
-class _Service(_Wire, frozen=True):
-    name: str
+class _Service(Named, frozen=True):
     #: What the engines of a service for models are like; not an id, whatever its name says.
     engine_id: Any = None
 
 
-class _EngineKind(_Wire, frozen=True):
+class _EngineKind(Wire, frozen=True):
     #: Whether engines copy what they hold of a prompt to each other.
     moves: bool = False
 
 
-class _Limits(_Wire, frozen=True):
+class _Limits(Wire, frozen=True):
     max_header_bytes: int | None = None
     max_body_bytes: int | None = None
     header_timeout_ms: float | None = None
     idle_timeout_ms: float | None = None
 
 
-class _Tenant(_Wire, frozen=True):
-    name: str
+class _Tenant(Named, frozen=True):
     api_keys: tuple[str, ...] = ()
     priority: int | None = None
 
 
-class _Configuration(_Wire, frozen=True):
+class _Configuration(Wire, frozen=True):
     """The whole; its entries are read one by one, so that none holds up another."""
 
     version: int
@@ -96,99 +89,16 @@
     tenants: tuple[Any, ...] | None = None
 
 
-Shape = TypeVar("Shape", bound=_Wire)
-Entry = TypeVar("Entry", _Service, _Route, _Tenant)
-
-
-@dataclass(frozen=True)
-class _Read(Generic[Shape]):
-    """What could be read of an entry."""
-
-    entry: Shape
-    #: Why some of its fields could not be read; empty where all could.
-    wrong: str = ""
-
-
-def _read(shape: type[Shape], value: Any) -> _Read[Shape]:
-    """Read an entry field by field: one that it can do without takes no other with it.
-
-    Raises msgspec.ValidationError where the entry cannot do without it.
-    """
-    if not isinstance(value, Mapping):
-        raise msgspec.ValidationError(f"expected an object, found {type(value).__name__}")
-    found: dict[str, Any] = {}
-    wrong: list[str] = []
-    for each in msgspec.structs.fields(shape):
-        raw = value.get(each.encode_name)
-        if raw is None and not each.required:
-            continue
-        try:
-            found[each.name] = msgspec.convert(_plain(raw), each.type)
-        except msgspec.ValidationError as error:
-            told = f"{each.encode_name}: {error}"
-            if each.required:
-                raise msgspec.ValidationError(told) from error
-            wrong.append(told)
-    return _Read(shape(**found), "; ".join(wrong))
-
-
-def _plain(value: Any) -> Any:
-    """Return a number as JSON means it: 2.0 is 2."""
-    return int(value) if isinstance(value, float) and value.is_integer() else value
-
-
-class _Entries(Generic[Entry]):
-    """The entries of one kind that can be read, by name, and those that cannot."""
-
-    def __init__(self, kind: str, shape: type[Entry], values: Iterable[Any] | None) -> None:
-        self.by_name: dict[str, _Read[Entry]] = {}
-        self.unreadable: list[Edit] = []
-        self._kind = kind
-        for value in values or ():
-            self._add(shape, value)
-
-    def _add(self, shape: type[Entry], value: Any) -> None:
-        try:
-            read = _read(shape, value)
-        except msgspec.ValidationError as error:
-            self._leave_out(value, str(error))
-            return
-        if self.by_name.setdefault(read.entry.name, read) is not read:
-            self._leave_out(value, "another one has its name")
-
-    def _leave_out(self, value: Any, reason: str) -> None:
-        """Keep what could be read of an entry that cannot be used: a route holds its place."""
-        fields = value if isinstance(value, Mapping) else {}
-        known = {"host": fields.get("Host"), "path_prefix": fields.get("PathPrefix")}
-        entry = {name: each for name, each in known.items() if isinstance(each, str)}
-        name = fields.get("Name")
-        # Numbered, for its name may be another's, or none.
-        unique = f"{name if isinstance(name, str) else ''}#{len(self.unreadable) + 1}"
-        self.unreadable.append(Edit(self._kind, unique, {**entry, UNREADABLE: reason}))
-
-    def edits(self, entry_of: Callable[[Entry], dict[str, Any]]) -> list[Edit]:
-        """Return the entries, in the product's form."""
-        readable: list[Edit] = [
-            Edit(self._kind, name, _marked(entry_of(read.entry), read.wrong))
-            for name, read in self.by_name.items()
-        ]
-        return [*readable, *self.unreadable]
-
-
-def _marked(entry: dict[str, Any], wrong: str) -> dict[str, Any]:
-    return {**entry, UNREADABLE: wrong} if wrong else entry
-
-
 def decode_configuration(value: Any, defaults: ServiceDefaults) -> Snapshot:
     """Return the operator's configuration as entries, unreadable ones as such.
 
     Raises msgspec.ValidationError where the whole is no configuration.
     """
     wire = msgspec.convert(value, _Configuration)
-    services = _Entries("service", _Service, wire.services)
-    routes = _Entries("route", _Route, wire.routes)
+    services = Entries("service", _Service, wire.services)
+    routes = Entries("route", _Route, wire.routes)
     # A tenant without keys is nobody's account.
-    tenants = _Entries("account", _Tenant, [each for each in wire.tenants or () if _has_keys(each)])
+    tenants = Entries("account", _Tenant, [each for each in wire.tenants or () if _has_keys(each)])
     edits = services.edits(lambda service: _service(service, defaults))
     edits += routes.edits(lambda route: _route(route, wire.tenants is None))
     edits += _bounds(wire.limits)
@@ -203,7 +113,7 @@
 
 def _service(service: _Service, defaults: ServiceDefaults) -> dict[str, Any]:
     kind = service.engine_id
-    engines = _read(_EngineKind, kind).entry if isinstance(kind, Mapping) else _EngineKind()
+    engines = read_entry(_EngineKind, kind).entry if isinstance(kind, Mapping) else _EngineKind()
     return {
         "kind": "plain" if kind is None else "model",
         "load_bound": defaults.load_bound,
@@ -243,7 +153,7 @@
     if value is None:
         return []
     try:
-        read = _read(_Limits, value)
+        read = read_entry(_Limits, value)
     except msgspec.ValidationError as error:
         return [Edit("bounds", CALLER_BOUNDS, {UNREADABLE: str(error)})]
     limits = read.entry
@@ -253,7 +163,7 @@
         "body_bytes": limits.max_body_bytes,
         **{name: ms / 1000 if ms else None for name, ms in times.items()},
     }
-    return [Edit("bounds", CALLER_BOUNDS, _marked(bounds, read.wrong))]
+    return [Edit("bounds", CALLER_BOUNDS, marked(bounds, read.wrong))]
 
 
 def _templates(services: tuple[str, ...]) -> list[Edit]:
@@ -275,6 +185,9 @@
 
 
 def _account(tenant: _Tenant) -> dict[str, Any]:
+    if not tenant.name.isprintable():
+        # Engines are told it in a header, and no header holds a line break.
+        return {UNREADABLE: "Name: expected one that can stand in a header"}
     # The keys themselves go no further than this.
     hashes = [hashlib.sha256(key.encode()).hexdigest() for key in tenant.api_keys]
     if tenant.priority is None:
--- /dev/null
+++ b/pondhatch/platform/_entries.py
@@ -0,0 +1,107 @@
+"""Reading entries of the operator's configuration one by one, and each field by field."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
+from typing import Any, Generic, TypeVar
+
+import msgspec
+
+from pondhatch.configuration import UNREADABLE, Edit
+
+
+class Wire(msgspec.Struct, rename="pascal", frozen=True):
+    """Base of all parts. A field with a default may be missing, empty or unreadable."""
+
+
+Shape = TypeVar("Shape", bound=Wire)
+
+
+class Named(Wire, frozen=True):
+    """An entry of the configuration."""
+
+    name: str
+
+
+Entry = TypeVar("Entry", bound=Named)
+
+
+@dataclass(frozen=True)
+class Read(Generic[Shape]):
+    """What could be read of an entry."""
+
+    entry: Shape
+    #: Why some of its fields could not be read; empty where all could.
+    wrong: str = ""
+
+
+def read_entry(shape: type[Shape], value: Any) -> Read[Shape]:
+    """Read an entry field by field: one that it can do without takes no other with it.
+
+    Raises msgspec.ValidationError where the entry cannot do without it.
+    """
+    if not isinstance(value, Mapping):
+        raise msgspec.ValidationError(f"expected an object, found {type(value).__name__}")
+    found: dict[str, Any] = {}
+    wrong: list[str] = []
+    for each in msgspec.structs.fields(shape):
+        raw = value.get(each.encode_name)
+        if raw is None and not each.required:
+            continue
+        try:
+            found[each.name] = msgspec.convert(_plain(raw), each.type)
+        except msgspec.ValidationError as error:
+            told = f"{each.encode_name}: {error}"
+            if each.required:
+                raise msgspec.ValidationError(told) from error
+            wrong.append(told)
+    return Read(shape(**found), "; ".join(wrong))
+
+
+def _plain(value: Any) -> Any:
+    """Return a number as JSON means it: 2.0 is 2."""
+    return int(value) if isinstance(value, float) and value.is_integer() else value
+
+
+class Entries(Generic[Entry]):
+    """The entries of one kind that can be read, by name, and those that cannot."""
+
+    def __init__(self, kind: str, shape: type[Entry], values: Iterable[Any] | None) -> None:
+        self.by_name: dict[str, Read[Entry]] = {}
+        self.unreadable: list[Edit] = []
+        self._kind = kind
+        for value in values or ():
+            self._add(shape, value)
+
+    def _add(self, shape: type[Entry], value: Any) -> None:
+        try:
+            read = read_entry(shape, value)
+        except msgspec.ValidationError as error:
+            self._leave_out(value, str(error))
+            return
+        if self.by_name.setdefault(read.entry.name, read) is not read:
+            self._leave_out(value, "another one has its name")
+
+    def _leave_out(self, value: Any, reason: str) -> None:
+        """Keep what could be read of an entry that cannot be used: a route holds its place."""
+        fields = value if isinstance(value, Mapping) else {}
+        known = {"host": fields.get("Host"), "path_prefix": fields.get("PathPrefix")}
+        entry = {name: each for name, each in known.items() if isinstance(each, str)}
+        name = fields.get("Name")
+        # Numbered, for its name may be another's, or none.
+        unique = f"{name if isinstance(name, str) else ''}#{len(self.unreadable) + 1}"
+        self.unreadable.append(Edit(self._kind, unique, {**entry, UNREADABLE: reason}))
+
+    def edits(self, entry_of: Callable[[Entry], dict[str, Any]]) -> list[Edit]:
+        """Return the entries, in the product's form."""
+        readable: list[Edit] = [
+            Edit(self._kind, name, marked(entry_of(read.entry), read.wrong))
+            for name, read in self.by_name.items()
+        ]
+        return [*readable, *self.unreadable]
+
+
+def marked(entry: dict[str, Any], wrong: str) -> dict[str, Any]:
+    """Return an entry with why some of it could not be read, where that is so."""
+    return {**entry, UNREADABLE: wrong} if wrong else entry
--- a/pondhatch/platform/tests/test_configuration.py
+++ b/pondhatch/platform/tests/test_configuration.py
@@ -176,6 +176,12 @@
         self.assertIsInstance(fleet.routes.find("desk.example", "/proofs/a"), Withheld)
         self.assertIsInstance(fleet.routes.find("desk.example", "/x"), Route)
 
+    def test_a_name_that_no_header_holds_serves_nobody(self) -> None:
+        self.changed["Tenants"][0]["Name"] = "pina\nX-Own: 1"
+        fleet = fleet_of(self.changed)
+        self.assertEqual(set(fleet.misfits_by_entry), {("account", "pina\nX-Own: 1")})
+        self.assertIsNone(fleet.account_of(key_hash("key-1")))
+
     def test_unreadable_tenants_do_not_open_routes_to_everybody(self) -> None:
         self.changed["Tenants"] = [None, {"Name": "pina", "ApiKeys": 3}]
         fleet = fleet_of(self.changed)
