Ask once more the engines that were passed over before a request is refused

Cause: the last resort of a walk was one engine. A second ailing engine that was passed over was never asked, and a full one where a place came free while the request waited at another was not either, so a request was told engines-full beside a free place.

Two tests of the plan expected its end where these asks follow now; they name each ask and then the end, so they hold it as tightly as before.

--- a/pondhatch/placement/_plan.py
+++ b/pondhatch/placement/_plan.py
@@ -17,6 +17,10 @@
 #: Ailing engines that one request passes over at most: where there are more, the fault lies
 #: with the service, and crowding the engines that seem well would only add to it.
 MOST_AILING = 2
+#: Full engines looked at once more after the wait for the last one: the time of that wait
+#: may have freed a place there. Each costs a question to its owner, and some milliseconds of
+#: a request that is about to be refused; the least loaded have the best chance.
+MOST_LOOKS = 2
 
 
 @dataclass(frozen=True)
@@ -59,6 +63,8 @@
         self._asks = asks
         #: Whether the engine that is the last resort was asked.
         self._has_asked_last = False
+        #: Ailing and full engines to ask once more after that, the next one last.
+        self._looks: list[str] = []
         #: Asks that come before the rest of the order.
         self._first: list[Ask] = [Ask(self.order[0], context=True)] if self.order else []
         #: Engines of the order still to come, the next one last.
@@ -130,15 +136,34 @@
         return self._current
 
     def _last_resort(self) -> Step:
-        """Ask once more an engine that may take what no other did."""
-        engine = self._ailing[0] if self._ailing else self._least_loaded()
-        if self._has_asked_last or engine is None:
-            return Exhausted(tuple(name for name, _ in self.passed_over))
+        """Ask once more an engine that may take what no other did, then look at others."""
+        if self._has_asked_last:
+            return self._look()
+        least_loaded = self._fullest_first()[-MOST_LOOKS - 1 :]
+        last_resorts = [*least_loaded, *reversed(self._ailing)]
+        if not last_resorts:
+            return self._exhausted()
         self._has_asked_last = True
+        engine = last_resorts.pop()
+        self._looks = [name for name in last_resorts if name != engine]
         self._current = Ask(engine, insist=True, last=True)
         return self._current
 
-    def _least_loaded(self) -> str | None:
-        """Return the full engine with the least work: what was seen may raise its ceiling."""
+    def _look(self) -> Step:
+        """Ask another ailing engine, or a full one whether a place came free meanwhile."""
+        if not self._looks:
+            return self._exhausted()
+        self._current = Ask(self._looks.pop(), insist=True)
+        return self._current
+
+    def _exhausted(self) -> Exhausted:
+        return Exhausted(tuple(name for name, _ in self.passed_over))
+
+    def _fullest_first(self) -> list[str]:
+        """Return the full engines, the one with the least work last.
+
+        What was seen of the others may raise its ceiling. Of two that hold as much, the one
+        asked first comes last: the chat's order goes for it.
+        """
         seen = self.in_flight_by_engine
-        return min(seen, key=lambda name: seen[name], default=None)
+        return sorted(seen, key=lambda name: seen[name])[::-1]
--- a/pondhatch/placement/tests/test_plan.py
+++ b/pondhatch/placement/tests/test_plan.py
@@ -46,6 +46,10 @@
         self.assertEqual(plan.next(), Ask(least, insist=True, last=True))
         self.assertEqual(plan.seen_elsewhere(least), 7)
         plan.full(2, 2)
+        # While it waited there, a place may have come free at the others.
+        for looked_at in (plan.order[2], plan.order[0]):
+            self.assertEqual(plan.next(), Ask(looked_at, insist=True))
+            plan.full(4, 4)
         self.assertIsInstance(plan.next(), Exhausted)
 
     def test_an_ailing_engine_is_asked_where_no_other_takes_the_request(self) -> None:
@@ -57,6 +61,20 @@
         plan.full(4, 4)
         self.assertEqual(plan.next(), Ask(plan.order[0], insist=True, last=True))
         plan.refused("failed")
+        self.assertEqual(plan.next(), Ask(plan.order[1], insist=True))
+        plan.full(4, 4)
+        self.assertIsInstance(plan.next(), Exhausted)
+
+    def test_each_ailing_engine_that_was_passed_over_is_asked_in_the_end(self) -> None:
+        plan = Plan("chat", ENGINES[:2])
+        for _ in range(2):
+            plan.next()
+            plan.ailing()
+            plan.refused("ailing")
+        self.assertEqual(plan.next(), Ask(plan.order[0], insist=True, last=True))
+        plan.refused("draining")
+        self.assertEqual(plan.next(), Ask(plan.order[1], insist=True))
+        plan.refused("draining")
         self.assertIsInstance(plan.next(), Exhausted)
 
     def test_where_many_are_ailing_the_next_is_asked_all_the_same(self) -> None:
