Decide by its reason what follows from an engine's refusal

Cause: every refusal of an engine was one kind, NOT_RUN or NOT_THE_ONE, told as upstream-refused, and its grant was given back with nothing learned. An engine that refused so held less than the others by its owner's count and was granted the next request too. A request that was wrong in itself was sent on to more engines; one that two full engines had refused was told to come back though a place came free at one of them.

Change: the dialects decode a refusal into full, leaving, not the one, bad request or unknown (EngineRefusal). Full: the next engine; after as many engines as MaxAttempts allows, a place at one of those; the owner grants there no more than the engine held, for 1 s. Leaving: the next engine, and the owner passes it over. Not the one: the next of the list as it is by now, and a failure to reach it for the owner. Bad request: 400 at once, the engine is not marked. Unknown: one engine more, and a failure of its own for the owner. The code told, and noted in passed_over, names the reason. Each send beyond the first spends a retry, and an engine that was sent the request stays counted though a later try cannot reach it. A release carries the new reasons in a field of its own, so that routers of an older program take the grant back all the same.

--- a/pondhatch/placement/_gate.py
+++ b/pondhatch/placement/_gate.py
@@ -13,6 +13,10 @@
 
 #: Seconds after which a load report says nothing about the present.
 REPORT_LIFETIME = 5.0
+#: Seconds for which an engine's word that it is full bounds what it is granted: half of the
+#: time for which a request waits in a line by default, so that one that waits there sees the
+#: bound go. By judgement; each grant too many after it costs one retry of the budget.
+FULL_SECONDS = 1.0
 #: Stands for an engine whose service sets no limit of its own.
 UNLIMITED_SLOTS = 1_000_000
 
@@ -52,6 +56,9 @@
     peak: int = 0
     #: When the report was taken, in the clock's seconds.
     reported_at: float = float("-inf")
+    #: Requests that it holds at most by its own word, and until when that word counts.
+    said_full_at: int = UNLIMITED_SLOTS
+    said_full_until: float = float("-inf")
 
     def in_flight(self, now: float) -> int:
         """Return our grants, plus what the last report showed of others' work."""
@@ -59,6 +66,10 @@
             return self.granted
         return self.granted + self.foreign
 
+    def limit(self, now: float) -> int:
+        """Return the most requests that it takes, as it showed by refusing one."""
+        return self.said_full_at if now < self.said_full_until else UNLIMITED_SLOTS
+
     @property
     def foreign(self) -> int:
         """Return reported work that cannot be ours: a late report counts ended work of ours."""
@@ -94,7 +105,8 @@
         """
         count = self.by_engine.get(engine, EngineCount())
         held = count.in_flight(now)
-        ceiling = min(slots, admission_ceiling(bound, others + held, engines) + slack)
+        promised = admission_ceiling(bound, others + held, engines) + slack
+        ceiling = min(slots, promised, count.limit(now))
         if held + 1 > ceiling:
             return Full(held, ceiling)
         return self._grant(engine, count, held, ceiling)
@@ -116,6 +128,20 @@
             raise ValueError(f"{engine} holds no grant to release")
         self.by_engine[engine] = replace(count, granted=count.granted - 1)
 
+    def said_full(self, engine: str, now: float) -> None:
+        """Note that an engine refused a request as full; its grant is still counted.
+
+        So it takes no more than the others that it holds now, whatever was believed of its
+        slots: the next request goes where there is a place, or waits for one here, instead of
+        being sent into the same refusal. One request is always let through, to see whether
+        the word still holds.
+        """
+        count = self.by_engine.get(engine, EngineCount())
+        others = count.in_flight(now) - 1
+        self.by_engine[engine] = replace(
+            count, said_full_at=max(1, others), said_full_until=now + FULL_SECONDS
+        )
+
     def report(self, engine: str, now: float, load: int) -> None:
         """Take in the engine's own report of its running and waiting requests."""
         count = self.by_engine.get(engine, EngineCount())
--- a/pondhatch/placement/_health.py
+++ b/pondhatch/placement/_health.py
@@ -117,18 +117,33 @@
         if errors < AILING_SHARE or known.is_ailing(now):
             self.health_by_upstream[upstream] = replace(known, errors=errors)
             return
-        self.health_by_upstream[upstream] = replace(
-            known,
-            # Judged anew after its rest: neither well by default nor ailing at once.
-            errors=AILING_SHARE / 2,
-            ailing_until=now + known.rest,
-            rest=min(LONGEST_REST, known.rest * 2),
-        )
+        self.health_by_upstream[upstream] = _resting(known, now)
+
+    def leaving(self, upstream: str, now: float) -> None:
+        """Note that an upstream refused a request since it is about to end.
+
+        The platform's list says so too, but later. It may be mistaken, so it is passed over
+        like an ailing one, and asked where no other takes the request.
+        """
+        known = self._known(upstream)
+        if not known.is_ailing(now):
+            self.health_by_upstream[upstream] = _resting(known, now)
 
     def _known(self, upstream: str) -> UpstreamHealth:
         return self.health_by_upstream.get(upstream, UpstreamHealth())
 
 
+def _resting(known: UpstreamHealth, now: float) -> UpstreamHealth:
+    """Return what is known of an upstream that is passed over from now on, for its rest."""
+    return replace(
+        known,
+        # Judged anew after its rest: neither well by default nor ailing at once.
+        errors=AILING_SHARE / 2,
+        ailing_until=now + known.rest,
+        rest=min(LONGEST_REST, known.rest * 2),
+    )
+
+
 def _reached(known: UpstreamHealth) -> UpstreamHealth:
     """Return what is known of an upstream that answered: it is not down."""
     return replace(known, failures=0, down_until=float("-inf"), pause=FIRST_PAUSE, tried=False)
--- a/pondhatch/placement/_plan.py
+++ b/pondhatch/placement/_plan.py
@@ -52,6 +52,7 @@
     """One request's walk over the engines of its service."""
 
     def __init__(self, chat: str, engines: Collection[str], asks: int = DEFAULT_ASKS) -> None:
+        self._chat = chat
         self._engines = engines
         self.order = ranked(chat, engines, asks)
         #: Engines asked so far, in order, with what each answered.
@@ -104,6 +105,33 @@
         self.in_flight_by_engine[self._last_ask().engine] = in_flight
         self.refused(f"at ceiling, {in_flight} of {ceiling}")
 
+    def said_full(self, in_flight: int, why: str) -> None:
+        """Note that the engine last asked was sent the request, and refused it as full."""
+        self.in_flight_by_engine[self._last_ask().engine] = in_flight
+        self.refused(why)
+
+    def keep_to(self, engines: Collection[str]) -> bool:
+        """Ask nobody but these from now on; return whether one of them can still be asked.
+
+        For a request that was sent to as many engines as it may: it may go again to one of
+        those, where that engine was only full.
+        """
+        self._first, self._rest, self._ailing = [], [], []
+        self.in_flight_by_engine = {
+            name: held for name, held in self.in_flight_by_engine.items() if name in engines
+        }
+        self._looks = [name for name in self._looks if name in engines]
+        can_ask_last = bool(self.in_flight_by_engine) and not self._has_asked_last
+        return can_ask_last or bool(self._looks)
+
+    def renew(self, engines: Collection[str]) -> None:
+        """Take the engines as they are listed by now: the list that the walk began with is old."""
+        self._engines = engines
+        joined = [
+            name for name in ranked(self._chat, engines, self._asks) if name not in self.order
+        ]
+        self._rest = [*reversed(joined), *(name for name in self._rest if name in engines)]
+
     def ailing(self) -> None:
         """Note that the engine last asked should get only what no other can take."""
         if self._current is not None:
--- a/pondhatch/placement/tests/test_gate.py
+++ b/pondhatch/placement/tests/test_gate.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies as st
 
 from pondhatch.placement import Full, Gate, Granted, admission_ceiling
+from pondhatch.placement._gate import FULL_SECONDS
 
 
 class CeilingTest(unittest.TestCase):
@@ -90,3 +91,19 @@
                 held[at] += 1
                 self.assertLessEqual(held[at], admission_ceiling(1.25, total, 5))
             self.assertEqual(gate.in_flight(str(at), 0.0), held[at])
+
+    def test_an_engine_that_says_it_is_full_holds_no_more_than_it_did_for_a_while(self) -> None:
+        for _ in range(3):
+            self.ask(others=20)
+        self.gate.said_full("e", 0.0)
+        self.gate.release("e")
+        self.assertEqual(self.ask(others=20), Full(2, 2))
+        self.gate.release("e")
+        self.assertEqual(self.ask(others=20), Granted(2, 2))
+        self.assertIsInstance(self.ask(now=FULL_SECONDS, others=20), Granted)
+
+    def test_an_engine_that_says_it_is_full_is_tried_with_one_all_the_same(self) -> None:
+        self.ask()
+        self.gate.said_full("e", 0.0)
+        self.gate.release("e")
+        self.assertEqual(self.ask(), Granted(1, 1))
--- a/pondhatch/placement/tests/test_plan.py
+++ b/pondhatch/placement/tests/test_plan.py
@@ -123,3 +123,36 @@
         memory.forget(1)
         memory.forget(1)
         self.assertIsNone(memory.engine_of(1))
+
+    def test_a_request_that_went_as_far_as_it_may_keeps_to_engines_that_were_full(self) -> None:
+        plan = Plan("chat", ENGINES)
+        for held in (4, 3):
+            plan.next()
+            plan.said_full(held, "full")
+        self.assertTrue(plan.keep_to({plan.order[0], plan.order[1]}))
+        self.assertEqual(plan.next(), Ask(plan.order[1], insist=True, last=True))
+        plan.said_full(3, "full")
+        self.assertTrue(plan.keep_to({plan.order[0], plan.order[1]}))
+        self.assertEqual(plan.next(), Ask(plan.order[0], insist=True))
+        plan.said_full(4, "full")
+        self.assertFalse(plan.keep_to({plan.order[0], plan.order[1]}))
+        self.assertIsInstance(plan.next(), Exhausted)
+
+    def test_without_a_full_engine_there_is_none_to_keep_to(self) -> None:
+        plan = Plan("chat", ENGINES)
+        plan.next()
+        plan.refused("draining")
+        self.assertFalse(plan.keep_to(()))
+        self.assertIsInstance(plan.next(), Exhausted)
+
+    def test_a_list_that_was_behind_is_looked_at_again(self) -> None:
+        plan = Plan("chat", ENGINES[:3])
+        plan.next()
+        plan.refused("not the one")
+        gone = plan.order[1]
+        plan.renew((*(name for name in ENGINES[:3] if name != gone), "engine-new"))
+        asked = []
+        while isinstance(step := plan.next(), Ask):
+            asked.append(step.engine)
+            plan.refused("draining")
+        self.assertEqual(asked, [plan.order[2], "engine-new"])
--- a/pondhatch/platform/_engines.py
+++ b/pondhatch/platform/_engines.py
@@ -9,7 +9,7 @@
 
 from pondhatch.authority import NotTaken, Silent, Wanted
 from pondhatch.platform import _names as names
-from pondhatch.requests import Headers, Judged, RequestHead, Target
+from pondhatch.requests import EngineRefusal, Headers, Judged, RequestHead, Target
 from pondhatch.store import LEAVING, LIVE
 from pondhatch.transport import HOP_HEADERS, utf8_value
 
@@ -55,6 +55,19 @@
     }
 
 
+def _refusal(status: int, value_by_name: Mapping[str, str]) -> EngineRefusal:
+    """Return why an engine did not run a request."""
+    if status == names.BAD_REQUEST_STATUS:
+        return EngineRefusal.BAD_REQUEST
+    if status not in names.FULL_STATUSES:
+        return EngineRefusal.UNKNOWN
+    # An engine that is leaving closes its connections, and now and then another one does,
+    # so this is a hint: it is passed over only where another can take the request.
+    if value_by_name.get("connection", "").lower() == "close":
+        return EngineRefusal.LEAVING
+    return EngineRefusal.FULL
+
+
 class EngineDialect:
     """See UpstreamDialect."""
 
@@ -76,12 +89,14 @@
         passed_on = [pair for pair in head.headers if pair[0].lower() not in replaced]
         return (*passed_on, *own)
 
-    def judge(self, head: RequestHead, status: int, value_by_name: Mapping[str, str]) -> Judged:
+    def judge(
+        self, head: RequestHead, status: int, value_by_name: Mapping[str, str]
+    ) -> Judged | EngineRefusal:
         """Say what an answer's head means."""
         if status == names.OTHER_ENGINE_STATUS:
-            return Judged.NOT_THE_ONE
+            return EngineRefusal.NOT_THE_ONE
         if names.NOT_RUN.lower() in value_by_name:
-            return Judged.NOT_RUN
+            return _refusal(status, value_by_name)
         if value_by_name.get(names.ATTEMPT_ID.lower(), "") != head.caller_id:
             return Judged.CROSSED
         return Judged.ANSWERED
--- a/pondhatch/platform/_names.py
+++ b/pondhatch/platform/_names.py
@@ -29,6 +29,9 @@
 RETRY_AFTER = "Retry-After"
 #: Status by which an engine says that another one was meant; it ran nothing.
 OTHER_ENGINE_STATUS = 421
+#: Statuses of refusals by an engine that has no place, and by one that got no proper request.
+FULL_STATUSES = frozenset({429, 503})
+BAD_REQUEST_STATUS = 400
 
 #: Kinds of objects in the store.
 ENGINES_KIND = "servers"
--- a/pondhatch/requests/__init__.py
+++ b/pondhatch/requests/__init__.py
@@ -40,7 +40,16 @@
     RequestHead,
 )
 from pondhatch.requests._once import HOLDERS, KeyedRun, KeyHolder, LocalKeyHolder, refusal_of
-from pondhatch.requests._outcomes import CROSSED, Broken, NotRun, Outcome, Refusal, Unknown, Whole
+from pondhatch.requests._outcomes import (
+    CROSSED,
+    Broken,
+    EngineRefusal,
+    NotRun,
+    Outcome,
+    Refusal,
+    Unknown,
+    Whole,
+)
 from pondhatch.requests._owner import LocalOwner, OwnerView
 from pondhatch.requests._owner_grants import OwnerGrants
 from pondhatch.requests._questions import (
@@ -77,6 +86,7 @@
     "Delivery",
     "Elsewhere",
     "Ended",
+    "EngineRefusal",
     "EntryGrants",
     "EntryView",
     "EventCutter",
--- a/pondhatch/requests/_entry.py
+++ b/pondhatch/requests/_entry.py
@@ -12,7 +12,7 @@
 from pondhatch.placement import Ask, Exhausted, Granted, Plan
 from pondhatch.requests._entry_view import EntryView, Ways
 from pondhatch.requests._messages import BodySource, Opened, ReplayableBody, RequestHead
-from pondhatch.requests._outcomes import AILING, CROSSED, NotRun, Refusal, Unknown
+from pondhatch.requests._outcomes import AILING, CROSSED, EngineRefusal, NotRun, Refusal, Unknown
 from pondhatch.requests._questions import (
     MILLISECONDS,
     THOUSANDTHS,
@@ -34,6 +34,9 @@
 NOTHING_SENT = frozenset(
     {"upstream-leaving", "upstream-down", AILING, "upstream-unreachable", "router-unreachable"}
 )
+#: Engines that refuse a request without a reason before its caller is told: where a second
+#: one does, it is likelier the request than the engines.
+MOST_UNKNOWN_REFUSALS = 2
 
 
 @dataclass(frozen=True)
@@ -103,6 +106,10 @@
         self._most_patience = patience
         self._tries = Tries(view, ways, body, self._chat, remaining)
         self._asks = 0
+        #: Engines' refusals of this request so far, the newest last.
+        self._refusals: list[NotRun] = []
+        #: Engines that refused it as full: it may go to them again.
+        self._said_full: set[str] = set()
         #: The last try after which the request may have run; no later refusal undoes it.
         self._may_have_run: Unknown | None = None
         #: Id under which the engine that answers knows the request.
@@ -194,8 +201,9 @@
                 return Placed(reply, engine)
             reply.answer.cancel()
             return None
-        cannot = isinstance(reply, NotRun) and reply.code == "upstream-refused"
-        return None if cannot else Unready()
+        # Whatever the reason: asking again is another arrival, which no budget allows for here.
+        was_refused = isinstance(reply, NotRun) and reply.refusal is not None
+        return None if was_refused else Unready()
 
     async def _ask(self, ask: Ask) -> Placed | Refused | None:
         """Ask one engine's owner and, if granted, try it; None means that the walk goes on."""
@@ -219,9 +227,23 @@
             return None
         if reply.code == AILING:
             self.plan.ailing()
-        self.plan.refused(f"{reply.code}: {reply.reason}")
+        self._note_refused(ask, reply)
         return self._after_failure(ask, reply)
 
+    def _note_refused(self, ask: Ask, reply: Refusal) -> None:
+        """Note who did not take the request, and what that says of where else it may go."""
+        why = f"{reply.code}: {reply.reason}"
+        refusal = reply.refusal if isinstance(reply, NotRun) else None
+        if isinstance(reply, NotRun) and refusal is not None:
+            self._refusals.append(reply)
+        if refusal is EngineRefusal.FULL:
+            self._said_full.add(ask.engine)
+            self.plan.said_full(max(0, self.granted.in_flight - 1), why)
+            return
+        self.plan.refused(why)
+        if refusal is EngineRefusal.NOT_THE_ONE:
+            self.plan.renew(self._view.live_upstreams(self._head.service))
+
     def _question(
         self,
         engine: str,
@@ -266,7 +288,9 @@
             return Refused(reply)
         if reply.code in NOTHING_SENT:
             return None
-        if self._tries_are_spent():
+        if isinstance(reply, NotRun) and self._is_about_the_request(reply):
+            return Refused(reply)
+        if self._tries_are_spent() and not self.plan.keep_to(self._said_full):
             return Refused(reply)
         if not body_is_whole or not self._budget.may_retry():
             return Refused(reply)
@@ -275,6 +299,13 @@
             self.plan.again()
         return None
 
+    def _is_about_the_request(self, reply: NotRun) -> bool:
+        """Return whether other engines would refuse the request as well."""
+        if reply.refusal is EngineRefusal.BAD_REQUEST:
+            return True
+        unknown = [each for each in self._refusals if each.refusal is EngineRefusal.UNKNOWN]
+        return len(unknown) >= MOST_UNKNOWN_REFUSALS
+
     def _tries_are_spent(self) -> bool:
         """Return whether the request was sent to as many engines as it may."""
         return 0 < self._head.most_tries <= len(self._tries.sent_to)
@@ -290,5 +321,8 @@
     def _exhausted(self, step: Exhausted) -> NotRun:
         if not step.asked:
             return NotRun("no-upstream", f"service {self._head.service} has no upstream")
+        if self._refusals and not self.plan.in_flight_by_engine:
+            # Nobody is full, so that is not what the caller is told.
+            return self._refusals[-1]
         asked = ", ".join(f"{engine} ({why})" for engine, why in self.plan.passed_over)
         return NotRun("engines-full", f"asked {asked}", FULL_RETRY_AFTER)
--- a/pondhatch/requests/_entry_grants.py
+++ b/pondhatch/requests/_entry_grants.py
@@ -11,9 +11,9 @@
     GrantedWord,
     GrantPacket,
     Hold,
-    Release,
     Spilled,
     Word,
+    release_of,
     reply_of,
 )
 from pondhatch.requests._outcomes import NotRun
@@ -149,7 +149,7 @@
     def _came_late(self, word: Word, source: Callable[[GrantPacket], None]) -> None:
         """Give a grant back whose request went elsewhere."""
         if isinstance(word, GrantedWord) and word.number not in self.held_by_number:
-            source(Release(self.router, word.number, Ended.NOTHING))
+            source(release_of(self.router, word.number, Ended.NOTHING))
 
     async def _ask_peer(self, owner: str, question: Question) -> OwnerReply:
         asked = _Asked(asyncio.get_running_loop().create_future())
@@ -185,7 +185,7 @@
         if owner == self.name:
             self.local.release(Holder(self.router, number), ended)
         else:
-            self.send(owner, Release(self.router, number, ended))
+            self.send(owner, release_of(self.router, number, ended))
 
     def _hold_at(self, owner: str, engine: str, numbers: tuple[int, ...]) -> None:
         if owner == self.name:
--- a/pondhatch/requests/_grant_packets.py
+++ b/pondhatch/requests/_grant_packets.py
@@ -11,7 +11,14 @@
 
 from pondhatch.placement import Granted
 from pondhatch.requests._outcomes import NotRun
-from pondhatch.requests._questions import Busy, Elsewhere, NotOwner, OwnerReply, Question
+from pondhatch.requests._questions import (
+    Busy,
+    Elsewhere,
+    Ended,
+    NotOwner,
+    OwnerReply,
+    Question,
+)
 
 
 class _Packet(msgspec.Struct, frozen=True, array_like=True):
@@ -67,8 +74,10 @@
 
     router: int
     number: int
-    #: An Ended.
+    #: An Ended that every router of the fleet knows, so that each takes the grant back.
     ended: int
+    #: The Ended meant, where one that runs an older program would not know it; else 0.
+    ended_as: int = 0
 
 
 class Hold(_Packet, frozen=True, tag=58):
@@ -86,6 +95,22 @@
     engine: str
 
 
+#: What a release told from the first version of these packets on.
+_KNOWN_TO_ALL = frozenset({Ended.ANSWERED, Ended.NOTHING, Ended.FAILED, Ended.ERRED})
+
+
+def release_of(router: int, number: int, ended: Ended) -> Release:
+    """Return the packet that gives a grant back."""
+    if ended in _KNOWN_TO_ALL:
+        return Release(router, number, ended)
+    return Release(router, number, Ended.NOTHING, ended)
+
+
+def ended_of(release: Release) -> Ended:
+    """Return what a release tells of the engine."""
+    return Ended(release.ended_as or release.ended)
+
+
 Word = Waiting | GrantedWord | BusyWord | ElsewhereWord | NotOwnerWord | DeclinedWord
 Telling = Release | Hold | Spilled
 GrantPacket = Question | Word | Telling
--- a/pondhatch/requests/_outcomes.py
+++ b/pondhatch/requests/_outcomes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 from dataclasses import dataclass
 
 #: Code of an outcome that is unknown because another request's answer came.
@@ -10,6 +11,33 @@
 AILING = "upstream-ailing"
 
 
+#: Seconds after which to come back where load was not the reason: a new request is free to
+#: go to any engine, and by then the owner of the one that refused passes it over.
+SOON_RETRY_AFTER = 0.2
+#: Status of a refusal for which another try is worth it, and of one for which none is.
+UNAVAILABLE_STATUS = 503
+BAD_REQUEST_STATUS = 400
+
+
+class EngineRefusal(enum.StrEnum):
+    """Why an upstream did not run a request that it was sent; the value is the code told.
+
+    What follows is decided by this alone: a full upstream says something of its load, one
+    that is leaving or the wrong one of itself, and a bad request of the request.
+    """
+
+    #: It has no place: its slots, its queue or its memory are taken.
+    FULL = "upstream-full"
+    #: It takes no more work, since it is about to end.
+    LEAVING = "upstream-draining"
+    #: Another upstream answers at its address: the list of upstreams is behind.
+    NOT_THE_ONE = "upstream-not-the-one"
+    #: It takes the request itself for wrong; any other would as well.
+    BAD_REQUEST = "upstream-bad-request"
+    #: It does not say why.
+    UNKNOWN = "upstream-refused"
+
+
 @dataclass(frozen=True)
 class Whole:
     """The whole answer was delivered."""
@@ -25,7 +53,9 @@
     #: Seconds after which it is worth coming back.
     retry_after: float = 1.0
     #: HTTP status towards the caller.
-    status: int = 503
+    status: int = UNAVAILABLE_STATUS
+    #: Why the upstream that was sent the request refused it; None where none was.
+    refusal: EngineRefusal | None = None
 
 
 @dataclass(frozen=True)
@@ -47,3 +77,12 @@
 
 Refusal = NotRun | Unknown
 Outcome = Whole | NotRun | Unknown | Broken
+
+
+def refused_by_engine(refusal: EngineRefusal, reason: str) -> NotRun:
+    """Return what a caller is told of an upstream's refusal, where nobody else took it."""
+    if refusal is EngineRefusal.BAD_REQUEST:
+        return NotRun(refusal.value, reason, 0.0, BAD_REQUEST_STATUS, refusal)
+    if refusal in (EngineRefusal.LEAVING, EngineRefusal.NOT_THE_ONE):
+        return NotRun(refusal.value, reason, SOON_RETRY_AFTER, refusal=refusal)
+    return NotRun(refusal.value, reason, refusal=refusal)
--- a/pondhatch/requests/_owner.py
+++ b/pondhatch/requests/_owner.py
@@ -138,13 +138,34 @@
         lease = self.leases.take(holder)
         if lease is None:
             return
+        # First, since whoever waits in the engine's line is granted when the place is back.
+        self._learn(lease.engine, ended)
+        self._give_back(lease.engine)
+
+    def _learn(self, engine: str, ended: Ended) -> None:
+        """Take in what the end of a request, whose grant still counts, tells of its engine."""
+        now = self._clock()
         if ended == Ended.ANSWERED:
-            self._health.answered(lease.engine)
+            self._health.answered(engine)
         if ended == Ended.FAILED:
-            self._health.failed(lease.engine, self._clock())
+            self._health.failed(engine, now)
         if ended == Ended.ERRED:
-            self._health.erred(lease.engine, self._clock())
-        self._give_back(lease.engine)
+            self._health.erred(engine, now)
+        if ended == Ended.LEAVING:
+            self._health.leaving(engine, now)
+        if ended == Ended.FULL:
+            self._said_full(engine, now)
+
+    def _said_full(self, engine: str, now: float) -> None:
+        """Hold less at an engine than the places that were counted for it.
+
+        One that holds nothing else of ours is not full by what is counted here: once may be
+        the request's size, again and again speaks against the engine.
+        """
+        if self._gate.in_flight(engine, now) > 1:
+            self._gate.said_full(engine, now)
+        else:
+            self._health.erred(engine, now)
 
     def hold(self, router: int, engine: str, numbers: Collection[int]) -> None:
         """Renew leases; what another owner granted is counted here from now on."""
@@ -194,7 +215,7 @@
         if self._health.is_down(engine, now):
             return NotRun("upstream-down", f"{engine} failed several times in a row")
         if self._health.is_ailing(engine, now) and not question.insist:
-            return NotRun(AILING, f"{engine} answers many requests with failures")
+            return NotRun(AILING, f"{engine} fails or refuses many requests")
         return None
 
     def _context_engine(self, question: Question) -> str:
--- a/pondhatch/requests/_owner_grants.py
+++ b/pondhatch/requests/_owner_grants.py
@@ -13,6 +13,7 @@
     Release,
     Telling,
     Waiting,
+    ended_of,
     word_of,
 )
 from pondhatch.requests._owner import LocalOwner, MustWait
@@ -47,7 +48,7 @@
     def told(self, telling: Telling) -> None:
         """Take in what an entry router says of its requests."""
         if isinstance(telling, Release):
-            self._released(Holder(telling.router, telling.number), Ended(telling.ended))
+            self._released(Holder(telling.router, telling.number), ended_of(telling))
         elif isinstance(telling, Hold):
             self.local.hold(telling.router, telling.engine, telling.numbers)
         else:
--- a/pondhatch/requests/_questions.py
+++ b/pondhatch/requests/_questions.py
@@ -95,8 +95,12 @@
     NOTHING = 1
     #: The engine could not be reached, or lost the request or its answer.
     FAILED = 2
-    #: The engine answered with a failure of its own.
+    #: The engine answered with a failure of its own, or refused without a reason.
     ERRED = 3
+    #: The engine refused the request as it has no place.
+    FULL = 4
+    #: The engine refused the request as it is about to end.
+    LEAVING = 5
 
 
 class Grants(Protocol):
--- a/pondhatch/requests/_tries.py
+++ b/pondhatch/requests/_tries.py
@@ -9,10 +9,20 @@
 from pondhatch.placement import Granted
 from pondhatch.requests._entry_view import EntryView, Ways
 from pondhatch.requests._messages import BodySource, Opened, ReplayableBody, RequestHead
-from pondhatch.requests._outcomes import NotRun, Unknown
+from pondhatch.requests._outcomes import EngineRefusal, NotRun, Unknown
 from pondhatch.requests._questions import Busy, Elsewhere, Ended, NotOwner, OwnerReply, Question
 from pondhatch.requests._sending import GrantedAnswer, Target, leaving, takes
 
+#: What an engine's refusal tells its owner. A bad request says nothing of the engine; one
+#: that is not the one meant is out of reach at its address, like one that is gone.
+ENDED_BY_REFUSAL = {
+    EngineRefusal.FULL: Ended.FULL,
+    EngineRefusal.LEAVING: Ended.LEAVING,
+    EngineRefusal.NOT_THE_ONE: Ended.FAILED,
+    EngineRefusal.BAD_REQUEST: Ended.NOTHING,
+    EngineRefusal.UNKNOWN: Ended.ERRED,
+}
+
 #: What became of one question and, where it was granted, of the try that followed.
 Tried = Opened | Busy | Elsewhere | NotOwner | NotRun | Unknown
 
@@ -58,6 +68,7 @@
         grants, number = self._ways.grants, question.number
         source = self._context_source(target, head)
         head = msgspec.structs.replace(head, deadline=self._remaining(), context_from=source)
+        was_sent_there = question.engine in self.sent_to
         self.sent_to.add(question.engine)
         try:
             reply = await self._ways.upstreams.send(target, head, self._fresh_body())
@@ -67,12 +78,20 @@
         except BaseException:
             grants.release(number, Ended.NOTHING)
             raise
-        if reply.code == "upstream-unreachable":
+        if reply.code == "upstream-unreachable" and not was_sent_there:
             self.sent_to.discard(question.engine)
-        refused = reply.code == "upstream-refused"
-        grants.release(number, Ended.NOTHING if refused else Ended.FAILED)
+        grants.release(number, self._ended(reply))
         return reply
 
+    def _ended(self, reply: NotRun | Unknown) -> Ended:
+        """Return what a try without an answer tells of its engine."""
+        if isinstance(reply, Unknown) or reply.refusal is None:
+            return Ended.FAILED
+        if self._remaining() <= 0:
+            # Its time ran out in the engine's queue, which engines tell as they tell "full".
+            return Ended.NOTHING
+        return ENDED_BY_REFUSAL[reply.refusal]
+
     def _context_source(self, target: Target, head: RequestHead) -> str:
         """Return the address of the engine from which another is to take a context over."""
         if not (target.shares_context and head.chat and head.returning):
--- a/pondhatch/requests/_try.py
+++ b/pondhatch/requests/_try.py
@@ -11,7 +11,16 @@
 
 from automat import TypeMachineBuilder
 
-from pondhatch.requests._outcomes import CROSSED, Broken, NotRun, Outcome, Unknown, Whole
+from pondhatch.requests._outcomes import (
+    CROSSED,
+    Broken,
+    EngineRefusal,
+    NotRun,
+    Outcome,
+    Unknown,
+    Whole,
+    refused_by_engine,
+)
 
 
 class Try(Protocol):
@@ -20,8 +29,8 @@
     def sent(self) -> None:
         """The first byte of the request may have left this process."""
 
-    def refused(self) -> None:
-        """The upstream said that it did not run the request."""
+    def refused(self, refusal: EngineRefusal) -> None:
+        """The upstream said that it did not run the request, and why."""
 
     def crossed(self) -> None:
         """The answer that came belongs to another request."""
@@ -41,6 +50,8 @@
     """What a try remembers besides its state."""
 
     upstream: str
+    #: Why the upstream did not run the request, once it said so.
+    refusal: EngineRefusal = EngineRefusal.UNKNOWN
 
 
 _builder = TypeMachineBuilder(Try, TryFacts)
@@ -53,12 +64,16 @@
 
 
 _waiting.upon(Try.sent).to(_sent).returns(None)
-_sent.upon(Try.refused).to(_refused).returns(None)
 _sent.upon(Try.crossed).to(_crossed).returns(None)
 _sent.upon(Try.head).to(_answering).returns(None)
 _answering.upon(Try.ended).to(_finished).returns(None)
 
 
+@_sent.upon(Try.refused).to(_refused)
+def _refuse(_: Try, facts: TryFacts, refusal: EngineRefusal) -> None:
+    facts.refusal = refusal
+
+
 @_waiting.upon(Try.lost).loop()
 def _lost_waiting(_: Try, facts: TryFacts, reason: str) -> Outcome:
     return NotRun("upstream-unreachable", f"{facts.upstream}: {reason}")
@@ -66,7 +81,7 @@
 
 @_refused.upon(Try.lost).loop()
 def _lost_refused(_: Try, facts: TryFacts, reason: str) -> Outcome:
-    return NotRun("upstream-refused", f"{facts.upstream}: {reason}")
+    return refused_by_engine(facts.refusal, f"{facts.upstream}: {reason}")
 
 
 @_sent.upon(Try.lost).loop()
--- a/pondhatch/requests/_upstream_dialect.py
+++ b/pondhatch/requests/_upstream_dialect.py
@@ -7,18 +7,15 @@
 from typing import Protocol
 
 from pondhatch.requests._messages import Headers, RequestHead
+from pondhatch.requests._outcomes import EngineRefusal
 from pondhatch.requests._sending import Target
 
 
 class Judged(enum.Enum):
-    """What an answer's head says of the request."""
+    """What an answer's head says of the request, unless it is a refusal."""
 
     #: The upstream ran the request, and this is its answer.
     ANSWERED = enum.auto()
-    #: The upstream says that it did not run the request.
-    NOT_RUN = enum.auto()
-    #: The upstream is another one than was meant; it did not run the request.
-    NOT_THE_ONE = enum.auto()
     #: The answer belongs to another request.
     CROSSED = enum.auto()
 
@@ -29,8 +26,10 @@
     def request_headers(self, head: RequestHead, target: Target) -> Headers:
         """Return all headers of a request but those that frame its body."""
 
-    def judge(self, head: RequestHead, status: int, value_by_name: Mapping[str, str]) -> Judged:
-        """Say what an answer's head means; names are in lower case."""
+    def judge(
+        self, head: RequestHead, status: int, value_by_name: Mapping[str, str]
+    ) -> Judged | EngineRefusal:
+        """Say what an answer's head means, a refusal by its reason; names are in lower case."""
 
     def answer_headers(self, headers: Headers) -> Headers:
         """Return the headers of an answer that are the caller's business."""
--- /dev/null
+++ b/pondhatch/requests/tests/test_refusals.py
@@ -0,0 +1,194 @@
+"""What follows from an engine's refusal, by its reason: for the request, and for the engine."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from fakes._virtual_loop import run_virtually
+from pondhatch.placement import Granted, ranked
+from pondhatch.placement._gate import FULL_SECONDS
+from pondhatch.placement._health import AILING_SHARE, ERROR_WEIGHT, FAILURES
+from pondhatch.requests import (
+    Busy,
+    Ended,
+    EngineRefusal,
+    NotRun,
+    OwnerReply,
+    Release,
+    decode_grant_packet,
+    encode_grant_packet,
+)
+from pondhatch.requests._grant_packets import ended_of, release_of
+from pondhatch.requests._outcomes import AILING, BAD_REQUEST_STATUS, UNAVAILABLE_STATUS
+from pondhatch.requests.tests._history import Fleet
+from pondhatch.requests.tests.test_grants import GrantCase, question
+
+FULL = EngineRefusal.FULL
+LEAVING = EngineRefusal.LEAVING
+NOT_THE_ONE = EngineRefusal.NOT_THE_ONE
+BAD_REQUEST = EngineRefusal.BAD_REQUEST
+UNKNOWN = EngineRefusal.UNKNOWN
+#: Refusals or failures in a row from which an engine is ailing.
+ENOUGH = next(n for n in range(1, 99) if 1 - (1 - ERROR_WEIGHT) ** n >= AILING_SHARE)
+
+
+class RequestTest(unittest.TestCase):
+    """One request: where it goes after refusals, and what its caller is told."""
+
+    def test_where_a_request_goes_by_the_reasons_of_its_refusals(self) -> None:
+        rows: tuple[tuple[list[EngineRefusal], int, str, int, int], ...] = (
+            # refusals in order, most tries, outcome, sends, engines that were sent it
+            ([FULL], 2, "Whole", 2, 2),
+            # To no third engine, but once more to one that was full.
+            ([FULL, FULL], 2, "Whole", 3, 2),
+            ([FULL], 1, "Whole", 2, 1),
+            ([FULL, UNKNOWN], 2, "Whole", 3, 2),
+            # To each, and once more to one of them.
+            ([FULL, FULL, FULL], 0, "Whole", 4, 3),
+            ([LEAVING], 2, "Whole", 2, 2),
+            ([LEAVING, LEAVING], 2, LEAVING, 2, 2),
+            ([NOT_THE_ONE], 2, "Whole", 2, 2),
+            ([NOT_THE_ONE, NOT_THE_ONE], 2, NOT_THE_ONE, 2, 2),
+            ([BAD_REQUEST], 3, BAD_REQUEST, 1, 1),
+            ([UNKNOWN], 3, "Whole", 2, 2),
+            ([UNKNOWN, UNKNOWN], 3, UNKNOWN, 2, 2),
+            # Nobody is full, so that is not what the caller is told.
+            ([LEAVING, LEAVING, LEAVING], 0, LEAVING, 3, 3),
+        )
+        for refusals, most_tries, expected, sends, engines in rows:
+            with self.subTest(refusals=refusals, most_tries=most_tries):
+                fleet, told = self.told(refusals, most_tries)
+                sent_to = [engine for _, engine in fleet.history.sends]
+                found = (told, len(sent_to), len(set(sent_to)))
+                self.assertEqual(found, (expected, sends, engines))
+
+    def told(self, refusals: list[EngineRefusal], most_tries: int) -> tuple[Fleet, str]:
+        async def main() -> tuple[Fleet, str]:
+            fleet = Fleet(list(refusals), [], False)
+            fleet.most_tries = most_tries
+            await fleet.request(0, True, gives_up=False)
+            ended = fleet.history.outcome_by_request["q0"]
+            return fleet, ended.code if isinstance(ended, NotRun) else type(ended).__name__
+
+        return run_virtually(main())
+
+    def test_what_the_caller_is_told(self) -> None:
+        rows = (
+            # reason, status, whether to come back, and then sooner than where load is why
+            (LEAVING, UNAVAILABLE_STATUS, True, True),
+            (NOT_THE_ONE, UNAVAILABLE_STATUS, True, True),
+            (UNKNOWN, UNAVAILABLE_STATUS, True, False),
+            (BAD_REQUEST, BAD_REQUEST_STATUS, False, False),
+        )
+        for reason, status, comes_back, soon in rows:
+            with self.subTest(reason=reason):
+                fleet, _ = self.told([reason] * 2, 2)
+                ended = fleet.history.outcome_by_request["q0"]
+                if not isinstance(ended, NotRun):
+                    self.fail(f"not refused: {ended}")
+                self.assertEqual((ended.status, ended.retry_after > 0), (status, comes_back))
+                self.assertEqual(0 < ended.retry_after < 1, soon)
+
+
+class OwnerTest(GrantCase):
+    """What an engine's owner learns from requests that the engine refused."""
+
+    async def end_one(self, fleet: Fleet, ended: Ended) -> None:
+        """End the newest request that holds a grant."""
+        entry = fleet.routers[self.entry].entry
+        entry.release(max(entry.held_by_number), ended)
+        await asyncio.sleep(0.1)
+
+    async def ask_among_many(self, fleet: Fleet) -> OwnerReply:
+        """Ask where the ceiling, by the work elsewhere, is well above what the engine holds."""
+        asked = question(fleet, self.entry, seen_elsewhere=10, insist=True)
+        return await fleet.routers[self.entry].entry.ask(self.owner, asked)
+
+    def test_a_full_engine_gets_no_more_than_it_holds_for_a_while(self) -> None:
+        async def main() -> list[OwnerReply]:
+            fleet = Fleet([], [], False)
+            for _ in range(3):
+                await self.ask_among_many(fleet)
+            await self.end_one(fleet, Ended.FULL)
+            at_once = await self.ask_among_many(fleet)
+            await self.end_one(fleet, Ended.ANSWERED)
+            in_its_place = await self.ask_among_many(fleet)
+            await asyncio.sleep(FULL_SECONDS)
+            return [at_once, in_its_place, await self.ask_among_many(fleet)]
+
+        self.assertEqual(run_virtually(main())[:2], [Busy(2, 2), Granted(2, 2)])
+        self.assertIsInstance(run_virtually(main())[2], Granted)
+
+    def test_an_engine_that_goes_on_being_full_of_nothing_is_passed_over(self) -> None:
+        async def main() -> list[OwnerReply]:
+            fleet = Fleet([], [], False)
+            replies = []
+            for _ in range(ENOUGH + 1):
+                replies.append(await self.ask(fleet))
+                await self.end_one_if_held(fleet, Ended.FULL)
+            return replies
+
+        replies = run_virtually(main())
+        self.assertTrue(all(isinstance(each, Granted) for each in replies[:ENOUGH]), replies)
+        self.assertEqual(getattr(replies[ENOUGH], "code", ""), AILING)
+
+    async def end_one_if_held(self, fleet: Fleet, ended: Ended) -> None:
+        if fleet.routers[self.entry].entry.held_by_number:
+            await self.end_one(fleet, ended)
+
+    def test_how_many_refusals_speak_against_an_engine(self) -> None:
+        rows = (
+            # what its requests told, how often before it gets none, and what is said then
+            (Ended.LEAVING, 1, AILING),
+            (Ended.FAILED, FAILURES, "upstream-down"),
+            (Ended.ERRED, ENOUGH, AILING),
+        )
+        for ended, times, code in rows:
+            with self.subTest(ended=ended):
+                replies = self.replies(ended, times)
+                self.assertTrue(all(isinstance(each, Granted) for each in replies[:-1]), replies)
+                self.assertEqual(getattr(replies[-1], "code", ""), code)
+
+    def test_a_request_that_is_wrong_says_nothing_of_the_engine(self) -> None:
+        replies = self.replies(Ended.NOTHING, 2 * ENOUGH)
+        self.assertTrue(all(isinstance(each, Granted) for each in replies), replies)
+
+    def replies(self, ended: Ended, times: int) -> list[OwnerReply]:
+        """Return an owner's words to requests that end so, and to one after them."""
+
+        async def main() -> list[OwnerReply]:
+            fleet = Fleet([], [], False)
+            replies = []
+            for _ in range(times):
+                replies.append(await self.ask(fleet))
+                await self.end_one_if_held(fleet, ended)
+            return [*replies, await self.ask(fleet)]
+
+        return run_virtually(main())
+
+    def test_a_refusing_home_engine_is_passed_over_by_the_next_request(self) -> None:
+        async def main() -> list[str]:
+            fleet = Fleet([LEAVING], [], False)
+            fleet.same_chat = True
+            for number in range(2):
+                await fleet.request(number, True, gives_up=False)
+            return [engine for _, engine in fleet.history.sends]
+
+        home, second, *_ = ranked("7", ("e0", "e1", "e2"), 3)
+        self.assertEqual(run_virtually(main()), [home, second, second])
+
+
+class PacketTest(unittest.TestCase):
+    def test_what_a_release_tells_survives_the_way(self) -> None:
+        for ended in Ended:
+            with self.subTest(ended=ended):
+                packet = decode_grant_packet(encode_grant_packet(release_of(1, 2, ended)))
+                if not isinstance(packet, Release):
+                    self.fail(f"no release: {packet}")
+                self.assertEqual(ended_of(packet), ended)
+
+    def test_a_router_that_does_not_know_a_reason_takes_the_grant_back(self) -> None:
+        for ended in (Ended.FULL, Ended.LEAVING):
+            with self.subTest(ended=ended):
+                self.assertEqual(release_of(1, 2, ended).ended, Ended.NOTHING)
--- a/pondhatch/standard/_upstreams.py
+++ b/pondhatch/standard/_upstreams.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Mapping
 
-from pondhatch.requests import LAST_EVENT, Headers, Judged, RequestHead, Target
+from pondhatch.requests import LAST_EVENT, EngineRefusal, Headers, Judged, RequestHead, Target
 from pondhatch.transport import HOP_HEADERS
 
 #: Header that binds an answer to its request.
@@ -16,6 +16,27 @@
 REPLACED_HEADERS = HOP_HEADERS | {"host", "content-length", "expect"}
 
 
+#: What a refusal says of its reason in that header, and by its status where it says none.
+REFUSAL_BY_WORD = {
+    "full": EngineRefusal.FULL,
+    "leaving": EngineRefusal.LEAVING,
+    "not-the-one": EngineRefusal.NOT_THE_ONE,
+    "bad-request": EngineRefusal.BAD_REQUEST,
+}
+REFUSAL_BY_STATUS = {
+    400: EngineRefusal.BAD_REQUEST,
+    421: EngineRefusal.NOT_THE_ONE,
+    429: EngineRefusal.FULL,
+    503: EngineRefusal.FULL,
+}
+
+
+def _refusal(status: int, word: str) -> EngineRefusal:
+    """Return why an upstream did not run a request."""
+    by_status = REFUSAL_BY_STATUS.get(status, EngineRefusal.UNKNOWN)
+    return REFUSAL_BY_WORD.get(word.strip().lower(), by_status)
+
+
 class OpenAiUpstreams:
     """See UpstreamDialect."""
 
@@ -29,10 +50,12 @@
             (PRIORITY_HEADER, str(head.priority)),
         )
 
-    def judge(self, head: RequestHead, status: int, value_by_name: Mapping[str, str]) -> Judged:
+    def judge(
+        self, head: RequestHead, status: int, value_by_name: Mapping[str, str]
+    ) -> Judged | EngineRefusal:
         """Say what an answer's head means; plain services need not echo the id."""
         if NOT_RUN_HEADER in value_by_name:
-            return Judged.NOT_RUN
+            return _refusal(status, value_by_name[NOT_RUN_HEADER])
         answered = value_by_name.get(REQUEST_ID_HEADER.lower())
         if answered != head.request_id and (answered is not None or head.chat):
             return Judged.CROSSED
--- /dev/null
+++ b/pondhatch/standard/tests/test_upstreams.py
@@ -0,0 +1,31 @@
+from __future__ import annotations
+
+import unittest
+
+from pondhatch.requests import EngineRefusal, Judged, RequestHead
+from pondhatch.standard._upstreams import OpenAiUpstreams
+
+HEAD = RequestHead("r.1", "a", "s", 7, "POST", "/", (), True, 10.0, 5)
+
+
+class JudgeTest(unittest.TestCase):
+    def test_what_an_answers_head_says(self) -> None:
+        rows: tuple[tuple[int, dict[str, str], Judged | EngineRefusal], ...] = (
+            (200, {"x-request-id": "r.1"}, Judged.ANSWERED),
+            (503, {"x-request-id": "r.1"}, Judged.ANSWERED),
+            (200, {"x-request-id": "r.2"}, Judged.CROSSED),
+            # By the reason that is told, whatever the status.
+            (503, {"x-not-run": "full"}, EngineRefusal.FULL),
+            (503, {"x-not-run": "Leaving"}, EngineRefusal.LEAVING),
+            (503, {"x-not-run": "not-the-one"}, EngineRefusal.NOT_THE_ONE),
+            (422, {"x-not-run": "bad-request"}, EngineRefusal.BAD_REQUEST),
+            # By the status where none is told.
+            (503, {"x-not-run": "1"}, EngineRefusal.FULL),
+            (429, {"x-not-run": "1"}, EngineRefusal.FULL),
+            (421, {"x-not-run": "1"}, EngineRefusal.NOT_THE_ONE),
+            (400, {"x-not-run": "1"}, EngineRefusal.BAD_REQUEST),
+            (409, {"x-not-run": "1"}, EngineRefusal.UNKNOWN),
+        )
+        for status, headers, judged in rows:
+            with self.subTest(status=status, headers=headers):
+                self.assertIs(OpenAiUpstreams().judge(HEAD, status, headers), judged)
--- a/pondhatch/transport/_upstreams.py
+++ b/pondhatch/transport/_upstreams.py
@@ -7,6 +7,7 @@
 from pondhatch.requests import (
     BodySource,
     Broken,
+    EngineRefusal,
     Headers,
     Judged,
     Lost,
@@ -138,7 +139,7 @@
             exchange.cancel()
             raise
 
-    def _judge(self, head: RequestHead, answered: ResponseHead) -> Judged:
+    def _judge(self, head: RequestHead, answered: ResponseHead) -> Judged | EngineRefusal:
         return self._dialect.judge(head, answered.status, answered.value_by_name)
 
     def _gave_up(self, exchange: Exchange | None, tried: Try, reason: str) -> NotRun | Unknown:
@@ -159,10 +160,10 @@
             tried.crossed()
             exchange.cancel()
             return _refusal(tried, "the answer belongs to another request")
-        if judged is not Judged.ANSWERED:
-            tried.refused()
+        if isinstance(judged, EngineRefusal):
+            tried.refused(judged)
             exchange.cancel()
-            return _refusal(tried, f"answered {answered.status}, {judged.name.lower()}")
+            return _refusal(tried, f"answered {answered.status}")
         tried.head()
         headers = self._dialect.answer_headers(answered.headers)
         streams = answered.status == OK and is_event_stream(headers)
