Tell of no old loads when a broken stream goes on

Cause: the question for the rest of a stream told its engine's owner of the work that the walk had seen at other engines when the request began. That is old by then, up to the stream's length and the 8 s of its resuming, and raised the ceiling above what was running: a drawn history came to twice the ceiling (test_promises_hold, found once the histories drew engines that leave).

Change: such a question tells of no work elsewhere; the owner goes by what the fleet's loads say.

--- a/pondhatch/requests/_entry.py
+++ b/pondhatch/requests/_entry.py
@@ -265,7 +265,9 @@
             priority=self._head.priority,
             patience=round(max(0.0, patience) * MILLISECONDS),
             weight=round(self._head.weight * THOUSANDTHS),
-            seen_elsewhere=self.plan.seen_elsewhere(engine),
+            # What the walk saw is old by the time a stream breaks, and would raise the ceiling
+            # of its engine above what is running then.
+            seen_elsewhere=0 if resuming else self.plan.seen_elsewhere(engine),
             returning=self._head.returning,
             home=at_home,
             runner_up=self.plan.runner_up if young_home else None,
--- a/pondhatch/requests/tests/test_histories.py
+++ b/pondhatch/requests/tests/test_histories.py
@@ -5,12 +5,13 @@
 import asyncio
 import os
 import unittest
+from unittest.mock import patch
 
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
 from fakes._virtual_loop import run_virtually
-from pondhatch.requests import EngineRefusal
+from pondhatch.requests import EngineRefusal, OwnerReply, Question
 from pondhatch.requests._leases import LEASE_SECONDS
 from pondhatch.requests.tests._history import (
     OWN_REFUSALS,
@@ -173,6 +174,28 @@
 
         self.assertEqual(run_virtually(history()), "Whole")
 
+    def test_a_stream_that_goes_on_tells_of_no_load_that_its_walk_saw(self) -> None:
+        async def main() -> list[tuple[bool, int]]:
+            fleet = Fleet(["slow", "cut"], [], resumes=True)
+            fleet.same_chat = True
+            entry = fleet.routers["r1"].entry
+            asked: list[tuple[bool, int]] = []
+            ask = entry.ask
+
+            async def noted(owner: str, question: Question) -> OwnerReply:
+                asked.append((question.resuming, question.seen_elsewhere))
+                return await ask(owner, question)
+
+            with patch.object(entry, "ask", noted):
+                first = asyncio.ensure_future(fleet.request(0, True, gives_up=False))
+                await asyncio.sleep(0.1)
+                await fleet.request(1, True, gives_up=False)
+            await first
+            return asked
+
+        # The first asked is full, so the next is told of the work there; the stream breaks there.
+        self.assertEqual(run_virtually(main()), [(False, 0), (False, 1), (True, 0)])
+
     def test_a_stream_is_resumed_three_times_at_most(self) -> None:
         self.assertEqual(self.outcome(["cut"] * 3, True, resumes=True)[0], "Whole")
         self.assertEqual(self.outcome(["cut"] * 4, True, resumes=True)[0], "Broken")
