--- a/pondhatch/placement/tests/test_plan.py
+++ b/pondhatch/placement/tests/test_plan.py
@@ -46,6 +46,10 @@
         self.assertEqual(plan.next(), Ask(least, insist=True, last=True))
         self.assertEqual(plan.seen_elsewhere(least), 7)
         plan.full(2, 2)
+        # While it waited there, a place may have come free at the others.
+        for looked_at in (plan.order[2], plan.order[0]):
+            self.assertEqual(plan.next(), Ask(looked_at, insist=True))
+            plan.full(4, 4)
         self.assertIsInstance(plan.next(), Exhausted)
 
     def test_an_ailing_engine_is_asked_where_no_other_takes_the_request(self) -> None:
@@ -57,6 +61,20 @@
         plan.full(4, 4)
         self.assertEqual(plan.next(), Ask(plan.order[0], insist=True, last=True))
         plan.refused("failed")
+        self.assertEqual(plan.next(), Ask(plan.order[1], insist=True))
+        plan.full(4, 4)
+        self.assertIsInstance(plan.next(), Exhausted)
+
+    def test_each_ailing_engine_that_was_passed_over_is_asked_in_the_end(self) -> None:
+        plan = Plan("chat", ENGINES[:2])
+        for _ in range(2):
+            plan.next()
+            plan.ailing()
+            plan.refused("ailing")
+        self.assertEqual(plan.next(), Ask(plan.order[0], insist=True, last=True))
+        plan.refused("draining")
+        self.assertEqual(plan.next(), Ask(plan.order[1], insist=True))
+        plan.refused("draining")
         self.assertIsInstance(plan.next(), Exhausted)
 
     def test_where_many_are_ailing_the_next_is_asked_all_the_same(self) -> None:
@@ -105,3 +123,36 @@
         memory.forget(1)
         memory.forget(1)
         self.assertIsNone(memory.engine_of(1))
+
+    def test_a_request_that_went_as_far_as_it_may_keeps_to_engines_that_were_full(self) -> None:
+        plan = Plan("chat", ENGINES)
+        for held in (4, 3):
+            plan.next()
+            plan.said_full(held, "full")
+        self.assertTrue(plan.keep_to({plan.order[0], plan.order[1]}))
+        self.assertEqual(plan.next(), Ask(plan.order[1], insist=True, last=True))
+        plan.said_full(3, "full")
+        self.assertTrue(plan.keep_to({plan.order[0], plan.order[1]}))
+        self.assertEqual(plan.next(), Ask(plan.order[0], insist=True))
+        plan.said_full(4, "full")
+        self.assertFalse(plan.keep_to({plan.order[0], plan.order[1]}))
+        self.assertIsInstance(plan.next(), Exhausted)
+
+    def test_without_a_full_engine_there_is_none_to_keep_to(self) -> None:
+        plan = Plan("chat", ENGINES)
+        plan.next()
+        plan.refused("draining")
+        self.assertFalse(plan.keep_to(()))
+        self.assertIsInstance(plan.next(), Exhausted)
+
+    def test_a_list_that_was_behind_is_looked_at_again(self) -> None:
+        plan = Plan("chat", ENGINES[:3])
+        plan.next()
+        plan.refused("not the one")
+        gone = plan.order[1]
+        plan.renew((*(name for name in ENGINES[:3] if name != gone), "engine-new"))
+        asked = []
+        while isinstance(step := plan.next(), Ask):
+            asked.append(step.engine)
+            plan.refused("draining")
+        self.assertEqual(asked, [plan.order[2], "engine-new"])
--- a/pondhatch/requests/_entry_grants.py
+++ b/pondhatch/requests/_entry_grants.py
@@ -11,10 +11,10 @@
     GrantedWord,
     GrantPacket,
     Hold,
-    Release,
     Spilled,
     Waiting,
     Word,
+    release_of,
     reply_of,
 )
 from pondhatch.requests._outcomes import NotRun
@@ -153,7 +153,7 @@
         A question may come after its own release, which the owner then knew nothing of.
         """
         if isinstance(word, GrantedWord | Waiting) and word.number not in self.held_by_number:
-            source(Release(self.router, word.number, Ended.NOTHING))
+            source(release_of(self.router, word.number, Ended.NOTHING))
 
     async def _ask_peer(self, owner: str, question: Question) -> OwnerReply:
         asked = _Asked(asyncio.get_running_loop().create_future())
@@ -189,7 +189,7 @@
         if owner == self.name:
             self.local.release(Holder(self.router, number), ended)
         else:
-            self.send(owner, Release(self.router, number, ended))
+            self.send(owner, release_of(self.router, number, ended))
 
     def _hold_at(self, owner: str, engine: str, numbers: tuple[int, ...]) -> None:
         if owner == self.name:
