Name two refusals by what they say

Cause: a function named like the class of misfits made a refusal, and one named unknown sometimes said so and sometimes not. Change: names. Types and the tests of routed callers pass.

--- a/pondhatch/router/__init__.py
+++ b/pondhatch/router/__init__.py
@@ -10,9 +10,9 @@
     bearer_key,
     identify,
     identify_key,
-    misfit,
+    if_all_known,
+    not_in_force,
     service_of_path,
-    unknown,
 )
 from pondhatch.router._authority import Authority
 from pondhatch.router._beliefs import Beliefs
@@ -27,8 +27,8 @@
 __all__ = [
     "ANYBODY",
     "NO_ROUTE",
-    "misfit",
-    "unknown",
+    "not_in_force",
+    "if_all_known",
     "UPSTREAM_KIND",
     "admit_routed",
     "agreed_key",
--- a/pondhatch/router/_admission.py
+++ b/pondhatch/router/_admission.py
@@ -77,20 +77,20 @@
         return NotRun("no-key", "expected 'Authorization: Bearer KEY'", 0.0, UNAUTHORIZED)
     account = state.fleet.account_of(hashlib.sha256(key.encode("latin-1")).hexdigest())
     if account is None:
-        return unknown(state, "account", UNKNOWN_KEY)
+        return if_all_known(state, "account", UNKNOWN_KEY)
     return Account(account)
 
 
-def unknown(state: RouterState, kind: str, definite: NotRun) -> NotRun:
+def if_all_known(state: RouterState, kind: str, definite: NotRun) -> NotRun:
     """Return the refusal of what a caller names and this router does not find.
 
     A definite one, on which callers give up, only where the configuration in force has every
     entry of the kind: else the operator may well have written it.
     """
-    return definite if state.knows_all(kind) else misfit(kind)
+    return definite if state.knows_all(kind) else not_in_force(kind)
 
 
-def misfit(kind: str) -> NotRun:
+def not_in_force(kind: str) -> NotRun:
     """Return the refusal of what may need an entry that is not in force here."""
     reason = f"not every {kind} of the configuration is in force here"
     return NotRun("configuration-misfit", reason, MISFIT_RETRY_AFTER)
@@ -125,7 +125,7 @@
         return NotRun("stopping", "this router is stopping; ask again", 0.0)
     spec = state.fleet.service_by_name.get(service) if service is not None else None
     if service is None or spec is None:
-        return unknown(state, "service", NO_SERVICE)
+        return if_all_known(state, "service", NO_SERVICE)
     policy = _counted_in(state, account, service)
     if isinstance(policy, NotRun):
         return policy
--- a/pondhatch/transport/_routed_callers.py
+++ b/pondhatch/transport/_routed_callers.py
@@ -28,9 +28,9 @@
     RouterState,
     admit_routed,
     identify_key,
-    misfit,
+    if_all_known,
+    not_in_force,
     not_ready,
-    unknown,
 )
 from pondhatch.transport._answers import fail
 from pondhatch.transport._caller_channel import CallerRequest, drain, read_whole
@@ -150,7 +150,7 @@
         body = await read_whole(request.body(), most)
         if body is None:
             wrong = NotRun("body-too-large", f"expected at most {most} bytes", 0.0, TOO_LARGE)
-            return unknown(self._state, "bounds", wrong)
+            return if_all_known(self._state, "bounds", wrong)
         # The configuration may have changed while the body came.
         wanted = self._wanted(request, facts)
         if isinstance(wanted, NotRun):
@@ -176,9 +176,9 @@
         path = request.uri.decode("latin-1")
         route = self._state.fleet.routes.find(host, path)
         if isinstance(route, Withheld):
-            return misfit("route")
+            return not_in_force("route")
         if route is None:
-            return unknown(self._state, "route", NO_ROUTE)
+            return if_all_known(self._state, "route", NO_ROUTE)
         # A route for all paths of a host is no leave to have engines move or free memory.
         forbidden = self._dialect.asks_for_routers_call(path, route.spec.path_prefix)
         if forbidden and self._leads_to_engines(route):
