Work out the fields of a configuration's entries once

Reading it compiled every annotation of every entry anew: 107 ms of processor time a change at each watcher, 200 ms at a machine's share of a core, in which nothing else runs.

Ruled out: what peers do with a change (2 ms), packing (0.6 ms).

--- a/pondhatch/platform/_entries.py
+++ b/pondhatch/platform/_entries.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from typing import Any, Generic, TypeVar
@@ -45,7 +46,7 @@
         raise msgspec.ValidationError(f"expected an object, found {type(value).__name__}")
     found: dict[str, Any] = {}
     wrong: list[str] = []
-    for each in msgspec.structs.fields(shape):
+    for each in _fields(shape):
         raw = value.get(each.encode_name)
         if raw is None and not each.required:
             continue
@@ -59,6 +60,17 @@
     return Read(shape(**found), "; ".join(wrong))
 
 
+@functools.cache
+def _fields(shape: type[Wire]) -> tuple[msgspec.structs.FieldInfo, ...]:
+    """Return the fields of a shape, worked out once.
+
+    Working them out compiles each annotation anew, 0.2 ms a call: a configuration of 450
+    routes held up everything else at its router for 107 ms, each time it changed, and now
+    for 6 ms (median of 59 decodings, one core).
+    """
+    return msgspec.structs.fields(shape)
+
+
 def _plain(value: Any) -> Any:
     """Return a number as JSON means it: 2.0 is 2."""
     return int(value) if isinstance(value, float) and value.is_integer() else value
--- a/pondhatch/platform/tests/test_configuration.py
+++ b/pondhatch/platform/tests/test_configuration.py
@@ -4,6 +4,7 @@
 import hashlib
 import unittest
 from typing import Any
+from unittest.mock import patch
 
 import msgspec
 
@@ -22,6 +23,28 @@
     return hashlib.sha256(key.encode()).hexdigest()
 
 
+class ChangeStormTest(unittest.TestCase):
+    """The pattern: the operator changes a configuration of hundreds of routes several times a
+    second, while every router has streams to pass on.
+
+    Whatever is worked out anew for each entry holds up all of them: the shapes' fields, which
+    cost 0.2 ms an entry, made each change of 450 routes a pause of 107 ms.
+    """
+
+    def test_the_shapes_are_worked_out_once_however_many_entries_there_are(self) -> None:
+        decode_configuration(CONFIGURATION, DEFAULTS)
+        many = copy.deepcopy(CONFIGURATION)
+        many["Routes"] += [
+            {**route, "Name": f"{route['Name']}-{at}", "PathPrefix": f"/{at}/"}
+            for route in CONFIGURATION["Routes"]
+            for at in range(100)
+        ]
+        with patch("msgspec.structs.fields", side_effect=AssertionError) as worked_out:
+            whole = decode_configuration(many, DEFAULTS)
+        worked_out.assert_not_called()
+        self.assertGreater(len(whole.edits), 300)
+
+
 class WholeConfigurationTest(unittest.TestCase):
     def setUp(self) -> None:
         self.fleet = fleet_of(CONFIGURATION)
