Wait for an owner as long as its own answers warrant; let the next router decide

Cause: an owner that is dead, frozen, cut off or slow cost each request 0.4 s, again and again: routers that had not noticed sent askers back to it, and each router found out for itself after each pause.

Change: a pure decision (requests/_owner_waits.py) takes the times of an owner's answers and what the request can bear, and gives the pauses; no word in them, and the router that would own the engine without it decides and counts for all. A late word has the owner used again at once, unless it is too slow to be asked.

Ruled out: fixed shorter pauses, which a slow owner or a far region turns into silence.

--- a/bench/_decisions.py
+++ b/bench/_decisions.py
@@ -93,7 +93,7 @@
         self._number += 1
         return self._number
 
-    async def ask(self, owner: str, question: Question) -> OwnerReply:
+    async def ask(self, owner: str, question: Question, bearable: float) -> OwnerReply:
         target = self._state.target(question.engine)
         if target is None:
             return NotOwner()
--- a/bench/_surge.py
+++ b/bench/_surge.py
@@ -95,6 +95,12 @@
     def target(self, engine: str) -> Target | None:
         return Target(engine, "", True, BOUND, len(ENGINES), SLOTS)
 
+    def note_served(self, chat: int, engine: str) -> None:
+        """Remember nothing."""
+
+    def last_served(self, chat: int) -> str | None:
+        return None
+
     def former_home(self, service: str, chat: str) -> str | None:
         return None
 
@@ -111,6 +117,9 @@
     def stopping(self) -> bool:
         return False
 
+    def is_reachable(self, name: str) -> bool:
+        return True
+
     def unreachable(self, name: str) -> None:
         """Do nothing."""
 
--- a/pondhatch/membership/_gossip.py
+++ b/pondhatch/membership/_gossip.py
@@ -105,6 +105,10 @@
         """Note a failed call: the router gets no work for a while."""
         self.membership.unreachable(name, now)
 
+    def heard_from(self, name: str) -> None:
+        """Note a word of a router itself: it can be reached again."""
+        self.membership.heard_from(name)
+
     def members(self, now: float) -> tuple[Member, ...]:
         """Return this router and all others that are there and can be reached, by name."""
         return self.membership.members(now)
--- a/pondhatch/membership/_swim.py
+++ b/pondhatch/membership/_swim.py
@@ -110,6 +110,10 @@
         self._view.unreachable(router, now + self.limits.unreachable)
         self._detector.put_first(router)
 
+    def heard_from(self, name: str) -> None:
+        """Note a direct word from a router: it is passed over no longer."""
+        self._view.reached(short_id(name))
+
     # -- time and packets ----------------------------------------------------
 
     def tick(self, now: float) -> list[Datagram]:
--- a/pondhatch/requests/_entry.py
+++ b/pondhatch/requests/_entry.py
@@ -104,7 +104,7 @@
         self._body = body
         self._remaining = remaining
         self._most_patience = patience
-        self._tries = Tries(view, ways, body, self._chat, remaining)
+        self._tries = Tries(view, ways, body, self._chat, remaining, patience.last)
         self._asks = 0
         #: Engines' refusals of this request so far, the newest last.
         self._refusals: list[NotRun] = []
--- a/pondhatch/requests/_entry_grants.py
+++ b/pondhatch/requests/_entry_grants.py
@@ -19,14 +19,11 @@
 )
 from pondhatch.requests._outcomes import NotRun
 from pondhatch.requests._owner import LocalOwner
+from pondhatch.requests._owner_waits import OwnerWaits
 from pondhatch.requests._questions import Ended, Holder, OwnerReply, Question
 
-#: Seconds to wait for an owner's word before asking again, try by try. An owner that
-#: gives none in their sum is out of reach: a first token is due within half a second, and
-#: the first pause is longer than the way to another region and back.
-PAUSES = (0.1, 0.1, 0.2)
-#: The same for an owner that said that the question waits: it is asked now and then,
-#: in case its word was lost or it was.
+#: Seconds to wait for an owner that said that the question waits, try by try: it is asked
+#: now and then, in case its word was lost or it was.
 WAITING_PAUSES = (0.5, 0.3, 0.3)
 #: Seconds between two tellings of what is held; two fit into a lease, so one may be lost.
 RENEW_SECONDS = 12.0
@@ -37,11 +34,20 @@
 Send = Callable[[str, GrantPacket], None]
 
 
+def _ignore(_: str) -> None:
+    return None
+
+
 @dataclass
 class _Asked:
     """A question that waits for its owner's word."""
 
+    owner: str
     reply: asyncio.Future[OwnerReply]
+    #: When it was first sent, in the loop's seconds.
+    sent_at: float
+    #: How often it was sent.
+    sends: int = 0
     #: Whether the owner said that it waits, since the question was last sent.
     waiting: bool = False
 
@@ -67,6 +73,9 @@
     #: Number of the last question; to begin at a place of each process's own, so that
     #: none repeats one that an earlier process of this name used a short while ago.
     number: int
+    #: Takes in the name of a router that was passed over, and is heard from again.
+    on_heard: Callable[[str], None] = _ignore
+    waits: OwnerWaits = field(default_factory=OwnerWaits)
     held_by_number: dict[int, Held] = field(default_factory=dict)
     _asked_by_number: dict[int, _Asked] = field(default_factory=dict)
     _renewed_at: float = float("-inf")
@@ -76,12 +85,12 @@
         self.number = (self.number + 1) % NUMBERS
         return self.number
 
-    async def ask(self, owner: str, question: Question) -> OwnerReply:
+    async def ask(self, owner: str, question: Question, bearable: float) -> OwnerReply:
         """Ask an owner; see Grants."""
         if owner == self.name:
             reply = await self.local.ask(question)
         else:
-            reply = await self._ask_peer(owner, question)
+            reply = await self._ask_peer(owner, question, bearable)
         if isinstance(reply, Granted):
             self.held_by_number[question.number] = Held(question.engine, owner)
         return reply
@@ -112,7 +121,9 @@
         reply = reply_of(word)
         if asked is None:
             self._came_late(word, source)
-        elif reply is None:
+            return
+        self._note_time(asked)
+        if reply is None:
             asked.waiting = True
         elif not asked.reply.done():
             asked.reply.set_result(reply)
@@ -138,6 +149,7 @@
 
     def tick(self, now: float) -> None:
         """Renew the leases of what is held, when it is time."""
+        self.waits.forget_old(now)
         if now - self._renewed_at < RENEW_SECONDS:
             return
         self._renewed_at = now
@@ -152,32 +164,50 @@
 
         A question may come after its own release, which the owner then knew nothing of.
         """
-        if isinstance(word, GrantedWord | Waiting) and word.number not in self.held_by_number:
+        now = asyncio.get_running_loop().time()
+        owner = self.waits.came_late(word.number, now)
+        if owner is not None and not self.waits.is_too_slow(owner, now):
+            self.on_heard(owner)
+        # Granted by another owner since, it holds nothing at this one.
+        is_held_here = word.number in self.held_by_number and owner is None
+        if isinstance(word, GrantedWord | Waiting) and not is_held_here:
             source(release_of(self.router, word.number, Ended.NOTHING))
 
-    async def _ask_peer(self, owner: str, question: Question) -> OwnerReply:
-        asked = _Asked(asyncio.get_running_loop().create_future())
+    def _note_time(self, asked: _Asked) -> None:
+        """Note how long an owner took, where it is clear which send it answers."""
+        if asked.sends == 1 and not asked.waiting and not asked.reply.done():
+            now = asyncio.get_running_loop().time()
+            self.waits.answered(asked.owner, now - asked.sent_at, now)
+
+    async def _ask_peer(self, owner: str, question: Question, bearable: float) -> OwnerReply:
+        loop = asyncio.get_running_loop()
+        pauses = self.waits.pauses(owner, bearable, loop.time())
+        if not pauses:
+            return NotRun("router-unreachable", f"router {owner} takes too long for a word")
+        asked = _Asked(owner, loop.create_future(), loop.time())
         self._asked_by_number[question.number] = asked
         reply: OwnerReply | None = None
         try:
-            reply = await self._await_reply(owner, question, asked)
+            reply = await self._await_reply(question, asked, pauses)
         finally:
             del self._asked_by_number[question.number]
             if reply is None:
                 # A grant may be under way, or the question may wait in the engine's line.
+                self.waits.gave_up(question.number, owner, asked.sent_at)
                 self._release_at(owner, question.number, Ended.NOTHING)
         if reply is None:
             return NotRun("router-unreachable", f"router {owner} gave no word")
         return reply
 
     async def _await_reply(
-        self, owner: str, question: Question, asked: _Asked
+        self, question: Question, asked: _Asked, first_pauses: tuple[float, ...]
     ) -> OwnerReply | None:
         """Return the owner's reply, or None where it gives no word."""
-        pauses = iter(PAUSES)
+        pauses = iter(first_pauses)
         while (pause := next(pauses, None)) is not None:
             asked.waiting = False
-            self.send(owner, question)
+            asked.sends += 1
+            self.send(asked.owner, question)
             await asyncio.wait([asked.reply], timeout=pause)
             if asked.reply.done():
                 return asked.reply.result()
--- a/pondhatch/requests/_entry_view.py
+++ b/pondhatch/requests/_entry_view.py
@@ -18,6 +18,9 @@
     def unreachable(self, name: str) -> None:
         """Note that a router could not be reached."""
 
+    def is_reachable(self, name: str) -> bool:
+        """Return whether a router counts as there for this one."""
+
     def live_upstreams(self, service: str) -> tuple[str, ...]:
         """Return the service's upstreams that take work."""
 
--- a/pondhatch/requests/_owner.py
+++ b/pondhatch/requests/_owner.py
@@ -205,7 +205,7 @@
     def _declined(self, question: Question) -> OwnerReply | None:
         """Return why a request may not run at an engine that takes work, whatever its load."""
         owner = self._view.owner_name(question.engine)
-        if owner != self._name:
+        if owner != self._name and not question.instead_of_owner:
             return NotOwner(owner)
         believed = self._context_engine(question)
         if believed != question.engine:
--- /dev/null
+++ b/pondhatch/requests/_owner_waits.py
@@ -0,0 +1,130 @@
+"""How long an entry router waits for the word of an engine's owner, without I/O.
+
+Owners answer in some milliseconds, so one that does not has most likely stopped, frozen,
+been cut off or fallen far behind. A request waits for it no longer than the spread of its
+own answers warrants and than its caller can bear; the router that would own the engine
+without it decides then.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+#: Parts of a whole wait: after the first two the question is sent again, after the last it
+#: is given up. Three sends, so that two lost packets of a link that loses one in forty do
+#: not count as silence.
+PARTS = (0.25, 0.25, 0.5)
+#: Seconds of a whole wait for an owner whose answers are not known: the first pause is
+#: longer than the way to another region and back.
+FIRST_WAIT = 0.4
+#: Seconds of a whole wait, at least: a first pause of 10 ms is three round trips between
+#: halls of one region (2.8 ms), and covers a turn of the owner's loop.
+SHORTEST_WAIT = 0.04
+#: Spreads beyond the mean within which nearly all answers come, as for TCP's
+#: retransmissions (RFC 6298).
+SPREADS = 4.0
+#: Weight of the newest answer in the mean and the spread: some four answers tell that an
+#: owner has become slow, a second's worth at ten questions a second to each owner.
+NEWEST = 0.25
+#: Seconds after which the times of an owner's answers say nothing about the present.
+KNOWN_FOR = 2.0
+#: Mean seconds from which an owner is too slow to own anything: a quarter of the longest
+#: wait, so that it would be asked twice for each word.
+TOO_SLOW = FIRST_WAIT * PARTS[0]
+#: Seconds for which a question that was given up is remembered: what comes later than that
+#: tells nothing.
+REMEMBERED = 5.0
+
+
+@dataclass(frozen=True)
+class AnswerTimes:
+    """How long one owner took for its latest words, in seconds."""
+
+    mean: float
+    spread: float
+    #: When the last word came, in the clock's seconds.
+    at: float
+
+    def after(self, seconds: float, now: float) -> AnswerTimes:
+        """Return the times with one more word."""
+        off = abs(seconds - self.mean)
+        return AnswerTimes(
+            self.mean + NEWEST * (seconds - self.mean),
+            self.spread + NEWEST * (off - self.spread),
+            now,
+        )
+
+
+def pauses(times: AnswerTimes | None, bearable: float) -> tuple[float, ...]:
+    """Return the seconds to wait after each send of a question; none where asking is in vain.
+
+    ``times`` are None where nothing is known of the owner; ``bearable`` is for how long the
+    request can wait at all.
+    """
+    most = min(FIRST_WAIT, max(SHORTEST_WAIT, bearable))
+    if times is None:
+        return tuple(part * most for part in PARTS)
+    if times.mean > most:
+        return ()
+    usual = (times.mean + SPREADS * times.spread) / PARTS[0]
+    whole = min(most, max(SHORTEST_WAIT, usual))
+    return tuple(part * whole for part in PARTS)
+
+
+@dataclass(frozen=True)
+class GivenUp:
+    """A question whose owner gave no word in time."""
+
+    owner: str
+    sent_at: float
+
+
+@dataclass
+class OwnerWaits:
+    """What one entry router knows of how fast owners answer it."""
+
+    _times_by_owner: dict[str, AnswerTimes] = field(default_factory=dict)
+    _given_up_by_number: dict[int, GivenUp] = field(default_factory=dict)
+
+    def pauses(self, owner: str, bearable: float, now: float) -> tuple[float, ...]:
+        """Return how long to wait for an owner; see ``pauses``."""
+        return pauses(self._known(owner, now), bearable)
+
+    def answered(self, owner: str, seconds: float, now: float) -> None:
+        """Note how long an owner took for a word."""
+        known = self._known(owner, now)
+        # The first word's spread is half of it, as for TCP.
+        first = AnswerTimes(seconds, seconds / 2, now)
+        self._times_by_owner[owner] = first if known is None else known.after(seconds, now)
+
+    def gave_up(self, number: int, owner: str, sent_at: float) -> None:
+        """Note that a question got no word in time."""
+        self._given_up_by_number[number] = GivenUp(owner, sent_at)
+
+    def came_late(self, number: int, now: float) -> str | None:
+        """Note a word that came too late; return whose it is, None where nobody waited for it."""
+        given_up = self._given_up_by_number.pop(number, None)
+        if given_up is None:
+            return None
+        self.answered(given_up.owner, now - given_up.sent_at, now)
+        return given_up.owner
+
+    def is_too_slow(self, owner: str, now: float) -> bool:
+        """Return whether an owner answers, but too slowly to be asked."""
+        times = self._known(owner, now)
+        return times is not None and times.mean > TOO_SLOW
+
+    def forget_old(self, now: float) -> None:
+        """Drop what tells nothing any more."""
+        old = [n for n, each in self._given_up_by_number.items() if now - each.sent_at > REMEMBERED]
+        _drop(self._given_up_by_number, old)
+
+    def _known(self, owner: str, now: float) -> AnswerTimes | None:
+        times = self._times_by_owner.get(owner)
+        return times if times is not None and now - times.at <= KNOWN_FOR else None
+
+
+def _drop(given_up_by_number: dict[int, GivenUp], numbers: Iterable[int]) -> None:
+    for number in numbers:
+        del given_up_by_number[number]
--- a/pondhatch/requests/_questions.py
+++ b/pondhatch/requests/_questions.py
@@ -44,6 +44,9 @@
     insist: bool = False
     #: Whether a broken stream is to go on: no new work, welcome at a leaving engine too.
     resuming: bool = False
+    #: Whether the one asked is to decide although it does not own the engine: its owner gives
+    #: no word.
+    instead_of_owner: bool = False
 
     @property
     def holder(self) -> Holder:
@@ -109,8 +112,11 @@
     #: Short id of this router.
     router: int
 
-    async def ask(self, owner: str, question: Question) -> OwnerReply:
-        """Ask an owner; a grant is held until it is released."""
+    async def ask(self, owner: str, question: Question, bearable: float) -> OwnerReply:
+        """Ask an owner; a grant is held until it is released.
+
+        ``bearable`` is for how many seconds the request can wait for an owner's word.
+        """
 
     def ask_nobody(self, question: Question) -> OwnerReply:
         """Decide by what this router knows, where an engine's owner cannot be asked."""
--- a/pondhatch/requests/_tries.py
+++ b/pondhatch/requests/_tries.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-import msgspec
+from msgspec.structs import replace
 
 from pondhatch.placement import Granted
 from pondhatch.requests._entry_view import EntryView, Ways
@@ -37,6 +37,7 @@
         body: BodySource,
         chat: str,
         remaining: Callable[[], float],
+        bearable: float,
     ) -> None:
         self._view = view
         self._ways = ways
@@ -44,6 +45,8 @@
         #: By which engines are ranked for the request.
         self._chat = chat
         self._remaining = remaining
+        #: Seconds that the request can wait for one owner's word.
+        self._bearable = bearable
         #: Engine at which the context lies, as its home engine's owner said.
         self.context_at: str | None = None
         #: What was granted last: the load and the ceiling at its engine.
@@ -67,7 +70,7 @@
         """Send a granted request; its grant is given back when it ends in whatever way."""
         grants, number = self._ways.grants, question.number
         source = self._context_source(target, head)
-        head = msgspec.structs.replace(head, deadline=self._remaining(), context_from=source)
+        head = replace(head, deadline=self._remaining(), context_from=source)
         was_sent_there = question.engine in self.sent_to
         self.sent_to.add(question.engine)
         try:
@@ -103,22 +106,33 @@
         return known.url.removeprefix("http://") if known is not None else ""
 
     async def _grant(self, question: Question) -> OwnerReply:
-        """Ask the owner, and whom it names instead of itself."""
+        """Ask the owner, and whom it names instead of itself; without it, another decides."""
         name = self._view.owner_name(question.engine)
         reply = await self._ask_owner(name, question)
         if isinstance(reply, NotOwner) and reply.owner not in (None, name):
-            reply = await self._ask_owner(reply.owner, question)
-        unreachable = isinstance(reply, NotRun) and reply.code == "router-unreachable"
-        if unreachable or isinstance(reply, NotOwner):
+            if self._view.is_reachable(reply.owner):
+                reply = await self._ask_owner(reply.owner, question)
+            else:
+                # The one asked has not noticed yet; what it counts, it counts for all.
+                reply = await self._ask_instead(name, question)
+        elif _is_silent(reply):
+            following = self._view.owner_name(question.engine)
+            if following != name:
+                reply = await self._ask_instead(following, question)
+        if _is_silent(reply) or isinstance(reply, NotOwner):
             # The engine is not at fault, and may hold the context.
             return self._ways.grants.ask_nobody(question)
         return reply
 
+    async def _ask_instead(self, name: str | None, question: Question) -> OwnerReply:
+        """Ask the router that owns an engine while its owner is out of reach."""
+        return await self._ask_owner(name, replace(question, instead_of_owner=True))
+
     async def _ask_owner(self, name: str | None, question: Question) -> OwnerReply:
         if name is None:
             return NotOwner()
-        reply = await self._ways.grants.ask(name, question)
-        if isinstance(reply, NotRun) and reply.code == "router-unreachable":
+        reply = await self._ways.grants.ask(name, question, self._bearable)
+        if _is_silent(reply):
             self._view.unreachable(name)
         return reply
 
@@ -126,3 +140,8 @@
         if isinstance(self._body, ReplayableBody):
             return self._body.again()
         return self._body
+
+
+def _is_silent(reply: OwnerReply) -> bool:
+    """Return whether an owner gave no word in time."""
+    return isinstance(reply, NotRun) and reply.code == "router-unreachable"
--- a/pondhatch/requests/tests/_history.py
+++ b/pondhatch/requests/tests/_history.py
@@ -322,6 +322,12 @@
         takes_work = engine not in self._fleet.known_leaving
         return Target(engine, "", takes_work, BOUND, len(self._fleet.engines), 8)
 
+    def note_served(self, chat: int, engine: str) -> None:
+        """Remember nothing."""
+
+    def last_served(self, chat: int) -> str | None:
+        return None
+
     def former_home(self, service: str, chat: str) -> str | None:
         return None
 
@@ -339,6 +345,9 @@
     def stopping(self) -> bool:
         return False
 
+    def is_reachable(self, name: str) -> bool:
+        return name in self._fleet.live
+
     def unreachable(self, name: str) -> None:
         """Do nothing: the walk goes on."""
 
--- a/pondhatch/router/_granting.py
+++ b/pondhatch/router/_granting.py
@@ -40,7 +40,9 @@
         )
         first = started_ns // NANOSECONDS_A_NUMBER % NUMBERS
         router = short_id(state.name)
-        self.entry = EntryGrants(state.name, router, self.owner, self._send_to, first)
+        self.entry = EntryGrants(
+            state.name, router, self.owner, self._send_to, first, state.heard_from
+        )
         self._sides = GrantSides(self.entry, OwnerGrants(self.owner, tasks))
         self._state = state
         self._send = send
--- a/pondhatch/router/_state.py
+++ b/pondhatch/router/_state.py
@@ -129,6 +129,15 @@
         self.gossip.unreachable(name, self.clock())
         self.refresh()
 
+    def is_reachable(self, name: str) -> bool:
+        """Return whether a router counts as there for this one."""
+        return name in self._member_by_name
+
+    def heard_from(self, name: str) -> None:
+        """Note a word of a router that could not be reached for a while."""
+        self.gossip.heard_from(name)
+        self.refresh()
+
     def is_watcher(self) -> bool:
         """Return whether this router watches the platform for its hall."""
         return self.name in watchers(self.hall, self._members)
