Read only those entries of a configuration that changed

Cause: an operator's change touches an entry or two, and all of hundreds were read again: 8 ms at 450 routes, five times that at a router that is slowed, up to 17 times a second.

--- a/pondhatch/platform/__init__.py
+++ b/pondhatch/platform/__init__.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import functools
 from collections.abc import Coroutine
 from typing import Any, ClassVar
 
@@ -10,7 +9,7 @@
 from pondhatch.kernel import REGISTRY, Plugin
 from pondhatch.platform import _names as names
 from pondhatch.platform._callers import ClientDialect
-from pondhatch.platform._configuration import decode_configuration
+from pondhatch.platform._configuration import ConfigurationReader
 from pondhatch.platform._engines import EngineDialect, NoOrders, decode_engine
 from pondhatch.platform._store import PlatformStore
 from pondhatch.router import UPSTREAM_KIND, RouterState
@@ -45,9 +44,9 @@
 
     def configuration(self, store: Platform) -> ConfigurationSource:
         """Return where the operator's configuration is read."""
-        decode = functools.partial(decode_configuration, defaults=self.view(ServiceDefaults))
+        reader = ConfigurationReader(self.view(ServiceDefaults))
         return ConfigurationDocument(
-            store, names.CONFIGURATION_KIND, names.CONFIGURATION_NAME, decode
+            store, names.CONFIGURATION_KIND, names.CONFIGURATION_NAME, reader.decode
         )
 
     def callers(self, parts: CallerParts) -> Callers:
--- a/pondhatch/platform/_configuration.py
+++ b/pondhatch/platform/_configuration.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from pondhatch.configuration import CALLER_BOUNDS, UNREADABLE, Edit, ServiceDefaults, Snapshot
-from pondhatch.platform._entries import Entries, Named, Wire, marked, read_entry
+from pondhatch.platform._entries import Entries, KnownEdits, Named, Wire, marked, read_entry
 
 #: Templates of the accounts, which say all but their priority by themselves.
 OWN_PRIORITY = "own-priority"
@@ -89,22 +89,38 @@
     tenants: tuple[Any, ...] | None = None
 
 
+class ConfigurationReader:
+    """Reads the operator's configuration each time that it changes."""
+
+    def __init__(self, defaults: ServiceDefaults) -> None:
+        self._defaults = defaults
+        #: With keys, and where nobody has one: routes differ in that.
+        self._known_by_keys = {True: KnownEdits(), False: KnownEdits()}
+
+    def decode(self, value: Any) -> Snapshot:
+        """Return the configuration as entries, unreadable ones as such.
+
+        Raises msgspec.ValidationError where the whole is no configuration.
+        """
+        wire = msgspec.convert(value, _Configuration)
+        has_keys = wire.tenants is not None
+        known = self._known_by_keys[has_keys]
+        services = Entries("service", _Service, lambda each: _service(each, self._defaults), known)
+        services.add(wire.services)
+        routes = Entries("route", _Route, lambda each: _route(each, not has_keys), known)
+        routes.add(wire.routes)
+        tenants = Entries("account", _Tenant, _account, known)
+        # A tenant without keys is nobody's account.
+        tenants.add(each for each in wire.tenants or () if _has_keys(each))
+        known.document_ended()
+        templates = _templates(tuple(services.edit_by_name)) if tenants.edit_by_name else []
+        edits = [*services.edits, *routes.edits, *_bounds(wire.limits), *templates, *tenants.edits]
+        return Snapshot(wire.version, tuple(edits))
+
+
 def decode_configuration(value: Any, defaults: ServiceDefaults) -> Snapshot:
-    """Return the operator's configuration as entries, unreadable ones as such.
-
-    Raises msgspec.ValidationError where the whole is no configuration.
-    """
-    wire = msgspec.convert(value, _Configuration)
-    services = Entries("service", _Service, wire.services)
-    routes = Entries("route", _Route, wire.routes)
-    # A tenant without keys is nobody's account.
-    tenants = Entries("account", _Tenant, [each for each in wire.tenants or () if _has_keys(each)])
-    edits = services.edits(lambda service: _service(service, defaults))
-    edits += routes.edits(lambda route: _route(route, wire.tenants is None))
-    edits += _bounds(wire.limits)
-    edits += _templates(tuple(services.by_name)) if tenants.by_name else []
-    edits += tenants.edits(_account)
-    return Snapshot(wire.version, tuple(edits))
+    """Return one configuration as entries; see ConfigurationReader."""
+    return ConfigurationReader(defaults).decode(value)
 
 
 def _has_keys(tenant: Any) -> bool:
--- a/pondhatch/platform/_entries.py
+++ b/pondhatch/platform/_entries.py
@@ -4,7 +4,6 @@
 
 import functools
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass
 from typing import Any, Generic, TypeVar
 
 import msgspec
@@ -28,8 +27,7 @@
 Entry = TypeVar("Entry", bound=Named)
 
 
-@dataclass(frozen=True)
-class Read(Generic[Shape]):
+class Read(msgspec.Struct, Generic[Shape], frozen=True):
     """What could be read of an entry."""
 
     entry: Shape
@@ -66,7 +64,7 @@
 
     Working them out compiles each annotation anew, 0.2 ms a call: a configuration of 450
     routes held up everything else at its router for 107 ms, each time it changed, and now
-    for 6 ms (median of 59 decodings, one core).
+    for 8 ms (median of 59 decodings, one core).
     """
     return msgspec.structs.fields(shape)
 
@@ -76,24 +74,73 @@
     return int(value) if isinstance(value, float) and value.is_integer() else value
 
 
+class KnownEdits:
+    """The readable entries of the document read last, as they came and in the product's form.
+
+    An operator's change touches an entry or two of hundreds. What came before as it is now is
+    not read again: a change among 450 routes holds its watcher up for 2 ms instead of 8 (median
+    of 59, one core), five times that on a VM that is slowed.
+    """
+
+    def __init__(self) -> None:
+        self._edit_by_raw: dict[bytes, Edit] = {}
+        self._next_by_raw: dict[bytes, Edit] = {}
+
+    def edit(self, kind: str, value: Any, read: Callable[[], Edit]) -> Edit:
+        """Return an entry's edit, read only where it did not come before. Raises as ``read``."""
+        raw = msgspec.json.encode((kind, value))
+        found = self._edit_by_raw.get(raw)
+        edit = read() if found is None else found
+        self._next_by_raw[raw] = edit
+        return edit
+
+    def document_ended(self) -> None:
+        """Forget what the document that was read did not hold."""
+        self._edit_by_raw, self._next_by_raw = self._next_by_raw, {}
+
+
 class Entries(Generic[Entry]):
     """The entries of one kind that can be read, by name, and those that cannot."""
 
-    def __init__(self, kind: str, shape: type[Entry], values: Iterable[Any] | None) -> None:
-        self.by_name: dict[str, Read[Entry]] = {}
+    def __init__(
+        self,
+        kind: str,
+        shape: type[Entry],
+        entry_of: Callable[[Entry], dict[str, Any]],
+        known: KnownEdits,
+    ) -> None:
+        self.edit_by_name: dict[str, Edit] = {}
         self.unreadable: list[Edit] = []
         self._kind = kind
+        self._shape = shape
+        #: Returns an entry in the product's form.
+        self._entry_of = entry_of
+        self._known = known
+
+    def add(self, values: Iterable[Any] | None) -> None:
+        """Read entries."""
         for value in values or ():
-            self._add(shape, value)
+            self._add(value)
+
+    @property
+    def edits(self) -> list[Edit]:
+        """All entries, in the product's form."""
+        return [*self.edit_by_name.values(), *self.unreadable]
 
-    def _add(self, shape: type[Entry], value: Any) -> None:
+    def _add(self, value: Any) -> None:
         try:
-            read = read_entry(shape, value)
+            edit = self._known.edit(self._kind, value, lambda: self._read(value))
         except msgspec.ValidationError as error:
             self._leave_out(value, str(error))
             return
-        if self.by_name.setdefault(read.entry.name, read) is not read:
+        if edit.name in self.edit_by_name:
             self._leave_out(value, "another one has its name")
+            return
+        self.edit_by_name[edit.name] = edit
+
+    def _read(self, value: Any) -> Edit:
+        read = read_entry(self._shape, value)
+        return Edit(self._kind, read.entry.name, marked(self._entry_of(read.entry), read.wrong))
 
     def _leave_out(self, value: Any, reason: str) -> None:
         """Keep what could be read of an entry that cannot be used: a route holds its place."""
@@ -105,14 +152,6 @@
         unique = f"{name if isinstance(name, str) else ''}#{len(self.unreadable) + 1}"
         self.unreadable.append(Edit(self._kind, unique, {**entry, UNREADABLE: reason}))
 
-    def edits(self, entry_of: Callable[[Entry], dict[str, Any]]) -> list[Edit]:
-        """Return the entries, in the product's form."""
-        readable: list[Edit] = [
-            Edit(self._kind, name, marked(entry_of(read.entry), read.wrong))
-            for name, read in self.by_name.items()
-        ]
-        return [*readable, *self.unreadable]
-
 
 def marked(entry: dict[str, Any], wrong: str) -> dict[str, Any]:
     """Return an entry with why some of it could not be read, where that is so."""
--- a/pondhatch/platform/tests/test_configuration.py
+++ b/pondhatch/platform/tests/test_configuration.py
@@ -9,7 +9,8 @@
 import msgspec
 
 from pondhatch.configuration import Fleet, Route, ServiceDefaults, Withheld
-from pondhatch.platform._configuration import decode_configuration
+from pondhatch.platform._configuration import ConfigurationReader, decode_configuration
+from pondhatch.platform._entries import read_entry
 from pondhatch.platform.tests._wire import CONFIGURATION
 
 DEFAULTS = ServiceDefaults(load_bound=1.7, load_slack=3)
@@ -44,6 +45,29 @@
         worked_out.assert_not_called()
         self.assertGreater(len(whole.edits), 300)
 
+    def test_what_did_not_change_is_not_read_again_and_what_did_is(self) -> None:
+        reader = ConfigurationReader(DEFAULTS)
+        first = reader.decode(CONFIGURATION)
+        changed = copy.deepcopy(CONFIGURATION)
+        changed["Routes"][0]["TimeoutMs"] += 1
+        with patch("pondhatch.platform._entries.read_entry", wraps=read_entry) as read:
+            second = reader.decode(changed)
+        self.assertEqual([call.args[1] for call in read.call_args_list], [changed["Routes"][0]])
+        self.assertEqual(second, decode_configuration(changed, DEFAULTS))
+        self.assertNotEqual(second.edits, first.edits)
+
+    def test_an_entry_that_comes_twice_or_goes_is_told_each_time(self) -> None:
+        reader = ConfigurationReader(DEFAULTS)
+        reader.decode(CONFIGURATION)
+        twice = copy.deepcopy(CONFIGURATION)
+        twice["Routes"].append(copy.deepcopy(twice["Routes"][0]))
+        fewer = copy.deepcopy(CONFIGURATION)
+        del fewer["Routes"][0], fewer["Tenants"][0]
+        nobody = {**copy.deepcopy(CONFIGURATION), "Tenants": None}
+        for at, value in enumerate((twice, fewer, nobody, CONFIGURATION, twice)):
+            with self.subTest(at=at):
+                self.assertEqual(reader.decode(value), decode_configuration(value, DEFAULTS))
+
 
 class WholeConfigurationTest(unittest.TestCase):
     def setUp(self) -> None:
