--- a/pondhatch/observing/_records.py
+++ b/pondhatch/observing/_records.py
@@ -40,6 +40,12 @@
     passed_over: tuple[tuple[str, str], ...] = ()
     #: Times that its stream went on at another upstream.
     resumes: int = 0
+    #: Milliseconds that it waited for words of engines' owners, lines included.
+    asking_ms: int = 0
+    #: Milliseconds from its head until an engine's answer began; 0 where none did.
+    placed_ms: int = 0
+    #: The longest pause between two parts of its answer, in milliseconds.
+    pause_ms: int = 0
 
 
 class Believed(msgspec.Struct, frozen=True, tag_field="event", tag="belief", omit_defaults=True):
--- a/pondhatch/requests/_delivery.py
+++ b/pondhatch/requests/_delivery.py
@@ -4,7 +4,8 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
+
+import msgspec
 
 from pondhatch.requests._entry import Placed, Position, Walk
 from pondhatch.requests._events import EventCutter
@@ -20,8 +21,7 @@
 RESUME_PAUSE = 0.25
 
 
-@dataclass(frozen=True)
-class Delivered:
+class Delivered(msgspec.Struct, frozen=True):
     """How the delivery ended, and how often the answer was taken up again."""
 
     #: Unknown where it broke off before any of it had reached the caller.
@@ -61,12 +61,19 @@
 
     def __init__(self, sink: PartSink, begin: Callable[[], None]) -> None:
         self.has_begun = False
+        #: The longest time between two parts so far, in seconds.
+        self.longest_pause = 0.0
+        self._last_at: float | None = None
         self._sink = sink
         self._begin = begin
         self.ready = sink.ready
 
     def write(self, part: bytes) -> bool:
         self.begin()
+        now = asyncio.get_running_loop().time()
+        if self._last_at is not None:
+            self.longest_pause = max(self.longest_pause, now - self._last_at)
+        self._last_at = now
         return self._sink.write(part)
 
     def begin(self) -> None:
@@ -107,6 +114,11 @@
         self._events = _WholeEvents(self._opening) if streamed else None
         self._sink: PartSink = self._events or self._opening
 
+    @property
+    def longest_pause(self) -> float:
+        """The longest time between two parts that were passed on, in seconds."""
+        return self._opening.longest_pause
+
     async def run(self) -> Delivered:
         """Pass everything on; raises what the caller's sink raises."""
         try:
--- a/pondhatch/requests/_entry.py
+++ b/pondhatch/requests/_entry.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Any
 
 import msgspec
@@ -39,28 +38,24 @@
 MOST_UNKNOWN_REFUSALS = 2
 
 
-@dataclass(frozen=True)
-class Placed:
+class Placed(msgspec.Struct, frozen=True):
     """An engine answers the request."""
 
     reply: Opened
     engine: str
 
 
-@dataclass(frozen=True)
-class Refused:
+class Refused(msgspec.Struct, frozen=True):
     """The request got its final refusal."""
 
     refusal: Refusal
 
 
-@dataclass(frozen=True)
-class Unready:
+class Unready(msgspec.Struct, frozen=True):
     """Neither the engine nor its owner could be asked just now."""
 
 
-@dataclass(frozen=True)
-class Position:
+class Position(msgspec.Struct, frozen=True):
     """How much of a stream its caller has."""
 
     #: Whole events.
@@ -69,8 +64,7 @@
     last_id: str = ""
 
 
-@dataclass(frozen=True)
-class Patience:
+class Patience(msgspec.Struct, frozen=True):
     """How long a request may wait in an engine's line, in seconds."""
 
     #: Before the engine that is believed to hold its chat's context.
@@ -125,6 +119,11 @@
         """What was granted last: the load and the ceiling at its engine."""
         return self._tries.granted
 
+    @property
+    def asking_seconds(self) -> float:
+        """Seconds that the request waited for owners' words, and in their lines."""
+        return self._tries.asking_seconds
+
     async def run(self) -> Placed | Refused:
         """Return the opened answer or the refusal that the caller is to be told."""
         self._budget.first_try()
--- a/pondhatch/requests/_tries.py
+++ b/pondhatch/requests/_tries.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 
 from msgspec.structs import replace
@@ -53,12 +54,16 @@
         self.settled: str | None = None
         #: What was granted last: the load and the ceiling at its engine.
         self.granted = Granted(0, 0)
+        #: Seconds that it waited for owners' words, and in their lines.
+        self.asking_seconds = 0.0
         #: Engines that were sent the request.
         self.sent_to: set[str] = set()
 
     async def run(self, question: Question, head: RequestHead) -> Tried:
         """Ask the engine's owner; where it grants, send the request to the engine."""
+        began = asyncio.get_running_loop().time()
         reply = await self._grant(question)
+        self.asking_seconds += asyncio.get_running_loop().time() - began
         if not isinstance(reply, Granted):
             return reply
         self.granted = reply
--- a/pondhatch/transport/_serving.py
+++ b/pondhatch/transport/_serving.py
@@ -6,6 +6,8 @@
 import time
 from dataclasses import dataclass, field
 
+import msgspec
+
 from pondhatch.observing import RequestEnded, log_for
 from pondhatch.requests import (
     KEPT_BODY,
@@ -45,8 +47,7 @@
 CALLER_GONE = Unknown("caller-gone", "the caller went away")
 
 
-@dataclass(frozen=True)
-class Work:
+class Work(msgspec.Struct, frozen=True):
     """A request that was counted in, ready to be placed."""
 
     account: Account
@@ -78,6 +79,22 @@
         return b"".join(self.parts) if self.size <= KEPT_BODY else None
 
 
+@dataclass
+class _Spans:
+    """Where a request's time went, in seconds."""
+
+    #: From its head to its end.
+    whole: float = 0.0
+    #: From its head until an engine's answer began.
+    placed: float = 0.0
+    #: The longest pause between two parts of the answer.
+    pause: float = 0.0
+
+
+def _milliseconds(seconds: float) -> int:
+    return round(seconds * 1000)
+
+
 class _CopyingSink:
     """Copies an answer, and passes it on while its caller is there; see PartSink."""
 
@@ -174,20 +191,29 @@
             work.patience,
         )
         ended: Ended = CALLER_GONE
+        spans = _Spans()
         try:
             reply = await walk.run()
             if isinstance(reply, Placed):
-                self._metrics.timing("requests.placed", time.monotonic() - started)
-                ended = await self._relay(request, work, walk, reply, copy)
+                spans.placed = time.monotonic() - started
+                self._metrics.timing("requests.placed", spans.placed)
+                ended = await self._relay(request, work, walk, reply, copy, spans)
             else:
                 ended = reply.refusal
                 self._answers.refuse(request, reply.refusal)
         finally:
-            self._note(work, walk, ended, time.monotonic() - started)
+            spans.whole = time.monotonic() - started
+            self._note(work, walk, ended, spans)
         return ended
 
     async def _relay(
-        self, request: CallerRequest, work: Work, walk: Walk, placed: Placed, copy: AnswerCopy
+        self,
+        request: CallerRequest,
+        work: Work,
+        walk: Walk,
+        placed: Placed,
+        copy: AnswerCopy,
+        spans: _Spans,
     ) -> Ended:
         """Pass the answer on."""
 
@@ -197,10 +223,12 @@
 
         writer = CallerWriter(request)
         sink = _CopyingSink(copy, writer) if work.key else writer
+        delivery = Delivery(walk, placed, sink, begin)
         try:
-            delivered = await Delivery(walk, placed, sink, begin).run()
+            delivered = await delivery.run()
         finally:
             writer.close()
+            spans.pause = delivery.longest_pause
         if delivered.resumes:
             self._metrics.count("answers.resumed", delivered.resumes)
         if isinstance(delivered.outcome, Unknown):
@@ -210,12 +238,12 @@
             self._answers.end_broken(request, delivered.outcome, is_event_stream(copy.headers))
         return delivered.outcome
 
-    def _note(self, work: Work, walk: Walk, ended: Ended, seconds: float) -> None:
+    def _note(self, work: Work, walk: Walk, ended: Ended, spans: _Spans) -> None:
         outcome = "whole" if isinstance(ended, Whole) else ended.code
         self._metrics.count(f"requests.{outcome}")
-        self._metrics.timing("requests.whole", seconds)
-        self._note_decision(work, walk, outcome, seconds)
-        self._note_record(work, walk, outcome, seconds)
+        self._metrics.timing("requests.whole", spans.whole)
+        self._note_decision(work, walk, outcome, spans.whole)
+        self._note_record(work, walk, outcome, spans)
 
     def _note_decision(self, work: Work, walk: Walk, outcome: str, seconds: float) -> None:
         """Keep the decision for the state dump."""
@@ -232,7 +260,7 @@
             )
         )
 
-    def _note_record(self, work: Work, walk: Walk, outcome: str, seconds: float) -> None:
+    def _note_record(self, work: Work, walk: Walk, outcome: str, spans: _Spans) -> None:
         """Leave the decision's line."""
         self._records.note(
             RequestEnded(
@@ -240,7 +268,10 @@
                 account=work.account.name,
                 service=work.head.service,
                 outcome=outcome,
-                ms=round(seconds * 1000),
+                ms=_milliseconds(spans.whole),
+                asking_ms=_milliseconds(walk.asking_seconds),
+                placed_ms=_milliseconds(spans.placed),
+                pause_ms=_milliseconds(spans.pause),
                 context=f"{work.head.chat:x}" if work.head.chat else "",
                 configuration=self._state.fleet.version,
                 upstream=walk.engine or "",
