Pull from whoever holds the newest configuration

A router asked anyone who was ahead of it, of its own hall first; one that was cut off since is ahead too, and costs a call's time-out of 2 s. Change: only those with the newest version are asked.

--- a/pondhatch/router/_sync.py
+++ b/pondhatch/router/_sync.py
@@ -243,11 +243,29 @@
         return self._state.fleet.version, self._state.upstreams.version
 
     def _ahead(self) -> list[Member]:
-        """Return peers with something newer, those of this hall alone where there are any."""
+        """Return the peers that hold the newest, those of this hall alone where there are any.
+
+        A peer that was cut off since holds an older version, and costs a call's time-out (2 s)
+        to find out; where three in ten are cut off, a router that asked whoever is ahead at all
+        was behind by that long again and again.
+        """
         names = set(self._state.gossip.ahead())
+        if not names:
+            return []
         ahead = [member for member in self._state.members() if member.name in names]
-        near = [member for member in ahead if member.hall == self._state.hall]
-        return near or ahead
+        newest = self._newest(ahead)
+        near = [member for member in newest if member.hall == self._state.hall]
+        return near or newest
+
+    def _newest(self, ahead: list[Member]) -> list[Member]:
+        """Return those with the newest configuration, or else the newest list of upstreams."""
+        held = self._state.gossip.versions()
+        configuration, upstreams = self._versions()
+        best = max((held[member.name].configuration for member in ahead), default=0)
+        if best > configuration:
+            return [each for each in ahead if held[each.name].configuration == best]
+        best = max((held[member.name].upstreams for member in ahead), default=upstreams)
+        return [each for each in ahead if held[each.name].upstreams == best]
 
     def _log_void(self, wrong: Rejected | Gap | None) -> None:
         if isinstance(wrong, Rejected):
--- a/pondhatch/router/tests/test_sync.py
+++ b/pondhatch/router/tests/test_sync.py
@@ -27,6 +27,7 @@
 )
 from pondhatch.configuration.tests.test_fleet import account, change
 from pondhatch.membership import Alive, Gossip, Member, MembershipLimits, Phase, short_id
+from pondhatch.membership._records import Versions
 from pondhatch.placement import YOUNG_SECONDS
 from pondhatch.requests import Claim, KeyRecord
 from pondhatch.router import Introduction, RouterState, Sync
@@ -504,6 +505,34 @@
         self.assertEqual(self.pulls(50, lost=True), (1, 1, 0))
 
 
+class CutPeersTest(unittest.TestCase):
+    """The pattern: three routers in ten are cut off while the configuration changes.
+
+    Grounds: a change is to be in force within 2 s, and a call to a peer that is cut off takes
+    2 s. On a day of 87 routers, 26 cut off, some handled requests by a configuration 3 s old.
+    """
+
+    def asked_first(self, held_by_name: dict[str, Versions]) -> set[str]:
+        state = router("r0")
+        peers = [router(name) for name in held_by_name]
+        for peer in peers:
+            meet(state, peer)
+            state.gossip.membership.table.heard_from(short_id(peer.name), held_by_name[peer.name])
+        sync = syncing(state, PlatformInMemory(), None)
+        return {member.name for member in sync._ahead()}
+
+    def test_only_who_holds_the_newest_configuration_is_asked(self) -> None:
+        held = {"r1": Versions(38, 9), "r2": Versions(40, 5), "r3": Versions(38, 9)}
+        self.assertEqual(self.asked_first(held), {"r2"})
+
+    def test_where_nobody_has_a_newer_one_the_newest_list_of_upstreams_counts(self) -> None:
+        held = {"r1": Versions(0, 7), "r2": Versions(0, 9), "r3": Versions(0, 9)}
+        self.assertEqual(self.asked_first(held), {"r2", "r3"})
+
+    def test_nobody_is_asked_for_what_is_held_here(self) -> None:
+        self.assertEqual(self.asked_first({"r1": Versions(0, 0)}), set())
+
+
 class LapsedEntriesTest(unittest.TestCase):
     """Entries of upstreams lapse while the platform's store is away."""
 
