Give newcomers that take contexts over their chats at once

Newcomers left without chats stand idle, the others reach their ceilings, and contexts move to and fro.

Change: the rule holds only where engines do not take contexts over.

--- a/pondhatch/requests/_entry.py
+++ b/pondhatch/requests/_entry.py
@@ -255,8 +255,6 @@
         at_home = engine == self.plan.home
         patience = self._most_patience.context if context else 0.0
         patience = min(self._remaining(), self._most_patience.last if last else patience)
-        is_young = self._view.is_young
-        young_home = at_home and is_young(engine)
         return Question(
             number=self._ways.grants.next_number(),
             router=self._ways.grants.router,
@@ -271,11 +269,25 @@
             seen_elsewhere=0 if resuming else self.plan.seen_elsewhere(engine),
             returning=self._head.returning,
             home=at_home,
-            settled=self.plan.settled(is_young) if young_home else None,
+            settled=self._settled_before(engine) if at_home else None,
             insist=insist,
             resuming=resuming,
         )
 
+    def _settled_before(self, home: str) -> str | None:
+        """Return where a newcomer's chat was at home before, and is to stay for now.
+
+        Not where engines take contexts over: there a newcomer has its chats' contexts for a
+        sixth of reading them, and left without chats it has the others take its share, up to
+        their ceilings and beyond to engines that hold nothing (0.017 of worth on days on which
+        a third of the engines are replaced).
+        """
+        target = self._view.target(home)
+        takes_over = target is not None and target.shares_context
+        if takes_over or not self._view.is_young(home):
+            return None
+        return self.plan.settled(self._view.is_young)
+
     def _next_head(self, **changes: Any) -> RequestHead:
         """Return the head of the next try, under an id of its own."""
         self._asks += 1
