--- a/pondhatch/placement/_memory.py
+++ b/pondhatch/placement/_memory.py
@@ -1,8 +1,10 @@
-"""Where chats went that could not stay at their home engine.
+"""Which engine served a chat last.
 
 A spill order is no memory: a chat that spilled and later found room at home
 would find a cold engine there. So the owner of a chat's home engine remembers
-the engine that served the chat last, for the chats that spilled only.
+the engine that served the chat last, for the chats that spilled only. And each
+entry router remembers who answered the chats that came through it, to name the
+holder of a context to an engine that takes it over.
 """
 
 from __future__ import annotations
@@ -22,16 +24,16 @@
     engine_by_chat: OrderedDict[int, str] = field(default_factory=OrderedDict)
 
     def remember(self, chat: int, engine: str) -> None:
-        """Note that a chat was served away from home."""
+        """Note which engine served a chat."""
         self.engine_by_chat[chat] = engine
         self.engine_by_chat.move_to_end(chat)
         if len(self.engine_by_chat) > self.limit:
             self.engine_by_chat.popitem(last=False)
 
     def forget(self, chat: int) -> None:
-        """Note that a chat was served at home again."""
+        """Note that a chat is where it is looked for first."""
         self.engine_by_chat.pop(chat, None)
 
     def engine_of(self, chat: int) -> str | None:
-        """Return the engine a chat spilled to, or None where it is at home."""
+        """Return the engine that was noted for a chat, or None where none was."""
         return self.engine_by_chat.get(chat)
--- a/pondhatch/requests/_entry.py
+++ b/pondhatch/requests/_entry.py
@@ -98,6 +98,7 @@
         self._body = body
         self._remaining = remaining
         self._most_patience = patience
+        # What a request may wait in the last line, it may wait for an owner's word.
         self._tries = Tries(view, ways, body, self._chat, remaining, patience.last)
         self._tries.settled = self.plan.settled(view.is_young)
         self._asks = 0
--- a/pondhatch/router/_sync.py
+++ b/pondhatch/router/_sync.py
@@ -103,7 +103,8 @@
             await self._pull_if_behind()
             await asyncio.sleep(MEETING_SECONDS)
             self._has_met_peers.set()
-            await self._ask_who_joined_lately()
+            # Beside the rest: a peer that gives no answer must not keep this router behind.
+            self._tasks.start(self._ask_who_joined_lately())
             while True:
                 self._watch_if_due()
                 await self._pull_if_behind()
