--- a/pondhatch/requests/_owner_waits.py
+++ b/pondhatch/requests/_owner_waits.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 import msgspec
@@ -117,14 +116,12 @@
 
     def forget_old(self, now: float) -> None:
         """Drop what tells nothing any more."""
-        old = [n for n, each in self._given_up_by_number.items() if now - each.sent_at > REMEMBERED]
-        _drop(self._given_up_by_number, old)
+        self._given_up_by_number = {
+            number: given_up
+            for number, given_up in self._given_up_by_number.items()
+            if now - given_up.sent_at <= REMEMBERED
+        }
 
     def _known(self, owner: str, now: float) -> AnswerTimes | None:
         times = self._times_by_owner.get(owner)
         return times if times is not None and now - times.at <= KNOWN_FOR else None
-
-
-def _drop(given_up_by_number: dict[int, GivenUp], numbers: Iterable[int]) -> None:
-    for number in numbers:
-        del given_up_by_number[number]
