--- a/pondhatch/cli/_figures.py
+++ b/pondhatch/cli/_figures.py
@@ -29,6 +29,7 @@
             "routers.known": len(self.state.members()),
             "requests.in_flight": self.callers.in_flight,
             "configuration.version": self.state.fleet.version,
+            "configuration.behind_ms": round(1000 * self.state.lag.seconds(self.state.clock())),
             "configuration.refused": int(self.state.refused is not None),
             "configuration.misfits": len(self.state.fleet.misfits_by_entry),
             "upstreams.owned": len(self.state.owned()),
--- a/pondhatch/membership/_gossip.py
+++ b/pondhatch/membership/_gossip.py
@@ -82,6 +82,10 @@
         """Return what each router was last heard to hold, this one included."""
         return self.membership.versions()
 
+    def newest_configuration(self) -> int:
+        """Return the newest version of the configuration that any router was heard to hold."""
+        return self.membership.newest_configuration()
+
     def ahead(self) -> tuple[str, ...]:
         """Return the routers that hold something newer than this one."""
         return self.membership.ahead()
--- a/pondhatch/membership/_swim.py
+++ b/pondhatch/membership/_swim.py
@@ -96,6 +96,11 @@
         heard = {entry.alive.name: entry.versions for entry in self.table if entry.there}
         return {self.own.name: self._dissemination.versions, **heard}
 
+    def newest_configuration(self) -> int:
+        """Return the newest version of the configuration that any router was heard to hold."""
+        own = self._dissemination.versions.configuration
+        return max((entry.versions.configuration for entry in self.table), default=own)
+
     def ahead(self) -> tuple[str, ...]:
         """Return the routers that were heard to hold something newer than this one."""
         own = self._dissemination.versions
--- a/pondhatch/router/_beliefs.py
+++ b/pondhatch/router/_beliefs.py
@@ -74,7 +74,8 @@
         if version == self._configuration_version:
             return []
         before, self._configuration_version = self._configuration_version, version
-        why = f"follows {before}" if before else "the first"
+        follows = f"follows {before}" if before else "the first"
+        why = f"{follows}, from {self.state.in_force_from}"
         return [Believed("configuration", "", "in force", version, why)]
 
     def _configuration_refused(self) -> list[Believed]:
--- a/pondhatch/router/_state.py
+++ b/pondhatch/router/_state.py
@@ -23,6 +23,7 @@
 )
 from pondhatch.placement import Gate, Health, SpillMemory, ranked, winner
 from pondhatch.requests import DecisionNote, KeyHolder, KeyTable, LocalKeyHolder, Target
+from pondhatch.router._lag import Lag
 from pondhatch.router._limits import FleetLimits
 from pondhatch.router._upstream_changes import UpstreamChanges
 from pondhatch.store import (
@@ -38,6 +39,8 @@
 
 #: Decisions kept for the state dump.
 KEPT_DECISIONS = 64
+#: Who gave a configuration that no peer gave.
+PLATFORM = "the platform"
 
 
 @dataclass
@@ -71,6 +74,10 @@
     refused: Rejected | None = None
     #: When the configuration in force came into force, in seconds since 1970.
     in_force_at: float = 0.0
+    #: Who gave the configuration in force: the platform, or a peer by name.
+    in_force_from: str = ""
+    #: For how long this router has known of a newer one.
+    lag: Lag = field(default_factory=Lag)
     decisions: deque[DecisionNote] = field(default_factory=lambda: deque(maxlen=KEPT_DECISIONS))
     #: This router's own side as a holder of keys.
     local: KeyHolder = field(init=False)
@@ -277,7 +284,7 @@
 
     # -- configuration ------------------------------------------------------
 
-    def take_change(self, change: Change) -> Rejected | Gap | None:
+    def take_change(self, change: Change, source: str = PLATFORM) -> Rejected | Gap | None:
         """Put the next change in force; None where it is in force now or was before.
 
         A rejected change is voided: its version passes, nothing of it is in force.
@@ -288,20 +295,21 @@
         if isinstance(following, Gap):
             return following
         if isinstance(following, Rejected):
-            self._put_in_force(self.fleet.voided(change))
+            self._put_in_force(self.fleet.voided(change), source)
             return following
-        self._put_in_force(following)
+        self._put_in_force(following, source)
         return None
 
-    def take_fleet(self, fleet: Fleet) -> bool:
+    def take_fleet(self, fleet: Fleet, source: str = PLATFORM) -> bool:
         """Put a configuration in force if it is newer; return whether it was."""
         if fleet.version <= self.fleet.version:
             return False
-        self._put_in_force(fleet)
+        self._put_in_force(fleet, source)
         return True
 
-    def _put_in_force(self, fleet: Fleet) -> None:
+    def _put_in_force(self, fleet: Fleet, source: str) -> None:
         self.fleet = fleet
+        self.in_force_from = source
         self.refused = None
         self.in_force_at = time.time()
         self._live_by_service.clear()
@@ -314,11 +322,11 @@
         """
         return self.refused is None and self.fleet.is_whole(kind)
 
-    def take_update(self, update: Update) -> Rejected | Gap | None:
+    def take_update(self, update: Update, source: str = PLATFORM) -> Rejected | Gap | None:
         """Take in what a peer says that this router lacks."""
         if update.snapshot is not None and update.snapshot.version > self.fleet.version:
-            self.take_fleet(self.fleet.replaced_by(update.snapshot))
-        wrongs = [self.take_change(change) for change in update.changes]
+            self.take_fleet(self.fleet.replaced_by(update.snapshot), source)
+        wrongs = [self.take_change(change, source) for change in update.changes]
         return next((wrong for wrong in wrongs if wrong is not None), None)
 
     def update_since(self, version: int) -> Update:
@@ -361,6 +369,7 @@
         self.refresh()
         self.retries.set_routers(len(self.live_routers()), self.clock())
         self.publish()
+        self.lag.note(self.fleet.version, self.gossip.newest_configuration(), self.clock())
 
     def _loads(self) -> tuple[ServiceLoad, ...]:
         now = self.clock()
--- a/pondhatch/router/_sync.py
+++ b/pondhatch/router/_sync.py
@@ -44,6 +44,9 @@
 #: what the platform holds, and does not watch: one of each hall will, and all of a fleet
 #: that starts would be told of each upstream that lists itself.
 MEETING_SECONDS = 0.4
+#: Seconds from which a pull is told in the log: a sixth of the time in which a change is to
+#: be in force everywhere.
+SLOW_PULL_SECONDS = 0.5
 #: Seconds before a lost watch is tried again, first and at most: a platform that comes
 #: back is not rushed.
 FIRST_PAUSE = 0.2
@@ -239,12 +242,17 @@
     async def _pull_from(self, ahead: list[Member]) -> bool:
         """Pull once; return whether that brought anything new."""
         peer = self._rng.choice(ahead)
+        begun = self._state.clock()
         lacking = await self._pull(peer, *self._versions())
+        waited = self._state.clock() - begun
         if lacking is None:
+            log.warning("Router {}, which is ahead, gave nothing in {:.2f} s.", peer.name, waited)
             return False
+        if waited > SLOW_PULL_SECONDS:
+            log.info("Router {}, which is ahead, took {:.2f} s to answer.", peer.name, waited)
         # Read after the pull: a watch may have brought something meanwhile.
         before = self._versions()
-        self._log_void(self._state.take_update(lacking.configuration))
+        self._log_void(self._state.take_update(lacking.configuration, peer.name))
         self._state.take_upstreams(lacking.upstreams)
         if self._versions() == before:
             return False
