Give peers the entries that differ, not the configuration whole

Cause: a configuration that somebody else writes whole keeps no changes, so each router that was one version behind was given all of it, and held each entry against what it had.

A peer is told the entries that changed after its version; that fits every version from there on. A fingerprint of all entries shows where it does not fit, and the whole is asked for then. Peers of earlier versions of the program are given the whole.

Ruled out: changes of the log's kind (their versions follow one another, a document's rise in steps that each router may skip).

--- a/pondhatch/cli/_router_process.py
+++ b/pondhatch/cli/_router_process.py
@@ -189,14 +189,16 @@
     # -- peers ----------------------------------------------------------------
 
     async def _pull(self, member: Member, configuration: int, upstreams: int) -> PullReply | None:
-        reply = await self._connections.to(member).pull(configuration, upstreams)
+        takes_difference = not self.state.wants_whole
+        peer = self._connections.to(member)
+        reply = await peer.pull(configuration, upstreams, takes_difference)
         if reply is None:
             self.state.unreachable(member.name)
         return reply
 
     def _answer_pull(self, asked: PullRequest) -> PullReply:
         return PullReply(
-            self.state.update_since(asked.configuration),
+            self.state.update_since(asked.configuration, asked.takes_difference),
             self.state.upstreams_since(asked.upstreams),
         )
 
--- a/pondhatch/configuration/_changes.py
+++ b/pondhatch/configuration/_changes.py
@@ -50,11 +50,25 @@
     edits: tuple[Edit, ...]
 
 
+class Difference(msgspec.Struct, frozen=True):
+    """The entries that differ between a version and an older one, as they are at the newer.
+
+    It fits every version from the older one on: an entry that changed since is among them.
+    """
+
+    since: int
+    version: int
+    edits: tuple[Edit, ...]
+    #: Fingerprint of all entries at the newer version.
+    fingerprint: int
+
+
 class Update(msgspec.Struct, frozen=True):
-    """What a router that is behind receives: a snapshot if needed, then changes."""
+    """What a router that is behind receives: changes, else what differs, else a snapshot."""
 
     changes: tuple[Change, ...] = ()
     snapshot: Snapshot | None = None
+    difference: Difference | None = None
 
 
 def change_name(version: int) -> str:
--- a/pondhatch/configuration/_editing.py
+++ b/pondhatch/configuration/_editing.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Any, TypeVar
 
 import msgspec
+import xxhash
 
 from pondhatch.configuration._account_editing import AccountEditing
 from pondhatch.configuration._changes import KINDS, UNREADABLE, Edit, EntryKey
@@ -62,6 +63,7 @@
         self._edited = {(edit.kind, edit.name) for edit in edits}
         self._edits = (*edits, *self._still_wrong())
         self._raw = dict(base.raw_by_entry)
+        self._fingerprint = base.fingerprint
         self._services = dict(base.service_by_name)
         self._routes = dict(base.routes.by_name)
         bounds = base.caller_bounds
@@ -101,6 +103,7 @@
             policy_by_account=self._accounts.policies,
             account_by_key_hash=self._accounts.account_by_key_hash,
             raw_by_entry=self._raw,
+            fingerprint=self._fingerprint,
             misfits_by_entry={key: tuple(found) for key, found in self._notes.by_entry.items()},
         )
 
@@ -130,11 +133,14 @@
 
     def _write(self, edit: Edit) -> None:
         key = (edit.kind, edit.name)
+        before = self._raw.pop(key, None)
+        if before is not None:
+            self._fingerprint ^= _fingerprint(key, before)
         if edit.value is None:
-            self._raw.pop(key, None)
             return
         # Kept even if it cannot be used: routers that come later may know better.
         self._raw[key] = msgspec.json.encode(edit.value)
+        self._fingerprint ^= _fingerprint(key, self._raw[key])
         if edit.kind not in KINDS:
             self._notes.note(edit.kind, edit.name, Misfit((), "unknown kind of entry"))
 
@@ -218,3 +224,8 @@
             wrong = f"undefined template {spec.template!r}; expected one of: {known}"
             self._notes.note("account", account, Misfit(("template",), wrong))
         return template
+
+
+def _fingerprint(key: EntryKey, raw: bytes) -> int:
+    """Return one entry's part of a configuration's fingerprint."""
+    return xxhash.xxh64_intdigest(raw, seed=xxhash.xxh32_intdigest("\0".join(key).encode()))
--- a/pondhatch/configuration/_fleet.py
+++ b/pondhatch/configuration/_fleet.py
@@ -8,9 +8,10 @@
 
 import msgspec
 
-from pondhatch.configuration._changes import Change, Edit, EntryKey, Snapshot
+from pondhatch.configuration._changes import Change, Difference, Edit, EntryKey, Snapshot
 from pondhatch.configuration._editing import with_edits
 from pondhatch.configuration._fit import Misfit, told
+from pondhatch.configuration._latest import LatestChanges
 from pondhatch.configuration._routes import RouteTable
 from pondhatch.configuration._schema import (
     AccountPolicy,
@@ -61,6 +62,10 @@
     #: Entries that are not in force as they stand, or only in part, each with what is wrong.
     misfits_by_entry: Mapping[EntryKey, tuple[Misfit, ...]] = field(default_factory=dict)
     recent: tuple[Change, ...] = ()
+    #: When entries changed last, for peers that are behind.
+    latest: LatestChanges = field(default_factory=LatestChanges)
+    #: Equal where all entries are as written, whatever steps they came in.
+    fingerprint: int = 0
 
     def is_whole(self, kind: str) -> bool:
         """Return whether every entry of a kind is in force as it stands."""
@@ -108,18 +113,27 @@
         edited = self.with_edits(change.edits)
         if isinstance(edited, Rejected):
             return edited
-        return edited._followed_by(change)
+        entries = [(edit.kind, edit.name) for edit in change.edits]
+        return edited._as_of(change.version, self, entries)._with_recent(self, change)
 
     def voided(self, change: Change) -> Fleet:
         """Return the configuration after a rejected change: a version on, nothing else.
 
         Every router voids the same change, so a bad one never holds up the log.
         """
-        return self._followed_by(change)
+        return self._as_of(change.version, self, ())._with_recent(self, change)
 
-    def _followed_by(self, change: Change) -> Fleet:
-        recent = (*self.recent, change)[-KEPT_CHANGES:]
-        return replace(self, version=change.version, recent=recent)
+    def _with_recent(self, base: Fleet, change: Change) -> Fleet:
+        return replace(self, recent=(*base.recent, change)[-KEPT_CHANGES:])
+
+    def _as_of(self, version: int, base: Fleet, entries: Iterable[EntryKey]) -> Fleet:
+        """Return this configuration as a version; ``entries`` may differ from those of ``base``."""
+        raw, before = self.raw_by_entry, base.raw_by_entry
+        differ = [key for key in entries if raw.get(key) != before.get(key)]
+        # Who had nothing before cannot tell peers what differs from it.
+        begins = base.version == 0
+        latest = LatestChanges(version) if begins else base.latest.followed_by(differ, version)
+        return replace(self, version=version, recent=(), latest=latest)
 
     def with_edits(self, edits: Iterable[Edit]) -> Fleet | Rejected:
         """Return the configuration with edits taken in, at the same version: all, or none.
@@ -152,7 +166,32 @@
         }
         edits = [edit for key, (edit, raw) in encoded.items() if self.raw_by_entry.get(key) != raw]
         edits += [Edit(kind, name) for kind, name in self.raw_by_entry.keys() - encoded.keys()]
-        return replace(with_edits(self, edits).fleet, version=whole.version, recent=())
+        return self._after(edits, whole.version)
+
+    def _after(self, edits: Iterable[Edit], version: int) -> Fleet:
+        """Return the configuration after edits that were accepted, as far as they can be used."""
+        edits = tuple(edits)
+        entries = [(edit.kind, edit.name) for edit in edits]
+        return with_edits(self, edits).fleet._as_of(version, self, entries)
+
+    def difference_since(self, version: int) -> Difference | None:
+        """Return the entries that changed after a version, or None where that is not known."""
+        changed = self.latest.after(version)
+        if changed is None:
+            return None
+        edits = tuple(Edit(*key, self.value_or_none(*key)) for key in sorted(changed))
+        return Difference(version, self.version, edits, self.fingerprint)
+
+    def with_difference(self, difference: Difference) -> Fleet | None:
+        """Return the configuration with what differs taken in; None where it does not fit.
+
+        What was accepted is taken, as of a whole. It does not fit an older version than it was
+        worked out for, nor entries that another version of pondhatch reads in another way.
+        """
+        if self.version < difference.since:
+            return None
+        following = self._after(difference.edits, difference.version)
+        return following if following.fingerprint == difference.fingerprint else None
 
     @classmethod
     def from_snapshot(cls, snapshot: Snapshot) -> Fleet:
--- a/pondhatch/router/_state.py
+++ b/pondhatch/router/_state.py
@@ -10,7 +10,15 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from pondhatch.configuration import Change, Fleet, Gap, Rejected, ServiceSpec, Update
+from pondhatch.configuration import (
+    Change,
+    Difference,
+    Fleet,
+    Gap,
+    Rejected,
+    ServiceSpec,
+    Update,
+)
 from pondhatch.limits import LimitVerdict, RetryBudgets
 from pondhatch.membership import (
     Gossip,
@@ -76,6 +84,9 @@
     in_force_at: float = 0.0
     #: Who gave the configuration in force: the platform, or a peer by name.
     in_force_from: str = ""
+    #: Whether what differed did not fit what is in force here, so that peers are asked for the
+    #: whole.
+    wants_whole: bool = False
     #: For how long this router has known of a newer one.
     lag: Lag = field(default_factory=Lag)
     decisions: deque[DecisionNote] = field(default_factory=lambda: deque(maxlen=KEPT_DECISIONS))
@@ -310,6 +321,7 @@
     def _put_in_force(self, fleet: Fleet, source: str) -> None:
         self.fleet = fleet
         self.in_force_from = source
+        self.wants_whole = False
         self.refused = None
         self.in_force_at = time.time()
         self._live_by_service.clear()
@@ -326,15 +338,28 @@
         """Take in what a peer says that this router lacks."""
         if update.snapshot is not None and update.snapshot.version > self.fleet.version:
             self.take_fleet(self.fleet.replaced_by(update.snapshot), source)
+        if update.difference is not None:
+            self._take_difference(update.difference, source)
         wrongs = [self.take_change(change, source) for change in update.changes]
         return next((wrong for wrong in wrongs if wrong is not None), None)
 
-    def update_since(self, version: int) -> Update:
+    def _take_difference(self, difference: Difference, source: str) -> None:
+        if difference.version <= self.fleet.version:
+            return
+        following = self.fleet.with_difference(difference)
+        self.wants_whole = following is None
+        if following is not None:
+            self.take_fleet(following, source)
+
+    def update_since(self, version: int, takes_difference: bool = True) -> Update:
         """Return what a router at a version lacks."""
         changes = self.fleet.changes_since(version)
-        if changes is None:
-            return Update(snapshot=self.fleet.snapshot())
-        return Update(changes=changes)
+        if changes is not None:
+            return Update(changes=changes)
+        difference = self.fleet.difference_since(version) if takes_difference else None
+        if difference is not None:
+            return Update(difference=difference)
+        return Update(snapshot=self.fleet.snapshot())
 
     # -- limits -------------------------------------------------------------
 
--- a/pondhatch/router/_sync.py
+++ b/pondhatch/router/_sync.py
@@ -252,11 +252,15 @@
             log.info("Router {}, which is ahead, took {:.2f} s to answer.", peer.name, waited)
         # Read after the pull: a watch may have brought something meanwhile.
         before = self._versions()
+        asked_for_whole = self._state.wants_whole
         self._log_void(self._state.take_update(lacking.configuration, peer.name))
         self._state.take_upstreams(lacking.upstreams)
-        if self._versions() == before:
+        if self._versions() != before:
+            self._spread()
+            return True
+        if asked_for_whole or not self._state.wants_whole:
             return False
-        self._spread()
+        log.warning("What router {} says has changed does not fit; the whole is asked.", peer.name)
         return True
 
     def _versions(self) -> tuple[int, int]:
--- a/pondhatch/router/tests/test_change_storms.py
+++ b/pondhatch/router/tests/test_change_storms.py
@@ -11,15 +11,20 @@
 from __future__ import annotations
 
 import copy
+import random
 import unittest
+from dataclasses import dataclass
 from typing import Any
 from unittest.mock import patch
 
+from fakes._platform_in_memory import PlatformInMemory
+from fakes._virtual_loop import run_virtually
 from pondhatch.configuration import Fleet, ServiceDefaults, Update
+from pondhatch.membership import Member
 from pondhatch.platform._configuration import ConfigurationReader
 from pondhatch.platform.tests._wire import CONFIGURATION
-from pondhatch.router import RouterState
-from pondhatch.router.tests.test_sync import router
+from pondhatch.router import Introduction, RouterState, Sync
+from pondhatch.router.tests.test_sync import Told, meet, router
 from pondhatch.store import UpstreamUpdate
 from pondhatch.transport._wire import PACKED_FROM, MessagePackCodec, PullReply
 
@@ -52,6 +57,14 @@
         state.take_fleet(state.fleet.replaced_by(reader.decode(document)))
 
 
+@dataclass(frozen=True)
+class Given:
+    """A peer's answer to a pull."""
+
+    configuration: Update
+    upstreams: UpstreamUpdate
+
+
 class OneChangeOfManyRoutesTest(unittest.TestCase):
     def setUp(self) -> None:
         self.giver, self.taker = router("r0"), router("r1")
@@ -74,3 +87,48 @@
             self.taker.take_update(given)
         self.assertEqual(self.taker.fleet.version, 6)
         self.assertEqual(self.taker.fleet.raw_by_entry, self.giver.fleet.raw_by_entry)
+
+
+class WhoCannotTakeItTest(unittest.TestCase):
+    """A difference that does not fit, and a peer that knows none: both get the whole."""
+
+    def setUp(self) -> None:
+        self.giver, self.taker = router("r0"), router("r1")
+        watching(self.giver, CONFIGURATION)
+        self.taker.take_update(self.giver.update_since(0))
+        watching(self.giver, changed(CONFIGURATION, CONFIGURATION["Version"] + 2))
+
+    def test_a_peer_of_an_earlier_version_of_the_program_gets_the_whole(self) -> None:
+        given = self.giver.update_since(self.taker.fleet.version, takes_difference=False)
+        self.assertIsNone(given.difference)
+        assert given.snapshot is not None
+        self.assertEqual(given.snapshot.version, self.giver.fleet.version)
+
+    def test_what_does_not_fit_changes_nothing_and_the_whole_is_asked_at_once(self) -> None:
+        other = copy.deepcopy(CONFIGURATION)
+        other["Routes"][0]["Priority"] += 1
+        taker = router("r1")
+        watching(taker, other)
+        before = taker.fleet
+        peer = self.giver
+        meet(taker, peer)
+        asked: list[bool] = []
+
+        async def pull(member: Member, configuration: int, upstreams: int) -> Given | None:
+            asked.append(not taker.wants_whole)
+            update = peer.update_since(configuration, takes_difference=asked[-1])
+            if asked[-1]:
+                self.assertIs(taker.fleet, before)
+            return Given(update, UpstreamUpdate(1, (), whole=False))
+
+        async def main() -> None:
+            platform = PlatformInMemory()
+            rng = random.Random(1)
+            introduction = Introduction(taker.name, taker.gossip, platform, rng)
+            sync = Sync(taker, platform, Told(), pull, taker.publish, rng, introduction)
+            await sync.heard_news()
+
+        run_virtually(main())
+        self.assertEqual(asked, [True, False])
+        self.assertEqual(taker.fleet.raw_by_entry, peer.fleet.raw_by_entry)
+        self.assertFalse(taker.wants_whole)
--- a/pondhatch/transport/_remote_peer.py
+++ b/pondhatch/transport/_remote_peer.py
@@ -69,11 +69,12 @@
         self._tls = tls
         self._calls = _Calls(address, tls)
 
-    async def pull(self, configuration: int, upstreams: int) -> wire.PullReply | None:
+    async def pull(
+        self, configuration: int, upstreams: int, takes_difference: bool = True
+    ) -> wire.PullReply | None:
         """Return what the peer has beyond these versions, or None where it is lost."""
-        reply: wire.PullReply | None = await self._call(
-            "pull", wire.PullRequest(configuration, upstreams)
-        )
+        asked = wire.PullRequest(configuration, upstreams, takes_difference)
+        reply: wire.PullReply | None = await self._call("pull", asked)
         return reply
 
     async def claim(self, key: str, record: KeyRecord) -> Claim | None:
--- a/pondhatch/transport/_wire.py
+++ b/pondhatch/transport/_wire.py
@@ -51,6 +51,9 @@
 
     configuration: int
     upstreams: int
+    #: Whether it can take the entries that differ. Routers of an earlier version of pondhatch
+    #: do not say so, and are given a configuration whole.
+    takes_difference: bool = False
 
 
 class PullReply(msgspec.Struct, frozen=True):
