--- a/pondhatch/store/_upstreams.py
+++ b/pondhatch/store/_upstreams.py
@@ -95,12 +95,17 @@
 
     def set(self, upstream: Upstream, version: int) -> bool:
         """Take in one entry; return whether it was news."""
+        news = self._set(upstream, version)
+        if news:
+            self._drop_oldest_removed()
+        return news
+
+    def _set(self, upstream: Upstream, version: int) -> bool:
         known = self.entry_by_name.get(upstream.name)
         if known is not None and known.version >= version:
             return False
         self.entry_by_name[upstream.name] = UpstreamEntry(upstream, version)
         self.version = max(self.version, version)
-        self._drop_oldest_removed()
         return True
 
     def remove(self, name: str, version: int) -> bool:
@@ -128,9 +133,12 @@
         news = False
         newer = update.version > self.version
         for entry in update.entries:
-            news = self.set(entry.upstream, entry.version) or news
+            news = self._set(entry.upstream, entry.version) or news
         if update.whole and newer:
             news = self._remove_unlisted(update) or news
+        # Once for all of them: it goes through the whole list, and with 2,100 entries, one by
+        # one, nothing else ran for 0.15 s.
+        self._drop_oldest_removed()
         self.seen(update.version)
         return news
 
@@ -142,7 +150,8 @@
             if name not in listed and entry.version <= update.version
         ]
         for name in gone:
-            self.remove(name, update.version)
+            removed = msgspec.structs.replace(self.entry_by_name[name].upstream, state=REMOVED)
+            self._set(removed, update.version)
         return bool(gone)
 
     def _drop_oldest_removed(self) -> None:
--- a/pondhatch/store/tests/test_upstreams.py
+++ b/pondhatch/store/tests/test_upstreams.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import unittest
+from unittest.mock import patch
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -56,6 +57,16 @@
         self.assertFalse(self.known.since(version - 10).whole)
         self.assertLessEqual(len(self.known.entry_by_name), KEPT_REMOVED + 3)
 
+    def test_a_listing_goes_through_the_whole_list_once_however_long_it_is(self) -> None:
+        entries = tuple(UpstreamEntry(upstream(f"n{at}"), 20 + at) for at in range(50))
+        drop = UpstreamList._drop_oldest_removed
+        with patch.object(UpstreamList, "_drop_oldest_removed", autospec=True) as dropped:
+            dropped.side_effect = drop
+            self.known.take(UpstreamUpdate(80, entries, whole=True))
+        self.assertEqual(dropped.call_count, 1)
+        self.assertEqual(len(self.known.of_service("lang")), 50)
+        self.assertIsNone(self.known.upstream("e0"))
+
     @settings(max_examples=200, derandomize=True)
     @given(
         st.lists(
