Know each start of an upstream apart, and use no entry that another writer may have written

Cause, read in the code and shown by tests that fail on the code before (49 of the table's cases): all that a router takes to be so of an upstream is kept by its id and outlived the process; an entry with a field missing or of another type was guessed, one with a state that nobody knows counted as live, one that turned unreadable went on being used as it last was; one object nested a thousand deep or with bytes that are no text hid all others, and a number beyond 64 bits kept every entry from peers.

Change: where the platform says when an upstream started, its name inside holds the start, and the id alone decides which is a chat's home. Entries are held to all eight fields; what does not fit gets no new requests, at every router, and what runs there goes on. Answers of the store that cannot be read at once are split without recursion.

--- a/fakes/_machines_fleet.py
+++ b/fakes/_machines_fleet.py
@@ -105,8 +105,11 @@
             "Service": engine.service,
             "Address": engine.url.removeprefix("http://"),
             "Zone": engine.hall,
+            "Version": "v1",
             "Slots": 8,
             "State": state,
+            "ColdRemainingMs": 0,
+            "Sequence": 1,
         }
         self.put("servers", engine.name, entry)
 
--- a/pondhatch/placement/__init__.py
+++ b/pondhatch/placement/__init__.py
@@ -8,8 +8,11 @@
 from pondhatch.placement._memory import SpillMemory
 from pondhatch.placement._plan import Ask, Exhausted, Plan, Step
 from pondhatch.placement._rendezvous import ranked, scorer, winner
+from pondhatch.placement._starts import id_of, name_of_start
 
 __all__ = [
+    "id_of",
+    "name_of_start",
     "Ask",
     "EngineCount",
     "Exhausted",
--- a/pondhatch/placement/_rendezvous.py
+++ b/pondhatch/placement/_rendezvous.py
@@ -6,16 +6,28 @@
 
 from __future__ import annotations
 
+import functools
 from collections.abc import Callable, Iterable
 
 import xxhash
 
+from pondhatch.placement._starts import id_of
+
+#: Names of which the part that is hashed is kept: three times the upstreams and routers of the
+#: size to design for. Kept, it costs no more than encoding a name anew.
+NAMES_KEPT = 8192
+
+
+@functools.lru_cache(maxsize=NAMES_KEPT)
+def _hashed_part(name: str) -> bytes:
+    return id_of(name).encode()
+
 
 def scorer(key: str) -> Callable[[str], int]:
     """Return a function from name to its 64-bit score for a key; the highest wins."""
     seed = xxhash.xxh3_64_intdigest(key.encode())
     digest = xxhash.xxh3_64_intdigest
-    return lambda name: digest(name.encode(), seed)
+    return lambda name: digest(_hashed_part(name), seed)
 
 
 def ranked(key: str, names: Iterable[str], most: int | None = None) -> tuple[str, ...]:
@@ -26,7 +38,7 @@
     seed = xxhash.xxh3_64_intdigest(key.encode())
     digest = xxhash.xxh3_64_intdigest
     # A list of scores built in place costs half of a key function's calls.
-    scored = [(digest(name.encode(), seed), name) for name in names]
+    scored = [(digest(_hashed_part(name), seed), name) for name in names]
     scored.sort(reverse=True)
     return tuple([name for _, name in scored[:most]])
 
--- a/pondhatch/platform/_engines.py
+++ b/pondhatch/platform/_engines.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from typing import Any
+from typing import Annotated, Any, Literal
 
 import msgspec
 
 from pondhatch.authority import NotTaken, Silent, Wanted
 from pondhatch.platform import _names as names
+from pondhatch.platform._entries import plain
 from pondhatch.platform._header_owners import OWNERS
 from pondhatch.requests import EngineRefusal, Headers, Judged, RequestHead, Target
 from pondhatch.store import LEAVING, LIVE
@@ -17,40 +18,72 @@
 #: What an engine that takes no new work says of itself.
 DRAINING = "draining"
 
+#: A name of a service, or of anything that must not be empty.
+Name = Annotated[str, msgspec.Meta(min_length=1)]
+#: The largest whole number that every reader of JSON takes as it is written. A larger one could
+#: not be passed on to peers, and would keep all other entries from them.
+LARGEST = 2**53
+Count = Annotated[int, msgspec.Meta(ge=0, le=LARGEST)]
+
+
+class _Entry(msgspec.Struct, rename="pascal", frozen=True):
+    """What an engine writes of itself; what nobody knows may stand beside."""
+
+    service: Name
+    #: "IP:port"; where it is none, the list of upstreams sends no requests there.
+    address: Name
+    zone: str
+    #: Of its software.
+    version: str
+    #: Requests that it runs at once.
+    slots: Annotated[int, msgspec.Meta(ge=1, le=LARGEST)]
+    state: Literal["ready", "draining"]
+    #: For how much longer it is slow after its start.
+    cold_remaining_ms: Annotated[float, msgspec.Meta(ge=0)]
+    #: Counts its own entries.
+    sequence: Count
+    #: When it started, in milliseconds since 1970; not every platform says so.
+    born: Count | msgspec.UnsetType = msgspec.field(name="born", default=msgspec.UNSET)
+
 
 def decode_engine(name: str, value: Any) -> dict[str, Any]:
     """Return an engine's entry as the product's list of upstreams holds it.
 
-    Each field is read by itself, so that one that cannot be read hides no other, least of
-    all the word that the engine leaves. Raises msgspec.ValidationError where the entry is
-    no table, or names no service that would send requests there.
+    Whoever may write to the store may have written it, so it names an engine only where all of
+    it is as engines write it; but for one that leaves, which must get no new work whatever else
+    it says. Raises msgspec.ValidationError.
     """
-    entry = msgspec.convert(value, dict[str, Any])
-    leaves = entry.get("State") == DRAINING
-    if not leaves and not isinstance(entry.get("Service"), str):
-        raise msgspec.ValidationError("Expected the name of a service - at `$.Service`")
+    fields = msgspec.convert(value, dict[str, Any])
+    if fields.get("State") == DRAINING:
+        return _upstream(name, fields, LEAVING)
+    whole = {field: plain(each) for field, each in fields.items()}
+    entry = msgspec.convert(whole, _Entry)
+    start = 0 if entry.born is msgspec.UNSET else entry.born
+    return {**_upstream(name, fields, LIVE), "slots": entry.slots, "start": start}
+
+
+def _upstream(name: str, fields: Mapping[str, Any], state: str) -> dict[str, Any]:
     return {
         "name": name,
-        "service": _text(entry, "Service"),
-        # "IP:port"; where it is none, the list of upstreams sends no requests there.
-        "url": f"http://{_text(entry, 'Address')}",
-        "hall": _text(entry, "Zone"),
-        "state": LEAVING if leaves else LIVE,
-        "slots": _slots(entry),
+        "service": _text(fields, "Service"),
+        "url": f"http://{_text(fields, 'Address')}",
+        "hall": _text(fields, "Zone"),
+        "state": state,
+        "start": _whole_number(fields, "born"),
+        "slots": _whole_number(fields, "Slots"),
     }
 
 
-def _text(entry: Mapping[str, Any], field: str) -> str:
+def _text(fields: Mapping[str, Any], field: str) -> str:
     """Return a field that is a text, empty where it is none."""
-    found = entry.get(field)
+    found = fields.get(field)
     return found if isinstance(found, str) else ""
 
 
-def _slots(entry: Mapping[str, Any]) -> int:
-    """Return the requests that the engine runs at once; 0 leaves that to its service."""
+def _whole_number(fields: Mapping[str, Any], field: str) -> int:
+    """Return a field that is a whole number, 0 where it is none."""
     try:
-        # 64.0 and "64" are as good as 64.
-        return max(0, msgspec.convert(entry.get("Slots"), int, strict=False))
+        return msgspec.convert(plain(fields.get(field)), Count)
     except msgspec.ValidationError:
         return 0
 
@@ -78,7 +111,7 @@
         """
         own: list[tuple[str, str]] = [
             (names.DEADLINE_MS, str(max(1, int(head.deadline * 1000)))),
-            (names.EXPECTED_ENGINE, utf8_value(target.name)),
+            (names.EXPECTED_ENGINE, utf8_value(target.instance or target.name)),
             (names.PRIORITY, str(head.priority)),
         ]
         if head.account:
--- a/pondhatch/platform/_entries.py
+++ b/pondhatch/platform/_entries.py
@@ -49,7 +49,7 @@
         if raw is None and not each.required:
             continue
         try:
-            found[each.name] = msgspec.convert(_plain(raw), each.type)
+            found[each.name] = msgspec.convert(plain(raw), each.type)
         except msgspec.ValidationError as error:
             told = f"{each.encode_name}: {error}"
             if each.required:
@@ -69,7 +69,7 @@
     return msgspec.structs.fields(shape)
 
 
-def _plain(value: Any) -> Any:
+def plain(value: Any) -> Any:
     """Return a number as JSON means it: 2.0 is 2."""
     return int(value) if isinstance(value, float) and value.is_integer() else value
 
--- a/pondhatch/platform/_store.py
+++ b/pondhatch/platform/_store.py
@@ -4,12 +4,13 @@
 
 from collections.abc import AsyncIterator, Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, TypeVar
 from urllib.parse import quote
 
 import msgspec
 
 from pondhatch.observing import Once, log_for
+from pondhatch.platform._salvage import elements, member, members
 from pondhatch.store import (
     Accepted,
     Conflict,
@@ -50,6 +51,12 @@
     revision: int = 0
 
 
+class _Named(msgspec.Struct, rename="pascal", frozen=True):
+    """What is needed to know an object by."""
+
+    name: str
+
+
 class _Object(msgspec.Struct, rename="pascal", frozen=True):
     """An object; what its writer says stands in ``spec``, or for some kinds in ``status``."""
 
@@ -62,7 +69,7 @@
     """A part of a listing."""
 
     #: Objects, each still to be read by itself.
-    entries: tuple[Any, ...]
+    entries: tuple[msgspec.Raw, ...]
     #: The store's revision as of which the page was read, not a time.
     timestamp: int
     has_more: bool = False
@@ -79,10 +86,14 @@
     """What a watch answers."""
 
     #: Changes, each still to be read by itself.
-    events: tuple[Any, ...]
+    events: tuple[msgspec.Raw, ...]
     timestamp: int = msgspec.field(name="Timestamp")
 
 
+#: What decoding raises where bytes are no JSON, or nested too deep.
+UNREADABLE_JSON = (msgspec.DecodeError, RecursionError)
+
+
 @dataclass
 class _Listing:
     """The pages of a listing that were read so far."""
@@ -104,6 +115,8 @@
         return Listed(version, tuple(self.found), frozenset(left_out), is_whole)
 
 
+Answer = TypeVar("Answer", _Page, _Watched)
+
 #: Turns what the store holds into the product's value. Raises msgspec.ValidationError.
 Decode = Callable[[str, Any], Any]
 
@@ -134,8 +147,13 @@
             return Unavailable(f"answered {status}")
         try:
             return Found(self._stored(kind, msgspec.json.decode(content)))
-        except msgspec.DecodeError as error:
-            return Unavailable(f"answered what cannot be read: {error}")
+        except UNREADABLE_JSON as error:
+            metadata = _metadata_of(content)
+            if metadata is None:
+                return Unavailable(f"answered what cannot be read: {error}")
+            # There all the same: whoever keeps it may replace what another wrote.
+            self._tell(kind, content, error)
+            return Found(StoredObject(kind, metadata.name, metadata.revision, None))
 
     async def list(self, kind: str) -> Listed | Unavailable:
         """Read all objects of a kind, page by page."""
@@ -167,8 +185,8 @@
         if status != OK:
             return Unavailable(f"answered {status}")
         try:
-            return msgspec.json.decode(content, type=_Page)
-        except msgspec.DecodeError as error:
+            return _decoded(content, _Page, "Entries")
+        except UNREADABLE_JSON as error:
             return Unavailable(f"answered what is no page of a listing: {error}")
 
     async def create(
@@ -214,8 +232,8 @@
         if status != OK:
             raise PlatformLost(f"answered {status}")
         try:
-            return msgspec.json.decode(content, type=_Watched)
-        except msgspec.DecodeError as error:
+            return _decoded(content, _Watched, "events")
+        except UNREADABLE_JSON as error:
             raise PlatformLost(f"answered what is no watch: {error}") from error
 
     async def _write(
@@ -245,52 +263,84 @@
         metadata = found.metadata
         return StoredObject(kind, metadata.name, metadata.revision, decode(metadata.name, value))
 
-    def _readable(self, kind: str, entries: Iterable[Any]) -> Sequence[StoredObject]:
+    def _readable(self, kind: str, entries: Iterable[msgspec.Raw]) -> Sequence[StoredObject]:
         """Return the objects that make sense; one that does not must not hide the others."""
         found = []
         for each in entries:
             try:
-                found.append(self._stored(kind, each))
-            except msgspec.ValidationError as error:
+                found.append(self._stored(kind, msgspec.json.decode(each)))
+            except UNREADABLE_JSON as error:
                 self._tell(kind, each, error)
         return found
 
-    def _event(self, kind: str, told: Any) -> WatchEvent | None:
-        """Return what a change says, None where it makes no sense."""
+    def _event(self, kind: str, told: msgspec.Raw) -> WatchEvent | None:
+        """Return what a change says, None where it names no object."""
         try:
-            happened = msgspec.convert(told, _Happened)
+            change = msgspec.json.decode(told)
+            happened = msgspec.convert(change, _Happened)
             if happened.deleted:
                 # The revision is that of the removal itself; a higher one would hide what
                 # changed next from the routers that ask for what is newer than it.
                 removed = happened.object.metadata
                 return WatchEvent("removed", removed.revision, removed.name)
-            stored = self._stored(kind, told["Object"])
-        except msgspec.ValidationError as error:
-            self._tell(kind, told.get("Object") if isinstance(told, dict) else told, error)
-            return None
+            stored = self._stored(kind, change["Object"])
+        except UNREADABLE_JSON as error:
+            changed = member(bytes(told), "Object")
+            self._tell(kind, changed, error)
+            metadata = _metadata_of(changed)
+            return WatchEvent("unreadable", metadata.revision, metadata.name) if metadata else None
         return WatchEvent("set", stored.version, stored.name, stored.value)
 
-    def _tell(self, kind: str, entry: Any, error: msgspec.ValidationError) -> None:
+    def _tell(self, kind: str, entry: bytes | msgspec.Raw, error: Exception) -> None:
         """Tell of an object that makes no sense, once for each form in which it is read.
 
         It comes again with each listing, and its line would too.
         """
-        if self._told.is_first((kind, hash(repr(entry)))):
+        if self._told.is_first((kind, hash(bytes(entry)))):
             log.error("Object {} {} is left out: {}.", kind, _name_of(entry) or "?", error)
 
 
-def _name_of(entry: Any) -> str:
+def _decoded(content: bytes, shape: type[Answer], listed: str) -> Answer:
+    """Return an answer; ``listed`` names the list of its parts, each still to be read.
+
+    Raises what UNREADABLE_JSON holds, where more than a part cannot be read.
+    """
+    try:
+        return msgspec.json.decode(content, type=shape)
+    except UNREADABLE_JSON:
+        raw_by_name = dict(members(content))
+        parts = raw_by_name.pop(listed, b"")
+        rest = b",".join(b'"%s":%s' % (name.encode(), raw) for name, raw in raw_by_name.items())
+        answer = msgspec.json.decode(b'{"%s":[],%s}' % (listed.encode(), rest), type=shape)
+        if not parts:
+            raise
+    return msgspec.structs.replace(
+        answer, **{listed.lower(): tuple(map(msgspec.Raw, elements(parts)))}
+    )
+
+
+def _metadata_of(entry: bytes | msgspec.Raw) -> _Metadata | None:
+    """Return the metadata of an object that may make no sense otherwise."""
+    try:
+        return msgspec.json.decode(member(bytes(entry), "Metadata"), type=_Metadata)
+    except UNREADABLE_JSON:
+        return None
+
+
+def _name_of(entry: bytes | msgspec.Raw) -> str:
     """Return the name of an object that may make no sense otherwise, empty where it has none."""
-    metadata = entry.get("Metadata") if isinstance(entry, dict) else None
-    name = metadata.get("Name") if isinstance(metadata, dict) else None
-    return name if isinstance(name, str) else ""
+    metadata = member(bytes(entry), "Metadata")
+    try:
+        return msgspec.json.decode(metadata, type=_Named).name
+    except UNREADABLE_JSON:
+        return ""
 
 
 def _accepted(content: bytes) -> Accepted | OutcomeUnknown:
     """Return what the answer to a write that was done says; the writer must know its revision."""
     try:
         return Accepted(msgspec.json.decode(content, type=_Object).metadata.revision)
-    except msgspec.DecodeError as error:
+    except UNREADABLE_JSON as error:
         return OutcomeUnknown(f"answered what cannot be read: {error}")
 
 
--- a/pondhatch/platform/tests/test_dialects.py
+++ b/pondhatch/platform/tests/test_dialects.py
@@ -135,21 +135,23 @@
                     entry = {**ENGINE, "State": "draining", field: value}
                     self.assertEqual(decode_engine("i-1", entry)["state"], "leaving")
 
-    def test_an_optional_field_that_cannot_be_read_has_its_default(self) -> None:
-        rows: tuple[tuple[str, Any, str, Any], ...] = (
-            ("Slots", None, "slots", 0),
-            ("Slots", "many", "slots", 0),
-            ("Slots", -1, "slots", 0),
-            ("Slots", 64.0, "slots", 64),
-            ("Slots", "64", "slots", 64),
-            ("Zone", None, "hall", ""),
-            ("State", None, "state", "live"),
+    def test_a_field_that_cannot_be_read_is_not_guessed(self) -> None:
+        rows: tuple[tuple[str, Any], ...] = (
+            ("Slots", None),
+            ("Slots", "many"),
+            ("Slots", -1),
+            ("Slots", "64"),
+            ("Zone", None),
+            ("State", None),
         )
-        for field, value, read_as, expected in rows:
-            with self.subTest(field=field, value=value):
-                found = decode_engine("i-1", {**ENGINE, field: value})
-                self.assertEqual(found[read_as], expected)
-                self.assertEqual(found["url"], "http://10.0.0.9:8080")
+        for field, value in rows:
+            wrong = {**ENGINE, field: value}
+            with (
+                self.subTest(field=field, value=value),
+                self.assertRaisesRegex(msgspec.ValidationError, field),
+            ):
+                decode_engine("i-1", wrong)
+        self.assertEqual(decode_engine("i-1", {**ENGINE, "Slots": 64.0})["slots"], 64)
 
     def test_what_takes_no_requests_makes_no_sense(self) -> None:
         wrong: tuple[Any, ...] = (None, "i-1", [], {**ENGINE, "Service": None})
--- /dev/null
+++ b/pondhatch/platform/tests/test_entries_of_others.py
@@ -0,0 +1,263 @@
+"""Entries of engines that another writer may have written.
+
+Such an entry names no engine to use, and hides no other: one field that is missing or of
+another type, a state that nobody knows, bytes that are no text, numbers without end or tables
+a thousand deep. One that was good before and is such now gets no new requests; those that run
+there go on.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+from hypothesis import given
+from hypothesis import strategies as st
+from loguru import logger
+
+from pondhatch.platform._engines import decode_engine
+from pondhatch.platform._store import PlatformStore
+from pondhatch.platform.tests._wire import ENGINE
+from pondhatch.router import RouterState
+from pondhatch.router.tests.test_sync import router
+from pondhatch.store import (
+    LEAVING,
+    LIVE,
+    Found,
+    Listed,
+    PlatformLost,
+    StoredObject,
+    Unavailable,
+    WatchEvent,
+)
+
+#: Bytes that stand where an entry should, each hiding every other one if it is read at once.
+GARBAGE: dict[str, bytes] = {
+    "bytes that are no text": b'{"Metadata":{"Name":"i-2","Revision":5},"Spec":"\xff\xfe"}',
+    "a name that is no text": b'{"Metadata":{"Name":7,"Revision":5},"Spec":{}}',
+    "half of a character": b'{"Metadata":{"Name":"i-2","Revision":5},"Spec":"\\ud800"}',
+    "a number without end": b'{"Metadata":{"Name":"i-2","Revision":5},"Spec":' + b"9" * 5000 + b"}",
+    "no number": b'{"Metadata":{"Name":"i-2","Revision":5},"Spec":NaN}',
+    "a thousand deep": b'{"Metadata":{"Name":"i-2","Revision":5},"Spec":'
+    + b"[" * 2000
+    + b"]" * 2000
+    + b"}",
+    "a megabyte deep": b'{"Metadata":{"Name":"i-2","Revision":5},"Spec":'
+    + b'{"a":' * 200_000
+    + b"1"
+    + b"}" * 200_000
+    + b"}",
+    "brackets in a text": b'{"Metadata":{"Name":"i-2","Revision":5},"Spec":"]}\\"[{\xff"}',
+}
+
+
+def stored(name: str, revision: int, **changes: Any) -> dict[str, Any]:
+    """Return an engine's object as the store holds it."""
+    metadata = {"Name": name, "Revision": revision, "Created": 1}
+    return {"Metadata": metadata, "Spec": {**ENGINE, **changes}, "Status": None}
+
+
+class Answers:
+    """A store that answers each call with bytes, in order."""
+
+    made = 0
+
+    def __init__(self, *answers: bytes) -> None:
+        self._answers = list(answers)
+
+    async def call(
+        self, method: str, path: str, body: bytes = b"", seconds: float = 2.0
+    ) -> tuple[int, bytes]:
+        return (200, self._answers.pop(0)) if self._answers else (503, b"")
+
+
+def store(*answers: bytes) -> PlatformStore:
+    calls: Any = Answers(*answers)
+    return PlatformStore(calls, {"upstream": ("servers", decode_engine)})
+
+
+def page(*entries: bytes) -> bytes:
+    return b'{"Entries":[' + b",".join(entries) + b'],"HasMore":false,"Timestamp":9}'
+
+
+async def told(platform: PlatformStore) -> list[WatchEvent]:
+    """Return what a watch tells until the store answers no more."""
+    events: list[WatchEvent] = []
+    try:
+        async for event in platform.watch("upstream", 3):
+            events.append(event)
+    except PlatformLost:
+        return events
+    raise AssertionError("a watch does not end by itself")
+
+
+class OneFieldTest(unittest.TestCase):
+    WRONG: tuple[tuple[str, Any], ...] = (
+        ("Service", None),
+        ("Service", ""),
+        ("Service", 7),
+        ("Address", None),
+        ("Address", ["10.0.0.9:8080"]),
+        ("Zone", 1),
+        ("Version", 1),
+        ("Slots", None),
+        ("Slots", "64"),
+        ("Slots", 0),
+        ("Slots", -1),
+        ("Slots", 1.5),
+        ("Slots", True),
+        ("State", None),
+        ("State", "paused"),
+        ("State", ["ready"]),
+        ("ColdRemainingMs", "0"),
+        ("ColdRemainingMs", -1),
+        ("Sequence", None),
+        ("Sequence", 1.5),
+        ("born", None),
+        ("born", "1700000000000"),
+        ("born", 1.5),
+        ("born", True),
+    )
+
+    def test_one_that_is_of_another_type_names_no_engine(self) -> None:
+        for field, value in self.WRONG:
+            wrong = {**ENGINE, field: value}
+            with (
+                self.subTest(field=field, value=value),
+                self.assertRaisesRegex(msgspec.ValidationError, field),
+            ):
+                decode_engine("i-1", wrong)
+
+    def test_one_that_is_missing_names_no_engine(self) -> None:
+        for field in ENGINE:
+            with self.subTest(field=field):
+                rest = {name: value for name, value in ENGINE.items() if name != field}
+                with self.assertRaisesRegex(msgspec.ValidationError, field):
+                    decode_engine("i-1", rest)
+
+    def test_whole_numbers_may_be_written_with_a_point(self) -> None:
+        numbers = {"Slots": 64.0, "Sequence": 2.0, "ColdRemainingMs": 12.5, "born": 1.7e12}
+        found = decode_engine("i-1", {**ENGINE, **numbers})
+        self.assertEqual((found["slots"], found["start"]), (64, 1_700_000_000_000))
+
+    def test_what_nobody_knows_may_stand_beside(self) -> None:
+        found = decode_engine("i-1", {**ENGINE, "Phase": "combined", "Later": {"a": [1]}})
+        self.assertEqual(found["state"], LIVE)
+
+    def test_one_that_leaves_says_so_whatever_else_is_wrong(self) -> None:
+        for field, value in self.WRONG:
+            if field == "State":
+                continue
+            with self.subTest(field=field, value=value):
+                wrong = {**ENGINE, "State": "draining", field: value}
+                self.assertEqual(decode_engine("i-1", wrong)["state"], LEAVING)
+
+
+class GarbageTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_listing_keeps_the_others(self) -> None:
+        first, third = (msgspec.json.encode(stored(name, 4)) for name in ("i-1", "i-3"))
+        for label, garbage in GARBAGE.items():
+            with self.subTest(label):
+                listed = await store(page(first, garbage, third)).list("upstream")
+                assert isinstance(listed, Listed), listed
+                self.assertEqual([each.name for each in listed.objects], ["i-1", "i-3"])
+                self.assertEqual(listed.version, 9)
+
+    async def test_a_watch_tells_the_others(self) -> None:
+        for label, garbage in GARBAGE.items():
+            with self.subTest(label):
+                happened = [
+                    b'{"Deleted":false,"Object":' + each + b"}"
+                    for each in (garbage, msgspec.json.encode(stored("i-3", 6)))
+                ]
+                answer = b'{"events":[' + b",".join(happened) + b'],"Timestamp":6}'
+                events = [each for each in await told(store(answer)) if each.type == "set"]
+                self.assertEqual([each.name for each in events], ["i-3"])
+
+    async def test_an_object_of_our_own_is_there_and_may_be_replaced(self) -> None:
+        for label, garbage in GARBAGE.items():
+            if label == "a name that is no text":
+                continue
+            with self.subTest(label):
+                found = await store(garbage).get("own", "i-2")
+                assert isinstance(found, Found), found
+                self.assertEqual((found.object.version, found.object.name), (5, "i-2"))
+                if "text" not in label:
+                    self.assertIsNone(found.object.value)
+
+    async def test_bytes_that_are_no_answer_at_all_are_an_outage(self) -> None:
+        whole = page(msgspec.json.encode(stored("i-1", 4)))
+        for answer in (b"", b"[", whole[:-1], whole[:40], b"\xff", b'"' + whole, b"[" * 3000):
+            with self.subTest(answer=answer[:40]):
+                self.assertIsInstance(await store(answer).list("upstream"), Unavailable)
+                self.assertEqual([each.type for each in await told(store(answer))], ["bookmark"])
+
+    @given(st.binary(max_size=60), st.integers(0, 900), st.integers(0, 60))
+    def test_no_bytes_raise_anything(self, noise: bytes, at: int, cut: int) -> None:
+        whole = page(*(msgspec.json.encode(stored(f"i-{each}", 4)) for each in range(3)))
+        answer = whole[:at] + noise + whole[at + cut :]
+
+        async def main() -> None:
+            listed = await store(answer).list("upstream")
+            self.assertIsInstance(listed, Listed | Unavailable)
+            await told(store(answer))
+
+        asyncio.run(main())
+
+
+class NoNewRequestsTest(unittest.TestCase):
+    """An entry that was good, and that another writer has spoiled."""
+
+    def setUp(self) -> None:
+        self.lines: list[str] = []
+        number = logger.add(self.lines.append, level="ERROR", format="{message}")
+        self.addCleanup(logger.remove, number)
+        self.state = router("r0")
+        for name in ("i-1", "i-2"):
+            good = decode_engine(name, {**ENGINE, "Address": f"10.0.0.{name[-1]}:80"})
+            self.state.take_upstream_event(WatchEvent("set", 4, name, good))
+
+    def taking(self, state: RouterState | None = None) -> list[str]:
+        upstreams = (state or self.state).upstreams
+        return [each.id for each in upstreams.of_service("lang")]
+
+    def spoilt(self) -> list[Callable[[], None]]:
+        """Return the ways in which a router hears of it, at version 6."""
+        unreadable = WatchEvent("unreadable", 6, "i-1")
+        senseless = WatchEvent("set", 6, "i-1", {"name": "i-1"})
+        return [
+            lambda: self.assertTrue(self.state.take_upstream_event(unreadable)),
+            lambda: self.assertTrue(self.state.take_upstream_event(senseless)),
+            lambda: self.listed(),
+        ]
+
+    def listed(self) -> None:
+        other = {"name": "i-2", "service": "lang", "url": "http://10.0.0.2:80", "hall": "hall-1"}
+        kept = StoredObject("upstream", "i-2", 4, other)
+        self.state.take_listed_upstreams(Listed(6, (kept,), frozenset({"i-1"})))
+
+    def test_it_takes_none_and_is_not_gone(self) -> None:
+        for at in range(3):
+            with self.subTest(way=at):
+                self.setUp()
+                self.spoilt()[at]()
+                self.assertEqual(self.taking(), ["i-2"])
+                self.assertIsNotNone(self.state.upstreams.upstream("i-1"))
+
+    def test_every_router_learns_it_and_its_return(self) -> None:
+        peer = router("r1")
+        peer.take_upstreams(self.state.upstreams_since(0))
+        self.spoilt()[0]()
+        peer.take_upstreams(self.state.upstreams_since(peer.upstreams.version))
+        self.assertEqual(self.taking(peer), ["i-2"])
+        self.state.take_upstream_event(WatchEvent("set", 8, "i-1", decode_engine("i-1", ENGINE)))
+        peer.take_upstreams(self.state.upstreams_since(peer.upstreams.version))
+        self.assertEqual(self.taking(peer), ["i-1", "i-2"])
+
+    def test_an_older_word_changes_nothing(self) -> None:
+        self.assertFalse(self.state.take_upstream_event(WatchEvent("unreadable", 3, "i-1")))
+        self.assertFalse(self.state.take_upstream_event(WatchEvent("unreadable", 9, "i-9")))
+        self.assertEqual(self.taking(), ["i-1", "i-2"])
--- a/pondhatch/platform/tests/test_store.py
+++ b/pondhatch/platform/tests/test_store.py
@@ -235,7 +235,8 @@
             for name, spec in (("a", "?"), ("b", 2))
         ]
         events, _, _ = await self.watched((200, {"events": told, "Timestamp": 6}), (503, None))
-        self.assertEqual([event.name for event in events[1:]], ["b"])
+        said = [(event.type, event.name, event.version) for event in events[1:]]
+        self.assertEqual(said, [("unreadable", "a", 5), ("set", "b", 5)])
 
     async def test_a_change_that_cannot_be_read_does_not_end_it(self) -> None:
         wrong: tuple[Any, ...] = (None, {}, {"Deleted": True, "Object": {}}, {"Object": None})
--- a/pondhatch/requests/_sending.py
+++ b/pondhatch/requests/_sending.py
@@ -42,6 +42,8 @@
     slack: int = 0
     #: Whether it takes contexts over from other engines of its service.
     shares_context: bool = False
+    #: The id that it answers to; empty where its name is that.
+    instance: str = ""
 
 
 def takes(target: Target | None, resuming: bool) -> TypeGuard[Target]:
--- a/pondhatch/router/_state.py
+++ b/pondhatch/router/_state.py
@@ -267,6 +267,7 @@
             slots=upstream.slots or service.engine_slots,
             slack=service.load_slack,
             shares_context=service.shares_context,
+            instance=upstream.instance,
         )
 
     def _takes_work(self, upstream: Upstream, service: ServiceSpec) -> bool:
--- a/pondhatch/router/_upstream_changes.py
+++ b/pondhatch/router/_upstream_changes.py
@@ -119,7 +119,10 @@
     def _apply(self, event: WatchEvent) -> bool:
         if event.type == "set":
             upstream = self.reader.upstream(event.name, event.version, event.value)
-            return upstream is not None and self.upstreams.set(upstream, event.version)
+            if upstream is not None:
+                return self.upstreams.set(upstream, event.version)
+        if event.type in ("set", "unreadable"):
+            return self.upstreams.hold_back(event.name, event.version)
         if event.type == "removed":
             return self.upstreams.remove(event.name, event.version)
         return False
@@ -134,10 +137,14 @@
         """Note whose entries went without a word, and whose are back."""
         for name, entry in self.upstreams.entry_by_name.items():
             if entry.upstream.state != REMOVED:
-                self.vanished.returned(name)
-            elif name in live_before:
+                self.vanished.returned(entry.upstream.id)
+            elif name in live_before and not self._started_again(entry.upstream):
                 self.vanished.note(live_before[name], now)
 
+    def _started_again(self, ended: Upstream) -> bool:
+        newest = self.upstreams.newest(ended.id)
+        return newest is not None and newest.upstream.name != ended.name
+
     def _names(self) -> frozenset[str]:
         return frozenset(self.upstreams.entry_by_name)
 
--- a/pondhatch/router/tests/test_sync.py
+++ b/pondhatch/router/tests/test_sync.py
@@ -364,17 +364,19 @@
                 self.assertEqual(len(self.lines), 1, self.lines)
                 self.assertIn("e1", self.lines[0])
 
-    def test_a_change_that_makes_no_sense_neither_raises_nor_changes_anything(self) -> None:
-        state = self.starting(ENTRY)
-        self.assertFalse(state.take_upstream_event(WatchEvent("set", 9, "e0", {"name": "e0"})))
-        self.assertEqual([each.name for each in state.upstreams.of_service("lang")], ["e0"])
+    def test_a_change_that_makes_no_sense_ends_new_work_there_and_nowhere_else(self) -> None:
+        state = self.starting(ENTRY, {**ENTRY, "name": "e1"})
+        self.assertTrue(state.take_upstream_event(WatchEvent("set", 9, "e0", {"name": "e0"})))
+        self.assertEqual([each.name for each in state.upstreams.of_service("lang")], ["e1"])
+        self.assertIsNotNone(state.upstreams.upstream("e0"))
 
     def test_what_is_listed_and_makes_no_sense_is_not_taken_for_gone(self) -> None:
         state = self.starting(ENTRY)
         for version in (9, 10):
             listed = Listed(version, (StoredObject("upstream", "e0", 9, {**ENTRY, "slots": None}),))
             state.take_listed_upstreams(listed)
-        self.assertEqual([each.name for each in state.upstreams.of_service("lang")], ["e0"])
+        self.assertIsNotNone(state.upstreams.upstream("e0"))
+        self.assertEqual(state.upstreams.of_service("lang"), ())
         self.assertEqual(len(self.lines), 1, self.lines)
 
     def test_each_version_of_it_is_told(self) -> None:
--- a/pondhatch/store/_objects.py
+++ b/pondhatch/store/_objects.py
@@ -21,7 +21,7 @@
 class WatchEvent(msgspec.Struct, frozen=True):
     """One line of a watch."""
 
-    #: "set", "removed" or "bookmark".
+    #: "set", "removed", "bookmark", or "unreadable": set to what makes no sense.
     type: str
     version: int
     name: str = ""
--- a/pondhatch/store/_upstreams.py
+++ b/pondhatch/store/_upstreams.py
@@ -15,6 +15,7 @@
 
 from pondhatch.kernel import host_and_port
 from pondhatch.observing import Once, log_for
+from pondhatch.placement import name_of_start
 from pondhatch.store._objects import Listed
 
 log = log_for("store")
@@ -43,6 +44,32 @@
     checks_fencing: bool = False
     #: Requests that it can take at once; 0 where its service says so.
     slots: int = 0
+    #: When it started, in milliseconds since 1970; 0 where nobody says.
+    start: int = 0
+    #: The id that it answers to, which an earlier start of it had as well; empty where its name
+    #: is that.
+    instance: str = ""
+
+    @property
+    def id(self) -> str:
+        """The id that it answers to."""
+        return self.instance or self.name
+
+    def identified(self) -> Upstream:
+        """Return it under a name that no other start of it has.
+
+        All that routers take to be so of an upstream they keep by its name: what it holds, how
+        well it is, what runs there. So none of that is ever looked up for another start.
+        """
+        if not self.start or self.instance:
+            return self
+        return msgspec.structs.replace(
+            self, name=name_of_start(self.name, self.start), instance=self.name
+        )
+
+    def as_listed(self) -> Upstream:
+        """Return it as the platform lists it, under its id."""
+        return msgspec.structs.replace(self, name=self.id, instance="")
 
 
 class UpstreamEntry(msgspec.Struct, frozen=True):
@@ -76,6 +103,8 @@
     entry_by_name: dict[str, UpstreamEntry] = field(default_factory=dict)
     #: Version below which removed entries may be missing.
     complete_since: int = 0
+    #: The name of the newest start of each upstream, by its id.
+    _name_by_id: dict[str, str] = field(default_factory=dict)
 
     def upstream(self, name: str) -> Upstream | None:
         """Return an upstream that was not removed, or None."""
@@ -101,20 +130,64 @@
         return news
 
     def _set(self, upstream: Upstream, version: int) -> bool:
+        upstream = self._as_known(upstream).identified()
         known = self.entry_by_name.get(upstream.name)
         if known is not None and known.version >= version:
             return False
+        if not self._supersede(upstream, version):
+            return False
         self.entry_by_name[upstream.name] = UpstreamEntry(upstream, version)
+        self._name_by_id[upstream.id] = upstream.name
         self.version = max(self.version, version)
         return True
 
-    def remove(self, name: str, version: int) -> bool:
+    def _as_known(self, upstream: Upstream) -> Upstream:
+        """Return one that leaves, and of which nobody says when it started, as it was known."""
+        known = self.newest(upstream.id)
+        if upstream.start or upstream.state != LEAVING or known is None:
+            return upstream
+        return msgspec.structs.replace(upstream, start=known.upstream.start)
+
+    def _supersede(self, upstream: Upstream, version: int) -> bool:
+        """End another start of an upstream; return whether that one is the older news.
+
+        The platform's version decides: clocks of upstreams may step back.
+        """
+        name = self._name_by_id.get(upstream.id, upstream.name)
+        other = self.entry_by_name.get(name)
+        if other is None or name == upstream.name:
+            return True
+        if other.version >= version:
+            return False
+        ended = msgspec.structs.replace(other.upstream, state=REMOVED)
+        self.entry_by_name[name] = UpstreamEntry(ended, version)
+        return True
+
+    def newest(self, upstream_id: str) -> UpstreamEntry | None:
+        """Return the newest start of an upstream, None where none was ever listed."""
+        return self.entry_by_name.get(self._name_by_id.get(upstream_id, ""))
+
+    def remove(self, upstream_id: str, version: int) -> bool:
         """Note that the platform no longer lists an upstream."""
-        known = self.entry_by_name.get(name)
+        return self._becomes(upstream_id, REMOVED, version)
+
+    def hold_back(self, upstream_id: str, version: int) -> bool:
+        """Note that what the platform lists of an upstream names none: it gets nothing new.
+
+        What runs there goes on.
+        """
+        known = self.newest(upstream_id)
+        if known is None or known.upstream.state == REMOVED:
+            self.version = max(self.version, version)
+            return False
+        return self._becomes(upstream_id, LEAVING, version)
+
+    def _becomes(self, upstream_id: str, state: str, version: int) -> bool:
+        known = self.newest(upstream_id)
         if known is None:
             self.version = max(self.version, version)
             return False
-        return self.set(msgspec.structs.replace(known.upstream, state=REMOVED), version)
+        return self.set(msgspec.structs.replace(known.upstream, state=state), version)
 
     def seen(self, version: int) -> None:
         """Note that nothing changed up to a version."""
@@ -123,8 +196,12 @@
     def since(self, version: int) -> UpstreamUpdate:
         """Return what a router at a version lacks."""
         whole = version < self.complete_since
+        # Who takes a start in ends the one before it.
+        newest = map(self.entry_by_name.__getitem__, self._name_by_id.values())
         entries = tuple(
-            entry for entry in self.entry_by_name.values() if whole or entry.version > version
+            UpstreamEntry(entry.upstream.as_listed(), entry.version)
+            for entry in newest
+            if whole or entry.version > version
         )
         return UpstreamUpdate(self.version, entries, whole)
 
@@ -134,6 +211,8 @@
         newer = update.version > self.version
         for entry in update.entries:
             news = self._set(entry.upstream, entry.version) or news
+        for upstream_id in update.left_out:
+            news = self.hold_back(upstream_id, update.version) or news
         if update.whole and newer:
             news = self._remove_unlisted(update) or news
         # Once for all of them: it goes through the whole list, and with 2,100 entries, one by
@@ -143,15 +222,15 @@
         return news
 
     def _remove_unlisted(self, update: UpstreamUpdate) -> bool:
-        listed = {entry.upstream.name for entry in update.entries} | update.left_out
+        listed = {entry.upstream.id for entry in update.entries} | update.left_out
+        newest = [self.entry_by_name[name] for name in self._name_by_id.values()]
         gone = [
-            name
-            for name, entry in self.entry_by_name.items()
-            if name not in listed and entry.version <= update.version
+            entry.upstream
+            for entry in newest
+            if entry.upstream.id not in listed and entry.version <= update.version
         ]
-        for name in gone:
-            removed = msgspec.structs.replace(self.entry_by_name[name].upstream, state=REMOVED)
-            self._set(removed, update.version)
+        for upstream in gone:
+            self._set(msgspec.structs.replace(upstream, state=REMOVED), update.version)
         return bool(gone)
 
     def _drop_oldest_removed(self) -> None:
@@ -162,7 +241,9 @@
         )
         for version, name in removed[: max(0, len(removed) - KEPT_REMOVED)]:
             self.complete_since = max(self.complete_since, version)
-            del self.entry_by_name[name]
+            dropped = self.entry_by_name.pop(name).upstream
+            if self._name_by_id.get(dropped.id) == name:
+                del self._name_by_id[dropped.id]
 
 
 class UpstreamReader:
--- a/pondhatch/store/_vanished.py
+++ b/pondhatch/store/_vanished.py
@@ -38,9 +38,11 @@
         """Note that an upstream's entry went though it had not said that it leaves."""
         self._at_by_name[upstream.name] = (upstream, now)
 
-    def returned(self, name: str) -> None:
-        """Note that an entry is back, or said to be leaving."""
-        self._at_by_name.pop(name, None)
+    def returned(self, upstream_id: str) -> None:
+        """Note that an upstream's entry is back, of whichever start, or says that it leaves."""
+        back = [name for name, (each, _) in self._at_by_name.items() if each.id == upstream_id]
+        for name in back:
+            del self._at_by_name[name]
 
     def forget_old(self, now: float) -> bool:
         """Forget those that have not come back in time; return whether there were any."""
