--- a/pondhatch/platform/_store.py
+++ b/pondhatch/platform/_store.py
@@ -4,13 +4,23 @@
 
 from collections.abc import AsyncIterator, Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
-from typing import Any, TypeVar
+from typing import Any
 from urllib.parse import quote
 
 import msgspec
 
 from pondhatch.observing import Once, log_for
-from pondhatch.platform._salvage import elements, member, members
+from pondhatch.platform._objects import (
+    UNREADABLE_JSON,
+    Happened,
+    Page,
+    StoreObject,
+    Watched,
+    decoded,
+    metadata_of,
+    name_of,
+)
+from pondhatch.platform._salvage import member
 from pondhatch.store import (
     Accepted,
     Conflict,
@@ -43,57 +53,6 @@
 REFUSED = (429, 503)
 
 
-class _Metadata(msgspec.Struct, rename="pascal", frozen=True):
-    """What the store keeps of an object."""
-
-    name: str
-    #: Counts all changes of the store, so a higher one is newer whatever the object.
-    revision: int = 0
-
-
-class _Named(msgspec.Struct, rename="pascal", frozen=True):
-    """What is needed to know an object by."""
-
-    name: str
-
-
-class _Object(msgspec.Struct, rename="pascal", frozen=True):
-    """An object; what its writer says stands in ``spec``, or for some kinds in ``status``."""
-
-    metadata: _Metadata
-    spec: Any = None
-    status: Any = None
-
-
-class _Page(msgspec.Struct, rename="pascal", frozen=True):
-    """A part of a listing."""
-
-    #: Objects, each still to be read by itself.
-    entries: tuple[msgspec.Raw, ...]
-    #: The store's revision as of which the page was read, not a time.
-    timestamp: int
-    has_more: bool = False
-
-
-class _Happened(msgspec.Struct, rename="pascal", frozen=True):
-    """One change that a watch tells of."""
-
-    object: _Object
-    deleted: bool = False
-
-
-class _Watched(msgspec.Struct, frozen=True):
-    """What a watch answers."""
-
-    #: Changes, each still to be read by itself.
-    events: tuple[msgspec.Raw, ...]
-    timestamp: int = msgspec.field(name="Timestamp")
-
-
-#: What decoding raises where bytes are no JSON, or nested too deep.
-UNREADABLE_JSON = (msgspec.DecodeError, RecursionError)
-
-
 @dataclass
 class _Listing:
     """The pages of a listing that were read so far."""
@@ -115,8 +74,6 @@
         return Listed(version, tuple(self.found), frozenset(left_out), is_whole)
 
 
-Answer = TypeVar("Answer", _Page, _Watched)
-
 #: Turns what the store holds into the product's value. Raises msgspec.ValidationError.
 Decode = Callable[[str, Any], Any]
 
@@ -148,7 +105,7 @@
         try:
             return Found(self._stored(kind, msgspec.json.decode(content)))
         except UNREADABLE_JSON as error:
-            metadata = _metadata_of(content)
+            metadata = metadata_of(content)
             if metadata is None:
                 return Unavailable(f"answered what cannot be read: {error}")
             # There all the same: whoever keeps it may replace what another wrote.
@@ -167,7 +124,7 @@
             if isinstance(page, Unavailable):
                 return page
             version = page.timestamp if version is None else version
-            names = [name for name in map(_name_of, page.entries) if name]
+            names = [name for name in map(name_of, page.entries) if name]
             is_news = listing.take(names, self._readable(kind, page.entries))
             if page.has_more and is_news:
                 after = f"?SinceRev={quote(names[-1], safe='')}"
@@ -177,7 +134,7 @@
                 log.error("The listing of {} says that it goes on, and does not.", kind)
             return listing.listed(version, is_whole=not page.has_more)
 
-    async def _page(self, kind: str, after: str) -> _Page | Unavailable:
+    async def _page(self, kind: str, after: str) -> Page | Unavailable:
         try:
             status, content = await self._calls.call("GET", self._path(kind) + after)
         except CallFailed as error:
@@ -185,7 +142,7 @@
         if status != OK:
             return Unavailable(f"answered {status}")
         try:
-            return _decoded(content, _Page, "Entries")
+            return decoded(content, Page, "Entries")
         except UNREADABLE_JSON as error:
             return Unavailable(f"answered what is no page of a listing: {error}")
 
@@ -219,7 +176,7 @@
                     yield event
             since = max(since, watched.timestamp)
 
-    async def _watch_once(self, kind: str, since: int) -> _Watched:
+    async def _watch_once(self, kind: str, since: int) -> Watched:
         path = f"{self._path(kind)}?Watch={since}&WaitMs={WATCH_MS}"
         try:
             status, content = await self._calls.call(
@@ -232,7 +189,7 @@
         if status != OK:
             raise PlatformLost(f"answered {status}")
         try:
-            return _decoded(content, _Watched, "events")
+            return decoded(content, Watched, "events")
         except UNREADABLE_JSON as error:
             raise PlatformLost(f"answered what is no watch: {error}") from error
 
@@ -257,7 +214,7 @@
 
     def _stored(self, kind: str, entry: Any) -> StoredObject:
         """Return an object as the product knows it. Raises msgspec.ValidationError."""
-        found = msgspec.convert(entry, _Object)
+        found = msgspec.convert(entry, StoreObject)
         _, decode = self._decode_by_kind.get(kind, (kind, _as_it_is))
         value = found.spec if found.spec is not None else found.status
         metadata = found.metadata
@@ -277,7 +234,7 @@
         """Return what a change says, None where it names no object."""
         try:
             change = msgspec.json.decode(told)
-            happened = msgspec.convert(change, _Happened)
+            happened = msgspec.convert(change, Happened)
             if happened.deleted:
                 # The revision is that of the removal itself; a higher one would hide what
                 # changed next from the routers that ask for what is newer than it.
@@ -287,7 +244,7 @@
         except UNREADABLE_JSON as error:
             changed = member(bytes(told), "Object")
             self._tell(kind, changed, error)
-            metadata = _metadata_of(changed)
+            metadata = metadata_of(changed)
             return WatchEvent("unreadable", metadata.revision, metadata.name) if metadata else None
         return WatchEvent("set", stored.version, stored.name, stored.value)
 
@@ -297,49 +254,13 @@
         It comes again with each listing, and its line would too.
         """
         if self._told.is_first((kind, hash(bytes(entry)))):
-            log.error("Object {} {} is left out: {}.", kind, _name_of(entry) or "?", error)
-
-
-def _decoded(content: bytes, shape: type[Answer], listed: str) -> Answer:
-    """Return an answer; ``listed`` names the list of its parts, each still to be read.
-
-    Raises what UNREADABLE_JSON holds, where more than a part cannot be read.
-    """
-    try:
-        return msgspec.json.decode(content, type=shape)
-    except UNREADABLE_JSON:
-        raw_by_name = dict(members(content))
-        parts = raw_by_name.pop(listed, b"")
-        rest = b",".join(b'"%s":%s' % (name.encode(), raw) for name, raw in raw_by_name.items())
-        answer = msgspec.json.decode(b'{"%s":[],%s}' % (listed.encode(), rest), type=shape)
-        if not parts:
-            raise
-    return msgspec.structs.replace(
-        answer, **{listed.lower(): tuple(map(msgspec.Raw, elements(parts)))}
-    )
-
-
-def _metadata_of(entry: bytes | msgspec.Raw) -> _Metadata | None:
-    """Return the metadata of an object that may make no sense otherwise."""
-    try:
-        return msgspec.json.decode(member(bytes(entry), "Metadata"), type=_Metadata)
-    except UNREADABLE_JSON:
-        return None
-
-
-def _name_of(entry: bytes | msgspec.Raw) -> str:
-    """Return the name of an object that may make no sense otherwise, empty where it has none."""
-    metadata = member(bytes(entry), "Metadata")
-    try:
-        return msgspec.json.decode(metadata, type=_Named).name
-    except UNREADABLE_JSON:
-        return ""
+            log.error("Object {} {} is left out: {}.", kind, name_of(entry) or "?", error)
 
 
 def _accepted(content: bytes) -> Accepted | OutcomeUnknown:
     """Return what the answer to a write that was done says; the writer must know its revision."""
     try:
-        return Accepted(msgspec.json.decode(content, type=_Object).metadata.revision)
+        return Accepted(msgspec.json.decode(content, type=StoreObject).metadata.revision)
     except UNREADABLE_JSON as error:
         return OutcomeUnknown(f"answered what cannot be read: {error}")
 
--- a/pondhatch/store/__init__.py
+++ b/pondhatch/store/__init__.py
@@ -14,6 +14,7 @@
     Unavailable,
     WatchEvent,
 )
+from pondhatch.store._reading import UpstreamReader
 from pondhatch.store._upstreams import (
     LEAVING,
     LIVE,
@@ -21,7 +22,6 @@
     Upstream,
     UpstreamEntry,
     UpstreamList,
-    UpstreamReader,
     UpstreamUpdate,
 )
 from pondhatch.store._vanished import RETURN_SECONDS, Vanished
--- /dev/null
+++ b/pondhatch/store/_reading.py
@@ -0,0 +1,67 @@
+"""Reading the platform's entries of upstreams; one that makes no sense hides no other."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Any
+
+import msgspec
+
+from pondhatch.kernel import host_and_port
+from pondhatch.observing import Once, log_for
+from pondhatch.store._objects import Listed
+from pondhatch.store._upstreams import LEAVING, LIVE, Upstream, UpstreamEntry, UpstreamUpdate
+
+log = log_for("store")
+
+
+class UpstreamReader:
+    """Reads the platform's entries of upstreams; one that makes no sense hides no other."""
+
+    def __init__(self) -> None:
+        self._told = Once()
+
+    def listing(self, listed: Listed) -> UpstreamUpdate:
+        """Return a platform listing as an update, without the entries that make no sense."""
+        found = [
+            (each, self.upstream(each.name, each.version, each.value)) for each in listed.objects
+        ]
+        entries = [UpstreamEntry(read, each.version) for each, read in found if read is not None]
+        left_out = {each.name for each, read in found if read is None}
+        return UpstreamUpdate(
+            listed.version, tuple(entries), listed.is_whole, listed.left_out | left_out
+        )
+
+    def upstream(self, name: str, version: int, value: Any) -> Upstream | None:
+        """Return an entry's upstream; None where it makes no sense, which is told once."""
+        try:
+            found = _upstream(name, value)
+        except msgspec.ValidationError as error:
+            if self._told.is_first((name, version)):
+                log.error("Upstream {} is left out: {}.", name, error)
+            return None
+        if found.state == LIVE and not _has_address(found.url):
+            if self._told.is_first((name, version)):
+                log.error("Upstream {} takes no work, its address is none: {!r}.", name, found.url)
+            # Not left out: one that was there with an address must get no new work either.
+            return msgspec.structs.replace(found, url="", state=LEAVING)
+        return found
+
+
+def _upstream(name: str, value: Any) -> Upstream:
+    """Return an entry's upstream. Raises msgspec.ValidationError."""
+    try:
+        return msgspec.convert(value, Upstream)
+    except msgspec.ValidationError:
+        if not _says_that_it_leaves(value):
+            raise
+        # It must get no new work, whatever else of its entry cannot be read.
+        return Upstream(name, "", "", "", LEAVING)
+
+
+def _says_that_it_leaves(value: Any) -> bool:
+    return isinstance(value, Mapping) and value.get("state") == LEAVING
+
+
+def _has_address(url: str) -> bool:
+    return host_and_port(url.removeprefix("http://").rstrip("/")) is not None
