Show in a test, which fails, that silent peers keep single routers behind

A router waits for one peer at a time, 2 s for one that gives no answer: 2.4 s behind after one, 4.9 s after two in a row. Changes are to be in force within 2 s on small fleets, 3 s on large.

--- a/pondhatch/router/tests/test_sync.py
+++ b/pondhatch/router/tests/test_sync.py
@@ -507,6 +507,63 @@
         self.assertEqual(self.pulls(50, lost=True), (1, 1, 0))
 
 
+class SilentPeersTest(unittest.TestCase):
+    """The pattern: peers stop, freeze or are cut off right after they told of a change.
+
+    Grounds: a change is to be in force within 2 s on small fleets (3 s on large ones), and a call
+    to a peer that gives no answer takes 2 s to be given up.
+    """
+
+    def learned_after(self, silent: int, peers: int) -> tuple[float, int]:
+        """Return the seconds until a router has a change, and the pulls side by side at most."""
+        state = router("r0")
+        state.take_change(FIRST)
+        holders = [router(f"r{at + 1}") for at in range(peers)]
+        for holder in holders:
+            holder.take_change(FIRST)
+            holder.take_change(change(2, account("a")))
+            meet(state, holder)
+        asked: list[str] = []
+        running: set[str] = set()
+        most = 0
+
+        async def pull(member: Member, configuration: int, upstreams: int) -> Lacking | None:
+            nonlocal most
+            # The first ones that are asked are the silent ones, whoever they are.
+            is_silent = len(asked) < silent
+            asked.append(member.name)
+            running.add(member.name)
+            most = max(most, len(running))
+            await asyncio.sleep(2.0 if is_silent else 0.01)
+            running.discard(member.name)
+            return None if is_silent else Lacking(holders[0], configuration, upstreams)
+
+        async def main() -> float:
+            loop = asyncio.get_running_loop()
+            state.clock = loop.time
+            platform = PlatformInMemory()
+            rng = random.Random(1)
+            introduction = Introduction(state.name, state.gossip, platform, rng)
+            sync = Sync(state, platform, Told(), pull, state.publish, rng, introduction)
+            task = asyncio.ensure_future(sync.run())
+            while state.fleet.version < 2:
+                await asyncio.sleep(0.01)
+            task.cancel()
+            return loop.time()
+
+        return run_virtually(main()), most
+
+    def test_a_change_is_in_force_in_time_though_two_peers_in_a_row_give_no_answer(self) -> None:
+        for silent in (1, 2):
+            with self.subTest(silent=silent):
+                seconds, most = self.learned_after(silent, peers=5)
+                self.assertLess(seconds, 1.7)
+                self.assertLessEqual(most, 3)
+
+    def test_where_one_answers_no_other_is_asked(self) -> None:
+        self.assertEqual(self.learned_after(0, peers=5)[1], 1)
+
+
 class CutPeersTest(unittest.TestCase):
     """The pattern: three routers in ten are cut off while the configuration changes.
 
