--- a/fakes/_machines_fleet.py
+++ b/fakes/_machines_fleet.py
@@ -99,8 +99,8 @@
         self.say(engine, "ready")
         return engine
 
-    def say(self, engine: Backend, state: str) -> None:
-        """Write an engine's entry."""
+    def say(self, engine: Backend, state: str, **changes: Any) -> None:
+        """Write an engine's entry, with some fields set to something else."""
         entry = {
             "Service": engine.service,
             "Address": engine.url.removeprefix("http://"),
@@ -110,6 +110,7 @@
             "State": state,
             "ColdRemainingMs": 0,
             "Sequence": 1,
+            **changes,
         }
         self.put("servers", engine.name, entry)
 
