Draw histories in which engines start again while requests run

Each router hears of a start up to 0.5 s late and reaches the new one under the old name until then. Checked as ever: nothing runs twice that must not, no refusal lies, counts return to zero, the bound holds for each name. One first expectation was wrong: a stream that only its own engine can go on with ends with the start.

--- a/pondhatch/requests/tests/_history.py
+++ b/pondhatch/requests/tests/_history.py
@@ -12,7 +12,16 @@
 from pondhatch.kernel import Tasks
 from pondhatch.limits import RetryBudget
 from pondhatch.membership import short_id
-from pondhatch.placement import Gate, Granted, Health, SpillMemory, admission_ceiling, winner
+from pondhatch.placement import (
+    Gate,
+    Granted,
+    Health,
+    SpillMemory,
+    admission_ceiling,
+    id_of,
+    name_of_start,
+    winner,
+)
 from pondhatch.placement._gate import EngineCount
 from pondhatch.requests import (
     CROSSED,
@@ -159,6 +168,10 @@
         self._slow = slow
         self._at = 0
 
+    def break_off(self) -> None:
+        """End it here: its engine is gone."""
+        self._cut_at = self._at
+
     async def pour(self, sink: PartSink) -> None:
         # Nobody but its reader cancels it, as with a connection to a real one.
         while part := await self._part():
@@ -188,6 +201,10 @@
         self._loads = loads
         #: Requests that an engine really runs at once, where that is less than its owner knows.
         self.places: dict[str, int] = {}
+        #: The start that runs now of each engine that started again, by its id. Who asks for an
+        #: earlier one reaches this, for it answers to the same id at the same address.
+        self.start_by_id: dict[str, str] = {}
+        self._streams_by_engine: dict[str, list[Stream]] = {}
         self._history = history
         self._script = script
         self._leaving = leaving
@@ -198,10 +215,11 @@
         resuming = "X-Resume" in dict(head.headers)
         self._history.sends_to_leaving += target.name in self._leaving and not resuming
         request = head.request_id.split(".")[0]
-        self._history.sends.append((request, target.name))
+        self._history.sends.append((request, id_of(target.name)))
         fault = self._script.next()
         await asyncio.sleep(0.01)
-        if not self.has_place(target.name):
+        engine = self.start_by_id.get(id_of(target.name), target.name)
+        if not self.has_place(engine):
             fault = EngineRefusal.FULL
         if isinstance(fault, EngineRefusal):
             self._history.refusals[request, target.name] = fault
@@ -224,14 +242,22 @@
         events = whole.split(b"\n\n")
         content = b"\n\n".join(events[max(0, resumed_from) :])
         cut = {"cut": len(content) // 2, "cut-inside-an-event": 4}.get(fault)
-        self._loads.start(target.name)
+        self._loads.start(engine)
         self._history.worked_until[request] = math.inf
 
         def ended() -> None:
             self._history.worked_until[request] = clock()
-            self._loads.end(target.name)
+            self._loads.end(engine)
+
+        stream = Stream(content, cut, fault == "slow", ended)
+        self._streams_by_engine.setdefault(engine, []).append(stream)
+        return Opened(stream)
 
-        return Opened(Stream(content, cut, fault == "slow", ended))
+    def start_again(self, engine: str, start: str) -> None:
+        """Break off what runs at an engine; from now on another start answers in its place."""
+        for stream in self._streams_by_engine.pop(engine, []):
+            stream.break_off()
+        self.start_by_id[id_of(engine)] = start
 
     def has_place(self, engine: str) -> bool:
         """Return whether an engine can run one more request now."""
@@ -317,8 +343,17 @@
         self.disagrees = False
         #: The router that all engines moved to, where they did.
         self.moved_to: str | None = None
+        #: The starts that this router knows of; None where it knows them all.
+        self.known: tuple[str, ...] | None = None
+
+    @property
+    def engines(self) -> tuple[str, ...]:
+        """The engines that this router takes to be there."""
+        return self._fleet.engines if self.known is None else self.known
 
     def target(self, engine: str) -> Target | None:
+        if engine not in self.engines:
+            return None
         takes_work = engine not in self._fleet.known_leaving
         return Target(engine, "", takes_work, BOUND, len(self._fleet.engines), 8)
 
@@ -352,7 +387,7 @@
         """Do nothing: the walk goes on."""
 
     def live_upstreams(self, service: str) -> tuple[str, ...]:
-        return tuple(e for e in self._fleet.engines if e not in self._fleet.known_leaving)
+        return tuple(e for e in self.engines if e not in self._fleet.known_leaving)
 
     def resumes(self, engine: str) -> bool:
         return self._fleet.resumes
@@ -406,7 +441,7 @@
 
     def __init__(self, upstream_faults: list[str], packet_faults: list[str], resumes: bool) -> None:
         self.names = ("r0", "r1", "r2")
-        self.engines = ("e0", "e1", "e2")
+        self.engines: tuple[str, ...] = ("e0", "e1", "e2")
         self.resumes = resumes
         self.history = History()
         self.network = Network(Script(packet_faults))
@@ -425,6 +460,19 @@
             name: each.sides.receive for name, each in self.routers.items()
         }
 
+    def start_again(self, at: int, start: int) -> None:
+        """Have an engine start again under its id; no router knows of that yet."""
+        before = self.engines[at]
+        name = name_of_start(id_of(before), start)
+        for router in self.routers.values():
+            router.view.known = router.view.engines
+        self.engines = (*self.engines[:at], name, *self.engines[at + 1 :])
+        self.upstreams.start_again(before, name)
+
+    def hears_of_starts(self, router: str) -> None:
+        """Have a router learn which starts there are now."""
+        self.routers[router].view.known = self.engines
+
     @property
     def live(self) -> tuple[str, ...]:
         return tuple(name for name in self.names if name not in self.network.silent)
--- /dev/null
+++ b/pondhatch/requests/tests/test_start_histories.py
@@ -0,0 +1,93 @@
+"""Drawn histories in which engines start again under their id while requests run.
+
+Each router hears of a start a little later, and reaches the new one under the old name until
+then: it answers to the same id at the same address.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from fakes._virtual_loop import run_virtually
+from pondhatch.requests._leases import LEASE_SECONDS
+from pondhatch.requests.tests._history import PACKET_FAULTS, UPSTREAM_FAULTS, Fleet, violations
+from pondhatch.requests.tests.test_histories import PROFILE, REQUEST
+
+#: Seconds until a router has heard of a start: a round and a pull, several times over.
+NEWS = st.floats(0, 0.5)
+
+
+class StartHistoryTest(unittest.TestCase):
+    @settings(PROFILE)
+    @given(
+        st.lists(REQUEST, min_size=1, max_size=8),
+        st.lists(st.sampled_from(UPSTREAM_FAULTS), max_size=8),
+        st.lists(st.sampled_from(PACKET_FAULTS), max_size=8),
+        st.booleans(),
+        st.booleans(),
+        st.lists(st.tuples(st.integers(0, 2), st.floats(0, 0.4)), min_size=1, max_size=4),
+        st.tuples(NEWS, NEWS, NEWS),
+    )
+    def test_promises_hold(
+        self,
+        requests: list[tuple[bool, bool, float]],
+        upstream_faults: list[str],
+        packet_faults: list[str],
+        resumes: bool,
+        same_chat: bool,
+        starts: list[tuple[int, float]],
+        news: tuple[float, float, float],
+    ) -> None:
+        async def history() -> list[str]:
+            fleet = Fleet(upstream_faults, packet_faults, resumes)
+            fleet.same_chat = same_chat
+
+            async def one(number: int, repeatable: bool, gives_up: bool, after: float) -> None:
+                await asyncio.sleep(after)
+                await fleet.request(number, repeatable, gives_up)
+
+            async def start(number: int, engine: int, after: float) -> None:
+                await asyncio.sleep(after)
+                fleet.start_again(engine, 1000 + number)
+                loop = asyncio.get_running_loop()
+                for router, seconds in zip(fleet.names, news, strict=True):
+                    loop.call_later(seconds, fleet.hears_of_starts, router)
+
+            sent = [one(number, *request) for number, request in enumerate(requests)]
+            began = [start(number, *each) for number, each in enumerate(starts)]
+            await asyncio.gather(*sent, *began)
+            await asyncio.sleep(2 * LEASE_SECONDS)
+            repeatable = {f"q{at}": each[0] for at, each in enumerate(requests)}
+            # Until its owner hears of it, a start is asked by two names, each counted alone.
+            return violations(fleet, repeatable, owners=1 + len(starts))
+
+        self.assertEqual(run_virtually(history()), [])
+
+
+class OneStartTest(unittest.TestCase):
+    """One engine starts again while it streams, where nobody else takes the request."""
+
+    def outcome(self, repeatable: bool, resumes: bool) -> tuple[str, int]:
+        async def history() -> tuple[str, int]:
+            fleet = Fleet([], [], resumes)
+            sent = asyncio.ensure_future(fleet.request(0, repeatable, gives_up=False))
+            await asyncio.sleep(0.05)
+            (_, engine) = fleet.history.sends[0]
+            fleet.start_again(fleet.engines.index(engine), 1000)
+            for router in fleet.names:
+                fleet.hears_of_starts(router)
+            await sent
+            ended = fleet.history.outcome_by_request["q0"]
+            return type(ended).__name__, fleet.history.runs["q0"]
+
+        return run_virtually(history())
+
+    def test_what_ran_there_broke_and_is_not_said_to_have_not_run(self) -> None:
+        self.assertEqual(self.outcome(repeatable=False, resumes=False), ("Broken", 1))
+
+    def test_a_stream_that_only_its_engine_could_go_on_with_ends_with_the_start(self) -> None:
+        self.assertEqual(self.outcome(repeatable=True, resumes=True), ("Broken", 1))
