--- a/pondhatch/requests/tests/_history.py
+++ b/pondhatch/requests/tests/_history.py
@@ -482,6 +482,13 @@
         gates = [router.gate for router in self.routers.values()]
         return sum(count.granted for gate in gates for count in gate.by_engine.values())
 
+    async def request_later(
+        self, number: int, repeatable: bool, gives_up: bool, after: float
+    ) -> None:
+        """Send one request after so many seconds; see ``request``."""
+        await asyncio.sleep(after)
+        await self.request(number, repeatable, gives_up)
+
     async def request(
         self, number: int, repeatable: bool, gives_up: bool, after: float = 0.05
     ) -> None:
--- a/pondhatch/requests/tests/test_histories.py
+++ b/pondhatch/requests/tests/test_histories.py
@@ -73,10 +73,6 @@
             for name in disagreeing:
                 fleet.routers[name].view.disagrees = True
 
-            async def one(number: int, repeatable: bool, gives_up: bool, after: float) -> None:
-                await asyncio.sleep(after)
-                await fleet.request(number, repeatable, gives_up)
-
             async def leave() -> None:
                 if leaves_at is not None:
                     await asyncio.sleep(leaves_at)
@@ -87,7 +83,9 @@
                     await asyncio.sleep(freezes[1])
                     fleet.network.silent.add(freezes[0])
 
-            sent = [one(number, *request) for number, request in enumerate(requests)]
+            sent = [
+                fleet.request_later(number, *request) for number, request in enumerate(requests)
+            ]
             await asyncio.gather(leave(), freeze(), *sent)
             await asyncio.sleep(2 * LEASE_SECONDS)
             repeatable = {f"q{at}": each[0] for at, each in enumerate(requests)}
@@ -119,11 +117,9 @@
             fleet.same_chat, fleet.most_tries = same_chat, most_tries
             fleet.upstreams.places = dict(zip(fleet.engines, places, strict=True))
 
-            async def one(number: int, repeatable: bool, gives_up: bool, after: float) -> None:
-                await asyncio.sleep(after)
-                await fleet.request(number, repeatable, gives_up)
-
-            await asyncio.gather(*(one(at, *request) for at, request in enumerate(requests)))
+            await asyncio.gather(
+                *(fleet.request_later(at, *request) for at, request in enumerate(requests))
+            )
             await asyncio.sleep(2 * LEASE_SECONDS)
             repeatable = {f"q{at}": each[0] for at, each in enumerate(requests)}
             found = violations(fleet, repeatable)
--- a/pondhatch/requests/tests/test_start_histories.py
+++ b/pondhatch/requests/tests/test_start_histories.py
@@ -46,10 +46,6 @@
             fleet = Fleet(upstream_faults, packet_faults, resumes)
             fleet.same_chat = same_chat
 
-            async def one(number: int, repeatable: bool, gives_up: bool, after: float) -> None:
-                await asyncio.sleep(after)
-                await fleet.request(number, repeatable, gives_up)
-
             async def start(number: int, engine: int, after: float) -> None:
                 await asyncio.sleep(after)
                 fleet.start_again(engine, 1000 + number)
@@ -57,7 +53,9 @@
                 for router, seconds in zip(fleet.names, news, strict=True):
                     loop.call_later(seconds, fleet.hears_of_starts, router)
 
-            sent = [one(number, *request) for number, request in enumerate(requests)]
+            sent = [
+                fleet.request_later(number, *request) for number, request in enumerate(requests)
+            ]
             began = [start(number, *each) for number, each in enumerate(starts)]
             await asyncio.gather(*sent, *began)
             await asyncio.sleep(2 * LEASE_SECONDS)
--- a/pondhatch/router/tests/test_change_storms.py
+++ b/pondhatch/router/tests/test_change_storms.py
@@ -20,20 +20,17 @@
 from __future__ import annotations
 
 import copy
-import random
 import unittest
-from dataclasses import dataclass
 from typing import Any
 from unittest.mock import patch
 
-from fakes._platform_in_memory import PlatformInMemory
 from fakes._virtual_loop import run_virtually
 from pondhatch.configuration import Fleet, ServiceDefaults, Update
 from pondhatch.membership import Member
 from pondhatch.platform._configuration import ConfigurationReader
 from pondhatch.platform.tests._wire import CONFIGURATION
-from pondhatch.router import Introduction, RouterState, Sync
-from pondhatch.router.tests.test_sync import Told, meet, router
+from pondhatch.router import RouterState
+from pondhatch.router.tests.test_sync import meet, pulling, router
 from pondhatch.store import UpstreamUpdate
 from pondhatch.transport._wire import PACKED_FROM, MessagePackCodec, PullReply
 
@@ -80,14 +77,6 @@
         self.assertIs(state.fleet.routes, before)
 
 
-@dataclass(frozen=True)
-class Given:
-    """A peer's answer to a pull."""
-
-    configuration: Update
-    upstreams: UpstreamUpdate
-
-
 class OneChangeOfManyRoutesTest(unittest.TestCase):
     def setUp(self) -> None:
         self.giver, self.taker = router("r0"), router("r1")
@@ -137,19 +126,15 @@
         meet(taker, peer)
         asked: list[bool] = []
 
-        async def pull(member: Member, configuration: int, upstreams: int) -> Given | None:
+        async def pull(member: Member, configuration: int, upstreams: int) -> PullReply | None:
             asked.append(not taker.wants_whole)
             update = peer.update_since(configuration, takes_difference=asked[-1])
             if asked[-1]:
                 self.assertIs(taker.fleet, before)
-            return Given(update, UpstreamUpdate(1, (), whole=False))
+            return PullReply(update, UpstreamUpdate(1, (), whole=False))
 
         async def main() -> None:
-            platform = PlatformInMemory()
-            rng = random.Random(1)
-            introduction = Introduction(taker.name, taker.gossip, platform, rng)
-            sync = Sync(taker, platform, Told(), pull, taker.publish, rng, introduction)
-            await sync.heard_news()
+            await pulling(taker, pull).heard_news()
 
         run_virtually(main())
         self.assertEqual(asked, [True, False])
--- a/pondhatch/router/tests/test_lag.py
+++ b/pondhatch/router/tests/test_lag.py
@@ -3,21 +3,18 @@
 from __future__ import annotations
 
 import asyncio
-import random
 import unittest
 
 from loguru import logger
 
-from fakes._platform_in_memory import PlatformInMemory
 from fakes._virtual_loop import run_virtually
 from pondhatch.configuration.tests.test_fleet import account, change
 from pondhatch.membership import Member
 from pondhatch.observing import Believed
-from pondhatch.router import Introduction, Sync
 from pondhatch.router._beliefs import Beliefs
 from pondhatch.router._lag import Lag
 from pondhatch.router.tests.test_beliefs import Kept
-from pondhatch.router.tests.test_sync import FIRST, Lacking, Told, meet, router
+from pondhatch.router.tests.test_sync import FIRST, Lacking, meet, pulling, router
 
 
 class LagTest(unittest.TestCase):
@@ -81,19 +78,13 @@
         async def main() -> None:
             loop = asyncio.get_running_loop()
             state.clock = loop.time
-            platform = PlatformInMemory()
-            introduction = Introduction(state.name, state.gossip, platform, self.rng)
-            sync = Sync(state, platform, Told(), pull, state.publish, self.rng, introduction)
-            await sync.heard_news()
+            await pulling(state, pull).heard_news()
             # A slow one is waited for in the background.
             await asyncio.sleep(2.0)
 
         run_virtually(main())
         return [line.strip() for line in found]
 
-    def setUp(self) -> None:
-        self.rng = random.Random(1)
-
     def test_what_was_lost_and_what_was_slow_is_told(self) -> None:
         self.assertEqual(self.lines(0.1, lost=False), [])
         self.assertEqual(
--- a/pondhatch/router/tests/test_pulls.py
+++ b/pondhatch/router/tests/test_pulls.py
@@ -3,19 +3,17 @@
 from __future__ import annotations
 
 import asyncio
-import random
 import unittest
 from collections.abc import Awaitable, Callable
 
 from fakes._platform_in_memory import PlatformInMemory
 from fakes._virtual_loop import run_virtually
-from pondhatch.configuration import ChangeLog
 from pondhatch.configuration.tests.test_fleet import account, change
 from pondhatch.membership import Member, short_id
 from pondhatch.membership._records import Versions
-from pondhatch.router import Introduction, RouterState, Sync
+from pondhatch.router import RouterState
 from pondhatch.router._sync import Pull
-from pondhatch.router.tests.test_sync import FIRST, Lacking, Told, meet, router, syncing
+from pondhatch.router.tests.test_sync import FIRST, Lacking, meet, pulling, router, syncing
 
 
 class OnePullTest(unittest.TestCase):
@@ -40,11 +38,7 @@
             return None if lost else Lacking(peer, configuration, upstreams)
 
         async def main() -> None:
-            platform = PlatformInMemory()
-            rng = random.Random(1)
-            introduction = Introduction(state.name, state.gossip, platform, rng)
-            source = ChangeLog(platform)
-            sync = Sync(state, platform, source, pull, state.publish, rng, introduction)
+            sync = pulling(state, pull)
             heard = [asyncio.ensure_future(sync.heard_news()) for _ in range(news)]
             await asyncio.wait(heard)
 
@@ -84,11 +78,7 @@
         async def main() -> float:
             loop = asyncio.get_running_loop()
             self.state.clock = loop.time
-            platform, rng = PlatformInMemory(), random.Random(1)
-            introduction = Introduction(self.state.name, self.state.gossip, platform, rng)
-            publish = self.state.publish
-            sync = Sync(self.state, platform, Told(), pull, publish, rng, introduction)
-            tasks = [asyncio.ensure_future(sync.run())]
+            tasks = [asyncio.ensure_future(pulling(self.state, pull).run())]
             if later is not None:
                 tasks.append(asyncio.ensure_future(later()))
             while self.state.fleet.version < 2:
--- a/pondhatch/router/tests/test_sync.py
+++ b/pondhatch/router/tests/test_sync.py
@@ -31,7 +31,7 @@
 from pondhatch.requests import Claim, KeyRecord
 from pondhatch.router import Introduction, RouterState, Sync
 from pondhatch.router._order_duties import OrderDuties
-from pondhatch.router._sync import MEETING_SECONDS
+from pondhatch.router._sync import MEETING_SECONDS, Pull
 from pondhatch.router._upstream_changes import STARTING_SECONDS, Joins
 from pondhatch.store import (
     LEAVING,
@@ -89,6 +89,13 @@
     return Sync(state, platform, ChangeLog(platform), pull, lambda: None, rng, introduction)
 
 
+def pulling(state: RouterState, pull: Pull) -> Sync:
+    """Return what keeps a router up to date from its peers alone."""
+    platform, rng = PlatformInMemory(), random.Random(1)
+    introduction = Introduction(state.name, state.gossip, platform, rng)
+    return Sync(state, platform, Told(), pull, state.publish, rng, introduction)
+
+
 def meet(state: RouterState, peer: RouterState) -> None:
     """Let a router hear of a peer and of what it holds."""
     peer.publish()
