--- a/bench/_authority.py
+++ b/bench/_authority.py
@@ -5,9 +5,9 @@
 import asyncio
 import random
 from collections.abc import Iterator
-from dataclasses import replace
 
 from loguru import logger
+from msgspec.structs import replace
 
 from bench._measures import Measure
 from fakes._virtual_loop import run_virtually
--- a/pondhatch/authority/_holding.py
+++ b/pondhatch/authority/_holding.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import Protocol
 
+import msgspec
 from automat import TypeMachineBuilder
 
 
@@ -27,8 +27,7 @@
         """Return whether the lease is this router's to renew or release."""
 
 
-@dataclass
-class _Nothing:
+class _Nothing(msgspec.Struct):
     """The machine itself remembers nothing more."""
 
 
--- a/pondhatch/authority/_lease_facts.py
+++ b/pondhatch/authority/_lease_facts.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
 import msgspec
 
@@ -13,8 +12,7 @@
 KEPT_NONCES = 8
 
 
-@dataclass
-class LeaseFacts:
+class LeaseFacts(msgspec.Struct):
     """What a keeper remembers besides its state: what it saw, wrote, and may rely on."""
 
     router: str
@@ -30,7 +28,7 @@
     began_at: float = 0.0
     writing: LeaseRecord | None = None
     #: When each of our writes that may have taken effect was begun, by nonce.
-    began_by_nonce: dict[str, float] = field(default_factory=dict)
+    began_by_nonce: dict[str, float] = msgspec.field(default_factory=dict)
     #: Highest fencing number that the lease had, or that an engine told of.
     highest: int = 0
     #: Until when this router holds the lease by its own clock, margin taken off.
--- a/pondhatch/authority/_orderer.py
+++ b/pondhatch/authority/_orderer.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
 from typing import Protocol
 
 import msgspec
@@ -66,8 +65,7 @@
     last_orders: tuple[tuple[str, int, str], ...]
 
 
-@dataclass
-class Orderer:
+class Orderer(msgspec.Struct):
     """One service's orders at one router."""
 
     service: str
@@ -77,14 +75,14 @@
     keeper: LeaseKeeper
     clock: Callable[[], float]
     sleep: Sleep = asyncio.sleep
-    _state_by_engine: dict[str, EngineState] = field(default_factory=dict)
+    _state_by_engine: dict[str, EngineState] = msgspec.field(default_factory=dict)
     _spec: OrdersSpec | None = None
     _names: tuple[str, ...] = ()
     _check_at: float = float("-inf")
     _orders_under_way: int = 0
     #: Why the lease made no sense when that was last told.
     _told_malformed: str = ""
-    _last_orders: list[tuple[str, int, str]] = field(default_factory=list)
+    _last_orders: list[tuple[str, int, str]] = msgspec.field(default_factory=list)
 
     async def run(self) -> None:
         """Keep the lease and the engines, until cancelled."""
--- a/pondhatch/authority/tests/test_authority.py
+++ b/pondhatch/authority/tests/test_authority.py
@@ -5,13 +5,13 @@
 import asyncio
 import os
 import unittest
-from dataclasses import replace
 from typing import Any
 from unittest import mock
 
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 from loguru import logger
+from msgspec.structs import replace
 
 from fakes._virtual_loop import run_virtually
 from pondhatch.authority import LEASE_KIND, EngineState, Wanted, due_orders, wanted_by_engine
--- a/pondhatch/cli/_endpoints.py
+++ b/pondhatch/cli/_endpoints.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Any
 
+import msgspec
 from grpclib.server import Server
 from twisted.internet.error import CannotListenError
 from twisted.web.server import Site
@@ -29,8 +29,7 @@
 log = log_for("process")
 
 
-@dataclass(frozen=True)
-class Endpoints:
+class Endpoints(msgspec.Struct, frozen=True):
     """Opens the ports of one router and serves its parts there."""
 
     #: Settings at the start: ports do not change while a router runs.
--- a/pondhatch/cli/_figures.py
+++ b/pondhatch/cli/_figures.py
@@ -3,16 +3,16 @@
 from __future__ import annotations
 
 import time
-from dataclasses import dataclass, field
 from typing import Any
 
+import msgspec
+
 from pondhatch.router import Granting, RouterState
 from pondhatch.store import Platform
 from pondhatch.transport import Callers, GossipPort
 
 
-@dataclass(frozen=True)
-class Figures:
+class Figures(msgspec.Struct, frozen=True):
     """Reads the numbers from a router's parts."""
 
     state: RouterState
@@ -21,7 +21,7 @@
     granting: Granting
     platform: Platform
     #: When the router started, in seconds of the monotonic clock.
-    started: float = field(default_factory=time.monotonic)
+    started: float = msgspec.field(default_factory=time.monotonic)
 
     def levels(self) -> dict[str, int]:
         """Return what statsd is told now and then, by metric."""
--- a/pondhatch/cli/_levels.py
+++ b/pondhatch/cli/_levels.py
@@ -4,7 +4,8 @@
 
 import asyncio
 import re
-from dataclasses import dataclass
+
+import msgspec
 
 from pondhatch.cli._figures import Figures
 from pondhatch.configuration import Settings
@@ -28,8 +29,7 @@
     return AllMetrics(*several)
 
 
-@dataclass(frozen=True)
-class Levels:
+class Levels(msgspec.Struct, frozen=True):
     """Sets a router's levels in its metrics."""
 
     figures: Figures
--- a/pondhatch/cli/_rounds.py
+++ b/pondhatch/cli/_rounds.py
@@ -4,7 +4,8 @@
 
 import asyncio
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
+
+import msgspec
 
 from pondhatch.observing import log_for
 
@@ -17,14 +18,13 @@
 TELL_AGAIN_SECONDS = 10.0
 
 
-@dataclass
-class Rounds:
+class Rounds(msgspec.Struct):
     """Runs every part once a round; one that fails neither ends the rounds nor stops the others."""
 
     part_by_name: Mapping[str, Callable[[], None]]
     clock: Callable[[], float]
     #: When each part that fails was last told of, in the clock's seconds.
-    _told_at_by_name: dict[str, float] = field(default_factory=dict)
+    _told_at_by_name: dict[str, float] = msgspec.field(default_factory=dict)
 
     async def run(self) -> None:
         """Do what is due until cancelled."""
--- a/pondhatch/cli/_settings_file.py
+++ b/pondhatch/cli/_settings_file.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
 from pathlib import Path
 
+from msgspec.structs import replace
+
 from pondhatch.configuration import ConfigurationError, Settings, load_settings
 from pondhatch.observing import log_for
 
--- a/pondhatch/cli/_stopping.py
+++ b/pondhatch/cli/_stopping.py
@@ -5,7 +5,8 @@
 import asyncio
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+
+import msgspec
 
 from pondhatch.cli._spreading import Spreading
 from pondhatch.configuration import Settings
@@ -23,8 +24,7 @@
 DRAIN_NOTICE = 1.0
 
 
-@dataclass(frozen=True)
-class Stopping:
+class Stopping(msgspec.Struct, frozen=True):
     """Takes a router out of its fleet, so that nothing it holds is lost."""
 
     state: RouterState
--- a/pondhatch/configuration/_account_editing.py
+++ b/pondhatch/configuration/_account_editing.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import replace
 
 import msgspec
+from msgspec.structs import replace
 
 from pondhatch.configuration._fit import Misfit
 from pondhatch.configuration._misfit_notes import MisfitNotes
--- a/pondhatch/configuration/_claims.py
+++ b/pondhatch/configuration/_claims.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import replace
 from typing import Any
 
+from msgspec.structs import replace
+
 from pondhatch.configuration._fit import Misfit
 from pondhatch.configuration._misfit_notes import MisfitNotes
 from pondhatch.configuration._routes import Place
--- a/pondhatch/configuration/_editing.py
+++ b/pondhatch/configuration/_editing.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
-from dataclasses import replace
 from typing import TYPE_CHECKING, Any, TypeVar
 
 import msgspec
 import xxhash
+from msgspec.structs import replace
 
 from pondhatch.configuration._account_editing import AccountEditing
 from pondhatch.configuration._changes import KINDS, UNREADABLE, Edit, EntryKey
--- a/pondhatch/configuration/_fit.py
+++ b/pondhatch/configuration/_fit.py
@@ -7,14 +7,14 @@
 
 from __future__ import annotations
 
-import dataclasses
 import functools
 import operator
 import types
 from collections.abc import Iterable, Mapping
-from typing import Annotated, Any, Literal, TypeVar, Union, get_args, get_origin, get_type_hints
+from typing import Annotated, Any, Literal, TypeVar, Union, get_args, get_origin
 
 import msgspec
+import msgspec.structs
 
 from pondhatch.configuration._yaml import FieldPath
 
@@ -38,8 +38,7 @@
 )
 
 
-@dataclasses.dataclass(frozen=True)
-class Misfit:
+class Misfit(msgspec.Struct, frozen=True):
     """One place where data does not fit its shape."""
 
     path: FieldPath
@@ -54,15 +53,6 @@
     )
 
 
-@dataclasses.dataclass(frozen=True)
-class _Field:
-    """A field of a data class."""
-
-    name: str
-    type: Any
-    is_required: bool
-
-
 def fit(shape: type[Shape], data: Any) -> Shape | tuple[Misfit, ...]:
     """Return the data in its shape, or every misfit."""
     misfits: set[Misfit] = set()
@@ -75,7 +65,7 @@
 def _fit(shape: Any, data: Any, path: FieldPath, misfits: set[Misfit]) -> Any:
     """Return the data in its shape; where it does not fit, misfits are added instead."""
     bare, constraints = _parts(shape)
-    if dataclasses.is_dataclass(bare):
+    if isinstance(bare, type) and issubclass(bare, msgspec.Struct):
         return _fit_fields(bare, data, path, misfits)
     origin, inner = get_origin(bare), get_args(bare)
     if origin in (Union, types.UnionType) and type(None) in inner:
@@ -101,7 +91,7 @@
     for each in fields:
         if each.name in data:
             values[each.name] = _fit(each.type, data[each.name], (*path, each.name), misfits)
-        elif each.is_required:
+        elif each.required:
             misfits.add(Misfit((*path, each.name), MISSING))
     return shape(**values) if len(misfits) == before else None
 
@@ -150,17 +140,9 @@
 
 
 @functools.cache
-def _fields(shape: Any) -> tuple[_Field, ...]:
+def _fields(shape: type[msgspec.Struct]) -> tuple[msgspec.structs.FieldInfo, ...]:
     """Return the fields of a data class, their types with the constraints on them."""
-    hints = get_type_hints(shape, include_extras=True)
-    return tuple(
-        _Field(
-            each.name,
-            hints[each.name],
-            each.default is dataclasses.MISSING and each.default_factory is dataclasses.MISSING,
-        )
-        for each in dataclasses.fields(shape)
-    )
+    return msgspec.structs.fields(shape)
 
 
 @functools.cache
--- a/pondhatch/configuration/_fleet.py
+++ b/pondhatch/configuration/_fleet.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field, replace
 from typing import Any
 
 import msgspec
+from msgspec.structs import replace
 
 from pondhatch.configuration._changes import Change, Difference, Edit, EntryKey, Snapshot
 from pondhatch.configuration._editing import with_edits
@@ -24,8 +24,7 @@
 KEPT_CHANGES = 512
 
 
-@dataclass(frozen=True)
-class Rejected:
+class Rejected(msgspec.Struct, frozen=True):
     """A change does not pass its check; nothing of it is in force."""
 
     #: Misfits by (kind, name) of the entry.
@@ -37,33 +36,31 @@
         )
 
 
-@dataclass(frozen=True)
-class Gap:
+class Gap(msgspec.Struct, frozen=True):
     """A change does not follow the version in force; the ones between are missing."""
 
     in_force: int
     offered: int
 
 
-@dataclass(frozen=True)
-class Fleet:
+class Fleet(msgspec.Struct, frozen=True):
     """A configuration as of one version. Never changed in place."""
 
     version: int = 0
-    service_by_name: dict[str, ServiceSpec] = field(default_factory=dict)
-    routes: RouteTable = field(default_factory=RouteTable)
+    service_by_name: dict[str, ServiceSpec] = msgspec.field(default_factory=dict)
+    routes: RouteTable = msgspec.field(default_factory=RouteTable)
     #: What callers may send; None where the settings of each router say so.
     caller_bounds: CallerBounds | None = None
-    template_by_name: dict[str, TemplateSpec] = field(default_factory=dict)
-    policy_by_account: dict[str, AccountPolicy] = field(default_factory=dict)
-    account_by_key_hash: dict[str, str] = field(default_factory=dict)
+    template_by_name: dict[str, TemplateSpec] = msgspec.field(default_factory=dict)
+    policy_by_account: dict[str, AccountPolicy] = msgspec.field(default_factory=dict)
+    account_by_key_hash: dict[str, str] = msgspec.field(default_factory=dict)
     #: Entries as written, encoded as JSON, by (kind, name).
-    raw_by_entry: dict[EntryKey, bytes] = field(default_factory=dict)
+    raw_by_entry: dict[EntryKey, bytes] = msgspec.field(default_factory=dict)
     #: Entries that are not in force as they stand, or only in part, each with what is wrong.
-    misfits_by_entry: Mapping[EntryKey, tuple[Misfit, ...]] = field(default_factory=dict)
+    misfits_by_entry: Mapping[EntryKey, tuple[Misfit, ...]] = msgspec.field(default_factory=dict)
     recent: tuple[Change, ...] = ()
     #: When entries changed last, for peers that are behind.
-    latest: LatestChanges = field(default_factory=LatestChanges)
+    latest: LatestChanges = msgspec.field(default_factory=LatestChanges)
     #: Equal where all entries are as written, whatever steps they came in.
     fingerprint: int = 0
 
--- a/pondhatch/configuration/_routes.py
+++ b/pondhatch/configuration/_routes.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
 
 import msgspec
 
@@ -39,15 +38,14 @@
     path_prefix: str
 
 
-@dataclass(frozen=True)
-class RouteTable:
+class RouteTable(msgspec.Struct, frozen=True):
     """All routes of a configuration. Never changed in place."""
 
-    by_name: Mapping[str, RouteSpec] = field(default_factory=dict)
+    by_name: Mapping[str, RouteSpec] = msgspec.field(default_factory=dict)
     #: Places of the routes that cannot be used.
     withheld: frozenset[Place] = frozenset()
     #: Routes by host in lower case, then by path prefix.
-    _by_host: Mapping[str, Mapping[str, Route | Withheld]] = field(default_factory=dict)
+    _by_host: Mapping[str, Mapping[str, Route | Withheld]] = msgspec.field(default_factory=dict)
 
     @classmethod
     def of(
--- a/pondhatch/configuration/_schema.py
+++ b/pondhatch/configuration/_schema.py
@@ -6,9 +6,9 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import Annotated, Any, Literal
 
+import msgspec
 from msgspec import Meta
 
 from pondhatch.configuration._fit import NAME_PATTERN
@@ -20,8 +20,7 @@
 Role = Literal["combined", "prefill", "decode"]
 
 
-@dataclass(frozen=True)
-class OrdersSpec:
+class OrdersSpec(msgspec.Struct, frozen=True):
     """What the engines of a service are to hold; whatever they held before."""
 
     model: str
@@ -30,13 +29,12 @@
     adapters: tuple[str, ...] = ()
     role: Role = "combined"
     #: Roles of single engines, by their name.
-    role_by_engine: dict[Name, Role] = field(default_factory=dict)
+    role_by_engine: dict[Name, Role] = msgspec.field(default_factory=dict)
     #: Engines that may be busy with an order at the same time.
     at_once: Annotated[int, Meta(ge=1, le=1000)] = 1
 
 
-@dataclass(frozen=True)
-class ServiceSpec:
+class ServiceSpec(msgspec.Struct, frozen=True):
     """A service: a group of like upstreams that requests are routed to."""
 
     kind: Literal["model", "plain"]
@@ -67,8 +65,7 @@
     orders: OrdersSpec | None = None
 
 
-@dataclass(frozen=True)
-class RouteTarget:
+class RouteTarget(msgspec.Struct, frozen=True):
     """One of the services that share a route's requests."""
 
     service: str
@@ -80,8 +77,7 @@
 Repeats = Literal["any", "resumed", "never"]
 
 
-@dataclass(frozen=True)
-class RouteSpec:
+class RouteSpec(msgspec.Struct, frozen=True):
     """Requests under one host and path prefix, and what holds for them."""
 
     host: Annotated[str, Meta(min_length=1)]
@@ -109,8 +105,7 @@
     keeps_context: bool = False
 
 
-@dataclass(frozen=True)
-class CallerBounds:
+class CallerBounds(msgspec.Struct, frozen=True):
     """What callers may send, as the configuration in force says it."""
 
     #: Bytes of all headers of a request together. As for the others, None leaves it to the
@@ -123,8 +118,7 @@
     idle_seconds: Annotated[float, Meta(gt=0)] | None = None
 
 
-@dataclass(frozen=True)
-class ParameterSpec:
+class ParameterSpec(msgspec.Struct, frozen=True):
     """A parameter that a template asks each account for."""
 
     type: Literal["integer", "number", "string", "boolean"]
@@ -135,28 +129,25 @@
     choices: tuple[Scalar, ...] = ()
 
 
-@dataclass(frozen=True)
-class TemplateSpec:
+class TemplateSpec(msgspec.Struct, frozen=True):
     """A template: the body of an account with parameters in it."""
 
     #: The account's fields; a value "$name" stands for a parameter.
     account: dict[str, Any]
-    parameters: dict[Name, ParameterSpec] = field(default_factory=dict)
+    parameters: dict[Name, ParameterSpec] = msgspec.field(default_factory=dict)
 
 
-@dataclass(frozen=True)
-class AccountSpec:
+class AccountSpec(msgspec.Struct, frozen=True):
     """A client account: a template filled in."""
 
     template: str
     #: SHA-256 of the API keys, in hex, as many as the operator gives: a look-up takes below
     #: 1 us with 16 and with 5,000, and a bound here would hold an accepted account back.
     key_hashes: Annotated[tuple[KeyHash, ...], Meta(min_length=1)]
-    parameters: dict[Name, Scalar] = field(default_factory=dict)
+    parameters: dict[Name, Scalar] = msgspec.field(default_factory=dict)
 
 
-@dataclass(frozen=True, slots=True)
-class AccountPolicy:
+class AccountPolicy(msgspec.Struct, frozen=True):
     """What holds for an account once its template is filled in."""
 
     #: Services that the account may use.
@@ -171,11 +162,10 @@
     weight: Annotated[float, Meta(gt=0, le=100)] = 1.0
 
 
-@dataclass(frozen=True)
-class FleetFile:
+class FleetFile(msgspec.Struct, frozen=True):
     """One file of services, templates and accounts."""
 
-    services: dict[Name, ServiceSpec] = field(default_factory=dict)
-    routes: dict[Name, RouteSpec] = field(default_factory=dict)
-    templates: dict[Name, TemplateSpec] = field(default_factory=dict)
-    accounts: dict[Name, AccountSpec] = field(default_factory=dict)
+    services: dict[Name, ServiceSpec] = msgspec.field(default_factory=dict)
+    routes: dict[Name, RouteSpec] = msgspec.field(default_factory=dict)
+    templates: dict[Name, TemplateSpec] = msgspec.field(default_factory=dict)
+    accounts: dict[Name, AccountSpec] = msgspec.field(default_factory=dict)
--- a/pondhatch/configuration/_settings.py
+++ b/pondhatch/configuration/_settings.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import re
-from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Annotated, Any
 
+import msgspec
 from msgspec import Meta
 
 from pondhatch.configuration._fit import fit
@@ -26,16 +26,14 @@
 Url = Annotated[str, Meta(pattern=r"^https?://")]
 
 
-@dataclass(frozen=True)
-class AdminEndpoint:
+class AdminEndpoint(msgspec.Struct, frozen=True):
     """Where the state is dumped: on loopback only, since nobody is asked who they are."""
 
     host: Annotated[str, Meta(pattern=r"^(127\.[0-9.]+|::1)$")]
     port: Port = 0
 
 
-@dataclass(frozen=True)
-class PeerEndpoint:
+class PeerEndpoint(msgspec.Struct, frozen=True):
     """Where other routers reach this one; they are told the port, so it is a fixed one.
 
     With all three files named, routers' calls go over TLS and both sides show a
@@ -51,8 +49,7 @@
     authority: str | None = None
 
 
-@dataclass(frozen=True)
-class CallerEndpoint:
+class CallerEndpoint(msgspec.Struct, frozen=True):
     """Where callers connect, with TLS where both files are named."""
 
     host: Host
@@ -63,8 +60,7 @@
     private_key: str | None = None
 
 
-@dataclass(frozen=True)
-class CallerLimits:
+class CallerLimits(msgspec.Struct, frozen=True):
     """What one caller may send; beyond it the caller gets a 4xx or is cut."""
 
     #: Bytes of a chat request's body.
@@ -77,8 +73,7 @@
     idle_seconds: Annotated[float, Meta(gt=0, le=3600)] = 60.0
 
 
-@dataclass(frozen=True)
-class StatsdEndpoint:
+class StatsdEndpoint(msgspec.Struct, frozen=True):
     """Where metrics are sent, over UDP."""
 
     host: Host
@@ -86,8 +81,7 @@
     prefix: str = "pondhatch"
 
 
-@dataclass(frozen=True)
-class ReadyEndpoint:
+class ReadyEndpoint(msgspec.Struct, frozen=True):
     """Where the balancer asks whether this router takes work."""
 
     host: Host
@@ -95,8 +89,7 @@
     path: Annotated[str, Meta(pattern=r"^/")] = "/healthz"
 
 
-@dataclass(frozen=True)
-class MetricsEndpoint:
+class MetricsEndpoint(msgspec.Struct, frozen=True):
     """Where metrics are told as text."""
 
     host: Host
@@ -104,8 +97,7 @@
     path: Annotated[str, Meta(pattern=r"^/")] = "/metrics"
 
 
-@dataclass(frozen=True)
-class ServiceDefaults:
+class ServiceDefaults(msgspec.Struct, frozen=True):
     """What holds for services where the platform's configuration does not say."""
 
     #: See ServiceSpec.
@@ -113,8 +105,7 @@
     load_slack: Annotated[int, Meta(ge=0, le=1000)] = 0
 
 
-@dataclass(frozen=True)
-class RetrySettings:
+class RetrySettings(msgspec.Struct, frozen=True):
     """What the whole fleet may send to a service beyond the first try of each request.
 
     Left out, or left empty by a platform that sets no such bound, each has its default.
@@ -126,8 +117,7 @@
     slack: Annotated[float, Meta(ge=0)] | None = None
 
 
-@dataclass(frozen=True)
-class DrainSettings:
+class DrainSettings(msgspec.Struct, frozen=True):
     """How a stopping router ends."""
 
     #: Seconds after the stop signal for which it still takes requests: until the balancer
@@ -137,8 +127,7 @@
     whole_seconds: Annotated[float, Meta(gt=0, le=3600)] | None = None
 
 
-@dataclass(frozen=True)
-class LogSettings:
+class LogSettings(msgspec.Struct, frozen=True):
     """How a process logs."""
 
     #: "text" to standard error for people; "lines": JSON lines of sentences and decisions
@@ -147,8 +136,7 @@
     level: Annotated[str, Meta(pattern=r"^(DEBUG|INFO|WARNING|ERROR)$")] = "INFO"
 
 
-@dataclass(frozen=True)
-class Settings:
+class Settings(msgspec.Struct, frozen=True):
     """One router process."""
 
     name: GivenName
@@ -167,17 +155,17 @@
     interface: str = "openai"
     #: Asked on the callers' port where it is not set.
     ready: ReadyEndpoint | None = None
-    service_defaults: ServiceDefaults = field(default_factory=ServiceDefaults)
-    retries: RetrySettings = field(default_factory=RetrySettings)
+    service_defaults: ServiceDefaults = msgspec.field(default_factory=ServiceDefaults)
+    retries: RetrySettings = msgspec.field(default_factory=RetrySettings)
     #: Peers to try first, as "IP:port"; the platform's list of VMs adds to them.
     seeds: tuple[Annotated[str, Meta(pattern=r"^[0-9a-fA-F.:]+:\d+$")], ...] = ()
-    limits: CallerLimits = field(default_factory=CallerLimits)
+    limits: CallerLimits = msgspec.field(default_factory=CallerLimits)
     statsd: StatsdEndpoint | None = None
     metrics: MetricsEndpoint | None = None
     #: Seconds for which a stopping router lets its streams finish.
     drain_seconds: Annotated[float, Meta(ge=0, le=3600)] = 120.0
-    drain: DrainSettings = field(default_factory=DrainSettings)
-    log: LogSettings = field(default_factory=LogSettings)
+    drain: DrainSettings = msgspec.field(default_factory=DrainSettings)
+    log: LogSettings = msgspec.field(default_factory=LogSettings)
 
 
 #: Shortest fleet key that is taken, in bytes.
--- a/pondhatch/configuration/tests/test_differences.py
+++ b/pondhatch/configuration/tests/test_differences.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import unittest
-from dataclasses import replace
 
 import msgspec
 from hypothesis import given
 from hypothesis import strategies as st
+from msgspec.structs import replace
 
 from fakes._entries import SERVICE, TEMPLATE
 from pondhatch.configuration import Difference, Edit, Fleet, Snapshot
--- a/pondhatch/configuration/tests/test_fit.py
+++ b/pondhatch/configuration/tests/test_fit.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import unittest
-from dataclasses import dataclass, field
 from typing import Annotated, Any, Literal
 
+import msgspec
 from msgspec import Meta
 
 from pondhatch.configuration._fit import MISSING, UNKNOWN_KEY, Misfit, fit
@@ -13,21 +13,19 @@
 Short = Annotated[str, Meta(pattern=r"^[a-z]{1,3}$")]
 
 
-@dataclass(frozen=True)
-class Inner:
+class Inner(msgspec.Struct, frozen=True):
     number: Annotated[int, Meta(ge=1, le=9)]
     note: Short | None = None
 
 
-@dataclass(frozen=True)
-class Outer:
+class Outer(msgspec.Struct, frozen=True):
     name: Short
     share: Annotated[float, Meta(gt=0)] = 1.0
     kind: Literal["a", "b"] = "a"
     inner: Inner | None = None
     several: Annotated[tuple[Inner, ...], Meta(min_length=1)] = (Inner(1),)
-    by_name: dict[Short, Inner] = field(default_factory=dict)
-    values: dict[str, bool | int | float | str] = field(default_factory=dict)
+    by_name: dict[Short, Inner] = msgspec.field(default_factory=dict)
+    values: dict[str, bool | int | float | str] = msgspec.field(default_factory=dict)
 
 
 class FitTest(unittest.TestCase):
--- a/pondhatch/kernel/_registry.py
+++ b/pondhatch/kernel/_registry.py
@@ -8,9 +8,10 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
 from typing import Any, ClassVar, TypeVar
 
+import msgspec
+
 PluginType = TypeVar("PluginType", bound="type[Plugin]")
 View = TypeVar("View")
 
@@ -36,12 +37,11 @@
         return found
 
 
-@dataclass
-class Registry:
+class Registry(msgspec.Struct):
     """Plug-in classes by kind and name, and the views they may depend on."""
 
     #: Classes by (kind, name).
-    by_kind_and_name: dict[tuple[str, str], type[Plugin]] = field(default_factory=dict)
+    by_kind_and_name: dict[tuple[str, str], type[Plugin]] = msgspec.field(default_factory=dict)
 
     def register(self, kind: str, name: str) -> Callable[[PluginType], PluginType]:
         """Return a class decorator that records the class under kind and name."""
--- a/pondhatch/limits/_bucket.py
+++ b/pondhatch/limits/_bucket.py
@@ -6,8 +6,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
-
 import msgspec
 
 
@@ -41,8 +39,7 @@
 CONCURRENCY_RETRY_AFTER = 1.0
 
 
-@dataclass
-class AccountUse:
+class AccountUse(msgspec.Struct):
     """What one account has used at this router."""
 
     tokens: float
@@ -50,11 +47,10 @@
     running: int = 0
 
 
-@dataclass
-class AccountGate:
+class AccountGate(msgspec.Struct):
     """Token buckets and running counts by account."""
 
-    use_by_account: dict[str, AccountUse] = field(default_factory=dict)
+    use_by_account: dict[str, AccountUse] = msgspec.field(default_factory=dict)
 
     def running(self, account: str) -> int:
         """Return how many of an account's requests run here."""
--- a/pondhatch/limits/_pace.py
+++ b/pondhatch/limits/_pace.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import msgspec
 
 
-@dataclass
-class Pace:
+class Pace(msgspec.Struct):
     """Turns at a rate, of which some may be taken at once after a quiet time."""
 
     #: Turns a second in the long run.
--- a/pondhatch/limits/_retries.py
+++ b/pondhatch/limits/_retries.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass, field
 
 import msgspec
 
@@ -27,8 +26,7 @@
 MISSED_SECONDS = 60.0
 
 
-@dataclass
-class RetryBudget:
+class RetryBudget(msgspec.Struct):
     """Each first try earns a fraction of a retry; each retry spends one."""
 
     #: Retries that a first try earns.
@@ -58,15 +56,16 @@
     slack: float = 80.0
 
 
-@dataclass
-class RetryBudgets:
+class RetryBudgets(msgspec.Struct):
     """One router's part of the fleet's allowance, for each service."""
 
-    allowance: RetryAllowance = field(default_factory=RetryAllowance)
-    budget_by_service: dict[str, RetryBudget] = field(default_factory=dict)
+    allowance: RetryAllowance = msgspec.field(default_factory=RetryAllowance)
+    budget_by_service: dict[str, RetryBudget] = msgspec.field(default_factory=dict)
     #: Numbers of live routers, each with when it was last seen, the newest last. Each is
     #: greater than those after it: a smaller one that is older can never be the most.
-    _seen: deque[tuple[int, float]] = field(default_factory=lambda: deque([(1, float("-inf"))]))
+    _seen: deque[tuple[int, float]] = msgspec.field(
+        default_factory=lambda: deque([(1, float("-inf"))])
+    )
 
     def of(self, service: str) -> RetryBudget:
         """Return the budget for a service."""
--- a/pondhatch/limits/_shares.py
+++ b/pondhatch/limits/_shares.py
@@ -8,8 +8,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
-
 import msgspec
 from msgspec.structs import replace
 
@@ -45,8 +43,7 @@
     concurrency: float
 
 
-@dataclass
-class Use:
+class Use(msgspec.Struct):
     """One account's demand at this router."""
 
     first_at: float
@@ -55,12 +52,11 @@
     last: Demand | None = None
 
 
-@dataclass
-class ShareUser:
+class ShareUser(msgspec.Struct):
     """One router's demands and the shares that it was given."""
 
-    use_by_account: dict[str, Use] = field(default_factory=dict)
-    share_by_account: dict[str, tuple[Share, float]] = field(default_factory=dict)
+    use_by_account: dict[str, Use] = msgspec.field(default_factory=dict)
+    share_by_account: dict[str, tuple[Share, float]] = msgspec.field(default_factory=dict)
     _next_ask: float = float("-inf")
 
     def came(self, account: str, running: int, now: float) -> None:
@@ -120,12 +116,13 @@
         }
 
 
-@dataclass
-class ShareHome:
+class ShareHome(msgspec.Struct):
     """The demands of routers on the accounts that this router is home to."""
 
     #: Demands and when they came, by account and router.
-    demand_by_account: dict[str, dict[str, tuple[Demand, float]]] = field(default_factory=dict)
+    demand_by_account: dict[str, dict[str, tuple[Demand, float]]] = msgspec.field(
+        default_factory=dict
+    )
 
     def asked(self, router: str, demand: Demand, whole: AccountLimits, now: float) -> Share:
         """Take in a router's demand and return its share of what is not free to all."""
--- a/pondhatch/membership/_pinging.py
+++ b/pondhatch/membership/_pinging.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-from dataclasses import dataclass
 
 import msgspec
 
@@ -13,8 +12,7 @@
 RELAY_SECONDS = 1.0
 
 
-@dataclass
-class Probe:
+class Probe(msgspec.Struct):
     """The ping that waits for its answer."""
 
     target: int
--- a/pondhatch/membership/_table.py
+++ b/pondhatch/membership/_table.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
-from dataclasses import dataclass, field, replace
 
 import msgspec
 import xxhash
+from msgspec.structs import replace
 
 from pondhatch.membership._records import Alive, Fault, Phase, Rumor, Status, Versions
 
@@ -18,15 +18,14 @@
     port: int
 
 
-@dataclass(frozen=True)
-class Entry:
+class Entry(msgspec.Struct, frozen=True):
     """What is known of another router."""
 
     alive: Alive
     status: Status = Status.ALIVE
     #: When the status was taken in, in the clock's seconds.
     since: float = 0.0
-    versions: Versions = field(default_factory=Versions)
+    versions: Versions = msgspec.field(default_factory=Versions)
 
     @property
     def address(self) -> Address:
--- a/pondhatch/observing/_served.py
+++ b/pondhatch/observing/_served.py
@@ -8,10 +8,11 @@
 
 from bisect import bisect_left
 from collections.abc import Iterator
-from dataclasses import dataclass, field
 from itertools import accumulate
 from typing import Any
 
+import msgspec
+
 #: Upper bounds of the buckets of durations, in seconds: around the users' objectives of 0.2 to
 #: 0.6 s and their deadlines of 1 to 10 s.
 BUCKETS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 1.0, 2.5, 5.0, 10.0)
@@ -21,12 +22,11 @@
 LABEL_BY_FAMILY = {"requests": "outcome", "refusals": "code", "headers_dropped": "kind"}
 
 
-@dataclass
-class Histogram:
+class Histogram(msgspec.Struct):
     """Durations by bucket."""
 
     #: One more than there are bounds: the last takes what is longer than all.
-    counts: list[int] = field(default_factory=lambda: [0] * (len(BUCKETS) + 1))
+    counts: list[int] = msgspec.field(default_factory=lambda: [0] * (len(BUCKETS) + 1))
     #: Seconds of all together.
     total: float = 0.0
 
@@ -42,14 +42,13 @@
         return list(zip(bounds, sums, strict=True))
 
 
-@dataclass
-class ServedMetrics:
+class ServedMetrics(msgspec.Struct):
     """See Metrics; keeps everything until it is asked for."""
 
     router: str
-    count_by_name: dict[str, int] = field(default_factory=dict)
-    histogram_by_name: dict[str, Histogram] = field(default_factory=dict)
-    level_by_name: dict[str, float] = field(default_factory=dict)
+    count_by_name: dict[str, int] = msgspec.field(default_factory=dict)
+    histogram_by_name: dict[str, Histogram] = msgspec.field(default_factory=dict)
+    level_by_name: dict[str, float] = msgspec.field(default_factory=dict)
 
     def count(self, name: str, by: int = 1) -> None:
         """Add to a counter."""
--- a/pondhatch/placement/_gate.py
+++ b/pondhatch/placement/_gate.py
@@ -7,8 +7,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
-
 import msgspec
 from msgspec.structs import replace
 
@@ -76,11 +74,10 @@
         return max(0, self.reported - max(self.peak, self.peak_before))
 
 
-@dataclass
-class Gate:
+class Gate(msgspec.Struct):
     """Counts by engine for the engines that this router owns."""
 
-    by_engine: dict[str, EngineCount] = field(default_factory=dict)
+    by_engine: dict[str, EngineCount] = msgspec.field(default_factory=dict)
 
     def in_flight(self, engine: str, now: float) -> int:
         """Return the requests in flight at an engine as known here."""
--- a/pondhatch/placement/_health.py
+++ b/pondhatch/placement/_health.py
@@ -8,8 +8,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
-
 import msgspec
 from msgspec.structs import replace
 
@@ -59,11 +57,10 @@
         return now < self.ailing_until
 
 
-@dataclass
-class Health:
+class Health(msgspec.Struct):
     """Health by upstream; one that is well is not listed."""
 
-    health_by_upstream: dict[str, UpstreamHealth] = field(default_factory=dict)
+    health_by_upstream: dict[str, UpstreamHealth] = msgspec.field(default_factory=dict)
 
     def is_down(self, upstream: str, now: float) -> bool:
         """Return whether to pass an upstream over; the first to come after a pause tries it."""
--- a/pondhatch/placement/_line.py
+++ b/pondhatch/placement/_line.py
@@ -9,7 +9,6 @@
 
 import itertools
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
 import msgspec
 
@@ -29,16 +28,15 @@
         return (self.priority, self.start, self.number)
 
 
-@dataclass
-class Line:
+class Line(msgspec.Struct):
     """Requests that wait for one engine."""
 
     #: Requests that may wait at once.
     limit: int
-    by_number: dict[int, Ticket] = field(default_factory=dict)
-    _finish_by_account: dict[str, float] = field(default_factory=dict)
+    by_number: dict[int, Ticket] = msgspec.field(default_factory=dict)
+    _finish_by_account: dict[str, float] = msgspec.field(default_factory=dict)
     _virtual_time: float = 0.0
-    _numbers: Callable[[], int] = field(default_factory=lambda: itertools.count().__next__)
+    _numbers: Callable[[], int] = msgspec.field(default_factory=lambda: itertools.count().__next__)
 
     def __len__(self) -> int:
         return len(self.by_number)
--- a/pondhatch/placement/_memory.py
+++ b/pondhatch/placement/_memory.py
@@ -10,18 +10,18 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from dataclasses import dataclass, field
+
+import msgspec
 
 #: Chats remembered at most by one router.
 DEFAULT_CHATS = 100_000
 
 
-@dataclass
-class SpillMemory:
+class SpillMemory(msgspec.Struct):
     """Least recently used table from chat to the engine that holds its context."""
 
     limit: int = DEFAULT_CHATS
-    engine_by_chat: OrderedDict[int, str] = field(default_factory=OrderedDict)
+    engine_by_chat: OrderedDict[int, str] = msgspec.field(default_factory=OrderedDict)
 
     def remember(self, chat: int, engine: str) -> None:
         """Note which engine served a chat."""
--- a/pondhatch/platform/_store.py
+++ b/pondhatch/platform/_store.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator, Callable, Iterable, Mapping
-from dataclasses import dataclass, field
 from typing import Any
 from urllib.parse import quote
 
@@ -53,13 +52,12 @@
 REFUSED = (429, 503)
 
 
-@dataclass
-class _Listing:
+class _Listing(msgspec.Struct):
     """The pages of a listing that were read so far."""
 
-    found: list[StoredObject] = field(default_factory=list)
+    found: list[StoredObject] = msgspec.field(default_factory=list)
     #: Names of all objects, of those too that make no sense otherwise.
-    names: set[str] = field(default_factory=set)
+    names: set[str] = msgspec.field(default_factory=set)
 
     def take(self, names: Iterable[str], found: Iterable[StoredObject]) -> bool:
         """Take in a page's objects; return whether it named any that no page had named."""
--- a/pondhatch/requests/_entry_grants.py
+++ b/pondhatch/requests/_entry_grants.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
 import msgspec
 from msgspec.structs import replace
@@ -41,8 +40,7 @@
     return None
 
 
-@dataclass
-class _Asked:
+class _Asked(msgspec.Struct):
     """A question that waits for its owner's word."""
 
     owner: str
@@ -62,8 +60,7 @@
     owner: str
 
 
-@dataclass
-class EntryGrants:
+class EntryGrants(msgspec.Struct):
     """See Grants; packets and time in, packets out."""
 
     #: This router's name, and its short id.
@@ -77,9 +74,9 @@
     number: int
     #: Takes in the name of a router that was passed over, and is heard from again.
     on_heard: Callable[[str], None] = _ignore
-    waits: OwnerWaits = field(default_factory=OwnerWaits)
-    held_by_number: dict[int, Held] = field(default_factory=dict)
-    _asked_by_number: dict[int, _Asked] = field(default_factory=dict)
+    waits: OwnerWaits = msgspec.field(default_factory=OwnerWaits)
+    held_by_number: dict[int, Held] = msgspec.field(default_factory=dict)
+    _asked_by_number: dict[int, _Asked] = msgspec.field(default_factory=dict)
     _renewed_at: float = float("-inf")
 
     def next_number(self) -> int:
--- a/pondhatch/requests/_keys.py
+++ b/pondhatch/requests/_keys.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from dataclasses import dataclass, field
 
 import msgspec
 
@@ -55,14 +54,13 @@
 Claim = Fresh | Known
 
 
-@dataclass
-class KeyTable:
+class KeyTable(msgspec.Struct):
     """One router's records."""
 
-    record_by_key: OrderedDict[str, KeyRecord] = field(default_factory=OrderedDict)
+    record_by_key: OrderedDict[str, KeyRecord] = msgspec.field(default_factory=OrderedDict)
     #: Bytes of the answers that are kept.
     kept_bytes: int = 0
-    _touched_by_key: dict[str, float] = field(default_factory=dict)
+    _touched_by_key: dict[str, float] = msgspec.field(default_factory=dict)
 
     def claim(self, key: str, record: KeyRecord, now: float) -> Claim:
         """Record a new key, or return what is known of a used one.
--- a/pondhatch/requests/_leases.py
+++ b/pondhatch/requests/_leases.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
-
 import msgspec
 
 from pondhatch.requests._questions import Holder
@@ -21,11 +19,10 @@
     until: float
 
 
-@dataclass
-class Leases:
+class Leases(msgspec.Struct):
     """Leases by holder."""
 
-    by_holder: dict[Holder, Lease] = field(default_factory=dict)
+    by_holder: dict[Holder, Lease] = msgspec.field(default_factory=dict)
 
     def give(self, holder: Holder, engine: str, now: float) -> None:
         """Record a grant, or renew it."""
--- a/pondhatch/requests/_messages.py
+++ b/pondhatch/requests/_messages.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import Protocol
 
 import msgspec
@@ -122,8 +121,7 @@
     answer: AnswerStream
 
 
-@dataclass(frozen=True)
-class DecisionNote:
+class DecisionNote(msgspec.Struct, frozen=True):
     """Why a request went where it went; kept for the state dump."""
 
     request_id: str
@@ -137,4 +135,4 @@
     outcome: str
     #: Seconds from the caller's request to the end.
     seconds: float
-    at: float = field(default=0.0)
+    at: float = msgspec.field(default=0.0)
--- a/pondhatch/requests/_owner_grants.py
+++ b/pondhatch/requests/_owner_grants.py
@@ -4,7 +4,8 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass, field
+
+import msgspec
 
 from pondhatch.kernel import Tasks
 from pondhatch.requests._grant_packets import (
@@ -22,13 +23,12 @@
 Answer = Callable[[GrantPacket], None]
 
 
-@dataclass
-class OwnerGrants:
+class OwnerGrants(msgspec.Struct):
     """Answers questions; one that must wait is answered when its turn has come."""
 
     local: LocalOwner
     tasks: Tasks
-    _waiting_by_holder: dict[Holder, asyncio.Task[None]] = field(default_factory=dict)
+    _waiting_by_holder: dict[Holder, asyncio.Task[None]] = msgspec.field(default_factory=dict)
 
     def asked(self, question: Question, answer: Answer) -> None:
         """Take in a question, also one that was asked before; ``answer`` sends back."""
--- a/pondhatch/requests/_owner_waits.py
+++ b/pondhatch/requests/_owner_waits.py
@@ -8,8 +8,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
-
 import msgspec
 
 #: Parts of a whole wait: after the first two the question is sent again, after the last it
@@ -79,12 +77,11 @@
     sent_at: float
 
 
-@dataclass
-class OwnerWaits:
+class OwnerWaits(msgspec.Struct):
     """What one entry router knows of how fast owners answer it."""
 
-    _times_by_owner: dict[str, AnswerTimes] = field(default_factory=dict)
-    _given_up_by_number: dict[int, GivenUp] = field(default_factory=dict)
+    _times_by_owner: dict[str, AnswerTimes] = msgspec.field(default_factory=dict)
+    _given_up_by_number: dict[int, GivenUp] = msgspec.field(default_factory=dict)
 
     def pauses(self, owner: str, bearable: float, now: float) -> tuple[float, ...]:
         """Return how long to wait for an owner; see ``pauses``."""
--- a/pondhatch/requests/_try.py
+++ b/pondhatch/requests/_try.py
@@ -6,9 +6,9 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import Protocol
 
+import msgspec
 from automat import TypeMachineBuilder
 
 from pondhatch.requests._outcomes import (
@@ -45,8 +45,7 @@
         """The connection is gone, or the try was given up; say what that means."""
 
 
-@dataclass
-class TryFacts:
+class TryFacts(msgspec.Struct):
     """What a try remembers besides its state."""
 
     upstream: str
--- a/pondhatch/requests/tests/_history.py
+++ b/pondhatch/requests/tests/_history.py
@@ -9,6 +9,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+import msgspec
+
 from pondhatch.kernel import Tasks
 from pondhatch.limits import RetryBudget
 from pondhatch.membership import short_id
@@ -309,25 +311,23 @@
 class NotedGate(Gate):
     """A gate whose grants are noted."""
 
-    def __init__(self, granted: Callable[[], None]) -> None:
-        super().__init__()
-        self._note = granted
-        #: When a grant at an engine was last given back.
-        self._freed_at: dict[str, float] = {}
+    note: Callable[[], None] = lambda: None
+    #: When a grant at an engine was last given back.
+    freed_at: dict[str, float] = msgspec.field(default_factory=dict)
 
     def _grant(self, engine: str, count: EngineCount, held: int, ceiling: int) -> Granted:
         verdict = super()._grant(engine, count, held, ceiling)
-        self._note()
+        self.note()
         return verdict
 
     def release(self, engine: str) -> None:
         super().release(engine)
-        self._freed_at[engine] = asyncio.get_running_loop().time()
+        self.freed_at[engine] = asyncio.get_running_loop().time()
 
     def has_room(self, engine: str, others: int, engines: int) -> bool:
         """Return whether it would grant one request more, and would have for a while."""
         now = asyncio.get_running_loop().time()
-        if now - self._freed_at.get(engine, -math.inf) < KNOWN_AFTER:
+        if now - self.freed_at.get(engine, -math.inf) < KNOWN_AFTER:
             return False
         # A copy, since a gate counts what it grants.
         verdict = Gate(dict(self.by_engine)).ask(engine, now, BOUND, others, engines, 8)
@@ -399,7 +399,7 @@
     def __init__(self, name: str, fleet: Fleet) -> None:
         clock = asyncio.get_running_loop().time
         self.view = View(fleet, name)
-        self.gate = NotedGate(fleet.loads.granted)
+        self.gate = NotedGate(note=fleet.loads.granted)
         self.health = Health()
         self.owner = LocalOwner(name, self.view, self.gate, SpillMemory(), clock, self.health)
         self._tasks = Tasks()
--- a/pondhatch/requests/tests/test_histories.py
+++ b/pondhatch/requests/tests/test_histories.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies as st
 
 from fakes._virtual_loop import run_virtually
-from pondhatch.requests import EngineRefusal, OwnerReply, Question
+from pondhatch.requests import EngineRefusal, EntryGrants, OwnerReply, Question
 from pondhatch.requests._leases import LEASE_SECONDS
 from pondhatch.requests.tests._history import (
     OWN_REFUSALS,
@@ -176,13 +176,16 @@
             fleet.same_chat = True
             entry = fleet.routers["r1"].entry
             asked: list[tuple[bool, int]] = []
-            ask = entry.ask
+            ask = EntryGrants.ask
 
-            async def noted(owner: str, question: Question, bearable: float) -> OwnerReply:
-                asked.append((question.resuming, question.seen_elsewhere))
-                return await ask(owner, question, bearable)
+            async def noted(
+                side: EntryGrants, owner: str, question: Question, bearable: float
+            ) -> OwnerReply:
+                if side is entry:
+                    asked.append((question.resuming, question.seen_elsewhere))
+                return await ask(side, owner, question, bearable)
 
-            with patch.object(entry, "ask", noted):
+            with patch.object(EntryGrants, "ask", noted):
                 first = asyncio.ensure_future(fleet.request(0, True, gives_up=False))
                 await asyncio.sleep(0.1)
                 await fleet.request(1, True, gives_up=False)
--- a/pondhatch/router/_authority.py
+++ b/pondhatch/router/_authority.py
@@ -5,7 +5,8 @@
 import asyncio
 import random
 from collections.abc import Iterable
-from dataclasses import dataclass
+
+import msgspec
 
 from pondhatch.authority import (
     EngineOrders,
@@ -25,8 +26,7 @@
 NONCE_BITS = 64
 
 
-@dataclass
-class _Running:
+class _Running(msgspec.Struct):
     """An orderer and its task."""
 
     orderer: Orderer
--- a/pondhatch/router/_beliefs.py
+++ b/pondhatch/router/_beliefs.py
@@ -7,7 +7,8 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+
+import msgspec
 
 from pondhatch.configuration import EntryKey, Misfit, told
 from pondhatch.membership import Member
@@ -19,8 +20,7 @@
 MOST_A_ROUND = 100
 
 
-@dataclass
-class Beliefs:
+class Beliefs(msgspec.Struct):
     """Notes what changed since the last look."""
 
     state: RouterState
@@ -31,13 +31,13 @@
     #: Why the newest configuration was none; empty where it was in force.
     _refused: str = ""
     #: What was wrong with entries of the configuration in force.
-    _misfits_by_entry: Mapping[EntryKey, tuple[Misfit, ...]] = field(default_factory=dict)
+    _misfits_by_entry: Mapping[EntryKey, tuple[Misfit, ...]] = msgspec.field(default_factory=dict)
     #: The version of the list of upstreams.
     _upstreams_version: int = 0
-    _state_by_upstream: dict[str, str] = field(default_factory=dict)
+    _state_by_upstream: dict[str, str] = msgspec.field(default_factory=dict)
     _members: tuple[Member, ...] = ()
     #: "down" or "ailing" by upstream; one that is well is not listed.
-    _health: Mapping[str, str] = field(default_factory=dict)
+    _health: Mapping[str, str] = msgspec.field(default_factory=dict)
     #: Why the platform was out of reach; empty while it answered.
     _platform_lost: str = ""
 
--- a/pondhatch/router/_lag.py
+++ b/pondhatch/router/_lag.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import msgspec
 
 
-@dataclass
-class Lag:
+class Lag(msgspec.Struct):
     """Compares the version in force with the newest that any router was heard to hold.
 
     A version alone does not tell a router that is behind from one that waits for nothing.
--- a/pondhatch/router/_upstream_changes.py
+++ b/pondhatch/router/_upstream_changes.py
@@ -7,8 +7,8 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
 
+import msgspec
 from msgspec.structs import replace
 
 from pondhatch.placement import YOUNG_SECONDS
@@ -33,12 +33,11 @@
 STARTING_SECONDS = 20.0
 
 
-@dataclass
-class Joins:
+class Joins(msgspec.Struct):
     """When upstreams joined, but for those of a fleet that starts."""
 
     #: In the clock's seconds, by the upstream's name.
-    _joined_at: dict[str, float] = field(default_factory=dict)
+    _joined_at: dict[str, float] = msgspec.field(default_factory=dict)
     #: When this router first knew of upstreams, in the clock's seconds.
     _listed_at: float = float("inf")
 
@@ -79,14 +78,13 @@
             self._joined_at[name] = now
 
 
-@dataclass(frozen=True)
-class UpstreamChanges:
+class UpstreamChanges(msgspec.Struct, frozen=True):
     """Takes changes into a list of upstreams and notes who joined and who vanished."""
 
     upstreams: UpstreamList
     vanished: Vanished
-    joins: Joins = field(default_factory=Joins)
-    reader: UpstreamReader = field(default_factory=UpstreamReader)
+    joins: Joins = msgspec.field(default_factory=Joins)
+    reader: UpstreamReader = msgspec.field(default_factory=UpstreamReader)
 
     def take_listing(self, listed: Listed, now: float) -> bool:
         """Take in what the platform lists; return whether any was news."""
--- a/pondhatch/store/_upstreams.py
+++ b/pondhatch/store/_upstreams.py
@@ -7,8 +7,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
-
 import msgspec
 
 from pondhatch.placement import name_of_start
@@ -88,16 +86,15 @@
     age_by_name: dict[str, float] = {}
 
 
-@dataclass
-class UpstreamList:
+class UpstreamList(msgspec.Struct):
     """All upstreams known to a router."""
 
     version: int = 0
-    entry_by_name: dict[str, UpstreamEntry] = field(default_factory=dict)
+    entry_by_name: dict[str, UpstreamEntry] = msgspec.field(default_factory=dict)
     #: Version below which removed entries may be missing.
     complete_since: int = 0
     #: The name of the newest start of each upstream, by its id.
-    _name_by_id: dict[str, str] = field(default_factory=dict)
+    _name_by_id: dict[str, str] = msgspec.field(default_factory=dict)
 
     def upstream(self, name: str) -> Upstream | None:
         """Return an upstream that was not removed, or None."""
--- a/pondhatch/store/_vanished.py
+++ b/pondhatch/store/_vanished.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+import msgspec
 
 from pondhatch.placement import id_of
 from pondhatch.store._upstreams import Upstream
@@ -26,11 +26,10 @@
 TOGETHER_SECONDS = 0.3
 
 
-@dataclass
-class Vanished:
+class Vanished(msgspec.Struct):
     """Upstreams that vanished a short while ago, by id: the start of each that was there."""
 
-    _at_by_id: dict[str, tuple[Upstream, float]] = field(default_factory=dict)
+    _at_by_id: dict[str, tuple[Upstream, float]] = msgspec.field(default_factory=dict)
 
     def __bool__(self) -> bool:
         return bool(self._at_by_id)
--- a/pondhatch/transport/_serving.py
+++ b/pondhatch/transport/_serving.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import time
-from dataclasses import dataclass, field
 
 import msgspec
 
@@ -59,13 +58,12 @@
     key: str | None = None
 
 
-@dataclass
-class AnswerCopy:
+class AnswerCopy(msgspec.Struct):
     """A copy of an answer, as long as it is small enough to keep."""
 
     status: int = 0
     headers: Headers = ()
-    parts: list[bytes] = field(default_factory=list)
+    parts: list[bytes] = msgspec.field(default_factory=list)
     size: int = 0
 
     def add(self, part: bytes) -> None:
@@ -79,8 +77,7 @@
         return b"".join(self.parts) if self.size <= KEPT_BODY else None
 
 
-@dataclass
-class _Spans:
+class _Spans(msgspec.Struct):
     """Where a request's time went, in seconds."""
 
     #: From its head to its end.
--- a/pondhatch/transport/tests/test_caller_idle.py
+++ b/pondhatch/transport/tests/test_caller_idle.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-import dataclasses
 from typing import Any
 
+from msgspec.structs import replace
 from twisted.internet.address import IPv4Address
 
 from pondhatch.configuration import CallerLimits
@@ -42,7 +42,7 @@
         self.channel.makeConnection(self.wire)
 
     def idle(self, seconds: float) -> None:
-        self.limits = dataclasses.replace(CallerLimits(), idle_seconds=seconds)
+        self.limits = replace(CallerLimits(), idle_seconds=seconds)
 
     def closes_after(self, seconds: float) -> None:
         """Expect that the connection is closed then, and not before."""
@@ -108,6 +108,6 @@
         self.idle(1.2 * IDLE_SECONDS)
         self.clock.advance(1.1 * IDLE_SECONDS)
         await self.send(HEAD)
-        self.limits = dataclasses.replace(self.limits, header_seconds=600.0)
+        self.limits = replace(self.limits, header_seconds=600.0)
         await self.send(b"Content-Length: 9\r\n\r\na")
         self.closes_after(1.2 * IDLE_SECONDS)
--- a/pondhatch/transport/tests/test_routed_callers.py
+++ b/pondhatch/transport/tests/test_routed_callers.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import copy
-import dataclasses
 import random
 import unittest
 from typing import Any
 
 import msgspec
+from msgspec.structs import replace
 from twisted.internet.address import IPv4Address
 from twisted.internet.error import ConnectionLost
 from twisted.internet.task import Clock
@@ -274,7 +274,7 @@
         self.assertNotEqual(found["upstream"], self.upstreams.sent[0][0])
 
     async def test_a_body_is_held_to_the_limits_in_force(self) -> None:
-        self.state.fleet = dataclasses.replace(self.state.fleet, caller_bounds=None)
+        self.state.fleet = replace(self.state.fleet, caller_bounds=None)
         self.limits = CallerLimits(chat_body_bytes=1024)
         told = await self.ask("POST /proofs/a HTTP/1.1", KEY, body=b"x" * 1025)
         self.assertTrue(told.startswith(b"HTTP/1.1 413"), told)
