--- a/pondhatch/cli/_main.py
+++ b/pondhatch/cli/_main.py
@@ -13,7 +13,6 @@
 
 from pondhatch import __version__
 from pondhatch._early_port import OPTION, open_early
-from pondhatch.cli._commands import COMMANDS
 from pondhatch.cli._reports import EXIT_INPUT
 from pondhatch.cli._run_command import run
 from pondhatch.configuration import ConfigurationError
@@ -37,14 +36,16 @@
 def _run_command(arguments: list[str]) -> int:
     open_early(arguments)
     if arguments[:1] == [run.__name__] and len(arguments) > 1 and arguments[1][:1] != "-":
-        # A router that starts is waited for, and lives long: it is spared the library that
-        # reads a command line, a tenth of a second and 7 MB.
+        # A router that starts is waited for, and lives long: it is spared the other commands and
+        # the library that reads a command line, a tenth of a second and 7 MB.
         if len(arguments) == 2:
             return run(Path(arguments[1]))
         if len(arguments) == 4 and arguments[2] == OPTION:
             return run(Path(arguments[1]), listen=arguments[3])
     import defopt
 
+    from pondhatch.cli._commands import COMMANDS
+
     collect_garbage()
     code: int = defopt.run(
         COMMANDS,
