Do less in each idle round and for each of the balancer's questions

A round was two turns of the loop; each packet led through all members to see who is ahead; each round through all to see who restarted.

Change: rounds by timers; the system's word on descriptors holds for 2 s and while fewer than 16 connections came; who is ahead is looked for only where somebody can be.

--- a/pondhatch/cli/_endpoints.py
+++ b/pondhatch/cli/_endpoints.py
@@ -11,7 +11,7 @@
 from twisted.web.server import Site
 
 from pondhatch.cli._figures import Figures
-from pondhatch.cli._ports import listen_to_callers, listening, takes_connections
+from pondhatch.cli._ports import SpareDescriptors, listen_to_callers, listening
 from pondhatch.configuration import CallerLimits, MetricsEndpoint, ReadyEndpoint, Settings
 from pondhatch.observing import log_for
 from pondhatch.router import Authority, RouterState
@@ -74,13 +74,15 @@
         return listen_to_callers(self.reactor, self.settings.callers, site)
 
     def _open_to_balancer(self, endpoint: ReadyEndpoint, callers_port: Any) -> None:
-        resource = Readiness(endpoint.path, lambda: self._is_ready(callers_port))
+        clock, connections = self.state.clock, lambda: len(self.reactor.getReaders())
+        spare = SpareDescriptors(clock, connections)
+        resource = Readiness(endpoint.path, lambda: self._is_ready(callers_port, spare))
         self.reactor.listenTCP(endpoint.port, Site(resource), interface=endpoint.host)
 
-    def _is_ready(self, callers_port: Any) -> bool:
+    def _is_ready(self, callers_port: Any, spare: SpareDescriptors) -> bool:
         """Return whether the balancer should send callers here."""
         serves = self.state.fleet.version > 0 and not self.state.stopping()
-        return serves and takes_connections(callers_port)
+        return serves and bool(callers_port.connected) and spare.are_there()
 
     def _open_for_metrics(self, endpoint: MetricsEndpoint) -> None:
         """Tell metrics as text; a port that is taken costs the metrics, not the router."""
--- a/pondhatch/cli/_ports.py
+++ b/pondhatch/cli/_ports.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import socket
+from collections.abc import Callable
 from typing import Any
 
 from twisted.web.server import Site
@@ -17,6 +18,9 @@
 #: Descriptors that a router which says it is ready can still open: a caller's connection and
 #: one to an engine, for some callers who come before the balancer asks again.
 SPARE_DESCRIPTORS = 32
+#: Seconds for which the system's word on descriptors holds: files and other processes take
+#: some too, slowly, and a balancer is to know within some seconds.
+ASK_AGAIN_SECONDS = 2.0
 
 
 def listening(host: str, port: int) -> socket.socket:
@@ -51,12 +55,32 @@
     return TLSMemoryBIOFactory(context, False, served)
 
 
-def takes_connections(port: Any) -> bool:
-    """Return whether a port listens, and the process can open what a new connection needs.
+class SpareDescriptors:
+    """Whether the process can open what some more connections need.
 
-    Asked of the system each time: no count of our own knows of every descriptor.
+    Asked of the system: no count of our own knows of every descriptor. What it said holds
+    for a while, and while few connections came since: opening and closing SPARE_DESCRIPTORS
+    for each question of the balancer was a twelfth of what an idle router did.
     """
-    return bool(port.connected) and _can_open(SPARE_DESCRIPTORS)
+
+    def __init__(self, clock: Callable[[], float], connections: Callable[[], int]) -> None:
+        self._clock = clock
+        #: Returns how many connections are open now.
+        self._connections = connections
+        self._asked_at = float("-inf")
+        self._connections_then = 0
+
+    def are_there(self) -> bool:
+        """Return whether SPARE_DESCRIPTORS more can be opened, as far as is known."""
+        now, connections = self._clock(), self._connections()
+        came = connections - self._connections_then
+        if now - self._asked_at < ASK_AGAIN_SECONDS and came < SPARE_DESCRIPTORS // 2:
+            return True
+        if not _can_open(SPARE_DESCRIPTORS):
+            self._asked_at = float("-inf")
+            return False
+        self._asked_at, self._connections_then = now, connections
+        return True
 
 
 def _can_open(count: int) -> bool:
--- a/pondhatch/cli/_rounds.py
+++ b/pondhatch/cli/_rounds.py
@@ -27,10 +27,25 @@
     _told_at_by_name: dict[str, float] = msgspec.field(default_factory=dict)
 
     async def run(self) -> None:
-        """Do what is due until cancelled."""
-        while True:
+        """Do what is due until cancelled.
+
+        By timers alone: a sleep wakes a task, which is a second turn of the loop each time, a
+        fourth of all turns that an idle router takes.
+        """
+        loop = asyncio.get_running_loop()
+        timer: asyncio.TimerHandle | None = None
+
+        def go_on() -> None:
+            nonlocal timer
             self.run_once()
-            await asyncio.sleep(ROUND_SECONDS)
+            timer = loop.call_later(ROUND_SECONDS, go_on)
+
+        go_on()
+        try:
+            await loop.create_future()
+        finally:
+            if timer is not None:
+                timer.cancel()
 
     def run_once(self) -> None:
         """Do one round."""
--- a/pondhatch/cli/tests/test_rounds.py
+++ b/pondhatch/cli/tests/test_rounds.py
@@ -8,6 +8,7 @@
 from loguru import logger
 
 from fakes._virtual_loop import run_virtually
+from pondhatch.cli._rounds import ROUND_SECONDS, Rounds
 from pondhatch.cli._router_process import RouterProcess
 
 #: Calls of a round, each a part of its own.
@@ -57,6 +58,22 @@
                 self.assertIn(f"in {failing}", self.lines[0])
 
 
+class TurnsTest(unittest.TestCase):
+    def test_a_round_is_one_turn_of_the_loop(self) -> None:
+        async def main() -> tuple[int, int]:
+            loop: Any = asyncio.get_running_loop()
+            rounds = Rounds({"counted": lambda: None}, loop.time)
+            with mock.patch.object(loop, "_run_once", wraps=loop._run_once) as turns:
+                task = asyncio.ensure_future(rounds.run())
+                await asyncio.sleep(RUN_SECONDS)
+                task.cancel()
+            return turns.call_count, round(RUN_SECONDS / ROUND_SECONDS)
+
+        turns, rounds = run_virtually(main())
+        # And some for the start and the end.
+        self.assertLess(turns, rounds + 10)
+
+
 def _part(parts: Any, name: str) -> Any:
     for each in name.split("."):
         parts = getattr(parts, each)
--- /dev/null
+++ b/pondhatch/cli/tests/test_spare_descriptors.py
@@ -0,0 +1,49 @@
+"""The balancer asks each router every second, and what an answer costs is paid by all.
+
+The pattern: hundreds of idle routers, each asked whether it takes work; callers' connections come
+a few at a time, or by the hundred after a power cut.
+"""
+
+from __future__ import annotations
+
+import unittest
+from unittest import mock
+
+from pondhatch.cli import _ports
+from pondhatch.cli._ports import ASK_AGAIN_SECONDS, SPARE_DESCRIPTORS, SpareDescriptors
+
+
+class SpareDescriptorsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.now = 0.0
+        self.connections = 0
+        self.spare = SpareDescriptors(lambda: self.now, lambda: self.connections)
+        can_open = mock.patch.object(_ports, "_can_open", return_value=True)
+        self.can_open = can_open.start()
+        self.addCleanup(can_open.stop)
+
+    def asked(self, times: int) -> int:
+        """Ask some times; return how often the system was asked."""
+        before = self.can_open.call_count
+        for _ in range(times):
+            self.spare.are_there()
+        return self.can_open.call_count - before
+
+    def test_the_systems_word_holds_for_a_while(self) -> None:
+        self.assertEqual(self.asked(10), 1)
+        self.now = ASK_AGAIN_SECONDS
+        self.assertEqual(self.asked(10), 1)
+
+    def test_it_is_asked_before_half_of_what_it_granted_is_taken(self) -> None:
+        self.asked(1)
+        self.connections = SPARE_DESCRIPTORS // 2 - 1
+        self.assertEqual(self.asked(1), 0)
+        self.connections = SPARE_DESCRIPTORS // 2
+        self.assertEqual(self.asked(1), 1)
+
+    def test_a_no_is_asked_again_each_time(self) -> None:
+        self.can_open.return_value = False
+        self.assertEqual(self.asked(3), 3)
+        self.assertFalse(self.spare.are_there())
+        self.can_open.return_value = True
+        self.assertTrue(self.spare.are_there())
--- a/pondhatch/membership/_swim.py
+++ b/pondhatch/membership/_swim.py
@@ -103,6 +103,12 @@
     def ahead(self) -> tuple[str, ...]:
         """Return the routers that were heard to hold something newer than this one."""
         own = self._dissemination.versions
+        table = self.table
+        if (
+            table.newest_configuration <= own.configuration
+            and table.newest_upstreams <= own.upstreams
+        ):
+            return ()
         return tuple(
             entry.alive.name
             for entry in self.table
--- a/pondhatch/membership/_table.py
+++ b/pondhatch/membership/_table.py
@@ -54,6 +54,8 @@
         #: The newest version of the configuration that any of them was heard to hold. Kept, for
         #: it is looked at ten times a second, and going through 470 takes 0.03 ms and more.
         self.newest_configuration = 0
+        #: The same of the list of upstreams; each packet leads to a look at both.
+        self.newest_upstreams = 0
         #: Grows with every change of who is there and what they say of themselves.
         self.revision = 0
         self._view = 0
@@ -98,6 +100,7 @@
         known = self.entry_by_id.get(router)
         if known is not None and known.versions != versions:
             self.newest_configuration = max(self.newest_configuration, versions.configuration)
+            self.newest_upstreams = max(self.newest_upstreams, versions.upstreams)
             newer = _newer(known.versions, versions)
             self.entry_by_id[router] = replace(known, versions=newer)
 
--- a/pondhatch/router/_granting.py
+++ b/pondhatch/router/_granting.py
@@ -48,6 +48,8 @@
         self._send = send
         #: Newest incarnation of each router that was ever a member.
         self._incarnation_by_name: dict[str, int] = {}
+        #: The members as of the last look for those that came back as a new process.
+        self._looked_at: tuple[Member, ...] | None = None
         #: The routers by whose ownership grants are held.
         self._followed: tuple[Member, ...] = ()
         #: Packets sent and received, for the dump.
@@ -87,7 +89,11 @@
 
     def _restarted(self) -> list[str]:
         """Return the routers that came back as a new process since the last round."""
-        now = {member.name: member.incarnation for member in self._state.members()}
+        members = self._state.members()
+        if members is self._looked_at:
+            return []
+        self._looked_at = members
+        now = {member.name: member.incarnation for member in members}
         known = self._incarnation_by_name
         self._incarnation_by_name = {**known, **now}
         return [name for name in now if now[name] - known.get(name, now[name]) >= RESTART_STEP]
