Take in one router's change by what changed, not by all routers and upstreams

Cause, measured: one router's word on itself cost each other router 4.29 ms of processor at 195 routers and 43 upstreams, 0.12 at 19 without upstreams: all members were made anew, and the owner of each upstream was looked for among all routers.

`python -m bench members` makes the table again.

Tests count members made and owners looked for; they failed before by the count (owners of all halls) or for want of what they count.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -15,6 +15,7 @@
 from bench._gone import measure_gone
 from bench._gossip import measure_gossip
 from bench._grants import measure_grants
+from bench._large_fleets import measure_members, measure_starts
 from bench._load_questions import measure_load_questions
 from bench._measures import Measure
 from bench._memory import measure_memory
@@ -24,6 +25,8 @@
 from bench._surge import measure_surge
 
 MEASURES: dict[str, Callable[[], Iterable[Measure]]] = {
+    "starts": measure_starts,
+    "members": measure_members,
     "decisions": measure_decisions,
     "memory": measure_memory,
     "connections": measure_connections,
--- a/pondhatch/membership/__init__.py
+++ b/pondhatch/membership/__init__.py
@@ -5,7 +5,7 @@
 from pondhatch.membership._loads import FleetLoadView, speaking_order
 from pondhatch.membership._members import Member
 from pondhatch.membership._membership_limits import MembershipLimits
-from pondhatch.membership._ownership import owner_of, watchers
+from pondhatch.membership._ownership import live_by_hall, owner_of, watchers
 from pondhatch.membership._records import (
     Alive,
     LimitDemand,
@@ -43,6 +43,7 @@
     "Status",
     "Table",
     "Versions",
+    "live_by_hall",
     "owner_of",
     "short_id",
     "speaking_order",
--- a/pondhatch/membership/_members.py
+++ b/pondhatch/membership/_members.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import operator
 import random
 
 import msgspec
@@ -25,6 +26,17 @@
     sees_platform: bool = True
 
 
+class _Made(msgspec.Struct, frozen=True):
+    """A member, and what it was made of."""
+
+    alive: Alive
+    status: Status
+    member: Member
+
+
+_NAME = operator.attrgetter("name")
+
+
 class MemberView:
     """The routers that are there, less those that a call failed to reach lately."""
 
@@ -33,23 +45,32 @@
         #: Until when a router gets no work because a call to it failed, by router id.
         self._unreachable: dict[int, float] = {}
         self._members: tuple[Member, ...] = ()
+        #: The others among them, by router id. Of hundreds few change at a time, and the others'
+        #: are taken over as they were made: 1.0 -> 0.3 ms a change at 195 routers.
+        self._made_by_router: dict[int, _Made] = {}
+        #: The table's revision that the members, and the others among them, are of.
         self._revision = -1
+        self._others_revision = -1
 
     def members(self, own: Alive, now: float) -> tuple[Member, ...]:
         """Return this router and the others, by name; the same tuple while nothing changes."""
         self._forgive(now)
         if self._revision != self._table.revision:
-            members = [self._member(alive) for alive in (own, *self._reachable())]
-            self._members = tuple(sorted(members, key=lambda member: member.name))
             self._revision = self._table.revision
+            self._take_others()
+            members = [each.member for each in self._made_by_router.values()]
+            members.append(_member(own, Status.ALIVE))
+            members.sort(key=_NAME)
+            self._members = tuple(members)
         return self._members
 
     def sample(self, count: int, rng: random.Random, but: int | None = None) -> list[Address]:
         """Return where some others that can be reached are, chosen at random, leaving one out."""
-        others = [
-            Address(alive.host, alive.port) for alive in self._reachable() if alive.router != but
-        ]
-        return rng.sample(others, min(count, len(others)))
+        self._take_others()
+        others = list(self._made_by_router)
+        chosen = rng.sample(others, min(count + 1, len(others)))
+        kept = [router for router in chosen if router != but][:count]
+        return [self._made_by_router[router].member.address for router in kept]
 
     def unreachable(self, router: int, until: float) -> None:
         """Pass a router over until some time."""
@@ -61,23 +82,34 @@
         if self._unreachable.pop(router, None) is not None:
             self._table.revision += 1
 
-    def _reachable(self) -> list[Alive]:
-        there = [entry.alive for entry in self._table if entry.there]
-        return [alive for alive in there if alive.router not in self._unreachable]
+    def _take_others(self) -> None:
+        """Make members of those in the table that are there and that no call failed to reach."""
+        if self._others_revision == self._table.revision:
+            return
+        self._others_revision = self._table.revision
+        before = self._made_by_router
+        self._made_by_router = {}
+        for router, entry in self._table.entry_by_id.items():
+            if router in self._unreachable or not entry.there:
+                continue
+            made = before.get(router)
+            if made is None or made.alive is not entry.alive or made.status is not entry.status:
+                made = _Made(entry.alive, entry.status, _member(entry.alive, entry.status))
+            self._made_by_router[router] = made
 
     def _forgive(self, now: float) -> None:
         over = [router for router, until in self._unreachable.items() if until <= now]
         for router in over:
             self.reached(router)
 
-    def _member(self, alive: Alive) -> Member:
-        entry = self._table.get(alive.router)
-        return Member(
-            name=alive.name,
-            address=Address(alive.host, alive.port),
-            hall=alive.hall,
-            phase=Phase(alive.phase),
-            status=entry.status if entry is not None else Status.ALIVE,
-            incarnation=alive.incarnation,
-            sees_platform=alive.sees_platform,
-        )
+
+def _member(alive: Alive, status: Status) -> Member:
+    return Member(
+        name=alive.name,
+        address=Address(alive.host, alive.port),
+        hall=alive.hall,
+        phase=Phase(alive.phase),
+        status=status,
+        incarnation=alive.incarnation,
+        sees_platform=alive.sees_platform,
+    )
--- a/pondhatch/membership/_ownership.py
+++ b/pondhatch/membership/_ownership.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from pondhatch.membership._members import Member
 from pondhatch.membership._records import Phase
@@ -21,13 +21,23 @@
 MOST_LOOKING = 3
 
 
-def owner_of(engine: str, hall: str, members: Iterable[Member]) -> Member | None:
-    """Return the router that all work for an engine passes, or None without live routers."""
-    live = [member for member in members if member.phase == Phase.LIVE]
-    near = [member for member in live if member.hall == hall] or live
-    by_name = {member.name: member for member in near}
-    name = winner(f"owner:{engine}", by_name)
-    return by_name[name] if name is not None else None
+def live_by_hall(members: Iterable[Member]) -> dict[str, tuple[str, ...]]:
+    """Return the names of the live routers of each hall that has any."""
+    names_by_hall: dict[str, list[str]] = {}
+    for member in members:
+        if member.phase == Phase.LIVE:
+            names_by_hall.setdefault(member.hall, []).append(member.name)
+    return {hall: tuple(names) for hall, names in names_by_hall.items()}
+
+
+def owner_of(engine: str, hall: str, live: Mapping[str, tuple[str, ...]]) -> str | None:
+    """Return the router that all work for an engine passes, or None without live routers.
+
+    ``live`` is what ``live_by_hall`` says: worked out once for all engines, and again only where
+    the routers change. For each engine anew it was 1.4 ms a change at 195 routers and 43 engines.
+    """
+    near = live.get(hall) or [name for names in live.values() for name in names]
+    return winner(f"owner:{engine}", near)
 
 
 def watchers(hall: str, members: Iterable[Member]) -> tuple[str, ...]:
--- a/pondhatch/membership/tests/test_gossip.py
+++ b/pondhatch/membership/tests/test_gossip.py
@@ -14,6 +14,7 @@
     Seal,
     ServiceLoad,
     Status,
+    live_by_hall,
     owner_of,
     short_id,
     speaking_order,
@@ -267,21 +268,22 @@
         self.members = net.cores[0].members(net.now)
 
     def test_an_engine_is_owned_in_its_hall(self) -> None:
+        hall_by_name = {member.name: member.hall for member in self.members}
         for at in range(20):
-            owner = owner_of(f"engine-{at}", "h1", self.members)
-            self.assertEqual(owner.hall if owner else None, "h1")
+            owner = owner_of(f"engine-{at}", "h1", live_by_hall(self.members))
+            self.assertEqual(hall_by_name[owner] if owner else None, "h1")
 
     def test_a_hall_without_routers_is_served_by_the_others(self) -> None:
-        self.assertIsNotNone(owner_of("engine", "h9", self.members))
-        self.assertIsNone(owner_of("engine", "h1", ()))
+        self.assertIsNotNone(owner_of("engine", "h9", live_by_hall(self.members)))
+        self.assertIsNone(owner_of("engine", "h1", {}))
 
     def test_a_draining_router_owns_nothing(self) -> None:
         net = Net(4)
         net.cores[1].publish(Phase.DRAINING, 0, 0, ())
         net.run(8)
         members = net.cores[0].members(net.now)
-        owners = {owner_of(f"e{at}", "h1", members) for at in range(20)}
-        self.assertEqual({owner.name for owner in owners if owner}, {"r3"})
+        owners = {owner_of(f"e{at}", "h1", live_by_hall(members)) for at in range(20)}
+        self.assertEqual(owners, {"r3"})
 
     def test_each_hall_has_one_watcher_on_which_all_agree(self) -> None:
         self.assertEqual(len(watchers("h0", self.members)), 1)
--- a/pondhatch/router/_limits.py
+++ b/pondhatch/router/_limits.py
@@ -24,7 +24,6 @@
     LimitShare,
     LimitShares,
     Member,
-    Phase,
 )
 from pondhatch.placement import winner
 
@@ -48,9 +47,9 @@
         self._now = 0.0
         gossip.on_limits = self._receive
 
-    def set_members(self, members: tuple[Member, ...]) -> None:
-        """Set the routers that are believed to be there."""
-        self._live = tuple(member for member in members if member.phase == Phase.LIVE)
+    def set_live(self, live: tuple[Member, ...]) -> None:
+        """Set the routers that are neither draining nor gone."""
+        self._live = live
 
     def begin(self, account: str, now: float) -> LimitVerdict:
         """Hold a request against the account's limits."""
--- a/pondhatch/router/_state.py
+++ b/pondhatch/router/_state.py
@@ -7,7 +7,7 @@
 
 import time
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
 from pondhatch.configuration import (
@@ -25,6 +25,7 @@
     Member,
     Phase,
     ServiceLoad,
+    live_by_hall,
     owner_of,
     short_id,
     watchers,
@@ -93,8 +94,13 @@
     #: This router's own side as a holder of keys.
     local: KeyHolder = field(init=False)
     _members: tuple[Member, ...] = ()
+    #: Names of those that are neither draining nor gone: asked for ten times a second.
+    _live_routers: tuple[str, ...] = ()
     _member_by_name: dict[str, Member] = field(default_factory=dict)
-    _owner_by_engine: dict[str, Member | None] = field(default_factory=dict)
+    #: Names of the live routers, by hall.
+    _live_by_hall: Mapping[str, tuple[str, ...]] = field(default_factory=dict)
+    #: The hall of each upstream and the name of its owner, as far as they were asked for.
+    _owner_by_engine: dict[str, tuple[str, str | None]] = field(default_factory=dict)
     _live_by_service: dict[str, tuple[str, ...]] = field(default_factory=dict)
     #: Names of this router's own upstreams by service; None where to be worked out anew.
     _owned_by_service: dict[str, tuple[str, ...]] | None = None
@@ -116,18 +122,25 @@
         members = self.gossip.members(self.clock())
         if members is self._members:
             return
-        if _identity(members) != _identity(self._members):
-            self._forget_owners()
-        for gone in {each.name for each in self._members} - {each.name for each in members}:
+        member_by_name = {member.name: member for member in members}
+        for gone in self._member_by_name.keys() - member_by_name.keys():
             self.keys.lost_router(gone)
         self._members = members
-        self.limits.set_members(members)
-        self._member_by_name = {member.name: member for member in members}
+        self._member_by_name = member_by_name
+        live = tuple(member for member in members if member.phase == Phase.LIVE)
+        self._live_routers = tuple(member.name for member in live)
+        self.limits.set_live(live)
+        self._take_owners(live_by_hall(live))
 
     def owner_name(self, engine: str) -> str | None:
         """Return the router that owns an engine in this router's view."""
-        member = self._owner(engine)
-        return member.name if member is not None else None
+        owned = self._owner_by_engine.get(engine)
+        if owned is None:
+            upstream = self._upstream(engine)
+            hall = upstream.hall if upstream is not None else ""
+            owned = hall, owner_of(engine, hall, self._live_by_hall)
+            self._owner_by_engine[engine] = owned
+        return owned[1]
 
     def key_holder(self, name: str) -> KeyHolder | None:
         """Return the way to a router as a holder of keys, or None where it is not known."""
@@ -140,9 +153,9 @@
         """Return the live routers, ranked for a key."""
         return ranked(f"key:{key}", self.live_routers())
 
-    def live_routers(self) -> list[str]:
+    def live_routers(self) -> tuple[str, ...]:
         """Return the names of the routers that are neither draining nor gone."""
-        return [member.name for member in self._members if member.phase == Phase.LIVE]
+        return self._live_routers
 
     def unreachable(self, name: str) -> None:
         """Note that a router could not be reached."""
@@ -216,6 +229,18 @@
         names = [name for own in self.owned_by_service().values() for name in own]
         return tuple(self.upstreams.entry_by_name[name].upstream for name in names)
 
+    def _take_owners(self, live: Mapping[str, tuple[str, ...]]) -> None:
+        """Forget the owners of upstreams in those halls alone whose live routers changed."""
+        before, self._live_by_hall = self._live_by_hall, live
+        same = {hall for hall, names in live.items() if before.get(hall) == names}
+        if len(same) == len(live) == len(before):
+            return
+        # An upstream of a hall without live routers has its owner among all.
+        self._owner_by_engine = {
+            engine: owned for engine, owned in self._owner_by_engine.items() if owned[0] in same
+        }
+        self._owned_by_service = None
+
     def _forget_owners(self) -> None:
         self._owner_by_engine.clear()
         self._owned_by_service = None
@@ -403,14 +428,3 @@
             ServiceLoad(short_id(service), len(names), self.gate.total(names, now))
             for service, names in sorted(self.owned_by_service().items())
         )
-
-    def _owner(self, engine: str) -> Member | None:
-        if engine not in self._owner_by_engine:
-            upstream = self._upstream(engine)
-            hall = upstream.hall if upstream is not None else ""
-            self._owner_by_engine[engine] = owner_of(engine, hall, self._members)
-        return self._owner_by_engine[engine]
-
-
-def _identity(members: tuple[Member, ...]) -> tuple[tuple[str, Phase], ...]:
-    return tuple((member.name, member.phase) for member in members)
--- /dev/null
+++ b/pondhatch/router/tests/test_large_fleets.py
@@ -0,0 +1,73 @@
+"""What one router's change costs the others, in fleets of hundreds.
+
+The pattern: all routers stop and start in turn within half a minute, as in a release of the
+routers themselves. Each tells of itself three times (it stops, has left, is back), and all others
+hear it: 600 changes at each of 195. What is done for each is to follow from the change, not from
+the fleet's size: at 4.3 ms a change it was half of all that the routers did in that half minute.
+Steps are counted, not time.
+"""
+
+from __future__ import annotations
+
+import unittest
+from unittest import mock
+
+from fakes._many_routers import ManyRouters, hall_of, listed_upstream
+from pondhatch.membership import Phase, owner_of
+from pondhatch.membership import _members as members_module
+from pondhatch.router import _state as state_module
+from pondhatch.store import Listed
+
+ROUTERS = 195
+UPSTREAMS = 43
+
+
+class LargeFleetTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.fleet = ManyRouters(ROUTERS, UPSTREAMS)
+        self.state = self.fleet.state
+        self.owner_by_engine = self.owners()
+
+    def owners(self) -> dict[str, str | None]:
+        return {f"e{at}": self.state.owner_name(f"e{at}") for at in range(UPSTREAMS)}
+
+    def test_one_routers_word_makes_one_member_anew(self) -> None:
+        with mock.patch.object(members_module, "_member", wraps=members_module._member) as made:
+            self.fleet.hear(7, 2, Phase.DRAINING)
+        # It, and this router itself.
+        self.assertEqual(made.call_count, 2)
+        phases = {member.name: member.phase for member in self.state.members()}
+        self.assertEqual(len(phases), ROUTERS)
+        self.assertEqual([name for name in phases if phases[name] != Phase.LIVE], ["r7"])
+
+    def test_owners_are_worked_out_anew_in_the_routers_hall_alone(self) -> None:
+        with mock.patch.object(state_module, "owner_of", wraps=owner_of) as asked:
+            self.fleet.hear(7, 2, Phase.DRAINING)
+            after = self.owners()
+        self.assertEqual({call.args[1] for call in asked.call_args_list}, {hall_of(7)})
+        self.assertNotIn("r7", after.values())
+        changed = [name for name in after if after[name] != self.owner_by_engine[name]]
+        self.assertEqual(
+            changed, [name for name, owner in self.owner_by_engine.items() if owner == "r7"]
+        )
+
+    def test_a_word_that_changes_no_owner_has_none_worked_out(self) -> None:
+        with mock.patch.object(state_module, "owner_of", wraps=owner_of) as asked:
+            self.fleet.hear(7, 2)
+            self.assertEqual(self.owners(), self.owner_by_engine)
+        self.assertEqual(asked.call_count, 0)
+
+    def test_an_upstream_of_a_hall_without_routers_follows_all(self) -> None:
+        self.state.take_listed_upstreams(
+            Listed(200, (listed_upstream(0, "h0"), listed_upstream(150, "elsewhere")))
+        )
+        owner = self.state.owner_name("e150")
+        assert owner is not None
+        self.fleet.hear(int(owner[1:]), 2, Phase.DRAINING)
+        self.assertNotEqual(self.state.owner_name("e150"), owner)
+
+    def test_who_left_goes_and_who_came_back_is_there(self) -> None:
+        self.fleet.hear(7, 2, Phase.LEFT)
+        self.assertNotIn("r7", {member.name for member in self.state.members()})
+        self.fleet.hear(7, 3)
+        self.assertEqual(self.owners(), self.owner_by_engine)
