Ask the platform for less when routers start

Change: a router that is listed as it should be makes one cheap call for it (answers may be seconds old, a tenth of the price, outside the platform's rate); the fleet's key is read in the same way, and only a key that is missing is asked for again, by writing one. By count: first start 6 -> 4 and two cheap ones, later starts 6 -> 2 and two cheap ones. What must be new (configuration, upstreams) is read as before.

--- a/fakes/_platform_in_memory.py
+++ b/fakes/_platform_in_memory.py
@@ -28,14 +28,20 @@
         self.store = Store()
         self.faults = Faults()
         self.calls = 0
+        #: Those of them that may be answered with what was there some seconds ago.
+        self.cheap_calls = 0
 
-    async def get(self, kind: str, name: str) -> Found | Missing | Unavailable:
+    async def get(
+        self, kind: str, name: str, may_be_old: bool = False
+    ) -> Found | Missing | Unavailable:
+        self.cheap_calls += may_be_old
         if self._out():
             return Unavailable("outage")
         stored = self.store.object_by_key.get((kind, name))
         return Missing() if stored is None else Found(_told(stored))
 
-    async def list(self, kind: str) -> Listed | Unavailable:
+    async def list(self, kind: str, may_be_old: bool = False) -> Listed | Unavailable:
+        self.cheap_calls += may_be_old
         if self._out():
             return Unavailable("outage")
         found = [each for (of, _), each in self.store.object_by_key.items() if of == kind]
--- a/pondhatch/authority/tests/_world.py
+++ b/pondhatch/authority/tests/_world.py
@@ -122,7 +122,9 @@
         self._world = world
         self._pauses = pauses
 
-    async def get(self, kind: str, name: str) -> Found | Missing | Unavailable:
+    async def get(
+        self, kind: str, name: str, may_be_old: bool = False
+    ) -> Found | Missing | Unavailable:
         found: Found | Missing | Unavailable = await self._call(
             lambda: self._world.platform.get(kind, name)
         )
@@ -144,7 +146,7 @@
         )
         return written
 
-    async def list(self, kind: str) -> Unavailable:
+    async def list(self, kind: str, may_be_old: bool = False) -> Unavailable:
         return Unavailable("not asked for here")
 
     def watch(self, kind: str, since: int | None) -> Any:
--- a/pondhatch/platform/_store.py
+++ b/pondhatch/platform/_store.py
@@ -90,10 +90,14 @@
         """Calls made, for the rate that the store allows."""
         return self._calls.made
 
-    async def get(self, kind: str, name: str) -> Found | Missing | Unavailable:
+    async def get(
+        self, kind: str, name: str, may_be_old: bool = False
+    ) -> Found | Missing | Unavailable:
         """Read one object."""
         try:
-            status, content = await self._calls.call("GET", self._path(kind, name))
+            status, content = await self._calls.call(
+                "GET", self._path(kind, name) + _query(may_be_old)
+            )
         except CallFailed as error:
             return Unavailable(str(error))
         if status == NOT_FOUND:
@@ -110,13 +114,13 @@
             self._tell(kind, content, error)
             return Found(StoredObject(kind, metadata.name, metadata.revision, None))
 
-    async def list(self, kind: str) -> Listed | Unavailable:
+    async def list(self, kind: str, may_be_old: bool = False) -> Listed | Unavailable:
         """Read all objects of a kind, page by page."""
         listing = _Listing()
         #: The store's revision as of the first page: what changes while the others are read is
         #: told by a watch from there, and known twice at worst.
         version: int | None = None
-        after = ""
+        after = _query(may_be_old)
         while True:
             page = await self._page(kind, after)
             if isinstance(page, Unavailable):
@@ -126,7 +130,7 @@
             names = [name for name, _ in read if name]
             is_news = listing.take(names, [found for _, found in read if found is not None])
             if page.has_more and is_news:
-                after = f"?SinceRev={quote(names[-1], safe='')}"
+                after = _query(may_be_old, f"SinceRev={quote(names[-1], safe='')}")
                 continue
             if page.has_more and self._told.is_first((kind, "goes on")):
                 # Asked again it would say the same; what it has named is there all the same.
@@ -255,6 +259,12 @@
             log.error("Object {} {} is left out: {}.", kind, name_of(entry) or "?", error)
 
 
+def _query(may_be_old: bool, *parts: str) -> str:
+    """Return the query of a reading call."""
+    asked = (*parts, "StaleOk=1") if may_be_old else parts
+    return "?" + "&".join(asked) if asked else ""
+
+
 def _accepted(content: bytes) -> Accepted | OutcomeUnknown:
     """Return what the answer to a write that was done says; the writer must know its revision."""
     try:
--- a/pondhatch/platform/tests/test_store.py
+++ b/pondhatch/platform/tests/test_store.py
@@ -92,6 +92,17 @@
         # A change to "a" while "c" was read is told by a watch from there.
         self.assertEqual(listed.version, 5)
 
+    async def test_what_may_be_old_is_asked_for_as_such_on_each_page(self) -> None:
+        first = page(entry("a", 1, 1), at=5, more=True)
+        found, calls = store((200, first), (200, page(at=6)), (404, None))
+        await found.list("upstream", may_be_old=True)
+        await found.get("upstream", "a", may_be_old=True)
+        asked = [parse_qs(urlsplit(path).query) for _, path, _ in calls.asked]
+        self.assertEqual(
+            asked,
+            [{"StaleOk": ["1"]}, {"SinceRev": ["a"], "StaleOk": ["1"]}, {"StaleOk": ["1"]}],
+        )
+
     async def test_what_stands_in_the_status_counts_where_there_is_no_spec(self) -> None:
         found = await store((200, entry("a", 1, None, 4)))[0].get("upstream", "a")
         assert isinstance(found, Found)
--- a/pondhatch/router/_fleet_key.py
+++ b/pondhatch/router/_fleet_key.py
@@ -40,8 +40,12 @@
 ) -> bytes:
     """Return the fleet's key, ``new_key`` if there was none; waits for the platform."""
     backoff = Backoff(FIRST_PAUSE, LONGEST_PAUSE, rng)
+    # A key that is there stays, so what the platform held some seconds ago will do. That there
+    # was none then is found out by writing one.
+    may_be_old = True
     while True:
-        found = await platform.get(KEY_KIND, KEY_NAME)
+        found = await platform.get(KEY_KIND, KEY_NAME, may_be_old)
+        may_be_old = False
         if isinstance(found, Unavailable):
             log.warning("The platform does not tell the fleet's key: {}.", found.reason)
             await sleep(backoff.next())
--- a/pondhatch/router/_introduction.py
+++ b/pondhatch/router/_introduction.py
@@ -15,7 +15,7 @@
 from pondhatch.kernel import Backoff, host_and_port
 from pondhatch.membership import Address, Gossip
 from pondhatch.observing import Once, log_for
-from pondhatch.store import Accepted, Found, Listed, Missing, Platform, StoredObject, Unavailable
+from pondhatch.store import Accepted, Conflict, Found, Listed, Platform, StoredObject, Unavailable
 
 log = log_for("sync")
 
@@ -41,30 +41,46 @@
         self._gossip = gossip
         self._platform = platform
         self._rng = rng
-        #: Where this router is reached, where it must list itself at the platform.
-        self._own_address = own_address
+        #: What is to be listed of this router; None where it need not list itself.
+        self._own_entry: Mapping[str, Any] | None = (
+            None if own_address is None else {"address": own_address, "state": "live"}
+        )
         self._told = Once()
 
     async def run(self) -> None:
-        """Be listed and find peers, trying again until the platform did both."""
+        """Be listed and find peers, trying again until the platform did both.
+
+        One cheap call where this router is listed already: all make it at the same moment after
+        a power cut. Where it is not, two more.
+        """
+        if self._own_entry is not None:
+            # Who was listed some seconds ago is a peer to ask as well, and knows of the others.
+            listed = await self._find_peers(may_be_old=True)
+            if listed is not None and self._is_right(listed):
+                return
         backoff = Backoff(FIRST_PAUSE, LONGEST_PAUSE, self._rng)
-        listed = False
+        is_listed = self._own_entry is None
         while True:
-            listed = listed or await self._list_itself()
+            is_listed = is_listed or await self._create()
             # Read after the writing: of two that start together, one sees the other.
-            found = await self._find_peers()
-            if found and listed:
+            listed = await self._find_peers()
+            if listed is not None and (is_listed or await self._correct(listed)):
                 return
             await asyncio.sleep(backoff.next())
 
-    async def _find_peers(self) -> bool:
-        """Read who is listed; return whether the platform said."""
-        listed = await self._platform.list(VM_KIND)
+    def _is_right(self, listed: Listed) -> bool:
+        """Return whether what is listed of this router is as it should be."""
+        own = [each.value for each in listed.objects if each.name == self._name]
+        return own == [self._own_entry]
+
+    async def _find_peers(self, may_be_old: bool = False) -> Listed | None:
+        """Read who is listed; None where the platform does not say."""
+        listed = await self._platform.list(VM_KIND, may_be_old)
         if isinstance(listed, Unavailable):
             log.warning("The platform lists no VMs: {}.", listed.reason)
-            return False
+            return None
         self._gossip.add_seeds(self._addresses(listed))
-        return True
+        return listed
 
     def _addresses(self, listed: Listed) -> Iterator[Address]:
         """Yield where listed routers are reached; one of whom that cannot be read is left out."""
@@ -76,30 +92,32 @@
             elif self._told.is_first((each.name, each.version)):
                 log.error("Router {} is left out, it is listed as {}.", each.name, each.value)
 
-    async def _list_itself(self) -> bool:
-        """Have the platform hold this router's address; return whether it does."""
-        if self._own_address is None:
-            return True
-        vm = {"address": self._own_address, "state": "live"}
-        found = await self._platform.get(VM_KIND, self._name)
-        if isinstance(found, Unavailable):
-            log.warning("The platform does not say where this router is listed: {}.", found.reason)
-            return False
-        if isinstance(found, Found) and found.object.value == vm:
-            return True
-        return await self._write(vm, found)
-
-    async def _write(self, vm: Mapping[str, Any], before: Found | Missing) -> bool:
-        """Write this router's entry over what was found; return whether it was taken."""
-        if isinstance(before, Found):
-            version = before.object.version
-            written = await self._platform.update(VM_KIND, self._name, vm, version)
-        else:
-            written = await self._platform.create(VM_KIND, self._name, vm)
-        if isinstance(written, Accepted):
+    async def _create(self) -> bool:
+        """Have the platform hold this router's entry; return whether it took it.
+
+        One that was there before, of an earlier start, is told by the list that is read next.
+        """
+        written = await self._platform.create(VM_KIND, self._name, self._own_entry)
+        if not isinstance(written, Accepted | Conflict):
+            log.warning("The platform did not take this router's address: {}.", written)
+        return isinstance(written, Accepted)
+
+    async def _correct(self, listed: Listed) -> bool:
+        """Write over an entry of this router's that is listed; return whether it is right now."""
+        found = next((each for each in listed.objects if each.name == self._name), None)
+        if found is None:
+            # Not listed yet, or listed as what cannot be read.
+            read = await self._platform.get(VM_KIND, self._name)
+            if not isinstance(read, Found):
+                return False
+            found = read.object
+        if found.value == self._own_entry:
             return True
-        log.warning("The platform did not take this router's address: {}.", written)
-        return False
+        entry, version = self._own_entry, found.version
+        written = await self._platform.update(VM_KIND, self._name, entry, version)
+        if not isinstance(written, Accepted):
+            log.warning("The platform did not take this router's address: {}.", written)
+        return isinstance(written, Accepted)
 
 
 def _address(listed: StoredObject, own_host: str) -> Address | None:
--- a/pondhatch/router/tests/test_fleet_key.py
+++ b/pondhatch/router/tests/test_fleet_key.py
@@ -18,7 +18,9 @@
         self.outages = outages
         self.lost = lost
 
-    async def get(self, kind: str, name: str) -> Found | Missing | Unavailable:
+    async def get(
+        self, kind: str, name: str, may_be_old: bool = False
+    ) -> Found | Missing | Unavailable:
         if self.outages > 0:
             self.outages -= 1
             return Unavailable("out")
@@ -49,6 +51,24 @@
         self.assertEqual(await self.agreed(platform, "first"), b"first")
         self.assertEqual(await self.agreed(platform, "second"), b"first")
 
+    async def test_a_key_that_an_old_answer_lacks_is_not_replaced(self) -> None:
+        class Lagging(PlatformInMemory):
+            async def get(
+                self, kind: str, name: str, may_be_old: bool = False
+            ) -> Found | Missing | Unavailable:
+                return Missing() if may_be_old else await super().get(kind, name)
+
+        platform = Lagging()
+        self.assertEqual(await self.agreed(platform, "first"), b"first")
+        self.assertEqual(await self.agreed(platform, "second"), b"first")
+
+    async def test_a_key_that_is_there_is_read_by_one_cheap_call(self) -> None:
+        platform = PlatformInMemory()
+        await self.agreed(platform, "first")
+        before = platform.calls, platform.cheap_calls
+        await self.agreed(platform, "second")
+        self.assertEqual((platform.calls, platform.cheap_calls), (before[0] + 1, before[1] + 1))
+
     async def test_a_lost_answer_is_read_back(self) -> None:
         platform = Flaky(lost=1)
         self.assertEqual(await self.agreed(platform, "first"), b"first")
--- a/pondhatch/router/tests/test_introduction.py
+++ b/pondhatch/router/tests/test_introduction.py
@@ -15,7 +15,7 @@
 from pondhatch.router import Introduction, RouterState
 from pondhatch.router._introduction import VM_KIND
 from pondhatch.router.tests.test_sync import FIRST, router, syncing
-from pondhatch.store import Accepted, Conflict, OutcomeUnknown, Unavailable
+from pondhatch.store import Accepted, Conflict, Listed, OutcomeUnknown, Unavailable
 
 
 class TakesNoWrites(PlatformInMemory):
@@ -119,3 +119,49 @@
             return platform.store.object_by_key[(VM_KIND, "r0")].value["address"]
 
         self.assertEqual(run_virtually(main()), "127.0.0.1:2")
+
+    def calls_of_a_start(self, platform: PlatformInMemory, port: int) -> tuple[int, int]:
+        """Start a router; return its calls, and those of them that may be answered cheaply."""
+        before, cheap_before = platform.calls, platform.cheap_calls
+        run_virtually(introduction(router("r0"), platform, port).run())
+        return platform.calls - before, platform.cheap_calls - cheap_before
+
+    def test_a_start_after_the_first_makes_one_cheap_call(self) -> None:
+        platform = PlatformInMemory()
+        self.assertEqual(self.calls_of_a_start(platform, 1), (3, 1))
+        self.assertEqual(self.calls_of_a_start(platform, 1), (1, 1))
+        # At another address its entry is created in vain, and then replaced.
+        self.assertEqual(self.calls_of_a_start(platform, 2), (4, 1))
+
+    def test_what_was_listed_some_seconds_ago_hides_no_later_change(self) -> None:
+        class Lagging(PlatformInMemory):
+            async def list(self, kind: str, may_be_old: bool = False) -> Listed | Unavailable:
+                if may_be_old:
+                    return Listed(0, ())
+                return await super().list(kind)
+
+        async def main() -> tuple[Any, set[int]]:
+            platform = Lagging()
+            await introduction(router("r1"), platform, 2).run()
+            state = router("r0")
+            await introduction(state, platform, 1).run()
+            return platform.store.object_by_key[(VM_KIND, "r0")].value["address"], seeds(state)
+
+        address, found = run_virtually(main())
+        self.assertEqual(address, "127.0.0.1:1")
+        self.assertIn(2, found)
+
+    def test_an_entry_of_its_own_that_no_list_shows_is_written_over(self) -> None:
+        class Hidden(PlatformInMemory):
+            async def list(self, kind: str, may_be_old: bool = False) -> Listed | Unavailable:
+                listed = await super().list(kind, may_be_old)
+                assert isinstance(listed, Listed)
+                return Listed(listed.version, (), frozenset(("r0",)))
+
+        async def main() -> Any:
+            platform = Hidden()
+            await platform.create(VM_KIND, "r0", "no entry")
+            await asyncio.wait_for(introduction(router("r0"), platform, 1).run(), 5.0)
+            return platform.store.object_by_key[(VM_KIND, "r0")].value["address"]
+
+        self.assertEqual(run_virtually(main()), "127.0.0.1:1")
--- a/pondhatch/router/tests/test_sync.py
+++ b/pondhatch/router/tests/test_sync.py
@@ -308,11 +308,11 @@
         super().__init__()
         self.lists = 0
 
-    async def list(self, kind: str) -> Listed | Unavailable:
+    async def list(self, kind: str, may_be_old: bool = False) -> Listed | Unavailable:
         self.lists += 1
         if self.lists == 1:
             raise ValueError("an error of this router")
-        return await super().list(kind)
+        return await super().list(kind, may_be_old)
 
 
 class KeptWatchTest(unittest.TestCase):
--- a/pondhatch/standard/_platform.py
+++ b/pondhatch/standard/_platform.py
@@ -113,7 +113,9 @@
         self._url = f"{url.rstrip('/')}/v1/objects"
         self._told = Once()
 
-    async def get(self, kind: str, name: str) -> Found | Missing | Unavailable:
+    async def get(
+        self, kind: str, name: str, may_be_old: bool = False
+    ) -> Found | Missing | Unavailable:
         """Read one object."""
         try:
             status, content = await self._call("GET", _path(kind, name))
@@ -125,7 +127,7 @@
             return Unavailable(f"answered {status}")
         return Found(msgspec.json.decode(content, type=StoredObject))
 
-    async def list(self, kind: str) -> Listed | Unavailable:
+    async def list(self, kind: str, may_be_old: bool = False) -> Listed | Unavailable:
         """Read all objects of a kind."""
         try:
             status, content = await self._call("GET", kind)
--- a/pondhatch/store/_objects.py
+++ b/pondhatch/store/_objects.py
@@ -82,11 +82,16 @@
 class Platform(Protocol):
     """The platform's object API."""
 
-    async def get(self, kind: str, name: str) -> Found | Missing | Unavailable:
-        """Read one object."""
+    async def get(
+        self, kind: str, name: str, may_be_old: bool = False
+    ) -> Found | Missing | Unavailable:
+        """Read one object, as it was some seconds ago at worst where that will do.
 
-    async def list(self, kind: str) -> Listed | Unavailable:
-        """Read all objects of a kind, with the version they are as of."""
+        What may be old costs the platform a tenth, and it takes as many such calls as come.
+        """
+
+    async def list(self, kind: str, may_be_old: bool = False) -> Listed | Unavailable:
+        """Read all objects of a kind, with the version they are as of; see get."""
 
     async def create(
         self, kind: str, name: str, value: Any
