Ask who joined lately only of routers that have run for longer

A peer is asked where its start lies 10 s before this router's. That also asks one who knows, where before another that had just started might have been drawn. Not measured alone.

--- a/pondhatch/router/_sync.py
+++ b/pondhatch/router/_sync.py
@@ -53,6 +53,10 @@
 #: and not the 4 s of two calls' time-outs. A shorter one would have the whole fleet ask twice for
 #: what is large.
 NEXT_PEER_SECONDS = 0.7
+#: Milliseconds by which a peer's start lies before this router's where the peer knows more of
+#: who joined: VMs that start together differ by less, their clocks included, and what joined
+#: within such a time is a small part of what counts as new for minutes.
+ELDER_MS = 10_000
 #: Peers asked side by side at most: so many answers may wait in memory.
 MOST_ASKED = 3
 #: Seconds before a lost watch is tried again, first and at most: a platform that comes
@@ -240,12 +244,17 @@
             self._pulling = False
 
     async def _ask_who_joined_lately(self) -> None:
-        """Ask one peer for the whole list: only those that run know who joined when."""
+        """Ask one peer for the whole list: only those that run know who joined when.
+
+        Where all start at once, as after a power cut, nobody knows, and nobody is asked.
+        """
         others = [member for member in self._state.members() if member.name != self._state.name]
-        if not others:
+        own_start = self._state.gossip.membership.own.incarnation
+        elders = [each for each in others if own_start - each.incarnation > ELDER_MS]
+        if not elders:
             return
-        near = [member for member in others if member.hall == self._state.hall]
-        lacking = await self._pull(self._rng.choice(near or others), self._versions()[0], 0)
+        near = [member for member in elders if member.hall == self._state.hall]
+        lacking = await self._pull(self._rng.choice(near or elders), self._versions()[0], 0)
         if lacking is not None:
             self._state.take_upstreams(lacking.upstreams)
 
--- a/pondhatch/router/tests/test_sync.py
+++ b/pondhatch/router/tests/test_sync.py
@@ -61,8 +61,8 @@
         """Do nothing."""
 
 
-def router(name: str, hall: str = "h1") -> RouterState:
-    own = Alive(short_id(name), 1, Phase.LIVE, name, "127.0.0.1", 7000, hall)
+def router(name: str, hall: str = "h1", started: int = 1) -> RouterState:
+    own = Alive(short_id(name), started, Phase.LIVE, name, "127.0.0.1", 7000, hall)
     gossip = Gossip(own, MembershipLimits(), random.Random(1))
     return RouterState(name, hall, gossip, lambda: 0.0, lambda member: Nobody())
 
@@ -124,6 +124,27 @@
         await self.run_for(syncing(state, self.platform, None))
         self.assertEqual(state.fleet.version, 1)
 
+    async def asked_who_joined(self, *starts: int) -> list[str]:
+        """Start a router beside peers that started at these milliseconds; return whom it asks."""
+        asked: list[str] = []
+
+        async def pull(member: Member, configuration: int, upstreams: int) -> Lacking | None:
+            if upstreams == 0:
+                asked.append(member.name)
+            return None
+
+        state = router("r0", started=100_000)
+        for at, started in enumerate(starts, 1):
+            meet(state, router(f"r{at}", started=started))
+        await self.run_for(pulling(state, pull), MEETING_SECONDS + 0.2)
+        return asked
+
+    async def test_where_all_start_together_nobody_is_asked_who_joined_lately(self) -> None:
+        self.assertEqual(await self.asked_who_joined(99_000, 100_000, 101_000), [])
+
+    async def test_a_peer_that_has_run_for_longer_is_asked_who_joined_lately(self) -> None:
+        self.assertEqual(await self.asked_who_joined(99_000, 80_000, 101_000), ["r2"])
+
     async def test_a_router_that_starts_during_an_outage_learns_from_a_peer(self) -> None:
         peer, state = router("r1"), router("r0")
         peer.take_change(FIRST)
