--- /dev/null
+++ b/pondhatch/router/_owners.py
@@ -0,0 +1,65 @@
+"""Which router owns each upstream, in this router's view."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Mapping
+
+from pondhatch.membership import Member, live_by_hall, owner_of
+from pondhatch.store import LIVE, Upstream, UpstreamList
+
+
+class Owners:
+    """Looks owners up once, and again only where the routers or the upstreams changed."""
+
+    def __init__(
+        self, name: str, upstreams: UpstreamList, upstream: Callable[[str], Upstream | None]
+    ) -> None:
+        #: This router's own name.
+        self._name = name
+        self._upstreams = upstreams
+        #: Returns an upstream that is listed, or that may only have lapsed.
+        self._upstream = upstream
+        #: Names of the live routers, by hall.
+        self._live_by_hall: Mapping[str, tuple[str, ...]] = {}
+        #: The hall of each upstream and the name of its owner, as far as they were asked for.
+        self._owner_by_engine: dict[str, tuple[str, str | None]] = {}
+        #: Names of this router's own upstreams by service; None where to be worked out anew.
+        self._owned_by_service: dict[str, tuple[str, ...]] | None = None
+
+    def of(self, engine: str) -> str | None:
+        """Return the name of the router that owns an engine, or None without live routers."""
+        owned = self._owner_by_engine.get(engine)
+        if owned is None:
+            upstream = self._upstream(engine)
+            hall = upstream.hall if upstream is not None else ""
+            owned = hall, owner_of(engine, hall, self._live_by_hall)
+            self._owner_by_engine[engine] = owned
+        return owned[1]
+
+    def owned_by_service(self) -> dict[str, tuple[str, ...]]:
+        """Return the names of the live upstreams that this router owns, by service."""
+        if self._owned_by_service is None:
+            names: dict[str, list[str]] = {}
+            for name, entry in self._upstreams.entry_by_name.items():
+                if entry.upstream.state == LIVE and self.of(name) == self._name:
+                    names.setdefault(entry.upstream.service, []).append(name)
+            self._owned_by_service = {service: tuple(own) for service, own in names.items()}
+        return self._owned_by_service
+
+    def follow(self, live: Iterable[Member]) -> None:
+        """Forget the owners of upstreams in those halls alone whose live routers changed."""
+        before, self._live_by_hall = self._live_by_hall, live_by_hall(live)
+        now = self._live_by_hall
+        same = {hall for hall, names in now.items() if before.get(hall) == names}
+        if len(same) == len(now) == len(before):
+            return
+        # An upstream of a hall without live routers has its owner among all.
+        self._owner_by_engine = {
+            engine: owned for engine, owned in self._owner_by_engine.items() if owned[0] in same
+        }
+        self._owned_by_service = None
+
+    def forget(self) -> None:
+        """Look everything up anew: the list of upstreams changed."""
+        self._owner_by_engine.clear()
+        self._owned_by_service = None
--- a/pondhatch/router/_state.py
+++ b/pondhatch/router/_state.py
@@ -7,7 +7,7 @@
 
 import time
 from collections import deque
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from pondhatch.configuration import (
@@ -25,8 +25,6 @@
     Member,
     Phase,
     ServiceLoad,
-    live_by_hall,
-    owner_of,
     short_id,
     watchers,
 )
@@ -34,6 +32,7 @@
 from pondhatch.requests import DecisionNote, KeyHolder, KeyTable, LocalKeyHolder, Target
 from pondhatch.router._lag import Lag
 from pondhatch.router._limits import FleetLimits
+from pondhatch.router._owners import Owners
 from pondhatch.router._upstream_changes import UpstreamChanges
 from pondhatch.store import (
     LIVE,
@@ -97,18 +96,14 @@
     #: Names of those that are neither draining nor gone: asked for ten times a second.
     _live_routers: tuple[str, ...] = ()
     _member_by_name: dict[str, Member] = field(default_factory=dict)
-    #: Names of the live routers, by hall.
-    _live_by_hall: Mapping[str, tuple[str, ...]] = field(default_factory=dict)
-    #: The hall of each upstream and the name of its owner, as far as they were asked for.
-    _owner_by_engine: dict[str, tuple[str, str | None]] = field(default_factory=dict)
     _live_by_service: dict[str, tuple[str, ...]] = field(default_factory=dict)
-    #: Names of this router's own upstreams by service; None where to be worked out anew.
-    _owned_by_service: dict[str, tuple[str, ...]] | None = None
+    _owners: Owners = field(init=False)
     _upstream_changes: UpstreamChanges = field(init=False)
 
     def __post_init__(self) -> None:
         self.limits = FleetLimits(self.name, self.gossip, lambda: self.fleet)
         self.local = LocalKeyHolder(self.keys, self.clock)
+        self._owners = Owners(self.name, self.upstreams, self._upstream)
         self._upstream_changes = UpstreamChanges(self.upstreams, self.vanished)
 
     # -- membership ---------------------------------------------------------
@@ -130,17 +125,11 @@
         live = tuple(member for member in members if member.phase == Phase.LIVE)
         self._live_routers = tuple(member.name for member in live)
         self.limits.set_live(live)
-        self._take_owners(live_by_hall(live))
+        self._owners.follow(live)
 
     def owner_name(self, engine: str) -> str | None:
         """Return the router that owns an engine in this router's view."""
-        owned = self._owner_by_engine.get(engine)
-        if owned is None:
-            upstream = self._upstream(engine)
-            hall = upstream.hall if upstream is not None else ""
-            owned = hall, owner_of(engine, hall, self._live_by_hall)
-            self._owner_by_engine[engine] = owned
-        return owned[1]
+        return self._owners.of(engine)
 
     def key_holder(self, name: str) -> KeyHolder | None:
         """Return the way to a router as a holder of keys, or None where it is not known."""
@@ -216,35 +205,13 @@
 
     def owned_by_service(self) -> dict[str, tuple[str, ...]]:
         """Return the names of the live upstreams that this router owns, by service."""
-        if self._owned_by_service is None:
-            names: dict[str, list[str]] = {}
-            for name, entry in self.upstreams.entry_by_name.items():
-                if entry.upstream.state == LIVE and self.owner_name(name) == self.name:
-                    names.setdefault(entry.upstream.service, []).append(name)
-            self._owned_by_service = {service: tuple(own) for service, own in names.items()}
-        return self._owned_by_service
+        return self._owners.owned_by_service()
 
     def owned(self) -> tuple[Upstream, ...]:
         """Return the live upstreams that this router owns."""
         names = [name for own in self.owned_by_service().values() for name in own]
         return tuple(self.upstreams.entry_by_name[name].upstream for name in names)
 
-    def _take_owners(self, live: Mapping[str, tuple[str, ...]]) -> None:
-        """Forget the owners of upstreams in those halls alone whose live routers changed."""
-        before, self._live_by_hall = self._live_by_hall, live
-        same = {hall for hall, names in live.items() if before.get(hall) == names}
-        if len(same) == len(live) == len(before):
-            return
-        # An upstream of a hall without live routers has its owner among all.
-        self._owner_by_engine = {
-            engine: owned for engine, owned in self._owner_by_engine.items() if owned[0] in same
-        }
-        self._owned_by_service = None
-
-    def _forget_owners(self) -> None:
-        self._owner_by_engine.clear()
-        self._owned_by_service = None
-
     def take_listed_upstreams(self, listed: Listed) -> bool:
         """Take in what the platform lists; return whether any was news."""
         news = self._upstream_changes.take_listing(listed, self.clock())
@@ -275,7 +242,7 @@
     def upstreams_changed(self) -> None:
         """Drop what was derived from the list of upstreams."""
         self._live_by_service.clear()
-        self._forget_owners()
+        self._owners.forget()
 
     def target(self, engine: str) -> Target | None:
         """Return an upstream as the owner's side needs it, or None."""
--- a/pondhatch/router/tests/test_large_fleets.py
+++ b/pondhatch/router/tests/test_large_fleets.py
@@ -15,7 +15,7 @@
 from fakes._many_routers import ManyRouters, hall_of, listed_upstream
 from pondhatch.membership import Phase, owner_of
 from pondhatch.membership import _members as members_module
-from pondhatch.router import _state as state_module
+from pondhatch.router import _owners as owners_module
 from pondhatch.store import Listed
 
 ROUTERS = 195
@@ -41,7 +41,7 @@
         self.assertEqual([name for name in phases if phases[name] != Phase.LIVE], ["r7"])
 
     def test_owners_are_worked_out_anew_in_the_routers_hall_alone(self) -> None:
-        with mock.patch.object(state_module, "owner_of", wraps=owner_of) as asked:
+        with mock.patch.object(owners_module, "owner_of", wraps=owner_of) as asked:
             self.fleet.hear(7, 2, Phase.DRAINING)
             after = self.owners()
         self.assertEqual({call.args[1] for call in asked.call_args_list}, {hall_of(7)})
@@ -52,7 +52,7 @@
         )
 
     def test_a_word_that_changes_no_owner_has_none_worked_out(self) -> None:
-        with mock.patch.object(state_module, "owner_of", wraps=owner_of) as asked:
+        with mock.patch.object(owners_module, "owner_of", wraps=owner_of) as asked:
             self.fleet.hear(7, 2)
             self.assertEqual(self.owners(), self.owner_by_engine)
         self.assertEqual(asked.call_count, 0)
