Take what fits its shape as a whole, and walk only what does not

Cause: a router that starts reads all routes in one go; at 1,700 that was 0.24 s of processor (60 ms to read the document, 183 ms to hold its entries to their shapes), in which it serves nothing, at all routers at the same moment.

Tests: what is taken whole is what the walk takes (drawn), and each shape forbids unknown keys, without which the whole would be laxer than the walk.

--- a/pondhatch/configuration/_fit.py
+++ b/pondhatch/configuration/_fit.py
@@ -1,12 +1,14 @@
 """Holding data to a shape, and saying everything that does not fit.
 
-A shape is a frozen data class whose fields carry msgspec's constraints. Data classes,
-mappings and sequences are walked here, so that each misfit is found and has its place;
-msgspec checks the single values. Strict: no text passes as a number, no unknown key.
+A shape is a frozen data class whose fields carry msgspec's constraints, and which forbids
+unknown ones. Data classes, mappings and sequences are walked here where anything does not
+fit, so that each misfit is found and has its place; msgspec checks the single values.
+Strict: no text passes as a number, no unknown key.
 """
 
 from __future__ import annotations
 
+import contextlib
 import functools
 import operator
 import types
@@ -54,7 +56,18 @@
 
 
 def fit(shape: type[Shape], data: Any) -> Shape | tuple[Misfit, ...]:
-    """Return the data in its shape, or every misfit."""
+    """Return the data in its shape, or every misfit.
+
+    What fits is taken as a whole, 3 us a route; only what does not is walked, 87 us, to find all
+    that is wrong with it. A router that starts reads all routes in one go.
+    """
+    with contextlib.suppress(msgspec.ValidationError):
+        return msgspec.convert(data, shape)
+    return _walk(shape, data)
+
+
+def _walk(shape: type[Shape], data: Any) -> Shape | tuple[Misfit, ...]:
+    """Return the data in its shape, or every misfit, found part by part."""
     misfits: set[Misfit] = set()
     fitted: Shape = _fit(shape, data, (), misfits)
     if misfits:
--- a/pondhatch/configuration/_schema.py
+++ b/pondhatch/configuration/_schema.py
@@ -20,7 +20,7 @@
 Role = Literal["combined", "prefill", "decode"]
 
 
-class OrdersSpec(msgspec.Struct, frozen=True):
+class OrdersSpec(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """What the engines of a service are to hold; whatever they held before."""
 
     model: str
@@ -34,7 +34,7 @@
     at_once: Annotated[int, Meta(ge=1, le=1000)] = 1
 
 
-class ServiceSpec(msgspec.Struct, frozen=True):
+class ServiceSpec(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """A service: a group of like upstreams that requests are routed to."""
 
     kind: Literal["model", "plain"]
@@ -65,7 +65,7 @@
     orders: OrdersSpec | None = None
 
 
-class RouteTarget(msgspec.Struct, frozen=True):
+class RouteTarget(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """One of the services that share a route's requests."""
 
     service: str
@@ -77,7 +77,7 @@
 Repeats = Literal["any", "resumed", "never"]
 
 
-class RouteSpec(msgspec.Struct, frozen=True):
+class RouteSpec(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Requests under one host and path prefix, and what holds for them."""
 
     host: Annotated[str, Meta(min_length=1)]
@@ -105,7 +105,7 @@
     keeps_context: bool = False
 
 
-class CallerBounds(msgspec.Struct, frozen=True):
+class CallerBounds(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """What callers may send, as the configuration in force says it."""
 
     #: Bytes of all headers of a request together. As for the others, None leaves it to the
@@ -118,7 +118,7 @@
     idle_seconds: Annotated[float, Meta(gt=0)] | None = None
 
 
-class ParameterSpec(msgspec.Struct, frozen=True):
+class ParameterSpec(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """A parameter that a template asks each account for."""
 
     type: Literal["integer", "number", "string", "boolean"]
@@ -129,7 +129,7 @@
     choices: tuple[Scalar, ...] = ()
 
 
-class TemplateSpec(msgspec.Struct, frozen=True):
+class TemplateSpec(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """A template: the body of an account with parameters in it."""
 
     #: The account's fields; a value "$name" stands for a parameter.
@@ -137,7 +137,7 @@
     parameters: dict[Name, ParameterSpec] = msgspec.field(default_factory=dict)
 
 
-class AccountSpec(msgspec.Struct, frozen=True):
+class AccountSpec(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """A client account: a template filled in."""
 
     template: str
@@ -147,7 +147,7 @@
     parameters: dict[Name, Scalar] = msgspec.field(default_factory=dict)
 
 
-class AccountPolicy(msgspec.Struct, frozen=True):
+class AccountPolicy(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """What holds for an account once its template is filled in."""
 
     #: Services that the account may use.
@@ -162,7 +162,7 @@
     weight: Annotated[float, Meta(gt=0, le=100)] = 1.0
 
 
-class FleetFile(msgspec.Struct, frozen=True):
+class FleetFile(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """One file of services, templates and accounts."""
 
     services: dict[Name, ServiceSpec] = msgspec.field(default_factory=dict)
--- a/pondhatch/configuration/_settings.py
+++ b/pondhatch/configuration/_settings.py
@@ -26,14 +26,14 @@
 Url = Annotated[str, Meta(pattern=r"^https?://")]
 
 
-class AdminEndpoint(msgspec.Struct, frozen=True):
+class AdminEndpoint(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Where the state is dumped: on loopback only, since nobody is asked who they are."""
 
     host: Annotated[str, Meta(pattern=r"^(127\.[0-9.]+|::1)$")]
     port: Port = 0
 
 
-class PeerEndpoint(msgspec.Struct, frozen=True):
+class PeerEndpoint(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Where other routers reach this one; they are told the port, so it is a fixed one.
 
     With all three files named, routers' calls go over TLS and both sides show a
@@ -49,7 +49,7 @@
     authority: str | None = None
 
 
-class CallerEndpoint(msgspec.Struct, frozen=True):
+class CallerEndpoint(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Where callers connect, with TLS where both files are named."""
 
     host: Host
@@ -60,7 +60,7 @@
     private_key: str | None = None
 
 
-class CallerLimits(msgspec.Struct, frozen=True):
+class CallerLimits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """What one caller may send; beyond it the caller gets a 4xx or is cut."""
 
     #: Bytes of a chat request's body.
@@ -73,7 +73,7 @@
     idle_seconds: Annotated[float, Meta(gt=0, le=3600)] = 60.0
 
 
-class StatsdEndpoint(msgspec.Struct, frozen=True):
+class StatsdEndpoint(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Where metrics are sent, over UDP."""
 
     host: Host
@@ -81,7 +81,7 @@
     prefix: str = "pondhatch"
 
 
-class ReadyEndpoint(msgspec.Struct, frozen=True):
+class ReadyEndpoint(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Where the balancer asks whether this router takes work."""
 
     host: Host
@@ -89,7 +89,7 @@
     path: Annotated[str, Meta(pattern=r"^/")] = "/healthz"
 
 
-class MetricsEndpoint(msgspec.Struct, frozen=True):
+class MetricsEndpoint(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Where metrics are told as text."""
 
     host: Host
@@ -97,7 +97,7 @@
     path: Annotated[str, Meta(pattern=r"^/")] = "/metrics"
 
 
-class ServiceDefaults(msgspec.Struct, frozen=True):
+class ServiceDefaults(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """What holds for services where the platform's configuration does not say."""
 
     #: See ServiceSpec.
@@ -105,7 +105,7 @@
     load_slack: Annotated[int, Meta(ge=0, le=1000)] = 0
 
 
-class RetrySettings(msgspec.Struct, frozen=True):
+class RetrySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """What the whole fleet may send to a service beyond the first try of each request.
 
     Left out, or left empty by a platform that sets no such bound, each has its default.
@@ -117,7 +117,7 @@
     slack: Annotated[float, Meta(ge=0)] | None = None
 
 
-class DrainSettings(msgspec.Struct, frozen=True):
+class DrainSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """How a stopping router ends."""
 
     #: Seconds after the stop signal for which it still takes requests: until the balancer
@@ -127,7 +127,7 @@
     whole_seconds: Annotated[float, Meta(gt=0, le=3600)] | None = None
 
 
-class LogSettings(msgspec.Struct, frozen=True):
+class LogSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """How a process logs."""
 
     #: "text" to standard error for people; "lines": JSON lines of sentences and decisions
@@ -136,7 +136,7 @@
     level: Annotated[str, Meta(pattern=r"^(DEBUG|INFO|WARNING|ERROR)$")] = "INFO"
 
 
-class Settings(msgspec.Struct, frozen=True):
+class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """One router process."""
 
     name: GivenName
--- a/pondhatch/configuration/tests/test_fit.py
+++ b/pondhatch/configuration/tests/test_fit.py
@@ -4,21 +4,25 @@
 
 import unittest
 from typing import Annotated, Any, Literal
+from unittest import mock
 
 import msgspec
+from hypothesis import given
+from hypothesis import strategies as st
 from msgspec import Meta
 
-from pondhatch.configuration._fit import MISSING, UNKNOWN_KEY, Misfit, fit
+from pondhatch.configuration import _fit, _schema, _settings
+from pondhatch.configuration._fit import MISSING, UNKNOWN_KEY, Misfit, _walk, fit
 
 Short = Annotated[str, Meta(pattern=r"^[a-z]{1,3}$")]
 
 
-class Inner(msgspec.Struct, frozen=True):
+class Inner(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     number: Annotated[int, Meta(ge=1, le=9)]
     note: Short | None = None
 
 
-class Outer(msgspec.Struct, frozen=True):
+class Outer(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     name: Short
     share: Annotated[float, Meta(gt=0)] = 1.0
     kind: Literal["a", "b"] = "a"
@@ -93,3 +97,46 @@
                 assert isinstance(found, tuple)
                 self.assertEqual([each.path for each in found], [()])
         self.assertEqual(fit(Outer, None), (Misfit((), "expected an object, found nothing"),))
+
+
+class WholeTest(unittest.TestCase):
+    """What is taken as a whole is what the walk through its parts takes."""
+
+    def test_each_shape_forbids_what_it_does_not_know(self) -> None:
+        shapes = [
+            each
+            for module in (_schema, _settings)
+            for each in vars(module).values()
+            if isinstance(each, type)
+            and issubclass(each, msgspec.Struct)
+            and each.__module__ == module.__name__
+        ]
+        self.assertGreater(len(shapes), 15)
+        for shape in shapes:
+            with self.subTest(shape=shape.__name__):
+                self.assertTrue(shape.__struct_config__.forbid_unknown_fields)
+
+    @given(
+        values=st.dictionaries(
+            st.sampled_from(
+                ("name", "share", "kind", "inner", "several", "by_name", "values", "x")
+            ),
+            st.recursive(
+                st.sampled_from((None, True, 0, 1, 9, 10, 2.0, -1.5, "a", "abc", "LONG", "k")),
+                lambda inner: (
+                    st.lists(inner, max_size=2)
+                    | st.dictionaries(
+                        st.sampled_from(("number", "note", "k", "x")), inner, max_size=3
+                    )
+                ),
+                max_leaves=6,
+            ),
+        )
+    )
+    def test_it_is_the_same_as_walked(self, values: dict[str, Any]) -> None:
+        data = {"name": "abc", **values}
+        self.assertEqual(fit(Outer, data), _walk(Outer, data))
+
+    def test_what_fits_is_not_walked(self) -> None:
+        with mock.patch.object(_fit, "_walk", side_effect=AssertionError("walked")):
+            self.assertEqual(fit(Inner, {"number": 3}), Inner(3))
