--- a/pondhatch/router/_introduction.py
+++ b/pondhatch/router/_introduction.py
@@ -56,7 +56,8 @@
         if self._own_entry is not None:
             # Who was listed some seconds ago is a peer to ask as well, and knows of the others.
             listed = await self._find_peers(may_be_old=True)
-            if listed is not None and self._is_right(listed):
+            own = self._own_in(listed) if listed is not None else None
+            if own is not None and own.value == self._own_entry:
                 return
         backoff = Backoff(FIRST_PAUSE, LONGEST_PAUSE, self._rng)
         is_listed = self._own_entry is None
@@ -68,10 +69,9 @@
                 return
             await asyncio.sleep(backoff.next())
 
-    def _is_right(self, listed: Listed) -> bool:
-        """Return whether what is listed of this router is as it should be."""
-        own = [each.value for each in listed.objects if each.name == self._name]
-        return own == [self._own_entry]
+    def _own_in(self, listed: Listed) -> StoredObject | None:
+        """Return this router's own entry, or None where the list does not show it."""
+        return next((each for each in listed.objects if each.name == self._name), None)
 
     async def _find_peers(self, may_be_old: bool = False) -> Listed | None:
         """Read who is listed; None where the platform does not say."""
@@ -104,7 +104,7 @@
 
     async def _correct(self, listed: Listed) -> bool:
         """Write over an entry of this router's that is listed; return whether it is right now."""
-        found = next((each for each in listed.objects if each.name == self._name), None)
+        found = self._own_in(listed)
         if found is None:
             # Not listed yet, or listed as what cannot be read.
             read = await self._platform.get(VM_KIND, self._name)
