--- a/pondhatch/cli/_router_process.py
+++ b/pondhatch/cli/_router_process.py
@@ -150,7 +150,7 @@
         return self._interface.callers(
             CallerParts(
                 state=self.state,
-                ways=Ways(self._granting.entry, upstreams),
+                ways=Ways(self._granting.entry, upstreams, upstreams),
                 limits=lambda: self._settings.limits,
                 metrics=self._metrics,
                 records=self._records,
--- a/pondhatch/observing/_records.py
+++ b/pondhatch/observing/_records.py
@@ -46,6 +46,10 @@
     placed_ms: int = 0
     #: The longest pause between two parts of its answer, in milliseconds.
     pause_ms: int = 0
+    #: Upstreams at which its run was cut, each with whether nothing listened there any more.
+    cut_at: tuple[tuple[str, bool], ...] = ()
+    #: In hex, where a run was cut: alike in all attempts at the same request.
+    digest: str = ""
 
 
 class Believed(msgspec.Struct, frozen=True, tag_field="event", tag="belief", omit_defaults=True):
--- a/pondhatch/requests/__init__.py
+++ b/pondhatch/requests/__init__.py
@@ -2,6 +2,7 @@
 
 from pondhatch.requests._chat import ChatRequest, MalformedChat, read_chat
 from pondhatch.requests._delivery import Delivered, Delivery, is_event_stream
+from pondhatch.requests._digest import digest_of
 from pondhatch.requests._entry import Patience, Placed, Refused, Walk
 from pondhatch.requests._entry_grants import NUMBERS, EntryGrants
 from pondhatch.requests._entry_view import EntryView, Ways
@@ -135,6 +136,7 @@
     "Whole",
     "Word",
     "decode_grant_packet",
+    "digest_of",
     "encode_grant_packet",
     "is_event_stream",
     "kept",
--- a/pondhatch/requests/_delivery.py
+++ b/pondhatch/requests/_delivery.py
@@ -123,6 +123,7 @@
         """Pass everything on; raises what the caller's sink raises."""
         try:
             while (lost := await self._pour()) is not None:
+                await self._walk.note_cut(self._engine, lost)
                 if not await self._goes_on():
                     return Delivered(self._lost(lost), self._resumes)
             return Delivered(Whole(), self._resumes)
--- a/pondhatch/requests/_entry.py
+++ b/pondhatch/requests/_entry.py
@@ -11,7 +11,15 @@
 from pondhatch.placement import Ask, Exhausted, Granted, Plan
 from pondhatch.requests._entry_view import EntryView, Ways
 from pondhatch.requests._messages import BodySource, Opened, ReplayableBody, RequestHead
-from pondhatch.requests._outcomes import AILING, CROSSED, EngineRefusal, NotRun, Refusal, Unknown
+from pondhatch.requests._outcomes import (
+    AILING,
+    CROSSED,
+    Broken,
+    EngineRefusal,
+    NotRun,
+    Refusal,
+    Unknown,
+)
 from pondhatch.requests._questions import (
     MILLISECONDS,
     THOUSANDTHS,
@@ -114,6 +122,8 @@
         self.engine: str | None = None
         #: Times that a broken stream went on.
         self.resumes = 0
+        #: Engines at which its run was cut, each with whether the engine had ended.
+        self.cut_at: list[tuple[str, bool]] = []
 
     @property
     def granted(self) -> Granted:
@@ -143,6 +153,18 @@
                 return outcome
         return Refused(NotRun("deadline", "the deadline passed before an engine was free"))
 
+    async def note_cut(self, engine: str, lost: Unknown | Broken) -> None:
+        """Find out whether a run that was cut ended with its engine.
+
+        A garbled or reset connection looks alike; an engine that leaves ends as planned.
+        """
+        if not lost.was_cut:
+            return
+        target = self._view.target(engine)
+        if target is None or not target.takes_work:
+            return
+        self.cut_at.append((engine, await self._ways.crashes.has_ended(target)))
+
     def can_resume(self, engine: str) -> bool:
         """Return whether an engine's broken stream may be taken up again."""
         can = self._head.resumes_anywhere or self._view.resumes(engine)
@@ -228,6 +250,8 @@
             return None
         if reply.code == AILING:
             self.plan.ailing()
+        if isinstance(reply, Unknown):
+            await self.note_cut(ask.engine, reply)
         self._note_refused(ask, reply)
         return self._after_failure(ask, reply)
 
--- a/pondhatch/requests/_entry_view.py
+++ b/pondhatch/requests/_entry_view.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from pondhatch.requests._crash_guard import CrashGuard, NoCrashGuard
 from pondhatch.requests._questions import Grants
 from pondhatch.requests._sending import Target, Upstreams
 
@@ -49,3 +50,4 @@
 
     grants: Grants
     upstreams: Upstreams
+    crashes: CrashGuard = NoCrashGuard()
--- a/pondhatch/requests/_messages.py
+++ b/pondhatch/requests/_messages.py
@@ -45,6 +45,8 @@
     context_from: str = ""
     #: Id of the last event that was received, where a stream is to go on after it.
     after_event: str = ""
+    #: Of what the caller asks for, alike in all attempts at it; 0 where its body is not held.
+    digest: int = 0
 
 
 class Lost(Exception):
--- a/pondhatch/requests/_outcomes.py
+++ b/pondhatch/requests/_outcomes.py
@@ -63,6 +63,8 @@
     code: str
     reason: str
     status: int = 502
+    #: Whether the connection to the upstream ended, rather than that this router gave up.
+    was_cut: bool = False
 
 
 class Broken(msgspec.Struct, frozen=True):
@@ -70,6 +72,8 @@
 
     code: str
     reason: str
+    #: Whether the connection to the upstream ended, rather than that this router gave up.
+    was_cut: bool = False
 
 
 Refusal = NotRun | Unknown
--- /dev/null
+++ b/pondhatch/requests/tests/test_digest.py
@@ -0,0 +1,19 @@
+from __future__ import annotations
+
+import unittest
+
+from pondhatch.requests import digest_of
+
+
+class DigestTest(unittest.TestCase):
+    def test_attempts_at_the_same_request_share_it_and_no_others_do(self) -> None:
+        asked = ("pina", "POST", "/notes/a", b"body")
+        others = [
+            ("olga", "POST", "/notes/a", b"body"),
+            ("pina", "PUT", "/notes/a", b"body"),
+            ("pina", "POST", "/notes/ab", b"ody"),
+            ("pinaPOST", "", "/notes/a", b"body"),
+            ("pina", "POST", "/notes/a", b""),
+        ]
+        self.assertEqual(digest_of(*asked), digest_of(*asked))
+        self.assertEqual(len({digest_of(*each) for each in [asked, *others]}), 6)
--- a/pondhatch/standard/_callers.py
+++ b/pondhatch/standard/_callers.py
@@ -24,6 +24,7 @@
     Patience,
     ReplayableBody,
     RequestHead,
+    digest_of,
     read_chat,
 )
 from pondhatch.router import Account, Admitted, admit, identify, not_ready, service_of_path
@@ -145,8 +146,9 @@
         if isinstance(admitted, NotRun):
             return admitted
         head = self._head(request, account, admitted, CHAT_PATH)
+        digest = digest_of(account.name, head.method, head.path, body)
         head = msgspec.structs.replace(
-            head, chat=chat.chat, repeatable=True, returning=chat.returning
+            head, chat=chat.chat, repeatable=True, returning=chat.returning, digest=digest
         )
         context_wait = admitted.context_wait if chat.returning else 0.0
         patience = Patience(context_wait, admitted.queue_wait)
--- a/pondhatch/transport/_http_client.py
+++ b/pondhatch/transport/_http_client.py
@@ -12,7 +12,8 @@
 from typing import Any
 
 import msgspec
-from twisted.internet.protocol import ClientFactory
+from twisted.internet.error import ConnectionRefusedError as Refused
+from twisted.internet.protocol import ClientFactory, Protocol
 from twisted.python.failure import Failure
 
 from pondhatch.requests import BodySource
@@ -21,6 +22,9 @@
 
 #: Seconds to wait for a connection.
 CONNECT_SECONDS = 1.0
+#: Seconds to wait for a host to say whether anything listens: a round trip takes a tenth of it
+#: between data halls, and a request may wait for the word.
+KNOCK_SECONDS = 0.3
 #: Ports that TCP has.
 PORTS = range(1, 2**16)
 #: Idle connections kept for each address.
@@ -96,6 +100,34 @@
         self.announce(self)
 
 
+class _Hello(Protocol):
+    """A connection that ends as soon as it is made."""
+
+    def connectionMade(self) -> None:
+        transport: Any = self.transport
+        transport.abortConnection()
+
+
+class _Knocking(ClientFactory):
+    """Finds out whether connections to an address are refused."""
+
+    noisy = False
+    protocol = _Hello
+
+    def __init__(self) -> None:
+        self.refused: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+
+    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
+        self._set(reason.check(Refused) is not None)
+
+    def clientConnectionLost(self, connector: Any, reason: Failure) -> None:
+        self._set(False)
+
+    def _set(self, refused: bool) -> None:
+        if not self.refused.done():
+            self.refused.set_result(refused)
+
+
 def _any(_: ResponseHead) -> bool:
     return True
 
@@ -113,6 +145,7 @@
         self._connect_seconds = connect_seconds
         self._idle_by_address: dict[Address, list[Connection]] = {}
         self._sweeping: asyncio.TimerHandle | None = None
+        self._knocking_by_address: dict[Address, _Knocking] = {}
 
     async def send(
         self,
@@ -172,6 +205,19 @@
             raise NotSent("the connection was lost as soon as it was made")
         return connection
 
+    async def is_refused(self, address: Address) -> bool:
+        """Return whether a host refuses connections to an address: nothing listens there.
+
+        False also where it gives no word. All that ask at the same time share one connection,
+        as all requests of an engine do that ends.
+        """
+        knocking = self._knocking_by_address.get(address)
+        if knocking is None:
+            knocking = self._knocking_by_address[address] = _Knocking()
+            knocking.refused.add_done_callback(lambda _: self._knocking_by_address.pop(address))
+            self._reactor.connectTCP(address.host, address.port, knocking, timeout=KNOCK_SECONDS)
+        return await asyncio.shield(knocking.refused)
+
     def distrust(self, address: Address, since: float) -> None:
         """Close the idle connections to an address on which nothing came since a moment.
 
--- a/pondhatch/transport/_routed_callers.py
+++ b/pondhatch/transport/_routed_callers.py
@@ -7,6 +7,7 @@
 import uuid
 from typing import Any, TypeVar
 
+from msgspec.structs import replace
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET
 
@@ -19,6 +20,7 @@
     Patience,
     ReplayableBody,
     RequestHead,
+    digest_of,
 )
 from pondhatch.router import (
     ANYBODY,
@@ -206,6 +208,7 @@
         # On the way in, so that nothing behind this can pass on what the caller may not say.
         passed_on = self._dialect.passed_on(headers, self._note_dropped)
         head = _head(request, route.spec, account, admitted, facts, passed_on)
+        head = replace(head, digest=digest_of(account.name, head.method, head.path, body.content))
         context_wait = admitted.context_wait if head.returning else 0.0
         return Work(account, admitted, head, body, Patience(context_wait, admitted.queue_wait))
 
--- a/pondhatch/transport/_serving.py
+++ b/pondhatch/transport/_serving.py
@@ -276,6 +276,8 @@
                 ceiling=walk.granted.ceiling,
                 passed_over=tuple(walk.plan.passed_over),
                 resumes=walk.resumes,
+                cut_at=tuple(walk.cut_at),
+                digest=f"{work.head.digest:x}" if walk.cut_at else "",
             )
         )
 
--- a/pondhatch/transport/_upstreams.py
+++ b/pondhatch/transport/_upstreams.py
@@ -4,6 +4,8 @@
 
 import asyncio
 
+from msgspec.structs import replace
+
 from pondhatch.kernel import host_and_port
 from pondhatch.observing import Metrics, NoMetrics
 from pondhatch.requests import (
@@ -65,6 +67,7 @@
         self._try = tried
         #: The event without which the answer is not whole.
         self._last_event = last_event
+        self._has_expired = False
         #: One timer for the whole answer costs less than one for each part.
         self._timer = asyncio.get_running_loop().call_at(deadline, self._expire)
 
@@ -74,7 +77,7 @@
         try:
             await self._exchange.pipe.pour(watched or sink)
         except ConnectionError as error:
-            raise self._lost(str(error)) from error
+            raise self._lost(str(error), was_cut=not self._has_expired) from error
         if watched is not None and self._last_event and self._last_event not in watched.tail:
             raise self._lost("the stream ended without its last event")
         self._timer.cancel()
@@ -86,14 +89,15 @@
         self._exchange.cancel()
 
     def _expire(self) -> None:
+        self._has_expired = True
         self._exchange.pipe.fail(ConnectionError("the deadline passed"))
         self._exchange.cancel()
 
-    def _lost(self, reason: str) -> Lost:
+    def _lost(self, reason: str, was_cut: bool = False) -> Lost:
         outcome = self._try.lost(reason)
         if not isinstance(outcome, Broken):
             raise TypeError(f"an answer cannot be lost as {outcome}")
-        return Lost(outcome)
+        return Lost(replace(outcome, was_cut=was_cut))
 
 
 class HttpUpstreams:
@@ -133,7 +137,8 @@
         except TimeoutError:
             return self._gave_up(exchange, tried, "no answer before the deadline")
         except ConnectionError as error:
-            return self._gave_up(exchange, tried, str(error))
+            lost = self._gave_up(exchange, tried, str(error))
+            return replace(lost, was_cut=True) if isinstance(lost, Unknown) else lost
         except BaseException:
             if exchange is not None:
                 exchange.cancel()
@@ -145,6 +150,11 @@
             exchange.cancel()
             raise
 
+    async def has_ended(self, target: Target) -> bool:
+        """Return whether nothing listens at an upstream any more; see CrashGuard."""
+        address = host_and_port(target.url.removeprefix("http://").rstrip("/"))
+        return address is not None and await self.client.is_refused(Address(*address))
+
     def _judge(self, head: RequestHead, answered: ResponseHead) -> Judged | EngineRefusal:
         return self._dialect.judge(head, answered.status, answered.value_by_name)
 
--- /dev/null
+++ b/pondhatch/transport/tests/test_ended_upstreams.py
@@ -0,0 +1,64 @@
+"""Whether an upstream ended, or only a connection to it."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from typing import Any
+
+from twisted.internet.error import ConnectionLost, ConnectionRefusedError, TimeoutError
+from twisted.internet.protocol import ClientFactory
+from twisted.python.failure import Failure
+
+from pondhatch.transport._http_client import KNOCK_SECONDS, Address, HttpClient
+
+CONNECTOR: Any = None
+ENGINE = Address("10.0.0.1", 8000)
+
+
+class Reactor:
+    """Keeps what connects; the test says how that ends."""
+
+    def __init__(self) -> None:
+        self.factories: list[ClientFactory] = []
+        self.timeouts: list[float] = []
+
+    def connectTCP(self, host: str, port: int, factory: ClientFactory, timeout: float) -> None:
+        self.factories.append(factory)
+        self.timeouts.append(timeout)
+
+
+class EndedUpstreamTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.reactor = Reactor()
+        self.client = HttpClient(self.reactor)
+
+    async def asked(self) -> asyncio.Task[bool]:
+        asking = asyncio.ensure_future(self.client.is_refused(ENGINE))
+        await asyncio.sleep(0)
+        return asking
+
+    def fail(self, error: Any = None) -> None:  # type: ignore[override]
+        self.reactor.factories[-1].clientConnectionFailed(CONNECTOR, Failure(error))
+
+    async def test_only_a_refused_connection_shows_that_nothing_listens(self) -> None:
+        for error, ended in ((ConnectionRefusedError(), True), (TimeoutError(), False)):
+            asking = await self.asked()
+            self.fail(error)
+            self.assertEqual(await asking, ended)
+
+    async def test_an_upstream_that_takes_connections_has_not_ended(self) -> None:
+        asking = await self.asked()
+        self.reactor.factories[-1].clientConnectionLost(CONNECTOR, Failure(ConnectionLost()))
+        self.assertFalse(await asking)
+
+    async def test_all_that_ask_at_once_share_a_connection_and_later_ones_do_not(self) -> None:
+        asking = [await self.asked() for _ in range(3)]
+        self.assertEqual(len(self.reactor.factories), 1)
+        asking.pop().cancel()
+        await asyncio.sleep(0)
+        self.fail(ConnectionRefusedError())
+        self.assertEqual(await asyncio.gather(*asking), [True, True])
+        await self.asked()
+        self.assertEqual(len(self.reactor.factories), 2)
+        self.assertEqual(self.reactor.timeouts, [KNOCK_SECONDS] * 2)
