--- a/fakes/_machines_engine.py
+++ b/fakes/_machines_engine.py
@@ -4,6 +4,7 @@
 ``refuse`` (full, not run), ``cut`` (a stream that began here breaks in the middle),
 ``pause`` (it waits there), ``stall`` (an answer waits), ``cross`` (the answer of another
 request), ``fail`` (500 of its own), ``echo`` (an answer repeats what the router said). A
+request whose body is one of ``ENDING_BODIES`` ends the engine's process as it begins to run. A
 request that names a copy or a reservation which is not here is refused and not run.
 """
 
@@ -11,6 +12,7 @@
 
 import asyncio
 import json
+import os
 from typing import Any
 
 from klein import Klein
@@ -25,6 +27,12 @@
 MUST_BE_HERE = ("Kv-From", "Hold")
 #: What a router says to an engine, and an echo repeats.
 ECHOED = ("Expect-Instance", "Request-Priority")
+#: Bodies under which the engine ends: before its answer begins, and right after.
+ENDS_AT_ONCE = b"ends its engine at once"
+ENDS_AFTER_HEAD = b"ends its engine after the head"
+ENDING_BODIES = (ENDS_AT_ONCE, ENDS_AFTER_HEAD)
+#: Seconds from an answer's head to the engine's end.
+END_AFTER = 0.05
 #: Seconds between two events.
 STEP = 0.02
 
@@ -79,6 +87,7 @@
         request.notifyFinish().addErrback(lambda _: gone.set())
         if fault := self.faults.strike("stall"):
             await asyncio.sleep(fault.seconds)
+        await self._end_with(request, request.content.getvalue())
         request.setHeader("Attempt-Id", "another" if self.faults.strike("cross") else attempt)
         request.setHeader("Instance-Signature", f"{self._name}.{attempt}")
         if self.faults.strike("echo"):
@@ -94,6 +103,16 @@
         run["outcome"] = await self._stream(request, run, gone)
         return b""
 
+    async def _end_with(self, request: Any, body: bytes) -> None:
+        """End the whole process, as a request does that an engine cannot bear."""
+        if body == ENDS_AFTER_HEAD:
+            request.setHeader("Attempt-Id", request.getHeader("Attempt-Id") or "")
+            request.setHeader("Content-Type", "text/event-stream")
+            request.write(b"id: ")
+            await asyncio.sleep(END_AFTER)
+        if body in ENDING_BODIES:
+            os._exit(1)
+
     async def _stream(self, request: Any, run: dict[str, Any], gone: asyncio.Event) -> str:
         request.setHeader("Content-Type", "text/event-stream")
         after = int(request.getHeader("Last-Event-Id") or 0)
--- /dev/null
+++ b/fakes/tests/test_crashing_requests.py
@@ -0,0 +1,85 @@
+"""A request under which every engine ends that begins to run it, sent again and again.
+
+What was seen: engines ended one after the other, each as it began to run the same request, and
+with each of them up to twenty requests of others. 21 ended where three should have been enough
+to know better. How it came about: the caller repeats its request, each time under an id of its
+own and at whichever router its new connection reaches; each attempt may go to two engines.
+The cause: nothing outlived an attempt. A router forgot under which request an engine had ended
+as soon as it had told the caller, and no other router ever heard of it. What proved it: in the
+record each attempt ended the two engines it was sent to, 0.04 to 0.12 s after they had begun to
+run it, at router after router; here the same happens with nothing else going on.
+"""
+
+from __future__ import annotations
+
+import itertools
+import time
+
+from fakes._local_fleet import Backend
+from fakes._machines_engine import ENDS_AFTER_HEAD, ENDS_AT_ONCE
+from fakes._machines_fleet import HALLS
+from fakes.tests.test_prepared_machines import WHOLE_STREAM, MachinesCase
+
+#: Engines that one request may end before it is held back, the users' aim.
+MOST_ENDED = 3
+#: Attempts of its caller; each may be sent to two engines.
+ATTEMPTS = 6
+#: Seconds within which its caller hears that there will be no more tries.
+AT_ONCE = 0.5
+
+
+class CrashingRequestTest(MachinesCase):
+    """As many engines at each attempt: those that ended are back under new ids."""
+
+    names = itertools.count(2)
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        super().setUpClass()
+        for _ in range(4):
+            cls.add_engine()
+
+    @classmethod
+    def add_engine(cls) -> None:
+        at = next(cls.names)
+        cls.fleet.add_engine(f"i-lang-{at}", "lang", HALLS[at % len(HALLS)])
+
+    def replace_ended(self) -> int:
+        """Start an engine for each that ended; return how many did."""
+        ended = [each for each in self.engines("lang") if self.has_ended(each)]
+        for engine in ended:
+            self.fleet.backends.remove(engine)
+            self.fleet.remove("servers", engine.name)
+            self.add_engine()
+        return len(ended)
+
+    def has_ended(self, engine: Backend) -> bool:
+        return engine.process.poll() is not None
+
+    def assert_ends_no_more_than_three(self, body: bytes) -> None:
+        ended = 0
+        for at in range(ATTEMPTS):
+            router = self.fleet.machines[at % len(self.fleet.machines)]
+            began = time.monotonic()
+            answer = self.ask(router, "/notes/a", body)
+            took = time.monotonic() - began
+            ended += self.replace_ended()
+        with self.subTest("engines that ended"):
+            self.assertLessEqual(ended, MOST_ENDED)
+        with self.subTest("what its caller hears at last"):
+            # That it ran is true, so no status that promises the contrary; and no other try.
+            self.assertEqual(answer.status, 400)
+            self.assertLess(took, AT_ONCE)
+
+    def assert_others_are_served(self) -> None:
+        for router in self.fleet.machines:
+            answer = self.ask(router, "/notes/a", b"another body")
+            self.assertEqual((answer.status, answer.body), (200, WHOLE_STREAM))
+
+    def test_a_request_that_ends_engines_before_they_answer_ends_three(self) -> None:
+        self.assert_ends_no_more_than_three(ENDS_AT_ONCE)
+        self.assert_others_are_served()
+
+    def test_a_request_that_ends_engines_as_they_answer_ends_three(self) -> None:
+        self.assert_ends_no_more_than_three(ENDS_AFTER_HEAD)
+        self.assert_others_are_served()
