Hold a request back under which three engines have ended, at every router

Cause: nothing outlived an attempt. A router forgot under which request an engine had ended as soon as it had told the caller, and no other router heard of it.

Change: a request is known by account, method, path and body. A run that was cut counts as evidence where its engine's host then refuses connections; a reset, a garbled answer, a planned end does not. Every router keeps which engines ended under which request, and tells all others at once. A whole run clears the request, and so does another that was there and is convicted. At three engines it is refused at once with 400; at two, one copy of it runs in the fleet at a time, apart from others that fell with it. After ten minutes one run may try it.

Ruled out: one attempt going to more engines than it may (two in each record); engines ending of themselves (0.04 to 0.12 s after they began this request, each time).

Why it holds: evidence only grows and merges in any order, so what a packet loses the next push brings; a copy that ended an engine listens 0.05 s before the next run, which is longer than packets take.

--- a/pondhatch/cli/_router_process.py
+++ b/pondhatch/cli/_router_process.py
@@ -33,9 +33,11 @@
 )
 from pondhatch.requests import Ways
 from pondhatch.router import (
+    CRASH_MARK,
     GRANT_MARK,
     Authority,
     Beliefs,
+    CrashGuarding,
     Granting,
     Introduction,
     Starting,
@@ -45,7 +47,6 @@
     CallerParts,
     Callers,
     GossipPort,
-    HttpClient,
     HttpUpstreams,
     PeerService,
     PullReply,
@@ -85,7 +86,16 @@
         self._metrics = metrics_of(settings, served)
         self._records = _records_of(settings)
         self._beliefs = Beliefs(self.state, self._records)
-        self._callers = self._new_callers(parts.client)
+        upstreams = HttpUpstreams(parts.client, self._interface.upstreams, self._metrics)
+        self._crash_guarding = CrashGuarding(
+            self.state,
+            self._gossip_port.send,
+            self._tasks,
+            self._rng,
+            self._records,
+            upstreams.has_ended,
+        )
+        self._callers = self._new_callers(upstreams)
         self._peer_service = PeerService(self.state.local, self._answer_pull, self._token)
         self._peer_server: Server = self._peer_service.server()
         self._figures = Figures(
@@ -145,12 +155,11 @@
         state = self.state
         return Introduction(state.name, state.gossip, self._platform, self._rng, address)
 
-    def _new_callers(self, client: HttpClient) -> Callers:
-        upstreams = HttpUpstreams(client, self._interface.upstreams, self._metrics)
+    def _new_callers(self, upstreams: HttpUpstreams) -> Callers:
         return self._interface.callers(
             CallerParts(
                 state=self.state,
-                ways=Ways(self._granting.entry, upstreams, upstreams),
+                ways=Ways(self._granting.entry, upstreams, self._crash_guarding),
                 limits=lambda: self._settings.limits,
                 metrics=self._metrics,
                 records=self._records,
@@ -206,6 +215,9 @@
         if payload.startswith(GRANT_MARK):
             self._granting.receive(payload[len(GRANT_MARK) :], source)
             return []
+        if payload.startswith(CRASH_MARK):
+            self._crash_guarding.receive(payload[len(CRASH_MARK) :])
+            return []
         answers = self.state.gossip.receive(payload, source, self.state.clock())
         self.state.refresh()
         self._granting.follow_members()
@@ -220,6 +232,7 @@
                 "state": state.tick,
                 "beliefs": self._beliefs.look,
                 "grants": self._granting.tick,
+                "crashes": self._crash_guarding.tick,
                 "connections": lambda: self._connections.close_gone(state.gossip.is_gone),
                 "gossip": lambda: send(state.gossip.tick(state.clock())),
                 "limits": lambda: send(state.limits.tick(state.clock())),
--- a/pondhatch/cli/tests/test_rounds.py
+++ b/pondhatch/cli/tests/test_rounds.py
@@ -16,6 +16,7 @@
     "state.tick",
     "_beliefs.look",
     "_granting.tick",
+    "_crash_guarding.tick",
     "_connections.close_gone",
     "state.gossip.tick",
     "state.limits.tick",
@@ -35,7 +36,13 @@
         parts = mock.MagicMock()
         process: Any = RouterProcess.__new__(RouterProcess)
         process.state = parts.state
-        for name in ("_beliefs", "_granting", "_connections", "_gossip_port"):
+        for name in (
+            "_beliefs",
+            "_granting",
+            "_crash_guarding",
+            "_connections",
+            "_gossip_port",
+        ):
             setattr(process, name, getattr(parts, name))
         _part(parts, failing).side_effect = ValueError(f"in {failing}")
 
--- /dev/null
+++ b/pondhatch/quarantine/tests/test_suspects.py
@@ -0,0 +1,136 @@
+from __future__ import annotations
+
+import random
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pondhatch.quarantine import (
+    ENDS_TO_QUARANTINE,
+    HOLD_SECONDS,
+    KEEP_SECONDS,
+    MOST_SUSPECTS,
+    Evidence,
+    Suspects,
+)
+
+CAUSE, OTHER = 1, 2
+
+
+def ended(digest: int, *engines: str, age_ms: int = 0) -> list[Evidence]:
+    return [Evidence(digest, engine, age_ms) for engine in engines]
+
+
+def taken(evidence: list[Evidence], now: float = 0.0) -> Suspects:
+    suspects = Suspects()
+    for each in evidence:
+        suspects.take(each, now)
+    return suspects
+
+
+class VerdictTest(unittest.TestCase):
+    def test_the_third_engine_that_ends_convicts(self) -> None:
+        suspects = Suspects()
+        for engine, quarantined in (("a", False), ("b", False), ("c", True)):
+            suspects.take(Evidence(CAUSE, engine, 0), 0.0)
+            self.assertEqual(suspects.is_quarantined(CAUSE, 0.0), quarantined)
+        self.assertEqual(list(suspects.quarantined(0.0)), [CAUSE])
+
+    def test_one_engine_counts_once_however_many_tell_of_it(self) -> None:
+        suspects = taken(ended(CAUSE, "a", "a", "a", "b"))
+        self.assertEqual(suspects.ends(CAUSE), 2)
+        self.assertFalse(suspects.take(Evidence(CAUSE, "a", 40), 1.0))
+
+    def test_a_run_that_came_through_clears_of_all_before_it_and_of_nothing_after(self) -> None:
+        suspects = taken(ended(OTHER, "a", "b"))
+        told = suspects.acquit(OTHER, 1.0)
+        self.assertEqual(told, tuple(Evidence(OTHER, each, 1000, True) for each in "ab"))
+        self.assertEqual(suspects.acquit(OTHER, 1.0), ())
+        peer = taken(ended(OTHER, "a", "b", "c"))
+        self.assertTrue(peer.is_quarantined(OTHER, 0.0))
+        for each in told:
+            peer.take(each, 1.0)
+        self.assertEqual((suspects.ends(OTHER), peer.ends(OTHER)), (0, 1))
+
+    def test_what_fell_beside_a_convicted_request_is_cleared_by_that(self) -> None:
+        suspects = taken([*ended(CAUSE, "a", "b"), *ended(OTHER, "a", "b")])
+        self.assertTrue(suspects.may_end_another(OTHER))
+        suspects.take(Evidence(CAUSE, "c", 0), 0.0)
+        self.assertEqual((suspects.ends(CAUSE), suspects.ends(OTHER)), (3, 0))
+        self.assertFalse(suspects.may_end_another(OTHER))
+
+    def test_a_second_cause_is_not_cleared_of_engines_that_only_it_ended(self) -> None:
+        evidence = [*ended(CAUSE, "a", "b", "c", "d", "e"), *ended(OTHER, "a", "f", "g", "h")]
+        suspects = taken(evidence)
+        self.assertTrue(suspects.is_quarantined(CAUSE, 0.0))
+        self.assertTrue(suspects.is_quarantined(OTHER, 0.0))
+
+    def test_what_fell_together_at_some_engine_must_not_run_together(self) -> None:
+        suspects = taken([*ended(CAUSE, "a", "b"), *ended(OTHER, "b", "c"), *ended(3, "d")])
+        self.assertTrue(suspects.fell_together(CAUSE, OTHER))
+        self.assertFalse(suspects.fell_together(CAUSE, 3))
+        self.assertFalse(suspects.fell_together(CAUSE, 4))
+        suspects.acquit(OTHER, 0.0)
+        self.assertFalse(suspects.fell_together(CAUSE, OTHER))
+
+
+class ForgettingTest(unittest.TestCase):
+    def test_after_a_while_one_run_at_a_time_may_try_it(self) -> None:
+        suspects = taken(ended(CAUSE, "a", "b", "c"))
+        self.assertTrue(suspects.is_quarantined(CAUSE, HOLD_SECONDS - 1))
+        self.assertFalse(suspects.is_quarantined(CAUSE, HOLD_SECONDS))
+        self.assertTrue(suspects.may_end_another(CAUSE))
+        suspects.take(Evidence(CAUSE, "d", 0), HOLD_SECONDS + 5)
+        self.assertTrue(suspects.is_quarantined(CAUSE, HOLD_SECONDS + 5))
+
+    def test_an_engine_that_bears_it_at_last_clears_it(self) -> None:
+        suspects = taken(ended(CAUSE, "a", "b", "c"))
+        suspects.acquit(CAUSE, HOLD_SECONDS + 5)
+        self.assertFalse(suspects.may_end_another(CAUSE))
+
+    def test_what_is_old_is_forgotten_and_not_learned_again(self) -> None:
+        suspects = taken(ended(CAUSE, "a", "b", "c"))
+        suspects.take(Evidence(OTHER, "d", 0), KEEP_SECONDS)
+        self.assertEqual(list(suspects.suspect_by_digest), [OTHER])
+        old = Evidence(CAUSE, "a", round(KEEP_SECONDS * 1000))
+        self.assertFalse(suspects.take(old, KEEP_SECONDS))
+
+    def test_beyond_the_bound_the_oldest_go_and_the_convicted_last(self) -> None:
+        suspects = taken(ended(CAUSE, "a", "b", "c"))
+        for at in range(MOST_SUSPECTS + 10):
+            suspects.take(Evidence(100 + at, f"e{at}", 0), 1.0)
+        self.assertEqual(len(suspects.suspect_by_digest), MOST_SUSPECTS)
+        self.assertTrue(suspects.is_quarantined(CAUSE, 1.0))
+        self.assertNotIn(100, suspects.suspect_by_digest)
+        self.assertEqual(len(suspects._digests_by_engine), MOST_SUSPECTS - 1 + 3)
+
+
+class MergeTest(unittest.TestCase):
+    @given(
+        st.lists(
+            st.builds(
+                Evidence,
+                digest=st.integers(1, 4),
+                engine=st.sampled_from("abcdef"),
+                age_ms=st.integers(0, 5000),
+                cleared=st.booleans(),
+            ),
+            max_size=30,
+        ),
+        st.integers(0, 2**32),
+    )
+    def test_routers_come_to_the_same_verdict_in_whatever_order_they_hear(
+        self, evidence: list[Evidence], seed: int
+    ) -> None:
+        otherwise = [*evidence, *evidence]
+        random.Random(seed).shuffle(otherwise)
+        one, other = taken(evidence), taken(otherwise)
+        relayed = taken(one.all_evidence(0.0))
+        for digest in range(1, 5):
+            self.assertEqual(one.ends(digest), other.ends(digest))
+            self.assertEqual(one.ends(digest), relayed.ends(digest))
+            self.assertLessEqual(one.ends(digest), 6)
+
+    def test_three_is_what_the_users_ask_for(self) -> None:
+        self.assertEqual(ENDS_TO_QUARANTINE, 3)
--- a/pondhatch/requests/__init__.py
+++ b/pondhatch/requests/__init__.py
@@ -1,6 +1,13 @@
 """Requests: one try and its states, an owner's grants, an entry router's walk."""
 
 from pondhatch.requests._chat import ChatRequest, MalformedChat, read_chat
+from pondhatch.requests._crash_guard import (
+    NO_WATCH,
+    QUARANTINED,
+    CrashGuard,
+    RequestWatch,
+    out_of_time,
+)
 from pondhatch.requests._delivery import Delivered, Delivery, is_event_stream
 from pondhatch.requests._digest import digest_of
 from pondhatch.requests._entry import Patience, Placed, Refused, Walk
@@ -71,7 +78,9 @@
     "Judged",
     "UpstreamDialect",
     "CROSSED",
+    "NO_WATCH",
     "NUMBERS",
+    "QUARANTINED",
     "HOLDERS",
     "KEPT_BODY",
     "LAST_EVENT",
@@ -82,6 +91,7 @@
     "CallerGone",
     "ChatRequest",
     "Claim",
+    "CrashGuard",
     "DecisionNote",
     "Delivered",
     "Delivery",
@@ -125,6 +135,7 @@
     "Release",
     "ReplayableBody",
     "RequestHead",
+    "RequestWatch",
     "Spilled",
     "Target",
     "Telling",
@@ -141,6 +152,7 @@
     "is_event_stream",
     "kept",
     "new_try",
+    "out_of_time",
     "read_chat",
     "refusal_of",
 ]
--- a/pondhatch/requests/_crash_guard.py
+++ b/pondhatch/requests/_crash_guard.py
@@ -2,21 +2,81 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Protocol
 
+from pondhatch.requests._outcomes import BAD_REQUEST_STATUS, NotRun, Refusal, Unknown
 from pondhatch.requests._sending import Target
 
+#: What the caller of a request that is held back is told. It has run, so nothing promises the
+#: contrary; any other engine would end as well, so nothing asks for another try.
+QUARANTINED = Unknown(
+    "request-quarantined", "engines ended each time they ran this request", BAD_REQUEST_STATUS
+)
+
+
+class RequestWatch(Protocol):
+    """One request, from its first try to its end."""
+
+    async def held_back(self, remaining: Callable[[], float]) -> Refusal | None:
+        """Return why the request may not be sent now, or None where it may.
+
+        A suspected one waits here until no other copy of it runs.
+        """
+
+    def is_quarantined(self) -> bool:
+        """Return whether it is known by now to end the engines that run it."""
+
+    async def run_was_cut(self, target: Target) -> bool:
+        """Note that a run lost its connection; return whether its engine has ended."""
+
+    def run_was_whole(self) -> None:
+        """Note that an engine bore it."""
+
+    def close(self) -> None:
+        """Note that no more runs of it come from here. Safe to call twice."""
+
 
 class CrashGuard(Protocol):
-    """Tells runs that ended with their engine from those that alone were cut."""
+    """Keeps requests that end engines from the engines that are left."""
 
-    async def has_ended(self, target: Target) -> bool:
-        """Return whether an engine's host says that nothing listens there any more."""
+    def watch(self, digest: int) -> RequestWatch:
+        """Return the watch over one request; 0 is one that cannot be told from others."""
 
 
-class NoCrashGuard:
-    """Takes no engine for ended; see CrashGuard."""
+class NoWatch:
+    """Lets everything pass; see RequestWatch."""
+
+    async def held_back(self, remaining: Callable[[], float]) -> Refusal | None:
+        """Return None."""
+        return None
+
+    def is_quarantined(self) -> bool:
+        """Return False."""
+        return False
 
-    async def has_ended(self, target: Target) -> bool:
+    async def run_was_cut(self, target: Target) -> bool:
         """Return False."""
         return False
+
+    def run_was_whole(self) -> None:
+        """Do nothing."""
+
+    def close(self) -> None:
+        """Do nothing."""
+
+
+NO_WATCH = NoWatch()
+
+
+class NoCrashGuard:
+    """Suspects nothing; see CrashGuard."""
+
+    def watch(self, digest: int) -> RequestWatch:
+        """Return a watch that lets everything pass."""
+        return NO_WATCH
+
+
+def out_of_time() -> NotRun:
+    """Return the refusal of a request whose time ran out before it was sent."""
+    return NotRun("deadline", "the deadline passed before an engine was free")
--- a/pondhatch/requests/_delivery.py
+++ b/pondhatch/requests/_delivery.py
@@ -142,7 +142,9 @@
         return None
 
     def _lost(self, outcome: Broken) -> Broken | Unknown:
-        return outcome if self._opening.has_begun else Unknown(outcome.code, outcome.reason)
+        if self._opening.has_begun:
+            return outcome
+        return self._walk.final_word(Unknown(outcome.code, outcome.reason))
 
     async def _goes_on(self) -> bool:
         """Return whether a broken answer is taken up, from where it was or from its start."""
--- a/pondhatch/requests/_entry.py
+++ b/pondhatch/requests/_entry.py
@@ -9,6 +9,7 @@
 
 from pondhatch.limits import RetryBudget
 from pondhatch.placement import Ask, Exhausted, Granted, Plan
+from pondhatch.requests._crash_guard import QUARANTINED, out_of_time
 from pondhatch.requests._entry_view import EntryView, Ways
 from pondhatch.requests._messages import BodySource, Opened, ReplayableBody, RequestHead
 from pondhatch.requests._outcomes import (
@@ -107,7 +108,8 @@
         self._remaining = remaining
         self._most_patience = patience
         # What a request may wait in the last line, it may wait for an owner's word.
-        self._tries = Tries(view, ways, body, self._chat, remaining, patience.last)
+        self._watch = ways.crashes.watch(head.digest)
+        self._tries = Tries(view, ways, body, self._chat, remaining, patience.last, self._watch)
         self._tries.settled = self.plan.settled(view.is_young)
         self._asks = 0
         #: Engines' refusals of this request so far, the newest last.
@@ -140,7 +142,7 @@
         self._budget.first_try()
         ended = await self._walk()
         if isinstance(ended, Refused) and self._may_have_run is not None:
-            return Refused(self._may_have_run)
+            return Refused(self.final_word(self._may_have_run))
         return ended
 
     async def _walk(self) -> Placed | Refused:
@@ -148,10 +150,13 @@
             step = self.plan.next()
             if isinstance(step, Exhausted):
                 return Refused(self._exhausted(step))
+            held_back = await self._watch.held_back(self._remaining)
+            if held_back is not None:
+                return Refused(held_back)
             outcome = await self._ask(step)
             if outcome is not None:
                 return outcome
-        return Refused(NotRun("deadline", "the deadline passed before an engine was free"))
+        return Refused(out_of_time())
 
     async def note_cut(self, engine: str, lost: Unknown | Broken) -> None:
         """Find out whether a run that was cut ended with its engine.
@@ -163,7 +168,19 @@
         target = self._view.target(engine)
         if target is None or not target.takes_work:
             return
-        self.cut_at.append((engine, await self._ways.crashes.has_ended(target)))
+        self.cut_at.append((engine, await self._watch.run_was_cut(target)))
+
+    def note_whole(self) -> None:
+        """Note that an engine bore the request, whatever it answered."""
+        self._watch.run_was_whole()
+
+    def close(self) -> None:
+        """Note that the request has ended, in whatever way."""
+        self._watch.close()
+
+    def final_word(self, lost: Unknown) -> Unknown:
+        """Return what is told of a run that was lost: that no other will be tried, if so."""
+        return QUARANTINED if self._watch.is_quarantined() else lost
 
     def can_resume(self, engine: str) -> bool:
         """Return whether an engine's broken stream may be taken up again."""
@@ -248,6 +265,8 @@
         if isinstance(reply, NotOwner):
             self.plan.refused("its owner is in doubt")
             return None
+        if reply is QUARANTINED:
+            return Refused(QUARANTINED)
         if reply.code == AILING:
             self.plan.ailing()
         if isinstance(reply, Unknown):
@@ -325,7 +344,7 @@
         if isinstance(reply, Unknown):
             self._may_have_run = reply
         if isinstance(reply, Unknown) and not (self._head.repeatable and body_is_whole):
-            return Refused(reply)
+            return Refused(self.final_word(reply))
         if reply.code in NOTHING_SENT:
             return None
         if isinstance(reply, NotRun) and self._is_about_the_request(reply):
--- a/pondhatch/requests/_tries.py
+++ b/pondhatch/requests/_tries.py
@@ -8,6 +8,7 @@
 from msgspec.structs import replace
 
 from pondhatch.placement import Granted
+from pondhatch.requests._crash_guard import NO_WATCH, QUARANTINED, RequestWatch
 from pondhatch.requests._entry_view import EntryView, Ways
 from pondhatch.requests._messages import BodySource, Opened, ReplayableBody, RequestHead
 from pondhatch.requests._outcomes import EngineRefusal, NotRun, Unknown
@@ -39,6 +40,7 @@
         chat: str,
         remaining: Callable[[], float],
         bearable: float,
+        watch: RequestWatch = NO_WATCH,
     ) -> None:
         self._view = view
         self._ways = ways
@@ -46,6 +48,7 @@
         #: By which engines are ranked for the request.
         self._chat = chat
         self._remaining = remaining
+        self._watch = watch
         #: Seconds that the request can wait for one owner's word.
         self._bearable = bearable
         #: Engine at which the context lies, as its home engine's owner said.
@@ -67,6 +70,10 @@
         if not isinstance(reply, Granted):
             return reply
         self.granted = reply
+        if self._watch.is_quarantined():
+            # Known only since the request began to wait in the engine's line.
+            self._ways.grants.release(question.number, Ended.NOTHING)
+            return QUARANTINED
         target = self._view.target(question.engine)
         if not takes(target, question.resuming):
             self._ways.grants.release(question.number, Ended.NOTHING)
--- a/pondhatch/router/__init__.py
+++ b/pondhatch/router/__init__.py
@@ -16,6 +16,7 @@
 )
 from pondhatch.router._authority import Authority
 from pondhatch.router._beliefs import Beliefs
+from pondhatch.router._crash_guarding import CRASH_MARK, CrashGuarding
 from pondhatch.router._dump import Dump, dump_state
 from pondhatch.router._fleet_key import agreed_key
 from pondhatch.router._granting import GRANT_MARK, Granting
@@ -39,7 +40,9 @@
     "Authority",
     "Beliefs",
     "Dump",
+    "CRASH_MARK",
     "GRANT_MARK",
+    "CrashGuarding",
     "Granting",
     "Introduction",
     "RouterState",
--- /dev/null
+++ b/pondhatch/router/_crash_guarding.py
@@ -0,0 +1,262 @@
+"""Keeping requests that end engines from the engines that are left: evidence, shared.
+
+Each router that sees an engine end under a request tells all others at once, and 0.1 s later
+once more; every two seconds one random router is told some of all that is known, and a router
+that is new or back is told by three others. A quiet fleet sends nothing.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Coroutine, Iterable, Iterator, Sequence
+from typing import Any
+
+import msgspec
+
+from pondhatch.kernel import Tasks
+from pondhatch.membership import Datagram, Member, short_id
+from pondhatch.observing import Believed, Records
+from pondhatch.placement import ranked
+from pondhatch.quarantine import Evidence, EvidencePacket, Trial, TrialPacket, Trials
+from pondhatch.requests import NO_WATCH, QUARANTINED, Refusal, RequestWatch, Target, out_of_time
+from pondhatch.router._state import RouterState
+
+#: First byte of a packet on suspected requests; no packet of membership or grants begins with it.
+CRASH_MARK = b"\x02"
+#: Pieces of evidence in one packet: with names of 25 bytes it fits into an Ethernet frame.
+EVIDENCE_IN_PACKET = 24
+#: Seconds between two tellings of some of what is known: 0.5 KB/s at most, and what a router
+#: missed reaches it in a few of them.
+PUSH_SECONDS = 2.0
+#: Routers that tell one that is new or back; one of them may have just started itself.
+TELLERS = 3
+#: Seconds for which a router listens for what others see in the same moment, before it runs a
+#: request anew under which an engine has just ended: packets take less, between regions too.
+LISTEN_SECONDS = 0.05
+#: Seconds between two looks whether a claim's turn has come.
+LOOK_SECONDS = 0.02
+
+SendAll = Callable[[Iterable[Datagram]], None]
+#: Finds out whether nothing listens at an engine any more.
+HasEnded = Callable[[Target], Coroutine[Any, Any, bool]]
+
+
+class Watch:
+    """One request of which engines may end; see RequestWatch."""
+
+    def __init__(self, guard: CrashGuarding, digest: int) -> None:
+        self._guard = guard
+        self._digest = digest
+        self._trial: Trial | None = None
+
+    async def held_back(self, remaining: Callable[[], float]) -> Refusal | None:
+        """Return why the request may not be sent now; see RequestWatch."""
+        if not self._guard.suspects.ends(self._digest):
+            return None
+        # Two copies that ended an engine each in the same moment learn here that they are two.
+        await asyncio.sleep(LISTEN_SECONDS - self._guard.since_last_end(self._digest))
+        while not self.is_quarantined():
+            if not self._guard.suspects.may_end_another(self._digest):
+                return None
+            if await self._has_turn():
+                return None
+            if remaining() <= 0:
+                return out_of_time()
+            await asyncio.sleep(LOOK_SECONDS)
+        return QUARANTINED
+
+    async def _has_turn(self) -> bool:
+        if self._trial is None:
+            self._trial = self._guard.claim(self._digest)
+            await asyncio.sleep(LISTEN_SECONDS)
+            if self.is_quarantined():
+                return False
+        return self._guard.goes_first(self._trial)
+
+    def is_quarantined(self) -> bool:
+        """Return whether it is known to end engines; see RequestWatch."""
+        return self._guard.is_quarantined(self._digest)
+
+    async def run_was_cut(self, target: Target) -> bool:
+        """Note that a run lost its connection; see RequestWatch."""
+        return await self._guard.run_was_cut(self._digest, target)
+
+    def run_was_whole(self) -> None:
+        """Note that an engine bore it; see RequestWatch."""
+        self._guard.run_was_whole(self._digest)
+
+    def close(self) -> None:
+        """Give the claim up; see RequestWatch."""
+        trial, self._trial = self._trial, None
+        if trial is not None:
+            self._guard.end(trial)
+
+
+class CrashGuarding:
+    """One router's part; see CrashGuard."""
+
+    def __init__(
+        self,
+        state: RouterState,
+        send: SendAll,
+        tasks: Tasks,
+        rng: random.Random,
+        records: Records,
+        has_ended: HasEnded,
+    ) -> None:
+        self.suspects = state.suspects
+        self._trials = Trials(short_id(state.name))
+        self._state = state
+        self._send = send
+        self._tasks = tasks
+        self._rng = rng
+        self._records = records
+        self._has_ended = has_ended
+        #: Evidence to be told to all once more.
+        self._fresh: list[Evidence] = []
+        self._pushed_at = float("-inf")
+        #: The routers as of the last look for those that are new or back.
+        self._looked_at: tuple[Member, ...] = ()
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoder = msgspec.msgpack.Decoder(EvidencePacket | TrialPacket)
+
+    def watch(self, digest: int) -> RequestWatch:
+        """Return the watch over one request; see CrashGuard."""
+        return Watch(self, digest) if digest else NO_WATCH
+
+    def is_quarantined(self, digest: int) -> bool:
+        """Return whether a request is not to be run for now."""
+        return self.suspects.is_quarantined(digest, self._state.clock())
+
+    async def run_was_cut(self, digest: int, target: Target) -> bool:
+        """Find out whether a run's engine ended, and tell everybody; see RequestWatch.
+
+        Goes on where the caller leaves meanwhile: a caller that gives up after each end would
+        otherwise leave no trace.
+        """
+        return await asyncio.shield(self._tasks.start(self._look_and_tell(digest, target)))
+
+    async def _look_and_tell(self, digest: int, target: Target) -> bool:
+        if not await self._has_ended(target):
+            return False
+        evidence = Evidence(digest, target.name, 0)
+        if self._take(evidence):
+            self._note(digest, "suspected", f"{target.name} ended while it ran it")
+            self._tell((evidence,))
+        return True
+
+    def run_was_whole(self, digest: int) -> None:
+        """Clear a request; see RequestWatch."""
+        found = self.suspects.acquit(digest, self._state.clock())
+        if found:
+            self._note(digest, "cleared", "it came through whole")
+            self._tell(found)
+
+    def since_last_end(self, digest: int) -> float:
+        """Return the seconds since an engine last ended under a suspected request."""
+        suspect = self.suspects.suspect_by_digest[digest]
+        return self._state.clock() - suspect.last_end
+
+    def claim(self, digest: int) -> Trial:
+        """Claim to be the one that runs a request next."""
+        trial = self._trials.claim(digest, self._state.clock())
+        self._send_all(TrialPacket(trial))
+        return trial
+
+    def goes_first(self, trial: Trial) -> bool:
+        """Return whether a claim's turn has come."""
+        now = self._state.clock()
+        return self._trials.goes_first(trial, now, self.suspects.fell_together)
+
+    def end(self, trial: Trial) -> None:
+        """Give a claim up."""
+        self._trials.ended(trial)
+        self._send_all(TrialPacket(trial, has_ended=True))
+
+    def receive(self, payload: bytes) -> None:
+        """Take in a packet, its mark left out; one that does not parse is dropped."""
+        try:
+            packet = self._decoder.decode(payload)
+        except (msgspec.DecodeError, ValueError):
+            return
+        if isinstance(packet, EvidencePacket):
+            for evidence in packet.evidence:
+                self._take(evidence)
+        elif packet.has_ended:
+            self._trials.ended(packet.trial)
+        else:
+            self._trials.heard(packet.trial, self._state.clock())
+
+    def tick(self) -> None:
+        """Do what is due each round."""
+        fresh, self._fresh = self._fresh, []
+        self._send_evidence(fresh, self._others())
+        self._tell_newcomers()
+        self._push()
+
+    def _take(self, evidence: Evidence) -> bool:
+        """Take in evidence, and record a verdict that follows from it."""
+        was_quarantined = self.is_quarantined(evidence.digest)
+        is_news = self.suspects.take(evidence, self._state.clock())
+        if is_news and not was_quarantined and self.is_quarantined(evidence.digest):
+            engines = self.suspects.suspect_by_digest[evidence.digest].held_against_it()
+            self._note(evidence.digest, "quarantined", f"ended {', '.join(engines)}")
+        return is_news
+
+    def _tell(self, evidence: tuple[Evidence, ...]) -> None:
+        self._fresh += evidence
+        self._send_evidence(evidence, self._others())
+
+    def _tell_newcomers(self) -> None:
+        """Tell routers that are new or back, where this one is among those that shall."""
+        members = self._state.members()
+        if members is self._looked_at:
+            return
+        known = {(each.name, each.incarnation) for each in self._looked_at}
+        self._looked_at = members
+        if not self.suspects.suspect_by_digest:
+            return
+        names = [each.name for each in members]
+        for member in self._others():
+            others = (name for name in names if name != member.name)
+            is_new = (member.name, member.incarnation) not in known
+            if is_new and self._state.name in ranked(f"tell:{member.name}", others, TELLERS):
+                self._send_evidence(self._all_evidence(), [member])
+
+    def _push(self) -> None:
+        """Tell one random router some of what is known."""
+        now = self._state.clock()
+        if now - self._pushed_at < PUSH_SECONDS:
+            return
+        self._pushed_at = now
+        others, evidence = self._others(), self._all_evidence()
+        if others and evidence:
+            some = self._rng.sample(evidence, min(EVIDENCE_IN_PACKET, len(evidence)))
+            self._send_evidence(some, [self._rng.choice(others)])
+
+    def _all_evidence(self) -> list[Evidence]:
+        return self.suspects.all_evidence(self._state.clock())
+
+    def _others(self) -> list[Member]:
+        return [each for each in self._state.members() if each.name != self._state.name]
+
+    def _send_evidence(self, evidence: Sequence[Evidence], to: list[Member]) -> None:
+        for some in _in_packets(evidence):
+            self._send_packet(EvidencePacket(some), to)
+
+    def _send_all(self, packet: TrialPacket) -> None:
+        self._send_packet(packet, self._others())
+
+    def _send_packet(self, packet: EvidencePacket | TrialPacket, to: list[Member]) -> None:
+        payload = CRASH_MARK + self._encoder.encode(packet)
+        self._send(Datagram(member.address, payload) for member in to)
+
+    def _note(self, digest: int, now: str, why: str) -> None:
+        self._records.note(Believed("request", f"{digest:x}", now, why=why))
+
+
+def _in_packets(evidence: Sequence[Evidence]) -> Iterator[tuple[Evidence, ...]]:
+    """Yield evidence in pieces that each fit into a packet."""
+    for at in range(0, len(evidence), EVIDENCE_IN_PACKET):
+        yield tuple(evidence[at : at + EVIDENCE_IN_PACKET])
--- a/pondhatch/router/_dump.py
+++ b/pondhatch/router/_dump.py
@@ -24,6 +24,8 @@
 SECTION_KIND = "dump section"
 #: Accounts shown in a dump, the busiest first.
 SHOWN_ACCOUNTS = 20
+#: Requests under which engines ended that are shown in a dump.
+SHOWN_SUSPECTS = 20
 #: Where Linux tells a process its memory, in pages.
 STATM = Path("/proc/self/statm")
 
@@ -167,6 +169,32 @@
         return {"orders": [msgspec.to_builtins(status) for status in statuses]}
 
 
+@REGISTRY.register(SECTION_KIND, "7-quarantine")
+class QuarantineSection(Plugin):
+    """The requests under which engines ended, those that are held back first."""
+
+    DEPENDENCIES = (RouterState,)
+
+    def content(self) -> Dump:
+        """Return the section's keys."""
+        state = self.view(RouterState)
+        now = state.clock()
+        known = state.suspects.suspect_by_digest.items()
+        shown = sorted(known, key=lambda item: (-state.suspects.ends(item[0]), -item[1].last_end))
+        return {
+            "requests_that_end_engines": [
+                {
+                    "digest": f"{digest:x}",
+                    "quarantined": state.suspects.is_quarantined(digest, now),
+                    "ended": suspect.held_against_it(),
+                    "cleared_of": sorted(suspect.cleared),
+                    "last_end_seconds_ago": round(now - suspect.last_end, 1),
+                }
+                for digest, suspect in shown[:SHOWN_SUSPECTS]
+            ]
+        }
+
+
 @REGISTRY.register(SECTION_KIND, "5-decisions")
 class DecisionsSection(Plugin):
     """The last requests: which engine took each, and why others were passed over."""
--- a/pondhatch/router/_state.py
+++ b/pondhatch/router/_state.py
@@ -29,6 +29,7 @@
     watchers,
 )
 from pondhatch.placement import Gate, Health, SpillMemory, ranked, winner
+from pondhatch.quarantine import Suspects
 from pondhatch.requests import DecisionNote, KeyHolder, KeyTable, LocalKeyHolder, Target
 from pondhatch.router._lag import Lag
 from pondhatch.router._limits import FleetLimits
@@ -71,6 +72,8 @@
     served: SpillMemory = field(default_factory=SpillMemory)
     keys: KeyTable = field(default_factory=KeyTable)
     health: Health = field(default_factory=Health)
+    #: Requests under which engines ended.
+    suspects: Suspects = field(default_factory=Suspects)
     limits: FleetLimits = field(init=False)
     retries: RetryBudgets = field(default_factory=RetryBudgets)
     #: Owned upstreams that said themselves that they are leaving.
--- a/pondhatch/transport/_serving.py
+++ b/pondhatch/transport/_serving.py
@@ -10,6 +10,7 @@
 from pondhatch.observing import RequestEnded, log_for
 from pondhatch.requests import (
     KEPT_BODY,
+    QUARANTINED,
     AnswerStream,
     BodySource,
     Broken,
@@ -198,7 +199,10 @@
             else:
                 ended = reply.refusal
                 self._answers.refuse(request, reply.refusal)
+            if isinstance(ended, Whole):
+                walk.note_whole()
         finally:
+            walk.close()
             spans.whole = time.monotonic() - started
             self._note(work, walk, ended, spans)
         return ended
@@ -277,11 +281,16 @@
                 passed_over=tuple(walk.plan.passed_over),
                 resumes=walk.resumes,
                 cut_at=tuple(walk.cut_at),
-                digest=f"{work.head.digest:x}" if walk.cut_at else "",
+                digest=f"{work.head.digest:x}" if _tells_digest(walk, outcome) else "",
             )
         )
 
 
+def _tells_digest(walk: Walk, outcome: str) -> bool:
+    """Return whether a request's other attempts are of interest to whoever reads its line."""
+    return bool(walk.cut_at) or outcome == QUARANTINED.code
+
+
 async def _end_keyed(keyed: KeyedRun, ended: Ended, copy: AnswerCopy) -> None:
     """Tell the key's holders what became of its request."""
     if isinstance(ended, NotRun):
