--- a/fakes/_machines_engine.py
+++ b/fakes/_machines_engine.py
@@ -4,8 +4,8 @@
 ``refuse`` (full, not run), ``cut`` (a stream that began here breaks in the middle),
 ``pause`` (it waits there), ``stall`` (an answer waits), ``cross`` (the answer of another
 request), ``fail`` (500 of its own), ``echo`` (an answer repeats what the router said). A
-request whose body is one of ``ENDING_BODIES`` ends the engine's process as it begins to run. A
-request that names a copy or a reservation which is not here is refused and not run.
+request whose body begins with one of ``ENDING_BODIES`` ends the engine's process as it begins
+to run. A request that names a copy or a reservation which is not here is refused and not run.
 """
 
 from __future__ import annotations
@@ -110,7 +110,7 @@
             request.setHeader("Content-Type", "text/event-stream")
             request.write(b"id: ")
             await asyncio.sleep(END_AFTER)
-        if body in ENDING_BODIES:
+        if body.startswith(ENDING_BODIES):
             os._exit(1)
 
     async def _stream(self, request: Any, run: dict[str, Any], gone: asyncio.Event) -> str:
--- a/fakes/_machines_fleet.py
+++ b/fakes/_machines_fleet.py
@@ -57,6 +57,8 @@
     clients: str
     ready: str
     metrics: str
+    #: "IP:port".
+    admin: str
     process: Popen[bytes]
 
     def is_ready(self) -> bool:
@@ -125,6 +127,7 @@
             f"http://{HOST}:{ports.clients}",
             f"http://{HOST}:{ports.ready}",
             f"http://{HOST}:{ports.metrics}/metrics",
+            f"{HOST}:{ports.admin}",
             self._start("pondhatch", "run", str(path)),
         )
         self.machines.append(router)
--- a/fakes/tests/test_crashing_requests.py
+++ b/fakes/tests/test_crashing_requests.py
@@ -14,11 +14,12 @@
 
 import itertools
 import time
+from typing import Any
 
-from fakes._local_fleet import Backend
+from fakes._local_fleet import Backend, fetch
 from fakes._machines_engine import ENDS_AFTER_HEAD, ENDS_AT_ONCE
-from fakes._machines_fleet import HALLS
-from fakes.tests.test_prepared_machines import WHOLE_STREAM, MachinesCase
+from fakes._machines_fleet import HALLS, eventually
+from fakes.tests.test_prepared_machines import WHOLE_STREAM, Answer, MachinesCase
 
 #: Engines that one request may end before it is held back, the users' aim.
 MOST_ENDED = 3
@@ -56,7 +57,11 @@
     def has_ended(self, engine: Backend) -> bool:
         return engine.process.poll() is not None
 
-    def assert_ends_no_more_than_three(self, body: bytes) -> None:
+    def repeat(self, body: bytes) -> tuple[int, Answer, float]:
+        """Send a request again and again, to each router in turn.
+
+        Returns how many engines ended, the last answer and the seconds until it.
+        """
         ended = 0
         for at in range(ATTEMPTS):
             router = self.fleet.machines[at % len(self.fleet.machines)]
@@ -64,6 +69,10 @@
             answer = self.ask(router, "/notes/a", body)
             took = time.monotonic() - began
             ended += self.replace_ended()
+        return ended, answer, took
+
+    def assert_ends_no_more_than_three(self, body: bytes) -> None:
+        ended, answer, took = self.repeat(body)
         with self.subTest("engines that ended"):
             self.assertLessEqual(ended, MOST_ENDED)
         with self.subTest("what its caller hears at last"):
@@ -83,3 +92,24 @@
     def test_a_request_that_ends_engines_as_they_answer_ends_three(self) -> None:
         self.assert_ends_no_more_than_three(ENDS_AFTER_HEAD)
         self.assert_others_are_served()
+
+    def test_an_operator_sees_what_is_held_back_and_lifts_it_at_every_router(self) -> None:
+        body = ENDS_AT_ONCE + b" until an operator says otherwise"
+        self.repeat(body)
+        one, other = (each.admin for each in self.fleet.machines)
+        held = min(self.held_back(one), key=lambda each: each["last_end_seconds_ago"])
+        self.assertTrue(held["quarantined"])
+        self.assertEqual(len(held["ended"]), MOST_ENDED)
+        self.assertEqual(self.fleet.pondhatch("lift", "abc", "--admin", one).returncode, 1)
+        lifted = self.fleet.pondhatch("lift", held["digest"], "--admin", one)
+        self.assertEqual(lifted.returncode, 0, lifted.stderr)
+        eventually(lambda: held["digest"] not in self.quarantined(other), 5)
+
+    def quarantined(self, admin: str) -> set[str]:
+        return {each["digest"] for each in self.held_back(admin) if each["quarantined"]}
+
+    def held_back(self, admin: str) -> list[dict[str, Any]]:
+        found: list[dict[str, Any]] = fetch(f"http://{admin}/state.json")[
+            "requests_that_end_engines"
+        ]
+        return found
--- a/pondhatch/cli/_router_commands.py
+++ b/pondhatch/cli/_router_commands.py
@@ -7,9 +7,10 @@
 import msgspec
 
 from pondhatch.cli._event_loop import run_on_reactor
-from pondhatch.cli._reports import EXIT_DONE, EXIT_UNREACHABLE
+from pondhatch.cli._reports import EXIT_DONE, EXIT_INPUT, EXIT_UNREACHABLE
 from pondhatch.kernel import as_future, install_reactor
 
+OK = 200
 #: Seconds to wait for a router's admin port.
 ADMIN_SECONDS = 5
 
@@ -41,19 +42,49 @@
     return EXIT_DONE
 
 
+def lift(digest: str, *, admin: str) -> int:
+    """Let a request run again that is held back since engines ended under it, at all routers.
+
+    :param digest: the request's digest, as the dump and the routers' lines show it
+    :param admin: any router's admin address, as "IP:port"
+    """
+    answer = _call_router(admin, "POST", f"lift/{digest}")
+    if answer is None:
+        return EXIT_UNREACHABLE
+    if answer.status != OK:
+        print(f"nothing is held against a request {digest}", file=sys.stderr)
+        return EXIT_INPUT
+    print(f"{digest} may run again")
+    return EXIT_DONE
+
+
 def _ask_router(admin: str, path: str) -> bytes | None:
     """Return a page of a router's admin port, or None where it cannot be reached."""
+    answer = _call_router(admin, "GET", path)
+    return answer.content if answer is not None else None
+
+
+class _AdminAnswer(msgspec.Struct, frozen=True):
+    """What a router's admin port answered."""
+
+    status: int
+    content: bytes
+
+
+def _call_router(admin: str, method: str, path: str) -> _AdminAnswer | None:
+    """Return what a router's admin port answers, or None where it cannot be reached."""
     install_reactor()
 
-    async def work() -> bytes | None:
+    async def work() -> _AdminAnswer | None:
         import treq
 
+        url = f"http://{admin}/{path}"
         try:
-            response = await as_future(treq.get(f"http://{admin}/{path}", timeout=ADMIN_SECONDS))
+            response = await as_future(treq.request(method, url, timeout=ADMIN_SECONDS))
             content: bytes = await as_future(response.content())
         except Exception as error:
             print(f"cannot reach {admin}: {error}", file=sys.stderr)
             return None
-        return content
+        return _AdminAnswer(response.code, content)
 
     return run_on_reactor(work())
--- a/pondhatch/cli/_router_process.py
+++ b/pondhatch/cli/_router_process.py
@@ -178,6 +178,7 @@
             peer_tls=self._peer_tls,
             gossip_port=self._gossip_port,
             authority=self._authority,
+            crash_guarding=self._crash_guarding,
             figures=self._figures,
             callers=self._callers,
             limits=lambda: self._settings.limits,
--- a/pondhatch/router/_crash_guarding.py
+++ b/pondhatch/router/_crash_guarding.py
@@ -148,10 +148,18 @@
 
     def run_was_whole(self, digest: int) -> None:
         """Clear a request; see RequestWatch."""
+        self._clear(digest, "it came through whole")
+
+    def lift(self, digest: int) -> bool:
+        """Let a request run again at all routers; return whether anything was held against it."""
+        return self._clear(digest, "an operator lifted its quarantine")
+
+    def _clear(self, digest: int, why: str) -> bool:
         found = self.suspects.acquit(digest, self._state.clock())
         if found:
-            self._note(digest, "cleared", "it came through whole")
+            self._note(digest, "cleared", why)
             self._tell(found)
+        return bool(found)
 
     def since_last_end(self, digest: int) -> float:
         """Return the seconds since an engine last ended under a suspected request."""
--- a/pondhatch/transport/_admin.py
+++ b/pondhatch/transport/_admin.py
@@ -1,4 +1,4 @@
-"""Serves the state dump, as text and as JSON."""
+"""Serves the state dump, as text and as JSON, and lifts a request's quarantine."""
 
 from __future__ import annotations
 
@@ -12,6 +12,9 @@
 from pondhatch.router import Authority, Dump, RouterState, dump_state
 
 NOT_FOUND = 404
+METHOD_NOT_ALLOWED = 405
+#: Path of the call that lets a quarantined request run again; its digest in hex follows.
+LIFT_PATH = b"/lift/"
 
 
 def readable(dump: Dump) -> str:
@@ -38,12 +41,19 @@
 
 
 class Admin(Resource):
-    """Serves the dump; to be bound where only operators reach it."""
+    """Serves operators; to be bound where only they reach it."""
 
     isLeaf = True
 
-    def __init__(self, state: RouterState, authority: Authority, extra: Callable[[], Dump]) -> None:
+    def __init__(
+        self,
+        state: RouterState,
+        authority: Authority,
+        extra: Callable[[], Dump],
+        lift: Callable[[int], bool],
+    ) -> None:
         super().__init__()  # type: ignore[no-untyped-call]
+        self._lift = lift
         self._state = state
         self._authority = authority
         self._extra = extra
@@ -56,8 +66,23 @@
         if request.path == b"/state":
             request.setHeader(b"Content-Type", b"text/plain; charset=utf-8")
             return readable(self._dump()).encode()
+        if request.path.startswith(LIFT_PATH):
+            return self._answer_lift(request)
         request.setResponseCode(NOT_FOUND)
         return b""
 
+    def _answer_lift(self, request: Any) -> bytes:
+        """Lift a quarantine; 404 where nothing is held against the request, or it is none."""
+        if request.method != b"POST":
+            request.setResponseCode(METHOD_NOT_ALLOWED)
+            return b""
+        try:
+            digest = int(request.path.removeprefix(LIFT_PATH), 16)
+        except ValueError:
+            digest = 0
+        if not self._lift(digest):
+            request.setResponseCode(NOT_FOUND)
+        return b""
+
     def _dump(self) -> Dump:
         return dump_state(self._state, self._authority, self._extra())
