Count each end of an engine that starts again under its name, and take no context over under suspicion

Where a platform does not tell one start of an engine from the next, the second end of an engine passed for the first told once more, so a service of one or two engines could be ended for ever; ends are numbered now, from two seconds after the one before. And an engine that ends as it takes a context over would have had the request convicted: after the first end it is read anew, runs, and is cleared.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -20,6 +20,7 @@
 from bench._measures import Measure
 from bench._memory import measure_memory
 from bench._placement import measure_placement
+from bench._quarantine import measure_quarantine
 from bench._relay import measure_relay
 from bench._retries import measure_retries
 from bench._surge import measure_surge
@@ -33,6 +34,7 @@
     "placement": measure_placement,
     "retries": measure_retries,
     "surge": measure_surge,
+    "quarantine": measure_quarantine,
     "gone": measure_gone,
     "authority": measure_authority,
     "gossip": measure_gossip,
--- /dev/null
+++ b/bench/_quarantine.py
@@ -0,0 +1,68 @@
+"""What watching for requests that end engines costs every request, and what each end costs."""
+
+from __future__ import annotations
+
+import time
+import tracemalloc
+from collections.abc import Callable, Iterator
+
+import msgspec
+
+from bench._measures import Measure
+from pondhatch.quarantine import MOST_SUSPECTS, Evidence, EvidencePacket, Suspects
+from pondhatch.requests import digest_of
+
+ROUNDS = 20_000
+#: Requests that one engine runs as it ends, the most of the users' engines.
+FALLEN = 64
+#: Bytes of a body: a prompt of 10,000 tokens is some four times as long, most are shorter.
+BODY = b"x" * 10_240
+#: Bytes of a packet's mark and seal, IP and UDP.
+HEADERS = 1 + 8 + 28
+#: A digest that nothing is known of.
+UNKNOWN = 2**63
+
+
+def _microseconds(work: Callable[[], object]) -> float:
+    began = time.perf_counter()
+    for _ in range(ROUNDS):
+        work()
+    return (time.perf_counter() - began) / ROUNDS * 1e6
+
+
+def _full() -> Suspects:
+    """Return what a router holds at the most: engine after engine ended under 64 requests."""
+    suspects = Suspects()
+    for at in range(MOST_SUSPECTS):
+        suspects.take(Evidence(at, f"i-{at // FALLEN:010x}", 0), 0.0)
+    for engine in range(3):
+        suspects.take(Evidence(0, f"i-{engine:010x}", 0), 0.0)
+    return suspects
+
+
+def measure_quarantine() -> Iterator[Measure]:
+    """Measure the digest, the question before each send, memory and bytes."""
+    yield Measure(
+        "digest of a request, 10 KB",
+        _microseconds(lambda: digest_of("a", "POST", "/a/b", BODY)),
+        "us",
+    )
+    tracemalloc.start()
+    suspects = _full()
+    held, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    yield Measure(
+        "question before a send, not suspected",
+        _microseconds(lambda: suspects.is_suspected(UNKNOWN)),
+        "us",
+    )
+    yield Measure(
+        "question before a send, suspected",
+        _microseconds(lambda: suspects.is_quarantined(1, 0.0)),
+        "us",
+    )
+    yield Measure("memory of 4,096 suspects", held / 1e6, "MB")
+    one = EvidencePacket((Evidence(UNKNOWN, "i-2263e1fdea~1778825992599", 0),))
+    yield Measure(
+        "bytes of one end told to one router", len(msgspec.msgpack.encode(one)) + HEADERS, "B"
+    )
--- a/pondhatch/quarantine/_evidence.py
+++ b/pondhatch/quarantine/_evidence.py
@@ -10,7 +10,7 @@
 
     #: Of the request, alike in all attempts at it.
     digest: int
-    #: The engine, by a name that no other start of it has.
+    #: The engine, by a name that no other end of it has.
     engine: str
     #: Milliseconds since it ended; routers' clocks differ, ages hardly do.
     age_ms: int
--- a/pondhatch/quarantine/tests/test_suspects.py
+++ b/pondhatch/quarantine/tests/test_suspects.py
@@ -75,6 +75,29 @@
         self.assertFalse(suspects.fell_together(CAUSE, OTHER))
 
 
+class NamesOfEndsTest(unittest.TestCase):
+    """Where a platform does not tell one start of an engine from the next."""
+
+    def test_an_engine_that_ends_once_more_under_its_name_counts_once_more(self) -> None:
+        suspects = Suspects()
+        for at, quarantined in ((0.0, False), (5.0, False), (10.0, True)):
+            name = suspects.name_of_end("a", at)
+            suspects.take(Evidence(CAUSE, name, 0), at)
+            self.assertEqual(suspects.is_quarantined(CAUSE, at), quarantined)
+
+    def test_all_that_fell_at_one_end_name_it_alike(self) -> None:
+        suspects = taken(ended(CAUSE, "a"))
+        suspects.take(Evidence(CAUSE, suspects.name_of_end("a", 5.0), 0), 5.0)
+        self.assertEqual(suspects.name_of_end("a", 5.5), "a#2")
+        suspects.take(Evidence(OTHER, "a#2", 0), 5.5)
+        self.assertTrue(suspects.fell_together(CAUSE, OTHER))
+
+    def test_what_is_forgotten_leaves_nothing_behind(self) -> None:
+        suspects = taken(ended(CAUSE, "a", "b"))
+        suspects.take(Evidence(OTHER, "c", 0), KEEP_SECONDS)
+        self.assertEqual(list(suspects._last_end_by_engine), ["c"])
+
+
 class ForgettingTest(unittest.TestCase):
     def test_after_a_while_one_run_at_a_time_may_try_it(self) -> None:
         suspects = taken(ended(CAUSE, "a", "b", "c"))
@@ -103,7 +126,7 @@
         self.assertEqual(len(suspects.suspect_by_digest), MOST_SUSPECTS)
         self.assertTrue(suspects.is_quarantined(CAUSE, 1.0))
         self.assertNotIn(100, suspects.suspect_by_digest)
-        self.assertEqual(len(suspects._digests_by_engine), MOST_SUSPECTS - 1 + 3)
+        self.assertEqual(len(suspects._suspects_by_end), MOST_SUSPECTS - 1 + 3)
 
 
 class MergeTest(unittest.TestCase):
--- a/pondhatch/requests/_crash_guard.py
+++ b/pondhatch/requests/_crash_guard.py
@@ -27,6 +27,9 @@
     def is_quarantined(self) -> bool:
         """Return whether it is known by now to end the engines that run it."""
 
+    def is_suspected(self) -> bool:
+        """Return whether an engine ended under it, and nothing has cleared it of that."""
+
     async def run_was_cut(self, target: Target) -> bool:
         """Note that a run lost its connection; return whether its engine has ended."""
 
@@ -55,6 +58,10 @@
         """Return False."""
         return False
 
+    def is_suspected(self) -> bool:
+        """Return False."""
+        return False
+
     async def run_was_cut(self, target: Target) -> bool:
         """Return False."""
         return False
--- a/pondhatch/requests/_digest.py
+++ b/pondhatch/requests/_digest.py
@@ -13,7 +13,7 @@
 
     Ids, deadlines and the router asked differ from one attempt to the next; these do not. A
     cryptographic digest, so that no account can make a request that passes for another's. Costs
-    1 us, and 1 us more for each KB of the body.
+    3 us for each KB of the body on a busy machine (``python -m bench quarantine``).
     """
     digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
     for field in (account.encode(), method.encode(), path.encode()):
--- a/pondhatch/requests/_tries.py
+++ b/pondhatch/requests/_tries.py
@@ -121,6 +121,10 @@
         """
         if not (target.shares_context and head.chat and head.returning):
             return ""
+        if self._watch.is_suspected():
+            # The context taken over may be what the last engine ended of, not the request:
+            # read anew, it runs, and is cleared.
+            return ""
         last = self._view.last_served(head.chat)
         if last == target.name:
             return ""
--- /dev/null
+++ b/pondhatch/requests/tests/test_crash_watch.py
@@ -0,0 +1,184 @@
+"""What a walk does with a request under which engines end."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from collections.abc import Callable
+from typing import Any
+from unittest.mock import patch
+
+from msgspec.structs import replace
+
+from fakes._virtual_loop import run_virtually
+from pondhatch.limits import RetryBudget
+from pondhatch.requests import (
+    QUARANTINED,
+    Broken,
+    Delivery,
+    NotRun,
+    Opened,
+    Placed,
+    Refusal,
+    Refused,
+    ReplayableBody,
+    RequestHead,
+    Target,
+    Unknown,
+    Walk,
+    Ways,
+)
+from pondhatch.requests.tests._history import Fleet, Sink, Stream, answer_of
+
+CUT = Unknown("upstream-lost", "reset", was_cut=True)
+
+
+class ScriptedWatch:
+    """Convicts a request after so many ends; see RequestWatch."""
+
+    def __init__(self, ends_left: int) -> None:
+        self.ends_left = ends_left
+        self.suspected = False
+        #: Engines that ended, in order.
+        self.cut: list[str] = []
+        self.whole = False
+
+    async def held_back(self, remaining: Callable[[], float]) -> Refusal | None:
+        return QUARANTINED if self.is_quarantined() else None
+
+    def is_quarantined(self) -> bool:
+        return self.ends_left <= 0
+
+    def is_suspected(self) -> bool:
+        return self.suspected
+
+    async def run_was_cut(self, target: Target) -> bool:
+        self.cut.append(target.name)
+        self.ends_left -= 1
+        return True
+
+    def run_was_whole(self) -> None:
+        self.whole = True
+
+    def close(self) -> None:
+        """Do nothing."""
+
+
+class Guard:
+    """Gives the one watch out; see CrashGuard."""
+
+    def __init__(self, watch: ScriptedWatch) -> None:
+        self._watch = watch
+
+    def watch(self, digest: int) -> ScriptedWatch:
+        return self._watch
+
+
+class WalkCase(unittest.TestCase):
+    def walk(self, fleet: Fleet, watch: ScriptedWatch, repeatable: bool = True) -> Walk:
+        router = fleet.routers["r0"]
+        head = RequestHead("q0", "a", "s", 7, "POST", "/", (), repeatable, 10.0, 5, digest=1)
+        ways = Ways(router.entry, fleet.upstreams, Guard(watch))
+        return Walk(router.view, ways, RetryBudget(), head, ReplayableBody(b""), lambda: 10.0)
+
+    def run_with(self, watch: ScriptedWatch, *replies: Any, repeatable: bool = True) -> Any:
+        """Return how a walk ends whose sends end so, and to how many engines it was sent."""
+
+        async def main() -> tuple[Placed | Refused, int]:
+            fleet = Fleet([], [], False)
+            left = list(replies)
+            sent: list[str] = []
+
+            async def send(target: Target, *_: Any) -> Any:
+                sent.append(target.name)
+                return left.pop(0)
+
+            with patch.object(fleet.upstreams, "send", send):
+                ended = await self.walk(fleet, watch, repeatable).run()
+            await asyncio.sleep(1.0)
+            held = [len(router.entry.held_by_number) for router in fleet.routers.values()]
+            self.assertEqual(held, [0, 0, 0])
+            return ended, len(sent)
+
+        return run_virtually(main())
+
+
+class ConvictedRequestTest(WalkCase):
+    def test_it_is_sent_nowhere_and_its_caller_hears_that_it_has_run(self) -> None:
+        self.assertEqual(self.run_with(ScriptedWatch(0)), (Refused(QUARANTINED), 0))
+        self.assertNotIsInstance(QUARANTINED, NotRun)
+        self.assertEqual(QUARANTINED.status, 400)
+
+    def test_the_end_that_convicts_it_is_its_last(self) -> None:
+        watch = ScriptedWatch(2)
+        self.assertEqual(self.run_with(watch, CUT, CUT), (Refused(QUARANTINED), 2))
+        self.assertEqual(len(watch.cut), 2)
+
+    def test_one_that_may_not_be_repeated_hears_the_final_word_too(self) -> None:
+        found = self.run_with(ScriptedWatch(1), CUT, repeatable=False)
+        self.assertEqual(found, (Refused(QUARANTINED), 1))
+
+    def test_a_word_that_comes_while_it_waits_for_a_grant_stops_it(self) -> None:
+        class Late(ScriptedWatch):
+            async def held_back(self, remaining: Callable[[], float]) -> Refusal | None:
+                self.ends_left = 0
+                return None
+
+        self.assertEqual(self.run_with(Late(1)), (Refused(QUARANTINED), 0))
+
+    def test_an_answer_that_broke_before_its_first_part_ends_as_a_refusal(self) -> None:
+        async def main() -> None:
+            fleet = Fleet([], [], False)
+            walk = self.walk(fleet, ScriptedWatch(1))
+            placed = await walk.run()
+            assert isinstance(placed, Placed)
+            placed.reply.answer.cancel()
+            broken = Stream(answer_of("q0"), 0, False, lambda: None)
+            with patch.object(broken, "_part", self.lose):
+                placed = replace(placed, reply=Opened(broken))
+                ended = await Delivery(walk, placed, Sink(lambda _: None)).run()
+            self.assertEqual(ended.outcome, QUARANTINED)
+
+        run_virtually(main())
+
+    async def lose(self) -> bytes:
+        from pondhatch.requests import Lost
+
+        raise Lost(Broken("answer-broken", "reset", was_cut=True))
+
+
+class EvidenceTest(WalkCase):
+    def test_what_this_router_gave_up_is_no_evidence(self) -> None:
+        watch = ScriptedWatch(3)
+        self.run_with(watch, replace(CUT, was_cut=False), repeatable=False)
+        self.assertEqual(watch.cut, [])
+
+    def test_an_engine_that_leaves_ends_as_planned(self) -> None:
+        async def main() -> None:
+            fleet = Fleet([], [], False)
+            watch = ScriptedWatch(3)
+            walk = self.walk(fleet, watch)
+            fleet.known_leaving.add("e0")
+            await walk.note_cut("e0", CUT)
+            await walk.note_cut("e9", CUT)
+            self.assertEqual(watch.cut, [])
+            await walk.note_cut("e1", CUT)
+            self.assertEqual(watch.cut, ["e1"])
+
+        run_virtually(main())
+
+    def test_a_suspected_request_takes_no_context_over(self) -> None:
+        async def main() -> None:
+            fleet = Fleet([], [], False)
+            watch = ScriptedWatch(3)
+            tries = self.walk(fleet, watch)._tries
+            tries.context_at = "e1"
+            target = Target("e0", "", True, 1.5, 3, 8, shares_context=True)
+            head = RequestHead("q", "a", "s", 7, "POST", "/", (), True, 9.0, 5, returning=True)
+            holder = replace(target, name="e1", url="http://10.0.0.2:80")
+            with patch.object(tries._view, "target", lambda _: holder):
+                self.assertEqual(tries._context_source(target, head), "10.0.0.2:80")
+                watch.suspected = True
+                self.assertEqual(tries._context_source(target, head), "")
+
+        run_virtually(main())
--- a/pondhatch/router/_crash_guarding.py
+++ b/pondhatch/router/_crash_guarding.py
@@ -52,7 +52,7 @@
 
     async def held_back(self, remaining: Callable[[], float]) -> Refusal | None:
         """Return why the request may not be sent now; see RequestWatch."""
-        if not self._guard.suspects.ends(self._digest):
+        if not self.is_suspected():
             return None
         # Two copies that ended an engine each in the same moment learn here that they are two.
         await asyncio.sleep(LISTEN_SECONDS - self._guard.since_last_end(self._digest))
@@ -78,6 +78,10 @@
         """Return whether it is known to end engines; see RequestWatch."""
         return self._guard.is_quarantined(self._digest)
 
+    def is_suspected(self) -> bool:
+        """Return whether an engine's end is held against it; see RequestWatch."""
+        return self._guard.suspects.is_suspected(self._digest)
+
     async def run_was_cut(self, target: Target) -> bool:
         """Note that a run lost its connection; see RequestWatch."""
         return await self._guard.run_was_cut(self._digest, target)
@@ -140,9 +144,10 @@
     async def _look_and_tell(self, digest: int, target: Target) -> bool:
         if not await self._has_ended(target):
             return False
-        evidence = Evidence(digest, target.name, 0)
+        name = self.suspects.name_of_end(target.name, self._state.clock())
+        evidence = Evidence(digest, name, 0)
         if self._take(evidence):
-            self._note(digest, "suspected", f"{target.name} ended while it ran it")
+            self._note(digest, "suspected", f"{name} ended while it ran it")
             self._tell((evidence,))
         return True
 
@@ -230,7 +235,8 @@
             others = (name for name in names if name != member.name)
             is_new = (member.name, member.incarnation) not in known
             if is_new and self._state.name in ranked(f"tell:{member.name}", others, TELLERS):
-                self._send_evidence(self._all_evidence(), [member])
+                evidence = self.suspects.all_evidence(self._state.clock())
+                self._send_evidence(evidence, [member])
 
     def _push(self) -> None:
         """Tell one random router some of what is known."""
@@ -238,13 +244,10 @@
         if now - self._pushed_at < PUSH_SECONDS:
             return
         self._pushed_at = now
-        others, evidence = self._others(), self._all_evidence()
+        others = self._others()
+        evidence = self.suspects.some_evidence(now, self._rng, EVIDENCE_IN_PACKET)
         if others and evidence:
-            some = self._rng.sample(evidence, min(EVIDENCE_IN_PACKET, len(evidence)))
-            self._send_evidence(some, [self._rng.choice(others)])
-
-    def _all_evidence(self) -> list[Evidence]:
-        return self.suspects.all_evidence(self._state.clock())
+            self._send_evidence(evidence, [self._rng.choice(others)])
 
     def _others(self) -> list[Member]:
         return [each for each in self._state.members() if each.name != self._state.name]
