Have the stand-in store come back from an older copy: what is written after it does not count

An engine that changed between the copy and the return, and leaves after it, gets work 4 s later still; a router that does not watch hears of no engine that comes after the drill. The configuration does not go back: its versions are the operator's own.

--- a/fakes/_machines_store.py
+++ b/fakes/_machines_store.py
@@ -1,12 +1,15 @@
 """The prepared machines' store: objects by kind and name, conditional writes, waiting watches.
 
 Faults: ``outage`` (503 for a time), ``lost-answer`` (the write is done, its answer is lost),
-``compact`` (forget the changes so far).
+``compact`` (forget the changes so far), ``copy`` (keep a copy of all there is), ``restore`` (away
+for a time, then back from that copy: what was written since is gone, revisions are given out
+again, and the era in each answer is one higher).
 """
 
 from __future__ import annotations
 
 import asyncio
+import copy
 import json
 import time
 from dataclasses import dataclass, field
@@ -18,6 +21,8 @@
 from fakes._faults import Faults
 from pondhatch.kernel import as_deferred
 
+#: Header of every answer: how often the store came back from a copy.
+ERA_HEADER = "Store-Era"
 #: Seconds between looks of a waiting watch.
 WATCH_STEP = 0.01
 
@@ -34,6 +39,12 @@
     events: list[tuple[str, int, bool, Object]] = field(default_factory=list)
     #: Changes up to this revision are forgotten.
     compacted: int = 0
+    era: int = 1
+
+    def restored(self, era: int) -> MachinesStore:
+        """Return what stands once the store is back from this copy."""
+        objects = copy.deepcopy(self.object_by_key)
+        return MachinesStore(self.revision, objects, [], self.revision, era)
 
     def write(self, kind: str, name: str, spec: Any, made: int | None = None) -> Object:
         """Set an object."""
@@ -65,6 +76,9 @@
         self.app = Klein()
         self.calls = 0
         self._outage_until = 0.0
+        self._copy: MachinesStore | None = None
+        #: What is back once the outage is over.
+        self._restored: MachinesStore | None = None
         self._route()
 
     def _route(self) -> None:
@@ -89,11 +103,24 @@
         if self.faults.strike("compact"):
             self.store.compacted = self.store.revision
             self.store.events.clear()
+        self._drill()
+        request.setHeader(ERA_HEADER, str(self.store.era))
         if time.monotonic() < self._outage_until:
             request.setResponseCode(503)
             return True
         return False
 
+    def _drill(self) -> None:
+        """Take a copy, or come back from it."""
+        if self.faults.strike("copy"):
+            self._copy = copy.deepcopy(self.store)
+        fault = self.faults.strike("restore")
+        if fault is not None and self._copy is not None:
+            self._outage_until = time.monotonic() + fault.seconds
+            self._restored = self._copy.restored(self.store.era + 1)
+        if self._restored is not None and time.monotonic() >= self._outage_until:
+            self.store, self._restored = self._restored, None
+
     async def _collection(self, request: Any, kind: str) -> bytes:
         if self._out(request):
             return b""
@@ -107,11 +134,12 @@
 
     async def _watch(self, request: Any, kind: str) -> bytes:
         since = int(request.args[b"Watch"][0])
+        watched = self.store
         until = time.monotonic() + int(request.args[b"WaitMs"][0]) / 1000
-        if since < self.store.compacted:
+        if since < self.store.compacted or since > self.store.revision:
             request.setResponseCode(410)
             return b""
-        while time.monotonic() < min(until, max(self._outage_until, until)):
+        while time.monotonic() < until and watched is self.store:
             events = [
                 {"Deleted": removal, "Object": found}
                 for of, revision, removal, found in self.store.events
