Look again whether an engine ended, since its port closes after its connections

Cause: a process that ends closes its connections before its port, and on a busy machine others run in between. The one look found the port open, and took the end for a cut connection.

What a later look finds is told as ever.

--- a/pondhatch/router/_crash_guarding.py
+++ b/pondhatch/router/_crash_guarding.py
@@ -34,6 +34,13 @@
 #: Seconds for which a router listens for what others see in the same moment, before it runs a
 #: request anew under which an engine has just ended: packets take less, between regions too.
 LISTEN_SECONDS = 0.05
+#: Seconds before each look whether an engine listens, once a run at it was cut. A process that
+#: ends closes its connections before its port, and on a busy VM others run in between, for up
+#: to tens of milliseconds; so one look that finds the port open says little.
+FIRST_LOOKS = (0.0, 0.02)
+LATER_LOOKS = (0.1, 0.4)
+#: Seconds that a request waits for the first looks at most.
+WAIT_SECONDS = 0.1
 #: Seconds between two looks whether a claim's turn has come.
 LOOK_SECONDS = 0.02
 
@@ -137,19 +144,31 @@
         """Find out whether a run's engine ended, and tell everybody; see RequestWatch.
 
         Goes on where the caller leaves meanwhile: a caller that gives up after each end would
-        otherwise leave no trace.
+        otherwise leave no trace. The request waits for the first looks alone.
         """
-        return await asyncio.shield(self._tasks.start(self._look_and_tell(digest, target)))
-
-    async def _look_and_tell(self, digest: int, target: Target) -> bool:
-        if not await self._has_ended(target):
-            return False
+        looking = self._tasks.start(self._look_and_tell(digest, target, FIRST_LOOKS))
+        try:
+            has_ended = await asyncio.wait_for(asyncio.shield(looking), WAIT_SECONDS)
+        except TimeoutError:
+            has_ended = False
+        if not has_ended:
+            self._tasks.start(self._look_and_tell(digest, target, LATER_LOOKS))
+        return has_ended
+
+    async def _look_and_tell(self, digest: int, target: Target, pauses: tuple[float, ...]) -> bool:
+        for pause in pauses:
+            await asyncio.sleep(pause)
+            if await self._has_ended(target):
+                self._note_end(digest, target)
+                return True
+        return False
+
+    def _note_end(self, digest: int, target: Target) -> None:
         name = self.suspects.name_of_end(target.name, self._state.clock())
         evidence = Evidence(digest, name, 0)
         if self._take(evidence):
             self._note(digest, "suspected", f"{name} ended while it ran it")
             self._tell((evidence,))
-        return True
 
     def run_was_whole(self, digest: int) -> None:
         """Clear a request; see RequestWatch."""
