Order what the store says by how often it came back from a copy, then by its revision

What callers would see after a drill: an engine that had changed since the copy goes on getting work after it says that it leaves, and routers that do not watch hear of no engine that comes, until the revisions have caught up.

Cause: "newer" was the higher revision, and a store that comes back from a copy gives revisions out again.

Change: a position is an era and a revision in one ordered number, made where an answer is read. An answer of an era that is over says nothing; watches and listings across the change begin anew; a condition of an era that is over is a conflict. While an era settles, 3 s, who only does not stand in the copy stays, and who was known to leave or gone is not taken back. Routers write their own entries and the fleet's key again, spread over 2 s.

Ruled out: the configuration, whose versions are the operator's own; a watch from a revision that is not there, which gets 410 already. Open: leases, and the log of changes of our own commands; both only with the other interface.

--- a/pondhatch/cli/_router_process.py
+++ b/pondhatch/cli/_router_process.py
@@ -40,6 +40,7 @@
     CrashGuarding,
     Granting,
     Introduction,
+    Restoring,
     Starting,
     Sync,
 )
@@ -80,7 +81,15 @@
         self._granting = Granting(self.state, self._gossip_port.send, self._tasks, time.time_ns())
         self._spreading = Spreading(self.state, self._gossip_port, self._tasks)
         self._platform = parts.platform
+        self._introduction = self._new_introduction()
         self._sync = self._new_sync()
+        self._restoring = Restoring(
+            self.state,
+            self._platform,
+            self._introduction,
+            self._rng,
+            fleet_key if parts.is_key_agreed else None,
+        )
         self._authority = Authority(self.state, self._platform, self._interface.orders, self._rng)
         served = ServedMetrics(settings.name)
         self._metrics = metrics_of(settings, served)
@@ -125,6 +134,7 @@
     def _start_tasks(self) -> None:
         self._tasks.start(self._new_rounds().run())
         self._tasks.start(self._sync.run())
+        self._tasks.start(self._restoring.run())
         polling = self._interface.poll_loads(self.state)
         if polling is not None:
             self._tasks.start(polling)
@@ -146,7 +156,7 @@
             self._pull,
             self._spreading.spread,
             self._rng,
-            self._new_introduction(),
+            self._introduction,
         )
 
     def _new_introduction(self) -> Introduction:
--- a/pondhatch/cli/_surroundings.py
+++ b/pondhatch/cli/_surroundings.py
@@ -30,6 +30,8 @@
     platform: Platform
     client: HttpClient
     fleet_key: bytes
+    #: Whether the key lies at the platform, where the fleet agreed on it, and nowhere else.
+    is_key_agreed: bool
 
 
 async def surroundings_of(settings: Settings, reactor: Any) -> Surroundings:
@@ -37,7 +39,9 @@
     client = HttpClient(reactor)
     interface = _interface(settings, client)
     platform = interface.store(settings.platform)
-    return Surroundings(interface, platform, client, await _fleet_key(settings, platform))
+    given = load_fleet_key(settings)
+    key = given if given is not None else await _agreed_key(platform)
+    return Surroundings(interface, platform, client, key, given is None)
 
 
 def _interface(settings: Settings, client: HttpClient) -> Interface:
@@ -48,9 +52,6 @@
     return cast(Interface, REGISTRY.build(INTERFACE, settings.interface, views))
 
 
-async def _fleet_key(settings: Settings, platform: Platform) -> bytes:
-    """Return the key from the settings, or else the one that the fleet agrees on."""
-    given = load_fleet_key(settings)
-    if given is not None:
-        return given
+async def _agreed_key(platform: Platform) -> bytes:
+    """Return the key that the fleet agrees on."""
     return await agreed_key(platform, secrets.token_hex(16), random.Random())
--- a/pondhatch/platform/_header_owners.py
+++ b/pondhatch/platform/_header_owners.py
@@ -37,5 +37,7 @@
         names.ENGINE: Owner.UPSTREAM,
         names.LOAD: Owner.UPSTREAM,
         names.WEIGHTS: Owner.UPSTREAM,
+        # The store's own; neither callers nor engines have a say in it.
+        names.STORE_ERA: Owner.ROUTER,
     }
 )
--- a/pondhatch/platform/_names.py
+++ b/pondhatch/platform/_names.py
@@ -51,6 +51,8 @@
 LOAD = "Instance-Load"
 #: Versions of the weights that made an answer.
 WEIGHTS = "Weight-Versions"
+#: In each answer of the store: how often it came back from an older copy.
+STORE_ERA = "Store-Era"
 AUTHORIZATION = "Authorization"
 RETRY_AFTER = "Retry-After"
 #: Status by which an engine says that another one was meant; it ran nothing.
--- a/pondhatch/platform/_store.py
+++ b/pondhatch/platform/_store.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from pondhatch.observing import Once, log_for
+from pondhatch.platform._era import EraAnswer, EraCalls
 from pondhatch.platform._objects import (
     UNREADABLE_JSON,
     Happened,
@@ -28,10 +29,14 @@
     Missing,
     OutcomeUnknown,
     PlatformLost,
+    Position,
     StoredObject,
     TooOld,
     Unavailable,
     WatchEvent,
+    era_of,
+    position_of,
+    revision_of,
 )
 from pondhatch.transport import CallFailed, StoreCalls
 
@@ -80,7 +85,7 @@
     """See Platform."""
 
     def __init__(self, calls: StoreCalls, decode_by_kind: Mapping[str, tuple[str, Decode]]) -> None:
-        self._calls = calls
+        self._calls = EraCalls(calls)
         #: The store's name of a kind and its decoder, by the product's name of the kind.
         self._decode_by_kind = decode_by_kind
         self._told = Once()
@@ -95,38 +100,40 @@
     ) -> Found | Missing | Unavailable:
         """Read one object."""
         try:
-            status, content = await self._calls.call(
-                "GET", self._path(kind, name) + _query(may_be_old)
-            )
+            answer = await self._calls.call("GET", self._path(kind, name) + _query(may_be_old))
         except CallFailed as error:
             return Unavailable(str(error))
-        if status == NOT_FOUND:
+        if answer.status == NOT_FOUND:
             return Missing()
-        if status != OK:
-            return Unavailable(f"answered {status}")
+        if answer.status != OK:
+            return Unavailable(f"answered {answer.status}")
         try:
-            return Found(self._stored(kind, msgspec.json.decode(content)))
+            return Found(self._stored(kind, msgspec.json.decode(answer.content), answer.era))
         except UNREADABLE_JSON as error:
-            metadata = metadata_of(content)
+            metadata = metadata_of(answer.content)
             if metadata is None:
                 return Unavailable(f"answered what cannot be read: {error}")
             # There all the same: whoever keeps it may replace what another wrote.
-            self._tell(kind, content, error)
-            return Found(StoredObject(kind, metadata.name, metadata.revision, None))
+            self._tell(kind, answer.content, error)
+            version = position_of(answer.era, metadata.revision)
+            return Found(StoredObject(kind, metadata.name, version, None))
 
     async def list(self, kind: str, may_be_old: bool = False) -> Listed | Unavailable:
         """Read all objects of a kind, page by page."""
         listing = _Listing()
-        #: The store's revision as of the first page: what changes while the others are read is
+        #: The store's position as of the first page: what changes while the others are read is
         #: told by a watch from there, and known twice at worst.
-        version: int | None = None
+        version: Position | None = None
         after = _query(may_be_old)
         while True:
-            page = await self._page(kind, after)
-            if isinstance(page, Unavailable):
-                return page
-            version = page.timestamp if version is None else version
-            read = [self._read(kind, each) for each in page.entries]
+            told = await self._page(kind, after)
+            if isinstance(told, Unavailable):
+                return told
+            page, era = told
+            version = position_of(era, page.timestamp) if version is None else version
+            if era_of(version) != era:
+                return Unavailable("came back from an older copy while it was listed")
+            read = [self._read(kind, each, era) for each in page.entries]
             names = [name for name, _ in read if name]
             is_news = listing.take(names, [found for _, found in read if found is not None])
             if page.has_more and is_news:
@@ -137,15 +144,16 @@
                 log.error("The listing of {} says that it goes on, and does not.", kind)
             return listing.listed(version, is_whole=not page.has_more)
 
-    async def _page(self, kind: str, after: str) -> Page | Unavailable:
+    async def _page(self, kind: str, after: str) -> tuple[Page, int] | Unavailable:
+        """Return a page and its era."""
         try:
-            status, content = await self._calls.call("GET", self._path(kind) + after)
+            answer = await self._calls.call("GET", self._path(kind) + after)
         except CallFailed as error:
             return Unavailable(str(error))
-        if status != OK:
-            return Unavailable(f"answered {status}")
+        if answer.status != OK:
+            return Unavailable(f"answered {answer.status}")
         try:
-            return decoded(content, Page, "Entries")
+            return decoded(answer.content, Page, "Entries"), answer.era
         except UNREADABLE_JSON as error:
             return Unavailable(f"answered what is no page of a listing: {error}")
 
@@ -160,8 +168,14 @@
         self, kind: str, name: str, value: Any, version: int
     ) -> Accepted | Conflict | OutcomeUnknown | Unavailable:
         """Replace an object that must still have the given version."""
-        body = {"Metadata": {"Name": name, "Revision": version}, "Spec": value}
-        return await self._write("PUT", self._path(kind, name), body)
+        if era_of(version) != self._calls.era:
+            # Its number may stand for something else by now.
+            return Conflict()
+        body = {"Metadata": {"Name": name, "Revision": revision_of(version)}, "Spec": value}
+        written = await self._write("PUT", self._path(kind, name), body)
+        if isinstance(written, Accepted) and era_of(written.version) != era_of(version):
+            return OutcomeUnknown("the store came back from an older copy meanwhile")
+        return written
 
     async def watch(self, kind: str, since: int | None) -> AsyncIterator[WatchEvent]:
         """Yield a bookmark, then changes after a version; see Platform."""
@@ -174,25 +188,24 @@
         while True:
             watched = await self._watch_once(kind, since)
             for each in watched.events:
-                event = self._event(kind, each)
+                event = self._event(kind, each, era_of(since))
                 if event is not None:
                     yield event
-            since = max(since, watched.timestamp)
+            since = max(since, position_of(era_of(since), watched.timestamp))
 
-    async def _watch_once(self, kind: str, since: int) -> Watched:
-        path = f"{self._path(kind)}?Watch={since}&WaitMs={WATCH_MS}"
+    async def _watch_once(self, kind: str, since: Position) -> Watched:
+        path = f"{self._path(kind)}?Watch={revision_of(since)}&WaitMs={WATCH_MS}"
         try:
-            status, content = await self._calls.call(
-                "GET", path, seconds=WATCH_MS / 1000 + WATCH_MARGIN
-            )
+            answer = await self._calls.call("GET", path, seconds=WATCH_MS / 1000 + WATCH_MARGIN)
         except CallFailed as error:
             raise PlatformLost(str(error)) from error
-        if status == GONE:
+        if answer.status == GONE or (answer.status == OK and answer.era != era_of(since)):
+            # Of another era, it may leave out what was written under numbers given out again.
             raise TooOld(kind)
-        if status != OK:
-            raise PlatformLost(f"answered {status}")
+        if answer.status != OK:
+            raise PlatformLost(f"answered {answer.status}")
         try:
-            return decoded(content, Watched, "events")
+            return decoded(answer.content, Watched, "events")
         except UNREADABLE_JSON as error:
             raise PlatformLost(f"answered what is no watch: {error}") from error
 
@@ -200,39 +213,40 @@
         self, method: str, path: str, body: Any
     ) -> Accepted | Conflict | OutcomeUnknown | Unavailable:
         try:
-            status, content = await self._calls.call(method, path, msgspec.json.encode(body))
+            answer = await self._calls.call(method, path, msgspec.json.encode(body))
         except CallFailed as error:
             return OutcomeUnknown(str(error)) if error.sent else Unavailable(str(error))
-        if status in (OK, CREATED):
-            return _accepted(content)
-        if status in (CONFLICT, NOT_FOUND):
+        if answer.status in (OK, CREATED):
+            return _accepted(answer)
+        if answer.status in (CONFLICT, NOT_FOUND):
             return Conflict()
-        if status in REFUSED:
-            return Unavailable(f"answered {status}")
-        return OutcomeUnknown(f"answered {status}")
+        if answer.status in REFUSED:
+            return Unavailable(f"answered {answer.status}")
+        return OutcomeUnknown(f"answered {answer.status}")
 
     def _path(self, kind: str, name: str = "") -> str:
         own_name, _ = self._decode_by_kind.get(kind, (kind, _as_it_is))
         return f"/objects/{own_name}/{quote(name, safe='')}" if name else f"/objects/{own_name}"
 
-    def _stored(self, kind: str, entry: Any) -> StoredObject:
+    def _stored(self, kind: str, entry: Any, era: int) -> StoredObject:
         """Return an object as the product knows it. Raises msgspec.ValidationError."""
         found = msgspec.convert(entry, StoreObject)
         _, decode = self._decode_by_kind.get(kind, (kind, _as_it_is))
         value = found.spec if found.spec is not None else found.status
         metadata = found.metadata
-        return StoredObject(kind, metadata.name, metadata.revision, decode(metadata.name, value))
+        version = position_of(era, metadata.revision)
+        return StoredObject(kind, metadata.name, version, decode(metadata.name, value))
 
-    def _read(self, kind: str, entry: msgspec.Raw) -> tuple[str, StoredObject | None]:
+    def _read(self, kind: str, entry: msgspec.Raw, era: int) -> tuple[str, StoredObject | None]:
         """Return an object's name, and the object itself where it makes sense."""
         try:
-            found = self._stored(kind, msgspec.json.decode(entry))
+            found = self._stored(kind, msgspec.json.decode(entry), era)
         except UNREADABLE_JSON as error:
             self._tell(kind, entry, error)
             return name_of(entry), None
         return found.name, found
 
-    def _event(self, kind: str, told: msgspec.Raw) -> WatchEvent | None:
+    def _event(self, kind: str, told: msgspec.Raw, era: int) -> WatchEvent | None:
         """Return what a change says, None where it names no object."""
         try:
             change = msgspec.json.decode(told)
@@ -241,13 +255,15 @@
                 # The revision is that of the removal itself; a higher one would hide what
                 # changed next from the routers that ask for what is newer than it.
                 removed = happened.object.metadata
-                return WatchEvent("removed", removed.revision, removed.name)
-            stored = self._stored(kind, change["Object"])
+                return WatchEvent("removed", position_of(era, removed.revision), removed.name)
+            stored = self._stored(kind, change["Object"], era)
         except UNREADABLE_JSON as error:
             changed = member(bytes(told), "Object")
             self._tell(kind, changed, error)
             metadata = metadata_of(changed)
-            return WatchEvent("unreadable", metadata.revision, metadata.name) if metadata else None
+            if metadata is None:
+                return None
+            return WatchEvent("unreadable", position_of(era, metadata.revision), metadata.name)
         return WatchEvent("set", stored.version, stored.name, stored.value)
 
     def _tell(self, kind: str, entry: bytes | msgspec.Raw, error: Exception) -> None:
@@ -265,10 +281,11 @@
     return "?" + "&".join(asked) if asked else ""
 
 
-def _accepted(content: bytes) -> Accepted | OutcomeUnknown:
-    """Return what the answer to a write that was done says; the writer must know its revision."""
+def _accepted(answer: EraAnswer) -> Accepted | OutcomeUnknown:
+    """Return what the answer to a write that was done says; the writer must know its position."""
     try:
-        return Accepted(msgspec.json.decode(content, type=StoreObject).metadata.revision)
+        revision = msgspec.json.decode(answer.content, type=StoreObject).metadata.revision
+        return Accepted(position_of(answer.era, revision))
     except UNREADABLE_JSON as error:
         return OutcomeUnknown(f"answered what cannot be read: {error}")
 
--- a/pondhatch/platform/tests/_wire.py
+++ b/pondhatch/platform/tests/_wire.py
@@ -59,6 +59,7 @@
     "Kv-Fetch",
     "Kv-From",
     "Kv-Backup",
+    "Store-Era",
 )
 ENGINES_HEADERS = (
     "Instance-Signature",
--- a/pondhatch/platform/tests/test_entries_of_others.py
+++ b/pondhatch/platform/tests/test_entries_of_others.py
@@ -33,6 +33,7 @@
     Unavailable,
     WatchEvent,
 )
+from pondhatch.transport import StoreAnswer
 
 #: Bytes that stand where an entry should, each hiding every other one if it is read at once.
 GARBAGE: dict[str, bytes] = {
@@ -70,8 +71,8 @@
 
     async def call(
         self, method: str, path: str, body: bytes = b"", seconds: float = 2.0
-    ) -> tuple[int, bytes]:
-        return (200, self._answers.pop(0)) if self._answers else (503, b"")
+    ) -> StoreAnswer:
+        return StoreAnswer(200, self._answers.pop(0)) if self._answers else StoreAnswer(503, b"")
 
 
 def store(*answers: bytes) -> PlatformStore:
--- a/pondhatch/platform/tests/test_store.py
+++ b/pondhatch/platform/tests/test_store.py
@@ -21,9 +21,10 @@
     Unavailable,
     WatchEvent,
 )
-from pondhatch.transport import CallFailed
+from pondhatch.transport import CallFailed, StoreAnswer
 
-Answer = tuple[int, Any] | CallFailed
+#: Status, content and, where the store tells it, its era.
+Answer = tuple[int, Any] | tuple[int, Any, int] | CallFailed
 SILENCE = CallFailed("silence", sent=True)
 
 
@@ -38,12 +39,14 @@
 
     async def call(
         self, method: str, path: str, body: bytes = b"", seconds: float = 2.0
-    ) -> tuple[int, bytes]:
+    ) -> StoreAnswer:
         self.asked.append((method, path, msgspec.json.decode(body) if body else None))
         answer = self._answers.pop(0)
         if isinstance(answer, CallFailed):
             raise answer
-        return answer[0], msgspec.json.encode(answer[1])
+        status, content, *era = answer
+        told = {"store-era": str(era[0])} if era else {}
+        return StoreAnswer(status, msgspec.json.encode(content), told)
 
 
 def entry(name: str, revision: int, spec: Any = None, status: Any = None) -> dict[str, Any]:
@@ -263,3 +266,63 @@
             with self.subTest(answer=answer):
                 _, error, _ = await self.watched(answer)
                 self.assertIsInstance(error, PlatformLost)
+
+
+class OlderCopyTest(unittest.IsolatedAsyncioTestCase):
+    """The store comes back from a copy: its era rises, its revisions go back."""
+
+    async def told(self, found: PlatformStore) -> int:
+        read = await found.get("upstream", "a")
+        assert isinstance(read, Found), read
+        return read.object.version
+
+    async def test_what_it_says_then_is_newer_whatever_the_numbers(self) -> None:
+        found, _ = store((200, entry("a", 130, 1), 4), (200, entry("a", 90, 1), 5))
+        self.assertLess(await self.told(found), await self.told(found))
+
+    async def test_an_answer_from_before_says_nothing(self) -> None:
+        found, _ = store(
+            (200, entry("a", 90, 1), 5),
+            (200, entry("a", 130, 1), 4),
+            (201, entry("a", 131), 4),
+            (200, entry("a", 91, 1), 5),
+        )
+        first = await self.told(found)
+        self.assertIsInstance(await found.get("upstream", "a"), Unavailable)
+        self.assertIsInstance(await found.create("upstream", "a", {}), OutcomeUnknown)
+        self.assertGreater(await self.told(found), first)
+
+    async def test_an_answer_without_an_era_is_of_the_one_known(self) -> None:
+        found, _ = store((200, entry("a", 90, 1), 5), (200, entry("a", 91, 1)))
+        self.assertEqual(await self.told(found) + 1, await self.told(found))
+        for wrong in ("", "-1", "x", "\u0665", "9" * 30):
+            with self.subTest(wrong=wrong):
+                found, _ = store((200, entry("a", 7, 1), wrong))  # type: ignore[arg-type]
+                self.assertEqual(await self.told(found), 7)
+
+    async def test_a_condition_of_an_era_that_is_over_is_not_asked(self) -> None:
+        found, calls = store((200, entry("a", 130, 1), 4), (404, None, 5))
+        before = await self.told(found)
+        await found.get("upstream", "b")
+        self.assertIsInstance(await found.update("upstream", "a", {}, before), Conflict)
+        self.assertEqual(len(calls.asked), 2)
+
+    async def test_a_write_that_crosses_its_return_is_not_known_to_be_done(self) -> None:
+        found, calls = store((200, entry("a", 130, 1), 4), (200, entry("a", 101), 5))
+        before = await self.told(found)
+        self.assertIsInstance(await found.update("upstream", "a", {}, before), OutcomeUnknown)
+        self.assertEqual(calls.asked[1][2]["Metadata"]["Revision"], 130)
+
+    async def test_a_watch_across_its_return_begins_again(self) -> None:
+        watched = {"events": [], "Timestamp": 140}
+        found, calls = store((200, page(at=130), 4), (200, watched, 5))
+        events = found.watch("upstream", None)
+        self.assertEqual((await anext(events)).type, "bookmark")
+        with self.assertRaises(TooOld):
+            await anext(events)
+        self.assertIn("Watch=130", calls.asked[1][1])
+
+    async def test_a_listing_across_its_return_is_none(self) -> None:
+        first = page(entry("a", 1, 1), at=130, more=True)
+        found, _ = store((200, first, 4), (200, page(at=100), 5))
+        self.assertIsInstance(await found.list("upstream"), Unavailable)
--- a/pondhatch/router/__init__.py
+++ b/pondhatch/router/__init__.py
@@ -21,6 +21,7 @@
 from pondhatch.router._fleet_key import agreed_key
 from pondhatch.router._granting import GRANT_MARK, Granting
 from pondhatch.router._introduction import Introduction
+from pondhatch.router._restoring import Restoring
 from pondhatch.router._starting import Starting, not_ready
 from pondhatch.router._state import RouterState
 from pondhatch.router._sync import UPSTREAM_KIND, Sync
@@ -45,6 +46,7 @@
     "CrashGuarding",
     "Granting",
     "Introduction",
+    "Restoring",
     "RouterState",
     "Starting",
     "Sync",
--- a/pondhatch/router/_fleet_key.py
+++ b/pondhatch/router/_fleet_key.py
@@ -60,6 +60,17 @@
         await sleep(backoff.next())
 
 
+async def keep_key(platform: Platform, key: bytes) -> None:
+    """Have the platform hold the fleet's key again, where it has lost it."""
+    written = await platform.create(KEY_KIND, KEY_NAME, {"key": key.decode()})
+    if isinstance(written, Accepted):
+        log.warning("The platform had lost the fleet's key; it holds it again.")
+        return
+    found = await platform.get(KEY_KIND, KEY_NAME)
+    if isinstance(found, Found) and _key_in(found.object) not in (None, key.decode()):
+        log.error("The platform holds another key than this fleet's: who starts now stands apart.")
+
+
 def _key_in(stored: StoredObject) -> str | None:
     """Return the key that an object holds, or None where it holds none."""
     key = stored.value.get("key") if isinstance(stored.value, Mapping) else None
--- a/pondhatch/router/_state.py
+++ b/pondhatch/router/_state.py
@@ -387,6 +387,8 @@
         """Do what is due each round."""
         if self.vanished and self.vanished.forget_old(self.clock()):
             self.upstreams_changed()
+        if self._upstream_changes.settle(self.clock()):
+            self.upstreams_changed()
         self.refresh()
         self.retries.set_routers(len(self.live_routers()), self.clock())
         self.publish()
--- a/pondhatch/router/_upstream_changes.py
+++ b/pondhatch/router/_upstream_changes.py
@@ -16,17 +16,22 @@
     LIVE,
     REMOVED,
     Listed,
+    Position,
     Upstream,
     UpstreamList,
     UpstreamReader,
     UpstreamUpdate,
     Vanished,
     WatchEvent,
+    era_of,
 )
 
 #: Seconds by which two routers may differ on when an upstream joined: what a packet and a
 #: pull take, several times over.
 SLACK_SECONDS = 1.0
+#: Seconds for which an era of the platform's store settles: upstreams write themselves again
+#: within two of its return, and those that ended unseen lapse in three or four.
+SETTLE_SECONDS = 3.0
 #: Seconds after the first list in which upstreams that appear are taken to have been there
 #: before: those of a fleet that starts list themselves one after the other, and no chat
 #: has its context at the engine ranked second.
@@ -78,6 +83,34 @@
             self._joined_at[name] = now
 
 
+class Settling(msgspec.Struct):
+    """When the platform's era began, as this router saw it."""
+
+    _era: int = 0
+    #: Until when the era settles, in the clock's seconds; infinitely long ago where none does.
+    _until: float = float("-inf")
+
+    def note(self, version: Position, now: float) -> None:
+        """Take in the position that the list has come to."""
+        era = era_of(version)
+        if era > self._era:
+            # The first era that a router hears of follows no other here.
+            self._until = now + SETTLE_SECONDS if self._era else float("-inf")
+            self._era = era
+
+    def begins(self, version: Position, now: float) -> bool:
+        """Return whether what is as of a position comes while its era settles."""
+        begins = bool(self._era) and era_of(version) > self._era
+        return begins or now < self._until
+
+    def is_over(self, now: float) -> bool:
+        """Return, once for each era, whether it has settled."""
+        if self._until == float("-inf") or now < self._until:
+            return False
+        self._until = float("-inf")
+        return True
+
+
 class UpstreamChanges(msgspec.Struct, frozen=True):
     """Takes changes into a list of upstreams and notes who joined and who vanished."""
 
@@ -85,6 +118,7 @@
     vanished: Vanished
     joins: Joins = msgspec.field(default_factory=Joins)
     reader: UpstreamReader = msgspec.field(default_factory=UpstreamReader)
+    settling: Settling = msgspec.field(default_factory=Settling)
 
     def take_listing(self, listed: Listed, now: float) -> bool:
         """Take in what the platform lists; return whether any was news."""
@@ -93,7 +127,8 @@
     def take(self, update: UpstreamUpdate, now: float) -> bool:
         """Take in a listing's or a peer's entries; return whether any was news."""
         names, live = self._names(), self._live_by_name()
-        news = self.upstreams.take(update)
+        news = self.upstreams.take(update, self.settling.begins(update.version, now))
+        self.settling.note(self.upstreams.version, now)
         self._note(names, live, now)
         self.joins.told(update.known_for, update.age_by_name, now)
         return news
@@ -110,10 +145,15 @@
         """Take in one event of a watch on upstreams; return whether it was news."""
         names, live = self._names(), self._live_by_name()
         news = self._apply(event)
+        self.settling.note(self.upstreams.version, now)
         if news:
             self._note(names, live, now)
         return news
 
+    def settle(self, now: float) -> bool:
+        """Do what is due once an era has settled; return whether the list has changed."""
+        return self.settling.is_over(now) and self.upstreams.settle()
+
     def _apply(self, event: WatchEvent) -> bool:
         if event.type == "set":
             upstream = self.reader.upstream(event.name, event.version, event.value)
--- a/pondhatch/store/__init__.py
+++ b/pondhatch/store/__init__.py
@@ -14,6 +14,15 @@
     Unavailable,
     WatchEvent,
 )
+from pondhatch.store._position import (
+    MOST_ERAS,
+    NO_ERA,
+    REVISION_BITS,
+    Position,
+    era_of,
+    position_of,
+    revision_of,
+)
 from pondhatch.store._reading import UpstreamReader
 from pondhatch.store._upstreams import (
     LEAVING,
@@ -31,6 +40,13 @@
     "Vanished",
     "LEAVING",
     "LIVE",
+    "MOST_ERAS",
+    "NO_ERA",
+    "REVISION_BITS",
+    "Position",
+    "era_of",
+    "position_of",
+    "revision_of",
     "REMOVED",
     "Accepted",
     "Conflict",
--- a/pondhatch/store/_objects.py
+++ b/pondhatch/store/_objects.py
@@ -7,14 +7,16 @@
 
 import msgspec
 
+from pondhatch.store._position import Position
+
 
 class StoredObject(msgspec.Struct, frozen=True):
     """One object with the version of its last change."""
 
     kind: str
     name: str
-    #: Grows with every change of any object at the platform.
-    version: int
+    #: The platform's position at its last change; a later change of any object has a higher one.
+    version: Position
     value: Any
 
 
@@ -23,7 +25,7 @@
 
     #: "set", "removed", "bookmark", or "unreadable": set to what makes no sense.
     type: str
-    version: int
+    version: Position
     name: str = ""
     value: Any | None = None
 
@@ -41,7 +43,7 @@
 class Listed(msgspec.Struct, frozen=True):
     """All objects of a kind, as of a version."""
 
-    version: int
+    version: Position
     objects: tuple[StoredObject, ...]
     #: Names of objects that are there but make no sense to this router.
     left_out: frozenset[str] = frozenset()
@@ -52,7 +54,7 @@
 class Accepted(msgspec.Struct, frozen=True):
     """The write took effect at this version."""
 
-    version: int
+    version: Position
 
 
 class Conflict(msgspec.Struct, frozen=True):
@@ -99,7 +101,7 @@
         """Create an object that must not exist yet."""
 
     async def update(
-        self, kind: str, name: str, value: Any, version: int
+        self, kind: str, name: str, value: Any, version: Position
     ) -> Accepted | Conflict | OutcomeUnknown | Unavailable:
         """Replace an object that must still have the given version."""
 
--- a/pondhatch/store/_upstreams.py
+++ b/pondhatch/store/_upstreams.py
@@ -1,8 +1,16 @@
 """The list of upstreams: as the platform lists them, relayed between routers.
 
-The list carries the platform's version, and each entry the version of its own
-change. A router takes an entry only if its version is higher than the one it
+The list carries the platform's position, and each entry the position of its own
+change. A router takes an entry only if its position is higher than the one it
 holds, so that a stale watcher or peer never brings back an older state.
+
+A platform that comes back from an older copy begins an era, and its positions are above all
+that were before. What it then shows of an upstream is older than what is known: one that had
+left since the copy stands in it as if it took work, and one that had come does not stand in
+it until it has written itself again. So while an era settles, nothing that was known to leave
+or gone is taken back, nothing is taken for gone that only does not stand there, and what
+upstreams do from then on counts as ever. Once it has settled, what nobody has written or shown in
+this era is gone.
 """
 
 from __future__ import annotations
@@ -10,6 +18,7 @@
 import msgspec
 
 from pondhatch.placement import name_of_start
+from pondhatch.store._position import Position, era_of
 
 #: States of an upstream in the platform's list.
 LIVE = "live"
@@ -64,10 +73,10 @@
 
 
 class UpstreamEntry(msgspec.Struct, frozen=True):
-    """An upstream and the platform's version of its last change."""
+    """An upstream and the platform's position at its last change."""
 
     upstream: Upstream
-    version: int
+    version: Position
 
 
 class UpstreamUpdate(msgspec.Struct, frozen=True):
@@ -89,10 +98,10 @@
 class UpstreamList(msgspec.Struct):
     """All upstreams known to a router."""
 
-    version: int = 0
+    version: Position = 0
     entry_by_name: dict[str, UpstreamEntry] = msgspec.field(default_factory=dict)
     #: Version below which removed entries may be missing.
-    complete_since: int = 0
+    complete_since: Position = 0
     #: The name of the newest start of each upstream, by its id.
     _name_by_id: dict[str, str] = msgspec.field(default_factory=dict)
 
@@ -192,15 +201,20 @@
         )
         return UpstreamUpdate(self.version, entries, whole)
 
-    def take(self, update: UpstreamUpdate) -> bool:
-        """Take in a peer's or a listing's entries; return whether any was news."""
+    def take(self, update: UpstreamUpdate, is_settling: bool = False) -> bool:
+        """Take in a peer's or a listing's entries; return whether any was news.
+
+        ``is_settling`` says that the era of what is taken in has begun just now.
+        """
         news = False
         newer = update.version > self.version
         for entry in update.entries:
+            if is_settling and self._is_taken_back(entry):
+                continue
             news = self._set(entry.upstream, entry.version) or news
         for upstream_id in update.left_out:
             news = self.hold_back(upstream_id, update.version) or news
-        if update.whole and newer:
+        if update.whole and newer and not is_settling:
             news = self._remove_unlisted(update) or news
         # Once for all of them: it goes through the whole list, and with 2,100 entries, one by
         # one, nothing else ran for 0.15 s.
@@ -208,6 +222,27 @@
         self.seen(update.version)
         return news
 
+    def _is_taken_back(self, entry: UpstreamEntry) -> bool:
+        """Return whether an entry shows a start as taking work that is known to leave or gone."""
+        known = self.entry_by_name.get(self._as_known(entry.upstream).identified().name)
+        if known is None or entry.upstream.state != LIVE:
+            return False
+        is_of_era = era_of(known.version) == era_of(entry.version)
+        return known.upstream.state != LIVE and not is_of_era
+
+    def settle(self) -> bool:
+        """Take for gone what nobody has written or shown in this era; return whether any was."""
+        era = era_of(self.version)
+        left = [
+            self.entry_by_name[name].upstream
+            for name in self._name_by_id.values()
+            if era_of(self.entry_by_name[name].version) < era
+            and self.entry_by_name[name].upstream.state != REMOVED
+        ]
+        for upstream in left:
+            self._set(msgspec.structs.replace(upstream, state=REMOVED), self.version)
+        return bool(left)
+
     def _remove_unlisted(self, update: UpstreamUpdate) -> bool:
         listed = {entry.upstream.id for entry in update.entries} | update.left_out
         newest = [self.entry_by_name[name] for name in self._name_by_id.values()]
--- a/pondhatch/transport/__init__.py
+++ b/pondhatch/transport/__init__.py
@@ -21,7 +21,7 @@
 from pondhatch.transport._routed_callers import RoutedCallers, bounded
 from pondhatch.transport._serving import Serving, Work
 from pondhatch.transport._silence import show_silence
-from pondhatch.transport._store_calls import CallFailed, StoreCalls
+from pondhatch.transport._store_calls import CallFailed, StoreAnswer, StoreCalls
 from pondhatch.transport._upstreams import HttpUpstreams
 from pondhatch.transport._wire import PullReply, PullRequest
 
@@ -50,6 +50,7 @@
     "Interface",
     "Readiness",
     "RoutedCallers",
+    "StoreAnswer",
     "StoreCalls",
     "bounded",
     "counting",
--- a/pondhatch/transport/_store_calls.py
+++ b/pondhatch/transport/_store_calls.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Mapping
+
+import msgspec
 
 from pondhatch.limits import Pace
 from pondhatch.requests import Headers, ReplayableBody
@@ -29,6 +32,15 @@
         self.sent = sent
 
 
+class StoreAnswer(msgspec.Struct, frozen=True):
+    """What the store answered."""
+
+    status: int
+    content: bytes
+    #: Values of the headers, by name in lower case.
+    value_by_name: Mapping[str, str] = {}
+
+
 class StoreCalls:
     """Calls to one store; a connection whose call failed is not used again."""
 
@@ -41,8 +53,8 @@
 
     async def call(
         self, method: str, path: str, body: bytes = b"", seconds: float = CALL_SECONDS
-    ) -> tuple[int, bytes]:
-        """Return an answer's status and body. Raises CallFailed."""
+    ) -> StoreAnswer:
+        """Return an answer. Raises CallFailed."""
         wait = self._pace.take(asyncio.get_running_loop().time())
         if wait > 0:
             await asyncio.sleep(wait)
@@ -59,7 +71,7 @@
                     self._address, request, ReplayableBody(body), repeatable=method == "GET"
                 )
                 head = await exchange.head
-                return head.status, await _whole(exchange)
+                return StoreAnswer(head.status, await _whole(exchange), head.value_by_name)
         except NotSent as error:
             raise CallFailed(f"cannot reach the platform: {error}", sent=False) from error
         except TimeoutError as error:
