--- a/pondhatch/requests/__init__.py
+++ b/pondhatch/requests/__init__.py
@@ -10,7 +10,7 @@
 )
 from pondhatch.requests._delivery import Delivered, Delivery, is_event_stream
 from pondhatch.requests._digest import digest_of
-from pondhatch.requests._entry import Patience, Placed, Refused, Walk
+from pondhatch.requests._entry import Walk
 from pondhatch.requests._entry_grants import NUMBERS, EntryGrants
 from pondhatch.requests._entry_view import EntryView, Ways
 from pondhatch.requests._events import LAST_EVENT, EventCutter
@@ -73,6 +73,7 @@
 from pondhatch.requests._sending import GrantedAnswer, Target, Upstreams
 from pondhatch.requests._try import Try, new_try
 from pondhatch.requests._upstream_dialect import Judged, UpstreamDialect
+from pondhatch.requests._walk_results import Patience, Placed, Refused
 
 __all__ = [
     "Judged",
--- a/pondhatch/requests/_delivery.py
+++ b/pondhatch/requests/_delivery.py
@@ -7,10 +7,11 @@
 
 import msgspec
 
-from pondhatch.requests._entry import Placed, Position, Walk
+from pondhatch.requests._entry import Walk
 from pondhatch.requests._events import EventCutter
 from pondhatch.requests._messages import AnswerStream, Headers, Lost, PartSink
 from pondhatch.requests._outcomes import Broken, Unknown, Whole
+from pondhatch.requests._walk_results import Placed, Position
 
 #: Times that one answer is taken up again at most.
 MOST_RESUMES = 3
--- a/pondhatch/requests/_entry.py
+++ b/pondhatch/requests/_entry.py
@@ -30,6 +30,14 @@
     Question,
 )
 from pondhatch.requests._tries import Tries
+from pondhatch.requests._walk_results import (
+    NO_PATIENCE,
+    Patience,
+    Placed,
+    Position,
+    Refused,
+    Unready,
+)
 
 #: Seconds after which to come back when every engine asked was at its ceiling.
 FULL_RETRY_AFTER = 1.0
@@ -47,44 +55,6 @@
 MOST_UNKNOWN_REFUSALS = 2
 
 
-class Placed(msgspec.Struct, frozen=True):
-    """An engine answers the request."""
-
-    reply: Opened
-    engine: str
-
-
-class Refused(msgspec.Struct, frozen=True):
-    """The request got its final refusal."""
-
-    refusal: Refusal
-
-
-class Unready(msgspec.Struct, frozen=True):
-    """Neither the engine nor its owner could be asked just now."""
-
-
-class Position(msgspec.Struct, frozen=True):
-    """How much of a stream its caller has."""
-
-    #: Whole events.
-    events: int
-    #: Id of the last of them; empty where it told none.
-    last_id: str = ""
-
-
-class Patience(msgspec.Struct, frozen=True):
-    """How long a request may wait in an engine's line, in seconds."""
-
-    #: Before the engine that is believed to hold its chat's context.
-    context: float
-    #: Before the last engine that is left to ask.
-    last: float
-
-
-NO_PATIENCE = Patience(0.0, 0.0)
-
-
 class Walk:
     """One request's walk; kept apart so that the plan can be read afterwards."""
 
--- a/pondhatch/requests/tests/test_newcomers.py
+++ b/pondhatch/requests/tests/test_newcomers.py
@@ -19,7 +19,7 @@
 from pondhatch.limits import RetryBudget
 from pondhatch.placement import ranked
 from pondhatch.requests import ReplayableBody, RequestHead, Walk, Ways
-from pondhatch.requests._entry import NO_PATIENCE
+from pondhatch.requests._walk_results import NO_PATIENCE
 from pondhatch.requests.tests._history import Fleet
 
 CHAT = 7
