--- a/pondhatch/router/_crash_guarding.py
+++ b/pondhatch/router/_crash_guarding.py
@@ -19,7 +19,8 @@
 from pondhatch.observing import Believed, Records
 from pondhatch.placement import ranked
 from pondhatch.quarantine import Evidence, EvidencePacket, Trial, TrialPacket, Trials
-from pondhatch.requests import NO_WATCH, QUARANTINED, Refusal, RequestWatch, Target, out_of_time
+from pondhatch.requests import NO_WATCH, RequestWatch, Target
+from pondhatch.router._crash_watch import CrashWatch
 from pondhatch.router._state import RouterState
 
 #: First byte of a packet on suspected requests; no packet of membership or grants begins with it.
@@ -31,9 +32,6 @@
 PUSH_SECONDS = 2.0
 #: Routers that tell one that is new or back; one of them may have just started itself.
 TELLERS = 3
-#: Seconds for which a router listens for what others see in the same moment, before it runs a
-#: request anew under which an engine has just ended: packets take less, between regions too.
-LISTEN_SECONDS = 0.05
 #: Seconds before each look whether an engine listens, once a run at it was cut. A process that
 #: ends closes its connections before its port, and on a busy VM others run in between, for up
 #: to tens of milliseconds; so one look that finds the port open says little.
@@ -41,69 +39,12 @@
 LATER_LOOKS = (0.1, 0.4)
 #: Seconds that a request waits for the first looks at most.
 WAIT_SECONDS = 0.1
-#: Seconds between two looks whether a claim's turn has come.
-LOOK_SECONDS = 0.02
 
 SendAll = Callable[[Iterable[Datagram]], None]
 #: Finds out whether nothing listens at an engine any more.
 HasEnded = Callable[[Target], Coroutine[Any, Any, bool]]
 
 
-class Watch:
-    """One request of which engines may end; see RequestWatch."""
-
-    def __init__(self, guard: CrashGuarding, digest: int) -> None:
-        self._guard = guard
-        self._digest = digest
-        self._trial: Trial | None = None
-
-    async def held_back(self, remaining: Callable[[], float]) -> Refusal | None:
-        """Return why the request may not be sent now; see RequestWatch."""
-        if not self.is_suspected():
-            return None
-        # Two copies that ended an engine each in the same moment learn here that they are two.
-        await asyncio.sleep(LISTEN_SECONDS - self._guard.since_last_end(self._digest))
-        while not self.is_quarantined():
-            if not self._guard.suspects.may_end_another(self._digest):
-                return None
-            if await self._has_turn():
-                return None
-            if remaining() <= 0:
-                return out_of_time()
-            await asyncio.sleep(LOOK_SECONDS)
-        return QUARANTINED
-
-    async def _has_turn(self) -> bool:
-        if self._trial is None:
-            self._trial = self._guard.claim(self._digest)
-            await asyncio.sleep(LISTEN_SECONDS)
-            if self.is_quarantined():
-                return False
-        return self._guard.goes_first(self._trial)
-
-    def is_quarantined(self) -> bool:
-        """Return whether it is known to end engines; see RequestWatch."""
-        return self._guard.is_quarantined(self._digest)
-
-    def is_suspected(self) -> bool:
-        """Return whether an engine's end is held against it; see RequestWatch."""
-        return self._guard.suspects.is_suspected(self._digest)
-
-    async def run_was_cut(self, target: Target) -> bool:
-        """Note that a run lost its connection; see RequestWatch."""
-        return await self._guard.run_was_cut(self._digest, target)
-
-    def run_was_whole(self) -> None:
-        """Note that an engine bore it; see RequestWatch."""
-        self._guard.run_was_whole(self._digest)
-
-    def close(self) -> None:
-        """Give the claim up; see RequestWatch."""
-        trial, self._trial = self._trial, None
-        if trial is not None:
-            self._guard.end(trial)
-
-
 class CrashGuarding:
     """One router's part; see CrashGuard."""
 
@@ -134,7 +75,7 @@
 
     def watch(self, digest: int) -> RequestWatch:
         """Return the watch over one request; see CrashGuard."""
-        return Watch(self, digest) if digest else NO_WATCH
+        return CrashWatch(self, digest) if digest else NO_WATCH
 
     def is_quarantined(self, digest: int) -> bool:
         """Return whether a request is not to be run for now."""
@@ -222,8 +163,9 @@
 
     def tick(self) -> None:
         """Do what is due each round."""
-        fresh, self._fresh = self._fresh, []
-        self._send_evidence(fresh, self._others())
+        if self._fresh:
+            fresh, self._fresh = self._fresh, []
+            self._send_evidence(fresh, self._others())
         self._tell_newcomers()
         self._push()
 
@@ -260,7 +202,7 @@
     def _push(self) -> None:
         """Tell one random router some of what is known."""
         now = self._state.clock()
-        if now - self._pushed_at < PUSH_SECONDS:
+        if now - self._pushed_at < PUSH_SECONDS or not self.suspects.suspect_by_digest:
             return
         self._pushed_at = now
         others = self._others()
