End a lease with the era of the store that held it, and number the next one above all before

What could be seen after a drill: two routers that order the same engines, under the same fencing number.

Cause: where the store has no record of a lease, or shows one that was given up, a candidate claimed at once, while the holder went on until its lease ran out; and a candidate that remembered no number gave out one that was used.

Change: the holder gives no more orders from the first sign of a new era, whoever it hears it from; nobody claims for a lease's time from then, whatever the copy shows; the numbers of an era are above all of those before. A platform that tells no era is as it was.

--- a/fakes/_platform_in_memory.py
+++ b/fakes/_platform_in_memory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import copy
 from collections.abc import AsyncIterator
 from typing import Any
 
@@ -18,6 +19,9 @@
     StoredObject,
     Unavailable,
     WatchEvent,
+    era_of,
+    position_of,
+    revision_of,
 )
 
 
@@ -26,6 +30,9 @@
 
     def __init__(self) -> None:
         self.store = Store()
+        #: How often it came back from an older copy.
+        self.era = 0
+        self._copy = Store()
         self.faults = Faults()
         self.calls = 0
         #: Those of them that may be answered with what was there some seconds ago.
@@ -38,14 +45,17 @@
         if self._out():
             return Unavailable("outage")
         stored = self.store.object_by_key.get((kind, name))
-        return Missing() if stored is None else Found(_told(stored))
+        if stored is None:
+            return Missing(position_of(self.era, self.store.version))
+        return Found(self._told(stored))
 
     async def list(self, kind: str, may_be_old: bool = False) -> Listed | Unavailable:
         self.cheap_calls += may_be_old
         if self._out():
             return Unavailable("outage")
         found = [each for (of, _), each in self.store.object_by_key.items() if of == kind]
-        return Listed(self.store.version, tuple(_told(each) for each in found))
+        version = position_of(self.era, self.store.version)
+        return Listed(version, tuple(self._told(each) for each in found))
 
     async def create(
         self, kind: str, name: str, value: Any
@@ -55,12 +65,14 @@
     async def update(
         self, kind: str, name: str, value: Any, version: int
     ) -> Accepted | Conflict | OutcomeUnknown | Unavailable:
-        return self._write(kind, name, value, version, new=False)
+        if era_of(version) != self.era:
+            return Unavailable("outage") if self._out() else Conflict()
+        return self._write(kind, name, value, revision_of(version), new=False)
 
     async def watch(self, kind: str, since: int | None) -> AsyncIterator[WatchEvent]:
         if self._out():
             raise PlatformLost("outage")
-        yield WatchEvent("bookmark", self.store.version)
+        yield WatchEvent("bookmark", position_of(self.era, self.store.version))
 
     def _write(
         self, kind: str, name: str, value: Any, version: int | None, new: bool
@@ -72,12 +84,23 @@
         stored = self.store.put(kind, name, value, version, new)
         if self.faults.strike("lost-answer"):
             return OutcomeUnknown("the answer was lost")
-        return Conflict() if stored is None else Accepted(stored.version)
+        if stored is None:
+            return Conflict()
+        return Accepted(position_of(self.era, stored.version))
+
+    def keep_copy(self) -> None:
+        """Keep a copy of all there is."""
+        self._copy = copy.deepcopy(self.store)
+
+    def come_back(self) -> None:
+        """Come back from that copy: what was written since is gone, and the era rises."""
+        self.store = copy.deepcopy(self._copy)
+        self.era += 1
+
+    def _told(self, stored: Stored) -> StoredObject:
+        version = position_of(self.era, stored.version)
+        return StoredObject(stored.kind, stored.name, version, stored.value)
 
     def _out(self) -> bool:
         self.calls += 1
         return self.faults.strike("outage") is not None
-
-
-def _told(stored: Stored) -> StoredObject:
-    return StoredObject(stored.kind, stored.name, stored.version, stored.value)
--- a/pondhatch/authority/_lease.py
+++ b/pondhatch/authority/_lease.py
@@ -29,7 +29,15 @@
     Terms,
     WriteOutcome,
 )
-from pondhatch.store import Accepted, Conflict, Found, Missing, OutcomeUnknown, Unavailable
+from pondhatch.store import (
+    Accepted,
+    Conflict,
+    Found,
+    Missing,
+    OutcomeUnknown,
+    Unavailable,
+    era_of,
+)
 
 
 class LeaseKeeper:
@@ -82,11 +90,20 @@
             return facts.begin(Read(), now, facts.terms.read_every)
         return facts.begin(facts.claim(), now, facts.terms.read_every)
 
+    def told_era(self, now: float, era: int) -> None:
+        """Take in the platform's era, from whomever it was heard; a new one ends all orders."""
+        if self._facts.note_era(era, now):
+            self._machine.lost()
+
     def told_read(self, now: float, outcome: ReadOutcome) -> None:
         """Take in what a read showed."""
         facts = self._facts
         if isinstance(outcome, Unavailable):
             return
+        as_of = outcome.as_of if isinstance(outcome, Missing) else outcome.object.version
+        self.told_era(now, era_of(as_of))
+        if era_of(as_of) < facts.era:
+            return
         if isinstance(outcome, Missing):
             self.malformed = ""
             facts.see(None, None, now)
@@ -116,6 +133,11 @@
         if written is None:
             raise ValueError("no write was under way")
         facts.writing = None
+        if isinstance(outcome, Accepted) and era_of(outcome.version) != facts.era:
+            # Decided by what was known of another era.
+            self.told_era(now, era_of(outcome.version))
+            facts.read_again(now)
+            return
         if isinstance(outcome, Accepted):
             if written.released:
                 facts.see(written, outcome.version, now)
--- a/pondhatch/authority/_lease_facts.py
+++ b/pondhatch/authority/_lease_facts.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from pondhatch.authority._lease_record import Call, LeaseRecord, Terms, Write
+from pondhatch.store import NO_ERA, Position, position_of
 
 #: Own writes that are recognised when they turn out to have taken effect late.
 KEPT_NONCES = 8
@@ -20,7 +21,7 @@
     new_nonce: Callable[[], str]
     #: The record as last read or written, its version, and when it was first seen so.
     record: LeaseRecord | None = None
-    version: int | None = None
+    version: Position | None = None
     seen_at: float = float("inf")
     #: When the next call is due.
     due_at: float = float("-inf")
@@ -35,17 +36,35 @@
     valid_until: float = float("-inf")
     #: From when on engines that ignore fencing numbers may be ordered.
     settled_at: float = float("-inf")
+    #: How often the platform had come back from an older copy, and since when that is known.
+    era: int = NO_ERA
+    era_since: float = float("-inf")
 
     def is_unread(self) -> bool:
         """Return whether the lease has to be read before anything is decided."""
         return self.seen_at == float("inf")
 
+    def note_era(self, era: int, now: float) -> bool:
+        """Take in the platform's era; return whether it has begun since the last word.
+
+        What the platform then holds of the lease is older than what was known, and says nothing:
+        not that nobody holds it, and not that this router does.
+        """
+        if era <= self.era:
+            return False
+        self.era, self.era_since = era, now
+        self.record, self.version = None, None
+        self.valid_until = float("-inf")
+        self.began_by_nonce.clear()
+        self.read_again(now)
+        return True
+
     def read_again(self, now: float) -> None:
         """Have the lease read at once."""
         self.seen_at = float("inf")
         self.due_at = now
 
-    def see(self, record: LeaseRecord | None, version: int | None, now: float) -> None:
+    def see(self, record: LeaseRecord | None, version: Position | None, now: float) -> None:
         """Take in the lease as read, or as given up by a write; None where there is none."""
         if version != self.version or self.is_unread():
             self.seen_at = now
@@ -63,7 +82,7 @@
         self.seen_at = float("inf")
         self.began_by_nonce.clear()
 
-    def hold(self, record: LeaseRecord, version: int, began_at: float) -> None:
+    def hold(self, record: LeaseRecord, version: Position, began_at: float) -> None:
         """Take in that a write of ours, begun at a moment, is the lease's last."""
         self.record, self.version, self.seen_at = record, version, began_at
         self.valid_until = began_at + self.terms.duration - self.terms.margin
@@ -71,10 +90,20 @@
     def settle(self, began_at: float) -> None:
         """Work out from when on a new holder may order engines that ignore fencing numbers."""
         planned = self.record is None or self.record.released
+        # Of an era that began just now, nobody knows whether the last holder stepped down.
+        planned = planned and began_at >= self.era_settles_at()
         self.settled_at = float("-inf") if planned else began_at + self.terms.settle
 
+    def era_settles_at(self) -> float:
+        """Return from when on no lease of an era before can be held any more."""
+        if self.era == NO_ERA:
+            return float("-inf")
+        return self.era_since + self.terms.duration
+
     def may_be_claimed(self, now: float) -> bool:
         """Return whether nobody holds the lease any more."""
+        if now < self.era_settles_at():
+            return False
         if self.record is None or self.record.released:
             return True
         return now >= self.seen_at + self.terms.duration
@@ -82,7 +111,8 @@
     def claim(self) -> Write:
         """Return the write that makes this router the holder."""
         known = self.record.fencing if self.record is not None else 0
-        fencing = max(known, self.highest) + 1
+        # Above all numbers of the eras before, also those that this router never heard of.
+        fencing = max(known, self.highest, position_of(self.era, 0)) + 1
         return Write(LeaseRecord(self.router, fencing, self.new_nonce()), self.version)
 
     def renewal(self, held: LeaseRecord) -> Write:
--- a/pondhatch/authority/_orderer.py
+++ b/pondhatch/authority/_orderer.py
@@ -49,6 +49,9 @@
     def orders_of(self, service: str) -> OrdersSpec | None:
         """Return what the service's engines are to hold, or None where nobody said."""
 
+    def platform_era(self) -> int:
+        """Return how often the platform came back from an older copy, as any router heard."""
+
     def engines_of(self, service: str) -> tuple[Upstream, ...]:
         """Return the service's engines, those that leave left out."""
 
@@ -123,6 +126,7 @@
             await self.sleep(pause)
 
     async def _lease_step(self) -> None:
+        self.keeper.told_era(self.clock(), self.view.platform_era())
         wanted = self.view.wants_to_order(self.service)
         held = self.keeper.is_holder()
         call = self.keeper.due(self.clock(), wanted, self._orders_under_way > 0)
@@ -217,6 +221,7 @@
         engine = next((e for e in self.view.engines_of(self.service) if e.name == due.engine), None)
         if engine is None or self.view.orders_of(self.service) != self._spec:
             return
+        self.keeper.told_era(self.clock(), self.view.platform_era())
         number = self.keeper.fencing(self.clock(), engine.checks_fencing)
         if number is None:
             return
--- a/pondhatch/authority/tests/_world.py
+++ b/pondhatch/authority/tests/_world.py
@@ -225,6 +225,9 @@
     def orders_of(self, service: str) -> OrdersSpec | None:
         return self._world.spec
 
+    def platform_era(self) -> int:
+        return 0  # Nobody hears of it but by calls of its own.
+
     def engines_of(self, service: str) -> tuple[Upstream, ...]:
         return self._world.engines()
 
--- a/pondhatch/authority/tests/test_authority.py
+++ b/pondhatch/authority/tests/test_authority.py
@@ -319,6 +319,12 @@
     st.sampled_from(("want", "unwant", "kill", "change")),
     st.sampled_from((0, 1, 2)),  # the router it happens to
 )
+#: A drill takes the platform back to the event before.
+EVENT_OR_DRILL = st.tuples(
+    st.floats(0.0, 8.0),
+    st.sampled_from(("want", "unwant", "kill", "change", "drill", "drill")),
+    st.sampled_from((0, 1, 2)),
+)
 
 
 class HistoryTest(unittest.TestCase):
@@ -335,15 +341,45 @@
         pauses: tuple[list[float], ...],
         platform_faults: list[str],
         order_faults: list[str],
+    ) -> None:
+        self.check(events, pauses, platform_faults, order_faults, era=0)
+
+    @settings(PROFILE)
+    @given(
+        st.lists(EVENT_OR_DRILL, max_size=10),
+        st.tuples(*(st.lists(PAUSE, max_size=25) for _ in NAMES)),
+        st.lists(st.sampled_from(PLATFORM_FAULTS), max_size=25),
+        st.lists(st.sampled_from(ORDER_FAULTS), max_size=8),
+    )
+    def test_nor_where_the_platform_comes_back_from_older_copies(
+        self,
+        events: list[tuple[float, str, int]],
+        pauses: tuple[list[float], ...],
+        platform_faults: list[str],
+        order_faults: list[str],
+    ) -> None:
+        self.check(events, pauses, platform_faults, order_faults, era=1)
+
+    def check(
+        self,
+        events: list[tuple[float, str, int]],
+        pauses: tuple[list[float], ...],
+        platform_faults: list[str],
+        order_faults: list[str],
+        era: int,
     ) -> None:
         async def history() -> tuple[list[str], set[Wanted | None], Wanted]:
             world = World(platform_faults, order_faults)
+            world.platform.era = era
             routers = [
                 RouterSide(name, world, each, 0) for name, each in zip(NAMES, pauses, strict=True)
             ]
             routers[0].wanted = True
             for at, (after, kind, who) in enumerate(events, 1):
+                world.platform.keep_copy()
                 await asyncio.sleep(after)
+                if kind == "drill":
+                    world.platform.come_back()
                 if kind == "change":
                     world.spec = replace(world.spec, version=world.spec.version + 1)
                 if kind in ("want", "unwant"):
--- a/pondhatch/platform/_store.py
+++ b/pondhatch/platform/_store.py
@@ -104,7 +104,7 @@
         except CallFailed as error:
             return Unavailable(str(error))
         if answer.status == NOT_FOUND:
-            return Missing()
+            return Missing(position_of(answer.era, 0))
         if answer.status != OK:
             return Unavailable(f"answered {answer.status}")
         try:
--- a/pondhatch/router/_order_duties.py
+++ b/pondhatch/router/_order_duties.py
@@ -7,7 +7,7 @@
 from pondhatch.configuration import OrdersSpec
 from pondhatch.placement import winner
 from pondhatch.router._state import RouterState
-from pondhatch.store import Upstream
+from pondhatch.store import Upstream, era_of
 
 
 class OrderDuties(msgspec.Struct, frozen=True):
@@ -31,6 +31,10 @@
         spec = self.state.fleet.service_by_name.get(service)
         return spec.orders if spec is not None else None
 
+    def platform_era(self) -> int:
+        """Return the era of the list of upstreams, which rises with the first router's word."""
+        return era_of(self.state.upstreams.version)
+
     def engines_of(self, service: str) -> tuple[Upstream, ...]:
         """Return the service's engines; those that leave, or may have gone, are left out."""
         names = self.state.live_upstreams(service)
--- a/pondhatch/store/_objects.py
+++ b/pondhatch/store/_objects.py
@@ -39,6 +39,9 @@
 class Missing(msgspec.Struct, frozen=True):
     """There is no such object."""
 
+    #: The platform's position then, as far as it tells it: its era at the least.
+    as_of: Position = 0
+
 
 class Listed(msgspec.Struct, frozen=True):
     """All objects of a kind, as of a version."""
