--- a/pondhatch/requests/_crash_guard.py
+++ b/pondhatch/requests/_crash_guard.py
@@ -18,7 +18,7 @@
 class RequestWatch(Protocol):
     """One request, from its first try to its end."""
 
-    async def held_back(self, remaining: Callable[[], float]) -> Refusal | None:
+    async def wait_for_turn(self, remaining: Callable[[], float]) -> Refusal | None:
         """Return why the request may not be sent now, or None where it may.
 
         A suspected one waits here until no other copy of it runs.
@@ -50,7 +50,7 @@
 class NoWatch:
     """Lets everything pass; see RequestWatch."""
 
-    async def held_back(self, remaining: Callable[[], float]) -> Refusal | None:
+    async def wait_for_turn(self, remaining: Callable[[], float]) -> Refusal | None:
         """Return None."""
         return None
 
--- a/pondhatch/requests/_entry.py
+++ b/pondhatch/requests/_entry.py
@@ -121,9 +121,9 @@
             step = self.plan.next()
             if isinstance(step, Exhausted):
                 return Refused(self._exhausted(step))
-            held_back = await self._watch.held_back(self._remaining)
-            if held_back is not None:
-                return Refused(held_back)
+            refusal = await self._watch.wait_for_turn(self._remaining)
+            if refusal is not None:
+                return Refused(refusal)
             outcome = await self._ask(step)
             if outcome is not None:
                 return outcome
--- a/pondhatch/requests/tests/test_crash_watch.py
+++ b/pondhatch/requests/tests/test_crash_watch.py
@@ -43,7 +43,7 @@
         self.cut: list[str] = []
         self.whole = False
 
-    async def held_back(self, remaining: Callable[[], float]) -> Refusal | None:
+    async def wait_for_turn(self, remaining: Callable[[], float]) -> Refusal | None:
         return QUARANTINED if self.is_quarantined() else None
 
     def is_quarantined(self) -> bool:
@@ -120,7 +120,7 @@
 
     def test_a_word_that_comes_while_it_waits_for_a_grant_stops_it(self) -> None:
         class Late(ScriptedWatch):
-            async def held_back(self, remaining: Callable[[], float]) -> Refusal | None:
+            async def wait_for_turn(self, remaining: Callable[[], float]) -> Refusal | None:
                 self.ends_left = 0
                 return None
 
--- a/pondhatch/router/_crash_guarding.py
+++ b/pondhatch/router/_crash_guarding.py
@@ -32,12 +32,12 @@
 PUSH_SECONDS = 2.0
 #: Routers that tell one that is new or back; one of them may have just started itself.
 TELLERS = 3
-#: Seconds before each look whether an engine listens, once a run at it was cut. A process that
+#: Seconds before each probe of whether an engine listens, once a run at it was cut. A process that
 #: ends closes its connections before its port, and on a busy VM others run in between, for up
-#: to tens of milliseconds; so one look that finds the port open says little.
-FIRST_LOOKS = (0.0, 0.02)
-LATER_LOOKS = (0.1, 0.4)
-#: Seconds that a request waits for the first looks at most.
+#: to tens of milliseconds; so one probe that finds the port open says little.
+FIRST_PROBES = (0.0, 0.02)
+LATER_PROBES = (0.1, 0.4)
+#: Seconds that a request waits for the first probes at most.
 WAIT_SECONDS = 0.1
 
 SendAll = Callable[[Iterable[Datagram]], None]
@@ -85,18 +85,18 @@
         """Find out whether a run's engine ended, and tell everybody; see RequestWatch.
 
         Goes on where the caller leaves meanwhile: a caller that gives up after each end would
-        otherwise leave no trace. The request waits for the first looks alone.
+        otherwise leave no trace. The request waits for the first probes alone.
         """
-        looking = self._tasks.start(self._look_and_tell(digest, target, FIRST_LOOKS))
+        probing = self._tasks.start(self._probe(digest, target, FIRST_PROBES))
         try:
-            has_ended = await asyncio.wait_for(asyncio.shield(looking), WAIT_SECONDS)
+            has_ended = await asyncio.wait_for(asyncio.shield(probing), WAIT_SECONDS)
         except TimeoutError:
             has_ended = False
         if not has_ended:
-            self._tasks.start(self._look_and_tell(digest, target, LATER_LOOKS))
+            self._tasks.start(self._probe(digest, target, LATER_PROBES))
         return has_ended
 
-    async def _look_and_tell(self, digest: int, target: Target, pauses: tuple[float, ...]) -> bool:
+    async def _probe(self, digest: int, target: Target, pauses: tuple[float, ...]) -> bool:
         for pause in pauses:
             await asyncio.sleep(pause)
             if await self._has_ended(target):
--- a/pondhatch/router/_crash_watch.py
+++ b/pondhatch/router/_crash_watch.py
@@ -12,8 +12,8 @@
 #: Seconds for which a router listens for what others see in the same moment, before it runs a
 #: request anew under which an engine has just ended: packets take less, between regions too.
 LISTEN_SECONDS = 0.05
-#: Seconds between two looks whether a claim's turn has come.
-LOOK_SECONDS = 0.02
+#: Seconds between two checks of whether a claim's turn has come.
+TURN_CHECK_SECONDS = 0.02
 
 
 class Guard(Protocol):
@@ -51,7 +51,7 @@
         self._digest = digest
         self._trial: Trial | None = None
 
-    async def held_back(self, remaining: Callable[[], float]) -> Refusal | None:
+    async def wait_for_turn(self, remaining: Callable[[], float]) -> Refusal | None:
         """Return why the request may not be sent now; see RequestWatch."""
         if not self.is_suspected():
             return None
@@ -64,7 +64,7 @@
                 return None
             if remaining() <= 0:
                 return out_of_time()
-            await asyncio.sleep(LOOK_SECONDS)
+            await asyncio.sleep(TURN_CHECK_SECONDS)
         return QUARANTINED
 
     async def _has_turn(self) -> bool:
--- a/pondhatch/router/tests/test_crash_guarding.py
+++ b/pondhatch/router/tests/test_crash_guarding.py
@@ -28,7 +28,7 @@
 from pondhatch.quarantine import ENDS_TO_QUARANTINE
 from pondhatch.requests import QUARANTINED, Target
 from pondhatch.router import CRASH_MARK, CrashGuarding, RouterState
-from pondhatch.router._crash_guarding import FIRST_LOOKS, PUSH_SECONDS
+from pondhatch.router._crash_guarding import FIRST_PROBES, PUSH_SECONDS
 
 CAUSE = 1
 #: Seconds for which one packet travels.
@@ -107,9 +107,9 @@
         until = self.loop.time() + 8.0
         try:
             for _ in range(MOST_TRIES):
-                held_back = await watch.held_back(lambda: until - self.loop.time())
-                if held_back is not None:
-                    outcome = held_back.code
+                refusal = await watch.wait_for_turn(lambda: until - self.loop.time())
+                if refusal is not None:
+                    outcome = refusal.code
                     break
                 while not self.live:
                     await asyncio.sleep(0.1)
@@ -135,8 +135,8 @@
             watch.run_was_whole()
             return True
         ended = await watch.run_was_cut(Target(engine, "", True, 1.5, 1, 8))
-        if not ended and self.lingers < FIRST_LOOKS[-1]:
-            raise AssertionError("an end that the first looks can see was not seen")
+        if not ended and self.lingers < FIRST_PROBES[-1]:
+            raise AssertionError("an end that the first probes can see was not seen")
         return False
 
     def _end_if_there(self, engine: str) -> None:
--- a/pondhatch/transport/_http_client.py
+++ b/pondhatch/transport/_http_client.py
@@ -24,7 +24,7 @@
 CONNECT_SECONDS = 1.0
 #: Seconds to wait for a host to say whether anything listens: a round trip takes a tenth of it
 #: between data halls, and a request may wait for the word.
-KNOCK_SECONDS = 0.3
+PROBE_SECONDS = 0.3
 #: Ports that TCP has.
 PORTS = range(1, 2**16)
 #: Idle connections kept for each address.
@@ -100,7 +100,7 @@
         self.announce(self)
 
 
-class _Hello(Protocol):
+class _CloseAtOnce(Protocol):
     """A connection that ends as soon as it is made."""
 
     def connectionMade(self) -> None:
@@ -108,11 +108,11 @@
         transport.abortConnection()
 
 
-class _Knocking(ClientFactory):
+class _ListenProbe(ClientFactory):
     """Finds out whether connections to an address are refused."""
 
     noisy = False
-    protocol = _Hello
+    protocol = _CloseAtOnce
 
     def __init__(self) -> None:
         self.refused: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
@@ -145,7 +145,7 @@
         self._connect_seconds = connect_seconds
         self._idle_by_address: dict[Address, list[Connection]] = {}
         self._sweeping: asyncio.TimerHandle | None = None
-        self._knocking_by_address: dict[Address, _Knocking] = {}
+        self._probe_by_address: dict[Address, _ListenProbe] = {}
 
     async def send(
         self,
@@ -211,12 +211,12 @@
         False also where it gives no word. All that ask at the same time share one connection,
         as all requests of an engine do that ends.
         """
-        knocking = self._knocking_by_address.get(address)
-        if knocking is None:
-            knocking = self._knocking_by_address[address] = _Knocking()
-            knocking.refused.add_done_callback(lambda _: self._knocking_by_address.pop(address))
-            self._reactor.connectTCP(address.host, address.port, knocking, timeout=KNOCK_SECONDS)
-        return await asyncio.shield(knocking.refused)
+        probe = self._probe_by_address.get(address)
+        if probe is None:
+            probe = self._probe_by_address[address] = _ListenProbe()
+            probe.refused.add_done_callback(lambda _: self._probe_by_address.pop(address))
+            self._reactor.connectTCP(address.host, address.port, probe, timeout=PROBE_SECONDS)
+        return await asyncio.shield(probe.refused)
 
     def distrust(self, address: Address, since: float) -> None:
         """Close the idle connections to an address on which nothing came since a moment.
--- a/pondhatch/transport/tests/test_ended_upstreams.py
+++ b/pondhatch/transport/tests/test_ended_upstreams.py
@@ -10,7 +10,7 @@
 from twisted.internet.protocol import ClientFactory
 from twisted.python.failure import Failure
 
-from pondhatch.transport._http_client import KNOCK_SECONDS, Address, HttpClient
+from pondhatch.transport._http_client import PROBE_SECONDS, Address, HttpClient
 
 CONNECTOR: Any = None
 ENGINE = Address("10.0.0.1", 8000)
@@ -61,4 +61,4 @@
         self.assertEqual(await asyncio.gather(*asking), [True, True])
         await self.asked()
         self.assertEqual(len(self.reactor.factories), 2)
-        self.assertEqual(self.reactor.timeouts, [KNOCK_SECONDS] * 2)
+        self.assertEqual(self.reactor.timeouts, [PROBE_SECONDS] * 2)
