Read an upstream's address, refuse for want of time and make a request's head in one place each

Nothing else changes. The probe of an ended engine parsed the address beside the function that sends use; the refusal at the deadline stood with the crash guard instead of the other outcomes; each routed request's head was copied once more to hold its digest; the two histories of leases spelled the same faults out.

--- a/pondhatch/authority/tests/test_authority.py
+++ b/pondhatch/authority/tests/test_authority.py
@@ -319,6 +319,12 @@
     st.sampled_from(("want", "unwant", "kill", "change")),
     st.sampled_from((0, 1, 2)),  # the router it happens to
 )
+#: What befalls each router, the platform and the orders.
+FAULTS = (
+    st.tuples(*(st.lists(PAUSE, max_size=25) for _ in NAMES)),
+    st.lists(st.sampled_from(PLATFORM_FAULTS), max_size=25),
+    st.lists(st.sampled_from(ORDER_FAULTS), max_size=8),
+)
 #: A drill takes the platform back to the event before.
 EVENT_OR_DRILL = st.tuples(
     st.floats(0.0, 8.0),
@@ -329,12 +335,7 @@
 
 class HistoryTest(unittest.TestCase):
     @settings(PROFILE)
-    @given(
-        st.lists(EVENT, max_size=10),
-        st.tuples(*(st.lists(PAUSE, max_size=25) for _ in NAMES)),
-        st.lists(st.sampled_from(PLATFORM_FAULTS), max_size=25),
-        st.lists(st.sampled_from(ORDER_FAULTS), max_size=8),
-    )
+    @given(st.lists(EVENT, max_size=10), *FAULTS)
     def test_no_engine_obeys_an_older_holder_after_a_newer_one(
         self,
         events: list[tuple[float, str, int]],
@@ -345,12 +346,7 @@
         self.check(events, pauses, platform_faults, order_faults, era=0)
 
     @settings(PROFILE)
-    @given(
-        st.lists(EVENT_OR_DRILL, max_size=10),
-        st.tuples(*(st.lists(PAUSE, max_size=25) for _ in NAMES)),
-        st.lists(st.sampled_from(PLATFORM_FAULTS), max_size=25),
-        st.lists(st.sampled_from(ORDER_FAULTS), max_size=8),
-    )
+    @given(st.lists(EVENT_OR_DRILL, max_size=10), *FAULTS)
     def test_nor_where_the_platform_comes_back_from_older_copies(
         self,
         events: list[tuple[float, str, int]],
--- a/pondhatch/requests/__init__.py
+++ b/pondhatch/requests/__init__.py
@@ -6,7 +6,6 @@
     QUARANTINED,
     CrashGuard,
     RequestWatch,
-    out_of_time,
 )
 from pondhatch.requests._delivery import Delivered, Delivery, is_event_stream
 from pondhatch.requests._digest import digest_of
@@ -57,6 +56,7 @@
     Refusal,
     Unknown,
     Whole,
+    out_of_time,
 )
 from pondhatch.requests._owner import LocalOwner, OwnerView
 from pondhatch.requests._owner_grants import OwnerGrants
--- a/pondhatch/requests/_crash_guard.py
+++ b/pondhatch/requests/_crash_guard.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from pondhatch.requests._outcomes import BAD_REQUEST_STATUS, NotRun, Refusal, Unknown
+from pondhatch.requests._outcomes import BAD_REQUEST_STATUS, Refusal, Unknown
 from pondhatch.requests._sending import Target
 
 #: What the caller of a request that is held back is told. It has run, so nothing promises the
@@ -82,8 +82,3 @@
     def watch(self, digest: int) -> RequestWatch:
         """Return a watch that lets everything pass."""
         return NO_WATCH
-
-
-def out_of_time() -> NotRun:
-    """Return the refusal of a request whose time ran out before it was sent."""
-    return NotRun("deadline", "the deadline passed before an engine was free")
--- a/pondhatch/requests/_entry.py
+++ b/pondhatch/requests/_entry.py
@@ -9,7 +9,7 @@
 
 from pondhatch.limits import RetryBudget
 from pondhatch.placement import Ask, Exhausted, Granted, Plan
-from pondhatch.requests._crash_guard import QUARANTINED, out_of_time
+from pondhatch.requests._crash_guard import QUARANTINED
 from pondhatch.requests._entry_view import EntryView, Ways
 from pondhatch.requests._messages import BodySource, Opened, ReplayableBody, RequestHead
 from pondhatch.requests._outcomes import (
@@ -20,6 +20,7 @@
     NotRun,
     Refusal,
     Unknown,
+    out_of_time,
 )
 from pondhatch.requests._questions import (
     MILLISECONDS,
--- a/pondhatch/requests/_outcomes.py
+++ b/pondhatch/requests/_outcomes.py
@@ -80,6 +80,11 @@
 Outcome = Whole | NotRun | Unknown | Broken
 
 
+def out_of_time() -> NotRun:
+    """Return the refusal of a request whose time ran out before it was sent."""
+    return NotRun("deadline", "the deadline passed before an engine was free")
+
+
 def refused_by_engine(refusal: EngineRefusal, reason: str) -> NotRun:
     """Return what a caller is told of an upstream's refusal, where nobody else took it."""
     if refusal is EngineRefusal.BAD_REQUEST:
--- a/pondhatch/transport/_routed_callers.py
+++ b/pondhatch/transport/_routed_callers.py
@@ -7,7 +7,6 @@
 import uuid
 from typing import Any, TypeVar
 
-from msgspec.structs import replace
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET
 
@@ -207,8 +206,7 @@
             return admitted
         # On the way in, so that nothing behind this can pass on what the caller may not say.
         passed_on = self._dialect.passed_on(headers, self._note_dropped)
-        head = _head(request, route.spec, account, admitted, facts, passed_on)
-        head = replace(head, digest=digest_of(account.name, head.method, head.path, body.content))
+        head = _head(request, route.spec, account, admitted, facts, passed_on, body)
         context_wait = admitted.context_wait if head.returning else 0.0
         return Work(account, admitted, head, body, Patience(context_wait, admitted.queue_wait))
 
@@ -253,15 +251,17 @@
     admitted: Admitted,
     facts: CallerFacts,
     headers: Headers,
+    body: ReplayableBody,
 ) -> RequestHead:
     context = facts.context if route.keeps_context else 0
+    method, path = request.method.decode("latin-1"), request.uri.decode("latin-1")
     return RequestHead(
         request_id=uuid.uuid4().hex,
         account=account.name,
         service=admitted.service,
         chat=context,
-        method=request.method.decode("latin-1"),
-        path=request.uri.decode("latin-1"),
+        method=method,
+        path=path,
         headers=headers,
         repeatable=route.repeats != "never",
         deadline=admitted.deadline,
@@ -271,6 +271,7 @@
         caller_id=facts.caller_id,
         most_tries=route.most_tries,
         resumes_anywhere=route.repeats == "resumed",
+        digest=digest_of(account.name, method, path, body.content),
     )
 
 
--- a/pondhatch/transport/_upstreams.py
+++ b/pondhatch/transport/_upstreams.py
@@ -152,8 +152,11 @@
 
     async def has_ended(self, target: Target) -> bool:
         """Return whether nothing listens at an upstream any more; see CrashGuard."""
-        address = host_and_port(target.url.removeprefix("http://").rstrip("/"))
-        return address is not None and await self.client.is_refused(Address(*address))
+        try:
+            address = _address_of(target.url)
+        except NotSent:
+            return False
+        return await self.client.is_refused(address)
 
     def _judge(self, head: RequestHead, answered: ResponseHead) -> Judged | EngineRefusal:
         return self._dialect.judge(head, answered.status, answered.value_by_name)
