Leave engines that ignore numbers alone for longer where an era has just begun

Read, not seen: the condition for it was always true where a lease could be claimed at all, so a lease that a store's older copy shows as gone or given up counted as a planned change of holder. Now it counts as an emergency until a lease's time and the settling time have passed.

--- a/pondhatch/authority/_lease_facts.py
+++ b/pondhatch/authority/_lease_facts.py
@@ -90,8 +90,9 @@
     def settle(self, began_at: float) -> None:
         """Work out from when on a new holder may order engines that ignore fencing numbers."""
         planned = self.record is None or self.record.released
-        # Of an era that began just now, nobody knows whether the last holder stepped down.
-        planned = planned and began_at >= self.era_settles_at()
+        # Of an era that began just now, nobody knows whether the last holder stepped down; its
+        # orders have ended once a lease's time and then this have passed.
+        planned = planned and began_at >= self.era_settles_at() + self.terms.settle
         self.settled_at = float("-inf") if planned else began_at + self.terms.settle
 
     def era_settles_at(self) -> float:
--- a/pondhatch/authority/tests/test_eras.py
+++ b/pondhatch/authority/tests/test_eras.py
@@ -112,6 +112,20 @@
         self.assertIsNone(candidate.fencing(at, checks_fencing=False))
         self.assertIsNotNone(candidate.fencing(at, checks_fencing=True))
 
+    def test_nor_does_a_record_that_is_gone_or_given_up_show_that_it_was_planned(self) -> None:
+        for told in (Missing(position_of(2, 5)), found(record("gone", 3, released=True), 2, 5)):
+            with self.subTest(told=told):
+                candidate = keeper("r1")
+                candidate.told_era(0.0, 2)
+                at = TERMS.duration
+                candidate.due(at, True, False)
+                candidate.told_read(at, told)
+                self.assertIsInstance(candidate.due(at + TERMS.read_every, True, False), Write)
+                at += TERMS.read_every
+                candidate.told_write(at, Accepted(position_of(2, 6)))
+                self.assertIsNone(candidate.fencing(at, checks_fencing=False))
+                self.assertIsNotNone(candidate.fencing(at + TERMS.settle, checks_fencing=False))
+
     def test_a_platform_without_eras_is_as_it_was(self) -> None:
         candidate = keeper("r1")
         candidate.due(0.0, True, False)
