Show what an evacuated hall, a cold engine and a bound region come to: nobody knows them

Callers saw: requests ran in halls that were to get nothing more, cold engines were sent what they fall over under, and requests ran outside the regions that their routes and accounts allow.

--- a/fakes/_machines_engine.py
+++ b/fakes/_machines_engine.py
@@ -6,6 +6,8 @@
 request), ``fail`` (500 of its own), ``echo`` (an answer repeats what the router said). A
 request whose body begins with one of ``ENDING_BODIES`` ends the engine's process as it begins
 to run. A request that names a copy or a reservation which is not here is refused and not run.
+``POST /cold`` with ``{"seconds": 5, "most": 11}`` makes it cold: its process ends where more
+requests come within one second than it then bears.
 """
 
 from __future__ import annotations
@@ -13,6 +15,8 @@
 import asyncio
 import json
 import os
+import time
+from collections import deque
 from typing import Any
 
 from klein import Klein
@@ -48,6 +52,11 @@
         #: Headers of every request that came, refused ones too: pairs, names in lower case.
         self.asked: list[list[tuple[str, str]]] = []
         self._name = name
+        self._cold_until = 0.0
+        #: Requests within one second that it bears while it is cold.
+        self._most_cold = 0
+        #: When the requests of the last second came.
+        self._came_at: deque[float] = deque()
         self._route()
 
     def _route(self) -> None:
@@ -59,6 +68,13 @@
         def asked(request: Any) -> bytes:
             return json.dumps(self.asked).encode()
 
+        @self.app.route("/cold", methods=["POST"])
+        def cold(request: Any) -> bytes:
+            told = json.loads(request.content.read())
+            self._cold_until = time.monotonic() + told["seconds"]
+            self._most_cold = told["most"]
+            return b"ok\n"
+
         self.faults.route(self.app)
 
         @self.app.route("/", branch=True)
@@ -71,6 +87,7 @@
         if request.getHeader("Expect-Instance") != self._name:
             request.setResponseCode(421)
             return b""
+        self._bear()
         unknown_here = any(request.getHeader(name) is not None for name in MUST_BE_HERE)
         if unknown_here or self.faults.strike("refuse"):
             request.setResponseCode(503)
@@ -103,6 +120,15 @@
         run["outcome"] = await self._stream(request, run, gone)
         return b""
 
+    def _bear(self) -> None:
+        """Take one more request in, or fall over under it where the engine is cold."""
+        now = time.monotonic()
+        self._came_at.append(now)
+        while self._came_at[0] <= now - 1.0:
+            self._came_at.popleft()
+        if now < self._cold_until and len(self._came_at) > self._most_cold:
+            os._exit(1)
+
     async def _end_with(self, request: Any, body: bytes) -> None:
         """End the whole process, as a request does that an engine cannot bear."""
         if body == ENDS_AFTER_HEAD:
--- a/fakes/_machines_fleet.py
+++ b/fakes/_machines_fleet.py
@@ -20,7 +20,16 @@
 TEMPLATE = ROOT / "deploy" / "router.yaml"
 HALLS = ("hall-1", "hall-2")
 #: What the platform says of its bounds to whom it starts.
-BOUNDS = {"CapacityFactor": 2, "GraceS": 8, "RetryBudgetRatio": 0.2, "BudgetSlack": 56}
+BOUNDS = {
+    "CapacityFactor": 2,
+    "GraceS": 8,
+    "RetryBudgetRatio": 0.2,
+    "BudgetSlack": 56,
+    "ColdOvershoot": 1.5,
+    "ColdSlack": 5,
+}
+#: The region of each hall.
+REGIONS = {"hall-1": "north", "hall-2": "south"}
 
 
 def fill(template: str, values: dict[str, Any]) -> str:
@@ -138,6 +147,7 @@
         gaps = {
             "NodeName": name,
             "Zone": hall,
+            "Zones": REGIONS,
             "Ip": HOST,
             "Listen": {
                 "Frontend": f"{HOST}:{ports.clients}",
