--- a/pondhatch/limits/_retries.py
+++ b/pondhatch/limits/_retries.py
@@ -7,10 +7,10 @@
 
 from __future__ import annotations
 
-from collections import deque
-
 import msgspec
 
+from pondhatch.limits._most_seen import MostSeen
+
 #: Retries allowed for each first try.
 DEFAULT_RATIO = 0.1
 #: Retries that may be saved up, so that a quiet router can still retry.
@@ -21,9 +21,6 @@
 SPENT_PART = 0.5
 #: Least that one router may save up: less could never be spent.
 LEAST_SAVED = 1.0
-#: Seconds for which a router that is no longer heard of still counts: it may only be cut
-#: off, and spend its part.
-MISSED_SECONDS = 60.0
 
 
 class RetryBudget(msgspec.Struct):
@@ -61,11 +58,8 @@
 
     allowance: RetryAllowance = msgspec.field(default_factory=RetryAllowance)
     budget_by_service: dict[str, RetryBudget] = msgspec.field(default_factory=dict)
-    #: Numbers of live routers, each with when it was last seen, the newest last. Each is
-    #: greater than those after it: a smaller one that is older can never be the most.
-    _seen: deque[tuple[int, float]] = msgspec.field(
-        default_factory=lambda: deque([(1, float("-inf"))])
-    )
+    #: Routers that were seen; one that is missed may only be cut off, and spend its part.
+    routers: MostSeen = msgspec.field(default_factory=MostSeen)
 
     def of(self, service: str) -> RetryBudget:
         """Return the budget for a service."""
@@ -78,11 +72,7 @@
     def set_routers(self, live: int, now: float) -> None:
         """Set how many routers are live, this one included."""
         before = self._most_saved()
-        while self._seen and now - self._seen[0][1] > MISSED_SECONDS:
-            self._seen.popleft()
-        while self._seen and self._seen[-1][0] <= live:
-            self._seen.pop()
-        self._seen.append((live, now))
+        self.routers.note(live, now)
         if self._most_saved() != before:
             self._share_out()
 
@@ -95,4 +85,4 @@
 
     def _most_saved(self) -> float:
         """Return this router's part of the slack, by the most routers seen in a while."""
-        return max(LEAST_SAVED, self.allowance.slack * SPENT_PART / self._seen[0][0])
+        return max(LEAST_SAVED, self.allowance.slack * SPENT_PART / self.routers.most)
--- a/pondhatch/limits/tests/test_limits.py
+++ b/pondhatch/limits/tests/test_limits.py
@@ -11,7 +11,7 @@
     RetryBudget,
     RetryBudgets,
 )
-from pondhatch.limits._retries import MISSED_SECONDS
+from pondhatch.limits._most_seen import MISSED_SECONDS
 
 LIMITS = AccountLimits(requests_per_second=10.0, burst=5, concurrency=4)
 
