--- a/bench/_surge.py
+++ b/bench/_surge.py
@@ -15,7 +15,7 @@
 from fakes._virtual_loop import run_virtually
 from pondhatch.limits import RetryBudget
 from pondhatch.membership import short_id
-from pondhatch.placement import Gate, Health, SpillMemory
+from pondhatch.placement import OPEN, Gate, Health, Regions, SpillMemory
 from pondhatch.requests import (
     BodySource,
     Delivery,
@@ -93,7 +93,7 @@
         self._gate = gate
 
     def target(self, engine: str) -> Target | None:
-        return Target(engine, "", True, BOUND, len(ENGINES), SLOTS)
+        return Target(engine, "", OPEN, BOUND, len(ENGINES), SLOTS)
 
     def note_served(self, chat: int, engine: str) -> None:
         """Remember nothing."""
@@ -123,9 +123,12 @@
     def unreachable(self, name: str) -> None:
         """Do nothing."""
 
-    def live_upstreams(self, service: str) -> tuple[str, ...]:
+    def live_upstreams(self, service: str, regions: Regions = None) -> tuple[str, ...]:
         return ENGINES
 
+    def closed_home(self, service: str, chat: str, regions: Regions) -> tuple[str, str] | None:
+        return None
+
     def resumes(self, engine: str) -> bool:
         return False
 
--- a/pondhatch/cli/_figures.py
+++ b/pondhatch/cli/_figures.py
@@ -33,6 +33,8 @@
             "configuration.refused": int(self.state.refused is not None),
             "configuration.misfits": len(self.state.fleet.misfits_by_entry),
             "upstreams.owned": len(self.state.owned()),
+            "upstreams.cold": self.state.cold_count(),
+            "halls.evacuated": len(self.state.halls.evacuations.halls),
             "requests.suspected": len(self.state.suspects.suspect_by_digest),
             "requests.quarantined": len(list(self.state.suspects.quarantined(self.state.clock()))),
             "chats.spilled": len(self.state.memory.engine_by_chat),
--- /dev/null
+++ b/pondhatch/cli/_hall_commands.py
@@ -0,0 +1,128 @@
+"""The commands that evacuate a data hall, and that end that."""
+
+from __future__ import annotations
+
+import sys
+from collections import Counter
+
+from pondhatch.cli._event_loop import run_on_reactor
+from pondhatch.cli._reports import (
+    EXIT_CONFLICT,
+    EXIT_DONE,
+    EXIT_INPUT,
+    EXIT_UNKNOWN,
+    EXIT_UNREACHABLE,
+)
+from pondhatch.kernel import install_reactor
+from pondhatch.router import EVACUATION_KIND, UPSTREAM_KIND
+from pondhatch.store import (
+    IN_FORCE,
+    LIVE,
+    Accepted,
+    Conflict,
+    Found,
+    Listed,
+    OutcomeUnknown,
+    Platform,
+    Unavailable,
+    Upstream,
+    UpstreamReader,
+)
+
+
+def evacuate(hall: str, *, platform: str, dry_run: bool = False) -> int:
+    """Have nothing more sent to a data hall's upstreams; what runs there ends there.
+
+    Shows before, by service, how many upstreams that takes away and how many are left.
+
+    :param hall: the data hall, as upstreams name it
+    :param platform: the platform's URL
+    :param dry_run: only show what it would come to
+    """
+    return _run(hall, platform, in_force=True, dry_run=dry_run)
+
+
+def reopen(hall: str, *, platform: str, dry_run: bool = False) -> int:
+    """End a data hall's evacuation: its upstreams are used again.
+
+    :param hall: the data hall, as upstreams name it
+    :param platform: the platform's URL
+    :param dry_run: only show what it would come to
+    """
+    return _run(hall, platform, in_force=False, dry_run=dry_run)
+
+
+def _run(hall: str, url: str, in_force: bool, dry_run: bool) -> int:
+    install_reactor()
+
+    async def work() -> int:
+        from pondhatch.standard import HttpPlatform
+
+        return await set_evacuation(HttpPlatform(url), hall, in_force, dry_run)
+
+    return run_on_reactor(work())
+
+
+async def set_evacuation(platform: Platform, hall: str, in_force: bool, dry_run: bool) -> int:
+    """Begin or end an evacuation, and print what it comes to; return the exit code."""
+    listed = await platform.list(UPSTREAM_KIND)
+    asked = await platform.list(EVACUATION_KIND)
+    if isinstance(listed, Unavailable) or isinstance(asked, Unavailable):
+        print("cannot reach the platform; nothing was done", file=sys.stderr)
+        return EXIT_UNREACHABLE
+    live = _live(listed)
+    if hall not in {upstream.hall for upstream in live}:
+        known = ", ".join(sorted({upstream.hall for upstream in live})) or "none"
+        print(f"HALL: no upstream stands in {hall!r}; expected one of: {known}", file=sys.stderr)
+        return EXIT_INPUT
+    closed = {each.name for each in asked.objects if _is_in_force(each.value)} - {hall}
+    _print_effect(live, hall, closed | ({hall} if in_force else set()), in_force)
+    return EXIT_DONE if dry_run else await _write(platform, hall, in_force)
+
+
+async def _write(platform: Platform, hall: str, in_force: bool) -> int:
+    known = await platform.get(EVACUATION_KIND, hall)
+    if isinstance(known, Unavailable):
+        print("cannot reach the platform; nothing was done", file=sys.stderr)
+        return EXIT_UNREACHABLE
+    value = {IN_FORCE: in_force}
+    if isinstance(known, Found):
+        version = known.object.version
+        return _report(await platform.update(EVACUATION_KIND, hall, value, version))
+    return _report(await platform.create(EVACUATION_KIND, hall, value))
+
+
+def _report(written: Accepted | Conflict | OutcomeUnknown | Unavailable) -> int:
+    """Print what became of a write; return the exit code."""
+    if isinstance(written, Accepted):
+        print("accepted; in force at every router within seconds")
+        return EXIT_DONE
+    if isinstance(written, Conflict):
+        print("somebody else changed it first; nothing of yours was done", file=sys.stderr)
+        return EXIT_CONFLICT
+    if isinstance(written, Unavailable):
+        print(f"nothing was done: {written.reason}", file=sys.stderr)
+        return EXIT_UNREACHABLE
+    print(f"unknown: it may be in force ({written.reason}); say it again", file=sys.stderr)
+    return EXIT_UNKNOWN
+
+
+def _live(listed: Listed) -> list[Upstream]:
+    entries = UpstreamReader().listing(listed).entries
+    return [each.upstream for each in entries if each.upstream.state == LIVE]
+
+
+def _is_in_force(value: object) -> bool:
+    return not (isinstance(value, dict) and value.get(IN_FORCE) is False)
+
+
+def _print_effect(live: list[Upstream], hall: str, closed: set[str], in_force: bool) -> None:
+    """Print, for each service that the hall serves, how many upstreams are left to carry it."""
+    there = Counter(each.service for each in live if each.hall == hall)
+    left = Counter(each.service for each in live if each.hall not in closed)
+    print(f"{hall} is {'evacuated' if in_force else 'open'}:")
+    for service, number in sorted(there.items()):
+        what = "get nothing more" if in_force else "are used again"
+        print(f"  {service}: {number} upstreams {what}, {left[service]} carry it")
+        if not left[service]:
+            print(f"  {service}: nobody is left, its requests are refused")
--- a/pondhatch/cli/_own_state.py
+++ b/pondhatch/cli/_own_state.py
@@ -6,10 +6,11 @@
 import time
 
 from pondhatch.cli._peer_connections import PeerConnections
-from pondhatch.configuration import RetrySettings, Settings
+from pondhatch.configuration import ColdSettings, RetrySettings, Settings
 from pondhatch.limits import RetryAllowance, RetryBudgets
 from pondhatch.membership import Address, Alive, Gossip, MembershipLimits, Phase, short_id
-from pondhatch.router import RouterState
+from pondhatch.placement import ColdAllowance, ColdPaces
+from pondhatch.router import HallStates, RouterState
 
 
 def own_state(settings: Settings, rng: random.Random, connections: PeerConnections) -> RouterState:
@@ -23,6 +24,8 @@
         time.monotonic,
         connections.to,
         retries=RetryBudgets(_allowance(settings.retries)),
+        halls=HallStates(settings.regions or {}),
+        cold_paces=ColdPaces(_cold_allowance(settings.cold)),
     )
 
 
@@ -41,8 +44,17 @@
 
 def _allowance(settings: RetrySettings) -> RetryAllowance:
     """Return what the settings allow; what they leave out keeps its default."""
-    named = {"share": settings.share, "slack": settings.slack}
-    return RetryAllowance(**{name: value for name, value in named.items() if value is not None})
+    return RetryAllowance(**_given(share=settings.share, slack=settings.slack))
+
+
+def _cold_allowance(settings: ColdSettings) -> ColdAllowance:
+    """Return what the settings say that cold upstreams bear."""
+    return ColdAllowance(**_given(overshoot=settings.overshoot, slack=settings.slack))
+
+
+def _given(**values: float | None) -> dict[str, float]:
+    """Return the values that are given."""
+    return {name: value for name, value in values.items() if value is not None}
 
 
 def _address(text: str) -> Address:
--- a/pondhatch/cli/_router_process.py
+++ b/pondhatch/cli/_router_process.py
@@ -220,6 +220,7 @@
         return PullReply(
             self.state.update_since(asked.configuration, asked.takes_difference),
             self.state.upstreams_since(asked.upstreams),
+            self.state.halls.evacuations.told(),
         )
 
     def _receive(self, payload: bytes, source: Address) -> list[Any]:
--- a/pondhatch/configuration/__init__.py
+++ b/pondhatch/configuration/__init__.py
@@ -53,6 +53,7 @@
 from pondhatch.configuration._settings import (
     CallerEndpoint,
     CallerLimits,
+    ColdSettings,
     DrainSettings,
     LogSettings,
     MetricsEndpoint,
@@ -68,6 +69,7 @@
 from pondhatch.configuration._yaml import Document, load, parse
 
 __all__ = [
+    "ColdSettings",
     "DrainSettings",
     "ReadyEndpoint",
     "MetricsEndpoint",
--- a/pondhatch/configuration/_schema.py
+++ b/pondhatch/configuration/_schema.py
@@ -18,6 +18,8 @@
 Scalar = bool | int | float | str
 
 Role = Literal["combined", "prefill", "decode"]
+#: Names of regions. An empty list would say that nothing may run, which nobody means.
+RegionNames = Annotated[tuple[Annotated[str, Meta(min_length=1)], ...], Meta(min_length=1)]
 
 
 class OrdersSpec(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -57,6 +59,9 @@
     repeatable_methods: tuple[str, ...] = ("GET", "HEAD", "OPTIONS")
     #: Seconds that a request may take in all.
     deadline: Annotated[float, Meta(ge=1.0, le=3600.0)] = 120.0
+    #: Requests a second that one of its upstreams bears while it is cold; None where it bears
+    #: what it bears when it is warm.
+    cold_pace: Annotated[float, Meta(gt=0)] | None = None
     #: Whether its engines take contexts over from each other when they are told to.
     shares_context: bool = False
     #: Upstreams that an operator wants emptied; they get no new work.
@@ -103,6 +108,8 @@
     public: bool = False
     #: Whether its requests return to the engine that holds their context.
     keeps_context: bool = False
+    #: Regions whose upstreams may run its requests; None where any may.
+    regions: RegionNames | None = None
 
 
 class CallerBounds(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -160,6 +167,9 @@
     priority: Annotated[int, Meta(ge=0, le=9)] | None = 5
     #: Share against other accounts when a service is full.
     weight: Annotated[float, Meta(gt=0, le=100)] = 1.0
+    #: Regions whose upstreams may run its requests, and whose routers may keep their answers;
+    #: None where any may. Where a route names regions as well, both bind.
+    regions: RegionNames | None = None
 
 
 class FleetFile(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/pondhatch/configuration/_settings.py
+++ b/pondhatch/configuration/_settings.py
@@ -117,6 +117,18 @@
     slack: Annotated[float, Meta(ge=0)] | None = None
 
 
+class ColdSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What a cold upstream bears in any one second, whoever sends it.
+
+    Left out, or left empty by a platform that does not say, each has its default.
+    """
+
+    #: Multiple of its service's ``cold_pace``.
+    overshoot: Annotated[float, Meta(ge=0)] | None = None
+    #: Requests beyond that.
+    slack: Annotated[float, Meta(ge=0)] | None = None
+
+
 class DrainSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """How a stopping router ends."""
 
@@ -157,6 +169,9 @@
     ready: ReadyEndpoint | None = None
     service_defaults: ServiceDefaults = msgspec.field(default_factory=ServiceDefaults)
     retries: RetrySettings = msgspec.field(default_factory=RetrySettings)
+    cold: ColdSettings = msgspec.field(default_factory=ColdSettings)
+    #: The region of each data hall, for what is bound to regions; None where nobody says.
+    regions: dict[str, str] | None = None
     #: Peers to try first, as "IP:port"; the platform's list of VMs adds to them.
     seeds: tuple[Annotated[str, Meta(pattern=r"^[0-9a-fA-F.:]+:\d+$")], ...] = ()
     limits: CallerLimits = msgspec.field(default_factory=CallerLimits)
@@ -168,6 +183,9 @@
     log: LogSettings = msgspec.field(default_factory=LogSettings)
 
 
+#: Sections whose numbers a platform fills in.
+FILLED_IN = ("retries", "cold")
+
 #: Shortest fleet key that is taken, in bytes.
 MINIMUM_FLEET_KEY = 16
 
@@ -201,11 +219,14 @@
 
 
 def _with_numbers(data: Any) -> Any:
-    """Return settings in which retries' numbers with an exponent, as JSON has them, are read."""
-    retries = data.get("retries") if isinstance(data, dict) else None
-    if not isinstance(retries, dict):
-        return data
-    return {**data, "retries": {name: _number(value) for name, value in retries.items()}}
+    """Return settings in which numbers with an exponent, as JSON has them, are read."""
+    sections = {name: data.get(name) for name in FILLED_IN} if isinstance(data, dict) else {}
+    read = {
+        section: {name: _number(value) for name, value in values.items()}
+        for section, values in sections.items()
+        if isinstance(values, dict)
+    }
+    return {**data, **read} if read else data
 
 
 def _number(value: Any) -> Any:
--- a/pondhatch/membership/_gossip.py
+++ b/pondhatch/membership/_gossip.py
@@ -57,9 +57,10 @@
         upstreams: int,
         loads: tuple[ServiceLoad, ...],
         sees_platform: bool = True,
+        evacuations: int = 0,
     ) -> None:
         """Set what this router says of itself."""
-        self.membership.publish(phase, configuration, upstreams, sees_platform)
+        self.membership.publish(phase, configuration, upstreams, sees_platform, evacuations)
         self._own_loads = loads
 
     def tick(self, now: float) -> list[Datagram]:
--- a/pondhatch/membership/_records.py
+++ b/pondhatch/membership/_records.py
@@ -72,6 +72,8 @@
 
     configuration: int = 0
     upstreams: int = 0
+    #: Of the evacuated halls; 0 where nothing is known of them.
+    evacuations: int = 0
 
 
 class Ping(_Message, frozen=True, tag=10):
--- a/pondhatch/membership/_swim.py
+++ b/pondhatch/membership/_swim.py
@@ -71,10 +71,16 @@
             self._reconnection.make_due()
 
     def publish(
-        self, phase: Phase, configuration: int, upstreams: int, sees_platform: bool = True
+        self,
+        phase: Phase,
+        configuration: int,
+        upstreams: int,
+        sees_platform: bool = True,
+        evacuations: int = 0,
     ) -> None:
         """Set what this router says of itself; a new phase is a new word on itself."""
-        self._dissemination.publish(phase, Versions(configuration, upstreams), sees_platform)
+        versions = Versions(configuration, upstreams, evacuations)
+        self._dissemination.publish(phase, versions, sees_platform)
 
     # -- what the router reads ----------------------------------------------
 
@@ -107,6 +113,7 @@
         if (
             table.newest_configuration <= own.configuration
             and table.newest_upstreams <= own.upstreams
+            and table.newest_evacuations <= own.evacuations
         ):
             return ()
         return tuple(
@@ -114,6 +121,7 @@
             for entry in self.table
             if entry.versions.configuration > own.configuration
             or entry.versions.upstreams > own.upstreams
+            or entry.versions.evacuations > own.evacuations
         )
 
     def unreachable(self, name: str, now: float) -> None:
--- a/pondhatch/membership/_table.py
+++ b/pondhatch/membership/_table.py
@@ -54,8 +54,10 @@
         #: The newest version of the configuration that any of them was heard to hold. Kept, for
         #: it is looked at ten times a second, and going through 470 takes 0.03 ms and more.
         self.newest_configuration = 0
-        #: The same of the list of upstreams; each packet leads to a look at both.
+        #: The same of the list of upstreams; each packet leads to a look at all of these.
         self.newest_upstreams = 0
+        #: The same of the evacuated halls.
+        self.newest_evacuations = 0
         #: Grows with every change of who is there and what they say of themselves.
         self.revision = 0
         self._view = 0
@@ -101,6 +103,7 @@
         if known is not None and known.versions != versions:
             self.newest_configuration = max(self.newest_configuration, versions.configuration)
             self.newest_upstreams = max(self.newest_upstreams, versions.upstreams)
+            self.newest_evacuations = max(self.newest_evacuations, versions.evacuations)
             newer = _newer(known.versions, versions)
             self.entry_by_id[router] = replace(known, versions=newer)
 
@@ -125,7 +128,9 @@
 
 def _newer(known: Versions, told: Versions) -> Versions:
     return Versions(
-        max(known.configuration, told.configuration), max(known.upstreams, told.upstreams)
+        max(known.configuration, told.configuration),
+        max(known.upstreams, told.upstreams),
+        max(known.evacuations, told.evacuations),
     )
 
 
--- a/pondhatch/placement/__init__.py
+++ b/pondhatch/placement/__init__.py
@@ -1,9 +1,11 @@
 """Placement: which engine takes a request, and how much an engine may carry."""
 
 from pondhatch.placement._ceiling import admission_ceiling
+from pondhatch.placement._cold_pace import ColdAllowance, ColdPaces
 from pondhatch.placement._context import YOUNG_SECONDS, context_engine
 from pondhatch.placement._gate import EngineCount, Full, Gate, Granted, Verdict
 from pondhatch.placement._health import Health
+from pondhatch.placement._intake import CLOSING, OPEN, Closed, Intake, Regions, both, is_allowed
 from pondhatch.placement._line import Line, Ticket
 from pondhatch.placement._memory import SpillMemory
 from pondhatch.placement._plan import Ask, Exhausted, Plan, Step
@@ -14,6 +16,15 @@
     "id_of",
     "name_of_start",
     "Ask",
+    "CLOSING",
+    "Closed",
+    "ColdAllowance",
+    "ColdPaces",
+    "Intake",
+    "OPEN",
+    "Regions",
+    "both",
+    "is_allowed",
     "EngineCount",
     "Exhausted",
     "Full",
--- a/pondhatch/placement/_gate.py
+++ b/pondhatch/placement/_gate.py
@@ -36,6 +36,8 @@
 
     in_flight: int
     ceiling: int
+    #: Whether it has places, but is cold, and is to get nothing more for a moment.
+    is_cold: bool = False
 
 
 Verdict = Granted | Full
--- /dev/null
+++ b/pondhatch/placement/_intake.py
@@ -0,0 +1,78 @@
+"""For which requests, and how fast, an upstream may take work now.
+
+An upstream that is listed as live may still not be sent whatever comes: its data hall may be
+evacuated, it may stand outside the regions that a request is bound to, or it may be cold and
+fall over above a pace. All of that is decided here, from what the list of upstreams, the
+platform and the configuration say, for new requests, repeats and the rest of streams alike.
+"""
+
+from __future__ import annotations
+
+import enum
+from typing import TypeAlias
+
+import msgspec
+
+#: Names of the regions whose upstreams may run a request; None where any may.
+Regions: TypeAlias = tuple[str, ...] | None
+
+
+class Closed(enum.StrEnum):
+    """Why an upstream may not be sent a request now; the value is the code told."""
+
+    #: It is about to end, or an operator wants it emptied.
+    LEAVING = "upstream-leaving"
+    #: Its data hall is to be sent nothing more.
+    EVACUATED = "hall-evacuated"
+    #: Its region is none of those that the request may run in.
+    OUTSIDE_REGIONS = "outside-regions"
+
+
+class Intake(msgspec.Struct, frozen=True):
+    """What one upstream takes now."""
+
+    #: Whether it takes new work, by its own word and the operator's.
+    is_live: bool = True
+    #: Whether its data hall is evacuated.
+    is_evacuated: bool = False
+    #: The region of its data hall; empty where nobody says.
+    region: str = ""
+    #: Requests a second that it bears, being cold; None where it is warm or nobody says.
+    cold_pace: float | None = None
+
+    @property
+    def takes_new(self) -> bool:
+        """Whether some new request may be sent to it."""
+        return self.is_live and not self.is_evacuated
+
+    def closed_to(self, regions: Regions, resuming: bool = False) -> Closed | None:
+        """Return why a request may not be sent to it, None where it may.
+
+        ``resuming`` says that it is the rest of a stream that it ran. One that leaves takes
+        that; one whose hall is evacuated does not.
+        """
+        if self.is_evacuated:
+            return Closed.EVACUATED
+        if not is_allowed(self.region, regions):
+            return Closed.OUTSIDE_REGIONS
+        if not self.is_live and not resuming:
+            return Closed.LEAVING
+        return None
+
+
+#: Takes all requests, as fast as they come.
+OPEN = Intake()
+#: Takes the rest of its streams alone.
+CLOSING = Intake(is_live=False)
+
+
+def is_allowed(region: str, regions: Regions) -> bool:
+    """Return whether what is bound to regions may go to one of them."""
+    return regions is None or region in regions
+
+
+def both(first: Regions, second: Regions) -> Regions:
+    """Return the regions that two bindings allow together; none where they share none."""
+    if first is None or second is None:
+        return second if first is None else first
+    return tuple(region for region in first if region in second)
--- a/pondhatch/placement/_plan.py
+++ b/pondhatch/placement/_plan.py
@@ -102,10 +102,11 @@
         """Return the work seen on this walk at other engines: newer than any digest."""
         return sum(held for other, held in self.in_flight_by_engine.items() if other != engine)
 
-    def full(self, in_flight: int, ceiling: int) -> None:
-        """Note that the engine last asked is at its ceiling."""
+    def full(self, in_flight: int, ceiling: int, is_cold: bool = False) -> None:
+        """Note that the engine last asked is at its ceiling, or cold and not due for more."""
         self.in_flight_by_engine[self._last_ask().engine] = in_flight
-        self.refused(f"at ceiling, {in_flight} of {ceiling}")
+        why = f"cold, holds {in_flight}" if is_cold else f"at ceiling, {in_flight} of {ceiling}"
+        self.refused(why)
 
     def said_full(self, in_flight: int, why: str) -> None:
         """Note that the engine last asked was sent the request, and refused it as full."""
--- /dev/null
+++ b/pondhatch/placement/tests/test_intake.py
@@ -0,0 +1,122 @@
+"""For which requests an upstream may take work, and how fast where it is cold."""
+
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from pondhatch.placement import (
+    CLOSING,
+    OPEN,
+    Closed,
+    ColdAllowance,
+    ColdPaces,
+    Intake,
+    Regions,
+    both,
+)
+
+NORTH = Intake(region="north")
+EVACUATED = Intake(is_evacuated=True, region="north")
+
+
+class IntakeTest(unittest.TestCase):
+    def test_who_takes_what(self) -> None:
+        rows: tuple[tuple[Intake, Regions, bool, Closed | None], ...] = (
+            (OPEN, None, False, None),
+            (OPEN, None, True, None),
+            (CLOSING, None, False, Closed.LEAVING),
+            (CLOSING, None, True, None),
+            (EVACUATED, None, False, Closed.EVACUATED),
+            (EVACUATED, None, True, Closed.EVACUATED),
+            (EVACUATED, ("south",), False, Closed.EVACUATED),
+            (NORTH, ("north",), False, None),
+            (NORTH, ("south", "north"), True, None),
+            (NORTH, ("south",), False, Closed.OUTSIDE_REGIONS),
+            (NORTH, ("south",), True, Closed.OUTSIDE_REGIONS),
+            (NORTH, (), False, Closed.OUTSIDE_REGIONS),
+            # Nobody knows where it stands: only what may run anywhere may run there.
+            (OPEN, ("north",), False, Closed.OUTSIDE_REGIONS),
+        )
+        for intake, regions, resuming, expected in rows:
+            with self.subTest(intake=intake, regions=regions, resuming=resuming):
+                self.assertEqual(intake.closed_to(regions, resuming), expected)
+
+    def test_two_bindings_allow_what_each_allows(self) -> None:
+        rows: tuple[tuple[Regions, Regions, Regions], ...] = (
+            (None, None, None),
+            (("a",), None, ("a",)),
+            (None, ("a",), ("a",)),
+            (("a", "b"), ("b", "c"), ("b",)),
+            (("a",), ("b",), ()),
+        )
+        for first, second, expected in rows:
+            with self.subTest(first=first, second=second):
+                self.assertEqual(both(first, second), expected)
+
+
+def most_in_a_second(times: list[float]) -> int:
+    """Return the most that came within any one second."""
+    return max((sum(at <= each < at + 1.0 for each in times) for at in times), default=0)
+
+
+#: How a cold upstream's load may be counted at the same time: by one router, by its owner and the
+#: next, or on the sides of a cut, each with its part of twelve routers.
+SIDES = ((1.0,), (1.0, 1.0), (0.5, 0.25, 0.25), (0.5, 0.5, 0.5), (10 / 12, 1 / 12, 1 / 12))
+
+
+class ColdPaceTest(unittest.TestCase):
+    """The pattern: all who take themselves for the owner are asked all the time."""
+
+    @settings(max_examples=200, deadline=None)
+    @given(
+        st.floats(2.0, 60.0),
+        st.floats(1.0, 2.0),
+        st.floats(2.0, 8.0),
+        st.sampled_from(SIDES),
+        st.floats(0.0, 2.0),
+    )
+    def test_no_more_go_in_any_second_than_an_upstream_bears(
+        self, pace: float, overshoot: float, slack: float, sides: tuple[float, ...], after: float
+    ) -> None:
+        allowance = ColdAllowance(overshoot, slack)
+        routers = [ColdPaces(allowance, share) for share in sides]
+        times: list[float] = []
+        for step in range(400):
+            now = step * 0.01
+            # The first asks from the start, the others a while later.
+            for router in routers[: 1 if now < after else None]:
+                if router.is_due("e0", pace, now):
+                    router.went("e0", pace, now)
+                    times.append(now)
+        # A request at each end of a second may be one too many for fractions of a whole one.
+        self.assertLessEqual(most_in_a_second(times), allowance.most(pace) + len(sides) - 1)
+
+    def test_one_owner_uses_nearly_half_of_what_an_upstream_bears(self) -> None:
+        paces = ColdPaces(ColdAllowance(1.5, 5.0), share=1.0)
+        times = []
+        for step in range(1000):
+            if paces.is_due("e0", 13.0, step * 0.01):
+                paces.went("e0", 13.0, step * 0.01)
+                times.append(step * 0.01)
+        self.assertLessEqual(most_in_a_second(times), 12)
+        self.assertGreaterEqual(len(times), 90)
+
+    def test_a_router_that_has_not_met_its_peers_lets_none_go(self) -> None:
+        paces = ColdPaces(ColdAllowance(1.5, 5.0))
+        self.assertFalse(paces.is_due("e0", 13.0, 0.0))
+
+    def test_a_router_that_sees_a_part_of_the_fleet_waits_a_turn_first(self) -> None:
+        paces = ColdPaces(ColdAllowance(1.5, 5.0), share=1 / 65)
+        self.assertFalse(paces.is_due("e0", 13.0, 0.0))
+        self.assertFalse(paces.is_due("e0", 13.0, 5.0))
+        self.assertTrue(paces.is_due("e0", 13.0, 12.0))
+
+    def test_one_that_is_warm_again_is_forgotten(self) -> None:
+        paces = ColdPaces(ColdAllowance(1.5, 5.0), share=1.0)
+        while paces.is_due("e0", 13.0, 0.0):
+            paces.went("e0", 13.0, 0.0)
+        paces.forget("e0")
+        self.assertTrue(paces.is_due("e0", 13.0, 0.0))
--- a/pondhatch/platform/__init__.py
+++ b/pondhatch/platform/__init__.py
@@ -10,9 +10,14 @@
 from pondhatch.platform import _names as names
 from pondhatch.platform._callers import ClientDialect
 from pondhatch.platform._configuration import ConfigurationReader
-from pondhatch.platform._engines import EngineDialect, NoOrders, decode_engine
+from pondhatch.platform._engines import (
+    EngineDialect,
+    NoOrders,
+    decode_engine,
+    decode_evacuation,
+)
 from pondhatch.platform._store import PlatformStore
-from pondhatch.router import UPSTREAM_KIND, RouterState
+from pondhatch.router import EVACUATION_KIND, UPSTREAM_KIND, RouterState
 from pondhatch.store import Platform
 from pondhatch.transport import (
     INTERFACE,
@@ -40,7 +45,11 @@
     def store(self, url: str) -> Platform:
         """Return the platform's store."""
         calls = StoreCalls(self.view(HttpClient), url)
-        return PlatformStore(calls, {UPSTREAM_KIND: (names.ENGINES_KIND, decode_engine)})
+        decode_by_kind = {
+            UPSTREAM_KIND: (names.ENGINES_KIND, decode_engine),
+            EVACUATION_KIND: (names.EVACUATIONS_KIND, decode_evacuation),
+        }
+        return PlatformStore(calls, decode_by_kind)
 
     def configuration(self, store: Platform) -> ConfigurationSource:
         """Return where the operator's configuration is read."""
--- a/pondhatch/platform/_configuration.py
+++ b/pondhatch/platform/_configuration.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import hashlib
-from collections.abc import Mapping
-from typing import Any, Literal
+from collections.abc import Iterable, Mapping
+from typing import Annotated, Any, ClassVar, Literal
 
 import msgspec
 
@@ -14,6 +14,8 @@
 #: Templates of the accounts, which say all but their priority by themselves.
 OWN_PRIORITY = "own-priority"
 ROUTE_PRIORITY = "route-priority"
+#: Stands in a template's name before the regions that its accounts are bound to.
+_BOUND_TO = "-in-"
 #: The platform sets accounts no rates; these stand for "no limit".
 NO_RATE = 100_000.0
 NO_COUNT = 1_000_000
@@ -33,7 +35,16 @@
     weight: float = 1.0
 
 
+#: Regions in which something may run. An empty list would be a word for "nowhere", and is none
+#: that can be used.
+_AllowedRegions = Annotated[
+    tuple[Annotated[str, msgspec.Meta(min_length=1)], ...], msgspec.Meta(min_length=1)
+]
+
+
 class _Route(Named, frozen=True):
+    BINDING: ClassVar[frozenset[str]] = frozenset({"allowed_regions"})
+
     host: str
     path_prefix: str
     type: RouteType
@@ -55,11 +66,15 @@
     resumable: bool = False
     #: The longest pause between two events of a stream that is in time.
     itl_target_ms: float = 0.0
+    #: None where its requests may run anywhere.
+    allowed_regions: _AllowedRegions | None = None
 
 
 class _Service(Named, frozen=True):
     #: What the engines of a service for models are like; not an id, whatever its name says.
     engine_id: Any = None
+    #: Requests a second that a cold engine handles; 0 where it is never cold.
+    cold_per_s: float = 0.0
 
 
 class _EngineKind(Wire, frozen=True):
@@ -75,8 +90,12 @@
 
 
 class _Tenant(Named, frozen=True):
+    BINDING: ClassVar[frozenset[str]] = frozenset({"allowed_regions"})
+
     api_keys: tuple[str, ...] = ()
     priority: int | None = None
+    #: None where its requests may run anywhere.
+    allowed_regions: _AllowedRegions | None = None
 
 
 class _Configuration(Wire, frozen=True):
@@ -113,7 +132,7 @@
         # A tenant without keys is nobody's account.
         tenants.add(each for each in wire.tenants or () if _has_keys(each))
         known.document_ended()
-        templates = _templates(tuple(services.edit_by_name)) if tenants.edit_by_name else []
+        templates = _templates(tuple(services.edit_by_name), tenants.edits)
         edits = [*services.edits, *routes.edits, *_bounds(wire.limits), *templates, *tenants.edits]
         return Snapshot(wire.version, tuple(edits))
 
@@ -135,6 +154,7 @@
         "load_bound": defaults.load_bound,
         "load_slack": defaults.load_slack,
         "shares_context": engines.moves,
+        "cold_pace": service.cold_per_s if service.cold_per_s > 0 else None,
     }
 
 
@@ -156,9 +176,14 @@
         "priority": _rank(route.priority),
         "public": route.public or nobody_has_keys,
         "keeps_context": route.sticky,
+        "regions": _list_or_none(route.allowed_regions),
     }
 
 
+def _list_or_none(regions: tuple[str, ...] | None) -> list[str] | None:
+    return None if regions is None else list(regions)
+
+
 def _rank(priority: int) -> int:
     """Return a priority on the product's scale; the platform's goes on beyond its end."""
     return min(max(priority, MOST_URGENT), LEAST_URGENT)
@@ -182,31 +207,58 @@
     return [Edit("bounds", CALLER_BOUNDS, marked(bounds, read.wrong))]
 
 
-def _templates(services: tuple[str, ...]) -> list[Edit]:
+def _templates(services: tuple[str, ...], accounts: Iterable[Edit]) -> list[Edit]:
+    """Return the templates of accounts, for each list of regions that one of them names."""
+    used = [(each.value or {}).get("template", "") for each in accounts]
+    bindings = sorted({name.partition(_BOUND_TO)[2] for name in used if name})
+    return [edit for binding in bindings for edit in _templates_of(services, binding)]
+
+
+def _templates_of(services: tuple[str, ...], binding: str) -> list[Edit]:
+    """Return both templates for accounts that are bound to the same regions."""
     account: dict[str, Any] = {
         "services": list(services),
         "requests_per_second": NO_RATE,
         "burst": NO_COUNT,
         "concurrency": NO_COUNT,
         "priority": None,
+        "regions": _regions_of(binding),
     }
     own: dict[str, Any] = {
         "account": {**account, "priority": "$priority"},
         "parameters": {"priority": {"type": "integer"}},
     }
     return [
-        Edit("template", OWN_PRIORITY, own),
-        Edit("template", ROUTE_PRIORITY, {"account": account}),
+        Edit("template", _template_name(OWN_PRIORITY, binding), own),
+        Edit("template", _template_name(ROUTE_PRIORITY, binding), {"account": account}),
     ]
 
 
+def _template_name(base: str, binding: str) -> str:
+    return f"{base}{_BOUND_TO}{binding}" if binding else base
+
+
+def _binding(regions: tuple[str, ...] | None) -> str:
+    """Return regions as a part of a template's name, whatever characters theirs have."""
+    return "" if regions is None else msgspec.json.encode(regions).hex()
+
+
+def _regions_of(binding: str) -> list[str] | None:
+    found: list[str] | None = msgspec.json.decode(bytes.fromhex(binding)) if binding else None
+    return found
+
+
 def _account(tenant: _Tenant) -> dict[str, Any]:
     if not tenant.name.isprintable():
         # Engines are told it in a header, and no header holds a line break.
         return {UNREADABLE: "Name: expected one that can stand in a header"}
     # The keys themselves go no further than this.
     hashes = [hashlib.sha256(key.encode()).hexdigest() for key in tenant.api_keys]
+    binding = _binding(tenant.allowed_regions)
     if tenant.priority is None:
-        return {"template": ROUTE_PRIORITY, "key_hashes": hashes}
-    parameters = {"priority": _rank(tenant.priority)}
-    return {"template": OWN_PRIORITY, "key_hashes": hashes, "parameters": parameters}
+        return {"template": _template_name(ROUTE_PRIORITY, binding), "key_hashes": hashes}
+    return {
+        "template": _template_name(OWN_PRIORITY, binding),
+        "key_hashes": hashes,
+        "parameters": {"priority": _rank(tenant.priority)},
+    }
--- a/pondhatch/platform/_engines.py
+++ b/pondhatch/platform/_engines.py
@@ -12,7 +12,7 @@
 from pondhatch.platform._entries import plain
 from pondhatch.platform._header_owners import OWNERS
 from pondhatch.requests import EngineRefusal, Headers, Judged, RequestHead, Target
-from pondhatch.store import LEAVING, LIVE
+from pondhatch.store import IN_FORCE, LEAVING, LIVE
 from pondhatch.transport import NoteDropped, utf8_value
 
 #: What an engine that takes no new work says of itself.
@@ -70,9 +70,15 @@
         "state": state,
         "start": _whole_number(fields, "born"),
         "slots": _whole_number(fields, "Slots"),
+        "cold_seconds": _whole_number(fields, "ColdRemainingMs") / 1000,
     }
 
 
+def decode_evacuation(hall: str, value: Any) -> dict[str, Any]:
+    """Return what an object that asks for a hall's evacuation says: all by being there."""
+    return {IN_FORCE: True}
+
+
 def _text(fields: Mapping[str, Any], field: str) -> str:
     """Return a field that is a text, empty where it is none."""
     found = fields.get(field)
--- a/pondhatch/platform/_entries.py
+++ b/pondhatch/platform/_entries.py
@@ -4,7 +4,7 @@
 
 import functools
 from collections.abc import Callable, Iterable, Mapping
-from typing import Any, Generic, TypeVar
+from typing import Any, ClassVar, Generic, TypeVar
 
 import msgspec
 
@@ -14,6 +14,10 @@
 class Wire(msgspec.Struct, rename="pascal", frozen=True):
     """Base of all parts. A field with a default may be missing, empty or unreadable."""
 
+    #: Fields that bind whoever uses the entry. One that is there and cannot be read leaves the
+    #: whole entry unusable: its default would free what the operator has bound.
+    BINDING: ClassVar[frozenset[str]] = frozenset()
+
 
 Shape = TypeVar("Shape", bound=Wire)
 
@@ -52,7 +56,7 @@
             found[each.name] = msgspec.convert(plain(raw), each.type)
         except msgspec.ValidationError as error:
             told = f"{each.encode_name}: {error}"
-            if each.required:
+            if each.required or each.name in shape.BINDING:
                 raise msgspec.ValidationError(told) from error
             wrong.append(told)
     return Read(shape(**found), "; ".join(wrong))
--- a/pondhatch/platform/_names.py
+++ b/pondhatch/platform/_names.py
@@ -78,5 +78,6 @@
 
 #: Kinds of objects in the store.
 ENGINES_KIND = "servers"
+EVACUATIONS_KIND = "evacuations"
 CONFIGURATION_KIND = "config"
 CONFIGURATION_NAME = "main"
--- a/pondhatch/platform/tests/test_configuration.py
+++ b/pondhatch/platform/tests/test_configuration.py
@@ -235,3 +235,45 @@
         route = fleet.routes.by_name["r-notes"]
         self.assertFalse(route.public)
         self.assertIsNone(fleet.account_of(key_hash("key-1")))
+
+
+class IntakeTest(unittest.TestCase):
+    """What binds requests to regions, and what cold engines bear."""
+
+    def edited(self, kind: str, at: int, **fields: Any) -> Fleet:
+        configuration = copy.deepcopy(CONFIGURATION)
+        configuration[kind][at].update(fields)
+        return fleet_of(configuration)
+
+    def test_a_route_is_bound_to_the_regions_that_it_names(self) -> None:
+        fleet = self.edited("Routes", 0, AllowedRegions=["north", "south"])
+        self.assertEqual(fleet.routes.by_name["r-notes"].regions, ("north", "south"))
+        self.assertIsNone(fleet.routes.by_name["r-proofs"].regions)
+
+    def test_an_account_is_bound_beside_others_that_are_not_and_keeps_its_priority(self) -> None:
+        fleet = self.edited("Tenants", 0, AllowedRegions=["São Paulo"])
+        bound, free = fleet.policy_by_account["pina"], fleet.policy_by_account["rosa"]
+        self.assertEqual((bound.regions, bound.priority), (("São Paulo",), 1))
+        self.assertEqual((free.regions, free.priority), (None, None))
+        self.assertFalse(fleet.misfits_by_entry)
+
+    def test_a_binding_that_is_none_frees_nobody(self) -> None:
+        for value in ([], "north", [3], [""], {"north": True}, 7):
+            with self.subTest(value=value):
+                fleet = self.edited("Routes", 0, AllowedRegions=value)
+                self.assertIsInstance(fleet.routes.find("desk.example", "/notes/a"), Withheld)
+                fleet = self.edited("Tenants", 0, AllowedRegions=value)
+                self.assertIsNone(fleet.account_of(key_hash("key-1")))
+                self.assertFalse(fleet.is_whole("account"))
+
+    def test_no_binding_at_all_is_no_misfit(self) -> None:
+        fleet = self.edited("Routes", 0, AllowedRegions=None)
+        self.assertIsNone(fleet.routes.by_name["r-notes"].regions)
+        self.assertFalse(fleet.misfits_by_entry)
+
+    def test_what_a_cold_engine_bears_is_its_services(self) -> None:
+        rows = ((13.0, 13.0), (0.0, None), (0, None), (None, None))
+        for told, expected in rows:
+            with self.subTest(told=told):
+                fleet = self.edited("Services", 0, ColdPerS=told)
+                self.assertEqual(fleet.service_by_name["lang"].cold_pace, expected)
--- a/pondhatch/requests/_entry.py
+++ b/pondhatch/requests/_entry.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from pondhatch.limits import RetryBudget
-from pondhatch.placement import Ask, Exhausted, Granted, Plan
+from pondhatch.placement import Ask, Closed, Exhausted, Granted, Plan
 from pondhatch.requests._crash_guard import QUARANTINED
 from pondhatch.requests._entry_view import EntryView, Ways
 from pondhatch.requests._messages import BodySource, Opened, ReplayableBody, RequestHead
@@ -50,7 +50,7 @@
 OK = 200
 #: Refusals for which nothing was sent anywhere: going on is no retry.
 NOTHING_SENT = frozenset(
-    {"upstream-leaving", "upstream-down", AILING, "upstream-unreachable", "router-unreachable"}
+    {*Closed, "upstream-down", AILING, "upstream-unreachable", "router-unreachable"}
 )
 #: Engines that refuse a request without a reason before its caller is told: where a second
 #: one does, it is likelier the request than the engines.
@@ -71,7 +71,9 @@
         patience: Patience = NO_PATIENCE,
     ) -> None:
         self._chat = str(head.chat) if head.chat else head.request_id
-        self.plan = Plan(self._chat, view.live_upstreams(head.service))
+        self.plan = Plan(self._chat, view.live_upstreams(head.service, head.regions))
+        #: The engine that would be the chat's home were it not closed to it, and why it is.
+        self.turned_from = view.closed_home(head.service, self._chat, head.regions)
         self._view = view
         self._ways = ways
         self._budget = budget
@@ -138,7 +140,7 @@
         if not lost.was_cut:
             return
         target = self._view.target(engine)
-        if target is None or not target.takes_work:
+        if target is None or not target.intake.is_live:
             return
         self.cut_at.append((engine, await self._watch.run_was_cut(target)))
 
@@ -197,7 +199,7 @@
         """Run the request once more; the engine that broke off is the last resort."""
         if self._tries_are_spent() or not self._budget.may_retry():
             return None
-        engines = self._view.live_upstreams(self._head.service)
+        engines = self._live_upstreams()
         others = tuple(name for name in engines if name != engine)
         self.plan = Plan(self._chat, others or engines)
         ended = await self._walk()
@@ -237,7 +239,7 @@
             self.plan.context_elsewhere(reply.engine)
             return None
         if isinstance(reply, Busy):
-            self.plan.full(reply.in_flight, reply.ceiling)
+            self.plan.full(reply.in_flight, reply.ceiling, reply.is_cold)
             return None
         if isinstance(reply, NotOwner):
             self.plan.refused("its owner is in doubt")
@@ -263,7 +265,11 @@
             return
         self.plan.refused(why)
         if refusal is EngineRefusal.NOT_THE_ONE:
-            self.plan.renew(self._view.live_upstreams(self._head.service))
+            self.plan.renew(self._live_upstreams())
+
+    def _live_upstreams(self) -> tuple[str, ...]:
+        """Return the engines that may take the request as they are listed by now."""
+        return self._view.live_upstreams(self._head.service, self._head.regions)
 
     def _question(
         self,
@@ -359,7 +365,8 @@
 
     def _exhausted(self, step: Exhausted) -> NotRun:
         if not step.asked:
-            return NotRun("no-upstream", f"service {self._head.service} has no upstream")
+            wrong = f"service {self._head.service} has no upstream that may take the request"
+            return NotRun("no-upstream", wrong)
         if self._refusals and not self.plan.in_flight_by_engine:
             # Nobody is full, so that is not what the caller is told.
             return self._refusals[-1]
--- a/pondhatch/requests/_entry_view.py
+++ b/pondhatch/requests/_entry_view.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from pondhatch.placement import Regions
 from pondhatch.requests._crash_guard import CrashGuard, NoCrashGuard
 from pondhatch.requests._questions import Grants
 from pondhatch.requests._sending import Target, Upstreams
@@ -23,8 +24,11 @@
     def is_reachable(self, name: str) -> bool:
         """Return whether a router counts as there for this one."""
 
-    def live_upstreams(self, service: str) -> tuple[str, ...]:
-        """Return the service's upstreams that take work."""
+    def live_upstreams(self, service: str, regions: Regions = None) -> tuple[str, ...]:
+        """Return the service's upstreams that take work bound to these regions."""
+
+    def closed_home(self, service: str, chat: str, regions: Regions) -> tuple[str, str] | None:
+        """Return a chat's home engine were its hall not closed to it, and why it is closed."""
 
     def resumes(self, engine: str) -> bool:
         """Return whether an engine can resume a broken stream."""
--- a/pondhatch/requests/_grant_packets.py
+++ b/pondhatch/requests/_grant_packets.py
@@ -45,6 +45,8 @@
     number: int
     in_flight: int
     ceiling: int
+    #: See Busy.
+    is_cold: bool = False
 
 
 class ElsewhereWord(_Packet, frozen=True, tag=54):
@@ -137,7 +139,7 @@
     if isinstance(reply, Granted):
         return GrantedWord(number, reply.in_flight, reply.ceiling)
     if isinstance(reply, Busy):
-        return BusyWord(number, reply.in_flight, reply.ceiling)
+        return BusyWord(number, reply.in_flight, reply.ceiling, reply.is_cold)
     if isinstance(reply, Elsewhere):
         return ElsewhereWord(number, reply.engine)
     if isinstance(reply, NotOwner):
@@ -150,7 +152,7 @@
     if isinstance(word, GrantedWord):
         return Granted(word.in_flight, word.ceiling)
     if isinstance(word, BusyWord):
-        return Busy(word.in_flight, word.ceiling)
+        return Busy(word.in_flight, word.ceiling, word.is_cold)
     if isinstance(word, ElsewhereWord):
         return Elsewhere(word.engine)
     if isinstance(word, NotOwnerWord):
--- a/pondhatch/requests/_messages.py
+++ b/pondhatch/requests/_messages.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from pondhatch.placement import Regions
 from pondhatch.requests._outcomes import Broken
 
 Headers = tuple[tuple[str, str], ...]
@@ -45,6 +46,8 @@
     context_from: str = ""
     #: Id of the last event that was received, where a stream is to go on after it.
     after_event: str = ""
+    #: Regions whose engines may run it; None where any may.
+    regions: Regions = None
     #: Of what the caller asks for, alike in all attempts at it; 0 where its body is not held.
     digest: int = 0
 
--- a/pondhatch/requests/_once.py
+++ b/pondhatch/requests/_once.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from pondhatch.placement import Regions
 from pondhatch.requests._keys import Claim, Fresh, KeptAnswer, KeyRecord, KeyTable, Known, settled
 from pondhatch.requests._outcomes import NotRun, Unknown
 
@@ -52,8 +53,8 @@
 class HolderView(Protocol):
     """What claims read of the router's state."""
 
-    def key_holders(self, key: str) -> tuple[str, ...]:
-        """Return the live routers that hold a key, the first ranked first."""
+    def key_holders(self, key: str, regions: Regions = None) -> tuple[str, ...]:
+        """Return the live routers of these regions that hold a key, the first ranked first."""
 
     def key_holder(self, name: str) -> KeyHolder | None:
         """Return the way to a router, or None where it is not known."""
@@ -65,8 +66,12 @@
 class KeyedRun:
     """One keyed request from its claim to its end."""
 
-    def __init__(self, view: HolderView, key: str, record: KeyRecord) -> None:
+    def __init__(
+        self, view: HolderView, key: str, record: KeyRecord, regions: Regions = None
+    ) -> None:
         self._view = view
+        #: Regions whose routers may keep its answer; None where any may.
+        self._regions = regions
         self._key = key
         self._record = record
         self._held_at: list[str] = []
@@ -103,7 +108,7 @@
                 await holder.release(self._key, self._record.request_id)
 
     def _wanted(self) -> Sequence[str]:
-        return self._view.key_holders(self._key)[:HOLDERS]
+        return self._view.key_holders(self._key, self._regions)[:HOLDERS]
 
     async def _claim_at(self, name: str) -> Claim | None:
         holder = self._view.key_holder(name)
--- a/pondhatch/requests/_owner.py
+++ b/pondhatch/requests/_owner.py
@@ -8,7 +8,16 @@
 
 import msgspec
 
-from pondhatch.placement import Full, Gate, Granted, Health, SpillMemory, Verdict, context_engine
+from pondhatch.placement import (
+    ColdPaces,
+    Full,
+    Gate,
+    Granted,
+    Health,
+    SpillMemory,
+    Verdict,
+    context_engine,
+)
 from pondhatch.requests._leases import Leases
 from pondhatch.requests._lines import Lines
 from pondhatch.requests._outcomes import AILING, NotRun
@@ -21,7 +30,7 @@
     OwnerReply,
     Question,
 )
-from pondhatch.requests._sending import Target, leaving, takes
+from pondhatch.requests._sending import Target, open_target
 
 #: Seconds that a process takes at least from its start to its first request: what a router
 #: that restarted was granted longer ago belongs to its earlier process.
@@ -65,6 +74,7 @@
         memory: SpillMemory,
         clock: Callable[[], float],
         health: Health,
+        cold_paces: ColdPaces | None = None,
     ) -> None:
         self._name = name
         self._view = view
@@ -73,6 +83,7 @@
         self._clock = clock
         self._lines = Lines(self._give_back)
         self._health = health
+        self._cold_paces = cold_paces or ColdPaces()
         self.leases = Leases()
 
     async def ask(self, question: Question) -> OwnerReply:
@@ -84,11 +95,11 @@
         """Answer a question at once, or say that its request must wait."""
         if self._view.stopping():
             return NotOwner()
-        target = self._view.target(question.engine)
-        if not takes(target, question.resuming):
+        target = self._target(question)
+        if isinstance(target, NotRun):
             # Where it was granted before, and that word was lost, nobody would give it back.
             self.release(question.holder, Ended.NOTHING)
-            return leaving(question.engine)
+            return target
         if question.holder in self.leases.by_holder:
             # Asked again, since the first word was lost; what speaks against the engine by
             # now may be this very request, sent to try it.
@@ -102,38 +113,42 @@
             return self._granted(question, verdict)
         if question.patience > 0:
             return MustWait(target, verdict)
-        return Busy(verdict.in_flight, verdict.ceiling)
+        return _busy(verdict)
 
     def decide_alone(self, question: Question) -> OwnerReply:
         """Answer a question of this router's own whose owner cannot be asked.
 
         What is known here of the engine's load is held against its ceiling; the grant is
-        told to the owner as soon as there is one again.
+        told to the owner as soon as there is one again. Nothing goes to a cold upstream so: any
+        number of routers may decide alone at once, and none knows what the others send there.
         """
-        target = self._view.target(question.engine)
-        if not takes(target, question.resuming):
-            return leaving(question.engine)
+        target = self._target(question)
+        if isinstance(target, NotRun):
+            return target
         unwell = self._unwell(question)
         if unwell is not None:
             return unwell
+        if target.intake.cold_pace is not None:
+            return _busy(self._held_back(target))
         verdict = self._ask_gate(target, question)
         if isinstance(verdict, Granted):
             return self._granted(question, verdict)
-        return Busy(verdict.in_flight, verdict.ceiling)
+        return _busy(verdict)
 
     async def wait(self, question: Question, must: MustWait) -> OwnerReply:
         """Wait in the engine's line until granted, or until patience ends."""
-        ask = functools.partial(self._ask_gate, must.target, question)
+        ask = functools.partial(self._ask_gate_anew, must.target, question)
         verdict = await self._lines.wait(question, must.full, ask)
         if isinstance(verdict, Full):
             # As it is now: the next owner that is asked counts what it is told here, and what
             # was there when the wait began may have ended since.
             held = self._gate.in_flight(question.engine, self._clock())
-            return Busy(held, verdict.ceiling)
-        if not takes(self._view.target(question.engine), question.resuming):
-            # It began to leave while the request waited.
+            return Busy(held, verdict.ceiling, verdict.is_cold)
+        target = self._target(question)
+        if isinstance(target, NotRun):
+            # It was closed while the request waited.
             self._give_back(question.engine)
-            return leaving(question.engine)
+            return target
         return self._granted(question, verdict)
 
     def release(self, holder: Holder, ended: Ended) -> None:
@@ -163,8 +178,11 @@
         """Hold less at an engine than the places that were counted for it.
 
         One that holds nothing else of ours is not full by what is counted here: once may be
-        the request's size, again and again speaks against the engine.
+        the request's size, again and again speaks against the engine, unless it is cold.
         """
+        target = self._view.target(engine)
+        if target is not None and target.intake.cold_pace is not None:
+            return
         if self._gate.in_flight(engine, now) > 1:
             self._gate.said_full(engine, now)
         else:
@@ -228,7 +246,36 @@
         young = self._view.is_young(question.engine)
         return context_engine(self._memory, question.chat, question.engine, question.settled, young)
 
+    def _target(self, question: Question) -> Target | NotRun:
+        """Return the upstream that is asked for, or why it may not be sent the request.
+
+        Whether its region is allowed is the entry router's to know, which sends.
+        """
+        return open_target(self._view.target(question.engine), question.engine, question.resuming)
+
+    def _ask_gate_anew(self, target: Target, question: Question) -> Verdict:
+        """Ask the gate for a request that waited, since its upstream may have turned cold."""
+        return self._ask_gate(self._view.target(target.name) or target, question)
+
     def _ask_gate(self, target: Target, question: Question) -> Verdict:
+        """Grant a request at an upstream's ceiling and, where it is cold, at its pace."""
+        pace, now = target.intake.cold_pace, self._clock()
+        if pace is None:
+            self._cold_paces.forget(target.name)
+            return self._ask_ceiling(target, question)
+        if not self._cold_paces.is_due(target.name, pace, now):
+            return self._held_back(target)
+        verdict = self._ask_ceiling(target, question)
+        if isinstance(verdict, Granted):
+            self._cold_paces.went(target.name, pace, now)
+        return verdict
+
+    def _held_back(self, target: Target) -> Full:
+        """Return the answer where a cold upstream is to get nothing more for a moment."""
+        held = self._gate.in_flight(target.name, self._clock())
+        return Full(held, held, is_cold=True)
+
+    def _ask_ceiling(self, target: Target, question: Question) -> Verdict:
         now = self._clock()
         others = max(self._view.elsewhere_in_flight(target.name), question.seen_elsewhere)
         return self._gate.ask(
@@ -249,3 +296,7 @@
         """Give a place at an engine back, and let whoever is next in line have it."""
         self._gate.release(engine)
         self._lines.gave_back(engine, self._clock())
+
+
+def _busy(full: Full) -> Busy:
+    return Busy(full.in_flight, full.ceiling, full.is_cold)
--- a/pondhatch/requests/_questions.py
+++ b/pondhatch/requests/_questions.py
@@ -65,6 +65,8 @@
 
     in_flight: int
     ceiling: int
+    #: Whether it has places, but is cold, and is to get nothing more for a moment.
+    is_cold: bool = False
 
 
 class Elsewhere(msgspec.Struct, frozen=True):
--- a/pondhatch/requests/_sending.py
+++ b/pondhatch/requests/_sending.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Protocol, TypeGuard
+from typing import Protocol
 
 import msgspec
 
+from pondhatch.placement import Closed, Intake, Regions
 from pondhatch.requests._messages import (
     AnswerStream,
     BodySource,
@@ -30,8 +31,8 @@
 
     name: str
     url: str
-    #: False once it is known to be leaving.
-    takes_work: bool
+    #: For which requests, and how fast, it may take work now.
+    intake: Intake
     #: The service's set multiple of the mean.
     bound: float
     #: How many upstreams of the service take work.
@@ -46,14 +47,22 @@
     instance: str = ""
 
 
-def takes(target: Target | None, resuming: bool) -> TypeGuard[Target]:
-    """Return whether an upstream is known and takes a request, or the rest of one."""
-    return target is not None and (target.takes_work or resuming)
+#: What is told of an upstream that may not be sent a request.
+_TOLD = {
+    Closed.LEAVING: "takes no new work",
+    Closed.EVACUATED: "stands in a data hall that is evacuated",
+    Closed.OUTSIDE_REGIONS: "stands outside the regions that the request may run in",
+}
 
 
-def leaving(upstream: str) -> NotRun:
-    """Return the refusal where an upstream takes no new work."""
-    return NotRun("upstream-leaving", f"{upstream} takes no new work")
+def open_target(
+    target: Target | None, upstream: str, resuming: bool, regions: Regions = None
+) -> Target | NotRun:
+    """Return an upstream that may be sent a request, or the rest of one, else why it may not."""
+    if target is None:
+        return NotRun(Closed.LEAVING, f"{upstream} is gone")
+    closed = target.intake.closed_to(regions, resuming)
+    return target if closed is None else NotRun(closed, f"{upstream} {_TOLD[closed]}")
 
 
 class Upstreams(Protocol):
--- a/pondhatch/requests/_tries.py
+++ b/pondhatch/requests/_tries.py
@@ -7,13 +7,13 @@
 
 from msgspec.structs import replace
 
-from pondhatch.placement import Granted
+from pondhatch.placement import Granted, is_allowed
 from pondhatch.requests._crash_guard import NO_WATCH, QUARANTINED, RequestWatch
 from pondhatch.requests._entry_view import EntryView, Ways
 from pondhatch.requests._messages import BodySource, Opened, ReplayableBody, RequestHead
 from pondhatch.requests._outcomes import EngineRefusal, NotRun, Unknown
 from pondhatch.requests._questions import Busy, Elsewhere, Ended, NotOwner, OwnerReply, Question
-from pondhatch.requests._sending import GrantedAnswer, Target, leaving, takes
+from pondhatch.requests._sending import GrantedAnswer, Target, open_target
 
 #: What an engine's refusal tells its owner. A bad request says nothing of the engine; one
 #: that is not the one meant is out of reach at its address, like one that is gone.
@@ -74,10 +74,11 @@
             # Known only since the request began to wait in the engine's line.
             self._ways.grants.release(question.number, Ended.NOTHING)
             return QUARANTINED
-        target = self._view.target(question.engine)
-        if not takes(target, question.resuming):
+        known = self._view.target(question.engine)
+        target = open_target(known, question.engine, question.resuming, head.regions)
+        if isinstance(target, NotRun):
             self._ways.grants.release(question.number, Ended.NOTHING)
-            return leaving(question.engine)
+            return target
         return await self._send(question, target, head)
 
     async def _send(self, question: Question, target: Target, head: RequestHead) -> Tried:
@@ -131,7 +132,7 @@
         former = self._view.former_home(head.service, self._chat)
         for holder in (self.context_at, last, former, self.settled):
             known = self._view.target(holder) if holder not in (None, target.name) else None
-            if known is not None:
+            if known is not None and is_allowed(known.intake.region, head.regions):
                 return known.url.removeprefix("http://")
         return ""
 
--- a/pondhatch/router/__init__.py
+++ b/pondhatch/router/__init__.py
@@ -20,17 +20,20 @@
 from pondhatch.router._dump import Dump, dump_state
 from pondhatch.router._fleet_key import agreed_key
 from pondhatch.router._granting import GRANT_MARK, Granting
+from pondhatch.router._hall_states import HallStates
 from pondhatch.router._introduction import Introduction
 from pondhatch.router._restoring import Restoring
 from pondhatch.router._starting import Starting, not_ready
 from pondhatch.router._state import RouterState
-from pondhatch.router._sync import UPSTREAM_KIND, Sync
+from pondhatch.router._sync import EVACUATION_KIND, UPSTREAM_KIND, Sync
 
 __all__ = [
+    "HallStates",
     "ANYBODY",
     "NO_ROUTE",
     "not_in_force",
     "if_all_known",
+    "EVACUATION_KIND",
     "UPSTREAM_KIND",
     "admit_routed",
     "agreed_key",
--- a/pondhatch/router/_admission.py
+++ b/pondhatch/router/_admission.py
@@ -8,6 +8,7 @@
 
 from pondhatch.configuration import AccountPolicy, RouteSpec
 from pondhatch.limits import Limited
+from pondhatch.placement import Regions, both
 from pondhatch.requests import NotRun
 from pondhatch.router._state import RouterState
 
@@ -52,6 +53,8 @@
     #: Seconds that it may wait for its chat's engine, and where all are full.
     context_wait: float
     queue_wait: float
+    #: Regions whose engines may run it; None where any may.
+    regions: Regions = None
 
 
 def identify(state: RouterState, authorization: str | None) -> Account | NotRun:
@@ -102,12 +105,13 @@
 
     ``wait`` is for how many seconds its caller waits, None where it does not say.
     """
-    priority, weight = None, 1.0
+    priority, weight, regions = None, 1.0, route.regions
     if account is not ANYBODY:
         policy = _counted_in(state, account, service)
         if isinstance(policy, NotRun):
             return policy
         priority, weight = policy.priority, policy.weight
+        regions = both(route.regions, policy.regions)
     return Admitted(
         service=service,
         priority=route.priority if priority is None else priority,
@@ -115,6 +119,7 @@
         deadline=route.timeout if wait is None else min(wait, route.timeout),
         context_wait=route.objective * CONTEXT_SHARE,
         queue_wait=route.objective * QUEUE_SHARE,
+        regions=regions,
     )
 
 
@@ -135,6 +140,7 @@
         deadline=spec.deadline,
         context_wait=spec.context_wait,
         queue_wait=spec.queue_wait,
+        regions=policy.regions,
     )
 
 
--- a/pondhatch/router/_beliefs.py
+++ b/pondhatch/router/_beliefs.py
@@ -40,6 +40,8 @@
     _health: Mapping[str, str] = msgspec.field(default_factory=dict)
     #: Why the platform was out of reach; empty while it answered.
     _platform_lost: str = ""
+    #: The halls that were evacuated.
+    _evacuated: frozenset[str] = frozenset()
 
     def look(self) -> None:
         """Note every change since the last look, up to the bound."""
@@ -48,6 +50,7 @@
             *self._configuration_in_force(),
             *self._configuration_refused(),
             *self._entries(),
+            *self._evacuated_halls(),
             *self._upstream_list(),
             *self._routers(),
             *self._upstreams_health(),
@@ -99,6 +102,21 @@
             *(Believed("entry", " ".join(key), "mended or gone", version) for key in mended),
         ]
 
+    def _evacuated_halls(self) -> list[Believed]:
+        evacuations = self.state.halls.evacuations
+        if evacuations.halls == self._evacuated:
+            return []
+        before, self._evacuated = self._evacuated, evacuations.halls
+        return [
+            Believed(
+                "hall",
+                hall,
+                "evacuated" if hall in self._evacuated else "open",
+                evacuations.word_by_hall[hall].version,
+            )
+            for hall in sorted(before ^ self._evacuated)
+        ]
+
     def _upstream_list(self) -> list[Believed]:
         upstreams = self.state.upstreams
         if upstreams.version == self._upstreams_version:
--- a/pondhatch/router/_dump.py
+++ b/pondhatch/router/_dump.py
@@ -195,6 +195,27 @@
         }
 
 
+@REGISTRY.register(SECTION_KIND, "8-intake")
+class IntakeSection(Plugin):
+    """What keeps upstreams that are up from some work: evacuated halls, and who is cold."""
+
+    DEPENDENCIES = (RouterState,)
+
+    def content(self) -> Dump:
+        """Return the section's keys."""
+        state = self.view(RouterState)
+        seconds = {name: state.cold_seconds(name) for name in state.upstreams.entry_by_name}
+        return {
+            "evacuations_known": state.halls.evacuations.is_known,
+            "evacuated_halls": sorted(state.halls.evacuations.halls),
+            "cold_upstreams": [
+                {"name": name, "seconds_left": round(left, 1)}
+                for name, left in sorted(seconds.items())
+                if left > 0
+            ],
+        }
+
+
 @REGISTRY.register(SECTION_KIND, "5-decisions")
 class DecisionsSection(Plugin):
     """The last requests: which engine took each, and why others were passed over."""
--- a/pondhatch/router/_granting.py
+++ b/pondhatch/router/_granting.py
@@ -36,7 +36,13 @@
 
     def __init__(self, state: RouterState, send: SendAll, tasks: Tasks, started_ns: int) -> None:
         self.owner = LocalOwner(
-            state.name, state, state.gate, state.memory, state.clock, state.health
+            state.name,
+            state,
+            state.gate,
+            state.memory,
+            state.clock,
+            state.health,
+            state.cold_paces,
         )
         first = started_ns // NANOSECONDS_A_NUMBER % NUMBERS
         router = short_id(state.name)
--- a/pondhatch/router/_starting.py
+++ b/pondhatch/router/_starting.py
@@ -27,11 +27,11 @@
 
 
 def not_ready(state: RouterState) -> NotRun | None:
-    """Return the refusal of a router that knows no configuration yet."""
-    if state.fleet.version > 0:
+    """Return the refusal of a router that does not know yet what it may send where."""
+    if state.fleet.version > 0 and state.halls.evacuations.is_known:
         return None
-    reason = "this router knows no configuration yet"
-    return NotRun("not-ready", reason, NOT_READY_RETRY_AFTER)
+    lacks = "which data halls are evacuated" if state.fleet.version > 0 else "a configuration"
+    return NotRun("not-ready", f"this router does not know {lacks} yet", NOT_READY_RETRY_AFTER)
 
 
 class Starting:
--- a/pondhatch/router/_state.py
+++ b/pondhatch/router/_state.py
@@ -28,9 +28,20 @@
     short_id,
     watchers,
 )
-from pondhatch.placement import Gate, Health, SpillMemory, ranked, winner
+from pondhatch.placement import (
+    ColdPaces,
+    Gate,
+    Health,
+    Intake,
+    Regions,
+    SpillMemory,
+    is_allowed,
+    ranked,
+    winner,
+)
 from pondhatch.quarantine import Suspects
 from pondhatch.requests import DecisionNote, KeyHolder, KeyTable, LocalKeyHolder, Target
+from pondhatch.router._hall_states import HallStates
 from pondhatch.router._lag import Lag
 from pondhatch.router._limits import FleetLimits
 from pondhatch.router._owners import Owners
@@ -38,6 +49,7 @@
 from pondhatch.store import (
     LIVE,
     REMOVED,
+    EvacuationUpdate,
     Listed,
     Upstream,
     UpstreamList,
@@ -46,6 +58,9 @@
     WatchEvent,
 )
 
+#: Seconds from a router's start in which it grants nothing at cold upstreams: until it has met
+#: its peers, it takes itself for the owner of all.
+ALONE_SECONDS = 0.5
 #: Decisions kept for the state dump.
 KEPT_DECISIONS = 64
 #: Who gave a configuration that no peer gave.
@@ -66,7 +81,10 @@
     upstreams: UpstreamList = field(default_factory=UpstreamList)
     #: Those whose entries went a short while ago.
     vanished: Vanished = field(default_factory=Vanished)
+    #: What is known of data halls: their regions, and which are evacuated.
+    halls: HallStates = field(default_factory=HallStates)
     gate: Gate = field(default_factory=Gate)
+    cold_paces: ColdPaces = field(default_factory=ColdPaces)
     memory: SpillMemory = field(default_factory=SpillMemory)
     #: Which engine answered a chat last through this router.
     served: SpillMemory = field(default_factory=SpillMemory)
@@ -99,12 +117,17 @@
     #: Names of those that are neither draining nor gone: asked for ten times a second.
     _live_routers: tuple[str, ...] = ()
     _member_by_name: dict[str, Member] = field(default_factory=dict)
+    #: Names of a service's upstreams that take new work, wherever they stand.
     _live_by_service: dict[str, tuple[str, ...]] = field(default_factory=dict)
+    #: Those of them that a request bound to some regions may go to.
+    _open_by_binding: dict[tuple[str, Regions], tuple[str, ...]] = field(default_factory=dict)
+    _started_at: float = field(init=False)
     _owners: Owners = field(init=False)
     _upstream_changes: UpstreamChanges = field(init=False)
 
     def __post_init__(self) -> None:
         self.limits = FleetLimits(self.name, self.gossip, lambda: self.fleet)
+        self._started_at = self.clock()
         self.local = LocalKeyHolder(self.keys, self.clock)
         self._owners = Owners(self.name, self.upstreams, self._upstream)
         self._upstream_changes = UpstreamChanges(self.upstreams, self.vanished)
@@ -141,9 +164,13 @@
         member = self._member_by_name.get(name)
         return self.connect(member) if member is not None else None
 
-    def key_holders(self, key: str) -> tuple[str, ...]:
-        """Return the live routers, ranked for a key."""
-        return ranked(f"key:{key}", self.live_routers())
+    def key_holders(self, key: str, regions: Regions = None) -> tuple[str, ...]:
+        """Return the live routers of some regions, ranked for a key."""
+        names = self.live_routers()
+        if regions is not None:
+            hall = {member.name: member.hall for member in self._members}
+            names = tuple(n for n in names if is_allowed(self.halls.region(hall[n]), regions))
+        return ranked(f"key:{key}", names)
 
     def live_routers(self) -> tuple[str, ...]:
         """Return the names of the routers that are neither draining nor gone."""
@@ -169,8 +196,30 @@
 
     # -- upstreams ----------------------------------------------------------
 
-    def live_upstreams(self, service: str) -> tuple[str, ...]:
-        """Return the service's upstreams that take work, by name."""
+    def live_upstreams(self, service: str, regions: Regions = None) -> tuple[str, ...]:
+        """Return the service's upstreams that take work bound to some regions, by name."""
+        found = self._open_by_binding.get((service, regions))
+        if found is None:
+            live = self._live(service)
+            found = tuple(name for name in live if self._hall_is_open(name, regions))
+            self._open_by_binding[service, regions] = found
+        return found
+
+    def _hall_is_open(self, name: str, regions: Regions) -> bool:
+        upstream = self._upstream(name)
+        return upstream is not None and self.halls.closed(upstream.hall, regions) is None
+
+    def closed_home(self, service: str, chat: str, regions: Regions) -> tuple[str, str] | None:
+        """Return a chat's home engine were its hall not closed to it, and why it is closed."""
+        if regions is None and not self.halls.evacuations.halls:
+            return None
+        home = winner(chat, self._live(service))
+        upstream = self._upstream(home) if home is not None else None
+        closed = self.halls.closed(upstream.hall, regions) if upstream is not None else None
+        return (home, closed.value) if home is not None and closed is not None else None
+
+    def _live(self, service: str) -> tuple[str, ...]:
+        """Return the service's upstreams that are up and not leaving, by name."""
         if service not in self._live_by_service:
             spec = self.fleet.service_by_name.get(service)
             leaving = spec.leaving if spec is not None else ()
@@ -244,9 +293,33 @@
 
     def upstreams_changed(self) -> None:
         """Drop what was derived from the list of upstreams."""
-        self._live_by_service.clear()
+        self._intake_changed()
         self._owners.forget()
 
+    def _intake_changed(self) -> None:
+        """Drop what was derived of who takes work."""
+        self._live_by_service.clear()
+        self._open_by_binding.clear()
+
+    # -- data halls ---------------------------------------------------------
+
+    def take_listed_evacuations(self, listed: Listed) -> bool:
+        """Take in the evacuations that the platform lists; return whether any was news."""
+        return self._halls_changed(self.halls.take_listing(listed, self.clock()))
+
+    def take_evacuation_event(self, event: WatchEvent) -> bool:
+        """Take in one event of a watch on evacuations; return whether it was news."""
+        return self._halls_changed(self.halls.take_event(event, self.clock()))
+
+    def take_evacuations(self, update: EvacuationUpdate | None) -> bool:
+        """Take in what a peer knows of evacuations; return whether any was news."""
+        return update is not None and self._halls_changed(self.halls.take(update, self.clock()))
+
+    def _halls_changed(self, is_news: bool) -> bool:
+        if is_news:
+            self._intake_changed()
+        return is_news
+
     def target(self, engine: str) -> Target | None:
         """Return an upstream as the owner's side needs it, or None."""
         upstream = self._upstream(engine)
@@ -256,7 +329,7 @@
         return Target(
             name=engine,
             url=upstream.url,
-            takes_work=self._takes_work(upstream, service),
+            intake=self._intake(upstream, service),
             bound=service.load_bound,
             peers=len(self.live_upstreams(upstream.service)),
             slots=upstream.slots or service.engine_slots,
@@ -265,12 +338,33 @@
             instance=upstream.instance,
         )
 
-    def _takes_work(self, upstream: Upstream, service: ServiceSpec) -> bool:
-        if upstream.state != LIVE or upstream.name in self.said_leaving:
-            return False
-        if upstream.name not in self.live_upstreams(upstream.service):
-            return False
-        return upstream.name not in service.leaving
+    def _intake(self, upstream: Upstream, service: ServiceSpec) -> Intake:
+        """Return for which requests, and how fast, an upstream may take work now."""
+        is_live = (
+            upstream.state == LIVE
+            and upstream.name not in self.said_leaving
+            and upstream.name in self._live(upstream.service)
+        )
+        return Intake(
+            is_live=is_live,
+            is_evacuated=self.halls.evacuations.is_evacuated(upstream.hall),
+            region=self.halls.region(upstream.hall),
+            cold_pace=service.cold_pace if self.is_cold(upstream) else None,
+        )
+
+    def is_cold(self, upstream: Upstream) -> bool:
+        """Return whether an upstream is cold, or may be without having been heard."""
+        return self.cold_seconds(upstream.name) > 0 or self.halls.just_opened(
+            upstream.hall, self.clock()
+        )
+
+    def cold_count(self) -> int:
+        """Return how many upstreams are cold by their own word."""
+        return self._upstream_changes.cold.count(self.clock())
+
+    def cold_seconds(self, upstream: str) -> float:
+        """Return for how many seconds an upstream is still cold by its own word."""
+        return self._upstream_changes.cold.seconds_left(upstream, self.clock())
 
     def note_leaving(self, engine: str, leaving: bool) -> None:
         """Take in an owned upstream's own word on whether it is leaving."""
@@ -320,7 +414,7 @@
         self.wants_whole = False
         self.refused = None
         self.in_force_at = time.time()
-        self._live_by_service.clear()
+        self._intake_changed()
 
     def knows_all(self, kind: str) -> bool:
         """Return whether every entry of a kind is in force here as the operator wrote it.
@@ -366,8 +460,9 @@
     # -- rounds -------------------------------------------------------------
 
     def is_informed(self) -> bool:
-        """Return whether this router knows a configuration and has seen a list of upstreams."""
-        return self.fleet.version > 0 and self.upstreams.version > 0
+        """Return whether this router knows all that it needs to send requests."""
+        is_listed = self.upstreams.version > 0 and self.halls.evacuations.is_known
+        return self.fleet.version > 0 and is_listed
 
     def stopping(self) -> bool:
         """Return whether this router is draining."""
@@ -381,6 +476,7 @@
             self.upstreams.version,
             self._loads(),
             sees_platform=not self.platform_lost,
+            evacuations=self.halls.evacuations.version,
         )
 
     def tick(self) -> None:
@@ -389,8 +485,11 @@
             self.upstreams_changed()
         if self._upstream_changes.settle(self.clock()):
             self.upstreams_changed()
+        self._halls_changed(self.halls.settle(self.clock()))
         self.refresh()
         self.retries.set_routers(len(self.live_routers()), self.clock())
+        is_alone = self.clock() - self._started_at < ALONE_SECONDS
+        self.cold_paces.share = 0.0 if is_alone else self.retries.routers.share
         self.publish()
         self.lag.note(self.fleet.version, self.gossip.newest_configuration(), self.clock())
 
--- a/pondhatch/router/_sync.py
+++ b/pondhatch/router/_sync.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import operator
 import random
 from collections.abc import Awaitable, Callable
 from typing import Protocol
@@ -21,22 +22,27 @@
     Update,
 )
 from pondhatch.kernel import Backoff, Tasks
-from pondhatch.membership import Member
+from pondhatch.membership import Member, Versions
 from pondhatch.observing import log_for
 from pondhatch.router._introduction import Introduction
 from pondhatch.router._state import RouterState
 from pondhatch.store import (
+    EvacuationUpdate,
+    Listed,
     Platform,
     PlatformLost,
     TooOld,
     Unavailable,
     UpstreamUpdate,
+    WatchEvent,
 )
 
 log = log_for("sync")
 
 #: Kind of the platform's objects that list upstreams.
 UPSTREAM_KIND = "upstream"
+#: Kind of those that ask for the evacuation of the data hall that they are named by.
+EVACUATION_KIND = "evacuation"
 #: Seconds between checks of who watches and who lags.
 CHECK_SECONDS = 0.5
 #: Seconds from a router's start in which it comes to know its peers: three calls to the
@@ -76,6 +82,14 @@
     def upstreams(self) -> UpstreamUpdate:
         """What was lacking of the list of upstreams."""
 
+    @property
+    def evacuations(self) -> EvacuationUpdate | None:
+        """What the peer knows of evacuated halls; None where it knows nothing."""
+
+
+_CONFIGURATION = operator.attrgetter("configuration")
+_EVACUATIONS = operator.attrgetter("evacuations")
+_UPSTREAMS = operator.attrgetter("upstreams")
 
 Pull = Callable[[Member, int, int], Awaitable[Lacking | None]]
 
@@ -156,6 +170,7 @@
         self._watching = (
             self._tasks.start(self._keep(self._watch_changes)),
             self._tasks.start(self._keep(self._watch_upstreams)),
+            self._tasks.start(self._keep(self._watch_evacuations)),
         )
 
     async def _keep(self, watch: Callable[[], Awaitable[None]]) -> None:
@@ -214,15 +229,31 @@
             self._spread()
 
     async def _watch_upstreams(self) -> None:
-        listed = await self._platform.list(UPSTREAM_KIND)
+        state = self._state
+        await self._watch(UPSTREAM_KIND, state.take_listed_upstreams, state.take_upstream_event)
+
+    async def _watch_evacuations(self) -> None:
+        state = self._state
+        await self._watch(
+            EVACUATION_KIND, state.take_listed_evacuations, state.take_evacuation_event
+        )
+
+    async def _watch(
+        self,
+        kind: str,
+        take_listed: Callable[[Listed], bool],
+        take_event: Callable[[WatchEvent], bool],
+    ) -> None:
+        """Read the objects of a kind, then their changes; tell peers of what is news."""
+        listed = await self._platform.list(kind)
         if isinstance(listed, Unavailable):
             raise PlatformLost(listed.reason)
         self._state.platform_lost = ""
-        if self._state.take_listed_upstreams(listed):
+        if take_listed(listed):
             self._spread()
         await self._has_met_peers.wait()
-        async for event in self._platform.watch(UPSTREAM_KIND, listed.version):
-            if self._state.take_upstream_event(event):
+        async for event in self._platform.watch(kind, listed.version):
+            if take_event(event):
                 self._spread()
 
     # -- from peers ---------------------------------------------------------
@@ -254,8 +285,9 @@
         if not elders:
             return
         near = [member for member in elders if member.hall == self._state.hall]
-        lacking = await self._pull(self._rng.choice(near or elders), self._versions()[0], 0)
+        lacking = await self._pull(self._rng.choice(near or elders), self._state.fleet.version, 0)
         if lacking is not None:
+            self._state.take_evacuations(lacking.evacuations)
             self._state.take_upstreams(lacking.upstreams)
 
     async def _pull_from(self, ahead: list[Member]) -> bool:
@@ -282,7 +314,8 @@
         begun = self._state.clock()
         self._asked.add(peer.name)
         try:
-            lacking = await self._pull(peer, *self._versions())
+            state = self._state
+            lacking = await self._pull(peer, state.fleet.version, state.upstreams.version)
         finally:
             self._asked.discard(peer.name)
         waited = self._state.clock() - begun
@@ -298,6 +331,8 @@
         before = self._versions()
         asked_for_whole = self._state.wants_whole
         self._log_void(self._state.take_update(lacking.configuration, peer.name))
+        # Before the upstreams, since it says which of them may get nothing.
+        self._state.take_evacuations(lacking.evacuations)
         self._state.take_upstreams(lacking.upstreams)
         if self._versions() != before:
             self._spread()
@@ -307,9 +342,12 @@
         log.warning("What router {} says has changed does not fit; the whole is asked.", peer.name)
         return True
 
-    def _versions(self) -> tuple[int, int]:
-        """Return the versions held of the configuration and of the list of upstreams."""
-        return self._state.fleet.version, self._state.upstreams.version
+    def _versions(self) -> Versions:
+        """Return the versions held here."""
+        state = self._state
+        return Versions(
+            state.fleet.version, state.upstreams.version, state.halls.evacuations.version
+        )
 
     def _ahead(self) -> list[Member]:
         """Return the peers that hold the newest, those of this hall alone where there are any.
@@ -327,14 +365,17 @@
         return near or newest
 
     def _newest(self, ahead: list[Member]) -> list[Member]:
-        """Return those with the newest configuration, or else the newest list of upstreams."""
+        """Return those with the newest of what matters most of what is newer than here.
+
+        A router that sends to an evacuated hall does harm; one that lacks an upstream does not.
+        """
         held = self._state.gossip.versions()
-        configuration, upstreams = self._versions()
-        best = max((held[member.name].configuration for member in ahead), default=0)
-        if best > configuration:
-            return [each for each in ahead if held[each.name].configuration == best]
-        best = max((held[member.name].upstreams for member in ahead), default=upstreams)
-        return [each for each in ahead if held[each.name].upstreams == best]
+        own = self._versions()
+        for version_of in (_CONFIGURATION, _EVACUATIONS, _UPSTREAMS):
+            best = max((version_of(held[member.name]) for member in ahead), default=0)
+            if best > version_of(own):
+                return [each for each in ahead if version_of(held[each.name]) == best]
+        return []
 
     def _log_void(self, wrong: Rejected | Gap | None) -> None:
         if isinstance(wrong, Rejected):
--- a/pondhatch/router/_upstream_changes.py
+++ b/pondhatch/router/_upstream_changes.py
@@ -15,6 +15,7 @@
 from pondhatch.store import (
     LIVE,
     REMOVED,
+    ColdClocks,
     Listed,
     Position,
     Upstream,
@@ -119,6 +120,7 @@
     joins: Joins = msgspec.field(default_factory=Joins)
     reader: UpstreamReader = msgspec.field(default_factory=UpstreamReader)
     settling: Settling = msgspec.field(default_factory=Settling)
+    cold: ColdClocks = msgspec.field(default_factory=ColdClocks)
 
     def take_listing(self, listed: Listed, now: float) -> bool:
         """Take in what the platform lists; return whether any was news."""
@@ -135,8 +137,10 @@
 
     def since(self, version: int, now: float) -> UpstreamUpdate:
         """Return what a peer at a version lacks, and what is known of who joined lately."""
+        update = self.upstreams.since(version)
         return replace(
-            self.upstreams.since(version),
+            update,
+            entries=tuple(self.cold.as_of(entry, now) for entry in update.entries),
             known_for=self.joins.known_for(now),
             age_by_name=self.joins.age_by_name(now),
         )
@@ -169,6 +173,7 @@
         self, names_before: frozenset[str], live_before: dict[str, Upstream], now: float
     ) -> None:
         self.joins.note(names_before, self._names(), now)
+        self.cold.note(self.upstreams.entry_by_name.values(), now)
         self._note_vanished(live_before, now)
 
     def _note_vanished(self, live_before: dict[str, Upstream], now: float) -> None:
--- /dev/null
+++ b/pondhatch/router/tests/test_halls.py
@@ -0,0 +1,201 @@
+"""What a router makes of evacuated halls, regions and cold upstreams, and what peers tell."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from typing import Any
+
+from msgspec.structs import replace
+
+from fakes._platform_in_memory import PlatformInMemory
+from pondhatch.configuration import Change, Edit, publish
+from pondhatch.placement import Closed
+from pondhatch.router import EVACUATION_KIND, HallStates, Sync, not_ready
+from pondhatch.router._hall_states import JUST_OPENED_SECONDS
+from pondhatch.router._state import ALONE_SECONDS
+from pondhatch.router.tests.test_sync import FIRST, meet, router, syncing
+from pondhatch.store import Listed, StoredObject, WatchEvent
+from pondhatch.store._evacuations import NONE_EVER
+
+REGIONS = {"h1": "north", "h2": "south"}
+HALLS = ("h1", "h1", "h2")
+
+
+def with_cold_pace(pace: float) -> Change:
+    """Return the first change with a pace for the service's cold upstreams."""
+    edits = []
+    for edit in FIRST.edits:
+        is_service = edit.kind == "service"
+        value = {**edit.value, "cold_pace": pace} if is_service and edit.value else edit.value
+        edits.append(Edit(edit.kind, edit.name, value))
+    return replace(FIRST, edits=tuple(edits))
+
+
+class HallsCase(unittest.TestCase):
+    def setUp(self) -> None:
+        self.now = 0.0
+        self.state = router("r0")
+        self.state.clock = lambda: self.now
+        self.state.halls = HallStates(REGIONS)
+        self.state.take_change(with_cold_pace(13.0))
+        for at, hall in enumerate(HALLS):
+            self.set_upstream(at, at + 1, hall=hall)
+        self.state.take_listed_evacuations(Listed(10, ()))
+
+    def set_upstream(self, at: int, version: int, **fields: Any) -> None:
+        value = {"name": f"e{at}", "service": "lang", "url": f"http://10.0.0.{at + 1}:80", **fields}
+        self.state.take_upstream_event(WatchEvent("set", version, f"e{at}", value))
+
+    def evacuate(self, hall: str, version: int) -> None:
+        self.state.take_evacuation_event(WatchEvent("set", version, hall, {}))
+
+    def end(self, hall: str, version: int) -> None:
+        self.state.take_evacuation_event(WatchEvent("removed", version, hall))
+
+    def pace(self, engine: str) -> float | None:
+        target = self.state.target(engine)
+        assert target is not None
+        return target.intake.cold_pace
+
+
+class EvacuatedHallsTest(HallsCase):
+    def test_its_upstreams_are_no_choice_and_the_others_carry_the_load(self) -> None:
+        self.assertEqual(self.state.live_upstreams("lang"), ("e0", "e1", "e2"))
+        self.evacuate("h1", 11)
+        self.assertEqual(self.state.live_upstreams("lang"), ("e2",))
+        found = {name: self.state.target(name) for name in ("e0", "e2")}
+        self.assertTrue(found["e0"] and found["e0"].intake.is_evacuated)
+        self.assertTrue(found["e2"] and found["e2"].peers == 1)
+
+    def test_an_upstream_that_appears_there_later_gets_nothing(self) -> None:
+        self.evacuate("h2", 11)
+        self.set_upstream(7, 12, hall="h2")
+        self.assertEqual(self.state.live_upstreams("lang"), ("e0", "e1"))
+
+    def test_a_request_that_is_turned_elsewhere_is_told_from_where(self) -> None:
+        chats = [str(at) for at in range(30)]
+        homes = {chat: self.state.closed_home("lang", chat, None) for chat in chats}
+        self.assertEqual(set(homes.values()), {None})
+        self.evacuate("h1", 11)
+        found = [self.state.closed_home("lang", chat, None) for chat in chats]
+        self.assertIn(("e0", Closed.EVACUATED.value), found)
+        self.assertIn(None, found)
+
+    def test_a_router_that_does_not_know_whether_any_is_refuses(self) -> None:
+        state = router("r1")
+        state.take_change(FIRST)
+        refused = not_ready(state)
+        self.assertTrue(refused and "evacuated" in refused.reason)
+        state.take_listed_evacuations(Listed(3, ()))
+        self.assertIsNone(not_ready(state))
+
+
+class RegionsTest(HallsCase):
+    def test_upstreams_of_other_regions_are_no_choice(self) -> None:
+        rows = (
+            (None, ("e0", "e1", "e2")),
+            (("north",), ("e0", "e1")),
+            (("south",), ("e2",)),
+            (("east",), ()),
+            ((), ()),
+        )
+        for regions, expected in rows:
+            with self.subTest(regions=regions):
+                self.assertEqual(self.state.live_upstreams("lang", regions), expected)
+
+    def test_answers_are_kept_at_routers_of_the_regions_alone(self) -> None:
+        meet(self.state, router("r1", hall="h2"))
+        self.assertEqual(set(self.state.key_holders("k")), {"r0", "r1"})
+        self.assertEqual(self.state.key_holders("k", ("south",)), ("r1",))
+        self.assertEqual(self.state.key_holders("k", ("east",)), ())
+
+
+class ColdUpstreamsTest(HallsCase):
+    def test_one_is_cold_for_as_long_as_it_said(self) -> None:
+        self.assertIsNone(self.pace("e0"))
+        self.set_upstream(0, 11, hall="h1", cold_seconds=3.0)
+        self.assertEqual((self.pace("e0"), self.pace("e1")), (13.0, None))
+        self.now = 2.9
+        self.assertEqual(self.pace("e0"), 13.0)
+        self.now = 3.0
+        self.assertIsNone(self.pace("e0"))
+
+    def test_one_that_was_warm_may_turn_cold_again_and_warm_before_its_time(self) -> None:
+        self.set_upstream(0, 11, hall="h1", cold_seconds=3.0)
+        self.now = 60.0
+        self.set_upstream(0, 12, hall="h1", cold_seconds=5.0)
+        self.assertEqual(self.pace("e0"), 13.0)
+        self.set_upstream(0, 13, hall="h1")
+        self.assertIsNone(self.pace("e0"))
+
+    def test_a_peer_is_told_what_is_left(self) -> None:
+        self.set_upstream(0, 11, hall="h1", cold_seconds=3.0)
+        self.now = 2.0
+        peer = router("r1")
+        peer.take_upstreams(self.state.upstreams_since(0))
+        self.assertAlmostEqual(peer.cold_seconds("e0"), 1.0)
+
+    def test_a_hall_that_was_evacuated_counts_as_cold_for_a_moment(self) -> None:
+        self.evacuate("h1", 11)
+        self.end("h1", 12)
+        self.assertEqual((self.pace("e0"), self.pace("e2")), (13.0, None))
+        self.now = JUST_OPENED_SECONDS
+        self.assertIsNone(self.pace("e0"))
+
+    def test_nothing_is_granted_there_before_a_router_has_met_its_peers(self) -> None:
+        self.state.tick()
+        self.assertEqual(self.state.cold_paces.share, 0.0)
+        self.now = ALONE_SECONDS
+        self.state.tick()
+        self.assertEqual(self.state.cold_paces.share, 1.0)
+
+    def test_a_router_that_misses_others_takes_the_part_of_those_it_sees(self) -> None:
+        self.now = ALONE_SECONDS
+        for at in range(1, 4):
+            meet(self.state, router(f"r{at}"))
+        self.state.tick()
+        for at in range(1, 4):
+            self.state.unreachable(f"r{at}")
+        self.state.tick()
+        self.assertEqual(self.state.cold_paces.share, 0.25)
+
+
+class HeardOfEvacuationsTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.platform = PlatformInMemory()
+        await publish(self.platform, FIRST)
+
+    async def run_for(self, sync: Sync, seconds: float = 0.05) -> None:
+        task = asyncio.ensure_future(sync.run())
+        await asyncio.sleep(seconds)
+        task.cancel()
+        await asyncio.wait([task])
+
+    async def test_the_platform_and_peers_tell_of_evacuated_halls(self) -> None:
+        await self.platform.create(EVACUATION_KIND, "h1", {})
+        state = router("r0")
+        state.refresh()
+        await self.run_for(syncing(state, self.platform, None))
+        self.assertEqual(state.halls.evacuations.halls, {"h1"})
+
+    async def test_one_that_cannot_read_the_platform_is_told_by_a_peer(self) -> None:
+        peer = router("r1")
+        peer.take_change(FIRST)
+        peer.take_listed_evacuations(Listed(9, (StoredObject(EVACUATION_KIND, "h2", 9, {}),)))
+        self.platform.faults.arm("outage", 1000)
+        state = router("r0")
+        meet(state, peer)
+        await self.run_for(syncing(state, self.platform, peer))
+        self.assertEqual(state.halls.evacuations.halls, {"h2"})
+
+    async def test_one_that_lacks_nothing_else_still_asks_whether_there_are_any(self) -> None:
+        peer, state = router("r1"), router("r0")
+        for each in (peer, state):
+            each.take_change(FIRST)
+        peer.take_listed_evacuations(Listed(9, ()))
+        self.platform.faults.arm("outage", 1000)
+        meet(state, peer)
+        await self.run_for(syncing(state, self.platform, peer))
+        self.assertTrue(state.halls.evacuations.is_known)
+        self.assertEqual(state.halls.evacuations.version, NONE_EVER)
--- a/pondhatch/standard/_callers.py
+++ b/pondhatch/standard/_callers.py
@@ -185,6 +185,7 @@
             deadline=admitted.deadline,
             priority=admitted.priority,
             weight=admitted.weight,
+            regions=admitted.regions,
         )
 
     def _models(self, request: Any) -> bytes:
--- a/pondhatch/store/__init__.py
+++ b/pondhatch/store/__init__.py
@@ -1,5 +1,7 @@
 """The platform: its object API behind a Protocol, and its list of upstreams."""
 
+from pondhatch.store._cold_clocks import ColdClocks
+from pondhatch.store._evacuations import IN_FORCE, Evacuations, EvacuationUpdate, HallWord
 from pondhatch.store._objects import (
     Accepted,
     Conflict,
@@ -36,6 +38,11 @@
 from pondhatch.store._vanished import RETURN_SECONDS, Vanished
 
 __all__ = [
+    "ColdClocks",
+    "EvacuationUpdate",
+    "Evacuations",
+    "HallWord",
+    "IN_FORCE",
     "RETURN_SECONDS",
     "Vanished",
     "LEAVING",
--- a/pondhatch/store/_upstreams.py
+++ b/pondhatch/store/_upstreams.py
@@ -46,6 +46,8 @@
     slots: int = 0
     #: When it started, in milliseconds since 1970; 0 where nobody says.
     start: int = 0
+    #: For how many seconds it was still cold when it said so.
+    cold_seconds: float = 0.0
     #: The id that it answers to, which an earlier start of it had as well; empty where its name
     #: is that.
     instance: str = ""
--- a/pondhatch/transport/_routed_callers.py
+++ b/pondhatch/transport/_routed_callers.py
@@ -271,6 +271,7 @@
         caller_id=facts.caller_id,
         most_tries=route.most_tries,
         resumes_anywhere=route.repeats == "resumed",
+        regions=admitted.regions,
         digest=digest_of(account.name, method, path, body.content),
     )
 
--- a/pondhatch/transport/_serving.py
+++ b/pondhatch/transport/_serving.py
@@ -159,7 +159,7 @@
         head = work.head
         digest = f"{head.method} {head.path} {work.body.length}"
         record = KeyRecord(digest, self._state.name, head.request_id)
-        keyed = KeyedRun(self._state, key, record)
+        keyed = KeyedRun(self._state, key, record, work.head.regions)
         begun = await keyed.begin()
         if isinstance(begun, Known) and begun.record.digest == digest and begun.record.answer:
             replay(request, self._answers, begun.record.answer, head.request_id)
@@ -254,7 +254,7 @@
                 account=work.account.name,
                 service=work.head.service,
                 engine=walk.engine,
-                passed_over=tuple(walk.plan.passed_over),
+                passed_over=_passed_over(walk),
                 outcome=outcome,
                 seconds=round(seconds, 4),
                 at=time.time(),
@@ -278,7 +278,7 @@
                 upstream=walk.engine or "",
                 in_flight=walk.granted.in_flight,
                 ceiling=walk.granted.ceiling,
-                passed_over=tuple(walk.plan.passed_over),
+                passed_over=_passed_over(walk),
                 resumes=walk.resumes,
                 cut_at=tuple(walk.cut_at),
                 digest=f"{work.head.digest:x}" if _tells_digest(walk, outcome) else "",
@@ -286,6 +286,12 @@
         )
 
 
+def _passed_over(walk: Walk) -> tuple[tuple[str, str], ...]:
+    """Return the engines that did not take a request, each with why."""
+    closed = () if walk.turned_from is None else (walk.turned_from,)
+    return (*closed, *walk.plan.passed_over)
+
+
 def _tells_digest(walk: Walk, outcome: str) -> bool:
     """Return whether a request's other attempts are of interest to whoever reads its line."""
     return bool(walk.cut_at) or outcome == QUARANTINED.code
--- a/pondhatch/transport/_wire.py
+++ b/pondhatch/transport/_wire.py
@@ -11,7 +11,7 @@
 
 from pondhatch.configuration import Update
 from pondhatch.requests import KeyRecord
-from pondhatch.store import UpstreamUpdate
+from pondhatch.store import EvacuationUpdate, UpstreamUpdate
 
 CLAIM_METHOD = "/pondhatch.Peers/Claim"
 SETTLE_METHOD = "/pondhatch.Peers/Settle"
@@ -61,6 +61,8 @@
 
     configuration: Update
     upstreams: UpstreamUpdate
+    #: Whole, and told each time: a few words. None where the one asked knows nothing.
+    evacuations: EvacuationUpdate | None = None
 
 
 @functools.cache
--- a/pondhatch/transport/tests/test_openai_callers.py
+++ b/pondhatch/transport/tests/test_openai_callers.py
@@ -17,6 +17,7 @@
 from pondhatch.requests import CallerGone, Ended, Headers, Opened, Ways
 from pondhatch.router import Starting
 from pondhatch.standard._callers import OpenAiCallers
+from pondhatch.store import Listed
 from pondhatch.transport._caller_channel import CallerSite
 from pondhatch.transport._interface import CallerParts
 from pondhatch.transport.tests.test_routed_callers import (
@@ -53,6 +54,7 @@
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
         self.state.take_fleet(_fleet())
+        self.state.take_listed_evacuations(Listed(1, ()))
         parts = CallerParts(
             self.state,
             Ways(self.grants, self.upstreams),
--- a/pondhatch/transport/tests/test_routed_callers.py
+++ b/pondhatch/transport/tests/test_routed_callers.py
@@ -43,7 +43,7 @@
 )
 from pondhatch.router import RouterState, Starting
 from pondhatch.router._starting import STARTING_SECONDS
-from pondhatch.store import LEAVING, Upstream
+from pondhatch.store import LEAVING, Listed, Upstream
 from pondhatch.transport._caller_channel import CallerSite
 from pondhatch.transport._interface import CallerParts
 from pondhatch.transport._routed_callers import RoutedCallers
@@ -161,6 +161,7 @@
 
 def put_in_force(state: RouterState, configuration: Any) -> None:
     state.take_fleet(Fleet().replaced_by(decode_configuration(configuration, ServiceDefaults())))
+    state.take_listed_evacuations(Listed(1, ()))
 
 
 class RoutedCallersTest(unittest.IsolatedAsyncioTestCase):
