Read evacuations at a start from what may be seconds old, and end none by an older listing

The listing may be seconds old: peers tell a router that starts alone what it misses, and where all start the halls' watchers go on from where their listing ends. An older listing that comes after a newer one ended words in between, as of the newer one's position; now as of its own. Test: test_a_listing_from_before_ends_nothing_that_came_since, which failed.

--- a/pondhatch/router/_sync.py
+++ b/pondhatch/router/_sync.py
@@ -234,8 +234,14 @@
 
     async def _watch_evacuations(self) -> None:
         state = self._state
+        # What a router that starts alone misses of the last seconds, its peers tell it; where all
+        # start, those that watch go on from where this listing ends.
+        may_be_old = not state.halls.evacuations.is_known
         await self._watch(
-            EVACUATION_KIND, state.take_listed_evacuations, state.take_evacuation_event
+            EVACUATION_KIND,
+            state.take_listed_evacuations,
+            state.take_evacuation_event,
+            may_be_old,
         )
 
     async def _watch(
@@ -243,9 +249,10 @@
         kind: str,
         take_listed: Callable[[Listed], bool],
         take_event: Callable[[WatchEvent], bool],
+        may_be_old: bool = False,
     ) -> None:
         """Read the objects of a kind, then their changes; tell peers of what is news."""
-        listed = await self._platform.list(kind)
+        listed = await self._platform.list(kind, may_be_old)
         if isinstance(listed, Unavailable):
             raise PlatformLost(listed.reason)
         self._state.platform_lost = ""
--- a/pondhatch/store/_evacuations.py
+++ b/pondhatch/store/_evacuations.py
@@ -79,7 +79,7 @@
         shown |= {hall: HallWord(True, listed.version) for hall in listed.left_out}
         news = [self._set(hall, word) for hall, word in shown.items()]
         if listed.is_whole:
-            news += self._end_unlisted(shown, now)
+            news += self._end_unlisted(shown, listed.version, now)
         return any(news) or not was_known
 
     def take_event(self, event: WatchEvent) -> bool:
@@ -120,14 +120,16 @@
         changes = [self._set(hall, HallWord(False, self._listed_at)) for hall in left]
         return any(changes)
 
-    def _end_unlisted(self, shown: Mapping[str, HallWord], now: float) -> list[bool]:
+    def _end_unlisted(
+        self, shown: Mapping[str, HallWord], listed_at: Position, now: float
+    ) -> list[bool]:
         """End what a whole listing no longer shows, at once within an era."""
         ended = []
         for hall in self.halls - shown.keys():
-            if era_of(self.word_by_hall[hall].version) < era_of(self._listed_at):
+            if era_of(self.word_by_hall[hall].version) < era_of(listed_at):
                 self._settles_at = min(self._settles_at, now + SETTLE_SECONDS)
             else:
-                ended.append(self._set(hall, HallWord(False, self._listed_at)))
+                ended.append(self._set(hall, HallWord(False, listed_at)))
         return ended
 
     def _set(self, hall: str, word: HallWord) -> bool:
--- a/pondhatch/store/tests/test_evacuations.py
+++ b/pondhatch/store/tests/test_evacuations.py
@@ -60,6 +60,12 @@
         self.assertTrue(self.known.take_listing(listed(8, "h2"), 0.0))
         self.assertEqual(self.known.halls, {"h2"})
 
+    def test_a_listing_from_before_ends_nothing_that_came_since(self) -> None:
+        since_90 = StoredObject("evacuation", "h1", 90, {})
+        self.known.take_listing(Listed(100, (since_90,)), 0.0)
+        self.known.take_listing(listed(80), 0.0)
+        self.assertEqual(self.known.halls, {"h1"})
+
     def test_a_part_of_a_listing_ends_nothing(self) -> None:
         self.known.take_listing(listed(5, "h1"), 0.0)
         self.known.take_listing(Listed(8, (), is_whole=False), 0.0)
