Ask another upstream where one answers what may be repeated with a failure of its own

Callers repeat such a fetch themselves, later than its objective allows.

Change: the walk goes on once, within the tries that the route allows and the fleet's retries; the first failure stands where nobody else has an answer. A failure that is given up for another answer still speaks against its upstream.

Why it holds: each costs a retry, so a service that fails altogether gets at most the budget more; the upstream that failed is not asked again; what may run once runs once. A test of the transport expected that nobody else is asked after a 500: it now says so of what may not be repeated, and that the last failure is passed on as it is where it may.

--- a/pondhatch/requests/_entry.py
+++ b/pondhatch/requests/_entry.py
@@ -30,7 +30,7 @@
     NotOwner,
     Question,
 )
-from pondhatch.requests._sending import FAILURE_STATUS
+from pondhatch.requests._sending import FAILURE_STATUS, is_own_failure
 from pondhatch.requests._tries import Tries
 from pondhatch.requests._walk_results import (
     NO_PATIENCE,
@@ -115,10 +115,37 @@
         """Return the opened answer or the refusal that the caller is to be told."""
         self._budget.first_try()
         ended = await self._walk()
+        if isinstance(ended, Placed) and self._failed(ended):
+            ended = await self._instead_of(ended)
         if isinstance(ended, Refused) and self._may_have_run is not None:
             return Refused(self.final_word(self._may_have_run))
         return ended
 
+    def _failed(self, placed: Placed) -> bool:
+        """Return whether an engine answered with a failure of its own, which another may not."""
+        return is_own_failure(placed.reply.answer.status) and self.may_run_again()
+
+    async def _instead_of(self, failed: Placed) -> Placed:
+        """Return another engine's answer instead of a failure, which stands where there is none.
+
+        Where one request in seven fails at its engine, one in fifty still does so twice. Each
+        costs a retry, so that engines that all fail are not asked twice as much for nothing.
+        """
+        if self._tries_are_spent() or not self._budget.may_retry():
+            return failed
+        self.plan.refused(f"answered {failed.reply.answer.status}")
+        before, may_have_run = self.engine, self._may_have_run
+        try:
+            ended = await self._walk()
+        except BaseException:
+            failed.reply.answer.cancel()
+            raise
+        if isinstance(ended, Placed):
+            failed.reply.answer.cancel()
+            return ended
+        self.engine, self._may_have_run = before, may_have_run
+        return failed
+
     async def _walk(self) -> Placed | Refused:
         while self._remaining() > 0:
             step = self.plan.next()
--- a/pondhatch/requests/_sending.py
+++ b/pondhatch/requests/_sending.py
@@ -74,10 +74,14 @@
         """Send a request once; never repeat it."""
 
 
+def is_own_failure(status: int) -> bool:
+    """Return whether an upstream's answer is a failure of its own."""
+    return status >= FAILURE_STATUS and status != OUT_OF_TIME_STATUS
+
+
 def _ended_with(status: int) -> Ended:
     """Return what a whole answer tells of its engine."""
-    own_failure = status >= FAILURE_STATUS and status != OUT_OF_TIME_STATUS
-    return Ended.ERRED if own_failure else Ended.ANSWERED
+    return Ended.ERRED if is_own_failure(status) else Ended.ANSWERED
 
 
 class GrantedAnswer:
@@ -102,9 +106,9 @@
             self._end(ended)
 
     def cancel(self) -> None:
-        """Give the answer up and the grant back."""
+        """Give the answer up and the grant back; that it is a failure its head has told."""
         self._answer.cancel()
-        self._end(Ended.NOTHING)
+        self._end(Ended.ERRED if is_own_failure(self.status) else Ended.NOTHING)
 
     def _end(self, ended: Ended) -> None:
         release, self._release = self._release, None
--- a/pondhatch/requests/tests/_history.py
+++ b/pondhatch/requests/tests/_history.py
@@ -62,6 +62,7 @@
     encode_grant_packet,
 )
 from pondhatch.requests._outcomes import refused_by_engine
+from pondhatch.requests._sending import FAILURE_STATUS
 
 EVENTS = 5
 #: The service's set multiple of the mean.
@@ -87,6 +88,9 @@
 #: Seconds for which a place must have been free for a walk to know of it: it asks engines one
 #: after the other, each question and its word take 0.01 s and a refused send as long.
 KNOWN_AFTER = 0.1
+#: An upstream answers with a failure of its own.
+FAILED = "failed"
+FAILED_ANSWER = b"failed"
 #: What may befall one packet between routers.
 PACKET_FAULTS = ("none", "lost", "late", "very-late", "twice")
 #: Seconds by which a late packet is behind; the last is longer than an owner is waited for.
@@ -174,7 +178,7 @@
     ) -> None:
         self._ended: Callable[[], None] | None = ended
         self.status = 200
-        self.headers = STREAM
+        self.headers: Headers = STREAM
         self._content = content
         self._cut_at = cut_at
         self._slow = slow
@@ -251,6 +255,8 @@
             return Unknown("upstream-lost", "lost")
         if fault == "crossed":
             return Unknown(CROSSED, "another's answer")
+        if fault == FAILED:
+            return Opened(self._failure(engine))
         whole = answer_of(request)
         events = whole.split(b"\n\n")
         content = b"\n\n".join(events[max(0, resumed_from) :])
@@ -266,6 +272,13 @@
         self._streams_by_engine.setdefault(engine, []).append(stream)
         return Opened(stream)
 
+    def _failure(self, engine: str) -> Stream:
+        """Return an answer that says that an upstream failed."""
+        self._loads.start(engine)
+        failure = Stream(FAILED_ANSWER, None, False, lambda: self._loads.end(engine))
+        failure.status, failure.headers = FAILURE_STATUS, ()
+        return failure
+
     def start_again(self, engine: str, start: str) -> None:
         """Break off what runs at an engine; from now on another start answers in its place."""
         for stream in self._streams_by_engine.pop(engine, []):
--- /dev/null
+++ b/pondhatch/requests/tests/test_own_failures.py
@@ -0,0 +1,93 @@
+"""A service one in seven of whose answers is a failure of its upstream's own.
+
+Seen by callers: a fetch that may be repeated failed though another upstream would have answered
+it within its objective, and what callers repeated themselves came late or failed again.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from fakes._virtual_loop import run_virtually
+from pondhatch.placement import ranked
+from pondhatch.placement._health import AILING_SHARE, ERROR_WEIGHT
+from pondhatch.requests import EngineRefusal, Whole
+from pondhatch.requests.tests._history import FAILED, FAILED_ANSWER, Fleet, answer_of, violations
+
+ANSWER = answer_of("q0")
+FULL, LEAVING = EngineRefusal.FULL, EngineRefusal.LEAVING
+LOST = "lost-before-it-came"
+UNREACHABLE = "unreachable"
+
+
+class OwnFailuresTest(unittest.TestCase):
+    def ended(self, faults: list[str], repeatable: bool, most_tries: int = 2) -> Fleet:
+        """Return what came of one request."""
+
+        async def main() -> Fleet:
+            fleet = Fleet(faults, [], False)
+            fleet.most_tries = most_tries
+            await fleet.request(0, repeatable, gives_up=False)
+            await asyncio.sleep(1.0)  # The packets that give grants back are under way.
+            return fleet
+
+        return run_virtually(main())
+
+    def test_what_the_caller_gets(self) -> None:
+        rows: tuple[tuple[list[str], bool, int, bytes, int], ...] = (
+            # faults in order, may be repeated, most tries, what the caller gets, sends
+            ([FAILED], True, 2, ANSWER, 2),
+            # The second failure is told, and nobody is asked a third time.
+            ([FAILED, FAILED], True, 2, FAILED_ANSWER, 2),
+            ([FAILED, FAILED], True, 0, FAILED_ANSWER, 2),
+            ([FAILED], False, 2, FAILED_ANSWER, 1),
+            ([FAILED], True, 1, FAILED_ANSWER, 1),
+            # What the first one said stands where nobody else has an answer.
+            ([FAILED, FULL, FULL], True, 2, FAILED_ANSWER, 3),
+            ([FAILED, LOST, LOST, LOST], True, 2, FAILED_ANSWER, 2),
+            ([FAILED, UNREACHABLE], True, 2, ANSWER, 3),
+            ([LEAVING, FAILED], True, 3, ANSWER, 3),
+        )
+        for faults, repeatable, most_tries, expected, sends in rows:
+            with self.subTest(faults=faults, repeatable=repeatable, most_tries=most_tries):
+                fleet = self.ended(list(faults), repeatable, most_tries)
+                self.assertIsInstance(fleet.history.outcome_by_request["q0"], Whole)
+                found = fleet.history.text_by_request["q0"], len(fleet.history.sends)
+                self.assertEqual(found, (expected, sends))
+                self.assertEqual([each for each in violations(fleet, {}) if "still" in each], [])
+
+    def test_the_upstream_that_failed_is_not_asked_again(self) -> None:
+        fleet = self.ended([FAILED], True)
+        (_, first), (_, second) = fleet.history.sends
+        self.assertNotEqual(first, second)
+
+    def test_an_answer_that_was_given_up_for_another_still_speaks_against_its_upstream(
+        self,
+    ) -> None:
+        enough = next(n for n in range(1, 99) if 1 - (1 - ERROR_WEIGHT) ** n >= AILING_SHARE)
+
+        async def main() -> tuple[Fleet, str]:
+            fleet = Fleet([FAILED, "none"] * enough, [], False)
+            fleet.same_chat = True
+            home = ranked("7", fleet.engines)[0]
+            for at in range(enough):
+                await fleet.request(3 * at, True, gives_up=False)
+            return fleet, home
+
+        fleet, home = run_virtually(main())
+        states = [router.health.states(0.0).get(home) for router in fleet.routers.values()]
+        self.assertIn("ailing", states)
+
+    def test_each_costs_a_retry_so_that_a_service_that_fails_is_not_asked_twice_as_much(
+        self,
+    ) -> None:
+        async def main() -> Fleet:
+            fleet = Fleet([FAILED] * 400, [], False)
+            for at in range(100):
+                await fleet.request(at, True, gives_up=False)
+            return fleet
+
+        # Each request here has a budget of its own, of five retries.
+        fleet = run_virtually(main())
+        self.assertLessEqual(len(fleet.history.sends), 200)
--- a/pondhatch/transport/tests/test_routed_callers.py
+++ b/pondhatch/transport/tests/test_routed_callers.py
@@ -385,10 +385,16 @@
         self.assertTrue(told.endswith(b"2\r\nye\r\n"), told)
 
     async def test_a_failure_of_an_upstream_is_passed_on_as_it_is(self) -> None:
-        self.upstreams.replies = [Opened(Answer((b"oops",), status=500))]
-        told = await self.ask("GET /x HTTP/1.1")
-        self.assertTrue(told.startswith(b"HTTP/1.1 500"), told)
-        self.assertIn(b"Instance-Signature: 3e", told)
+        # Of what may be repeated, the failure of the last one that was asked.
+        for line, upstreams in (("POST /proofs/a HTTP/1.1", 1), ("GET /x HTTP/1.1", 2)):
+            with self.subTest(line=line):
+                failures = [Opened(Answer((b"oops",), status=500)) for _ in range(upstreams)]
+                self.upstreams.replies = [*failures]
+                told = await self.ask(line, KEY, body=b"" if upstreams == 2 else b"x")
+                self.assertTrue(told.startswith(b"HTTP/1.1 500"), told)
+                self.assertTrue(told.endswith(b"oops"), told)
+                self.assertIn(b"Instance-Signature: 3e", told)
+                self.assertEqual(self.upstreams.replies, [])
 
     async def test_a_request_that_was_not_run_goes_to_another_engine_as_far_as_allowed(
         self,
