--- a/pondhatch/requests/_entry.py
+++ b/pondhatch/requests/_entry.py
@@ -128,8 +128,8 @@
     async def _instead_of(self, failed: Placed) -> Placed:
         """Return another engine's answer instead of a failure, which stands where there is none.
 
-        Where one request in seven fails at its engine, one in fifty still does so twice. Each
-        costs a retry, so that engines that all fail are not asked twice as much for nothing.
+        Its caller would repeat it later than a short objective allows. It costs a retry, so that
+        a service that fails as a whole is not asked twice as much for nothing.
         """
         if self._tries_are_spent() or not self._budget.may_retry():
             return failed
