--- a/pondhatch/router/_state.py
+++ b/pondhatch/router/_state.py
@@ -16,7 +16,6 @@
     Fleet,
     Gap,
     Rejected,
-    ServiceSpec,
     Update,
 )
 from pondhatch.limits import LimitVerdict, RetryBudgets
@@ -32,7 +31,6 @@
     ColdPaces,
     Gate,
     Health,
-    Intake,
     Regions,
     SpillMemory,
     is_allowed,
@@ -42,12 +40,12 @@
 from pondhatch.quarantine import Suspects
 from pondhatch.requests import DecisionNote, KeyHolder, KeyTable, LocalKeyHolder, Target
 from pondhatch.router._hall_states import HallStates
+from pondhatch.router._intakes import Intakes
 from pondhatch.router._lag import Lag
 from pondhatch.router._limits import FleetLimits
 from pondhatch.router._owners import Owners
 from pondhatch.router._upstream_changes import UpstreamChanges
 from pondhatch.store import (
-    LIVE,
     REMOVED,
     EvacuationUpdate,
     Listed,
@@ -117,20 +115,25 @@
     #: Names of those that are neither draining nor gone: asked for ten times a second.
     _live_routers: tuple[str, ...] = ()
     _member_by_name: dict[str, Member] = field(default_factory=dict)
-    #: Names of a service's upstreams that take new work, wherever they stand.
-    _live_by_service: dict[str, tuple[str, ...]] = field(default_factory=dict)
-    #: Those of them that a request bound to some regions may go to.
-    _open_by_binding: dict[tuple[str, Regions], tuple[str, ...]] = field(default_factory=dict)
     _started_at: float = field(init=False)
     _owners: Owners = field(init=False)
     _upstream_changes: UpstreamChanges = field(init=False)
+    _intakes: Intakes = field(init=False)
 
     def __post_init__(self) -> None:
         self.limits = FleetLimits(self.name, self.gossip, lambda: self.fleet)
         self._started_at = self.clock()
         self.local = LocalKeyHolder(self.keys, self.clock)
-        self._owners = Owners(self.name, self.upstreams, self._upstream)
         self._upstream_changes = UpstreamChanges(self.upstreams, self.vanished)
+        self._intakes = Intakes(
+            self.upstreams,
+            self.vanished,
+            self.halls,
+            self._upstream_changes.cold,
+            self.said_leaving,
+            lambda: self.fleet.service_by_name,
+        )
+        self._owners = Owners(self.name, self.upstreams, self._intakes.upstream)
 
     # -- membership ---------------------------------------------------------
 
@@ -198,35 +201,11 @@
 
     def live_upstreams(self, service: str, regions: Regions = None) -> tuple[str, ...]:
         """Return the service's upstreams that take work bound to some regions, by name."""
-        found = self._open_by_binding.get((service, regions))
-        if found is None:
-            live = self._live(service)
-            found = tuple(name for name in live if self._hall_is_open(name, regions))
-            self._open_by_binding[service, regions] = found
-        return found
-
-    def _hall_is_open(self, name: str, regions: Regions) -> bool:
-        upstream = self._upstream(name)
-        return upstream is not None and self.halls.closed(upstream.hall, regions) is None
+        return self._intakes.open_to(service, regions)
 
     def closed_home(self, service: str, chat: str, regions: Regions) -> tuple[str, str] | None:
         """Return a chat's home engine were its hall not closed to it, and why it is closed."""
-        if regions is None and not self.halls.evacuations.halls:
-            return None
-        home = winner(chat, self._live(service))
-        upstream = self._upstream(home) if home is not None else None
-        closed = self.halls.closed(upstream.hall, regions) if upstream is not None else None
-        return (home, closed.value) if home is not None and closed is not None else None
-
-    def _live(self, service: str) -> tuple[str, ...]:
-        """Return the service's upstreams that are up and not leaving, by name."""
-        if service not in self._live_by_service:
-            spec = self.fleet.service_by_name.get(service)
-            leaving = spec.leaving if spec is not None else ()
-            found = [upstream.name for upstream in self.upstreams.of_service(service)]
-            found += [each.name for each in self.vanished.in_doubt(service, len(found))]
-            self._live_by_service[service] = tuple(n for n in found if n not in leaving)
-        return self._live_by_service[service]
+        return self._intakes.closed_home(service, chat, regions)
 
     def former_home(self, service: str, chat: str) -> str | None:
         """Return a chat's home engine were those that leave still counted."""
@@ -287,20 +266,11 @@
             self.upstreams_changed()
         return news
 
-    def _upstream(self, name: str) -> Upstream | None:
-        """Return an upstream that is listed, or that may only have lapsed."""
-        return self.upstreams.upstream(name) or self.vanished.upstream(name)
-
     def upstreams_changed(self) -> None:
         """Drop what was derived from the list of upstreams."""
-        self._intake_changed()
+        self._intakes.forget()
         self._owners.forget()
 
-    def _intake_changed(self) -> None:
-        """Drop what was derived of who takes work."""
-        self._live_by_service.clear()
-        self._open_by_binding.clear()
-
     # -- data halls ---------------------------------------------------------
 
     def take_listed_evacuations(self, listed: Listed) -> bool:
@@ -317,19 +287,19 @@
 
     def _halls_changed(self, is_news: bool) -> bool:
         if is_news:
-            self._intake_changed()
+            self._intakes.forget()
         return is_news
 
     def target(self, engine: str) -> Target | None:
         """Return an upstream as the owner's side needs it, or None."""
-        upstream = self._upstream(engine)
+        upstream = self._intakes.upstream(engine)
         service = self.fleet.service_by_name.get(upstream.service) if upstream else None
         if upstream is None or service is None:
             return None
         return Target(
             name=engine,
             url=upstream.url,
-            intake=self._intake(upstream, service),
+            intake=self._intakes.intake(upstream, service, self.clock()),
             bound=service.load_bound,
             peers=len(self.live_upstreams(upstream.service)),
             slots=upstream.slots or service.engine_slots,
@@ -338,26 +308,6 @@
             instance=upstream.instance,
         )
 
-    def _intake(self, upstream: Upstream, service: ServiceSpec) -> Intake:
-        """Return for which requests, and how fast, an upstream may take work now."""
-        is_live = (
-            upstream.state == LIVE
-            and upstream.name not in self.said_leaving
-            and upstream.name in self._live(upstream.service)
-        )
-        return Intake(
-            is_live=is_live,
-            is_evacuated=self.halls.evacuations.is_evacuated(upstream.hall),
-            region=self.halls.region(upstream.hall),
-            cold_pace=service.cold_pace if self.is_cold(upstream) else None,
-        )
-
-    def is_cold(self, upstream: Upstream) -> bool:
-        """Return whether an upstream is cold, or may be without having been heard."""
-        return self.cold_seconds(upstream.name) > 0 or self.halls.just_opened(
-            upstream.hall, self.clock()
-        )
-
     def cold_count(self) -> int:
         """Return how many upstreams are cold by their own word."""
         return self._upstream_changes.cold.count(self.clock())
@@ -375,7 +325,7 @@
 
     def elsewhere_in_flight(self, engine: str) -> int:
         """Return the in-flight total of the other engines of an engine's service."""
-        upstream = self._upstream(engine)
+        upstream = self._intakes.upstream(engine)
         if upstream is None:
             return 0
         now = self.clock()
@@ -414,7 +364,7 @@
         self.wants_whole = False
         self.refused = None
         self.in_force_at = time.time()
-        self._intake_changed()
+        self._intakes.forget()
 
     def knows_all(self, kind: str) -> bool:
         """Return whether every entry of a kind is in force here as the operator wrote it.
--- a/pondhatch/router/tests/test_halls.py
+++ b/pondhatch/router/tests/test_halls.py
@@ -11,7 +11,7 @@
 from fakes._platform_in_memory import PlatformInMemory
 from pondhatch.configuration import Change, Edit, publish
 from pondhatch.placement import Closed
-from pondhatch.router import EVACUATION_KIND, HallStates, Sync, not_ready
+from pondhatch.router import EVACUATION_KIND, Sync, not_ready
 from pondhatch.router._hall_states import JUST_OPENED_SECONDS
 from pondhatch.router._state import ALONE_SECONDS
 from pondhatch.router.tests.test_sync import FIRST, meet, router, syncing
@@ -37,7 +37,7 @@
         self.now = 0.0
         self.state = router("r0")
         self.state.clock = lambda: self.now
-        self.state.halls = HallStates(REGIONS)
+        self.state.halls.region_by_hall = REGIONS
         self.state.take_change(with_cold_pace(13.0))
         for at, hall in enumerate(HALLS):
             self.set_upstream(at, at + 1, hall=hall)
