--- a/pondhatch/cli/_hall_commands.py
+++ b/pondhatch/cli/_hall_commands.py
@@ -20,6 +20,7 @@
     LIVE,
     Accepted,
     Conflict,
+    Evacuations,
     Found,
     Listed,
     OutcomeUnknown,
@@ -75,8 +76,10 @@
         known = ", ".join(sorted({upstream.hall for upstream in live})) or "none"
         print(f"HALL: no upstream stands in {hall!r}; expected one of: {known}", file=sys.stderr)
         return EXIT_INPUT
-    closed = {each.name for each in asked.objects if _is_in_force(each.value)} - {hall}
-    _print_effect(live, hall, closed | ({hall} if in_force else set()), in_force)
+    evacuations = Evacuations()
+    evacuations.take_listing(asked, now=0.0)
+    others = evacuations.halls - {hall}
+    _print_effect(live, hall, others | {hall} if in_force else others, in_force)
     return EXIT_DONE if dry_run else await _write(platform, hall, in_force)
 
 
@@ -112,11 +115,7 @@
     return [each.upstream for each in entries if each.upstream.state == LIVE]
 
 
-def _is_in_force(value: object) -> bool:
-    return not (isinstance(value, dict) and value.get(IN_FORCE) is False)
-
-
-def _print_effect(live: list[Upstream], hall: str, closed: set[str], in_force: bool) -> None:
+def _print_effect(live: list[Upstream], hall: str, closed: frozenset[str], in_force: bool) -> None:
     """Print, for each service that the hall serves, how many upstreams are left to carry it."""
     there = Counter(each.service for each in live if each.hall == hall)
     left = Counter(each.service for each in live if each.hall not in closed)
--- a/pondhatch/configuration/__init__.py
+++ b/pondhatch/configuration/__init__.py
@@ -44,6 +44,7 @@
     CallerBounds,
     FleetFile,
     OrdersSpec,
+    RegionNames,
     Repeats,
     RouteSpec,
     RouteTarget,
@@ -69,6 +70,7 @@
 from pondhatch.configuration._yaml import Document, load, parse
 
 __all__ = [
+    "RegionNames",
     "ColdSettings",
     "DrainSettings",
     "ReadyEndpoint",
--- a/pondhatch/platform/_configuration.py
+++ b/pondhatch/platform/_configuration.py
@@ -4,11 +4,18 @@
 
 import hashlib
 from collections.abc import Iterable, Mapping
-from typing import Annotated, Any, ClassVar, Literal
+from typing import Any, ClassVar, Literal
 
 import msgspec
 
-from pondhatch.configuration import CALLER_BOUNDS, UNREADABLE, Edit, ServiceDefaults, Snapshot
+from pondhatch.configuration import (
+    CALLER_BOUNDS,
+    UNREADABLE,
+    Edit,
+    RegionNames,
+    ServiceDefaults,
+    Snapshot,
+)
 from pondhatch.platform._entries import Entries, KnownEdits, Named, Wire, marked, read_entry
 
 #: Templates of the accounts, which say all but their priority by themselves.
@@ -35,13 +42,6 @@
     weight: float = 1.0
 
 
-#: Regions in which something may run. An empty list would be a word for "nowhere", and is none
-#: that can be used.
-_AllowedRegions = Annotated[
-    tuple[Annotated[str, msgspec.Meta(min_length=1)], ...], msgspec.Meta(min_length=1)
-]
-
-
 class _Route(Named, frozen=True):
     BINDING: ClassVar[frozenset[str]] = frozenset({"allowed_regions"})
 
@@ -67,7 +67,7 @@
     #: The longest pause between two events of a stream that is in time.
     itl_target_ms: float = 0.0
     #: None where its requests may run anywhere.
-    allowed_regions: _AllowedRegions | None = None
+    allowed_regions: RegionNames | None = None
 
 
 class _Service(Named, frozen=True):
@@ -95,7 +95,7 @@
     api_keys: tuple[str, ...] = ()
     priority: int | None = None
     #: None where its requests may run anywhere.
-    allowed_regions: _AllowedRegions | None = None
+    allowed_regions: RegionNames | None = None
 
 
 class _Configuration(Wire, frozen=True):
--- a/pondhatch/router/_upstream_changes.py
+++ b/pondhatch/router/_upstream_changes.py
@@ -15,6 +15,7 @@
 from pondhatch.store import (
     LIVE,
     REMOVED,
+    SETTLE_SECONDS,
     ColdClocks,
     Listed,
     Position,
@@ -30,9 +31,6 @@
 #: Seconds by which two routers may differ on when an upstream joined: what a packet and a
 #: pull take, several times over.
 SLACK_SECONDS = 1.0
-#: Seconds for which an era of the platform's store settles: upstreams write themselves again
-#: within two of its return, and those that ended unseen lapse in three or four.
-SETTLE_SECONDS = 3.0
 #: Seconds after the first list in which upstreams that appear are taken to have been there
 #: before: those of a fleet that starts list themselves one after the other, and no chat
 #: has its context at the engine ranked second.
--- a/pondhatch/router/tests/test_new_eras.py
+++ b/pondhatch/router/tests/test_new_eras.py
@@ -2,10 +2,11 @@
 
 import unittest
 
-from pondhatch.router._upstream_changes import SETTLE_SECONDS, Settling, UpstreamChanges
+from pondhatch.router._upstream_changes import Settling, UpstreamChanges
 from pondhatch.store import (
     LIVE,
     REMOVED,
+    SETTLE_SECONDS,
     Listed,
     StoredObject,
     UpstreamList,
--- a/pondhatch/store/_evacuations.py
+++ b/pondhatch/store/_evacuations.py
@@ -17,12 +17,10 @@
 import msgspec
 
 from pondhatch.store._objects import Listed, WatchEvent
-from pondhatch.store._position import Position, era_of
+from pondhatch.store._position import SETTLE_SECONDS, Position, era_of
 
 #: Field of the platform's object that ends an evacuation while the object stays.
 IN_FORCE = "in_force"
-#: Seconds for which an era of the platform's store settles; see UpstreamChanges.
-SETTLE_SECONDS = 3.0
 #: What is told of routers that know that no hall ever was evacuated.
 NONE_EVER: Position = 1
 
--- a/pondhatch/store/_position.py
+++ b/pondhatch/store/_position.py
@@ -19,6 +19,9 @@
 REVISION_BITS = 40
 #: The highest era that a position can hold; one beyond it is taken for none.
 MOST_ERAS = 2**13 - 1
+#: Seconds for which an era of the platform's store settles: who writes there has written itself
+#: again within two of its return, and what ended unseen lapses in three or four.
+SETTLE_SECONDS = 3.0
 #: The era of a platform that tells none.
 NO_ERA = 0
 
--- a/pondhatch/store/tests/test_evacuations.py
+++ b/pondhatch/store/tests/test_evacuations.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 
 from pondhatch.store import (
+    SETTLE_SECONDS,
     Evacuations,
     EvacuationUpdate,
     HallWord,
@@ -16,7 +17,6 @@
     WatchEvent,
     position_of,
 )
-from pondhatch.store._evacuations import SETTLE_SECONDS
 
 
 def listed(version: int, *halls: str) -> Listed:
