Hear what upstreams say of themselves in their answers, and show it

The adapter of each interface now returns it as a Notice (leaving; seconds of rest), heard as the head comes, also where its caller has left; not of a 421, which another engine may have given. It is in a belief line ("notice"), two gauges and the state dump. Nothing is decided by it yet.

--- a/pondhatch/cli/_figures.py
+++ b/pondhatch/cli/_figures.py
@@ -25,6 +25,7 @@
 
     def levels(self) -> dict[str, int]:
         """Return what statsd is told now and then, by metric."""
+        notices = self.state.notices.in_force(self.state.clock()).values()
         return {
             "routers.known": len(self.state.members()),
             "requests.in_flight": self.callers.in_flight,
@@ -34,6 +35,8 @@
             "configuration.misfits": len(self.state.fleet.misfits_by_entry),
             "upstreams.owned": len(self.state.owned()),
             "upstreams.cold": self.state.cold_count(),
+            "upstreams.said_leaving": sum(notice.is_leaving for notice in notices),
+            "upstreams.resting": sum(notice.rest > 0 for notice in notices),
             "halls.evacuated": len(self.state.halls.evacuations.halls),
             "requests.suspected": len(self.state.suspects.suspect_by_digest),
             "requests.quarantined": len(list(self.state.suspects.quarantined(self.state.clock()))),
--- a/pondhatch/cli/_router_process.py
+++ b/pondhatch/cli/_router_process.py
@@ -40,6 +40,7 @@
     CrashGuarding,
     Granting,
     Introduction,
+    NoticeKeeping,
     Restoring,
     Starting,
     Sync,
@@ -95,7 +96,10 @@
         self._metrics = metrics_of(settings, served)
         self._records = _records_of(settings)
         self._beliefs = Beliefs(self.state, self._records)
-        upstreams = HttpUpstreams(parts.client, self._interface.upstreams, self._metrics)
+        self._notice_keeping = NoticeKeeping(self.state)
+        upstreams = HttpUpstreams(
+            parts.client, self._interface.upstreams, self._metrics, self._notice_keeping
+        )
         self._crash_guarding = CrashGuarding(
             self.state,
             self._gossip_port.send,
--- a/pondhatch/observing/_records.py
+++ b/pondhatch/observing/_records.py
@@ -55,7 +55,8 @@
 class Believed(msgspec.Struct, frozen=True, tag_field="event", tag="belief", omit_defaults=True):
     """What this router takes to be so has changed."""
 
-    #: "configuration", "upstream", "health" (of an upstream), "hall" (whether it is evacuated),
+    #: "configuration", "upstream", "health" (of an upstream), "notice" (what an upstream said of
+    #: itself in its answers), "hall" (whether it is evacuated),
     #: "router", "platform", "process",
     #: "request" (one under which engines ended) or "records" (of these, some were left out).
     about: str
--- /dev/null
+++ b/pondhatch/placement/_notices.py
@@ -0,0 +1,105 @@
+"""What upstreams say of themselves in the heads of their answers, and for how long it holds.
+
+An upstream that leaves says so in each answer, and one that is overloaded may turn a request
+away and ask for some seconds of rest. Both are known here before the platform lists them, or
+where it never does. The word is the upstream's own, of the start that gave it: each start is
+known by a name of its own where the platform says when it began.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Container
+
+import msgspec
+from msgspec.structs import replace
+
+#: Seconds for which the word of an upstream that leaves holds where nobody says when it started:
+#: another start may have taken its name since.
+NAMELESS_SECONDS = 600.0
+#: Seconds of rest that an upstream gets at most; it asks for more by mistake.
+LONGEST_REST = 3600.0
+#: Seconds for which the word of an upstream that nobody lists is kept: its entry may have lapsed
+#: with the platform's store, and come back.
+UNLISTED_SECONDS = 600.0
+
+
+class Notice(msgspec.Struct, frozen=True):
+    """What one answer's head says of the upstream that gave it."""
+
+    #: Whether it is about to end.
+    is_leaving: bool = False
+    #: Seconds for which it wants nothing more; 0 where it asks for none.
+    rest: float = 0.0
+
+    def __bool__(self) -> bool:
+        return self.is_leaving or self.rest > 0
+
+
+#: What most answers say.
+NOTHING_SAID = Notice()
+
+
+class _Known(msgspec.Struct, frozen=True):
+    """What one upstream said, in the clock's seconds."""
+
+    heard_at: float
+    leaves_until: float = -math.inf
+    rests_until: float = -math.inf
+
+
+class Notices(msgspec.Struct):
+    """What upstreams said of themselves that still holds, by their names."""
+
+    _known_by_upstream: dict[str, _Known] = msgspec.field(default_factory=dict)
+
+    def hear(self, upstream: str, notice: Notice, now: float, is_start_known: bool) -> bool:
+        """Take in what an upstream says; return whether it closes it, or does so for longer.
+
+        ``is_start_known`` says whether the name stands for one start of it. Of two rests the one
+        that ends later holds: each was asked for.
+        """
+        before = self._known_by_upstream.get(upstream, _Known(now))
+        known = replace(before, heard_at=now)
+        if notice.is_leaving:
+            known = replace(
+                known, leaves_until=math.inf if is_start_known else now + NAMELESS_SECONDS
+            )
+        if notice.rest > 0:
+            until = now + min(notice.rest, LONGEST_REST)
+            known = replace(known, rests_until=max(known.rests_until, until))
+        self._known_by_upstream[upstream] = known
+        leaves_anew = notice.is_leaving and before.leaves_until <= now
+        return leaves_anew or known.rests_until > max(now, before.rests_until)
+
+    def stays(self, upstream: str) -> None:
+        """Note that an upstream takes work again, though it had said that it leaves."""
+        known = self._known_by_upstream.get(upstream)
+        if known is not None:
+            self._known_by_upstream[upstream] = replace(known, leaves_until=-math.inf)
+
+    def is_leaving(self, upstream: str, now: float) -> bool:
+        """Return whether an upstream said that it is about to end."""
+        known = self._known_by_upstream.get(upstream)
+        return known is not None and now < known.leaves_until
+
+    def rest_left(self, upstream: str, now: float) -> float:
+        """Return for how many seconds an upstream still wants nothing."""
+        known = self._known_by_upstream.get(upstream)
+        return max(0.0, known.rests_until - now) if known is not None else 0.0
+
+    def in_force(self, now: float) -> dict[str, Notice]:
+        """Return what still holds, with the seconds that are left of each rest."""
+        found = {
+            name: Notice(self.is_leaving(name, now), self.rest_left(name, now))
+            for name in self._known_by_upstream
+        }
+        return {name: notice for name, notice in found.items() if notice}
+
+    def forget_old(self, listed: Container[str], now: float) -> None:
+        """Forget what is over, and those that nobody has listed for a while."""
+        for name, known in tuple(self._known_by_upstream.items()):
+            is_over = now >= max(known.leaves_until, known.rests_until)
+            is_gone = name not in listed and now - known.heard_at >= UNLISTED_SECONDS
+            if is_over or is_gone:
+                del self._known_by_upstream[name]
--- /dev/null
+++ b/pondhatch/placement/tests/test_notices.py
@@ -0,0 +1,59 @@
+"""What upstreams say of themselves, over time."""
+
+from __future__ import annotations
+
+import unittest
+
+from pondhatch.placement import Notice, Notices
+from pondhatch.placement._notices import LONGEST_REST, NAMELESS_SECONDS, UNLISTED_SECONDS
+
+LEAVES = Notice(is_leaving=True)
+
+
+class NoticesTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.notices = Notices()
+
+    def hear(self, notice: Notice, now: float, is_start_known: bool = True) -> bool:
+        return self.notices.hear("e", notice, now, is_start_known)
+
+    def test_what_leaves_leaves_for_good_and_is_news_once(self) -> None:
+        self.assertFalse(self.notices.is_leaving("e", 0.0))
+        self.assertTrue(self.hear(LEAVES, 1.0))
+        self.assertFalse(self.hear(LEAVES, 2.0))
+        self.assertTrue(self.notices.is_leaving("e", 1e6))
+        self.assertFalse(self.notices.is_leaving("other", 2.0))
+
+    def test_a_name_that_another_start_may_have_taken_is_not_closed_for_good(self) -> None:
+        self.hear(LEAVES, 1.0, is_start_known=False)
+        self.assertTrue(self.notices.is_leaving("e", NAMELESS_SECONDS))
+        self.assertFalse(self.notices.is_leaving("e", 1.0 + NAMELESS_SECONDS))
+
+    def test_of_overlapping_rests_the_one_that_ends_later_holds(self) -> None:
+        self.assertTrue(self.hear(Notice(rest=3.0), 0.0))
+        self.assertFalse(self.hear(Notice(rest=1.0), 1.0))
+        self.assertEqual(self.notices.rest_left("e", 1.0), 2.0)
+        self.assertTrue(self.hear(Notice(rest=3.0), 2.0))
+        self.assertEqual(self.notices.rest_left("e", 2.0), 3.0)
+        self.assertEqual(self.notices.rest_left("e", 6.0), 0.0)
+
+    def test_a_rest_past_reason_ends(self) -> None:
+        self.hear(Notice(rest=1e12), 0.0)
+        self.assertEqual(self.notices.rest_left("e", 0.0), LONGEST_REST)
+
+    def test_one_that_stays_after_all_is_open_again(self) -> None:
+        self.hear(LEAVES, 0.0)
+        self.notices.stays("e")
+        self.notices.stays("other")
+        self.assertFalse(self.notices.is_leaving("e", 0.0))
+        self.assertTrue(self.hear(LEAVES, 1.0))
+
+    def test_what_is_over_or_long_unlisted_is_forgotten(self) -> None:
+        self.hear(LEAVES, 0.0)
+        self.notices.hear("r", Notice(rest=3.0), 0.0, is_start_known=True)
+        self.notices.forget_old({"e"}, 3.0)
+        self.assertEqual(list(self.notices.in_force(0.0)), ["e"])
+        self.notices.forget_old(set(), UNLISTED_SECONDS - 1)
+        self.assertTrue(self.notices.is_leaving("e", UNLISTED_SECONDS))
+        self.notices.forget_old(set(), UNLISTED_SECONDS)
+        self.assertFalse(self.notices.is_leaving("e", UNLISTED_SECONDS))
--- a/pondhatch/platform/_engines.py
+++ b/pondhatch/platform/_engines.py
@@ -2,21 +2,25 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Mapping
 from typing import Annotated, Any, Literal
 
 import msgspec
 
 from pondhatch.authority import NotTaken, Silent, Wanted
+from pondhatch.placement import NOTHING_SAID, Notice
 from pondhatch.platform import _names as names
 from pondhatch.platform._entries import plain
 from pondhatch.platform._header_owners import OWNERS
 from pondhatch.requests import EngineRefusal, Headers, Judged, RequestHead, Target
 from pondhatch.store import IN_FORCE, LEAVING, LIVE
-from pondhatch.transport import NoteDropped, utf8_value
+from pondhatch.transport import NoteDropped, seconds_to_wait, utf8_value
 
 #: What an engine that takes no new work says of itself.
 DRAINING = "draining"
+#: Value of the header of one that is about to end.
+IS_LEAVING = "1"
 
 #: A name of a service, or of anything that must not be empty.
 Name = Annotated[str, msgspec.Meta(min_length=1)]
@@ -141,6 +145,17 @@
             return Judged.CROSSED
         return Judged.ANSWERED
 
+    def notice(self, status: int, value_by_name: Mapping[str, str]) -> Notice:
+        """Return what an answer's head says of the engine itself."""
+        if status == names.OTHER_ENGINE_STATUS:
+            # Another engine than the one meant may have answered.
+            return NOTHING_SAID
+        is_leaving = value_by_name.get(names.LEAVING.lower(), "").strip() == IS_LEAVING
+        asked = value_by_name.get(names.RETRY_AFTER.lower())
+        if asked is None or status not in names.FULL_STATUSES:
+            return Notice(is_leaving)
+        return Notice(is_leaving, seconds_to_wait(asked, time.time()))
+
     def answer_headers(self, headers: Headers, note: NoteDropped) -> Headers:
         """Return the headers of an answer that an engine may say to a client."""
         return OWNERS.from_upstream(headers, note)
--- a/pondhatch/platform/_header_owners.py
+++ b/pondhatch/platform/_header_owners.py
@@ -34,6 +34,7 @@
         names.SIGNATURE: Owner.UPSTREAM,
         names.NOT_RUN: Owner.UPSTREAM,
         names.RETRY_AFTER: Owner.UPSTREAM,
+        names.LEAVING: Owner.UPSTREAM,
         names.ENGINE: Owner.UPSTREAM,
         names.LOAD: Owner.UPSTREAM,
         names.WEIGHTS: Owner.UPSTREAM,
--- a/pondhatch/platform/_names.py
+++ b/pondhatch/platform/_names.py
@@ -55,6 +55,8 @@
 STORE_ERA = "Store-Era"
 AUTHORIZATION = "Authorization"
 RETRY_AFTER = "Retry-After"
+#: In all answers of an engine that is about to end.
+LEAVING = "Server-Leaving"
 #: Status by which an engine says that another one was meant; it ran nothing.
 OTHER_ENGINE_STATUS = 421
 #: Statuses of refusals by an engine that has no place, and by one that got no proper request.
--- a/pondhatch/platform/tests/_wire.py
+++ b/pondhatch/platform/tests/_wire.py
@@ -67,6 +67,7 @@
     "Instance-Load",
     "Not-Executed",
     "Retry-After",
+    "Server-Leaving",
     "Weight-Versions",
 )
 CONNECTIONS_HEADERS = ("Connection", "Keep-Alive")
--- a/pondhatch/platform/tests/test_dialects.py
+++ b/pondhatch/platform/tests/test_dialects.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from pondhatch.placement import OPEN
+from pondhatch.placement import NOTHING_SAID, OPEN, Notice
 from pondhatch.platform._callers import ClientDialect
 from pondhatch.platform._engines import EngineDialect, decode_engine, decode_evacuation
 from pondhatch.platform.tests._wire import ENGINE
@@ -75,6 +75,23 @@
         self.assertEqual(dict(sent), expected)
         self.assertEqual(len(sent), len(expected))
 
+    def test_what_an_answer_says_of_its_engine(self) -> None:
+        leaves = {"server-leaving": "1"}
+        for status, said, notice in (
+            (200, {}, NOTHING_SAID),
+            (200, leaves, Notice(is_leaving=True)),
+            (500, leaves, Notice(is_leaving=True)),
+            (200, {"server-leaving": "0"}, NOTHING_SAID),
+            (503, {"retry-after": "2.5"}, Notice(rest=2.5)),
+            (503, {"retry-after": "3", "not-executed": "1", **leaves}, Notice(True, 3.0)),
+            (503, {"retry-after": "soon"}, NOTHING_SAID),
+            (200, {"retry-after": "3"}, NOTHING_SAID),
+            # Another engine may have answered at its address.
+            (421, {"retry-after": "3", "not-executed": "1", **leaves}, NOTHING_SAID),
+        ):
+            with self.subTest(status=status, said=said):
+                self.assertEqual(self.dialect.notice(status, said), notice)
+
     def test_without_an_account_no_account_is_named(self) -> None:
         sent = dict(self.dialect.request_headers(head(account=""), TARGET))
         self.assertNotIn("Tenant", sent)
--- a/pondhatch/requests/__init__.py
+++ b/pondhatch/requests/__init__.py
@@ -70,14 +70,22 @@
     OwnerReply,
     Question,
 )
-from pondhatch.requests._sending import GrantedAnswer, Target, Upstreams
+from pondhatch.requests._sending import (
+    GrantedAnswer,
+    NoUpstreamView,
+    Target,
+    Upstreams,
+    UpstreamView,
+)
 from pondhatch.requests._try import Try, new_try
 from pondhatch.requests._upstream_dialect import Judged, UpstreamDialect
 from pondhatch.requests._walk_results import Patience, Placed, Refused
 
 __all__ = [
     "Judged",
+    "NoUpstreamView",
     "UpstreamDialect",
+    "UpstreamView",
     "CROSSED",
     "NO_WATCH",
     "NUMBERS",
--- a/pondhatch/requests/_sending.py
+++ b/pondhatch/requests/_sending.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from pondhatch.placement import Closed, Intake, Regions
+from pondhatch.placement import Closed, Intake, Notice, Regions
 from pondhatch.requests._messages import (
     AnswerStream,
     BodySource,
@@ -74,6 +74,20 @@
         """Send a request once; never repeat it."""
 
 
+class UpstreamView(Protocol):
+    """What the connections to upstreams go by, and tell of them."""
+
+    def heard(self, upstream: str, notice: Notice) -> None:
+        """Take in what an upstream said of itself in the head of an answer."""
+
+
+class NoUpstreamView:
+    """Knows nothing of upstreams; see UpstreamView."""
+
+    def heard(self, upstream: str, notice: Notice) -> None:
+        """Do nothing."""
+
+
 def is_own_failure(status: int) -> bool:
     """Return whether an upstream's answer is a failure of its own."""
     return status >= FAILURE_STATUS and status != OUT_OF_TIME_STATUS
--- a/pondhatch/requests/_upstream_dialect.py
+++ b/pondhatch/requests/_upstream_dialect.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Mapping
 from typing import Protocol
 
+from pondhatch.placement import Notice
 from pondhatch.requests._messages import Headers, RequestHead
 from pondhatch.requests._outcomes import EngineRefusal
 from pondhatch.requests._sending import Target
@@ -31,6 +32,9 @@
     ) -> Judged | EngineRefusal:
         """Say what an answer's head means, a refusal by its reason; names are in lower case."""
 
+    def notice(self, status: int, value_by_name: Mapping[str, str]) -> Notice:
+        """Return what an answer's head says of the upstream itself; names are in lower case."""
+
     def answer_headers(self, headers: Headers, note: Callable[[str], None]) -> Headers:
         """Return the headers of an answer that an upstream may say to a caller.
 
--- a/pondhatch/router/_beliefs.py
+++ b/pondhatch/router/_beliefs.py
@@ -13,6 +13,7 @@
 from pondhatch.configuration import EntryKey, Misfit, told
 from pondhatch.membership import Member
 from pondhatch.observing import Believed, Records
+from pondhatch.placement import Notice
 from pondhatch.router._state import RouterState
 
 #: Records of one round at most: a platform that drops all of 2,100 entries must not flood
@@ -40,6 +41,8 @@
     _health: Mapping[str, str] = msgspec.field(default_factory=dict)
     #: Why the platform was out of reach; empty while it answered.
     _platform_lost: str = ""
+    #: What upstreams said of themselves: "leaving", "resting" or both.
+    _said: Mapping[str, str] = msgspec.field(default_factory=dict)
     #: The halls that were evacuated.
     _evacuated: frozenset[str] = frozenset()
 
@@ -54,6 +57,7 @@
             *self._upstream_list(),
             *self._routers(),
             *self._upstreams_health(),
+            *self._upstreams_notices(),
         ]
         for change in changes[:MOST_A_ROUND]:
             self.records.note(change)
@@ -157,6 +161,21 @@
         self._health = health
         return [Believed("health", name, now, why=why) for name, now, why in changed]
 
+    def _upstreams_notices(self) -> list[Believed]:
+        in_force = self.state.notices.in_force(self.state.clock())
+        said = {name: _told(notice) for name, notice in in_force.items()}
+        if said == self._said:
+            return []
+        changed = _differences(self._said, said, "nothing")
+        self._said = said
+        return [Believed("notice", name, now, why=why) for name, now, why in changed]
+
+
+def _told(notice: Notice) -> str:
+    """Return what an upstream said of itself in a word or two."""
+    words = ["leaving"] if notice.is_leaving else []
+    return " ".join([*words, "resting"] if notice.rest > 0 else words)
+
 
 def _phases(members: tuple[Member, ...]) -> dict[str, str]:
     return {member.name: member.phase.name.lower() for member in members}
--- a/pondhatch/router/_dump.py
+++ b/pondhatch/router/_dump.py
@@ -128,6 +128,10 @@
                 }
                 for name, entry in sorted(state.upstreams.entry_by_name.items())
             ],
+            "upstreams_notices": [
+                {"name": name, "leaving": notice.is_leaving, "rest_seconds": round(notice.rest, 3)}
+                for name, notice in sorted(state.notices.in_force(now).items())
+            ],
             "upstreams_failing": [
                 {"name": name, "failures": health.failures} for name, health in down
             ],
--- a/pondhatch/router/_state.py
+++ b/pondhatch/router/_state.py
@@ -31,6 +31,8 @@
     ColdPaces,
     Gate,
     Health,
+    Notice,
+    Notices,
     Regions,
     SpillMemory,
     is_allowed,
@@ -92,6 +94,8 @@
     suspects: Suspects = field(default_factory=Suspects)
     limits: FleetLimits = field(init=False)
     retries: RetryBudgets = field(default_factory=RetryBudgets)
+    #: What upstreams said of themselves in their answers.
+    notices: Notices = field(default_factory=Notices)
     #: Owned upstreams that said themselves that they are leaving.
     said_leaving: set[str] = field(default_factory=set)
     phase: Phase = Phase.LIVE
@@ -316,6 +320,12 @@
         """Return for how many seconds an upstream is still cold by its own word."""
         return self._upstream_changes.cold.seconds_left(upstream, self.clock())
 
+    def hear(self, upstream: str, notice: Notice) -> bool:
+        """Take in what an upstream said of itself in an answer; return whether it was news."""
+        known = self.upstreams.upstream(upstream)
+        is_start_known = known is not None and known.start > 0
+        return self.notices.hear(upstream, notice, self.clock(), is_start_known)
+
     def note_leaving(self, engine: str, leaving: bool) -> None:
         """Take in an owned upstream's own word on whether it is leaving."""
         if leaving:
@@ -436,6 +446,7 @@
         if self._upstream_changes.settle(self.clock()):
             self.upstreams_changed()
         self._halls_changed(self.halls.settle(self.clock()))
+        self.notices.forget_old(self.upstreams.entry_by_name, self.clock())
         self.refresh()
         self.retries.set_routers(len(self.live_routers()), self.clock())
         is_alone = self.clock() - self._started_at < ALONE_SECONDS
--- a/pondhatch/standard/_header_owners.py
+++ b/pondhatch/standard/_header_owners.py
@@ -22,5 +22,6 @@
         "X-Pondhatch-Replayed": Owner.ROUTER,
         "X-Should-Retry": Owner.UPSTREAM,
         "X-Not-Run": Owner.UPSTREAM,
+        "X-Leaving": Owner.UPSTREAM,
     }
 )
--- a/pondhatch/standard/_upstreams.py
+++ b/pondhatch/standard/_upstreams.py
@@ -2,17 +2,25 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Mapping
 
+from pondhatch.placement import NOTHING_SAID, Notice
 from pondhatch.requests import LAST_EVENT, EngineRefusal, Headers, Judged, RequestHead, Target
 from pondhatch.standard._header_owners import OWNERS
-from pondhatch.transport import NoteDropped
+from pondhatch.transport import NoteDropped, seconds_to_wait
 
 #: Header that binds an answer to its request.
 REQUEST_ID_HEADER = "X-Request-Id"
 PRIORITY_HEADER = "X-Priority"
 #: Header by which an upstream says that it did not run a request.
 NOT_RUN_HEADER = "x-not-run"
+#: Header of all answers of an upstream that is about to end.
+LEAVING_HEADER = "x-leaving"
+RETRY_AFTER_HEADER = "retry-after"
+#: Statuses with which that header asks for rest.
+OVERLOADED_STATUSES = frozenset({429, 503})
+NOT_THE_ONE_STATUS = 421
 
 
 #: What a refusal says of its reason in that header, and by its status where it says none.
@@ -24,7 +32,7 @@
 }
 REFUSAL_BY_STATUS = {
     400: EngineRefusal.BAD_REQUEST,
-    421: EngineRefusal.NOT_THE_ONE,
+    NOT_THE_ONE_STATUS: EngineRefusal.NOT_THE_ONE,
     429: EngineRefusal.FULL,
     503: EngineRefusal.FULL,
 }
@@ -62,6 +70,18 @@
             return Judged.CROSSED
         return Judged.ANSWERED
 
+    def notice(self, status: int, value_by_name: Mapping[str, str]) -> Notice:
+        """Return what an answer's head says of the upstream itself."""
+        word = value_by_name.get(NOT_RUN_HEADER, "").strip().lower()
+        if status == NOT_THE_ONE_STATUS or word == "not-the-one":
+            # Another upstream than the one meant may have answered.
+            return NOTHING_SAID
+        is_leaving = LEAVING_HEADER in value_by_name or word == "leaving"
+        asked = value_by_name.get(RETRY_AFTER_HEADER)
+        if asked is None or status not in OVERLOADED_STATUSES:
+            return Notice(is_leaving)
+        return Notice(is_leaving, seconds_to_wait(asked, time.time()))
+
     def answer_headers(self, headers: Headers, note: NoteDropped) -> Headers:
         """Return the headers of an answer that an upstream may say to a caller."""
         return OWNERS.from_upstream(headers, note)
--- a/pondhatch/transport/__init__.py
+++ b/pondhatch/transport/__init__.py
@@ -18,6 +18,7 @@
 from pondhatch.transport._readiness import Readiness
 from pondhatch.transport._remote_peer import RemotePeer
 from pondhatch.transport._resolver import install_numeric_resolver
+from pondhatch.transport._retry_after import seconds_to_wait
 from pondhatch.transport._routed_callers import RoutedCallers, bounded
 from pondhatch.transport._serving import Serving, Work
 from pondhatch.transport._silence import show_silence
@@ -44,6 +45,7 @@
     "NoteDropped",
     "Owner",
     "as_text",
+    "seconds_to_wait",
     "utf8_value",
     "HttpClient",
     "INTERFACE",
--- a/pondhatch/transport/_http_client.py
+++ b/pondhatch/transport/_http_client.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 from collections.abc import Callable
 from typing import Any
 
@@ -132,6 +133,22 @@
     return True
 
 
+def _ignore(_: ResponseHead) -> None:
+    return None
+
+
+class Hooks(msgspec.Struct, frozen=True):
+    """What whoever sends a request decides, or wants to know, of its exchange."""
+
+    #: Returns whether an answer with this head leaves its connection fit for another exchange.
+    trusts: Callable[[ResponseHead], bool] = _any
+    #: Takes in an answer's head as it comes, whether or not anybody still waits for it.
+    heard: Callable[[ResponseHead], None] = _ignore
+
+
+NO_HOOKS = Hooks()
+
+
 def _is_sure(connection: Connection, now: float) -> bool:
     """Return whether a request that may not be repeated may go on a kept connection."""
     return connection.states_idle_time and now - connection.heard_at <= HEARD_SECONDS
@@ -154,7 +171,7 @@
         body: BodySource,
         repeatable: bool,
         fresh: bool = False,
-        trusts: Callable[[ResponseHead], bool] = _any,
+        hooks: Hooks = NO_HOOKS,
     ) -> Exchange:
         """Send a request once; return the exchange, whose head is still to come.
 
@@ -165,7 +182,8 @@
         connection = None if fresh else self._take(address, repeatable)
         if connection is None:
             connection = await self._connect(address)
-        exchange = Exchange(connection, lambda kept: self._keep(address, kept), trusts)
+        keep = functools.partial(self._keep, address)
+        exchange = Exchange(connection, keep, hooks.trusts, hooks.heard)
         try:
             exchange.send(request, body)
         except BaseException:
--- a/pondhatch/transport/_http_connection.py
+++ b/pondhatch/transport/_http_connection.py
@@ -220,6 +220,10 @@
         self.abort()
 
 
+def _ignore(_: ResponseHead) -> None:
+    return None
+
+
 class Exchange:
     """One request and its answer."""
 
@@ -228,6 +232,7 @@
         connection: Connection,
         keep: Callable[[Connection], None],
         trusts: Callable[[ResponseHead], bool],
+        heard: Callable[[ResponseHead], None] = _ignore,
     ) -> None:
         #: For whoever waits, and who may cancel it in the same turn of the loop in which the
         #: answer comes; what came is asked of ``answered``.
@@ -238,6 +243,8 @@
         self._keep = keep
         #: Whether an answer with this head leaves its connection fit for another exchange.
         self._trusts = trusts
+        #: Takes in the head as it comes, whether or not anybody still waits for it.
+        self._heard = heard
         self._is_over = False
         self._sending: asyncio.Task[None] | None = None
 
@@ -262,6 +269,7 @@
     def opened(self, head: ResponseHead) -> None:
         """Take in the answer's head."""
         self.answered = head
+        self._heard(head)
         if not self.head.done():
             self.head.set_result(head)
 
--- a/pondhatch/transport/_upstreams.py
+++ b/pondhatch/transport/_upstreams.py
@@ -16,6 +16,7 @@
     Judged,
     Lost,
     NotRun,
+    NoUpstreamView,
     Opened,
     PartSink,
     RequestHead,
@@ -23,11 +24,12 @@
     Try,
     Unknown,
     UpstreamDialect,
+    UpstreamView,
     is_event_stream,
     new_try,
 )
 from pondhatch.transport._header_owners import counting
-from pondhatch.transport._http_client import Address, HttpClient, NotSent
+from pondhatch.transport._http_client import Address, Hooks, HttpClient, NotSent
 from pondhatch.transport._http_connection import Exchange
 from pondhatch.transport._http_heads import Request, ResponseHead
 
@@ -104,10 +106,15 @@
     """Connections to upstreams; see Upstreams."""
 
     def __init__(
-        self, client: HttpClient, dialect: UpstreamDialect, metrics: Metrics | None = None
+        self,
+        client: HttpClient,
+        dialect: UpstreamDialect,
+        metrics: Metrics | None = None,
+        view: UpstreamView | None = None,
     ) -> None:
         self.client = client
         self._dialect = dialect
+        self._view = view or NoUpstreamView()
         self._note_dropped = counting(metrics or NoMetrics())
 
     async def send(
@@ -128,7 +135,10 @@
                     body,
                     reusable,
                     head.fresh,
-                    lambda answered: self._judge(head, answered) is not Judged.CROSSED,
+                    Hooks(
+                        trusts=lambda answered: self._judge(head, answered) is not Judged.CROSSED,
+                        heard=lambda answered: self._hear(target, answered),
+                    ),
                 )
                 tried.sent()
                 answered = await exchange.head
@@ -158,6 +168,12 @@
             return False
         return await self.client.is_refused(address)
 
+    def _hear(self, target: Target, answered: ResponseHead) -> None:
+        """Take in what an answer says of its upstream, whatever it says of the request."""
+        notice = self._dialect.notice(answered.status, answered.value_by_name)
+        if notice:
+            self._view.heard(target.name, notice)
+
     def _judge(self, head: RequestHead, answered: ResponseHead) -> Judged | EngineRefusal:
         return self._dialect.judge(head, answered.status, answered.value_by_name)
 
--- /dev/null
+++ b/pondhatch/transport/tests/test_upstream_notices.py
@@ -0,0 +1,77 @@
+"""What an answer says of its upstream is heard, whatever becomes of its request."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from pondhatch.placement import OPEN, Notice
+from pondhatch.platform._engines import EngineDialect
+from pondhatch.requests import ReplayableBody, RequestHead, Target
+from pondhatch.transport._http_client import HttpClient
+from pondhatch.transport._upstreams import HttpUpstreams
+from pondhatch.transport.tests.test_header_bytes import Reactor
+
+TARGET = Target("i-1", "http://127.0.0.1:8080", OPEN, 1.5, 3, 64)
+HOST = (("Host", "desk.example"),)
+HEAD = RequestHead("r.1", "a", "s", 0, "POST", "/", HOST, True, 5.0, 5, caller_id="9c41")
+LEAVES = b"Server-Leaving: 1"
+RESTS = b"Retry-After: 3"
+
+
+class View:
+    """Notes what is heard; see UpstreamView."""
+
+    def __init__(self) -> None:
+        self.notices: list[tuple[str, Notice]] = []
+
+    def heard(self, upstream: str, notice: Notice) -> None:
+        self.notices.append((upstream, notice))
+
+
+class UpstreamNoticeTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.view = View()
+        self.reactor = Reactor()
+        self.upstreams = HttpUpstreams(HttpClient(self.reactor), EngineDialect(), view=self.view)
+
+    def begin(self) -> asyncio.Task[object]:
+        return asyncio.ensure_future(self.upstreams.send(TARGET, HEAD, ReplayableBody(b"x")))
+
+    def answer(self, status: bytes, *headers: bytes) -> None:
+        lines = (b"HTTP/1.1 " + status, b"Content-Length: 2", *headers, b"", b"ok")
+        self.reactor.connections[-1].dataReceived(b"\r\n".join(lines))
+
+    async def test_it_is_heard_in_answers_of_every_kind(self) -> None:
+        leaving, resting = Notice(is_leaving=True), Notice(rest=3.0)
+        for status, headers, expected in (
+            (b"200 OK", (b"Attempt-Id: 9c41", LEAVES), leaving),
+            (b"500 Failed", (b"Attempt-Id: 9c41", LEAVES), leaving),
+            (b"503 Full", (b"Not-Executed: 1", LEAVES), leaving),
+            (b"503 Full", (b"Not-Executed: 1", RESTS), resting),
+            (b"503 Full", (b"Attempt-Id: 9c41", RESTS), resting),
+            # It belongs to another request, but to no other engine.
+            (b"200 OK", (b"Attempt-Id: another", LEAVES), leaving),
+        ):
+            with self.subTest(status=status, headers=headers):
+                self.view.notices.clear()
+                sending = self.begin()
+                await asyncio.sleep(0)
+                self.answer(status, *headers)
+                await sending
+                self.assertEqual(self.view.notices, [("i-1", expected)])
+
+    async def test_it_is_heard_where_the_caller_leaves_as_the_answer_comes(self) -> None:
+        sending = self.begin()
+        await asyncio.sleep(0)
+        self.answer(b"200 OK", b"Attempt-Id: 9c41", LEAVES)
+        sending.cancel()
+        await asyncio.wait([sending])
+        self.assertEqual(self.view.notices, [("i-1", Notice(is_leaving=True))])
+
+    async def test_what_another_engine_says_at_its_address_is_not(self) -> None:
+        sending = self.begin()
+        await asyncio.sleep(0)
+        self.answer(b"421 Misdirected", b"Attempt-Id: 9c41", LEAVES, RESTS)
+        await sending
+        self.assertEqual(self.view.notices, [])
