--- a/fakes/_machines_engine.py
+++ b/fakes/_machines_engine.py
@@ -1,13 +1,14 @@
 """An engine of the prepared machines: runs what is meant for it, and says what it did.
 
 A path under ``/notes/`` is answered as a stream of events, any other as a whole. Faults:
-``refuse`` (full, not run), ``cut`` (a stream that began here breaks in the middle),
-``pause`` (it waits there), ``stall`` (an answer waits), ``cross`` (the answer of another
-request), ``fail`` (500 of its own), ``echo`` (an answer repeats what the router said). A
-request whose body begins with one of ``ENDING_BODIES`` ends the engine's process as it begins
-to run. A request that names a copy or a reservation which is not here is refused and not run.
-``POST /cold`` with ``{"seconds": 5, "most": 11}`` makes it cold: its process ends where more
-requests come within one second than it then bears.
+``refuse`` (full, not run), ``shed`` (not run, and nothing more is wanted for ``seconds``),
+``leaving`` (an answer says that the engine is about to end), ``cut`` (a stream that began
+here breaks in the middle), ``pause`` (it waits there), ``stall`` (an answer waits), ``cross``
+(the answer of another request), ``fail`` (500 of its own), ``echo`` (an answer repeats what the
+router said). A request whose body begins with one of ``ENDING_BODIES`` ends the engine's
+process as it begins to run. A request that names a copy or a reservation which is not here is
+refused and not run. ``POST /cold`` with ``{"seconds": 5, "most": 11}`` makes it cold: its
+process ends where more requests come within one second than it then bears.
 """
 
 from __future__ import annotations
@@ -84,10 +85,17 @@
     async def _answer(self, request: Any) -> bytes:
         request.setHeader("Keep-Alive", "timeout=5")
         self.asked.append(_pairs(request))
+        if self.faults.strike("leaving"):
+            request.setHeader("Server-Leaving", "1")
         if request.getHeader("Expect-Instance") != self._name:
             request.setResponseCode(421)
             return b""
         self._bear()
+        if fault := self.faults.strike("shed"):
+            request.setResponseCode(503)
+            request.setHeader("Not-Executed", "1")
+            request.setHeader("Retry-After", f"{fault.seconds:g}")
+            return b""
         unknown_here = any(request.getHeader(name) is not None for name in MUST_BE_HERE)
         if unknown_here or self.faults.strike("refuse"):
             request.setResponseCode(503)
