--- a/pondhatch/cli/_router_process.py
+++ b/pondhatch/cli/_router_process.py
@@ -35,6 +35,7 @@
 from pondhatch.router import (
     CRASH_MARK,
     GRANT_MARK,
+    NOTICE_MARK,
     Authority,
     Beliefs,
     CrashGuarding,
@@ -96,7 +97,7 @@
         self._metrics = metrics_of(settings, served)
         self._records = _records_of(settings)
         self._beliefs = Beliefs(self.state, self._records)
-        self._notice_keeping = NoticeKeeping(self.state)
+        self._notice_keeping = NoticeKeeping(self.state, self._gossip_port.send)
         upstreams = HttpUpstreams(
             parts.client, self._interface.upstreams, self._metrics, self._notice_keeping
         )
@@ -234,6 +235,9 @@
         if payload.startswith(CRASH_MARK):
             self._crash_guarding.receive(payload[len(CRASH_MARK) :])
             return []
+        if payload.startswith(NOTICE_MARK):
+            self._notice_keeping.receive(payload[len(NOTICE_MARK) :])
+            return []
         answers = self.state.gossip.receive(payload, source, self.state.clock())
         self.state.refresh()
         self._granting.follow_members()
@@ -249,6 +253,7 @@
                 "beliefs": self._beliefs.look,
                 "grants": self._granting.tick,
                 "crashes": self._crash_guarding.tick,
+                "notices": self._notice_keeping.tick,
                 "connections": lambda: self._connections.close_gone(state.gossip.is_gone),
                 "gossip": lambda: send(state.gossip.tick(state.clock())),
                 "limits": lambda: send(state.limits.tick(state.clock())),
--- a/pondhatch/cli/tests/test_rounds.py
+++ b/pondhatch/cli/tests/test_rounds.py
@@ -17,6 +17,7 @@
     "_beliefs.look",
     "_granting.tick",
     "_crash_guarding.tick",
+    "_notice_keeping.tick",
     "_connections.close_gone",
     "state.gossip.tick",
     "state.limits.tick",
@@ -40,6 +41,7 @@
             "_beliefs",
             "_granting",
             "_crash_guarding",
+            "_notice_keeping",
             "_connections",
             "_gossip_port",
         ):
--- a/pondhatch/placement/_gate.py
+++ b/pondhatch/placement/_gate.py
@@ -141,6 +141,18 @@
             count, said_full_at=max(1, others), said_full_until=now + FULL_SECONDS
         )
 
+    def rests(self, engine: str, now: float, seconds: float) -> None:
+        """Note that an engine turned a request away and wants nothing for some seconds.
+
+        What comes right after them is held to what it held when it asked, so that not all who
+        waited for their end go there at once.
+        """
+        count = self.by_engine.get(engine, EngineCount())
+        others = count.in_flight(now) - 1
+        self.by_engine[engine] = replace(
+            count, said_full_at=max(1, others), said_full_until=now + seconds + FULL_SECONDS
+        )
+
     def report(self, engine: str, now: float, load: int) -> None:
         """Take in the engine's own report of its running and waiting requests."""
         count = self.by_engine.get(engine, EngineCount())
--- a/pondhatch/placement/_intake.py
+++ b/pondhatch/placement/_intake.py
@@ -1,9 +1,10 @@
 """For which requests, and how fast, an upstream may take work now.
 
 An upstream that is listed as live may still not be sent whatever comes: its data hall may be
-evacuated, it may stand outside the regions that a request is bound to, or it may be cold and
-fall over above a pace. All of that is decided here, from what the list of upstreams, the
-platform and the configuration say, for new requests, repeats and the rest of streams alike.
+evacuated, it may stand outside the regions that a request is bound to, it may be cold and fall
+over above a pace, or it may have said in an answer that it leaves or wants a rest. All of that
+is decided here, from what the list of upstreams, their answers, the platform and the
+configuration say, for new requests, repeats and the rest of streams alike.
 """
 
 from __future__ import annotations
@@ -26,6 +27,8 @@
     EVACUATED = "hall-evacuated"
     #: Its region is none of those that the request may run in.
     OUTSIDE_REGIONS = "outside-regions"
+    #: It turned a request away, and wants nothing for a while.
+    RESTING = "upstream-resting"
 
 
 class Intake(msgspec.Struct, frozen=True):
@@ -39,6 +42,8 @@
     region: str = ""
     #: Requests a second that it bears, being cold; None where it is warm or nobody says.
     cold_pace: float | None = None
+    #: Seconds for which it still wants nothing.
+    rest: float = 0.0
 
     @property
     def takes_new(self) -> bool:
@@ -57,6 +62,8 @@
             return Closed.OUTSIDE_REGIONS
         if not self.is_live and not resuming:
             return Closed.LEAVING
+        if self.rest > 0:
+            return Closed.RESTING
         return None
 
 
--- a/pondhatch/placement/_notices.py
+++ b/pondhatch/placement/_notices.py
@@ -17,6 +17,8 @@
 #: Seconds for which the word of an upstream that leaves holds where nobody says when it started:
 #: another start may have taken its name since.
 NAMELESS_SECONDS = 600.0
+#: Seconds by which a report of an upstream may be behind what it says in its answers.
+LATE_SECONDS = 5.0
 #: Seconds of rest that an upstream gets at most; it asks for more by mistake.
 LONGEST_REST = 3600.0
 #: Seconds for which the word of an upstream that nobody lists is kept: its entry may have lapsed
@@ -78,6 +80,17 @@
         if known is not None:
             self._known_by_upstream[upstream] = replace(known, leaves_until=-math.inf)
 
+    def reports_staying(self, upstream: str, now: float) -> bool:
+        """Take in a late report that an upstream takes work; return whether that was news.
+
+        It is not believed where the upstream said something just before, for it may be older.
+        """
+        known = self._known_by_upstream.get(upstream)
+        if known is None or now - known.heard_at < LATE_SECONDS or now >= known.leaves_until:
+            return False
+        self.stays(upstream)
+        return True
+
     def is_leaving(self, upstream: str, now: float) -> bool:
         """Return whether an upstream said that it is about to end."""
         known = self._known_by_upstream.get(upstream)
@@ -96,10 +109,17 @@
         }
         return {name: notice for name, notice in found.items() if notice}
 
-    def forget_old(self, listed: Container[str], now: float) -> None:
-        """Forget what is over, and those that nobody has listed for a while."""
+    def count_resting(self, upstreams: Container[str], now: float) -> int:
+        """Return how many of some upstreams want nothing for now."""
+        known = self._known_by_upstream.items()
+        return sum(now < each.rests_until and name in upstreams for name, each in known)
+
+    def forget_old(self, listed: Container[str], now: float) -> bool:
+        """Forget what is over, and those that nobody has listed; return whether any were."""
+        before = len(self._known_by_upstream)
         for name, known in tuple(self._known_by_upstream.items()):
             is_over = now >= max(known.leaves_until, known.rests_until)
             is_gone = name not in listed and now - known.heard_at >= UNLISTED_SECONDS
             if is_over or is_gone:
                 del self._known_by_upstream[name]
+        return len(self._known_by_upstream) < before
--- a/pondhatch/placement/tests/test_notices.py
+++ b/pondhatch/placement/tests/test_notices.py
@@ -5,7 +5,12 @@
 import unittest
 
 from pondhatch.placement import Notice, Notices
-from pondhatch.placement._notices import LONGEST_REST, NAMELESS_SECONDS, UNLISTED_SECONDS
+from pondhatch.placement._notices import (
+    LATE_SECONDS,
+    LONGEST_REST,
+    NAMELESS_SECONDS,
+    UNLISTED_SECONDS,
+)
 
 LEAVES = Notice(is_leaving=True)
 
@@ -48,6 +53,14 @@
         self.assertFalse(self.notices.is_leaving("e", 0.0))
         self.assertTrue(self.hear(LEAVES, 1.0))
 
+    def test_a_report_that_may_be_older_does_not_open_it(self) -> None:
+        self.assertFalse(self.notices.reports_staying("e", 0.0))
+        self.hear(LEAVES, 0.0)
+        self.assertFalse(self.notices.reports_staying("e", LATE_SECONDS / 2))
+        self.assertTrue(self.notices.is_leaving("e", LATE_SECONDS))
+        self.assertTrue(self.notices.reports_staying("e", LATE_SECONDS))
+        self.assertFalse(self.notices.is_leaving("e", LATE_SECONDS))
+
     def test_what_is_over_or_long_unlisted_is_forgotten(self) -> None:
         self.hear(LEAVES, 0.0)
         self.notices.hear("r", Notice(rest=3.0), 0.0, is_start_known=True)
--- a/pondhatch/platform/_engines.py
+++ b/pondhatch/platform/_engines.py
@@ -97,12 +97,16 @@
         return 0
 
 
-def _refusal(status: int, value_by_name: Mapping[str, str]) -> EngineRefusal:
+def _refusal(status: int, value_by_name: Mapping[str, str], notice: Notice) -> EngineRefusal:
     """Return why an engine did not run a request."""
     if status == names.BAD_REQUEST_STATUS:
         return EngineRefusal.BAD_REQUEST
     if status not in names.FULL_STATUSES:
         return EngineRefusal.UNKNOWN
+    if notice.is_leaving:
+        return EngineRefusal.LEAVING
+    if notice.rest > 0:
+        return EngineRefusal.OVERLOADED
     # An engine that is leaving closes its connections, and now and then another one does,
     # so this is a hint: it is passed over only where another can take the request.
     if value_by_name.get("connection", "").lower() == "close":
@@ -140,7 +144,7 @@
         if status == names.OTHER_ENGINE_STATUS:
             return EngineRefusal.NOT_THE_ONE
         if names.NOT_RUN.lower() in value_by_name:
-            return _refusal(status, value_by_name)
+            return _refusal(status, value_by_name, self.notice(status, value_by_name))
         if value_by_name.get(names.ATTEMPT_ID.lower(), "") != head.caller_id:
             return Judged.CROSSED
         return Judged.ANSWERED
--- a/pondhatch/requests/__init__.py
+++ b/pondhatch/requests/__init__.py
@@ -76,6 +76,7 @@
     Target,
     Upstreams,
     UpstreamView,
+    open_target,
 )
 from pondhatch.requests._try import Try, new_try
 from pondhatch.requests._upstream_dialect import Judged, UpstreamDialect
@@ -84,6 +85,7 @@
 __all__ = [
     "Judged",
     "NoUpstreamView",
+    "open_target",
     "UpstreamDialect",
     "UpstreamView",
     "CROSSED",
--- a/pondhatch/requests/_entry.py
+++ b/pondhatch/requests/_entry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from typing import Any
 
@@ -15,6 +16,7 @@
 from pondhatch.requests._outcomes import (
     AILING,
     CROSSED,
+    SOON_RETRY_AFTER,
     Broken,
     EngineRefusal,
     NotRun,
@@ -52,6 +54,8 @@
 NOTHING_SENT = frozenset(
     {*Closed, "upstream-down", AILING, "upstream-unreachable", "router-unreachable"}
 )
+#: Codes of engines that want nothing for a while.
+RESTING = frozenset({Closed.RESTING, EngineRefusal.OVERLOADED})
 #: Engines that refuse a request without a reason before its caller is told: where a second
 #: one does, it is likelier the request than the engines.
 MOST_UNKNOWN_REFUSALS = 2
@@ -88,6 +92,9 @@
         self._asks = 0
         #: Engines' refusals of this request so far, the newest last.
         self._refusals: list[NotRun] = []
+        #: When the rests end of engines that want nothing now, in the loop's seconds.
+        self._rest_ends: list[float] = []
+        self._has_waited_for_rest = False
         #: Engines that refused it as full: it may go to them again.
         self._said_full: set[str] = set()
         #: The last try after which the request may have run; no later refusal undoes it.
@@ -150,6 +157,8 @@
         while self._remaining() > 0:
             step = self.plan.next()
             if isinstance(step, Exhausted):
+                if await self._rest_is_over():
+                    continue
                 return Refused(self._exhausted(step))
             refusal = await self._watch.wait_for_turn(self._remaining)
             if refusal is not None:
@@ -159,6 +168,27 @@
                 return outcome
         return Refused(out_of_time())
 
+    async def _rest_is_over(self) -> bool:
+        """Wait for the nearest end of a rest, once, where nothing else holds the request back.
+
+        No longer than it would wait for a place, or its caller may as well come back then.
+        """
+        rest = self._nearest_rest()
+        bearable = min(self._most_patience.last, self._remaining())
+        if rest is None or self._has_waited_for_rest or rest > bearable:
+            return False
+        self._has_waited_for_rest = True
+        await asyncio.sleep(rest)
+        self._rest_ends.clear()
+        self.plan = Plan(self._chat, self._live_upstreams())
+        return True
+
+    def _nearest_rest(self) -> float | None:
+        """Return the seconds to the end of the first rest, None where engines are full as well."""
+        if not self._rest_ends or self.plan.in_flight_by_engine:
+            return None
+        return max(0.0, min(self._rest_ends) - asyncio.get_running_loop().time())
+
     async def note_cut(self, engine: str, lost: Unknown | Broken) -> None:
         """Find out whether a run that was cut ended with its engine.
 
@@ -239,7 +269,8 @@
             (RESUME_FROM_HEADER, str(position.events)),
         )
         question = self._question(engine, insist=True, resuming=True, last=True)
-        head = self._next_head(headers=(*self._head.headers, *resuming))
+        headers = (*self._head.headers, *resuming)
+        head = self._next_head(headers=headers, resuming=True)
         reply = await self._tries.run(question, head)
         if isinstance(reply, Opened):
             if reply.answer.status == OK:
@@ -277,9 +308,21 @@
             self.plan.ailing()
         if isinstance(reply, Unknown):
             await self.note_cut(ask.engine, reply)
+        if isinstance(reply, NotRun) and reply.code in RESTING:
+            self._note_rest(ask.engine, reply)
         self._note_refused(ask, reply)
         return self._after_failure(ask, reply)
 
+    def _note_rest(self, engine: str, reply: NotRun) -> None:
+        """Note when an engine that wants nothing now may be asked again."""
+        told = reply.retry_after if reply.code == Closed.RESTING else self._rest_of(engine)
+        self._rest_ends.append(asyncio.get_running_loop().time() + told)
+
+    def _rest_of(self, engine: str) -> float:
+        """Return for how many seconds an engine wants nothing, as far as this router knows."""
+        target = self._view.target(engine)
+        return target.intake.rest if target is not None else 0.0
+
     def _note_refused(self, ask: Ask, reply: Refusal) -> None:
         """Note who did not take the request, and what that says of where else it may go."""
         why = f"{reply.code}: {reply.reason}"
@@ -360,14 +403,24 @@
         if isinstance(reply, NotRun) and self._is_about_the_request(reply):
             return Refused(reply)
         if self._tries_are_spent() and not self.plan.keep_to(self._said_full):
-            return Refused(reply)
+            return Refused(self._told(reply))
         if not body_is_whole or not self._budget.may_retry():
-            return Refused(reply)
+            return Refused(self._told(reply))
         if reply.code == CROSSED and not ask.fresh:
             # The connection was at fault, which is closed now; the engine may be the only one.
             self.plan.again()
         return None
 
+    def _told(self, reply: Refusal) -> Refusal:
+        """Return a refusal as its caller is told of it.
+
+        Where all engines want nothing, it is not to come back before the first rest ends.
+        """
+        if not isinstance(reply, NotRun) or reply.refusal is not EngineRefusal.OVERLOADED:
+            return reply
+        nearest = min((self._rest_of(each) for each in self._live_upstreams()), default=0.0)
+        return msgspec.structs.replace(reply, retry_after=max(nearest, reply.retry_after))
+
     def _is_about_the_request(self, reply: NotRun) -> bool:
         """Return whether other engines would refuse the request as well."""
         if reply.refusal is EngineRefusal.BAD_REQUEST:
@@ -394,8 +447,11 @@
         if not step.asked:
             wrong = f"service {self._head.service} has no upstream that may take the request"
             return NotRun("no-upstream", wrong)
+        asked = ", ".join(f"{engine} ({why})" for engine, why in self.plan.passed_over)
+        rest = self._nearest_rest()
+        if rest is not None:
+            return NotRun("engines-resting", f"asked {asked}", max(rest, SOON_RETRY_AFTER))
         if self._refusals and not self.plan.in_flight_by_engine:
             # Nobody is full, so that is not what the caller is told.
             return self._refusals[-1]
-        asked = ", ".join(f"{engine} ({why})" for engine, why in self.plan.passed_over)
         return NotRun("engines-full", f"asked {asked}", FULL_RETRY_AFTER)
--- a/pondhatch/requests/_grant_packets.py
+++ b/pondhatch/requests/_grant_packets.py
@@ -8,10 +8,12 @@
 from __future__ import annotations
 
 import msgspec
+from msgspec.structs import replace
 
 from pondhatch.placement import Granted
 from pondhatch.requests._outcomes import NotRun
 from pondhatch.requests._questions import (
+    MILLISECONDS,
     Busy,
     Elsewhere,
     Ended,
@@ -69,6 +71,9 @@
     number: int
     code: str
     reason: str
+    #: Milliseconds after which it is worth coming back; 0 where a router of an older program
+    #: does not say.
+    retry_after_ms: int = 0
 
 
 class Release(_Packet, frozen=True, tag=57):
@@ -144,7 +149,8 @@
         return ElsewhereWord(number, reply.engine)
     if isinstance(reply, NotOwner):
         return NotOwnerWord(number, reply.owner)
-    return DeclinedWord(number, reply.code, reply.reason)
+    after = round(reply.retry_after * MILLISECONDS)
+    return DeclinedWord(number, reply.code, reply.reason, after)
 
 
 def reply_of(word: Word) -> OwnerReply | None:
@@ -158,5 +164,7 @@
     if isinstance(word, NotOwnerWord):
         return NotOwner(word.owner)
     if isinstance(word, DeclinedWord):
-        return NotRun(word.code, word.reason)
+        declined = NotRun(word.code, word.reason)
+        after = word.retry_after_ms / MILLISECONDS
+        return replace(declined, retry_after=after) if after else declined
     return None
--- a/pondhatch/requests/_messages.py
+++ b/pondhatch/requests/_messages.py
@@ -48,6 +48,8 @@
     after_event: str = ""
     #: Regions whose engines may run it; None where any may.
     regions: Regions = None
+    #: Whether it is the rest of a stream that its upstream began.
+    resuming: bool = False
     #: Of what the caller asks for, alike in all attempts at it; 0 where its body is not held.
     digest: int = 0
 
--- a/pondhatch/requests/_outcomes.py
+++ b/pondhatch/requests/_outcomes.py
@@ -23,12 +23,14 @@
 class EngineRefusal(enum.StrEnum):
     """Why an upstream did not run a request that it was sent; the value is the code told.
 
-    What follows is decided by this alone: a full upstream says something of its load, one
-    that is leaving or the wrong one of itself, and a bad request of the request.
+    What follows is decided by this alone: a full or overloaded upstream says something of its
+    load, one that is leaving or the wrong one of itself, and a bad request of the request.
     """
 
     #: It has no place: its slots, its queue or its memory are taken.
     FULL = "upstream-full"
+    #: It wants nothing more for a while, which it says.
+    OVERLOADED = "upstream-overloaded"
     #: It takes no more work, since it is about to end.
     LEAVING = "upstream-draining"
     #: Another upstream answers at its address: the list of upstreams is behind.
@@ -85,10 +87,16 @@
     return NotRun("deadline", "the deadline passed before an engine was free")
 
 
+#: Refusals after which any other engine may take the request at once.
+_ABOUT_THE_ENGINE = frozenset(
+    {EngineRefusal.OVERLOADED, EngineRefusal.LEAVING, EngineRefusal.NOT_THE_ONE}
+)
+
+
 def refused_by_engine(refusal: EngineRefusal, reason: str) -> NotRun:
     """Return what a caller is told of an upstream's refusal, where nobody else took it."""
     if refusal is EngineRefusal.BAD_REQUEST:
         return NotRun(refusal.value, reason, 0.0, BAD_REQUEST_STATUS, refusal)
-    if refusal in (EngineRefusal.LEAVING, EngineRefusal.NOT_THE_ONE):
+    if refusal in _ABOUT_THE_ENGINE:
         return NotRun(refusal.value, reason, SOON_RETRY_AFTER, refusal=refusal)
     return NotRun(refusal.value, reason, refusal=refusal)
--- a/pondhatch/requests/_sending.py
+++ b/pondhatch/requests/_sending.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 import msgspec
+from msgspec.structs import replace
 
 from pondhatch.placement import Closed, Intake, Notice, Regions
 from pondhatch.requests._messages import (
@@ -52,6 +53,7 @@
     Closed.LEAVING: "takes no new work",
     Closed.EVACUATED: "stands in a data hall that is evacuated",
     Closed.OUTSIDE_REGIONS: "stands outside the regions that the request may run in",
+    Closed.RESTING: "turned a request away and wants a rest",
 }
 
 
@@ -62,7 +64,10 @@
     if target is None:
         return NotRun(Closed.LEAVING, f"{upstream} is gone")
     closed = target.intake.closed_to(regions, resuming)
-    return target if closed is None else NotRun(closed, f"{upstream} {_TOLD[closed]}")
+    if closed is None:
+        return target
+    told = NotRun(closed, f"{upstream} {_TOLD[closed]}")
+    return replace(told, retry_after=target.intake.rest) if closed is Closed.RESTING else told
 
 
 class Upstreams(Protocol):
@@ -77,6 +82,12 @@
 class UpstreamView(Protocol):
     """What the connections to upstreams go by, and tell of them."""
 
+    def closed(self, upstream: str, head: RequestHead) -> NotRun | None:
+        """Return why a request may not be sent to an upstream now, None where it may.
+
+        Asked last of all, right before its first byte goes out.
+        """
+
     def heard(self, upstream: str, notice: Notice) -> None:
         """Take in what an upstream said of itself in the head of an answer."""
 
@@ -84,6 +95,10 @@
 class NoUpstreamView:
     """Knows nothing of upstreams; see UpstreamView."""
 
+    def closed(self, upstream: str, head: RequestHead) -> NotRun | None:
+        """Say that it may be sent."""
+        return None
+
     def heard(self, upstream: str, notice: Notice) -> None:
         """Do nothing."""
 
--- a/pondhatch/requests/_tries.py
+++ b/pondhatch/requests/_tries.py
@@ -7,7 +7,7 @@
 
 from msgspec.structs import replace
 
-from pondhatch.placement import Granted, is_allowed
+from pondhatch.placement import Closed, Granted, is_allowed
 from pondhatch.requests._crash_guard import NO_WATCH, QUARANTINED, RequestWatch
 from pondhatch.requests._entry_view import EntryView, Ways
 from pondhatch.requests._messages import BodySource, Opened, ReplayableBody, RequestHead
@@ -19,12 +19,19 @@
 #: that is not the one meant is out of reach at its address, like one that is gone.
 ENDED_BY_REFUSAL = {
     EngineRefusal.FULL: Ended.FULL,
+    # What it asked for is told apart, and is no sign of illness.
+    EngineRefusal.OVERLOADED: Ended.NOTHING,
     EngineRefusal.LEAVING: Ended.LEAVING,
     EngineRefusal.NOT_THE_ONE: Ended.FAILED,
     EngineRefusal.BAD_REQUEST: Ended.NOTHING,
     EngineRefusal.UNKNOWN: Ended.ERRED,
 }
 
+#: Codes of tries that were given up right before their first byte went out.
+CLOSED = frozenset(Closed)
+#: Codes of tries of which no byte went out.
+NOT_SENT = frozenset({*CLOSED, "upstream-unreachable"})
+
 #: What became of one question and, where it was granted, of the try that followed.
 Tried = Opened | Busy | Elsewhere | NotOwner | NotRun | Unknown
 
@@ -64,6 +71,9 @@
 
     async def run(self, question: Question, head: RequestHead) -> Tried:
         """Ask the engine's owner; where it grants, send the request to the engine."""
+        closed = self._open_target(question, head)
+        if isinstance(closed, NotRun):
+            return closed
         began = asyncio.get_running_loop().time()
         reply = await self._grant(question)
         self.asking_seconds += asyncio.get_running_loop().time() - began
@@ -74,13 +84,17 @@
             # Known only since the request began to wait in the engine's line.
             self._ways.grants.release(question.number, Ended.NOTHING)
             return QUARANTINED
-        known = self._view.target(question.engine)
-        target = open_target(known, question.engine, question.resuming, head.regions)
+        target = self._open_target(question, head)
         if isinstance(target, NotRun):
             self._ways.grants.release(question.number, Ended.NOTHING)
             return target
         return await self._send(question, target, head)
 
+    def _open_target(self, question: Question, head: RequestHead) -> Target | NotRun:
+        """Return the engine that is asked for, or why it may not be sent the request now."""
+        known = self._view.target(question.engine)
+        return open_target(known, question.engine, head.resuming, head.regions)
+
     async def _send(self, question: Question, target: Target, head: RequestHead) -> Tried:
         """Send a granted request; its grant is given back when it ends in whatever way."""
         grants, number = self._ways.grants, question.number
@@ -96,13 +110,15 @@
         except BaseException:
             grants.release(number, Ended.NOTHING)
             raise
-        if reply.code == "upstream-unreachable" and not was_sent_there:
+        if reply.code in NOT_SENT and not was_sent_there:
             self.sent_to.discard(question.engine)
         grants.release(number, self._ended(reply))
         return reply
 
     def _ended(self, reply: NotRun | Unknown) -> Ended:
         """Return what a try without an answer tells of its engine."""
+        if reply.code in CLOSED:
+            return Ended.NOTHING
         if isinstance(reply, Unknown) or reply.refusal is None:
             return Ended.FAILED
         if self._remaining() <= 0:
--- a/pondhatch/requests/tests/_history.py
+++ b/pondhatch/requests/tests/_history.py
@@ -17,12 +17,15 @@
 from pondhatch.placement import (
     CLOSING,
     OPEN,
+    Closed,
     ColdAllowance,
     ColdPaces,
     Gate,
     Granted,
     Health,
     Intake,
+    Notice,
+    Notices,
     Regions,
     SpillMemory,
     admission_ceiling,
@@ -60,6 +63,7 @@
     Whole,
     decode_grant_packet,
     encode_grant_packet,
+    open_target,
 )
 from pondhatch.requests._outcomes import refused_by_engine
 from pondhatch.requests._sending import FAILURE_STATUS
@@ -221,6 +225,8 @@
         #: The start that runs now of each engine that started again, by its id. Who asks for an
         #: earlier one reaches this, for it answers to the same id at the same address.
         self.start_by_id: dict[str, str] = {}
+        #: Engines that turn away what comes now.
+        self.rests: set[str] = set()
         self._streams_by_engine: dict[str, list[Stream]] = {}
         self._history = history
         self._script = script
@@ -237,7 +243,9 @@
         fault = self._script.next()
         await asyncio.sleep(0.01)
         engine = self.start_by_id.get(id_of(target.name), target.name)
-        if not self.has_place(engine):
+        if engine in self.rests:
+            fault = EngineRefusal.OVERLOADED
+        elif not self.has_place(engine):
             fault = EngineRefusal.FULL
         if isinstance(fault, EngineRefusal):
             self._history.refusals[request, target.name] = fault
@@ -366,6 +374,8 @@
         self._fleet = fleet
         self._name = name
         self.disagrees = False
+        #: What engines said to this router of themselves.
+        self.notices = Notices()
         #: The router that all engines moved to, where they did.
         self.moved_to: str | None = None
         #: The starts that this router knows of; None where it knows them all.
@@ -379,7 +389,7 @@
     def target(self, engine: str) -> Target | None:
         if engine not in self.engines:
             return None
-        intake = self._fleet.intake_of(engine)
+        intake = self._intake(engine)
         return Target(engine, "", intake, BOUND, len(self._fleet.engines), 8)
 
     def note_served(self, chat: int, engine: str) -> None:
@@ -412,8 +422,15 @@
         """Do nothing: the walk goes on."""
 
     def live_upstreams(self, service: str, regions: Regions = None) -> tuple[str, ...]:
-        intake_of = self._fleet.intake_of
-        return tuple(e for e in self.engines if intake_of(e).closed_to(regions) is None)
+        closed = {e: self._intake(e).closed_to(regions) for e in self.engines}
+        return tuple(e for e in self.engines if closed[e] in (None, Closed.RESTING))
+
+    def _intake(self, engine: str) -> Intake:
+        """Return what an engine takes, by what it said to this router as well."""
+        intake, now = self._fleet.intake_of(engine), asyncio.get_running_loop().time()
+        if self.notices.is_leaving(engine, now):
+            intake = msgspec.structs.replace(intake, is_live=False)
+        return msgspec.structs.replace(intake, rest=self.notices.rest_left(engine, now))
 
     def closed_home(self, service: str, chat: str, regions: Regions) -> tuple[str, str] | None:
         return None
@@ -454,6 +471,39 @@
         self._rounds.cancel()
 
 
+class ListeningUpstreams:
+    """One router's connections: they go by what engines say of themselves, and take it in."""
+
+    def __init__(self, router: Router, fleet: Fleet) -> None:
+        self._router = router
+        self._fleet = fleet
+        #: Each time that a request was sent to an engine.
+        self.sends: list[tuple[str, float]] = []
+        #: Each notice that was heard of an engine, and when.
+        self.heard: list[tuple[str, Notice, float]] = []
+
+    async def send(
+        self, target: Target, head: RequestHead, body: BodySource
+    ) -> Opened | NotRun | Unknown:
+        await asyncio.sleep(self._fleet.connect_seconds)
+        known = self._router.view.target(target.name)
+        found = open_target(known, target.name, head.resuming, head.regions)
+        if isinstance(found, NotRun):
+            return found
+        self.sends.append((target.name, asyncio.get_running_loop().time()))
+        notice = self._fleet.notice_of(target.name)
+        reply = await self._fleet.upstreams.send(target, head, body)
+        if notice and not (isinstance(reply, Unknown) and reply.code != CROSSED):
+            self._hear(target.name, notice)
+        return reply
+
+    def _hear(self, engine: str, notice: Notice) -> None:
+        now = asyncio.get_running_loop().time()
+        self.heard.append((engine, notice, now))
+        if self._router.view.notices.hear(engine, notice, now, is_start_known=True):
+            self._router.gate.rests(engine, now, notice.rest)
+
+
 class NotedWalk(Walk):
     """A walk whose questions are noted."""
 
@@ -489,7 +539,14 @@
         self._walks: list[NotedWalk] = []
         script = Script(upstream_faults)
         self.upstreams = FakeUpstreams(self.history, script, self.known_leaving, self.loads)
+        #: What single engines' answers say of them, and when that begins and ends.
+        self.notices: list[tuple[str, Notice, float, float]] = []
+        #: Seconds that a connection to an engine takes.
+        self.connect_seconds = 0.0
         self.routers = {name: Router(name, self) for name in self.names}
+        self.listening = {
+            name: ListeningUpstreams(router, self) for name, router in self.routers.items()
+        }
         self.network.take_by_name = {
             name: each.sides.receive for name, each in self.routers.items()
         }
@@ -513,6 +570,14 @@
             return CLOSING
         return self.intake_by_engine.get(engine, OPEN)
 
+    def notice_of(self, engine: str) -> Notice:
+        """Return what an engine's answers say of it now; one that asks for rest runs nothing."""
+        now = asyncio.get_running_loop().time()
+        in_force = [each for each in self.notices if each[0] == engine and each[2] <= now < each[3]]
+        rest = max((notice.rest for _, notice, _, _ in in_force), default=0.0)
+        self.upstreams.rests = self.upstreams.rests - {engine} | ({engine} if rest else set())
+        return Notice(any(notice.is_leaving for _, notice, _, _ in in_force), rest)
+
     @property
     def live(self) -> tuple[str, ...]:
         return tuple(name for name in self.names if name not in self.network.silent)
@@ -562,7 +627,7 @@
         router = self.routers[entry]
         walk = NotedWalk(
             router.view,
-            Ways(router.entry, self.upstreams),
+            Ways(router.entry, self.listening[entry]),
             RetryBudget(),
             head,
             ReplayableBody(b"body"),
--- /dev/null
+++ b/pondhatch/requests/tests/test_notice_histories.py
@@ -0,0 +1,130 @@
+"""Drawn histories in which engines say in their answers that they leave or want a rest.
+
+Checked by what each router sent after it had heard: nothing to one that leaves, nothing within a
+rest, by whatever way: granted and not yet sent, decided alone, a second try, a connection that
+was being opened, the rest of a stream.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from fakes._virtual_loop import run_virtually
+from pondhatch.placement import Notice
+from pondhatch.requests import NotRun
+from pondhatch.requests._leases import LEASE_SECONDS
+from pondhatch.requests.tests._history import (
+    PACKET_FAULTS,
+    UPSTREAM_FAULTS,
+    Fleet,
+    violations,
+)
+from pondhatch.requests.tests.test_histories import PROFILE, REQUEST
+
+NOTICES = (
+    Notice(is_leaving=True),
+    Notice(rest=0.1),
+    Notice(rest=0.5),
+    Notice(rest=3.0),
+    Notice(is_leaving=True, rest=0.3),
+)
+#: What may befall a try of an engine that is within reach.
+REACHED = [fault for fault in UPSTREAM_FAULTS if fault != "unreachable"]
+SAID = st.tuples(
+    st.sampled_from(["e0", "e1", "e2"]),
+    st.sampled_from(NOTICES),
+    st.floats(0, 0.3),  # from when, in seconds
+    st.floats(0.01, 0.6),  # for how long
+)
+
+
+def unheard(fleet: Fleet) -> list[str]:
+    """Return every request that a router sent to an engine that had told it not to."""
+    found = []
+    for name, way in fleet.listening.items():
+        for engine, notice, heard_at in way.heard:
+            later = [at for to, at in way.sends if to == engine and at > heard_at]
+            if notice.is_leaving and later:
+                found.append(f"{name} sent to {engine} at {later}, which leaves since {heard_at}")
+            if any(at < heard_at + notice.rest for at in later):
+                found.append(f"{name} sent to {engine} at {later}, which rests from {heard_at}")
+    return found
+
+
+class NoticeHistoryTest(unittest.TestCase):
+    @settings(PROFILE)
+    @given(
+        st.lists(REQUEST, min_size=1, max_size=16),
+        st.lists(SAID, min_size=1, max_size=4),
+        # One that is out of reach was sent nothing, and still counts as asked.
+        st.lists(st.sampled_from(REACHED), max_size=12),
+        st.lists(st.sampled_from(PACKET_FAULTS), max_size=12),
+        st.sampled_from([0.0, 0.05, 0.3]),
+        st.booleans(),
+        st.sampled_from([0, 2]),
+    )
+    def test_what_an_engine_says_binds_who_heard_it(
+        self,
+        requests: list[tuple[bool, bool, float]],
+        said: list[tuple[str, Notice, float, float]],
+        upstream_faults: list[str],
+        packet_faults: list[str],
+        connect_seconds: float,
+        same_chat: bool,
+        most_tries: int,
+    ) -> None:
+        async def history() -> list[str]:
+            fleet = Fleet(upstream_faults, packet_faults, False)
+            fleet.same_chat, fleet.most_tries = same_chat, most_tries
+            fleet.connect_seconds = connect_seconds
+            began = asyncio.get_running_loop().time()
+            fleet.notices = [(e, n, began + at, began + at + lasts) for e, n, at, lasts in said]
+            sent = [fleet.request_later(at, *request) for at, request in enumerate(requests)]
+            await asyncio.gather(*sent)
+            await asyncio.sleep(2 * LEASE_SECONDS)
+            repeatable = {f"q{at}": each[0] for at, each in enumerate(requests)}
+            is_unheard = bool({"lost", "very-late"} & set(packet_faults))
+            return unheard(fleet) + violations(fleet, repeatable, 1 + is_unheard)
+
+        self.assertEqual(run_virtually(history()), [])
+
+
+class RestingTest(unittest.TestCase):
+    # A request was sent twice within two milliseconds to an engine that had asked for rest.
+    def test_where_all_rest_a_request_is_told_at_once_when_the_first_rest_ends(self) -> None:
+        async def history() -> tuple[list[object], int, float]:
+            fleet = Fleet([], [], False)
+            began = asyncio.get_running_loop().time()
+            fleet.notices = [
+                (engine, Notice(rest=rest), began, began + 1.0)
+                for engine, rest in zip(fleet.engines, (5.0, 3.0, 4.0), strict=True)
+            ]
+            await fleet.request(0, True, False)
+            sends = len(fleet.listening["r0"].sends)
+            await fleet.request(3, True, False)
+            took = asyncio.get_running_loop().time() - began
+            return list(fleet.history.outcome_by_request.values()), sends, took
+
+        (first, second), sends, took = run_virtually(history())
+        assert isinstance(first, NotRun)
+        assert isinstance(second, NotRun)
+        self.assertEqual((sends, second.code), (3, "engines-resting"))
+        self.assertLess(took, 0.3)
+        self.assertAlmostEqual(second.retry_after, 3.0, delta=0.3)
+
+    def test_a_rest_that_is_over_soon_is_waited_for(self) -> None:
+        async def history() -> tuple[object, float]:
+            fleet = Fleet([], [], False)
+            began = asyncio.get_running_loop().time()
+            fleet.notices = [
+                (engine, Notice(rest=0.4), began, began + 0.2) for engine in fleet.engines
+            ]
+            await fleet.request(0, True, False)
+            return fleet.history.outcome_by_request["q0"], fleet.history.runs["q0"]
+
+        outcome, runs = run_virtually(history())
+        self.assertEqual((type(outcome).__name__, runs), ("Whole", 1))
--- a/pondhatch/router/__init__.py
+++ b/pondhatch/router/__init__.py
@@ -22,7 +22,7 @@
 from pondhatch.router._granting import GRANT_MARK, Granting
 from pondhatch.router._hall_states import HallStates
 from pondhatch.router._introduction import Introduction
-from pondhatch.router._notice_keeping import NoticeKeeping
+from pondhatch.router._notice_keeping import NOTICE_MARK, NoticeKeeping
 from pondhatch.router._restoring import Restoring
 from pondhatch.router._starting import Starting, not_ready
 from pondhatch.router._state import RouterState
@@ -50,6 +50,7 @@
     "CrashGuarding",
     "Granting",
     "Introduction",
+    "NOTICE_MARK",
     "NoticeKeeping",
     "Restoring",
     "RouterState",
--- a/pondhatch/router/_crash_guarding.py
+++ b/pondhatch/router/_crash_guarding.py
@@ -17,10 +17,10 @@
 from pondhatch.kernel import Tasks
 from pondhatch.membership import Datagram, Member, short_id
 from pondhatch.observing import Believed, Records
-from pondhatch.placement import ranked
 from pondhatch.quarantine import Evidence, EvidencePacket, Trial, TrialPacket, Trials
 from pondhatch.requests import NO_WATCH, RequestWatch, Target
 from pondhatch.router._crash_watch import CrashWatch
+from pondhatch.router._newcomers import Newcomers
 from pondhatch.router._state import RouterState
 
 #: First byte of a packet on suspected requests; no packet of membership or grants begins with it.
@@ -30,8 +30,6 @@
 #: Seconds between two tellings of some of what is known: 0.5 KB/s at most, and what a router
 #: missed reaches it in a few of them.
 PUSH_SECONDS = 2.0
-#: Routers that tell one that is new or back; one of them may have just started itself.
-TELLERS = 3
 #: Seconds before each probe of whether an engine listens, once a run at it was cut. A process that
 #: ends closes its connections before its port, and on a busy VM others run in between, for up
 #: to tens of milliseconds; so one probe that finds the port open says little.
@@ -68,8 +66,7 @@
         #: Evidence to be told to all once more.
         self._fresh: list[Evidence] = []
         self._pushed_at = float("-inf")
-        #: The routers as of the last look for those that are new or back.
-        self._looked_at: tuple[Member, ...] = ()
+        self._newcomers = Newcomers(state)
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(EvidencePacket | TrialPacket)
 
@@ -183,21 +180,11 @@
         self._send_evidence(evidence, self._others())
 
     def _tell_newcomers(self) -> None:
-        """Tell routers that are new or back, where this one is among those that shall."""
-        members = self._state.members()
-        if members is self._looked_at:
-            return
-        known = {(each.name, each.incarnation) for each in self._looked_at}
-        self._looked_at = members
-        if not self.suspects.suspect_by_digest:
-            return
-        names = [each.name for each in members]
-        for member in self._others():
-            others = (name for name in names if name != member.name)
-            is_new = (member.name, member.incarnation) not in known
-            if is_new and self._state.name in ranked(f"tell:{member.name}", others, TELLERS):
-                evidence = self.suspects.all_evidence(self._state.clock())
-                self._send_evidence(evidence, [member])
+        """Tell routers that are new or back all that is known."""
+        newcomers = self._newcomers.to_tell()
+        if newcomers and self.suspects.suspect_by_digest:
+            evidence = self.suspects.all_evidence(self._state.clock())
+            self._send_evidence(evidence, newcomers)
 
     def _push(self) -> None:
         """Tell one random router some of what is known."""
--- a/pondhatch/router/_intakes.py
+++ b/pondhatch/router/_intakes.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from pondhatch.configuration import ServiceSpec
-from pondhatch.placement import Intake, Regions, winner
+from pondhatch.placement import Intake, Notices, Regions, winner
 from pondhatch.router._hall_states import HallStates
 from pondhatch.store import LIVE, ColdClocks, Upstream, UpstreamList, Vanished
 
@@ -20,8 +20,10 @@
     vanished: Vanished
     halls: HallStates
     cold: ColdClocks
-    #: Owned upstreams that said themselves that they are leaving.
-    said_leaving: set[str]
+    #: What upstreams said of themselves.
+    notices: Notices
+    #: Returns the clock's seconds.
+    clock: Callable[[], float]
     #: Returns the services of the configuration in force, by name.
     services: Callable[[], Mapping[str, ServiceSpec]]
     #: Names of a service's upstreams that take new work, wherever they stand.
@@ -58,17 +60,19 @@
         closed = self.halls.closed(upstream.hall, regions) if upstream is not None else None
         return (home, closed.value) if home is not None and closed is not None else None
 
+    def working(self, service: str, now: float) -> int:
+        """Return how many of a service's upstreams take work now; those that rest do not."""
+        open_now = self.open_to(service, None)
+        return max(1, len(open_now) - self.notices.count_resting(open_now, now))
+
     def intake(self, upstream: Upstream, service: ServiceSpec, now: float) -> Intake:
         """Return for which requests, and how fast, an upstream may take work now."""
-        is_live = (
-            upstream.state == LIVE
-            and upstream.name not in self.said_leaving
-            and upstream.name in self._live(upstream.service)
-        )
+        is_live = upstream.state == LIVE and upstream.name in self._live(upstream.service)
         return Intake(
             is_live=is_live,
             is_evacuated=self.halls.evacuations.is_evacuated(upstream.hall),
             region=self.halls.region(upstream.hall),
+            rest=self.notices.rest_left(upstream.name, now),
             cold_pace=service.cold_pace if self._is_cold(upstream, now) else None,
         )
 
@@ -88,5 +92,10 @@
             leaving = spec.leaving if spec is not None else ()
             found = [upstream.name for upstream in self.upstreams.of_service(service)]
             found += [each.name for each in self.vanished.in_doubt(service, len(found))]
-            self._live_by_service[service] = tuple(n for n in found if n not in leaving)
+            now = self.clock()
+            self._live_by_service[service] = tuple(
+                name
+                for name in found
+                if name not in leaving and not self.notices.is_leaving(name, now)
+            )
         return self._live_by_service[service]
--- a/pondhatch/router/_state.py
+++ b/pondhatch/router/_state.py
@@ -96,8 +96,6 @@
     retries: RetryBudgets = field(default_factory=RetryBudgets)
     #: What upstreams said of themselves in their answers.
     notices: Notices = field(default_factory=Notices)
-    #: Owned upstreams that said themselves that they are leaving.
-    said_leaving: set[str] = field(default_factory=set)
     phase: Phase = Phase.LIVE
     #: Why the platform was last found out of reach; empty while it answers.
     platform_lost: str = ""
@@ -128,13 +126,14 @@
         self.limits = FleetLimits(self.name, self.gossip, lambda: self.fleet)
         self._started_at = self.clock()
         self.local = LocalKeyHolder(self.keys, self.clock)
-        self._upstream_changes = UpstreamChanges(self.upstreams, self.vanished)
+        self._upstream_changes = UpstreamChanges(self.upstreams, self.vanished, self.notices)
         self._intakes = Intakes(
             self.upstreams,
             self.vanished,
             self.halls,
             self._upstream_changes.cold,
-            self.said_leaving,
+            self.notices,
+            lambda: self.clock(),
             lambda: self.fleet.service_by_name,
         )
         self._owners = Owners(self.name, self.upstreams, self._intakes.upstream)
@@ -305,7 +304,7 @@
             url=upstream.url,
             intake=self._intakes.intake(upstream, service, self.clock()),
             bound=service.load_bound,
-            peers=len(self.live_upstreams(upstream.service)),
+            peers=self._intakes.working(upstream.service, self.clock()),
             slots=upstream.slots or service.engine_slots,
             slack=service.load_slack,
             shares_context=service.shares_context,
@@ -324,14 +323,23 @@
         """Take in what an upstream said of itself in an answer; return whether it was news."""
         known = self.upstreams.upstream(upstream)
         is_start_known = known is not None and known.start > 0
-        return self.notices.hear(upstream, notice, self.clock(), is_start_known)
+        is_news = self.notices.hear(upstream, notice, self.clock(), is_start_known)
+        if is_news and notice.rest > 0:
+            self.gate.rests(upstream, self.clock(), notice.rest)
+        if is_news:
+            self._intakes.forget()
+        return is_news
 
-    def note_leaving(self, engine: str, leaving: bool) -> None:
-        """Take in an owned upstream's own word on whether it is leaving."""
-        if leaving:
-            self.said_leaving.add(engine)
-        else:
-            self.said_leaving.discard(engine)
+    def hear_staying(self, upstream: str) -> None:
+        """Take in an upstream's own late report that it is not leaving."""
+        if self.notices.reports_staying(upstream, self.clock()):
+            self._intakes.forget()
+
+    def owners_beside(self, engine: str) -> set[str]:
+        """Return the routers that own an engine's service's live upstreams."""
+        upstream = self._intakes.upstream(engine)
+        names = self.live_upstreams(upstream.service) if upstream is not None else ()
+        return {owner for name in names if (owner := self.owner_name(name)) is not None}
 
     def elsewhere_in_flight(self, engine: str) -> int:
         """Return the in-flight total of the other engines of an engine's service."""
@@ -446,7 +454,8 @@
         if self._upstream_changes.settle(self.clock()):
             self.upstreams_changed()
         self._halls_changed(self.halls.settle(self.clock()))
-        self.notices.forget_old(self.upstreams.entry_by_name, self.clock())
+        if self.notices.forget_old(self.upstreams.entry_by_name, self.clock()):
+            self._intakes.forget()
         self.refresh()
         self.retries.set_routers(len(self.live_routers()), self.clock())
         is_alone = self.clock() - self._started_at < ALONE_SECONDS
--- a/pondhatch/router/_upstream_changes.py
+++ b/pondhatch/router/_upstream_changes.py
@@ -11,8 +11,9 @@
 import msgspec
 from msgspec.structs import replace
 
-from pondhatch.placement import YOUNG_SECONDS
+from pondhatch.placement import YOUNG_SECONDS, Notices
 from pondhatch.store import (
+    LEAVING,
     LIVE,
     REMOVED,
     SETTLE_SECONDS,
@@ -115,6 +116,8 @@
 
     upstreams: UpstreamList
     vanished: Vanished
+    #: What upstreams said of themselves.
+    notices: Notices = msgspec.field(default_factory=Notices)
     joins: Joins = msgspec.field(default_factory=Joins)
     reader: UpstreamReader = msgspec.field(default_factory=UpstreamReader)
     settling: Settling = msgspec.field(default_factory=Settling)
@@ -126,10 +129,11 @@
 
     def take(self, update: UpstreamUpdate, now: float) -> bool:
         """Take in a listing's or a peer's entries; return whether any was news."""
-        names, live = self._names(), self._live_by_name()
+        names, live, leaving = self._names(), self._in_state(LIVE), self._in_state(LEAVING)
         news = self.upstreams.take(update, self.settling.begins(update.version, now))
         self.settling.note(self.upstreams.version, now)
         self._note(names, live, now)
+        self._note_staying(leaving)
         self.joins.told(update.known_for, update.age_by_name, now)
         return news
 
@@ -145,11 +149,12 @@
 
     def take_event(self, event: WatchEvent, now: float) -> bool:
         """Take in one event of a watch on upstreams; return whether it was news."""
-        names, live = self._names(), self._live_by_name()
+        names, live, leaving = self._names(), self._in_state(LIVE), self._in_state(LEAVING)
         news = self._apply(event)
         self.settling.note(self.upstreams.version, now)
         if news:
             self._note(names, live, now)
+            self._note_staying(leaving)
         return news
 
     def settle(self, now: float) -> bool:
@@ -182,6 +187,14 @@
             elif name in live_before and not self._started_again(entry.upstream):
                 self.vanished.note(live_before[name], now)
 
+    def _note_staying(self, leaving_before: dict[str, Upstream]) -> None:
+        """Note the upstreams that say that they take work again after they had said they leave.
+
+        The list alone does not open what an answer closed: it may be behind by minutes.
+        """
+        for name in leaving_before.keys() & self._in_state(LIVE).keys():
+            self.notices.stays(name)
+
     def _started_again(self, ended: Upstream) -> bool:
         newest = self.upstreams.newest(ended.id)
         return newest is not None and newest.upstream.name != ended.name
@@ -189,6 +202,6 @@
     def _names(self) -> frozenset[str]:
         return frozenset(self.upstreams.entry_by_name)
 
-    def _live_by_name(self) -> dict[str, Upstream]:
+    def _in_state(self, state: str) -> dict[str, Upstream]:
         entries = self.upstreams.entry_by_name.items()
-        return {name: each.upstream for name, each in entries if each.upstream.state == LIVE}
+        return {name: each.upstream for name, each in entries if each.upstream.state == state}
--- a/pondhatch/standard/_loads.py
+++ b/pondhatch/standard/_loads.py
@@ -8,6 +8,7 @@
 import treq
 
 from pondhatch.kernel import as_future
+from pondhatch.placement import Notice
 from pondhatch.router import RouterState
 
 #: Seconds between two questions to one engine. Counts of work are exact without them;
@@ -46,5 +47,8 @@
             load = msgspec.json.decode(content, type=_Load)
     except Exception:
         return
-    state.note_leaving(engine, load.leaving)
+    if load.leaving:
+        state.hear(engine, Notice(is_leaving=True))
+    else:
+        state.hear_staying(engine)
     state.gate.report(engine, state.clock(), load.running + load.waiting)
--- a/pondhatch/standard/_upstreams.py
+++ b/pondhatch/standard/_upstreams.py
@@ -38,10 +38,13 @@
 }
 
 
-def _refusal(status: int, word: str) -> EngineRefusal:
+def _refusal(status: int, word: str, notice: Notice) -> EngineRefusal:
     """Return why an upstream did not run a request."""
     by_status = REFUSAL_BY_STATUS.get(status, EngineRefusal.UNKNOWN)
-    return REFUSAL_BY_WORD.get(word.strip().lower(), by_status)
+    refusal = REFUSAL_BY_WORD.get(word.strip().lower(), by_status)
+    if refusal is not EngineRefusal.FULL or not notice:
+        return refusal
+    return EngineRefusal.LEAVING if notice.is_leaving else EngineRefusal.OVERLOADED
 
 
 class OpenAiUpstreams:
@@ -64,7 +67,8 @@
     ) -> Judged | EngineRefusal:
         """Say what an answer's head means; plain services need not echo the id."""
         if NOT_RUN_HEADER in value_by_name:
-            return _refusal(status, value_by_name[NOT_RUN_HEADER])
+            notice = self.notice(status, value_by_name)
+            return _refusal(status, value_by_name[NOT_RUN_HEADER], notice)
         answered = value_by_name.get(REQUEST_ID_HEADER.lower())
         if answered != head.request_id and (answered is not None or head.chat):
             return Judged.CROSSED
--- a/pondhatch/store/tests/test_starts.py
+++ b/pondhatch/store/tests/test_starts.py
@@ -9,7 +9,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from pondhatch.placement import id_of, name_of_start, ranked, winner
+from pondhatch.placement import Notice, id_of, name_of_start, ranked, winner
 from pondhatch.router._upstream_changes import STARTING_SECONDS
 from pondhatch.router.tests.test_sync import FIRST, router
 from pondhatch.store import (
@@ -69,12 +69,12 @@
 
     def test_what_was_taken_to_be_so_of_the_earlier_start_ends_with_it(self) -> None:
         self.state.note_served(7, self.before)
-        self.state.note_leaving(self.before, leaving=True)
+        self.state.hear(self.before, Notice(is_leaving=True))
         self.state.gate.ask(self.before, NOW, 1.0, 0, 1, 1, 0)
         self.state.take_upstream_event(heard(5, "e0", 200))
         after = self.name("e0")
         self.assertNotEqual(self.state.last_served(7), after)
-        self.assertNotIn(after, self.state.said_leaving)
+        self.assertFalse(self.state.notices.is_leaving(after, NOW))
         self.assertEqual(self.state.gate.in_flight(after, NOW), 0)
         target = self.state.target(after)
         assert target is not None
--- a/pondhatch/transport/_http_client.py
+++ b/pondhatch/transport/_http_client.py
@@ -137,6 +137,10 @@
     return None
 
 
+def _allow() -> None:
+    return None
+
+
 class Hooks(msgspec.Struct, frozen=True):
     """What whoever sends a request decides, or wants to know, of its exchange."""
 
@@ -144,6 +148,8 @@
     trusts: Callable[[ResponseHead], bool] = _any
     #: Takes in an answer's head as it comes, whether or not anybody still waits for it.
     heard: Callable[[ResponseHead], None] = _ignore
+    #: Called right before the first byte goes out; what it raises keeps the request from going.
+    check: Callable[[], None] = _allow
 
 
 NO_HOOKS = Hooks()
@@ -185,6 +191,8 @@
         keep = functools.partial(self._keep, address)
         exchange = Exchange(connection, keep, hooks.trusts, hooks.heard)
         try:
+            # The connection may have taken a while, in which much may have been heard.
+            hooks.check()
             exchange.send(request, body)
         except BaseException:
             # Nobody else knows of the connection: left open, it would hold a place at the
--- a/pondhatch/transport/_upstreams.py
+++ b/pondhatch/transport/_upstreams.py
@@ -51,6 +51,14 @@
         return self._sink.write(part)
 
 
+class _ClosedMeanwhile(Exception):
+    """The upstream was closed to a request while a connection to it was opened."""
+
+    def __init__(self, refusal: NotRun) -> None:
+        super().__init__(refusal.reason)
+        self.refusal = refusal
+
+
 class UpstreamAnswer:
     """An answer read from an upstream's connection; see AnswerStream."""
 
@@ -138,12 +146,15 @@
                     Hooks(
                         trusts=lambda answered: self._judge(head, answered) is not Judged.CROSSED,
                         heard=lambda answered: self._hear(target, answered),
+                        check=lambda: self._check(target, head),
                     ),
                 )
                 tried.sent()
                 answered = await exchange.head
         except NotSent as error:
             return _refusal(tried, str(error))
+        except _ClosedMeanwhile as closed:
+            return closed.refusal
         except TimeoutError:
             return self._gave_up(exchange, tried, "no answer before the deadline")
         except ConnectionError as error:
@@ -168,6 +179,12 @@
             return False
         return await self.client.is_refused(address)
 
+    def _check(self, target: Target, head: RequestHead) -> None:
+        """Raise _ClosedMeanwhile where a request may not be sent to its upstream any more."""
+        refusal = self._view.closed(target.name, head)
+        if refusal is not None:
+            raise _ClosedMeanwhile(refusal)
+
     def _hear(self, target: Target, answered: ResponseHead) -> None:
         """Take in what an answer says of its upstream, whatever it says of the request."""
         notice = self._dialect.notice(answered.status, answered.value_by_name)
--- a/pondhatch/transport/tests/test_upstream_notices.py
+++ b/pondhatch/transport/tests/test_upstream_notices.py
@@ -7,7 +7,7 @@
 
 from pondhatch.placement import OPEN, Notice
 from pondhatch.platform._engines import EngineDialect
-from pondhatch.requests import ReplayableBody, RequestHead, Target
+from pondhatch.requests import NotRun, ReplayableBody, RequestHead, Target
 from pondhatch.transport._http_client import HttpClient
 from pondhatch.transport._upstreams import HttpUpstreams
 from pondhatch.transport.tests.test_header_bytes import Reactor
@@ -24,6 +24,11 @@
 
     def __init__(self) -> None:
         self.notices: list[tuple[str, Notice]] = []
+        #: Why nothing may be sent any more.
+        self.refusal: NotRun | None = None
+
+    def closed(self, upstream: str, head: RequestHead) -> NotRun | None:
+        return self.refusal
 
     def heard(self, upstream: str, notice: Notice) -> None:
         self.notices.append((upstream, notice))
@@ -75,3 +80,9 @@
         self.answer(b"421 Misdirected", b"Attempt-Id: 9c41", LEAVES, RESTS)
         await sending
         self.assertEqual(self.view.notices, [])
+
+    # A connection takes up to a second, in which the upstream may say by another that it leaves.
+    async def test_what_was_closed_while_a_connection_was_opened_is_not_sent(self) -> None:
+        self.view.refusal = NotRun("upstream-leaving", "i-1 takes no new work")
+        self.assertEqual(await self.begin(), self.view.refusal)
+        self.assertEqual((self.reactor.sent(), self.reactor.left_open()), (b"", 0))
