Hold an engine to no less where it turns requests away with places by its own word

What callers saw: engines that refused two in five by chance were held to what they held at each refusal, down to one request; the others stood at their ceilings, and requests that may go to one engine alone were refused beside 50 free places.

Cause: a refusal without a rest was read as "full", though the same answer tells the engine's load (8 running, 1 waiting, 64 slots), which was dropped.

Change: by its own word it has places, so its load is not why. It counts as a failure of the engine's own, which passes it over where it is one of few, and the request may go there once more.

Where they ask for rest nothing changes.

--- a/pondhatch/platform/_engines.py
+++ b/pondhatch/platform/_engines.py
@@ -21,6 +21,10 @@
 DRAINING = "draining"
 #: Value of the header of one that is about to end.
 IS_LEAVING = "1"
+#: Numbers in what an engine says of its load: requests running, requests waiting, slots.
+LOAD_FIELDS = 3
+#: Requests that may wait at an engine that has places.
+MOST_PASSING = 1
 
 #: A name of a service, or of anything that must not be empty.
 Name = Annotated[str, msgspec.Meta(min_length=1)]
@@ -111,7 +115,20 @@
     # so this is a hint: it is passed over only where another can take the request.
     if value_by_name.get("connection", "").lower() == "close":
         return EngineRefusal.LEAVING
-    return EngineRefusal.FULL
+    return EngineRefusal.DECLINED if _has_places(value_by_name) else EngineRefusal.FULL
+
+
+def _has_places(value_by_name: Mapping[str, str]) -> bool:
+    """Return whether an engine says that it has places and nobody who waits for them.
+
+    Requests wait where its memory is taken, though it has slots. Those that come while it
+    answers may wait for a moment.
+    """
+    load = value_by_name.get(names.LOAD.lower(), "").split(",")
+    if len(load) != LOAD_FIELDS or not all(each.strip().isdecimal() for each in load):
+        return False
+    running, waiting, slots = (int(each) for each in load)
+    return waiting <= MOST_PASSING and running + waiting < slots
 
 
 class EngineDialect:
--- a/pondhatch/requests/_entry.py
+++ b/pondhatch/requests/_entry.py
@@ -56,6 +56,8 @@
 )
 #: Codes of engines that want nothing for a while.
 RESTING = frozenset({Closed.RESTING, EngineRefusal.OVERLOADED})
+#: Refusals of engines that may take the same request a moment later.
+MAY_TAKE_IT_AGAIN = frozenset({EngineRefusal.FULL, EngineRefusal.DECLINED})
 #: Engines that refuse a request without a reason before its caller is told: where a second
 #: one does, it is likelier the request than the engines.
 MOST_UNKNOWN_REFUSALS = 2
@@ -95,8 +97,8 @@
         #: When the rests end of engines that want nothing now, in the loop's seconds.
         self._rest_ends: list[float] = []
         self._has_waited_for_rest = False
-        #: Engines that refused it as full: it may go to them again.
-        self._said_full: set[str] = set()
+        #: Engines that refused it, and may take it a moment later.
+        self._may_take_it: set[str] = set()
         #: The last try after which the request may have run; no later refusal undoes it.
         self._may_have_run: Unknown | None = None
         #: Id under which the engine that answers knows the request.
@@ -329,8 +331,8 @@
         refusal = reply.refusal if isinstance(reply, NotRun) else None
         if isinstance(reply, NotRun) and refusal is not None:
             self._refusals.append(reply)
-        if refusal is EngineRefusal.FULL:
-            self._said_full.add(ask.engine)
+        if refusal in MAY_TAKE_IT_AGAIN:
+            self._may_take_it.add(ask.engine)
             self.plan.said_full(max(0, self.granted.in_flight - 1), why)
             return
         self.plan.refused(why)
@@ -402,7 +404,7 @@
             return None
         if isinstance(reply, NotRun) and self._is_about_the_request(reply):
             return Refused(reply)
-        if self._tries_are_spent() and not self.plan.keep_to(self._said_full):
+        if self._tries_are_spent() and not self.plan.keep_to(self._may_take_it):
             return Refused(self._told(reply))
         if not body_is_whole or not self._budget.may_retry():
             return Refused(self._told(reply))
--- a/pondhatch/requests/_outcomes.py
+++ b/pondhatch/requests/_outcomes.py
@@ -29,6 +29,8 @@
 
     #: It has no place: its slots, its queue or its memory are taken.
     FULL = "upstream-full"
+    #: It has places, by its own word, and refused the request all the same.
+    DECLINED = "upstream-declined"
     #: It wants nothing more for a while, which it says.
     OVERLOADED = "upstream-overloaded"
     #: It takes no more work, since it is about to end.
@@ -89,7 +91,12 @@
 
 #: Refusals after which any other engine may take the request at once.
 _ABOUT_THE_ENGINE = frozenset(
-    {EngineRefusal.OVERLOADED, EngineRefusal.LEAVING, EngineRefusal.NOT_THE_ONE}
+    {
+        EngineRefusal.DECLINED,
+        EngineRefusal.OVERLOADED,
+        EngineRefusal.LEAVING,
+        EngineRefusal.NOT_THE_ONE,
+    }
 )
 
 
--- a/pondhatch/requests/_tries.py
+++ b/pondhatch/requests/_tries.py
@@ -19,6 +19,8 @@
 #: that is not the one meant is out of reach at its address, like one that is gone.
 ENDED_BY_REFUSAL = {
     EngineRefusal.FULL: Ended.FULL,
+    # Held to less, it would be so again and again, down to nothing.
+    EngineRefusal.DECLINED: Ended.ERRED,
     # What it asked for is told apart, and is no sign of illness.
     EngineRefusal.OVERLOADED: Ended.NOTHING,
     EngineRefusal.LEAVING: Ended.LEAVING,
--- a/pondhatch/requests/tests/test_refusals.py
+++ b/pondhatch/requests/tests/test_refusals.py
@@ -22,6 +22,7 @@
 from pondhatch.requests._grant_packets import ended_of, release_of
 from pondhatch.requests._outcomes import AILING, BAD_REQUEST_STATUS, UNAVAILABLE_STATUS
 from pondhatch.requests._owner_waits import FIRST_WAIT
+from pondhatch.requests._tries import ENDED_BY_REFUSAL
 from pondhatch.requests.tests._history import Fleet
 from pondhatch.requests.tests.test_grants import GrantCase, question
 
@@ -30,6 +31,8 @@
 NOT_THE_ONE = EngineRefusal.NOT_THE_ONE
 BAD_REQUEST = EngineRefusal.BAD_REQUEST
 UNKNOWN = EngineRefusal.UNKNOWN
+DECLINED = EngineRefusal.DECLINED
+OVERLOADED = EngineRefusal.OVERLOADED
 #: Refusals or failures in a row from which an engine is ailing.
 ENOUGH = next(n for n in range(1, 99) if 1 - (1 - ERROR_WEIGHT) ** n >= AILING_SHARE)
 
@@ -47,6 +50,10 @@
             ([FULL, UNKNOWN], 2, "Whole", 3, 2),
             # To each, and once more to one of them.
             ([FULL, FULL, FULL], 0, "Whole", 4, 3),
+            ([DECLINED], 2, "Whole", 2, 2),
+            # Once more to the only one that it may go to, and no more than that.
+            ([DECLINED], 1, "Whole", 2, 1),
+            ([DECLINED, DECLINED], 1, DECLINED, 2, 1),
             ([LEAVING], 2, "Whole", 2, 2),
             ([LEAVING, LEAVING], 2, LEAVING, 2, 2),
             ([NOT_THE_ONE], 2, "Whole", 2, 2),
@@ -78,6 +85,7 @@
         rows = (
             # reason, status, whether to come back, and then sooner than where load is why
             (LEAVING, UNAVAILABLE_STATUS, True, True),
+            (OVERLOADED, UNAVAILABLE_STATUS, True, True),
             (NOT_THE_ONE, UNAVAILABLE_STATUS, True, True),
             (UNKNOWN, UNAVAILABLE_STATUS, True, False),
             (BAD_REQUEST, BAD_REQUEST_STATUS, False, False),
@@ -134,6 +142,20 @@
         self.assertTrue(all(isinstance(each, Granted) for each in replies[:ENOUGH]), replies)
         self.assertEqual(getattr(replies[ENOUGH], "code", ""), AILING)
 
+    # Engines that turned requests away by chance were held to less each time, down to one.
+    def test_an_engine_that_declines_with_places_is_held_to_no_less(self) -> None:
+        async def main(ended: Ended) -> OwnerReply:
+            fleet = Fleet([], [], False)
+            for _ in range(6):
+                await self.ask_among_many(fleet)
+            for _ in range(3):
+                await self.end_one(fleet, ended)
+            return await self.ask_among_many(fleet)
+
+        self.assertEqual(run_virtually(main(Ended.FULL)), Busy(3, 3))
+        reply = run_virtually(main(ENDED_BY_REFUSAL[DECLINED]))
+        self.assertIsInstance(reply, Granted)
+
     async def end_one_if_held(self, fleet: Fleet, ended: Ended) -> None:
         if fleet.routers[self.entry].entry.held_by_number:
             await self.end_one(fleet, ended)
--- a/pondhatch/standard/tests/test_upstreams.py
+++ b/pondhatch/standard/tests/test_upstreams.py
@@ -26,6 +26,8 @@
             (421, {"x-not-run": "1"}, EngineRefusal.NOT_THE_ONE),
             (400, {"x-not-run": "1"}, EngineRefusal.BAD_REQUEST),
             (409, {"x-not-run": "1"}, EngineRefusal.UNKNOWN),
+            (503, {"x-not-run": "1", "retry-after": "3"}, EngineRefusal.OVERLOADED),
+            (503, {"x-not-run": "1", "x-leaving": "1"}, EngineRefusal.LEAVING),
         )
         for status, headers, judged in rows:
             with self.subTest(status=status, headers=headers):
