Spare an engine that asks some routers for rest though it has places, rather than close it to all

Cause: a rest was taken for the engine's whole state, though the same answer tells its load.

Change: a rest binds the router that was told, always. Where the engine says no places, or says nothing of its load, it binds all and the others carry its load; where it says places, its owner spares it: others send it what has nowhere else to go.

--- a/pondhatch/placement/__init__.py
+++ b/pondhatch/placement/__init__.py
@@ -8,7 +8,7 @@
 from pondhatch.placement._intake import CLOSING, OPEN, Closed, Intake, Regions, both, is_allowed
 from pondhatch.placement._line import Line, Ticket
 from pondhatch.placement._memory import SpillMemory
-from pondhatch.placement._notices import NOTHING_SAID, Notice, Notices
+from pondhatch.placement._notices import NO_REST, NOTHING_SAID, Notice, Notices, Rest
 from pondhatch.placement._plan import Ask, Exhausted, Plan, Step
 from pondhatch.placement._rendezvous import ranked, scorer, winner
 from pondhatch.placement._starts import id_of, name_of_start
@@ -34,6 +34,8 @@
     "Health",
     "Line",
     "NOTHING_SAID",
+    "NO_REST",
+    "Rest",
     "Notice",
     "Notices",
     "Plan",
--- a/pondhatch/placement/_intake.py
+++ b/pondhatch/placement/_intake.py
@@ -13,6 +13,9 @@
 from typing import TypeAlias
 
 import msgspec
+from msgspec.structs import replace
+
+from pondhatch.placement._notices import NO_REST, Rest
 
 #: Names of the regions whose upstreams may run a request; None where any may.
 Regions: TypeAlias = tuple[str, ...] | None
@@ -42,8 +45,8 @@
     region: str = ""
     #: Requests a second that it bears, being cold; None where it is warm or nobody says.
     cold_pace: float | None = None
-    #: Seconds for which it still wants nothing.
-    rest: float = 0.0
+    #: What is left of the rests that it asked for.
+    rest: Rest = NO_REST
 
     @property
     def takes_new(self) -> bool:
@@ -62,9 +65,16 @@
             return Closed.OUTSIDE_REGIONS
         if not self.is_live and not resuming:
             return Closed.LEAVING
-        if self.rest > 0:
+        return Closed.RESTING if self.rest.own > 0 else None
+
+    def closed_to_all(self, resuming: bool = False) -> Closed | None:
+        """Return why no router may send it a request, None where some may.
+
+        Its region and a rest that one router was asked for are for that router to know.
+        """
+        if self.rest.of_all > 0:
             return Closed.RESTING
-        return None
+        return replace(self, rest=NO_REST).closed_to(None, resuming)
 
 
 #: Takes all requests, as fast as they come.
--- a/pondhatch/placement/_notices.py
+++ b/pondhatch/placement/_notices.py
@@ -31,8 +31,10 @@
 
     #: Whether it is about to end.
     is_leaving: bool = False
-    #: Seconds for which it wants nothing more; 0 where it asks for none.
+    #: Seconds for which it wants nothing more from who asked; 0 where it asks for none.
     rest: float = 0.0
+    #: Whether it has places, by its own word, so that others may still be welcome.
+    has_places: bool = False
 
     def __bool__(self) -> bool:
         return self.is_leaving or self.rest > 0
@@ -42,12 +44,45 @@
 NOTHING_SAID = Notice()
 
 
+class Rest(msgspec.Struct, frozen=True):
+    """Seconds that are left of the rests that one upstream asked for; 0 where none are."""
+
+    #: For which this router is to send it nothing.
+    own: float = 0.0
+    #: For which no router is to: it has no places.
+    of_all: float = 0.0
+    #: For which it turns some routers away though it has places. It gets from the others what
+    #: has nowhere else to go.
+    of_some: float = 0.0
+
+
+NO_REST = Rest()
+
+
 class _Known(msgspec.Struct, frozen=True):
     """What one upstream said, in the clock's seconds."""
 
     heard_at: float
     leaves_until: float = -math.inf
-    rests_until: float = -math.inf
+    #: Until when the rests last; see Rest.
+    own_until: float = -math.inf
+    all_until: float = -math.inf
+    some_until: float = -math.inf
+
+    def rest(self, now: float) -> Rest:
+        """Return what is left of its rests."""
+        untils = (self.own_until, self.all_until, self.some_until)
+        return Rest(*(max(0.0, until - now) for until in untils))
+
+    def with_rest(self, until: float, is_own: bool, has_places: bool) -> _Known:
+        """Return it with one more rest; each was asked for, so the one that ends later holds."""
+        is_for_this_one = is_own or not has_places
+        return replace(
+            self,
+            own_until=max(self.own_until, until) if is_for_this_one else self.own_until,
+            all_until=self.all_until if has_places else max(self.all_until, until),
+            some_until=max(self.some_until, until) if has_places else self.some_until,
+        )
 
 
 class Notices(msgspec.Struct):
@@ -55,11 +90,18 @@
 
     _known_by_upstream: dict[str, _Known] = msgspec.field(default_factory=dict)
 
-    def hear(self, upstream: str, notice: Notice, now: float, is_start_known: bool) -> bool:
+    def hear(
+        self,
+        upstream: str,
+        notice: Notice,
+        now: float,
+        is_start_known: bool,
+        is_own: bool = True,
+    ) -> bool:
         """Take in what an upstream says; return whether it closes it, or does so for longer.
 
-        ``is_start_known`` says whether the name stands for one start of it. Of two rests the one
-        that ends later holds: each was asked for.
+        ``is_start_known`` says whether the name stands for one start of it, ``is_own`` whether
+        it was said to this router rather than to another.
         """
         before = self._known_by_upstream.get(upstream, _Known(now))
         known = replace(before, heard_at=now)
@@ -69,10 +111,10 @@
             )
         if notice.rest > 0:
             until = now + min(notice.rest, LONGEST_REST)
-            known = replace(known, rests_until=max(known.rests_until, until))
+            known = known.with_rest(until, is_own, notice.has_places)
         self._known_by_upstream[upstream] = known
         leaves_anew = notice.is_leaving and before.leaves_until <= now
-        return leaves_anew or known.rests_until > max(now, before.rests_until)
+        return leaves_anew or known.rest(now) != before.rest(now)
 
     def stays(self, upstream: str) -> None:
         """Note that an upstream takes work again, though it had said that it leaves."""
@@ -96,30 +138,37 @@
         known = self._known_by_upstream.get(upstream)
         return known is not None and now < known.leaves_until
 
-    def rest_left(self, upstream: str, now: float) -> float:
-        """Return for how many seconds an upstream still wants nothing."""
+    def rest(self, upstream: str, now: float) -> Rest:
+        """Return what is left of the rests that an upstream asked for."""
         known = self._known_by_upstream.get(upstream)
-        return max(0.0, known.rests_until - now) if known is not None else 0.0
+        return known.rest(now) if known is not None else NO_REST
 
     def in_force(self, now: float) -> dict[str, Notice]:
         """Return what still holds, with the seconds that are left of each rest."""
         found = {
-            name: Notice(self.is_leaving(name, now), self.rest_left(name, now))
-            for name in self._known_by_upstream
+            name: _as_told(now < known.leaves_until, known.rest(now))
+            for name, known in self._known_by_upstream.items()
         }
         return {name: notice for name, notice in found.items() if notice}
 
     def count_resting(self, upstreams: Container[str], now: float) -> int:
-        """Return how many of some upstreams want nothing for now."""
+        """Return how many of some upstreams want nothing from anybody for now."""
         known = self._known_by_upstream.items()
-        return sum(now < each.rests_until and name in upstreams for name, each in known)
+        return sum(now < each.all_until and name in upstreams for name, each in known)
 
     def forget_old(self, listed: Container[str], now: float) -> bool:
         """Forget what is over, and those that nobody has listed; return whether any were."""
         before = len(self._known_by_upstream)
         for name, known in tuple(self._known_by_upstream.items()):
-            is_over = now >= max(known.leaves_until, known.rests_until)
+            is_over = now >= known.leaves_until and known.rest(now) == NO_REST
             is_gone = name not in listed and now - known.heard_at >= UNLISTED_SECONDS
             if is_over or is_gone:
                 del self._known_by_upstream[name]
         return len(self._known_by_upstream) < before
+
+
+def _as_told(is_leaving: bool, rest: Rest) -> Notice:
+    """Return what holds of an upstream as other routers are told of it."""
+    if rest.of_all > 0:
+        return Notice(is_leaving, rest.of_all)
+    return Notice(is_leaving, rest.of_some, has_places=rest.of_some > 0)
--- a/pondhatch/placement/tests/test_notices.py
+++ b/pondhatch/placement/tests/test_notices.py
@@ -4,7 +4,7 @@
 
 import unittest
 
-from pondhatch.placement import Notice, Notices
+from pondhatch.placement import Notice, Notices, Rest
 from pondhatch.placement._notices import (
     LATE_SECONDS,
     LONGEST_REST,
@@ -22,6 +22,9 @@
     def hear(self, notice: Notice, now: float, is_start_known: bool = True) -> bool:
         return self.notices.hear("e", notice, now, is_start_known)
 
+    def rest_left(self, now: float) -> float:
+        return self.notices.rest("e", now).own
+
     def test_what_leaves_leaves_for_good_and_is_news_once(self) -> None:
         self.assertFalse(self.notices.is_leaving("e", 0.0))
         self.assertTrue(self.hear(LEAVES, 1.0))
@@ -37,14 +40,31 @@
     def test_of_overlapping_rests_the_one_that_ends_later_holds(self) -> None:
         self.assertTrue(self.hear(Notice(rest=3.0), 0.0))
         self.assertFalse(self.hear(Notice(rest=1.0), 1.0))
-        self.assertEqual(self.notices.rest_left("e", 1.0), 2.0)
+        self.assertEqual(self.rest_left(1.0), 2.0)
         self.assertTrue(self.hear(Notice(rest=3.0), 2.0))
-        self.assertEqual(self.notices.rest_left("e", 2.0), 3.0)
-        self.assertEqual(self.notices.rest_left("e", 6.0), 0.0)
+        self.assertEqual(self.rest_left(2.0), 3.0)
+        self.assertEqual(self.rest_left(6.0), 0.0)
+
+    def test_whom_a_rest_binds(self) -> None:
+        rows = (
+            # has places, said to this router, what is left for this one, all and some
+            (False, True, Rest(own=3.0, of_all=3.0)),
+            (False, False, Rest(own=3.0, of_all=3.0)),
+            (True, True, Rest(own=3.0, of_some=3.0)),
+            (True, False, Rest(of_some=3.0)),
+        )
+        for has_places, is_own, rest in rows:
+            with self.subTest(has_places=has_places, is_own=is_own):
+                notices, notice = Notices(), Notice(rest=3.0, has_places=has_places)
+                self.assertTrue(notices.hear("e", notice, 0.0, True, is_own))
+                self.assertFalse(notices.hear("e", notice, 0.0, True, is_own))
+                self.assertEqual(notices.rest("e", 0.0), rest)
+                self.assertEqual(notices.count_resting({"e"}, 0.0), not has_places)
+                self.assertEqual(notices.in_force(0.0), {"e": notice})
 
     def test_a_rest_past_reason_ends(self) -> None:
         self.hear(Notice(rest=1e12), 0.0)
-        self.assertEqual(self.notices.rest_left("e", 0.0), LONGEST_REST)
+        self.assertEqual(self.rest_left(0.0), LONGEST_REST)
 
     def test_one_that_stays_after_all_is_open_again(self) -> None:
         self.hear(LEAVES, 0.0)
--- a/pondhatch/platform/_engines.py
+++ b/pondhatch/platform/_engines.py
@@ -175,7 +175,8 @@
         asked = value_by_name.get(names.RETRY_AFTER.lower())
         if asked is None or status not in names.FULL_STATUSES:
             return Notice(is_leaving)
-        return Notice(is_leaving, seconds_to_wait(asked, time.time()))
+        rest = seconds_to_wait(asked, time.time())
+        return Notice(is_leaving, rest, rest > 0 and _has_places(value_by_name))
 
     def answer_headers(self, headers: Headers, note: NoteDropped) -> Headers:
         """Return the headers of an answer that an engine may say to a client."""
--- a/pondhatch/requests/_entry.py
+++ b/pondhatch/requests/_entry.py
@@ -323,7 +323,7 @@
     def _rest_of(self, engine: str) -> float:
         """Return for how many seconds an engine wants nothing, as far as this router knows."""
         target = self._view.target(engine)
-        return target.intake.rest if target is not None else 0.0
+        return target.intake.rest.own if target is not None else 0.0
 
     def _note_refused(self, ask: Ask, reply: Refusal) -> None:
         """Note who did not take the request, and what that says of where else it may go."""
--- a/pondhatch/requests/_owner.py
+++ b/pondhatch/requests/_owner.py
@@ -30,7 +30,7 @@
     OwnerReply,
     Question,
 )
-from pondhatch.requests._sending import Target, open_target
+from pondhatch.requests._sending import Target, grantable_target
 
 #: Seconds that a process takes at least from its start to its first request: what a router
 #: that restarted was granted longer ago belongs to its earlier process.
@@ -237,6 +237,9 @@
             return NotRun("upstream-down", f"{engine} failed several times in a row")
         if self._health.is_ailing(engine, now) and not question.insist:
             return NotRun(AILING, f"{engine} fails or refuses many requests")
+        target = self._view.target(engine)
+        if target is not None and target.intake.rest.of_some > 0 and not question.insist:
+            return NotRun(AILING, f"{engine} turns some routers away")
         return None
 
     def _context_engine(self, question: Question) -> str:
@@ -247,11 +250,9 @@
         return context_engine(self._memory, question.chat, question.engine, question.settled, young)
 
     def _target(self, question: Question) -> Target | NotRun:
-        """Return the upstream that is asked for, or why it may not be sent the request.
-
-        Whether its region is allowed is the entry router's to know, which sends.
-        """
-        return open_target(self._view.target(question.engine), question.engine, question.resuming)
+        """Return the upstream that is asked for, or why no router may send it the request."""
+        target = self._view.target(question.engine)
+        return grantable_target(target, question.engine, question.resuming)
 
     def _ask_gate_anew(self, target: Target, question: Question) -> Verdict:
         """Ask the gate for a request that waited, since its upstream may have turned cold."""
--- a/pondhatch/requests/_sending.py
+++ b/pondhatch/requests/_sending.py
@@ -64,10 +64,20 @@
     if target is None:
         return NotRun(Closed.LEAVING, f"{upstream} is gone")
     closed = target.intake.closed_to(regions, resuming)
-    if closed is None:
-        return target
-    told = NotRun(closed, f"{upstream} {_TOLD[closed]}")
-    return replace(told, retry_after=target.intake.rest) if closed is Closed.RESTING else told
+    return target if closed is None else _closed(target, closed, target.intake.rest.own)
+
+
+def grantable_target(target: Target | None, upstream: str, resuming: bool) -> Target | NotRun:
+    """Return an upstream that may be granted to some router, else why it may not."""
+    if target is None:
+        return NotRun(Closed.LEAVING, f"{upstream} is gone")
+    closed = target.intake.closed_to_all(resuming)
+    return target if closed is None else _closed(target, closed, target.intake.rest.of_all)
+
+
+def _closed(target: Target, why: Closed, rest: float) -> NotRun:
+    told = NotRun(why, f"{target.name} {_TOLD[why]}")
+    return replace(told, retry_after=rest) if why is Closed.RESTING else told
 
 
 class Upstreams(Protocol):
--- a/pondhatch/requests/tests/_history.py
+++ b/pondhatch/requests/tests/_history.py
@@ -16,6 +16,7 @@
 from pondhatch.membership import short_id
 from pondhatch.placement import (
     CLOSING,
+    NO_REST,
     OPEN,
     Closed,
     ColdAllowance,
@@ -430,7 +431,9 @@
         intake, now = self._fleet.intake_of(engine), asyncio.get_running_loop().time()
         if self.notices.is_leaving(engine, now):
             intake = msgspec.structs.replace(intake, is_live=False)
-        return msgspec.structs.replace(intake, rest=self.notices.rest_left(engine, now))
+        if intake.rest != NO_REST:
+            return intake
+        return msgspec.structs.replace(intake, rest=self.notices.rest(engine, now))
 
     def closed_home(self, service: str, chat: str, regions: Regions) -> tuple[str, str] | None:
         return None
--- a/pondhatch/requests/tests/test_refusals.py
+++ b/pondhatch/requests/tests/test_refusals.py
@@ -6,7 +6,7 @@
 import unittest
 
 from fakes._virtual_loop import run_virtually
-from pondhatch.placement import Granted, ranked
+from pondhatch.placement import Closed, Granted, Intake, Rest, ranked
 from pondhatch.placement._gate import FULL_SECONDS
 from pondhatch.placement._health import AILING_SHARE, ERROR_WEIGHT, FAILURES
 from pondhatch.requests import (
@@ -129,6 +129,24 @@
         self.assertEqual(run_virtually(main())[:2], [Busy(2, 2), Granted(2, 2)])
         self.assertIsInstance(run_virtually(main())[2], Granted)
 
+    def test_an_engine_that_turns_some_away_gets_what_has_nowhere_else_to_go(self) -> None:
+        async def main(rest: Rest, insist: bool) -> OwnerReply:
+            fleet = Fleet([], [], False)
+            fleet.intake_by_engine["e0"] = Intake(rest=rest)
+            asked = question(fleet, self.entry, insist=insist)
+            return await fleet.routers[self.entry].entry.ask(self.owner, asked, FIRST_WAIT)
+
+        for rest, insist, code in (
+            (Rest(of_some=1.0), False, AILING),
+            (Rest(of_some=1.0), True, ""),
+            # Its own rest binds the owner where it sends, not where it grants.
+            (Rest(own=1.0), False, ""),
+            (Rest(own=1.0, of_all=1.0), True, Closed.RESTING),
+        ):
+            with self.subTest(rest=rest, insist=insist):
+                reply = run_virtually(main(rest, insist))
+                self.assertEqual(getattr(reply, "code", ""), code)
+
     def test_an_engine_that_goes_on_being_full_of_nothing_is_passed_over(self) -> None:
         async def main() -> list[OwnerReply]:
             fleet = Fleet([], [], False)
--- a/pondhatch/router/_intakes.py
+++ b/pondhatch/router/_intakes.py
@@ -72,7 +72,7 @@
             is_live=is_live,
             is_evacuated=self.halls.evacuations.is_evacuated(upstream.hall),
             region=self.halls.region(upstream.hall),
-            rest=self.notices.rest_left(upstream.name, now),
+            rest=self.notices.rest(upstream.name, now),
             cold_pace=service.cold_pace if self._is_cold(upstream, now) else None,
         )
 
--- a/pondhatch/router/_notice_keeping.py
+++ b/pondhatch/router/_notice_keeping.py
@@ -1,10 +1,11 @@
 """What upstreams say of themselves in their answers: heard by one router, known to others.
 
-Whoever hears it tells: that an upstream leaves, all routers, and that it wants a rest, those that
-own upstreams of its service, which grant what goes there and in its place. Only what was news is
-told, at once and 0.1 s later once more; a router that is new or back is told by three others,
-and whoever becomes the owner of an upstream that rests by those that know of it. A router that
-missed it all is told by the upstream itself, at the cost of one request turned away.
+Whoever hears it tells: that an upstream leaves, all routers; that it has no places and wants a
+rest, those that own upstreams of its service, which grant what goes there and in its place; that
+it wants a rest though it has places, its owner, which spares it. Only what was news is told, at
+once and 0.1 s later once more; a router that is new or back is told by three others, and whoever
+becomes the owner of an upstream that rests by those that know of it. A router that missed it all
+is told by the upstream itself, at the cost of one request turned away.
 """
 
 from __future__ import annotations
@@ -39,6 +40,8 @@
     is_leaving: bool
     #: Seconds that are left of its rest.
     rest: float
+    #: Whether it has places all the same.
+    has_places: bool = False
 
 
 class NoticePacket(msgspec.Struct, frozen=True, array_like=True, tag=70):
@@ -80,7 +83,8 @@
         except (msgspec.DecodeError, ValueError):
             return
         for told in packet.notices:
-            self._state.hear(told.upstream, Notice(told.is_leaving, told.rest))
+            notice = Notice(told.is_leaving, told.rest, told.has_places)
+            self._state.hear(told.upstream, notice, is_own=False)
 
     def tick(self) -> None:
         """Do what is due each round."""
@@ -100,9 +104,10 @@
                 self._tell_of_rest(upstream, notice)
 
     def _tell_of_rest(self, upstream: str, notice: Notice) -> None:
-        """Tell the owner of an upstream that rests, then those of others of its service."""
+        """Tell the owner of an upstream that rests, then those whose upstreams carry its load."""
         owner = self._state.owner_name(upstream)
-        concerned = self._state.owners_beside(upstream) - {owner}
+        beside = set() if notice.has_places else self._state.owners_beside(upstream)
+        concerned = beside - {owner}
         others = [each for each in self._others() if each.name in concerned]
         told = others[: self._packets_left]
         self._packets_left -= len(told)
@@ -125,7 +130,7 @@
         if not to:
             return
         told = [
-            ToldNotice(name, notice.is_leaving, round(notice.rest, 3))
+            ToldNotice(name, notice.is_leaving, round(notice.rest, 3), notice.has_places)
             for name, notice in notice_by_upstream.items()
         ]
         for at in range(0, len(told), NOTICES_IN_PACKET):
--- a/pondhatch/router/_state.py
+++ b/pondhatch/router/_state.py
@@ -319,14 +319,17 @@
         """Return for how many seconds an upstream is still cold by its own word."""
         return self._upstream_changes.cold.seconds_left(upstream, self.clock())
 
-    def hear(self, upstream: str, notice: Notice) -> bool:
-        """Take in what an upstream said of itself in an answer; return whether it was news."""
-        known = self.upstreams.upstream(upstream)
+    def hear(self, upstream: str, notice: Notice, is_own: bool = True) -> bool:
+        """Take in what an upstream said of itself in an answer; return whether it was news.
+
+        ``is_own`` says whether this router was told, or heard of it from another one.
+        """
+        known, now = self.upstreams.upstream(upstream), self.clock()
         is_start_known = known is not None and known.start > 0
-        is_news = self.notices.hear(upstream, notice, self.clock(), is_start_known)
-        if is_news and notice.rest > 0:
-            self.gate.rests(upstream, self.clock(), notice.rest)
-        if is_news:
+        is_news = self.notices.hear(upstream, notice, now, is_start_known, is_own)
+        if is_news and notice.rest > 0 and not notice.has_places:
+            self.gate.rests(upstream, now, notice.rest)
+        if is_news and notice.is_leaving:
             self._intakes.forget()
         return is_news
 
--- a/pondhatch/router/tests/test_notice_keeping.py
+++ b/pondhatch/router/tests/test_notice_keeping.py
@@ -9,7 +9,7 @@
 from msgspec.structs import replace
 
 from pondhatch.membership import Alive, Datagram, Gossip, MembershipLimits, Phase, short_id
-from pondhatch.placement import Closed, Granted, Notice
+from pondhatch.placement import Closed, Granted, Notice, Rest
 from pondhatch.requests import RequestHead
 from pondhatch.router import NOTICE_MARK, NoticeKeeping, RouterState
 from pondhatch.router._notice_keeping import REST_PACKETS_A_ROUND
@@ -164,6 +164,22 @@
         self.now = 3.0
         self.assertIsNone(self.closed("r0", engine))
 
+    # One that turned away two in five was closed to all, and its load overran the others.
+    def test_one_that_has_places_is_spared_by_its_owner_and_closed_to_who_was_told(self) -> None:
+        engine = self.start(0)
+        owner = self.states["r0"].owner_name(engine)
+        assert owner is not None
+        told = next(name for name in self.names[:3] if name != owner)
+        self.keepings[told].heard(engine, Notice(rest=3.0, has_places=True))
+        self.assertEqual(self.deliver(), [owner])
+        self.assertIs(self.closed(told, engine), Closed.RESTING)
+        for name in set(self.names[:3]) - {told}:
+            self.assertIsNone(self.closed(name, engine))
+        target = self.states[owner].target(engine)
+        assert target is not None
+        self.assertEqual((target.intake.rest, target.peers), (Rest(of_some=3.0), 3))
+        self.assertIsNone(target.intake.closed_to_all())
+
     def test_the_others_carry_its_load(self) -> None:
         for at in range(2):
             self.states["r0"].hear(self.start(at), Notice(rest=3.0))
