A soak of the real programs: drawn faults from outside, promises checked from what callers and engines see

python -m soak draws from a seed the fleet's size and faults that overlap, of routers, engines, the store and the connections to both, which go through relays of its own; engines also say in their answers that they leave or want a rest.

--- a/.ci/run_tests.py
+++ b/.ci/run_tests.py
@@ -21,7 +21,7 @@
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
-FOLDERS = ("pondhatch", "fakes", "bench")
+FOLDERS = ("pondhatch", "fakes", "bench", "soak")
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 #: Set in every test's process, as where a submission is tested: Hypothesis then draws the same
 #: examples each time, and fails no test for the time that drawing one took, which a busy
@@ -32,7 +32,7 @@
 #: Begins the run of one class in a process of its own; a class and a file follow.
 ONE_CLASS = "--one-class"
 #: Parts of names of the classes that take longest, whole fleets and histories.
-SLOW = ("fakes.", "histor", "authority")
+SLOW = ("fakes.", "soak.", "histor", "authority")
 
 
 @dataclass(frozen=True)
--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,13 @@
 # make demo   sets everything up, runs the parts and sends returning chats of both users
 # make test   sets everything up and runs what CI runs: format, lint, types, all tests
 # make bench  prints a JSON line for each measure
+# make soak   runs the histories with many more examples, then drawn faults on real processes
 # make binary builds the one file that is shipped
 
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
+SEEDS ?= 50
 READY := $(VENV)/ready
 
 .PHONY: demo test bench binary soak format clean
@@ -21,7 +23,7 @@
 test: $(READY)
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
-	$(BIN)/mypy pondhatch fakes bench .ci
+	$(BIN)/mypy pondhatch fakes bench soak .ci
 	$(BIN)/python .ci/run_tests.py
 
 bench: $(READY)
@@ -29,6 +31,8 @@
 
 soak: $(READY)
 	$(BIN)/python .ci/run_tests.py --soak
+	$(BIN)/python -m soak --regressions
+	$(BIN)/python -m soak --seeds $(SEEDS) --minutes 0.5
 
 binary: $(READY)
 	rm -rf build && mkdir build
--- a/fakes/_machines_engine.py
+++ b/fakes/_machines_engine.py
@@ -18,6 +18,7 @@
 import os
 import time
 from collections import deque
+from dataclasses import asdict, dataclass
 from typing import Any
 
 from klein import Klein
@@ -42,6 +43,21 @@
 STEP = 0.02
 
 
+@dataclass
+class _Seen:
+    """One request that came."""
+
+    id: str
+    #: In seconds of the machine's steady clock.
+    came_at: float
+    #: When the head of its answer went out; None where none did.
+    answered_at: float | None = None
+    ran: bool = False
+    #: Whether the answer said that the engine leaves, and for how many seconds it wants rest.
+    leaving: bool = False
+    rest: float = 0.0
+
+
 class MachinesEngine:
     """One engine's HTTP interface."""
 
@@ -52,6 +68,8 @@
         self.runs: list[dict[str, Any]] = []
         #: Headers of every request that came, refused ones too: pairs, names in lower case.
         self.asked: list[list[tuple[str, str]]] = []
+        #: What came and what was said to it, in the order of arrival; see _Seen.
+        self.seen: list[_Seen] = []
         self._name = name
         self._cold_until = 0.0
         #: Requests within one second that it bears while it is cold.
@@ -76,6 +94,10 @@
             self._most_cold = told["most"]
             return b"ok\n"
 
+        @self.app.route("/seen")
+        def seen(request: Any) -> bytes:
+            return json.dumps([asdict(each) for each in self.seen]).encode()
+
         self.faults.route(self.app)
 
         @self.app.route("/", branch=True)
@@ -85,16 +107,21 @@
     async def _answer(self, request: Any) -> bytes:
         request.setHeader("Keep-Alive", "timeout=5")
         self.asked.append(_pairs(request))
+        seen = _Seen(request.getHeader("Attempt-Id") or "", time.monotonic())
+        self.seen.append(seen)
         if self.faults.strike("leaving"):
             request.setHeader("Server-Leaving", "1")
+            seen.leaving = True
         if request.getHeader("Expect-Instance") != self._name:
             request.setResponseCode(421)
+            seen.leaving = False
             return b""
         self._bear()
         if fault := self.faults.strike("shed"):
             request.setResponseCode(503)
             request.setHeader("Not-Executed", "1")
             request.setHeader("Retry-After", f"{fault.seconds:g}")
+            seen.answered_at, seen.rest = time.monotonic(), fault.seconds
             return b""
         unknown_here = any(request.getHeader(name) is not None for name in MUST_BE_HERE)
         if unknown_here or self.faults.strike("refuse"):
@@ -108,11 +135,13 @@
         }
         run = {"id": attempt, "headers": headers, "outcome": "running"}
         self.runs.append(run)
+        seen.ran = True
         gone = asyncio.Event()
         request.notifyFinish().addErrback(lambda _: gone.set())
         if fault := self.faults.strike("stall"):
             await asyncio.sleep(fault.seconds)
         await self._end_with(request, request.content.getvalue())
+        seen.answered_at = time.monotonic()
         request.setHeader("Attempt-Id", "another" if self.faults.strike("cross") else attempt)
         request.setHeader("Instance-Signature", f"{self._name}.{attempt}")
         if self.faults.strike("echo"):
--- a/fakes/_machines_fleet.py
+++ b/fakes/_machines_fleet.py
@@ -114,7 +114,7 @@
         """Write an engine's entry, with some fields set to something else."""
         entry = {
             "Service": engine.service,
-            "Address": engine.url.removeprefix("http://"),
+            "Address": self.address_of(engine),
             "Zone": engine.hall,
             "Version": "v1",
             "Slots": 8,
@@ -125,6 +125,15 @@
         }
         self.put("servers", engine.name, entry)
 
+    def address_of(self, backend: Backend) -> str:
+        """Return the "IP:port" at which routers reach a stand-in."""
+        return backend.url.removeprefix("http://")
+
+    def restart(self, router: MachinesRouter) -> None:
+        """Start a router whose process has ended once more, with the settings that it had."""
+        path = self.folder / f"{router.name}.yaml"
+        router.process = self._start("pondhatch", "run", str(path))
+
     def add_router(self, hall: str) -> MachinesRouter:
         """Start a router with the settings that the deploy folder makes."""
         ports = RouterPorts(*free_ports(len(fields(RouterPorts))))
@@ -154,7 +163,7 @@
                 "Ready": f"{HOST}:{ports.ready}",
             },
             "PortRange": [ports.peers, ports.admin],
-            "Platform": {"Address": self.objects.url.removeprefix("http://")},
+            "Platform": {"Address": self.address_of(self.objects)},
             "Bounds": BOUNDS,
         }
         settings: dict[str, Any] = yaml.safe_load(fill(TEMPLATE.read_text(), gaps))
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,71 @@
+"""Run drawn faults against the real programs: ``python -m soak --seed 7 --minutes 1``."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+import tomllib
+from collections import Counter
+from pathlib import Path
+
+import defopt
+
+from soak._plan import Plan, draw_plan
+from soak._records import Records
+from soak._run import run_plan
+
+REGRESSIONS = Path(__file__).parent / "regressions.toml"
+
+
+def soak(
+    *,
+    seed: int = 1,
+    seeds: int = 1,
+    minutes: float = 0.5,
+    routers: int = 4,
+    regressions: bool = False,
+) -> None:
+    """Run one seed after the other, and say what broke a promise.
+
+    :param seed: the first seed
+    :param seeds: how many, counted up from it
+    :param minutes: for how long faults begin, in each
+    :param routers: the most routers that a seed may draw
+    :param regressions: run each seed that ever broke a promise instead
+    """
+    plans = [draw_plan(seed + at, minutes * 60, routers) for at in range(seeds)]
+    if regressions:
+        kept = tomllib.loads(REGRESSIONS.read_text())["run"]
+        plans = [draw_plan(each["seed"], each["minutes"] * 60, each["routers"]) for each in kept]
+    broken = [plan.seed for plan in plans if not _is_clean(plan)]
+    print(f"{len(plans) - len(broken)} clean, {len(broken)} broken{_listed(broken)}")
+    sys.exit(1 if broken else 0)
+
+
+def _is_clean(plan: Plan) -> bool:
+    records, broken = asyncio.run(run_plan(plan))
+    print(json.dumps({**_summary(plan, records), "broken": broken}), flush=True)
+    return not broken
+
+
+def _summary(plan: Plan, records: Records) -> dict[str, object]:
+    statuses = Counter(str(each.status) for each in records.attempts)
+    return {
+        "seed": plan.seed,
+        "routers": plan.routers,
+        "engines": plan.engines,
+        "faults": dict(Counter(each.kind for each in plan.faults)),
+        "attempts": len(records.attempts),
+        "statuses": dict(sorted(statuses.items())),
+        "said_leaving": sum(each.said_leaving for each in records.arrivals),
+        "asked_for_rest": sum(each.rest > 0 for each in records.arrivals),
+    }
+
+
+def _listed(seeds: list[int]) -> str:
+    return f": {', '.join(map(str, seeds))}" if seeds else ""
+
+
+if __name__ == "__main__":
+    defopt.run(soak)
--- /dev/null
+++ b/soak/_callers.py
@@ -0,0 +1,146 @@
+"""Callers that keep their connections until the router's process is gone."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import time
+import uuid
+
+import h11
+
+from soak._fleet import SoakFleet
+from soak._records import Attempt, Route
+
+ROUTES = (
+    Route("/notes/a", is_repeatable=True, is_stream=True),
+    Route("/notes/b", is_repeatable=True, is_stream=True),
+    Route("/proofs/a", is_repeatable=False, is_stream=False),
+    Route("/x", is_repeatable=True, is_stream=False),
+)
+KEY = "key-1"
+BODY = b"body"
+#: Milliseconds that a caller waits, and seconds after which it gives a silent router up.
+DEADLINE_MS = 4000
+PATIENCE = 6.0
+#: Seconds between two requests of one caller, on average, and in a burst.
+PAUSE, BURST_PAUSE = 0.25, 0.05
+PART_BYTES = 64 * 1024
+
+
+class Caller:
+    """One caller, who sends one request after the other."""
+
+    def __init__(self, fleet: SoakFleet, rng: random.Random) -> None:
+        self._fleet = fleet
+        self._rng = rng
+        self._router = ""
+        self._streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
+        #: Whether it sends many times its usual.
+        self.is_in_burst = False
+
+    async def run(self) -> None:
+        """Send until cancelled."""
+        try:
+            while True:
+                pause = BURST_PAUSE if self.is_in_burst else PAUSE
+                await asyncio.sleep(self._rng.expovariate(1 / pause))
+                await self._send()
+        finally:
+            self._close()
+
+    async def _send(self) -> None:
+        try:
+            reader, writer = self._streams or await self._connect()
+        except OSError:
+            return
+        route, attempt = self._rng.choice(ROUTES), uuid.uuid4().hex[:16]
+        found = Attempt(attempt, route, self._router, time.monotonic(), 0.0)
+        answer = _Answer()
+        with contextlib.suppress(OSError, TimeoutError, h11.ProtocolError):
+            async with asyncio.timeout(PATIENCE):
+                await answer.read(reader, writer, route, attempt)
+        if not answer.keeps_connection:
+            self._close()
+        self._fleet.records.attempts.append(answer.noted(found))
+
+    async def _connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        up = [each for each in self._fleet.routers if each.name not in self._fleet.down]
+        router = self._rng.choice(up or self._fleet.routers)
+        host, _, port = router.clients.removeprefix("http://").rpartition(":")
+        self._router = router.name
+        async with asyncio.timeout(PATIENCE):
+            self._streams = await asyncio.open_connection(host, int(port))
+        return self._streams
+
+    def _close(self) -> None:
+        streams, self._streams = self._streams, None
+        if streams is not None:
+            streams[1].transport.abort()
+
+
+class _Answer:
+    """One answer as far as it came."""
+
+    def __init__(self) -> None:
+        self.keeps_connection = False
+        self._status: int | None = None
+        self._signature = ""
+        self._is_whole = False
+        self._body = bytearray()
+
+    async def read(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        route: Route,
+        attempt: str,
+    ) -> None:
+        """Send a request and read its answer. Raises OSError and h11.ProtocolError."""
+        http = h11.Connection(h11.CLIENT)
+        parts = [_request(route, attempt), h11.Data(data=BODY), h11.EndOfMessage()]
+        for part in parts:
+            writer.write(http.send(part) or b"")
+        await writer.drain()
+        while True:
+            event = http.next_event()
+            if event is h11.NEED_DATA:
+                http.receive_data(await reader.read(PART_BYTES))
+            elif isinstance(event, h11.Response):
+                self._status = event.status_code
+                values = dict(event.headers)
+                self._signature = values.get(b"instance-signature", b"").decode()
+            elif isinstance(event, h11.Data):
+                self._body += event.data
+            elif isinstance(event, h11.EndOfMessage):
+                self._is_whole = True
+                self.keeps_connection = http.our_state is h11.DONE
+                return
+            else:
+                return
+
+    def noted(self, begun: Attempt) -> Attempt:
+        """Return the attempt with what became of it."""
+        return Attempt(
+            begun.id,
+            begun.route,
+            begun.router,
+            begun.sent_at,
+            time.monotonic(),
+            self._status,
+            self._signature,
+            self._is_whole,
+            bytes(self._body),
+        )
+
+
+def _request(route: Route, attempt: str) -> h11.Request:
+    headers = [
+        ("Host", "desk.example"),
+        ("Attempt-Id", attempt),
+        ("Authorization", f"Bearer {KEY}"),
+        ("Deadline-Ms", str(DEADLINE_MS)),
+        ("Content-Length", str(len(BODY))),
+    ]
+    return h11.Request(method="POST", target=route.path, headers=headers)
--- /dev/null
+++ b/soak/_fleet.py
@@ -0,0 +1,172 @@
+"""The processes of one run, with a relay before each engine and before the store."""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any, TypeVar
+
+from fakes._local_fleet import Backend, fetch
+from fakes._machines_fleet import HALLS, MachinesFleet, MachinesRouter, changed
+from pondhatch.platform.tests._wire import CONFIGURATION
+from soak._records import Arrival, Disturbance, Records, Version
+from soak._relay import Relay
+
+#: Seconds for a router to start and know what it needs.
+START_SECONDS = 60.0
+SERVICES = ("lang", "portal")
+#: The store, among the things that are struck.
+STORE_NAME = "store"
+T = TypeVar("T")
+
+
+class _RelayedFleet(MachinesFleet):
+    """A fleet whose routers reach engines and store through relays."""
+
+    def __init__(self, relay_by_name: dict[str, Relay]) -> None:
+        super().__init__(log_level="ERROR")
+        self._relay_by_name = relay_by_name
+
+    def address_of(self, backend: Backend) -> str:
+        host, _, port = backend.url.removeprefix("http://").rpartition(":")
+        relay = self._relay_by_name[backend.name]
+        relay.target = (host, int(port))
+        return relay.address
+
+
+@dataclass
+class SoakFleet:
+    """Starts all processes, keeps what was done to them, and ends those it started."""
+
+    records: Records = field(default_factory=Records)
+    relay_by_name: dict[str, Relay] = field(default_factory=dict)
+    #: Routers whose process was ended on purpose and not started again yet.
+    down: set[str] = field(default_factory=set)
+    #: Engines that were ended on purpose, or are about to end.
+    ended: set[str] = field(default_factory=set)
+    version: int = CONFIGURATION["Version"]
+    _life_by_router: dict[str, int] = field(default_factory=dict)
+    _engines_started: int = 0
+
+    def __post_init__(self) -> None:
+        self.fleet = _RelayedFleet(self.relay_by_name)
+
+    async def start(self, routers: int, engines: int) -> None:
+        """Start everything, and wait until every router serves."""
+        await self._add_relay(STORE_NAME)
+        await in_thread(self.fleet.__enter__)
+        await in_thread(lambda: self.fleet.put("config", "main", CONFIGURATION))
+        for _ in range(engines):
+            for service in SERVICES:
+                await self.add_engine(service)
+        for at in range(routers):
+            hall = HALLS[at % len(HALLS)]
+            await in_thread(functools.partial(self.fleet.add_router, hall))
+        await self._await_ready()
+
+    async def stop(self) -> None:
+        """End what was started."""
+        for relay in self.relay_by_name.values():
+            relay.close()
+        await in_thread(lambda: self.fleet.__exit__(None, None, None))
+
+    @property
+    def routers(self) -> list[MachinesRouter]:
+        """All routers, those included that are down."""
+        return self.fleet.machines
+
+    @property
+    def engines(self) -> list[Backend]:
+        """The engines that were not ended."""
+        return [each for each in self.fleet.backends if each.name not in self.ended]
+
+    async def add_engine(self, service: str) -> Backend:
+        """Start an engine under a name of its own."""
+        self._engines_started += 1
+        name = f"i-{service}-{self._engines_started}"
+        await self._add_relay(name)
+        hall = HALLS[self._engines_started % len(HALLS)]
+        return await in_thread(lambda: self.fleet.add_engine(name, service, hall))
+
+    async def restart(self, router: MachinesRouter) -> None:
+        """Start a router again, and wait until it serves."""
+        self._life_by_router[router.name] = self._life_by_router.get(router.name, 0) + 1
+        await in_thread(lambda: self.fleet.restart(router))
+        self.down.discard(router.name)
+
+    async def configure(self) -> None:
+        """Put the next version of the configuration into the store."""
+        self.version += 1
+        edited = changed(CONFIGURATION, self.version)
+        edited["Routes"][0]["TimeoutMs"] = 7000 + self.version % 1000
+        await in_thread(lambda: self.fleet.put("config", "main", edited))
+
+    def note(self, kind: str, name: str, begins: float) -> None:
+        """Keep that something was done to a process from a moment until now."""
+        self.records.disturbances.append(Disturbance(kind, name, begins, time.monotonic()))
+
+    async def look(self) -> None:
+        """Keep which configuration each router has in force, and who ended by itself."""
+        for router in tuple(self.routers):
+            if router.process.poll() is not None and router.name not in self.down:
+                self.records.ended_by_themselves.append(router.name)
+                self.down.add(router.name)
+            if router.name in self.down:
+                continue
+            life = self._life_by_router.get(router.name, 0)
+            state = await in_thread(functools.partial(_state_of, router))
+            if state is not None and life == self._life_by_router.get(router.name, 0):
+                version = Version(router.name, life, time.monotonic(), state["configuration"])
+                self.records.versions.append(version)
+
+    async def collect(self, engine: Backend) -> None:
+        """Keep what an engine saw, if it still tells."""
+        seen = await in_thread(lambda: _seen_by(engine))
+        self.records.arrivals += [
+            Arrival(
+                each["id"],
+                engine.name,
+                each["came_at"],
+                each["answered_at"],
+                each["ran"],
+                each["leaving"],
+                each["rest"],
+            )
+            for each in seen
+        ]
+
+    async def _add_relay(self, name: str) -> None:
+        relay = self.relay_by_name[name] = Relay()
+        await relay.start()
+
+    async def _await_ready(self) -> None:
+        deadline = time.monotonic() + START_SECONDS
+        for router in self.routers:
+            while not await in_thread(router.is_ready):
+                if time.monotonic() > deadline:
+                    raise TimeoutError(f"{router.name} did not start in time")
+                await asyncio.sleep(0.1)
+
+
+async def in_thread(call: Callable[[], T]) -> T:
+    """Do what blocks without holding up callers and relays."""
+    return await asyncio.to_thread(call)
+
+
+def _state_of(router: MachinesRouter) -> dict[str, Any] | None:
+    try:
+        found: dict[str, Any] = fetch(f"http://{router.admin}/state.json")
+    except OSError:
+        return None
+    return found
+
+
+def _seen_by(engine: Backend) -> list[dict[str, Any]]:
+    try:
+        found: list[dict[str, Any]] = fetch(f"{engine.url}/seen")
+    except OSError:
+        return []
+    return found
--- /dev/null
+++ b/soak/_plan.py
@@ -0,0 +1,95 @@
+"""What a seed draws: the fleet's size, its work, and a series of faults that overlap."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+
+#: Seconds from the first request to the first fault.
+CALM_SECONDS = 2.0
+#: Seconds after the last fault in which the fleet must have recovered.
+RECOVERY_SECONDS = 12.0
+#: Seconds at the end in which nearly all must be served.
+TAIL_SECONDS = 4.0
+#: Faults for each second, where several last for seconds.
+FAULTS_A_SECOND = 0.9
+
+#: What a fault strikes, by its kind.
+ROUTER, ENGINE, STORE, FLEET = "router", "engine", "store", "fleet"
+TARGET_BY_KIND = {
+    "kill": ROUTER,
+    "stop": ROUTER,
+    "freeze": ROUTER,
+    "hangup": ROUTER,
+    "engine-crash": ENGINE,
+    "engine-freeze": ENGINE,
+    "engine-leaves": ENGINE,
+    "engine-rests": ENGINE,
+    "engine-refuses": ENGINE,
+    "engine-fails": ENGINE,
+    "engine-cuts": ENGINE,
+    "engine-crosses": ENGINE,
+    "engine-delayed": ENGINE,
+    "engine-reset": ENGINE,
+    "engine-silent": ENGINE,
+    "engine-one-way": ENGINE,
+    "store-out": STORE,
+    "store-lost-answers": STORE,
+    "store-forgets": STORE,
+    "store-restored": STORE,
+    "store-reset": STORE,
+    "store-silent": STORE,
+    "store-slow": STORE,
+    "configuration": FLEET,
+    "burst": FLEET,
+}
+
+
+@dataclass(frozen=True)
+class Fault:
+    """One fault of a run."""
+
+    #: Seconds from the first request.
+    at: float
+    kind: str
+    #: Which of the things of its kind it strikes, beyond their number counted from the start.
+    target: int
+    #: For how long it lasts, where it lasts.
+    seconds: float
+    #: How often it strikes, where it strikes so often.
+    count: int
+
+
+@dataclass(frozen=True)
+class Plan:
+    """One run of the soak."""
+
+    seed: int
+    routers: int
+    #: Engines of each service.
+    engines: int
+    callers: int
+    #: Seconds in which faults begin.
+    seconds: float
+    faults: tuple[Fault, ...]
+
+
+def draw_plan(seed: int, seconds: float, most_routers: int) -> Plan:
+    """Return what a seed draws; the same for the same arguments."""
+    rng = random.Random(seed)
+    routers = rng.randint(2, max(2, most_routers))
+    engines = rng.randint(2, max(3, most_routers // 4))
+    number = max(3, round(seconds * FAULTS_A_SECOND))
+    faults = sorted((_draw_fault(rng, seconds) for _ in range(number)), key=lambda each: each.at)
+    callers = 6 * min(routers, 12)
+    return Plan(seed, routers, engines, callers, seconds, tuple(faults))
+
+
+def _draw_fault(rng: random.Random, seconds: float) -> Fault:
+    return Fault(
+        at=round(CALM_SECONDS + rng.uniform(0, seconds), 3),
+        kind=rng.choice(tuple(TARGET_BY_KIND)),
+        target=rng.randrange(1000),
+        seconds=round(rng.choice((0.3, 1.0, 3.0, 5.0)) * rng.uniform(0.7, 1.3), 3),
+        count=rng.choice((1, 3, 10, 40)),
+    )
--- /dev/null
+++ b/soak/tests/test_soak.py
@@ -0,0 +1,20 @@
+"""A short run of one seed against the real programs."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from soak._plan import draw_plan
+from soak._run import run_plan
+
+#: Draws engines that leave and that ask for rest, a frozen and a killed router, among others.
+SEED = 32
+SECONDS = 18.0
+
+
+class SoakTest(unittest.TestCase):
+    def test_no_promise_breaks_under_drawn_faults(self) -> None:
+        records, broken = asyncio.run(run_plan(draw_plan(SEED, SECONDS, 4)))
+        self.assertEqual(broken, [])
+        self.assertGreater(len(records.attempts), 100)
