--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,6 +1,7 @@
 """Run the measures: ``python -m bench [NAME...]``; without names, all of them.
 
-Each prints JSON lines: name, value, unit, baseline, ratio.
+Each prints JSON lines: name, value, unit, baseline, ratio. ``python -m bench policies --help``
+tells how ways of the code are compared on the users' bench.
 """
 
 from __future__ import annotations
@@ -47,7 +48,11 @@
 
 
 def main(names: list[str]) -> int:
-    """Run the named measures."""
+    """Run the named measures, or compare ways of the code on the users' bench."""
+    if names[:1] == ["policies"]:
+        from bench import _policies
+
+        return _policies.main(names[1:])
     unknown = [name for name in names if name not in MEASURES]
     if unknown:
         print(f"no measure {unknown[0]!r}; known: {', '.join(MEASURES)}", file=sys.stderr)
--- /dev/null
+++ b/bench/_policies.py
@@ -0,0 +1,164 @@
+"""Several ways of the code, compared on the same days and seeds of the users' bench.
+
+A way is a folder that holds the repository as it is to be played, so that ways may differ in
+anything. Played one after the other or a few at a time; the table holds the mean of each
+figure over the seeds, and the least and the most.
+"""
+
+from __future__ import annotations
+
+import re
+import statistics
+import subprocess
+import sys
+from collections.abc import Iterable, Mapping, Sequence
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+
+import defopt
+
+#: Lines of a day's report, by what they tell.
+_WORTH = re.compile(r"^worth (?P<worth>-?[\d.]+) = whole day (?P<day>[\d.]+)", re.MULTILINE)
+_REFUSED = re.compile(r"^how tries ended:.*?\b503: (?P<refused>\d+)", re.MULTILINE)
+_BROKEN = re.compile(r"^ *(?P<rule>[A-Z]{4,}) at ", re.MULTILINE)
+
+
+class Unplayed(Exception):
+    """A day was not played to its end."""
+
+
+@dataclass(frozen=True)
+class Played:
+    """What one day of one way came to."""
+
+    worth: float
+    #: Share of the day's credit that was earned, before prices.
+    earned: float
+    #: Answers of 503.
+    refused: int
+    #: Rules that were broken.
+    broken: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True)
+class Run:
+    """One day to be played."""
+
+    way: str
+    site: Path
+    #: A day's name or its file.
+    day: str
+    seed: int
+
+
+def read_report(text: str) -> Played:
+    """Return what a day's report says. Raises Unplayed where it says no worth."""
+    worth = _WORTH.search(text)
+    if worth is None:
+        raise Unplayed(text.strip().splitlines()[-1] if text.strip() else "no report")
+    refused = _REFUSED.search(text)
+    return Played(
+        worth=float(worth["worth"]),
+        earned=float(worth["day"]),
+        refused=int(refused["refused"]) if refused else 0,
+        broken=tuple(found["rule"] for found in _BROKEN.finditer(text)),
+    )
+
+
+def table(played_by_run: Mapping[Run, Played]) -> str:
+    """Return a line for each way, deployment and day."""
+    groups: dict[tuple[str, str, str], list[Played]] = {}
+    for run, played in played_by_run.items():
+        groups.setdefault((run.site.stem, Path(run.day).stem, run.way), []).append(played)
+    lines = [
+        f"{'deployment':24} {'day':28} {'way':16} {'worth':22} {'earned':22} {'503s':>8} broken"
+    ]
+    for (site, day, way), found in sorted(groups.items()):
+        worth = _spread([each.worth for each in found])
+        earned = _spread([each.earned for each in found])
+        refused = statistics.mean(each.refused for each in found)
+        broken = " ".join(rule for each in found for rule in each.broken) or "none"
+        lines.append(f"{site:24} {day:28} {way:16} {worth:22} {earned:22} {refused:8.0f} {broken}")
+    return "\n".join(lines)
+
+
+def policies(
+    *,
+    bench: Path,
+    way: list[str],
+    site: list[Path],
+    day: list[str],
+    seeds: int = 3,
+    first_seed: int = 1,
+    jobs: int = 2,
+    why: str = "Trial: ways compared",
+) -> None:
+    """Play ways x deployments x days x seeds, and print one table.
+
+    :param bench: the users' bench
+    :param way: NAME=FOLDER, once for each way
+    :param site: a deployment's site file
+    :param day: a day's name or file
+    :param seeds: how many, counted up from the first
+    :param first_seed: the first seed
+    :param jobs: days played at a time, each in a folder of its own
+    :param why: a line for the journal of each folder
+    """
+    folder_by_way = {
+        name: Path(folder) for name, _, folder in (each.partition("=") for each in way)
+    }
+    numbers = range(first_seed, first_seed + seeds)
+    runs = [
+        Run(name, each_site.resolve(), _day(each_day), seed)
+        for name in folder_by_way
+        for each_site in site
+        for each_day in day
+        for seed in numbers
+    ]
+    print(table(_play_all(runs, bench.resolve(), folder_by_way, jobs, why)))
+
+
+def _day(day: str) -> str:
+    return str(Path(day).resolve()) if Path(day).exists() else day
+
+
+def _play_all(
+    runs: Sequence[Run], bench: Path, folder_by_way: Mapping[str, Path], jobs: int, why: str
+) -> dict[Run, Played]:
+    """Play the runs of one folder one after the other, and folders side by side."""
+
+    def play_way(name: str) -> Iterable[tuple[Run, Played]]:
+        return [
+            (run, _play(run, bench, folder_by_way[name], why)) for run in runs if run.way == name
+        ]
+
+    with ThreadPoolExecutor(jobs) as pool:
+        by_way = list(pool.map(play_way, folder_by_way))
+    return {run: played for found in by_way for run, played in found}
+
+
+def _play(run: Run, bench: Path, folder: Path, why: str) -> Played:
+    command = [
+        *(str(bench), "run", str(run.site), run.day),
+        *("--seed", str(run.seed), "--no-cpu", "--why", f"{why} ({run.way})"),
+    ]
+    ended = subprocess.run(command, cwd=folder, capture_output=True, text=True, check=False)
+    try:
+        return read_report(ended.stdout)
+    except Unplayed as error:
+        raise Unplayed(f"{run}: {error}; {ended.stderr.strip()[-200:]}") from error
+
+
+def _spread(values: Sequence[float]) -> str:
+    return f"{statistics.mean(values):.3f} ({min(values):.3f} to {max(values):.3f})"
+
+
+def main(arguments: list[str]) -> int:
+    """Run the comparison as the command line says."""
+    try:
+        defopt.run(policies, argv=arguments)
+    except Unplayed as error:
+        print(f"not played: {error}", file=sys.stderr)
+        return 1
+    return 0
