Send nobody away until a long rest ends where other engines are only down

What callers would have heard: one engine that asks for an hour of rest, the others down for a second, and "come back in an hour". The rests of a walk are a class of their own now, forgotten where a walk begins anew.

--- a/pondhatch/requests/_entry.py
+++ b/pondhatch/requests/_entry.py
@@ -32,6 +32,7 @@
     NotOwner,
     Question,
 )
+from pondhatch.requests._rests import Rests
 from pondhatch.requests._sending import FAILURE_STATUS, is_own_failure
 from pondhatch.requests._tries import Tries
 from pondhatch.requests._walk_results import (
@@ -54,8 +55,6 @@
 NOTHING_SENT = frozenset(
     {*Closed, "upstream-down", AILING, "upstream-unreachable", "router-unreachable"}
 )
-#: Codes of engines that want nothing for a while.
-RESTING = frozenset({Closed.RESTING, EngineRefusal.OVERLOADED})
 #: Refusals of engines that may take the same request a moment later.
 MAY_TAKE_IT_AGAIN = frozenset({EngineRefusal.FULL, EngineRefusal.DECLINED})
 #: Engines that refuse a request without a reason before its caller is told: where a second
@@ -94,8 +93,7 @@
         self._asks = 0
         #: Engines' refusals of this request so far, the newest last.
         self._refusals: list[NotRun] = []
-        #: When the rests end of engines that want nothing now, in the loop's seconds.
-        self._rest_ends: list[float] = []
+        self._rests = Rests(view)
         self._has_waited_for_rest = False
         #: Engines that refused it, and may take it a moment later.
         self._may_take_it: set[str] = set()
@@ -156,6 +154,7 @@
         return failed
 
     async def _walk(self) -> Placed | Refused:
+        self._rests.clear()
         while self._remaining() > 0:
             step = self.plan.next()
             if isinstance(step, Exhausted):
@@ -171,26 +170,22 @@
         return Refused(out_of_time())
 
     async def _rest_is_over(self) -> bool:
-        """Wait for the nearest end of a rest, once, where nothing else holds the request back.
+        """Wait for the nearest end of a rest, once, where no engine is full beside it.
 
         No longer than it would wait for a place, or its caller may as well come back then.
         """
-        rest = self._nearest_rest()
+        rest = self._rests.nearest()
         bearable = min(self._most_patience.last, self._remaining())
-        if rest is None or self._has_waited_for_rest or rest > bearable:
+        if rest is None or rest > bearable or self._has_waited_for_rest:
+            return False
+        if self.plan.in_flight_by_engine:
             return False
         self._has_waited_for_rest = True
         await asyncio.sleep(rest)
-        self._rest_ends.clear()
+        self._rests.clear()
         self.plan = Plan(self._chat, self._live_upstreams())
         return True
 
-    def _nearest_rest(self) -> float | None:
-        """Return the seconds to the end of the first rest, None where engines are full as well."""
-        if not self._rest_ends or self.plan.in_flight_by_engine:
-            return None
-        return max(0.0, min(self._rest_ends) - asyncio.get_running_loop().time())
-
     async def note_cut(self, engine: str, lost: Unknown | Broken) -> None:
         """Find out whether a run that was cut ended with its engine.
 
@@ -310,21 +305,11 @@
             self.plan.ailing()
         if isinstance(reply, Unknown):
             await self.note_cut(ask.engine, reply)
-        if isinstance(reply, NotRun) and reply.code in RESTING:
-            self._note_rest(ask.engine, reply)
+        if isinstance(reply, NotRun):
+            self._rests.note(ask.engine, reply)
         self._note_refused(ask, reply)
         return self._after_failure(ask, reply)
 
-    def _note_rest(self, engine: str, reply: NotRun) -> None:
-        """Note when an engine that wants nothing now may be asked again."""
-        told = reply.retry_after if reply.code == Closed.RESTING else self._rest_of(engine)
-        self._rest_ends.append(asyncio.get_running_loop().time() + told)
-
-    def _rest_of(self, engine: str) -> float:
-        """Return for how many seconds an engine wants nothing, as far as this router knows."""
-        target = self._view.target(engine)
-        return target.intake.rest.own if target is not None else 0.0
-
     def _note_refused(self, ask: Ask, reply: Refusal) -> None:
         """Note who did not take the request, and what that says of where else it may go."""
         why = f"{reply.code}: {reply.reason}"
@@ -420,7 +405,7 @@
         """
         if not isinstance(reply, NotRun) or reply.refusal is not EngineRefusal.OVERLOADED:
             return reply
-        nearest = min((self._rest_of(each) for each in self._live_upstreams()), default=0.0)
+        nearest = self._rests.known_nearest(self._live_upstreams())
         return msgspec.structs.replace(reply, retry_after=max(nearest, reply.retry_after))
 
     def _is_about_the_request(self, reply: NotRun) -> bool:
@@ -450,9 +435,11 @@
             wrong = f"service {self._head.service} has no upstream that may take the request"
             return NotRun("no-upstream", wrong)
         asked = ", ".join(f"{engine} ({why})" for engine, why in self.plan.passed_over)
-        rest = self._nearest_rest()
-        if rest is not None:
-            return NotRun("engines-resting", f"asked {asked}", max(rest, SOON_RETRY_AFTER))
+        rest = self._rests.nearest()
+        if rest is not None and not self.plan.in_flight_by_engine:
+            # What keeps it from the others, if any, may be over before.
+            after = rest if self._rests.are_all(step.asked) else min(rest, FULL_RETRY_AFTER)
+            return NotRun("engines-resting", f"asked {asked}", max(after, SOON_RETRY_AFTER))
         if self._refusals and not self.plan.in_flight_by_engine:
             # Nobody is full, so that is not what the caller is told.
             return self._refusals[-1]
--- a/pondhatch/requests/tests/test_notice_histories.py
+++ b/pondhatch/requests/tests/test_notice_histories.py
@@ -15,7 +15,9 @@
 
 from fakes._virtual_loop import run_virtually
 from pondhatch.placement import Notice
+from pondhatch.placement._health import FAILURES
 from pondhatch.requests import NotRun
+from pondhatch.requests._entry import FULL_RETRY_AFTER
 from pondhatch.requests._leases import LEASE_SECONDS
 from pondhatch.requests.tests._history import (
     PACKET_FAULTS,
@@ -116,6 +118,27 @@
         self.assertLess(took, 0.3)
         self.assertAlmostEqual(second.retry_after, 3.0, delta=0.3)
 
+    # A rest of an hour at one engine sent callers away for an hour, though the others were down.
+    def test_where_others_are_only_down_its_caller_comes_back_before_the_rest_ends(self) -> None:
+        async def history() -> object:
+            fleet = Fleet([], [], False)
+            began = asyncio.get_running_loop().time()
+            fleet.notices = [("e0", Notice(rest=900.0), began, began + 9.0)]
+            await fleet.request(0, True, False)
+            await asyncio.sleep(0.1)  # What the answer tells its owner is on its way.
+            for router in fleet.routers.values():
+                for engine in ("e1", "e2"):
+                    for _ in range(FAILURES):
+                        router.health.failed(engine, asyncio.get_running_loop().time())
+            for number in (3, 6, 9):
+                await fleet.request(number, True, False)
+            return fleet.history.outcome_by_request["q9"]
+
+        outcome = run_virtually(history())
+        assert isinstance(outcome, NotRun)
+        self.assertEqual(outcome.code, "engines-resting")
+        self.assertLessEqual(outcome.retry_after, FULL_RETRY_AFTER)
+
     def test_a_rest_that_is_over_soon_is_waited_for(self) -> None:
         async def history() -> tuple[object, float]:
             fleet = Fleet([], [], False)
