--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -7,6 +7,7 @@
 import functools
 import signal
 import time
+import urllib.error
 from collections.abc import Awaitable, Callable, Sequence
 
 from fakes._local_fleet import Backend
@@ -24,6 +25,8 @@
 SERVES_ON = 3.0
 #: Seconds by which a relay delays every part.
 DELAY = 0.2
+#: Status of the store where there is no such object.
+GONE = 404
 #: More answers than a fault outlasts.
 ALWAYS = 100_000
 #: Engines of a service, and routers, that are left alone, so that some work is done.
@@ -159,10 +162,19 @@
         await self._crash(engine)
 
     async def _told(self, write: Callable[[], None]) -> None:
-        """Have the store take a write of the operator or an engine, which tries until it does."""
+        """Have the store take a write of the operator or an engine, which tries until it does.
+
+        What is to be removed and is not there was removed by a try whose answer was lost.
+        """
         while True:
-            with contextlib.suppress(OSError):
+            try:
                 return await in_thread(write)
+            except urllib.error.HTTPError as error:
+                error.close()
+                if error.code == GONE:
+                    return None
+            except OSError:
+                pass
             await asyncio.sleep(0.2)
 
     # -- the store, and all of the fleet ------------------------------------------
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import signal
 import time
 
 from soak._callers import Caller
@@ -20,6 +21,7 @@
 async def run_plan(plan: Plan) -> tuple[Records, list[str]]:
     """Run a plan; return what was seen, and what broke a promise."""
     fleet = SoakFleet()
+    _end_when_told()
     try:
         await fleet.start(plan.routers, plan.engines)
         await _under_faults(fleet, plan)
@@ -30,6 +32,13 @@
     return fleet.records, violations(fleet.records)
 
 
+def _end_when_told() -> None:
+    """Have a signal to end end what was started, too."""
+    task = asyncio.current_task()
+    if task is not None:
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+
+
 async def _under_faults(fleet: SoakFleet, plan: Plan) -> None:
     callers = [Caller(fleet, random.Random(plan.seed * 1000 + at)) for at in range(plan.callers)]
     async with asyncio.TaskGroup() as group:
