Tell a request's or a belief's story from routers' lines: pondhatch explain

Until now a failed request's cause was found with grep over each router's file. Lines are ordered by cause where clocks differ: what a peer gave comes after the peer had it.

--- a/pondhatch/cli/_commands.py
+++ b/pondhatch/cli/_commands.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from pondhatch.cli._change_commands import apply, check, diff, undo
+from pondhatch.cli._explain_command import explain
 from pondhatch.cli._hall_commands import evacuate, reopen
 from pondhatch.cli._key_commands import new_key
 from pondhatch.cli._router_commands import dump, lift, where
@@ -21,6 +22,7 @@
     evacuate,
     reopen,
     dump,
+    explain,
     lift,
     new_key,
 ]
--- /dev/null
+++ b/pondhatch/cli/_explain_command.py
@@ -0,0 +1,50 @@
+"""The command that tells a request's or a belief's story from routers' lines."""
+
+from __future__ import annotations
+
+import sys
+import time
+from pathlib import Path
+
+import msgspec
+
+from pondhatch.cli._reports import EXIT_DONE, EXIT_INPUT
+from pondhatch.explaining import Story, read_lines
+from pondhatch.explaining import explain as explained
+
+
+def explain(name: str, *files: Path, json: bool = False) -> int:
+    """Say what became of a request, or of what routers believe, and what was known.
+
+    :param name: a request's id or digest, an upstream, a router, a hall, or a configuration's
+        version
+    :param files: files of routers' lines (log: {form: lines}), of as many routers as there are
+    :param json: print one JSON object
+    """
+    texts: list[str] = []
+    for file in files:
+        try:
+            texts += file.read_text(errors="replace").splitlines()
+        except OSError as error:
+            print(f"{file}: {error.strerror}", file=sys.stderr)
+            return EXIT_INPUT
+    found = read_lines(texts)
+    story = explained(name, found.lines)
+    if not story.events:
+        told = f"{len(found.lines)} lines, {found.skipped} others"
+        print(f"nothing is said of {name!r} in {len(files)} files ({told})", file=sys.stderr)
+        return EXIT_INPUT
+    print(msgspec.json.encode(story).decode() if json else _as_text(story))
+    return EXIT_DONE
+
+
+def _as_text(story: Story) -> str:
+    lines = [f"{_clock(each.at)}  {each.router}: {each.text}" for each in story.events]
+    if story.known:
+        lines += ["", "What its router held to be so as it ended:"]
+        lines += [f"  since {_clock(each.at)}: {each.text}" for each in story.known]
+    return "\n".join(lines)
+
+
+def _clock(at: float) -> str:
+    return f"{time.strftime('%H:%M:%S', time.gmtime(at))}.{int(at % 1 * 1000):03d}"
--- /dev/null
+++ b/pondhatch/explaining/tests/test_story.py
@@ -0,0 +1,110 @@
+"""Stories of requests and beliefs, from the lines of routers whose clocks differ."""
+
+from __future__ import annotations
+
+import unittest
+
+import msgspec
+
+from pondhatch.explaining import Story, explain, in_order, read_lines
+from pondhatch.observing import Believed, Record, RequestEnded
+
+LOST = RequestEnded(
+    id="9c41",
+    account="pina",
+    service="lang",
+    outcome="upstream-lost",
+    ms=40,
+    configuration=7,
+    passed_over=(("i-1", "upstream-lost: i-1: reset"),),
+)
+
+
+def line(router: str, at: float, record: Record) -> str:
+    """Return a line as a router writes it."""
+    body = msgspec.json.encode(record).decode()
+    return f'{{"at":{at:.3f},"router":"{router}",{body[1:]}'
+
+
+def in_force(version: int, source: str) -> Believed:
+    return Believed("configuration", "", "in force", version, f"follows 1, from {source}")
+
+
+class ReadingTest(unittest.TestCase):
+    def test_records_are_read_whatever_stands_before_them(self) -> None:
+        texts = [
+            line("r0", 1.0, LOST),
+            "   5.914 r1 " + line("r1", 2.0, in_force(7, "the platform")),
+            '{"at":3.0,"router":"r1","event":"log","text":"no record"}',
+            "2026-12-03 WARNING the store is slow",
+            '{"at":',
+            "",
+        ]
+        found = read_lines(texts)
+        self.assertEqual([each.router for each in found.lines], ["r0", "r1"])
+        self.assertEqual(found.lines[0].record, LOST)
+        self.assertEqual(found.skipped, 4)
+
+
+class OrderTest(unittest.TestCase):
+    def routers(self, *texts: str) -> list[tuple[str, float]]:
+        return [(each.router, each.at) for each in in_order(read_lines(texts).lines)]
+
+    def test_by_time_where_nothing_speaks_against_it(self) -> None:
+        first, second = line("r1", 1.0, LOST), line("r0", 2.0, LOST)
+        self.assertEqual(self.routers(second, first), [("r1", 1.0), ("r0", 2.0)])
+
+    def test_what_a_peer_gave_comes_after_the_peer_had_it(self) -> None:
+        """The clock of r1 is four seconds behind; its later lines move with it."""
+        texts = (
+            line("r0", 10.0, in_force(8, "the platform")),
+            line("r0", 10.5, LOST),
+            line("r1", 6.1, in_force(8, "r0")),
+            line("r1", 6.7, LOST),
+        )
+        found = self.routers(*texts)
+        self.assertEqual(found, [("r0", 10.0), ("r1", 6.1), ("r0", 10.5), ("r1", 6.7)])
+
+
+class StoryTest(unittest.TestCase):
+    def story(self, name: str, *texts: str) -> Story:
+        return explain(name, read_lines(texts).lines)
+
+    def test_a_failed_request_with_what_was_known_and_what_came_to_be(self) -> None:
+        texts = (
+            line("r0", 1.0, in_force(7, "the platform")),
+            line("r0", 2.0, Believed("upstream", "i-1", "live", 3, "new")),
+            line("r0", 2.0, Believed("upstream", "i-2", "live", 3, "new")),
+            line("r0", 20.0, LOST),
+            line("r1", 20.4, Believed("upstream", "i-1", "removed", 9, "was live")),
+            line("r1", 90.0, Believed("upstream", "i-1", "live", 12, "was removed")),
+        )
+        story = self.story("9c41", *texts)
+        self.assertEqual([each.router for each in story.events], ["r0", "r1"])
+        self.assertIn("nobody can say whether it did", story.events[0].text)
+        self.assertIn("i-1 did not take it: upstream-lost", story.events[0].text)
+        self.assertIn("upstream i-1 is removed as of 9 (was live)", story.events[1].text)
+        known = [each.text for each in story.known]
+        self.assertEqual(
+            known[0], "configuration is in force as of 7 (follows 1, from the platform)"
+        )
+        self.assertEqual(known[1:], ["upstream i-1 is live as of 3 (new)"])
+
+    def test_all_attempts_at_one_request_by_their_digest(self) -> None:
+        cut = msgspec.structs.replace(LOST, digest="ab", cut_at=(("i-1", True),))
+        other = msgspec.structs.replace(cut, id="9c42")
+        suspected = Believed("request", "ab", "suspected", why="i-1 ended while it ran it")
+        texts = (line("r0", 1.0, cut), line("r1", 1.1, suspected), line("r1", 3.0, other))
+        story = self.story("ab", *texts)
+        self.assertEqual([each.router for each in story.events], ["r0", "r1", "r1"])
+        self.assertIn("its run was cut at i-1, which ended", story.events[0].text)
+
+    def test_a_belief_by_its_name_or_version(self) -> None:
+        texts = (
+            line("r0", 1.0, in_force(7, "the platform")),
+            line("r1", 1.2, in_force(7, "r0")),
+            line("r1", 2.0, Believed("notice", "i-1", "resting", why="new")),
+        )
+        self.assertEqual([each.router for each in self.story("7", *texts).events], ["r0", "r1"])
+        self.assertEqual(self.story("i-1", *texts).events[0].text, "notice i-1 is resting (new)")
+        self.assertEqual(self.story("i-9", *texts).events, ())
