--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -3,11 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import functools
 import signal
 import time
-import urllib.error
 from collections.abc import Awaitable, Callable, Sequence
 
 from fakes._local_fleet import Backend
@@ -25,8 +23,6 @@
 SERVES_ON = 3.0
 #: Seconds by which a relay delays every part.
 DELAY = 0.2
-#: Status of the store where there is no such object.
-GONE = 404
 #: More answers than a fault outlasts.
 ALWAYS = 100_000
 #: Engines of a service, and routers, that are left alone, so that some work is done.
@@ -150,33 +146,17 @@
         self._fleet.ended.add(engine.name)
         engine.process.kill()
         await in_thread(engine.process.wait)
-        await self._told(lambda: self._fleet.fleet.remove("servers", engine.name))
+        await in_thread(lambda: self._fleet.fleet.remove("servers", engine.name))
         await self._fleet.add_engine(engine.service)
 
     async def _leave(self, engine: Backend) -> None:
         """Have an engine say that it leaves, in its answers first; another takes its place."""
         await in_thread(lambda: engine.arm("leaving", ALWAYS))
         await asyncio.sleep(LIST_LATE)
-        await self._told(lambda: self._fleet.fleet.say(engine, "draining", Sequence=2))
+        await in_thread(lambda: self._fleet.fleet.say(engine, "draining", Sequence=2))
         await asyncio.sleep(SERVES_ON)
         await self._crash(engine)
 
-    async def _told(self, write: Callable[[], None]) -> None:
-        """Have the store take a write of the operator or an engine, which tries until it does.
-
-        What is to be removed and is not there was removed by a try whose answer was lost.
-        """
-        while True:
-            try:
-                return await in_thread(write)
-            except urllib.error.HTTPError as error:
-                error.close()
-                if error.code == GONE:
-                    return None
-            except OSError:
-                pass
-            await asyncio.sleep(0.2)
-
     # -- the store, and all of the fleet ------------------------------------------
 
     async def _store_fault(self, fault: Fault) -> None:
@@ -203,20 +183,14 @@
 
     async def _write_again(self) -> None:
         """Have the operator and the engines write again what the store lost."""
-        await self._configured()
+        await self._fleet.configure()
         for engine in self._fleet.engines:
             if engine.name not in self._busy:
-                await self._told(functools.partial(self._fleet.fleet.say, engine, "ready"))
-
-    async def _configured(self) -> None:
-        while True:
-            with contextlib.suppress(OSError):
-                return await self._fleet.configure()
-            await asyncio.sleep(0.2)
+                await in_thread(functools.partial(self._fleet.fleet.say, engine, "ready"))
 
     async def _fleet_fault(self, fault: Fault) -> None:
         if fault.kind == "configuration":
-            await self._configured()
+            await self._fleet.configure()
             return
         for caller in self._callers:
             caller.is_in_burst = True
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import functools
+import http.client
 import time
+import urllib.error
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any, TypeVar
@@ -17,6 +19,11 @@
 
 #: Seconds for a router to start and know what it needs.
 START_SECONDS = 60.0
+#: Seconds in which the store takes what the operator and engines write, and between two tries.
+STORE_SECONDS = 60.0
+STORE_PAUSE = 0.2
+#: Status of the store where there is no such object.
+NOT_THERE = 404
 SERVICES = ("lang", "portal")
 #: The store, among the things that are struck.
 STORE_NAME = "store"
@@ -30,6 +37,14 @@
         super().__init__(log_level="ERROR")
         self._relay_by_name = relay_by_name
 
+    def put(self, kind: str, name: str, spec: Any) -> None:
+        """Write an object, again and again until the store says that it did."""
+        _until_told(functools.partial(super().put, kind, name, spec))
+
+    def remove(self, kind: str, name: str) -> None:
+        """Remove an object; one that is not there was removed by a try whose answer was lost."""
+        _until_told(functools.partial(super().remove, kind, name))
+
     def address_of(self, backend: Backend) -> str:
         host, _, port = backend.url.removeprefix("http://").rpartition(":")
         relay = self._relay_by_name[backend.name]
@@ -151,6 +166,21 @@
                 await asyncio.sleep(0.1)
 
 
+def _until_told(call: Callable[[], None]) -> None:
+    deadline = time.monotonic() + STORE_SECONDS
+    while time.monotonic() < deadline:
+        try:
+            return call()
+        except urllib.error.HTTPError as error:
+            error.close()
+            if error.code == NOT_THERE:
+                return None
+        except (OSError, http.client.HTTPException):
+            pass
+        time.sleep(STORE_PAUSE)
+    raise TimeoutError(f"the store did not take a write in {STORE_SECONDS} s")
+
+
 async def in_thread(call: Callable[[], T]) -> T:
     """Do what blocks without holding up callers and relays."""
     return await asyncio.to_thread(call)
@@ -159,7 +189,7 @@
 def _state_of(router: MachinesRouter) -> dict[str, Any] | None:
     try:
         found: dict[str, Any] = fetch(f"http://{router.admin}/state.json")
-    except OSError:
+    except (OSError, http.client.HTTPException):
         return None
     return found
 
@@ -167,6 +197,6 @@
 def _seen_by(engine: Backend) -> list[dict[str, Any]]:
     try:
         found: list[dict[str, Any]] = fetch(f"{engine.url}/seen")
-    except OSError:
+    except (OSError, http.client.HTTPException):
         return []
     return found
