Show over processes that the OpenAI interface's engines are heard in their answers too

The stand-in engine says X-Leaving and Retry-After; both are gone by at both routers, and an engine that reports again that it stays is used again.

--- a/fakes/_engine.py
+++ b/fakes/_engine.py
@@ -6,7 +6,8 @@
 after a time, in the place where the next one is due), ``end-early`` (end the stream
 in the middle as if it were whole), ``duplicate`` (a second answer to the same
 request follows so), ``garble`` (bytes that form no answer stand in the middle),
-``refuse`` (503, not run), ``leaving`` (say so in a load report).
+``refuse`` (503, not run), ``shed`` (the same, and nothing more is wanted for a time),
+``leaving`` (say so in a load report), ``says-leaving`` (say so in an answer).
 """
 
 from __future__ import annotations
@@ -118,10 +119,15 @@
     async def _chat(self, request: Any) -> None:
         body = json.loads(request.content.read())
         request_id = request.getHeader("x-request-id") or "none"
-        if self.faults.strike("refuse"):
+        if self.faults.strike("says-leaving"):
+            request.setHeader("X-Leaving", "1")
+        shed = self.faults.strike("shed")
+        if shed is not None or self.faults.strike("refuse"):
             request.setResponseCode(503)
             request.setHeader("X-Not-Run", "1")
             request.setHeader("X-Request-Id", request_id)
+            if shed is not None:
+                request.setHeader("Retry-After", f"{shed.seconds:g}")
             return
         resumed = request.getHeader("x-resume")
         if resumed is not None and not self._can_resume(resumed):
--- a/fakes/tests/_fleet_case.py
+++ b/fakes/tests/_fleet_case.py
@@ -26,6 +26,8 @@
     "end-early",
     "refuse",
     "leaving",
+    "says-leaving",
+    "shed",
 )
 
 
--- a/fakes/tests/test_upstream_notices.py
+++ b/fakes/tests/test_upstream_notices.py
@@ -9,6 +9,7 @@
 from concurrent.futures import ThreadPoolExecutor
 
 from fakes._machines_fleet import eventually
+from fakes.tests import _fleet_case as chats
 from fakes.tests import test_intake as intake
 
 #: More answers than a test asks for.
@@ -17,6 +18,10 @@
 KNOWN_IN = 0.5
 #: Seconds of rest that an engine asks for.
 REST = 3.0
+#: Seconds of a rest that outlasts a test.
+LONG_REST = 60.0
+#: Seconds within which an engine's report that it stays is believed and known to its owner.
+REPORTED_IN = 20.0
 #: Seconds within which the end of a rest is told exactly enough to come back by.
 CLOSE = 0.3
 
@@ -74,3 +79,36 @@
             told = asked_at + float(answer.headers["Retry-After"])
             self.assertAlmostEqual(told, began + REST, delta=CLOSE)
         self.assertEqual((self.asked("i-lang-0"), self.asked("i-lang-1")), before)
+
+
+class ChatTest(chats.FleetCase):
+    """The same in the product's own words, at engines that serve the OpenAI API."""
+
+    def tearDown(self) -> None:
+        self.disarm()
+
+    def ran(self, engine: int) -> int:
+        return len(self.runs(self.engines[engine]))
+
+    def is_used(self, engine: int) -> bool:
+        """Return whether one of some chats runs at an engine."""
+        before = self.ran(engine)
+        for at in range(8):
+            self.stream(f"chat {at} of {before}", router=at % 2)
+        return self.ran(engine) > before
+
+    def test_an_engine_that_says_that_it_leaves_or_wants_a_rest_gets_no_chat(self) -> None:
+        for fault, seconds in (("says-leaving", 0.0), ("shed", LONG_REST)):
+            with self.subTest(fault):
+                # Once it reports again that it stays, it is used again.
+                self.eventually(lambda: self.is_used(0), REPORTED_IN)
+                self.engines[0].arm(fault, ALWAYS, seconds)
+                for at in range(8):
+                    self.stream(f"{fault} {at}", router=at % 2)
+                # From here on it would serve what came.
+                self.engines[0].arm(fault, 0)
+                time.sleep(KNOWN_IN)
+                before = self.ran(0)
+                texts = [self.stream(f"after {fault} {at}", router=at % 2) for at in range(8)]
+                self.assertTrue(all(self.whole(text) for text in texts), texts)
+                self.assertEqual(self.ran(0), before)
