--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -105,8 +105,7 @@
 
     async def _end(self, router: MachinesRouter, fault: Fault) -> None:
         number = signal.SIGKILL if fault.kind == "kill" else signal.SIGTERM
-        if number == signal.SIGKILL:
-            self._fleet.down.add(router.name)
+        self._fleet.ending.add(router.name)
         router.process.send_signal(number)
         deadline = time.monotonic() + GRACE_SECONDS
         while router.process.poll() is None and time.monotonic() < deadline:
@@ -115,7 +114,10 @@
         if router.process.poll() is None:
             self._fleet.records.ended_by_themselves.append(f"{router.name} (not in its grace)")
             router.process.kill()
-        await in_thread(router.process.wait)
+        code = await in_thread(router.process.wait)
+        if number == signal.SIGTERM and code != 0:
+            self._fleet.records.ended_by_themselves.append(f"{router.name} (exit {code})")
+        self._fleet.ending.discard(router.name)
         await asyncio.sleep(fault.seconds)
         await self._fleet.restart(router)
 
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -60,6 +60,8 @@
     relay_by_name: dict[str, Relay] = field(default_factory=dict)
     #: Routers whose process was ended on purpose and not started again yet.
     down: set[str] = field(default_factory=set)
+    #: Routers that were told to end, and have not been seen to.
+    ending: set[str] = field(default_factory=set)
     #: Engines that were ended on purpose, or are about to end.
     ended: set[str] = field(default_factory=set)
     version: int = CONFIGURATION["Version"]
@@ -126,10 +128,12 @@
     async def look(self) -> None:
         """Keep which configuration each router has in force, and who ended by itself."""
         for router in tuple(self.routers):
-            if router.process.poll() is not None and router.name not in self.down:
-                self.records.ended_by_themselves.append(router.name)
+            if router.name in self.down | self.ending:
+                continue
+            code = router.process.poll()
+            if code is not None:
+                self.records.ended_by_themselves.append(f"{router.name} (exit {code})")
                 self.down.add(router.name)
-            if router.name in self.down:
                 continue
             life = self._life_by_router.get(router.name, 0)
             state = await in_thread(functools.partial(_state_of, router))
