Keep one line before an engine until its last waiter has left

What callers would have seen: an engine that is full for a moment is granted to nobody any more by its owner. Each question about it ended in an error, so its requests waited for an owner that said nothing, and were decided alone, until that router restarted.

Cause: a line was dropped when it was empty, though one whose turn had come had not been woken yet. Whoever joined in between opened a new line, which gives out the same numbers, and lost its place when the first one was woken. The test does that in one turn of the loop; it failed with KeyError ('e', 0).

Why this holds: who waits is kept with the line that gave out the number, and both are dropped when the last has left.

--- a/pondhatch/requests/_lines.py
+++ b/pondhatch/requests/_lines.py
@@ -44,33 +44,44 @@
         return Pace(now, mean)
 
 
+class _Queue(msgspec.Struct, frozen=True):
+    """One engine's line and those who wait in it.
+
+    It is there until its last waiter has left, who may have had its turn some steps before: two
+    lines of one engine at the same time would give out the same places.
+    """
+
+    line: Line = msgspec.field(default_factory=lambda: Line(LINE_LIMIT))
+    waiter_by_number: dict[int, Waiter] = msgspec.field(default_factory=dict)
+
+
 class Lines:
     """The lines before the engines that this router owns."""
 
     def __init__(self, give_back: Callable[[str], None]) -> None:
         self._pace_by_engine: dict[str, Pace] = {}
-        self._line_by_engine: dict[str, Line] = {}
-        self._waiter_by_ticket: dict[tuple[str, int], Waiter] = {}
+        self._queue_by_engine: dict[str, _Queue] = {}
         #: Releases a grant that came too late for its request.
         self._give_back = give_back
 
     def waiting(self, engine: str) -> int:
         """Return how many requests wait for an engine."""
-        line = self._line_by_engine.get(engine)
-        return len(line) if line is not None else 0
+        queue = self._queue_by_engine.get(engine)
+        return len(queue.line) if queue is not None else 0
 
     async def wait(self, question: Question, full: Full, ask: Callable[[], Verdict]) -> Verdict:
         """Wait until granted; ``full`` is the answer when patience ends or the line is full."""
         if self._hopeless(question):
             return full
         engine = question.engine
-        line = self._line_by_engine.setdefault(engine, Line(LINE_LIMIT))
-        ticket = line.join(question.account, question.priority, question.weight / THOUSANDTHS)
+        queue = self._queue_by_engine.setdefault(engine, _Queue())
+        weight = question.weight / THOUSANDTHS
+        ticket = queue.line.join(question.account, question.priority, weight)
         if ticket is None:
             return full
         turn: asyncio.Future[Verdict] = asyncio.get_running_loop().create_future()
-        self._waiter_by_ticket[engine, ticket.number] = Waiter(ticket, ask, turn)
-        self._push_out(engine, line, full)
+        queue.waiter_by_number[ticket.number] = Waiter(ticket, ask, turn)
+        _push_out(queue, full)
         verdict: Verdict | None = None
         try:
             async with asyncio.timeout(question.patience / MILLISECONDS):
@@ -78,7 +89,7 @@
         except TimeoutError:
             verdict = full
         finally:
-            self._leave(engine, line, ticket)
+            self._leave(engine, queue, ticket)
             if verdict is None or verdict is full:
                 self._return_late_grant(engine, turn)
         return verdict
@@ -97,48 +108,50 @@
         Such a request is refused at once: waiting would end in the same refusal.
         """
         pace = self._pace_by_engine.get(question.engine)
-        line = self._line_by_engine.get(question.engine)
-        if pace is None or pace.gap is None or line is None:
+        queue = self._queue_by_engine.get(question.engine)
+        if pace is None or pace.gap is None or queue is None:
             return False
-        wait = line.before(question.account, question.priority) * pace.gap
+        wait = queue.line.before(question.account, question.priority) * pace.gap
         return wait > question.patience / MILLISECONDS
 
     def serve(self, engine: str) -> None:
         """Grant those who wait for an engine, in order, as far as the gate allows."""
-        line = self._line_by_engine.get(engine)
-        while line is not None and (ticket := line.first()) is not None:
-            waiter = self._waiter_by_ticket[engine, ticket.number]
+        queue = self._queue_by_engine.get(engine)
+        while queue is not None and (ticket := queue.line.first()) is not None:
+            waiter = queue.waiter_by_number[ticket.number]
             if waiter.turn.done():
-                line.leave(ticket)
+                queue.line.leave(ticket)
                 continue
             verdict = waiter.ask()
             if isinstance(verdict, Full):
                 return
-            line.served(ticket)
+            queue.line.served(ticket)
             waiter.turn.set_result(verdict)
 
     def serve_all(self) -> None:
         """Serve every line; called when a ceiling may have risen."""
-        for engine in tuple(self._line_by_engine):
+        for engine in tuple(self._queue_by_engine):
             self.serve(engine)
 
-    def _push_out(self, engine: str, line: Line, full: Full) -> None:
-        last = line.overflow()
-        if last is None:
-            return
-        line.leave(last)
-        waiter = self._waiter_by_ticket[engine, last.number]
-        if not waiter.turn.done():
-            waiter.turn.set_result(full)
-
-    def _leave(self, engine: str, line: Line, ticket: Ticket) -> None:
-        line.leave(ticket)
-        del self._waiter_by_ticket[engine, ticket.number]
-        if not line.by_number and self._line_by_engine.get(engine) is line:
-            del self._line_by_engine[engine]
+    def _leave(self, engine: str, queue: _Queue, ticket: Ticket) -> None:
+        queue.line.leave(ticket)
+        del queue.waiter_by_number[ticket.number]
+        if not queue.waiter_by_number:
+            del self._queue_by_engine[engine]
 
     def _return_late_grant(self, engine: str, turn: asyncio.Future[Verdict]) -> None:
         """Give back a grant made in the moment in which its request stopped waiting."""
         granted = turn.done() and not turn.cancelled() and isinstance(turn.result(), Granted)
         if granted:
             self._give_back(engine)
+
+
+def _push_out(queue: _Queue, full: Full) -> None:
+    """Have the last one leave where the line is longer than it may be."""
+    last = queue.line.overflow()
+    if last is None:
+        return
+    queue.line.leave(last)
+    waiter = queue.waiter_by_number[last.number]
+    if not waiter.turn.done():
+        waiter.turn.set_result(full)
--- a/pondhatch/requests/tests/test_lines.py
+++ b/pondhatch/requests/tests/test_lines.py
@@ -52,6 +52,23 @@
 
         self.assertEqual(run_virtually(main()), (Granted(2, 2), 0))
 
+    # An engine was granted to nobody any more: whoever left took out the place of another.
+    def test_who_joins_as_the_last_ones_leave_keeps_its_place(self) -> None:
+        async def main() -> tuple[Verdict, Verdict, int]:
+            engine = Engine()
+            first, second = engine.wait(), engine.wait()
+            await asyncio.sleep(0.1)
+            # In this order in one turn of the loop: the second leaves, the third joins, and the
+            # first, whose turn has come, is woken after both.
+            second.cancel()
+            third = engine.wait()
+            engine.release()
+            granted = await first
+            engine.release()
+            return granted, await third, engine.lines.waiting("e")
+
+        self.assertEqual(run_virtually(main()), (Granted(2, 2), Granted(2, 2), 0))
+
     def test_patience_ends(self) -> None:
         async def main() -> tuple[Verdict, float]:
             verdict = await Engine().wait()
