--- a/fakes/_local_fleet.py
+++ b/fakes/_local_fleet.py
@@ -17,7 +17,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 from types import TracebackType
-from typing import Any
+from typing import IO, Any
 
 import yaml
 
@@ -127,6 +127,8 @@
     platform_url: str = ""
     platform: Backend | None = None
     _folder: Any = None
+    #: Where processes write their errors; None for where this one does.
+    _errors: IO[bytes] | None = None
     _ended_on_purpose: bool = False
     _started: list[subprocess.Popen[bytes]] = field(default_factory=list)
 
@@ -301,6 +303,7 @@
             [sys.executable, "-m", module, *arguments],
             cwd=ROOT,
             stdout=stdout,
+            stderr=self._errors,
             env={**os.environ, "PYTHONDONTWRITEBYTECODE": "1"},
         )
         self._started.append(process)
--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -141,6 +141,12 @@
     return [f"{name} ended by itself" for name in records.ended_by_themselves]
 
 
+def errors(records: Records) -> list[str]:
+    """Check that no process met an error that it had no answer to."""
+    counted = Counter(records.errors).items()
+    return [f"{times} times {error}" for error, times in counted]
+
+
 #: Every promise that is checked, by its name.
 CHECK_BY_NAME: dict[str, Callable[[Records], list[str]]] = {
     "whole answers": whole_answers,
@@ -152,6 +158,7 @@
     "configuration goes on": configuration_goes_on,
     "recovery": recovery,
     "lives": lives,
+    "errors": errors,
 }
 
 
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -5,6 +5,7 @@
 import asyncio
 import functools
 import http.client
+import tempfile
 import time
 import urllib.error
 from collections.abc import Callable
@@ -22,6 +23,8 @@
 #: Seconds in which the store takes what the operator and engines write, and between two tries.
 STORE_SECONDS = 60.0
 STORE_PAUSE = 0.2
+#: Begins the trace of an error in what a process writes.
+TRACEBACK = "Traceback (most recent call last):"
 #: Status of the store where there is no such object.
 NOT_THERE = 404
 SERVICES = ("lang", "portal")
@@ -37,6 +40,19 @@
         super().__init__(log_level="ERROR")
         self._relay_by_name = relay_by_name
 
+    def __enter__(self) -> _RelayedFleet:
+        self._errors = tempfile.TemporaryFile(prefix="pondhatch-soak-")
+        super().__enter__()
+        return self
+
+    def errors(self) -> list[str]:
+        """Return the last line of each error that a process told of."""
+        if self._errors is None:
+            return []
+        self._errors.seek(0)
+        text = self._errors.read().decode(errors="replace")
+        return [_last_line(part) for part in text.split(TRACEBACK)[1:]]
+
     def put(self, kind: str, name: str, spec: Any) -> None:
         """Write an object, again and again until the store says that it did."""
         _until_told(functools.partial(super().put, kind, name, spec))
@@ -88,6 +104,7 @@
         """End what was started."""
         for relay in self.relay_by_name.values():
             relay.close()
+        self.records.errors += self.fleet.errors()
         await in_thread(lambda: self.fleet.__exit__(None, None, None))
 
     @property
@@ -170,6 +187,12 @@
                 await asyncio.sleep(0.1)
 
 
+def _last_line(trace: str) -> str:
+    """Return what a trace says that went wrong: its first line that is not indented."""
+    lines = (line for line in trace.splitlines() if line and not line.startswith(" "))
+    return next(lines, "an error that is cut off")
+
+
 def _until_told(call: Callable[[], None]) -> None:
     deadline = time.monotonic() + STORE_SECONDS
     while time.monotonic() < deadline:
--- a/soak/_records.py
+++ b/soak/_records.py
@@ -85,6 +85,8 @@
     versions: list[Version] = field(default_factory=list)
     #: Processes that ended though nobody ended them.
     ended_by_themselves: list[str] = field(default_factory=list)
+    #: Errors that processes told of in what they write.
+    errors: list[str] = field(default_factory=list)
     #: From when on nearly all must be served; infinite where that was not waited for.
     recovered_at: float = float("inf")
 
--- a/soak/tests/test_checks.py
+++ b/soak/tests/test_checks.py
@@ -103,6 +103,9 @@
     def test_lives(self) -> None:
         self.assertEqual(self.broken(ended_by_themselves=["r"]), {"lives"})
 
+    def test_errors(self) -> None:
+        self.assertEqual(self.broken(errors=["KeyError: 1", "KeyError: 1"]), {"errors"})
+
     def test_every_check_has_a_test(self) -> None:
         for name in CHECK_BY_NAME:
             self.assertTrue(hasattr(self, f"test_{name.replace(' ', '_')}"), name)
