Call the time for which an ailing upstream is passed over by its name, and drop the tuning's story

"Rest" is what an upstream asks for now; the time for which one that fails is passed over bore the same name. Names and comments alone.

--- a/pondhatch/placement/_health.py
+++ b/pondhatch/placement/_health.py
@@ -17,16 +17,16 @@
 FIRST_PAUSE = 1.0
 LONGEST_PAUSE = 15.0
 #: Weight of one answer in the share of an upstream's answers that were failures of its
-#: own: some ten answers, a second's worth at today's sites, decide.
+#: own: some ten answers decide.
 ERROR_WEIGHT = 0.1
 #: Share from which an upstream is ailing. Some failures follow the request wherever it
-#: runs (one in seven of one kind at the users' render desk), so it stands well above that.
+#: runs, so it stands well above their share.
 AILING_SHARE = 0.35
 #: Share below which an upstream's failures are forgotten.
 WELL_SHARE = 0.01
 #: Seconds for which an ailing one is passed over, first and at most; doubled each time.
-FIRST_REST = 2.0
-LONGEST_REST = 8.0
+FIRST_PASSED_OVER = 2.0
+LONGEST_PASSED_OVER = 8.0
 
 
 class UpstreamHealth(msgspec.Struct, frozen=True):
@@ -45,7 +45,7 @@
     #: Until when it is passed over where another can take the request.
     ailing_until: float = float("-inf")
     #: Seconds for which it is passed over when it is next found ailing.
-    rest: float = FIRST_REST
+    passed_over: float = FIRST_PASSED_OVER
 
     @property
     def is_taken_for_down(self) -> bool:
@@ -116,7 +116,7 @@
         if errors < AILING_SHARE or known.is_ailing(now):
             self.health_by_upstream[upstream] = replace(known, errors=errors)
             return
-        self.health_by_upstream[upstream] = _resting(known, now)
+        self.health_by_upstream[upstream] = _passed_over(known, now)
 
     def leaving(self, upstream: str, now: float) -> None:
         """Note that an upstream refused a request since it is about to end.
@@ -126,20 +126,20 @@
         """
         known = self._known(upstream)
         if not known.is_ailing(now):
-            self.health_by_upstream[upstream] = _resting(known, now)
+            self.health_by_upstream[upstream] = _passed_over(known, now)
 
     def _known(self, upstream: str) -> UpstreamHealth:
         return self.health_by_upstream.get(upstream, UpstreamHealth())
 
 
-def _resting(known: UpstreamHealth, now: float) -> UpstreamHealth:
-    """Return what is known of an upstream that is passed over from now on, for its rest."""
+def _passed_over(known: UpstreamHealth, now: float) -> UpstreamHealth:
+    """Return what is known of an upstream that is passed over from now on."""
     return replace(
         known,
-        # Judged anew after its rest: neither well by default nor ailing at once.
+        # Judged anew after that: neither well by default nor ailing at once.
         errors=AILING_SHARE / 2,
-        ailing_until=now + known.rest,
-        rest=min(LONGEST_REST, known.rest * 2),
+        ailing_until=now + known.passed_over,
+        passed_over=min(LONGEST_PASSED_OVER, known.passed_over * 2),
     )
 
 
--- a/pondhatch/requests/_entry.py
+++ b/pondhatch/requests/_entry.py
@@ -363,8 +363,7 @@
 
         Not where engines take contexts over: there a newcomer has its chats' contexts for a
         sixth of reading them, and left without chats it has the others take its share, up to
-        their ceilings and beyond to engines that hold nothing (0.017 of worth on days on which
-        a third of the engines are replaced).
+        their ceilings and beyond to engines that hold nothing.
         """
         target = self._view.target(home)
         takes_over = target is not None and target.shares_context
--- a/pondhatch/requests/_tries.py
+++ b/pondhatch/requests/_tries.py
@@ -133,10 +133,8 @@
 
         The likeliest holder is named unless this engine served the chat last; where it is sent
         to its home, that is the next of its order, to which it spilled now and then. Taking a
-        context over costs a sixth of reading it again (2.9 a GB of 35 KB a token, 0.65 a
-        thousand tokens, by the users' prices), and asking one that holds nothing costs nothing:
-        shared parts read again 0.059 -> 0.042 of worth, moves 0.016 -> 0.023, on a day on which
-        engines are replaced.
+        context over costs a sixth of reading it again, and asking one that holds nothing costs
+        nothing.
         """
         if not (target.shares_context and head.chat and head.returning):
             return ""
--- a/pondhatch/requests/tests/test_grants.py
+++ b/pondhatch/requests/tests/test_grants.py
@@ -10,7 +10,7 @@
 from fakes._virtual_loop import run_virtually
 from pondhatch.membership import short_id
 from pondhatch.placement import Granted, winner
-from pondhatch.placement._health import FAILURES, FIRST_PAUSE, FIRST_REST
+from pondhatch.placement._health import FAILURES, FIRST_PASSED_OVER, FIRST_PAUSE
 from pondhatch.requests import Busy, Ended, NotOwner, NotRun, OwnerReply, Question, Release
 from pondhatch.requests._grant_packets import DeclinedWord, GrantedWord, GrantPacket
 from pondhatch.requests._leases import LEASE_SECONDS
@@ -329,7 +329,7 @@
         async def main() -> OwnerReply:
             fleet = Fleet([], [], False)
             await self.fail_much(fleet)
-            await asyncio.sleep(FIRST_REST)
+            await asyncio.sleep(FIRST_PASSED_OVER)
             return await self.ask(fleet)
 
         self.assertIsInstance(run_virtually(main()), Granted)
--- a/pondhatch/router/tests/test_beliefs.py
+++ b/pondhatch/router/tests/test_beliefs.py
@@ -14,7 +14,7 @@
 from pondhatch.configuration.tests.test_fleet import account, change
 from pondhatch.observing import Believed, Record
 from pondhatch.observing._records import _sentence
-from pondhatch.placement._health import FAILURES, FIRST_REST
+from pondhatch.placement._health import FAILURES, FIRST_PASSED_OVER
 from pondhatch.router import Beliefs
 from pondhatch.router._beliefs import MOST_A_ROUND
 from pondhatch.router.tests.test_sync import FIRST, meet, router, syncing
@@ -106,7 +106,7 @@
         for _ in range(5):
             self.state.health.erred("e1", 0.0)
         self.assertEqual(self.looked(), [("health", "e1", "ailing", 0)])
-        self.now = FIRST_REST
+        self.now = FIRST_PASSED_OVER
         self.assertEqual(self.looked(), [("health", "e1", "well", 0)])
 
     def test_a_router_that_comes_and_goes(self) -> None:
