Look an upstream up once for each grant, and the version that a peer gave once for all lines

Found by reading the whole change. An owner looked its upstream up a second time to see whether it turns some routers away, on each grant; it is handed the one that it has. The order of logged lines searched all lines for each configuration that came from a peer; they are gone through once. Behaviour stays; the tests are the same.

--- a/pondhatch/explaining/_lines.py
+++ b/pondhatch/explaining/_lines.py
@@ -69,41 +69,32 @@
     into force there after it was at the peer: where clocks say otherwise, the router's is behind,
     and all its later lines move with it.
     """
-    taken_at: dict[tuple[str, int], float] = {}
+    waiting = sorted(lines, key=lambda line: (line.at, line.number))
+    #: When each router had a version in force: by its own clock until it has been placed.
+    taken_at = {
+        (line.router, _version(line.record)): line.at
+        for line in reversed(waiting)
+        if _is_in_force(line.record)
+    }
     shift_by_router: dict[str, float] = {}
     placed: list[tuple[float, int, LoggedLine]] = []
-    waiting = sorted(lines, key=lambda line: (line.at, line.number))
     for line in waiting:
         moment = line.at + shift_by_router.get(line.router, 0.0)
         giver = _giver(line.record)
-        if giver is not None:
-            given = _given_at(waiting, giver, taken_at)
-            if given is not None and given >= moment:
-                shift_by_router[line.router] = given - line.at
-                moment = given
+        given = taken_at.get(giver) if giver is not None else None
+        if given is not None and given >= moment:
+            shift_by_router[line.router] = given - line.at
+            moment = given
         if _is_in_force(line.record):
             taken_at[line.router, _version(line.record)] = moment
         placed.append((moment, line.number, line))
     return tuple(line for _, _, line in sorted(placed, key=lambda each: each[:2]))
 
 
-def _given_at(
-    lines: Sequence[LoggedLine], giver: tuple[str, int], taken_at: dict[tuple[str, int], float]
-) -> float | None:
-    """Return when a router had a version in force, as it was placed or by its own clock."""
-    if giver in taken_at:
-        return taken_at[giver]
-    own = (
-        line.at
-        for line in lines
-        if _is_in_force(line.record) and (line.router, _version(line.record)) == giver
-    )
-    return next(own, None)
-
-
 def _is_in_force(record: Record) -> bool:
-    is_configuration = isinstance(record, Believed) and record.about == "configuration"
-    return is_configuration and isinstance(record, Believed) and record.now == "in force"
+    if not isinstance(record, Believed):
+        return False
+    return record.about == "configuration" and record.now == "in force"
 
 
 def _version(record: Record) -> int:
--- a/pondhatch/requests/_owner.py
+++ b/pondhatch/requests/_owner.py
@@ -104,7 +104,7 @@
             # Asked again, since the first word was lost; what speaks against the engine by
             # now may be this very request, sent to try it.
             return Granted(self._gate.in_flight(target.name, self._clock()), target.slots)
-        declined = self._declined(question)
+        declined = self._declined(question, target)
         if declined is not None:
             return declined
         self._lines.serve(target.name)
@@ -125,7 +125,7 @@
         target = self._target(question)
         if isinstance(target, NotRun):
             return target
-        unwell = self._unwell(question)
+        unwell = self._unwell(question, target)
         if unwell is not None:
             return unwell
         if target.intake.cold_pace is not None:
@@ -220,7 +220,7 @@
         self._end(self.leases.ended(self._clock()))
         self._lines.serve_all()
 
-    def _declined(self, question: Question) -> OwnerReply | None:
+    def _declined(self, question: Question, target: Target) -> OwnerReply | None:
         """Return why a request may not run at an engine that takes work, whatever its load."""
         owner = self._view.owner_name(question.engine)
         if owner != self._name and not question.instead_of_owner:
@@ -228,17 +228,16 @@
         believed = self._context_engine(question)
         if believed != question.engine:
             return Elsewhere(believed)
-        return self._unwell(question)
+        return self._unwell(question, target)
 
-    def _unwell(self, question: Question) -> NotRun | None:
+    def _unwell(self, question: Question, target: Target) -> NotRun | None:
         """Return why a request should not run at an engine, by what became of others there."""
         engine, now = question.engine, self._clock()
         if self._health.is_down(engine, now):
             return NotRun("upstream-down", f"{engine} failed several times in a row")
         if self._health.is_ailing(engine, now) and not question.insist:
             return NotRun(AILING, f"{engine} fails or refuses many requests")
-        target = self._view.target(engine)
-        if target is not None and target.intake.rest.of_some > 0 and not question.insist:
+        if target.intake.rest.of_some > 0 and not question.insist:
             return NotRun(AILING, f"{engine} turns some routers away")
         return None
 
