Say where load is managed, and what grant messages may tell of it

Cause: the parts that decide under load need one place that says whether they are in force, and fields in the messages between routers.

Settings get load_management (off, as-needed, on) and rules_in_force; RouterState.load_managed() is the one answer. Question, Busy and BusyWord get fields that stand last. No part acts on any of this yet.

--- a/bench/_surge.py
+++ b/bench/_surge.py
@@ -117,6 +117,9 @@
     def stopping(self) -> bool:
         return False
 
+    def load_managed(self) -> bool:
+        return False
+
     def is_reachable(self, name: str) -> bool:
         return True
 
--- a/pondhatch/cli/_own_state.py
+++ b/pondhatch/cli/_own_state.py
@@ -6,14 +6,17 @@
 import time
 
 from pondhatch.cli._peer_connections import PeerConnections
-from pondhatch.configuration import ColdSettings, RetrySettings, Settings
+from pondhatch.configuration import ColdSettings, LoadManagement, RetrySettings, Settings
 from pondhatch.limits import RetryAllowance, RetryBudgets
 from pondhatch.membership import Address, Alive, Gossip, MembershipLimits, Phase, short_id
 from pondhatch.placement import ColdAllowance, ColdPaces
 from pondhatch.router import HallStates, RouterState
+from pondhatch.transport import Interface
 
 
-def own_state(settings: Settings, rng: random.Random, connections: PeerConnections) -> RouterState:
+def own_state(
+    settings: Settings, rng: random.Random, connections: PeerConnections, interface: Interface
+) -> RouterState:
     """Return the state of a router that knows nobody but its seeds."""
     seeds = [_address(seed) for seed in settings.seeds]
     gossip = Gossip(_alive(settings), MembershipLimits(), rng, seeds)
@@ -26,9 +29,18 @@
         retries=RetryBudgets(_allowance(settings.retries)),
         halls=HallStates(settings.regions or {}),
         cold_paces=ColdPaces(_cold_allowance(settings.cold)),
+        load_management=_load_management(settings, interface),
     )
 
 
+def _load_management(settings: Settings, interface: Interface) -> LoadManagement:
+    """Return when load is managed, by the settings and the platform's rules in force."""
+    is_asked = interface.asks_for_load_management(settings.rules_in_force)
+    if settings.load_management == "as-needed" and is_asked:
+        return "on"
+    return settings.load_management
+
+
 def _alive(settings: Settings) -> Alive:
     """Return a router's first word on itself; the time makes it newer than an earlier life's."""
     return Alive(
--- a/pondhatch/cli/_router_process.py
+++ b/pondhatch/cli/_router_process.py
@@ -78,7 +78,7 @@
         self._peer_tls = peer_tls(settings.name, settings.peers)
         self._connections = PeerConnections(self._token, self._peer_tls)
         self._rng = random.Random()
-        self.state = own_state(settings, self._rng, self._connections)
+        self.state = own_state(settings, self._rng, self._connections, parts.interface)
         self._gossip_port = GossipPort(Seal(fleet_key), self._receive)
         self._granting = Granting(self.state, self._gossip_port.send, self._tasks, time.time_ns())
         self._spreading = Spreading(self.state, self._gossip_port, self._tasks)
--- a/pondhatch/configuration/_settings.py
+++ b/pondhatch/configuration/_settings.py
@@ -4,7 +4,7 @@
 
 import re
 from pathlib import Path
-from typing import Annotated, Any
+from typing import Annotated, Any, Literal
 
 import msgspec
 from msgspec import Meta
@@ -26,6 +26,12 @@
 Url = Annotated[str, Meta(pattern=r"^https?://")]
 
 
+#: When a router manages load: never, always, or where it is called for: by the platform's rules in
+#: force, or by engines that state their pace. Such an engine shares its machine with others, so
+#: that room comes and goes within a second.
+LoadManagement = Literal["off", "as-needed", "on"]
+
+
 class AdminEndpoint(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Where the state is dumped: on loopback only, since nobody is asked who they are."""
 
@@ -169,6 +175,9 @@
     ready: ReadyEndpoint | None = None
     service_defaults: ServiceDefaults = msgspec.field(default_factory=ServiceDefaults)
     retries: RetrySettings = msgspec.field(default_factory=RetrySettings)
+    load_management: LoadManagement = "off"
+    #: The platform's rules in force, by its own names.
+    rules_in_force: tuple[str, ...] = ()
     cold: ColdSettings = msgspec.field(default_factory=ColdSettings)
     #: The region of each data hall, for what is bound to regions; None where nobody says.
     regions: dict[str, str] | None = None
--- a/pondhatch/platform/__init__.py
+++ b/pondhatch/platform/__init__.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Coroutine
+from collections.abc import Collection, Coroutine
 from typing import Any, ClassVar
 
 from pondhatch.configuration import ConfigurationDocument, ConfigurationSource, ServiceDefaults
@@ -62,6 +62,10 @@
         """Return what serves clients by the operator's routes."""
         return RoutedCallers(parts, ClientDialect())
 
+    def asks_for_load_management(self, rules: Collection[str]) -> bool:
+        """Return whether the rules in force are those of callers that compete for room."""
+        return names.CONTENTION_RULE in rules
+
     def poll_loads(self, state: RouterState) -> Coroutine[Any, Any, None] | None:
         """Return None: each question would be priced as a health check."""
         return None
--- a/pondhatch/platform/_names.py
+++ b/pondhatch/platform/_names.py
@@ -83,3 +83,6 @@
 EVACUATIONS_KIND = "evacuations"
 CONFIGURATION_KIND = "config"
 CONFIGURATION_NAME = "main"
+
+#: The rules in force where callers compete for too little room.
+CONTENTION_RULE = "pressure"
--- a/pondhatch/requests/_entry_view.py
+++ b/pondhatch/requests/_entry_view.py
@@ -48,6 +48,9 @@
     def last_served(self, chat: int) -> str | None:
         """Return the engine that answered a chat last, as far as this router saw."""
 
+    def load_managed(self) -> bool:
+        """Return whether the parts of load management are in force."""
+
 
 class Ways(msgspec.Struct, frozen=True):
     """What a walk goes through to others."""
--- a/pondhatch/requests/_grant_packets.py
+++ b/pondhatch/requests/_grant_packets.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import msgspec
-from msgspec.structs import replace
+from msgspec.structs import astuple, replace
 
 from pondhatch.placement import Granted
 from pondhatch.requests._outcomes import NotRun
@@ -49,6 +49,8 @@
     ceiling: int
     #: See Busy.
     is_cold: bool = False
+    predicted_ms: int = 0
+    come_back_ms: int = 0
 
 
 class ElsewhereWord(_Packet, frozen=True, tag=54):
@@ -122,13 +124,22 @@
 Telling = Release | Hold | Spilled
 GrantPacket = Question | Word | Telling
 
+#: How many fields that stand last in a message tell of managed load only.
+_LOAD_FIELDS_BY_TYPE: dict[type[GrantPacket], int] = {Question: 4, BusyWord: 2}
+
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER: msgspec.msgpack.Decoder[GrantPacket] = msgspec.msgpack.Decoder(GrantPacket)
 
 
 def encode_grant_packet(packet: GrantPacket) -> bytes:
-    """Return a packet's bytes."""
-    return _ENCODER.encode(packet)
+    """Return a packet's bytes; without what tells of managed load where it says nothing."""
+    fields = _LOAD_FIELDS_BY_TYPE.get(type(packet))
+    if fields is None:
+        return _ENCODER.encode(packet)
+    values = astuple(packet)
+    if values[-fields:] != packet.__struct_defaults__[-fields:]:
+        return _ENCODER.encode(packet)
+    return _ENCODER.encode((packet.__struct_config__.tag, *values[:-fields]))
 
 
 def decode_grant_packet(payload: bytes) -> GrantPacket | None:
@@ -144,7 +155,14 @@
     if isinstance(reply, Granted):
         return GrantedWord(number, reply.in_flight, reply.ceiling)
     if isinstance(reply, Busy):
-        return BusyWord(number, reply.in_flight, reply.ceiling, reply.is_cold)
+        return BusyWord(
+            number,
+            reply.in_flight,
+            reply.ceiling,
+            reply.is_cold,
+            reply.predicted_ms,
+            reply.come_back_ms,
+        )
     if isinstance(reply, Elsewhere):
         return ElsewhereWord(number, reply.engine)
     if isinstance(reply, NotOwner):
@@ -158,7 +176,9 @@
     if isinstance(word, GrantedWord):
         return Granted(word.in_flight, word.ceiling)
     if isinstance(word, BusyWord):
-        return Busy(word.in_flight, word.ceiling, word.is_cold)
+        return Busy(
+            word.in_flight, word.ceiling, word.is_cold, word.predicted_ms, word.come_back_ms
+        )
     if isinstance(word, ElsewhereWord):
         return Elsewhere(word.engine)
     if isinstance(word, NotOwnerWord):
--- a/pondhatch/requests/_owner.py
+++ b/pondhatch/requests/_owner.py
@@ -55,6 +55,9 @@
     def stopping(self) -> bool:
         """Return whether this router is draining."""
 
+    def load_managed(self) -> bool:
+        """Return whether the parts of load management are in force."""
+
 
 class MustWait(msgspec.Struct, frozen=True):
     """The engine is at its ceiling, and the request may wait in its line."""
--- a/pondhatch/requests/_questions.py
+++ b/pondhatch/requests/_questions.py
@@ -46,6 +46,15 @@
     #: Whether the one asked is to decide although it does not own the engine: its owner gives
     #: no word.
     instead_of_owner: bool = False
+    #: Milliseconds within which a grant still leaves time for an answer within the objective;
+    #: 0 where that is not said. This and what follows is said where load is managed.
+    in_time: int = 0
+    #: Engines in whose queues the request waits at once, this one included.
+    queues: int = 1
+    #: Tokens that it takes of an engine's memory beside the shared parts; 0 where not said.
+    tokens: int = 0
+    #: Shared parts of its prompt, each as a key and its tokens.
+    parts: tuple[tuple[int, int], ...] = ()
 
     @property
     def holder(self) -> Holder:
@@ -67,6 +76,10 @@
     ceiling: int
     #: Whether it has places, but is cold, and is to get nothing more for a moment.
     is_cold: bool = False
+    #: Milliseconds that a request would wait here for a place, and after which it is worth
+    #: coming back; 0 where they are not estimated.
+    predicted_ms: int = 0
+    come_back_ms: int = 0
 
 
 class Elsewhere(msgspec.Struct, frozen=True):
--- a/pondhatch/requests/tests/_history.py
+++ b/pondhatch/requests/tests/_history.py
@@ -416,6 +416,9 @@
     def stopping(self) -> bool:
         return False
 
+    def load_managed(self) -> bool:
+        return False
+
     def is_reachable(self, name: str) -> bool:
         return name in self._fleet.live
 
--- a/pondhatch/router/_state.py
+++ b/pondhatch/router/_state.py
@@ -15,6 +15,7 @@
     Difference,
     Fleet,
     Gap,
+    LoadManagement,
     Rejected,
     Update,
 )
@@ -61,6 +62,9 @@
 #: Seconds from a router's start in which it grants nothing at cold upstreams: until it has met
 #: its peers, it takes itself for the owner of all.
 ALONE_SECONDS = 0.5
+#: Seconds after the last pace that was read for which load is still managed: engines that state
+#: one do so in each answer, and a service may see no request for a while.
+PACED_SECONDS = 60.0
 #: Decisions kept for the state dump.
 KEPT_DECISIONS = 64
 #: Who gave a configuration that no peer gave.
@@ -96,6 +100,10 @@
     retries: RetryBudgets = field(default_factory=RetryBudgets)
     #: What upstreams said of themselves in their answers.
     notices: Notices = field(default_factory=Notices)
+    #: When load is managed; see ``load_managed``.
+    load_management: LoadManagement = "off"
+    #: When this router last read an engine's pace, in the clock's seconds.
+    pace_read_at: float = float("-inf")
     phase: Phase = Phase.LIVE
     #: Why the platform was last found out of reach; empty while it answers.
     platform_lost: str = ""
@@ -422,7 +430,13 @@
             return Update(difference=difference)
         return Update(snapshot=self.fleet.snapshot())
 
-    # -- limits -------------------------------------------------------------
+    # -- load ---------------------------------------------------------------
+
+    def load_managed(self) -> bool:
+        """Return whether the parts of load management are in force at this router now."""
+        if self.load_management == "as-needed":
+            return self.clock() - self.pace_read_at < PACED_SECONDS
+        return self.load_management == "on"
 
     def begin(self, account: str) -> LimitVerdict:
         """Hold a request against the account's limits."""
--- a/pondhatch/standard/__init__.py
+++ b/pondhatch/standard/__init__.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Coroutine
+from collections.abc import Collection, Coroutine
 from typing import Any, ClassVar
 
 from pondhatch.configuration import ChangeLog, ConfigurationSource
@@ -41,6 +41,10 @@
         """Return what serves the OpenAI-compatible API."""
         return OpenAiCallers(parts)
 
+    def asks_for_load_management(self, rules: Collection[str]) -> bool:
+        """Return that no rule of this platform does."""
+        return False
+
     def poll_loads(self, state: RouterState) -> Coroutine[Any, Any, None] | None:
         """Return what asks owned engines for their load."""
         return poll_loads(state)
--- a/pondhatch/transport/_interface.py
+++ b/pondhatch/transport/_interface.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Collection, Coroutine
 from typing import Any, Protocol
 
 import msgspec
@@ -71,5 +71,8 @@
     def callers(self, parts: CallerParts) -> Callers:
         """Return what serves callers."""
 
+    def asks_for_load_management(self, rules: Collection[str]) -> bool:
+        """Return whether the platform's rules in force, by its own names, ask for it."""
+
     def poll_loads(self, state: RouterState) -> Coroutine[Any, Any, None] | None:
         """Return what asks owned engines for their load, or None where nothing does."""
