Soak: engines that slow down, garble their load or preempt, and callers that read slowly

Cause: the soak knew none of the faults that load brings, and its stand-in of an engine stated no load. A platform that names no rules in force made settings that no router could read, since the stand-in platform filled the gap with an empty text.

They are drawn apart, so that seeds draw the same other faults as before.

No part of load management acts yet.

--- a/fakes/_machines_engine.py
+++ b/fakes/_machines_engine.py
@@ -5,10 +5,11 @@
 ``leaving`` (an answer says that the engine is about to end), ``cut`` (a stream that began
 here breaks in the middle), ``pause`` (it waits there), ``stall`` (an answer waits), ``cross``
 (the answer of another request), ``fail`` (500 of its own), ``echo`` (an answer repeats what the
-router said). A request whose body begins with one of ``ENDING_BODIES`` ends the engine's
-process as it begins to run. A request that names a copy or a reservation which is not here is
-refused and not run. ``POST /cold`` with ``{"seconds": 5, "most": 11}`` makes it cold: its
-process ends where more requests come within one second than it then bears.
+router said), ``slow`` (a stream takes 2.5 times as long, and the engine says so beside its
+load), ``garble-load`` (what it says of its load makes no sense). A request whose body begins
+with one of ``ENDING_BODIES`` ends the engine's process as it begins to run. A request that
+names a copy or a reservation which is not here is refused and not run. ``POST /cold`` with
+``{"seconds": 5, "most": 11}`` makes it cold: its process ends where more requests come within one second than it then bears.
 """
 
 from __future__ import annotations
@@ -29,6 +30,8 @@
 
 #: Events of a stream.
 EVENTS = 6
+#: Requests that it works on at once, as its entry says.
+SLOTS = 8
 #: Headers that name what an engine must have to run the request.
 MUST_BE_HERE = ("Kv-From", "Hold")
 #: What a router says to an engine, and an echo repeats.
@@ -41,6 +44,10 @@
 END_AFTER = 0.05
 #: Seconds between two events.
 STEP = 0.02
+#: How long work takes at a slow engine, in percent of usual.
+SLOW_PACE = 250
+#: Figures of its load that no engine can mean.
+GARBLED_LOAD = "7,-1,,1e9"
 
 
 @dataclass
@@ -140,8 +147,10 @@
         request.notifyFinish().addErrback(lambda _: gone.set())
         if fault := self.faults.strike("stall"):
             await asyncio.sleep(fault.seconds)
-        await self._end_with(request, request.content.getvalue())
+        await self._end_with(request, request.content.read())
+        request.content.seek(0)
         seen.answered_at = time.monotonic()
+        step = self._tell_load(request)
         request.setHeader("Attempt-Id", "another" if self.faults.strike("cross") else attempt)
         request.setHeader("Instance-Signature", f"{self._name}.{attempt}")
         if self.faults.strike("echo"):
@@ -154,9 +163,19 @@
         if not request.path.startswith(b"/notes/"):
             run["outcome"] = "gone" if gone.is_set() else "whole"
             return b"%s by %s" % (request.content.read() or b"nothing", self._name.encode())
-        run["outcome"] = await self._stream(request, run, gone)
+        run["outcome"] = await self._stream(request, run, gone, step)
         return b""
 
+    def _tell_load(self, request: Any) -> float:
+        """Say how loaded the engine is, where a fault has it do so; return a stream's step."""
+        if self.faults.strike("garble-load"):
+            request.setHeader("Instance-Load", GARBLED_LOAD)
+        if not self.faults.strike("slow"):
+            return STEP
+        running = sum(run["outcome"] == "running" for run in self.runs)
+        request.setHeader("Instance-Load", f"{running},0,{SLOTS},{SLOW_PACE}")
+        return STEP * SLOW_PACE / 100
+
     def _bear(self) -> None:
         """Take one more request in, or fall over under it where the engine is cold."""
         now = time.monotonic()
@@ -176,7 +195,9 @@
         if body.startswith(ENDING_BODIES):
             os._exit(1)
 
-    async def _stream(self, request: Any, run: dict[str, Any], gone: asyncio.Event) -> str:
+    async def _stream(
+        self, request: Any, run: dict[str, Any], gone: asyncio.Event, step: float
+    ) -> str:
         request.setHeader("Content-Type", "text/event-stream")
         after = int(request.getHeader("Last-Event-Id") or 0)
         for at in range(after + 1, EVENTS + 1):
@@ -190,7 +211,7 @@
                 run["outcome"] = "paused"
                 await asyncio.sleep(fault.seconds)
             request.write(b"id: %d\ndata: %d\n\n" % (at, at))
-            await asyncio.sleep(STEP)
+            await asyncio.sleep(step)
         return "whole"
 
 
--- a/fakes/_machines_fleet.py
+++ b/fakes/_machines_fleet.py
@@ -16,6 +16,7 @@
 import yaml
 
 from fakes._local_fleet import HOST, ROOT, Backend, LocalFleet, fetch, free_ports
+from fakes._machines_engine import SLOTS
 
 TEMPLATE = ROOT / "deploy" / "router.yaml"
 HALLS = ("hall-1", "hall-2")
@@ -28,6 +29,8 @@
     "ColdOvershoot": 1.5,
     "ColdSlack": 5,
 }
+#: Names of the platform's rules in force.
+RULES: tuple[str, ...] = ("base", "engine", "stream", "tenants", "platform")
 #: The region of each hall.
 REGIONS = {"hall-1": "north", "hall-2": "south"}
 
@@ -82,6 +85,9 @@
 class MachinesFleet(LocalFleet):
     """Starts a store, engines and routers, and ends them."""
 
+    #: Names of the platform's rules in force.
+    rules = RULES
+
     def __enter__(self) -> MachinesFleet:
         super().__enter__()
         url, process = self._stand_in("machines-store")
@@ -117,7 +123,7 @@
             "Address": self.address_of(engine),
             "Zone": engine.hall,
             "Version": "v1",
-            "Slots": 8,
+            "Slots": SLOTS,
             "State": state,
             "ColdRemainingMs": 0,
             "Sequence": 1,
@@ -165,6 +171,7 @@
             "PortRange": [ports.peers, ports.admin],
             "Platform": {"Address": self.address_of(self.objects)},
             "Bounds": BOUNDS,
+            "Contracts": self.rules,
         }
         settings: dict[str, Any] = yaml.safe_load(fill(TEMPLATE.read_text(), gaps))
         settings["log"] = {"level": self.log_level}
--- a/pondhatch/cli/_own_state.py
+++ b/pondhatch/cli/_own_state.py
@@ -35,7 +35,7 @@
 
 def _load_management(settings: Settings, interface: Interface) -> LoadManagement:
     """Return when load is managed, by the settings and the platform's rules in force."""
-    is_asked = interface.asks_for_load_management(settings.rules_in_force)
+    is_asked = interface.asks_for_load_management(settings.rules_in_force or ())
     if settings.load_management == "as-needed" and is_asked:
         return "on"
     return settings.load_management
--- a/pondhatch/configuration/_settings.py
+++ b/pondhatch/configuration/_settings.py
@@ -176,8 +176,8 @@
     service_defaults: ServiceDefaults = msgspec.field(default_factory=ServiceDefaults)
     retries: RetrySettings = msgspec.field(default_factory=RetrySettings)
     load_management: LoadManagement = "off"
-    #: The platform's rules in force, by its own names.
-    rules_in_force: tuple[str, ...] = ()
+    #: The platform's rules in force, by its own names; None where it names none.
+    rules_in_force: tuple[str, ...] | None = None
     cold: ColdSettings = msgspec.field(default_factory=ColdSettings)
     #: The region of each data hall, for what is bound to regions; None where nobody says.
     regions: dict[str, str] | None = None
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -24,6 +24,7 @@
     seeds: int = 1,
     minutes: float = 0.5,
     routers: int = 4,
+    load: bool = False,
     regressions: bool = False,
 ) -> None:
     """Run one seed after the other, and say what broke a promise.
@@ -32,12 +33,16 @@
     :param seeds: how many, counted up from it
     :param minutes: for how long faults begin, in each
     :param routers: the most routers that a seed may draw
+    :param load: have the routers manage load, and draw faults of load beside the others
     :param regressions: run each seed that ever broke a promise instead
     """
-    plans = [draw_plan(seed + at, minutes * 60, routers) for at in range(seeds)]
+    plans = [draw_plan(seed + at, minutes * 60, routers, load) for at in range(seeds)]
     if regressions:
         kept = tomllib.loads(REGRESSIONS.read_text())["run"]
-        plans = [draw_plan(each["seed"], each["minutes"] * 60, each["routers"]) for each in kept]
+        plans = [
+            draw_plan(each["seed"], each["minutes"] * 60, each["routers"], each.get("load", False))
+            for each in kept
+        ]
     broken = [plan.seed for plan in plans if not _is_clean(plan)]
     print(f"{len(plans) - len(broken)} clean, {len(broken)} broken{_listed(broken)}")
     sys.exit(1 if broken else 0)
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -21,6 +21,11 @@
 )
 KEY = "key-1"
 BODY = b"body"
+#: Sent by a caller that reads slowly to a plain service, which gives it back: more than a router
+#: and the system hold for one connection.
+LARGE_BODY = BODY * 100_000
+#: Bytes that such a caller reads at once, and seconds between two reads.
+SLOW_PART_BYTES, SLOW_PAUSE = 32 * 1024, 0.05
 #: Milliseconds that a caller waits, and seconds after which it gives a silent router up.
 DEADLINE_MS = 4000
 PATIENCE = 6.0
@@ -39,6 +44,7 @@
         self._streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
         #: Whether it sends many times its usual.
         self.is_in_burst = False
+        self.reads_slowly = False
 
     async def run(self) -> None:
         """Send until cancelled."""
@@ -57,7 +63,7 @@
             return
         route, attempt = self._rng.choice(ROUTES), uuid.uuid4().hex[:16]
         found = Attempt(attempt, route, self._router, time.monotonic(), 0.0)
-        answer = _Answer()
+        answer = _Answer(self.reads_slowly and not route.is_stream)
         with contextlib.suppress(OSError, TimeoutError, h11.ProtocolError):
             async with asyncio.timeout(PATIENCE):
                 await answer.read(reader, writer, route, attempt)
@@ -83,8 +89,9 @@
 class _Answer:
     """One answer as far as it came."""
 
-    def __init__(self) -> None:
+    def __init__(self, is_slow: bool = False) -> None:
         self.keeps_connection = False
+        self._is_slow = is_slow
         self._status: int | None = None
         self._signature = ""
         self._is_whole = False
@@ -99,14 +106,15 @@
     ) -> None:
         """Send a request and read its answer. Raises OSError and h11.ProtocolError."""
         http = h11.Connection(h11.CLIENT)
-        parts = [_request(route, attempt), h11.Data(data=BODY), h11.EndOfMessage()]
+        body = LARGE_BODY if self._is_slow else BODY
+        parts = [_request(route, attempt, len(body)), h11.Data(data=body), h11.EndOfMessage()]
         for part in parts:
             writer.write(http.send(part) or b"")
         await writer.drain()
         while True:
             event = http.next_event()
             if event is h11.NEED_DATA:
-                http.receive_data(await reader.read(PART_BYTES))
+                http.receive_data(await self._read_part(reader))
             elif isinstance(event, h11.Response):
                 self._status = event.status_code
                 values = dict(event.headers)
@@ -120,6 +128,12 @@
             else:
                 return
 
+    async def _read_part(self, reader: asyncio.StreamReader) -> bytes:
+        if not self._is_slow:
+            return await reader.read(PART_BYTES)
+        await asyncio.sleep(SLOW_PAUSE)
+        return await reader.read(SLOW_PART_BYTES)
+
     def noted(self, begun: Attempt) -> Attempt:
         """Return the attempt with what became of it."""
         return Attempt(
@@ -131,16 +145,17 @@
             self._status,
             self._signature,
             self._is_whole,
-            bytes(self._body),
+            # Kept and checked as if it had asked for little.
+            bytes(self._body).replace(LARGE_BODY, BODY, 1),
         )
 
 
-def _request(route: Route, attempt: str) -> h11.Request:
+def _request(route: Route, attempt: str, length: int) -> h11.Request:
     headers = [
         ("Host", "desk.example"),
         ("Attempt-Id", attempt),
         ("Authorization", f"Bearer {KEY}"),
         ("Deadline-Ms", str(DEADLINE_MS)),
-        ("Content-Length", str(len(BODY))),
+        ("Content-Length", str(length)),
     ]
     return h11.Request(method="POST", target=route.path, headers=headers)
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -7,12 +7,13 @@
 import signal
 import time
 from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import replace
 
 from fakes._local_fleet import Backend
 from fakes._machines_fleet import MachinesRouter
 from soak._callers import Caller
 from soak._fleet import SERVICES, STORE_NAME, SoakFleet, in_thread
-from soak._plan import ENGINE, ROUTER, STORE, TARGET_BY_KIND, Fault
+from soak._plan import ENGINE, ROUTER, STORE, Fault, target_of
 from soak._relay import Relay
 
 #: Seconds in which a router that is asked to stop has to end.
@@ -25,6 +26,8 @@
 DELAY = 0.2
 #: More answers than a fault outlasts.
 ALWAYS = 100_000
+#: Of so many callers one reads slowly, where some do.
+SLOW_ONE_IN = 3
 #: Engines of a service, and routers, that are left alone, so that some work is done.
 LEAST_LEFT = 1
 #: Faults that the stand-in of an engine knows, by their kind here.
@@ -34,7 +37,10 @@
     "engine-fails": "fail",
     "engine-cuts": "cut",
     "engine-crosses": "cross",
+    "engine-preempts": "pause",
 }
+#: Faults of the stand-in that last for their whole time, however many requests come.
+LASTING_BY_KIND = {"engine-slow": "slow", "engine-garbles-load": "garble-load"}
 
 
 class Faults:
@@ -48,7 +54,7 @@
 
     async def run(self, fault: Fault) -> None:
         """Do one fault, from its begin to its end."""
-        kind = TARGET_BY_KIND[fault.kind]
+        kind = target_of(fault.kind)
         if kind == ROUTER:
             await self._strike(self._routers(), fault, self._router_fault)
         elif kind == ENGINE:
@@ -128,6 +134,8 @@
         relay = self._fleet.relay_by_name[name]
         if fault.kind in ARMED_BY_KIND:
             await self._armed(engine, ARMED_BY_KIND[fault.kind], fault)
+        elif fault.kind in LASTING_BY_KIND:
+            await self._armed(engine, LASTING_BY_KIND[fault.kind], replace(fault, count=ALWAYS))
         elif fault.kind == "engine-crash":
             await self._crash(engine)
         elif fault.kind == "engine-freeze":
@@ -194,12 +202,24 @@
         if fault.kind == "configuration":
             await self._fleet.configure()
             return
+        if fault.kind == "slow-readers":
+            await self._read_slowly(fault)
+            return
         for caller in self._callers:
             caller.is_in_burst = True
         await asyncio.sleep(min(fault.seconds, 2.0))
         for caller in self._callers:
             caller.is_in_burst = False
 
+    async def _read_slowly(self, fault: Fault) -> None:
+        """Have a third of the callers ask for much and take it slowly."""
+        slow = self._callers[fault.target % SLOW_ONE_IN :: SLOW_ONE_IN]
+        for caller in slow:
+            caller.reads_slowly = True
+        await asyncio.sleep(fault.seconds)
+        for caller in slow:
+            caller.reads_slowly = False
+
 
 async def _frozen(struck: MachinesRouter | Backend, seconds: float) -> None:
     struck.process.send_signal(signal.SIGSTOP)
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -13,7 +13,8 @@
 from typing import Any, TypeVar
 
 from fakes._local_fleet import Backend, fetch
-from fakes._machines_fleet import HALLS, MachinesFleet, MachinesRouter, changed
+from fakes._machines_fleet import HALLS, RULES, MachinesFleet, MachinesRouter, changed
+from pondhatch.platform._names import CONTENTION_RULE
 from pondhatch.platform.tests._wire import CONFIGURATION
 from soak._records import Arrival, Disturbance, Records, Version
 from soak._relay import Relay
@@ -87,8 +88,10 @@
     def __post_init__(self) -> None:
         self.fleet = _RelayedFleet(self.relay_by_name)
 
-    async def start(self, routers: int, engines: int) -> None:
+    async def start(self, routers: int, engines: int, manages_load: bool = False) -> None:
         """Start everything, and wait until every router serves."""
+        if manages_load:
+            self.fleet.rules = (*RULES, CONTENTION_RULE)
         await self._add_relay(STORE_NAME)
         await in_thread(self.fleet.__enter__)
         await in_thread(lambda: self.fleet.put("config", "main", CONFIGURATION))
--- a/soak/_plan.py
+++ b/soak/_plan.py
@@ -43,6 +43,16 @@
     "configuration": FLEET,
     "burst": FLEET,
 }
+#: Faults that are drawn beside the others, where the fleet manages load.
+TARGET_BY_LOAD_KIND = {
+    "engine-slow": ENGINE,
+    "engine-garbles-load": ENGINE,
+    "engine-preempts": ENGINE,
+    "slow-readers": FLEET,
+    "burst": FLEET,
+}
+#: Number of faults of load for each of the others.
+LOAD_FAULT_SHARE = 0.5
 
 
 @dataclass(frozen=True)
@@ -72,23 +82,40 @@
     #: Seconds in which faults begin.
     seconds: float
     faults: tuple[Fault, ...]
+    #: Whether the routers manage load.
+    manages_load: bool = False
+
+
+def target_of(kind: str) -> str:
+    """Return what a kind of fault strikes."""
+    return TARGET_BY_KIND.get(kind) or TARGET_BY_LOAD_KIND[kind]
+
 
+def draw_plan(seed: int, seconds: float, most_routers: int, manages_load: bool = False) -> Plan:
+    """Return what a seed draws; the same for the same arguments.
 
-def draw_plan(seed: int, seconds: float, most_routers: int) -> Plan:
-    """Return what a seed draws; the same for the same arguments."""
+    The faults of load are drawn apart, so that a seed draws the same others with and without.
+    """
     rng = random.Random(seed)
     routers = rng.randint(2, max(2, most_routers))
     engines = rng.randint(2, max(3, most_routers // 4))
     number = max(3, round(seconds * FAULTS_A_SECOND))
-    faults = sorted((_draw_fault(rng, seconds) for _ in range(number)), key=lambda each: each.at)
+    faults = [_draw_fault(rng, seconds, tuple(TARGET_BY_KIND)) for _ in range(number)]
+    if manages_load:
+        load_rng = random.Random(f"{seed} load")
+        kinds = tuple(TARGET_BY_LOAD_KIND)
+        faults += [
+            _draw_fault(load_rng, seconds, kinds) for _ in range(round(number * LOAD_FAULT_SHARE))
+        ]
+    faults.sort(key=lambda each: each.at)
     callers = 6 * min(routers, 12)
-    return Plan(seed, routers, engines, callers, seconds, tuple(faults))
+    return Plan(seed, routers, engines, callers, seconds, tuple(faults), manages_load)
 
 
-def _draw_fault(rng: random.Random, seconds: float) -> Fault:
+def _draw_fault(rng: random.Random, seconds: float, kinds: tuple[str, ...]) -> Fault:
     return Fault(
         at=round(CALM_SECONDS + rng.uniform(0, seconds), 3),
-        kind=rng.choice(tuple(TARGET_BY_KIND)),
+        kind=rng.choice(kinds),
         target=rng.randrange(1000),
         seconds=round(rng.choice((0.3, 1.0, 3.0, 5.0)) * rng.uniform(0.7, 1.3), 3),
         count=rng.choice((1, 3, 10, 40)),
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -23,7 +23,7 @@
     fleet = SoakFleet()
     _end_when_told()
     try:
-        await fleet.start(plan.routers, plan.engines)
+        await fleet.start(plan.routers, plan.engines, plan.manages_load)
         await _under_faults(fleet, plan)
         for engine in fleet.engines:
             await fleet.collect(engine)
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -11,6 +11,8 @@
 #: Draws engines that leave and that ask for rest, a frozen and a killed router, among others.
 SEED = 32
 SECONDS = 18.0
+#: Draws each kind of fault of load.
+LOAD_SEED = 12
 
 
 class SoakTest(unittest.TestCase):
@@ -18,3 +20,11 @@
         records, broken = asyncio.run(run_plan(draw_plan(SEED, SECONDS, 4)))
         self.assertEqual(broken, [])
         self.assertGreater(len(records.attempts), 100)
+
+
+class LoadSoakTest(unittest.TestCase):
+    def test_no_promise_breaks_where_load_is_managed(self) -> None:
+        plan = draw_plan(LOAD_SEED, SECONDS, 4, manages_load=True)
+        records, broken = asyncio.run(run_plan(plan))
+        self.assertEqual(broken, [])
+        self.assertGreater(len(records.attempts), 100)
