--- a/fakes/_machines_engine.py
+++ b/fakes/_machines_engine.py
@@ -9,7 +9,8 @@
 load), ``garble-load`` (what it says of its load makes no sense). A request whose body begins
 with one of ``ENDING_BODIES`` ends the engine's process as it begins to run. A request that
 names a copy or a reservation which is not here is refused and not run. ``POST /cold`` with
-``{"seconds": 5, "most": 11}`` makes it cold: its process ends where more requests come within one second than it then bears.
+``{"seconds": 5, "most": 11}`` makes it cold: its process ends where more requests come within
+one second than it then bears.
 """
 
 from __future__ import annotations
