Read an engine's pace from every answer, and keep it while it holds

Cause: engines may state a fourth number in their load header, the processing time in percent of usual. The header was ignored when it had four numbers, so every refusal without a rest by such an engine counted as "full", though it had places.

Change: the adapter reads three or four numbers, each by itself, from every answer; what cannot be read counts as not stated and is logged once a minute at most. Notice carries the pace. RouterState.hear notes when this router read one itself, which load_managed() depends on. Nothing acts on a pace yet.

--- a/pondhatch/observing/__init__.py
+++ b/pondhatch/observing/__init__.py
@@ -13,6 +13,7 @@
     Records,
     RequestEnded,
 )
+from pondhatch.observing._seldom import Seldom
 from pondhatch.observing._served import ServedMetrics
 
 __all__ = [
@@ -28,6 +29,7 @@
     "Records",
     "RequestEnded",
     "STANDARD_OUTPUT",
+    "Seldom",
     "Metrics",
     "NoMetrics",
     "StatsdMetrics",
--- a/pondhatch/placement/__init__.py
+++ b/pondhatch/placement/__init__.py
@@ -3,6 +3,7 @@
 from pondhatch.placement._ceiling import admission_ceiling
 from pondhatch.placement._cold_pace import ColdAllowance, ColdPaces
 from pondhatch.placement._context import YOUNG_SECONDS, context_engine
+from pondhatch.placement._engine_paces import MOST_PACE, USUAL_PACE, EnginePaces
 from pondhatch.placement._gate import EngineCount, Full, Gate, Granted, Verdict
 from pondhatch.placement._health import Health
 from pondhatch.placement._intake import CLOSING, OPEN, Closed, Intake, Regions, both, is_allowed
@@ -27,12 +28,14 @@
     "both",
     "is_allowed",
     "EngineCount",
+    "EnginePaces",
     "Exhausted",
     "Full",
     "Gate",
     "Granted",
     "Health",
     "Line",
+    "MOST_PACE",
     "NOTHING_SAID",
     "NO_REST",
     "Rest",
@@ -42,6 +45,7 @@
     "SpillMemory",
     "Step",
     "Ticket",
+    "USUAL_PACE",
     "Verdict",
     "YOUNG_SECONDS",
     "admission_ceiling",
--- a/pondhatch/placement/_notices.py
+++ b/pondhatch/placement/_notices.py
@@ -35,8 +35,11 @@
     rest: float = 0.0
     #: Whether it has places, by its own word, so that others may still be welcome.
     has_places: bool = False
+    #: Its processing time in percent of usual; 0 where it states none.
+    pace: int = 0
 
     def __bool__(self) -> bool:
+        """Return whether it closes the upstream; a pace does not."""
         return self.is_leaving or self.rest > 0
 
 
--- a/pondhatch/platform/_engines.py
+++ b/pondhatch/platform/_engines.py
@@ -3,28 +3,33 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Annotated, Any, Literal
 
 import msgspec
 
 from pondhatch.authority import NotTaken, Silent, Wanted
+from pondhatch.observing import Seldom, log_for
 from pondhatch.placement import NOTHING_SAID, Notice
 from pondhatch.platform import _names as names
+from pondhatch.platform._engine_load import read_load
 from pondhatch.platform._entries import plain
 from pondhatch.platform._header_owners import OWNERS
 from pondhatch.requests import EngineRefusal, Headers, Judged, RequestHead, Target
 from pondhatch.store import IN_FORCE, LEAVING, LIVE
 from pondhatch.transport import NoteDropped, seconds_to_wait, utf8_value
 
+log = log_for("engines")
+
 #: What an engine that takes no new work says of itself.
 DRAINING = "draining"
 #: Value of the header of one that is about to end.
 IS_LEAVING = "1"
-#: Numbers in what an engine says of its load: requests running, requests waiting, slots.
-LOAD_FIELDS = 3
-#: Requests that may wait at an engine that has places.
-MOST_PASSING = 1
+#: Seconds between two log lines on load headers that cannot be read; one engine may send many
+#: a second.
+UNREADABLE_SECONDS = 60.0
+#: Characters of such a header that are logged.
+LOGGED_CHARACTERS = 80
 
 #: A name of a service, or of anything that must not be empty.
 Name = Annotated[str, msgspec.Meta(min_length=1)]
@@ -115,25 +120,16 @@
     # so this is a hint: it is passed over only where another can take the request.
     if value_by_name.get("connection", "").lower() == "close":
         return EngineRefusal.LEAVING
-    return EngineRefusal.DECLINED if _has_places(value_by_name) else EngineRefusal.FULL
-
-
-def _has_places(value_by_name: Mapping[str, str]) -> bool:
-    """Return whether an engine says that it has places and nobody who waits for them.
-
-    Requests wait where its memory is taken, though it has slots. Those that come while it
-    answers may wait for a moment.
-    """
-    load = value_by_name.get(names.LOAD.lower(), "").split(",")
-    if len(load) != LOAD_FIELDS or not all(each.strip().isdecimal() for each in load):
-        return False
-    running, waiting, slots = (int(each) for each in load)
-    return waiting <= MOST_PASSING and running + waiting < slots
+    return EngineRefusal.DECLINED if read_load(value_by_name).has_places else EngineRefusal.FULL
 
 
 class EngineDialect:
     """See UpstreamDialect."""
 
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        self._clock = clock
+        self._unreadable = Seldom(UNREADABLE_SECONDS)
+
     def request_headers(self, head: RequestHead, target: Target) -> Headers:
         """Return what the client may say, and what only routers may.
 
@@ -172,11 +168,15 @@
             # Another engine than the one meant may have answered.
             return NOTHING_SAID
         is_leaving = value_by_name.get(names.LEAVING.lower(), "").strip() == IS_LEAVING
+        load = read_load(value_by_name)
+        if not load.is_readable and self._unreadable.is_due(self._clock()):
+            told = value_by_name[names.LOAD.lower()][:LOGGED_CHARACTERS]
+            log.warning("an engine's {} cannot be read: {!r}", names.LOAD, told)
         asked = value_by_name.get(names.RETRY_AFTER.lower())
         if asked is None or status not in names.FULL_STATUSES:
-            return Notice(is_leaving)
+            return Notice(is_leaving, pace=load.pace)
         rest = seconds_to_wait(asked, time.time())
-        return Notice(is_leaving, rest, rest > 0 and _has_places(value_by_name))
+        return Notice(is_leaving, rest, rest > 0 and load.has_places, load.pace)
 
     def answer_headers(self, headers: Headers, note: NoteDropped) -> Headers:
         """Return the headers of an answer that an engine may say to a client."""
--- a/pondhatch/requests/_sending.py
+++ b/pondhatch/requests/_sending.py
@@ -8,7 +8,7 @@
 import msgspec
 from msgspec.structs import replace
 
-from pondhatch.placement import Closed, Intake, Notice, Regions
+from pondhatch.placement import USUAL_PACE, Closed, Intake, Notice, Regions
 from pondhatch.requests._messages import (
     AnswerStream,
     BodySource,
@@ -46,6 +46,8 @@
     shares_context: bool = False
     #: The id that it answers to; empty where its name is that.
     instance: str = ""
+    #: Its processing time in percent of usual, as far as it is known now.
+    pace: int = USUAL_PACE
 
 
 #: What is told of an upstream that may not be sent a request.
--- a/pondhatch/router/_state.py
+++ b/pondhatch/router/_state.py
@@ -30,6 +30,7 @@
 )
 from pondhatch.placement import (
     ColdPaces,
+    EnginePaces,
     Gate,
     Health,
     Notice,
@@ -100,6 +101,8 @@
     retries: RetryBudgets = field(default_factory=RetryBudgets)
     #: What upstreams said of themselves in their answers.
     notices: Notices = field(default_factory=Notices)
+    #: How fast engines work now, by their own word.
+    paces: EnginePaces = field(default_factory=EnginePaces)
     #: When load is managed; see ``load_managed``.
     load_management: LoadManagement = "off"
     #: When this router last read an engine's pace, in the clock's seconds.
@@ -317,6 +320,7 @@
             slack=service.load_slack,
             shares_context=service.shares_context,
             instance=upstream.instance,
+            pace=self.paces.pace(engine, self.clock()),
         )
 
     def cold_count(self) -> int:
@@ -330,9 +334,17 @@
     def hear(self, upstream: str, notice: Notice, is_own: bool = True) -> bool:
         """Take in what an upstream said of itself in an answer; return whether it was news.
 
+        A pace closes no upstream, so it is no news here.
         ``is_own`` says whether this router was told, or heard of it from another one.
         """
-        known, now = self._intakes.upstream(upstream), self.clock()
+        now = self.clock()
+        if notice.pace > 0:
+            self.paces.hear(upstream, notice.pace, now)
+            if is_own:
+                self.pace_read_at = now
+            if not notice:
+                return False
+        known = self._intakes.upstream(upstream)
         is_start_known = known is not None and known.start > 0
         is_news = self.notices.hear(upstream, notice, now, is_start_known, is_own)
         if is_news and notice.rest > 0 and not notice.has_places:
@@ -471,6 +483,7 @@
         if self._upstream_changes.settle(self.clock()):
             self.upstreams_changed()
         self._halls_changed(self.halls.settle(self.clock()))
+        self.paces.forget_old(self.clock())
         if self.notices.forget_old(self.upstreams.entry_by_name, self.clock()):
             self._intakes.forget()
         self.refresh()
--- a/pondhatch/transport/_upstreams.py
+++ b/pondhatch/transport/_upstreams.py
@@ -188,7 +188,7 @@
     def _hear(self, target: Target, answered: ResponseHead) -> None:
         """Take in what an answer says of its upstream, whatever it says of the request."""
         notice = self._dialect.notice(answered.status, answered.value_by_name)
-        if notice:
+        if notice or notice.pace:
             self._view.heard(target.name, notice)
 
     def _judge(self, head: RequestHead, answered: ResponseHead) -> Judged | EngineRefusal:
--- a/pondhatch/transport/tests/test_upstream_notices.py
+++ b/pondhatch/transport/tests/test_upstream_notices.py
@@ -66,6 +66,16 @@
                 await sending
                 self.assertEqual(self.view.notices, [("i-1", expected)])
 
+    # Only answers that closed their upstream were heard, so a pace would have been lost.
+    async def test_a_pace_alone_is_heard(self) -> None:
+        for load, expected in ((b"8,1,64,250", [("i-1", Notice(pace=250))]), (b"8,1,64", [])):
+            self.view.notices.clear()
+            sending = self.begin()
+            await asyncio.sleep(0)
+            self.answer(b"200 OK", b"Attempt-Id: 9c41", b"Instance-Load: " + load)
+            await sending
+            self.assertEqual(self.view.notices, expected)
+
     async def test_it_is_heard_where_the_caller_leaves_as_the_answer_comes(self) -> None:
         sending = self.begin()
         await asyncio.sleep(0)
