Hold a slow engine to its share of the ceiling while load is managed

Cause: an engine that works at two fifths of its speed held as many requests as the others, and each of them took 2.5 times as long.

Change: Gate.ask takes the engine's pace and lowers the ceiling by it, to one request at least. A pace of 100 or less changes nothing. LocalOwner passes the pace on only while load is managed.

--- a/pondhatch/placement/_gate.py
+++ b/pondhatch/placement/_gate.py
@@ -11,6 +11,7 @@
 from msgspec.structs import replace
 
 from pondhatch.placement._ceiling import admission_ceiling
+from pondhatch.placement._engine_paces import USUAL_PACE
 
 #: Seconds after which a load report says nothing about the present.
 REPORT_LIFETIME = 5.0
@@ -94,18 +95,23 @@
         engines: int,
         slots: int = UNLIMITED_SLOTS,
         slack: int = 0,
+        pace: int = USUAL_PACE,
     ) -> Verdict:
         """Grant or refuse one request.
 
         ``others`` is the in-flight total of the service's other engines, as
         heard; ``engines`` counts the service's engines, this one included;
         ``slots`` is what one engine can take whatever the mean, ``slack`` what it
-        may hold above the multiple of the mean.
+        may hold above the multiple of the mean; ``pace`` is its processing time in
+        percent of usual. A slow one gets less, but one request at least, which shows
+        when it is fast again; a fast one gets no more.
         """
         count = self.by_engine.get(engine, EngineCount())
         held = count.in_flight(now)
         promised = admission_ceiling(bound, others + held, engines) + slack
         ceiling = min(slots, promised, count.limit(now))
+        if pace > USUAL_PACE:
+            ceiling = max(1, ceiling * USUAL_PACE // pace)
         if held + 1 > ceiling:
             return Full(held, ceiling)
         return self._grant(engine, count, held, ceiling)
--- a/pondhatch/requests/_owner.py
+++ b/pondhatch/requests/_owner.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from pondhatch.placement import (
+    USUAL_PACE,
     ColdPaces,
     Full,
     Gate,
@@ -281,8 +282,9 @@
     def _ask_ceiling(self, target: Target, question: Question) -> Verdict:
         now = self._clock()
         others = max(self._view.elsewhere_in_flight(target.name), question.seen_elsewhere)
+        pace = target.pace if self._view.load_managed() else USUAL_PACE
         return self._gate.ask(
-            target.name, now, target.bound, others, target.peers, target.slots, target.slack
+            target.name, now, target.bound, others, target.peers, target.slots, target.slack, pace
         )
 
     def _granted(self, question: Question, verdict: Granted) -> Granted:
