Tell an engine's owner how fast it works while load is managed

Cause: a pace is read by the router through which a request came; the ceiling is its owner's, who reads a share of the answers only.

Change: a router that reads a pace that differs by half from the usual one reports it to the engine's owner, once a second at most for an engine and 20 a second at most in all. ToldNotice gets a last field, left out where it says nothing, so other notices keep their bytes.

--- a/pondhatch/router/_notice_keeping.py
+++ b/pondhatch/router/_notice_keeping.py
@@ -6,18 +6,24 @@
 once and 0.1 s later once more; a router that is new or back is told by three others, and whoever
 becomes the owner of an upstream that rests by those that know of it. A router that missed it all
 is told by the upstream itself, at the cost of one request turned away.
+
+While load is managed, an upstream's owner is also told how fast it works. That holds for less
+than a second, so it is told once, and again only with a later answer.
 """
 
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
+from typing import Annotated
 
 import msgspec
+from msgspec.structs import astuple
 
 from pondhatch.membership import Datagram, Member
-from pondhatch.placement import Notice
+from pondhatch.placement import MOST_PACE, Notice
 from pondhatch.requests import NotRun, RequestHead, open_target
 from pondhatch.router._newcomers import Newcomers
+from pondhatch.router._pace_reports import PaceReports
 from pondhatch.router._state import RouterState
 
 #: First byte of a packet on notices; no packet of another kind begins with it.
@@ -42,6 +48,8 @@
     rest: float
     #: Whether it has places all the same.
     has_places: bool = False
+    #: Its processing time in percent of usual; 0, and left out, where nothing is told of it.
+    pace: Annotated[int, msgspec.Meta(ge=0, le=MOST_PACE)] = 0
 
 
 class NoticePacket(msgspec.Struct, frozen=True, array_like=True, tag=70):
@@ -62,6 +70,7 @@
         #: The owner that was last seen of each upstream that rests.
         self._owner_by_upstream: dict[str, str | None] = {}
         self._packets_left = SAVED_PACKETS
+        self._pace_reports = PaceReports()
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(NoticePacket)
 
@@ -72,7 +81,10 @@
 
     def heard(self, upstream: str, notice: Notice) -> None:
         """Take in what an upstream said in the head of an answer, and tell who should know."""
-        if self._state.hear(upstream, notice):
+        is_news = self._state.hear(upstream, notice)
+        if notice.pace > 0 and self._state.load_managed():
+            self._report_pace(upstream, notice.pace)
+        if is_news:
             self._fresh.add(upstream)
             self._tell({upstream: notice})
 
@@ -83,12 +95,13 @@
         except (msgspec.DecodeError, ValueError):
             return
         for told in packet.notices:
-            notice = Notice(told.is_leaving, told.rest, told.has_places)
+            notice = Notice(told.is_leaving, told.rest, told.has_places, told.pace)
             self._state.hear(told.upstream, notice, is_own=False)
 
     def tick(self) -> None:
         """Do what is due each round."""
         self._packets_left = min(SAVED_PACKETS, self._packets_left + REST_PACKETS_A_ROUND)
+        self._pace_reports.tick(self._state.clock())
         in_force = self._state.notices.in_force(self._state.clock())
         fresh, self._fresh = self._fresh, set()
         self._tell({name: in_force[name] for name in fresh if name in in_force})
@@ -102,6 +115,19 @@
             else:
                 self._tell_of_rest(upstream, notice)
 
+    def _report_pace(self, upstream: str, pace: int) -> None:
+        """Tell an upstream's owner how fast it works now, where that is due."""
+        now = self._state.clock()
+        if not self._pace_reports.is_due(upstream, pace, now):
+            return
+        owner = self._state.owner_name(upstream)
+        if owner == self._state.name:
+            return
+        to = [each for each in self._others() if each.name == owner]
+        if to:
+            self._pace_reports.reported(upstream, now)
+            self._send_told([ToldNotice(upstream, False, 0.0, pace=pace)], to)
+
     def _tell_of_rest(self, upstream: str, notice: Notice) -> None:
         """Tell the owner of an upstream that rests, then those whose upstreams carry its load."""
         owner = self._state.owner_name(upstream)
@@ -132,7 +158,14 @@
             ToldNotice(name, notice.is_leaving, round(notice.rest, 3), notice.has_places)
             for name, notice in notice_by_upstream.items()
         ]
+        self._send_told(told, to)
+
+    def _send_told(self, told: list[ToldNotice], to: list[Member]) -> None:
         for at in range(0, len(told), NOTICES_IN_PACKET):
-            packet = NoticePacket(tuple(told[at : at + NOTICES_IN_PACKET]))
-            payload = NOTICE_MARK + self._encoder.encode(packet)
+            payload = NOTICE_MARK + self._encoded(told[at : at + NOTICES_IN_PACKET])
             self._send(Datagram(member.address, payload) for member in to)
+
+    def _encoded(self, told: list[ToldNotice]) -> bytes:
+        """Return a packet's bytes; a notice without a pace has those that it always had."""
+        tag = NoticePacket.__struct_config__.tag
+        return self._encoder.encode((tag, [t if t.pace else astuple(t)[:-1] for t in told]))
--- /dev/null
+++ b/pondhatch/router/_pace_reports.py
@@ -0,0 +1,47 @@
+"""Which paces of engines their owners are due to be told."""
+
+from __future__ import annotations
+
+import msgspec
+
+from pondhatch.placement import USUAL_PACE
+
+#: Seconds between two reports of one engine's pace by this router. An owner drops a pace sooner
+#: than that, so it takes the engine for one at its usual pace when the next report is due.
+REPORT_SECONDS = 1.0
+#: Reports in a round of 0.1 s, and those that may be saved up for one moment: 2 KB a second at
+#: most. What is left out, the engine's next answer brings.
+REPORTS_A_ROUND = 2
+SAVED_REPORTS = 20
+
+
+class PaceReports(msgspec.Struct):
+    """When each engine's owner was last told a pace by this router."""
+
+    _reported_at_by_engine: dict[str, float] = msgspec.field(default_factory=dict)
+    _left: int = SAVED_REPORTS
+
+    def is_due(self, engine: str, pace: int, now: float) -> bool:
+        """Return whether an engine's owner should be told a pace that was read just now.
+
+        It should where the pace differs by half from the usual one, which the owner goes by.
+        """
+        reported_at = self._reported_at_by_engine.get(engine, float("-inf"))
+        if self._left < 1 or now - reported_at < REPORT_SECONDS:
+            return False
+        return 2 * abs(pace - USUAL_PACE) >= USUAL_PACE
+
+    def reported(self, engine: str, now: float) -> None:
+        """Note that an engine's owner was told."""
+        self._left -= 1
+        self._reported_at_by_engine[engine] = now
+
+    def tick(self, now: float) -> None:
+        """Do what is due each round."""
+        self._left = min(SAVED_REPORTS, self._left + REPORTS_A_ROUND)
+        if self._reported_at_by_engine:
+            self._reported_at_by_engine = {
+                engine: at
+                for engine, at in self._reported_at_by_engine.items()
+                if now - at < REPORT_SECONDS
+            }
