--- a/pondhatch/cli/tests/test_levels.py
+++ b/pondhatch/cli/tests/test_levels.py
@@ -5,8 +5,20 @@
 from unittest import mock
 
 from pondhatch.cli import _levels
+from pondhatch.cli._figures import Figures
 from pondhatch.cli._levels import metrics_of
 from pondhatch.observing import ServedMetrics
+from pondhatch.router.tests.test_sync import router
+
+
+class LevelsTest(unittest.TestCase):
+    def test_slow_engines_are_counted_while_their_pace_holds(self) -> None:
+        state = router("r0")
+        for engine, pace, read_at in (("e0", 250, 0.0), ("e1", 90, 0.0), ("e2", 250, -5.0)):
+            state.paces.hear(engine, pace, read_at)
+        part: Any = mock.Mock()
+        levels = Figures(state, part, part, part, part).levels()
+        self.assertEqual(levels["engines.slow"], 1)
 
 
 class RouterNameTest(unittest.TestCase):
--- a/pondhatch/router/_dump.py
+++ b/pondhatch/router/_dump.py
@@ -132,6 +132,10 @@
                 {"name": name, "leaving": notice.is_leaving, "rest_seconds": round(notice.rest, 3)}
                 for name, notice in sorted(state.notices.in_force(now).items())
             ],
+            "upstreams_paces": [
+                {"name": name, "pace": known.pace, "age_seconds": round(now - known.read_at, 3)}
+                for name, known in sorted(state.paces.in_force(now).items())
+            ],
             "upstreams_failing": [
                 {"name": name, "failures": health.failures} for name, health in down
             ],
--- a/pondhatch/router/tests/test_dump.py
+++ b/pondhatch/router/tests/test_dump.py
@@ -39,6 +39,12 @@
         self.assertEqual([each["request_id"] for each in dump["decisions"]], ["q2", "q1"])
         self.assertEqual([member["name"] for member in dump["members"]], ["r0"])
 
+    def test_it_shows_each_pace_that_holds_and_its_age(self) -> None:
+        self.state.paces.hear("e0", 250, -0.2)
+        self.state.paces.hear("e1", 250, -5.0)
+        shown = [{"name": "e0", "pace": 250, "age_seconds": 0.2}]
+        self.assertEqual(self.dump({})["upstreams_paces"], shown)
+
     def test_no_hash_of_a_key_is_in_it(self) -> None:
         hashed = self.state.fleet.entry("account", "atelier")["key_hashes"][0]
         self.assertNotIn(hashed.encode(), msgspec.json.encode(self.dump({})))
