List the name of the platform's rule on contention among the names that are no headers

Cause: the table's check takes every name of the adapter for a header unless it is listed; the rule's name is none, so the check failed. Change: one more name in that list; every header is still checked. Measured: pondhatch.platform's tests pass.

--- a/pondhatch/platform/tests/test_header_owners.py
+++ b/pondhatch/platform/tests/test_header_owners.py
@@ -26,7 +26,7 @@
     **dict.fromkeys(CONNECTIONS_HEADERS, Owner.CONNECTION),
 }
 #: Names in the adapter's list that are no headers.
-NO_HEADERS = frozenset({"servers", "evacuations", "config", "main"})
+NO_HEADERS = frozenset({"servers", "evacuations", "config", "main", "pressure"})
 
 
 class HeaderOwnersTest(unittest.TestCase):
