Count the tokens that granted requests hold in engines' memory

Cause: the gate counts requests. Engines run out of memory by tokens, and then take requests back in the middle of their streams, or end.

Change: placement/_token_counts.py, without I/O and not in use yet. It counts tokens by engine, a shared part once for all requests that run with it, says whether a request fits under a limit, lets at most 2 long prompts be read at once, and keeps memory for a request that waits for it.

Measured: format, lint, types, and TokenCountsTest (5 passed, one of them by Hypothesis).

--- a/pondhatch/placement/__init__.py
+++ b/pondhatch/placement/__init__.py
@@ -12,6 +12,13 @@
 from pondhatch.placement._plan import Ask, Exhausted, Plan, Step
 from pondhatch.placement._rendezvous import ranked, scorer, winner
 from pondhatch.placement._starts import id_of, name_of_start
+from pondhatch.placement._token_counts import (
+    OWN_PART,
+    Reservation,
+    TokenCounts,
+    TokenNeed,
+    usable_tokens,
+)
 
 __all__ = [
     "id_of",
@@ -23,6 +30,11 @@
     "ColdPaces",
     "Intake",
     "OPEN",
+    "OWN_PART",
+    "Reservation",
+    "TokenCounts",
+    "TokenNeed",
+    "usable_tokens",
     "Regions",
     "both",
     "is_allowed",
--- /dev/null
+++ b/pondhatch/placement/_token_counts.py
@@ -0,0 +1,190 @@
+"""Counts of the tokens that granted requests hold in the memory of engines, without I/O.
+
+An engine whose memory runs out takes a request back in the middle of its stream and reads its
+prompt again, or ends. The count stands beside the gate's count of requests: the gate says how
+many may run, this says whether there is memory for one more.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Hashable
+
+import msgspec
+
+#: Key of the part of a prompt that no other request shares.
+OWN_PART = 0
+#: New tokens of a prompt beyond which reading it delays all that runs beside it.
+LONG_PROMPT = 4096
+#: Long prompts that an engine reads at once while it holds other work.
+MOST_LONG_PROMPTS = 2
+#: New tokens that an engine reads in a second.
+TOKENS_READ_A_SECOND = 50_000
+
+
+class TokenNeed(msgspec.Struct, frozen=True):
+    """What a request takes of an engine's memory."""
+
+    #: Tokens that it takes beside the parts of its prompt.
+    tokens: int = 0
+    #: Parts of its prompt, each as a key and its tokens.
+    parts: tuple[tuple[int, int], ...] = ()
+
+    @property
+    def is_stated(self) -> bool:
+        """Return whether it says anything."""
+        return self.tokens > 0 or bool(self.parts)
+
+
+class Reservation(msgspec.Struct, frozen=True):
+    """Memory that is kept for a request which waits for it."""
+
+    request: Hashable
+    need: TokenNeed
+    #: 0 is served first; what is more urgent is not held up by it.
+    priority: int
+
+
+class SharedPart(msgspec.Struct, frozen=True):
+    """A part of the prompts of running requests, which the engine holds once."""
+
+    tokens: int
+    #: Requests that run with it.
+    users: int
+
+
+class EngineTokens(msgspec.Struct):
+    """What the requests at one engine hold of its memory."""
+
+    need_by_request: dict[Hashable, TokenNeed] = msgspec.field(default_factory=dict)
+    part_by_key: dict[int, SharedPart] = msgspec.field(default_factory=dict)
+    #: When the prompt of each request that reads a long one is read, in the clock's seconds.
+    read_at_by_request: dict[Hashable, float] = msgspec.field(default_factory=dict)
+    #: Tokens held by all together.
+    used: int = 0
+    reservation: Reservation | None = None
+
+    def new_tokens(self, need: TokenNeed) -> int:
+        """Return the tokens of a prompt that no running request holds already."""
+        return sum(self._new_of(key, tokens) for key, tokens in need.parts)
+
+    def long_prompts(self, now: float) -> int:
+        """Return how many long prompts are being read."""
+        return sum(read_at > now for read_at in self.read_at_by_request.values())
+
+    def reserved(self, request: Hashable, priority: int) -> int:
+        """Return the tokens that a request of some priority must leave to another one."""
+        kept = self.reservation
+        if kept is None or kept.request == request or kept.priority > priority:
+            return 0
+        return kept.need.tokens + self.new_tokens(kept.need)
+
+    def add(self, request: Hashable, need: TokenNeed, now: float) -> None:
+        """Count a request."""
+        self.remove(request)
+        new = self.new_tokens(need)
+        if new > LONG_PROMPT:
+            self.read_at_by_request[request] = now + new / TOKENS_READ_A_SECOND
+        self.need_by_request[request] = need
+        self.used += need.tokens
+        for key, tokens in need.parts:
+            self._add_part(key, tokens)
+
+    def remove(self, request: Hashable) -> bool:
+        """Take back what a request holds or has reserved; return whether there was anything."""
+        has_reserved = self.reservation is not None and self.reservation.request == request
+        if has_reserved:
+            self.reservation = None
+        self.read_at_by_request.pop(request, None)
+        need = self.need_by_request.pop(request, None)
+        if need is None:
+            return has_reserved
+        self.used -= need.tokens
+        for key, tokens in need.parts:
+            self._remove_part(key, tokens)
+        return True
+
+    def _new_of(self, key: int, tokens: int) -> int:
+        known = self.part_by_key.get(key)
+        return tokens if known is None else max(0, tokens - known.tokens)
+
+    def _add_part(self, key: int, tokens: int) -> None:
+        self.used += self._new_of(key, tokens)
+        if key == OWN_PART:
+            return
+        known = self.part_by_key.get(key, SharedPart(0, 0))
+        self.part_by_key[key] = SharedPart(max(known.tokens, tokens), known.users + 1)
+
+    def _remove_part(self, key: int, tokens: int) -> None:
+        if key == OWN_PART:
+            self.used -= tokens
+            return
+        known = self.part_by_key[key]
+        if known.users > 1:
+            self.part_by_key[key] = SharedPart(known.tokens, known.users - 1)
+            return
+        self.used -= known.tokens
+        del self.part_by_key[key]
+
+
+class TokenCounts(msgspec.Struct):
+    """Tokens by engine for the engines that this router owns."""
+
+    by_engine: dict[str, EngineTokens] = msgspec.field(default_factory=dict)
+    #: Requests that were turned away, or had to wait, for want of an engine's memory.
+    refused: int = 0
+
+    def used(self, engine: str) -> int:
+        """Return the tokens that the requests at an engine hold."""
+        return self.by_engine.get(engine, EngineTokens()).used
+
+    def fits(
+        self,
+        engine: str,
+        request: Hashable,
+        need: TokenNeed,
+        limit: int,
+        now: float,
+        priority: int = 0,
+    ) -> bool:
+        """Return whether an engine that holds other work has memory for a request now."""
+        count = self.by_engine.get(engine, EngineTokens())
+        new = count.new_tokens(need)
+        if new > LONG_PROMPT and count.long_prompts(now) >= MOST_LONG_PROMPTS:
+            return False
+        return count.used + need.tokens + new + count.reserved(request, priority) <= limit
+
+    def add(self, engine: str, request: Hashable, need: TokenNeed, now: float) -> None:
+        """Count a granted request, and drop what was reserved for it."""
+        self.by_engine.setdefault(engine, EngineTokens()).add(request, need, now)
+
+    def adopt(self, engine: str, request: Hashable) -> None:
+        """Count a request that another owner granted as the mean of those that are known."""
+        requests = sum(len(count.need_by_request) for count in self.by_engine.values())
+        if requests == 0:
+            return
+        mean = sum(count.used for count in self.by_engine.values()) // requests
+        self.add(engine, request, TokenNeed(mean), 0.0)
+
+    def reserve(self, engine: str, reservation: Reservation) -> None:
+        """Keep memory for a request that waits, unless one that is as urgent has reserved it."""
+        count = self.by_engine.setdefault(engine, EngineTokens())
+        kept = count.reservation
+        if kept is None or reservation.priority < kept.priority:
+            count.reservation = reservation
+
+    def remove(self, engine: str, request: Hashable) -> bool:
+        """Take back what a request holds or has reserved; return whether there was anything."""
+        count = self.by_engine.get(engine)
+        if count is None or not count.remove(request):
+            return False
+        if not count.need_by_request and count.reservation is None:
+            del self.by_engine[engine]
+        return True
+
+
+def usable_tokens(memory: int) -> int:
+    """Return how much of an engine's memory requests may take: nine tenths.
+
+    The rest is for answers that grow beyond what their requests stated.
+    """
+    return memory * 9 // 10
--- /dev/null
+++ b/pondhatch/placement/tests/test_token_counts.py
@@ -0,0 +1,97 @@
+"""Guards the count of engines' memory: one that drifts blocks an engine or runs it full."""
+
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from pondhatch.placement import Reservation, TokenCounts, TokenNeed
+from pondhatch.placement._token_counts import LONG_PROMPT, OWN_PART, TOKENS_READ_A_SECOND
+
+LIMIT = 100
+#: A prompt that is long, and the memory of an engine that has room for many of them.
+LONG = TokenNeed(0, ((OWN_PART, LONG_PROMPT + 1),))
+LARGE_LIMIT = 100 * LONG_PROMPT
+NEEDS = st.builds(
+    TokenNeed,
+    st.integers(0, 60),
+    st.lists(st.tuples(st.integers(0, 3), st.integers(0, 60)), max_size=3).map(tuple),
+)
+
+
+class TokenCountsTest(unittest.TestCase):
+    def test_what_fits(self) -> None:
+        shared = TokenNeed(10, ((7, 50),))
+        rows: tuple[tuple[str, tuple[TokenNeed, ...], TokenNeed, bool], ...] = (
+            ("up to the limit", (TokenNeed(60),), TokenNeed(40), True),
+            ("not beyond it", (TokenNeed(60),), TokenNeed(41), False),
+            ("a shared part counts once", (shared, shared), TokenNeed(30, ((7, 50),)), True),
+            ("another part does not", (shared,), TokenNeed(0, ((8, 50),)), False),
+            (
+                "own parts are not shared",
+                (TokenNeed(0, ((0, 60),)),),
+                TokenNeed(0, ((0, 41),)),
+                False,
+            ),
+            ("beside one that is too large", (TokenNeed(200),), TokenNeed(), False),
+        )
+        for name, running, need, expected in rows:
+            with self.subTest(name):
+                counts = TokenCounts()
+                for number, each in enumerate(running):
+                    counts.add("e", number, each, 0.0)
+                self.assertEqual(counts.fits("e", "new", need, LIMIT, 0.0), expected)
+
+    def test_a_third_long_prompt_waits_until_one_is_read(self) -> None:
+        counts = TokenCounts()
+        for number in range(2):
+            counts.add("e", number, LONG, 0.0)
+        self.assertFalse(counts.fits("e", 2, LONG, LARGE_LIMIT, 0.0))
+        self.assertTrue(counts.fits("e", 2, TokenNeed(10), LARGE_LIMIT, 0.0))
+        read = (LONG_PROMPT + 1) / TOKENS_READ_A_SECOND
+        self.assertTrue(counts.fits("e", 2, LONG, LARGE_LIMIT, read))
+
+    def test_a_reservation_binds_those_that_are_no_more_urgent(self) -> None:
+        counts = TokenCounts()
+        counts.add("e", "running", TokenNeed(50), 0.0)
+        counts.reserve("e", Reservation("large", TokenNeed(60), 5))
+        counts.reserve("e", Reservation("later", TokenNeed(70), 5))
+        for request, priority, expected in (("small", 5, False), ("urgent", 4, True)):
+            self.assertEqual(
+                counts.fits("e", request, TokenNeed(10), LIMIT, 0.0, priority), expected
+            )
+        counts.remove("e", "running")
+        self.assertTrue(counts.fits("e", "large", TokenNeed(60), LIMIT, 0.0, 5))
+        self.assertTrue(counts.fits("e", "small", TokenNeed(40), LIMIT, 0.0, 5))
+        self.assertTrue(counts.remove("e", "large"))
+        self.assertFalse(counts.by_engine)
+
+    def test_one_of_unknown_size_counts_as_the_mean_of_those_known(self) -> None:
+        counts = TokenCounts()
+        counts.adopt("e", "first")
+        self.assertEqual(counts.used("e"), 0)
+        counts.add("other", 1, TokenNeed(20), 0.0)
+        counts.add("other", 2, TokenNeed(40), 0.0)
+        counts.adopt("e", "second")
+        self.assertEqual(counts.used("e"), 30)
+
+    @settings(max_examples=200, derandomize=True, deadline=None)
+    @given(st.lists(st.tuples(st.integers(0, 8), st.booleans(), NEEDS), max_size=60))
+    def test_the_limit_holds_and_nothing_is_left_in_the_end(
+        self, steps: list[tuple[int, bool, TokenNeed]]
+    ) -> None:
+        counts, running = TokenCounts(), set[int]()
+        for request, ends, need in steps:
+            if ends or request in running:
+                self.assertEqual(counts.remove("e", request), request in running)
+                running.discard(request)
+            elif not running or counts.fits("e", request, need, LIMIT, 0.0):
+                counts.add("e", request, need, 0.0)
+                running.add(request)
+            if len(running) > 1:
+                self.assertLessEqual(counts.used("e"), LIMIT)
+        for request in running:
+            counts.remove("e", request)
+        self.assertEqual((counts.used("e"), counts.by_engine), (0, {}))
