Read what requests state of their tokens, and what engines' memory holds

Cause: the owner of an engine cannot count memory that nobody tells it of.

Change: the platform's adapter reads the tokens of a prompt and the most of its answer, the guess of the answer, and the parts of the prompt into CallerFacts and RequestHead. An answer counts with the guess, no more than the stated most, and without a guess with the most. What cannot be read counts as not stated. ServiceSpec.engine_tokens holds an engine's memory. Nothing goes by either yet.

--- a/pondhatch/configuration/_schema.py
+++ b/pondhatch/configuration/_schema.py
@@ -64,6 +64,8 @@
     cold_pace: Annotated[float, Meta(gt=0)] | None = None
     #: Whether its engines take contexts over from each other when they are told to.
     shares_context: bool = False
+    #: Tokens that the memory of one engine holds; None where that is not known.
+    engine_tokens: Annotated[int, Meta(ge=1)] | None = None
     #: Upstreams that an operator wants emptied; they get no new work.
     leaving: tuple[str, ...] = ()
     #: What its engines are ordered to hold; for kind "model".
--- a/pondhatch/platform/_callers.py
+++ b/pondhatch/platform/_callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import posixpath
+import re
 from urllib.parse import unquote
 
 import xxhash
@@ -15,6 +16,12 @@
 
 #: Statuses that ask the client to come back later.
 COME_BACK = (429, 503)
+#: A count of tokens; longer ones are no count, and would cost time to read.
+_COUNT = re.compile(r"\s*([0-9]{1,9})\s*", re.ASCII)
+#: Stands between the tokens of a prompt and the most of its answer.
+_BETWEEN_COUNTS = re.compile(r"[,:;/]")
+#: One part of a prompt: its id in hex, and its tokens.
+_PART = re.compile(r"\s*([0-9a-fA-F]{1,64}):([0-9]{1,9})\s*", re.ASCII)
 
 
 class ClientDialect:
@@ -24,11 +31,17 @@
         """Return what a client says about its request."""
         value_by_name = {name.lower(): value for name, value in headers}
         wait = value_by_name.get(names.DEADLINE_MS.lower(), "")
+        usage = _BETWEEN_COUNTS.split(value_by_name.get(names.TOKENS.lower(), ""), maxsplit=1)
+        hint = value_by_name.get(names.LENGTH_HINT.lower(), "")
+        parts = value_by_name.get(names.PROMPT_PARTS.lower(), "")
         return CallerFacts(
             caller_id=value_by_name.get(names.ATTEMPT_ID.lower(), ""),
             key=bearer_key(value_by_name.get(names.AUTHORIZATION.lower(), "")),
             wait=float(wait) / 1000 if wait.isascii() and wait.isdigit() else None,
-            context=_context(value_by_name.get(names.PROMPT_PARTS.lower(), "")),
+            context=_context(parts),
+            prompt_tokens=_count(usage[0]) or sum(_part_tokens(parts)),
+            answer_tokens=_answer_tokens(_count(hint), _count(usage[-1]) if usage[1:] else 0),
+            prompt_parts=_shared_parts(parts),
         )
 
     def passed_on(self, headers: Headers, note: NoteDropped) -> Headers:
@@ -67,3 +80,28 @@
         return 0
     shared = ids[-2] if len(ids) > 1 else ids[0]
     return xxhash.xxh64_intdigest(shared.encode()) or 1
+
+
+def _count(text: str) -> int:
+    """Return a count of tokens, or 0 where it cannot be read."""
+    found = _COUNT.fullmatch(text)
+    return int(found[1]) if found is not None else 0
+
+
+def _answer_tokens(hint: int, most: int) -> int:
+    """Return the tokens that an answer is taken to have: as guessed, but no more than may be.
+
+    Without a guess it may grow to the most.
+    """
+    return min(hint, most) if hint and most else hint or most
+
+
+def _part_tokens(parts: str) -> list[int]:
+    """Return the tokens of each part of a prompt that can be read."""
+    return [int(found[2]) for part in parts.split(",") if (found := _PART.fullmatch(part))]
+
+
+def _shared_parts(parts: str) -> tuple[tuple[int, int], ...]:
+    """Return a prompt's parts but the last, which is the request's own."""
+    found = [_PART.fullmatch(part) for part in parts.split(",")[:-1]]
+    return tuple((int(each[1], 16), int(each[2])) for each in found if each is not None)
--- a/pondhatch/platform/_configuration.py
+++ b/pondhatch/platform/_configuration.py
@@ -80,6 +80,8 @@
 class _EngineKind(Wire, frozen=True):
     #: Whether engines copy what they hold of a prompt to each other.
     moves: bool = False
+    #: Tokens that the memory of one engine holds; 0 where it is not said.
+    kv_capacity_tokens: int = 0
 
 
 class _Limits(Wire, frozen=True):
@@ -154,6 +156,7 @@
         "load_bound": defaults.load_bound,
         "load_slack": defaults.load_slack,
         "shares_context": engines.moves,
+        "engine_tokens": engines.kv_capacity_tokens if engines.kv_capacity_tokens > 0 else None,
         "cold_pace": service.cold_per_s if service.cold_per_s > 0 else None,
     }
 
--- a/pondhatch/platform/tests/test_configuration.py
+++ b/pondhatch/platform/tests/test_configuration.py
@@ -277,3 +277,10 @@
             with self.subTest(told=told):
                 fleet = self.edited("Services", 0, ColdPerS=told)
                 self.assertEqual(fleet.service_by_name["lang"].cold_pace, expected)
+
+    def test_what_an_engines_memory_holds_is_its_services(self) -> None:
+        for told, expected in ((90_000, 90_000), (9e4, 90_000), (0, None), ("x", None), (-1, None)):
+            with self.subTest(told=told):
+                fleet = self.edited("Services", 0, EngineId={"KvCapacityTokens": told})
+                self.assertEqual(fleet.service_by_name["lang"].engine_tokens, expected)
+        self.assertIsNone(fleet_of(CONFIGURATION).service_by_name["portal"].engine_tokens)
--- a/pondhatch/platform/tests/test_dialects.py
+++ b/pondhatch/platform/tests/test_dialects.py
@@ -209,6 +209,28 @@
             with self.subTest(told=told):
                 self.assertIsNone(self.dialect.read((("Deadline-Ms", told),)).wait)
 
+    def test_what_a_client_says_of_its_tokens(self) -> None:
+        parts = "1a:500,ff:200,3c:100"
+        shared = ((0x1A, 500), (0xFF, 200))
+        rows = (
+            ("1200,400", "", parts, (1200, 400, shared)),
+            ("1200,400", "250", "3c:100", (1200, 250, ())),
+            # No more than the most that it may have, and no less than nothing.
+            ("1200,400", "900", "", (1200, 400, ())),
+            ("1200,400", "-9", "", (1200, 400, ())),
+            ("", "250", parts, (800, 250, shared)),
+            ("many,400", "", parts, (800, 400, shared)),
+            ("1200,1e3", "", "1a:5_0,x:3,ff:200,3c:1", (1200, 0, ((0xFF, 200),))),
+            ("-1,-1", "\u00b2", "1a:-5,3c", (0, 0, ())),
+            ("9" * 5000, "9" * 5000, "1a:" + "9" * 5000, (0, 0, ())),
+        )
+        for usage, hint, told, expected in rows:
+            said = (("Token-Usage", usage), ("Length-Hint", hint), ("Prefix-Hash", told))
+            with self.subTest(said=said):
+                facts = self.dialect.read(said)
+                found = (facts.prompt_tokens, facts.answer_tokens, facts.prompt_parts)
+                self.assertEqual(found, expected)
+
     def test_keys_in_any_case_of_the_scheme_and_none(self) -> None:
         rows: tuple[tuple[Headers, str | None], ...] = (
             ((("authorization", "bearer k"),), "k"),
--- a/pondhatch/requests/_messages.py
+++ b/pondhatch/requests/_messages.py
@@ -52,6 +52,11 @@
     resuming: bool = False
     #: Of what the caller asks for, alike in all attempts at it; 0 where its body is not held.
     digest: int = 0
+    #: Tokens of its prompt, and those that its answer is taken to have; 0 where not stated.
+    prompt_tokens: int = 0
+    answer_tokens: int = 0
+    #: Parts of its prompt that other requests share, each as an id and its tokens.
+    prompt_parts: tuple[tuple[int, int], ...] = ()
 
 
 class Lost(Exception):
--- a/pondhatch/transport/_caller_dialect.py
+++ b/pondhatch/transport/_caller_dialect.py
@@ -21,6 +21,11 @@
     wait: float | None
     #: 64-bit key of the context that the request shares with others; 0 for none.
     context: int
+    #: Tokens of its prompt, and those that its answer is taken to have; 0 where not said.
+    prompt_tokens: int = 0
+    answer_tokens: int = 0
+    #: Parts of its prompt that other requests share, each as an id and its tokens.
+    prompt_parts: tuple[tuple[int, int], ...] = ()
 
 
 class CallerDialect(Protocol):
--- a/pondhatch/transport/_routed_callers.py
+++ b/pondhatch/transport/_routed_callers.py
@@ -273,6 +273,9 @@
         resumes_anywhere=route.repeats == "resumed",
         regions=admitted.regions,
         digest=digest_of(account.name, method, path, body.content),
+        prompt_tokens=facts.prompt_tokens,
+        answer_tokens=facts.answer_tokens,
+        prompt_parts=facts.prompt_parts,
     )
 
 
