Grant requests by the memory of engines, where load is managed

Cause: an engine's owner counts requests. Among many short chats it grants several long documents at one engine, whose memory runs out; it breaks streams off and reads their prompts again.

Change: while load is managed and the service states an engine's memory, walks state what a request takes (Question.tokens, Question.parts) and the owner counts it from grant to release. BusyWord.short_tokens (new, last, left out while it says nothing) says what must come free: the walk waits where that is least, since by requests alone it waits at the engine that large requests fill. A line passes over up to 4 requests that lack memory. The state dump shows the counts; engines.memory-full counts those turned away.

Ruled out: nothing at all for those behind a large request.

--- a/pondhatch/cli/_figures.py
+++ b/pondhatch/cli/_figures.py
@@ -37,6 +37,7 @@
             "upstreams.cold": self.state.cold_count(),
             "upstreams.said_leaving": sum(notice.is_leaving for notice in notices),
             "upstreams.resting": sum(notice.rest > 0 for notice in notices),
+            "engines.memory-full": self.state.tokens.refused,
             "halls.evacuated": len(self.state.halls.evacuations.halls),
             "requests.suspected": len(self.state.suspects.suspect_by_digest),
             "requests.quarantined": len(list(self.state.suspects.quarantined(self.state.clock()))),
--- a/pondhatch/observing/_served.py
+++ b/pondhatch/observing/_served.py
@@ -110,7 +110,7 @@
 
 def _told(name: str) -> str:
     """Return the name under which a metric is told."""
-    return PREFIX + name.replace(".", "_")
+    return PREFIX + name.replace(".", "_").replace("-", "_")
 
 
 def _help(name: str) -> str:
--- a/pondhatch/placement/_gate.py
+++ b/pondhatch/placement/_gate.py
@@ -38,6 +38,9 @@
     ceiling: int
     #: Whether it has places, but is cold, and is to get nothing more for a moment.
     is_cold: bool = False
+    #: Tokens that must come free in its memory before it takes this request; it may take a
+    #: smaller one at once. 0 where its memory is not the reason.
+    short_tokens: int = 0
 
 
 Verdict = Granted | Full
--- a/pondhatch/placement/_line.py
+++ b/pondhatch/placement/_line.py
@@ -69,6 +69,10 @@
         """Return who is next, or None where nobody waits."""
         return min(self.by_number.values(), key=lambda ticket: ticket.order, default=None)
 
+    def in_order(self) -> list[Ticket]:
+        """Return all who wait, the next one first."""
+        return sorted(self.by_number.values(), key=lambda ticket: ticket.order)
+
     def served(self, ticket: Ticket) -> None:
         """Note that a ticket's turn came."""
         self._virtual_time = max(self._virtual_time, ticket.start)
--- a/pondhatch/placement/_plan.py
+++ b/pondhatch/placement/_plan.py
@@ -59,6 +59,8 @@
         self.passed_over: list[tuple[str, str]] = []
         #: Requests in flight that each full engine's owner spoke of.
         self.in_flight_by_engine: dict[str, int] = {}
+        #: Tokens of memory that engines lacked for the request, of those that lacked any.
+        self._short_by_engine: dict[str, int] = {}
         #: Engines that were passed over because they answer with failures.
         self._ailing: list[str] = []
         self._asks = asks
@@ -102,9 +104,16 @@
         """Return the work seen on this walk at other engines: newer than any digest."""
         return sum(held for other, held in self.in_flight_by_engine.items() if other != engine)
 
-    def full(self, in_flight: int, ceiling: int, is_cold: bool = False) -> None:
-        """Note that the engine last asked is at its ceiling, or cold and not due for more."""
+    def full(
+        self, in_flight: int, ceiling: int, is_cold: bool = False, short_tokens: int = 0
+    ) -> None:
+        """Note that the engine last asked is at its ceiling, cold, or lacks memory."""
         self.in_flight_by_engine[self._last_ask().engine] = in_flight
+        if short_tokens > 0:
+            self._short_by_engine[self._last_ask().engine] = short_tokens
+            self.refused(f"lacks memory of {short_tokens} tokens, holds {in_flight}")
+            return
+        self._short_by_engine.pop(self._last_ask().engine, None)
         why = f"cold, holds {in_flight}" if is_cold else f"at ceiling, {in_flight} of {ceiling}"
         self.refused(why)
 
@@ -193,8 +202,10 @@
     def _fullest_first(self) -> list[str]:
         """Return the full engines, the one with the least work last.
 
-        What was seen of the others may raise its ceiling. Of two that hold as much, the one
-        asked first comes last: the chat's order goes for it.
+        One that lacks memory holds few requests, but large ones: the less it lacks, the sooner
+        it takes another. What was seen of the others may raise its ceiling. Of two that hold as
+        much, the one asked first comes last: the chat's order goes for it.
         """
         seen = self.in_flight_by_engine
-        return sorted(seen, key=lambda name: seen[name])[::-1]
+        short = self._short_by_engine
+        return sorted(seen, key=lambda name: (short.get(name, 0), seen[name]))[::-1]
--- a/pondhatch/placement/_token_counts.py
+++ b/pondhatch/placement/_token_counts.py
@@ -62,6 +62,8 @@
     #: Tokens held by all together.
     used: int = 0
     reservation: Reservation | None = None
+    #: Tokens of each request that was granted while memory was reserved for another.
+    tokens_by_later: dict[Hashable, int] = msgspec.field(default_factory=dict)
 
     def new_tokens(self, need: TokenNeed) -> int:
         """Return the tokens of a prompt that no running request holds already."""
@@ -71,16 +73,33 @@
         """Return how many long prompts are being read."""
         return sum(read_at > now for read_at in self.read_at_by_request.values())
 
-    def reserved(self, request: Hashable, priority: int) -> int:
-        """Return the tokens that a request of some priority must leave to another one."""
-        kept = self.reservation
+    def size(self, need: TokenNeed) -> int:
+        """Return the tokens that a request takes beside what is held already."""
+        return need.tokens + self.new_tokens(need)
+
+    def shortage(self, request: Hashable, need: TokenNeed, limit: int, priority: int) -> int:
+        """Return how many tokens must come free before a request gets its own; 0 for none.
+
+        What is reserved and free is left alone. Until it is free, those that come later take at
+        most half of what it leaves of the whole: the other half is for those that ran before and
+        take long, so that it comes free although not all of them have ended.
+        """
+        size, kept = self.size(need), self.reservation
+        lacking = self.used + size - limit
         if kept is None or kept.request == request or kept.priority > priority:
-            return 0
-        return kept.need.tokens + self.new_tokens(kept.need)
+            return max(0, lacking)
+        reserved = self.size(kept.need)
+        later = sum(self.tokens_by_later.values())
+        lacking = max(lacking, later + size - (limit - reserved) // 2)
+        if self.used + reserved <= limit:
+            lacking = max(lacking, self.used + reserved + size - limit)
+        return lacking + reserved if lacking > 0 else 0
 
     def add(self, request: Hashable, need: TokenNeed, now: float) -> None:
         """Count a request."""
         self.remove(request)
+        if self.reservation is not None:
+            self.tokens_by_later[request] = self.size(need)
         new = self.new_tokens(need)
         if new > LONG_PROMPT:
             self.read_at_by_request[request] = now + new / TOKENS_READ_A_SECOND
@@ -94,6 +113,8 @@
         has_reserved = self.reservation is not None and self.reservation.request == request
         if has_reserved:
             self.reservation = None
+            self.tokens_by_later.clear()
+        self.tokens_by_later.pop(request, None)
         self.read_at_by_request.pop(request, None)
         need = self.need_by_request.pop(request, None)
         if need is None:
@@ -137,7 +158,7 @@
         """Return the tokens that the requests at an engine hold."""
         return self.by_engine.get(engine, EngineTokens()).used
 
-    def fits(
+    def shortage(
         self,
         engine: str,
         request: Hashable,
@@ -145,13 +166,15 @@
         limit: int,
         now: float,
         priority: int = 0,
-    ) -> bool:
-        """Return whether an engine that holds other work has memory for a request now."""
+    ) -> int:
+        """Return how many tokens must come free at an engine that holds other work.
+
+        0 where a request fits; 1 where there is memory, but enough long prompts are being read.
+        """
         count = self.by_engine.get(engine, EngineTokens())
-        new = count.new_tokens(need)
-        if new > LONG_PROMPT and count.long_prompts(now) >= MOST_LONG_PROMPTS:
-            return False
-        return count.used + need.tokens + new + count.reserved(request, priority) <= limit
+        is_long = count.new_tokens(need) > LONG_PROMPT
+        waits_to_read = is_long and count.long_prompts(now) >= MOST_LONG_PROMPTS
+        return max(count.shortage(request, need, limit, priority), int(waits_to_read))
 
     def add(self, engine: str, request: Hashable, need: TokenNeed, now: float) -> None:
         """Count a granted request, and drop what was reserved for it."""
@@ -171,6 +194,7 @@
         kept = count.reservation
         if kept is None or reservation.priority < kept.priority:
             count.reservation = reservation
+            count.tokens_by_later.clear()
 
     def remove(self, engine: str, request: Hashable) -> bool:
         """Take back what a request holds or has reserved; return whether there was anything."""
--- a/pondhatch/placement/tests/test_plan.py
+++ b/pondhatch/placement/tests/test_plan.py
@@ -37,6 +37,16 @@
         plan.context_elsewhere("engine-gone")
         self.assertEqual(plan.next(), Ask(plan.order[0], insist=True))
 
+    # The engine with the fewest requests is the one that large ones fill.
+    def test_the_last_one_asked_is_that_which_lacks_the_least_memory(self) -> None:
+        plan = Plan("chat", ENGINES[:3])
+        for held, short in ((2, 8000), (9, 0), (5, 300)):
+            plan.next()
+            plan.full(held, held, short_tokens=short)
+        self.assertEqual(plan.next(), Ask(plan.order[1], insist=True, last=True))
+        plan.full(9, 9, short_tokens=9000)
+        self.assertEqual(plan.next(), Ask(plan.order[2], insist=True))
+
     def test_the_least_loaded_is_asked_once_more_then_the_plan_ends(self) -> None:
         plan = Plan("chat", ENGINES[:3])
         for held in (4, 2, 3):
--- a/pondhatch/requests/_entry.py
+++ b/pondhatch/requests/_entry.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from pondhatch.limits import RetryBudget
-from pondhatch.placement import Ask, Closed, Exhausted, Granted, Plan
+from pondhatch.placement import Ask, Closed, Exhausted, Granted, Plan, TokenNeed
 from pondhatch.requests._crash_guard import QUARANTINED
 from pondhatch.requests._entry_view import EntryView, Ways
 from pondhatch.requests._messages import BodySource, Opened, ReplayableBody, RequestHead
@@ -34,6 +34,7 @@
 )
 from pondhatch.requests._rests import Rests
 from pondhatch.requests._sending import FAILURE_STATUS, is_own_failure
+from pondhatch.requests._token_needs import stated_need
 from pondhatch.requests._tries import Tries
 from pondhatch.requests._walk_results import (
     NO_PATIENCE,
@@ -57,6 +58,8 @@
 )
 #: Refusals of engines that may take the same request a moment later.
 MAY_TAKE_IT_AGAIN = frozenset({EngineRefusal.FULL, EngineRefusal.DECLINED})
+#: Said where an engine's memory is not known, or load is not managed.
+NOTHING_NEEDED = TokenNeed()
 #: Engines that refuse a request without a reason before its caller is told: where a second
 #: one does, it is likelier the request than the engines.
 MOST_UNKNOWN_REFUSALS = 2
@@ -83,6 +86,7 @@
         self._ways = ways
         self._budget = budget
         self._head = head
+        self._need = stated_need(head)
         self._body = body
         self._remaining = remaining
         self._most_patience = patience
@@ -294,7 +298,7 @@
             self.plan.context_elsewhere(reply.engine)
             return None
         if isinstance(reply, Busy):
-            self.plan.full(reply.in_flight, reply.ceiling, reply.is_cold)
+            self.plan.full(reply.in_flight, reply.ceiling, reply.is_cold, reply.short_tokens)
             return None
         if isinstance(reply, NotOwner):
             self.plan.refused("its owner is in doubt")
@@ -339,6 +343,7 @@
         at_home = engine == self.plan.home
         patience = self._most_patience.context if context else 0.0
         patience = min(self._remaining(), self._most_patience.last if last else patience)
+        need = self._need_at(engine)
         return Question(
             number=self._ways.grants.next_number(),
             router=self._ways.grants.router,
@@ -356,8 +361,18 @@
             settled=self._settled_before(engine) if at_home else None,
             insist=insist,
             resuming=resuming,
+            tokens=need.tokens,
+            parts=need.parts,
         )
 
+    def _need_at(self, engine: str) -> TokenNeed:
+        """Return what the request takes of an engine's memory, where its owner goes by that."""
+        if not (self._need.is_stated and self._view.load_managed()):
+            return NOTHING_NEEDED
+        target = self._view.target(engine)
+        is_known = target is not None and target.memory_tokens is not None
+        return self._need if is_known else NOTHING_NEEDED
+
     def _settled_before(self, home: str) -> str | None:
         """Return where a newcomer's chat was at home before, and is to stay for now.
 
--- a/pondhatch/requests/_grant_packets.py
+++ b/pondhatch/requests/_grant_packets.py
@@ -51,6 +51,7 @@
     is_cold: bool = False
     predicted_ms: int = 0
     come_back_ms: int = 0
+    short_tokens: int = 0
 
 
 class ElsewhereWord(_Packet, frozen=True, tag=54):
@@ -125,7 +126,7 @@
 GrantPacket = Question | Word | Telling
 
 #: How many fields that stand last in a message tell of managed load only.
-_LOAD_FIELDS_BY_TYPE: dict[type[GrantPacket], int] = {Question: 4, BusyWord: 2}
+_LOAD_FIELDS_BY_TYPE: dict[type[GrantPacket], int] = {Question: 4, BusyWord: 3}
 
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER: msgspec.msgpack.Decoder[GrantPacket] = msgspec.msgpack.Decoder(GrantPacket)
@@ -162,6 +163,7 @@
             reply.is_cold,
             reply.predicted_ms,
             reply.come_back_ms,
+            reply.short_tokens,
         )
     if isinstance(reply, Elsewhere):
         return ElsewhereWord(number, reply.engine)
@@ -177,7 +179,12 @@
         return Granted(word.in_flight, word.ceiling)
     if isinstance(word, BusyWord):
         return Busy(
-            word.in_flight, word.ceiling, word.is_cold, word.predicted_ms, word.come_back_ms
+            word.in_flight,
+            word.ceiling,
+            word.is_cold,
+            word.predicted_ms,
+            word.come_back_ms,
+            word.short_tokens,
         )
     if isinstance(word, ElsewhereWord):
         return Elsewhere(word.engine)
--- a/pondhatch/requests/_lines.py
+++ b/pondhatch/requests/_lines.py
@@ -13,6 +13,9 @@
 
 #: Requests that may wait before one engine.
 LINE_LIMIT = 64
+#: Requests without memory that are passed over each time that a line is served, so that
+#: smaller ones behind them go on: each costs the asking of the gate, and a line holds 64.
+MOST_PASSED_OVER = 4
 
 
 class Waiter(msgspec.Struct, frozen=True):
@@ -117,14 +120,20 @@
     def serve(self, engine: str) -> None:
         """Grant those who wait for an engine, in order, as far as the gate allows."""
         queue = self._queue_by_engine.get(engine)
-        while queue is not None and (ticket := queue.line.first()) is not None:
+        if queue is None:
+            return
+        passed_over = 0
+        for ticket in queue.line.in_order():
             waiter = queue.waiter_by_number[ticket.number]
             if waiter.turn.done():
                 queue.line.leave(ticket)
                 continue
             verdict = waiter.ask()
             if isinstance(verdict, Full):
-                return
+                passed_over += 1
+                if verdict.short_tokens == 0 or passed_over > MOST_PASSED_OVER:
+                    return
+                continue
             queue.line.served(ticket)
             waiter.turn.set_result(verdict)
 
--- a/pondhatch/requests/_owner.py
+++ b/pondhatch/requests/_owner.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 import msgspec
+from msgspec.structs import replace
 
 from pondhatch.placement import (
     ColdPaces,
@@ -14,9 +15,12 @@
     Gate,
     Granted,
     Health,
+    Reservation,
     SpillMemory,
+    TokenCounts,
     Verdict,
     context_engine,
+    usable_tokens,
 )
 from pondhatch.requests._leases import Leases
 from pondhatch.requests._lines import Lines
@@ -31,6 +35,7 @@
     Question,
 )
 from pondhatch.requests._sending import Target, grantable_target
+from pondhatch.requests._token_needs import asked_need
 
 #: Seconds that a process takes at least from its start to its first request: what a router
 #: that restarted was granted longer ago belongs to its earlier process.
@@ -78,6 +83,7 @@
         clock: Callable[[], float],
         health: Health,
         cold_paces: ColdPaces | None = None,
+        tokens: TokenCounts | None = None,
     ) -> None:
         self._name = name
         self._view = view
@@ -87,6 +93,7 @@
         self._lines = Lines(self._give_back)
         self._health = health
         self._cold_paces = cold_paces or ColdPaces()
+        self._tokens = tokens or TokenCounts()
         self.leases = Leases()
 
     async def ask(self, question: Question) -> OwnerReply:
@@ -114,6 +121,7 @@
         verdict = self._ask_gate(target, question)
         if isinstance(verdict, Granted):
             return self._granted(question, verdict)
+        self._tokens.refused += verdict.short_tokens > 0
         if question.patience > 0:
             return MustWait(target, verdict)
         return _busy(verdict)
@@ -136,20 +144,27 @@
         verdict = self._ask_gate(target, question)
         if isinstance(verdict, Granted):
             return self._granted(question, verdict)
+        self._tokens.refused += verdict.short_tokens > 0
         return _busy(verdict)
 
     async def wait(self, question: Question, must: MustWait) -> OwnerReply:
         """Wait in the engine's line until granted, or until patience ends."""
         ask = functools.partial(self._ask_gate_anew, must.target, question)
-        verdict = await self._lines.wait(question, must.full, ask)
+        verdict: Verdict | None = None
+        try:
+            verdict = await self._lines.wait(question, must.full, ask)
+        finally:
+            if not isinstance(verdict, Granted):
+                self._stopped_waiting(question)
         if isinstance(verdict, Full):
             # As it is now: the next owner that is asked counts what it is told here, and what
             # was there when the wait began may have ended since.
             held = self._gate.in_flight(question.engine, self._clock())
-            return Busy(held, verdict.ceiling, verdict.is_cold)
+            return _busy(replace(verdict, in_flight=held))
         target = self._target(question)
         if isinstance(target, NotRun):
             # It was closed while the request waited.
+            self._tokens.remove(question.engine, question.holder)
             self._give_back(question.engine)
             return target
         return self._granted(question, verdict)
@@ -161,6 +176,7 @@
             return
         # First, since whoever waits in the engine's line is granted when the place is back.
         self._learn(lease.engine, ended)
+        self._tokens.remove(lease.engine, holder)
         self._give_back(lease.engine)
 
     def _learn(self, engine: str, ended: Ended) -> None:
@@ -197,6 +213,7 @@
             holder = Holder(router, number)
             if holder not in self.leases.by_holder:
                 self._gate.adopt(engine)
+                self._adopt_tokens(engine, holder)
             self.leases.give(holder, engine, self._clock())
 
     def lost_router(self, router: int) -> None:
@@ -257,8 +274,21 @@
         return grantable_target(target, question.engine, question.resuming)
 
     def _ask_gate_anew(self, target: Target, question: Question) -> Verdict:
-        """Ask the gate for a request that waited, since its upstream may have turned cold."""
-        return self._ask_gate(self._view.target(target.name) or target, question)
+        """Ask the gate for a request that waited, since its upstream may have turned cold.
+
+        Where it lacks memory, memory is kept for it: smaller requests that come later would
+        take each piece that comes free.
+        """
+        verdict = self._ask_gate(self._view.target(target.name) or target, question)
+        if isinstance(verdict, Full) and verdict.short_tokens > 0:
+            kept = Reservation(question.holder, asked_need(question), question.priority)
+            self._tokens.reserve(target.name, kept)
+        return verdict
+
+    def _stopped_waiting(self, question: Question) -> None:
+        """Take back what a request counts or keeps that goes without a grant."""
+        if self._tokens.remove(question.engine, question.holder):
+            self._lines.serve(question.engine)
 
     def _ask_gate(self, target: Target, question: Question) -> Verdict:
         """Grant a request at an upstream's ceiling and, where it is cold, at its pace."""
@@ -279,11 +309,41 @@
         return Full(held, held, is_cold=True)
 
     def _ask_ceiling(self, target: Target, question: Question) -> Verdict:
+        """Grant a request where an upstream has a place and memory for it."""
         now = self._clock()
+        short = self._short_tokens(target, question)
+        if short > 0:
+            held = self._gate.in_flight(target.name, now)
+            return Full(held, held, short_tokens=short)
         others = max(self._view.elsewhere_in_flight(target.name), question.seen_elsewhere)
-        return self._gate.ask(
+        verdict = self._gate.ask(
             target.name, now, target.bound, others, target.peers, target.slots, target.slack
         )
+        if isinstance(verdict, Granted) and (need := asked_need(question)).is_stated:
+            self._tokens.add(target.name, question.holder, need, now)
+        return verdict
+
+    def _short_tokens(self, target: Target, question: Question) -> int:
+        """Return the tokens that an engine lacks for a request; 0 where that is not gone by.
+
+        One that holds nothing takes any request, which could run nowhere else either. The rest
+        of a stream runs in memory that the engine holds already.
+        """
+        if target.memory_tokens is None or not self._view.load_managed() or question.resuming:
+            return 0
+        now = self._clock()
+        if self._gate.in_flight(target.name, now) == 0:
+            return 0
+        limit, need = usable_tokens(target.memory_tokens), asked_need(question)
+        return self._tokens.shortage(
+            target.name, question.holder, need, limit, now, question.priority
+        )
+
+    def _adopt_tokens(self, engine: str, holder: Holder) -> None:
+        """Count the tokens of a request that another owner granted, and that is not known."""
+        target = self._view.target(engine)
+        if target is not None and target.memory_tokens is not None and self._view.load_managed():
+            self._tokens.adopt(engine, holder)
 
     def _granted(self, question: Question, verdict: Granted) -> Granted:
         if question.home:
@@ -302,4 +362,4 @@
 
 
 def _busy(full: Full) -> Busy:
-    return Busy(full.in_flight, full.ceiling, full.is_cold)
+    return Busy(full.in_flight, full.ceiling, full.is_cold, short_tokens=full.short_tokens)
--- a/pondhatch/requests/_questions.py
+++ b/pondhatch/requests/_questions.py
@@ -51,9 +51,11 @@
     in_time: int = 0
     #: Engines in whose queues the request waits at once, this one included.
     queues: int = 1
-    #: Tokens that it takes of an engine's memory beside the shared parts; 0 where not said.
+    #: Tokens that it takes of an engine's memory beside the parts of its prompt: those of its
+    #: answer; 0 where not said.
     tokens: int = 0
-    #: Shared parts of its prompt, each as a key and its tokens.
+    #: Parts of its prompt, each as a key and its tokens; OWN_PART is the key of what no other
+    #: request shares.
     parts: tuple[tuple[int, int], ...] = ()
 
     @property
@@ -80,6 +82,9 @@
     #: coming back; 0 where they are not estimated.
     predicted_ms: int = 0
     come_back_ms: int = 0
+    #: Tokens that must come free in the engine's memory before it takes the request; 0 where
+    #: its memory is not the reason.
+    short_tokens: int = 0
 
 
 class Elsewhere(msgspec.Struct, frozen=True):
--- a/pondhatch/requests/_sending.py
+++ b/pondhatch/requests/_sending.py
@@ -46,6 +46,8 @@
     shares_context: bool = False
     #: The id that it answers to; empty where its name is that.
     instance: str = ""
+    #: Tokens that its memory holds; None where that is not known.
+    memory_tokens: int | None = None
 
 
 #: What is told of an upstream that may not be sent a request.
--- a/pondhatch/router/_dump.py
+++ b/pondhatch/router/_dump.py
@@ -220,6 +220,31 @@
         }
 
 
+@REGISTRY.register(SECTION_KIND, "9-memory")
+class MemorySection(Plugin):
+    """What requests hold of the memory of the engines that are owned here."""
+
+    DEPENDENCIES = (RouterState,)
+
+    def content(self) -> Dump:
+        """Return the section's keys."""
+        state = self.view(RouterState)
+        now = state.clock()
+        return {
+            "engine_tokens": [
+                {
+                    "name": name,
+                    "tokens": count.used,
+                    "requests": len(count.need_by_request),
+                    "long_prompts": count.long_prompts(now),
+                    "reserved": count.reservation is not None,
+                }
+                for name, count in sorted(state.tokens.by_engine.items())
+            ],
+            "memory_refusals": state.tokens.refused,
+        }
+
+
 @REGISTRY.register(SECTION_KIND, "5-decisions")
 class DecisionsSection(Plugin):
     """The last requests: which engine took each, and why others were passed over."""
--- a/pondhatch/router/_granting.py
+++ b/pondhatch/router/_granting.py
@@ -43,6 +43,7 @@
             state.clock,
             state.health,
             state.cold_paces,
+            state.tokens,
         )
         first = started_ns // NANOSECONDS_A_NUMBER % NUMBERS
         router = short_id(state.name)
--- a/pondhatch/router/_state.py
+++ b/pondhatch/router/_state.py
@@ -36,6 +36,7 @@
     Notices,
     Regions,
     SpillMemory,
+    TokenCounts,
     is_allowed,
     ranked,
     winner,
@@ -89,6 +90,8 @@
     halls: HallStates = field(default_factory=HallStates)
     gate: Gate = field(default_factory=Gate)
     cold_paces: ColdPaces = field(default_factory=ColdPaces)
+    #: Tokens that requests hold at the engines that this router owns.
+    tokens: TokenCounts = field(default_factory=TokenCounts)
     memory: SpillMemory = field(default_factory=SpillMemory)
     #: Which engine answered a chat last through this router.
     served: SpillMemory = field(default_factory=SpillMemory)
@@ -317,6 +320,7 @@
             slack=service.load_slack,
             shares_context=service.shares_context,
             instance=upstream.instance,
+            memory_tokens=service.engine_tokens,
         )
 
     def cold_count(self) -> int:
--- a/pondhatch/router/tests/test_dump.py
+++ b/pondhatch/router/tests/test_dump.py
@@ -9,6 +9,7 @@
 from fakes._platform_in_memory import PlatformInMemory
 from pondhatch.configuration.tests.test_fleet import account, change
 from pondhatch.kernel import REGISTRY, Plugin
+from pondhatch.placement import TokenNeed
 from pondhatch.requests import DecisionNote
 from pondhatch.router import Authority, RouterState, dump_state
 from pondhatch.router._dump import SECTION_KIND
@@ -43,6 +44,11 @@
         hashed = self.state.fleet.entry("account", "atelier")["key_hashes"][0]
         self.assertNotIn(hashed.encode(), msgspec.json.encode(self.dump({})))
 
+    def test_it_shows_what_requests_hold_of_engines_memory(self) -> None:
+        self.state.tokens.add("e0", 1, TokenNeed(700), 0.0)
+        (shown,) = self.dump({})["engine_tokens"]
+        self.assertEqual((shown["name"], shown["tokens"], shown["requests"]), ("e0", 700, 1))
+
     def test_a_section_that_registers_itself_is_shown(self) -> None:
         @REGISTRY.register(SECTION_KIND, "9-trial")
         class TrialSection(Plugin):
