Take parts that an engine read lately as read, and one separator of counts

Cause: a returning chat's context counted as a long prompt to be read, so that a third chat with a large context would have been sent away from the engine that holds it. Counts of tokens were split at four signs, of which the platform uses one.

Change: the owner remembers for 60 s which parts ran at which engine (8,192 at most), and counts only the others as to be read. Token-Usage is split at its comma.

Measured: placement's token tests, the load test and the dialect tests pass; the new test fails without the memory of parts.

--- a/pondhatch/placement/_token_counts.py
+++ b/pondhatch/placement/_token_counts.py
@@ -19,6 +19,11 @@
 MOST_LONG_PROMPTS = 2
 #: New tokens that an engine reads in a second.
 TOKENS_READ_A_SECOND = 50_000
+#: Seconds after its last use for which a part is taken to be in an engine's memory still; its
+#: engine gives up those first that were unused the longest.
+KEPT_SECONDS = 60.0
+#: Parts that are remembered of all engines together: 200 bytes each.
+MOST_READ_PARTS = 8192
 
 
 class TokenNeed(msgspec.Struct, frozen=True):
@@ -95,14 +100,13 @@
             lacking = max(lacking, self.used + reserved + size - limit)
         return lacking + reserved if lacking > 0 else 0
 
-    def add(self, request: Hashable, need: TokenNeed, now: float) -> None:
-        """Count a request."""
+    def add(self, request: Hashable, need: TokenNeed, now: float, unread: int) -> None:
+        """Count a request that has so many tokens of its prompt to be read."""
         self.remove(request)
         if self.reservation is not None:
             self.tokens_by_later[request] = self.size(need)
-        new = self.new_tokens(need)
-        if new > LONG_PROMPT:
-            self.read_at_by_request[request] = now + new / TOKENS_READ_A_SECOND
+        if unread > LONG_PROMPT:
+            self.read_at_by_request[request] = now + unread / TOKENS_READ_A_SECOND
         self.need_by_request[request] = need
         self.used += need.tokens
         for key, tokens in need.parts:
@@ -147,10 +151,35 @@
         del self.part_by_key[key]
 
 
+class ReadParts(msgspec.Struct):
+    """Parts of prompts that engines have read, and most likely still hold."""
+
+    #: When each was last used, by engine and key; the one unused the longest first.
+    used_at_by_place: dict[tuple[str, int], float] = msgspec.field(default_factory=dict)
+
+    def note(self, engine: str, need: TokenNeed, now: float) -> None:
+        """Note that an engine runs a request with these parts."""
+        for key, _ in need.parts:
+            if key != OWN_PART:
+                self.used_at_by_place.pop((engine, key), None)
+                self.used_at_by_place[engine, key] = now
+        while len(self.used_at_by_place) > MOST_READ_PARTS:
+            del self.used_at_by_place[next(iter(self.used_at_by_place))]
+
+    def unread_tokens(self, engine: str, need: TokenNeed, now: float) -> int:
+        """Return the tokens of a prompt that an engine has to read."""
+        return sum(
+            tokens
+            for key, tokens in need.parts
+            if now - self.used_at_by_place.get((engine, key), float("-inf")) > KEPT_SECONDS
+        )
+
+
 class TokenCounts(msgspec.Struct):
     """Tokens by engine for the engines that this router owns."""
 
     by_engine: dict[str, EngineTokens] = msgspec.field(default_factory=dict)
+    read_parts: ReadParts = msgspec.field(default_factory=ReadParts)
     #: Requests that were turned away, or had to wait, for want of an engine's memory.
     refused: int = 0
 
@@ -172,13 +201,15 @@
         0 where a request fits; 1 where there is memory, but enough long prompts are being read.
         """
         count = self.by_engine.get(engine, EngineTokens())
-        is_long = count.new_tokens(need) > LONG_PROMPT
+        is_long = self.read_parts.unread_tokens(engine, need, now) > LONG_PROMPT
         waits_to_read = is_long and count.long_prompts(now) >= MOST_LONG_PROMPTS
         return max(count.shortage(request, need, limit, priority), int(waits_to_read))
 
     def add(self, engine: str, request: Hashable, need: TokenNeed, now: float) -> None:
         """Count a granted request, and drop what was reserved for it."""
-        self.by_engine.setdefault(engine, EngineTokens()).add(request, need, now)
+        unread = self.read_parts.unread_tokens(engine, need, now)
+        self.by_engine.setdefault(engine, EngineTokens()).add(request, need, now, unread)
+        self.read_parts.note(engine, need, now)
 
     def adopt(self, engine: str, request: Hashable) -> None:
         """Count a request that another owner granted as the mean of those that are known."""
--- a/pondhatch/placement/tests/test_token_counts.py
+++ b/pondhatch/placement/tests/test_token_counts.py
@@ -8,7 +8,12 @@
 from hypothesis import strategies as st
 
 from pondhatch.placement import Reservation, TokenCounts, TokenNeed
-from pondhatch.placement._token_counts import LONG_PROMPT, OWN_PART, TOKENS_READ_A_SECOND
+from pondhatch.placement._token_counts import (
+    KEPT_SECONDS,
+    LONG_PROMPT,
+    OWN_PART,
+    TOKENS_READ_A_SECOND,
+)
 
 LIMIT = 100
 #: A prompt that is long, and the memory of an engine that has room for many of them.
@@ -53,6 +58,17 @@
         read = (LONG_PROMPT + 1) / TOKENS_READ_A_SECOND
         self.assertEqual(counts.shortage("e", 2, LONG, LARGE_LIMIT, read), 0)
 
+    def test_a_long_prompt_whose_parts_were_read_lately_delays_nobody(self) -> None:
+        counts = TokenCounts()
+        known = TokenNeed(0, ((7, LONG_PROMPT + 1),))
+        counts.add("e", "before", known, 0.0)
+        counts.remove("e", "before")
+        for number in range(2):
+            counts.add("e", number, LONG, KEPT_SECONDS)
+        self.assertEqual(counts.shortage("e", "again", known, LARGE_LIMIT, KEPT_SECONDS), 0)
+        forgotten = KEPT_SECONDS + 0.01
+        self.assertEqual(counts.shortage("e", "again", known, LARGE_LIMIT, forgotten), 1)
+
     def test_memory_that_is_free_is_left_to_one_that_waits_to_be_read(self) -> None:
         counts = TokenCounts()
         counts.add("e", "running", TokenNeed(30), 0.0)
--- a/pondhatch/platform/_callers.py
+++ b/pondhatch/platform/_callers.py
@@ -18,8 +18,6 @@
 COME_BACK = (429, 503)
 #: A count of tokens; longer ones are no count, and would cost time to read.
 _COUNT = re.compile(r"\s*([0-9]{1,9})\s*", re.ASCII)
-#: Stands between the tokens of a prompt and the most of its answer.
-_BETWEEN_COUNTS = re.compile(r"[,:;/]")
 #: One part of a prompt: its id in hex, and its tokens.
 _PART = re.compile(r"\s*([0-9a-fA-F]{1,64}):([0-9]{1,9})\s*", re.ASCII)
 
@@ -31,7 +29,7 @@
         """Return what a client says about its request."""
         value_by_name = {name.lower(): value for name, value in headers}
         wait = value_by_name.get(names.DEADLINE_MS.lower(), "")
-        usage = _BETWEEN_COUNTS.split(value_by_name.get(names.TOKENS.lower(), ""), maxsplit=1)
+        prompt, _, most = value_by_name.get(names.TOKENS.lower(), "").partition(",")
         hint = value_by_name.get(names.LENGTH_HINT.lower(), "")
         parts = value_by_name.get(names.PROMPT_PARTS.lower(), "")
         return CallerFacts(
@@ -39,8 +37,8 @@
             key=bearer_key(value_by_name.get(names.AUTHORIZATION.lower(), "")),
             wait=float(wait) / 1000 if wait.isascii() and wait.isdigit() else None,
             context=_context(parts),
-            prompt_tokens=_count(usage[0]) or sum(_part_tokens(parts)),
-            answer_tokens=_answer_tokens(_count(hint), _count(usage[-1]) if usage[1:] else 0),
+            prompt_tokens=_count(prompt) or sum(_part_tokens(parts)),
+            answer_tokens=_answer_tokens(_count(hint), _count(most)),
             prompt_parts=_shared_parts(parts),
         )
 
