Count the bytes that are held for each account, and say who is limited at a bound

What a router buffers for slow callers and engines counts towards its memory, and nothing counts it. The account and its rule come first, without I/O: bytes by account, their sum against a bound, and the fair level above which accounts are limited while the bound is reached. The level is never below an even share of the bound.

--- a/pondhatch/limits/__init__.py
+++ b/pondhatch/limits/__init__.py
@@ -1,4 +1,4 @@
-"""Limits: rates and concurrency of client accounts, and the retry budget."""
+"""Limits: rates and concurrency of client accounts, bytes held for them, the retry budget."""
 
 from pondhatch.limits._bucket import (
     AccountGate,
@@ -8,16 +8,20 @@
     Limited,
     LimitVerdict,
 )
+from pondhatch.limits._held_bytes import UNCOUNTED, HeldBytes, Hold, fair_level
 from pondhatch.limits._pace import Pace
 from pondhatch.limits._retries import RetryAllowance, RetryBudget, RetryBudgets
 from pondhatch.limits._shares import Demand, Share, ShareHome, ShareUser
 
 __all__ = [
+    "UNCOUNTED",
     "AccountGate",
     "AccountLimits",
     "AccountUse",
     "Allowed",
     "Demand",
+    "HeldBytes",
+    "Hold",
     "LimitVerdict",
     "Limited",
     "Pace",
@@ -27,4 +31,5 @@
     "Share",
     "ShareHome",
     "ShareUser",
+    "fair_level",
 ]
--- a/pondhatch/limits/_bucket.py
+++ b/pondhatch/limits/_bucket.py
@@ -27,7 +27,7 @@
 class Limited(msgspec.Struct, frozen=True):
     """The request is over a limit and was not run."""
 
-    #: Which limit: "rate" or "concurrency".
+    #: Which limit: "rate", "concurrency" or "memory".
     limit: str
     #: Seconds after which it is worth coming back.
     retry_after: float
--- /dev/null
+++ b/pondhatch/limits/_held_bytes.py
@@ -0,0 +1,136 @@
+"""Bytes that a router holds for callers and engines, counted by account, without I/O.
+
+An account is limited only while the whole reaches the bound, and only by what it holds above the
+fair level: the amount to which the largest accounts would have to be cut for the whole to fit the
+bound. The level is never below an even share, so the accounts that hold most are limited first
+and none is limited while it holds less than its share. What such accounts still bring may take
+the whole past the bound.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import msgspec
+
+from pondhatch.limits._bucket import Limited
+
+#: Seconds after which to come back when a router holds as many bytes as it may. Slow readers
+#: take seconds for what is held for them.
+MEMORY_RETRY_AFTER = 1.0
+#: What a caller is told that its account reached; see ``Limited``.
+MEMORY_LIMIT = "memory"
+#: Bytes that a request counts for at least when it asks to be taken in: its answer may be held.
+LEAST_BYTES = 1
+
+
+def fair_level(amounts: Iterable[int], bound: float) -> float:
+    """Return the amount to which the largest are cut so that all fit a bound.
+
+    Infinite where all of them together stay below the bound.
+    """
+    ordered = sorted(amounts)
+    left = bound
+    for at, amount in enumerate(ordered):
+        share = left / (len(ordered) - at)
+        if amount >= share:
+            return share
+        left -= amount
+    return float("inf")
+
+
+class HeldBytes(msgspec.Struct):
+    """Bytes held by account, and their sum against a bound; None where there is no bound."""
+
+    bound: int | None = None
+    #: Sum over all accounts.
+    whole: int = 0
+    #: Accounts that hold nothing are left out.
+    bytes_by_account: dict[str, int] = msgspec.field(default_factory=dict)
+
+    def change(self, account: str, by: int) -> None:
+        """Add to what an account holds, or take from it."""
+        amount = self.bytes_by_account.get(account, 0) + by
+        if amount < 0:
+            raise ValueError(f"{account} holds {amount - by} bytes, fewer than {-by}")
+        if amount:
+            self.bytes_by_account[account] = amount
+        else:
+            self.bytes_by_account.pop(account, None)
+        self.whole += by
+
+    def may_hold(self, account: str, more: int) -> bool:
+        """Return whether a request of an account may hold so many bytes more.
+
+        One of an account that holds nothing always may: else a body larger than its account's
+        share would find no moment at which it is taken.
+        """
+        more = max(more, LEAST_BYTES)
+        if self.bound is None or self.whole + more <= self.bound:
+            return True
+        held = self.bytes_by_account.get(account, 0)
+        after = held + more
+        if not held:
+            return True
+        if after > self.bound:
+            return False
+        if held * len(self.bytes_by_account) < self.bound:
+            return True
+        return after <= fair_level({**self.bytes_by_account, account: after}.values(), self.bound)
+
+    def is_slowed(self, account: str) -> bool:
+        """Return whether an account's sources are to be read more slowly."""
+        if self.bound is None or self.whole < self.bound:
+            return False
+        held = self.bytes_by_account.get(account, 0)
+        return held >= fair_level(self.bytes_by_account.values(), self.bound)
+
+    def largest(self, count: int) -> list[tuple[str, int]]:
+        """Return the accounts that hold most, each with its bytes, the largest first."""
+        return sorted(self.bytes_by_account.items(), key=lambda item: (-item[1], item[0]))[:count]
+
+    def hold(self, account: str) -> Hold:
+        """Return a new holder of bytes for an account; it holds none yet."""
+        return Hold(self, account)
+
+
+class Hold:
+    """What one body, pipe or buffer holds of its account's bytes, until it is closed."""
+
+    __slots__ = ("_account", "_is_closed", "_table", "amount")
+
+    def __init__(self, table: HeldBytes, account: str) -> None:
+        #: Bytes that it holds now.
+        self.amount = 0
+        self._table = table
+        self._account = account
+        self._is_closed = False
+
+    def set(self, amount: int) -> None:
+        """Hold so many bytes in all, whatever the bound; once closed, none."""
+        if amount != self.amount and not self._is_closed:
+            self._table.change(self._account, amount - self.amount)
+            self.amount = amount
+
+    def take(self, amount: int) -> Limited | None:
+        """Hold so many bytes in all for a new request, unless it is over the bound."""
+        if self._is_closed:
+            return None
+        if not self._table.may_hold(self._account, amount - self.amount):
+            return Limited(MEMORY_LIMIT, MEMORY_RETRY_AFTER)
+        self.set(amount)
+        return None
+
+    def is_slowed(self) -> bool:
+        """Return whether its source is to be read more slowly."""
+        return self._table.is_slowed(self._account)
+
+    def close(self) -> None:
+        """Give everything back; safe to call twice."""
+        self.set(0)
+        self._is_closed = True
+
+
+#: Counts nothing: for what is held for no account.
+UNCOUNTED = Hold(HeldBytes(), "")
+UNCOUNTED.close()
