Bound what a router holds for slow callers and engines, by account

Cause: a connection may hold a body, a pipe and a buffer for an account whose callers or engines are slow, and nothing bounds the sum: enough of them take the memory that all accounts share.

Bodies, waiting parts and the buffers of slow connections are counted for their account and given back when their request ends. At the bound, the accounts above the fair level get 429 memory-limited with a Retry-After, before a stated body comes, and their pipes pause their sources as soon as a part waits. Without the setting nobody is refused or slowed.

--- a/fakes/_machines_fleet.py
+++ b/fakes/_machines_fleet.py
@@ -28,6 +28,8 @@
     "ColdOvershoot": 1.5,
     "ColdSlack": 5,
 }
+#: What the platform says of the VM that it starts a router on.
+LIMITS = {"MemoryMb": 1024}
 #: The region of each hall.
 REGIONS = {"hall-1": "north", "hall-2": "south"}
 
@@ -165,6 +167,7 @@
             "PortRange": [ports.peers, ports.admin],
             "Platform": {"Address": self.address_of(self.objects)},
             "Bounds": BOUNDS,
+            "Limits": LIMITS,
         }
         settings: dict[str, Any] = yaml.safe_load(fill(TEMPLATE.read_text(), gaps))
         settings["log"] = {"level": self.log_level}
--- a/pondhatch/cli/_own_state.py
+++ b/pondhatch/cli/_own_state.py
@@ -7,7 +7,7 @@
 
 from pondhatch.cli._peer_connections import PeerConnections
 from pondhatch.configuration import ColdSettings, LoadManagement, RetrySettings, Settings
-from pondhatch.limits import RetryAllowance, RetryBudgets
+from pondhatch.limits import HeldBytes, RetryAllowance, RetryBudgets
 from pondhatch.membership import Address, Alive, Gossip, MembershipLimits, Phase, short_id
 from pondhatch.placement import ColdAllowance, ColdPaces
 from pondhatch.router import HallStates, RouterState
@@ -29,6 +29,7 @@
         retries=RetryBudgets(_allowance(settings.retries)),
         halls=HallStates(settings.regions or {}),
         cold_paces=ColdPaces(_cold_allowance(settings.cold)),
+        held=HeldBytes(settings.held_bytes),
         load_management=_load_management(settings, interface),
     )
 
--- a/pondhatch/cli/_router_process.py
+++ b/pondhatch/cli/_router_process.py
@@ -99,7 +99,11 @@
         self._beliefs = Beliefs(self.state, self._records)
         self._notice_keeping = NoticeKeeping(self.state, self._gossip_port.send)
         upstreams = HttpUpstreams(
-            parts.client, self._interface.upstreams, self._metrics, self._notice_keeping
+            parts.client,
+            self._interface.upstreams,
+            self._metrics,
+            self._notice_keeping,
+            self.state.held,
         )
         self._crash_guarding = CrashGuarding(
             self.state,
--- a/pondhatch/configuration/_settings.py
+++ b/pondhatch/configuration/_settings.py
@@ -21,6 +21,8 @@
 GivenName = Annotated[str, Meta(min_length=1, max_length=LONGEST_NAME)]
 #: A number as JSON writes it and YAML 1.1 does not read it, such as 1e-05.
 EXPONENT_PATTERN = re.compile(r"-?[0-9]+(\.[0-9]+)?[eE][+-]?[0-9]+")
+#: Bytes of a megabyte, as memory is counted.
+MEGABYTE = 1024 * 1024
 Host = Annotated[str, Meta(pattern=r"^[0-9a-fA-F.:]+$")]
 Port = Annotated[int, Meta(ge=0, le=65535)]
 Url = Annotated[str, Meta(pattern=r"^https?://")]
@@ -135,6 +137,18 @@
     slack: Annotated[float, Meta(ge=0)] | None = None
 
 
+class MemorySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What the router may hold in memory for callers and engines; see ``Settings.held_bytes``.
+
+    Left out, or left empty by a platform that does not say, there is no bound.
+    """
+
+    #: Memory of the VM, or what of it the router may use, in megabytes.
+    megabytes: Annotated[float, Meta(gt=0)] | None = None
+    #: Share of it for bodies and answers that wait for callers and engines.
+    held_share: Annotated[float, Meta(gt=0, le=1)] | None = None
+
+
 class DrainSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """How a stopping router ends."""
 
@@ -179,6 +193,7 @@
     #: The platform's rules in force, by its own names.
     rules_in_force: tuple[str, ...] = ()
     cold: ColdSettings = msgspec.field(default_factory=ColdSettings)
+    memory: MemorySettings = msgspec.field(default_factory=MemorySettings)
     #: The region of each data hall, for what is bound to regions; None where nobody says.
     regions: dict[str, str] | None = None
     #: Peers to try first, as "IP:port"; the platform's list of VMs adds to them.
@@ -191,9 +206,17 @@
     drain: DrainSettings = msgspec.field(default_factory=DrainSettings)
     log: LogSettings = msgspec.field(default_factory=LogSettings)
 
+    @property
+    def held_bytes(self) -> int | None:
+        """Bytes that the router may hold for callers and engines; None where there is no bound."""
+        megabytes, share = self.memory.megabytes, self.memory.held_share
+        if megabytes is None or share is None:
+            return None
+        return max(1, int(megabytes * share * MEGABYTE))
+
 
 #: Sections whose numbers a platform fills in.
-FILLED_IN = ("retries", "cold")
+FILLED_IN = ("retries", "cold", "memory")
 
 #: Shortest fleet key that is taken, in bytes.
 MINIMUM_FLEET_KEY = 16
--- a/pondhatch/configuration/tests/test_files.py
+++ b/pondhatch/configuration/tests/test_files.py
@@ -168,6 +168,8 @@
             ("name: r1", "name: r1\nretries: {share: -0.1}", "retries.share", "greater than"),
             ("name: r1", "name: r1\nretries: {slack: 1x1}", "retries.slack", "float"),
             ("name: r1", "name: r1\ncold: {overshoot: -1}", "cold.overshoot", "greater than"),
+            ("name: r1", "name: r1\nmemory: {megabytes: 0}", "memory.megabytes", "greater than"),
+            ("name: r1", "name: r1\nmemory: {held_share: 2}", "memory.held_share", "less than"),
             ("name: r1", "name: r1\nregions: {h1: 3}", "regions.h1", "str"),
             ("name: r1", "name: r1\nregions: north", "regions", "expected"),
         ]
@@ -185,6 +187,21 @@
         self.assertEqual(settings.retries, RetrySettings(None, 56.0))
         self.assertEqual((settings.cold, settings.regions), (ColdSettings(), None))
 
+    def test_held_bytes_are_a_share_of_the_memory_that_a_platform_fills_in(self) -> None:
+        for megabytes, share, expected in (
+            ("512", "0.125", 64 * 1024 * 1024),
+            ("1e+3", "1", 1000 * 1024 * 1024),
+            ("1e-09", "0.5", 1),
+            ("", "0.125", None),
+            ("512", "", None),
+            ("", "", None),
+        ):
+            with self.subTest(megabytes=megabytes, share=share):
+                filled = f"\nmemory:\n  megabytes: {megabytes}\n  held_share: {share}\n"
+                settings = self.load(SETTINGS + filled)
+                assert isinstance(settings, Settings)
+                self.assertEqual(settings.held_bytes, expected)
+
     def test_names_that_a_platform_gives_are_taken_as_they_are(self) -> None:
         for name in ("Edge_1", "edge.1", "Boa Viagem", "s\u00e3o", "e" * 64, "\u6771" * 255, "-"):
             with self.subTest(name=name):
--- a/pondhatch/router/__init__.py
+++ b/pondhatch/router/__init__.py
@@ -2,6 +2,7 @@
 
 from pondhatch.router._admission import (
     ANYBODY,
+    MEMORY_LIMITED,
     NO_ROUTE,
     Account,
     Admitted,
@@ -11,6 +12,7 @@
     identify,
     identify_key,
     if_all_known,
+    memory_limited,
     not_in_force,
     service_of_path,
 )
@@ -31,12 +33,14 @@
 __all__ = [
     "HallStates",
     "ANYBODY",
+    "MEMORY_LIMITED",
     "NO_ROUTE",
     "not_in_force",
     "if_all_known",
     "EVACUATION_KIND",
     "UPSTREAM_KIND",
     "admit_routed",
+    "memory_limited",
     "agreed_key",
     "bearer_key",
     "identify_key",
--- a/pondhatch/router/_admission.py
+++ b/pondhatch/router/_admission.py
@@ -18,6 +18,8 @@
 FORBIDDEN = 403
 NOT_FOUND = 404
 TOO_MANY = 429
+#: Code of the refusal of a request whose account holds too much of a router's memory.
+MEMORY_LIMITED = "memory-limited"
 #: Priority where neither the account nor a route names one.
 DEFAULT_PRIORITY = 5
 #: Share of a route's objective that a request waits before its context's engine, and where
@@ -157,6 +159,12 @@
     return policy
 
 
+def memory_limited(limited: Limited) -> NotRun:
+    """Return the refusal of a request whose account holds too much of this router's memory."""
+    wrong = "the account holds too many bytes that wait for its callers and engines"
+    return NotRun(MEMORY_LIMITED, wrong, limited.retry_after, TOO_MANY)
+
+
 def service_of_path(state: RouterState, path: str) -> str | None:
     """Return the plain service whose prefix a path starts with, or None."""
     for name, spec in state.fleet.service_by_name.items():
--- a/pondhatch/router/_dump.py
+++ b/pondhatch/router/_dump.py
@@ -161,6 +161,25 @@
         }
 
 
+@REGISTRY.register(SECTION_KIND, "9-held")
+class HeldSection(Plugin):
+    """The bytes held for callers and engines, and the accounts that hold most of them."""
+
+    DEPENDENCIES = (RouterState,)
+
+    def content(self) -> Dump:
+        """Return the section's keys."""
+        held = self.view(RouterState).held
+        return {
+            "held_bytes": held.whole,
+            "held_bytes_bound": held.bound,
+            "held_by_account": [
+                {"name": name, "bytes": amount, "slowed": held.is_slowed(name)}
+                for name, amount in held.largest(SHOWN_ACCOUNTS)
+            ],
+        }
+
+
 @REGISTRY.register(SECTION_KIND, "6-orders")
 class OrdersSection(Plugin):
     """The services whose engines are given orders here: under which number, which differ."""
--- a/pondhatch/router/_state.py
+++ b/pondhatch/router/_state.py
@@ -19,7 +19,7 @@
     Rejected,
     Update,
 )
-from pondhatch.limits import LimitVerdict, RetryBudgets
+from pondhatch.limits import HeldBytes, LimitVerdict, RetryBudgets
 from pondhatch.membership import (
     Gossip,
     Member,
@@ -98,6 +98,8 @@
     suspects: Suspects = field(default_factory=Suspects)
     limits: FleetLimits = field(init=False)
     retries: RetryBudgets = field(default_factory=RetryBudgets)
+    #: Bytes held for callers and engines, by account.
+    held: HeldBytes = field(default_factory=HeldBytes)
     #: What upstreams said of themselves in their answers.
     notices: Notices = field(default_factory=Notices)
     #: When load is managed; see ``load_managed``.
--- a/pondhatch/router/tests/test_dump.py
+++ b/pondhatch/router/tests/test_dump.py
@@ -39,6 +39,15 @@
         self.assertEqual([each["request_id"] for each in dump["decisions"]], ["q2", "q1"])
         self.assertEqual([member["name"] for member in dump["members"]], ["r0"])
 
+    def test_it_shows_the_accounts_that_hold_most_bytes_first(self) -> None:
+        self.state.held.bound = 100
+        for name, amount in (("atelier", 30), ("studio", 80)):
+            self.state.held.change(name, amount)
+        dump = self.dump({})
+        self.assertEqual((dump["held_bytes"], dump["held_bytes_bound"]), (110, 100))
+        shown = [(each["name"], each["bytes"], each["slowed"]) for each in dump["held_by_account"]]
+        self.assertEqual(shown, [("studio", 80, True), ("atelier", 30, False)])
+
     def test_no_hash_of_a_key_is_in_it(self) -> None:
         hashed = self.state.fleet.entry("account", "atelier")["key_hashes"][0]
         self.assertNotIn(hashed.encode(), msgspec.json.encode(self.dump({})))
--- a/pondhatch/standard/_callers.py
+++ b/pondhatch/standard/_callers.py
@@ -15,6 +15,7 @@
 from twisted.web.resource import Resource
 
 from pondhatch.kernel import as_deferred
+from pondhatch.limits import Hold, Limited
 from pondhatch.observing import log_for
 from pondhatch.requests import (
     CallerGone,
@@ -27,7 +28,15 @@
     digest_of,
     read_chat,
 )
-from pondhatch.router import Account, Admitted, admit, identify, not_ready, service_of_path
+from pondhatch.router import (
+    Account,
+    Admitted,
+    admit,
+    identify,
+    memory_limited,
+    not_ready,
+    service_of_path,
+)
 from pondhatch.standard._answers import OpenAiAnswers
 from pondhatch.standard._header_owners import OWNERS
 from pondhatch.transport import (
@@ -50,7 +59,7 @@
 TOO_LARGE = 413
 
 
-Prepare = Callable[[CallerRequest, Account], Awaitable[Work | NotRun]]
+Prepare = Callable[[CallerRequest, Account, Hold], Awaitable[Work | NotRun]]
 
 
 class OpenAiCallers:
@@ -130,11 +139,28 @@
         if unready is not None:
             return unready
         account = identify(self._state, _header(request, "Authorization"))
-        return account if isinstance(account, NotRun) else await prepare(request, account)
+        if isinstance(account, NotRun):
+            return account
+        hold = self._state.held.hold(account.name)
+        work: Work | NotRun | None = None
+        try:
+            work = await prepare(request, account, hold)
+        finally:
+            if not isinstance(work, Work):
+                hold.close()
+        return work
+
+    def _limited(self, limited: Limited) -> NotRun:
+        self._metrics.count("held.refused")
+        return memory_limited(limited)
 
-    async def _prepare_chat(self, request: CallerRequest, account: Account) -> Work | NotRun:
+    async def _prepare_chat(
+        self, request: CallerRequest, account: Account, hold: Hold
+    ) -> Work | NotRun:
         limit = self._limits().chat_body_bytes
-        body = await read_whole(request.body(), limit)
+        body = await read_whole(request.body(), limit, hold)
+        if isinstance(body, Limited):
+            return self._limited(body)
         if body is None:
             return NotRun("body-too-large", f"expected at most {limit} bytes", 0.0, TOO_LARGE)
         try:
@@ -152,9 +178,14 @@
         )
         context_wait = admitted.context_wait if chat.returning else 0.0
         patience = Patience(context_wait, admitted.queue_wait)
-        return Work(account, admitted, head, ReplayableBody(body), patience)
+        return Work(account, admitted, head, ReplayableBody(body), patience, hold=hold)
 
-    async def _prepare_plain(self, request: CallerRequest, account: Account) -> Work | NotRun:
+    async def _prepare_plain(
+        self, request: CallerRequest, account: Account, hold: Hold
+    ) -> Work | NotRun:
+        limited = hold.take(0)
+        if limited is not None:
+            return self._limited(limited)
         path = request.uri.decode("ascii", "replace")
         service = service_of_path(self._state, path)
         admitted = admit(self._state, account, service)
@@ -166,7 +197,9 @@
         body = request.body()
         replayable = ReplayableBody(b"") if body.length == 0 else body
         patience = Patience(0.0, admitted.queue_wait)
-        return Work(account, admitted, head, replayable, patience, _key(request, head))
+        # Its body is passed on as it comes: what waits of it, waits in the request's pipe.
+        request.pipe.count_by(hold)
+        return Work(account, admitted, head, replayable, patience, _key(request, head), hold)
 
     def _head(
         self, request: CallerRequest, account: Account, admitted: Admitted, path: str
--- a/pondhatch/transport/_caller_body.py
+++ b/pondhatch/transport/_caller_body.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from pondhatch.limits import UNCOUNTED, Hold, Limited
 from pondhatch.transport._parts import PartPipe
 
 
@@ -17,10 +18,19 @@
         return await self._pipe.read()
 
 
-async def read_whole(body: CallerBody, limit: int) -> bytes | None:
-    """Return a body, or None where it is larger than the limit."""
+async def read_whole(
+    body: CallerBody, limit: int, hold: Hold = UNCOUNTED
+) -> bytes | Limited | None:
+    """Return a body, or None where it is larger than the limit.
+
+    A stated length is held in full before the first byte is read, so that a body that was begun
+    can be read to its end. One without is held as it comes. Limited where it may not be held.
+    """
     if body.length is not None and body.length > limit:
         return None
+    limited = hold.take(body.length or 0)
+    if limited is not None:
+        return limited
     parts: list[bytes] = []
     size = 0
     while part := await body.read():
@@ -28,6 +38,9 @@
         size += len(part)
         if size > limit:
             return None
+        limited = hold.take(size) if body.length is None else None
+        if limited is not None:
+            return limited
     return b"".join(parts)
 
 
--- a/pondhatch/transport/_caller_writer.py
+++ b/pondhatch/transport/_caller_writer.py
@@ -4,8 +4,10 @@
 
 import asyncio
 
+from pondhatch.limits import UNCOUNTED, Hold
 from pondhatch.requests import CallerGone
 from pondhatch.transport._caller_request import CallerRequest
+from pondhatch.transport._unsent import unsent_bytes
 
 
 class CallerWriter:
@@ -14,8 +16,10 @@
     At most one part waits here, beyond the transport's own buffer of 64 KB.
     """
 
-    def __init__(self, request: CallerRequest) -> None:
+    def __init__(self, request: CallerRequest, hold: Hold = UNCOUNTED) -> None:
         self._request = request
+        #: Counts what the connection holds while the caller is slow.
+        self._hold = hold
         self._flowing = asyncio.Event()
         self._flowing.set()
         self._gone = False
@@ -32,14 +36,18 @@
         if self.is_gone:
             raise CallerGone("the caller closed its connection")
         self._request.write(part)
-        return self._flowing.is_set()
+        if self._flowing.is_set():
+            return True
+        self._hold.set(unsent_bytes(self._request.transport))
+        return False
 
     async def ready(self) -> None:
         """Wait until the caller has taken what came before."""
         await self._flowing.wait()
 
     def close(self) -> None:
-        """Stop being told of the caller's pace."""
+        """Stop being told of the caller's pace, and count no more of what waits for it."""
+        self._hold.close()
         if not self._request._disconnected and not self._request.finished:
             self._request.unregisterProducer()
 
@@ -49,9 +57,11 @@
 
     def resumeProducing(self) -> None:
         """Called by the connection when its buffer has drained."""
+        self._hold.set(0)
         self._flowing.set()
 
     def stopProducing(self) -> None:
         """Called by the connection when the caller is gone."""
         self._gone = True
+        self._hold.close()
         self._flowing.set()
--- a/pondhatch/transport/_http_client.py
+++ b/pondhatch/transport/_http_client.py
@@ -17,8 +17,9 @@
 from twisted.internet.protocol import ClientFactory, Protocol
 from twisted.python.failure import Failure
 
+from pondhatch.limits import Hold
 from pondhatch.requests import BodySource
-from pondhatch.transport._http_connection import Connection, Exchange
+from pondhatch.transport._http_connection import Connection, Exchange, uncounted
 from pondhatch.transport._http_heads import Request, ResponseHead
 
 #: Seconds to wait for a connection.
@@ -150,6 +151,8 @@
     heard: Callable[[ResponseHead], None] = _ignore
     #: Called right before the first byte goes out; what it raises keeps the request from going.
     check: Callable[[], None] = _allow
+    #: Returns what counts bytes of the exchange that wait here for either side.
+    new_hold: Callable[[], Hold] = uncounted
 
 
 NO_HOOKS = Hooks()
@@ -189,7 +192,7 @@
         if connection is None:
             connection = await self._connect(address)
         keep = functools.partial(self._keep, address)
-        exchange = Exchange(connection, keep, hooks.trusts, hooks.heard)
+        exchange = Exchange(connection, keep, hooks.trusts, hooks.heard, hooks.new_hold)
         try:
             # The connection may have taken a while, in which much may have been heard.
             hooks.check()
--- a/pondhatch/transport/_http_connection.py
+++ b/pondhatch/transport/_http_connection.py
@@ -16,11 +16,13 @@
 from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
 
+from pondhatch.limits import UNCOUNTED, Hold
 from pondhatch.requests import BodySource, ReplayableBody
 from pondhatch.transport._headers import as_bytes
 from pondhatch.transport._http_heads import Request, ResponseHead, framing, response_head
 from pondhatch.transport._parts import PartPipe
 from pondhatch.transport._silence import UNACKNOWLEDGED_MS, show_silence
+from pondhatch.transport._unsent import unsent_bytes
 
 #: Seconds for which an idle connection is kept where the other side does not say.
 IDLE_SECONDS = 30.0
@@ -76,16 +78,23 @@
         head = h11.Request(method=request.method, target=request.target, headers=as_bytes(headers))
         self._write(head)
 
-    async def send_body(self, body: BodySource) -> None:
-        """Write a body as it comes, no faster than the other side takes it."""
+    async def send_body(self, body: BodySource, hold: Hold = UNCOUNTED) -> None:
+        """Write a body as it comes, no faster than the other side takes it.
+
+        ``hold`` counts what the connection holds meanwhile.
+        """
         left = body.length
         self.transport.registerProducer(self, True)
         try:
             while left != 0 and (part := await body.read()):
                 self._write(h11.Data(data=part))
                 left = left - len(part) if left is not None else None
-                await self._flowing.wait()
+                if not self._flowing.is_set():
+                    hold.set(unsent_bytes(self.transport))
+                    await self._flowing.wait()
+                    hold.set(0)
         finally:
+            hold.close()
             self.transport.unregisterProducer()
         self._end_body()
 
@@ -224,6 +233,11 @@
     return None
 
 
+def uncounted() -> Hold:
+    """Return what counts nothing, for exchanges on behalf of no account."""
+    return UNCOUNTED
+
+
 class Exchange:
     """One request and its answer."""
 
@@ -233,18 +247,22 @@
         keep: Callable[[Connection], None],
         trusts: Callable[[ResponseHead], bool],
         heard: Callable[[ResponseHead], None] = _ignore,
+        new_hold: Callable[[], Hold] = uncounted,
     ) -> None:
         #: For whoever waits, and who may cancel it in the same turn of the loop in which the
         #: answer comes; what came is asked of ``answered``.
         self.head: asyncio.Future[ResponseHead] = asyncio.get_running_loop().create_future()
         self.answered: ResponseHead | None = None
         self.pipe = PartPipe(connection.pause, connection.resume)
+        self.pipe.count_by(new_hold())
         self.connection = connection
         self._keep = keep
         #: Whether an answer with this head leaves its connection fit for another exchange.
         self._trusts = trusts
         #: Takes in the head as it comes, whether or not anybody still waits for it.
         self._heard = heard
+        #: Returns what counts bytes that wait for the other side, or for whoever reads its answer.
+        self._new_hold = new_hold
         self._is_over = False
         self._sending: asyncio.Task[None] | None = None
 
@@ -258,7 +276,7 @@
 
     async def _send(self, body: BodySource) -> None:
         try:
-            await self.connection.send_body(body)
+            await self.connection.send_body(body, self._new_hold())
         except Exception as error:
             # Whoever waits for the answer learns why there will be none.
             if not self.head.done():
@@ -293,7 +311,11 @@
         self.pipe.fail(error)
 
     def cancel(self) -> None:
-        """Give the answer up, unless it is whole; safe to call twice."""
+        """Give the answer up, unless it is whole; what nobody read of it counts no more.
+
+        Safe to call twice.
+        """
+        self.pipe.give_up()
         if not self._is_over:
             self._over()
             self.connection.abort()
--- a/pondhatch/transport/_parts.py
+++ b/pondhatch/transport/_parts.py
@@ -9,6 +9,7 @@
 import asyncio
 from collections.abc import Callable
 
+from pondhatch.limits import UNCOUNTED, Hold
 from pondhatch.requests import PartSink
 
 #: Bytes that may wait in a pipe before its source is paused.
@@ -22,13 +23,16 @@
 class PartPipe:
     """Parts put in by callbacks and read by one coroutine, with back-pressure.
 
-    Holds at most HIGH_WATER bytes plus the one part that crossed the mark.
+    Holds at most HIGH_WATER bytes plus the one part that crossed the mark. The source of an
+    account that is slowed is paused as soon as anything waits.
     """
 
     def __init__(
         self, pause: Callable[[], None] = _nothing, resume: Callable[[], None] = _nothing
     ) -> None:
         self.ended = False
+        #: Counts what waits here for whoever reads.
+        self._hold: Hold = UNCOUNTED
         self._pause = pause
         self._resume = resume
         self._parts: list[bytes] = []
@@ -39,6 +43,15 @@
         #: Takes parts as they come, while nothing waits here.
         self._sink: PartSink | None = None
 
+    def count_by(self, hold: Hold) -> None:
+        """Have what waits here counted from now on; it counts until the hold is closed."""
+        self._hold = hold
+        hold.set(self._size)
+
+    def give_up(self) -> None:
+        """Note that nobody reads what waits here any more: it counts no longer."""
+        self._hold.close()
+
     def put(self, part: bytes) -> None:
         """Take in a part; pauses the source where too much waits."""
         if self._sink is not None:
@@ -46,7 +59,8 @@
             return
         self._parts.append(part)
         self._size += len(part)
-        if self._size > HIGH_WATER and not self._paused:
+        self._hold.set(self._size)
+        if not self._paused and (self._size > HIGH_WATER or self._hold.is_slowed()):
             self._paused = True
             self._pause()
         self._wake()
@@ -110,6 +124,7 @@
         whole = self._parts[0] if len(self._parts) == 1 else b"".join(self._parts)
         self._parts.clear()
         self._size = 0
+        self._hold.set(0)
         if self._paused:
             self._paused = False
             self._resume()
--- a/pondhatch/transport/_routed_callers.py
+++ b/pondhatch/transport/_routed_callers.py
@@ -7,10 +7,12 @@
 import uuid
 from typing import Any, TypeVar
 
+from msgspec.structs import replace
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET
 
 from pondhatch.configuration import CallerLimits, Route, RouteSpec, Withheld
+from pondhatch.limits import Hold, Limited
 from pondhatch.observing import RequestEnded, log_for
 from pondhatch.requests import (
     CallerGone,
@@ -23,6 +25,7 @@
 )
 from pondhatch.router import (
     ANYBODY,
+    MEMORY_LIMITED,
     NO_ROUTE,
     Account,
     Admitted,
@@ -30,6 +33,7 @@
     admit_routed,
     identify_key,
     if_all_known,
+    memory_limited,
     not_in_force,
     not_ready,
 )
@@ -119,13 +123,23 @@
         try:
             work = await self._prepare(request)
             if isinstance(work, NotRun):
-                await drain(request.body(), UNWANTED_BYTES)
+                await self._drop_body(request, work)
         except (CallerGone, asyncio.CancelledError):
             # Without a record, what its caller gave up looks like a request that was lost.
             self._note_unserved(request, CALLER_GONE.code, started)
             raise
         return work
 
+    async def _drop_body(self, request: CallerRequest, refusal: NotRun) -> None:
+        """Read and drop a refused request's body as far as that keeps its connection.
+
+        What is refused for memory, and too large for that, is refused before its body comes.
+        """
+        body = request.body()
+        is_large = body.length is not None and body.length > UNWANTED_BYTES
+        if refusal.code != MEMORY_LIMITED or not is_large:
+            await drain(body, UNWANTED_BYTES)
+
     def _note_unserved(self, request: CallerRequest, outcome: str, started: float) -> None:
         """Leave a decision on a request for which no engine was chosen."""
         facts = self._dialect.read(_headers(request))
@@ -147,17 +161,35 @@
         wanted = self._wanted(request, facts)
         if isinstance(wanted, NotRun):
             return wanted
+        _, account = wanted
+        hold = self._state.held.hold(account.name)
+        work: Work | NotRun | None = None
+        try:
+            work = await self._with_body(request, facts, headers, hold)
+        finally:
+            if not isinstance(work, Work):
+                hold.close()
+        return work
+
+    async def _with_body(
+        self, request: CallerRequest, facts: CallerFacts, headers: Headers, hold: Hold
+    ) -> Work | NotRun:
+        """Read a request's body and count it in; ``hold`` counts the body."""
         most = self._most_body_bytes()
-        body = await read_whole(request.body(), most)
+        body = await read_whole(request.body(), most, hold)
         if body is None:
             wrong = NotRun("body-too-large", f"expected at most {most} bytes", 0.0, TOO_LARGE)
             return if_all_known(self._state, "bounds", wrong)
+        if isinstance(body, Limited):
+            self._metrics.count("held.refused")
+            return memory_limited(body)
         # The configuration may have changed while the body came.
         wanted = self._wanted(request, facts)
         if isinstance(wanted, NotRun):
             return wanted
         route, account = wanted
-        return self._admitted(request, route, account, facts, headers, ReplayableBody(body))
+        work = self._admitted(request, route, account, facts, headers, ReplayableBody(body))
+        return work if isinstance(work, NotRun) else replace(work, hold=hold)
 
     def _wanted(self, request: CallerRequest, facts: CallerFacts) -> tuple[Route, Account] | NotRun:
         """Return a request's route and account by the configuration in force."""
--- a/pondhatch/transport/_serving.py
+++ b/pondhatch/transport/_serving.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from pondhatch.limits import UNCOUNTED, Hold
 from pondhatch.observing import RequestEnded, log_for
 from pondhatch.requests import (
     KEPT_BODY,
@@ -57,6 +58,8 @@
     patience: Patience
     #: Idempotency key of a request that must not run twice, made the account's own.
     key: str | None = None
+    #: Counts its body until it has ended.
+    hold: Hold = UNCOUNTED
 
 
 class AnswerCopy(msgspec.Struct):
@@ -122,9 +125,14 @@
     async def run(self, request: CallerRequest, work: Work, started: float) -> None:
         """Serve one request; a caller that leaves cancels it, unless it has a key."""
         if work.key is None:
-            await self._serve(request, work, started)
+            try:
+                await self._serve(request, work, started)
+            finally:
+                work.hold.close()
             return
         serving = self._tasks.start(self._serve(request, work, started))
+        # Not in the task itself: one that is cancelled before its first step runs no cleanup.
+        serving.add_done_callback(lambda _: work.hold.close())
         try:
             await asyncio.shield(serving)
         except asyncio.CancelledError:
@@ -222,7 +230,7 @@
             self._answers.begin(request, answer.status, answer.headers, work.head.request_id)
             copy.status, copy.headers = answer.status, answer.headers
 
-        writer = CallerWriter(request)
+        writer = CallerWriter(request, self._state.held.hold(work.account.name))
         sink = _CopyingSink(copy, writer) if work.key else writer
         delivery = Delivery(walk, placed, sink, begin)
         try:
--- a/pondhatch/transport/_upstreams.py
+++ b/pondhatch/transport/_upstreams.py
@@ -7,6 +7,7 @@
 from msgspec.structs import replace
 
 from pondhatch.kernel import host_and_port
+from pondhatch.limits import HeldBytes
 from pondhatch.observing import Metrics, NoMetrics
 from pondhatch.requests import (
     BodySource,
@@ -119,8 +120,11 @@
         dialect: UpstreamDialect,
         metrics: Metrics | None = None,
         view: UpstreamView | None = None,
+        held: HeldBytes | None = None,
     ) -> None:
         self.client = client
+        #: Counts what waits here for callers and upstreams.
+        self._held = held or HeldBytes()
         self._dialect = dialect
         self._view = view or NoUpstreamView()
         self._note_dropped = counting(metrics or NoMetrics())
@@ -147,6 +151,7 @@
                         trusts=lambda answered: self._judge(head, answered) is not Judged.CROSSED,
                         heard=lambda answered: self._hear(target, answered),
                         check=lambda: self._check(target, head),
+                        new_hold=lambda: self._held.hold(head.account),
                     ),
                 )
                 tried.sent()
--- /dev/null
+++ b/pondhatch/transport/tests/test_held_bytes.py
@@ -0,0 +1,259 @@
+"""What a router holds for callers and engines is counted, bounded and given back."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+from unittest import mock
+
+from twisted.internet.abstract import FileDescriptor
+from twisted.internet.address import IPv4Address
+from twisted.internet.error import ConnectionLost
+from twisted.python.failure import Failure
+
+from pondhatch.limits import HeldBytes
+from pondhatch.platform._engines import EngineDialect
+from pondhatch.requests import Opened
+from pondhatch.transport._http_client import HttpClient
+from pondhatch.transport._http_connection import Connection
+from pondhatch.transport._parts import HIGH_WATER
+from pondhatch.transport._upstreams import HttpUpstreams
+from pondhatch.transport.tests.test_header_bytes import HttpRoutedTest
+from pondhatch.transport.tests.test_openai_callers import KEYS, OpenAiCallersTest
+from pondhatch.transport.tests.test_routed_callers import Answer
+
+PINA, ROSA = "Authorization: Bearer key-1", "Authorization: Bearer key-3"
+POST = "POST /proofs/a HTTP/1.1"
+#: Bytes of an answer: more than a connection's buffer, then some that wait before it.
+FIRST, NEXT = 96 * 1024, 32 * 1024
+ANSWER_HEAD = f"HTTP/1.1 200 OK\r\nAttempt-Id: 9c41\r\nContent-Length: {FIRST + 2 * NEXT}\r\n\r\n"
+CHUNK = b"400\r\n" + b"x" * 1024 + b"\r\n"
+
+
+class SlowWire(FileDescriptor):
+    """A connection whose other side takes bytes only when it is told to."""
+
+    aborted = False
+
+    def __init__(self) -> None:
+        super().__init__(mock.Mock())
+        self.connected = 1
+
+    def writeSomeData(self, data: bytes) -> int:
+        return len(data)
+
+    def take_all(self) -> None:
+        while self.dataBuffer or self._tempDataLen:
+            self.doWrite()  # type: ignore[no-untyped-call]
+
+    def abortConnection(self) -> None:
+        self.aborted = True
+
+    def getHandle(self) -> Any:
+        return mock.Mock()
+
+    def getPeer(self) -> IPv4Address:
+        return IPv4Address("TCP", "10.9.9.9", 4000)
+
+    getHost = getPeer
+
+
+class HeldTest(HttpRoutedTest):
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.held = self.state.held
+        http = HttpUpstreams(HttpClient(self.reactor), EngineDialect(), held=self.held)
+        self.upstreams.send = http.send  # type: ignore[method-assign]
+        #: The caller's connection and its wire, for each that reads slowly.
+        self.slow: list[tuple[Any, SlowWire]] = []
+
+    async def read_slowly(self, key: str) -> int:
+        """Begin an answer that its caller does not read; return which engine connection it is."""
+        first, self.channel = self.channel, self.channel.site.buildProtocol(None)
+        self.channel.callLater = self.clock.callLater
+        wire = SlowWire()
+        self.channel.makeConnection(wire)
+        self.slow.append((self.channel, wire))
+        await self.ask_engine(key)
+        self.channel = first
+        at = len(self.reactor.connections) - 1
+        self.reactor.connections[at].dataReceived(ANSWER_HEAD.encode() + b"x" * FIRST)
+        await self.settle()
+        await self.send_next(at)
+        return at
+
+    async def ask_engine(self, key: str) -> None:
+        lines = (POST, "Host: desk.example", "Attempt-Id: 9c41", key, "Content-Length: 3", "", "")
+        await self.send("\r\n".join(lines).encode() + b"abc")
+
+    async def send_next(self, at: int) -> None:
+        self.reactor.connections[at].dataReceived(b"x" * NEXT)
+        await self.settle()
+
+    async def read_all(self) -> None:
+        """Have every caller take what waits, as often as more comes."""
+        for _ in range(4):
+            for _, wire in self.slow:
+                wire.take_all()
+            await self.settle()
+
+    def is_paused(self, at: int) -> bool:
+        return bool(self.reactor.wires[at].producerState == "paused")
+
+    async def served(self, key: str) -> bytes:
+        """Return the status that a caller gets who reads at once."""
+        before = len(self.reactor.connections)
+        await self.ask_engine(key)
+        if len(self.reactor.connections) > before:
+            answer = b"HTTP/1.1 200 OK\r\nAttempt-Id: 9c41\r\nContent-Length: 2\r\n\r\nok"
+            self.reactor.connections[-1].dataReceived(answer)
+            await self.settle()
+        self.told = self.written()
+        return self.told.split(b" ")[1]
+
+    async def lose(self, connection: Any) -> None:
+        connection.connectionLost(Failure(ConnectionLost()))
+        await self.settle()
+
+
+class SlowReadersTest(HeldTest):
+    """One account's callers read slowly, beside others: only that account is refused and slowed.
+
+    Guards against a router that buffers answers for slow readers until it has no memory left
+    for anybody.
+    """
+
+    async def test_only_the_account_that_holds_most_is_limited(self) -> None:
+        self.held.bound = 3 * (FIRST + NEXT)
+        others = await self.read_slowly(ROSA)
+        engines = [await self.read_slowly(PINA) for _ in range(2)]
+        self.assertGreaterEqual(self.held.whole, self.held.bound)
+        self.assertEqual(await self.served(PINA), b"429")
+        self.assertIn(b"Retry-After: 1.000", self.told)
+        self.assertEqual(await self.served(ROSA), b"200")
+        for at in (others, *engines):
+            await self.send_next(at)
+        self.assertEqual([self.is_paused(at) for at in engines], [True, True])
+        self.assertFalse(self.is_paused(others))
+        self.assertFalse(any(wire.aborted for _, wire in self.slow))
+        await self.read_all()
+        self.assertEqual((self.held.whole, self.held.bytes_by_account), (0, {}))
+        self.assertFalse(any(map(self.is_paused, engines)))
+        self.assertEqual(await self.served(PINA), b"200")
+
+    async def test_without_a_bound_nobody_is(self) -> None:
+        engines = [await self.read_slowly(PINA) for _ in range(9)]
+        await self.send_next(engines[0])
+        self.assertFalse(self.is_paused(engines[0]))
+        self.assertEqual(await self.served(PINA), b"200")
+
+
+class GivenBackTest(HeldTest):
+    """Callers leave and engines die while bytes are held: none of them stays counted."""
+
+    async def test_halfway_through_answers(self) -> None:
+        for _ in range(4):
+            await self.read_slowly(PINA)
+        self.assertGreater(self.held.whole, 4 * (FIRST + NEXT))
+        for at, (channel, _) in enumerate(self.slow[:2]):
+            await self.lose(channel)
+            self.assertTrue(self.reactor.wires[at].aborted)
+        self.assertGreater(self.held.whole, 2 * (FIRST + NEXT))
+        for connection in self.reactor.connections[2:]:
+            await self.lose(connection)
+        await self.read_all()
+        self.assertEqual((self.held.whole, self.callers.in_flight), (0, 0))
+        self.assertTrue(all(wire.aborted for _, wire in self.slow[2:]))
+
+    async def test_while_a_body_comes_or_waits_for_its_engine(self) -> None:
+        for sent, length in ((b"abc", 6), (b"abcdef", 6)):
+            for leaves in (True, False):
+                with self.subTest(sent=sent, leaves=leaves):
+                    await self.asyncSetUp()
+                    lines = (POST, "Host: desk.example", PINA, f"Content-Length: {length}", "", "")
+                    await self.send("\r\n".join(lines).encode() + sent)
+                    self.assertEqual(self.held.bytes_by_account, {"pina": length})
+                    if leaves:
+                        await self.lose(self.channel)
+                    elif self.reactor.connections:
+                        await self.lose(self.reactor.connections[0])
+                    else:
+                        self.callers._tasks.cancel_all()
+                        await self.settle()
+                    self.assertEqual(self.held.whole, 0)
+
+
+class BodiesTest(HeldTest):
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.held.bound = 4096
+        self.held.change("rosa", 1000)
+
+    async def begin_body(self, framing: str, body: bytes = b"") -> bytes:
+        lines = (POST, "Host: desk.example", PINA, framing, "", "")
+        await self.send("\r\n".join(lines).encode() + body)
+        return self.written()
+
+    async def test_one_that_is_too_large_now_is_refused_before_it_comes(self) -> None:
+        self.held.change("pina", 3000)
+        told = await self.begin_body(f"Content-Length: {1024 * 1024}")
+        self.assertTrue(told.startswith(b"HTTP/1.1 429"), told)
+        self.assertIn(b"connection: close", told.lower())
+        self.assertEqual(self.held.bytes_by_account["pina"], 3000)
+
+    async def test_one_of_unstated_length_is_held_as_it_comes(self) -> None:
+        self.held.change("pina", 1500)
+        await self.begin_body("Transfer-Encoding: chunked", CHUNK)
+        self.assertEqual(self.held.bytes_by_account["pina"], 2524)
+        await self.send(CHUNK + b"0\r\n\r\n")
+        told = self.written()
+        self.assertTrue(told.startswith(b"HTTP/1.1 429"), told)
+        self.assertEqual(self.held.bytes_by_account["pina"], 1500)
+
+
+class StreamedBodiesTest(OpenAiCallersTest):
+    """Bodies that are passed on as they come."""
+
+    async def test_what_an_engine_does_not_take_is_counted_until_its_caller_leaves(self) -> None:
+        self.upstreams.hold = asyncio.Event()
+        head = f"POST /portal/x HTTP/1.1\r\nAuthorization: Bearer {KEYS[0]}\r\nHost: x\r\n"
+        await self.send(f"{head}Content-Length: {9 * HIGH_WATER}\r\n\r\n".encode() + b"abc")
+        self.assertEqual(self.state.held.whole, 0)
+        await self.send(b"x" * 2 * HIGH_WATER)
+        self.assertEqual(self.state.held.bytes_by_account, {"pina": 2 * HIGH_WATER})
+        await self.lose()
+        self.assertEqual(self.state.held.whole, 0)
+
+    async def test_one_with_a_key_is_counted_until_its_run_ends(self) -> None:
+        self.upstreams.hold = asyncio.Event()
+        self.upstreams.replies = [Opened(Answer((b"yes!",)))]
+        head = f"POST /portal/x HTTP/1.1\r\nAuthorization: Bearer {KEYS[0]}\r\nHost: x\r\n"
+        await self.send(f"{head}Idempotency-Key: 7\r\nContent-Length: 4\r\n\r\nab".encode())
+        await self.send(b"cd")
+        self.assertEqual(self.state.held.bytes_by_account, {"pina": 2})
+        await self.lose()
+        self.assertEqual(self.state.held.bytes_by_account, {"pina": 2})
+        self.upstreams.hold.set()
+        await self.settle()
+        self.assertEqual(self.state.held.whole, 0)
+
+    async def test_what_waits_in_an_engines_connection_is_counted_until_it_is_lost(self) -> None:
+        held, wire = HeldBytes(), SlowWire()
+        connection: Any = Connection(lambda _: None)
+        connection.makeConnection(wire)
+        body: Any = mock.Mock(length=3 * FIRST, read=mock.AsyncMock(return_value=b"x" * FIRST))
+        connection._write = lambda event: wire.write(event.data)
+        sending = asyncio.ensure_future(connection.send_body(body, held.hold("pina")))
+        for expected in (FIRST, FIRST):
+            await asyncio.sleep(0)
+            self.assertEqual(held.whole, expected)
+            wire.take_all()
+        await asyncio.sleep(0)
+        self.assertEqual(held.whole, FIRST)
+        sending.cancel()
+        await asyncio.wait([sending])
+        self.assertEqual(held.whole, 0)
+
+    async def lose(self) -> None:
+        self.channel.connectionLost(Failure(ConnectionLost()))
+        await self.settle()
