Tell who holds less than an even share without a sort

Cause: while the bound was reached, each waiting part of any account sorted all accounts.

Change: an account under its even share is never above the fair level, so it is told by one product.

Ran: the test classes of limits, cli, transport and standard (0 failed), mypy.

--- a/pondhatch/limits/_held_bytes.py
+++ b/pondhatch/limits/_held_bytes.py
@@ -74,7 +74,7 @@
             return True
         if after > self.bound:
             return False
-        if held * len(self.bytes_by_account) < self.bound:
+        if self._is_under_share(held):
             return True
         return after <= fair_level({**self.bytes_by_account, account: after}.values(), self.bound)
 
@@ -83,8 +83,14 @@
         if self.bound is None or self.whole < self.bound:
             return False
         held = self.bytes_by_account.get(account, 0)
+        if self._is_under_share(held):
+            return False
         return held >= fair_level(self.bytes_by_account.values(), self.bound)
 
+    def _is_under_share(self, held: int) -> bool:
+        """Return whether an amount is below an even share of the bound, without a sort."""
+        return self.bound is None or held * len(self.bytes_by_account) < self.bound
+
     def largest(self, count: int) -> list[tuple[str, int]]:
         """Return the accounts that hold most, each with its bytes, the largest first."""
         return sorted(self.bytes_by_account.items(), key=lambda item: (-item[1], item[0]))[:count]
