Check that a refusal for memory is counted in held.refused

Cause: nothing guarded the counter against a refusal that forgets it.

Change: the load pattern's test asserts it.

--- a/pondhatch/transport/tests/test_held_bytes.py
+++ b/pondhatch/transport/tests/test_held_bytes.py
@@ -128,8 +128,10 @@
         others = await self.read_slowly(ROSA)
         engines = [await self.read_slowly(PINA) for _ in range(2)]
         self.assertGreaterEqual(self.held.whole, self.held.bound)
+        metrics = self.callers._metrics = mock.Mock()
         self.assertEqual(await self.served(PINA), b"429")
         self.assertIn(b"Retry-After: 1.000", self.told)
+        metrics.count.assert_called_once_with("held.refused")
         self.assertEqual(await self.served(ROSA), b"200")
         for at in (others, *engines):
             await self.send_next(at)
