--- a/fakes/_machines_fleet.py
+++ b/fakes/_machines_fleet.py
@@ -31,6 +31,8 @@
 }
 #: Names of the platform's rules in force.
 RULES: tuple[str, ...] = ("base", "engine", "stream", "tenants", "platform")
+#: What the platform says of the VM that it starts a router on.
+LIMITS = {"MemoryMb": 1024}
 #: The region of each hall.
 REGIONS = {"hall-1": "north", "hall-2": "south"}
 
@@ -172,6 +174,7 @@
             "Platform": {"Address": self.address_of(self.objects)},
             "Bounds": BOUNDS,
             "Contracts": self.rules,
+            "Limits": LIMITS,
         }
         settings: dict[str, Any] = yaml.safe_load(fill(TEMPLATE.read_text(), gaps))
         settings["log"] = {"level": self.log_level}
