--- a/pondhatch/cli/_figures.py
+++ b/pondhatch/cli/_figures.py
@@ -29,6 +29,7 @@
         return {
             "routers.known": len(self.state.members()),
             "requests.in_flight": self.callers.in_flight,
+            "held.bytes": self.state.held.whole,
             "configuration.version": self.state.fleet.version,
             "configuration.behind_ms": round(1000 * self.state.lag.seconds(self.state.clock())),
             "configuration.refused": int(self.state.refused is not None),
@@ -38,6 +39,7 @@
             "upstreams.said_leaving": sum(notice.is_leaving for notice in notices),
             "upstreams.resting": sum(notice.rest > 0 for notice in notices),
             "engines.slow": self.state.paces.count_slow(self.state.clock()),
+            "engines.memory-full": self.state.tokens.refused,
             "halls.evacuated": len(self.state.halls.evacuations.halls),
             "requests.suspected": len(self.state.suspects.suspect_by_digest),
             "requests.quarantined": len(list(self.state.suspects.quarantined(self.state.clock()))),
--- a/pondhatch/requests/_sending.py
+++ b/pondhatch/requests/_sending.py
@@ -48,6 +48,8 @@
     instance: str = ""
     #: Its processing time in percent of usual, as far as it is known now.
     pace: int = USUAL_PACE
+    #: Tokens that its memory holds; None where that is not known.
+    memory_tokens: int | None = None
 
 
 #: What is told of an upstream that may not be sent a request.
--- a/pondhatch/router/_state.py
+++ b/pondhatch/router/_state.py
@@ -19,7 +19,7 @@
     Rejected,
     Update,
 )
-from pondhatch.limits import LimitVerdict, RetryBudgets
+from pondhatch.limits import HeldBytes, LimitVerdict, RetryBudgets
 from pondhatch.membership import (
     Gossip,
     Member,
@@ -37,6 +37,7 @@
     Notices,
     Regions,
     SpillMemory,
+    TokenCounts,
     is_allowed,
     ranked,
     winner,
@@ -90,6 +91,8 @@
     halls: HallStates = field(default_factory=HallStates)
     gate: Gate = field(default_factory=Gate)
     cold_paces: ColdPaces = field(default_factory=ColdPaces)
+    #: Tokens that requests hold at the engines that this router owns.
+    tokens: TokenCounts = field(default_factory=TokenCounts)
     memory: SpillMemory = field(default_factory=SpillMemory)
     #: Which engine answered a chat last through this router.
     served: SpillMemory = field(default_factory=SpillMemory)
@@ -99,6 +102,8 @@
     suspects: Suspects = field(default_factory=Suspects)
     limits: FleetLimits = field(init=False)
     retries: RetryBudgets = field(default_factory=RetryBudgets)
+    #: Bytes held for callers and engines, by account.
+    held: HeldBytes = field(default_factory=HeldBytes)
     #: What upstreams said of themselves in their answers.
     notices: Notices = field(default_factory=Notices)
     #: How fast engines work now, by their own word.
@@ -321,6 +326,7 @@
             shares_context=service.shares_context,
             instance=upstream.instance,
             pace=self.paces.pace(engine, self.clock()),
+            memory_tokens=service.engine_tokens,
         )
 
     def cold_count(self) -> int:
--- a/pondhatch/router/tests/test_dump.py
+++ b/pondhatch/router/tests/test_dump.py
@@ -9,6 +9,7 @@
 from fakes._platform_in_memory import PlatformInMemory
 from pondhatch.configuration.tests.test_fleet import account, change
 from pondhatch.kernel import REGISTRY, Plugin
+from pondhatch.placement import TokenNeed
 from pondhatch.requests import DecisionNote
 from pondhatch.router import Authority, RouterState, dump_state
 from pondhatch.router._dump import SECTION_KIND
@@ -45,10 +46,24 @@
         shown = [{"name": "e0", "pace": 250, "age_seconds": 0.2}]
         self.assertEqual(self.dump({})["upstreams_paces"], shown)
 
+    def test_it_shows_the_accounts_that_hold_most_bytes_first(self) -> None:
+        self.state.held.bound = 100
+        for name, amount in (("atelier", 30), ("studio", 80)):
+            self.state.held.change(name, amount)
+        dump = self.dump({})
+        self.assertEqual((dump["held_bytes"], dump["held_bytes_bound"]), (110, 100))
+        shown = [(each["name"], each["bytes"], each["slowed"]) for each in dump["held_by_account"]]
+        self.assertEqual(shown, [("studio", 80, True), ("atelier", 30, False)])
+
     def test_no_hash_of_a_key_is_in_it(self) -> None:
         hashed = self.state.fleet.entry("account", "atelier")["key_hashes"][0]
         self.assertNotIn(hashed.encode(), msgspec.json.encode(self.dump({})))
 
+    def test_it_shows_what_requests_hold_of_engines_memory(self) -> None:
+        self.state.tokens.add("e0", 1, TokenNeed(700), 0.0)
+        (shown,) = self.dump({})["engine_tokens"]
+        self.assertEqual((shown["name"], shown["tokens"], shown["requests"]), ("e0", 700, 1))
+
     def test_a_section_that_registers_itself_is_shown(self) -> None:
         @REGISTRY.register(SECTION_KIND, "9-trial")
         class TrialSection(Plugin):
