Use kept connections to upstreams for longer while load is managed

Cause: a kept connection carried a request that must not be repeated only within 0.5 s of its last bytes. Where many routers share many engines, each pair talks less often than that, and most requests opened a connection.

Change: while load is managed, such a request may go on a connection to an upstream for nine tenths of the idle time-out that the upstream states, less 1 s (never less than the half of it that is used otherwise). For 10 s after a connection to an upstream was reset or fell silent the 0.5 s hold again. New counters: connections.opened, connections.reused.

--- a/pondhatch/requests/_sending.py
+++ b/pondhatch/requests/_sending.py
@@ -46,6 +46,8 @@
     shares_context: bool = False
     #: The id that it answers to; empty where its name is that.
     instance: str = ""
+    #: Idle connections that this router may keep to it; None where nothing says how many.
+    most_idle: int | None = None
 
 
 #: What is told of an upstream that may not be sent a request.
--- a/pondhatch/transport/_http_client.py
+++ b/pondhatch/transport/_http_client.py
@@ -17,9 +17,12 @@
 from twisted.internet.protocol import ClientFactory, Protocol
 from twisted.python.failure import Failure
 
+from pondhatch.observing import Metrics, NoMetrics
 from pondhatch.requests import BodySource
 from pondhatch.transport._http_connection import Connection, Exchange
 from pondhatch.transport._http_heads import Request, ResponseHead
+from pondhatch.transport._reuse import HEARD_SECONDS as HEARD_SECONDS
+from pondhatch.transport._reuse import ReuseRules
 
 #: Seconds to wait for a connection.
 CONNECT_SECONDS = 1.0
@@ -30,10 +33,6 @@
 PORTS = range(1, 2**16)
 #: Idle connections kept for each address.
 IDLE_CONNECTIONS = 64
-#: Seconds since its last bytes within which a kept connection carries a request that may not
-#: be repeated: lost on a silent connection it would be lost for good, while a new connection
-#: costs a round trip. Busy addresses use theirs far more often, so they keep theirs.
-HEARD_SECONDS = 0.5
 #: Seconds between two looks for connections that stayed idle too long.
 SWEEP_SECONDS = 5.0
 
@@ -63,13 +62,15 @@
 
     noisy = False
 
-    def __init__(self, closed: Callable[[Connection], None]) -> None:
+    def __init__(self, closed: Callable[[Connection], None], to_upstream: bool) -> None:
         self.made: asyncio.Future[Connection] = asyncio.get_running_loop().create_future()
         self._closed = closed
+        self._to_upstream = to_upstream
 
     def buildProtocol(self, addr: Any) -> Connection:
         connection = _Announcing(self._closed)
         connection.announce = self._announce
+        connection.to_upstream = self._to_upstream
         return connection
 
     def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
@@ -141,6 +142,10 @@
     return None
 
 
+def _never() -> bool:
+    return False
+
+
 class Hooks(msgspec.Struct, frozen=True):
     """What whoever sends a request decides, or wants to know, of its exchange."""
 
@@ -150,16 +155,15 @@
     heard: Callable[[ResponseHead], None] = _ignore
     #: Called right before the first byte goes out; what it raises keeps the request from going.
     check: Callable[[], None] = _allow
+    #: Whether it goes to an upstream, rather than to the platform.
+    to_upstream: bool = False
+    #: Idle connections kept to its address at most.
+    most_idle: int = IDLE_CONNECTIONS
 
 
 NO_HOOKS = Hooks()
 
 
-def _is_sure(connection: Connection, now: float) -> bool:
-    """Return whether a request that may not be repeated may go on a kept connection."""
-    return connection.states_idle_time and now - connection.heard_at <= HEARD_SECONDS
-
-
 class HttpClient:
     """Connections by address, kept between exchanges."""
 
@@ -169,6 +173,20 @@
         self._idle_by_address: dict[Address, list[Connection]] = {}
         self._sweeping: asyncio.TimerHandle | None = None
         self._probe_by_address: dict[Address, _ListenProbe] = {}
+        self._rules = ReuseRules()
+        self._load_managed: Callable[[], bool] = _never
+        self._metrics: Metrics = NoMetrics()
+
+    def follow(self, load_managed: Callable[[], bool], metrics: Metrics) -> None:
+        """Learn from now on whether load is managed, and where connections are counted."""
+        self._load_managed = load_managed
+        self._metrics = metrics
+
+    def has_idle(self, address: Address) -> bool:
+        """Return whether a connection to an address is kept that may be taken now."""
+        now = asyncio.get_running_loop().time()
+        idle = self._idle_by_address.get(address, ())
+        return any(each.is_open and self._usable_until(each) > now for each in idle)
 
     async def send(
         self,
@@ -182,13 +200,16 @@
         """Send a request once; return the exchange, whose head is still to come.
 
         What is not repeatable gets a new connection unless the other side stated for how
-        long it keeps an idle one, and spoke on it just now. Raises NotSent; the exchange's head
-        raises what reading the body raises.
+        long it keeps an idle one, and the connection is sure to be open; see ReuseRules. Raises
+        NotSent; the exchange's head raises what reading the body raises.
         """
         connection = None if fresh else self._take(address, repeatable)
+        is_new = connection is None
         if connection is None:
-            connection = await self._connect(address)
-        keep = functools.partial(self._keep, address)
+            connection = await self._connect(address, hooks.to_upstream)
+        if hooks.to_upstream:
+            self._metrics.count("connections.opened" if is_new else "connections.reused")
+        keep = functools.partial(self._keep, address, most_idle=hooks.most_idle)
         exchange = Exchange(connection, keep, hooks.trusts, hooks.heard)
         try:
             # The connection may have taken a while, in which much may have been heard.
@@ -207,17 +228,25 @@
         now = asyncio.get_running_loop().time()
         while idle:
             connection = idle.pop()
-            if not connection.is_open or connection.usable_until <= now:
+            if not connection.is_open or self._usable_until(connection) <= now:
                 connection.abort()
                 continue
-            if repeatable or _is_sure(connection, now):
+            managed = self._is_managed(connection)
+            if repeatable or self._rules.is_sure(connection, now, managed):
                 return connection
             idle.append(connection)
             return None
         return None
 
-    async def _connect(self, address: Address) -> Connection:
-        connecting = _Connecting(self._lost)
+    def _is_managed(self, connection: Connection) -> bool:
+        """Return whether a connection falls under the rules for managed load."""
+        return self._load_managed() and connection.to_upstream
+
+    def _usable_until(self, connection: Connection) -> float:
+        return self._rules.usable_until(connection, self._is_managed(connection))
+
+    async def _connect(self, address: Address, to_upstream: bool) -> Connection:
+        connecting = _Connecting(self._closed, to_upstream)
         connector = self._reactor.connectTCP(
             address.host, address.port, connecting, timeout=self._connect_seconds
         )
@@ -253,10 +282,12 @@
             if connection.heard_at < since:
                 connection.abort()
 
-    def _keep(self, address: Address, connection: Connection) -> None:
+    def _keep(
+        self, address: Address, connection: Connection, most_idle: int = IDLE_CONNECTIONS
+    ) -> None:
         idle = self._idle_by_address.setdefault(address, [])
         idle.append(connection)
-        if len(idle) > IDLE_CONNECTIONS:
+        while len(idle) > most_idle:
             idle.pop(0).abort()
         if self._sweeping is None:
             loop = asyncio.get_running_loop()
@@ -268,11 +299,16 @@
         now = loop.time()
         every = [each for idle in self._idle_by_address.values() for each in idle]
         for connection in every:
-            if connection.usable_until <= now:
+            if self._usable_until(connection) <= now:
                 connection.abort()
-        left = any(connection.usable_until > now for connection in every)
+        left = any(self._usable_until(connection) > now for connection in every)
         self._sweeping = loop.call_later(SWEEP_SECONDS, self._sweep) if left else None
 
+    def _closed(self, connection: Connection) -> None:
+        if connection.was_lost and connection.to_upstream:
+            self._rules.note_loss(asyncio.get_running_loop().time())
+        self._lost(connection)
+
     def _lost(self, connection: Connection) -> None:
         for address, idle in tuple(self._idle_by_address.items()):
             if connection in idle:
--- a/pondhatch/transport/_http_connection.py
+++ b/pondhatch/transport/_http_connection.py
@@ -45,12 +45,20 @@
         self.usable_until = float("-inf")
         #: Whether the other side stated how long it keeps an idle connection.
         self.states_idle_time = False
+        #: Seconds for which it does; 0 where it did not say.
+        self.stated_idle = 0.0
+        #: When its last exchange ended, in the loop's seconds.
+        self.idle_since = float("-inf")
+        #: Whether an upstream is on the other side, rather than the platform.
+        self.to_upstream = False
         self.is_open = False
         #: When bytes last came on it, and when its last request was written, in the loop's
         #: seconds.
         self.heard_at = float("-inf")
         self.asked_at = float("-inf")
-        #: Set where it had worked, and was lost after a while without a word.
+        #: Set where it had worked and was lost, neither closed in order nor given up here.
+        self.was_lost = False
+        #: Set where it was lost so after a while without a word.
         self.fell_silent = False
         #: Cleared while the other side takes no more of a request's body.
         self._flowing = asyncio.Event()
@@ -134,7 +142,8 @@
         closed = reason.check(ConnectionDone) is not None
         self.is_open = False
         self._flowing.set()
-        self.fell_silent = not given_up and not closed and self._is_silent()
+        self.was_lost = not given_up and not closed and self.heard_at > float("-inf")
+        self.fell_silent = self.was_lost and self._is_silent()
         self._closed(self)
         if self._exchange is None:
             return
@@ -154,10 +163,9 @@
         """Return whether its exchange stood for as long as bytes may go unacknowledged.
 
         What the system says of a lost connection does not come through twisted, so a reset
-        after such a while counts too; that costs a few new connections. One that never
-        spoke tells nothing of those that are kept.
+        after such a while counts too; that costs a few new connections.
         """
-        if self._exchange is None or self.heard_at == float("-inf"):
+        if self._exchange is None:
             return False
         waited = asyncio.get_running_loop().time() - self.quiet_since()
         return waited >= UNACKNOWLEDGED_MS / 1000
@@ -206,8 +214,10 @@
             self._http.start_next_cycle()
             idle = exchange.answered.stated_idle() if exchange.answered is not None else None
             self.states_idle_time = idle is not None
+            self.stated_idle = idle or 0.0
+            self.idle_since = asyncio.get_running_loop().time()
             kept = IDLE_SECONDS if idle is None else idle * STATED_SHARE
-            self.usable_until = asyncio.get_running_loop().time() + kept
+            self.usable_until = self.idle_since + kept
             exchange.ended(self)
         else:
             exchange.ended(None)
--- a/pondhatch/transport/_upstreams.py
+++ b/pondhatch/transport/_upstreams.py
@@ -29,7 +29,13 @@
     new_try,
 )
 from pondhatch.transport._header_owners import counting
-from pondhatch.transport._http_client import Address, Hooks, HttpClient, NotSent
+from pondhatch.transport._http_client import (
+    IDLE_CONNECTIONS,
+    Address,
+    Hooks,
+    HttpClient,
+    NotSent,
+)
 from pondhatch.transport._http_connection import Exchange
 from pondhatch.transport._http_heads import Request, ResponseHead
 
@@ -147,6 +153,8 @@
                         trusts=lambda answered: self._judge(head, answered) is not Judged.CROSSED,
                         heard=lambda answered: self._hear(target, answered),
                         check=lambda: self._check(target, head),
+                        to_upstream=True,
+                        most_idle=_most_idle(target),
                     ),
                 )
                 tried.sent()
@@ -171,6 +179,14 @@
             exchange.cancel()
             raise
 
+    def is_pooled(self, url: str) -> bool:
+        """Return whether a connection to an upstream is kept that may be used again."""
+        try:
+            address = _address_of(url)
+        except NotSent:
+            return False
+        return self.client.has_idle(address)
+
     async def has_ended(self, target: Target) -> bool:
         """Return whether nothing listens at an upstream any more; see CrashGuard."""
         try:
@@ -225,6 +241,11 @@
         )
 
 
+def _most_idle(target: Target) -> int:
+    """Return how many idle connections are kept to an upstream at most."""
+    return IDLE_CONNECTIONS if target.most_idle is None else min(target.most_idle, IDLE_CONNECTIONS)
+
+
 def _address_of(url: str) -> Address:
     """Return where an upstream is reached. Raises NotSent where its URL does not say."""
     found = host_and_port(url.removeprefix("http://").rstrip("/"))
--- /dev/null
+++ b/pondhatch/transport/tests/test_connection_reuse.py
@@ -0,0 +1,250 @@
+"""Many routers before many engines: each pair talks seldom, and requests must not be repeated.
+
+Guards against a new connection for every other request, and against a request that is lost, or
+sent twice, on connections that went away while they were idle.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import unittest
+from collections import Counter
+from typing import Any
+
+from twisted.internet.address import IPv4Address
+from twisted.internet.error import ConnectionDone, ConnectionLost
+from twisted.python.failure import Failure
+
+from fakes._virtual_loop import run_virtually
+from pondhatch.limits import RetryBudget
+from pondhatch.observing import ServedMetrics
+from pondhatch.platform._engines import EngineDialect
+from pondhatch.platform.tests._wire import CONFIGURATION
+from pondhatch.requests import Headers, ReplayableBody, RequestHead, Unknown, Ways
+from pondhatch.requests._entry import Walk
+from pondhatch.requests._walk_results import Placed, Refused
+from pondhatch.store import Upstream
+from pondhatch.transport import HttpClient, HttpUpstreams
+from pondhatch.transport._http_client import Address, Hooks
+from pondhatch.transport._http_connection import Connection
+from pondhatch.transport._http_heads import Request
+from pondhatch.transport._reuse import HEARD_SECONDS, STRICT_SECONDS, ReuseRules
+from pondhatch.transport.tests import test_http_client as upstream
+from pondhatch.transport.tests.test_routed_callers import Grants, state_of
+
+ADDRESS = Address("10.0.0.1", 80)
+ENGINES = 33
+#: Requests a second of each of 25 routers, where 430 come to all.
+PACE = 17.0
+ANSWER = b"HTTP/1.1 200 OK\r\n%s\r\nKeep-Alive: timeout=10\r\nContent-Length: 2\r\n\r\nok"
+#: Seconds after which the system gives up a connection whose path fell silent.
+NOTICED = 2.0
+
+
+class Engine(upstream.Transport):
+    """An engine's side of one connection: answers each request as its body comes."""
+
+    def __init__(self, connection: Any, sent: Counter[bytes]) -> None:
+        super().__init__()  # type: ignore[no-untyped-call]
+        self.connection = connection
+        self.is_silent = False
+        #: How often each attempt came, over all connections.
+        self._sent = sent
+        self._attempt = b""
+
+    def write(self, data: bytes) -> None:
+        if data != b"x":
+            (self._attempt,) = (each for each in data.split(b"\r\n") if b"Attempt-Id" in each)
+            return
+        self._sent[self._attempt] += 1
+        if not self.is_silent:
+            answer = ANSWER % self._attempt
+            asyncio.get_running_loop().call_later(0.02, self.connection.dataReceived, answer)
+
+    def abortConnection(self) -> None:
+        self.lose(ConnectionDone())
+
+    def lose(self, reason: Exception) -> None:
+        if not self.aborted:
+            self.aborted = True
+            self.connection.connectionLost(Failure(reason))
+
+
+class Router:
+    """One router's walk and connections, before engines that are played."""
+
+    def __init__(self, switch: Any = "on") -> None:
+        self.state = state_of(CONFIGURATION)
+        for at in range(4, ENGINES + 2):
+            entry = Upstream(f"i-{at}", "lang", f"http://10.0.0.{at}:80", "hall-1")
+            self.state.upstreams.set(entry, at + 1)
+        self.state.upstreams_changed()
+        self.state.load_management = switch
+        self.metrics = ServedMetrics("r0")
+        self.client = HttpClient(self)
+        self.client.follow(self.state.load_managed, self.metrics)
+        self.upstreams = HttpUpstreams(self.client, EngineDialect())
+        self.engines: list[Engine] = []
+        self.sent: Counter[bytes] = Counter()
+
+    def connectTCP(self, host: str, port: int, factory: Any, timeout: float) -> None:
+        connection = factory.buildProtocol(IPv4Address("TCP", host, port))
+        self.engines.append(Engine(connection, self.sent))
+        connection.makeConnection(self.engines[-1])
+
+    async def ask(self, number: int) -> Placed | Refused:
+        """Have one request placed and answered; return what became of it."""
+        attempt, headers = str(number), _headers(number)
+        head = RequestHead(
+            attempt, "a", "lang", 0, "POST", "/", headers, False, 5.0, 5, caller_id=attempt
+        )
+        ways = Ways(Grants(), self.upstreams)
+        walk = Walk(self.state, ways, RetryBudget(), head, ReplayableBody(b"x"), lambda: 5.0)
+        ended = await walk.run()
+        if isinstance(ended, Placed):
+            await ended.reply.answer.pour(_Sink())
+        return ended
+
+    def counts(self) -> tuple[int, int]:
+        """Return how many connections were opened, and used again."""
+        count = self.metrics.count_by_name
+        return count.get("connections.opened", 0), count.get("connections.reused", 0)
+
+    def open_now(self) -> list[Engine]:
+        return [each for each in self.engines if not each.aborted]
+
+    def fall_silent(self) -> None:
+        """Lose every connection without a word; the system notices after a while."""
+        for each in self.open_now():
+            each.is_silent = True
+            asyncio.get_running_loop().call_later(NOTICED, each.lose, ConnectionLost())
+
+
+class _Sink:
+    def write(self, part: bytes) -> bool:
+        return True
+
+    async def ready(self) -> None:
+        return None
+
+
+def _headers(number: int) -> Headers:
+    return (("Host", "desk.example"), ("Attempt-Id", str(number)))
+
+
+async def _play(router: Router, seconds: float, seed: int, first: int = 0) -> list[Any]:
+    """Send requests at a router's pace for some seconds; return what became of each."""
+    rng, loop = random.Random(seed), asyncio.get_running_loop()
+    until = loop.time() + seconds
+    tasks: list[asyncio.Future[Any]] = []
+    while loop.time() < until:
+        tasks.append(asyncio.ensure_future(router.ask(first + len(tasks))))
+        await asyncio.sleep(rng.expovariate(PACE))
+    return await asyncio.gather(*tasks)
+
+
+class SeldomUsedTest(unittest.TestCase):
+    def test_one_request_in_ten_opens_a_connection_at_most(self) -> None:
+        async def main() -> tuple[int, int]:
+            router = Router()
+            await _play(router, 90.0, seed=1)
+            return router.counts()
+
+        opened, reused = run_virtually(main())
+        self.assertGreater(opened + reused, 1000)
+        self.assertLess(opened, (opened + reused) / 10)
+
+    def test_while_load_is_not_managed_the_last_bytes_decide(self) -> None:
+        async def main() -> tuple[int, int]:
+            router = Router("off")
+            router.state.pace_read_at = 0.0
+            await _play(router, 10.0, seed=1)
+            return router.counts()
+
+        opened, reused = run_virtually(main())
+        self.assertGreater(opened, (opened + reused) / 2)
+
+
+class SilentlyLostTest(unittest.TestCase):
+    """Every connection is lost without a word halfway through."""
+
+    def test_a_request_is_sent_once_and_doubt_lasts_ten_seconds(self) -> None:
+        async def main() -> None:
+            router = Router()
+            before = await _play(router, 12.0, seed=2)
+            router.fall_silent()
+            silent = router.open_now()
+            lost = await _play(router, NOTICED + 0.1, seed=3, first=10_000)
+            self.assertEqual(set(router.sent.values()), {1})
+            self.assertEqual(len(router.sent), len(before) + len(lost))
+            refused = [each.refusal for each in lost if isinstance(each, Refused)]
+            self.assertTrue(refused)
+            self.assertTrue(all(isinstance(each, Unknown) for each in refused))
+            self.assertTrue(all(each.aborted for each in silent))
+
+            opened, _ = router.counts()
+            await _play(router, STRICT_SECONDS - NOTICED, seed=4, first=20_000)
+            opened_in_doubt = router.counts()[0] - opened
+            self.assertGreater(opened_in_doubt, 0.5 * PACE * (STRICT_SECONDS - NOTICED))
+            await asyncio.sleep(NOTICED)
+            opened, reused = router.counts()
+            await _play(router, 10.0, seed=5, first=30_000)
+            opened, reused = router.counts()[0] - opened, router.counts()[1] - reused
+            self.assertLess(opened, (opened + reused) / 4)
+
+        run_virtually(main())
+
+
+class LossTest(unittest.TestCase):
+    """Which ends of a connection put the others in doubt."""
+
+    def doubts(self, reason: Exception | None, to_upstream: bool = True) -> bool:
+        async def main() -> bool:
+            router = Router()
+            request = Request("POST", "/", _headers(1))
+            hooks = Hooks(to_upstream=to_upstream)
+            sending = router.client.send(ADDRESS, request, ReplayableBody(b"x"), False, hooks=hooks)
+            await (await sending).head
+            await asyncio.sleep(1.0)
+            if reason is None:
+                router.client.distrust(ADDRESS, 10.0)
+            else:
+                router.engines[0].lose(reason)
+            return router.client._rules.is_strict(asyncio.get_running_loop().time())
+
+        return run_virtually(main())
+
+    def test_a_reset_of_an_upstreams_connection_does(self) -> None:
+        self.assertTrue(self.doubts(ConnectionLost()))
+
+    def test_nothing_else_does(self) -> None:
+        self.assertFalse(self.doubts(ConnectionDone()))
+        self.assertFalse(self.doubts(None))
+        self.assertFalse(self.doubts(ConnectionLost(), to_upstream=False))
+
+
+class RulesTest(unittest.TestCase):
+    """Guards the edges of the time for which a connection is sure, second by second."""
+
+    def kept(self, stated: float) -> Connection:
+        connection = Connection(lambda _: None)
+        connection.states_idle_time, connection.stated_idle = stated > 0, stated
+        connection.idle_since = connection.heard_at = 100.0
+        connection.usable_until = 100.0 + stated / 2
+        return connection
+
+    def test_it_follows_what_is_stated_and_leaves_a_second_of_it(self) -> None:
+        for stated, seconds in ((10.0, 8.0), (4.0, 2.6), (2.0, 1.0), (1.0, 0.5), (0.0, 0.0)):
+            with self.subTest(stated=stated):
+                rules, kept = ReuseRules(), self.kept(stated)
+                self.assertEqual(rules.is_sure(kept, 100.0 + seconds - 0.01, True), stated > 0)
+                self.assertFalse(rules.is_sure(kept, 100.0 + seconds + 0.01, True))
+
+    def test_after_a_loss_the_last_bytes_decide_for_a_while(self) -> None:
+        rules, kept = ReuseRules(), self.kept(60.0)
+        rules.note_loss(99.0)
+        self.assertTrue(rules.is_sure(kept, 100.0 + HEARD_SECONDS, True))
+        self.assertFalse(rules.is_sure(kept, 100.1 + HEARD_SECONDS, True))
+        self.assertTrue(rules.is_sure(kept, 99.0 + STRICT_SECONDS, True))
+        self.assertFalse(rules.is_sure(kept, 99.0 + STRICT_SECONDS, False))
