Bound the idle connections to an engine where the operator says how many

Cause: a router kept up to 64 idle connections to each engine, whatever an engine takes from the fleet.

Change: ServiceSpec.max_connections, from the platform's MaxConnections of a service. While load is managed, a router keeps its share of it to each engine: max(2, max_connections // live routers). The field stands in a service's entry only where it is said, so that entries without it are passed on as before.

--- a/pondhatch/configuration/_schema.py
+++ b/pondhatch/configuration/_schema.py
@@ -68,6 +68,9 @@
     leaving: tuple[str, ...] = ()
     #: What its engines are ordered to hold; for kind "model".
     orders: OrdersSpec | None = None
+    #: Connections that the fleet keeps to one engine while load is managed; None where nobody
+    #: says how many.
+    max_connections: Annotated[int, Meta(ge=1)] | None = None
 
 
 class RouteTarget(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/pondhatch/platform/_configuration.py
+++ b/pondhatch/platform/_configuration.py
@@ -75,6 +75,8 @@
     engine_id: Any = None
     #: Requests a second that a cold engine handles; 0 where it is never cold.
     cold_per_s: float = 0.0
+    #: Connections that the fleet keeps to one engine; 0 where it is not said.
+    max_connections: int = 0
 
 
 class _EngineKind(Wire, frozen=True):
@@ -149,12 +151,17 @@
 def _service(service: _Service, defaults: ServiceDefaults) -> dict[str, Any]:
     kind = service.engine_id
     engines = read_entry(_EngineKind, kind).entry if isinstance(kind, Mapping) else _EngineKind()
+    # Left out where it is not said: routers that do not know it yet take the service as it is.
+    connections = (
+        {"max_connections": service.max_connections} if service.max_connections > 0 else {}
+    )
     return {
         "kind": "plain" if kind is None else "model",
         "load_bound": defaults.load_bound,
         "load_slack": defaults.load_slack,
         "shares_context": engines.moves,
         "cold_pace": service.cold_per_s if service.cold_per_s > 0 else None,
+        **connections,
     }
 
 
--- a/pondhatch/platform/tests/test_configuration.py
+++ b/pondhatch/platform/tests/test_configuration.py
@@ -271,6 +271,16 @@
         self.assertIsNone(fleet.routes.by_name["r-notes"].regions)
         self.assertFalse(fleet.misfits_by_entry)
 
+    def test_a_bound_on_connections_is_its_services_and_unsaid_is_not_passed_on(self) -> None:
+        for told, expected in ((64, 64), (64.0, 64), (0, None), (-1, None), ("x", None)):
+            with self.subTest(told=told):
+                fleet = self.edited("Services", 0, MaxConnections=told)
+                self.assertEqual(fleet.service_by_name["lang"].max_connections, expected)
+                self.assertEqual(bool(fleet.misfits_by_entry), told == "x")
+        edits = decode_configuration(CONFIGURATION, DEFAULTS).edits
+        values = [each.value for each in edits if each.kind == "service"]
+        self.assertFalse(any("max_connections" in (value or {}) for value in values))
+
     def test_what_a_cold_engine_bears_is_its_services(self) -> None:
         rows = ((13.0, 13.0), (0.0, None), (0, None), (None, None))
         for told, expected in rows:
--- a/pondhatch/router/_state.py
+++ b/pondhatch/router/_state.py
@@ -65,6 +65,9 @@
 #: Seconds after the last pace that was read for which load is still managed: engines that state
 #: one do so in each answer, and a service may see no request for a while.
 PACED_SECONDS = 60.0
+#: Idle connections to one engine that a router may keep, however many routers share it: with
+#: fewer, requests that overlap would open one each.
+LEAST_SHARE = 2
 #: Decisions kept for the state dump.
 KEPT_DECISIONS = 64
 #: Who gave a configuration that no peer gave.
@@ -317,8 +320,15 @@
             slack=service.load_slack,
             shares_context=service.shares_context,
             instance=upstream.instance,
+            most_idle=self._connections_share(service.max_connections),
         )
 
+    def _connections_share(self, most: int | None) -> int | None:
+        """Return how many idle connections of an engine's are this router's, None for no bound."""
+        if most is None or not self.load_managed():
+            return None
+        return max(LEAST_SHARE, most // max(1, len(self._live_routers)))
+
     def cold_count(self) -> int:
         """Return how many upstreams are cold by their own word."""
         return self._upstream_changes.cold.count(self.clock())
--- a/pondhatch/transport/tests/test_connection_reuse.py
+++ b/pondhatch/transport/tests/test_connection_reuse.py
@@ -74,8 +74,11 @@
 class Router:
     """One router's walk and connections, before engines that are played."""
 
-    def __init__(self, switch: Any = "on") -> None:
-        self.state = state_of(CONFIGURATION)
+    def __init__(self, switch: Any = "on", most_connections: int = 0) -> None:
+        services = [
+            {**each, "MaxConnections": most_connections} for each in CONFIGURATION["Services"]
+        ]
+        self.state = state_of({**CONFIGURATION, "Services": services})
         for at in range(4, ENGINES + 2):
             entry = Upstream(f"i-{at}", "lang", f"http://10.0.0.{at}:80", "hall-1")
             self.state.upstreams.set(entry, at + 1)
@@ -133,14 +136,16 @@
     return (("Host", "desk.example"), ("Attempt-Id", str(number)))
 
 
-async def _play(router: Router, seconds: float, seed: int, first: int = 0) -> list[Any]:
+async def _play(
+    router: Router, seconds: float, seed: int, first: int = 0, pace: float = PACE
+) -> list[Any]:
     """Send requests at a router's pace for some seconds; return what became of each."""
     rng, loop = random.Random(seed), asyncio.get_running_loop()
     until = loop.time() + seconds
     tasks: list[asyncio.Future[Any]] = []
     while loop.time() < until:
         tasks.append(asyncio.ensure_future(router.ask(first + len(tasks))))
-        await asyncio.sleep(rng.expovariate(PACE))
+        await asyncio.sleep(rng.expovariate(pace))
     return await asyncio.gather(*tasks)
 
 
@@ -196,6 +201,28 @@
         run_virtually(main())
 
 
+class BoundTest(unittest.TestCase):
+    """Guards engines against connections that stay open after a burst."""
+
+    def idle_after_burst(self, switch: str, routers: int) -> int:
+        """Return the most connections that stay open to one engine."""
+
+        async def main() -> int:
+            router = Router(switch, most_connections=100)
+            router.state._live_routers = tuple(f"r{at}" for at in range(routers))
+            await asyncio.gather(*(router.ask(number) for number in range(600)))
+            return max(len(idle) for idle in router.client._idle_by_address.values())
+
+        return run_virtually(main())
+
+    def test_a_router_keeps_its_share_and_two_at_least(self) -> None:
+        self.assertEqual(self.idle_after_burst("on", 25), 4)
+        self.assertEqual(self.idle_after_burst("on", 470), 2)
+
+    def test_while_load_is_not_managed_nothing_is_shared_out(self) -> None:
+        self.assertGreater(self.idle_after_burst("off", 470), 10)
+
+
 class LossTest(unittest.TestCase):
     """Which ends of a connection put the others in doubt."""
 
