Ask engines with a kept connection first where no context binds a request

Cause: a request without a context goes to an engine drawn by its hash, so that each router talks to every engine, and connections that are seldom used end.

Change: while load is managed, of the first four engines of such a request's order those come first to which this router keeps a connection, unless they are known to hold more than the others of the four or than the service's mean. Known are counts of engines that this router owns, and what owners spoke of within the last second. The rule stands in placement/_pooled_first.py, what it goes by in router/_pooled_engines.py; Plan.prefer takes the engines in. An upstream's address is read from its URL once.

--- a/pondhatch/cli/_router_process.py
+++ b/pondhatch/cli/_router_process.py
@@ -42,6 +42,7 @@
     Granting,
     Introduction,
     NoticeKeeping,
+    PooledEngines,
     Restoring,
     Starting,
     Sync,
@@ -175,7 +176,12 @@
         return self._interface.callers(
             CallerParts(
                 state=self.state,
-                ways=Ways(self._granting.entry, upstreams, self._crash_guarding),
+                ways=Ways(
+                    self._granting.entry,
+                    upstreams,
+                    self._crash_guarding,
+                    PooledEngines(self.state, upstreams.is_pooled),
+                ),
                 limits=lambda: self._settings.limits,
                 metrics=self._metrics,
                 records=self._records,
--- a/pondhatch/placement/__init__.py
+++ b/pondhatch/placement/__init__.py
@@ -10,6 +10,7 @@
 from pondhatch.placement._memory import SpillMemory
 from pondhatch.placement._notices import NO_REST, NOTHING_SAID, Notice, Notices, Rest
 from pondhatch.placement._plan import Ask, Exhausted, Plan, Step
+from pondhatch.placement._pooled_first import CONSIDERED, LoadsHeard, pooled_first
 from pondhatch.placement._rendezvous import ranked, scorer, winner
 from pondhatch.placement._starts import id_of, name_of_start
 
@@ -18,6 +19,7 @@
     "name_of_start",
     "Ask",
     "CLOSING",
+    "CONSIDERED",
     "Closed",
     "ColdAllowance",
     "ColdPaces",
@@ -33,6 +35,7 @@
     "Granted",
     "Health",
     "Line",
+    "LoadsHeard",
     "NOTHING_SAID",
     "NO_REST",
     "Rest",
@@ -46,6 +49,7 @@
     "YOUNG_SECONDS",
     "admission_ceiling",
     "context_engine",
+    "pooled_first",
     "ranked",
     "scorer",
     "winner",
--- a/pondhatch/placement/_plan.py
+++ b/pondhatch/placement/_plan.py
@@ -73,6 +73,14 @@
         #: The latest ask, whose answer is noted next.
         self._current: Ask | None = None
 
+    def prefer(self, engines: Collection[str]) -> None:
+        """Ask these engines of the order before the others; called before anybody is asked."""
+        if not engines:
+            return
+        self.order = tuple(sorted(self.order, key=lambda name: name not in engines))
+        self._first = [Ask(self.order[0], context=True)]
+        self._rest = list(self.order[:0:-1])
+
     @property
     def home(self) -> str | None:
         """The chat's home engine, or None where the service has no engine."""
--- /dev/null
+++ b/pondhatch/placement/tests/test_pooled_first.py
@@ -0,0 +1,52 @@
+"""Guards against asking an engine first that is known to hold more than the others."""
+
+from __future__ import annotations
+
+import unittest
+
+from pondhatch.placement import Ask, LoadsHeard, Plan, pooled_first, ranked
+from pondhatch.placement._pooled_first import LOAD_SECONDS
+
+FEW = ("a", "b", "c", "d")
+
+
+class PooledFirstTest(unittest.TestCase):
+    def test_those_with_a_connection_come_first_unless_they_hold_more(self) -> None:
+        for loads, mean, expected in (
+            ((None, None, None, None), 0.0, ("b", "d")),
+            # b holds more than a, and more than the mean.
+            ((3, 4, None, None), 9.0, ("d",)),
+            ((None, 4, None, 2), 2.5, ("d",)),
+            ((None, 3, None, 3), 2.5, ("b", "d")),
+        ):
+            with self.subTest(loads=loads, mean=mean):
+                self.assertEqual(pooled_first(FEW, {"b", "d", "z"}, loads, mean), expected)
+
+    def test_a_load_is_known_for_a_moment(self) -> None:
+        heard = LoadsHeard()
+        heard.note("a", 5, 100.0)
+        heard.note("b", 6, 100.0 + LOAD_SECONDS)
+        self.assertEqual(heard.known("a", 100.0 + LOAD_SECONDS), 5)
+        heard.note("b", 7, 100.1 + LOAD_SECONDS)
+        self.assertIsNone(heard.known("a", 100.1 + LOAD_SECONDS))
+        self.assertEqual(list(heard._heard_by_engine), ["b"])
+
+
+class PreferTest(unittest.TestCase):
+    def test_the_preferred_are_asked_first_and_every_other_once(self) -> None:
+        order = ranked("request", FEW)
+        plan = Plan("request", FEW)
+        plan.prefer((order[3], order[1]))
+        self.assertEqual(plan.order, (order[1], order[3], order[0], order[2]))
+        asked = []
+        for _ in FEW:
+            step = plan.next()
+            assert isinstance(step, Ask)
+            asked.append(step.engine)
+            plan.refused("full")
+        self.assertEqual(tuple(asked), plan.order)
+
+    def test_without_any_the_order_stays(self) -> None:
+        plan = Plan("request", FEW)
+        plan.prefer(())
+        self.assertEqual(plan.order, ranked("request", FEW))
--- a/pondhatch/requests/_entry.py
+++ b/pondhatch/requests/_entry.py
@@ -77,6 +77,8 @@
     ) -> None:
         self._chat = str(head.chat) if head.chat else head.request_id
         self.plan = Plan(self._chat, view.live_upstreams(head.service, head.regions))
+        if not head.chat:
+            self.plan.prefer(ways.preference.first_of(head.service, self.plan.order))
         #: The engine that would be the chat's home were it not closed to it, and why it is.
         self.turned_from = view.closed_home(head.service, self._chat, head.regions)
         self._view = view
--- a/pondhatch/requests/_entry_view.py
+++ b/pondhatch/requests/_entry_view.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from typing import Protocol
 
 import msgspec
 
 from pondhatch.placement import Regions
 from pondhatch.requests._crash_guard import CrashGuard, NoCrashGuard
-from pondhatch.requests._questions import Grants
+from pondhatch.requests._questions import Grants, OwnerReply
 from pondhatch.requests._sending import Target, Upstreams
 
 
@@ -52,9 +53,31 @@
         """Return whether the parts of load management are in force."""
 
 
+class EnginePreference(Protocol):
+    """Which engines are asked first for a request that no context binds to one."""
+
+    def first_of(self, service: str, order: Sequence[str]) -> tuple[str, ...]:
+        """Return the engines of an order to ask before the others; empty where none are."""
+
+    def heard(self, engine: str, reply: OwnerReply) -> None:
+        """Take in the word of an engine's owner."""
+
+
+class NoPreference:
+    """Keeps to the order; see EnginePreference."""
+
+    def first_of(self, service: str, order: Sequence[str]) -> tuple[str, ...]:
+        """Prefer none."""
+        return ()
+
+    def heard(self, engine: str, reply: OwnerReply) -> None:
+        """Do nothing."""
+
+
 class Ways(msgspec.Struct, frozen=True):
     """What a walk goes through to others."""
 
     grants: Grants
     upstreams: Upstreams
     crashes: CrashGuard = NoCrashGuard()
+    preference: EnginePreference = NoPreference()
--- a/pondhatch/requests/_tries.py
+++ b/pondhatch/requests/_tries.py
@@ -78,6 +78,7 @@
             return closed
         began = asyncio.get_running_loop().time()
         reply = await self._grant(question)
+        self._ways.preference.heard(question.engine, reply)
         self.asking_seconds += asyncio.get_running_loop().time() - began
         if not isinstance(reply, Granted):
             return reply
--- a/pondhatch/router/__init__.py
+++ b/pondhatch/router/__init__.py
@@ -23,6 +23,7 @@
 from pondhatch.router._hall_states import HallStates
 from pondhatch.router._introduction import Introduction
 from pondhatch.router._notice_keeping import NOTICE_MARK, NoticeKeeping
+from pondhatch.router._pooled_engines import PooledEngines
 from pondhatch.router._restoring import Restoring
 from pondhatch.router._starting import Starting, not_ready
 from pondhatch.router._state import RouterState
@@ -52,6 +53,7 @@
     "Introduction",
     "NOTICE_MARK",
     "NoticeKeeping",
+    "PooledEngines",
     "Restoring",
     "RouterState",
     "Starting",
--- /dev/null
+++ b/pondhatch/router/_pooled_engines.py
@@ -0,0 +1,51 @@
+"""Which engines a router prefers for the connections that it keeps to them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+
+from pondhatch.placement import CONSIDERED, Granted, LoadsHeard, pooled_first
+from pondhatch.requests import Busy, OwnerReply
+from pondhatch.router._state import RouterState
+
+
+class PooledEngines:
+    """One router's preference; see EnginePreference."""
+
+    def __init__(self, state: RouterState, is_pooled: Callable[[str], bool]) -> None:
+        self._state = state
+        #: Returns whether a connection to an upstream's URL is kept.
+        self._is_pooled = is_pooled
+        self._loads = LoadsHeard()
+
+    def first_of(self, service: str, order: Sequence[str]) -> tuple[str, ...]:
+        """Return the engines of an order to ask first; see EnginePreference."""
+        if not self._state.load_managed():
+            return ()
+        engines = order[:CONSIDERED]
+        pooled = {name for name in engines if self._has_connection(name)}
+        if not pooled:
+            return ()
+        loads = [self._load(name) for name in engines]
+        if not any(loads):
+            return tuple(name for name in engines if name in pooled)
+        return pooled_first(engines, pooled, loads, self._state.mean_load(service))
+
+    def heard(self, engine: str, reply: OwnerReply) -> None:
+        """Take in the load that an owner spoke of; see EnginePreference."""
+        if not isinstance(reply, Granted | Busy) or not self._state.load_managed():
+            return
+        # A grant counts the request that it was given to.
+        others = reply.in_flight - isinstance(reply, Granted)
+        self._loads.note(engine, others, self._state.clock())
+
+    def _has_connection(self, engine: str) -> bool:
+        upstream = self._state.upstreams.upstream(engine)
+        return upstream is not None and self._is_pooled(upstream.url)
+
+    def _load(self, engine: str) -> int | None:
+        """Return an engine's load: exact where this router owns it, else as it was heard."""
+        now = self._state.clock()
+        if self._state.owner_name(engine) == self._state.name:
+            return self._state.gate.in_flight(engine, now)
+        return self._loads.known(engine, now)
--- a/pondhatch/router/_state.py
+++ b/pondhatch/router/_state.py
@@ -372,6 +372,13 @@
         own = self.owned_by_service().get(upstream.service, ())
         return heard + self.gate.total(tuple(name for name in own if name != engine), now)
 
+    def mean_load(self, service: str) -> float:
+        """Return the requests in flight at a service's engines, by engine."""
+        now, engines = self.clock(), len(self.live_upstreams(service))
+        own = self.owned_by_service().get(service, ())
+        total = self.gossip.load_elsewhere(service, now) + self.gate.total(own, now)
+        return total / max(1, engines)
+
     # -- configuration ------------------------------------------------------
 
     def take_change(self, change: Change, source: str = PLATFORM) -> Rejected | Gap | None:
--- /dev/null
+++ b/pondhatch/router/tests/test_pooled_engines.py
@@ -0,0 +1,51 @@
+"""Guards the preference for engines with a connection: when it holds, and what it goes by."""
+
+from __future__ import annotations
+
+import unittest
+from typing import Any
+
+from pondhatch.limits import RetryBudget
+from pondhatch.placement import Granted, ranked
+from pondhatch.platform.tests._wire import CONFIGURATION
+from pondhatch.requests import Busy, ReplayableBody, RequestHead, Ways
+from pondhatch.requests._entry import Walk
+from pondhatch.router import PooledEngines
+from pondhatch.transport.tests.test_routed_callers import state_of
+
+ENGINES = ("i-0", "i-1")
+
+
+class PooledEnginesTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.state = state_of(CONFIGURATION)
+        self.state.load_management = "on"
+        self.preference = PooledEngines(self.state, lambda url: url == "http://10.0.0.1:80")
+
+    def order(self, chat: int) -> tuple[str, ...]:
+        nobody: Any = None
+        head = RequestHead("r", "a", "lang", chat, "POST", "/", (), False, 5.0, 5)
+        ways = Ways(nobody, nobody, preference=self.preference)
+        budget = RetryBudget()
+        return Walk(self.state, ways, budget, head, ReplayableBody(b""), lambda: 5.0).plan.order
+
+    def test_it_moves_no_request_with_a_context(self) -> None:
+        self.assertEqual(self.order(0), ("i-1", "i-0"))
+        for chat in range(1, 9):
+            self.assertEqual(self.order(chat), ranked(str(chat), ENGINES))
+
+    def test_while_load_is_not_managed_there_is_none(self) -> None:
+        self.state.load_management = "off"
+        self.assertEqual(self.preference.first_of("lang", ENGINES), ())
+
+    def test_it_goes_by_counts_here_and_by_words_of_other_owners(self) -> None:
+        self.state.gate.adopt("i-1")
+        self.state.gate.adopt("i-1")
+        self.assertEqual(self.preference.first_of("lang", ENGINES), ())
+        other: Any = "r1"
+        self.state.owner_name = lambda engine: other  # type: ignore[method-assign]
+        self.assertEqual(self.preference.first_of("lang", ENGINES), ("i-1",))
+        self.preference.heard("i-1", Granted(2, 9))
+        self.assertEqual(self.preference.first_of("lang", ENGINES), ("i-1",))
+        self.preference.heard("i-1", Busy(2, 2))
+        self.assertEqual(self.preference.first_of("lang", ENGINES), ())
--- a/pondhatch/transport/_upstreams.py
+++ b/pondhatch/transport/_upstreams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 
 from msgspec.structs import replace
 
@@ -42,6 +43,9 @@
 OK = 200
 #: Bytes of an answer's end that are searched for the last event.
 TAIL_BYTES = 64
+#: URLs of which the address is kept: those of twice the upstreams of the size to design for.
+#: Reading one costs more than the rest of a look for a kept connection.
+URLS_KEPT = 4096
 
 
 class _TailSink:
@@ -246,6 +250,7 @@
     return IDLE_CONNECTIONS if target.most_idle is None else min(target.most_idle, IDLE_CONNECTIONS)
 
 
+@functools.lru_cache(maxsize=URLS_KEPT)
 def _address_of(url: str) -> Address:
     """Return where an upstream is reached. Raises NotSent where its URL does not say."""
     found = host_and_port(url.removeprefix("http://").rstrip("/"))
--- a/pondhatch/transport/tests/test_connection_reuse.py
+++ b/pondhatch/transport/tests/test_connection_reuse.py
@@ -23,7 +23,9 @@
 from pondhatch.platform.tests._wire import CONFIGURATION
 from pondhatch.requests import Headers, ReplayableBody, RequestHead, Unknown, Ways
 from pondhatch.requests._entry import Walk
+from pondhatch.requests._entry_view import EnginePreference, NoPreference
 from pondhatch.requests._walk_results import Placed, Refused
+from pondhatch.router import PooledEngines
 from pondhatch.store import Upstream
 from pondhatch.transport import HttpClient, HttpUpstreams
 from pondhatch.transport._http_client import Address, Hooks
@@ -88,6 +90,7 @@
         self.client = HttpClient(self)
         self.client.follow(self.state.load_managed, self.metrics)
         self.upstreams = HttpUpstreams(self.client, EngineDialect())
+        self.preference: EnginePreference = PooledEngines(self.state, self.upstreams.is_pooled)
         self.engines: list[Engine] = []
         self.sent: Counter[bytes] = Counter()
 
@@ -102,7 +105,7 @@
         head = RequestHead(
             attempt, "a", "lang", 0, "POST", "/", headers, False, 5.0, 5, caller_id=attempt
         )
-        ways = Ways(Grants(), self.upstreams)
+        ways = Ways(Grants(), self.upstreams, preference=self.preference)
         walk = Walk(self.state, ways, RetryBudget(), head, ReplayableBody(b"x"), lambda: 5.0)
         ended = await walk.run()
         if isinstance(ended, Placed):
@@ -160,6 +163,16 @@
         self.assertGreater(opened + reused, 1000)
         self.assertLess(opened, (opened + reused) / 10)
 
+    def test_engines_with_a_connection_come_first_where_pairs_talk_yet_less(self) -> None:
+        async def main(preference: EnginePreference | None) -> int:
+            router = Router()
+            router.preference = preference or router.preference
+            await _play(router, 90.0, seed=1, pace=PACE / 4)
+            return router.counts()[0]
+
+        opened = run_virtually(main(None))
+        self.assertLess(opened, run_virtually(main(NoPreference())) / 2)
+
     def test_while_load_is_not_managed_the_last_bytes_decide(self) -> None:
         async def main() -> tuple[int, int]:
             router = Router("off")
