--- a/pondhatch/cli/_router_process.py
+++ b/pondhatch/cli/_router_process.py
@@ -42,6 +42,7 @@
     Granting,
     Introduction,
     NoticeKeeping,
+    PooledEngines,
     Restoring,
     Starting,
     Sync,
@@ -96,6 +97,7 @@
         served = ServedMetrics(settings.name)
         self._metrics = metrics_of(settings, served)
         self._records = _records_of(settings)
+        parts.client.follow(self.state.load_managed, self._metrics)
         self._beliefs = Beliefs(self.state, self._records)
         self._notice_keeping = NoticeKeeping(self.state, self._gossip_port.send)
         upstreams = HttpUpstreams(
@@ -178,7 +180,12 @@
         return self._interface.callers(
             CallerParts(
                 state=self.state,
-                ways=Ways(self._granting.entry, upstreams, self._crash_guarding),
+                ways=Ways(
+                    self._granting.entry,
+                    upstreams,
+                    self._crash_guarding,
+                    PooledEngines(self.state, upstreams.is_pooled),
+                ),
                 limits=lambda: self._settings.limits,
                 metrics=self._metrics,
                 records=self._records,
--- a/pondhatch/requests/_sending.py
+++ b/pondhatch/requests/_sending.py
@@ -50,6 +50,8 @@
     pace: int = USUAL_PACE
     #: Tokens that its memory holds; None where that is not known.
     memory_tokens: int | None = None
+    #: Idle connections that this router may keep to it; None where nothing says how many.
+    most_idle: int | None = None
 
 
 #: What is told of an upstream that may not be sent a request.
