Keep requests at full engines for as long as their callers can wait

Cause: where one of three plain upstreams is left, a request waited 0.2 of its objective (31 ms) in one queue, though its caller waits 1,050 ms. Whoever was refused was told to come back after the same second.

Change, while load is managed: a request waits until the latest grant that leaves its usual run time, as its entry router learned it (requests/_wait_limits.py), in the queues of up to four engines at once (requests/_queues.py), and takes the first grant; the others are withdrawn or given back. An engine's owner predicts the wait at arrival and refuses at once what cannot be served in time, with a time to come back of its own for each (placement/_forecast.py). Late requests come after those in time of their priority. Where 8 engines were found at their ceiling, the least loaded goes by the mean of those seen. A question that its request withdrew no longer counts as an owner's silence. Wrong predictions are counted in both directions.

--- a/pondhatch/explaining/_story.py
+++ b/pondhatch/explaining/_story.py
@@ -142,6 +142,8 @@
         f"- its run was cut at {name}, {'which ended' if has_ended else 'which lives on'}"
         for name, has_ended in ended.cut_at
     ]
+    if ended.predicted_ms:
+        parts.append(f"- it would have waited {ended.predicted_ms} ms for a place")
     if ended.asking_ms * 2 > ended.ms:
         parts.append(f"- most of its time, {ended.asking_ms} ms, it waited for owners' words")
     return " ".join(parts)
--- a/pondhatch/observing/_records.py
+++ b/pondhatch/observing/_records.py
@@ -50,6 +50,8 @@
     cut_at: tuple[tuple[str, bool], ...] = ()
     #: In hex, where a run was cut: alike in all attempts at the same request.
     digest: str = ""
+    #: Milliseconds that it would have waited for a place, where it was refused for that.
+    predicted_ms: int = 0
 
 
 class Believed(msgspec.Struct, frozen=True, tag_field="event", tag="belief", omit_defaults=True):
--- a/pondhatch/placement/__init__.py
+++ b/pondhatch/placement/__init__.py
@@ -3,6 +3,7 @@
 from pondhatch.placement._ceiling import admission_ceiling
 from pondhatch.placement._cold_pace import ColdAllowance, ColdPaces
 from pondhatch.placement._context import YOUNG_SECONDS, context_engine
+from pondhatch.placement._forecast import GAP_WEIGHT, STEADY_GAP_WEIGHT, Pace, Returns
 from pondhatch.placement._gate import EngineCount, Full, Gate, Granted, Verdict
 from pondhatch.placement._health import Health
 from pondhatch.placement._intake import CLOSING, OPEN, Closed, Intake, Regions, both, is_allowed
@@ -29,6 +30,7 @@
     "EngineCount",
     "Exhausted",
     "Full",
+    "GAP_WEIGHT",
     "Gate",
     "Granted",
     "Health",
@@ -38,7 +40,10 @@
     "Rest",
     "Notice",
     "Notices",
+    "Pace",
     "Plan",
+    "Returns",
+    "STEADY_GAP_WEIGHT",
     "SpillMemory",
     "Step",
     "Ticket",
--- a/pondhatch/placement/_gate.py
+++ b/pondhatch/placement/_gate.py
@@ -38,6 +38,10 @@
     ceiling: int
     #: Whether it has places, but is cold, and is to get nothing more for a moment.
     is_cold: bool = False
+    #: Milliseconds that the request would wait for a place, and after which it is worth coming
+    #: back; 0 where they are not estimated.
+    predicted_ms: int = 0
+    come_back_ms: int = 0
 
 
 Verdict = Granted | Full
--- a/pondhatch/placement/_plan.py
+++ b/pondhatch/placement/_plan.py
@@ -19,6 +19,8 @@
 #: Ailing engines that one request passes over at most: where there are more, the fault lies
 #: with the service, and crowding the engines that seem well would only add to it.
 MOST_AILING = 2
+#: Engines found at their ceiling from which on the mean of those seen stands for all.
+RISEN_ENGINES = 8
 #: Full engines looked at once more after the wait for the last one: the time of that wait
 #: may have freed a place there. Each costs a question to its owner, and some milliseconds of
 #: a request that is about to be refused; the least loaded have the best chance.
@@ -59,6 +61,9 @@
         self.passed_over: list[tuple[str, str]] = []
         #: Requests in flight that each full engine's owner spoke of.
         self.in_flight_by_engine: dict[str, int] = {}
+        #: Engines at their ceiling, by their owners' word, and whether one was cold.
+        self._at_ceiling: set[str] = set()
+        self._has_met_cold = False
         #: Engines that were passed over because they answer with failures.
         self._ailing: list[str] = []
         self._asks = asks
@@ -102,9 +107,40 @@
         """Return the work seen on this walk at other engines: newer than any digest."""
         return sum(held for other, held in self.in_flight_by_engine.items() if other != engine)
 
+    def risen_elsewhere(self, engine: str, engines: int) -> int:
+        """Return the work at other engines by the mean seen, where load rises; else 0.
+
+        Totals that were heard are behind then. Of 8 engines drawn by the chat's order, the least
+        loaded holds twice the mean of all or more once in 256 walks at most, since at most half
+        of the engines do (Markov). So its ceiling may go by the mean of those seen.
+        """
+        held_by_engine = self.in_flight_by_engine
+        seen = [held for name, held in held_by_engine.items() if name in self._at_ceiling]
+        if len(seen) < RISEN_ENGINES or self._has_met_cold:
+            return 0
+        own = held_by_engine.get(engine)
+        if own is None or own > min(seen):
+            return 0
+        return max(0, sum(seen) * engines // len(seen) - own)
+
+    def queue_engines(self, most: int) -> tuple[str, ...]:
+        """Return the full engines to wait for at once, the one with the least work first."""
+        return tuple(self._fullest_first()[::-1][:most])
+
+    def waited(self, engine: str) -> None:
+        """Note at which of several engines the answer to a wait is noted next."""
+        self._current = Ask(engine, insist=True, last=True)
+
+    def end_looks(self) -> None:
+        """Look at no other engine any more: the wait used up the time for that."""
+        self._looks = []
+
     def full(self, in_flight: int, ceiling: int, is_cold: bool = False) -> None:
         """Note that the engine last asked is at its ceiling, or cold and not due for more."""
-        self.in_flight_by_engine[self._last_ask().engine] = in_flight
+        engine = self._last_ask().engine
+        self.in_flight_by_engine[engine] = in_flight
+        self._at_ceiling.add(engine)
+        self._has_met_cold = self._has_met_cold or is_cold
         why = f"cold, holds {in_flight}" if is_cold else f"at ceiling, {in_flight} of {ceiling}"
         self.refused(why)
 
--- a/pondhatch/requests/__init__.py
+++ b/pondhatch/requests/__init__.py
@@ -80,7 +80,8 @@
 )
 from pondhatch.requests._try import Try, new_try
 from pondhatch.requests._upstream_dialect import Judged, UpstreamDialect
-from pondhatch.requests._walk_results import Patience, Placed, Refused
+from pondhatch.requests._wait_limits import Answering, RunTimes, answering
+from pondhatch.requests._walk_results import Patience, Placed, Queued, QueueEnd, Refused
 
 __all__ = [
     "Judged",
@@ -96,6 +97,7 @@
     "KEPT_BODY",
     "LAST_EVENT",
     "AnswerStream",
+    "Answering",
     "BodySource",
     "Broken",
     "Busy",
@@ -141,12 +143,15 @@
     "Patience",
     "Placed",
     "Question",
+    "QueueEnd",
+    "Queued",
     "Refusal",
     "Refused",
     "Release",
     "ReplayableBody",
     "RequestHead",
     "RequestWatch",
+    "RunTimes",
     "Spilled",
     "Target",
     "Telling",
@@ -157,6 +162,7 @@
     "Ways",
     "Whole",
     "Word",
+    "answering",
     "decode_grant_packet",
     "digest_of",
     "encode_grant_packet",
--- a/pondhatch/requests/_entry.py
+++ b/pondhatch/requests/_entry.py
@@ -30,18 +30,24 @@
     Busy,
     Elsewhere,
     NotOwner,
+    OwnerReply,
     Question,
 )
+from pondhatch.requests._queues import MOST_QUEUES, NoPlace
 from pondhatch.requests._rests import Rests
 from pondhatch.requests._sending import FAILURE_STATUS, is_own_failure
-from pondhatch.requests._tries import Tries
+from pondhatch.requests._tries import Tried, Tries
+from pondhatch.requests._wait_limits import Usual, in_time, wait_limit
 from pondhatch.requests._walk_results import (
     NO_PATIENCE,
     Patience,
     Placed,
     Position,
+    Queued,
+    QueueEnd,
     Refused,
     Unready,
+    queued_in_vain,
 )
 
 #: Seconds after which to come back when every engine asked was at its ceiling.
@@ -103,6 +109,8 @@
         self._granted_id = ""
         #: The engine that answered last.
         self.engine: str | None = None
+        #: What came of its latest wait at several full engines.
+        self.queued = Queued()
         #: Times that a broken stream went on.
         self.resumes = 0
         #: Engines at which its run was cut, each with whether the engine had ended.
@@ -118,6 +126,11 @@
         """Seconds that the request waited for owners' words, and in their lines."""
         return self._tries.asking_seconds
 
+    @property
+    def queued_seconds(self) -> float:
+        """Seconds of them in the queues of several engines at once."""
+        return self._tries.queued_seconds
+
     async def run(self) -> Placed | Refused:
         """Return the opened answer or the refusal that the caller is to be told."""
         self._budget.first_try()
@@ -281,9 +294,80 @@
 
     async def _ask(self, ask: Ask) -> Placed | Refused | None:
         """Ask one engine's owner and, if granted, try it; None means that the walk goes on."""
+        if ask.last and self._view.load_managed():
+            return await self._wait_at_several(ask)
         question = self._question(ask.engine, insist=ask.insist, context=ask.context, last=ask.last)
         head = self._next_head(fresh=ask.fresh)
         reply = await self._tries.run(question, head)
+        return await self._after_try(ask, head, reply)
+
+    async def _wait_at_several(self, ask: Ask) -> Placed | Refused | None:
+        """Wait at the least loaded engines at once, and try the first that grants."""
+        engines = self.plan.queue_engines(MOST_QUEUES) or (ask.engine,)
+
+        def question(engine: str, seconds: float) -> Question:
+            return self._waiting_question(engine, seconds, len(engines))
+
+        head = self._next_head(fresh=ask.fresh)
+        tried = await self._tries.run_at_first(engines, question, self._wait_limit(), head)
+        if isinstance(tried, NoPlace):
+            self._note_no_place(tried.reply_by_engine)
+            return None
+        engine, reply = tried
+        self.queued = Queued(QueueEnd.GRANTED)
+        self.plan.waited(engine)
+        return await self._after_try(msgspec.structs.replace(ask, engine=engine), head, reply)
+
+    def _note_no_place(self, reply_by_engine: dict[str, OwnerReply]) -> None:
+        """Note what the owners said of a wait that came to nothing."""
+        self.queued = queued_in_vain(reply_by_engine.values())
+        self.plan.end_looks()
+        for engine, reply in reply_by_engine.items():
+            self.plan.waited(engine)
+            if isinstance(reply, Busy):
+                self.plan.full(reply.in_flight, reply.ceiling, reply.is_cold)
+            elif isinstance(reply, NotRun):
+                self._rests.note(engine, reply)
+                self.plan.refused(f"{reply.code}: {reply.reason}")
+            else:
+                self.plan.refused("its owner is in doubt")
+
+    def _waiting_question(self, engine: str, seconds: float, queues: int) -> Question:
+        """Return a question about an engine in whose queue the request waits beside others."""
+        question = self._question(engine, insist=True)
+        limits, target = self._most_patience.answering, self._view.target(engine)
+        patience = max(1, round(seconds * MILLISECONDS))
+        in_time_ms = patience
+        if limits is not None:
+            left = in_time(limits, self._elapsed(), self._usual())
+            in_time_ms = max(1, round(left * MILLISECONDS))
+        risen = self.plan.risen_elsewhere(engine, target.peers) if target is not None else 0
+        return msgspec.structs.replace(
+            question,
+            patience=patience,
+            seen_elsewhere=max(question.seen_elsewhere, risen),
+            in_time=in_time_ms,
+            queues=queues,
+        )
+
+    def _wait_limit(self) -> float:
+        """Return the seconds that the request may wait at full engines."""
+        limits = self._most_patience.answering
+        if limits is None:
+            return max(0.0, min(self._remaining(), self._most_patience.last))
+        return wait_limit(limits, self._remaining(), self._elapsed(), self._usual())
+
+    def _elapsed(self) -> float:
+        """Return the seconds since the request came."""
+        return self._head.deadline - self._remaining()
+
+    def _usual(self) -> Usual:
+        return self._ways.run_times.usual(self._head.service)
+
+    async def _after_try(
+        self, ask: Ask, head: RequestHead, reply: Tried
+    ) -> Placed | Refused | None:
+        """Take in what became of one try; None means that the walk goes on."""
         if isinstance(reply, Opened):
             self._granted_id = head.request_id
             self.engine = ask.engine
@@ -442,4 +526,5 @@
         if self._refusals and not self.plan.in_flight_by_engine:
             # Nobody is full, so that is not what the caller is told.
             return self._refusals[-1]
-        return NotRun("engines-full", f"asked {asked}", FULL_RETRY_AFTER)
+        come_back = self.queued.come_back_ms / MILLISECONDS
+        return NotRun("engines-full", f"asked {asked}", come_back or FULL_RETRY_AFTER)
--- a/pondhatch/requests/_entry_grants.py
+++ b/pondhatch/requests/_entry_grants.py
@@ -186,13 +186,19 @@
         asked = _Asked(owner, loop.create_future(), loop.time())
         self._asked_by_number[question.number] = asked
         reply: OwnerReply | None = None
+        was_withdrawn = False
         try:
             reply = await self._await_reply(question, asked, pauses)
+        except asyncio.CancelledError:
+            # A word to a request that had its place elsewhere says nothing of its owner's speed.
+            was_withdrawn = question.in_time > 0
+            raise
         finally:
             del self._asked_by_number[question.number]
             if reply is None:
                 # A grant may be under way, or the question may wait in the engine's line.
-                self.waits.gave_up(question.number, owner, asked.sent_at)
+                if not was_withdrawn:
+                    self.waits.gave_up(question.number, owner, asked.sent_at)
                 self._release_at(owner, question.number, Ended.NOTHING)
         if reply is None:
             return NotRun("router-unreachable", f"router {owner} gave no word")
--- a/pondhatch/requests/_entry_view.py
+++ b/pondhatch/requests/_entry_view.py
@@ -10,6 +10,7 @@
 from pondhatch.requests._crash_guard import CrashGuard, NoCrashGuard
 from pondhatch.requests._questions import Grants
 from pondhatch.requests._sending import Target, Upstreams
+from pondhatch.requests._wait_limits import RunTimes
 
 
 class EntryView(Protocol):
@@ -58,3 +59,5 @@
     grants: Grants
     upstreams: Upstreams
     crashes: CrashGuard = NoCrashGuard()
+    #: How long upstreams usually take, as seen by all walks that go this way.
+    run_times: RunTimes = msgspec.field(default_factory=RunTimes)
--- a/pondhatch/requests/_lines.py
+++ b/pondhatch/requests/_lines.py
@@ -3,16 +3,32 @@
 from __future__ import annotations
 
 import asyncio
+import heapq
+import math
 from collections.abc import Callable
 
 import msgspec
 from msgspec.structs import replace
 
-from pondhatch.placement import Full, Granted, Line, Ticket, Verdict
+from pondhatch.placement import (
+    STEADY_GAP_WEIGHT,
+    Full,
+    Granted,
+    Line,
+    Pace,
+    Returns,
+    Ticket,
+    Verdict,
+)
 from pondhatch.requests._questions import MILLISECONDS, THOUSANDTHS, Question
 
 #: Requests that may wait before one engine.
 LINE_LIMIT = 64
+#: The same while load is managed, where a request waits for as long as its caller can: an
+#: engine that frees a slot every 3 ms serves some 300 in the second that a caller waits.
+MANAGED_LINE_LIMIT = 512
+#: Refused requests of one engine that are remembered until their time is over.
+MOST_REFUSED = 512
 
 
 class Waiter(msgspec.Struct, frozen=True):
@@ -25,25 +41,6 @@
     turn: asyncio.Future[Verdict]
 
 
-#: Weight of the newest gap between two releases in the mean of an engine.
-GAP_WEIGHT = 0.2
-
-
-class Pace(msgspec.Struct, frozen=True):
-    """How fast an engine gives grants back."""
-
-    #: When it last gave one back, in the clock's seconds.
-    last: float
-    #: Mean seconds between two, None before the second.
-    gap: float | None = None
-
-    def after(self, now: float) -> Pace:
-        """Return the pace with one more grant given back."""
-        gap = now - self.last
-        mean = gap if self.gap is None else self.gap + GAP_WEIGHT * (gap - self.gap)
-        return Pace(now, mean)
-
-
 class _Queue(msgspec.Struct, frozen=True):
     """One engine's line and those who wait in it.
 
@@ -51,18 +48,39 @@
     lines of one engine at the same time would give out the same places.
     """
 
-    line: Line = msgspec.field(default_factory=lambda: Line(LINE_LIMIT))
+    line: Line
     waiter_by_number: dict[int, Waiter] = msgspec.field(default_factory=dict)
 
 
+def _now() -> float:
+    return asyncio.get_running_loop().time()
+
+
+def _never() -> bool:
+    return False
+
+
 class Lines:
     """The lines before the engines that this router owns."""
 
-    def __init__(self, give_back: Callable[[str], None]) -> None:
+    def __init__(
+        self,
+        give_back: Callable[[str], None],
+        clock: Callable[[], float] = _now,
+        is_managed: Callable[[], bool] = _never,
+    ) -> None:
         self._pace_by_engine: dict[str, Pace] = {}
         self._queue_by_engine: dict[str, _Queue] = {}
         #: Releases a grant that came too late for its request.
         self._give_back = give_back
+        self._clock = clock
+        #: Whether load is managed.
+        self._is_managed = is_managed
+        self._returns_by_engine: dict[str, Returns] = {}
+        #: Until when requests that were refused at arrival could have waited, the first on top.
+        self._refused_until_by_engine: dict[str, list[float]] = {}
+        #: Requests that were refused at arrival, and that a place came free for in time.
+        self.refused_in_vain = 0
 
     def waiting(self, engine: str) -> int:
         """Return how many requests wait for an engine."""
@@ -71,14 +89,16 @@
 
     async def wait(self, question: Question, full: Full, ask: Callable[[], Verdict]) -> Verdict:
         """Wait until granted; ``full`` is the answer when patience ends or the line is full."""
-        if self._hopeless(question):
+        is_predicted = self._is_managed() and question.in_time > 0
+        if not is_predicted and self._hopeless(question):
             return full
+        if is_predicted and self._predicted(question) > question.patience / MILLISECONDS:
+            return self._refused(question, full)
         engine = question.engine
-        queue = self._queue_by_engine.setdefault(engine, _Queue())
-        weight = question.weight / THOUSANDTHS
-        ticket = queue.line.join(question.account, question.priority, weight)
+        queue = self._queue(engine)
+        ticket = self._join(queue, question)
         if ticket is None:
-            return full
+            return self._refused(question, full) if is_predicted else full
         turn: asyncio.Future[Verdict] = asyncio.get_running_loop().create_future()
         queue.waiter_by_number[ticket.number] = Waiter(ticket, ask, turn)
         _push_out(queue, full)
@@ -92,16 +112,52 @@
             self._leave(engine, queue, ticket)
             if verdict is None or verdict is full:
                 self._return_late_grant(engine, turn)
+        if is_predicted and isinstance(verdict, Full):
+            return replace(verdict, come_back_ms=self._come_back_ms(question))
         return verdict
 
-    def gave_back(self, engine: str, now: float) -> None:
-        """Note that a grant was given back, and serve the line."""
+    def gave_back(self, engine: str, now: float, was_used: bool = True) -> None:
+        """Note that a grant was given back, and serve the line.
+
+        One that was not used, as when its request had another one, tells nothing of how long
+        the engine takes.
+        """
         known = self._pace_by_engine.get(engine, Pace(now))
         busy = self.waiting(engine) > 0
-        # Only the gaps of an engine that is wanted tell how fast it frees slots.
-        self._pace_by_engine[engine] = known.after(now) if busy else replace(known, last=now)
+        if not self._is_managed():
+            # Only the gaps of an engine that is wanted tell how fast it frees slots.
+            self._pace_by_engine[engine] = known.after(now) if busy else replace(known, last=now)
+        elif was_used:
+            steady = known.after(now, STEADY_GAP_WEIGHT)
+            self._pace_by_engine[engine] = steady if busy else replace(known, last=now)
+        if not busy:
+            self._note_free(engine, now)
         self.serve(engine)
 
+    def _queue(self, engine: str) -> _Queue:
+        """Return an engine's line, a new one where nobody waits."""
+        queue = self._queue_by_engine.get(engine)
+        if queue is not None:
+            return queue
+        limit = LINE_LIMIT
+        if self._is_managed():
+            limit = MANAGED_LINE_LIMIT
+            now = self._clock()
+            known = self._pace_by_engine.get(engine, Pace(now))
+            # The time before, in which nobody wanted a slot, is no part of a gap.
+            self._pace_by_engine[engine] = replace(known, last=now)
+        queue = self._queue_by_engine[engine] = _Queue(Line(limit))
+        return queue
+
+    def _join(self, queue: _Queue, question: Question) -> Ticket | None:
+        in_time_until = math.inf
+        if self._is_managed() and question.in_time > 0:
+            in_time_until = self._clock() + question.in_time / MILLISECONDS
+        weight = question.weight / THOUSANDTHS
+        return queue.line.join(
+            question.account, question.priority, weight, in_time_until, question.queues
+        )
+
     def _hopeless(self, question: Question) -> bool:
         """Return whether those before a request alone will take longer than it may wait.
 
@@ -114,9 +170,67 @@
         wait = queue.line.before(question.account, question.priority) * pace.gap
         return wait > question.patience / MILLISECONDS
 
+    def _predicted(self, question: Question) -> float:
+        """Return the seconds that a request will wait; 0 where nothing is known.
+
+        One whose time for an answer within the objective ends before its turn comes is behind
+        those that are late already.
+        """
+        queue, gap = self._queue_by_engine.get(question.engine), self._gap(question.engine)
+        if queue is None:
+            return 0.0
+        queue.line.pass_time(self._clock())
+        share = queue.line.share_before(question.account, question.priority)
+        wait = share * gap
+        if wait <= question.in_time / MILLISECONDS:
+            return wait
+        late = queue.line.share_before(question.account, question.priority, is_late=True) - share
+        # While those in time take all places, none comes free for the late ones.
+        return wait + late * max(gap, queue.line.late_gap())
+
+    def _refused(self, question: Question, full: Full) -> Full:
+        """Return the answer to a request that is refused at arrival, and remember it."""
+        refused_until = self._refused_until_by_engine.setdefault(question.engine, [])
+        if len(refused_until) < MOST_REFUSED:
+            until = self._clock() + question.patience / MILLISECONDS
+            heapq.heappush(refused_until, until)
+        predicted_ms = max(1, round(self._predicted(question) * MILLISECONDS))
+        come_back_ms = self._come_back_ms(question)
+        return replace(full, predicted_ms=predicted_ms, come_back_ms=come_back_ms)
+
+    def _come_back_ms(self, question: Question) -> int:
+        """Return after how many milliseconds a refused caller is to come back; 0 if unknown."""
+        queue, gap = self._queue_by_engine.get(question.engine), self._gap(question.engine)
+        if gap == 0:
+            return 0
+        share = queue.line.share() if queue is not None else 0.0
+        returns = self._returns_by_engine.setdefault(question.engine, Returns())
+        seconds = returns.next(self._clock(), share, gap, question.queues)
+        return max(1, round(seconds * MILLISECONDS))
+
+    def _gap(self, engine: str) -> float:
+        """Return the mean seconds between two places that come free; 0 if unknown."""
+        pace = self._pace_by_engine.get(engine)
+        return pace.gap if pace is not None and pace.gap is not None else 0.0
+
+    def _note_free(self, engine: str, now: float) -> None:
+        """Count a refusal as wrong for a place that nobody waits for."""
+        refused_until = self._refused_until_by_engine.get(engine)
+        if refused_until is None:
+            return
+        while refused_until and refused_until[0] <= now:
+            heapq.heappop(refused_until)
+        if refused_until:
+            heapq.heappop(refused_until)
+            self.refused_in_vain += 1
+        if not refused_until:
+            del self._refused_until_by_engine[engine]
+
     def serve(self, engine: str) -> None:
         """Grant those who wait for an engine, in order, as far as the gate allows."""
         queue = self._queue_by_engine.get(engine)
+        if queue is not None and self._is_managed():
+            queue.line.pass_time(self._clock())
         while queue is not None and (ticket := queue.line.first()) is not None:
             waiter = queue.waiter_by_number[ticket.number]
             if waiter.turn.done():
--- a/pondhatch/requests/_owner.py
+++ b/pondhatch/requests/_owner.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 import msgspec
+from msgspec.structs import replace
 
 from pondhatch.placement import (
     ColdPaces,
@@ -84,7 +85,7 @@
         self._gate = gate
         self._memory = memory
         self._clock = clock
-        self._lines = Lines(self._give_back)
+        self._lines = Lines(self._give_back, clock, view.load_managed)
         self._health = health
         self._cold_paces = cold_paces or ColdPaces()
         self.leases = Leases()
@@ -146,7 +147,7 @@
             # As it is now: the next owner that is asked counts what it is told here, and what
             # was there when the wait began may have ended since.
             held = self._gate.in_flight(question.engine, self._clock())
-            return Busy(held, verdict.ceiling, verdict.is_cold)
+            return _busy(replace(verdict, in_flight=held))
         target = self._target(question)
         if isinstance(target, NotRun):
             # It was closed while the request waited.
@@ -161,7 +162,7 @@
             return
         # First, since whoever waits in the engine's line is granted when the place is back.
         self._learn(lease.engine, ended)
-        self._give_back(lease.engine)
+        self._give_back(lease.engine, was_used=ended is not Ended.NOTHING)
 
     def _learn(self, engine: str, ended: Ended) -> None:
         """Take in what the end of a request, whose grant still counts, tells of its engine."""
@@ -210,6 +211,11 @@
         """
         self._end(self.leases.of_router(router, self._clock() - START_SECONDS))
 
+    @property
+    def refused_in_vain(self) -> int:
+        """Requests that were refused at arrival, and that a place came free for in time."""
+        return self._lines.refused_in_vain
+
     def holding_routers(self) -> frozenset[int]:
         """Return the short ids of the routers whose requests hold grants here."""
         return frozenset(holder.router for holder in self.leases.by_holder)
@@ -295,11 +301,11 @@
         for holder in holders:
             self.release(holder, Ended.NOTHING)
 
-    def _give_back(self, engine: str) -> None:
+    def _give_back(self, engine: str, was_used: bool = False) -> None:
         """Give a place at an engine back, and let whoever is next in line have it."""
         self._gate.release(engine)
-        self._lines.gave_back(engine, self._clock())
+        self._lines.gave_back(engine, self._clock(), was_used)
 
 
 def _busy(full: Full) -> Busy:
-    return Busy(full.in_flight, full.ceiling, full.is_cold)
+    return Busy(full.in_flight, full.ceiling, full.is_cold, full.predicted_ms, full.come_back_ms)
--- a/pondhatch/requests/_tries.py
+++ b/pondhatch/requests/_tries.py
@@ -13,6 +13,7 @@
 from pondhatch.requests._messages import BodySource, Opened, ReplayableBody, RequestHead
 from pondhatch.requests._outcomes import EngineRefusal, NotRun, Unknown
 from pondhatch.requests._questions import Busy, Elsewhere, Ended, NotOwner, OwnerReply, Question
+from pondhatch.requests._queues import NoPlace, Queues
 from pondhatch.requests._sending import GrantedAnswer, Target, open_target
 
 #: What an engine's refusal tells its owner. A bad request says nothing of the engine; one
@@ -68,6 +69,8 @@
         self.granted = Granted(0, 0)
         #: Seconds that it waited for owners' words, and in their lines.
         self.asking_seconds = 0.0
+        #: Seconds of them in the queues of several engines at once.
+        self.queued_seconds = 0.0
         #: Engines that were sent the request.
         self.sent_to: set[str] = set()
 
@@ -81,6 +84,33 @@
         self.asking_seconds += asyncio.get_running_loop().time() - began
         if not isinstance(reply, Granted):
             return reply
+        return await self._run_granted(question, reply, head)
+
+    async def run_at_first(
+        self,
+        engines: tuple[str, ...],
+        question: Callable[[str, float], Question],
+        seconds: float,
+        head: RequestHead,
+    ) -> tuple[str, Tried] | NoPlace:
+        """Wait at several engines' owners at once; send the request to the first that grants.
+
+        Return that engine and what became of the request there.
+        """
+        queues = Queues(self._ways.grants, self._view.owner_name, self._grant, question)
+        began = asyncio.get_running_loop().time()
+        try:
+            first = await queues.first(engines, seconds)
+        finally:
+            self.queued_seconds += asyncio.get_running_loop().time() - began
+            self.asking_seconds += asyncio.get_running_loop().time() - began
+        if isinstance(first, NoPlace):
+            return first
+        tried = await self._run_granted(first.question, first.granted, head)
+        return first.question.engine, tried
+
+    async def _run_granted(self, question: Question, reply: Granted, head: RequestHead) -> Tried:
+        """Send a granted request to its engine, unless that must not be any more."""
         self.granted = reply
         if self._watch.is_quarantined():
             # Known only since the request began to wait in the engine's line.
@@ -104,11 +134,19 @@
         head = replace(head, deadline=self._remaining(), context_from=source)
         was_sent_there = question.engine in self.sent_to
         self.sent_to.add(question.engine)
+        clock = asyncio.get_running_loop().time
+        began = clock()
         try:
             reply = await self._ways.upstreams.send(target, head, self._fresh_body())
             if isinstance(reply, Opened):
-                answer = GrantedAnswer(reply.answer, lambda ended: grants.release(number, ended))
-                return Opened(answer)
+                begun = clock() - began
+
+                def release(ended: Ended) -> None:
+                    if ended is Ended.ANSWERED:
+                        self._ways.run_times.answered(head.service, begun, clock() - began)
+                    grants.release(number, ended)
+
+                return Opened(GrantedAnswer(reply.answer, release))
         except BaseException:
             grants.release(number, Ended.NOTHING)
             raise
--- /dev/null
+++ b/pondhatch/requests/_wait_limits.py
@@ -0,0 +1,84 @@
+"""How long a request may wait for a slot, by what its caller bears, without I/O."""
+
+from __future__ import annotations
+
+import msgspec
+
+#: Seconds before the latest useful grant at which waiting ends: a refusal still has to be
+#: written, and a grant has to come over from the engine's owner.
+MARGIN = 0.02
+#: Least seconds in which a stream's caller waits for the first event, and multiples of the
+#: objective and of the longest pause for which it waits, if they are more.
+LEAST_FIRST_EVENT = 2.0
+FIRST_EVENT_OBJECTIVES = 4.0
+FIRST_EVENT_PAUSES = 8.0
+#: Weight of the newest run in the usual time of a service: some ten runs tell it.
+NEWEST = 0.1
+
+
+class Answering(msgspec.Struct, frozen=True):
+    """When an answer is in time, and when it is too late, in seconds from the request's start."""
+
+    #: Within which an answer, or a stream's first event, is in time.
+    objective: float
+    #: Within which a stream's first event must come; None where the answer is no stream.
+    first_event: float | None = None
+
+
+def answering(objective: float, streams: bool, longest_pause: float) -> Answering:
+    """Return when an answer on a route is in time and when it is too late."""
+    if not streams:
+        return Answering(objective)
+    first_event = max(
+        LEAST_FIRST_EVENT, FIRST_EVENT_OBJECTIVES * objective, FIRST_EVENT_PAUSES * longest_pause
+    )
+    return Answering(objective, first_event)
+
+
+class Usual(msgspec.Struct, frozen=True):
+    """Usual seconds from sending a request of a service to its upstream."""
+
+    #: Until its answer begins.
+    begins: float = 0.0
+    #: Until its answer has ended.
+    ends: float = 0.0
+
+
+class RunTimes(msgspec.Struct):
+    """How long upstreams usually take, as this router saw, by service."""
+
+    _usual_by_service: dict[str, Usual] = msgspec.field(default_factory=dict)
+
+    def usual(self, service: str) -> Usual:
+        """Return a service's usual times; 0 before its first answer."""
+        return self._usual_by_service.get(service, Usual())
+
+    def answered(self, service: str, begun: float, ended: float) -> None:
+        """Note after how many seconds an answer began and ended."""
+        known = self._usual_by_service.get(service)
+        newest = Usual(begun, ended)
+        self._usual_by_service[service] = newest if known is None else _mean(known, newest)
+
+
+def _mean(known: Usual, newest: Usual) -> Usual:
+    return Usual(
+        known.begins + NEWEST * (newest.begins - known.begins),
+        known.ends + NEWEST * (newest.ends - known.ends),
+    )
+
+
+def wait_limit(asked: Answering, remaining: float, elapsed: float, usual: Usual) -> float:
+    """Return the seconds that a request may wait for a grant.
+
+    ``remaining`` is the time to its caller's deadline, ``elapsed`` that since it came.
+    """
+    limit = remaining - usual.ends
+    if asked.first_event is not None:
+        limit = min(limit, asked.first_event - elapsed - usual.begins)
+    return max(0.0, limit - MARGIN)
+
+
+def in_time(asked: Answering, elapsed: float, usual: Usual) -> float:
+    """Return the seconds within which a grant leaves time for an answer within the objective."""
+    run = usual.ends if asked.first_event is None else usual.begins
+    return max(0.0, asked.objective - elapsed - run)
--- a/pondhatch/requests/_walk_results.py
+++ b/pondhatch/requests/_walk_results.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
+import enum
+from collections.abc import Iterable
+
 import msgspec
 
 from pondhatch.requests._messages import Opened
 from pondhatch.requests._outcomes import Refusal
+from pondhatch.requests._questions import Busy, OwnerReply
+from pondhatch.requests._wait_limits import Answering
 
 
 class Placed(msgspec.Struct, frozen=True):
@@ -41,6 +46,44 @@
     context: float
     #: Before the last engine that is left to ask.
     last: float
+    #: When an answer is in time and when it is too late; None where nobody says, so that
+    #: ``last`` bounds the wait while load is managed too.
+    answering: Answering | None = None
+
+
+class QueueEnd(enum.Enum):
+    """How a request's wait in the queues of full engines ended."""
+
+    #: It was in none, or load is not managed.
+    NONE = "none"
+    GRANTED = "granted"
+    #: Every owner predicted that its turn would come too late.
+    REFUSED = "refused"
+    #: It was kept, and no place came free in time.
+    IN_VAIN = "in-vain"
+
+
+class Queued(msgspec.Struct, frozen=True):
+    """What came of the latest wait in the queues of full engines."""
+
+    end: QueueEnd = QueueEnd.NONE
+    #: The shortest wait that the owners predicted, in milliseconds; 0 where none did.
+    predicted_ms: int = 0
+    #: The earliest time at which an owner expects it back, in milliseconds; 0 where none said.
+    come_back_ms: int = 0
+
+
+def queued_in_vain(replies: Iterable[OwnerReply]) -> Queued:
+    """Return what came of a wait without a grant, by the owners' last words."""
+    busy = [reply for reply in replies if isinstance(reply, Busy)]
+    predicted = [reply.predicted_ms for reply in busy]
+    come_back = [reply.come_back_ms for reply in busy if reply.come_back_ms]
+    was_kept = not busy or not all(predicted)
+    return Queued(
+        QueueEnd.IN_VAIN if was_kept else QueueEnd.REFUSED,
+        0 if was_kept else min(predicted),
+        min(come_back, default=0),
+    )
 
 
 NO_PATIENCE = Patience(0.0, 0.0)
--- /dev/null
+++ b/pondhatch/requests/tests/test_service_queue.py
@@ -0,0 +1,238 @@
+"""Requests that wait for a place while load is managed, played through the serving code."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import unittest
+from collections import Counter
+from collections.abc import Callable
+from unittest import mock
+
+from msgspec.structs import replace
+
+from fakes._virtual_loop import run_virtually
+from pondhatch.limits import RetryBudget
+from pondhatch.placement import Ask, Plan
+from pondhatch.placement._forecast import MOST_COME_BACK
+from pondhatch.requests import (
+    Answering,
+    BodySource,
+    NotRun,
+    Opened,
+    Patience,
+    Placed,
+    QueueEnd,
+    ReplayableBody,
+    RequestHead,
+    RunTimes,
+    Target,
+    Walk,
+    Ways,
+)
+from pondhatch.requests._entry import FULL_RETRY_AFTER
+from pondhatch.requests.tests._history import Fleet, Sink, Stream, View
+
+#: Places of a plain upstream, and the seconds in which a request runs there.
+PLACES = 6
+RUN = (0.015, 0.022)
+#: Seconds for which callers wait, and within which an answer is in time.
+BEARABLE = 1.05
+OBJECTIVE = 0.152
+#: As the service's routes say it while load is not managed.
+PATIENCE = Patience(0.0, 0.2 * OBJECTIVE, Answering(OBJECTIVE))
+
+
+class ManagedView(View):
+    """A view of plain upstreams; load is managed."""
+
+    def load_managed(self) -> bool:
+        return True
+
+    def target(self, engine: str) -> Target | None:
+        known = super().target(engine)
+        return replace(known, bound=1.7, slack=3, slots=PLACES) if known else None
+
+
+class PlainUpstreams:
+    """Upstreams that run each request for some milliseconds, and count what runs."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self.running: Counter[str] = Counter()
+        self.most = 0
+        #: How often each request was sent.
+        self.sends: Counter[str] = Counter()
+
+    async def send(self, target: Target, head: RequestHead, body: BodySource) -> Opened:
+        self.sends[head.request_id.split(".")[0]] += 1
+        self.running[target.name] += 1
+        self.most = max(self.most, self.running[target.name])
+        try:
+            await asyncio.sleep(self._rng.uniform(*RUN))
+        finally:
+            self.running[target.name] -= 1
+        return Opened(Stream(b"", None, False, lambda: None))
+
+
+class Service:
+    """Three routers before some plain upstreams, and what became of requests."""
+
+    def __init__(self, engines: tuple[str, ...]) -> None:
+        self.rng = random.Random(7)
+        with mock.patch("pondhatch.requests.tests._history.View", ManagedView):
+            self.fleet = Fleet([], [], False)
+        self.fleet.engines = engines
+        self.upstreams = PlainUpstreams(self.rng)
+        self.run_times = RunTimes()
+        self.outcomes: Counter[str] = Counter()
+        self.seconds: list[float] = []
+        self.retry_after: list[float] = []
+        #: Routers that requests come to.
+        self.entries: tuple[str, ...] = self.fleet.names
+
+    async def request(self, entry: str) -> None:
+        """Send one request through a router."""
+        clock = asyncio.get_running_loop().time
+        began = clock()
+        number = self.rng.getrandbits(32)
+        head = RequestHead(
+            f"q{number}", "a", "s", 0, "POST", "/", (), False, BEARABLE, 5, most_tries=1
+        )
+        router = self.fleet.routers[entry]
+        ways = Ways(router.entry, self.upstreams, run_times=self.run_times)
+        remaining: Callable[[], float] = lambda: began + BEARABLE - clock()  # noqa: E731
+        body = ReplayableBody(b"")
+        walk = Walk(router.view, ways, RetryBudget(), head, body, remaining, PATIENCE)
+        reply = await walk.run()
+        if isinstance(reply, Placed):
+            await reply.reply.answer.pour(Sink(lambda _: None))
+            self.outcomes["whole" if remaining() > 0 else "too late"] += 1
+            self.seconds.append(clock() - began)
+            return
+        self.outcomes[reply.refusal.code] += 1
+        if walk.queued.end is not QueueEnd.NONE:
+            self.outcomes[walk.queued.end.value] += 1
+        if isinstance(reply.refusal, NotRun):
+            self.retry_after.append(reply.refusal.retry_after)
+
+    async def clumps(self, a_second: float, seconds: float, largest: int) -> None:
+        """Send so many requests a second in clumps of a few up to some, from all routers."""
+        tasks = []
+        until = asyncio.get_running_loop().time() + seconds
+        while asyncio.get_running_loop().time() < until:
+            size = self.rng.randint(1, largest)
+            tasks += [
+                asyncio.ensure_future(self.request(self.rng.choice(self.entries)))
+                for _ in range(size)
+            ]
+            await asyncio.sleep(size / a_second)
+        await asyncio.gather(*tasks)
+        # The last releases are under way.
+        await asyncio.sleep(0.1)
+
+    def left_over(self) -> list[int]:
+        """Return the grants that are still counted or held after everything ended."""
+        routers = self.fleet.routers.values()
+        counts = [count.granted for each in routers for count in each.gate.by_engine.values()]
+        return [*counts, *(len(each.entry.held_by_number) for each in routers)]
+
+
+class OneUpstreamLeftTest(unittest.TestCase):
+    """One of three plain upstreams is left: 140 requests a second in clumps, 15 to 22 ms each."""
+
+    def test_all_requests_of_clumps_are_served_in_the_time_that_callers_wait(self) -> None:
+        """Refusals of requests that a place would have come free for, a third of them before."""
+
+        async def main() -> Service:
+            service = Service(("e0",))
+            await service.clumps(140.0, 20.0, 40)
+            return service
+
+        service = run_virtually(main())
+        self.assertEqual(set(service.outcomes), {"whole"}, service.outcomes)
+        self.assertLessEqual(service.upstreams.most, PLACES)
+        self.assertFalse(any(service.left_over()))
+
+    def test_a_long_overload_does_not_make_every_request_late(self) -> None:
+        """All who are served late, as in a queue that is always as long as callers wait.
+
+        Three times as many requests as the upstream can run come.
+        """
+
+        async def main() -> Service:
+            service = Service(("e0",))
+            await service.clumps(500.0, 10.0, 40)
+            return service
+
+        service = run_virtually(main())
+        in_time = sum(seconds <= OBJECTIVE for seconds in service.seconds)
+        self.assertGreater(in_time, 0.75 * len(service.seconds))
+        # The upstream is kept busy, at a round trip of 20 ms for each request.
+        self.assertGreater(len(service.seconds), 1600)
+        self.assertLess(service.outcomes["in-vain"], 0.1 * service.outcomes["refused"])
+        self.assertLess(service.outcomes["too late"], 0.01 * len(service.seconds))
+        self.assertLessEqual(service.upstreams.most, PLACES)
+        told = [after for after in service.retry_after if after != FULL_RETRY_AFTER]
+        self.assertGreater(len(set(told)), 0.3 * len(told))
+        self.assertLessEqual(max(told), MOST_COME_BACK)
+
+
+class SeveralQueuesTest(unittest.TestCase):
+    """Three plain upstreams with one owner each, in clumps beyond what all can run at once."""
+
+    def test_a_request_that_waits_at_all_of_them_is_sent_to_one(self) -> None:
+        """Grants of the queues that a request left being kept, or used as well."""
+
+        async def main() -> Service:
+            service = Service(("e0", "e1", "e2"))
+            await service.clumps(420.0, 5.0, 90)
+            return service
+
+        service = run_virtually(main())
+        self.assertEqual(set(service.outcomes), {"whole"}, service.outcomes)
+        self.assertEqual(set(service.upstreams.sends.values()), {1})
+        self.assertFalse(any(service.left_over()))
+
+    def test_requests_that_wait_at_an_owner_that_dies_are_served_elsewhere(self) -> None:
+        """Requests lost with the queue of a router that ends while they wait in it."""
+
+        async def main() -> Service:
+            service = Service(("e0", "e1", "e2"))
+            fleet = service.fleet
+            dying = fleet.routers["r0"].view.owner_name("e0") or ""
+            service.entries = tuple(name for name in fleet.names if name != dying)
+            sending = asyncio.ensure_future(service.clumps(300.0, 4.0, 90))
+            owner = fleet.routers[dying].owner
+            while not owner._lines.waiting("e0"):
+                await asyncio.sleep(0.01)
+            fleet.network.silent.add(dying)
+            await sending
+            return service
+
+        service = run_virtually(main())
+        whole = service.outcomes["whole"]
+        self.assertGreater(whole, 0.98 * (whole + len(service.retry_after)), service.outcomes)
+        self.assertEqual(set(service.upstreams.sends.values()), {1})
+
+
+class RisingLoadTest(unittest.TestCase):
+    """Load rises from zero: the totals that owners heard of are those of a second ago."""
+
+    def test_the_least_loaded_engine_goes_by_the_mean_of_those_seen(self) -> None:
+        plan = Plan("c", [f"e{at}" for at in range(30)])
+        for held in (9, 10, 11, 9, 10, 11, 9, 10, 11, 8, 10, 12):
+            self.assertIsInstance(plan.next(), Ask)
+            plan.full(held, held)
+        least = plan.queue_engines(4)[0]
+        self.assertEqual(plan.in_flight_by_engine[least], 8)
+        self.assertEqual(plan.risen_elsewhere(least, 30), 120 * 30 // 12 - 8)
+        self.assertEqual(plan.risen_elsewhere(plan.queue_engines(4)[1], 30), 0)
+
+    def test_a_cold_engine_or_too_few_say_nothing_of_the_mean(self) -> None:
+        for engines, is_cold in ((7, False), (9, True)):
+            with self.subTest(engines=engines):
+                plan = Plan("c", [f"e{at}" for at in range(engines)])
+                while isinstance(ask := plan.next(), Ask) and not ask.last:
+                    plan.full(9, 9, is_cold)
+                self.assertEqual(plan.risen_elsewhere(plan.queue_engines(1)[0], 30), 0)
--- a/pondhatch/transport/_routed_callers.py
+++ b/pondhatch/transport/_routed_callers.py
@@ -19,6 +19,7 @@
     Patience,
     ReplayableBody,
     RequestHead,
+    answering,
     digest_of,
 )
 from pondhatch.router import (
@@ -208,7 +209,10 @@
         passed_on = self._dialect.passed_on(headers, self._note_dropped)
         head = _head(request, route.spec, account, admitted, facts, passed_on, body)
         context_wait = admitted.context_wait if head.returning else 0.0
-        return Work(account, admitted, head, body, Patience(context_wait, admitted.queue_wait))
+        spec = route.spec
+        limits = answering(spec.objective, spec.streams, spec.longest_pause)
+        patience = Patience(context_wait, admitted.queue_wait, limits)
+        return Work(account, admitted, head, body, patience)
 
     def _most_body_bytes(self) -> int:
         own = self._limits().chat_body_bytes
--- a/pondhatch/transport/_serving.py
+++ b/pondhatch/transport/_serving.py
@@ -24,6 +24,7 @@
     NotRun,
     Patience,
     Placed,
+    QueueEnd,
     Refusal,
     RequestHead,
     Unknown,
@@ -243,9 +244,20 @@
         outcome = "whole" if isinstance(ended, Whole) else ended.code
         self._metrics.count(f"requests.{outcome}")
         self._metrics.timing("requests.whole", spans.whole)
+        self._count_queued(walk)
         self._note_decision(work, walk, outcome, spans.whole)
         self._note_record(work, walk, outcome, spans)
 
+    def _count_queued(self, walk: Walk) -> None:
+        """Count what came of a wait at full engines."""
+        if walk.queued.end is QueueEnd.NONE:
+            return
+        self._metrics.timing("queue.waited", walk.queued_seconds)
+        if walk.queued.end is QueueEnd.REFUSED:
+            self._metrics.count("queue.refused-at-arrival")
+        if walk.queued.end is QueueEnd.IN_VAIN:
+            self._metrics.count("queue.kept-in-vain")
+
     def _note_decision(self, work: Work, walk: Walk, outcome: str, seconds: float) -> None:
         """Keep the decision for the state dump."""
         self._state.decisions.append(
@@ -282,6 +294,7 @@
                 resumes=walk.resumes,
                 cut_at=tuple(walk.cut_at),
                 digest=f"{work.head.digest:x}" if _tells_digest(walk, outcome) else "",
+                predicted_ms=walk.queued.predicted_ms,
             )
         )
 
