--- a/pondhatch/requests/_entry_view.py
+++ b/pondhatch/requests/_entry_view.py
@@ -11,6 +11,7 @@
 from pondhatch.requests._crash_guard import CrashGuard, NoCrashGuard
 from pondhatch.requests._questions import Grants, OwnerReply
 from pondhatch.requests._sending import Target, Upstreams
+from pondhatch.requests._wait_limits import RunTimes
 
 
 class EntryView(Protocol):
@@ -81,3 +82,5 @@
     upstreams: Upstreams
     crashes: CrashGuard = NoCrashGuard()
     preference: EnginePreference = NoPreference()
+    #: How long upstreams usually take, as seen by all walks that go this way.
+    run_times: RunTimes = msgspec.field(default_factory=RunTimes)
