--- a/pondhatch/placement/__init__.py
+++ b/pondhatch/placement/__init__.py
@@ -4,6 +4,7 @@
 from pondhatch.placement._cold_pace import ColdAllowance, ColdPaces
 from pondhatch.placement._context import YOUNG_SECONDS, context_engine
 from pondhatch.placement._engine_paces import MOST_PACE, USUAL_PACE, EnginePaces
+from pondhatch.placement._forecast import GAP_WEIGHT, STEADY_GAP_WEIGHT, Pace, Returns
 from pondhatch.placement._gate import EngineCount, Full, Gate, Granted, Verdict
 from pondhatch.placement._health import Health
 from pondhatch.placement._intake import CLOSING, OPEN, Closed, Intake, Regions, both, is_allowed
@@ -11,6 +12,7 @@
 from pondhatch.placement._memory import SpillMemory
 from pondhatch.placement._notices import NO_REST, NOTHING_SAID, Notice, Notices, Rest
 from pondhatch.placement._plan import Ask, Exhausted, Plan, Step
+from pondhatch.placement._pooled_first import CONSIDERED, LoadsHeard, pooled_first
 from pondhatch.placement._rendezvous import ranked, scorer, winner
 from pondhatch.placement._starts import id_of, name_of_start
 from pondhatch.placement._token_counts import (
@@ -26,6 +28,7 @@
     "name_of_start",
     "Ask",
     "CLOSING",
+    "CONSIDERED",
     "Closed",
     "ColdAllowance",
     "ColdPaces",
@@ -43,17 +46,22 @@
     "EnginePaces",
     "Exhausted",
     "Full",
+    "GAP_WEIGHT",
     "Gate",
     "Granted",
     "Health",
     "Line",
     "MOST_PACE",
+    "LoadsHeard",
     "NOTHING_SAID",
     "NO_REST",
     "Rest",
     "Notice",
     "Notices",
+    "Pace",
     "Plan",
+    "Returns",
+    "STEADY_GAP_WEIGHT",
     "SpillMemory",
     "Step",
     "Ticket",
@@ -62,6 +70,7 @@
     "YOUNG_SECONDS",
     "admission_ceiling",
     "context_engine",
+    "pooled_first",
     "ranked",
     "scorer",
     "winner",
--- a/pondhatch/placement/_gate.py
+++ b/pondhatch/placement/_gate.py
@@ -42,6 +42,10 @@
     #: Tokens that must come free in its memory before it takes this request; it may take a
     #: smaller one at once. 0 where its memory is not the reason.
     short_tokens: int = 0
+    #: Milliseconds that the request would wait for a place, and after which it is worth coming
+    #: back; 0 where they are not estimated.
+    predicted_ms: int = 0
+    come_back_ms: int = 0
 
 
 Verdict = Granted | Full
--- a/pondhatch/requests/_entry_grants.py
+++ b/pondhatch/requests/_entry_grants.py
@@ -27,6 +27,9 @@
 #: Seconds to wait for an owner that said that the question waits, try by try: it is asked
 #: now and then, in case its word was lost or it was.
 WAITING_PAUSES = (0.5, 0.3, 0.3)
+#: The same for a question about one of several queues in which its request waits: a lost word
+#: costs it less, and each of the questions is sent as often.
+SEVERAL_WAITING_PAUSES = (1.0, 0.5, 0.5)
 #: Seconds between two tellings of what is held; two fit into a lease, so one may be lost.
 RENEW_SECONDS = 12.0
 
@@ -186,13 +189,19 @@
         asked = _Asked(owner, loop.create_future(), loop.time())
         self._asked_by_number[question.number] = asked
         reply: OwnerReply | None = None
+        was_withdrawn = False
         try:
             reply = await self._await_reply(question, asked, pauses)
+        except asyncio.CancelledError:
+            # A word to a request that had its place elsewhere says nothing of its owner's speed.
+            was_withdrawn = question.in_time > 0
+            raise
         finally:
             del self._asked_by_number[question.number]
             if reply is None:
                 # A grant may be under way, or the question may wait in the engine's line.
-                self.waits.gave_up(question.number, owner, asked.sent_at)
+                if not was_withdrawn:
+                    self.waits.gave_up(question.number, owner, asked.sent_at)
                 self._release_at(owner, question.number, Ended.NOTHING)
         if reply is None:
             return NotRun("router-unreachable", f"router {owner} gave no word")
@@ -211,7 +220,7 @@
             if asked.reply.done():
                 return asked.reply.result()
             if asked.waiting:
-                pauses = iter(WAITING_PAUSES)
+                pauses = iter(WAITING_PAUSES if question.queues == 1 else SEVERAL_WAITING_PAUSES)
         return None
 
     def _release_at(self, owner: str, number: int, ended: Ended) -> None:
--- a/pondhatch/requests/_owner.py
+++ b/pondhatch/requests/_owner.py
@@ -91,7 +91,7 @@
         self._gate = gate
         self._memory = memory
         self._clock = clock
-        self._lines = Lines(self._give_back)
+        self._lines = Lines(self._give_back, clock, view.load_managed)
         self._health = health
         self._cold_paces = cold_paces or ColdPaces()
         self._tokens = tokens or TokenCounts()
@@ -178,7 +178,7 @@
         # First, since whoever waits in the engine's line is granted when the place is back.
         self._learn(lease.engine, ended)
         self._tokens.remove(lease.engine, holder)
-        self._give_back(lease.engine)
+        self._give_back(lease.engine, was_used=ended is not Ended.NOTHING)
 
     def _learn(self, engine: str, ended: Ended) -> None:
         """Take in what the end of a request, whose grant still counts, tells of its engine."""
@@ -228,6 +228,11 @@
         """
         self._end(self.leases.of_router(router, self._clock() - START_SECONDS))
 
+    @property
+    def refused_in_vain(self) -> int:
+        """Requests that were refused at arrival, and that a place came free for in time."""
+        return self._lines.refused_in_vain
+
     def holding_routers(self) -> frozenset[int]:
         """Return the short ids of the routers whose requests hold grants here."""
         return frozenset(holder.router for holder in self.leases.by_holder)
@@ -317,7 +322,7 @@
             held = self._gate.in_flight(target.name, now)
             return Full(held, held, short_tokens=short)
         others = max(self._view.elsewhere_in_flight(target.name), question.seen_elsewhere)
-        pace = target.pace if self._view.load_managed() else USUAL_PACE
+        pace = self._pace(target, question)
         verdict = self._gate.ask(
             target.name, now, target.bound, others, target.peers, target.slots, target.slack, pace
         )
@@ -325,6 +330,17 @@
             self._tokens.add(target.name, question.holder, need, now)
         return verdict
 
+    def _pace(self, target: Target, question: Question) -> int:
+        """Return the pace by which an engine's ceiling is lowered for a request.
+
+        One that comes for its context goes by the usual ceiling: taking the context over to
+        another engine costs it more than the slow engine does, and outlasts the pace.
+        """
+        comes_for_context = question.returning and (question.home or question.patience > 0)
+        if comes_for_context or not self._view.load_managed():
+            return USUAL_PACE
+        return target.pace
+
     def _short_tokens(self, target: Target, question: Question) -> int:
         """Return the tokens that an engine lacks for a request; 0 where that is not gone by.
 
@@ -357,11 +373,18 @@
         for holder in holders:
             self.release(holder, Ended.NOTHING)
 
-    def _give_back(self, engine: str) -> None:
+    def _give_back(self, engine: str, was_used: bool = False) -> None:
         """Give a place at an engine back, and let whoever is next in line have it."""
         self._gate.release(engine)
-        self._lines.gave_back(engine, self._clock())
+        self._lines.gave_back(engine, self._clock(), was_used)
 
 
 def _busy(full: Full) -> Busy:
-    return Busy(full.in_flight, full.ceiling, full.is_cold, short_tokens=full.short_tokens)
+    return Busy(
+        full.in_flight,
+        full.ceiling,
+        full.is_cold,
+        full.predicted_ms,
+        full.come_back_ms,
+        full.short_tokens,
+    )
--- a/pondhatch/transport/_upstreams.py
+++ b/pondhatch/transport/_upstreams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 
 from msgspec.structs import replace
 
@@ -30,13 +31,22 @@
     new_try,
 )
 from pondhatch.transport._header_owners import counting
-from pondhatch.transport._http_client import Address, Hooks, HttpClient, NotSent
+from pondhatch.transport._http_client import (
+    IDLE_CONNECTIONS,
+    Address,
+    Hooks,
+    HttpClient,
+    NotSent,
+)
 from pondhatch.transport._http_connection import Exchange
 from pondhatch.transport._http_heads import Request, ResponseHead
 
 OK = 200
 #: Bytes of an answer's end that are searched for the last event.
 TAIL_BYTES = 64
+#: URLs of which the address is kept: those of twice the upstreams of the size to design for.
+#: Reading one costs more than the rest of a look for a kept connection.
+URLS_KEPT = 4096
 
 
 class _TailSink:
@@ -152,6 +162,8 @@
                         heard=lambda answered: self._hear(target, answered),
                         check=lambda: self._check(target, head),
                         new_hold=lambda: self._held.hold(head.account),
+                        to_upstream=True,
+                        most_idle=_most_idle(target),
                     ),
                 )
                 tried.sent()
@@ -176,6 +188,14 @@
             exchange.cancel()
             raise
 
+    def is_pooled(self, url: str) -> bool:
+        """Return whether a connection to an upstream is kept that may be used again."""
+        try:
+            address = _address_of(url)
+        except NotSent:
+            return False
+        return self.client.has_idle(address)
+
     async def has_ended(self, target: Target) -> bool:
         """Return whether nothing listens at an upstream any more; see CrashGuard."""
         try:
@@ -230,6 +250,12 @@
         )
 
 
+def _most_idle(target: Target) -> int:
+    """Return how many idle connections are kept to an upstream at most."""
+    return IDLE_CONNECTIONS if target.most_idle is None else min(target.most_idle, IDLE_CONNECTIONS)
+
+
+@functools.lru_cache(maxsize=URLS_KEPT)
 def _address_of(url: str) -> Address:
     """Return where an upstream is reached. Raises NotSent where its URL does not say."""
     found = host_and_port(url.removeprefix("http://").rstrip("/"))
