Choose by weighted rendezvous hashing

Cause: routers of one fleet run on VMs of 0.5 to 2.15 cores, and plain rendezvous hashing gives each the same share. Change: weighted_ranked and weighted_winner rate a name by -weight / ln(hash as a fraction). Equal weights take the plain path, so that their order stays as it is.

--- a/pondhatch/placement/__init__.py
+++ b/pondhatch/placement/__init__.py
@@ -20,6 +20,7 @@
     TokenNeed,
     usable_tokens,
 )
+from pondhatch.placement._weighted_rendezvous import weighted_ranked, weighted_winner
 
 __all__ = [
     "id_of",
@@ -64,5 +65,7 @@
     "context_engine",
     "ranked",
     "scorer",
+    "weighted_ranked",
+    "weighted_winner",
     "winner",
 ]
--- /dev/null
+++ b/pondhatch/placement/_weighted_rendezvous.py
@@ -0,0 +1,46 @@
+"""Weighted rendezvous hashing: each name wins as often as its weight asks for.
+
+A name's rating for a key is -weight / ln(hash as a fraction); the highest wins. A change of one
+name's weight moves only keys that it gains or loses. Names of one weight stand in the order of
+plain rendezvous hashing.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping
+
+from pondhatch.placement._rendezvous import ranked, scorer, winner
+
+#: Bits of a hash that are dropped, and the steps that are left: with half a step added, each
+#: fraction fits a float's 53 bits, so that none is rounded to 0 or 1.
+_DROPPED_BITS = 12
+_STEPS = 2.0**52
+
+
+def weighted_ranked(key: str, weight_by_name: Mapping[str, float]) -> tuple[str, ...]:
+    """Return the names, best first, in the order that every router agrees on."""
+    if _are_equal(weight_by_name):
+        return ranked(key, weight_by_name)
+    return tuple([name for _, _, name in sorted(_rated(key, weight_by_name), reverse=True)])
+
+
+def weighted_winner(key: str, weight_by_name: Mapping[str, float]) -> str | None:
+    """Return the best name for a key, or None where there are no names."""
+    if _are_equal(weight_by_name):
+        return winner(key, weight_by_name)
+    return max(_rated(key, weight_by_name))[-1]
+
+
+def _are_equal(weight_by_name: Mapping[str, float]) -> bool:
+    return len(set(weight_by_name.values())) <= 1
+
+
+def _rated(key: str, weight_by_name: Mapping[str, float]) -> list[tuple[float, int, str]]:
+    """Return each name with its rating, and its hash for those that rate the same."""
+    score, log = scorer(key), math.log
+    scored = [(score(name), name, weight) for name, weight in weight_by_name.items()]
+    return [
+        (-weight / log(((each >> _DROPPED_BITS) + 0.5) / _STEPS), each, name)
+        for each, name, weight in scored
+    ]
