Give each router a share of ownership by its capacity

Cause: each live router of a hall owned an equal share of its engines, and was as likely as any to watch the store or to sum up loads, whatever its VM. Change: Alive and Member carry a capacity, left out of the bytes while it is 1.0. Owners, watchers and the order of summing up go by weighted rendezvous hashing; the state dump shows capacities. A capacity that a router of an older program left out of a record is learned through whole views.

--- a/pondhatch/membership/__init__.py
+++ b/pondhatch/membership/__init__.py
@@ -1,5 +1,6 @@
 """Membership: which routers are there, what they hold and carry, and who owns what."""
 
+from pondhatch.membership._capacity import USUAL_CAPACITY, capacity_of
 from pondhatch.membership._datagrams import Datagram
 from pondhatch.membership._gossip import Gossip
 from pondhatch.membership._loads import FleetLoadView, speaking_order
@@ -42,7 +43,9 @@
     "ServiceLoad",
     "Status",
     "Table",
+    "USUAL_CAPACITY",
     "Versions",
+    "capacity_of",
     "live_by_hall",
     "owner_of",
     "short_id",
--- a/pondhatch/membership/_loads.py
+++ b/pondhatch/membership/_loads.py
@@ -24,7 +24,7 @@
     ServiceLoad,
     short_id,
 )
-from pondhatch.placement import ranked
+from pondhatch.placement import weighted_ranked
 
 #: Routers to which one passes the fleet's sum on.
 TREE_FANOUT = 4
@@ -62,7 +62,9 @@
         for member in members
         if member.hall == hall and member.phase == Phase.LIVE
     }
-    return tuple(by_name[name] for name in ranked(f"speak:{hall}", by_name))
+    capacity_by_router = {name: member.capacity for name, member in by_name.items()}
+    order = weighted_ranked(f"speak:{hall}", capacity_by_router)
+    return tuple(by_name[name] for name in order)
 
 
 def report_interval(routers: int) -> float:
--- a/pondhatch/membership/_members.py
+++ b/pondhatch/membership/_members.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from pondhatch.membership._capacity import USUAL_CAPACITY, bounded_capacity
 from pondhatch.membership._records import Alive, Phase, Status
 from pondhatch.membership._table import Address, Table
 
@@ -24,6 +25,8 @@
     incarnation: int = 0
     #: False where it watches the platform for its hall, and cannot reach it.
     sees_platform: bool = True
+    #: Multiple of a usual VM's, by its own word.
+    capacity: float = USUAL_CAPACITY
 
 
 class _Made(msgspec.Struct, frozen=True):
@@ -112,4 +115,5 @@
         status=status,
         incarnation=alive.incarnation,
         sees_platform=alive.sees_platform,
+        capacity=bounded_capacity(alive.capacity),
     )
--- a/pondhatch/membership/_records.py
+++ b/pondhatch/membership/_records.py
@@ -11,6 +11,8 @@
 import msgspec
 import xxhash
 
+from pondhatch.membership._capacity import USUAL_CAPACITY
+
 
 def short_id(name: str) -> int:
     """Return the 32-bit id that stands for a name in packets."""
@@ -53,6 +55,8 @@
     hall: str
     #: False where it watches the platform for its hall, and cannot reach it.
     sees_platform: bool = True
+    #: Multiple of a usual VM's; left out of the bytes while it is the usual one.
+    capacity: float = USUAL_CAPACITY
 
 
 class Fault(_Message, frozen=True, tag=2):
--- a/pondhatch/membership/_table.py
+++ b/pondhatch/membership/_table.py
@@ -8,6 +8,7 @@
 import xxhash
 from msgspec.structs import replace
 
+from pondhatch.membership._capacity import USUAL_CAPACITY
 from pondhatch.membership._records import Alive, Fault, Phase, Rumor, Status, Versions
 
 
@@ -45,7 +46,11 @@
 
 
 class Table:
-    """Entries by router id. A word of a higher incarnation, or else a worse one, holds."""
+    """Entries by router id. A word of a higher incarnation, or else a worse one, holds.
+
+    Of two words of one incarnation, that with a capacity holds: a router of an older program
+    passes it on without.
+    """
 
     def __init__(self) -> None:
         self.entry_by_id: dict[int, Entry] = {}
@@ -77,7 +82,7 @@
         """Take in a router's word on itself; return whether it was news."""
         known = self.entry_by_id.get(alive.router)
         if known is not None and alive.incarnation <= known.alive.incarnation:
-            return False
+            return self._take_capacity(known, alive)
         fresh = Entry(alive, since=now)
         if known is not None:
             fresh = replace(known, alive=alive, status=Status.ALIVE, since=now)
@@ -113,6 +118,16 @@
         for entry in gone:
             del self.entry_by_id[entry.alive.router]
 
+    def _take_capacity(self, known: Entry, alive: Alive) -> bool:
+        """Take a capacity from a word whose rest is known; return whether it was missing."""
+        is_same = alive.incarnation == known.alive.incarnation
+        is_missing = known.alive.capacity == USUAL_CAPACITY != alive.capacity
+        if not is_same or not is_missing:
+            return False
+        stated = replace(known.alive, capacity=alive.capacity)
+        self._set(replace(known, alive=stated))
+        return True
+
     def _set(self, entry: Entry) -> None:
         known = self.entry_by_id.get(entry.alive.router)
         if known is not None and known.there:
@@ -135,4 +150,8 @@
 
 
 def _fingerprint(alive: Alive) -> int:
-    return xxhash.xxh32_intdigest(f"{alive.router} {alive.incarnation}".encode())
+    seen = f"{alive.router} {alive.incarnation}"
+    if alive.capacity != USUAL_CAPACITY:
+        # Views that differ in a capacity are to be exchanged.
+        seen += f" {alive.capacity}"
+    return xxhash.xxh32_intdigest(seen.encode())
--- a/pondhatch/router/_dump.py
+++ b/pondhatch/router/_dump.py
@@ -97,6 +97,7 @@
                     "hall": member.hall,
                     "phase": member.phase.name.lower(),
                     "status": member.status.name.lower(),
+                    "capacity": member.capacity,
                     "configuration": versions.get(member.name, Versions()).configuration,
                     "upstreams_version": versions.get(member.name, Versions()).upstreams,
                 }
--- a/pondhatch/router/_owners.py
+++ b/pondhatch/router/_owners.py
@@ -19,8 +19,8 @@
         self._upstreams = upstreams
         #: Returns an upstream that is listed, or that may only have lapsed.
         self._upstream = upstream
-        #: Names of the live routers, by hall.
-        self._live_by_hall: Mapping[str, tuple[str, ...]] = {}
+        #: Capacities of the live routers, by hall and name.
+        self._live_by_hall: Mapping[str, Mapping[str, float]] = {}
         #: The hall of each upstream and the name of its owner, as far as they were asked for.
         self._owner_by_engine: dict[str, tuple[str, str | None]] = {}
         #: Names of this router's own upstreams by service; None where to be worked out anew.
--- a/pondhatch/router/tests/test_dump.py
+++ b/pondhatch/router/tests/test_dump.py
@@ -40,6 +40,9 @@
         self.assertEqual([each["request_id"] for each in dump["decisions"]], ["q2", "q1"])
         self.assertEqual([member["name"] for member in dump["members"]], ["r0"])
 
+    def test_it_shows_the_capacity_of_each_member(self) -> None:
+        self.assertEqual([member["capacity"] for member in self.dump({})["members"]], [1.0])
+
     def test_it_shows_each_pace_that_holds_and_its_age(self) -> None:
         self.state.paces.hear("e0", 250, -0.2)
         self.state.paces.hear("e1", 250, -5.0)
--- a/pondhatch/router/tests/test_large_fleets.py
+++ b/pondhatch/router/tests/test_large_fleets.py
@@ -12,9 +12,12 @@
 import unittest
 from unittest import mock
 
+from msgspec.structs import replace
+
 from fakes._many_routers import ManyRouters, hall_of, listed_upstream
-from pondhatch.membership import Phase, owner_of
+from pondhatch.membership import Phase, Versions, owner_of, short_id
 from pondhatch.membership import _members as members_module
+from pondhatch.membership._records import News
 from pondhatch.router import _owners as owners_module
 from pondhatch.store import Listed
 
@@ -51,6 +54,17 @@
             changed, [name for name, owner in self.owner_by_engine.items() if owner == "r7"]
         )
 
+    def test_a_capacity_moves_engines_to_and_from_its_router_in_its_hall_alone(self) -> None:
+        table = self.state.gossip.membership.table
+        word = table.entry_by_id[short_id("r7")].alive
+        large = replace(word, incarnation=2, capacity=10.0)
+        with mock.patch.object(owners_module, "owner_of", wraps=owner_of) as asked:
+            self.fleet.receive(News(short_id("r1"), Versions(), (large,)))
+            after = self.owners()
+        self.assertEqual({call.args[1] for call in asked.call_args_list}, {hall_of(7)})
+        changed = {name: after[name] for name in after if after[name] != self.owner_by_engine[name]}
+        self.assertEqual(set(changed.values()), {"r7"})
+
     def test_a_word_that_changes_no_owner_has_none_worked_out(self) -> None:
         with mock.patch.object(owners_module, "owner_of", wraps=owner_of) as asked:
             self.fleet.hear(7, 2)
