State the VM in the settings, and publish its capacity

Cause: a router did not know the VM that it runs on. A router publishes the capacity that follows only where load management is on at its start.

--- a/fakes/_machines_fleet.py
+++ b/fakes/_machines_fleet.py
@@ -32,7 +32,7 @@
 #: Names of the platform's rules in force.
 RULES: tuple[str, ...] = ("base", "engine", "stream", "tenants", "platform")
 #: What the platform says of the VM that it starts a router on.
-LIMITS = {"MemoryMb": 1024}
+LIMITS = {"MemoryMb": 1024, "CpuQuota": 0.5, "Cores": 2.15, "LinkMbps": 100}
 #: The region of each hall.
 REGIONS = {"hall-1": "north", "hall-2": "south"}
 
--- a/pondhatch/cli/_own_state.py
+++ b/pondhatch/cli/_own_state.py
@@ -6,9 +6,24 @@
 import time
 
 from pondhatch.cli._peer_connections import PeerConnections
-from pondhatch.configuration import ColdSettings, LoadManagement, RetrySettings, Settings
+from pondhatch.configuration import (
+    ColdSettings,
+    LoadManagement,
+    RetrySettings,
+    Settings,
+    VmSettings,
+)
 from pondhatch.limits import HeldBytes, RetryAllowance, RetryBudgets
-from pondhatch.membership import Address, Alive, Gossip, MembershipLimits, Phase, short_id
+from pondhatch.membership import (
+    USUAL_CAPACITY,
+    Address,
+    Alive,
+    Gossip,
+    MembershipLimits,
+    Phase,
+    capacity_of,
+    short_id,
+)
 from pondhatch.placement import ColdAllowance, ColdPaces
 from pondhatch.router import HallStates, RouterState
 from pondhatch.transport import Interface
@@ -19,7 +34,9 @@
 ) -> RouterState:
     """Return the state of a router that knows nobody but its seeds."""
     seeds = [_address(seed) for seed in settings.seeds]
-    gossip = Gossip(_alive(settings), MembershipLimits(), rng, seeds)
+    load_management = _load_management(settings, interface)
+    own = _alive(settings, _capacity(settings.vm, load_management))
+    gossip = Gossip(own, MembershipLimits(), rng, seeds)
     return RouterState(
         settings.name,
         settings.hall,
@@ -30,7 +47,7 @@
         halls=HallStates(settings.regions or {}),
         cold_paces=ColdPaces(_cold_allowance(settings.cold)),
         held=HeldBytes(settings.held_bytes),
-        load_management=_load_management(settings, interface),
+        load_management=load_management,
     )
 
 
@@ -42,7 +59,14 @@
     return settings.load_management
 
 
-def _alive(settings: Settings) -> Alive:
+def _capacity(vm: VmSettings, load_management: LoadManagement) -> float:
+    """Return the capacity to publish: another than the usual one only where load is managed."""
+    if load_management != "on":
+        return USUAL_CAPACITY
+    return capacity_of(vm.cpu_quota, vm.cores, vm.link_mbps)
+
+
+def _alive(settings: Settings, capacity: float) -> Alive:
     """Return a router's first word on itself; the time makes it newer than an earlier life's."""
     return Alive(
         router=short_id(settings.name),
@@ -52,6 +76,7 @@
         host=settings.peers.host,
         port=settings.peers.port,
         hall=settings.hall,
+        capacity=capacity,
     )
 
 
--- a/pondhatch/configuration/__init__.py
+++ b/pondhatch/configuration/__init__.py
@@ -66,6 +66,7 @@
     ServiceDefaults,
     Settings,
     StatsdEndpoint,
+    VmSettings,
     load_fleet_key,
     load_settings,
 )
@@ -129,6 +130,7 @@
     "Withheld",
     "Unresolved",
     "Update",
+    "VmSettings",
     "change_name",
     "checked",
     "differences",
--- a/pondhatch/configuration/_settings.py
+++ b/pondhatch/configuration/_settings.py
@@ -149,6 +149,20 @@
     held_share: Annotated[float, Meta(gt=0, le=1)] | None = None
 
 
+class VmSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The VM that the router runs on, from which its share of the fleet's work follows.
+
+    Left out, or left empty by a platform that does not say, each counts as usual.
+    """
+
+    #: The part of a core that the VM has.
+    cpu_quota: Annotated[float, Meta(gt=0)] | None = None
+    #: How many times as fast as usual that core is.
+    cores: Annotated[float, Meta(gt=0)] | None = None
+    #: Megabits per second.
+    link_mbps: Annotated[float, Meta(gt=0)] | None = None
+
+
 class DrainSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """How a stopping router ends."""
 
@@ -194,6 +208,7 @@
     rules_in_force: tuple[str, ...] | None = None
     cold: ColdSettings = msgspec.field(default_factory=ColdSettings)
     memory: MemorySettings = msgspec.field(default_factory=MemorySettings)
+    vm: VmSettings = msgspec.field(default_factory=VmSettings)
     #: The region of each data hall, for what is bound to regions; None where nobody says.
     regions: dict[str, str] | None = None
     #: Peers to try first, as "IP:port"; the platform's list of VMs adds to them.
@@ -216,7 +231,7 @@
 
 
 #: Sections whose numbers a platform fills in.
-FILLED_IN = ("retries", "cold", "memory")
+FILLED_IN = ("retries", "cold", "memory", "vm")
 
 #: Shortest fleet key that is taken, in bytes.
 MINIMUM_FLEET_KEY = 16
--- a/pondhatch/configuration/tests/test_files.py
+++ b/pondhatch/configuration/tests/test_files.py
@@ -14,6 +14,7 @@
     Fleet,
     RetrySettings,
     Settings,
+    VmSettings,
     checked,
     differences,
     load_fleet_key,
@@ -170,6 +171,8 @@
             ("name: r1", "name: r1\ncold: {overshoot: -1}", "cold.overshoot", "greater than"),
             ("name: r1", "name: r1\nmemory: {megabytes: 0}", "memory.megabytes", "greater than"),
             ("name: r1", "name: r1\nmemory: {held_share: 2}", "memory.held_share", "less than"),
+            ("name: r1", "name: r1\nvm: {cpu_quota: 0}", "vm.cpu_quota", "greater than"),
+            ("name: r1", "name: r1\nvm: {link_mbps: wide}", "vm.link_mbps", "float"),
             ("name: r1", "name: r1\nregions: {h1: 3}", "regions.h1", "str"),
             ("name: r1", "name: r1\nregions: north", "regions", "expected"),
         ]
@@ -202,6 +205,18 @@
                 assert isinstance(settings, Settings)
                 self.assertEqual(settings.held_bytes, expected)
 
+    def test_a_platform_fills_in_what_it_knows_of_the_vm(self) -> None:
+        for quota, cores, link, expected in (
+            ("0.5", "2.15", "100", VmSettings(0.5, 2.15, 100.0)),
+            ("5e-01", "", "", VmSettings(0.5)),
+            ("", "", "", VmSettings()),
+        ):
+            with self.subTest(expected=expected):
+                filled = f"\nvm:\n  cpu_quota: {quota}\n  cores: {cores}\n  link_mbps: {link}\n"
+                settings = self.load(SETTINGS + filled)
+                assert isinstance(settings, Settings)
+                self.assertEqual(settings.vm, expected)
+
     def test_names_that_a_platform_gives_are_taken_as_they_are(self) -> None:
         for name in ("Edge_1", "edge.1", "Boa Viagem", "s\u00e3o", "e" * 64, "\u6771" * 255, "-"):
             with self.subTest(name=name):
