--- a/pondhatch/placement/__init__.py
+++ b/pondhatch/placement/__init__.py
@@ -22,6 +22,7 @@
     TokenNeed,
     usable_tokens,
 )
+from pondhatch.placement._weighted_rendezvous import weighted_ranked, weighted_winner
 
 __all__ = [
     "id_of",
@@ -73,5 +74,7 @@
     "pooled_first",
     "ranked",
     "scorer",
+    "weighted_ranked",
+    "weighted_winner",
     "winner",
 ]
