Keep freed slots busy while requests wait, and try engines that are down sooner where load is managed

Change: an owner grants waiting requests as many beyond the slots as the engine ends in 10 ms, half of the slots at most. Where load is managed, the time between two tries of an engine that is down is 2 s at most. An engine that lacks memory is noted as such after a wait at several, too.

--- a/pondhatch/placement/__init__.py
+++ b/pondhatch/placement/__init__.py
@@ -4,9 +4,15 @@
 from pondhatch.placement._cold_pace import ColdAllowance, ColdPaces
 from pondhatch.placement._context import YOUNG_SECONDS, context_engine
 from pondhatch.placement._engine_paces import MOST_PACE, USUAL_PACE, EnginePaces
-from pondhatch.placement._forecast import GAP_WEIGHT, STEADY_GAP_WEIGHT, Pace, Returns
+from pondhatch.placement._forecast import (
+    GAP_WEIGHT,
+    STEADY_GAP_WEIGHT,
+    Pace,
+    Returns,
+    granted_ahead,
+)
 from pondhatch.placement._gate import EngineCount, Full, Gate, Granted, Verdict
-from pondhatch.placement._health import Health
+from pondhatch.placement._health import LONGEST_PAUSE, MANAGED_PAUSE, Health
 from pondhatch.placement._intake import CLOSING, OPEN, Closed, Intake, Regions, both, is_allowed
 from pondhatch.placement._line import Line, Ticket
 from pondhatch.placement._memory import SpillMemory
@@ -51,7 +57,9 @@
     "Gate",
     "Granted",
     "Health",
+    "LONGEST_PAUSE",
     "Line",
+    "MANAGED_PAUSE",
     "MOST_PACE",
     "LoadsHeard",
     "NOTHING_SAID",
@@ -70,6 +78,7 @@
     "Verdict",
     "YOUNG_SECONDS",
     "admission_ceiling",
+    "granted_ahead",
     "context_engine",
     "pooled_first",
     "ranked",
--- a/pondhatch/placement/_forecast.py
+++ b/pondhatch/placement/_forecast.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import math
+
 import msgspec
 
 #: Weight of the newest gap between two releases in the mean of an engine.
@@ -15,6 +17,23 @@
 STEADY_GAP_WEIGHT = 1 / 32
 #: Seconds after which a refused caller is told to come back at most.
 MOST_COME_BACK = 10.0
+#: Seconds from the end of one run to the begin of the next, where that one waits at the engine's
+#: owner: a release, a grant and the request itself are on their way, one after the other.
+TURNAROUND = 0.01
+#: Share of an engine's slots that may be granted beyond them: what is sent waits at the engine,
+#: where no later and more urgent request goes past it for sure.
+MOST_AHEAD = 0.5
+
+
+def granted_ahead(gap: float, slots: int) -> int:
+    """Return how many requests to grant beyond an engine's slots while others wait for it.
+
+    As many as the engine ends within the turnaround, ``gap`` being the mean seconds between two
+    ends: else that many slots would stand idle beside a queue. 0 where the gap is not known.
+    """
+    if gap <= 0:
+        return 0
+    return min(int(slots * MOST_AHEAD), math.ceil(TURNAROUND / gap))
 
 
 class Pace(msgspec.Struct, frozen=True):
--- a/pondhatch/placement/_health.py
+++ b/pondhatch/placement/_health.py
@@ -16,6 +16,9 @@
 #: Seconds for which it gets nothing, first and at most; doubled with each failed try.
 FIRST_PAUSE = 1.0
 LONGEST_PAUSE = 15.0
+#: The longest where load is managed: while callers are refused for want of room, an engine that is
+#: back and gets nothing costs more than the one request in two seconds that tries it.
+MANAGED_PAUSE = 2.0
 #: Weight of one answer in the share of an upstream's answers that were failures of its
 #: own: some ten answers decide.
 ERROR_WEIGHT = 0.1
@@ -85,12 +88,12 @@
             if known.is_taken_for_down or known.is_ailing(now)
         }
 
-    def failed(self, upstream: str, now: float) -> None:
+    def failed(self, upstream: str, now: float, longest_pause: float = LONGEST_PAUSE) -> None:
         """Note that a request was lost there or could not reach it."""
         known = self._known(upstream)
         failed = replace(known, failures=known.failures + 1)
         if known.tried:
-            pause = min(LONGEST_PAUSE, known.pause * 2)
+            pause = min(longest_pause, known.pause * 2)
             failed = replace(failed, down_until=now + pause, pause=pause, tried=False)
         elif failed.failures == FAILURES:
             failed = replace(failed, down_until=now + known.pause)
--- a/pondhatch/placement/tests/test_health.py
+++ b/pondhatch/placement/tests/test_health.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from pondhatch.placement import Health
+from pondhatch.placement import MANAGED_PAUSE, Health
 from pondhatch.placement._health import FAILURES
 
 
@@ -40,6 +40,16 @@
             self.health.failed("e", now)
         self.assertEqual(pauses, [1.0, 2.0, 4.0, 8.0, 15.0, 15.0])
 
+    def test_it_is_tried_again_sooner_where_load_is_managed(self) -> None:
+        self.fail_times(3)
+        now = 0.0
+        for _ in range(6):
+            while self.health.is_down("e", now):
+                now += 0.5
+            self.health.failed("e", now, MANAGED_PAUSE)
+        self.assertTrue(self.health.is_down("e", now + 1.9))
+        self.assertFalse(self.health.is_down("e", now + 2.0))
+
     def test_what_is_lost_with_it_at_once_makes_no_pause_longer(self) -> None:
         self.fail_times(20)
         self.assertTrue(self.health.is_down("e", 0.9))
--- a/pondhatch/requests/_entry.py
+++ b/pondhatch/requests/_entry.py
@@ -331,7 +331,7 @@
         for engine, reply in reply_by_engine.items():
             self.plan.waited(engine)
             if isinstance(reply, Busy):
-                self.plan.full(reply.in_flight, reply.ceiling, reply.is_cold)
+                self.plan.full(reply.in_flight, reply.ceiling, reply.is_cold, reply.short_tokens)
             elif isinstance(reply, NotRun):
                 self._rests.note(engine, reply)
                 self.plan.refused(f"{reply.code}: {reply.reason}")
--- a/pondhatch/requests/_lines.py
+++ b/pondhatch/requests/_lines.py
@@ -19,6 +19,7 @@
     Returns,
     Ticket,
     Verdict,
+    granted_ahead,
 )
 from pondhatch.requests._questions import MILLISECONDS, THOUSANDTHS, Question
 
@@ -212,6 +213,10 @@
         seconds = returns.next(self._clock(), share, gap, question.queues)
         return max(1, round(seconds * MILLISECONDS))
 
+    def granted_ahead(self, engine: str, slots: int) -> int:
+        """Return how many requests to grant beyond an engine's slots while others wait."""
+        return granted_ahead(self._gap(engine), slots)
+
     def _gap(self, engine: str) -> float:
         """Return the mean seconds between two places that come free; 0 if unknown."""
         pace = self._pace_by_engine.get(engine)
--- a/pondhatch/requests/_owner.py
+++ b/pondhatch/requests/_owner.py
@@ -10,6 +10,8 @@
 from msgspec.structs import replace
 
 from pondhatch.placement import (
+    LONGEST_PAUSE,
+    MANAGED_PAUSE,
     USUAL_PACE,
     ColdPaces,
     Full,
@@ -186,7 +188,8 @@
         if ended == Ended.ANSWERED:
             self._health.answered(engine)
         if ended == Ended.FAILED:
-            self._health.failed(engine, now)
+            managed = self._view.load_managed()
+            self._health.failed(engine, now, MANAGED_PAUSE if managed else LONGEST_PAUSE)
         if ended == Ended.ERRED:
             self._health.erred(engine, now)
         if ended == Ended.LEAVING:
@@ -322,14 +325,24 @@
             held = self._gate.in_flight(target.name, now)
             return Full(held, held, short_tokens=short)
         others = max(self._view.elsewhere_in_flight(target.name), question.seen_elsewhere)
-        pace = self._pace(target, question)
+        pace, slots = self._pace(target, question), self._slots(target, question)
         verdict = self._gate.ask(
-            target.name, now, target.bound, others, target.peers, target.slots, target.slack, pace
+            target.name, now, target.bound, others, target.peers, slots, target.slack, pace
         )
         if isinstance(verdict, Granted) and (need := asked_need(question)).is_stated:
             self._tokens.add(target.name, question.holder, need, now)
         return verdict
 
+    def _slots(self, target: Target, question: Question) -> int:
+        """Return how many requests an engine may hold, whatever the mean.
+
+        One that waits in its queue may be sent ahead of the next free slot. One that does not may
+        find a free slot at another engine.
+        """
+        if question.in_time == 0 or not self._view.load_managed():
+            return target.slots
+        return target.slots + self._lines.granted_ahead(target.name, target.slots)
+
     def _pace(self, target: Target, question: Question) -> int:
         """Return the pace by which an engine's ceiling is lowered for a request.
 
