Send ahead of free slots only what an engine says to queue, as the settings state it

Cause: grants beyond an engine's slots broke two checks of the queue's load test, which holds for engines that queue nothing: what is granted there never exceeds the slots. An engine that queues nothing would have refused the rest.

The checks stand as they were. Services' entries state an engine's memory only where the platform does, so that routers of an older program take the others as they are.

--- a/pondhatch/cli/_own_state.py
+++ b/pondhatch/cli/_own_state.py
@@ -47,6 +47,7 @@
         halls=HallStates(settings.regions or {}),
         cold_paces=ColdPaces(_cold_allowance(settings.cold)),
         held=HeldBytes(settings.held_bytes),
+        engine_queue=settings.service_defaults.engine_queue,
         load_management=load_management,
     )
 
--- a/pondhatch/configuration/_settings.py
+++ b/pondhatch/configuration/_settings.py
@@ -111,6 +111,8 @@
     #: See ServiceSpec.
     load_bound: Annotated[float, Meta(gt=1.0, le=10.0)] = 1.25
     load_slack: Annotated[int, Meta(ge=0, le=1000)] = 0
+    #: Requests that one engine queues itself beyond its slots, rather than refuse them.
+    engine_queue: Annotated[int, Meta(ge=0, le=1000)] = 0
 
 
 class RetrySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/pondhatch/placement/_forecast.py
+++ b/pondhatch/placement/_forecast.py
@@ -20,20 +20,18 @@
 #: Seconds from the end of one run to the begin of the next, where that one waits at the engine's
 #: owner: a release, a grant and the request itself are on their way, one after the other.
 TURNAROUND = 0.01
-#: Share of an engine's slots that may be granted beyond them: what is sent waits at the engine,
-#: where no later and more urgent request goes past it for sure.
-MOST_AHEAD = 0.5
 
 
-def granted_ahead(gap: float, slots: int) -> int:
+def granted_ahead(gap: float, most: int) -> int:
     """Return how many requests to grant beyond an engine's slots while others wait for it.
 
     As many as the engine ends within the turnaround, ``gap`` being the mean seconds between two
-    ends: else that many slots would stand idle beside a queue. 0 where the gap is not known.
+    ends: else that many slots would stand idle beside a queue. 0 where the gap is not known, and
+    no more than ``most``, which the engine queues itself.
     """
     if gap <= 0:
         return 0
-    return min(int(slots * MOST_AHEAD), math.ceil(TURNAROUND / gap))
+    return min(most, math.ceil(TURNAROUND / gap))
 
 
 class Pace(msgspec.Struct, frozen=True):
--- a/pondhatch/platform/_configuration.py
+++ b/pondhatch/platform/_configuration.py
@@ -153,18 +153,18 @@
 def _service(service: _Service, defaults: ServiceDefaults) -> dict[str, Any]:
     kind = service.engine_id
     engines = read_entry(_EngineKind, kind).entry if isinstance(kind, Mapping) else _EngineKind()
-    # Left out where it is not said: routers that do not know it yet take the service as it is.
-    connections = (
-        {"max_connections": service.max_connections} if service.max_connections > 0 else {}
-    )
+    stated = {
+        "max_connections": service.max_connections,
+        "engine_tokens": engines.kv_capacity_tokens,
+    }
     return {
         "kind": "plain" if kind is None else "model",
         "load_bound": defaults.load_bound,
         "load_slack": defaults.load_slack,
         "shares_context": engines.moves,
-        "engine_tokens": engines.kv_capacity_tokens if engines.kv_capacity_tokens > 0 else None,
         "cold_pace": service.cold_per_s if service.cold_per_s > 0 else None,
-        **connections,
+        # Left out where not said: routers that do not know them yet take the service as it is.
+        **{name: number for name, number in stated.items() if number > 0},
     }
 
 
--- a/pondhatch/requests/_lines.py
+++ b/pondhatch/requests/_lines.py
@@ -213,9 +213,9 @@
         seconds = returns.next(self._clock(), share, gap, question.queues)
         return max(1, round(seconds * MILLISECONDS))
 
-    def granted_ahead(self, engine: str, slots: int) -> int:
+    def granted_ahead(self, engine: str, most: int) -> int:
         """Return how many requests to grant beyond an engine's slots while others wait."""
-        return granted_ahead(self._gap(engine), slots)
+        return granted_ahead(self._gap(engine), most)
 
     def _gap(self, engine: str) -> float:
         """Return the mean seconds between two places that come free; 0 if unknown."""
--- a/pondhatch/requests/_owner.py
+++ b/pondhatch/requests/_owner.py
@@ -341,7 +341,7 @@
         """
         if question.in_time == 0 or not self._view.load_managed():
             return target.slots
-        return target.slots + self._lines.granted_ahead(target.name, target.slots)
+        return target.slots + self._lines.granted_ahead(target.name, target.queue)
 
     def _pace(self, target: Target, question: Question) -> int:
         """Return the pace by which an engine's ceiling is lowered for a request.
--- a/pondhatch/router/_state.py
+++ b/pondhatch/router/_state.py
@@ -115,6 +115,8 @@
     load_management: LoadManagement = "off"
     #: When this router last read an engine's pace, in the clock's seconds.
     pace_read_at: float = float("-inf")
+    #: Requests that one engine queues itself beyond its slots.
+    engine_queue: int = 0
     phase: Phase = Phase.LIVE
     #: Why the platform was last found out of reach; empty while it answers.
     platform_lost: str = ""
@@ -325,6 +327,7 @@
             bound=service.load_bound,
             peers=self._intakes.working(upstream.service, self.clock()),
             slots=upstream.slots or service.engine_slots,
+            queue=self.engine_queue,
             slack=service.load_slack,
             shares_context=service.shares_context,
             instance=upstream.instance,
