Wait again after an engine refused a request that it was granted

Cause: a trial of the histories with load managed found a request refused as engines-full beside a free place: it had waited at several engines, and the first that was granted was about to end. Another found that a long wait would have let work seen by a walk raise ceilings after it ended.

Change: an engine that was granted and refuses leaves the request to wait at the others, and at itself where it is only full, within the retry budget and the route's tries. Work seen elsewhere counts for 0.8 s at the entry, and for 0.8 s in a line.

--- a/pondhatch/placement/_plan.py
+++ b/pondhatch/placement/_plan.py
@@ -131,6 +131,17 @@
         """Note at which of several engines the answer to a wait is noted next."""
         self._current = Ask(engine, insist=True, last=True)
 
+    def granted(self, engine: str) -> None:
+        """Note which of several engines is tried now; if in vain, the others are waited for again.
+
+        This one too, where it says that it is only full.
+        """
+        self.waited(engine)
+        self.end_looks()
+        self.in_flight_by_engine.pop(engine, None)
+        self._ailing = [name for name in self._ailing if name != engine]
+        self._has_asked_last = False
+
     def end_looks(self) -> None:
         """Look at no other engine any more: the wait used up the time for that."""
         self._looks = []
--- a/pondhatch/requests/_entry.py
+++ b/pondhatch/requests/_entry.py
@@ -26,6 +26,7 @@
 )
 from pondhatch.requests._questions import (
     MILLISECONDS,
+    SEEN_SECONDS,
     THOUSANDTHS,
     Busy,
     Elsewhere,
@@ -96,6 +97,8 @@
         self._watch = ways.crashes.watch(head.digest)
         self._tries = Tries(view, ways, body, self._chat, remaining, patience.last, self._watch)
         self._tries.settled = self.plan.settled(view.is_young)
+        #: What remained as the walk over the engines began.
+        self._walked_at = 0.0
         self._asks = 0
         #: Engines' refusals of this request so far, the newest last.
         self._refusals: list[NotRun] = []
@@ -168,6 +171,7 @@
 
     async def _walk(self) -> Placed | Refused:
         self._rests.clear()
+        self._walked_at = self._remaining()
         while self._remaining() > 0:
             step = self.plan.next()
             if isinstance(step, Exhausted):
@@ -315,7 +319,7 @@
             return None
         engine, reply = tried
         self.queued = Queued(QueueEnd.GRANTED)
-        self.plan.waited(engine)
+        self.plan.granted(engine)
         return await self._after_try(msgspec.structs.replace(ask, engine=engine), head, reply)
 
     def _note_no_place(self, reply_by_engine: dict[str, OwnerReply]) -> None:
@@ -341,11 +345,13 @@
         if limits is not None:
             left = in_time(limits, self._elapsed(), self._usual())
             in_time_ms = max(1, round(left * MILLISECONDS))
-        risen = self.plan.risen_elsewhere(engine, target.peers) if target is not None else 0
+        seen = 0
+        if target is not None and self._walked_at - self._remaining() <= SEEN_SECONDS:
+            seen = max(question.seen_elsewhere, self.plan.risen_elsewhere(engine, target.peers))
         return msgspec.structs.replace(
             question,
             patience=patience,
-            seen_elsewhere=max(question.seen_elsewhere, risen),
+            seen_elsewhere=seen,
             in_time=in_time_ms,
             queues=queues,
         )
--- a/pondhatch/requests/_owner.py
+++ b/pondhatch/requests/_owner.py
@@ -23,6 +23,7 @@
 from pondhatch.requests._lines import Lines
 from pondhatch.requests._outcomes import AILING, NotRun
 from pondhatch.requests._questions import (
+    SEEN_SECONDS,
     Busy,
     Elsewhere,
     Ended,
@@ -141,7 +142,7 @@
 
     async def wait(self, question: Question, must: MustWait) -> OwnerReply:
         """Wait in the engine's line until granted, or until patience ends."""
-        ask = functools.partial(self._ask_gate_anew, must.target, question)
+        ask = functools.partial(self._ask_gate_anew, must.target, question, self._clock())
         verdict = await self._lines.wait(question, must.full, ask)
         if isinstance(verdict, Full):
             # As it is now: the next owner that is asked counts what it is told here, and what
@@ -262,8 +263,10 @@
         target = self._view.target(question.engine)
         return grantable_target(target, question.engine, question.resuming)
 
-    def _ask_gate_anew(self, target: Target, question: Question) -> Verdict:
+    def _ask_gate_anew(self, target: Target, question: Question, since: float) -> Verdict:
         """Ask the gate for a request that waited, since its upstream may have turned cold."""
+        if question.in_time > 0 and self._clock() - since > SEEN_SECONDS:
+            question = replace(question, seen_elsewhere=0)
         return self._ask_gate(self._view.target(target.name) or target, question)
 
     def _ask_gate(self, target: Target, question: Question) -> Verdict:
--- a/pondhatch/requests/_questions.py
+++ b/pondhatch/requests/_questions.py
@@ -13,6 +13,9 @@
 #: A question's patience in a second, and its weight in a whole share.
 MILLISECONDS = 1000
 THOUSANDTHS = 1000
+#: Seconds for which the work that a walk saw at other engines may raise a ceiling, at its entry
+#: router and then again in a line: it may have ended since.
+SEEN_SECONDS = 0.8
 
 
 class Question(msgspec.Struct, frozen=True, array_like=True, tag=50):
--- a/pondhatch/requests/tests/test_service_queue.py
+++ b/pondhatch/requests/tests/test_service_queue.py
@@ -18,6 +18,7 @@
 from pondhatch.requests import (
     Answering,
     BodySource,
+    EngineRefusal,
     NotRun,
     Opened,
     Patience,
@@ -224,6 +225,25 @@
         self.assertEqual(sorted([won.question.number, *released]), [0, 1, 2])
 
 
+class RefusedAfterWaitTest(unittest.TestCase):
+    """Engines run fewer requests at once than their owners believe, and one is about to end."""
+
+    def test_a_request_that_was_granted_and_refused_waits_again(self) -> None:
+        """A refusal as full, with most of its time left, while an engine has a place."""
+
+        async def main() -> list[str]:
+            with mock.patch("pondhatch.requests.tests._history.View", ManagedView):
+                fleet = Fleet([EngineRefusal.LEAVING], [], False)
+            fleet.upstreams.places = dict.fromkeys(fleet.engines, 1)
+            after = (0.0, 0.25, 0.25, 0.25)
+            await asyncio.gather(
+                *(fleet.request_later(at, False, False, each) for at, each in enumerate(after))
+            )
+            return fleet.history.refused_beside_a_place
+
+        self.assertEqual(run_virtually(main()), [])
+
+
 class OwnerDiesTest(unittest.TestCase):
     """One plain upstream is left, and its owner dies while a clump waits there."""
 
