Wait at most once more for an engine that refuses a request as full

Cause: a trial of the refusal tests with load managed had an engine with places that declines a request asked a third time: nothing but the retry budget bounded it.

Change: an engine that refused a request as full twice is not waited for again.

Measured: tests of requests, placement, observing, explaining, transport, cli, router and bench: 508 passed; format, lint and types pass. Trial with load managed: refusals, own failures, and the histories of gone routers, intakes, notices and starts passed.

--- a/pondhatch/placement/_plan.py
+++ b/pondhatch/placement/_plan.py
@@ -19,6 +19,8 @@
 #: Ailing engines that one request passes over at most: where there are more, the fault lies
 #: with the service, and crowding the engines that seem well would only add to it.
 MOST_AILING = 2
+#: Times that an engine may refuse a request as full until it is not waited for any more.
+MOST_SAID_FULL = 2
 #: Engines found at their ceiling from which on the mean of those seen stands for all.
 RISEN_ENGINES = 8
 #: Full engines looked at once more after the wait for the last one: the time of that wait
@@ -64,6 +66,10 @@
         #: Engines at their ceiling, by their owners' word, and whether one was cold.
         self._at_ceiling: set[str] = set()
         self._has_met_cold = False
+        #: Engines that refused the request as full, each time that they did, and whether it was
+        #: granted after a wait at several.
+        self._said_full: list[str] = []
+        self._has_been_granted = False
         #: Engines that were passed over because they answer with failures.
         self._ailing: list[str] = []
         self._asks = asks
@@ -134,8 +140,9 @@
     def granted(self, engine: str) -> None:
         """Note which of several engines is tried now; if in vain, the others are waited for again.
 
-        This one too, where it says that it is only full.
+        This one too, where it says for the first time that it is only full.
         """
+        self._has_been_granted = True
         self.waited(engine)
         self.end_looks()
         self.in_flight_by_engine.pop(engine, None)
@@ -157,7 +164,10 @@
 
     def said_full(self, in_flight: int, why: str) -> None:
         """Note that the engine last asked was sent the request, and refused it as full."""
-        self.in_flight_by_engine[self._last_ask().engine] = in_flight
+        engine = self._last_ask().engine
+        self._said_full.append(engine)
+        if not self._has_been_granted or self._said_full.count(engine) < MOST_SAID_FULL:
+            self.in_flight_by_engine[engine] = in_flight
         self.refused(why)
 
     def keep_to(self, engines: Collection[str]) -> bool:
