Count ailing engines among those that a request waits for

Cause: a request that found all engines full or ailing waited at the full ones alone.

Change: ailing engines come first among the four that are waited for, as the last resort had it before.

Measured: the plan's new test fails without the change; plan, queue and refusal tests pass.

--- a/pondhatch/placement/_plan.py
+++ b/pondhatch/placement/_plan.py
@@ -140,8 +140,13 @@
         return max(0, sum(seen) * engines // len(seen) - own)
 
     def queue_engines(self, most: int) -> tuple[str, ...]:
-        """Return the full engines to wait for at once, the one with the least work first."""
-        return tuple(self._fullest_first()[::-1][:most])
+        """Return the engines to wait for at once, those that are ailing first.
+
+        They may have a place, which is better than none. Of the full ones, the one with the least
+        work comes first.
+        """
+        least_loaded = [name for name in self._fullest_first()[::-1] if name not in self._ailing]
+        return (*self._ailing, *least_loaded)[:most]
 
     def waited(self, engine: str) -> None:
         """Note at which of several engines the answer to a wait is noted next."""
--- a/pondhatch/placement/tests/test_plan.py
+++ b/pondhatch/placement/tests/test_plan.py
@@ -75,6 +75,17 @@
         plan.full(4, 4)
         self.assertIsInstance(plan.next(), Exhausted)
 
+    def test_an_ailing_engine_is_among_those_waited_for(self) -> None:
+        plan = Plan("chat", ENGINES[:3])
+        plan.next()
+        plan.ailing()
+        plan.refused("ailing")
+        for held in (7, 6):
+            plan.next()
+            plan.full(held, 6)
+        expected = (plan.order[0], plan.order[2], plan.order[1])
+        self.assertEqual(plan.queue_engines(4), expected)
+
     def test_each_ailing_engine_that_was_passed_over_is_asked_in_the_end(self) -> None:
         plan = Plan("chat", ENGINES[:2])
         for _ in range(2):
