--- a/pondhatch/requests/_owner.py
+++ b/pondhatch/requests/_owner.py
@@ -29,6 +29,7 @@
 from pondhatch.requests._lines import Lines
 from pondhatch.requests._outcomes import AILING, NotRun
 from pondhatch.requests._questions import (
+    SEEN_SECONDS,
     Busy,
     Elsewhere,
     Ended,
@@ -152,7 +153,7 @@
 
     async def wait(self, question: Question, must: MustWait) -> OwnerReply:
         """Wait in the engine's line until granted, or until patience ends."""
-        ask = functools.partial(self._ask_gate_anew, must.target, question)
+        ask = functools.partial(self._ask_gate_anew, must.target, question, self._clock())
         verdict: Verdict | None = None
         try:
             verdict = await self._lines.wait(question, must.full, ask)
@@ -282,12 +283,14 @@
         target = self._view.target(question.engine)
         return grantable_target(target, question.engine, question.resuming)
 
-    def _ask_gate_anew(self, target: Target, question: Question) -> Verdict:
+    def _ask_gate_anew(self, target: Target, question: Question, since: float) -> Verdict:
         """Ask the gate for a request that waited, since its upstream may have turned cold.
 
         Where it lacks memory, memory is kept for it: smaller requests that come later would
         take each piece that comes free.
         """
+        if question.in_time > 0 and self._clock() - since > SEEN_SECONDS:
+            question = replace(question, seen_elsewhere=0)
         verdict = self._ask_gate(self._view.target(target.name) or target, question)
         if isinstance(verdict, Full) and verdict.short_tokens > 0:
             kept = Reservation(question.holder, asked_need(question), question.priority)
@@ -341,7 +344,7 @@
         """
         if question.in_time == 0 or not self._view.load_managed():
             return target.slots
-        return target.slots + self._lines.granted_ahead(target.name, target.slots)
+        return target.slots + self._lines.granted_ahead(target.name, target.queue)
 
     def _pace(self, target: Target, question: Question) -> int:
         """Return the pace by which an engine's ceiling is lowered for a request.
