Mend what a reading of the whole change found

Cause and change, each found by reading: a returning chat that waits at several engines went by the usual ceiling at slow engines without its context; refusals counted as ends of runs in the time between two free slots; a request that states more tokens than an engine has reserved its memory, and stopped all others there; what is known of engines that are gone was never forgotten; refusals that could no longer be wrong were kept on busy engines, so that later ones were not counted; a wait of which no owner said anything counted as kept in vain; a full queue told a wait of 1 ms; a request that is pushed out was told what another lacked; usual times stayed at 0 after a first answer at once; fast paces used up the reports that slow engines need; an error of a withdrawn question was not logged; two overlapping faults of slow readers in the soak ended together.

--- a/pondhatch/placement/_plan.py
+++ b/pondhatch/placement/_plan.py
@@ -161,6 +161,7 @@
         self.waited(engine)
         self.end_looks()
         self.in_flight_by_engine.pop(engine, None)
+        self._short_by_engine.pop(engine, None)
         self._ailing = [name for name in self._ailing if name != engine]
         self._has_asked_last = False
 
--- a/pondhatch/placement/_token_counts.py
+++ b/pondhatch/placement/_token_counts.py
@@ -34,6 +34,11 @@
     #: Parts of its prompt, each as a key and its tokens.
     parts: tuple[tuple[int, int], ...] = ()
 
+    @property
+    def total(self) -> int:
+        """Tokens that it takes of an empty memory."""
+        return self.tokens + sum(tokens for _, tokens in self.parts)
+
     @property
     def is_stated(self) -> bool:
         """Return whether it says anything."""
@@ -180,7 +185,7 @@
 
     by_engine: dict[str, EngineTokens] = msgspec.field(default_factory=dict)
     read_parts: ReadParts = msgspec.field(default_factory=ReadParts)
-    #: Requests that were turned away, or had to wait, for want of an engine's memory.
+    #: Questions that were answered with a lack of memory; a request may ask several.
     refused: int = 0
 
     def used(self, engine: str) -> int:
--- a/pondhatch/requests/_lines.py
+++ b/pondhatch/requests/_lines.py
@@ -103,7 +103,7 @@
         queue = self._queue(engine)
         ticket = self._join(queue, question)
         if ticket is None:
-            return self._refused(question, full, predicted) if is_predicted else full
+            return self._with_retry_time(question, full) if is_predicted else full
         turn: asyncio.Future[Verdict] = asyncio.get_running_loop().create_future()
         queue.waiter_by_number[ticket.number] = Waiter(ticket, ask, turn)
         _push_out(queue, full)
@@ -118,9 +118,20 @@
             if verdict is None or verdict is full:
                 self._return_late_grant(engine, turn)
         if is_predicted and isinstance(verdict, Full):
-            return replace(verdict, come_back_ms=self._come_back_ms(question))
+            return self._with_retry_time(question, verdict)
         return verdict
 
+    def forget(self, is_gone: Callable[[str], bool]) -> None:
+        """Forget what is known of engines that are gone and that nobody waits for."""
+        for known in (
+            self._pace_by_engine,
+            self._returns_by_engine,
+            self._refused_until_by_engine,
+        ):
+            gone = [engine for engine in known if is_gone(engine) and not self.waiting(engine)]
+            for engine in gone:
+                del known[engine]
+
     def gave_back(self, engine: str, now: float, was_used: bool = True) -> None:
         """Note that a grant was given back, and serve the line.
 
@@ -195,13 +206,17 @@
 
     def _refused(self, question: Question, full: Full, predicted: float) -> Full:
         """Return the answer to a request that is refused at arrival, and remember it."""
+        now = self._clock()
         refused_until = self._refused_until_by_engine.setdefault(question.engine, [])
+        while refused_until and refused_until[0] <= now:
+            heapq.heappop(refused_until)
         if len(refused_until) < MOST_REFUSED:
-            until = self._clock() + question.patience / MILLISECONDS
-            heapq.heappush(refused_until, until)
+            heapq.heappush(refused_until, now + question.patience / MILLISECONDS)
         predicted_ms = max(1, round(predicted * MILLISECONDS))
-        come_back_ms = self._come_back_ms(question)
-        return replace(full, predicted_ms=predicted_ms, come_back_ms=come_back_ms)
+        return self._with_retry_time(question, replace(full, predicted_ms=predicted_ms))
+
+    def _with_retry_time(self, question: Question, full: Full) -> Full:
+        return replace(full, come_back_ms=self._come_back_ms(question))
 
     def _come_back_ms(self, question: Question) -> int:
         """Return after how many milliseconds a refused caller is to come back; 0 if unknown."""
@@ -283,4 +298,5 @@
     queue.line.leave(last)
     waiter = queue.waiter_by_number[last.number]
     if not waiter.turn.done():
-        waiter.turn.set_result(full)
+        # What the other request lacks of the engine's memory says nothing of this one.
+        waiter.turn.set_result(replace(full, short_tokens=0))
--- a/pondhatch/requests/_owner.py
+++ b/pondhatch/requests/_owner.py
@@ -46,6 +46,13 @@
 START_SECONDS = 0.5
 
 
+#: Ends of requests that an engine ran. The others freed no slot, or say nothing of how long a
+#: slot is taken.
+RUN_ENDS = frozenset({Ended.ANSWERED, Ended.FAILED, Ended.ERRED})
+#: Seconds between two looks for engines that are gone.
+FORGET_SECONDS = 10.0
+
+
 class OwnerView(Protocol):
     """What the owner's side reads of the router's state."""
 
@@ -99,6 +106,7 @@
         self._cold_paces = cold_paces or ColdPaces()
         self._tokens = tokens or TokenCounts()
         self.leases = Leases()
+        self._forgot_at = float("-inf")
 
     async def ask(self, question: Question) -> OwnerReply:
         """Return the answer to a question, after waiting in line where it may."""
@@ -181,7 +189,7 @@
         # First, since whoever waits in the engine's line is granted when the place is back.
         self._learn(lease.engine, ended)
         self._tokens.remove(lease.engine, holder)
-        self._give_back(lease.engine, was_used=ended is not Ended.NOTHING)
+        self._give_back(lease.engine, was_used=ended in RUN_ENDS)
 
     def _learn(self, engine: str, ended: Ended) -> None:
         """Take in what the end of a request, whose grant still counts, tells of its engine."""
@@ -247,8 +255,12 @@
 
     def tick(self) -> None:
         """Do what is due each round: leases end, and a ceiling may have risen."""
-        self._end(self.leases.ended(self._clock()))
+        now = self._clock()
+        self._end(self.leases.ended(now))
         self._lines.serve_all()
+        if now - self._forgot_at >= FORGET_SECONDS:
+            self._forgot_at = now
+            self._lines.forget(lambda engine: self._view.target(engine) is None)
 
     def _declined(self, question: Question, target: Target) -> OwnerReply | None:
         """Return why a request may not run at an engine that takes work, whatever its load."""
@@ -292,7 +304,7 @@
         if question.in_time > 0 and self._clock() - since > SEEN_SECONDS:
             question = replace(question, seen_elsewhere=0)
         verdict = self._ask_gate(self._view.target(target.name) or target, question)
-        if isinstance(verdict, Full) and verdict.short_tokens > 0:
+        if isinstance(verdict, Full) and verdict.short_tokens > 0 and _could_fit(target, question):
             kept = Reservation(question.holder, asked_need(question), question.priority)
             self._tokens.reserve(target.name, kept)
         return verdict
@@ -352,7 +364,8 @@
         One that comes for its context goes by the usual ceiling: taking the context over to
         another engine costs it more than the slow engine does, and outlasts the pace.
         """
-        comes_for_context = question.returning and (question.home or question.patience > 0)
+        waits_for_context = question.patience > 0 and question.in_time == 0
+        comes_for_context = question.returning and (question.home or waits_for_context)
         if comes_for_context or not self._view.load_managed():
             return USUAL_PACE
         return target.pace
@@ -395,6 +408,15 @@
         self._lines.gave_back(engine, self._clock(), was_used)
 
 
+def _could_fit(target: Target, question: Question) -> bool:
+    """Return whether an engine's memory could hold a request at all.
+
+    One that states more than that runs alone or nowhere: memory kept for it would stop all others.
+    """
+    memory = target.memory_tokens
+    return memory is not None and asked_need(question).total <= usable_tokens(memory)
+
+
 def _busy(full: Full) -> Busy:
     return Busy(
         full.in_flight,
--- a/pondhatch/requests/_queues.py
+++ b/pondhatch/requests/_queues.py
@@ -8,9 +8,12 @@
 
 import msgspec
 
+from pondhatch.observing import log_for
 from pondhatch.placement import Granted
 from pondhatch.requests._questions import Busy, Ended, Grants, NotOwner, OwnerReply, Question
 
+log = log_for("grants")
+
 #: Queues in which a request waits at once at most.
 MOST_QUEUES = 4
 #: Seconds between two looks at who owns the engines: an owner that dies takes its queue along,
@@ -145,6 +148,13 @@
         for task, asked in self._asked_by_task.items():
             if not task.done():
                 task.cancel()
-            elif task.exception() is None and isinstance(task.result(), Granted):
-                self._grants.release(asked.question.number, Ended.NOTHING)
+            elif not task.cancelled():
+                self._give_back(task, asked)
         self._asked_by_task.clear()
+
+    def _give_back(self, task: asyncio.Task[OwnerReply], asked: _Asked) -> None:
+        error = task.exception()
+        if error is not None:
+            log.error("A question to an engine's owner ended in an error: {!r}", error)
+        elif isinstance(task.result(), Granted):
+            self._grants.release(asked.question.number, Ended.NOTHING)
--- a/pondhatch/requests/_wait_limits.py
+++ b/pondhatch/requests/_wait_limits.py
@@ -68,6 +68,8 @@
 
 
 def _toward(known: float, newest: float) -> float:
+    if known <= 0:
+        return newest
     return known + NEWEST * (min(newest, MOST_UNUSUAL * known) - known)
 
 
--- a/pondhatch/requests/_walk_results.py
+++ b/pondhatch/requests/_walk_results.py
@@ -78,7 +78,10 @@
     busy = [reply for reply in replies if isinstance(reply, Busy)]
     predicted = [reply.predicted_ms for reply in busy]
     come_back = [reply.come_back_ms for reply in busy if reply.come_back_ms]
-    was_kept = not busy or not all(predicted)
+    if not busy:
+        # No owner said anything of the wait.
+        return Queued()
+    was_kept = not all(predicted)
     return Queued(
         QueueEnd.IN_VAIN if was_kept else QueueEnd.REFUSED,
         0 if was_kept else min(predicted),
--- a/pondhatch/router/_pace_reports.py
+++ b/pondhatch/router/_pace_reports.py
@@ -24,12 +24,13 @@
     def is_due(self, engine: str, pace: int, now: float) -> bool:
         """Return whether an engine's owner should be told a pace that was read just now.
 
-        It should where the pace differs by half from the usual one, which the owner goes by.
+        It should where the engine takes half as long again as usual: an owner that was told
+        nothing goes by the usual pace, and gives a fast engine no more.
         """
         reported_at = self._reported_at_by_engine.get(engine, float("-inf"))
         if self._left < 1 or now - reported_at < REPORT_SECONDS:
             return False
-        return 2 * abs(pace - USUAL_PACE) >= USUAL_PACE
+        return pace >= USUAL_PACE + USUAL_PACE // 2
 
     def reported(self, engine: str, now: float) -> None:
         """Note that an engine's owner was told."""
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -24,8 +24,10 @@
 #: Sent by a caller that reads slowly to a plain service, which gives it back: more than a router
 #: and the system hold for one connection.
 LARGE_BODY = BODY * 100_000
-#: Bytes that such a caller reads at once, and seconds between two reads.
-SLOW_PART_BYTES, SLOW_PAUSE = 32 * 1024, 0.05
+#: Bytes that such a caller reads at once.
+SLOW_PART_BYTES = 32 * 1024
+#: Seconds between two of its reads.
+SLOW_PAUSE = 0.05
 #: Milliseconds that a caller waits, and seconds after which it gives a silent router up.
 DEADLINE_MS = 4000
 PATIENCE = 6.0
@@ -44,7 +46,8 @@
         self._streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
         #: Whether it sends many times its usual.
         self.is_in_burst = False
-        self.reads_slowly = False
+        #: Faults under way that have it read slowly.
+        self.slow_faults = 0
 
     async def run(self) -> None:
         """Send until cancelled."""
@@ -63,7 +66,7 @@
             return
         route, attempt = self._rng.choice(ROUTES), uuid.uuid4().hex[:16]
         found = Attempt(attempt, route, self._router, time.monotonic(), 0.0)
-        answer = _Answer(self.reads_slowly and not route.is_stream)
+        answer = _Answer(self.slow_faults > 0 and not route.is_stream)
         with contextlib.suppress(OSError, TimeoutError, h11.ProtocolError):
             async with asyncio.timeout(PATIENCE):
                 await answer.read(reader, writer, route, attempt)
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -215,10 +215,10 @@
         """Have a third of the callers ask for much and take it slowly."""
         slow = self._callers[fault.target % SLOW_ONE_IN :: SLOW_ONE_IN]
         for caller in slow:
-            caller.reads_slowly = True
+            caller.slow_faults += 1
         await asyncio.sleep(fault.seconds)
         for caller in slow:
-            caller.reads_slowly = False
+            caller.slow_faults -= 1
 
 
 async def _frozen(struck: MachinesRouter | Backend, seconds: float) -> None:
