--- a/pondhatch/cli/_router_process.py
+++ b/pondhatch/cli/_router_process.py
@@ -97,7 +97,7 @@
         served = ServedMetrics(settings.name)
         self._metrics = metrics_of(settings, served)
         self._records = _records_of(settings)
-        parts.client.follow(self.state.load_managed, self._metrics)
+        parts.client.configure(self.state.load_managed, self._metrics)
         self._beliefs = Beliefs(self.state, self._records)
         self._notice_keeping = NoticeKeeping(self.state, self._gossip_port.send)
         upstreams = HttpUpstreams(
--- a/pondhatch/kernel/__init__.py
+++ b/pondhatch/kernel/__init__.py
@@ -5,6 +5,7 @@
 from pondhatch.kernel._garbage import collect_garbage
 from pondhatch.kernel._loop import Tasks, as_deferred, as_future, install_reactor
 from pondhatch.kernel._registry import REGISTRY, Plugin, Registry, RegistryError
+from pondhatch.kernel._wire_form import without_defaults
 
 __all__ = [
     "REGISTRY",
@@ -18,4 +19,5 @@
     "collect_garbage",
     "host_and_port",
     "install_reactor",
+    "without_defaults",
 ]
--- /dev/null
+++ b/pondhatch/kernel/tests/test_wire_form.py
@@ -0,0 +1,27 @@
+"""Guards against bytes that programs without the added fields would not have sent."""
+
+from __future__ import annotations
+
+import unittest
+
+import msgspec
+
+from pondhatch.kernel import without_defaults
+
+
+class Message(msgspec.Struct, frozen=True, array_like=True, tag=7):
+    """A message; the last two fields were added later."""
+
+    name: str
+    number: int = 1
+    added: int = 0
+    words: tuple[str, ...] = ()
+
+
+class WireFormTest(unittest.TestCase):
+    def test_added_fields_are_left_out_while_they_say_nothing(self) -> None:
+        self.assertEqual(without_defaults(Message("a", 2), "added"), (7, "a", 2))
+
+    def test_all_are_written_where_one_says_something(self) -> None:
+        message = Message("a", words=("b",))
+        self.assertIs(without_defaults(message, "added"), message)
--- a/pondhatch/observing/__init__.py
+++ b/pondhatch/observing/__init__.py
@@ -1,6 +1,7 @@
 """Observing: logs and metrics."""
 
 from pondhatch.observing._lines import STANDARD_OUTPUT, LineWriter
+from pondhatch.observing._log_throttle import LogThrottle
 from pondhatch.observing._logs import log_for, setup_logs
 from pondhatch.observing._metrics import AllMetrics, Metrics, NoMetrics, StatsdMetrics
 from pondhatch.observing._once import Once
@@ -13,7 +14,6 @@
     Records,
     RequestEnded,
 )
-from pondhatch.observing._seldom import Seldom
 from pondhatch.observing._served import ServedMetrics
 
 __all__ = [
@@ -29,7 +29,7 @@
     "Records",
     "RequestEnded",
     "STANDARD_OUTPUT",
-    "Seldom",
+    "LogThrottle",
     "Metrics",
     "NoMetrics",
     "StatsdMetrics",
--- a/pondhatch/observing/_seldom.py
+++ b/pondhatch/observing/_log_throttle.py
@@ -5,14 +5,14 @@
 import msgspec
 
 
-class Seldom(msgspec.Struct):
+class LogThrottle(msgspec.Struct):
     """Remembers when something was told, so that a log line does not come with each request."""
 
     #: Between two tellings.
     seconds: float
     _told_at: float = float("-inf")
 
-    def is_due(self, now: float) -> bool:
+    def allows(self, now: float) -> bool:
         """Return whether this is to be told now, and remember that it was."""
         if now - self._told_at < self.seconds:
             return False
--- a/pondhatch/placement/__init__.py
+++ b/pondhatch/placement/__init__.py
@@ -7,8 +7,8 @@
 from pondhatch.placement._forecast import (
     GAP_WEIGHT,
     STEADY_GAP_WEIGHT,
-    Pace,
-    Returns,
+    ReleaseInterval,
+    RetrySchedule,
     granted_ahead,
 )
 from pondhatch.placement._gate import EngineCount, Full, Gate, Granted, Verdict
@@ -18,7 +18,7 @@
 from pondhatch.placement._memory import SpillMemory
 from pondhatch.placement._notices import NO_REST, NOTHING_SAID, Notice, Notices, Rest
 from pondhatch.placement._plan import Ask, Exhausted, Plan, Step
-from pondhatch.placement._pooled_first import CONSIDERED, LoadsHeard, pooled_first
+from pondhatch.placement._pooled_first import CONSIDERED, RecentLoads, pooled_first
 from pondhatch.placement._rendezvous import ranked, scorer, winner
 from pondhatch.placement._starts import id_of, name_of_start
 from pondhatch.placement._token_counts import (
@@ -61,15 +61,15 @@
     "Line",
     "MANAGED_PAUSE",
     "MOST_PACE",
-    "LoadsHeard",
+    "RecentLoads",
     "NOTHING_SAID",
     "NO_REST",
     "Rest",
     "Notice",
     "Notices",
-    "Pace",
+    "ReleaseInterval",
     "Plan",
-    "Returns",
+    "RetrySchedule",
     "STEADY_GAP_WEIGHT",
     "SpillMemory",
     "Step",
--- a/pondhatch/placement/_forecast.py
+++ b/pondhatch/placement/_forecast.py
@@ -16,7 +16,7 @@
 #: that a mean over five gaps swings between a third and twice the real one.
 STEADY_GAP_WEIGHT = 1 / 32
 #: Seconds after which a refused caller is told to come back at most.
-MOST_COME_BACK = 10.0
+LONGEST_RETRY_AFTER = 10.0
 #: Seconds from the end of one run to the begin of the next, where that one waits at the engine's
 #: owner: a release, a grant and the request itself are on their way, one after the other.
 TURNAROUND = 0.01
@@ -34,7 +34,7 @@
     return min(most, math.ceil(TURNAROUND / gap))
 
 
-class Pace(msgspec.Struct, frozen=True):
+class ReleaseInterval(msgspec.Struct, frozen=True):
     """How fast an engine gives grants back."""
 
     #: When it last gave one back, in the clock's seconds.
@@ -44,29 +44,29 @@
     #: Gaps that the mean was made of.
     gaps: int = 0
 
-    def after(self, now: float, least_weight: float = GAP_WEIGHT) -> Pace:
+    def after(self, now: float, least_weight: float = GAP_WEIGHT) -> ReleaseInterval:
         """Return the pace with one more grant given back."""
         gap = now - self.last
         if self.gap is None:
-            return Pace(now, gap, 1)
+            return ReleaseInterval(now, gap, 1)
         weight = least_weight
         if least_weight == STEADY_GAP_WEIGHT:
             weight = max(least_weight, 1 / (self.gaps + 1))
-        return Pace(now, self.gap + weight * (gap - self.gap), self.gaps + 1)
+        return ReleaseInterval(now, self.gap + weight * (gap - self.gap), self.gaps + 1)
 
 
-class Returns(msgspec.Struct):
+class RetrySchedule(msgspec.Struct):
     """When the callers that an engine's owner refused were told to come back."""
 
     #: The latest of these times, in the clock's seconds.
     latest: float = float("-inf")
 
-    def next(self, now: float, share: float, gap: float, queues: int) -> float:
+    def next_delay(self, now: float, share: float, gap: float, queues: int) -> float:
         """Return the seconds after which one more refused caller is to come back.
 
         The line, in which ``share`` requests wait, is served by then, and so are the callers
         that were told before. One that was refused by several engines comes back to one.
         """
         at = max(now + share * gap, self.latest + gap / queues)
-        self.latest = min(at, now + MOST_COME_BACK)
+        self.latest = min(at, now + LONGEST_RETRY_AFTER)
         return self.latest - now
--- a/pondhatch/placement/_gate.py
+++ b/pondhatch/placement/_gate.py
@@ -39,13 +39,13 @@
     ceiling: int
     #: Whether it has places, but is cold, and is to get nothing more for a moment.
     is_cold: bool = False
+    #: Milliseconds that the request would wait for a slot, and after which it is worth coming
+    #: back; 0 where they are not estimated.
+    predicted_ms: int = 0
+    retry_after_ms: int = 0
     #: Tokens that must come free in its memory before it takes this request; it may take a
     #: smaller one at once. 0 where its memory is not the reason.
     short_tokens: int = 0
-    #: Milliseconds that the request would wait for a place, and after which it is worth coming
-    #: back; 0 where they are not estimated.
-    predicted_ms: int = 0
-    come_back_ms: int = 0
 
 
 Verdict = Granted | Full
--- a/pondhatch/placement/_plan.py
+++ b/pondhatch/placement/_plan.py
@@ -22,7 +22,7 @@
 #: Times that an engine may refuse a request as full until it is not waited for any more.
 MOST_SAID_FULL = 2
 #: Engines found at their ceiling from which on the mean of those seen stands for all.
-RISEN_ENGINES = 8
+LEAST_SAMPLES = 8
 #: Full engines looked at once more after the wait for the last one: the time of that wait
 #: may have freed a place there. Each costs a question to its owner, and some milliseconds of
 #: a request that is about to be refused; the least loaded have the best chance.
@@ -67,7 +67,7 @@
         self._short_by_engine: dict[str, int] = {}
         #: Engines at their ceiling, by their owners' word, and whether one was cold.
         self._at_ceiling: set[str] = set()
-        self._has_met_cold = False
+        self._saw_cold = False
         #: Engines that refused the request as full, each time that they did, and whether it was
         #: granted after a wait at several.
         self._said_full: list[str] = []
@@ -123,7 +123,7 @@
         """Return the work seen on this walk at other engines: newer than any digest."""
         return sum(held for other, held in self.in_flight_by_engine.items() if other != engine)
 
-    def risen_elsewhere(self, engine: str, engines: int) -> int:
+    def estimated_elsewhere(self, engine: str, engines: int) -> int:
         """Return the work at other engines by the mean seen, where load rises; else 0.
 
         Totals that were heard are behind then. Of 8 engines drawn by the chat's order, the least
@@ -132,7 +132,7 @@
         """
         held_by_engine = self.in_flight_by_engine
         seen = [held for name, held in held_by_engine.items() if name in self._at_ceiling]
-        if len(seen) < RISEN_ENGINES or self._has_met_cold:
+        if len(seen) < LEAST_SAMPLES or self._saw_cold:
             return 0
         own = held_by_engine.get(engine)
         if own is None or own > min(seen):
@@ -182,7 +182,7 @@
             return
         self._short_by_engine.pop(engine, None)
         self._at_ceiling.add(engine)
-        self._has_met_cold = self._has_met_cold or is_cold
+        self._saw_cold = self._saw_cold or is_cold
         why = f"cold, holds {in_flight}" if is_cold else f"at ceiling, {in_flight} of {ceiling}"
         self.refused(why)
 
--- a/pondhatch/placement/_pooled_first.py
+++ b/pondhatch/placement/_pooled_first.py
@@ -20,7 +20,7 @@
 LOAD_SECONDS = 1.0
 
 
-class LoadsHeard(msgspec.Struct):
+class RecentLoads(msgspec.Struct):
     """Loads of engines as their owners spoke of them a moment ago."""
 
     #: Each with when it was heard, in the clock's seconds, the oldest first.
--- a/pondhatch/placement/_token_counts.py
+++ b/pondhatch/placement/_token_counts.py
@@ -73,7 +73,7 @@
     used: int = 0
     reservation: Reservation | None = None
     #: Tokens of each request that was granted while memory was reserved for another.
-    tokens_by_later: dict[Hashable, int] = msgspec.field(default_factory=dict)
+    tokens_since_reserved: dict[Hashable, int] = msgspec.field(default_factory=dict)
 
     def new_tokens(self, need: TokenNeed) -> int:
         """Return the tokens of a prompt that no running request holds already."""
@@ -99,7 +99,7 @@
         if kept is None or kept.request == request or kept.priority > priority:
             return max(0, lacking)
         reserved = self.size(kept.need)
-        later = sum(self.tokens_by_later.values())
+        later = sum(self.tokens_since_reserved.values())
         lacking = max(lacking, later + size - (limit - reserved) // 2)
         if self.used + reserved <= limit:
             lacking = max(lacking, self.used + reserved + size - limit)
@@ -109,7 +109,7 @@
         """Count a request that has so many tokens of its prompt to be read."""
         self.remove(request)
         if self.reservation is not None:
-            self.tokens_by_later[request] = self.size(need)
+            self.tokens_since_reserved[request] = self.size(need)
         if unread > LONG_PROMPT:
             self.read_at_by_request[request] = now + unread / TOKENS_READ_A_SECOND
         self.need_by_request[request] = need
@@ -122,8 +122,8 @@
         has_reserved = self.reservation is not None and self.reservation.request == request
         if has_reserved:
             self.reservation = None
-            self.tokens_by_later.clear()
-        self.tokens_by_later.pop(request, None)
+            self.tokens_since_reserved.clear()
+        self.tokens_since_reserved.pop(request, None)
         self.read_at_by_request.pop(request, None)
         need = self.need_by_request.pop(request, None)
         if need is None:
@@ -230,7 +230,7 @@
         kept = count.reservation
         if kept is None or reservation.priority < kept.priority:
             count.reservation = reservation
-            count.tokens_by_later.clear()
+            count.tokens_since_reserved.clear()
 
     def remove(self, engine: str, request: Hashable) -> bool:
         """Take back what a request holds or has reserved; return whether there was anything."""
--- a/pondhatch/placement/tests/test_pooled_first.py
+++ b/pondhatch/placement/tests/test_pooled_first.py
@@ -4,7 +4,7 @@
 
 import unittest
 
-from pondhatch.placement import Ask, LoadsHeard, Plan, pooled_first, ranked
+from pondhatch.placement import Ask, Plan, RecentLoads, pooled_first, ranked
 from pondhatch.placement._pooled_first import LOAD_SECONDS
 
 FEW = ("a", "b", "c", "d")
@@ -23,7 +23,7 @@
                 self.assertEqual(pooled_first(FEW, {"b", "d", "z"}, loads, mean), expected)
 
     def test_a_load_is_known_for_a_moment(self) -> None:
-        heard = LoadsHeard()
+        heard = RecentLoads()
         heard.note("a", 5, 100.0)
         heard.note("b", 6, 100.0 + LOAD_SECONDS)
         self.assertEqual(heard.known("a", 100.0 + LOAD_SECONDS), 5)
--- a/pondhatch/platform/_engines.py
+++ b/pondhatch/platform/_engines.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from pondhatch.authority import NotTaken, Silent, Wanted
-from pondhatch.observing import Seldom, log_for
+from pondhatch.observing import LogThrottle, log_for
 from pondhatch.placement import NOTHING_SAID, Notice
 from pondhatch.platform import _names as names
 from pondhatch.platform._engine_load import read_load
@@ -128,7 +128,7 @@
 
     def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
         self._clock = clock
-        self._unreadable = Seldom(UNREADABLE_SECONDS)
+        self._unreadable = LogThrottle(UNREADABLE_SECONDS)
 
     def request_headers(self, head: RequestHead, target: Target) -> Headers:
         """Return what the client may say, and what only routers may.
@@ -169,7 +169,7 @@
             return NOTHING_SAID
         is_leaving = value_by_name.get(names.LEAVING.lower(), "").strip() == IS_LEAVING
         load = read_load(value_by_name)
-        if not load.is_readable and self._unreadable.is_due(self._clock()):
+        if not load.is_readable and self._unreadable.allows(self._clock()):
             told = value_by_name[names.LOAD.lower()][:LOGGED_CHARACTERS]
             log.warning("an engine's {} cannot be read: {!r}", names.LOAD, told)
         asked = value_by_name.get(names.RETRY_AFTER.lower())
--- a/pondhatch/requests/__init__.py
+++ b/pondhatch/requests/__init__.py
@@ -80,7 +80,7 @@
 )
 from pondhatch.requests._try import Try, new_try
 from pondhatch.requests._upstream_dialect import Judged, UpstreamDialect
-from pondhatch.requests._wait_limits import Answering, RunTimes, answering
+from pondhatch.requests._wait_limits import AnswerDeadlines, RunTimes, answer_deadlines
 from pondhatch.requests._walk_results import Patience, Placed, Queued, QueueEnd, Refused
 
 __all__ = [
@@ -97,7 +97,7 @@
     "KEPT_BODY",
     "LAST_EVENT",
     "AnswerStream",
-    "Answering",
+    "AnswerDeadlines",
     "BodySource",
     "Broken",
     "Busy",
@@ -162,7 +162,7 @@
     "Ways",
     "Whole",
     "Word",
-    "answering",
+    "answer_deadlines",
     "decode_grant_packet",
     "digest_of",
     "encode_grant_packet",
--- a/pondhatch/requests/_entry.py
+++ b/pondhatch/requests/_entry.py
@@ -34,12 +34,12 @@
     OwnerReply,
     Question,
 )
-from pondhatch.requests._queues import MOST_QUEUES, NoPlace
+from pondhatch.requests._queues import MOST_QUEUES, NotGranted
 from pondhatch.requests._rests import Rests
 from pondhatch.requests._sending import FAILURE_STATUS, is_own_failure
 from pondhatch.requests._token_needs import stated_need
 from pondhatch.requests._tries import Tried, Tries
-from pondhatch.requests._wait_limits import Usual, in_time, wait_limit
+from pondhatch.requests._wait_limits import UsualTimes, in_time, wait_limit
 from pondhatch.requests._walk_results import (
     NO_PATIENCE,
     Patience,
@@ -104,7 +104,7 @@
         self._tries = Tries(view, ways, body, self._chat, remaining, patience.last, self._watch)
         self._tries.settled = self.plan.settled(view.is_young)
         #: What remained as the walk over the engines began.
-        self._walked_at = 0.0
+        self._remaining_at_start = 0.0
         self._asks = 0
         #: Engines' refusals of this request so far, the newest last.
         self._refusals: list[NotRun] = []
@@ -177,7 +177,7 @@
 
     async def _walk(self) -> Placed | Refused:
         self._rests.clear()
-        self._walked_at = self._remaining()
+        self._remaining_at_start = self._remaining()
         while self._remaining() > 0:
             step = self.plan.next()
             if isinstance(step, Exhausted):
@@ -320,7 +320,7 @@
 
         head = self._next_head(fresh=ask.fresh)
         tried = await self._tries.run_at_first(engines, question, self._wait_limit(), head)
-        if isinstance(tried, NoPlace):
+        if isinstance(tried, NotGranted):
             self._note_no_place(tried.reply_by_engine)
             return None
         engine, reply = tried
@@ -345,15 +345,15 @@
     def _waiting_question(self, engine: str, seconds: float, queues: int) -> Question:
         """Return a question about an engine in whose queue the request waits beside others."""
         question = self._question(engine, insist=True)
-        limits, target = self._most_patience.answering, self._view.target(engine)
+        deadlines, target = self._most_patience.deadlines, self._view.target(engine)
         patience = max(1, round(seconds * MILLISECONDS))
         in_time_ms = patience
-        if limits is not None:
-            left = in_time(limits, self._elapsed(), self._usual())
+        if deadlines is not None:
+            left = in_time(deadlines, self._elapsed(), self._usual())
             in_time_ms = max(1, round(left * MILLISECONDS))
         seen = 0
-        if target is not None and self._walked_at - self._remaining() <= SEEN_SECONDS:
-            seen = max(question.seen_elsewhere, self.plan.risen_elsewhere(engine, target.peers))
+        if target is not None and self._remaining_at_start - self._remaining() <= SEEN_SECONDS:
+            seen = max(question.seen_elsewhere, self.plan.estimated_elsewhere(engine, target.peers))
         return msgspec.structs.replace(
             question,
             patience=patience,
@@ -364,16 +364,16 @@
 
     def _wait_limit(self) -> float:
         """Return the seconds that the request may wait at full engines."""
-        limits = self._most_patience.answering
-        if limits is None:
+        deadlines = self._most_patience.deadlines
+        if deadlines is None:
             return max(0.0, min(self._remaining(), self._most_patience.last))
-        return wait_limit(limits, self._remaining(), self._elapsed(), self._usual())
+        return wait_limit(deadlines, self._remaining(), self._elapsed(), self._usual())
 
     def _elapsed(self) -> float:
         """Return the seconds since the request came."""
         return self._head.deadline - self._remaining()
 
-    def _usual(self) -> Usual:
+    def _usual(self) -> UsualTimes:
         return self._ways.run_times.usual(self._head.service)
 
     async def _after_try(
@@ -549,5 +549,5 @@
         if self._refusals and not self.plan.in_flight_by_engine:
             # Nobody is full, so that is not what the caller is told.
             return self._refusals[-1]
-        come_back = self.queued.come_back_ms / MILLISECONDS
+        come_back = self.queued.retry_after_ms / MILLISECONDS
         return NotRun("engines-full", f"asked {asked}", come_back or FULL_RETRY_AFTER)
--- a/pondhatch/requests/_entry_view.py
+++ b/pondhatch/requests/_entry_view.py
@@ -60,7 +60,7 @@
     def first_of(self, service: str, order: Sequence[str]) -> tuple[str, ...]:
         """Return the engines of an order to ask before the others; empty where none are."""
 
-    def heard(self, engine: str, reply: OwnerReply) -> None:
+    def note_reply(self, engine: str, reply: OwnerReply) -> None:
         """Take in the word of an engine's owner."""
 
 
@@ -71,7 +71,7 @@
         """Prefer none."""
         return ()
 
-    def heard(self, engine: str, reply: OwnerReply) -> None:
+    def note_reply(self, engine: str, reply: OwnerReply) -> None:
         """Do nothing."""
 
 
--- a/pondhatch/requests/_grant_packets.py
+++ b/pondhatch/requests/_grant_packets.py
@@ -10,6 +10,7 @@
 import msgspec
 from msgspec.structs import astuple, replace
 
+from pondhatch.kernel import without_defaults
 from pondhatch.placement import Granted
 from pondhatch.requests._outcomes import NotRun
 from pondhatch.requests._questions import (
@@ -47,10 +48,10 @@
     number: int
     in_flight: int
     ceiling: int
-    #: See Busy.
+    #: These and what follows stand in the order of Busy.
     is_cold: bool = False
     predicted_ms: int = 0
-    come_back_ms: int = 0
+    retry_after_ms: int = 0
     short_tokens: int = 0
 
 
@@ -125,8 +126,11 @@
 Telling = Release | Hold | Spilled
 GrantPacket = Question | Word | Telling
 
-#: How many fields that stand last in a message tell of managed load only.
-_LOAD_FIELDS_BY_TYPE: dict[type[GrantPacket], int] = {Question: 4, BusyWord: 3}
+#: The first of the fields, standing last, that tell of managed load only.
+_FIRST_LOAD_FIELD_BY_TYPE: dict[type[GrantPacket], str] = {
+    Question: "in_time",
+    BusyWord: "predicted_ms",
+}
 
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER: msgspec.msgpack.Decoder[GrantPacket] = msgspec.msgpack.Decoder(GrantPacket)
@@ -134,13 +138,8 @@
 
 def encode_grant_packet(packet: GrantPacket) -> bytes:
     """Return a packet's bytes; without what tells of managed load where it says nothing."""
-    fields = _LOAD_FIELDS_BY_TYPE.get(type(packet))
-    if fields is None:
-        return _ENCODER.encode(packet)
-    values = astuple(packet)
-    if values[-fields:] != packet.__struct_defaults__[-fields:]:
-        return _ENCODER.encode(packet)
-    return _ENCODER.encode((packet.__struct_config__.tag, *values[:-fields]))
+    first = _FIRST_LOAD_FIELD_BY_TYPE.get(type(packet))
+    return _ENCODER.encode(packet if first is None else without_defaults(packet, first))
 
 
 def decode_grant_packet(payload: bytes) -> GrantPacket | None:
@@ -156,15 +155,7 @@
     if isinstance(reply, Granted):
         return GrantedWord(number, reply.in_flight, reply.ceiling)
     if isinstance(reply, Busy):
-        return BusyWord(
-            number,
-            reply.in_flight,
-            reply.ceiling,
-            reply.is_cold,
-            reply.predicted_ms,
-            reply.come_back_ms,
-            reply.short_tokens,
-        )
+        return BusyWord(number, *astuple(reply))
     if isinstance(reply, Elsewhere):
         return ElsewhereWord(number, reply.engine)
     if isinstance(reply, NotOwner):
@@ -178,14 +169,7 @@
     if isinstance(word, GrantedWord):
         return Granted(word.in_flight, word.ceiling)
     if isinstance(word, BusyWord):
-        return Busy(
-            word.in_flight,
-            word.ceiling,
-            word.is_cold,
-            word.predicted_ms,
-            word.come_back_ms,
-            word.short_tokens,
-        )
+        return Busy(*astuple(word)[1:])
     if isinstance(word, ElsewhereWord):
         return Elsewhere(word.engine)
     if isinstance(word, NotOwnerWord):
--- a/pondhatch/requests/_lines.py
+++ b/pondhatch/requests/_lines.py
@@ -15,8 +15,8 @@
     Full,
     Granted,
     Line,
-    Pace,
-    Returns,
+    ReleaseInterval,
+    RetrySchedule,
     Ticket,
     Verdict,
     granted_ahead,
@@ -25,12 +25,12 @@
 
 #: Requests that may wait before one engine.
 LINE_LIMIT = 64
-#: Requests without memory that are passed over each time that a line is served, so that
-#: smaller ones behind them go on: each costs the asking of the gate, and a line holds 64.
-MOST_PASSED_OVER = 4
 #: The same while load is managed, where a request waits for as long as its caller can: an
 #: engine that frees a slot every 3 ms serves some 300 in the second that a caller waits.
 MANAGED_LINE_LIMIT = 512
+#: Requests short of memory that are passed over each time that a line is served, so that smaller
+#: ones behind them go on: each costs a question to the gate.
+MOST_PASSED_OVER = 4
 #: Refused requests of one engine that are remembered until their time is over.
 MOST_REFUSED = 512
 
@@ -73,14 +73,14 @@
         clock: Callable[[], float] = _now,
         is_managed: Callable[[], bool] = _never,
     ) -> None:
-        self._pace_by_engine: dict[str, Pace] = {}
+        self._interval_by_engine: dict[str, ReleaseInterval] = {}
         self._queue_by_engine: dict[str, _Queue] = {}
         #: Releases a grant that came too late for its request.
         self._give_back = give_back
         self._clock = clock
         #: Whether load is managed.
         self._is_managed = is_managed
-        self._returns_by_engine: dict[str, Returns] = {}
+        self._schedule_by_engine: dict[str, RetrySchedule] = {}
         #: Until when requests that were refused at arrival could have waited, the first on top.
         self._refused_until_by_engine: dict[str, list[float]] = {}
         #: Requests that were refused at arrival, and that a place came free for in time.
@@ -124,8 +124,8 @@
     def forget(self, is_gone: Callable[[str], bool]) -> None:
         """Forget what is known of engines that are gone and that nobody waits for."""
         for known in (
-            self._pace_by_engine,
-            self._returns_by_engine,
+            self._interval_by_engine,
+            self._schedule_by_engine,
             self._refused_until_by_engine,
         ):
             gone = [engine for engine in known if is_gone(engine) and not self.waiting(engine)]
@@ -138,14 +138,16 @@
         One that was not used, as when its request had another one, tells nothing of how long
         the engine takes.
         """
-        known = self._pace_by_engine.get(engine, Pace(now))
+        known = self._interval_by_engine.get(engine, ReleaseInterval(now))
         busy = self.waiting(engine) > 0
         if not self._is_managed():
             # Only the gaps of an engine that is wanted tell how fast it frees slots.
-            self._pace_by_engine[engine] = known.after(now) if busy else replace(known, last=now)
+            self._interval_by_engine[engine] = (
+                known.after(now) if busy else replace(known, last=now)
+            )
         elif was_used:
             steady = known.after(now, STEADY_GAP_WEIGHT)
-            self._pace_by_engine[engine] = steady if busy else replace(known, last=now)
+            self._interval_by_engine[engine] = steady if busy else replace(known, last=now)
         if not busy:
             self._note_free(engine, now)
         self.serve(engine)
@@ -159,9 +161,9 @@
         if self._is_managed():
             limit = MANAGED_LINE_LIMIT
             now = self._clock()
-            known = self._pace_by_engine.get(engine, Pace(now))
+            known = self._interval_by_engine.get(engine, ReleaseInterval(now))
             # The time before, in which nobody wanted a slot, is no part of a gap.
-            self._pace_by_engine[engine] = replace(known, last=now)
+            self._interval_by_engine[engine] = replace(known, last=now)
         queue = self._queue_by_engine[engine] = _Queue(Line(limit))
         return queue
 
@@ -179,7 +181,7 @@
 
         Such a request is refused at once: waiting would end in the same refusal.
         """
-        pace = self._pace_by_engine.get(question.engine)
+        pace = self._interval_by_engine.get(question.engine)
         queue = self._queue_by_engine.get(question.engine)
         if pace is None or pace.gap is None or queue is None:
             return False
@@ -216,16 +218,16 @@
         return self._with_retry_time(question, replace(full, predicted_ms=predicted_ms))
 
     def _with_retry_time(self, question: Question, full: Full) -> Full:
-        return replace(full, come_back_ms=self._come_back_ms(question))
+        return replace(full, retry_after_ms=self._retry_after_ms(question))
 
-    def _come_back_ms(self, question: Question) -> int:
+    def _retry_after_ms(self, question: Question) -> int:
         """Return after how many milliseconds a refused caller is to come back; 0 if unknown."""
         queue, gap = self._queue_by_engine.get(question.engine), self._gap(question.engine)
         if gap == 0:
             return 0
         share = queue.line.share() if queue is not None else 0.0
-        returns = self._returns_by_engine.setdefault(question.engine, Returns())
-        seconds = returns.next(self._clock(), share, gap, question.queues)
+        schedule = self._schedule_by_engine.setdefault(question.engine, RetrySchedule())
+        seconds = schedule.next_delay(self._clock(), share, gap, question.queues)
         return max(1, round(seconds * MILLISECONDS))
 
     def granted_ahead(self, engine: str, most: int) -> int:
@@ -234,7 +236,7 @@
 
     def _gap(self, engine: str) -> float:
         """Return the mean seconds between two places that come free; 0 if unknown."""
-        pace = self._pace_by_engine.get(engine)
+        pace = self._interval_by_engine.get(engine)
         return pace.gap if pace is not None and pace.gap is not None else 0.0
 
     def _note_free(self, engine: str, now: float) -> None:
--- a/pondhatch/requests/_owner.py
+++ b/pondhatch/requests/_owner.py
@@ -7,7 +7,7 @@
 from typing import Protocol
 
 import msgspec
-from msgspec.structs import replace
+from msgspec.structs import asdict, replace
 
 from pondhatch.placement import (
     LONGEST_PAUSE,
@@ -356,7 +356,7 @@
         """
         if question.in_time == 0 or not self._view.load_managed():
             return target.slots
-        return target.slots + self._lines.granted_ahead(target.name, target.queue)
+        return target.slots + self._lines.granted_ahead(target.name, target.engine_queue)
 
     def _pace(self, target: Target, question: Question) -> int:
         """Return the pace by which an engine's ceiling is lowered for a request.
@@ -418,11 +418,4 @@
 
 
 def _busy(full: Full) -> Busy:
-    return Busy(
-        full.in_flight,
-        full.ceiling,
-        full.is_cold,
-        full.predicted_ms,
-        full.come_back_ms,
-        full.short_tokens,
-    )
+    return Busy(**asdict(full))
--- a/pondhatch/requests/_questions.py
+++ b/pondhatch/requests/_questions.py
@@ -84,7 +84,7 @@
     #: Milliseconds that a request would wait here for a place, and after which it is worth
     #: coming back; 0 where they are not estimated.
     predicted_ms: int = 0
-    come_back_ms: int = 0
+    retry_after_ms: int = 0
     #: Tokens that must come free in the engine's memory before it takes the request; 0 where
     #: its memory is not the reason.
     short_tokens: int = 0
--- a/pondhatch/requests/_queues.py
+++ b/pondhatch/requests/_queues.py
@@ -18,22 +18,22 @@
 MOST_QUEUES = 4
 #: Seconds between two looks at who owns the engines: an owner that dies takes its queue along,
 #: and is found out by its peers within about two seconds.
-LOOK_SECONDS = 0.25
+OWNER_CHECK_SECONDS = 0.25
 #: Seconds beyond its own wait for which a request listens for the owners' last words.
-LAST_WORDS = 0.01
+FINAL_REPLY_SECONDS = 0.01
 
 #: Seconds of a pause at least: a shorter one may end before the clock has moved.
 SHORTEST_PAUSE = 0.001
 
 
-class Won(msgspec.Struct, frozen=True):
+class FirstGrant(msgspec.Struct, frozen=True):
     """The first grant of all."""
 
     question: Question
     granted: Granted
 
 
-class NoPlace(msgspec.Struct, frozen=True):
+class NotGranted(msgspec.Struct, frozen=True):
     """No engine had a place in time; what each owner said last, by engine."""
 
     reply_by_engine: dict[str, OwnerReply]
@@ -65,24 +65,26 @@
         self._asked_by_task: dict[asyncio.Task[OwnerReply], _Asked] = {}
         self._reply_by_engine: dict[str, OwnerReply] = {}
 
-    async def first(self, engines: tuple[str, ...], seconds: float) -> Won | NoPlace:
+    async def first(self, engines: tuple[str, ...], seconds: float) -> FirstGrant | NotGranted:
         """Return the first grant within some seconds; the other queues drop the request."""
         clock = asyncio.get_running_loop().time
-        until, look_at = clock() + seconds, clock() + LOOK_SECONDS
+        until, look_at = clock() + seconds, clock() + OWNER_CHECK_SECONDS
         try:
             for engine in engines:
                 self._start(engine, seconds)
-            while (left := until - clock()) > -LAST_WORDS and self._is_open(engines, left):
-                await self._wait(max(SHORTEST_PAUSE, min(left + LAST_WORDS, look_at - clock())))
+            while (left := until - clock()) > -FINAL_REPLY_SECONDS and self._is_open(engines, left):
+                await self._wait(
+                    max(SHORTEST_PAUSE, min(left + FINAL_REPLY_SECONDS, look_at - clock()))
+                )
                 won = self._take_replies()
                 if won is not None:
                     return won
                 if clock() >= look_at:
-                    look_at = clock() + LOOK_SECONDS
+                    look_at = clock() + OWNER_CHECK_SECONDS
                     self._ask_again(engines, until - clock())
         finally:
             self._withdraw()
-        return NoPlace(self._reply_by_engine)
+        return NotGranted(self._reply_by_engine)
 
     def _start(self, engine: str, seconds: float) -> None:
         question = self._question(engine, seconds)
@@ -98,7 +100,7 @@
         else:
             await asyncio.sleep(seconds)
 
-    def _take_replies(self) -> Won | None:
+    def _take_replies(self) -> FirstGrant | None:
         """Take in the last words that have come; return the first grant among them."""
         for task, asked in tuple(self._asked_by_task.items()):
             if not task.done():
@@ -106,7 +108,7 @@
             del self._asked_by_task[task]
             reply = task.result()
             if isinstance(reply, Granted):
-                return Won(asked.question, reply)
+                return FirstGrant(asked.question, reply)
             self._reply_by_engine[asked.question.engine] = reply
         return None
 
@@ -123,7 +125,7 @@
         """
         reply = self._reply_by_engine.get(engine)
         if isinstance(reply, Busy):
-            return not (reply.predicted_ms or reply.come_back_ms)
+            return not (reply.predicted_ms or reply.retry_after_ms)
         return isinstance(reply, NotOwner)
 
     def _ask_again(self, engines: tuple[str, ...], left: float) -> None:
--- a/pondhatch/requests/_sending.py
+++ b/pondhatch/requests/_sending.py
@@ -41,7 +41,7 @@
     #: Requests that it can take at once, whatever the mean.
     slots: int
     #: Requests that it queues itself beyond those.
-    queue: int = 0
+    engine_queue: int = 0
     #: Requests above the multiple of the mean that it may hold.
     slack: int = 0
     #: Whether it takes contexts over from other engines of its service.
--- a/pondhatch/requests/_tries.py
+++ b/pondhatch/requests/_tries.py
@@ -13,7 +13,7 @@
 from pondhatch.requests._messages import BodySource, Opened, ReplayableBody, RequestHead
 from pondhatch.requests._outcomes import EngineRefusal, NotRun, Unknown
 from pondhatch.requests._questions import Busy, Elsewhere, Ended, NotOwner, OwnerReply, Question
-from pondhatch.requests._queues import NoPlace, Queues
+from pondhatch.requests._queues import NotGranted, Queues
 from pondhatch.requests._sending import GrantedAnswer, Target, open_target
 
 #: What an engine's refusal tells its owner. A bad request says nothing of the engine; one
@@ -81,7 +81,7 @@
             return closed
         began = asyncio.get_running_loop().time()
         reply = await self._grant(question)
-        self._ways.preference.heard(question.engine, reply)
+        self._ways.preference.note_reply(question.engine, reply)
         self.asking_seconds += asyncio.get_running_loop().time() - began
         if not isinstance(reply, Granted):
             return reply
@@ -93,7 +93,7 @@
         question: Callable[[str, float], Question],
         seconds: float,
         head: RequestHead,
-    ) -> tuple[str, Tried] | NoPlace:
+    ) -> tuple[str, Tried] | NotGranted:
         """Wait at several engines' owners at once; send the request to the first that grants.
 
         Return that engine and what became of the request there.
@@ -105,8 +105,11 @@
         finally:
             self.queued_seconds += asyncio.get_running_loop().time() - began
             self.asking_seconds += asyncio.get_running_loop().time() - began
-        if isinstance(first, NoPlace):
+        if isinstance(first, NotGranted):
+            for engine, reply in first.reply_by_engine.items():
+                self._ways.preference.note_reply(engine, reply)
             return first
+        self._ways.preference.note_reply(first.question.engine, first.granted)
         tried = await self._run_granted(first.question, first.granted, head)
         return first.question.engine, tried
 
--- a/pondhatch/requests/_wait_limits.py
+++ b/pondhatch/requests/_wait_limits.py
@@ -13,13 +13,13 @@
 FIRST_EVENT_OBJECTIVES = 4.0
 FIRST_EVENT_PAUSES = 8.0
 #: Weight of the newest run in the usual time of a service: some ten runs tell it.
-NEWEST = 0.1
+NEWEST_WEIGHT = 0.1
 #: Multiple of the usual time beyond which a run counts for no more: the end of an answer is
 #: late where its caller reads slowly.
-MOST_UNUSUAL = 3.0
+OUTLIER_FACTOR = 3.0
 
 
-class Answering(msgspec.Struct, frozen=True):
+class AnswerDeadlines(msgspec.Struct, frozen=True):
     """When an answer is in time, and when it is too late, in seconds from the request's start."""
 
     #: Within which an answer, or a stream's first event, is in time.
@@ -28,18 +28,18 @@
     first_event: float | None = None
 
 
-def answering(objective: float, streams: bool, longest_pause: float) -> Answering:
+def answer_deadlines(objective: float, streams: bool, longest_pause: float) -> AnswerDeadlines:
     """Return when an answer on a route is in time and when it is too late."""
     if not streams:
-        return Answering(objective)
+        return AnswerDeadlines(objective)
     first_event = max(
         LEAST_FIRST_EVENT, FIRST_EVENT_OBJECTIVES * objective, FIRST_EVENT_PAUSES * longest_pause
     )
-    return Answering(objective, first_event)
+    return AnswerDeadlines(objective, first_event)
 
 
-class Usual(msgspec.Struct, frozen=True):
-    """Usual seconds from sending a request of a service to its upstream."""
+class UsualTimes(msgspec.Struct, frozen=True):
+    """UsualTimes seconds from sending a request of a service to its upstream."""
 
     #: Until its answer begins.
     begins: float = 0.0
@@ -50,30 +50,32 @@
 class RunTimes(msgspec.Struct):
     """How long upstreams usually take, as this router saw, by service."""
 
-    _usual_by_service: dict[str, Usual] = msgspec.field(default_factory=dict)
+    _usual_by_service: dict[str, UsualTimes] = msgspec.field(default_factory=dict)
 
-    def usual(self, service: str) -> Usual:
+    def usual(self, service: str) -> UsualTimes:
         """Return a service's usual times; 0 before its first answer."""
-        return self._usual_by_service.get(service, Usual())
+        return self._usual_by_service.get(service, UsualTimes())
 
     def answered(self, service: str, begun: float, ended: float) -> None:
         """Note after how many seconds an answer began and ended."""
         known = self._usual_by_service.get(service)
-        newest = Usual(begun, ended)
+        newest = UsualTimes(begun, ended)
         self._usual_by_service[service] = newest if known is None else _mean(known, newest)
 
 
-def _mean(known: Usual, newest: Usual) -> Usual:
-    return Usual(_toward(known.begins, newest.begins), _toward(known.ends, newest.ends))
+def _mean(known: UsualTimes, newest: UsualTimes) -> UsualTimes:
+    return UsualTimes(_toward(known.begins, newest.begins), _toward(known.ends, newest.ends))
 
 
 def _toward(known: float, newest: float) -> float:
     if known <= 0:
         return newest
-    return known + NEWEST * (min(newest, MOST_UNUSUAL * known) - known)
+    return known + NEWEST_WEIGHT * (min(newest, OUTLIER_FACTOR * known) - known)
 
 
-def wait_limit(asked: Answering, remaining: float, elapsed: float, usual: Usual) -> float:
+def wait_limit(
+    asked: AnswerDeadlines, remaining: float, elapsed: float, usual: UsualTimes
+) -> float:
     """Return the seconds that a request may wait for a grant.
 
     ``remaining`` is the time to its caller's deadline, ``elapsed`` that since it came.
@@ -84,7 +86,7 @@
     return max(0.0, limit - MARGIN)
 
 
-def in_time(asked: Answering, elapsed: float, usual: Usual) -> float:
+def in_time(asked: AnswerDeadlines, elapsed: float, usual: UsualTimes) -> float:
     """Return the seconds within which a grant leaves time for an answer within the objective."""
     run = usual.ends if asked.first_event is None else usual.begins
     return max(0.0, asked.objective - elapsed - run)
--- a/pondhatch/requests/_walk_results.py
+++ b/pondhatch/requests/_walk_results.py
@@ -10,7 +10,7 @@
 from pondhatch.requests._messages import Opened
 from pondhatch.requests._outcomes import Refusal
 from pondhatch.requests._questions import Busy, OwnerReply
-from pondhatch.requests._wait_limits import Answering
+from pondhatch.requests._wait_limits import AnswerDeadlines
 
 
 class Placed(msgspec.Struct, frozen=True):
@@ -48,7 +48,7 @@
     last: float
     #: When an answer is in time and when it is too late; None where nobody says, so that
     #: ``last`` bounds the wait while load is managed too.
-    answering: Answering | None = None
+    deadlines: AnswerDeadlines | None = None
 
 
 class QueueEnd(enum.Enum):
@@ -70,14 +70,14 @@
     #: The shortest wait that the owners predicted, in milliseconds; 0 where none did.
     predicted_ms: int = 0
     #: The earliest time at which an owner expects it back, in milliseconds; 0 where none said.
-    come_back_ms: int = 0
+    retry_after_ms: int = 0
 
 
 def queued_in_vain(replies: Iterable[OwnerReply]) -> Queued:
     """Return what came of a wait without a grant, by the owners' last words."""
     busy = [reply for reply in replies if isinstance(reply, Busy)]
     predicted = [reply.predicted_ms for reply in busy]
-    come_back = [reply.come_back_ms for reply in busy if reply.come_back_ms]
+    come_back = [reply.retry_after_ms for reply in busy if reply.retry_after_ms]
     if not busy:
         # No owner said anything of the wait.
         return Queued()
--- a/pondhatch/requests/tests/test_owner_load.py
+++ b/pondhatch/requests/tests/test_owner_load.py
@@ -9,7 +9,15 @@
 from msgspec.structs import replace
 
 from fakes._virtual_loop import run_virtually
-from pondhatch.placement import OPEN, Gate, Granted, Health, Pace, SpillMemory, TokenCounts
+from pondhatch.placement import (
+    OPEN,
+    Gate,
+    Granted,
+    Health,
+    ReleaseInterval,
+    SpillMemory,
+    TokenCounts,
+)
 from pondhatch.requests import LocalOwner, Question, Target
 from pondhatch.requests._owner import MustWait
 from pondhatch.requests._questions import Busy
@@ -26,7 +34,7 @@
         self._memory = memory
 
     def target(self, engine: str) -> Target:
-        target = Target(engine, "", OPEN, 1.7, 1, SLOTS, queue=3, slack=99)
+        target = Target(engine, "", OPEN, 1.7, 1, SLOTS, engine_queue=3, slack=99)
         return replace(target, pace=self._pace, memory_tokens=self._memory)
 
     def owner_name(self, engine: str) -> str:
@@ -49,7 +57,7 @@
     def setUp(self) -> None:
         memory, health = SpillMemory(), Health()
         self.owner = LocalOwner("r0", OneEngine(), Gate(), memory, lambda: 1.0, health)
-        self.owner._lines._pace_by_engine[ENGINE] = Pace(1.0, 0.004, 9)
+        self.owner._lines._interval_by_engine[ENGINE] = ReleaseInterval(1.0, 0.004, 9)
         self._numbers = iter(range(99))
 
     def ask(self, in_time: int = 0, patience: int = 0) -> object:
--- a/pondhatch/requests/tests/test_service_queue.py
+++ b/pondhatch/requests/tests/test_service_queue.py
@@ -13,10 +13,10 @@
 
 from fakes._virtual_loop import run_virtually
 from pondhatch.limits import RetryBudget
-from pondhatch.placement import Ask, Full, Granted, Line, Pace, Plan, Returns
-from pondhatch.placement._forecast import MOST_COME_BACK
+from pondhatch.placement import Ask, Full, Granted, Line, Plan, ReleaseInterval, RetrySchedule
+from pondhatch.placement._forecast import LONGEST_RETRY_AFTER
 from pondhatch.requests import (
-    Answering,
+    AnswerDeadlines,
     BodySource,
     EngineRefusal,
     NotRun,
@@ -31,12 +31,12 @@
     Target,
     Walk,
     Ways,
-    answering,
+    answer_deadlines,
 )
 from pondhatch.requests._entry import FULL_RETRY_AFTER
 from pondhatch.requests._lines import Lines
-from pondhatch.requests._queues import NoPlace, Queues, Won
-from pondhatch.requests._wait_limits import MARGIN, Usual, in_time, wait_limit
+from pondhatch.requests._queues import FirstGrant, NotGranted, Queues
+from pondhatch.requests._wait_limits import MARGIN, UsualTimes, in_time, wait_limit
 from pondhatch.requests.tests._history import Fleet, Sink, Stream, View
 
 #: Places of a plain upstream, and the seconds in which a request runs there.
@@ -46,7 +46,7 @@
 BEARABLE = 1.05
 OBJECTIVE = 0.152
 #: As the service's routes say it while load is not managed.
-PATIENCE = Patience(0.0, 0.2 * OBJECTIVE, Answering(OBJECTIVE))
+PATIENCE = Patience(0.0, 0.2 * OBJECTIVE, AnswerDeadlines(OBJECTIVE))
 
 
 class ManagedView(View):
@@ -148,7 +148,7 @@
     """One of three plain upstreams is left: 140 requests a second in clumps, 15 to 22 ms each."""
 
     def test_all_requests_of_clumps_are_served_in_the_time_that_callers_wait(self) -> None:
-        """Refusals of requests that a place would have come free for, a third of them before."""
+        """Guards against refusing requests for which a slot comes free before their deadline."""
 
         async def main() -> Service:
             service = Service(("e0",))
@@ -161,7 +161,7 @@
         self.assertFalse(any(service.left_over()))
 
     def test_a_long_overload_does_not_make_every_request_late(self) -> None:
-        """All who are served late, as in a queue that is always as long as callers wait.
+        """Guards against a queue that is always full, in which every answer is late.
 
         Three times as many requests as the upstream can run come.
         """
@@ -181,14 +181,14 @@
         self.assertLessEqual(service.upstreams.most, PLACES)
         told = [after for after in service.retry_after if after != FULL_RETRY_AFTER]
         self.assertGreater(len(set(told)), 0.3 * len(told))
-        self.assertLessEqual(max(told), MOST_COME_BACK)
+        self.assertLessEqual(max(told), LONGEST_RETRY_AFTER)
 
 
 class SeveralQueuesTest(unittest.TestCase):
     """Three plain upstreams with one owner each, in clumps beyond what all can run at once."""
 
     def test_a_request_that_waits_at_all_of_them_is_sent_to_one(self) -> None:
-        """Grants of the queues that a request left being kept, or used as well."""
+        """Guards against a second grant being kept or used after the first."""
 
         async def main() -> Service:
             service = Service(("e0", "e1", "e2"))
@@ -215,12 +215,12 @@
         def question(engine: str, _: float) -> Question:
             return Question(int(engine[1:]), 1, engine, "a", 0, 5)
 
-        async def main() -> Won | NoPlace:
+        async def main() -> FirstGrant | NotGranted:
             queues = Queues(grants, lambda _: "r0", ask, question)
             return await queues.first(("e0", "e1", "e2"), 1.0)
 
         won = run_virtually(main())
-        assert isinstance(won, Won)
+        assert isinstance(won, FirstGrant)
         released = [call.args[0] for call in grants.release.mock_calls]
         self.assertEqual(sorted([won.question.number, *released]), [0, 1, 2])
 
@@ -229,7 +229,7 @@
     """Engines run fewer requests at once than their owners believe, and one is about to end."""
 
     def test_a_request_that_was_granted_and_refused_waits_again(self) -> None:
-        """A refusal as full, with most of its time left, while an engine has a place."""
+        """Guards against refusing a granted request for good while another engine has a slot."""
 
         async def main() -> list[str]:
             with mock.patch("pondhatch.requests.tests._history.View", ManagedView):
@@ -277,8 +277,8 @@
             plan.full(held, held)
         least = plan.queue_engines(4)[0]
         self.assertEqual(plan.in_flight_by_engine[least], 8)
-        self.assertEqual(plan.risen_elsewhere(least, 30), 120 * 30 // 12 - 8)
-        self.assertEqual(plan.risen_elsewhere(plan.queue_engines(4)[1], 30), 0)
+        self.assertEqual(plan.estimated_elsewhere(least, 30), 120 * 30 // 12 - 8)
+        self.assertEqual(plan.estimated_elsewhere(plan.queue_engines(4)[1], 30), 0)
 
     def test_a_cold_engine_or_too_few_say_nothing_of_the_mean(self) -> None:
         for engines, is_cold in ((7, False), (9, True)):
@@ -286,7 +286,7 @@
                 plan = Plan("c", [f"e{at}" for at in range(engines)])
                 while isinstance(ask := plan.next(), Ask) and not ask.last:
                     plan.full(9, 9, is_cold)
-                self.assertEqual(plan.risen_elsewhere(plan.queue_engines(1)[0], 30), 0)
+                self.assertEqual(plan.estimated_elsewhere(plan.queue_engines(1)[0], 30), 0)
 
 
 class RuleTest(unittest.TestCase):
@@ -304,21 +304,21 @@
         self.assertEqual(order, ["in time", "late", "less"])
 
     def test_refused_callers_are_told_times_that_lie_one_free_place_apart(self) -> None:
-        returns = Returns()
-        told = [returns.next(0.0, 30.0, 0.1, 1) for _ in range(3)]
+        returns = RetrySchedule()
+        told = [returns.next_delay(0.0, 30.0, 0.1, 1) for _ in range(3)]
         self.assertEqual([round(each, 3) for each in told], [3.0, 3.1, 3.2])
-        self.assertEqual(returns.next(0.0, 900.0, 0.1, 1), MOST_COME_BACK)
+        self.assertEqual(returns.next_delay(0.0, 900.0, 0.1, 1), LONGEST_RETRY_AFTER)
 
     def test_the_wait_leaves_the_usual_run_time_and_the_first_event_its_time(self) -> None:
-        plain, stream = answering(0.152, False, 0.0), answering(0.6, True, 0.1)
-        self.assertAlmostEqual(wait_limit(plain, 1.0, 0.05, Usual(0.01, 0.1)), 0.9 - MARGIN)
-        self.assertAlmostEqual(wait_limit(stream, 60.0, 0.4, Usual(0.3, 9.0)), 1.7 - MARGIN)
-        self.assertAlmostEqual(in_time(stream, 0.2, Usual(0.3, 9.0)), 0.1)
+        plain, stream = answer_deadlines(0.152, False, 0.0), answer_deadlines(0.6, True, 0.1)
+        self.assertAlmostEqual(wait_limit(plain, 1.0, 0.05, UsualTimes(0.01, 0.1)), 0.9 - MARGIN)
+        self.assertAlmostEqual(wait_limit(stream, 60.0, 0.4, UsualTimes(0.3, 9.0)), 1.7 - MARGIN)
+        self.assertAlmostEqual(in_time(stream, 0.2, UsualTimes(0.3, 9.0)), 0.1)
 
     def test_a_place_that_nobody_waits_for_after_a_refusal_counts_against_it(self) -> None:
         async def main() -> list[int]:
             lines = Lines(lambda _: None, is_managed=lambda: True)
-            lines._pace_by_engine["e"] = Pace(0.0, 1.0, 9)
+            lines._interval_by_engine["e"] = ReleaseInterval(0.0, 1.0, 9)
             asked = Question(1, 1, "e", "a", 0, 5, patience=900, in_time=100)
             waiting = asyncio.ensure_future(lines.wait(asked, Full(1, 1), lambda: Granted(1, 1)))
             await asyncio.sleep(0)
--- a/pondhatch/router/_notice_keeping.py
+++ b/pondhatch/router/_notice_keeping.py
@@ -17,8 +17,8 @@
 from typing import Annotated
 
 import msgspec
-from msgspec.structs import astuple
 
+from pondhatch.kernel import without_defaults
 from pondhatch.membership import Datagram, Member
 from pondhatch.placement import MOST_PACE, Notice
 from pondhatch.requests import NotRun, RequestHead, open_target
@@ -168,4 +168,4 @@
     def _encoded(self, told: list[ToldNotice]) -> bytes:
         """Return a packet's bytes; a notice without a pace has those that it always had."""
         tag = NoticePacket.__struct_config__.tag
-        return self._encoder.encode((tag, [t if t.pace else astuple(t)[:-1] for t in told]))
+        return self._encoder.encode((tag, [without_defaults(each, "pace") for each in told]))
--- a/pondhatch/router/_pooled_engines.py
+++ b/pondhatch/router/_pooled_engines.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable, Sequence
 
-from pondhatch.placement import CONSIDERED, Granted, LoadsHeard, pooled_first
+from pondhatch.placement import CONSIDERED, Granted, RecentLoads, pooled_first
 from pondhatch.requests import Busy, OwnerReply
 from pondhatch.router._state import RouterState
 
@@ -16,7 +16,7 @@
         self._state = state
         #: Returns whether a connection to an upstream's URL is kept.
         self._is_pooled = is_pooled
-        self._loads = LoadsHeard()
+        self._loads = RecentLoads()
 
     def first_of(self, service: str, order: Sequence[str]) -> tuple[str, ...]:
         """Return the engines of an order to ask first; see EnginePreference."""
@@ -28,10 +28,11 @@
             return ()
         loads = [self._load(name) for name in engines]
         if not any(loads):
+            # No known load is above 0, so that none is above the mean.
             return tuple(name for name in engines if name in pooled)
         return pooled_first(engines, pooled, loads, self._state.mean_load(service))
 
-    def heard(self, engine: str, reply: OwnerReply) -> None:
+    def note_reply(self, engine: str, reply: OwnerReply) -> None:
         """Take in the load that an owner spoke of; see EnginePreference."""
         if not isinstance(reply, Granted | Busy) or not self._state.load_managed():
             return
--- a/pondhatch/router/_state.py
+++ b/pondhatch/router/_state.py
@@ -69,7 +69,7 @@
 PACED_SECONDS = 60.0
 #: Idle connections to one engine that a router may keep, however many routers share it: with
 #: fewer, requests that overlap would open one each.
-LEAST_SHARE = 2
+LEAST_IDLE_CONNECTIONS = 2
 #: Decisions kept for the state dump.
 KEPT_DECISIONS = 64
 #: Who gave a configuration that no peer gave.
@@ -327,7 +327,7 @@
             bound=service.load_bound,
             peers=self._intakes.working(upstream.service, self.clock()),
             slots=upstream.slots or service.engine_slots,
-            queue=self.engine_queue,
+            engine_queue=self.engine_queue,
             slack=service.load_slack,
             shares_context=service.shares_context,
             instance=upstream.instance,
@@ -340,7 +340,7 @@
         """Return how many idle connections of an engine's are this router's, None for no bound."""
         if most is None or not self.load_managed():
             return None
-        return max(LEAST_SHARE, most // max(1, len(self._live_routers)))
+        return max(LEAST_IDLE_CONNECTIONS, most // max(1, len(self._live_routers)))
 
     def cold_count(self) -> int:
         """Return how many upstreams are cold by their own word."""
--- a/pondhatch/router/tests/test_pooled_engines.py
+++ b/pondhatch/router/tests/test_pooled_engines.py
@@ -45,7 +45,7 @@
         other: Any = "r1"
         self.state.owner_name = lambda engine: other  # type: ignore[method-assign]
         self.assertEqual(self.preference.first_of("lang", ENGINES), ("i-1",))
-        self.preference.heard("i-1", Granted(2, 9))
+        self.preference.note_reply("i-1", Granted(2, 9))
         self.assertEqual(self.preference.first_of("lang", ENGINES), ("i-1",))
-        self.preference.heard("i-1", Busy(2, 2))
+        self.preference.note_reply("i-1", Busy(2, 2))
         self.assertEqual(self.preference.first_of("lang", ENGINES), ())
--- a/pondhatch/standard/tests/test_platform.py
+++ b/pondhatch/standard/tests/test_platform.py
@@ -18,7 +18,7 @@
 WRONG = ({**GOOD, "name": "e1", "version": None}, {"value": 1}, "no object", None)
 
 
-class Answering(HttpPlatform):
+class AnswerDeadlines(HttpPlatform):
     """A platform whose answers are given."""
 
     def __init__(self, content: bytes) -> None:
@@ -40,7 +40,7 @@
             with self.subTest(wrong=wrong):
                 self.lines.clear()
                 content = msgspec.json.encode({"version": 4, "objects": [wrong, GOOD]})
-                platform = Answering(content)
+                platform = AnswerDeadlines(content)
                 for _ in range(3):
                     listed = await platform.list("upstream")
                     assert isinstance(listed, Listed)
@@ -49,14 +49,14 @@
 
     async def test_its_name_is_known_to_be_there(self) -> None:
         content = msgspec.json.encode({"version": 4, "objects": [WRONG[0], GOOD]})
-        listed = await Answering(content).list("upstream")
+        listed = await AnswerDeadlines(content).list("upstream")
         assert isinstance(listed, Listed)
         self.assertIn("e1", listed.left_out)
 
     async def test_an_answer_that_is_no_listing(self) -> None:
         for content in (b"", b"[]", b'{"objects": []}'):
             with self.subTest(content=content):
-                self.assertIsInstance(await Answering(content).list("upstream"), Unavailable)
+                self.assertIsInstance(await AnswerDeadlines(content).list("upstream"), Unavailable)
 
 
 class WatchTest(unittest.IsolatedAsyncioTestCase):
@@ -67,7 +67,7 @@
             for each in ({"type": "set", "version": None, "name": "e1"}, 5, good):
                 yield msgspec.json.encode(each)
 
-        platform = Answering(b"")
+        platform = AnswerDeadlines(b"")
         response = mock.Mock(code=200)
         with (
             mock.patch.object(platform, "_request", mock.AsyncMock(return_value=response)),
--- a/pondhatch/transport/_http_client.py
+++ b/pondhatch/transport/_http_client.py
@@ -180,7 +180,7 @@
         self._load_managed: Callable[[], bool] = _never
         self._metrics: Metrics = NoMetrics()
 
-    def follow(self, load_managed: Callable[[], bool], metrics: Metrics) -> None:
+    def configure(self, load_managed: Callable[[], bool], metrics: Metrics) -> None:
         """Learn from now on whether load is managed, and where connections are counted."""
         self._load_managed = load_managed
         self._metrics = metrics
--- a/pondhatch/transport/_routed_callers.py
+++ b/pondhatch/transport/_routed_callers.py
@@ -21,7 +21,7 @@
     Patience,
     ReplayableBody,
     RequestHead,
-    answering,
+    answer_deadlines,
     digest_of,
 )
 from pondhatch.router import (
@@ -242,8 +242,8 @@
         head = _head(request, route.spec, account, admitted, facts, passed_on, body)
         context_wait = admitted.context_wait if head.returning else 0.0
         spec = route.spec
-        limits = answering(spec.objective, spec.streams, spec.longest_pause)
-        patience = Patience(context_wait, admitted.queue_wait, limits)
+        deadlines = answer_deadlines(spec.objective, spec.streams, spec.longest_pause)
+        patience = Patience(context_wait, admitted.queue_wait, deadlines)
         return Work(account, admitted, head, body, patience)
 
     def _most_body_bytes(self) -> int:
--- a/pondhatch/transport/tests/test_connection_reuse.py
+++ b/pondhatch/transport/tests/test_connection_reuse.py
@@ -88,7 +88,7 @@
         self.state.load_management = switch
         self.metrics = ServedMetrics("r0")
         self.client = HttpClient(self)
-        self.client.follow(self.state.load_managed, self.metrics)
+        self.client.configure(self.state.load_managed, self.metrics)
         self.upstreams = HttpUpstreams(self.client, EngineDialect())
         self.preference: EnginePreference = PooledEngines(self.state, self.upstreams.is_pooled)
         self.engines: list[Engine] = []
