Name the counter of held bytes apart from the message that renews grants

Cause: two things were called Hold. Change: limits.HeldCounter with try_set, HeldBytes.counter; names only. Measured: limits, transport and standard tests pass.

--- a/pondhatch/limits/__init__.py
+++ b/pondhatch/limits/__init__.py
@@ -8,7 +8,7 @@
     Limited,
     LimitVerdict,
 )
-from pondhatch.limits._held_bytes import UNCOUNTED, HeldBytes, Hold, fair_level
+from pondhatch.limits._held_bytes import UNCOUNTED, HeldBytes, HeldCounter, fair_level
 from pondhatch.limits._pace import Pace
 from pondhatch.limits._retries import RetryAllowance, RetryBudget, RetryBudgets
 from pondhatch.limits._shares import Demand, Share, ShareHome, ShareUser
@@ -21,7 +21,7 @@
     "Allowed",
     "Demand",
     "HeldBytes",
-    "Hold",
+    "HeldCounter",
     "LimitVerdict",
     "Limited",
     "Pace",
--- a/pondhatch/limits/_held_bytes.py
+++ b/pondhatch/limits/_held_bytes.py
@@ -95,12 +95,12 @@
         """Return the accounts that hold most, each with its bytes, the largest first."""
         return sorted(self.bytes_by_account.items(), key=lambda item: (-item[1], item[0]))[:count]
 
-    def hold(self, account: str) -> Hold:
+    def counter(self, account: str) -> HeldCounter:
         """Return a new holder of bytes for an account; it holds none yet."""
-        return Hold(self, account)
+        return HeldCounter(self, account)
 
 
-class Hold:
+class HeldCounter:
     """What one body, pipe or buffer holds of its account's bytes, until it is closed."""
 
     __slots__ = ("_account", "_is_closed", "_table", "amount")
@@ -113,13 +113,13 @@
         self._is_closed = False
 
     def set(self, amount: int) -> None:
-        """Hold so many bytes in all, whatever the bound; once closed, none."""
+        """HeldCounter so many bytes in all, whatever the bound; once closed, none."""
         if amount != self.amount and not self._is_closed:
             self._table.change(self._account, amount - self.amount)
             self.amount = amount
 
-    def take(self, amount: int) -> Limited | None:
-        """Hold so many bytes in all for a new request, unless it is over the bound."""
+    def try_set(self, amount: int) -> Limited | None:
+        """HeldCounter so many bytes in all for a new request, unless it is over the bound."""
         if self._is_closed:
             return None
         if not self._table.may_hold(self._account, amount - self.amount):
@@ -138,5 +138,5 @@
 
 
 #: Counts nothing: for what is held for no account.
-UNCOUNTED = Hold(HeldBytes(), "")
+UNCOUNTED = HeldCounter(HeldBytes(), "")
 UNCOUNTED.close()
--- a/pondhatch/limits/tests/test_held_bytes.py
+++ b/pondhatch/limits/tests/test_held_bytes.py
@@ -88,7 +88,7 @@
         self, changes: list[tuple[str, list[int]]]
     ) -> None:
         held = HeldBytes(BOUND)
-        holds = [held.hold(account) for account, _ in changes]
+        holds = [held.counter(account) for account, _ in changes]
         for hold, (_, amounts) in zip(holds, changes, strict=True):
             for amount in amounts:
                 hold.set(amount)
@@ -100,9 +100,9 @@
         self.assertEqual((held.whole, held.bytes_by_account), (0, {}))
 
     def test_a_request_that_is_over_holds_what_it_held(self) -> None:
-        hold = table({"a": 60, "b": 30}).hold("a")
-        self.assertIsNone(hold.take(10))
-        self.assertEqual(hold.take(11), Limited("memory", MEMORY_RETRY_AFTER))
+        hold = table({"a": 60, "b": 30}).counter("a")
+        self.assertIsNone(hold.try_set(10))
+        self.assertEqual(hold.try_set(11), Limited("memory", MEMORY_RETRY_AFTER))
         self.assertEqual(hold.amount, 10)
 
     def test_more_cannot_be_given_back_than_is_held(self) -> None:
@@ -111,5 +111,5 @@
 
     def test_what_is_held_for_nobody_is_not_counted(self) -> None:
         UNCOUNTED.set(9)
-        self.assertIsNone(UNCOUNTED.take(9))
+        self.assertIsNone(UNCOUNTED.try_set(9))
         self.assertEqual((UNCOUNTED.amount, UNCOUNTED.is_slowed()), (0, False))
--- a/pondhatch/standard/_callers.py
+++ b/pondhatch/standard/_callers.py
@@ -15,7 +15,7 @@
 from twisted.web.resource import Resource
 
 from pondhatch.kernel import as_deferred
-from pondhatch.limits import Hold, Limited
+from pondhatch.limits import HeldCounter, Limited
 from pondhatch.observing import log_for
 from pondhatch.requests import (
     CallerGone,
@@ -59,7 +59,7 @@
 TOO_LARGE = 413
 
 
-Prepare = Callable[[CallerRequest, Account, Hold], Awaitable[Work | NotRun]]
+Prepare = Callable[[CallerRequest, Account, HeldCounter], Awaitable[Work | NotRun]]
 
 
 class OpenAiCallers:
@@ -141,7 +141,7 @@
         account = identify(self._state, _header(request, "Authorization"))
         if isinstance(account, NotRun):
             return account
-        hold = self._state.held.hold(account.name)
+        hold = self._state.held.counter(account.name)
         work: Work | NotRun | None = None
         try:
             work = await prepare(request, account, hold)
@@ -155,7 +155,7 @@
         return memory_limited(limited)
 
     async def _prepare_chat(
-        self, request: CallerRequest, account: Account, hold: Hold
+        self, request: CallerRequest, account: Account, hold: HeldCounter
     ) -> Work | NotRun:
         limit = self._limits().chat_body_bytes
         body = await read_whole(request.body(), limit, hold)
@@ -181,9 +181,9 @@
         return Work(account, admitted, head, ReplayableBody(body), patience, hold=hold)
 
     async def _prepare_plain(
-        self, request: CallerRequest, account: Account, hold: Hold
+        self, request: CallerRequest, account: Account, hold: HeldCounter
     ) -> Work | NotRun:
-        limited = hold.take(0)
+        limited = hold.try_set(0)
         if limited is not None:
             return self._limited(limited)
         path = request.uri.decode("ascii", "replace")
--- a/pondhatch/transport/_caller_writer.py
+++ b/pondhatch/transport/_caller_writer.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from pondhatch.limits import UNCOUNTED, Hold
+from pondhatch.limits import UNCOUNTED, HeldCounter
 from pondhatch.requests import CallerGone
 from pondhatch.transport._caller_request import CallerRequest
 from pondhatch.transport._unsent import unsent_bytes
@@ -16,7 +16,7 @@
     At most one part waits here, beyond the transport's own buffer of 64 KB.
     """
 
-    def __init__(self, request: CallerRequest, hold: Hold = UNCOUNTED) -> None:
+    def __init__(self, request: CallerRequest, hold: HeldCounter = UNCOUNTED) -> None:
         self._request = request
         #: Counts what the connection holds while the caller is slow.
         self._hold = hold
--- a/pondhatch/transport/_http_client.py
+++ b/pondhatch/transport/_http_client.py
@@ -17,7 +17,7 @@
 from twisted.internet.protocol import ClientFactory, Protocol
 from twisted.python.failure import Failure
 
-from pondhatch.limits import Hold
+from pondhatch.limits import HeldCounter
 from pondhatch.observing import Metrics, NoMetrics
 from pondhatch.requests import BodySource
 from pondhatch.transport._http_connection import Connection, Exchange, uncounted
@@ -157,7 +157,7 @@
     #: Called right before the first byte goes out; what it raises keeps the request from going.
     check: Callable[[], None] = _allow
     #: Returns what counts bytes of the exchange that wait here for either side.
-    new_hold: Callable[[], Hold] = uncounted
+    new_counter: Callable[[], HeldCounter] = uncounted
     #: Whether it goes to an upstream, rather than to the platform.
     to_upstream: bool = False
     #: Idle connections kept to its address at most.
@@ -213,7 +213,7 @@
         if hooks.to_upstream:
             self._metrics.count("connections.opened" if is_new else "connections.reused")
         keep = functools.partial(self._keep, address, most_idle=hooks.most_idle)
-        exchange = Exchange(connection, keep, hooks.trusts, hooks.heard, hooks.new_hold)
+        exchange = Exchange(connection, keep, hooks.trusts, hooks.heard, hooks.new_counter)
         try:
             # The connection may have taken a while, in which much may have been heard.
             hooks.check()
--- a/pondhatch/transport/_http_connection.py
+++ b/pondhatch/transport/_http_connection.py
@@ -16,7 +16,7 @@
 from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
 
-from pondhatch.limits import UNCOUNTED, Hold
+from pondhatch.limits import UNCOUNTED, HeldCounter
 from pondhatch.requests import BodySource, ReplayableBody
 from pondhatch.transport._headers import as_bytes
 from pondhatch.transport._http_heads import Request, ResponseHead, framing, response_head
@@ -86,7 +86,7 @@
         head = h11.Request(method=request.method, target=request.target, headers=as_bytes(headers))
         self._write(head)
 
-    async def send_body(self, body: BodySource, hold: Hold = UNCOUNTED) -> None:
+    async def send_body(self, body: BodySource, hold: HeldCounter = UNCOUNTED) -> None:
         """Write a body as it comes, no faster than the other side takes it.
 
         ``hold`` counts what the connection holds meanwhile.
@@ -243,7 +243,7 @@
     return None
 
 
-def uncounted() -> Hold:
+def uncounted() -> HeldCounter:
     """Return what counts nothing, for exchanges on behalf of no account."""
     return UNCOUNTED
 
@@ -257,14 +257,14 @@
         keep: Callable[[Connection], None],
         trusts: Callable[[ResponseHead], bool],
         heard: Callable[[ResponseHead], None] = _ignore,
-        new_hold: Callable[[], Hold] = uncounted,
+        new_counter: Callable[[], HeldCounter] = uncounted,
     ) -> None:
         #: For whoever waits, and who may cancel it in the same turn of the loop in which the
         #: answer comes; what came is asked of ``answered``.
         self.head: asyncio.Future[ResponseHead] = asyncio.get_running_loop().create_future()
         self.answered: ResponseHead | None = None
         self.pipe = PartPipe(connection.pause, connection.resume)
-        self.pipe.count_by(new_hold())
+        self.pipe.count_by(new_counter())
         self.connection = connection
         self._keep = keep
         #: Whether an answer with this head leaves its connection fit for another exchange.
@@ -272,7 +272,7 @@
         #: Takes in the head as it comes, whether or not anybody still waits for it.
         self._heard = heard
         #: Returns what counts bytes that wait for the other side, or for whoever reads its answer.
-        self._new_hold = new_hold
+        self._new_hold = new_counter
         self._is_over = False
         self._sending: asyncio.Task[None] | None = None
 
--- a/pondhatch/transport/_parts.py
+++ b/pondhatch/transport/_parts.py
@@ -9,7 +9,7 @@
 import asyncio
 from collections.abc import Callable
 
-from pondhatch.limits import UNCOUNTED, Hold
+from pondhatch.limits import UNCOUNTED, HeldCounter
 from pondhatch.requests import PartSink
 
 #: Bytes that may wait in a pipe before its source is paused.
@@ -32,7 +32,7 @@
     ) -> None:
         self.ended = False
         #: Counts what waits here for whoever reads.
-        self._hold: Hold = UNCOUNTED
+        self._hold: HeldCounter = UNCOUNTED
         self._pause = pause
         self._resume = resume
         self._parts: list[bytes] = []
@@ -43,7 +43,7 @@
         #: Takes parts as they come, while nothing waits here.
         self._sink: PartSink | None = None
 
-    def count_by(self, hold: Hold) -> None:
+    def count_by(self, hold: HeldCounter) -> None:
         """Have what waits here counted from now on; it counts until the hold is closed."""
         self._hold = hold
         hold.set(self._size)
--- a/pondhatch/transport/_routed_callers.py
+++ b/pondhatch/transport/_routed_callers.py
@@ -12,7 +12,7 @@
 from twisted.web.server import NOT_DONE_YET
 
 from pondhatch.configuration import CallerLimits, Route, RouteSpec, Withheld
-from pondhatch.limits import Hold, Limited
+from pondhatch.limits import HeldCounter, Limited
 from pondhatch.observing import RequestEnded, log_for
 from pondhatch.requests import (
     CallerGone,
@@ -163,7 +163,7 @@
         if isinstance(wanted, NotRun):
             return wanted
         _, account = wanted
-        hold = self._state.held.hold(account.name)
+        hold = self._state.held.counter(account.name)
         work: Work | NotRun | None = None
         try:
             work = await self._with_body(request, facts, headers, hold)
@@ -173,7 +173,7 @@
         return work
 
     async def _with_body(
-        self, request: CallerRequest, facts: CallerFacts, headers: Headers, hold: Hold
+        self, request: CallerRequest, facts: CallerFacts, headers: Headers, hold: HeldCounter
     ) -> Work | NotRun:
         """Read a request's body and count it in; ``hold`` counts the body."""
         most = self._most_body_bytes()
--- a/pondhatch/transport/_serving.py
+++ b/pondhatch/transport/_serving.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from pondhatch.limits import UNCOUNTED, Hold
+from pondhatch.limits import UNCOUNTED, HeldCounter
 from pondhatch.observing import RequestEnded, log_for
 from pondhatch.requests import (
     KEPT_BODY,
@@ -60,7 +60,7 @@
     #: Idempotency key of a request that must not run twice, made the account's own.
     key: str | None = None
     #: Counts its body until it has ended.
-    hold: Hold = UNCOUNTED
+    hold: HeldCounter = UNCOUNTED
 
 
 class AnswerCopy(msgspec.Struct):
@@ -231,7 +231,7 @@
             self._answers.begin(request, answer.status, answer.headers, work.head.request_id)
             copy.status, copy.headers = answer.status, answer.headers
 
-        writer = CallerWriter(request, self._state.held.hold(work.account.name))
+        writer = CallerWriter(request, self._state.held.counter(work.account.name))
         sink = _CopyingSink(copy, writer) if work.key else writer
         delivery = Delivery(walk, placed, sink, begin)
         try:
--- a/pondhatch/transport/_upstreams.py
+++ b/pondhatch/transport/_upstreams.py
@@ -161,7 +161,7 @@
                         trusts=lambda answered: self._judge(head, answered) is not Judged.CROSSED,
                         heard=lambda answered: self._hear(target, answered),
                         check=lambda: self._check(target, head),
-                        new_hold=lambda: self._held.hold(head.account),
+                        new_counter=lambda: self._held.counter(head.account),
                         to_upstream=True,
                         most_idle=_most_idle(target),
                     ),
--- a/pondhatch/transport/tests/test_held_bytes.py
+++ b/pondhatch/transport/tests/test_held_bytes.py
@@ -245,7 +245,7 @@
         connection.makeConnection(wire)
         body: Any = mock.Mock(length=3 * FIRST, read=mock.AsyncMock(return_value=b"x" * FIRST))
         connection._write = lambda event: wire.write(event.data)
-        sending = asyncio.ensure_future(connection.send_body(body, held.hold("pina")))
+        sending = asyncio.ensure_future(connection.send_body(body, held.counter("pina")))
         for expected in (FIRST, FIRST):
             await asyncio.sleep(0)
             self.assertEqual(held.whole, expected)
