--- /dev/null
+++ b/pondhatch/requests/_engine_memory.py
@@ -0,0 +1,64 @@
+"""The memory of the engines that a router owns, held against what requests state of theirs."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from pondhatch.placement import Reservation, TokenCounts, usable_tokens
+from pondhatch.requests._questions import Holder, Question
+from pondhatch.requests._sending import Target
+from pondhatch.requests._token_needs import asked_need
+
+
+class EngineMemory:
+    """Counts the tokens of what is granted; see TokenCounts."""
+
+    def __init__(self, counts: TokenCounts, load_managed: Callable[[], bool]) -> None:
+        self._counts = counts
+        #: Returns whether load is managed; without that nothing is held against memory.
+        self._load_managed = load_managed
+
+    def shortage(self, target: Target, question: Question, held: int, now: float) -> int:
+        """Return the tokens that an engine lacks for a request; 0 where that is not gone by.
+
+        One that holds nothing takes any request, which could run nowhere else either. The rest
+        of a stream runs in memory that the engine holds already.
+        """
+        if target.memory_tokens is None or question.resuming or held == 0:
+            return 0
+        if not self._load_managed():
+            return 0
+        limit, need = usable_tokens(target.memory_tokens), asked_need(question)
+        return self._counts.shortage(
+            target.name, question.holder, need, limit, now, question.priority
+        )
+
+    def granted(self, question: Question, now: float) -> None:
+        """Count a request that was granted."""
+        need = asked_need(question)
+        if need.is_stated:
+            self._counts.add(question.engine, question.holder, need, now)
+
+    def adopted(self, target: Target | None, holder: Holder) -> None:
+        """Count a request that another owner granted, and of which nothing is known."""
+        if target is not None and target.memory_tokens is not None and self._load_managed():
+            self._counts.adopt(target.name, holder)
+
+    def refused(self) -> None:
+        """Note that a question was answered with a lack of memory."""
+        self._counts.refused += 1
+
+    def keep_for(self, target: Target, question: Question) -> None:
+        """Keep memory for a request that waits for it.
+
+        Smaller requests that come later would take each piece that comes free. One that states
+        more than there is runs alone or nowhere: memory kept for it would stop all others.
+        """
+        memory, need = target.memory_tokens, asked_need(question)
+        if memory is not None and need.total <= usable_tokens(memory):
+            kept = Reservation(question.holder, need, question.priority)
+            self._counts.reserve(target.name, kept)
+
+    def ended(self, engine: str, holder: Holder) -> bool:
+        """Take back what a request holds or has reserved; return whether there was anything."""
+        return self._counts.remove(engine, holder)
--- a/pondhatch/requests/_entry.py
+++ b/pondhatch/requests/_entry.py
@@ -37,9 +37,9 @@
 from pondhatch.requests._queues import MOST_QUEUES, NotGranted
 from pondhatch.requests._rests import Rests
 from pondhatch.requests._sending import FAILURE_STATUS, is_own_failure
+from pondhatch.requests._slot_wait import SlotWait
 from pondhatch.requests._token_needs import stated_need
 from pondhatch.requests._tries import Tried, Tries
-from pondhatch.requests._wait_limits import UsualTimes, in_time, wait_limit
 from pondhatch.requests._walk_results import (
     NO_PATIENCE,
     Patience,
@@ -99,6 +99,7 @@
         self._body = body
         self._remaining = remaining
         self._most_patience = patience
+        self._slot_wait = SlotWait(head, patience, remaining, ways.run_times)
         # What a request may wait in the last line, it may wait for an owner's word.
         self._watch = ways.crashes.watch(head.digest)
         self._tries = Tries(view, ways, body, self._chat, remaining, patience.last, self._watch)
@@ -319,7 +320,7 @@
             return self._waiting_question(engine, seconds, len(engines))
 
         head = self._next_head(fresh=ask.fresh)
-        tried = await self._tries.run_at_first(engines, question, self._wait_limit(), head)
+        tried = await self._tries.run_at_first(engines, question, self._slot_wait.limit(), head)
         if isinstance(tried, NotGranted):
             self._note_no_place(tried.reply_by_engine)
             return None
@@ -345,12 +346,7 @@
     def _waiting_question(self, engine: str, seconds: float, queues: int) -> Question:
         """Return a question about an engine in whose queue the request waits beside others."""
         question = self._question(engine, insist=True)
-        deadlines, target = self._most_patience.deadlines, self._view.target(engine)
-        patience = max(1, round(seconds * MILLISECONDS))
-        in_time_ms = patience
-        if deadlines is not None:
-            left = in_time(deadlines, self._elapsed(), self._usual())
-            in_time_ms = max(1, round(left * MILLISECONDS))
+        target, patience = self._view.target(engine), max(1, round(seconds * MILLISECONDS))
         seen = 0
         if target is not None and self._remaining_at_start - self._remaining() <= SEEN_SECONDS:
             seen = max(question.seen_elsewhere, self.plan.estimated_elsewhere(engine, target.peers))
@@ -358,24 +354,10 @@
             question,
             patience=patience,
             seen_elsewhere=seen,
-            in_time=in_time_ms,
+            in_time=self._slot_wait.in_time_ms(patience),
             queues=queues,
         )
 
-    def _wait_limit(self) -> float:
-        """Return the seconds that the request may wait at full engines."""
-        deadlines = self._most_patience.deadlines
-        if deadlines is None:
-            return max(0.0, min(self._remaining(), self._most_patience.last))
-        return wait_limit(deadlines, self._remaining(), self._elapsed(), self._usual())
-
-    def _elapsed(self) -> float:
-        """Return the seconds since the request came."""
-        return self._head.deadline - self._remaining()
-
-    def _usual(self) -> UsualTimes:
-        return self._ways.run_times.usual(self._head.service)
-
     async def _after_try(
         self, ask: Ask, head: RequestHead, reply: Tried
     ) -> Placed | Refused | None:
--- a/pondhatch/requests/_owner.py
+++ b/pondhatch/requests/_owner.py
@@ -18,13 +18,12 @@
     Gate,
     Granted,
     Health,
-    Reservation,
     SpillMemory,
     TokenCounts,
     Verdict,
     context_engine,
-    usable_tokens,
 )
+from pondhatch.requests._engine_memory import EngineMemory
 from pondhatch.requests._leases import Leases
 from pondhatch.requests._lines import Lines
 from pondhatch.requests._outcomes import AILING, NotRun
@@ -39,7 +38,6 @@
     Question,
 )
 from pondhatch.requests._sending import Target, grantable_target
-from pondhatch.requests._token_needs import asked_need
 
 #: Seconds that a process takes at least from its start to its first request: what a router
 #: that restarted was granted longer ago belongs to its earlier process.
@@ -104,7 +102,7 @@
         self._lines = Lines(self._give_back, clock, view.load_managed)
         self._health = health
         self._cold_paces = cold_paces or ColdPaces()
-        self._tokens = tokens or TokenCounts()
+        self._engine_memory = EngineMemory(tokens or TokenCounts(), view.load_managed)
         self.leases = Leases()
         self._forgot_at = float("-inf")
 
@@ -133,7 +131,7 @@
         verdict = self._ask_gate(target, question)
         if isinstance(verdict, Granted):
             return self._granted(question, verdict)
-        self._tokens.refused += verdict.short_tokens > 0
+        self._note_refused(verdict)
         if question.patience > 0:
             return MustWait(target, verdict)
         return _busy(verdict)
@@ -156,7 +154,7 @@
         verdict = self._ask_gate(target, question)
         if isinstance(verdict, Granted):
             return self._granted(question, verdict)
-        self._tokens.refused += verdict.short_tokens > 0
+        self._note_refused(verdict)
         return _busy(verdict)
 
     async def wait(self, question: Question, must: MustWait) -> OwnerReply:
@@ -176,7 +174,7 @@
         target = self._target(question)
         if isinstance(target, NotRun):
             # It was closed while the request waited.
-            self._tokens.remove(question.engine, question.holder)
+            self._engine_memory.ended(question.engine, question.holder)
             self._give_back(question.engine)
             return target
         return self._granted(question, verdict)
@@ -188,7 +186,7 @@
             return
         # First, since whoever waits in the engine's line is granted when the place is back.
         self._learn(lease.engine, ended)
-        self._tokens.remove(lease.engine, holder)
+        self._engine_memory.ended(lease.engine, holder)
         self._give_back(lease.engine, was_used=ended in RUN_ENDS)
 
     def _learn(self, engine: str, ended: Ended) -> None:
@@ -226,7 +224,7 @@
             holder = Holder(router, number)
             if holder not in self.leases.by_holder:
                 self._gate.adopt(engine)
-                self._adopt_tokens(engine, holder)
+                self._engine_memory.adopted(self._view.target(engine), holder)
             self.leases.give(holder, engine, self._clock())
 
     def lost_router(self, router: int) -> None:
@@ -296,22 +294,17 @@
         return grantable_target(target, question.engine, question.resuming)
 
     def _ask_gate_anew(self, target: Target, question: Question, since: float) -> Verdict:
-        """Ask the gate for a request that waited, since its upstream may have turned cold.
-
-        Where it lacks memory, memory is kept for it: smaller requests that come later would
-        take each piece that comes free.
-        """
+        """Ask the gate for a request that waited, since its upstream may have turned cold."""
         if question.in_time > 0 and self._clock() - since > SEEN_SECONDS:
             question = replace(question, seen_elsewhere=0)
         verdict = self._ask_gate(self._view.target(target.name) or target, question)
-        if isinstance(verdict, Full) and verdict.short_tokens > 0 and _could_fit(target, question):
-            kept = Reservation(question.holder, asked_need(question), question.priority)
-            self._tokens.reserve(target.name, kept)
+        if isinstance(verdict, Full) and verdict.short_tokens > 0:
+            self._engine_memory.keep_for(target, question)
         return verdict
 
     def _stopped_waiting(self, question: Question) -> None:
         """Take back what a request counts or keeps that goes without a grant."""
-        if self._tokens.remove(question.engine, question.holder):
+        if self._engine_memory.ended(question.engine, question.holder):
             self._lines.serve(question.engine)
 
     def _ask_gate(self, target: Target, question: Question) -> Verdict:
@@ -335,17 +328,17 @@
     def _ask_ceiling(self, target: Target, question: Question) -> Verdict:
         """Grant a request where an upstream has a place and memory for it."""
         now = self._clock()
-        short = self._short_tokens(target, question)
+        held = self._gate.in_flight(target.name, now)
+        short = self._engine_memory.shortage(target, question, held, now)
         if short > 0:
-            held = self._gate.in_flight(target.name, now)
             return Full(held, held, short_tokens=short)
         others = max(self._view.elsewhere_in_flight(target.name), question.seen_elsewhere)
         pace, slots = self._pace(target, question), self._slots(target, question)
         verdict = self._gate.ask(
             target.name, now, target.bound, others, target.peers, slots, target.slack, pace
         )
-        if isinstance(verdict, Granted) and (need := asked_need(question)).is_stated:
-            self._tokens.add(target.name, question.holder, need, now)
+        if isinstance(verdict, Granted):
+            self._engine_memory.granted(question, now)
         return verdict
 
     def _slots(self, target: Target, question: Question) -> int:
@@ -370,27 +363,9 @@
             return USUAL_PACE
         return target.pace
 
-    def _short_tokens(self, target: Target, question: Question) -> int:
-        """Return the tokens that an engine lacks for a request; 0 where that is not gone by.
-
-        One that holds nothing takes any request, which could run nowhere else either. The rest
-        of a stream runs in memory that the engine holds already.
-        """
-        if target.memory_tokens is None or not self._view.load_managed() or question.resuming:
-            return 0
-        now = self._clock()
-        if self._gate.in_flight(target.name, now) == 0:
-            return 0
-        limit, need = usable_tokens(target.memory_tokens), asked_need(question)
-        return self._tokens.shortage(
-            target.name, question.holder, need, limit, now, question.priority
-        )
-
-    def _adopt_tokens(self, engine: str, holder: Holder) -> None:
-        """Count the tokens of a request that another owner granted, and that is not known."""
-        target = self._view.target(engine)
-        if target is not None and target.memory_tokens is not None and self._view.load_managed():
-            self._tokens.adopt(engine, holder)
+    def _note_refused(self, full: Full) -> None:
+        if full.short_tokens > 0:
+            self._engine_memory.refused()
 
     def _granted(self, question: Question, verdict: Granted) -> Granted:
         if question.home:
@@ -408,14 +383,5 @@
         self._lines.gave_back(engine, self._clock(), was_used)
 
 
-def _could_fit(target: Target, question: Question) -> bool:
-    """Return whether an engine's memory could hold a request at all.
-
-    One that states more than that runs alone or nowhere: memory kept for it would stop all others.
-    """
-    memory = target.memory_tokens
-    return memory is not None and asked_need(question).total <= usable_tokens(memory)
-
-
 def _busy(full: Full) -> Busy:
     return Busy(**asdict(full))
--- /dev/null
+++ b/pondhatch/requests/_slot_wait.py
@@ -0,0 +1,52 @@
+"""For how long one request may wait at full engines, from moment to moment."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from pondhatch.requests._messages import RequestHead
+from pondhatch.requests._questions import MILLISECONDS
+from pondhatch.requests._wait_limits import RunTimes, UsualTimes, in_time, wait_limit
+from pondhatch.requests._walk_results import Patience
+
+
+class SlotWait:
+    """Goes by what the request's caller bears, and by how long its service usually takes."""
+
+    def __init__(
+        self,
+        head: RequestHead,
+        patience: Patience,
+        remaining: Callable[[], float],
+        run_times: RunTimes,
+    ) -> None:
+        self._head = head
+        self._patience = patience
+        #: Returns the seconds to the caller's deadline.
+        self._remaining = remaining
+        self._run_times = run_times
+
+    def limit(self) -> float:
+        """Return the seconds for which the request may wait from now on."""
+        deadlines = self._patience.deadlines
+        if deadlines is None:
+            return max(0.0, min(self._remaining(), self._patience.last))
+        return wait_limit(deadlines, self._remaining(), self._elapsed(), self._usual())
+
+    def in_time_ms(self, patience_ms: int) -> int:
+        """Return the milliseconds within which a grant is in time for the objective.
+
+        ``patience_ms``, for which it waits, where no objective is known.
+        """
+        deadlines = self._patience.deadlines
+        if deadlines is None:
+            return patience_ms
+        left = in_time(deadlines, self._elapsed(), self._usual())
+        return max(1, round(left * MILLISECONDS))
+
+    def _elapsed(self) -> float:
+        """Return the seconds since the request came."""
+        return self._head.deadline - self._remaining()
+
+    def _usual(self) -> UsualTimes:
+        return self._run_times.usual(self._head.service)
--- a/pondhatch/requests/tests/test_token_admission.py
+++ b/pondhatch/requests/tests/test_token_admission.py
@@ -130,7 +130,9 @@
     await asyncio.gather(arrive(SMALL_RATE, SMALL, tasks), arrive(LARGE_RATE, LARGE, tasks))
     await asyncio.gather(*tasks)
     await asyncio.sleep(1.0)
-    assert not any(router.owner._tokens.by_engine for router in fleet.routers.values())
+    assert not any(
+        router.owner._engine_memory._counts.by_engine for router in fleet.routers.values()
+    )
     return engines.most, {tokens: served[tokens] / came[tokens] for tokens in came}
 
 
@@ -164,7 +166,7 @@
         return await entry.ask(owner or self.owner, asked, FIRST_WAIT), number
 
     def used(self, fleet: Fleet, owner: str = "") -> int:
-        return fleet.routers[owner or self.owner].owner._tokens.used("e0")
+        return fleet.routers[owner or self.owner].owner._engine_memory._counts.used("e0")
 
 
 class WaitingTest(OwnerCase):
@@ -247,7 +249,7 @@
             owner, entry = fleet.routers[self.owner], fleet.routers[self.entry].entry
             owner.gate.by_engine.clear()
             owner.owner.leases.by_holder.clear()
-            owner.owner._tokens.by_engine.clear()
+            owner.owner._engine_memory._counts.by_engine.clear()
             entry.hold_again(self.owner)
             await asyncio.sleep(0.3)
             _, after = await self.ask(fleet, 2_000)
