--- a/pondhatch/configuration/_settings.py
+++ b/pondhatch/configuration/_settings.py
@@ -30,7 +30,7 @@
 
 #: When a router manages load: never, always, or where it is called for: by the platform's rules in
 #: force, or by engines that state their pace. Such an engine shares its machine with others, so
-#: that room comes and goes within a second.
+#: that its capacity changes within a second.
 LoadManagement = Literal["off", "as-needed", "on"]
 
 
--- a/pondhatch/limits/_held_bytes.py
+++ b/pondhatch/limits/_held_bytes.py
@@ -15,10 +15,10 @@
 
 from pondhatch.limits._bucket import Limited
 
-#: Seconds after which to come back when a router holds as many bytes as it may. Slow readers
+#: Seconds after which to retry when a router holds as many bytes as it may. Slow readers
 #: take seconds for what is held for them.
 MEMORY_RETRY_AFTER = 1.0
-#: What a caller is told that its account reached; see ``Limited``.
+#: Name of the limit that an account reached; see ``Limited``.
 MEMORY_LIMIT = "memory"
 #: Bytes that a request counts for at least when it asks to be taken in: its answer may be held.
 LEAST_BYTES = 1
--- a/pondhatch/membership/_members.py
+++ b/pondhatch/membership/_members.py
@@ -25,7 +25,7 @@
     incarnation: int = 0
     #: False where it watches the platform for its hall, and cannot reach it.
     sees_platform: bool = True
-    #: Multiple of a usual VM's, by its own word.
+    #: Multiple of a usual VM's, as the router publishes it.
     capacity: float = USUAL_CAPACITY
 
 
--- a/pondhatch/observing/_log_throttle.py
+++ b/pondhatch/observing/_log_throttle.py
@@ -1,4 +1,4 @@
-"""Telling something now and then, however often it is come across."""
+"""Limits how often a log line is written."""
 
 from __future__ import annotations
 
@@ -6,14 +6,14 @@
 
 
 class LogThrottle(msgspec.Struct):
-    """Remembers when something was told, so that a log line does not come with each request."""
+    """Allows one log line in a while, however many requests give cause for it."""
 
-    #: Between two tellings.
+    #: Between two lines.
     seconds: float
     _told_at: float = float("-inf")
 
     def allows(self, now: float) -> bool:
-        """Return whether this is to be told now, and remember that it was."""
+        """Return whether to write a line now; the next one is due some seconds later."""
         if now - self._told_at < self.seconds:
             return False
         self._told_at = now
--- a/pondhatch/placement/_engine_paces.py
+++ b/pondhatch/placement/_engine_paces.py
@@ -1,4 +1,4 @@
-"""How fast engines work now, by their own word.
+"""How fast engines work now, as they report it.
 
 An engine that shares its machine with others may take a multiple of its usual time for a
 while. It says so in its answers, and the value changes within fractions of a second.
--- a/pondhatch/placement/_forecast.py
+++ b/pondhatch/placement/_forecast.py
@@ -15,7 +15,7 @@
 #: The same where waits are predicted. Slots that were granted together come free together, so
 #: that a mean over five gaps swings between a third and twice the real one.
 STEADY_GAP_WEIGHT = 1 / 32
-#: Seconds after which a refused caller is told to come back at most.
+#: The longest time, in seconds, after which a refused caller is asked to retry.
 LONGEST_RETRY_AFTER = 10.0
 #: Seconds from the end of one run to the begin of the next, where that one waits at the engine's
 #: owner: a release, a grant and the request itself are on their way, one after the other.
@@ -56,16 +56,16 @@
 
 
 class RetrySchedule(msgspec.Struct):
-    """When the callers that an engine's owner refused were told to come back."""
+    """When the callers that an engine's owner refused were asked to retry."""
 
     #: The latest of these times, in the clock's seconds.
     latest: float = float("-inf")
 
     def next_delay(self, now: float, share: float, gap: float, queues: int) -> float:
-        """Return the seconds after which one more refused caller is to come back.
+        """Return the seconds after which one more refused caller is to retry.
 
         The line, in which ``share`` requests wait, is served by then, and so are the callers
-        that were told before. One that was refused by several engines comes back to one.
+        refused before. One that several engines refused retries at one of them.
         """
         at = max(now + share * gap, self.latest + gap / queues)
         self.latest = min(at, now + LONGEST_RETRY_AFTER)
--- a/pondhatch/placement/_health.py
+++ b/pondhatch/placement/_health.py
@@ -16,8 +16,8 @@
 #: Seconds for which it gets nothing, first and at most; doubled with each failed try.
 FIRST_PAUSE = 1.0
 LONGEST_PAUSE = 15.0
-#: The longest where load is managed: while callers are refused for want of room, an engine that is
-#: back and gets nothing costs more than the one request in two seconds that tries it.
+#: The longest where load is managed: while callers are refused for lack of capacity, an engine that
+#: has recovered and gets nothing costs more than the one request in two seconds that tries it.
 MANAGED_PAUSE = 2.0
 #: Weight of one answer in the share of an upstream's answers that were failures of its
 #: own: some ten answers decide.
--- a/pondhatch/placement/_plan.py
+++ b/pondhatch/placement/_plan.py
@@ -65,7 +65,7 @@
         self.in_flight_by_engine: dict[str, int] = {}
         #: Tokens of memory that engines lacked for the request, of those that lacked any.
         self._short_by_engine: dict[str, int] = {}
-        #: Engines at their ceiling, by their owners' word, and whether one was cold.
+        #: Engines whose owners found them at their ceiling, and whether one was cold.
         self._at_ceiling: set[str] = set()
         self._saw_cold = False
         #: Engines that refused the request as full, each time that they did, and whether it was
@@ -153,7 +153,7 @@
         self._current = Ask(engine, insist=True, last=True)
 
     def granted(self, engine: str) -> None:
-        """Note which of several engines is tried now; if in vain, the others are waited for again.
+        """Note which of several engines is tried now; if it refuses, the others are waited for.
 
         This one too, where it says for the first time that it is only full.
         """
--- a/pondhatch/placement/_pooled_first.py
+++ b/pondhatch/placement/_pooled_first.py
@@ -21,7 +21,7 @@
 
 
 class RecentLoads(msgspec.Struct):
-    """Loads of engines as their owners spoke of them a moment ago."""
+    """Loads of engines in their owners' latest replies."""
 
     #: Each with when it was heard, in the clock's seconds, the oldest first.
     _heard_by_engine: dict[str, tuple[int, float]] = msgspec.field(default_factory=dict)
--- a/pondhatch/platform/__init__.py
+++ b/pondhatch/platform/__init__.py
@@ -63,7 +63,7 @@
         return RoutedCallers(parts, ClientDialect())
 
     def asks_for_load_management(self, rules: Collection[str]) -> bool:
-        """Return whether the rules in force are those of callers that compete for room."""
+        """Return whether the rules in force are those of callers that compete for capacity."""
         return names.CONTENTION_RULE in rules
 
     def poll_loads(self, state: RouterState) -> Coroutine[Any, Any, None] | None:
--- a/pondhatch/platform/_engine_load.py
+++ b/pondhatch/platform/_engine_load.py
@@ -31,7 +31,7 @@
 
     @property
     def has_places(self) -> bool:
-        """Whether the engine has places and nobody who waits for them, by its own word.
+        """Whether the engine reports free slots and no queue.
 
         Requests wait where its memory is taken, though it has slots. Those that come while it
         answers may wait for a moment.
--- a/pondhatch/platform/_names.py
+++ b/pondhatch/platform/_names.py
@@ -84,5 +84,5 @@
 CONFIGURATION_KIND = "config"
 CONFIGURATION_NAME = "main"
 
-#: The rules in force where callers compete for too little room.
+#: The rules in force where callers compete for too little capacity.
 CONTENTION_RULE = "pressure"
--- a/pondhatch/requests/_entry_grants.py
+++ b/pondhatch/requests/_entry_grants.py
@@ -27,7 +27,7 @@
 #: Seconds to wait for an owner that said that the question waits, try by try: it is asked
 #: now and then, in case its word was lost or it was.
 WAITING_PAUSES = (0.5, 0.3, 0.3)
-#: The same for a question about one of several queues in which its request waits: a lost word
+#: The same for a question about one of several queues in which its request waits: a lost reply
 #: costs it less, and each of the questions is sent as often.
 SEVERAL_WAITING_PAUSES = (1.0, 0.5, 0.5)
 #: Seconds between two tellings of what is held; two fit into a lease, so one may be lost.
@@ -193,7 +193,7 @@
         try:
             reply = await self._await_reply(question, asked, pauses)
         except asyncio.CancelledError:
-            # A word to a request that had its place elsewhere says nothing of its owner's speed.
+            # A late reply to a request that was granted elsewhere says nothing of its owner.
             was_withdrawn = question.in_time > 0
             raise
         finally:
--- a/pondhatch/requests/_entry_view.py
+++ b/pondhatch/requests/_entry_view.py
@@ -61,7 +61,7 @@
         """Return the engines of an order to ask before the others; empty where none are."""
 
     def note_reply(self, engine: str, reply: OwnerReply) -> None:
-        """Take in the word of an engine's owner."""
+        """Take in the reply of an engine's owner."""
 
 
 class NoPreference:
--- a/pondhatch/requests/_lines.py
+++ b/pondhatch/requests/_lines.py
@@ -221,7 +221,7 @@
         return replace(full, retry_after_ms=self._retry_after_ms(question))
 
     def _retry_after_ms(self, question: Question) -> int:
-        """Return after how many milliseconds a refused caller is to come back; 0 if unknown."""
+        """Return after how many milliseconds a refused caller is to retry; 0 if unknown."""
         queue, gap = self._queue_by_engine.get(question.engine), self._gap(question.engine)
         if gap == 0:
             return 0
--- a/pondhatch/requests/_queues.py
+++ b/pondhatch/requests/_queues.py
@@ -19,7 +19,7 @@
 #: Seconds between two looks at who owns the engines: an owner that dies takes its queue along,
 #: and is found out by its peers within about two seconds.
 OWNER_CHECK_SECONDS = 0.25
-#: Seconds beyond its own wait for which a request listens for the owners' last words.
+#: Seconds beyond its own wait for which a request waits for the owners' final replies.
 FINAL_REPLY_SECONDS = 0.01
 
 #: Seconds of a pause at least: a shorter one may end before the clock has moved.
@@ -92,7 +92,7 @@
         self._asked_by_task[task] = _Asked(question, self._owner_name(engine))
 
     async def _wait(self, seconds: float) -> None:
-        """Wait until an owner gave its last word, or some seconds."""
+        """Wait for an owner's final reply, or some seconds."""
         if self._asked_by_task:
             await asyncio.wait(
                 self._asked_by_task, timeout=seconds, return_when=asyncio.FIRST_COMPLETED
@@ -101,7 +101,7 @@
             await asyncio.sleep(seconds)
 
     def _take_replies(self) -> FirstGrant | None:
-        """Take in the last words that have come; return the first grant among them."""
+        """Take in the final replies that have come; return the first grant among them."""
         for task, asked in tuple(self._asked_by_task.items()):
             if not task.done():
                 continue
--- a/pondhatch/requests/_walk_results.py
+++ b/pondhatch/requests/_walk_results.py
@@ -74,7 +74,7 @@
 
 
 def queued_in_vain(replies: Iterable[OwnerReply]) -> Queued:
-    """Return what came of a wait without a grant, by the owners' last words."""
+    """Return what came of a wait without a grant, by the owners' final replies."""
     busy = [reply for reply in replies if isinstance(reply, Busy)]
     predicted = [reply.predicted_ms for reply in busy]
     come_back = [reply.retry_after_ms for reply in busy if reply.retry_after_ms]
--- a/pondhatch/router/_notice_keeping.py
+++ b/pondhatch/router/_notice_keeping.py
@@ -116,7 +116,7 @@
                 self._tell_of_rest(upstream, notice)
 
     def _report_pace(self, upstream: str, pace: int) -> None:
-        """Tell an upstream's owner how fast it works now, where that is due."""
+        """Report an upstream's pace to its owner, where that is due."""
         now = self._state.clock()
         if not self._pace_reports.is_due(upstream, pace, now):
             return
--- a/pondhatch/router/_pace_reports.py
+++ b/pondhatch/router/_pace_reports.py
@@ -1,4 +1,4 @@
-"""Which paces of engines their owners are due to be told."""
+"""Which paces of engines are due to be reported to their owners."""
 
 from __future__ import annotations
 
@@ -16,13 +16,13 @@
 
 
 class PaceReports(msgspec.Struct):
-    """When each engine's owner was last told a pace by this router."""
+    """When this router last reported each engine's pace to its owner."""
 
     _reported_at_by_engine: dict[str, float] = msgspec.field(default_factory=dict)
     _left: int = SAVED_REPORTS
 
     def is_due(self, engine: str, pace: int, now: float) -> bool:
-        """Return whether an engine's owner should be told a pace that was read just now.
+        """Return whether a pace that was read just now should be reported to the engine's owner.
 
         It should where the engine takes half as long again as usual: an owner that was told
         nothing goes by the usual pace, and gives a fast engine no more.
@@ -33,7 +33,7 @@
         return pace >= USUAL_PACE + USUAL_PACE // 2
 
     def reported(self, engine: str, now: float) -> None:
-        """Note that an engine's owner was told."""
+        """Note that a pace was reported to an engine's owner."""
         self._left -= 1
         self._reported_at_by_engine[engine] = now
 
--- a/pondhatch/router/_state.py
+++ b/pondhatch/router/_state.py
@@ -109,7 +109,7 @@
     held: HeldBytes = field(default_factory=HeldBytes)
     #: What upstreams said of themselves in their answers.
     notices: Notices = field(default_factory=Notices)
-    #: How fast engines work now, by their own word.
+    #: How fast engines work now, as they report it.
     paces: EnginePaces = field(default_factory=EnginePaces)
     #: When load is managed; see ``load_managed``.
     load_management: LoadManagement = "off"
--- a/pondhatch/transport/_reuse.py
+++ b/pondhatch/transport/_reuse.py
@@ -50,7 +50,7 @@
         self._lost_at = now
 
     def is_strict(self, now: float) -> bool:
-        """Return whether a connection was lost lately, so that the others are in doubt."""
+        """Return whether a connection was lost lately, so that the others may be dead as well."""
         return now - self._lost_at < STRICT_SECONDS
 
     def usable_until(self, connection: KeptConnection, managed: bool) -> float:
