Report the error of a withdrawn question to the loop

Cause: no other decision imports the log. Change: the loop's exception handler takes the error, which logs it. Measured: the queue's tests pass.

--- a/pondhatch/requests/_queues.py
+++ b/pondhatch/requests/_queues.py
@@ -8,12 +8,9 @@
 
 import msgspec
 
-from pondhatch.observing import log_for
 from pondhatch.placement import Granted
 from pondhatch.requests._questions import Busy, Ended, Grants, NotOwner, OwnerReply, Question
 
-log = log_for("grants")
-
 #: Queues in which a request waits at once at most.
 MOST_QUEUES = 4
 #: Seconds between two looks at who owns the engines: an owner that dies takes its queue along,
@@ -157,6 +154,7 @@
     def _give_back(self, task: asyncio.Task[OwnerReply], asked: _Asked) -> None:
         error = task.exception()
         if error is not None:
-            log.error("A question to an engine's owner ended in an error: {!r}", error)
+            told = {"message": "A question to an engine's owner failed", "exception": error}
+            asyncio.get_running_loop().call_exception_handler(told)
         elif isinstance(task.result(), Granted):
             self._grants.release(asked.question.number, Ended.NOTHING)
