Mend doc strings that a renaming broke; read the clock once after a wait

Cause: three doc strings said a class's name where they mean a verb or an adjective; the end of a wait in several queues read the loop's clock twice for one figure. Change: the words, and one reading for both sums. Measured: ruff, mypy on both packages; tests of the queue, tokens, owners and held bytes pass.

--- a/pondhatch/limits/_held_bytes.py
+++ b/pondhatch/limits/_held_bytes.py
@@ -113,13 +113,13 @@
         self._is_closed = False
 
     def set(self, amount: int) -> None:
-        """HeldCounter so many bytes in all, whatever the bound; once closed, none."""
+        """Count so many bytes in all, whatever the bound; once closed, none."""
         if amount != self.amount and not self._is_closed:
             self._table.change(self._account, amount - self.amount)
             self.amount = amount
 
     def try_set(self, amount: int) -> Limited | None:
-        """HeldCounter so many bytes in all for a new request, unless it is over the bound."""
+        """Count so many bytes in all for a new request, unless it is over the bound."""
         if self._is_closed:
             return None
         if not self._table.may_hold(self._account, amount - self.amount):
--- a/pondhatch/requests/_tries.py
+++ b/pondhatch/requests/_tries.py
@@ -103,8 +103,9 @@
         try:
             first = await queues.first(engines, seconds)
         finally:
-            self.queued_seconds += asyncio.get_running_loop().time() - began
-            self.asking_seconds += asyncio.get_running_loop().time() - began
+            waited = asyncio.get_running_loop().time() - began
+            self.queued_seconds += waited
+            self.asking_seconds += waited
         if isinstance(first, NotGranted):
             for engine, reply in first.reply_by_engine.items():
                 self._ways.preference.note_reply(engine, reply)
--- a/pondhatch/requests/_wait_limits.py
+++ b/pondhatch/requests/_wait_limits.py
@@ -39,7 +39,7 @@
 
 
 class UsualTimes(msgspec.Struct, frozen=True):
-    """UsualTimes seconds from sending a request of a service to its upstream."""
+    """Usual seconds from sending a request of a service to its upstream."""
 
     #: Until its answer begins.
     begins: float = 0.0
