Share the clearing of past times and the known gap in the engines' lines

Cause: two places cleared past times from the same heap with the same loop; one place read an engine's gap by itself where a method returns it. Change: one function clears the heap; the early refusal asks the method. An unknown gap is 0 there and never refuses, as before.

--- a/pondhatch/requests/_lines.py
+++ b/pondhatch/requests/_lines.py
@@ -64,6 +64,12 @@
     return False
 
 
+def _drop_past(heap: list[float], now: float) -> None:
+    """Remove the times that are over from a heap of times."""
+    while heap and heap[0] <= now:
+        heapq.heappop(heap)
+
+
 class Lines:
     """The lines before the engines that this router owns."""
 
@@ -181,11 +187,11 @@
 
         Such a request is refused at once: waiting would end in the same refusal.
         """
-        pace = self._interval_by_engine.get(question.engine)
         queue = self._queue_by_engine.get(question.engine)
-        if pace is None or pace.gap is None or queue is None:
+        if queue is None:
             return False
-        wait = queue.line.before(question.account, question.priority) * pace.gap
+        gap = self._gap(question.engine)
+        wait = queue.line.before(question.account, question.priority) * gap
         return wait > question.patience / MILLISECONDS
 
     def _predicted(self, question: Question) -> float:
@@ -210,8 +216,7 @@
         """Return the answer to a request that is refused at arrival, and remember it."""
         now = self._clock()
         refused_until = self._refused_until_by_engine.setdefault(question.engine, [])
-        while refused_until and refused_until[0] <= now:
-            heapq.heappop(refused_until)
+        _drop_past(refused_until, now)
         if len(refused_until) < MOST_REFUSED:
             heapq.heappush(refused_until, now + question.patience / MILLISECONDS)
         predicted_ms = max(1, round(predicted * MILLISECONDS))
@@ -244,8 +249,7 @@
         refused_until = self._refused_until_by_engine.get(engine)
         if refused_until is None:
             return
-        while refused_until and refused_until[0] <= now:
-            heapq.heappop(refused_until)
+        _drop_past(refused_until, now)
         if refused_until:
             heapq.heappop(refused_until)
             self.refused_in_vain += 1
