Failing tests: routers cut off from the engines, and the callers of the others

Callers of a router that loses its paths to the engines are not served, and those of the other routers hardly. The tests bring this about with real processes: a relay on the path of each pair of router and engine, which resets, silences or keeps open connections and refuses or hangs new ones. Routers connect to their own relays by a diversion in the stand-ins' launcher, since all read the same addresses.

--- a/fakes/__main__.py
+++ b/fakes/__main__.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import json
+from pathlib import Path
 from typing import Any
 
 import defopt
@@ -86,6 +88,19 @@
     _listen(MachinesEngine(name).app, port)
 
 
+def diverted_router(settings: Path, *, diversions: Path) -> None:
+    """Run a router whose connections to some addresses go elsewhere, as on paths of its own.
+
+    :param settings: its settings file
+    :param diversions: JSON object with the port to connect to by "IP:port"
+    """
+    from fakes._diverted_router import divert_connections
+    from pondhatch.cli import main
+
+    divert_connections(json.loads(diversions.read_text()))
+    raise SystemExit(main(["run", str(settings)]))
+
+
 def _listen(app: Any, port: int) -> None:
     from twisted.internet import reactor as installed
     from twisted.web.server import Site
@@ -99,4 +114,4 @@
 
 
 if __name__ == "__main__":
-    defopt.run([engine, plain, platform, machines_store, machines_engine])
+    defopt.run([engine, plain, platform, machines_store, machines_engine, diverted_router])
--- a/fakes/_machines_fleet.py
+++ b/fakes/_machines_fleet.py
@@ -10,6 +10,7 @@
 import urllib.request
 from collections.abc import Callable
 from dataclasses import dataclass, fields
+from pathlib import Path
 from subprocess import Popen
 from typing import Any
 
@@ -142,8 +143,11 @@
         path = self.folder / f"{router.name}.yaml"
         router.process = self._start("pondhatch", "run", str(path))
 
-    def add_router(self, hall: str) -> MachinesRouter:
-        """Start a router with settings made from the template in the deploy folder."""
+    def add_router(self, hall: str, diversions: dict[str, int] | None = None) -> MachinesRouter:
+        """Start a router with settings made from the template in the deploy folder.
+
+        ``diversions`` holds the port that it connects to instead of an "IP:port".
+        """
         ports = RouterPorts(*free_ports(len(fields(RouterPorts))))
         name = f"edge-{len(self.machine_routers)}"
         path = self.folder / f"{name}.yaml"
@@ -154,11 +158,18 @@
             f"http://{HOST}:{ports.readiness}",
             f"http://{HOST}:{ports.metrics}/metrics",
             f"{HOST}:{ports.admin}",
-            self._start("pondhatch", "run", str(path)),
+            self._start_diverted(path, diversions)
+            if diversions
+            else self._start("pondhatch", "run", str(path)),
         )
         self.machine_routers.append(router)
         return router
 
+    def _start_diverted(self, settings: Path, diversions: dict[str, int]) -> Popen[bytes]:
+        path = settings.with_suffix(".diversions")
+        path.write_text(json.dumps(diversions))
+        return self._start("fakes", "diverted-router", str(settings), f"--diversions={path}")
+
     def _settings(self, name: str, hall: str, ports: RouterPorts) -> dict[str, Any]:
         """Return a router's settings: the template filled as the platform does."""
         values = {
--- a/fakes/_silent_relay.py
+++ b/fakes/_silent_relay.py
@@ -18,6 +18,7 @@
 import threading
 import time
 from types import TracebackType
+from typing import Self
 
 HOST = "127.0.0.1"
 CHUNK_BYTES = 64 * 1024
@@ -26,6 +27,8 @@
 POLL_SECONDS = 0.005
 #: Linux socket option that attaches a BPF filter to a socket's incoming packets.
 SO_ATTACH_FILTER = 26
+#: Value of SO_LINGER with which closing a socket resets its connection.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 #: A filter of one instruction, "return 0", which drops every packet.
 DROP_ALL_FILTER = struct.pack("HBBI", 0x06, 0, 0, 0)
 
@@ -36,6 +39,8 @@
     def __init__(self, near: socket.socket, far: socket.socket) -> None:
         self._ends = (near, far)
         self._is_silent = False
+        #: When bytes were last forwarded, in seconds of the machine's monotonic clock.
+        self.last_forwarded_at = float("-inf")
         for source, target in ((near, far), (far, near)):
             threading.Thread(target=self._pump, args=(source, target), daemon=True).start()
 
@@ -45,7 +50,7 @@
             return
         for end in self._ends:
             _await_acknowledgement(end)
-            _drop_incoming(end)
+            drop_incoming(end)
 
     def close(self) -> None:
         for end in self._ends:
@@ -53,12 +58,23 @@
                 end.shutdown(socket.SHUT_RDWR)
             end.close()
 
+    def reset(self) -> None:
+        """Reset both ends."""
+        self._is_silent = True
+        for end in self._ends:
+            with contextlib.suppress(OSError):
+                end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+                # Wakes the thread that reads, which would keep the socket open.
+                end.shutdown(socket.SHUT_RD)
+            end.close()
+
     def _pump(self, source: socket.socket, target: socket.socket) -> None:
         """Forward bytes until an end is closed; once silent, forward neither bytes nor a close."""
         with contextlib.suppress(OSError):
             while chunk := source.recv(CHUNK_BYTES):
                 if not self._is_silent:
                     target.sendall(chunk)
+                    self.last_forwarded_at = time.monotonic()
         if not self._is_silent:
             self.close()
 
@@ -66,17 +82,17 @@
 class SilentRelay:
     """Listens on a port of its own and relays every connection to one address."""
 
-    def __init__(self, host: str, port: int) -> None:
+    def __init__(self, host: str, port: int, listening_port: int = 0) -> None:
         self._target = (host, port)
-        self._listener = socket.create_server((HOST, 0))
+        self._listener = socket.create_server((HOST, listening_port))
         self.port: int = self._listener.getsockname()[1]
         self.address = f"{HOST}:{self.port}"
         #: Connections accepted so far.
         self.opened = 0
         self._connections: list[_RelayedConnection] = []
-        threading.Thread(target=self._accept, daemon=True).start()
+        self._start_accepting()
 
-    def __enter__(self) -> SilentRelay:
+    def __enter__(self) -> Self:
         return self
 
     def __exit__(
@@ -85,9 +101,7 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
-        with contextlib.suppress(OSError):
-            self._listener.shutdown(socket.SHUT_RDWR)
-        self._listener.close()
+        self._stop_accepting()
         for connection in tuple(self._connections):
             connection.close()
 
@@ -96,10 +110,18 @@
         for connection in tuple(self._connections):
             connection.fall_silent(acknowledging)
 
-    def _accept(self) -> None:
+    def _start_accepting(self) -> None:
+        threading.Thread(target=self._accept, args=(self._listener,), daemon=True).start()
+
+    def _stop_accepting(self) -> None:
+        with contextlib.suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+
+    def _accept(self, listener: socket.socket) -> None:
         with contextlib.suppress(OSError):
             while True:
-                near, _ = self._listener.accept()
+                near, _ = listener.accept()
                 self.opened += 1
                 self._open(near)
 
@@ -129,7 +151,8 @@
     return int.from_bytes(answer, sys.byteorder)
 
 
-def _drop_incoming(end: socket.socket) -> None:
+def drop_incoming(end: socket.socket) -> None:
+    """Drop every packet that arrives on a socket; a listening one then answers no connection."""
     instructions = ctypes.create_string_buffer(DROP_ALL_FILTER, len(DROP_ALL_FILTER))
     program = struct.pack("HP", 1, ctypes.addressof(instructions))
     with contextlib.suppress(OSError):  # A socket closed meanwhile is silent anyway.
