Relay requests to engines that are unreachable from a router over another one

Callers of a router that lost its paths to the engines got 503 or waited until they left, and those of the other routers found engines skipped as down or at their ceilings.

Cause: a router that could not connect to an engine had no other way to it; its failures went into the one health record that the engine's owner keeps for all routers; and a try that hung held a slot for a second.

Change: reachability belongs to the pair of a router and an engine and is kept by the router (placement/_reachability). Of a request of which nothing was sent after 0.35 s, or at once where connections are refused, another router takes charge of the send: one hop over the peers' gRPC port, authenticated as all calls of peers are, streamed, cancelled with the caller, bounded in requests and bytes (requests/_relaying, _relay_side). The grant, the retry budget and the limits stay at the entry router. Before its last byte is written a hop is not run; once it is, a lost hop leaves the outcome unknown. A connection is tried every 0.4 s beside the relayed requests, and its success makes the path direct again. A failure to connect counts against the engine only if a router that reaches other engines confirms it, and a lost request only if the engine answers through no other router meanwhile (placement/_recent_answers). Where no way is left the caller is refused at once (engines-unreachable).

--- /dev/null
+++ b/pondhatch/cli/_relaying.py
@@ -0,0 +1,53 @@
+"""Assembles the parts of a router that send requests by way of other routers, and relay theirs."""
+
+from __future__ import annotations
+
+from pondhatch.observing import Metrics, Records, RequestRelayed
+from pondhatch.requests import (
+    CrashGuard,
+    DirectUpstreams,
+    RelayEnded,
+    RelayingUpstreams,
+    Relays,
+    RelaySide,
+)
+from pondhatch.router import RouterPaths, RouterState
+
+
+class Relaying:
+    """Both sides of relaying at one router, with their metrics and records."""
+
+    def __init__(
+        self,
+        state: RouterState,
+        paths: RouterPaths,
+        direct: DirectUpstreams,
+        crash_guard: CrashGuard,
+        records: Records,
+        metrics: Metrics,
+    ) -> None:
+        self.side = RelaySide(paths, direct, crash_guard, state.held_bytes, self._record_end)
+        self._state = state
+        self._paths = paths
+        self._direct = direct
+        self._records = records
+        self._metrics = metrics
+
+    def upstreams(self, relays: Relays) -> RelayingUpstreams:
+        """Return the sender of this router's own requests."""
+        return RelayingUpstreams(
+            self._state.name, self._direct, relays, self._paths, self._metrics.count
+        )
+
+    def _record_end(self, ended: RelayEnded) -> None:
+        head = ended.request.head
+        self._metrics.count(f"relayed.{ended.outcome}")
+        self._records.write(
+            RequestRelayed(
+                id=head.caller_id or head.request_id,
+                entry=ended.request.router,
+                upstream=ended.request.engine,
+                outcome=ended.outcome,
+                ms=round(ended.seconds * 1000),
+            )
+        )
--- a/pondhatch/cli/_router_process.py
+++ b/pondhatch/cli/_router_process.py
@@ -18,6 +18,7 @@
 from pondhatch.cli._initial_state import initial_state
 from pondhatch.cli._peer_connections import PeerConnections
 from pondhatch.cli._periodic_jobs import PeriodicJobs
+from pondhatch.cli._relaying import Relaying
 from pondhatch.cli._router_statistics import RouterStatistics
 from pondhatch.cli._settings_file import SettingsFile
 from pondhatch.cli._shutdown import Shutdown
@@ -43,6 +44,7 @@
     PeerDiscovery,
     PlatformRestorer,
     PooledEngines,
+    RouterPaths,
     StartupWait,
     StateRecorder,
     Sync,
@@ -55,6 +57,8 @@
     PeerService,
     PullReply,
     PullRequest,
+    RelayCalls,
+    RelayService,
     fleet_token,
     peer_tls,
 )
@@ -104,12 +108,14 @@
         environment.client.configure(self.state.is_load_managed, self._metrics)
         self._state_recorder = StateRecorder(self.state, self._records)
         self._notice_exchange = NoticeExchange(self.state, self._gossip_port.send)
+        self._paths = RouterPaths(self.state, self._records)
         upstreams = HttpUpstreams(
             environment.client,
             self._interface.upstreams,
             self._metrics,
             self._notice_exchange,
             self.state.held_bytes,
+            self._paths,
         )
         self._crash_evidence = CrashEvidenceExchange(
             self.state,
@@ -119,13 +125,28 @@
             self._records,
             upstreams.refuses_connections,
         )
+        self._relaying = Relaying(
+            self.state, self._paths, upstreams, self._crash_evidence, self._records, self._metrics
+        )
+        self._relay_calls = RelayCalls(
+            self._address_of,
+            self._token,
+            self._peer_tls.client if self._peer_tls is not None else None,
+            self.state.held_bytes,
+        )
         self._callers = self._new_callers(upstreams)
         self._peer_service = PeerService(
             self.state.local_key_holder, self._answer_pull, self._token
         )
-        self._peer_server: Server = self._peer_service.server()
+        self._peer_server: Server = self._peer_service.server(RelayService(self._relaying.side))
         self._statistics = RouterStatistics(
-            self.state, self._callers, self._gossip_port, self._grant_exchange, self._platform
+            self.state,
+            self._callers,
+            self._gossip_port,
+            self._grant_exchange,
+            self._platform,
+            self._paths,
+            self._relaying.side,
         )
         self._gauge_reporter = GaugeReporter(self._statistics, self._metrics, prometheus_metrics)
 
@@ -163,6 +184,7 @@
         """Cancel the tasks, and close the connections and the port for peers."""
         self._tasks.cancel_all()
         self._connections.close_all()
+        self._relay_calls.close_all()
         self._peer_server.close()
 
     def _new_sync(self) -> Sync:
@@ -188,7 +210,7 @@
                 state=self.state,
                 collaborators=Collaborators(
                     self._grant_exchange.entry,
-                    upstreams,
+                    self._relaying.upstreams(self._relay_calls),
                     self._crash_evidence,
                     PooledEngines(self.state, upstreams.is_pooled),
                 ),
@@ -225,11 +247,17 @@
             grant_exchange=self._grant_exchange,
             announcer=self._announcer,
             state_recorder=self._state_recorder,
+            relay_side=self._relaying.side,
             settings=lambda: self._settings,
         )
 
     # -- peers ----------------------------------------------------------------
 
+    def _address_of(self, router: str) -> Address | None:
+        """Return the address of another router, or None if it is no member."""
+        found = [each.address for each in self.state.members() if each.name == router]
+        return found[0] if found else None
+
     async def _pull(self, member: Member, configuration: int, upstreams: int) -> PullReply | None:
         takes_difference = not self.state.needs_snapshot
         peer = self._connections.connection_to(member)
@@ -271,7 +299,9 @@
                 "grants": self._grant_exchange.tick,
                 "crashes": self._crash_evidence.tick,
                 "notices": self._notice_exchange.tick,
+                "paths": self._paths.tick,
                 "connections": lambda: self._connections.close_gone(state.gossip.is_gone),
+                "relays": lambda: self._relay_calls.close_gone(state.gossip.is_gone),
                 "gossip": lambda: send(state.gossip.tick(state.clock())),
                 "limits": lambda: send(state.limits.tick(state.clock())),
                 "output": STANDARD_OUTPUT.flush,
--- a/pondhatch/cli/_router_statistics.py
+++ b/pondhatch/cli/_router_statistics.py
@@ -7,7 +7,8 @@
 
 import msgspec
 
-from pondhatch.router import GrantExchange, RouterState
+from pondhatch.requests import RelaySide
+from pondhatch.router import GrantExchange, RouterPaths, RouterState
 from pondhatch.store import Platform
 from pondhatch.transport import Callers, GossipPort
 
@@ -20,6 +21,8 @@
     gossip_port: GossipPort
     grant_exchange: GrantExchange
     platform: Platform
+    paths: RouterPaths
+    relay_side: RelaySide
     #: When the router started, in seconds of the monotonic clock.
     started_at: float = msgspec.field(default_factory=time.monotonic)
 
@@ -38,6 +41,8 @@
             "upstreams.cold": self.state.cold_count(),
             "upstreams.said_leaving": sum(notice.is_leaving for notice in notices),
             "upstreams.resting": sum(notice.rest > 0 for notice in notices),
+            "upstreams.unreachable": len(self.paths.reachability.unreachable()),
+            "relays.in_flight": self.relay_side.in_flight,
             "engines.slow": self.state.paces.count_slow(self.state.clock()),
             "engines.memory-full": self.state.token_counts.refusals,
             "halls.evacuated": len(self.state.halls.evacuations.halls),
@@ -56,6 +61,8 @@
         return {
             "uptime_seconds": round(time.monotonic() - self.started_at, 3),
             "requests_in_flight": self.callers.in_flight,
+            "relays_in_flight": self.relay_side.in_flight,
+            "unreachable_upstreams": sorted(self.paths.reachability.unreachable()),
             "gossip_bytes_sent": self.gossip_port.bytes_sent,
             "gossip_bytes_received": self.gossip_port.bytes_received,
             "grant_packets": self.grant_exchange.packet_count,
--- a/pondhatch/cli/_shutdown.py
+++ b/pondhatch/cli/_shutdown.py
@@ -11,7 +11,7 @@
 from pondhatch.cli._announcer import Announcer
 from pondhatch.configuration import Settings
 from pondhatch.membership import Phase
-from pondhatch.requests import HOLDERS_PER_KEY
+from pondhatch.requests import HOLDERS_PER_KEY, RelaySide
 from pondhatch.router import Authority, GrantExchange, RouterState, StateRecorder
 from pondhatch.transport import Callers
 
@@ -34,6 +34,7 @@
     grant_exchange: GrantExchange
     announcer: Announcer
     state_recorder: StateRecorder
+    relay_side: RelaySide
     #: Returns the current settings.
     settings: Callable[[], Settings]
 
@@ -55,13 +56,18 @@
         drain = self.settings().drain
         await asyncio.sleep(max(MIN_ACCEPT_SECONDS, drain.accept_seconds))
         self.callers.accepts_requests = False
+        self.relay_side.accepts_requests = False
         # drain.whole_seconds takes precedence over drain_seconds.
         total_seconds = drain.whole_seconds
         seconds = self.settings().drain_seconds if total_seconds is None else total_seconds
         deadline = started_at + seconds
-        while self.callers.in_flight > 0 and time.monotonic() < deadline:
+        while self._in_flight() > 0 and time.monotonic() < deadline:
             await asyncio.sleep(POLL_SECONDS)
 
+    def _in_flight(self) -> int:
+        """Return the unfinished requests of callers and of other routers."""
+        return self.callers.in_flight + self.relay_side.in_flight
+
     async def _step_down(self) -> None:
         """Wait until the leases of services are released, which spares the next holder a wait."""
         deadline = time.monotonic() + STEP_DOWN_SECONDS
@@ -77,7 +83,7 @@
                     await holder.settle(key, record)
 
     def _record_phase(self, phase: str) -> None:
-        self.state_recorder.record_process(phase, f"{self.callers.in_flight} requests in flight")
+        self.state_recorder.record_process(phase, f"{self._in_flight()} requests in flight")
 
     def _announce_phase(self) -> None:
         """Announce this router's phase to peers."""
--- a/pondhatch/cli/tests/test_gauge_reporter.py
+++ b/pondhatch/cli/tests/test_gauge_reporter.py
@@ -16,8 +16,8 @@
         state = router("r0")
         for engine, pace, read_at in (("e0", 250, 0.0), ("e1", 90, 0.0), ("e2", 250, -5.0)):
             state.paces.record(engine, pace, read_at)
-        component: Any = mock.Mock()
-        gauges = RouterStatistics(state, component, component, component, component).gauges()
+        component: Any = mock.MagicMock()
+        gauges = RouterStatistics(state, *[component] * 6).gauges()
         self.assertEqual(gauges["engines.slow"], 1)
 
 
--- a/pondhatch/cli/tests/test_periodic_jobs.py
+++ b/pondhatch/cli/tests/test_periodic_jobs.py
@@ -18,6 +18,8 @@
     "_grant_exchange.tick",
     "_crash_evidence.tick",
     "_notice_exchange.tick",
+    "_paths.tick",
+    "_relay_calls.close_gone",
     "_connections.close_gone",
     "state.gossip.tick",
     "state.limits.tick",
@@ -42,6 +44,8 @@
             "_grant_exchange",
             "_crash_evidence",
             "_notice_exchange",
+            "_paths",
+            "_relay_calls",
             "_connections",
             "_gossip_port",
         ):
--- a/pondhatch/explaining/_timeline.py
+++ b/pondhatch/explaining/_timeline.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from pondhatch.explaining._log_reader import LoggedLine, causal_order
-from pondhatch.observing import RequestEnded, StateChange
+from pondhatch.observing import Record, RequestEnded, RequestRelayed, StateChange
 
 #: Seconds before the start and after the end of a request in which state changes of its upstreams
 #: may explain its outcome: failures are detected and reported up to some seconds late.
@@ -17,9 +17,12 @@
 #: Explanation of each outcome, by its code.
 MEANING_BY_OUTCOME = {
     "whole": "its answer was delivered whole",
+    "cancelled": "its caller left, or the router that received it gave it up",
     "caller-gone": "its caller left first",
     "engines-full": "every engine asked was at its ceiling or cold, and nobody else was left",
     "engines-resting": "the engines asked had turned requests away and wanted a rest",
+    "engines-unreachable": "neither its router nor another reached an engine that may take it",
+    "path-lost": "its router did not reach its engine, and no other router could relay it",
     "no-upstream": "the service has no upstream that may take it",
     "deadline": "no engine was free before its deadline",
     "stopping": "the router was stopping",
@@ -77,6 +80,8 @@
 
 
 def _matches_request(line: LoggedLine, name: str) -> bool:
+    if isinstance(line.record, RequestRelayed):
+        return name == line.record.id
     return isinstance(line.record, RequestEnded) and name in (line.record.id, line.record.digest)
 
 
@@ -132,8 +137,23 @@
 
 def _timeline_event(line: LoggedLine) -> TimelineEvent:
     record = line.record
-    text = _request_text(record) if isinstance(record, RequestEnded) else _state_change_text(record)
-    return TimelineEvent(line.router, line.at, text)
+    return TimelineEvent(line.router, line.at, _text(record))
+
+
+def _text(record: Record) -> str:
+    if isinstance(record, RequestEnded):
+        return _request_text(record)
+    if isinstance(record, RequestRelayed):
+        return _relayed_text(record)
+    return _state_change_text(record)
+
+
+def _relayed_text(relayed: RequestRelayed) -> str:
+    meaning = MEANING_BY_OUTCOME.get(relayed.outcome, relayed.outcome)
+    return (
+        f"request {relayed.id}, relayed for {relayed.entry} to {relayed.upstream}: {meaning} "
+        f"({relayed.outcome}, {relayed.ms} ms)"
+    )
 
 
 def _request_text(ended: RequestEnded) -> str:
@@ -142,6 +162,8 @@
     parts.append(f"({ended.outcome}, {ended.ms} ms, configuration {ended.configuration})")
     if ended.upstream:
         parts.append(f"- {ended.upstream} took it, with {ended.in_flight} of {ended.ceiling}")
+    if ended.relayed_by:
+        parts.append(f"- {ended.relayed_by} relayed its answer")
     parts += [f"- {name} did not take it: {why}" for name, why in ended.passed_over]
     parts += [
         f"- its run was cut at {name}, {'which ended' if has_ended else 'which lives on'}"
--- a/pondhatch/observing/__init__.py
+++ b/pondhatch/observing/__init__.py
@@ -13,6 +13,7 @@
     Record,
     Records,
     RequestEnded,
+    RequestRelayed,
     StateChange,
 )
 
@@ -28,6 +29,7 @@
     "Record",
     "Records",
     "RequestEnded",
+    "RequestRelayed",
     "STANDARD_OUTPUT",
     "LogThrottle",
     "Metrics",
--- a/pondhatch/observing/_prometheus_metrics.py
+++ b/pondhatch/observing/_prometheus_metrics.py
@@ -19,7 +19,12 @@
 #: Prefix of every exposed name.
 NAME_PREFIX = "pondhatch_"
 #: Label whose value is the rest of a counter's name, by the name's first part.
-LABEL_BY_FAMILY = {"requests": "outcome", "refusals": "code", "headers_dropped": "kind"}
+LABEL_BY_FAMILY = {
+    "requests": "outcome",
+    "refusals": "code",
+    "headers_dropped": "kind",
+    "relayed": "outcome",
+}
 
 
 class Histogram(msgspec.Struct):
--- a/pondhatch/observing/_records.py
+++ b/pondhatch/observing/_records.py
@@ -54,6 +54,24 @@
     digest: str = ""
     #: Milliseconds that it would have waited for a slot, where it was refused because of that wait.
     predicted_ms: int = 0
+    #: The router that relayed the answer; empty if it came directly from the upstream.
+    relayed_by: str = ""
+
+
+class RequestRelayed(
+    msgspec.Struct, frozen=True, tag_field="event", tag="relayed", omit_defaults=True
+):
+    """A request that this router relayed to an engine for another router ended."""
+
+    #: As in RequestEnded of the router that received it.
+    id: str
+    #: That router.
+    entry: str
+    upstream: str
+    #: "whole", "cancelled", or the code of the refusal, of the loss or of the broken answer.
+    outcome: str
+    #: Milliseconds from its receipt here to its end.
+    ms: int
 
 
 class StateChange(msgspec.Struct, frozen=True, tag_field="event", tag="belief", omit_defaults=True):
@@ -63,10 +81,10 @@
     know otherwise.
     """
 
-    #: The kind of object: "configuration", "upstream", "health" (of an upstream), "notice" (what
-    #: an upstream reported of itself in its answers), "hall" (whether it is evacuated), "router",
-    #: "platform", "process", "entry" (of the configuration), "request" (one during which engines
-    #: ended) or "records" (some state changes were left out).
+    #: The kind of object: "configuration", "upstream", "health" (of an upstream), "path" (from this
+    #: router to an upstream), "notice" (what an upstream reported of itself in its answers), "hall"
+    #: (whether it is evacuated), "router", "platform", "process", "entry" (of the configuration),
+    #: "request" (one during which engines ended) or "records" (some state changes were left out).
     about: str
     #: The name of the object; empty where there is only one of its kind. The name of an entry is
     #: its kind and its own name, separated by a space.
@@ -79,7 +97,7 @@
     why: str = ""
 
 
-Record = RequestEnded | StateChange
+Record = RequestEnded | RequestRelayed | StateChange
 
 
 class Records(Protocol):
--- a/pondhatch/placement/__init__.py
+++ b/pondhatch/placement/__init__.py
@@ -27,6 +27,15 @@
 from pondhatch.placement._notices import NO_NOTICE, NO_REST, Notice, Notices, Rest
 from pondhatch.placement._plan import Ask, Exhausted, Plan, Step
 from pondhatch.placement._pooled_first import CANDIDATES, RecentLoads, pooled_first
+from pondhatch.placement._reachability import Reachability
+from pondhatch.placement._recent_answers import RecentAnswers
+from pondhatch.placement._relay_choice import (
+    BUSY_SECONDS,
+    GONE_SECONDS,
+    UNSUPPORTED_SECONDS,
+    RelayChoice,
+    RelayRouter,
+)
 from pondhatch.placement._rendezvous import ranked, scorer, winner
 from pondhatch.placement._starts import name_of_start, upstream_id_of
 from pondhatch.placement._token_counts import (
@@ -94,4 +103,11 @@
     "weighted_ranked",
     "weighted_winner",
     "winner",
+    "BUSY_SECONDS",
+    "GONE_SECONDS",
+    "UNSUPPORTED_SECONDS",
+    "Reachability",
+    "RelayChoice",
+    "RelayRouter",
+    "RecentAnswers",
 ]
--- a/pondhatch/requests/__init__.py
+++ b/pondhatch/requests/__init__.py
@@ -83,6 +83,21 @@
 )
 from pondhatch.requests._owner import LocalOwner, OwnerView
 from pondhatch.requests._owner_grants import OwnerGrants
+from pondhatch.requests._path_observer import NoPathObserver, PathObserver
+from pondhatch.requests._relay_side import RelayedRun, RelayEnded, RelaySide, RelayView
+from pondhatch.requests._relaying import (
+    PATH_LOST,
+    RELAY_BUSY,
+    RELAY_GONE,
+    RELAY_UNSUPPORTED,
+    UPSTREAM_UNREACHABLE,
+    DirectUpstreams,
+    EnginePaths,
+    RelayedRequest,
+    RelayingUpstreams,
+    Relays,
+    SendResult,
+)
 from pondhatch.requests._sending import (
     GrantedAnswer,
     NoUpstreamView,
@@ -184,4 +199,21 @@
     "deadline_passed",
     "read_chat",
     "used_key_refusal",
+    "PATH_LOST",
+    "RELAY_BUSY",
+    "RELAY_GONE",
+    "RELAY_UNSUPPORTED",
+    "UPSTREAM_UNREACHABLE",
+    "DirectUpstreams",
+    "EnginePaths",
+    "RelayedRequest",
+    "RelayedRun",
+    "RelayEnded",
+    "RelaySide",
+    "RelayView",
+    "RelayingUpstreams",
+    "Relays",
+    "SendResult",
+    "NoPathObserver",
+    "PathObserver",
 ]
--- a/pondhatch/requests/_dispatch.py
+++ b/pondhatch/requests/_dispatch.py
@@ -46,6 +46,7 @@
     deadline_passed,
 )
 from pondhatch.requests._parallel_waits import MAX_QUEUES, NotGranted
+from pondhatch.requests._relaying import UNREACHED_CODES
 from pondhatch.requests._resting_engines import RestingEngines
 from pondhatch.requests._sending import FAILURE_STATUS, is_upstream_failure
 from pondhatch.requests._slot_wait import SlotWait
@@ -61,7 +62,7 @@
 OK = 200
 #: Codes of refusals before anything was sent: asking the next engine costs no retry budget.
 NOTHING_SENT = frozenset(
-    {*ClosedReason, "upstream-down", AILING, "upstream-unreachable", "router-unreachable"}
+    {*ClosedReason, "upstream-down", AILING, *UNREACHED_CODES, "router-unreachable"}
 )
 #: Refusals after which the same engine may accept the request a moment later.
 RETRYABLE_REFUSALS = frozenset({EngineRefusal.FULL, EngineRefusal.DECLINED})
@@ -120,6 +121,8 @@
         #: Refusals of this request by engines so far, the newest last.
         self._refusals: list[NotRun] = []
         self._resting = RestingEngines(view)
+        #: Whether neither this router nor another reached some engine.
+        self._had_unreachable_engine = False
         self._has_waited_for_rest = False
         #: Engines that refused the request and may accept it a moment later.
         self._retryable_engines: set[str] = set()
@@ -141,6 +144,11 @@
         """The latest grant: the load and the ceiling at its engine."""
         return self._tries.last_grant
 
+    @property
+    def relayed_by(self) -> str:
+        """The router that relayed the answer; empty if it came directly."""
+        return self._tries.relayed_by
+
     @property
     def grant_wait_seconds(self) -> float:
         """Seconds that the request waited for owners' replies, time in their queues included."""
@@ -419,6 +427,7 @@
             self.plan.record_engine_full(max(0, self.last_grant.in_flight - 1), why)
             return
         self.plan.record_refusal(why)
+        self._had_unreachable_engine |= reply.code in UNREACHED_CODES
         if refusal is EngineRefusal.WRONG_INSTANCE:
             self.plan.update_engines(self._live_upstreams())
 
@@ -554,5 +563,8 @@
         if self._refusals and not self.plan.in_flight_by_engine:
             # No engine is full, so the caller gets the engine's refusal instead.
             return self._refusals[-1]
+        if self._had_unreachable_engine and not self.plan.in_flight_by_engine:
+            # Another router may reach them, and the caller's next try goes to another one.
+            return NotRun("engines-unreachable", f"asked {asked}", SOON_RETRY_AFTER)
         retry_after = self.queue_result.retry_after_ms / MS_PER_SECOND
         return NotRun("engines-full", f"asked {asked}", retry_after or FULL_RETRY_AFTER)
--- a/pondhatch/requests/_messages.py
+++ b/pondhatch/requests/_messages.py
@@ -131,6 +131,8 @@
     """The upstream accepted the request and has begun its answer."""
 
     answer: AnswerStream
+    #: The router that relays the answer; empty if it comes directly from the upstream.
+    relayed_by: str = ""
 
 
 class RoutingDecision(msgspec.Struct, frozen=True):
--- a/pondhatch/requests/_owner.py
+++ b/pondhatch/requests/_owner.py
@@ -20,6 +20,7 @@
     GateDecision,
     Granted,
     Health,
+    RecentAnswers,
     TokenCounts,
     context_engine,
 )
@@ -101,6 +102,7 @@
         self._clock = clock
         self._queues = EngineQueues(self._return_slot, clock, view.is_load_managed)
         self._health = health
+        self._recent_answers = RecentAnswers()
         self._cold_pacer = cold_pacer or ColdPacer()
         self._engine_memory = EngineMemory(token_counts or TokenCounts(), view.is_load_managed)
         self.leases = Leases()
@@ -187,16 +189,19 @@
         if lease is None:
             return
         # Recorded first, since freeing the slot grants the next request in the queue.
-        self._record_end(lease.engine, end_reason)
+        self._record_end(lease.engine, holder.router, end_reason)
         self._engine_memory.remove(lease.engine, holder)
         self._return_slot(lease.engine, was_used=end_reason in RUN_END_REASONS)
 
-    def _record_end(self, engine: str, end_reason: EndReason) -> None:
+    def _record_end(self, engine: str, router: int, end_reason: EndReason) -> None:
         """Record how a request ended at its engine, while its grant still counts as in flight."""
         now = self._clock()
         if end_reason == EndReason.ANSWERED:
             self._health.record_answer(engine)
-        if end_reason == EndReason.CONNECTION_FAILED:
+            self._recent_answers.record(engine, router, now)
+        if end_reason == EndReason.CONNECTION_FAILED and not self._recent_answers.answers_others(
+            engine, router, now
+        ):
             managed = self._view.is_load_managed()
             self._health.record_failure(engine, now, MANAGED_PAUSE if managed else LONGEST_PAUSE)
         if end_reason == EndReason.ENGINE_ERROR:
@@ -262,6 +267,7 @@
         self._queues.serve_all()
         if now - self._cleaned_up_at >= CLEANUP_SECONDS:
             self._cleaned_up_at = now
+            self._recent_answers.drop_old(now)
             self._queues.drop_gone(lambda engine: self._view.target(engine) is None)
 
     def _placement_refusal(self, grant_request: GrantRequest, target: Target) -> OwnerReply | None:
--- a/pondhatch/requests/_tries.py
+++ b/pondhatch/requests/_tries.py
@@ -21,6 +21,7 @@
 from pondhatch.requests._messages import AnswerStarted, BodySource, ReplayableBody, RequestHead
 from pondhatch.requests._outcomes import EngineRefusal, NotRun, Unknown
 from pondhatch.requests._parallel_waits import NotGranted, ParallelWait
+from pondhatch.requests._relaying import PATH_LOST, UPSTREAM_UNREACHABLE
 from pondhatch.requests._sending import GrantedAnswer, Target, open_target
 
 #: The end reason reported to the owner for each refusal of its engine. A bad request is no
@@ -40,7 +41,9 @@
 #: Codes of tries that were abandoned right before their first byte was sent.
 CLOSED_CODES = frozenset(ClosedReason)
 #: Codes of tries of which no byte was sent.
-NOT_SENT_CODES = frozenset({*CLOSED_CODES, "upstream-unreachable"})
+NOT_SENT_CODES = frozenset({*CLOSED_CODES, UPSTREAM_UNREACHABLE, PATH_LOST})
+#: Codes of tries that are no evidence about the engine.
+NEUTRAL_CODES = frozenset({*CLOSED_CODES, PATH_LOST})
 
 #: Result of one grant request and, if granted, of the try that followed.
 TryResult = AnswerStarted | Busy | ContextElsewhere | NotOwner | NotRun | Unknown
@@ -81,6 +84,8 @@
         self.queue_wait_seconds = 0.0
         #: Engines to which the request was sent.
         self.sent_to: set[str] = set()
+        #: The router that relayed the latest answer; empty if it came directly.
+        self.relayed_by = ""
 
     async def run(self, grant_request: GrantRequest, head: RequestHead) -> TryResult:
         """Ask the engine's owner; if it grants, send the request to the engine."""
@@ -167,7 +172,8 @@
                         )
                     grants.release(number, end_reason)
 
-                return AnswerStarted(GrantedAnswer(reply.answer, release))
+                self.relayed_by = reply.relayed_by
+                return replace(reply, answer=GrantedAnswer(reply.answer, release))
         except BaseException:
             grants.release(number, EndReason.NEUTRAL)
             raise
@@ -178,7 +184,7 @@
 
     def _end_reason(self, reply: NotRun | Unknown) -> EndReason:
         """Return the end reason to report for a try without an answer."""
-        if reply.code in CLOSED_CODES:
+        if reply.code in NEUTRAL_CODES:
             return EndReason.NEUTRAL
         if isinstance(reply, Unknown) or reply.refusal is None:
             return EndReason.CONNECTION_FAILED
--- a/pondhatch/router/__init__.py
+++ b/pondhatch/router/__init__.py
@@ -19,6 +19,7 @@
 from pondhatch.router._authority import Authority
 from pondhatch.router._crash_evidence_exchange import CRASH_PACKET_PREFIX, CrashEvidenceExchange
 from pondhatch.router._dump import Dump, dump_state
+from pondhatch.router._engine_paths import RouterPaths
 from pondhatch.router._fleet_key import obtain_fleet_key
 from pondhatch.router._grant_exchange import GRANT_PACKET_PREFIX, GrantExchange
 from pondhatch.router._hall_states import HallStates
@@ -67,4 +68,5 @@
     "identify",
     "not_ready_refusal",
     "service_of_path",
+    "RouterPaths",
 ]
--- a/pondhatch/transport/__init__.py
+++ b/pondhatch/transport/__init__.py
@@ -25,6 +25,8 @@
 from pondhatch.transport._peer_service import PeerService, fleet_token
 from pondhatch.transport._peer_tls import PeerTls, peer_tls
 from pondhatch.transport._readiness import Readiness
+from pondhatch.transport._relay_calls import RelayCalls
+from pondhatch.transport._relay_service import RelayService
 from pondhatch.transport._remote_peer import RemotePeer
 from pondhatch.transport._request_runner import AdmittedRequest, RequestRunner
 from pondhatch.transport._resolver import install_numeric_resolver
@@ -78,4 +80,6 @@
     "install_numeric_resolver",
     "peer_tls",
     "format_dump",
+    "RelayCalls",
+    "RelayService",
 ]
--- a/pondhatch/transport/_http_client.py
+++ b/pondhatch/transport/_http_client.py
@@ -162,6 +162,14 @@
     to_upstream: bool = False
     #: Maximum idle connections to its address.
     max_idle: int = IDLE_CONNECTIONS
+    #: Called when a new connection opened, even if the request no longer waits for it.
+    on_connected: Callable[[], None] = _no_check
+    #: Maximum seconds that the request waits for a new connection; None for the timeout of
+    #: opening one. A connection that opens later is kept idle.
+    patience: float | None = None
+    #: Time from which on an idle connection must have received bytes to be used, in the loop's
+    #: seconds.
+    valid_since: float = float("-inf")
 
 
 NO_HOOKS = Hooks()
@@ -176,6 +184,8 @@
         self._idle_by_address: dict[Address, list[Connection]] = {}
         self._sweep_timer: asyncio.TimerHandle | None = None
         self._probe_by_address: dict[Address, _ListenProbe] = {}
+        #: Addresses to which a connection is being opened for later requests.
+        self._opening: set[Address] = set()
         self._reuse_rules = ReuseRules()
         self._is_load_managed: Callable[[], bool] = _never
         self._metrics: Metrics = NoMetrics()
@@ -206,10 +216,12 @@
         how long it keeps idle ones and an idle one is safe to use; see ReuseRules. Raises
         NotSent; awaiting the exchange's head raises the errors of reading the body.
         """
-        connection = None if needs_new_connection else self._take_idle(address, repeatable)
+        connection = None
+        if not needs_new_connection:
+            connection = self._take_idle(address, repeatable, hooks.valid_since)
         is_new = connection is None
         if connection is None:
-            connection = await self._connect(address, hooks.to_upstream)
+            connection = await self._connect(address, hooks)
         if hooks.to_upstream:
             self._metrics.count("connections.opened" if is_new else "connections.reused")
         keep = functools.partial(self._keep_idle, address, max_idle=hooks.max_idle)
@@ -225,22 +237,42 @@
             raise
         return exchange
 
-    def _take_idle(self, address: Address, repeatable: bool) -> Connection | None:
-        """Return the newest idle connection that is safe to use, or None."""
-        idle = self._idle_by_address.get(address)
+    def has_reusable(self, address: Address, repeatable: bool, valid_since: float) -> bool:
+        """Return whether an idle connection to an address may carry a request now."""
         now = asyncio.get_running_loop().time()
-        while idle:
-            connection = idle.pop()
+        idle = self._idle_by_address.get(address, ())
+        return any(
+            self._usable_until(each) > now and self._may_carry(each, repeatable, valid_since)
+            for each in idle
+        )
+
+    def connect_in_background(self, address: Address, hooks: Hooks) -> None:
+        """Open a connection and keep it idle, unless one is being opened that way already."""
+        if address not in self._opening:
+            self._keep_when_open(address, self._start_connecting(address, hooks)[0], hooks)
+
+    def _take_idle(
+        self, address: Address, repeatable: bool, valid_since: float
+    ) -> Connection | None:
+        """Return the newest idle connection that may carry a request, or None."""
+        idle = self._idle_by_address.get(address, [])
+        now = asyncio.get_running_loop().time()
+        for connection in tuple(reversed(idle)):
             if not connection.is_open or self._usable_until(connection) <= now:
+                idle.remove(connection)
                 connection.abort()
-                continue
-            managed = self._is_managed(connection)
-            if repeatable or self._reuse_rules.is_safe(connection, now, managed):
+            elif self._may_carry(connection, repeatable, valid_since):
+                idle.remove(connection)
                 return connection
-            idle.append(connection)
-            return None
         return None
 
+    def _may_carry(self, connection: Connection, repeatable: bool, valid_since: float) -> bool:
+        """Return whether an idle connection is safe to use for a request."""
+        if not connection.is_open or connection.last_received_at < valid_since:
+            return False
+        now, managed = asyncio.get_running_loop().time(), self._is_managed(connection)
+        return repeatable or self._reuse_rules.is_safe(connection, now, managed)
+
     def _is_managed(self, connection: Connection) -> bool:
         """Return whether the reuse rules for managed load apply to a connection."""
         return self._is_load_managed() and connection.to_upstream
@@ -248,21 +280,46 @@
     def _usable_until(self, connection: Connection) -> float:
         return self._reuse_rules.usable_until(connection, self._is_managed(connection))
 
-    async def _connect(self, address: Address, to_upstream: bool) -> Connection:
-        factory = _ConnectFactory(self._connection_closed, to_upstream)
-        connector = self._reactor.connectTCP(
-            address.host, address.port, factory, timeout=self._connect_seconds
-        )
+    async def _connect(self, address: Address, hooks: Hooks) -> Connection:
+        factory, connector = self._start_connecting(address, hooks)
         try:
-            connection = await factory.connected
+            if not factory.connected.done():
+                await asyncio.wait([factory.connected], timeout=hooks.patience)
         except asyncio.CancelledError:
             connector.disconnect()
             raise
+        if not factory.connected.done():
+            self._keep_when_open(address, factory, hooks)
+            raise NotSent(f"no connection within {hooks.patience} s")
+        connection = factory.connected.result()
         if not connection.is_open:
             # Its loss was reported before an exchange began, so an exchange would never end.
             raise NotSent("the connection was lost as soon as it was made")
+        hooks.on_connected()
         return connection
 
+    def _start_connecting(self, address: Address, hooks: Hooks) -> tuple[_ConnectFactory, Any]:
+        factory = _ConnectFactory(self._connection_closed, hooks.to_upstream)
+        connector = self._reactor.connectTCP(
+            address.host, address.port, factory, timeout=self._connect_seconds
+        )
+        return factory, connector
+
+    def _keep_when_open(self, address: Address, factory: _ConnectFactory, hooks: Hooks) -> None:
+        """Keep a connection that is being opened for the next request."""
+        self._opening.add(address)
+
+        def keep(connected: asyncio.Future[Connection]) -> None:
+            self._opening.discard(address)
+            if connected.exception() is not None or not connected.result().is_open:
+                return
+            hooks.on_connected()
+            connection = connected.result()
+            connection.mark_unused()
+            self._keep_idle(address, connection, hooks.max_idle)
+
+        factory.connected.add_done_callback(keep)
+
     async def is_refused(self, address: Address) -> bool:
         """Return whether a host refuses connections to an address, as nothing listens there.
 
--- a/pondhatch/transport/_http_connection.py
+++ b/pondhatch/transport/_http_connection.py
@@ -26,6 +26,9 @@
 
 #: Seconds for which an idle connection is kept if the other side states no time.
 IDLE_SECONDS = 30.0
+#: Seconds for which a connection is kept that has carried no request yet: the other side has not
+#: stated how long it waits for the first.
+UNUSED_SECONDS = 2.0
 #: Fraction of the other side's stated idle time during which a connection is reused: later,
 #: a request could cross the other side's close.
 STATED_IDLE_SHARE = 0.5
@@ -51,6 +54,8 @@
         self.stated_idle_seconds = 0.0
         #: When its last exchange ended, in the loop's seconds.
         self.idle_since = float("-inf")
+        #: Whether it was opened without a request and has carried none yet.
+        self.is_unused = False
         #: Whether the other side is an upstream rather than the platform.
         self.to_upstream = False
         self.is_open = False
@@ -76,9 +81,17 @@
         handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         detect_dead_peer(handle)
 
+    def mark_unused(self) -> None:
+        """Mark a connection that has just opened as idle, without a first request."""
+        now = asyncio.get_running_loop().time()
+        self.is_unused = True
+        self.last_received_at = self.idle_since = now
+        self.usable_until = now + UNUSED_SECONDS
+
     def begin(self, exchange: Exchange, request: Request, length: int | None) -> None:
         """Write a request's head; its body follows by ``send_body`` or ``send_whole_body``."""
         self._exchange = exchange
+        self.is_unused = False
         self.last_request_at = asyncio.get_running_loop().time()
         framed = framing_header(request.method, length)
         headers = request.headers if framed is None else (*request.headers, framed)
--- a/pondhatch/transport/_peer_service.py
+++ b/pondhatch/transport/_peer_service.py
@@ -42,9 +42,9 @@
             wire.PULL_METHOD: Handler(self._answer_pull, unary, wire.PullRequest, wire.PullReply),
         }
 
-    def server(self) -> Server:
-        """Return a server that accepts calls only from holders of the fleet key."""
-        server = Server([self], codec=wire.MessagePackCodec())
+    def server(self, *others: Any) -> Server:
+        """Return a server of this and other services, for holders of the fleet key only."""
+        server = Server([self, *others], codec=wire.MessagePackCodec())
         listen(server, RecvRequest, self._check_token)
         return server
 
--- a/pondhatch/transport/_remote_peer.py
+++ b/pondhatch/transport/_remote_peer.py
@@ -29,7 +29,7 @@
         detect_dead_peer(transport.get_extra_info("socket"))
 
 
-class _Channel(Channel):
+class PeerChannel(Channel):
     """A channel to one peer that reconnects when its connection is lost."""
 
     def _protocol_factory(self) -> H2Protocol:
@@ -40,7 +40,9 @@
     """A channel to one peer and the calls made over it."""
 
     def __init__(self, address: Address, tls: ssl.SSLContext | None) -> None:
-        self.channel = _Channel(address.host, address.port, codec=wire.MessagePackCodec(), ssl=tls)
+        self.channel = PeerChannel(
+            address.host, address.port, codec=wire.MessagePackCodec(), ssl=tls
+        )
         self.pull = UnaryUnaryMethod(
             self.channel, wire.PULL_METHOD, wire.PullRequest, wire.PullReply
         )
--- a/pondhatch/transport/_request_runner.py
+++ b/pondhatch/transport/_request_runner.py
@@ -332,6 +332,7 @@
                 cut_at=tuple(dispatch.cut_at),
                 digest=f"{admitted_request.head.digest:x}" if _needs_digest(dispatch, code) else "",
                 predicted_ms=dispatch.queue_result.predicted_ms,
+                relayed_by=dispatch.relayed_by,
             )
         )
 
--- a/pondhatch/transport/_reuse.py
+++ b/pondhatch/transport/_reuse.py
@@ -41,6 +41,8 @@
     idle_since: float
     #: When bytes were last received, in the loop's seconds.
     last_received_at: float
+    #: Whether it has carried no request yet; it then counts as received from when it opened.
+    is_unused: bool
 
 
 class ReuseRules:
@@ -65,6 +67,8 @@
 
     def is_safe(self, connection: IdleConnection, now: float, managed: bool) -> bool:
         """Return whether a request that may not be repeated may reuse a connection."""
+        if connection.is_unused:
+            return now - connection.last_received_at <= MAX_SILENT_SECONDS
         if not connection.has_stated_idle:
             return False
         if managed and not self.is_strict(now):
--- a/pondhatch/transport/_upstreams.py
+++ b/pondhatch/transport/_upstreams.py
@@ -18,9 +18,11 @@
     Broken,
     EngineRefusal,
     Headers,
+    NoPathObserver,
     NotRun,
     NoUpstreamView,
     PartSink,
+    PathObserver,
     RequestHead,
     Target,
     Try,
@@ -131,18 +133,20 @@
         metrics: Metrics | None = None,
         view: UpstreamView | None = None,
         held: HeldBytes | None = None,
+        paths: PathObserver | None = None,
     ) -> None:
         self.client = client
         #: Counts the bytes buffered here for callers and upstreams.
         self._held = held or HeldBytes()
         self._dialect = dialect
         self._view = view or NoUpstreamView()
+        self._paths = paths or NoPathObserver()
         self._note_dropped = dropped_header_counter(metrics or NoMetrics())
 
     async def send(
-        self, target: Target, head: RequestHead, body: BodySource
+        self, target: Target, head: RequestHead, body: BodySource, patience: float | None = None
     ) -> AnswerStarted | NotRun | Unknown:
-        """Make one attempt at a request; see Upstreams."""
+        """Make one attempt at a request; see DirectUpstreams."""
         attempt = new_try(target.name)
         deadline = asyncio.get_running_loop().time() + head.deadline
         request = Request(head.method, head.path, self._dialect.request_headers(head, target))
@@ -150,27 +154,18 @@
         try:
             async with asyncio.timeout_at(deadline):
                 address = _address_of(target.url)
-                reusable = head.repeatable and not head.needs_new_connection
                 exchange = await self.client.send(
                     address,
                     request,
                     body,
-                    reusable,
+                    _is_reusable(head),
                     head.needs_new_connection,
-                    Hooks(
-                        may_reuse=lambda answered: (
-                            self._classify(head, answered) is not AnswerKind.CROSSED
-                        ),
-                        on_head=lambda answered: self._receive_notice(target, answered),
-                        before_send=lambda: self._check_open(target, head),
-                        new_counter=lambda: self._held.counter(head.account),
-                        to_upstream=True,
-                        max_idle=_max_idle(target),
-                    ),
+                    self._hooks(target, head, patience),
                 )
                 attempt.sent()
                 response = await exchange.head
         except NotSent as error:
+            self._paths.record_failure(target.name)
             return _refusal(attempt, str(error))
         except _UpstreamClosed as closed:
             return closed.refusal
@@ -192,6 +187,50 @@
             exchange.cancel()
             raise
 
+    def has_connection(self, target: Target, head: RequestHead) -> bool:
+        """Return whether an open connection may carry a request; see DirectUpstreams."""
+        if head.needs_new_connection:
+            return False
+        valid_since = self._paths.connections_valid_since(target.name)
+        try:
+            address = _address_of(target.url)
+        except NotSent:
+            return False
+        return self.client.has_reusable(address, _is_reusable(head), valid_since)
+
+    def reconnect(self, target: Target) -> None:
+        """Open a connection to an upstream in the background; see DirectUpstreams."""
+        try:
+            address = _address_of(target.url)
+        except NotSent:
+            return
+        self.client.connect_in_background(address, self._connection_hooks(target))
+
+    def _connection_hooks(self, target: Target) -> Hooks:
+        """Return the options of new connections to an upstream."""
+        return Hooks(
+            on_connected=lambda: self._paths.record_connection(target.name),
+            to_upstream=True,
+            max_idle=_max_idle(target),
+        )
+
+    def _hooks(self, target: Target, head: RequestHead, patience: float | None) -> Hooks:
+        """Return the callbacks and options of one request."""
+
+        def receive_head(answered: ResponseHead) -> None:
+            self._paths.record_answer()
+            self._receive_notice(target, answered)
+
+        return replace(
+            self._connection_hooks(target),
+            may_reuse=lambda answered: self._classify(head, answered) is not AnswerKind.CROSSED,
+            on_head=receive_head,
+            before_send=lambda: self._check_open(target, head),
+            new_counter=lambda: self._held.counter(head.account),
+            patience=patience,
+            valid_since=self._paths.connections_valid_since(target.name),
+        )
+
     def is_pooled(self, url: str) -> bool:
         """Return whether a reusable idle connection to an upstream exists."""
         try:
@@ -254,6 +293,11 @@
         )
 
 
+def _is_reusable(head: RequestHead) -> bool:
+    """Return whether a request may be sent on any connection that is kept open."""
+    return head.repeatable and not head.needs_new_connection
+
+
 def _max_idle(target: Target) -> int:
     """Return the maximum number of idle connections to an upstream."""
     return (
