Take a refused connection for a crash only if another engine accepts one

Callers whose requests ran while a router lost its paths to the engines could be refused later as if their request crashed engines: a cut that resets connections and refuses new ones looks like the crash of every engine at once, and the router shared evidence against each request.

Change: the probe that found the engine's port refused connects to one other engine, two at most; if none accepts, the paths are at fault and there is no evidence (router/_crash_probe). Nothing more is sent than two connections after a lost run. A router with one engine judges as before.

Evidence: test_crash_probe (refused by all: no crash; before, each refusal was one), test_crashing_requests and the evidence histories pass.

--- a/pondhatch/cli/_router_process.py
+++ b/pondhatch/cli/_router_process.py
@@ -39,6 +39,7 @@
     NOTICE_PACKET_PREFIX,
     Authority,
     CrashEvidenceExchange,
+    CrashProbe,
     GrantExchange,
     NoticeExchange,
     PeerDiscovery,
@@ -123,7 +124,12 @@
             self._tasks,
             self._rng,
             self._records,
-            upstreams.refuses_connections,
+            CrashProbe(
+                self.state,
+                self._paths,
+                upstreams.refuses_connections,
+                upstreams.accepts_connections,
+            ).has_crashed,
         )
         self._relaying = Relaying(
             self.state, self._paths, upstreams, self._crash_evidence, self._records, self._metrics
--- a/pondhatch/router/__init__.py
+++ b/pondhatch/router/__init__.py
@@ -18,6 +18,7 @@
 )
 from pondhatch.router._authority import Authority
 from pondhatch.router._crash_evidence_exchange import CRASH_PACKET_PREFIX, CrashEvidenceExchange
+from pondhatch.router._crash_probe import CrashProbe
 from pondhatch.router._dump import Dump, dump_state
 from pondhatch.router._engine_paths import RouterPaths
 from pondhatch.router._fleet_key import obtain_fleet_key
@@ -69,4 +70,5 @@
     "not_ready_refusal",
     "service_of_path",
     "RouterPaths",
+    "CrashProbe",
 ]
--- a/pondhatch/transport/_http_client.py
+++ b/pondhatch/transport/_http_client.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import enum
 import functools
 from collections.abc import Callable
 from typing import Any
@@ -111,24 +112,36 @@
         transport.abortConnection()
 
 
+class Listening(enum.Enum):
+    """How a host responds to a connection to an address."""
+
+    #: Something listens there.
+    ACCEPTED = enum.auto()
+    #: Nothing listens there.
+    REFUSED = enum.auto()
+    #: The host does not reply.
+    SILENT = enum.auto()
+
+
 class _ListenProbe(ClientFactory):
-    """Probes whether connections to an address are refused."""
+    """Probes how connections to an address are responded to."""
 
     noisy = False
     protocol = _CloseAtOnce
 
     def __init__(self) -> None:
-        self.refused: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+        self.result: asyncio.Future[Listening] = asyncio.get_running_loop().create_future()
 
     def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
-        self._resolve(reason.check(Refused) is not None)
+        was_refused = reason.check(Refused) is not None
+        self._resolve(Listening.REFUSED if was_refused else Listening.SILENT)
 
     def clientConnectionLost(self, connector: Any, reason: Failure) -> None:
-        self._resolve(False)
+        self._resolve(Listening.ACCEPTED)
 
-    def _resolve(self, refused: bool) -> None:
-        if not self.refused.done():
-            self.refused.set_result(refused)
+    def _resolve(self, result: Listening) -> None:
+        if not self.result.done():
+            self.result.set_result(result)
 
 
 def _always(_: ResponseHead) -> bool:
@@ -323,15 +336,22 @@
     async def is_refused(self, address: Address) -> bool:
         """Return whether a host refuses connections to an address, as nothing listens there.
 
-        False also if the host does not reply. Concurrent calls for an address share one probe,
-        since all requests that a crashed engine was running ask at the same time.
+        False also if the host does not reply.
+        """
+        return await self.probe(address) is Listening.REFUSED
+
+    async def probe(self, address: Address) -> Listening:
+        """Return how a host responds to a connection to an address.
+
+        Concurrent calls for an address share one probe, since all requests that a crashed engine
+        was running ask at the same time.
         """
         probe = self._probe_by_address.get(address)
         if probe is None:
             probe = self._probe_by_address[address] = _ListenProbe()
-            probe.refused.add_done_callback(lambda _: self._probe_by_address.pop(address))
+            probe.result.add_done_callback(lambda _: self._probe_by_address.pop(address))
             self._reactor.connectTCP(address.host, address.port, probe, timeout=PROBE_SECONDS)
-        return await asyncio.shield(probe.refused)
+        return await asyncio.shield(probe.result)
 
     def close_stale(self, address: Address, since: float) -> None:
         """Close the idle connections to an address that received nothing since a time.
--- a/pondhatch/transport/_upstreams.py
+++ b/pondhatch/transport/_upstreams.py
@@ -38,6 +38,7 @@
     Address,
     Hooks,
     HttpClient,
+    Listening,
     NotSent,
 )
 from pondhatch.transport._http_connection import Exchange
@@ -247,6 +248,14 @@
             return False
         return await self.client.is_refused(address)
 
+    async def accepts_connections(self, target: Target) -> bool:
+        """Return whether something listens at an upstream's address; see CrashProbe."""
+        try:
+            address = _address_of(target.url)
+        except NotSent:
+            return False
+        return await self.client.probe(address) is Listening.ACCEPTED
+
     def _check_open(self, target: Target, head: RequestHead) -> None:
         """Raise _UpstreamClosed if a request may no longer be sent to its upstream."""
         refusal = self._view.closed(target.name, head)
