Let an unrepeatable request outlast a sound engine's second of silence

A request that may not be repeated got 502 where its engine was silent for a second and then went on: TCP_USER_TIMEOUT of 1,000 ms ended the connection, and the request was lost for good.

Measured on loopback, one run each: seconds until the connection ended, for silences of 0.8, 1.0, 1.2, 1.5, 1.9, 2.5 and 6 s after the bytes were written: 1,000 ms answered 0.8 alone, else ended at 1.43; 1,500 ms answered up to 1.5, else 1.92; 2,000 ms up to 1.5, else 2.44; 3,000 ms up to 2.5, else 3.42. Awaiting an answer with keep-alive probes: up to 2,000 ms each ends at 2.0, 3,000 ms at 3.05.

Change: 3,000 ms while a connection carries a request that may not be repeated, which has nothing to win by an earlier end; 1,000 ms otherwise, as a repeat elsewhere helps while its caller still waits. The option is set only where it differs from the connection's.

After a hang it costs such a request 3.4 s to get its 502 instead of 1.4.

--- a/fakes/_cuttable_relay.py
+++ b/fakes/_cuttable_relay.py
@@ -6,10 +6,7 @@
 import socket
 
 from fakes._local_fleet import free_ports
-from fakes._silent_relay import HOST, SilentRelay, drop_incoming
-
-#: Linux socket option that removes a BPF filter from a socket; its value is ignored.
-SO_DETACH_FILTER = 27
+from fakes._silent_relay import HOST, SilentRelay, accept_incoming, drop_incoming
 
 
 class Cut(enum.Enum):
@@ -47,7 +44,7 @@
         """Let new connections pass again; those that fell silent stay so."""
         cut, self._cut = self._cut, None
         if cut is Cut.HANG:
-            self._listener.setsockopt(socket.SOL_SOCKET, SO_DETACH_FILTER, 0)
+            accept_incoming(self._listener)
         elif cut is not None:
             self._listener = socket.create_server((HOST, self.port))
             self._start_accepting()
--- a/fakes/_silent_relay.py
+++ b/fakes/_silent_relay.py
@@ -29,6 +29,8 @@
 SO_ATTACH_FILTER = 26
 #: Value of SO_LINGER with which closing a socket resets its connection.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+#: Linux socket option that removes a BPF filter from a socket; its value is ignored.
+SO_DETACH_FILTER = 27
 #: A filter of one instruction, "return 0", which drops every packet.
 DROP_ALL_FILTER = struct.pack("HBBI", 0x06, 0, 0, 0)
 
@@ -52,6 +54,17 @@
             _await_acknowledgement(end)
             drop_incoming(end)
 
+    def pause(self, seconds: float) -> None:
+        for end in self._ends:
+            _await_acknowledgement(end)
+            drop_incoming(end)
+        threading.Timer(seconds, self._resume).start()
+
+    def _resume(self) -> None:
+        for end in self._ends:
+            with contextlib.suppress(OSError):
+                accept_incoming(end)
+
     def close(self) -> None:
         for end in self._ends:
             with contextlib.suppress(OSError):
@@ -110,6 +123,11 @@
         for connection in tuple(self._connections):
             connection.fall_silent(acknowledging)
 
+    def pause(self, seconds: float) -> None:
+        """Lose all packets of the open connections for a while; senders then send them again."""
+        for connection in tuple(self._connections):
+            connection.pause(seconds)
+
     def _start_accepting(self) -> None:
         threading.Thread(target=self._accept, args=(self._listener,), daemon=True).start()
 
@@ -151,6 +169,11 @@
     return int.from_bytes(answer, sys.byteorder)
 
 
+def accept_incoming(end: socket.socket) -> None:
+    """Undo ``drop_incoming``."""
+    end.setsockopt(socket.SOL_SOCKET, SO_DETACH_FILTER, 0)
+
+
 def drop_incoming(end: socket.socket) -> None:
     """Drop every packet that arrives on a socket; a listening one then answers no connection."""
     instructions = ctypes.create_string_buffer(DROP_ALL_FILTER, len(DROP_ALL_FILTER))
--- a/fakes/tests/test_silent_connections.py
+++ b/fakes/tests/test_silent_connections.py
@@ -30,8 +30,21 @@
     "PathPrefix": "/notes/once/",
     "Resumable": False,
 }
-#: The configuration with one more route, whose streams may not be resumed.
-EXTENDED_CONFIGURATION = {**CONFIGURATION, "Routes": [*CONFIGURATION["Routes"], UNRESUMABLE_ROUTE]}
+PROOFS_ROUTE = next(each for each in CONFIGURATION["Routes"] if each["Name"] == "r-proofs")
+#: A route whose requests may not be repeated, and last longer than an engine is silent.
+LONG_ROUTE = {
+    **PROOFS_ROUTE,
+    "Name": "r-long",
+    "PathPrefix": "/proofs/long/",
+    "TimeoutMs": 4000,
+}
+#: The configuration with two more routes.
+EXTENDED_CONFIGURATION = {
+    **CONFIGURATION,
+    "Routes": [*CONFIGURATION["Routes"], UNRESUMABLE_ROUTE, LONG_ROUTE],
+}
+#: Seconds for which a sound engine may fall silent.
+SOUND_SILENCE_SECONDS = 1.2
 
 
 class RelayedCase(MachinesCase):
@@ -101,6 +114,15 @@
         for _ in range(4):
             self.assertEqual(self.send_request(self.router, "/proofs/a", b"x").status, 200)
 
+    def test_an_unrepeatable_request_outlasts_a_second_of_silence(self) -> None:
+        """Guards against giving up a request whose engine goes on after a moment."""
+        for _ in range(4):
+            self.assertEqual(self.send_request(self.router, "/proofs/long/a", b"x").status, 200)
+        for relay in self.relays:
+            relay.pause(SOUND_SILENCE_SECONDS)
+        pending = [self.send_in_background("/proofs/long/a", uuid.uuid4().hex[:16])]
+        self.assertEqual([each.result().status for each in pending], [200])
+
     def test_a_request_awaiting_its_answer_is_retried_at_another_engine(self) -> None:
         attempt = uuid.uuid4().hex[:16]
         self.arm_all("lang", "stall", 1, 60.0)
--- a/pondhatch/transport/_dead_peers.py
+++ b/pondhatch/transport/_dead_peers.py
@@ -15,6 +15,10 @@
 #: count as dead. The shortest route timeout that operators configure is 1.5 s, of which this
 #: leaves a third for another engine.
 UNACKNOWLEDGED_MS = 1000
+#: The same for a connection with a request that may not be repeated: if it is closed the request is
+#: lost for good, while a sound engine may be silent for a second or so. The system also ends its
+#: keep-alive probes by this time, whatever their number.
+UNREPEATABLE_UNACKNOWLEDGED_MS = 3000
 #: Seconds of silence before the first probe and between probes; the system's minimum.
 PROBE_SECONDS = 1
 #: Failed probes after which the connection is closed.
@@ -29,6 +33,11 @@
 )
 
 
+def limit_silence(connection: Any, milliseconds: int) -> None:
+    """Set after how many milliseconds with unacknowledged bytes a connection is closed."""
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds)
+
+
 def detect_dead_peer(connection: Any) -> None:
     """Set options that close a connection within seconds of its falling silent, idle or not.
 
--- a/pondhatch/transport/_http_client.py
+++ b/pondhatch/transport/_http_client.py
@@ -21,6 +21,7 @@
 from pondhatch.limits import HeldCounter
 from pondhatch.observing import Metrics, NoMetrics
 from pondhatch.requests import BodySource
+from pondhatch.transport._dead_peers import UNACKNOWLEDGED_MS
 from pondhatch.transport._http_connection import Connection, Exchange, no_counter
 from pondhatch.transport._http_heads import Request, ResponseHead
 from pondhatch.transport._reuse import MAX_SILENT_SECONDS as MAX_SILENT_SECONDS
@@ -183,6 +184,8 @@
     #: Time from which on an idle connection must have received bytes to be used, in the loop's
     #: seconds.
     valid_since: float = float("-inf")
+    #: Milliseconds for which the request's bytes may be unacknowledged.
+    max_silent_ms: int = UNACKNOWLEDGED_MS
 
 
 NO_HOOKS = Hooks()
@@ -238,7 +241,14 @@
         if hooks.to_upstream:
             self._metrics.count("connections.opened" if is_new else "connections.reused")
         keep = functools.partial(self._keep_idle, address, max_idle=hooks.max_idle)
-        exchange = Exchange(connection, keep, hooks.may_reuse, hooks.on_head, hooks.new_counter)
+        exchange = Exchange(
+            connection,
+            keep,
+            hooks.may_reuse,
+            hooks.on_head,
+            hooks.new_counter,
+            hooks.max_silent_ms,
+        )
         try:
             # Opening the connection may have taken long enough for the upstream's state to change.
             hooks.before_send()
--- a/pondhatch/transport/_http_connection.py
+++ b/pondhatch/transport/_http_connection.py
@@ -18,7 +18,7 @@
 
 from pondhatch.limits import UNCOUNTED, HeldCounter
 from pondhatch.requests import BodySource, ReplayableBody
-from pondhatch.transport._dead_peers import UNACKNOWLEDGED_MS, detect_dead_peer
+from pondhatch.transport._dead_peers import UNACKNOWLEDGED_MS, detect_dead_peer, limit_silence
 from pondhatch.transport._headers import as_bytes
 from pondhatch.transport._http_heads import Request, ResponseHead, framing_header, response_head
 from pondhatch.transport._parts import PartPipe
@@ -70,6 +70,8 @@
         #: Cleared while the write buffer is full, as the other side reads too slowly.
         self._writable = asyncio.Event()
         self._writable.set()
+        #: Milliseconds for which bytes may be unacknowledged before the system closes it.
+        self._max_silent_ms = UNACKNOWLEDGED_MS
         self._on_closed = on_closed
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._exchange: Exchange | None = None
@@ -88,8 +90,16 @@
         self.last_received_at = self.idle_since = now
         self.usable_until = now + UNUSED_SECONDS
 
-    def begin(self, exchange: Exchange, request: Request, length: int | None) -> None:
-        """Write a request's head; its body follows by ``send_body`` or ``send_whole_body``."""
+    def begin(
+        self, exchange: Exchange, request: Request, length: int | None, max_silent_ms: int
+    ) -> None:
+        """Write a request's head; its body follows by ``send_body`` or ``send_whole_body``.
+
+        ``max_silent_ms`` is how long its bytes may be unacknowledged, in milliseconds.
+        """
+        if self.is_open and max_silent_ms != self._max_silent_ms:
+            self._max_silent_ms = max_silent_ms
+            limit_silence(self.transport.getHandle(), max_silent_ms)
         self._exchange = exchange
         self.is_unused = False
         self.last_request_at = asyncio.get_running_loop().time()
@@ -277,6 +287,7 @@
         may_reuse: Callable[[ResponseHead], bool],
         on_head: Callable[[ResponseHead], None] = _ignore_head,
         new_counter: Callable[[], HeldCounter] = no_counter,
+        max_silent_ms: int = UNACKNOWLEDGED_MS,
     ) -> None:
         #: Resolved with the response head. Its waiter may cancel it in the same turn of the loop
         #: in which the response arrives, so ``response`` holds what was received.
@@ -292,12 +303,14 @@
         self._on_head = on_head
         #: Returns a counter for bytes buffered for the other side or for the answer's reader.
         self._new_counter = new_counter
+        #: Milliseconds for which its bytes may be unacknowledged.
+        self._max_silent_ms = max_silent_ms
         self._is_finished = False
         self._send_task: asyncio.Task[None] | None = None
 
     def send(self, request: Request, body: BodySource) -> None:
         """Write the request; a body that is not in memory is sent as it is received."""
-        self.connection.begin(self, request, body.length)
+        self.connection.begin(self, request, body.length, self._max_silent_ms)
         if isinstance(body, ReplayableBody):
             self.connection.send_whole_body(body.content)
             return
--- a/pondhatch/transport/_upstreams.py
+++ b/pondhatch/transport/_upstreams.py
@@ -32,6 +32,7 @@
     is_event_stream,
     new_try,
 )
+from pondhatch.transport._dead_peers import UNACKNOWLEDGED_MS, UNREPEATABLE_UNACKNOWLEDGED_MS
 from pondhatch.transport._header_owners import dropped_header_counter
 from pondhatch.transport._http_client import (
     IDLE_CONNECTIONS,
@@ -229,6 +230,7 @@
             before_send=lambda: self._check_open(target, head),
             new_counter=lambda: self._held.counter(head.account),
             patience=patience,
+            max_silent_ms=UNACKNOWLEDGED_MS if head.repeatable else UNREPEATABLE_UNACKNOWLEDGED_MS,
             valid_since=self._paths.connections_valid_since(target.name),
         )
 
