Failing tests: engines that state that they are brittle

Callers lose their answers where an engine falls over because it had to refuse too many requests in a second. The stand-in engine learns it: it states its limit in all answers, lets fewer requests in without announcing it, and answers nothing for two seconds after it fell over.

--- a/fakes/_machines_engine.py
+++ b/fakes/_machines_engine.py
@@ -5,7 +5,8 @@
 reservation which this engine does not hold is refused and not run. A request whose body begins
 with one of ``CRASH_BODIES`` ends the engine's process as it begins to run. ``POST /cold`` with
 ``{"seconds": 5, "most": 11}`` makes the engine cold for 5 s: its process ends if more than 11
-requests arrive within one second.
+requests arrive within one second. ``POST /brittle`` makes it state that it is brittle, and limits
+its places; see BrittleRoom. ``GET /brittle`` returns the times at which it fell over.
 
 Faults:
 
@@ -35,6 +36,7 @@
 from klein import Klein
 from twisted.internet.defer import Deferred
 
+from fakes._brittle import BrittleRoom
 from fakes._faults import Faults
 from pondhatch.kernel import as_deferred
 
@@ -88,6 +90,7 @@
         #: Received requests and how each was answered, in the order of arrival.
         self.received_requests: list[_ReceivedRequest] = []
         self._name = name
+        self._room = BrittleRoom()
         self._cold_until = 0.0
         #: Requests within one second that it survives while it is cold.
         self._cold_limit = 0
@@ -111,6 +114,12 @@
             self._cold_limit = body["most"]
             return b"ok\n"
 
+        @self.app.route("/brittle")
+        def brittle(request: Any) -> bytes:
+            if request.method == b"POST":
+                self._room.set(json.loads(request.content.read()))
+            return json.dumps(self._room.falls).encode()
+
         @self.app.route("/seen")
         def seen(request: Any) -> bytes:
             return json.dumps([asdict(each) for each in self.received_requests]).encode()
@@ -122,7 +131,23 @@
             return as_deferred(self._answer(request))
 
     async def _answer(self, request: Any) -> bytes:
+        """Answer a request if there is room for it."""
         request.setHeader("Keep-Alive", "timeout=5")
+        if self._room.is_down():
+            request.channel.forceAbortClient()
+            return b""
+        if self._room.refusal_limit is not None:
+            request.setHeader("Server-Brittle", str(self._room.refusal_limit))
+        if not self._room.enter():
+            request.setResponseCode(503)
+            request.setHeader("Not-Executed", "1")
+            return b""
+        try:
+            return await self._answer_in_place(request)
+        finally:
+            self._room.leave()
+
+    async def _answer_in_place(self, request: Any) -> bytes:
         self.received_headers.append(_header_pairs(request))
         received = _ReceivedRequest(request.getHeader("Attempt-Id") or "", time.monotonic())
         self.received_requests.append(received)
