Bound what brittle engines may have to refuse by what their owners grant

Callers lost their answers where an engine fell over after it had to refuse more requests in a second than it bears; engines say so in all their answers (Server-Brittle), and nothing read it.

Cause: each owner granted up to the ceiling and learned from refusals, which come back late and from many senders; after each one the limit lasted a second and then jumped back.

Change: grants that an engine may still refuse and refusals of the last second together never exceed the number that it states (placement/_brittle). Without the owner a router sends such an engine nothing. It is kept by the engine's start and ends when answers no longer state it.

--- a/pondhatch/placement/__init__.py
+++ b/pondhatch/placement/__init__.py
@@ -1,5 +1,6 @@
 """Placement: selects an engine for a request and limits the load of each engine."""
 
+from pondhatch.placement._brittle import BrittleAllowances, BrittleEngines
 from pondhatch.placement._ceiling import admission_ceiling
 from pondhatch.placement._cold_pacer import ColdAllowance, ColdPacer
 from pondhatch.placement._context import YOUNG_SECONDS, context_engine
@@ -110,4 +111,6 @@
     "RelayChoice",
     "RelayRouter",
     "RecentAnswers",
+    "BrittleAllowances",
+    "BrittleEngines",
 ]
--- a/pondhatch/placement/_notices.py
+++ b/pondhatch/placement/_notices.py
@@ -38,9 +38,11 @@
     has_free_slots: bool = False
     #: Its processing time in percent of usual; 0 where not stated.
     pace: int = 0
+    #: How many requests it may refuse within a second without failing; None where not stated.
+    refusal_limit: int | None = None
 
     def __bool__(self) -> bool:
-        """Return whether it closes the upstream to requests; a pace does not."""
+        """Return whether it closes the upstream to requests; a pace or a limit does not."""
         return self.is_leaving or self.rest > 0
 
 
--- a/pondhatch/platform/_engine_load.py
+++ b/pondhatch/platform/_engine_load.py
@@ -65,6 +65,15 @@
     )
 
 
+def read_refusal_limit(value_by_name: Mapping[str, str]) -> int | None:
+    """Return how many requests the engine may refuse within a second, None if it is not stated.
+
+    A value that is no number is taken as 0: the engine does state that it is brittle.
+    """
+    value = value_by_name.get(names.BRITTLE.lower())
+    return None if value is None else _number(value) or 0
+
+
 def _number(text: str) -> int | None:
     """Return a whole number that is not negative, None if the text is not one."""
     digits = text.strip()
--- a/pondhatch/platform/_engines.py
+++ b/pondhatch/platform/_engines.py
@@ -12,7 +12,7 @@
 from pondhatch.observing import LogThrottle, log_for
 from pondhatch.placement import NO_NOTICE, Notice
 from pondhatch.platform import _names as names
-from pondhatch.platform._engine_load import read_load
+from pondhatch.platform._engine_load import read_load, read_refusal_limit
 from pondhatch.platform._entries import normalize_number
 from pondhatch.platform._header_owners import OWNERS
 from pondhatch.requests import AnswerKind, EngineRefusal, Headers, RequestHead, Target
@@ -171,11 +171,13 @@
         if not load.is_readable and self._unreadable_throttle.allows(self._clock()):
             value = value_by_name[names.LOAD.lower()][:LOGGED_CHARACTERS]
             log.warning("An engine's {} header cannot be read: {!r}.", names.LOAD, value)
+        refusal_limit = read_refusal_limit(value_by_name)
         retry_after = value_by_name.get(names.RETRY_AFTER.lower())
         if retry_after is None or status not in names.FULL_STATUSES:
-            return Notice(is_leaving, pace=load.pace)
+            return Notice(is_leaving, pace=load.pace, refusal_limit=refusal_limit)
         rest = seconds_to_wait(retry_after, time.time())
-        return Notice(is_leaving, rest, rest > 0 and load.has_free_slots, load.pace)
+        has_free_slots = rest > 0 and load.has_free_slots
+        return Notice(is_leaving, rest, has_free_slots, load.pace, refusal_limit)
 
     def answer_headers(self, headers: Headers, note: NoteDropped) -> Headers:
         """Return the headers of an answer that an engine may send to a caller."""
--- a/pondhatch/platform/_header_owners.py
+++ b/pondhatch/platform/_header_owners.py
@@ -37,6 +37,7 @@
         names.LEAVING: Owner.UPSTREAM,
         names.ENGINE: Owner.UPSTREAM,
         names.LOAD: Owner.UPSTREAM,
+        names.BRITTLE: Owner.UPSTREAM,
         names.WEIGHTS: Owner.UPSTREAM,
         # Set by the store; neither callers nor engines may set it.
         names.STORE_ERA: Owner.ROUTER,
--- a/pondhatch/platform/_names.py
+++ b/pondhatch/platform/_names.py
@@ -58,6 +58,9 @@
 RETRY_AFTER = "Retry-After"
 #: In all answers of an engine that is about to shut down.
 LEAVING = "Server-Leaving"
+#: In all answers of a brittle engine: how many requests it may refuse for lack of room within one
+#: second; it fails if it has to refuse more.
+BRITTLE = "Server-Brittle"
 #: Status of an engine's answer to a request for another engine; it did not run the request.
 WRONG_INSTANCE_STATUS = 421
 #: Statuses of refusals by an engine without free slots, and of an invalid request.
--- a/pondhatch/platform/tests/_wire.py
+++ b/pondhatch/platform/tests/_wire.py
@@ -65,6 +65,7 @@
     "Instance-Signature",
     "Instance-Id",
     "Instance-Load",
+    "Server-Brittle",
     "Not-Executed",
     "Retry-After",
     "Server-Leaving",
--- a/pondhatch/requests/_dispatch.py
+++ b/pondhatch/requests/_dispatch.py
@@ -446,7 +446,7 @@
         is_home = engine == self.plan.home
         max_wait = self._wait_limits.context_engine if has_context else 0.0
         max_wait = min(self._remaining(), self._wait_limits.last_engine if is_last else max_wait)
-        need = self._need_at(engine)
+        need, target = self._need_at(engine), self._view.target(engine)
         return GrantRequest(
             number=self._collaborators.grants.next_number(),
             router=self._collaborators.grants.router,
@@ -466,6 +466,7 @@
             resuming=resuming,
             tokens=need.tokens,
             parts=need.parts,
+            refusal_limit=target.refusal_limit if target is not None else None,
         )
 
     def _need_at(self, engine: str) -> TokenNeed:
--- a/pondhatch/requests/_grant_requests.py
+++ b/pondhatch/requests/_grant_requests.py
@@ -62,6 +62,9 @@
     #: Parts of the prompt, each a key and its number of tokens; UNSHARED_PART is the key of what no
     #: other request shares.
     parts: tuple[tuple[int, int], ...] = ()
+    #: How many requests the engine may refuse within a second, by its latest answer to the entry
+    #: router; None if it stated no limit.
+    refusal_limit: int | None = None
 
     @property
     def holder(self) -> Holder:
--- a/pondhatch/requests/_owner.py
+++ b/pondhatch/requests/_owner.py
@@ -24,6 +24,7 @@
     TokenCounts,
     context_engine,
 )
+from pondhatch.requests._brittle_gate import BrittleGate
 from pondhatch.requests._engine_memory import EngineMemory
 from pondhatch.requests._engine_queues import EngineQueues
 from pondhatch.requests._grant_requests import (
@@ -103,6 +104,7 @@
         self._queues = EngineQueues(self._return_slot, clock, view.is_load_managed)
         self._health = health
         self._recent_answers = RecentAnswers()
+        self._brittle = BrittleGate(self._queues.serve)
         self._cold_pacer = cold_pacer or ColdPacer()
         self._engine_memory = EngineMemory(token_counts or TokenCounts(), view.is_load_managed)
         self.leases = Leases()
@@ -153,6 +155,10 @@
             return refusal
         if target.intake.cold_pace is not None:
             return _busy(self._cold_refusal(target))
+        if target.refusal_limit is not None:
+            # As for cold ones: any number of routers may decide without the owner.
+            in_flight = self._gate.in_flight(target.name, self._clock())
+            return Busy(in_flight, in_flight)
         decision = self._ask_gate(target, grant_request)
         if isinstance(decision, Granted):
             return self._record_grant(grant_request, decision)
@@ -189,18 +195,18 @@
         if lease is None:
             return
         # Recorded first, since freeing the slot grants the next request in the queue.
-        self._record_end(lease.engine, holder.router, end_reason)
+        self._record_end(lease.engine, holder, end_reason)
         self._engine_memory.remove(lease.engine, holder)
         self._return_slot(lease.engine, was_used=end_reason in RUN_END_REASONS)
 
-    def _record_end(self, engine: str, router: int, end_reason: EndReason) -> None:
+    def _record_end(self, engine: str, holder: Holder, end_reason: EndReason) -> None:
         """Record how a request ended at its engine, while its grant still counts as in flight."""
         now = self._clock()
         if end_reason == EndReason.ANSWERED:
             self._health.record_answer(engine)
-            self._recent_answers.record(engine, router, now)
+            self._recent_answers.record(engine, holder.router, now)
         if end_reason == EndReason.CONNECTION_FAILED and not self._recent_answers.answers_others(
-            engine, router, now
+            engine, holder.router, now
         ):
             managed = self._view.is_load_managed()
             self._health.record_failure(engine, now, MANAGED_PAUSE if managed else LONGEST_PAUSE)
@@ -209,9 +215,10 @@
         if end_reason == EndReason.LEAVING:
             self._health.record_leaving(engine, now)
         if end_reason == EndReason.FULL:
-            self._note_engine_full(engine, now)
+            self._note_engine_full(engine, holder, now)
+        self._brittle.record_end(engine, holder, end_reason)
 
-    def _note_engine_full(self, engine: str, now: float) -> None:
+    def _note_engine_full(self, engine: str, holder: Holder, now: float) -> None:
         """Lower the limit of an engine that refused a request as full.
 
         If it runs no other request granted here, the refusal counts as an engine error instead:
@@ -221,6 +228,8 @@
         target = self._view.target(engine)
         if target is not None and target.intake.cold_pace is not None:
             return
+        if self._brittle.record_refusal(engine, holder, self._gate.in_flight(engine, now) - 1, now):
+            return
         if self._gate.in_flight(engine, now) > 1:
             self._gate.record_engine_full(engine, now)
         else:
@@ -268,6 +277,7 @@
         if now - self._cleaned_up_at >= CLEANUP_SECONDS:
             self._cleaned_up_at = now
             self._recent_answers.drop_old(now)
+            self._brittle.drop_sound(now)
             self._queues.drop_gone(lambda engine: self._view.target(engine) is None)
 
     def _placement_refusal(self, grant_request: GrantRequest, target: Target) -> OwnerReply | None:
@@ -330,6 +340,18 @@
             self._queues.serve(grant_request.engine)
 
     def _ask_gate(self, target: Target, grant_request: GrantRequest) -> GateDecision:
+        """Grant a request up to an upstream's ceiling, and if it is brittle within its bounds."""
+        now = self._clock()
+        in_flight = self._gate.in_flight(target.name, now)
+        refusal = self._brittle.refusal(target, grant_request, in_flight, now)
+        if refusal is not None:
+            return refusal
+        decision = self._ask_at_pace(target, grant_request)
+        if isinstance(decision, Granted):
+            self._brittle.record_grant(grant_request, now)
+        return decision
+
+    def _ask_at_pace(self, target: Target, grant_request: GrantRequest) -> GateDecision:
         """Grant a request up to an upstream's ceiling and, if it is cold, at its pace."""
         pace, now = target.intake.cold_pace, self._clock()
         if pace is None:
--- a/pondhatch/requests/_sending.py
+++ b/pondhatch/requests/_sending.py
@@ -54,6 +54,8 @@
     memory_tokens: int | None = None
     #: Idle connections that this router may keep to it; None if no limit is known.
     max_idle_connections: int | None = None
+    #: How many requests it may refuse within a second without failing; None if any number.
+    refusal_limit: int | None = None
 
 
 #: Explanation for each reason why an upstream may not be sent a request.
@@ -117,6 +119,9 @@
     def receive_notice(self, upstream: str, notice: Notice) -> None:
         """Handle the notice that an upstream gave in the head of an answer."""
 
+    def record_refusal_limit(self, upstream: str, refusal_limit: int | None) -> None:
+        """Record the limit that an upstream stated in the head of an answer, None for none."""
+
 
 class NoUpstreamView:
     """Knows nothing of upstreams; see UpstreamView."""
@@ -128,6 +133,9 @@
     def receive_notice(self, upstream: str, notice: Notice) -> None:
         """Do nothing."""
 
+    def record_refusal_limit(self, upstream: str, refusal_limit: int | None) -> None:
+        """Do nothing."""
+
 
 def is_upstream_failure(status: int) -> bool:
     """Return whether a status means that the upstream itself failed."""
--- a/pondhatch/requests/_tries.py
+++ b/pondhatch/requests/_tries.py
@@ -38,6 +38,9 @@
     EngineRefusal.UNKNOWN: EndReason.ENGINE_ERROR,
 }
 
+#: Refusals that count against the limit of a brittle engine.
+FOR_ROOM = frozenset({EngineRefusal.FULL, EngineRefusal.DECLINED, EngineRefusal.OVERLOADED})
+
 #: Codes of tries that were abandoned right before their first byte was sent.
 CLOSED_CODES = frozenset(ClosedReason)
 #: Codes of tries of which no byte was sent.
@@ -179,10 +182,10 @@
             raise
         if reply.code in NOT_SENT_CODES and not was_sent_there:
             self.sent_to.discard(grant_request.engine)
-        grants.release(number, self._end_reason(reply))
+        grants.release(number, self._end_reason(reply, grant_request.engine))
         return reply
 
-    def _end_reason(self, reply: NotRun | Unknown) -> EndReason:
+    def _end_reason(self, reply: NotRun | Unknown, engine: str) -> EndReason:
         """Return the end reason to report for a try without an answer."""
         if reply.code in NEUTRAL_CODES:
             return EndReason.NEUTRAL
@@ -191,6 +194,9 @@
         if self._remaining() <= 0:
             # Its deadline passed in the engine's queue, which engines report as "full".
             return EndReason.NEUTRAL
+        target = self._view.target(engine)
+        if target is not None and target.refusal_limit is not None and reply.refusal in FOR_ROOM:
+            return EndReason.FULL
         return END_REASON_BY_REFUSAL[reply.refusal]
 
     def _context_address(self, target: Target, head: RequestHead) -> str:
--- a/pondhatch/router/_notice_exchange.py
+++ b/pondhatch/router/_notice_exchange.py
@@ -93,6 +93,10 @@
             self._to_repeat.add(upstream)
             self._send_to_concerned({upstream: notice})
 
+    def record_refusal_limit(self, upstream: str, refusal_limit: int | None) -> None:
+        """Record the limit that an answer stated; owners get it with each grant request."""
+        self._state.brittle_engines.record_answer(upstream, refusal_limit)
+
     def receive(self, payload: bytes) -> None:
         """Handle a packet without its prefix; a packet that does not parse is dropped."""
         try:
--- a/pondhatch/router/_state.py
+++ b/pondhatch/router/_state.py
@@ -29,6 +29,7 @@
     watchers,
 )
 from pondhatch.placement import (
+    BrittleEngines,
     ColdPacer,
     ContextLocations,
     EnginePaces,
@@ -112,6 +113,8 @@
     notices: Notices = field(default_factory=Notices)
     #: The current processing speed of engines, as they report it.
     paces: EnginePaces = field(default_factory=EnginePaces)
+    #: Refusal limits of engines, by their latest answers to this router.
+    brittle_engines: BrittleEngines = field(default_factory=BrittleEngines)
     #: The setting that decides when load is managed; see ``is_load_managed``.
     load_management: LoadManagement = "off"
     #: When this router last read a pace in an engine's answer, in the clock's seconds.
@@ -347,6 +350,7 @@
             pace=self.paces.pace(engine, self.clock()),
             memory_tokens=service.engine_tokens,
             max_idle_connections=self._idle_connections_share(service.max_connections),
+            refusal_limit=self.brittle_engines.limit(engine),
         )
 
     def _idle_connections_share(self, max_connections: int | None) -> int | None:
@@ -531,6 +535,7 @@
             self.invalidate_upstream_caches()
         self._invalidate_if_changed(self.halls.end_unconfirmed_evacuations(self.clock()))
         self.paces.drop_expired(self.clock())
+        self.brittle_engines.drop_gone(self.upstreams.entry_by_name.keys())
         if self.notices.drop_expired(self.upstreams.entry_by_name, self.clock()):
             self._intakes.invalidate()
         self.refresh_members()
--- a/pondhatch/transport/_upstreams.py
+++ b/pondhatch/transport/_upstreams.py
@@ -10,6 +10,7 @@
 from pondhatch.kernel import host_and_port
 from pondhatch.limits import HeldBytes
 from pondhatch.observing import Metrics, NoMetrics
+from pondhatch.placement import NO_NOTICE
 from pondhatch.requests import (
     AnswerKind,
     AnswerLost,
@@ -267,6 +268,8 @@
     def _receive_notice(self, target: Target, response: ResponseHead) -> None:
         """Process the upstream's state reported by a response, whatever the request's outcome."""
         notice = self._dialect.notice(response.status, response.value_by_name)
+        if notice is not NO_NOTICE:
+            self._view.record_refusal_limit(target.name, notice.refusal_limit)
         if notice or notice.pace:
             self._view.receive_notice(target.name, notice)
 
--- a/pondhatch/transport/tests/test_upstream_notices.py
+++ b/pondhatch/transport/tests/test_upstream_notices.py
@@ -17,6 +17,8 @@
 HEAD = RequestHead("r.1", "a", "s", 0, "POST", "/", HOST, True, 5.0, 5, caller_id="9c41")
 LEAVES = b"Server-Leaving: 1"
 RESTS = b"Retry-After: 3"
+#: States that it is brittle, but not how much.
+BRITTLE = b"Server-Brittle: yes"
 
 
 class View:
@@ -24,12 +26,16 @@
 
     def __init__(self) -> None:
         self.notices: list[tuple[str, Notice]] = []
+        self.refusal_limits: list[int | None] = []
         #: Set if the upstream accepts no more requests.
         self.refusal: NotRun | None = None
 
     def closed(self, upstream: str, head: RequestHead) -> NotRun | None:
         return self.refusal
 
+    def record_refusal_limit(self, upstream: str, refusal_limit: int | None) -> None:
+        self.refusal_limits.append(refusal_limit)
+
     def receive_notice(self, upstream: str, notice: Notice) -> None:
         self.notices.append((upstream, notice))
 
@@ -76,6 +82,16 @@
             await sending
             self.assertEqual(self.view.notices, expected)
 
+    # Guards against an engine that falls over although it stated what it bears, and against
+    # treating it as brittle for good.
+    async def test_the_refusal_limit_of_each_answer_is_recorded(self) -> None:
+        for header, expected in ((b"Server-Brittle: 2", 2), (b"X: 1", None), (BRITTLE, 0)):
+            sending = self.begin()
+            await asyncio.sleep(0)
+            self.answer(b"200 OK", b"Attempt-Id: 9c41", header)
+            await sending
+            self.assertEqual(self.view.refusal_limits.pop(), expected)
+
     async def test_a_notice_is_received_when_the_caller_leaves_during_the_answer(self) -> None:
         sending = self.begin()
         await asyncio.sleep(0)
