The soak cuts single routers off from all engines

The soak ran its connections through one relay for each engine, so it could not take the path of one router only. A relay now stands on the path of each pair of router and engine; a fault cuts all paths of one router for up to 7 s in three ways: open connections reset and new ones refused, silent and hanging, alive and new ones refused. It is drawn by a generator of its own, so that recorded seeds draw the same other faults as before. A new check compares, from 3 s after a cut began, the callers of the routers cut off with those of the others.

--- a/fakes/__main__.py
+++ b/fakes/__main__.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 from pathlib import Path
 from typing import Any
 
@@ -97,7 +96,7 @@
     from fakes._diverted_router import divert_connections
     from pondhatch.cli import main
 
-    divert_connections(json.loads(diversions.read_text()))
+    divert_connections(diversions)
     raise SystemExit(main(["run", str(settings)]))
 
 
--- a/fakes/_machines_fleet.py
+++ b/fakes/_machines_fleet.py
@@ -140,8 +140,7 @@
 
     def restart(self, router: MachinesRouter) -> None:
         """Restart a router whose process has ended, with its previous settings."""
-        path = self.folder / f"{router.name}.yaml"
-        router.process = self._start("pondhatch", "run", str(path))
+        router.process = self._start_router_process(router.name)
 
     def add_router(self, hall: str, diversions: dict[str, int] | None = None) -> MachinesRouter:
         """Start a router with settings made from the template in the deploy folder.
@@ -152,23 +151,35 @@
         name = f"edge-{len(self.machine_routers)}"
         path = self.folder / f"{name}.yaml"
         path.write_text(yaml.safe_dump(self._settings(name, hall, ports)))
+        if diversions is not None:
+            self.divert(name, diversions)
         router = MachinesRouter(
             name,
             f"http://{HOST}:{ports.callers}",
             f"http://{HOST}:{ports.readiness}",
             f"http://{HOST}:{ports.metrics}/metrics",
             f"{HOST}:{ports.admin}",
-            self._start_diverted(path, diversions)
-            if diversions
-            else self._start("pondhatch", "run", str(path)),
+            self._start_router_process(name),
         )
         self.machine_routers.append(router)
         return router
 
-    def _start_diverted(self, settings: Path, diversions: dict[str, int]) -> Popen[bytes]:
-        path = settings.with_suffix(".diversions")
-        path.write_text(json.dumps(diversions))
-        return self._start("fakes", "diverted-router", str(settings), f"--diversions={path}")
+    def divert(self, router: str, diversions: dict[str, int]) -> None:
+        """Set the port that a router connects to instead of an "IP:port", from now on."""
+        path = self._diversions_path(router)
+        # Replaced at once: the router may read it at any time.
+        written = path.with_suffix(".new")
+        written.write_text(json.dumps(diversions))
+        written.replace(path)
+
+    def _diversions_path(self, router: str) -> Path:
+        return self.folder / f"{router}.diversions"
+
+    def _start_router_process(self, router: str) -> Popen[bytes]:
+        settings, diversions = self.folder / f"{router}.yaml", self._diversions_path(router)
+        if not diversions.exists():
+            return self._start("pondhatch", "run", str(settings))
+        return self._start("fakes", "diverted-router", str(settings), f"--diversions={diversions}")
 
     def _settings(self, name: str, hall: str, ports: RouterPorts) -> dict[str, Any]:
         """Return a router's settings: the template filled as the platform does."""
--- a/fakes/_silent_relay.py
+++ b/fakes/_silent_relay.py
@@ -18,7 +18,7 @@
 import threading
 import time
 from types import TracebackType
-from typing import Self
+from typing import Protocol, Self
 
 HOST = "127.0.0.1"
 CHUNK_BYTES = 64 * 1024
@@ -35,6 +35,13 @@
 DROP_ALL_FILTER = struct.pack("HBBI", 0x06, 0, 0, 0)
 
 
+class _Socket(Protocol):
+    """A socket, or what asyncio shows of one."""
+
+    def setsockopt(self, level: int, option: int, value: int | bytes, /) -> None:
+        """Set an option."""
+
+
 class _RelayedConnection:
     """A connection accepted by the relay, and the one that it opened to the target."""
 
@@ -169,12 +176,12 @@
     return int.from_bytes(answer, sys.byteorder)
 
 
-def accept_incoming(end: socket.socket) -> None:
+def accept_incoming(end: _Socket) -> None:
     """Undo ``drop_incoming``."""
     end.setsockopt(socket.SOL_SOCKET, SO_DETACH_FILTER, 0)
 
 
-def drop_incoming(end: socket.socket) -> None:
+def drop_incoming(end: _Socket) -> None:
     """Drop every packet that arrives on a socket; a listening one then answers no connection."""
     instructions = ctypes.create_string_buffer(DROP_ALL_FILTER, len(DROP_ALL_FILTER))
     program = struct.pack("HP", 1, ctypes.addressof(instructions))
--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 from fakes._machines_engine import STREAM_EVENTS
+from soak._plan import PATH_KINDS
 from soak._records import Arrival, Attempt, Records
 
 #: Statuses by which a router promises that a request has not run and never will run.
@@ -19,6 +20,10 @@
 MAX_REQUESTS_IN_REST = 2
 #: Seconds by which an attempt may miss a disturbance and still be affected by it.
 AFTER_EFFECT_SECONDS = 1.0
+#: Seconds after which callers of a router that reaches no engine must be served again.
+PATH_DETECTION_SECONDS = 3.0
+#: Requests that may fail there during one cut, besides one in fifty.
+MAX_CUT_OFF_FAILURES = 10
 #: Least share of the requests after the recovery that must be served.
 MIN_SERVED_SHARE = 0.9
 OK = 200
@@ -103,6 +108,26 @@
     return found
 
 
+def cut_off_routers(records: Records) -> list[str]:
+    """Check that routers that reach no engine serve their callers hardly less than the others."""
+    cuts = [each for each in records.disturbances if each.kind in PATH_KINDS]
+    found = []
+    for cut in cuts:
+        begins, ends = cut.begins + PATH_DETECTION_SECONDS, cut.ends
+        during = [
+            each for each in records.attempts if begins <= each.sent_at and each.ended_at <= ends
+        ]
+        here = [each for each in during if each.router == cut.name]
+        cut_off = {each.name for each in cuts if each.begins < ends and each.ends > begins}
+        others = [each for each in during if each.router not in cut_off]
+        failed = [each for each in here if each.status != OK]
+        if len(failed) > MAX_CUT_OFF_FAILURES + len(here) / 50 and (
+            3 * _served_share(here) < 2 * _served_share(others)
+        ):
+            found.append(f"{len(failed)} of {len(here)} failed at {cut.name}, which was cut off")
+    return found
+
+
 def planned_stops(records: Records) -> list[str]:
     """Check that a router that is asked to stop still answers the requests that it forwarded."""
     arrivals_by_id = defaultdict(list)
@@ -167,6 +192,7 @@
     "true refusals": true_refusals,
     "leaving engines": leaving_engines,
     "resting engines": resting_engines,
+    "cut off routers": cut_off_routers,
     "planned stops": planned_stops,
     "configuration goes on": configuration_goes_on,
     "recovery": recovery,
@@ -181,6 +207,10 @@
     return [f"{name}: {each}" for name, check in checked for each in check(records)]
 
 
+def _served_share(attempts: list[Attempt]) -> float:
+    return sum(each.status == OK for each in attempts) / max(1, len(attempts))
+
+
 def _by_engine(records: Records) -> dict[str, list[Arrival]]:
     found: dict[str, list[Arrival]] = defaultdict(list)
     for each in records.arrivals:
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -13,7 +13,7 @@
 from fakes._machines_fleet import MachinesRouter
 from soak._callers import Caller
 from soak._fleet import SERVICES, STORE_NAME, SoakFleet, in_thread
-from soak._plan import ENGINE, ROUTER, STORE, Fault, target_kind_of
+from soak._plan import ENGINE, PATH_KINDS, ROUTER, STORE, Fault, target_kind_of
 from soak._relay import Relay
 
 #: Seconds within which a router that is asked to stop must exit.
@@ -106,6 +106,8 @@
             router.process.send_signal(signal.SIGHUP)
         elif fault.kind == "freeze":
             await _freeze(router, fault.seconds)
+        elif fault.kind in PATH_KINDS:
+            await self._fleet.paths.cut(name, fault.kind.removeprefix("path-"), fault.seconds)
         else:
             await self._stop_and_restart(router, fault)
 
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -16,6 +16,7 @@
 from fakes._machines_fleet import HALLS, RULES, MachinesFleet, MachinesRouter, with_version
 from pondhatch.platform._names import CONTENTION_RULE
 from pondhatch.platform.tests._wire import CONFIGURATION
+from soak._paths import Paths
 from soak._records import Arrival, Disturbance, ObservedVersion, Records
 from soak._relay import Relay
 
@@ -87,6 +88,7 @@
 
     def __post_init__(self) -> None:
         self.machines_fleet = _RelayedFleet(self.relay_by_name)
+        self.paths = Paths(self.machines_fleet.divert)
 
     async def start(self, routers: int, engines: int, manages_load: bool = False) -> None:
         """Start all processes, and wait until every router is ready."""
@@ -95,6 +97,7 @@
         await self._add_relay(STORE_NAME)
         await in_thread(self.machines_fleet.__enter__)
         await in_thread(lambda: self.machines_fleet.put_object("config", "main", CONFIGURATION))
+        self.paths.add_routers([f"edge-{index}" for index in range(routers)])
         for _ in range(engines):
             for service in SERVICES:
                 await self.add_engine(service)
@@ -105,6 +108,7 @@
 
     async def stop(self) -> None:
         """Collect the errors and end all processes that were started."""
+        self.paths.close()
         for relay in self.relay_by_name.values():
             relay.close()
         self.records.errors += self.machines_fleet.errors()
@@ -127,6 +131,7 @@
         self._engines_started += 1
         name = f"i-{service}-{self._engines_started}"
         await self._add_relay(name)
+        await self.paths.add_engine(self.relay_by_name[name].address)
         hall = HALLS[self._engines_started % len(HALLS)]
         return await in_thread(lambda: self.machines_fleet.add_engine(name, service, hall))
 
--- a/soak/_plan.py
+++ b/soak/_plan.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 #: Seconds from the first request to the earliest possible fault.
 WARM_UP_SECONDS = 2.0
@@ -51,6 +51,13 @@
     "slow-readers": FLEET,
     "burst": FLEET,
 }
+#: Faults that cut a router off from all engines, by the effect on its connections. They are drawn
+#: in addition, in every run.
+PATH_KINDS = ("path-refused", "path-hanging", "path-refused-new")
+#: Path faults for each of the other faults, and their durations in seconds: longer than a router
+#: takes to notice one.
+PATH_FAULT_RATIO = 0.15
+PATH_FAULT_SECONDS = (1.0, 4.0, 7.0)
 #: Load faults for each of the other faults.
 LOAD_FAULT_RATIO = 0.5
 
@@ -88,6 +95,8 @@
 
 def target_kind_of(kind: str) -> str:
     """Return what faults of a kind are injected at."""
+    if kind in PATH_KINDS:
+        return ROUTER
     return TARGET_BY_KIND.get(kind) or TARGET_BY_LOAD_KIND[kind]
 
 
@@ -96,8 +105,8 @@
 ) -> Plan:
     """Return the plan drawn from a seed; equal arguments give equal plans.
 
-    Load faults come from a generator of their own, so that a seed draws the same other faults
-    with and without load management.
+    Load faults and path faults come from generators of their own, so that a seed draws the same
+    other faults with and without them.
     """
     rng = random.Random(seed)
     routers = rng.randint(2, max(2, max_routers))
@@ -111,6 +120,14 @@
             _draw_fault(load_rng, fault_seconds, kinds)
             for _ in range(round(fault_count * LOAD_FAULT_RATIO))
         ]
+    path_rng = random.Random(f"{seed} paths")
+    faults += [
+        replace(
+            _draw_fault(path_rng, fault_seconds, PATH_KINDS),
+            seconds=path_rng.choice(PATH_FAULT_SECONDS),
+        )
+        for _ in range(max(1, round(fault_count * PATH_FAULT_RATIO)))
+    ]
     faults.sort(key=lambda each: each.starts_at)
     callers = 6 * min(routers, 12)
     return Plan(seed, routers, engines, callers, fault_seconds, tuple(faults), manages_load)
--- a/soak/_relay.py
+++ b/soak/_relay.py
@@ -5,6 +5,9 @@
 import asyncio
 from typing import Final
 
+from fakes._local_fleet import free_ports
+from fakes._silent_relay import accept_incoming, drop_incoming
+
 HOST: Final = "127.0.0.1"
 CHUNK_BYTES = 64 * 1024
 
@@ -43,9 +46,10 @@
         return f"{HOST}:{self.port}"
 
     async def start(self) -> None:
-        """Listen on a free port."""
-        self._server = await asyncio.start_server(self._accept, HOST, 0)
-        self.port = self._server.sockets[0].getsockname()[1]
+        """Listen on a free port, or again on the one that it had."""
+        # Not an ephemeral port: while the relay does not listen, no connection may take it.
+        self.port = self.port or free_ports(1)[0]
+        self._server = await asyncio.start_server(self._accept, HOST, self.port)
 
     def close(self) -> None:
         """Stop listening and reset all connections."""
@@ -63,6 +67,24 @@
         for connection in self._connections:
             connection.is_silent = True
 
+    def cut(self, is_silent: bool) -> None:
+        """Refuse new connections; if silent let them hang, and silence those open now."""
+        if self._server is None:
+            return
+        if is_silent:
+            drop_incoming(self._server.sockets[0])
+            self.silence()
+            return
+        self._server.close()
+        self._server = None
+
+    async def restore(self) -> None:
+        """Let new connections pass again."""
+        if self._server is None:
+            await self.start()
+        else:
+            accept_incoming(self._server.sockets[0])
+
     def block(self, direction: int) -> None:
         """Hold back data in one direction, on all connections, until it is unblocked."""
         self._unblocked[direction].clear()
--- a/soak/tests/test_checks.py
+++ b/soak/tests/test_checks.py
@@ -83,6 +83,19 @@
                 found = self.violated_checks(attempts=attempts, arrivals=arrivals)
                 self.assertEqual(found, {"resting engines"} if breaks else set())
 
+    def test_cut_off_routers(self) -> None:
+        cut = Disturbance("path-hanging", "r", 10.0, 20.0)
+        here = [replace(refusal(f"a{index}"), sent_at=14.0, ended_at=14.1) for index in range(12)]
+        others = [replace(attempt(f"b{index}", at=14.0), router="s") for index in range(12)]
+        arrivals = [arrival(each.id, at=14.05) for each in others]
+        records: dict[str, Any] = {"arrivals": arrivals, "disturbances": [cut]}
+        self.assertEqual(
+            self.violated_checks(attempts=here + others, **records), {"cut off routers"}
+        )
+        early = [replace(each, sent_at=12.9, ended_at=13.0) for each in here]
+        self.assertEqual(self.violated_checks(attempts=early + others, **records), set())
+        self.assertEqual(self.violated_checks(attempts=here[:10] + others, **records), set())
+
     def test_planned_stops(self) -> None:
         lost = attempt("a", status=None, is_whole=False, ended_at=11.0)
         stop = Disturbance("stop", "r", 10.5, 12.0)
--- a/soak/tests/test_plan.py
+++ b/soak/tests/test_plan.py
@@ -4,7 +4,13 @@
 
 import unittest
 
-from soak._plan import TARGET_BY_KIND, TARGET_BY_LOAD_KIND, WARM_UP_SECONDS, draw_plan
+from soak._plan import (
+    PATH_KINDS,
+    TARGET_BY_KIND,
+    TARGET_BY_LOAD_KIND,
+    WARM_UP_SECONDS,
+    draw_plan,
+)
 
 
 class PlanTest(unittest.TestCase):
@@ -20,7 +26,7 @@
 
     def test_every_kind_is_drawn(self) -> None:
         kinds = {fault.kind for seed in range(60) for fault in draw_plan(seed, 30.0, 4).faults}
-        self.assertEqual(kinds, set(TARGET_BY_KIND))
+        self.assertEqual(kinds, {*TARGET_BY_KIND, *PATH_KINDS})
 
     def test_load_faults_are_added_without_changing_the_others(self) -> None:
         plain, loaded = draw_plan(5, 30.0, 4), draw_plan(5, 30.0, 4, manages_load=True)
