Measure what a relayed chunk and request cost

The diversion of a router's connections moves from the fleet of the prepared machines to the local fleet, where the measure needs it too.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -23,6 +23,7 @@
 from bench._placement import measure_placement
 from bench._quarantine import measure_quarantine
 from bench._relay import measure_relay
+from bench._relayed import measure_relayed
 from bench._retries import measure_retries
 from bench._surge import measure_surge
 
@@ -40,6 +41,7 @@
     "authority": measure_authority,
     "gossip": measure_gossip,
     "relay": measure_relay,
+    "relayed": measure_relayed,
     "grants": measure_grants,
     "loads": measure_load_polls,
     "engines": measure_engine_counts,
--- a/bench/_relay.py
+++ b/bench/_relay.py
@@ -53,7 +53,7 @@
     return sum(events for events, _ in results), sorted(first for _, first in results)
 
 
-def _cost(base: str, pids: list[int]) -> tuple[float, float, float]:
+def streaming_cost(base: str, pids: list[int]) -> tuple[float, float, float]:
     """Return the processor seconds of a chunk and of a request, and the median first-token time.
 
     Raises RuntimeError if events are missing.
@@ -103,10 +103,12 @@
             fleet.await_convergence(1)
             non_owner = non_owner_router(fleet)
             owner = next(router for router in fleet.routers if router is not non_owner)
-            direct_cost = _cost(engine.url, [os.getpid()])
-            baseline_cost = _cost(f"http://127.0.0.1:{line.split()[1]}", [bare.pid])
-            owner_cost = _cost(owner.callers, [owner.process.pid])
-            non_owner_cost = _cost(non_owner.callers, [owner.process.pid, non_owner.process.pid])
+            direct_cost = streaming_cost(engine.url, [os.getpid()])
+            baseline_cost = streaming_cost(f"http://127.0.0.1:{line.split()[1]}", [bare.pid])
+            owner_cost = streaming_cost(owner.callers, [owner.process.pid])
+            non_owner_cost = streaming_cost(
+                non_owner.callers, [owner.process.pid, non_owner.process.pid]
+            )
         finally:
             bare.kill()
             bare.wait()
--- a/fakes/_local_fleet.py
+++ b/fakes/_local_fleet.py
@@ -262,6 +262,23 @@
         process.send_signal(signal_number)
         return process.wait(timeout=TIMEOUT_SECONDS)
 
+    def divert(self, router: str, diversions: dict[str, int]) -> None:
+        """Set the port that a router connects to instead of an "IP:port", from now on."""
+        path = self._diversions_path(router)
+        # Replaced at once: the router may read it at any time.
+        written = path.with_suffix(".new")
+        written.write_text(json.dumps(diversions))
+        written.replace(path)
+
+    def _diversions_path(self, router: str) -> Path:
+        return self.folder / f"{router}.diversions"
+
+    def _start_router_process(self, router: str) -> subprocess.Popen[bytes]:
+        settings, diversions = self.folder / f"{router}.yaml", self._diversions_path(router)
+        if not diversions.exists():
+            return self._start("pondhatch", "run", str(settings))
+        return self._start("fakes", "diverted-router", str(settings), f"--diversions={diversions}")
+
     def _has_converged(self, router: Router, version: int, upstream_count: int) -> bool:
         try:
             state = router.state()
@@ -296,7 +313,7 @@
         }
         path = self.folder / f"{name}.yaml"
         path.write_text(yaml.safe_dump(document))
-        process = self._start("pondhatch", "run", str(path))
+        process = self._start_router_process(name)
         scheme = "https" if "certificate" in document["callers"] else "http"
         router = Router(
             name,
--- a/fakes/_machines_fleet.py
+++ b/fakes/_machines_fleet.py
@@ -10,7 +10,6 @@
 import urllib.request
 from collections.abc import Callable
 from dataclasses import dataclass, fields
-from pathlib import Path
 from subprocess import Popen
 from typing import Any
 
@@ -164,23 +163,6 @@
         self.machine_routers.append(router)
         return router
 
-    def divert(self, router: str, diversions: dict[str, int]) -> None:
-        """Set the port that a router connects to instead of an "IP:port", from now on."""
-        path = self._diversions_path(router)
-        # Replaced at once: the router may read it at any time.
-        written = path.with_suffix(".new")
-        written.write_text(json.dumps(diversions))
-        written.replace(path)
-
-    def _diversions_path(self, router: str) -> Path:
-        return self.folder / f"{router}.diversions"
-
-    def _start_router_process(self, router: str) -> Popen[bytes]:
-        settings, diversions = self.folder / f"{router}.yaml", self._diversions_path(router)
-        if not diversions.exists():
-            return self._start("pondhatch", "run", str(settings))
-        return self._start("fakes", "diverted-router", str(settings), f"--diversions={diversions}")
-
     def _settings(self, name: str, hall: str, ports: RouterPorts) -> dict[str, Any]:
         """Return a router's settings: the template filled as the platform does."""
         values = {
