Keep a SIGHUP that comes while a router starts

A router that was told to read its settings anew while it started ended with status 129, and its callers were refused until it was started again.

Cause: the signal was handled only once the event loop ran; until then its default action ends the process. A stop had the same gap: it ended the process with status 143 instead of 0.

Change: handlers are set before the libraries are loaded, when the callers' port opens (pondhatch/_early_signals). A hangup is kept, and the settings are read anew once the loop runs; a stop ends the start with status 0, as nothing was accepted yet. SIGINT likewise.

--- a/pondhatch/__main__.py
+++ b/pondhatch/__main__.py
@@ -3,7 +3,11 @@
 import gc
 import sys
 
-from pondhatch._early_port import open_early
+from pondhatch._early_signals import handle_early
+
+handle_early(sys.argv[1:])
+
+from pondhatch._early_port import open_early  # noqa: E402
 
 open_early(sys.argv[1:])
 
--- a/pondhatch/cli/_main.py
+++ b/pondhatch/cli/_main.py
@@ -13,6 +13,7 @@
 
 from pondhatch import __version__
 from pondhatch._early_port import LISTEN_OPTION, open_early
+from pondhatch._early_signals import handle_early
 from pondhatch.cli._reports import EXIT_INPUT
 from pondhatch.cli._run_command import run
 from pondhatch.configuration import ConfigurationError
@@ -34,6 +35,7 @@
 
 
 def _dispatch(arguments: list[str]) -> int:
+    handle_early(arguments)
     open_early(arguments)
     if arguments[:1] == [run.__name__] and len(arguments) > 1 and arguments[1][:1] != "-":
         # Callers may wait for a router to start, and it runs for long. Parsing its arguments here
--- a/pondhatch/cli/_router_process.py
+++ b/pondhatch/cli/_router_process.py
@@ -11,6 +11,7 @@
 
 from grpclib.server import Server
 
+from pondhatch._early_signals import STOP_SIGNALS, take_hangup
 from pondhatch.cli._announcer import Announcer
 from pondhatch.cli._endpoints import Endpoints
 from pondhatch.cli._environment import RouterEnvironment, build_environment
@@ -66,8 +67,6 @@
 
 #: Seconds between checks of the settings file for changes.
 SETTINGS_CHECK_SECONDS = 5.0
-#: Signals that stop a router.
-STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
 class RouterProcess:
@@ -166,6 +165,9 @@
         self.state.refresh_members()
         self._start_tasks()
         loop.add_signal_handler(signal.SIGHUP, self._reload)
+        if take_hangup():
+            # The settings may have been read before they changed.
+            self._reload()
         self._state_recorder.record_process("serving", f"hall {self._settings.hall}")
         await stop.wait()
         await self._new_shutdown().run()
