Find a path that is back although no other router reaches the engine yet

Cause: the request that was let through to look asked the other routers, which each had yet to find out as well, and ended before the connection that it had started in the background opened; an engine that is marked down gets one such request a second.

Others are refused at once as before.

--- a/fakes/tests/test_cut_off_routers.py
+++ b/fakes/tests/test_cut_off_routers.py
@@ -26,6 +26,9 @@
 #: Shares of first tries that are served from DETECTION_SECONDS on.
 CUT_OFF_SHARE = 0.95
 OTHERS_SHARE = 0.98
+#: The longest wait for a refusal where no router reaches an engine: one request in a while finds
+#: out whether an engine can be reached again.
+REFUSAL_SECONDS = 1.0
 #: The longest that a caller waits for an answer or a refusal, in seconds.
 MAX_WAIT_SECONDS = 3.0
 #: A path of each kind: may repeat, may not, and a stream.
@@ -195,4 +198,21 @@
     CUT_OFF = (0, 1)
 
 
+class AllRoutersTest(CutOffPlay):
+    """No router reaches any engine."""
+
+    CUT = Cut.HANG
+    CUT_OFF = (0, 1, 2, 3)
+
+    def test_callers_are_refused_at_once(self) -> None:
+        outcomes = self.during_cut(True)
+        self.assertEqual({each.status for each in outcomes}, {503})
+        self.assertLess(max(each.seconds for each in outcomes), REFUSAL_SECONDS)
+
+    def test_callers_are_served_again_within_a_second_of_the_end(self) -> None:
+        """Guards against routers that each wait for another to reach an engine first."""
+        since = self.restored_at + RECOVERY_SECONDS
+        self.assert_served([each for each in self.outcomes if each.began_at >= since], OTHERS_SHARE)
+
+
 del _CutOffChecks
--- a/pondhatch/requests/_relaying.py
+++ b/pondhatch/requests/_relaying.py
@@ -143,14 +143,14 @@
         head = msgspec.structs.replace(head, deadline=deadline - clock())
         relays = self._paths.relays(target.name, head.regions)
         is_recheck_due = self._paths.start_recheck(target.name)
-        if is_recheck_due and not relays:
-            return self._result(
-                target,
-                await self._direct.send(target, head, body, CONNECT_PATIENCE_SECONDS),
-            )
-        if is_recheck_due:
+        if is_recheck_due and relays:
             self._direct.reconnect(target)
-        return self._result(target, await self._send_by_relay(relays, target, head, body))
+        reply = await self._send_by_relay(relays, target, head, body)
+        if _is_unreached(reply) and is_recheck_due and clock() < deadline:
+            # The path may be back, and each other router that was asked may still have to find out.
+            head = msgspec.structs.replace(head, deadline=deadline - clock())
+            reply = await self._direct.send(target, head, body, CONNECT_PATIENCE_SECONDS)
+        return self._result(target, reply)
 
     async def _send_by_relay(
         self, relays: tuple[str, ...], target: Target, head: RequestHead, body: ReplayableBody
--- a/pondhatch/requests/tests/test_relaying.py
+++ b/pondhatch/requests/tests/test_relaying.py
@@ -7,6 +7,8 @@
 from collections import Counter
 from typing import Any
 
+import msgspec
+
 from fakes._virtual_loop import run_virtually
 from pondhatch.observing import NoRecords
 from pondhatch.placement import Reachability
@@ -155,6 +157,17 @@
                 result = self.send()
                 self.assertEqual(result.code if isinstance(result, NotRun) else "", code)
 
+    def test_a_path_that_is_back_is_found_by_the_request_that_looks_for_it(self) -> None:
+        self.ways.direct = [UNREACHED, ANSWERED]
+        self.ways.by_router = {"r": NotRun(PATH_LOST, "no connection")}
+        self.send()
+        self.ways.reachability.start_recheck("e", 100.0)
+        self.ways.reachability._lost_by_engine["e"] = msgspec.structs.replace(
+            self.ways.reachability._lost_by_engine["e"], recheck_at=0.0
+        )
+        self.assertIs(self.send(), ANSWERED)
+        self.assertEqual(self.ways.calls["direct"], 2)
+
     def test_a_search_for_a_relay_does_not_go_on_for_long(self) -> None:
         self.ways.direct = [UNREACHED]
         self.ways.relay_seconds = RELAY_SEARCH_SECONDS * 1.1
