--- a/pondhatch/requests/_owner.py
+++ b/pondhatch/requests/_owner.py
@@ -10,8 +10,6 @@
 from msgspec.structs import asdict, replace
 
 from pondhatch.placement import (
-    LONGEST_PAUSE,
-    MANAGED_PAUSE,
     USUAL_PACE,
     ColdPacer,
     ContextLocations,
@@ -20,11 +18,11 @@
     GateDecision,
     Granted,
     Health,
-    RecentAnswers,
     TokenCounts,
     context_engine,
 )
 from pondhatch.requests._brittle_gate import BrittleGate
+from pondhatch.requests._end_recorder import EndRecorder
 from pondhatch.requests._engine_memory import EngineMemory
 from pondhatch.requests._engine_queues import EngineQueues
 from pondhatch.requests._grant_requests import (
@@ -103,8 +101,8 @@
         self._clock = clock
         self._queues = EngineQueues(self._return_slot, clock, view.is_load_managed)
         self._health = health
-        self._recent_answers = RecentAnswers()
         self._brittle = BrittleGate(self._queues.serve)
+        self._end_recorder = EndRecorder(view, gate, health, self._brittle, clock)
         self._cold_pacer = cold_pacer or ColdPacer()
         self._engine_memory = EngineMemory(token_counts or TokenCounts(), view.is_load_managed)
         self.leases = Leases()
@@ -195,46 +193,10 @@
         if lease is None:
             return
         # Recorded first, since freeing the slot grants the next request in the queue.
-        self._record_end(lease.engine, holder, end_reason)
+        self._end_recorder.record(lease.engine, holder, end_reason)
         self._engine_memory.remove(lease.engine, holder)
         self._return_slot(lease.engine, was_used=end_reason in RUN_END_REASONS)
 
-    def _record_end(self, engine: str, holder: Holder, end_reason: EndReason) -> None:
-        """Record how a request ended at its engine, while its grant still counts as in flight."""
-        now = self._clock()
-        if end_reason == EndReason.ANSWERED:
-            self._health.record_answer(engine)
-            self._recent_answers.record(engine, holder.router, now)
-        if end_reason == EndReason.CONNECTION_FAILED and not self._recent_answers.answers_others(
-            engine, holder.router, now
-        ):
-            managed = self._view.is_load_managed()
-            self._health.record_failure(engine, now, MANAGED_PAUSE if managed else LONGEST_PAUSE)
-        if end_reason == EndReason.ENGINE_ERROR:
-            self._health.record_error(engine, now)
-        if end_reason == EndReason.LEAVING:
-            self._health.record_leaving(engine, now)
-        if end_reason == EndReason.FULL:
-            self._note_engine_full(engine, holder, now)
-        self._brittle.record_end(engine, holder, end_reason)
-
-    def _note_engine_full(self, engine: str, holder: Holder, now: float) -> None:
-        """Lower the limit of an engine that refused a request as full.
-
-        If it runs no other request granted here, the refusal counts as an engine error instead:
-        a single one may be due to the request's size, repeated ones are not. Cold engines are
-        exempt from both.
-        """
-        target = self._view.target(engine)
-        if target is not None and target.intake.cold_pace is not None:
-            return
-        if self._brittle.record_refusal(engine, holder, self._gate.in_flight(engine, now) - 1, now):
-            return
-        if self._gate.in_flight(engine, now) > 1:
-            self._gate.record_engine_full(engine, now)
-        else:
-            self._health.record_error(engine, now)
-
     def hold(self, router: int, engine: str, numbers: Collection[int]) -> None:
         """Renew leases; grants of an earlier owner are counted here from now on."""
         for number in numbers:
@@ -276,7 +238,7 @@
         self._queues.serve_all()
         if now - self._cleaned_up_at >= CLEANUP_SECONDS:
             self._cleaned_up_at = now
-            self._recent_answers.drop_old(now)
+            self._end_recorder.drop_old(now)
             self._brittle.drop_sound(now)
             self._queues.drop_gone(lambda engine: self._view.target(engine) is None)
 
