Name a relayed request at its relay as its entry router does

An operator could not follow a chat of the standard interface over both routers: the relay wrote the id of the try, the entry router that of the request. Test of a timeline over both; shown for ids without a caller's own by reading only.

--- a/pondhatch/cli/_relaying.py
+++ b/pondhatch/cli/_relaying.py
@@ -44,7 +44,8 @@
         self._metrics.count(f"relayed.{ended.outcome}")
         self._records.write(
             RequestRelayed(
-                id=head.caller_id or head.request_id,
+                # The entry router gave each of the request's tries an id of its own.
+                id=head.caller_id or head.request_id.rpartition(".")[0],
                 entry=ended.request.router,
                 upstream=ended.request.engine,
                 outcome=ended.outcome,
--- a/pondhatch/explaining/tests/test_timeline.py
+++ b/pondhatch/explaining/tests/test_timeline.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from pondhatch.explaining import Timeline, build_timeline, causal_order, read_lines
-from pondhatch.observing import Record, RequestEnded, StateChange
+from pondhatch.observing import Record, RequestEnded, RequestRelayed, StateChange
 
 LOST = RequestEnded(
     id="9c41",
@@ -99,6 +99,16 @@
         self.assertEqual([each.router for each in timeline.events], ["r0", "r1", "r1"])
         self.assertIn("its run was cut at i-1, which ended", timeline.events[0].text)
 
+    def test_a_relayed_request_is_followed_over_both_routers(self) -> None:
+        relayed = RequestRelayed(
+            id="9c41", entry="r0", upstream="i-1", outcome="upstream-lost", ms=38
+        )
+        ended = msgspec.structs.replace(LOST, relayed_by="r1")
+        found = self.timeline("9c41", line("r1", 1.0, relayed), line("r0", 1.1, ended))
+        self.assertEqual([event.router for event in found.events], ["r1", "r0"])
+        self.assertIn("relayed for r0 to i-1", found.events[0].text)
+        self.assertIn("r1 relayed its answer", found.events[1].text)
+
     def test_state_changes_are_found_by_name_or_version(self) -> None:
         texts = (
             line("r0", 1.0, in_force(7, "the platform")),
--- a/pondhatch/transport/_relay_calls.py
+++ b/pondhatch/transport/_relay_calls.py
@@ -14,7 +14,7 @@
 from grpclib.exceptions import GRPCError
 from msgspec.structs import replace
 
-from pondhatch.limits import HeldBytes
+from pondhatch.limits import HeldBytes, HeldCounter
 from pondhatch.membership import Address
 from pondhatch.requests import (
     RELAY_GONE,
@@ -53,7 +53,9 @@
 class _Exchange:
     """One relayed request: a task that makes the call, and the answer that it receives."""
 
-    def __init__(self, call: Stream[Any, Any], request: RelayedRequest, pipe_counter: Any) -> None:
+    def __init__(
+        self, call: Stream[Any, Any], request: RelayedRequest, counter: HeldCounter
+    ) -> None:
         loop = asyncio.get_running_loop()
         #: Resolved with the first message of the reply, or with the outcome without one.
         self.first: asyncio.Future[wire.RelayedHead | NotRun | Unknown] = loop.create_future()
@@ -62,7 +64,7 @@
         self._flowing = asyncio.Event()
         self._flowing.set()
         self.pipe = PartPipe(self._flowing.clear, self._flowing.set)
-        self.pipe.use_counter(pipe_counter)
+        self.pipe.use_counter(counter)
         #: Whether the peer may have received the request.
         self.was_sent = False
         self._call = call
