Do not hold a deadline that passes against the engine

A request whose deadline passed while its way to the engine was still being looked for was reported to the engine's owner as a failed connection, and spent a retry. It is neither evidence about the engine nor was it sent. By reading; test_relaying asserts the code.

--- a/pondhatch/requests/_dispatch.py
+++ b/pondhatch/requests/_dispatch.py
@@ -37,6 +37,7 @@
 from pondhatch.requests._outcomes import (
     AILING,
     CROSSED,
+    DEADLINE,
     SOON_RETRY_AFTER,
     Broken,
     EngineRefusal,
@@ -62,7 +63,7 @@
 OK = 200
 #: Codes of refusals before anything was sent: asking the next engine costs no retry budget.
 NOTHING_SENT = frozenset(
-    {*ClosedReason, "upstream-down", AILING, *UNREACHED_CODES, "router-unreachable"}
+    {*ClosedReason, "upstream-down", AILING, DEADLINE, *UNREACHED_CODES, "router-unreachable"}
 )
 #: Refusals after which the same engine may accept the request a moment later.
 RETRYABLE_REFUSALS = frozenset({EngineRefusal.FULL, EngineRefusal.DECLINED})
--- a/pondhatch/requests/_outcomes.py
+++ b/pondhatch/requests/_outcomes.py
@@ -10,6 +10,8 @@
 CROSSED = "answer-crossed"
 #: Code for skipping an upstream because it fails or refuses many requests.
 AILING = "upstream-ailing"
+#: Code of a request whose deadline passed before it was sent.
+DEADLINE = "deadline"
 #: Retry delay in seconds if load was not the reason: a new request may go to any engine, and by
 #: then the owner of the refusing engine skips that engine.
 SOON_RETRY_AFTER = 0.2
@@ -84,7 +86,7 @@
 
 def deadline_passed() -> NotRun:
     """Return the refusal of a request whose deadline passed before it was sent."""
-    return NotRun("deadline", "the deadline passed before an engine was free")
+    return NotRun(DEADLINE, "the deadline passed before an engine was free")
 
 
 #: Refusals after which any other engine may take the request at once.
--- a/pondhatch/requests/_tries.py
+++ b/pondhatch/requests/_tries.py
@@ -19,7 +19,7 @@
     OwnerReply,
 )
 from pondhatch.requests._messages import AnswerStarted, BodySource, ReplayableBody, RequestHead
-from pondhatch.requests._outcomes import EngineRefusal, NotRun, Unknown
+from pondhatch.requests._outcomes import DEADLINE, EngineRefusal, NotRun, Unknown
 from pondhatch.requests._parallel_waits import NotGranted, ParallelWait
 from pondhatch.requests._relaying import PATH_LOST, UPSTREAM_UNREACHABLE
 from pondhatch.requests._sending import GrantedAnswer, Target, open_target
@@ -44,9 +44,9 @@
 #: Codes of tries that were abandoned right before their first byte was sent.
 CLOSED_CODES = frozenset(ClosedReason)
 #: Codes of tries of which no byte was sent.
-NOT_SENT_CODES = frozenset({*CLOSED_CODES, UPSTREAM_UNREACHABLE, PATH_LOST})
+NOT_SENT_CODES = frozenset({*CLOSED_CODES, UPSTREAM_UNREACHABLE, PATH_LOST, DEADLINE})
 #: Codes of tries that are no evidence about the engine.
-NEUTRAL_CODES = frozenset({*CLOSED_CODES, PATH_LOST})
+NEUTRAL_CODES = frozenset({*CLOSED_CODES, PATH_LOST, DEADLINE})
 
 #: Result of one grant request and, if granted, of the try that followed.
 TryResult = AnswerStarted | Busy | ContextElsewhere | NotOwner | NotRun | Unknown
--- a/pondhatch/requests/tests/test_relaying.py
+++ b/pondhatch/requests/tests/test_relaying.py
@@ -27,6 +27,7 @@
 )
 from pondhatch.requests._messages import BodySource
 from pondhatch.requests._relaying import CONNECT_PATIENCE_SECONDS, RELAY_SEARCH_SECONDS, SendResult
+from pondhatch.requests._tries import NEUTRAL_CODES
 from pondhatch.requests.tests.test_sending import Answer
 from pondhatch.router import RouterPaths
 from pondhatch.router.tests.test_sync import router
@@ -107,13 +108,15 @@
     def setUp(self) -> None:
         self.ways = Ways()
 
-    def send(self, body: BodySource | None = None, times: int = 1) -> SendResult:
-        ways = self.ways
+    def send(
+        self, body: BodySource | None = None, times: int = 1, deadline: float = 5.0
+    ) -> SendResult:
+        ways, head = self.ways, msgspec.structs.replace(HEAD, deadline=deadline)
         upstreams = RelayingUpstreams("own", ways, ways, ways, lambda _: None)
 
         async def run() -> SendResult:
             results = [
-                await upstreams.send(TARGET, HEAD, body or ReplayableBody(b"x"))
+                await upstreams.send(TARGET, head, body or ReplayableBody(b"x"))
                 for _ in range(times)
             ]
             return results[-1]
@@ -176,6 +179,14 @@
         self.assertEqual(sum(self.ways.calls[each] for each in "rst"), 1)
         self.assertLess(RELAY_SEARCH_SECONDS, CONNECT_PATIENCE_SECONDS)
 
+    def test_a_deadline_that_passes_meanwhile_is_no_evidence_against_the_engine(self) -> None:
+        self.ways.direct = [UNREACHED]
+        self.ways.relay_seconds = 0.2
+        self.ways.by_router = dict.fromkeys("rs", NotRun(UPSTREAM_UNREACHABLE, "refused"))
+        result = self.send(deadline=0.1)
+        self.assertIsInstance(result, NotRun)
+        self.assertIn(getattr(result, "code", ""), NEUTRAL_CODES)
+
     def test_a_router_alone_waits_for_its_own_connection(self) -> None:
         self.ways.direct = [UNREACHED]
         self.assertIs(self.send(times=2), UNREACHED)
