Wait as before for own connections where no other router can relay

A router among routers of an older version gave up a connection after 0.35 s although none of them could take the request, and its failures to connect no longer counted against an engine that was gone. Routers that do not know the call now count as if they were not there. Unit test; no mixed fleet of processes was run.

--- a/pondhatch/placement/_relay_choice.py
+++ b/pondhatch/placement/_relay_choice.py
@@ -72,6 +72,10 @@
         ordered.sort(key=lambda name: self._is_demoted(name, now))
         return tuple(ordered[:MAX_RELAYS])
 
+    def can_relay(self, router: str, now: float) -> bool:
+        """Return whether a router knows how to relay, though it may be busy or gone for now."""
+        return self._skipped_until.get(router, float("-inf")) - now <= GONE_SECONDS
+
     def is_confirmed_unreachable(self, engine: str, now: float) -> bool:
         """Return whether a router with sound paths could not reach the engine either."""
         return any(
--- a/pondhatch/placement/tests/test_reachability.py
+++ b/pondhatch/placement/tests/test_reachability.py
@@ -12,7 +12,13 @@
     UNUSED_SECONDS,
 )
 from pondhatch.placement._recent_answers import RECENT_SECONDS
-from pondhatch.placement._relay_choice import DEMOTED_SECONDS, MAX_RELAYS, UNREACHABLE_SECONDS
+from pondhatch.placement._relay_choice import (
+    DEMOTED_SECONDS,
+    GONE_SECONDS,
+    MAX_RELAYS,
+    UNREACHABLE_SECONDS,
+    UNSUPPORTED_SECONDS,
+)
 
 
 class ReachabilityTest(unittest.TestCase):
@@ -111,6 +117,13 @@
         self.choice.drop_expired(2.0)
         self.assertEqual(self.choice._skipped_until, {})
 
+    def test_a_router_that_does_not_know_the_call_is_no_relay_at_all(self) -> None:
+        self.choice.skip("r00", GONE_SECONDS, 0.0)
+        self.choice.skip("r01", UNSUPPORTED_SECONDS, 0.0)
+        self.assertEqual(
+            [self.choice.can_relay(f"r0{each}", 0.0) for each in (0, 1)], [True, False]
+        )
+
 
 class RecentAnswersTest(unittest.TestCase):
     def test_an_answer_speaks_against_the_paths_of_other_routers_only(self) -> None:
--- a/pondhatch/requests/_relaying.py
+++ b/pondhatch/requests/_relaying.py
@@ -88,7 +88,7 @@
     """The state of this router's paths, and of other routers as relays."""
 
     def is_alone(self) -> bool:
-        """Return whether no other router is live."""
+        """Return whether no other live router knows how to relay."""
 
     def is_reachable(self, engine: str) -> bool:
         """Return whether connections to an engine open from here, as far as known."""
--- a/pondhatch/router/_engine_paths.py
+++ b/pondhatch/router/_engine_paths.py
@@ -64,8 +64,12 @@
     # -- relays -----------------------------------------------------------
 
     def is_alone(self) -> bool:
-        """Return whether no other router is live; see EnginePaths."""
-        return not any(name != self._state.name for name in self._state.live_routers())
+        """Return whether no other live router can relay; see EnginePaths."""
+        now = self._state.clock()
+        return not any(
+            name != self._state.name and self._relay_choice.can_relay(name, now)
+            for name in self._state.live_routers()
+        )
 
     def relays(self, engine: str, regions: Regions) -> tuple[str, ...]:
         """Return the routers to ask to relay a request; see EnginePaths."""
