--- a/pondhatch/requests/_tries.py
+++ b/pondhatch/requests/_tries.py
@@ -39,7 +39,7 @@
 }
 
 #: Refusals that count against the limit of a brittle engine.
-FOR_ROOM = frozenset({EngineRefusal.FULL, EngineRefusal.DECLINED, EngineRefusal.OVERLOADED})
+ROOM_REFUSALS = frozenset({EngineRefusal.FULL, EngineRefusal.DECLINED, EngineRefusal.OVERLOADED})
 
 #: Codes of tries that were abandoned right before their first byte was sent.
 CLOSED_CODES = frozenset(ClosedReason)
@@ -195,7 +195,11 @@
             # Its deadline passed in the engine's queue, which engines report as "full".
             return EndReason.NEUTRAL
         target = self._view.target(engine)
-        if target is not None and target.refusal_limit is not None and reply.refusal in FOR_ROOM:
+        if (
+            target is not None
+            and target.refusal_limit is not None
+            and reply.refusal in ROOM_REFUSALS
+        ):
             return EndReason.FULL
         return END_REASON_BY_REFUSAL[reply.refusal]
 
--- a/pondhatch/router/__init__.py
+++ b/pondhatch/router/__init__.py
@@ -20,7 +20,6 @@
 from pondhatch.router._crash_evidence_exchange import CRASH_PACKET_PREFIX, CrashEvidenceExchange
 from pondhatch.router._crash_probe import CrashProbe
 from pondhatch.router._dump import Dump, dump_state
-from pondhatch.router._engine_paths import RouterPaths
 from pondhatch.router._fleet_key import obtain_fleet_key
 from pondhatch.router._grant_exchange import GRANT_PACKET_PREFIX, GrantExchange
 from pondhatch.router._hall_states import HallStates
@@ -28,6 +27,7 @@
 from pondhatch.router._peer_discovery import PeerDiscovery
 from pondhatch.router._platform_restorer import PlatformRestorer
 from pondhatch.router._pooled_engines import PooledEngines
+from pondhatch.router._router_paths import RouterPaths
 from pondhatch.router._startup_wait import StartupWait, not_ready_refusal
 from pondhatch.router._state import RouterState
 from pondhatch.router._state_recorder import StateRecorder
--- a/pondhatch/router/_crash_probe.py
+++ b/pondhatch/router/_crash_probe.py
@@ -10,7 +10,7 @@
 
 from pondhatch.placement import ranked
 from pondhatch.requests import Target
-from pondhatch.router._engine_paths import RouterPaths
+from pondhatch.router._router_paths import RouterPaths
 from pondhatch.router._state import RouterState
 from pondhatch.store import LIVE
 
