--- a/fakes/tests/test_cut_off_routers.py
+++ b/fakes/tests/test_cut_off_routers.py
@@ -13,7 +13,7 @@
 from fakes._local_fleet import fetch
 from fakes._machines_fleet import HALLS, MachinesFleet, MachinesRouter, eventually
 from fakes._silent_relay import HOST
-from fakes.tests.test_prepared_machines import MachinesCase
+from fakes.tests.test_prepared_machines import WHOLE_STREAM, MachinesCase
 from pondhatch.platform.tests._wire import CONFIGURATION
 
 #: Seconds from the begin of a cut after which callers must no longer notice it.
@@ -33,6 +33,8 @@
 MAX_WAIT_SECONDS = 3.0
 #: A path of each kind: may repeat, may not, and a stream.
 PATHS = ("/x", "/proofs/a", "/notes/a")
+#: Seconds for which a stream pauses that is relayed by a stopping router.
+PAUSE_SECONDS = 2.0
 #: Seconds between two requests for one path at one router.
 REQUEST_INTERVAL = 0.15
 #: Requests that wait for their answers at the same time.
@@ -215,4 +217,33 @@
         self.assert_served([each for each in self.outcomes if each.began_at >= since], OTHERS_SHARE)
 
 
+class StoppingRelayTest(CutOffPlay):
+    """A router relays a stream of one that is cut off, and is asked to stop meanwhile."""
+
+    ROUTER_HALLS = (HALLS[0], HALLS[0])
+    CUT = Cut.REFUSE
+
+    @classmethod
+    def _play(cls) -> None:
+        eventually(lambda: all(cls._knows_others(each) for each in cls.fleet.machine_routers))
+        for relay in cls.relays_by_router[0]:
+            relay.cut(cls.CUT)
+
+    @classmethod
+    def _knows_others(cls, router: MachinesRouter) -> bool:
+        members = fetch(f"http://{router.admin_address}/state.json")["members"]
+        return len(members) == len(cls.ROUTER_HALLS)
+
+    def test_a_relayed_stream_is_finished(self) -> None:
+        attempt, (cut_off, relay) = uuid.uuid4().hex[:16], self.fleet.machine_routers
+        for engine in self.engines("lang"):
+            engine.arm("pause", 1, PAUSE_SECONDS)
+        pool = self.enterContext(ThreadPoolExecutor(1))
+        pending = pool.submit(self.send_request, cut_off, "/notes/a", b"x", Attempt_Id=attempt)
+        eventually(lambda: [run["outcome"] for run in self.runs("lang", attempt)] == ["paused"])
+        self.assertEqual(self.fleet.stop(relay.process), 0)
+        self.assertEqual(pending.result().body, WHOLE_STREAM)
+        self.assertEqual(len(self.runs("lang", attempt)), 1)
+
+
 del _CutOffChecks
