Register a relayed connection before its first byte passes

Traced by reading to the stand-in: its threads began to forward before the connection was listed, so a test that had seen the request arrive could close the relay and miss that very connection. It is listed first now; the test is as strict as before.

--- a/fakes/_silent_relay.py
+++ b/fakes/_silent_relay.py
@@ -50,6 +50,10 @@
         self._is_silent = False
         #: When bytes were last forwarded, in seconds of the machine's monotonic clock.
         self.last_forwarded_at = float("-inf")
+
+    def start(self) -> None:
+        """Begin to forward bytes."""
+        near, far = self._ends
         for source, target in ((near, far), (far, near)):
             threading.Thread(target=self._pump, args=(source, target), daemon=True).start()
 
@@ -156,7 +160,10 @@
         except OSError:
             near.close()
             return
-        self._connections.append(_RelayedConnection(near, far))
+        connection = _RelayedConnection(near, far)
+        # Before the first byte passes, so that whoever has seen one can cut the connection.
+        self._connections.append(connection)
+        connection.start()
 
 
 def _await_acknowledgement(end: socket.socket) -> None:
