Lines of requests name their software versions, and the attempt that they resume

The adapter read an engine's version and dropped it. Change: upstreams, targets and begun answers carry the version; a request's line has software_versions and resumed_attempt, explain prints both, the dump lists each upstream's version. No decision reads them yet.

--- a/pondhatch/explaining/_timeline.py
+++ b/pondhatch/explaining/_timeline.py
@@ -162,6 +162,10 @@
     parts.append(f"({ended.outcome}, {ended.ms} ms, configuration {ended.configuration})")
     if ended.upstream:
         parts.append(f"- {ended.upstream} took it, with {ended.in_flight} of {ended.ceiling}")
+    if ended.software_versions:
+        parts.append(f"- it ran at software version {', then '.join(ended.software_versions)}")
+    if ended.resumed_attempt:
+        parts.append(f"- it resumed the stream that {ended.resumed_attempt} began")
     if ended.relayed_by:
         parts.append(f"- {ended.relayed_by} relayed its answer")
     parts += [f"- {name} did not take it: {why}" for name, why in ended.passed_over]
--- a/pondhatch/explaining/tests/test_timeline.py
+++ b/pondhatch/explaining/tests/test_timeline.py
@@ -109,6 +109,16 @@
         self.assertIn("relayed for r0 to i-1", found.events[0].text)
         self.assertIn("r1 relayed its answer", found.events[1].text)
 
+    def test_a_resumed_stream_names_its_software_versions_and_the_attempt_that_began_it(
+        self,
+    ) -> None:
+        ended = msgspec.structs.replace(
+            LOST, software_versions=("v1", "v2"), resumed_attempt="9c40"
+        )
+        (event,) = self.timeline("9c41", line("r0", 1.0, ended)).events
+        self.assertIn("ran at software version v1, then v2", event.text)
+        self.assertIn("resumed the stream that 9c40 began", event.text)
+
     def test_state_changes_are_found_by_name_or_version(self) -> None:
         texts = (
             line("r0", 1.0, in_force(7, "the platform")),
--- a/pondhatch/observing/_records.py
+++ b/pondhatch/observing/_records.py
@@ -56,6 +56,12 @@
     predicted_ms: int = 0
     #: The router that relayed the answer; empty if it came directly from the upstream.
     relayed_by: str = ""
+    #: The caller's id of the attempt that began the stream which the request resumes, as its caller
+    #: names it; empty if it resumes none.
+    resumed_attempt: str = ""
+    #: Software versions of the upstreams that answered, in order, without repeats in a row; empty
+    #: if they state none.
+    software_versions: tuple[str, ...] = ()
 
 
 class RequestRelayed(
--- a/pondhatch/platform/_callers.py
+++ b/pondhatch/platform/_callers.py
@@ -42,6 +42,8 @@
             prompt_tokens=_count(prompt) or sum(_part_tokens(parts)),
             answer_tokens=_answer_tokens(_count(hint), _count(max_answer)),
             prompt_parts=_shared_parts(parts),
+            last_event_id=value_by_name.get(names.LAST_EVENT_ID.lower(), "").strip(),
+            resumed_attempt=value_by_name.get(names.RESUMED_ATTEMPT.lower(), "").strip(),
         )
 
     def forwarded_headers(self, headers: Headers, note: NoteDropped) -> Headers:
--- a/pondhatch/platform/_engines.py
+++ b/pondhatch/platform/_engines.py
@@ -83,6 +83,7 @@
         "start": _whole_number(fields, "born"),
         "slots": _whole_number(fields, "Slots"),
         "cold_seconds": _whole_number(fields, "ColdRemainingMs") / 1000,
+        "software_version": _text(fields, "Version"),
     }
 
 
--- a/pondhatch/platform/_header_owners.py
+++ b/pondhatch/platform/_header_owners.py
@@ -16,6 +16,7 @@
         names.LENGTH_HINT: Owner.CALLER,
         # A caller may resume a broken stream; the router's own position takes precedence.
         names.LAST_EVENT_ID: Owner.CALLER,
+        names.RESUMED_ATTEMPT: Owner.CALLER,
         # Replaced by the remaining time, and by the name of the key's account.
         names.DEADLINE_MS: Owner.CALLER_TO_ROUTER,
         names.AUTHORIZATION: Owner.CALLER_TO_ROUTER,
--- a/pondhatch/platform/_names.py
+++ b/pondhatch/platform/_names.py
@@ -18,6 +18,8 @@
 CONTEXT_FROM = "Kv-Fetch"
 #: Id of the last event received of a stream that is to be resumed.
 LAST_EVENT_ID = "Last-Event-Id"
+#: The caller's attempt that brought the first event of a stream that is to be resumed.
+RESUMED_ATTEMPT = "Resumes"
 #: Proves that an engine produced the answer; forwarded unchanged.
 SIGNATURE = "Instance-Signature"
 #: The client account of a request, which the router finds by the request's key.
--- a/pondhatch/platform/tests/_wire.py
+++ b/pondhatch/platform/tests/_wire.py
@@ -45,6 +45,7 @@
     "Prefix-Hash",
     "Length-Hint",
     "Last-Event-Id",
+    "Resumes",
 )
 #: Sent to the router, which sends its own value to an engine if it has one.
 CALLER_TO_ROUTER_HEADERS = ("Authorization", "Deadline-Ms")
--- a/pondhatch/platform/tests/test_dialects.py
+++ b/pondhatch/platform/tests/test_dialects.py
@@ -153,7 +153,7 @@
                 found = decode_engine("i-1", {**ENGINE, "State": state})
                 self.assertEqual(found["state"], expected)
                 self.assertEqual((found["url"], found["hall"]), ("http://10.0.0.9:8080", "hall-1"))
-                self.assertEqual(found["slots"], 64)
+                self.assertEqual((found["slots"], found["software_version"]), (64, "v1"))
 
     def test_the_remaining_cold_time_is_read_in_seconds(self) -> None:
         found = decode_engine("i-1", {**ENGINE, "ColdRemainingMs": 1871})
--- a/pondhatch/requests/_dispatch.py
+++ b/pondhatch/requests/_dispatch.py
@@ -139,6 +139,8 @@
         self.resumes = 0
         #: Engines whose connection was lost during a run, each with whether the engine crashed.
         self.cut_at: list[tuple[str, bool]] = []
+        #: Software versions of the engines that answered, in order, without repeats in a row.
+        self.software_versions: list[str] = []
 
     @property
     def last_grant(self) -> Granted:
@@ -313,6 +315,7 @@
         if isinstance(reply, AnswerStarted):
             if reply.answer.status == OK:
                 self.engine = engine
+                self._note_software_version(reply.software_version)
                 return Placed(reply, engine)
             reply.answer.cancel()
             return None
@@ -392,6 +395,7 @@
         if isinstance(reply, AnswerStarted):
             self._answering_id = head.request_id
             self.engine = ask.engine
+            self._note_software_version(reply.software_version)
             self._note_served(ask.engine)
             return Placed(reply, ask.engine)
         if isinstance(reply, ContextElsewhere):
@@ -536,6 +540,10 @@
         unknown = [each for each in self._refusals if each.refusal is EngineRefusal.UNKNOWN]
         return len(unknown) >= MAX_UNKNOWN_REFUSALS
 
+    def _note_software_version(self, version: str) -> None:
+        if self.software_versions[-1:] != [version]:
+            self.software_versions.append(version)
+
     def _tries_are_spent(self) -> bool:
         """Return whether the request was sent to the maximum number of engines."""
         return 0 < self._head.most_tries <= len(self._tries.sent_to)
--- a/pondhatch/requests/_messages.py
+++ b/pondhatch/requests/_messages.py
@@ -46,6 +46,9 @@
     context_address: str = ""
     #: Id of the last event received, after which a stream is to resume.
     last_event_id: str = ""
+    #: The caller's id of the attempt that brought the first event of the stream that the request
+    #: resumes; empty if it names none.
+    resumed_attempt: str = ""
     #: Regions whose engines may run it; None allows any.
     regions: Regions = None
     #: Whether it resumes a stream that its upstream began.
@@ -133,6 +136,8 @@
     answer: AnswerStream
     #: The router that relays the answer; empty if it comes directly from the upstream.
     relayed_by: str = ""
+    #: Software version of the start of the upstream to which the request was sent.
+    software_version: str = ""
 
 
 class RoutingDecision(msgspec.Struct, frozen=True):
--- a/pondhatch/requests/_sending.py
+++ b/pondhatch/requests/_sending.py
@@ -56,6 +56,8 @@
     max_idle_connections: int | None = None
     #: How many requests it may refuse within a second without failing; None if any number.
     refusal_limit: int | None = None
+    #: Version of its software; empty if it states none.
+    software_version: str = ""
 
 
 #: Explanation for each reason why an upstream may not be sent a request.
--- a/pondhatch/requests/_tries.py
+++ b/pondhatch/requests/_tries.py
@@ -176,7 +176,11 @@
                     grants.release(number, end_reason)
 
                 self.relayed_by = reply.relayed_by
-                return replace(reply, answer=GrantedAnswer(reply.answer, release))
+                return replace(
+                    reply,
+                    answer=GrantedAnswer(reply.answer, release),
+                    software_version=target.software_version,
+                )
         except BaseException:
             grants.release(number, EndReason.NEUTRAL)
             raise
--- a/pondhatch/router/_dump.py
+++ b/pondhatch/router/_dump.py
@@ -124,6 +124,7 @@
                     "service": entry.upstream.service,
                     "hall": entry.upstream.hall,
                     "state": entry.upstream.state,
+                    "software_version": entry.upstream.software_version,
                     "owner": state.owner_name(name),
                     "in_flight_here": state.gate.in_flight(name, now),
                 }
--- a/pondhatch/router/_state.py
+++ b/pondhatch/router/_state.py
@@ -351,6 +351,7 @@
             memory_tokens=service.engine_tokens,
             max_idle_connections=self._idle_connections_share(service.max_connections),
             refusal_limit=self.brittle_engines.limit(engine),
+            software_version=upstream.software_version,
         )
 
     def _idle_connections_share(self, max_connections: int | None) -> int | None:
--- a/pondhatch/store/_upstreams.py
+++ b/pondhatch/store/_upstreams.py
@@ -48,6 +48,8 @@
     start: int = 0
     #: Seconds of its cold period that remained when it reported them.
     cold_seconds: float = 0.0
+    #: Version of its software (not of model weights), as it states it; empty if it states none.
+    software_version: str = ""
     #: The id by which it is addressed, the same for all its starts; empty if that is its name.
     instance: str = ""
 
--- a/pondhatch/transport/_caller_dialect.py
+++ b/pondhatch/transport/_caller_dialect.py
@@ -27,6 +27,11 @@
     answer_tokens: int = 0
     #: Parts of the prompt that other requests share, each as an id and its number of tokens.
     prompt_parts: tuple[tuple[int, int], ...] = ()
+    #: Id of the last event that the caller received of a stream which it resumes; empty if none.
+    last_event_id: str = ""
+    #: The id that the caller gave the attempt which brought that stream's first event; empty if it
+    #: names none.
+    resumed_attempt: str = ""
 
 
 class CallerDialect(Protocol):
--- a/pondhatch/transport/_request_runner.py
+++ b/pondhatch/transport/_request_runner.py
@@ -333,6 +333,8 @@
                 digest=f"{admitted_request.head.digest:x}" if _needs_digest(dispatch, code) else "",
                 predicted_ms=dispatch.queue_result.predicted_ms,
                 relayed_by=dispatch.relayed_by,
+                resumed_attempt=admitted_request.head.resumed_attempt,
+                software_versions=_stated(dispatch.software_versions),
             )
         )
 
@@ -343,6 +345,11 @@
     return (*closed, *dispatch.plan.refusals)
 
 
+def _stated(software_versions: list[str]) -> tuple[str, ...]:
+    """Return the software versions of the upstreams that answered, none if they state none."""
+    return tuple(software_versions) if any(software_versions) else ()
+
+
 def _needs_digest(dispatch: Dispatch, code: str) -> bool:
     """Return whether the record needs the digest, which relates it to repeats of the request."""
     return bool(dispatch.cut_at) or code == QUARANTINED.code
--- a/pondhatch/transport/_routed_callers.py
+++ b/pondhatch/transport/_routed_callers.py
@@ -320,6 +320,8 @@
         prompt_tokens=facts.prompt_tokens,
         answer_tokens=facts.answer_tokens,
         prompt_parts=facts.prompt_parts,
+        last_event_id=facts.last_event_id,
+        resumed_attempt=facts.resumed_attempt,
     )
 
 
