Failing tests: streams resumed at another software version, within one answer and by callers

Stand-ins: engines with a software version that their events name, at a given port so that an address is used again; a caller that reads part of a stream and takes it up again at any router, naming the attempt that brought its first event.

--- a/fakes/__main__.py
+++ b/fakes/__main__.py
@@ -75,16 +75,26 @@
     _listen(MachinesStoreFake().app, port)
 
 
-def machines_engine(*, name: str, port: int = 0) -> None:
+def machines_engine(
+    *,
+    name: str,
+    port: int = 0,
+    software_version: str = "",
+    events: int = 6,
+    event_interval: float = 0.02,
+) -> None:
     """Run an engine of the prepared machines.
 
     :param name: its id
     :param port: TCP port on loopback; 0 takes a free one
+    :param software_version: version of its software, which the events of its streams name
+    :param events: events in a stream
+    :param event_interval: seconds between two events
     """
     install_reactor()
     from fakes._machines_engine import MachinesEngine
 
-    _listen(MachinesEngine(name).app, port)
+    _listen(MachinesEngine(name, software_version, events, event_interval).app, port)
 
 
 def diverted_router(settings: Path, *, diversions: Path) -> None:
--- a/fakes/_machines_engine.py
+++ b/fakes/_machines_engine.py
@@ -8,6 +8,8 @@
 requests arrive within one second. ``POST /brittle`` makes it state that it is brittle, and limits
 its places; see BrittleRoom. ``GET /brittle`` returns the times at which it fell over.
 
+With a software version, each event of a stream names it.
+
 Faults:
 
 - ``refuse``: full, not run
@@ -80,9 +82,19 @@
 class MachinesEngine:
     """One engine's state and its HTTP interface."""
 
-    def __init__(self, name: str) -> None:
+    def __init__(
+        self,
+        name: str,
+        software_version: str = "",
+        events: int = STREAM_EVENTS,
+        event_interval: float = EVENT_INTERVAL,
+    ) -> None:
         self.faults = Faults()
         self.app = Klein()
+        self._software_version = software_version
+        #: Events in a stream, and the seconds between two of them.
+        self._events = events
+        self._event_interval = event_interval
         #: Requests that ran: id, headers and outcome of each.
         self.runs: list[dict[str, Any]] = []
         #: Headers of each received request, refused ones included: pairs, names in lower case.
@@ -208,10 +220,10 @@
         if self.faults.consume("garble-load"):
             request.setHeader("Instance-Load", GARBLED_LOAD)
         if not self.faults.consume("slow"):
-            return EVENT_INTERVAL
+            return self._event_interval
         running = sum(run["outcome"] == "running" for run in self.runs)
         request.setHeader("Instance-Load", f"{running},0,{SLOTS},{SLOW_PACE}")
-        return EVENT_INTERVAL * SLOW_PACE / 100
+        return self._event_interval * SLOW_PACE / 100
 
     def _record_arrival(self) -> None:
         """Record an arrival, and end the process if a cold engine gets too many in one second."""
@@ -237,21 +249,19 @@
     ) -> str:
         request.setHeader("Content-Type", "text/event-stream")
         after = int(request.getHeader("Last-Event-Id") or 0)
-        for number in range(after + 1, STREAM_EVENTS + 1):
+        middle = self._events // 2
+        for number in range(after + 1, self._events + 1):
             if disconnected.is_set():
                 return "gone"
-            if number == STREAM_EVENTS // 2 and not after and self.faults.consume("cut"):
+            if number == middle and not after and self.faults.consume("cut"):
                 request.write(b"id: %d\ndata: ha" % number)
                 request.channel.forceAbortClient()
                 return "cut"
-            if (
-                number == STREAM_EVENTS // 2
-                and not after
-                and (fault := self.faults.consume("pause"))
-            ):
+            if number == middle and not after and (fault := self.faults.consume("pause")):
                 run["outcome"] = "paused"
                 await asyncio.sleep(fault.seconds)
-            request.write(b"id: %d\ndata: %d\n\n" % (number, number))
+            data = f"{number} {self._software_version}".rstrip()
+            request.write(f"id: {number}\ndata: {data}\n\n".encode())
             await asyncio.sleep(event_interval)
         return "whole"
 
--- a/fakes/_machines_fleet.py
+++ b/fakes/_machines_fleet.py
@@ -84,6 +84,14 @@
             return False
 
 
+@dataclass(frozen=True)
+class StreamShape:
+    """The streams of an engine: how many events, and the seconds between two of them."""
+
+    events: int
+    event_interval: float
+
+
 class MachinesFleet(LocalFleet):
     """Starts a store, engines and routers, and kills them on exit."""
 
@@ -112,12 +120,46 @@
 
     def add_engine(self, name: str, service: str, hall: str) -> Backend:
         """Start an engine and write its entry."""
-        url, process = self._start_stand_in("machines-engine", f"--name={name}")
+        engine = self._start_engine(name, service, hall, [])
+        self.put_engine(engine, "ready")
+        return engine
+
+    def add_versioned_engine(
+        self,
+        name: str,
+        service: str,
+        hall: str,
+        software_version: str,
+        stream: StreamShape,
+        port: int = 0,
+    ) -> Backend:
+        """Start an engine of a software version and write its entry.
+
+        ``port`` is that of an engine that has ended, for one that gets its address.
+        """
+        flags = [
+            f"--software-version={software_version}",
+            f"--events={stream.events}",
+            f"--event-interval={stream.event_interval}",
+            f"--port={port or free_ports(1)[0]}",
+        ]
+        engine = self._start_engine(name, service, hall, flags)
+        self.put_engine(engine, "ready", Version=software_version)
+        return engine
+
+    def _start_engine(self, name: str, service: str, hall: str, flags: list[str]) -> Backend:
+        url, process = self._start_stand_in("machines-engine", f"--name={name}", *flags)
         engine = Backend(name, service, url, hall, process)
         self.backends.append(engine)
-        self.put_engine(engine, "ready")
         return engine
 
+    def kill_engine(self, engine: Backend) -> None:
+        """Kill an engine and remove its entry, as after missed heartbeats."""
+        engine.process.kill()
+        engine.process.wait()
+        self.backends.remove(engine)
+        self.remove_object("servers", engine.name)
+
     def put_engine(self, engine: Backend, state: str, **changes: Any) -> None:
         """Write an engine's entry; ``changes`` override or add fields."""
         entry = {
