A stream goes on only at the software version that delivered its first event

What callers saw: streams that an engine broke off went on, within the same answer, at an engine of another software version; what two versions write does not fit together. Cause: nothing past the adapter knew that engines of a service differ, so a broken stream was resumed at any live engine. Change: the first whole event binds the stream to the version of the start that the request was sent to (StreamBinding). The order of engines, queues, retries, the grant, the relay and the last check before the first byte all keep to it (live_upstreams, open_target). Without an engine of the version the answer ends at once. While other versions have engines, a bound stream waits for a slot for up to a second. A request's line says why a broken stream was not resumed.

--- a/bench/_surge.py
+++ b/bench/_surge.py
@@ -127,7 +127,9 @@
     def note_unreachable(self, name: str) -> None:
         """Do nothing."""
 
-    def live_upstreams(self, service: str, regions: Regions = None) -> tuple[str, ...]:
+    def live_upstreams(
+        self, service: str, regions: Regions = None, software_version: str | None = None
+    ) -> tuple[str, ...]:
         return ENGINES
 
     def closed_home(self, service: str, chat: str, regions: Regions) -> tuple[str, str] | None:
--- a/pondhatch/explaining/_timeline.py
+++ b/pondhatch/explaining/_timeline.py
@@ -38,6 +38,8 @@
     "upstream-overloaded": "the upstreams that it may be sent to refused it and asked for a rest",
     "upstream-declined": "its upstream refused it though it had places by its own word",
     "upstream-draining": "its upstream refused it as it is about to end",
+    "software-version-gone": "no engine of the software version that began its stream was left",
+    "stream-origin-unknown": "several software versions serve, and nobody knew which began it",
     "request-quarantined": "engines had ended while they ran it, so it is run no more",
 }
 
@@ -166,6 +168,11 @@
         parts.append(f"- it ran at software version {', then '.join(ended.software_versions)}")
     if ended.resumed_attempt:
         parts.append(f"- it resumed the stream that {ended.resumed_attempt} began")
+    if ended.origin:
+        known_at = f" at {ended.origin_router}" if ended.origin_router else ""
+        parts.append(f"- the software version that began it is known by {ended.origin}{known_at}")
+    if ended.not_resumed:
+        parts.append(f"- its broken stream went on nowhere: {ended.not_resumed}")
     if ended.relayed_by:
         parts.append(f"- {ended.relayed_by} relayed its answer")
     parts += [f"- {name} did not take it: {why}" for name, why in ended.passed_over]
--- a/pondhatch/observing/_records.py
+++ b/pondhatch/observing/_records.py
@@ -59,6 +59,12 @@
     #: The caller's id of the attempt that began the stream which the request resumes, as its caller
     #: names it; empty if it resumes none.
     resumed_attempt: str = ""
+    #: How it is known which software version began that stream, and the router that had recorded
+    #: it; empty where it is not known.
+    origin: str = ""
+    origin_router: str = ""
+    #: Why its broken stream was not resumed at another upstream, as the code of a refusal.
+    not_resumed: str = ""
     #: Software versions of the upstreams that answered, in order, without repeats in a row; empty
     #: if they state none.
     software_versions: tuple[str, ...] = ()
--- a/pondhatch/placement/_intake.py
+++ b/pondhatch/placement/_intake.py
@@ -32,6 +32,8 @@
     OUTSIDE_REGIONS = "outside-regions"
     #: It refused a request and asked for no requests for a while.
     RESTING = "upstream-resting"
+    #: The request goes on with a stream that another version of its software began.
+    OTHER_SOFTWARE_VERSION = "other-software-version"
 
 
 class Intake(msgspec.Struct, frozen=True):
--- a/pondhatch/requests/_delivery.py
+++ b/pondhatch/requests/_delivery.py
@@ -103,13 +103,15 @@
         begin: Callable[[AnswerStream], None] = _do_nothing,
     ) -> None:
         self._dispatch = dispatch
-        self._answer_start = _AnswerStart(sink, lambda: begin(self._answer))
+        self._begin = begin
+        self._answer_start = _AnswerStart(sink, self._begin_answer)
         self._resumes = 0
         self._start_delivering(placed)
 
     def _start_delivering(self, placed: Placed) -> None:
         """Start with an answer of which nothing was delivered yet."""
         self._engine = placed.engine
+        self._software_version = placed.reply.software_version
         self._answer: AnswerStream = placed.reply.answer
         streamed = is_event_stream(self._answer.headers)
         self._events = _CompleteEvents(self._answer_start) if streamed else None
@@ -131,6 +133,12 @@
         finally:
             self._answer.cancel()
 
+    def _begin_answer(self) -> None:
+        """Begin the caller's answer, right before its first part."""
+        if self._events is not None:
+            self._dispatch.note_stream_begun(self._software_version)
+        self._begin(self._answer)
+
     async def _deliver(self) -> Broken | None:
         """Deliver parts as they arrive; return how the answer broke off, or None if complete."""
         try:
--- a/pondhatch/requests/_dispatch.py
+++ b/pondhatch/requests/_dispatch.py
@@ -51,6 +51,7 @@
 from pondhatch.requests._resting_engines import RestingEngines
 from pondhatch.requests._sending import FAILURE_STATUS, is_upstream_failure
 from pondhatch.requests._slot_wait import SlotWait
+from pondhatch.requests._stream_binding import BOUND_QUEUE_SECONDS, StreamBinding
 from pondhatch.requests._token_needs import stated_need
 from pondhatch.requests._tries import Tries, TryResult
 
@@ -60,6 +61,10 @@
 RESUME_HEADER = "X-Resume"
 #: Header with the number of events after which the stream is to resume.
 RESUME_FROM_HEADER = "X-Resume-From"
+#: Codes of broken answers that are not resumed: the request was sent to as many engines as it may
+#: be, and the service has used up its retries.
+TRIES_SPENT = "tries-spent"
+NO_RETRY_LEFT = "no-retry-left"
 OK = 200
 #: Codes of refusals before anything was sent: asking the next engine costs no retry budget.
 NOTHING_SENT = frozenset(
@@ -89,15 +94,15 @@
     ) -> None:
         #: Key by which engines are ranked: the chat's, or the request's id without a chat.
         self._ranking_key = str(head.chat) if head.chat else head.request_id
-        self.plan = Plan(self._ranking_key, view.live_upstreams(head.service, head.regions))
-        if not head.chat:
-            self.plan.prefer(collaborators.preference.preferred(head.service, self.plan.order))
+        #: The software version to which the request's stream is bound.
+        self.binding = StreamBinding(head, collaborators.stream_origins)
         #: The chat's home engine and the reason, if that engine's hall is closed to the chat.
         self.closed_home = view.closed_home(head.service, self._ranking_key, head.regions)
         self._view = view
         self._collaborators = collaborators
         self._budget = budget
         self._head = head
+        self.plan = self._new_plan()
         self._need = stated_need(head)
         self._body = body
         #: Returns the seconds to the caller's deadline.
@@ -137,6 +142,9 @@
         self.queue_result = QueueResult()
         #: How often a broken stream was resumed.
         self.resumes = 0
+        #: Code of the refusal that kept a broken answer from being resumed or run again; empty
+        #: without one.
+        self.not_resumed = ""
         #: Engines whose connection was lost during a run, each with whether the engine crashed.
         self.cut_at: list[tuple[str, bool]] = []
         #: Software versions of the engines that answered, in order, without repeats in a row.
@@ -165,6 +173,11 @@
     async def run(self) -> Placed | Refused:
         """Return the answer that has begun, or the refusal to send to the caller."""
         self._budget.record_first_try()
+        refusal = await self.binding.find_origin()
+        if refusal is not None:
+            return Refused(refusal)
+        if self.binding.software_version is not None:
+            self.plan = self._new_plan()
         result = await self._try_engines()
         if isinstance(result, Placed) and self._is_replaceable_failure(result):
             result = await self._replace_failure(result)
@@ -172,6 +185,14 @@
             return Refused(self.final_outcome(self._may_have_run))
         return result
 
+    def _new_plan(self) -> Plan:
+        """Return a plan over the engines that may take the request, as currently listed."""
+        plan = Plan(self._ranking_key, self._live_upstreams())
+        if not self._head.chat:
+            preference = self._collaborators.preference
+            plan.prefer(preference.preferred(self._head.service, plan.order))
+        return plan
+
     def _is_replaceable_failure(self, placed: Placed) -> bool:
         """Return whether an answer is a server error after which another engine may be asked."""
         return is_upstream_failure(placed.reply.answer.status) and self.can_rerun()
@@ -220,7 +241,7 @@
         It waits no longer than for a slot: the caller can retry after a longer rest itself.
         """
         rest = self._resting.shortest_rest()
-        max_wait = min(self._wait_limits.last_engine, self._remaining())
+        max_wait = min(self._last_engine_wait(), self._remaining())
         if rest is None or rest > max_wait or self._has_waited_for_rest:
             return False
         if self.plan.in_flight_by_engine:
@@ -261,6 +282,10 @@
         """Return the outcome of a lost run: that of a quarantined request if it is now one."""
         return QUARANTINED if self._watch.is_quarantined() else lost
 
+    def note_stream_begun(self, software_version: str) -> None:
+        """Bind the rest of the stream to the version whose first event is about to be delivered."""
+        self.binding.bind(software_version, self._remaining())
+
     def can_resume(self, engine: str) -> bool:
         """Return whether an engine's broken stream may be resumed."""
         is_resumable = self._head.resumes_anywhere or self._view.can_resume(engine)
@@ -297,13 +322,20 @@
 
     async def rerun(self, engine: str) -> Placed | None:
         """Run the request once more, at the failed engine only if there is no other."""
-        if self._tries_are_spent() or not self._budget.spend_retry():
+        if self._tries_are_spent():
+            self.not_resumed = TRIES_SPENT
+            return None
+        if not self._budget.spend_retry():
+            self.not_resumed = NO_RETRY_LEFT
             return None
         engines = self._live_upstreams()
         others = tuple(name for name in engines if name != engine)
         self.plan = Plan(self._ranking_key, others or engines)
         result = await self._try_engines()
-        return result if isinstance(result, Placed) else None
+        if isinstance(result, Placed):
+            return result
+        self.not_resumed = result.refusal.code
+        return None
 
     async def _resume_at(self, engine: str, position: StreamPosition) -> Placed | RetryLater | None:
         """Ask the engine that ran the request to resume its stream."""
@@ -321,7 +353,9 @@
             return None
         # The engine's reason does not matter: another try would add load that no retry budget
         # covers.
-        was_refused = isinstance(reply, NotRun) and reply.refusal is not None
+        was_refused = isinstance(reply, NotRun) and (
+            reply.refusal is not None or reply.code == ClosedReason.OTHER_SOFTWARE_VERSION
+        )
         return None if was_refused else RetryLater()
 
     async def _ask(self, ask: Ask) -> Placed | Refused | None:
@@ -344,7 +378,7 @@
 
         head = self._next_head(needs_new_connection=ask.needs_new_connection)
         result = await self._tries.run_at_first_grant(
-            engines, new_request, self._slot_wait.limit(), head
+            engines, new_request, max(self._slot_wait.limit(), self._bound_wait()), head
         )
         if isinstance(result, NotGranted):
             self._note_no_grant(result.reply_by_engine)
@@ -438,7 +472,8 @@
 
     def _live_upstreams(self) -> tuple[str, ...]:
         """Return the engines that may take the request, as currently listed."""
-        return self._view.live_upstreams(self._head.service, self._head.regions)
+        head = self._head
+        return self._view.live_upstreams(head.service, head.regions, self.binding.software_version)
 
     def _new_grant_request(
         self,
@@ -450,7 +485,7 @@
     ) -> GrantRequest:
         is_home = engine == self.plan.home
         max_wait = self._wait_limits.context_engine if has_context else 0.0
-        max_wait = min(self._remaining(), self._wait_limits.last_engine if is_last else max_wait)
+        max_wait = min(self._remaining(), self._last_engine_wait() if is_last else max_wait)
         need, target = self._need_at(engine), self._view.target(engine)
         return GrantRequest(
             number=self._collaborators.grants.next_number(),
@@ -474,6 +509,17 @@
             refusal_limit=target.refusal_limit if target is not None else None,
         )
 
+    def _last_engine_wait(self) -> float:
+        return max(self._wait_limits.last_engine, self._bound_wait())
+
+    def _bound_wait(self) -> float:
+        """Return the least wait in seconds that a stream bound to one of several versions bears."""
+        version = self.binding.software_version
+        if version is None:
+            return 0.0
+        every = self._view.live_upstreams(self._head.service, self._head.regions)
+        return BOUND_QUEUE_SECONDS if len(self._live_upstreams()) < len(every) else 0.0
+
     def _need_at(self, engine: str) -> TokenNeed:
         """Return the engine memory that the request needs, if the engine's owner counts memory."""
         if not (self._need.is_stated and self._view.is_load_managed()):
@@ -500,7 +546,10 @@
         """Return the head of the next try, with an id of its own."""
         self._try_count += 1
         return msgspec.structs.replace(
-            self._head, request_id=f"{self._head.request_id}.{self._try_count}", **changes
+            self._head,
+            request_id=f"{self._head.request_id}.{self._try_count}",
+            software_version=self.binding.software_version,
+            **changes,
         )
 
     def _after_failure(self, ask: Ask, reply: Refusal) -> Refused | None:
@@ -561,6 +610,8 @@
 
     def _exhausted_refusal(self, step: Exhausted) -> NotRun:
         """Return the refusal to send to the caller if no engine is left to ask."""
+        if not step.asked and self.binding.software_version is not None:
+            return self.binding.no_engine_left()
         if not step.asked:
             reason = f"service {self._head.service} has no upstream that may take the request"
             return NotRun("no-upstream", reason)
--- a/pondhatch/requests/_entry_view.py
+++ b/pondhatch/requests/_entry_view.py
@@ -11,6 +11,7 @@
 from pondhatch.requests._crash_guard import CrashGuard, NoCrashGuard
 from pondhatch.requests._grant_requests import Grants, OwnerReply
 from pondhatch.requests._sending import Target, Upstreams
+from pondhatch.requests._stream_origins import NoStreamOrigins, StreamOrigins
 from pondhatch.requests._wait_limits import RunTimes
 
 
@@ -26,8 +27,13 @@
     def is_reachable(self, name: str) -> bool:
         """Return whether this router considers another router reachable."""
 
-    def live_upstreams(self, service: str, regions: Regions = None) -> tuple[str, ...]:
-        """Return the service's upstreams that take requests restricted to these regions."""
+    def live_upstreams(
+        self, service: str, regions: Regions = None, software_version: str | None = None
+    ) -> tuple[str, ...]:
+        """Return the service's upstreams that take requests restricted to these regions.
+
+        With a software version, only the upstreams of that version.
+        """
 
     def closed_home(self, service: str, chat: str, regions: Regions) -> tuple[str, str] | None:
         """Return a chat's home engine and the reason if its hall is closed to it, else None."""
@@ -82,5 +88,6 @@
     upstreams: Upstreams
     crash_guard: CrashGuard = NoCrashGuard()
     preference: EnginePreference = NoPreference()
+    stream_origins: StreamOrigins = NoStreamOrigins()
     #: How long upstreams usually take, measured by all dispatches that share this.
     run_times: RunTimes = msgspec.field(default_factory=RunTimes)
--- a/pondhatch/requests/_messages.py
+++ b/pondhatch/requests/_messages.py
@@ -51,6 +51,9 @@
     resumed_attempt: str = ""
     #: Regions whose engines may run it; None allows any.
     regions: Regions = None
+    #: Software version whose engines alone may run it, as one of them began its stream; None allows
+    #: any.
+    software_version: str | None = None
     #: Whether it resumes a stream that its upstream began.
     resuming: bool = False
     #: Digest of the caller's request, equal for all its attempts; 0 if the body is not in memory.
--- a/pondhatch/requests/_relay_side.py
+++ b/pondhatch/requests/_relay_side.py
@@ -99,7 +99,7 @@
         if known is None:
             return NotRun(PATH_LOST, f"{engine} is unknown here")
         head = request.head
-        target = open_target(known, engine, head.resuming, head.regions)
+        target = open_target(known, engine, head)
         if isinstance(target, NotRun):
             return target
         if not (self._view.is_reachable(engine) or self._direct.has_connection(target, head)):
--- a/pondhatch/requests/_sending.py
+++ b/pondhatch/requests/_sending.py
@@ -8,7 +8,7 @@
 import msgspec
 from msgspec.structs import replace
 
-from pondhatch.placement import USUAL_PACE, ClosedReason, Intake, Notice, Regions
+from pondhatch.placement import USUAL_PACE, ClosedReason, Intake, Notice
 from pondhatch.requests._grant_requests import EndReason
 from pondhatch.requests._messages import (
     AnswerLost,
@@ -66,16 +66,17 @@
     ClosedReason.EVACUATED: "stands in a data hall that is evacuated",
     ClosedReason.OUTSIDE_REGIONS: "stands outside the regions that the request may run in",
     ClosedReason.RESTING: "turned a request away and wants a rest",
+    ClosedReason.OTHER_SOFTWARE_VERSION: "is not of the software version that began the stream",
 }
 
 
-def open_target(
-    target: Target | None, upstream: str, resuming: bool, regions: Regions = None
-) -> Target | NotRun:
+def open_target(target: Target | None, upstream: str, head: RequestHead) -> Target | NotRun:
     """Return the upstream if it may be sent a request or a resumption, else why not."""
     if target is None:
         return NotRun(ClosedReason.LEAVING, f"{upstream} is gone")
-    closed = target.intake.closed_reason(regions, resuming)
+    if head.software_version not in (None, target.software_version):
+        return _closed_refusal(target, ClosedReason.OTHER_SOFTWARE_VERSION, 0.0)
+    closed = target.intake.closed_reason(head.regions, head.resuming)
     return (
         target
         if closed is None
--- /dev/null
+++ b/pondhatch/requests/_stream_binding.py
@@ -0,0 +1,95 @@
+"""Binds one request's stream to the software version that began it.
+
+Every way of going on then leads to engine starts of that version only: the order of engines, the
+queues, retries, relays, and the last check before a request is sent.
+"""
+
+from __future__ import annotations
+
+from pondhatch.requests._messages import RequestHead
+from pondhatch.requests._outcomes import NotRun
+from pondhatch.requests._stream_origins import StreamOrigin, StreamOrigins, stream_key
+
+#: Code of a stream that cannot go on because no engine of its software version is left.
+VERSION_GONE = "software-version-gone"
+#: Code of a stream that cannot go on because it is not known which software version began it.
+ORIGIN_UNKNOWN = "stream-origin-unknown"
+#: Seconds that a begun stream waits for a free slot at the engines of its version while engines of
+#: other versions, which cannot take it, may have some. Callers bear pauses of two seconds.
+BOUND_QUEUE_SECONDS = 1.0
+#: Retry delay in seconds for a stream that cannot go on now: an engine that failed, or the router
+#: that knows the stream, may be back by then.
+BOUND_RETRY_AFTER = 1.0
+
+
+class StreamBinding:
+    """The software version to which one request is bound, if any."""
+
+    def __init__(self, head: RequestHead, origins: StreamOrigins) -> None:
+        self._head = head
+        self._origins = origins
+        #: The only version whose engines may run the request; None allows any.
+        self.software_version: str | None = None
+        #: What began the stream that the request resumes; None if it resumes none.
+        self.origin: StreamOrigin | None = None
+
+    @property
+    def _resumes(self) -> bool:
+        """Whether the caller resumes a stream that may go on at another engine."""
+        return self._head.resumes_anywhere and bool(self._head.last_event_id)
+
+    async def find_origin(self) -> NotRun | None:
+        """Bind a request that resumes a stream to the version that began the stream.
+
+        Return the refusal if that version is unknown: to guess could join what two versions wrote.
+        """
+        if not self._resumes:
+            return None
+        self.origin = await self._origins.find(
+            self._head.service, self._key(self._head.resumed_attempt)
+        )
+        if self.origin is None:
+            return self._unknown_origin()
+        self.software_version = self.origin.software_version
+        return None
+
+    def bind(self, software_version: str, remaining: float) -> None:
+        """Bind the rest of a stream whose first event is about to reach the caller.
+
+        ``remaining`` is the number of seconds to the caller's deadline. A stream that was resumed
+        is recorded under this attempt too, as its caller may name either.
+        """
+        if self.software_version is None:
+            self.software_version = software_version
+        if not self._head.resumes_anywhere:
+            return
+        attempts = [self._head.caller_id]
+        if self._resumes:
+            attempts.append(self._head.resumed_attempt)
+        keys = tuple(self._key(attempt) for attempt in attempts if attempt)
+        if keys:
+            self._origins.record(self._head.service, keys, self.software_version, remaining)
+
+    def no_engine_left(self) -> NotRun:
+        """Return the refusal of a stream if no engine of its version is left."""
+        return NotRun(
+            VERSION_GONE,
+            f"no engine of software version {self.software_version!r}, which began the stream, is "
+            "left to go on with it; nothing ran",
+            BOUND_RETRY_AFTER,
+        )
+
+    def _unknown_origin(self) -> NotRun:
+        named = self._head.resumed_attempt
+        return NotRun(
+            ORIGIN_UNKNOWN,
+            f"engines of several software versions serve, and no router knows which one began the "
+            f"stream of attempt {named!r}; nothing ran"
+            if named
+            else "engines of several software versions serve, and the request does not name the "
+            "attempt that began the stream; nothing ran",
+            BOUND_RETRY_AFTER,
+        )
+
+    def _key(self, attempt: str) -> bytes:
+        return stream_key(self._head.account, self._head.service, attempt)
--- a/pondhatch/requests/_tries.py
+++ b/pondhatch/requests/_tries.py
@@ -150,7 +150,7 @@
     def _open_target(self, grant_request: GrantRequest, head: RequestHead) -> Target | NotRun:
         """Return the requested engine, or why it may not be sent the request now."""
         known = self._view.target(grant_request.engine)
-        return open_target(known, grant_request.engine, head.resuming, head.regions)
+        return open_target(known, grant_request.engine, head)
 
     async def _send(
         self, grant_request: GrantRequest, target: Target, head: RequestHead
--- a/pondhatch/requests/tests/_history.py
+++ b/pondhatch/requests/tests/_history.py
@@ -433,7 +433,9 @@
     def note_unreachable(self, name: str) -> None:
         """Do nothing; the dispatch goes on."""
 
-    def live_upstreams(self, service: str, regions: Regions = None) -> tuple[str, ...]:
+    def live_upstreams(
+        self, service: str, regions: Regions = None, software_version: str | None = None
+    ) -> tuple[str, ...]:
         closed = {e: self._intake(e).closed_reason(regions) for e in self.engines}
         return tuple(e for e in self.engines if closed[e] in (None, ClosedReason.RESTING))
 
@@ -502,7 +504,7 @@
     ) -> AnswerStarted | NotRun | Unknown:
         await asyncio.sleep(self._fleet.connect_seconds)
         known = self._router.view.target(target.name)
-        found = open_target(known, target.name, head.resuming, head.regions)
+        found = open_target(known, target.name, head)
         if isinstance(found, NotRun):
             return found
         self.sends.append((target.name, asyncio.get_running_loop().time()))
--- a/pondhatch/router/_intakes.py
+++ b/pondhatch/router/_intakes.py
@@ -42,8 +42,19 @@
         """Return an upstream that is listed, or whose entry may only have lapsed."""
         return self.upstreams.upstream(name) or self.vanished.upstream(name)
 
-    def open_upstreams(self, service: str, regions: Regions) -> tuple[str, ...]:
-        """Return the names of the service's upstreams open to requests bound to some regions."""
+    def open_upstreams(
+        self, service: str, regions: Regions, software_version: str | None = None
+    ) -> tuple[str, ...]:
+        """Return the names of the service's upstreams open to requests bound to some regions.
+
+        With a software version, only the upstreams of that version.
+        """
+        found = self._open_upstreams(service, regions)
+        if software_version is None:
+            return found
+        return tuple(name for name in found if self._software_version(name) == software_version)
+
+    def _open_upstreams(self, service: str, regions: Regions) -> tuple[str, ...]:
         found = self._open_by_service_and_regions.get((service, regions))
         if found is None:
             live = self._live(service)
@@ -84,6 +95,10 @@
         reports_cold = self.cold_periods.seconds_left(upstream.name, now) > 0
         return reports_cold or self.halls.is_just_reopened(upstream.hall, now)
 
+    def _software_version(self, name: str) -> str | None:
+        upstream = self.upstream(name)
+        return upstream.software_version if upstream is not None else None
+
     def _hall_is_open(self, name: str, regions: Regions) -> bool:
         upstream = self.upstream(name)
         return upstream is not None and self.halls.closed_reason(upstream.hall, regions) is None
--- a/pondhatch/router/_notice_exchange.py
+++ b/pondhatch/router/_notice_exchange.py
@@ -81,7 +81,7 @@
 
     def closed(self, upstream: str, head: RequestHead) -> NotRun | None:
         """Return the refusal if a request may not be sent to an upstream; see UpstreamView."""
-        found = open_target(self._state.target(upstream), upstream, head.resuming, head.regions)
+        found = open_target(self._state.target(upstream), upstream, head)
         return found if isinstance(found, NotRun) else None
 
     def receive_notice(self, upstream: str, notice: Notice) -> None:
--- a/pondhatch/router/_state.py
+++ b/pondhatch/router/_state.py
@@ -230,9 +230,14 @@
 
     # -- upstreams ----------------------------------------------------------
 
-    def live_upstreams(self, service: str, regions: Regions = None) -> tuple[str, ...]:
-        """Return the names of the service's upstreams open to requests bound to some regions."""
-        return self._intakes.open_upstreams(service, regions)
+    def live_upstreams(
+        self, service: str, regions: Regions = None, software_version: str | None = None
+    ) -> tuple[str, ...]:
+        """Return the names of the service's upstreams open to requests bound to some regions.
+
+        With a software version, only the upstreams of that version.
+        """
+        return self._intakes.open_upstreams(service, regions, software_version)
 
     def closed_home(self, service: str, chat: str, regions: Regions) -> tuple[str, str] | None:
         """Return the chat's home engine if its hall is closed to the chat, and the reason.
--- a/pondhatch/store/_upstreams.py
+++ b/pondhatch/store/_upstreams.py
@@ -145,11 +145,18 @@
         return True
 
     def _with_known_start(self, upstream: Upstream) -> Upstream:
-        """Return an upstream with its known start time if it is leaving and states none."""
+        """Return an upstream with its known start if it is leaving and states none.
+
+        With the start time goes the software version: an entry of which only the state can be
+        read states neither.
+        """
         known = self.newest_start(upstream.id)
         if upstream.start or upstream.state != LEAVING or known is None:
             return upstream
-        return msgspec.structs.replace(upstream, start=known.upstream.start)
+        version = upstream.software_version or known.upstream.software_version
+        return msgspec.structs.replace(
+            upstream, start=known.upstream.start, software_version=version
+        )
 
     def _supersede(self, upstream: Upstream, version: int) -> bool:
         """Mark the known start of an upstream as removed if the given one replaces it.
--- a/pondhatch/transport/_request_runner.py
+++ b/pondhatch/transport/_request_runner.py
@@ -11,7 +11,9 @@
 from pondhatch.observing import RequestEnded, log_for
 from pondhatch.requests import (
     MAX_KEPT_BODY,
+    ORIGIN_UNKNOWN,
     QUARANTINED,
+    VERSION_GONE,
     AnswerStream,
     BodySource,
     Broken,
@@ -278,6 +280,7 @@
         self._metrics.count(f"requests.{code}")
         self._metrics.timing("requests.whole", timings.total)
         self._count_queue_outcome(dispatch)
+        self._count_resumed_stream(dispatch, code)
         self._record_decision(admitted_request, dispatch, code, timings.total)
         self._write_record(admitted_request, dispatch, code, timings)
 
@@ -291,6 +294,14 @@
         if dispatch.queue_result.outcome is QueueOutcome.TIMED_OUT:
             self._metrics.count("queue.kept-in-vain")
 
+    def _count_resumed_stream(self, dispatch: Dispatch, code: str) -> None:
+        """Count a stream that its caller resumed: why it went on, or why not."""
+        origin = dispatch.binding.origin
+        if code in (ORIGIN_UNKNOWN, VERSION_GONE):
+            self._metrics.count(f"streams_resumed.{code}")
+        elif origin is not None:
+            self._metrics.count(f"streams_resumed.{origin.source}")
+
     def _record_decision(
         self, admitted_request: AdmittedRequest, dispatch: Dispatch, code: str, seconds: float
     ) -> None:
@@ -334,6 +345,9 @@
                 predicted_ms=dispatch.queue_result.predicted_ms,
                 relayed_by=dispatch.relayed_by,
                 resumed_attempt=admitted_request.head.resumed_attempt,
+                origin=dispatch.binding.origin.source if dispatch.binding.origin else "",
+                origin_router=dispatch.binding.origin.router if dispatch.binding.origin else "",
+                not_resumed=dispatch.not_resumed,
                 software_versions=_stated(dispatch.software_versions),
             )
         )
