Every router learns which software version began a stream that its caller resumes

What callers saw: a stream that they took up again at another router went on at any software version. Cause: a request that resumes a stream was placed like a new one; only the router that began the stream knew at which version, and it may be gone. Change: the router that delivers a first event keeps the record; while several versions may have begun streams of the service it also sends it, before the event, to two routers of different halls that follow from the account, the service and the attempt's id. A router without the record asks eight routers that rank first. Records expire with their callers' deadlines, move on when routers stop or fail, and cost nothing with one version. An attempt that nobody knows is of the version that alone served before, if all its holders would know otherwise, else the request is refused at once (stream-origin-unknown); without an engine of its version too (software-version-gone).

--- a/pondhatch/cli/_router_process.py
+++ b/pondhatch/cli/_router_process.py
@@ -38,6 +38,7 @@
     CRASH_PACKET_PREFIX,
     GRANT_PACKET_PREFIX,
     NOTICE_PACKET_PREFIX,
+    ORIGIN_PACKET_PREFIX,
     Authority,
     CrashEvidenceExchange,
     CrashProbe,
@@ -49,6 +50,7 @@
     RouterPaths,
     StartupWait,
     StateRecorder,
+    StreamOriginExchange,
     Sync,
 )
 from pondhatch.transport import (
@@ -108,6 +110,7 @@
         environment.client.configure(self.state.is_load_managed, self._metrics)
         self._state_recorder = StateRecorder(self.state, self._records)
         self._notice_exchange = NoticeExchange(self.state, self._gossip_port.send)
+        self._stream_origins = StreamOriginExchange(self.state, self._gossip_port.send)
         self._paths = RouterPaths(self.state, self._records)
         upstreams = HttpUpstreams(
             environment.client,
@@ -152,6 +155,7 @@
             self._platform,
             self._paths,
             self._relaying.side,
+            self._stream_origins,
         )
         self._gauge_reporter = GaugeReporter(self._statistics, self._metrics, prometheus_metrics)
 
@@ -221,6 +225,7 @@
                     self._relaying.upstreams(self._relay_calls),
                     self._crash_evidence,
                     PooledEngines(self.state, upstreams.is_pooled),
+                    self._stream_origins,
                 ),
                 limits=lambda: self._settings.limits,
                 metrics=self._metrics,
@@ -291,6 +296,9 @@
         if payload.startswith(NOTICE_PACKET_PREFIX):
             self._notice_exchange.receive(payload[len(NOTICE_PACKET_PREFIX) :])
             return []
+        if payload.startswith(ORIGIN_PACKET_PREFIX):
+            self._stream_origins.receive(payload[len(ORIGIN_PACKET_PREFIX) :], source)
+            return []
         replies = self.state.gossip.receive(payload, source, self.state.clock())
         self.state.refresh_members()
         self._grant_exchange.follow_members()
@@ -307,6 +315,7 @@
                 "grants": self._grant_exchange.tick,
                 "crashes": self._crash_evidence.tick,
                 "notices": self._notice_exchange.tick,
+                "streams": self._stream_origins.tick,
                 "paths": self._paths.tick,
                 "connections": lambda: self._connections.close_gone(state.gossip.is_gone),
                 "relays": lambda: self._relay_calls.close_gone(state.gossip.is_gone),
--- a/pondhatch/cli/_router_statistics.py
+++ b/pondhatch/cli/_router_statistics.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from pondhatch.requests import RelaySide
-from pondhatch.router import GrantExchange, RouterPaths, RouterState
+from pondhatch.router import GrantExchange, RouterPaths, RouterState, StreamOriginExchange
 from pondhatch.store import Platform
 from pondhatch.transport import Callers, GossipPort
 
@@ -23,6 +23,7 @@
     platform: Platform
     paths: RouterPaths
     relay_side: RelaySide
+    stream_origins: StreamOriginExchange
     #: When the router started, in seconds of the monotonic clock.
     started_at: float = msgspec.field(default_factory=time.monotonic)
 
@@ -43,6 +44,8 @@
             "upstreams.resting": sum(notice.rest > 0 for notice in notices),
             "upstreams.unreachable": len(self.paths.reachability.unreachable()),
             "relays.in_flight": self.relay_side.in_flight,
+            "streams.origins": len(self.stream_origins.records),
+            "services.mixed_versions": self._mixed_services(),
             "engines.slow": self.state.paces.count_slow(self.state.clock()),
             "engines.memory-full": self.state.token_counts.refusals,
             "halls.evacuated": len(self.state.halls.evacuations.halls),
@@ -56,6 +59,11 @@
             "control.bytes_received": self.gossip_port.bytes_received,
         }
 
+    def _mixed_services(self) -> int:
+        """Return of how many services several software versions may have begun streams."""
+        services = self.state.configuration.service_by_name
+        return sum(self.stream_origins.versions.is_mixed(name) for name in services)
+
     def counters(self) -> dict[str, Any]:
         """Return the counters of the state dump."""
         return {
--- a/pondhatch/router/__init__.py
+++ b/pondhatch/router/__init__.py
@@ -24,6 +24,7 @@
 from pondhatch.router._grant_exchange import GRANT_PACKET_PREFIX, GrantExchange
 from pondhatch.router._hall_states import HallStates
 from pondhatch.router._notice_exchange import NOTICE_PACKET_PREFIX, NoticeExchange
+from pondhatch.router._origin_packets import ORIGIN_PACKET_PREFIX
 from pondhatch.router._peer_discovery import PeerDiscovery
 from pondhatch.router._platform_restorer import PlatformRestorer
 from pondhatch.router._pooled_engines import PooledEngines
@@ -31,6 +32,7 @@
 from pondhatch.router._startup_wait import StartupWait, not_ready_refusal
 from pondhatch.router._state import RouterState
 from pondhatch.router._state_recorder import StateRecorder
+from pondhatch.router._stream_origin_exchange import StreamOriginExchange
 from pondhatch.router._sync import EVACUATION_KIND, UPSTREAM_KIND, Sync
 
 __all__ = [
@@ -71,4 +73,6 @@
     "service_of_path",
     "RouterPaths",
     "CrashProbe",
+    "ORIGIN_PACKET_PREFIX",
+    "StreamOriginExchange",
 ]
--- /dev/null
+++ b/pondhatch/router/_service_versions.py
@@ -0,0 +1,96 @@
+"""Which software versions serve a service now, or began streams that callers may still resume."""
+
+from __future__ import annotations
+
+from pondhatch.placement import VersionHistory
+from pondhatch.router._state import RouterState
+from pondhatch.store import LEAVING, REMOVED, Upstream
+
+#: Seconds after the longest time that a route allows for a stream within which its caller resumes
+#: it.
+RETURN_SECONDS = 10.0
+
+
+class ServiceVersions:
+    """Follows the software versions of a router's list of upstreams."""
+
+    def __init__(self, state: RouterState) -> None:
+        self._state = state
+        self._history = VersionHistory()
+        #: The list's version that the history was last updated from.
+        self._upstreams_version = -1
+        #: The configuration's version of the longest stream times.
+        self._configuration_version = -1
+        self._stream_seconds_by_service: dict[str, float] = {}
+
+    def update(self) -> None:
+        """Bring the history up to the current list of upstreams."""
+        upstreams = self._state.upstreams
+        if upstreams.version == self._upstreams_version:
+            return
+        self._upstreams_version = upstreams.version
+        versions_by_service: dict[str, set[str]] = {}
+        for entry in upstreams.entry_by_name.values():
+            if _states_version(entry.upstream):
+                versions = versions_by_service.setdefault(entry.upstream.service, set())
+                versions.add(entry.upstream.software_version)
+        self._history.record(versions_by_service, self._state.clock())
+
+    def recent(self, service: str) -> tuple[str, ...]:
+        """Return the versions that may have begun a stream that callers still resume."""
+        self.update()
+        return self._history.recent(service, self._since(service))
+
+    def is_mixed(self, service: str) -> bool:
+        """Return whether several versions may have begun such streams."""
+        return len(self.recent(service)) > 1
+
+    def is_history_known(self, service: str) -> bool:
+        """Return whether every version that may have begun such a stream is known here."""
+        is_up_to_date = all(
+            versions.upstreams <= self._state.upstreams.version
+            for versions in self._state.gossip.versions().values()
+        )
+        return is_up_to_date and self._history.known_since <= self._since(service)
+
+    def mixed_for(self, service: str) -> float | None:
+        """Return for how many seconds several versions have served.
+
+        None if one version alone may not have served since callers may resume streams.
+        """
+        self.update()
+        mixed_at = self._history.mixed_at(service, self._since(service))
+        return None if mixed_at is None else self._state.clock() - mixed_at
+
+    def drop_old(self) -> None:
+        """Forget versions whose streams nobody resumes any more."""
+        longest = max(self._stream_seconds().values(), default=0.0) + RETURN_SECONDS
+        self._history.drop_old(self._state.clock() - longest)
+
+    def _since(self, service: str) -> float:
+        """Return when the oldest stream began that a caller may still resume."""
+        longest = self._stream_seconds().get(service, 0.0)
+        return self._state.clock() - longest - RETURN_SECONDS
+
+    def _stream_seconds(self) -> dict[str, float]:
+        """Return the longest time of a stream that may be resumed, by service."""
+        configuration = self._state.configuration
+        if configuration.version != self._configuration_version:
+            self._configuration_version = configuration.version
+            seconds: dict[str, float] = {}
+            for route in configuration.routes.by_name.values():
+                if route.repeats == "resumed":
+                    for target in route.targets:
+                        longest = max(seconds.get(target.service, 0.0), route.timeout)
+                        seconds[target.service] = longest
+            self._stream_seconds_by_service = seconds
+        return self._stream_seconds_by_service
+
+
+def _states_version(upstream: Upstream) -> bool:
+    """Return whether an upstream serves, and its entry says at which software version.
+
+    Of an entry that cannot be read only the state is known.
+    """
+    is_unreadable = upstream.state == LEAVING and not upstream.software_version
+    return upstream.state != REMOVED and not is_unreadable
