--- a/fakes/_resuming_caller.py
+++ b/fakes/_resuming_caller.py
@@ -25,6 +25,8 @@
     #: 0 if no head of an answer came.
     status: int = 0
     body: bytes = b""
+    #: When it was sent, in seconds of the machine's monotonic clock.
+    began: float = 0.0
     #: Seconds from the request to the end of what was read.
     seconds: float = 0.0
 
@@ -66,8 +68,7 @@
         Names the try that brought the first event, if there is one. The connection is closed
         after that many events, or once the answer ends. ``headers`` override those of the caller.
         """
-        one_try = StreamTry(uuid.uuid4().hex[:16])
-        began = time.monotonic()
+        one_try = StreamTry(uuid.uuid4().hex[:16], began=time.monotonic())
         connection = HTTPConnection(router_url.removeprefix("http://"), timeout=SILENCE_SECONDS)
         try:
             connection.request("POST", self.path, b"x", self._headers(one_try, headers))
@@ -78,7 +79,7 @@
             pass  # The try ends with what was read.
         finally:
             connection.close()
-            one_try.seconds = time.monotonic() - began
+            one_try.seconds = time.monotonic() - one_try.began
         self.tries.append(one_try)
         return one_try
 
--- a/fakes/tests/test_software_versions.py
+++ b/fakes/tests/test_software_versions.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import threading
+import time
 from concurrent.futures import ThreadPoolExecutor
 from typing import ClassVar
 
-from fakes._local_fleet import Backend
+from fakes._local_fleet import Backend, fetch
+from fakes._machines_engine import SLOTS
 from fakes._machines_fleet import HALLS, MachinesFleet, StreamShape, eventually
-from fakes._resuming_caller import OK, ResumingCaller
+from fakes._resuming_caller import OK, ResumingCaller, StreamTry
 from fakes.tests.test_prepared_machines import KEY, MachinesCase
 from pondhatch.platform.tests._wire import CONFIGURATION
 
@@ -18,6 +21,13 @@
 STREAMS = 12
 #: Streams that earn a router the retries for its part of them.
 EARNING_STREAMS = 40
+#: Streams that take every slot of two engines.
+FILLING_STREAMS = 2 * SLOTS
+#: Seconds within which a stream without an engine of its version ends or is refused.
+NO_ENGINE_SECONDS = 0.3
+#: Status of a request that did not run.
+NOT_RUN = 503
+OTHER_KEY = "key-3"
 
 
 class VersionsCase(MachinesCase):
@@ -108,3 +118,111 @@
         self.assertEqual({each.tries[-1].status for each in callers}, {OK})
         self.assert_of_one_version(callers)
         self.assert_whole(callers, 0.9)
+
+
+class ChainTest(VersionsCase):
+    def test_a_stream_resumed_twice_is_known_by_both_attempts(self) -> None:
+        by_first, by_second = [self.read_streams(0, STREAMS, READ_EVENTS) for _ in range(2)]
+        for callers in (by_first, by_second):
+            self.read_all(callers, 1, READ_EVENTS)
+        self.read_all(by_first, 2)
+        url = self.fleet.machine_routers[2].caller_url
+        for caller in by_second:
+            caller.read(url, Resumes=caller.tries[1].attempt)
+        self.assert_of_one_version(by_first + by_second)
+        self.assert_whole(by_first + by_second, 0.95)
+
+
+class UnknownOriginTest(VersionsCase):
+    """Streams of which nobody knows which software version began them."""
+
+    def resume(self, caller: ResumingCaller, resumed_attempt: str | None = None) -> StreamTry:
+        """Resume a stream at another router, perhaps under another attempt's id or none."""
+        url = self.fleet.machine_routers[1].caller_url
+        if resumed_attempt is None:
+            return caller.read(url)
+        return caller.read(url, Resumes=resumed_attempt)
+
+    def run_count(self, attempt: str) -> int:
+        return len(self.runs("lang", attempt))
+
+    def test_a_stream_is_refused_at_once_and_not_run(self) -> None:
+        (named, unnamed, strangers) = self.read_streams(0, 3, READ_EVENTS)
+        strangers.key = OTHER_KEY
+        for one_try in (
+            self.resume(named, "never-used"),
+            self.resume(unnamed, ""),
+            self.resume(strangers),
+        ):
+            self.assertEqual(one_try.status, NOT_RUN)
+            self.assertLess(one_try.seconds, NO_ENGINE_SECONDS)
+            self.assertEqual(self.run_count(one_try.attempt), 0)
+
+    def test_what_has_begun_nothing_is_no_stream_to_resume(self) -> None:
+        caller = self.new_caller()
+        one_try = self.resume(caller, "never-used")
+        self.assertEqual((one_try.status, len(one_try.events)), (OK, STREAM.events))
+
+
+class OneVersionTest(VersionsCase):
+    VERSIONS = ("v1",)
+
+    def test_every_stream_goes_on(self) -> None:
+        callers = self.read_streams(0, 4, READ_EVENTS)
+        url = self.fleet.machine_routers[1].caller_url
+        callers[0].read(url, Resumes="never-used")
+        callers[1].read(url, Resumes="")
+        self.read_all(callers[2:], 2)
+        self.assert_whole(callers, 1.0)
+
+
+class VersionGoneTest(VersionsCase):
+    VERSIONS = ("v1", "v2", "v3")
+    ENGINES_PER_VERSION = 1
+
+    # A stream without an engine of its version was tried at others, or held until its deadline.
+    def test_a_stream_ends_at_once_and_goes_on_nowhere_else(self) -> None:
+        callers = [self.new_caller() for _ in range(STREAMS)]
+        reading = threading.Thread(target=self.read_all, args=(callers, 0))
+        reading.start()
+        time.sleep(READ_EVENTS * STREAM.event_interval)
+        (gone,) = [each for each in self.engines("lang") if each.name == "i-v2-0"]
+        killed_at = time.monotonic()
+        port = int(gone.url.rpartition(":")[2])
+        gone.process.kill()
+        gone.process.wait()
+        # Another start gets the address while the entry of the one that ended is still listed.
+        newcomer = self.add_version("i-v4-0", "v4", HALLS[0], port)
+        reading.join()
+        broken = [each for each in callers if len(each.events) < STREAM.events]
+        self.assertGreater(len(broken), 0)
+        for each in broken:
+            self.assertEqual(each.software_versions, {"v2"})
+        latest = max(each.tries[0].began + each.tries[0].seconds for each in broken)
+        self.assertLess(latest - killed_at, NO_ENGINE_SECONDS + READ_EVENTS * STREAM.event_interval)
+        self.fleet.backends.remove(gone)
+        self.fleet.remove_object("servers", gone.name)
+        time.sleep(0.5)
+        self.read_all(broken, 1)
+        for each in broken:
+            self.assertEqual(each.tries[1].status, NOT_RUN)
+            self.assertLess(each.tries[1].seconds, NO_ENGINE_SECONDS)
+        self.assert_of_one_version(callers)
+        resumed = [run for run in fetch(f"{newcomer.url}/runs") if "resumes" in run["headers"]]
+        self.assertEqual(resumed, [])
+
+
+class FullVersionTest(VersionsCase):
+    ENGINES_PER_VERSION = 1
+
+    # A stream was refused as its version's engine was full for a moment, and then those of others
+    # were no choice any more.
+    def test_a_stream_waits_for_a_full_engine_of_its_version(self) -> None:
+        callers = self.read_streams(0, STREAMS, READ_EVENTS)
+        filling = threading.Thread(target=self.read_streams, args=(2, FILLING_STREAMS))
+        filling.start()
+        time.sleep(3 * STREAM.event_interval)
+        self.read_all(callers, 1)
+        filling.join()
+        self.assert_of_one_version(callers)
+        self.assert_whole(callers, 0.95)
--- a/pondhatch/requests/tests/_history.py
+++ b/pondhatch/requests/tests/_history.py
@@ -398,8 +398,9 @@
     def target(self, engine: str) -> Target | None:
         if engine not in self.engines:
             return None
-        intake = self._intake(engine)
-        return Target(engine, "", intake, BOUND, len(self._fleet.engines), 8)
+        intake, version = self._intake(engine), self._fleet.version_by_engine.get(engine, "")
+        engines = len(self._fleet.engines)
+        return Target(engine, "", intake, BOUND, engines, 8, software_version=version)
 
     def note_served(self, chat: int, engine: str) -> None:
         """Do nothing."""
@@ -437,7 +438,12 @@
         self, service: str, regions: Regions = None, software_version: str | None = None
     ) -> tuple[str, ...]:
         closed = {e: self._intake(e).closed_reason(regions) for e in self.engines}
-        return tuple(e for e in self.engines if closed[e] in (None, ClosedReason.RESTING))
+        return tuple(
+            e
+            for e in self.engines
+            if closed[e] in (None, ClosedReason.RESTING)
+            and software_version in (None, self._fleet.version_by_engine.get(e, ""))
+        )
 
     def _intake(self, engine: str) -> Intake:
         """Return an engine's intake, including the notices that this router received."""
@@ -540,6 +546,8 @@
 
     def __init__(self, upstream_faults: list[str], packet_faults: list[str], resumes: bool) -> None:
         self.names = ("r0", "r1", "r2")
+        #: The software versions of engines that state one.
+        self.version_by_engine: dict[str, str] = {}
         self.engines: tuple[str, ...] = ("e0", "e1", "e2")
         self.resumes = resumes
         self.history = History()
