Soak: rolling releases, addresses used again, callers that resume their streams

Each run draws releases that replace the engines with streams one after the other by ones of another software version, beside its other faults; an engine that ends without a word is replaced at its address while its entry is still listed. A quarter of the callers of streams leave midway, and all whose stream broke off resume it at another router. Two checks more: a stream's events come from one version over its caller's tries; of streams resumed while two engines of their version serve, at least half as many go on as new ones begin. Both are shown to fail on made-up records.

--- a/fakes/_local_fleet.py
+++ b/fakes/_local_fleet.py
@@ -107,6 +107,8 @@
     #: Whether the platform lists it as able to resume a broken stream.
     resumes: bool = False
     checks_fencing: bool = False
+    #: Version of its software, as the prepared machines' engines state it.
+    software_version: str = "v1"
 
     def arm(self, fault: str, count: int = 1, seconds: float = 0.0) -> None:
         """Arm a fault of the stand-in."""
--- a/fakes/_machines_fleet.py
+++ b/fakes/_machines_fleet.py
@@ -144,7 +144,8 @@
             f"--port={port or free_ports(1)[0]}",
         ]
         engine = self._start_engine(name, service, hall, flags)
-        self.put_engine(engine, "ready", Version=software_version)
+        engine.software_version = software_version
+        self.put_engine(engine, "ready")
         return engine
 
     def _start_engine(self, name: str, service: str, hall: str, flags: list[str]) -> Backend:
@@ -166,7 +167,7 @@
             "Service": engine.service,
             "Address": self.address_of(engine),
             "Zone": engine.hall,
-            "Version": "v1",
+            "Version": engine.software_version,
             "Slots": SLOTS,
             "State": state,
             "ColdRemainingMs": 0,
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -7,11 +7,12 @@
 import random
 import time
 import uuid
+from dataclasses import replace
 
 import h11
 
 from soak._fleet import SoakFleet
-from soak._records import Attempt, Route
+from soak._records import Attempt, Route, events_of
 
 ROUTES = (
     Route("/notes/a", is_repeatable=True, is_stream=True),
@@ -34,6 +35,33 @@
 #: Mean seconds between two requests of one caller, normally and in a burst.
 MEAN_PAUSE, MEAN_BURST_PAUSE = 0.25, 0.05
 CHUNK_BYTES = 64 * 1024
+#: Share of streams that a caller leaves midway, and the most events that it then reads.
+LEAVING_SHARE = 0.25
+MAX_EVENTS_BEFORE_LEAVING = 4
+#: Tries that a caller makes in all for a stream that broke off.
+MAX_STREAM_TRIES = 3
+#: Mean seconds after which it resumes the stream.
+MEAN_RESUME_PAUSE = 0.2
+#: Statuses of refusals after which it tries again.
+RESUMABLE_STATUSES = frozenset({429, 502, 503, 504})
+
+
+class _StreamPosition:
+    """What a caller has of a stream that it may resume."""
+
+    def __init__(self) -> None:
+        #: The id of the attempt that brought the first event; empty before that.
+        self.first_attempt = ""
+        self.last_event = 0
+        self.tries = 0
+
+    def note(self, attempt: Attempt) -> None:
+        """Take over the events that an attempt brought."""
+        self.tries += 1
+        events = events_of(attempt.body)
+        if events:
+            self.first_attempt = self.first_attempt or attempt.id
+            self.last_event = events[-1][0]
 
 
 class Caller:
@@ -60,19 +88,39 @@
             self._close()
 
     async def _send(self) -> None:
+        route, position = self._rng.choice(ROUTES), _StreamPosition()
+        attempt = await self._try(route, position)
+        while attempt is not None and _may_be_resumed(attempt, position):
+            await asyncio.sleep(self._rng.expovariate(1 / MEAN_RESUME_PAUSE))
+            attempt = await self._try(route, position)
+
+    async def _try(self, route: Route, position: _StreamPosition) -> Attempt | None:
+        """Make one attempt, and return it as far as its answer came; None if it was not sent."""
         try:
             reader, writer = self._streams or await self._connect()
         except OSError:
-            return
-        route, attempt_id = self._rng.choice(ROUTES), uuid.uuid4().hex[:16]
-        started = Attempt(attempt_id, route, self._router, time.monotonic(), 0.0)
-        answer = _Answer(self.slow_read_faults > 0 and not route.is_stream)
+            return None
+        started = Attempt(
+            uuid.uuid4().hex[:16],
+            route,
+            self._router,
+            time.monotonic(),
+            0.0,
+            resumed_attempt=position.first_attempt if position.last_event else "",
+            last_event=position.last_event,
+        )
+        leaves = route.is_stream and not position.tries and self._rng.random() < LEAVING_SHARE
+        max_events = self._rng.randint(1, MAX_EVENTS_BEFORE_LEAVING) if leaves else None
+        answer = _Answer(self.slow_read_faults > 0 and not route.is_stream, max_events)
         with contextlib.suppress(OSError, TimeoutError, h11.ProtocolError):
             async with asyncio.timeout(ANSWER_TIMEOUT):
-                await answer.exchange(reader, writer, route, attempt_id)
+                await answer.exchange(reader, writer, started)
         if not answer.keeps_connection:
             self._close()
-        self._fleet.records.attempts.append(answer.finished_attempt(started))
+        attempt = answer.finished_attempt(started)
+        position.note(attempt)
+        self._fleet.records.attempts.append(attempt)
+        return attempt
 
     async def _connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         running = [
@@ -94,25 +142,27 @@
 class _Answer:
     """One answer, as far as it was received."""
 
-    def __init__(self, is_slow: bool = False) -> None:
+    def __init__(self, is_slow: bool = False, max_events: int | None = None) -> None:
         self.keeps_connection = False
         self._is_slow = is_slow
+        #: Events of a stream after which the caller leaves; None if it stays.
+        self._max_events = max_events
         self._status: int | None = None
         self._signature = ""
         self._is_whole = False
+        self._was_left = False
         self._body = bytearray()
 
     async def exchange(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
-        route: Route,
-        attempt_id: str,
+        attempt: Attempt,
     ) -> None:
         """Send a request and read its answer. Raises OSError and h11.ProtocolError."""
         http = h11.Connection(h11.CLIENT)
         body = LARGE_BODY if self._is_slow else BODY
-        parts = [_request(route, attempt_id, len(body)), h11.Data(data=body), h11.EndOfMessage()]
+        parts = [_request(attempt, len(body)), h11.Data(data=body), h11.EndOfMessage()]
         for part in parts:
             writer.write(http.send(part) or b"")
         await writer.drain()
@@ -126,6 +176,9 @@
                 self._signature = values.get(b"instance-signature", b"").decode()
             elif isinstance(event, h11.Data):
                 self._body += event.data
+                if self._max_events and len(events_of(bytes(self._body))) >= self._max_events:
+                    self._was_left = True
+                    return
             elif isinstance(event, h11.EndOfMessage):
                 self._is_whole = True
                 self.keeps_connection = http.our_state is h11.DONE
@@ -141,26 +194,36 @@
 
     def finished_attempt(self, started: Attempt) -> Attempt:
         """Return the attempt with its outcome."""
-        return Attempt(
-            started.id,
-            started.route,
-            started.router,
-            started.sent_at,
-            time.monotonic(),
-            self._status,
-            self._signature,
-            self._is_whole,
+        return replace(
+            started,
+            ended_at=time.monotonic(),
+            status=self._status,
+            signature=self._signature,
+            is_whole=self._is_whole,
+            was_left=self._was_left,
             # Recorded with the short body, so that checks need not know of slow reads.
-            bytes(self._body).replace(LARGE_BODY, BODY, 1),
+            body=bytes(self._body).replace(LARGE_BODY, BODY, 1),
         )
 
 
-def _request(route: Route, attempt_id: str, length: int) -> h11.Request:
+def _may_be_resumed(attempt: Attempt, position: _StreamPosition) -> bool:
+    """Return whether a caller takes a stream up again that it has in part."""
+    has_part = attempt.route.is_stream and position.last_event > 0 and not attempt.is_whole
+    was_refused = attempt.status in RESUMABLE_STATUSES and position.last_event > 0
+    return (has_part or was_refused) and position.tries < MAX_STREAM_TRIES
+
+
+def _request(attempt: Attempt, length: int) -> h11.Request:
     headers = [
         ("Host", "desk.example"),
-        ("Attempt-Id", attempt_id),
+        ("Attempt-Id", attempt.id),
         ("Authorization", f"Bearer {KEY}"),
         ("Deadline-Ms", str(DEADLINE_MS)),
         ("Content-Length", str(length)),
     ]
-    return h11.Request(method="POST", target=route.path, headers=headers)
+    if attempt.resumed_attempt:
+        headers += [
+            ("Last-Event-Id", str(attempt.last_event)),
+            ("Resumes", attempt.resumed_attempt),
+        ]
+    return h11.Request(method="POST", target=attempt.route.path, headers=headers)
--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -7,8 +7,8 @@
 from collections.abc import Callable
 
 from fakes._machines_engine import STREAM_EVENTS
-from soak._plan import PATH_KINDS
-from soak._records import Arrival, Attempt, Records
+from soak._plan import PATH_KINDS, STREAM_SERVICE
+from soak._records import Arrival, Attempt, Records, events_of
 
 #: Statuses by which a router promises that a request has not run and never will run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -27,9 +27,20 @@
 #: Least share of the requests after the recovery that must be served.
 MIN_SERVED_SHARE = 0.9
 OK = 200
-WHOLE_STREAM = b"".join(
-    b"id: %d\ndata: %d\n\n" % (number, number) for number in range(1, STREAM_EVENTS + 1)
-)
+#: Least number of resumed streams of which a share is checked, and the least share of them that
+#: goes on, as a part of the share of new streams that begin.
+MIN_RESUMED_STREAMS = 12
+MIN_RESUMED_PART = 0.5
+#: Engines of a stream's version that serve, for the stream to count in that share.
+MIN_ENGINES_OF_VERSION = 2
+#: Seconds before and after a try within which these engines must serve undisturbed.
+SERVING_MARGIN = 1.0
+
+
+def stream(version: str, after: int = 0) -> bytes:
+    """Return the whole rest of a stream after an event, as engines of a version send it."""
+    numbers = range(after + 1, STREAM_EVENTS + 1)
+    return "".join(f"id: {number}\ndata: {number} {version}\n\n" for number in numbers).encode()
 
 
 def whole_answers(records: Records) -> list[str]:
@@ -39,12 +50,70 @@
         if each.status != OK or not each.is_whole:
             continue
         engine, _, attempt = each.signature.partition(".")
-        expected = WHOLE_STREAM if each.route.is_stream else f"body by {engine}".encode()
-        if attempt != each.id or each.body != expected:
+        if each.route.is_stream:
+            is_expected = _is_whole_stream(each)
+        else:
+            is_expected = each.body == f"body by {engine}".encode()
+        if attempt != each.id or not is_expected:
             found.append(f"{each.id} got {each.body[:80]!r} signed {each.signature!r}")
     return found
 
 
+def _is_whole_stream(attempt: Attempt) -> bool:
+    """Return whether an answer is the whole rest of a stream, from engines of one version."""
+    events = events_of(attempt.body)
+    version = events[0][1] if events else ""
+    return attempt.body == stream(version, attempt.last_event)
+
+
+def one_software_version(records: Records) -> list[str]:
+    """Check that a stream's events come from one software version, over its caller's tries."""
+    versions_by_stream: dict[str, set[str]] = defaultdict(set)
+    for each in records.attempts:
+        versions_by_stream[each.stream] |= {version for _, version in events_of(each.body)}
+    return [
+        f"the stream of {name} holds events of {sorted(versions)}"
+        for name, versions in versions_by_stream.items()
+        if len(versions) > 1
+    ]
+
+
+def streams_go_on(records: Records) -> list[str]:
+    """Check that streams that callers resume go on at least half as often as new ones begin."""
+    streams = [each for each in records.attempts if each.route.is_stream]
+    begun = [each for each in streams if not each.resumed_attempt]
+    version_by_stream = {
+        each.stream: events[0][1] for each in begun if (events := events_of(each.body))
+    }
+    resumed = [
+        each
+        for each in streams
+        if each.resumed_attempt
+        and _has_engines(records, version_by_stream[each.stream], each)
+        and not records.is_disturbed(each.router, each.sent_at - SERVING_MARGIN, each.ended_at)
+    ]
+    went_on = sum(each.status == OK for each in resumed)
+    begins = _served_share(begun)
+    if len(resumed) < MIN_RESUMED_STREAMS or went_on >= MIN_RESUMED_PART * begins * len(resumed):
+        return []
+    return [f"{went_on} of {len(resumed)} resumed streams went on, new ones began in {begins:.2f}"]
+
+
+def _has_engines(records: Records, version: str, attempt: Attempt) -> bool:
+    """Return whether enough engines of a version served undisturbed during an attempt."""
+    begins, ends = attempt.sent_at - SERVING_MARGIN, attempt.ended_at + SERVING_MARGIN
+    serving = [
+        each
+        for each in records.engine_lives.values()
+        if each.software_version == version
+        and each.begins < begins
+        and each.ends > ends
+        and each.service == STREAM_SERVICE
+        and not records.is_disturbed(each.name, begins, ends)
+    ]
+    return len(serving) >= MIN_ENGINES_OF_VERSION
+
+
 def at_most_once(records: Records) -> list[str]:
     """Check that a request that may not be repeated ran at most once."""
     runs = Counter(each.id for each in records.arrivals if each.ran)
@@ -138,7 +207,7 @@
         if stop.kind != "stop":
             continue
         for each in records.attempts:
-            is_lost = each.router == stop.name and not each.is_whole
+            is_lost = each.router == stop.name and not each.is_whole and not each.was_left
             ended_during_stop = (
                 is_lost and stop.begins - AFTER_EFFECT_SECONDS <= each.ended_at <= stop.ends
             )
@@ -164,7 +233,11 @@
     """Check that nearly all requests are served once the faults are over."""
     if math.isinf(records.recovery_deadline):
         return []
-    tail = [each for each in records.attempts if each.sent_at >= records.recovery_deadline]
+    tail = [
+        each
+        for each in records.attempts
+        if each.sent_at >= records.recovery_deadline and not each.was_left
+    ]
     served = sum(each.status == OK and each.is_whole for each in tail)
     if served >= MIN_SERVED_SHARE * len(tail) and tail:
         return []
@@ -188,6 +261,8 @@
 #: Check of each promise, by the promise's name.
 CHECK_BY_NAME: dict[str, Callable[[Records], list[str]]] = {
     "whole answers": whole_answers,
+    "one software version": one_software_version,
+    "streams go on": streams_go_on,
     "at most once": at_most_once,
     "true refusals": true_refusals,
     "leaving engines": leaving_engines,
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -13,7 +13,16 @@
 from fakes._machines_fleet import MachinesRouter
 from soak._callers import Caller
 from soak._fleet import SERVICES, STORE_NAME, SoakFleet, in_thread
-from soak._plan import ENGINE, PATH_KINDS, ROUTER, STORE, Fault, target_kind_of
+from soak._plan import (
+    ENGINE,
+    PATH_KINDS,
+    RELEASE,
+    ROUTER,
+    STORE,
+    STREAM_SERVICE,
+    Fault,
+    target_kind_of,
+)
 from soak._relay import Relay
 
 #: Seconds within which a router that is asked to stop must exit.
@@ -22,6 +31,8 @@
 LISTING_LAG = 1.0
 #: Seconds for which a leaving engine still serves after the platform lists it as leaving.
 LEAVING_SECONDS = 3.0
+#: Seconds from one engine of a release to the next.
+RELEASE_GAP = 0.4
 #: Seconds by which a relay delays every chunk.
 RELAY_DELAY = 0.2
 #: More requests than can arrive during a fault.
@@ -51,6 +62,7 @@
         self._callers = callers
         #: Routers and engines that are under a fault and get no second one meanwhile.
         self._busy: set[str] = set()
+        self._releases = 0
 
     async def inject(self, fault: Fault) -> None:
         """Inject one fault; return when it is over."""
@@ -157,23 +169,63 @@
         await in_thread(lambda: engine.arm(stand_in_fault, 0))
 
     async def _kill_and_replace(self, engine: Backend) -> None:
-        """Kill an engine without notice and start another in its place."""
+        """Kill an engine without notice and start another in its place, at its address.
+
+        The entry of the one that ended goes only after the other one serves.
+        """
+        await self._kill(engine)
+        await self._fleet.add_engine(engine.service, engine.software_version, in_place_of=engine)
+        await self._remove_entry(engine)
+
+    async def _kill(self, engine: Backend) -> None:
         await self._fleet.collect_arrivals(engine)
         self._fleet.ended_engines.add(engine.name)
+        self._fleet.record_end(engine)
         engine.process.kill()
         await in_thread(engine.process.wait)
+
+    async def _remove_entry(self, engine: Backend) -> None:
         await in_thread(lambda: self._fleet.machines_fleet.remove_object("servers", engine.name))
-        await self._fleet.add_engine(engine.service)
 
     async def _announce_and_replace(self, engine: Backend) -> None:
         """Let an engine announce that it leaves, first in its answers, and replace it."""
+        await self._announce(engine)
+        await self._kill_and_replace(engine)
+
+    async def _announce(self, engine: Backend) -> None:
+        """Let an engine announce that it leaves, first in its answers; return when it may end."""
+        self._fleet.record_end(engine)
         await in_thread(lambda: engine.arm("leaving", UNLIMITED_COUNT))
         await asyncio.sleep(LISTING_LAG)
         await in_thread(
             lambda: self._fleet.machines_fleet.put_engine(engine, "draining", Sequence=2)
         )
         await asyncio.sleep(LEAVING_SECONDS)
-        await self._kill_and_replace(engine)
+
+    async def _release(self) -> None:
+        """Replace the engines with streams, one after the other, by ones of the next version.
+
+        Those that are under another fault stay as they are, so that versions serve side by side.
+        """
+        self._releases += 1
+        version = f"v{self._releases + 1}"
+        async with asyncio.TaskGroup() as group:
+            for engine in [e for e in self._fleet.engines if e.service == STREAM_SERVICE]:
+                if engine.name in self._busy or engine.name in self._fleet.ended_engines:
+                    continue
+                self._busy.add(engine.name)
+                await self._fleet.add_engine(engine.service, version)
+                group.create_task(self._retire(engine))
+                await asyncio.sleep(RELEASE_GAP)
+
+    async def _retire(self, engine: Backend) -> None:
+        begins = time.monotonic()
+        self._fleet.record_disturbance(RELEASE, engine.name, begins)
+        await self._announce(engine)
+        await self._kill(engine)
+        await self._remove_entry(engine)
+        self._busy.discard(engine.name)
+        self._fleet.record_disturbance(RELEASE, engine.name, begins)
 
     # -- the store and the whole fleet --------------------------------------------
 
@@ -215,6 +267,9 @@
         if fault.kind == "slow-readers":
             await self._slow_down_readers(fault)
             return
+        if fault.kind == RELEASE:
+            await self._release()
+            return
         for caller in self._callers:
             caller.is_in_burst = True
         await asyncio.sleep(min(fault.seconds, 2.0))
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -9,15 +9,24 @@
 import time
 import urllib.error
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any, TypeVar
 
 from fakes._local_fleet import Backend, fetch
-from fakes._machines_fleet import HALLS, RULES, MachinesFleet, MachinesRouter, with_version
+from fakes._machines_engine import EVENT_INTERVAL, STREAM_EVENTS
+from fakes._machines_fleet import (
+    HALLS,
+    RULES,
+    MachinesFleet,
+    MachinesRouter,
+    StreamShape,
+    with_version,
+)
 from pondhatch.platform._names import CONTENTION_RULE
 from pondhatch.platform.tests._wire import CONFIGURATION
 from soak._paths import Paths
-from soak._records import Arrival, Disturbance, ObservedVersion, Records
+from soak._plan import STREAM_SERVICE
+from soak._records import Arrival, Disturbance, EngineLife, ObservedVersion, Records
 from soak._relay import Relay
 
 #: Seconds for all routers to start and become ready.
@@ -29,7 +38,9 @@
 TRACEBACK = "Traceback (most recent call last):"
 #: Status by which the store says that there is no such object.
 NOT_FOUND = 404
-SERVICES = ("lang", "portal")
+SERVICES = (STREAM_SERVICE, "portal")
+STREAM = StreamShape(STREAM_EVENTS, EVENT_INTERVAL)
+FIRST_SOFTWARE_VERSION = "v1"
 #: Name of the store in ``relay_by_name`` and in disturbances.
 STORE_NAME = "store"
 T = TypeVar("T")
@@ -126,14 +137,33 @@
             each for each in self.machines_fleet.backends if each.name not in self.ended_engines
         ]
 
-    async def add_engine(self, service: str) -> Backend:
-        """Start an engine under a new name."""
+    async def add_engine(
+        self,
+        service: str,
+        software_version: str = FIRST_SOFTWARE_VERSION,
+        in_place_of: Backend | None = None,
+    ) -> Backend:
+        """Start an engine under a new name, at the address of one that ended if given."""
         self._engines_started += 1
         name = f"i-{service}-{self._engines_started}"
-        await self._add_relay(name)
-        await self.paths.add_engine(self.relay_by_name[name].address)
+        if in_place_of is not None:
+            self.relay_by_name[name] = self.relay_by_name[in_place_of.name]
+        else:
+            await self._add_relay(name)
+            await self.paths.add_engine(self.relay_by_name[name].address)
         hall = HALLS[self._engines_started % len(HALLS)]
-        return await in_thread(lambda: self.machines_fleet.add_engine(name, service, hall))
+        fleet = self.machines_fleet
+        life = EngineLife(name, service, software_version, time.monotonic())
+        self.records.engine_lives[name] = life
+        return await in_thread(
+            lambda: fleet.add_versioned_engine(name, service, hall, software_version, STREAM)
+        )
+
+    def record_end(self, engine: Backend) -> None:
+        """Record that an engine ends, or announces that it leaves, from now on."""
+        life = self.records.engine_lives[engine.name]
+        ends = min(life.ends, time.monotonic())
+        self.records.engine_lives[engine.name] = replace(life, ends=ends)
 
     async def restart(self, router: MachinesRouter) -> None:
         """Restart a router; return once its process is started, before it is ready."""
--- a/soak/_plan.py
+++ b/soak/_plan.py
@@ -14,6 +14,8 @@
 #: Faults begun per second; they overlap, as several kinds last for seconds.
 FAULTS_PER_SECOND = 0.9
 
+#: The service whose answers are streams.
+STREAM_SERVICE = "lang"
 #: What a fault is injected at.
 ROUTER, ENGINE, STORE, FLEET = "router", "engine", "store", "fleet"
 TARGET_BY_KIND = {
@@ -58,6 +60,10 @@
 #: takes to notice one.
 PATH_FAULT_RATIO = 0.15
 PATH_FAULT_SECONDS = (1.0, 4.0, 7.0)
+#: Replaces the engines of the service with streams one after the other, by ones of another software
+#: version. Drawn in addition, in every run, so that several versions serve side by side.
+RELEASE = "release"
+RELEASE_RATIO = 0.12
 #: Load faults for each of the other faults.
 LOAD_FAULT_RATIO = 0.5
 
@@ -97,6 +103,8 @@
     """Return what faults of a kind are injected at."""
     if kind in PATH_KINDS:
         return ROUTER
+    if kind == RELEASE:
+        return FLEET
     return TARGET_BY_KIND.get(kind) or TARGET_BY_LOAD_KIND[kind]
 
 
@@ -105,8 +113,8 @@
 ) -> Plan:
     """Return the plan drawn from a seed; equal arguments give equal plans.
 
-    Load faults and path faults come from generators of their own, so that a seed draws the same
-    other faults with and without them.
+    Load faults, path faults and releases come from generators of their own, so that a seed draws
+    the same other faults with and without them.
     """
     rng = random.Random(seed)
     routers = rng.randint(2, max(2, max_routers))
@@ -128,6 +136,11 @@
         )
         for _ in range(max(1, round(fault_count * PATH_FAULT_RATIO)))
     ]
+    release_rng = random.Random(f"{seed} releases")
+    faults += [
+        _draw_fault(release_rng, fault_seconds, (RELEASE,))
+        for _ in range(max(1, round(fault_count * RELEASE_RATIO)))
+    ]
     faults.sort(key=lambda each: each.starts_at)
     callers = 6 * min(routers, 12)
     return Plan(seed, routers, engines, callers, fault_seconds, tuple(faults), manages_load)
--- a/soak/_records.py
+++ b/soak/_records.py
@@ -2,8 +2,17 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass, field
 
+#: One event of a stand-in's stream: its number, and the software version of its engine.
+_EVENT = re.compile(rb"id: (\d+)\ndata: \d+ (\w+)\n\n")
+
+
+def events_of(body: bytes) -> list[tuple[int, str]]:
+    """Return the complete events in a stream's bytes: number and software version of each."""
+    return [(int(number), version.decode()) for number, version in _EVENT.findall(body)]
+
 
 @dataclass(frozen=True)
 class Route:
@@ -35,6 +44,18 @@
     #: Whether the answer was complete by its HTTP framing.
     is_whole: bool = False
     body: bytes = b""
+    #: Id of the attempt that brought the first event of the stream that it resumes; empty if it
+    #: resumes none.
+    resumed_attempt: str = ""
+    #: The number of the last event that the caller had.
+    last_event: int = 0
+    #: Whether its caller left before the end of the answer.
+    was_left: bool = False
+
+    @property
+    def stream(self) -> str:
+        """The id of the attempt that began its stream."""
+        return self.resumed_attempt or self.id
 
 
 @dataclass(frozen=True)
@@ -53,6 +74,18 @@
     rest_seconds: float
 
 
+@dataclass(frozen=True)
+class EngineLife:
+    """When an engine served."""
+
+    name: str
+    service: str
+    software_version: str
+    begins: float
+    #: When it ended, or announced that it leaves; infinite if it did neither.
+    ends: float = float("inf")
+
+
 @dataclass(frozen=True)
 class Disturbance:
     """Something that was done to a router, an engine or the store."""
@@ -81,6 +114,8 @@
 
     attempts: list[Attempt] = field(default_factory=list)
     arrivals: list[Arrival] = field(default_factory=list)
+    #: By the engine's name.
+    engine_lives: dict[str, EngineLife] = field(default_factory=dict)
     disturbances: list[Disturbance] = field(default_factory=list)
     versions: list[ObservedVersion] = field(default_factory=list)
     #: Processes that exited without being stopped, or not as they should.
--- a/soak/tests/test_checks.py
+++ b/soak/tests/test_checks.py
@@ -6,9 +6,18 @@
 from dataclasses import replace
 from typing import Any
 
-from soak._checks import CHECK_BY_NAME, WHOLE_STREAM, violations
-from soak._records import Arrival, Attempt, Disturbance, ObservedVersion, Records, Route
-
+from soak._checks import CHECK_BY_NAME, stream, violations
+from soak._records import (
+    Arrival,
+    Attempt,
+    Disturbance,
+    EngineLife,
+    ObservedVersion,
+    Records,
+    Route,
+)
+
+WHOLE_STREAM = stream("v1")
 STREAM = Route("/notes/a", is_repeatable=True, is_stream=True)
 ONCE = Route("/proofs/a", is_repeatable=False, is_stream=False)
 
@@ -49,6 +58,46 @@
         self.assertEqual(self.violated_checks(attempts=[cut]), {"whole answers"})
         self.assertEqual(self.violated_checks(attempts=[replace(cut, is_whole=False)]), set())
 
+    def test_one_software_version(self) -> None:
+        begun = attempt("a", STREAM, is_whole=False, body=WHOLE_STREAM[:50])
+        for version, violated in (("v1", set()), ("v2", {"one software version"})):
+            rest = attempt(
+                "b", STREAM, 11.0, resumed_attempt="a", last_event=3, body=stream(version, 3)
+            )
+            with self.subTest(version):
+                self.assertEqual(self.violated_checks(attempts=[begun, rest]), violated)
+        both = attempt("a", STREAM, body=WHOLE_STREAM[:50] + stream("v2", 3))
+        self.assertIn("one software version", self.violated_checks(attempts=[both]))
+
+    def test_streams_go_on(self) -> None:
+        begun = [attempt(f"a{n}", STREAM) for n in range(12)]
+        lives = {name: EngineLife(name, "lang", "v1", 0.0) for name in ("e", "f")}
+        for refused, violated in ((6, set()), (7, {"streams go on"})):
+            resumed = [
+                attempt(
+                    f"b{n}",
+                    STREAM,
+                    20.0,
+                    resumed_attempt=f"a{n}",
+                    last_event=3,
+                    status=503 if n < refused else 200,
+                    body=b"" if n < refused else stream("v1", 3),
+                )
+                for n in range(12)
+            ]
+            records: dict[str, Any] = {"attempts": begun + resumed}
+            with self.subTest(refused=refused):
+                self.assertEqual(self.violated_checks(**records, engine_lives=lives), violated)
+                # One engine of the version alone, or a router that was disturbed, excuses it.
+                self.assertEqual(
+                    self.violated_checks(**records, engine_lives={"e": lives["e"]}), set()
+                )
+                killed = [Disturbance("kill", "r", 19.5, 19.6)]
+                self.assertEqual(
+                    self.violated_checks(**records, engine_lives=lives, disturbances=killed),
+                    set(),
+                )
+
     def test_at_most_once(self) -> None:
         twice = [arrival("a"), arrival("a", engine="f")]
         self.assertEqual(
