Stand-in: a router with diverted paths handles signals as early as any other

The product's own start was not affected. Change: the stand-in sets the router's early handlers first, as pondhatch/__main__ does.

--- a/fakes/__main__.py
+++ b/fakes/__main__.py
@@ -2,12 +2,20 @@
 
 from __future__ import annotations
 
-from pathlib import Path
-from typing import Any
+import sys
 
-import defopt
+from pondhatch._early_port import RUN_COMMAND
+from pondhatch._early_signals import handle_early
 
-from pondhatch.kernel import install_reactor
+# A diverted router handles signals as early as any other: the imports below take half a second.
+handle_early([RUN_COMMAND] if sys.argv[1:2] == ["diverted-router"] else [])
+
+from pathlib import Path  # noqa: E402
+from typing import Any  # noqa: E402
+
+import defopt  # noqa: E402
+
+from pondhatch.kernel import install_reactor  # noqa: E402
 
 
 def engine(
