--- a/pondhatch/router/tests/test_stream_origin_exchange.py
+++ b/pondhatch/router/tests/test_stream_origin_exchange.py
@@ -8,11 +8,13 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+import msgspec
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from fakes._virtual_loop import run_virtually
-from pondhatch.requests import OriginSource, OriginTable, StreamOrigin, stream_key
+from pondhatch.membership import Address
+from pondhatch.requests import OriginSource, OriginTable, RequestHead, StreamOrigin, stream_key
 from pondhatch.requests._stream_origins import MAX_RECORDS, OriginRecord
 from pondhatch.requests.tests.test_histories import PROFILE
 from pondhatch.router._origin_packets import (
@@ -26,6 +28,8 @@
 from pondhatch.router._service_versions import RETURN_SECONDS
 from pondhatch.router._stream_origin_exchange import HOLDERS, QUERY_PAUSES
 from pondhatch.router.tests._origin_fleet import SERVICE, OriginFleet
+from pondhatch.router.tests.test_sync import router as router_state
+from pondhatch.store import UpstreamEntry
 
 #: Seconds after which a killed router is found to be gone.
 DETECTION_SECONDS = 2.5
@@ -431,6 +435,27 @@
         for payload in (b"", b"\xc1", b"\x92\x50\x01", b"\x92\x50\x91\x93\xc4\x00\xa2v1\xff"):
             self.assertIsNone(decode_origin_packet(payload))
 
+    # A router of an earlier version of pondhatch decodes packets of an unknown kind as gossip.
+    def test_an_older_router_drops_the_packets(self) -> None:
+        gossip = router_state("r0").gossip
+        for packet in (
+            RecordsPacket((WireRecord(bytes(12), "v1", 1),)),
+            OriginQuery(7, bytes(12), "s"),
+        ):
+            source = Address("127.0.0.1", 7000)
+            self.assertEqual(gossip.receive(encode_origin_packet(packet), source, 0.0), [])
+
+    def test_what_an_older_router_sends_is_read(self) -> None:
+        upstream = {"name": "e0", "service": "lang", "url": "http://10.0.0.1:80", "hall": "h1"}
+        entry = msgspec.msgpack.encode({"upstream": upstream, "version": 3})
+        read = msgspec.msgpack.decode(entry, type=UpstreamEntry)
+        self.assertEqual(read.upstream.software_version, "")
+        head = msgspec.to_builtins(RequestHead("i", "a", "s", 0, "POST", "/", (), True, 1.0, 5))
+        for field in ("software_version", "resumed_attempt"):
+            del head[field]
+        decoded = msgspec.msgpack.decode(msgspec.msgpack.encode(head), type=RequestHead)
+        self.assertIsNone(decoded.software_version)
+
     def test_one_stream_costs_its_router_less_than_two_hundred_bytes(self) -> None:
         async def play(fleet: OriginFleet) -> None:
             fleet.add_engine("e0", "v1")
