--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -24,6 +24,7 @@
 from bench._quarantine import measure_quarantine
 from bench._relay import measure_relay
 from bench._relayed import measure_relayed
+from bench._resumed_streams import measure_resumed_streams
 from bench._retries import measure_retries
 from bench._surge import measure_surge
 
@@ -42,6 +43,7 @@
     "gossip": measure_gossip,
     "relay": measure_relay,
     "relayed": measure_relayed,
+    "resumed": measure_resumed_streams,
     "grants": measure_grants,
     "loads": measure_load_polls,
     "engines": measure_engine_counts,
