--- a/pondhatch/requests/_dispatch.py
+++ b/pondhatch/requests/_dispatch.py
@@ -51,7 +51,7 @@
 from pondhatch.requests._resting_engines import RestingEngines
 from pondhatch.requests._sending import FAILURE_STATUS, is_upstream_failure
 from pondhatch.requests._slot_wait import SlotWait
-from pondhatch.requests._stream_binding import BOUND_QUEUE_SECONDS, StreamBinding
+from pondhatch.requests._stream_binding import NO_RETRY_LEFT, TRIES_SPENT, StreamBinding
 from pondhatch.requests._token_needs import stated_need
 from pondhatch.requests._tries import Tries, TryResult
 
@@ -61,10 +61,6 @@
 RESUME_HEADER = "X-Resume"
 #: Header with the number of events after which the stream is to resume.
 RESUME_FROM_HEADER = "X-Resume-From"
-#: Codes of broken answers that are not resumed: the request was sent to as many engines as it may
-#: be, and the service has used up its retries.
-TRIES_SPENT = "tries-spent"
-NO_RETRY_LEFT = "no-retry-left"
 OK = 200
 #: Codes of refusals before anything was sent: asking the next engine costs no retry budget.
 NOTHING_SENT = frozenset(
@@ -142,13 +138,8 @@
         self.queue_result = QueueResult()
         #: How often a broken stream was resumed.
         self.resumes = 0
-        #: Code of the refusal that kept a broken answer from being resumed or run again; empty
-        #: without one.
-        self.not_resumed = ""
         #: Engines whose connection was lost during a run, each with whether the engine crashed.
         self.cut_at: list[tuple[str, bool]] = []
-        #: Software versions of the engines that answered, in order, without repeats in a row.
-        self.software_versions: list[str] = []
 
     @property
     def last_grant(self) -> Granted:
@@ -323,10 +314,10 @@
     async def rerun(self, engine: str) -> Placed | None:
         """Run the request once more, at the failed engine only if there is no other."""
         if self._tries_are_spent():
-            self.not_resumed = TRIES_SPENT
+            self.binding.not_resumed = TRIES_SPENT
             return None
         if not self._budget.spend_retry():
-            self.not_resumed = NO_RETRY_LEFT
+            self.binding.not_resumed = NO_RETRY_LEFT
             return None
         engines = self._live_upstreams()
         others = tuple(name for name in engines if name != engine)
@@ -334,7 +325,7 @@
         result = await self._try_engines()
         if isinstance(result, Placed):
             return result
-        self.not_resumed = result.refusal.code
+        self.binding.not_resumed = result.refusal.code
         return None
 
     async def _resume_at(self, engine: str, position: StreamPosition) -> Placed | RetryLater | None:
@@ -347,7 +338,7 @@
         if isinstance(reply, AnswerStarted):
             if reply.answer.status == OK:
                 self.engine = engine
-                self._note_software_version(reply.software_version)
+                self.binding.note_answer(reply.software_version)
                 return Placed(reply, engine)
             reply.answer.cancel()
             return None
@@ -429,7 +420,7 @@
         if isinstance(reply, AnswerStarted):
             self._answering_id = head.request_id
             self.engine = ask.engine
-            self._note_software_version(reply.software_version)
+            self.binding.note_answer(reply.software_version)
             self._note_served(ask.engine)
             return Placed(reply, ask.engine)
         if isinstance(reply, ContextElsewhere):
@@ -514,11 +505,8 @@
 
     def _bound_wait(self) -> float:
         """Return the least wait in seconds that a stream bound to one of several versions bears."""
-        version = self.binding.software_version
-        if version is None:
-            return 0.0
         every = self._view.live_upstreams(self._head.service, self._head.regions)
-        return BOUND_QUEUE_SECONDS if len(self._live_upstreams()) < len(every) else 0.0
+        return self.binding.least_queue_seconds(self._live_upstreams(), every)
 
     def _need_at(self, engine: str) -> TokenNeed:
         """Return the engine memory that the request needs, if the engine's owner counts memory."""
@@ -589,10 +577,6 @@
         unknown = [each for each in self._refusals if each.refusal is EngineRefusal.UNKNOWN]
         return len(unknown) >= MAX_UNKNOWN_REFUSALS
 
-    def _note_software_version(self, version: str) -> None:
-        if self.software_versions[-1:] != [version]:
-            self.software_versions.append(version)
-
     def _tries_are_spent(self) -> bool:
         """Return whether the request was sent to the maximum number of engines."""
         return 0 < self._head.most_tries <= len(self._tries.sent_to)
--- a/pondhatch/requests/_stream_binding.py
+++ b/pondhatch/requests/_stream_binding.py
@@ -14,6 +14,10 @@
 VERSION_GONE = "software-version-gone"
 #: Code of a stream that cannot go on because it is not known which software version began it.
 ORIGIN_UNKNOWN = "stream-origin-unknown"
+#: Codes of broken answers that are not resumed: the request was sent to as many engines as it may
+#: be, or the service has used up its retries.
+TRIES_SPENT = "tries-spent"
+NO_RETRY_LEFT = "no-retry-left"
 #: Seconds that a begun stream waits for a free slot at the engines of its version while engines of
 #: other versions, which cannot take it, may have some. Callers bear pauses of two seconds.
 BOUND_QUEUE_SECONDS = 1.0
@@ -32,6 +36,10 @@
         self.software_version: str | None = None
         #: What began the stream that the request resumes; None if it resumes none.
         self.origin: StreamOrigin | None = None
+        #: Software versions of the engines that answered, in order, without repeats in a row.
+        self.answered_versions: list[str] = []
+        #: Code of what kept a broken answer from being resumed or run again; empty without one.
+        self.not_resumed = ""
 
     @property
     def _resumes(self) -> bool:
@@ -70,6 +78,19 @@
         if keys:
             self._origins.record(self._head.service, keys, self.software_version, remaining)
 
+    def note_answer(self, software_version: str) -> None:
+        """Note the version of an engine that began an answer."""
+        if self.answered_versions[-1:] != [software_version]:
+            self.answered_versions.append(software_version)
+
+    def least_queue_seconds(self, allowed: tuple[str, ...], every: tuple[str, ...]) -> float:
+        """Return for how long the request waits at full engines at least.
+
+        ``allowed`` are the engines that it may go to, ``every`` those of all versions.
+        """
+        is_restricted = self.software_version is not None and len(allowed) < len(every)
+        return BOUND_QUEUE_SECONDS if is_restricted else 0.0
+
     def no_engine_left(self) -> NotRun:
         """Return the refusal of a stream if no engine of its version is left."""
         return NotRun(
--- a/pondhatch/router/_stream_origin_exchange.py
+++ b/pondhatch/router/_stream_origin_exchange.py
@@ -103,7 +103,7 @@
         self._started_at = state.clock()
         #: Services of which several versions may have begun streams, as of the last round.
         self._mixed: frozenset[str] = frozenset()
-        #: Services of the records made here since the last round, or longer ago.
+        #: Services of the streams that began here.
         self._services: set[str] = set()
         #: The members as of the last round, and the incarnations of the live ones, by name.
         self._members: tuple[Member, ...] = ()
--- a/pondhatch/transport/_request_runner.py
+++ b/pondhatch/transport/_request_runner.py
@@ -347,8 +347,8 @@
                 resumed_attempt=admitted_request.head.resumed_attempt,
                 origin=dispatch.binding.origin.source if dispatch.binding.origin else "",
                 origin_router=dispatch.binding.origin.router if dispatch.binding.origin else "",
-                not_resumed=dispatch.not_resumed,
-                software_versions=_stated(dispatch.software_versions),
+                not_resumed=dispatch.binding.not_resumed,
+                software_versions=_stated(dispatch.binding.answered_versions),
             )
         )
 
