--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -93,6 +93,8 @@
     stopping_routers: set[str] = field(default_factory=set)
     #: Engines that were killed on purpose, or are about to be.
     ended_engines: set[str] = field(default_factory=set)
+    #: Engines whose first entry the store has not confirmed: it may still be written again.
+    starting_engines: set[str] = field(default_factory=set)
     configuration_version: int = CONFIGURATION["Version"]
     _restarts_by_router: dict[str, int] = field(default_factory=dict)
     _engines_started: int = 0
@@ -132,10 +134,9 @@
 
     @property
     def engines(self) -> list[Backend]:
-        """The engines that were not killed."""
-        return [
-            each for each in self.machines_fleet.backends if each.name not in self.ended_engines
-        ]
+        """The engines that are listed and were not killed."""
+        absent = self.ended_engines | self.starting_engines
+        return [each for each in self.machines_fleet.backends if each.name not in absent]
 
     async def add_engine(
         self,
@@ -155,9 +156,13 @@
         fleet = self.machines_fleet
         life = EngineLife(name, service, software_version, time.monotonic())
         self.records.engine_lives[name] = life
-        return await in_thread(
-            lambda: fleet.add_versioned_engine(name, service, hall, software_version, STREAM)
-        )
+        self.starting_engines.add(name)
+        try:
+            return await in_thread(
+                lambda: fleet.add_versioned_engine(name, service, hall, software_version, STREAM)
+            )
+        finally:
+            self.starting_engines.discard(name)
 
     def record_end(self, engine: Backend) -> None:
         """Record that an engine ends, or announces that it leaves, from now on."""
