--- a/pondhatch/router/_stream_origin_exchange.py
+++ b/pondhatch/router/_stream_origin_exchange.py
@@ -18,8 +18,6 @@
 from collections import deque
 from collections.abc import Callable, Iterable
 
-import msgspec
-
 from pondhatch.membership import Address, Datagram, Member, Phase, short_id
 from pondhatch.placement import ranked
 from pondhatch.requests import (
@@ -40,6 +38,7 @@
     decode_origin_packet,
     encode_origin_packet,
 )
+from pondhatch.router._origin_query import PendingQuery
 from pondhatch.router._service_versions import RETURN_SECONDS, ServiceVersions
 from pondhatch.router._state import RouterState
 
@@ -66,32 +65,6 @@
 SendAll = Callable[[Iterable[Datagram]], None]
 
 
-class _PendingQuery(msgspec.Struct):
-    """A query of several routers, and what they replied."""
-
-    #: Done with a record's version and router, or with None once every router has none.
-    found: asyncio.Future[tuple[str, str] | None]
-    #: The routers that have not replied yet, by short id.
-    silent_by_id: dict[int, Member]
-    #: Names of the routers without the record, each with the seconds for which it held records.
-    held_for_by_name: dict[str, float] = msgspec.field(default_factory=dict)
-    #: Whether one of them knows of several versions.
-    is_mixed: bool = False
-
-    def add(self, reply: OriginReply) -> None:
-        """Add a router's reply."""
-        member = self.silent_by_id.pop(reply.router, None)
-        if member is None or self.found.done():
-            return
-        if reply.software_version is not None:
-            self.found.set_result((reply.software_version, member.name))
-            return
-        self.held_for_by_name[member.name] = reply.holds_ms / 1000
-        self.is_mixed |= reply.is_mixed
-        if not self.silent_by_id:
-            self.found.set_result(None)
-
-
 class StreamOriginExchange:
     """One router's implementation of StreamOrigins, which shares its records with the others."""
 
@@ -117,7 +90,7 @@
         self._paused_at = float("-inf")
         self._rounds = 0
         self._number = 0
-        self._query_by_number: dict[int, _PendingQuery] = {}
+        self._query_by_number: dict[int, PendingQuery] = {}
 
     def record(self, service: str, keys: tuple[bytes, ...], version: str, seconds: float) -> None:
         """Hold the record of a stream, and send it to its holders; see StreamOrigins."""
@@ -244,11 +217,11 @@
         is_paused = self._state.clock() - self._ticked_at > PAUSE_SECONDS
         return not (was_paused or is_paused) and self.versions.is_history_known(service)
 
-    async def _query(self, service: str, key: bytes) -> _PendingQuery:
+    async def _query(self, service: str, key: bytes) -> PendingQuery:
         """Ask the routers that rank first for a key whether they have its record."""
         asked = dict.fromkeys((*self._holders(key), *self._ranked(key)[:MAX_ASKED]))
         silent = {short_id(each.name): each for each in asked if each.name != self._state.name}
-        query = _PendingQuery(asyncio.get_running_loop().create_future(), silent)
+        query = PendingQuery(asyncio.get_running_loop().create_future(), silent)
         self._number = (self._number + 1) % NUMBER_LIMIT
         packet = OriginQuery(self._number, key, service)
         self._query_by_number[packet.number] = query
@@ -266,7 +239,7 @@
         return query
 
     def _origin_without_record(
-        self, service: str, key: bytes, query: _PendingQuery
+        self, service: str, key: bytes, query: PendingQuery
     ) -> StreamOrigin | None:
         """Return what began a stream of which no router that was asked has a record.
 
