Test: streams of several versions begin once the routers know each other

ResumedByCallerTest failed once in a run of the whole script (503 where 200 is due). Traced: the router that began the streams knew no other router yet, so it had nobody to send the records to, and was killed; 24 of 24 were refused as stream-origin-unknown (members 1, 2, 2 of 3 as they began, one of four runs). That is what the design says of a router in its first half second; the test is about routers that know each other, and now waits until each lists all. All its checks stay as they are.

--- a/fakes/tests/test_software_versions.py
+++ b/fakes/tests/test_software_versions.py
@@ -9,7 +9,13 @@
 
 from fakes._local_fleet import Backend, fetch
 from fakes._machines_engine import SLOTS
-from fakes._machines_fleet import HALLS, MachinesFleet, StreamShape, eventually
+from fakes._machines_fleet import (
+    HALLS,
+    MachinesFleet,
+    MachinesRouter,
+    StreamShape,
+    eventually,
+)
 from fakes._resuming_caller import OK, ResumingCaller, StreamTry
 from fakes.tests.test_prepared_machines import KEY, MachinesCase
 from pondhatch.platform.tests._wire import CONFIGURATION
@@ -49,6 +55,14 @@
             cls.fleet.add_router(HALLS[index % 2])
         eventually(lambda: all(each.is_ready() for each in cls.fleet.machine_routers))
         eventually(lambda: all(cls.is_served(each) for each in cls.fleet.machine_routers))
+        # A router that has just started knows no other yet to which it could send a record.
+        eventually(
+            lambda: {cls.member_count(each) for each in cls.fleet.machine_routers} == {cls.ROUTERS}
+        )
+
+    @classmethod
+    def member_count(cls, router: MachinesRouter) -> int:
+        return len(fetch(f"http://{router.admin_address}/state.json")["members"])
 
     @classmethod
     def add_version(cls, name: str, version: str, hall: str, port: int = 0) -> Backend:
