--- a/soak/_paths.py
+++ b/soak/_paths.py
@@ -27,9 +27,11 @@
     async def add_engine(self, address: str) -> None:
         """Add the paths to an engine at an "IP:port", before routers learn of it."""
         for router, relays in self._relays_by_router.items():
-            relay = relays[address] = Relay()
+            relay = Relay()
             relay.target = (HOST, int(address.rpartition(":")[2]))
             await relay.start()
+            # Only now: a cut that begins before would not take effect, and could not be undone.
+            relays[address] = relay
             self._divert(router, {each: path.port for each, path in relays.items()})
 
     async def cut(self, router: str, effect: str, seconds: float) -> None:
