Say which versions, whose services, how long: names of the stream origins

Read as a newcomer: 'mixed', 'recent' and 'held for' become several versions, possible versions, uptime; why holders stand in two halls and why a record is sent once are said.

--- a/pondhatch/cli/_router_statistics.py
+++ b/pondhatch/cli/_router_statistics.py
@@ -45,7 +45,7 @@
             "upstreams.unreachable": len(self.paths.reachability.unreachable()),
             "relays.in_flight": self.relay_side.in_flight,
             "streams.origins": len(self.stream_origins.records),
-            "services.mixed_versions": self._mixed_services(),
+            "services.mixed_versions": self._services_with_several_versions(),
             "engines.slow": self.state.paces.count_slow(self.state.clock()),
             "engines.memory-full": self.state.token_counts.refusals,
             "halls.evacuated": len(self.state.halls.evacuations.halls),
@@ -59,10 +59,10 @@
             "control.bytes_received": self.gossip_port.bytes_received,
         }
 
-    def _mixed_services(self) -> int:
+    def _services_with_several_versions(self) -> int:
         """Return of how many services several software versions may have begun streams."""
         services = self.state.configuration.service_by_name
-        return sum(self.stream_origins.versions.is_mixed(name) for name in services)
+        return sum(self.stream_origins.versions.has_several_versions(name) for name in services)
 
     def counters(self) -> dict[str, Any]:
         """Return the counters of the state dump."""
--- a/pondhatch/placement/_software_versions.py
+++ b/pondhatch/placement/_software_versions.py
@@ -43,22 +43,22 @@
                 if version not in listed and span.last_seen == STILL_LISTED:
                     spans[version] = VersionSpan(span.first_seen, now)
 
-    def recent(self, service: str, since: float) -> tuple[str, ...]:
+    def listed_since(self, service: str, since: float) -> tuple[str, ...]:
         """Return the versions that were listed at some time since then, the first seen first."""
         spans = self._spans_by_service.get(service, {})
         found = [(span.first_seen, name) for name, span in spans.items() if span.last_seen > since]
         return tuple(name for _, name in sorted(found))
 
-    def mixed_at(self, service: str, since: float) -> float | None:
+    def second_version_seen_at(self, service: str, since: float) -> float | None:
         """Return when the second of the versions listed since then appeared; None without one.
 
         None also if it appeared earlier, or this router did not see it appear: then one version may
         not have served alone since.
         """
-        recent = self.recent(service, since)
-        if len(recent) < 2:
+        listed = self.listed_since(service, since)
+        if len(listed) < 2:
             return None
-        second = self._spans_by_service[service][recent[1]].first_seen
+        second = self._spans_by_service[service][listed[1]].first_seen
         return second if second > max(since, self.known_since) else None
 
     def drop_old(self, before: float) -> None:
--- a/pondhatch/router/_origin_packets.py
+++ b/pondhatch/router/_origin_packets.py
@@ -47,9 +47,9 @@
     #: Short id of the replying router.
     router: int
     #: Milliseconds for which the replying router has held records: since it started.
-    holds_ms: int
+    uptime_ms: int
     #: Whether several software versions may have begun streams of the service, as known there.
-    is_mixed: bool
+    has_several_versions: bool
     #: None if the router has no record.
     software_version: str | None = None
 
--- a/pondhatch/router/_origin_query.py
+++ b/pondhatch/router/_origin_query.py
@@ -18,9 +18,9 @@
     #: The routers that have not replied yet, by short id.
     silent_by_id: dict[int, Member]
     #: Names of the routers without the record, each with the seconds for which it held records.
-    held_for_by_name: dict[str, float] = msgspec.field(default_factory=dict)
+    uptime_by_name: dict[str, float] = msgspec.field(default_factory=dict)
     #: Whether one of them knows of several versions.
-    is_mixed: bool = False
+    has_several_versions: bool = False
 
     def add(self, reply: OriginReply) -> None:
         """Add a router's reply."""
@@ -30,7 +30,7 @@
         if reply.software_version is not None:
             self.found.set_result((reply.software_version, member.name))
             return
-        self.held_for_by_name[member.name] = reply.holds_ms / 1000
-        self.is_mixed |= reply.is_mixed
+        self.uptime_by_name[member.name] = reply.uptime_ms / 1000
+        self.has_several_versions |= reply.has_several_versions
         if not self.silent_by_id:
             self.found.set_result(None)
--- a/pondhatch/router/_service_versions.py
+++ b/pondhatch/router/_service_versions.py
@@ -36,14 +36,14 @@
                 versions.add(entry.upstream.software_version)
         self._history.record(versions_by_service, self._state.clock())
 
-    def recent(self, service: str) -> tuple[str, ...]:
+    def possible_versions(self, service: str) -> tuple[str, ...]:
         """Return the versions that may have begun a stream that callers still resume."""
         self.update()
-        return self._history.recent(service, self._since(service))
+        return self._history.listed_since(service, self._since(service))
 
-    def is_mixed(self, service: str) -> bool:
+    def has_several_versions(self, service: str) -> bool:
         """Return whether several versions may have begun such streams."""
-        return len(self.recent(service)) > 1
+        return len(self.possible_versions(service)) > 1
 
     def is_history_known(self, service: str) -> bool:
         """Return whether every version that may have begun such a stream is known here."""
@@ -53,14 +53,16 @@
         )
         return is_up_to_date and self._history.known_since <= self._since(service)
 
-    def mixed_for(self, service: str) -> float | None:
+    def seconds_since_second_version(self, service: str) -> float | None:
         """Return for how many seconds several versions have served.
 
         None if one version alone may not have served since callers may resume streams.
         """
         self.update()
-        mixed_at = self._history.mixed_at(service, self._since(service))
-        return None if mixed_at is None else self._state.clock() - mixed_at
+        second_version_seen_at = self._history.second_version_seen_at(service, self._since(service))
+        return (
+            None if second_version_seen_at is None else self._state.clock() - second_version_seen_at
+        )
 
     def drop_old(self) -> None:
         """Forget versions whose streams nobody resumes any more."""
--- a/pondhatch/router/_stream_origin_exchange.py
+++ b/pondhatch/router/_stream_origin_exchange.py
@@ -75,9 +75,9 @@
         self._send = send
         self._started_at = state.clock()
         #: Services of which several versions may have begun streams, as of the last round.
-        self._mixed: frozenset[str] = frozenset()
+        self._services_with_several_versions: frozenset[str] = frozenset()
         #: Services of the streams that began here.
-        self._services: set[str] = set()
+        self._services_begun_here: set[str] = set()
         #: The members as of the last round, and the incarnations of the live ones, by name.
         self._members: tuple[Member, ...] = ()
         self._incarnation_by_name: dict[str, int] = {}
@@ -96,10 +96,10 @@
         """Hold the record of a stream, and send it to its holders; see StreamOrigins."""
         lasts = min(MAX_RECORD_SECONDS, max(0.0, seconds) + RETURN_SECONDS)
         record = OriginRecord(version, self._state.clock() + lasts, service)
-        self._services.add(service)
+        self._services_begun_here.add(service)
         for key in keys:
             self.records.put(key, record)
-        if self.versions.is_mixed(service):
+        if self.versions.has_several_versions(service):
             self._share(keys)
 
     async def find(self, service: str, key: bytes) -> StreamOrigin | None:
@@ -107,9 +107,9 @@
         own = self.records.get(key, self._state.clock())
         if own is not None:
             return StreamOrigin(own.software_version, OriginSource.RECORDED, self._state.name)
-        recent = self.versions.recent(service)
-        if len(recent) <= 1 and self._is_history_known(service):
-            return _sole_origin(recent)
+        possible = self.versions.possible_versions(service)
+        if len(possible) <= 1 and self._is_history_known(service):
+            return _sole_origin(possible)
         query = await self._query(service, key)
         found = query.found.result() if query.found.done() else None
         if found is not None:
@@ -144,16 +144,17 @@
             self.versions.drop_old()
         self._follow_versions()
         self._follow_members()
-        self._share([self._to_share.popleft() for _ in range(self._next_count())])
-
-    def _next_count(self) -> int:
-        return min(RECORDS_PER_ROUND, len(self._to_share))
+        count = min(RECORDS_PER_ROUND, len(self._to_share))
+        self._share([self._to_share.popleft() for _ in range(count)])
 
     def _follow_versions(self) -> None:
         """Send the records of streams that began while their service had one version only."""
         self.versions.update()
-        mixed = frozenset(each for each in self._services if self.versions.is_mixed(each))
-        new, self._mixed = mixed - self._mixed, mixed
+        several = frozenset(
+            each for each in self._services_begun_here if self.versions.has_several_versions(each)
+        )
+        new = several - self._services_with_several_versions
+        self._services_with_several_versions = several
         if new:
             self._to_share.extend(key for key, each in self.records if each.service in new)
 
@@ -173,11 +174,18 @@
             self._lost_router_at = self._state.clock()
         if has_restarted or live.keys() != known.keys():
             self._to_share = deque(
-                key for key, each in self.records if not each.service or each.service in self._mixed
+                key
+                for key, each in self.records
+                # Other routers send records only of services with several versions.
+                if not each.service or each.service in self._services_with_several_versions
             )
 
     def _share(self, keys: Iterable[bytes]) -> None:
-        """Send records to their holders."""
+        """Send records to their holders.
+
+        Each is sent once: with the router where the stream began there are three copies, of which
+        two may be lost.
+        """
         now = self._state.clock()
         records_by_holder: dict[Address, list[WireRecord]] = {}
         for key in keys:
@@ -195,7 +203,10 @@
                 self._send_packet(address, RecordsPacket(batch))
 
     def _holders(self, key: bytes) -> tuple[Member, ...]:
-        """Return the live routers that hold a record, in different data halls if possible."""
+        """Return the live routers that hold a record.
+
+        They are in different data halls if possible, as a whole hall may be lost.
+        """
         ranking = [each for each in self._ranked(key) if each.phase == Phase.LIVE]
         if len(ranking) <= HOLDERS:
             return tuple(ranking)
@@ -246,19 +257,21 @@
         A stream that began while one version alone served may have none. It did if its holders
         would have a record of any that began later.
         """
-        recent = self.versions.recent(service)
-        if len(recent) <= 1:
-            return None if query.is_mixed else _sole_origin(recent)
-        mixed_for = self.versions.mixed_for(service)
-        if mixed_for is None or self._has_lost_router_within(mixed_for + VIEW_SKEW_SECONDS):
+        possible = self.versions.possible_versions(service)
+        if len(possible) <= 1:
+            return None if query.has_several_versions else _sole_origin(possible)
+        seconds_since_second_version = self.versions.seconds_since_second_version(service)
+        if seconds_since_second_version is None or self._has_lost_router_within(
+            seconds_since_second_version + VIEW_SKEW_SECONDS
+        ):
             return None
-        own_seconds = self._state.clock() - self._started_at
-        held_for = {**query.held_for_by_name, self._state.name: own_seconds}
+        own_uptime = self._state.clock() - self._started_at
+        uptime = {**query.uptime_by_name, self._state.name: own_uptime}
         would_know = all(
-            held_for.get(each.name, 0.0) > mixed_for + VIEW_SKEW_SECONDS
+            uptime.get(each.name, 0.0) > seconds_since_second_version + VIEW_SKEW_SECONDS
             for each in self._holders(key)
         )
-        return StreamOrigin(recent[0], OriginSource.BEFORE_RECORDS) if would_know else None
+        return StreamOrigin(possible[0], OriginSource.BEFORE_RECORDS) if would_know else None
 
     def _has_lost_router_within(self, seconds: float) -> bool:
         """Return whether a router stopped or failed lately, perhaps a holder of a record."""
@@ -271,7 +284,7 @@
             query.number,
             short_id(self._state.name),
             round((now - self._started_at) * 1000),
-            self.versions.is_mixed(query.service),
+            self.versions.has_several_versions(query.service),
             record.software_version if record is not None else None,
         )
         self._send_packet(source, reply)
--- a/pondhatch/router/tests/test_stream_origin_exchange.py
+++ b/pondhatch/router/tests/test_stream_origin_exchange.py
@@ -323,8 +323,8 @@
             version = sorted(self._engines.values())[choice % len(self._engines)]
             attempt = f"a{len(self._version_by_attempt)}"
             self._version_by_attempt[attempt] = version
-            is_mixed = len(set(self._engines.values())) > 1
-            self._entry_by_attempt[attempt] = router if is_mixed else ""
+            has_several_versions = len(set(self._engines.values())) > 1
+            self._entry_by_attempt[attempt] = router if has_several_versions else ""
             self.fleet.routers[router].begin(attempt, version)
 
     async def _resume(self, router: str, choice: int) -> None:
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -150,7 +150,7 @@
         self._status: int | None = None
         self._signature = ""
         self._is_whole = False
-        self._was_left = False
+        self._caller_left = False
         self._body = bytearray()
 
     async def exchange(
@@ -177,7 +177,7 @@
             elif isinstance(event, h11.Data):
                 self._body += event.data
                 if self._max_events and len(events_of(bytes(self._body))) >= self._max_events:
-                    self._was_left = True
+                    self._caller_left = True
                     return
             elif isinstance(event, h11.EndOfMessage):
                 self._is_whole = True
@@ -200,7 +200,7 @@
             status=self._status,
             signature=self._signature,
             is_whole=self._is_whole,
-            was_left=self._was_left,
+            caller_left=self._caller_left,
             # Recorded with the short body, so that checks need not know of slow reads.
             body=bytes(self._body).replace(LARGE_BODY, BODY, 1),
         )
--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -207,7 +207,7 @@
         if stop.kind != "stop":
             continue
         for each in records.attempts:
-            is_lost = each.router == stop.name and not each.is_whole and not each.was_left
+            is_lost = each.router == stop.name and not each.is_whole and not each.caller_left
             ended_during_stop = (
                 is_lost and stop.begins - AFTER_EFFECT_SECONDS <= each.ended_at <= stop.ends
             )
@@ -236,7 +236,7 @@
     tail = [
         each
         for each in records.attempts
-        if each.sent_at >= records.recovery_deadline and not each.was_left
+        if each.sent_at >= records.recovery_deadline and not each.caller_left
     ]
     served = sum(each.status == OK and each.is_whole for each in tail)
     if served >= MIN_SERVED_SHARE * len(tail) and tail:
--- a/soak/_records.py
+++ b/soak/_records.py
@@ -50,7 +50,7 @@
     #: The number of the last event that the caller had.
     last_event: int = 0
     #: Whether its caller left before the end of the answer.
-    was_left: bool = False
+    caller_left: bool = False
 
     @property
     def stream(self) -> str:
