Infer nothing about a stream's origin while a router that was asked is silent

What callers could see: a stream that another version had begun within the last seconds, while the packets with its record were lost and the router that began it had just been killed and not yet missed, was taken for one of the version that served alone before. Cause: the inference asked the two holders' replies only; a silent router may be the one that knows. Change: it is made only if every router that was asked replied; else the stream is refused. Result: the new test failed before (found v1 where v2 began the stream) and passes; found by reading. The 23 tests of the exchange and the 8 over processes pass.

--- a/pondhatch/router/_stream_origin_exchange.py
+++ b/pondhatch/router/_stream_origin_exchange.py
@@ -255,22 +255,21 @@
         """Return what began a stream of which no router that was asked has a record.
 
         A stream that began while one version alone served may have none. It did if its holders
-        would have a record of any that began later.
+        would have a record of any that began later, and no router that was asked is silent.
         """
         possible = self.versions.possible_versions(service)
         if len(possible) <= 1:
             return None if query.has_several_versions else _sole_origin(possible)
-        seconds_since_second_version = self.versions.seconds_since_second_version(service)
-        if seconds_since_second_version is None or self._has_lost_router_within(
-            seconds_since_second_version + VIEW_SKEW_SECONDS
-        ):
+        elapsed = self.versions.seconds_since_second_version(service)
+        if elapsed is None or query.silent_by_id:
+            return None
+        # For at least as long each holder must have been there to get a record.
+        needed = elapsed + VIEW_SKEW_SECONDS
+        if self._has_lost_router_within(needed):
             return None
         own_uptime = self._state.clock() - self._started_at
-        uptime = {**query.uptime_by_name, self._state.name: own_uptime}
-        would_know = all(
-            uptime.get(each.name, 0.0) > seconds_since_second_version + VIEW_SKEW_SECONDS
-            for each in self._holders(key)
-        )
+        uptime_by_name = {**query.uptime_by_name, self._state.name: own_uptime}
+        would_know = all(uptime_by_name.get(each.name, 0.0) > needed for each in self._holders(key))
         return StreamOrigin(possible[0], OriginSource.BEFORE_RECORDS) if would_know else None
 
     def _has_lost_router_within(self, seconds: float) -> bool:
--- a/pondhatch/router/tests/test_stream_origin_exchange.py
+++ b/pondhatch/router/tests/test_stream_origin_exchange.py
@@ -263,6 +263,22 @@
 
         in_fleet(play)()
 
+    # Both copies of a record were lost, and the router that had the third had just been killed.
+    def test_nothing_is_inferred_while_a_router_does_not_reply(self) -> None:
+        async def play(fleet: OriginFleet) -> None:
+            fleet.add_engine("e0", "v1")
+            await asyncio.sleep(RETURN_SECONDS + 1)
+            fleet.add_engine("e1", "v2")
+            await asyncio.sleep(0.5)
+            fleet.is_lost = lambda: True
+            fleet.routers["r0"].begin("a1", "v2")
+            fleet.is_lost = lambda: False
+            fleet.kill("r0")
+            for router in fleet.routers.values():
+                self.assertIsNone(await router.find("a1"))
+
+        in_fleet(play)()
+
     def test_nothing_is_inferred_if_a_router_was_lost_since(self) -> None:
         async def play(fleet: OriginFleet) -> None:
             fleet.add_engine("e0", "v1")
