Say in a request's line whether its answer ended with its connection

Cause: whether a cut stream is taken for a whole one by its framing or by its content could not be told from the lines: none says how an answer was delimited. Nothing is decided by it.

--- a/pondhatch/explaining/_timeline.py
+++ b/pondhatch/explaining/_timeline.py
@@ -166,6 +166,8 @@
         parts.append(f"- {ended.upstream} took it, with {ended.in_flight} of {ended.ceiling}")
     if ended.software_versions:
         parts.append(f"- it ran at software version {', then '.join(ended.software_versions)}")
+    if ended.ended_with_connection:
+        parts.append("- its answer had neither a length nor chunks and ended with its connection")
     if ended.resumed_attempt:
         parts.append(f"- it resumed the stream that {ended.resumed_attempt} began")
     if ended.origin:
--- a/pondhatch/observing/_records.py
+++ b/pondhatch/observing/_records.py
@@ -68,6 +68,9 @@
     #: Software versions of the upstreams that answered, in order, without repeats in a row; empty
     #: if they state none.
     software_versions: tuple[str, ...] = ()
+    #: Whether the upstream's latest answer had neither a length nor chunks, so that it ended with
+    #: its connection.
+    ended_with_connection: bool = False
 
 
 class RequestRelayed(
--- a/pondhatch/requests/__init__.py
+++ b/pondhatch/requests/__init__.py
@@ -20,6 +20,7 @@
 from pondhatch.requests._entry_grants import NUMBER_LIMIT, EntryGrants
 from pondhatch.requests._entry_view import Collaborators, EntryView
 from pondhatch.requests._events import LAST_EVENT, EventSplitter
+from pondhatch.requests._framing import Framing
 from pondhatch.requests._grant_packets import (
     GrantPacket,
     GrantUpdate,
@@ -161,6 +162,7 @@
     "EntryGrants",
     "EntryView",
     "EventSplitter",
+    "Framing",
     "GrantPacket",
     "GrantRequest",
     "GrantSides",
--- a/pondhatch/requests/_dispatch.py
+++ b/pondhatch/requests/_dispatch.py
@@ -23,6 +23,7 @@
     result_without_grant,
 )
 from pondhatch.requests._entry_view import Collaborators, EntryView
+from pondhatch.requests._framing import Framing
 from pondhatch.requests._grant_requests import (
     MS_PER_SECOND,
     SEEN_LOAD_SECONDS,
@@ -151,6 +152,11 @@
         """The router that relayed the answer; empty if it came directly."""
         return self._tries.relayed_by
 
+    @property
+    def framing(self) -> Framing | None:
+        """How the latest answer is delimited; None without one."""
+        return self._tries.framing
+
     @property
     def grant_wait_seconds(self) -> float:
         """Seconds that the request waited for owners' replies, time in their queues included."""
--- a/pondhatch/requests/_messages.py
+++ b/pondhatch/requests/_messages.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from pondhatch.placement import Regions
+from pondhatch.requests._framing import Framing
 from pondhatch.requests._outcomes import Broken
 
 Headers = tuple[tuple[str, str], ...]
@@ -141,6 +142,8 @@
     relayed_by: str = ""
     #: Software version of the start of the upstream to which the request was sent.
     software_version: str = ""
+    #: How the upstream delimits the answer, or the relay.
+    framing: Framing = Framing.CHUNKED
 
 
 class RoutingDecision(msgspec.Struct, frozen=True):
--- a/pondhatch/requests/_tries.py
+++ b/pondhatch/requests/_tries.py
@@ -10,6 +10,7 @@
 from pondhatch.placement import ClosedReason, Granted, is_region_allowed
 from pondhatch.requests._crash_guard import NO_WATCH, QUARANTINED, RequestWatch
 from pondhatch.requests._entry_view import Collaborators, EntryView
+from pondhatch.requests._framing import Framing
 from pondhatch.requests._grant_requests import (
     Busy,
     ContextElsewhere,
@@ -89,6 +90,8 @@
         self.sent_to: set[str] = set()
         #: The router that relayed the latest answer; empty if it came directly.
         self.relayed_by = ""
+        #: How the latest answer is delimited; None without one.
+        self.framing: Framing | None = None
 
     async def run(self, grant_request: GrantRequest, head: RequestHead) -> TryResult:
         """Ask the engine's owner; if it grants, send the request to the engine."""
@@ -176,6 +179,7 @@
                     grants.release(number, end_reason)
 
                 self.relayed_by = reply.relayed_by
+                self.framing = reply.framing
                 return replace(
                     reply,
                     answer=GrantedAnswer(reply.answer, release),
--- a/pondhatch/transport/_http_heads.py
+++ b/pondhatch/transport/_http_heads.py
@@ -5,11 +5,13 @@
 import h11
 import msgspec
 
-from pondhatch.requests import Headers
+from pondhatch.requests import Framing, Headers
 from pondhatch.transport._headers import as_text
 
 #: Methods whose requests have no Content-Length if their body is empty.
 BODILESS = frozenset({"GET", "HEAD", "DELETE", "OPTIONS"})
+#: Statuses of responses that have no body.
+BODILESS_STATUSES = frozenset({204, 304})
 
 
 class Request(msgspec.Struct, frozen=True):
@@ -31,6 +33,14 @@
     #: The last value of each header, by name in lower case.
     value_by_name: dict[str, str]
 
+    def framing(self, method: str) -> Framing:
+        """Return how the body of this response to a request with a method is delimited."""
+        if method == "HEAD" or self.status in BODILESS_STATUSES:
+            return Framing.LENGTH
+        if "transfer-encoding" in self.value_by_name:
+            return Framing.CHUNKED
+        return Framing.LENGTH if "content-length" in self.value_by_name else Framing.CLOSE
+
     def stated_idle_seconds(self) -> float | None:
         """Return the seconds for which the other side keeps an idle connection, if stated."""
         stated = self.value_by_name.get("keep-alive", "")
--- a/pondhatch/transport/_request_runner.py
+++ b/pondhatch/transport/_request_runner.py
@@ -19,6 +19,7 @@
     Broken,
     Delivery,
     Dispatch,
+    Framing,
     Headers,
     KeyedRun,
     KeyRecord,
@@ -349,6 +350,7 @@
                 origin_router=dispatch.binding.origin.router if dispatch.binding.origin else "",
                 not_resumed=dispatch.binding.not_resumed,
                 software_versions=_stated(dispatch.binding.answered_versions),
+                ended_with_connection=dispatch.framing is Framing.CLOSE,
             )
         )
 
--- a/pondhatch/transport/_upstreams.py
+++ b/pondhatch/transport/_upstreams.py
@@ -303,7 +303,8 @@
         streams = response.status == OK and is_event_stream(headers)
         last_event = self._dialect.last_event(head) if streams else None
         return AnswerStarted(
-            UpstreamAnswer(exchange, response.status, headers, attempt, deadline, last_event)
+            UpstreamAnswer(exchange, response.status, headers, attempt, deadline, last_event),
+            framing=response.framing(head.method),
         )
 
 
