--- a/fakes/_machines_engine.py
+++ b/fakes/_machines_engine.py
@@ -1,6 +1,7 @@
 """Stand-in for an engine of the prepared machines; records the requests that it received and ran.
 
-A path under ``/notes/`` is answered by a stream of events, any other by a whole body. A request
+A path under ``/notes/`` or ``/proofs/stream`` is answered by a stream of events, any other by a
+whole body. A request
 that is addressed to another instance is refused with 421, and one that names a copy or a
 reservation which this engine does not hold is refused and not run. A request whose body begins
 with one of ``CRASH_BODIES`` ends the engine's process as it begins to run. ``POST /cold`` with
@@ -16,6 +17,8 @@
 - ``shed``: not run, and ask for no requests for ``seconds``
 - ``leaving``: announce in an answer that the engine is about to end
 - ``cut``: break a stream in the middle, unless it resumes an earlier one
+- ``stop-early``: end such a stream inside its middle event, without a reset
+- ``unframed``: answer with neither a length nor chunks, so that the answer ends with its connection
 - ``pause``: pause such a stream in the middle for ``seconds``
 - ``stall``: delay an answer by ``seconds``
 - ``cross``: answer under another request's id
@@ -60,6 +63,8 @@
 EVENT_INTERVAL = 0.02
 #: Duration of work at a slow engine, in percent of the usual one.
 SLOW_PACE = 250
+#: Paths whose answers are streams.
+STREAM_PATHS = (b"/notes/", b"/proofs/stream")
 #: A load header with values that no engine can have.
 GARBLED_LOAD = "7,-1,,1e9"
 
@@ -206,10 +211,12 @@
             request.setHeader("X-Echoed", "1")
             for name in ECHOED_HEADERS:
                 request.setHeader(name, request.getHeader(name) or "")
+        if self.faults.consume("unframed"):
+            _end_with_connection(request)
         if self.faults.consume("fail"):
             request.setResponseCode(500)
             return b"failed"
-        if not request.path.startswith(b"/notes/"):
+        if not request.path.startswith(STREAM_PATHS):
             run["outcome"] = "gone" if disconnected.is_set() else "whole"
             return b"%s by %s" % (request.content.read() or b"nothing", self._name.encode())
         run["outcome"] = await self._stream(request, run, disconnected, event_interval)
@@ -257,6 +264,9 @@
                 request.write(b"id: %d\ndata: ha" % number)
                 request.channel.forceAbortClient()
                 return "cut"
+            if number == middle and not after and self.faults.consume("stop-early"):
+                request.write(b"id: %d\ndata: ha" % number)
+                return "stopped"
             if number == middle and not after and (fault := self.faults.consume("pause")):
                 run["outcome"] = "paused"
                 await asyncio.sleep(fault.seconds)
@@ -266,6 +276,13 @@
         return "whole"
 
 
+def _end_with_connection(request: Any) -> None:
+    """Answer without a length or chunks; twisted answers so where it takes the caller for old."""
+    request.clientproto = b"HTTP/1.0"
+    request.setHeader("Connection", "close")
+    request.channel.persistent = False
+
+
 def _header_pairs(request: Any) -> list[tuple[str, str]]:
     raw_headers = request.requestHeaders.getAllRawHeaders()
     return [
