Decide in one place when an answer is complete, by framing and content

What callers saw: streams that their engines had broken off inside an event, framed as complete, with half an event in them; none was resumed. Cause: an answer with neither a length nor chunks was complete as soon as its connection was closed cleanly, and a process that ends closes its connections cleanly; of the content only a dialect's last event was looked at, and what followed the last whole event was written out at the end. Change: requests/_checked_answer.py wraps every answer that a router reads from an upstream, as entry or as relay. Only whole events pass; a stream that ends inside one is lost, whatever its framing; an answer that ends with its connection needs an upstream that still accepts connections, and a short one is held back until then, so that it may run again. Lines of streams may end with CR LF or CR. A completion clears a suspected request only after the late probes if it ended with its connection. Before the test of resumption asks, its router now earns the retry that a resumption spends: with two tests in a row it had none left. Two old tests use streams without events, with a last chunk: these stay complete.

--- a/fakes/tests/test_broken_streams.py
+++ b/fakes/tests/test_broken_streams.py
@@ -16,6 +16,8 @@
 #: A stream that may be resumed at another engine, and one that may not run twice.
 RESUMABLE = "/notes/a"
 UNREPEATABLE = "/proofs/stream"
+#: Streams that earn a router the retry by which one is resumed.
+EARNING_STREAMS = 8
 #: More answers than a test asks for.
 MANY = 100
 #: Events before the one in which a stream ends early.
@@ -66,6 +68,8 @@
 
     def assert_is_resumed(self) -> None:
         """Assert that resumable streams arrive whole; each engine ends one early."""
+        for _ in range(EARNING_STREAMS):
+            self.read(RESUMABLE, uuid.uuid4().hex[:16])
         self.arm("stop-early", 1)
         received = self.read(RESUMABLE, uuid.uuid4().hex[:16])
         self.assertEqual(received, Received(200, WHOLE_STREAM, is_complete=True))
--- a/pondhatch/requests/__init__.py
+++ b/pondhatch/requests/__init__.py
@@ -1,13 +1,14 @@
 """Requests: dispatch at the entry router, grants by the owners of engines, and tries."""
 
 from pondhatch.requests._chat import ChatRequest, MalformedChat, read_chat
+from pondhatch.requests._checked_answer import checked, is_event_stream
 from pondhatch.requests._crash_guard import (
     NO_WATCH,
     QUARANTINED,
     CrashGuard,
     RequestWatch,
 )
-from pondhatch.requests._delivery import Delivered, Delivery, is_event_stream
+from pondhatch.requests._delivery import Delivered, Delivery
 from pondhatch.requests._digest import digest_of
 from pondhatch.requests._dispatch import Dispatch
 from pondhatch.requests._dispatch_results import (
@@ -233,6 +234,7 @@
     "decode_grant_packet",
     "digest_of",
     "encode_grant_packet",
+    "checked",
     "is_event_stream",
     "kept_answer",
     "new_try",
--- /dev/null
+++ b/pondhatch/requests/_checked_answer.py
@@ -0,0 +1,167 @@
+"""Decides when an upstream's answer is complete, by its framing and by its content.
+
+Every router that reads an answer from an upstream checks it here, and whoever acts on the end of an
+answer (delivery, relays, health, quarantine, idempotency keys) reads the checked one:
+
+- A length that is not reached, a missing last chunk and a reset are found by the connection.
+- An event stream is complete where it ends between two events, and, in a dialect that names a last
+  event, after that one.
+- An answer that ends with its connection may also have been cut by the end of its upstream's
+  process, which closes connections as cleanly. It is complete only if its upstream lives on.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+
+from msgspec.structs import replace
+
+from pondhatch.requests._events import EventSplitter
+from pondhatch.requests._framing import Framing
+from pondhatch.requests._messages import (
+    AnswerLost,
+    AnswerStarted,
+    AnswerStream,
+    Headers,
+    PartSink,
+    RequestHead,
+)
+from pondhatch.requests._outcomes import Broken
+
+OK = 200
+EVENT_STREAM = "text/event-stream"
+#: Bytes of an answer without events that are held back while it may turn out to be cut: until
+#: something is sent to the caller, the request may run again.
+MAX_HELD_BYTES = 16 * 1024
+
+#: Returns whether the upstream of an answer still runs.
+LivesOn = Callable[[], Awaitable[bool]]
+
+
+def is_event_stream(headers: Headers) -> bool:
+    """Return whether an answer is a stream of events."""
+    return any(
+        name.lower() == "content-type" and value.strip().lower().startswith(EVENT_STREAM)
+        for name, value in headers
+    )
+
+
+def checked(
+    reply: AnswerStarted, head: RequestHead, upstream: str, lives_on: LivesOn
+) -> AnswerStarted:
+    """Return the answer to a request so that it raises AnswerLost where it is not complete.
+
+    ``lives_on`` is asked at the end of an answer that ends with its connection.
+    """
+    events = EventSplitter() if is_event_stream(reply.answer.headers) else None
+    answer = CheckedAnswer(reply, upstream, events, _needs_event(reply, head), lives_on)
+    return replace(reply, answer=answer, events=events)
+
+
+def _needs_event(reply: AnswerStarted, head: RequestHead) -> bool:
+    """Return whether a stream without any event was cut right after its head.
+
+    Its framing may say that it is empty, and nothing may follow the last event of a resumed stream.
+    """
+    resumes = head.resuming or bool(head.last_event_id)
+    return reply.answer.status == OK and reply.framing is Framing.CLOSE and not resumes
+
+
+class CheckedAnswer:
+    """An answer that passes on complete events only, and checks its end; see AnswerStream."""
+
+    def __init__(
+        self,
+        reply: AnswerStarted,
+        upstream: str,
+        events: EventSplitter | None,
+        needs_event: bool,
+        lives_on: LivesOn,
+    ) -> None:
+        self.status: int = reply.answer.status
+        self.headers: Headers = reply.answer.headers
+        self._answer: AnswerStream = reply.answer
+        self._upstream = upstream
+        self._ends_with_connection = reply.framing is Framing.CLOSE
+        self._last_event = reply.last_event
+        self._events = events
+        #: Whether a stream is complete only with an event.
+        self._needs_event = needs_event
+        self._lives_on = lives_on
+
+    async def stream_to(self, sink: PartSink) -> None:
+        """Write complete events, or parts, to a sink; see AnswerStream."""
+        if self._events is not None:
+            await self._stream_events(_CompleteEvents(sink, self._events), self._events, sink)
+        elif self._ends_with_connection:
+            held = _HeldStart(sink)
+            await self._answer.stream_to(held)
+            await self._check_upstream()
+            held.release()
+        else:
+            await self._answer.stream_to(sink)
+
+    async def _stream_events(
+        self, complete_events: PartSink, events: EventSplitter, sink: PartSink
+    ) -> None:
+        await self._answer.stream_to(complete_events)
+        if events.is_inside_event:
+            raise self._lost("the stream ended inside an event")
+        if self._last_event is not None and not events.is_complete:
+            raise self._lost("the stream ended without its last event")
+        if self._needs_event and not events.events:
+            raise self._lost("the stream ended before its first event")
+        if self._ends_with_connection:
+            await self._check_upstream()
+        rest = events.take_rest()
+        if rest:
+            sink.write(rest)
+
+    async def _check_upstream(self) -> None:
+        """Raise AnswerLost if the upstream ended, as its end may have cut the answer."""
+        if not await self._lives_on():
+            raise self._lost("the upstream ended with the answer's connection")
+
+    def _lost(self, reason: str) -> AnswerLost:
+        # A crash may be the cause, however the answer was framed.
+        broken = Broken("answer-broken", f"{self._upstream}: {reason}", connection_lost=True)
+        return AnswerLost(broken)
+
+    def cancel(self) -> None:
+        """Abandon the answer; see AnswerStream."""
+        self._answer.cancel()
+
+
+class _CompleteEvents:
+    """Writes only complete events to a sink; see PartSink."""
+
+    def __init__(self, sink: PartSink, events: EventSplitter) -> None:
+        self._sink = sink
+        self._events = events
+        self.ready = sink.ready
+
+    def write(self, part: bytes) -> bool:
+        complete = self._events.feed(part)
+        return self._sink.write(complete) if complete else True
+
+
+class _HeldStart:
+    """Holds back the first MAX_HELD_BYTES of an answer until it exceeds them; see PartSink."""
+
+    def __init__(self, sink: PartSink) -> None:
+        self._sink = sink
+        self._held = b""
+        self._is_holding = True
+        self.ready = sink.ready
+
+    def write(self, part: bytes) -> bool:
+        if not self._is_holding:
+            return self._sink.write(part)
+        self._held += part
+        return True if len(self._held) <= MAX_HELD_BYTES else self.release()
+
+    def release(self) -> bool:
+        """Write what is held back, and hold back no more."""
+        held, self._held = self._held, b""
+        self._is_holding = False
+        return self._sink.write(held) if held else True
--- a/pondhatch/requests/_crash_guard.py
+++ b/pondhatch/requests/_crash_guard.py
@@ -34,8 +34,12 @@
     async def note_connection_lost(self, target: Target) -> bool:
         """Note that a run lost its connection; return whether its engine has crashed."""
 
-    def note_completed(self) -> None:
-        """Note that an engine completed it without a crash."""
+    def note_completed(self, unproven_at: Target | None = None) -> None:
+        """Note that an engine completed it without a crash.
+
+        ``unproven_at`` is the engine of an answer that ended with its connection: a crash right at
+        the end of the answer may still have to show.
+        """
 
     def close(self) -> None:
         """Note that this dispatch will not run it again. Safe to call twice."""
@@ -47,6 +51,9 @@
     def watch(self, digest: int) -> RequestWatch:
         """Return the watch over one request; digest 0 marks one that cannot be identified."""
 
+    async def lives_on(self, target: Target) -> bool:
+        """Return whether an engine still runs, as far as a probe tells."""
+
 
 class NoWatch:
     """Allows every request; see RequestWatch."""
@@ -67,7 +74,7 @@
         """Return False."""
         return False
 
-    def note_completed(self) -> None:
+    def note_completed(self, unproven_at: Target | None = None) -> None:
         """Do nothing."""
 
     def close(self) -> None:
@@ -83,3 +90,7 @@
     def watch(self, digest: int) -> RequestWatch:
         """Return a watch that allows every request."""
         return NO_WATCH
+
+    async def lives_on(self, target: Target) -> bool:
+        """Return True."""
+        return True
--- a/pondhatch/requests/_delivery.py
+++ b/pondhatch/requests/_delivery.py
@@ -9,8 +9,7 @@
 
 from pondhatch.requests._dispatch import Dispatch
 from pondhatch.requests._dispatch_results import Placed, StreamPosition
-from pondhatch.requests._events import EventSplitter
-from pondhatch.requests._messages import AnswerLost, AnswerStream, Headers, PartSink
+from pondhatch.requests._messages import AnswerLost, AnswerStream, PartSink
 from pondhatch.requests._outcomes import Broken, Unknown, Whole
 
 #: Maximum number of times that one answer is resumed.
@@ -30,33 +29,6 @@
     resumes: int = 0
 
 
-def is_event_stream(headers: Headers) -> bool:
-    """Return whether an answer is a stream of events."""
-    return any(
-        name.lower() == "content-type" and value.startswith("text/event-stream")
-        for name, value in headers
-    )
-
-
-class _CompleteEvents:
-    """Writes only complete events to a sink; see PartSink."""
-
-    def __init__(self, sink: PartSink) -> None:
-        self.splitter = EventSplitter()
-        self._sink = sink
-        self.ready = sink.ready
-
-    def write(self, part: bytes) -> bool:
-        complete = self.splitter.feed(part)
-        return self._sink.write(complete) if complete else True
-
-    def end(self) -> None:
-        """Write what follows the last complete event of an answer that ended."""
-        partial = self.splitter.take_partial()
-        if partial:
-            self._sink.write(partial)
-
-
 class _AnswerStart:
     """Begins the caller's answer when the first part arrives; see PartSink."""
 
@@ -113,9 +85,10 @@
         self._engine = placed.engine
         self._software_version = placed.reply.software_version
         self._answer: AnswerStream = placed.reply.answer
-        streamed = is_event_stream(self._answer.headers)
-        self._events = _CompleteEvents(self._answer_start) if streamed else None
-        self._sink: PartSink = self._events or self._answer_start
+        #: The events that the caller has of the current answer; None if it is no stream.
+        self._events = placed.reply.events
+        #: Where the current answer began in the whole stream.
+        self._resumed_at = StreamPosition(0)
 
     @property
     def longest_pause(self) -> float:
@@ -142,11 +115,9 @@
     async def _deliver(self) -> Broken | None:
         """Deliver parts as they arrive; return how the answer broke off, or None if complete."""
         try:
-            await self._answer.stream_to(self._sink)
+            await self._answer.stream_to(self._answer_start)
         except AnswerLost as lost:
             return lost.outcome
-        if self._events is not None:
-            self._events.end()
         self._answer_start.begin()
         return None
 
@@ -170,20 +141,24 @@
         """Resume after the last event that the caller has; return whether that worked."""
         if self._events is None or not self._dispatch.can_resume(self._engine):
             return False
-        splitter = self._events.splitter
-        if splitter.is_complete:
+        if self._events.is_complete:
             return False
-        splitter.discard_partial()
         self._answer.cancel()
+        position = StreamPosition(
+            self._resumed_at.events + self._events.events,
+            self._events.last_id or self._resumed_at.last_id,
+        )
         loop = asyncio.get_running_loop()
         until = loop.time() + RESUME_TIME_LIMIT
         while self._resumes < MAX_RESUMES and loop.time() < until:
-            position = StreamPosition(splitter.events, splitter.last_id)
             resumed = await self._dispatch.resume(self._engine, position)
             if isinstance(resumed, Placed):
+                if resumed.reply.events is None:
+                    resumed.reply.answer.cancel()
+                    return False
                 self._resumes += 1
-                self._engine = resumed.engine
-                self._answer = resumed.reply.answer
+                self._start_delivering(resumed)
+                self._resumed_at = position
                 return True
             if resumed is None:
                 return False
--- a/pondhatch/requests/_dispatch.py
+++ b/pondhatch/requests/_dispatch.py
@@ -269,7 +269,8 @@
         in its queue, and does not show that the request is harmless.
         """
         if status < FAILURE_STATUS:
-            self._watch.note_completed()
+            engine = self.engine if self.framing is Framing.CLOSE else None
+            self._watch.note_completed(self._view.target(engine) if engine is not None else None)
 
     def close(self) -> None:
         """Note that the request has ended."""
--- a/pondhatch/requests/_events.py
+++ b/pondhatch/requests/_events.py
@@ -1,62 +1,112 @@
 """Splits a streamed answer into complete events.
 
 Only complete events are delivered, and they are counted, so that a broken stream
-can resume on another connection without losing or repeating a token.
+can resume on another connection without losing or repeating a token. The format is that of
+server-sent events (WHATWG HTML, "Parsing an event stream"): a line ends with LF, CR LF or CR, and a
+blank line ends an event.
 """
 
 from __future__ import annotations
 
-#: The end of each event of a stream.
+import re
+
+#: The usual end of an event.
 SEPARATOR = b"\n\n"
 #: Last event of a streamed chat answer; without it the answer is incomplete.
 LAST_EVENT = b"data: [DONE]"
 #: Start of the line that carries an event's id.
 ID_FIELD = b"id:"
+#: Start of a line that is a comment.
+COMMENT = b":"
+#: May precede the first line of a stream.
+BYTE_ORDER_MARK = b"\xef\xbb\xbf"
+LINE_ENDS = b"\r\n"
+
+#: The end of a line and the blank lines after it. CR LF is one end of a line, never two.
+_BLANK_LINES = re.compile(rb"(?>\r\n|\n|\r)(?>\r\n|\n|\r)+")
+#: One byte less than the longest end of an event, which may arrive in several parts.
+_SPLIT_END_BYTES = 3
 
 
 class EventSplitter:
     """Splits the bytes of a stream into complete events."""
 
     def __init__(self) -> None:
-        #: Number of complete events delivered so far.
+        #: Number of complete events so far.
         self.events = 0
-        #: Whether the stream's last event was delivered.
+        #: Whether the stream's last event is complete.
         self.is_complete = False
         self._partial = b""
-        #: The bytes delivered last, which hold the newest event's id.
+        #: The bytes returned last, which hold the newest event's id.
         self._newest = b""
 
     @property
     def last_id(self) -> str:
-        """Return the id in the bytes delivered last, or an empty string if there is none."""
+        """Return the id in the bytes returned last, or an empty string if there is none."""
         for line in reversed(self._newest.splitlines()):
             if line.startswith(ID_FIELD):
                 return line[len(ID_FIELD) :].strip().decode("latin-1")
         return ""
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether the stream, if it ended here, would end inside an event.
+
+        Blank lines, comment lines and a byte-order mark after the last event belong to none.
+        """
+        rest = self._partial if self.events else self._partial.removeprefix(BYTE_ORDER_MARK)
+        return any(not _belongs_to_no_event(line) for line in rest.splitlines(keepends=True))
+
     def feed(self, part: bytes) -> bytes:
         """Add received bytes; return those that complete events."""
         if not self._partial and part.endswith(SEPARATOR):
             return self._count(part)
         joined = self._partial + part
-        end = joined.rfind(SEPARATOR)
-        if end < 0:
-            self._partial = joined
-            return b""
-        complete, self._partial = joined[: end + len(SEPARATOR)], joined[end + len(SEPARATOR) :]
-        return self._count(complete)
+        end = self._end_of_events(joined, max(0, len(self._partial) - _SPLIT_END_BYTES))
+        complete, self._partial = joined[:end], joined[end:]
+        return self._count(complete) if complete else b""
+
+    def take_rest(self) -> bytes:
+        """Remove and return what follows the last complete event."""
+        rest, self._partial = self._partial, b""
+        return rest
+
+    def _end_of_events(self, joined: bytes, start: int) -> int:
+        """Return where the last complete event ends; no event ends before ``start``."""
+        end = 0
+        if self._newest.endswith(b"\r") and joined.startswith(b"\n"):
+            # The line feed of the CR LF with which the last event ended.
+            end = 1
+        for match in _BLANK_LINES.finditer(joined, start):
+            end = match.end()
+        return end
 
     def _count(self, complete: bytes) -> bytes:
-        self.events += complete.count(SEPARATOR)
+        self.events += _count_events(complete)
         self._newest = complete
         self.is_complete = self.is_complete or complete.rstrip().endswith(LAST_EVENT)
         return complete
 
-    def take_partial(self) -> bytes:
-        """Remove and return what follows the last complete event of an ended answer."""
-        partial, self._partial = self._partial, b""
-        return partial
 
-    def discard_partial(self) -> None:
-        """Drop the incomplete last event; the resumed stream sends it in full."""
-        self._partial = b""
+def _count_events(complete: bytes) -> int:
+    """Return the number of events in bytes that end with one; blocks of comments are none."""
+    is_plain = (
+        b"\r" not in complete
+        and b"\n\n\n" not in complete
+        and b"\n:" not in complete
+        and not complete.startswith((b"\n", COMMENT, BYTE_ORDER_MARK))
+    )
+    if is_plain:
+        return complete.count(SEPARATOR)
+    blocks = _BLANK_LINES.split(complete.removeprefix(BYTE_ORDER_MARK))
+    return sum(any(not _is_empty_or_comment(line) for line in each.splitlines()) for each in blocks)
+
+
+def _is_empty_or_comment(line: bytes) -> bool:
+    """Return whether a line without its end belongs to no event."""
+    return not line or line.startswith(COMMENT)
+
+
+def _belongs_to_no_event(line: bytes) -> bool:
+    """Return whether a line with its end is blank or a comment; one without an end is cut."""
+    return line.endswith((b"\r", b"\n")) and _is_empty_or_comment(line.rstrip(LINE_ENDS))
--- a/pondhatch/requests/_messages.py
+++ b/pondhatch/requests/_messages.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from pondhatch.placement import Regions
+from pondhatch.requests._events import EventSplitter
 from pondhatch.requests._framing import Framing
 from pondhatch.requests._outcomes import Broken
 
@@ -144,6 +145,10 @@
     software_version: str = ""
     #: How the upstream delimits the answer, or the relay.
     framing: Framing = Framing.CHUNKED
+    #: The event that ends a complete stream; None where none is expected.
+    last_event: bytes | None = None
+    #: The events of the answer that were passed on; None if it is no stream, or is not checked yet.
+    events: EventSplitter | None = None
 
 
 class RoutingDecision(msgspec.Struct, frozen=True):
--- a/pondhatch/requests/_relay_side.py
+++ b/pondhatch/requests/_relay_side.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 from collections.abc import Callable
 from typing import Protocol
 
 import msgspec
 
 from pondhatch.limits import HeldBytes, HeldCounter
+from pondhatch.requests._checked_answer import checked
 from pondhatch.requests._crash_guard import CrashGuard
 from pondhatch.requests._messages import AnswerLost, AnswerStarted, PartSink, ReplayableBody
 from pondhatch.requests._outcomes import Broken, NotRun, Unknown
@@ -112,6 +114,10 @@
             return self._unreached(engine)
         if isinstance(reply, Unknown):
             await self._note_loss(request, target, reply)
+        if isinstance(reply, AnswerStarted):
+            return checked(
+                reply, head, engine, functools.partial(self._crash_guard.lives_on, target)
+            )
         return reply
 
     async def note_break(self, request: RelayedRequest, outcome: Broken) -> None:
--- a/pondhatch/requests/_tries.py
+++ b/pondhatch/requests/_tries.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 from collections.abc import Callable
 
 from msgspec.structs import replace
 
 from pondhatch.placement import ClosedReason, Granted, is_region_allowed
+from pondhatch.requests._checked_answer import checked
 from pondhatch.requests._crash_guard import NO_WATCH, QUARANTINED, RequestWatch
 from pondhatch.requests._entry_view import Collaborators, EntryView
 from pondhatch.requests._framing import Framing
@@ -180,6 +182,8 @@
 
                 self.relayed_by = reply.relayed_by
                 self.framing = reply.framing
+                lives_on = functools.partial(self._collaborators.crash_guard.lives_on, target)
+                reply = checked(reply, head, target.name, lives_on)
                 return replace(
                     reply,
                     answer=GrantedAnswer(reply.answer, release),
--- a/pondhatch/requests/tests/test_crash_watch.py
+++ b/pondhatch/requests/tests/test_crash_watch.py
@@ -61,7 +61,7 @@
         self.ends_left -= 1
         return True
 
-    def note_completed(self) -> None:
+    def note_completed(self, unproven_at: Target | None = None) -> None:
         self.was_completed = True
 
     def close(self) -> None:
@@ -77,6 +77,9 @@
     def watch(self, digest: int) -> ScriptedWatch:
         return self._watch
 
+    async def lives_on(self, target: Target) -> bool:
+        return True
+
 
 class DispatchCase(unittest.TestCase):
     def dispatch(self, fleet: Fleet, watch: ScriptedWatch, repeatable: bool = True) -> Dispatch:
--- a/pondhatch/router/_crash_evidence_exchange.py
+++ b/pondhatch/router/_crash_evidence_exchange.py
@@ -77,6 +77,13 @@
         """Return the watch of one request; see CrashGuard."""
         return CrashWatch(self, digest) if digest else NO_WATCH
 
+    async def lives_on(self, target: Target) -> bool:
+        """Return whether an engine still runs; see CrashGuard.
+
+        An engine that leaves ends as planned, after its last answers.
+        """
+        return not target.intake.is_live or not await self._has_crashed(target)
+
     def is_quarantined(self, digest: int) -> bool:
         """Return whether a request must not be run for now."""
         return self.suspects.is_quarantined(digest, self._state.clock())
@@ -117,6 +124,14 @@
         """Clear a request; see RequestWatch."""
         self._clear(digest, "it came through whole")
 
+    def clear_unless_crashed(self, digest: int, target: Target) -> None:
+        """Clear a request after the late probes, unless they find a crash; see SharedEvidence."""
+        self._tasks.start(self._clear_after_probes(digest, target))
+
+    async def _clear_after_probes(self, digest: int, target: Target) -> None:
+        if not await self._probe(digest, target, LATER_PROBE_DELAYS):
+            self.note_completed(digest)
+
     def lift_quarantine(self, digest: int) -> bool:
         """Clear a request at all routers; return whether there was evidence against it."""
         return self._clear(digest, "an operator lifted its quarantine")
--- a/pondhatch/router/_crash_watch.py
+++ b/pondhatch/router/_crash_watch.py
@@ -33,6 +33,9 @@
     def note_completed(self, digest: int) -> None:
         """Record that an engine completed a request, which clears it."""
 
+    def clear_unless_crashed(self, digest: int, target: Target) -> None:
+        """Clear a request later, unless its engine turns out to have crashed by then."""
+
     def claim(self, digest: int) -> RunClaim:
         """Claim the next run of a suspected request."""
 
@@ -88,9 +91,12 @@
         """Record that the request lost its connection; see RequestWatch."""
         return await self._evidence.note_connection_lost(self._digest, target)
 
-    def note_completed(self) -> None:
+    def note_completed(self, unproven_at: Target | None = None) -> None:
         """Record that an engine completed the request; see RequestWatch."""
-        self._evidence.note_completed(self._digest)
+        if unproven_at is None or not self.is_suspected():
+            self._evidence.note_completed(self._digest)
+        else:
+            self._evidence.clear_unless_crashed(self._digest, unproven_at)
 
     def close(self) -> None:
         """Withdraw the claim, if there is one; see RequestWatch."""
--- a/pondhatch/transport/_upstreams.py
+++ b/pondhatch/transport/_upstreams.py
@@ -47,26 +47,11 @@
 from pondhatch.transport._http_heads import Request, ResponseHead
 
 OK = 200
-#: Bytes at the end of an answer that are searched for the last event.
-TAIL_BYTES = 64
 #: URLs whose parsed address is cached: twice the number of upstreams that the design allows
 #: for. Parsing one costs more than the rest of the search for an idle connection.
 MAX_CACHED_URLS = 4096
 
 
-class _TailSink:
-    """Forwards parts and keeps the last bytes of the answer; see PartSink."""
-
-    def __init__(self, sink: PartSink) -> None:
-        self.tail = b""
-        self._sink = sink
-        self.ready = sink.ready
-
-    def write(self, part: bytes) -> bool:
-        self.tail = (self.tail + part)[-TAIL_BYTES:]
-        return self._sink.write(part)
-
-
 class _UpstreamClosed(Exception):
     """The upstream became unavailable to a request while a connection to it was opened."""
 
@@ -85,27 +70,21 @@
         headers: Headers,
         attempt: Try,
         deadline: float,
-        last_event: bytes | None,
     ) -> None:
         self.status: int = status
         self.headers = headers
         self._exchange = exchange
         self._attempt = attempt
-        #: The event that ends a complete stream; None where none is expected.
-        self._last_event = last_event
         self._has_expired = False
         #: One timer for the whole answer is cheaper than one for each part.
         self._timer = asyncio.get_running_loop().call_at(deadline, self._expire)
 
     async def stream_to(self, sink: PartSink) -> None:
         """Write every part to a sink; see AnswerStream."""
-        tail_sink = _TailSink(sink) if self._last_event is not None else None
         try:
-            await self._exchange.pipe.stream_to(tail_sink or sink)
+            await self._exchange.pipe.stream_to(sink)
         except ConnectionError as error:
             raise self._answer_lost(str(error), was_cut=not self._has_expired) from error
-        if tail_sink is not None and self._last_event and self._last_event not in tail_sink.tail:
-            raise self._answer_lost("the stream ended without its last event")
         self._timer.cancel()
         self._attempt.ended()
 
@@ -119,7 +98,7 @@
         self._exchange.pipe.fail(ConnectionError("the deadline passed"))
         self._exchange.cancel()
 
-    def _answer_lost(self, reason: str, was_cut: bool = False) -> AnswerLost:
+    def _answer_lost(self, reason: str, was_cut: bool) -> AnswerLost:
         outcome = self._attempt.lost(reason)
         if not isinstance(outcome, Broken):
             raise TypeError(f"an answer cannot be lost as {outcome}")
@@ -303,8 +282,9 @@
         streams = response.status == OK and is_event_stream(headers)
         last_event = self._dialect.last_event(head) if streams else None
         return AnswerStarted(
-            UpstreamAnswer(exchange, response.status, headers, attempt, deadline, last_event),
+            UpstreamAnswer(exchange, response.status, headers, attempt, deadline),
             framing=response.framing(head.method),
+            last_event=last_event,
         )
 
 
