Name the prompt parts of a cut request in its line

Cause: whether the requests under which engines end have a part in common could not be told from the lines: they have a digest of the whole request only. Nothing is decided by it.

--- a/pondhatch/explaining/_timeline.py
+++ b/pondhatch/explaining/_timeline.py
@@ -182,6 +182,8 @@
         f"- its run was cut at {name}, {'which ended' if has_ended else 'which lives on'}"
         for name, has_ended in ended.cut_at
     ]
+    if ended.prompt_parts:
+        parts.append(f"- the shared parts of its prompt: {', '.join(ended.prompt_parts)}")
     if ended.predicted_ms:
         parts.append(f"- it would have waited {ended.predicted_ms} ms for a place")
     if ended.asking_ms * 2 > ended.ms:
--- a/pondhatch/observing/_records.py
+++ b/pondhatch/observing/_records.py
@@ -52,6 +52,8 @@
     cut_at: tuple[tuple[str, bool], ...] = ()
     #: Digest of the request in hex, equal in all attempts at it; only set where a run was cut off.
     digest: str = ""
+    #: Parts of its prompt that other requests share, in hex; only set where the digest is.
+    prompt_parts: tuple[str, ...] = ()
     #: Milliseconds that it would have waited for a slot, where it was refused because of that wait.
     predicted_ms: int = 0
     #: The router that relayed the answer; empty if it came directly from the upstream.
--- a/pondhatch/transport/_request_runner.py
+++ b/pondhatch/transport/_request_runner.py
@@ -324,6 +324,7 @@
         self, admitted_request: AdmittedRequest, dispatch: Dispatch, code: str, timings: _Timings
     ) -> None:
         """Write the record of the request's end; see Records."""
+        needs_digest = _needs_digest(dispatch, code)
         self._records.write(
             RequestEnded(
                 id=admitted_request.head.caller_id or admitted_request.head.request_id,
@@ -342,7 +343,8 @@
                 passed_over=_passed_over(dispatch),
                 resumes=dispatch.resumes,
                 cut_at=tuple(dispatch.cut_at),
-                digest=f"{admitted_request.head.digest:x}" if _needs_digest(dispatch, code) else "",
+                digest=f"{admitted_request.head.digest:x}" if needs_digest else "",
+                prompt_parts=_prompt_parts(admitted_request.head) if needs_digest else (),
                 predicted_ms=dispatch.queue_result.predicted_ms,
                 relayed_by=dispatch.relayed_by,
                 resumed_attempt=admitted_request.head.resumed_attempt,
@@ -371,6 +373,11 @@
     return bool(dispatch.cut_at) or code == QUARANTINED.code
 
 
+def _prompt_parts(head: RequestHead) -> tuple[str, ...]:
+    """Return the shared parts of a request's prompt, as its caller names them."""
+    return tuple(f"{part:x}" for part, _ in head.prompt_parts)
+
+
 async def _finish_keyed(keyed: KeyedRun, outcome: ServedOutcome, copy: AnswerCopy) -> None:
     """Report the request's outcome to the holders of its key."""
     if isinstance(outcome, NotRun):
