--- a/fakes/_machines_engine.py
+++ b/fakes/_machines_engine.py
@@ -4,7 +4,8 @@
 whole body. A request
 that is addressed to another instance is refused with 421, and one that names a copy or a
 reservation which this engine does not hold is refused and not run. A request whose body begins
-with one of ``CRASH_BODIES`` ends the engine's process as it begins to run. ``POST /cold`` with
+with one of ``CRASH_BODIES`` ends the engine's process as it begins to run, and one whose prompt has
+a part that begins with ``CRASH_PART`` as it begins its answer. ``POST /cold`` with
 ``{"seconds": 5, "most": 11}`` makes the engine cold for 5 s: its process ends if more than 11
 requests arrive within one second. ``POST /brittle`` makes it state that it is brittle, and limits
 its places; see BrittleRoom. ``GET /brittle`` returns the times at which it fell over.
@@ -57,6 +58,8 @@
 CRASH_BEFORE_HEAD = b"ends its engine at once"
 CRASH_AFTER_HEAD = b"ends its engine after the head"
 CRASH_BODIES = (CRASH_BEFORE_HEAD, CRASH_AFTER_HEAD)
+#: Begins the parts of prompts that crash the engine.
+CRASH_PART = "bad0"
 #: Seconds from the head of an answer to the crash.
 CRASH_DELAY = 0.05
 #: Seconds between two events of a stream.
@@ -250,6 +253,10 @@
             await asyncio.sleep(CRASH_DELAY)
         if body.startswith(CRASH_BODIES):
             os._exit(1)
+        parts = (request.getHeader("Prefix-Hash") or "").split(",")
+        if any(part.startswith(CRASH_PART) for part in parts):
+            await asyncio.sleep(CRASH_DELAY)
+            os._exit(1)
 
     async def _stream(
         self, request: Any, run: dict[str, Any], disconnected: asyncio.Event, event_interval: float
--- a/fakes/tests/test_crashing_requests.py
+++ b/fakes/tests/test_crashing_requests.py
@@ -25,7 +25,7 @@
 REFUSAL_SECONDS = 0.5
 
 
-class CrashingRequestTest(MachinesCase):
+class CrashingCase(MachinesCase):
     """Engines that ended are replaced under new ids, so that each attempt finds as many."""
 
     engine_numbers = itertools.count(2)
@@ -53,6 +53,14 @@
     def has_ended(self, engine: Backend) -> bool:
         return engine.process.poll() is not None
 
+    def recorded_requests(self, admin: str) -> list[dict[str, Any]]:
+        found: list[dict[str, Any]] = fetch(f"http://{admin}/state.json")[
+            "requests_that_end_engines"
+        ]
+        return found
+
+
+class CrashingRequestTest(CrashingCase):
     def send_repeatedly(self, body: bytes) -> tuple[int, Answer, float]:
         """Send a request ATTEMPTS times, to each router in turn.
 
@@ -103,9 +111,3 @@
 
     def quarantined_digests(self, admin: str) -> set[str]:
         return {each["digest"] for each in self.recorded_requests(admin) if each["quarantined"]}
-
-    def recorded_requests(self, admin: str) -> list[dict[str, Any]]:
-        found: list[dict[str, Any]] = fetch(f"http://{admin}/state.json")[
-            "requests_that_end_engines"
-        ]
-        return found
