Suspect the parts of prompts that crash engines, fleet-wide

Cause: evidence was about the digest of a whole request; requests that are never alike have one crash each, and nobody reached three. Each was also tried a second time at another engine. Change: each shared part of a prompt, within its account and service, is suspected with the same evidence, claims and quarantine as a request. A completed run with the part, at any router, after the crash or up to 10 s before it, clears it. Parts that cannot be told apart are refused only together; a request with some of them runs in its turn and shows which. A new request with a quarantined part is refused at once as not run, 400. Every way to an engine asks: after queues too, resumed streams, relays.

--- a/fakes/tests/test_crashing_prompt_parts.py
+++ b/fakes/tests/test_crashing_prompt_parts.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable
 from http.client import HTTPException
 
+from fakes._local_fleet import fetch
 from fakes._machines_engine import CRASH_PART
 from fakes._machines_fleet import MachinesRouter, eventually
 from fakes.tests.test_crashing_requests import CrashingCase
@@ -79,6 +80,20 @@
         self.assertEqual([answer.status for answer in answers], [OK] * len(answers))
         self.assertEqual({answer.body for answer in answers}, {WHOLE_STREAM})
 
+    def quarantined_digests(self) -> set[str]:
+        """Return what any router holds quarantined, requests and parts of prompts."""
+        dumps = [
+            fetch(f"http://{router.admin_address}/state.json")
+            for router in self.fleet.machine_routers
+        ]
+        return {
+            each["digest"]
+            for dump in dumps
+            for key in ("requests_that_end_engines", "prompt_parts_that_end_engines")
+            for each in dump.get(key, ())
+            if each["quarantined"]
+        }
+
     def test_requests_that_share_one_bad_part_end_few_engines(self) -> None:
         ended, sound = 0, []
         for index in range(BAD_REQUESTS):
@@ -106,6 +121,7 @@
     def test_engines_that_end_for_reasons_of_their_own_bring_no_part_under_quarantine(
         self,
     ) -> None:
+        quarantined_before = self.quarantined_digests()
         for index in range(ENDS):
             killer = threading.Timer(KILL_DELAY, self.engines("lang")[index % 2].process.kill)
             killer.start()
@@ -113,11 +129,7 @@
             killer.join()
             self.replace_ended()
             self.assertNotIn(NOT_WORTH_REPEATING, [answer.status for answer in answers])
-        for router in self.fleet.machine_routers:
-            quarantined = [
-                each for each in self.recorded_requests(router.admin_address) if each["quarantined"]
-            ]
-            self.assertEqual(quarantined, [])
+        self.assertEqual(self.quarantined_digests() - quarantined_before, set())
 
     def test_another_account_that_names_the_same_part_is_served(self) -> None:
         """Guards against one account bringing the part of another under quarantine."""
--- a/pondhatch/observing/_records.py
+++ b/pondhatch/observing/_records.py
@@ -52,7 +52,8 @@
     cut_at: tuple[tuple[str, bool], ...] = ()
     #: Digest of the request in hex, equal in all attempts at it; only set where a run was cut off.
     digest: str = ""
-    #: Parts of its prompt that other requests share, in hex; only set where the digest is.
+    #: Parts of its prompt that other requests share, each the caller's name and, in brackets, the
+    #: digest, in hex; only set where the digest is.
     prompt_parts: tuple[str, ...] = ()
     #: Milliseconds that it would have waited for a slot, where it was refused because of that wait.
     predicted_ms: int = 0
@@ -101,7 +102,8 @@
     #: The kind of object: "configuration", "upstream", "health" (of an upstream), "path" (from this
     #: router to an upstream), "notice" (what an upstream reported of itself in its answers), "hall"
     #: (whether it is evacuated), "router", "platform", "process", "entry" (of the configuration),
-    #: "request" (one during which engines ended) or "records" (some state changes were left out).
+    #: "request" (one during which engines ended), "prompt part" (one that such requests have) or
+    #: "records" (some state changes were left out).
     about: str
     #: The name of the object; empty where there is only one of its kind. The name of an entry is
     #: its kind and its own name, separated by a space.
--- a/pondhatch/quarantine/__init__.py
+++ b/pondhatch/quarantine/__init__.py
@@ -1,17 +1,25 @@
-"""Quarantine of requests that crash engines: evidence, decisions, and claims to run suspects."""
+"""Quarantine of requests and parts of prompts that crash engines.
 
+Evidence, decisions, and claims to run suspects.
+"""
+
+from pondhatch.quarantine._completed_parts import COMPLETED_BEFORE_SECONDS, CompletedParts
 from pondhatch.quarantine._evidence import Evidence, EvidencePacket, RunClaim, RunClaimPacket
 from pondhatch.quarantine._run_claims import CLAIM_LIFETIME, RunClaims
 from pondhatch.quarantine._suspects import (
     CRASHES_TO_QUARANTINE,
     EVIDENCE_LIFETIME,
     MAX_SUSPECTS,
+    PART_QUARANTINE_SECONDS,
     QUARANTINE_SECONDS,
     Suspect,
     Suspects,
 )
 
 __all__ = [
+    "COMPLETED_BEFORE_SECONDS",
+    "CompletedParts",
+    "PART_QUARANTINE_SECONDS",
     "CRASHES_TO_QUARANTINE",
     "QUARANTINE_SECONDS",
     "EVIDENCE_LIFETIME",
--- a/pondhatch/quarantine/_evidence.py
+++ b/pondhatch/quarantine/_evidence.py
@@ -1,4 +1,4 @@
-"""Messages between routers about requests that may crash engines."""
+"""Messages between routers about requests, and parts of prompts, that may crash engines."""
 
 from __future__ import annotations
 
@@ -6,16 +6,18 @@
 
 
 class Evidence(msgspec.Struct, frozen=True, array_like=True):
-    """An engine crashed while it ran a request."""
+    """An engine crashed while it ran a request, or one with a part of its prompt."""
 
-    #: Digest of the request, the same for all attempts at it.
+    #: Digest of the request, the same for all attempts at it, or of the part of its prompt.
     digest: int
     #: Name of the crash: the engine's name, made unique for each of its crashes.
     engine: str
     #: Milliseconds since the crash; an age, since routers' clocks differ.
     age_ms: int
-    #: Whether the request has since completed elsewhere, so that it was not the cause.
+    #: Whether the request, or one with the part, has completed elsewhere: it was not the cause.
     cleared: bool = False
+    #: Whether it is about a part of prompts.
+    is_part: bool = False
 
 
 class EvidencePacket(msgspec.Struct, frozen=True, array_like=True, tag=80):
@@ -30,7 +32,7 @@
     Claims have their turn by ticket, as in Lamport's bakery algorithm, then by router and number.
     """
 
-    #: Digest of the request.
+    #: Digest of the request, or of the most suspected part of its prompt.
     digest: int
     #: Place in the queue of claims: one above all tickets that the router knew of when it made the
     #: claim.
--- a/pondhatch/quarantine/_suspects.py
+++ b/pondhatch/quarantine/_suspects.py
@@ -1,11 +1,12 @@
-"""Which requests are suspected of crashing the engines that run them, and which are quarantined.
+"""Which requests, and parts of prompts, are suspected of crashing engines or quarantined for it.
 
 A crash of an engine ends all requests that it runs, up to some sixty, of which at most one is the
 cause. Each of them is suspected, and later runs tell them apart. A harmless request completes its
 next run and is cleared. The cause crashes the next two engines as well: at the third crash it is
 quarantined, and the requests that only ran beside it at the first two no longer count as suspected
-of those. Evidence is a grow-only set (a CRDT), so routers that receive it in any order, late or
-several times come to the same result without asking each other.
+of those. A part of prompts is suspected in the same way, with each request that has it, and a
+completed run of any such request clears it. Evidence is a grow-only set (a CRDT), so routers that
+receive it in any order, late or several times come to the same result without asking each other.
 """
 
 from __future__ import annotations
@@ -27,6 +28,14 @@
 #: allowed, since a newer version of the engine may survive it; at worst one engine crashes every
 #: ten minutes.
 QUARANTINE_SECONDS = 600.0
+#: The same for a part of prompts after the third crash; doubled by each further one, up to
+#: QUARANTINE_SECONDS. Many requests may need the part, and a chance coincidence is likelier than
+#: with a whole request.
+PART_QUARANTINE_SECONDS = 60.0
+#: Share of all crashes, from the first to the last in which a part was lost, from which on the part
+#: is quarantined. Where engines end for other reasons, a part that is in use all the time is lost
+#: in some of those crashes.
+MIN_SHARE_OF_CRASHES = 1 / 3
 #: Seconds after which a crash is dropped. Callers repeat a failed request for minutes.
 EVIDENCE_LIFETIME = 3600.0
 #: Seconds after the last crash for which evidence is still sent if all of it is cleared.
@@ -41,8 +50,10 @@
 
 
 class Suspect(msgspec.Struct):
-    """One request during which engines crashed."""
+    """One request, or part of prompts, during whose runs engines crashed."""
 
+    #: Whether it is a part of prompts.
+    is_part: bool = False
     #: Time of each crash in the clock's seconds, by the name of the crash.
     time_by_crash: dict[str, float] = msgspec.field(default_factory=dict)
     #: Names of the crashes that the request is known not to have caused.
@@ -57,6 +68,13 @@
         """Return the names of the crashes of which the request is not cleared."""
         return [crash for crash in self.time_by_crash if crash not in self.cleared]
 
+    def quarantine_seconds(self) -> float:
+        """Return for how long after the last crash it must not be run once quarantined."""
+        if not self.is_part:
+            return QUARANTINE_SECONDS
+        further_crashes = len(self.uncleared_crashes()) - CRASHES_TO_QUARANTINE
+        return min(QUARANTINE_SECONDS, PART_QUARANTINE_SECONDS * 2.0 ** max(0, further_crashes))
+
 
 class Suspects(msgspec.Struct):
     """All suspected requests that a router knows of; no I/O, time is passed in."""
@@ -65,6 +83,8 @@
     suspect_by_digest: OrderedDict[int, Suspect] = msgspec.field(default_factory=OrderedDict)
     #: Number of requests suspected of each crash, by the name of the crash.
     _suspects_by_crash: Counter[str] = msgspec.field(default_factory=Counter)
+    #: When each crash came, in the clock's seconds, by the name of the crash.
+    _time_by_crash: dict[str, float] = msgspec.field(default_factory=dict)
     #: Requests with ``CRASHES_TO_QUARANTINE`` or more uncleared crashes. Checks scan only these
     #: instead of all requests, as there are few at any time.
     _over_threshold: set[int] = msgspec.field(default_factory=set)
@@ -92,11 +112,12 @@
         if now - crashed_at >= EVIDENCE_LIFETIME:
             return False
         self._drop_expired(now)
-        suspect = self.suspect_by_digest.setdefault(evidence.digest, Suspect())
+        suspect = self.suspect_by_digest.setdefault(evidence.digest, Suspect(evidence.is_part))
         is_new = evidence.engine not in suspect.time_by_crash
         if is_new:
             suspect.time_by_crash[evidence.engine] = crashed_at
             self._suspects_by_crash[evidence.engine] += 1
+            self._time_by_crash.setdefault(evidence.engine, crashed_at)
             self._record_crash(evidence.engine, crashed_at)
             self.suspect_by_digest.move_to_end(evidence.digest)
             self._evict_excess()
@@ -119,7 +140,7 @@
         if suspect is None:
             return ()
         found = tuple(
-            _evidence(digest, crash, suspect.time_by_crash[crash], now, cleared=True)
+            _evidence(digest, suspect, crash, now, cleared=True)
             for crash in suspect.uncleared_crashes()
         )
         suspect.cleared.update(each.engine for each in found)
@@ -140,7 +161,12 @@
         if suspect is None:
             return 0
         uncleared = suspect.uncleared_crashes()
-        return sum(not self._is_explained(crash, len(uncleared)) for crash in uncleared)
+        return sum(not self._is_explained(crash, suspect, len(uncleared)) for crash in uncleared)
+
+    def is_cleared(self, evidence: Evidence) -> bool:
+        """Return whether a request or part is known not to have caused a crash."""
+        suspect = self.suspect_by_digest.get(evidence.digest)
+        return suspect is not None and evidence.engine in suspect.cleared
 
     def is_suspected(self, digest: int) -> bool:
         """Return whether a request is suspected of any crash."""
@@ -151,7 +177,40 @@
         suspect = self.suspect_by_digest.get(digest)
         if suspect is None or self.crash_count(digest) < CRASHES_TO_QUARANTINE:
             return False
-        return now - suspect.last_crash_at < QUARANTINE_SECONDS
+        if suspect.is_part and not self._has_due_share(suspect):
+            return False
+        return now - suspect.last_crash_at < suspect.quarantine_seconds()
+
+    def quarantining_part(self, parts: tuple[int, ...], now: float) -> int | None:
+        """Return the part for which a request with these parts must not be run now, or None.
+
+        Parts that were lost in the same crashes cannot be told apart. A request with only some of
+        them may run, one at a time: its end shows whether the cause is among those.
+        """
+        for part in parts:
+            if self.is_quarantined(part, now) and not self._may_be_harmless(part, parts):
+                return part
+        return None
+
+    def _has_due_share(self, suspect: Suspect) -> bool:
+        """Return whether a part was in enough of all crashes from its first to its last one."""
+        times = [suspect.time_by_crash[crash] for crash in suspect.uncleared_crashes()]
+        first, last = min(times), max(times)
+        crashes = sum(first <= at <= last for at in self._time_by_crash.values())
+        return len(times) >= crashes * MIN_SHARE_OF_CRASHES
+
+    def _may_be_harmless(self, part: int, parts: tuple[int, ...]) -> bool:
+        """Return whether suspects outside of some parts explain all crashes of one of these.
+
+        Those with fewer crashes explain none.
+        """
+        uncleared = set(self.suspect_by_digest[part].uncleared_crashes())
+        unexplained = set(uncleared)
+        for digest in self._over_threshold.difference(parts):
+            others = self.suspect_by_digest[digest].uncleared_crashes()
+            if len(others) >= len(uncleared):
+                unexplained.difference_update(others)
+        return not unexplained
 
     def next_crash_quarantines(self, digest: int) -> bool:
         """Return whether one more crash quarantines a request.
@@ -204,22 +263,25 @@
         ):
             return []
         return [
-            _evidence(digest, crash, at, now, crash in suspect.cleared)
-            for crash, at in suspect.time_by_crash.items()
+            _evidence(digest, suspect, crash, now, crash in suspect.cleared)
+            for crash in suspect.time_by_crash
         ]
 
-    def _is_explained(self, crash: str, crash_count: int) -> bool:
-        """Return whether a request over the threshold, with more crashes, explains a crash.
+    def _is_explained(self, crash: str, suspect: Suspect, crash_count: int) -> bool:
+        """Return whether a crash of a suspect is explained by another one over the threshold.
 
-        ``crash_count`` is the number of uncleared crashes of the request in question. Without this
-        check, all requests that were lost beside a cause at two engines would run one at a time,
-        and would be refused with it after a third. With equally many crashes both stay suspected:
-        missing a cause costs three more engines, refusing a harmless request costs one caller an
-        answer.
+        ``crash_count`` is the number of the suspect's uncleared crashes; one with more explains it.
+        Without this check, all requests that were lost beside a cause at two engines would run one
+        at a time, and would be refused with it after a third. With equally many crashes both stay
+        suspected: missing a cause costs three more engines, refusing a harmless request costs one
+        caller an answer. But a request explains the parts of its prompt: only other requests show
+        whether they are harmful as well.
         """
         for digest in self._over_threshold:
-            uncleared = self.suspect_by_digest[digest].uncleared_crashes()
-            if len(uncleared) > crash_count and crash in uncleared:
+            other = self.suspect_by_digest[digest]
+            uncleared = other.uncleared_crashes()
+            explains_equally = suspect.is_part and not other.is_part
+            if len(uncleared) + explains_equally > crash_count and crash in uncleared:
                 return True
         return False
 
@@ -246,7 +308,7 @@
         for crash in self.suspect_by_digest.pop(digest).time_by_crash:
             self._suspects_by_crash[crash] -= 1
             if not self._suspects_by_crash[crash]:
-                del self._suspects_by_crash[crash]
+                del self._suspects_by_crash[crash], self._time_by_crash[crash]
                 self._forget_crash(crash)
 
     def _forget_crash(self, name: str) -> None:
@@ -255,5 +317,6 @@
             del self._last_crash_by_engine[engine]
 
 
-def _evidence(digest: int, crash: str, crashed_at: float, now: float, cleared: bool) -> Evidence:
-    return Evidence(digest, crash, max(0, round((now - crashed_at) * 1000)), cleared)
+def _evidence(digest: int, suspect: Suspect, crash: str, now: float, cleared: bool) -> Evidence:
+    age_ms = max(0, round((now - suspect.time_by_crash[crash]) * 1000))
+    return Evidence(digest, crash, age_ms, cleared, suspect.is_part)
--- a/pondhatch/requests/__init__.py
+++ b/pondhatch/requests/__init__.py
@@ -4,12 +4,14 @@
 from pondhatch.requests._checked_answer import checked, is_event_stream
 from pondhatch.requests._crash_guard import (
     NO_WATCH,
+    PART_QUARANTINED,
+    QUARANTINE_CODES,
     QUARANTINED,
     CrashGuard,
     RequestWatch,
 )
 from pondhatch.requests._delivery import Delivered, Delivery
-from pondhatch.requests._digest import digest_of
+from pondhatch.requests._digest import digest_of, part_digest, part_digests
 from pondhatch.requests._dispatch import Dispatch
 from pondhatch.requests._dispatch_results import (
     Placed,
@@ -133,6 +135,8 @@
     "NUMBER_LIMIT",
     "ORIGIN_UNKNOWN",
     "PATH_LOST",
+    "PART_QUARANTINED",
+    "QUARANTINE_CODES",
     "QUARANTINED",
     "RELAY_BUSY",
     "RELAY_GONE",
@@ -233,6 +237,8 @@
     "deadline_passed",
     "decode_grant_packet",
     "digest_of",
+    "part_digest",
+    "part_digests",
     "encode_grant_packet",
     "checked",
     "is_event_stream",
--- a/pondhatch/requests/_crash_guard.py
+++ b/pondhatch/requests/_crash_guard.py
@@ -1,11 +1,13 @@
-"""Interface of a dispatch to the quarantine of requests that crash engines."""
+"""Interface of a dispatch to the quarantine of requests and parts that crash engines."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
 from typing import Protocol
 
-from pondhatch.requests._outcomes import BAD_REQUEST_STATUS, Refusal, Unknown
+from pondhatch.requests._digest import part_digests
+from pondhatch.requests._messages import RequestHead
+from pondhatch.requests._outcomes import BAD_REQUEST_STATUS, NotRun, Refusal, Unknown
 from pondhatch.requests._sending import Target
 
 #: The outcome of a quarantined request. It has run, so NotRun would be wrong; any other engine
@@ -13,6 +15,18 @@
 QUARANTINED = Unknown(
     "request-quarantined", "engines ended each time they ran this request", BAD_REQUEST_STATUS
 )
+#: The outcome of a request that has not run, with a quarantined part. Any engine that ran it would
+#: crash, so the status does not invite a retry.
+PART_QUARANTINED = NotRun(
+    "prompt-part-quarantined",
+    "engines ended each time they ran a request with a part of its prompt",
+    0.0,
+    BAD_REQUEST_STATUS,
+)
+#: Codes of requests that are refused for what they crash.
+QUARANTINE_CODES = frozenset({QUARANTINED.code, PART_QUARANTINED.code})
+#: Result of a try that was given up after its grant, as the request was suspected meanwhile.
+MUST_WAIT = NotRun("suspected", "the request may crash engines and has to wait for its turn")
 
 
 class RequestWatch(Protocol):
@@ -25,20 +39,27 @@
         seconds to the caller's deadline.
         """
 
+    def must_wait(self) -> bool:
+        """Return whether the request may only be sent after another ``wait_for_turn``."""
+
     def is_quarantined(self) -> bool:
-        """Return whether the request is now known to crash the engines that run it."""
+        """Return whether the request, or a part of its prompt, is known to crash engines."""
 
     def is_suspected(self) -> bool:
-        """Return whether an engine crashed while running it, and nothing has cleared it since."""
+        """Return whether it, or a part of its prompt, is suspected and not cleared.
+
+        An engine crashed while it ran the request, or another one with the part.
+        """
 
     async def note_connection_lost(self, target: Target) -> bool:
         """Note that a run lost its connection; return whether its engine has crashed."""
 
-    def note_completed(self, unproven_at: Target | None = None) -> None:
+    def note_completed(self, unproven_at: Target | None = None, ran_prompt: bool = True) -> None:
         """Note that an engine completed it without a crash.
 
-        ``unproven_at`` is the engine of an answer that ended with its connection: a crash right at
-        the end of the answer may still have to show.
+        ``ran_prompt`` says whether the engine answered the prompt, rather than with an error, so
+        that the parts of the prompt are harmless too. ``unproven_at`` is the engine of an answer
+        that ended with its connection: a crash right at its end may still have to show.
         """
 
     def close(self) -> None:
@@ -48,8 +69,11 @@
 class CrashGuard(Protocol):
     """Keeps requests that crash engines away from the remaining engines."""
 
-    def watch(self, digest: int) -> RequestWatch:
-        """Return the watch over one request; digest 0 marks one that cannot be identified."""
+    def watch(self, digest: int, parts: tuple[int, ...] = ()) -> RequestWatch:
+        """Return the watch over one request; digest 0 marks one that cannot be identified.
+
+        ``parts`` are the digests of the parts of its prompt.
+        """
 
     async def lives_on(self, target: Target) -> bool:
         """Return whether an engine still runs, as far as a probe tells."""
@@ -62,6 +86,10 @@
         """Return None."""
         return None
 
+    def must_wait(self) -> bool:
+        """Return False."""
+        return False
+
     def is_quarantined(self) -> bool:
         """Return False."""
         return False
@@ -74,7 +102,7 @@
         """Return False."""
         return False
 
-    def note_completed(self, unproven_at: Target | None = None) -> None:
+    def note_completed(self, unproven_at: Target | None = None, ran_prompt: bool = True) -> None:
         """Do nothing."""
 
     def close(self) -> None:
@@ -87,10 +115,15 @@
 class NoCrashGuard:
     """Suspects no request; see CrashGuard."""
 
-    def watch(self, digest: int) -> RequestWatch:
+    def watch(self, digest: int, parts: tuple[int, ...] = ()) -> RequestWatch:
         """Return a watch that allows every request."""
         return NO_WATCH
 
     async def lives_on(self, target: Target) -> bool:
         """Return True."""
         return True
+
+
+def watch_of(guard: CrashGuard, head: RequestHead) -> RequestWatch:
+    """Return the watch over a request and the parts of its prompt."""
+    return guard.watch(head.digest, part_digests(head))
--- a/pondhatch/requests/_dispatch.py
+++ b/pondhatch/requests/_dispatch.py
@@ -10,7 +10,7 @@
 
 from pondhatch.limits import RetryBudget
 from pondhatch.placement import Ask, ClosedReason, Exhausted, Granted, Plan, TokenNeed
-from pondhatch.requests._crash_guard import QUARANTINED
+from pondhatch.requests._crash_guard import MUST_WAIT, QUARANTINE_CODES, QUARANTINED, watch_of
 from pondhatch.requests._dispatch_results import (
     NO_WAIT,
     Placed,
@@ -63,6 +63,8 @@
 #: Header with the number of events after which the stream is to resume.
 RESUME_FROM_HEADER = "X-Resume-From"
 OK = 200
+#: The lowest status of an answer that is neither a success nor informational.
+REDIRECT_STATUS = 300
 #: Codes of refusals before anything was sent: asking the next engine costs no retry budget.
 NOTHING_SENT = frozenset(
     {*ClosedReason, "upstream-down", AILING, DEADLINE, *UNREACHED_CODES, "router-unreachable"}
@@ -106,7 +108,7 @@
         self._remaining = remaining
         self._wait_limits = wait_limits
         self._slot_wait = SlotWait(head, wait_limits, remaining, collaborators.run_times)
-        self._watch = collaborators.crash_guard.watch(head.digest)
+        self._watch = watch_of(collaborators.crash_guard, head)
         # A request may wait as long for an owner's reply as in the last engine's queue.
         self._tries = Tries(
             view,
@@ -270,7 +272,8 @@
         """
         if status < FAILURE_STATUS:
             engine = self.engine if self.framing is Framing.CLOSE else None
-            self._watch.note_completed(self._view.target(engine) if engine is not None else None)
+            unproven_at = self._view.target(engine) if engine is not None else None
+            self._watch.note_completed(unproven_at, ran_prompt=status < REDIRECT_STATUS)
 
     def close(self) -> None:
         """Note that the request has ended."""
@@ -296,6 +299,8 @@
         """
         if self._remaining() <= 0:
             return None
+        if await self._watch.wait_for_turn(self._remaining) is not None:
+            return None
         if self._head.resumes_anywhere:
             resumed: Placed | RetryLater | None = await self._resume_elsewhere(engine, position)
         else:
@@ -442,8 +447,12 @@
         if isinstance(reply, NotOwner):
             self.plan.record_refusal("its owner is in doubt")
             return None
-        if reply is QUARANTINED:
-            return Refused(QUARANTINED)
+        if reply is MUST_WAIT:
+            # The caller of this waits for the turn, and refuses the request if it is quarantined.
+            self.plan.retry_last()
+            return None
+        if reply.code in QUARANTINE_CODES:
+            return Refused(reply)
         if reply.code == AILING:
             self.plan.record_ailing()
         if isinstance(reply, Unknown):
--- a/pondhatch/requests/_relay_side.py
+++ b/pondhatch/requests/_relay_side.py
@@ -11,7 +11,7 @@
 
 from pondhatch.limits import HeldBytes, HeldCounter
 from pondhatch.requests._checked_answer import checked
-from pondhatch.requests._crash_guard import CrashGuard
+from pondhatch.requests._crash_guard import PART_QUARANTINED, CrashGuard, watch_of
 from pondhatch.requests._messages import AnswerLost, AnswerStarted, PartSink, ReplayableBody
 from pondhatch.requests._outcomes import Broken, NotRun, Unknown
 from pondhatch.requests._relaying import (
@@ -108,6 +108,8 @@
             if self._view.start_recheck(engine):
                 self._direct.reconnect(target)
             return self._unreached(engine)
+        if watch_of(self._crash_guard, head).is_quarantined():
+            return PART_QUARANTINED
         body = ReplayableBody(request.body)
         reply = await self._direct.send(target, head, body, CONNECT_PATIENCE_SECONDS)
         if isinstance(reply, NotRun) and reply.code == UPSTREAM_UNREACHABLE:
@@ -137,7 +139,7 @@
     ) -> None:
         """Look for a crash from here: the entry router may not reach the engine."""
         if lost.connection_lost and target.intake.is_live:
-            await self._crash_guard.watch(request.head.digest).note_connection_lost(target)
+            await watch_of(self._crash_guard, request.head).note_connection_lost(target)
 
     def _unreached(self, engine: str) -> NotRun:
         """Return that this router does not reach an engine, and whether others may."""
--- a/pondhatch/requests/_tries.py
+++ b/pondhatch/requests/_tries.py
@@ -10,7 +10,7 @@
 
 from pondhatch.placement import ClosedReason, Granted, is_region_allowed
 from pondhatch.requests._checked_answer import checked
-from pondhatch.requests._crash_guard import NO_WATCH, QUARANTINED, RequestWatch
+from pondhatch.requests._crash_guard import MUST_WAIT, NO_WATCH, RequestWatch
 from pondhatch.requests._entry_view import Collaborators, EntryView
 from pondhatch.requests._framing import Framing
 from pondhatch.requests._grant_requests import (
@@ -142,10 +142,10 @@
     ) -> TryResult:
         """Send a granted request to its engine, unless it may no longer be sent there."""
         self.last_grant = reply
-        if self._watch.is_quarantined():
-            # The request was quarantined while it waited in the owner's queue.
+        if self._watch.must_wait():
+            # The request was suspected or quarantined while it waited in the owner's queue.
             self._collaborators.grants.release(grant_request.number, EndReason.NEUTRAL)
-            return QUARANTINED
+            return MUST_WAIT
         target = self._open_target(grant_request, head)
         if isinstance(target, NotRun):
             self._collaborators.grants.release(grant_request.number, EndReason.NEUTRAL)
--- a/pondhatch/requests/tests/test_crash_watch.py
+++ b/pondhatch/requests/tests/test_crash_watch.py
@@ -50,6 +50,9 @@
     async def wait_for_turn(self, remaining: Callable[[], float]) -> Refusal | None:
         return QUARANTINED if self.is_quarantined() else None
 
+    def must_wait(self) -> bool:
+        return self.is_quarantined()
+
     def is_quarantined(self) -> bool:
         return self.ends_left <= 0
 
@@ -61,7 +64,7 @@
         self.ends_left -= 1
         return True
 
-    def note_completed(self, unproven_at: Target | None = None) -> None:
+    def note_completed(self, unproven_at: Target | None = None, ran_prompt: bool = True) -> None:
         self.was_completed = True
 
     def close(self) -> None:
@@ -74,7 +77,7 @@
     def __init__(self, watch: ScriptedWatch) -> None:
         self._watch = watch
 
-    def watch(self, digest: int) -> ScriptedWatch:
+    def watch(self, digest: int, parts: tuple[int, ...] = ()) -> ScriptedWatch:
         return self._watch
 
     async def lives_on(self, target: Target) -> bool:
@@ -130,8 +133,9 @@
     def test_a_quarantine_during_the_wait_for_a_grant_stops_it(self) -> None:
         class LateQuarantineWatch(ScriptedWatch):
             async def wait_for_turn(self, remaining: Callable[[], float]) -> Refusal | None:
+                refusal = await super().wait_for_turn(remaining)
                 self.ends_left = 0
-                return None
+                return refusal
 
         self.assertEqual(self.run_with(LateQuarantineWatch(1)), (Refused(QUARANTINED), 0))
 
--- a/pondhatch/requests/tests/test_digest.py
+++ b/pondhatch/requests/tests/test_digest.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from pondhatch.requests import digest_of
+from pondhatch.requests import digest_of, part_digest
 
 
 class DigestTest(unittest.TestCase):
@@ -17,3 +17,13 @@
         ]
         self.assertEqual(digest_of(*attempt), digest_of(*attempt))
         self.assertEqual(len({digest_of(*each) for each in [attempt, *others]}), 6)
+
+
+class PartDigestTest(unittest.TestCase):
+    def test_a_part_of_another_account_or_service_has_another_digest(self) -> None:
+        """Guards against one account bringing the part of another under quarantine."""
+        own = part_digest("pina", "lang", 0xBAD)
+        self.assertEqual(own, part_digest("pina", "lang", 0xBAD))
+        others = {part_digest("rosa", "lang", 0xBAD), part_digest("pina", "portal", 0xBAD)}
+        others.add(part_digest("pina", "lang", 0xBAE))
+        self.assertEqual(len(others - {own}), 3)
--- a/pondhatch/router/_crash_evidence_exchange.py
+++ b/pondhatch/router/_crash_evidence_exchange.py
@@ -1,9 +1,10 @@
-"""Shares evidence of requests that crash engines, so that they are kept from the other engines.
+"""Shares evidence of what crashes engines, so that it is kept from the other engines.
 
-A router that sees an engine crash while it runs a request sends the evidence to all others at
-once, and again 0.1 s later. Every two seconds it sends a sample of all known evidence to one random
-router, and three routers send all of it to a router that is new or back. Without evidence nothing
-is sent.
+A router that sees an engine crash while it runs a request sends the evidence against the request
+and the parts of its prompt to all others at once, and again 0.1 s later. It leaves out parts of
+which it saw a run complete lately, and routers clear what others suspect; see PartClearing. Every
+two seconds it sends a sample of all known evidence to one random router, and three routers send all
+of it to a router that is new or back. Without evidence nothing is sent.
 """
 
 from __future__ import annotations
@@ -18,10 +19,18 @@
 from pondhatch.kernel import Tasks
 from pondhatch.membership import Datagram, Member, short_id
 from pondhatch.observing import Records, StateChange
-from pondhatch.quarantine import Evidence, EvidencePacket, RunClaim, RunClaimPacket, RunClaims
+from pondhatch.quarantine import (
+    CompletedParts,
+    Evidence,
+    EvidencePacket,
+    RunClaim,
+    RunClaimPacket,
+    RunClaims,
+)
 from pondhatch.requests import NO_WATCH, RequestWatch, Target
 from pondhatch.router._crash_watch import CrashWatch
 from pondhatch.router._new_members import NewMembers
+from pondhatch.router._part_clearing import PartClearing
 from pondhatch.router._state import RouterState
 
 #: First byte of a packet on suspected requests; no membership or grant packet begins with it.
@@ -70,12 +79,21 @@
         self._to_repeat: list[Evidence] = []
         self._sampled_at = float("-inf")
         self._new_members = NewMembers(state)
+        self._completed = CompletedParts()
+        self._clearing = PartClearing(
+            state.suspects,
+            self._completed,
+            tasks,
+            rng,
+            lambda: len(state.members()),
+            lambda evidence: self._send_evidence(evidence, self._others()),
+        )
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(EvidencePacket | RunClaimPacket)
 
-    def watch(self, digest: int) -> RequestWatch:
+    def watch(self, digest: int, parts: tuple[int, ...] = ()) -> RequestWatch:
         """Return the watch of one request; see CrashGuard."""
-        return CrashWatch(self, digest) if digest else NO_WATCH
+        return CrashWatch(self, digest, parts) if digest or parts else NO_WATCH
 
     async def lives_on(self, target: Target) -> bool:
         """Return whether an engine still runs; see CrashGuard.
@@ -85,16 +103,22 @@
         return not target.intake.is_live or not await self._has_crashed(target)
 
     def is_quarantined(self, digest: int) -> bool:
-        """Return whether a request must not be run for now."""
+        """Return whether a request, or a part of prompts, is quarantined now."""
         return self.suspects.is_quarantined(digest, self._state.clock())
 
-    async def note_connection_lost(self, digest: int, target: Target) -> bool:
+    def quarantining_part(self, parts: tuple[int, ...]) -> int | None:
+        """Return the part for which a request must not be run for now; see SharedEvidence."""
+        return self.suspects.quarantining_part(parts, self._state.clock())
+
+    async def note_connection_lost(
+        self, digest: int, parts: tuple[int, ...], target: Target
+    ) -> bool:
         """Probe whether the engine crashed, and share the evidence if so; see RequestWatch.
 
         The probes continue if the caller leaves meanwhile: otherwise a caller that gives up after
         each crash would leave no evidence. The request waits for the first probes only.
         """
-        probing = self._tasks.start(self._probe(digest, target, FIRST_PROBE_DELAYS))
+        probing = self._tasks.start(self._probe(digest, parts, target, FIRST_PROBE_DELAYS))
         try:
             has_crashed = await asyncio.wait_for(
                 asyncio.shield(probing), FIRST_PROBES_TIMEOUT_SECONDS
@@ -102,41 +126,57 @@
         except TimeoutError:
             has_crashed = False
         if not has_crashed:
-            self._tasks.start(self._probe(digest, target, LATER_PROBE_DELAYS))
+            self._tasks.start(self._probe(digest, parts, target, LATER_PROBE_DELAYS))
         return has_crashed
 
-    async def _probe(self, digest: int, target: Target, delays: tuple[float, ...]) -> bool:
+    async def _probe(
+        self, digest: int, parts: tuple[int, ...], target: Target, delays: tuple[float, ...]
+    ) -> bool:
         for delay in delays:
             await asyncio.sleep(delay)
             if await self._has_crashed(target):
-                self._record_crash(digest, target)
+                self._record_crash(digest, parts, target)
                 return True
         return False
 
-    def _record_crash(self, digest: int, target: Target) -> None:
-        name = self.suspects.crash_name(target.name, self._state.clock())
-        evidence = Evidence(digest, name, 0)
-        if self._apply_evidence(evidence):
-            self._record(digest, "suspected", f"{name} ended while it ran it")
-            self._broadcast((evidence,))
-
-    def note_completed(self, digest: int) -> None:
-        """Clear a request; see RequestWatch."""
-        self._clear(digest, "it came through whole")
-
-    def clear_unless_crashed(self, digest: int, target: Target) -> None:
+    def _record_crash(self, digest: int, parts: tuple[int, ...], target: Target) -> None:
+        """Record and share the evidence against a request and the parts of its prompt."""
+        now = self._state.clock()
+        name = self.suspects.crash_name(target.name, now)
+        of_request = [Evidence(digest, name, 0)] if digest else []
+        of_parts = [
+            Evidence(part, name, 0, is_part=True)
+            for part in parts
+            if not self._completed.clears(part, now)
+        ]
+        new = [each for each in (*of_request, *of_parts) if self._apply_evidence(each)]
+        for each in new:
+            self._record(each.digest, "suspected", f"{name} ended while it ran it")
+        if new:
+            self._broadcast(tuple(new))
+
+    def note_completed(self, digest: int, parts: tuple[int, ...]) -> None:
+        """Clear a request and the parts of its prompt; see RequestWatch."""
+        self._completed.note(parts, self._state.clock())
+        for each in (digest, *parts):
+            self._clear(each, "it came through whole")
+
+    def clear_unless_crashed(self, digest: int, parts: tuple[int, ...], target: Target) -> None:
         """Clear a request after the late probes, unless they find a crash; see SharedEvidence."""
-        self._tasks.start(self._clear_after_probes(digest, target))
+        self._tasks.start(self._clear_after_probes(digest, parts, target))
 
-    async def _clear_after_probes(self, digest: int, target: Target) -> None:
-        if not await self._probe(digest, target, LATER_PROBE_DELAYS):
-            self.note_completed(digest)
+    async def _clear_after_probes(
+        self, digest: int, parts: tuple[int, ...], target: Target
+    ) -> None:
+        if not await self._probe(digest, parts, target, LATER_PROBE_DELAYS):
+            self.note_completed(digest, parts)
 
     def lift_quarantine(self, digest: int) -> bool:
         """Clear a request at all routers; return whether there was evidence against it."""
         return self._clear(digest, "an operator lifted its quarantine")
 
     def _clear(self, digest: int, why: str) -> bool:
+        """Clear a request or part at all routers; return whether there was evidence against it."""
         found = self.suspects.clear_request(digest, self._state.clock())
         if found:
             self._record(digest, "cleared", why)
@@ -171,7 +211,7 @@
         except (msgspec.DecodeError, ValueError):
             return
         if isinstance(packet, EvidencePacket):
-            for evidence in packet.evidence:
+            for evidence in self._clearing.apply(packet.evidence, self._state.clock()):
                 self._apply_evidence(evidence)
         elif packet.has_ended:
             self._claims.remove(packet.claim)
@@ -182,7 +222,10 @@
         """Run the periodic work of one round."""
         if self._to_repeat:
             to_repeat, self._to_repeat = self._to_repeat, []
-            self._send_evidence(to_repeat, self._others())
+            self._send_evidence(
+                [each for each in to_repeat if each.cleared or not self.suspects.is_cleared(each)],
+                self._others(),
+            )
         self._send_to_new_members()
         self._send_sample()
 
@@ -232,7 +275,9 @@
         self._send(Datagram(member.address, payload) for member in to)
 
     def _record(self, digest: int, new_state: str, why: str) -> None:
-        self._records.write(StateChange("request", f"{digest:x}", new_state, why=why))
+        suspect = self.suspects.suspect_by_digest.get(digest)
+        about = "prompt part" if suspect is not None and suspect.is_part else "request"
+        self._records.write(StateChange(about, f"{digest:x}", new_state, why=why))
 
 
 def _in_packets(evidence: Sequence[Evidence]) -> Iterator[tuple[Evidence, ...]]:
--- a/pondhatch/router/_crash_watch.py
+++ b/pondhatch/router/_crash_watch.py
@@ -1,4 +1,7 @@
-"""The watch of one request that may crash engines: whether it may be sent, and when."""
+"""The watch of one request that may crash engines: whether it may be sent, and when.
+
+The request is suspected itself, or by a part of its prompt that it shares with others.
+"""
 
 from __future__ import annotations
 
@@ -7,7 +10,7 @@
 from typing import Protocol
 
 from pondhatch.quarantine import RunClaim, Suspects
-from pondhatch.requests import QUARANTINED, Refusal, Target, deadline_passed
+from pondhatch.requests import PART_QUARANTINED, QUARANTINED, Refusal, Target, deadline_passed
 
 #: Seconds for which a router waits for the evidence of others, before it runs a request again that
 #: has just crashed an engine. Packets take less time than that, between regions too.
@@ -24,17 +27,22 @@
     def is_quarantined(self, digest: int) -> bool:
         """Return whether a request must not be run for now."""
 
+    def quarantining_part(self, parts: tuple[int, ...]) -> int | None:
+        """Return the part for which a request with these parts must not be run for now."""
+
     def since_last_crash(self, digest: int) -> float:
         """Return the seconds since an engine last crashed while it ran a suspected request."""
 
-    async def note_connection_lost(self, digest: int, target: Target) -> bool:
+    async def note_connection_lost(
+        self, digest: int, parts: tuple[int, ...], target: Target
+    ) -> bool:
         """Record that a request lost its connection; return whether its engine crashed."""
 
-    def note_completed(self, digest: int) -> None:
-        """Record that an engine completed a request, which clears it."""
+    def note_completed(self, digest: int, parts: tuple[int, ...]) -> None:
+        """Record that an engine completed a request, which clears it and parts of its prompt."""
 
-    def clear_unless_crashed(self, digest: int, target: Target) -> None:
-        """Clear a request later, unless its engine turns out to have crashed by then."""
+    def clear_unless_crashed(self, digest: int, parts: tuple[int, ...], target: Target) -> None:
+        """Do the same later, unless the engine turns out to have crashed by then."""
 
     def claim(self, digest: int) -> RunClaim:
         """Claim the next run of a suspected request."""
@@ -49,9 +57,13 @@
 class CrashWatch:
     """The watch of one request that may crash engines; see RequestWatch."""
 
-    def __init__(self, evidence: SharedEvidence, digest: int) -> None:
+    def __init__(self, evidence: SharedEvidence, digest: int, parts: tuple[int, ...] = ()) -> None:
         self._evidence = evidence
+        #: 0 if the request cannot be identified.
         self._digest = digest
+        self._parts = parts
+        #: All that may be suspected.
+        self._digests = (digest, *parts) if digest else parts
         self._claim: RunClaim | None = None
 
     async def wait_for_turn(self, remaining: Callable[[], float]) -> Refusal | None:
@@ -59,44 +71,71 @@
         if not self.is_suspected():
             return None
         # Two copies of a request that crash an engine each at the same time both learn of the
-        # other's crash here.
-        await asyncio.sleep(EVIDENCE_WAIT_SECONDS - self._evidence.since_last_crash(self._digest))
+        # other's crash here, and what clears a part of its prompt arrives.
+        await asyncio.sleep(EVIDENCE_WAIT_SECONDS - self._since_last_crash())
         while not self.is_quarantined():
-            if not self._evidence.suspects.next_crash_quarantines(self._digest):
+            if not self._next_crash_quarantines():
                 return None
             if await self._has_turn():
                 return None
             if remaining() <= 0:
                 return deadline_passed()
             await asyncio.sleep(TURN_CHECK_SECONDS)
-        return QUARANTINED
+        return QUARANTINED if self._evidence.is_quarantined(self._digest) else PART_QUARANTINED
 
     async def _has_turn(self) -> bool:
         if self._claim is None:
-            self._claim = self._evidence.claim(self._digest)
+            self._claim = self._evidence.claim(self._most_suspected())
             await asyncio.sleep(EVIDENCE_WAIT_SECONDS)
             if self.is_quarantined():
                 return False
         return self._evidence.goes_first(self._claim)
 
+    def must_wait(self) -> bool:
+        """Return whether the request may not be sent yet; see RequestWatch."""
+        if self.is_quarantined():
+            return True
+        if not self._next_crash_quarantines():
+            return False
+        return self._claim is None or not self._evidence.goes_first(self._claim)
+
     def is_quarantined(self) -> bool:
-        """Return whether the request is quarantined; see RequestWatch."""
-        return self._evidence.is_quarantined(self._digest)
+        """Return whether the request or a part is quarantined; see RequestWatch."""
+        is_request = bool(self._digest) and self._evidence.is_quarantined(self._digest)
+        return is_request or self._evidence.quarantining_part(self._parts) is not None
 
     def is_suspected(self) -> bool:
-        """Return whether there is evidence against the request; see RequestWatch."""
-        return self._evidence.suspects.is_suspected(self._digest)
+        """Return whether there is evidence against the request or a part; see RequestWatch."""
+        return any(self._evidence.suspects.is_suspected(digest) for digest in self._digests)
+
+    def _next_crash_quarantines(self) -> bool:
+        suspects = self._evidence.suspects
+        return any(suspects.next_crash_quarantines(digest) for digest in self._digests)
+
+    def _most_suspected(self) -> int:
+        suspects = self._evidence.suspects
+        return max(self._digests, key=lambda digest: (suspects.crash_count(digest), digest))
+
+    def _since_last_crash(self) -> float:
+        """Return the seconds since the last crash of which it is suspected."""
+        suspects = self._evidence.suspects
+        return min(
+            self._evidence.since_last_crash(digest)
+            for digest in self._digests
+            if suspects.is_suspected(digest)
+        )
 
     async def note_connection_lost(self, target: Target) -> bool:
         """Record that the request lost its connection; see RequestWatch."""
-        return await self._evidence.note_connection_lost(self._digest, target)
+        return await self._evidence.note_connection_lost(self._digest, self._parts, target)
 
-    def note_completed(self, unproven_at: Target | None = None) -> None:
+    def note_completed(self, unproven_at: Target | None = None, ran_prompt: bool = True) -> None:
         """Record that an engine completed the request; see RequestWatch."""
+        parts = self._parts if ran_prompt else ()
         if unproven_at is None or not self.is_suspected():
-            self._evidence.note_completed(self._digest)
+            self._evidence.note_completed(self._digest, parts)
         else:
-            self._evidence.clear_unless_crashed(self._digest, unproven_at)
+            self._evidence.clear_unless_crashed(self._digest, parts, unproven_at)
 
     def close(self) -> None:
         """Withdraw the claim, if there is one; see RequestWatch."""
--- a/pondhatch/router/_dump.py
+++ b/pondhatch/router/_dump.py
@@ -200,31 +200,38 @@
 
 @REGISTRY.register(SECTION_KIND, "7-quarantine")
 class QuarantineSection(Plugin):
-    """The requests that were running when engines crashed, those with most crashes first."""
+    """What was running when engines crashed: requests, and parts of their prompts."""
 
     DEPENDENCIES = (RouterState,)
 
     def content(self) -> Dump:
         """Return the section's keys."""
-        state = self.view(RouterState)
-        now = state.clock()
-        known = state.suspects.suspect_by_digest.items()
-        shown = sorted(
-            known, key=lambda item: (-state.suspects.crash_count(item[0]), -item[1].last_crash_at)
-        )
         return {
-            "requests_that_end_engines": [
-                {
-                    "digest": f"{digest:x}",
-                    "quarantined": state.suspects.is_quarantined(digest, now),
-                    "ended": suspect.uncleared_crashes(),
-                    "cleared_of": sorted(suspect.cleared),
-                    "last_end_seconds_ago": round(now - suspect.last_crash_at, 1),
-                }
-                for digest, suspect in shown[:SHOWN_SUSPECTS]
-            ]
+            "requests_that_end_engines": self._suspects(is_part=False),
+            "prompt_parts_that_end_engines": self._suspects(is_part=True),
         }
 
+    def _suspects(self, is_part: bool) -> list[Dump]:
+        """Return the suspected requests or parts, those with most crashes first."""
+        state = self.view(RouterState)
+        now, suspects = state.clock(), state.suspects
+        known = [
+            (digest, each)
+            for digest, each in suspects.suspect_by_digest.items()
+            if each.is_part is is_part
+        ]
+        known.sort(key=lambda item: (-suspects.crash_count(item[0]), -item[1].last_crash_at))
+        return [
+            {
+                "digest": f"{digest:x}",
+                "quarantined": suspects.is_quarantined(digest, now),
+                "ended": suspect.uncleared_crashes(),
+                "cleared_of": sorted(suspect.cleared),
+                "last_end_seconds_ago": round(now - suspect.last_crash_at, 1),
+            }
+            for digest, suspect in known[:SHOWN_SUSPECTS]
+        ]
+
 
 @REGISTRY.register(SECTION_KIND, "8-intake")
 class IntakeSection(Plugin):
--- a/pondhatch/transport/_request_runner.py
+++ b/pondhatch/transport/_request_runner.py
@@ -12,7 +12,7 @@
 from pondhatch.requests import (
     MAX_KEPT_BODY,
     ORIGIN_UNKNOWN,
-    QUARANTINED,
+    QUARANTINE_CODES,
     VERSION_GONE,
     AnswerStream,
     BodySource,
@@ -36,6 +36,7 @@
     Whole,
     is_event_stream,
     kept_answer,
+    part_digests,
     used_key_refusal,
 )
 from pondhatch.router import ANONYMOUS, Account, Admitted
@@ -370,12 +371,16 @@
 
 def _needs_digest(dispatch: Dispatch, code: str) -> bool:
     """Return whether the record needs the digest, which relates it to repeats of the request."""
-    return bool(dispatch.cut_at) or code == QUARANTINED.code
+    return bool(dispatch.cut_at) or code in QUARANTINE_CODES
 
 
 def _prompt_parts(head: RequestHead) -> tuple[str, ...]:
-    """Return the shared parts of a request's prompt, as its caller names them."""
-    return tuple(f"{part:x}" for part, _ in head.prompt_parts)
+    """Return the shared parts of a request's prompt: the caller's name and the digest of each."""
+    digests = part_digests(head)
+    return tuple(
+        f"{part:x} ({digest:x})"
+        for (part, _), digest in zip(head.prompt_parts, digests, strict=True)
+    )
 
 
 async def _finish_keyed(keyed: KeyedRun, outcome: ServedOutcome, copy: AnswerCopy) -> None:
