Try a part lost to two causes at once before refusing it

Change: at a part's third crash, suspects with two crashes are enough to explain it together, so a request with that part alone runs in its turn and shows it. From the fourth on as before.

--- a/pondhatch/quarantine/_suspects.py
+++ b/pondhatch/quarantine/_suspects.py
@@ -88,6 +88,8 @@
     #: Requests with ``CRASHES_TO_QUARANTINE`` or more uncleared crashes. Checks scan only these
     #: instead of all requests, as there are few at any time.
     _over_threshold: set[int] = msgspec.field(default_factory=set)
+    #: Suspects with two or more uncleared crashes.
+    _repeated: set[int] = msgspec.field(default_factory=set)
     #: Name and time of each engine's newest crash.
     _last_crash_by_engine: dict[str, tuple[str, float]] = msgspec.field(default_factory=dict)
 
@@ -148,12 +150,14 @@
         return found
 
     def _update_over_threshold(self, digest: int) -> None:
-        """Update whether a request is over the threshold."""
+        """Update whether a suspect is over the threshold, or has more than one crash."""
         suspect = self.suspect_by_digest.get(digest)
-        if suspect is not None and len(suspect.uncleared_crashes()) >= CRASHES_TO_QUARANTINE:
-            self._over_threshold.add(digest)
-        else:
-            self._over_threshold.discard(digest)
+        crashes = len(suspect.uncleared_crashes()) if suspect is not None else 0
+        for suspects, least in ((self._over_threshold, CRASHES_TO_QUARANTINE), (self._repeated, 2)):
+            if crashes >= least:
+                suspects.add(digest)
+            else:
+                suspects.discard(digest)
 
     def crash_count(self, digest: int) -> int:
         """Return the number of uncleared crashes of a request that no other request explains."""
@@ -202,13 +206,16 @@
     def _may_be_harmless(self, part: int, parts: tuple[int, ...]) -> bool:
         """Return whether suspects outside of some parts explain all crashes of one of these.
 
-        Those with fewer crashes explain none.
+        Those with fewer crashes explain none, but at the third crash of a part two are enough:
+        where two causes are about at once, what is lost to both may come to three before them.
         """
         uncleared = set(self.suspect_by_digest[part].uncleared_crashes())
+        is_third = len(uncleared) == CRASHES_TO_QUARANTINE
+        least = CRASHES_TO_QUARANTINE - 1 if is_third else len(uncleared)
         unexplained = set(uncleared)
-        for digest in self._over_threshold.difference(parts):
+        for digest in self._repeated.difference(parts):
             others = self.suspect_by_digest[digest].uncleared_crashes()
-            if len(others) >= len(uncleared):
+            if len(others) >= least:
                 unexplained.difference_update(others)
         return not unexplained
 
@@ -305,6 +312,7 @@
 
     def _drop(self, digest: int) -> None:
         self._over_threshold.discard(digest)
+        self._repeated.discard(digest)
         for crash in self.suspect_by_digest.pop(digest).time_by_crash:
             self._suspects_by_crash[crash] -= 1
             if not self._suspects_by_crash[crash]:
