Soak: answers that end with their connection, streams that end inside an event

Drawn in addition, in every run, from a generator of their own, so that a seed's other faults stay as they were.

--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -49,9 +49,14 @@
     "engine-cuts": "cut",
     "engine-crosses": "cross",
     "engine-preempts": "pause",
+    "engine-stops-early": "stop-early",
 }
 #: The same for faults that last for their whole time, however many requests arrive.
-LASTING_STAND_IN_FAULT_BY_KIND = {"engine-slow": "slow", "engine-garbles-load": "garble-load"}
+LASTING_STAND_IN_FAULT_BY_KIND = {
+    "engine-slow": "slow",
+    "engine-garbles-load": "garble-load",
+    "engine-unframed": "unframed",
+}
 
 
 class FaultInjector:
--- a/soak/_plan.py
+++ b/soak/_plan.py
@@ -64,6 +64,10 @@
 #: version. Drawn in addition, in every run, so that several versions serve side by side.
 RELEASE = "release"
 RELEASE_RATIO = 0.12
+#: Engines whose answers have neither a length nor chunks, and streams that end inside an event;
+#: drawn in addition, in every run.
+ANSWER_KINDS = ("engine-unframed", "engine-stops-early")
+ANSWER_FAULT_RATIO = 0.3
 #: Load faults for each of the other faults.
 LOAD_FAULT_RATIO = 0.5
 
@@ -103,6 +107,8 @@
     """Return what faults of a kind are injected at."""
     if kind in PATH_KINDS:
         return ROUTER
+    if kind in ANSWER_KINDS:
+        return ENGINE
     if kind == RELEASE:
         return FLEET
     return TARGET_BY_KIND.get(kind) or TARGET_BY_LOAD_KIND[kind]
@@ -113,8 +119,8 @@
 ) -> Plan:
     """Return the plan drawn from a seed; equal arguments give equal plans.
 
-    Load faults, path faults and releases come from generators of their own, so that a seed draws
-    the same other faults with and without them.
+    Load faults, path faults, releases and faults of answers come from generators of their own, so
+    that a seed draws the same other faults with and without them.
     """
     rng = random.Random(seed)
     routers = rng.randint(2, max(2, max_routers))
@@ -141,6 +147,11 @@
         _draw_fault(release_rng, fault_seconds, (RELEASE,))
         for _ in range(max(1, round(fault_count * RELEASE_RATIO)))
     ]
+    answer_rng = random.Random(f"{seed} answers")
+    faults += [
+        _draw_fault(answer_rng, fault_seconds, ANSWER_KINDS)
+        for _ in range(max(2, round(fault_count * ANSWER_FAULT_RATIO)))
+    ]
     faults.sort(key=lambda each: each.starts_at)
     callers = 6 * min(routers, 12)
     return Plan(seed, routers, engines, callers, fault_seconds, tuple(faults), manages_load)
