--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -64,6 +64,7 @@
         "faults": dict(Counter(each.kind for each in plan.faults)),
         "attempts": len(records.attempts),
         "statuses": dict(sorted(statuses.items())),
+        "ended_by_bad_part": list(records.ends_by_bad_part.values()),
         "said_leaving": sum(each.announced_leaving for each in records.arrivals),
         "asked_for_rest": sum(each.rest_seconds > 0 for each in records.arrivals),
     }
--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -26,6 +26,8 @@
 MAX_CUT_OFF_FAILURES = 10
 #: Least share of the requests after the recovery that must be served.
 MIN_SERVED_SHARE = 0.9
+#: Engines that requests with one bad part, sent one by one, may end.
+MAX_ENDED_BY_PART = 6
 OK = 200
 #: Least number of resumed streams of which a share is checked, and the least share of them that
 #: goes on, as a part of the share of new streams that begin.
@@ -258,6 +260,15 @@
     return [f"{times} times {error}" for error, times in counted]
 
 
+def bad_parts(records: Records) -> list[str]:
+    """Check that a part of prompts that crashes engines ends few of them."""
+    return [
+        f"{ended} engines ended under the part {part}"
+        for part, ended in records.ends_by_bad_part.items()
+        if ended > MAX_ENDED_BY_PART
+    ]
+
+
 #: Check of each promise, by the promise's name.
 CHECK_BY_NAME: dict[str, Callable[[Records], list[str]]] = {
     "whole answers": whole_answers,
@@ -273,6 +284,7 @@
     "recovery": recovery,
     "lives": lives,
     "errors": errors,
+    "bad parts": bad_parts,
 }
 
 
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -11,9 +11,11 @@
 
 from fakes._local_fleet import Backend
 from fakes._machines_fleet import MachinesRouter
+from soak._bad_parts import BadPart
 from soak._callers import Caller
 from soak._fleet import SERVICES, STORE_NAME, SoakFleet, in_thread
 from soak._plan import (
+    BAD_PART,
     ENGINE,
     PATH_KINDS,
     RELEASE,
@@ -275,6 +277,9 @@
         if fault.kind == RELEASE:
             await self._release()
             return
+        if fault.kind == BAD_PART:
+            await BadPart(self._fleet, fault.target_number).run()
+            return
         for caller in self._callers:
             caller.is_in_burst = True
         await asyncio.sleep(min(fault.seconds, 2.0))
--- a/soak/_paths.py
+++ b/soak/_paths.py
@@ -34,6 +34,11 @@
             relays[address] = relay
             self._divert(router, {each: path.port for each, path in relays.items()})
 
+    def relays_to(self, address: str) -> tuple[Relay, ...]:
+        """Return the relays on the paths of all routers to an engine."""
+        found = (relays.get(address) for relays in self._relays_by_router.values())
+        return tuple(relay for relay in found if relay is not None)
+
     async def cut(self, router: str, effect: str, seconds: float) -> None:
         """Cut a router off from all engines for some seconds."""
         relays = tuple(self._relays_by_router[router].values())
--- a/soak/_plan.py
+++ b/soak/_plan.py
@@ -68,6 +68,8 @@
 #: drawn in addition, in every run.
 ANSWER_KINDS = ("engine-unframed", "engine-stops-early")
 ANSWER_FAULT_RATIO = 0.3
+#: Requests that share a part which crashes engines; one in every run.
+BAD_PART = "bad-part"
 #: Load faults for each of the other faults.
 LOAD_FAULT_RATIO = 0.5
 
@@ -109,7 +111,7 @@
         return ROUTER
     if kind in ANSWER_KINDS:
         return ENGINE
-    if kind == RELEASE:
+    if kind in (RELEASE, BAD_PART):
         return FLEET
     return TARGET_BY_KIND.get(kind) or TARGET_BY_LOAD_KIND[kind]
 
@@ -119,8 +121,8 @@
 ) -> Plan:
     """Return the plan drawn from a seed; equal arguments give equal plans.
 
-    Load faults, path faults, releases and faults of answers come from generators of their own, so
-    that a seed draws the same other faults with and without them.
+    Load faults, path faults, releases, faults of answers and bad parts come from generators of
+    their own, so that a seed draws the same other faults with and without them.
     """
     rng = random.Random(seed)
     routers = rng.randint(2, max(2, max_routers))
@@ -152,6 +154,7 @@
         _draw_fault(answer_rng, fault_seconds, ANSWER_KINDS)
         for _ in range(max(2, round(fault_count * ANSWER_FAULT_RATIO)))
     ]
+    faults.append(_draw_fault(answer_rng, fault_seconds, (BAD_PART,)))
     faults.sort(key=lambda each: each.starts_at)
     callers = 6 * min(routers, 12)
     return Plan(seed, routers, engines, callers, fault_seconds, tuple(faults), manages_load)
--- a/soak/_records.py
+++ b/soak/_records.py
@@ -122,6 +122,8 @@
     unexpected_exits: list[str] = field(default_factory=list)
     #: Errors whose tracebacks processes wrote.
     errors: list[str] = field(default_factory=list)
+    #: Number of engines that each bad part of prompts ended.
+    ends_by_bad_part: dict[str, int] = field(default_factory=dict)
     #: When the fleet must serve nearly all requests again; infinite if the run ended before.
     recovery_deadline: float = float("inf")
 
--- a/soak/tests/test_checks.py
+++ b/soak/tests/test_checks.py
@@ -48,6 +48,10 @@
         arrivals = [arrival("a"), arrival("b"), arrival("b", at=10.07)]
         self.assertEqual(self.violated_checks(attempts=attempts, arrivals=arrivals), set())
 
+    def test_bad_parts(self) -> None:
+        self.assertEqual(self.violated_checks(ends_by_bad_part={"bad01": 6}), set())
+        self.assertEqual(self.violated_checks(ends_by_bad_part={"bad01": 7}), {"bad parts"})
+
     def test_whole_answers(self) -> None:
         for changes in ({"body": b"body by f"}, {"signature": "e.other"}, {"signature": ""}):
             with self.subTest(changes):
