Count nothing against an engine for a request that its relay holds for bad

Cause: a relaying router that knows of a quarantine does not send the request; its refusal has no engine's reason, so it ended as a failed connection of the engine. Change: codes of quarantine are neutral and count as not sent. A stream that is not resumed because of one says so in not_resumed. Result: test_a_relay_that_knows_of_a_quarantine_counts_for_nothing_against_the_engine fails without.

--- a/pondhatch/requests/_dispatch.py
+++ b/pondhatch/requests/_dispatch.py
@@ -299,7 +299,9 @@
         """
         if self._remaining() <= 0:
             return None
-        if await self._watch.wait_for_turn(self._remaining) is not None:
+        refusal = await self._watch.wait_for_turn(self._remaining)
+        if refusal is not None:
+            self.binding.not_resumed = refusal.code
             return None
         if self._head.resumes_anywhere:
             resumed: Placed | RetryLater | None = await self._resume_elsewhere(engine, position)
--- a/pondhatch/requests/_tries.py
+++ b/pondhatch/requests/_tries.py
@@ -10,7 +10,7 @@
 
 from pondhatch.placement import ClosedReason, Granted, is_region_allowed
 from pondhatch.requests._checked_answer import checked
-from pondhatch.requests._crash_guard import MUST_WAIT, NO_WATCH, RequestWatch
+from pondhatch.requests._crash_guard import MUST_WAIT, NO_WATCH, QUARANTINE_CODES, RequestWatch
 from pondhatch.requests._entry_view import Collaborators, EntryView
 from pondhatch.requests._framing import Framing
 from pondhatch.requests._grant_requests import (
@@ -47,9 +47,11 @@
 #: Codes of tries that were abandoned right before their first byte was sent.
 CLOSED_CODES = frozenset(ClosedReason)
 #: Codes of tries of which no byte was sent.
-NOT_SENT_CODES = frozenset({*CLOSED_CODES, UPSTREAM_UNREACHABLE, PATH_LOST, DEADLINE})
+NOT_SENT_CODES = frozenset(
+    {*CLOSED_CODES, *QUARANTINE_CODES, UPSTREAM_UNREACHABLE, PATH_LOST, DEADLINE}
+)
 #: Codes of tries that are no evidence about the engine.
-NEUTRAL_CODES = frozenset({*CLOSED_CODES, PATH_LOST, DEADLINE})
+NEUTRAL_CODES = frozenset({*CLOSED_CODES, *QUARANTINE_CODES, PATH_LOST, DEADLINE})
 
 #: Result of one grant request and, if granted, of the try that followed.
 TryResult = AnswerStarted | Busy | ContextElsewhere | NotOwner | NotRun | Unknown
--- a/pondhatch/requests/tests/test_crash_watch.py
+++ b/pondhatch/requests/tests/test_crash_watch.py
@@ -17,12 +17,14 @@
 from pondhatch.limits import RetryBudget
 from pondhatch.placement import OPEN
 from pondhatch.requests import (
+    PART_QUARANTINED,
     QUARANTINED,
     AnswerStarted,
     Broken,
     Collaborators,
     Delivery,
     Dispatch,
+    EndReason,
     NotRun,
     Placed,
     Refusal,
@@ -139,6 +141,16 @@
 
         self.assertEqual(self.run_with(LateQuarantineWatch(1)), (Refused(QUARANTINED), 0))
 
+    def test_a_relay_that_knows_of_a_quarantine_counts_for_nothing_against_the_engine(self) -> None:
+        async def main() -> None:
+            tries = self.dispatch(Fleet([], [], False), ScriptedWatch(3))._tries
+            for refusal in (PART_QUARANTINED, QUARANTINED):
+                self.assertEqual(tries._end_reason(refusal, "e0"), EndReason.NEUTRAL)
+
+        run_virtually(main())
+        found = self.run_with(ScriptedWatch(3), replace(PART_QUARANTINED))
+        self.assertEqual(found, (Refused(PART_QUARANTINED), 1))
+
     def test_an_answer_that_broke_before_its_first_part_ends_as_a_refusal(self) -> None:
         async def main() -> None:
             fleet = Fleet([], [], False)
