Take an upstream for alive only where it accepts a connection

Cause: an answer that ends with its connection was complete unless a crash was shown, and a router whose paths to all engines refuse connections shows none. Change: the probe after such an answer must be accepted; refused or silent, the answer is lost.

--- a/pondhatch/cli/_router_process.py
+++ b/pondhatch/cli/_router_process.py
@@ -132,6 +132,7 @@
                 upstreams.refuses_connections,
                 upstreams.accepts_connections,
             ).has_crashed,
+            upstreams.accepts_connections,
         )
         self._relaying = Relaying(
             self.state, self._paths, upstreams, self._crash_evidence, self._records, self._metrics
--- a/pondhatch/router/_crash_evidence_exchange.py
+++ b/pondhatch/router/_crash_evidence_exchange.py
@@ -51,8 +51,12 @@
 FIRST_PROBES_TIMEOUT_SECONDS = 0.1
 
 SendAll = Callable[[Iterable[Datagram]], None]
-#: Returns whether nothing listens at an engine any more.
-HasCrashed = Callable[[Target], Coroutine[Any, Any, bool]]
+#: Returns whether nothing listens at an engine any more, or whether it accepts connections.
+Probe = Callable[[Target], Coroutine[Any, Any, bool]]
+
+
+async def _assume_accepted(_: Target) -> bool:
+    return True
 
 
 class CrashEvidenceExchange:
@@ -65,7 +69,8 @@
         tasks: Tasks,
         rng: random.Random,
         records: Records,
-        has_crashed: HasCrashed,
+        has_crashed: Probe,
+        accepts: Probe = _assume_accepted,
     ) -> None:
         self.suspects = state.suspects
         self._claims = RunClaims(short_id(state.name))
@@ -75,6 +80,7 @@
         self._rng = rng
         self._records = records
         self._has_crashed = has_crashed
+        self._accepts = accepts
         #: Evidence to be sent to all routers once more.
         self._to_repeat: list[Evidence] = []
         self._sampled_at = float("-inf")
@@ -96,11 +102,11 @@
         return CrashWatch(self, digest, parts) if digest or parts else NO_WATCH
 
     async def lives_on(self, target: Target) -> bool:
-        """Return whether an engine still runs; see CrashGuard.
+        """Return whether an engine still accepts connections; see CrashGuard.
 
         An engine that leaves ends as planned, after its last answers.
         """
-        return not target.intake.is_live or not await self._has_crashed(target)
+        return not target.intake.is_live or await self._accepts(target)
 
     def is_quarantined(self, digest: int) -> bool:
         """Return whether a request, or a part of prompts, is quarantined now."""
--- a/pondhatch/router/tests/test_crash_evidence_exchange.py
+++ b/pondhatch/router/tests/test_crash_evidence_exchange.py
@@ -282,6 +282,23 @@
 
         run_virtually(history())
 
+    def test_an_engine_that_refuses_or_is_silent_does_not_live_on(self) -> None:
+        """Guards against taking a router that is cut off from all engines for a proof of life."""
+
+        async def history() -> list[bool]:
+            simulation = Simulation(1, 1, random.Random(1))
+            (guard,) = simulation.guards
+            target = Target("e0", "", OPEN, 1.5, 1, 8)
+            found = [await guard.lives_on(target)]
+
+            async def accepts(_: Target) -> bool:
+                return False
+
+            guard._accepts = accepts
+            return [*found, await guard.lives_on(target)]
+
+        self.assertEqual(run_virtually(history()), [True, False])
+
     def test_a_router_that_starts_receives_the_evidence_of_others(self) -> None:
         async def history() -> None:
             simulation = Simulation(4, 9, random.Random(1))
