Write out what was held back of an answer though its sink is slow

Change: a checked answer waits for a sink that asks for it, also for comments after the last event. Result: test_what_is_held_back_until_the_end_is_written_though_the_sink_is_slow fails without.

--- a/pondhatch/requests/_checked_answer.py
+++ b/pondhatch/requests/_checked_answer.py
@@ -97,7 +97,8 @@
             held = _HeldStart(sink)
             await self._answer.stream_to(held)
             await self._check_upstream()
-            held.release()
+            if not held.release():
+                await sink.ready()
         else:
             await self._answer.stream_to(sink)
 
@@ -114,8 +115,8 @@
         if self._ends_with_connection:
             await self._check_upstream()
         rest = events.take_rest()
-        if rest:
-            sink.write(rest)
+        if rest and not sink.write(rest):
+            await sink.ready()
 
     async def _check_upstream(self) -> None:
         """Raise AnswerLost if the upstream ended, as its end may have cut the answer."""
--- a/pondhatch/requests/tests/test_checked_answers.py
+++ b/pondhatch/requests/tests/test_checked_answers.py
@@ -32,7 +32,8 @@
 
     async def stream_to(self, sink: PartSink) -> None:
         for part in self._parts:
-            sink.write(part)
+            if not sink.write(part):
+                await sink.ready()
 
     def cancel(self) -> None:
         """Do nothing."""
@@ -52,9 +53,25 @@
         """Return at once."""
 
 
+class LateSink(RecordingSink):
+    """Records what is written only once it is awaited, as a relay's sink does; see PartSink."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._unsent = b""
+
+    def write(self, part: bytes) -> bool:
+        self._unsent += part
+        return False
+
+    async def ready(self) -> None:
+        self.written += self._unsent
+        self._unsent = b""
+
+
 class CheckedAnswerCase(unittest.TestCase):
     def setUp(self) -> None:
-        self.sink = RecordingSink()
+        self.sink: RecordingSink = RecordingSink()
         self.probes = 0
 
     def probe(self, result: bool) -> Callable[[], asyncio.Future[bool]]:
@@ -140,3 +157,13 @@
             reply = AnswerStarted(FakeAnswer(PLAIN, (b"data: a",)), "", "", framing)
             self.assertTrue(self.is_complete(reply, lives_on=False))
         self.assertEqual(self.probes, 0)
+
+
+class SlowSinkTest(CheckedAnswerCase):
+    # A relay left out what was written to it last: the bodies of short answers.
+    def test_what_is_held_back_until_the_end_is_written_though_the_sink_is_slow(self) -> None:
+        for headers, parts in ((PLAIN, (b"a", b"b")), (STREAM, (b"data: a\n\n", b": bye\n"))):
+            self.sink = LateSink()
+            reply = AnswerStarted(FakeAnswer(headers, parts), "", "", Framing.CLOSE)
+            self.assertTrue(self.is_complete(reply))
+            self.assertEqual(self.sink.written, b"".join(parts))
