--- a/pondhatch/requests/_delivery.py
+++ b/pondhatch/requests/_delivery.py
@@ -154,6 +154,7 @@
             resumed = await self._dispatch.resume(self._engine, position)
             if isinstance(resumed, Placed):
                 if resumed.reply.events is None:
+                    # Another kind of answer does not continue a stream.
                     resumed.reply.answer.cancel()
                     return False
                 self._resumes += 1
--- a/pondhatch/requests/_dispatch.py
+++ b/pondhatch/requests/_dispatch.py
@@ -450,7 +450,7 @@
             self.plan.record_refusal("its owner is in doubt")
             return None
         if reply is MUST_WAIT:
-            # The caller of this waits for the turn, and refuses the request if it is quarantined.
+            # The loop over the engines waits for its turn, or refuses it if it is quarantined.
             self.plan.retry_last()
             return None
         if reply.code in QUARANTINE_CODES:
--- a/soak/_relay.py
+++ b/soak/_relay.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from typing import Final
 
 from fakes._local_fleet import free_ports
@@ -10,6 +12,8 @@
 
 HOST: Final = "127.0.0.1"
 CHUNK_BYTES = 64 * 1024
+#: Value of SO_LINGER with which closing a connection resets it.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 class _Connection:
@@ -21,9 +25,19 @@
         self.is_silent = False
 
     def abort(self) -> None:
+        """Close both connections; what is unsent is lost."""
         for writer in self.writers:
             writer.transport.abort()
 
+    def reset(self) -> None:
+        """Reset both connections: without this option a close looks like the end of an answer."""
+        for writer in self.writers:
+            if not writer.is_closing():
+                writer.get_extra_info("socket").setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+                )
+        self.abort()
+
 
 class Relay:
     """Forwards every connection to one address, which may be set later."""
@@ -39,6 +53,8 @@
         for event in self._unblocked:
             event.set()
         self._server: asyncio.Server | None = None
+        #: Whether the port drops what comes to it.
+        self._drops_incoming = False
 
     @property
     def address(self) -> str:
@@ -60,7 +76,7 @@
     def reset(self) -> None:
         """Reset all open connections."""
         for connection in tuple(self._connections):
-            connection.abort()
+            connection.reset()
 
     def silence(self) -> None:
         """Drop all further data on the connections open now; new connections work."""
@@ -73,17 +89,20 @@
             return
         if is_silent:
             drop_incoming(self._server.sockets[0])
+            self._drops_incoming = True
             self.silence()
             return
         self._server.close()
         self._server = None
+        self._drops_incoming = False
 
     async def restore(self) -> None:
         """Let new connections pass again."""
         if self._server is None:
             await self.start()
-        else:
+        elif self._drops_incoming:
             accept_incoming(self._server.sockets[0])
+            self._drops_incoming = False
 
     def block(self, direction: int) -> None:
         """Hold back data in one direction, on all connections, until it is unblocked."""
@@ -128,4 +147,4 @@
                 writer.write_eof()
         except OSError:
             # A reset on one side resets the other side as well.
-            connection.abort()
+            connection.reset()
