--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -171,15 +171,27 @@
             await _disturb_relay(relay, fault.kind.removeprefix("engine-"), fault.seconds)
 
     async def _arm_stand_in(self, engine: Backend, stand_in_fault: str, fault: Fault) -> None:
-        await in_thread(lambda: engine.arm(stand_in_fault, fault.count, fault.seconds))
+        await self._arm(engine, stand_in_fault, fault.count, fault.seconds)
         await asyncio.sleep(fault.seconds)
-        await in_thread(lambda: engine.arm(stand_in_fault, 0))
+        await self._arm(engine, stand_in_fault, 0)
+
+    async def _arm(
+        self, engine: Backend, stand_in_fault: str, count: int, seconds: float = 0.0
+    ) -> None:
+        """Arm a fault at an engine, unless a bad part of prompts ended it meanwhile."""
+        try:
+            await in_thread(lambda: engine.arm(stand_in_fault, count, seconds))
+        except OSError:
+            if engine.process.poll() is None:
+                raise
 
     async def _kill_and_replace(self, engine: Backend) -> None:
         """Kill an engine without notice and start another in its place, at its address.
 
         The entry of the one that ended goes only after the other one serves.
         """
+        if engine.name in self._fleet.ended_engines:
+            return  # A bad part of prompts ended it meanwhile, and it is being replaced.
         await self._kill(engine)
         await self._fleet.add_engine(engine.service, engine.software_version, in_place_of=engine)
         await self._remove_entry(engine)
@@ -202,7 +214,7 @@
     async def _announce(self, engine: Backend) -> None:
         """Let an engine announce that it leaves, first in its answers; return when it may end."""
         self._fleet.record_end(engine)
-        await in_thread(lambda: engine.arm("leaving", UNLIMITED_COUNT))
+        await self._arm(engine, "leaving", UNLIMITED_COUNT)
         await asyncio.sleep(LISTING_LAG)
         await in_thread(
             lambda: self._fleet.machines_fleet.put_engine(engine, "draining", Sequence=2)
@@ -229,8 +241,9 @@
         begins = time.monotonic()
         self._fleet.record_disturbance(RELEASE, engine.name, begins)
         await self._announce(engine)
-        await self._kill(engine)
-        await self._remove_entry(engine)
+        if engine.name not in self._fleet.ended_engines:
+            await self._kill(engine)
+            await self._remove_entry(engine)
         self._busy.discard(engine.name)
         self._fleet.record_disturbance(RELEASE, engine.name, begins)
 
