Soak: most new connections go to one router

Once in every run, for up to two seconds: callers keep no connection, send as in a burst, and open 95 in 100 new ones to one router.

--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -35,6 +35,8 @@
 #: Mean seconds between two requests of one caller, normally and in a burst.
 MEAN_PAUSE, MEAN_BURST_PAUSE = 0.25, 0.05
 CHUNK_BYTES = 64 * 1024
+#: Share of the new connections that go to a crowded router.
+CROWDED_SHARE = 0.95
 #: Share of streams that a caller leaves midway, and the most events that it then reads.
 LEAVING_SHARE = 0.25
 MAX_EVENTS_BEFORE_LEAVING = 4
@@ -115,7 +117,7 @@
         with contextlib.suppress(OSError, TimeoutError, h11.ProtocolError):
             async with asyncio.timeout(ANSWER_TIMEOUT):
                 await answer.exchange(reader, writer, started)
-        if not answer.keeps_connection:
+        if not answer.keeps_connection or self._fleet.crowded_router:
             self._close()
         attempt = answer.finished_attempt(started)
         position.note(attempt)
@@ -127,6 +129,9 @@
             each for each in self._fleet.routers if each.name not in self._fleet.down_routers
         ]
         router = self._rng.choice(running or self._fleet.routers)
+        crowded = [each for each in running if each.name == self._fleet.crowded_router]
+        if crowded and self._rng.random() < CROWDED_SHARE:
+            router = crowded[0]
         host, _, port = router.caller_url.removeprefix("http://").rpartition(":")
         self._router = router.name
         async with asyncio.timeout(ANSWER_TIMEOUT):
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -16,6 +16,7 @@
 from soak._fleet import SERVICES, STORE_NAME, SoakFleet, in_thread
 from soak._plan import (
     BAD_PART,
+    CROWDED_ROUTER,
     ENGINE,
     PATH_KINDS,
     RELEASE,
@@ -293,11 +294,16 @@
         if fault.kind == BAD_PART:
             await BadPart(self._fleet, fault.target_number).run()
             return
+        if fault.kind == CROWDED_ROUTER:
+            router = self._fleet.routers[fault.target_number % len(self._fleet.routers)]
+            self._fleet.crowded_router = router.name
         for caller in self._callers:
             caller.is_in_burst = True
         await asyncio.sleep(min(fault.seconds, 2.0))
         for caller in self._callers:
             caller.is_in_burst = False
+        if fault.kind == CROWDED_ROUTER:
+            self._fleet.crowded_router = ""
 
     async def _slow_down_readers(self, fault: Fault) -> None:
         """Make one in three callers ask for large answers and read them slowly."""
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -87,6 +87,8 @@
 
     records: Records = field(default_factory=Records)
     relay_by_name: dict[str, Relay] = field(default_factory=dict)
+    #: Router to which most new connections go; empty while they are spread.
+    crowded_router: str = ""
     #: Routers whose process has ended and was not restarted yet.
     down_routers: set[str] = field(default_factory=set)
     #: Routers that were sent a signal to end, and whose exit was not seen yet.
--- a/soak/_plan.py
+++ b/soak/_plan.py
@@ -70,6 +70,8 @@
 ANSWER_FAULT_RATIO = 0.3
 #: Requests that share a part which crashes engines; one in every run.
 BAD_PART = "bad-part"
+#: Most new connections go to one router, while callers open more of them; one in every run.
+CROWDED_ROUTER = "crowded-router"
 #: Load faults for each of the other faults.
 LOAD_FAULT_RATIO = 0.5
 
@@ -111,7 +113,7 @@
         return ROUTER
     if kind in ANSWER_KINDS:
         return ENGINE
-    if kind in (RELEASE, BAD_PART):
+    if kind in (RELEASE, BAD_PART, CROWDED_ROUTER):
         return FLEET
     return TARGET_BY_KIND.get(kind) or TARGET_BY_LOAD_KIND[kind]
 
@@ -121,8 +123,8 @@
 ) -> Plan:
     """Return the plan drawn from a seed; equal arguments give equal plans.
 
-    Load faults, path faults, releases, faults of answers and bad parts come from generators of
-    their own, so that a seed draws the same other faults with and without them.
+    Load faults, path faults, releases, faults of answers, bad parts and crowds come from generators
+    of their own, so that a seed draws the same other faults with and without them.
     """
     rng = random.Random(seed)
     routers = rng.randint(2, max(2, max_routers))
@@ -155,6 +157,7 @@
         for _ in range(max(2, round(fault_count * ANSWER_FAULT_RATIO)))
     ]
     faults.append(_draw_fault(answer_rng, fault_seconds, (BAD_PART,)))
+    faults.append(_draw_fault(random.Random(f"{seed} crowds"), fault_seconds, (CROWDED_ROUTER,)))
     faults.sort(key=lambda each: each.starts_at)
     callers = 6 * min(routers, 12)
     return Plan(seed, routers, engines, callers, fault_seconds, tuple(faults), manages_load)
--- a/soak/tests/test_plan.py
+++ b/soak/tests/test_plan.py
@@ -7,6 +7,7 @@
 from soak._plan import (
     ANSWER_KINDS,
     BAD_PART,
+    CROWDED_ROUTER,
     PATH_KINDS,
     RELEASE,
     TARGET_BY_KIND,
@@ -29,7 +30,9 @@
 
     def test_every_kind_is_drawn(self) -> None:
         kinds = {fault.kind for seed in range(60) for fault in draw_plan(seed, 30.0, 4).faults}
-        self.assertEqual(kinds, {*TARGET_BY_KIND, *PATH_KINDS, *ANSWER_KINDS, RELEASE, BAD_PART})
+        self.assertEqual(
+            kinds, {*TARGET_BY_KIND, *PATH_KINDS, *ANSWER_KINDS, RELEASE, BAD_PART, CROWDED_ROUTER}
+        )
 
     def test_load_faults_are_added_without_changing_the_others(self) -> None:
         plain, loaded = draw_plan(5, 30.0, 4), draw_plan(5, 30.0, 4, manages_load=True)
