Review, case 3: an engine that has left gets requests until it ends

Shows DRAIN: a router that starts takes an engine, whose entry is gone from the store, as live from the older list of a peer that was cut off from the store, and neither removes it later, also when the cut is over. One disruption (core_cut of one router for 5.5 s) beside planned work.

Fixes nothing.

--- a/review/standins/engine.py
+++ b/review/standins/engine.py
@@ -42,6 +42,8 @@
     pause_after: int = 0
     pause_ms: float = 0.0
     comment_ms: float = 80.0
+    #: Seconds for which it serves on after its entry has gone, before it ends.
+    serve_on_s: float = 3.0
     #: The disruption "garble, extra late": it sends its refusals a second time, in the place where
     #: the next answer on the connection is due, up to this share of all its answers.
     late_extra: float = 0.0
@@ -72,6 +74,9 @@
         server = await asyncio.start_server(self._handle, host, int(port))
         async with server:
             await self._keep_listed()
+            await asyncio.sleep(self._options.serve_on_s)
+        # What it still runs may come to its end.
+        await asyncio.sleep(1.0)
 
     async def _keep_listed(self) -> None:
         """Write its entry into the store at each heartbeat."""
@@ -96,7 +101,6 @@
                 await asyncio.wait_for(self._left.wait(), HEARTBEAT_SECONDS)
         await call(options.store, "DELETE", f"/objects/servers/{options.name}")
         self._journal.write("left", engine=options.name)
-        await asyncio.Event().wait()
 
     async def _handle(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         #: A copy of the last answer, which is to come once more.
