--- a/review/1/case.py
+++ b/review/1/case.py
@@ -126,6 +126,7 @@
                 late_extra=DOUBLED if is_faulty else 0.0,
             )
         routers = [await deployment.start_router(zone) for zone in range(2)]
+        await deployment.engines_listen()
         await asyncio.sleep(4.0)
         until = time.monotonic() + SECONDS
         async with asyncio.TaskGroup() as clients:
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -130,6 +130,7 @@
         for zone in range(MODEL_ENGINES):
             deployment.start_engine("brief-llm", zone, slots=64, queue=192, work_ms=60.0, events=3)
         routers = [await deployment.start_router(zone) for zone in range(3)]
+        await deployment.engines_listen()
         await asyncio.sleep(4.0)
         until = time.monotonic() + BEFORE_SECONDS + DOWN_SECONDS + AFTER_SECONDS
         back_at = until
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -25,6 +25,7 @@
 ROOT = Path(__file__).resolve().parents[2]
 REVIEW = ROOT / "review"
 HEARTBEAT_MS = 1200
+PORTS = (12000, 30000)
 ZONES = ("boa-viagem", "suape", "olinda", "jaboatao")
 #: The platform's fields that are alike on all machines, as in the settings of a small site.
 FIELDS: dict[str, Any] = {
@@ -100,6 +101,7 @@
         self.engines: dict[str, subprocess.Popen[bytes]] = {}
         self.options: dict[str, Options] = {}
         self._processes: list[subprocess.Popen[bytes]] = []
+        self._ports: set[int] = set()
         #: A second byte of its own, so that a port that all routers name alike is free.
         self._net = f"127.{random.randrange(10, 250)}.{random.randrange(1, 250)}"
         self._machines = 0
@@ -127,14 +129,29 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
     def free_port(self, host: str) -> int:
-        """Return a port that is free for TCP and UDP."""
+        """Return a port that is free for TCP and UDP.
+
+        It lies below those that the system gives to outgoing connections, so that none takes it
+        before its process listens there.
+        """
         while True:
-            with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
-                tcp.bind((host, 0))
-                port: int = tcp.getsockname()[1]
-                with contextlib.suppress(OSError):
-                    udp.bind((host, port))
-                    return port
+            port = random.randrange(*PORTS)
+            if port in self._ports:
+                continue
+            with (
+                contextlib.suppress(OSError),
+                socket.socket() as tcp,
+                socket.socket(type=socket.SOCK_DGRAM) as udp,
+            ):
+                tcp.bind((host, port))
+                udp.bind((host, port))
+                self._ports.add(port)
+                return port
+
+    async def engines_listen(self) -> None:
+        """Wait until all engines that were started accept connections."""
+        for options in self.options.values():
+            await self._until(options.address, "/healthz")
 
     async def configure(self, configuration: dict[str, Any]) -> None:
         """Write the operator's configuration."""
