Review, case 3: a request that its engine answered is never answered (LOST)

A connection to an engine is put among the idle ones while the router has stopped reading from it: the client of a large answer leaves while 64 to 128 KB of its end wait in the router. The next request on the connection runs and is answered, and the router never reads the answer. At a planned stop its client's connection is closed without an answer.

The stand-ins: an engine may answer with a stated size; the proxy of the DRAIN case is gone. Cases 1 and 2 have not been played with them yet.

--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -177,11 +177,8 @@
         self.engines[name] = self._start_stand_in("engine", json.dumps(asdict(filled)))
         return name
 
-    async def start_router(self, zone: int, store: str = "") -> Router:
-        """Start a router as the deploy file says, and wait until it is ready.
-
-        ``store`` is the address at which it reaches the store, if that is not the store's own.
-        """
+    async def start_router(self, zone: int) -> Router:
+        """Start a router as the deploy file says, and wait until it is ready."""
         self._machines += 1
         ip = f"{self._net}.{self._machines}"
         fields = {
@@ -194,7 +191,7 @@
                 "Ready": f"{ip}:{self.free_port(ip)}",
             },
             "PortRange": [self.free_port(ip), self.free_port("127.0.0.1")],
-            "Platform": {"Address": store or self.store, "form": "objects"},
+            "Platform": {"Address": self.store, "form": "objects"},
         }
         role = self._roles["router"]
         settings = self.folder / f"{fields['NodeName']}.yaml"
--- a/review/standins/engine.py
+++ b/review/standins/engine.py
@@ -44,6 +44,9 @@
     comment_ms: float = 80.0
     #: Seconds for which it serves on after its entry has gone, before it ends.
     serve_on_s: float = 3.0
+    #: Whether a path may end in "?bytes=N" for an answer of so many bytes, and whether it notes
+    #: that an answer has been sent whole.
+    sizes: bool = False
     #: The disruption "garble, extra late": it sends its refusals a second time, in the place where
     #: the next answer on the connection is due, up to this share of all its answers.
     late_extra: float = 0.0
@@ -115,6 +118,8 @@
                 answer = await self._answer(method, path, head[1], body, writer)
                 writer.write(answer)
                 await writer.drain()
+                if self._options.sizes:
+                    self._note("sent", value_of(head[1], "attempt-id"), path)
                 surplus = answer if self._is_doubled(answer) else b""
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
@@ -162,12 +167,19 @@
                     await self._stream(signed, attempt, after, writer)
                     return b""
                 await asyncio.sleep(options.work_ms / 1000)
-                answered = message("HTTP/1.1 200 OK", signed, f"{attempt} {path}".encode())
+                answered = message("HTTP/1.1 200 OK", signed, self._body(attempt, path))
         finally:
             self._held -= 1
         self._note("answer", attempt, path)
         return answered
 
+    def _body(self, attempt: str, path: str) -> bytes:
+        line = f"{attempt} {path}".encode()
+        size = path.partition("?bytes=")[2]
+        if not self._options.sizes or not size:
+            return line
+        return (line * (int(size) // len(line) + 1))[: int(size)]
+
     async def _stream(
         self, headers: Headers, attempt: str, after: int, writer: asyncio.StreamWriter
     ) -> None:
