Say whose answer a believed refusal is, and on which use of its connection

The reason now says which request the answer names (this one, another by its id, or none) and the how-manieth request its connection carried; both dialects say how an answer names its request. No decision changes.

--- a/pondhatch/platform/_engines.py
+++ b/pondhatch/platform/_engines.py
@@ -150,6 +150,14 @@
             forwarded = _without_last_event_id(forwarded)
         return (*forwarded, *router_headers)
 
+    def sent_id(self, head: RequestHead) -> str:
+        """Return the id that the caller gave its request; empty if it gave none."""
+        return head.caller_id
+
+    def answered_id(self, value_by_name: Mapping[str, str]) -> str | None:
+        """Return the id that an answer echoes, or None."""
+        return value_by_name.get(names.ATTEMPT_ID.lower())
+
     def classify(
         self, head: RequestHead, status: int, value_by_name: Mapping[str, str]
     ) -> AnswerKind | EngineRefusal:
@@ -158,7 +166,7 @@
             return EngineRefusal.WRONG_INSTANCE
         if names.NOT_RUN.lower() in value_by_name:
             return _refusal(status, value_by_name, self.notice(status, value_by_name))
-        if value_by_name.get(names.ATTEMPT_ID.lower(), "") != head.caller_id:
+        if (self.answered_id(value_by_name) or "") != self.sent_id(head):
             return AnswerKind.CROSSED
         return AnswerKind.ANSWERED
 
--- a/pondhatch/requests/_upstream_dialect.py
+++ b/pondhatch/requests/_upstream_dialect.py
@@ -27,6 +27,15 @@
     def request_headers(self, head: RequestHead, target: Target) -> Headers:
         """Return all headers of a request except those that frame its body."""
 
+    def sent_id(self, head: RequestHead) -> str:
+        """Return the id under which an upstream receives a request; empty if it gets none."""
+
+    def answered_id(self, value_by_name: Mapping[str, str]) -> str | None:
+        """Return the id of the request that an answer names as its own; None if it names none.
+
+        Names are in lower case.
+        """
+
     def classify(
         self, head: RequestHead, status: int, value_by_name: Mapping[str, str]
     ) -> AnswerKind | EngineRefusal:
--- a/pondhatch/standard/_upstreams.py
+++ b/pondhatch/standard/_upstreams.py
@@ -62,6 +62,14 @@
             (PRIORITY_HEADER, str(head.priority)),
         )
 
+    def sent_id(self, head: RequestHead) -> str:
+        """Return the id of the try, which no other request has."""
+        return head.request_id
+
+    def answered_id(self, value_by_name: Mapping[str, str]) -> str | None:
+        """Return the id that an answer echoes, or None."""
+        return value_by_name.get(REQUEST_ID_HEADER.lower())
+
     def classify(
         self, head: RequestHead, status: int, value_by_name: Mapping[str, str]
     ) -> AnswerKind | EngineRefusal:
@@ -69,8 +77,8 @@
         if NOT_RUN_HEADER in value_by_name:
             notice = self.notice(status, value_by_name)
             return _refusal(status, value_by_name[NOT_RUN_HEADER], notice)
-        answered_id = value_by_name.get(REQUEST_ID_HEADER.lower())
-        if answered_id != head.request_id and (answered_id is not None or head.chat):
+        answered_id = self.answered_id(value_by_name)
+        if answered_id != self.sent_id(head) and (answered_id is not None or head.chat):
             return AnswerKind.CROSSED
         return AnswerKind.ANSWERED
 
--- a/pondhatch/transport/_http_connection.py
+++ b/pondhatch/transport/_http_connection.py
@@ -56,6 +56,8 @@
         self.idle_since = float("-inf")
         #: Whether it was opened without a request and has carried none yet.
         self.is_unused = False
+        #: Number of requests that it has carried, the current one included.
+        self.request_count = 0
         #: Whether the other side is an upstream rather than the platform.
         self.to_upstream = False
         self.is_open = False
@@ -102,6 +104,7 @@
             limit_silence(self.transport.getHandle(), max_silent_ms)
         self._exchange = exchange
         self.is_unused = False
+        self.request_count += 1
         self.last_request_at = asyncio.get_running_loop().time()
         framed = framing_header(request.method, length)
         headers = request.headers if framed is None else (*request.headers, framed)
--- a/pondhatch/transport/_upstreams.py
+++ b/pondhatch/transport/_upstreams.py
@@ -47,6 +47,8 @@
 from pondhatch.transport._http_heads import Request, ResponseHead
 
 OK = 200
+#: Number of characters of an id in an answer that are logged.
+LOGGED_ID_CHARACTERS = 64
 #: URLs whose parsed address is cached: twice the number of upstreams that the design allows
 #: for. Parsing one costs more than the rest of the search for an idle connection.
 MAX_CACHED_URLS = 4096
@@ -255,6 +257,18 @@
     def _classify(self, head: RequestHead, response: ResponseHead) -> AnswerKind | EngineRefusal:
         return self._dialect.classify(head, response.status, response.value_by_name)
 
+    def _describe(self, exchange: Exchange, response: ResponseHead, head: RequestHead) -> str:
+        """Return a refusal's status, whose it is by its id, and its place on its connection."""
+        answered_id = self._dialect.answered_id(response.value_by_name)
+        if answered_id is None:
+            whose = "naming no request"
+        elif answered_id == self._dialect.sent_id(head):
+            whose = "naming this request"
+        else:
+            whose = f"naming request {answered_id[:LOGGED_ID_CHARACTERS]}"
+        number = exchange.connection.request_count
+        return f"answered {response.status}, {whose}, on request {number} of its connection"
+
     def _abandon(self, exchange: Exchange | None, attempt: Try, reason: str) -> NotRun | Unknown:
         if exchange is not None:
             exchange.cancel()
@@ -272,11 +286,11 @@
         if kind is AnswerKind.CROSSED:
             attempt.crossed()
             exchange.cancel()
-            return _refusal(attempt, "the answer belongs to another request")
+            return _refusal(attempt, self._describe(exchange, response, head))
         if isinstance(kind, EngineRefusal):
             attempt.refused(kind)
             exchange.cancel()
-            return _refusal(attempt, f"answered {response.status}")
+            return _refusal(attempt, self._describe(exchange, response, head))
         attempt.head()
         headers = self._dialect.answer_headers(response.headers, self._note_dropped)
         streams = response.status == OK and is_event_stream(headers)
