Failing tests: an answer is believed before it is known whose it is

Here a connection carries a request that is refused, the refusal comes a second time where the next request's answer is due, and the router takes it for that request's (hypothesis 1), in both dialects and for 503, 429, 421 and 400; and an attempt that was refused goes over the same connection again, where the copy has its own id (hypothesis 2). Also: the connection goes back to the pool with the request's own answer to come; what such an answer says of its engine is believed; refusals without an id; answers after which the order of the connection is lost.

--- /dev/null
+++ b/pondhatch/transport/tests/test_surplus_answers.py
@@ -0,0 +1,247 @@
+"""Guards against an answer that is believed before it is known which request it is for."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from collections.abc import Sequence
+from typing import Any
+
+from msgspec.structs import replace
+
+from pondhatch.placement import OPEN, Notice
+from pondhatch.platform._engines import EngineDialect
+from pondhatch.requests import (
+    CROSSED,
+    AnswerStarted,
+    NotRun,
+    ReplayableBody,
+    RequestHead,
+    Target,
+    Unknown,
+    UpstreamDialect,
+)
+from pondhatch.standard._upstreams import OpenAiUpstreams
+from pondhatch.transport._http_client import HttpClient
+from pondhatch.transport._upstreams import HttpUpstreams
+from pondhatch.transport.tests.test_header_bytes import Reactor
+from pondhatch.transport.tests.test_upstream_notices import View
+
+TARGET = Target("i-1", "http://127.0.0.1:8080", OPEN, 1.5, 3, 64)
+#: A request of a chat, that may run once.
+HEAD = RequestHead("a.1", "a", "s", 7, "POST", "/", (), False, 5.0, 5)
+#: Has engines keep the connection.
+KEPT = b"Keep-Alive: timeout=9"
+Header = tuple[str, str]
+
+
+class Dialect:
+    """A dialect, and what upstreams write in it."""
+
+    def __init__(
+        self, upstreams: UpstreamDialect, id_header: bytes, not_run: bytes, *headers: Header
+    ) -> None:
+        self.upstreams = upstreams
+        self.not_run = not_run
+        #: What callers send.
+        self.headers = headers
+        self._id_header = id_header
+
+    def answer(self, status: bytes, named: str | None, *headers: bytes) -> bytes:
+        """Return an answer that names a request, or none."""
+        names = () if named is None else (self._id_header + b": " + named.encode(),)
+        lines = (b"HTTP/1.1 " + status, b"Content-Length: 2", KEPT, *names, *headers, b"", b"ok")
+        return b"\r\n".join(lines)
+
+    def refusal(self, named: str | None, *headers: bytes, status: bytes = b"503 Full") -> bytes:
+        """Return a refusal that names a request, or none."""
+        return self.answer(status, named, self.not_run, *headers)
+
+
+PLATFORM = Dialect(EngineDialect(), b"Attempt-Id", b"Not-Executed: 1", ("Host", "desk"))
+STANDARD = Dialect(OpenAiUpstreams(), b"X-Request-Id", b"X-Not-Run: 1")
+DIALECTS = (PLATFORM, STANDARD)
+
+
+class Sink:
+    """Collects an answer's parts."""
+
+    def __init__(self) -> None:
+        self.content = b""
+
+    def write(self, part: bytes) -> bool:
+        self.content += part
+        return True
+
+    async def ready(self) -> None:
+        return None
+
+
+class Rig:
+    """A router's connections to one upstream, of which the test writes every byte."""
+
+    def __init__(self, dialect: Dialect) -> None:
+        self.dialect = dialect
+        self.reactor = Reactor()
+        self.view = View()
+        self.upstreams = HttpUpstreams(HttpClient(self.reactor), dialect.upstreams, view=self.view)
+
+    async def begin(self, name: str, **changes: Any) -> asyncio.Task[Any]:
+        """Send a request under an id, and return the task that waits for its outcome."""
+        headers = self.dialect.headers
+        head = replace(HEAD, request_id=name, caller_id=name, headers=headers, **changes)
+        sending = asyncio.ensure_future(self.upstreams.send(TARGET, head, ReplayableBody(b"x")))
+        await asyncio.sleep(0)
+        return sending
+
+    def receive(self, *answers: bytes, connection: int = 0) -> None:
+        """Have a connection receive answers, each in bytes of its own."""
+        for each in answers:
+            self.reactor.connections[connection].dataReceived(each)
+
+    async def answered(self, sending: asyncio.Task[Any]) -> tuple[Any, bytes]:
+        """Return the status and content of an answer that arrived whole, or the other outcome."""
+        outcome = await asyncio.wait_for(sending, 1.0)
+        if not isinstance(outcome, AnswerStarted):
+            return outcome, b""
+        sink = Sink()
+        await outcome.answer.stream_to(sink)
+        return outcome.answer.status, sink.content
+
+    async def use_connection(self, answer: bytes, name: str = "a") -> Any:
+        """Have the first connection carry a request; return its outcome."""
+        sending = await self.begin(name)
+        self.receive(answer)
+        return (await self.answered(sending))[0]
+
+    def open_connections(self) -> int:
+        return self.reactor.left_open()
+
+
+class OthersAnswerTest(unittest.IsolatedAsyncioTestCase):
+    # Guards against a request that is sent again, or refused, while it runs: the second copy of an
+    # earlier request's refusal was taken for its own.
+    async def test_a_second_refusal_of_an_earlier_request_is_not_believed(self) -> None:
+        statuses: Sequence[bytes] = (b"503 Full", b"429 Many", b"421 Misdirected", b"400 Bad")
+        for dialect in DIALECTS:
+            for status in statuses:
+                with self.subTest(dialect=dialect.not_run, status=status):
+                    rig = Rig(dialect)
+                    refusal = dialect.refusal("a", status=status)
+                    self.assertIsInstance(await rig.use_connection(refusal), NotRun)
+                    sending = await rig.begin("b")
+                    rig.receive(refusal, dialect.answer(b"200 OK", "b"))
+                    self.assertEqual(await rig.answered(sending), (200, b"ok"))
+                    self.assertEqual(len(rig.reactor.connections), 1)
+
+    # Guards against an unknown outcome for a request whose own answer is on its way.
+    async def test_a_second_answer_to_an_earlier_request_is_skipped(self) -> None:
+        for dialect in DIALECTS:
+            for status in (b"200 OK", b"500 Failed"):
+                with self.subTest(dialect=dialect.not_run, status=status):
+                    rig = Rig(dialect)
+                    answer = dialect.answer(status, "a")
+                    await rig.use_connection(answer)
+                    sending = await rig.begin("b")
+                    rig.receive(answer + dialect.refusal("b"))
+                    self.assertIsInstance((await rig.answered(sending))[0], NotRun)
+
+    # Guards against an engine that counts as leaving, resting or brittle by an answer that is not
+    # known to be for the request.
+    async def test_what_an_earlier_requests_answer_says_of_its_engine_is_not_believed(self) -> None:
+        rig = Rig(PLATFORM)
+        await rig.use_connection(PLATFORM.refusal("a"))
+        rig.view.notices.clear()
+        rig.view.refusal_limits.clear()
+        sending = await rig.begin("b")
+        rig.receive(PLATFORM.refusal("a", b"Server-Leaving: 1", b"Server-Brittle: 1"))
+        self.assertEqual((rig.view.notices, rig.view.refusal_limits), ([], []))
+        rig.receive(PLATFORM.answer(b"200 OK", "b", b"Server-Leaving: 1"))
+        await rig.answered(sending)
+        self.assertEqual(rig.view.notices, [("i-1", Notice(is_leaving=True))])
+
+    # Guards against the connection that stays in the pool with a request's own answer to come.
+    async def test_a_connection_is_kept_only_after_the_requests_own_answer(self) -> None:
+        rig = Rig(PLATFORM)
+        await rig.use_connection(PLATFORM.refusal("a"))
+        first = await rig.begin("b")
+        rig.receive(PLATFORM.refusal("a"))
+        second = await rig.begin("c")
+        self.assertEqual(len(rig.reactor.connections), 2)
+        rig.receive(PLATFORM.answer(b"200 OK", "b"))
+        rig.receive(PLATFORM.answer(b"201 Made", "c"), connection=1)
+        self.assertEqual(await rig.answered(first), (200, b"ok"))
+        self.assertEqual(await rig.answered(second), (201, b"ok"))
+
+    # Guards against a request that waits for an answer which a broken order will not bring.
+    async def test_an_answer_that_cannot_be_skipped_leaves_the_outcome_unknown(self) -> None:
+        answer = PLATFORM.answer(b"200 OK", "a")
+        unframed = answer.replace(b"Content-Length: 2\r\n", b"")
+        stream = PLATFORM.answer(b"200 OK", "a", b"Content-Type: text/event-stream")
+        closing = PLATFORM.refusal("a", b"Connection: close")
+        foreign = PLATFORM.refusal("never sent here")
+        for surplus in ((unframed,), (stream,), (closing,), (foreign,), (answer, answer)):
+            with self.subTest(surplus=surplus):
+                rig = Rig(PLATFORM)
+                await rig.use_connection(answer)
+                sending = await rig.begin("b")
+                rig.receive(*surplus)
+                outcome = (await rig.answered(sending))[0]
+                self.assertIsInstance(outcome, Unknown)
+                self.assertEqual((outcome.code, rig.open_connections()), (CROSSED, 0))
+
+
+class EarlierTryTest(unittest.IsolatedAsyncioTestCase):
+    # Guards against an attempt that meets the second copy of the refusal of its own earlier try,
+    # which has its id.
+    async def test_an_attempt_is_not_sent_again_over_a_connection_that_carried_it(self) -> None:
+        rig = Rig(PLATFORM)
+        await rig.use_connection(PLATFORM.refusal("a"))
+        again = await rig.begin("a")
+        self.assertEqual(len(rig.reactor.connections), 2)
+        rig.receive(PLATFORM.answer(b"200 OK", "a"), connection=1)
+        self.assertEqual(await rig.answered(again), (200, b"ok"))
+
+    async def test_other_requests_still_use_that_connection(self) -> None:
+        rig = Rig(PLATFORM)
+        await rig.use_connection(PLATFORM.refusal("a"))
+        await rig.begin("b")
+        self.assertEqual(len(rig.reactor.connections), 1)
+
+
+class UnnamedAnswerTest(unittest.IsolatedAsyncioTestCase):
+    # Guards against a refusal without an id that is believed although it may be an earlier
+    # request's.
+    async def test_an_unnamed_refusal_is_believed_only_on_a_connections_first_request(self) -> None:
+        for dialect in DIALECTS:
+            with self.subTest(dialect=dialect.not_run):
+                rig = Rig(dialect)
+                self.assertIsInstance(await rig.use_connection(dialect.refusal(None)), NotRun)
+                rig = Rig(dialect)
+                await rig.use_connection(dialect.answer(b"200 OK", "a"))
+                sending = await rig.begin("b")
+                rig.receive(dialect.refusal(None))
+                self.assertIsInstance((await rig.answered(sending))[0], Unknown)
+                self.assertEqual(rig.open_connections(), 0)
+
+    # Guards against a plain service whose unnamed answers cannot be told apart.
+    async def test_a_connection_with_unnamed_answers_carries_repeatable_requests_only(self) -> None:
+        for repeatable, connections in ((True, 1), (False, 2)):
+            with self.subTest(repeatable=repeatable):
+                rig = Rig(STANDARD)
+                sending = await rig.begin("a", chat=0)
+                rig.receive(STANDARD.answer(b"200 OK", None))
+                self.assertEqual(await rig.answered(sending), (200, b"ok"))
+                await rig.begin("b", chat=0, repeatable=repeatable)
+                self.assertEqual(len(rig.reactor.connections), connections)
+
+
+class WhoseRefusalTest(unittest.IsolatedAsyncioTestCase):
+    # Guards against lines from which nobody can tell whose refusal a router believed.
+    async def test_the_reason_of_a_refusal_says_whose_it_is(self) -> None:
+        for named, whose in ((None, "no request"), ("a", "this request"), ("z", "request z")):
+            with self.subTest(named=named):
+                rig = Rig(PLATFORM)
+                outcome = await rig.use_connection(PLATFORM.refusal(named))
+                expected = f"i-1: answered 503, naming {whose}, on request 1 of its connection"
+                self.assertEqual(outcome.reason, expected)
