Know whose an answer is before anything it says is believed

Cause: both dialects returned a refusal for 421 and for a not-run header before they compared the answer's id with the request's, so the second copy of an earlier request's refusal, which engines may send where the next answer is due, counted as the next request's. The try then counted as not run; the same call decided about the connection, so that it went back to the pool with the request's own answer to come; and what such an answer said of its engine (leaving, rest, brittle) was believed before anything else.

Change: requests/_answer_proof.py alone decides what an answer proves, from what the dialect reads (an id, a refusal), the request, and what its connection has carried. The dialects only read. Its verdict goes with the exchange: tries, the pool, notices and paths act on an own answer only. An answer to an earlier request of the connection that is whole by its framing is skipped, once, and the request's own awaited; after any other the connection is closed and the outcome unknown. An answer that names no request is believed on a connection's first request, or where the request may run twice and its upstream need not name it; connections with such answers carry no others. An idle connection with unread bytes is closed instead of used. Each such answer leaves a line and a count by upstream.

--- a/fakes/_machines_engine.py
+++ b/fakes/_machines_engine.py
@@ -153,6 +153,7 @@
     async def _answer(self, request: Any) -> bytes:
         """Answer a request if there is room for it."""
         request.setHeader("Keep-Alive", "timeout=5")
+        request.setHeader("Attempt-Id", request.getHeader("Attempt-Id") or "")
         if self._room.is_down():
             request.channel.forceAbortClient()
             return b""
--- a/pondhatch/cli/_router_process.py
+++ b/pondhatch/cli/_router_process.py
@@ -23,6 +23,7 @@
 from pondhatch.cli._router_statistics import RouterStatistics
 from pondhatch.cli._settings_file import SettingsFile
 from pondhatch.cli._shutdown import Shutdown
+from pondhatch.cli._surplus_answers import SurplusAnswers
 from pondhatch.configuration import Settings
 from pondhatch.kernel import Tasks, enable_garbage_collection
 from pondhatch.membership import Address, Member, Seal
@@ -112,6 +113,7 @@
         self._notice_exchange = NoticeExchange(self.state, self._gossip_port.send)
         self._stream_origins = StreamOriginExchange(self.state, self._gossip_port.send)
         self._paths = RouterPaths(self.state, self._records)
+        surplus_answers = SurplusAnswers(self._records, self._metrics)
         upstreams = HttpUpstreams(
             environment.client,
             self._interface.upstreams,
@@ -119,6 +121,7 @@
             self._notice_exchange,
             self.state.held_bytes,
             self._paths,
+            surplus_answers,
         )
         self._crash_evidence = CrashEvidenceExchange(
             self.state,
@@ -157,6 +160,7 @@
             self._paths,
             self._relaying.side,
             self._stream_origins,
+            surplus_answers,
         )
         self._gauge_reporter = GaugeReporter(self._statistics, self._metrics, prometheus_metrics)
 
--- a/pondhatch/cli/_router_statistics.py
+++ b/pondhatch/cli/_router_statistics.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from pondhatch.cli._surplus_answers import SurplusAnswers
 from pondhatch.requests import RelaySide
 from pondhatch.router import GrantExchange, RouterPaths, RouterState, StreamOriginExchange
 from pondhatch.store import Platform
@@ -24,6 +25,7 @@
     paths: RouterPaths
     relay_side: RelaySide
     stream_origins: StreamOriginExchange
+    surplus_answers: SurplusAnswers
     #: When the router started, in seconds of the monotonic clock.
     started_at: float = msgspec.field(default_factory=time.monotonic)
 
@@ -77,5 +79,6 @@
             "grants_held": len(self.grant_exchange.entry.held_by_number),
             "grants_given": len(self.grant_exchange.owner.leases.by_holder),
             "gossip_unsealed": self.gossip_port.invalid_seals,
+            "surplus_answers": dict(self.surplus_answers.count_by_upstream),
             "platform_calls": getattr(self.platform, "calls", 0),
         }
--- a/pondhatch/explaining/_log_reader.py
+++ b/pondhatch/explaining/_log_reader.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from pondhatch.observing import Record, RequestEnded, RequestRelayed, StateChange
+from pondhatch.observing import Record, StateChange
 
 
 class LoggedLine(msgspec.Struct, frozen=True):
@@ -34,9 +34,7 @@
 
 
 _HEADER_DECODER = msgspec.json.Decoder(_LineHeader)
-_RECORD_DECODER: msgspec.json.Decoder[Record] = msgspec.json.Decoder(
-    RequestEnded | RequestRelayed | StateChange
-)
+_RECORD_DECODER: msgspec.json.Decoder[Record] = msgspec.json.Decoder(Record)
 
 
 def read_lines(texts: Iterable[str]) -> ParsedLines:
--- a/pondhatch/explaining/_timeline.py
+++ b/pondhatch/explaining/_timeline.py
@@ -7,7 +7,13 @@
 import msgspec
 
 from pondhatch.explaining._log_reader import LoggedLine, causal_order
-from pondhatch.observing import Record, RequestEnded, RequestRelayed, StateChange
+from pondhatch.observing import (
+    AnswerNotAwaited,
+    Record,
+    RequestEnded,
+    RequestRelayed,
+    StateChange,
+)
 
 #: Seconds before the start and after the end of a request in which state changes of its upstreams
 #: may explain its outcome: failures are detected and reported up to some seconds late.
@@ -33,7 +39,7 @@
     "configuration-misfit": "part of the accepted configuration was not in force there",
     "upstream-lost": "its upstream was lost while it may have run; nobody can say whether it did",
     "answer-broken": "its answer broke off in the middle",
-    "answer-crossed": "another request's answer came in the place of its own",
+    "answer-crossed": "an answer came that is not provably its own",
     "upstream-full": "the upstreams that it may be sent to refused it as full",
     "upstream-overloaded": "the upstreams that it may be sent to refused it and asked for a rest",
     "upstream-declined": "its upstream refused it though it had places by its own word",
@@ -84,6 +90,8 @@
 def _matches_request(line: LoggedLine, name: str) -> bool:
     if isinstance(line.record, RequestRelayed):
         return name == line.record.id
+    if isinstance(line.record, AnswerNotAwaited):
+        return name in (line.record.id, line.record.named)
     return isinstance(line.record, RequestEnded) and name in (line.record.id, line.record.digest)
 
 
@@ -147,6 +155,8 @@
         return _request_text(record)
     if isinstance(record, RequestRelayed):
         return _relayed_text(record)
+    if isinstance(record, AnswerNotAwaited):
+        return _surplus_text(record)
     return _state_change_text(record)
 
 
@@ -158,6 +168,19 @@
     )
 
 
+def _surplus_text(surplus: AnswerNotAwaited) -> str:
+    whose = f"for request {surplus.named}" if surplus.named else "that names no request"
+    then = (
+        "its own answer was awaited on"
+        if surplus.outcome == "skipped"
+        else "nothing could be concluded, and the connection was closed"
+    )
+    return (
+        f"request {surplus.id} received an answer {surplus.status} {whose} from "
+        f"{surplus.upstream}, as request {surplus.use} of its connection: {then}"
+    )
+
+
 def _request_text(ended: RequestEnded) -> str:
     meaning = MEANING_BY_OUTCOME.get(ended.outcome, ended.outcome)
     parts = [f"request {ended.id} of {ended.account or 'nobody'} for {ended.service}: {meaning}"]
--- a/pondhatch/observing/__init__.py
+++ b/pondhatch/observing/__init__.py
@@ -7,6 +7,7 @@
 from pondhatch.observing._metrics import CombinedMetrics, Metrics, NoMetrics, StatsdMetrics
 from pondhatch.observing._prometheus_metrics import PrometheusMetrics
 from pondhatch.observing._records import (
+    AnswerNotAwaited,
     LineRecords,
     LoggedRecords,
     NoRecords,
@@ -18,6 +19,7 @@
 )
 
 __all__ = [
+    "AnswerNotAwaited",
     "CombinedMetrics",
     "PrometheusMetrics",
     "StateChange",
--- a/pondhatch/observing/_prometheus_metrics.py
+++ b/pondhatch/observing/_prometheus_metrics.py
@@ -24,6 +24,7 @@
     "refusals": "code",
     "headers_dropped": "kind",
     "relayed": "outcome",
+    "surplus_answers": "outcome",
     "streams_resumed": "outcome",
 }
 
--- a/pondhatch/observing/_records.py
+++ b/pondhatch/observing/_records.py
@@ -92,6 +92,23 @@
     ms: int
 
 
+class AnswerNotAwaited(
+    msgspec.Struct, frozen=True, tag_field="event", tag="surplus-answer", omit_defaults=True
+):
+    """An upstream sent an answer that is not, or not provably, the awaited one."""
+
+    #: The id under which the upstream received the request whose answer was awaited.
+    id: str
+    upstream: str
+    status: int
+    #: "skipped" if the awaited answer was read after it, else "unproven".
+    outcome: str
+    #: The id of the request that the answer names; empty if it names none.
+    named: str = ""
+    #: Number of requests that the connection had carried, the awaiting one included.
+    use: int = 0
+
+
 class StateChange(msgspec.Struct, frozen=True, tag_field="event", tag="belief", omit_defaults=True):
     """Something that this router knows about its fleet has changed.
 
@@ -116,7 +133,7 @@
     why: str = ""
 
 
-Record = RequestEnded | RequestRelayed | StateChange
+Record = RequestEnded | RequestRelayed | AnswerNotAwaited | StateChange
 
 
 class Records(Protocol):
--- a/pondhatch/platform/_engines.py
+++ b/pondhatch/platform/_engines.py
@@ -15,7 +15,7 @@
 from pondhatch.platform._engine_load import read_load, read_refusal_limit
 from pondhatch.platform._entries import normalize_number
 from pondhatch.platform._header_owners import OWNERS
-from pondhatch.requests import AnswerKind, EngineRefusal, Headers, RequestHead, Target
+from pondhatch.requests import AwaitedRequest, EngineRefusal, Headers, RequestHead, Target
 from pondhatch.store import IN_FORCE, LEAVING, LIVE
 from pondhatch.transport import NoteDropped, seconds_to_wait, utf8_value
 
@@ -150,25 +150,21 @@
             forwarded = _without_last_event_id(forwarded)
         return (*forwarded, *router_headers)
 
-    def sent_id(self, head: RequestHead) -> str:
-        """Return the id that the caller gave its request; empty if it gave none."""
-        return head.caller_id
+    def awaited(self, head: RequestHead) -> AwaitedRequest:
+        """Return that engines echo the id that the caller gave its request."""
+        return AwaitedRequest(head.caller_id, head.repeatable, must_be_named=True)
 
     def answered_id(self, value_by_name: Mapping[str, str]) -> str | None:
         """Return the id that an answer echoes, or None."""
-        return value_by_name.get(names.ATTEMPT_ID.lower())
+        return value_by_name.get(names.ATTEMPT_ID.lower()) or None
 
-    def classify(
-        self, head: RequestHead, status: int, value_by_name: Mapping[str, str]
-    ) -> AnswerKind | EngineRefusal:
-        """Classify an answer by its head."""
+    def refusal(self, status: int, value_by_name: Mapping[str, str]) -> EngineRefusal | None:
+        """Return why an engine says it did not run a request, or None."""
         if status == names.WRONG_INSTANCE_STATUS:
             return EngineRefusal.WRONG_INSTANCE
-        if names.NOT_RUN.lower() in value_by_name:
-            return _refusal(status, value_by_name, self.notice(status, value_by_name))
-        if (self.answered_id(value_by_name) or "") != self.sent_id(head):
-            return AnswerKind.CROSSED
-        return AnswerKind.ANSWERED
+        if names.NOT_RUN.lower() not in value_by_name:
+            return None
+        return _refusal(status, value_by_name, self.notice(status, value_by_name))
 
     def notice(self, status: int, value_by_name: Mapping[str, str]) -> Notice:
         """Return what an answer's head states about the engine itself."""
--- a/pondhatch/requests/__init__.py
+++ b/pondhatch/requests/__init__.py
@@ -1,5 +1,12 @@
 """Requests: dispatch at the entry router, grants by the owners of engines, and tries."""
 
+from pondhatch.requests._answer_proof import (
+    AnswerClaim,
+    AnswerKind,
+    AwaitedRequest,
+    ConnectionUse,
+    judge,
+)
 from pondhatch.requests._chat import ChatRequest, MalformedChat, read_chat
 from pondhatch.requests._checked_answer import checked, is_event_stream
 from pondhatch.requests._crash_guard import (
@@ -122,7 +129,7 @@
     stream_key,
 )
 from pondhatch.requests._try import Try, new_try
-from pondhatch.requests._upstream_dialect import AnswerKind, UpstreamDialect
+from pondhatch.requests._upstream_dialect import UpstreamDialect
 from pondhatch.requests._wait_limits import AnswerDeadlines, RunTimes, answer_deadlines
 
 __all__ = [
@@ -144,7 +151,11 @@
     "UPSTREAM_UNREACHABLE",
     "VERSION_GONE",
     "AnswerDeadlines",
+    "AnswerClaim",
     "AnswerKind",
+    "AwaitedRequest",
+    "ConnectionUse",
+    "judge",
     "AnswerLost",
     "AnswerStarted",
     "AnswerStream",
--- a/pondhatch/requests/_upstream_dialect.py
+++ b/pondhatch/requests/_upstream_dialect.py
@@ -2,44 +2,39 @@
 
 from __future__ import annotations
 
-import enum
 from collections.abc import Callable, Mapping
 from typing import Protocol
 
 from pondhatch.placement import Notice
+from pondhatch.requests._answer_proof import AwaitedRequest
 from pondhatch.requests._messages import Headers, RequestHead
 from pondhatch.requests._outcomes import EngineRefusal
 from pondhatch.requests._sending import Target
 
 
-class AnswerKind(enum.Enum):
-    """What an answer is according to its head, unless it is a refusal."""
-
-    #: The upstream ran the request, and this is its answer.
-    ANSWERED = enum.auto()
-    #: The answer belongs to another request.
-    CROSSED = enum.auto()
-
-
 class UpstreamDialect(Protocol):
-    """Header names and formats of upstreams; makes no decisions."""
+    """Header names and formats of upstreams; makes no decisions.
+
+    What an answer says is acted on only as far as it is proved; see ``judge``.
+    """
 
     def request_headers(self, head: RequestHead, target: Target) -> Headers:
         """Return all headers of a request except those that frame its body."""
 
-    def sent_id(self, head: RequestHead) -> str:
-        """Return the id under which an upstream receives a request; empty if it gets none."""
+    def awaited(self, head: RequestHead) -> AwaitedRequest:
+        """Return how the answer to a request is recognized."""
 
     def answered_id(self, value_by_name: Mapping[str, str]) -> str | None:
-        """Return the id of the request that an answer names as its own; None if it names none.
+        """Return the id of the request that an answer says it is for; None if it names none.
 
         Names are in lower case.
         """
 
-    def classify(
-        self, head: RequestHead, status: int, value_by_name: Mapping[str, str]
-    ) -> AnswerKind | EngineRefusal:
-        """Return the kind of an answer, or the reason of a refusal; names are in lower case."""
+    def refusal(self, status: int, value_by_name: Mapping[str, str]) -> EngineRefusal | None:
+        """Return why an upstream says it did not run a request; None if it does not say so.
+
+        Names are in lower case.
+        """
 
     def notice(self, status: int, value_by_name: Mapping[str, str]) -> Notice:
         """Return the upstream's notice about itself in an answer; names are in lower case."""
--- a/pondhatch/standard/_upstreams.py
+++ b/pondhatch/standard/_upstreams.py
@@ -6,7 +6,14 @@
 from collections.abc import Mapping
 
 from pondhatch.placement import NO_NOTICE, Notice
-from pondhatch.requests import LAST_EVENT, AnswerKind, EngineRefusal, Headers, RequestHead, Target
+from pondhatch.requests import (
+    LAST_EVENT,
+    AwaitedRequest,
+    EngineRefusal,
+    Headers,
+    RequestHead,
+    Target,
+)
 from pondhatch.standard._header_owners import OWNERS
 from pondhatch.transport import NoteDropped, seconds_to_wait
 
@@ -62,25 +69,20 @@
             (PRIORITY_HEADER, str(head.priority)),
         )
 
-    def sent_id(self, head: RequestHead) -> str:
-        """Return the id of the try, which no other request has."""
-        return head.request_id
+    def awaited(self, head: RequestHead) -> AwaitedRequest:
+        """Return that engines echo the id of the try; plain services need not."""
+        return AwaitedRequest(head.request_id, head.repeatable, must_be_named=bool(head.chat))
 
     def answered_id(self, value_by_name: Mapping[str, str]) -> str | None:
         """Return the id that an answer echoes, or None."""
-        return value_by_name.get(REQUEST_ID_HEADER.lower())
-
-    def classify(
-        self, head: RequestHead, status: int, value_by_name: Mapping[str, str]
-    ) -> AnswerKind | EngineRefusal:
-        """Classify an answer by its head; plain services need not echo the request id."""
-        if NOT_RUN_HEADER in value_by_name:
-            notice = self.notice(status, value_by_name)
-            return _refusal(status, value_by_name[NOT_RUN_HEADER], notice)
-        answered_id = self.answered_id(value_by_name)
-        if answered_id != self.sent_id(head) and (answered_id is not None or head.chat):
-            return AnswerKind.CROSSED
-        return AnswerKind.ANSWERED
+        return value_by_name.get(REQUEST_ID_HEADER.lower()) or None
+
+    def refusal(self, status: int, value_by_name: Mapping[str, str]) -> EngineRefusal | None:
+        """Return why an upstream says it did not run a request, or None."""
+        if NOT_RUN_HEADER not in value_by_name:
+            return None
+        notice = self.notice(status, value_by_name)
+        return _refusal(status, value_by_name[NOT_RUN_HEADER], notice)
 
     def notice(self, status: int, value_by_name: Mapping[str, str]) -> Notice:
         """Return what an answer's head states about the upstream itself."""
--- a/pondhatch/transport/__init__.py
+++ b/pondhatch/transport/__init__.py
@@ -4,6 +4,7 @@
 """
 
 from pondhatch.transport._admin import Admin, format_dump
+from pondhatch.transport._answer_judge import SurplusAnswer
 from pondhatch.transport._answers import abort_connection, refuse_after_failure, write_head
 from pondhatch.transport._caller_body import read_whole
 from pondhatch.transport._caller_channel import CallerSite
@@ -37,6 +38,7 @@
 from pondhatch.transport._wire import PullReply, PullRequest
 
 __all__ = [
+    "SurplusAnswer",
     "MetricsPage",
     "abort_connection",
     "write_head",
--- a/pondhatch/transport/_http_client.py
+++ b/pondhatch/transport/_http_client.py
@@ -20,10 +20,16 @@
 
 from pondhatch.limits import HeldCounter
 from pondhatch.observing import Metrics, NoMetrics
-from pondhatch.requests import BodySource
+from pondhatch.requests import AwaitedRequest, BodySource
 from pondhatch.transport._dead_peers import UNACKNOWLEDGED_MS
-from pondhatch.transport._http_connection import Connection, Exchange, no_counter
-from pondhatch.transport._http_heads import Request, ResponseHead
+from pondhatch.transport._http_connection import (
+    TRUSTING_JUDGE,
+    AnswerJudge,
+    Connection,
+    Exchange,
+    no_counter,
+)
+from pondhatch.transport._http_heads import Request
 from pondhatch.transport._reuse import MAX_SILENT_SECONDS as MAX_SILENT_SECONDS
 from pondhatch.transport._reuse import ReuseRules
 
@@ -145,14 +151,6 @@
             self.result.set_result(result)
 
 
-def _always(_: ResponseHead) -> bool:
-    return True
-
-
-def _ignore_head(_: ResponseHead) -> None:
-    return None
-
-
 def _no_check() -> None:
     return None
 
@@ -164,10 +162,10 @@
 class Hooks(msgspec.Struct, frozen=True):
     """Callbacks and options by which a sender controls and observes an exchange."""
 
-    #: Returns whether a connection may be reused after a response with this head.
-    may_reuse: Callable[[ResponseHead], bool] = _always
-    #: Called with the response's head on receipt, even if its waiter was cancelled.
-    on_head: Callable[[ResponseHead], None] = _ignore_head
+    #: Decides whose each answer is; asked with its head on receipt, even if its waiter left.
+    judge: AnswerJudge = TRUSTING_JUDGE
+    #: Seconds within which the request may be sent again, here or elsewhere.
+    deadline_seconds: float = 0.0
     #: Called right before the first byte is written; an exception stops the request.
     before_send: Callable[[], None] = _no_check
     #: Returns a counter for bytes of the exchange that are buffered here for either side.
@@ -234,7 +232,9 @@
         """
         connection = None
         if not needs_new_connection:
-            connection = self._take_idle(address, repeatable, hooks.valid_since)
+            connection = self._take_idle(
+                address, repeatable, hooks.valid_since, hooks.judge.awaited
+            )
         is_new = connection is None
         if connection is None:
             connection = await self._connect(address, hooks)
@@ -244,10 +244,10 @@
         exchange = Exchange(
             connection,
             keep,
-            hooks.may_reuse,
-            hooks.on_head,
+            hooks.judge,
             hooks.new_counter,
             hooks.max_silent_ms,
+            hooks.deadline_seconds,
         )
         try:
             # Opening the connection may have taken long enough for the upstream's state to change.
@@ -260,12 +260,19 @@
             raise
         return exchange
 
-    def has_reusable(self, address: Address, repeatable: bool, valid_since: float) -> bool:
+    def has_reusable(
+        self,
+        address: Address,
+        repeatable: bool,
+        valid_since: float,
+        awaited: AwaitedRequest | None = None,
+    ) -> bool:
         """Return whether an idle connection to an address may carry a request now."""
         now = asyncio.get_running_loop().time()
         idle = self._idle_by_address.get(address, ())
         return any(
-            self._usable_until(each) > now and self._may_carry(each, repeatable, valid_since)
+            self._usable_until(each) > now
+            and self._may_carry(each, repeatable, valid_since, awaited)
             for each in idle
         )
 
@@ -275,7 +282,11 @@
             self._keep_when_open(address, self._start_connecting(address, hooks)[0], hooks)
 
     def _take_idle(
-        self, address: Address, repeatable: bool, valid_since: float
+        self,
+        address: Address,
+        repeatable: bool,
+        valid_since: float,
+        awaited: AwaitedRequest | None,
     ) -> Connection | None:
         """Return the newest idle connection that may carry a request, or None."""
         idle = self._idle_by_address.get(address, [])
@@ -284,15 +295,25 @@
             if not connection.is_open or self._usable_until(connection) <= now:
                 idle.remove(connection)
                 connection.abort()
-            elif self._may_carry(connection, repeatable, valid_since):
+            elif self._may_carry(connection, repeatable, valid_since, awaited):
                 idle.remove(connection)
-                return connection
+                if not connection.has_unread_bytes():
+                    return connection
+                connection.abort()
         return None
 
-    def _may_carry(self, connection: Connection, repeatable: bool, valid_since: float) -> bool:
+    def _may_carry(
+        self,
+        connection: Connection,
+        repeatable: bool,
+        valid_since: float,
+        awaited: AwaitedRequest | None,
+    ) -> bool:
         """Return whether an idle connection is safe to use for a request."""
         if not connection.is_open or connection.last_received_at < valid_since:
             return False
+        if awaited is not None and not connection.use.may_carry(awaited):
+            return False
         now, managed = asyncio.get_running_loop().time(), self._is_managed(connection)
         return repeatable or self._reuse_rules.is_safe(connection, now, managed)
 
--- a/pondhatch/transport/_http_connection.py
+++ b/pondhatch/transport/_http_connection.py
@@ -7,19 +7,28 @@
 from __future__ import annotations
 
 import asyncio
+import enum
+import functools
 import socket
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Protocol
 
 import h11
 from twisted.internet.error import ConnectionDone
-from twisted.internet.protocol import Protocol
+from twisted.internet.protocol import Protocol as TwistedProtocol
 from twisted.python.failure import Failure
 
 from pondhatch.limits import UNCOUNTED, HeldCounter
-from pondhatch.requests import BodySource, ReplayableBody
+from pondhatch.requests import (
+    AwaitedRequest,
+    BodySource,
+    ConnectionUse,
+    Framing,
+    ReplayableBody,
+)
 from pondhatch.transport._dead_peers import UNACKNOWLEDGED_MS, detect_dead_peer, limit_silence
 from pondhatch.transport._headers import as_bytes
+from pondhatch.transport._http_codec import HttpCodec
 from pondhatch.transport._http_heads import Request, ResponseHead, framing_header, response_head
 from pondhatch.transport._parts import PartPipe
 from pondhatch.transport._unsent import unsent_bytes
@@ -32,15 +41,13 @@
 #: Fraction of the other side's stated idle time during which a connection is reused: later,
 #: a request could cross the other side's close.
 STATED_IDLE_SHARE = 0.5
-#: Maximum bytes of a response's head.
-MAX_HEAD_BYTES = 64 * 1024
 
 
 class ConnectionBroken(ConnectionError):
     """The connection was lost, or received bytes that are not a valid response."""
 
 
-class Connection(Protocol):
+class Connection(TwistedProtocol):
     """One connection, which carries one exchange at a time."""
 
     transport: Any
@@ -56,8 +63,10 @@
         self.idle_since = float("-inf")
         #: Whether it was opened without a request and has carried none yet.
         self.is_unused = False
-        #: Number of requests that it has carried, the current one included.
-        self.request_count = 0
+        #: The requests that it has carried, the current one included.
+        self.use = ConnectionUse()
+        #: Whether one of them was a HEAD request, whose answer's body cannot be told by its head.
+        self.has_carried_head_request = False
         #: Whether the other side is an upstream rather than the platform.
         self.to_upstream = False
         self.is_open = False
@@ -75,7 +84,7 @@
         #: Milliseconds for which bytes may be unacknowledged before the system closes it.
         self._max_silent_ms = UNACKNOWLEDGED_MS
         self._on_closed = on_closed
-        self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+        self._http = HttpCodec()
         self._exchange: Exchange | None = None
 
     def connectionMade(self) -> None:
@@ -92,20 +101,17 @@
         self.last_received_at = self.idle_since = now
         self.usable_until = now + UNUSED_SECONDS
 
-    def begin(
-        self, exchange: Exchange, request: Request, length: int | None, max_silent_ms: int
-    ) -> None:
-        """Write a request's head; its body follows by ``send_body`` or ``send_whole_body``.
-
-        ``max_silent_ms`` is how long its bytes may be unacknowledged, in milliseconds.
-        """
+    def begin(self, exchange: Exchange, request: Request, length: int | None) -> None:
+        """Write a request's head; its body follows by ``send_body`` or ``send_whole_body``."""
+        max_silent_ms = exchange.max_silent_ms
         if self.is_open and max_silent_ms != self._max_silent_ms:
             self._max_silent_ms = max_silent_ms
             limit_silence(self.transport.getHandle(), max_silent_ms)
         self._exchange = exchange
         self.is_unused = False
-        self.request_count += 1
+        self.has_carried_head_request |= request.method == "HEAD"
         self.last_request_at = asyncio.get_running_loop().time()
+        exchange.note_begun(self.use, self.last_request_at)
         framed = framing_header(request.method, length)
         headers = request.headers if framed is None else (*request.headers, framed)
         # As bytes: h11 accepts only ASCII as text, while header values may hold any other byte.
@@ -139,7 +145,7 @@
         self._end_body()
 
     def _end_body(self) -> None:
-        if self._http.our_state is h11.SEND_BODY:
+        if self._http.is_sending_body:
             self._write(h11.EndOfMessage())
 
     def pauseProducing(self) -> None:
@@ -166,7 +172,7 @@
             return
         self.last_received_at = asyncio.get_running_loop().time()
         try:
-            self._http.receive_data(data)
+            self._http.receive(data)
             self._read_events()
         except h11.RemoteProtocolError as error:
             self._fail(ConnectionBroken(f"no answer in the protocol: {error}"))
@@ -184,12 +190,22 @@
             return
         if reason.check(ConnectionDone) is not None:
             try:
-                self._http.receive_data(b"")
+                self._http.receive(b"")
                 self._read_events()
             except h11.RemoteProtocolError:
                 pass  # The answer is incomplete; reported below with the reason of the loss.
         self._fail(ConnectionBroken(reason.getErrorMessage()))
 
+    def has_unread_bytes(self) -> bool:
+        """Return whether bytes, or the end of the connection, wait in the socket's buffer."""
+        try:
+            self.transport.getHandle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return True
+
     def last_active_at(self) -> float:
         """Return when either side last used the connection, in the loop's seconds."""
         return max(self.last_received_at, self.last_request_at)
@@ -231,7 +247,11 @@
             if isinstance(event, h11.Response):
                 exchange.receive_head(response_head(event))
             elif isinstance(event, h11.Data):
-                parts.append(bytes(event.data))
+                if not exchange.is_skipping:
+                    parts.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage) and exchange.is_skipping:
+                exchange.is_skipping = False
+                self._http.skip_answer()
             elif isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
                 self._end(exchange, parts)
                 return
@@ -243,10 +263,8 @@
         self._exchange = None
         if parts:
             exchange.pipe.put(b"".join(parts))
-        is_complete = self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
-        has_surplus = bool(self._http.trailing_data[0])
-        if is_complete and not has_surplus and self.is_open:
-            self._http.start_next_cycle()
+        if self._http.is_complete and self.is_open:
+            self._http.start_next_exchange()
             stated_idle_seconds = (
                 exchange.response.stated_idle_seconds() if exchange.response is not None else None
             )
@@ -271,8 +289,45 @@
         self.abort()
 
 
-def _ignore_head(_: ResponseHead) -> None:
-    return None
+class HeadVerdict(enum.Enum):
+    """What the sender of a request found of the head of an answer."""
+
+    #: It is the request's answer.
+    OWN = enum.auto()
+    #: It is another's; the request's own is to come on the same connection.
+    SKIPPED = enum.auto()
+    #: Whose it is cannot be told, or the connection's order is lost. The connection is not reused.
+    UNPROVEN = enum.auto()
+
+
+class AnswerJudge(Protocol):
+    """Decides whose an answer is, for the sender of a request."""
+
+    #: How the request's answer is recognized; None where each answer counts as its own.
+    awaited: AwaitedRequest | None
+
+    def judge(
+        self, head: ResponseHead, use: ConnectionUse, can_skip: Callable[[], bool]
+    ) -> HeadVerdict:
+        """Return whose an answer is, on receipt of its head.
+
+        ``can_skip`` returns whether the answer's end is known, so that another may follow it.
+        """
+
+
+class TrustingJudge:
+    """Takes each answer for that of the request sent last; see AnswerJudge."""
+
+    awaited: AwaitedRequest | None = None
+
+    def judge(
+        self, head: ResponseHead, use: ConnectionUse, can_skip: Callable[[], bool]
+    ) -> HeadVerdict:
+        """Return that the answer is the request's own."""
+        return HeadVerdict.OWN
+
+
+TRUSTING_JUDGE = TrustingJudge()
 
 
 def no_counter() -> HeldCounter:
@@ -287,10 +342,10 @@
         self,
         connection: Connection,
         keep_idle: Callable[[Connection], None],
-        may_reuse: Callable[[ResponseHead], bool],
-        on_head: Callable[[ResponseHead], None] = _ignore_head,
+        judge: AnswerJudge = TRUSTING_JUDGE,
         new_counter: Callable[[], HeldCounter] = no_counter,
         max_silent_ms: int = UNACKNOWLEDGED_MS,
+        deadline_seconds: float = 0.0,
     ) -> None:
         #: Resolved with the response head. Its waiter may cancel it in the same turn of the loop
         #: in which the response arrives, so ``response`` holds what was received.
@@ -299,21 +354,27 @@
         self.pipe = PartPipe(connection.pause, connection.resume)
         self.pipe.use_counter(new_counter())
         self.connection = connection
+        #: Milliseconds for which its bytes may be unacknowledged.
+        self.max_silent_ms = max_silent_ms
+        #: Whether an answer is read that is not the request's, and dropped.
+        self.is_skipping = False
+        self._has_skipped = False
         self._keep_idle = keep_idle
-        #: Returns whether a connection may be reused after a response with this head.
-        self._may_reuse = may_reuse
-        #: Called with the head on receipt, even if its waiter was cancelled.
-        self._on_head = on_head
+        #: Asked with each head on receipt, even if its waiter was cancelled.
+        self._judge = judge
+        self._verdict = HeadVerdict.UNPROVEN
+        #: Seconds within which the request may be sent again, here or elsewhere.
+        self._deadline_seconds = deadline_seconds
         #: Returns a counter for bytes buffered for the other side or for the answer's reader.
         self._new_counter = new_counter
-        #: Milliseconds for which its bytes may be unacknowledged.
-        self._max_silent_ms = max_silent_ms
         self._is_finished = False
         self._send_task: asyncio.Task[None] | None = None
+        self._method = ""
 
     def send(self, request: Request, body: BodySource) -> None:
         """Write the request; a body that is not in memory is sent as it is received."""
-        self.connection.begin(self, request, body.length, self._max_silent_ms)
+        self._method = request.method
+        self.connection.begin(self, request, body.length)
         if isinstance(body, ReplayableBody):
             self.connection.send_whole_body(body.content)
             return
@@ -329,10 +390,19 @@
                 self.head.exception()
             self.cancel()
 
+    def note_begun(self, use: ConnectionUse, now: float) -> None:
+        """Note in the connection's use that the request is sent."""
+        if self._judge.awaited is not None:
+            use.note_request(self._judge.awaited, now, self._deadline_seconds)
+
     def receive_head(self, head: ResponseHead) -> None:
-        """Store the response head and resolve ``head``."""
+        """Store the response head and resolve ``head``, unless the answer is to be skipped."""
+        can_skip = functools.partial(self._can_skip, head)
+        self._verdict = self._judge.judge(head, self.connection.use, can_skip)
+        if self._verdict is HeadVerdict.SKIPPED:
+            self.is_skipping = self._has_skipped = True
+            return
         self.response = head
-        self._on_head(head)
         if not self.head.done():
             self.head.set_result(head)
 
@@ -342,11 +412,21 @@
         self.pipe.end()
         if reusable is None:
             return
-        if self.response is not None and self._may_reuse(self.response):
+        if self._verdict is HeadVerdict.OWN:
             self._keep_idle(reusable)
         else:
             reusable.abort()
 
+    def _can_skip(self, head: ResponseHead) -> bool:
+        """Return whether an answer can be read to its end, and another be told to follow it."""
+        return (
+            not self._has_skipped
+            and not self.connection.has_carried_head_request
+            and head.framing(self._method) is not Framing.CLOSE
+            and not head.closes_connection()
+            and not head.is_event_stream()
+        )
+
     def fail(self, error: ConnectionError) -> None:
         """End the exchange with an error."""
         self._finish()
--- a/pondhatch/transport/_upstreams.py
+++ b/pondhatch/transport/_upstreams.py
@@ -33,6 +33,11 @@
     is_event_stream,
     new_try,
 )
+from pondhatch.transport._answer_judge import (
+    NoSurplusObserver,
+    SurplusObserver,
+    UpstreamAnswerJudge,
+)
 from pondhatch.transport._dead_peers import UNACKNOWLEDGED_MS, UNREPEATABLE_UNACKNOWLEDGED_MS
 from pondhatch.transport._header_owners import dropped_header_counter
 from pondhatch.transport._http_client import (
@@ -47,8 +52,6 @@
 from pondhatch.transport._http_heads import Request, ResponseHead
 
 OK = 200
-#: Number of characters of an id in an answer that are logged.
-LOGGED_ID_CHARACTERS = 64
 #: URLs whose parsed address is cached: twice the number of upstreams that the design allows
 #: for. Parsing one costs more than the rest of the search for an idle connection.
 MAX_CACHED_URLS = 4096
@@ -118,6 +121,7 @@
         view: UpstreamView | None = None,
         held: HeldBytes | None = None,
         paths: PathObserver | None = None,
+        surplus_observer: SurplusObserver | None = None,
     ) -> None:
         self.client = client
         #: Counts the bytes buffered here for callers and upstreams.
@@ -125,6 +129,7 @@
         self._dialect = dialect
         self._view = view or NoUpstreamView()
         self._paths = paths or NoPathObserver()
+        self._surplus_observer = surplus_observer or NoSurplusObserver()
         self._note_dropped = dropped_header_counter(metrics or NoMetrics())
 
     async def send(
@@ -134,6 +139,7 @@
         attempt = new_try(target.name)
         deadline = asyncio.get_running_loop().time() + head.deadline
         request = Request(head.method, head.path, self._dialect.request_headers(head, target))
+        judge = self._new_judge(target, head)
         exchange: Exchange | None = None
         try:
             async with asyncio.timeout_at(deadline):
@@ -144,7 +150,7 @@
                     body,
                     _is_reusable(head),
                     head.needs_new_connection,
-                    self._hooks(target, head, patience),
+                    self._hooks(target, head, patience, judge),
                 )
                 attempt.sent()
                 response = await exchange.head
@@ -165,7 +171,7 @@
                 exchange.cancel()
             raise
         try:
-            return self._start_answer(exchange, response, head, attempt, deadline)
+            return self._start_answer(exchange, response, head, attempt, judge, deadline)
         except BaseException:
             # Only this call holds a reference to the exchange so far.
             exchange.cancel()
@@ -180,7 +186,8 @@
             address = _address_of(target.url)
         except NotSent:
             return False
-        return self.client.has_reusable(address, _is_reusable(head), valid_since)
+        awaited = self._dialect.awaited(head)
+        return self.client.has_reusable(address, _is_reusable(head), valid_since, awaited)
 
     def reconnect(self, target: Target) -> None:
         """Open a connection to an upstream in the background; see DirectUpstreams."""
@@ -198,17 +205,29 @@
             max_idle=_max_idle(target),
         )
 
-    def _hooks(self, target: Target, head: RequestHead, patience: float | None) -> Hooks:
-        """Return the callbacks and options of one request."""
+    def _new_judge(self, target: Target, head: RequestHead) -> UpstreamAnswerJudge:
+        """Return the judge of the answers to one request."""
 
-        def receive_head(answered: ResponseHead) -> None:
+        def receive_own_head(answered: ResponseHead) -> None:
             self._paths.record_answer()
             self._receive_notice(target, answered)
 
+        return UpstreamAnswerJudge(
+            self._dialect, head, target.name, self._surplus_observer, receive_own_head
+        )
+
+    def _hooks(
+        self,
+        target: Target,
+        head: RequestHead,
+        patience: float | None,
+        judge: UpstreamAnswerJudge,
+    ) -> Hooks:
+        """Return the callbacks and options of one request."""
         return replace(
             self._connection_hooks(target),
-            may_reuse=lambda answered: self._classify(head, answered) is not AnswerKind.CROSSED,
-            on_head=receive_head,
+            judge=judge,
+            deadline_seconds=head.deadline,
             before_send=lambda: self._check_open(target, head),
             new_counter=lambda: self._held.counter(head.account),
             patience=patience,
@@ -254,21 +273,6 @@
         if notice or notice.pace:
             self._view.receive_notice(target.name, notice)
 
-    def _classify(self, head: RequestHead, response: ResponseHead) -> AnswerKind | EngineRefusal:
-        return self._dialect.classify(head, response.status, response.value_by_name)
-
-    def _describe(self, exchange: Exchange, response: ResponseHead, head: RequestHead) -> str:
-        """Return a refusal's status, whose it is by its id, and its place on its connection."""
-        answered_id = self._dialect.answered_id(response.value_by_name)
-        if answered_id is None:
-            whose = "naming no request"
-        elif answered_id == self._dialect.sent_id(head):
-            whose = "naming this request"
-        else:
-            whose = f"naming request {answered_id[:LOGGED_ID_CHARACTERS]}"
-        number = exchange.connection.request_count
-        return f"answered {response.status}, {whose}, on request {number} of its connection"
-
     def _abandon(self, exchange: Exchange | None, attempt: Try, reason: str) -> NotRun | Unknown:
         if exchange is not None:
             exchange.cancel()
@@ -280,17 +284,17 @@
         response: ResponseHead,
         head: RequestHead,
         attempt: Try,
+        judge: UpstreamAnswerJudge,
         deadline: float,
     ) -> AnswerStarted | NotRun | Unknown:
-        kind = self._classify(head, response)
-        if kind is AnswerKind.CROSSED:
-            attempt.crossed()
+        if isinstance(judge.proof, EngineRefusal):
+            attempt.refused(judge.proof)
             exchange.cancel()
-            return _refusal(attempt, self._describe(exchange, response, head))
-        if isinstance(kind, EngineRefusal):
-            attempt.refused(kind)
+            return _refusal(attempt, judge.description)
+        if judge.proof is not AnswerKind.ANSWERED:
+            attempt.crossed()
             exchange.cancel()
-            return _refusal(attempt, self._describe(exchange, response, head))
+            return _refusal(attempt, judge.description)
         attempt.head()
         headers = self._dialect.answer_headers(response.headers, self._note_dropped)
         streams = response.status == OK and is_event_stream(headers)
