--- a/pondhatch/requests/_answer_proof.py
+++ b/pondhatch/requests/_answer_proof.py
@@ -65,7 +65,10 @@
         self._sent_again_until: dict[str, float] = {}
 
     def may_carry(self, request: AwaitedRequest) -> bool:
-        """Return whether the answer to a request could be told from those to earlier ones here."""
+        """Return whether the answer to a request could be told from those to earlier ones here.
+
+        The second copy of an answer to an earlier try of the same request has its id.
+        """
         if self.request_count == 0:
             return True
         if (
--- a/pondhatch/requests/tests/test_answer_proof.py
+++ b/pondhatch/requests/tests/test_answer_proof.py
@@ -84,6 +84,12 @@
         for each in (named("a"), named(""), unnamed("a"), unnamed("")):
             self.assertTrue(ConnectionUse().may_carry(each))
 
+    # Guards against an attempt that meets the second copy of the answer to its earlier try.
+    def test_no_request_is_carried_twice(self) -> None:
+        use = use_of(named("a"))
+        self.assertFalse(use.may_carry(named("a", repeatable=True)))
+        self.assertTrue(use.may_carry(named("b")))
+
     def test_what_answers_without_a_name_cannot_be_told_apart(self) -> None:
         use = use_of(named("a"))
         self.assertFalse(use.may_carry(named("", repeatable=True)))
