Poll an upstream's load over a connection of its own

What callers would see: an upstream counted as leaving, or as loaded, by a report that it had given earlier.

Cause: the standard interface polled loads over a pool of kept connections. Reports name no request, so an earlier one that comes a second time, late, counts as the answer to the next poll.

--- a/pondhatch/standard/_loads.py
+++ b/pondhatch/standard/_loads.py
@@ -44,7 +44,8 @@
 async def _poll(state: RouterState, engine: str, url: str) -> None:
     try:
         async with asyncio.timeout(ANSWER_SECONDS):
-            response = await as_future(treq.get(f"{url}/load"))
+            # A new connection each time: on a kept one, an earlier report could come once more.
+            response = await as_future(treq.get(f"{url}/load", persistent=False))
             content = await as_future(response.content())
             load = msgspec.json.decode(content, type=_Load)
     except Exception:
