Count idle connections to upstreams that receive bytes nobody asked for

A surplus answer that comes while no request is under way closes its connection, as before, and left no trace: on-call engineers saw new connections, and not why. The counter connections.unasked tells. Tests of it, and of the connection with unread bytes that is not used.

--- a/pondhatch/transport/_http_client.py
+++ b/pondhatch/transport/_http_client.py
@@ -419,6 +419,8 @@
     def _connection_closed(self, connection: Connection) -> None:
         if connection.was_lost and connection.to_upstream:
             self._reuse_rules.note_loss(asyncio.get_running_loop().time())
+        if connection.has_unasked_bytes and connection.to_upstream:
+            self._metrics.count("connections.unasked")
         self._forget(connection)
 
     def _forget(self, connection: Connection) -> None:
--- a/pondhatch/transport/_http_connection.py
+++ b/pondhatch/transport/_http_connection.py
@@ -74,6 +74,8 @@
         #: seconds.
         self.last_received_at = float("-inf")
         self.last_request_at = float("-inf")
+        #: Whether it received bytes while no request was under way.
+        self.has_unasked_bytes = False
         #: Whether it had received bytes and was lost, neither closed cleanly nor aborted here.
         self.was_lost = False
         #: Whether it was lost that way after its exchange was inactive for UNACKNOWLEDGED_MS.
@@ -168,6 +170,7 @@
     def dataReceived(self, data: bytes) -> None:
         """Process received bytes; bytes outside of an exchange abort the connection."""
         if self._exchange is None:
+            self.has_unasked_bytes = True
             self.abort()
             return
         self.last_received_at = asyncio.get_running_loop().time()
--- a/pondhatch/transport/tests/test_surplus_answers.py
+++ b/pondhatch/transport/tests/test_surplus_answers.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import unittest
 from collections.abc import Sequence
 from typing import Any
 
 from msgspec.structs import replace
+from twisted.internet.error import ConnectionDone
+from twisted.python.failure import Failure
 
+from pondhatch.observing import PrometheusMetrics
 from pondhatch.placement import OPEN, Notice
 from pondhatch.platform._engines import EngineDialect
 from pondhatch.requests import (
@@ -25,6 +29,7 @@
 from pondhatch.transport._http_client import HttpClient
 from pondhatch.transport._upstreams import HttpUpstreams
 from pondhatch.transport.tests.test_header_bytes import Reactor
+from pondhatch.transport.tests.test_http_client import Handle
 from pondhatch.transport.tests.test_upstream_notices import View
 
 TARGET = Target("i-1", "http://127.0.0.1:8080", OPEN, 1.5, 3, 64)
@@ -84,7 +89,10 @@
         self.dialect = dialect
         self.reactor = Reactor()
         self.view = View()
-        self.upstreams = HttpUpstreams(HttpClient(self.reactor), dialect.upstreams, view=self.view)
+        self.metrics = PrometheusMetrics("r0")
+        client = HttpClient(self.reactor)
+        client.configure(lambda: False, self.metrics)
+        self.upstreams = HttpUpstreams(client, dialect.upstreams, view=self.view)
 
     async def begin(self, name: str, **changes: Any) -> asyncio.Task[Any]:
         """Send a request under an id, and return the task that waits for its outcome."""
@@ -236,6 +244,39 @@
                 self.assertEqual(len(rig.reactor.connections), connections)
 
 
+class _WaitingBytes(Handle):
+    """A socket in whose buffer bytes wait, or the end of the connection."""
+
+    def __init__(self, waiting: bytes) -> None:
+        self._waiting = waiting
+
+    def recv(self, *_: int) -> bytes:
+        return self._waiting
+
+
+class IdleConnectionTest(unittest.IsolatedAsyncioTestCase):
+    # Guards against a request that goes out while a surplus answer, which names no request, already
+    # waits in the socket's buffer.
+    async def test_a_connection_with_unread_bytes_is_closed_and_not_used(self) -> None:
+        for waiting in (b"H", b""):
+            with self.subTest(waiting=waiting):
+                rig = Rig(PLATFORM)
+                await rig.use_connection(PLATFORM.answer(b"200 OK", "a"))
+                handle = functools.partial(_WaitingBytes, waiting)
+                rig.reactor.transports[0].getHandle = handle  # type: ignore[method-assign]
+                await rig.begin("b")
+                self.assertEqual(len(rig.reactor.connections), 2)
+                self.assertTrue(rig.reactor.transports[0].aborted)
+
+    # Guards against surplus answers on idle connections that nobody sees.
+    async def test_bytes_on_an_idle_connection_are_counted(self) -> None:
+        rig = Rig(PLATFORM)
+        await rig.use_connection(PLATFORM.answer(b"200 OK", "a"))
+        rig.receive(PLATFORM.answer(b"200 OK", "a"))
+        rig.reactor.connections[0].connectionLost(Failure(ConnectionDone()))
+        self.assertEqual(rig.metrics.count_by_name["connections.unasked"], 1)
+
+
 class WhoseRefusalTest(unittest.IsolatedAsyncioTestCase):
     # Guards against lines from which nobody can tell whose refusal a router believed.
     async def test_the_reason_of_a_refusal_says_whose_it_is(self) -> None:
