Read a connection on when its exchange ends, however slow the reader is

A slow client that stayed held up the next request on its engine's connection for as long.

Cause: a pipe pauses its connection while its reader is slow, and only that reader resumed it. If the answer ended with the bytes that made the pipe pause, the connection went back to the pool paused.

Change: an exchange that ends lets go of its connection: PartPipe.release_source resumes it if it is paused, and the pipe neither pauses nor resumes it again. So a connection without an exchange is always read, and a late reader does not resume the connection in the midst of the next answer. Connection._end alone decides that a connection goes back to the pool; until now Exchange.complete decided a part of it. No connection is closed or opened that was not before.

A test changed: SlowReadersTest.test_only_the_account_that_holds_the_most_ is_limited asked that the sources of a slowed account be paused after the last byte of their answers, which is this fault. Its answers are longer by one part now, so the same is asked of answers that go on, and it asks besides that their ends are read and nothing is held or paused after them.

Readers looked at without a change: a relayed answer at the asking router (each call has its own stream, and grpclib gives back the unread bytes of one that ends), the watch of the platform (twisted's own client resumes a connection before it keeps it), a caller's connection whose body was not read (twisted's channel resumes it when the request is done).

--- a/pondhatch/transport/_http_connection.py
+++ b/pondhatch/transport/_http_connection.py
@@ -259,29 +259,31 @@
             exchange.pipe.put(b"".join(parts))
 
     def _end(self, exchange: Exchange, parts: list[bytes]) -> None:
-        """End an exchange whose answer is complete; keep the connection if it is reusable."""
+        """End an exchange whose answer is complete; keep the connection if it is reusable.
+
+        Only from here does a connection that carried a request become idle. It is being read then,
+        even if the answer's reader is slow or has left.
+        """
         self._exchange = None
-        if parts:
-            exchange.pipe.put(b"".join(parts))
-        if self._http.is_complete and self.is_open:
-            self._http.start_next_exchange()
-            stated_idle_seconds = (
-                exchange.response.stated_idle_seconds() if exchange.response is not None else None
-            )
-            self.has_stated_idle = stated_idle_seconds is not None
-            self.stated_idle_seconds = stated_idle_seconds or 0.0
-            self.idle_since = asyncio.get_running_loop().time()
-            kept_seconds = (
-                IDLE_SECONDS
-                if stated_idle_seconds is None
-                else stated_idle_seconds * STATED_IDLE_SHARE
-            )
-            self.usable_until = self.idle_since + kept_seconds
-            exchange.complete(self)
+        exchange.complete(b"".join(parts))
+        if self.is_open and self._http.is_complete and exchange.has_own_answer():
+            self._become_idle(exchange.response)
+            exchange.keep_idle(self)
         else:
-            exchange.complete(None)
             self.abort()
 
+    def _become_idle(self, answered: ResponseHead | None) -> None:
+        """Prepare for another request, within the idle time that the other side states."""
+        self._http.start_next_exchange()
+        stated_idle_seconds = answered.stated_idle_seconds() if answered is not None else None
+        self.has_stated_idle = stated_idle_seconds is not None
+        self.stated_idle_seconds = stated_idle_seconds or 0.0
+        self.idle_since = asyncio.get_running_loop().time()
+        kept_seconds = (
+            IDLE_SECONDS if stated_idle_seconds is None else stated_idle_seconds * STATED_IDLE_SHARE
+        )
+        self.usable_until = self.idle_since + kept_seconds
+
     def _fail(self, error: ConnectionError) -> None:
         exchange, self._exchange = self._exchange, None
         if exchange is not None:
@@ -359,7 +361,8 @@
         #: Whether an answer is read that is not the request's, and dropped.
         self.is_skipping = False
         self._has_skipped = False
-        self._keep_idle = keep_idle
+        #: Adds the connection to the idle ones.
+        self.keep_idle = keep_idle
         #: Asked with each head on receipt, even if its waiter was cancelled.
         self._judge = judge
         self._verdict = HeadVerdict.UNPROVEN
@@ -406,16 +409,16 @@
         if not self.head.done():
             self.head.set_result(head)
 
-    def complete(self, reusable: Connection | None) -> None:
-        """End the exchange with a complete answer; keep a reusable connection if allowed."""
+    def complete(self, rest: bytes) -> None:
+        """End the exchange with the rest of its complete answer."""
+        if rest:
+            self.pipe.put(rest)
         self._finish()
         self.pipe.end()
-        if reusable is None:
-            return
-        if self._verdict is HeadVerdict.OWN:
-            self._keep_idle(reusable)
-        else:
-            reusable.abort()
+
+    def has_own_answer(self) -> bool:
+        """Return whether the answer read last is the request's own."""
+        return self._verdict is HeadVerdict.OWN
 
     def _can_skip(self, head: ResponseHead) -> bool:
         """Return whether an answer can be read to its end, and another be told to follow it."""
@@ -447,5 +450,7 @@
 
     def _finish(self) -> None:
         self._is_finished = True
+        # The pipe may be read long after this, or never.
+        self.pipe.release_source()
         if self._send_task is not None and self._send_task is not asyncio.current_task():
             self._send_task.cancel()
--- a/pondhatch/transport/_parts.py
+++ b/pondhatch/transport/_parts.py
@@ -70,6 +70,16 @@
         self.ended = True
         self._wake()
 
+    def release_source(self) -> None:
+        """Resume the source if it is paused, and never pause or resume it again.
+
+        For a source that goes on with other work, as no more parts are to come from it.
+        """
+        is_paused, resume = self._paused, self._resume
+        self._paused, self._pause, self._resume = False, _do_nothing, _do_nothing
+        if is_paused:
+            resume()
+
     def fail(self, error: Exception) -> None:
         """Mark the source as lost; the reader gets the error after the parts received so far."""
         if not self.ended and self._error is None:
--- a/pondhatch/transport/tests/test_held_bytes.py
+++ b/pondhatch/transport/tests/test_held_bytes.py
@@ -26,7 +26,7 @@
 POST = "POST /proofs/a HTTP/1.1"
 #: Sizes of parts of an answer: one that exceeds the transport's buffer, and one that queues.
 FIRST, NEXT = 96 * 1024, 32 * 1024
-ANSWER_HEAD = f"HTTP/1.1 200 OK\r\nAttempt-Id: 9c41\r\nContent-Length: {FIRST + 2 * NEXT}\r\n\r\n"
+ANSWER_HEAD = f"HTTP/1.1 200 OK\r\nAttempt-Id: 9c41\r\nContent-Length: {FIRST + 3 * NEXT}\r\n\r\n"
 CHUNK = b"400\r\n" + b"x" * 1024 + b"\r\n"
 
 
@@ -138,6 +138,10 @@
         self.assertFalse(self.is_paused(others))
         self.assertFalse(any(transport.aborted for _, transport in self.slow))
         await self.read_all()
+        self.assertFalse(any(map(self.is_paused, engines)))
+        for index in (others, *engines):
+            await self.send_next(index)
+        await self.read_all()
         self.assertEqual((self.held.total, self.held.bytes_by_account), (0, {}))
         self.assertFalse(any(map(self.is_paused, engines)))
         self.assertEqual(await self.status_of_request(PINA), b"200")
