Split the module of connections: exchanges and verdicts apart; answers of upstreams too

Exchange is in _exchange.py, the interface by which a sender says whose an answer is in _head_verdict.py, an answer that is read from an upstream in _upstream_answer.py.

--- a/pondhatch/transport/_answer_judge.py
+++ b/pondhatch/transport/_answer_judge.py
@@ -17,7 +17,7 @@
     UpstreamDialect,
     judge,
 )
-from pondhatch.transport._http_connection import HeadVerdict
+from pondhatch.transport._head_verdict import HeadVerdict
 from pondhatch.transport._http_heads import ResponseHead
 
 #: Number of characters of an id in an answer that are logged.
--- a/pondhatch/transport/_http_client.py
+++ b/pondhatch/transport/_http_client.py
@@ -22,13 +22,9 @@
 from pondhatch.observing import Metrics, NoMetrics
 from pondhatch.requests import AwaitedRequest, BodySource
 from pondhatch.transport._dead_peers import UNACKNOWLEDGED_MS
-from pondhatch.transport._http_connection import (
-    TRUSTING_JUDGE,
-    AnswerJudge,
-    Connection,
-    Exchange,
-    no_counter,
-)
+from pondhatch.transport._exchange import Exchange, no_counter
+from pondhatch.transport._head_verdict import TRUSTING_JUDGE, AnswerJudge
+from pondhatch.transport._http_connection import Connection
 from pondhatch.transport._http_heads import Request
 from pondhatch.transport._reuse import MAX_SILENT_SECONDS as MAX_SILENT_SECONDS
 from pondhatch.transport._reuse import ReuseRules
--- a/pondhatch/transport/_upstreams.py
+++ b/pondhatch/transport/_upstreams.py
@@ -13,16 +13,12 @@
 from pondhatch.placement import NO_NOTICE
 from pondhatch.requests import (
     AnswerKind,
-    AnswerLost,
     AnswerStarted,
     BodySource,
-    Broken,
     EngineRefusal,
-    Headers,
     NoPathObserver,
     NotRun,
     NoUpstreamView,
-    PartSink,
     PathObserver,
     RequestHead,
     Target,
@@ -39,6 +35,7 @@
     UpstreamAnswerJudge,
 )
 from pondhatch.transport._dead_peers import UNACKNOWLEDGED_MS, UNREPEATABLE_UNACKNOWLEDGED_MS
+from pondhatch.transport._exchange import Exchange
 from pondhatch.transport._header_owners import dropped_header_counter
 from pondhatch.transport._http_client import (
     IDLE_CONNECTIONS,
@@ -48,8 +45,8 @@
     Listening,
     NotSent,
 )
-from pondhatch.transport._http_connection import Exchange
 from pondhatch.transport._http_heads import Request, ResponseHead
+from pondhatch.transport._upstream_answer import UpstreamAnswer
 
 OK = 200
 #: URLs whose parsed address is cached: twice the number of upstreams that the design allows
@@ -65,51 +62,6 @@
         self.refusal = refusal
 
 
-class UpstreamAnswer:
-    """An answer read from an upstream's connection; see AnswerStream."""
-
-    def __init__(
-        self,
-        exchange: Exchange,
-        status: int,
-        headers: Headers,
-        attempt: Try,
-        deadline: float,
-    ) -> None:
-        self.status: int = status
-        self.headers = headers
-        self._exchange = exchange
-        self._attempt = attempt
-        self._has_expired = False
-        #: One timer for the whole answer is cheaper than one for each part.
-        self._timer = asyncio.get_running_loop().call_at(deadline, self._expire)
-
-    async def stream_to(self, sink: PartSink) -> None:
-        """Write every part to a sink; see AnswerStream."""
-        try:
-            await self._exchange.pipe.stream_to(sink)
-        except ConnectionError as error:
-            raise self._answer_lost(str(error), was_cut=not self._has_expired) from error
-        self._timer.cancel()
-        self._attempt.ended()
-
-    def cancel(self) -> None:
-        """Close the connection, unless the answer was read to its end."""
-        self._timer.cancel()
-        self._exchange.cancel()
-
-    def _expire(self) -> None:
-        self._has_expired = True
-        self._exchange.pipe.fail(ConnectionError("the deadline passed"))
-        self._exchange.cancel()
-
-    def _answer_lost(self, reason: str, was_cut: bool) -> AnswerLost:
-        outcome = self._attempt.lost(reason)
-        if not isinstance(outcome, Broken):
-            raise TypeError(f"an answer cannot be lost as {outcome}")
-        return AnswerLost(replace(outcome, connection_lost=was_cut))
-
-
 class HttpUpstreams:
     """Sends requests to upstreams over pooled connections; see Upstreams."""
 
