Failing tests: a stream goes on from its start after a comment line

The tests compare the id of the last whole event with that of a plain parser of text/event-stream, fed at every split, byte by byte and in drawn parts, and deliver a stream that breaks off after comments. Besides the comment, the parser shows the same fault for the line feed of a CR LF that was split, and for events without an id.

--- a/pondhatch/requests/tests/test_events.py
+++ b/pondhatch/requests/tests/test_events.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import re
 import unittest
 
@@ -13,6 +14,13 @@
 LINE_ENDS = (b"\n", b"\r\n", b"\r")
 #: Lines of an event; an empty list of fields makes a block of comments alone.
 FIELDS = (b"data: a", b"id: 7", b"data", b"data: \xe2\x82\xac", b"event: x")
+BYTE_ORDER_MARK = b"\xef\xbb\xbf"
+#: Lines of a stream in which ids are of all kinds; the empty one, drawn often, ends an event.
+ID_LINES = (
+    *(b"", b"", b"", b"id: 1", b"id:22", b"id: 3 3", b"id:  4", b"id:", b"id", b"id: a\0b"),
+    *(b": keep-alive", b":", b": id: 8", b"data: a", b"data: id: 9", b"data", b"event: x"),
+    *(b"idx: 5", b" id: 6", b"xid: 7", b"ID: 8", BYTE_ORDER_MARK + b"id: 9"),
+)
 
 
 @st.composite
@@ -74,6 +82,94 @@
     return not content[min(one, other) : max(one, other)].strip(b"\r\n")
 
 
+class ReferenceParser:
+    """Parses a stream as the format's standard says, a byte at a time."""
+
+    def __init__(self) -> None:
+        #: Id of the last whole event, or of the last one before it that stated one.
+        self.last_id = ""
+        self._id_buffer = ""
+        self._line = b""
+        self._is_first_line = True
+        self._was_carriage_return = False
+
+    def feed(self, content: bytes) -> None:
+        for index in range(len(content)):
+            byte = content[index : index + 1]
+            is_rest_of_line_end = self._was_carriage_return and byte == b"\n"
+            self._was_carriage_return = byte == b"\r"
+            if is_rest_of_line_end:
+                continue
+            if byte in (b"\r", b"\n"):
+                self._end_line()
+            else:
+                self._line += byte
+
+    def _end_line(self) -> None:
+        line, self._line = self._line, b""
+        if self._is_first_line:
+            line = line.removeprefix(BYTE_ORDER_MARK)
+        self._is_first_line = False
+        if not line:
+            self.last_id = self._id_buffer
+            return
+        if line.startswith(b":"):
+            return
+        name, _, value = line.partition(b":")
+        if name == b"id" and b"\0" not in value:
+            self._id_buffer = value.removeprefix(b" ").decode("latin-1")
+
+
+@st.composite
+def streams_with_ids(draw: st.DrawFn) -> bytes:
+    """Return a stream whose lines end in all ways, perhaps with a byte-order mark before it."""
+    line_ends = draw(st.sampled_from((*((each,) for each in LINE_ENDS), LINE_ENDS)))
+    lines = draw(st.lists(st.sampled_from(ID_LINES), max_size=10))
+    content = draw(st.sampled_from((b"", BYTE_ORDER_MARK)))
+    return content + b"".join(line + draw(st.sampled_from(line_ends)) for line in lines)
+
+
+class LastIdTest(unittest.TestCase):
+    """A stream goes on after the last whole event, whatever bytes came last."""
+
+    def assert_same_id(self, splitter: EventSplitter, reference: ReferenceParser) -> None:
+        # A header's value begins and ends with no blanks.
+        self.assertEqual(splitter.last_id, reference.last_id.strip())
+
+    def assert_ids_in_parts(self, *parts: bytes) -> None:
+        splitter, reference = EventSplitter(), ReferenceParser()
+        for part in parts:
+            splitter.feed(part)
+            reference.feed(part)
+            self.assert_same_id(splitter, reference)
+
+    # A comment that came by itself hid the id before it, so that the stream began anew.
+    @given(streams_with_ids())
+    def test_the_id_is_that_of_the_last_whole_event_wherever_the_stream_is_split(
+        self, content: bytes
+    ) -> None:
+        for at in range(len(content) + 1):
+            self.assert_ids_in_parts(content[:at], content[at:])
+        self.assert_ids_in_parts(*(content[at : at + 1] for at in range(len(content))))
+
+    @given(streams_with_ids(), st.lists(st.integers(0, 120), max_size=8))
+    def test_the_id_is_that_of_the_last_whole_event_in_any_parts(
+        self, content: bytes, cuts: list[int]
+    ) -> None:
+        offsets = [0, *sorted(min(cut, len(content)) for cut in cuts), len(content)]
+        self.assert_ids_in_parts(*(content[a:b] for a, b in itertools.pairwise(offsets)))
+
+    # A line feed that came by itself hid the id as well.
+    def test_the_rest_of_a_split_line_end_hides_no_id(self) -> None:
+        self.assert_ids_in_parts(b"id: 1\r\ndata: a\r\n\r", b"\n", b"data: b")
+
+    def test_an_event_that_has_not_ended_has_no_id_yet(self) -> None:
+        self.assert_ids_in_parts(b"id: 1\n\nid: 2\ndata: b\n", b": ping\n", b"\n")
+
+    def test_an_event_without_an_id_keeps_that_before_it_and_an_empty_id_does_not(self) -> None:
+        self.assert_ids_in_parts(b"id: 1\n\n", b"data: b\n\n", b"id\n\n", b"data: c\n\n")
+
+
 class LineEndTest(unittest.TestCase):
     def test_a_line_feed_that_comes_after_its_carriage_return_is_passed_on_at_once(self) -> None:
         splitter = EventSplitter()
