A stream goes on after its last whole event, whatever bytes came last

Cause: the splitter looked for the id in the bytes that it had passed on last. A comment by itself, an event without an id, or the line feed of a CR LF that came apart hold none, and the position fell back to where the answer began.

Change: the splitter remembers the id as it passes events on, read as the format's standard says: the last id line of whole events counts, also an empty one or one without a colon, only after a byte-order mark at the very start, and none with a NUL. Blanks around an id are left out, as before, since a header carries none.

The modules of checked answers, version histories, relaying, histories and broken streams pass.

Left open: a stream whose last event states an empty id, or whose events state none at all, has no position by id; such a stream, where it may be resumed at other engines, still goes on from where its request began.

--- a/pondhatch/requests/_events.py
+++ b/pondhatch/requests/_events.py
@@ -14,8 +14,6 @@
 SEPARATOR = b"\n\n"
 #: Last event of a streamed chat answer; without it the answer is incomplete.
 LAST_EVENT = b"data: [DONE]"
-#: Start of the line that carries an event's id.
-ID_FIELD = b"id:"
 #: Start of a line that is a comment.
 COMMENT = b":"
 #: May precede the first line of a stream.
@@ -24,6 +22,9 @@
 
 #: The end of a line and the blank lines after it. CR LF is one end of a line, never two.
 _BLANK_LINES = re.compile(rb"(?>\r\n|\n|\r)(?>\r\n|\n|\r)+")
+#: A whole line that states an event's id; one with a NUL states none. It begins with the letters,
+#: which a search finds fastest; what precedes them is checked next.
+_ID_LINE = re.compile(rb"id(?<![^\r\n]id)(?::([^\0\r\n]*))?(?=[\r\n])")
 #: One byte less than the longest end of an event, which may arrive in several parts.
 _SPLIT_END_BYTES = 3
 
@@ -37,16 +38,18 @@
         #: Whether the stream's last event is complete.
         self.is_complete = False
         self._partial = b""
-        #: The bytes returned last, which hold the newest event's id.
+        #: The bytes returned last.
         self._newest = b""
+        self._last_id = b""
 
     @property
     def last_id(self) -> str:
-        """Return the id in the bytes returned last, or an empty string if there is none."""
-        for line in reversed(self._newest.splitlines()):
-            if line.startswith(ID_FIELD):
-                return line[len(ID_FIELD) :].strip().decode("latin-1")
-        return ""
+        """Return the id of the last complete event, without blanks around it; empty if none.
+
+        An event that states no id has that of the one before it. Bytes are read as Latin-1, as in
+        a header.
+        """
+        return self._last_id.strip().decode("latin-1")
 
     @property
     def is_inside_event(self) -> bool:
@@ -83,6 +86,10 @@
 
     def _count(self, complete: bytes) -> bytes:
         self.events += _count_events(complete)
+        # Only the first line of the stream may follow a mark.
+        lines = complete if self._newest else complete.removeprefix(BYTE_ORDER_MARK)
+        if ids := _ID_LINE.findall(lines):
+            self._last_id = ids[-1]
         self._newest = complete
         self.is_complete = self.is_complete or complete.rstrip().endswith(LAST_EVENT)
         return complete
