--- a/.ci/run_tests.py
+++ b/.ci/run_tests.py
@@ -4,7 +4,9 @@
 processors; the longest known ones begin first. Tests named in KNOWN-RED.txt may fail:
 they are printed, and do not count as failed. A known red test that passes fails the
 run, so that the list stays true. Where its entry says that it fails only sometimes, it
-may pass and is printed; the run then fails only if the test is gone or skipped.
+may pass and is printed; the run then fails only if the test is gone or skipped. A line that
+begins with ``case`` stands for something else that is known to fail: a script, a command of
+the soak, or what no script was kept of. It is printed and not run.
 ``--soak`` runs the histories with many more examples under a fresh seed.
 """
 
@@ -26,6 +28,12 @@
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 #: After a test's id in KNOWN-RED.txt: it fails in some runs and passes in others.
 SOMETIMES = "(sometimes)"
+#: Begins a line of KNOWN-RED.txt that is no test; what it names follows.
+CASE = "case "
+#: Begins a case that a seed of the soak shows.
+SOAK_COMMAND = "python -m soak -"
+#: Begins a case that nothing in the tree shows.
+NO_SCRIPT = "no script kept"
 #: Set in every test's process, as where a submission is tested: Hypothesis then draws the same
 #: examples each time, and fails no test for the time that drawing one took, which a busy
 #: machine alone decides.
@@ -51,6 +59,18 @@
     ids: tuple[str, ...] = ()
 
 
+@dataclass(frozen=True)
+class KnownRed:
+    """What KNOWN-RED.txt lists."""
+
+    #: By the id of a test that may fail: whether it fails only sometimes.
+    sometimes_by_test: dict[str, bool]
+    #: What each case names.
+    cases: tuple[str, ...]
+    #: Cases that name nothing that is there.
+    faulty_lines: tuple[str, ...]
+
+
 def _cases(suite: unittest.TestSuite) -> Iterator[unittest.TestCase]:
     for each in suite:
         if isinstance(each, unittest.TestSuite):
@@ -59,13 +79,27 @@
             yield each
 
 
-def _known_red() -> dict[str, bool]:
-    """Return the ids of the tests that may fail, and whether each fails only sometimes."""
-    if not KNOWN_RED.exists():
-        return {}
-    lines = KNOWN_RED.read_text().splitlines()
-    heads = [line.split(":", 1)[0].strip() for line in lines if line.strip()]
-    return {head.removesuffix(SOMETIMES).strip(): head.endswith(SOMETIMES) for head in heads}
+def read_known_red(text: str, root: Path) -> KnownRed:
+    """Return what the lines of KNOWN-RED.txt list; scripts are looked for below ``root``."""
+    sometimes_by_test: dict[str, bool] = {}
+    cases, faulty_lines = [], []
+    for line in filter(str.strip, text.splitlines()):
+        head = line.split(":", 1)[0].strip()
+        if not line.startswith(CASE):
+            sometimes_by_test[head.removesuffix(SOMETIMES).strip()] = head.endswith(SOMETIMES)
+        elif _is_case(name := head.removeprefix(CASE.strip()).strip(), root):
+            cases.append(name)
+        else:
+            faulty_lines.append(line)
+    return KnownRed(sometimes_by_test, tuple(cases), tuple(faulty_lines))
+
+
+def _is_case(name: str, root: Path) -> bool:
+    """Return whether a name is a script below ``root``, a command, or says that there is none."""
+    if name.startswith((SOAK_COMMAND, NO_SCRIPT)):
+        return True
+    script = (root / name).resolve()
+    return script.is_relative_to(root.resolve()) and script.is_file() and os.access(script, os.X_OK)
 
 
 def _class_names() -> list[str]:
@@ -140,7 +174,8 @@
     for name, result in results.items():
         if result.bad:
             print(f"--- {name}\n{result.output}")
-    red = _known_red()
+    known = read_known_red(KNOWN_RED.read_text() if KNOWN_RED.exists() else "", ROOT)
+    red = known.sometimes_by_test
     for each in sorted(red.keys() & bad):
         print(f"known red: {each}")
     seen = {each for result in results.values() for each in result.ids}
@@ -150,8 +185,12 @@
     healed = sorted(red.keys() - bad - spared)
     for each in healed:
         print(f"listed as known red, but it passes or is gone: {each}")
+    for each in known.cases:
+        print(f"known red, a case that is not run here: {each}")
+    for each in known.faulty_lines:
+        print(f"listed as a known red case, but it names no script and no command: {each}")
     ran = sum(result.ran - result.skipped for result in results.values())
-    failed = len(bad - red.keys()) + len(healed)
+    failed = len(bad - red.keys()) + len(healed) + len(known.faulty_lines)
     print(f"{ran - len(bad)} passed, {failed} failed")
     return 0 if failed == 0 and ran else 1
 
