A newer and complete listing wins over a peer's list of upstreams

Cause: a router that started had a complete listing without the engine, but knew nothing of its removal, so the older entry from the list of a peer that was cut off applied. And a listing removed what it lacks only if it was newer than the router's list, which the peer had raised to just that version, or whose version the cut-off router had been told without the removal.

Change: the list remembers the position of its newest complete listing. What a peer names, and that listing did not show although it is as new, is kept as removed as of the listing, so that the peer learns of it by the usual difference. A listing removes what it lacks at any version; removals that are no newer than what others hold reach them with the next pull, which is then a complete list. Messages between routers stay as they are. Unknown upstreams that a peer lists as live count as vanished with the listing, so where most of a service has lapsed they get work for the two seconds in which they would be back. Across a restore, entries of earlier eras are taken while the era settles, by a router that knows no earlier era only from peers that have seen this one, and are removed once it has settled; before, such a router kept them for good.

New: an entry that could not be read no longer shields its upstream once it went.

Open: a router cut off while an upstream came and went, and told of the newer version by a third router that had never heard of it, keeps it until its own next listing, or that of a router it hears from.

--- a/pondhatch/router/_upstream_changes.py
+++ b/pondhatch/router/_upstream_changes.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 import msgspec
 from msgspec.structs import replace
@@ -93,6 +93,8 @@
     """
 
     _era: int = 0
+    #: When this router learned of the first era that it knows, in the clock's seconds.
+    _known_at: float = float("inf")
     #: When the era has settled, in the clock's seconds; minus infinity where none is settling.
     _settles_at: float = float("-inf")
 
@@ -102,8 +104,20 @@
         if era > self._era:
             # The first era that a router knows follows no other, so it does not settle.
             self._settles_at = now + SETTLE_SECONDS if self._era else float("-inf")
+            self._known_at = min(self._known_at, now)
             self._era = era
 
+    def record_unconfirmed(self, version: Position, now: float) -> None:
+        """Record that a peer at a position still holds upstreams of an earlier era.
+
+        So the era settles there, and began just before this router started, if that was lately.
+        """
+        has_settled_or_settles = self._settles_at > float("-inf")
+        settles_at = self._known_at + SETTLE_SECONDS
+        if era_of(version) != self._era or has_settled_or_settles or now >= settles_at:
+            return
+        self._settles_at = settles_at
+
     def is_settling(self, version: Position, now: float) -> bool:
         """Return whether the era of a position is new or still settling."""
         is_new_era = bool(self._era) and era_of(version) > self._era
@@ -131,22 +145,26 @@
 
     def apply_listing(self, listed: Listed, now: float) -> bool:
         """Apply the platform's list; return whether anything changed."""
-        return self.apply_update(self.reader.read_listing(listed), now)
+        return self._apply(self.reader.read_listing(listed), self.upstreams.apply_listing, now)
 
     def apply_update(self, update: UpstreamUpdate, now: float) -> bool:
-        """Apply the entries of a listing or a peer; return whether anything changed."""
-        names, live, leaving = (
-            self._names(),
-            self._in_state(LIVE),
-            self._leaving_by_list_and_notice(),
-        )
-        changed = self.upstreams.apply_update(
-            update, self.era_settling.is_settling(update.version, now)
-        )
+        """Apply the entries of a peer; return whether anything changed."""
+        self.era_settling.record_position(update.version, now)
+        if _has_unconfirmed(update):
+            self.era_settling.record_unconfirmed(update.version, now)
+        changed = self._apply(update, self.upstreams.apply_update, now)
+        self.join_times.merge_from_peer(update.known_for, update.age_by_name, now)
+        return changed
+
+    def _apply(
+        self, update: UpstreamUpdate, apply: Callable[[UpstreamUpdate, bool], bool], now: float
+    ) -> bool:
+        names, leaving = self._names(), self._leaving_by_list_and_notice()
+        live = self._in_state(LIVE) | self._unknown_live(update)
+        changed = apply(update, self.era_settling.is_settling(update.version, now))
         self.era_settling.record_position(self.upstreams.version, now)
         self._record_changes(names, live, now)
         self._reopen_listed_live(leaving)
-        self.join_times.merge_from_peer(update.known_for, update.age_by_name, now)
         return changed
 
     def since(self, version: int, now: float) -> UpstreamUpdate:
@@ -222,6 +240,19 @@
             if entry is not None and entry.upstream.state == LIVE:
                 self.notices.cancel_leaving(name)
 
+    def _unknown_live(self, update: UpstreamUpdate) -> dict[str, Upstream]:
+        """Return the live upstreams of an update that this router does not know, by name.
+
+        Those that are removed at once are missing from a newer listing and may have lapsed.
+        """
+        unknown = [
+            entry.upstream.named_by_start()
+            for entry in update.entries
+            if entry.upstream.state == LIVE
+            and self.upstreams.newest_start(entry.upstream.id) is None
+        ]
+        return {upstream.name: upstream for upstream in unknown}
+
     def _has_restarted(self, removed: Upstream) -> bool:
         newest = self.upstreams.newest_start(removed.id)
         return newest is not None and newest.upstream.name != removed.name
@@ -232,3 +263,11 @@
     def _in_state(self, state: str) -> dict[str, Upstream]:
         entries = self.upstreams.entry_by_name.items()
         return {name: each.upstream for name, each in entries if each.upstream.state == state}
+
+
+def _has_unconfirmed(update: UpstreamUpdate) -> bool:
+    """Return whether an update holds upstreams neither written nor listed in its era."""
+    era = era_of(update.version)
+    return any(
+        entry.upstream.state != REMOVED and era_of(entry.version) < era for entry in update.entries
+    )
--- a/pondhatch/router/tests/test_stale_peers.py
+++ b/pondhatch/router/tests/test_stale_peers.py
@@ -117,6 +117,16 @@
         changes.apply_update(held_by_peer(5, odd=3), 0.5)
         self.assertIsNotNone(changes.upstreams.upstream("odd"))
 
+    # Guards against an entry that could not be read shielding its upstream after it left.
+    def test_an_upstream_whose_unreadable_entry_went_is_not_taken_from_a_peer(self) -> None:
+        changes = new_changes()
+        changes.apply_listing(
+            Listed(9, (StoredObject("upstream", "odd", 7, {"name": "odd"}),)), 0.0
+        )
+        changes.apply_event(WatchEvent("removed", 10, "odd"), 0.2)
+        changes.apply_update(held_by_peer(5, odd=3), 0.5)
+        self.assertIsNone(changes.upstreams.upstream("odd"))
+
     def test_a_listing_with_missing_pages_rules_nothing_out(self) -> None:
         changes = new_changes()
         changes.apply_listing(msgspec.structs.replace(listed(9, a=1), is_whole=False), 0.0)
@@ -135,11 +145,11 @@
         state.apply_change(FIRST)
         state.refresh_members()
         state.apply_listed_upstreams(listed(9, a=1))
-        state.apply_upstreams(held_by_peer(5, a=1, b=2, c=3))
-        self.assertEqual(state.live_upstreams(SERVICE), ("a", "b", "c"))
+        state.apply_upstreams(held_by_peer(5, a=1, b=2, c=3, d=4))
+        self.assertEqual(state.live_upstreams(SERVICE), ("a", "b", "c", "d"))
         now = 0.5
         state.apply_upstream_event(WatchEvent("set", 11, "b", value("b")))
-        self.assertEqual(state.live_upstreams(SERVICE), ("a", "b", "c"))
+        self.assertEqual(state.live_upstreams(SERVICE), ("a", "b", "c", "d"))
         now = 2.0
         state.tick()
         self.assertEqual(state.live_upstreams(SERVICE), ("a", "b"))
@@ -185,20 +195,31 @@
 
     def __init__(self) -> None:
         self.revision = 1
-        self.version_by_name: dict[str, Position] = {}
+        self.entry_by_name: dict[str, UpstreamEntry] = {}
 
     def write(self, name: str) -> WatchEvent:
+        """Write an upstream again, or with a start of its own where it is not listed."""
         self.revision += 1
-        self.version_by_name[name] = self.revision
-        return WatchEvent("set", self.revision, name, value(name))
+        held = self.entry_by_name.get(name)
+        start = held.upstream.start if held is not None else self.revision
+        self.entry_by_name[name] = UpstreamEntry(upstream(name, start), self.revision)
+        return WatchEvent("set", self.revision, name, value(name, start))
 
     def remove(self, name: str) -> WatchEvent:
         self.revision += 1
-        del self.version_by_name[name]
+        del self.entry_by_name[name]
         return WatchEvent("removed", self.revision, name)
 
     def listed(self) -> Listed:
-        return listed(self.revision, **self.version_by_name)
+        objects = [
+            StoredObject("upstream", name, each.version, value(name, each.upstream.start))
+            for name, each in self.entry_by_name.items()
+        ]
+        return Listed(self.revision, tuple(objects))
+
+    def names(self) -> list[str]:
+        """Return the names of all listed upstreams, each that of its start."""
+        return sorted(each.upstream.named_by_start().name for each in self.entry_by_name.values())
 
 
 class ModelledFleet:
@@ -211,12 +232,12 @@
 
     def toggle(self, name: str) -> None:
         """Let an upstream join, or leave where it is listed."""
-        is_listed = name in self.platform.version_by_name
+        is_listed = name in self.platform.entry_by_name
         self._tell(self.platform.remove(name) if is_listed else self.platform.write(name))
 
     def write_another(self, name: str) -> None:
         """Write an upstream again, or another object where it is not listed."""
-        if name in self.platform.version_by_name:
+        if name in self.platform.entry_by_name:
             self._tell(self.platform.write(name))
         else:
             self.platform.revision += 1
@@ -271,6 +292,5 @@
             numbers = [each % count if isinstance(each, int) else each for each in arguments[:2]]
             getattr(fleet, name)(*numbers, *arguments[2:])
             for number in set(range(count)) - fleet.cut_off:
-                self.assertEqual(
-                    live_ids(fleet.routers[number]), sorted(fleet.platform.version_by_name)
-                )
+                live = fleet.routers[number].upstreams.of_service(SERVICE)
+                self.assertEqual([each.name for each in live], fleet.platform.names())
--- a/pondhatch/store/_upstreams.py
+++ b/pondhatch/store/_upstreams.py
@@ -4,6 +4,11 @@
 applies an entry only if its position is higher than that of the known one, so a stale watch or
 peer never restores an older state.
 
+Nothing is applied for an upstream that is unknown and no newer than the newest complete listing
+that this router read, since the listing would have shown it: it had left by then, and a peer that
+names it has not heard of that yet. It is kept as removed as of the listing, so that the peer learns
+of it.
+
 A platform that is restored from an older copy begins a new era, whose positions are above all
 earlier ones, although its content is older than what routers know: upstreams that have left since
 the copy are listed as live, and upstreams that have joined since are missing until they write
@@ -15,6 +20,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 import msgspec
 
 from pondhatch.placement import name_of_start
@@ -107,6 +114,10 @@
     complete_since: Position = 0
     #: Name of each upstream's newest start, by id.
     _name_by_id: dict[str, str] = msgspec.field(default_factory=dict)
+    #: Position of the newest complete listing that this router read.
+    _listed_at: Position = 0
+    #: Ids that this listing names with entries that do not decode.
+    _unreadable_ids: frozenset[str] = frozenset()
 
     def upstream(self, name: str) -> Upstream | None:
         """Return an upstream by name; None if it is unknown or removed."""
@@ -181,6 +192,7 @@
 
     def remove(self, upstream_id: str, version: int) -> bool:
         """Mark an upstream that the platform no longer lists as removed."""
+        self._unreadable_ids -= {upstream_id}
         known = self.newest_start(upstream_id)
         if known is None:
             self.advance_to(version)
@@ -214,26 +226,76 @@
         )
         return UpstreamUpdate(self.version, entries, is_complete)
 
+    def apply_listing(self, listing: UpstreamUpdate, is_settling: bool = False) -> bool:
+        """Apply a listing of the platform; return whether anything changed.
+
+        What a complete listing lacks had left by its position, also where a peer told of a later
+        position before. ``is_settling`` says that the era of the listing has not settled yet.
+        """
+        held = self.version
+        changed = self._apply_entries(listing, listing.entries, is_settling)
+        if listing.whole and listing.version >= self._listed_at:
+            self._listed_at = listing.version
+            self._unreadable_ids = listing.left_out
+        gone = self._remove_unlisted(listing) if listing.whole and not is_settling else ()
+        if listing.version <= held and any(each.state != REMOVED for each in gone):
+            # These removals are no newer than what peers hold, so only a complete list has them.
+            self.complete_since = held + 1
+        self._finish(listing)
+        return changed or bool(gone)
+
     def apply_update(self, update: UpstreamUpdate, is_settling: bool = False) -> bool:
-        """Apply the entries of a peer or a listing; return whether anything changed.
+        """Apply the entries of a peer; return whether anything changed.
 
         ``is_settling`` says that the era of the update has not settled yet.
         """
+        is_newer = update.version > self.version
+        entries = [self._as_of_listing(entry, is_settling) for entry in update.entries]
+        changed = self._apply_entries(update, entries, is_settling)
+        if update.whole and is_newer and not is_settling:
+            changed = bool(self._remove_unlisted(update)) or changed
+        self._finish(update)
+        return changed
+
+    def _apply_entries(
+        self, update: UpstreamUpdate, entries: Iterable[UpstreamEntry], is_settling: bool
+    ) -> bool:
         changed = False
-        newer = update.version > self.version
-        for entry in update.entries:
+        for entry in entries:
             if is_settling and self._would_revive(entry):
                 continue
             changed = self._set(entry.upstream, entry.version) or changed
         for upstream_id in update.left_out:
             changed = self.mark_unreadable(upstream_id, update.version) or changed
-        if update.whole and newer and not is_settling:
-            changed = self._remove_unlisted(update) or changed
+        return changed
+
+    def _finish(self, update: UpstreamUpdate) -> None:
         # Once for all entries, since it scans the whole list: called for each of 2,100 entries,
         # it blocked the event loop for 0.15 s.
         self._drop_oldest_removed()
         self.advance_to(update.version)
-        return changed
+
+    def _as_of_listing(self, entry: UpstreamEntry, is_settling: bool) -> UpstreamEntry:
+        """Return a peer's entry, or its removal if a newer complete listing lacks the upstream."""
+        if not self._has_left(entry, is_settling):
+            return entry
+        removed = msgspec.structs.replace(entry.upstream, state=REMOVED)
+        return UpstreamEntry(removed, self._listed_at)
+
+    def _has_left(self, entry: UpstreamEntry, is_settling: bool) -> bool:
+        """Return whether an upstream had left by the newest complete listing.
+
+        While an era settles, upstreams of earlier eras may be missing from its listings.
+        """
+        upstream = entry.upstream
+        if upstream.state == REMOVED or entry.version > self._listed_at:
+            return False
+        known = self.newest_start(upstream.id)
+        if upstream.id in self._unreadable_ids or (
+            known is not None and known.upstream.state != REMOVED
+        ):
+            return False
+        return not is_settling or era_of(entry.version) == era_of(self._listed_at)
 
     def _would_revive(self, entry: UpstreamEntry) -> bool:
         """Return whether an entry lists a start as live that is known as leaving or removed."""
@@ -256,7 +318,8 @@
             self._set(msgspec.structs.replace(upstream, state=REMOVED), self.version)
         return bool(unconfirmed)
 
-    def _remove_unlisted(self, update: UpstreamUpdate) -> bool:
+    def _remove_unlisted(self, update: UpstreamUpdate) -> list[Upstream]:
+        """Mark what a complete list lacks as removed; return it as it was known."""
         listed = {entry.upstream.id for entry in update.entries} | update.left_out
         newest = [self.entry_by_name[name] for name in self._name_by_id.values()]
         gone = [
@@ -266,7 +329,7 @@
         ]
         for upstream in gone:
             self._set(msgspec.structs.replace(upstream, state=REMOVED), update.version)
-        return bool(gone)
+        return gone
 
     def _drop_oldest_removed(self) -> None:
         removed = sorted(
