Remove what an era's newest listing lacks once the era has settled

An upstream that was listed or written in a new era, and left while that era settled, stayed in the list of a router that learned of it only by a listing (its watch had broken), and got requests until the next listing.

Cause: while an era settles, a listing removes nothing, and at its end only upstreams of earlier eras were removed.

Change: the list remembers which upstreams the newest complete listing lacked while its era settled; at the end those that were not written since are removed too.

Evidence: of the two new tests of test_new_eras.py, the one on the removal failed before (False is not true: nothing was removed) and passes now; the other guards entries that are written again, and passed before.

--- a/pondhatch/router/tests/test_new_eras.py
+++ b/pondhatch/router/tests/test_new_eras.py
@@ -72,6 +72,21 @@
         self.assertTrue(self.changes.remove_unconfirmed(10.0 + SETTLE_SECONDS))
         self.assertEqual((self.state("a"), self.state("b")), (LIVE, REMOVED))
 
+    # Guards against keeping for good what left while the era settled and no watch reported it.
+    def test_a_removal_seen_only_in_a_listing_takes_effect_once_the_era_has_settled(self) -> None:
+        self.changes.apply_listing(listed(2, 100, a=90, b=95), 10.0)
+        self.changes.apply_listing(listed(2, 110, a=90), 11.0)
+        self.assertTrue(self.changes.remove_unconfirmed(10.0 + SETTLE_SECONDS))
+        self.assertEqual((self.state("a"), self.state("b")), (LIVE, REMOVED))
+
+    def test_what_is_written_again_after_such_a_listing_stays(self) -> None:
+        self.changes.apply_listing(listed(2, 100, a=90, b=95), 10.0)
+        self.changes.apply_listing(listed(2, 110, a=90), 11.0)
+        event = WatchEvent("set", position_of(2, 112), "b", value("b"))
+        self.changes.apply_event(event, 11.5)
+        self.changes.remove_unconfirmed(10.0 + SETTLE_SECONDS)
+        self.assertEqual((self.state("a"), self.state("b")), (LIVE, LIVE))
+
     def test_a_removal_in_a_settled_era_takes_effect_at_once(self) -> None:
         self.changes.apply_listing(listed(2, 100, a=90, b=95), 10.0)
         self.changes.remove_unconfirmed(10.0 + SETTLE_SECONDS)
--- a/pondhatch/store/_upstreams.py
+++ b/pondhatch/store/_upstreams.py
@@ -118,6 +118,8 @@
     _listed_at: Position = 0
     #: Ids that this listing names with entries that do not decode.
     _unreadable_ids: frozenset[str] = frozenset()
+    #: Ids that this listing lacked while its era settled.
+    _unlisted_ids: frozenset[str] = frozenset()
 
     def upstream(self, name: str) -> Upstream | None:
         """Return an upstream by name; None if it is unknown or removed."""
@@ -237,6 +239,8 @@
         if listing.whole and listing.version >= self._listed_at:
             self._listed_at = listing.version
             self._unreadable_ids = listing.left_out
+            unlisted = {each.id for each in self._unlisted(listing)} if is_settling else ()
+            self._unlisted_ids = frozenset(unlisted)
         gone = self._remove_unlisted(listing) if listing.whole and not is_settling else ()
         if listing.version <= held and any(each.state != REMOVED for each in gone):
             # These removals are no newer than what peers hold, so only a complete list has them.
@@ -306,27 +310,38 @@
         return known.upstream.state != LIVE and not is_same_era
 
     def remove_unconfirmed(self) -> bool:
-        """Remove upstreams neither written nor listed in this era; return whether any were."""
-        era = era_of(self.version)
+        """Remove upstreams neither written nor listed in this era; return whether any were.
+
+        So are those that the newest listing lacked, unless they were written since.
+        """
+        newest = map(self.entry_by_name.__getitem__, self._name_by_id.values())
         unconfirmed = [
-            self.entry_by_name[name].upstream
-            for name in self._name_by_id.values()
-            if era_of(self.entry_by_name[name].version) < era
-            and self.entry_by_name[name].upstream.state != REMOVED
+            entry.upstream
+            for entry in newest
+            if entry.upstream.state != REMOVED and not self._is_confirmed(entry)
         ]
         for upstream in unconfirmed:
             self._set(msgspec.structs.replace(upstream, state=REMOVED), self.version)
         return bool(unconfirmed)
 
-    def _remove_unlisted(self, update: UpstreamUpdate) -> list[Upstream]:
-        """Mark what a complete list lacks as removed; return it as it was known."""
+    def _is_confirmed(self, entry: UpstreamEntry) -> bool:
+        """Return whether an entry was written or listed in this era, as of its newest listing."""
+        is_unlisted = entry.upstream.id in self._unlisted_ids and entry.version <= self._listed_at
+        return era_of(entry.version) == era_of(self.version) and not is_unlisted
+
+    def _unlisted(self, update: UpstreamUpdate) -> list[Upstream]:
+        """Return the upstreams that a complete list lacks although it is as new as they are."""
         listed = {entry.upstream.id for entry in update.entries} | update.left_out
         newest = [self.entry_by_name[name] for name in self._name_by_id.values()]
-        gone = [
+        return [
             entry.upstream
             for entry in newest
             if entry.upstream.id not in listed and entry.version <= update.version
         ]
+
+    def _remove_unlisted(self, update: UpstreamUpdate) -> list[Upstream]:
+        """Mark what a complete list lacks as removed; return it as it was known."""
+        gone = self._unlisted(update)
         for upstream in gone:
             self._set(msgspec.structs.replace(upstream, state=REMOVED), update.version)
         return gone
