The soak's check of leaving engines leaves out requests for ended ones

Cause: the check, not the routers. Requests that name i-lang-6 go to its address, where i-lang-9 refuses them with 421; the check counted them as requests to i-lang-9.

Change of the check: it leaves out a request that names another engine of the run which had ended before the request arrived. It is as strict as before for what a router sends to the engine itself, refused or not, and for requests that name no engine, an unknown one, or one that ended later or still serves (rows of the new test). The stand-in records whom a request named; the other checks are as they were.

Evidence: the new test fails with the check before (the row of the ended engine) and passes now.

Open: the check of resting engines counts requests in the same way; nothing was seen of it, and it stays as it is.

--- a/fakes/_machines_engine.py
+++ b/fakes/_machines_engine.py
@@ -85,6 +85,8 @@
     #: Whether the answer announced that the engine leaves, and the seconds of rest it asked for.
     leaving: bool = False
     rest: float = 0.0
+    #: Name of the engine that it was meant for, as its router gave it; empty if it gave none.
+    meant_for: str = ""
 
 
 class MachinesEngine:
@@ -170,7 +172,11 @@
 
     async def _answer_in_place(self, request: Any) -> bytes:
         self.received_headers.append(_header_pairs(request))
-        received = _ReceivedRequest(request.getHeader("Attempt-Id") or "", time.monotonic())
+        received = _ReceivedRequest(
+            request.getHeader("Attempt-Id") or "",
+            time.monotonic(),
+            meant_for=request.getHeader("Expect-Instance") or "",
+        )
         self.received_requests.append(received)
         if self.faults.consume("leaving"):
             request.setHeader("Server-Leaving", "1")
--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -135,7 +135,11 @@
 
 
 def leaving_engines(records: Records) -> list[str]:
-    """Check that a router sends no new requests to an engine that told it that it leaves."""
+    """Check that a router sends no new requests to an engine that told it that it leaves.
+
+    Requests for an engine that was killed do not count: it may be listed on, at the address that
+    the next one took over, which refuses them.
+    """
     attempt_by_id = {each.id: each for each in records.attempts}
     found = []
     for engine, arrivals in _by_engine(records).items():
@@ -145,6 +149,8 @@
             since = known_since.get(attempt.router) if attempt is not None else None
             if attempt is None or since is None or attempt.sent_at <= since + LEAVING_GRACE:
                 continue
+            if _is_for_ended_engine(records, each):
+                continue
             if not records.is_disturbed(attempt.router, since, attempt.sent_at):
                 delay = attempt.sent_at - since
                 found.append(
@@ -305,6 +311,12 @@
     return found
 
 
+def _is_for_ended_engine(records: Records, arrival: Arrival) -> bool:
+    """Return whether a request names another engine of this run, which had ended before."""
+    named = records.engine_lives.get(arrival.meant_for)
+    return named is not None and named.name != arrival.engine and named.ends < arrival.arrived_at
+
+
 def _leaving_known_since(
     arrivals: list[Arrival], attempt_by_id: dict[str, Attempt]
 ) -> dict[str, float]:
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -219,6 +219,7 @@
                 each["ran"],
                 each["leaving"],
                 each["rest"],
+                each["meant_for"],
             )
             for each in seen
         ]
--- a/soak/_records.py
+++ b/soak/_records.py
@@ -72,6 +72,8 @@
     announced_leaving: bool
     #: Rest that its answer asked for, in seconds; 0 for none.
     rest_seconds: float
+    #: Name of the engine that it was meant for, as its router gave it; empty if it gave none.
+    meant_for: str = ""
 
 
 @dataclass(frozen=True)
--- a/soak/tests/test_checks.py
+++ b/soak/tests/test_checks.py
@@ -126,6 +126,31 @@
                 freeze = Disturbance("freeze", "r", 11.0, 11.5)
                 self.assertFalse(self.violated_checks(**records, disturbances=[freeze]))
 
+    # Guards against blaming a router for requests to an engine whose address was taken over.
+    def test_leaving_engines_get_requests_only_for_the_engine_that_ended_at_their_address(
+        self,
+    ) -> None:
+        lives = {
+            "e": EngineLife("e", "lang", "v1", 2.0),
+            "ended": EngineLife("ended", "lang", "v1", 1.0, 2.0),
+            "serving": EngineLife("serving", "lang", "v1", 1.0),
+            "ended-later": EngineLife("ended-later", "lang", "v1", 1.0, 12.5),
+        }
+        attempts = [attempt("a"), attempt("b", at=12.2)]
+        for meant_for, breaks in (
+            ("ended", False),
+            ("e", True),
+            ("serving", True),
+            ("ended-later", True),
+            ("unknown", True),
+            ("", True),
+        ):
+            late = arrival("b", at=12.25, ran=False, meant_for=meant_for)
+            arrivals = [arrival("a", announced_leaving=True), late]
+            found = self.violated_checks(attempts=attempts, arrivals=arrivals, engine_lives=lives)
+            with self.subTest(meant_for=meant_for):
+                self.assertEqual("leaving engines" in found, breaks)
+
     def test_resting_engines(self) -> None:
         asked = arrival("a", ran=False, rest_seconds=3.0)
         for times, breaks in (((10.2, 10.3, 10.4), False), ((11.0, 11.0, 12.9), True)):
