Judge answers that break off, and keep no connection that may carry nothing

Cause: a head that names two requests was believed by the last id; skipping began at the head, before the answer was known to be whole; the pool did not ask whether a connection may carry another request.

Change: a head that names several requests, or a refusal with the first line of an answer within another line, proves nothing on a used connection. An answer that is skipped must end within 0.25 s.

--- a/pondhatch/requests/_answer_proof.py
+++ b/pondhatch/requests/_answer_proof.py
@@ -51,6 +51,9 @@
     answered_id: str | None
     #: Why the upstream did not run that request; None if it does not say so.
     refusal: EngineRefusal | None = None
+    #: Whether the head may be made of two, of which the first broke off: it names several requests,
+    #: or is a refusal with the first line of an answer within another line.
+    may_be_mixed: bool = False
 
 
 class ConnectionUse:
@@ -61,8 +64,15 @@
         self.request_count = 0
         #: Whether an answer came that names no request.
         self.has_unnamed_answer = False
-        #: Until when each remembered request may be sent again, by its id; the oldest first.
-        self._sent_again_until: dict[str, float] = {}
+        #: Whether such an answer came from an upstream that must name them.
+        self.has_lost_names = False
+        #: Until when each remembered request may be sent again, by the hash of its id, since ids
+        #: are as long as callers like; the oldest first.
+        self._sent_again_until: dict[int, float] = {}
+
+    def is_spent(self) -> bool:
+        """Return whether no further request may be carried."""
+        return self.has_lost_names or len(self._sent_again_until) >= MAX_REMEMBERED_IDS
 
     def may_carry(self, request: AwaitedRequest) -> bool:
         """Return whether the answer to a request could be told from those to earlier ones here.
@@ -71,10 +81,7 @@
         """
         if self.request_count == 0:
             return True
-        if (
-            request.id in self._sent_again_until
-            or len(self._sent_again_until) >= MAX_REMEMBERED_IDS
-        ):
+        if self.is_spent() or self.has_carried(request.id):
             return False
         if request.must_be_named:
             return bool(request.id) and not self.has_unnamed_answer
@@ -85,17 +92,22 @@
         self.request_count += 1
         if not request.id:
             return
-        until_by_id = self._sent_again_until
-        while len(until_by_id) >= REMEMBERED_REQUESTS:
-            oldest = next(iter(until_by_id))
-            if until_by_id[oldest] > now:
+        until_by_hash = self._sent_again_until
+        while len(until_by_hash) >= REMEMBERED_REQUESTS:
+            oldest = next(iter(until_by_hash))
+            if until_by_hash[oldest] > now:
                 break
-            del until_by_id[oldest]
-        until_by_id[request.id] = now + seconds
+            del until_by_hash[oldest]
+        until_by_hash[hash(request.id)] = now + seconds
+
+    def note_unnamed_answer(self, request: AwaitedRequest) -> None:
+        """Note that the answer to a request, or one in its place, names no request."""
+        self.has_unnamed_answer = True
+        self.has_lost_names |= request.must_be_named
 
     def has_carried(self, request_id: str) -> bool:
         """Return whether a remembered request had an id."""
-        return request_id in self._sent_again_until
+        return hash(request_id) in self._sent_again_until
 
 
 def judge(
@@ -105,13 +117,15 @@
 
     A refusal is returned only if it is proved that this request was refused.
     """
-    owner = _kind_of(claim, request, use)
-    if owner is not AnswerKind.ANSWERED or claim.refusal is None:
-        return owner
+    kind = _kind_of(claim, request, use)
+    if kind is not AnswerKind.ANSWERED or claim.refusal is None:
+        return kind
     return claim.refusal
 
 
 def _kind_of(claim: AnswerClaim, request: AwaitedRequest, use: ConnectionUse) -> AnswerKind:
+    if claim.may_be_mixed and use.request_count > 1:
+        return AnswerKind.UNPROVEN
     if claim.answered_id is None:
         return _kind_of_unnamed(claim, request, use)
     if claim.answered_id == request.id:
@@ -122,9 +136,9 @@
 def _kind_of_unnamed(claim: AnswerClaim, request: AwaitedRequest, use: ConnectionUse) -> AnswerKind:
     """Return what an answer proves that names no request.
 
-    On a connection's first request nothing else can be meant. Later ones are believed only where
-    they would do no harm: an upstream that names no request would otherwise need a new connection
-    for each.
+    On a connection's first request nothing else can be meant. On later ones an upstream that need
+    not name any is believed, by the order of HTTP, about requests that may run twice: it would
+    otherwise need a new connection for each.
     """
     is_first = use.request_count == 1
     if request.must_be_named:
--- a/pondhatch/requests/tests/test_answer_proof.py
+++ b/pondhatch/requests/tests/test_answer_proof.py
@@ -57,6 +57,13 @@
                 found = judge(AnswerClaim(answered_id, refusal), awaited, use)
                 self.assertIs(found, expected)
 
+    # Guards against a refusal that broke off, and whose head the request's own answer completed.
+    def test_a_head_that_may_be_made_of_two_proves_nothing_on_a_used_connection(self) -> None:
+        a, b = named("a"), named("b")
+        claim = AnswerClaim("b", FULL, may_be_mixed=True)
+        self.assertIs(judge(claim, b, use_of(a, b)), UNPROVEN)
+        self.assertIs(judge(claim, b, use_of(b)), FULL)
+
     # Guards against a refusal without an id that is believed although it may be another's.
     def test_an_answer_that_names_no_request_proves_little(self) -> None:
         for awaited, requests, refusal, expected in (
@@ -93,7 +100,7 @@
     def test_what_answers_without_a_name_cannot_be_told_apart(self) -> None:
         use = use_of(named("a"))
         self.assertFalse(use.may_carry(named("", repeatable=True)))
-        use.has_unnamed_answer = True
+        use.note_unnamed_answer(unnamed("a"))
         self.assertFalse(use.may_carry(named("b", repeatable=True)))
         self.assertFalse(use.may_carry(unnamed("b")))
         self.assertTrue(use.may_carry(unnamed("b", repeatable=True)))
@@ -117,3 +124,4 @@
         requests = [named(str(number)) for number in range(MAX_REMEMBERED_IDS)]
         use = use_of(*requests, seconds=10.0 * MAX_REMEMBERED_IDS)
         self.assertFalse(use.may_carry(named("b")))
+        self.assertTrue(use.is_spent())
--- a/pondhatch/transport/_answer_judge.py
+++ b/pondhatch/transport/_answer_judge.py
@@ -25,7 +25,7 @@
 
 
 class SurplusAnswer(msgspec.Struct, frozen=True):
-    """An answer that was received while another, or perhaps another, was awaited."""
+    """An answer that is not, or not provably, that of the request whose answer was awaited."""
 
     upstream: str
     status: int
@@ -81,10 +81,15 @@
         """Return whose an answer is, on receipt of its head; see AnswerJudge."""
         answered_id = self._dialect.answered_id(head.value_by_name)
         refusal = self._dialect.refusal(head.status, head.value_by_name)
-        self.proof = judge(AnswerClaim(answered_id, refusal), self.awaited, use)
+        may_be_mixed = self._names_several(head, answered_id) or (
+            # Proxies may write such a line into headers of answers that they pass on.
+            refusal is not None and head.has_inner_status_line
+        )
+        claim = AnswerClaim(answered_id, refusal, may_be_mixed)
+        self.proof = judge(claim, self.awaited, use)
         self.description = self._describe(head.status, answered_id, use)
         if answered_id is None:
-            use.has_unnamed_answer = True
+            use.note_unnamed_answer(self.awaited)
         if self.proof not in (AnswerKind.EARLIER, AnswerKind.UNPROVEN):
             self._on_own(head)
             return HeadVerdict.OWN
@@ -93,7 +98,7 @@
             SurplusAnswer(
                 self._upstream,
                 head.status,
-                self.awaited.id,
+                self.awaited.id[:LOGGED_ID_CHARACTERS],
                 (answered_id or "")[:LOGGED_ID_CHARACTERS],
                 use.request_count,
                 is_skipped,
@@ -101,6 +106,13 @@
         )
         return HeadVerdict.SKIPPED if is_skipped else HeadVerdict.UNPROVEN
 
+    def _names_several(self, head: ResponseHead, answered_id: str | None) -> bool:
+        """Return whether a head names more than one request."""
+        if not head.has_repeated_names():
+            return False
+        ids = {self._dialect.answered_id({name.lower(): value}) for name, value in head.headers}
+        return bool(ids - {None, answered_id})
+
     def _describe(self, status: int, answered_id: str | None, use: ConnectionUse) -> str:
         if answered_id is None:
             whose = "naming no request"
--- a/pondhatch/transport/_exchange.py
+++ b/pondhatch/transport/_exchange.py
@@ -18,6 +18,10 @@
     from pondhatch.transport._http_connection import Connection
 
 
+#: Seconds within which an answer that is skipped must end. Its upstream had it whole before.
+SKIP_SECONDS = 0.25
+
+
 def no_counter() -> HeldCounter:
     """Return a counter that counts nothing, for exchanges of no account."""
     return UNCOUNTED
@@ -46,7 +50,9 @@
         self.max_silent_ms = max_silent_ms
         #: Whether an answer is read that is not the request's, and dropped.
         self.is_skipping = False
+        #: More than one such answer is no longer a matter of lateness.
         self._has_skipped = False
+        self._skip_timer: asyncio.TimerHandle | None = None
         #: Adds the connection to the idle ones.
         self.keep_idle = keep_idle
         #: Asked with each head on receipt, even if its waiter was cancelled.
@@ -90,11 +96,21 @@
         self._verdict = self._judge.judge(head, self.connection.use, can_skip)
         if self._verdict is HeadVerdict.SKIPPED:
             self.is_skipping = self._has_skipped = True
+            self._skip_timer = asyncio.get_running_loop().call_later(
+                SKIP_SECONDS, self.connection.give_up, "an earlier request's answer did not end"
+            )
             return
         self.response = head
         if not self.head.done():
             self.head.set_result(head)
 
+    def end_skipping(self) -> None:
+        """Note that an answer that is skipped was read to its end, or that nothing is skipped."""
+        self.is_skipping = False
+        if self._skip_timer is not None:
+            self._skip_timer.cancel()
+            self._skip_timer = None
+
     def complete(self, rest: bytes) -> None:
         """End the exchange with the rest of its complete answer."""
         if rest:
@@ -136,6 +152,7 @@
 
     def _finish(self) -> None:
         self._is_finished = True
+        self.end_skipping()
         # The pipe may be read long after this, or never.
         self.pipe.release_source()
         if self._send_task is not None and self._send_task is not asyncio.current_task():
--- a/pondhatch/transport/_http_connection.py
+++ b/pondhatch/transport/_http_connection.py
@@ -197,11 +197,12 @@
     def has_unread_bytes(self) -> bool:
         """Return whether bytes, or the end of the connection, wait in the socket's buffer."""
         try:
-            self.transport.getHandle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+            waiting = self.transport.getHandle().recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
         except BlockingIOError:
             return False
         except OSError:
             return True
+        self.has_unasked_bytes = bool(waiting)
         return True
 
     def last_active_at(self) -> float:
@@ -248,7 +249,7 @@
                 if not exchange.is_skipping:
                     parts.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage) and exchange.is_skipping:
-                exchange.is_skipping = False
+                exchange.end_skipping()
                 self._http.skip_answer()
             elif isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
                 self._end(exchange, parts)
@@ -264,7 +265,8 @@
         """
         self._exchange = None
         exchange.complete(b"".join(parts))
-        if self.is_open and self._http.is_complete and exchange.has_own_answer():
+        is_reusable = exchange.has_own_answer() and not self.use.is_spent()
+        if self.is_open and self._http.is_complete and is_reusable:
             self._become_idle(exchange.response)
             exchange.keep_idle(self)
         else:
@@ -282,6 +284,10 @@
         )
         self.usable_until = self.idle_since + kept_seconds
 
+    def give_up(self, reason: str) -> None:
+        """End the exchange and the connection, as the answer cannot be told any more."""
+        self._fail(ConnectionBroken(reason))
+
     def _fail(self, error: ConnectionError) -> None:
         exchange, self._exchange = self._exchange, None
         if exchange is not None:
--- a/pondhatch/transport/_http_heads.py
+++ b/pondhatch/transport/_http_heads.py
@@ -10,6 +10,8 @@
 
 #: Methods whose requests have no Content-Length if their body is empty.
 BODILESS = frozenset({"GET", "HEAD", "DELETE", "OPTIONS"})
+#: Begins the first line of a response.
+STATUS_LINE_START = b"HTTP/1."
 #: Statuses of responses that have no body.
 BODILESS_STATUSES = frozenset({204, 304})
 
@@ -32,6 +34,12 @@
     headers: Headers
     #: The last value of each header, by name in lower case.
     value_by_name: dict[str, str]
+    #: Whether the first line of a response stands within its first line or within a header.
+    has_inner_status_line: bool = False
+
+    def has_repeated_names(self) -> bool:
+        """Return whether several headers have the same name."""
+        return len(self.value_by_name) < len(self.headers)
 
     def framing(self, method: str) -> Framing:
         """Return how the body of this response to a request with a method is delimited."""
@@ -73,4 +81,7 @@
     """Return the head of a response that h11 parsed."""
     headers = tuple((as_text(name), as_text(value)) for name, value in event.headers.raw_items())
     by_name = {name.lower(): value for name, value in headers}
-    return ResponseHead(event.status_code, headers, by_name)
+    has_inner = STATUS_LINE_START in event.reason or any(
+        STATUS_LINE_START in value for _, value in event.headers
+    )
+    return ResponseHead(event.status_code, headers, by_name, has_inner)
--- a/pondhatch/transport/tests/test_surplus_answers.py
+++ b/pondhatch/transport/tests/test_surplus_answers.py
@@ -199,6 +199,32 @@
                 self.assertEqual((outcome.code, rig.open_connections()), (CROSSED, 0))
 
 
+class BrokenOffTest(unittest.IsolatedAsyncioTestCase):
+    # Guards against an earlier request's refusal that breaks off within its head, which the
+    # request's own answer then goes on with its id.
+    async def test_a_refusal_that_breaks_off_in_its_head_is_not_believed(self) -> None:
+        for dialect in DIALECTS:
+            refusal = dialect.refusal("a", b"X-Last: 1", status=b"421 Misdirected")
+            for size in range(len(b"HTTP/1.1 421"), refusal.index(b"\r\n\r\n")):
+                with self.subTest(dialect=dialect.not_run, cut=refusal[:size]):
+                    rig = Rig(dialect)
+                    await rig.use_connection(dialect.refusal("a"))
+                    sending = await rig.begin("b")
+                    rig.receive(refusal[:size] + dialect.answer(b"200 OK", "b"))
+                    rig.reactor.connections[0].connectionLost(Failure(ConnectionDone()))
+                    self.assertIsInstance((await rig.answered(sending))[0], Unknown)
+
+    # Guards against a request that is held to its deadline by an answer whose rest never comes.
+    async def test_an_earlier_answer_that_does_not_end_holds_no_request(self) -> None:
+        rig = Rig(PLATFORM)
+        answer = PLATFORM.answer(b"200 OK", "a")
+        await rig.use_connection(answer)
+        sending = await rig.begin("b", repeatable=True)
+        rig.receive(answer.replace(b"Length: 2", b"Length: 5000"), PLATFORM.answer(b"200 OK", "b"))
+        self.assertIsInstance((await rig.answered(sending))[0], Unknown)
+        self.assertEqual(rig.open_connections(), 0)
+
+
 class EarlierTryTest(unittest.IsolatedAsyncioTestCase):
     # Guards against an attempt that meets the second copy of the refusal of its own earlier try,
     # which has its id.
@@ -267,6 +293,16 @@
                 await rig.begin("b")
                 self.assertEqual(len(rig.reactor.connections), 2)
                 self.assertTrue(rig.reactor.transports[0].aborted)
+                rig.reactor.connections[0].connectionLost(Failure(ConnectionDone()))
+                unasked = rig.metrics.count_by_name.get("connections.unasked", 0)
+                self.assertEqual(unasked, len(waiting))
+
+    # Guards against connections that are kept, and count as pooled, though none may use them.
+    async def test_a_connection_whose_answers_cannot_be_told_apart_is_not_kept(self) -> None:
+        rig = Rig(PLATFORM)
+        outcome = await rig.use_connection(PLATFORM.refusal(None, status=b"400 No id"), "")
+        self.assertIsInstance(outcome, NotRun)
+        self.assertEqual((rig.open_connections(), rig.upstreams.is_pooled(TARGET.url)), (0, False))
 
     # Guards against surplus answers on idle connections that nobody sees.
     async def test_bytes_on_an_idle_connection_are_counted(self) -> None:
