--- a/pondhatch/requests/_answer_proof.py
+++ b/pondhatch/requests/_answer_proof.py
@@ -52,7 +52,7 @@
     #: Why the upstream did not run that request; None if it does not say so.
     refusal: EngineRefusal | None = None
     #: Whether the head may be made of two, of which the first broke off: it names several requests,
-    #: or is a refusal with the first line of an answer within another line.
+    #: or has the first line of an answer within another line.
     may_be_mixed: bool = False
 
 
--- a/pondhatch/transport/_answer_judge.py
+++ b/pondhatch/transport/_answer_judge.py
@@ -81,10 +81,7 @@
         """Return whose an answer is, on receipt of its head; see AnswerJudge."""
         answered_id = self._dialect.answered_id(head.value_by_name)
         refusal = self._dialect.refusal(head.status, head.value_by_name)
-        may_be_mixed = self._names_several(head, answered_id) or (
-            # Proxies may write such a line into headers of answers that they pass on.
-            refusal is not None and head.has_inner_status_line
-        )
+        may_be_mixed = head.has_inner_status_line or self._names_several(head, answered_id)
         claim = AnswerClaim(answered_id, refusal, may_be_mixed)
         self.proof = judge(claim, self.awaited, use)
         self.description = self._describe(head.status, answered_id, use)
--- a/pondhatch/transport/_http_heads.py
+++ b/pondhatch/transport/_http_heads.py
@@ -12,6 +12,8 @@
 BODILESS = frozenset({"GET", "HEAD", "DELETE", "OPTIONS"})
 #: Begins the first line of a response.
 STATUS_LINE_START = b"HTTP/1."
+#: Header in which proxies name the version of the protocol.
+VIA = b"via"
 #: Statuses of responses that have no body.
 BODILESS_STATUSES = frozenset({204, 304})
 
@@ -82,6 +84,6 @@
     headers = tuple((as_text(name), as_text(value)) for name, value in event.headers.raw_items())
     by_name = {name.lower(): value for name, value in headers}
     has_inner = STATUS_LINE_START in event.reason or any(
-        STATUS_LINE_START in value for _, value in event.headers
+        STATUS_LINE_START in value for name, value in event.headers if name != VIA
     )
     return ResponseHead(event.status_code, headers, by_name, has_inner)
