Histories with refusals that come a second time, judged by the serving code

The histories could not show it: they had neither connections nor second answers.

Change: each router of the simulated fleet has connections to each engine, which remember what they carried (ConnectionUse) and are taken only where may_carry allows. Refusals and crossed answers on them go through judge. The new fault "surplus" sends the latest earlier refusal of the connection before the answer that is due. One id is echoed for all tries of a request.

Changed check: the model took the notice in a crossed answer for received, and so expected routers to obey it. The code believes no such notice since it judges answers first, so the model records none for an outcome that is unknown. What is expected after a received notice is unchanged.

The other histories that use the model were not run.

--- a/pondhatch/requests/tests/_history.py
+++ b/pondhatch/requests/tests/_history.py
@@ -40,7 +40,6 @@
 )
 from pondhatch.placement._gate import EngineCount
 from pondhatch.requests import (
-    CROSSED,
     NUMBER_LIMIT,
     AnswerLost,
     AnswerStarted,
@@ -70,8 +69,8 @@
     encode_grant_packet,
     open_target,
 )
-from pondhatch.requests._outcomes import refused_by_engine
 from pondhatch.requests._sending import FAILURE_STATUS
+from pondhatch.requests.tests._history_connections import HistoryConnection, HistoryConnections
 
 EVENTS = 5
 #: The service's load bound: an engine's ceiling as a multiple of the mean load.
@@ -96,6 +95,9 @@
     "slow",
     FAILED,
 )
+#: The fault that an upstream sends an earlier refusal of the connection once more, before the
+#: answer that is due.
+SURPLUS = "surplus"
 #: Refusals that do not depend on whether the engine has a free slot.
 PERMANENT_REFUSALS = (EngineRefusal.LEAVING, EngineRefusal.WRONG_INSTANCE, EngineRefusal.UNKNOWN)
 #: Seconds for which a slot must have been free for a dispatch to know of it: it asks engines one
@@ -187,6 +189,8 @@
         self, content: bytes, cut_at: int | None, slow: bool, on_end: Callable[[], None]
     ) -> None:
         self._on_end: Callable[[], None] | None = on_end
+        #: Called once it was read to its end.
+        self.on_whole: Callable[[], None] = lambda: None
         self.status = 200
         self.headers: Headers = STREAM
         self._content = content
@@ -203,6 +207,7 @@
         while part := await self._part():
             if not sink.write(part):
                 await sink.ready()
+        self.on_whole()
         self.cancel()
 
     async def _part(self) -> bytes:
@@ -240,14 +245,35 @@
         self._leaving = leaving
 
     async def send(
-        self, target: Target, head: RequestHead, body: BodySource
+        self,
+        target: Target,
+        head: RequestHead,
+        body: BodySource,
+        connection: HistoryConnection | None = None,
+    ) -> AnswerStarted | NotRun | Unknown:
+        """Answer a request on its connection, after an earlier refusal if the script says so.
+
+        Without a connection it is sent on a new one.
+        """
+        connection = connection or HistoryConnections().take(target.name, head)
+        fault = self._script.next()
+        reply = await self._answer(target, head, connection, fault)
+        was_reached = not isinstance(reply, Unknown) and getattr(reply, "refusal", True) is not None
+        outcome = connection.receive_copy() if fault == SURPLUS and was_reached else None
+        if outcome is None:
+            return reply
+        if isinstance(reply, AnswerStarted):
+            reply.answer.cancel()
+        return outcome
+
+    async def _answer(
+        self, target: Target, head: RequestHead, connection: HistoryConnection, fault: str
     ) -> AnswerStarted | NotRun | Unknown:
         resuming = "X-Resume" in dict(head.headers)
         self._history.sends_to_leaving += target.name in self._leaving and not resuming
         request = head.request_id.split(".")[0]
         self._history.sends.append((request, upstream_id_of(target.name)))
         self._history.sent_at.append(asyncio.get_running_loop().time())
-        fault = self._script.next()
         await asyncio.sleep(0.01)
         engine = self.start_by_id.get(upstream_id_of(target.name), target.name)
         if engine in self.resting:
@@ -256,7 +282,7 @@
             fault = EngineRefusal.FULL
         if isinstance(fault, EngineRefusal):
             self._history.refusals[request, target.name] = fault
-            return refused_by_engine(fault, "refused")
+            return connection.receive_refusal(fault)
         if fault == "unreachable":
             return NotRun("upstream-unreachable", "unreachable")
         if fault == "lost-before-it-came":
@@ -270,7 +296,7 @@
         if fault == "lost-after-it-ran":
             return Unknown("upstream-lost", "lost")
         if fault == "crossed":
-            return Unknown(CROSSED, "another's answer")
+            return connection.receive_foreign()
         if fault == FAILED:
             return AnswerStarted(self._failure(engine))
         answer = answer_of(request)
@@ -504,6 +530,7 @@
         self.sends: list[tuple[str, float]] = []
         #: (engine, notice, time of receipt) of each notice.
         self.notices_received: list[tuple[str, Notice, float]] = []
+        self._connections = HistoryConnections()
 
     async def send(
         self, target: Target, head: RequestHead, body: BodySource
@@ -515,11 +542,25 @@
             return found
         self.sends.append((target.name, asyncio.get_running_loop().time()))
         notice = self._fleet.notice_of(target.name)
-        reply = await self._fleet.upstreams.send(target, head, body)
-        if notice and not (isinstance(reply, Unknown) and reply.code != CROSSED):
+        connection = self._connections.take(target.name, head)
+        reply = await self._fleet.upstreams.send(target, head, body, connection)
+        if notice and not isinstance(reply, Unknown):
             self._record_notice(target.name, notice)
+        self._keep_when_answered(target.name, connection, reply)
         return reply
 
+    def _keep_when_answered(
+        self,
+        engine: str,
+        connection: HistoryConnection,
+        reply: AnswerStarted | NotRun | Unknown,
+    ) -> None:
+        """Keep a connection once the answer on it was read to its end."""
+        if isinstance(reply, NotRun) and reply.refusal is not None:
+            self._connections.keep(engine, connection)
+        elif isinstance(reply, AnswerStarted) and isinstance(reply.answer, FakeStream):
+            reply.answer.on_whole = lambda: self._connections.keep(engine, connection)
+
     def _record_notice(self, engine: str, notice: Notice) -> None:
         now = asyncio.get_running_loop().time()
         self.notices_received.append((engine, notice, now))
