Stand-ins send any answer a second time, at four moments

What callers saw: unrepeatable requests that ran twice, or were refused and ran, where an engine sent an answer once more. Cause of the gap: the stand-ins could send only an invented 200 after a stream, so that no test with processes had a refusal that comes again. Change: connections of the engines and plain services keep the bytes of their answers while a fault asks for it and send them again: when the next request has arrived, 1 to 30 ms late, when the same id comes again on the connection, or in the same bytes. GET /surplus counts the copies. Refusals of 429 and 421 beside 503, and faults that occur on a share of their occasions.

Evidence: test_surplus_copies reads the copies off a socket, 5 of 5 passed; test_faults 24, test_prepared_machines.ServingTest 7 passed.

Left open: answers on connections that close after them are not sent again, so a poll for load over a connection of its own brings no copy.

--- a/fakes/__main__.py
+++ b/fakes/__main__.py
@@ -46,7 +46,8 @@
         cache_tokens=cache_tokens,
         checks_fencing=checks_fencing,
     )
-    _listen(Engine(settings).app, port)
+    engine = Engine(settings)
+    _listen(engine.app, port, engine.surplus)
 
 
 def plain(*, name: str, port: int = 0) -> None:
@@ -58,7 +59,8 @@
     install_reactor()
     from fakes._plain import PlainService
 
-    _listen(PlainService(name).app, port)
+    service = PlainService(name)
+    _listen(service.app, port, service.surplus)
 
 
 def platform(*, port: int = 0) -> None:
@@ -102,7 +104,8 @@
     install_reactor()
     from fakes._machines_engine import MachinesEngine
 
-    _listen(MachinesEngine(name, software_version, events, event_interval).app, port)
+    engine = MachinesEngine(name, software_version, events, event_interval)
+    _listen(engine.app, port, engine.surplus)
 
 
 def diverted_router(settings: Path, *, diversions: Path) -> None:
@@ -118,12 +121,15 @@
     raise SystemExit(main(["run", str(settings)]))
 
 
-def _listen(app: Any, port: int) -> None:
+def _listen(app: Any, port: int, surplus: Any = None) -> None:
     from twisted.internet import reactor as installed
     from twisted.web.server import Site
 
+    from fakes._surplus import RepeatingSite
+
     reactor: Any = installed
-    site = Site(app.resource())
+    resource = app.resource()
+    site = Site(resource) if surplus is None else RepeatingSite(resource, surplus)
     site.log = lambda request: None  # type: ignore[method-assign]
     bound = reactor.listenTCP(port, site, interface="127.0.0.1")
     print(f"listening {bound.getHost().port}", flush=True)
--- a/fakes/_engine.py
+++ b/fakes/_engine.py
@@ -11,10 +11,12 @@
 - ``duplicate``: the same with a second answer to the same request
 - ``end-early``: end the stream in the middle without an error
 - ``garble``: send bytes in the middle that are not part of a valid answer
-- ``refuse``: 503, not run
+- ``refuse``, ``throttle``, ``misaddress``: not run; see Faults
 - ``shed``: 503, not run, and ask for no requests for ``seconds``
 - ``leaving``: announce in a load report that the engine is leaving
 - ``says-leaving``: announce in an answer that the engine is leaving
+- ``twice-before-next``, ``twice-late``, ``twice-for-same-id``, ``twice-at-once``: send an answer a
+  second time; see SurplusAnswers
 """
 
 from __future__ import annotations
@@ -32,6 +34,7 @@
 from fakes._faults import Faults
 from fakes._orders import OrderBook, serve_orders
 from fakes._prefix_cache import PrefixCache, tokens_of
+from fakes._surplus import SurplusAnswers
 from pondhatch.kernel import as_deferred
 
 #: Prompt tokens processed in one second.
@@ -90,6 +93,7 @@
     def __init__(self, settings: EngineSettings) -> None:
         self.settings = settings
         self.faults = Faults()
+        self.surplus = SurplusAnswers(self.faults)
         self.runs: deque[Run] = deque(maxlen=10_000)
         self.running = 0
         self.app = Klein()
@@ -124,6 +128,7 @@
 
         serve_orders(self.app, self.order_book, self.faults)
         self.faults.add_route(self.app)
+        self.surplus.add_route(self.app)
 
     async def _chat(self, request: Any) -> None:
         body = json.loads(request.content.read())
@@ -131,8 +136,9 @@
         if self.faults.consume("says-leaving"):
             request.setHeader("X-Leaving", "1")
         shed_fault = self.faults.consume("shed")
-        if shed_fault is not None or self.faults.consume("refuse"):
-            request.setResponseCode(503)
+        refusal = 503 if shed_fault is not None else self.faults.consume_refusal()
+        if refusal is not None:
+            request.setResponseCode(refusal)
             request.setHeader("X-Not-Run", "1")
             request.setHeader("X-Request-Id", request_id)
             if shed_fault is not None:
--- a/fakes/_faults.py
+++ b/fakes/_faults.py
@@ -2,17 +2,25 @@
 
 ``POST /faults`` with ``{"name": "stall", "count": 1, "seconds": 2.0}`` arms a
 fault. ``count`` is the number of times that it occurs, and 0 disarms it; ``after``
-is the number of occasions that it skips first.
+is the number of occasions that it skips first, and ``share`` the share of the others on which
+it occurs, as drawn.
+
+The stand-ins share the faults by which they refuse a request and state that it is not run:
+``refuse`` (503), ``throttle`` (429) and ``misaddress`` (421).
 """
 
 from __future__ import annotations
 
 import json
+import random
 from dataclasses import dataclass, field
 from typing import Any
 
 from klein import Klein
 
+#: The status of each refusal, by the fault's name.
+REFUSAL_STATUS_BY_FAULT = {"refuse": 503, "throttle": 429, "misaddress": 421}
+
 
 @dataclass
 class Fault:
@@ -25,6 +33,8 @@
     seconds: float = 0.0
     #: Occasions that it skips first.
     after: int = 0
+    #: Share of the other occasions on which it occurs.
+    share: float = 1.0
 
 
 @dataclass
@@ -32,10 +42,23 @@
     """The armed faults of one stand-in, by name."""
 
     by_name: dict[str, Fault] = field(default_factory=dict)
+    rng: random.Random = field(default_factory=lambda: random.Random(1))
 
-    def arm(self, name: str, count: int = 1, seconds: float = 0.0, after: int = 0) -> None:
+    def arm(
+        self,
+        name: str,
+        count: int = 1,
+        seconds: float = 0.0,
+        after: int = 0,
+        share: float = 1.0,
+    ) -> None:
         """Arm a fault, or disarm it with count 0."""
-        self.by_name[name] = Fault(name, count, seconds, after)
+        self.by_name[name] = Fault(name, count, seconds, after, share)
+
+    def is_armed(self, name: str) -> bool:
+        """Return whether a fault may still occur."""
+        fault = self.by_name.get(name)
+        return fault is not None and fault.count > 0
 
     def consume(self, name: str) -> Fault | None:
         """Return the fault if it is due now, and count one occurrence; None otherwise."""
@@ -45,9 +68,16 @@
         if fault.after > 0:
             fault.after -= 1
             return None
+        if fault.share < 1.0 and self.rng.random() >= fault.share:
+            return None
         fault.count -= 1
         return fault
 
+    def consume_refusal(self) -> int | None:
+        """Return the status of a refusal that is due now, and count it; None without one."""
+        due = (status for name, status in REFUSAL_STATUS_BY_FAULT.items() if self.consume(name))
+        return next(due, None)
+
     def add_route(self, app: Klein) -> None:
         """Serve ``POST /faults``."""
 
@@ -55,5 +85,6 @@
         def arm(request: Any) -> bytes:
             body = json.loads(request.content.read())
             count, seconds = body.get("count", 1), body.get("seconds", 0.0)
-            self.arm(body["name"], count, seconds, body.get("after", 0))
+            after, share = body.get("after", 0), body.get("share", 1.0)
+            self.arm(body["name"], count, seconds, after, share)
             return b"ok\n"
--- a/fakes/_local_fleet.py
+++ b/fakes/_local_fleet.py
@@ -110,9 +110,10 @@
     #: Version of its software, as the prepared machines' engines state it.
     software_version: str = "v1"
 
-    def arm(self, fault: str, count: int = 1, seconds: float = 0.0) -> None:
-        """Arm a fault of the stand-in."""
-        fetch(f"{self.url}/faults", {"name": fault, "count": count, "seconds": seconds})
+    def arm(self, fault: str, count: int = 1, seconds: float = 0.0, share: float = 1.0) -> None:
+        """Arm a fault of the stand-in, which occurs on a share of its occasions."""
+        armed = {"name": fault, "count": count, "seconds": seconds, "share": share}
+        fetch(f"{self.url}/faults", armed)
 
 
 def _flag(key: str, value: Any) -> str:
--- a/fakes/_machines_engine.py
+++ b/fakes/_machines_engine.py
@@ -14,7 +14,7 @@
 
 Faults:
 
-- ``refuse``: full, not run
+- ``refuse``, ``throttle``, ``misaddress``: not run; see Faults
 - ``shed``: not run, and ask for no requests for ``seconds``
 - ``leaving``: announce in an answer that the engine is about to end
 - ``cut``: break a stream in the middle, unless it resumes an earlier one
@@ -27,6 +27,8 @@
 - ``echo``: repeat the router's request headers in the answer
 - ``slow``: a stream takes 2.5 times as long, and the engine reports this pace with its load
 - ``garble-load``: report an invalid load
+- ``twice-before-next``, ``twice-late``, ``twice-for-same-id``, ``twice-at-once``: send an answer a
+  second time; see SurplusAnswers
 """
 
 from __future__ import annotations
@@ -44,6 +46,7 @@
 
 from fakes._brittle import BrittleRoom
 from fakes._faults import Faults
+from fakes._surplus import SurplusAnswers
 from pondhatch.kernel import as_deferred
 
 #: Events in a stream.
@@ -98,6 +101,7 @@
         event_interval: float = EVENT_INTERVAL,
     ) -> None:
         self.faults = Faults()
+        self.surplus = SurplusAnswers(self.faults)
         self.app = Klein()
         self._software_version = software_version
         #: Events in a stream, and the seconds between two of them.
@@ -145,6 +149,7 @@
             return json.dumps([asdict(each) for each in self.received_requests]).encode()
 
         self.faults.add_route(self.app)
+        self.surplus.add_route(self.app)
 
         @self.app.route("/", branch=True)
         def run(request: Any) -> Deferred[bytes | None]:
@@ -189,8 +194,9 @@
         needs_missing_state = any(
             request.getHeader(name) is not None for name in LOCAL_STATE_HEADERS
         )
-        if needs_missing_state or self.faults.consume("refuse"):
-            request.setResponseCode(503)
+        refusal = 503 if needs_missing_state else self.faults.consume_refusal()
+        if refusal is not None:
+            request.setResponseCode(refusal)
             request.setHeader("Not-Executed", "1")
             return b""
         attempt = request.getHeader("Attempt-Id") or ""
--- a/fakes/_plain.py
+++ b/fakes/_plain.py
@@ -3,7 +3,9 @@
 A call is answered with its own body; ``/.../large/BYTES`` with that many bytes;
 ``/.../headers`` lists the names of the received headers in ``X-Told`` and sets a header that
 only routers may set. Faults: ``stall`` (delay the answer by ``seconds``), ``cut`` (run the
-call, then break the connection), ``refuse`` (503, not run).
+call, then break the connection), ``refuse``, ``throttle``, ``misaddress`` (not run; see Faults),
+``twice-before-next``, ``twice-late``, ``twice-for-same-id`` and ``twice-at-once`` (send an answer a
+second time; see SurplusAnswers).
 """
 
 from __future__ import annotations
@@ -18,6 +20,7 @@
 from twisted.internet.defer import Deferred
 
 from fakes._faults import Faults
+from fakes._surplus import SurplusAnswers
 from pondhatch.kernel import as_deferred
 
 #: Bytes written at a time of a large answer.
@@ -54,6 +57,7 @@
     def __init__(self, name: str) -> None:
         self.name = name
         self.faults = Faults()
+        self.surplus = SurplusAnswers(self.faults)
         #: Number of runs of each call, by the caller's X-Call-Id or else by path.
         self.calls: Counter[str] = Counter()
         #: Producer of the latest answer under ``/large``.
@@ -68,6 +72,7 @@
             return json.dumps({"calls": self.calls, "written": written}).encode()
 
         self.faults.add_route(self.app)
+        self.surplus.add_route(self.app)
 
         @self.app.route("/", branch=True)
         def call(request: Any) -> Deferred[bytes | None]:
@@ -75,8 +80,9 @@
 
     async def _call(self, request: Any) -> bytes:
         request.setHeader("X-Request-Id", request.getHeader("x-request-id") or "none")
-        if self.faults.consume("refuse"):
-            request.setResponseCode(503)
+        refusal = self.faults.consume_refusal()
+        if refusal is not None:
+            request.setResponseCode(refusal)
             request.setHeader("X-Not-Run", "1")
             return b""
         self.calls[request.getHeader("x-call-id") or request.path.decode()] += 1
