--- a/fakes/_plain.py
+++ b/fakes/_plain.py
@@ -54,8 +54,10 @@
 class PlainService:
     """One instance of a plain service."""
 
-    def __init__(self, name: str) -> None:
+    def __init__(self, name: str, idle_seconds: int = 0) -> None:
         self.name = name
+        #: How long it states to keep idle connections; 0 to state nothing.
+        self.idle_seconds = idle_seconds
         self.faults = Faults()
         self.surplus = SurplusAnswers(self.faults)
         #: Number of runs of each call, by the caller's X-Call-Id or else by path.
@@ -80,6 +82,8 @@
 
     async def _call(self, request: Any) -> bytes:
         request.setHeader("X-Request-Id", request.getHeader("x-request-id") or "none")
+        if self.idle_seconds:
+            request.setHeader("Keep-Alive", f"timeout={self.idle_seconds}")
         refusal = self.faults.consume_refusal()
         if refusal is not None:
             request.setResponseCode(refusal)
