The soak has engines that send answers a second time

What was missing: no seed drew an engine that sends an answer once more, so that no check could see a request that ran twice or was refused and ran for that. Change: engine-answers-twice, two or more in every run, from a generator of its own, so that a seed draws the same other faults. While it lasts the engine also refuses with 503, 429 and 421, one request in twenty with each, so that refusals come twice. The moment follows from the drawn number.

--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -9,12 +9,15 @@
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import replace
 
+from fakes._faults import REFUSAL_STATUS_BY_FAULT
 from fakes._local_fleet import Backend
 from fakes._machines_fleet import MachinesRouter
+from fakes._surplus import MOMENTS
 from soak._bad_parts import BadPart
 from soak._callers import Caller
 from soak._fleet import SERVICES, STORE_NAME, SoakFleet, in_thread
 from soak._plan import (
+    ANSWERS_TWICE,
     BAD_PART,
     CROWDED_ROUTER,
     ENGINE,
@@ -40,6 +43,9 @@
 RELAY_DELAY = 0.2
 #: More requests than can arrive during a fault.
 UNLIMITED_COUNT = 100_000
+#: Share of its requests that an engine refuses with each status while it answers twice, so that
+#: refusals come a second time too.
+REFUSED_SHARE = 0.05
 #: During a fault of slow readers, one in this many callers reads slowly.
 SLOW_CALLER_STRIDE = 3
 #: Engines of each service, and routers, that are always left undisturbed, so that some serve.
@@ -162,6 +168,8 @@
                 LASTING_STAND_IN_FAULT_BY_KIND[fault.kind],
                 replace(fault, count=UNLIMITED_COUNT),
             )
+        elif fault.kind == ANSWERS_TWICE:
+            await self._answer_twice(engine, fault)
         elif fault.kind == "engine-crash":
             await self._kill_and_replace(engine)
         elif fault.kind == "engine-freeze":
@@ -176,12 +184,28 @@
         await asyncio.sleep(fault.seconds)
         await self._arm(engine, stand_in_fault, 0)
 
+    async def _answer_twice(self, engine: Backend, fault: Fault) -> None:
+        """Have an engine refuse some requests, and send all answers again at one moment."""
+        # Not the remainder that selects the engine.
+        moment = MOMENTS[fault.target_number // 10 % len(MOMENTS)]
+        for refusal in REFUSAL_STATUS_BY_FAULT:
+            await self._arm(engine, refusal, UNLIMITED_COUNT, share=REFUSED_SHARE)
+        await self._arm(engine, moment, UNLIMITED_COUNT)
+        await asyncio.sleep(fault.seconds)
+        for each in (moment, *REFUSAL_STATUS_BY_FAULT):
+            await self._arm(engine, each, 0)
+
     async def _arm(
-        self, engine: Backend, stand_in_fault: str, count: int, seconds: float = 0.0
+        self,
+        engine: Backend,
+        stand_in_fault: str,
+        count: int,
+        seconds: float = 0.0,
+        share: float = 1.0,
     ) -> None:
         """Arm a fault at an engine, unless a bad part of prompts ended it meanwhile."""
         try:
-            await in_thread(lambda: engine.arm(stand_in_fault, count, seconds))
+            await in_thread(lambda: engine.arm(stand_in_fault, count, seconds, share))
         except OSError:
             if engine.process.poll() is None:
                 raise
--- a/soak/_plan.py
+++ b/soak/_plan.py
@@ -68,6 +68,9 @@
 #: drawn in addition, in every run.
 ANSWER_KINDS = ("engine-unframed", "engine-stops-early")
 ANSWER_FAULT_RATIO = 0.3
+#: Engines that send answers a second time; drawn in addition, in every run.
+ANSWERS_TWICE = "engine-answers-twice"
+ANSWERS_TWICE_RATIO = 0.25
 #: Requests that share a part which crashes engines; one in every run.
 BAD_PART = "bad-part"
 #: Most new connections go to one router, while callers open more of them; one in every run.
@@ -111,7 +114,7 @@
     """Return what faults of a kind are injected at."""
     if kind in PATH_KINDS:
         return ROUTER
-    if kind in ANSWER_KINDS:
+    if kind in (*ANSWER_KINDS, ANSWERS_TWICE):
         return ENGINE
     if kind in (RELEASE, BAD_PART, CROWDED_ROUTER):
         return FLEET
@@ -123,8 +126,9 @@
 ) -> Plan:
     """Return the plan drawn from a seed; equal arguments give equal plans.
 
-    Load faults, path faults, releases, faults of answers, bad parts and crowds come from generators
-    of their own, so that a seed draws the same other faults with and without them.
+    Load faults, path faults, releases, faults of answers, second copies of answers, bad parts and
+    crowds come from generators of their own, so that a seed draws the same other faults with and
+    without them.
     """
     rng = random.Random(seed)
     routers = rng.randint(2, max(2, max_routers))
@@ -157,6 +161,11 @@
         for _ in range(max(2, round(fault_count * ANSWER_FAULT_RATIO)))
     ]
     faults.append(_draw_fault(answer_rng, fault_seconds, (BAD_PART,)))
+    twice_rng = random.Random(f"{seed} answers twice")
+    faults += [
+        _draw_fault(twice_rng, fault_seconds, (ANSWERS_TWICE,))
+        for _ in range(max(2, round(fault_count * ANSWERS_TWICE_RATIO)))
+    ]
     faults.append(_draw_fault(random.Random(f"{seed} crowds"), fault_seconds, (CROWDED_ROUTER,)))
     faults.sort(key=lambda each: each.starts_at)
     callers = 6 * min(routers, 12)
--- a/soak/tests/test_plan.py
+++ b/soak/tests/test_plan.py
@@ -6,6 +6,7 @@
 
 from soak._plan import (
     ANSWER_KINDS,
+    ANSWERS_TWICE,
     BAD_PART,
     CROWDED_ROUTER,
     PATH_KINDS,
@@ -31,9 +32,24 @@
     def test_every_kind_is_drawn(self) -> None:
         kinds = {fault.kind for seed in range(60) for fault in draw_plan(seed, 30.0, 4).faults}
         self.assertEqual(
-            kinds, {*TARGET_BY_KIND, *PATH_KINDS, *ANSWER_KINDS, RELEASE, BAD_PART, CROWDED_ROUTER}
+            kinds,
+            {
+                *TARGET_BY_KIND,
+                *PATH_KINDS,
+                *ANSWER_KINDS,
+                ANSWERS_TWICE,
+                RELEASE,
+                BAD_PART,
+                CROWDED_ROUTER,
+            },
         )
 
+    # Guards against runs without a second copy of an answer, which would show nothing of it.
+    def test_answers_come_twice_in_every_run(self) -> None:
+        for seed in range(60):
+            kinds = [fault.kind for fault in draw_plan(seed, 3.0, 4).faults]
+            self.assertGreaterEqual(kinds.count(ANSWERS_TWICE), 2)
+
     def test_load_faults_are_added_without_changing_the_others(self) -> None:
         plain, loaded = draw_plan(5, 30.0, 4), draw_plan(5, 30.0, 4, manages_load=True)
         added = [fault for fault in loaded.faults if fault not in plain.faults]
