Count engines that end at one moment as one piece of evidence

What callers saw: all engines of a service ended together, and the requests and parts of prompts that three of them had run were refused with 400 for ten minutes, or for one and more.

Cause: three crashes convict, whether or not they are independent. Where many send the same request, one cause ends many engines that run it.

Change: evidence bears how long its run had lasted (one more field at the end; older routers skip it, and theirs counts as before). Crashes within 0.25 s whose runs had begun before the first of them are one moment. Where the runs of one moment differ in length by more than 0.1 s, something else may have ended the engines: the request is not refused then, but runs one at a time, and a later run that ends its engine convicts it. Runs of about the same length that end their engines together still convict at three, since a clump of bad requests does that. A whole request whose crashes came at two moments or fewer is refused for 30 s and not for ten minutes; a part's time doubles with each moment and not with each crash. What was lost at a single moment explains no crash of others, and two such requests may run beside each other. A crash is dated by the loss of the connection and not by the probe that found it, and evidence that is sent again bears its age as of then.

Evidence: the tests of test_crash_moments failed before (they need the new field). The existing tests of the quarantine, its histories and the processes' tests of crashing requests and parts pass unchanged.

--- a/pondhatch/quarantine/_evidence.py
+++ b/pondhatch/quarantine/_evidence.py
@@ -12,12 +12,15 @@
     digest: int
     #: Name of the crash: the engine's name, made unique for each of its crashes.
     engine: str
-    #: Milliseconds since the crash; an age, since routers' clocks differ.
+    #: Milliseconds since the run lost its connection; an age, since routers' clocks differ.
     age_ms: int
     #: Whether the request, or one with the part, has completed elsewhere: it was not the cause.
     cleared: bool = False
     #: Whether it is about a part of prompts.
     is_part: bool = False
+    #: Milliseconds for which the run had lasted when it lost its connection; 0 from routers that
+    #: do not say, whose evidence then stands for itself.
+    run_ms: int = 0
 
 
 class EvidencePacket(msgspec.Struct, frozen=True, array_like=True, tag=80):
--- a/pondhatch/quarantine/_suspects.py
+++ b/pondhatch/quarantine/_suspects.py
@@ -4,9 +4,12 @@
 cause. Each of them is suspected, and later runs tell them apart. A harmless request completes its
 next run and is cleared. The cause crashes the next two engines as well: at the third crash it is
 quarantined, and the requests that only ran beside it at the first two no longer count as suspected
-of those. A part of prompts is suspected in the same way, with each request that has it, and a
-completed run of any such request clears it. Evidence is a grow-only set (a CRDT), so routers that
-receive it in any order, late or several times come to the same result without asking each other.
+of those. Engines that end at one moment all count, so that the request then runs on its own, but it
+is quarantined only when a later run crashes its engine as well, unless its runs themselves seem to
+have ended them (see _crash_moments). A part of prompts is suspected in the same way, with each
+request that has it, and a completed run of any such request clears it. Evidence is a grow-only set
+(a CRDT), so routers that receive it in any order, late or several times come to the same result
+without asking each other.
 """
 
 from __future__ import annotations
@@ -17,6 +20,7 @@
 
 import msgspec
 
+from pondhatch.quarantine._crash_moments import Crash, Moment, moments_of
 from pondhatch.quarantine._evidence import Evidence
 
 #: Number of engine crashes during a request after which it is quarantined. Two may be a
@@ -32,6 +36,10 @@
 #: QUARANTINE_SECONDS. Many requests may need the part, and a chance coincidence is likelier than
 #: with a whole request.
 PART_QUARANTINE_SECONDS = 60.0
+#: Seconds for which a request is quarantined whose crashes came at fewer than three moments: a
+#: popular request may have met a cause that crashed several engines. Longer than engines take to
+#: start, and short, since each further crash is a moment of its own.
+FEW_MOMENTS_QUARANTINE_SECONDS = 30.0
 #: Share of all crashes, from the first to the last in which a part was lost, from which on the part
 #: is quarantined. Where engines end for other reasons, a part that is in use all the time is lost
 #: in some of those crashes.
@@ -54,26 +62,44 @@
 
     #: Whether it is a part of prompts.
     is_part: bool = False
-    #: Time of each crash in the clock's seconds, by the name of the crash.
-    time_by_crash: dict[str, float] = msgspec.field(default_factory=dict)
+    #: By the name of the crash.
+    crash_by_name: dict[str, Crash] = msgspec.field(default_factory=dict)
     #: Names of the crashes that the request is known not to have caused.
     cleared: set[str] = msgspec.field(default_factory=set)
+    #: When this router last learned of a crash, in the clock's seconds.
+    learned_at: float = 0.0
 
     @property
     def last_crash_at(self) -> float:
         """When an engine last crashed while it ran the request, in the clock's seconds."""
-        return max(self.time_by_crash.values())
+        return max(each.at for each in self.crash_by_name.values())
 
     def uncleared_crashes(self) -> list[str]:
         """Return the names of the crashes of which the request is not cleared."""
-        return [crash for crash in self.time_by_crash if crash not in self.cleared]
+        return [crash for crash in self.crash_by_name if crash not in self.cleared]
+
+    def moments(self) -> list[Moment]:
+        """Return the moments of the crashes of which the request is not cleared."""
+        return moments_of(self.crash_by_name[name] for name in self.uncleared_crashes())
+
+    def has_enough_crashes(self) -> bool:
+        """Return whether it is seen to crash engines, by CRASHES_TO_QUARANTINE at least."""
+        if len(self.uncleared_crashes()) < CRASHES_TO_QUARANTINE:
+            return False
+        return not self.is_of_common_cause()
+
+    def is_of_common_cause(self) -> bool:
+        """Return whether all its crashes came at one moment and may have another cause."""
+        moments = self.moments()
+        return len(moments) == 1 and moments[0].may_have_common_cause()
 
     def quarantine_seconds(self) -> float:
         """Return for how long after the last crash it must not be run once quarantined."""
-        if not self.is_part:
-            return QUARANTINE_SECONDS
-        further_crashes = len(self.uncleared_crashes()) - CRASHES_TO_QUARANTINE
-        return min(QUARANTINE_SECONDS, PART_QUARANTINE_SECONDS * 2.0 ** max(0, further_crashes))
+        further_moments = len(self.moments()) - CRASHES_TO_QUARANTINE
+        if self.is_part:
+            doubled = PART_QUARANTINE_SECONDS * 2.0 ** max(0, further_moments)
+            return min(QUARANTINE_SECONDS, doubled)
+        return FEW_MOMENTS_QUARANTINE_SECONDS if further_moments < 0 else QUARANTINE_SECONDS
 
 
 class Suspects(msgspec.Struct):
@@ -85,8 +111,8 @@
     _suspects_by_crash: Counter[str] = msgspec.field(default_factory=Counter)
     #: When each crash came, in the clock's seconds, by the name of the crash.
     _time_by_crash: dict[str, float] = msgspec.field(default_factory=dict)
-    #: Requests with ``CRASHES_TO_QUARANTINE`` or more uncleared crashes. Checks scan only these
-    #: instead of all requests, as there are few at any time.
+    #: Requests with ``CRASHES_TO_QUARANTINE`` or more uncleared crashes that they may have caused.
+    #: Checks scan only these instead of all requests, as there are few at any time.
     _over_threshold: set[int] = msgspec.field(default_factory=set)
     #: Suspects with two or more uncleared crashes.
     _repeated: set[int] = msgspec.field(default_factory=set)
@@ -115,9 +141,12 @@
             return False
         self._drop_expired(now)
         suspect = self.suspect_by_digest.setdefault(evidence.digest, Suspect(evidence.is_part))
-        is_new = evidence.engine not in suspect.time_by_crash
+        crash = _crash(evidence, crashed_at)
+        known = suspect.crash_by_name.get(evidence.engine)
+        suspect.crash_by_name[evidence.engine] = crash if known is None else crash.merged(known)
+        is_new = known is None
         if is_new:
-            suspect.time_by_crash[evidence.engine] = crashed_at
+            suspect.learned_at = now
             self._suspects_by_crash[evidence.engine] += 1
             self._time_by_crash.setdefault(evidence.engine, crashed_at)
             self._record_crash(evidence.engine, crashed_at)
@@ -151,13 +180,15 @@
 
     def _update_over_threshold(self, digest: int) -> None:
         """Update whether a suspect is over the threshold, or has more than one crash."""
+        self._over_threshold.discard(digest)
+        self._repeated.discard(digest)
         suspect = self.suspect_by_digest.get(digest)
         crashes = len(suspect.uncleared_crashes()) if suspect is not None else 0
-        for suspects, least in ((self._over_threshold, CRASHES_TO_QUARANTINE), (self._repeated, 2)):
-            if crashes >= least:
-                suspects.add(digest)
-            else:
-                suspects.discard(digest)
+        if suspect is None or crashes < 2:
+            return
+        self._repeated.add(digest)
+        if suspect.has_enough_crashes():
+            self._over_threshold.add(digest)
 
     def crash_count(self, digest: int) -> int:
         """Return the number of uncleared crashes of a request that no other request explains."""
@@ -167,6 +198,14 @@
         uncleared = suspect.uncleared_crashes()
         return sum(not self._is_explained(crash, suspect, len(uncleared)) for crash in uncleared)
 
+    def current(self, evidence: Evidence, now: float) -> Evidence | None:
+        """Return what is known of the same crash now, or None if it is no longer stored."""
+        suspect = self.suspect_by_digest.get(evidence.digest)
+        if suspect is None or evidence.engine not in suspect.crash_by_name:
+            return None
+        is_cleared = evidence.engine in suspect.cleared
+        return _evidence(evidence.digest, suspect, evidence.engine, now, is_cleared)
+
     def is_cleared(self, evidence: Evidence) -> bool:
         """Return whether a request or part is known not to have caused a crash."""
         suspect = self.suspect_by_digest.get(evidence.digest)
@@ -181,6 +220,8 @@
         suspect = self.suspect_by_digest.get(digest)
         if suspect is None or self.crash_count(digest) < CRASHES_TO_QUARANTINE:
             return False
+        if suspect.is_of_common_cause():
+            return False
         if suspect.is_part and not self._has_due_share(suspect):
             return False
         return now - suspect.last_crash_at < suspect.quarantine_seconds()
@@ -198,7 +239,7 @@
 
     def _has_due_share(self, suspect: Suspect) -> bool:
         """Return whether a part was in enough of all crashes from its first to its last one."""
-        times = [suspect.time_by_crash[crash] for crash in suspect.uncleared_crashes()]
+        times = [suspect.crash_by_name[crash].at for crash in suspect.uncleared_crashes()]
         first, last = min(times), max(times)
         crashes = sum(first <= at <= last for at in self._time_by_crash.values())
         return len(times) >= crashes * MIN_SHARE_OF_CRASHES
@@ -230,13 +271,17 @@
         """Return whether two requests are suspected of the same crash.
 
         If they ran together at one engine again, both would be lost in the next crash, and
-        nothing would distinguish the harmless one from the cause.
+        nothing would distinguish the harmless one from the cause. Where one of them was lost at a
+        single moment, another crash still does, and both may run, each one at a time.
         """
         if one == other:
             return True
         pair = (self.suspect_by_digest.get(one), self.suspect_by_digest.get(other))
-        uncleared = [set(each.uncleared_crashes()) for each in pair if each is not None]
-        return len(uncleared) == len(pair) and not uncleared[0].isdisjoint(uncleared[1])
+        suspects = [each for each in pair if each is not None]
+        if len(suspects) < len(pair) or any(each.is_of_common_cause() for each in suspects):
+            return False
+        uncleared = [set(each.uncleared_crashes()) for each in suspects]
+        return not uncleared[0].isdisjoint(uncleared[1])
 
     def quarantined_digests(self, now: float) -> Iterator[int]:
         """Yield the digests of the requests that must not be run now."""
@@ -271,7 +316,7 @@
             return []
         return [
             _evidence(digest, suspect, crash, now, crash in suspect.cleared)
-            for crash in suspect.time_by_crash
+            for crash in suspect.crash_by_name
         ]
 
     def _is_explained(self, crash: str, suspect: Suspect, crash_count: int) -> bool:
@@ -313,7 +358,7 @@
     def _drop(self, digest: int) -> None:
         self._over_threshold.discard(digest)
         self._repeated.discard(digest)
-        for crash in self.suspect_by_digest.pop(digest).time_by_crash:
+        for crash in self.suspect_by_digest.pop(digest).crash_by_name:
             self._suspects_by_crash[crash] -= 1
             if not self._suspects_by_crash[crash]:
                 del self._suspects_by_crash[crash], self._time_by_crash[crash]
@@ -325,6 +370,13 @@
             del self._last_crash_by_engine[engine]
 
 
-def _evidence(digest: int, suspect: Suspect, crash: str, now: float, cleared: bool) -> Evidence:
-    age_ms = max(0, round((now - suspect.time_by_crash[crash]) * 1000))
-    return Evidence(digest, crash, age_ms, cleared, suspect.is_part)
+def _crash(evidence: Evidence, crashed_at: float) -> Crash:
+    run_seconds = evidence.run_ms / 1000
+    return Crash(crashed_at, crashed_at - run_seconds if evidence.run_ms else float("inf"))
+
+
+def _evidence(digest: int, suspect: Suspect, name: str, now: float, cleared: bool) -> Evidence:
+    crash = suspect.crash_by_name[name]
+    age_ms = max(0, round((now - crash.at) * 1000))
+    run_ms = max(1, round((crash.at - crash.began_at) * 1000)) if crash.has_known_run else 0
+    return Evidence(digest, name, age_ms, cleared, suspect.is_part, run_ms)
--- a/pondhatch/router/_crash_evidence_exchange.py
+++ b/pondhatch/router/_crash_evidence_exchange.py
@@ -28,7 +28,7 @@
     RunClaims,
 )
 from pondhatch.requests import NO_WATCH, RequestWatch, Target
-from pondhatch.router._crash_watch import CrashWatch
+from pondhatch.router._crash_watch import CrashWatch, LostRun
 from pondhatch.router._new_members import NewMembers
 from pondhatch.router._part_clearing import PartClearing
 from pondhatch.router._state import RouterState
@@ -116,15 +116,17 @@
         """Return the part for which a request must not be run for now; see SharedEvidence."""
         return self.suspects.quarantining_part(parts, self._state.clock())
 
-    async def note_connection_lost(
-        self, digest: int, parts: tuple[int, ...], target: Target
-    ) -> bool:
+    def now(self) -> float:
+        """Return the time in the clock's seconds."""
+        return self._state.clock()
+
+    async def note_connection_lost(self, run: LostRun) -> bool:
         """Probe whether the engine crashed, and share the evidence if so; see RequestWatch.
 
         The probes continue if the caller leaves meanwhile: otherwise a caller that gives up after
         each crash would leave no evidence. The request waits for the first probes only.
         """
-        probing = self._tasks.start(self._probe(digest, parts, target, FIRST_PROBE_DELAYS))
+        probing = self._tasks.start(self._probe(run, FIRST_PROBE_DELAYS))
         try:
             has_crashed = await asyncio.wait_for(
                 asyncio.shield(probing), FIRST_PROBES_TIMEOUT_SECONDS
@@ -132,27 +134,26 @@
         except TimeoutError:
             has_crashed = False
         if not has_crashed:
-            self._tasks.start(self._probe(digest, parts, target, LATER_PROBE_DELAYS))
+            self._tasks.start(self._probe(run, LATER_PROBE_DELAYS))
         return has_crashed
 
-    async def _probe(
-        self, digest: int, parts: tuple[int, ...], target: Target, delays: tuple[float, ...]
-    ) -> bool:
+    async def _probe(self, run: LostRun, delays: tuple[float, ...]) -> bool:
         for delay in delays:
             await asyncio.sleep(delay)
-            if await self._has_crashed(target):
-                self._record_crash(digest, parts, target)
+            if await self._has_crashed(run.target):
+                self._record_crash(run)
                 return True
         return False
 
-    def _record_crash(self, digest: int, parts: tuple[int, ...], target: Target) -> None:
+    def _record_crash(self, run: LostRun) -> None:
         """Record and share the evidence against a request and the parts of its prompt."""
         now = self._state.clock()
-        name = self.suspects.crash_name(target.name, now)
-        of_request = [Evidence(digest, name, 0)] if digest else []
+        name = self.suspects.crash_name(run.target.name, now)
+        age_ms, run_ms = round((now - run.lost_at) * 1000), run.run_ms
+        of_request = [Evidence(run.digest, name, age_ms, run_ms=run_ms)] if run.digest else []
         of_parts = [
-            Evidence(part, name, 0, is_part=True)
-            for part in parts
+            Evidence(part, name, age_ms, is_part=True, run_ms=run_ms)
+            for part in run.parts
             if not self._completed.clears(part, now)
         ]
         new = [each for each in (*of_request, *of_parts) if self._apply_evidence(each)]
@@ -174,7 +175,8 @@
     async def _clear_after_probes(
         self, digest: int, parts: tuple[int, ...], target: Target
     ) -> None:
-        if not await self._probe(digest, parts, target, LATER_PROBE_DELAYS):
+        run = LostRun(digest, parts, target, self._state.clock())
+        if not await self._probe(run, LATER_PROBE_DELAYS):
             self.note_completed(digest, parts)
 
     def lift_quarantine(self, digest: int) -> bool:
@@ -189,10 +191,9 @@
             self._broadcast(found)
         return bool(found)
 
-    def since_last_crash(self, digest: int) -> float:
-        """Return the seconds since an engine last crashed while it ran a suspected request."""
-        suspect = self.suspects.suspect_by_digest[digest]
-        return self._state.clock() - suspect.last_crash_at
+    def since_last_evidence(self, digest: int) -> float:
+        """Return the seconds since this router learned of the last crash of a suspected request."""
+        return self._state.clock() - self.suspects.suspect_by_digest[digest].learned_at
 
     def claim(self, digest: int) -> RunClaim:
         """Claim the next run of a suspected request, and send the claim to all routers."""
@@ -227,14 +228,24 @@
     def tick(self) -> None:
         """Run the periodic work of one round."""
         if self._to_repeat:
-            to_repeat, self._to_repeat = self._to_repeat, []
-            self._send_evidence(
-                [each for each in to_repeat if each.cleared or not self.suspects.is_cleared(each)],
-                self._others(),
-            )
+            self._repeat_evidence()
         self._send_to_new_members()
         self._send_sample()
 
+    def _repeat_evidence(self) -> None:
+        """Send evidence once more, with its age as of now."""
+        to_repeat, self._to_repeat = self._to_repeat, []
+        now = self._state.clock()
+        current = [(each, self.suspects.current(each, now)) for each in to_repeat]
+        self._send_evidence(
+            [
+                found
+                for sent, found in current
+                if found is not None and (sent.cleared or not found.cleared)
+            ],
+            self._others(),
+        )
+
     def _apply_evidence(self, evidence: Evidence) -> bool:
         """Apply evidence, and record a quarantine that follows; return whether it was new."""
         was_quarantined = self.is_quarantined(evidence.digest)
--- a/pondhatch/router/_crash_watch.py
+++ b/pondhatch/router/_crash_watch.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Protocol
 
 from pondhatch.quarantine import RunClaim, Suspects
@@ -19,6 +20,28 @@
 TURN_CHECK_SECONDS = 0.02
 
 
+@dataclass(frozen=True)
+class LostRun:
+    """A run of a request whose connection was lost."""
+
+    #: Digest of the request; 0 if it cannot be identified.
+    digest: int
+    #: Digests of the parts of its prompt.
+    parts: tuple[int, ...]
+    target: Target
+    #: When the connection was lost, in the clock's seconds.
+    lost_at: float
+    #: When the run began, or None if that is unknown.
+    began_at: float | None = None
+
+    @property
+    def run_ms(self) -> int:
+        """How long the run lasted, in milliseconds; 0 if that is unknown."""
+        if self.began_at is None:
+            return 0
+        return max(1, round((self.lost_at - self.began_at) * 1000))
+
+
 class SharedEvidence(Protocol):
     """The fleet's evidence and claims, as a watch reads and changes them."""
 
@@ -30,12 +53,13 @@
     def quarantining_part(self, parts: tuple[int, ...]) -> int | None:
         """Return the part for which a request with these parts must not be run for now."""
 
-    def since_last_crash(self, digest: int) -> float:
-        """Return the seconds since an engine last crashed while it ran a suspected request."""
+    def since_last_evidence(self, digest: int) -> float:
+        """Return the seconds since this router learned of the last crash of a suspected request."""
+
+    def now(self) -> float:
+        """Return the time in the clock's seconds."""
 
-    async def note_connection_lost(
-        self, digest: int, parts: tuple[int, ...], target: Target
-    ) -> bool:
+    async def note_connection_lost(self, run: LostRun) -> bool:
         """Record that a request lost its connection; return whether its engine crashed."""
 
     def note_completed(self, digest: int, parts: tuple[int, ...]) -> None:
@@ -65,14 +89,21 @@
         #: All that may be suspected.
         self._digests = (digest, *parts) if digest else parts
         self._claim: RunClaim | None = None
+        #: When it was last allowed to run, in the clock's seconds.
+        self._began_at = evidence.now()
 
     async def wait_for_turn(self, remaining: Callable[[], float]) -> Refusal | None:
         """Return why the request may not be sent now; see RequestWatch."""
+        refusal = await self._refusal_after_turn(remaining)
+        self._began_at = self._evidence.now()
+        return refusal
+
+    async def _refusal_after_turn(self, remaining: Callable[[], float]) -> Refusal | None:
         if not self.is_suspected():
             return None
         # Two copies of a request that crash an engine each at the same time both learn of the
         # other's crash here, and what clears a part of its prompt arrives.
-        await asyncio.sleep(EVIDENCE_WAIT_SECONDS - self._since_last_crash())
+        await asyncio.sleep(EVIDENCE_WAIT_SECONDS - self._since_last_evidence())
         while not self.is_quarantined():
             if not self._next_crash_quarantines():
                 return None
@@ -116,18 +147,19 @@
         suspects = self._evidence.suspects
         return max(self._digests, key=lambda digest: (suspects.crash_count(digest), digest))
 
-    def _since_last_crash(self) -> float:
-        """Return the seconds since the last crash of which it is suspected."""
+    def _since_last_evidence(self) -> float:
+        """Return the seconds since this router learned of the last crash."""
         suspects = self._evidence.suspects
         return min(
-            self._evidence.since_last_crash(digest)
+            self._evidence.since_last_evidence(digest)
             for digest in self._digests
             if suspects.is_suspected(digest)
         )
 
     async def note_connection_lost(self, target: Target) -> bool:
         """Record that the request lost its connection; see RequestWatch."""
-        return await self._evidence.note_connection_lost(self._digest, self._parts, target)
+        run = LostRun(self._digest, self._parts, target, self._evidence.now(), self._began_at)
+        return await self._evidence.note_connection_lost(run)
 
     def note_completed(self, unproven_at: Target | None = None, ran_prompt: bool = True) -> None:
         """Record that an engine completed the request; see RequestWatch."""
