Compare crashes in pairs to find those of one cause

Cause: the crashes of a moment counted as one only if the lengths of all its runs differed by more than 0.1 s, and a crash shortly before the others divided them into two moments.

Change: two crashes within 0.25 s of each other, neither of whose runs began after the other's crash, are one piece of evidence if the runs began further apart than the engines ended (by twice as much, and 0.03 s). A request that crashes engines does so some time after each run began, so its starts and ends lie equally far apart, also in a clump. Three pieces convict, as ever. A whole request is refused for 10 s as long as it has not crashed three engines one after the other, and for ten minutes then; a part's time doubles with each of these. At most two more engines end thereby than did before.

--- a/pondhatch/quarantine/__init__.py
+++ b/pondhatch/quarantine/__init__.py
@@ -9,8 +9,8 @@
 from pondhatch.quarantine._suspects import (
     CRASHES_TO_QUARANTINE,
     EVIDENCE_LIFETIME,
-    FEW_MOMENTS_QUARANTINE_SECONDS,
     MAX_SUSPECTS,
+    OVERLAP_QUARANTINE_SECONDS,
     PART_QUARANTINE_SECONDS,
     QUARANTINE_SECONDS,
     Suspect,
@@ -24,7 +24,7 @@
     "CRASHES_TO_QUARANTINE",
     "QUARANTINE_SECONDS",
     "EVIDENCE_LIFETIME",
-    "FEW_MOMENTS_QUARANTINE_SECONDS",
+    "OVERLAP_QUARANTINE_SECONDS",
     "MAX_SUSPECTS",
     "CLAIM_LIFETIME",
     "Evidence",
--- a/pondhatch/quarantine/_crash_moments.py
+++ b/pondhatch/quarantine/_crash_moments.py
@@ -1,11 +1,10 @@
 """Which crashes of engines that ran the same request are independent evidence against it.
 
 A request that many callers send alike runs at many engines at once. Where these end together, one
-cause ended them all, and it need not be the request. So crashes at one moment are one piece of
-evidence, unless the runs had all lasted for about the same time: a request that crashes engines
-does so some time after each run began. A run that began after a crash and ended its engine as well
-is another piece, however soon: so a request that crashes one engine after the other is seen as
-such.
+cause ended them all, and it need not be the request. A request that crashes engines does so some
+time after each run began: runs that began apart then end their engines as far apart. So two crashes
+at nearly the same time, of runs that began further apart, are one piece of evidence. A run that
+began after a crash and ended its engine as well is another piece, however soon.
 """
 
 from __future__ import annotations
@@ -14,17 +13,15 @@
 
 import msgspec
 
-#: Seconds after the first crash of a moment within which others belong to it, if their runs had
-#: begun before it.
+#: Seconds between two crashes that one cause may have brought about.
 MOMENT_SECONDS = 0.25
-#: Seconds by which a run may begin after the first crash of a moment and still belong to it:
-#: engines do not end at exactly the same time, and packets between routers take time. A request
-#: that has just crashed an engine waits longer than this before it runs again.
-LATE_START_SECONDS = 0.02
-#: Seconds by which runs may differ in length and still seem to crash engines by themselves.
-LENGTH_SPREAD_SECONDS = 0.1
-#: Number of crashes at one moment whose lengths can be compared.
-MIN_COMPARED = 2
+#: Seconds by which the start of a run and a crash elsewhere are known: packets take time, and the
+#: engines that one cause ends do not end at exactly the same time.
+SKEW_SECONDS = 0.02
+#: Seconds by which the starts of two runs must differ to tell a common cause, and how many times as
+#: much as their ends.
+MIN_START_SPREAD_SECONDS = 0.03
+START_SPREAD_RATIO = 2.0
 
 
 class Crash(msgspec.Struct, frozen=True):
@@ -32,50 +29,47 @@
 
     #: When the run lost its connection.
     at: float
-    #: When the run began; the earliest, where several runs were lost in the same crash. Infinite
+    #: For how long the run had lasted; the longest, where several were lost in the same crash. 0
     #: where that is unknown.
-    began_at: float
+    run_seconds: float
 
     @property
-    def has_known_run(self) -> bool:
-        """Whether it is known when the run began."""
-        return self.began_at != float("inf")
-
-    @property
-    def run_seconds(self) -> float:
-        """For how long the run had lasted."""
-        return self.at - self.began_at
+    def began_at(self) -> float:
+        """When the run began."""
+        return self.at - self.run_seconds
 
     def merged(self, other: Crash) -> Crash:
         """Return what two accounts of the same crash say together, in either order."""
-        return Crash(min(self.at, other.at), min(self.began_at, other.began_at))
-
-
-class Moment(msgspec.Struct, frozen=True):
-    """Crashes at one moment, the earliest first."""
-
-    crashes: tuple[Crash, ...]
-
-    def includes(self, crash: Crash) -> bool:
-        """Return whether a later crash belongs to this moment."""
-        first_at = self.crashes[0].at
-        has_begun = crash.began_at < first_at + LATE_START_SECONDS
-        return has_begun and crash.at < first_at + MOMENT_SECONDS
-
-    def may_have_common_cause(self) -> bool:
-        """Return whether something other than the runs seems to have ended several engines."""
-        if len(self.crashes) < MIN_COMPARED:
-            return False
-        lengths = [each.run_seconds for each in self.crashes]
-        return max(lengths) - min(lengths) > LENGTH_SPREAD_SECONDS
-
-
-def moments_of(crashes: Iterable[Crash]) -> list[Moment]:
-    """Return the moments of a request's crashes, in order."""
-    moments: list[Moment] = []
-    for crash in sorted(crashes, key=lambda each: (each.at, each.began_at)):
-        if moments and moments[-1].includes(crash):
-            moments[-1] = Moment((*moments[-1].crashes, crash))
-        else:
-            moments.append(Moment((crash,)))
-    return moments
+        return Crash(min(self.at, other.at), max(self.run_seconds, other.run_seconds))
+
+    def is_independent(self, earlier: Crash) -> bool:
+        """Return whether it is evidence of its own beside an earlier crash."""
+        if not (self.run_seconds and earlier.run_seconds):
+            return True
+        apart = self.at - earlier.at
+        if apart > MOMENT_SECONDS or self.began_at > earlier.at + SKEW_SECONDS:
+            return True
+        starts_apart = abs(self.began_at - earlier.began_at)
+        return starts_apart <= max(MIN_START_SPREAD_SECONDS, START_SPREAD_RATIO * apart)
+
+
+def independent_crashes(crashes: Iterable[Crash]) -> list[Crash]:
+    """Return crashes that are each evidence of their own, in order."""
+    found: list[Crash] = []
+    for crash in _in_order(crashes):
+        if all(crash.is_independent(earlier) for earlier in found):
+            found.append(crash)
+    return found
+
+
+def successive_crashes(crashes: Iterable[Crash]) -> list[Crash]:
+    """Return crashes each of whose runs began after the one before, in order."""
+    found: list[Crash] = []
+    for crash in _in_order(crashes):
+        if not found or crash.began_at >= found[-1].at - SKEW_SECONDS:
+            found.append(crash)
+    return found
+
+
+def _in_order(crashes: Iterable[Crash]) -> list[Crash]:
+    return sorted(crashes, key=lambda each: (each.at, each.run_seconds))
--- a/pondhatch/quarantine/_suspects.py
+++ b/pondhatch/quarantine/_suspects.py
@@ -4,12 +4,11 @@
 cause. Each of them is suspected, and later runs tell them apart. A harmless request completes its
 next run and is cleared. The cause crashes the next two engines as well: at the third crash it is
 quarantined, and the requests that only ran beside it at the first two no longer count as suspected
-of those. Engines that end at one moment all count, so that the request then runs on its own, but it
-is quarantined only when a later run crashes its engine as well, unless its runs themselves seem to
-have ended them (see _crash_moments). A part of prompts is suspected in the same way, with each
-request that has it, and a completed run of any such request clears it. Evidence is a grow-only set
-(a CRDT), so routers that receive it in any order, late or several times come to the same result
-without asking each other.
+of those. Where one cause may have crashed several engines (see _crash_moments), they count as one
+crash, but the request runs on its own from then on, as after two. A part of prompts is suspected in
+the same way, with each request that has it, and a completed run of any such request clears it.
+Evidence is a grow-only set (a CRDT), so routers that receive it in any order, late or several times
+come to the same result without asking each other.
 """
 
 from __future__ import annotations
@@ -20,7 +19,7 @@
 
 import msgspec
 
-from pondhatch.quarantine._crash_moments import Crash, Moment, moments_of
+from pondhatch.quarantine._crash_moments import Crash, independent_crashes, successive_crashes
 from pondhatch.quarantine._evidence import Evidence
 
 #: Number of engine crashes during a request after which it is quarantined. Two may be a
@@ -36,10 +35,10 @@
 #: QUARANTINE_SECONDS. Many requests may need the part, and a chance coincidence is likelier than
 #: with a whole request.
 PART_QUARANTINE_SECONDS = 60.0
-#: Seconds for which a request is quarantined whose crashes came at fewer than three moments: a
-#: popular request may have met a cause that crashed several engines. Longer than engines take to
-#: start, and short, since each further crash is a moment of its own.
-FEW_MOMENTS_QUARANTINE_SECONDS = 30.0
+#: Seconds for which a request is quarantined that has not crashed three engines one after the
+#: other: it may be popular, and have met another cause. Longer than engines take to start, and
+#: short, since two further crashes at most bring QUARANTINE_SECONDS.
+OVERLAP_QUARANTINE_SECONDS = 10.0
 #: Share of all crashes, from the first to the last in which a part was lost, from which on the part
 #: is quarantined. Where engines end for other reasons, a part that is in use all the time is lost
 #: in some of those crashes.
@@ -78,28 +77,25 @@
         """Return the names of the crashes of which the request is not cleared."""
         return [crash for crash in self.crash_by_name if crash not in self.cleared]
 
-    def moments(self) -> list[Moment]:
-        """Return the moments of the crashes of which the request is not cleared."""
-        return moments_of(self.crash_by_name[name] for name in self.uncleared_crashes())
-
     def has_enough_crashes(self) -> bool:
-        """Return whether it is seen to crash engines, by CRASHES_TO_QUARANTINE at least."""
-        if len(self.uncleared_crashes()) < CRASHES_TO_QUARANTINE:
-            return False
-        return not self.is_of_common_cause()
+        """Return whether its crashes are evidence enough to quarantine it."""
+        return len(independent_crashes(self._uncleared())) >= CRASHES_TO_QUARANTINE
 
-    def is_of_common_cause(self) -> bool:
-        """Return whether all its crashes came at one moment and may have another cause."""
-        moments = self.moments()
-        return len(moments) == 1 and moments[0].may_have_common_cause()
+    def may_have_met_one_cause(self) -> bool:
+        """Return whether one cause may have crashed all of several engines that ran it."""
+        crashes = self._uncleared()
+        return len(crashes) > 1 and len(independent_crashes(crashes)) == 1
 
     def quarantine_seconds(self) -> float:
         """Return for how long after the last crash it must not be run once quarantined."""
-        further_moments = len(self.moments()) - CRASHES_TO_QUARANTINE
+        further_crashes = len(successive_crashes(self._uncleared())) - CRASHES_TO_QUARANTINE
         if self.is_part:
-            doubled = PART_QUARANTINE_SECONDS * 2.0 ** max(0, further_moments)
+            doubled = PART_QUARANTINE_SECONDS * 2.0 ** max(0, further_crashes)
             return min(QUARANTINE_SECONDS, doubled)
-        return FEW_MOMENTS_QUARANTINE_SECONDS if further_moments < 0 else QUARANTINE_SECONDS
+        return QUARANTINE_SECONDS if further_crashes >= 0 else OVERLAP_QUARANTINE_SECONDS
+
+    def _uncleared(self) -> list[Crash]:
+        return [self.crash_by_name[name] for name in self.uncleared_crashes()]
 
 
 class Suspects(msgspec.Struct):
@@ -111,7 +107,7 @@
     _suspects_by_crash: Counter[str] = msgspec.field(default_factory=Counter)
     #: When each crash came, in the clock's seconds, by the name of the crash.
     _time_by_crash: dict[str, float] = msgspec.field(default_factory=dict)
-    #: Requests with ``CRASHES_TO_QUARANTINE`` or more uncleared crashes that they may have caused.
+    #: Requests with ``CRASHES_TO_QUARANTINE`` or more uncleared, independent crashes.
     #: Checks scan only these instead of all requests, as there are few at any time.
     _over_threshold: set[int] = msgspec.field(default_factory=set)
     #: Suspects with two or more uncleared crashes.
@@ -141,7 +137,7 @@
             return False
         self._drop_expired(now)
         suspect = self.suspect_by_digest.setdefault(evidence.digest, Suspect(evidence.is_part))
-        crash = _crash(evidence, crashed_at)
+        crash = Crash(crashed_at, evidence.run_ms / 1000)
         known = suspect.crash_by_name.get(evidence.engine)
         suspect.crash_by_name[evidence.engine] = crash if known is None else crash.merged(known)
         is_new = known is None
@@ -220,7 +216,7 @@
         suspect = self.suspect_by_digest.get(digest)
         if suspect is None or self.crash_count(digest) < CRASHES_TO_QUARANTINE:
             return False
-        if suspect.is_of_common_cause():
+        if not suspect.has_enough_crashes():
             return False
         if suspect.is_part and not self._has_due_share(suspect):
             return False
@@ -271,14 +267,14 @@
         """Return whether two requests are suspected of the same crash.
 
         If they ran together at one engine again, both would be lost in the next crash, and
-        nothing would distinguish the harmless one from the cause. Where one of them was lost at a
-        single moment, another crash still does, and both may run, each one at a time.
+        nothing would distinguish the harmless one from the cause. Where one cause may
+        have crashed all engines of one of them, another crash still does, and both may run.
         """
         if one == other:
             return True
         pair = (self.suspect_by_digest.get(one), self.suspect_by_digest.get(other))
         suspects = [each for each in pair if each is not None]
-        if len(suspects) < len(pair) or any(each.is_of_common_cause() for each in suspects):
+        if len(suspects) < len(pair) or any(each.may_have_met_one_cause() for each in suspects):
             return False
         uncleared = [set(each.uncleared_crashes()) for each in suspects]
         return not uncleared[0].isdisjoint(uncleared[1])
@@ -370,13 +366,8 @@
             del self._last_crash_by_engine[engine]
 
 
-def _crash(evidence: Evidence, crashed_at: float) -> Crash:
-    run_seconds = evidence.run_ms / 1000
-    return Crash(crashed_at, crashed_at - run_seconds if evidence.run_ms else float("inf"))
-
-
 def _evidence(digest: int, suspect: Suspect, name: str, now: float, cleared: bool) -> Evidence:
     crash = suspect.crash_by_name[name]
     age_ms = max(0, round((now - crash.at) * 1000))
-    run_ms = max(1, round((crash.at - crash.began_at) * 1000)) if crash.has_known_run else 0
+    run_ms = round(crash.run_seconds * 1000)
     return Evidence(digest, name, age_ms, cleared, suspect.is_part, run_ms)
