Send the end of a claim twice

What callers saw: in histories in which a tenth of the packets between routers is lost, requests waited for their turn until their deadline.

Cause: a router that misses the end of another's claim waits for its expiry, 30 s. Evidence is sent twice; ends of claims were sent once.

Change: the end of a claim is sent again in the next round, 0.1 s later.

Evidence: LostClaimEndTest failed before.

--- a/pondhatch/router/_crash_evidence_exchange.py
+++ b/pondhatch/router/_crash_evidence_exchange.py
@@ -81,8 +81,9 @@
         self._records = records
         self._has_crashed = has_crashed
         self._accepts = accepts
-        #: Evidence to be sent to all routers once more.
+        #: Evidence, and ended claims, to be sent to all routers once more.
         self._to_repeat: list[Evidence] = []
+        self._ended_claims: list[RunClaim] = []
         self._sampled_at = float("-inf")
         self._new_members = NewMembers(state)
         self._completed = CompletedParts()
@@ -210,6 +211,7 @@
         """Withdraw a claim at all routers."""
         self._claims.remove(claim)
         self._send_to_all(RunClaimPacket(claim, has_ended=True))
+        self._ended_claims.append(claim)
 
     def receive(self, payload: bytes) -> None:
         """Handle a packet without its prefix; a packet that does not parse is dropped."""
@@ -229,6 +231,9 @@
         """Run the periodic work of one round."""
         if self._to_repeat:
             self._repeat_evidence()
+        ended, self._ended_claims = self._ended_claims, []
+        for claim in ended:
+            self._send_to_all(RunClaimPacket(claim, has_ended=True))
         self._send_to_new_members()
         self._send_sample()
 
