Suspect no request that was completed just before

What callers saw: all engines of a service end at one moment, and a request that many send, each time the same, is refused with 400 although it had been answered many times in the seconds before.

Cause: parts of prompts that completed within 10 s before a crash are spared, whole requests were not. Where engines end several times before one run can complete, they were convicted by the runs that were risked.

Change: routers remember the requests that they saw answered with a 2xx whose end was framed, 4,096 as with parts, and clear them as they do parts: the router that sees the crash leaves them out, others answer evidence against them. An error, or an answer that ends with its connection, is not remembered.

Evidence: CompletedRequestTest failed before ([1, 1, 1, 1] where no router may count a crash).

Left open: a request that crashes engines only sometimes is spared for 10 s after each answer. Before anything of a service has been completed only times tell: a popular request may be refused there if engines end again and again.

--- a/pondhatch/quarantine/__init__.py
+++ b/pondhatch/quarantine/__init__.py
@@ -3,7 +3,11 @@
 Evidence, decisions, and claims to run suspects.
 """
 
-from pondhatch.quarantine._completed_parts import COMPLETED_BEFORE_SECONDS, CompletedParts
+from pondhatch.quarantine._completed_parts import (
+    COMPLETED_BEFORE_SECONDS,
+    CompletedParts,
+    CompletedRequests,
+)
 from pondhatch.quarantine._evidence import Evidence, EvidencePacket, RunClaim, RunClaimPacket
 from pondhatch.quarantine._run_claims import CLAIM_LIFETIME, RunClaims
 from pondhatch.quarantine._suspects import (
@@ -20,6 +24,7 @@
 __all__ = [
     "COMPLETED_BEFORE_SECONDS",
     "CompletedParts",
+    "CompletedRequests",
     "PART_QUARANTINE_SECONDS",
     "CRASHES_TO_QUARANTINE",
     "QUARANTINE_SECONDS",
--- a/pondhatch/quarantine/_completed_parts.py
+++ b/pondhatch/quarantine/_completed_parts.py
@@ -1,4 +1,4 @@
-"""Parts of prompts whose requests were completed lately, as evidence that they crash no engine."""
+"""Requests, and parts of prompts, that were completed lately, as evidence that they are sound."""
 
 from __future__ import annotations
 
@@ -34,3 +34,7 @@
         """Return whether a run of a part, shortly before a crash or since, was completed."""
         completed_at = self._completed_at.get(digest)
         return completed_at is not None and completed_at > crashed_at - COMPLETED_BEFORE_SECONDS
+
+
+class CompletedRequests(CompletedParts):
+    """The same for whole requests, many of which are never sent twice."""
--- a/pondhatch/router/_crash_evidence_exchange.py
+++ b/pondhatch/router/_crash_evidence_exchange.py
@@ -1,8 +1,8 @@
 """Shares evidence of what crashes engines, so that it is kept from the other engines.
 
 A router that sees an engine crash while it runs a request sends the evidence against the request
-and the parts of its prompt to all others at once, and again 0.1 s later. It leaves out parts of
-which it saw a run complete lately, and routers clear what others suspect; see PartClearing. Every
+and the parts of its prompt to all others at once, and again 0.1 s later. It leaves out those of
+which it saw a run complete lately, and routers clear what others suspect; see Clearing. Every
 two seconds it sends a sample of all known evidence to one random router, and three routers send all
 of it to a router that is new or back. Without evidence nothing is sent.
 """
@@ -21,6 +21,7 @@
 from pondhatch.observing import Records, StateChange
 from pondhatch.quarantine import (
     CompletedParts,
+    CompletedRequests,
     Evidence,
     EvidencePacket,
     RunClaim,
@@ -28,9 +29,9 @@
     RunClaims,
 )
 from pondhatch.requests import NO_WATCH, RequestWatch, Target
+from pondhatch.router._clearing import Clearing
 from pondhatch.router._crash_watch import CrashWatch, LostRun
 from pondhatch.router._new_members import NewMembers
-from pondhatch.router._part_clearing import PartClearing
 from pondhatch.router._state import RouterState
 
 #: First byte of a packet on suspected requests; no membership or grant packet begins with it.
@@ -86,10 +87,11 @@
         self._ended_claims: list[RunClaim] = []
         self._sampled_at = float("-inf")
         self._new_members = NewMembers(state)
-        self._completed = CompletedParts()
-        self._clearing = PartClearing(
+        self._completed_parts = CompletedParts()
+        self._completed_requests = CompletedRequests()
+        self._clearing = Clearing(
             state.suspects,
-            self._completed,
+            self._was_completed_lately,
             tasks,
             rng,
             lambda: len(state.members()),
@@ -152,20 +154,30 @@
         name = self.suspects.crash_name(run.target.name, now)
         age_ms, run_ms = round((now - run.lost_at) * 1000), run.run_ms
         of_request = [Evidence(run.digest, name, age_ms, run_ms=run_ms)] if run.digest else []
-        of_parts = [
-            Evidence(part, name, age_ms, is_part=True, run_ms=run_ms)
-            for part in run.parts
-            if not self._completed.clears(part, now)
+        of_parts = [Evidence(part, name, age_ms, is_part=True, run_ms=run_ms) for part in run.parts]
+        suspected = [
+            each
+            for each in (*of_request, *of_parts)
+            if not self._was_completed_lately(each, run.lost_at)
         ]
-        new = [each for each in (*of_request, *of_parts) if self._apply_evidence(each)]
+        new = [each for each in suspected if self._apply_evidence(each)]
         for each in new:
             self._record(each.digest, "suspected", f"{name} ended while it ran it")
         if new:
             self._broadcast(tuple(new))
 
-    def note_completed(self, digest: int, parts: tuple[int, ...]) -> None:
-        """Clear a request and the parts of its prompt; see RequestWatch."""
-        self._completed.note(parts, self._state.clock())
+    def _was_completed_lately(self, evidence: Evidence, crashed_at: float) -> bool:
+        completed = self._completed_parts if evidence.is_part else self._completed_requests
+        return completed.clears(evidence.digest, crashed_at)
+
+    def note_completed(
+        self, digest: int, parts: tuple[int, ...], shows_request: bool = False
+    ) -> None:
+        """Clear a request and the parts of its prompt; see SharedEvidence."""
+        now = self._state.clock()
+        self._completed_parts.note(parts, now)
+        if digest and shows_request:
+            self._completed_requests.note((digest,), now)
         for each in (digest, *parts):
             self._clear(each, "it came through whole")
 
--- a/pondhatch/router/_crash_watch.py
+++ b/pondhatch/router/_crash_watch.py
@@ -62,8 +62,13 @@
     async def note_connection_lost(self, run: LostRun) -> bool:
         """Record that a request lost its connection; return whether its engine crashed."""
 
-    def note_completed(self, digest: int, parts: tuple[int, ...]) -> None:
-        """Record that an engine completed a request, which clears it and parts of its prompt."""
+    def note_completed(
+        self, digest: int, parts: tuple[int, ...], shows_request: bool = False
+    ) -> None:
+        """Record that an engine completed a request, which clears it and parts of its prompt.
+
+        ``shows_request`` says whether it also shows for some time that the request is harmless.
+        """
 
     def clear_unless_crashed(self, digest: int, parts: tuple[int, ...], target: Target) -> None:
         """Do the same later, unless the engine turns out to have crashed by then."""
@@ -165,7 +170,8 @@
         """Record that an engine completed the request; see RequestWatch."""
         parts = self._parts if ran_prompt else ()
         if unproven_at is None or not self.is_suspected():
-            self._evidence.note_completed(self._digest, parts)
+            shows_request = ran_prompt and unproven_at is None
+            self._evidence.note_completed(self._digest, parts, shows_request)
         else:
             self._evidence.clear_unless_crashed(self._digest, parts, unproven_at)
 
--- a/pondhatch/router/tests/test_service_crash_histories.py
+++ b/pondhatch/router/tests/test_service_crash_histories.py
@@ -17,7 +17,9 @@
 from hypothesis import strategies as st
 
 from fakes._virtual_loop import run_virtually
-from pondhatch.requests import QUARANTINE_CODES
+from pondhatch.placement import OPEN
+from pondhatch.quarantine import COMPLETED_BEFORE_SECONDS
+from pondhatch.requests import QUARANTINE_CODES, Target
 from pondhatch.router.tests.test_crash_evidence_exchange import (
     CRASHING_REQUEST,
     RESTART_SECONDS,
@@ -177,6 +179,34 @@
         self.assertEqual(late, {"whole"})
 
 
+class CompletedRequestTest(unittest.TestCase):
+    """A request that was completed shortly before a crash."""
+
+    def count_after_crash(self, ran_prompt: bool, pause: float) -> list[int]:
+        """Return each router's count of crashes, of a request that one of them saw answered."""
+
+        async def history() -> list[int]:
+            simulation = ServiceSimulation(4, 3, random.Random(1))
+            simulation.guards[1].watch(POPULAR).note_completed(ran_prompt=ran_prompt)
+            await asyncio.sleep(pause)
+            engine = sorted(simulation.live)[0]
+            simulation.crash_engine(engine, 0)
+            watch = simulation.guards[0].watch(POPULAR)
+            await watch.note_connection_lost(Target(engine, "", OPEN, 1.5, 1, 8))
+            await asyncio.sleep(0.5)
+            return [guard.suspects.crash_count(POPULAR) for guard in simulation.guards]
+
+        return run_virtually(history())
+
+    # Popular requests were held for bad although they had been answered just before.
+    def test_a_request_that_completed_lately_elsewhere_is_cleared(self) -> None:
+        self.assertEqual(self.count_after_crash(True, 1.0), [0] * 4)
+
+    def test_a_request_that_completed_long_ago_or_was_answered_with_an_error_is_not(self) -> None:
+        self.assertEqual(self.count_after_crash(True, COMPLETED_BEFORE_SECONDS), [1] * 4)
+        self.assertEqual(self.count_after_crash(False, 1.0), [1] * 4)
+
+
 class LostClaimEndTest(unittest.TestCase):
     # A router waited half a minute for a claim whose end was lost with one packet.
     def test_the_end_of_a_claim_reaches_a_router_that_missed_it_once(self) -> None:
