--- a/pondhatch/quarantine/__init__.py
+++ b/pondhatch/quarantine/__init__.py
@@ -3,13 +3,18 @@
 Evidence, decisions, and claims to run suspects.
 """
 
-from pondhatch.quarantine._completed_parts import COMPLETED_BEFORE_SECONDS, CompletedParts
+from pondhatch.quarantine._completed_parts import (
+    COMPLETED_BEFORE_SECONDS,
+    CompletedParts,
+    CompletedRequests,
+)
 from pondhatch.quarantine._evidence import Evidence, EvidencePacket, RunClaim, RunClaimPacket
 from pondhatch.quarantine._run_claims import CLAIM_LIFETIME, RunClaims
 from pondhatch.quarantine._suspects import (
     CRASHES_TO_QUARANTINE,
     EVIDENCE_LIFETIME,
     MAX_SUSPECTS,
+    OVERLAP_QUARANTINE_SECONDS,
     PART_QUARANTINE_SECONDS,
     QUARANTINE_SECONDS,
     Suspect,
@@ -19,10 +24,12 @@
 __all__ = [
     "COMPLETED_BEFORE_SECONDS",
     "CompletedParts",
+    "CompletedRequests",
     "PART_QUARANTINE_SECONDS",
     "CRASHES_TO_QUARANTINE",
     "QUARANTINE_SECONDS",
     "EVIDENCE_LIFETIME",
+    "OVERLAP_QUARANTINE_SECONDS",
     "MAX_SUSPECTS",
     "CLAIM_LIFETIME",
     "Evidence",
--- a/pondhatch/router/_crash_evidence_exchange.py
+++ b/pondhatch/router/_crash_evidence_exchange.py
@@ -1,8 +1,8 @@
 """Shares evidence of what crashes engines, so that it is kept from the other engines.
 
 A router that sees an engine crash while it runs a request sends the evidence against the request
-and the parts of its prompt to all others at once, and again 0.1 s later. It leaves out parts of
-which it saw a run complete lately, and routers clear what others suspect; see PartClearing. Every
+and the parts of its prompt to all others at once, and again 0.1 s later. It leaves out those of
+which it saw a run complete lately, and routers clear what others suspect; see Clearing. Every
 two seconds it sends a sample of all known evidence to one random router, and three routers send all
 of it to a router that is new or back. Without evidence nothing is sent.
 """
@@ -21,6 +21,7 @@
 from pondhatch.observing import Records, StateChange
 from pondhatch.quarantine import (
     CompletedParts,
+    CompletedRequests,
     Evidence,
     EvidencePacket,
     RunClaim,
@@ -28,9 +29,9 @@
     RunClaims,
 )
 from pondhatch.requests import NO_WATCH, RequestWatch, Target
-from pondhatch.router._crash_watch import CrashWatch
+from pondhatch.router._clearing import Clearing
+from pondhatch.router._crash_watch import CrashWatch, LostRun
 from pondhatch.router._new_members import NewMembers
-from pondhatch.router._part_clearing import PartClearing
 from pondhatch.router._state import RouterState
 
 #: First byte of a packet on suspected requests; no membership or grant packet begins with it.
@@ -81,14 +82,16 @@
         self._records = records
         self._has_crashed = has_crashed
         self._accepts = accepts
-        #: Evidence to be sent to all routers once more.
+        #: Evidence, and ended claims, to be sent to all routers once more.
         self._to_repeat: list[Evidence] = []
+        self._ended_claims: list[RunClaim] = []
         self._sampled_at = float("-inf")
         self._new_members = NewMembers(state)
-        self._completed = CompletedParts()
-        self._clearing = PartClearing(
+        self._completed_parts = CompletedParts()
+        self._completed_requests = CompletedRequests()
+        self._clearing = Clearing(
             state.suspects,
-            self._completed,
+            self._was_completed_lately,
             tasks,
             rng,
             lambda: len(state.members()),
@@ -116,15 +119,17 @@
         """Return the part for which a request must not be run for now; see SharedEvidence."""
         return self.suspects.quarantining_part(parts, self._state.clock())
 
-    async def note_connection_lost(
-        self, digest: int, parts: tuple[int, ...], target: Target
-    ) -> bool:
+    def now(self) -> float:
+        """Return the time in the clock's seconds."""
+        return self._state.clock()
+
+    async def note_connection_lost(self, run: LostRun) -> bool:
         """Probe whether the engine crashed, and share the evidence if so; see RequestWatch.
 
         The probes continue if the caller leaves meanwhile: otherwise a caller that gives up after
         each crash would leave no evidence. The request waits for the first probes only.
         """
-        probing = self._tasks.start(self._probe(digest, parts, target, FIRST_PROBE_DELAYS))
+        probing = self._tasks.start(self._probe(run, FIRST_PROBE_DELAYS))
         try:
             has_crashed = await asyncio.wait_for(
                 asyncio.shield(probing), FIRST_PROBES_TIMEOUT_SECONDS
@@ -132,38 +137,47 @@
         except TimeoutError:
             has_crashed = False
         if not has_crashed:
-            self._tasks.start(self._probe(digest, parts, target, LATER_PROBE_DELAYS))
+            self._tasks.start(self._probe(run, LATER_PROBE_DELAYS))
         return has_crashed
 
-    async def _probe(
-        self, digest: int, parts: tuple[int, ...], target: Target, delays: tuple[float, ...]
-    ) -> bool:
+    async def _probe(self, run: LostRun, delays: tuple[float, ...]) -> bool:
         for delay in delays:
             await asyncio.sleep(delay)
-            if await self._has_crashed(target):
-                self._record_crash(digest, parts, target)
+            if await self._has_crashed(run.target):
+                self._record_crash(run)
                 return True
         return False
 
-    def _record_crash(self, digest: int, parts: tuple[int, ...], target: Target) -> None:
+    def _record_crash(self, run: LostRun) -> None:
         """Record and share the evidence against a request and the parts of its prompt."""
         now = self._state.clock()
-        name = self.suspects.crash_name(target.name, now)
-        of_request = [Evidence(digest, name, 0)] if digest else []
-        of_parts = [
-            Evidence(part, name, 0, is_part=True)
-            for part in parts
-            if not self._completed.clears(part, now)
+        name = self.suspects.crash_name(run.target.name, now)
+        age_ms, run_ms = round((now - run.lost_at) * 1000), run.run_ms
+        of_request = [Evidence(run.digest, name, age_ms, run_ms=run_ms)] if run.digest else []
+        of_parts = [Evidence(part, name, age_ms, is_part=True, run_ms=run_ms) for part in run.parts]
+        suspected = [
+            each
+            for each in (*of_request, *of_parts)
+            if not self._was_completed_lately(each, run.lost_at)
         ]
-        new = [each for each in (*of_request, *of_parts) if self._apply_evidence(each)]
+        new = [each for each in suspected if self._apply_evidence(each)]
         for each in new:
             self._record(each.digest, "suspected", f"{name} ended while it ran it")
         if new:
             self._broadcast(tuple(new))
 
-    def note_completed(self, digest: int, parts: tuple[int, ...]) -> None:
-        """Clear a request and the parts of its prompt; see RequestWatch."""
-        self._completed.note(parts, self._state.clock())
+    def _was_completed_lately(self, evidence: Evidence, crashed_at: float) -> bool:
+        completed = self._completed_parts if evidence.is_part else self._completed_requests
+        return completed.clears(evidence.digest, crashed_at)
+
+    def note_completed(
+        self, digest: int, parts: tuple[int, ...], shows_request: bool = False
+    ) -> None:
+        """Clear a request and the parts of its prompt; see SharedEvidence."""
+        now = self._state.clock()
+        self._completed_parts.note(parts, now)
+        if digest and shows_request:
+            self._completed_requests.note((digest,), now)
         for each in (digest, *parts):
             self._clear(each, "it came through whole")
 
@@ -174,7 +188,8 @@
     async def _clear_after_probes(
         self, digest: int, parts: tuple[int, ...], target: Target
     ) -> None:
-        if not await self._probe(digest, parts, target, LATER_PROBE_DELAYS):
+        run = LostRun(digest, parts, target, self._state.clock())
+        if not await self._probe(run, LATER_PROBE_DELAYS):
             self.note_completed(digest, parts)
 
     def lift_quarantine(self, digest: int) -> bool:
@@ -189,10 +204,9 @@
             self._broadcast(found)
         return bool(found)
 
-    def since_last_crash(self, digest: int) -> float:
-        """Return the seconds since an engine last crashed while it ran a suspected request."""
-        suspect = self.suspects.suspect_by_digest[digest]
-        return self._state.clock() - suspect.last_crash_at
+    def since_last_evidence(self, digest: int) -> float:
+        """Return the seconds since this router learned of the last crash of a suspected request."""
+        return self._state.clock() - self.suspects.suspect_by_digest[digest].learned_at
 
     def claim(self, digest: int) -> RunClaim:
         """Claim the next run of a suspected request, and send the claim to all routers."""
@@ -209,6 +223,7 @@
         """Withdraw a claim at all routers."""
         self._claims.remove(claim)
         self._send_to_all(RunClaimPacket(claim, has_ended=True))
+        self._ended_claims.append(claim)
 
     def receive(self, payload: bytes) -> None:
         """Handle a packet without its prefix; a packet that does not parse is dropped."""
@@ -227,14 +242,27 @@
     def tick(self) -> None:
         """Run the periodic work of one round."""
         if self._to_repeat:
-            to_repeat, self._to_repeat = self._to_repeat, []
-            self._send_evidence(
-                [each for each in to_repeat if each.cleared or not self.suspects.is_cleared(each)],
-                self._others(),
-            )
+            self._repeat_evidence()
+        ended, self._ended_claims = self._ended_claims, []
+        for claim in ended:
+            self._send_to_all(RunClaimPacket(claim, has_ended=True))
         self._send_to_new_members()
         self._send_sample()
 
+    def _repeat_evidence(self) -> None:
+        """Send evidence once more, with its age as of now."""
+        to_repeat, self._to_repeat = self._to_repeat, []
+        now = self._state.clock()
+        current = [(each, self.suspects.current(each, now)) for each in to_repeat]
+        self._send_evidence(
+            [
+                found
+                for sent, found in current
+                if found is not None and (sent.cleared or not found.cleared)
+            ],
+            self._others(),
+        )
+
     def _apply_evidence(self, evidence: Evidence) -> bool:
         """Apply evidence, and record a quarantine that follows; return whether it was new."""
         was_quarantined = self.is_quarantined(evidence.digest)
