--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -27,6 +27,7 @@
 from bench._resumed_streams import measure_resumed_streams
 from bench._retries import measure_retries
 from bench._surge import measure_surge
+from bench._surplus import measure_surplus_answers
 
 MEASURES: dict[str, Callable[[], Iterable[Measure]]] = {
     "starts": measure_starts,
@@ -37,6 +38,7 @@
     "placement": measure_placement,
     "retries": measure_retries,
     "surge": measure_surge,
+    "surplus": measure_surplus_answers,
     "quarantine": measure_quarantine,
     "gone": measure_abandoned_streams,
     "authority": measure_authority,
