--- a/pondhatch/cli/_surplus_answers.py
+++ b/pondhatch/cli/_surplus_answers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from pondhatch.observing import AnswerNotAwaited, Metrics, Records
+from pondhatch.observing import Metrics, Records, SurplusReceived
 from pondhatch.transport import SurplusAnswer
 
 #: Maximum number of upstreams whose surplus answers are counted; the oldest give way.
@@ -23,7 +23,7 @@
         self._metrics.count(f"surplus_answers.{outcome}")
         self._count(surplus.upstream)
         self._records.write(
-            AnswerNotAwaited(
+            SurplusReceived(
                 id=surplus.awaited_id,
                 upstream=surplus.upstream,
                 status=surplus.status,
--- a/pondhatch/explaining/_timeline.py
+++ b/pondhatch/explaining/_timeline.py
@@ -8,11 +8,11 @@
 
 from pondhatch.explaining._log_reader import LoggedLine, causal_order
 from pondhatch.observing import (
-    AnswerNotAwaited,
     Record,
     RequestEnded,
     RequestRelayed,
     StateChange,
+    SurplusReceived,
 )
 
 #: Seconds before the start and after the end of a request in which state changes of its upstreams
@@ -90,7 +90,7 @@
 def _matches_request(line: LoggedLine, name: str) -> bool:
     if isinstance(line.record, RequestRelayed):
         return name == line.record.id
-    if isinstance(line.record, AnswerNotAwaited):
+    if isinstance(line.record, SurplusReceived):
         return name in (line.record.id, line.record.named)
     return isinstance(line.record, RequestEnded) and name in (line.record.id, line.record.digest)
 
@@ -155,7 +155,7 @@
         return _request_text(record)
     if isinstance(record, RequestRelayed):
         return _relayed_text(record)
-    if isinstance(record, AnswerNotAwaited):
+    if isinstance(record, SurplusReceived):
         return _surplus_text(record)
     return _state_change_text(record)
 
@@ -168,7 +168,7 @@
     )
 
 
-def _surplus_text(surplus: AnswerNotAwaited) -> str:
+def _surplus_text(surplus: SurplusReceived) -> str:
     whose = f"for request {surplus.named}" if surplus.named else "that names no request"
     then = (
         "its own answer was awaited on"
--- a/pondhatch/observing/__init__.py
+++ b/pondhatch/observing/__init__.py
@@ -7,7 +7,6 @@
 from pondhatch.observing._metrics import CombinedMetrics, Metrics, NoMetrics, StatsdMetrics
 from pondhatch.observing._prometheus_metrics import PrometheusMetrics
 from pondhatch.observing._records import (
-    AnswerNotAwaited,
     LineRecords,
     LoggedRecords,
     NoRecords,
@@ -16,10 +15,11 @@
     RequestEnded,
     RequestRelayed,
     StateChange,
+    SurplusReceived,
 )
 
 __all__ = [
-    "AnswerNotAwaited",
+    "SurplusReceived",
     "CombinedMetrics",
     "PrometheusMetrics",
     "StateChange",
--- a/pondhatch/observing/_records.py
+++ b/pondhatch/observing/_records.py
@@ -92,7 +92,7 @@
     ms: int
 
 
-class AnswerNotAwaited(
+class SurplusReceived(
     msgspec.Struct, frozen=True, tag_field="event", tag="surplus-answer", omit_defaults=True
 ):
     """An upstream sent an answer that is not, or not provably, the awaited one."""
@@ -133,7 +133,7 @@
     why: str = ""
 
 
-Record = RequestEnded | RequestRelayed | AnswerNotAwaited | StateChange
+Record = RequestEnded | RequestRelayed | SurplusReceived | StateChange
 
 
 class Records(Protocol):
--- a/pondhatch/requests/_outcomes.py
+++ b/pondhatch/requests/_outcomes.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-#: Code of an unknown outcome: the answer received belongs to another request.
+#: Code of an unknown outcome: the answer received is not provably the one to this request.
 CROSSED = "answer-crossed"
 #: Code for skipping an upstream because it fails or refuses many requests.
 AILING = "upstream-ailing"
--- a/pondhatch/requests/_try.py
+++ b/pondhatch/requests/_try.py
@@ -33,7 +33,7 @@
         """The upstream reported that it did not run the request, and why."""
 
     def crossed(self) -> None:
-        """The received answer belongs to another request."""
+        """The received answer is not provably the one to this request."""
 
     def head(self) -> None:
         """The head of the answer was received."""
