--- a/pondhatch/cli/tests/test_gauge_reporter.py
+++ b/pondhatch/cli/tests/test_gauge_reporter.py
@@ -17,7 +17,7 @@
         for engine, pace, read_at in (("e0", 250, 0.0), ("e1", 90, 0.0), ("e2", 250, -5.0)):
             state.paces.record(engine, pace, read_at)
         component: Any = mock.MagicMock()
-        gauges = RouterStatistics(state, *[component] * 7).gauges()
+        gauges = RouterStatistics(state, *[component] * 8).gauges()
         self.assertEqual(gauges["engines.slow"], 1)
 
 
