Keep which software version began a stream where it outlives all routers

What callers saw: after all routers had been killed at once during a release, streams that they took up were answered 200 and went on at another software version than the one that began them; beside two versions that both served none went on.

Cause: all that was known of streams and versions lay in the routers' memory. Routers that all began anew asked each other, and took nobody's knowing of a second version for there having been none: the version listed then was taken for the only one.

Change: a router says which version an unrecorded stream is of only from what it positively knows. A router whose history does not reach back asks the others for their knowledge in place of taking their silence for it. A stream that nobody will ever know of is refused with a Retry-After up to its caller's deadline.

The paused router of test_stream_origin_exchange is now told by the others that what has no record is older; alone, it still refuses.

--- a/pondhatch/cli/_environment.py
+++ b/pondhatch/cli/_environment.py
@@ -11,7 +11,7 @@
 
 from pondhatch.configuration import ServiceDefaults, Settings, load_fleet_key
 from pondhatch.kernel import REGISTRY
-from pondhatch.router import obtain_fleet_key
+from pondhatch.router import AgreedKey, obtain_fleet_key
 from pondhatch.store import Platform
 from pondhatch.transport import INTERFACE, HttpClient, Interface
 
@@ -32,6 +32,8 @@
     fleet_key: bytes
     #: Whether the routers agreed on the key through the platform, the only place that stores it.
     is_key_agreed: bool
+    #: Whether no router of the fleet has ever run before.
+    is_first_start: bool
 
 
 async def build_environment(settings: Settings, reactor: Any) -> RouterEnvironment:
@@ -40,8 +42,10 @@
     interface = _build_interface(settings, client)
     platform = interface.store(settings.platform)
     configured_key = load_fleet_key(settings)
-    key = configured_key if configured_key is not None else await _obtain_agreed_key(platform)
-    return RouterEnvironment(interface, platform, client, key, configured_key is None)
+    if configured_key is not None:
+        return RouterEnvironment(interface, platform, client, configured_key, False, False)
+    agreed = await _obtain_agreed_key(platform)
+    return RouterEnvironment(interface, platform, client, agreed.key, True, agreed.is_new)
 
 
 def _build_interface(settings: Settings, client: HttpClient) -> Interface:
@@ -52,6 +56,6 @@
     return cast(Interface, REGISTRY.build(INTERFACE, settings.interface, views))
 
 
-async def _obtain_agreed_key(platform: Platform) -> bytes:
+async def _obtain_agreed_key(platform: Platform) -> AgreedKey:
     """Return the key on which the routers of the fleet agree through the platform."""
     return await obtain_fleet_key(platform, secrets.token_hex(16), random.Random())
--- a/pondhatch/cli/_router_process.py
+++ b/pondhatch/cli/_router_process.py
@@ -111,7 +111,13 @@
         environment.client.configure(self.state.is_load_managed, self._metrics)
         self._state_recorder = StateRecorder(self.state, self._records)
         self._notice_exchange = NoticeExchange(self.state, self._gossip_port.send)
-        self._stream_origins = StreamOriginExchange(self.state, self._gossip_port.send)
+        self._stream_origins = StreamOriginExchange(
+            self.state,
+            self._gossip_port.send,
+            self._platform,
+            self._rng,
+            environment.is_first_start,
+        )
         self._paths = RouterPaths(self.state, self._records)
         surplus_answers = SurplusAnswers(self._records, self._metrics)
         upstreams = HttpUpstreams(
@@ -200,6 +206,7 @@
     def _close(self) -> None:
         """Cancel the tasks, and close the connections and the port for peers."""
         self._tasks.cancel_all()
+        self._stream_origins.stop()
         self._connections.close_all()
         self._relay_calls.close_all()
         self._peer_server.close()
--- a/pondhatch/placement/__init__.py
+++ b/pondhatch/placement/__init__.py
@@ -38,7 +38,7 @@
     RelayRouter,
 )
 from pondhatch.placement._rendezvous import ranked, scorer, winner
-from pondhatch.placement._software_versions import VersionHistory
+from pondhatch.placement._software_versions import SINCE_EVER, VersionHistory
 from pondhatch.placement._starts import name_of_start, upstream_id_of
 from pondhatch.placement._token_counts import (
     UNSHARED_PART,
@@ -94,6 +94,7 @@
     "Step",
     "Ticket",
     "USUAL_PACE",
+    "SINCE_EVER",
     "VersionHistory",
     "GateDecision",
     "YOUNG_SECONDS",
--- a/pondhatch/placement/_software_versions.py
+++ b/pondhatch/placement/_software_versions.py
@@ -12,6 +12,8 @@
 
 #: End of the time of a version that is listed now.
 STILL_LISTED = float("inf")
+#: Begin of what was there before anything that this router remembers.
+SINCE_EVER = float("-inf")
 
 
 class VersionSpan(msgspec.Struct, frozen=True):
@@ -22,11 +24,14 @@
 
 
 class VersionHistory(msgspec.Struct):
-    """The software versions of each service, since this router first had a list of upstreams."""
+    """The software versions of each service, as listed to this router and as others stored them."""
 
-    #: When this router first had a list, in the clock's seconds.
+    #: Since when the versions are known, in the clock's seconds: since this router first had a
+    #: list, or since ever once it has read what others stored.
     known_since: float = float("inf")
     _spans_by_service: dict[str, dict[str, VersionSpan]] = msgspec.field(default_factory=dict)
+    #: Versions whose streams nobody resumes any more, by service.
+    _retired_by_service: dict[str, set[str]] = msgspec.field(default_factory=dict)
 
     def record(self, versions_by_service: Mapping[str, Collection[str]], now: float) -> None:
         """Record the versions that are listed now."""
@@ -37,12 +42,44 @@
             for version in versions:
                 known = spans.get(version, VersionSpan(now))
                 spans[version] = VersionSpan(known.first_seen)
+                self._retired_by_service.get(service, set()).discard(version)
         for service, spans in self._spans_by_service.items():
             listed = versions_by_service.get(service, ())
             for version, span in spans.items():
                 if version not in listed and span.last_seen == STILL_LISTED:
                     spans[version] = VersionSpan(span.first_seen, now)
 
+    def record_stored(
+        self,
+        versions_by_service: Mapping[str, Collection[str]],
+        is_complete: bool,
+        asked_at: float,
+        now: float,
+    ) -> None:
+        """Record the versions that other routers stored, as read from the platform.
+
+        ``is_complete`` says that no other version had begun a stream that callers may still resume
+        when the platform was asked, at ``asked_at``. A version that is not listed here, and that
+        did not expire here, served until now for all that this router knows.
+        """
+        for service, versions in versions_by_service.items():
+            spans = self._spans_by_service.setdefault(service, {})
+            for version in set(versions) - self._retired_by_service.get(service, set()):
+                known = spans.get(version, VersionSpan(now, now))
+                spans[version] = VersionSpan(SINCE_EVER, known.last_seen)
+        if is_complete and self.known_since != SINCE_EVER:
+            self.known_since = SINCE_EVER
+            self._date_unstored(versions_by_service, asked_at)
+
+    def _date_unstored(
+        self, versions_by_service: Mapping[str, Collection[str]], asked_at: float
+    ) -> None:
+        """Date the listed versions that nobody had stored: their streams began later."""
+        for service, spans in self._spans_by_service.items():
+            for version in spans.keys() - set(versions_by_service.get(service, ())):
+                span = spans[version]
+                spans[version] = VersionSpan(min(span.first_seen, asked_at), span.last_seen)
+
     def listed_since(self, service: str, since: float) -> tuple[str, ...]:
         """Return the versions that were listed at some time since then, the first seen first."""
         spans = self._spans_by_service.get(service, {})
@@ -52,17 +89,27 @@
     def second_version_seen_at(self, service: str, since: float) -> float | None:
         """Return when the second of the versions listed since then appeared; None without one.
 
-        None also if it appeared earlier, or this router did not see it appear: then one version may
-        not have served alone since.
+        None also if it appeared earlier or together with the first, or if it is not known when it
+        appeared: then no version may have served alone.
         """
         listed = self.listed_since(service, since)
         if len(listed) < 2:
             return None
-        second = self._spans_by_service[service][listed[1]].first_seen
-        return second if second > max(since, self.known_since) else None
+        first, second = (self._spans_by_service[service][each].first_seen for each in listed[:2])
+        return second if second > max(since, self.known_since, first) else None
+
+    def count_listed(self, service: str) -> int:
+        """Return how many versions are listed now."""
+        spans = self._spans_by_service.get(service, {})
+        return sum(span.last_seen == STILL_LISTED for span in spans.values())
+
+    def services(self) -> tuple[str, ...]:
+        """Return the services of which versions are known."""
+        return tuple(self._spans_by_service)
 
     def drop_old(self, before: float) -> None:
         """Forget versions that were last listed before then."""
-        for spans in self._spans_by_service.values():
+        for service, spans in self._spans_by_service.items():
             for version in [name for name, span in spans.items() if span.last_seen < before]:
                 del spans[version]
+                self._retired_by_service.setdefault(service, set()).add(version)
--- a/pondhatch/requests/__init__.py
+++ b/pondhatch/requests/__init__.py
@@ -122,11 +122,13 @@
 )
 from pondhatch.requests._stream_binding import ORIGIN_UNKNOWN, VERSION_GONE, StreamBinding
 from pondhatch.requests._stream_origins import (
+    KEY_BYTES,
     MAX_RECORD_SECONDS,
     NoStreamOrigins,
     OriginRecord,
     OriginSource,
     OriginTable,
+    OriginUnknown,
     StreamOrigin,
     StreamOrigins,
     stream_key,
@@ -197,6 +199,7 @@
     "KeptAnswer",
     "KeyHolder",
     "KeyRecord",
+    "KEY_BYTES",
     "KeyTable",
     "KeyedRun",
     "LocalKeyHolder",
@@ -211,6 +214,7 @@
     "OriginRecord",
     "OriginSource",
     "OriginTable",
+    "OriginUnknown",
     "Outcome",
     "OwnerGrants",
     "OwnerReply",
--- a/pondhatch/requests/_dispatch.py
+++ b/pondhatch/requests/_dispatch.py
@@ -173,7 +173,7 @@
     async def run(self) -> Placed | Refused:
         """Return the answer that has begun, or the refusal to send to the caller."""
         self._budget.record_first_try()
-        refusal = await self.binding.find_origin()
+        refusal = await self.binding.find_origin(self._remaining)
         if refusal is not None:
             return Refused(refusal)
         if self.binding.software_version is not None:
--- a/pondhatch/requests/_stream_binding.py
+++ b/pondhatch/requests/_stream_binding.py
@@ -6,9 +6,16 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from pondhatch.requests._messages import RequestHead
 from pondhatch.requests._outcomes import NotRun
-from pondhatch.requests._stream_origins import StreamOrigin, StreamOrigins, stream_key
+from pondhatch.requests._stream_origins import (
+    OriginUnknown,
+    StreamOrigin,
+    StreamOrigins,
+    stream_key,
+)
 
 #: Code of a stream that cannot go on because no engine of its software version is left.
 VERSION_GONE = "software-version-gone"
@@ -46,19 +53,20 @@
         """Whether the caller resumes a stream that may go on at another engine."""
         return self._head.resumes_anywhere and bool(self._head.last_event_id)
 
-    async def find_origin(self) -> NotRun | None:
+    async def find_origin(self, remaining: Callable[[], float]) -> NotRun | None:
         """Bind a request that resumes a stream to the version that began the stream.
 
         Return the refusal if that version is unknown: to guess could join what two versions wrote.
+        ``remaining`` returns the seconds to the caller's deadline.
         """
         if not self._resumes:
             return None
-        self.origin = await self._origins.find(
-            self._head.service, self._key(self._head.resumed_attempt)
-        )
-        if self.origin is None:
-            return self._unknown_origin()
-        self.software_version = self.origin.software_version
+        key = self._key(self._head.resumed_attempt)
+        origin = await self._origins.find(self._head.service, key)
+        if isinstance(origin, OriginUnknown):
+            return self._unknown_origin(origin, remaining())
+        self.origin = origin
+        self.software_version = origin.software_version
         return None
 
     def bind(self, software_version: str, remaining: float) -> None:
@@ -100,8 +108,16 @@
             BOUND_RETRY_AFTER,
         )
 
-    def _unknown_origin(self) -> NotRun:
+    def _unknown_origin(self, unknown: OriginUnknown, remaining: float) -> NotRun:
+        """Return the refusal of a stream of unknown version.
+
+        What nobody knows will not be known later either: its caller is not asked to come back
+        before its deadline.
+        """
         named = self._head.resumed_attempt
+        retry_after = (
+            BOUND_RETRY_AFTER if unknown.may_be_known_soon else max(BOUND_RETRY_AFTER, remaining)
+        )
         return NotRun(
             ORIGIN_UNKNOWN,
             f"engines of several software versions serve, and no router knows which one began the "
@@ -109,7 +125,7 @@
             if named
             else "engines of several software versions serve, and the request does not name the "
             "attempt that began the stream; nothing ran",
-            BOUND_RETRY_AFTER,
+            retry_after,
         )
 
     def _key(self, attempt: str) -> bytes:
--- a/pondhatch/requests/_stream_origins.py
+++ b/pondhatch/requests/_stream_origins.py
@@ -37,6 +37,8 @@
 
     #: A router recorded it as the stream began.
     RECORDED = "recorded"
+    #: The platform holds the record of a router that has ended since.
+    ARCHIVED = "archived"
     #: No other version has served for as long as a caller may still resume a stream.
     SOLE_VERSION = "sole-version"
     #: Every router that would have a record has none, so the stream began before records were
@@ -54,6 +56,13 @@
     router: str = ""
 
 
+class OriginUnknown(msgspec.Struct, frozen=True):
+    """It is not known which software version began a stream."""
+
+    #: Whether it may be known within seconds: what would tell it has not replied yet.
+    may_be_known_soon: bool
+
+
 class StreamOrigins(Protocol):
     """Records and finds which software version began a stream, for the whole fleet."""
 
@@ -64,8 +73,8 @@
         the time to the caller's deadline.
         """
 
-    async def find(self, service: str, key: bytes) -> StreamOrigin | None:
-        """Return what began a stream of a service, or None if that cannot be known."""
+    async def find(self, service: str, key: bytes) -> StreamOrigin | OriginUnknown:
+        """Return what began a stream of a service."""
 
 
 class NoStreamOrigins:
@@ -74,7 +83,7 @@
     def record(self, service: str, keys: tuple[bytes, ...], version: str, seconds: float) -> None:
         """Do nothing."""
 
-    async def find(self, service: str, key: bytes) -> StreamOrigin | None:
+    async def find(self, service: str, key: bytes) -> StreamOrigin | OriginUnknown:
         """Return that any engine may have begun the stream."""
         return StreamOrigin(None, OriginSource.SOLE_VERSION)
 
@@ -87,6 +96,8 @@
     expires_at: float
     #: The service if the stream began at this router; empty for one that another router recorded.
     service: str = ""
+    #: Whether the platform holds it, where every router finds it.
+    is_archived: bool = False
 
 
 class OriginTable(msgspec.Struct):
--- a/pondhatch/requests/tests/test_version_histories.py
+++ b/pondhatch/requests/tests/test_version_histories.py
@@ -25,6 +25,7 @@
     EngineRefusal,
     NotRun,
     OriginSource,
+    OriginUnknown,
     Placed,
     ReplayableBody,
     RequestHead,
@@ -69,10 +70,12 @@
             if known != version:
                 raise AssertionError(f"a stream of {known} was recorded as one of {version}")
 
-    async def find(self, service: str, key: bytes) -> StreamOrigin | None:
+    async def find(self, service: str, key: bytes) -> StreamOrigin | OriginUnknown:
         await asyncio.sleep(0.005)
         version = self._version_by_key.get(key)
-        return None if version is None else StreamOrigin(version, OriginSource.RECORDED)
+        if version is None:
+            return OriginUnknown(may_be_known_soon=True)
+        return StreamOrigin(version, OriginSource.RECORDED)
 
 
 class VersionedUpstreams:
--- a/pondhatch/router/__init__.py
+++ b/pondhatch/router/__init__.py
@@ -20,7 +20,7 @@
 from pondhatch.router._crash_evidence_exchange import CRASH_PACKET_PREFIX, CrashEvidenceExchange
 from pondhatch.router._crash_probe import CrashProbe
 from pondhatch.router._dump import Dump, dump_state
-from pondhatch.router._fleet_key import obtain_fleet_key
+from pondhatch.router._fleet_key import AgreedKey, obtain_fleet_key
 from pondhatch.router._grant_exchange import GRANT_PACKET_PREFIX, GrantExchange
 from pondhatch.router._hall_states import HallStates
 from pondhatch.router._notice_exchange import NOTICE_PACKET_PREFIX, NoticeExchange
@@ -36,6 +36,7 @@
 from pondhatch.router._sync import EVACUATION_KIND, UPSTREAM_KIND, Sync
 
 __all__ = [
+    "AgreedKey",
     "HallStates",
     "ANONYMOUS",
     "MEMORY_LIMITED",
--- a/pondhatch/router/_fleet_key.py
+++ b/pondhatch/router/_fleet_key.py
@@ -10,6 +10,8 @@
 import random
 from collections.abc import Awaitable, Callable, Mapping
 
+import msgspec
+
 from pondhatch.kernel import Backoff
 from pondhatch.observing import log_for
 from pondhatch.store import (
@@ -35,9 +37,17 @@
 Sleep = Callable[[float], Awaitable[None]]
 
 
+class AgreedKey(msgspec.Struct, frozen=True):
+    """The key on which the routers of a fleet agreed."""
+
+    key: bytes
+    #: Whether this router was the first of all: the platform held no key, and took this one.
+    is_new: bool
+
+
 async def obtain_fleet_key(
     platform: Platform, new_key: str, rng: random.Random, sleep: Sleep = asyncio.sleep
-) -> bytes:
+) -> AgreedKey:
     """Return the fleet's key, ``new_key`` if there was none; retry until the platform answers."""
     backoff = Backoff(INITIAL_BACKOFF_SECONDS, MAX_BACKOFF_SECONDS, rng)
     # An existing key does not change, so a stale read of it is good enough. A stale read that finds
@@ -52,10 +62,10 @@
             continue
         key = _read_key(found.object) if isinstance(found, Found) else None
         if key is not None:
-            return key.encode()
+            return AgreedKey(key.encode(), is_new=False)
         written = await _write_key(platform, found, {"key": new_key})
         if isinstance(written, Accepted):
-            return new_key.encode()
+            return AgreedKey(new_key.encode(), is_new=isinstance(found, Missing))
         log.info(
             "Another router wrote the fleet's key, or the answer was lost; retrying: {}.", written
         )
--- a/pondhatch/router/_origin_packets.py
+++ b/pondhatch/router/_origin_packets.py
@@ -52,6 +52,8 @@
     has_several_versions: bool
     #: None if the router has no record.
     software_version: str | None = None
+    #: The version of the streams of which nobody has a record; None if that is not known there.
+    unrecorded_version: str | None = None
 
 
 OriginPacket = RecordsPacket | OriginQuery | OriginReply
--- a/pondhatch/router/_origin_query.py
+++ b/pondhatch/router/_origin_query.py
@@ -1,13 +1,22 @@
-"""A query of several routers for the record of one stream, and what they have replied."""
+"""Queries of several routers for the record of one stream, and what they have replied."""
 
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 import msgspec
 
-from pondhatch.membership import Member
-from pondhatch.router._origin_packets import OriginReply
+from pondhatch.membership import Address, Member, short_id
+from pondhatch.router._origin_packets import OriginPacket, OriginQuery, OriginReply
+
+#: Seconds to wait after each send of a query: the second time only those that did not reply are
+#: asked, as packets may be lost. A caller that resumes waits no longer if nobody knows.
+QUERY_PAUSES = (0.08, 0.14)
+#: Query numbers wrap around at this value.
+NUMBER_LIMIT = 2**32
+
+SendPacket = Callable[[Address, OriginPacket], None]
 
 
 class PendingQuery(msgspec.Struct):
@@ -17,10 +26,15 @@
     found: asyncio.Future[tuple[str, str] | None]
     #: The routers that have not replied yet, by short id.
     silent_by_id: dict[int, Member]
+    #: Number of routers that were asked.
+    asked: int
     #: Names of the routers without the record, each with the seconds for which it held records.
     uptime_by_name: dict[str, float] = msgspec.field(default_factory=dict)
     #: Whether one of them knows of several versions.
     has_several_versions: bool = False
+    #: The versions of streams without a record, by those that know of several and by the others.
+    versions_before_records: set[str] = msgspec.field(default_factory=set)
+    sole_versions: set[str] = msgspec.field(default_factory=set)
 
     def add(self, reply: OriginReply) -> None:
         """Add a router's reply."""
@@ -32,5 +46,44 @@
             return
         self.uptime_by_name[member.name] = reply.uptime_ms / 1000
         self.has_several_versions |= reply.has_several_versions
+        if reply.unrecorded_version is not None:
+            knows_several = reply.has_several_versions
+            known = self.versions_before_records if knows_several else self.sole_versions
+            known.add(reply.unrecorded_version)
         if not self.silent_by_id:
             self.found.set_result(None)
+
+
+class OriginQueries:
+    """The queries of one router that are under way."""
+
+    def __init__(self, send: SendPacket) -> None:
+        self._send = send
+        self._number = 0
+        self._query_by_number: dict[int, PendingQuery] = {}
+
+    async def ask(self, service: str, key: bytes, members: tuple[Member, ...]) -> PendingQuery:
+        """Ask routers for a record, until one has it, all have replied or the pauses are over."""
+        silent = {short_id(each.name): each for each in members}
+        query = PendingQuery(asyncio.get_running_loop().create_future(), silent, len(silent))
+        self._number = (self._number + 1) % NUMBER_LIMIT
+        packet = OriginQuery(self._number, key, service)
+        self._query_by_number[packet.number] = query
+        try:
+            for pause in QUERY_PAUSES:
+                if not silent:
+                    break
+                for member in silent.values():
+                    self._send(member.address, packet)
+                await asyncio.wait([query.found], timeout=pause)
+                if query.found.done():
+                    break
+        finally:
+            del self._query_by_number[packet.number]
+        return query
+
+    def receive(self, reply: OriginReply) -> None:
+        """Add a reply to its query, if that is still under way."""
+        query = self._query_by_number.get(reply.number)
+        if query is not None:
+            query.add(reply)
--- a/pondhatch/router/_service_versions.py
+++ b/pondhatch/router/_service_versions.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from pondhatch.placement import VersionHistory
+from pondhatch.placement import SINCE_EVER, VersionHistory
 from pondhatch.router._state import RouterState
-from pondhatch.store import LEAVING, REMOVED, Upstream
+from pondhatch.store import LEAVING, REMOVED, StoredVersions, Upstream
 
 #: Seconds after the longest time that a route allows for a stream within which its caller resumes
 #: it.
@@ -36,6 +36,28 @@
                 versions.add(entry.upstream.software_version)
         self._history.record(versions_by_service, self._state.clock())
 
+    def adopt(self, stored: StoredVersions, asked_at: float) -> None:
+        """Take over what other routers stored at the platform, which was asked at ``asked_at``."""
+        self.update()
+        self._history.record_stored(
+            stored.versions_by_service, stored.is_complete, asked_at, self._state.clock()
+        )
+
+    def assume_first_start(self) -> None:
+        """Take nothing to have served before: the whole system starts for the very first time."""
+        self._history.known_since = SINCE_EVER
+
+    def to_store(self) -> StoredVersions:
+        """Return what routers that begin anew have to know."""
+        self.update()
+        by_service = {name: self.possible_versions(name) for name in self._history.services()}
+        oldest = self._state.clock() - self.longest_seconds()
+        is_complete = self._history.known_since <= oldest
+        return StoredVersions(
+            {name: tuple(sorted(each)) for name, each in sorted(by_service.items()) if each},
+            is_complete and self._is_up_to_date(),
+        )
+
     def possible_versions(self, service: str) -> tuple[str, ...]:
         """Return the versions that may have begun a stream that callers still resume."""
         self.update()
@@ -45,13 +67,20 @@
         """Return whether several versions may have begun such streams."""
         return len(self.possible_versions(service)) > 1
 
+    def serve_side_by_side(self, service: str) -> bool:
+        """Return whether engines of several versions are listed now."""
+        return self._history.count_listed(service) > 1
+
     def is_history_known(self, service: str) -> bool:
         """Return whether every version that may have begun such a stream is known here."""
-        is_up_to_date = all(
+        return self._is_up_to_date() and self._history.known_since <= self._since(service)
+
+    def _is_up_to_date(self) -> bool:
+        """Return whether no other router has a newer list of upstreams."""
+        return all(
             versions.upstreams <= self._state.upstreams.version
             for versions in self._state.gossip.versions().values()
         )
-        return is_up_to_date and self._history.known_since <= self._since(service)
 
     def seconds_since_second_version(self, service: str) -> float | None:
         """Return for how many seconds several versions have served.
@@ -66,8 +95,11 @@
 
     def drop_old(self) -> None:
         """Forget versions whose streams nobody resumes any more."""
-        longest = max(self._stream_seconds().values(), default=0.0) + RETURN_SECONDS
-        self._history.drop_old(self._state.clock() - longest)
+        self._history.drop_old(self._state.clock() - self.longest_seconds())
+
+    def longest_seconds(self) -> float:
+        """Return for how long after its begin a stream of any service may be resumed."""
+        return max(self._stream_seconds().values(), default=0.0) + RETURN_SECONDS
 
     def _since(self, service: str) -> float:
         """Return when the oldest stream began that a caller may still resume."""
--- a/pondhatch/router/_stream_origin_exchange.py
+++ b/pondhatch/router/_stream_origin_exchange.py
@@ -2,32 +2,35 @@
 
 The router that delivers a stream's first event holds the record. Only while several versions may
 have begun streams of the service, it also sends the record to two other routers in different data
-halls, which follow from the stream's key, before the caller gets the event. A caller that resumes
-its stream may come to any router: one without the record asks the routers that rank first for the
-key, all of them in a small fleet. Records are sent again to routers that take the place of others,
-such as those that stop or fail, and expire once no caller needs them. They are not written anywhere
-and no router has to agree: a record never changes, so any copy of it is right.
+halls, which follow from the stream's key, before the caller gets the event, and has it written to
+the platform soon. A caller that resumes its stream may come to any router: one without the record
+asks the routers that rank first for the key, all of them in a small fleet, and reads what the
+platform holds if those that had the record may have ended. Records are sent again to routers that
+take the place of others, such as those that stop or fail, and expire once no caller needs them. No
+router has to agree: a record never changes, so any copy of it is right.
 
-With one version there are no packets. A stream that began before there was a second one is sent to
-its holders once there is.
+With one version there are no packets, and the platform is told once which version that is. A stream
+that began before there was a second one is sent to its holders once there is.
 """
 
 from __future__ import annotations
 
 import asyncio
+import random
 from collections import deque
 from collections.abc import Callable, Iterable
 
 from pondhatch.membership import Address, Datagram, Member, Phase, short_id
-from pondhatch.placement import ranked
 from pondhatch.requests import (
     MAX_RECORD_SECONDS,
     OriginRecord,
     OriginSource,
     OriginTable,
+    OriginUnknown,
     StreamOrigin,
 )
 from pondhatch.router._grant_exchange import RESTART_INCARNATION_STEP
+from pondhatch.router._origin_archive import OriginArchive
 from pondhatch.router._origin_packets import (
     RECORDS_PER_PACKET,
     OriginPacket,
@@ -38,29 +41,22 @@
     decode_origin_packet,
     encode_origin_packet,
 )
-from pondhatch.router._origin_query import PendingQuery
+from pondhatch.router._origin_query import OriginQueries, PendingQuery
+from pondhatch.router._record_holders import RecordHolders
 from pondhatch.router._service_versions import RETURN_SECONDS, ServiceVersions
 from pondhatch.router._state import RouterState
+from pondhatch.router._unrecorded_streams import UnrecordedStreams
+from pondhatch.router._version_store import VersionStore
+from pondhatch.store import Platform
 
-#: Routers, beside the one where the stream began, that hold its record.
-HOLDERS = 2
-#: Routers asked for a record: enough that the holders are among them after several routers joined.
-MAX_ASKED = 8
-#: Seconds to wait after each send of a query: the second time only those that did not reply are
-#: asked, as packets may be lost. A caller that resumes waits no longer if nobody knows.
-QUERY_PAUSES = (0.08, 0.14)
 #: Records whose holders are determined anew in one round after the routers changed.
 RECORDS_PER_ROUND = 64
-#: Seconds by which routers may differ on when a second version appeared.
-VIEW_SKEW_SECONDS = 1.0
-#: Seconds between two rounds from which this process counts as paused, and for which it then may
-#: not have caught up with the others.
-PAUSE_SECONDS = 1.0
-CATCH_UP_SECONDS = 2.0
 #: Rounds between two searches for expired records.
 EXPIRY_ROUNDS = 10
-#: Query numbers wrap around at this value.
-NUMBER_LIMIT = 2**32
+#: Seconds for which a stream that is taken up waits at most for what the platform holds.
+MAX_READ_SECONDS = 0.3
+#: Seconds between two looks at whether the platform has replied.
+POLL_SECONDS = 0.01
 
 SendAll = Callable[[Iterable[Datagram]], None]
 
@@ -68,12 +64,27 @@
 class StreamOriginExchange:
     """One router's implementation of StreamOrigins, which shares its records with the others."""
 
-    def __init__(self, state: RouterState, send: SendAll) -> None:
+    def __init__(
+        self,
+        state: RouterState,
+        send: SendAll,
+        platform: Platform,
+        rng: random.Random,
+        is_first_start: bool = False,
+    ) -> None:
         self.records = OriginTable()
         self.versions = ServiceVersions(state)
+        if is_first_start:
+            self.versions.assume_first_start()
         self._state = state
         self._send = send
-        self._started_at = state.clock()
+        self._holders = RecordHolders(state)
+        self._unrecorded = UnrecordedStreams(state, self.versions, self._holders)
+        self._queries = OriginQueries(self._send_packet)
+        self._version_store = VersionStore(state, self.versions, platform, rng)
+        self._archive = OriginArchive(
+            state, platform, rng, self.versions.longest_seconds, self._take_archived
+        )
         #: Services of which several versions may have begun streams, as of the last round.
         self._services_with_several_versions: frozenset[str] = frozenset()
         #: Services of the streams that began here.
@@ -83,14 +94,7 @@
         self._incarnation_by_name: dict[str, int] = {}
         #: Keys of records whose holders may have changed.
         self._to_share: deque[bytes] = deque()
-        #: When a live router was last seen to stop, fail or restart, in the clock's seconds.
-        self._lost_router_at = float("-inf")
-        #: When the last round began, and when the latest one came after a pause of this process.
-        self._ticked_at = state.clock()
-        self._paused_at = float("-inf")
         self._rounds = 0
-        self._number = 0
-        self._query_by_number: dict[int, PendingQuery] = {}
 
     def record(self, service: str, keys: tuple[bytes, ...], version: str, seconds: float) -> None:
         """Hold the record of a stream, and send it to its holders; see StreamOrigins."""
@@ -101,21 +105,68 @@
             self.records.put(key, record)
         if self.versions.has_several_versions(service):
             self._share(keys)
+            self._archive.add(keys, version)
+
+    async def find(self, service: str, key: bytes) -> StreamOrigin | OriginUnknown:
+        """Return what began a stream, after asking others if needed; see StreamOrigins."""
+        found = self._find_here(service, key)
+        if found is None and await self._read_platform_once():
+            found = self._find_here(service, key)
+        if found is not None:
+            return found
+        query = await self._queries.ask(service, key, self._holders.asked(key))
+        found = self._found_by(query)
+        if found is None and self._unrecorded.may_be_archived_only() and await self._archive.read():
+            found = self._find_here(service, key)
+        to_join = self._unrecorded.seconds_to_join(service)
+        if found is None and to_join > 0:
+            await asyncio.sleep(to_join)
+            query = await self._queries.ask(service, key, self._holders.asked(key))
+            found = self._found_by(query)
+        return found if found is not None else self._without_record(service, key, query)
 
-    async def find(self, service: str, key: bytes) -> StreamOrigin | None:
-        """Return what began a stream, after asking other routers if needed; see StreamOrigins."""
+    def _find_here(self, service: str, key: bytes) -> StreamOrigin | None:
+        """Return what this router knows by itself of the stream's begin."""
         own = self.records.get(key, self._state.clock())
+        if own is not None and own.is_archived:
+            return StreamOrigin(own.software_version, OriginSource.ARCHIVED)
         if own is not None:
             return StreamOrigin(own.software_version, OriginSource.RECORDED, self._state.name)
-        possible = self.versions.possible_versions(service)
-        if len(possible) <= 1 and self._is_history_known(service):
-            return _sole_origin(possible)
-        query = await self._query(service, key)
+        sole = self._unrecorded.sole_version(service)
+        return StreamOrigin(sole[0], OriginSource.SOLE_VERSION) if sole is not None else None
+
+    async def _read_platform_once(self) -> bool:
+        """Wait for what the platform holds from before this router's start; return whether it did.
+
+        A router that has read it already, or finds out that the platform is away, does not wait.
+        """
+        if self._archive.has_read:
+            return False
+        until = self._state.clock() + MAX_READ_SECONDS
+        while not self._version_store.has_tried and self._state.clock() < until:
+            await asyncio.sleep(POLL_SECONDS)
+        if self._version_store.is_read:
+            await self._archive.read()
+        return True
+
+    @staticmethod
+    def _found_by(query: PendingQuery) -> StreamOrigin | None:
         found = query.found.result() if query.found.done() else None
-        if found is not None:
-            version, router = found
-            return StreamOrigin(version, OriginSource.RECORDED, router)
-        return self._origin_without_record(service, key, query)
+        return (
+            StreamOrigin(found[0], OriginSource.RECORDED, found[1]) if found is not None else None
+        )
+
+    def _without_record(
+        self, service: str, key: bytes, query: PendingQuery
+    ) -> StreamOrigin | OriginUnknown:
+        """Return what began a stream of which nobody that was asked has a record."""
+        version = self._unrecorded.version_after(service, key, query)
+        if version is None:
+            is_all_known = self._archive.has_read and not query.silent_by_id
+            return OriginUnknown(may_be_known_soon=not is_all_known)
+        several = query.has_several_versions or self.versions.has_several_versions(service)
+        source = OriginSource.BEFORE_RECORDS if several else OriginSource.SOLE_VERSION
+        return StreamOrigin(version, source)
 
     def receive(self, payload: bytes, source: Address) -> None:
         """Handle a packet without its prefix; a packet that does not parse is dropped."""
@@ -129,15 +180,13 @@
                     self.records.put(each.key, record)
         elif isinstance(packet, OriginQuery):
             self._reply(packet, source)
-        elif isinstance(packet, OriginReply) and packet.number in self._query_by_number:
-            self._query_by_number[packet.number].add(packet)
+        elif isinstance(packet, OriginReply):
+            self._queries.receive(packet)
 
     def tick(self) -> None:
         """Run the periodic work of one round."""
         now = self._state.clock()
-        if now - self._ticked_at > PAUSE_SECONDS:
-            self._paused_at = now
-        self._ticked_at = now
+        self._unrecorded.tick()
         self._rounds += 1
         if self._rounds % EXPIRY_ROUNDS == 0:
             self.records.drop_expired(now)
@@ -146,6 +195,20 @@
         self._follow_members()
         count = min(RECORDS_PER_ROUND, len(self._to_share))
         self._share([self._to_share.popleft() for _ in range(count)])
+        self._version_store.tick()
+        self._archive.tick()
+
+    def stop(self) -> None:
+        """Cancel the calls to the platform that are under way."""
+        self._version_store.stop()
+        self._archive.stop()
+
+    def _take_archived(self, key: bytes, software_version: str) -> None:
+        """Hold a record that was read from the platform."""
+        now = self._state.clock()
+        if self.records.get(key, now) is None:
+            expires_at = now + self.versions.longest_seconds()
+            self.records.put(key, OriginRecord(software_version, expires_at, is_archived=True))
 
     def _follow_versions(self) -> None:
         """Send the records of streams that began while their service had one version only."""
@@ -155,8 +218,10 @@
         )
         new = several - self._services_with_several_versions
         self._services_with_several_versions = several
-        if new:
-            self._to_share.extend(key for key, each in self.records if each.service in new)
+        for key, each in self.records if new else ():
+            if each.service in new:
+                self._to_share.append(key)
+                self._archive.add((key,), each.software_version)
 
     def _follow_members(self) -> None:
         """Send records to the routers that hold them now in place of others."""
@@ -171,14 +236,18 @@
             live[name] - known[name] >= RESTART_INCARNATION_STEP for name in live.keys() & known
         )
         if has_restarted or known.keys() - live.keys():
-            self._lost_router_at = self._state.clock()
+            self._unrecorded.note_lost_router()
         if has_restarted or live.keys() != known.keys():
-            self._to_share = deque(
-                key
-                for key, each in self.records
-                # Other routers send records only of services with several versions.
-                if not each.service or each.service in self._services_with_several_versions
-            )
+            self._to_share = deque(key for key, each in self.records if self._is_shared(each))
+
+    def _is_shared(self, record: OriginRecord) -> bool:
+        """Return whether a record has holders.
+
+        Other routers send records only of services with several versions.
+        """
+        return not record.is_archived and (
+            not record.service or record.service in self._services_with_several_versions
+        )
 
     def _share(self, keys: Iterable[bytes]) -> None:
         """Send records to their holders.
@@ -194,7 +263,7 @@
                 continue
             lasts_ms = round((record.expires_at - now) * 1000)
             wire_record = WireRecord(key, record.software_version, lasts_ms)
-            for holder in self._holders(key):
+            for holder in self._holders.holders(key):
                 if holder.name != self._state.name:
                     records_by_holder.setdefault(holder.address, []).append(wire_record)
         for address, records in records_by_holder.items():
@@ -202,96 +271,18 @@
                 batch = tuple(records[offset : offset + RECORDS_PER_PACKET])
                 self._send_packet(address, RecordsPacket(batch))
 
-    def _holders(self, key: bytes) -> tuple[Member, ...]:
-        """Return the live routers that hold a record.
-
-        They are in different data halls if possible, as a whole hall may be lost.
-        """
-        ranking = [each for each in self._ranked(key) if each.phase == Phase.LIVE]
-        if len(ranking) <= HOLDERS:
-            return tuple(ranking)
-        first = ranking[0]
-        elsewhere = (each for each in ranking[1:] if each.hall != first.hall)
-        return first, next(elsewhere, ranking[1])
-
-    def _ranked(self, key: bytes) -> list[Member]:
-        """Return the members in the order of a key, which is the same at every router."""
-        member_by_name = {each.name: each for each in self._state.members()}
-        return [member_by_name[name] for name in ranked(key.hex(), member_by_name)]
-
-    def _is_history_known(self, service: str) -> bool:
-        """Return whether this router knows every version that may have begun a stream.
-
-        One that was paused goes on by what it knew before.
-        """
-        was_paused = self._state.clock() - self._paused_at < CATCH_UP_SECONDS
-        is_paused = self._state.clock() - self._ticked_at > PAUSE_SECONDS
-        return not (was_paused or is_paused) and self.versions.is_history_known(service)
-
-    async def _query(self, service: str, key: bytes) -> PendingQuery:
-        """Ask the routers that rank first for a key whether they have its record."""
-        asked = dict.fromkeys((*self._holders(key), *self._ranked(key)[:MAX_ASKED]))
-        silent = {short_id(each.name): each for each in asked if each.name != self._state.name}
-        query = PendingQuery(asyncio.get_running_loop().create_future(), silent)
-        self._number = (self._number + 1) % NUMBER_LIMIT
-        packet = OriginQuery(self._number, key, service)
-        self._query_by_number[packet.number] = query
-        try:
-            for pause in QUERY_PAUSES:
-                if not silent:
-                    break
-                for member in silent.values():
-                    self._send_packet(member.address, packet)
-                await asyncio.wait([query.found], timeout=pause)
-                if query.found.done():
-                    break
-        finally:
-            del self._query_by_number[packet.number]
-        return query
-
-    def _origin_without_record(
-        self, service: str, key: bytes, query: PendingQuery
-    ) -> StreamOrigin | None:
-        """Return what began a stream of which no router that was asked has a record.
-
-        A stream that began while one version alone served may have none. It did if its holders
-        would have a record of any that began later, and no router that was asked is silent.
-        """
-        possible = self.versions.possible_versions(service)
-        if len(possible) <= 1:
-            return None if query.has_several_versions else _sole_origin(possible)
-        elapsed = self.versions.seconds_since_second_version(service)
-        if elapsed is None or query.silent_by_id:
-            return None
-        # For at least as long each holder must have been there to get a record.
-        needed = elapsed + VIEW_SKEW_SECONDS
-        if self._has_lost_router_within(needed):
-            return None
-        own_uptime = self._state.clock() - self._started_at
-        uptime_by_name = {**query.uptime_by_name, self._state.name: own_uptime}
-        would_know = all(uptime_by_name.get(each.name, 0.0) > needed for each in self._holders(key))
-        return StreamOrigin(possible[0], OriginSource.BEFORE_RECORDS) if would_know else None
-
-    def _has_lost_router_within(self, seconds: float) -> bool:
-        """Return whether a router stopped or failed lately, perhaps a holder of a record."""
-        return self._state.clock() - self._lost_router_at <= seconds
-
     def _reply(self, query: OriginQuery, source: Address) -> None:
         now = self._state.clock()
         record = self.records.get(query.key, now)
         reply = OriginReply(
             query.number,
             short_id(self._state.name),
-            round((now - self._started_at) * 1000),
+            round(self._unrecorded.uptime * 1000),
             self.versions.has_several_versions(query.service),
             record.software_version if record is not None else None,
+            None if record is not None else self._unrecorded.version(query.service),
         )
         self._send_packet(source, reply)
 
     def _send_packet(self, to: Address, packet: OriginPacket) -> None:
         self._send([Datagram(to, encode_origin_packet(packet))])
-
-
-def _sole_origin(versions: tuple[str, ...]) -> StreamOrigin:
-    """Return the origin of every stream of a service that had one software version at most."""
-    return StreamOrigin(versions[0] if versions else None, OriginSource.SOLE_VERSION)
--- /dev/null
+++ b/pondhatch/router/_unrecorded_streams.py
@@ -0,0 +1,142 @@
+"""Which software version began the streams of which no router has a record.
+
+A record may be missing for three reasons: one version alone served when the stream began, so that
+none was made for others; those that had it were lost; or there never was such a stream. Only in the
+first case may the stream go on, and only a router that rules out the others says so.
+"""
+
+from __future__ import annotations
+
+from pondhatch.router._origin_query import PendingQuery
+from pondhatch.router._record_holders import RecordHolders
+from pondhatch.router._service_versions import ServiceVersions
+from pondhatch.router._state import RouterState
+
+#: Seconds by which routers may differ on when a second version appeared.
+VIEW_SKEW_SECONDS = 1.0
+#: Seconds after its start in which a router may not have met all others.
+JOIN_SECONDS = 0.6
+#: Seconds between two rounds from which this process counts as paused, and for which it then may
+#: not have caught up with the others.
+PAUSE_SECONDS = 1.0
+CATCH_UP_SECONDS = 2.0
+
+
+class UnrecordedStreams:
+    """What one router knows of the streams without a record."""
+
+    def __init__(
+        self, state: RouterState, versions: ServiceVersions, holders: RecordHolders
+    ) -> None:
+        self._state = state
+        self._versions = versions
+        self._holders = holders
+        self._started_at = state.clock()
+        #: When a live router was last seen to stop, fail or restart, in the clock's seconds.
+        self._lost_router_at = float("-inf")
+        #: When the last round began, and when the latest one came after a pause of this process.
+        self._ticked_at = state.clock()
+        self._paused_at = float("-inf")
+
+    @property
+    def uptime(self) -> float:
+        """Seconds for which this router has held records: since it started."""
+        return self._state.clock() - self._started_at
+
+    def seconds_to_join(self, service: str) -> float:
+        """Return for how long to wait until the routers have met, and know what there is to know.
+
+        It is 0 where they can learn nothing that helps: a stream of unknown version cannot go on
+        at the only version that is left.
+        """
+        is_of_use = self._versions.serve_side_by_side(service)
+        return max(0.0, JOIN_SECONDS - self.uptime) if is_of_use else 0.0
+
+    def tick(self) -> None:
+        """Notice a pause of this process."""
+        now = self._state.clock()
+        if now - self._ticked_at > PAUSE_SECONDS:
+            self._paused_at = now
+        self._ticked_at = now
+
+    def note_lost_router(self) -> None:
+        """Note that a router stopped, failed or restarted, perhaps a holder of a record."""
+        self._lost_router_at = self._state.clock()
+
+    def may_be_archived_only(self) -> bool:
+        """Return whether a record may have been lost with its routers, but for the platform's."""
+        longest = self._versions.longest_seconds()
+        return self.uptime < longest or self._has_lost_router_within(longest)
+
+    def sole_version(self, service: str) -> tuple[str | None] | None:
+        """Return the only version that may have begun streams of a service, None if unknown.
+
+        It is None itself where the service had no engine.
+        """
+        possible = self._versions.possible_versions(service)
+        if len(possible) > 1 or not self._is_history_known(service):
+            return None
+        return (possible[0] if possible else None,)
+
+    def version(self, service: str) -> str | None:
+        """Return the version of streams without a record if all routers that reply have none.
+
+        This router states it for those that ask. None if it does not know.
+        """
+        sole = self.sole_version(service)
+        if sole is not None:
+            return sole[0]
+        elapsed = self._seconds_since_records(service)
+        if elapsed is None or self.uptime < JOIN_SECONDS:
+            return None
+        return self._versions.possible_versions(service)[0]
+
+    def version_after(self, service: str, key: bytes, query: PendingQuery) -> str | None:
+        """Return the version of a stream of which no router that was asked has a record.
+
+        None if nobody can know.
+        """
+        if query.silent_by_id:
+            return None
+        if self._holders.are_all(query.asked):
+            known = set(query.versions_before_records)
+            if (own := self.version(service)) is not None:
+                known.add(own)
+        else:
+            known = self._version_by_holders(service, key, query)
+        if not query.has_several_versions and not self._versions.has_several_versions(service):
+            known |= query.sole_versions
+        return known.pop() if len(known) == 1 else None
+
+    def _version_by_holders(self, service: str, key: bytes, query: PendingQuery) -> set[str]:
+        """Return the version if each holder would have a record of any stream since records."""
+        elapsed = self._seconds_since_records(service)
+        if elapsed is None:
+            return set()
+        needed = elapsed + VIEW_SKEW_SECONDS
+        uptime_by_name = {**query.uptime_by_name, self._state.name: self.uptime}
+        holders = self._holders.holders(key)
+        would_know = all(uptime_by_name.get(each.name, 0.0) > needed for each in holders)
+        return {self._versions.possible_versions(service)[0]} if would_know else set()
+
+    def _seconds_since_records(self, service: str) -> float | None:
+        """Return for how many seconds records have been made of every stream of a service.
+
+        None if one version alone may not have served before, or a record may have been lost.
+        """
+        elapsed = self._versions.seconds_since_second_version(service)
+        if elapsed is None or not self._is_history_known(service):
+            return None
+        return None if self._has_lost_router_within(elapsed + VIEW_SKEW_SECONDS) else elapsed
+
+    def _has_lost_router_within(self, seconds: float) -> bool:
+        return self._state.clock() - self._lost_router_at <= seconds
+
+    def _is_history_known(self, service: str) -> bool:
+        """Return whether this router knows every version that may have begun a stream.
+
+        One that was paused goes on by what it knew before.
+        """
+        was_paused = self._state.clock() - self._paused_at < CATCH_UP_SECONDS
+        is_paused = self._state.clock() - self._ticked_at > PAUSE_SECONDS
+        return not (was_paused or is_paused) and self._versions.is_history_known(service)
--- a/pondhatch/router/tests/_origin_fleet.py
+++ b/pondhatch/router/tests/_origin_fleet.py
@@ -6,6 +6,7 @@
 import random
 from collections.abc import Callable, Iterable
 
+from fakes._platform_in_memory import PlatformInMemory
 from pondhatch.membership import Address, Alive, Datagram, Gossip, MembershipLimits, Phase, short_id
 from pondhatch.requests import StreamOrigin, stream_key
 from pondhatch.router import ORIGIN_PACKET_PREFIX, RouterState, StreamOriginExchange
@@ -32,7 +33,9 @@
         clock = asyncio.get_running_loop().time
         self.state = RouterState(name, hall, gossip, clock, lambda member: UncalledPeer())
         self.state.apply_change(FIRST)
-        self.exchange = StreamOriginExchange(self.state, self._send)
+        self.exchange = StreamOriginExchange(
+            self.state, self._send, fleet.platform, random.Random(port), fleet.is_first_start
+        )
         self._ticking = asyncio.ensure_future(self._tick())
 
     def begin(self, attempt: str, version: str, also: tuple[str, ...] = ()) -> None:
@@ -41,7 +44,9 @@
         self.exchange.record(SERVICE, keys, version, 8.0)
 
     async def find(self, attempt: str, account: str = "a") -> StreamOrigin | None:
-        return await self.exchange.find(SERVICE, stream_key(account, SERVICE, attempt))
+        """Return what began a stream, None if that is unknown."""
+        found = await self.exchange.find(SERVICE, stream_key(account, SERVICE, attempt))
+        return found if isinstance(found, StreamOrigin) else None
 
     def list_engine(self, name: str, version: str, position: int) -> None:
         """Make this router learn an engine's entry."""
@@ -59,6 +64,7 @@
 
     def stop(self) -> None:
         self._ticking.cancel()
+        self.exchange.stop()
 
     async def _tick(self) -> None:
         while True:
@@ -75,6 +81,9 @@
 
     def __init__(self, count: int = 6, halls: int = 3) -> None:
         self._halls = halls
+        self.platform = PlatformInMemory()
+        #: Whether the routers that start now are the first of all.
+        self.is_first_start = True
         self._started = 0
         self.routers: dict[str, OriginRouter] = {}
         #: Packets sent so far, those that are lost included: sender, receiver and size.
@@ -86,6 +95,7 @@
         self._engines: dict[str, tuple[str, int]] = {}
         for index in range(count):
             self.start(f"r{index}")
+        self.is_first_start = False
 
     def start(self, name: str) -> OriginRouter:
         """Start a router, which learns the listed engines; all meet it."""
--- a/pondhatch/router/tests/test_fleet_key.py
+++ b/pondhatch/router/tests/test_fleet_key.py
@@ -44,7 +44,8 @@
         self.pauses.append(seconds)
 
     async def obtain_key(self, platform: PlatformInMemory, key: str) -> bytes:
-        return await obtain_fleet_key(platform, key, random.Random(1), self.sleep)
+        agreed = await obtain_fleet_key(platform, key, random.Random(1), self.sleep)
+        return agreed.key
 
     async def test_all_routers_get_the_first_ones_key(self) -> None:
         platform = PlatformInMemory()
--- a/pondhatch/router/tests/test_stream_origin_exchange.py
+++ b/pondhatch/router/tests/test_stream_origin_exchange.py
@@ -25,8 +25,9 @@
     decode_origin_packet,
     encode_origin_packet,
 )
+from pondhatch.router._origin_query import QUERY_PAUSES
+from pondhatch.router._record_holders import HOLDERS
 from pondhatch.router._service_versions import RETURN_SECONDS
-from pondhatch.router._stream_origin_exchange import HOLDERS, QUERY_PAUSES
 from pondhatch.router.tests._origin_fleet import SERVICE, OriginFleet
 from pondhatch.router.tests.test_sync import router as router_state
 from pondhatch.store import UpstreamEntry
@@ -110,6 +111,13 @@
             found = await paused.find("a1")
             assert found is not None
             self.assertEqual(found.software_version, "v2")
+            # The others, which were not paused, know that what they have no record of is older.
+            older = await paused.find("never-used")
+            self.assertEqual(older, StreamOrigin("v1", OriginSource.BEFORE_RECORDS))
+            for name in tuple(fleet.routers):
+                if name != "r1":
+                    fleet.kill(name)
+                    fleet.notice_killed(name)
             self.assertIsNone(await paused.find("never-used"))
 
         in_fleet(play)()
--- a/pondhatch/store/__init__.py
+++ b/pondhatch/store/__init__.py
@@ -16,6 +16,14 @@
     Unavailable,
     WatchEvent,
 )
+from pondhatch.store._origin_segments import (
+    MAX_SEGMENT_RECORDS,
+    MAX_SEGMENTS,
+    SEGMENT_KIND,
+    Segment,
+    SegmentRing,
+    read_segment,
+)
 from pondhatch.store._position import (
     MAX_ERA,
     NO_ERA,
@@ -26,6 +34,12 @@
     position_of,
     revision_of,
 )
+from pondhatch.store._stored_versions import (
+    VERSIONS_KIND,
+    VERSIONS_NAME,
+    StoredVersions,
+    read_stored_versions,
+)
 from pondhatch.store._upstream_reader import UpstreamReader
 from pondhatch.store._upstreams import (
     LEAVING,
@@ -49,6 +63,8 @@
     "LEAVING",
     "LIVE",
     "MAX_ERA",
+    "MAX_SEGMENTS",
+    "MAX_SEGMENT_RECORDS",
     "NO_ERA",
     "REVISION_BITS",
     "SETTLE_SECONDS",
@@ -57,6 +73,9 @@
     "position_of",
     "revision_of",
     "REMOVED",
+    "SEGMENT_KIND",
+    "Segment",
+    "SegmentRing",
     "Accepted",
     "Conflict",
     "Found",
@@ -66,6 +85,7 @@
     "Platform",
     "PlatformLost",
     "StoredObject",
+    "StoredVersions",
     "TooOld",
     "Unavailable",
     "Upstream",
@@ -73,5 +93,9 @@
     "UpstreamList",
     "UpstreamReader",
     "UpstreamUpdate",
+    "VERSIONS_KIND",
+    "VERSIONS_NAME",
     "WatchEvent",
+    "read_segment",
+    "read_stored_versions",
 ]
--- /dev/null
+++ b/pondhatch/store/_origin_segments.py
@@ -0,0 +1,111 @@
+"""Records of which software version began a stream, as the platform holds them in segments.
+
+A segment is an object of some dozens of records that one router wrote. A router adds to its newest
+segment until it is full, and uses a segment again once nobody needs its records any more, so that
+what a router writes each time stays small, and so does what the platform holds.
+"""
+
+from __future__ import annotations
+
+import base64
+import binascii
+from collections.abc import Iterator, Mapping
+from typing import Any
+
+import msgspec
+
+from pondhatch.store._position import Position
+
+#: Kind of the platform's objects that each hold one segment.
+SEGMENT_KIND = "pondhatch-stream-origins"
+#: Records in one segment: one kilobyte.
+MAX_SEGMENT_RECORDS = 64
+#: Segments of one router, the oldest of which is used again if none has expired.
+MAX_SEGMENTS = 128
+#: Separates the name of a router from the number of its segment.
+NUMBER_MARK = "."
+
+
+class Segment(msgspec.Struct):
+    """One of a router's own segments."""
+
+    name: str
+    #: The object's version at the platform; None if it is unknown or there is no object.
+    position: Position | None = None
+    #: When nobody needs the records any more, in the clock's seconds.
+    expires_at: float = float("-inf")
+    version_by_key: dict[bytes, str] = msgspec.field(default_factory=dict)
+    #: Whether an earlier process of the router wrote it, so that its records are not known here.
+    is_closed: bool = False
+
+    @property
+    def room(self) -> int:
+        """Number of records that still fit in."""
+        return 0 if self.is_closed else max(0, MAX_SEGMENT_RECORDS - len(self.version_by_key))
+
+    def as_value(self) -> dict[str, Any]:
+        """Return the object's value: the keys of each version, end to end."""
+        keys_by_version: dict[str, bytearray] = {}
+        for key, version in self.version_by_key.items():
+            keys_by_version.setdefault(version, bytearray()).extend(key)
+        return {
+            "keys_by_version": {
+                version: base64.b64encode(keys).decode()
+                for version, keys in keys_by_version.items()
+            }
+        }
+
+
+def read_segment(value: Any, key_bytes: int) -> Iterator[tuple[bytes, str]]:
+    """Yield the key and the software version of each record in an object's value.
+
+    What cannot be read is left out: a stream without a record is refused, never taken for another.
+    """
+    keys_by_version = value.get("keys_by_version") if isinstance(value, Mapping) else None
+    if not isinstance(keys_by_version, Mapping):
+        return
+    for version, text in keys_by_version.items():
+        try:
+            keys = base64.b64decode(text, validate=True)
+        except (TypeError, ValueError, binascii.Error):
+            continue
+        for offset in range(0, len(keys) - key_bytes + 1, key_bytes):
+            yield keys[offset : offset + key_bytes], version
+
+
+class SegmentRing:
+    """The segments of one router."""
+
+    def __init__(self, router: str) -> None:
+        self._router = router
+        self._segments: list[Segment] = []
+
+    def add_written(self, name: str, position: Position, expires_at: float) -> None:
+        """Add a segment that an earlier process of this router wrote."""
+        if name.rpartition(NUMBER_MARK)[0] == self._router and not self._has(name):
+            written = Segment(name, position, expires_at, is_closed=True)
+            self._segments.insert(0, written)
+
+    def segment_for_writing(self, now: float) -> Segment:
+        """Return a segment with room: the newest, one that has expired, or a new one."""
+        newest = self._segments[-1] if self._segments else None
+        if newest is not None and newest.room:
+            return newest
+        reused = next((each for each in self._segments if each.expires_at <= now), None)
+        if reused is None and len(self._segments) >= MAX_SEGMENTS:
+            reused = self._segments[0]
+        if reused is None:
+            reused = Segment(self._new_name())
+        else:
+            self._segments.remove(reused)
+            reused.version_by_key.clear()
+            reused.is_closed = False
+        self._segments.append(reused)
+        return reused
+
+    def _has(self, name: str) -> bool:
+        return any(each.name == name for each in self._segments)
+
+    def _new_name(self) -> str:
+        numbers = (f"{self._router}{NUMBER_MARK}{number}" for number in range(MAX_SEGMENTS))
+        return next(name for name in numbers if not self._has(name))
