Begin no stream at a version that the platform does not know of yet

What callers could have seen: a version that appeared right before all routers were killed, and whose entries had lapsed when they came back, would have had its streams taken for the other version's, since the platform's object did not name it.

Change: while the platform is being told of a new version, some milliseconds, and 2 s at most, a stream that may be resumed begins at the versions that it knows.

--- a/pondhatch/placement/_software_versions.py
+++ b/pondhatch/placement/_software_versions.py
@@ -98,10 +98,16 @@
         first, second = (self._spans_by_service[service][each].first_seen for each in listed[:2])
         return second if second > max(since, self.known_since, first) else None
 
+    def first_seen_by_listed(self, service: str) -> dict[str, float]:
+        """Return when each of the versions that are listed now was first seen."""
+        spans = self._spans_by_service.get(service, {})
+        return {
+            name: span.first_seen for name, span in spans.items() if span.last_seen == STILL_LISTED
+        }
+
     def count_listed(self, service: str) -> int:
         """Return how many versions are listed now."""
-        spans = self._spans_by_service.get(service, {})
-        return sum(span.last_seen == STILL_LISTED for span in spans.values())
+        return len(self.first_seen_by_listed(service))
 
     def services(self) -> tuple[str, ...]:
         """Return the services of which versions are known."""
--- a/pondhatch/requests/_dispatch.py
+++ b/pondhatch/requests/_dispatch.py
@@ -485,7 +485,16 @@
     def _live_upstreams(self) -> tuple[str, ...]:
         """Return the engines that may take the request, as currently listed."""
         head = self._head
-        return self._view.live_upstreams(head.service, head.regions, self.binding.software_version)
+        bound = self.binding.software_version
+        engines = self._view.live_upstreams(head.service, head.regions, bound)
+        untold = self.binding.untold_versions()
+        if not untold:
+            return engines
+        return tuple(each for each in engines if self._software_version(each) not in untold)
+
+    def _software_version(self, engine: str) -> str | None:
+        target = self._view.target(engine)
+        return target.software_version if target is not None else None
 
     def _new_grant_request(
         self,
--- a/pondhatch/requests/_stream_binding.py
+++ b/pondhatch/requests/_stream_binding.py
@@ -69,6 +69,12 @@
         self.software_version = origin.software_version
         return None
 
+    def untold_versions(self) -> frozenset[str]:
+        """Return the versions at which the request's stream may not begin yet."""
+        if self.software_version is not None or not self._head.resumes_anywhere:
+            return frozenset()
+        return self._origins.untold_versions(self._head.service)
+
     def bind(self, software_version: str, remaining: float) -> None:
         """Bind the rest of a stream whose first event is about to reach the caller.
 
--- a/pondhatch/requests/_stream_origins.py
+++ b/pondhatch/requests/_stream_origins.py
@@ -73,6 +73,12 @@
         the time to the caller's deadline.
         """
 
+    def untold_versions(self, service: str) -> frozenset[str]:
+        """Return the versions at which no stream is to begin yet.
+
+        What is known of them would not yet outlive all routers.
+        """
+
     async def find(self, service: str, key: bytes) -> StreamOrigin | OriginUnknown:
         """Return what began a stream of a service."""
 
@@ -83,6 +89,10 @@
     def record(self, service: str, keys: tuple[bytes, ...], version: str, seconds: float) -> None:
         """Do nothing."""
 
+    def untold_versions(self, service: str) -> frozenset[str]:
+        """Return that streams may begin everywhere."""
+        return frozenset()
+
     async def find(self, service: str, key: bytes) -> StreamOrigin | OriginUnknown:
         """Return that any engine may have begun the stream."""
         return StreamOrigin(None, OriginSource.SOLE_VERSION)
--- a/pondhatch/requests/tests/test_version_histories.py
+++ b/pondhatch/requests/tests/test_version_histories.py
@@ -70,6 +70,9 @@
             if known != version:
                 raise AssertionError(f"a stream of {known} was recorded as one of {version}")
 
+    def untold_versions(self, service: str) -> frozenset[str]:
+        return frozenset()
+
     async def find(self, service: str, key: bytes) -> StreamOrigin | OriginUnknown:
         await asyncio.sleep(0.005)
         version = self._version_by_key.get(key)
--- a/pondhatch/router/_service_versions.py
+++ b/pondhatch/router/_service_versions.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
+
 from pondhatch.placement import SINCE_EVER, VersionHistory
 from pondhatch.router._state import RouterState
 from pondhatch.store import LEAVING, REMOVED, StoredVersions, Upstream
@@ -9,6 +11,9 @@
 #: Seconds after the longest time that a route allows for a stream within which its caller resumes
 #: it.
 RETURN_SECONDS = 10.0
+#: Longest time in seconds for which streams begin at the versions that the platform knows of while
+#: a new one is being told to it. Telling it takes some milliseconds, unless the platform is away.
+UNTOLD_SECONDS = 2.0
 
 
 class ServiceVersions:
@@ -71,6 +76,23 @@
         """Return whether engines of several versions are listed now."""
         return self._history.count_listed(service) > 1
 
+    def untold(self, service: str, told: Collection[str]) -> frozenset[str]:
+        """Return the listed versions at which no stream is to begin yet.
+
+        These are the new ones that the platform has not been told of, if it knows another that
+        serves: routers that begin anew would take their streams for the other's.
+        """
+        self.update()
+        first_seen_by_listed = self._history.first_seen_by_listed(service)
+        if not first_seen_by_listed.keys() & set(told):
+            return frozenset()
+        since = self._state.clock() - UNTOLD_SECONDS
+        return frozenset(
+            name
+            for name, first_seen in first_seen_by_listed.items()
+            if name not in told and first_seen > since
+        )
+
     def is_history_known(self, service: str) -> bool:
         """Return whether every version that may have begun such a stream is known here."""
         return self._is_up_to_date() and self._history.known_since <= self._since(service)
--- a/pondhatch/router/_stream_origin_exchange.py
+++ b/pondhatch/router/_stream_origin_exchange.py
@@ -107,6 +107,10 @@
             self._share(keys)
             self._archive.add(keys, version)
 
+    def untold_versions(self, service: str) -> frozenset[str]:
+        """Return the versions at which no stream is to begin yet; see StreamOrigins."""
+        return self.versions.untold(service, self._version_store.told(service))
+
     async def find(self, service: str, key: bytes) -> StreamOrigin | OriginUnknown:
         """Return what began a stream, after asking others if needed; see StreamOrigins."""
         found = self._find_here(service, key)
--- a/pondhatch/router/_version_store.py
+++ b/pondhatch/router/_version_store.py
@@ -80,10 +80,9 @@
         """Whether the platform has replied to this router's first read, or failed to."""
         return self.is_read or self._next_call_at > float("-inf")
 
-    def names(self, service: str, software_version: str) -> bool:
-        """Return whether the object names a version, as far as this router knows."""
-        stored = self._stored.versions_by_service if self._stored is not None else {}
-        return software_version in stored.get(service, ())
+    def told(self, service: str) -> tuple[str, ...]:
+        """Return the versions of a service that the object names, as far as this router knows."""
+        return self._stored.versions_by_service.get(service, ()) if self._stored else ()
 
     def tick(self) -> None:
         """Start the call to the platform that is due, if one is."""
--- a/pondhatch/router/tests/_origin_fleet.py
+++ b/pondhatch/router/tests/_origin_fleet.py
@@ -21,6 +21,17 @@
 PACKET_SECONDS = 0.003
 
 
+class AbsentPlatform(PlatformInMemory):
+    """A platform that may be away for a while."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.is_away = False
+
+    def _is_call_refused(self) -> bool:
+        return super()._is_call_refused() or self.is_away
+
+
 class OriginRouter:
     """One router's process."""
 
@@ -81,7 +92,7 @@
 
     def __init__(self, count: int = 6, halls: int = 3) -> None:
         self._halls = halls
-        self.platform = PlatformInMemory()
+        self.platform = AbsentPlatform()
         #: Whether the routers that start now are the first of all.
         self.is_first_start = True
         self._started = 0
