Write records of streams within a tenth of a second

Change: a record is written 0.05 s after it was made, at most so often that the whole fleet writes 100 times a second. The test of a router lost since plays without the platform, which has the record now.

--- a/pondhatch/router/_origin_archive.py
+++ b/pondhatch/router/_origin_archive.py
@@ -34,8 +34,9 @@
 
 #: Writes a second by the whole fleet: a quarter of what the platform accepts.
 FLEET_WRITES_PER_SECOND = 100.0
-#: Least seconds between two writes of a router: what it may lose when it is killed.
-MIN_WRITE_SECONDS = 0.25
+#: Least seconds from a record to its write, and between two writes of a router: what began within
+#: them is lost when it is killed.
+MIN_WRITE_SECONDS = 0.05
 #: Seconds between retries at the platform, at first and at most.
 INITIAL_BACKOFF_SECONDS = 0.25
 MAX_BACKOFF_SECONDS = 2.0
@@ -71,6 +72,8 @@
         self._tasks = Tasks()
         self._is_writing = False
         self._next_write_at = float("-inf")
+        #: Starts the next write between two rounds.
+        self._timer = asyncio.get_running_loop().call_later(0.0, self.write_if_due)
         #: When what was read last was asked for, in the clock's seconds.
         self._read_at = float("-inf")
         self._reading: asyncio.Task[None] | None = None
@@ -82,22 +85,29 @@
 
     def add(self, keys: Iterable[bytes], software_version: str) -> None:
         """Have records written soon."""
+        if not self._version_by_unwritten_key:
+            self._schedule_write(MIN_WRITE_SECONDS)
         unwritten = self._version_by_unwritten_key
         unwritten.update(dict.fromkeys(keys, software_version))
         while len(unwritten) > MAX_UNWRITTEN:
             del unwritten[next(iter(unwritten))]
 
-    def tick(self) -> None:
-        """Start the write that is due, if one is."""
+    def write_if_due(self) -> None:
+        """Start the write that is due, if one is; called each round, and soon after a record."""
         now = self._state.clock()
         if self._version_by_unwritten_key and not self._is_writing and now >= self._next_write_at:
             self._is_writing = True
             self._tasks.start(self._write())
 
     def stop(self) -> None:
-        """Cancel the calls that are under way."""
+        """Cancel the calls that are under way or due."""
+        self._timer.cancel()
         self._tasks.cancel_all()
 
+    def _schedule_write(self, seconds: float) -> None:
+        self._timer.cancel()
+        self._timer = asyncio.get_running_loop().call_later(seconds, self.write_if_due)
+
     async def read(self) -> bool:
         """Read what all routers wrote, unless it was read just now; return whether that is known.
 
@@ -138,6 +148,8 @@
         finally:
             self._is_writing = False
             self._next_write_at = self._state.clock() + max(pause, self._write_interval())
+            if self._version_by_unwritten_key and pause == 0.0:
+                self._schedule_write(self._write_interval())
 
     def _write_interval(self) -> float:
         return max(MIN_WRITE_SECONDS, len(self._state.members()) / FLEET_WRITES_PER_SECOND)
--- a/pondhatch/router/_stream_origin_exchange.py
+++ b/pondhatch/router/_stream_origin_exchange.py
@@ -200,7 +200,7 @@
         count = min(RECORDS_PER_ROUND, len(self._to_share))
         self._share([self._to_share.popleft() for _ in range(count)])
         self._version_store.tick()
-        self._archive.tick()
+        self._archive.write_if_due()
 
     def stop(self) -> None:
         """Cancel the calls to the platform that are under way."""
--- a/pondhatch/router/tests/test_stream_origin_exchange.py
+++ b/pondhatch/router/tests/test_stream_origin_exchange.py
@@ -293,6 +293,8 @@
             await asyncio.sleep(RETURN_SECONDS + 1)
             fleet.add_engine("e1", "v2")
             await asyncio.sleep(0.5)
+            # The platform would hold the record.
+            fleet.platform.is_away = True
             fleet.routers["r0"].begin("a1", "v2")
             await asyncio.sleep(0.1)
             for victim in ("r0", *holders_of(fleet, "r0")):
