Write down where a request is sent before it begins a stream

Change: the record is made when the request is sent, some tens of milliseconds before the first event. It tells the stream's version unless the request was sent to engines of several versions; then the record of the begin tells, and the request goes to the second version only once that is written. Tests in virtual time: known after a kill right at the begin; of two versions only by the begin; nothing is written with one version.

--- a/pondhatch/requests/_dispatch.py
+++ b/pondhatch/requests/_dispatch.py
@@ -119,6 +119,7 @@
             remaining,
             wait_limits.last_engine,
             self._watch,
+            self.binding.note_sending,
         )
         self._tries.settled_engine = self.plan.settled_engine(view.is_young)
         #: Seconds to the deadline when the current pass over the engines began.
--- a/pondhatch/requests/_stream_origins.py
+++ b/pondhatch/requests/_stream_origins.py
@@ -73,6 +73,13 @@
         the time to the caller's deadline.
         """
 
+    async def note_sending(self, service: str, key: bytes, version: str) -> None:
+        """Note that a request that may begin a stream is about to be sent to a version's engine.
+
+        Its first event is some time away, in which that can be written down for routers that begin
+        anew.
+        """
+
     def untold_versions(self, service: str) -> frozenset[str]:
         """Return the versions at which no stream is to begin yet.
 
@@ -89,6 +96,9 @@
     def record(self, service: str, keys: tuple[bytes, ...], version: str, seconds: float) -> None:
         """Do nothing."""
 
+    async def note_sending(self, service: str, key: bytes, version: str) -> None:
+        """Do nothing."""
+
     def untold_versions(self, service: str) -> frozenset[str]:
         """Return that streams may begin everywhere."""
         return frozenset()
--- a/pondhatch/requests/_tries.py
+++ b/pondhatch/requests/_tries.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import functools
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from msgspec.structs import replace
 
@@ -57,6 +57,10 @@
 TryResult = AnswerStarted | Busy | ContextElsewhere | NotOwner | NotRun | Unknown
 
 
+async def _do_nothing(software_version: str) -> None:
+    return None
+
+
 class Tries:
     """Runs one request's tries, and keeps the state that later tries need."""
 
@@ -69,6 +73,7 @@
         remaining: Callable[[], float],
         max_owner_wait: float,
         watch: RequestWatch = NO_WATCH,
+        note_sending: Callable[[str], Awaitable[None]] = _do_nothing,
     ) -> None:
         self._view = view
         self._collaborators = collaborators
@@ -78,6 +83,8 @@
         #: Returns the seconds to the caller's deadline.
         self._remaining = remaining
         self._watch = watch
+        #: Called with an engine's software version before the request is sent there.
+        self._note_sending = note_sending
         #: Seconds that the request can wait for one owner's reply.
         self._max_owner_wait = max_owner_wait
         #: Engine that holds the context according to the home engine's owner.
@@ -171,6 +178,7 @@
         clock = asyncio.get_running_loop().time
         started = clock()
         try:
+            await self._note_sending(target.software_version)
             reply = await self._collaborators.upstreams.send(target, head, self._unread_body())
             if isinstance(reply, AnswerStarted):
                 begin_seconds = clock() - started
--- a/pondhatch/requests/tests/test_version_histories.py
+++ b/pondhatch/requests/tests/test_version_histories.py
@@ -70,6 +70,9 @@
             if known != version:
                 raise AssertionError(f"a stream of {known} was recorded as one of {version}")
 
+    async def note_sending(self, service: str, key: bytes, version: str) -> None:
+        await asyncio.sleep(0)
+
     def untold_versions(self, service: str) -> frozenset[str]:
         return frozenset()
 
--- a/pondhatch/router/_origin_archive.py
+++ b/pondhatch/router/_origin_archive.py
@@ -8,8 +8,10 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import random
 from collections.abc import Callable, Iterable
+from typing import Any
 
 from pondhatch.kernel import Backoff, Tasks
 from pondhatch.observing import log_for
@@ -20,6 +22,7 @@
     MAX_SEGMENTS,
     SEGMENT_KIND,
     Accepted,
+    ArchivedRecord,
     Conflict,
     Found,
     OutcomeUnknown,
@@ -27,16 +30,21 @@
     Segment,
     SegmentRing,
     Unavailable,
+    known_versions,
     read_segment,
 )
 
 log = log_for("streams")
 
-#: Writes a second by the whole fleet: a quarter of what the platform accepts.
-FLEET_WRITES_PER_SECOND = 100.0
-#: Least seconds from a record to its write, and between two writes of a router: what began within
-#: them is lost when it is killed.
-MIN_WRITE_SECONDS = 0.05
+#: Writes a second by the whole fleet: half of what the platform accepts.
+FLEET_WRITES_PER_SECOND = 200.0
+#: Seconds from a record to its write, if the router has not written just before: an engine takes
+#: longer from a request to its first event.
+WRITE_DELAY_SECONDS = 0.01
+#: Seconds for which a request waits until it is written down that it goes to another version.
+MAX_HOLD_SECONDS = 0.2
+#: Seconds between two looks at whether that is written.
+POLL_SECONDS = 0.005
 #: Seconds between retries at the platform, at first and at most.
 INITIAL_BACKOFF_SECONDS = 0.25
 MAX_BACKOFF_SECONDS = 2.0
@@ -67,7 +75,10 @@
         self._lasts = lasts
         self._take = take
         self._ring = SegmentRing(state.name)
-        self._version_by_unwritten_key: dict[bytes, str] = {}
+        #: Records that are not written yet, the oldest first.
+        self._unwritten: dict[ArchivedRecord, None] = {}
+        #: The version to which the request of each stream was sent; None if to several.
+        self._sent_version_by_key: dict[bytes, str | None] = {}
         self._backoff = Backoff(INITIAL_BACKOFF_SECONDS, MAX_BACKOFF_SECONDS, rng)
         self._tasks = Tasks()
         self._is_writing = False
@@ -84,18 +95,42 @@
         return self._read_at > float("-inf")
 
     def add(self, keys: Iterable[bytes], software_version: str) -> None:
-        """Have records written soon."""
-        if not self._version_by_unwritten_key:
-            self._schedule_write(MIN_WRITE_SECONDS)
-        unwritten = self._version_by_unwritten_key
-        unwritten.update(dict.fromkeys(keys, software_version))
-        while len(unwritten) > MAX_UNWRITTEN:
-            del unwritten[next(iter(unwritten))]
+        """Have it written soon that streams began, where that does not follow from their sends."""
+        for key in keys:
+            if self._sent_version_by_key.get(key) != software_version:
+                self._add(ArchivedRecord(key, software_version, is_begun=True))
+
+    async def add_sent(self, key: bytes, software_version: str) -> None:
+        """Have it written that a request is about to be sent, so that it is known at the begin.
+
+        If the request was sent to an engine of another version before, wait until it is written.
+        """
+        sent = self._sent_version_by_key
+        if key not in sent:
+            sent[key] = software_version
+            _keep_newest(sent)
+            self._add(ArchivedRecord(key, software_version, is_begun=False))
+        elif sent[key] != software_version:
+            sent[key] = None
+            record = ArchivedRecord(key, software_version, is_begun=False)
+            self._add(record)
+            await self._wait_until_written(record)
+
+    async def _wait_until_written(self, record: ArchivedRecord) -> None:
+        until = self._state.clock() + MAX_HOLD_SECONDS
+        while record in self._unwritten and self._state.clock() < until:
+            await asyncio.sleep(POLL_SECONDS)
+
+    def _add(self, record: ArchivedRecord) -> None:
+        if not self._unwritten:
+            self._schedule_write(WRITE_DELAY_SECONDS)
+        self._unwritten[record] = None
+        _keep_newest(self._unwritten)
 
     def write_if_due(self) -> None:
         """Start the write that is due, if one is; called each round, and soon after a record."""
         now = self._state.clock()
-        if self._version_by_unwritten_key and not self._is_writing and now >= self._next_write_at:
+        if self._unwritten and not self._is_writing and now >= self._next_write_at:
             self._is_writing = True
             self._tasks.start(self._write())
 
@@ -128,11 +163,13 @@
             return
         is_first = not self.has_read
         expires_at = self._state.clock() + self._lasts()
+        records: list[ArchivedRecord] = []
         for each in listed.objects:
             if is_first:
                 self._ring.add_written(each.name, each.version, expires_at)
-            for key, software_version in read_segment(each.value, KEY_BYTES):
-                self._take(key, software_version)
+            records.extend(read_segment(each.value, KEY_BYTES))
+        for key, software_version in known_versions(records).items():
+            self._take(key, software_version)
         self._read_at = asked_at
 
     async def _write(self) -> None:
@@ -148,26 +185,24 @@
         finally:
             self._is_writing = False
             self._next_write_at = self._state.clock() + max(pause, self._write_interval())
-            if self._version_by_unwritten_key and pause == 0.0:
+            if self._unwritten and pause == 0.0:
                 self._schedule_write(self._write_interval())
 
     def _write_interval(self) -> float:
-        return max(MIN_WRITE_SECONDS, len(self._state.members()) / FLEET_WRITES_PER_SECOND)
+        return len(self._state.members()) / FLEET_WRITES_PER_SECOND
 
     async def _write_segment(self) -> bool:
         """Write as many records as fit into segments; return whether all went well."""
-        while self._version_by_unwritten_key:
+        while self._unwritten:
             segment = self._ring.segment_for_writing(self._state.clock())
-            unwritten = list(self._version_by_unwritten_key.items())
-            added = dict(unwritten[: segment.room])
-            segment.version_by_key |= added
+            added = set(itertools.islice(self._unwritten, segment.room))
+            segment.records |= added
             segment.expires_at = self._state.clock() + self._lasts()
             if not await self._put(segment):
-                for key in added:
-                    del segment.version_by_key[key]
+                segment.records -= added
                 return False
-            for key in added:
-                self._version_by_unwritten_key.pop(key, None)
+            for record in added:
+                self._unwritten.pop(record, None)
         return True
 
     async def _put(self, segment: Segment) -> bool:
@@ -189,3 +224,9 @@
                 segment.position = found.object.version if isinstance(found, Found) else None
         log.info("Writing records of streams failed: {}.", written)
         return False
+
+
+def _keep_newest(by_key: dict[Any, Any]) -> None:
+    """Drop the oldest items beyond the bound."""
+    while len(by_key) > MAX_UNWRITTEN:
+        del by_key[next(iter(by_key))]
--- a/pondhatch/router/_stream_origin_exchange.py
+++ b/pondhatch/router/_stream_origin_exchange.py
@@ -107,6 +107,11 @@
             self._share(keys)
             self._archive.add(keys, version)
 
+    async def note_sending(self, service: str, key: bytes, version: str) -> None:
+        """Note that a request that may begin a stream is about to be sent; see StreamOrigins."""
+        if self.versions.has_several_versions(service):
+            await self._archive.add_sent(key, version)
+
     def untold_versions(self, service: str) -> frozenset[str]:
         """Return the versions at which no stream is to begin yet; see StreamOrigins."""
         return self.versions.untold(service, self._version_store.told(service))
@@ -142,9 +147,9 @@
     async def _read_platform_once(self) -> bool:
         """Wait for what the platform holds from before this router's start; return whether it did.
 
-        A router that has read it already, or finds out that the platform is away, does not wait.
+        A router that has read it already, or has been there for as long as any stream, does not.
         """
-        if self._archive.has_read:
+        if self._archive.has_read or not self._unrecorded.may_be_archived_only():
             return False
         until = self._state.clock() + MAX_READ_SECONDS
         while not self._version_store.has_tried and self._state.clock() < until:
--- a/pondhatch/router/tests/_origin_fleet.py
+++ b/pondhatch/router/tests/_origin_fleet.py
@@ -54,6 +54,10 @@
         keys = tuple(stream_key("a", SERVICE, each) for each in (attempt, *also))
         self.exchange.record(SERVICE, keys, version, 8.0)
 
+    async def send(self, attempt: str, version: str) -> None:
+        """Note that this router is about to send the request of a stream to an engine."""
+        await self.exchange.note_sending(SERVICE, stream_key("a", SERVICE, attempt), version)
+
     async def find(self, attempt: str, account: str = "a") -> StreamOrigin | None:
         """Return what began a stream, None if that is unknown."""
         found = await self.exchange.find(SERVICE, stream_key(account, SERVICE, attempt))
--- a/pondhatch/router/tests/test_routers_begin_anew.py
+++ b/pondhatch/router/tests/test_routers_begin_anew.py
@@ -140,6 +140,59 @@
         self.play(scene, "v1", "v2")
 
 
+class SentRequestsTest(BeginAnewCase):
+    """Streams whose routers were killed right after they had begun."""
+
+    # Every stream that had begun within the last moments was refused for good.
+    def test_a_stream_is_known_that_began_right_before_the_end(self) -> None:
+        async def scene(fleet: OriginFleet) -> None:
+            for version in ("v1", "v2"):
+                await fleet.routers["r0"].send(version, version)
+            await asyncio.sleep(0.05)
+            for version in ("v1", "v2"):
+                fleet.routers["r0"].begin(version, version)
+            restart_all(fleet)
+            for version in ("v1", "v2"):
+                await self.assert_taken_up(fleet, [version], version)
+
+        self.play(scene, "v1", "v2")
+
+    def test_a_request_that_was_sent_to_two_versions_began_where_its_record_says(self) -> None:
+        async def scene(fleet: OriginFleet) -> None:
+            for attempt in ("begun", "unknown"):
+                await fleet.routers["r0"].send(attempt, "v1")
+                await fleet.routers["r0"].send(attempt, "v2")
+            fleet.routers["r0"].begin("begun", "v2")
+            await asyncio.sleep(WRITE_SECONDS)
+            restart_all(fleet)
+            await self.assert_taken_up(fleet, ["begun"], "v2")
+            await self.assert_taken_up(fleet, ["unknown"], None)
+
+        self.play(scene, "v1", "v2")
+
+    def test_the_second_version_is_written_before_the_request_is_sent_there(self) -> None:
+        async def scene(fleet: OriginFleet) -> None:
+            await fleet.routers["r0"].send("a1", "v1")
+            await asyncio.sleep(WRITE_SECONDS)
+            await fleet.routers["r0"].send("a1", "v2")
+            fleet.is_lost = lambda: True
+            fleet.routers["r0"].begin("a1", "v2")
+            restart_all(fleet)
+            fleet.is_lost = lambda: False
+            await self.assert_taken_up(fleet, ["a1"], None)
+
+        self.play(scene, "v1", "v2")
+
+    def test_with_one_version_nothing_is_written(self) -> None:
+        async def scene(fleet: OriginFleet) -> None:
+            calls = fleet.platform.calls
+            await fleet.routers["r0"].send("a1", "v1")
+            await asyncio.sleep(WRITE_SECONDS)
+            self.assertEqual(fleet.platform.calls, calls)
+
+        self.play(scene, "v1")
+
+
 class SomeRoutersTest(BeginAnewCase):
     # The one router that had not been killed knew the versions, but not every stream.
     def test_streams_go_on_after_all_routers_but_one_began_anew(self) -> None:
--- a/pondhatch/store/__init__.py
+++ b/pondhatch/store/__init__.py
@@ -20,8 +20,10 @@
     MAX_SEGMENT_RECORDS,
     MAX_SEGMENTS,
     SEGMENT_KIND,
+    ArchivedRecord,
     Segment,
     SegmentRing,
+    known_versions,
     read_segment,
 )
 from pondhatch.store._position import (
@@ -77,6 +79,7 @@
     "Segment",
     "SegmentRing",
     "Accepted",
+    "ArchivedRecord",
     "Conflict",
     "Found",
     "Listed",
@@ -96,6 +99,7 @@
     "VERSIONS_KIND",
     "VERSIONS_NAME",
     "WatchEvent",
+    "known_versions",
     "read_segment",
     "read_stored_versions",
 ]
--- a/pondhatch/store/_origin_segments.py
+++ b/pondhatch/store/_origin_segments.py
@@ -9,8 +9,8 @@
 
 import base64
 import binascii
-from collections.abc import Iterator, Mapping
-from typing import Any
+from collections.abc import Iterable, Iterator, Mapping
+from typing import Any, NamedTuple
 
 import msgspec
 
@@ -22,10 +22,22 @@
 MAX_SEGMENT_RECORDS = 64
 #: Segments of one router, the oldest of which is used again if none has expired.
 MAX_SEGMENTS = 128
+#: Fields of an object's value, by whether the streams began.
+IS_BEGUN_BY_FIELD = {"begun_by_version": True, "sent_by_version": False}
 #: Separates the name of a router from the number of its segment.
 NUMBER_MARK = "."
 
 
+class ArchivedRecord(NamedTuple):
+    """One stream's record in a segment."""
+
+    key: bytes
+    software_version: str
+    #: Whether the stream began there. If not, its request was sent there, and begins the stream
+    #: unless it is refused.
+    is_begun: bool
+
+
 class Segment(msgspec.Struct):
     """One of a router's own segments."""
 
@@ -34,43 +46,67 @@
     position: Position | None = None
     #: When nobody needs the records any more, in the clock's seconds.
     expires_at: float = float("-inf")
-    version_by_key: dict[bytes, str] = msgspec.field(default_factory=dict)
+    records: set[ArchivedRecord] = msgspec.field(default_factory=set)
     #: Whether an earlier process of the router wrote it, so that its records are not known here.
     is_closed: bool = False
 
     @property
     def room(self) -> int:
         """Number of records that still fit in."""
-        return 0 if self.is_closed else max(0, MAX_SEGMENT_RECORDS - len(self.version_by_key))
+        return 0 if self.is_closed else max(0, MAX_SEGMENT_RECORDS - len(self.records))
 
     def as_value(self) -> dict[str, Any]:
         """Return the object's value: the keys of each version, end to end."""
-        keys_by_version: dict[str, bytearray] = {}
-        for key, version in self.version_by_key.items():
-            keys_by_version.setdefault(version, bytearray()).extend(key)
         return {
-            "keys_by_version": {
-                version: base64.b64encode(keys).decode()
-                for version, keys in keys_by_version.items()
-            }
+            field: _keys_by_version(each for each in self.records if each.is_begun == is_begun)
+            for field, is_begun in IS_BEGUN_BY_FIELD.items()
         }
 
 
-def read_segment(value: Any, key_bytes: int) -> Iterator[tuple[bytes, str]]:
-    """Yield the key and the software version of each record in an object's value.
+def _keys_by_version(records: Iterable[ArchivedRecord]) -> dict[str, str]:
+    keys_by_version: dict[str, bytearray] = {}
+    for each in sorted(records):
+        keys_by_version.setdefault(each.software_version, bytearray()).extend(each.key)
+    return {version: base64.b64encode(keys).decode() for version, keys in keys_by_version.items()}
+
+
+def read_segment(value: Any, key_bytes: int) -> Iterator[ArchivedRecord]:
+    """Yield the records in an object's value.
 
     What cannot be read is left out: a stream without a record is refused, never taken for another.
     """
-    keys_by_version = value.get("keys_by_version") if isinstance(value, Mapping) else None
-    if not isinstance(keys_by_version, Mapping):
+    if not isinstance(value, Mapping):
         return
-    for version, text in keys_by_version.items():
-        try:
-            keys = base64.b64decode(text, validate=True)
-        except (TypeError, ValueError, binascii.Error):
+    for field, is_begun in IS_BEGUN_BY_FIELD.items():
+        keys_by_version = value.get(field)
+        if not isinstance(keys_by_version, Mapping):
             continue
-        for offset in range(0, len(keys) - key_bytes + 1, key_bytes):
-            yield keys[offset : offset + key_bytes], version
+        for version, text in keys_by_version.items():
+            for key in _split_keys(text, key_bytes):
+                yield ArchivedRecord(key, version, is_begun)
+
+
+def _split_keys(text: Any, key_bytes: int) -> Iterator[bytes]:
+    try:
+        keys = base64.b64decode(text, validate=True)
+    except (TypeError, ValueError, binascii.Error):
+        return
+    for offset in range(0, len(keys) - key_bytes + 1, key_bytes):
+        yield keys[offset : offset + key_bytes]
+
+
+def known_versions(records: Iterable[ArchivedRecord]) -> dict[bytes, str]:
+    """Return the software version of each stream of which the records leave no doubt.
+
+    Where a request was sent to engines of several versions, only a record of the begin tells.
+    """
+    begun: dict[bytes, set[str]] = {}
+    sent: dict[bytes, set[str]] = {}
+    for each in records:
+        versions_by_key = begun if each.is_begun else sent
+        versions_by_key.setdefault(each.key, set()).add(each.software_version)
+    versions_by_key = {**sent, **begun}
+    return {key: versions.pop() for key, versions in versions_by_key.items() if len(versions) == 1}
 
 
 class SegmentRing:
@@ -98,7 +134,7 @@
             reused = Segment(self._new_name())
         else:
             self._segments.remove(reused)
-            reused.version_by_key.clear()
+            reused.records.clear()
             reused.is_closed = False
         self._segments.append(reused)
         return reused
