--- a/pondhatch/router/_origin_archive.py
+++ b/pondhatch/router/_origin_archive.py
@@ -38,9 +38,6 @@
 
 #: Writes a second by the whole fleet: half of what the platform accepts.
 FLEET_WRITES_PER_SECOND = 200.0
-#: Seconds from a record to its write, if the router has not written just before: an engine takes
-#: longer from a request to its first event.
-WRITE_DELAY_SECONDS = 0.01
 #: Seconds for which a request waits until it is written down that it goes to another version.
 MAX_HOLD_SECONDS = 0.2
 #: Seconds between two looks at whether that is written.
@@ -122,10 +119,10 @@
             await asyncio.sleep(POLL_SECONDS)
 
     def _add(self, record: ArchivedRecord) -> None:
-        if not self._unwritten:
-            self._schedule_write(WRITE_DELAY_SECONDS)
         self._unwritten[record] = None
         _keep_newest(self._unwritten)
+        if not self._is_writing:
+            self._schedule_write(max(0.0, self._next_write_at - self._state.clock()))
 
     def write_if_due(self) -> None:
         """Start the write that is due, if one is; called each round, and soon after a record."""
