Give the writing of records a limit of calls of its own

Change: records have calls of their own, 50 a second at most; the archive's pause between two writes already follows from the fleet's size.

--- a/pondhatch/cli/_environment.py
+++ b/pondhatch/cli/_environment.py
@@ -13,7 +13,7 @@
 from pondhatch.kernel import REGISTRY
 from pondhatch.router import AgreedKey, obtain_fleet_key
 from pondhatch.store import Platform
-from pondhatch.transport import INTERFACE, HttpClient, Interface
+from pondhatch.transport import INTERFACE, RECORD_CALLS_PER_SECOND, HttpClient, Interface
 
 #: Packages whose plug-ins register themselves on import, by interface. Only the package of the
 #: interface in use is imported, to save the memory and start time of the others.
@@ -28,6 +28,8 @@
 
     interface: Interface
     platform: Platform
+    #: The platform as used to write down what streams began.
+    record_platform: Platform
     client: HttpClient
     fleet_key: bytes
     #: Whether the routers agreed on the key through the platform, the only place that stores it.
@@ -41,11 +43,16 @@
     client = HttpClient(reactor)
     interface = _build_interface(settings, client)
     platform = interface.store(settings.platform)
+    record_platform = interface.store(settings.platform, RECORD_CALLS_PER_SECOND)
     configured_key = load_fleet_key(settings)
     if configured_key is not None:
-        return RouterEnvironment(interface, platform, client, configured_key, False, False)
+        return RouterEnvironment(
+            interface, platform, record_platform, client, configured_key, False, False
+        )
     agreed = await _obtain_agreed_key(platform)
-    return RouterEnvironment(interface, platform, client, agreed.key, True, agreed.is_new)
+    return RouterEnvironment(
+        interface, platform, record_platform, client, agreed.key, True, agreed.is_new
+    )
 
 
 def _build_interface(settings: Settings, client: HttpClient) -> Interface:
--- a/pondhatch/cli/_router_process.py
+++ b/pondhatch/cli/_router_process.py
@@ -114,7 +114,7 @@
         self._stream_origins = StreamOriginExchange(
             self.state,
             self._gossip_port.send,
-            self._platform,
+            environment.record_platform,
             self._rng,
             environment.is_first_start,
         )
--- a/pondhatch/platform/__init__.py
+++ b/pondhatch/platform/__init__.py
@@ -23,6 +23,7 @@
 from pondhatch.router import EVACUATION_KIND, UPSTREAM_KIND, RouterState
 from pondhatch.store import Platform
 from pondhatch.transport import (
+    CALLS_PER_SECOND,
     INTERFACE,
     CallerDependencies,
     Callers,
@@ -45,9 +46,9 @@
     upstreams = EngineDialect()
     orders = NoOrders()
 
-    def store(self, url: str) -> Platform:
-        """Return the platform's store."""
-        calls = StoreCalls(self.view(HttpClient), url)
+    def store(self, url: str, calls_per_second: float = CALLS_PER_SECOND) -> Platform:
+        """Return the platform's store, with a limit of its own on this router's calls."""
+        calls = StoreCalls(self.view(HttpClient), url, calls_per_second)
         decode_by_kind = {
             UPSTREAM_KIND: (names.ENGINES_KIND, decode_engine),
             EVACUATION_KIND: (names.EVACUATIONS_KIND, decode_evacuation),
--- a/pondhatch/standard/__init__.py
+++ b/pondhatch/standard/__init__.py
@@ -17,7 +17,7 @@
 from pondhatch.standard._platform import HttpPlatform
 from pondhatch.standard._upstreams import OpenAiUpstreams
 from pondhatch.store import Platform
-from pondhatch.transport import INTERFACE, CallerDependencies, Callers
+from pondhatch.transport import CALLS_PER_SECOND, INTERFACE, CallerDependencies, Callers
 
 __all__ = ["HttpEngineOrders", "HttpPlatform", "OpenAiInterface"]
 
@@ -32,8 +32,8 @@
     upstreams = OpenAiUpstreams()
     orders = HttpEngineOrders()
 
-    def store(self, url: str) -> Platform:
-        """Return the platform's object API over HTTP and JSON."""
+    def store(self, url: str, calls_per_second: float = CALLS_PER_SECOND) -> Platform:
+        """Return the platform's object API over HTTP and JSON, which limits no calls."""
         return HttpPlatform(url)
 
     def configuration(self, store: Platform) -> ConfigurationSource:
--- a/pondhatch/transport/__init__.py
+++ b/pondhatch/transport/__init__.py
@@ -33,11 +33,20 @@
 from pondhatch.transport._resolver import install_numeric_resolver
 from pondhatch.transport._retry_after import seconds_to_wait
 from pondhatch.transport._routed_callers import RoutedCallers, effective_caller_limits
-from pondhatch.transport._store_calls import MAX_CONTENT_BYTES, CallFailed, StoreAnswer, StoreCalls
+from pondhatch.transport._store_calls import (
+    CALLS_PER_SECOND,
+    MAX_CONTENT_BYTES,
+    RECORD_CALLS_PER_SECOND,
+    CallFailed,
+    StoreAnswer,
+    StoreCalls,
+)
 from pondhatch.transport._upstreams import HttpUpstreams
 from pondhatch.transport._wire import PullReply, PullRequest
 
 __all__ = [
+    "CALLS_PER_SECOND",
+    "RECORD_CALLS_PER_SECOND",
     "SurplusAnswer",
     "MetricsPage",
     "abort_connection",
--- a/pondhatch/transport/_interface.py
+++ b/pondhatch/transport/_interface.py
@@ -20,6 +20,7 @@
 from pondhatch.requests import Collaborators, UpstreamDialect
 from pondhatch.router import RouterState, StartupWait
 from pondhatch.store import Platform
+from pondhatch.transport._store_calls import CALLS_PER_SECOND
 
 #: Kind of the plug-ins that implement Interface.
 INTERFACE = "interface"
@@ -62,8 +63,8 @@
     upstreams: UpstreamDialect
     orders: EngineOrders
 
-    def store(self, url: str) -> Platform:
-        """Return the platform's object API."""
+    def store(self, url: str, calls_per_second: float = CALLS_PER_SECOND) -> Platform:
+        """Return the platform's object API, with a limit of its own on this router's calls."""
 
     def configuration(self, store: Platform) -> ConfigurationSource:
         """Return the source of the fleet's configuration."""
--- a/pondhatch/transport/_store_calls.py
+++ b/pondhatch/transport/_store_calls.py
@@ -22,6 +22,9 @@
 #: second while nothing changes, and one for each separate change. The platform's store accepts
 #: 2,000 calls a second from the whole fleet, in which one or two routers of each hall watch.
 CALLS_PER_SECOND = 10.0
+#: The same for calls that write down what streams began, which have a limit of their own so that
+#: they delay no other call: above the rate at which a router writes in the smallest fleet.
+RECORD_CALLS_PER_SECOND = 50.0
 #: Maximum number of calls in a burst.
 BURST_CALLS = 20
 
@@ -47,12 +50,14 @@
 class StoreCalls:
     """Calls to one store; a connection whose call failed is not reused."""
 
-    def __init__(self, client: HttpClient, url: str) -> None:
+    def __init__(
+        self, client: HttpClient, url: str, calls_per_second: float = CALLS_PER_SECOND
+    ) -> None:
         #: Number of calls made, to compare with the rate that the store allows.
         self.calls_made = 0
         self._client = client
         self._address = Address.of_url(url)
-        self._rate_limiter = RateLimiter(CALLS_PER_SECOND, BURST_CALLS)
+        self._rate_limiter = RateLimiter(calls_per_second, BURST_CALLS)
 
     async def call(
         self, method: str, path: str, body: bytes = b"", seconds: float = CALL_SECONDS
