Take no router's missing record for a proof while its start may be unnoticed

Callers could be sent on at the version that served before: three routers that held a stream's record were killed and back before others noticed, replied that they had none, and one that had not noticed stated the older version. The platform's record was not read either, as nobody was known to be lost. A router in its first 0.6 s now has to state the version itself, is asked again after them, and its reply or a silent router makes the platform's records be read. What was read before the caller came is no proof that nothing is known: it may come back in a second.

--- a/pondhatch/router/_origin_archive.py
+++ b/pondhatch/router/_origin_archive.py
@@ -83,6 +83,10 @@
         """Whether this router knows what the routers before it wrote."""
         return self._read_at > float("-inf")
 
+    def has_read_since(self, time: float) -> bool:
+        """Return whether this router knows what routers had written at a time."""
+        return self._read_at >= time
+
     def add(self, keys: Iterable[bytes], software_version: str) -> None:
         """Have records written soon."""
         if not self._version_by_unwritten_key:
--- a/pondhatch/router/_origin_query.py
+++ b/pondhatch/router/_origin_query.py
@@ -32,8 +32,10 @@
     uptime_by_name: dict[str, float] = msgspec.field(default_factory=dict)
     #: Whether one of them knows of several versions.
     has_several_versions: bool = False
-    #: The versions of streams without a record, by those that know of several and by the others.
-    versions_before_records: set[str] = msgspec.field(default_factory=set)
+    #: Versions of streams without a record, each by the name of a router that states it and knows
+    #: of several.
+    version_before_records_by_name: dict[str, str] = msgspec.field(default_factory=dict)
+    #: Those that routers state that know of one version only.
     sole_versions: set[str] = msgspec.field(default_factory=set)
 
     def add(self, reply: OriginReply) -> None:
@@ -47,9 +49,10 @@
         self.uptime_by_name[member.name] = reply.uptime_ms / 1000
         self.has_several_versions |= reply.has_several_versions
         if reply.unrecorded_version is not None:
-            knows_several = reply.has_several_versions
-            known = self.versions_before_records if knows_several else self.sole_versions
-            known.add(reply.unrecorded_version)
+            if reply.has_several_versions:
+                self.version_before_records_by_name[member.name] = reply.unrecorded_version
+            else:
+                self.sole_versions.add(reply.unrecorded_version)
         if not self.silent_by_id:
             self.found.set_result(None)
 
--- a/pondhatch/router/_stream_origin_exchange.py
+++ b/pondhatch/router/_stream_origin_exchange.py
@@ -113,6 +113,7 @@
 
     async def find(self, service: str, key: bytes) -> StreamOrigin | OriginUnknown:
         """Return what began a stream, after asking others if needed; see StreamOrigins."""
+        began_at = self._state.clock()
         found = self._find_here(service, key)
         if found is None and await self._read_platform_once():
             found = self._find_here(service, key)
@@ -120,14 +121,15 @@
             return found
         query = await self._queries.ask(service, key, self._holders.asked(key))
         found = self._found_by(query)
-        if found is None and self._unrecorded.may_be_archived_only() and await self._archive.read():
+        is_archive_needed = found is None and self._unrecorded.may_be_archived_only(query)
+        if is_archive_needed and await self._archive.read():
             found = self._find_here(service, key)
-        to_join = self._unrecorded.seconds_to_join(service)
+        to_join = self._unrecorded.seconds_to_join(service, query)
         if found is None and to_join > 0:
             await asyncio.sleep(to_join)
             query = await self._queries.ask(service, key, self._holders.asked(key))
             found = self._found_by(query)
-        return found if found is not None else self._without_record(service, key, query)
+        return found or self._without_record(service, key, query, began_at)
 
     def _find_here(self, service: str, key: bytes) -> StreamOrigin | None:
         """Return what this router knows by itself of the stream's begin."""
@@ -161,13 +163,13 @@
         )
 
     def _without_record(
-        self, service: str, key: bytes, query: PendingQuery
+        self, service: str, key: bytes, query: PendingQuery, began_at: float
     ) -> StreamOrigin | OriginUnknown:
-        """Return what began a stream of which nobody that was asked has a record."""
+        """Return what began a stream of which nobody that was asked since then has a record."""
         version = self._unrecorded.version_after(service, key, query)
         if version is None:
-            is_all_known = self._archive.has_read and not query.silent_by_id
-            return OriginUnknown(may_be_known_soon=not is_all_known)
+            has_read = self._archive.has_read_since(began_at)
+            return OriginUnknown(not has_read or self._unrecorded.may_be_known_soon(query))
         several = query.has_several_versions or self.versions.has_several_versions(service)
         source = OriginSource.BEFORE_RECORDS if several else OriginSource.SOLE_VERSION
         return StreamOrigin(version, source)
--- a/pondhatch/router/_unrecorded_streams.py
+++ b/pondhatch/router/_unrecorded_streams.py
@@ -14,7 +14,8 @@
 
 #: Seconds by which routers may differ on when a second version appeared.
 VIEW_SKEW_SECONDS = 1.0
-#: Seconds after its start in which a router may not have met all others.
+#: Seconds after its start in which a router may not have met all others, and in which they may not
+#: have noticed that the process before it, which may have held records, has ended.
 JOIN_SECONDS = 0.6
 #: Seconds between two rounds from which this process counts as paused, and for which it then may
 #: not have caught up with the others.
@@ -43,14 +44,14 @@
         """Seconds for which this router has held records: since it started."""
         return self._state.clock() - self._started_at
 
-    def seconds_to_join(self, service: str) -> float:
+    def seconds_to_join(self, service: str, query: PendingQuery) -> float:
         """Return for how long to wait until the routers have met, and know what there is to know.
 
         It is 0 where they can learn nothing that helps: a stream of unknown version cannot go on
         at the only version that is left.
         """
         is_of_use = self._versions.serve_side_by_side(service)
-        return max(0.0, JOIN_SECONDS - self.uptime) if is_of_use else 0.0
+        return max(0.0, JOIN_SECONDS - self._shortest_uptime(query)) if is_of_use else 0.0
 
     def tick(self) -> None:
         """Notice a pause of this process."""
@@ -63,10 +64,15 @@
         """Note that a router stopped, failed or restarted, perhaps a holder of a record."""
         self._lost_router_at = self._state.clock()
 
-    def may_be_archived_only(self) -> bool:
+    def may_be_archived_only(self, query: PendingQuery) -> bool:
         """Return whether a record may have been lost with its routers, but for the platform's."""
         longest = self._versions.longest_seconds()
-        return self.uptime < longest or self._has_lost_router_within(longest)
+        has_lost_router = self._has_lost_router_within(longest) or bool(query.silent_by_id)
+        return has_lost_router or self._shortest_uptime(query) < longest
+
+    def may_be_known_soon(self, query: PendingQuery) -> bool:
+        """Return whether a router that was asked may know more once it has met the others."""
+        return self._shortest_uptime(query) < JOIN_SECONDS or bool(query.silent_by_id)
 
     def sole_version(self, service: str) -> tuple[str | None] | None:
         """Return the only version that may have begun streams of a service, None if unknown.
@@ -99,15 +105,35 @@
         if query.silent_by_id:
             return None
         if self._holders.are_all(query.asked):
-            known = set(query.versions_before_records)
-            if (own := self.version(service)) is not None:
-                known.add(own)
+            known = self._version_by_all(service, query)
         else:
             known = self._version_by_holders(service, key, query)
         if not query.has_several_versions and not self._versions.has_several_versions(service):
             known |= query.sole_versions
         return known.pop() if len(known) == 1 else None
 
+    def _version_by_all(self, service: str, query: PendingQuery) -> set[str]:
+        """Return the versions that routers state if none of them has lost a record unnoticed.
+
+        Nobody may have noticed that a router began anew, so it has to state the version itself.
+        """
+        version_by_name = self._stated_versions(service, query)
+        uptime_by_name = {**query.uptime_by_name, self._state.name: self.uptime}
+        is_lost = any(
+            uptime < JOIN_SECONDS and name not in version_by_name
+            for name, uptime in uptime_by_name.items()
+        )
+        return set() if is_lost else set(version_by_name.values())
+
+    def _shortest_uptime(self, query: PendingQuery) -> float:
+        return min((self.uptime, *query.uptime_by_name.values()))
+
+    def _stated_versions(self, service: str, query: PendingQuery) -> dict[str, str]:
+        """Return the version that each router states for streams without a record, by name."""
+        own = self.version(service)
+        stated = query.version_before_records_by_name
+        return stated if own is None else {**stated, self._state.name: own}
+
     def _version_by_holders(self, service: str, key: bytes, query: PendingQuery) -> set[str]:
         """Return the version if each holder would have a record of any stream since records."""
         elapsed = self._seconds_since_records(service)
--- a/pondhatch/router/tests/test_begin_anew_inferences.py
+++ b/pondhatch/router/tests/test_begin_anew_inferences.py
@@ -111,6 +111,12 @@
             attempts = await self.begin(fleet, "v2")
             for name in holders:
                 fleet.kill(name)
+            # What the platform held right before the end may be read in a second only.
+            key = stream_key("a", SERVICE, attempts[0])
+            for router in fleet.routers.values():
+                found = await router.exchange.find(SERVICE, key)
+                self.assertNotEqual(found, OriginUnknown(may_be_known_soon=False))
+            await asyncio.sleep(1.0)
             await self.assert_taken_up(fleet, attempts, "v2")
 
         self.play(scene, "v1", "v2")
