Keep when a second version appeared though the platform names it by now

In fleets where not every router is asked, streams that had begun before the second version and whose router had ended were refused at every router but one: each read the version back that the first had told, and forgot since when it knew it. There a router that began anew beside a new version did not believe holders that state the version, and refused all.

--- a/pondhatch/placement/_software_versions.py
+++ b/pondhatch/placement/_software_versions.py
@@ -60,13 +60,17 @@
 
         ``is_complete`` says that no other version had begun a stream that callers may still resume
         when the platform was asked, at ``asked_at``. A version that is not listed here, and that
-        did not expire here, served until now for all that this router knows.
+        did not expire here, served until now for all that this router knows. One that appeared here
+        after all others were known began streams since then, whoever has stored it meanwhile.
         """
         for service, versions in versions_by_service.items():
             spans = self._spans_by_service.setdefault(service, {})
             for version in set(versions) - self._retired_by_service.get(service, set()):
-                known = spans.get(version, VersionSpan(now, now))
-                spans[version] = VersionSpan(SINCE_EVER, known.last_seen)
+                known = spans.get(version)
+                if known is None:
+                    spans[version] = VersionSpan(SINCE_EVER, now)
+                elif self.known_since != SINCE_EVER:
+                    spans[version] = VersionSpan(SINCE_EVER, known.last_seen)
         if is_complete and self.known_since != SINCE_EVER:
             self.known_since = SINCE_EVER
             self._date_unstored(versions_by_service, asked_at)
--- a/pondhatch/router/_unrecorded_streams.py
+++ b/pondhatch/router/_unrecorded_streams.py
@@ -135,15 +135,23 @@
         return stated if own is None else {**stated, self._state.name: own}
 
     def _version_by_holders(self, service: str, key: bytes, query: PendingQuery) -> set[str]:
-        """Return the version if each holder would have a record of any stream since records."""
+        """Return the version if each holder would have a record of any stream since records.
+
+        One that started later, which cannot know that, may state the version by itself.
+        """
         elapsed = self._seconds_since_records(service)
         if elapsed is None:
             return set()
         needed = elapsed + VIEW_SKEW_SECONDS
         uptime_by_name = {**query.uptime_by_name, self._state.name: self.uptime}
         holders = self._holders.holders(key)
-        would_know = all(uptime_by_name.get(each.name, 0.0) > needed for each in holders)
-        return {self._versions.possible_versions(service)[0]} if would_know else set()
+        version = self._versions.possible_versions(service)[0]
+        version_by_name = self._stated_versions(service, query)
+        would_know = all(
+            uptime_by_name.get(each.name, 0.0) > needed or version_by_name.get(each.name) == version
+            for each in holders
+        )
+        return {version} if would_know else set()
 
     def _seconds_since_records(self, service: str) -> float | None:
         """Return for how many seconds records have been made of every stream of a service.
