Take an older copy of the platform for no proof of when a version appeared

Callers' streams of a newer version went on at the older one: the platform came back from a copy that lacks the newer version, all routers began anew, and dated it from their own start. The object now states the platform's era in which it was written; where it is of an earlier one, versions that it lacks may have begun streams at any time, so a stream without a record is refused. While only versions that the copy names are listed nothing changes.

--- a/pondhatch/placement/_software_versions.py
+++ b/pondhatch/placement/_software_versions.py
@@ -53,13 +53,13 @@
         self,
         versions_by_service: Mapping[str, Collection[str]],
         is_complete: bool,
-        asked_at: float,
+        asked_at: float | None,
         now: float,
     ) -> None:
         """Record the versions that other routers stored, as read from the platform.
 
         ``is_complete`` says that no other version had begun a stream that callers may still resume
-        when the platform was asked, at ``asked_at``. A version that is not listed here, and that
+        when the platform was asked, at ``asked_at``; None if that is an older copy. A version that is not listed here, and that
         did not expire here, served until now for all that this router knows. One that appeared here
         after all others were known began streams since then, whoever has stored it meanwhile.
         """
@@ -76,13 +76,17 @@
             self._date_unstored(versions_by_service, asked_at)
 
     def _date_unstored(
-        self, versions_by_service: Mapping[str, Collection[str]], asked_at: float
+        self, versions_by_service: Mapping[str, Collection[str]], asked_at: float | None
     ) -> None:
-        """Date the listed versions that nobody had stored: their streams began later."""
+        """Date the listed versions that nobody had stored: their streams began later.
+
+        What an older copy lacks may have begun streams at any time.
+        """
+        since = SINCE_EVER if asked_at is None else asked_at
         for service, spans in self._spans_by_service.items():
             for version in spans.keys() - set(versions_by_service.get(service, ())):
                 span = spans[version]
-                spans[version] = VersionSpan(min(span.first_seen, asked_at), span.last_seen)
+                spans[version] = VersionSpan(min(span.first_seen, since), span.last_seen)
 
     def listed_since(self, service: str, since: float) -> tuple[str, ...]:
         """Return the versions that were listed at some time since then, the first seen first."""
--- a/pondhatch/router/_service_versions.py
+++ b/pondhatch/router/_service_versions.py
@@ -41,8 +41,11 @@
                 versions.add(entry.upstream.software_version)
         self._history.record(versions_by_service, self._state.clock())
 
-    def adopt(self, stored: StoredVersions, asked_at: float) -> None:
-        """Take over what other routers stored at the platform, which was asked at ``asked_at``."""
+    def adopt(self, stored: StoredVersions, asked_at: float | None) -> None:
+        """Take over what other routers stored at the platform, which was asked at ``asked_at``.
+
+        None says that the platform has come back from an older copy since they stored it.
+        """
         self.update()
         self._history.record_stored(
             stored.versions_by_service, stored.is_complete, asked_at, self._state.clock()
--- a/pondhatch/router/_version_store.py
+++ b/pondhatch/router/_version_store.py
@@ -125,9 +125,8 @@
         if self._state.upstreams.version == 0:
             return stored
         wanted = self._versions.to_store()
-        if stored.is_complete and not wanted.is_complete:
-            return StoredVersions(wanted.versions_by_service, True)
-        return wanted
+        is_complete = stored.is_complete or wanted.is_complete
+        return StoredVersions(wanted.versions_by_service, is_complete, max(stored.era, self._era))
 
     def _write_delay(self) -> float:
         names = [each.name for each in self._state.members()]
@@ -146,7 +145,7 @@
             self._is_calling = False
 
     async def _read(self) -> bool:
-        asked_at = self._state.clock()
+        asked_at: float | None = self._state.clock()
         found = await self._platform.get(VERSIONS_KIND, VERSIONS_NAME)
         if isinstance(found, Unavailable):
             log.warning("Reading the software versions failed: {}.", found.reason)
@@ -159,6 +158,8 @@
             if stored is None:
                 log.error("The object of software versions cannot be read; replacing it.")
                 stored = StoredVersions()
+            if stored.era < era_of(self._position):
+                asked_at = None
         assert stored is not None
         self._versions.adopt(stored, asked_at)
         self._stored = stored
--- a/pondhatch/store/_stored_versions.py
+++ b/pondhatch/store/_stored_versions.py
@@ -24,6 +24,8 @@
     #: Whether there can be no others. A fleet that has just been installed, or that ran without the
     #: object so far, does not know what served before.
     is_complete: bool = False
+    #: The platform's era in which this was written; in a later one it is an older copy.
+    era: int = 0
 
     def covers(self, other: StoredVersions) -> bool:
         """Return whether this states all that another states."""
@@ -36,7 +38,7 @@
     def as_value(self) -> dict[str, Any]:
         """Return the object's value."""
         versions = {name: list(each) for name, each in self.versions_by_service.items()}
-        return {"versions_by_service": versions, "is_complete": self.is_complete}
+        return {"versions_by_service": versions, "is_complete": self.is_complete, "era": self.era}
 
 
 def read_stored_versions(value: Any) -> StoredVersions | None:
