Take no platform that lost the fleet's key for one that never had it

All routers begin anew beside a platform that came back from a copy older than the fleet's key: the first router wrote a new key, took itself for the first of all, and the one listed version for the only one that had begun streams. The test failed before.

--- a/pondhatch/router/_fleet_key.py
+++ b/pondhatch/router/_fleet_key.py
@@ -23,6 +23,7 @@
     Platform,
     StoredObject,
     Unavailable,
+    era_of,
 )
 
 log = log_for("process")
@@ -34,6 +35,10 @@
 INITIAL_BACKOFF_SECONDS = 0.1
 MAX_BACKOFF_SECONDS = 2.0
 
+#: The era of a platform that was never restored from an older copy; one that reports none is in an
+#: earlier one.
+FIRST_ERA = 1
+
 Sleep = Callable[[float], Awaitable[None]]
 
 
@@ -65,7 +70,7 @@
             return AgreedKey(key.encode(), is_new=False)
         written = await _write_key(platform, found, {"key": new_key})
         if isinstance(written, Accepted):
-            return AgreedKey(new_key.encode(), is_new=isinstance(found, Missing))
+            return AgreedKey(new_key.encode(), _was_never_written(found))
         log.info(
             "Another router wrote the fleet's key, or the answer was lost; retrying: {}.", written
         )
@@ -83,6 +88,11 @@
         log.error("The platform holds a different fleet key; routers that start now cannot join.")
 
 
+def _was_never_written(found: Found | Missing) -> bool:
+    """Return whether there was no key, and the platform has not lost one either."""
+    return isinstance(found, Missing) and era_of(found.as_of) <= FIRST_ERA
+
+
 def _read_key(stored: StoredObject) -> str | None:
     """Return the key in a stored object, or None where it holds none."""
     key = stored.value.get("key") if isinstance(stored.value, Mapping) else None
--- a/pondhatch/router/tests/test_fleet_key.py
+++ b/pondhatch/router/tests/test_fleet_key.py
@@ -52,6 +52,24 @@
         self.assertEqual(await self.obtain_key(platform, "first"), b"first")
         self.assertEqual(await self.obtain_key(platform, "second"), b"first")
 
+    async def test_only_the_first_router_of_all_takes_itself_for_the_first(self) -> None:
+        platform = PlatformInMemory()
+        found = [
+            await obtain_fleet_key(platform, key, random.Random(1), self.sleep)
+            for key in ("first", "second")
+        ]
+        self.assertEqual([each.is_new for each in found], [True, False])
+
+    # A router that began anew took nothing to have served before.
+    async def test_a_key_that_the_platform_lost_was_not_the_first(self) -> None:
+        platform = PlatformInMemory()
+        platform.era = 1
+        platform.save_copy()
+        await self.obtain_key(platform, "first")
+        platform.restore_copy()
+        agreed = await obtain_fleet_key(platform, "second", random.Random(1), self.sleep)
+        self.assertFalse(agreed.is_new)
+
     async def test_a_key_that_a_stale_answer_lacks_is_not_replaced(self) -> None:
         class Lagging(PlatformInMemory):
             async def get(
