--- a/pondhatch/placement/_software_versions.py
+++ b/pondhatch/placement/_software_versions.py
@@ -59,9 +59,10 @@
         """Record the versions that other routers stored, as read from the platform.
 
         ``is_complete`` says that no other version had begun a stream that callers may still resume
-        when the platform was asked, at ``asked_at``; None if that is an older copy. A version that is not listed here, and that
-        did not expire here, served until now for all that this router knows. One that appeared here
-        after all others were known began streams since then, whoever has stored it meanwhile.
+        when the platform was asked, at ``asked_at``; None if that is an older copy. A version that
+        is not listed here, and that did not expire here, served until now for all that this router
+        knows. One that appeared here after all others were known began streams since then, whoever
+        has stored it meanwhile.
         """
         for service, versions in versions_by_service.items():
             spans = self._spans_by_service.setdefault(service, {})
