Begin streams at a version that the platform does not know of if there is no other

Every new stream was refused for up to 2 s in a release that lets the old engines leave as the new ones appear: leaving engines are still listed, so the new version had to wait until the platform was told, with no engine left to begin a stream at. The same for requests whose region has engines of the new version only. Failed before: no event of the stream came.

--- a/pondhatch/requests/_dispatch.py
+++ b/pondhatch/requests/_dispatch.py
@@ -490,7 +490,8 @@
         untold = self.binding.untold_versions()
         if not untold:
             return engines
-        return tuple(each for each in engines if self._software_version(each) not in untold)
+        told = tuple(each for each in engines if self._software_version(each) not in untold)
+        return told or engines
 
     def _software_version(self, engine: str) -> str | None:
         target = self._view.target(engine)
--- a/pondhatch/requests/tests/test_version_histories.py
+++ b/pondhatch/requests/tests/test_version_histories.py
@@ -63,6 +63,8 @@
 
     def __init__(self) -> None:
         self._version_by_key: dict[bytes, str] = {}
+        #: Versions that the platform does not know of yet.
+        self.untold: frozenset[str] = frozenset()
 
     def record(self, service: str, keys: tuple[bytes, ...], version: str, seconds: float) -> None:
         for key in keys:
@@ -71,7 +73,7 @@
                 raise AssertionError(f"a stream of {known} was recorded as one of {version}")
 
     def untold_versions(self, service: str) -> frozenset[str]:
-        return frozenset()
+        return self.untold
 
     async def find(self, service: str, key: bytes) -> StreamOrigin | OriginUnknown:
         await asyncio.sleep(0.005)
@@ -190,10 +192,12 @@
         self.fleet = Fleet([], packet_faults, False)
         self.most_tries = most_tries
         self.fleet.version_by_engine = dict(zip(self.fleet.engines, versions, strict=True))
-        origins, script = SharedOrigins(), FaultScript(faults)
+        self.origins, script = SharedOrigins(), FaultScript(faults)
         self.collaborators = {
             name: Collaborators(
-                router.entry, VersionedUpstreams(self.fleet, name, script), stream_origins=origins
+                router.entry,
+                VersionedUpstreams(self.fleet, name, script),
+                stream_origins=self.origins,
             )
             for name, router in self.fleet.routers.items()
         }
@@ -285,6 +289,26 @@
         caller = self.play(["v1", "v2", "v3"], ["cut-inside-an-event", "none"], [0])
         self.assertEqual(len(caller.events), EVENTS)
 
+    def test_a_stream_begins_at_a_version_that_the_platform_knows_of(self) -> None:
+        self.assertEqual(self.begin_beside(["v2", "v1", "v2"], leaving=None), {"v1"})
+
+    # The engines of the version before were leaving, and every stream was refused.
+    def test_a_stream_begins_at_an_untold_version_if_there_is_no_other_engine(self) -> None:
+        self.assertEqual(self.begin_beside(["v2", "v1", "v2"], leaving="e1"), {"v2"})
+
+    def begin_beside(self, versions: list[str], leaving: str | None) -> set[str]:
+        """Return at which versions a stream is served while the platform is not told of v2."""
+
+        async def run() -> set[str]:
+            play = VersionPlay(versions, [], [], 0)
+            play.origins.untold = frozenset({"v2"})
+            if leaving is not None:
+                play.fleet.intake_by_engine[leaving] = CLOSING
+            await play.run_caller([0], 0.0, 9.0)
+            return {version for _, version in play.callers[0].events}
+
+        return run_virtually(run())
+
     # It was sent over and over to an engine that rests, for eight seconds.
     def test_a_stream_without_an_engine_of_its_version_is_refused_at_once(self) -> None:
         async def run() -> StreamCaller:
