Hold what was read from the platform apart from the routers' own records

After all routers of a large or busy fleet began anew, most streams were refused although their records had been written: the table of 16,384 records took what was read too, in which records displaced each other and those of streams that began since. What was read is now one map, replaced by each read and dropped as a whole once nobody needs it.

ManyRecordsTest failed before (24,000 records, sampled streams unknown).

--- a/pondhatch/requests/_stream_origins.py
+++ b/pondhatch/requests/_stream_origins.py
@@ -106,8 +106,6 @@
     expires_at: float
     #: The service if the stream began at this router; empty for one that another router recorded.
     service: str = ""
-    #: Whether the platform holds it, where every router finds it.
-    is_archived: bool = False
 
 
 class OriginTable(msgspec.Struct):
--- a/pondhatch/router/_origin_archive.py
+++ b/pondhatch/router/_origin_archive.py
@@ -46,8 +46,11 @@
 #: is taken up meanwhile.
 READ_AGAIN_SECONDS = 1.0
 
-#: Called with each record that was read: its key and software version.
-TakeRecord = Callable[[bytes, str], None]
+#: Records that one router holds of those that it read, some forty megabytes. The rest is refused as
+#: unknown.
+MAX_READ_RECORDS = 400_000
+#: Segments that are taken over before others get their turn: some milliseconds.
+SEGMENTS_PER_TURN = 32
 
 
 class OriginArchive:
@@ -59,13 +62,13 @@
         platform: Platform,
         rng: random.Random,
         lasts: Callable[[], float],
-        take: TakeRecord,
     ) -> None:
         self._state = state
         self._platform = platform
         #: Returns the longest time in seconds for which a record may be needed.
         self._lasts = lasts
-        self._take = take
+        #: What was read last.
+        self._version_by_read_key: dict[bytes, str] = {}
         self._ring = SegmentRing(state.name)
         self._version_by_unwritten_key: dict[bytes, str] = {}
         self._backoff = Backoff(INITIAL_BACKOFF_SECONDS, MAX_BACKOFF_SECONDS, rng)
@@ -87,6 +90,15 @@
         """Return whether this router knows what routers had written at a time."""
         return self._read_at >= time
 
+    def version(self, key: bytes) -> str | None:
+        """Return the version in a record that was read, None without one."""
+        return self._version_by_read_key.get(key)
+
+    def drop_expired(self) -> None:
+        """Drop what was read once nobody needs it any more."""
+        if self._state.clock() - self._read_at > self._lasts():
+            self._version_by_read_key = {}
+
     def add(self, keys: Iterable[bytes], software_version: str) -> None:
         """Have records written soon."""
         if not self._version_by_unwritten_key:
@@ -132,11 +144,15 @@
             return
         is_first = not self.has_read
         expires_at = self._state.clock() + self._lasts()
-        for each in listed.objects:
+        version_by_key: dict[bytes, str] = {}
+        for index, each in enumerate(listed.objects, 1):
             if is_first:
                 self._ring.add_written(each.name, each.version, expires_at)
-            for key, software_version in read_segment(each.value, KEY_BYTES):
-                self._take(key, software_version)
+            if len(version_by_key) < MAX_READ_RECORDS:
+                version_by_key.update(read_segment(each.value, KEY_BYTES))
+            if index % SEGMENTS_PER_TURN == 0:
+                await asyncio.sleep(0)
+        self._version_by_read_key = version_by_key
         self._read_at = asked_at
 
     async def _write(self) -> None:
--- a/pondhatch/router/_stream_origin_exchange.py
+++ b/pondhatch/router/_stream_origin_exchange.py
@@ -82,9 +82,7 @@
         self._unrecorded = UnrecordedStreams(state, self.versions, self._holders)
         self._queries = OriginQueries(self._send_packet)
         self._version_store = VersionStore(state, self.versions, platform, rng)
-        self._archive = OriginArchive(
-            state, platform, rng, self.versions.longest_seconds, self._take_archived
-        )
+        self._archive = OriginArchive(state, platform, rng, self.versions.longest_seconds)
         #: Services of which several versions may have begun streams, as of the last round.
         self._services_with_several_versions: frozenset[str] = frozenset()
         #: Services of the streams that began here.
@@ -134,10 +132,11 @@
     def _find_here(self, service: str, key: bytes) -> StreamOrigin | None:
         """Return what this router knows by itself of the stream's begin."""
         own = self.records.get(key, self._state.clock())
-        if own is not None and own.is_archived:
-            return StreamOrigin(own.software_version, OriginSource.ARCHIVED)
         if own is not None:
             return StreamOrigin(own.software_version, OriginSource.RECORDED, self._state.name)
+        archived = self._archive.version(key)
+        if archived is not None:
+            return StreamOrigin(archived, OriginSource.ARCHIVED)
         sole = self._unrecorded.sole_version(service)
         return StreamOrigin(sole[0], OriginSource.SOLE_VERSION) if sole is not None else None
 
@@ -197,6 +196,7 @@
         if self._rounds % EXPIRY_ROUNDS == 0:
             self.records.drop_expired(now)
             self.versions.drop_old()
+            self._archive.drop_expired()
         self._follow_versions()
         self._follow_members()
         count = min(RECORDS_PER_ROUND, len(self._to_share))
@@ -209,13 +209,6 @@
         self._version_store.stop()
         self._archive.stop()
 
-    def _take_archived(self, key: bytes, software_version: str) -> None:
-        """Hold a record that was read from the platform."""
-        now = self._state.clock()
-        if self.records.get(key, now) is None:
-            expires_at = now + self.versions.longest_seconds()
-            self.records.put(key, OriginRecord(software_version, expires_at, is_archived=True))
-
     def _follow_versions(self) -> None:
         """Send the records of streams that began while their service had one version only."""
         self.versions.update()
@@ -251,9 +244,7 @@
 
         Other routers send records only of services with several versions.
         """
-        return not record.is_archived and (
-            not record.service or record.service in self._services_with_several_versions
-        )
+        return not record.service or record.service in self._services_with_several_versions
 
     def _share(self, keys: Iterable[bytes]) -> None:
         """Send records to their holders.
@@ -280,13 +271,14 @@
     def _reply(self, query: OriginQuery, source: Address) -> None:
         now = self._state.clock()
         record = self.records.get(query.key, now)
+        version = record.software_version if record else self._archive.version(query.key)
         reply = OriginReply(
             query.number,
             short_id(self._state.name),
             round(self._unrecorded.uptime * 1000),
             self.versions.has_several_versions(query.service),
-            record.software_version if record is not None else None,
-            None if record is not None else self._unrecorded.version(query.service),
+            version,
+            None if version is not None else self._unrecorded.version(query.service),
         )
         self._send_packet(source, reply)
 
