--- a/pondhatch/router/_origin_archive.py
+++ b/pondhatch/router/_origin_archive.py
@@ -124,16 +124,16 @@
         self._timer.cancel()
         self._timer = asyncio.get_running_loop().call_later(seconds, self.write_if_due)
 
-    async def read(self) -> bool:
+    async def read(self, max_wait: float | None = None) -> bool:
         """Read what all routers wrote, unless it was read just now; return whether that is known.
 
-        Whoever calls meanwhile waits for the same answer.
+        Whoever calls meanwhile waits for the same answer, for ``max_wait`` seconds at most.
         """
         if self._state.clock() - self._read_at < READ_AGAIN_SECONDS:
             return True
         if self._reading is None or self._reading.done():
             self._reading = self._tasks.start(self._read())
-        await asyncio.wait([self._reading])
+        await asyncio.wait([self._reading], timeout=max_wait)
         return self._state.clock() - self._read_at < READ_AGAIN_SECONDS
 
     async def _read(self) -> None:
--- a/pondhatch/router/_stream_origin_exchange.py
+++ b/pondhatch/router/_stream_origin_exchange.py
@@ -120,7 +120,7 @@
         query = await self._queries.ask(service, key, self._holders.asked(key))
         found = self._found_by(query)
         is_archive_needed = found is None and self._unrecorded.may_be_archived_only(query)
-        if is_archive_needed and await self._archive.read():
+        if is_archive_needed and await self._archive.read(MAX_READ_SECONDS):
             found = self._find_here(service, key)
         to_join = self._unrecorded.seconds_to_join(service, query)
         if found is None and to_join > 0:
@@ -151,7 +151,7 @@
         while not self._version_store.has_tried and self._state.clock() < until:
             await asyncio.sleep(POLL_SECONDS)
         if self._version_store.is_read:
-            await self._archive.read()
+            await self._archive.read(until - self._state.clock())
         return True
 
     @staticmethod
