--- a/pondhatch/router/_unrecorded_streams.py
+++ b/pondhatch/router/_unrecorded_streams.py
@@ -50,8 +50,11 @@
         It is 0 where they can learn nothing that helps: a stream of unknown version cannot go on
         at the only version that is left.
         """
-        is_of_use = self._versions.serve_side_by_side(service)
-        return max(0.0, JOIN_SECONDS - self._shortest_uptime(query)) if is_of_use else 0.0
+        if not self._versions.serve_side_by_side(service):
+            return 0.0
+        # Others that are new are waited for only if one that is not states the version.
+        is_stated = bool(self._stated_versions(service, query))
+        return max(0.0, JOIN_SECONDS - (self._shortest_uptime(query) if is_stated else self.uptime))
 
     def tick(self) -> None:
         """Notice a pause of this process."""
