--- a/pondhatch/placement/_software_versions.py
+++ b/pondhatch/placement/_software_versions.py
@@ -9,6 +9,7 @@
 from collections.abc import Collection, Mapping
 
 import msgspec
+from msgspec.structs import replace
 
 #: End of the time of a version that is listed now.
 STILL_LISTED = float("inf")
@@ -21,6 +22,8 @@
 
     first_seen: float
     last_seen: float = STILL_LISTED
+    #: Whether this router has seen it listed, and did not only read of it.
+    was_listed: bool = True
 
 
 class VersionHistory(msgspec.Struct):
@@ -53,32 +56,41 @@
         self,
         versions_by_service: Mapping[str, Collection[str]],
         is_complete: bool,
-        asked_at: float,
+        asked_at: float | None,
         now: float,
     ) -> None:
         """Record the versions that other routers stored, as read from the platform.
 
         ``is_complete`` says that no other version had begun a stream that callers may still resume
-        when the platform was asked, at ``asked_at``. A version that is not listed here, and that
-        did not expire here, served until now for all that this router knows.
+        when the platform was asked, at ``asked_at``; None if that is an older copy. A version that
+        is not listed here, and that did not expire here, served until now for all that this router
+        knows. One that appeared here after all others were known began streams since then, whoever
+        has stored it meanwhile.
         """
         for service, versions in versions_by_service.items():
             spans = self._spans_by_service.setdefault(service, {})
             for version in set(versions) - self._retired_by_service.get(service, set()):
-                known = spans.get(version, VersionSpan(now, now))
-                spans[version] = VersionSpan(SINCE_EVER, known.last_seen)
+                known = spans.get(version)
+                if known is None:
+                    spans[version] = VersionSpan(SINCE_EVER, now, was_listed=False)
+                elif self.known_since != SINCE_EVER:
+                    spans[version] = replace(known, first_seen=SINCE_EVER)
         if is_complete and self.known_since != SINCE_EVER:
             self.known_since = SINCE_EVER
             self._date_unstored(versions_by_service, asked_at)
 
     def _date_unstored(
-        self, versions_by_service: Mapping[str, Collection[str]], asked_at: float
+        self, versions_by_service: Mapping[str, Collection[str]], asked_at: float | None
     ) -> None:
-        """Date the listed versions that nobody had stored: their streams began later."""
+        """Date the listed versions that nobody had stored: their streams began later.
+
+        What an older copy lacks may have begun streams at any time.
+        """
+        since = SINCE_EVER if asked_at is None else asked_at
         for service, spans in self._spans_by_service.items():
             for version in spans.keys() - set(versions_by_service.get(service, ())):
                 span = spans[version]
-                spans[version] = VersionSpan(min(span.first_seen, asked_at), span.last_seen)
+                spans[version] = replace(span, first_seen=min(span.first_seen, since))
 
     def listed_since(self, service: str, since: float) -> tuple[str, ...]:
         """Return the versions that were listed at some time since then, the first seen first."""
@@ -89,25 +101,21 @@
     def second_version_seen_at(self, service: str, since: float) -> float | None:
         """Return when the second of the versions listed since then appeared; None without one.
 
-        None also if it appeared earlier or together with the first, or if it is not known when it
-        appeared: then no version may have served alone.
+        None also if it appeared earlier or together with the first, if it is not known when it
+        appeared, or if the first had left by then as far as this router has seen: then no version
+        may have served alone.
         """
         listed = self.listed_since(service, since)
         if len(listed) < 2:
             return None
-        first, second = (self._spans_by_service[service][each].first_seen for each in listed[:2])
-        return second if second > max(since, self.known_since, first) else None
+        first, second = (self._spans_by_service[service][each] for each in listed[:2])
+        is_dated = second.first_seen > max(since, self.known_since, first.first_seen)
+        return second.first_seen if is_dated and first.was_listed else None
 
-    def first_seen_by_listed(self, service: str) -> dict[str, float]:
-        """Return when each of the versions that are listed now was first seen."""
+    def listed(self, service: str) -> frozenset[str]:
+        """Return the versions that are listed now."""
         spans = self._spans_by_service.get(service, {})
-        return {
-            name: span.first_seen for name, span in spans.items() if span.last_seen == STILL_LISTED
-        }
-
-    def count_listed(self, service: str) -> int:
-        """Return how many versions are listed now."""
-        return len(self.first_seen_by_listed(service))
+        return frozenset(name for name, span in spans.items() if span.last_seen == STILL_LISTED)
 
     def services(self) -> tuple[str, ...]:
         """Return the services of which versions are known."""
--- a/pondhatch/requests/_eligible_engines.py
+++ b/pondhatch/requests/_eligible_engines.py
@@ -33,7 +33,8 @@
         untold = self._binding.untold_versions()
         if not untold:
             return engines
-        return tuple(each for each in engines if self._software_version(each) not in untold)
+        told = tuple(each for each in engines if self._software_version(each) not in untold)
+        return told or engines
 
     def preferred_plan(self) -> Plan:
         """Return a plan that asks preferred engines first if the request has no chat."""
--- a/pondhatch/router/_origin_archive.py
+++ b/pondhatch/router/_origin_archive.py
@@ -27,10 +27,10 @@
     Found,
     OutcomeUnknown,
     Platform,
+    ReadRecords,
     Segment,
     SegmentRing,
     Unavailable,
-    known_versions,
     read_segment,
 )
 
@@ -38,6 +38,8 @@
 
 #: Writes a second by the whole fleet: half of what the platform accepts.
 FLEET_WRITES_PER_SECOND = 200.0
+#: The least and the most of the mean interval between two writes.
+INTERVAL_RANGE = (0.7, 1.3)
 #: Seconds for which a request waits until it is written down that it goes to another version.
 MAX_HOLD_SECONDS = 0.2
 #: Seconds between two looks at whether that is written.
@@ -51,8 +53,8 @@
 #: is taken up meanwhile.
 READ_AGAIN_SECONDS = 1.0
 
-#: Called with each record that was read: its key and software version.
-TakeRecord = Callable[[bytes, str], None]
+#: Segments that are taken over before others get their turn: some milliseconds.
+SEGMENTS_PER_TURN = 32
 
 
 class OriginArchive:
@@ -64,18 +66,19 @@
         platform: Platform,
         rng: random.Random,
         lasts: Callable[[], float],
-        take: TakeRecord,
     ) -> None:
         self._state = state
         self._platform = platform
         #: Returns the longest time in seconds for which a record may be needed.
         self._lasts = lasts
-        self._take = take
+        #: What was read last.
+        self._read = ReadRecords()
         self._ring = SegmentRing(state.name)
         #: Records that are not written yet, the oldest first.
         self._unwritten: dict[ArchivedRecord, None] = {}
         #: The version to which the request of each stream was sent; None if to several.
         self._sent_version_by_key: dict[bytes, str | None] = {}
+        self._rng = rng
         self._backoff = Backoff(INITIAL_BACKOFF_SECONDS, MAX_BACKOFF_SECONDS, rng)
         self._tasks = Tasks()
         self._is_writing = False
@@ -91,6 +94,19 @@
         """Whether this router knows what the routers before it wrote."""
         return self._read_at > float("-inf")
 
+    def has_read_since(self, time: float) -> bool:
+        """Return whether this router knows what routers had written at a time."""
+        return self._read_at >= time
+
+    def version(self, key: bytes) -> str | None:
+        """Return the version in a record that was read, None without one."""
+        return self._read.version(key)
+
+    def drop_expired(self) -> None:
+        """Drop what was read once nobody needs it any more."""
+        if self._state.clock() - self._read_at > self._lasts():
+            self._read = ReadRecords()
+
     def add(self, keys: Iterable[bytes], software_version: str) -> None:
         """Have it written soon that streams began, where that does not follow from their sends."""
         for key in keys:
@@ -140,19 +156,19 @@
         self._timer.cancel()
         self._timer = asyncio.get_running_loop().call_later(seconds, self.write_if_due)
 
-    async def read(self) -> bool:
+    async def read(self, max_wait: float | None = None) -> bool:
         """Read what all routers wrote, unless it was read just now; return whether that is known.
 
-        Whoever calls meanwhile waits for the same answer.
+        Whoever calls meanwhile waits for the same answer, for ``max_wait`` seconds at most.
         """
         if self._state.clock() - self._read_at < READ_AGAIN_SECONDS:
             return True
         if self._reading is None or self._reading.done():
-            self._reading = self._tasks.start(self._read())
-        await asyncio.wait([self._reading])
+            self._reading = self._tasks.start(self._read_all())
+        await asyncio.wait([self._reading], timeout=max_wait)
         return self._state.clock() - self._read_at < READ_AGAIN_SECONDS
 
-    async def _read(self) -> None:
+    async def _read_all(self) -> None:
         asked_at = self._state.clock()
         listed = await self._platform.list(SEGMENT_KIND)
         if isinstance(listed, Unavailable):
@@ -160,13 +176,14 @@
             return
         is_first = not self.has_read
         expires_at = self._state.clock() + self._lasts()
-        records: list[ArchivedRecord] = []
-        for each in listed.objects:
+        read = ReadRecords()
+        for index, each in enumerate(listed.objects, 1):
             if is_first:
                 self._ring.add_written(each.name, each.version, expires_at)
-            records.extend(read_segment(each.value, KEY_BYTES))
-        for key, software_version in known_versions(records).items():
-            self._take(key, software_version)
+            read.add(read_segment(each.value, KEY_BYTES))
+            if index % SEGMENTS_PER_TURN == 0:
+                await asyncio.sleep(0)
+        self._read = read
         self._read_at = asked_at
 
     async def _write(self) -> None:
@@ -186,7 +203,9 @@
                 self._schedule_write(self._write_interval())
 
     def _write_interval(self) -> float:
-        return len(self._state.members()) / FLEET_WRITES_PER_SECOND
+        """Return the seconds to the next write, drawn so that routers do not write in phase."""
+        mean = len(self._state.members()) / FLEET_WRITES_PER_SECOND
+        return mean * self._rng.uniform(*INTERVAL_RANGE)
 
     async def _write_segment(self) -> bool:
         """Write as many records as fit into segments; return whether all went well."""
--- a/pondhatch/router/_service_versions.py
+++ b/pondhatch/router/_service_versions.py
@@ -11,9 +11,6 @@
 #: Seconds after the longest time that a route allows for a stream within which its caller resumes
 #: it.
 RETURN_SECONDS = 10.0
-#: Longest time in seconds for which streams begin at the versions that the platform knows of while
-#: a new one is being told to it. Telling it takes some milliseconds, unless the platform is away.
-UNTOLD_SECONDS = 2.0
 
 
 class ServiceVersions:
@@ -22,6 +19,8 @@
     def __init__(self, state: RouterState) -> None:
         self._state = state
         self._history = VersionHistory()
+        #: When the platform last told which versions there are, in the clock's seconds.
+        self.adopted_at = float("-inf")
         #: The list's version that the history was last updated from.
         self._upstreams_version = -1
         #: The configuration's version of the longest stream times.
@@ -41,9 +40,14 @@
                 versions.add(entry.upstream.software_version)
         self._history.record(versions_by_service, self._state.clock())
 
-    def adopt(self, stored: StoredVersions, asked_at: float) -> None:
-        """Take over what other routers stored at the platform, which was asked at ``asked_at``."""
+    def adopt(self, stored: StoredVersions, asked_at: float | None) -> None:
+        """Take over what other routers stored at the platform, which was asked at ``asked_at``.
+
+        None says that the platform has come back from an older copy since they stored it.
+        """
         self.update()
+        if asked_at is not None:
+            self.adopted_at = asked_at
         self._history.record_stored(
             stored.versions_by_service, stored.is_complete, asked_at, self._state.clock()
         )
@@ -74,7 +78,7 @@
 
     def serve_side_by_side(self, service: str) -> bool:
         """Return whether engines of several versions are listed now."""
-        return self._history.count_listed(service) > 1
+        return len(self._history.listed(service)) > 1
 
     def untold(self, service: str, told: Collection[str]) -> frozenset[str]:
         """Return the listed versions at which no stream is to begin yet.
@@ -83,15 +87,8 @@
         serves: routers that begin anew would take their streams for the other's.
         """
         self.update()
-        first_seen_by_listed = self._history.first_seen_by_listed(service)
-        if not first_seen_by_listed.keys() & set(told):
-            return frozenset()
-        since = self._state.clock() - UNTOLD_SECONDS
-        return frozenset(
-            name
-            for name, first_seen in first_seen_by_listed.items()
-            if name not in told and first_seen > since
-        )
+        listed = self._history.listed(service)
+        return listed - set(told) if listed & set(told) else frozenset()
 
     def is_history_known(self, service: str) -> bool:
         """Return whether every version that may have begun such a stream is known here."""
--- a/pondhatch/router/_stream_origin_exchange.py
+++ b/pondhatch/router/_stream_origin_exchange.py
@@ -82,9 +82,7 @@
         self._unrecorded = UnrecordedStreams(state, self.versions, self._holders)
         self._queries = OriginQueries(self._send_packet)
         self._version_store = VersionStore(state, self.versions, platform, rng)
-        self._archive = OriginArchive(
-            state, platform, rng, self.versions.longest_seconds, self._take_archived
-        )
+        self._archive = OriginArchive(state, platform, rng, self.versions.longest_seconds)
         #: Services of which several versions may have begun streams, as of the last round.
         self._services_with_several_versions: frozenset[str] = frozenset()
         #: Services of the streams that began here.
@@ -118,6 +116,9 @@
 
     async def find(self, service: str, key: bytes) -> StreamOrigin | OriginUnknown:
         """Return what began a stream, after asking others if needed; see StreamOrigins."""
+        began_at = self._state.clock()
+        if self._unrecorded.is_alone:
+            await self._version_store.confirm(MAX_READ_SECONDS)
         found = self._find_here(service, key)
         if found is None and await self._read_platform_once():
             found = self._find_here(service, key)
@@ -125,22 +126,24 @@
             return found
         query = await self._queries.ask(service, key, self._holders.asked(key))
         found = self._found_by(query)
-        if found is None and self._unrecorded.may_be_archived_only() and await self._archive.read():
+        is_archive_needed = found is None and self._unrecorded.may_be_archived_only(query)
+        if is_archive_needed and await self._archive.read(MAX_READ_SECONDS):
             found = self._find_here(service, key)
-        to_join = self._unrecorded.seconds_to_join(service)
+        to_join = self._unrecorded.seconds_to_join(service, query)
         if found is None and to_join > 0:
             await asyncio.sleep(to_join)
             query = await self._queries.ask(service, key, self._holders.asked(key))
             found = self._found_by(query)
-        return found if found is not None else self._without_record(service, key, query)
+        return found or self._without_record(service, key, query, began_at)
 
     def _find_here(self, service: str, key: bytes) -> StreamOrigin | None:
         """Return what this router knows by itself of the stream's begin."""
         own = self.records.get(key, self._state.clock())
-        if own is not None and own.is_archived:
-            return StreamOrigin(own.software_version, OriginSource.ARCHIVED)
         if own is not None:
             return StreamOrigin(own.software_version, OriginSource.RECORDED, self._state.name)
+        archived = self._archive.version(key)
+        if archived is not None:
+            return StreamOrigin(archived, OriginSource.ARCHIVED)
         sole = self._unrecorded.sole_version(service)
         return StreamOrigin(sole[0], OriginSource.SOLE_VERSION) if sole is not None else None
 
@@ -149,13 +152,13 @@
 
         A router that has read it already, or has been there for as long as any stream, does not.
         """
-        if self._archive.has_read or not self._unrecorded.may_be_archived_only():
+        if self._archive.has_read or self._unrecorded.uptime > self.versions.longest_seconds():
             return False
         until = self._state.clock() + MAX_READ_SECONDS
         while not self._version_store.has_tried and self._state.clock() < until:
             await asyncio.sleep(POLL_SECONDS)
         if self._version_store.is_read:
-            await self._archive.read()
+            await self._archive.read(until - self._state.clock())
         return True
 
     @staticmethod
@@ -166,13 +169,13 @@
         )
 
     def _without_record(
-        self, service: str, key: bytes, query: PendingQuery
+        self, service: str, key: bytes, query: PendingQuery, began_at: float
     ) -> StreamOrigin | OriginUnknown:
-        """Return what began a stream of which nobody that was asked has a record."""
+        """Return what began a stream of which nobody that was asked since then has a record."""
         version = self._unrecorded.version_after(service, key, query)
         if version is None:
-            is_all_known = self._archive.has_read and not query.silent_by_id
-            return OriginUnknown(may_be_known_soon=not is_all_known)
+            has_read = self._archive.has_read_since(began_at)
+            return OriginUnknown(not has_read or self._unrecorded.may_be_known_soon(query))
         several = query.has_several_versions or self.versions.has_several_versions(service)
         source = OriginSource.BEFORE_RECORDS if several else OriginSource.SOLE_VERSION
         return StreamOrigin(version, source)
@@ -200,6 +203,7 @@
         if self._rounds % EXPIRY_ROUNDS == 0:
             self.records.drop_expired(now)
             self.versions.drop_old()
+            self._archive.drop_expired()
         self._follow_versions()
         self._follow_members()
         count = min(RECORDS_PER_ROUND, len(self._to_share))
@@ -212,13 +216,6 @@
         self._version_store.stop()
         self._archive.stop()
 
-    def _take_archived(self, key: bytes, software_version: str) -> None:
-        """Hold a record that was read from the platform."""
-        now = self._state.clock()
-        if self.records.get(key, now) is None:
-            expires_at = now + self.versions.longest_seconds()
-            self.records.put(key, OriginRecord(software_version, expires_at, is_archived=True))
-
     def _follow_versions(self) -> None:
         """Send the records of streams that began while their service had one version only."""
         self.versions.update()
@@ -254,9 +251,7 @@
 
         Other routers send records only of services with several versions.
         """
-        return not record.is_archived and (
-            not record.service or record.service in self._services_with_several_versions
-        )
+        return not record.service or record.service in self._services_with_several_versions
 
     def _share(self, keys: Iterable[bytes]) -> None:
         """Send records to their holders.
@@ -283,13 +278,14 @@
     def _reply(self, query: OriginQuery, source: Address) -> None:
         now = self._state.clock()
         record = self.records.get(query.key, now)
+        version = record.software_version if record else self._archive.version(query.key)
         reply = OriginReply(
             query.number,
             short_id(self._state.name),
             round(self._unrecorded.uptime * 1000),
             self.versions.has_several_versions(query.service),
-            record.software_version if record is not None else None,
-            None if record is not None else self._unrecorded.version(query.service),
+            version,
+            None if version is not None else self._unrecorded.version(query.service),
         )
         self._send_packet(source, reply)
 
--- a/pondhatch/router/_version_store.py
+++ b/pondhatch/router/_version_store.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 
 from pondhatch.kernel import Backoff, Tasks
@@ -62,6 +63,8 @@
         self._era = 0
         #: Whether a call to the platform is under way.
         self._is_calling = False
+        #: The latest call that was made to confirm what is known.
+        self._confirming: asyncio.Task[None] | None = None
         #: When the platform may be called next, in the clock's seconds.
         self._next_call_at = float("-inf")
         #: When this router writes what the object lacks, in the clock's seconds; None if it lacks
@@ -94,6 +97,14 @@
             self._is_calling = True
             self._tasks.start(self._call())
 
+    async def confirm(self, max_wait: float) -> None:
+        """Read the object again, for ``max_wait`` seconds at most."""
+        if not self._is_calling:
+            self._is_calling = True
+            self._confirming = self._tasks.start(self._call())
+        if self._confirming is not None:
+            await asyncio.wait([self._confirming], timeout=max_wait)
+
     def stop(self) -> None:
         """Cancel the call that is under way."""
         self._tasks.cancel_all()
@@ -125,9 +136,8 @@
         if self._state.upstreams.version == 0:
             return stored
         wanted = self._versions.to_store()
-        if stored.is_complete and not wanted.is_complete:
-            return StoredVersions(wanted.versions_by_service, True)
-        return wanted
+        is_complete = stored.is_complete or wanted.is_complete
+        return StoredVersions(wanted.versions_by_service, is_complete, max(stored.era, self._era))
 
     def _write_delay(self) -> float:
         names = [each.name for each in self._state.members()]
@@ -146,7 +156,7 @@
             self._is_calling = False
 
     async def _read(self) -> bool:
-        asked_at = self._state.clock()
+        asked_at: float | None = self._state.clock()
         found = await self._platform.get(VERSIONS_KIND, VERSIONS_NAME)
         if isinstance(found, Unavailable):
             log.warning("Reading the software versions failed: {}.", found.reason)
@@ -159,6 +169,8 @@
             if stored is None:
                 log.error("The object of software versions cannot be read; replacing it.")
                 stored = StoredVersions()
+            if stored.era < era_of(self._position):
+                asked_at = None
         assert stored is not None
         self._versions.adopt(stored, asked_at)
         self._stored = stored
--- a/pondhatch/router/tests/test_routers_begin_anew.py
+++ b/pondhatch/router/tests/test_routers_begin_anew.py
@@ -269,8 +269,11 @@
             fleet.platform.is_away = True
             fleet.add_engine("e-v3", "v3")
             self.assertEqual(exchange.untold_versions(SERVICE), {"v3"})
-            # Streams are served in the end, whether the platform knows of the version or not.
-            await asyncio.sleep(2.5)
+            await asyncio.sleep(5.0)
+            self.assertEqual(exchange.untold_versions(SERVICE), {"v3"})
+            # Streams are served, whether the platform knows of the only version left or not.
+            for told in ("v1", "v2"):
+                fleet.remove_engine(f"e-{told}")
             self.assertEqual(exchange.untold_versions(SERVICE), frozenset())
 
         self.play(scene, "v1")
--- a/pondhatch/store/__init__.py
+++ b/pondhatch/store/__init__.py
@@ -21,9 +21,9 @@
     MAX_SEGMENTS,
     SEGMENT_KIND,
     ArchivedRecord,
+    ReadRecords,
     Segment,
     SegmentRing,
-    known_versions,
     read_segment,
 )
 from pondhatch.store._position import (
@@ -75,6 +75,7 @@
     "position_of",
     "revision_of",
     "REMOVED",
+    "ReadRecords",
     "SEGMENT_KIND",
     "Segment",
     "SegmentRing",
@@ -99,7 +100,6 @@
     "VERSIONS_KIND",
     "VERSIONS_NAME",
     "WatchEvent",
-    "known_versions",
     "read_segment",
     "read_stored_versions",
 ]
--- a/pondhatch/store/_origin_segments.py
+++ b/pondhatch/store/_origin_segments.py
@@ -22,6 +22,9 @@
 MAX_SEGMENT_RECORDS = 64
 #: Segments of one router, the oldest of which is used again if none has expired.
 MAX_SEGMENTS = 128
+#: Records of each kind that one router holds of those that it read, some forty megabytes. Streams
+#: of which it does not hold every record are refused as unknown.
+MAX_READ_RECORDS = 400_000
 #: Fields of an object's value, by whether the streams began.
 IS_BEGUN_BY_FIELD = {"begun_by_version": True, "sent_by_version": False}
 #: Separates the name of a router from the number of its segment.
@@ -95,18 +98,32 @@
         yield keys[offset : offset + key_bytes]
 
 
-def known_versions(records: Iterable[ArchivedRecord]) -> dict[bytes, str]:
-    """Return the software version of each stream of which the records leave no doubt.
-
-    Where a request was sent to engines of several versions, only a record of the begin tells.
-    """
-    begun: dict[bytes, set[str]] = {}
-    sent: dict[bytes, set[str]] = {}
-    for each in records:
-        versions_by_key = begun if each.is_begun else sent
-        versions_by_key.setdefault(each.key, set()).add(each.software_version)
-    versions_by_key = {**sent, **begun}
-    return {key: versions.pop() for key, versions in versions_by_key.items() if len(versions) == 1}
+class ReadRecords:
+    """The records that a router has read of all segments; bounded."""
+
+    def __init__(self) -> None:
+        #: The version of each stream, None where records state several.
+        self._version_by_begun_key: dict[bytes, str | None] = {}
+        self._version_by_sent_key: dict[bytes, str | None] = {}
+        self._is_whole = True
+
+    def add(self, records: Iterable[ArchivedRecord]) -> None:
+        """Add the records of a segment."""
+        for key, version, is_begun in records:
+            by_key = self._version_by_begun_key if is_begun else self._version_by_sent_key
+            if len(by_key) >= MAX_READ_RECORDS and key not in by_key:
+                self._is_whole = False
+                continue
+            by_key[key] = version if by_key.get(key, version) == version else None
+
+    def version(self, key: bytes) -> str | None:
+        """Return the version of a stream, None unless the records leave no doubt.
+
+        Where a request was sent to engines of several versions, only a record of the begin tells.
+        """
+        if key in self._version_by_begun_key:
+            return self._version_by_begun_key[key]
+        return self._version_by_sent_key.get(key) if self._is_whole else None
 
 
 class SegmentRing:
