--- a/fakes/tests/test_software_versions.py
+++ b/fakes/tests/test_software_versions.py
@@ -19,6 +19,7 @@
 from fakes._resuming_caller import OK, ResumingCaller, StreamTry
 from fakes.tests.test_prepared_machines import KEY, MachinesCase
 from pondhatch.platform.tests._wire import CONFIGURATION
+from pondhatch.router._unrecorded_streams import JOIN_SECONDS
 
 STREAM = StreamShape(events=12, event_interval=0.04)
 #: Events that a caller reads before its connection ends.
@@ -59,11 +60,17 @@
         eventually(
             lambda: {cls.member_count(each) for each in cls.fleet.machine_routers} == {cls.ROUTERS}
         )
+        # One that has just started waits for the others before it says that nobody knows a stream.
+        eventually(lambda: min(map(cls.uptime, cls.fleet.machine_routers)) > JOIN_SECONDS)
 
     @classmethod
     def member_count(cls, router: MachinesRouter) -> int:
         return len(fetch(f"http://{router.admin_address}/state.json")["members"])
 
+    @classmethod
+    def uptime(cls, router: MachinesRouter) -> float:
+        return float(fetch(f"http://{router.admin_address}/state.json")["uptime_seconds"])
+
     @classmethod
     def add_version(cls, name: str, version: str, hall: str, port: int = 0) -> Backend:
         return cls.fleet.add_versioned_engine(name, "lang", hall, version, STREAM, port)
--- a/pondhatch/router/tests/test_routers_begin_anew.py
+++ b/pondhatch/router/tests/test_routers_begin_anew.py
@@ -9,6 +9,7 @@
 
 from pondhatch.requests import OriginSource, OriginUnknown, StreamOrigin, stream_key
 from pondhatch.router._service_versions import RETURN_SECONDS
+from pondhatch.router._unrecorded_streams import JOIN_SECONDS
 from pondhatch.router.tests._origin_fleet import SERVICE, OriginFleet
 from pondhatch.router.tests.test_stream_origin_exchange import in_fleet
 from pondhatch.store import SEGMENT_KIND, VERSIONS_KIND
@@ -139,6 +140,16 @@
 
         self.play(scene, "v1", "v2")
 
+    def test_right_after_the_start_an_unknown_stream_waits_until_the_routers_have_met(self) -> None:
+        async def scene(fleet: OriginFleet) -> None:
+            restart_all(fleet)
+            clock = asyncio.get_running_loop().time
+            began = clock()
+            self.assertIsNone(await fleet.routers["r1"].find("never-used"))
+            self.assertLess(clock() - began, JOIN_SECONDS + REFUSAL_SECONDS)
+
+        self.play(scene, "v1", "v2")
+
 
 class SentRequestsTest(BeginAnewCase):
     """Streams whose routers were killed right after they had begun."""
