--- a/bench/_decisions.py
+++ b/bench/_decisions.py
@@ -97,7 +97,7 @@
         target = self._state.target(grant_request.engine)
         if target is None:
             return NotOwner()
-        decision = self._owner._ask_gate(target, grant_request)
+        decision = self._owner._grant_gate.ask(target, grant_request)
         if isinstance(decision, Full):
             return Busy(decision.in_flight, decision.ceiling)
         self._engine_by_number[grant_request.number] = grant_request.engine
--- a/pondhatch/requests/__init__.py
+++ b/pondhatch/requests/__init__.py
@@ -95,8 +95,9 @@
     Whole,
     deadline_passed,
 )
-from pondhatch.requests._owner import LocalOwner, OwnerView
+from pondhatch.requests._owner import LocalOwner
 from pondhatch.requests._owner_grants import OwnerGrants
+from pondhatch.requests._owner_view import OwnerView
 from pondhatch.requests._path_observer import NoPathObserver, PathObserver
 from pondhatch.requests._relay_side import RelayedRun, RelayEnded, RelaySide, RelayView
 from pondhatch.requests._relaying import (
--- a/pondhatch/requests/_owner.py
+++ b/pondhatch/requests/_owner.py
@@ -4,13 +4,11 @@
 
 import functools
 from collections.abc import Callable, Collection
-from typing import Protocol
 
 import msgspec
 from msgspec.structs import asdict, replace
 
 from pondhatch.placement import (
-    USUAL_PACE,
     ColdPacer,
     ContextLocations,
     Full,
@@ -25,8 +23,8 @@
 from pondhatch.requests._end_recorder import EndRecorder
 from pondhatch.requests._engine_memory import EngineMemory
 from pondhatch.requests._engine_queues import EngineQueues
+from pondhatch.requests._grant_gate import GrantGate
 from pondhatch.requests._grant_requests import (
-    SEEN_LOAD_SECONDS,
     Busy,
     ContextElsewhere,
     EndReason,
@@ -37,6 +35,7 @@
 )
 from pondhatch.requests._leases import Leases
 from pondhatch.requests._outcomes import AILING, NotRun
+from pondhatch.requests._owner_view import OwnerView
 from pondhatch.requests._sending import Target, grantable_target
 
 #: Minimum seconds from a process's start to its first request: grants of a restarted router that
@@ -51,28 +50,6 @@
 CLEANUP_SECONDS = 10.0
 
 
-class OwnerView(Protocol):
-    """The parts of the router's state that the owner's side reads."""
-
-    def target(self, engine: str) -> Target | None:
-        """Return an upstream, or None if it is unknown."""
-
-    def owner_name(self, engine: str) -> str | None:
-        """Return the router that owns an engine in this router's view."""
-
-    def elsewhere_in_flight(self, engine: str) -> int:
-        """Return the in-flight total of the service's other engines."""
-
-    def is_young(self, engine: str) -> bool:
-        """Return whether an upstream joined recently."""
-
-    def is_draining(self) -> bool:
-        """Return whether this router is draining."""
-
-    def is_load_managed(self) -> bool:
-        """Return whether load management is on."""
-
-
 class MustWait(msgspec.Struct, frozen=True):
     """The engine is at its ceiling, and the request may wait in its queue."""
 
@@ -103,8 +80,16 @@
         self._health = health
         self._brittle = BrittleGate(self._queues.serve)
         self._end_recorder = EndRecorder(view, gate, health, self._brittle, clock)
-        self._cold_pacer = cold_pacer or ColdPacer()
         self._engine_memory = EngineMemory(token_counts or TokenCounts(), view.is_load_managed)
+        self._grant_gate = GrantGate(
+            view,
+            gate,
+            self._brittle,
+            cold_pacer or ColdPacer(),
+            self._engine_memory,
+            self._queues.extra_grants,
+            clock,
+        )
         self.leases = Leases()
         self._cleaned_up_at = float("-inf")
 
@@ -130,7 +115,7 @@
         if refusal is not None:
             return refusal
         self._queues.serve(target.name)
-        decision = self._ask_gate(target, grant_request)
+        decision = self._grant_gate.ask(target, grant_request)
         if isinstance(decision, Granted):
             return self._record_grant(grant_request, decision)
         self._count_memory_refusal(decision)
@@ -152,12 +137,12 @@
         if refusal is not None:
             return refusal
         if target.intake.cold_pace is not None:
-            return _busy(self._cold_refusal(target))
+            return _busy(self._grant_gate.cold_refusal(target))
         if target.refusal_limit is not None:
             # As for cold ones: any number of routers may decide without the owner.
             in_flight = self._gate.in_flight(target.name, self._clock())
             return Busy(in_flight, in_flight)
-        decision = self._ask_gate(target, grant_request)
+        decision = self._grant_gate.ask(target, grant_request)
         if isinstance(decision, Granted):
             return self._record_grant(grant_request, decision)
         self._count_memory_refusal(decision)
@@ -166,7 +151,7 @@
     async def wait(self, grant_request: GrantRequest, must_wait: MustWait) -> OwnerReply:
         """Wait in the engine's queue until granted or until the maximum wait has passed."""
         ask = functools.partial(
-            self._ask_gate_again, must_wait.target, grant_request, self._clock()
+            self._grant_gate.ask_again, must_wait.target, grant_request, self._clock()
         )
         decision: GateDecision | None = None
         try:
@@ -281,107 +266,11 @@
         target = self._view.target(grant_request.engine)
         return grantable_target(target, grant_request.engine, grant_request.resuming)
 
-    def _ask_gate_again(
-        self, target: Target, grant_request: GrantRequest, since: float
-    ) -> GateDecision:
-        """Ask the gate again for a queued request; its upstream may have become cold.
-
-        After ``SEEN_LOAD_SECONDS`` in the queue, the load that the request saw at other engines
-        no longer raises the ceiling.
-        """
-        if grant_request.in_time > 0 and self._clock() - since > SEEN_LOAD_SECONDS:
-            grant_request = replace(grant_request, seen_in_flight_elsewhere=0)
-        decision = self._ask_gate(self._view.target(target.name) or target, grant_request)
-        if isinstance(decision, Full) and decision.short_tokens > 0:
-            self._engine_memory.reserve_for(target, grant_request)
-        return decision
-
     def _drop_reservation(self, grant_request: GrantRequest) -> None:
         """Drop the memory reservation of a request that leaves without a grant."""
         if self._engine_memory.remove(grant_request.engine, grant_request.holder):
             self._queues.serve(grant_request.engine)
 
-    def _ask_gate(self, target: Target, grant_request: GrantRequest) -> GateDecision:
-        """Grant a request up to an upstream's ceiling, and if it is brittle within its bounds."""
-        now = self._clock()
-        in_flight = self._gate.in_flight(target.name, now)
-        refusal = self._brittle.refusal(target, grant_request, in_flight, now)
-        if refusal is not None:
-            return refusal
-        decision = self._ask_at_pace(target, grant_request)
-        if isinstance(decision, Granted):
-            self._brittle.record_grant(grant_request, now)
-        return decision
-
-    def _ask_at_pace(self, target: Target, grant_request: GrantRequest) -> GateDecision:
-        """Grant a request up to an upstream's ceiling and, if it is cold, at its pace."""
-        pace, now = target.intake.cold_pace, self._clock()
-        if pace is None:
-            self._cold_pacer.forget(target.name)
-            return self._ask_ceiling(target, grant_request)
-        if not self._cold_pacer.is_due(target.name, pace, now):
-            return self._cold_refusal(target)
-        decision = self._ask_ceiling(target, grant_request)
-        if isinstance(decision, Granted):
-            self._cold_pacer.record_grant(target.name, pace, now)
-        return decision
-
-    def _cold_refusal(self, target: Target) -> Full:
-        """Return the refusal of a cold upstream that is to get no more requests for a moment."""
-        in_flight = self._gate.in_flight(target.name, self._clock())
-        return Full(in_flight, in_flight, is_cold=True)
-
-    def _ask_ceiling(self, target: Target, grant_request: GrantRequest) -> GateDecision:
-        """Grant a request if an upstream has a slot and memory for it."""
-        now = self._clock()
-        in_flight = self._gate.in_flight(target.name, now)
-        short = self._engine_memory.shortage(target, grant_request, in_flight, now)
-        if short > 0:
-            return Full(in_flight, in_flight, short_tokens=short)
-        others = max(
-            self._view.elsewhere_in_flight(target.name), grant_request.seen_in_flight_elsewhere
-        )
-        pace, slots = self._pace(target, grant_request), self._slots(target, grant_request)
-        decision = self._gate.try_grant(
-            target.name,
-            now,
-            target.load_bound,
-            others,
-            target.open_upstream_count,
-            slots,
-            target.load_slack,
-            pace,
-        )
-        if isinstance(decision, Granted):
-            self._engine_memory.record_grant(grant_request, now)
-        return decision
-
-    def _slots(self, target: Target, grant_request: GrantRequest) -> int:
-        """Return how many requests an engine may hold, regardless of the service's mean load.
-
-        A request that waits in the queue may be sent ahead of the next free slot. Any other
-        request may find a free slot at another engine.
-        """
-        if grant_request.in_time == 0 or not self._view.is_load_managed():
-            return target.slots
-        return target.slots + self._queues.extra_grants(target.name, target.engine_queue)
-
-    def _pace(self, target: Target, grant_request: GrantRequest) -> int:
-        """Return the pace by which an engine's ceiling is lowered for a request.
-
-        A request whose context is at the engine gets the usual ceiling: moving the context to
-        another engine costs it more than a slow engine does, and outlasts the slowness. With load
-        management, requests that wait for any free slot state ``in_time``; a follow-up that may
-        wait without stating it waits for this engine's context.
-        """
-        waits_for_context = grant_request.max_wait_ms > 0 and grant_request.in_time == 0
-        comes_for_context = grant_request.is_followup and (
-            grant_request.is_home or waits_for_context
-        )
-        if comes_for_context or not self._view.is_load_managed():
-            return USUAL_PACE
-        return target.pace
-
     def _count_memory_refusal(self, full: Full) -> None:
         """Count a refusal whose reason is lack of engine memory."""
         if full.short_tokens > 0:
--- a/pondhatch/transport/_http_client.py
+++ b/pondhatch/transport/_http_client.py
@@ -8,183 +8,38 @@
 from __future__ import annotations
 
 import asyncio
-import enum
 import functools
 from collections.abc import Callable
 from typing import Any
 
-import msgspec
-from twisted.internet.error import ConnectionRefusedError as Refused
-from twisted.internet.protocol import ClientFactory, Protocol
-from twisted.python.failure import Failure
-
-from pondhatch.limits import HeldCounter
 from pondhatch.observing import Metrics, NoMetrics
 from pondhatch.requests import AwaitedRequest, BodySource
-from pondhatch.transport._dead_peers import UNACKNOWLEDGED_MS
-from pondhatch.transport._exchange import Exchange, no_counter
-from pondhatch.transport._head_verdict import TRUSTING_JUDGE, AnswerJudge
+from pondhatch.transport._connecting import CONNECT_SECONDS, Address, ConnectFactory, NotSent
+from pondhatch.transport._exchange import Exchange
+from pondhatch.transport._hooks import IDLE_CONNECTIONS, NO_HOOKS, Hooks
 from pondhatch.transport._http_connection import Connection
 from pondhatch.transport._http_heads import Request
-from pondhatch.transport._reuse import MAX_SILENT_SECONDS as MAX_SILENT_SECONDS
-from pondhatch.transport._reuse import ReuseRules
-
-#: Timeout of opening a connection, in seconds.
-CONNECT_SECONDS = 1.0
-#: Timeout of a listen probe, in seconds. A round trip between data halls takes a tenth of it,
-#: and a request may be waiting for the result.
-PROBE_SECONDS = 0.3
-#: Valid TCP ports.
-PORTS = range(1, 2**16)
-#: Maximum idle connections per address.
-IDLE_CONNECTIONS = 64
+from pondhatch.transport._listen_probe import PROBE_SECONDS, Listening, ListenProbes
+from pondhatch.transport._reuse import MAX_SILENT_SECONDS, ReuseRules
+
+__all__ = (
+    "MAX_SILENT_SECONDS",
+    "PROBE_SECONDS",
+    "SWEEP_SECONDS",
+    "Address",
+    "Hooks",
+    "HttpClient",
+    "NotSent",
+)
+
 #: Seconds between two sweeps for expired idle connections.
 SWEEP_SECONDS = 5.0
 
 
-class NotSent(Exception):
-    """The request failed before any byte of it left this process."""
-
-
-class Address(msgspec.Struct, frozen=True):
-    """An IP address and a port to connect to."""
-
-    host: str
-    port: int
-
-    @classmethod
-    def of_url(cls, url: str) -> Address:
-        """Return the address in "http://IP:port". Raises ValueError if the URL is invalid."""
-        host, _, port = url.removeprefix("http://").rstrip("/").rpartition(":")
-        number = int(port)
-        if not host or number not in PORTS:
-            raise ValueError(f"expected http://IP:port, got {url!r}")
-        return cls(host.strip("[]"), number)
-
-
-class _ConnectFactory(ClientFactory):
-    """Opens one connection, or reports why that failed."""
-
-    noisy = False
-
-    def __init__(self, on_closed: Callable[[Connection], None], to_upstream: bool) -> None:
-        self.connected: asyncio.Future[Connection] = asyncio.get_running_loop().create_future()
-        self._on_closed = on_closed
-        self._to_upstream = to_upstream
-
-    def buildProtocol(self, addr: Any) -> Connection:
-        connection = _AnnouncingConnection(self._on_closed)
-        connection.on_connected = self._set_connection
-        connection.to_upstream = self._to_upstream
-        return connection
-
-    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
-        self._fail(reason)
-
-    def clientConnectionLost(self, connector: Any, reason: Failure) -> None:
-        """Fail the attempt if the connection is lost before its set-up is complete."""
-        self._fail(reason)
-
-    def _fail(self, reason: Failure) -> None:
-        if not self.connected.done():
-            self.connected.set_exception(NotSent(reason.getErrorMessage()))
-            self.connected.exception()  # Marks it as retrieved: its waiter may be gone.
-
-    def _set_connection(self, connection: Connection) -> None:
-        if self.connected.done():
-            connection.abort()
-            return
-        self.connected.set_result(connection)
-
-
-class _AnnouncingConnection(Connection):
-    """A connection that reports when it is established."""
-
-    on_connected: Callable[[Connection], None]
-
-    def connectionMade(self) -> None:
-        super().connectionMade()
-        self.on_connected(self)
-
-
-class _CloseAtOnce(Protocol):
-    """A connection that is aborted as soon as it is established."""
-
-    def connectionMade(self) -> None:
-        transport: Any = self.transport
-        transport.abortConnection()
-
-
-class Listening(enum.Enum):
-    """How a host responds to a connection to an address."""
-
-    #: Something listens there.
-    ACCEPTED = enum.auto()
-    #: Nothing listens there.
-    REFUSED = enum.auto()
-    #: The host does not reply.
-    SILENT = enum.auto()
-
-
-class _ListenProbe(ClientFactory):
-    """Probes how connections to an address are responded to."""
-
-    noisy = False
-    protocol = _CloseAtOnce
-
-    def __init__(self) -> None:
-        self.result: asyncio.Future[Listening] = asyncio.get_running_loop().create_future()
-
-    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
-        was_refused = reason.check(Refused) is not None
-        self._resolve(Listening.REFUSED if was_refused else Listening.SILENT)
-
-    def clientConnectionLost(self, connector: Any, reason: Failure) -> None:
-        self._resolve(Listening.ACCEPTED)
-
-    def _resolve(self, result: Listening) -> None:
-        if not self.result.done():
-            self.result.set_result(result)
-
-
-def _no_check() -> None:
-    return None
-
-
 def _never() -> bool:
     return False
 
 
-class Hooks(msgspec.Struct, frozen=True):
-    """Callbacks and options by which a sender controls and observes an exchange."""
-
-    #: Decides whose each answer is; asked with its head on receipt, even if its waiter left.
-    judge: AnswerJudge = TRUSTING_JUDGE
-    #: Seconds within which the request may be sent again, here or elsewhere.
-    deadline_seconds: float = 0.0
-    #: Called right before the first byte is written; an exception stops the request.
-    before_send: Callable[[], None] = _no_check
-    #: Returns a counter for bytes of the exchange that are buffered here for either side.
-    new_counter: Callable[[], HeldCounter] = no_counter
-    #: Whether the request goes to an upstream rather than to the platform.
-    to_upstream: bool = False
-    #: Maximum idle connections to its address.
-    max_idle: int = IDLE_CONNECTIONS
-    #: Called when a new connection opened, even if the request no longer waits for it.
-    on_connected: Callable[[], None] = _no_check
-    #: Maximum seconds that the request waits for a new connection; None for the timeout of
-    #: opening one. A connection that opens later is kept idle.
-    patience: float | None = None
-    #: Time from which on an idle connection must have received bytes to be used, in the loop's
-    #: seconds.
-    valid_since: float = float("-inf")
-    #: Milliseconds for which the request's bytes may be unacknowledged.
-    max_silent_ms: int = UNACKNOWLEDGED_MS
-
-
-NO_HOOKS = Hooks()
-
-
 class HttpClient:
     """Sends requests over connections that are pooled by address."""
 
@@ -193,7 +48,7 @@
         self._connect_seconds = connect_seconds
         self._idle_by_address: dict[Address, list[Connection]] = {}
         self._sweep_timer: asyncio.TimerHandle | None = None
-        self._probe_by_address: dict[Address, _ListenProbe] = {}
+        self._probes = ListenProbes(reactor)
         #: Addresses to which a connection is being opened for later requests.
         self._opening: set[Address] = set()
         self._reuse_rules = ReuseRules()
@@ -338,14 +193,14 @@
         hooks.on_connected()
         return connection
 
-    def _start_connecting(self, address: Address, hooks: Hooks) -> tuple[_ConnectFactory, Any]:
-        factory = _ConnectFactory(self._connection_closed, hooks.to_upstream)
+    def _start_connecting(self, address: Address, hooks: Hooks) -> tuple[ConnectFactory, Any]:
+        factory = ConnectFactory(self._connection_closed, hooks.to_upstream)
         connector = self._reactor.connectTCP(
             address.host, address.port, factory, timeout=self._connect_seconds
         )
         return factory, connector
 
-    def _keep_when_open(self, address: Address, factory: _ConnectFactory, hooks: Hooks) -> None:
+    def _keep_when_open(self, address: Address, factory: ConnectFactory, hooks: Hooks) -> None:
         """Keep a connection that is being opened for the next request."""
         self._opening.add(address)
 
@@ -368,17 +223,8 @@
         return await self.probe(address) is Listening.REFUSED
 
     async def probe(self, address: Address) -> Listening:
-        """Return how a host responds to a connection to an address.
-
-        Concurrent calls for an address share one probe, since all requests that a crashed engine
-        was running ask at the same time.
-        """
-        probe = self._probe_by_address.get(address)
-        if probe is None:
-            probe = self._probe_by_address[address] = _ListenProbe()
-            probe.result.add_done_callback(lambda _: self._probe_by_address.pop(address))
-            self._reactor.connectTCP(address.host, address.port, probe, timeout=PROBE_SECONDS)
-        return await asyncio.shield(probe.result)
+        """Return how a host responds to a connection to an address."""
+        return await self._probes.probe(address)
 
     def close_stale(self, address: Address, since: float) -> None:
         """Close the idle connections to an address that received nothing since a time.
--- a/pondhatch/transport/_store_calls.py
+++ b/pondhatch/transport/_store_calls.py
@@ -9,8 +9,9 @@
 
 from pondhatch.limits import RateLimiter
 from pondhatch.requests import Headers, ReplayableBody
+from pondhatch.transport._connecting import Address, NotSent
 from pondhatch.transport._exchange import Exchange
-from pondhatch.transport._http_client import Address, HttpClient, NotSent
+from pondhatch.transport._http_client import HttpClient
 from pondhatch.transport._http_heads import Request
 
 #: Timeout of a call in seconds; a healthy store answers in milliseconds.
--- a/pondhatch/transport/_upstreams.py
+++ b/pondhatch/transport/_upstreams.py
@@ -34,18 +34,14 @@
     SurplusObserver,
     UpstreamAnswerJudge,
 )
+from pondhatch.transport._connecting import Address, NotSent
 from pondhatch.transport._dead_peers import UNACKNOWLEDGED_MS, UNREPEATABLE_UNACKNOWLEDGED_MS
 from pondhatch.transport._exchange import Exchange
 from pondhatch.transport._header_owners import dropped_header_counter
-from pondhatch.transport._http_client import (
-    IDLE_CONNECTIONS,
-    Address,
-    Hooks,
-    HttpClient,
-    Listening,
-    NotSent,
-)
+from pondhatch.transport._hooks import IDLE_CONNECTIONS, Hooks
+from pondhatch.transport._http_client import HttpClient
 from pondhatch.transport._http_heads import Request, ResponseHead
+from pondhatch.transport._listen_probe import Listening
 from pondhatch.transport._upstream_answer import UpstreamAnswer
 
 OK = 200
