Import one way between edits and configuration, and between exchange and connection

Change: configuration/_editing and _fleet imported each other, as did transport/_exchange and _http_connection. The entries of a configuration and their queries stand in configuration/_entries, which both the edits and FleetConfiguration build on; an edit returns the kind of configuration that it was given. A connection names what it uses of its exchange in transport/_carried_exchange, and the exchange imports the connection. Tests are unchanged.

Measured: a search of all imports, those for types only included, finds neither circle any more. All modules of the tests of configuration, platform and transport pass, and those of the sync, lag and change storms.

--- a/pondhatch/configuration/_editing.py
+++ b/pondhatch/configuration/_editing.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
-from typing import TYPE_CHECKING, Any, TypeVar
+from typing import Any, Generic, TypeVar
 
 import msgspec
 import xxhash
@@ -12,6 +12,7 @@
 from pondhatch.configuration._account_editor import AccountEditor
 from pondhatch.configuration._changes import ENTRY_KINDS, UNREADABLE_KEY, Edit, EntryKey
 from pondhatch.configuration._cross_checks import check_services, readable_route_key, usable_routes
+from pondhatch.configuration._entries import ConfigurationEntries
 from pondhatch.configuration._misfit_collector import MisfitCollector
 from pondhatch.configuration._routes import RouteTable
 from pondhatch.configuration._schema import (
@@ -24,8 +25,8 @@
 from pondhatch.configuration._templates import check_template
 from pondhatch.configuration._validation import Misfit, validate
 
-if TYPE_CHECKING:
-    from pondhatch.configuration._fleet import FleetConfiguration
+#: The kind of configuration that is edited; the result is of the same kind.
+Entries = TypeVar("Entries", bound=ConfigurationEntries)
 
 Spec = TypeVar("Spec", ServiceSpec, RouteSpec, CallerBounds, TemplateSpec)
 
@@ -35,16 +36,16 @@
 CALLER_BOUNDS = "callers"
 
 
-class EditResult(msgspec.Struct, frozen=True):
+class EditResult(msgspec.Struct, Generic[Entries], frozen=True):
     """A configuration after edits, still with the version before them."""
 
     #: Holds every valid entry, and the valid part of those that are invalid in part.
-    configuration: FleetConfiguration
+    configuration: Entries
     #: Each misfit with the entry that causes it: of two entries that conflict, the edited one.
     causes: tuple[tuple[EntryKey, Misfit], ...]
 
 
-def apply_edits(base: FleetConfiguration, edits: Iterable[Edit]) -> EditResult:
+def apply_edits(base: Entries, edits: Iterable[Edit]) -> EditResult[Entries]:
     """Apply edits to a configuration.
 
     The result depends on the entries only, not on the edits that led to them: entries with
@@ -54,10 +55,10 @@
     return _Editor(base, tuple(edits)).run()
 
 
-class _Editor:
+class _Editor(Generic[Entries]):
     """Applies edits to a configuration; validates only the entries that they affect."""
 
-    def __init__(self, base: FleetConfiguration, edits: tuple[Edit, ...]) -> None:
+    def __init__(self, base: Entries, edits: tuple[Edit, ...]) -> None:
         self._base = base
         self._edited_entries = {(edit.kind, edit.name) for edit in edits}
         self._edits = (*edits, *self._entries_to_recheck())
@@ -75,7 +76,7 @@
         #: Templates with misfits of their own, which are not attributed to the accounts using them.
         self._invalid_templates: set[str] = set()
 
-    def run(self) -> EditResult:
+    def run(self) -> EditResult[Entries]:
         for edit in self._edits:
             self._store_entry(edit)
         self._apply_all("service", lambda edit: self._apply_spec(edit, ServiceSpec, self._services))
@@ -94,7 +95,7 @@
         check_services(self._services, self._routes, self._misfits)
         return EditResult(self._result_configuration(), tuple(self._misfits.causes))
 
-    def _result_configuration(self) -> FleetConfiguration:
+    def _result_configuration(self) -> Entries:
         return replace(
             self._base,
             # Sorted, so that every router finds the same one of two services with one model.
--- a/pondhatch/transport/_exchange.py
+++ b/pondhatch/transport/_exchange.py
@@ -5,20 +5,16 @@
 import asyncio
 import functools
 from collections.abc import Callable
-from typing import TYPE_CHECKING
 
 from pondhatch.limits import UNCOUNTED, HeldCounter
 from pondhatch.requests import BodySource, ConnectionUse, Framing, ReplayableBody
 from pondhatch.transport._connection_broken import ConnectionBroken
 from pondhatch.transport._dead_peers import UNACKNOWLEDGED_MS
 from pondhatch.transport._head_verdict import TRUSTING_JUDGE, AnswerJudge, HeadVerdict
+from pondhatch.transport._http_connection import Connection
 from pondhatch.transport._http_heads import Request, ResponseHead
 from pondhatch.transport._parts import PartPipe
 
-if TYPE_CHECKING:
-    from pondhatch.transport._http_connection import Connection
-
-
 #: Seconds within which an answer that is skipped must end. Its upstream had it whole before.
 SKIP_SECONDS = 0.25
 #: Maximum number of interim responses before an answer. Callers get none of them.
@@ -57,8 +53,8 @@
         self._has_skipped = False
         self._interim_responses = 0
         self._skip_timer: asyncio.TimerHandle | None = None
-        #: Adds the connection to the idle ones.
-        self.keep_idle = keep_idle
+        #: Adds a connection to the idle ones.
+        self._keep_idle = keep_idle
         #: Asked with each head on receipt, even if its waiter was cancelled.
         self._judge = judge
         self._verdict = HeadVerdict.UNPROVEN
@@ -128,6 +124,10 @@
         self._finish()
         self.pipe.end()
 
+    def keep_connection(self) -> None:
+        """Add the connection to the idle ones, as it is ready for another request."""
+        self._keep_idle(self.connection)
+
     def has_own_answer(self) -> bool:
         """Return whether the answer read last is the request's own."""
         return self._verdict is HeadVerdict.OWN
--- a/pondhatch/transport/_http_connection.py
+++ b/pondhatch/transport/_http_connection.py
@@ -23,9 +23,9 @@
     BodySource,
     ConnectionUse,
 )
+from pondhatch.transport._carried_exchange import CarriedExchange
 from pondhatch.transport._connection_broken import ConnectionBroken
 from pondhatch.transport._dead_peers import UNACKNOWLEDGED_MS, detect_dead_peer, limit_silence
-from pondhatch.transport._exchange import Exchange
 from pondhatch.transport._headers import as_bytes
 from pondhatch.transport._http_codec import HttpCodec
 from pondhatch.transport._http_heads import Request, ResponseHead, framing_header, response_head
@@ -89,7 +89,7 @@
         self._max_silent_ms = UNACKNOWLEDGED_MS
         self._on_closed = on_closed
         self._http = HttpCodec()
-        self._exchange: Exchange | None = None
+        self._exchange: CarriedExchange | None = None
         #: Whether the answer's reader is too slow for more bytes to be read.
         self._is_paused = False
         #: Reads received parts on in the next turn of the loop; None if all are read.
@@ -111,7 +111,7 @@
         self.last_received_at = self.idle_since = now
         self.usable_until = now + UNUSED_SECONDS
 
-    def begin(self, exchange: Exchange, request: Request, length: int | None) -> None:
+    def begin(self, exchange: CarriedExchange, request: Request, length: int | None) -> None:
         """Write a request's head; its body follows by ``send_body`` or ``send_whole_body``."""
         max_silent_ms = exchange.max_silent_ms
         if self.is_open and max_silent_ms != self._max_silent_ms:
@@ -322,7 +322,7 @@
             exchange.pipe.put(b"".join(parts))
         return left > 0
 
-    def _end(self, exchange: Exchange, parts: list[bytes]) -> None:
+    def _end(self, exchange: CarriedExchange, parts: list[bytes]) -> None:
         """End an exchange whose answer is complete; keep the connection if it is reusable.
 
         Only from here does a connection that carried a request become idle. It is being read then,
@@ -334,7 +334,7 @@
         is_reusable = exchange.has_own_answer() and not self.use.is_spent()
         if self.is_open and self._http.is_complete and is_reusable:
             self._become_idle(exchange.response)
-            exchange.keep_idle(self)
+            exchange.keep_connection()
         else:
             self.abort()
 
