Ask a leaving engine too whether it lives on after an answer that closed

A resumed stream of comments alone, without a length or chunks, may be cut by the end of its engine's process. Whether the engine lives on decides, and one that leaves was taken for alive unasked: it may end before its last answers do, and the cut stream reached its caller as whole. It is asked now like any other.

A stream whose dialect names a last event is proven by that event, so it costs no probe any more, and one that ends with a leaving upstream stays whole. A resumed stream still needs no event: the rest of one whose engine ended right after its last event is empty at the next engine.

Two unit tests fail on the code before.

--- a/pondhatch/requests/_checked_answer.py
+++ b/pondhatch/requests/_checked_answer.py
@@ -7,7 +7,8 @@
 - An event stream is complete where it ends between two events, and, in a dialect that names a last
   event, after that one.
 - An answer that ends with its connection may also have been cut by the end of its upstream's
-  process, which closes connections as cleanly. It is complete only if its upstream lives on.
+  process, which closes connections as cleanly. It is complete only if its upstream lives on, unless
+  its last event came.
 """
 
 from __future__ import annotations
@@ -62,7 +63,8 @@
 def _needs_event(reply: AnswerStarted, head: RequestHead) -> bool:
     """Return whether a stream without any event was cut right after its head.
 
-    Its framing may say that it is empty, and nothing may follow the last event of a resumed stream.
+    Its framing may say that it is empty. Nothing may follow the last event of a resumed stream, as
+    of one whose engine ended right after that event.
     """
     resumes = head.resuming or bool(head.last_event_id)
     return reply.answer.status == OK and reply.framing is Framing.CLOSE and not resumes
@@ -121,7 +123,7 @@
             raise self._lost("the stream ended without its last event")
         if self._needs_event and not events.events:
             raise self._lost("the stream ended before its first event")
-        if self._ends_with_connection:
+        if self._ends_with_connection and self._last_event is None:
             await self._check_upstream()
         rest = events.take_rest()
         if rest and not sink.write(rest):
--- a/pondhatch/requests/tests/test_checked_answers.py
+++ b/pondhatch/requests/tests/test_checked_answers.py
@@ -119,9 +119,25 @@
             self.assertEqual(self.is_complete(reply), is_complete)
 
     def test_a_stream_that_ends_with_its_connection_needs_an_upstream_that_lives_on(self) -> None:
-        reply = AnswerStarted(FakeAnswer(STREAM, (b"data: a\n\n",)), "", "", Framing.CLOSE)
-        self.assertTrue(self.is_complete(reply))
-        self.assertFalse(self.is_complete(reply, lives_on=False))
+        resumed = RequestHead("q0", "a", "s", 0, "POST", "/", (), True, 10.0, 5, last_event_id="7")
+        for head, parts in (
+            (HEAD, (b"data: a\n\n",)),
+            (resumed, (b"data: a\n\n",)),
+            (resumed, (b": still here\n\n",)),
+            (resumed, ()),
+        ):
+            with self.subTest(head=head.last_event_id, parts=parts):
+                reply = AnswerStarted(FakeAnswer(STREAM, parts), "", "", Framing.CLOSE)
+                self.assertTrue(self.is_complete(reply, head))
+                self.assertFalse(self.is_complete(reply, head, lives_on=False))
+
+    def test_a_stream_that_had_its_last_event_is_complete_though_its_upstream_ends(self) -> None:
+        parts = (b"data: a\n\n", b"data: [DONE]\n\n")
+        reply = AnswerStarted(
+            FakeAnswer(STREAM, parts), framing=Framing.CLOSE, last_event=b"data: [DONE]"
+        )
+        self.assertTrue(self.is_complete(reply, lives_on=False))
+        self.assertEqual(self.probes, 0)
 
     def test_a_stream_with_chunks_or_a_length_costs_no_probe(self) -> None:
         for framing in (Framing.CHUNKED, Framing.LENGTH):
--- a/pondhatch/router/_crash_evidence_exchange.py
+++ b/pondhatch/router/_crash_evidence_exchange.py
@@ -110,9 +110,9 @@
     async def lives_on(self, target: Target) -> bool:
         """Return whether an engine still accepts connections; see CrashGuard.
 
-        An engine that leaves ends as planned, after its last answers.
+        One that leaves is asked too: it may end before its last answers do.
         """
-        return not target.intake.is_live or await self._accepts(target)
+        return await self._accepts(target)
 
     def is_quarantined(self, digest: int) -> bool:
         """Return whether a request, or a part of prompts, is quarantined now."""
--- a/pondhatch/router/tests/test_crash_evidence_exchange.py
+++ b/pondhatch/router/tests/test_crash_evidence_exchange.py
@@ -28,7 +28,7 @@
     short_id,
 )
 from pondhatch.observing import NoRecords
-from pondhatch.placement import OPEN
+from pondhatch.placement import CLOSING, OPEN
 from pondhatch.quarantine import CRASHES_TO_QUARANTINE
 from pondhatch.requests import QUARANTINED, Target
 from pondhatch.router import CRASH_PACKET_PREFIX, CrashEvidenceExchange, RouterState
@@ -289,15 +289,17 @@
             simulation = Simulation(1, 1, random.Random(1))
             (guard,) = simulation.guards
             target = Target("e0", "", OPEN, 1.5, 1, 8)
-            found = [await guard.lives_on(target)]
+            leaving = Target("e1", "", CLOSING, 1.5, 1, 8)
+            found = [await guard.lives_on(target), await guard.lives_on(leaving)]
 
             async def accepts(_: Target) -> bool:
                 return False
 
             guard._accepts = accepts
-            return [*found, await guard.lives_on(target)]
+            # One that leaves may end before its last answers do.
+            return [*found, await guard.lives_on(target), await guard.lives_on(leaving)]
 
-        self.assertEqual(run_virtually(history()), [True, False])
+        self.assertEqual(run_virtually(history()), [True, True, False, False])
 
     def test_a_router_that_starts_receives_the_evidence_of_others(self) -> None:
         async def history() -> None:
