Soak: relays refuse connections while their engine is down

Cause: routers ask whether an engine lives on by a connection to it. The soak's relays accepted that connection for an engine that had ended, where the host of one refuses it, until the soak cut them or for good. So every engine that ended behind them passed for alive. A relay now looks, whenever its target ends a connection and before it passes that end on, whether something still listens there, and refuses connections until it does.

A unit test with two relays in a row fails on the code before.

--- a/soak/_relay.py
+++ b/soak/_relay.py
@@ -1,4 +1,8 @@
-"""A TCP relay on loopback that can delay, block, reset or silence its connections."""
+"""A TCP relay on loopback that can delay, block, reset or silence its connections.
+
+It refuses connections while nothing listens at its target, as the target's own host would: it looks
+whenever the target ends a connection, before it passes that end on.
+"""
 
 from __future__ import annotations
 
@@ -12,8 +16,12 @@
 
 HOST: Final = "127.0.0.1"
 CHUNK_BYTES = 64 * 1024
+#: The directions of data on a connection.
+TO_TARGET, FROM_TARGET = 0, 1
 #: Value of SO_LINGER with which closing a connection resets it.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+#: Seconds between two looks whether something listens again at a target that ended.
+LOOK_SECONDS = 0.02
 
 
 class _Connection:
@@ -55,6 +63,11 @@
         self._server: asyncio.Server | None = None
         #: Whether the port drops what comes to it.
         self._drops_incoming = False
+        #: Whether a cut has the port refuse connections.
+        self._is_cut = False
+        self._is_closed = False
+        #: Waits until something listens again at the target; None while something does.
+        self._waiting_for_target: asyncio.Task[None] | None = None
 
     @property
     def address(self) -> str:
@@ -69,8 +82,10 @@
 
     def close(self) -> None:
         """Stop listening and reset all connections."""
-        if self._server is not None:
-            self._server.close()
+        self._is_closed = True
+        if self._waiting_for_target is not None:
+            self._waiting_for_target.cancel()
+        self._refuse()
         self.reset()
 
     def reset(self) -> None:
@@ -85,21 +100,21 @@
 
     def cut(self, is_silent: bool) -> None:
         """Refuse new connections; if silent let them hang, and silence those open now."""
-        if self._server is None:
-            return
         if is_silent:
-            drop_incoming(self._server.sockets[0])
-            self._drops_incoming = True
-            self.silence()
+            if self._server is not None:
+                drop_incoming(self._server.sockets[0])
+                self._drops_incoming = True
+                self.silence()
             return
-        self._server.close()
-        self._server = None
-        self._drops_incoming = False
+        self._is_cut = True
+        self._refuse()
 
     async def restore(self) -> None:
         """Let new connections pass again."""
+        self._is_cut = False
         if self._server is None:
-            await self.start()
+            if self._waiting_for_target is None:
+                await self.start()
         elif self._drops_incoming:
             accept_incoming(self._server.sockets[0])
             self._drops_incoming = False
@@ -112,6 +127,39 @@
         """Forward the data that was held back and all that follows."""
         self._unblocked[direction].set()
 
+    def _refuse(self) -> None:
+        """Refuse new connections."""
+        if self._server is not None:
+            self._server.close()
+        self._server = None
+        self._drops_incoming = False
+
+    async def _refuse_if_target_ended(self) -> None:
+        """Refuse new connections if nothing listens at the target, until something does."""
+        if self._is_closed or self._waiting_for_target is not None or await self._has_target():
+            return
+        self._refuse()
+        if self._waiting_for_target is None and not self._is_closed:
+            self._waiting_for_target = asyncio.ensure_future(self._wait_for_target())
+
+    async def _wait_for_target(self) -> None:
+        while not await self._has_target():
+            await asyncio.sleep(LOOK_SECONDS)
+        self._waiting_for_target = None
+        if not self._is_cut and self._server is None:
+            await self.start()
+
+    async def _has_target(self) -> bool:
+        """Return whether something listens at the target."""
+        try:
+            _, writer = await asyncio.open_connection(*self.target)
+        except ConnectionRefusedError:
+            return False
+        except OSError:
+            return True
+        writer.transport.abort()
+        return True
+
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             target_reader, target_writer = await asyncio.open_connection(*self.target)
@@ -120,7 +168,10 @@
             return
         connection = _Connection((writer, target_writer))
         self._connections.add(connection)
-        flows = ((reader, target_writer, 0), (target_reader, writer, 1))
+        flows = (
+            (reader, target_writer, TO_TARGET),
+            (target_reader, writer, FROM_TARGET),
+        )
         try:
             await asyncio.gather(*(self._pump(connection, *flow) for flow in flows))
         finally:
@@ -143,8 +194,12 @@
                     continue
                 writer.write(chunk)
                 await writer.drain()
+            if direction == FROM_TARGET:
+                await self._refuse_if_target_ended()
             if not connection.is_silent and writer.can_write_eof():
                 writer.write_eof()
         except OSError:
+            if direction == FROM_TARGET:
+                await self._refuse_if_target_ended()
             # A reset on one side resets the other side as well.
             connection.reset()
