Soak: replace engines that a bad part ends while they are being started

Traced by the ends of all processes: the part ended the replacements too while their entries were written but not confirmed (the store loses answers), and the soak looks at engines only after that. By then it had stopped looking, and nobody replaced them. It now looks until none is being started, ended or replaced.

--- a/soak/_bad_parts.py
+++ b/soak/_bad_parts.py
@@ -42,9 +42,30 @@
             await asyncio.sleep(PAUSE)
         await asyncio.gather(*sends)
         await asyncio.sleep(RESTART_SECONDS)
+        await self._until_all_are_replaced()
         watching.cancel()
         await asyncio.gather(*self._replacing)
 
+    async def _until_all_are_replaced(self) -> None:
+        """Wait until each engine that the part ended is replaced.
+
+        One that ended while it was being started is seen to have ended only after its start: once
+        the store has confirmed its entry.
+        """
+        is_busy = True
+        while is_busy:
+            is_busy = bool(self._fleet.starting_engines or self._ended())
+            is_busy = is_busy or not all(each.done() for each in self._replacing)
+            await asyncio.sleep(LOOK_SECONDS)
+
+    def _ended(self) -> list[Backend]:
+        """Return the engines that ended by themselves, and for which no other was started yet."""
+        return [
+            each
+            for each in self._fleet.engines
+            if each.service == STREAM_SERVICE and each.process.poll() is not None
+        ]
+
     def _send(self) -> None:
         """Send a request that shares nothing but the part with any other."""
         router = self._rng.choice(self._fleet.routers)
@@ -66,11 +87,9 @@
     async def _replace_ended(self) -> None:
         """Look for engines that the part ended, and replace each."""
         while True:
-            for engine in self._fleet.engines:
-                if engine.service == STREAM_SERVICE and engine.process.poll() is not None:
-                    self._note_end(engine)
-                    task = asyncio.ensure_future(self._replace(engine))
-                    self._replacing.add(task)
+            for engine in self._ended():
+                self._note_end(engine)
+                self._replacing.add(asyncio.ensure_future(self._replace(engine)))
             await asyncio.sleep(LOOK_SECONDS)
 
     def _note_end(self, engine: Backend) -> None:
