Let a broken stream go on at the engine that cut it where no other takes it

The others are asked first as before. If nothing could be sent to any of them, the same plan goes on with the engine that failed. The unit test fails on the code before.

--- a/pondhatch/requests/_dispatch.py
+++ b/pondhatch/requests/_dispatch.py
@@ -329,7 +329,7 @@
         return self._head.repeatable and isinstance(self._body, ReplayableBody)
 
     async def rerun(self, engine: str) -> Placed | None:
-        """Run the request once more, at the failed engine only if there is no other."""
+        """Run the request once more, at the failed engine only if no other one takes it."""
         if self._tries_are_spent():
             self.binding.not_resumed = TRIES_SPENT
             return None
@@ -339,7 +339,12 @@
         engines = self._live_upstreams()
         others = tuple(name for name in engines if name != engine)
         self.plan = Plan(self._ranking_key, others or engines)
+        sent_to = frozenset(self._tries.sent_to)
         result = await self._try_engines()
+        if isinstance(result, Refused) and sent_to == self._tries.sent_to:
+            # Nothing was sent: all others are down, full or at rest. It may have lost one run only.
+            self.plan.update_engines(engines)
+            result = await self._try_engines()
         if isinstance(result, Placed):
             return result
         self.binding.not_resumed = result.refusal.code
--- a/pondhatch/requests/tests/test_resumed_deliveries.py
+++ b/pondhatch/requests/tests/test_resumed_deliveries.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
 from collections.abc import Iterable
 from unittest.mock import patch
 
 from fakes._virtual_loop import run_virtually
 from pondhatch.limits import RetryBudget
+from pondhatch.placement._health import FAILURES_UNTIL_DOWN
 from pondhatch.requests import (
     AnswerLost,
     AnswerStarted,
@@ -53,18 +55,32 @@
         """Do nothing."""
 
 
+def mark_down(fleet: Fleet, engines: Iterable[str]) -> None:
+    """Have all owners skip engines for now."""
+    now = asyncio.get_running_loop().time()
+    for engine in engines:
+        for router in fleet.routers.values():
+            for _ in range(FAILURES_UNTIL_DOWN):
+                router.health.record_failure(engine, now)
+
+
 class ResumedDeliveryTest(unittest.TestCase):
-    def deliver(self, *parts_before_cut: tuple[bytes, ...]) -> tuple[bytes, list[str]]:
+    def deliver(
+        self, *parts_before_cut: tuple[bytes, ...], are_others_down: bool = False
+    ) -> tuple[bytes, list[str]]:
         """Return what the caller got, and after which event each send asked to go on.
 
         The first answers break off after the stated parts; the next one goes on after the event
-        that its request names, to the end.
+        that its request names, to the end. Meanwhile the engines that did not begin the first may
+        be down. ``engines`` are those that the request was sent to.
         """
+        self.engines: list[str] = []
         received: list[bytes] = []
         asked: list[str] = []
         cut_answers = [ScriptedAnswer(parts, is_cut=True) for parts in parts_before_cut]
 
-        async def send(_: Target, head: RequestHead, __: BodySource) -> AnswerStarted:
+        async def send(target: Target, head: RequestHead, _: BodySource) -> AnswerStarted:
+            self.engines.append(target.name)
             asked.append(head.last_event_id)
             if cut_answers:
                 return AnswerStarted(cut_answers.pop(0))
@@ -88,12 +104,22 @@
             with patch.object(fleet.upstreams, "send", send):
                 placed = await dispatch.run()
                 assert isinstance(placed, Placed)
+                if are_others_down:
+                    mark_down(fleet, set(fleet.engines) - {placed.engine})
                 delivered = await Delivery(dispatch, placed, Sink(received.append)).run()
             self.assertIsInstance(delivered.outcome, Whole)
 
         run_virtually(main())
         return received[-1], asked
 
+    # The stream ended though its engine, which was not down, would have gone on with it.
+    def test_a_stream_goes_on_at_the_engine_that_cut_it_where_the_others_are_down(self) -> None:
+        for is_down, engines_asked in ((False, 2), (True, 1)):
+            with self.subTest(is_down=is_down):
+                received, _ = self.deliver((event(1),), are_others_down=is_down)
+                self.assertEqual(received, b"".join(map(event, range(1, EVENTS + 1))))
+                self.assertEqual(len(set(self.engines)), engines_asked)
+
     # After a comment that came by itself, the stream began anew inside the answer.
     def test_a_stream_that_breaks_after_a_comment_goes_on_after_its_last_event(self) -> None:
         comment = b": keep-alive\n\n"
