Test what a router holds of a slow caller's answer apart from the kernel

test_a_slow_caller_does_not_grow_the_routers_memory bounded the bytes that the engine had written, those in the kernel's buffers included: tcp_rmem allows 32 MB of one connection here, so 25.9 MB were written once where 16 were the bound. What the kernel holds says nothing of the router. The bound on the router's own memory stays.

--- a/fakes/tests/test_callers.py
+++ b/fakes/tests/test_callers.py
@@ -28,6 +28,16 @@
 GET_HEAD = f"GET /proofs/x HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {KEY}\r\n"
 
 
+def queued_bytes(ports: set[int]) -> int:
+    """Return the bytes in the kernel's queues of this host's connections from or to ports."""
+    queued = 0
+    for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
+        near, far, _, queues = line.split()[1:5]
+        if ports & {int(end.rpartition(":")[2], 16) for end in (near, far)}:
+            queued += sum(int(each, 16) for each in queues.split(":"))
+    return queued
+
+
 class CallerLimitTest(FleetCase):
     HALLS = ("recife-1",)
     ENGINES = 1
@@ -40,8 +50,11 @@
         }
     }
 
+    def port_of(self, url: str) -> int:
+        return int(url.rsplit(":", 1)[1])
+
     def connect(self) -> socket.socket:
-        port = int(self.fleet.routers[0].callers.rsplit(":", 1)[1])
+        port = self.port_of(self.fleet.routers[0].callers)
         connected = socket.create_connection((HOST, port), timeout=10)
         self.addCleanup(connected.close)
         return connected
@@ -123,9 +136,12 @@
         before = self.fleet.routers[0].state()["memory_kb"]
         connected.sendall((GET_HEAD.replace("/proofs/x", path) + "\r\n").encode())
         time.sleep(3)
+        ports = {self.port_of(self.portal.url), self.port_of(self.fleet.routers[0].callers)}
         written = fetch(f"{self.portal.url}/calls")["written"]
+        in_kernel = queued_bytes(ports)
         grown = self.fleet.routers[0].state()["memory_kb"] - before
-        self.assertLess(written, 16 * MEGABYTE)
+        # The kernel may hold tens of megabytes of one connection, as it is set up.
+        self.assertLess(written - in_kernel, MEGABYTE)
         self.assertLess(grown, 2048)
         total = 0
         while total < 64 * MEGABYTE:
