--- a/fakes/tests/test_command_line.py
+++ b/fakes/tests/test_command_line.py
@@ -46,7 +46,9 @@
         self.assertEqual(self.run_command("diff", str(changed), *platform)[1], output)
         self.assertIn("version 1\n", self.run_command("show", *platform)[1])
         self.assertIn("accepted as version 2", self.apply(str(changed), "--note", "more")[1])
-        self.assertIn("ana  more: template studio", self.run_command("history", *platform)[1])
+        history = self.run_command("history", *platform)
+        self.assertEqual(history[0], 0, history)
+        self.assertIn("ana  more: template studio", history[1])
         undone = self.run_command("undo", "2", *platform, "--author", "bento")
         self.assertIn("accepted as version 3", undone[1], undone)
         shown = self.run_command("show", *platform, "--name", "launch-decks")[1]
