--- a/fakes/tests/test_cut_off_routers.py
+++ b/fakes/tests/test_cut_off_routers.py
@@ -137,6 +137,14 @@
             and self.cut_at + DETECTION_SECONDS <= each.began_at < self.restored_at
         ]
 
+    def state_of_paths(self, index: int) -> dict[str, Any]:
+        """Return what a router holds of its engines, and where its latest requests went."""
+        address = self.fleet.machine_routers[index].admin_address
+        state = fetch(f"http://{address}/state.json")
+        shown = {key: state[key] for key in ("unreachable_upstreams", "upstreams_failing")}
+        went_to = [each["engine"] for each in state["decisions"]]
+        return shown | {"went_to": {engine: went_to.count(engine) for engine in set(went_to)}}
+
     def assert_served(self, outcomes: list[Outcome], share: float) -> None:
         """Assert that a share of first tries is answered, and that none waits too long."""
         served = sum(each.status == 200 for each in outcomes)
@@ -178,7 +186,7 @@
         since = self.restored_at + RECOVERY_SECONDS
         for index in self.CUT_OFF:
             used = [each.has_forwarded_since(since) for each in self.relays_by_router[index]]
-            self.assertEqual(used, [True] * len(used))
+            self.assertEqual(used, [True] * len(used), self.state_of_paths(index))
 
 
 class RefusedConnectionsTest(_CutOffChecks):
