--- a/pondhatch/requests/_dispatch.py
+++ b/pondhatch/requests/_dispatch.py
@@ -217,7 +217,7 @@
         return self._retries.can_rerun()
 
     async def rerun(self, engine: str) -> Placed | None:
-        """Run the request once more, at the failed engine only if there is no other."""
+        """Run the request once more, at the failed engine only if no other one takes it."""
         return await self._resumption.rerun(engine, self._new_grant_request)
 
     def _is_replaceable_failure(self, placed: Placed) -> bool:
--- a/pondhatch/requests/_engine_selection.py
+++ b/pondhatch/requests/_engine_selection.py
@@ -85,9 +85,15 @@
     async def run_elsewhere(
         self, engine: str, new_grant_request: NewGrantRequest
     ) -> Placed | Refused:
-        """Run the request once more, at the failed engine only if there is no other."""
+        """Run the request once more, at the failed engine only if no other one takes it."""
         self.plan = self._engines.plan_without(engine)
-        return await self.run(new_grant_request)
+        sent_to = frozenset(self._tries.sent_to)
+        result = await self.run(new_grant_request)
+        if isinstance(result, Refused) and sent_to == self._tries.sent_to:
+            # Nothing was sent: all others are down, full or at rest. It may have lost one run only.
+            self.plan.update_engines(self._engines.names())
+            result = await self.run(new_grant_request)
+        return result
 
     async def resume_at(
         self, engine: str, headers: Headers, new_grant_request: NewGrantRequest
--- a/pondhatch/requests/_resumption.py
+++ b/pondhatch/requests/_resumption.py
@@ -80,7 +80,7 @@
         return resumed
 
     async def rerun(self, engine: str, new_grant_request: NewGrantRequest) -> Placed | None:
-        """Run the request once more, at the failed engine only if there is no other."""
+        """Run the request once more, at the failed engine only if no other one takes it."""
         if self._retries.tries_are_spent():
             self._binding.not_resumed = TRIES_SPENT
             return None
