Soak: kill all routers at once beside releases

What callers saw of the incident, streams joined from two versions after all routers had begun anew, no soak could show: it killed one router at a time, and a caller whose routers were all down gave its stream up.

Each run now kills all routers at once, and at least once more all of them twice, all but one or those of a hall, each with a release near it and with two engines of one more version that serve throughout. Streams are begun and left midway before each kill and taken up after it. The new faults have a generator of their own, so a seed keeps its other faults; releases are added.

"streams outlive routers" is checked as "streams go on" is, of those streams alone. A cut of a router's paths is not judged while that router restarts: until now no router that was cut off was killed. An exit by a kill of many is no failed stop of the one that was being asked to stop.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -11,6 +11,7 @@
 
 import defopt
 
+from soak._checks import OK, resumed_after_kills
 from soak._plan import Plan, draw_plan
 from soak._records import Records
 from soak._run import run_plan
@@ -56,6 +57,7 @@
 
 
 def _summary(plan: Plan, records: Records) -> dict[str, object]:
+    after_kills = resumed_after_kills(records)
     statuses = Counter(str(each.status) for each in records.attempts)
     return {
         "seed": plan.seed,
@@ -65,6 +67,8 @@
         "attempts": len(records.attempts),
         "statuses": dict(sorted(statuses.items())),
         "ended_by_bad_part": list(records.ends_by_bad_part.values()),
+        "resumed_after_kills": len(after_kills),
+        "went_on_after_kills": sum(each.status == OK for each in after_kills),
         "said_leaving": sum(each.announced_leaving for each in records.arrivals),
         "asked_for_rest": sum(each.rest_seconds > 0 for each in records.arrivals),
     }
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -20,6 +20,7 @@
     Route("/proofs/a", is_repeatable=False, is_stream=False),
     Route("/x", is_repeatable=True, is_stream=False),
 )
+STREAM_ROUTES = tuple(each for each in ROUTES if each.is_stream)
 KEY = "key-1"
 BODY = b"body"
 #: Sent by a slowly reading caller to a plain service, which echoes it: more than a router and the
@@ -44,6 +45,8 @@
 MAX_STREAM_TRIES = 3
 #: Mean seconds after which it resumes the stream.
 MEAN_RESUME_PAUSE = 0.2
+#: Seconds after which it gives up a stream, however often no router accepted its connection.
+TAKE_UP_SECONDS = 12.0
 #: Statuses of refusals after which it tries again.
 RESUMABLE_STATUSES = frozenset({429, 502, 503, 504})
 
@@ -69,9 +72,13 @@
 class Caller:
     """A caller that sends one request after the other."""
 
-    def __init__(self, fleet: SoakFleet, rng: random.Random) -> None:
+    def __init__(
+        self, fleet: SoakFleet, rng: random.Random, leaving_share: float = LEAVING_SHARE
+    ) -> None:
         self._fleet = fleet
         self._rng = rng
+        #: Share of its streams that it leaves midway.
+        self._leaving_share = leaving_share
         self._router = ""
         self._streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
         #: Whether it sends at the rate of a burst.
@@ -89,12 +96,33 @@
         finally:
             self._close()
 
+    async def read_stream(self, begins_after: float, taken_up_after: asyncio.Event) -> None:
+        """Begin one stream, and take it up again once an event has happened."""
+        try:
+            await asyncio.sleep(begins_after)
+            route, position = self._rng.choice(STREAM_ROUTES), _StreamPosition()
+            attempt = await self._try(route, position)
+            await taken_up_after.wait()
+            if attempt is not None:
+                await self._take_up(route, attempt, position)
+        finally:
+            self._close()
+
     async def _send(self) -> None:
         route, position = self._rng.choice(ROUTES), _StreamPosition()
         attempt = await self._try(route, position)
-        while attempt is not None and _may_be_resumed(attempt, position):
+        if attempt is not None:
+            await self._take_up(route, attempt, position)
+
+    async def _take_up(self, route: Route, attempt: Attempt, position: _StreamPosition) -> None:
+        """Take a stream up again until it is whole.
+
+        A try that no router accepts is made again: all of them may be down for a while.
+        """
+        gives_up_at = time.monotonic() + TAKE_UP_SECONDS
+        while _may_be_resumed(attempt, position) and time.monotonic() < gives_up_at:
             await asyncio.sleep(self._rng.expovariate(1 / MEAN_RESUME_PAUSE))
-            attempt = await self._try(route, position)
+            attempt = await self._try(route, position) or attempt
 
     async def _try(self, route: Route, position: _StreamPosition) -> Attempt | None:
         """Make one attempt, and return it as far as its answer came; None if it was not sent."""
@@ -111,7 +139,7 @@
             resumed_attempt=position.first_attempt if position.last_event else "",
             last_event=position.last_event,
         )
-        leaves = route.is_stream and not position.tries and self._rng.random() < LEAVING_SHARE
+        leaves = route.is_stream and not position.tries and self._rng.random() < self._leaving_share
         max_events = self._rng.randint(1, MAX_EVENTS_BEFORE_LEAVING) if leaves else None
         answer = _Answer(self.slow_read_faults > 0 and not route.is_stream, max_events)
         with contextlib.suppress(OSError, TimeoutError, h11.ProtocolError):
--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -7,7 +7,8 @@
 from collections.abc import Callable
 
 from fakes._machines_engine import STREAM_EVENTS
-from soak._plan import PATH_KINDS, STREAM_SERVICE
+from soak._fleet import STORE_NAME
+from soak._plan import PATH_KINDS, ROUTER_KILL_KINDS, STREAM_SERVICE
 from soak._records import Arrival, Attempt, Records, events_of
 
 #: Statuses by which a router promises that a request has not run and never will run.
@@ -37,6 +38,11 @@
 MIN_ENGINES_OF_VERSION = 2
 #: Seconds before and after a try within which these engines must serve undisturbed.
 SERVING_MARGIN = 1.0
+#: Seconds from a stream's begin to a kill of many routers that it is to outlive, and from the end
+#: of what was done to the store to a begin from which on its records count as written.
+WRITE_SECONDS, STORE_MARGIN = 0.5, 2.0
+#: Seconds within which a router that was killed serves and notices a cut that goes on.
+RESTART_SECONDS = 3.0 + PATH_DETECTION_SECONDS
 
 
 def stream(version: str, after: int = 0) -> bytes:
@@ -82,18 +88,47 @@
 
 def streams_go_on(records: Records) -> list[str]:
     """Check that streams that callers resume go on at least half as often as new ones begin."""
-    streams = [each for each in records.attempts if each.route.is_stream]
-    begun = [each for each in streams if not each.resumed_attempt]
+    return _check_share(records, _resumed(records))
+
+
+def streams_outlive_routers(records: Records) -> list[str]:
+    """Check the same of the streams alone that began before a kill of many routers."""
+    return _check_share(records, resumed_after_kills(records))
+
+
+def resumed_after_kills(records: Records) -> list[Attempt]:
+    """Return the attempts that resume a stream whose record was written before such a kill."""
+    kills = [each for each in records.disturbances if each.kind in ROUTER_KILL_KINDS]
+    begun_by_id = {each.id: each for each in records.attempts}
+
+    def outlives_a_kill(resumed: Attempt) -> bool:
+        begun = begun_by_id[resumed.stream]
+        begins, ends = begun.ended_at + WRITE_SECONDS, resumed.sent_at
+        is_recorded = not records.is_disturbed(STORE_NAME, begun.sent_at - STORE_MARGIN, ends)
+        return is_recorded and any(begins <= each.begins <= ends for each in kills)
+
+    return [each for each in _resumed(records) if outlives_a_kill(each)]
+
+
+def _resumed(records: Records) -> list[Attempt]:
+    """Return the attempts that resume a stream and that nothing but its routers may refuse."""
     version_by_stream = {
-        each.stream: events[0][1] for each in begun if (events := events_of(each.body))
+        each.stream: events[0][1]
+        for each in records.attempts
+        if not each.resumed_attempt and (events := events_of(each.body))
     }
-    resumed = [
+    return [
         each
-        for each in streams
+        for each in records.attempts
         if each.resumed_attempt
         and _has_engines(records, version_by_stream[each.stream], each)
         and not records.is_disturbed(each.router, each.sent_at - SERVING_MARGIN, each.ended_at)
     ]
+
+
+def _check_share(records: Records, resumed: list[Attempt]) -> list[str]:
+    """Check the share of resumed streams that go on against that of new ones that begin."""
+    begun = [each for each in records.attempts if each.route.is_stream and not each.resumed_attempt]
     went_on = sum(each.status == OK for each in resumed)
     begins = _served_share(begun)
     if len(resumed) < MIN_RESUMED_STREAMS or went_on >= MIN_RESUMED_PART * begins * len(resumed):
@@ -191,8 +226,20 @@
     found = []
     for cut in cuts:
         begins, ends = cut.begins + PATH_DETECTION_SECONDS, cut.ends
+        kills = [
+            each
+            for each in records.disturbances
+            if each.name == cut.name and each.kind in ROUTER_KILL_KINDS
+        ]
         during = [
-            each for each in records.attempts if begins <= each.sent_at and each.ended_at <= ends
+            each
+            for each in records.attempts
+            if begins <= each.sent_at
+            and each.ended_at <= ends
+            and not any(
+                kill.begins <= each.ended_at and each.sent_at <= kill.ends + RESTART_SECONDS
+                for kill in kills
+            )
         ]
         here = [each for each in during if each.router == cut.name]
         cut_off = {each.name for each in cuts if each.begins < ends and each.ends > begins}
@@ -280,6 +327,7 @@
     "whole answers": whole_answers,
     "one software version": one_software_version,
     "streams go on": streams_go_on,
+    "streams outlive routers": streams_outlive_routers,
     "at most once": at_most_once,
     "true refusals": true_refusals,
     "leaving engines": leaving_engines,
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -24,12 +24,14 @@
     PATH_KINDS,
     RELEASE,
     ROUTER,
+    ROUTER_KILL_KINDS,
     STORE,
     STREAM_SERVICE,
     Fault,
     target_kind_of,
 )
 from soak._relay import Relay
+from soak._router_kills import RouterKills
 
 #: Seconds within which a router that is asked to stop must exit.
 STOP_GRACE = 10.0
@@ -39,6 +41,9 @@
 LEAVING_SECONDS = 3.0
 #: Seconds from one engine of a release to the next.
 RELEASE_GAP = 0.4
+#: Engines that begin to serve before a kill of many routers, at a version of their own, and the
+#: seconds in which streams begin there too.
+ENGINES_AT_KILL, LISTED_SECONDS = 2, 0.6
 #: Seconds by which a relay delays every chunk.
 RELAY_DELAY = 0.2
 #: More requests than can arrive during a fault.
@@ -78,6 +83,7 @@
         #: Routers and engines that are under a fault and get no second one meanwhile.
         self._busy: set[str] = set()
         self._releases = 0
+        self._kills = RouterKills(fleet)
 
     async def inject(self, fault: Fault) -> None:
         """Inject one fault; return when it is over."""
@@ -111,7 +117,11 @@
             self._fleet.record_disturbance(fault.kind, name, begins)
 
     def _free_routers(self) -> list[str]:
-        free = [each.name for each in self._fleet.routers if each.name not in self._busy]
+        free = [
+            each.name
+            for each in self._fleet.routers
+            if each.name not in self._busy and not self._kills.is_down(each.name)
+        ]
         return free if len(free) > MIN_UNDISTURBED else []
 
     def _free_engines(self) -> list[str]:
@@ -150,12 +160,27 @@
             self._fleet.records.unexpected_exits.append(f"{router.name} (not in its grace)")
             router.process.kill()
         code = await in_thread(router.process.wait)
-        if signal_number == signal.SIGTERM and code != 0:
+        was_killed = router.name in self._kills.killed_while_stopping
+        self._kills.killed_while_stopping.discard(router.name)
+        if signal_number == signal.SIGTERM and code != 0 and not was_killed:
             self._fleet.records.unexpected_exits.append(f"{router.name} (exit {code})")
         self._fleet.stopping_routers.discard(router.name)
         await asyncio.sleep(fault.seconds)
         await self._fleet.restart(router)
 
+    async def _kill_routers(self, fault: Fault) -> None:
+        """Kill many routers at once, beside engines of one more version that serve throughout."""
+        self._releases += 1
+        version = f"v{self._releases + 1}"
+        engines = []
+        for _ in range(ENGINES_AT_KILL):
+            engine = await self._fleet.add_engine(STREAM_SERVICE, version)
+            self._busy.add(engine.name)
+            engines.append(engine)
+        await asyncio.sleep(LISTED_SECONDS)
+        await self._kills.inject(fault)
+        await asyncio.gather(*(self._retire(each) for each in engines))
+
     # -- engines ----------------------------------------------------------------
 
     async def _inject_engine_fault(self, name: str, fault: Fault) -> None:
@@ -316,6 +341,9 @@
         if fault.kind == RELEASE:
             await self._release()
             return
+        if fault.kind in ROUTER_KILL_KINDS:
+            await self._kill_routers(fault)
+            return
         if fault.kind == BAD_PART:
             await BadPart(self._fleet, fault.target_number).run()
             return
--- a/soak/_plan.py
+++ b/soak/_plan.py
@@ -78,6 +78,17 @@
 BAD_PART = "bad-part"
 #: Most new connections go to one router, while callers open more of them; one in every run.
 CROWDED_ROUTER = "crowded-router"
+#: Kills of many routers at the same moment: of all, of all but one, of those of a data hall, and of
+#: all twice. The first is drawn in every run, the others in addition, each with a release of its
+#: own, so that the engines of the earlier version leave before, during or after the kill.
+KILL_ALL, KILL_ALL_BUT_ONE = "kill-all", "kill-all-but-one"
+KILL_HALL, KILL_ALL_TWICE = "kill-hall", "kill-all-twice"
+ROUTER_KILL_KINDS = (KILL_ALL, KILL_ALL_BUT_ONE, KILL_HALL, KILL_ALL_TWICE)
+ROUTER_KILL_RATIO = 0.06
+#: Seconds for which the routers are down at least, and from the begin of the fault, some three
+#: seconds before the kill, to that of its release.
+ROUTER_KILL_SECONDS = (0.2, 1.0, 2.0)
+RELEASE_AT_KILL_SECONDS = (-2.0, 5.0)
 #: Load faults for each of the other faults.
 LOAD_FAULT_RATIO = 0.5
 
@@ -119,7 +130,7 @@
         return ROUTER
     if kind in (*ANSWER_KINDS, ANSWERS_TWICE, ENDLESS):
         return ENGINE
-    if kind in (RELEASE, BAD_PART, CROWDED_ROUTER):
+    if kind in (RELEASE, BAD_PART, CROWDED_ROUTER, *ROUTER_KILL_KINDS):
         return FLEET
     return TARGET_BY_KIND.get(kind) or TARGET_BY_LOAD_KIND[kind]
 
@@ -130,8 +141,8 @@
     """Return the plan drawn from a seed; equal arguments give equal plans.
 
     Load faults, path faults, releases, faults of answers, second copies of answers, answers
-    without end, bad parts and crowds come from generators of their own, so that a seed draws the
-    same other faults with and without them.
+    without end, bad parts, crowds and kills of many routers come from generators of their own, so
+    that a seed draws the same other faults with and without them.
     """
     rng = random.Random(seed)
     routers = rng.randint(2, max(2, max_routers))
@@ -175,6 +186,11 @@
         for _ in range(max(1, round(fault_count * ENDLESS_RATIO)))
     ]
     faults.append(_draw_fault(random.Random(f"{seed} crowds"), fault_seconds, (CROWDED_ROUTER,)))
+    faults += _draw_router_kills(
+        random.Random(f"{seed} kills of many routers"),
+        fault_seconds,
+        max(1, round(fault_count * ROUTER_KILL_RATIO)),
+    )
     faults.sort(key=lambda each: each.starts_at)
     callers = 6 * min(routers, 12)
     return Plan(seed, routers, engines, callers, fault_seconds, tuple(faults), manages_load)
@@ -188,3 +204,26 @@
         seconds=round(rng.choice((0.3, 1.0, 3.0, 5.0)) * rng.uniform(0.7, 1.3), 3),
         count=rng.choice((1, 3, 10, 40)),
     )
+
+
+def _draw_router_kills(rng: random.Random, fault_seconds: float, count: int) -> list[Fault]:
+    """Return a kill of all routers and some more kills of many, each with a release near it.
+
+    Each is in a part of the window of its own, so that streams begin between two of them.
+    """
+    kinds = [KILL_ALL, *(rng.choice(ROUTER_KILL_KINDS[1:]) for _ in range(count))]
+    rng.shuffle(kinds)
+    part = fault_seconds / len(kinds)
+    found = []
+    for number, kind in enumerate(kinds):
+        starts_at = WARM_UP_SECONDS + number * part + rng.uniform(0.0, part / 2)
+        kill = _draw_fault(rng, fault_seconds, (kind,))
+        seconds = rng.choice(ROUTER_KILL_SECONDS)
+        release = _draw_fault(rng, fault_seconds, (RELEASE,))
+        released_at = max(WARM_UP_SECONDS, starts_at + rng.uniform(*RELEASE_AT_KILL_SECONDS))
+        latest = WARM_UP_SECONDS + fault_seconds
+        found += [
+            replace(kill, starts_at=round(starts_at, 3), seconds=seconds),
+            replace(release, starts_at=round(min(latest, released_at), 3)),
+        ]
+    return found
--- a/soak/tests/test_checks.py
+++ b/soak/tests/test_checks.py
@@ -102,6 +102,34 @@
                     set(),
                 )
 
+    def test_streams_outlive_routers(self) -> None:
+        at = 10.0
+        begun = [attempt(f"b{number}", STREAM, at) for number in range(40)]
+        resumed = [
+            replace(refusal(f"r{number}", STREAM), resumed_attempt=f"b{number}", last_event=3)
+            for number in range(12)
+        ]
+        late = [replace(each, sent_at=14.0, ended_at=14.1) for each in resumed]
+        others = [
+            attempt(f"o{number}", STREAM, 10.3, resumed_attempt=f"b{20 + number}", last_event=3)
+            for number in range(20)
+        ]
+        others = [replace(each, body=stream("v1", 3)) for each in others]
+        attempts = [*begun, *late, *others]
+        lives = {name: EngineLife(name, "lang", "v1", 0.0) for name in ("e", "f")}
+        kill = Disturbance("kill-all", "q", 11.0, 12.0)
+        records: dict[str, Any] = {"attempts": attempts, "engine_lives": lives}
+        self.assertEqual(
+            self.violated_checks(**records, disturbances=[kill]), {"streams outlive routers"}
+        )
+        for allowed in (
+            [replace(kill, begins=10.5)],
+            [replace(kill, name="r", ends=13.5)],
+            [kill, Disturbance("store-out", "store", 11.0, 11.5)],
+            [kill, Disturbance("freeze", "e", 13.0, 13.5)],
+        ):
+            self.assertEqual(self.violated_checks(**records, disturbances=allowed), set())
+
     def test_at_most_once(self) -> None:
         twice = [arrival("a"), arrival("a", engine="f")]
         self.assertEqual(
@@ -173,6 +201,11 @@
         early = [replace(each, sent_at=12.9, ended_at=13.0) for each in here]
         self.assertEqual(self.violated_checks(attempts=early + others, **records), set())
         self.assertEqual(self.violated_checks(attempts=here[:10] + others, **records), set())
+        killed = [cut, Disturbance("kill-all", "r", 8.0, 9.0)]
+        records["disturbances"] = killed
+        self.assertEqual(self.violated_checks(attempts=here + others, **records), set())
+        later = [replace(each, sent_at=15.1, ended_at=15.2) for each in here + others]
+        self.assertEqual(self.violated_checks(attempts=later, **records), {"cut off routers"})
 
     def test_planned_stops(self) -> None:
         lost = attempt("a", status=None, is_whole=False, ended_at=11.0)
--- a/soak/tests/test_plan.py
+++ b/soak/tests/test_plan.py
@@ -10,8 +10,11 @@
     BAD_PART,
     CROWDED_ROUTER,
     ENDLESS,
+    KILL_ALL,
     PATH_KINDS,
     RELEASE,
+    RELEASE_AT_KILL_SECONDS,
+    ROUTER_KILL_KINDS,
     TARGET_BY_KIND,
     TARGET_BY_LOAD_KIND,
     WARM_UP_SECONDS,
@@ -43,6 +46,7 @@
                 BAD_PART,
                 CROWDED_ROUTER,
                 ENDLESS,
+                *ROUTER_KILL_KINDS,
             },
         )
 
@@ -52,6 +56,18 @@
             kinds = [fault.kind for fault in draw_plan(seed, 3.0, 4).faults]
             self.assertGreaterEqual(kinds.count(ANSWERS_TWICE), 2)
 
+    # Guards against runs in which some router always remembers the streams.
+    def test_all_routers_are_killed_beside_a_release_in_every_run(self) -> None:
+        for seed in range(60):
+            faults = draw_plan(seed, 3.0, 4).faults
+            kills = [each for each in faults if each.kind in ROUTER_KILL_KINDS]
+            self.assertGreaterEqual(len(kills), 2)
+            self.assertIn(KILL_ALL, [each.kind for each in kills])
+            releases = [each.starts_at for each in faults if each.kind == RELEASE]
+            for kill in kills:
+                nearest = min(abs(each - kill.starts_at) for each in releases)
+                self.assertLessEqual(nearest, max(map(abs, RELEASE_AT_KILL_SECONDS)) + 0.001)
+
     def test_load_faults_are_added_without_changing_the_others(self) -> None:
         plain, loaded = draw_plan(5, 30.0, 4), draw_plan(5, 30.0, 4, manages_load=True)
         added = [fault for fault in loaded.faults if fault not in plain.faults]
