--- a/pondhatch/router/_version_store.py
+++ b/pondhatch/router/_version_store.py
@@ -61,10 +61,8 @@
         #: The object's version then; None if there was no object.
         self._position: Position | None = None
         self._era = 0
-        #: Whether a call to the platform is under way.
-        self._is_calling = False
-        #: The latest call that was made to confirm what is known.
-        self._confirming: asyncio.Task[None] | None = None
+        #: The latest read, and write if one was due.
+        self._call: asyncio.Task[None] | None = None
         #: When the platform may be called next, in the clock's seconds.
         self._next_call_at = float("-inf")
         #: When this router writes what the object lacks, in the clock's seconds; None if it lacks
@@ -83,6 +81,10 @@
         """Whether the platform has replied to this router's first read, or failed to."""
         return self.is_read or self._next_call_at > float("-inf")
 
+    @property
+    def _is_calling(self) -> bool:
+        return self._call is not None and not self._call.done()
+
     def told(self, service: str) -> tuple[str, ...]:
         """Return the versions of a service that the object names, as far as this router knows."""
         return self._stored.versions_by_service.get(service, ()) if self._stored else ()
@@ -94,16 +96,13 @@
             return
         self._follow_era()
         if self._stored is None or self._must_write(self._stored, now):
-            self._is_calling = True
-            self._tasks.start(self._call())
+            self._call = self._tasks.start(self._read_and_write())
 
     async def confirm(self, max_wait: float) -> None:
         """Read the object again, for ``max_wait`` seconds at most."""
-        if not self._is_calling:
-            self._is_calling = True
-            self._confirming = self._tasks.start(self._call())
-        if self._confirming is not None:
-            await asyncio.wait([self._confirming], timeout=max_wait)
+        if self._call is None or self._call.done():
+            self._call = self._tasks.start(self._read_and_write())
+        await asyncio.wait([self._call], timeout=max_wait)
 
     def stop(self) -> None:
         """Cancel the call that is under way."""
@@ -145,15 +144,12 @@
             return 0.0
         return self._rng.uniform(*SECOND_WRITER_SECONDS)
 
-    async def _call(self) -> None:
-        """Read the object, and write what it lacks."""
-        try:
-            if await self._read() and await self._write():
-                self._backoff.reset()
-                return
-            self._next_call_at = self._state.clock() + self._backoff.next()
-        finally:
-            self._is_calling = False
+    async def _read_and_write(self) -> None:
+        """Read the object, and write what it lacks if that is due."""
+        if await self._read() and await self._write():
+            self._backoff.reset()
+            return
+        self._next_call_at = self._state.clock() + self._backoff.next()
 
     async def _read(self) -> bool:
         asked_at: float | None = self._state.clock()
