--- a/soak/_relay.py
+++ b/soak/_relay.py
@@ -66,6 +66,8 @@
         #: Whether a cut has the port refuse connections.
         self._is_cut = False
         self._is_closed = False
+        #: Held while it begins to listen again.
+        self._starting = asyncio.Lock()
         #: Waits until something listens again at the target; None while something does.
         self._waiting_for_target: asyncio.Task[None] | None = None
 
@@ -113,8 +115,7 @@
         """Let new connections pass again."""
         self._is_cut = False
         if self._server is None:
-            if self._waiting_for_target is None:
-                await self.start()
+            await self._listen_again()
         elif self._drops_incoming:
             accept_incoming(self._server.sockets[0])
             self._drops_incoming = False
@@ -146,8 +147,16 @@
         while not await self._has_target():
             await asyncio.sleep(LOOK_SECONDS)
         self._waiting_for_target = None
-        if not self._is_cut and self._server is None:
-            await self.start()
+        await self._listen_again()
+
+    async def _listen_again(self) -> None:
+        """Listen unless something else still keeps it from that, or it does already."""
+        async with self._starting:
+            is_kept = self._is_cut or self._is_closed or self._waiting_for_target is not None
+            if self._server is None and not is_kept:
+                await self.start()
+            if self._is_cut or self._is_closed:
+                self._refuse()
 
     async def _has_target(self) -> bool:
         """Return whether something listens at the target."""
--- a/soak/tests/test_relay.py
+++ b/soak/tests/test_relay.py
@@ -99,6 +99,17 @@
         await self.target.start()
         self.assertTrue(await self.is_accepted_soon())
 
+    # It listened twice at its port, which failed.
+    async def test_a_cut_that_ends_as_the_target_is_back_lets_connections_pass(self) -> None:
+        for _ in range(5):
+            await read_to_end(self.outer, self.target, is_target_ending=True)
+            self.outer.cut(is_silent=False)
+            await self.target.start()
+            while not await is_accepted(self.inner):
+                await asyncio.sleep(0.001)
+            await asyncio.gather(self.outer.restore(), self.outer.restore())
+            self.assertTrue(await self.is_accepted_soon())
+
     async def test_a_cut_outlasts_a_target_that_is_back(self) -> None:
         await read_to_end(self.outer, self.target, is_target_ending=True)
         self.outer.cut(is_silent=False)
