Soak: judge a stream by its events, not by the comments around them

The report shows 80 bytes; the answers were longer. Whole comment lines are left out now; comments alone, a cut comment, a missing or doubled event still break the promise. The report shows both ends and the length.

The unit test fails on the code before.

--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import re
 from collections import Counter, defaultdict
 from collections.abc import Callable
 
@@ -28,6 +29,9 @@
 MIN_SERVED_SHARE = 0.9
 #: Engines that requests with one bad part, sent one by one, may end.
 MAX_ENDED_BY_PART = 6
+#: Bytes that are shown of either end of a body that breaks a promise.
+SHOWN_BYTES = 80
+_COMMENT_LINE = re.compile(rb"^:[^\n]*\n", re.MULTILINE)
 OK = 200
 #: Least number of resumed streams of which a share is checked, and the least share of them that
 #: goes on, as a part of the share of new streams that begin.
@@ -57,7 +61,7 @@
         else:
             is_expected = each.body == f"body by {engine}".encode()
         if attempt != each.id or not is_expected:
-            found.append(f"{each.id} got {each.body[:80]!r} signed {each.signature!r}")
+            found.append(f"{each.id} got {_shown(each.body)} signed {each.signature!r}")
     return found
 
 
@@ -65,7 +69,22 @@
     """Return whether an answer is the whole rest of a stream, from engines of one version."""
     events = events_of(attempt.body)
     version = events[0][1] if events else ""
-    return attempt.body == stream(version, attempt.last_event)
+    return _without_comments(attempt.body) == stream(version, attempt.last_event)
+
+
+def _without_comments(body: bytes) -> bytes:
+    """Return a stream without its whole comment lines and the blank lines that they leave.
+
+    An engine that sends comments without an event is given up, and another one sends the stream.
+    """
+    return re.sub(rb"\n{3,}", b"\n\n", _COMMENT_LINE.sub(b"", body)).lstrip(b"\n")
+
+
+def _shown(body: bytes) -> str:
+    """Return the start and the end of a body, and its length."""
+    if len(body) <= 2 * SHOWN_BYTES:
+        return repr(body)
+    return f"{body[:SHOWN_BYTES]!r} to {body[-SHOWN_BYTES:]!r}, {len(body)} bytes"
 
 
 def one_software_version(records: Records) -> list[str]:
--- a/soak/tests/test_checks.py
+++ b/soak/tests/test_checks.py
@@ -62,6 +62,27 @@
         self.assertEqual(self.violated_checks(attempts=[cut]), {"whole answers"})
         self.assertEqual(self.violated_checks(attempts=[replace(cut, is_whole=False)]), set())
 
+    # A whole stream after the comments of an engine that was given up was reported as if only the
+    # comments had come.
+    def test_a_stream_is_whole_by_its_events_and_not_by_its_comments(self) -> None:
+        comments, half = b": still here\n\n" * 3, len(WHOLE_STREAM) // 2
+        events = WHOLE_STREAM.split(b"\n\n", 1)
+        rows = (
+            (comments + WHOLE_STREAM, True),
+            (b": still here\n" + WHOLE_STREAM + comments, True),
+            (events[0] + b"\n\n" + comments + events[1], True),
+            (comments, False),
+            (comments + WHOLE_STREAM[:half], False),
+            (comments + WHOLE_STREAM[:-1], False),
+            (comments + WHOLE_STREAM + WHOLE_STREAM, False),
+            (comments + b": still he" + WHOLE_STREAM, False),
+            (WHOLE_STREAM + b": still he", False),
+        )
+        for body, is_whole in rows:
+            with self.subTest(body=body):
+                violated = self.violated_checks(attempts=[attempt("a", STREAM, body=body)])
+                self.assertEqual(violated, set() if is_whole else {"whole answers"})
+
     def test_one_software_version(self) -> None:
         begun = attempt("a", STREAM, is_whole=False, body=WHOLE_STREAM[:50])
         for version, violated in (("v1", set()), ("v2", {"one software version"})):
