Draw histories in which all routers are killed at once; a restored platform misleads

Cause of the class: what routers that all begin anew infer from what they do not know. Drawn in virtual time: kills of one, all, all twice, all but one, a hall; streams that begin, some after an engine of another version refused them, and are taken up; engines that come and go, also while no router runs; a platform that is away, loses answers, comes back from an older copy; lost packets.

Checked: no stream is taken for another version's; and with a sound platform and no lost packets, one whose version is listed is known while two routers have been up for a second, if no kill struck within half a second of its begin. Allowed by a trace: a stream that began beside no other version has no record, and once its router is gone and there is a second version it may not be told from one of that version whose record was lost; such are refused, never taken for another.

Found: after a restore of the platform to a copy of before a version came, routers that all begin anew take its streams for the other version's.

--- a/pondhatch/router/tests/_origin_fleet.py
+++ b/pondhatch/router/tests/_origin_fleet.py
@@ -11,7 +11,7 @@
 from pondhatch.requests import StreamOrigin, stream_key
 from pondhatch.router import ORIGIN_PACKET_PREFIX, RouterState, StreamOriginExchange
 from pondhatch.router.tests.test_sync import FIRST, UncalledPeer, meet
-from pondhatch.store import WatchEvent
+from pondhatch.store import WatchEvent, position_of, revision_of
 
 SERVICE = "lang"
 #: First port of the routers; router rN has this port plus N.
@@ -155,6 +155,14 @@
         for router in self.routers.values():
             router.remove_engine(name, self._positions)
 
+    def begin_era(self) -> None:
+        """Let all routers learn that the platform came back from an older copy."""
+        self._positions = position_of(self.platform.era, revision_of(self._positions) + 1)
+        for engine, (version, _) in tuple(self._engines.items()):
+            self._engines[engine] = (version, self._positions)
+            for router in self.routers.values():
+                router.list_engine(engine, version, self._positions)
+
     def carry(self, sender: OriginRouter, datagram: Datagram) -> None:
         """Carry a packet to its receiver, if both live and it is not lost."""
         name = f"r{datagram.to.port - FIRST_PORT}"
