Write once what stood twice: failed servings, one-path pages, refusals of a full engine

Change: both kinds of callers ended a request whose serving failed by the same dozen lines, which stand in transport/_guarded_request now; the metrics page and the readiness check share transport/_one_path_page; an owner's Busy has the gate's Full as its base, since it carries the same fields in the same order. Tests are unchanged.

--- a/pondhatch/requests/_grant_requests.py
+++ b/pondhatch/requests/_grant_requests.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from pondhatch.placement import Granted
+from pondhatch.placement import Full, Granted
 from pondhatch.requests._outcomes import NotRun
 
 #: Units of ``GrantRequest.max_wait_ms`` in a second, and of ``GrantRequest.weight`` in a weight
@@ -79,20 +79,8 @@
     number: int
 
 
-class Busy(msgspec.Struct, frozen=True):
-    """The engine is at its ceiling."""
-
-    in_flight: int
-    ceiling: int
-    #: Whether the engine has free slots but is cold, so that grants are paced.
-    is_cold: bool = False
-    #: Milliseconds that the request would wait here for a slot, and the suggested retry delay in
-    #: milliseconds; 0 if not estimated.
-    predicted_ms: int = 0
-    retry_after_ms: int = 0
-    #: Tokens that must come free in the engine's memory before it can take the request; 0 if
-    #: memory is not the reason.
-    short_tokens: int = 0
+class Busy(Full, frozen=True):
+    """The owner's reply that the request was not granted, with the reason and the load."""
 
 
 class ContextElsewhere(msgspec.Struct, frozen=True):
--- a/pondhatch/standard/_callers.py
+++ b/pondhatch/standard/_callers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import time
 import uuid
 from collections.abc import Awaitable, Callable
@@ -16,9 +15,7 @@
 
 from pondhatch.kernel import as_deferred
 from pondhatch.limits import HeldCounter, Limited
-from pondhatch.observing import log_for
 from pondhatch.requests import (
-    CallerGone,
     Headers,
     MalformedChat,
     NotRun,
@@ -47,11 +44,9 @@
     as_text,
     dropped_header_counter,
     read_whole,
-    refuse_after_failure,
+    serve_guarded,
 )
 
-log = log_for("callers")
-
 CHAT_PATH = "/v1/chat/completions"
 #: Names a request that must run at most once, however often it is sent.
 IDEMPOTENCY_KEY_HEADER = "Idempotency-Key"
@@ -110,30 +105,22 @@
             return as_deferred(self._serve(request, self._prepare_plain))
 
     async def _serve(self, request: Any, prepare: Prepare) -> None:
-        started_at = time.monotonic()
+        """Serve a request; klein finishes an answer that is still open once this returns."""
         self._connected_requests += 1
         try:
-            prepared = await self._prepare_request(request, prepare)
-            if isinstance(prepared, NotRun):
-                self._answers.refuse(request, prepared)
-                return
-            await self._request_runner.run(request, prepared, started_at)
-        except CallerGone:
-            self._metrics.count("callers.gone")
-            request.abort()
-        except asyncio.CancelledError:
-            # klein finishes an open answer once this returns. If the caller is still connected,
-            # as when this router shuts down, a partial answer must not look complete.
-            self._metrics.count("callers.gone")
-            request.abort()
-            raise
-        except Exception:
-            log.exception("A request failed with an error of this router.")
-            self._metrics.count("requests.router-failed")
-            refuse_after_failure(request, self._answers)
+            serving = self._run(request, prepare)
+            await serve_guarded(serving, request, self._answers, self._metrics)
         finally:
             self._connected_requests -= 1
 
+    async def _run(self, request: Any, prepare: Prepare) -> None:
+        started_at = time.monotonic()
+        prepared = await self._prepare_request(request, prepare)
+        if isinstance(prepared, NotRun):
+            self._answers.refuse(request, prepared)
+            return
+        await self._request_runner.run(request, prepared, started_at)
+
     async def _prepare_request(self, request: Any, prepare: Prepare) -> AdmittedRequest | NotRun:
         await self._startup_wait.wait()
         refusal = not_ready_refusal(self._state)
--- a/pondhatch/transport/__init__.py
+++ b/pondhatch/transport/__init__.py
@@ -5,13 +5,14 @@
 
 from pondhatch.transport._admin import Admin, format_dump
 from pondhatch.transport._answer_judge import SurplusAnswer
-from pondhatch.transport._answers import abort_connection, refuse_after_failure, write_head
+from pondhatch.transport._answers import abort_connection, write_head
 from pondhatch.transport._caller_body import read_whole
 from pondhatch.transport._caller_channel import CallerSite
 from pondhatch.transport._caller_dialect import CallerDialect, CallerFacts
 from pondhatch.transport._caller_request import CallerRequest
 from pondhatch.transport._dead_peers import detect_dead_peer
 from pondhatch.transport._gossip import GossipPort
+from pondhatch.transport._guarded_request import serve_guarded
 from pondhatch.transport._header_owners import (
     HeaderOwners,
     NoteDropped,
@@ -57,7 +58,7 @@
     "PartPipe",
     "RequestRunner",
     "AdmittedRequest",
-    "refuse_after_failure",
+    "serve_guarded",
     "read_whole",
     "CallFailed",
     "CallerDialect",
--- a/pondhatch/transport/_readiness.py
+++ b/pondhatch/transport/_readiness.py
@@ -5,27 +5,19 @@
 from collections.abc import Callable
 from typing import Any
 
-from twisted.web.resource import Resource
+from pondhatch.transport._one_path_page import OnePathPage
 
 READY = 200
 NOT_READY = 503
-NOT_FOUND = 404
 
 
-class Readiness(Resource):
+class Readiness(OnePathPage):
     """Answers 200 while the router is ready for requests, else 503."""
 
-    isLeaf = True
-
     def __init__(self, path: str, is_ready: Callable[[], bool]) -> None:
-        super().__init__()  # type: ignore[no-untyped-call]
-        self._path = path.encode()
+        super().__init__(path)
         self._is_ready = is_ready
 
-    def render(self, request: Any) -> bytes:
-        """Answer with the router's readiness as status, or 404 for any other path."""
-        if request.path != self._path:
-            request.setResponseCode(NOT_FOUND)
-            return b""
+    def _page(self, request: Any) -> bytes:
         request.setResponseCode(READY if self._is_ready() else NOT_READY)
         return b""
--- a/pondhatch/transport/_routed_callers.py
+++ b/pondhatch/transport/_routed_callers.py
@@ -13,7 +13,7 @@
 
 from pondhatch.configuration import CallerLimits, Route, RouteSpec, UnusableRoute
 from pondhatch.limits import HeldCounter, Limited
-from pondhatch.observing import RequestEnded, log_for
+from pondhatch.observing import RequestEnded
 from pondhatch.requests import (
     CallerGone,
     Headers,
@@ -38,17 +38,15 @@
     not_ready_refusal,
     unknown_entry_refusal,
 )
-from pondhatch.transport._answers import refuse_after_failure
 from pondhatch.transport._caller_channel import CallerRequest, drain, read_whole
 from pondhatch.transport._caller_dialect import CallerDialect, CallerFacts
+from pondhatch.transport._guarded_request import serve_guarded
 from pondhatch.transport._header_owners import dropped_header_counter
 from pondhatch.transport._headers import as_text
 from pondhatch.transport._interface import CallerDependencies
 from pondhatch.transport._request_runner import CALLER_GONE, AdmittedRequest, RequestRunner
 from pondhatch.transport._routed_answers import RoutedAnswers
 
-log = log_for("callers")
-
 Number = TypeVar("Number", int, float)
 
 TOO_LARGE = 413
@@ -91,34 +89,22 @@
         return NOT_DONE_YET
 
     async def _serve(self, request: CallerRequest) -> None:
-        started_at = time.monotonic()
         self.in_flight += 1
         try:
-            prepared = await self._read_request(request, started_at)
-            if isinstance(prepared, NotRun):
-                self._answers.refuse(request, prepared)
-                self._record_unserved(request, prepared.code, started_at)
-            else:
-                await self._request_runner.run(request, prepared, started_at)
-        except CallerGone:
-            self._metrics.count("callers.gone")
-            request.abort()
-        except asyncio.CancelledError:
-            # The caller left, or this router stops before the answer ends: the part that was
-            # sent must not look complete.
-            self._metrics.count("callers.gone")
-            request.abort()
-            raise
-        except Exception:
-            log.exception("A request failed with an error of this router.")
-            self._metrics.count("requests.router-failed")
-            refuse_after_failure(request, self._answers)
-            _finish(request)
-        else:
-            _finish(request)
+            if await serve_guarded(self._run(request), request, self._answers, self._metrics):
+                _finish(request)
         finally:
             self.in_flight -= 1
 
+    async def _run(self, request: CallerRequest) -> None:
+        started_at = time.monotonic()
+        prepared = await self._read_request(request, started_at)
+        if isinstance(prepared, NotRun):
+            self._answers.refuse(request, prepared)
+            self._record_unserved(request, prepared.code, started_at)
+            return
+        await self._request_runner.run(request, prepared, started_at)
+
     async def _read_request(
         self, request: CallerRequest, started_at: float
     ) -> AdmittedRequest | NotRun:
