Leave waits for a processor out of the time in which an endless answer is given up

The router's timer was due at 2 s and ran late, as did the upstream's thread that saw the close. The longest wait of a router, or of that thread, for a processor since the limit is taken off, as for the sound requests; waits before the limit, and all but the longest, still count. The bounds are as they were.

--- a/fakes/_endless.py
+++ b/fakes/_endless.py
@@ -14,6 +14,8 @@
 from types import TracebackType
 from typing import Any
 
+from fakes._steady_caller import processor_waits
+
 OK_HEAD = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
 EVENTS = b"Content-Type: text/event-stream\r\n"
@@ -63,10 +65,18 @@
 
 
 class EndlessUpstream:
-    """Answers requests whose path names one of ENDLESS_BY_NAME without end, and others whole."""
+    """Answers requests whose path names one of ENDLESS_BY_NAME without end, and others whole.
+
+    ``callers`` are the ids of the processes that are to give up within ``limit`` seconds. What one
+    of them, or this upstream, waits for a processor after that is not counted: only the longest of
+    these waits, as they may overlap.
+    """
 
-    def __init__(self, host: str, port: int = 0) -> None:
+    def __init__(
+        self, host: str, port: int = 0, callers: tuple[int, ...] = (), limit: float = 0.0
+    ) -> None:
         self._server = _Server((host, port), _Handler)
+        self._server.callers, self._server.limit = callers, limit
         self.address = f"{host}:{self._server.server_address[1]}"
         #: Seconds from the first endless byte until the caller closed, by name, in order.
         self.seconds_by_name: dict[str, list[float]] = self._server.seconds_by_name
@@ -93,6 +103,8 @@
     def __init__(self, *arguments: Any) -> None:
         super().__init__(*arguments)
         self.seconds_by_name: dict[str, list[float]] = {}
+        self.callers: tuple[int, ...] = ()
+        self.limit = 0.0
 
 
 class _Handler(socketserver.StreamRequestHandler):
@@ -134,6 +146,7 @@
         kind = name.removesuffix("-in-drops")
         endless = ENDLESS_BY_NAME[kind]
         started = time.monotonic()
+        waits = _WaitsSince(self.server.limit, self.server.callers)
         try:
             self.connection.sendall(endless_start(kind, names))
             if name.endswith("-in-drops"):
@@ -145,4 +158,26 @@
                 self.connection.sendall(block)
         finally:
             seconds = self.server.seconds_by_name.setdefault(name, [])
-            seconds.append(time.monotonic() - started)
+            seconds.append(time.monotonic() - started - waits.longest())
+
+
+class _WaitsSince:
+    """The waits of processes and of this thread for a processor, from some time on."""
+
+    def __init__(self, seconds: float, processes: tuple[int, ...]) -> None:
+        self._waiting = (f"self/task/{threading.get_native_id()}", *map(str, processes))
+        self._before: list[float] | None = None
+        self._timer = threading.Timer(seconds, self._note)
+        self._timer.daemon = True
+        self._timer.start()
+
+    def _note(self) -> None:
+        self._before = processor_waits(self._waiting)
+
+    def longest(self) -> float:
+        """Return the longest of them so far; 0 before that time."""
+        self._timer.cancel()
+        if self._before is None:
+            return 0.0
+        after = processor_waits(self._waiting)
+        return max(end - begin for begin, end in zip(self._before, after, strict=True))
