--- a/bench/_routers_begun_anew.py
+++ b/bench/_routers_begun_anew.py
@@ -20,15 +20,16 @@
 ROUTERS = 4
 OLD, NEW = "v1", "v1.1"
 ENGINES_PER_VERSION = 4
-#: How long streams begin, and the pause between two of them, in seconds: the engines of one version
-#: have slots for all of them.
-PLAY_SECONDS, STREAM_INTERVAL = 14.0, 1 / 6
-#: Seconds from the first stream to the kill, for which routers are down, and to the second kill.
-KILL_SECONDS, DOWN_SECONDS, SECOND_KILL_SECONDS = 4.0, 1.0, 5.0
+#: Seconds between two streams: the engines of one version have slots for all of them.
+STREAM_INTERVAL = 1 / 6
+#: Seconds from the first stream to the kill, and for which the routers are down.
+KILL_SECONDS, DOWN_SECONDS = 4.0, 1.0
+#: Seconds from when all are ready again to the second kill, or to the last stream's begin.
+READY_SECONDS = 4.0
 #: Seconds by which engines leave before the kill.
 LEAVING_SECONDS = 0.4
 #: Seconds between two tries of a caller, and for which it tries.
-TRY_INTERVAL, TRY_SECONDS = 0.4, 14.0
+TRY_INTERVAL, TRY_SECONDS = 0.4, 16.0
 #: Engines of a stream's version that serve while it is taken up, and the seconds by which they do
 #: so before.
 MIN_ENGINES, SERVING_MARGIN = 2, 0.3
@@ -94,12 +95,11 @@
         faults = threading.Thread(target=self._injure, args=(began,))
         faults.start()
         with ThreadPoolExecutor(MAX_PENDING_STREAMS) as pool:
-            while time.monotonic() < began + PLAY_SECONDS:
+            while faults.is_alive():
                 caller = ResumingCaller("/notes/a", KEY)
                 self.callers.append(caller)
                 pool.submit(self._read, caller, random.Random(len(self.callers)))
                 time.sleep(STREAM_INTERVAL)
-        faults.join()
 
     def _add_version(self, version: str, count: int) -> None:
         for index in range(count):
@@ -121,8 +121,9 @@
             _sleep_until(began + KILL_SECONDS + old_leaves)
             self._remove_old()
         for number in range(self.day.kills):
-            killed_at = began + KILL_SECONDS + number * SECOND_KILL_SECONDS
-            _sleep_until(killed_at)
+            if number == 0:
+                _sleep_until(began + KILL_SECONDS)
+            killed_at = time.monotonic()
             killed = self.fleet.machine_routers[self.day.spared :]
             for router in killed:
                 router.process.kill()
@@ -136,6 +137,8 @@
             _sleep_until(killed_at + DOWN_SECONDS)
             for router in killed:
                 self.fleet.restart(router)
+            eventually(lambda: all(each.is_ready() for each in self.fleet.machine_routers))
+            time.sleep(READY_SECONDS)
 
     def _remove_old(self) -> None:
         """Let the engines of the old version leave: their entries go, and they serve on."""
