--- a/pondhatch/router/_origin_archive.py
+++ b/pondhatch/router/_origin_archive.py
@@ -187,7 +187,7 @@
         self._read_at = asked_at
 
     async def _write(self) -> None:
-        """Write what waits, one segment after the other."""
+        """Write some of what waits, and have the rest written after a pause."""
         pause = 0.0
         try:
             # Segments of this router's earlier process must not be overwritten.
@@ -208,17 +208,16 @@
         return mean * self._rng.uniform(*INTERVAL_RANGE)
 
     async def _write_segment(self) -> bool:
-        """Write as many records as fit into segments; return whether all went well."""
-        while self._unwritten:
-            segment = self._ring.segment_for_writing(self._state.clock())
-            added = set(itertools.islice(self._unwritten, segment.room))
-            segment.records |= added
-            segment.expires_at = self._state.clock() + self._lasts()
-            if not await self._put(segment):
-                segment.records -= added
-                return False
-            for record in added:
-                self._unwritten.pop(record, None)
+        """Write the oldest records that fit into one segment; return whether that went well."""
+        segment = self._ring.segment_for_writing(self._state.clock())
+        added = set(itertools.islice(self._unwritten, segment.room))
+        segment.records |= added
+        segment.expires_at = self._state.clock() + self._lasts()
+        if not await self._put(segment):
+            segment.records -= added
+            return False
+        for record in added:
+            self._unwritten.pop(record, None)
         return True
 
     async def _put(self, segment: Segment) -> bool:
--- a/pondhatch/router/tests/test_routers_begin_anew.py
+++ b/pondhatch/router/tests/test_routers_begin_anew.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from pondhatch.requests import OriginSource, OriginUnknown, StreamOrigin, stream_key
+from pondhatch.router._origin_archive import FLEET_WRITES_PER_SECOND
 from pondhatch.router._service_versions import RETURN_SECONDS
 from pondhatch.router._unrecorded_streams import JOIN_SECONDS
 from pondhatch.router.tests._origin_fleet import SERVICE, OriginFleet
@@ -318,6 +319,22 @@
 
         self.play(scene, "v1", "v2")
 
+    # A router wrote all that waited without a pause.
+    def test_the_fleet_writes_no_more_often_than_it_may(self) -> None:
+        async def scene(fleet: OriginFleet) -> None:
+            fleet.platform.is_away = True
+            attempts = await self.begin(fleet, "v2", count=6000)
+            fleet.platform.is_away = False
+            await asyncio.sleep(2.5)
+            fleet.platform.calls = 0
+            await self.begin(fleet, "v2", count=20_000)
+            self.assertLess(fleet.platform.calls, FLEET_WRITES_PER_SECOND * WRITE_SECONDS * 1.5)
+            await asyncio.sleep(2.5)
+            restart_all(fleet)
+            await self.assert_taken_up(fleet, attempts[::500], "v2")
+
+        self.play(scene, "v1", "v2")
+
     def test_segments_are_used_again(self) -> None:
         async def scene(fleet: OriginFleet) -> None:
             for _ in range(4):
