--- a/pondhatch/requests/_resumption.py
+++ b/pondhatch/requests/_resumption.py
@@ -24,7 +24,7 @@
 
 
 class Resumption:
-    """Resumes one request's broken streams."""
+    """Goes on with one request's broken streams."""
 
     def __init__(
         self,
