Soak: hang up on a router only once it handles that signal

Routers that were just started again may be struck, and before its first line runs a process cannot handle a signal; a busy machine makes that long. By reading: no line of the router has run then. The kernel tells which signals a process handles (SigCgt), and a hangup waits for no handler but is left out without one.

--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -8,6 +8,7 @@
 import time
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import replace
+from pathlib import Path
 
 from fakes._faults import REFUSAL_STATUS_BY_FAULT
 from fakes._local_fleet import Backend
@@ -140,7 +141,8 @@
     async def _inject_router_fault(self, name: str, fault: Fault) -> None:
         router = next(each for each in self._fleet.routers if each.name == name)
         if fault.kind == "hangup":
-            router.process.send_signal(signal.SIGHUP)
+            if handles(router.process.pid, signal.SIGHUP):
+                router.process.send_signal(signal.SIGHUP)
         elif fault.kind == "freeze":
             await _freeze(router, fault.seconds)
         elif fault.kind in PATH_KINDS:
@@ -368,6 +370,19 @@
             caller.slow_read_faults -= 1
 
 
+def handles(process: int, number: signal.Signals) -> bool:
+    """Return whether a process, by its id, runs and handles a signal.
+
+    Before its first line runs it cannot, and a hangup would end it; a busy machine makes that long.
+    """
+    try:
+        status = Path(f"/proc/{process}/status").read_text()
+    except (FileNotFoundError, ProcessLookupError):
+        return False
+    (caught,) = [line.split()[1] for line in status.splitlines() if line.startswith("SigCgt:")]
+    return bool(int(caught, 16) >> (number - 1) & 1)
+
+
 async def _freeze(target: MachinesRouter | Backend, seconds: float) -> None:
     target.process.send_signal(signal.SIGSTOP)
     try:
