--- a/pondhatch/router/_origin_archive.py
+++ b/pondhatch/router/_origin_archive.py
@@ -52,7 +52,6 @@
 #: Seconds for which what was read last is taken for new enough. One read serves every stream that
 #: is taken up meanwhile.
 READ_AGAIN_SECONDS = 1.0
-
 #: Segments that are taken over before others get their turn: some milliseconds.
 SEGMENTS_PER_TURN = 32
 
--- a/pondhatch/store/_stored_versions.py
+++ b/pondhatch/store/_stored_versions.py
@@ -27,14 +27,6 @@
     #: The platform's era in which this was written; in a later one it is an older copy.
     era: int = 0
 
-    def covers(self, other: StoredVersions) -> bool:
-        """Return whether this states all that another states."""
-        names_all = all(
-            set(versions) <= set(self.versions_by_service.get(service, ()))
-            for service, versions in other.versions_by_service.items()
-        )
-        return names_all and self.is_complete >= other.is_complete
-
     def as_value(self) -> dict[str, Any]:
         """Return the object's value."""
         versions = {name: list(each) for name, each in self.versions_by_service.items()}
