Review case 7: whole answers are cut for slow readers whose engines have left as planned

Shows LOST broken: the reverse of case 4, by the same question whether an engine lives on, asked when the end of an answer is read and not when it came.

The shared stand-ins learned what it needs, and end what they started when they are ended themselves.

--- a/review/harness/engine.py
+++ b/review/harness/engine.py
@@ -43,11 +43,30 @@
     framing: str = "length"
     #: One in so many answers, the first among them, lacks both and ends with its connection.
     unframed_one_in: int = 0
+    #: Only answers of at least so many bytes do, and count.
+    unframed_bytes: int = 0
     #: Whether it writes an entry of its own.
     listed: bool = True
-    #: Milliseconds stated in ``ColdRemainingMs``.
+    #: Fields of its entry that replace or add to the usual ones.
     extra: dict = field(default_factory=dict)
 
+    def entry(self) -> dict:
+        """Return its entry in the store.
+
+        The sequence stands still: the store tells a change only where more than that differs.
+        """
+        return {
+            "Service": self.service,
+            "Address": f"127.0.0.1:{self.port}",
+            "Zone": self.zone,
+            "Version": "v1",
+            "Slots": self.slots,
+            "State": "ready",
+            "ColdRemainingMs": 0,
+            "Sequence": 1,
+            **self.extra,
+        }
+
 
 class Engine:
     """One engine."""
@@ -104,9 +123,9 @@
         after = int(fields.get("last-event-id") or 0)
         last = target.rpartition("/")[2]
         size = int(last) if last.isdigit() else options.size
-        one_in = options.unframed_one_in
+        one_in = options.unframed_one_in if size >= options.unframed_bytes else 0
         framing = "close" if one_in and self._runs % one_in == 0 else options.framing
-        self._runs += 1
+        self._runs += bool(one_in)
         self.note(
             "runs", attempt=attempt, method=method, target=target, after=after, framing=framing
         )
@@ -156,28 +175,23 @@
 
     async def beat(self) -> None:
         """Write the entry about every heartbeat."""
-        number = 0
         while True:
-            number += 1
-            await asyncio.to_thread(self.write_entry, number)
+            await asyncio.to_thread(self.write_entry)
             await asyncio.sleep(HEARTBEAT_SECONDS)
 
-    def write_entry(self, number: int) -> None:
-        """Write the entry once; only the sequence changes from one write to the next."""
+    def write_entry(self) -> None:
+        """Write the entry once, unless it says by now that the engine leaves."""
+        if not self._is_leaving():
+            put_object(self.options.store, "servers", self.options.id, self.options.entry())
+
+    def _is_leaving(self) -> bool:
         options = self.options
-        entry = {
-            "Service": options.service,
-            "Address": f"127.0.0.1:{options.port}",
-            "Zone": options.zone,
-            "Version": "v1",
-            "Slots": options.slots,
-            "State": "ready",
-            "ColdRemainingMs": 0,
-            # Constant: the store tells a change only where more than the sequence differs.
-            "Sequence": 1,
-            **options.extra,
-        }
-        put_object(options.store, "servers", options.id, entry)
+        url = f"http://{options.store}/objects/servers/{options.id}"
+        try:
+            with urllib.request.urlopen(url, timeout=3) as answer:
+                return json.load(answer)["Spec"]["State"] == "draining"
+        except OSError:
+            return False
 
 
 def put_object(store: str, kind: str, name: str, spec: object) -> None:
--- a/review/harness/fleet.py
+++ b/review/harness/fleet.py
@@ -338,6 +338,10 @@
         except OSError:
             return body, False
 
+    def forget_rest(self) -> None:
+        """Forget the answer that was read, before the next request on the connection."""
+        self._rest = b""
+
     def close(self) -> None:
         """Close the connection."""
         self.socket.close()
@@ -361,6 +365,8 @@
 
 def run_case(case: Path, play) -> None:
     """Play a case and exit with 0 (held), 1 (broken) or 2 (could not run)."""
+    # So that its processes end with it.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(CANNOT_RUN))
     try:
         with Fleet(case) as fleet:
             broken = play(fleet)
