Review case 8: large requests that engines read slowly take a router over its memory

LOST: 31 requests of 4 MB of 24 tenants, which engines read at 512 KB a second, take a router on a machine of 256 MB over its limit at the 23rd; all 23 that engines had begun to read are lost. The stand-ins got engines that read slowly, machines with limits of their own, and clients that send a body themselves; the other cases do not use these.

--- a/review/harness/engine.py
+++ b/review/harness/engine.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import json
+import socket
 import sys
 import time
 import urllib.error
@@ -17,6 +18,7 @@
 from pathlib import Path
 
 HEARTBEAT_SECONDS = 1.2
+READ_BYTES = 16_384
 
 
 @dataclass
@@ -45,6 +47,11 @@
     unframed_one_in: int = 0
     #: Only answers of at least so many bytes do, and count.
     unframed_bytes: int = 0
+    #: Bytes of a request's body that it reads a second; 0 for as they come.
+    read_rate: int = 0
+    #: Receive buffer and segments of its connections; 0 for loopback's own, of megabytes and 64 KB.
+    window: int = 0
+    segment: int = 0
     #: Whether it writes an entry of its own.
     listed: bool = True
     #: Fields of its entry that replace or add to the usual ones.
@@ -105,7 +112,10 @@
                 await reader.readexactly(size + 2)
             await reader.readuntil(b"\r\n")
         else:
-            await reader.readexactly(int(fields.get("content-length", "0")))
+            length = int(fields.get("content-length", "0"))
+            if length > READ_BYTES:
+                self.note("arrives", attempt=fields.get("attempt-id", ""), length=length)
+            await self._read_body(reader, length)
         options = self.options
         attempt = fields.get("attempt-id", "")
         if target == "/healthz":
@@ -163,6 +173,16 @@
         self.note("whole", attempt=attempt, parts=sent)
         return framing != "close"
 
+    async def _read_body(self, reader: asyncio.StreamReader, size: int) -> None:
+        rate = self.options.read_rate
+        while size:
+            part = await reader.read(min(size, READ_BYTES))
+            if not part:
+                raise ConnectionError("closed within a body")
+            size -= len(part)
+            if rate:
+                await asyncio.sleep(len(part) / rate)
+
     def _parts(self, after: int, size: int) -> list[bytes]:
         options = self.options
         if options.events:
@@ -211,7 +231,12 @@
 async def main(options: Options) -> None:
     """Serve until killed."""
     engine = Engine(options)
-    server = await asyncio.start_server(engine.serve, "127.0.0.1", options.port)
+    listener = socket.create_server(("127.0.0.1", options.port))
+    if options.segment:
+        listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, options.segment)
+    if options.window:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, options.window)
+    server = await asyncio.start_server(engine.serve, sock=listener)
     engine.note("listens")
     async with server:
         if options.listed:
--- a/review/harness/fleet.py
+++ b/review/harness/fleet.py
@@ -209,8 +209,11 @@
         }  # fmt: skip
         put_object(self.store, "config", "main", document)
 
-    def add_router(self, zone: str = "zone-a") -> Router:
-        """Start a router as the deploy file says; it has an address of its own on loopback."""
+    def add_router(self, zone: str = "zone-a", **limits: float) -> Router:
+        """Start a router as the deploy file says; it has an address of its own on loopback.
+
+        ``limits`` replace those of its machine.
+        """
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
         role = deploy["roles"]["router"]
         number = len(self.routers)
@@ -222,7 +225,7 @@
             "Listen": {"Frontend": f"{ip}:{port}", "Ready": f"{ip}:{ready}"},
             "PortRange": [free_port(ip), admin], "Seeds": [], "Bootstrap": True,
             "Limits": {"CpuQuota": 1.07, "Cores": 1, "MemoryMb": 300, "MaxFds": 4100,
-                       "LinkMbps": 1000.0, "DiskMb": 0},
+                       "LinkMbps": 1000.0, "DiskMb": 0, **limits},
             "Discovery": "platform", "Entry": "vip", "HeartbeatMs": 1200, "Contracts": CONTRACTS,
             "FaultTolerance": {"Machines": 2, "Zones": 0, "Regions": 0}, "Bounds": BOUNDS,
             "Platform": {"Address": self.store, "form": "objects"},
@@ -287,16 +290,17 @@
 
     def send(
         self, attempt: str, path: str, deadline_ms: int, method: str = "POST", body: bytes = b"x",
-        headers: dict[str, str] | None = None, key: str = KEY,
+        headers: dict[str, str] | None = None, key: str = KEY, body_bytes: int = 0,
     ) -> None:  # fmt: skip
-        """Send one request."""
+        """Send one request; with ``body_bytes`` its head, and the caller sends as much itself."""
         lines = [
             f"{method} {path} HTTP/1.1", f"Host: {HOST}", f"Attempt-Id: {attempt}",
             f"Deadline-Ms: {deadline_ms}", f"Authorization: Bearer {key}",
             *(f"{name}: {value}" for name, value in (headers or {}).items()),
         ]  # fmt: skip
-        if body:
-            lines.append(f"Content-Length: {len(body)}")
+        body = b"" if body_bytes else body
+        if body or body_bytes:
+            lines.append(f"Content-Length: {len(body) or body_bytes}")
         self.socket.sendall(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
 
     def read_head(self) -> tuple[int, dict[str, str]]:
