Stand-ins that write raw answers share how they read requests, and their fleets

Cause: the tests of endless answers held the only fleets whose one upstream is the test's own, and the only reader of requests for a stand-in that writes every byte of its answers itself. The tests of broken answers need both.

Change: fakes/_raw_requests.py reads the requests; fakes/tests/_troubled_service.py holds the fleets (prepared machines, relayed, standard), from which a test class inherits beside its checks. No check and no bound of the tests of endless answers changed.

--- a/fakes/_endless.py
+++ b/fakes/_endless.py
@@ -14,6 +14,7 @@
 from types import TracebackType
 from typing import Any
 
+from fakes._raw_requests import read_request
 from fakes._steady_caller import processor_waits
 
 OK_HEAD = b"HTTP/1.1 200 OK\r\n"
@@ -25,6 +26,7 @@
 #: Seconds between two drops.
 DROP_SECONDS = 0.02
 WHOLE_BODY = b"sound"
+SIGNATURE = b"i-endless"
 
 
 @dataclass(frozen=True)
@@ -120,34 +122,16 @@
         """Answer the requests of a connection, one after the other."""
         self.connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         try:
-            while (request := self._read_request()) is not None:
-                path, names = request
-                name = self.server.upstream.always or path.rpartition("/")[2]
+            while (request := read_request(self.rfile, SIGNATURE)) is not None:
+                name = self.server.upstream.always or request.path.rpartition("/")[2]
                 if name.removesuffix("-in-drops") in ENDLESS_BY_NAME:
-                    self._send_endless(name, names)
+                    self._send_endless(name, request.names)
                     return
-                self.wfile.write(
-                    OK_HEAD + names + b"Content-Length: %d\r\n\r\n" % len(WHOLE_BODY) + WHOLE_BODY
-                )
+                length = b"Content-Length: %d\r\n\r\n" % len(WHOLE_BODY)
+                self.wfile.write(OK_HEAD + request.names + length + WHOLE_BODY)
         except OSError:
             return
 
-    def _read_request(self) -> tuple[str, bytes] | None:
-        """Return a request's path, and the headers that name it in its answer."""
-        first = self.rfile.readline().split()
-        if len(first) < 2:
-            return None
-        names, length = b"", 0
-        while (line := self.rfile.readline()).strip():
-            name, _, value = line.partition(b":")
-            if name.lower() in (b"attempt-id", b"x-request-id"):
-                names += line
-                names += b"Instance-Signature: i-endless." + value.strip() + b"\r\n"
-            if name.lower() == b"content-length":
-                length = int(value)
-        self.rfile.read(length)
-        return first[1].decode(), names
-
     def _send_endless(self, name: str, names: bytes) -> None:
         kind = name.removesuffix("-in-drops")
         endless = ENDLESS_BY_NAME[kind]
--- a/fakes/tests/test_endless_answers.py
+++ b/fakes/tests/test_endless_answers.py
@@ -2,30 +2,31 @@
 
 from __future__ import annotations
 
-import json
 import socket
 import subprocess
 import threading
 import time
-import unittest
 import urllib.parse
 from contextlib import ExitStack
 from pathlib import Path
-from typing import Any, ClassVar
+from typing import ClassVar
 
-from fakes._cuttable_relay import Cut, CuttableRelay
 from fakes._endless import ENDLESS_BY_NAME, VALID_BODIES, EndlessUpstream
-from fakes._local_fleet import ROOT, Backend, LocalFleet, fetch, free_ports
-from fakes._machines_fleet import HALLS, MachinesFleet, eventually
+from fakes._machines_fleet import eventually
 from fakes._silent_relay import HOST
-from fakes._steady_caller import UNIQUE, CallerRequest, Reply, SteadyCaller, call
-from pondhatch.platform.tests._wire import CONFIGURATION
+from fakes._steady_caller import CallerRequest, Reply, SteadyCaller, call
+from fakes.tests._troubled_service import (
+    DEADLINE_SECONDS,
+    OK,
+    MachinesService,
+    RelayedService,
+    StandardService,
+    TroubledService,
+)
 
 #: Seconds within which a connection without a valid answer is given up, and what a busy machine
 #: may add.
 GIVE_UP_SECONDS, SLACK_SECONDS = 1.0, 0.5
-#: Seconds to the deadline of a request that is answered without end.
-DEADLINE_SECONDS = 2.0
 #: By how many MB the routers may grow over all kinds of endless answers.
 MAX_GROWTH_MB = 40
 #: Requests without end at a time, of each kind.
@@ -37,8 +38,6 @@
 ALONE_SECONDS = 0.7
 #: Callers that read nothing, and what the kernel holds for each at least.
 UNREADING_CALLERS, UNREAD_BYTES = 22, 8192
-BENCH_KEY = "bench-key"
-OK = 200
 #: What is sent in drops: in a head, and in a body that is not whole.
 IN_DROPS = ("interim-responses", "header-lines", "one-line", "chunk-extension", "trailers")
 
@@ -53,35 +52,13 @@
     return sorted(seconds)[len(seconds) * 99 // 100]
 
 
-class _EndlessChecks(unittest.TestCase):
+class _EndlessChecks(TroubledService):
     """Plays each kind of endless answer, beside sound requests at the same router."""
 
-    #: Port of the upstream; 0 for any.
-    PORT: ClassVar[int] = 0
     NAMES: ClassVar[tuple[str, ...]] = (
         *ENDLESS_BY_NAME,
         *(f"{name}-in-drops" for name in IN_DROPS),
     )
-    #: The routers.
-    processes: ClassVar[list[subprocess.Popen[bytes]]]
-    #: Those that answer the sound requests.
-    sound_upstreams: ClassVar[list[subprocess.Popen[bytes]]]
-
-    def add_upstream(self, name: str, address: str) -> None:
-        """Add the one upstream of the service that answers without end."""
-        raise NotImplementedError
-
-    def remove_upstream(self, name: str) -> None:
-        """Remove it; the next one begins without its faults."""
-        raise NotImplementedError
-
-    def endless_request(self, name: str) -> CallerRequest:
-        """Return a request that is answered without end, or whole if it names no kind."""
-        raise NotImplementedError
-
-    def sound_request(self) -> CallerRequest:
-        """Return a request to another service of the same router."""
-        raise NotImplementedError
 
     def test_no_endless_answer_holds_up_others_or_fills_memory(self) -> None:
         taking_part = (*self.processes, *self.sound_upstreams)
@@ -101,7 +78,7 @@
         with EndlessUpstream(HOST, self.PORT, routers, limit) as upstream:
             self.add_upstream(f"i-{name}", upstream.address)
             try:
-                eventually(lambda: call(self.endless_request("whole")).status == OK)
+                eventually(lambda: call(self.troubled_request("whole")).status == OK)
                 with caller.calls() as alone:
                     time.sleep(ALONE_SECONDS)
                 sound = self.play(name, caller)
@@ -117,7 +94,8 @@
     def play(self, name: str, caller: SteadyCaller) -> list[Reply]:
         """Send requests that are answered without end; return the sound ones' replies."""
         callers = [
-            threading.Thread(target=call, args=(self.endless_request(name),)) for _ in range(COPIES)
+            threading.Thread(target=call, args=(self.troubled_request(name),))
+            for _ in range(COPIES)
         ]
         with caller.calls() as sound:
             for each in callers:
@@ -128,67 +106,16 @@
         return sound
 
 
-class MachinesEndlessTest(_EndlessChecks):
+class MachinesEndlessTest(_EndlessChecks, MachinesService):
     """Two routers of the prepared machines; the callers' one reaches the upstream."""
 
-    fleet: ClassVar[MachinesFleet]
-
     # Guards against upstreams that send bytes without end: they held requests to their deadline,
     # filled the router's memory, or took its whole processor.
-    @classmethod
-    def setUpClass(cls) -> None:
-        cls.fleet = cls.enterClassContext(MachinesFleet(log_level="ERROR"))
-        cls.fleet.put_object("config", "main", CONFIGURATION)
-        cls.fleet.add_engine("i-portal-0", "portal", HALLS[0])
-        cls.fleet.add_router(HALLS[0], cls.diversions())
-        cls.fleet.add_router(HALLS[1])
-        cls.processes = [each.process for each in cls.fleet.machine_routers]
-        cls.sound_upstreams = [each.process for each in cls.fleet.backends]
-        eventually(lambda: all(each.is_ready() for each in cls.fleet.machine_routers))
-        eventually(lambda: call(cls._request("/x")).status == OK)
-
-    @classmethod
-    def diversions(cls) -> dict[str, int] | None:
-        """Return the ports that the callers' router connects to in place of addresses."""
-        return None
-
-    @classmethod
-    def _request(cls, path: str) -> CallerRequest:
-        headers = (
-            ("Host", "desk.example"),
-            ("Attempt-Id", UNIQUE),
-            ("Authorization", "Bearer key-1"),
-            ("Deadline-Ms", str(int(DEADLINE_SECONDS * 1000))),
-        )
-        url = cls.fleet.machine_routers[0].caller_url + path
-        return CallerRequest(url, headers, UNIQUE.encode())
-
-    def add_upstream(self, name: str, address: str) -> None:
-        nobody: Any = None
-        upstream = Backend(name, "lang", f"http://{address}", HALLS[0], nobody)
-        self.fleet.put_engine(upstream, "ready")
 
-    def remove_upstream(self, name: str) -> None:
-        self.fleet.remove_object("servers", name)
 
-    def endless_request(self, name: str) -> CallerRequest:
-        return self._request(f"/notes/{name}")
-
-    def sound_request(self) -> CallerRequest:
-        return self._request("/x")
-
-
-class RelayedEndlessTest(MachinesEndlessTest):
+class RelayedEndlessTest(_EndlessChecks, RelayedService):
     """The callers' router does not reach the upstream, and the other one relays."""
 
-    PORT = free_ports(1)[0]
-
-    @classmethod
-    def diversions(cls) -> dict[str, int]:
-        relay = cls.enterClassContext(CuttableRelay(HOST, cls.PORT))
-        relay.cut(Cut.REFUSE)
-        return {f"{HOST}:{cls.PORT}": relay.port}
-
 
 class UnreadEndlessTest(MachinesEndlessTest):
     """Callers of endless answers read nothing of them, and stay."""
@@ -203,7 +130,7 @@
 
     # Guards against an endless answer that is kept in memory for callers that stop reading.
     def play(self, name: str, caller: SteadyCaller) -> list[Reply]:
-        request = self.endless_request(name)
+        request = self.troubled_request(name)
         with caller.calls() as sound, ExitStack() as connections:
             for _ in range(UNREADING_CALLERS):
                 connections.enter_context(_sent_unread(request.unique()))
@@ -230,53 +157,10 @@
     return connection
 
 
-class StandardEndlessTest(_EndlessChecks):
+class StandardEndlessTest(_EndlessChecks, StandardService):
     """Two routers of the standard interface, and a plain service without end."""
 
-    fleet: ClassVar[LocalFleet]
-
     # Guards against the same in the standard interface.
-    @classmethod
-    def setUpClass(cls) -> None:
-        cls.fleet = cls.enterClassContext(LocalFleet(log_level="ERROR"))
-        cls.fleet.add_backend("engine", "engine-0", "scene-language", "recife-1")
-        cls.fleet.add_routers(["recife-1", "recife-1"])
-        template = cls.fleet.folder / "fleet.yaml"
-        deadline = f"kind: plain\n    deadline: {DEADLINE_SECONDS}"
-        text = (ROOT / "bench/fleet.yaml").read_text()
-        template.write_text(text.replace("kind: plain", deadline))
-        applied = cls.fleet.apply(template)
-        if applied.returncode != 0:
-            raise AssertionError(applied.stderr)
-        cls.processes = [each.process for each in cls.fleet.routers]
-        cls.sound_upstreams = [each.process for each in cls.fleet.backends]
-        cls.fleet.await_convergence(1)
-        eventually(lambda: call(cls._chat()).status == OK)
-
-    @classmethod
-    def _request(cls, path: str, body: bytes) -> CallerRequest:
-        headers = (("Authorization", f"Bearer {BENCH_KEY}"), ("X-Call-Id", UNIQUE))
-        return CallerRequest(cls.fleet.routers[0].callers + path, headers, body)
-
-    @classmethod
-    def _chat(cls) -> CallerRequest:
-        messages = [{"role": "user", "content": UNIQUE}]
-        chat = {"model": "scene-writer", "messages": messages, "max_tokens": 1, "stream": False}
-        return cls._request("/v1/chat/completions", json.dumps(chat).encode())
-
-    def add_upstream(self, name: str, address: str) -> None:
-        nobody: Any = None
-        upstream = Backend(name, "proof-portal", f"http://{address}", "recife-1", nobody)
-        self.fleet.put_upstream(upstream, "live")
-
-    def remove_upstream(self, name: str) -> None:
-        fetch(f"{self.fleet.platform_url}/v1/objects/upstream/{name}", method="DELETE")
-
-    def endless_request(self, name: str) -> CallerRequest:
-        return self._request(f"/proofs/{name}", b"x")
-
-    def sound_request(self) -> CallerRequest:
-        return self._chat()
 
 
 del _EndlessChecks
--- a/fakes/tests/test_endless_own_calls.py
+++ b/fakes/tests/test_endless_own_calls.py
@@ -11,10 +11,9 @@
 from fakes._local_fleet import HOST, ROOT, Backend, LocalFleet, fetch
 from fakes._machines_fleet import eventually
 from fakes._steady_caller import UNIQUE, CallerRequest, SteadyCaller
+from fakes.tests._troubled_service import BENCH_KEY, OK
 from fakes.tests.test_endless_answers import (
     ALONE_SECONDS,
-    BENCH_KEY,
-    OK,
     SOUND_RATIO,
     SOUND_SLACK,
     latest_hundredth,
