Show the incident: spoilt answers reach callers of real routers as whole ones

Routers as processes: direct, relayed, of requests that may not run twice, and of the standard interface.

--- /dev/null
+++ b/fakes/_spoilt.py
@@ -0,0 +1,289 @@
+"""An upstream in trouble, whose answers have spoilt heads or frames.
+
+It answers in the dialects of the prepared machines and of the standard interface, and names each
+request that it answers, so that nothing but what is spoilt speaks against an answer.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import socketserver
+import threading
+import time
+from collections import Counter
+from dataclasses import dataclass
+from types import TracebackType
+from typing import Any
+
+from fakes._raw_requests import RawRequest, read_request
+
+SIGNATURE = b"i-spoilt"
+#: The body that each answer is meant to have, unless another is asked for.
+WHOLE_BODY = b"the whole body of this engine"
+OK_LINE = b"HTTP/1.1 200 OK"
+CHUNKED = b"Transfer-Encoding: chunked"
+#: Seconds for which a connection stays open after an answer that does not end it.
+LINGER_SECONDS = 5.0
+
+
+@dataclass(frozen=True)
+class Spoilt:
+    """A spoilt answer: its head after the lines that name the request, and how its body is sent."""
+
+    #: Lines of the head; ``%d`` stands for the length of the whole body.
+    lines: tuple[bytes, ...] = ()
+    first_line: bytes = OK_LINE
+    #: Written in place of the blank line that ends the head.
+    head_end: bytes = b"\r\n"
+    is_chunked: bool = False
+    #: Written after the body; for a chunked one after its last chunk.
+    rest: bytes = b""
+    #: Whether the connection is closed right after the answer.
+    closes: bool = True
+    #: Whether nothing of the body is written.
+    is_cut: bool = False
+    #: In place of the chunks, if not empty.
+    chunks: bytes = b""
+
+    def written(self, names: bytes, body: bytes) -> bytes:
+        """Return the bytes of the answer to a request."""
+        lines = b"".join(line.replace(b"%d", b"%d" % len(body)) + b"\r\n" for line in self.lines)
+        head = self.first_line + b"\r\n" + names + lines + self.head_end
+        return head if self.is_cut else head + self._framed(body) + self.rest
+
+    def _framed(self, body: bytes) -> bytes:
+        if self.chunks:
+            return self.chunks
+        return chunked(body) if self.is_chunked else body
+
+
+def chunked(body: bytes) -> bytes:
+    """Return a body in two chunks and the last one, without the line that ends the trailers."""
+    half = len(body) // 2
+    return b"".join(b"%x\r\n%s\r\n" % (len(part), part) for part in (body[:half], body[half:])) + (
+        b"0\r\n"
+    )
+
+
+def _lines(*lines: bytes) -> Spoilt:
+    return Spoilt(lines)
+
+
+def _first(line: bytes) -> Spoilt:
+    return Spoilt((b"Content-Length: %d",), first_line=line)
+
+
+def _chunks(*lines: bytes, rest: bytes = b"\r\n", chunks: bytes = b"") -> Spoilt:
+    return Spoilt((*lines, CHUNKED), is_chunked=True, rest=rest, chunks=chunks)
+
+
+#: By name: where the head tells the length of the body.
+LENGTHS: dict[str, Spoilt] = {
+    "length-and-chunks": Spoilt((b"Content-Length: 5", CHUNKED), is_chunked=True, rest=b"\r\n"),
+    "chunks-and-length": Spoilt((CHUNKED, b"Content-Length: 5"), is_chunked=True, rest=b"\r\n"),
+    "chunks-and-longer-length": _chunks(b"Content-Length: 500"),
+    "chunks-and-no-number": _chunks(b"Content-Length: five"),
+    "chunks-announced-only": _lines(b"Content-Length: %d", CHUNKED),
+    "two-lengths": _lines(b"Content-Length: 5", b"Content-Length: %d"),
+    "two-lengths-in-a-list": _lines(b"Content-Length: 5, %d"),
+    "length-and-empty": _lines(b"Content-Length: %d, "),
+    "too-short": _lines(b"Content-Length: 5"),
+    "too-short-kept-open": Spoilt((b"Content-Length: 5",), closes=False),
+    "zero": _lines(b"Content-Length: 0"),
+    "too-long": _lines(b"Content-Length: 500"),
+    "too-long-of-many-digits": _lines(b"Content-Length: 99999999999999999999999999"),
+    "no-number": _lines(b"Content-Length: many"),
+    "no-value": _lines(b"Content-Length:"),
+    "negative": _lines(b"Content-Length: -5"),
+    "plus-sign": _lines(b"Content-Length: +5"),
+    "hexadecimal": _lines(b"Content-Length: 0x5"),
+    "fraction": _lines(b"Content-Length: 5.0"),
+    "underscore": _lines(b"Content-Length: 0_5"),
+    "blank-within": _lines(b"Content-Length: 5 0"),
+    "control-byte-after": _lines(b"Content-Length: 5\x01"),
+    "nul-after": _lines(b"Content-Length: 5\x00"),
+    "form-feed-before": _lines(b"Content-Length: \x0c5"),
+    "line-feed-within": _lines(b"Content-Length: 5\n0"),
+    "carriage-return-within": _lines(b"Content-Length: 5\r0"),
+    "continued-value": _lines(b"Content-Length:", b" 5"),
+    "continued-digits": _lines(b"Content-Length: 5", b" 0"),
+    "continues-another": _lines(b"X-Note: a", b" Content-Length: 5"),
+    "continues-another-by-tab": _lines(b"X-Note: a", b"\tContent-Length: %d"),
+    "continues-the-status": Spoilt(first_line=OK_LINE + b"\r\n Content-Length: 5"),
+    "unknown-coding": Spoilt((b"Transfer-Encoding: gzip",)),
+    "identity-coding": Spoilt((b"Transfer-Encoding: identity", b"Content-Length: 5")),
+    "spoilt-coding": Spoilt((b"Transfer-Encoding: chunkex",), is_chunked=True, rest=b"\r\n"),
+    "empty-coding": Spoilt((b"Transfer-Encoding:",), is_chunked=True, rest=b"\r\n"),
+    "coding-twice": _chunks(CHUNKED),
+    "two-codings": Spoilt((CHUNKED + b", identity",), is_chunked=True, rest=b"\r\n"),
+    "coding-of-old-version": Spoilt((CHUNKED,), b"HTTP/1.0 200 OK", is_chunked=True, rest=b"\r\n"),
+    "chunks-of-no-size": _chunks(chunks=b"5x\r\nhello\r\n0\r\n"),
+    "chunks-of-negative-size": _chunks(chunks=b"-5\r\nhello\r\n0\r\n"),
+    "chunks-of-signed-size": _chunks(chunks=b"+5\r\nhello\r\n0\r\n"),
+    "chunks-too-short": _chunks(chunks=b"2\r\nhello\r\n0\r\n"),
+    "chunks-without-last": _chunks(chunks=b"5\r\nhello\r\n", rest=b""),
+    "chunks-with-cut-last": _chunks(chunks=b"5\r\nhello\r\n0\r\n", rest=b""),
+    "chunks-with-spoilt-trailer": _chunks(rest=b"no field\r\n\r\n"),
+    "bytes-after-chunks": _chunks(rest=b"\r\nand more"),
+    "no-body-but-bytes": Spoilt((b"Content-Length: %d",), b"HTTP/1.1 204 No Content"),
+}
+#: By name: lines that are no fields.
+LINES: dict[str, Spoilt] = {
+    name: Spoilt(lines)
+    for name, lines in {
+        "no-colon": (b"no field at all", b"Content-Length: 5"),
+        "no-colon-last": (b"Content-Length: 5", b"no field at all"),
+        "length-without-colon": (b"Content-Length 5",),
+        "no-name": (b": 5", b"Content-Length: 5"),
+        "only-control-bytes": (b"\x01\x02\x03", b"Content-Length: 5"),
+        "only-a-nul": (b"\x00", b"Content-Length: 5"),
+        "only-blanks": (b"  ", b"Content-Length: 5"),
+        "another-status": (OK_LINE, b"Content-Length: 5"),
+        "high-bytes": (b"\xff\xfe\xfd", b"Content-Length: 5"),
+    }.items()
+}
+#: By name: names of fields that are no tokens.
+NAMES: dict[str, Spoilt] = {
+    name: Spoilt((line, b"Content-Length: %d") if b"ength" not in line else (line,))
+    for name, line in {
+        "blank-in-name": b"X Note: a",
+        "blank-before-colon": b"X-Note : a",
+        "tab-before-colon": b"X-Note\t: a",
+        "control-byte-in-name": b"X-N\x01ote: a",
+        "nul-in-name": b"X-N\x00ote: a",
+        "delete-in-name": b"X-Note\x7f: a",
+        "vertical-tab-in-name": b"X-N\x0bote: a",
+        "escape-in-name": b"\x1bX-Note: a",
+        "carriage-return-in-name": b"X-N\rote: a",
+        "high-byte-in-name": b"X-N\xe9te: a",
+        "separator-in-name": b"X(Note): a",
+        "blank-before-name": b" X-Note: a",
+        "blank-in-length-name": b"Content Length: 5",
+        "blank-after-length-name": b"Content-Length : 5",
+        "tab-after-length-name": b"Content-Length\t: 5",
+        "blank-before-length-name": b" Content-Length: 5",
+        "control-byte-in-length-name": b"Content-\x01Length: 5",
+        "nul-after-length-name": b"Content-Length\x00: 5",
+        "delete-before-length-name": b"\x7fContent-Length: 5",
+        "carriage-return-before-length-name": b"\rContent-Length: 5",
+        "high-byte-in-length-name": b"Content-L\xc3\xa9ngth: 5",
+    }.items()
+}
+#: By name: values that hold bytes which no value may hold.
+VALUES: dict[str, Spoilt] = {
+    name: Spoilt((line, b"Content-Length: %d"))
+    for name, line in {
+        "control-byte-in-value": b"X-Note: a\x01b",
+        "nul-in-value": b"X-Note: a\x00b",
+        "delete-in-value": b"X-Note: a\x7fb",
+        "escape-in-value": b"X-Note: \x1b[2J",
+        "carriage-return-in-value": b"X-Note: a\rX-Other: b",
+    }.items()
+}
+#: By name: first lines whose status or version is none.
+STATUSES: dict[str, Spoilt] = {
+    "status-000": _first(b"HTTP/1.1 000 OK"),
+    "status-000-without-reason": _first(b"HTTP/1.1 000"),
+    "status-001": _first(b"HTTP/1.1 001 OK"),
+    "status-099": _first(b"HTTP/1.1 099 OK"),
+    "status-600": _first(b"HTTP/1.1 600 OK"),
+    "status-999": _first(b"HTTP/1.1 999 OK"),
+    "status-of-two-digits": _first(b"HTTP/1.1 20 OK"),
+    "status-of-four-digits": _first(b"HTTP/1.1 2000 OK"),
+    "negative-status": _first(b"HTTP/1.1 -20 OK"),
+    "no-status": _first(b"HTTP/1.1 OK"),
+    "empty-status": _first(b"HTTP/1.1  200 OK"),
+    "spoilt-version": _first(b"HTTP/1.x 200 OK"),
+    "unknown-version": _first(b"HTTP/9.9 200 OK"),
+    "spoilt-protocol": _first(b"HTTQ/1.1 200 OK"),
+    "control-byte-in-reason": _first(b"HTTP/1.1 200 O\x00K"),
+    "interim-only": _first(b"HTTP/1.1 100 Continue"),
+    "unasked-switch": _first(b"HTTP/1.1 101 Switching Protocols"),
+}
+#: By name: heads whose connection is closed before they end.
+CUT_HEADS: dict[str, Spoilt] = {
+    "cut-in-status": Spoilt(first_line=b"HTTP/1.1 20", head_end=b"", is_cut=True),
+    "cut-after-status": Spoilt(head_end=b"", is_cut=True),
+    "cut-in-length": Spoilt(head_end=b"Content-Length: 2", is_cut=True),
+    "cut-in-name": Spoilt(head_end=b"Content-Le", is_cut=True),
+    "cut-after-length": Spoilt((b"Content-Length: 0",), head_end=b"", is_cut=True),
+    "cut-after-chunks": Spoilt((CHUNKED,), head_end=b"", is_cut=True),
+    "cut-in-blank-line": Spoilt(head_end=b"\r", is_cut=True),
+    "cut-after-event-stream": Spoilt(
+        (b"Content-Type: text/event-stream",), head_end=b"", is_cut=True
+    ),
+}
+SPOILT_BY_NAME = {**LENGTHS, **LINES, **NAMES, **VALUES, **STATUSES, **CUT_HEADS}
+
+
+class SpoiltUpstream:
+    """Answers requests whose path names one of SPOILT_BY_NAME so, and others as it should."""
+
+    def __init__(self, host: str, port: int = 0) -> None:
+        self._server = _Server((host, port), _Handler)
+        self._server.upstream = self
+        self.address = f"{host}:{self._server.server_address[1]}"
+        #: Names one of SPOILT_BY_NAME, by which every request is answered.
+        self.always = ""
+        #: The body of each answer, where another is to be sent.
+        self.body = WHOLE_BODY
+        #: Spoilt answers that were sent, by name.
+        self.sent_by_name: Counter[str] = Counter()
+
+    def __enter__(self) -> SpoiltUpstream:
+        threading.Thread(target=self._server.serve_forever, daemon=True).start()
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self._server.shutdown()
+        self._server.server_close()
+        # A connection that a router has kept would still be answered here.
+        for each in tuple(self._server.connections):
+            with contextlib.suppress(OSError):
+                each.shutdown(socket.SHUT_RDWR)
+
+
+class _Server(socketserver.ThreadingTCPServer):
+    daemon_threads = True
+    allow_reuse_address = True
+    request_queue_size = 100
+
+    def __init__(self, *arguments: Any) -> None:
+        super().__init__(*arguments)
+        self.upstream: SpoiltUpstream
+        self.connections: set[socket.socket] = set()
+
+
+class _Handler(socketserver.StreamRequestHandler):
+    server: _Server
+
+    def handle(self) -> None:
+        """Answer the requests of a connection, one after the other."""
+        self.connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.server.connections.add(self.connection)
+        try:
+            while (request := read_request(self.rfile, SIGNATURE)) is not None:
+                name = self.server.upstream.always or request.path.rpartition("/")[2]
+                if name in SPOILT_BY_NAME:
+                    self._send_spoilt(name, request)
+                    return
+                body = self.server.upstream.body
+                length = b"Content-Length: %d\r\n\r\n" % len(body)
+                self.wfile.write(OK_LINE + b"\r\n" + request.names + length + body)
+        except OSError:
+            return
+        finally:
+            self.server.connections.discard(self.connection)
+
+    def _send_spoilt(self, name: str, request: RawRequest) -> None:
+        upstream, spoilt = self.server.upstream, SPOILT_BY_NAME[name]
+        upstream.sent_by_name[name] += 1
+        self.connection.sendall(spoilt.written(request.names, upstream.body))
+        if not spoilt.closes:
+            time.sleep(LINGER_SECONDS)
--- /dev/null
+++ b/fakes/tests/test_spoilt_answers.py
@@ -0,0 +1,154 @@
+"""Upstreams whose answers have spoilt heads or frames, behind real routers.
+
+Guards against routers that pass on as a whole answer what its upstream did not mean as one: the
+body ended where one line of the head said and the caller was told another one, lines that are no
+fields became part of others, and statuses that are none were passed on.
+"""
+
+from __future__ import annotations
+
+import http.client
+import urllib.parse
+from dataclasses import dataclass
+
+from fakes._machines_fleet import eventually
+from fakes._silent_relay import HOST
+from fakes._spoilt import (
+    CUT_HEADS,
+    LENGTHS,
+    LINES,
+    NAMES,
+    SIGNATURE,
+    STATUSES,
+    VALUES,
+    WHOLE_BODY,
+    SpoiltUpstream,
+)
+from fakes._steady_caller import CallerRequest, call
+from fakes.tests._troubled_service import (
+    OK,
+    MachinesRoute,
+    MachinesService,
+    RelayedService,
+    StandardService,
+    TroubledService,
+)
+
+#: Seconds within which a caller gets an answer or a refusal.
+ANSWER_SECONDS = 4.0
+#: Statuses with which a router says that its upstream gave no answer.
+REFUSALS = frozenset({502, 503, 504})
+#: The signature of an answer whose head is as its upstream meant it: with the request's id.
+SIGNED = rf"^{SIGNATURE.decode()}\.[0-9a-f.-]+$"
+#: Fields of the spoilt lines.
+NOTES = ("X-Note", "X-Other")
+
+
+@dataclass(frozen=True)
+class Received:
+    """What a caller got on one connection."""
+
+    #: 0 if no whole answer came.
+    status: int
+    signature: str
+    #: Values of NOTES.
+    notes: tuple[str, ...]
+    body: bytes
+    #: Status of the answer to a sound request on the same connection; 0 if it was closed.
+    next_status: int
+
+
+def receive(request: CallerRequest, following: CallerRequest) -> Received:
+    """Send a request, and a sound one on the same connection unless it was closed."""
+    connection = http.client.HTTPConnection(
+        urllib.parse.urlparse(request.url).netloc, timeout=ANSWER_SECONDS
+    )
+    try:
+        _send(connection, request)
+        response = connection.getresponse()
+        status, body, headers = response.status, response.read(), response.headers
+    except (OSError, http.client.HTTPException):
+        connection.close()
+        return Received(0, "", (), b"", 0)
+    next_status = 0
+    if connection.sock is not None:
+        try:
+            _send(connection, following)
+            next_status = connection.getresponse().status
+        except (OSError, http.client.HTTPException) as error:
+            if not isinstance(error, ConnectionError):
+                next_status = -1
+    connection.close()
+    notes = tuple(headers[name] for name in NOTES if name in headers)
+    signature = headers.get("Instance-Signature", "")
+    return Received(status, signature, notes, body, next_status)
+
+
+def _send(connection: http.client.HTTPConnection, request: CallerRequest) -> None:
+    path = urllib.parse.urlparse(request.url).path
+    connection.request("POST", path, request.body, dict(request.headers))
+
+
+class _SpoiltChecks(TroubledService):
+    """Plays each spoilt answer; the caller gets the upstream's own one, whole, or a refusal."""
+
+    def check(self, names: tuple[str, ...]) -> None:
+        for name in names:
+            with self.subTest(name), SpoiltUpstream(HOST, self.PORT) as upstream:
+                self.add_upstream(f"i-{name}", upstream.address)
+                try:
+                    eventually(lambda: call(self.troubled_request("whole")).status == OK)
+                    self.check_answer(name, upstream)
+                finally:
+                    self.remove_upstream(f"i-{name}")
+
+    def check_answer(self, name: str, upstream: SpoiltUpstream) -> None:
+        request = self.troubled_request(name).unique()
+        received = receive(request, self.sound_request().unique())
+        self.assertGreater(upstream.sent_by_name[name], 0)
+        self.assertIn(received.next_status, {0, OK})
+        if received.status in REFUSALS or not received.status:
+            return
+        self.assertEqual((received.status, received.body), (OK, WHOLE_BODY))
+        self.assertRegex(received.signature, SIGNED)
+        self.assertEqual(received.notes, ())
+
+    def test_a_body_ends_where_its_caller_is_told(self) -> None:
+        self.check(tuple(LENGTHS))
+
+    def test_a_line_that_is_no_field_is_not_passed_on(self) -> None:
+        self.check(tuple(LINES))
+
+    def test_a_spoilt_name_is_not_passed_on(self) -> None:
+        self.check(tuple(NAMES))
+
+    def test_a_spoilt_value_is_not_passed_on(self) -> None:
+        self.check(tuple(VALUES))
+
+    def test_a_status_that_is_none_is_not_passed_on(self) -> None:
+        self.check(tuple(STATUSES))
+
+    def test_a_cut_head_is_no_answer(self) -> None:
+        self.check(tuple(CUT_HEADS))
+
+
+class MachinesSpoiltTest(_SpoiltChecks, MachinesService):
+    """Two routers of the prepared machines; the callers' one reaches the upstream."""
+
+
+class RelayedSpoiltTest(_SpoiltChecks, RelayedService):
+    """The callers' router does not reach the upstream, and the other one relays."""
+
+
+class UnrepeatableSpoiltTest(_SpoiltChecks, MachinesService):
+    """The requests may not run twice."""
+
+    TROUBLED = MachinesRoute("portal", "/proofs/")
+    SOUND = MachinesRoute("lang", "/notes/")
+
+
+class StandardSpoiltTest(_SpoiltChecks, StandardService):
+    """Two routers of the standard interface, and a plain service."""
+
+
+del _SpoiltChecks
