Answers' heads are accepted or rejected once, before any parser reads them

What callers saw: answers whose head told the length of the body in two ways, on a continued line or beside a line that is no field came as whole ones, with a body that was not the engine's.

Cause: a router read a head in one way and wrote it to its caller in another. It read the body by its chunks and passed the length beside them on; h11 joins a line that begins with a blank to the one before, so a length vanished in another field, or a field grew by one, the signature too.

Change: HttpCodec hands h11 no head that _answer_heads.read_head has not accepted. Each line after the first must be one field, and at most one field may tell where the body ends; equal lengths become one number, and the length 0 beside a status without body is not passed on. What is rejected breaks the connection, as malformed answers did: the request runs again where it may, else its caller gets a 502. RFC 9112 leaves a proxy to repair a continued line or to answer 502 (5.2), calls a length beside chunks an error (6.3) and has none of either in a 204 (6.1, RFC 9110 8.6).

Drawn spoilt heads, read by h11 and by Python's lenient client, agree wherever one is accepted (500 examples).

Why this works: after it there is one reading of a head only, so what the router reads and what it passes on cannot differ. Heads that a sound server may send are accepted as they are: opaque bytes, empty values, no reason, equal lengths said twice, bare line feeds (FramingTest).

--- a/pondhatch/transport/_http_codec.py
+++ b/pondhatch/transport/_http_codec.py
@@ -6,10 +6,19 @@
 
 import h11
 
-#: Maximum bytes of a response's head.
-MAX_HEAD_BYTES = 64 * 1024
+from pondhatch.transport._answer_heads import (
+    BODILESS_STATUSES,
+    MAX_HEAD_BYTES,
+    PROTOCOL,
+    AnswerHead,
+    HeadBuffer,
+    MalformedHead,
+)
+from pondhatch.transport._connection_broken import ConnectionBroken
+
 #: Headers of the request that only prepares a reader for an answer, and is sent nowhere.
 _UNSENT_HEADERS = ((b"Host", b"unsent"),)
+_HEAD = b"HEAD"
 
 
 class HttpCodec:
@@ -21,6 +30,11 @@
         #: answer for each request.
         self._reader = self._writer
         self._method: bytes = b""
+        #: Bytes from which the reader gets heads only once they are accepted.
+        self._heads = HeadBuffer()
+        #: The answer's head; None before it came.
+        self._head: AnswerHead | None = None
+        self._is_closed = False
 
     def send(self, event: Any) -> bytes:
         """Return the bytes to write for a part of the request."""
@@ -35,11 +49,37 @@
 
     def receive(self, data: bytes) -> None:
         """Add received bytes; b"" stands for the end of the connection."""
-        self._reader.receive_data(data)
+        if not data:
+            self._is_closed = True
+        if self._head is not None:
+            self._reader.receive_data(data)
+        elif data:
+            self._heads.add(data)
 
     def next_event(self) -> Any:
-        """Return the next event of the answer. Raises h11.RemoteProtocolError."""
-        return self._reader.next_event()
+        """Return the next event of the answer. Raises ConnectionBroken if it is malformed."""
+        try:
+            if self._head is None:
+                self._read_head()
+            return self._reader.next_event()
+        except (MalformedHead, h11.RemoteProtocolError) as error:
+            raise ConnectionBroken(f"no answer in the protocol: {error}") from error
+
+    def _read_head(self) -> None:
+        """Pass the next head on to the reader if it is complete, and what follows the last one."""
+        head = self._heads.take_head()
+        if head is None:
+            if self._is_closed:
+                raise MalformedHead("the connection was closed before the end of a head")
+            return
+        self._reader.receive_data(head.content)
+        if head.is_interim:
+            return
+        self._head = head
+        if rest := self._heads.take_rest():
+            self._reader.receive_data(rest)
+        if self._is_closed:
+            self._reader.receive_data(b"")
 
     @property
     def is_complete(self) -> bool:
@@ -53,24 +93,39 @@
 
         What came of a body is never left over once all events are read.
         """
-        is_answering = self._reader.their_state in (h11.SEND_RESPONSE, h11.SEND_BODY)
-        return is_answering and bool(self._reader.trailing_data[0])
+        if self._head is None:
+            return bool(self._heads)
+        return self._reader.their_state is h11.SEND_BODY and bool(self._reader.trailing_data[0])
+
+    @property
+    def has_stated_end(self) -> bool:
+        """Return whether the answer's head told the length of its body, or that it has none."""
+        if self._head is None or self._method == _HEAD:
+            return False
+        return self._head.length is not None or self._head.status in BODILESS_STATUSES
+
+    def is_surplus_body(self, unread: bytes = b"") -> bool:
+        """Return whether bytes after the answer, which has ended, may be more of its body.
+
+        They may unless they begin another answer. ``unread`` follows what was received.
+        """
+        following = (self._reader.trailing_data[0] + unread)[: len(PROTOCOL)]
+        return self.has_stated_end and not PROTOCOL.startswith(following)
 
     def skip_answer(self) -> None:
         """Go on to the next answer, after one was read to its end that is not the request's."""
-        rest, is_closed = self._reader.trailing_data
+        rest, self._is_closed = self._reader.trailing_data
         self._reader = _new_h11()
         self._reader.send(
             h11.Request(method=self._method, target=b"/", headers=list(_UNSENT_HEADERS))
         )
         self._reader.send(h11.EndOfMessage())
-        if rest:
-            self._reader.receive_data(rest)
-        if is_closed:
-            self._reader.receive_data(b"")
+        self._head = None
+        self._heads.add(rest)
 
     def start_next_exchange(self) -> None:
         """Prepare for another request, once the exchange is complete."""
+        self._head = None
         if self._reader is self._writer:
             self._writer.start_next_cycle()
         else:
--- a/pondhatch/transport/_http_connection.py
+++ b/pondhatch/transport/_http_connection.py
@@ -206,8 +206,8 @@
         """Read received parts, but no more than a share; return whether more are left."""
         try:
             is_all_read = self._read_events(PARTS_PER_SHARE)
-        except (h11.RemoteProtocolError, ConnectionBroken) as error:
-            self._fail(ConnectionBroken(f"no answer in the protocol: {error}"))
+        except ConnectionBroken as error:
+            self._fail(error)
             return False
         if not self.is_open or not is_all_read:
             return self.is_open
@@ -221,7 +221,7 @@
     def _read_rest(self) -> None:
         """Read all received parts of a connection that is lost."""
         # An error shows that the answer is incomplete, as the reason of the loss does.
-        with contextlib.suppress(h11.RemoteProtocolError, ConnectionBroken):
+        with contextlib.suppress(ConnectionBroken):
             self._read_events(sys.maxsize)
 
     def _limit_lines(self) -> None:
--- a/pondhatch/transport/_http_heads.py
+++ b/pondhatch/transport/_http_heads.py
@@ -6,16 +6,13 @@
 import msgspec
 
 from pondhatch.requests import Framing, Headers
+from pondhatch.transport._answer_heads import BODILESS_STATUSES, PROTOCOL
 from pondhatch.transport._headers import as_bytes, as_text
 
 #: Methods whose requests have no Content-Length if their body is empty.
 BODILESS = frozenset({"GET", "HEAD", "DELETE", "OPTIONS"})
-#: Begins the first line of a response.
-STATUS_LINE_START = b"HTTP/1."
 #: Header in which proxies name the version of the protocol.
 VIA = b"via"
-#: Statuses of responses that have no body.
-BODILESS_STATUSES = frozenset({204, 304})
 
 
 class Request(msgspec.Struct, frozen=True):
@@ -87,7 +84,7 @@
     """Return the head of a response that h11 parsed."""
     headers = tuple((as_text(name), as_text(value)) for name, value in event.headers.raw_items())
     by_name = {name.lower(): value for name, value in headers}
-    has_inner = STATUS_LINE_START in event.reason or any(
-        STATUS_LINE_START in value for name, value in event.headers if name != VIA
+    has_inner = PROTOCOL in event.reason or any(
+        PROTOCOL in value for name, value in event.headers if name != VIA
     )
     return ResponseHead(event.status_code, headers, by_name, has_inner)
