A status outside of 100 to 599 is no answer

Change: a head is accepted only with a status from 100 to 599.

Why this works: the one place that accepts heads decides it, so no reader or writer sees such a status.

--- a/pondhatch/transport/_answer_heads.py
+++ b/pondhatch/transport/_answer_heads.py
@@ -28,7 +28,7 @@
 
 #: Bytes of a value or a reason.
 _TEXT = rb"[^\x00\n\x0b\x0c\r]*"
-_FIRST_LINE = rb"HTTP/1\.(?P<minor>[0-9]) (?P<status>[0-9]{3})(?: " + _TEXT + rb")?\r?\n"
+_FIRST_LINE = rb"HTTP/1\.(?P<minor>[0-9]) (?P<status>[1-5][0-9]{2})(?: " + _TEXT + rb")?\r?\n"
 _FIELD = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:" + _TEXT + rb"\r?\n"
 _HEAD = re.compile(_FIRST_LINE + rb"(?:" + _FIELD + rb")*+\r?\n")
 _LINE_PATTERNS = (re.compile(_FIRST_LINE), re.compile(_FIELD))
--- a/pondhatch/transport/tests/test_answer_heads.py
+++ b/pondhatch/transport/tests/test_answer_heads.py
@@ -131,6 +131,11 @@
             with self.subTest(line), self.assertRaises(MalformedHead):
                 read_head(head(first=line))
 
+    def test_statuses_that_are_none_are_malformed(self) -> None:
+        for status in (b"000", b"001", b"099", b"600", b"999", b"20", b"2000", b"-20", b"+20"):
+            with self.subTest(status), self.assertRaises(MalformedHead):
+                read_head(head(first=b"HTTP/1.1 " + status + b" OK"))
+
     def test_later_minor_versions_and_all_statuses_are_accepted(self) -> None:
         self.assertEqual(read_head(head(first=b"HTTP/1.9 200 OK")).status, 200)
         for status in (100, 103, 200, 299, 451, 599):
