A head with control bytes in a value is no answer

What callers saw: values that hold a control byte or a delete were passed on as they came.

Cause: h11 lets all control bytes but NUL and white space pass, as some cookies hold them.

Change: a head is accepted only if its values and its reason hold tabs, blanks, visible and opaque bytes. RFC 9110, section 5.5, calls the others invalid and lets a recipient keep or reject them: a byte that its server did not mean speaks against the head, whose other lines may be spoilt too.

Why this works: the one place that accepts heads decides it. Every byte that a value may hold is accepted still (ValueTest).

--- a/pondhatch/transport/tests/test_answer_heads.py
+++ b/pondhatch/transport/tests/test_answer_heads.py
@@ -143,6 +143,25 @@
             self.assertEqual((accepted.status, accepted.is_interim), (status, status < 200))
 
 
+class ValueTest(unittest.TestCase):
+    def test_control_bytes_in_values_and_reasons_are_malformed(self) -> None:
+        for byte in (*range(9), *range(11, 13), *range(14, 32), 127):
+            text = b"a" + bytes((byte,)) + b"b"
+            for content in (head(b"X-A: " + text), head(first=OK + text)):
+                with self.subTest(content), self.assertRaises(MalformedHead):
+                    read_head(content)
+
+    def test_a_carriage_return_within_a_value_is_malformed(self) -> None:
+        for value in (b"a\rb", b"\ra", b"a\r\rb"):
+            with self.subTest(value), self.assertRaises(MalformedHead):
+                read_head(head(b"X-A: " + value))
+
+    def test_all_other_bytes_are_accepted(self) -> None:
+        text = bytes((9, *range(32, 127), *range(128, 256)))
+        content = head(b"X-A: " + text, first=OK + b" " + text)
+        self.assertEqual(read_head(content).content, content)
+
+
 class HeadBufferTest(unittest.TestCase):
     def test_a_head_is_found_however_its_bytes_arrive(self) -> None:
         interim, final = head(first=b"HTTP/1.1 100 Continue"), head(b"Content-Length: 5")
