An answer that goes on after its stated length is not whole

What callers saw: an engine that said a length and sent more, or a 204 and a body: a 200 with that many bytes, or a 204, as a whole answer.

Cause: the connection ended the answer at its stated length and saw what came after it only as bytes that forbid its reuse.

Change: at the stated end, before the last part of the body is passed on, the connection looks at what follows, also in the socket's buffer. Bytes that begin no other answer break the answer: nothing was sent yet, so the request runs again where it may, else its caller gets a 502; a body that has begun to go out ends without its last part, and its caller's connection is closed. Bytes that begin another answer are a surplus one, as before. An answer in chunks, or to HEAD, has no length that could be wrong and stays whole. Costs a system call for each answer with a length.

Why this works: the caller is never given the last byte of a body of which more had arrived by then. What arrives after the answer was passed on whole cannot be known before, and is not waited for.

--- a/fakes/_spoilt.py
+++ b/fakes/_spoilt.py
@@ -43,8 +43,8 @@
     closes: bool = True
     #: Whether nothing of the body is written.
     is_cut: bool = False
-    #: In place of the chunks, if not empty.
-    chunks: bytes = b""
+    #: Written in place of the body and its chunks, if not empty.
+    content: bytes = b""
 
     def written(self, names: bytes, body: bytes) -> bytes:
         """Return the bytes of the answer to a request."""
@@ -53,8 +53,8 @@
         return head if self.is_cut else head + self._framed(body) + self.rest
 
     def _framed(self, body: bytes) -> bytes:
-        if self.chunks:
-            return self.chunks
+        if self.content:
+            return self.content
         return chunked(body) if self.is_chunked else body
 
 
@@ -75,7 +75,7 @@
 
 
 def _chunks(*lines: bytes, rest: bytes = b"\r\n", chunks: bytes = b"") -> Spoilt:
-    return Spoilt((*lines, CHUNKED), is_chunked=True, rest=rest, chunks=chunks)
+    return Spoilt((*lines, CHUNKED), is_chunked=True, rest=rest, content=chunks)
 
 
 #: By name: where the head tells the length of the body.
@@ -90,6 +90,7 @@
     "length-and-empty": _lines(b"Content-Length: %d, "),
     "too-short": _lines(b"Content-Length: 5"),
     "too-short-kept-open": Spoilt((b"Content-Length: 5",), closes=False),
+    "too-short-of-much": Spoilt((b"Content-Length: 200000",), content=b"x" * 300_000),
     "zero": _lines(b"Content-Length: 0"),
     "too-long": _lines(b"Content-Length: 500"),
     "too-long-of-many-digits": _lines(b"Content-Length: 99999999999999999999999999"),
--- a/pondhatch/transport/_answer_heads.py
+++ b/pondhatch/transport/_answer_heads.py
@@ -86,7 +86,7 @@
 
         Raises MalformedHead for one that is not accepted, too long, or begins as no answer does.
         """
-        if not PROTOCOL.startswith(self._received[: len(PROTOCOL)]):
+        if not may_begin_answer(self._received):
             raise MalformedHead(f"no answer begins with {bytes(self._received[:_QUOTED_BYTES])!r}")
         # An end that came in part before is at most two bytes long.
         found = _HEAD_END.search(self._received, max(0, self._searched - 2))
@@ -108,6 +108,11 @@
         return rest
 
 
+def may_begin_answer(content: bytes | bytearray) -> bool:
+    """Return whether the first bytes of an answer may be, or begin with, these."""
+    return PROTOCOL.startswith(content[: len(PROTOCOL)])
+
+
 def read_head(content: bytes) -> AnswerHead:
     """Return a complete head that is accepted. Raises MalformedHead."""
     found = _HEAD.fullmatch(content)
--- a/pondhatch/transport/_http_codec.py
+++ b/pondhatch/transport/_http_codec.py
@@ -9,7 +9,6 @@
 from pondhatch.transport._answer_heads import (
     BODILESS_STATUSES,
     MAX_HEAD_BYTES,
-    PROTOCOL,
     AnswerHead,
     HeadBuffer,
     MalformedHead,
@@ -104,13 +103,10 @@
             return False
         return self._head.length is not None or self._head.status in BODILESS_STATUSES
 
-    def is_surplus_body(self, unread: bytes = b"") -> bool:
-        """Return whether bytes after the answer, which has ended, may be more of its body.
-
-        They may unless they begin another answer. ``unread`` follows what was received.
-        """
-        following = (self._reader.trailing_data[0] + unread)[: len(PROTOCOL)]
-        return self.has_stated_end and not PROTOCOL.startswith(following)
+    @property
+    def following(self) -> bytes:
+        """Return the bytes that were received after the answer, which has ended."""
+        return self._reader.trailing_data[0]
 
     def skip_answer(self) -> None:
         """Go on to the next answer, after one was read to its end that is not the request's."""
--- a/pondhatch/transport/tests/test_http_client.py
+++ b/pondhatch/transport/tests/test_http_client.py
@@ -23,21 +23,28 @@
 
 
 class Handle:
+    def __init__(self, peeked: bytes | None = None) -> None:
+        self._peeked = peeked
+
     def setsockopt(self, *_: int) -> None:
         return None
 
     def recv(self, *_: int) -> bytes:
-        """Return what waits in the socket's buffer: nothing."""
-        raise BlockingIOError
+        """Return what waits in the socket's buffer."""
+        if self._peeked is None:
+            raise BlockingIOError
+        return self._peeked
 
 
 class Transport(StringTransport):
     """Records what is written, and whether the connection was aborted."""
 
     aborted = False
+    #: What waits in the socket's buffer; b"" for the end of the connection, None for nothing.
+    peeked: bytes | None = None
 
     def getHandle(self) -> Handle:
-        return Handle()
+        return Handle(self.peeked)
 
     def abortConnection(self) -> None:
         self.aborted = True
@@ -169,6 +176,57 @@
         self.assertEqual(wire.kept, [])
         self.assertTrue(wire.transport.aborted)
 
+    async def test_an_answer_that_goes_on_after_its_stated_length_is_broken(self) -> None:
+        no_content = b"HTTP/1.1 204 No Content\r\n\r\n"
+        for raw in (
+            *(COMPLETE_RESPONSE + more for more in (b"x", b"\r\n", b"HTTQ", b"5\r\nhello")),
+            b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nhello",
+            no_content + b"hello",
+        ):
+            with self.subTest(raw):
+                wire = Wire()
+                exchange = wire.begin(POST)
+                wire.connection.dataReceived(raw)
+                with self.assertRaises(ConnectionBroken):
+                    await read_content(exchange)
+                self.assertTrue(wire.transport.aborted)
+                self.assertEqual(wire.kept, [])
+
+    async def test_the_last_part_of_an_answer_that_goes_on_is_not_passed_on(self) -> None:
+        wire = Wire()
+        exchange = wire.begin(POST)
+        wire.connection.dataReceived(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhel")
+        self.assertEqual(await exchange.pipe.read(), b"hel")
+        wire.connection.dataReceived(b"lo and more")
+        with self.assertRaises(ConnectionBroken):
+            await exchange.pipe.read()
+
+    async def test_an_answer_whose_rest_waits_in_the_socket_is_broken(self) -> None:
+        for unread, is_broken in ((b"more", True), (b"HTTP/1.1 200", False), (b"", False)):
+            with self.subTest(unread):
+                wire = Wire()
+                wire.transport.peeked = unread
+                exchange = wire.begin(POST)
+                wire.connection.dataReceived(COMPLETE_RESPONSE)
+                if is_broken:
+                    with self.assertRaises(ConnectionBroken):
+                        await read_content(exchange)
+                else:
+                    self.assertEqual(await read_content(exchange), b"hello")
+
+    async def test_an_answer_whose_end_was_told_otherwise_is_complete(self) -> None:
+        chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"
+        for request, raw, body in (
+            (POST, chunked + b"more", b"hello"),
+            (Request("HEAD", "/", GET.headers), COMPLETE_RESPONSE, b""),
+        ):
+            with self.subTest(raw):
+                wire = Wire()
+                exchange = wire.begin(request)
+                wire.connection.dataReceived(raw)
+                self.assertEqual(await read_content(exchange), body)
+                self.assertEqual(wire.kept, [])
+
     async def test_bytes_on_an_idle_connection_close_it(self) -> None:
         wire = Wire()
         wire.begin()
