A stream is not told to be as long as the part that its first engine sent

Cause: the length in the head of the first engine's answer was passed on for the whole one, which other engines go on with.

Change: CheckedAnswer, which decides when an answer is complete, leaves the length out of a stream's headers; the caller gets it in chunks, as it gets streams without a length.

Why this works: nothing tells the caller an end but the last chunk, which is written once the stream is complete, whoever sent its last part.

--- a/fakes/_spoilt.py
+++ b/fakes/_spoilt.py
@@ -215,7 +215,19 @@
         (b"Content-Type: text/event-stream",), head_end=b"", is_cut=True
     ),
 }
-SPOILT_BY_NAME = {**LENGTHS, **LINES, **NAMES, **VALUES, **STATUSES, **CUT_HEADS}
+#: The events of a stream with a length, of which only the first is sent.
+EVENTS = (b"id: 1\ndata: 1\n\n", b"id: 2\ndata: 2\n\n")
+#: By name: streams that are cut after an event.
+CUT_STREAMS: dict[str, Spoilt] = {
+    "cut-stream-of-a-length": Spoilt(
+        (
+            b"Content-Type: text/event-stream",
+            b"Content-Length: %d" % len(b"".join(EVENTS)),
+        ),
+        content=EVENTS[0],
+    ),
+}
+SPOILT_BY_NAME = {**LENGTHS, **LINES, **NAMES, **VALUES, **STATUSES, **CUT_HEADS, **CUT_STREAMS}
 
 
 class SpoiltUpstream:
--- a/fakes/tests/test_spoilt_answers.py
+++ b/fakes/tests/test_spoilt_answers.py
@@ -8,13 +8,16 @@
 from __future__ import annotations
 
 import http.client
+import time
 import urllib.parse
 from dataclasses import dataclass
 
-from fakes._machines_fleet import eventually
+from fakes._machines_engine import STREAM_EVENTS
+from fakes._machines_fleet import HALLS, eventually
 from fakes._silent_relay import HOST
 from fakes._spoilt import (
     CUT_HEADS,
+    CUT_STREAMS,
     LENGTHS,
     LINES,
     NAMES,
@@ -36,12 +39,16 @@
 
 #: Seconds within which a caller gets an answer or a refusal.
 ANSWER_SECONDS = 4.0
+#: Seconds within which one of many requests is sent to one of two engines.
+RESUMED_SECONDS = 10.0
 #: Statuses with which a router says that its upstream gave no answer.
 REFUSALS = frozenset({502, 503, 504})
 #: The signature of an answer whose head is as its upstream meant it: with the request's id.
 SIGNED = rf"^{SIGNATURE.decode()}\.[0-9a-f.-]+$"
 #: Fields of the spoilt lines.
 NOTES = ("X-Note", "X-Other")
+#: What an engine streams to an end.
+WHOLE_STREAM = b"".join(b"id: %d\ndata: %d\n\n" % (at, at) for at in range(1, STREAM_EVENTS + 1))
 
 
 @dataclass(frozen=True)
@@ -147,6 +154,25 @@
     SOUND = MachinesRoute("lang", "/notes/")
 
 
+class ResumedSpoiltTest(MachinesService):
+    """A stream whose upstream told its length goes on at an engine that makes more of it."""
+
+    # Guards against the length of an answer's first part, told of the whole answer.
+    def test_a_resumed_stream_is_not_told_the_length_of_its_first_part(self) -> None:
+        (name,) = CUT_STREAMS
+        self.fleet.add_engine("i-lang-0", self.TROUBLED.service, HALLS[0])
+        eventually(lambda: call(self.troubled_request("whole")).status == OK)
+        with SpoiltUpstream(HOST, self.PORT) as upstream:
+            self.add_upstream("i-cut", upstream.address)
+            gives_up_at = time.monotonic() + RESUMED_SECONDS
+            while not upstream.sent_by_name[name] and time.monotonic() < gives_up_at:
+                request = self.troubled_request(name).unique()
+                received = receive(request, self.sound_request().unique())
+                self.assertEqual((received.status, received.body), (OK, WHOLE_STREAM))
+            self.remove_upstream("i-cut")
+        self.assertGreater(upstream.sent_by_name[name], 0)
+
+
 class StandardSpoiltTest(_SpoiltChecks, StandardService):
     """Two routers of the standard interface, and a plain service."""
 
--- a/pondhatch/requests/_checked_answer.py
+++ b/pondhatch/requests/_checked_answer.py
@@ -32,6 +32,7 @@
 
 OK = 200
 EVENT_STREAM = "text/event-stream"
+CONTENT_LENGTH = "content-length"
 #: Bytes of an answer without events that are held back while it may turn out to be cut: until
 #: something is sent to the caller, the request may run again.
 MAX_HELD_BYTES = 16 * 1024
@@ -48,6 +49,10 @@
     )
 
 
+def _without_length(headers: Headers) -> Headers:
+    return tuple(pair for pair in headers if pair[0].lower() != CONTENT_LENGTH)
+
+
 def checked(
     reply: AnswerStarted, head: RequestHead, upstream: str, lives_on: LivesOn
 ) -> AnswerStarted:
@@ -82,7 +87,9 @@
         lives_on: LivesOn,
     ) -> None:
         self.status: int = reply.answer.status
-        self.headers: Headers = reply.answer.headers
+        headers = reply.answer.headers
+        #: Those of a stream tell no length: it may go on at another upstream, whose events differ.
+        self.headers: Headers = headers if events is None else _without_length(headers)
         self._answer: AnswerStream = reply.answer
         self._upstream = upstream
         self._ends_with_connection = reply.framing is Framing.CLOSE
--- a/pondhatch/requests/tests/test_checked_answers.py
+++ b/pondhatch/requests/tests/test_checked_answers.py
@@ -151,6 +151,14 @@
         resumed = RequestHead("q0", "a", "s", 0, "POST", "/", (), True, 10.0, 5, last_event_id="7")
         self.assertTrue(self.is_complete(reply, resumed))
 
+    # A resumed stream was told to be as long as its first part.
+    def test_the_length_of_a_stream_is_not_passed_on_and_that_of_another_answer_is(self) -> None:
+        length = ("Content-Length", "9")
+        for headers, passed_on in ((STREAM, STREAM), (PLAIN, (*PLAIN, length))):
+            reply = AnswerStarted(FakeAnswer((*headers, length), ()), "", "", Framing.LENGTH)
+            answer = checked(reply, HEAD, "e0", self.probe(True)).answer
+            self.assertEqual(answer.headers, passed_on)
+
 
 class PlainTest(CheckedAnswerCase):
     def test_nothing_of_a_short_answer_is_sent_before_its_upstream_is_known_to_live_on(
