The body of an answer is as long as its caller is told, whoever read it

Cause: nothing compared what is written to a caller with the length that it was told. Since heads are accepted once the two agree where this router reads the answer; a router of the build before, which relays one while a fleet is updated, still passes on a length beside chunks.

Change: CheckedAnswer counts the parts of an answer whose caller is told a length, and breaks it where they are more or fewer: no part beyond the length is written. Answers to HEAD and 304 are exempt.

A fleet of two builds was not played.

Why this works: entry and relaying routers both end answers here, and the length that is counted is the one in the headers that go out.

--- a/pondhatch/requests/_checked_answer.py
+++ b/pondhatch/requests/_checked_answer.py
@@ -6,6 +6,8 @@
 - A length that is not reached, a missing last chunk and a reset are found by the connection.
 - An event stream is complete where it ends between two events, and, in a dialect that names a last
   event, after that one.
+- The body of any other answer is as long as its caller is told, also where a router that relays it
+  reads answers in another way.
 - An answer that ends with its connection may also have been cut by the end of its upstream's
   process, which closes connections as cleanly. It is complete only if its upstream lives on, unless
   its last event came.
@@ -31,6 +33,8 @@
 from pondhatch.requests._outcomes import Broken
 
 OK = 200
+NOT_MODIFIED = 304
+HEAD = "HEAD"
 EVENT_STREAM = "text/event-stream"
 CONTENT_LENGTH = "content-length"
 #: Bytes of an answer without events that are held back while it may turn out to be cut: until
@@ -49,6 +53,14 @@
     )
 
 
+def _told_length(headers: Headers) -> int | None:
+    """Return the length of the body that headers tell; None without a number."""
+    for name, value in headers:
+        if name.lower() == CONTENT_LENGTH and value.isascii() and value.isdigit():
+            return int(value)
+    return None
+
+
 def _without_length(headers: Headers) -> Headers:
     return tuple(pair for pair in headers if pair[0].lower() != CONTENT_LENGTH)
 
@@ -61,7 +73,8 @@
     ``lives_on`` is asked at the end of an answer that ends with its connection.
     """
     events = EventSplitter() if is_event_stream(reply.answer.headers) else None
-    answer = CheckedAnswer(reply, upstream, events, _needs_event(reply, head), lives_on)
+    has_body = head.method != HEAD and reply.answer.status != NOT_MODIFIED
+    answer = CheckedAnswer(reply, upstream, events, _needs_event(reply, head), lives_on, has_body)
     return replace(reply, answer=answer, events=events)
 
 
@@ -85,6 +98,7 @@
         events: EventSplitter | None,
         needs_event: bool,
         lives_on: LivesOn,
+        has_body: bool = True,
     ) -> None:
         self.status: int = reply.answer.status
         headers = reply.answer.headers
@@ -98,6 +112,8 @@
         #: Whether a stream is complete only with an event.
         self._needs_event = needs_event
         self._lives_on = lives_on
+        #: Bytes that the caller is told the body to have; None if it is told none, or has no body.
+        self._length = _told_length(self.headers) if has_body else None
         self._event_counter = reply.event_counter
 
     async def stream_to(self, sink: PartSink) -> None:
@@ -117,6 +133,10 @@
             await self._check_upstream()
             if not held.release():
                 await sink.ready()
+        elif self._length is not None:
+            counted = _CountedParts(sink, self._length, self._lost)
+            await self._answer.stream_to(counted)
+            counted.check_end()
         else:
             await self._answer.stream_to(sink)
 
@@ -169,6 +189,27 @@
         return self._sink.write(complete) if complete else True
 
 
+class _CountedParts:
+    """Writes parts to a sink up to the length that the caller was told; see PartSink."""
+
+    def __init__(self, sink: PartSink, length: int, lost: Callable[[str], AnswerLost]) -> None:
+        self._sink = sink
+        self._left = length
+        self._lost = lost
+        self.ready = sink.ready
+
+    def write(self, part: bytes) -> bool:
+        self._left -= len(part)
+        if self._left < 0:
+            raise self._lost("more bytes than the length that its caller was told")
+        return self._sink.write(part)
+
+    def check_end(self) -> None:
+        """Raise AnswerLost if bytes are missing."""
+        if self._left:
+            raise self._lost("fewer bytes than the length that its caller was told")
+
+
 class _HeldStart:
     """Holds back the first MAX_HELD_BYTES of an answer until it exceeds them; see PartSink."""
 
--- a/pondhatch/requests/tests/test_checked_answers.py
+++ b/pondhatch/requests/tests/test_checked_answers.py
@@ -6,6 +6,8 @@
 import unittest
 from collections.abc import Callable
 
+from msgspec.structs import replace
+
 from pondhatch.requests import (
     AnswerLost,
     AnswerStarted,
@@ -182,6 +184,28 @@
             self.assertTrue(self.is_complete(reply, lives_on=False))
         self.assertEqual(self.probes, 0)
 
+    # A relay of an older build reads some answers in another way than it passes their heads on.
+    def test_a_body_is_as_long_as_its_caller_is_told(self) -> None:
+        headers = (*PLAIN, ("Content-Length", "5"))
+        for parts, is_complete, written in (
+            ((b"hel", b"lo"), True, b"hello"),
+            ((b"hel",), False, b"hel"),
+            ((b"hel", b"lo and more"), False, b"hel"),
+            ((b"hello", b"x"), False, b"hello"),
+        ):
+            with self.subTest(parts):
+                self.sink = RecordingSink()
+                reply = AnswerStarted(FakeAnswer(headers, parts), relayed_by="r1")
+                self.assertEqual(self.is_complete(reply), is_complete)
+                self.assertEqual(self.sink.written, written)
+
+    def test_an_answer_without_a_body_may_tell_a_length(self) -> None:
+        headers = (*PLAIN, ("Content-Length", "5"))
+        reply = AnswerStarted(FakeAnswer(headers, ()), relayed_by="r1")
+        self.assertTrue(self.is_complete(reply, replace(HEAD, method="HEAD")))
+        not_modified = AnswerStarted(FakeAnswer(headers, (), status=304), relayed_by="r1")
+        self.assertTrue(self.is_complete(not_modified))
+
 
 class SlowSinkTest(CheckedAnswerCase):
     # A relay left out what was written to it last: the bodies of short answers.
