The standard interface's own calls read answers by the same rules as upstreams' answers

Cause: these calls go through Twisted's client, whose reading of heads is laxer than h11's, and was guarded only against heads without end.

Change: LimitedConnection collects and accepts heads as HttpCodec does, with HeadBuffer, and passes only accepted ones on, so its own search for their end is gone. Bytes after a stated length that begin no other answer abort the connection before the last part is passed on. What is left out is logged, at most once a second.

Why this works: what Twisted's client gets reads the same to it as to h11, and ends where it says.

--- /dev/null
+++ b/fakes/tests/test_spoilt_own_calls.py
@@ -0,0 +1,203 @@
+"""Spoilt answers to calls of routers: nothing that they say is acted upon.
+
+Guards against readers of answers that have rules of their own: the client of the standard interface
+took a status 000, two ends of a body and lines of no fields for answers.
+"""
+
+from __future__ import annotations
+
+import json
+import time
+import unittest
+from typing import Any, ClassVar
+
+from fakes._cuttable_relay import Cut, CuttableRelay
+from fakes._local_fleet import HOST, ROOT, Backend, LocalFleet, fetch
+from fakes._machines_fleet import HALLS, MachinesFleet, MachinesRouter, eventually
+from fakes._spoilt import CUT_STREAMS, SPOILT_BY_NAME, SpoiltUpstream
+from pondhatch.platform.tests._wire import CONFIGURATION
+
+#: Those whose last chunk says that they are whole, and that are spoilt only after that.
+WHOLE = frozenset({"bytes-after-chunks", "chunks-with-spoilt-trailer"})
+NAMES = tuple(sorted(SPOILT_BY_NAME.keys() - WHOLE - CUT_STREAMS.keys()))
+#: One of each kind of spoilt answer whose body may be read whole.
+READABLE_NAMES = (
+    "length-and-chunks",
+    "chunks-and-longer-length",
+    "coding-of-old-version",
+    "continues-another-by-tab",
+    "control-byte-in-value",
+    "nul-in-value",
+    "blank-before-name",
+    "status-000",
+    "status-999",
+    "unknown-version",
+    "spoilt-protocol",
+)
+#: Seconds for which a router polls or calls what answers so.
+PLAY_SECONDS = 5.0
+#: An upstream that only spoilt answers name.
+GHOST = "ghost"
+
+
+class _StoreChecks(unittest.TestCase):
+    """A router whose store answers each call with the next of the spoilt answers."""
+
+    #: The content of each answer, which names an upstream.
+    CONTENT: ClassVar[dict[str, Any]]
+    #: "IP:port" of the store, and the relay through which the router reaches it.
+    store: ClassVar[str]
+    relay: ClassVar[CuttableRelay]
+
+    def divert(self, port: int | None) -> None:
+        """Have the router's calls reach a port, or the store again."""
+        raise NotImplementedError
+
+    def upstreams(self) -> set[str]:
+        """Return the names of the upstreams that the router knows."""
+        raise NotImplementedError
+
+    def test_no_upstream_of_a_spoilt_answer_is_known(self) -> None:
+        for name in READABLE_NAMES:
+            with self.subTest(name):
+                self.play(name, PLAY_SECONDS)
+                self.assertNotIn(GHOST, self.upstreams())
+        with SpoiltUpstream(HOST) as sound:
+            sound.body = json.dumps(self.CONTENT).encode()
+            self.divert(int(sound.address.rpartition(":")[2]))
+            eventually(lambda: GHOST in self.upstreams())
+
+    def play(self, name: str, seconds: float) -> None:
+        """Have the store answer so until it was asked twice, or a ghost is known."""
+        with SpoiltUpstream(HOST) as upstream:
+            upstream.body = json.dumps(self.CONTENT).encode()
+            upstream.always = name
+            self.divert(int(upstream.address.rpartition(":")[2]))
+            try:
+                gives_up_at = time.monotonic() + seconds
+                while upstream.sent_by_name[name] < 2 and time.monotonic() < gives_up_at:
+                    time.sleep(0.05)
+                self.assertGreater(upstream.sent_by_name[name], 0)
+                time.sleep(0.1)
+            finally:
+                self.divert(None)
+
+
+class MachinesStoreTest(_StoreChecks):
+    """The store of the prepared machines, whose calls pass the client of upstreams."""
+
+    _OBJECT: ClassVar[dict[str, Any]] = {
+        "Metadata": {"Name": GHOST, "Revision": 10**6, "Created": 1},
+        "Spec": {
+            "Service": "portal",
+            "Address": f"{HOST}:9",
+            "Zone": HALLS[0],
+            "Version": "v1",
+            "Slots": 2,
+            "State": "ready",
+            "ColdRemainingMs": 0,
+            "Sequence": 1,
+        },
+    }
+    fleet: ClassVar[MachinesFleet]
+    router: ClassVar[MachinesRouter]
+    CONTENT: ClassVar[dict[str, Any]] = {
+        "Entries": [_OBJECT],
+        "HasMore": False,
+        "events": [{"Object": _OBJECT, "Deleted": False}],
+        "Timestamp": 10**6,
+    }
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        cls.fleet = cls.enterClassContext(MachinesFleet(log_level="ERROR"))
+        cls.fleet.put_object("config", "main", CONFIGURATION)
+        cls.store = cls.fleet.address_of(cls.fleet.object_store)
+        port = int(cls.store.rpartition(":")[2])
+        cls.relay = cls.enterClassContext(CuttableRelay(HOST, port))
+        cls.fleet.add_engine("i-portal-0", "portal", HALLS[0])
+        cls.router = cls.fleet.add_router(HALLS[0], {cls.store: cls.relay.port})
+        eventually(cls.router.is_ready)
+
+    def divert(self, port: int | None) -> None:
+        if port is None:
+            self.relay.restore()
+        self.fleet.divert(self.router.name, {self.store: port or self.relay.port})
+        if port is not None:
+            self.relay.cut(Cut.REFUSE)
+
+    def upstreams(self) -> set[str]:
+        state = fetch(f"http://{self.router.admin_address}/state.json")
+        return {each["name"] for each in state["upstreams"]}
+
+
+class StandardStoreTest(_StoreChecks):
+    """The platform of the standard interface."""
+
+    _GHOST: ClassVar[dict[str, Any]] = {
+        "name": GHOST,
+        "service": "proof-portal",
+        "url": f"http://{HOST}:9",
+        "hall": "recife-1",
+        "state": "live",
+    }
+    fleet: ClassVar[LocalFleet]
+    CONTENT: ClassVar[dict[str, Any]] = {
+        "version": 10**6,
+        "objects": [{"kind": "upstream", "name": GHOST, "version": 10**6, "value": _GHOST}],
+    }
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        cls.fleet = cls.enterClassContext(LocalFleet(log_level="ERROR"))
+        cls.store = cls.fleet.platform_url.removeprefix("http://")
+        port = int(cls.store.rpartition(":")[2])
+        cls.relay = cls.enterClassContext(CuttableRelay(HOST, port))
+        cls.fleet.add_backend("plain", "portal-0", "proof-portal", "recife-1")
+        cls.fleet.divert("router-0", {cls.store: cls.relay.port})
+        cls.fleet.add_routers(["recife-1"])
+        cls.fleet.await_convergence(0)
+
+    def divert(self, port: int | None) -> None:
+        if port is None:
+            self.relay.restore()
+        self.fleet.divert("router-0", {self.store: port or self.relay.port})
+        if port is not None:
+            self.relay.cut(Cut.REFUSE)
+
+    def upstreams(self) -> set[str]:
+        return {each["name"] for each in self.fleet.routers[0].state()["upstreams"]}
+
+
+class LoadReportsTest(unittest.TestCase):
+    """Engines whose load reports say that they are leaving, in spoilt answers."""
+
+    def test_no_engine_is_leaving_by_a_spoilt_report(self) -> None:
+        fleet = self.enterContext(LocalFleet(log_level="ERROR"))
+        fleet.add_backend("engine", "engine-0", "scene-language", "recife-1")
+        fleet.add_routers(["recife-1"])
+        applied = fleet.apply(ROOT / "bench/fleet.yaml")
+        self.assertEqual(applied.returncode, 0, applied.stderr)
+        fleet.await_convergence(1)
+        engines = {}
+        nobody: Any = None
+        for name in (*NAMES, "whole"):
+            engines[name] = self.enterContext(SpoiltUpstream(HOST))
+            engines[name].always = name
+            engines[name].body = b'{"running": 0, "waiting": 0, "leaving": true}'
+            url = f"http://{engines[name].address}"
+            fleet.put_upstream(Backend(name, "scene-language", url, "recife-1", nobody), "live")
+        leaving: set[str] = set()
+
+        def all_are_polled() -> bool:
+            state = fleet.routers[0].state()
+            leaving.update(each["name"] for each in state["upstreams_notices"])
+            return "whole" in leaving and all(engines[each].sent_by_name[each] for each in NAMES)
+
+        eventually(all_are_polled)
+        time.sleep(1.0)
+        all_are_polled()
+        self.assertEqual(leaving, {"whole"})
+
+
+del _StoreChecks
--- a/pondhatch/standard/__init__.py
+++ b/pondhatch/standard/__init__.py
@@ -12,6 +12,8 @@
 from pondhatch.kernel import REGISTRY, Plugin
 from pondhatch.router import RouterState
 from pondhatch.standard._callers import OpenAiCallers
+from pondhatch.standard._limited_agent import limited_agent
+from pondhatch.standard._limited_content import ContentTooLong, read_content
 from pondhatch.standard._loads import poll_loads
 from pondhatch.standard._orders import HttpEngineOrders
 from pondhatch.standard._platform import HttpPlatform
@@ -19,7 +21,14 @@
 from pondhatch.store import Platform
 from pondhatch.transport import CALLS_PER_SECOND, INTERFACE, CallerDependencies, Callers
 
-__all__ = ["HttpEngineOrders", "HttpPlatform", "OpenAiInterface"]
+__all__ = [
+    "ContentTooLong",
+    "HttpEngineOrders",
+    "HttpPlatform",
+    "OpenAiInterface",
+    "limited_agent",
+    "read_content",
+]
 
 
 @REGISTRY.register(INTERFACE, "openai")
--- a/pondhatch/standard/_limited_agent.py
+++ b/pondhatch/standard/_limited_agent.py
@@ -1,14 +1,14 @@
-"""An HTTP client whose answers have heads of bounded size, and take bounded shares of the loop.
+"""An HTTP client whose answers have accepted heads, and take bounded shares of the loop.
 
-Twisted's client limits each line of a head and not their number, reads interim responses without
-end, and parses all that one read of the socket brought in one turn of the event loop. Here the
-answers to all calls share the time of a turn.
+Twisted's client takes heads for answers that are none, limits each line of a head and not their
+number, reads interim responses without end, and parses all that one read of the socket brought in
+one turn of the event loop. Here it gets only heads that are accepted as those of upstreams' answers
+are, and the answers to all calls share the time of a turn.
 """
 
 from __future__ import annotations
 
 import functools
-import re
 from typing import Any
 
 from twisted.internet.endpoints import HostnameEndpoint, wrapClientTLS
@@ -19,20 +19,31 @@
 from twisted.web.iweb import IAgent, IAgentEndpointFactory
 from zope.interface import implementer
 
-from pondhatch.transport import ReadingShares, ReadingTurns
+from pondhatch.observing import LogThrottle, log_for
+from pondhatch.transport import (
+    AnswerHead,
+    HeadBuffer,
+    MalformedHead,
+    ReadingShares,
+    ReadingTurns,
+    may_begin_answer,
+)
 
-#: Maximum bytes of the head of an answer, and of each interim response before it.
-MAX_HEAD_BYTES = 64 * 1024
+log = log_for("platform")
+
+#: Seconds between two log lines on answers that are left out; engines are polled often.
+REJECT_LOG_SECONDS = 1.0
 #: Maximum number of interim responses before an answer.
 MAX_INTERIM_RESPONSES = 8
 #: Bytes of an answer that are parsed at a time: some hundred small chunks, 0.4 ms.
 SLICE_BYTES = 512
-HEAD_END = re.compile(rb"\r?\n\r?\n")
-INTERIM = re.compile(rb"HTTP/\d\.\d 1\d\d")
 
 
 class LimitedConnection(ProtocolWrapper):
-    """Passes one answer on in slices, once the whole of its head came; else it aborts."""
+    """Passes one answer on in slices, once the whole of its head came; else it aborts.
+
+    Requests that it carries are not of method HEAD.
+    """
 
     transport: Any
     wrappedProtocol: Any
@@ -41,11 +52,14 @@
         super().__init__(factory, wrapped)
         self._reactor = reactor
         self._shares = ReadingShares(turns, self._pass_on)
+        self._heads = HeadBuffer()
+        #: The answer's head; None before it is complete.
+        self._head: AnswerHead | None = None
+        #: Bytes that are to be passed on, the head included.
         self._waiting = bytearray()
-        self._is_head_complete = False
+        #: How many bytes may still be passed on; None where the head states no length.
+        self._left: int | None = None
         self._interim_responses = 0
-        #: Bytes that were searched for the end of a head.
-        self._searched = 0
         self._is_aborted = False
         #: Whether the answer's reader paused.
         self._is_paused = False
@@ -58,10 +72,12 @@
         """Take in bytes; pass none on before a head is complete."""
         if self._is_aborted:
             return
-        self._waiting += data
-        if not self._is_head_complete:
+        if self._head is not None:
+            self._waiting += data
+        else:
+            self._heads.add(data)
             self._read_heads()
-        if not self._is_head_complete:
+        if self._head is None:
             return
         self._shares.request()
         if self._shares.is_waiting and not self._is_held_back:
@@ -70,7 +86,7 @@
 
     def connectionLost(self, reason: Failure) -> None:  # type: ignore[override]
         """Report the loss once all bytes that came before it are passed on."""
-        if self._waiting and self._is_head_complete and not self._is_aborted:
+        if self._waiting and not self._is_aborted:
             self._lost = reason
             self._shares.request()
             return
@@ -102,29 +118,39 @@
         self._end_if_lost()
 
     def _read_heads(self) -> None:
-        """Drop interim responses, and find out whether the answer's head is complete."""
-        while (end := self._find_head_end()) is not None and end <= MAX_HEAD_BYTES:
-            if INTERIM.match(self._waiting) is None:
-                self._is_head_complete = True
-                return
-            self._interim_responses += 1
-            if self._interim_responses > MAX_INTERIM_RESPONSES:
-                self.abortConnection()
-                return
-            del self._waiting[:end]
-        if len(self._waiting) > MAX_HEAD_BYTES:
-            self.abortConnection()
-
-    def _find_head_end(self) -> int | None:
-        """Return where the first head that waits ends, without searching any bytes twice."""
-        found = HEAD_END.search(self._waiting, max(0, self._searched - len(b"\r\n\r")))
-        self._searched = 0 if found is not None else len(self._waiting)
-        return None if found is None else found.end()
+        """Drop interim responses, and read the answer's head once it is complete."""
+        try:
+            while (head := self._heads.take_head()) is not None and head.is_interim:
+                self._interim_responses += 1
+                if self._interim_responses > MAX_INTERIM_RESPONSES:
+                    raise MalformedHead(f"more than {MAX_INTERIM_RESPONSES} interim responses")
+        except MalformedHead as error:
+            self._reject(str(error))
+            return
+        if head is None:
+            return
+        self._head = head
+        self._waiting += head.content + self._heads.take_rest()
+        if head.body_length is not None:
+            self._left = len(head.content) + head.body_length
+
+    def _reject(self, reason: str) -> None:
+        """Abort the connection, as what it brought is no answer."""
+        if _reject_throttle().allows(self._reactor.seconds()):
+            log.warning("An answer is left out: {}.", reason)
+        self.abortConnection()
 
     def _pass_on(self) -> bool:
         """Pass a slice on; return whether more is left for this or later turns of the loop."""
         if self._is_paused or self._is_aborted:
             return False
+        if self._left is not None:
+            # Another answer may follow.
+            if not may_begin_answer(self._waiting[self._left :]):
+                self._reject("it has more bytes than the length that it states")
+                return False
+            del self._waiting[self._left :]
+            self._left -= min(SLICE_BYTES, len(self._waiting))
         part = bytes(self._waiting[:SLICE_BYTES])
         del self._waiting[:SLICE_BYTES]
         if part:
@@ -192,6 +218,12 @@
     return ReadingTurns()
 
 
+@functools.cache
+def _reject_throttle() -> LogThrottle:
+    """Return what limits the log lines on answers to all calls of this process."""
+    return LogThrottle(REJECT_LOG_SECONDS)
+
+
 def limited_agent() -> IAgent:
     """Return a client that opens a connection for each call."""
     from twisted.internet import reactor
--- a/pondhatch/standard/tests/test_limited_agent.py
+++ b/pondhatch/standard/tests/test_limited_agent.py
@@ -14,18 +14,19 @@
 from twisted.python.failure import Failure
 
 from pondhatch.standard._limited_agent import (
-    MAX_HEAD_BYTES,
     MAX_INTERIM_RESPONSES,
     SLICE_BYTES,
     LimitedConnection,
 )
 from pondhatch.transport import ReadingTurns
+from pondhatch.transport._answer_heads import MAX_HEAD_BYTES
 
 #: Seconds that the reader takes for a part: more than a turn of the loop has for all answers.
 PART_SECONDS = 0.01
 #: Answers that arrive at the same time.
 ANSWERS = 8
 HEAD = b"HTTP/1.1 200 OK\r\nX-A: b\r\n\r\n"
+LENGTH_HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"
 INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -109,6 +110,43 @@
                 self.run_turns()
                 self.assertEqual(self.reader.content, b"")
 
+    # Guards against answers of other meaning than their senders', which Twisted's client accepts.
+    def test_a_spoilt_head_closes_the_connection(self) -> None:
+        for content in (
+            b"HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nX-A: b\r\n Content-Length: 5\r\n\r\n",
+            b"HTTQ/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+            b"no answer",
+        ):
+            with self.subTest(content):
+                self.setUp()
+                self.receive(content)
+                self.run_turns()
+                self.assertTrue(self.transport.disconnected)
+                self.assertEqual(self.reader.content, b"")
+
+    def test_an_answer_that_goes_on_after_its_length_closes_the_connection(self) -> None:
+        for head, body in ((LENGTH_HEAD, b"hello"), (b"HTTP/1.1 204 No Content\r\n\r\n", b"")):
+            for splits in ((body + b"x",), (body[:2], body[2:] + b"x")):
+                with self.subTest(head=head, splits=splits):
+                    self.setUp()
+                    self.receive(head)
+                    for each in splits:
+                        self.receive(each)
+                    self.run_turns()
+                    self.assertTrue(self.transport.disconnected)
+                    self.assertNotEqual(self.reader.content, LENGTH_HEAD + b"hello")
+
+    def test_another_answer_after_the_first_is_left_out(self) -> None:
+        for another in (LENGTH_HEAD + b"hello", b"HTTP/1", b"H"):
+            with self.subTest(another):
+                self.setUp()
+                self.receive(LENGTH_HEAD + b"hello" + another)
+                self.run_turns()
+                self.assertFalse(self.transport.disconnected)
+                self.assertEqual(self.reader.content, LENGTH_HEAD + b"hello")
+
     def test_an_answer_is_passed_on_in_slices_while_nothing_is_read(self) -> None:
         body = b"x" * (3 * SLICE_BYTES)
         self.receive(HEAD + body)
--- a/pondhatch/transport/__init__.py
+++ b/pondhatch/transport/__init__.py
@@ -5,6 +5,12 @@
 
 from pondhatch.transport._admin import Admin, format_dump
 from pondhatch.transport._admitted_request import AdmittedRequest
+from pondhatch.transport._answer_heads import (
+    AnswerHead,
+    HeadBuffer,
+    MalformedHead,
+    may_begin_answer,
+)
 from pondhatch.transport._answer_judge import SurplusAnswer
 from pondhatch.transport._answers import abort_connection, write_head
 from pondhatch.transport._caller_body import read_whole
@@ -51,6 +57,10 @@
 __all__ = [
     "CALLS_PER_SECOND",
     "RECORD_CALLS_PER_SECOND",
+    "AnswerHead",
+    "HeadBuffer",
+    "MalformedHead",
+    "may_begin_answer",
     "SurplusAnswer",
     "MetricsPage",
     "abort_connection",
--- a/pondhatch/transport/_answer_heads.py
+++ b/pondhatch/transport/_answer_heads.py
@@ -60,6 +60,11 @@
     #: The length that it states for the body; None where it states none.
     length: int | None
 
+    @property
+    def body_length(self) -> int | None:
+        """The length of the body of an answer that is not one to HEAD; None if it is not stated."""
+        return 0 if self.status in BODILESS_STATUSES else self.length
+
     @property
     def is_interim(self) -> bool:
         """Whether another head follows it."""
--- a/pondhatch/transport/_http_codec.py
+++ b/pondhatch/transport/_http_codec.py
@@ -7,7 +7,6 @@
 import h11
 
 from pondhatch.transport._answer_heads import (
-    BODILESS_STATUSES,
     MAX_HEAD_BYTES,
     AnswerHead,
     HeadBuffer,
@@ -101,7 +100,7 @@
         """Return whether the answer's head told the length of its body, or that it has none."""
         if self._head is None or self._method == _HEAD:
             return False
-        return self._head.length is not None or self._head.status in BODILESS_STATUSES
+        return self._head.body_length is not None
 
     @property
     def following(self) -> bytes:
