Commands that ask a running router believe no spoilt answer, and wait for none without end

What was seen (found here): `pondhatch dump` showed whatever answered at the admin address, with exit code 0: a status 000 or 600, a body of another length than its head told, heads with lines of no fields.

Cause: these commands used Twisted's client as it is, looked at no status, and read the body without a limit of time or size.

Change: they use the client of the standard interface's other calls, which accepts heads as everywhere else; a page counts only with status 200, the whole call has the time limit that its head had, and the page one of size.

--- a/fakes/tests/test_spoilt_own_calls.py
+++ b/fakes/tests/test_spoilt_own_calls.py
@@ -1,14 +1,17 @@
-"""Spoilt answers to calls of routers: nothing that they say is acted upon.
+"""Spoilt answers to calls of routers and commands: nothing that they say is acted upon.
 
 Guards against readers of answers that have rules of their own: the client of the standard interface
-took a status 000, two ends of a body and lines of no fields for answers.
+and of the commands took a status 000, two ends of a body and lines of no fields for answers.
 """
 
 from __future__ import annotations
 
 import json
+import subprocess
+import sys
 import time
 import unittest
+from concurrent.futures import ThreadPoolExecutor
 from typing import Any, ClassVar
 
 from fakes._cuttable_relay import Cut, CuttableRelay
@@ -38,6 +41,31 @@
 PLAY_SECONDS = 5.0
 #: An upstream that only spoilt answers name.
 GHOST = "ghost"
+#: Exit code of a command that gets no answer.
+UNREACHABLE = 4
+#: Commands at a time.
+COMMANDS = 4
+
+
+class CommandsTest(unittest.TestCase):
+    """Commands that ask a running router, at whose address something else answers."""
+
+    def dump(self, name: str) -> subprocess.CompletedProcess[bytes]:
+        with SpoiltUpstream(HOST) as upstream:
+            upstream.always = name
+            command = (sys.executable, "-m", "pondhatch", "dump", "--admin", upstream.address)
+            return subprocess.run(command, cwd=ROOT, capture_output=True, check=False)
+
+    def test_no_spoilt_answer_is_shown(self) -> None:
+        with ThreadPoolExecutor(COMMANDS) as pool:
+            for name, ended in zip(NAMES, pool.map(self.dump, NAMES), strict=True):
+                with self.subTest(name):
+                    self.assertEqual((ended.returncode, ended.stdout), (UNREACHABLE, b""))
+                    self.assertNotIn(b"Traceback", ended.stderr)
+
+    def test_a_whole_answer_is_shown(self) -> None:
+        ended = self.dump("whole")
+        self.assertEqual((ended.returncode, ended.stdout), (0, b"the whole body of this engine"))
 
 
 class _StoreChecks(unittest.TestCase):
--- a/pondhatch/cli/_router_commands.py
+++ b/pondhatch/cli/_router_commands.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import sys
 
 import msgspec
@@ -13,6 +14,8 @@
 HTTP_OK = 200
 #: Timeout in seconds for a request to a router's admin port.
 ADMIN_SECONDS = 5
+#: Maximum bytes of a page: several times the state of a router in a fleet of the largest size.
+MAX_PAGE_BYTES = 64 * 1024 * 1024
 
 
 def dump(*, admin: str, json: bool = False) -> int:
@@ -59,9 +62,14 @@
 
 
 def _get_page(admin: str, path: str) -> bytes | None:
-    """Return a page of a router's admin port, or None if it cannot be reached."""
+    """Return a page of a router's admin port, or None if it cannot be had there."""
     reply = _call_router(admin, "GET", path)
-    return reply.content if reply is not None else None
+    if reply is None:
+        return None
+    if reply.status != HTTP_OK:
+        print(f"{admin} answered {reply.status} for /{path}", file=sys.stderr)
+        return None
+    return reply.content
 
 
 class _AdminReply(msgspec.Struct, frozen=True):
@@ -78,10 +86,14 @@
     async def work() -> _AdminReply | None:
         import treq
 
+        from pondhatch.standard import limited_agent, read_content
+
         url = f"http://{admin}/{path}"
         try:
-            response = await as_future(treq.request(method, url, timeout=ADMIN_SECONDS))
-            content: bytes = await as_future(response.content())
+            async with asyncio.timeout(ADMIN_SECONDS):
+                call = treq.request(method, url, agent=limited_agent(), unbuffered=True)
+                response = await as_future(call)
+                content = await read_content(response, MAX_PAGE_BYTES)
         except Exception as error:
             print(f"cannot reach {admin}: {error}", file=sys.stderr)
             return None
