One odd object of the platform hides no other one from the standard interface

The prepared machines' store is read entry by entry (test_malformed_entries, which holds); the standard interface was not: with one such object a listing was unavailable for as long as it was there, a watch on it began again for ever, a read by name raised, which ended the task that writes down versions, ten times a second.

Cause: HttpPlatform decoded a listing as a whole and caught errors of its form only: numbers out of range, invalid text and depth (RecursionError) came from within its objects.

Change: as the prepared machines' store, it decodes each object by itself, splitting the listing by brackets where it is no JSON; what is odd is left out by name, an odd change is reported as unreadable, an odd object read by name is found without its value, and an answer that is no object is unavailable or of unknown outcome. The splitter moved from platform/ to store/, whose Protocol both implement.

Why this works: whatever bytes one writer stores, the scan of brackets ends in time proportional to them and each other object is decoded from its own.

--- a/pondhatch/platform/_object_reader.py
+++ b/pondhatch/platform/_object_reader.py
@@ -8,15 +8,13 @@
 import msgspec
 
 from pondhatch.observing import LogOnce, log_for
-from pondhatch.platform._json_split import member
 from pondhatch.platform._objects import (
-    JSON_ERRORS,
     ObjectChange,
     StoreObject,
     metadata_of,
     name_of,
 )
-from pondhatch.store import StoredObject, WatchEvent, position_of
+from pondhatch.store import JSON_ERRORS, StoredObject, WatchEvent, member, position_of
 
 log = log_for("store")
 
--- a/pondhatch/platform/_objects.py
+++ b/pondhatch/platform/_objects.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from pondhatch.platform._json_split import elements, member, members
+from pondhatch.store import JSON_ERRORS, elements, member, members
 
 
 class Metadata(msgspec.Struct, rename="pascal", frozen=True):
@@ -59,9 +59,6 @@
     timestamp: int = msgspec.field(name="Timestamp")
 
 
-#: Exceptions of decoding bytes that are not valid JSON or are nested too deep.
-JSON_ERRORS = (msgspec.DecodeError, RecursionError)
-
 Answer = TypeVar("Answer", Page, WatchAnswer)
 
 
--- a/pondhatch/platform/_store.py
+++ b/pondhatch/platform/_store.py
@@ -12,7 +12,6 @@
 from pondhatch.platform._era import EraAnswer, EraCalls
 from pondhatch.platform._object_reader import Decode, ObjectReader
 from pondhatch.platform._objects import (
-    JSON_ERRORS,
     Page,
     StoreObject,
     WatchAnswer,
@@ -20,6 +19,7 @@
     metadata_of,
 )
 from pondhatch.store import (
+    JSON_ERRORS,
     Accepted,
     Conflict,
     Found,
--- a/pondhatch/standard/_platform.py
+++ b/pondhatch/standard/_platform.py
@@ -9,7 +9,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
-from typing import Any, TypeVar
+from typing import Annotated, Any, TypeVar
 from urllib.parse import quote
 
 import msgspec
@@ -28,6 +28,7 @@
 from pondhatch.standard._limited_agent import limited_agent
 from pondhatch.standard._limited_content import read_content
 from pondhatch.store import (
+    JSON_ERRORS,
     Accepted,
     Conflict,
     Found,
@@ -35,10 +36,13 @@
     Missing,
     OutcomeUnknown,
     PlatformLost,
+    Position,
     StoredObject,
     TooOld,
     Unavailable,
     WatchEvent,
+    elements,
+    member,
 )
 from pondhatch.transport import MAX_CONTENT_BYTES, PartPipe
 
@@ -62,10 +66,10 @@
 
 
 class _Listing(msgspec.Struct, frozen=True):
-    """A listing of raw objects, which are converted later, each independently of the others."""
+    """A listing of raw objects, which are decoded later, each independently of the others."""
 
     version: int
-    objects: tuple[Any, ...]
+    objects: tuple[msgspec.Raw, ...]
 
 
 class _CallFailed(Exception):
@@ -132,7 +136,13 @@
             return Missing()
         if status != 200:
             return Unavailable(f"answered {status}")
-        return Found(msgspec.json.decode(content, type=StoredObject))
+        found, key = self._decode_or_log(content, StoredObject), _key_of(content)
+        if found is not None:
+            return Found(found)
+        if key is None:
+            return Unavailable("answered what is no object")
+        # The object exists, so its owner may replace what another writer stored.
+        return Found(StoredObject(kind, key.name, key.version, None))
 
     async def list(self, kind: str, may_be_old: bool = False) -> Listed | Unavailable:
         """Read all objects of a kind."""
@@ -143,11 +153,11 @@
         if status != 200:
             return Unavailable(f"answered {status}")
         try:
-            listing = msgspec.json.decode(content, type=_Listing)
-        except msgspec.DecodeError as error:
+            listing = _decode_listing(content)
+        except JSON_ERRORS as error:
             return Unavailable(f"the answer is not a listing: {error}")
-        converted = [self._convert_or_log(each, StoredObject) for each in listing.objects]
-        objects = tuple(each for each in converted if each is not None)
+        decoded = [self._decode_or_log(each, StoredObject) for each in listing.objects]
+        objects = tuple(each for each in decoded if each is not None)
         names = {_name_of(each) for each in listing.objects} - {each.name for each in objects}
         return Listed(listing.version, objects, frozenset(names))
 
@@ -187,20 +197,31 @@
             protocol.stop()
 
     def _decode_event(self, line: bytes) -> WatchEvent | None:
+        """Return a line's event; None if it is one that names no object. Raises PlatformLost."""
         try:
-            return self._convert_or_log(msgspec.json.decode(line), WatchEvent)
-        except msgspec.DecodeError as error:
+            return msgspec.json.decode(line, type=WatchEvent)
+        except JSON_ERRORS as error:
+            self._log_left_out(line, error)
+            key = _key_of(line)
+            if key is not None:
+                is_removed = member(line, "type").strip() == b'"removed"'
+                return WatchEvent("removed" if is_removed else "unreadable", key.version, key.name)
+            if isinstance(error, msgspec.ValidationError):
+                return None
             raise PlatformLost(f"the watch sent invalid JSON: {error}") from error
 
-    def _convert_or_log(self, value: Any, shape: type[_Shape]) -> _Shape | None:
+    def _decode_or_log(self, content: bytes | msgspec.Raw, shape: type[_Shape]) -> _Shape | None:
         """Return an object or event, None if it is malformed; each malformed one is logged once."""
         try:
-            return msgspec.convert(value, shape)
-        except msgspec.ValidationError as error:
-            if self._logged.is_first(hash(repr(value))):
-                log.error("Object {} is left out: {}.", _name_of(value) or "without name", error)
+            return msgspec.json.decode(content, type=shape)
+        except JSON_ERRORS as error:
+            self._log_left_out(content, error)
             return None
 
+    def _log_left_out(self, content: bytes | msgspec.Raw, error: Exception) -> None:
+        if self._logged.is_first(hash(bytes(content))):
+            log.error("Object {} is left out: {}.", _name_of(content) or "without name", error)
+
     async def _write(
         self, kind: str, name: str, value: Any, condition: dict[str, str]
     ) -> Accepted | Conflict | OutcomeUnknown | Unavailable:
@@ -210,7 +231,10 @@
         except _CallFailed as error:
             return OutcomeUnknown(str(error)) if error.sent else Unavailable(str(error))
         if status in (200, 201):
-            return Accepted(msgspec.json.decode(content, type=StoredObject).version)
+            written = self._decode_or_log(content, StoredObject)
+            if written is None:
+                return OutcomeUnknown("answered what is no object")
+            return Accepted(written.version)
         if status == CONFLICT:
             return Conflict()
         if status == 503:
@@ -251,10 +275,41 @@
     return f"{kind}/{quote(name, safe='')}"
 
 
-def _name_of(value: Any) -> str:
+class _Key(msgspec.Struct, frozen=True):
+    """What identifies an object or a change, whatever its value."""
+
+    name: Annotated[str, msgspec.Meta(min_length=1)]
+    version: Position
+
+
+def _decode_listing(content: bytes) -> _Listing:
+    """Return a listing, also where one of its objects is not valid JSON. Raises JSON_ERRORS."""
+    try:
+        return msgspec.json.decode(content, type=_Listing)
+    except JSON_ERRORS:
+        raw_objects = member(content, "objects")
+        if not raw_objects:
+            raise
+        version = msgspec.json.decode(member(content, "version"), type=int)
+        return _Listing(version, tuple(map(msgspec.Raw, elements(raw_objects))))
+
+
+def _key_of(content: bytes) -> _Key | None:
+    """Return the key of a possibly malformed object or event, None if it has none."""
+    try:
+        name = msgspec.json.decode(member(content, "name"))
+        version = msgspec.json.decode(member(content, "version"))
+        return msgspec.convert({"name": name, "version": version}, _Key)
+    except JSON_ERRORS:
+        return None
+
+
+def _name_of(content: bytes | msgspec.Raw) -> str:
     """Return the name of a possibly malformed object, empty if it has none."""
-    name = value.get("name") if isinstance(value, dict) else None
-    return name if isinstance(name, str) else ""
+    try:
+        return msgspec.json.decode(member(bytes(content), "name"), type=str)
+    except JSON_ERRORS:
+        return ""
 
 
 async def _lines(pipe: PartPipe) -> AsyncIterator[bytes]:
--- a/pondhatch/store/__init__.py
+++ b/pondhatch/store/__init__.py
@@ -2,6 +2,7 @@
 
 from pondhatch.store._cold_periods import ColdPeriods
 from pondhatch.store._evacuations import IN_FORCE, Evacuations, EvacuationUpdate, HallEvacuation
+from pondhatch.store._json_split import JSON_ERRORS, elements, member, members
 from pondhatch.store._objects import (
     Accepted,
     Conflict,
@@ -55,6 +56,10 @@
 from pondhatch.store._vanished import RETURN_SECONDS, VanishedUpstreams
 
 __all__ = [
+    "JSON_ERRORS",
+    "elements",
+    "member",
+    "members",
     "ColdPeriods",
     "EvacuationUpdate",
     "Evacuations",
--- a/pondhatch/platform/_json_split.py
+++ b/pondhatch/store/_json_split.py
@@ -11,6 +11,11 @@
 import re
 from collections.abc import Iterator
 
+import msgspec
+
+#: Exceptions of decoding bytes that are not valid JSON or are nested too deep.
+JSON_ERRORS = (msgspec.DecodeError, RecursionError)
+
 #: A string, or a bracket or comma outside of strings. The pattern of strings is unrolled,
 #: so that an unterminated one takes time in proportion to its length.
 _TOKEN = re.compile(rb'"[^"\\]*(?:\\.[^"\\]*)*"|[\[\]{},]', re.DOTALL)
