Odd objects in the store's answers, and odd changes of one in use, on real processes

Also in these plays: a sound answer of the same store is believed, so that the checks against spoilt ones are not empty.

--- a/fakes/_spoilt.py
+++ b/fakes/_spoilt.py
@@ -12,6 +12,7 @@
 import threading
 import time
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass
 from types import TracebackType
 from typing import Any
@@ -239,8 +240,8 @@
         self.address = f"{host}:{self._server.server_address[1]}"
         #: Names one of SPOILT_BY_NAME, by which every request is answered.
         self.always = ""
-        #: The body of each answer, where another is to be sent.
-        self.body = WHOLE_BODY
+        #: Returns the body of the answer to a request with a path.
+        self.body_of: Callable[[str], bytes] = lambda _: WHOLE_BODY
         #: Spoilt answers that were sent, by name.
         self.sent_by_name: Counter[str] = Counter()
 
@@ -286,7 +287,7 @@
                 if name in SPOILT_BY_NAME:
                     self._send_spoilt(name, request)
                     return
-                body = self.server.upstream.body
+                body = self.server.upstream.body_of(request.path)
                 length = b"Content-Length: %d\r\n\r\n" % len(body)
                 self.wfile.write(OK_LINE + b"\r\n" + request.names + length + body)
         except OSError:
@@ -297,6 +298,6 @@
     def _send_spoilt(self, name: str, request: RawRequest) -> None:
         upstream, spoilt = self.server.upstream, SPOILT_BY_NAME[name]
         upstream.sent_by_name[name] += 1
-        self.connection.sendall(spoilt.written(request.names, upstream.body))
+        self.connection.sendall(spoilt.written(request.names, upstream.body_of(request.path)))
         if not spoilt.closes:
             time.sleep(LINGER_SECONDS)
--- a/fakes/tests/test_spoilt_own_calls.py
+++ b/fakes/tests/test_spoilt_own_calls.py
@@ -19,6 +19,7 @@
 from fakes._machines_fleet import HALLS, MachinesFleet, MachinesRouter, eventually
 from fakes._spoilt import CUT_STREAMS, SPOILT_BY_NAME, SpoiltUpstream
 from pondhatch.platform.tests._wire import CONFIGURATION
+from pondhatch.standard.tests.test_odd_objects import ODD_VALUES
 
 #: Those whose last chunk says that they are whole, and that are spoilt only after that.
 WHOLE = frozenset({"bytes-after-chunks", "chunks-with-spoilt-trailer"})
@@ -39,6 +40,9 @@
 )
 #: Seconds for which a router polls or calls what answers so.
 PLAY_SECONDS = 5.0
+LEAVING_REPORT = b'{"running": 0, "waiting": 0, "leaving": true}'
+#: The store's position in the first of its answers here: later than any before.
+FIRST_REVISION = 10**6
 #: An upstream that only spoilt answers name.
 GHOST = "ghost"
 #: Exit code of a command that gets no answer.
@@ -71,12 +75,19 @@
 class _StoreChecks(unittest.TestCase):
     """A router whose store answers each call with the next of the spoilt answers."""
 
-    #: The content of each answer, which names an upstream.
-    CONTENT: ClassVar[dict[str, Any]]
+    #: Name of the upstream that the router has from its store.
+    IN_USE: ClassVar[str]
     #: "IP:port" of the store, and the relay through which the router reaches it.
     store: ClassVar[str]
     relay: ClassVar[CuttableRelay]
 
+    def content(self, path: str, revision: int, name: str, odd_value: bytes = b"") -> bytes:
+        """Return the answer to a call of any kind, by which there is an upstream of a name.
+
+        With a value in place of another upstream's, which is in use, where one is stated.
+        """
+        raise NotImplementedError
+
     def divert(self, port: int | None) -> None:
         """Have the router's calls reach a port, or the store again."""
         raise NotImplementedError
@@ -91,14 +102,33 @@
                 self.play(name, PLAY_SECONDS)
                 self.assertNotIn(GHOST, self.upstreams())
         with SpoiltUpstream(HOST) as sound:
-            sound.body = json.dumps(self.CONTENT).encode()
+            sound.body_of = lambda path: self.content(path, FIRST_REVISION, GHOST)
             self.divert(int(sound.address.rpartition(":")[2]))
             eventually(lambda: GHOST in self.upstreams())
+        self.divert(None)
+
+    # Guards against an odd object, or an odd change of one in use, that hides all later ones.
+    def test_an_odd_object_hides_no_other(self) -> None:
+        with SpoiltUpstream(HOST) as store:
+            answered = [("new", b"")]
+
+            def body_of(path: str) -> bytes:
+                return self.content(path, FIRST_REVISION + len(answered), *answered[-1])
+
+            store.body_of = body_of
+            self.divert(int(store.address.rpartition(":")[2]))
+            try:
+                for kind, value in ODD_VALUES.items():
+                    with self.subTest(kind):
+                        answered.append((f"new-{len(answered)}", value))
+                        eventually(lambda: answered[-1][0] in self.upstreams())
+            finally:
+                self.divert(None)
 
     def play(self, name: str, seconds: float) -> None:
         """Have the store answer so until it was asked twice, or a ghost is known."""
         with SpoiltUpstream(HOST) as upstream:
-            upstream.body = json.dumps(self.CONTENT).encode()
+            upstream.body_of = lambda path: self.content(path, FIRST_REVISION, GHOST)
             upstream.always = name
             self.divert(int(upstream.address.rpartition(":")[2]))
             try:
@@ -111,12 +141,21 @@
                 self.divert(None)
 
 
+def _stored(revision: int, name: str, value: bytes) -> bytes:
+    """Return an object of the prepared machines' store with a value."""
+    metadata = b'{"Name":"%s","Revision":%d,"Created":1}' % (name.encode(), revision)
+    return b'{"Metadata":%s,"Spec":%s}' % (metadata, value)
+
+
 class MachinesStoreTest(_StoreChecks):
     """The store of the prepared machines, whose calls pass the client of upstreams."""
 
-    _OBJECT: ClassVar[dict[str, Any]] = {
-        "Metadata": {"Name": GHOST, "Revision": 10**6, "Created": 1},
-        "Spec": {
+    IN_USE = "i-portal-0"
+    fleet: ClassVar[MachinesFleet]
+    router: ClassVar[MachinesRouter]
+
+    def content(self, path: str, revision: int, name: str, odd_value: bytes = b"") -> bytes:
+        engine = {
             "Service": "portal",
             "Address": f"{HOST}:9",
             "Zone": HALLS[0],
@@ -125,16 +164,14 @@
             "State": "ready",
             "ColdRemainingMs": 0,
             "Sequence": 1,
-        },
-    }
-    fleet: ClassVar[MachinesFleet]
-    router: ClassVar[MachinesRouter]
-    CONTENT: ClassVar[dict[str, Any]] = {
-        "Entries": [_OBJECT],
-        "HasMore": False,
-        "events": [{"Object": _OBJECT, "Deleted": False}],
-        "Timestamp": 10**6,
-    }
+        }
+        objects = [_stored(revision, name, json.dumps(engine).encode())]
+        if odd_value:
+            objects.insert(0, _stored(revision, self.IN_USE, odd_value))
+        if "Watch=" in path:
+            events = b",".join(b'{"Deleted":false,"Object":%s}' % each for each in objects)
+            return b'{"events":[%s],"Timestamp":%d}' % (events, revision)
+        return b'{"Entries":[%s],"HasMore":false,"Timestamp":%d}' % (b",".join(objects), revision)
 
     @classmethod
     def setUpClass(cls) -> None:
@@ -162,18 +199,22 @@
 class StandardStoreTest(_StoreChecks):
     """The platform of the standard interface."""
 
-    _GHOST: ClassVar[dict[str, Any]] = {
-        "name": GHOST,
-        "service": "proof-portal",
-        "url": f"http://{HOST}:9",
-        "hall": "recife-1",
-        "state": "live",
-    }
+    IN_USE = "portal-0"
     fleet: ClassVar[LocalFleet]
-    CONTENT: ClassVar[dict[str, Any]] = {
-        "version": 10**6,
-        "objects": [{"kind": "upstream", "name": GHOST, "version": 10**6, "value": _GHOST}],
-    }
+
+    def content(self, path: str, revision: int, name: str, odd_value: bytes = b"") -> bytes:
+        upstream = {
+            "name": name,
+            "service": "proof-portal",
+            "url": f"http://{HOST}:9",
+            "hall": "recife-1",
+            "state": "live",
+        }
+        shape = b'{"kind":"upstream","name":"%s","version":%d,"value":%s}'
+        objects = [shape % (name.encode(), revision, json.dumps(upstream).encode())]
+        if odd_value:
+            objects.insert(0, shape % (self.IN_USE.encode(), revision, odd_value))
+        return b'{"version":%d,"objects":[%s]}' % (revision, b",".join(objects))
 
     @classmethod
     def setUpClass(cls) -> None:
@@ -212,7 +253,7 @@
         for name in (*NAMES, "whole"):
             engines[name] = self.enterContext(SpoiltUpstream(HOST))
             engines[name].always = name
-            engines[name].body = b'{"running": 0, "waiting": 0, "leaving": true}'
+            engines[name].body_of = lambda _: LEAVING_REPORT
             url = f"http://{engines[name].address}"
             fleet.put_upstream(Backend(name, "scene-language", url, "recife-1", nobody), "live")
         leaving: set[str] = set()
