Soak: engines send spoilt answers in every run

The stand-in engine has a fault, spoil, by which it sends one of the spoilt answers of fakes/_spoilt.py in place of a plain answer or a stream; the plan draws it from a generator of its own, so seeds draw the same other faults.

--- a/fakes/_machines_engine.py
+++ b/fakes/_machines_engine.py
@@ -47,6 +47,7 @@
 from fakes._brittle import BrittleRoom
 from fakes._endless import ENDLESS_BY_NAME, RUN_NAMES, endless_start
 from fakes._faults import Faults
+from fakes._spoilt import SPOILT_BY_NAME
 from fakes._surplus import SurplusAnswers
 from pondhatch.kernel import as_deferred
 
@@ -239,12 +240,16 @@
             run["outcome"] = "endless"
             await self._answer_without_end(request, attempt, disconnected)
             return b""
+        if self.faults.consume("spoil"):
+            run["outcome"] = "spoilt"
+            await self._answer_spoilt(request, attempt, disconnected)
+            return b""
         if self.faults.consume("fail"):
             request.setResponseCode(500)
             return b"failed"
         if not request.path.startswith(STREAM_PATHS):
             run["outcome"] = "gone" if disconnected.is_set() else "whole"
-            return b"%s by %s" % (request.content.read() or b"nothing", self._name.encode())
+            return self._plain_body(request)
         run["outcome"] = await self._stream(request, run, disconnected, event_interval)
         return b""
 
@@ -293,6 +298,28 @@
             transport.write(unit * (ENDLESS_BLOCK_BYTES // len(unit)))
             await asyncio.sleep(ENDLESS_PAUSE)
 
+    async def _answer_spoilt(self, request: Any, attempt: str, disconnected: asyncio.Event) -> None:
+        """Send an answer with a spoilt head or frame, and leave the rest to the caller."""
+        spoilt = SPOILT_BY_NAME[self.faults.rng.choice(sorted(SPOILT_BY_NAME))]
+        names = f"Attempt-Id: {attempt}\r\nInstance-Signature: {self._name}.{attempt}\r\n"
+        if request.path.startswith(STREAM_PATHS):
+            names += "Content-Type: text/event-stream\r\n"
+            after = int(request.getHeader("Last-Event-Id") or 0)
+            body = b"".join(map(self._event, range(after + 1, self._events + 1)))
+        else:
+            body = self._plain_body(request)
+        request.channel.transport.write(spoilt.written(names.encode(), body))
+        if spoilt.closes:
+            request.channel.transport.loseConnection()
+        await disconnected.wait()
+
+    def _plain_body(self, request: Any) -> bytes:
+        return b"%s by %s" % (request.content.read() or b"nothing", self._name.encode())
+
+    def _event(self, number: int) -> bytes:
+        data = f"{number} {self._software_version}".rstrip()
+        return f"id: {number}\ndata: {data}\n\n".encode()
+
     async def _stream(
         self, request: Any, run: dict[str, Any], disconnected: asyncio.Event, event_interval: float
     ) -> str:
@@ -312,8 +339,7 @@
             if number == middle and not after and (fault := self.faults.consume("pause")):
                 run["outcome"] = "paused"
                 await asyncio.sleep(fault.seconds)
-            data = f"{number} {self._software_version}".rstrip()
-            request.write(f"id: {number}\ndata: {data}\n\n".encode())
+            request.write(self._event(number))
             await asyncio.sleep(event_interval)
         return "whole"
 
--- a/soak/_engine_faults.py
+++ b/soak/_engine_faults.py
@@ -34,6 +34,7 @@
     "engine-preempts": "pause",
     "engine-stops-early": "stop-early",
     "engine-endless": "endless",
+    "engine-spoils": "spoil",
 }
 #: The same for faults that last for their whole time, however many requests arrive.
 LASTING_STAND_IN_FAULT_BY_KIND = {
--- a/soak/_plan.py
+++ b/soak/_plan.py
@@ -76,6 +76,9 @@
 #: Engines that send bytes without end; drawn in addition, in every run.
 ENDLESS = "engine-endless"
 ENDLESS_RATIO = 0.15
+#: Engines whose answers have spoilt heads or frames; drawn in addition, in every run.
+SPOILT = "engine-spoils"
+SPOILT_RATIO = 0.15
 #: Requests that share a part which crashes engines; one in every run.
 BAD_PART = "bad-part"
 #: Most new connections go to one router, while callers open more of them; one in every run.
@@ -149,7 +152,7 @@
     """Return what faults of a kind are injected at."""
     if kind in PATH_KINDS:
         return ROUTER
-    if kind in (*ANSWER_KINDS, ANSWERS_TWICE, ENDLESS):
+    if kind in (*ANSWER_KINDS, ANSWERS_TWICE, ENDLESS, SPOILT):
         return ENGINE
     if kind in (RELEASE, BAD_PART, CROWDED_ROUTER, *ROUTER_KILL_KINDS, *OUT_OF_STEP_KINDS):
         return FLEET
@@ -162,8 +165,9 @@
     """Return the plan drawn from a seed; equal arguments give equal plans.
 
     Load faults, path faults, releases, faults of answers, second copies of answers, answers
-    without end, bad parts, crowds, kills of many routers and routers out of step come from
-    generators of their own, so that a seed draws the same other faults with and without them.
+    without end, spoilt answers, bad parts, crowds, kills of many routers and routers out of step
+    come from generators of their own, so that a seed draws the same other faults with and without
+    them.
     """
     rng = random.Random(seed)
     routers = rng.randint(2, max(2, max_routers))
@@ -206,6 +210,11 @@
         _draw_fault(endless_rng, fault_seconds, (ENDLESS,))
         for _ in range(max(1, round(fault_count * ENDLESS_RATIO)))
     ]
+    spoilt_rng = random.Random(f"{seed} spoilt")
+    faults += [
+        _draw_fault(spoilt_rng, fault_seconds, (SPOILT,))
+        for _ in range(max(1, round(fault_count * SPOILT_RATIO)))
+    ]
     faults.append(_draw_fault(random.Random(f"{seed} crowds"), fault_seconds, (CROWDED_ROUTER,)))
     faults += _draw_router_kills(
         random.Random(f"{seed} kills of many routers"),
