--- a/fakes/_spoilt.py
+++ b/fakes/_spoilt.py
@@ -216,6 +216,31 @@
         (b"Content-Type: text/event-stream",), head_end=b"", is_cut=True
     ),
 }
+#: By name: answers that are not spoilt, however seldom servers send such.
+SOUND: dict[str, Spoilt] = {
+    "equal-lengths": _lines(b"Content-Length: %d", b"X-Other: a", b"content-length: %d"),
+    "equal-lengths-in-a-list": _lines(b"Content-Length: %d, %d"),
+    "length-with-zeros": _lines(b"Content-Length: 000%d"),
+    "length-without-blank": _lines(b"Content-Length:%d"),
+    "length-between-tabs": _lines(b"Content-Length:\t%d\t"),
+    "opaque-bytes": _lines(b"X-Other: caf\xe9 \xff", b"Content-Length: %d"),
+    "empty-value": _lines(b"X-Other:", b"Content-Length: %d"),
+    "tab-in-value": _lines(b"X-Other: a\tb", b"Content-Length: %d"),
+    "odd-token": _lines(b"x!#$%&'*+-.^_`|~9: a", b"Content-Length: %d"),
+    "no-reason": _first(b"HTTP/1.1 200"),
+    "empty-reason": _first(b"HTTP/1.1 200 "),
+    "opaque-reason": _first(b"HTTP/1.1 200 g\xfct"),
+    "old-version": _first(b"HTTP/1.0 200 OK"),
+    "later-minor-version": _first(b"HTTP/1.2 200 OK"),
+    "until-close": Spoilt((b"Connection: close",)),
+    "until-close-of-old-version": Spoilt(first_line=b"HTTP/1.0 200 OK"),
+    "interim-before": _first(
+        b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\n" + OK_LINE
+    ),
+    "interim-with-fields": _first(b"HTTP/1.1 103 Hints\r\nLink: <a>\r\n\r\n" + OK_LINE),
+    "chunks-in-capitals": Spoilt((b"TRANSFER-ENCODING: CHUNKED",), is_chunked=True, rest=b"\r\n"),
+    "chunks-with-trailer": _chunks(rest=b"X-Sum: 5\r\n\r\n"),
+}
 #: The events of a stream with a length, of which only the first is sent.
 EVENTS = (b"id: 1\ndata: 1\n\n", b"id: 2\ndata: 2\n\n")
 #: By name: streams that are cut after an event.
@@ -228,6 +253,7 @@
         content=EVENTS[0],
     ),
 }
+#: All but sound ones.
 SPOILT_BY_NAME = {**LENGTHS, **LINES, **NAMES, **VALUES, **STATUSES, **CUT_HEADS, **CUT_STREAMS}
 
 
@@ -284,8 +310,8 @@
         try:
             while (request := read_request(self.rfile, SIGNATURE)) is not None:
                 name = self.server.upstream.always or request.path.rpartition("/")[2]
-                if name in SPOILT_BY_NAME:
-                    self._send_spoilt(name, request)
+                if name in SPOILT_BY_NAME or name in SOUND:
+                    self._send_raw(name, request)
                     return
                 body = self.server.upstream.body_of(request.path)
                 length = b"Content-Length: %d\r\n\r\n" % len(body)
@@ -295,8 +321,8 @@
         finally:
             self.server.connections.discard(self.connection)
 
-    def _send_spoilt(self, name: str, request: RawRequest) -> None:
-        upstream, spoilt = self.server.upstream, SPOILT_BY_NAME[name]
+    def _send_raw(self, name: str, request: RawRequest) -> None:
+        upstream, spoilt = self.server.upstream, {**SPOILT_BY_NAME, **SOUND}[name]
         upstream.sent_by_name[name] += 1
         self.connection.sendall(spoilt.written(request.names, upstream.body_of(request.path)))
         if not spoilt.closes:
--- a/fakes/tests/test_spoilt_answers.py
+++ b/fakes/tests/test_spoilt_answers.py
@@ -10,7 +10,8 @@
 import http.client
 import time
 import urllib.parse
-from dataclasses import dataclass
+import uuid
+from dataclasses import dataclass, replace
 
 from fakes._machines_engine import STREAM_EVENTS
 from fakes._machines_fleet import HALLS, eventually
@@ -22,6 +23,7 @@
     LINES,
     NAMES,
     SIGNATURE,
+    SOUND,
     STATUSES,
     VALUES,
     WHOLE_BODY,
@@ -41,6 +43,8 @@
 ANSWER_SECONDS = 4.0
 #: Seconds within which one of many requests is sent to one of two engines.
 RESUMED_SECONDS = 10.0
+#: Spoilt answers that were read as five bytes of their bodies.
+KEPT_NAMES = ("length-and-chunks", "too-short", "continued-value", "only-blanks")
 #: Statuses with which a router says that its upstream gave no answer.
 REFUSALS = frozenset({502, 503, 504})
 #: The signature of an answer whose head is as its upstream meant it: with the request's id.
@@ -109,6 +113,20 @@
                 finally:
                     self.remove_upstream(f"i-{name}")
 
+    def test_a_sound_answer_is_passed_on(self) -> None:
+        for name in SOUND:
+            with self.subTest(name), SpoiltUpstream(HOST, self.PORT) as upstream:
+                self.add_upstream(f"i-{name}", upstream.address)
+                try:
+                    eventually(lambda: call(self.troubled_request("whole")).status == OK)
+                    request = self.troubled_request(name).unique()
+                    received = receive(request, self.sound_request().unique())
+                finally:
+                    self.remove_upstream(f"i-{name}")
+                self.assertEqual((received.status, received.body), (OK, WHOLE_BODY))
+                self.assertRegex(received.signature, SIGNED)
+                self.assertEqual(received.next_status, OK)
+
     def check_answer(self, name: str, upstream: SpoiltUpstream) -> None:
         request = self.troubled_request(name).unique()
         received = receive(request, self.sound_request().unique())
@@ -177,4 +195,24 @@
     """Two routers of the standard interface, and a plain service."""
 
 
+class KeptSpoiltTest(StandardService):
+    """Requests with an idempotency key, whose answers are kept and given again."""
+
+    # Guards against a spoilt answer that is given to later requests too.
+    def test_no_spoilt_answer_is_kept(self) -> None:
+        for name in KEPT_NAMES:
+            with self.subTest(name), SpoiltUpstream(HOST) as upstream:
+                self.add_upstream(f"i-{name}", upstream.address)
+                try:
+                    eventually(lambda: call(self.troubled_request("whole")).status == OK)
+                    request = self.troubled_request(name).unique()
+                    key = ("Idempotency-Key", uuid.uuid4().hex)
+                    keyed = replace(request, headers=(*request.headers, key))
+                    following = self.sound_request().unique()
+                    bodies = {receive(keyed, following).body for _ in range(3)}
+                finally:
+                    self.remove_upstream(f"i-{name}")
+                self.assertNotIn(WHOLE_BODY[:5], bodies)
+
+
 del _SpoiltChecks
