Clean-up: raw upstreams share their server, objects of the standard platform have a module

Change: fakes/_raw_upstream.py holds the listening and the reading of requests for both; HttpCodec checks the stated end, and transport/_unread.py looks ahead in the socket; standard/_objects.py decodes what identifies objects; told_versions and is_told_late say registered. No behaviour changes, but that an upstream of a test that is left closes its connections.

--- a/fakes/_endless.py
+++ b/fakes/_endless.py
@@ -6,15 +6,11 @@
 
 from __future__ import annotations
 
-import socket
-import socketserver
 import threading
 import time
 from dataclasses import dataclass
-from types import TracebackType
-from typing import Any
 
-from fakes._raw_requests import read_request
+from fakes._raw_upstream import RawHandler, RawRequest, RawUpstream
 from fakes._steady_caller import processor_waits
 
 OK_HEAD = b"HTTP/1.1 200 OK\r\n"
@@ -66,7 +62,7 @@
     return first + end + (names if end else b"") + rest
 
 
-class EndlessUpstream:
+class EndlessUpstream(RawUpstream):
     """Answers requests whose path names one of ENDLESS_BY_NAME without end, and others whole.
 
     ``callers`` are the ids of the processes that are to give up within ``limit`` seconds. What one
@@ -77,67 +73,35 @@
     def __init__(
         self, host: str, port: int = 0, callers: tuple[int, ...] = (), limit: float = 0.0
     ) -> None:
-        self._server = _Server((host, port), _Handler)
-        self._server.callers, self._server.limit = callers, limit
-        self._server.upstream = self
-        self.address = f"{host}:{self._server.server_address[1]}"
+        super().__init__(host, port, _Handler)
+        self.callers, self.limit = callers, limit
         #: Names one of ENDLESS_BY_NAME, or one in drops, by which every request is answered.
         self.always = ""
         #: Answers without end that were begun, in all.
         self.begun = 0
         #: Seconds from the first endless byte until the caller closed, by name, in order.
-        self.seconds_by_name: dict[str, list[float]] = self._server.seconds_by_name
-
-    def __enter__(self) -> EndlessUpstream:
-        threading.Thread(target=self._server.serve_forever, daemon=True).start()
-        return self
-
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        self._server.shutdown()
-        self._server.server_close()
-
-
-class _Server(socketserver.ThreadingTCPServer):
-    daemon_threads = True
-    allow_reuse_address = True
-    request_queue_size = 100
-
-    def __init__(self, *arguments: Any) -> None:
-        super().__init__(*arguments)
         self.seconds_by_name: dict[str, list[float]] = {}
-        self.upstream: EndlessUpstream
-        self.callers: tuple[int, ...] = ()
-        self.limit = 0.0
 
 
-class _Handler(socketserver.StreamRequestHandler):
-    server: _Server
+class _Handler(RawHandler):
+    signature = SIGNATURE
 
-    def handle(self) -> None:
-        """Answer the requests of a connection, one after the other."""
-        self.connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        try:
-            while (request := read_request(self.rfile, SIGNATURE)) is not None:
-                name = self.server.upstream.always or request.path.rpartition("/")[2]
-                if name.removesuffix("-in-drops") in ENDLESS_BY_NAME:
-                    self._send_endless(name, request.names)
-                    return
-                length = b"Content-Length: %d\r\n\r\n" % len(WHOLE_BODY)
-                self.wfile.write(OK_HEAD + request.names + length + WHOLE_BODY)
-        except OSError:
-            return
-
-    def _send_endless(self, name: str, names: bytes) -> None:
+    def answer(self, request: RawRequest) -> bool:
+        upstream: EndlessUpstream = self.server.upstream
+        name = upstream.always or request.path.rpartition("/")[2]
+        if name.removesuffix("-in-drops") in ENDLESS_BY_NAME:
+            self._send_endless(upstream, name, request.names)
+            return False
+        length = b"Content-Length: %d\r\n\r\n" % len(WHOLE_BODY)
+        self.wfile.write(OK_HEAD + request.names + length + WHOLE_BODY)
+        return True
+
+    def _send_endless(self, upstream: EndlessUpstream, name: str, names: bytes) -> None:
         kind = name.removesuffix("-in-drops")
         endless = ENDLESS_BY_NAME[kind]
         started = time.monotonic()
-        self.server.upstream.begun += 1
-        waits = _WaitsSince(self.server.limit, self.server.callers)
+        upstream.begun += 1
+        waits = _WaitsSince(upstream.limit, upstream.callers)
         try:
             self.connection.sendall(endless_start(kind, names))
             if name.endswith("-in-drops"):
@@ -148,7 +112,7 @@
             while True:
                 self.connection.sendall(block)
         finally:
-            seconds = self.server.seconds_by_name.setdefault(name, [])
+            seconds = upstream.seconds_by_name.setdefault(name, [])
             seconds.append(time.monotonic() - started - waits.longest())
 
 
--- a/fakes/_spoilt.py
+++ b/fakes/_spoilt.py
@@ -6,18 +6,12 @@
 
 from __future__ import annotations
 
-import contextlib
-import socket
-import socketserver
-import threading
 import time
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
-from types import TracebackType
-from typing import Any
 
-from fakes._raw_requests import RawRequest, read_request
+from fakes._raw_upstream import RawHandler, RawRequest, RawUpstream
 
 SIGNATURE = b"i-spoilt"
 #: The body that each answer is meant to have, unless another is asked for.
@@ -257,73 +251,33 @@
 SPOILT_BY_NAME = {**LENGTHS, **LINES, **NAMES, **VALUES, **STATUSES, **CUT_HEADS, **CUT_STREAMS}
 
 
-class SpoiltUpstream:
-    """Answers requests whose path names one of SPOILT_BY_NAME so, and others as it should."""
+class SpoiltUpstream(RawUpstream):
+    """Answers requests whose path names one of SPOILT_BY_NAME or SOUND so, and others plainly."""
 
     def __init__(self, host: str, port: int = 0) -> None:
-        self._server = _Server((host, port), _Handler)
-        self._server.upstream = self
-        self.address = f"{host}:{self._server.server_address[1]}"
-        #: Names one of SPOILT_BY_NAME, by which every request is answered.
+        super().__init__(host, port, _Handler)
+        #: Names one of them, by which every request is answered.
         self.always = ""
         #: Returns the body of the answer to a request with a path.
         self.body_of: Callable[[str], bytes] = lambda _: WHOLE_BODY
-        #: Spoilt answers that were sent, by name.
+        #: Such answers that were sent, by name.
         self.sent_by_name: Counter[str] = Counter()
 
-    def __enter__(self) -> SpoiltUpstream:
-        threading.Thread(target=self._server.serve_forever, daemon=True).start()
-        return self
 
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        self._server.shutdown()
-        self._server.server_close()
-        # A connection that a router has kept would still be answered here.
-        for each in tuple(self._server.connections):
-            with contextlib.suppress(OSError):
-                each.shutdown(socket.SHUT_RDWR)
+class _Handler(RawHandler):
+    signature = SIGNATURE
 
-
-class _Server(socketserver.ThreadingTCPServer):
-    daemon_threads = True
-    allow_reuse_address = True
-    request_queue_size = 100
-
-    def __init__(self, *arguments: Any) -> None:
-        super().__init__(*arguments)
-        self.upstream: SpoiltUpstream
-        self.connections: set[socket.socket] = set()
-
-
-class _Handler(socketserver.StreamRequestHandler):
-    server: _Server
-
-    def handle(self) -> None:
-        """Answer the requests of a connection, one after the other."""
-        self.connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.server.connections.add(self.connection)
-        try:
-            while (request := read_request(self.rfile, SIGNATURE)) is not None:
-                name = self.server.upstream.always or request.path.rpartition("/")[2]
-                if name in SPOILT_BY_NAME or name in SOUND:
-                    self._send_raw(name, request)
-                    return
-                body = self.server.upstream.body_of(request.path)
-                length = b"Content-Length: %d\r\n\r\n" % len(body)
-                self.wfile.write(OK_LINE + b"\r\n" + request.names + length + body)
-        except OSError:
-            return
-        finally:
-            self.server.connections.discard(self.connection)
-
-    def _send_raw(self, name: str, request: RawRequest) -> None:
-        upstream, spoilt = self.server.upstream, {**SPOILT_BY_NAME, **SOUND}[name]
+    def answer(self, request: RawRequest) -> bool:
+        upstream: SpoiltUpstream = self.server.upstream
+        name = upstream.always or request.path.rpartition("/")[2]
+        body = upstream.body_of(request.path)
+        answer = SPOILT_BY_NAME.get(name) or SOUND.get(name)
+        if answer is None:
+            length = b"Content-Length: %d\r\n\r\n" % len(body)
+            self.wfile.write(OK_LINE + b"\r\n" + request.names + length + body)
+            return True
         upstream.sent_by_name[name] += 1
-        self.connection.sendall(spoilt.written(request.names, upstream.body_of(request.path)))
-        if not spoilt.closes:
+        self.connection.sendall(answer.written(request.names, body))
+        if not answer.closes:
             time.sleep(LINGER_SECONDS)
+        return False
--- a/pondhatch/router/streams/_exchange.py
+++ b/pondhatch/router/streams/_exchange.py
@@ -141,7 +141,7 @@
         self, service: str, live_versions: Callable[[], frozenset[str]]
     ) -> bool:
         """Wait until the platform knows a live version, for a moment at most; see StreamOrigins."""
-        is_told_late = await self._version_store.await_registered(
+        is_registered_late = await self._version_store.await_registered(
             service, live_versions, MAX_TELL_SECONDS
         )
         is_noted_late = await self._version_notes.await_noted(
@@ -149,7 +149,7 @@
             lambda: live_versions() & self._version_store.registered(service),
             MAX_TELL_SECONDS,
         )
-        return is_told_late or is_noted_late
+        return is_registered_late or is_noted_late
 
     async def find(self, service: str, key: bytes) -> StreamOrigin | OriginUnknown:
         """Return what began a stream, after asking others if needed; see StreamOrigins."""
--- a/pondhatch/router/streams/_version_notes.py
+++ b/pondhatch/router/streams/_version_notes.py
@@ -63,17 +63,17 @@
         )
 
     async def await_noted(
-        self, service: str, told_versions: Callable[[], frozenset[str]], max_wait: float
+        self, service: str, registered_versions: Callable[[], frozenset[str]], max_wait: float
     ) -> bool:
-        """Wait until one of the live versions that the platform was told of is noted as well.
+        """Wait until one of the live versions that are registered at the platform is noted as well.
 
         Return whether that took time.
         """
         until = self._state.clock() + max_wait
         has_waited = False
         while self._state.clock() < until:
-            told = told_versions()
-            if not told or not told <= self.unnoted(service):
+            registered = registered_versions()
+            if not registered or not registered <= self.unnoted(service):
                 break
             self._note(service)
             has_waited = True
--- a/pondhatch/standard/_platform.py
+++ b/pondhatch/standard/_platform.py
@@ -9,7 +9,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
-from typing import Annotated, Any, TypeVar
+from typing import Any, TypeVar
 from urllib.parse import quote
 
 import msgspec
@@ -27,6 +27,7 @@
 from pondhatch.observing import LogOnce, log_for
 from pondhatch.standard._limited_agent import limited_agent
 from pondhatch.standard._limited_content import read_content
+from pondhatch.standard._objects import decode_listing, key_of, name_of
 from pondhatch.store import (
     JSON_ERRORS,
     Accepted,
@@ -36,12 +37,10 @@
     Missing,
     OutcomeUnknown,
     PlatformLost,
-    Position,
     StoredObject,
     TooOld,
     Unavailable,
     WatchEvent,
-    elements,
     member,
 )
 from pondhatch.transport import MAX_CONTENT_BYTES, PartPipe
@@ -65,13 +64,6 @@
 _Shape = TypeVar("_Shape")
 
 
-class _Listing(msgspec.Struct, frozen=True):
-    """A listing of raw objects, which are decoded later, each independently of the others."""
-
-    version: int
-    objects: tuple[msgspec.Raw, ...]
-
-
 class _CallFailed(Exception):
     """A call got no usable answer."""
 
@@ -136,7 +128,7 @@
             return Missing()
         if status != 200:
             return Unavailable(f"answered {status}")
-        found, key = self._decode_or_log(content, StoredObject), _key_of(content)
+        found, key = self._decode_or_log(content, StoredObject), key_of(content)
         if found is not None:
             return Found(found)
         if key is None:
@@ -153,12 +145,12 @@
         if status != 200:
             return Unavailable(f"answered {status}")
         try:
-            listing = _decode_listing(content)
+            listing = decode_listing(content)
         except JSON_ERRORS as error:
             return Unavailable(f"the answer is not a listing: {error}")
         decoded = [self._decode_or_log(each, StoredObject) for each in listing.objects]
         objects = tuple(each for each in decoded if each is not None)
-        names = {_name_of(each) for each in listing.objects} - {each.name for each in objects}
+        names = {name_of(each) for each in listing.objects} - {each.name for each in objects}
         return Listed(listing.version, objects, frozenset(names))
 
     async def create(
@@ -202,7 +194,7 @@
             return msgspec.json.decode(line, type=WatchEvent)
         except JSON_ERRORS as error:
             self._log_left_out(line, error)
-            key = _key_of(line)
+            key = key_of(line)
             if key is not None:
                 is_removed = member(line, "type").strip() == b'"removed"'
                 return WatchEvent("removed" if is_removed else "unreadable", key.version, key.name)
@@ -220,7 +212,7 @@
 
     def _log_left_out(self, content: bytes | msgspec.Raw, error: Exception) -> None:
         if self._logged.is_first(hash(bytes(content))):
-            log.error("Object {} is left out: {}.", _name_of(content) or "without name", error)
+            log.error("Object {} is left out: {}.", name_of(content) or "without name", error)
 
     async def _write(
         self, kind: str, name: str, value: Any, condition: dict[str, str]
@@ -275,43 +267,6 @@
     return f"{kind}/{quote(name, safe='')}"
 
 
-class _Key(msgspec.Struct, frozen=True):
-    """What identifies an object or a change, whatever its value."""
-
-    name: Annotated[str, msgspec.Meta(min_length=1)]
-    version: Position
-
-
-def _decode_listing(content: bytes) -> _Listing:
-    """Return a listing, also where one of its objects is not valid JSON. Raises JSON_ERRORS."""
-    try:
-        return msgspec.json.decode(content, type=_Listing)
-    except JSON_ERRORS:
-        raw_objects = member(content, "objects")
-        if not raw_objects:
-            raise
-        version = msgspec.json.decode(member(content, "version"), type=int)
-        return _Listing(version, tuple(map(msgspec.Raw, elements(raw_objects))))
-
-
-def _key_of(content: bytes) -> _Key | None:
-    """Return the key of a possibly malformed object or event, None if it has none."""
-    try:
-        name = msgspec.json.decode(member(content, "name"))
-        version = msgspec.json.decode(member(content, "version"))
-        return msgspec.convert({"name": name, "version": version}, _Key)
-    except JSON_ERRORS:
-        return None
-
-
-def _name_of(content: bytes | msgspec.Raw) -> str:
-    """Return the name of a possibly malformed object, empty if it has none."""
-    try:
-        return msgspec.json.decode(member(bytes(content), "name"), type=str)
-    except JSON_ERRORS:
-        return ""
-
-
 async def _lines(pipe: PartPipe) -> AsyncIterator[bytes]:
     """Yield the lines of a watch as they are received. Raises PlatformLost at its end."""
     #: Parts of the line that has begun, and their bytes together.
--- a/pondhatch/transport/_http_codec.py
+++ b/pondhatch/transport/_http_codec.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 import h11
@@ -11,11 +12,13 @@
     AnswerHead,
     HeadBuffer,
     MalformedHead,
+    may_begin_answer,
 )
 from pondhatch.transport._connection_broken import ConnectionBroken
 
 #: Headers of the request that only prepares a reader for an answer, and is sent nowhere.
 _UNSENT_HEADERS = ((b"Host", b"unsent"),)
+#: The method of requests whose answers have no body, whatever length they state.
 _HEAD = b"HEAD"
 
 
@@ -95,17 +98,16 @@
             return bool(self._heads)
         return self._reader.their_state is h11.SEND_BODY and bool(self._reader.trailing_data[0])
 
-    @property
-    def has_stated_end(self) -> bool:
-        """Return whether the answer's head told the length of its body, or that it has none."""
-        if self._head is None or self._method == _HEAD:
-            return False
-        return self._head.body_length is not None
+    def check_stated_end(self, read_ahead: Callable[[], bytes]) -> None:
+        """Raise ConnectionBroken if the answer, which has ended, goes on after its stated length.
 
-    @property
-    def following(self) -> bytes:
-        """Return the bytes that were received after the answer, which has ended."""
-        return self._reader.trailing_data[0]
+        Bytes that begin another answer do not belong to it. Where nothing more was received,
+        ``read_ahead`` returns some of the bytes that will be next, if they are known.
+        """
+        if self._head is None or self._method == _HEAD or self._head.body_length is None:
+            return
+        if not may_begin_answer(self._reader.trailing_data[0] or read_ahead()):
+            raise ConnectionBroken("more bytes than the length that the answer states")
 
     def skip_answer(self) -> None:
         """Go on to the next answer, after one was read to its end that is not the request's."""
--- a/pondhatch/transport/_http_connection.py
+++ b/pondhatch/transport/_http_connection.py
@@ -20,7 +20,6 @@
 
 from pondhatch.limits import UNCOUNTED, HeldCounter
 from pondhatch.requests import BodySource, ConnectionUse
-from pondhatch.transport._answer_heads import may_begin_answer
 from pondhatch.transport._body_parts import send_parts
 from pondhatch.transport._carried_exchange import CarriedExchange
 from pondhatch.transport._connection_broken import ConnectionBroken
@@ -29,11 +28,9 @@
 from pondhatch.transport._http_heads import Request, request_head, response_head
 from pondhatch.transport._line_limit import LineLimit
 from pondhatch.transport._reading_turns import PARTS_PER_SHARE, ReadingShares, ReadingTurns
+from pondhatch.transport._unread import unread_bytes
 from pondhatch.transport._use_times import UseTimes
 
-#: Bytes that are read ahead of time: more than tell whether another answer begins.
-PEEKED_BYTES = 16
-
 
 class Connection(UseTimes, TwistedProtocol):
     """One connection, which carries one exchange at a time."""
@@ -167,23 +164,20 @@
     def has_unread_bytes(self) -> bool:
         """Return whether bytes, or the end of the connection, wait in the socket's buffer."""
         try:
-            waiting = self._unread()
+            unread = unread_bytes(self.transport)
         except OSError:
             return True
-        self.has_unasked_bytes = bool(waiting)
-        return waiting is not None
-
-    def _unread(self) -> bytes | None:
-        """Return some bytes that wait in the socket's buffer, b"" for the end; None without any.
+        self.has_unasked_bytes = bool(unread)
+        return unread is not None
 
-        Raises OSError if the connection is lost.
-        """
+    def _read_ahead(self) -> bytes:
+        """Return some bytes that wait in the socket's buffer, if there are any."""
+        if not self.is_open:
+            return b""
         try:
-            return bytes(
-                self.transport.getHandle().recv(PEEKED_BYTES, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-            )
-        except BlockingIOError:
-            return None
+            return unread_bytes(self.transport) or b""
+        except OSError:
+            return b""
 
     def _is_silent(self) -> bool:
         """Return whether its exchange was inactive for the time allowed for unacknowledged bytes.
@@ -265,28 +259,14 @@
                 exchange.end_skipping()
                 self._http.skip_answer()
             elif isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
-                self._check_stated_end()
+                # The last part of the body is not passed on yet.
+                self._http.check_stated_end(self._read_ahead)
                 self._end(exchange, parts)
                 return True
         if parts and exchange is not None:
             exchange.pipe.put(b"".join(parts))
         return left > 0
 
-    def _check_stated_end(self) -> None:
-        """Raise ConnectionBroken if the answer goes on after the end that its head states.
-
-        The caller has not got the last part of the body yet. Bytes that begin another answer do
-        not belong to this one.
-        """
-        if not self._http.has_stated_end:
-            return
-        following = self._http.following
-        if not following and self.is_open:
-            with contextlib.suppress(OSError):
-                following = self._unread() or b""
-        if not may_begin_answer(following):
-            raise ConnectionBroken("more bytes than the length that the answer states")
-
     def _end(self, exchange: CarriedExchange, parts: list[bytes]) -> None:
         """End an exchange whose answer is complete; keep the connection if it is reusable.
 
