`pondhatch where` says so where an answer is no router's state

What was seen (found here): an empty answer, one of another shape, nested deeply or with a number too large ended the command with a stack.

Cause: it decoded the page without a type, and awaited no error.

Why this works: what is printed has passed the type, and each error of decoding is awaited.

--- a/fakes/tests/test_spoilt_own_calls.py
+++ b/fakes/tests/test_spoilt_own_calls.py
@@ -57,8 +57,13 @@
     def dump(self, name: str) -> subprocess.CompletedProcess[bytes]:
         with SpoiltUpstream(HOST) as upstream:
             upstream.always = name
-            command = (sys.executable, "-m", "pondhatch", "dump", "--admin", upstream.address)
-            return subprocess.run(command, cwd=ROOT, capture_output=True, check=False)
+            return self.run_command("dump", upstream)
+
+    def run_command(
+        self, name: str, upstream: SpoiltUpstream
+    ) -> subprocess.CompletedProcess[bytes]:
+        command = (sys.executable, "-m", "pondhatch", name, "--admin", upstream.address)
+        return subprocess.run(command, cwd=ROOT, capture_output=True, check=False)
 
     def test_no_spoilt_answer_is_shown(self) -> None:
         with ThreadPoolExecutor(COMMANDS) as pool:
@@ -67,6 +72,15 @@
                     self.assertEqual((ended.returncode, ended.stdout), (UNREACHABLE, b""))
                     self.assertNotIn(b"Traceback", ended.stderr)
 
+    def test_an_answer_that_is_no_state_is_told_as_such(self) -> None:
+        bodies = (b"", b"[1]", b"{}", b"[" * 5000, b"1e99999", b'{"members":[{"name":7}]}')
+        for body in bodies:
+            with self.subTest(body[:20]), SpoiltUpstream(HOST) as upstream:
+                upstream.body_of = lambda _, body=body: body  # type: ignore[misc]
+                ended = self.run_command("where", upstream)
+                self.assertEqual((ended.returncode, ended.stdout), (UNREACHABLE, b""))
+                self.assertNotIn(b"Traceback", ended.stderr)
+
     def test_a_whole_answer_is_shown(self) -> None:
         ended = self.dump("whole")
         self.assertEqual((ended.returncode, ended.stdout), (0, b"the whole body of this engine"))
--- a/pondhatch/cli/_router_commands.py
+++ b/pondhatch/cli/_router_commands.py
@@ -39,9 +39,13 @@
     content = _get_page(admin, "state.json")
     if content is None:
         return EXIT_UNREACHABLE
-    state = msgspec.json.decode(content)
-    for member in sorted(state["members"], key=lambda each: (each["configuration"], each["name"])):
-        print(f"{member['configuration']}  {member['name']}  {member['hall']}  {member['status']}")
+    try:
+        state = msgspec.json.decode(content, type=_State)
+    except (msgspec.DecodeError, RecursionError) as error:
+        print(f"{admin} answered what is no router's state: {error}", file=sys.stderr)
+        return EXIT_UNREACHABLE
+    for member in sorted(state.members, key=lambda each: (each.configuration, each.name)):
+        print(f"{member.configuration}  {member.name}  {member.hall}  {member.status}")
     return EXIT_DONE
 
 
@@ -72,6 +76,22 @@
     return reply.content
 
 
+class _Member(msgspec.Struct, frozen=True):
+    """A router, as another one knows it."""
+
+    name: str
+    hall: str
+    status: str
+    #: Version of the configuration in force there.
+    configuration: int
+
+
+class _State(msgspec.Struct, frozen=True):
+    """The part of a router's state that commands read."""
+
+    members: tuple[_Member, ...]
+
+
 class _AdminReply(msgspec.Struct, frozen=True):
     """A reply of a router's admin port."""
 
