A stop signal that comes while a router begins to ignore them does not kill it

Cause, traced: at the end of a stop, the loop gives each signal up, which sets its default action, and the router sets it to ignored right after. A signal between the two kills the process.

Change: stop signals are blocked meanwhile; one that waits is dropped once it is ignored.

Evidence: test_late_stop_signals sends one just then, in a process of its own: -15 before, for both signals, 0 now.

Why this works: while a signal is blocked no action is taken for it, and an ignored one has none.

--- a/pondhatch/cli/_stop_signals.py
+++ b/pondhatch/cli/_stop_signals.py
@@ -42,10 +42,13 @@
     def ignore(self) -> None:
         """Ignore stop signals from now on."""
         loop = asyncio.get_running_loop()
+        # Once the loop no longer handles a signal, one would kill the process. A signal that is
+        # ignored when it is let through is dropped.
+        blocked_before = signal.pthread_sigmask(signal.SIG_BLOCK, STOP_SIGNALS)
         for number in STOP_SIGNALS:
-            # Once the loop no longer handles a signal, a repeated one would kill the process.
             loop.remove_signal_handler(number)
             signal.signal(number, signal.SIG_IGN)
+        signal.pthread_sigmask(signal.SIG_SETMASK, blocked_before)
 
     def _note(self, _number: int, _frame: FrameType | None) -> None:
         if self._ran_before is None:
