--- a/pondhatch/transport/_answer_heads.py
+++ b/pondhatch/transport/_answer_heads.py
@@ -26,8 +26,9 @@
 #: What every answer begins with.
 PROTOCOL = b"HTTP/1."
 
-#: Bytes of a value or a reason: a tab, and all but control bytes. Those above 127 are opaque.
-_TEXT = rb"[\t\x20-\x7e\x80-\xff]*"
+#: Bytes of a value or a reason: all but those that are or may be taken for the end of a line or of
+#: a text. Other control bytes occur in practice, and are harmless where a value is only passed on.
+_TEXT = rb"[^\x00\n\x0b\x0c\r]*"
 _FIRST_LINE = rb"HTTP/1\.(?P<minor>[0-9]) (?P<status>[1-5][0-9]{2})(?: " + _TEXT + rb")?\r?\n"
 _FIELD = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:" + _TEXT + rb"\r?\n"
 _HEAD = re.compile(_FIRST_LINE + rb"(?:" + _FIELD + rb")*+\r?\n")
