What is no list of objects is not an empty one

Cause: where an answer does not decode as a whole, its list is split by brackets, and what is no array was split into no elements.

Change: elements() raises for what is no closed array; the answer then is unavailable, and a watch lost.

Why this works: a listing is believed only with a list in it.

--- a/pondhatch/platform/_objects.py
+++ b/pondhatch/platform/_objects.py
@@ -72,17 +72,15 @@
         return msgspec.json.decode(content, type=shape)
     except JSON_ERRORS:
         raw_by_name = dict(members(content))
-        raw_list = raw_by_name.pop(list_key, b"")
+        raw_elements = elements(raw_by_name.pop(list_key, b""))
         other_members = b",".join(
             b'"%s":%s' % (name.encode(), raw) for name, raw in raw_by_name.items()
         )
         answer = msgspec.json.decode(
             b'{"%s":[],%s}' % (list_key.encode(), other_members), type=shape
         )
-        if not raw_list:
-            raise
     return msgspec.structs.replace(
-        answer, **{list_key.lower(): tuple(map(msgspec.Raw, elements(raw_list)))}
+        answer, **{list_key.lower(): tuple(map(msgspec.Raw, raw_elements))}
     )
 
 
--- a/pondhatch/platform/tests/test_malformed_entries.py
+++ b/pondhatch/platform/tests/test_malformed_entries.py
@@ -200,6 +200,17 @@
                     [each.type for each in await watched_events(store(answer))], ["bookmark"]
                 )
 
+    # Guards against what is no list, which was taken for an empty one: all that is known vanished.
+    async def test_an_answer_without_a_list_counts_as_unavailable(self) -> None:
+        for entries in (b"null", b"7", b"{}", b'"[]"', b"NaN", b"[1", b""):
+            with self.subTest(entries):
+                answer = b'{"Entries":%s,"HasMore":false,"Timestamp":9}' % entries
+                self.assertIsInstance(await store(answer).list("upstream"), Unavailable)
+                changes = b'{"events":%s,"Timestamp":9}' % entries
+                self.assertEqual(
+                    [each.type for each in await watched_events(store(changes))], ["bookmark"]
+                )
+
     @given(st.binary(max_size=60), st.integers(0, 900), st.integers(0, 60))
     def test_no_bytes_raise_anything(self, noise: bytes, at: int, cut: int) -> None:
         whole = page(*(msgspec.json.encode(stored(f"i-{each}", 4)) for each in range(3)))
--- a/pondhatch/standard/_objects.py
+++ b/pondhatch/standard/_objects.py
@@ -32,11 +32,9 @@
     try:
         return msgspec.json.decode(content, type=Listing)
     except JSON_ERRORS:
-        raw_objects = member(content, "objects")
-        if not raw_objects:
-            raise
+        objects = elements(member(content, "objects"))
         version = msgspec.json.decode(member(content, "version"), type=int)
-        return Listing(version, tuple(map(msgspec.Raw, elements(raw_objects))))
+        return Listing(version, tuple(map(msgspec.Raw, objects)))
 
 
 def key_of(content: bytes) -> ObjectKey | None:
--- a/pondhatch/standard/_platform.py
+++ b/pondhatch/standard/_platform.py
@@ -128,9 +128,10 @@
             return Missing()
         if status != 200:
             return Unavailable(f"answered {status}")
-        found, key = self._decode_or_log(content, StoredObject), key_of(content)
+        found = self._decode_or_log(content, StoredObject)
         if found is not None:
             return Found(found)
+        key = key_of(content)
         if key is None:
             return Unavailable("answered what is no object")
         # The object exists, so its owner may replace what another writer stored.
--- a/pondhatch/standard/tests/test_odd_objects.py
+++ b/pondhatch/standard/tests/test_odd_objects.py
@@ -53,6 +53,22 @@
                 if len(listed.objects) == 1:
                     self.assertEqual(listed.left_out, frozenset({"odd"}))
 
+    # Guards against the splitting by brackets, which took a listing that is cut for an empty one.
+    async def test_a_listing_that_is_cut_is_unavailable(self) -> None:
+        for value in (b"1", b"NaN", b'{"a":[{}]}'):
+            whole = b'{"version":7,"objects":[%s,%s]}' % (odd_object(b"1"), odd_object(value))
+            for end in range(len(whole)):
+                with self.subTest(whole[:end]):
+                    listed = await CannedPlatform(whole[:end]).list("upstream")
+                    self.assertIsInstance(listed, Unavailable)
+
+    # Guards against what is no list, which was taken for an empty one.
+    async def test_a_listing_without_a_list_is_unavailable(self) -> None:
+        for objects in (b"null", b"7", b"{}", b'"[]"', b"NaN", b"[1", b""):
+            with self.subTest(objects):
+                platform = CannedPlatform(b'{"version":7,"objects":%s}' % objects)
+                self.assertIsInstance(await platform.list("upstream"), Unavailable)
+
     async def test_a_watch_goes_on_after_it(self) -> None:
         sound = WatchEvent("set", 6, "e0", {"name": "e0"})
         for name, value in ODD_VALUES.items():
--- a/pondhatch/store/_json_split.py
+++ b/pondhatch/store/_json_split.py
@@ -24,8 +24,11 @@
 
 
 def elements(raw: bytes) -> list[bytes]:
-    """Return the raw elements of an array; none if it is not an array or is not closed."""
-    return [part for part in _raw_items(raw, b"[") if part.strip()] if _is_closed_array(raw) else []
+    """Return the raw elements of an array. Raises msgspec.DecodeError if it is none."""
+    stripped = raw.strip()
+    if stripped[:1] != b"[" or stripped[-1:] != b"]":
+        raise msgspec.DecodeError("not an array")
+    return [part for part in _raw_items(raw, b"[") if part.strip()]
 
 
 def members(raw: bytes) -> Iterator[tuple[str, bytes]]:
@@ -41,10 +44,6 @@
     return next((value for key, value in members(raw) if key == wanted_key), b"")
 
 
-def _is_closed_array(raw: bytes) -> bool:
-    return raw.rstrip()[-1:] == b"]"
-
-
 def _raw_items(raw: bytes, opening: bytes) -> Iterator[bytes]:
     """Yield the raw items between the commas of the outermost array or object."""
     if raw.lstrip()[:1] != opening:
