Tests of spoilt answers: plain names, one way to begin a play

Cause: the class of raw answers was named after the spoilt ones, and three tests began a play in their own copies of the same lines.

Change: RawAnswer; one_upstream begins a play and ends it. No check changed.

--- a/fakes/_spoilt.py
+++ b/fakes/_spoilt.py
@@ -23,8 +23,8 @@
 
 
 @dataclass(frozen=True)
-class Spoilt:
-    """A spoilt answer: its head after the lines that name the request, and how its body is sent."""
+class RawAnswer:
+    """The bytes of an answer: its head beside the lines that name its request, and its body."""
 
     #: Lines of the head; ``%d`` stands for the length of the whole body.
     lines: tuple[bytes, ...] = ()
@@ -61,22 +61,22 @@
     )
 
 
-def _lines(*lines: bytes) -> Spoilt:
-    return Spoilt(lines)
+def _lines(*lines: bytes) -> RawAnswer:
+    return RawAnswer(lines)
 
 
-def _first(line: bytes) -> Spoilt:
-    return Spoilt((b"Content-Length: %d",), first_line=line)
+def _first(line: bytes) -> RawAnswer:
+    return RawAnswer((b"Content-Length: %d",), first_line=line)
 
 
-def _chunks(*lines: bytes, rest: bytes = b"\r\n", chunks: bytes = b"") -> Spoilt:
-    return Spoilt((*lines, CHUNKED), is_chunked=True, rest=rest, content=chunks)
+def _chunks(*lines: bytes, rest: bytes = b"\r\n", chunks: bytes = b"") -> RawAnswer:
+    return RawAnswer((*lines, CHUNKED), is_chunked=True, rest=rest, content=chunks)
 
 
 #: By name: where the head tells the length of the body.
-LENGTHS: dict[str, Spoilt] = {
-    "length-and-chunks": Spoilt((b"Content-Length: 5", CHUNKED), is_chunked=True, rest=b"\r\n"),
-    "chunks-and-length": Spoilt((CHUNKED, b"Content-Length: 5"), is_chunked=True, rest=b"\r\n"),
+LENGTHS: dict[str, RawAnswer] = {
+    "length-and-chunks": RawAnswer((b"Content-Length: 5", CHUNKED), is_chunked=True, rest=b"\r\n"),
+    "chunks-and-length": RawAnswer((CHUNKED, b"Content-Length: 5"), is_chunked=True, rest=b"\r\n"),
     "chunks-and-longer-length": _chunks(b"Content-Length: 500"),
     "chunks-and-no-number": _chunks(b"Content-Length: five"),
     "chunks-announced-only": _lines(b"Content-Length: %d", CHUNKED),
@@ -84,8 +84,8 @@
     "two-lengths-in-a-list": _lines(b"Content-Length: 5, %d"),
     "length-and-empty": _lines(b"Content-Length: %d, "),
     "too-short": _lines(b"Content-Length: 5"),
-    "too-short-kept-open": Spoilt((b"Content-Length: 5",), closes=False),
-    "too-short-of-much": Spoilt((b"Content-Length: 200000",), content=b"x" * 300_000),
+    "too-short-kept-open": RawAnswer((b"Content-Length: 5",), closes=False),
+    "too-short-of-much": RawAnswer((b"Content-Length: 200000",), content=b"x" * 300_000),
     "zero": _lines(b"Content-Length: 0"),
     "too-long": _lines(b"Content-Length: 500"),
     "too-long-of-many-digits": _lines(b"Content-Length: 99999999999999999999999999"),
@@ -106,14 +106,16 @@
     "continued-digits": _lines(b"Content-Length: 5", b" 0"),
     "continues-another": _lines(b"X-Note: a", b" Content-Length: 5"),
     "continues-another-by-tab": _lines(b"X-Note: a", b"\tContent-Length: %d"),
-    "continues-the-status": Spoilt(first_line=OK_LINE + b"\r\n Content-Length: 5"),
-    "unknown-coding": Spoilt((b"Transfer-Encoding: gzip",)),
-    "identity-coding": Spoilt((b"Transfer-Encoding: identity", b"Content-Length: 5")),
-    "spoilt-coding": Spoilt((b"Transfer-Encoding: chunkex",), is_chunked=True, rest=b"\r\n"),
-    "empty-coding": Spoilt((b"Transfer-Encoding:",), is_chunked=True, rest=b"\r\n"),
+    "continues-the-status": RawAnswer(first_line=OK_LINE + b"\r\n Content-Length: 5"),
+    "unknown-coding": RawAnswer((b"Transfer-Encoding: gzip",)),
+    "identity-coding": RawAnswer((b"Transfer-Encoding: identity", b"Content-Length: 5")),
+    "spoilt-coding": RawAnswer((b"Transfer-Encoding: chunkex",), is_chunked=True, rest=b"\r\n"),
+    "empty-coding": RawAnswer((b"Transfer-Encoding:",), is_chunked=True, rest=b"\r\n"),
     "coding-twice": _chunks(CHUNKED),
-    "two-codings": Spoilt((CHUNKED + b", identity",), is_chunked=True, rest=b"\r\n"),
-    "coding-of-old-version": Spoilt((CHUNKED,), b"HTTP/1.0 200 OK", is_chunked=True, rest=b"\r\n"),
+    "two-codings": RawAnswer((CHUNKED + b", identity",), is_chunked=True, rest=b"\r\n"),
+    "coding-of-old-version": RawAnswer(
+        (CHUNKED,), b"HTTP/1.0 200 OK", is_chunked=True, rest=b"\r\n"
+    ),
     "chunks-of-no-size": _chunks(chunks=b"5x\r\nhello\r\n0\r\n"),
     "chunks-of-negative-size": _chunks(chunks=b"-5\r\nhello\r\n0\r\n"),
     "chunks-of-signed-size": _chunks(chunks=b"+5\r\nhello\r\n0\r\n"),
@@ -122,11 +124,11 @@
     "chunks-with-cut-last": _chunks(chunks=b"5\r\nhello\r\n0\r\n", rest=b""),
     "chunks-with-spoilt-trailer": _chunks(rest=b"no field\r\n\r\n"),
     "bytes-after-chunks": _chunks(rest=b"\r\nand more"),
-    "no-body-but-bytes": Spoilt((b"Content-Length: %d",), b"HTTP/1.1 204 No Content"),
+    "no-body-but-bytes": RawAnswer((b"Content-Length: %d",), b"HTTP/1.1 204 No Content"),
 }
 #: By name: lines that are no fields.
-LINES: dict[str, Spoilt] = {
-    name: Spoilt(lines)
+LINES: dict[str, RawAnswer] = {
+    name: RawAnswer(lines)
     for name, lines in {
         "no-colon": (b"no field at all", b"Content-Length: 5"),
         "no-colon-last": (b"Content-Length: 5", b"no field at all"),
@@ -140,8 +142,8 @@
     }.items()
 }
 #: By name: names of fields that are no tokens.
-NAMES: dict[str, Spoilt] = {
-    name: Spoilt((line, b"Content-Length: %d") if b"ength" not in line else (line,))
+NAMES: dict[str, RawAnswer] = {
+    name: RawAnswer((line, b"Content-Length: %d") if b"ength" not in line else (line,))
     for name, line in {
         "blank-in-name": b"X Note: a",
         "blank-before-colon": b"X-Note : a",
@@ -167,8 +169,8 @@
     }.items()
 }
 #: By name: values that hold bytes which may be taken for the end of a line or of a text.
-VALUES: dict[str, Spoilt] = {
-    name: Spoilt((line, b"Content-Length: %d"))
+VALUES: dict[str, RawAnswer] = {
+    name: RawAnswer((line, b"Content-Length: %d"))
     for name, line in {
         "nul-in-value": b"X-Note: a\x00b",
         "vertical-tab-in-value": b"X-Note: a\x0bb",
@@ -178,7 +180,7 @@
     }.items()
 }
 #: By name: first lines whose status or version is none.
-STATUSES: dict[str, Spoilt] = {
+STATUSES: dict[str, RawAnswer] = {
     "status-000": _first(b"HTTP/1.1 000 OK"),
     "status-000-without-reason": _first(b"HTTP/1.1 000"),
     "status-001": _first(b"HTTP/1.1 001 OK"),
@@ -198,20 +200,20 @@
     "unasked-switch": _first(b"HTTP/1.1 101 Switching Protocols"),
 }
 #: By name: heads whose connection is closed before they end.
-CUT_HEADS: dict[str, Spoilt] = {
-    "cut-in-status": Spoilt(first_line=b"HTTP/1.1 20", head_end=b"", is_cut=True),
-    "cut-after-status": Spoilt(head_end=b"", is_cut=True),
-    "cut-in-length": Spoilt(head_end=b"Content-Length: 2", is_cut=True),
-    "cut-in-name": Spoilt(head_end=b"Content-Le", is_cut=True),
-    "cut-after-length": Spoilt((b"Content-Length: 0",), head_end=b"", is_cut=True),
-    "cut-after-chunks": Spoilt((CHUNKED,), head_end=b"", is_cut=True),
-    "cut-in-blank-line": Spoilt(head_end=b"\r", is_cut=True),
-    "cut-after-event-stream": Spoilt(
+CUT_HEADS: dict[str, RawAnswer] = {
+    "cut-in-status": RawAnswer(first_line=b"HTTP/1.1 20", head_end=b"", is_cut=True),
+    "cut-after-status": RawAnswer(head_end=b"", is_cut=True),
+    "cut-in-length": RawAnswer(head_end=b"Content-Length: 2", is_cut=True),
+    "cut-in-name": RawAnswer(head_end=b"Content-Le", is_cut=True),
+    "cut-after-length": RawAnswer((b"Content-Length: 0",), head_end=b"", is_cut=True),
+    "cut-after-chunks": RawAnswer((CHUNKED,), head_end=b"", is_cut=True),
+    "cut-in-blank-line": RawAnswer(head_end=b"\r", is_cut=True),
+    "cut-after-event-stream": RawAnswer(
         (b"Content-Type: text/event-stream",), head_end=b"", is_cut=True
     ),
 }
 #: By name: answers that are not spoilt, however seldom servers send such.
-SOUND: dict[str, Spoilt] = {
+SOUND: dict[str, RawAnswer] = {
     "equal-lengths": _lines(b"Content-Length: %d", b"X-Other: a", b"content-length: %d"),
     "equal-lengths-in-a-list": _lines(b"Content-Length: %d, %d"),
     "length-with-zeros": _lines(b"Content-Length: 000%d"),
@@ -229,20 +231,22 @@
     "opaque-reason": _first(b"HTTP/1.1 200 g\xfct"),
     "old-version": _first(b"HTTP/1.0 200 OK"),
     "later-minor-version": _first(b"HTTP/1.2 200 OK"),
-    "until-close": Spoilt((b"Connection: close",)),
-    "until-close-of-old-version": Spoilt(first_line=b"HTTP/1.0 200 OK"),
+    "until-close": RawAnswer((b"Connection: close",)),
+    "until-close-of-old-version": RawAnswer(first_line=b"HTTP/1.0 200 OK"),
     "interim-before": _first(
         b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\n" + OK_LINE
     ),
     "interim-with-fields": _first(b"HTTP/1.1 103 Hints\r\nLink: <a>\r\n\r\n" + OK_LINE),
-    "chunks-in-capitals": Spoilt((b"TRANSFER-ENCODING: CHUNKED",), is_chunked=True, rest=b"\r\n"),
+    "chunks-in-capitals": RawAnswer(
+        (b"TRANSFER-ENCODING: CHUNKED",), is_chunked=True, rest=b"\r\n"
+    ),
     "chunks-with-trailer": _chunks(rest=b"X-Sum: 5\r\n\r\n"),
 }
 #: The events of a stream with a length, of which only the first is sent.
 EVENTS = (b"id: 1\ndata: 1\n\n", b"id: 2\ndata: 2\n\n")
 #: By name: streams that are cut after an event.
-CUT_STREAMS: dict[str, Spoilt] = {
-    "cut-stream-of-a-length": Spoilt(
+CUT_STREAMS: dict[str, RawAnswer] = {
+    "cut-stream-of-a-length": RawAnswer(
         (
             b"Content-Type: text/event-stream",
             b"Content-Length: %d" % len(b"".join(EVENTS)),
--- a/fakes/tests/test_spoilt_answers.py
+++ b/fakes/tests/test_spoilt_answers.py
@@ -7,10 +7,12 @@
 
 from __future__ import annotations
 
+import contextlib
 import http.client
 import time
 import urllib.parse
 import uuid
+from collections.abc import Iterator
 from dataclasses import dataclass, replace
 
 from fakes._machines_engine import STREAM_EVENTS
@@ -102,29 +104,31 @@
     connection.request("POST", path, request.body, dict(request.headers))
 
 
+@contextlib.contextmanager
+def one_upstream(service: TroubledService, name: str) -> Iterator[SpoiltUpstream]:
+    """Have a service answered by one new upstream, which has answered soundly once."""
+    with SpoiltUpstream(HOST, service.PORT) as upstream:
+        service.add_upstream(name, upstream.address)
+        try:
+            eventually(lambda: call(service.troubled_request("whole")).status == OK)
+            yield upstream
+        finally:
+            service.remove_upstream(name)
+
+
 class _SpoiltChecks(TroubledService):
     """Plays each spoilt answer; the caller gets the upstream's own one, whole, or a refusal."""
 
     def check(self, names: tuple[str, ...]) -> None:
         for name in names:
-            with self.subTest(name), SpoiltUpstream(HOST, self.PORT) as upstream:
-                self.add_upstream(f"i-{name}", upstream.address)
-                try:
-                    eventually(lambda: call(self.troubled_request("whole")).status == OK)
-                    self.check_answer(name, upstream)
-                finally:
-                    self.remove_upstream(f"i-{name}")
+            with self.subTest(name), one_upstream(self, f"i-{name}") as upstream:
+                self.check_answer(name, upstream)
 
     def test_a_sound_answer_is_passed_on(self) -> None:
         for name in SOUND:
-            with self.subTest(name), SpoiltUpstream(HOST, self.PORT) as upstream:
-                self.add_upstream(f"i-{name}", upstream.address)
-                try:
-                    eventually(lambda: call(self.troubled_request("whole")).status == OK)
-                    request = self.troubled_request(name).unique()
-                    received = receive(request, self.sound_request().unique())
-                finally:
-                    self.remove_upstream(f"i-{name}")
+            with self.subTest(name), one_upstream(self, f"i-{name}"):
+                request = self.troubled_request(name).unique()
+                received = receive(request, self.sound_request().unique())
                 self.assertEqual((received.status, received.body), (OK, WHOLE_BODY))
                 self.assertRegex(received.signature, SIGNED)
                 self.assertEqual(received.next_status, OK)
@@ -210,17 +214,12 @@
     # Guards against a spoilt answer that is given to later requests too.
     def test_no_spoilt_answer_is_kept(self) -> None:
         for name in KEPT_NAMES:
-            with self.subTest(name), SpoiltUpstream(HOST) as upstream:
-                self.add_upstream(f"i-{name}", upstream.address)
-                try:
-                    eventually(lambda: call(self.troubled_request("whole")).status == OK)
-                    request = self.troubled_request(name).unique()
-                    key = ("Idempotency-Key", uuid.uuid4().hex)
-                    keyed = replace(request, headers=(*request.headers, key))
-                    following = self.sound_request().unique()
-                    bodies = {receive(keyed, following).body for _ in range(3)}
-                finally:
-                    self.remove_upstream(f"i-{name}")
+            with self.subTest(name), one_upstream(self, f"i-{name}"):
+                request = self.troubled_request(name).unique()
+                key = ("Idempotency-Key", uuid.uuid4().hex)
+                keyed = replace(request, headers=(*request.headers, key))
+                following = self.sound_request().unique()
+                bodies = {receive(keyed, following).body for _ in range(3)}
                 self.assertNotIn(WHOLE_BODY[:5], bodies)
 
 
