--- a/pondhatch/transport/_answer_heads.py
+++ b/pondhatch/transport/_answer_heads.py
@@ -32,7 +32,7 @@
 _FIRST_LINE = rb"HTTP/1\.(?P<minor>[0-9]) (?P<status>[1-5][0-9]{2})(?: " + _TEXT + rb")?\r?\n"
 _FIELD = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:" + _TEXT + rb"\r?\n"
 _HEAD = re.compile(_FIRST_LINE + rb"(?:" + _FIELD + rb")*+\r?\n")
-_LINE_PATTERNS = (re.compile(_FIRST_LINE), re.compile(_FIELD))
+_FIRST_LINE_ALONE, _FIELD_ALONE = re.compile(_FIRST_LINE), re.compile(_FIELD)
 _HEAD_END = re.compile(rb"\n\r?\n")
 #: From the end of the line before to the end of its own, so that what is left are whole lines.
 _FRAMING_FIELD = re.compile(
@@ -180,9 +180,9 @@
 def _why_malformed(content: bytes) -> str:
     """Return what is wrong with a head: its first line that is none of those that it may have."""
     first, *lines = _lines(content)
-    if _LINE_PATTERNS[0].fullmatch(first) is None:
+    if _FIRST_LINE_ALONE.fullmatch(first) is None:
         return f"no status line: {_quoted(first)}"
-    wrong = next((each for each in lines if _LINE_PATTERNS[1].fullmatch(each) is None), b"")
+    wrong = next((each for each in lines if _FIELD_ALONE.fullmatch(each) is None), b"")
     return f"a line that is no field: {_quoted(wrong)}"
 
 
