A router whose fellows fall silent asks the platform itself, within a bound

Cause: one router of each hall reads the platform, and the others took its silence, and everybody's, for proof that nothing had changed. Nothing bounded the age of that proof. Where all readers went at once, the others learned of a change only once a call to a lost router failed or membership found it dead.

Change: what a router holds counts as the newest only as of a moment at which somebody asked the platform. The first router of the fleet asks each 0.35 s, one call that tells the platform's position, and its confirmation goes down the trees of the halls. A router that has none for 0.8 to 1.1 s, by its level in the tree, asks itself, reads what has changed since, and tells those below. `router/_freshness.py` is the one place that says how old "nothing has changed" may be; configuration, upstreams and evacuations come under the same rule. What waited unread while a router stood still counts as that old.

Why it works: no step waits for anybody's death. The age of a confirmation counts from the question to the platform and travels with it.

The load tree is a module of its own now (`membership/_hall_tree.py`), since confirmations take the same way; so is what a process builds to read the platform (`cli/_platform_reading.py`).

--- a/fakes/_machines_fleet.py
+++ b/fakes/_machines_fleet.py
@@ -8,7 +8,7 @@
 import time
 import urllib.error
 import urllib.request
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, fields
 from subprocess import Popen
 from typing import Any
@@ -97,6 +97,8 @@
 
     #: Names of the platform's rules in force.
     rules = RULES
+    #: The region of each hall.
+    region_by_hall: Mapping[str, str] = REGIONS
 
     def __enter__(self) -> MachinesFleet:
         super().__enter__()
@@ -230,7 +232,7 @@
         values = {
             "NodeName": name,
             "Zone": hall,
-            "Zones": REGIONS,
+            "Zones": dict(self.region_by_hall),
             "Ip": HOST,
             "Listen": {
                 "Frontend": f"{HOST}:{ports.callers}",
--- a/fakes/_platform_in_memory.py
+++ b/fakes/_platform_in_memory.py
@@ -10,6 +10,7 @@
 from fakes._platform import ObjectStore, PlatformObject
 from pondhatch.store import (
     Accepted,
+    Changes,
     Conflict,
     Found,
     Listed,
@@ -61,6 +62,28 @@
         version = position_of(self.era, self.store.version)
         return Listed(version, tuple(self._to_stored_object(each) for each in found))
 
+    async def changes(self, kind: str, since: int) -> Changes | Listed | Unavailable:
+        is_kept = era_of(since) == self.era and revision_of(since) >= self.store.compacted
+        if since == 0 or not is_kept:
+            return await self.list(kind)
+        if self._is_call_refused():
+            return Unavailable("outage")
+        return Changes(position_of(self.era, self.store.version), self.events_since(kind, since))
+
+    def events_since(self, kind: str, since: int) -> tuple[WatchEvent, ...]:
+        """Return the changes of a kind after a position of this era."""
+        events = [event for stored_kind, event in self.store.events if stored_kind == kind]
+        return tuple(
+            WatchEvent(
+                each["type"],
+                position_of(self.era, each["version"]),
+                each["name"],
+                each.get("value"),
+            )
+            for each in events
+            if each["version"] > revision_of(since)
+        )
+
     async def create(
         self, kind: str, name: str, value: Any
     ) -> Accepted | Conflict | OutcomeUnknown | Unavailable:
--- /dev/null
+++ b/fakes/tests/test_lost_readers.py
@@ -0,0 +1,108 @@
+"""Changes reach every router though those that read the platform for the others are struck at once.
+
+Guards against routers that take the silence of others for proof that nothing has changed: with the
+readers of all halls lost, they went on with what they held until membership found these dead.
+"""
+
+from __future__ import annotations
+
+import signal
+import time
+import unittest
+from typing import ClassVar
+
+from fakes._local_fleet import fetch
+from fakes._machines_fleet import MachinesFleet, MachinesRouter, eventually, with_version
+from fakes.tests.test_prepared_machines import MachinesCase
+from pondhatch.platform.tests._wire import CONFIGURATION
+
+#: Seconds from the platform's answer to a change until it has to be in force.
+IN_FORCE_SECONDS = 2.0
+#: Seconds for which callers go on asking then.
+ASKED_SECONDS = 1.5
+HALLS = ("hall-1", "hall-2", "hall-3", "hall-4")
+ROUTERS_PER_HALL = 2
+#: The key that is taken away; its account keeps another one.
+DROPPED_KEY = "key-2"
+SETTLED_SECONDS = 3.0
+
+
+class FourHallsFleet(MachinesFleet):
+    region_by_hall = dict.fromkeys(HALLS, "north")
+
+
+class LostReadersCase(MachinesCase):
+    """Eight routers in four halls, one of each reading the platform for its hall."""
+
+    __test__ = False
+    fleet: ClassVar[MachinesFleet]
+    version = CONFIGURATION["Version"]
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        cls.fleet = cls.enterClassContext(FourHallsFleet(log_level="ERROR"))
+        cls.fleet.put_object("config", "main", CONFIGURATION)
+        for service in ("lang", "portal"):
+            for hall in HALLS[:2]:
+                cls.fleet.add_engine(f"i-{service}-{hall}", service, hall)
+        for hall in HALLS * ROUTERS_PER_HALL:
+            cls.fleet.add_router(hall)
+        routers = cls.fleet.machine_routers
+        eventually(lambda: all(router.is_ready() for router in routers))
+        eventually(lambda: all(cls.is_served(router) for router in routers))
+        eventually(lambda: len(cls.readers()) == len(HALLS))
+        time.sleep(SETTLED_SECONDS)
+
+    @classmethod
+    def readers(cls) -> list[MachinesRouter]:
+        return [
+            router
+            for router in cls.fleet.machine_routers
+            if fetch(f"http://{router.admin_address}/state.json")["watches_platform"]
+        ]
+
+    def routers_that_still_open(self, seconds: float) -> list[str]:
+        """Return the undisturbed routers that a dropped key opens after its time."""
+        readers = self.readers()
+        in_touch = [each for each in self.fleet.machine_routers if each not in readers]
+        self.assertEqual(
+            [self.status(router) for router in in_touch], [200] * len(in_touch), "before"
+        )
+        for reader in readers:
+            reader.process.send_signal(signal.SIGSTOP)
+        self.addCleanup(self.wake, readers)
+        time.sleep(0.1)
+        dropped_at = time.monotonic()
+        self.fleet.put_object("config", "main", without_key(self.version + 1))
+        time.sleep(dropped_at + IN_FORCE_SECONDS - time.monotonic())
+        opened = []
+        while time.monotonic() < dropped_at + IN_FORCE_SECONDS + seconds:
+            opened += [router.name for router in in_touch if self.status(router) != 401]
+            time.sleep(0.05)
+        return opened
+
+    def status(self, router: MachinesRouter) -> int:
+        return self.send_request(
+            router, "/proofs/a", b"x", Authorization=f"Bearer {DROPPED_KEY}"
+        ).status
+
+    def wake(self, routers: list[MachinesRouter]) -> None:
+        for router in routers:
+            router.process.send_signal(signal.SIGCONT)
+
+
+class DroppedKeyTest(LostReadersCase):
+    __test__ = True
+
+    def test_a_dropped_key_opens_no_router_two_seconds_later(self) -> None:
+        self.assertEqual(self.routers_that_still_open(ASKED_SECONDS), [])
+
+
+def without_key(version: int) -> dict[str, object]:
+    changed = with_version(CONFIGURATION, version)
+    changed["Tenants"][0]["ApiKeys"] = ["key-1"]
+    return changed
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/pondhatch/authority/tests/_simulation.py
+++ b/pondhatch/authority/tests/_simulation.py
@@ -152,6 +152,9 @@
     async def list(self, kind: str, may_be_old: bool = False) -> Unavailable:
         return Unavailable("not simulated")
 
+    async def changes(self, kind: str, since: int) -> Unavailable:
+        return Unavailable("not simulated")
+
     def watch(self, kind: str, since: int | None) -> Any:
         raise NotImplementedError
 
--- a/pondhatch/cli/_router_process.py
+++ b/pondhatch/cli/_router_process.py
@@ -24,6 +24,7 @@
 from pondhatch.cli._peer_connections import PeerConnections
 from pondhatch.cli._peer_updates import PeerUpdates
 from pondhatch.cli._periodic_jobs import PeriodicJobs
+from pondhatch.cli._platform_reading import PlatformReading
 from pondhatch.cli._relaying import Relaying
 from pondhatch.cli._router_statistics import RouterStatistics
 from pondhatch.cli._shutdown import Shutdown
@@ -42,14 +43,11 @@
     CatchUp,
     GrantExchange,
     NoticeExchange,
-    PeerDiscovery,
-    PlatformRestorer,
     PooledEngines,
     RouterPaths,
     StartupWait,
     StateRecorder,
     StreamOriginExchange,
-    Sync,
 )
 from pondhatch.transport import (
     CallerDependencies,
@@ -85,15 +83,15 @@
         )
         self._announcer = Announcer(self.state, self._gossip_port, self._tasks)
         self._platform = environment.platform
-        self._peer_discovery = self._new_peer_discovery()
         self._peer_updates = PeerUpdates(self.state, self._connections)
-        self._sync = self._new_sync()
-        self._platform_restorer = PlatformRestorer(
+        self._platform_reading = PlatformReading(
             self.state,
-            self._platform,
-            self._peer_discovery,
+            settings,
+            environment,
+            self._announcer,
+            self._gossip_port,
+            self._peer_updates,
             self._rng,
-            fleet_key if environment.is_key_agreed else None,
         )
         self._authority = Authority(self.state, self._platform, self._interface.orders, self._rng)
         prometheus_metrics = PrometheusMetrics(settings.name)
@@ -135,7 +133,7 @@
             self._crash_evidence,
             self._notice_exchange,
             self._stream_origins,
-            self._sync,
+            self._platform_reading.sync,
             self._tasks,
         )
         self._relaying = Relaying(
@@ -181,8 +179,7 @@
 
     def _start_tasks(self) -> None:
         self._tasks.start(self._jobs.run())
-        self._tasks.start(self._sync.run())
-        self._tasks.start(self._platform_restorer.run())
+        self._platform_reading.start(self._tasks)
         polling = self._interface.poll_loads(self.state)
         if polling is not None:
             self._tasks.start(polling)
@@ -204,23 +201,6 @@
     def _receive_packet(self, payload: bytes, source: Address) -> list[Datagram]:
         return self._packet_receiver.receive(payload, source)
 
-    def _new_sync(self) -> Sync:
-        return Sync(
-            self.state,
-            self._platform,
-            self._interface.configuration(self._platform),
-            self._peer_updates.pull,
-            self._announcer.announce,
-            self._rng,
-            self._peer_discovery,
-        )
-
-    def _new_peer_discovery(self) -> PeerDiscovery:
-        own = self._settings.value.peers
-        address = None if self._interface.lists_vms else f"{own.host}:{own.port}"
-        state = self.state
-        return PeerDiscovery(state.name, state.gossip, self._platform, self._rng, address)
-
     def _new_callers(self, upstreams: HttpUpstreams) -> Callers:
         return self._interface.callers(
             CallerDependencies(
@@ -237,7 +217,9 @@
                 records=self._records,
                 tasks=self._tasks,
                 rng=self._rng,
-                startup_wait=StartupWait(self.state, CatchUp(self.state, self._sync.catch_up)),
+                startup_wait=StartupWait(
+                    self.state, CatchUp(self.state, self._platform_reading.sync.catch_up)
+                ),
             )
         )
 
@@ -274,6 +256,7 @@
         return PeriodicJobs(
             {
                 "state": state.tick,
+                "platform checks": self._platform_reading.checks.tick,
                 "beliefs": self._state_recorder.record_changes,
                 "grants": self._grant_exchange.tick,
                 "crashes": self._crash_evidence.tick,
--- a/pondhatch/cli/tests/test_periodic_jobs.py
+++ b/pondhatch/cli/tests/test_periodic_jobs.py
@@ -14,6 +14,7 @@
 #: Methods that are called once a round, each by a job of its own.
 JOBS = (
     "state.tick",
+    "_platform_reading.checks.tick",
     "_state_recorder.record_changes",
     "_grant_exchange.tick",
     "_crash_evidence.tick",
@@ -41,6 +42,7 @@
         process: Any = RouterProcess.__new__(RouterProcess)
         process.state = components.state
         for name in (
+            "_platform_reading",
             "_state_recorder",
             "_grant_exchange",
             "_crash_evidence",
--- a/pondhatch/configuration/_sources.py
+++ b/pondhatch/configuration/_sources.py
@@ -20,7 +20,7 @@
     read_configuration,
 )
 from pondhatch.configuration._validation import Misfit
-from pondhatch.store import Platform, PlatformLost, Unavailable
+from pondhatch.store import Listed, Platform, PlatformLost, Position, Unavailable
 
 ConfigurationEvent = Change | FleetConfiguration | Rejected | Inconsistent
 
@@ -36,6 +36,14 @@
         ``current`` returns the configuration in use. Raises PlatformLost or TooOld.
         """
 
+    async def read_newer(
+        self, current: FleetConfiguration, since: Position
+    ) -> ConfigurationEvent | Unavailable | None:
+        """Return what is newer than a configuration now; None if nothing is.
+
+        ``since`` is the platform's position up to which ``current`` is the newest; 0 if unknown.
+        """
+
 
 class ChangeLog:
     """The log of changes, written by pondhatch's commands; see ConfigurationSource."""
@@ -58,6 +66,12 @@
                     raise PlatformLost(configuration.reason)
                 yield configuration
 
+    async def read_newer(
+        self, current: FleetConfiguration, since: Position
+    ) -> ConfigurationEvent | Unavailable | None:
+        """Return the whole configuration, also if it is no newer."""
+        return await read_configuration(self._platform, current)
+
 
 class ConfigurationDocument:
     """One object that holds the whole configuration; see ConfigurationSource."""
@@ -85,6 +99,21 @@
             if event.type == "set" and event.name == self._name:
                 yield self._apply(current(), event.value)
 
+    async def read_newer(
+        self, current: FleetConfiguration, since: Position
+    ) -> ConfigurationEvent | Unavailable | None:
+        """Return the configuration of the document, or Rejected; None if it did not change."""
+        read = await self._platform.changes(self._kind, since)
+        if isinstance(read, Unavailable):
+            return read
+        written = (
+            read.objects
+            if isinstance(read, Listed)
+            else [each for each in read.events if each.type == "set"]
+        )
+        values = [each.value for each in written if each.name == self._name]
+        return self._apply(current, values[-1]) if values else None
+
     def _apply(
         self, configuration: FleetConfiguration, value: Any
     ) -> FleetConfiguration | Rejected:
--- a/pondhatch/membership/_gossip.py
+++ b/pondhatch/membership/_gossip.py
@@ -8,12 +8,14 @@
 import msgspec
 
 from pondhatch.membership._datagrams import Datagram, datagram_to
+from pondhatch.membership._hall_tree import HallTree, TreeLevel
 from pondhatch.membership._load_aggregation import FleetLoadView
 from pondhatch.membership._member_table import Address
 from pondhatch.membership._members import Member
 from pondhatch.membership._membership_limits import MembershipLimits
 from pondhatch.membership._records import (
     Alive,
+    Confirmation,
     FleetLoads,
     HallLoads,
     LimitDemands,
@@ -40,10 +42,13 @@
         seeds: Iterable[Address] = (),
     ) -> None:
         self.membership = Membership(own, limits, rng, seeds)
-        self._loads = FleetLoadView(own.name, own.hall)
+        self._tree = HallTree(own.name, own.hall)
+        self._loads = FleetLoadView(own.name, own.hall, self._tree)
         self._own_loads: tuple[ServiceLoad, ...] = ()
         #: Handles the messages about accounts' limits.
         self.on_limits: Callable[[LimitMessage, Address], list[Datagram]] | None = None
+        #: Handles what another router says of the platform.
+        self.on_confirmation: Callable[[Confirmation], list[Datagram]] | None = None
         self._decoder = msgspec.msgpack.Decoder(Packet)
 
     def add_seeds(self, seeds: Iterable[Address]) -> None:
@@ -118,10 +123,28 @@
             return []
         if isinstance(message, LimitDemands | LimitShares):
             return self.on_limits(message, source) if self.on_limits is not None else []
+        if isinstance(message, Confirmation):
+            self.membership.record_versions(message.sender, message.versions)
+            return self.on_confirmation(message) if self.on_confirmation is not None else []
         if isinstance(message, RouterLoads | HallLoads | FleetLoads):
             return self._loads.receive(message, now, self.membership.members(now))
         return self.membership.receive(message, source, now)
 
+    def tree_level(self, now: float) -> TreeLevel:
+        """Return this router's distance from the top of the fleet."""
+        self._tree.update(self.membership.members(now))
+        return self._tree.level
+
+    def confirmations(self, message: Confirmation, now: float, is_own: bool) -> list[Datagram]:
+        """Return the packets that pass a confirmation down the tree.
+
+        ``is_own`` is whether this router asked the platform itself; if it is the first of its
+        hall, the first ones of the other halls are told as well.
+        """
+        self._tree.update(self.membership.members(now))
+        tops = self._tree.other_tops if is_own and self._tree.is_top else ()
+        return [datagram_to(each.address, message) for each in (*tops, *self._tree.children)]
+
     def limit_datagram(self, message: LimitMessage, to: Address) -> Datagram:
         """Return a packet with limit demands or shares."""
         return datagram_to(to, message)
--- a/pondhatch/membership/_load_aggregation.py
+++ b/pondhatch/membership/_load_aggregation.py
@@ -14,20 +14,17 @@
 import msgspec
 
 from pondhatch.membership._datagrams import Datagram, datagram_to
+from pondhatch.membership._hall_tree import HallTree
 from pondhatch.membership._members import Member
 from pondhatch.membership._records import (
     FleetLoads,
     HallLoads,
     LoadMessage,
-    Phase,
     RouterLoads,
     ServiceLoad,
     short_id,
 )
-from pondhatch.placement import weighted_ranked
 
-#: Routers to which one router forwards the fleet's sum.
-TREE_FANOUT = 4
 #: Maximum and minimum number of seconds between two reports of a router. While the fleet's load
 #: falls, an old sum lets an engine be granted more than its share. Small fleets therefore report
 #: more often, as their reports use little of the network.
@@ -53,18 +50,6 @@
     received_at: float
 
 
-def aggregation_order(hall: str, members: Iterable[Member]) -> tuple[Member, ...]:
-    """Return a hall's live routers in the order of its tree; the first is the aggregator."""
-    by_name = {
-        member.name: member
-        for member in members
-        if member.hall == hall and member.phase == Phase.LIVE
-    }
-    capacity_by_router = {name: member.capacity for name, member in by_name.items()}
-    order = weighted_ranked(f"speak:{hall}", capacity_by_router)
-    return tuple(by_name[name] for name in order)
-
-
 def report_interval(routers: int) -> float:
     """Return the seconds between two reports of a router, by the number of routers."""
     return max(MIN_REPORT_INTERVAL, MAX_REPORT_INTERVAL * min(1.0, routers / LARGE_FLEET_ROUTERS))
@@ -73,8 +58,9 @@
 class FleetLoadView:
     """One router's part in the aggregation, and the fleet's load as known to it."""
 
-    def __init__(self, name: str, hall: str) -> None:
+    def __init__(self, name: str, hall: str, tree: HallTree) -> None:
         self._name = name
+        self._tree = tree
         self._router = short_id(name)
         self._hall = hall
         #: Number of this router's last report, by which receivers recognise older ones.
@@ -87,10 +73,6 @@
         #: Since when this router is its hall's aggregator, in the clock's seconds; None if it is
         #: not.
         self._aggregator_since: float | None = None
-        self._members: tuple[Member, ...] = ()
-        #: This hall's live routers in the order of its tree; the first is the aggregator.
-        self._order: tuple[Member, ...] = ()
-        self._other_aggregators: tuple[Member, ...] = ()
 
     def tick(
         self, now: float, members: tuple[Member, ...], own_loads: tuple[ServiceLoad, ...]
@@ -102,8 +84,8 @@
         self._next_report = now + report_interval(len(members))
         self._drop_expired(now)
         self._number += 1
-        self._update_tree(members)
-        order = self._order
+        self._tree.update(members)
+        order = self._tree.order
         if not order:
             return []
         if order[0].name != self._name:
@@ -125,7 +107,7 @@
         if not self._is_new(message, now):
             return []
         self._fleet_report = ReceivedReport(message, now)
-        self._update_tree(members)
+        self._tree.update(members)
         return self._send_down(message)
 
     def in_flight_elsewhere(self, service: int, now: float) -> int:
@@ -138,16 +120,6 @@
         total = _in_flight(self._fleet_report.message.loads, service)
         return max(0, total - _in_flight(self._own_loads, service))
 
-    def _update_tree(self, members: tuple[Member, ...]) -> None:
-        """Compute the tree and the other halls' aggregators again if the members changed."""
-        if members is self._members:
-            return
-        self._members = members
-        self._order = aggregation_order(self._hall, members)
-        halls = sorted({member.hall for member in members} - {self._hall})
-        orders = [aggregation_order(hall, members) for hall in halls]
-        self._other_aggregators = tuple(order[0] for order in orders if order)
-
     def _aggregate(self, now: float) -> list[Datagram]:
         """Return the hall's sum to the other aggregators, and the fleet's sum down the tree."""
         own_report = RouterLoads(self._router, self._number, self._own_loads)
@@ -160,7 +132,7 @@
         if now - self._aggregator_since < AGGREGATOR_WARMUP:
             return []
         sent = [
-            datagram_to(aggregator.address, hall_report) for aggregator in self._other_aggregators
+            datagram_to(aggregator.address, hall_report) for aggregator in self._tree.other_tops
         ]
         fleet_sum = _sum(report.message.loads for report in self._report_by_hall.values())
         fleet_report = FleetLoads(self._router, self._number, fleet_sum)
@@ -168,14 +140,7 @@
         return [*sent, *self._send_down(fleet_report)]
 
     def _send_down(self, message: FleetLoads) -> list[Datagram]:
-        names = [member.name for member in self._order]
-        if self._name not in names:
-            return []
-        first = names.index(self._name) * TREE_FANOUT + 1
-        return [
-            datagram_to(child.address, message)
-            for child in self._order[first : first + TREE_FANOUT]
-        ]
+        return [datagram_to(child.address, message) for child in self._tree.children]
 
     def _is_new(self, message: FleetLoads, now: float) -> bool:
         known = self._fleet_report
--- a/pondhatch/membership/_records.py
+++ b/pondhatch/membership/_records.py
@@ -127,6 +127,18 @@
     rumors: tuple[Rumor, ...] = ()
 
 
+class Confirmation(_Message, frozen=True, tag=15):
+    """Tells that what the sender holds was the newest at the platform, and how long ago."""
+
+    sender: int
+    #: What the sender holds.
+    versions: Versions
+    #: The platform's position up to which that is complete.
+    position: int
+    #: Milliseconds since the platform was asked.
+    age_ms: int
+
+
 class ServiceLoad(_Message, frozen=True):
     """Load of a service at the engines of one owner, a hall or the fleet."""
 
@@ -196,4 +208,4 @@
 MembershipMessage = Ping | Ack | PingRequest | Announcement | FullSyncPart
 LoadMessage = RouterLoads | HallLoads | FleetLoads
 LimitMessage = LimitDemands | LimitShares
-Packet = MembershipMessage | LoadMessage | LimitMessage
+Packet = MembershipMessage | Confirmation | LoadMessage | LimitMessage
--- a/pondhatch/membership/_swim.py
+++ b/pondhatch/membership/_swim.py
@@ -144,6 +144,11 @@
             or entry.versions.evacuations > own.evacuations
         )
 
+    def record_versions(self, sender: int, versions: Versions) -> None:
+        """Record the versions that a router says it holds, by its short id."""
+        self.table.record_versions(sender, versions)
+        self._view.mark_reachable(sender)
+
     def mark_unreachable(self, name: str, now: float) -> None:
         """Record a failed call to a router: it is left out for a while and pinged next."""
         router = short_id(name)
@@ -222,5 +227,4 @@
         return self._full_sync.exchange_if_due(ack.view_fingerprint, entry.address, now)
 
     def _record_sender(self, message: Ping | Announcement) -> None:
-        self.table.record_versions(message.sender, message.versions)
-        self._view.mark_reachable(message.sender)
+        self.record_versions(message.sender, message.versions)
--- a/pondhatch/platform/_store.py
+++ b/pondhatch/platform/_store.py
@@ -21,6 +21,7 @@
 from pondhatch.store import (
     JSON_ERRORS,
     Accepted,
+    Changes,
     Conflict,
     Found,
     Listed,
@@ -44,7 +45,9 @@
 #: a call that times out, so this bounds how long a router stays behind once the store is back.
 #: The store would allow 30 s.
 WATCH_MS = 2000
-#: Seconds beyond WATCH_MS within which the answer must arrive.
+#: The same for a call that is to tell at once what has changed.
+CHANGES_MS = 1
+#: Seconds beyond these within which the answer must arrive.
 WATCH_MARGIN = 0.5
 OK = 200
 CREATED = 201
@@ -154,6 +157,21 @@
         except JSON_ERRORS as error:
             return Unavailable(f"answered what is no page of a listing: {error}")
 
+    async def changes(self, kind: str, since: Position) -> Changes | Listed | Unavailable:
+        """Read the changes of a kind after a version; see Platform."""
+        if since == 0:
+            return await self.list(kind)
+        try:
+            answer = await self._watch_once(kind, since, CHANGES_MS)
+        except TooOld:
+            return await self.list(kind)
+        except PlatformLost as error:
+            return Unavailable(str(error))
+        era = era_of(since)
+        events = [self._reader.read_event(kind, each, era) for each in answer.events]
+        version = max(since, position_of(era, answer.timestamp))
+        return Changes(version, tuple(each for each in events if each is not None))
+
     async def create(
         self, kind: str, name: str, value: Any
     ) -> Accepted | Conflict | OutcomeUnknown | Unavailable:
@@ -183,17 +201,17 @@
             since = listed.version
         yield WatchEvent("bookmark", since)
         while True:
-            answer = await self._watch_once(kind, since)
+            answer = await self._watch_once(kind, since, WATCH_MS)
             for each in answer.events:
                 event = self._reader.read_event(kind, each, era_of(since))
                 if event is not None:
                     yield event
             since = max(since, position_of(era_of(since), answer.timestamp))
 
-    async def _watch_once(self, kind: str, since: Position) -> WatchAnswer:
-        path = f"{self._path(kind)}?Watch={revision_of(since)}&WaitMs={WATCH_MS}"
+    async def _watch_once(self, kind: str, since: Position, wait_ms: int) -> WatchAnswer:
+        path = f"{self._path(kind)}?Watch={revision_of(since)}&WaitMs={wait_ms}"
         try:
-            answer = await self._calls.call("GET", path, seconds=WATCH_MS / 1000 + WATCH_MARGIN)
+            answer = await self._calls.call("GET", path, seconds=wait_ms / 1000 + WATCH_MARGIN)
         except CallFailed as error:
             raise PlatformLost(str(error)) from error
         if answer.status == GONE or (answer.status == OK and answer.era != era_of(since)):
--- a/pondhatch/platform/tests/test_store.py
+++ b/pondhatch/platform/tests/test_store.py
@@ -11,6 +11,7 @@
 from pondhatch.platform._store import PlatformStore
 from pondhatch.store import (
     Accepted,
+    Changes,
     Conflict,
     Found,
     Listed,
@@ -69,6 +70,39 @@
     return PlatformStore(calls, {"upstream": ("servers", double)}), calls
 
 
+class ChangesTest(unittest.IsolatedAsyncioTestCase):
+    """Reads of what has changed since a position, without waiting."""
+
+    def changed(self, *entries: Any, at: int) -> dict[str, Any]:
+        return {"events": [{"Object": each, "Deleted": False} for each in entries], "Timestamp": at}
+
+    async def test_changes_come_with_the_position_up_to_which_they_are_all(self) -> None:
+        platform, calls = store((200, self.changed(entry("a", 7, 21), at=9)))
+        read = await platform.changes("upstream", 5)
+        assert isinstance(read, Changes)
+        self.assertEqual(read.version, 9)
+        self.assertEqual([(each.name, each.version) for each in read.events], [("a", 7)])
+        self.assertEqual(calls.requests[0][1], "/objects/servers?Watch=5&WaitMs=1")
+
+    async def test_no_change_is_none_whatever_else_moved_the_position(self) -> None:
+        read = await store((200, self.changed(at=9)))[0].changes("upstream", 5)
+        self.assertEqual(read, Changes(9, ()))
+
+    async def test_all_objects_are_read_where_the_changes_are_not_kept(self) -> None:
+        listing = (200, page(entry("a", 7, 21), at=9))
+        for since, answers in ((5, ((410, None), listing)), (0, (listing,))):
+            with self.subTest(since=since):
+                read = await store(*answers)[0].changes("upstream", since)
+                assert isinstance(read, Listed)
+                self.assertEqual([each.name for each in read.objects], ["a"])
+
+    async def test_a_store_that_does_not_answer_tells_nothing(self) -> None:
+        for answer in ((503, None), (429, None), (200, {"events": None}), SILENCE):
+            with self.subTest(answer=answer):
+                read = await store(answer)[0].changes("upstream", 5)
+                self.assertIsInstance(read, Unavailable)
+
+
 class ReadingTest(unittest.IsolatedAsyncioTestCase):
     async def test_reading_one_object(self) -> None:
         rows: tuple[tuple[Answer, type], ...] = (
--- a/pondhatch/router/__init__.py
+++ b/pondhatch/router/__init__.py
@@ -29,13 +29,14 @@
 from pondhatch.router._hall_states import HallStates
 from pondhatch.router._notice_exchange import NOTICE_PACKET_PREFIX, NoticeExchange
 from pondhatch.router._peer_discovery import PeerDiscovery
+from pondhatch.router._platform_checks import EVACUATION_KIND, UPSTREAM_KIND, PlatformChecks
 from pondhatch.router._platform_restorer import PlatformRestorer
 from pondhatch.router._pooled_engines import PooledEngines
 from pondhatch.router._router_paths import RouterPaths
 from pondhatch.router._startup_wait import StartupWait, not_ready_refusal
 from pondhatch.router._state import RouterState
 from pondhatch.router._state_recorder import StateRecorder
-from pondhatch.router._sync import EVACUATION_KIND, UPSTREAM_KIND, Sync
+from pondhatch.router._sync import Sync
 from pondhatch.router.streams._exchange import StreamOriginExchange
 from pondhatch.router.streams._packets import ORIGIN_PACKET_PREFIX
 
@@ -66,6 +67,7 @@
     "Grace",
     "GrantExchange",
     "PeerDiscovery",
+    "PlatformChecks",
     "NOTICE_PACKET_PREFIX",
     "NoticeExchange",
     "PooledEngines",
--- a/pondhatch/router/_dump_sections.py
+++ b/pondhatch/router/_dump_sections.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import resource
 from collections.abc import Mapping
 from pathlib import Path
@@ -46,6 +47,7 @@
             "hall": state.hall,
             "phase": state.phase.name.lower(),
             "watches_platform": state.is_watcher(),
+            "confirmed_seconds_ago": _seconds_or_none(state.freshness.age(state.clock())),
             "configuration": state.configuration.version,
             "in_force_at": round(state.in_force_at, 4),
             "upstreams_version": state.upstreams.version,
@@ -283,6 +285,10 @@
         }
 
 
+def _seconds_or_none(seconds: float) -> float | None:
+    return round(seconds, 3) if math.isfinite(seconds) else None
+
+
 def resident_kb() -> int:
     """Return the process's resident memory in kilobytes, 0 where the system does not report it."""
     try:
--- a/pondhatch/router/_peer_pulls.py
+++ b/pondhatch/router/_peer_pulls.py
@@ -10,7 +10,7 @@
 
 from pondhatch.configuration import Rejected, Update, VersionGap
 from pondhatch.kernel import Tasks
-from pondhatch.membership import Member, Versions
+from pondhatch.membership import Member
 from pondhatch.observing import log_for
 from pondhatch.router._state import RouterState
 from pondhatch.store import EvacuationUpdate, UpstreamUpdate
@@ -170,14 +170,14 @@
 
     def _apply_pulled(self, peer: Member, pulled: PulledState) -> bool:
         # Read after the reply: a watch or another peer may have brought something meanwhile.
-        before = _own_versions(self._state)
+        before = self._state.held_versions()
         asked_for_snapshot = self._state.needs_snapshot
         problem = self._state.apply_update(pulled.configuration, peer.name)
         log_if_rejected(problem, self._state.configuration.version)
         # Applied before the upstreams, since evacuations say which of them get no requests.
         self._state.apply_evacuations(pulled.evacuations)
         self._state.apply_upstreams(pulled.upstreams)
-        if _own_versions(self._state) != before:
+        if self._state.held_versions() != before:
             self._announce()
             return True
         if asked_for_snapshot or not self._state.needs_snapshot:
@@ -211,7 +211,7 @@
     does not.
     """
     held = state.gossip.versions()
-    own = _own_versions(state)
+    own = state.held_versions()
     for version_of in (_CONFIGURATION, _EVACUATIONS, _UPSTREAMS):
         best = max((version_of(held[member.name]) for member in ahead), default=0)
         if best > version_of(own):
@@ -219,13 +219,6 @@
     return []
 
 
-def _own_versions(state: RouterState) -> Versions:
-    """Return the versions that this router holds."""
-    return Versions(
-        state.configuration.version, state.upstreams.version, state.halls.evacuations.version
-    )
-
-
 def log_if_rejected(problem: Rejected | VersionGap | None, version: int) -> None:
     """Log a rejected change, given the version in force now."""
     if isinstance(problem, Rejected):
--- a/pondhatch/router/_state.py
+++ b/pondhatch/router/_state.py
@@ -11,7 +11,7 @@
 from pondhatch.configuration import LoadManagement
 from pondhatch.kernel import Standstill
 from pondhatch.limits import HeldBytes, LimitVerdict, RetryBudgets
-from pondhatch.membership import Member, Phase, ServiceLoad, short_id
+from pondhatch.membership import Member, Phase, ServiceLoad, Versions, short_id
 from pondhatch.placement import (
     BrittleEngines,
     ColdPacer,
@@ -24,6 +24,7 @@
 )
 from pondhatch.quarantine import Suspects
 from pondhatch.requests import RoutingDecision, Target, WorkTimes
+from pondhatch.router._freshness import Freshness
 from pondhatch.router._grace import Grace
 from pondhatch.router._limits import FleetLimits
 from pondhatch.router._upstream_state import UpstreamState
@@ -58,6 +59,8 @@
     suspects: Suspects = field(default_factory=Suspects)
     #: When this process last stood still, by its rounds.
     standstill: Standstill = field(default_factory=Standstill)
+    #: Up to when this router is known to hold what is newest at the platform.
+    freshness: Freshness = field(default_factory=Freshness)
     limits: FleetLimits = field(init=False)
     retry_budgets: RetryBudgets = field(default_factory=RetryBudgets)
     #: Bytes buffered for callers and engines, by account.
@@ -205,6 +208,12 @@
         is_listed = self.upstreams.version > 0 and self.halls.evacuations.is_known
         return self.configuration.version > 0 and is_listed
 
+    def held_versions(self) -> Versions:
+        """Return the versions that this router holds."""
+        return Versions(
+            self.configuration.version, self.upstreams.version, self.halls.evacuations.version
+        )
+
     def is_draining(self) -> bool:
         """Return whether this router is draining."""
         return self.phase != Phase.LIVE
--- a/pondhatch/router/_sync.py
+++ b/pondhatch/router/_sync.py
@@ -22,6 +22,7 @@
 from pondhatch.observing import log_for
 from pondhatch.router._peer_discovery import PeerDiscovery
 from pondhatch.router._peer_pulls import PeerPulls, Pull, log_if_rejected, newest_peers
+from pondhatch.router._platform_checks import EVACUATION_KIND, UPSTREAM_KIND
 from pondhatch.router._state import RouterState
 from pondhatch.store import (
     Listed,
@@ -36,10 +37,6 @@
 
 log = log_for("sync")
 
-#: Kind of the platform's objects that each list one upstream.
-UPSTREAM_KIND = "upstream"
-#: Kind of the platform's objects that each order the evacuation of the data hall they name.
-EVACUATION_KIND = "evacuation"
 #: Seconds between checks of whether this router should watch and whether it is behind.
 CHECK_SECONDS = 0.5
 #: Seconds after its start in which a router discovers its peers: three calls to the platform and
@@ -109,6 +106,20 @@
         """Pull from some peers, whatever they are known to hold, until one has replied."""
         await self._pulls.run_from_any()
 
+    def apply_configuration_event(self, configuration_event: ConfigurationEvent) -> None:
+        """Apply what was read of the configuration, and announce it to peers if it is newer."""
+        if isinstance(configuration_event, Change):
+            self._apply_change(configuration_event)
+        elif isinstance(configuration_event, Rejected):
+            self._state.rejected = configuration_event
+        elif isinstance(configuration_event, Inconsistent):
+            log.error("Configuration cannot be read: {}.", configuration_event.reason)
+        else:
+            # Cleared also where this configuration is not newer: the rejected one was replaced.
+            self._state.rejected = None
+            if self._state.apply_configuration(configuration_event):
+                self._announce()
+
     # -- from the platform --------------------------------------------------
 
     def _start_or_stop_watching(self) -> None:
@@ -169,23 +180,10 @@
 
     async def _watch_changes(self) -> None:
         async for configuration_event in self._source.follow(lambda: self._state.configuration):
-            self._apply_configuration_event(configuration_event)
+            self.apply_configuration_event(configuration_event)
             self._state.platform_error = ""
             await self._peers_discovered.wait()
 
-    def _apply_configuration_event(self, configuration_event: ConfigurationEvent) -> None:
-        if isinstance(configuration_event, Change):
-            self._apply_change(configuration_event)
-        elif isinstance(configuration_event, Rejected):
-            self._state.rejected = configuration_event
-        elif isinstance(configuration_event, Inconsistent):
-            log.error("Configuration cannot be read: {}.", configuration_event.reason)
-        else:
-            # Cleared also where this configuration is not newer: the rejected one was replaced.
-            self._state.rejected = None
-            if self._state.apply_configuration(configuration_event):
-                self._announce()
-
     def _apply_change(self, change: Change) -> None:
         problem = self._state.apply_change(change)
         log_if_rejected(problem, self._state.configuration.version)
--- a/pondhatch/router/tests/test_sync.py
+++ b/pondhatch/router/tests/test_sync.py
@@ -193,6 +193,9 @@
             yield each
         await asyncio.Event().wait()
 
+    async def read_newer(self, current: FleetConfiguration, since: int) -> None:
+        return None
+
 
 class RejectedDocumentTest(unittest.IsolatedAsyncioTestCase):
     """Guards against a rejected document replacing the configuration, or staying rejected."""
--- a/pondhatch/standard/_platform.py
+++ b/pondhatch/standard/_platform.py
@@ -31,6 +31,7 @@
 from pondhatch.store import (
     JSON_ERRORS,
     Accepted,
+    Changes,
     Conflict,
     Found,
     Listed,
@@ -154,6 +155,10 @@
         names = {name_of(each) for each in listing.objects} - {each.name for each in objects}
         return Listed(listing.version, objects, frozenset(names))
 
+    async def changes(self, kind: str, since: int) -> Changes | Listed | Unavailable:
+        """Read all objects of a kind: a watch does not tell when it has reported all changes."""
+        return await self.list(kind)
+
     async def create(
         self, kind: str, name: str, value: Any
     ) -> Accepted | Conflict | OutcomeUnknown | Unavailable:
--- a/pondhatch/store/__init__.py
+++ b/pondhatch/store/__init__.py
@@ -5,6 +5,7 @@
 from pondhatch.store._json_split import JSON_ERRORS, elements, member, members
 from pondhatch.store._objects import (
     Accepted,
+    Changes,
     Conflict,
     Found,
     Listed,
@@ -86,6 +87,7 @@
     "SegmentRing",
     "Accepted",
     "ArchivedRecord",
+    "Changes",
     "Conflict",
     "Found",
     "Listed",
--- a/pondhatch/store/_objects.py
+++ b/pondhatch/store/_objects.py
@@ -54,6 +54,13 @@
     is_whole: bool = True
 
 
+class Changes(msgspec.Struct, frozen=True):
+    """All changes of a kind up to a version."""
+
+    version: Position
+    events: tuple[WatchEvent, ...]
+
+
 class Accepted(msgspec.Struct, frozen=True):
     """The write took effect at this version."""
 
@@ -98,6 +105,13 @@
     async def list(self, kind: str, may_be_old: bool = False) -> Listed | Unavailable:
         """Read all objects of a kind and their version; see ``get`` for ``may_be_old``."""
 
+    async def changes(self, kind: str, since: Position) -> Changes | Listed | Unavailable:
+        """Read the changes of a kind after a version, without waiting for any.
+
+        Returns all objects of the kind where the platform cannot tell the changes alone, or
+        ``since`` is 0. The version returned may be lower than the platform's if there are many.
+        """
+
     async def create(
         self, kind: str, name: str, value: Any
     ) -> Accepted | Conflict | OutcomeUnknown | Unavailable:
