Soak: the routers that read the platform are struck together, and a key is dropped

In every run the readers of all halls stand still at once for 3.5 s or longer while callers are idle; 0.1 s later the configuration drops a key, which is used from 2.05 s after the acknowledgement on at the other routers. New promise "dropped keys": no router that was in touch and undisturbed serves it, and nothing was done to the store.

`python -m bench readers`: what confirmations cost a calm fleet, and what the loss of all readers sets off, in virtual time up to 470 routers.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -19,6 +19,7 @@
 from bench._grants import measure_grants
 from bench._large_fleets import measure_members, measure_starts
 from bench._load_polls import measure_load_polls
+from bench._lost_readers import measure_lost_readers
 from bench._measures import Measure
 from bench._memory import measure_memory
 from bench._placement import measure_placement
@@ -45,6 +46,7 @@
     "gone": measure_abandoned_streams,
     "authority": measure_authority,
     "gossip": measure_gossip,
+    "readers": measure_lost_readers,
     "relay": measure_relay,
     "relayed": measure_relayed,
     "resumed": lambda: chain(measure_routers_begun_anew(), measure_resumed_streams()),
--- a/fakes/_reading_fleet.py
+++ b/fakes/_reading_fleet.py
@@ -101,7 +101,8 @@
         self.state.refresh_members()
         self._tasks.start(self._run_rounds())
         self._tasks.start(self.sync.run())
-        self._tasks.start(self.checks.run())
+        if self._fleet.is_confirmed:
+            self._tasks.start(self.checks.run())
 
     def stop(self) -> None:
         """End without a word."""
@@ -145,7 +146,9 @@
 class ReadingFleet:
     """Routers of several data halls; to be made within a running event loop."""
 
-    def __init__(self, count: int, halls: int, seed: int) -> None:
+    def __init__(self, count: int, halls: int, seed: int, is_confirmed: bool = True) -> None:
+        #: Whether routers confirm to each other that nothing has changed, and ask if none does.
+        self.is_confirmed = is_confirmed
         self.rng = random.Random(seed)
         self.platform = WatchedPlatform()
         self.version = 0
@@ -153,6 +156,7 @@
         #: Packets and their bytes, headers included, since ``reset_counts``.
         self.packets = 0
         self.bytes_sent = 0
+        self.bytes_between_halls = 0
         #: Returns whether two routers do not reach each other.
         self.is_cut: Callable[[str, str], bool] = lambda sender, receiver: False
         self.routers = {
@@ -194,9 +198,12 @@
     def carry(self, sender: ReadingRouter, datagram: Datagram) -> None:
         """Carry a packet to its receiver."""
         self.packets += 1
-        self.bytes_sent += len(datagram.payload) + OVERHEAD_BYTES
+        size = len(datagram.payload) + OVERHEAD_BYTES
         name = f"r{datagram.to.port - FIRST_PORT}"
-        if sender.is_lost or self.is_cut(sender.name, name) or name not in self.routers:
+        self.bytes_sent += size
+        if sender.state.hall != self.routers[name].state.hall:
+            self.bytes_between_halls += size
+        if sender.is_lost or self.is_cut(sender.name, name):
             return
         asyncio.get_running_loop().call_later(
             PACKET_SECONDS,
@@ -204,7 +211,7 @@
         )
 
     def reset_counts(self) -> None:
-        self.packets = self.bytes_sent = 0
+        self.packets = self.bytes_sent = self.bytes_between_halls = 0
         self.platform.called_at.clear()
 
     def stop(self) -> None:
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -94,6 +94,7 @@
             while True:
                 pause = MEAN_BURST_PAUSE if self.is_in_burst else MEAN_PAUSE
                 await asyncio.sleep(self._rng.expovariate(1 / pause))
+                await asyncio.sleep(max(0.0, self._fleet.idle_until - time.monotonic()))
                 await self._send()
         finally:
             self.close()
--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -15,6 +15,7 @@
 from soak._router_checks import (
     configuration_goes_on,
     cut_off_routers,
+    dropped_keys,
     errors,
     lives,
     planned_stops,
@@ -42,6 +43,7 @@
     "cut off routers": cut_off_routers,
     "planned stops": planned_stops,
     "configuration goes on": configuration_goes_on,
+    "dropped keys": dropped_keys,
     "recovery": recovery,
     "lives": lives,
     "errors": errors,
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -14,11 +14,13 @@
 from soak._disturbing import freeze
 from soak._engine_faults import EngineFaults
 from soak._fleet import SERVICES, SoakFleet, in_thread
+from soak._lost_readers import LostReaders
 from soak._out_of_step import OutOfStep
 from soak._plan import (
     BAD_PART,
     CROWDED_ROUTER,
     ENGINE,
+    LOST_READERS,
     OUT_OF_STEP_KINDS,
     PATH_KINDS,
     RELEASE,
@@ -54,6 +56,7 @@
         self._engine_faults = EngineFaults(fleet, self._busy)
         self._store_faults = StoreFaults(fleet, self._busy)
         self._kills = RouterKills(fleet)
+        self._lost_readers = LostReaders(fleet, self._busy)
         self._out_of_step = OutOfStep(fleet, self._engine_faults)
 
     async def inject(self, fault: Fault) -> None:
@@ -166,6 +169,9 @@
         if fault.kind in OUT_OF_STEP_KINDS:
             await self._out_of_step.inject(fault)
             return
+        if fault.kind == LOST_READERS:
+            await self._lost_readers.inject(fault)
+            return
         if fault.kind == BAD_PART:
             await BadPart(self._fleet, fault.target_number).run()
             return
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -57,6 +57,10 @@
     #: Engines whose first entry the store has not confirmed: it may still be written again.
     starting_engines: set[str] = field(default_factory=set)
     configuration_version: int = CONFIGURATION["Version"]
+    #: Keys that are yet to be dropped, by one fault each.
+    keys_to_drop: list[str] = field(default_factory=list)
+    #: Until when callers send nothing, in the monotonic clock's seconds.
+    idle_until: float = 0.0
     _restarts_by_router: dict[str, int] = field(default_factory=dict)
     _engines_started: int = 0
     _own_services: int = 0
@@ -68,18 +72,25 @@
         self.router_paths = RouterPaths(diversions)
 
     async def start(
-        self, routers: int, engines: int, manages_load: bool = False, own_services: int = 0
+        self,
+        routers: int,
+        engines: int,
+        manages_load: bool = False,
+        own_services: int = 0,
+        dropped_keys: int = 0,
     ) -> None:
         """Start all processes, and wait until every router is ready.
 
-        ``own_services`` is the number of services that only streams of one fault each use.
+        ``own_services`` is the number of services that only streams of one fault each use,
+        ``dropped_keys`` that of the keys that one fault each drops.
         """
         self._own_services = own_services
+        self.keys_to_drop = [f"key-to-drop-{number}" for number in range(dropped_keys)]
         if manages_load:
             self.machines_fleet.rules = (*RULES, CONTENTION_RULE)
         await self._add_relay(STORE_NAME)
         await in_thread(self.machines_fleet.__enter__)
-        first = configuration(CONFIGURATION["Version"], own_services)
+        first = configuration(CONFIGURATION["Version"], own_services, self.keys_to_drop)
         await in_thread(lambda: self.machines_fleet.put_object("config", "main", first))
         ports_by_router = {
             f"edge-{index}": RouterPorts(*free_ports(len(fields(RouterPorts))))
@@ -180,10 +191,27 @@
     async def configure(self) -> None:
         """Write the next version of the configuration to the store."""
         self.configuration_version += 1
-        edited = configuration(self.configuration_version, self._own_services)
+        edited = configuration(self.configuration_version, self._own_services, self.keys_to_drop)
         edited["Routes"][0]["TimeoutMs"] = 7000 + self.configuration_version % 1000
         await in_thread(lambda: self.machines_fleet.put_object("config", "main", edited))
 
+    def take_key(self) -> str:
+        """Return a key that the next configuration drops; empty if there is none left."""
+        return self.keys_to_drop.pop() if self.keys_to_drop else ""
+
+    async def readers(self) -> list[MachinesRouter]:
+        """Return the running routers that say that they read the platform for their halls."""
+        absent = self.down_routers | self.stopping_routers
+        running = [each for each in self.routers if each.name not in absent]
+        states = await asyncio.gather(
+            *(in_thread(functools.partial(_state_of, each)) for each in running)
+        )
+        return [
+            each
+            for each, state in zip(running, states, strict=True)
+            if state is not None and state["watches_platform"]
+        ]
+
     def record_disturbance(self, kind: str, name: str, begins: float) -> None:
         """Record a disturbance of a process that lasted from ``begins`` until now."""
         self.records.disturbances.append(Disturbance(kind, name, begins, time.monotonic()))
--- a/soak/_own_services.py
+++ b/soak/_own_services.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from typing import Any
 
 from fakes._machines_fleet import with_version
@@ -20,10 +21,11 @@
     return Route(path, is_repeatable=True, is_stream=True, service=own_service(number))
 
 
-def configuration(version: int, own_services: int) -> dict[str, Any]:
-    """Return the configuration of a run under a version, with some services more."""
+def configuration(version: int, own_services: int, keys: Sequence[str] = ()) -> dict[str, Any]:
+    """Return the configuration of a run under a version, with some services and keys more."""
     edited = with_version(CONFIGURATION, version)
     notes, lang = edited["Routes"][0], edited["Services"][0]
+    edited["Tenants"][0]["ApiKeys"] += keys
     for number in range(own_services):
         name = own_service(number)
         prefix = f"/notes/{name}/"
--- a/soak/_plan.py
+++ b/soak/_plan.py
@@ -108,6 +108,9 @@
 #: Seconds for which they are cut off, and the least and the most for which they stand still.
 APART_SECONDS = (1.0, 2.0, 4.0, 6.0)
 STANDSTILL_SECONDS = (0.6, 3.0)
+#: The routers that read the platform for the others stand still, and a key is dropped; one in every
+#: run.
+LOST_READERS = "lost-readers"
 #: Load faults for each of the other faults.
 LOAD_FAULT_RATIO = 0.5
 
@@ -147,6 +150,11 @@
         """Services that one fault each has for itself."""
         return sum(each.kind in OUT_OF_STEP_KINDS for each in self.faults)
 
+    @property
+    def dropped_keys(self) -> int:
+        """Keys that one fault each drops."""
+        return sum(each.kind == LOST_READERS for each in self.faults)
+
 
 def target_kind_of(kind: str) -> str:
     """Return what faults of a kind are injected at."""
@@ -154,7 +162,14 @@
         return ROUTER
     if kind in (*ANSWER_KINDS, ANSWERS_TWICE, ENDLESS, SPOILT):
         return ENGINE
-    if kind in (RELEASE, BAD_PART, CROWDED_ROUTER, *ROUTER_KILL_KINDS, *OUT_OF_STEP_KINDS):
+    if kind in (
+        RELEASE,
+        BAD_PART,
+        CROWDED_ROUTER,
+        LOST_READERS,
+        *ROUTER_KILL_KINDS,
+        *OUT_OF_STEP_KINDS,
+    ):
         return FLEET
     return TARGET_BY_KIND.get(kind) or TARGET_BY_LOAD_KIND[kind]
 
@@ -165,9 +180,9 @@
     """Return the plan drawn from a seed; equal arguments give equal plans.
 
     Load faults, path faults, releases, faults of answers, second copies of answers, answers
-    without end, spoilt answers, bad parts, crowds, kills of many routers and routers out of step
-    come from generators of their own, so that a seed draws the same other faults with and without
-    them.
+    without end, spoilt answers, bad parts, crowds, lost readers, kills of many routers and routers
+    out of step come from generators of their own, so that a seed draws the same other faults with
+    and without them.
     """
     rng = random.Random(seed)
     routers = rng.randint(2, max(2, max_routers))
@@ -216,6 +231,7 @@
         for _ in range(max(1, round(fault_count * SPOILT_RATIO)))
     ]
     faults.append(_draw_fault(random.Random(f"{seed} crowds"), fault_seconds, (CROWDED_ROUTER,)))
+    faults.append(_draw_fault(random.Random(f"{seed} readers"), fault_seconds, (LOST_READERS,)))
     faults += _draw_router_kills(
         random.Random(f"{seed} kills of many routers"),
         fault_seconds,
--- a/soak/_records.py
+++ b/soak/_records.py
@@ -115,6 +115,18 @@
     version: int
 
 
+@dataclass(frozen=True)
+class KeyUse:
+    """A request with a key that was dropped before."""
+
+    router: str
+    #: When the store had acknowledged the configuration without the key.
+    dropped_at: float
+    sent_at: float
+    #: 0 if there was no answer.
+    status: int
+
+
 @dataclass
 class Records:
     """Everything recorded in one run."""
@@ -127,6 +139,7 @@
     engine_lives: dict[str, EngineLife] = field(default_factory=dict)
     disturbances: list[Disturbance] = field(default_factory=list)
     versions: list[ObservedVersion] = field(default_factory=list)
+    key_uses: list[KeyUse] = field(default_factory=list)
     #: Processes that exited without being stopped, or not as they should.
     unexpected_exits: list[str] = field(default_factory=list)
     #: Errors whose tracebacks processes wrote.
--- a/soak/_router_checks.py
+++ b/soak/_router_checks.py
@@ -6,7 +6,14 @@
 from collections import Counter, defaultdict
 from dataclasses import replace
 
-from soak._plan import APART_STORE, OUT_OF_STEP_KINDS, PATH_KINDS, ROUTER_KILL_KINDS
+from soak._fleet import STORE_NAME
+from soak._plan import (
+    APART_STORE,
+    LOST_READERS,
+    OUT_OF_STEP_KINDS,
+    PATH_KINDS,
+    ROUTER_KILL_KINDS,
+)
 from soak._records import OK, Arrival, Attempt, Disturbance, Records, served_share
 
 #: Seconds by which an attempt may miss a disturbance and still be affected by it.
@@ -15,6 +22,9 @@
 PATH_DETECTION_SECONDS = 3.0
 #: Requests that may fail there during one cut, besides one in fifty.
 MAX_CUT_OFF_FAILURES = 10
+#: Seconds within which a change is to be in force, and for which a router and the store must have
+#: been undisturbed for that.
+IN_FORCE_SECONDS, IN_TOUCH_SECONDS = 2.0, 3.0
 #: Least share of the requests after the recovery that must be served.
 MIN_SERVED_SHARE = 0.9
 #: Seconds within which a router that was killed serves again, if it was not seen to take longer.
@@ -26,7 +36,7 @@
 UNABLE_KINDS = (
     *PATH_KINDS,
     *(each for each in OUT_OF_STEP_KINDS if each != APART_STORE),
-    *("freeze", *RESTART_KINDS),
+    *("freeze", LOST_READERS, *RESTART_KINDS),
 )
 
 
@@ -140,6 +150,30 @@
     return found
 
 
+def dropped_keys(records: Records) -> list[str]:
+    """Check that no router serves a key 2 s after the store acknowledged that it is dropped.
+
+    Only routers are judged that were in touch with the store and undisturbed for a while, and only
+    while nothing was done to the store.
+    """
+    found = []
+    for each in records.key_uses:
+        begins = min(each.dropped_at, each.sent_at - IN_TOUCH_SECONDS)
+        is_struck = any(
+            records.is_disturbed(name, begins, each.sent_at) for name in (each.router, STORE_NAME)
+        )
+        if (
+            each.status == OK
+            and not is_struck
+            and each.sent_at - each.dropped_at > IN_FORCE_SECONDS
+        ):
+            found.append(
+                f"{each.router} served a key {each.sent_at - each.dropped_at:.2f} s after it was"
+                " dropped"
+            )
+    return found
+
+
 def recovery(records: Records) -> list[str]:
     """Check that nearly all requests are served once the faults are over."""
     if math.isinf(records.recovery_deadline):
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -27,7 +27,9 @@
     fleet = SoakFleet(log_file=log_file)
     _cancel_on_sigterm()
     try:
-        await fleet.start(plan.routers, plan.engines, plan.manages_load, plan.own_services)
+        await fleet.start(
+            plan.routers, plan.engines, plan.manages_load, plan.own_services, plan.dropped_keys
+        )
         await _run_under_faults(fleet, plan)
         for engine in fleet.engines:
             await fleet.collect_arrivals(engine)
--- a/soak/tests/test_checks.py
+++ b/soak/tests/test_checks.py
@@ -12,6 +12,7 @@
     Attempt,
     Disturbance,
     EngineLife,
+    KeyUse,
     ObservedVersion,
     Records,
     Route,
@@ -49,6 +50,17 @@
         arrivals = [arrival("a"), arrival("b"), arrival("b", at=10.07)]
         self.assertEqual(self.violated_checks(attempts=attempts, arrivals=arrivals), set())
 
+    def test_dropped_keys(self) -> None:
+        late, in_time = KeyUse("r", 10.0, 12.1, 200), KeyUse("r", 10.0, 11.9, 200)
+        self.assertEqual(self.violated_checks(key_uses=[late]), {"dropped keys"})
+        refused = replace(late, status=401)
+        self.assertEqual(self.violated_checks(key_uses=[in_time, refused]), set())
+        for name, is_excused in (("r", True), ("store", True), ("other", False)):
+            with self.subTest(name):
+                struck = [Disturbance("freeze", name, 8.0, 9.5)]
+                found = self.violated_checks(key_uses=[late], disturbances=struck)
+                self.assertEqual(found, set() if is_excused else {"dropped keys"})
+
     def test_bad_parts(self) -> None:
         self.assertEqual(self.violated_checks(ends_by_bad_part={"bad01": 6}), set())
         self.assertEqual(self.violated_checks(ends_by_bad_part={"bad01": 7}), {"bad parts"})
