One more level of the tree asks later; an engine that leaves, on real processes

Where the routers of the upper levels are lost with the readers, all others asked in the same instant. Routers further down now wait 0.1 s longer than those that they follow, so most hear from these.

fakes/tests/test_lost_readers.py: with the readers of four halls struck, an engine that says it is draining gets nothing two seconds later.

--- a/bench/_lost_readers.py
+++ b/bench/_lost_readers.py
@@ -36,7 +36,7 @@
 
 @dataclass(frozen=True)
 class Loss:
-    """The readers of all halls are lost, and the routers that tell the others."""
+    """The readers of all halls are lost, and the routers of the upper levels."""
 
     #: Calls to the platform in the worst second, of the two that follow.
     worst_second_calls: int
@@ -49,8 +49,11 @@
     logger.remove()
     for routers, halls, seeds in SIZES:
         calm, calm_before = (_calm(routers, halls, is_confirmed) for is_confirmed in (True, False))
-        losses = [_loss(routers, halls, seed, True) for seed in range(seeds)]
-        losses_before = [_loss(routers, halls, seed, False) for seed in range(seeds)]
+        losses, losses_before = (
+            [_loss(routers, halls, seed, TreeLevel.HALL_TOP, is_confirmed) for seed in range(seeds)]
+            for is_confirmed in (True, False)
+        )
+        upper = [_loss(routers, halls, seed, TreeLevel.SECOND, True) for seed in range(seeds)]
         rows = (
             ("calls", calm.calls_a_minute, calm_before.calls_a_minute, "a minute, calm"),
             ("bytes", calm.bytes_a_second, calm_before.bytes_a_second, "B/s a router, calm"),
@@ -72,6 +75,18 @@
                 max(each.in_force_seconds for each in losses_before),
                 "s until the last router",
             ),
+            (
+                "loss-of-upper-levels.calls",
+                max(each.worst_second_calls for each in upper),
+                None,
+                "in the worst second",
+            ),
+            (
+                "loss-of-upper-levels.in-force",
+                max(each.in_force_seconds for each in upper),
+                None,
+                "s until the last router",
+            ),
         )
         for name, value, before, unit in rows:
             yield Measure(f"readers.{routers}.{name}", value, unit, before, "no confirmations")
@@ -93,14 +108,16 @@
     return run_virtually(play())
 
 
-def _loss(routers: int, halls: int, seed: int, is_confirmed: bool) -> Loss:
+def _loss(routers: int, halls: int, seed: int, lowest: TreeLevel, is_confirmed: bool) -> Loss:
+    """Lose the readers and all routers down to a level."""
+
     async def play() -> Loss:
         fleet = ReadingFleet(routers, halls, seed, is_confirmed)
         await asyncio.sleep(SETTLED_SECONDS + fleet.rng.random())
         loop = asyncio.get_running_loop()
         for each in fleet.living():
-            is_top = each.state.gossip.tree_level(loop.time()) <= TreeLevel.HALL_TOP
-            if is_top or each.state.is_watcher():
+            is_upper = each.state.gossip.tree_level(loop.time()) <= lowest
+            if is_upper or each.state.is_watcher():
                 each.stop()
         fleet.reset_counts()
         lost_at = loop.time()
--- a/fakes/tests/test_lost_readers.py
+++ b/fakes/tests/test_lost_readers.py
@@ -9,11 +9,12 @@
 import signal
 import time
 import unittest
+from collections.abc import Callable
 from typing import ClassVar
 
 from fakes._local_fleet import fetch
 from fakes._machines_fleet import MachinesFleet, MachinesRouter, eventually, with_version
-from fakes.tests.test_prepared_machines import MachinesCase
+from fakes.tests.test_prepared_machines import Answer, MachinesCase
 from pondhatch.platform.tests._wire import CONFIGURATION
 
 #: Seconds from the platform's answer to a change until it has to be in force.
@@ -61,30 +62,31 @@
             if fetch(f"http://{router.admin_address}/state.json")["watches_platform"]
         ]
 
-    def routers_that_still_open(self, seconds: float) -> list[str]:
-        """Return the undisturbed routers that a dropped key opens after its time."""
+    def strike_readers(self) -> list[MachinesRouter]:
+        """Have the readers of all halls stand still; return the other routers, undisturbed."""
         readers = self.readers()
-        in_touch = [each for each in self.fleet.machine_routers if each not in readers]
-        self.assertEqual(
-            [self.status(router) for router in in_touch], [200] * len(in_touch), "before"
-        )
+        self.addCleanup(self.wake, readers)
         for reader in readers:
             reader.process.send_signal(signal.SIGSTOP)
-        self.addCleanup(self.wake, readers)
+        return [each for each in self.fleet.machine_routers if each not in readers]
+
+    def after_a_change(
+        self, change: Callable[[], None], ask: Callable[[MachinesRouter], Answer]
+    ) -> list[tuple[str, Answer]]:
+        """Return what the undisturbed routers answer from when a change has to be in force on.
+
+        Callers are idle until then, as a router that calls a lost one notices that.
+        """
+        in_touch = self.strike_readers()
         time.sleep(0.1)
-        dropped_at = time.monotonic()
-        self.fleet.put_object("config", "main", without_key(self.version + 1))
-        time.sleep(dropped_at + IN_FORCE_SECONDS - time.monotonic())
-        opened = []
-        while time.monotonic() < dropped_at + IN_FORCE_SECONDS + seconds:
-            opened += [router.name for router in in_touch if self.status(router) != 401]
+        changed_at = time.monotonic()
+        change()
+        time.sleep(changed_at + IN_FORCE_SECONDS - time.monotonic())
+        answers = []
+        while time.monotonic() < changed_at + IN_FORCE_SECONDS + ASKED_SECONDS:
+            answers += [(router.name, ask(router)) for router in in_touch]
             time.sleep(0.05)
-        return opened
-
-    def status(self, router: MachinesRouter) -> int:
-        return self.send_request(
-            router, "/proofs/a", b"x", Authorization=f"Bearer {DROPPED_KEY}"
-        ).status
+        return answers
 
     def wake(self, routers: list[MachinesRouter]) -> None:
         for router in routers:
@@ -95,7 +97,30 @@
     __test__ = True
 
     def test_a_dropped_key_opens_no_router_two_seconds_later(self) -> None:
-        self.assertEqual(self.routers_that_still_open(ASKED_SECONDS), [])
+        def use_key(router: MachinesRouter) -> Answer:
+            return self.send_request(
+                router, "/proofs/a", b"x", Authorization=f"Bearer {DROPPED_KEY}"
+            )
+
+        routers = self.fleet.machine_routers
+        self.assertEqual([use_key(each).status for each in routers], [200] * len(routers))
+        answers = self.after_a_change(
+            lambda: self.fleet.put_object("config", "main", without_key(self.version + 1)), use_key
+        )
+        self.assertEqual([name for name, answer in answers if answer.status != 401], [])
+
+
+class LeavingEngineTest(LostReadersCase):
+    __test__ = True
+
+    def test_an_engine_that_leaves_gets_nothing_two_seconds_later(self) -> None:
+        leaving, staying = self.engines("portal")
+        answers = self.after_a_change(
+            lambda: self.fleet.put_engine(leaving, "draining"),
+            lambda router: self.send_request(router, "/proofs/a", b"x"),
+        )
+        signatures = {answer.headers["Instance-Signature"] or "" for _, answer in answers}
+        self.assertEqual({each.partition(".")[0] for each in signatures}, {staying.name})
 
 
 def without_key(version: int) -> dict[str, object]:
--- a/pondhatch/membership/_hall_tree.py
+++ b/pondhatch/membership/_hall_tree.py
@@ -28,9 +28,11 @@
     #: The first router of another hall.
     HALL_TOP = 2
     #: A router that follows a hall's first directly.
-    BELOW_TOP = 3
+    SECOND = 3
+    #: A router that follows one of these.
+    THIRD = 4
     #: Any other router, one that is draining included.
-    LOWER = 4
+    LOWER = 5
 
 
 def aggregation_order(hall: str, members: Iterable[Member]) -> tuple[Member, ...]:
@@ -83,10 +85,12 @@
         return self.level <= TreeLevel.HALL_TOP
 
     def _level(self, place: int | None) -> TreeLevel:
-        if place is None or place > TREE_FANOUT:
+        if place is None or place > TREE_FANOUT + TREE_FANOUT**2:
             return TreeLevel.LOWER
+        if place > TREE_FANOUT:
+            return TreeLevel.THIRD
         if place > 0:
-            return TreeLevel.BELOW_TOP
+            return TreeLevel.SECOND
         capacity_by_top = {top.name: top.capacity for top in (self.order[0], *self.other_tops)}
         rank = weighted_ranked("fleet", capacity_by_top).index(self._name)
         return TreeLevel(min(rank, TreeLevel.HALL_TOP))
--- a/pondhatch/membership/tests/test_hall_tree.py
+++ b/pondhatch/membership/tests/test_hall_tree.py
@@ -49,7 +49,7 @@
         for tree in trees.values():
             if tree.is_top:
                 self.assertEqual(
-                    {trees[child.name].level for child in tree.children}, {TreeLevel.BELOW_TOP}
+                    {trees[child.name].level for child in tree.children}, {TreeLevel.SECOND}
                 )
 
     def test_a_draining_router_stands_outside_the_tree(self) -> None:
--- a/pondhatch/router/_freshness.py
+++ b/pondhatch/router/_freshness.py
@@ -28,8 +28,9 @@
     TreeLevel.FLEET_TOP: 0.35,
     TreeLevel.NEXT_TOP: 0.8,
     TreeLevel.HALL_TOP: 0.9,
-    TreeLevel.BELOW_TOP: 1.0,
-    TreeLevel.LOWER: 1.1,
+    TreeLevel.SECOND: 1.0,
+    TreeLevel.THIRD: 1.1,
+    TreeLevel.LOWER: 1.2,
 }
 #: Seconds by which a confirmation must be newer than the known one to be passed on: of several that
 #: arrive for the same moment, one is enough.
