A rejected document does not stay rejected at a router that stops asking

A router that asks the platform itself for a while may read a document that is no configuration, and then rely on others again. Nobody would have told it that the document was replaced by the configuration it holds: it would have gone on answering 503 in place of 404 for entries that do not exist. It now forgets the rejection once it hears a confirmation, unless it watches the platform.

--- a/fakes/_reading_fleet.py
+++ b/fakes/_reading_fleet.py
@@ -5,6 +5,9 @@
 import asyncio
 import random
 from collections.abc import Callable, Iterable
+from typing import Any
+
+import msgspec
 
 from fakes._watched_platform import PlatformPath, WatchedPlatform
 from pondhatch.cli._announcer import Announcer
@@ -73,7 +76,7 @@
             self.path,  # type: ignore[arg-type]
             DOCUMENT_KIND,
             DOCUMENT_NAME,
-            lambda value: Snapshot(value, ()),
+            _decode,
         )
         discovery = PeerDiscovery(self.name, gossip, self.path, rng)  # type: ignore[arg-type]
         self.sync = Sync(
@@ -219,5 +222,12 @@
             router.stop()
 
 
+def _decode(value: Any) -> Snapshot:
+    """Return the configuration of a document, which is its version."""
+    if not isinstance(value, int):
+        raise msgspec.ValidationError("expected a version")
+    return Snapshot(value, ())
+
+
 def _no_key_holder(member: Member) -> KeyHolder:
     raise NotImplementedError(f"nothing is sent to {member.name} here")
--- a/pondhatch/membership/_hall_tree.py
+++ b/pondhatch/membership/_hall_tree.py
@@ -23,9 +23,9 @@
 
     #: The first router of the fleet.
     FLEET_TOP = 0
-    #: The hall's first router that follows if the fleet's is lost.
+    #: The first router of another hall, which takes the place of the fleet's first if that is lost.
     NEXT_TOP = 1
-    #: The first router of another hall.
+    #: The first router of any other hall.
     HALL_TOP = 2
     #: A router that follows a hall's first directly.
     SECOND = 3
--- a/pondhatch/router/_platform_checks.py
+++ b/pondhatch/router/_platform_checks.py
@@ -83,7 +83,7 @@
         state, now = self._state, self._state.clock()
         state.freshness.note_round(now)
         if state.freshness.use_pending(state.held_versions(), now):
-            self._is_asking = False
+            self._note_heard()
             self._pass_on(is_own=False)
 
     def _receive(self, confirmation: Confirmation) -> list[Datagram]:
@@ -91,9 +91,16 @@
         state = self._state
         if not state.freshness.hear(confirmation, state.held_versions(), state.clock()):
             return []
-        self._is_asking = False
+        self._note_heard()
         return self._confirmations(is_own=False)
 
+    def _note_heard(self) -> None:
+        """Note that another router asks the platform, so that this one need not."""
+        self._is_asking = False
+        if not self._state.is_watcher():
+            # Only who reads the platform learns that a rejected configuration was replaced.
+            self._state.rejected = None
+
     def _seconds_until_due(self) -> float:
         now = self._state.clock()
         return self._state.freshness.seconds_until_due(self._state.gossip.tree_level(now), now)
--- a/pondhatch/router/tests/test_lost_readers.py
+++ b/pondhatch/router/tests/test_lost_readers.py
@@ -11,7 +11,7 @@
 import unittest
 from collections.abc import Awaitable, Callable
 
-from fakes._reading_fleet import ReadingFleet, ReadingRouter
+from fakes._reading_fleet import DOCUMENT_KIND, DOCUMENT_NAME, ReadingFleet, ReadingRouter
 from fakes._virtual_loop import run_virtually
 from pondhatch.membership import TreeLevel
 from pondhatch.router import EVACUATION_KIND, UPSTREAM_KIND
@@ -215,6 +215,23 @@
 
         self.play_with(play)
 
+    def test_a_rejected_document_that_was_replaced_is_rejected_by_nobody(self) -> None:
+        async def play(fleet: ReadingFleet) -> None:
+            silent = tops(fleet)
+            for each in silent:
+                each.path.is_silent = True
+            fleet.platform.put(DOCUMENT_KIND, DOCUMENT_NAME, "no version")
+            await asyncio.sleep(IN_FORCE_SECONDS)
+            self.assertTrue(any(each.state.rejected for each in fleet.living()))
+            for each in silent:
+                each.path.is_silent = False
+            fleet.platform.put(DOCUMENT_KIND, DOCUMENT_NAME, fleet.version)
+            await asyncio.sleep(2 * IN_FORCE_SECONDS)
+            rejecting = [each.name for each in fleet.living() if each.state.rejected]
+            self.assertEqual(rejecting, [])
+
+        self.play_with(play, SMALL)
+
     def test_halls_that_do_not_reach_each_other(self) -> None:
         async def play(fleet: ReadingFleet) -> None:
             hall_of = {each.name: each.state.hall for each in fleet.living()}
