Clean-up: one ranking of a hall's routers, faults of the soak's fleet by kind; a play of two builds

`watchers` and `aggregation_order` built the same table of a hall's live routers, each on its own; the soak chose a fault's method by a chain of nine conditions. The comment at the length of answers now says what the pattern allows.

--- a/fakes/_reading_fleet.py
+++ b/fakes/_reading_fleet.py
@@ -97,6 +97,7 @@
             self.send,
             rng,
         )
+        self._checking: asyncio.Task[None] | None = None
         self.is_lost = False
         self._first_round_after = rng.random() * ROUND_SECONDS
 
@@ -105,7 +106,13 @@
         self._tasks.start(self._run_rounds())
         self._tasks.start(self.sync.run())
         if self._fleet.is_confirmed:
-            self._tasks.start(self.checks.run())
+            self._checking = self._tasks.start(self.checks.run())
+
+    def stop_confirming(self) -> None:
+        """Behave as a router of a build without confirmations from now on."""
+        self.state.gossip.on_confirmation = None
+        if self._checking is not None:
+            self._checking.cancel()
 
     def stop(self) -> None:
         """End without a word."""
--- a/pondhatch/membership/_hall_tree.py
+++ b/pondhatch/membership/_hall_tree.py
@@ -10,8 +10,7 @@
 import enum
 from collections.abc import Iterable
 
-from pondhatch.membership._members import Member
-from pondhatch.membership._records import Phase
+from pondhatch.membership._members import Member, ranked_in_hall
 from pondhatch.placement import weighted_ranked
 
 #: Routers to which one router of a tree forwards a packet.
@@ -37,14 +36,7 @@
 
 def aggregation_order(hall: str, members: Iterable[Member]) -> tuple[Member, ...]:
     """Return a hall's live routers in the order of its tree; the first is the aggregator."""
-    by_name = {
-        member.name: member
-        for member in members
-        if member.hall == hall and member.phase == Phase.LIVE
-    }
-    capacity_by_router = {name: member.capacity for name, member in by_name.items()}
-    order = weighted_ranked(f"speak:{hall}", capacity_by_router)
-    return tuple(by_name[name] for name in order)
+    return ranked_in_hall("speak", hall, members)
 
 
 class HallTree:
--- a/pondhatch/membership/_members.py
+++ b/pondhatch/membership/_members.py
@@ -4,12 +4,14 @@
 
 import operator
 import random
+from collections.abc import Iterable
 
 import msgspec
 
 from pondhatch.membership._capacity import USUAL_CAPACITY, bounded_capacity
 from pondhatch.membership._member_table import Address, MemberTable
 from pondhatch.membership._records import Alive, Phase, Status
+from pondhatch.placement import weighted_ranked
 
 
 class Member(msgspec.Struct, frozen=True):
@@ -129,3 +131,14 @@
         sees_platform=alive.sees_platform,
         capacity=bounded_capacity(alive.capacity),
     )
+
+
+def ranked_in_hall(key: str, hall: str, members: Iterable[Member]) -> tuple[Member, ...]:
+    """Return a hall's live routers in rendezvous order for a key, weighted by capacity."""
+    by_name = {
+        member.name: member
+        for member in members
+        if member.hall == hall and member.phase == Phase.LIVE
+    }
+    capacity_by_router = {name: member.capacity for name, member in by_name.items()}
+    return tuple(by_name[name] for name in weighted_ranked(f"{key}:{hall}", capacity_by_router))
--- a/pondhatch/membership/_ownership.py
+++ b/pondhatch/membership/_ownership.py
@@ -9,9 +9,9 @@
 
 from collections.abc import Iterable, Mapping
 
-from pondhatch.membership._members import Member
+from pondhatch.membership._members import Member, ranked_in_hall
 from pondhatch.membership._records import Phase
-from pondhatch.placement import weighted_ranked, weighted_winner
+from pondhatch.placement import weighted_winner
 
 #: Routers of a hall that watch the platform for the others.
 WATCHERS_PER_HALL = 1
@@ -48,12 +48,6 @@
 
     A router that publishes that it cannot reach the platform is replaced by the next one.
     """
-    live = {
-        member.name: member
-        for member in members
-        if member.hall == hall and member.phase == Phase.LIVE
-    }
-    capacity_by_router = {name: member.capacity for name, member in live.items()}
-    order = weighted_ranked(f"watch:{hall}", capacity_by_router)
-    seeing = tuple(name for name in order[:MAX_PLATFORM_PROBERS] if live[name].sees_platform)
-    return (seeing or order)[:WATCHERS_PER_HALL]
+    order = ranked_in_hall("watch", hall, members)
+    seeing = tuple(each for each in order[:MAX_PLATFORM_PROBERS] if each.sees_platform)
+    return tuple(each.name for each in (seeing or order)[:WATCHERS_PER_HALL])
--- a/pondhatch/router/tests/test_lost_readers.py
+++ b/pondhatch/router/tests/test_lost_readers.py
@@ -215,6 +215,24 @@
 
         self.play_with(play)
 
+    def test_routers_of_an_older_build_keep_no_newer_one_behind(self) -> None:
+        async def play(fleet: ReadingFleet) -> None:
+            older = fleet.rng.sample(fleet.living(), len(fleet.living()) // 2)
+            for each in older:
+                each.stop_confirming()
+            lose(fleet.readers())
+            await asyncio.sleep(0.1)
+            version = fleet.change()
+            await asyncio.sleep(IN_FORCE_SECONDS)
+            late = [
+                each.name
+                for each in fleet.living()
+                if each not in older and each.state.configuration.version < version
+            ]
+            self.assertEqual(late, [])
+
+        self.play_with(play)
+
     def test_a_rejected_document_that_was_replaced_is_rejected_by_nobody(self) -> None:
         async def play(fleet: ReadingFleet) -> None:
             silent = tops(fleet)
--- a/pondhatch/transport/_answer_heads.py
+++ b/pondhatch/transport/_answer_heads.py
@@ -43,7 +43,7 @@
 _BLANKS = b" \t"
 #: The empty line that ends a head.
 _END = b"\r\n"
-#: More digits than any length has: ten exabytes.
+#: At most 20 digits, which make a hundred exabytes.
 _LENGTH = re.compile(rb"[0-9]{1,20}")
 #: Bytes of a malformed line that are quoted.
 _QUOTED_BYTES = 80
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -58,6 +58,16 @@
         self._kills = RouterKills(fleet)
         self._lost_readers = LostReaders(fleet, self._busy)
         self._out_of_step = OutOfStep(fleet, self._engine_faults)
+        self._fleet_fault_by_kind: dict[str, Callable[[Fault], Awaitable[None]]] = {
+            "configuration": self._configure,
+            "slow-readers": self._slow_down_readers,
+            RELEASE: self._release,
+            LOST_READERS: self._lost_readers.inject,
+            BAD_PART: self._run_bad_part,
+            CROWDED_ROUTER: self._crowd,
+            **dict.fromkeys(ROUTER_KILL_KINDS, self._kill_routers),
+            **dict.fromkeys(OUT_OF_STEP_KINDS, self._out_of_step.inject),
+        }
 
     async def inject(self, fault: Fault) -> None:
         """Inject one fault; return when it is over."""
@@ -154,37 +164,30 @@
         await asyncio.gather(*(self._engine_faults.retire(each) for each in engines))
 
     async def _inject_fleet_fault(self, fault: Fault) -> None:
-        if fault.kind == "configuration":
-            await self._fleet.configure()
-            return
-        if fault.kind == "slow-readers":
-            await self._slow_down_readers(fault)
-            return
-        if fault.kind == RELEASE:
-            await self._engine_faults.release()
-            return
-        if fault.kind in ROUTER_KILL_KINDS:
-            await self._kill_routers(fault)
-            return
-        if fault.kind in OUT_OF_STEP_KINDS:
-            await self._out_of_step.inject(fault)
-            return
-        if fault.kind == LOST_READERS:
-            await self._lost_readers.inject(fault)
-            return
-        if fault.kind == BAD_PART:
-            await BadPart(self._fleet, fault.target_number).run()
-            return
-        if fault.kind == CROWDED_ROUTER:
-            router = self._fleet.routers[fault.target_number % len(self._fleet.routers)]
-            self._fleet.crowded_router = router.name
+        await self._fleet_fault_by_kind.get(fault.kind, self._burst)(fault)
+
+    async def _configure(self, fault: Fault) -> None:
+        await self._fleet.configure()
+
+    async def _release(self, fault: Fault) -> None:
+        await self._engine_faults.release()
+
+    async def _run_bad_part(self, fault: Fault) -> None:
+        await BadPart(self._fleet, fault.target_number).run()
+
+    async def _crowd(self, fault: Fault) -> None:
+        """Have most new connections go to one router during a burst."""
+        router = self._fleet.routers[fault.target_number % len(self._fleet.routers)]
+        self._fleet.crowded_router = router.name
+        await self._burst(fault)
+        self._fleet.crowded_router = ""
+
+    async def _burst(self, fault: Fault) -> None:
         for caller in self._callers:
             caller.is_in_burst = True
         await asyncio.sleep(min(fault.seconds, 2.0))
         for caller in self._callers:
             caller.is_in_burst = False
-        if fault.kind == CROWDED_ROUTER:
-            self._fleet.crowded_router = ""
 
     async def _slow_down_readers(self, fault: Fault) -> None:
         """Make one in three callers ask for large answers and read them slowly."""
