Metric and dump tell how old a router's knowledge of the platform may be

An operator could not tell a router that is up to date from one that hears nothing: `configuration.behind_ms` is 0 for both. `platform.confirmed_ms` and `confirmed_seconds_ago` in the dump say when somebody last asked the platform for what the router holds.

--- a/fakes/tests/test_lost_readers.py
+++ b/fakes/tests/test_lost_readers.py
@@ -110,6 +110,20 @@
         self.assertEqual([name for name, answer in answers if answer.status != 401], [])
 
 
+class ConfirmedAgeTest(LostReadersCase):
+    __test__ = True
+
+    def test_each_router_tells_how_old_its_knowledge_may_be(self) -> None:
+        for router in self.fleet.machine_routers:
+            lines = fetch(router.metrics_url).splitlines()
+            (line,) = [
+                each for each in lines if each.startswith("pondhatch_platform_confirmed_ms{")
+            ]
+            self.assertLess(float(line.split()[-1]), 1000 * IN_FORCE_SECONDS)
+            state = fetch(f"http://{router.admin_address}/state.json")
+            self.assertLess(state["confirmed_seconds_ago"], IN_FORCE_SECONDS)
+
+
 class LeavingEngineTest(LostReadersCase):
     __test__ = True
 
--- a/pondhatch/cli/_router_statistics.py
+++ b/pondhatch/cli/_router_statistics.py
@@ -38,6 +38,7 @@
             "held.bytes": self.state.held_bytes.total,
             "configuration.version": self.state.configuration.version,
             "configuration.behind_ms": round(1000 * self.state.lag.seconds(self.state.clock())),
+            "platform.confirmed_ms": round(1000 * self._confirmed_seconds()),
             "configuration.refused": int(self.state.rejected is not None),
             "configuration.misfits": len(self.state.configuration.misfits_by_entry),
             "upstreams.owned": len(self.state.owned()),
@@ -62,6 +63,11 @@
             "control.bytes_received": self.gossip_port.bytes_received,
         }
 
+    def _confirmed_seconds(self) -> float:
+        """Return for how long this router may have missed a change, its uptime at most."""
+        uptime = time.monotonic() - self.started_at
+        return min(uptime, self.state.freshness.age(self.state.clock()))
+
     def _services_with_several_versions(self) -> int:
         """Return of how many services several software versions may have begun streams."""
         services = self.state.configuration.service_by_name
