A slow platform still confirms: a check that timed out gives the next more time

A platform whose answers take longer than 0.5 s never confirmed anything: each router's first call of a check timed out, its connection was dropped, and the next call got the same 0.5 s. The timeout now doubles after each time-out, up to 2 s, and is back to 0.5 s after an answer.

--- a/fakes/_watched_platform.py
+++ b/fakes/_watched_platform.py
@@ -59,6 +59,8 @@
         self._platform = platform
         #: Whether calls of this router get no answer.
         self.is_silent = False
+        #: Seconds that each call takes beyond the usual.
+        self.delay = 0.0
 
     async def list(self, kind: str, may_be_old: bool = False) -> Listed | Unavailable:
         if await self._is_unanswered():
@@ -98,7 +100,7 @@
         return ()
 
     async def _is_unanswered(self) -> bool:
-        await asyncio.sleep(WAY_SECONDS)
+        await asyncio.sleep(WAY_SECONDS + self.delay)
         if self.is_silent:
             await asyncio.sleep(CALL_SECONDS)
         return self.is_silent
--- a/pondhatch/router/_platform_checks.py
+++ b/pondhatch/router/_platform_checks.py
@@ -27,9 +27,11 @@
 #: Seconds after its start in which a router relies on what it reads then, as the first
 #: confirmation may take as long to reach it.
 FIRST_CHECK_SECONDS = 0.8
-#: Timeout in seconds of the call that tells the position. The call is small, and a connection that
-#: has fallen silent must not use up the time within which a change has to be in force.
-POSITION_TIMEOUT = 0.5
+#: Timeout in seconds of the call that tells the position, at first and at most. The call is small,
+#: and a connection that has fallen silent must not use up the time within which a change has to be
+#: in force. After a timeout the next call gets twice as long: the platform may be slow.
+INITIAL_POSITION_TIMEOUT = 0.5
+MAX_POSITION_TIMEOUT = 2.0
 #: Seconds before a failed check is repeated, at first and at most. Where the platform is away, each
 #: router asks at this interval, so hundreds make hundreds of small calls a second.
 INITIAL_RETRY_SECONDS = 0.1
@@ -61,6 +63,7 @@
         self._announce = announce
         self._send = send
         self._rng = rng
+        self._position_timeout = INITIAL_POSITION_TIMEOUT
         #: Whether the last confirmation was this router's own, so that others fell silent.
         self._is_asking = False
         state.gossip.on_confirmation = self._receive
@@ -118,12 +121,14 @@
         asked_at = self._state.clock()
         self._log_silence(asked_at)
         try:
-            async with asyncio.timeout(POSITION_TIMEOUT):
+            async with asyncio.timeout(self._position_timeout):
                 listed = await self._platform.list(EVACUATION_KIND)
         except TimeoutError:
+            self._position_timeout = min(MAX_POSITION_TIMEOUT, 2 * self._position_timeout)
             return False
         if isinstance(listed, Unavailable):
             return False
+        self._position_timeout = INITIAL_POSITION_TIMEOUT
         if self._state.apply_listed_evacuations(listed):
             self._announce()
         if not await self._read_changes(listed.version):
--- a/pondhatch/router/tests/test_lost_readers.py
+++ b/pondhatch/router/tests/test_lost_readers.py
@@ -250,6 +250,20 @@
 
         self.play_with(play, SMALL)
 
+    def test_a_slow_platform_is_asked_with_more_patience(self) -> None:
+        async def play(fleet: ReadingFleet) -> None:
+            for each in fleet.living():
+                each.path.delay = 1.2
+            lose(fleet.readers())
+            await asyncio.sleep(6.0)
+            fleet.reset_counts()
+            await asyncio.sleep(10.0)
+            ages = [each.state.freshness.age(each.state.clock()) for each in fleet.living()]
+            self.assertLess(max(ages), 6.0)
+            self.assertLess(len(fleet.platform.called_at), 10 * len(fleet.living()))
+
+        self.play_with(play, seeds=2)
+
     def test_halls_that_do_not_reach_each_other(self) -> None:
         async def play(fleet: ReadingFleet) -> None:
             hall_of = {each.name: each.state.hall for each in fleet.living()}
