Clean-up: the stream of a watch is a module of its own

The protocol of a watch's body and the reading of its lines moved to `_watch_stream.py`; the tests name it there and check as before.

--- a/pondhatch/standard/_platform.py
+++ b/pondhatch/standard/_platform.py
@@ -17,10 +17,7 @@
 from treq.response import _Response as TreqResponse
 from twisted.internet.error import ConnectError
 from twisted.internet.error import TimeoutError as ConnectTimeout
-from twisted.internet.protocol import Protocol
-from twisted.python.failure import Failure
 from twisted.web._newclient import RequestNotSent
-from twisted.web.client import ResponseDone
 from twisted.web.http_headers import Headers as WireHeaders
 
 from pondhatch.kernel import as_future
@@ -28,6 +25,7 @@
 from pondhatch.standard._limited_agent import limited_agent
 from pondhatch.standard._limited_content import read_content
 from pondhatch.standard._objects import decode_listing, key_of, name_of
+from pondhatch.standard._watch_stream import WatchProtocol, watch_lines
 from pondhatch.store import (
     JSON_ERRORS,
     Accepted,
@@ -44,7 +42,7 @@
     WatchEvent,
     member,
 )
-from pondhatch.transport import MAX_CONTENT_BYTES, PartPipe
+from pondhatch.transport import MAX_CONTENT_BYTES
 
 log = log_for("store")
 
@@ -52,12 +50,6 @@
 NOT_SENT = (ConnectError, ConnectTimeout, RequestNotSent)
 #: Timeout of one call, in seconds; a healthy platform answers within milliseconds.
 CALL_SECONDS = 2.0
-#: Seconds without a line, bookmarks included, after which a watch is given up.
-WATCH_SILENCE_SECONDS = 15.0
-#: Maximum bytes of a line of a watch, which holds one object: several times the largest one.
-MAX_LINE_BYTES = 8 * 1024 * 1024
-#: Seconds within which a line that has begun must end.
-LINE_SECONDS = 2.0
 NOT_FOUND = 404
 CONFLICT = 409
 GONE = 410
@@ -74,40 +66,6 @@
         self.sent = sent
 
 
-class _WatchProtocol(Protocol):
-    """Writes the body of a watch into a pipe."""
-
-    transport: Any
-
-    def __init__(self) -> None:
-        self.pipe = PartPipe(self._pause, self._resume)
-        self._stopped = False
-
-    def dataReceived(self, data: bytes) -> None:
-        self.pipe.put(data)
-
-    def connectionLost(self, reason: Failure = Failure(ConnectError())) -> None:  # noqa: B008
-        if reason.check(ResponseDone):
-            self.pipe.end()
-            return
-        self.pipe.fail(ConnectionError(reason.getErrorMessage() or "cut"))
-
-    def stop(self) -> None:
-        """Close the connection, which ends the watch at the platform."""
-        if self._stopped or self.pipe.ended or self.transport is None:
-            return
-        self._stopped = True
-        self.transport.loseConnection()
-
-    def _pause(self) -> None:
-        if self.transport is not None:
-            self.transport.pauseProducing()
-
-    def _resume(self) -> None:
-        if self.transport is not None:
-            self.transport.resumeProducing()
-
-
 class HttpPlatform:
     """A client of the platform's object API over HTTP; see Platform."""
 
@@ -175,7 +133,7 @@
         """Yield changes after a version, or from now on; see Platform."""
         self.calls += 1
         since_query = "" if since is None else f"&since={since}"
-        protocol = _WatchProtocol()
+        protocol = WatchProtocol()
         try:
             async with asyncio.timeout(CALL_SECONDS):
                 response = await self._request("GET", f"{kind}?watch=true{since_query}")
@@ -187,7 +145,7 @@
             raise PlatformLost(f"answered {response.code}")
         response.deliverBody(protocol)
         try:
-            async for line in _lines(protocol.pipe):
+            async for line in watch_lines(protocol.pipe):
                 event = self._decode_event(line)
                 if event is not None:
                     yield event
@@ -271,35 +229,3 @@
 
 def _path(kind: str, name: str) -> str:
     return f"{kind}/{quote(name, safe='')}"
-
-
-async def _lines(pipe: PartPipe) -> AsyncIterator[bytes]:
-    """Yield the lines of a watch as they are received. Raises PlatformLost at its end."""
-    #: Parts of the line that has begun, and their bytes together.
-    begun: list[bytes] = []
-    size = 0
-    clock = asyncio.get_running_loop().time
-    #: When the line that has begun must have ended.
-    line_until = float("inf")
-    while True:
-        try:
-            async with asyncio.timeout_at(min(clock() + WATCH_SILENCE_SECONDS, line_until)):
-                part = await pipe.read()
-        except (TimeoutError, ConnectionError) as error:
-            raise PlatformLost(str(error) or "the watch went silent") from error
-        if not part:
-            raise PlatformLost("the watch ended")
-        first, *rest = part.split(b"\n")
-        begun.append(first)
-        size += len(first)
-        if size > MAX_LINE_BYTES:
-            raise PlatformLost(f"the watch sent a line of more than {MAX_LINE_BYTES} bytes")
-        if not rest:
-            line_until = min(line_until, clock() + LINE_SECONDS)
-            continue
-        lines, last = (b"".join(begun), *rest[:-1]), rest[-1]
-        begun, size = [last], len(last)
-        for line in lines:
-            if line:
-                yield line
-        line_until = clock() + LINE_SECONDS if last else float("inf")
--- a/pondhatch/standard/tests/test_odd_objects.py
+++ b/pondhatch/standard/tests/test_odd_objects.py
@@ -91,7 +91,7 @@
         response = mock.Mock(code=200)
         with (
             mock.patch.object(platform, "_request", mock.AsyncMock(return_value=response)),
-            mock.patch.object(_platform, "_lines", lines),
+            mock.patch.object(_platform, "watch_lines", lines),
         ):
             return [each async for each in platform.watch("upstream", 1)]
 
--- a/pondhatch/standard/tests/test_platform.py
+++ b/pondhatch/standard/tests/test_platform.py
@@ -15,7 +15,7 @@
 from loguru import logger
 
 from fakes._virtual_loop import run_virtually
-from pondhatch.standard import _platform
+from pondhatch.standard import _platform, _watch_stream
 from pondhatch.standard._platform import HttpPlatform
 from pondhatch.store import Listed, PlatformLost, Unavailable, WatchEvent
 
@@ -76,7 +76,7 @@
         response = mock.Mock(code=200)
         with (
             mock.patch.object(platform, "_request", mock.AsyncMock(return_value=response)),
-            mock.patch.object(_platform, "_lines", lines),
+            mock.patch.object(_platform, "watch_lines", lines),
         ):
             self.assertEqual([each async for each in platform.watch("upstream", 1)], [good])
 
@@ -102,7 +102,7 @@
             clock = asyncio.get_running_loop().time
             began = clock()
             with self.assertRaises(PlatformLost):
-                async for line in _platform._lines(pipe):
+                async for line in _watch_stream.watch_lines(pipe):
                     lines.append(line)
                     if len(lines) == 1000:
                         raise PlatformLost("read enough")
@@ -119,7 +119,7 @@
     def test_a_line_that_comes_in_drops_is_given_up_by_its_time(self) -> None:
         lines, seconds = self.read(b"x", 0.1)
         self.assertEqual(lines, [])
-        self.assertAlmostEqual(seconds, 0.1 + _platform.LINE_SECONDS, delta=0.11)
+        self.assertAlmostEqual(seconds, 0.1 + _watch_stream.LINE_SECONDS, delta=0.11)
 
     def test_lines_that_come_in_parts_are_put_together_for_as_long_as_they_come(self) -> None:
         lines, seconds = self.read(b'a"}\n{"b":1}\n{"', 1.0)
